--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+JOBS ?= auto
+
+.PHONY: demo test bench lint format types lock clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --require-hashes -r requirements.lock
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m cassiadrum.demo $(if $(JSON),--json)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -n $(JOBS)
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+lock:
+	$(PYTHON) -m piptools compile --quiet --generate-hashes --allow-unsafe --strip-extras \
+	  --no-header --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
+	  -o requirements.lock requirements.in
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds, in virtual time."""
--- /dev/null
+++ b/cassiadrum/decisions/endpoint_choosers.py
@@ -0,0 +1,49 @@
+"""Base class of the choice of an endpoint."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection
+
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.queued_requests import QueuedRequest
+
+__all__ = ["EndpointChooser"]
+
+
+class EndpointChooser(ABC):
+    """Know the connected endpoints of one service and choose one for each request."""
+
+    @abstractmethod
+    def report(self, rep: EndpointReport, now: float) -> None:
+        """Take a load report; the first one of an instance adds the endpoint."""
+
+    @abstractmethod
+    def remove(self, instance: str) -> None:
+        """Forget an endpoint, for example because its connection is lost."""
+
+    @abstractmethod
+    def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
+        """Count a dispatch that reports do not show yet."""
+
+    @abstractmethod
+    def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
+        """Take the number of tokens that arrived for a stream since the last call."""
+
+    @abstractmethod
+    def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
+        """Count the end of an attempt; `ok` is False when the endpoint failed it."""
+
+    @abstractmethod
+    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+        """Take prefix keys that the endpoint says it holds in its cache."""
+
+    @abstractmethod
+    def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
+        """Return the instance to send the request to, or None when none has a free slot."""
+
+    @abstractmethod
+    def free_slots(self) -> int:
+        """Return the number of requests that can be dispatched now."""
+
+    @abstractmethod
+    def instances(self) -> Collection[str]:
+        """Return the endpoints that may take new work."""
--- /dev/null
+++ b/cassiadrum/decisions/outcomes.py
@@ -0,0 +1,28 @@
+"""How an attempt of a request ended."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Outcome", "Ran"]
+
+
+class Ran(StrEnum):
+    """Tell truthfully whether a request ran."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Outcome(NamedTuple):
+    """State whether an attempt succeeded, whether it ran, and the tokens it produced.
+
+    `reason` is one of the refusal reasons of the design page, empty on success.
+    `retry_after_s` is in seconds, 0 when unknown.
+    """
+
+    ok: bool
+    ran: Ran
+    tokens: int = 0
+    reason: str = ""
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/cassiadrum/decisions/scheduler_actions.py
@@ -0,0 +1,35 @@
+"""What a scheduler tells the sidecar to do."""
+
+from typing import NamedTuple
+
+from cassiadrum.decisions.queued_requests import QueuedRequest
+
+__all__ = ["Pause", "Reject", "Resume", "SchedulerAction", "Start"]
+
+
+class Start(NamedTuple):
+    """Start the request at the endpoint."""
+
+    req: QueuedRequest
+
+
+class Pause(NamedTuple):
+    """Pause the running stream; its KV cache stays at the engine."""
+
+    request_id: str
+
+
+class Resume(NamedTuple):
+    """Resume a paused stream."""
+
+    request_id: str
+
+
+class Reject(NamedTuple):
+    """Give the request back to its entry instance as not run."""
+
+    req: QueuedRequest
+    reason: str
+
+
+SchedulerAction = Start | Pause | Resume | Reject
--- /dev/null
+++ b/cassiadrum/defaults.py
@@ -0,0 +1,66 @@
+"""Every default of the settings and of the service documents, with its unit in the name."""
+
+from typing import Final
+
+__all__ = ["DOCUMENT_DEFAULTS", "LIMITS", "SETTINGS_DEFAULTS"]
+
+# Defaults of the keys of a `[[class]]` table in a service document.
+DOCUMENT_DEFAULTS: Final[dict[str, object]] = {
+    "protected": False,
+    "idempotent": False,
+    "once_only": False,
+    "cancellable": True,
+    "target_first_token_s": 0.97,
+    "target_inter_token_s": 0.04,
+    "target_total_s": 30.0,
+    "deadline_s": 300.0,
+    "max_wait_s": 30.0,
+    "min_share": 0.05,
+    "retry_budget": 0.1,
+    "hedge_budget": 0.0,
+    "methods": [],
+    "path_prefix": "/",
+}
+
+# Defaults of the daemon's settings, keyed by dotted path.
+SETTINGS_DEFAULTS: Final[dict[str, object]] = {
+    "region": "local",
+    "listen.http": "127.0.0.1:0",
+    "listen.link": "127.0.0.1:0",
+    "listen.admin": "127.0.0.1:0",
+    "log.format": "json",
+    "log.level": "INFO",
+    "limits.drain_limit_s": 120.0,
+    "limits.subset_size": 64,
+    "limits.queue_requests": 2048,
+    "limits.concurrency": 8,
+    "endpoint.enforces_fencing": False,
+}
+
+
+class LIMITS:
+    """Fixed limits of the wire protocols and of the internal buffers."""
+
+    HEADER_BYTES: Final = 32 * 1024
+    BODY_BYTES: Final = 1024 * 1024
+    HTTP_CONNECTIONS: Final = 4096
+    # A client that has not sent its whole request by then is answered 408.
+    REQUEST_READ_S: Final = 30.0
+    KEEP_ALIVE_IDLE_S: Final = 60.0
+    FRAME_BYTES: Final = 4 * 1024 * 1024
+    STREAM_BUFFER_BYTES: Final = 256 * 1024
+    HEARTBEAT_INTERVAL_S: Final = 1.0
+    # Three missed heartbeats; bounds the pause that a caller sees on a silent connection.
+    SILENCE_LIMIT_S: Final = 3.0
+    REPORT_MIN_INTERVAL_S: Final = 0.1
+    REPORT_MAX_INTERVAL_S: Final = 1.0
+    DETACHED_STREAM_S: Final = 10.0
+    SIDECAR_QUEUE_PER_SLOT: Final = 1
+    KEPT_ANSWER_BYTES: Final = 64 * 1024
+    EVENT_RING: Final = 16_384
+    INSTANCE_POLL_S: Final = 1.0
+    LEAVING_LIMIT_S: Final = 3.0
+    CLAIM_RETENTION_S: Final = 24 * 3600.0
+    STORE_TIMEOUT_S: Final = 2.0
+    FLEET_CONFIG_READS_PER_S: Final = 100.0
+    CONFIG_POLL_MIN_S: Final = 2.0
--- /dev/null
+++ b/cassiadrum/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, a class for each subject."""
