Add links, endpoint wires, engine and plain service stand-ins

Cause: the whole path needs a protocol between processes and something to serve behind it. Change: messages, CBOR codec, link with heartbeats in both directions, bounded stream buffer, clients for engines and plain services, and the two stand-ins.

--- a/cassiadrum/decisions/__init__.py
+++ b/cassiadrum/decisions/__init__.py
@@ -7,6 +7,7 @@
 from cassiadrum.decisions.endpoint_schedulers import EndpointScheduler
 from cassiadrum.decisions.least_outstanding_choosers import LeastOutstandingChooser
 from cassiadrum.decisions.outcomes import Outcome, Ran
+from cassiadrum.decisions.prefix_keys import prefix_keys
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.request_queues import RequestQueue
 from cassiadrum.decisions.scheduler_actions import Pause, Reject, Resume, SchedulerAction, Start
@@ -33,4 +34,5 @@
     "SchedulerAction",
     "Start",
     "StrictTierQueue",
+    "prefix_keys",
 ]
--- /dev/null
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -0,0 +1,71 @@
+"""The wire towards model engines: OpenAI-style completions and a control interface."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.endpoints.endpoint_calls import EndpointCall
+from cassiadrum.endpoints.endpoint_loads import EndpointLoad
+from cassiadrum.endpoints.errors import EndpointLost, EndpointUnreachable
+from cassiadrum.endpoints.http_endpoints import HttpEndpoint
+from cassiadrum.protocols import ConnectFailed, HttpError, HttpResponse
+
+__all__ = ["EngineEndpoint"]
+
+
+class EngineEndpoint(HttpEndpoint):
+    """Call a model engine and steer its running streams."""
+
+    can_pause = True
+
+    async def call(self, call: EndpointCall) -> HttpResponse:
+        """Forward a completion with its priority and the position to continue from."""
+        if call.method != "POST" or not call.body:
+            return await self._send(call, call.body)
+        body: dict[str, Any] = msgspec.json.decode(call.body)
+        body["priority"] = call.tier
+        if call.delivered_events:
+            body["continue_from"] = call.delivered_events
+        return await self._send(call, msgspec.json.encode(body))
+
+    async def cancel(self, call_id: str) -> None:
+        """Stop computing an answer that nobody receives."""
+        await self._control("cancel", {"request_id": call_id})
+
+    async def pause(self, call_id: str) -> None:
+        """Stop a stream and keep its KV cache."""
+        await self._control("pause", {"request_id": call_id})
+
+    async def resume(self, call_id: str) -> None:
+        """Go on with a paused stream."""
+        await self._control("resume", {"request_id": call_id})
+
+    async def load(self) -> EndpointLoad:
+        """Return the engine's load report."""
+        response = await self._exchange("GET", "/load", b"")
+        try:
+            return msgspec.convert([response[name] for name in EndpointLoad._fields], EndpointLoad)
+        except (msgspec.ValidationError, KeyError) as exc:
+            raise EndpointLost(f"load report: {exc}") from exc
+
+    async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
+        """Carry out an order; a 409 means that the engine has seen a higher fencing number."""
+        order = {"action": action, "subject": subject, "fencing": fencing}
+        reply = await self._exchange("POST", "/orders", msgspec.json.encode(order))
+        return bool(reply.get("ok")), str(reply.get("reason", ""))
+
+    async def _control(self, action: str, body: dict[str, Any]) -> None:
+        await self._exchange("POST", f"/control/{action}", msgspec.json.encode(body))
+
+    async def _exchange(self, method: str, target: str, body: bytes) -> dict[str, Any]:
+        try:
+            async with asyncio.timeout(LIMITS.STORE_TIMEOUT_S):
+                response = await self._client.request(method, target, (), body)
+                decoded: dict[str, Any] = msgspec.json.decode(await response.read())
+                return decoded
+        except ConnectFailed as exc:
+            raise EndpointUnreachable(str(exc)) from exc
+        except (HttpError, TimeoutError, msgspec.DecodeError) as exc:
+            raise EndpointLost(str(exc)) from exc
--- /dev/null
+++ b/cassiadrum/endpoints/plain_endpoints.py
@@ -0,0 +1,30 @@
+"""The wire towards plain services."""
+
+from cassiadrum.endpoints.endpoint_loads import EndpointLoad
+from cassiadrum.endpoints.http_endpoints import HttpEndpoint
+
+__all__ = ["PlainEndpoint"]
+
+
+class PlainEndpoint(HttpEndpoint):
+    """Call a plain HTTP service, which has no control interface.
+
+    A call that was sent is left to end: closing its connection would not undo the effect.
+    """
+
+    async def cancel(self, call_id: str) -> None:
+        """Do nothing: the sidecar closes the connection."""
+
+    async def pause(self, call_id: str) -> None:
+        """Do nothing: `can_pause` is False."""
+
+    async def resume(self, call_id: str) -> None:
+        """Do nothing: `can_pause` is False."""
+
+    async def load(self) -> EndpointLoad:
+        """Return an empty load: the sidecar's own count is all there is."""
+        return EndpointLoad()
+
+    async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
+        """Refuse: plain services take no orders."""
+        return False, "a plain service takes no orders"
--- /dev/null
+++ b/cassiadrum/links/__init__.py
@@ -0,0 +1,20 @@
+"""Links between entry instances and sidecars: websockets with CBOR."""
+
+from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
+from cassiadrum.links.link_dialers import LinkDialer
+from cassiadrum.links.link_servers import LinkServer
+from cassiadrum.links.links import Link
+from cassiadrum.links.stream_buffers import StreamBuffer
+
+__all__ = [
+    "BadFrame",
+    "BytesGone",
+    "Link",
+    "LinkDialer",
+    "LinkError",
+    "LinkServer",
+    "StreamBuffer",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/cassiadrum/links/link_dialers.py
@@ -0,0 +1,84 @@
+"""The dialling side of a link."""
+
+import asyncio
+import contextlib
+import logging
+import ssl
+from collections.abc import Callable
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import InvalidHandshake, InvalidMessage
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.links.links import Link
+
+__all__ = ["LinkDialer"]
+
+logger = logging.getLogger(__name__)
+
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 1.0
+OPEN_TIMEOUT_S = 2.0
+
+
+class LinkDialer:
+    """Keep one link to an address up, dialling again with a growing pause."""
+
+    def __init__(
+        self,
+        address: str,
+        make_link: Callable[[Connection], Link],
+        *,
+        on_down: Callable[[Link], None],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self.link: Link | None = None
+        self._make_link = make_link
+        self._on_down = on_down
+        self._tls = tls
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin dialling."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Close the link and stop dialling."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        pause_s = RETRY_MIN_S
+        while True:
+            if await self._connect_once():
+                pause_s = RETRY_MIN_S
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, RETRY_MAX_S)
+
+    async def _connect_once(self) -> bool:
+        """Return whether a connection was made, after it has ended."""
+        scheme = "wss" if self._tls else "ws"
+        try:
+            conn = await connect(
+                f"{scheme}://{self.address}/",
+                ssl=self._tls,
+                compression=None,
+                ping_interval=None,
+                max_size=LIMITS.FRAME_BYTES,
+                open_timeout=OPEN_TIMEOUT_S,
+                proxy=None,
+            )
+        except (OSError, TimeoutError, InvalidHandshake, InvalidMessage) as exc:
+            logger.debug("no link to %s: %s", self.address, exc)
+            return False
+        self.link = self._make_link(conn)
+        try:
+            await self.link.run()
+        finally:
+            ended, self.link = self.link, None
+            self._on_down(ended)
+        return True
--- /dev/null
+++ b/cassiadrum/links/links.py
@@ -0,0 +1,149 @@
+"""One websockets connection between two processes."""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Callable
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.errors import BadFrame
+from cassiadrum.links.messages import Data, Hello, Message, Ping, Pong
+
+__all__ = ["Link"]
+
+logger = logging.getLogger(__name__)
+
+WATCH_INTERVAL_S = 0.25
+
+
+class Link:
+    """Own a connection: send queue, heartbeats in both directions and the silence limit.
+
+    `deliver(link, message)` is called for every message but heartbeats. `heartbeat()` gives the
+    configuration digest and the hybrid clock to send; `heard(link, digest, clock)` takes the
+    peer's.
+    """
+
+    def __init__(
+        self,
+        conn: Connection,
+        hello: Hello,
+        *,
+        deliver: Callable[["Link", Message], None],
+        heartbeat: Callable[[], tuple[str, list[int]]],
+        heard: Callable[["Link", str, list[int]], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.peer: Hello | None = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.data_bytes = 0
+        self.unknown_messages = 0
+        self._conn = conn
+        self._hello = hello
+        self._deliver = deliver
+        self._heartbeat = heartbeat
+        self._heard = heard
+        self._clock = clock
+        self._outbox: asyncio.Queue[Message] = asyncio.Queue()
+        self._last_heard_s = clock()
+
+    def send(self, msg: Message) -> None:
+        """Queue a message; what is queued when the connection ends is lost."""
+        self._outbox.put_nowait(msg)
+
+    async def run(self) -> None:
+        """Serve the connection until it is closed, invalid or silent for too long."""
+        self.send(self._hello)
+        tasks = [
+            asyncio.create_task(part())
+            for part in (self._read, self._write, self._beat, self._watch)
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            for task in tasks:
+                with contextlib.suppress(asyncio.CancelledError, ConnectionClosed, BadFrame):
+                    await task
+            # A closing handshake would wait for a peer that may be silent.
+            self._conn.transport.abort()
+
+    def abort(self) -> None:
+        """Cut the connection at once."""
+        self._conn.transport.abort()
+
+    async def _read(self) -> None:
+        async for frame in self._conn:
+            if isinstance(frame, str):
+                raise BadFrame("a text frame")
+            self._last_heard_s = self._clock()
+            self.bytes_received += len(frame)
+            msg = decode_message(frame)
+            if msg is None:
+                self.unknown_messages += 1
+            else:
+                self._take(msg)
+
+    def _take(self, msg: Message) -> None:
+        if isinstance(msg, Ping):
+            digest, clock = self._heartbeat()
+            self.send(Pong(msg.sent_s, digest, clock))
+        if isinstance(msg, Ping | Pong):
+            self._heard(self, msg.digest, msg.clock)
+            return
+        if isinstance(msg, Hello):
+            self.peer = msg
+        if self.peer is None:
+            raise BadFrame("a message before hello")
+        self._deliver(self, msg)
+
+    async def _write(self) -> None:
+        while True:
+            batch = [await self._outbox.get()]
+            while not self._outbox.empty():
+                batch.append(self._outbox.get_nowait())
+            for msg in _merge_data(batch):
+                frame = encode_message(msg)
+                self.bytes_sent += len(frame)
+                if isinstance(msg, Data):
+                    self.data_bytes += len(frame)
+                await self._conn.send(frame)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(LIMITS.HEARTBEAT_INTERVAL_S)
+            digest, clock = self._heartbeat()
+            self.send(Ping(self._clock(), digest, clock))
+
+    async def _watch(self) -> None:
+        """End when the peer is silent; time in which this process did not run is not counted."""
+        silent_s = 0.0
+        last_s = self._clock()
+        while silent_s < LIMITS.SILENCE_LIMIT_S:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            now = self._clock()
+            if self._last_heard_s >= last_s:
+                silent_s = 0.0
+            else:
+                silent_s += min(now - last_s, 2 * WATCH_INTERVAL_S)
+            last_s = now
+        logger.info("link to %s is silent, closing it", self.peer.instance if self.peer else "?")
+
+
+def _merge_data(batch: list[Message]) -> list[Message]:
+    """Put consecutive data messages into one: a frame per token costs too much processor time."""
+    merged: list[Message] = []
+    for msg in batch:
+        last = merged[-1] if merged else None
+        if isinstance(msg, Data) and isinstance(last, Data):
+            merged[-1] = Data(last.parts + msg.parts)
+        else:
+            merged.append(msg)
+    return merged
--- /dev/null
+++ b/cassiadrum/links/messages.py
@@ -0,0 +1,246 @@
+"""The messages between entry instances and sidecars.
+
+They stand in one file because together they are the protocol. On the wire a message is the CBOR
+array of its type code and its fields in order. Fields may be added at the end with a default; a
+receiver ignores fields that it does not know.
+"""
+
+from typing import Final, NamedTuple
+
+__all__ = [
+    "MESSAGE_TYPES",
+    "PROTOCOL_VERSION",
+    "Ack",
+    "Attach",
+    "Cancel",
+    "Data",
+    "Document",
+    "End",
+    "Fetch",
+    "Full",
+    "Head",
+    "Hello",
+    "Message",
+    "Order",
+    "Ordered",
+    "Ping",
+    "Pong",
+    "RejectStart",
+    "Report",
+    "StartRequest",
+    "Versions",
+]
+
+PROTOCOL_VERSION: Final = 1
+
+HeaderList = list[tuple[str, str]]
+
+
+class Hello(NamedTuple):
+    """Open a link in either direction."""
+
+    protocol: int
+    instance: str
+    role: str
+    zone: str
+    digest: str
+    process_start: str = ""
+
+
+class Ping(NamedTuple):
+    """Heartbeat; `sent_s` is the sender's monotonic clock, `clock` its hybrid logical clock."""
+
+    sent_s: float
+    digest: str
+    clock: list[int]
+
+
+class Pong(NamedTuple):
+    """Answer to a heartbeat; `sent_s` is copied from it."""
+
+    sent_s: float
+    digest: str
+    clock: list[int]
+
+
+class StartRequest(NamedTuple):
+    """Hand an attempt of a request to a sidecar.
+
+    `deadline_left_s` is the time left until the deadline. `delivered_events` counts the events
+    of an earlier attempt that the caller already has.
+    """
+
+    attempt_id: str
+    request_id: str
+    service: str
+    class_name: str
+    tier: int
+    protected: bool
+    once_only: bool
+    cancellable: bool
+    customer: str
+    deadline_left_s: float
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+    key: str = ""
+    delivered_events: int = 0
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer."""
+
+    attempt_id: str
+    status: int
+    headers: HeaderList
+
+
+class Data(NamedTuple):
+    """Parts of several answers: attempt, position in bytes, and bytes."""
+
+    parts: list[tuple[str, int, bytes]]
+
+
+class End(NamedTuple):
+    """The end of an attempt; `position` is the length of the whole answer in bytes."""
+
+    attempt_id: str
+    ok: bool
+    ran: str
+    tokens: int
+    reason: str
+    retry_after_s: float
+    position: int
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
+
+
+class RejectStart(NamedTuple):
+    """Give an attempt back as not run."""
+
+    attempt_id: str
+    reason: str
+    retry_after_s: float
+
+
+class Ack(NamedTuple):
+    """Positions up to which the answers reached their callers."""
+
+    parts: list[tuple[str, int]]
+
+
+class Attach(NamedTuple):
+    """Ask for an answer from a position on, after a new connection or a new entry instance."""
+
+    attempt_id: str
+    position: int
+
+
+class Cancel(NamedTuple):
+    """Cancel an attempt whose caller went away."""
+
+    attempt_id: str
+
+
+class Report(NamedTuple):
+    """The load of an endpoint; `age_s` is the age of the figures."""
+
+    age_s: float
+    running: int
+    queued: int
+    limit: int
+    models: list[str]
+    adapters: list[str]
+    leaving: bool
+    tokens_per_s: float
+    cached: list[int]
+
+
+class Versions(NamedTuple):
+    """Versions in force by service."""
+
+    versions: dict[str, int]
+
+
+class Fetch(NamedTuple):
+    """Ask for the document of a service."""
+
+    service: str
+
+
+class Document(NamedTuple):
+    """The document of a service at a version; `deleted` marks a tombstone."""
+
+    service: str
+    version: int
+    text: str
+    deleted: bool
+
+
+class Order(NamedTuple):
+    """An order to the endpoint under a fencing number."""
+
+    order_id: str
+    lease: str
+    fencing: int
+    action: str
+    subject: str
+
+
+class Ordered(NamedTuple):
+    """The result of an order."""
+
+    order_id: str
+    ok: bool
+    reason: str
+
+
+class Full(NamedTuple):
+    """The sidecar has more entry connections than its bound."""
+
+    reason: str
+
+
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | StartRequest
+    | Head
+    | Data
+    | End
+    | RejectStart
+    | Ack
+    | Attach
+    | Cancel
+    | Report
+    | Versions
+    | Fetch
+    | Document
+    | Order
+    | Ordered
+    | Full
+)
+
+# The type code is the position; append only.
+MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
+    Hello,
+    Ping,
+    Pong,
+    StartRequest,
+    Head,
+    Data,
+    End,
+    RejectStart,
+    Ack,
+    Attach,
+    Cancel,
+    Report,
+    Versions,
+    Fetch,
+    Document,
+    Order,
+    Ordered,
+    Full,
+)
--- /dev/null
+++ b/cassiadrum/standins/answer_texts.py
@@ -0,0 +1,27 @@
+"""The answers that the stand-in engine gives, as a function of the prompt."""
+
+import xxhash
+
+__all__ = ["answer_text", "answer_tokens"]
+
+MIN_TOKENS = 8
+TOKEN_SPREAD = 56
+VOCABULARY = 9973
+
+
+def answer_tokens(prompt: str, max_tokens: int = 0) -> list[str]:
+    """Return the tokens of the answer to a prompt; `max_tokens` 0 means no limit.
+
+    The same prompt always gives the same tokens, so that a caller can check an answer.
+    """
+    count = MIN_TOKENS + xxhash.xxh32_intdigest(prompt.encode()) % TOKEN_SPREAD
+    if max_tokens:
+        count = min(count, max_tokens)
+    return [
+        f"w{xxhash.xxh32_intdigest(prompt.encode(), seed=i) % VOCABULARY} " for i in range(count)
+    ]
+
+
+def answer_text(prompt: str, max_tokens: int = 0) -> str:
+    """Return the whole answer to a prompt."""
+    return "".join(answer_tokens(prompt, max_tokens))
--- /dev/null
+++ b/cassiadrum/standins/engine_batches.py
@@ -0,0 +1,74 @@
+"""Continuous batching of the stand-in engine."""
+
+import asyncio
+from collections import OrderedDict
+
+from cassiadrum.standins.engine_streams import EngineStream
+
+__all__ = ["EngineBatch"]
+
+# Each stream in the batch makes a step longer by this fraction.
+STEP_GROWTH = 0.02
+CACHED_PREFIXES = 256
+
+
+class EngineBatch:
+    """Compute one token per step for up to `max_batch` streams, lowest priority number first."""
+
+    def __init__(self, *, max_batch: int, step_s: float) -> None:
+        self.max_batch = max_batch
+        self.step_s = step_s
+        self.slow_factor = 1.0
+        self.stalled = False
+        self.streams: dict[str, EngineStream] = {}
+        self.steps = 0
+        self.tokens = 0
+        self._prefixes: OrderedDict[int, None] = OrderedDict()
+        self._wake = asyncio.Event()
+
+    def add(self, stream: EngineStream) -> None:
+        """Add a stream; it waits while the batch is full."""
+        self.streams[stream.request_id] = stream
+        self._wake.set()
+
+    def remember_prefix(self, key: int) -> bool:
+        """Put a prefix into the cache and return whether it was there."""
+        known = key in self._prefixes
+        self._prefixes[key] = None
+        self._prefixes.move_to_end(key)
+        while len(self._prefixes) > CACHED_PREFIXES:
+            self._prefixes.popitem(last=False)
+        return known
+
+    def active(self) -> list[EngineStream]:
+        """Return the streams of the current batch."""
+        ready = [stream for stream in self.streams.values() if not stream.paused]
+        return sorted(ready, key=lambda stream: stream.priority)[: self.max_batch]
+
+    async def run(self) -> None:
+        """Step for ever."""
+        while True:
+            batch = self.active()
+            if not batch or self.stalled:
+                self._wake.clear()
+                await self._wait_for_work()
+                continue
+            growth = 1.0 + STEP_GROWTH * (len(batch) - 1)
+            await asyncio.sleep(self.step_s * growth * self.slow_factor)
+            for stream in batch:
+                self._step(stream)
+            self.steps += 1
+
+    async def _wait_for_work(self) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), 0.05)
+        except TimeoutError:
+            return
+
+    def _step(self, stream: EngineStream) -> None:
+        if not stream.done:
+            before = stream.position
+            stream.step()
+            self.tokens += stream.position - before
+        if stream.done:
+            self.streams.pop(stream.request_id, None)
--- /dev/null
+++ b/cassiadrum/standins/engines.py
@@ -0,0 +1,204 @@
+"""A model engine for tests and the demo: OpenAI-style completions on loopback."""
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any
+
+from cassiadrum.decisions.prefix_keys import prefix_keys
+from cassiadrum.protocols import Exchange, HttpServer
+from cassiadrum.standins.answer_texts import answer_tokens
+from cassiadrum.standins.engine_batches import EngineBatch
+from cassiadrum.standins.engine_streams import EngineStream
+from cassiadrum.standins.run_records import RunRecord
+
+__all__ = ["EngineStandin"]
+
+PREFILL_STEPS = 3
+
+
+class EngineStandin:
+    """Serve completions, load, control, orders and the record of runs.
+
+    `step_s` is the time of one step with one stream. `enforces_fencing` makes the engine refuse
+    orders with an old fencing number. Faults are set by POST /faults: `slow_factor`, `stalled`,
+    `crash_after_tokens` (cut every connection once, after that many tokens).
+    """
+
+    def __init__(
+        self,
+        *,
+        max_batch: int = 8,
+        step_s: float = 0.005,
+        models: tuple[str, ...] = (),
+        enforces_fencing: bool = False,
+    ) -> None:
+        self.runs: list[RunRecord] = []
+        self.batch = EngineBatch(max_batch=max_batch, step_s=step_s)
+        self._models = list(models)
+        self._adapters: list[str] = []
+        self._enforces_fencing = enforces_fencing
+        self._fencing = 0
+        self._crash_after_tokens = 0
+        self._new_prefixes: list[int] = []
+        self._server = HttpServer(self._handle)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Listen and return the port."""
+        self._task = asyncio.create_task(self.batch.run())
+        return await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Cut all connections and stop."""
+        await self._server.abort()
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _handle(self, exchange: Exchange) -> None:
+        req = exchange.req
+        if req.method == "GET" and req.path == "/load":
+            await exchange.send_json(200, self._load())
+        elif req.method == "GET" and req.path == "/runs":
+            await exchange.send_json(200, {"runs": self.runs})
+        elif req.method == "POST" and req.path.startswith("/control/"):
+            await self._control(exchange, req.path.removeprefix("/control/"))
+        elif req.method == "POST" and req.path == "/orders":
+            await self._order(exchange)
+        elif req.method == "POST" and req.path == "/faults":
+            await self._set_faults(exchange)
+        elif req.method == "POST" and req.path in ("/v1/chat/completions", "/v1/completions"):
+            await self._complete(exchange)
+        else:
+            await exchange.send_json(404, {"error": {"message": "not found"}})
+
+    def _load(self) -> dict[str, Any]:
+        running = len(self.batch.active())
+        cached, self._new_prefixes = self._new_prefixes, []
+        return {
+            "running": running,
+            "waiting": len(self.batch.streams) - running,
+            "tokens_per_s": running / (self.batch.step_s * self.batch.slow_factor),
+            "models": self._models,
+            "adapters": self._adapters,
+            "cached": cached,
+        }
+
+    async def _control(self, exchange: Exchange, action: str) -> None:
+        request_id = json.loads(exchange.req.body)["request_id"]
+        stream = self.batch.streams.get(request_id)
+        if stream is not None and action == "cancel":
+            stream.cancel()
+            self.batch.streams.pop(request_id)
+        elif stream is not None:
+            stream.paused = action == "pause"
+        await exchange.send_json(200, {"ok": stream is not None})
+
+    async def _order(self, exchange: Exchange) -> None:
+        order = json.loads(exchange.req.body)
+        if self._enforces_fencing and order["fencing"] < self._fencing:
+            await exchange.send_json(409, {"ok": False, "reason": "old fencing number"})
+            return
+        self._fencing = max(self._fencing, order["fencing"])
+        if order["action"] == "load_model" and order["subject"] not in self._models:
+            self._models.append(order["subject"])
+        if order["action"] == "load_adapter" and order["subject"] not in self._adapters:
+            self._adapters.append(order["subject"])
+        await exchange.send_json(200, {"ok": True, "reason": ""})
+
+    async def _set_faults(self, exchange: Exchange) -> None:
+        faults = json.loads(exchange.req.body)
+        self.batch.slow_factor = float(faults.get("slow_factor", 1.0))
+        self.batch.stalled = bool(faults.get("stalled", False))
+        self._crash_after_tokens = int(faults.get("crash_after_tokens", 0))
+        await exchange.send_json(200, {"ok": True})
+
+    async def _complete(self, exchange: Exchange) -> None:
+        body = json.loads(exchange.req.body)
+        stream = self._open_stream(exchange, body)
+        try:
+            if body.get("stream"):
+                await self._send_stream(exchange, stream)
+            else:
+                await self._send_whole(exchange, stream)
+        finally:
+            self.batch.streams.pop(stream.request_id, None)
+            stream.run["ended"] = time.time()
+
+    def _open_stream(self, exchange: Exchange, body: dict[str, Any]) -> EngineStream:
+        prompt = prompt_of(body)
+        request_id = exchange.req.header("x-request-id") or f"direct-{len(self.runs)}"
+        run = RunRecord(
+            request_id=request_id,
+            method=exchange.req.method,
+            target=exchange.req.target,
+            key=exchange.req.header("idempotency-key"),
+            started=time.time(),
+            ended=0.0,
+            tokens=0,
+            completed=False,
+        )
+        self.runs.append(run)
+        keys = prefix_keys(prompt)
+        known = [self.batch.remember_prefix(key) for key in keys][-1]
+        self._new_prefixes += keys
+        stream = EngineStream(
+            request_id,
+            int(body.get("priority", 0)),
+            answer_tokens(prompt, int(body.get("max_tokens", 0))),
+            int(body.get("continue_from", 0)),
+            1 if known else PREFILL_STEPS,
+            run,
+        )
+        if stream.done:
+            stream.output.put_nowait(None)
+        else:
+            self.batch.add(stream)
+        return stream
+
+    async def _send_stream(self, exchange: Exchange, stream: EngineStream) -> None:
+        await exchange.send_head(200, (("content-type", "text/event-stream"),))
+        while (token := await self._next_token(exchange, stream)) is not None:
+            delta = {"choices": [{"index": 0, "delta": {"content": token}}]}
+            await exchange.send_data(f"data: {json.dumps(delta)}\n\n".encode())
+        if stream.cancelled or exchange.ended:
+            exchange.abort()
+            return
+        await exchange.send_data(b"data: [DONE]\n\n")
+        await exchange.end()
+        stream.run["completed"] = True
+
+    async def _send_whole(self, exchange: Exchange, stream: EngineStream) -> None:
+        tokens = []
+        while (token := await self._next_token(exchange, stream)) is not None:
+            tokens.append(token)
+        if stream.cancelled or exchange.ended:
+            exchange.abort()
+            return
+        message = {"role": "assistant", "content": "".join(tokens)}
+        usage = {"completion_tokens": len(tokens)}
+        body = {"choices": [{"index": 0, "message": message}], "usage": usage}
+        await exchange.send_json(200, body)
+        stream.run["completed"] = True
+
+    async def _next_token(self, exchange: Exchange, stream: EngineStream) -> str | None:
+        """Return the next token, or None at the end, after a cancel or when the caller is gone."""
+        token = await stream.output.get()
+        if token is not None and exchange.gone.is_set():
+            stream.cancel()
+            return None
+        if self._crash_after_tokens and stream.run["tokens"] >= self._crash_after_tokens:
+            self._crash_after_tokens = 0
+            exchange.abort()
+            return None
+        return token
+
+
+def prompt_of(body: dict[str, Any]) -> str:
+    """Return the prompt of a chat or text completion as one string."""
+    if "messages" in body:
+        return "\n".join(str(message.get("content", "")) for message in body["messages"])
+    return str(body.get("prompt", ""))
