--- /dev/null
+++ b/cassiadrum/events/errors.py
@@ -0,0 +1,9 @@
+"""Errors of the event record."""
+
+from cassiadrum.errors import CassiadrumError
+
+__all__ = ["EventError"]
+
+
+class EventError(CassiadrumError):
+    """An encoded event does not have the expected shape."""
--- /dev/null
+++ b/cassiadrum/events/event_rings.py
@@ -0,0 +1,88 @@
+"""Bounded event record of one process."""
+
+from collections import deque
+from itertools import islice
+from typing import Any
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.events.event_kinds import EventKind
+from cassiadrum.events.events import Event
+from cassiadrum.events.hybrid_clocks import HybridClock
+
+__all__ = ["EventRing"]
+
+
+class EventRing:
+    """Keep the newest `capacity` events of a process; the oldest are overwritten first.
+
+    `start_id` has to differ for each start of the process, so that a restarted instance's
+    sequence numbers are not taken for those of its predecessor.
+    """
+
+    def __init__(
+        self,
+        clock: HybridClock,
+        instance: str,
+        role: str,
+        start_id: str,
+        capacity: int = LIMITS.EVENT_RING,
+    ) -> None:
+        self._clock = clock
+        self._instance = instance
+        self._role = role
+        self._start_id = start_id
+        self._events: deque[Event] = deque(maxlen=capacity)
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._events)
+
+    @property
+    def clock(self) -> HybridClock:
+        """Return the clock that stamps the events."""
+        return self._clock
+
+    @property
+    def last_sequence(self) -> int:
+        """Return the sequence number of the newest event, 0 when none was recorded."""
+        return self._sequence
+
+    @property
+    def dropped(self) -> int:
+        """Return how many events were overwritten."""
+        return self._sequence - len(self._events)
+
+    def record(
+        self,
+        kind: EventKind,
+        request_id: str = "",
+        service: str = "",
+        class_name: str = "",
+        customer: str = "",
+        **fields: Any,
+    ) -> Event:
+        """Append an event and return it; `fields` must be plain values."""
+        self._sequence += 1
+        event = Event(
+            self._clock.tick(),
+            self._instance,
+            self._role,
+            kind,
+            request_id,
+            service,
+            class_name,
+            customer,
+            fields,
+            self._sequence,
+            self._start_id,
+        )
+        self._events.append(event)
+        return event
+
+    def after(self, sequence: int, limit: int) -> list[Event]:
+        """Return the oldest kept events above `sequence`, at most `limit`.
+
+        A first event above `sequence + 1` means that events in between were overwritten.
+        """
+        skipped = max(sequence - self.dropped, 0)
+        return list(islice(self._events, skipped, skipped + limit))
