Add the router of entry instances and the sidecar's task

Cause: the decisions need owners of sockets and state on both sides of a link. Change: a router that carries out the dispatcher's actions and relays answers, a sidecar that runs, buffers and reports; both reattach streams after a lost link.

--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -55,6 +55,10 @@
         self._chooser.remove(instance)
         return self._place(now)
 
+    def lost(self, instance: str, now: float) -> list[Action]:
+        """Send nothing new to an endpoint whose connection is lost but may come back."""
+        return self.removed(instance, now)
+
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
         """Take the number of tokens that arrived for a stream."""
         self._chooser.progressed(instance, request_id, tokens, now)
@@ -98,7 +102,7 @@
         return len(self._running)
 
     def _after_failure(self, req: QueuedRequest, outcome: Outcome, now: float) -> list[Action]:
-        may_repeat = outcome.ran is Ran.NO or req.idempotent
+        may_repeat = not outcome.final and (outcome.ran is Ran.NO or req.idempotent)
         if may_repeat and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s:
             return self.submit(req._replace(attempt=req.attempt + 1), now)
         return [Refuse(req, outcome.reason, outcome.ran, outcome.retry_after_s)]
--- a/cassiadrum/decisions/outcomes.py
+++ b/cassiadrum/decisions/outcomes.py
@@ -18,7 +18,8 @@
     """State whether an attempt succeeded, whether it ran, and the tokens it produced.
 
     `reason` is one of the refusal reasons of the design page, empty on success.
-    `retry_after_s` is in seconds, 0 when unknown.
+    `retry_after_s` is in seconds, 0 when unknown. `final` forbids another attempt, because the
+    caller has a part of the answer that no other attempt can continue.
     """
 
     ok: bool
@@ -26,3 +27,4 @@
     tokens: int = 0
     reason: str = ""
     retry_after_s: float = 0.0
+    final: bool = False
--- /dev/null
+++ b/cassiadrum/frontends/__init__.py
@@ -0,0 +1,6 @@
+"""What callers and operators meet."""
+
+from cassiadrum.frontends.problems import PROBLEM_TYPE, Problem, send_problem
+from cassiadrum.frontends.server_sent_events import EventSplitter
+
+__all__ = ["PROBLEM_TYPE", "EventSplitter", "Problem", "send_problem"]
--- /dev/null
+++ b/cassiadrum/roles/pending_requests.py
@@ -0,0 +1,37 @@
+"""A request that an entry instance has accepted and not answered yet."""
+
+import asyncio
+
+from cassiadrum.decisions import QueuedRequest
+from cassiadrum.documents import RequestClass
+from cassiadrum.frontends import EventSplitter
+from cassiadrum.protocols import HttpRequest
+from cassiadrum.roles.attempts import Attempt
+from cassiadrum.roles.caller_events import CallerEvent
+
+__all__ = ["PendingRequest"]
+
+
+class PendingRequest:
+    """Hold a request, its attempts and the queue towards the task that answers the caller.
+
+    The queue is bounded by the sidecar, which stops at STREAM_BUFFER_BYTES not acknowledged.
+    """
+
+    def __init__(
+        self, queued: QueuedRequest, cls: RequestClass, http: HttpRequest, target: str, key: str
+    ) -> None:
+        self.queued = queued
+        self.cls = cls
+        self.http = http
+        self.target = target
+        self.key = key
+        self.events: asyncio.Queue[CallerEvent] = asyncio.Queue()
+        self.attempts: dict[str, Attempt] = {}
+        self.attempts_made = 0
+        self.splitter = EventSplitter()
+        self.head_sent = False
+        self.caller_gone = False
+        # The attempt whose answer the caller receives; a hedge copy that answers later loses.
+        self.winner: str | None = None
+        self.first_token_s: float | None = None
--- /dev/null
+++ b/cassiadrum/roles/router_messages.py
@@ -0,0 +1,52 @@
+"""Messages to the router of an entry instance."""
+
+from typing import NamedTuple
+
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Message
+from cassiadrum.roles.pending_requests import PendingRequest
+
+__all__ = [
+    "CallerGone",
+    "Delivered",
+    "FromLink",
+    "LinkDown",
+    "RouterMessage",
+    "Submit",
+]
+
+
+class Submit(NamedTuple):
+    """A new request."""
+
+    pending: PendingRequest
+
+
+class CallerGone(NamedTuple):
+    """The caller closed its connection."""
+
+    request_id: str
+
+
+class Delivered(NamedTuple):
+    """Bytes of an attempt up to a position were written to the caller."""
+
+    request_id: str
+    attempt_id: str
+    position: int
+
+
+class FromLink(NamedTuple):
+    """A message of a sidecar."""
+
+    link: Link
+    msg: Message
+
+
+class LinkDown(NamedTuple):
+    """A link ended."""
+
+    link: Link
+
+
+RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown
--- /dev/null
+++ b/cassiadrum/roles/routers.py
@@ -0,0 +1,383 @@
+"""The task of an entry instance that owns its requests, dispatchers and links."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from cassiadrum.decisions import (
+    Action,
+    Cancel,
+    Dispatch,
+    Dispatcher,
+    EndpointReport,
+    Hedge,
+    Outcome,
+    Ran,
+    Refuse,
+)
+from cassiadrum.defaults import LIMITS
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.frontends import Problem
+from cassiadrum.links import Link
+from cassiadrum.links.messages import (
+    Ack,
+    Attach,
+    Data,
+    End,
+    Head,
+    Hello,
+    RejectStart,
+    Report,
+    StartRequest,
+)
+from cassiadrum.links.messages import Cancel as CancelAttempt
+from cassiadrum.roles.answer_relays import AnswerRelay
+from cassiadrum.roles.attempts import Attempt
+from cassiadrum.roles.caller_events import AnswerEnd
+from cassiadrum.roles.pending_requests import PendingRequest
+from cassiadrum.roles.router_messages import (
+    CallerGone,
+    Delivered,
+    FromLink,
+    LinkDown,
+    RouterMessage,
+    Submit,
+)
+
+__all__ = ["Router"]
+
+TICK_INTERVAL_S = 0.05
+# Acknowledging each frame would double the number of frames; the window is eight times as large.
+ACK_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
+
+
+class Router:
+    """Own all requests of an entry instance and carry out what the dispatchers decide.
+
+    Other tasks post messages to it; `services` maps a sidecar instance to its service.
+    """
+
+    def __init__(
+        self,
+        make_dispatcher: Callable[[str], Dispatcher],
+        services: Callable[[str], str],
+        ring: EventRing,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.pending: dict[str, PendingRequest] = {}
+        self.links: dict[str, Link] = {}
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self._make_dispatcher = make_dispatcher
+        self._services = services
+        self._ring = ring
+        self._clock = clock
+        self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
+        self._relay = AnswerRelay(ring)
+        self._process_starts: dict[str, str] = {}
+
+    def post(self, msg: RouterMessage) -> None:
+        """Queue a message for the task."""
+        self._inbox.put_nowait(msg)
+
+    async def run(self) -> None:
+        """Handle messages, and tick the dispatchers, for ever."""
+        next_tick_s = self._clock() + TICK_INTERVAL_S
+        while True:
+            try:
+                timeout = max(0.0, next_tick_s - self._clock())
+                self._handle(await asyncio.wait_for(self._inbox.get(), timeout))
+                while not self._inbox.empty():
+                    self._handle(self._inbox.get_nowait())
+            except TimeoutError:
+                pass
+            if self._clock() >= next_tick_s:
+                self._tick()
+                next_tick_s = self._clock() + TICK_INTERVAL_S
+
+    def _handle(self, msg: RouterMessage) -> None:
+        if isinstance(msg, Submit):
+            self._submit(msg.pending)
+        elif isinstance(msg, CallerGone):
+            self._caller_gone(msg.request_id)
+        elif isinstance(msg, Delivered):
+            self._delivered(msg)
+        elif isinstance(msg, LinkDown):
+            self._link_down(msg.link)
+        elif msg.link.peer is not None:
+            self._from_link(msg)
+
+    def _submit(self, pending: PendingRequest) -> None:
+        req = pending.queued
+        self.pending[req.request_id] = pending
+        self._record(EventKind.RECEIVED, pending)
+        actions = self._dispatcher(req.service).submit(req, self._clock())
+        if not any(isinstance(a, Dispatch | Refuse) and a.req is req for a in actions):
+            self._record(EventKind.QUEUED, pending)
+        self._carry_out(actions)
+
+    def _caller_gone(self, request_id: str) -> None:
+        pending = self.pending.get(request_id)
+        if pending is None:
+            return
+        pending.caller_gone = True
+        if not pending.cls.cancellable:
+            return
+        self._record(EventKind.CANCELLED, pending)
+        self._carry_out(
+            self._dispatcher(pending.queued.service).cancelled(request_id, self._clock())
+        )
+        for attempt in pending.attempts.values():
+            self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
+        if not pending.attempts:
+            self.pending.pop(request_id, None)
+
+    def _delivered(self, msg: Delivered) -> None:
+        pending = self.pending.get(msg.request_id)
+        attempt = pending.attempts.get(msg.attempt_id) if pending else None
+        if attempt is not None and msg.position - attempt.acked >= ACK_BYTES:
+            self._ack(attempt, msg.position)
+
+    def _ack(self, attempt: Attempt, position: int) -> None:
+        attempt.acked = position
+        self._send(attempt.instance, Ack([(attempt.attempt_id, position)]))
+
+    # Links.
+
+    def _from_link(self, message: FromLink) -> None:
+        link, msg = message
+        if isinstance(msg, Hello):
+            self._link_up(link, msg)
+        elif isinstance(msg, Report):
+            self._report(link, msg)
+        elif isinstance(msg, Head):
+            self._with_attempt(msg.attempt_id, lambda p, a: self._relay.head(p, a, msg))
+        elif isinstance(msg, Data):
+            for attempt_id, position, data in msg.parts:
+                self._data(attempt_id, position, data)
+        elif isinstance(msg, End):
+            self._end(msg)
+        elif isinstance(msg, RejectStart):
+            outcome = Outcome(False, Ran.NO, 0, msg.reason, msg.retry_after_s)
+            self._with_attempt(msg.attempt_id, lambda p, a: self._ended(p, a, outcome))
+
+    def _link_up(self, link: Link, hello: Hello) -> None:
+        old = self.links.get(hello.instance)
+        if old is not None and old is not link:
+            old.abort()
+        self.links[hello.instance] = link
+        self._ring.record(EventKind.CONNECTED, peer=hello.instance)
+        restarted = self._process_starts.get(hello.instance) not in (None, hello.process_start)
+        self._process_starts[hello.instance] = hello.process_start
+        for pending, attempt in self._attempts_at(hello.instance):
+            if restarted:
+                self._ended(pending, attempt, Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+            else:
+                attempt.detached_s = None
+                link.send(Attach(attempt.attempt_id, attempt.position))
+                self._record(EventKind.REATTACHED, pending, position=attempt.position)
+
+    def _link_down(self, link: Link) -> None:
+        if link.peer is None or self.links.get(link.peer.instance) is not link:
+            return
+        instance = link.peer.instance
+        del self.links[instance]
+        now = self._clock()
+        self._ring.record(EventKind.DISCONNECTED, peer=instance)
+        for _, attempt in self._attempts_at(instance):
+            attempt.detached_s = now
+        self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
+
+    def _report(self, link: Link, msg: Report) -> None:
+        if link.peer is None or self.links.get(link.peer.instance) is not link:
+            return
+        now = self._clock()
+        dispatcher = self._dispatcher(self._services(link.peer.instance))
+        if msg.cached:
+            dispatcher.cached(link.peer.instance, msg.cached, now)
+        report = EndpointReport(
+            link.peer.instance,
+            link.peer.zone,
+            msg.running,
+            msg.queued,
+            msg.limit,
+            now - msg.age_s,
+            tuple(msg.models),
+            tuple(msg.adapters),
+            msg.leaving,
+            msg.tokens_per_s,
+        )
+        self._carry_out(dispatcher.report(report, now))
+
+    def _data(self, attempt_id: str, position: int, data: bytes) -> None:
+        found = self._find(attempt_id)
+        if found is None:
+            return
+        pending, attempt = found
+        tokens = self._relay.data(pending, attempt, position, data, self._clock())
+        if tokens:
+            self._dispatcher(pending.queued.service).progressed(
+                attempt.instance, pending.queued.request_id, tokens, self._clock()
+            )
+        # Bytes that are held back or have no receiver are confirmed here, the others once the
+        # caller's socket took them.
+        if pending.caller_gone or attempt.attempt_id != pending.winner or attempt.held:
+            self._ack(attempt, attempt.position)
+
+    def _end(self, msg: End) -> None:
+        found = self._find(msg.attempt_id)
+        if found is None:
+            return
+        pending, attempt = found
+        if msg.ok and msg.position != attempt.position:
+            self._send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
+            return
+        ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
+        outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s)
+        self._send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
+        self._ended(pending, attempt, outcome)
+
+    def _ended(self, pending: PendingRequest, attempt: Attempt, outcome: Outcome) -> None:
+        pending.attempts.pop(attempt.attempt_id, None)
+        req = pending.queued
+        if outcome.ok:
+            self._relay.finish(pending, attempt)
+            self._close(pending, None, EventKind.FINISHED, outcome)
+        elif pending.caller_gone and pending.cls.cancellable:
+            self.pending.pop(req.request_id, None)
+            outcome = outcome._replace(reason="cancelled")
+        else:
+            self._relay.failed(pending, attempt)
+            outcome = self._relay.repeatable(pending, outcome)
+        dispatcher = self._dispatcher(req.service)
+        self._carry_out(dispatcher.finished(req.request_id, outcome, self._clock()))
+
+    # Actions.
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Dispatch | Hedge):
+                self._dispatch(action)
+            elif isinstance(action, Refuse):
+                self._refuse(action)
+            elif isinstance(action, Cancel):
+                self._cancel(action)
+
+    def _dispatch(self, action: Dispatch | Hedge) -> None:
+        pending = self.pending.get(action.req.request_id)
+        if pending is None:
+            return
+        now = self._clock()
+        pending.queued = action.req
+        pending.attempts_made += 1
+        attempt_id = f"{action.req.request_id}.{pending.attempts_made}"
+        attempt = Attempt(attempt_id, action.req.request_id, action.instance, now)
+        pending.attempts[attempt_id] = attempt
+        kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
+        self._record(kind, pending, endpoint=action.instance, attempt=pending.attempts_made)
+        link = self.links.get(action.instance)
+        if link is None:
+            self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
+            return
+        link.send(self._start_message(pending, attempt_id, now))
+
+    def _start_message(self, pending: PendingRequest, attempt_id: str, now: float) -> StartRequest:
+        req, http = pending.queued, pending.http
+        return StartRequest(
+            attempt_id,
+            req.request_id,
+            req.service,
+            req.class_name,
+            req.tier,
+            req.protected,
+            req.once_only,
+            pending.cls.cancellable,
+            req.customer,
+            req.deadline_s - now,
+            http.method,
+            pending.target,
+            [(name, value) for name, value in http.headers if name in FORWARDED_HEADERS],
+            http.body,
+            pending.key,
+            pending.splitter.events,
+            list(self._ring.clock.tick()),
+        )
+
+    def _refuse(self, action: Refuse) -> None:
+        pending = self.pending.get(action.req.request_id)
+        if pending is None:
+            return
+        problem = Problem(
+            action.reason, action.ran, "", action.req.request_id, action.retry_after_s
+        )
+        outcome = Outcome(False, action.ran, 0, action.reason, action.retry_after_s)
+        kind = EventKind.EVICTED if action.reason == "evicted" else EventKind.REFUSED
+        self._close(pending, problem, kind, outcome)
+
+    def _cancel(self, action: Cancel) -> None:
+        pending = self.pending.get(action.request_id)
+        for attempt in pending.attempts.values() if pending else ():
+            if attempt.instance == action.instance:
+                self._send(action.instance, CancelAttempt(attempt.attempt_id))
+
+    def _close(
+        self, pending: PendingRequest, problem: Problem | None, kind: EventKind, outcome: Outcome
+    ) -> None:
+        pending.events.put_nowait(AnswerEnd(problem))
+        self.pending.pop(pending.queued.request_id, None)
+        for attempt in pending.attempts.values():
+            self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
+        self._record(kind, pending, reason=outcome.reason, ran=outcome.ran, tokens=outcome.tokens)
+
+    def _tick(self) -> None:
+        now = self._clock()
+        for dispatcher in self.dispatchers.values():
+            self._carry_out(dispatcher.tick(now))
+        for pending in list(self.pending.values()):
+            for attempt in list(pending.attempts.values()):
+                lost_s = attempt.detached_s
+                if lost_s is not None and now - lost_s >= LIMITS.DETACHED_STREAM_S:
+                    self._ended(pending, attempt, Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+
+    # Helpers.
+
+    def _dispatcher(self, service: str) -> Dispatcher:
+        if service not in self.dispatchers:
+            self.dispatchers[service] = self._make_dispatcher(service)
+        return self.dispatchers[service]
+
+    def _find(self, attempt_id: str) -> tuple[PendingRequest, Attempt] | None:
+        pending = self.pending.get(attempt_id.rpartition(".")[0])
+        attempt = pending.attempts.get(attempt_id) if pending else None
+        return (pending, attempt) if pending and attempt else None
+
+    def _with_attempt(
+        self, attempt_id: str, act: Callable[[PendingRequest, Attempt], None]
+    ) -> None:
+        found = self._find(attempt_id)
+        if found is not None:
+            act(*found)
+
+    def _attempts_at(self, instance: str) -> list[tuple[PendingRequest, Attempt]]:
+        return [
+            (pending, attempt)
+            for pending in self.pending.values()
+            for attempt in pending.attempts.values()
+            if attempt.instance == instance
+        ]
+
+    def _send(self, instance: str, msg: Ack | Attach | CancelAttempt) -> None:
+        link = self.links.get(instance)
+        if link is not None:
+            link.send(msg)
+
+    def _record(self, kind: EventKind, pending: PendingRequest, **fields: object) -> None:
+        req = pending.queued
+        self._ring.record(
+            kind, req.request_id, req.service, req.class_name, req.customer, **fields
+        )
+
+
+# Hop-by-hop headers and those that the router sets itself are not passed on.
+FORWARDED_HEADERS = frozenset(
+    {"accept", "accept-language", "content-type", "authorization", "user-agent", "x-customer"}
+)
--- /dev/null
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -0,0 +1,37 @@
+"""One attempt at a sidecar."""
+
+import asyncio
+
+from cassiadrum.decisions import QueuedRequest
+from cassiadrum.defaults import LIMITS
+from cassiadrum.links import Link, StreamBuffer
+from cassiadrum.links.messages import End, Head, StartRequest
+
+__all__ = ["SidecarStream"]
+
+
+class SidecarStream:
+    """Hold an attempt, its buffered answer and the link that it is attached to.
+
+    `room` is clear while the buffer is full, which stops the task that reads the endpoint.
+    """
+
+    def __init__(self, start: StartRequest, queued: QueuedRequest, link: Link) -> None:
+        self.start = start
+        self.queued = queued
+        self.link: Link | None = link
+        self.buffer = StreamBuffer(LIMITS.STREAM_BUFFER_BYTES)
+        self.head: Head | None = None
+        self.end: End | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.room = asyncio.Event()
+        self.room.set()
+        self.cancelled = False
+        # Monotonic time since when no link is attached, or since the end of the answer.
+        self.idle_since_s: float | None = None
+        self.acked_end = False
+
+    def send(self, msg: Head | End) -> None:
+        """Send a message if a link is attached."""
+        if self.link is not None:
+            self.link.send(msg)
--- /dev/null
+++ b/cassiadrum/settings/errors.py
@@ -0,0 +1,14 @@
+"""Errors of the settings."""
+
+from cassiadrum.errors import CassiadrumError
+from cassiadrum.schemas import Finding
+
+__all__ = ["SettingsError"]
+
+
+class SettingsError(CassiadrumError):
+    """Carry every finding of a settings file."""
+
+    def __init__(self, findings: list[Finding]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
--- /dev/null
+++ b/cassiadrum/settings/schemas.py
@@ -0,0 +1,84 @@
+"""The TOML shape of the settings."""
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+from msgspec import Meta
+
+__all__ = [
+    "EndpointTable",
+    "LimitsTable",
+    "ListenTable",
+    "LogTable",
+    "PlatformTable",
+    "SettingsTable",
+    "TlsTable",
+]
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
+HostPort = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}$")]
+
+
+class SettingsTable(TypedDict):
+    """The top level."""
+
+    role: Literal["entry", "sidecar"]
+    instance: Name
+    zone: Name
+    region: NotRequired[Name]
+    admin_token_file: NotRequired[str]
+    listen: NotRequired[dict[str, object]]
+    platform: dict[str, object]
+    endpoint: NotRequired[dict[str, object]]
+    log: NotRequired[dict[str, object]]
+    limits: NotRequired[dict[str, object]]
+    tls: NotRequired[dict[str, object]]
+
+
+class ListenTable(TypedDict):
+    """The `[listen]` table."""
+
+    http: NotRequired[HostPort]
+    link: NotRequired[HostPort]
+    admin: NotRequired[HostPort]
+
+
+class PlatformTable(TypedDict):
+    """The `[platform]` table."""
+
+    table_service: HostPort
+    instance_list: HostPort
+    object_store: NotRequired[HostPort]
+    weight_store: NotRequired[HostPort]
+
+
+class EndpointTable(TypedDict):
+    """The `[endpoint]` table of a sidecar."""
+
+    service: Name
+    kind: Literal["engine", "plain"]
+    address: HostPort
+    enforces_fencing: NotRequired[bool]
+
+
+class LogTable(TypedDict):
+    """The `[log]` table."""
+
+    format: NotRequired[Literal["json", "text"]]
+    level: NotRequired[Literal["DEBUG", "INFO", "WARNING", "ERROR"]]
+
+
+class LimitsTable(TypedDict):
+    """The `[limits]` table."""
+
+    drain_limit_s: NotRequired[Annotated[float, Meta(gt=0, le=86_400)]]
+    subset_size: NotRequired[Annotated[int, Meta(ge=1, le=1024)]]
+    queue_requests: NotRequired[Annotated[int, Meta(ge=1, le=1_000_000)]]
+    concurrency: NotRequired[Annotated[int, Meta(ge=1, le=4096)]]
+
+
+class TlsTable(TypedDict):
+    """The `[tls]` table."""
+
+    certificate: str
+    key: str
+    ca: str
