Add the table service, the instance list and their clients

Cause: configuration, claims, leases and discovery all go through these two services. Change: stand-ins with faults, typed results (done, not done, unknown), deadlines, a rate budget for each process and a circuit breaker.

--- /dev/null
+++ b/cassiadrum/standins/table_services.py
@@ -0,0 +1,88 @@
+"""Stand-in for the platform's transactional table service."""
+
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from cassiadrum.protocols import HttpRequest
+from cassiadrum.standins.answers import Answer
+from cassiadrum.standins.standins import StandIn
+from cassiadrum.standins.table_rows import TableRows
+from cassiadrum.stores import LIST_ROWS, Conflict, Done, TableWrite, WriteResult
+
+__all__ = ["TableService"]
+
+NOT_FOUND = Answer.of_json(404, {"error": "not found"})
+
+
+class TableService(StandIn):
+    """Serve rows with compare-and-set writes, listings by prefix and batches."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows = TableRows()
+
+    def answer(self, req: HttpRequest) -> Answer:
+        """Apply a request for a row, a listing or a batch."""
+        parts = [unquote(part) for part in req.path.split("/")[1:]]
+        try:
+            if parts == ["batch"] and req.method == "POST":
+                return self._batch(req)
+            if len(parts) == 3 and parts[::2] == ["tables", "rows"] and req.method == "GET":
+                return self._list(parts[1], req)
+            if len(parts) == 4 and parts[::2] == ["tables", "rows"]:
+                return self._row(parts[1], parts[3], req)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            return Answer.of_json(400, {"error": str(exc)})
+        return NOT_FOUND
+
+    def _row(self, table: str, key: str, req: HttpRequest) -> Answer:
+        if req.method == "GET":
+            row = self.rows.get(table, key)
+            return Answer.of_json(200, row._asdict()) if row else NOT_FOUND
+        if req.method not in ("PUT", "DELETE"):
+            return Answer.of_json(405, {"error": "GET, PUT or DELETE"})
+        expected = _expected(req)
+        if expected is None:
+            return Answer.of_json(428, {"error": "If-Match or If-None-Match is required"})
+        value = None
+        if req.method == "PUT":
+            value = msgspec.json.decode(req.body, type=dict[str, object])
+        return _written(self.rows.write([TableWrite(table, key, value, expected)]))
+
+    def _list(self, table: str, req: HttpRequest) -> Answer:
+        query = {name: values[0] for name, values in parse_qs(req.query).items()}
+        limit = int(query.get("limit", LIST_ROWS))
+        if not 0 < limit <= LIST_ROWS:
+            raise ValueError(f"limit: found {limit}; allowed: 1 to {LIST_ROWS}")
+        fields = tuple(filter(None, query.get("fields", "").split(",")))
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        page = self.rows.list(table, prefix, limit=limit, after=after, fields=fields)
+        rows = [row._asdict() for row in page.rows]
+        return Answer.of_json(200, {"rows": rows, "next_after": page.next_after})
+
+    def _batch(self, req: HttpRequest) -> Answer:
+        raw = msgspec.json.decode(req.body, type=dict[str, list[dict[str, object]]])
+        ordered = [[item[field] for field in TableWrite._fields] for item in raw["writes"]]
+        return _written(self.rows.write(msgspec.convert(ordered, list[TableWrite])))
+
+
+def _expected(req: HttpRequest) -> int | None:
+    """Return the version that the row must have, 0 for no row, None without a condition."""
+    if req.header("if-none-match") == "*":
+        return 0
+    match = req.header("if-match").strip('"')
+    return int(match) if match else None
+
+
+def _written(result: WriteResult) -> Answer:
+    if isinstance(result, Done):
+        return Answer.of_json(200, {"versions": result.versions})
+    if isinstance(result, Conflict):
+        row = result.row._asdict() if result.row else None
+        return Answer.of_json(412, {"row": row, "position": result.position})
+    return Answer.of_json(400, {"error": result.reason})
+
+
+if __name__ == "__main__":
+    TableService.main()
--- /dev/null
+++ b/cassiadrum/stores/circuit_breakers.py
@@ -0,0 +1,37 @@
+"""A circuit breaker; time is an argument."""
+
+__all__ = ["CircuitBreaker"]
+
+
+class CircuitBreaker:
+    """Stop requests after consecutive failures, then let one probe through at a time."""
+
+    def __init__(self, failures: int = 5, probe_interval_s: float = 1.0) -> None:
+        self._limit = failures
+        self._probe_interval_s = probe_interval_s
+        self._failures = 0
+        self._probe_at_s = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether only probes are allowed."""
+        return self._failures >= self._limit
+
+    def allow(self, now: float) -> bool:
+        """Tell whether a request may be sent; when open, this reserves the probe."""
+        if not self.is_open:
+            return True
+        if now < self._probe_at_s:
+            return False
+        self._probe_at_s = now + self._probe_interval_s
+        return True
+
+    def succeeded(self) -> None:
+        """Count an answer of the store; it closes the breaker."""
+        self._failures = 0
+
+    def failed(self, now: float) -> None:
+        """Count a request without an answer."""
+        self._failures += 1
+        if self._failures == self._limit:
+            self._probe_at_s = now + self._probe_interval_s
--- /dev/null
+++ b/cassiadrum/stores/http_instance_lists.py
@@ -0,0 +1,49 @@
+"""The instance list over HTTP."""
+
+import msgspec
+
+from cassiadrum.stores.errors import StoreUnavailable
+from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
+from cassiadrum.stores.instance_lists import InstanceList
+from cassiadrum.stores.instances import Instance
+from cassiadrum.stores.write_results import Done, Refused, WriteResult
+
+__all__ = ["HttpInstanceList"]
+
+
+class HttpInstanceList(InstanceList):
+    """Speak the instance list's HTTP protocol."""
+
+    def __init__(self, wire: HttpWire) -> None:
+        self._wire = wire
+
+    async def fetch(self) -> tuple[Instance, ...]:
+        """Return the listed instances; raise StoreUnavailable."""
+        answer = await self._wire.read("/instances")
+        if answer.status != 200:
+            raise StoreUnavailable(f"status {answer.status}")
+        try:
+            raw = msgspec.json.decode(answer.body, type=dict[str, list[dict[str, object]]])
+            ordered = [[item[name] for name in Instance._fields] for item in raw["instances"]]
+            return msgspec.convert(ordered, tuple[Instance, ...])
+        except (msgspec.MsgspecError, KeyError) as exc:
+            raise StoreUnavailable(f"invalid answer: {exc}") from exc
+
+    async def register(self, instance: Instance) -> WriteResult:
+        """Add or replace an entry; repeating it is harmless."""
+        body = msgspec.json.encode(instance._asdict())
+        return await self._write("PUT", f"/instances/{quoted(instance.instance)}", body)
+
+    async def deregister(self, instance: str) -> WriteResult:
+        """Remove an entry; repeating it is harmless."""
+        return await self._write("DELETE", f"/instances/{quoted(instance)}")
+
+    async def mark_leaving(self, instance: str) -> WriteResult:
+        """Set the state of an entry to `leaving`; repeating it is harmless."""
+        return await self._write("POST", f"/instances/{quoted(instance)}/leaving")
+
+    async def _write(self, method: str, target: str, body: bytes = b"") -> WriteResult:
+        answer = await self._wire.write(method, target, (), body)
+        if not isinstance(answer, WireAnswer):
+            return answer
+        return Done() if answer.status == 200 else Refused(f"status {answer.status}")
--- /dev/null
+++ b/cassiadrum/stores/http_wires.py
@@ -0,0 +1,123 @@
+"""Requests of the store clients over HTTP, with deadline, budget and breaker."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+from urllib.parse import quote
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.protocols import ConnectFailed, Headers, HttpClient, HttpError
+from cassiadrum.stores.circuit_breakers import CircuitBreaker
+from cassiadrum.stores.errors import NotApplied, OutcomeLost, StoreError, StoreUnavailable
+from cassiadrum.stores.store_budgets import StoreBudget
+from cassiadrum.stores.write_results import Refused, Unknown
+
+__all__ = ["HttpWire", "WireAnswer", "quoted"]
+
+
+class WireAnswer(NamedTuple):
+    """Hold the status, headers and body of an answer below 500 other than 429."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpWire:
+    """Send requests to one store; `clock` returns monotonic seconds."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        clock: Callable[[], float],
+        *,
+        budget: StoreBudget | None = None,
+        breaker: CircuitBreaker | None = None,
+        timeout_s: float = LIMITS.STORE_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._budget = budget
+        self.breaker = breaker or CircuitBreaker()
+        self._timeout_s = timeout_s
+
+    async def read(self, target: str, headers: Headers = ()) -> WireAnswer:
+        """Send a GET; raise StoreUnavailable when no valid answer came."""
+        try:
+            return await self._send("GET", target, headers, b"")
+        except StoreError as exc:
+            raise StoreUnavailable(str(exc)) from exc
+
+    async def write(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> WireAnswer | Refused | Unknown:
+        """Send a write and return its answer, or a result without one."""
+        try:
+            answer = await self._send(method, target, headers, body)
+        except NotApplied as exc:
+            return Refused(exc.reason, exc.retry_after_s)
+        except OutcomeLost as exc:
+            return Unknown(str(exc))
+        return answer
+
+    async def _send(self, method: str, target: str, headers: Headers, body: bytes) -> WireAnswer:
+        deadline_s = self._clock() + self._timeout_s
+        await self._wait_for_budget(method)
+        if not self.breaker.allow(self._clock()):
+            raise NotApplied("circuit breaker open")
+        sending = self._exchange(method, target, headers, body)
+        try:
+            async with asyncio.timeout(deadline_s - self._clock()):
+                answer = await sending
+        except ConnectFailed as exc:
+            self.breaker.failed(self._clock())
+            raise NotApplied(str(exc)) from exc
+        except (HttpError, TimeoutError) as exc:
+            self.breaker.failed(self._clock())
+            raise OutcomeLost(str(exc) or f"no answer in {self._timeout_s:g} s") from exc
+        return self._checked(answer)
+
+    async def _exchange(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> WireAnswer:
+        response = await self._client.request(method, target, headers, body)
+        return WireAnswer(response.status, response.headers, await response.read())
+
+    async def _wait_for_budget(self, method: str) -> None:
+        if self._budget is None:
+            return
+        bucket = self._budget.reads if method == "GET" else self._budget.writes
+        wait_s = bucket.reserve(self._clock(), self._timeout_s / 2)
+        if wait_s is None:
+            raise NotApplied("rate budget of this process used up", 1.0)
+        await asyncio.sleep(wait_s)
+
+    def _checked(self, answer: WireAnswer) -> WireAnswer:
+        """Return an answer that the store gave on the request itself.
+
+        By the protocol 429 and 503 state that nothing was applied; any other status of 500 or
+        above leaves that open.
+        """
+        if answer.status == 429:
+            self.breaker.succeeded()
+            raise NotApplied("rate limited by the store", _retry_after_s(answer.headers))
+        if answer.status >= 500:
+            self.breaker.failed(self._clock())
+            if answer.status == 503:
+                raise NotApplied("the store is unavailable", _retry_after_s(answer.headers))
+            raise OutcomeLost(f"status {answer.status}")
+        self.breaker.succeeded()
+        return answer
+
+
+def quoted(text: str) -> str:
+    """Return a path segment or query value with every reserved character escaped."""
+    return quote(text, safe="")
+
+
+def _retry_after_s(headers: Headers) -> float:
+    value = next((value for name, value in headers if name == "retry-after"), "0")
+    try:
+        return float(value)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/cassiadrum/stores/instance_lists.py
@@ -0,0 +1,28 @@
+"""Interface of the instance list."""
+
+from abc import ABC, abstractmethod
+
+from cassiadrum.stores.instances import Instance
+from cassiadrum.stores.write_results import WriteResult
+
+__all__ = ["InstanceList"]
+
+
+class InstanceList(ABC):
+    """Read the platform's lagging list of instances and change its entries."""
+
+    @abstractmethod
+    async def fetch(self) -> tuple[Instance, ...]:
+        """Return the listed instances; raise StoreUnavailable."""
+
+    @abstractmethod
+    async def register(self, instance: Instance) -> WriteResult:
+        """Add or replace an entry; repeating it is harmless."""
+
+    @abstractmethod
+    async def deregister(self, instance: str) -> WriteResult:
+        """Remove an entry; repeating it is harmless."""
+
+    @abstractmethod
+    async def mark_leaving(self, instance: str) -> WriteResult:
+        """Set the state of an entry to `leaving`; repeating it is harmless."""
--- /dev/null
+++ b/cassiadrum/stores/rows.py
@@ -0,0 +1,13 @@
+"""A row of the table service."""
+
+from typing import NamedTuple
+
+__all__ = ["Row"]
+
+
+class Row(NamedTuple):
+    """Hold the value of a key and its version, which grows with each write."""
+
+    key: str
+    version: int
+    value: dict[str, object]
