--- a/cassiadrum/standins/__init__.py
+++ b/cassiadrum/standins/__init__.py
@@ -1,14 +1,26 @@
-"""Small stand-ins of the outside systems, for tests and the demo."""
+"""Small runnable stand-ins for the outside systems, with faults, for tests and the demo."""
 
 from cassiadrum.standins.answer_texts import answer_text, answer_tokens
+from cassiadrum.standins.answers import Answer
 from cassiadrum.standins.engines import EngineStandin, prompt_of
+from cassiadrum.standins.faults import Faults
+from cassiadrum.standins.instance_lists import InstanceListService
 from cassiadrum.standins.plain_services import PlainServiceStandin
 from cassiadrum.standins.run_records import RunRecord
+from cassiadrum.standins.standins import StandIn
+from cassiadrum.standins.table_rows import TableRows
+from cassiadrum.standins.table_services import TableService
 
 __all__ = [
+    "Answer",
     "EngineStandin",
+    "Faults",
+    "InstanceListService",
     "PlainServiceStandin",
     "RunRecord",
+    "StandIn",
+    "TableRows",
+    "TableService",
     "answer_text",
     "answer_tokens",
     "prompt_of",
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -50,7 +50,7 @@
         self._task = asyncio.create_task(self.batch.run())
         return await self._server.start(host, port)
 
-    async def stop(self) -> None:
+    async def close(self) -> None:
         """Cut all connections and stop."""
         await self._server.abort()
         if self._task is not None:
--- a/cassiadrum/standins/plain_services.py
+++ b/cassiadrum/standins/plain_services.py
@@ -27,7 +27,7 @@
         """Listen and return the port."""
         return await self._server.start(host, port)
 
-    async def stop(self) -> None:
+    async def close(self) -> None:
         """Cut all connections and stop."""
         await self._server.abort()
 
