--- /dev/null
+++ b/cassiadrum/daemon.py
@@ -0,0 +1,68 @@
+"""Entry point of `cassiadrumd`."""
+
+import argparse
+import asyncio
+import json
+import logging
+import signal
+import sys
+from pathlib import Path
+
+from cassiadrum.roles import Daemon, build_daemon
+from cassiadrum.settings import Settings, SettingsError, load_settings
+
+__all__ = ["main"]
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_INPUT = 2
+EXIT_DRAIN_LIMIT = 3
+
+
+def main() -> None:
+    """Run the daemon until it is told to stop."""
+    parser = argparse.ArgumentParser(prog="cassiadrumd", description="Run one role of cassiadrum.")
+    parser.add_argument("--settings", type=Path, required=True, help="TOML file")
+    options = parser.parse_args()
+    try:
+        cfg = load_settings(options.settings)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    logging.basicConfig(level=cfg.log.level, format="%(asctime)s %(levelname)s %(message)s")
+    sys.exit(asyncio.run(run(cfg)))
+
+
+async def run(cfg: Settings) -> int:
+    """Start the daemon, drain it at SIGTERM and return the exit code."""
+    daemon = build_daemon(cfg)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _on_signal, daemon, stopping)
+    await daemon.start()
+    # Programs that start the daemon with port 0 read the addresses from this line.
+    print(json.dumps({"instance": cfg.instance, **daemon.addresses}), flush=True)
+    await stopping.wait()
+    try:
+        async with asyncio.timeout(cfg.limits.drain_limit_s):
+            await daemon.drained()
+    except TimeoutError:
+        logger.warning("drain limit reached with %d requests in flight", daemon.in_flight())
+        return EXIT_DRAIN_LIMIT
+    finally:
+        await daemon.close()
+    return 0
+
+
+def _on_signal(daemon: Daemon, stopping: asyncio.Event) -> None:
+    if stopping.is_set():
+        logger.info("still waiting for %d requests in flight", daemon.in_flight())
+        return
+    logger.info("draining, %d requests in flight", daemon.in_flight())
+    daemon.begin_drain()
+    stopping.set()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cassiadrum/roles/caller_handlers.py
@@ -0,0 +1,137 @@
+"""The HTTP interface towards callers."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Protocol
+
+from cassiadrum.frontends import Problem, send_problem
+from cassiadrum.protocols import Exchange, Headers
+from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead, CallerEvent
+from cassiadrum.roles.errors import InvalidRequest
+from cassiadrum.roles.pending_requests import PendingRequest
+from cassiadrum.roles.request_parsers import RequestParser
+from cassiadrum.roles.router_messages import CallerGone, Delivered, RouterMessage, Submit
+
+__all__ = ["AnswerFetcher", "CallerHandler"]
+
+SERVICES = "/services/"
+REQUESTS = "/requests/"
+DRAIN_RETRY_S = 1.0
+
+
+class AnswerFetcher(Protocol):
+    """Answer a caller that comes back for the rest of an answer."""
+
+    async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
+        """Send the bytes of the answer from `position` on, or a refusal."""
+
+
+class CallerHandler:
+    """Route each request and write its answer; one task per connection runs it."""
+
+    def __init__(
+        self,
+        parser: RequestParser,
+        post: Callable[[RouterMessage], None],
+        fetcher: AnswerFetcher,
+        ready: Callable[[], bool],
+    ) -> None:
+        self.draining = False
+        self.active = 0
+        self._parser = parser
+        self._post = post
+        self._fetcher = fetcher
+        self._ready = ready
+
+    async def __call__(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        path = exchange.req.path
+        if path == "/healthz":
+            serving = self._ready() and not self.draining
+            await exchange.send_json(200 if serving else 503, {"serving": serving})
+        elif path.startswith(REQUESTS) and exchange.req.method == "GET":
+            await self._fetch(exchange, path.removeprefix(REQUESTS))
+        elif not path.startswith(SERVICES):
+            await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
+        elif self.draining:
+            await send_problem(exchange, Problem("draining", "no", retry_after_s=DRAIN_RETRY_S))
+        elif not self._ready():
+            problem = Problem("no_configuration", "no", retry_after_s=DRAIN_RETRY_S)
+            await send_problem(exchange, problem)
+        else:
+            await self._route(exchange)
+
+    async def _route(self, exchange: Exchange) -> None:
+        try:
+            pending = self._parser.parse(exchange.req)
+        except InvalidRequest as exc:
+            await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
+            return
+        self.active += 1
+        self._post(Submit(pending))
+        try:
+            await self._relay(exchange, pending)
+        finally:
+            self.active -= 1
+            # Also reached when the connection's task is cancelled.
+            self._post(CallerGone(pending.queued.request_id))
+
+    async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
+        request_id = pending.queued.request_id
+        while True:
+            event = await _next_event(exchange, pending)
+            if event is None:
+                exchange.abort()
+                return
+            if isinstance(event, AnswerHead):
+                headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
+                await exchange.send_head(event.status, headers)
+            elif isinstance(event, AnswerData):
+                await exchange.send_data(event.data)
+                self._post(Delivered(request_id, event.attempt_id, event.position))
+            else:
+                await _finish(exchange, event, pending)
+                return
+
+    async def _fetch(self, exchange: Exchange, answer_id: str) -> None:
+        name, _, value = exchange.req.query.partition("=")
+        if exchange.req.query and (name != "position" or not value.isdecimal()):
+            detail = "the query allows only `position`, a count of bytes"
+            await send_problem(exchange, Problem("bad_request", "no", detail))
+            return
+        self.active += 1
+        try:
+            await self._fetcher.fetch(exchange, answer_id, int(value or 0))
+        finally:
+            self.active -= 1
+
+
+async def _next_event(exchange: Exchange, pending: PendingRequest) -> CallerEvent | None:
+    """Return the next event, or None when the caller is gone."""
+    if not pending.events.empty():
+        return pending.events.get_nowait()
+    getting = asyncio.ensure_future(pending.events.get())
+    gone = asyncio.ensure_future(exchange.gone.wait())
+    try:
+        await asyncio.wait((getting, gone), return_when=asyncio.FIRST_COMPLETED)
+        return getting.result() if getting.done() else None
+    finally:
+        for fut in (getting, gone):
+            fut.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await fut
+
+
+async def _finish(exchange: Exchange, event: AnswerEnd, pending: PendingRequest) -> None:
+    if event.problem is None:
+        await exchange.end()
+    elif not exchange.started:
+        await send_problem(exchange, event.problem)
+    elif pending.splitter.events:
+        # The status is sent already, so the refusal is the stream's last event.
+        body = event.problem.body().decode()
+        await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
+        await exchange.end()
+    else:
+        exchange.abort()
--- /dev/null
+++ b/cassiadrum/roles/request_parsers.py
@@ -0,0 +1,135 @@
+"""From a caller's HTTP request to a request of a class."""
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from cassiadrum.decisions import QueuedRequest, prefix_keys
+from cassiadrum.documents import RequestClass, ServiceDocument
+from cassiadrum.protocols import HttpRequest
+from cassiadrum.roles.errors import InvalidRequest
+from cassiadrum.roles.pending_requests import PendingRequest
+
+__all__ = ["RequestParser"]
+
+CHARS_PER_TOKEN = 4
+MAX_NAME_CHARS = 128
+MAX_KEY_CHARS = 255
+
+
+class PromptFacts(NamedTuple):
+    """What a completion's body says about its cost and placement."""
+
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    keys: tuple[int, ...] = ()
+    model: str = ""
+    adapter: str = ""
+
+
+class RequestParser:
+    """Find service, class, customer and cost of a request; `documents` looks a service up."""
+
+    def __init__(
+        self,
+        instance: str,
+        documents: Callable[[str], ServiceDocument | None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        # The random part keeps ids unique over restarts of the instance.
+        self._prefix = f"{instance}-{secrets.token_hex(4)}"
+        self._documents = documents
+        self._clock = clock
+        self._count = 0
+
+    def parse(self, http: HttpRequest) -> PendingRequest:
+        """Return the request to route; raise InvalidRequest when it cannot be."""
+        _, _, name, *rest = http.path.split("/", 3)
+        target = "/" + (rest[0] if rest else "")
+        document = self._documents(name)
+        if document is None:
+            raise InvalidRequest("unknown_service", f"no service `{name[:MAX_NAME_CHARS]}`")
+        cls = _find_class(document, http, target)
+        key = _check_key(cls, http.header("idempotency-key"))
+        facts = _prompt_facts(http) if document.kind == "model" else PromptFacts()
+        if http.query:
+            target = f"{target}?{http.query}"
+        return PendingRequest(self._queued(document, cls, http, facts), cls, http, target, key)
+
+    def _queued(
+        self, document: ServiceDocument, cls: RequestClass, http: HttpRequest, facts: PromptFacts
+    ) -> QueuedRequest:
+        self._count += 1
+        now = self._clock()
+        return QueuedRequest(
+            request_id=f"{self._prefix}-{self._count}",
+            service=document.name,
+            class_name=cls.name,
+            tier=cls.tier,
+            protected=cls.protected,
+            customer=http.header("x-customer", "anonymous")[:MAX_NAME_CHARS],
+            arrived_s=now,
+            deadline_s=now + cls.deadline_s,
+            prompt_tokens=facts.prompt_tokens,
+            max_tokens=facts.max_tokens,
+            prefix_keys=facts.keys,
+            model=facts.model if facts.model in document.models else "",
+            adapter=facts.adapter,
+            idempotent=cls.idempotent,
+            once_only=cls.once_only,
+            max_wait_s=cls.max_wait_s,
+            min_share=cls.min_share,
+        )
+
+
+def _find_class(document: ServiceDocument, http: HttpRequest, target: str) -> RequestClass:
+    named = http.header("x-request-class")
+    cls = document.named_class(named) if named else document.class_for(http.method, target)
+    if cls is None:
+        what = f"`{named[:MAX_NAME_CHARS]}`" if named else f"for {http.method} {target[:200]}"
+        raise InvalidRequest("unknown_class", f"{document.name} has no class {what}")
+    if named and not cls.matches(http.method, target):
+        detail = f"class `{named}` does not take {http.method} {target[:200]}"
+        raise InvalidRequest("unknown_class", detail)
+    return cls
+
+
+def _check_key(cls: RequestClass, key: str) -> str:
+    if cls.once_only and not key:
+        raise InvalidRequest("key_required", f"class `{cls.name}` requires an Idempotency-Key")
+    if len(key) > MAX_KEY_CHARS or not key.isprintable():
+        allowed = f"at most {MAX_KEY_CHARS} printable characters"
+        raise InvalidRequest("bad_request", f"the Idempotency-Key is invalid; allowed: {allowed}")
+    return key if cls.once_only else ""
+
+
+def _prompt_facts(http: HttpRequest) -> PromptFacts:
+    if http.method != "POST":
+        return PromptFacts()
+    try:
+        body = msgspec.json.decode(http.body, type=dict[str, Any])
+    except msgspec.DecodeError as exc:
+        raise InvalidRequest("bad_request", f"the body is not a JSON object: {exc}") from exc
+    max_tokens = body.get("max_tokens", 0)
+    if not isinstance(max_tokens, int) or max_tokens < 0:
+        raise InvalidRequest("bad_request", "max_tokens is not a whole number of at least 0")
+    prompt = _prompt(body)
+    return PromptFacts(
+        len(prompt) // CHARS_PER_TOKEN + 1,
+        max_tokens,
+        prefix_keys(prompt),
+        str(body.get("model", "")),
+        str(body.get("adapter", "")),
+    )
+
+
+def _prompt(body: dict[str, Any]) -> str:
+    if "prompt" in body:
+        return str(body["prompt"])
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not all(isinstance(msg, dict) for msg in messages):
+        raise InvalidRequest("bad_request", "the body has neither `prompt` nor `messages`")
+    return "\n".join(str(msg.get("content", "")) for msg in messages)
