--- a/cassiadrum/events/__init__.py
+++ b/cassiadrum/events/__init__.py
@@ -10,7 +10,10 @@
 from cassiadrum.events.hybrid_clocks import HybridClock
 from cassiadrum.events.hybrid_times import HybridTime
 from cassiadrum.events.merges import merge
+from cassiadrum.events.spans import Span, make_spans
+from cassiadrum.events.timeline_svg_writers import TimelineSvgWriter
 from cassiadrum.events.timelines import Timeline
+from cassiadrum.events.trace_writers import TraceWriter
 
 __all__ = [
     "Event",
@@ -22,9 +25,13 @@
     "GapKind",
     "HybridClock",
     "HybridTime",
+    "Span",
     "Timeline",
+    "TimelineSvgWriter",
+    "TraceWriter",
     "decode_event",
     "encode_event",
+    "make_spans",
     "merge",
     "read_json_lines",
     "to_json_line",
--- /dev/null
+++ b/cassiadrum/events/spans.py
@@ -0,0 +1,65 @@
+"""The time that one request spent in one process."""
+
+from collections import defaultdict
+from typing import Final, NamedTuple
+
+from cassiadrum.events.event_kinds import EventKind
+from cassiadrum.events.events import Event
+from cassiadrum.events.timelines import Timeline
+
+__all__ = ["Span", "make_spans"]
+
+ENDS: Final = frozenset(
+    {
+        EventKind.FINISHED,
+        EventKind.CANCELLED,
+        EventKind.REJECTED,
+        EventKind.REFUSED,
+        EventKind.EVICTED,
+    }
+)
+
+
+class Span(NamedTuple):
+    """Hold the events of one request in one process, in order, and the row it is drawn in.
+
+    Times are in microseconds since the epoch. Spans of an instance that overlap in time have
+    different rows, counted from 0. `ended` is False when the end of the request is not recorded.
+    """
+
+    instance: str
+    request_id: str
+    start_us: int
+    end_us: int
+    row: int
+    ended: bool
+    events: tuple[Event, ...]
+
+
+def make_spans(timeline: Timeline) -> list[Span]:
+    """Return a span for each request and process, ordered by start."""
+    groups: dict[tuple[str, str, str], list[Event]] = defaultdict(list)
+    for event in timeline.events:
+        if event.request_id:
+            groups[event.instance, event.start_id, event.request_id].append(event)
+    spans = [_span(events) for events in groups.values()]
+    spans.sort(key=lambda span: (span.start_us, span.instance, span.request_id))
+    return _with_rows(spans)
+
+
+def _span(events: list[Event]) -> Span:
+    first, last = events[0], events[-1]
+    start_us, end_us = first.hlc.wall_us, last.hlc.wall_us
+    ended = last.kind in ENDS
+    return Span(first.instance, first.request_id, start_us, end_us, 0, ended, tuple(events))
+
+
+def _with_rows(spans: list[Span]) -> list[Span]:
+    row_ends: dict[str, list[int]] = defaultdict(list)
+    placed = []
+    for span in spans:
+        ends = row_ends[span.instance]
+        row = next((row for row, end_us in enumerate(ends) if end_us < span.start_us), len(ends))
+        ends[row : row + 1] = [span.end_us]
+        placed.append(span._replace(row=row))
+    return placed
--- /dev/null
+++ b/cassiadrum/events/trace_writers.py
@@ -0,0 +1,92 @@
+"""Trace Event JSON, the format that trace viewers open."""
+
+import json
+from typing import Any
+
+from cassiadrum.events.events import Event
+from cassiadrum.events.gaps import Gap
+from cassiadrum.events.spans import Span, make_spans
+from cassiadrum.events.timelines import Timeline
+
+__all__ = ["TraceWriter"]
+
+# Thread 0 of each process shows its gaps and the events that belong to no request.
+PROCESS_THREAD = 0
+
+
+class TraceWriter:
+    """Write a timeline with one process for each instance and one thread for each row."""
+
+    def write(self, timeline: Timeline) -> str:
+        """Return the JSON text; times are in microseconds from the first event."""
+        spans = make_spans(timeline)
+        names = sorted(
+            {event.instance for event in timeline.events} | {gap.instance for gap in timeline.gaps}
+        )
+        pids = {name: pid for pid, name in enumerate(names, 1)}
+        walls = [event.hlc.wall_us for event in timeline.events]
+        first_us, last_us = min(walls, default=0), max(walls, default=0)
+        entries = [_process_name(name, pid) for name, pid in pids.items()]
+        entries += [_gap(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps]
+        for span in spans:
+            entries += _span(span, pids[span.instance], first_us)
+        entries += [
+            _instant(event, pids[event.instance], PROCESS_THREAD, first_us)
+            for event in timeline.events
+            if not event.request_id
+        ]
+        return json.dumps({"traceEvents": entries, "displayTimeUnit": "ms"}, ensure_ascii=False)
+
+
+def _process_name(name: str, pid: int) -> dict[str, Any]:
+    return {"ph": "M", "name": "process_name", "pid": pid, "tid": 0, "args": {"name": name}}
+
+
+def _span(span: Span, pid: int, first_us: int) -> list[dict[str, Any]]:
+    tid = span.row + 1
+    first = span.events[0]
+    args = {
+        "service": first.service,
+        "class": first.class_name,
+        "customer": first.customer,
+        "end": span.events[-1].kind.value if span.ended else "not recorded",
+    }
+    bar = {
+        "ph": "X",
+        "cat": "request",
+        "name": span.request_id,
+        "pid": pid,
+        "tid": tid,
+        "ts": span.start_us - first_us,
+        "dur": span.end_us - span.start_us,
+        "args": args,
+    }
+    return [bar, *(_instant(event, pid, tid, first_us) for event in span.events)]
+
+
+def _instant(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
+    return {
+        "ph": "i",
+        "s": "t",
+        "cat": event.role,
+        "name": event.kind.value,
+        "pid": pid,
+        "tid": tid,
+        "ts": event.hlc.wall_us - first_us,
+        "args": {"sequence": event.sequence, "request_id": event.request_id, **event.fields},
+    }
+
+
+def _gap(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
+    start_us = gap.since.wall_us if gap.since else first_us
+    end_us = gap.until.wall_us if gap.until else last_us
+    return {
+        "ph": "X",
+        "cat": "gap",
+        "name": f"gap: {gap.kind.value}",
+        "pid": pid,
+        "tid": PROCESS_THREAD,
+        "ts": start_us - first_us,
+        "dur": end_us - start_us,
+        "args": {"missing": gap.missing, "start_id": gap.start_id},
+    }
