Add one rule for each of the eight invariants

Cause: integration tests, the demo and the load tool need the same verdict on whether an invariant of the design page held.

Change: `cassiadrum.invariants` judges the merged events together with what callers saw and what endpoints ran. Each rule has forged records that it has to reject and records that it has to accept. Faults that an experiment causes on purpose are stated in the record (`killed`, `outages`), so that no rule excuses a fault that nobody caused.

--- a/cassiadrum/events/__init__.py
+++ b/cassiadrum/events/__init__.py
@@ -3,7 +3,7 @@
 from cassiadrum.events.codecs import decode_event, encode_event, read_json_lines, to_json_line
 from cassiadrum.events.errors import EventError
 from cassiadrum.events.event_filters import EventFilter
-from cassiadrum.events.event_kinds import EventKind
+from cassiadrum.events.event_kinds import REQUEST_ENDS, EventKind
 from cassiadrum.events.event_rings import EventRing
 from cassiadrum.events.events import Event
 from cassiadrum.events.gaps import Gap, GapKind
@@ -16,6 +16,7 @@
 from cassiadrum.events.trace_writers import TraceWriter
 
 __all__ = [
+    "REQUEST_ENDS",
     "Event",
     "EventError",
     "EventFilter",
--- a/cassiadrum/events/event_kinds.py
+++ b/cassiadrum/events/event_kinds.py
@@ -1,8 +1,9 @@
 """The kinds of events."""
 
 from enum import StrEnum
+from typing import Final
 
-__all__ = ["EventKind"]
+__all__ = ["REQUEST_ENDS", "EventKind"]
 
 
 class EventKind(StrEnum):
@@ -61,3 +62,15 @@
     BREAKER_CLOSED = "breaker_closed"
     # A kind that a newer process recorded; its name is in the field `unknown_kind`.
     UNKNOWN = "unknown"
+
+
+# The kinds that end a request, or an attempt of it, in the process that records them.
+REQUEST_ENDS: Final = frozenset(
+    {
+        EventKind.FINISHED,
+        EventKind.CANCELLED,
+        EventKind.REJECTED,
+        EventKind.REFUSED,
+        EventKind.EVICTED,
+    }
+)
--- a/cassiadrum/events/spans.py
+++ b/cassiadrum/events/spans.py
@@ -1,24 +1,14 @@
 """The time that one request spent in one process."""
 
 from collections import defaultdict
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
-from cassiadrum.events.event_kinds import EventKind
+from cassiadrum.events.event_kinds import REQUEST_ENDS
 from cassiadrum.events.events import Event
 from cassiadrum.events.timelines import Timeline
 
 __all__ = ["Span", "make_spans"]
 
-ENDS: Final = frozenset(
-    {
-        EventKind.FINISHED,
-        EventKind.CANCELLED,
-        EventKind.REJECTED,
-        EventKind.REFUSED,
-        EventKind.EVICTED,
-    }
-)
-
 
 class Span(NamedTuple):
     """Hold the events of one request in one process, in order, and the row it is drawn in.
@@ -50,7 +40,7 @@
 def _span(events: list[Event]) -> Span:
     first, last = events[0], events[-1]
     start_us, end_us = first.hlc.wall_us, last.hlc.wall_us
-    ended = last.kind in ENDS
+    ended = last.kind in REQUEST_ENDS
     return Span(first.instance, first.request_id, start_us, end_us, 0, ended, tuple(events))
 
 
--- /dev/null
+++ b/cassiadrum/invariants/__init__.py
@@ -0,0 +1,41 @@
+"""One rule for each invariant of the design page, over the record of all processes.
+
+Each rule's module states the events and fields that it needs from the roles. `Record.killed` and
+`Record.outages` state the faults that an experiment caused. A record with missing events is judged
+as far as it goes, so tests also assert that `Record.missing_events` is 0.
+"""
+
+from cassiadrum.invariants.caller_outcomes import CallerOutcome
+from cassiadrum.invariants.checks import RULES, check_record
+from cassiadrum.invariants.configuration_monotonic_rules import ConfigurationMonotonicRule
+from cassiadrum.invariants.endpoint_runs import EndpointRun
+from cassiadrum.invariants.eventual_service_rules import EventualServiceRule
+from cassiadrum.invariants.leaving_endpoint_rules import LeavingEndpointRule
+from cassiadrum.invariants.once_only_rules import OnceOnlyRule
+from cassiadrum.invariants.outages import Outage
+from cassiadrum.invariants.planned_stop_rules import PlannedStopRule
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.tier_safety_rules import TierSafetyRule
+from cassiadrum.invariants.truthful_not_run_rules import TruthfulNotRunRule
+from cassiadrum.invariants.violations import Violation
+from cassiadrum.invariants.whole_answer_rules import WholeAnswerRule
+
+__all__ = [
+    "RULES",
+    "CallerOutcome",
+    "ConfigurationMonotonicRule",
+    "EndpointRun",
+    "EventualServiceRule",
+    "LeavingEndpointRule",
+    "OnceOnlyRule",
+    "Outage",
+    "PlannedStopRule",
+    "Record",
+    "Rule",
+    "TierSafetyRule",
+    "TruthfulNotRunRule",
+    "Violation",
+    "WholeAnswerRule",
+    "check_record",
+]
--- /dev/null
+++ b/cassiadrum/invariants/eventual_service_rules.py
@@ -0,0 +1,98 @@
+"""Every accepted request ends, and every class is eventually served.
+
+Needs at entry instances, with request id, service and class: `received`, `queued`, `dispatched`,
+and one of `finished`, `refused`, `evicted` and `cancelled` at the end of each request. A
+`cancelled` with the reason `hedge_lost` ends only an attempt.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import ClassVar, Final
+
+from cassiadrum.documents import RequestClass
+from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.process_records import ProcessRecord, process_records
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+from cassiadrum.invariants.work_states import WorkState, ends_request
+
+__all__ = ["EventualServiceRule"]
+
+# A class that is due gets `min_share` of the dispatches, which is one in `1 / min_share`. Twice
+# that many without one leaves room for shares counted in tokens instead of requests.
+SHARE_SLACK: Final = 2
+
+
+class EventualServiceRule(Rule):
+    """Reject requests without an end and classes that are due but get no dispatch."""
+
+    name: ClassVar[str] = "eventual_service"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each request without an end and each starved class."""
+        violations: list[Violation] = []
+        for process in process_records(record):
+            violations += self._without_end(record, process)
+            violations += _StarvationCheck(record, self.name).follow(process)
+        return violations
+
+    def _without_end(self, record: Record, process: ProcessRecord) -> Iterator[Violation]:
+        if process.lossy or process.instance in record.killed:
+            return
+        open_requests: dict[str, Event] = {}
+        for event in process.events:
+            if event.kind is EventKind.RECEIVED:
+                open_requests[event.request_id] = event
+            elif ends_request(event):
+                open_requests.pop(event.request_id, None)
+        for event in open_requests.values():
+            yield _violation(self.name, event, "received and never ended")
+
+
+class _StarvationCheck:
+    def __init__(self, record: Record, rule: str) -> None:
+        self._record = record
+        self._rule = rule
+        self._state = WorkState()
+        self._passed_over: dict[tuple[str, str], int] = {}
+
+    def follow(self, process: ProcessRecord) -> Iterator[Violation]:
+        for event in process.events:
+            if event.kind is EventKind.DISPATCHED:
+                yield from self._judge(event)
+            self._state.apply(event)
+
+    def _judge(self, dispatched: Event) -> Iterator[Violation]:
+        served = self._class(dispatched)
+        self._passed_over.pop((dispatched.service, dispatched.class_name), None)
+        if served is None or served.protected:
+            return
+        for key, (head, cls) in self._due(dispatched).items():
+            self._passed_over[key] = self._passed_over.get(key, 0) + 1
+            if self._passed_over[key] == SHARE_SLACK * math.ceil(1 / cls.min_share) + 1:
+                waited_s = dispatched.hlc.seconds - head.hlc.seconds
+                detail = (
+                    f"class {cls.name} got none of {self._passed_over[key]} dispatches while its "
+                    f"head waited {waited_s:.1f} s, max_wait_s is {cls.max_wait_s:g}"
+                )
+                yield _violation(self._rule, head, detail)
+
+    def _due(self, dispatched: Event) -> dict[tuple[str, str], tuple[Event, RequestClass]]:
+        due: dict[tuple[str, str], tuple[Event, RequestClass]] = {}
+        for event in self._state.waiting.values():
+            cls = self._class(event)
+            if cls is None or cls.protected or cls.min_share == 0:
+                continue
+            same_service = event.service == dispatched.service
+            waited_s = dispatched.hlc.seconds - event.hlc.seconds
+            if same_service and cls.name != dispatched.class_name and waited_s > cls.max_wait_s:
+                due.setdefault((event.service, cls.name), (event, cls))
+        return due
+
+    def _class(self, event: Event) -> RequestClass | None:
+        return self._record.request_class(event.service, event.class_name)
+
+
+def _violation(rule: str, event: Event, detail: str) -> Violation:
+    return Violation(rule, detail, event.request_id, event.instance, event.hlc.seconds)
--- /dev/null
+++ b/cassiadrum/invariants/leaving_endpoint_rules.py
@@ -0,0 +1,73 @@
+"""A leaving endpoint gets no new work after 3 s.
+
+Needs `process_started` and `draining` at sidecars, `member_leaving` with the field `member` (an
+instance), `dispatched` and `hedged` with the field `to` (an instance), `started` at sidecars, and
+the endpoints' runs.
+"""
+
+from collections.abc import Iterator
+from typing import ClassVar
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+
+__all__ = ["LeavingEndpointRule"]
+
+
+class LeavingEndpointRule(Rule):
+    """Reject work given to an endpoint after its time to leave has passed."""
+
+    name: ClassVar[str] = "leaving_endpoint"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each dispatch to, and each start at, an endpoint that is leaving."""
+        leaving: dict[str, float] = {}
+        periods: list[tuple[str, float, float]] = []
+        violations: list[Violation] = []
+        for event in record.timeline.events:
+            if event.kind is EventKind.PROCESS_STARTED and event.instance in leaving:
+                # An instance that starts anew under the same name takes work again.
+                since_s = leaving.pop(event.instance)
+                periods.append((event.instance, since_s, event.hlc.seconds))
+            violations += self._judge(event, leaving)
+            name = _leaving_instance(event)
+            if name:
+                leaving.setdefault(name, event.hlc.seconds)
+        periods += [(name, since_s, float("inf")) for name, since_s in leaving.items()]
+        return violations + list(self._late_runs(record, periods))
+
+    def _judge(self, event: Event, leaving: dict[str, float]) -> Iterator[Violation]:
+        if event.kind in (EventKind.DISPATCHED, EventKind.HEDGED):
+            target = event.fields.get("to", "")
+        elif event.kind is EventKind.STARTED:
+            target = event.instance
+        else:
+            return
+        if target in leaving:
+            late_s = event.hlc.seconds - leaving[target]
+            if late_s > LIMITS.LEAVING_LIMIT_S:
+                detail = f"{event.kind.value} {late_s:.1f} s after {target} began to leave"
+                yield Violation(
+                    self.name, detail, event.request_id, event.instance, event.hlc.seconds
+                )
+
+    def _late_runs(
+        self, record: Record, periods: list[tuple[str, float, float]]
+    ) -> Iterator[Violation]:
+        for run in record.runs:
+            for name, since_s, until_s in periods:
+                late_s = run.started_s - since_s
+                if run.instance == name and LIMITS.LEAVING_LIMIT_S < late_s < until_s - since_s:
+                    detail = f"the endpoint ran it {late_s:.1f} s after {name} began to leave"
+                    yield Violation(self.name, detail, run.request_id, name, run.started_s)
+
+
+def _leaving_instance(event: Event) -> str:
+    if event.kind is EventKind.DRAINING and event.role == "sidecar":
+        return event.instance
+    if event.kind is EventKind.MEMBER_LEAVING:
+        return str(event.fields.get("member", ""))
+    return ""
--- /dev/null
+++ b/cassiadrum/invariants/outages.py
@@ -0,0 +1,16 @@
+"""A fault that an experiment caused on purpose."""
+
+from typing import NamedTuple
+
+__all__ = ["Outage"]
+
+
+class Outage(NamedTuple):
+    """State when an instance could not reach its peers; an empty instance means all.
+
+    Times are in seconds since the epoch.
+    """
+
+    instance: str
+    since_s: float
+    until_s: float
--- /dev/null
+++ b/cassiadrum/invariants/planned_stop_rules.py
@@ -0,0 +1,69 @@
+"""A planned stop is graceful and cuts off no request in flight.
+
+Needs `draining` when a planned stop begins and `stopped` as the last event of the process,
+`received` at entry instances, `started` at sidecars, and the end of each request with the field
+`reason`, which is `draining` for work that the stop cuts off.
+"""
+
+from collections.abc import Iterator
+from typing import ClassVar
+
+from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.process_records import ProcessRecord, process_records
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+from cassiadrum.invariants.work_states import ends_request
+
+__all__ = ["PlannedStopRule"]
+
+
+class PlannedStopRule(Rule):
+    """Reject planned stops that cut requests off or that never end."""
+
+    name: ClassVar[str] = "planned_stop"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each request that a planned stop cut off before its deadline."""
+        return [
+            violation
+            for process in process_records(record)
+            if process.instance not in record.killed
+            for violation in self._judge(record, process)
+        ]
+
+    def _judge(self, record: Record, process: ProcessRecord) -> Iterator[Violation]:
+        draining = process.first(EventKind.DRAINING)
+        if draining is None:
+            return
+        if process.crashed:
+            yield self._violation(draining, "the process drained but did not record `stopped`")
+        in_flight: dict[str, Event] = {}
+        for event in process.events:
+            if _begins(event, draining):
+                in_flight.setdefault(event.request_id, event)
+            elif ends_request(event):
+                begun = in_flight.pop(event.request_id, None)
+                if begun and _is_cut(record, begun, event):
+                    yield self._violation(event, "cut off by a planned stop")
+        stopped = process.first(EventKind.STOPPED)
+        if stopped is not None and not process.lossy:
+            for event in in_flight.values():
+                yield self._violation(event, "still in flight when the process stopped")
+
+    def _violation(self, event: Event, detail: str) -> Violation:
+        return Violation(self.name, detail, event.request_id, event.instance, event.hlc.seconds)
+
+
+def _begins(event: Event, draining: Event) -> bool:
+    """Tell whether the event makes the process responsible for the end of the request."""
+    received = event.kind is EventKind.RECEIVED and event.sequence < draining.sequence
+    return received or event.kind is EventKind.STARTED
+
+
+def _is_cut(record: Record, begun: Event, end: Event) -> bool:
+    if end.fields.get("reason") != "draining":
+        return False
+    cls = record.request_class(begun.service, begun.class_name)
+    # The drain limit may end work that has already missed its deadline.
+    return cls is None or end.hlc.seconds - begun.hlc.seconds < cls.deadline_s
--- /dev/null
+++ b/cassiadrum/invariants/rules.py
@@ -0,0 +1,19 @@
+"""Base class of the rules."""
+
+from abc import ABC, abstractmethod
+from typing import ClassVar
+
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.violations import Violation
+
+__all__ = ["Rule"]
+
+
+class Rule(ABC):
+    """Check one invariant of the design page over a record."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    def check(self, record: Record) -> list[Violation]:
+        """Return every violation, an empty list when the invariant holds."""
--- /dev/null
+++ b/cassiadrum/invariants/tier_safety_rules.py
@@ -0,0 +1,122 @@
+"""Protected work is never shed or preempted to make room for lower-tier work.
+
+Needs, with request id, service and class: `queued` (at the entry instance and at the sidecar),
+`dispatched`, `started`, `paused`, `resumed`, `finished`, `evicted`, and `refused`, `rejected` and
+`cancelled` with the field `reason`, which is `preempted` for work that is cut for other work.
+`queued` may carry `model`; work for different models does not compete.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import ClassVar, Final
+
+from cassiadrum.documents import RequestClass
+from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.process_records import process_records
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+from cassiadrum.invariants.work_states import PREEMPTED, WorkState
+
+__all__ = ["TierSafetyRule"]
+
+SHED_REASONS: Final = frozenset({"overloaded", "evicted"})
+
+
+class TierSafetyRule(Rule):
+    """Reject shedding, preemption and missed deadlines of protected work for lower tiers."""
+
+    name: ClassVar[str] = "tier_safety"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each protected request that lower-tier work displaced."""
+        return [
+            violation
+            for process in process_records(record)
+            for violation in _Follower(record, self.name).follow(process.events)
+        ]
+
+
+class _Follower:
+    def __init__(self, record: Record, rule: str) -> None:
+        self._record = record
+        self._rule = rule
+        self._state = WorkState()
+        # Protected requests that saw lower-tier work dispatched while they waited.
+        self._overtaken: dict[str, Event] = {}
+        # A retry may exclude the endpoint that lower-tier work can still use.
+        self._dispatched: set[str] = set()
+
+    def follow(self, events: Iterable[Event]) -> Iterator[Violation]:
+        for event in events:
+            cls = self._class(event)
+            if cls is not None:
+                yield from self._judge(event, cls)
+                self._note(event, cls)
+            self._state.apply(event)
+
+    def _judge(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
+        if event.kind in (EventKind.STARTED, EventKind.RESUMED):
+            yield from self._taken_places(event, cls)
+        if not cls.protected:
+            return
+        reason = event.fields.get("reason", "")
+        if _is_shed(event, reason):
+            yield from self._displaced(event, cls, "shed", self._state.waiting)
+        elif event.kind is EventKind.PAUSED or (
+            event.kind is EventKind.CANCELLED and reason == PREEMPTED
+        ):
+            yield from self._displaced(event, cls, "preempted", self._state.running)
+        elif event.kind is EventKind.REFUSED and reason == "deadline":
+            other = self._overtaken.get(event.request_id)
+            if other is not None:
+                detail = f"missed its deadline after {other.request_id} was dispatched"
+                yield self._violation(event, detail)
+
+    def _displaced(
+        self, event: Event, cls: RequestClass, how: str, work: dict[str, Event]
+    ) -> Iterator[Violation]:
+        other = next((other for other in work.values() if self._is_lower(other, event, cls)), None)
+        if other is not None:
+            yield self._violation(event, f"{how} while lower-tier {other.request_id} stayed")
+
+    def _taken_places(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
+        for paused in self._state.paused.values():
+            paused_cls = self._class(paused)
+            if paused_cls is None or not paused_cls.protected or paused_cls.tier >= cls.tier:
+                continue
+            if paused.request_id != event.request_id:
+                yield self._violation(paused, f"paused while {event.request_id} was started")
+
+    def _note(self, event: Event, cls: RequestClass) -> None:
+        if event.kind is not EventKind.DISPATCHED:
+            return
+        self._dispatched.add(event.request_id)
+        queued = self._state.waiting.get(event.request_id, event)
+        for waiting in self._state.waiting.values():
+            waiting_cls = self._class(waiting)
+            if waiting_cls is None or not waiting_cls.protected:
+                continue
+            retried = waiting.request_id in self._dispatched
+            if not retried and self._is_lower(queued, waiting, waiting_cls):
+                self._overtaken.setdefault(waiting.request_id, event)
+
+    def _is_lower(self, other: Event, event: Event, cls: RequestClass) -> bool:
+        other_cls = self._class(other)
+        if other_cls is None or other_cls.tier <= cls.tier or other.service != event.service:
+            return False
+        queued = self._state.waiting.get(event.request_id, event)
+        models = (other.fields.get("model"), queued.fields.get("model"))
+        return None in models or models[0] == models[1]
+
+    def _class(self, event: Event) -> RequestClass | None:
+        return self._record.request_class(event.service, event.class_name)
+
+    def _violation(self, event: Event, detail: str) -> Violation:
+        text = f"protected class {event.class_name}: {detail}"
+        return Violation(self._rule, text, event.request_id, event.instance, event.hlc.seconds)
+
+
+def _is_shed(event: Event, reason: str) -> bool:
+    return event.kind is EventKind.EVICTED or (
+        event.kind in (EventKind.REFUSED, EventKind.REJECTED) and reason in SHED_REASONS
+    )
--- /dev/null
+++ b/cassiadrum/invariants/truthful_not_run_rules.py
@@ -0,0 +1,41 @@
+"""A request refused as "not run" did not run.
+
+Needs the callers' outcomes, the endpoints' runs, and `refused` with the field `ran` (`no`, `yes`
+or `unknown`) and the request id.
+"""
+
+from typing import ClassVar
+
+from cassiadrum.events import EventKind
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+
+__all__ = ["TruthfulNotRunRule"]
+
+
+class TruthfulNotRunRule(Rule):
+    """Reject refusals with `ran: no` of requests that an endpoint ran."""
+
+    name: ClassVar[str] = "truthful_not_run"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each request that ran although its caller was told that it did not."""
+        told = {caller.request_id for caller in record.callers if caller.ran == "no"}
+        told |= {
+            event.request_id
+            for event in record.timeline.events
+            if event.kind in (EventKind.REFUSED, EventKind.EVICTED)
+            and event.fields.get("ran") == "no"
+        }
+        return [
+            Violation(
+                self.name,
+                'refused as "not run" but ran',
+                run.request_id,
+                run.instance,
+                run.started_s,
+            )
+            for run in record.runs
+            if run.request_id in told
+        ]
--- /dev/null
+++ b/cassiadrum/invariants/violations.py
@@ -0,0 +1,22 @@
+"""A broken invariant."""
+
+from typing import NamedTuple
+
+__all__ = ["Violation"]
+
+
+class Violation(NamedTuple):
+    """Name the broken rule and state what was found.
+
+    `at_s` is in seconds since the epoch, 0 when no single event shows the violation.
+    """
+
+    rule: str
+    detail: str
+    request_id: str = ""
+    instance: str = ""
+    at_s: float = 0.0
+
+    def __str__(self) -> str:
+        where = " ".join(part for part in (self.request_id, self.instance) if part)
+        return f"{self.rule}: {self.detail}" + (f" ({where})" if where else "")
--- /dev/null
+++ b/cassiadrum/invariants/whole_answer_rules.py
@@ -0,0 +1,68 @@
+"""Each caller receives the whole answer to its own request.
+
+Needs the callers' outcomes, and at entry instances, with the request id, `received` and
+`cancelled` with the field `reason`, which is `caller_left` when the caller gave up.
+"""
+
+from typing import ClassVar
+
+from cassiadrum.events import EventKind
+from cassiadrum.invariants.caller_outcomes import CallerOutcome
+from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.rules import Rule
+from cassiadrum.invariants.violations import Violation
+from cassiadrum.invariants.work_states import CALLER_LEFT
+
+__all__ = ["WholeAnswerRule"]
+
+
+class WholeAnswerRule(Rule):
+    """Reject answers that are wrong, that belong to another request or that break off untold."""
+
+    name: ClassVar[str] = "whole_answer"
+
+    def check(self, record: Record) -> list[Violation]:
+        """Return each answer that is not whole without the caller being told."""
+        owners = {c.expected_digest: c.request_id for c in record.callers if c.expected_digest}
+        accepted, excused = _accepted(record), _excused(record)
+        violations = []
+        for caller in record.callers:
+            request_id = caller.request_id
+            is_excused = request_id in excused or (
+                # The event of a killed instance may be lost with it.
+                bool(record.killed) and request_id not in accepted
+            )
+            if caller.status == 0:
+                broken = request_id in accepted and not is_excused
+                detail = "accepted, but no answer came" if broken else ""
+            else:
+                detail = _fault(caller, owners, is_excused)
+            if detail:
+                violations.append(Violation(self.name, detail, caller.request_id))
+        return violations
+
+
+def _fault(caller: CallerOutcome, owners: dict[str, str], excused: bool) -> str:
+    if not 200 <= caller.status < 300:
+        return ""
+    if not caller.complete:
+        return "" if excused or caller.ran == "unknown" else "the answer broke off untold"
+    if not caller.expected_digest or caller.body_digest == caller.expected_digest:
+        return ""
+    owner = owners.get(caller.body_digest)
+    return f"got the answer of {owner}" if owner else "the body differs from the right answer"
+
+
+def _accepted(record: Record) -> set[str]:
+    events = record.timeline.events
+    return {event.request_id for event in events if event.kind is EventKind.RECEIVED}
+
+
+def _excused(record: Record) -> set[str]:
+    """Return the requests whose connection broke with a killed instance or whose caller left."""
+    return {
+        event.request_id
+        for event in record.timeline.events
+        if (event.kind is EventKind.RECEIVED and event.instance in record.killed)
+        or (event.kind is EventKind.CANCELLED and event.fields.get("reason") == CALLER_LEFT)
+    }
--- /dev/null
+++ b/cassiadrum/tests/records.py
@@ -0,0 +1,49 @@
+"""Forged records for tests of the rules."""
+
+from pathlib import Path
+from typing import Any
+
+from cassiadrum.documents import parse_document
+from cassiadrum.events import EventKind, EventRing, HybridClock, merge
+from cassiadrum.invariants import CallerOutcome, EndpointRun, Record
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+DOCUMENTS = tuple(
+    parse_document((EXAMPLES / f"{name}.toml").read_text())
+    for name in ("permit-register", "drafting-desk")
+)
+SERVICE = "permit-register"
+Step = tuple[float, str, str, str, str, dict[str, Any]]
+
+
+def step(at_s: float, instance: str, kind: str, request: str = "", **fields: Any) -> Step:
+    """Return an event; `request` is `ID:CLASS`, and the instance starts with its role."""
+    request_id, _, class_name = request.partition(":")
+    return at_s, instance, kind, request_id, class_name, fields
+
+
+def make_record(*steps: Step, alive: bool = True, **parts: Any) -> Record:
+    """Return a record of the steps; `alive` tells that no process has ended."""
+    rings: dict[str, EventRing] = {}
+    clock_s = [0.0]
+    for at_s, instance, kind, request_id, class_name, fields in steps:
+        clock_s[0] = at_s
+        if instance not in rings:
+            clock = HybridClock(lambda: clock_s[0])
+            rings[instance] = EventRing(clock, instance, instance.split("-")[0], f"{instance}-1")
+        rings[instance].record(EventKind(kind), request_id, SERVICE, class_name, "c", **fields)
+    events = [event for ring in rings.values() for event in ring.after(0, len(ring))]
+    timeline = merge(events, [f"{name}-1" for name in rings] if alive else [])
+    return Record(timeline, documents=DOCUMENTS, **parts)
+
+
+def make_caller(request_id: str, **fields: Any) -> CallerOutcome:
+    caller = CallerOutcome(
+        request_id, SERVICE, "status-check", "c", "", 200, "", "d1", "d1", 1.0, True
+    )
+    return caller._replace(**fields)
+
+
+def make_run(request_id: str, started_s: float = 1.0, **fields: Any) -> EndpointRun:
+    run = EndpointRun(request_id, SERVICE, "sidecar-1", "", started_s, started_s + 1, 1, True)
+    return run._replace(**fields)
--- /dev/null
+++ b/cassiadrum/tests/test_invariants.py
@@ -0,0 +1,437 @@
+"""Tests of the rules: each must reject forged violations and accept what the design allows."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+
+from cassiadrum.invariants import (
+    RULES,
+    ConfigurationMonotonicRule,
+    EventualServiceRule,
+    LeavingEndpointRule,
+    OnceOnlyRule,
+    Outage,
+    PlannedStopRule,
+    Record,
+    Rule,
+    TierSafetyRule,
+    TruthfulNotRunRule,
+    WholeAnswerRule,
+    check_record,
+)
+from cassiadrum.tests.records import Step, make_caller, make_record, make_run, step
+
+TOP, LOW, ONCE = "top:status-check", "low:register-export", "once:permit-issue"
+
+
+def details(rule: Rule, record: Record) -> list[str]:
+    return [violation.detail for violation in rule.check(record)]
+
+
+def waiting(*requests: str, instance: str = "entry-1") -> list[Step]:
+    return [step(0, instance, "queued", request) for request in requests]
+
+
+class TestTierSafety:
+    """Guards against a checker that misses protected work displaced by lower tiers."""
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", TOP)],
+            [*waiting(LOW), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [
+                *waiting(TOP, LOW, instance="sidecar-1"),
+                step(1, "sidecar-1", "rejected", TOP, reason="overloaded"),
+            ],
+            [
+                step(0, "sidecar-1", "started", LOW),
+                step(0, "sidecar-1", "started", TOP),
+                step(1, "sidecar-1", "paused", TOP),
+            ],
+            [
+                step(0, "sidecar-1", "started", TOP),
+                step(1, "sidecar-1", "paused", TOP),
+                step(1, "sidecar-1", "started", LOW),
+            ],
+            [
+                step(0, "sidecar-1", "started", TOP),
+                step(0, "sidecar-1", "started", LOW),
+                step(1, "sidecar-1", "cancelled", TOP, reason="preempted"),
+            ],
+            [
+                *waiting(TOP, LOW),
+                step(1, "entry-1", "dispatched", LOW),
+                step(11, "entry-1", "refused", TOP, reason="deadline"),
+            ],
+        ],
+        ids=["evicted", "refused", "rejected", "paused", "place", "cancelled", "deadline"],
+    )
+    def test_rejects(self, steps: Sequence[Step]) -> None:
+        (violation,) = TierSafetyRule().check(make_record(*steps))
+        assert violation.request_id == "top"
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", LOW)],
+            [*waiting(TOP), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [
+                *waiting(LOW),
+                step(1, "entry-1", "dispatched", LOW),
+                step(1, "entry-1", "refused", TOP, reason="overloaded"),
+            ],
+            [
+                step(0, "sidecar-1", "started", LOW),
+                step(1, "sidecar-1", "paused", LOW),
+                step(1, "sidecar-1", "started", TOP),
+            ],
+            [
+                step(0, "entry-1", "queued", LOW, model="m1"),
+                step(0, "entry-1", "queued", TOP, model="m2"),
+                step(1, "entry-1", "evicted", TOP),
+            ],
+            [
+                *waiting(TOP, LOW),
+                step(1, "entry-1", "dispatched", TOP),
+                step(2, "entry-1", "queued", TOP),
+                step(3, "entry-1", "dispatched", LOW),
+                step(11, "entry-1", "refused", TOP, reason="deadline"),
+            ],
+        ],
+        ids=["lower shed", "nothing lower", "lower left", "lower paused", "models", "retry"],
+    )
+    def test_accepts(self, steps: Sequence[Step]) -> None:
+        assert TierSafetyRule().check(make_record(*steps)) == []
+
+
+class TestEventualService:
+    """Guards against a checker that misses lost requests and starved classes."""
+
+    RECEIVED = step(0, "entry-1", "received", TOP)
+
+    def test_rejects_a_request_without_an_end(self) -> None:
+        lost_hedge = step(1, "entry-1", "cancelled", TOP, reason="hedge_lost")
+        for steps in ([self.RECEIVED], [self.RECEIVED, lost_hedge]):
+            assert details(EventualServiceRule(), make_record(*steps)) == [
+                "received and never ended"
+            ]
+
+    def test_accepts_an_end_and_a_killed_instance(self) -> None:
+        ended = make_record(self.RECEIVED, step(1, "entry-1", "refused", TOP))
+        killed = make_record(self.RECEIVED, alive=False, killed=frozenset({"entry-1"}))
+        assert EventualServiceRule().check(ended) == EventualServiceRule().check(killed) == []
+
+    @staticmethod
+    def make_dispatches(own_turn: int) -> Record:
+        # The class has max_wait_s 120 and min_share 0.05, so 2 * 20 dispatches may pass it over.
+        steps = waiting(LOW, "low2:register-export")
+        for turn in range(50):
+            steps.append(step(121 + turn, "entry-1", "queued", f"r{turn}:permit-issue"))
+            steps.append(step(121 + turn, "entry-1", "dispatched", f"r{turn}:permit-issue"))
+            if turn == own_turn:
+                steps.append(step(121 + turn, "entry-1", "dispatched", LOW))
+        return make_record(*steps)
+
+    def test_rejects_a_class_that_is_due_and_passed_over(self) -> None:
+        (detail,) = details(EventualServiceRule(), self.make_dispatches(own_turn=-1))
+        assert detail.startswith("class register-export got none of 41 dispatches")
+
+    def test_accepts_a_class_that_gets_its_share(self) -> None:
+        assert EventualServiceRule().check(self.make_dispatches(own_turn=25)) == []
+
+
+class TestWholeAnswer:
+    """Guards against a checker that misses wrong, foreign and cut answers."""
+
+    RECEIVED = step(0, "entry-1", "received", "r1:status-check")
+
+    @pytest.mark.parametrize(
+        ("fields", "detail"),
+        [
+            ({"body_digest": "x"}, "the body differs from the right answer"),
+            ({"body_digest": "d2"}, "got the answer of r2"),
+            ({"complete": False}, "the answer broke off untold"),
+            ({"complete": False, "ran": "no"}, "the answer broke off untold"),
+            ({"status": 0, "complete": False}, "accepted, but no answer came"),
+        ],
+    )
+    def test_rejects(self, fields: dict[str, Any], detail: str) -> None:
+        other = make_caller("r2", expected_digest="d2", body_digest="d2")
+        callers = (make_caller("r1", **fields), other)
+        assert details(WholeAnswerRule(), make_record(self.RECEIVED, callers=callers)) == [detail]
+
+    @pytest.mark.parametrize(
+        ("fields", "steps", "killed"),
+        [
+            ({}, [RECEIVED], ""),
+            ({"status": 503, "ran": "no", "body_digest": "problem"}, [RECEIVED], ""),
+            ({"complete": False, "ran": "unknown"}, [RECEIVED], ""),
+            ({"complete": False}, [RECEIVED], "entry-1"),
+            ({"complete": False}, [], "entry-1"),
+            (
+                {"complete": False},
+                [RECEIVED, step(1, "entry-1", "cancelled", "r1", reason="caller_left")],
+                "",
+            ),
+            ({"status": 0, "complete": False}, [], ""),
+        ],
+        ids=["whole", "refused", "told", "killed", "event lost", "left", "not accepted"],
+    )
+    def test_accepts(self, fields: dict[str, Any], steps: list[Step], killed: str) -> None:
+        callers = (make_caller("r1", **fields),)
+        record = make_record(*steps, callers=callers, killed=frozenset({killed} - {""}))
+        assert WholeAnswerRule().check(record) == []
+
+
+class TestTruthfulNotRun:
+    """Guards against a checker that misses work that ran although it was refused as not run."""
+
+    def test_rejects(self) -> None:
+        by_caller = make_record(
+            callers=(make_caller("r1", status=503, ran="no"),), runs=(make_run("r1"),)
+        )
+        refused = step(1, "entry-1", "refused", "r1:status-check", ran="no")
+        for record in (by_caller, make_record(refused, runs=(make_run("r1"),))):
+            assert details(TruthfulNotRunRule(), record) == ['refused as "not run" but ran']
+
+    def test_accepts(self) -> None:
+        callers = (
+            make_caller("r1", status=502, ran="unknown"),
+            make_caller("r2", status=503, ran="no"),
+        )
+        assert (
+            TruthfulNotRunRule().check(make_record(callers=callers, runs=(make_run("r1"),))) == []
+        )
+
+
+class TestOnceOnly:
+    """Guards against a checker that misses a second effect of one call."""
+
+    @staticmethod
+    def make(class_name: str, customers: str, keys: tuple[str, str]) -> Record:
+        names = ("r1", "r2")
+        callers = tuple(
+            make_caller(name, class_name=class_name, customer=customer)
+            for name, customer in zip(names, customers, strict=True)
+        )
+        runs = tuple(make_run(name, key=key) for name, key in zip(names, keys, strict=True))
+        return make_record(callers=callers, runs=runs)
+
+    def test_rejects_a_key_that_ran_twice(self) -> None:
+        (detail,) = details(OnceOnlyRule(), self.make("permit-issue", "aa", ("k", "k")))
+        assert detail == "key permit-register a k ran 2 times at sidecar-1"
+
+    def test_rejects_a_second_run_known_only_to_the_endpoints(self) -> None:
+        runs = (make_run("r1", key="k"), make_run("r2", key="k", instance="sidecar-2"))
+        assert len(OnceOnlyRule().check(make_record(runs=runs))) == 1
+
+    def test_rejects_a_repeated_request_without_a_key(self) -> None:
+        received = step(0, "entry-1", "received", ONCE)
+        runs = (make_run("once"), make_run("once", completed=False))
+        assert len(OnceOnlyRule().check(make_record(received, runs=runs))) == 1
+
+    @pytest.mark.parametrize(
+        ("class_name", "customers", "keys"),
+        [
+            ("permit-issue", "aa", ("k1", "k2")),
+            ("permit-issue", "ab", ("k", "k")),
+            ("status-check", "aa", ("k", "k")),
+        ],
+        ids=["other key", "other customer", "idempotent"],
+    )
+    def test_accepts(self, class_name: str, customers: str, keys: tuple[str, str]) -> None:
+        assert OnceOnlyRule().check(self.make(class_name, customers, keys)) == []
+
+
+class TestLeavingEndpoint:
+    """Guards against a checker that misses work sent to an endpoint that leaves."""
+
+    DRAINING = step(10, "sidecar-1", "draining")
+    LEAVING = step(10, "entry-1", "member_leaving", member="sidecar-1")
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [DRAINING, step(13.1, "entry-1", "dispatched", TOP, to="sidecar-1")],
+            [LEAVING, step(13.1, "entry-2", "hedged", TOP, to="sidecar-1")],
+            [LEAVING, step(13.1, "sidecar-1", "started", TOP)],
+        ],
+    )
+    def test_rejects_events(self, steps: list[Step]) -> None:
+        assert len(LeavingEndpointRule().check(make_record(*steps))) == 1
+
+    def test_rejects_a_run_that_only_the_endpoint_recorded(self) -> None:
+        record = make_record(self.DRAINING, runs=(make_run("r1", 13.1), make_run("r2", 12.9)))
+        assert [violation.request_id for violation in LeavingEndpointRule().check(record)] == [
+            "r1"
+        ]
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [DRAINING, step(12.9, "entry-1", "dispatched", TOP, to="sidecar-1")],
+            [DRAINING, step(20, "entry-1", "dispatched", TOP, to="sidecar-2")],
+            [
+                LEAVING,
+                step(15, "sidecar-1", "process_started"),
+                step(20, "sidecar-1", "started", TOP),
+            ],
+        ],
+        ids=["in time", "other", "started anew"],
+    )
+    def test_accepts(self, steps: list[Step]) -> None:
+        assert LeavingEndpointRule().check(make_record(*steps)) == []
+
+    def test_accepts_runs_after_the_instance_started_anew(self) -> None:
+        steps = [self.DRAINING, step(15, "sidecar-1", "process_started")]
+        record = make_record(*steps, runs=(make_run("r1", 12.9), make_run("r2", 20)))
+        assert LeavingEndpointRule().check(record) == []
+
+
+class TestPlannedStop:
+    """Guards against a checker that misses requests cut off by a planned stop."""
+
+    DRAINING, STOPPED = step(5, "sidecar-1", "draining"), step(9, "sidecar-1", "stopped")
+    STARTED = step(1, "sidecar-1", "started", TOP)
+
+    @pytest.mark.parametrize(
+        ("steps", "detail"),
+        [
+            ([STARTED, DRAINING, STOPPED], "still in flight when the process stopped"),
+            (
+                [STARTED, DRAINING, step(6, "sidecar-1", "cancelled", TOP, reason="draining")],
+                "cut off by a planned stop",
+            ),
+            (
+                [
+                    step(1, "entry-1", "received", TOP),
+                    step(5, "entry-1", "draining"),
+                    step(6, "entry-1", "refused", TOP, reason="draining"),
+                ],
+                "cut off by a planned stop",
+            ),
+        ],
+        ids=["no end", "cancelled", "refused"],
+    )
+    def test_rejects(self, steps: list[Step], detail: str) -> None:
+        assert details(PlannedStopRule(), make_record(*steps)) == [detail]
+
+    def test_rejects_a_drain_without_stopped_unless_killed(self) -> None:
+        steps = [self.STARTED, self.DRAINING]
+        crashed = make_record(*steps, alive=False)
+        killed = make_record(*steps, alive=False, killed=frozenset({"sidecar-1"}))
+        assert len(PlannedStopRule().check(crashed)) == 1
+        assert PlannedStopRule().check(killed) == []
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [STARTED, DRAINING, step(6, "sidecar-1", "finished", TOP), STOPPED],
+            [
+                DRAINING,
+                *waiting(TOP, instance="sidecar-1"),
+                step(6, "sidecar-1", "rejected", TOP, reason="draining"),
+                STOPPED,
+            ],
+            [
+                step(5, "entry-1", "draining"),
+                step(6, "entry-1", "received", TOP),
+                step(6, "entry-1", "refused", TOP, reason="draining"),
+                step(7, "entry-1", "stopped"),
+            ],
+            # The class's deadline is 10 s.
+            [STARTED, DRAINING, step(12, "sidecar-1", "cancelled", TOP, reason="draining")],
+        ],
+        ids=["finished", "not started", "new", "past deadline"],
+    )
+    def test_accepts(self, steps: list[Step]) -> None:
+        assert PlannedStopRule().check(make_record(*steps)) == []
+
+
+class TestConfigurationMonotonic:
+    """Guards against a checker that misses reverted, late and ambiguous versions."""
+
+    BEGUN = step(0, "sidecar-1", "process_started")
+    ACCEPTED = step(10, "entry-1", "configuration_accepted", version=2, operation_id="o1")
+    OWN = step(10, "entry-1", "configuration_applied", version=2, digest="x")
+    END = step(100, "entry-1", "member_joined")
+
+    @staticmethod
+    def applied(at_s: float, version: int = 2, **fields: Any) -> Step:
+        return step(at_s, "sidecar-1", "configuration_applied", version=version, **fields)
+
+    @pytest.mark.parametrize(
+        ("steps", "detail"),
+        [
+            ([], "permit-register 2 is not in force when it is due"),
+            ([(21.1, 2)], "permit-register 2 is not in force when it is due"),
+            ([(11, 2), (12, 1)], "permit-register 1 applied after 2"),
+            ([(11, 2), (12, 2)], "permit-register 2 applied after 2"),
+        ],
+        ids=["never", "late", "reverted", "repeated"],
+    )
+    def test_rejects(self, steps: list[tuple[float, int]], detail: str) -> None:
+        applied = [self.applied(at_s, version) for at_s, version in steps]
+        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, *applied, self.END)
+        assert details(ConfigurationMonotonicRule(), record) == [detail]
+
+    def test_rejects_one_version_of_two_texts(self) -> None:
+        other = step(11, "entry-2", "configuration_accepted", version=2, operation_id="o2")
+        steps = [self.BEGUN, self.ACCEPTED, self.OWN, other, self.applied(11, digest="y")]
+        assert details(ConfigurationMonotonicRule(), make_record(*steps)) == [
+            "permit-register 2 has operation_id o2 and o1",
+            "permit-register 2 has digest y and x",
+        ]
+
+    @pytest.mark.parametrize(
+        ("steps", "parts"),
+        [
+            ([(20.9, 2)], {}),
+            ([(11, 3)], {}),
+            ([(50, 2)], {"outages": (Outage("sidecar-1", 5, 40),)}),
+        ],
+        ids=["in time", "newer", "outage"],
+    )
+    def test_accepts(self, steps: list[tuple[float, int]], parts: dict[str, Any]) -> None:
+        applied = [self.applied(at_s, version) for at_s, version in steps]
+        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, *applied, self.END, **parts)
+        assert ConfigurationMonotonicRule().check(record) == []
+
+    def test_accepts_a_process_that_stopped_before_the_version_was_due(self) -> None:
+        stopped = step(20, "sidecar-1", "stopped")
+        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, stopped, self.END)
+        assert ConfigurationMonotonicRule().check(record) == []
+
+
+class TestCheckRecord:
+    """Guards against an invariant that has no rule or is not checked."""
+
+    def test_has_the_eight_invariants(self) -> None:
+        assert [rule.name for rule in RULES] == [
+            "tier_safety",
+            "eventual_service",
+            "whole_answer",
+            "truthful_not_run",
+            "once_only",
+            "leaving_endpoint",
+            "planned_stop",
+            "configuration_monotonic",
+        ]
+
+    def test_reports_over_all_rules(self) -> None:
+        record = make_record(
+            *waiting(LOW),
+            step(1, "entry-1", "received", TOP),
+            step(2, "entry-1", "refused", TOP, reason="overloaded", ran="no"),
+            runs=(make_run("top"),),
+        )
+        assert [str(violation) for violation in check_record(record)] == [
+            "tier_safety: protected class status-check: shed while lower-tier low stayed "
+            "(top entry-1)",
+            'truthful_not_run: refused as "not run" but ran (top sidecar-1)',
+        ]
+
+    def test_empty_record(self) -> None:
+        assert check_record(make_record()) == []
