--- a/cassiadrum/invariants/eventual_service_rules.py
+++ b/cassiadrum/invariants/eventual_service_rules.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import defaultdict
 from collections.abc import Iterator
 from typing import ClassVar, Final
 
@@ -15,7 +16,7 @@
 from cassiadrum.invariants.records import Record
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
-from cassiadrum.invariants.work_states import WorkState, ends_request
+from cassiadrum.invariants.work_states import ends_request
 
 __all__ = ["EventualServiceRule"]
 
@@ -23,6 +24,9 @@
 # that many without one leaves room for shares counted in tokens instead of requests.
 SHARE_SLACK: Final = 2
 
+# Service and class name.
+ClassKey = tuple[str, str]
+
 
 class EventualServiceRule(Rule):
     """Reject requests without an end and classes that are due but get no dispatch."""
@@ -52,23 +56,28 @@
 
 class _StarvationCheck:
     def __init__(self, record: Record, rule: str) -> None:
-        self._record = record
+        self._classes = record.class_index()
         self._rule = rule
-        self._state = WorkState()
-        self._passed_over: dict[tuple[str, str], int] = {}
+        # The waiting requests of each class by id, the head first.
+        self._waiting: dict[ClassKey, dict[str, Event]] = defaultdict(dict)
+        self._passed_over: dict[ClassKey, int] = {}
 
     def follow(self, process: ProcessRecord) -> Iterator[Violation]:
         for event in process.events:
+            key = (event.service, event.class_name)
+            if event.kind is EventKind.QUEUED:
+                self._waiting[key][event.request_id] = event
+            elif event.kind is EventKind.DISPATCHED or ends_request(event):
+                self._waiting[key].pop(event.request_id, None)
             if event.kind is EventKind.DISPATCHED:
-                yield from self._judge(event)
-            self._state.apply(event)
+                yield from self._judge(event, key)
 
-    def _judge(self, dispatched: Event) -> Iterator[Violation]:
-        served = self._class(dispatched)
-        self._passed_over.pop((dispatched.service, dispatched.class_name), None)
+    def _judge(self, dispatched: Event, served_key: ClassKey) -> Iterator[Violation]:
+        self._passed_over.pop(served_key, None)
+        served = self._classes.get(served_key)
         if served is None or served.protected:
             return
-        for key, (head, cls) in self._due(dispatched).items():
+        for key, head, cls in self._due(dispatched, served_key):
             self._passed_over[key] = self._passed_over.get(key, 0) + 1
             if self._passed_over[key] == SHARE_SLACK * math.ceil(1 / cls.min_share) + 1:
                 waited_s = dispatched.hlc.seconds - head.hlc.seconds
@@ -78,20 +87,17 @@
                 )
                 yield _violation(self._rule, head, detail)
 
-    def _due(self, dispatched: Event) -> dict[tuple[str, str], tuple[Event, RequestClass]]:
-        due: dict[tuple[str, str], tuple[Event, RequestClass]] = {}
-        for event in self._state.waiting.values():
-            cls = self._class(event)
-            if cls is None or cls.protected or cls.min_share == 0:
+    def _due(
+        self, dispatched: Event, served_key: ClassKey
+    ) -> Iterator[tuple[ClassKey, Event, RequestClass]]:
+        for key, waiting in self._waiting.items():
+            cls = self._classes.get(key)
+            if not waiting or cls is None or cls.protected or cls.min_share == 0:
                 continue
-            same_service = event.service == dispatched.service
-            waited_s = dispatched.hlc.seconds - event.hlc.seconds
-            if same_service and cls.name != dispatched.class_name and waited_s > cls.max_wait_s:
-                due.setdefault((event.service, cls.name), (event, cls))
-        return due
-
-    def _class(self, event: Event) -> RequestClass | None:
-        return self._record.request_class(event.service, event.class_name)
+            head = next(iter(waiting.values()))
+            waited_s = dispatched.hlc.seconds - head.hlc.seconds
+            if key != served_key and key[0] == served_key[0] and waited_s > cls.max_wait_s:
+                yield key, head, cls
 
 
 def _violation(rule: str, event: Event, detail: str) -> Violation:
--- a/cassiadrum/invariants/records.py
+++ b/cassiadrum/invariants/records.py
@@ -30,6 +30,10 @@
         """Return how many events are known to be lost; above 0 some rules cannot judge fully."""
         return sum(gap.missing for gap in self.timeline.gaps)
 
+    def class_index(self) -> dict[tuple[str, str], RequestClass]:
+        """Return the classes of all documents by service and class name."""
+        return {(doc.name, cls.name): cls for doc in self.documents for cls in doc.classes}
+
     def request_class(self, service: str, class_name: str) -> RequestClass | None:
         """Return the class of a request, or None when the documents do not name it."""
         for document in self.documents:
--- a/cassiadrum/invariants/tier_safety_rules.py
+++ b/cassiadrum/invariants/tier_safety_rules.py
@@ -38,12 +38,13 @@
 
 class _Follower:
     def __init__(self, record: Record, rule: str) -> None:
-        self._record = record
+        self._classes = record.class_index()
         self._rule = rule
         self._state = WorkState()
+        # Protected requests seen so far that may still wait.
+        self._protected: dict[str, RequestClass] = {}
         # Protected requests that saw lower-tier work dispatched while they waited.
         self._overtaken: dict[str, Event] = {}
-        # A retry may exclude the endpoint that lower-tier work can still use.
         self._dispatched: set[str] = set()
 
     def follow(self, events: Iterable[Event]) -> Iterator[Violation]:
@@ -88,17 +89,22 @@
                 yield self._violation(paused, f"paused while {event.request_id} was started")
 
     def _note(self, event: Event, cls: RequestClass) -> None:
-        if event.kind is not EventKind.DISPATCHED:
-            return
-        self._dispatched.add(event.request_id)
+        if event.kind is EventKind.QUEUED and cls.protected:
+            self._protected[event.request_id] = cls
+        elif event.kind is EventKind.DISPATCHED:
+            # A retry may exclude the endpoint that lower-tier work can still use.
+            self._protected.pop(event.request_id, None)
+            self._dispatched.add(event.request_id)
+            self._note_overtaken(event)
+
+    def _note_overtaken(self, event: Event) -> None:
         queued = self._state.waiting.get(event.request_id, event)
-        for waiting in self._state.waiting.values():
-            waiting_cls = self._class(waiting)
-            if waiting_cls is None or not waiting_cls.protected:
-                continue
-            retried = waiting.request_id in self._dispatched
-            if not retried and self._is_lower(queued, waiting, waiting_cls):
-                self._overtaken.setdefault(waiting.request_id, event)
+        for request_id, cls in list(self._protected.items()):
+            waiting = self._state.waiting.get(request_id)
+            if waiting is None:
+                del self._protected[request_id]
+            elif request_id not in self._dispatched and self._is_lower(queued, waiting, cls):
+                self._overtaken.setdefault(request_id, event)
 
     def _is_lower(self, other: Event, event: Event, cls: RequestClass) -> bool:
         other_cls = self._class(other)
@@ -109,7 +115,7 @@
         return None in models or models[0] == models[1]
 
     def _class(self, event: Event) -> RequestClass | None:
-        return self._record.request_class(event.service, event.class_name)
+        return self._classes.get((event.service, event.class_name))
 
     def _violation(self, event: Event, detail: str) -> Violation:
         text = f"protected class {event.class_name}: {detail}"
