Add the object store and the weight store with their stand-ins

Cause: large kept answers and weights do not fit rows. Change: clients and stand-ins for objects and rate-limited downloads that resume at an offset.

--- a/cassiadrum/stores/__init__.py
+++ b/cassiadrum/stores/__init__.py
@@ -3,16 +3,20 @@
 from cassiadrum.stores.circuit_breakers import CircuitBreaker
 from cassiadrum.stores.errors import StoreError, StoreUnavailable
 from cassiadrum.stores.http_instance_lists import HttpInstanceList
+from cassiadrum.stores.http_object_stores import HttpObjectStore
 from cassiadrum.stores.http_table_stores import HttpTableStore
+from cassiadrum.stores.http_weight_stores import HttpWeightStore
 from cassiadrum.stores.http_wires import HttpWire
 from cassiadrum.stores.instance_lists import InstanceList
 from cassiadrum.stores.instances import Instance
+from cassiadrum.stores.object_stores import ObjectStore
 from cassiadrum.stores.row_pages import RowPage
 from cassiadrum.stores.rows import Row
 from cassiadrum.stores.store_budgets import StoreBudget
 from cassiadrum.stores.table_stores import BATCH_WRITES, LIST_ROWS, TableStore
 from cassiadrum.stores.table_writes import TableWrite
 from cassiadrum.stores.token_buckets import TokenBucket
+from cassiadrum.stores.weight_stores import WeightStore
 from cassiadrum.stores.write_results import Conflict, Done, Refused, Unknown, WriteResult
 
 __all__ = [
@@ -22,10 +26,13 @@
     "Conflict",
     "Done",
     "HttpInstanceList",
+    "HttpObjectStore",
     "HttpTableStore",
+    "HttpWeightStore",
     "HttpWire",
     "Instance",
     "InstanceList",
+    "ObjectStore",
     "Refused",
     "Row",
     "RowPage",
@@ -36,5 +43,6 @@
     "TableWrite",
     "TokenBucket",
     "Unknown",
+    "WeightStore",
     "WriteResult",
 ]
--- /dev/null
+++ b/cassiadrum/stores/http_object_stores.py
@@ -0,0 +1,38 @@
+"""The object store over HTTP."""
+
+from cassiadrum.stores.errors import StoreUnavailable
+from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
+from cassiadrum.stores.object_stores import ObjectStore
+from cassiadrum.stores.write_results import Done, Refused, WriteResult
+
+__all__ = ["HttpObjectStore"]
+
+
+class HttpObjectStore(ObjectStore):
+    """Speak the object store's HTTP protocol."""
+
+    def __init__(self, wire: HttpWire) -> None:
+        self._wire = wire
+
+    async def get(self, key: str) -> bytes | None:
+        """Return an object, or None when there is none; raise StoreUnavailable."""
+        answer = await self._wire.read(f"/objects/{quoted(key)}")
+        if answer.status == 404:
+            return None
+        if answer.status != 200:
+            raise StoreUnavailable(f"status {answer.status}")
+        return answer.body
+
+    async def put(self, key: str, data: bytes) -> WriteResult:
+        """Write an object."""
+        return await self._write("PUT", key, data)
+
+    async def delete(self, key: str) -> WriteResult:
+        """Remove an object; done also when there is none."""
+        return await self._write("DELETE", key)
+
+    async def _write(self, method: str, key: str, data: bytes = b"") -> WriteResult:
+        answer = await self._wire.write(method, f"/objects/{quoted(key)}", (), data)
+        if not isinstance(answer, WireAnswer):
+            return answer
+        return Done() if answer.status == 200 else Refused(f"status {answer.status}")
--- a/cassiadrum/stores/http_wires.py
+++ b/cassiadrum/stores/http_wires.py
@@ -1,12 +1,12 @@
 """Requests of the store clients over HTTP, with deadline, budget and breaker."""
 
 import asyncio
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, TypeVar
 from urllib.parse import quote
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.protocols import ConnectFailed, Headers, HttpClient, HttpError
+from cassiadrum.protocols import ConnectFailed, Headers, HttpClient, HttpError, HttpResponse
 from cassiadrum.stores.circuit_breakers import CircuitBreaker
 from cassiadrum.stores.errors import NotApplied, OutcomeLost, StoreError, StoreUnavailable
 from cassiadrum.stores.store_budgets import StoreBudget
@@ -14,6 +14,8 @@
 
 __all__ = ["HttpWire", "WireAnswer", "quoted"]
 
+T = TypeVar("T")
+
 
 class WireAnswer(NamedTuple):
     """Hold the status, headers and body of an answer below 500 other than 429."""
@@ -60,28 +62,38 @@
             return Unknown(str(exc))
         return answer
 
+    async def open(self, target: str) -> HttpResponse:
+        """Send a GET and return its response once the headers arrived.
+
+        Raises StoreUnavailable. The caller reads the body under its own timeout.
+        """
+        try:
+            return await self._guarded("GET", lambda: self._client.request("GET", target))
+        except StoreError as exc:
+            raise StoreUnavailable(str(exc)) from exc
+
     async def _send(self, method: str, target: str, headers: Headers, body: bytes) -> WireAnswer:
+        async def exchange() -> WireAnswer:
+            response = await self._client.request(method, target, headers, body)
+            return WireAnswer(response.status, response.headers, await response.read())
+
+        return self._checked(await self._guarded(method, exchange))
+
+    async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
+        """Run `send` within budget, breaker and deadline."""
         deadline_s = self._clock() + self._timeout_s
         await self._wait_for_budget(method)
         if not self.breaker.allow(self._clock()):
             raise NotApplied("circuit breaker open")
-        sending = self._exchange(method, target, headers, body)
         try:
-            async with asyncio.timeout(deadline_s - self._clock()):
-                answer = await sending
+            async with asyncio.timeout(max(0.0, deadline_s - self._clock())):
+                return await send()
         except ConnectFailed as exc:
             self.breaker.failed(self._clock())
             raise NotApplied(str(exc)) from exc
         except (HttpError, TimeoutError) as exc:
             self.breaker.failed(self._clock())
             raise OutcomeLost(str(exc) or f"no answer in {self._timeout_s:g} s") from exc
-        return self._checked(answer)
-
-    async def _exchange(
-        self, method: str, target: str, headers: Headers, body: bytes
-    ) -> WireAnswer:
-        response = await self._client.request(method, target, headers, body)
-        return WireAnswer(response.status, response.headers, await response.read())
 
     async def _wait_for_budget(self, method: str) -> None:
         if self._budget is None:
--- /dev/null
+++ b/cassiadrum/stores/object_stores.py
@@ -0,0 +1,23 @@
+"""Interface of the object store."""
+
+from abc import ABC, abstractmethod
+
+from cassiadrum.stores.write_results import WriteResult
+
+__all__ = ["ObjectStore"]
+
+
+class ObjectStore(ABC):
+    """Keep objects by key; a put replaces the object, so repeating it is harmless."""
+
+    @abstractmethod
+    async def get(self, key: str) -> bytes | None:
+        """Return an object, or None when there is none; raise StoreUnavailable."""
+
+    @abstractmethod
+    async def put(self, key: str, data: bytes) -> WriteResult:
+        """Write an object."""
+
+    @abstractmethod
+    async def delete(self, key: str) -> WriteResult:
+        """Remove an object; done also when there is none."""
--- a/cassiadrum/tests/test_stores.py
+++ b/cassiadrum/tests/test_stores.py
@@ -9,13 +9,23 @@
 import pytest
 
 from cassiadrum.protocols import HttpClient, HttpRequest
-from cassiadrum.standins import Answer, Faults, InstanceListService, StandIn, TableService
+from cassiadrum.standins import (
+    Answer,
+    Faults,
+    InstanceListService,
+    ObjectService,
+    StandIn,
+    TableService,
+    WeightService,
+)
 from cassiadrum.stores import (
     CircuitBreaker,
     Conflict,
     Done,
     HttpInstanceList,
+    HttpObjectStore,
     HttpTableStore,
+    HttpWeightStore,
     HttpWire,
     Instance,
     Refused,
@@ -155,6 +165,41 @@
         await service.close()
 
 
+class TestObjectStore:
+    """Guards against an object reported as lost although it was written."""
+
+    async def test_objects_and_dropped_answers(self) -> None:
+        service = ObjectService()
+        objects = HttpObjectStore(await open_wire(service))
+        assert isinstance(await objects.put("a/b", b"one"), Done)
+        service.set_faults(Faults(drop_answers=1))
+        assert isinstance(await objects.put("a/b", b"two"), Unknown)
+        assert await objects.get("a/b") == b"two"
+        assert isinstance(await objects.delete("a/b"), Done)
+        assert await objects.get("a/b") is None
+        await service.close()
+
+
+class TestWeightStore:
+    """Guards against a cut download taken for a whole one."""
+
+    async def test_download_is_limited_and_resumes(self) -> None:
+        service = WeightService(bytes_per_s=200_000)
+        weights = HttpWeightStore(await open_wire(service))
+        assert await weights.size("assessor-1") is None
+        service.sizes["assessor-1"] = 60_000
+        started = time.monotonic()
+        got = sum([len(part) async for part in weights.download("assessor-1")])
+        assert got == await weights.size("assessor-1") == 60_000
+        assert time.monotonic() - started >= 60_000 / 200_000
+        service.set_faults(Faults(drop_answers=1))
+        with pytest.raises(StoreUnavailable):
+            [part async for part in weights.download("assessor-1")]
+        rest = sum([len(part) async for part in weights.download("assessor-1", 59_000)])
+        assert rest == 1_000
+        await service.close()
+
+
 class TestTokenBucket:
     """Guards against a process that sends more than its share of the rate budget."""
 
