--- /dev/null
+++ b/cassiadrum/states/answer_keepers.py
@@ -0,0 +1,44 @@
+"""Storage of kept answers in the row or in the object store."""
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.states.claim_records import ClaimRecord, StoredAnswer
+from cassiadrum.states.kept_answers import KeptAnswer
+from cassiadrum.stores import Done, ObjectStore, StoreUnavailable
+
+__all__ = ["UNKNOWN_ANSWER", "AnswerKeeper"]
+
+OBJECT_PREFIX = "once/"
+# The answer of a call that an operator settled by hand.
+UNKNOWN_ANSWER = StoredAnswer(200, (), b"", False)
+
+
+class AnswerKeeper:
+    """Keep bodies up to KEPT_ANSWER_BYTES in the row and larger ones as objects."""
+
+    def __init__(self, objects: ObjectStore) -> None:
+        self._objects = objects
+
+    async def keep(self, record: ClaimRecord, answer: KeptAnswer) -> ClaimRecord:
+        """Return the record with its answer; a body that cannot be stored is left out."""
+        stored = StoredAnswer(answer.status, answer.headers, answer.body, answer.body_kept)
+        if len(answer.body) <= LIMITS.KEPT_ANSWER_BYTES:
+            return record._replace(answer=stored)
+        key = OBJECT_PREFIX + record.operation_id
+        kept = isinstance(await self._objects.put(key, answer.body), Done)
+        stored = stored._replace(body=b"", body_kept=kept)
+        return record._replace(answer=stored, object_key=key if kept else "")
+
+    async def load(self, record: ClaimRecord) -> KeptAnswer:
+        """Return the kept answer, without its body when it cannot be read."""
+        answer = KeptAnswer(*(record.answer or UNKNOWN_ANSWER))
+        if not record.object_key:
+            return answer
+        try:
+            body = await self._objects.get(record.object_key)
+        except StoreUnavailable:
+            body = None
+        return answer._replace(body=body or b"", body_kept=body is not None)
+
+    async def remove(self, object_key: str) -> bool:
+        """Remove an answer's object and tell whether none is left."""
+        return not object_key or isinstance(await self._objects.delete(object_key), Done)
--- /dev/null
+++ b/cassiadrum/states/claim_cleaners.py
@@ -0,0 +1,59 @@
+"""Clean-up of claims by age."""
+
+import time
+from collections.abc import Callable
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.states.answer_keepers import AnswerKeeper
+from cassiadrum.states.claim_services import CLAIM_TABLE
+from cassiadrum.stores import BATCH_WRITES, Done, ObjectStore, Row, TableStore, TableWrite
+
+__all__ = ["ClaimCleaner"]
+
+
+class ClaimCleaner:
+    """Remove claims older than CLAIM_RETENTION_S; run by the holder of a lease."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        objects: ObjectStore,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+        page_rows: int = 1000,
+    ) -> None:
+        self._store = store
+        self._answers = AnswerKeeper(objects)
+        self._wall_clock = wall_clock
+        self._page_rows = page_rows
+        self._after = ""
+
+    async def step(self) -> int:
+        """Clean one page of rows and return how many were removed; raise StoreUnavailable.
+
+        Each call goes on where the last one stopped. A row that changes meanwhile is kept.
+        """
+        page = await self._store.list(
+            CLAIM_TABLE,
+            limit=self._page_rows,
+            after=self._after,
+            fields=("claimed_at", "object_key"),
+        )
+        old = [row for row in page.rows if await self._is_removable(row)]
+        removed = 0
+        for start in range(0, len(old), BATCH_WRITES):
+            part = old[start : start + BATCH_WRITES]
+            writes = [TableWrite(CLAIM_TABLE, row.key, None, row.version) for row in part]
+            if isinstance(await self._store.write(writes), Done):
+                removed += len(part)
+        self._after = page.next_after
+        return removed
+
+    async def _is_removable(self, row: Row) -> bool:
+        claimed_at, object_key = row.value.get("claimed_at"), row.value.get("object_key")
+        if not isinstance(claimed_at, float | int) or not isinstance(object_key, str):
+            return False
+        if claimed_at + LIMITS.CLAIM_RETENTION_S > self._wall_clock():
+            return False
+        # The object goes first: its key is lost with the row.
+        return await self._answers.remove(object_key)
--- /dev/null
+++ b/cassiadrum/states/claim_records.py
@@ -0,0 +1,59 @@
+"""The row of a once-only call."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+
+from cassiadrum.states.errors import InvalidRecord
+
+__all__ = ["ClaimRecord", "ClaimState", "StoredAnswer"]
+
+
+class ClaimState(StrEnum):
+    """State of a claim: `unknown` and `done` never change back to one that may run."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+
+
+class StoredAnswer(NamedTuple):
+    """Hold an answer in a row; the body is empty when it is in the object store or not kept."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    body_kept: bool
+
+
+class ClaimRecord(NamedTuple):
+    """Hold a claim; times are wall-clock seconds since 1970.
+
+    Instances differ in their wall clocks. A reader that is ahead may set a running claim to
+    `unknown` early, which refuses retries but never lets the call run again.
+    """
+
+    state: ClaimState
+    operation_id: str
+    body_hash: str
+    instance: str
+    claimed_at: float
+    expires_at: float
+    answer: StoredAnswer | None = None
+    # Beside the answer, so that clean-up can list it without reading bodies.
+    object_key: str = ""
+
+    @classmethod
+    def from_value(cls, value: dict[str, object]) -> "ClaimRecord":
+        """Return the record in a row; raise InvalidRecord."""
+        try:
+            return msgspec.convert([value[name] for name in cls._fields], cls)
+        except (msgspec.MsgspecError, KeyError) as exc:
+            raise InvalidRecord(f"claim: {exc!r}") from exc
+
+    def to_value(self) -> dict[str, object]:
+        """Return the value of the row, of JSON types only; bytes become base64."""
+        value: dict[str, object] = msgspec.to_builtins(self._asdict())
+        return value
--- /dev/null
+++ b/cassiadrum/states/claim_results.py
@@ -0,0 +1,54 @@
+"""Results of claiming a once-only call."""
+
+from typing import NamedTuple
+
+from cassiadrum.states.claim_keys import ClaimKey
+from cassiadrum.states.claim_records import ClaimRecord
+from cassiadrum.states.kept_answers import KeptAnswer
+
+__all__ = [
+    "ClaimResult",
+    "Claimed",
+    "InProgress",
+    "Kept",
+    "KeyReused",
+    "OutcomeUnknown",
+    "StoreUnavailable",
+]
+
+
+class Claimed(NamedTuple):
+    """The caller of `claim`, and nobody else, may run the call once."""
+
+    key: ClaimKey
+    record: ClaimRecord
+    row_version: int
+
+
+class Kept(NamedTuple):
+    """The call ran; this is its answer (200 or what the endpoint said)."""
+
+    answer: KeptAnswer
+
+
+class InProgress(NamedTuple):
+    """Another request with the key is running (409, `ran: unknown`)."""
+
+    retry_after_s: float
+
+
+class KeyReused(NamedTuple):
+    """The key belongs to a call with another body (422, `ran: no`)."""
+
+
+class OutcomeUnknown(NamedTuple):
+    """The call may have run and is not run again (502, `ran: unknown`)."""
+
+
+class StoreUnavailable(NamedTuple):
+    """The claim could not be made, so the call does not run (503, `ran: no`)."""
+
+    retry_after_s: float
+
+
+ClaimResult = Claimed | Kept | InProgress | KeyReused | OutcomeUnknown | StoreUnavailable
--- /dev/null
+++ b/cassiadrum/states/claim_services.py
@@ -0,0 +1,182 @@
+"""Claims of calls that run at most once."""
+
+import time
+import uuid
+from collections.abc import Callable
+from typing import Final
+
+from cassiadrum.states.answer_keepers import UNKNOWN_ANSWER, AnswerKeeper
+from cassiadrum.states.claim_keys import ClaimKey
+from cassiadrum.states.claim_records import ClaimRecord, ClaimState
+from cassiadrum.states.claim_results import (
+    Claimed,
+    ClaimResult,
+    InProgress,
+    Kept,
+    KeyReused,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from cassiadrum.states.errors import InvalidRecord
+from cassiadrum.states.kept_answers import KeptAnswer
+from cassiadrum.states.pending_marks import PendingMark, PendingMarks
+from cassiadrum.stores import Conflict, Done, ObjectStore, Refused, Row, TableStore, WriteResult
+from cassiadrum.stores import StoreUnavailable as ReadFailed
+
+__all__ = ["CLAIM_TABLE", "ClaimService"]
+
+CLAIM_TABLE: Final = "once"
+ATTEMPTS: Final = 3
+# Time after the class deadline until a running claim counts as lost with its sidecar.
+EXPIRY_GRACE_S: Final = 60.0
+RETRY_AFTER_S: Final = 1.0
+
+
+class ClaimService:
+    """Claim a call before its effect and record its outcome afterwards."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        objects: ObjectStore,
+        instance: str,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+        new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+    ) -> None:
+        self._store = store
+        self._answers = AnswerKeeper(objects)
+        self._instance = instance
+        self._wall_clock = wall_clock
+        self._new_id = new_id
+        self.pending = PendingMarks()
+
+    async def claim(self, key: ClaimKey, body_hash: str, deadline_s: float) -> ClaimResult:
+        """Claim a call whose class deadline is `deadline_s` seconds from now.
+
+        Only `Claimed` permits the effect. The caller then reports through `finish`,
+        `lost_answer` or `not_run`.
+        """
+        now = self._wall_clock()
+        record = ClaimRecord(
+            ClaimState.RUNNING,
+            self._new_id(),
+            body_hash,
+            self._instance,
+            now,
+            now + deadline_s + EXPIRY_GRACE_S,
+        )
+        expected, sent = 0, False
+        for _ in range(ATTEMPTS):
+            result = await self._write(key, record, expected)
+            if isinstance(result, Done):
+                return Claimed(key, record, result.version)
+            if isinstance(result, Refused):
+                break
+            row = result.row if isinstance(result, Conflict) else None
+            if not isinstance(result, Conflict):
+                sent = True
+                try:
+                    row = await self._store.get(CLAIM_TABLE, key.row_key())
+                except ReadFailed:
+                    break
+            if row is not None and row.version != expected:
+                judged = await self._judge(key, record, row)
+                if judged is not None:
+                    return judged
+            expected = row.version if row else 0
+        return self._refuse(key, record, sent)
+
+    async def finish(self, claim: Claimed, answer: KeptAnswer) -> bool:
+        """Record that the call ran, and keep its answer; tell whether this is durable now."""
+        done = claim.record._replace(state=ClaimState.DONE)
+        return await self._mark(claim, await self._answers.keep(done, answer))
+
+    async def lost_answer(self, claim: Claimed) -> bool:
+        """Record that the endpoint's answer was lost; tell whether this is durable now."""
+        return await self._mark(claim, claim.record._replace(state=ClaimState.UNKNOWN))
+
+    async def not_run(self, claim: Claimed) -> bool:
+        """Record that the effect was certainly not started, so that a retry may claim again."""
+        return await self._mark(claim, claim.record._replace(state=ClaimState.NOT_RUN))
+
+    async def settle_pending(self) -> int:
+        """Write the states that could not be written before; return how many are left."""
+        for mark in self.pending.snapshot():
+            if await self._settle(mark):
+                self.pending.remove(mark.record.operation_id)
+        return len(self.pending)
+
+    async def settle_unknown(self, key: ClaimKey, *, ran: bool) -> bool:
+        """Settle an `unknown` claim from the endpoint's record, as an operator found it.
+
+        `ran=False` permits the call to run again. Returns False when the claim is not in state
+        `unknown` or could not be written; raises the store's StoreUnavailable and InvalidRecord.
+        """
+        row = await self._store.get(CLAIM_TABLE, key.row_key())
+        record = ClaimRecord.from_value(row.value) if row else None
+        if row is None or record is None or record.state is not ClaimState.UNKNOWN:
+            return False
+        state = ClaimState.DONE if ran else ClaimState.NOT_RUN
+        settled = record._replace(state=state, answer=UNKNOWN_ANSWER if ran else None)
+        return isinstance(await self._write(key, settled, row.version), Done)
+
+    async def _judge(self, key: ClaimKey, own: ClaimRecord, row: Row) -> ClaimResult | None:
+        """Return what an existing row means, None when a not-run claim may be replaced."""
+        try:
+            found = ClaimRecord.from_value(row.value)
+        except InvalidRecord:
+            return OutcomeUnknown()
+        if found.operation_id == own.operation_id and found.state is ClaimState.RUNNING:
+            return Claimed(key, own, row.version)
+        if found.body_hash != own.body_hash:
+            return KeyReused()
+        if found.state is ClaimState.NOT_RUN:
+            return None
+        if found.state is ClaimState.DONE:
+            return Kept(await self._answers.load(found))
+        if found.state is ClaimState.RUNNING:
+            if self._wall_clock() <= found.expires_at:
+                return InProgress(RETRY_AFTER_S)
+            expired = found._replace(state=ClaimState.UNKNOWN)
+            # Whether this write succeeds does not matter: the row keeps every claim out.
+            await self._write(key, expired, row.version)
+        return OutcomeUnknown()
+
+    def _refuse(self, key: ClaimKey, record: ClaimRecord, sent: bool) -> StoreUnavailable:
+        """Refuse a call; a claim that may still arrive is marked as not run later."""
+        if sent:
+            mark = PendingMark(key, record._replace(state=ClaimState.NOT_RUN))
+            self.pending.add(mark)
+        return StoreUnavailable(RETRY_AFTER_S)
+
+    async def _mark(self, claim: Claimed, record: ClaimRecord) -> bool:
+        result = await self._write(claim.key, record, claim.row_version)
+        if isinstance(result, Done):
+            return True
+        mark = PendingMark(claim.key, record)
+        if not isinstance(result, Refused) and await self._settle(mark):
+            return True
+        self.pending.add(mark)
+        return False
+
+    async def _settle(self, mark: PendingMark) -> bool:
+        """Write a mark over its own claim and tell whether nothing is left to do."""
+        try:
+            row = await self._store.get(CLAIM_TABLE, mark.key.row_key())
+            found = ClaimRecord.from_value(row.value) if row else None
+        except ReadFailed:
+            return False
+        except InvalidRecord:
+            return True
+        own = found is not None and found.operation_id == mark.record.operation_id
+        if found is not None and (not own or found.state == mark.record.state):
+            return True
+        if found is not None and found.state is ClaimState.DONE:
+            return True
+        # Without a row the claim may still arrive; the mark then takes its place.
+        result = await self._write(mark.key, mark.record, row.version if row else 0)
+        return isinstance(result, Done)
+
+    async def _write(self, key: ClaimKey, record: ClaimRecord, expected: int) -> WriteResult:
+        return await self._store.put(CLAIM_TABLE, key.row_key(), record.to_value(), expected)
--- /dev/null
+++ b/cassiadrum/states/configuration_readers.py
@@ -0,0 +1,87 @@
+"""Repair poll of configurations."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.states.configuration_records import ConfigurationRecord
+from cassiadrum.states.configuration_registries import ConfigurationRegistry
+from cassiadrum.states.configuration_writers import CONFIG_TABLE
+from cassiadrum.states.errors import InvalidRecord
+from cassiadrum.stores import RowPage, StoreUnavailable, TableStore
+
+__all__ = ["ConfigurationReader", "poll_interval_s"]
+
+logger = logging.getLogger(__name__)
+
+JITTER = 0.2
+
+
+def poll_interval_s(processes: int, rng: random.Random) -> float:
+    """Return the interval that keeps `processes` within the fleet's reads a second.
+
+    Jitter only lengthens it, so that the bound holds for every sequence of random numbers.
+    """
+    shortest = max(LIMITS.CONFIG_POLL_MIN_S, processes / LIMITS.FLEET_CONFIG_READS_PER_S)
+    return shortest * rng.uniform(1.0, 1.0 + JITTER)
+
+
+class ConfigurationReader:
+    """Bring a registry up to date with the table service."""
+
+    def __init__(self, store: TableStore, registry: ConfigurationRegistry) -> None:
+        self._store = store
+        self._registry = registry
+        self._reachable = True
+
+    async def poll(self) -> list[ConfigurationRecord]:
+        """List the versions, read the records that are newer and return those applied.
+
+        Raises StoreUnavailable; what was applied before stays in force.
+        """
+        versions: dict[str, int] = {}
+        page = RowPage((), "")
+        while True:
+            page = await self._store.list(CONFIG_TABLE, after=page.next_after, fields=("version",))
+            for row in page.rows:
+                version = row.value.get("version")
+                if isinstance(version, int):
+                    versions[row.key] = version
+            if not page.next_after:
+                break
+        applied = [await self.fetch(service) for service in self._registry.missing(versions)]
+        return [record for record in applied if record is not None]
+
+    async def fetch(self, service: str) -> ConfigurationRecord | None:
+        """Read one record and return it if it was applied; raise StoreUnavailable."""
+        row = await self._store.get(CONFIG_TABLE, service)
+        try:
+            record = ConfigurationRecord.from_row(service, row)
+            return record if self._registry.apply(record) else None
+        except InvalidRecord as exc:
+            logger.error("configuration of %s not applied: %s", service, exc)
+            return None
+
+    async def run(
+        self,
+        processes: Callable[[], int],
+        applied: Callable[[ConfigurationRecord], None],
+        rng: random.Random,
+    ) -> None:
+        """Poll for ever; `processes` returns the size of the fleet."""
+        while True:
+            try:
+                for record in await self.poll():
+                    applied(record)
+                self._note(True)
+            except StoreUnavailable as exc:
+                self._note(False, str(exc))
+            await asyncio.sleep(poll_interval_s(processes(), rng))
+
+    def _note(self, reachable: bool, reason: str = "") -> None:
+        if reachable != self._reachable:
+            state = "reachable" if reachable else "unreachable"
+            logger.warning("configuration store %s %s", state, reason)
+        self._reachable = reachable
--- /dev/null
+++ b/cassiadrum/states/configuration_writers.py
@@ -0,0 +1,174 @@
+"""Writer of configurations to the table service."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from cassiadrum.documents import DocumentError, parse_document
+from cassiadrum.schemas import Finding
+from cassiadrum.states.accept_results import (
+    Accepted,
+    AcceptResult,
+    Conflicted,
+    Invalid,
+    NotAccepted,
+    Unresolved,
+)
+from cassiadrum.states.configuration_changes import ConfigurationChange
+from cassiadrum.states.configuration_histories import ConfigurationHistory, difference
+from cassiadrum.states.configuration_records import KEPT_OPERATION_IDS, ConfigurationRecord
+from cassiadrum.states.errors import InvalidRecord
+from cassiadrum.stores import (
+    Conflict,
+    Done,
+    Refused,
+    Row,
+    StoreUnavailable,
+    TableStore,
+    TableWrite,
+    Unknown,
+)
+
+__all__ = ["CONFIG_TABLE", "ConfigurationWriter"]
+
+logger = logging.getLogger(__name__)
+
+CONFIG_TABLE: Final = "config"
+SUBMIT_ATTEMPTS: Final = 5
+# Pauses before each attempt to resolve an unknown outcome; together above the store's timeout,
+# so that a write still under way has reached the store or is lost.
+RESOLVE_PAUSES_S: Final = (0.0, 0.1, 0.3, 1.0, 2.0)
+
+
+class ConfigurationWriter:
+    """Accept and delete configurations by compare-and-set; accepted means durable."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+        pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._wall_clock = wall_clock
+        self._pause = pause
+        self.history = ConfigurationHistory(store)
+
+    async def accept(
+        self, service: str, text: str, base_version: int, operation_id: str, author: str
+    ) -> AcceptResult:
+        """Check a document and write it as the version after `base_version`.
+
+        Repeating a call with the same operation id is harmless.
+        """
+        try:
+            name = parse_document(text, f"{service}.toml").name
+        except DocumentError as exc:
+            return Invalid(tuple(exc.findings))
+        if name != service:
+            finding = Finding(f"{service}.toml", "service.name", repr(name), repr(service))
+            return Invalid((finding,))
+        change = ConfigurationChange(service, base_version, operation_id, author, text)
+        return await self._submit(change)
+
+    async def delete(
+        self, service: str, base_version: int, operation_id: str, author: str
+    ) -> AcceptResult:
+        """Write a tombstone as the version after `base_version`."""
+        change = ConfigurationChange(service, base_version, operation_id, author, deleted=True)
+        return await self._submit(change)
+
+    async def _submit(self, change: ConfigurationChange) -> AcceptResult:
+        for _ in range(SUBMIT_ATTEMPTS):
+            try:
+                row = await self._store.get(CONFIG_TABLE, change.service)
+                current = ConfigurationRecord.from_row(change.service, row)
+            except (StoreUnavailable, InvalidRecord) as exc:
+                return NotAccepted(str(exc))
+            if settled := await self._settled(change, current):
+                return settled
+            record = current.next(
+                change.text, change.deleted, change.operation_id, change.author, self._wall_clock()
+            )
+            result = await self._write(record, row)
+            if isinstance(result, Done):
+                await self.history.trim(change.service)
+                return Accepted(record.version, record)
+            if isinstance(result, Refused):
+                return NotAccepted(result.reason, result.retry_after_s)
+            if isinstance(result, Unknown):
+                return await self._resolve(change, row)
+        return NotAccepted(f"{SUBMIT_ATTEMPTS} attempts met concurrent writes")
+
+    async def _write(
+        self, record: ConfigurationRecord, row: Row | None
+    ) -> Done | Conflict | Refused | Unknown:
+        """Write the record and its history row together, so that history has no gaps."""
+        value = record.to_value()
+        expected = row.version if row else 0
+        return await self._store.write(
+            [
+                TableWrite(CONFIG_TABLE, record.service, value, expected),
+                self.history.row_of(record),
+            ]
+        )
+
+    async def _resolve(self, change: ConfigurationChange, base: Row | None) -> AcceptResult:
+        """Find out whether a write with an unknown outcome was applied, or prevent it."""
+        for pause_s in RESOLVE_PAUSES_S:
+            await self._pause(pause_s)
+            try:
+                row = await self._store.get(CONFIG_TABLE, change.service)
+                current = ConfigurationRecord.from_row(change.service, row)
+            except (StoreUnavailable, InvalidRecord):
+                continue
+            if settled := await self._settled(change, current):
+                return settled
+            # The write needs the row as `base` has it; any other row has made it impossible.
+            if (row.version if row else 0) != (base.version if base else 0):
+                return NotAccepted("the write was not applied")
+            if await self._fence(current, row):
+                return NotAccepted("the write was not applied")
+        logger.warning("outcome of operation %s is unresolved", change.operation_id)
+        return Unresolved(change.operation_id, "the table service did not answer")
+
+    async def _fence(self, current: ConfigurationRecord, row: Row | None) -> bool:
+        """Write the row with its own content, so that a write under way meets a conflict.
+
+        A row that does not exist yet becomes a tombstone of version 0, which no process applies.
+        """
+        expected = row.version if row else 0
+        result = await self._store.put(CONFIG_TABLE, current.service, current.to_value(), expected)
+        return isinstance(result, Done)
+
+    async def _settled(
+        self, change: ConfigurationChange, current: ConfigurationRecord
+    ) -> AcceptResult | None:
+        """Return what the current record implies, None when the change may be written."""
+        version = current.version_of(change.operation_id)
+        if version is not None:
+            return Accepted(version, current)
+        if current.version == change.base_version:
+            return None
+        if current.version - change.base_version > KEPT_OPERATION_IDS + 1:
+            # The record no longer names the operation that followed the base; history may.
+            return await self._settled_by_history(change, current)
+        return Conflicted(current, difference(current, change.text))
+
+    async def _settled_by_history(
+        self, change: ConfigurationChange, current: ConfigurationRecord
+    ) -> AcceptResult:
+        target = change.base_version + 1
+        try:
+            record = await self.history.show(change.service, target)
+        except (StoreUnavailable, InvalidRecord) as exc:
+            return Unresolved(change.operation_id, str(exc))
+        if record is None:
+            reason = f"current is version {current.version}; version {target} is no longer kept"
+            return Unresolved(change.operation_id, reason)
+        if record.operation_id == change.operation_id:
+            return Accepted(target, current)
+        return Conflicted(current, difference(current, change.text))
