--- a/cassiadrum/standins/__init__.py
+++ b/cassiadrum/standins/__init__.py
@@ -5,22 +5,26 @@
 from cassiadrum.standins.engines import EngineStandin, prompt_of
 from cassiadrum.standins.faults import Faults
 from cassiadrum.standins.instance_lists import InstanceListService
+from cassiadrum.standins.object_services import ObjectService
 from cassiadrum.standins.plain_services import PlainServiceStandin
 from cassiadrum.standins.run_records import RunRecord
 from cassiadrum.standins.standins import StandIn
 from cassiadrum.standins.table_rows import TableRows
 from cassiadrum.standins.table_services import TableService
+from cassiadrum.standins.weight_services import WeightService
 
 __all__ = [
     "Answer",
     "EngineStandin",
     "Faults",
     "InstanceListService",
+    "ObjectService",
     "PlainServiceStandin",
     "RunRecord",
     "StandIn",
     "TableRows",
     "TableService",
+    "WeightService",
     "answer_text",
     "answer_tokens",
     "prompt_of",
