Add fair queue, admission, retry and hedge decisions of the entry instance

Cause: the entry instance had only a strict queue without fairness, and retried without a budget. Change: FairTierQueue, QuantileLengthEstimator, DeadlineAdmission, BudgetRetryPolicy and WasteBoundHedgePolicy, composed by Dispatcher. A refusal now states what is true of all attempts of the request, not of the last one only.

--- /dev/null
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -0,0 +1,121 @@
+"""The attempts under way and the endpoints they run at."""
+
+from cassiadrum.decisions.actions import Action, Cancel
+from cassiadrum.decisions.cancelled_copies import CancelledCopies, CancelledCopy
+from cassiadrum.decisions.endpoint_choosers import EndpointChooser
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.hedge_policies import HedgePolicy
+from cassiadrum.decisions.tracked_requests import TrackedRequest
+
+__all__ = ["AttemptTable"]
+
+
+class AttemptTable:
+    """Tell the chooser of every start and end, and keep the copies of each request."""
+
+    def __init__(self, chooser: EndpointChooser, hedge: HedgePolicy) -> None:
+        self._chooser = chooser
+        self._hedge = hedge
+        self._lost: set[str] = set()
+        self._cancelled = CancelledCopies()
+        self._unprotected = 0
+        self.running: dict[str, TrackedRequest] = {}
+
+    def report(self, rep: EndpointReport, now: float) -> None:
+        """Take a load report, which also shows that the connection works."""
+        self._lost.discard(rep.instance)
+        self._chooser.report(rep, now)
+
+    def lost(self, instance: str) -> None:
+        """Start nothing at the instance until it reports again."""
+        self._lost.add(instance)
+
+    def removed(self, instance: str, now: float) -> list[TrackedRequest]:
+        """Forget an instance and return the requests that have a copy there."""
+        self._lost.discard(instance)
+        for copy in self._cancelled.pop_instance(instance):
+            self._settle(copy, 0, now)
+        self._chooser.remove(instance)
+        return [tracked for tracked in self.running.values() if instance in tracked.copies]
+
+    def connected(self) -> bool:
+        """Tell whether any endpoint can take new work."""
+        return any(name not in self._lost for name in self._chooser.instances())
+
+    def free_slots(self) -> int:
+        """Return the number of free slots, 0 when no endpoint is connected."""
+        return self._chooser.free_slots() if self.connected() else 0
+
+    def only_protected(self) -> bool:
+        """Tell whether all running requests are protected."""
+        return self._unprotected == 0
+
+    def instance_meant(self, request_id: str) -> str:
+        """Return the instance of an event that names none, empty when nothing runs."""
+        tracked = self.running.get(request_id)
+        if tracked is not None:
+            return tracked.main_instance()
+        return min(self._cancelled.instances(request_id), default="")
+
+    def choose(self, tracked: TrackedRequest, now: float) -> str | None:
+        """Return an instance for the next copy of the request.
+
+        The instance that just failed it is left out where another one exists.
+        """
+        exclude = self._lost | set(tracked.copies)
+        exclude |= self._cancelled.instances(tracked.req.request_id)
+        others = set(self._chooser.instances()) - exclude - {tracked.failed_at}
+        if others:
+            exclude.add(tracked.failed_at)
+        return self._chooser.choose(tracked.req, now, exclude)
+
+    def start(self, tracked: TrackedRequest, instance: str, now: float) -> None:
+        """Count the start of a copy."""
+        if tracked.req.request_id not in self.running:
+            self.running[tracked.req.request_id] = tracked
+            self._unprotected += not tracked.req.protected
+        tracked.copies[instance] = now
+        self._chooser.dispatched(instance, tracked.req, now)
+
+    def end(self, tracked: TrackedRequest, instance: str, healthy: bool, now: float) -> float:
+        """Count the end of a copy and return for how many seconds it ran."""
+        self._chooser.finished(instance, tracked.req.request_id, healthy, now)
+        started_s = tracked.copies.pop(instance)
+        if not tracked.copies:
+            self._forget(tracked)
+        return now - started_s
+
+    def cancel(self, tracked: TrackedRequest, keep: str, now: float) -> list[Action]:
+        """Cancel all copies but the one at `keep`; with an empty `keep`, the whole request."""
+        actions: list[Action] = []
+        for instance in [name for name in tracked.copies if name != keep]:
+            hedge = bool(keep)
+            request_id = tracked.req.request_id
+            self._cancelled.add(CancelledCopy(request_id, instance, hedge, now))
+            del tracked.copies[instance]
+            actions.append(Cancel(request_id, instance))
+        if not tracked.copies:
+            self._forget(tracked)
+        return actions
+
+    def cancelled_ended(self, request_id: str, instance: str, tokens: int, now: float) -> bool:
+        """Take the end of a cancelled copy; return False when it was not cancelled."""
+        copy = self._cancelled.pop(request_id, instance)
+        if copy is not None:
+            self._settle(copy, tokens, now)
+        return copy is not None
+
+    def release_late(self, now: float) -> None:
+        """Free the slots of cancelled copies whose end was never heard of."""
+        for copy in self._cancelled.pop_late(now):
+            self._settle(copy, 0, now)
+
+    def _settle(self, copy: CancelledCopy, tokens: int, now: float) -> None:
+        self._chooser.finished(copy.instance, copy.request_id, True, now)
+        if copy.hedge:
+            self._hedge.wasted(tokens)
+            self._hedge.settled()
+
+    def _forget(self, tracked: TrackedRequest) -> None:
+        if self.running.pop(tracked.req.request_id, None) is not None:
+            self._unprotected -= not tracked.req.protected
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -1,93 +1,152 @@
 """The decisions of one service at an entry instance, composed."""
 
 from collections.abc import Collection
-from typing import NamedTuple
 
-from cassiadrum.decisions.actions import Action, Dispatch, Refuse
+from cassiadrum.decisions.actions import Action, Dispatch, Hedge, Refuse
+from cassiadrum.decisions.admission_decisions import Rejected
+from cassiadrum.decisions.admissions import Admission
+from cassiadrum.decisions.attempt_tables import AttemptTable
+from cassiadrum.decisions.budget_retry_policies import BudgetRetryPolicy
+from cassiadrum.decisions.deadline_admissions import DeadlineAdmission
 from cassiadrum.decisions.endpoint_choosers import EndpointChooser
 from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.hedge_policies import HedgePolicy
+from cassiadrum.decisions.length_estimators import LengthEstimator
 from cassiadrum.decisions.outcomes import Outcome, Ran
+from cassiadrum.decisions.quantile_length_estimators import QuantileLengthEstimator
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.request_queues import RequestQueue
+from cassiadrum.decisions.retry_policies import RetryPolicy
+from cassiadrum.decisions.tracked_requests import TrackedRequest
+from cassiadrum.decisions.wait_predictors import WaitPredictor
+from cassiadrum.decisions.waste_bound_hedge_policies import WasteBoundHedgePolicy
 
 __all__ = ["Dispatcher"]
 
-# Told to callers whose request cannot be placed while nothing is known of the service's rate.
-DEFAULT_RETRY_AFTER_S = 1.0
-MAX_ATTEMPTS = 3
-
-
-class Running(NamedTuple):
-    """A request that was dispatched, and where to."""
-
-    req: QueuedRequest
-    instance: str
+# Covers a redial after 3 s of silence; then the callers are told at once.
+NO_ENDPOINT_LIMIT_S = 5.0
+# Requests without a usable endpoint that one event may pass over to reach the ones behind them.
+MAX_SET_ASIDE = 8
 
 
 class Dispatcher:
     """Take events of one service and return the actions that follow.
 
     Every method takes `now` in monotonic seconds and returns the actions in the order in which
-    they are to be carried out.
+    they are to be carried out. Requests of the classes in `uncancellable` are neither cancelled
+    once dispatched nor hedged.
     """
 
-    def __init__(self, queue: RequestQueue, chooser: EndpointChooser) -> None:
+    def __init__(
+        self,
+        queue: RequestQueue,
+        chooser: EndpointChooser,
+        *,
+        admission: Admission | None = None,
+        estimator: LengthEstimator | None = None,
+        retry: RetryPolicy | None = None,
+        hedge: HedgePolicy | None = None,
+        uncancellable: Collection[str] = (),
+    ) -> None:
         self._queue = queue
         self._chooser = chooser
-        self._running: dict[str, Running] = {}
+        self._retry = retry or BudgetRetryPolicy()
+        self._hedge = hedge or WasteBoundHedgePolicy()
+        self._uncancellable = uncancellable
+        self._attempts = AttemptTable(chooser, self._hedge)
+        self._predictor = WaitPredictor(
+            queue,
+            self._attempts,
+            admission or DeadlineAdmission(),
+            estimator or QuantileLengthEstimator(),
+        )
+        self._waiting: dict[str, TrackedRequest] = {}
+        self._disconnected_s: float | None = None
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
-        """Admit a new request."""
+        """Admit or refuse a new request; raise ValueError when its id is in use."""
+        if req.request_id in self._waiting or req.request_id in self._attempts.running:
+            raise ValueError(f"request {req.request_id} was submitted before")
+        self._watch_connection(now)
+        decision = self._predictor.decide(req, now)
+        if isinstance(decision, Rejected):
+            return [Refuse(req, decision.reason, Ran.NO, decision.retry_after_s)]
+        self._waiting[req.request_id] = TrackedRequest(req, decision, now)
         evicted = self._queue.push(req, now)
-        refusals: list[Action] = [
-            Refuse(old, "overloaded" if old is req else "evicted", Ran.NO, DEFAULT_RETRY_AFTER_S)
-            for old in evicted
-        ]
-        return refusals + self._place(now)
+        if req not in evicted:
+            self._retry.accepted(req)
+        return self._refuse_evicted(evicted, req) + self._place(now)
 
     def report(self, rep: EndpointReport, now: float) -> list[Action]:
-        """Take an endpoint's load report."""
-        self._chooser.report(rep, now)
+        """Take an endpoint's load report, which also ends the effect of `lost`."""
+        self._attempts.report(rep, now)
+        self._watch_connection(now)
         return self._place(now)
 
-    def removed(self, instance: str, now: float) -> list[Action]:
-        """Forget an endpoint whose connection is lost for good."""
-        self._chooser.remove(instance)
+    def lost(self, instance: str, now: float) -> list[Action]:
+        """Give an endpoint no new work, as its connection is lost; its streams may reattach."""
+        self._attempts.lost(instance)
+        self._watch_connection(now)
         return self._place(now)
 
-    def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
-        """Take the number of tokens that arrived for a stream."""
+    def removed(self, instance: str, now: float) -> list[Action]:
+        """Forget an endpoint that is gone for good; its attempts end with `ran` unknown."""
+        actions: list[Action] = []
+        failure = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
+        for tracked in self._attempts.removed(instance, now):
+            actions += self._ended(tracked, instance, failure, now)
+        self._watch_connection(now)
+        return actions + self._place(now)
+
+    def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> list[Action]:
+        """Take the number of tokens that arrived; the first token cancels the other copy."""
         self._chooser.progressed(instance, request_id, tokens, now)
+        tracked = self._attempts.running.get(request_id)
+        if tracked is None or tracked.winner or tokens <= 0 or instance not in tracked.copies:
+            return []
+        tracked.winner = instance
+        waited_s = now - min(tracked.copies.values())
+        self._hedge.first_token(tracked.req.class_name, waited_s)
+        return self._attempts.cancel(tracked, instance, now)
 
     def cached(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take cache events of an endpoint."""
         self._chooser.cached(instance, keys, now)
 
-    def finished(self, request_id: str, outcome: Outcome, now: float) -> list[Action]:
-        """Take the end of an attempt; a failed one is retried where that is allowed."""
-        running = self._running.pop(request_id, None)
-        if running is None:
+    def finished(
+        self, request_id: str, outcome: Outcome, now: float, instance: str = ""
+    ) -> list[Action]:
+        """Take the end of an attempt; a failed one is retried where that is allowed.
+
+        `instance` tells the copies of a hedged request apart, and has to be given for the end of
+        a cancelled copy; without it the copy that answers is meant.
+        """
+        instance = instance or self._attempts.instance_meant(request_id)
+        if self._attempts.cancelled_ended(request_id, instance, outcome.tokens, now):
+            return self._place(now)
+        tracked = self._attempts.running.get(request_id)
+        if tracked is None or instance not in tracked.copies:
             return []
-        # A rejection as not run says nothing against the endpoint's health.
-        healthy = outcome.ok or outcome.ran is Ran.NO
-        self._chooser.finished(running.instance, request_id, healthy, now)
-        actions: list[Action] = []
-        if not outcome.ok:
-            actions = self._after_failure(running.req, outcome, now)
-        return actions + self._place(now)
+        return self._ended(tracked, instance, outcome, now) + self._place(now)
 
     def cancelled(self, request_id: str, now: float) -> list[Action]:
-        """Drop a request whose caller went away and that has not been dispatched."""
-        self._queue.remove(request_id)
-        return self._place(now)
+        """Drop a request whose caller went away; cancel its copies where that is allowed."""
+        if self._queue.remove(request_id) is not None:
+            del self._waiting[request_id]
+            return self._place(now)
+        tracked = self._attempts.running.get(request_id)
+        if tracked is None:
+            return []
+        if tracked.req.class_name in self._uncancellable:
+            tracked.abandoned = True
+            return []
+        return self._attempts.cancel(tracked, "", now)
 
     def tick(self, now: float) -> list[Action]:
-        """Refuse what has passed its deadline and place what can be placed."""
-        late: list[Action] = [
-            Refuse(req, "deadline", Ran.NO, DEFAULT_RETRY_AFTER_S)
-            for req in self._queue.expired(now)
-        ]
-        return late + self._place(now)
+        """Refuse what has waited too long, place what can be placed, hedge what is slow."""
+        self._attempts.release_late(now)
+        self._watch_connection(now)
+        return self._refuse_disconnected(now) + self._place(now) + self._hedge_slow(now)
 
     def queued(self) -> int:
         """Return the number of waiting requests."""
@@ -95,25 +154,105 @@
 
     def running(self) -> int:
         """Return the number of dispatched requests."""
-        return len(self._running)
+        return len(self._attempts.running)
 
-    def _after_failure(self, req: QueuedRequest, outcome: Outcome, now: float) -> list[Action]:
-        may_repeat = outcome.ran is Ran.NO or req.idempotent
-        if may_repeat and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s:
-            return self.submit(req._replace(attempt=req.attempt + 1), now)
-        return [Refuse(req, outcome.reason, outcome.ran, outcome.retry_after_s)]
+    def predicted_wait_s(self, req: QueuedRequest) -> float:
+        """Return the wait in seconds that the request would have if it arrived now."""
+        return self._predictor.predict_s(req)
+
+    def _ended(
+        self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float
+    ) -> list[Action]:
+        # A rejection as not run says nothing against the endpoint's health.
+        healthy = outcome.ok or outcome.ran is Ran.NO
+        duration_s = self._attempts.end(tracked, instance, healthy, now)
+        if outcome.ok:
+            self._hedge.useful(outcome.tokens)
+            self._predictor.answered(tracked.req, outcome.tokens, duration_s)
+            return self._attempts.cancel(tracked, instance, now)
+        tracked.failed(instance, outcome.ran)
+        if tracked.copies:
+            self._hedge.wasted(outcome.tokens)
+            self._hedge.settled()
+            return []
+        return self._after_failure(tracked, outcome, now)
+
+    def _after_failure(
+        self, tracked: TrackedRequest, outcome: Outcome, now: float
+    ) -> list[Action]:
+        if tracked.abandoned:
+            return []
+        req, ran = tracked.req, tracked.attempt_ran
+        if tracked.may_repeat and self._retry.may_retry(req, ran, now):
+            tracked.next_attempt()
+            self._waiting[req.request_id] = tracked
+            # Work that did not run is taken off its customer's account.
+            put_back = self._queue.requeue if ran is Ran.NO else self._queue.push
+            return self._refuse_evicted(put_back(tracked.req, now))
+        retry_after_s = outcome.retry_after_s or self._predictor.retry_after_s(req)
+        return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
+
+    def _refuse_evicted(
+        self, evicted: list[QueuedRequest], new: QueuedRequest | None = None
+    ) -> list[Action]:
+        return [
+            self._refuse_waiting(req, "overloaded" if req == new else "evicted") for req in evicted
+        ]
+
+    def _refuse_waiting(self, req: QueuedRequest, reason: str) -> Action:
+        tracked = self._waiting.pop(req.request_id)
+        return Refuse(req, reason, tracked.ran, self._predictor.retry_after_s(req))
+
+    def _watch_connection(self, now: float) -> None:
+        if self._attempts.connected():
+            self._disconnected_s = None
+        elif self._disconnected_s is None:
+            self._disconnected_s = now
+
+    def _refuse_disconnected(self, now: float) -> list[Action]:
+        since_s = self._disconnected_s
+        if since_s is None or now - since_s < NO_ENDPOINT_LIMIT_S:
+            return []
+        actions = []
+        while (req := self._queue.pop(now)) is not None:
+            actions.append(self._refuse_waiting(req, "no_endpoint"))
+        return actions
 
     def _place(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        while len(self._queue) and self._chooser.free_slots() > 0:
+        late = self._queue.expired(now)
+        actions = [self._refuse_waiting(req, "deadline") for req in late]
+        set_aside: list[QueuedRequest] = []
+        while len(set_aside) < MAX_SET_ASIDE and self._attempts.free_slots() > 0:
             req = self._queue.pop(now)
             if req is None:
                 break
-            instance = self._chooser.choose(req, now)
+            tracked = self._waiting[req.request_id]
+            instance = self._attempts.choose(tracked, now)
             if instance is None:
-                self._queue.push(req, now)
-                break
-            self._running[req.request_id] = Running(req, instance)
-            self._chooser.dispatched(instance, req, now)
+                set_aside.append(req)
+                continue
+            del self._waiting[req.request_id]
+            self._attempts.start(tracked, instance, now)
+            self._predictor.dispatched(tracked, now)
             actions.append(Dispatch(req, instance))
+        for req in reversed(set_aside):
+            actions += self._refuse_evicted(self._queue.requeue(req, now))
         return actions
+
+    def _hedge_slow(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for tracked in self._attempts.running.values():
+            if not self._may_hedge(tracked, now):
+                continue
+            instance = self._attempts.choose(tracked, now)
+            if instance is not None:
+                self._attempts.start(tracked, instance, now)
+                self._hedge.hedged()
+                actions.append(Hedge(tracked.req, instance))
+        return actions
+
+    def _may_hedge(self, tracked: TrackedRequest, now: float) -> bool:
+        req = tracked.req
+        if not tracked.may_be_copied or req.class_name in self._uncancellable:
+            return False
+        return self._hedge.may_hedge(req, now - min(tracked.copies.values()), now)
--- /dev/null
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -0,0 +1,181 @@
+"""A bounded queue with strict tiers, a minimum share and fairness between customers."""
+
+import math
+from collections.abc import Callable
+
+from cassiadrum.decisions.class_queues import ClassQueue
+from cassiadrum.decisions.lazy_heaps import LazyHeap
+from cassiadrum.decisions.operation_counters import OperationCounter
+from cassiadrum.decisions.queue_charges import QueueCharge
+from cassiadrum.decisions.queue_entries import QueueEntry
+from cassiadrum.decisions.queued_requests import QueuedRequest
+from cassiadrum.decisions.request_queues import RequestQueue
+from cassiadrum.decisions.share_ledgers import ShareLedger
+
+__all__ = ["FairTierQueue"]
+
+DEFAULT_TOKENS = 200.0
+# A rejected request comes back within a round trip; older charges are no longer refunded.
+CHARGES_KEPT = 1024
+
+
+def _stated_tokens(req: QueuedRequest) -> float:
+    return float(req.max_tokens or DEFAULT_TOKENS)
+
+
+class FairTierQueue(RequestQueue):
+    """Serve protected classes first, then strict tiers; no class waits without bound.
+
+    `max_requests` and `max_tokens` bound the queue; `estimate_tokens` gives a request's output
+    tokens and is asked once per push. `operations` counts heap steps and visited entries.
+    """
+
+    def __init__(
+        self,
+        max_requests: int,
+        max_tokens: float = math.inf,
+        estimate_tokens: Callable[[QueuedRequest], float] = _stated_tokens,
+    ) -> None:
+        self._max_requests = max_requests
+        self._max_tokens = max_tokens
+        self._estimate_tokens = estimate_tokens
+        self._counter = OperationCounter()
+        self._classes: dict[tuple[str, int, bool], ClassQueue] = {}
+        self._entries: dict[str, QueueEntry] = {}
+        self._deadlines = LazyHeap(self._counter)
+        self._tokens = 0.0
+        self._serial = 0
+        self._ledger = ShareLedger()
+        self._charges: dict[str, QueueCharge] = {}
+
+    @property
+    def operations(self) -> int:
+        """Return the number of elementary steps so far."""
+        return self._counter.count
+
+    def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        """Add a request in its place by arrival and return those evicted for it.
+
+        Raises ValueError when a request with this id already waits.
+        """
+        self._charges.pop(req.request_id, None)
+        return self._insert(req, None)
+
+    def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        """Put back a popped request that did not run, and take back its charges."""
+        return self._insert(req, self._charges.pop(req.request_id, None))
+
+    def pop(self, now: float) -> QueuedRequest | None:
+        """Remove and return the next request."""
+        cls = self._next_class(now)
+        if cls is None:
+            return None
+        tokens = cls.next().tokens
+        advance = 0.0 if cls.protected else self._ledger.charge(cls, tokens)
+        entry = cls.serve()
+        self._forget(entry)
+        self._remember_charge(entry.req.request_id, QueueCharge(tokens, advance))
+        return entry.req
+
+    def remove(self, request_id: str) -> QueuedRequest | None:
+        """Remove a request by its id."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return None
+        self._classes[_key(entry.req)].remove(entry)
+        self._forget(entry)
+        return entry.req
+
+    def expired(self, now: float) -> list[QueuedRequest]:
+        """Remove and return the requests whose deadline has passed."""
+        late = []
+        while (first := self._deadlines.first()) is not None and first[0] <= now:
+            req = self.remove(first[1])
+            if req is not None:
+                late.append(req)
+        return late
+
+    def ahead_tokens(self, req: QueuedRequest) -> float:
+        """Return the tokens served before `req` if it were pushed now.
+
+        Only protected work counts as ahead of a protected request.
+        """
+        own = self._classes.get(_key(req))
+        ahead = sum(
+            cls.tokens for cls in self._classes.values() if cls is not own and _before(cls, req)
+        )
+        if own is not None:
+            ahead += own.ahead_tokens(req.customer, self._cost(req))
+        return ahead
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _insert(self, req: QueuedRequest, refund: QueueCharge | None) -> list[QueuedRequest]:
+        if req.request_id in self._entries:
+            raise ValueError(f"request {req.request_id} already waits in this queue")
+        self._serial += 1
+        tokens = refund.tokens if refund else self._cost(req)
+        entry = QueueEntry(req, tokens, self._serial)
+        cls = self._classes.get(_key(req))
+        if cls is None:
+            cls = self._classes[_key(req)] = ClassQueue(req, self._counter)
+        if refund and not cls.protected:
+            self._ledger.refund(cls, refund.tokens, refund.share_advance)
+        cls.add(entry, refund is not None)
+        self._entries[req.request_id] = entry
+        self._tokens += entry.tokens
+        if req.deadline_s < math.inf:
+            self._deadlines.set(req.request_id, req.deadline_s)
+        return self._shed()
+
+    def _cost(self, req: QueuedRequest) -> float:
+        # A request larger than the whole bound could otherwise never wait, not even alone.
+        return min(max(self._estimate_tokens(req), 1.0), self._max_tokens)
+
+    def _shed(self) -> list[QueuedRequest]:
+        evicted = []
+        while len(self) > self._max_requests or (
+            self._tokens > self._max_tokens and len(self) > 1
+        ):
+            victim = self._victim()
+            self.remove(victim.req.request_id)
+            evicted.append(victim.req)
+        return evicted
+
+    def _victim(self) -> QueueEntry:
+        waiting = [cls for cls in self._classes.values() if len(cls)]
+        self._counter.add(len(waiting))
+        lowest = max((not cls.protected, cls.tier) for cls in waiting)
+        candidates = [cls.victim() for cls in waiting if (not cls.protected, cls.tier) == lowest]
+        return max(candidates, key=lambda entry: entry.order)
+
+    def _next_class(self, now: float) -> ClassQueue | None:
+        waiting = [cls for cls in self._classes.values() if len(cls)]
+        self._counter.add(len(waiting))
+        if not waiting:
+            return None
+        first = min(waiting, key=lambda cls: (not cls.protected, cls.tier, cls.head_arrived_s()))
+        if first.protected:
+            return first
+        return self._ledger.owed(waiting, now) or first
+
+    def _remember_charge(self, request_id: str, charge: QueueCharge) -> None:
+        self._charges[request_id] = charge
+        if len(self._charges) > CHARGES_KEPT:
+            del self._charges[next(iter(self._charges))]
+
+    def _forget(self, entry: QueueEntry) -> None:
+        del self._entries[entry.req.request_id]
+        self._deadlines.discard(entry.req.request_id)
+        self._tokens = self._tokens - entry.tokens if self._entries else 0.0
+
+
+def _key(req: QueuedRequest) -> tuple[str, int, bool]:
+    return (req.class_name, req.tier, req.protected)
+
+
+def _before(cls: ClassQueue, req: QueuedRequest) -> bool:
+    if req.protected or cls.protected:
+        return cls.protected and (not req.protected or cls.tier <= req.tier)
+    return cls.tier <= req.tier
--- a/cassiadrum/decisions/outcomes.py
+++ b/cassiadrum/decisions/outcomes.py
@@ -13,6 +13,13 @@
     YES = "yes"
     UNKNOWN = "unknown"
 
+    def combined(self, other: "Ran") -> "Ran":
+        """Return what is true of a request after two attempts."""
+        for ran in (Ran.YES, Ran.UNKNOWN):
+            if ran in (self, other):
+                return ran
+        return Ran.NO
+
 
 class Outcome(NamedTuple):
     """State whether an attempt succeeded, whether it ran, and the tokens it produced.
--- a/cassiadrum/decisions/request_queues.py
+++ b/cassiadrum/decisions/request_queues.py
@@ -14,6 +14,10 @@
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
         """Add a request and return those evicted for it, which may include `req` itself."""
 
+    def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        """Put back a popped request that did not run and return those evicted for it."""
+        return self.push(req, now)
+
     @abstractmethod
     def pop(self, now: float) -> QueuedRequest | None:
         """Remove and return the next request, or None when nothing waits."""
--- /dev/null
+++ b/cassiadrum/decisions/retry_policies.py
@@ -0,0 +1,23 @@
+"""Base class of the decision to repeat a failed attempt."""
+
+from abc import ABC, abstractmethod
+
+from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.queued_requests import QueuedRequest
+
+__all__ = ["RetryPolicy"]
+
+
+class RetryPolicy(ABC):
+    """Bound the attempts of requests."""
+
+    @abstractmethod
+    def accepted(self, req: QueuedRequest) -> None:
+        """Count an accepted request, which earns retry budget."""
+
+    @abstractmethod
+    def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+        """Tell whether the failed attempt may be repeated, and spend the budget if so.
+
+        `req.attempt` is the number of earlier attempts.
+        """
--- /dev/null
+++ b/cassiadrum/decisions/service_rates.py
@@ -0,0 +1,36 @@
+"""The measured rate of a service."""
+
+__all__ = ["ServiceRate"]
+
+# The rate follows about the last 64 attempts.
+GAIN = 1 / 64
+
+
+class ServiceRate:
+    """Measure how many tokens one slot produces in a second.
+
+    A rate by slot stays valid while the service is not saturated, when the tokens produced by
+    the whole service say only how much was asked of it.
+    """
+
+    def __init__(self) -> None:
+        self._mean_tokens = 0.0
+        self._mean_s = 0.0
+
+    @property
+    def mean_tokens(self) -> float:
+        """Return the mean output tokens of an attempt, 0 while unknown."""
+        return self._mean_tokens
+
+    def observe(self, tokens: int, duration_s: float) -> None:
+        """Learn from an attempt that occupied a slot for `duration_s` seconds.
+
+        A call of a plain service counts as one token.
+        """
+        gain = GAIN if self._mean_s > 0.0 else 1.0
+        self._mean_tokens += gain * (max(tokens, 1) - self._mean_tokens)
+        self._mean_s += gain * (max(duration_s, 1e-6) - self._mean_s)
+
+    def tokens_per_s(self, slots: int) -> float:
+        """Return the rate of this many slots, 0 while unknown."""
+        return slots * self._mean_tokens / self._mean_s if self._mean_s > 0.0 else 0.0
--- /dev/null
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -0,0 +1,56 @@
+"""An accepted request and its attempts."""
+
+from dataclasses import dataclass, field
+
+from cassiadrum.decisions.admission_decisions import Admitted
+from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.queued_requests import QueuedRequest
+
+__all__ = ["TrackedRequest"]
+
+
+@dataclass(slots=True)
+class TrackedRequest:
+    """Hold an accepted request until it ends.
+
+    `copies` maps the instances that work on the current attempt to the time of the dispatch.
+    `winner` is the instance whose first token arrived first. `ran` covers all attempts,
+    `attempt_ran` the failed copies of the current one.
+    """
+
+    req: QueuedRequest
+    admitted: Admitted
+    submitted_s: float
+    ran: Ran = Ran.NO
+    attempt_ran: Ran = Ran.NO
+    failed_at: str = ""
+    winner: str = ""
+    abandoned: bool = False
+    copies: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether another attempt cannot repeat an effect that must not be repeated."""
+        return self.ran is Ran.NO or (self.req.idempotent and not self.req.once_only)
+
+    @property
+    def may_be_copied(self) -> bool:
+        """Tell whether one copy runs, has not answered yet, and a second one is harmless."""
+        harmless = self.req.idempotent and not self.req.once_only
+        return harmless and not self.winner and not self.abandoned and len(self.copies) == 1
+
+    def main_instance(self) -> str:
+        """Return the instance that is meant when an event names none; empty without copies."""
+        return self.winner or next(iter(self.copies), "")
+
+    def failed(self, instance: str, ran: Ran) -> None:
+        """Take the failure of one copy."""
+        self.failed_at = instance
+        self.ran = self.ran.combined(ran)
+        self.attempt_ran = self.attempt_ran.combined(ran)
+
+    def next_attempt(self) -> None:
+        """Start over with one more attempt."""
+        self.req = self.req._replace(attempt=self.req.attempt + 1)
+        self.attempt_ran = Ran.NO
+        self.winner = ""
