--- /dev/null
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -0,0 +1,247 @@
+"""Tests of what the dispatcher owes each request."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiadrum.decisions import (
+    Action,
+    BudgetRetryPolicy,
+    Cancel,
+    Dispatch,
+    Dispatcher,
+    EndpointReport,
+    FairTierQueue,
+    Hedge,
+    LeastOutstandingChooser,
+    Outcome,
+    QueuedRequest,
+    Ran,
+    Refuse,
+    WasteBoundHedgePolicy,
+)
+
+UNKNOWN = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
+NOT_RUN = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
+DONE = Outcome(ok=True, ran=Ran.YES, tokens=10)
+
+
+def make_request(request_id: str, idempotent: bool = True, tier: int = 2) -> QueuedRequest:
+    req = QueuedRequest(request_id, "svc", f"class-{tier}", tier, tier < 2, "customer", 0.0)
+    return req._replace(idempotent=idempotent, once_only=not idempotent)
+
+
+def make_report(instance: str, limit: int = 4, now: float = 0.0) -> EndpointReport:
+    return EndpointReport(instance, "zone", 0, 0, limit, now)
+
+
+def make_dispatcher(
+    endpoints: int = 2, limit: int = 4, budget: float = 1.0, hedge_budget: float = 0.0
+) -> Dispatcher:
+    hedge = WasteBoundHedgePolicy({"class-2": hedge_budget})
+    retry = BudgetRetryPolicy({}, budget)
+    chooser = LeastOutstandingChooser()
+    dispatcher = Dispatcher(FairTierQueue(20), chooser, retry=retry, hedge=hedge)
+    for index in range(endpoints):
+        dispatcher.report(make_report(f"e{index}", limit), 0.0)
+    return dispatcher
+
+
+class RequestRecord:
+    """Run events on a dispatcher and check every action against what happened before."""
+
+    def __init__(self) -> None:
+        self.dispatcher = make_dispatcher(endpoints=0, budget=0.3)
+        self.now = 0.0
+        self.running: dict[str, str] = {}
+        self.ran: dict[str, Ran] = {}
+        self.requests: dict[str, QueuedRequest] = {}
+        self.ended: Counter[str] = Counter()
+        self.accepted = self.repeated = 0
+
+    def apply(self, actions: list[Action]) -> None:
+        for action in actions:
+            assert isinstance(action, Dispatch | Refuse)
+            name = action.req.request_id
+            if isinstance(action, Refuse):
+                assert action.ran is self.ran[name]
+                self.ended[name] += 1
+                continue
+            assert self.ran[name] is Ran.NO or self.requests[name].idempotent
+            assert name not in self.running
+            self.running[name] = action.instance
+
+    def step(self, kind: str, number: int) -> None:
+        self.now += 1.0
+        instance = f"e{number % 3}"
+        if kind == "submit":
+            name = f"r{len(self.requests)}"
+            req = make_request(name, number % 2 == 0, number % 5)
+            req = req._replace(arrived_s=self.now, deadline_s=self.now + 5 + number)
+            self.requests[name], self.ran[name] = req, Ran.NO
+            self.apply(self.dispatcher.submit(req, self.now))
+        elif kind == "report":
+            self.apply(self.dispatcher.report(make_report(instance, 2, self.now), self.now))
+        elif kind == "lost":
+            self.apply(self.dispatcher.lost(instance, self.now))
+        elif kind == "removed":
+            for name in [name for name, where in self.running.items() if where == instance]:
+                del self.running[name]
+                self.ran[name] = self.ran[name].combined(Ran.UNKNOWN)
+            self.apply(self.dispatcher.removed(instance, self.now))
+        elif kind == "tick":
+            self.apply(self.dispatcher.tick(self.now))
+        elif self.running:
+            self.finish(sorted(self.running)[number % len(self.running)], kind)
+
+    def finish(self, name: str, kind: str) -> None:
+        del self.running[name]
+        if kind == "cancel":
+            self.ended[name] += 1
+            actions = self.dispatcher.cancelled(name, self.now)
+            assert [type(action) for action in actions] == [Cancel]
+            self.apply(self.dispatcher.finished(name, UNKNOWN, self.now))
+            return
+        outcome = {"done": DONE, "failed": UNKNOWN, "rejected": NOT_RUN}[kind]
+        if outcome.ok:
+            self.ended[name] += 1
+        self.ran[name] = self.ran[name].combined(outcome.ran)
+        self.apply(self.dispatcher.finished(name, outcome, self.now))
+
+
+KINDS = ["submit", "report", "lost", "removed", "tick", "done", "failed", "rejected", "cancel"]
+
+
+class TestEveryRequest:
+    """Guards against lost, doubled and wrongly repeated requests and untruthful refusals."""
+
+    @given(st.lists(st.tuples(st.sampled_from([*KINDS, "submit", "report"]), st.integers(0, 9))))
+    def test_each_request_ends_once_and_no_effect_is_repeated(
+        self, steps: list[tuple[str, int]]
+    ) -> None:
+        record = RequestRecord()
+        for kind, number in steps:
+            record.step(kind, number)
+        for number in range(3):
+            record.step("removed", number)
+        for _ in range(8):
+            record.step("tick", 0)
+        assert record.dispatcher.queued() == record.dispatcher.running() == 0
+        assert record.ended == Counter(record.requests.keys())
+
+    @given(st.integers(1, 60), st.sampled_from([0.0, 0.1, 0.5]))
+    def test_retries_stay_within_the_budget(self, requests: int, budget: float) -> None:
+        dispatcher = make_dispatcher(budget=budget)
+        retries = 0
+        for index in range(requests):
+            name = f"r{index}"
+            dispatcher.submit(make_request(name), index)
+            while dispatcher.running():
+                actions = dispatcher.finished(name, UNKNOWN, index)
+                retries += sum(isinstance(action, Dispatch) for action in actions)
+            assert retries <= budget * (index + 1) + 1e-6
+
+
+class TestRetry:
+    """Guards against retries at the same endpoint and against a lost place."""
+
+    def test_retry_goes_to_another_endpoint(self) -> None:
+        dispatcher = make_dispatcher()
+        (first,) = dispatcher.submit(make_request("r"), 0.0)
+        (second,) = dispatcher.finished("r", NOT_RUN, 1.0)
+        assert isinstance(first, Dispatch)
+        assert isinstance(second, Dispatch)
+        assert (first.instance, second.instance) == ("e0", "e1")
+        assert (second.req.attempt, second.req.arrived_s) == (1, 0.0)
+
+    def test_only_endpoint_is_used_again(self) -> None:
+        dispatcher = make_dispatcher(endpoints=1)
+        dispatcher.submit(make_request("r"), 0.0)
+        (again,) = dispatcher.finished("r", NOT_RUN, 1.0)
+        assert isinstance(again, Dispatch)
+
+    def test_rejected_request_is_served_before_later_ones(self) -> None:
+        dispatcher = make_dispatcher(endpoints=1, limit=1)
+        dispatcher.submit(make_request("first"), 0.0)
+        dispatcher.submit(make_request("second")._replace(arrived_s=1.0), 1.0)
+        (again,) = dispatcher.finished("first", NOT_RUN, 2.0)
+        assert isinstance(again, Dispatch)
+        assert again.req.request_id == "first"
+
+    def test_eviction_after_an_attempt_that_may_have_run_says_so(self) -> None:
+        dispatcher = make_dispatcher(endpoints=1)
+        dispatcher.submit(make_request("r"), 0.0)
+        dispatcher.lost("e0", 0.5)
+        dispatcher.finished("r", UNKNOWN, 1.0)
+        (refusal,) = dispatcher.tick(10.0)
+        assert isinstance(refusal, Refuse)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.UNKNOWN)
+
+
+class TestConnections:
+    """Guards against work sent to lost endpoints and against endless waits without any."""
+
+    def test_lost_endpoint_keeps_its_streams_and_gets_no_new_work(self) -> None:
+        dispatcher = make_dispatcher(endpoints=1)
+        dispatcher.submit(make_request("running"), 0.0)
+        assert dispatcher.lost("e0", 1.0) == []
+        assert dispatcher.submit(make_request("waiting"), 1.0) == []
+        assert (dispatcher.running(), dispatcher.queued()) == (1, 1)
+        (action,) = dispatcher.report(make_report("e0"), 2.0)
+        assert isinstance(action, Dispatch)
+
+    def test_refused_within_a_bounded_time_without_endpoints(self) -> None:
+        dispatcher = make_dispatcher(endpoints=0)
+        dispatcher.submit(make_request("r"), 0.0)
+        assert dispatcher.tick(4.9) == []
+        (refusal,) = dispatcher.tick(5.0)
+        assert isinstance(refusal, Refuse)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.NO)
+
+    def test_predicted_wait_follows_the_queue(self) -> None:
+        dispatcher = make_dispatcher(endpoints=1, limit=1)
+        assert dispatcher.predicted_wait_s(make_request("new")) == 0.0
+        dispatcher.submit(make_request("a"), 0.0)
+        dispatcher.submit(make_request("b")._replace(max_tokens=100), 0.0)
+        dispatcher.finished("a", DONE, 1.0)
+        dispatcher.submit(make_request("c")._replace(max_tokens=100), 1.0)
+        # 10 tokens a second, 100 tokens ahead and 10 until a slot is free.
+        assert dispatcher.predicted_wait_s(make_request("new")) == 11.0
+
+
+class TestHedge:
+    """Guards against copies that are not cancelled and against lost answers of hedged requests."""
+
+    @staticmethod
+    def make_hedged() -> Dispatcher:
+        dispatcher = make_dispatcher(hedge_budget=0.5)
+        for index in range(60):
+            dispatcher.submit(make_request(f"w{index}"), index)
+            dispatcher.progressed("e0", f"w{index}", 10, index + 0.1)
+            dispatcher.finished(f"w{index}", DONE, index + 0.2)
+        dispatcher.submit(make_request("slow"), 100.0)
+        assert dispatcher.tick(100.05) == []
+        (hedge,) = dispatcher.tick(101.0)
+        assert hedge == Hedge(make_request("slow"), "e1")
+        return dispatcher
+
+    def test_first_token_cancels_the_other_copy(self) -> None:
+        dispatcher = self.make_hedged()
+        assert dispatcher.progressed("e1", "slow", 1, 101.1) == [Cancel("slow", "e0")]
+        assert dispatcher.finished("slow", UNKNOWN, 101.2, "e0") == []
+        assert dispatcher.finished("slow", DONE, 102.0, "e1") == []
+        assert dispatcher.running() == 0
+
+    def test_failure_of_one_copy_leaves_the_other(self) -> None:
+        dispatcher = self.make_hedged()
+        assert dispatcher.removed("e0", 101.1) == []
+        assert dispatcher.running() == 1
+        assert dispatcher.finished("slow", DONE, 102.0) == []
+        assert dispatcher.running() == 0
+
+    def test_caller_gone_cancels_all_copies(self) -> None:
+        dispatcher = self.make_hedged()
+        actions = dispatcher.cancelled("slow", 101.1)
+        assert actions == [Cancel("slow", "e0"), Cancel("slow", "e1")]
+        assert dispatcher.running() == 0
--- /dev/null
+++ b/cassiadrum/tests/test_retry_policies.py
@@ -0,0 +1,90 @@
+"""Tests of the policies of retries and hedges."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiadrum.decisions import BudgetRetryPolicy, QueuedRequest, Ran, WasteBoundHedgePolicy
+
+REQ = QueuedRequest("r", "svc", "cls", 2, False, "customer", 0.0, 100.0, idempotent=True)
+
+
+class TestBudgetRetryPolicy:
+    """Guards against retry storms and against repeated effects."""
+
+    @given(
+        st.lists(st.sampled_from(["accept", "no", "yes", "unknown"])), st.sampled_from([0.1, 0.5])
+    )
+    def test_budget_is_never_exceeded(self, events: list[str], budget: float) -> None:
+        policy = BudgetRetryPolicy({"cls": budget})
+        accepted = retried = 0
+        for event in events:
+            if event == "accept":
+                policy.accepted(REQ)
+                accepted += 1
+            elif policy.may_retry(REQ, Ran(event), 1.0) and event != "no":
+                retried += 1
+            assert retried <= budget * accepted + 1e-6
+
+    def test_saved_budget_is_spent_once(self) -> None:
+        policy = BudgetRetryPolicy({"cls": 0.1})
+        for _ in range(10):
+            policy.accepted(REQ)
+        assert policy.may_retry(REQ, Ran.UNKNOWN, 1.0)
+        assert not policy.may_retry(REQ, Ran.UNKNOWN, 1.0)
+
+    def test_rejects_cost_no_budget_but_are_bounded(self) -> None:
+        policy = BudgetRetryPolicy({"cls": 0.0})
+        allowed = [policy.may_retry(REQ._replace(attempt=n), Ran.NO, 1.0) for n in range(10)]
+        assert allowed == [True] * 7 + [False] * 3
+        assert not policy.may_retry(REQ, Ran.NO, 100.0)
+
+    def test_effects_are_not_repeated(self) -> None:
+        policy = BudgetRetryPolicy({"cls": 1.0})
+        policy.accepted(REQ)
+        for req in (REQ._replace(idempotent=False), REQ._replace(once_only=True)):
+            assert not policy.may_retry(req, Ran.UNKNOWN, 1.0)
+            assert not policy.may_retry(req, Ran.YES, 1.0)
+
+
+class TestWasteBoundHedgePolicy:
+    """Guards against copies that waste more than the class allows."""
+
+    @staticmethod
+    def make_policy(budget: float = 0.1) -> WasteBoundHedgePolicy:
+        policy = WasteBoundHedgePolicy({"cls": budget})
+        for _ in range(100):
+            policy.first_token("cls", 0.2)
+        policy.useful(10_000)
+        return policy
+
+    def test_only_after_the_learned_quantile(self) -> None:
+        assert not WasteBoundHedgePolicy({"cls": 1.0}).may_hedge(REQ, 60.0, 1.0)
+        assert not self.make_policy().may_hedge(REQ, 0.15, 1.0)
+        assert self.make_policy().may_hedge(REQ, 0.25, 1.0)
+        assert not self.make_policy(0.0).may_hedge(REQ, 0.25, 1.0)
+
+    def test_effects_are_not_doubled(self) -> None:
+        for req in (REQ._replace(idempotent=False), REQ._replace(once_only=True)):
+            assert not self.make_policy().may_hedge(req, 60.0, 1.0)
+
+    @given(st.lists(st.tuples(st.integers(0, 500), st.integers(0, 2000)), max_size=200))
+    def test_no_copy_while_the_measured_share_is_at_the_budget(
+        self, outcomes: list[tuple[int, int]]
+    ) -> None:
+        policy = self.make_policy()
+        for wasted, useful in outcomes:
+            if policy.may_hedge(REQ, 60.0, 1.0):
+                assert policy.waste_share <= 0.1
+                policy.hedged()
+                policy.wasted(wasted)
+                policy.settled()
+            policy.useful(useful)
+
+    def test_copies_under_way_count(self) -> None:
+        policy = self.make_policy()
+        sent = 0
+        while policy.may_hedge(REQ, 60.0, 1.0):
+            policy.hedged()
+            sent += 1
+        # 11 copies of 100 tokens each are 1,100 of 11,100 tokens, just below a tenth.
+        assert sent == 11
