--- /dev/null
+++ b/cassiadrum/decisions/byte_budgets.py
@@ -0,0 +1,21 @@
+"""A rate limit in bytes."""
+
+__all__ = ["ByteBudget"]
+
+
+class ByteBudget:
+    """Space transfers so that they stay within a mean rate in bytes per second."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        if bytes_per_s <= 0:
+            raise ValueError(f"bytes_per_s is {bytes_per_s}; it must be above 0")
+        self._bytes_per_s = bytes_per_s
+        self._free_s = float("-inf")
+
+    def available(self, now: float) -> bool:
+        """Return whether all earlier transfers have had their time."""
+        return now >= self._free_s
+
+    def spend(self, size: int, now: float) -> None:
+        """Reserve the time that a transfer of `size` bytes takes at the rate."""
+        self._free_s = max(now, self._free_s) + size / self._bytes_per_s
--- /dev/null
+++ b/cassiadrum/decisions/concurrency_limits.py
@@ -0,0 +1,25 @@
+"""Base class of an endpoint's concurrency limit."""
+
+from abc import ABC, abstractmethod
+
+__all__ = ["ConcurrencyLimit"]
+
+
+class ConcurrencyLimit(ABC):
+    """Bound the number of requests that run on one endpoint at a time."""
+
+    @property
+    @abstractmethod
+    def limit(self) -> int:
+        """Return the current limit, at least 1."""
+
+    @abstractmethod
+    def observe(
+        self,
+        first_token_s: float,
+        inter_token_s: float,
+        running: int,
+        now: float,
+        class_name: str = "",
+    ) -> None:
+        """Take the times in seconds that one stream measured while `running` streams ran."""
--- /dev/null
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -0,0 +1,211 @@
+"""Planning of model and adapter loads from demand."""
+
+import math
+from collections.abc import Collection, Mapping
+
+from cassiadrum.decisions.byte_budgets import ByteBudget
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.engine_orders import EngineOrder
+from cassiadrum.decisions.load_demands import LoadDemand
+from cassiadrum.decisions.order_kinds import OrderKind
+from cassiadrum.decisions.order_planners import OrderPlanner
+from cassiadrum.decisions.sent_orders import SentOrder
+
+__all__ = ["DemandOrderPlanner"]
+
+# A copy is added above this use of the present copies and counts as spare only if the others
+# stay below the lower share without it; the distance keeps a load between them from moving.
+ADD_ABOVE_USE = 0.8
+SPARE_BELOW_USE = 0.5
+# A need or a spare copy has to last this long, so that a burst moves no weights.
+HOLD_S = 10.0
+# An engine gets its next order no sooner than this after the last one ended.
+COOLDOWN_S = 60.0
+# An engine that has not answered by then no longer keeps others from loading; it gets no second
+# order itself while it is connected.
+ORDER_TIMEOUT_S = 600.0
+# Engines that load serve less meanwhile, so at most a quarter of them (or one) does so at a time.
+IN_FLIGHT_PART = 4
+
+Name = tuple[str, str]
+
+
+class DemandOrderPlanner(OrderPlanner):
+    """Load what is in demand where there is room, or in place of spare copies.
+
+    `sizes` maps (model, adapter) to bytes in the weight store; what has no size is never loaded.
+    `bytes_per_s` is the weight store's budget. An engine holds `models_per_engine` models and
+    `adapters_per_engine` adapters.
+    """
+
+    def __init__(
+        self,
+        sizes: Mapping[Name, int],
+        bytes_per_s: float,
+        models_per_engine: int = 1,
+        adapters_per_engine: int = 8,
+    ) -> None:
+        self._sizes = dict(sizes)
+        self._budget = ByteBudget(bytes_per_s)
+        self._models_per_engine = models_per_engine
+        self._adapters_per_engine = adapters_per_engine
+        self._in_flight: dict[str, SentOrder] = {}
+        self._ended_s: dict[str, float] = {}
+        self._short_since_s: dict[Name, float] = {}
+        self._spare_since_s: dict[Name, float] = {}
+        self._requests: dict[Name, float] = {}
+        self._holders: dict[Name, list[EndpointReport]] = {}
+
+    def plan(
+        self, demand: Collection[LoadDemand], endpoints: Collection[EndpointReport], now: float
+    ) -> list[EngineOrder]:
+        """Return the orders to send now; the caller sends each one exactly once."""
+        staying = [rep for rep in endpoints if not rep.leaving]
+        self._settle(staying, now)
+        self._count(demand, staying)
+        self._track(now)
+        orders: list[EngineOrder] = []
+        for name in self._needs(now):
+            order = self._order(name, staying, now)
+            if order is not None and self._may_send(staying, now):
+                self._budget.spend(order.load_bytes, now)
+                self._in_flight[order.instance] = SentOrder(order, now)
+                orders.append(order)
+        return orders
+
+    def ordered(self, instance: str, now: float) -> None:
+        """Take the result of the order in flight at the engine."""
+        sent = self._in_flight.get(instance)
+        if sent is not None:
+            self._in_flight[instance] = sent._replace(answered_s=min(now, sent.answered_s))
+
+    def _settle(self, staying: list[EndpointReport], now: float) -> None:
+        """Drop orders whose effect the reports show, and those of engines lost for long."""
+        reported = {rep.instance: rep.reported_s for rep in staying}
+        for instance, sent in list(self._in_flight.items()):
+            if instance in reported:
+                # An older report still lists what the order has unloaded.
+                ended = reported[instance] > sent.answered_s
+            else:
+                ended = _is_overdue(sent, now)
+            if ended:
+                del self._in_flight[instance]
+                self._ended_s[instance] = now
+        self._ended_s = {
+            instance: ended_s
+            for instance, ended_s in self._ended_s.items()
+            if now - ended_s < COOLDOWN_S
+        }
+
+    def _count(self, demand: Collection[LoadDemand], staying: list[EndpointReport]) -> None:
+        self._requests = {}
+        for entry in demand:
+            name = (entry.model, entry.adapter)
+            self._requests[name] = self._requests.get(name, 0.0) + entry.requests
+        self._holders = {name: [] for name in self._requests}
+        for rep in staying:
+            for name in _loaded(rep):
+                self._holders.setdefault(name, []).append(rep)
+
+    def _track(self, now: float) -> None:
+        """Note since when each model or adapter has had too few or too many copies."""
+        short, spare = set(), set()
+        for name, holders in self._holders.items():
+            coming = sum(
+                (sent.order.model, sent.order.adapter) == name and not _is_overdue(sent, now)
+                for sent in self._in_flight.values()
+            )
+            if self._use(name, len(holders) + coming) > ADD_ABOVE_USE:
+                short.add(name)
+            elif self._use(name, len(holders) - 1) < SPARE_BELOW_USE:
+                spare.add(name)
+        _keep_since(self._short_since_s, short, now)
+        _keep_since(self._spare_since_s, spare, now)
+
+    def _use(self, name: Name, copies: int) -> float:
+        """Return the requests per slot if `copies` engines served the model or adapter."""
+        requests = self._requests.get(name, 0.0)
+        if requests <= 0:
+            return 0.0
+        holders = self._holders[name] or [rep for reps in self._holders.values() for rep in reps]
+        mean_limit = sum(rep.limit for rep in holders) / len(holders) if holders else 1.0
+        return requests / (copies * max(1.0, mean_limit)) if copies > 0 else math.inf
+
+    def _needs(self, now: float) -> list[Name]:
+        """Return what lacks copies for long enough, the most overloaded first."""
+        lasting = [name for name, since in self._short_since_s.items() if now - since >= HOLD_S]
+        lasting = [name for name in lasting if name in self._sizes]
+        return sorted(lasting, key=lambda name: (-self._use(name, len(self._holders[name])), name))
+
+    def _may_send(self, staying: list[EndpointReport], now: float) -> bool:
+        bound = max(1, len(staying) // IN_FLIGHT_PART)
+        loading = sum(not _is_overdue(sent, now) for sent in self._in_flight.values())
+        return loading < bound and self._budget.available(now)
+
+    def _order(self, name: Name, staying: list[EndpointReport], now: float) -> EngineOrder | None:
+        """Return the load at the engine that loses least by it, or None when none can."""
+        model, adapter = name
+        options: list[tuple[bool, int, str, str]] = []
+        for rep in staying:
+            busy = rep.instance in self._in_flight or rep.instance in self._ended_s
+            if busy or name in _loaded(rep) or (adapter and model not in rep.models):
+                continue
+            replaces = self._replaced(rep, name, now)
+            if replaces is not None:
+                options.append((bool(replaces), rep.running + rep.queued, rep.instance, replaces))
+        if not options:
+            return None
+        _, _, instance, replaces = min(options)
+        kind = OrderKind.LOAD_ADAPTER if adapter else OrderKind.LOAD_MODEL
+        return EngineOrder(
+            kind, instance, model, adapter, replaces=replaces, load_bytes=self._sizes[name]
+        )
+
+    def _replaced(self, rep: EndpointReport, name: Name, now: float) -> str | None:
+        """Return what the engine unloads for `name`, "" for nothing, None if it has no room."""
+        adapter = name[1]
+        room = self._adapters_per_engine if adapter else self._models_per_engine
+        held = rep.adapters if adapter else rep.models
+        if len(held) < room:
+            return ""
+        for other in held:
+            names = [(model, other) for model in rep.models] if adapter else [(other, "")]
+            if not adapter:
+                # Adapters of a model go with it.
+                names += [(other, loaded) for loaded in rep.adapters]
+            if all(self._is_spare(each, now) for each in names):
+                return other
+        return None
+
+    def _is_spare(self, name: Name, now: float) -> bool:
+        since = self._spare_since_s.get(name)
+        if since is None or now - since < HOLD_S:
+            return False
+        # Orders in flight may already take other copies away.
+        leaving = sum(_takes(sent.order, name) for sent in self._in_flight.values())
+        return self._use(name, len(self._holders[name]) - leaving - 1) < SPARE_BELOW_USE
+
+
+def _loaded(rep: EndpointReport) -> list[Name]:
+    """Return the models of the engine, and its adapters under each of its models."""
+    models = [(model, "") for model in rep.models]
+    return models + [(model, adapter) for model in rep.models for adapter in rep.adapters]
+
+
+def _is_overdue(sent: SentOrder, now: float) -> bool:
+    return now - sent.sent_s >= ORDER_TIMEOUT_S
+
+
+def _takes(order: EngineOrder, name: Name) -> bool:
+    """Return whether the order unloads a copy of the model or adapter."""
+    if not order.replaces:
+        return False
+    return order.replaces == (name[1] if order.kind is OrderKind.LOAD_ADAPTER else name[0])
+
+
+def _keep_since(since_s: dict[Name, float], names: set[Name], now: float) -> None:
+    for name in list(since_s):
+        if name not in names:
+            del since_s[name]
+    for name in names:
+        since_s.setdefault(name, now)
--- a/cassiadrum/decisions/endpoint_schedulers.py
+++ b/cassiadrum/decisions/endpoint_schedulers.py
@@ -1,67 +1,189 @@
 """The decisions of a sidecar about the work on its endpoint."""
 
+from cassiadrum.decisions.concurrency_limits import ConcurrencyLimit
+from cassiadrum.decisions.fixed_limits import FixedLimit
+from cassiadrum.decisions.preemption_policies import PreemptionPolicy
 from cassiadrum.decisions.queued_requests import QueuedRequest
-from cassiadrum.decisions.scheduler_actions import Reject, SchedulerAction, Start
+from cassiadrum.decisions.running_streams import RunningStream
+from cassiadrum.decisions.scheduler_actions import Pause, Reject, Resume, SchedulerAction, Start
+from cassiadrum.defaults import LIMITS
 
 __all__ = ["EndpointScheduler"]
 
 
+def queue_rank(req: QueuedRequest) -> tuple[bool, int, float]:
+    """Return the sort key of the short queue; the smallest is served first."""
+    return (not req.protected, req.tier, req.arrived_s)
+
+
 class EndpointScheduler:
-    """Start requests up to a limit; keep a short queue by tier; reject the rest as not run."""
+    """Start requests up to a limit; keep a short queue; reject the rest as not run.
+
+    `queue_limit` bounds the short queue; None bounds it to SIDECAR_QUEUE_PER_SLOT for each slot.
+    Without `preemption`, for example on an endpoint that cannot pause, a full endpoint makes
+    protected work wait for the next free slot. All times are monotonic seconds.
+    """
 
-    def __init__(self, limit: int, queue_limit: int) -> None:
-        self._limit = limit
+    def __init__(
+        self,
+        limit: ConcurrencyLimit | int,
+        queue_limit: int | None = None,
+        preemption: PreemptionPolicy | None = None,
+    ) -> None:
+        self._limit = FixedLimit(limit) if isinstance(limit, int) else limit
         self._queue_limit = queue_limit
-        self._running: dict[str, QueuedRequest] = {}
-        self._waiting: list[QueuedRequest] = []
+        self._preemption = preemption
+        self._running: dict[str, RunningStream] = {}
+        self._paused: dict[str, RunningStream] = {}
+        # Waiting requests by id, with the time of their arrival at this scheduler.
+        self._waiting: dict[str, tuple[QueuedRequest, float]] = {}
         self._draining = False
 
     @property
     def limit(self) -> int:
         """Return the current concurrency limit."""
-        return self._limit
+        return self._limit.limit
 
     def running(self) -> int:
-        """Return the number of started requests."""
+        """Return the number of streams that run, without the paused ones."""
         return len(self._running)
 
+    def paused(self) -> int:
+        """Return the number of paused streams."""
+        return len(self._paused)
+
     def waiting(self) -> int:
         """Return the number of requests in the short queue."""
         return len(self._waiting)
 
     def arrive(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
-        """Take a request from an entry instance."""
+        """Take a request from an entry instance; one that is already here changes nothing."""
+        if any(req.request_id in held for held in (self._running, self._paused, self._waiting)):
+            return []
         if self._draining:
             return [Reject(req, "draining")]
-        self._waiting.append(req)
-        self._waiting.sort(key=lambda waiting: (waiting.tier, waiting.arrived_s))
-        actions = self._fill()
-        while len(self._waiting) > self._queue_limit:
-            actions.append(Reject(self._waiting.pop(), "overloaded"))
-        return actions
+        self._waiting[req.request_id] = (req, now)
+        return self._settle(now)
+
+    def progressed(self, request_id: str, tokens: int, now: float) -> None:
+        """Count tokens that a running stream has produced since the last call."""
+        stream = self._running.get(request_id)
+        if stream is not None:
+            self._running[request_id] = stream._replace(tokens=stream.tokens + tokens)
+
+    def observed(
+        self, request_id: str, first_token_s: float, inter_token_s: float, now: float
+    ) -> list[SchedulerAction]:
+        """Take the measured times of a running stream, in seconds."""
+        stream = self._running.get(request_id)
+        # A stream that was paused measures the pause and not the endpoint.
+        if stream is None or stream.pauses:
+            return []
+        self._limit.observe(
+            first_token_s, inter_token_s, len(self._running), now, stream.req.class_name
+        )
+        return self._settle(now)
 
     def finished(self, request_id: str, now: float) -> list[SchedulerAction]:
-        """Take the end of a started request."""
+        """Take the end of a started request, whether it ran or was paused."""
         self._running.pop(request_id, None)
-        return self._fill()
+        self._paused.pop(request_id, None)
+        return self._settle(now)
 
     def cancelled(self, request_id: str, now: float) -> bool:
         """Drop a waiting request; return False when it does not wait here."""
-        kept = [req for req in self._waiting if req.request_id != request_id]
-        dropped = len(kept) < len(self._waiting)
-        self._waiting = kept
-        return dropped
+        return self._waiting.pop(request_id, None) is not None
 
     def drain(self, now: float) -> list[SchedulerAction]:
-        """Give all waiting work back as not run and take no more."""
+        """Give all waiting work back as not run and take no more; paused streams still resume."""
         self._draining = True
-        given_back, self._waiting = self._waiting, []
+        given_back = sorted((req for req, _ in self._waiting.values()), key=queue_rank)
+        self._waiting.clear()
         return [Reject(req, "draining") for req in given_back]
 
-    def _fill(self) -> list[SchedulerAction]:
+    def _settle(self, now: float) -> list[SchedulerAction]:
+        actions = self._fill(now)
+        actions += self._preempt(now)
+        return actions + self._trim()
+
+    def _fill(self, now: float) -> list[SchedulerAction]:
+        actions: list[SchedulerAction] = []
+        while len(self._running) < self.limit:
+            candidate = self._next(now)
+            if candidate is None:
+                break
+            actions.append(self._run(candidate, now))
+        return actions
+
+    def _next(self, now: float) -> str | None:
+        """Return the id of the waiting or paused request that gets the next free slot."""
+        ranked = [
+            (stream.req.tier, 0, stream.req.arrived_s, stream.changed_s, stream.req)
+            for stream in self._paused.values()
+        ]
+        # Paused streams hold KV cache, so while there are as many as slots only protected work
+        # starts anew.
+        only_protected = len(self._paused) >= self.limit
+        ranked += [
+            (req.tier, 1, req.arrived_s, since, req)
+            for req, since in self._waiting.values()
+            if req.protected or not only_protected
+        ]
+        best = min(
+            ranked,
+            # Unprotected work past its longest wait goes first among unprotected work, so that a
+            # constant flow of higher tiers cannot hold it back for ever.
+            key=lambda item: (
+                not item[4].protected,
+                now - item[3] < item[4].max_wait_s,
+                item[:3],
+            ),
+            default=None,
+        )
+        return best[4].request_id if best else None
+
+    def _run(self, request_id: str, now: float) -> SchedulerAction:
+        stream = self._paused.pop(request_id, None)
+        if stream is not None:
+            self._running[request_id] = stream._replace(changed_s=now)
+            return Resume(request_id)
+        req, _ = self._waiting.pop(request_id)
+        self._running[request_id] = RunningStream(req, now)
+        return Start(req)
+
+    def _preempt(self, now: float) -> list[SchedulerAction]:
+        """Pause streams for protected requests that found no free slot."""
+        actions: list[SchedulerAction] = []
+        protected = sorted(
+            (req for req, _ in self._waiting.values() if req.protected), key=queue_rank
+        )
+        for req in protected:
+            pauses = self._make_room(req, now)
+            if not pauses:
+                break
+            actions += [*pauses, self._run(req.request_id, now)]
+        return actions
+
+    def _make_room(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
+        """Pause streams until one more fits; more than one only after the limit went down."""
+        pauses: list[SchedulerAction] = []
+        while self._preemption is not None and len(self._running) >= self.limit:
+            victim = self._preemption.victim(req, self._running.values(), now)
+            if victim is None:
+                break
+            stream = self._running.pop(victim)
+            self._paused[victim] = stream._replace(changed_s=now, pauses=stream.pauses + 1)
+            pauses.append(Pause(victim))
+        return pauses
+
+    def _trim(self) -> list[SchedulerAction]:
+        """Reject the lowest-ranked requests above the bound of the short queue."""
+        bound = self._queue_limit
+        if bound is None:
+            bound = LIMITS.SIDECAR_QUEUE_PER_SLOT * self.limit
         actions: list[SchedulerAction] = []
-        while self._waiting and len(self._running) < self._limit:
-            req = self._waiting.pop(0)
-            self._running[req.request_id] = req
-            actions.append(Start(req))
+        while len(self._waiting) > bound:
+            req = max((req for req, _ in self._waiting.values()), key=queue_rank)
+            del self._waiting[req.request_id]
+            actions.append(Reject(req, "overloaded"))
         return actions
--- /dev/null
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -0,0 +1,119 @@
+"""What an entry instance knows of one connected endpoint."""
+
+from collections import deque
+
+from cassiadrum.decisions.capability_indexes import capabilities_of
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.health_states import HealthState
+from cassiadrum.decisions.own_streams import OwnStream
+
+__all__ = ["EndpointState"]
+
+# The median of this many gaps ignores a single long one, such as that of a resumed stream.
+GAP_SAMPLES = 15
+MIN_GAP_SAMPLES = 5
+# A new endpoint's caches are cold; its limit rises linearly over this time.
+SLOW_START_S = 10.0
+
+
+class EndpointState:
+    """Estimate outstanding work from the last report and own events, and keep progress figures.
+
+    All times are monotonic seconds of this process.
+    """
+
+    def __init__(self, rep: EndpointReport, now: float, warm: bool) -> None:
+        self.report = rep
+        self.capabilities = capabilities_of(rep)
+        self.streams: dict[str, OwnStream] = {}
+        self.health = HealthState.HEALTHY
+        self.changed_s = now
+        self.ejections = 0
+        self.strikes = 0
+        self.failures = 0
+        self.successes = 0
+        # Own inter-token time relative to the median at similar batch size; at least 1.
+        self.slowdown = 1.0
+        self.last_progress_s = now
+        self._ramp_from_s = now - SLOW_START_S if warm else now
+        self._gaps: deque[float] = deque(maxlen=GAP_SAMPLES)
+        # Times of own dispatches and completions that the last report cannot show.
+        self._dispatches: deque[float] = deque()
+        self._completions: deque[float] = deque()
+
+    def take_report(self, rep: EndpointReport) -> bool:
+        """Replace the report if `rep` is newer; return False for an old or duplicate one."""
+        if rep.reported_s <= self.report.reported_s:
+            return False
+        loaded = (self.report.models, self.report.adapters)
+        if loaded != (rep.models, rep.adapters):
+            self.capabilities = capabilities_of(rep)
+        self.report = rep
+        for times in (self._dispatches, self._completions):
+            while times and times[0] <= rep.reported_s:
+                times.popleft()
+        return True
+
+    def start(self, request_id: str, uncached_tokens: float, now: float) -> None:
+        """Count an own dispatch."""
+        if not self.streams:
+            self.last_progress_s = now
+        self.streams[request_id] = OwnStream(now, now, uncached_tokens)
+        self._dispatches.append(now)
+
+    def progress(self, stream: OwnStream, tokens: int, now: float) -> None:
+        """Count tokens of an own stream and take a sample of its inter-token time."""
+        if stream.tokens:
+            self._gaps.append((now - stream.last_s) / tokens)
+        stream.tokens += tokens
+        stream.last_s = now
+        self.last_progress_s = now
+
+    def end(self, request_id: str, ok: bool, now: float) -> OwnStream | None:
+        """Count the end of an own dispatch; return None when it is not known."""
+        stream = self.streams.pop(request_id, None)
+        if stream is None:
+            return None
+        self._completions.append(now)
+        self.failures = 0 if ok else self.failures + 1
+        if ok:
+            self.last_progress_s = now
+            self.successes += 1
+        return stream
+
+    def outstanding(self) -> int:
+        """Return the estimated number of requests at the endpoint from all entry instances."""
+        reported = self.report.running + self.report.queued
+        estimate = reported + len(self._dispatches) - len(self._completions)
+        return max(estimate, len(self.streams))
+
+    def slots(self, now: float) -> int:
+        """Return the limit on outstanding requests that this entry instance respects now."""
+        limit = self.report.limit
+        ramp = (now - self._ramp_from_s) / SLOW_START_S
+        return limit if ramp >= 1.0 else min(limit, max(1, int(limit * ramp)))
+
+    def inter_token_s(self) -> float | None:
+        """Return the median inter-token time of own streams, or None without enough samples."""
+        if len(self._gaps) < MIN_GAP_SAMPLES:
+            return None
+        return sorted(self._gaps)[len(self._gaps) // 2]
+
+    def silent_s(self, now: float) -> float:
+        """Return how long no own stream has made progress while there was one."""
+        return now - self.last_progress_s if self.streams else 0.0
+
+    def has_tokens(self) -> bool:
+        """Return whether a running own stream has produced a token."""
+        return any(stream.tokens for stream in self.streams.values())
+
+    def enter(self, health: HealthState, now: float) -> None:
+        """Change the health and judge the endpoint by new samples only."""
+        if health is HealthState.HEALTHY and self.health is HealthState.PROBATION:
+            self._ramp_from_s = now
+        self.health = health
+        self.changed_s = now
+        self.strikes = self.failures = self.successes = 0
+        self.slowdown = 1.0
+        self.last_progress_s = now
+        self._gaps.clear()
--- /dev/null
+++ b/cassiadrum/decisions/latency_tracking_limits.py
@@ -0,0 +1,79 @@
+"""A concurrency limit that follows measured latency."""
+
+import math
+from collections.abc import Mapping
+
+from cassiadrum.decisions.concurrency_limits import ConcurrencyLimit
+from cassiadrum.decisions.latency_targets import LatencyTargets
+
+__all__ = ["LatencyTrackingLimit"]
+
+# Targets are stated for 95 in 100 requests.
+TARGET_QUANTILE = 0.95
+# At least 20 samples are needed for one of them to lie above the 95th percentile.
+WINDOW_SAMPLES = 20
+# Between this share of the target and the target itself the limit rests, so that it does not
+# alternate between one step up and one step down.
+RAISE_BELOW = 0.9
+# One window may at most halve the limit; a smaller overshoot still takes a tenth.
+MIN_DECREASE = 0.5
+MAX_DECREASE = 0.9
+
+
+class LatencyTrackingLimit(ConcurrencyLimit):
+    """Raise the limit by one per window in target, cut it by the overshoot otherwise.
+
+    Each sample is divided by its own class's target, so classes with different targets share one
+    limit. `targets` maps class names; other classes use `default`.
+    """
+
+    def __init__(
+        self,
+        default: LatencyTargets,
+        maximum: int,
+        initial: int = 1,
+        targets: Mapping[str, LatencyTargets] | None = None,
+    ) -> None:
+        self._default = default
+        self._targets = dict(targets or {})
+        self._maximum = max(1, maximum)
+        self._limit = min(max(1, initial), self._maximum)
+        self._ratios: list[float] = []
+        self._was_full = False
+
+    @property
+    def limit(self) -> int:
+        """Return the current limit."""
+        return self._limit
+
+    def observe(
+        self,
+        first_token_s: float,
+        inter_token_s: float,
+        running: int,
+        now: float,
+        class_name: str = "",
+    ) -> None:
+        """Take one sample and adjust the limit at the end of each window."""
+        targets = self._targets.get(class_name, self._default)
+        first = first_token_s / targets.first_token_s if targets.first_token_s > 0 else 0.0
+        inter = inter_token_s / targets.inter_token_s if targets.inter_token_s > 0 else 0.0
+        ratio = max(first, inter)
+        if not math.isfinite(ratio):
+            return
+        self._ratios.append(ratio)
+        # Without full use, a good latency says nothing about a higher limit.
+        self._was_full = self._was_full or running >= self._limit
+        if len(self._ratios) >= WINDOW_SAMPLES:
+            self._adjust()
+
+    def _adjust(self) -> None:
+        ranked = sorted(self._ratios)
+        ratio = ranked[math.ceil(TARGET_QUANTILE * len(ranked)) - 1]
+        if ratio > 1.0:
+            factor = min(MAX_DECREASE, max(MIN_DECREASE, 1.0 / ratio))
+            self._limit = max(1, math.floor(self._limit * factor))
+        elif ratio < RAISE_BELOW and self._was_full:
+            self._limit = min(self._maximum, self._limit + 1)
+        self._ratios.clear()
+        self._was_full = False
--- /dev/null
+++ b/cassiadrum/decisions/order_planners.py
@@ -0,0 +1,24 @@
+"""Base class of the planning of orders to engines."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection
+
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.engine_orders import EngineOrder
+from cassiadrum.decisions.load_demands import LoadDemand
+
+__all__ = ["OrderPlanner"]
+
+
+class OrderPlanner(ABC):
+    """Decide which engines load what; only the holder of the service's lease plans."""
+
+    @abstractmethod
+    def plan(
+        self, demand: Collection[LoadDemand], endpoints: Collection[EndpointReport], now: float
+    ) -> list[EngineOrder]:
+        """Return the orders to send now, given all demand and the latest reports."""
+
+    @abstractmethod
+    def ordered(self, instance: str, now: float) -> None:
+        """Take the result of the order in flight at the engine, whether it was done or not."""
--- /dev/null
+++ b/cassiadrum/decisions/outlier_detectors.py
@@ -0,0 +1,138 @@
+"""Detection of stragglers and of endpoints that make no progress."""
+
+import statistics
+from collections.abc import Mapping
+
+from cassiadrum.decisions.capability_indexes import Capability
+from cassiadrum.decisions.endpoint_states import EndpointState
+from cassiadrum.decisions.health_states import HealthState
+
+__all__ = ["OutlierDetector"]
+
+CHECK_INTERVAL_S = 0.5
+# Twice the median at similar batch size is beyond what load within a factor of two explains.
+STRAGGLER_RATIO = 2.0
+# Two checks in a row, so that one pause of a process does not eject an endpoint.
+STRIKES_TO_EJECT = 2
+FAILURES_TO_EJECT = 3
+# Same as the silence limit of the connections: a stream at 40 ms a token is silent far less.
+STALL_S = 3.0
+# Before the first token a stream may wait in the endpoint's queue; a report that states output
+# means that other streams run while ours may be paused.
+BUSY_STALL_S = 15.0
+EJECT_S = 5.0
+MAX_EJECT_S = 60.0
+SUCCESSES_TO_RETURN = 3
+MAX_EJECTED_PART = 3
+
+
+class OutlierDetector:
+    """Eject slow, stalled and failing endpoints, at most a third of the subset.
+
+    An ejected endpoint returns over a probation with one request at a time. `streams_tokens` is
+    False for plain services, whose calls show no progress before they end.
+    """
+
+    def __init__(self, streams_tokens: bool = True) -> None:
+        self._streams_tokens = streams_tokens
+        self._next_check_s = float("-inf")
+
+    def check(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
+        """Judge every endpoint at most twice a second; return those whose health changed."""
+        if now < self._next_check_s:
+            return []
+        self._next_check_s = now + CHECK_INTERVAL_S
+        before = {instance: state.health for instance, state in states.items()}
+        self._measure(states)
+        for state in states.values():
+            self._judge(state, now)
+        self._eject_worst(states, now)
+        return [name for name, state in states.items() if state.health is not before[name]]
+
+    def restore_bound(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
+        """Put endpoints on probation after the subset shrank; return those changed."""
+        ejected = [name for name in states if states[name].health is HealthState.EJECTED]
+        staying = [name for name in ejected if not states[name].report.leaving]
+        excess = max(0, len(staying) - _ejection_bound(states))
+        staying.sort(key=lambda name: states[name].changed_s)
+        changed = staying[:excess]
+        served = _served(states)
+        changed += [
+            name for name in staying[excess:] if not states[name].capabilities <= served.keys()
+        ]
+        for name in changed:
+            states[name].enter(HealthState.PROBATION, now)
+        return changed
+
+    def _measure(self, states: Mapping[str, EndpointState]) -> None:
+        """Compare inter-token times with the median at a batch size within a factor of two."""
+        groups: dict[int, list[float]] = {}
+        measured: list[tuple[EndpointState, int, float]] = []
+        for state in states.values():
+            gap = state.inter_token_s()
+            if gap is not None:
+                group = (state.outstanding() + 1).bit_length()
+                measured.append((state, group, gap))
+                groups.setdefault(group, []).append(gap)
+        medians: dict[int, float] = {}
+        for group in groups:
+            # Where too few are alike, larger batches join: they are slower, which errs towards
+            # keeping an endpoint.
+            near = [gap for g, gaps in groups.items() if abs(g - group) <= 1 for gap in gaps]
+            above = [gap for g, gaps in groups.items() if g >= group - 1 for gap in gaps]
+            medians[group] = statistics.median_low(near if len(near) >= 3 else above)
+        for state, group, gap in measured:
+            state.slowdown = max(1.0, gap / medians[group]) if medians[group] > 0 else 1.0
+
+    def _judge(self, state: EndpointState, now: float) -> None:
+        if state.health is HealthState.EJECTED:
+            pause_s = min(MAX_EJECT_S, EJECT_S * 2.0 ** min(10, state.ejections - 1))
+            if now - state.changed_s >= pause_s:
+                state.enter(HealthState.PROBATION, now)
+            return
+        bad = self._is_bad(state, now)
+        state.strikes = state.strikes + 1 if bad else 0
+        if state.health is HealthState.PROBATION and not bad:
+            recovered = state.successes >= SUCCESSES_TO_RETURN
+            if recovered or state.inter_token_s() is not None:
+                state.enter(HealthState.HEALTHY, now)
+
+    def _is_bad(self, state: EndpointState, now: float) -> bool:
+        if state.failures >= FAILURES_TO_EJECT or state.slowdown >= STRAGGLER_RATIO:
+            return True
+        if not self._streams_tokens:
+            return False
+        idle_report = state.report.tokens_per_s <= 0 and state.has_tokens()
+        return state.silent_s(now) >= (STALL_S if idle_report else BUSY_STALL_S)
+
+    def _eject_worst(self, states: Mapping[str, EndpointState], now: float) -> None:
+        staying = [state for state in states.values() if not state.report.leaving]
+        ejected = sum(state.health is HealthState.EJECTED for state in staying)
+        served = _served(states)
+        bad = [state for state in staying if state.strikes >= STRIKES_TO_EJECT]
+        bad.sort(key=lambda state: (state.silent_s(now), state.slowdown), reverse=True)
+        for state in bad:
+            if ejected >= _ejection_bound(states):
+                break
+            # The only endpoint with a model stays: a slow answer is better than none.
+            if any(served[capability] < 2 for capability in state.capabilities):
+                continue
+            ejected += 1
+            for capability in state.capabilities:
+                served[capability] -= 1
+            state.ejections += 1
+            state.enter(HealthState.EJECTED, now)
+
+
+def _ejection_bound(states: Mapping[str, EndpointState]) -> int:
+    return sum(not state.report.leaving for state in states.values()) // MAX_EJECTED_PART
+
+
+def _served(states: Mapping[str, EndpointState]) -> dict[Capability, int]:
+    """Count the endpoints that take new work, by capability."""
+    counts: dict[Capability, int] = {}
+    for state in states.values():
+        if state.health is not HealthState.EJECTED and not state.report.leaving:
+            for capability in state.capabilities:
+                counts[capability] = counts.get(capability, 0) + 1
+    return counts
--- /dev/null
+++ b/cassiadrum/decisions/preemption_policies.py
@@ -0,0 +1,19 @@
+"""Base class of the choice of a stream to pause."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+from cassiadrum.decisions.queued_requests import QueuedRequest
+from cassiadrum.decisions.running_streams import RunningStream
+
+__all__ = ["PreemptionPolicy"]
+
+
+class PreemptionPolicy(ABC):
+    """Decide which running stream makes room for a waiting request."""
+
+    @abstractmethod
+    def victim(
+        self, req: QueuedRequest, running: Iterable[RunningStream], now: float
+    ) -> str | None:
+        """Return the request id of the stream to pause for `req`, or None."""
--- /dev/null
+++ b/cassiadrum/decisions/prefix_indexes.py
@@ -0,0 +1,59 @@
+"""What the endpoints' prefix caches are believed to hold."""
+
+from collections.abc import Collection
+from itertools import islice
+
+__all__ = ["PrefixIndex"]
+
+
+class PrefixIndex:
+    """Keep the most recently used prefix keys of each endpoint, at most `capacity` each.
+
+    Cache events are late and have gaps, so the index is an estimate: own dispatches count as
+    cached, and the least recently used keys are forgotten as an engine with limited memory does.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        # The order of both inner dictionaries is the order of last use.
+        self._keys: dict[str, dict[int, None]] = {}
+        self._holders: dict[int, dict[str, None]] = {}
+
+    def add(self, instance: str, keys: Collection[int]) -> None:
+        """Mark the keys as the endpoint's most recently used."""
+        held = self._keys.setdefault(instance, {})
+        for key in keys:
+            held.pop(key, None)
+            held[key] = None
+            holders = self._holders.setdefault(key, {})
+            holders.pop(instance, None)
+            holders[instance] = None
+        while len(held) > self._capacity:
+            oldest = next(iter(held))
+            del held[oldest]
+            self._release(oldest, instance)
+
+    def remove(self, instance: str) -> None:
+        """Forget an endpoint."""
+        for key in self._keys.pop(instance, {}):
+            self._release(key, instance)
+
+    def holders(self, key: int, size: int) -> list[str]:
+        """Return up to `size` endpoints that hold the key, the most recent first."""
+        return list(islice(reversed(self._holders.get(key, {})), size))
+
+    def matched(self, instance: str, keys: tuple[int, ...]) -> int:
+        """Return the length, in keys, of the longest prefix that the endpoint holds."""
+        held = self._keys.get(instance)
+        if not held:
+            return 0
+        return next((size for size in range(len(keys), 0, -1) if keys[size - 1] in held), 0)
+
+    def __len__(self) -> int:
+        return sum(len(held) for held in self._keys.values())
+
+    def _release(self, key: int, instance: str) -> None:
+        holders = self._holders[key]
+        del holders[instance]
+        if not holders:
+            del self._holders[key]
--- /dev/null
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -0,0 +1,229 @@
+"""Choice of an endpoint by estimated time."""
+
+from collections.abc import Collection, Mapping
+from random import Random
+
+from cassiadrum.decisions.capability_indexes import CapabilityIndex
+from cassiadrum.decisions.cost_estimators import CostEstimator
+from cassiadrum.decisions.endpoint_choosers import EndpointChooser
+from cassiadrum.decisions.endpoint_reports import EndpointReport
+from cassiadrum.decisions.endpoint_states import SLOW_START_S, EndpointState
+from cassiadrum.decisions.health_states import HealthState
+from cassiadrum.decisions.outlier_detectors import OutlierDetector
+from cassiadrum.decisions.prefix_indexes import PrefixIndex
+from cassiadrum.decisions.queued_requests import QueuedRequest
+from cassiadrum.defaults import LIMITS
+
+__all__ = ["WeightedChooser"]
+
+# Candidates per choice: this many plus the binary logarithm of the endpoints, so that a subset
+# of today's size is compared almost whole and the cost stays logarithmic.
+BASE_CANDIDATES = 4
+AFFINITY_CANDIDATES = 4
+# At 64 endpoints this bounds the prefix index to 32,768 entries of a few hundred bytes.
+PREFIX_KEYS_PER_ENDPOINT = 512
+REMEMBERED_REMOVALS = 256
+
+
+class WeightedChooser(EndpointChooser):
+    """Choose the endpoint with the lowest estimated time among a few candidates.
+
+    Candidates are random endpoints with a free slot and endpoints believed to hold the longest
+    part of the prompt. The estimate, in seconds, adds queueing, uncached prefill, slowdown,
+    silence and zone distance. `zone_distances` maps zones to the seconds of a round trip.
+    `operations` counts the steps of all choices. A protected request may also go to a full
+    endpoint's short queue, where the sidecar preempts for it.
+    """
+
+    def __init__(
+        self,
+        rng: Random,
+        zone: str = "",
+        zone_distances: Mapping[str, float] | None = None,
+        streams_tokens: bool = True,
+        prefix_keys: int = PREFIX_KEYS_PER_ENDPOINT,
+    ) -> None:
+        self.operations = 0
+        self._rng = rng
+        self._costs = CostEstimator(zone, zone_distances or {}, streams_tokens)
+        self._detector = OutlierDetector(streams_tokens)
+        self._prefixes = PrefixIndex(prefix_keys)
+        self._states: dict[str, EndpointState] = {}
+        self._open = CapabilityIndex()  # with a free slot
+        self._queueable = CapabilityIndex()  # with room in the short queue for protected work
+        self._free: dict[str, int] = {}
+        self._free_total = 0
+        self._first_report_s: float | None = None
+        self._removed: dict[str, float] = {}
+        self._seen_s = float("-inf")
+
+    def report(self, rep: EndpointReport, now: float) -> None:
+        """Take a load report; one older than the last, or a duplicate, changes nothing."""
+        self._seen_s = max(self._seen_s, now)
+        state = self._states.get(rep.instance)
+        if state is None:
+            if not self._add(rep, now):
+                return
+        elif not state.take_report(rep):
+            return
+        if rep.leaving:
+            self._restore_bound(now)
+        self._refresh(rep.instance, now)
+        self._check(now)
+
+    def remove(self, instance: str) -> None:
+        """Forget an endpoint; its older reports that are still on the way stay without effect."""
+        state = self._states.pop(instance, None)
+        if state is None:
+            return
+        self._removed[instance] = state.report.reported_s
+        if len(self._removed) > REMEMBERED_REMOVALS:
+            del self._removed[next(iter(self._removed))]
+        self._prefixes.remove(instance)
+        self._withdraw(instance)
+        self._restore_bound(self._seen_s)
+
+    def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
+        """Count a dispatch; the endpoint will have the prompt's prefixes in its cache."""
+        state = self._states.get(instance)
+        if state is None:
+            return
+        state.start(req.request_id, self._uncached_tokens(instance, req), now)
+        self._prefixes.add(instance, req.prefix_keys)
+        self._refresh(instance, now)
+
+    def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
+        """Take the number of tokens that arrived for a stream since the last call."""
+        state = self._states.get(instance)
+        stream = state.streams.get(request_id) if state else None
+        if state is None or stream is None or tokens <= 0:
+            return
+        if not stream.tokens:
+            self._costs.observe_first_token(stream, now)
+        state.progress(stream, tokens, now)
+        self._check(now)
+
+    def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
+        """Count the end of an attempt; `ok` is False when the endpoint failed it."""
+        state = self._states.get(instance)
+        stream = state.end(request_id, ok, now) if state else None
+        if stream is None:
+            return
+        if ok:
+            self._costs.observe_end(stream, now)
+        self._refresh(instance, now)
+        self._check(now)
+
+    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+        """Take prefix keys that the endpoint says it holds in its cache."""
+        if instance in self._states:
+            self._prefixes.add(instance, keys)
+
+    def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
+        """Return the instance to send the request to, or None when none has room."""
+        chosen = self._best(self._open, req, now, exclude)
+        if chosen is None and req.protected:
+            chosen = self._best(self._queueable, req, now, exclude)
+        return chosen
+
+    def free_slots(self) -> int:
+        """Return the number of free slots of all endpoints that may take new work."""
+        return self._free_total
+
+    def instances(self) -> Collection[str]:
+        """Return the endpoints that may take new work."""
+        return [
+            name
+            for name, state in self._states.items()
+            if not state.report.leaving and state.health is not HealthState.EJECTED
+        ]
+
+    def health(self) -> dict[str, HealthState]:
+        """Return the health of every connected endpoint."""
+        return {name: state.health for name, state in self._states.items()}
+
+    def outstanding(self, instance: str) -> int:
+        """Return the estimated number of requests at the endpoint."""
+        return self._states[instance].outstanding()
+
+    def _add(self, rep: EndpointReport, now: float) -> bool:
+        if rep.reported_s <= self._removed.get(rep.instance, float("-inf")):
+            return False
+        self._removed.pop(rep.instance, None)
+        if self._first_report_s is None:
+            self._first_report_s = now
+        # Endpoints that a new entry instance finds at its own start are not new themselves.
+        warm = now - self._first_report_s < SLOW_START_S
+        self._states[rep.instance] = EndpointState(rep, now, warm)
+        return True
+
+    def _best(
+        self, index: CapabilityIndex, req: QueuedRequest, now: float, exclude: Collection[str]
+    ) -> str | None:
+        capability = (req.model, req.adapter)
+        size = BASE_CANDIDATES + index.count(capability).bit_length() + len(exclude)
+        candidates = index.sample(capability, size, self._rng)
+        candidates += self._affinity_candidates(index, req)
+        self.operations += len(candidates) + 1
+        allowed = [name for name in dict.fromkeys(candidates) if name not in exclude]
+        return min(allowed, key=lambda name: (self._estimate(name, req, now), name), default=None)
+
+    def _affinity_candidates(self, index: CapabilityIndex, req: QueuedRequest) -> list[str]:
+        capability = (req.model, req.adapter)
+        found: dict[str, None] = {}
+        for key in reversed(req.prefix_keys):
+            holders = self._prefixes.holders(key, AFFINITY_CANDIDATES)
+            self.operations += 1 + len(holders)
+            offers = [name for name in holders if index.offers(name, capability)]
+            found.update(dict.fromkeys(offers))
+            if len(found) >= AFFINITY_CANDIDATES:
+                break
+        return list(found)
+
+    def _estimate(self, instance: str, req: QueuedRequest, now: float) -> float:
+        self.operations += 1
+        uncached = self._uncached_tokens(instance, req)
+        return self._costs.estimate(self._states[instance], uncached, now)
+
+    def _uncached_tokens(self, instance: str, req: QueuedRequest) -> float:
+        if not req.prefix_keys:
+            return float(req.prompt_tokens)
+        matched = self._prefixes.matched(instance, req.prefix_keys)
+        return req.prompt_tokens * (1.0 - matched / len(req.prefix_keys))
+
+    def _check(self, now: float) -> None:
+        for instance in self._detector.check(self._states, now):
+            self._refresh(instance, now)
+
+    def _restore_bound(self, now: float) -> None:
+        for instance in self._detector.restore_bound(self._states, now):
+            self._refresh(instance, now)
+
+    def _refresh(self, instance: str, now: float) -> None:
+        """Bring the indexes and the count of free slots up to date with the endpoint's state."""
+        state = self._states[instance]
+        if state.report.leaving or state.health is HealthState.EJECTED:
+            self._withdraw(instance)
+            return
+        slots, outstanding = state.slots(now), state.outstanding()
+        queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
+        free = max(0, slots - outstanding)
+        if state.health is HealthState.PROBATION:
+            free = min(free, max(0, 1 - len(state.streams)))
+        self._set_free(instance, free)
+        queueable = state.health is HealthState.HEALTHY and slots + queue > outstanding
+        for index, room in ((self._open, free > 0), (self._queueable, queueable)):
+            if room:
+                index.put(instance, state.capabilities)
+            else:
+                index.discard(instance)
+
+    def _withdraw(self, instance: str) -> None:
+        self._open.discard(instance)
+        self._queueable.discard(instance)
+        self._set_free(instance, 0)
+
+    def _set_free(self, instance: str, free: int) -> None:
+        self._free_total += free - self._free.pop(instance, 0)
+        if free:
+            self._free[instance] = free
--- /dev/null
+++ b/cassiadrum/tests/test_endpoint_schedulers.py
@@ -0,0 +1,273 @@
+"""Tests of the sidecar's decisions."""
+
+from collections.abc import Sequence
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiadrum.decisions import (
+    EndpointScheduler,
+    FixedLimit,
+    LatencyTargets,
+    LatencyTrackingLimit,
+    Pause,
+    PausePreemption,
+    QueuedRequest,
+    Reject,
+    Resume,
+    RunningStream,
+    SchedulerAction,
+    Start,
+)
+
+PAUSABLE = "draft"
+TARGETS = LatencyTargets(1.0, 0.04)
+
+
+def make_request(request_id: str, tier: int = 3, arrived_s: float = 0.0) -> QueuedRequest:
+    """Return a protected request in tier 0 and one that may be paused in the others."""
+    name = "status" if tier == 0 else PAUSABLE
+    return QueuedRequest(request_id, "svc", name, tier, tier == 0, "customer", arrived_s)
+
+
+def make_scheduler(limit: int = 2, queue_limit: int | None = None) -> EndpointScheduler:
+    return EndpointScheduler(limit, queue_limit, PausePreemption([PAUSABLE]))
+
+
+def names(actions: Sequence[SchedulerAction]) -> list[tuple[str, str]]:
+    return [
+        (
+            type(action).__name__,
+            action.req.request_id if isinstance(action, Start | Reject) else action.request_id,
+        )
+        for action in actions
+    ]
+
+
+class TestLatencyTrackingLimit:
+    """Guards against a limit that ignores latency, leaves its bounds or grows unused."""
+
+    def feed(self, limit: LatencyTrackingLimit, inter_token_s: float, running: int) -> None:
+        for _ in range(20):
+            limit.observe(0.1, inter_token_s, running, 0.0)
+
+    def test_grows_in_target_only_while_full(self) -> None:
+        limit = LatencyTrackingLimit(TARGETS, maximum=8, initial=4)
+        self.feed(limit, 0.01, running=3)
+        assert limit.limit == 4
+        self.feed(limit, 0.01, running=4)
+        assert limit.limit == 5
+
+    def test_one_slow_sample_in_twenty_is_within_the_target(self) -> None:
+        limit = LatencyTrackingLimit(TARGETS, maximum=8, initial=4)
+        limit.observe(9.0, 1.0, 4, 0.0)
+        for _ in range(19):
+            limit.observe(0.1, 0.01, 4, 0.0)
+        assert limit.limit == 5
+
+    def test_each_class_is_judged_by_its_own_target(self) -> None:
+        slow = {"slow": LatencyTargets(60.0, 1.0)}
+        limit = LatencyTrackingLimit(TARGETS, maximum=8, initial=4, targets=slow)
+        for _ in range(20):
+            limit.observe(20.0, 0.5, 4, 0.0, "slow")
+        assert limit.limit == 5
+
+    def test_settles_where_an_engine_meets_the_target(self) -> None:
+        # The engine's inter-token time grows with its batch; 10 streams meet 40 ms exactly.
+        limit = LatencyTrackingLimit(TARGETS, maximum=64)
+        reached = []
+        for _ in range(200):
+            self.feed(limit, 0.004 * limit.limit, running=limit.limit)
+            reached.append(limit.limit)
+        assert 8 <= min(reached[100:]) <= max(reached[100:]) <= 10
+
+    @given(st.lists(st.floats(0.0, 100.0), max_size=200), st.integers(1, 16))
+    def test_stays_within_its_bounds(self, times: list[float], maximum: int) -> None:
+        limit = LatencyTrackingLimit(TARGETS, maximum)
+        for time_s in times:
+            limit.observe(time_s, time_s / 10, limit.limit, 0.0)
+            assert 1 <= limit.limit <= maximum
+
+
+class TestPausePreemption:
+    """Guards against a victim that may not be paused or costs more than another."""
+
+    def stream(self, request_id: str, tier: int, tokens: int, pauses: int = 0) -> RunningStream:
+        return RunningStream(make_request(request_id, tier), 0.0, tokens, pauses)
+
+    def test_lowest_tier_then_least_progress(self) -> None:
+        running = [self.stream("a", 2, 1), self.stream("b", 4, 9), self.stream("c", 4, 5)]
+        assert PausePreemption([PAUSABLE]).victim(make_request("p", 0), running, 0.0) == "c"
+
+    def test_none_for_unprotected_or_among_what_may_not_be_cut(self) -> None:
+        running = [self.stream("a", 4, 1)]
+        assert PausePreemption([PAUSABLE]).victim(make_request("n", 1), running, 0.0) is None
+        assert PausePreemption([]).victim(make_request("p", 0), running, 0.0) is None
+
+    def test_pauses_are_bounded(self) -> None:
+        running = [self.stream("a", 4, 1, pauses=2)]
+        policy = PausePreemption([PAUSABLE], max_pauses=2)
+        assert policy.victim(make_request("p", 0), running, 0.0) is None
+
+
+class TestEndpointScheduler:
+    """Guards against lost, doubled or wrongly ordered work at a full endpoint."""
+
+    def test_protected_request_pauses_and_the_stream_resumes_before_new_work(self) -> None:
+        scheduler = make_scheduler(limit=1, queue_limit=2)
+        scheduler.arrive(make_request("low", 4), 0.0)
+        protected = scheduler.arrive(make_request("high", 0), 1.0)
+        assert names(protected) == [("Pause", "low"), ("Start", "high")]
+        scheduler.arrive(make_request("new", 4), 2.0)
+        assert names(scheduler.finished("high", 3.0)) == [("Resume", "low")]
+        assert names(scheduler.finished("low", 4.0)) == [("Start", "new")]
+
+    def test_endpoint_without_pause_makes_protected_work_wait_first(self) -> None:
+        scheduler = EndpointScheduler(1, 1)
+        scheduler.arrive(make_request("running", 4), 0.0)
+        scheduler.arrive(make_request("low", 4), 0.0)
+        assert names(scheduler.arrive(make_request("high", 0), 1.0)) == [("Reject", "low")]
+        assert names(scheduler.finished("running", 2.0)) == [("Start", "high")]
+
+    def test_flood_of_a_higher_tier_delays_a_paused_stream_by_its_longest_wait(self) -> None:
+        scheduler = make_scheduler(limit=2, queue_limit=2)
+        for request_id, tier in (("low", 4), ("mid0", 1), ("high", 0)):
+            scheduler.arrive(make_request(request_id, tier), 0.0)
+        scheduler.finished("high", 0.0)
+        scheduler.arrive(make_request("high", 0), 0.0)
+        started = "high"
+        for second in range(1, 31):
+            assert started != "low"
+            scheduler.arrive(make_request(f"mid{second}", 1, float(second)), float(second))
+            ((kind, started),) = names(scheduler.finished(started, float(second)))
+        assert (kind, started) == ("Resume", "low")
+
+    def test_shrunk_limit_pauses_down_to_it(self) -> None:
+        limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=4)
+        scheduler = EndpointScheduler(limit, 1, PausePreemption([PAUSABLE]))
+        for index in range(4):
+            scheduler.arrive(make_request(f"low{index}", 4), 0.0)
+        for _ in range(20):
+            scheduler.observed("low0", 9.0, 0.4, 1.0)
+        assert (scheduler.limit, scheduler.running()) == (2, 4)
+        scheduler.arrive(make_request("high", 0), 2.0)
+        assert (scheduler.running(), scheduler.paused()) == (2, 3)
+
+    def test_paused_stream_measures_nothing(self) -> None:
+        limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=1)
+        scheduler = EndpointScheduler(limit, 2, PausePreemption([PAUSABLE]))
+        scheduler.arrive(make_request("low", 4), 0.0)
+        scheduler.arrive(make_request("high", 0), 0.0)
+        scheduler.finished("high", 9.0)
+        for _ in range(20):
+            scheduler.observed("low", 0.1, 0.01, 10.0)
+        assert scheduler.limit == 1
+
+    def test_drain_gives_back_waiting_work_and_finishes_paused_streams(self) -> None:
+        scheduler = make_scheduler(limit=1, queue_limit=2)
+        for request_id, tier in (("low", 4), ("high", 0), ("new", 3)):
+            scheduler.arrive(make_request(request_id, tier), 0.0)
+        assert names(scheduler.drain(1.0)) == [("Reject", "new")]
+        assert names(scheduler.arrive(make_request("late", 0), 1.0)) == [("Reject", "late")]
+        assert names(scheduler.finished("high", 2.0)) == [("Resume", "low")]
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "arrive", "arrive", "finish", "observe", "cancel"]),
+        st.integers(0, 11),
+        st.integers(0, 3),
+        st.floats(0.0, 20.0),
+    ),
+    max_size=80,
+)
+
+
+class SchedulerModel:
+    """Replay a scheduler's actions and check each against the invariants."""
+
+    def __init__(self, limit: int, queue_limit: int) -> None:
+        tracking = LatencyTrackingLimit(TARGETS, limit, limit)
+        self.policy = PausePreemption([PAUSABLE], max_pauses=2)
+        self.scheduler = EndpointScheduler(tracking, queue_limit, self.policy)
+        self.known: dict[str, QueuedRequest] = {}
+        self.running: set[str] = set()
+        self.waiting: set[str] = set()
+        self.pauses: dict[str, int] = {}
+
+    def take(self, actions: Sequence[SchedulerAction]) -> None:
+        before = len(self.running)
+        for action in actions:
+            if isinstance(action, Start):
+                self.waiting.remove(action.req.request_id)
+                self.running.add(action.req.request_id)
+            elif isinstance(action, Resume):
+                self.running.add(action.request_id)
+            elif isinstance(action, Pause):
+                assert not self.known[action.request_id].protected
+                self.running.remove(action.request_id)
+                self.pauses[action.request_id] += 1
+                assert self.pauses[action.request_id] <= 2
+            else:
+                self.reject(action)
+            # Work above a limit that went down may finish, but nothing is added to it.
+            assert len(self.running) <= max(before, self.scheduler.limit)
+        assert len(self.running) == self.scheduler.running()
+        assert len(self.waiting) == self.scheduler.waiting()
+
+    def reject(self, action: Reject) -> None:
+        self.waiting.remove(action.req.request_id)
+        if action.req.protected:
+            assert all(self.known[name].protected for name in self.waiting)
+            streams = [
+                RunningStream(self.known[name], 0.0, 0, self.pauses[name]) for name in self.running
+            ]
+            assert self.policy.victim(action.req, streams, 0.0) is None
+        del self.known[action.req.request_id]
+
+    def apply(self, kind: str, name: str, tier: int, value: float, now: float) -> None:
+        if kind == "arrive":
+            if name not in self.known:
+                self.known[name] = make_request(name, tier, now)
+                self.waiting.add(name)
+                self.pauses[name] = 0
+            self.take(self.scheduler.arrive(self.known[name], now))
+        elif kind == "finish" and name in self.known and name not in self.waiting:
+            self.running.discard(name)
+            del self.known[name]
+            self.take(self.scheduler.finished(name, now))
+        elif kind == "observe":
+            for _ in range(20):
+                self.take(self.scheduler.observed(name, value, value / 100, now))
+        elif kind == "cancel":
+            assert self.scheduler.cancelled(name, now) == (name in self.waiting)
+            if name in self.waiting:
+                self.waiting.remove(name)
+                del self.known[name]
+
+
+class TestSchedulerInvariants:
+    """Guards against a broken limit, a second start, and protected work cut or rejected."""
+
+    @given(EVENTS, st.integers(1, 4), st.integers(0, 4))
+    def test_every_action_is_allowed(
+        self, events: list[tuple[str, int, int, float]], limit: int, queue_limit: int
+    ) -> None:
+        model = SchedulerModel(limit, queue_limit)
+        for now, (kind, number, tier, value) in enumerate(events):
+            model.apply(kind, f"r{number}", tier, value, float(now))
+
+    @given(EVENTS, st.integers(1, 4))
+    def test_all_accepted_work_ends(
+        self, events: list[tuple[str, int, int, float]], limit: int
+    ) -> None:
+        model = SchedulerModel(limit, 4)
+        for now, (kind, number, tier, value) in enumerate(events):
+            model.apply(kind, f"r{number}", tier, value, float(now))
+        for step in range(200):
+            if model.running:
+                model.apply("finish", min(model.running), 0, 0.0, 1000.0 + step)
+        assert not model.known
+
+    def test_fixed_limit_is_at_least_one(self) -> None:
+        assert FixedLimit(0).limit == 1
