Spread configurations over links and claim once-only calls at the sidecar

Cause: documents were polled by every process, and once-only calls ran without a claim. Change: configuration agent with digests on heartbeats, once-only gate right before the effect, dispatchers built from the service documents, cancelled copies reported to the dispatcher.

--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -104,7 +104,10 @@
 
 
 class End(NamedTuple):
-    """The end of an attempt; `position` is the length of the whole answer in bytes."""
+    """The end of an attempt; `position` is the length of the whole answer in bytes.
+
+    `final` forbids another attempt, because its result would be the same.
+    """
 
     attempt_id: str
     ok: bool
@@ -114,6 +117,7 @@
     retry_after_s: float
     position: int
     clock: list[int] = []  # noqa: RUF012 - never changed in place
+    final: bool = False
 
 
 class RejectStart(NamedTuple):
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -1,24 +1,28 @@
 """The composition root: wires the parts of a daemon from its settings."""
 
+import random
 import secrets
 import time
 
-from cassiadrum.decisions import (
-    Dispatcher,
-    EndpointScheduler,
-    LeastOutstandingChooser,
-    StrictTierQueue,
-)
+from cassiadrum.decisions import EndpointScheduler, PausePreemption
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
 from cassiadrum.protocols import HttpClient
+from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
-from cassiadrum.roles.document_caches import DocumentCache
+from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
-from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire
+from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
+from cassiadrum.stores import (
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTableStore,
+    HttpWire,
+    TableStore,
+)
 
 __all__ = ["build_daemon"]
 
@@ -27,27 +31,41 @@
     """Return the daemon of the role that the settings name, not started yet."""
     clock = HybridClock(time.time)
     ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
-    documents = DocumentCache(HttpTableStore(_wire(cfg.platform.table_service)), ring)
+    table = HttpTableStore(_wire(cfg.platform.table_service))
+    registry = ConfigurationRegistry()
+    reader = ConfigurationReader(table, registry)
+    configurations = ConfigurationAgent(registry, reader, ring, _rng())
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, documents)
-    return _build_sidecar(cfg, cfg.endpoint, ring, documents)
-
+        return _build_entry(cfg, ring, configurations)
+    return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
 
-def _build_entry(cfg: Settings, ring: EventRing, documents: DocumentCache) -> EntryDaemon:
-    def make_dispatcher(service: str) -> Dispatcher:
-        queue = StrictTierQueue(cfg.limits.queue_requests)
-        return Dispatcher(queue, LeastOutstandingChooser())
 
+def _build_entry(
+    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent
+) -> EntryDaemon:
+    dispatchers = DispatcherFactory(
+        configurations.document,
+        zone=cfg.zone,
+        queue_requests=cfg.limits.queue_requests,
+        rng=_rng(),
+    )
     instances = HttpInstanceList(_wire(cfg.platform.instance_list))
-    return EntryDaemon(cfg, ring, documents, instances, make_dispatcher)
+    return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
 
 
 def _build_sidecar(
-    cfg: Settings, endpoint: EndpointSettings, ring: EventRing, documents: DocumentCache
+    cfg: Settings,
+    endpoint: EndpointSettings,
+    ring: EventRing,
+    configurations: ConfigurationAgent,
+    table: TableStore,
 ) -> SidecarDaemon:
     limit = cfg.limits.concurrency
-    scheduler = EndpointScheduler(limit, limit * LIMITS.SIDECAR_QUEUE_PER_SLOT)
-    return SidecarDaemon(cfg, ring, documents, _build_endpoint(endpoint), scheduler)
+    preemption = PausePreemption(()) if endpoint.kind == "engine" else None
+    scheduler = EndpointScheduler(limit, limit * LIMITS.SIDECAR_QUEUE_PER_SLOT, preemption)
+    objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
+    claims = ClaimService(table, objects, cfg.instance)
+    return SidecarDaemon(cfg, ring, configurations, _build_endpoint(endpoint), scheduler, claims)
 
 
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
@@ -57,3 +75,7 @@
 
 def _wire(address: Address) -> HttpWire:
     return HttpWire(HttpClient(address.host, address.port), time.monotonic)
+
+
+def _rng() -> random.Random:
+    return random.Random(secrets.randbits(64))
--- /dev/null
+++ b/cassiadrum/roles/dispatcher_factories.py
@@ -0,0 +1,63 @@
+"""Construction of a service's dispatcher from its document."""
+
+import random
+from collections.abc import Callable
+
+from cassiadrum.decisions import (
+    BudgetRetryPolicy,
+    DeadlineAdmission,
+    Dispatcher,
+    FairTierQueue,
+    QuantileLengthEstimator,
+    WasteBoundHedgePolicy,
+    WeightedChooser,
+)
+from cassiadrum.documents import ServiceDocument
+
+__all__ = ["DispatcherFactory"]
+
+
+class DispatcherFactory:
+    """Build dispatchers, and change their budgets when a new document is in force."""
+
+    def __init__(
+        self,
+        documents: Callable[[str], ServiceDocument | None],
+        *,
+        zone: str,
+        queue_requests: int,
+        rng: random.Random,
+    ) -> None:
+        self._documents = documents
+        self._zone = zone
+        self._queue_requests = queue_requests
+        self._rng = rng
+        self._policies: dict[str, tuple[BudgetRetryPolicy, WasteBoundHedgePolicy, set[str]]] = {}
+
+    def __call__(self, service: str) -> Dispatcher:
+        """Return a new dispatcher of a service."""
+        document = self._documents(service)
+        streams = document is None or document.kind == "model"
+        retry, hedge, uncancellable = BudgetRetryPolicy(), WasteBoundHedgePolicy(), set[str]()
+        self._policies[service] = (retry, hedge, uncancellable)
+        self.configure(service)
+        return Dispatcher(
+            FairTierQueue(self._queue_requests),
+            WeightedChooser(self._rng, self._zone, streams_tokens=streams),
+            admission=DeadlineAdmission(),
+            estimator=QuantileLengthEstimator(),
+            retry=retry,
+            hedge=hedge,
+            uncancellable=uncancellable,
+        )
+
+    def configure(self, service: str) -> None:
+        """Bring the budgets of a service in line with its document."""
+        document = self._documents(service)
+        if document is None or service not in self._policies:
+            return
+        retry, hedge, uncancellable = self._policies[service]
+        retry.configure({cls.name: cls.retry_budget for cls in document.classes})
+        hedge.configure({cls.name: cls.hedge_budget for cls in document.classes})
+        uncancellable.clear()
+        uncancellable.update(cls.name for cls in document.classes if not cls.cancellable)
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable
 
 from cassiadrum.decisions import Outcome, Ran
+from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointLost, EndpointUnreachable
 from cassiadrum.protocols import HttpError, HttpResponse
+from cassiadrum.roles.once_gates import OnceGate, relayed_headers
 from cassiadrum.roles.sidecar_messages import CallData, CallEnded, CallHead, SidecarMessage
 from cassiadrum.roles.sidecar_streams import SidecarStream
+from cassiadrum.states import Claimed, KeptAnswer
 
 __all__ = ["EndpointCaller"]
 
@@ -17,42 +20,76 @@
 class EndpointCaller:
     """Call the endpoint for one stream and post its answer to the sidecar."""
 
-    def __init__(self, endpoint: Endpoint, post: Callable[[SidecarMessage], None]) -> None:
+    def __init__(
+        self, endpoint: Endpoint, gate: OnceGate, post: Callable[[SidecarMessage], None]
+    ) -> None:
         self._endpoint = endpoint
+        self._gate = gate
         self._post = post
 
     async def run(self, stream: SidecarStream) -> None:
         """Carry out the call; always post exactly one CallEnded."""
-        attempt_id = stream.start.attempt_id
         outcome = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
         try:
-            outcome = await self._call(stream)
-        except EndpointUnreachable:
-            outcome = Outcome(False, Ran.NO, 0, "endpoint_failed")
-        except EndpointLost:
-            outcome = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+            if stream.start.once_only:
+                outcome = await self._run_once(stream)
+            else:
+                outcome = await self._run(stream, None)
         finally:
             if stream.cancelled:
                 outcome = outcome._replace(ok=False, reason="cancelled")
-            self._post(CallEnded(attempt_id, outcome))
+            self._post(CallEnded(stream.start.attempt_id, outcome))
 
-    async def _call(self, stream: SidecarStream) -> Outcome:
-        response = await self._endpoint.call(_to_call(stream))
+    async def _run_once(self, stream: SidecarStream) -> Outcome:
+        entered = await self._gate.enter(stream.start)
+        if not isinstance(entered, Claimed):
+            if entered.kept is not None:
+                self._replay(stream, entered.kept)
+            return entered.outcome
+        body = bytearray()
+        outcome = await self._run(stream, body)
+        answer = None
+        if outcome.ok and stream.head is not None:
+            headers = relayed_headers(tuple(stream.head.headers))
+            answer = KeptAnswer(stream.head.status, headers, bytes(body))
+        await self._gate.leave(stream.start, entered, outcome, answer)
+        return outcome
+
+    async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
+        """Call the endpoint; collect the answer in `body` if that is to be kept."""
+        try:
+            response = await self._endpoint.call(_to_call(stream))
+        except EndpointUnreachable:
+            return Outcome(False, Ran.NO, 0, "endpoint_failed")
+        except EndpointLost:
+            return Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
         self._post(CallHead(stream.start.attempt_id, response.status, list(response.headers)))
-        return await self._relay(stream, response)
+        return await self._relay(stream, response, body)
 
-    async def _relay(self, stream: SidecarStream, response: HttpResponse) -> Outcome:
+    async def _relay(
+        self, stream: SidecarStream, response: HttpResponse, body: bytearray | None
+    ) -> Outcome:
         tokens = 0
         try:
             async for data in response.body:
                 tokens += data.count(SSE_EVENT)
+                if body is not None:
+                    body += data
                 self._post(CallData(stream.start.attempt_id, data))
+                # Lets the sidecar's task clear `room` when the buffer is full.
                 await asyncio.sleep(0)
                 await stream.room.wait()
         except HttpError:
             return Outcome(False, Ran.UNKNOWN, tokens, "answer_lost")
         return Outcome(True, Ran.YES, tokens)
 
+    def _replay(self, stream: SidecarStream, kept: KeptAnswer) -> None:
+        attempt_id = stream.start.attempt_id
+        self._post(CallHead(attempt_id, kept.status, list(kept.headers)))
+        for start in range(0, len(kept.body), LIMITS.STREAM_BUFFER_BYTES):
+            part = kept.body[start : start + LIMITS.STREAM_BUFFER_BYTES]
+            self._post(CallData(attempt_id, part))
+
 
 def _to_call(stream: SidecarStream) -> EndpointCall:
     start = stream.start
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -6,16 +6,16 @@
 
 from websockets.asyncio.connection import Connection
 
-from cassiadrum.decisions import Dispatcher
-from cassiadrum.events import EventRing, HybridTime
+from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message
+from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
 from cassiadrum.roles.caller_handlers import CallerHandler
+from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
-from cassiadrum.roles.document_caches import DocumentCache
+from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown
@@ -33,24 +33,25 @@
         self,
         cfg: Settings,
         ring: EventRing,
-        documents: DocumentCache,
+        configurations: ConfigurationAgent,
         instances: InstanceList,
-        dispatcher: type[Dispatcher] | Any,
+        dispatchers: DispatcherFactory,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
-        self._documents = documents
+        self._configurations = configurations
+        configurations.on_applied = dispatchers.configure
         self._tls = tls
         self._process_start = secrets.token_hex(8)
         self._members = MemberLinks(instances, self._make_dialer)
-        self._router = Router(dispatcher, self._members.service, ring)
+        self._router = Router(dispatchers, self._members.service, ring)
         self._fetcher = LinkAnswerFetcher(self._router.links.get)
         self._handler = CallerHandler(
-            RequestParser(cfg.instance, documents.document),
+            RequestParser(cfg.instance, configurations.document),
             self._router.post,
             self._fetcher,
-            lambda: bool(documents.documents),
+            lambda: configurations.ready,
         )
         self._http = HttpServer(self._handler)
         self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
@@ -62,13 +63,16 @@
         self.addresses["http"] = str(Address(listen.http.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
-        self._spawn(self._documents.run())
+        self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self._configurations.run())
         self._spawn(self._members.run())
         self._spawn(self._router.run())
 
     def begin_drain(self) -> None:
         """Refuse new requests and let those in flight end."""
-        self._handler.draining = True
+        if not self._handler.draining:
+            self._handler.draining = True
+            self.ring.record(EventKind.DRAINING)
 
     def in_flight(self) -> int:
         """Return the number of callers that wait for an answer."""
@@ -79,6 +83,7 @@
         await self._http.abort()
         await self._members.close()
         await self._cancel_tasks()
+        self.ring.record(EventKind.STOPPED)
         await self._admin.abort()
 
     def status(self) -> dict[str, Any]:
@@ -90,7 +95,7 @@
             "zone": self._cfg.zone,
             "draining": self._handler.draining,
             "in_flight": self.in_flight(),
-            "versions": self._documents.versions,
+            "versions": self._configurations.registry.versions(),
             "links": sorted(self._router.links),
             "services": {
                 name: {"queued": part.queued(), "running": part.running()}
@@ -102,7 +107,7 @@
         return LinkDialer(
             member.link_address,
             self._make_link,
-            on_down=lambda link: self._router.post(LinkDown(link)),
+            on_down=self._link_down,
             tls=self._tls,
         )
 
@@ -114,14 +119,26 @@
             conn,
             hello,
             deliver=self._deliver,
-            heartbeat=lambda: ("", list(self.ring.clock.tick())),
-            heard=lambda link, digest, clock: observe(self.ring, clock),
+            heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
+            heard=self._heard,
         )
 
     def _deliver(self, link: Link, msg: Message) -> None:
-        if not self._fetcher.offer(msg):
+        if isinstance(msg, Hello):
+            self._configurations.link_up(link)
+        if isinstance(msg, End):
+            observe(self.ring, msg.clock)
+        if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
+    def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
+        observe(self.ring, clock)
+        self._configurations.heard(link, digest)
+
+    def _link_down(self, link: Link) -> None:
+        self._configurations.link_down(link)
+        self._router.post(LinkDown(link))
+
 
 def observe(ring: EventRing, clock: list[int]) -> None:
     """Move the hybrid clock past a peer's time."""
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -47,6 +47,7 @@
 __all__ = ["Router"]
 
 TICK_INTERVAL_S = 0.05
+CANCELLED_KEPT_S = 600.0
 # Acknowledging each frame would double the number of frames; the window is eight times as large.
 ACK_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
 
@@ -74,6 +75,8 @@
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
         self._process_starts: dict[str, str] = {}
+        # Cancelled attempts whose end the dispatcher still has to hear of.
+        self._cancelled: dict[str, tuple[Attempt, str]] = {}
 
     def post(self, msg: RouterMessage) -> None:
         """Queue a message for the task."""
@@ -122,14 +125,10 @@
         pending.caller_gone = True
         if not pending.cls.cancellable:
             return
-        self._record(EventKind.CANCELLED, pending)
-        self._carry_out(
-            self._dispatcher(pending.queued.service).cancelled(request_id, self._clock())
-        )
-        for attempt in pending.attempts.values():
-            self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
-        if not pending.attempts:
-            self.pending.pop(request_id, None)
+        self._record(EventKind.CANCELLED, pending, reason="caller_left")
+        dispatcher = self._dispatcher(pending.queued.service)
+        self._carry_out(dispatcher.cancelled(request_id, self._clock()))
+        self._forget(pending)
 
     def _delivered(self, msg: Delivered) -> None:
         pending = self.pending.get(msg.request_id)
@@ -157,8 +156,7 @@
         elif isinstance(msg, End):
             self._end(msg)
         elif isinstance(msg, RejectStart):
-            outcome = Outcome(False, Ran.NO, 0, msg.reason, msg.retry_after_s)
-            self._with_attempt(msg.attempt_id, lambda p, a: self._ended(p, a, outcome))
+            self._rejected(msg)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
         old = self.links.get(hello.instance)
@@ -215,8 +213,11 @@
         pending, attempt = found
         tokens = self._relay.data(pending, attempt, position, data, self._clock())
         if tokens:
-            self._dispatcher(pending.queued.service).progressed(
-                attempt.instance, pending.queued.request_id, tokens, self._clock()
+            dispatcher = self._dispatcher(pending.queued.service)
+            self._carry_out(
+                dispatcher.progressed(
+                    attempt.instance, pending.queued.request_id, tokens, self._clock()
+                )
             )
         # Bytes that are held back or have no receiver are confirmed here, the others once the
         # caller's socket took them.
@@ -226,30 +227,49 @@
     def _end(self, msg: End) -> None:
         found = self._find(msg.attempt_id)
         if found is None:
+            self._cancelled_ended(msg.attempt_id, msg.tokens)
             return
         pending, attempt = found
         if msg.ok and msg.position != attempt.position:
             self._send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
             return
         ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
-        outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s)
+        outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
         self._send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
         self._ended(pending, attempt, outcome)
 
+    def _rejected(self, msg: RejectStart) -> None:
+        found = self._find(msg.attempt_id)
+        if found is None:
+            self._cancelled_ended(msg.attempt_id, 0)
+            return
+        self._ended(*found, Outcome(False, Ran.NO, 0, msg.reason, msg.retry_after_s))
+
+    def _cancelled_ended(self, attempt_id: str, tokens: int) -> None:
+        """Tell the dispatcher that a copy which nobody waits for has ended."""
+        entry = self._cancelled.pop(attempt_id, None)
+        if entry is None:
+            return
+        attempt, service = entry
+        outcome = Outcome(False, Ran.UNKNOWN, tokens, "cancelled")
+        dispatcher = self._dispatcher(service)
+        self._carry_out(
+            dispatcher.finished(attempt.request_id, outcome, self._clock(), attempt.instance)
+        )
+
     def _ended(self, pending: PendingRequest, attempt: Attempt, outcome: Outcome) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
         req = pending.queued
         if outcome.ok:
             self._relay.finish(pending, attempt)
             self._close(pending, None, EventKind.FINISHED, outcome)
-        elif pending.caller_gone and pending.cls.cancellable:
-            self.pending.pop(req.request_id, None)
-            outcome = outcome._replace(reason="cancelled")
         else:
             self._relay.failed(pending, attempt)
             outcome = self._relay.repeatable(pending, outcome)
         dispatcher = self._dispatcher(req.service)
-        self._carry_out(dispatcher.finished(req.request_id, outcome, self._clock()))
+        self._carry_out(
+            dispatcher.finished(req.request_id, outcome, self._clock(), attempt.instance)
+        )
 
     # Actions.
 
@@ -273,7 +293,7 @@
         attempt = Attempt(attempt_id, action.req.request_id, action.instance, now)
         pending.attempts[attempt_id] = attempt
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
-        self._record(kind, pending, endpoint=action.instance, attempt=pending.attempts_made)
+        self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
         link = self.links.get(action.instance)
         if link is None:
             self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
@@ -315,21 +335,34 @@
 
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
-        for attempt in pending.attempts.values() if pending else ():
-            if attempt.instance == action.instance:
-                self._send(action.instance, CancelAttempt(attempt.attempt_id))
+        for attempt in list(pending.attempts.values()) if pending else ():
+            if pending is not None and attempt.instance == action.instance:
+                self._cancel_attempt(pending, attempt)
+
+    def _cancel_attempt(self, pending: PendingRequest, attempt: Attempt) -> None:
+        pending.attempts.pop(attempt.attempt_id, None)
+        self._cancelled[attempt.attempt_id] = (attempt, pending.queued.service)
+        self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
 
     def _close(
         self, pending: PendingRequest, problem: Problem | None, kind: EventKind, outcome: Outcome
     ) -> None:
         pending.events.put_nowait(AnswerEnd(problem))
-        self.pending.pop(pending.queued.request_id, None)
-        for attempt in pending.attempts.values():
-            self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
+        self._forget(pending)
         self._record(kind, pending, reason=outcome.reason, ran=outcome.ran, tokens=outcome.tokens)
 
+    def _forget(self, pending: PendingRequest) -> None:
+        """Drop a request; attempts that still run are cancelled."""
+        self.pending.pop(pending.queued.request_id, None)
+        for attempt in list(pending.attempts.values()):
+            self._cancel_attempt(pending, attempt)
+
     def _tick(self) -> None:
         now = self._clock()
+        horizon_s = now - CANCELLED_KEPT_S
+        self._cancelled = {
+            key: entry for key, entry in self._cancelled.items() if entry[0].started_s > horizon_s
+        }
         for dispatcher in self.dispatchers.values():
             self._carry_out(dispatcher.tick(now))
         for pending in list(self.pending.values()):
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -10,22 +10,25 @@
 
 from cassiadrum.decisions import EndpointScheduler
 from cassiadrum.endpoints import Endpoint, EndpointError
-from cassiadrum.events import EventRing
+from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
+from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
-from cassiadrum.roles.document_caches import DocumentCache
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
+from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
+from cassiadrum.states import ClaimService
 
 __all__ = ["SidecarDaemon"]
 
 LOAD_POLL_S = 0.25
+SETTLE_INTERVAL_S = 1.0
 
 
 class SidecarDaemon(Daemon):
@@ -35,24 +38,25 @@
         self,
         cfg: Settings,
         ring: EventRing,
-        documents: DocumentCache,
+        configurations: ConfigurationAgent,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
+        claims: ClaimService,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
-        self._documents = documents
+        self._configurations = configurations
+        self._claims = claims
         self._endpoint = endpoint
         self._tls = tls
         self._draining = False
         self._process_start = secrets.token_hex(8)
+        gate = OnceGate(claims, ring)
         self._sidecar = Sidecar(
-            endpoint, scheduler, lambda post: EndpointCaller(endpoint, post), ring
-        )
-        self._server = LinkServer(
-            self._make_link, on_down=lambda link: self._sidecar.post(LinkLost(link))
+            endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
+        self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
 
     async def start(self) -> None:
@@ -62,7 +66,9 @@
         self.addresses["link"] = str(Address(listen.link.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
-        self._spawn(self._documents.run())
+        self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self._configurations.run())
+        self._spawn(self._settle_claims())
         self._spawn(self._sidecar.run())
         self._spawn(self._poll_load())
 
@@ -80,6 +86,7 @@
         """Stop at once."""
         await self._server.close()
         await self._cancel_tasks()
+        self.ring.record(EventKind.STOPPED)
         await self._admin.abort()
         self._endpoint.close()
 
@@ -93,7 +100,7 @@
             "service": service,
             "draining": self._draining,
             "in_flight": self.in_flight(),
-            "versions": self._documents.versions,
+            "versions": self._configurations.registry.versions(),
             "links": sorted(self._sidecar.links),
         }
 
@@ -106,6 +113,12 @@
                 self._sidecar.post(LoadChanged(None, time.monotonic()))
             await asyncio.sleep(LOAD_POLL_S)
 
+    async def _settle_claims(self) -> None:
+        while True:
+            await asyncio.sleep(SETTLE_INTERVAL_S)
+            if len(self._claims.pending):
+                await self._claims.settle_pending()
+
     def _make_link(self, conn: Connection) -> Link:
         hello = Hello(
             PROTOCOL_VERSION,
@@ -118,7 +131,23 @@
         return Link(
             conn,
             hello,
-            deliver=lambda link, msg: self._sidecar.post(LinkMessage(link, msg)),
-            heartbeat=lambda: ("", list(self.ring.clock.tick())),
-            heard=lambda link, digest, clock: observe(self.ring, clock),
+            deliver=self._deliver,
+            heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
+            heard=self._heard,
         )
+
+    def _deliver(self, link: Link, msg: Message) -> None:
+        if isinstance(msg, Hello):
+            self._configurations.link_up(link)
+        if isinstance(msg, StartRequest):
+            observe(self.ring, msg.clock)
+        if not self._configurations.take(link, msg):
+            self._sidecar.post(LinkMessage(link, msg))
+
+    def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
+        observe(self.ring, clock)
+        self._configurations.heard(link, digest)
+
+    def _link_down(self, link: Link) -> None:
+        self._configurations.link_down(link)
+        self._sidecar.post(LinkLost(link))
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -168,8 +168,11 @@
             return
         now = self._clock()
         queued = _to_queued(msg, now)
-        self.streams[msg.attempt_id] = SidecarStream(msg, queued, link)
-        self._carry_out(self._scheduler.arrive(queued, now))
+        stream = SidecarStream(msg, queued, link)
+        self.streams[msg.attempt_id] = stream
+        actions = self._scheduler.arrive(queued, now)
+        self._record_stream(EventKind.QUEUED, stream)
+        self._carry_out(actions)
 
     def _ack(self, attempt_id: str, position: int) -> None:
         stream = self.streams.get(attempt_id)
@@ -244,8 +247,12 @@
             outcome.retry_after_s,
             stream.buffer.end,
             list(self._ring.clock.tick()),
+            outcome.final,
         )
         stream.idle_since_s = self._clock()
+        kind = EventKind.FINISHED if outcome.ok else EventKind.CANCELLED
+        reason = outcome.reason if outcome.reason != "cancelled" else "caller_left"
+        self._record_stream(kind, stream, reason=reason, ran=outcome.ran, tokens=outcome.tokens)
         stream.send(stream.end)
         self._report_due = True
 
