Add metrics of the roles

Label values are escaped, which the library does not do. Customers appear by rank; their names are kept out of labels.

--- /dev/null
+++ b/cassiadrum/metrics/customer_ranks.py
@@ -0,0 +1,49 @@
+"""The customers with the most tokens."""
+
+from collections import Counter
+from typing import Final
+
+__all__ = ["CustomerRanks"]
+
+TOP_CUSTOMERS: Final = 20
+WINDOW_S: Final = 60.0
+# Bounds the memory of a window; later customers of the window are counted together.
+CUSTOMERS_MAX: Final = 4096
+
+
+class CustomerRanks:
+    """Count tokens by customer in windows of `window_s` and rank the last full window."""
+
+    def __init__(self, window_s: float = WINDOW_S, top: int = TOP_CUSTOMERS) -> None:
+        self._window_s = window_s
+        self._top = top
+        self._window = 0
+        self._current: Counter[str] = Counter()
+        self._current_other = 0
+        self._ranked: list[tuple[str, int]] = []
+        self._other = 0
+
+    def add(self, customer: str, tokens: int, now: float) -> None:
+        """Count tokens; `now` is in monotonic seconds."""
+        self._roll(now)
+        if customer in self._current or len(self._current) < CUSTOMERS_MAX:
+            self._current[customer] += tokens
+        else:
+            self._current_other += tokens
+
+    def last_window(self, now: float) -> tuple[list[tuple[str, int]], int]:
+        """Return the top customers with their tokens, most first, and the tokens of all others."""
+        self._roll(now)
+        return self._ranked, self._other
+
+    def _roll(self, now: float) -> None:
+        window = int(now // self._window_s)
+        if window == self._window:
+            return
+        full = window == self._window + 1
+        counts = self._current if full else Counter[str]()
+        self._ranked = counts.most_common(self._top)
+        ranked_tokens = sum(tokens for _, tokens in self._ranked)
+        other = self._current_other if full else 0
+        self._other = counts.total() - ranked_tokens + other
+        self._window, self._current, self._current_other = window, Counter(), 0
--- /dev/null
+++ b/cassiadrum/metrics/exporters.py
@@ -0,0 +1,71 @@
+"""Transfer of the values into the collectors of aioprometheus.
+
+This module is the only one that loads the library, and only when metrics are rendered.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+from cassiadrum.metrics.metric_definitions import DEFINITIONS, MetricDefinition
+from cassiadrum.metrics.metric_values import HistogramValue, MetricValues
+
+if TYPE_CHECKING:
+    from aioprometheus.collectors import Registry
+
+__all__ = ["Exporter", "make_registry"]
+
+
+def make_registry() -> "Registry":
+    """Return a new, empty registry; loads aioprometheus."""
+    from aioprometheus.collectors import Registry  # noqa: PLC0415
+
+    return Registry()
+
+
+class Exporter:
+    """Register a collector for each metric and fill it when rendering."""
+
+    def __init__(self, registry: "Registry") -> None:
+        from aioprometheus.collectors import Counter, Gauge, Histogram  # noqa: PLC0415
+
+        self._registry = registry
+        kinds: dict[str, Any] = {"counter": Counter, "gauge": Gauge, "histogram": Histogram}
+        self._collectors: dict[str, Any] = {
+            name: kinds[definition.kind](name, definition.doc, registry=registry)
+            for name, definition in DEFINITIONS.items()
+        }
+
+    def render(self, values: MetricValues) -> bytes:
+        """Return the text format of all metrics in the registry."""
+        from aioprometheus.renderer import render  # noqa: PLC0415
+
+        for name, definition in DEFINITIONS.items():
+            collector = self._collectors[name]
+            collector.values.clear()
+            for labels, value in values.numbers[name].items():
+                collector.set_value(_label_dict(definition, labels), value)
+            for labels, histogram in values.histograms[name].items():
+                collector.set_value(_label_dict(definition, labels), _library_value(histogram))
+        content, _ = render(self._registry, [])
+        return content
+
+
+def _label_dict(definition: MetricDefinition, labels: tuple[str, ...]) -> dict[str, str]:
+    return dict(zip(definition.labels, map(_escape, labels), strict=True))
+
+
+def _escape(value: str) -> str:
+    # The library writes label values as they are, but the text format requires these escapes.
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _library_value(histogram: HistogramValue) -> Any:
+    from aioprometheus.histogram import Histogram  # noqa: PLC0415
+
+    value = Histogram(*histogram.bounds)
+    cumulative = 0
+    for bound, count in zip(list(value.buckets), histogram.counts, strict=True):
+        cumulative += count
+        value.buckets[bound] = cumulative
+    value.observations = cumulative
+    value.sum = histogram.total
+    return value
--- /dev/null
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -0,0 +1,103 @@
+"""Every metric of the daemon in one table."""
+
+from typing import Final, Literal, NamedTuple
+
+__all__ = ["DEFINITIONS", "MetricDefinition"]
+
+# The bounds include the targets of 0.04 s between tokens and 0.97 s to the first token, so that
+# attainment can be read off the histograms.
+TOKEN_BOUNDS_S: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.25, 1.0)
+WAIT_BOUNDS_S: Final = (0.01, 0.05, 0.097, 0.25, 0.5, 0.97, 2.0, 5.0, 15.0, 30.0, 120.0)
+
+
+class MetricDefinition(NamedTuple):
+    """State the name, kind, labels and, for histograms, the upper bounds of a metric."""
+
+    name: str
+    kind: Literal["counter", "gauge", "histogram"]
+    doc: str
+    labels: tuple[str, ...]
+    bounds: tuple[float, ...] = ()
+
+
+_SERVICE_CLASS: Final = ("service", "class")
+
+DEFINITIONS: Final[dict[str, MetricDefinition]] = {
+    definition.name: definition
+    for definition in (
+        MetricDefinition(
+            "cassiadrum_first_token_seconds",
+            "histogram",
+            "Time from receipt to the first token",
+            _SERVICE_CLASS,
+            WAIT_BOUNDS_S,
+        ),
+        MetricDefinition(
+            "cassiadrum_inter_token_seconds",
+            "histogram",
+            "Time between tokens",
+            _SERVICE_CLASS,
+            TOKEN_BOUNDS_S,
+        ),
+        MetricDefinition(
+            "cassiadrum_queue_wait_seconds",
+            "histogram",
+            "Time in the queue before dispatch",
+            _SERVICE_CLASS,
+            WAIT_BOUNDS_S,
+        ),
+        MetricDefinition(
+            "cassiadrum_requests_total", "counter", "Requests received", _SERVICE_CLASS
+        ),
+        MetricDefinition(
+            "cassiadrum_refusals_total", "counter", "Requests refused", ("service", "reason")
+        ),
+        MetricDefinition(
+            "cassiadrum_attainment_total",
+            "counter",
+            "Requests that met or missed the latency target of their class",
+            ("service", "class", "result"),
+        ),
+        MetricDefinition(
+            "cassiadrum_goodput_tokens_total",
+            "counter",
+            "Tokens of completed and delivered answers",
+            _SERVICE_CLASS,
+        ),
+        MetricDefinition(
+            "cassiadrum_wasted_tokens_total",
+            "counter",
+            "Tokens of answers that were cancelled, duplicated or discarded",
+            ("service", "reason"),
+        ),
+        MetricDefinition("cassiadrum_retries_total", "counter", "Retries", _SERVICE_CLASS),
+        MetricDefinition("cassiadrum_hedges_total", "counter", "Hedges", _SERVICE_CLASS),
+        MetricDefinition(
+            "cassiadrum_claims_total", "counter", "Once-only claims", ("service", "outcome")
+        ),
+        MetricDefinition(
+            "cassiadrum_control_bytes_total",
+            "counter",
+            "Bytes of messages between own processes, without request and answer bodies",
+            ("direction",),
+        ),
+        MetricDefinition(
+            "cassiadrum_store_calls_total",
+            "counter",
+            "Calls to the platform's stores",
+            ("store", "result"),
+        ),
+        MetricDefinition("cassiadrum_leases_held", "gauge", "Leases held", ()),
+        MetricDefinition(
+            "cassiadrum_configuration_version", "gauge", "Version in force", ("service",)
+        ),
+        MetricDefinition("cassiadrum_connections", "gauge", "Open connections", ("peer",)),
+        MetricDefinition("cassiadrum_queue_length", "gauge", "Waiting requests", ("service",)),
+        MetricDefinition(
+            "cassiadrum_customer_tokens",
+            "gauge",
+            "Tokens in the last full window by customer rank, and of all others",
+            ("rank",),
+        ),
+    )
+}
--- /dev/null
+++ b/cassiadrum/metrics/metric_values.py
@@ -0,0 +1,68 @@
+"""Values of the metrics, kept in plain dictionaries."""
+
+from bisect import bisect_left
+from typing import Final
+
+from cassiadrum.metrics.metric_definitions import DEFINITIONS
+
+__all__ = ["HistogramValue", "MetricValues"]
+
+# Bounds the memory of one metric when label values come from outside, such as unknown services.
+SERIES_MAX: Final = 1000
+OTHER: Final = "other"
+
+
+class HistogramValue:
+    """Count observations by bucket; the last bucket is unbounded."""
+
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float, count: int = 1) -> None:
+        """Add `count` observations of one value."""
+        self.counts[bisect_left(self.bounds, value)] += count
+        self.total += value * count
+
+
+class MetricValues:
+    """Hold a value for each metric and each tuple of label values.
+
+    Updates touch only dictionaries, because collectors of the metrics library encode their labels
+    at each update, which is too slow for one update a token.
+    """
+
+    def __init__(self, series_max: int = SERIES_MAX) -> None:
+        self._series_max = series_max
+        self.numbers: dict[str, dict[tuple[str, ...], float]] = {name: {} for name in DEFINITIONS}
+        self.histograms: dict[str, dict[tuple[str, ...], HistogramValue]] = {
+            name: {} for name in DEFINITIONS
+        }
+
+    def add(self, name: str, labels: tuple[str, ...], amount: float = 1) -> None:
+        """Raise a counter."""
+        series = self.numbers[name]
+        if labels not in series and len(series) >= self._series_max:
+            labels = (OTHER,) * len(labels)
+        series[labels] = series.get(labels, 0) + amount
+
+    def set(self, name: str, labels: tuple[str, ...], value: float) -> None:
+        """Set a gauge."""
+        series = self.numbers[name]
+        if labels in series or len(series) < self._series_max:
+            series[labels] = value
+
+    def clear(self, name: str) -> None:
+        """Remove all values of a metric."""
+        self.numbers[name].clear()
+
+    def observe(self, name: str, labels: tuple[str, ...], value: float, count: int = 1) -> None:
+        """Add `count` observations of a value to a histogram."""
+        series = self.histograms[name]
+        histogram = series.get(labels)
+        if histogram is None:
+            if len(series) >= self._series_max:
+                labels = (OTHER,) * len(labels)
+            histogram = series.setdefault(labels, HistogramValue(DEFINITIONS[name].bounds))
+        histogram.observe(value, count)
