Add the logging set-up

Cause: the daemon needs log lines that carry their request and service, that a fault cannot flood, and that never hold credentials.

Change: configure_logging writes text or JSON lines; RepeatFilter limits repeated lines and reports how many were left out; RedactionFilter replaces private keys and credential headers in messages, tracebacks and extra fields.

--- /dev/null
+++ b/cassiadrum/logs/__init__.py
@@ -0,0 +1,18 @@
+"""Log lines as text or JSON, with limits on repeated lines and without secrets."""
+
+from cassiadrum.logs.context_filters import CONTEXT_FIELDS, ContextFilter
+from cassiadrum.logs.errors import LogError
+from cassiadrum.logs.redaction_filters import RedactionFilter
+from cassiadrum.logs.repeat_filters import RepeatFilter
+from cassiadrum.logs.set_up import configure_logging
+from cassiadrum.logs.text_formatters import TextFormatter
+
+__all__ = [
+    "CONTEXT_FIELDS",
+    "ContextFilter",
+    "LogError",
+    "RedactionFilter",
+    "RepeatFilter",
+    "TextFormatter",
+    "configure_logging",
+]
--- /dev/null
+++ b/cassiadrum/logs/context_filters.py
@@ -0,0 +1,25 @@
+"""Fields that every log line carries."""
+
+import logging
+from typing import Final
+
+__all__ = ["CONTEXT_FIELDS", "ContextFilter"]
+
+CONTEXT_FIELDS: Final = ("request_id", "service", "instance", "version")
+
+
+class ContextFilter(logging.Filter):
+    """Set the instance and give the fields that a call did not pass in `extra` an empty value."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Complete the record; every record passes."""
+        if not getattr(record, "instance", ""):
+            record.instance = self._instance
+        for field in CONTEXT_FIELDS:
+            if not hasattr(record, field):
+                setattr(record, field, "")
+        return True
--- /dev/null
+++ b/cassiadrum/logs/set_up.py
@@ -0,0 +1,73 @@
+"""Set-up of the `logging` package for a daemon."""
+
+import logging
+import time
+from typing import Any, Final, TextIO
+
+from cassiadrum.logs.context_filters import CONTEXT_FIELDS, ContextFilter
+from cassiadrum.logs.errors import LogError
+from cassiadrum.logs.redaction_filters import RedactionFilter
+from cassiadrum.logs.repeat_filters import RepeatFilter
+from cassiadrum.logs.text_formatters import TextFormatter
+
+__all__ = ["configure_logging"]
+
+JSON_FIELDS: Final = ("levelname", "name", "message", *CONTEXT_FIELDS)
+
+
+class _LogHandler(logging.StreamHandler[TextIO]):
+    """Report the lines left out before the process ends."""
+
+    def __init__(self, stream: TextIO | None, repeat_filter: RepeatFilter) -> None:
+        super().__init__(stream)
+        self._repeat_filter = repeat_filter
+
+    def close(self) -> None:
+        if self in logging.getLogger().handlers:
+            self._repeat_filter.report()
+        super().close()
+
+
+def configure_logging(
+    format: str, level: str, instance: str, stream: TextIO | None = None
+) -> None:
+    """Send all log records as `text` or `json` lines to `stream`, stderr by default.
+
+    Replaces the handler of an earlier call. Raises LogError on an unknown format or level.
+    """
+    formatter = _make_formatter(format)
+    if level not in logging.getLevelNamesMapping():
+        raise LogError(
+            f"log level: found {level!r}; allowed: DEBUG, INFO, WARNING, ERROR, CRITICAL"
+        )
+    repeat_filter = RepeatFilter(time.monotonic)
+    handler = _LogHandler(stream, repeat_filter)
+    handler.setFormatter(formatter)
+    handler.addFilter(repeat_filter)
+    handler.addFilter(ContextFilter(instance))
+    # Last, so that it sees the fields that the other filters set.
+    handler.addFilter(RedactionFilter())
+    root = logging.getLogger()
+    for old in [old for old in root.handlers if isinstance(old, _LogHandler)]:
+        old.close()
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(level)
+
+
+def _make_formatter(name: str) -> logging.Formatter:
+    if name == "text":
+        return TextFormatter()
+    if name != "json":
+        raise LogError(f"log format: found {name!r}; allowed: text, json")
+    from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
+
+    class Formatter(JsonFormatter):
+        """Leave empty context fields out."""
+
+        def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
+            return {key: value for key, value in log_data.items() if value != ""}
+
+    return Formatter(
+        JSON_FIELDS, timestamp="time", rename_fields={"levelname": "level", "name": "logger"}
+    )
