Select timelines by filter, and test the order over jumping clocks

Cause: the pictures failed on a selected timeline whose gaps belong to an instance without events, and the order was tested for one exchange only.

Change: EventFilter.select keeps gaps; both writers draw gaps outside the selection at its edge. A derandomised property test sends messages between three processes whose clocks jump.

--- a/cassiadrum/events/event_filters.py
+++ b/cassiadrum/events/event_filters.py
@@ -5,6 +5,7 @@
 
 from cassiadrum.events.event_kinds import EventKind
 from cassiadrum.events.events import Event
+from cassiadrum.events.timelines import Timeline
 
 __all__ = ["EventFilter"]
 
@@ -38,3 +39,11 @@
     def apply(self, events: Iterable[Event]) -> list[Event]:
         """Return the selected events in their order."""
         return [event for event in events if self.matches(event)]
+
+    def select(self, timeline: Timeline) -> Timeline:
+        """Return the selected events with the gaps of the selected instances.
+
+        Gaps are kept whatever the other fields are, since the missing events might be selected.
+        """
+        gaps = [gap for gap in timeline.gaps if self.instance in ("", gap.instance)]
+        return Timeline(self.apply(timeline.events), gaps)
--- a/cassiadrum/events/event_rings.py
+++ b/cassiadrum/events/event_rings.py
@@ -42,6 +42,11 @@
         """Return the clock that stamps the events."""
         return self._clock
 
+    @property
+    def start_id(self) -> str:
+        """Return the id of this start of the process; readers start from 0 when it changes."""
+        return self._start_id
+
     @property
     def last_sequence(self) -> int:
         """Return the sequence number of the newest event, 0 when none was recorded."""
--- a/cassiadrum/events/timeline_svg_writers.py
+++ b/cassiadrum/events/timeline_svg_writers.py
@@ -82,6 +82,8 @@
         # Row 0 of a lane shows gaps and the events that belong to no request.
         for event in self._timeline.events:
             self._rows.setdefault(event.instance, 1)
+        for gap in self._timeline.gaps:
+            self._rows.setdefault(gap.instance, 1)
         for span in self._spans:
             self._rows[span.instance] = max(self._rows[span.instance], span.row + 2)
         top = MARGIN_PX
@@ -91,8 +93,10 @@
         return top + MARGIN_PX
 
     def _x(self, wall_us: int) -> float:
+        # A gap may begin or end outside the selected events.
+        inside_us = min(max(wall_us, self._first_us), self._last_us)
         length_us = max(self._last_us - self._first_us, 1)
-        return round(LABEL_PX + (wall_us - self._first_us) / length_us * PLOT_PX, 2)
+        return round(LABEL_PX + (inside_us - self._first_us) / length_us * PLOT_PX, 2)
 
     def _lanes(self) -> Iterator[str]:
         for instance, top in self._tops.items():
--- a/cassiadrum/events/trace_writers.py
+++ b/cassiadrum/events/trace_writers.py
@@ -78,8 +78,9 @@
 
 
 def _gap(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
-    start_us = gap.since.wall_us if gap.since else first_us
-    end_us = gap.until.wall_us if gap.until else last_us
+    # A gap may begin or end outside the selected events.
+    start_us = min(max(gap.since.wall_us if gap.since else first_us, first_us), last_us)
+    end_us = max(min(gap.until.wall_us if gap.until else last_us, last_us), start_us)
     return {
         "ph": "X",
         "cat": "gap",
--- a/cassiadrum/tests/test_event_pictures.py
+++ b/cassiadrum/tests/test_event_pictures.py
@@ -4,6 +4,7 @@
 from xml.etree import ElementTree
 
 from cassiadrum.events import (
+    EventFilter,
     EventKind,
     EventRing,
     HybridClock,
@@ -52,6 +53,16 @@
         gaps = [e["name"] for e in entries if e.get("cat") == "gap"]
         assert gaps == ["gap: missing", "gap: not_stopped"]
 
+    def test_gaps_outside_the_selection_are_drawn_at_its_edge(self) -> None:
+        for selection in (EventFilter(until_s=10.05), EventFilter(request_id="none")):
+            timeline = selection.select(make_timeline())
+            assert len(timeline.gaps) == 2
+            entries = json.loads(TraceWriter().write(timeline))["traceEvents"]
+            gaps = [entry for entry in entries if entry.get("cat") == "gap"]
+            assert [(gap["ts"], gap["dur"]) for gap in gaps] == [(0, 0)] * 2
+            root = ElementTree.fromstring(TimelineSvgWriter().write(timeline))
+            assert [r.get("x") for r in root.iter(f"{SVG}rect")][:3] == ["180", "180.0", "180.0"]
+
     def test_empty_timeline(self) -> None:
         assert json.loads(TraceWriter().write(Timeline([], [])))["traceEvents"] == []
 
--- a/cassiadrum/tests/test_events.py
+++ b/cassiadrum/tests/test_events.py
@@ -5,6 +5,8 @@
 
 import cbor2
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cassiadrum.events import (
     Event,
@@ -82,6 +84,28 @@
         last = entry.record(EventKind.FINISHED, "r")
         assert merge([effect, last, cause, cause]).events == [cause, effect, last]
 
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(st.floats(0, 3000), min_size=3, max_size=3),
+        st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2), st.floats(-5, 5)), max_size=20),
+    )
+    def test_messages_over_jumping_clocks(
+        self, walls: list[float], messages: list[tuple[int, int, float]]
+    ) -> None:
+        clocks = [HybridClock(lambda i=index: walls[i]) for index in range(3)]  # type: ignore[misc]
+        rings = [EventRing(clock, f"p{i}", "entry", f"s{i}") for i, clock in enumerate(clocks)]
+        pairs = []
+        for number, (sender, receiver, jump_s) in enumerate(messages):
+            walls[sender] = min(max(walls[sender] + jump_s, 0), 3000)
+            cause = rings[sender].record(EventKind.DISPATCHED, f"m{number}")
+            rings[receiver].clock.observe(cause.hlc)
+            pairs.append((cause, rings[receiver].record(EventKind.STARTED, f"m{number}")))
+        merged = merge(event for ring in rings for event in ring.after(0, 99)).events
+        places = {(event.instance, event.sequence): i for i, event in enumerate(merged)}
+        for cause, effect in pairs:
+            before = places[cause.instance, cause.sequence]
+            assert before < places[effect.instance, effect.sequence]
+
     def test_marks_each_kind_of_gap(self) -> None:
         ring = make_ring(capacity=4)
         for _ in range(6):
