--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -55,6 +55,7 @@
         self._spare_since_s: dict[Name, float] = {}
         self._requests: dict[Name, float] = {}
         self._holders: dict[Name, list[EndpointReport]] = {}
+        self._mean_limit = 1.0
 
     def plan(
         self, demand: Collection[LoadDemand], endpoints: Collection[EndpointReport], now: float
@@ -102,6 +103,8 @@
         for entry in demand:
             name = (entry.model, entry.adapter)
             self._requests[name] = self._requests.get(name, 0.0) + entry.requests
+        if staying:
+            self._mean_limit = max(1.0, sum(rep.limit for rep in staying) / len(staying))
         self._holders = {name: [] for name in self._requests}
         for rep in staying:
             for name in _loaded(rep):
@@ -127,9 +130,7 @@
         requests = self._requests.get(name, 0.0)
         if requests <= 0:
             return 0.0
-        holders = self._holders[name] or [rep for reps in self._holders.values() for rep in reps]
-        mean_limit = sum(rep.limit for rep in holders) / len(holders) if holders else 1.0
-        return requests / (copies * max(1.0, mean_limit)) if copies > 0 else math.inf
+        return requests / (copies * self._mean_limit) if copies > 0 else math.inf
 
     def _needs(self, now: float) -> list[Name]:
         """Return what lacks copies for long enough, the most overloaded first."""
@@ -168,12 +169,14 @@
         held = rep.adapters if adapter else rep.models
         if len(held) < room:
             return ""
+        # What has no copy at all may also take one of several that are all in use.
+        may_take = self._is_spare if self._holders[name] else self._is_repeated
         for other in held:
             names = [(model, other) for model in rep.models] if adapter else [(other, "")]
             if not adapter:
                 # Adapters of a model go with it.
                 names += [(other, loaded) for loaded in rep.adapters]
-            if all(self._is_spare(each, now) for each in names):
+            if all(may_take(each, now) for each in names):
                 return other
         return None
 
@@ -181,9 +184,15 @@
         since = self._spare_since_s.get(name)
         if since is None or now - since < HOLD_S:
             return False
-        # Orders in flight may already take other copies away.
+        return self._use(name, self._copies_left(name)) < SPARE_BELOW_USE
+
+    def _is_repeated(self, name: Name, now: float) -> bool:
+        return self._is_spare(name, now) or self._copies_left(name) > 0
+
+    def _copies_left(self, name: Name) -> int:
+        """Return the copies after one more is unloaded and all orders in flight are done."""
         leaving = sum(_takes(sent.order, name) for sent in self._in_flight.values())
-        return self._use(name, len(self._holders[name]) - leaving - 1) < SPARE_BELOW_USE
+        return len(self._holders.get(name, ())) - leaving - 1
 
 
 def _loaded(rep: EndpointReport) -> list[Name]:
--- a/cassiadrum/decisions/outlier_detectors.py
+++ b/cassiadrum/decisions/outlier_detectors.py
@@ -17,9 +17,11 @@
 FAILURES_TO_EJECT = 3
 # Same as the silence limit of the connections: a stream at 40 ms a token is silent far less.
 STALL_S = 3.0
-# Before the first token a stream may wait in the endpoint's queue; a report that states output
-# means that other streams run while ours may be paused.
-BUSY_STALL_S = 15.0
+# Before the first token a stream may wait in the endpoint's queue.
+FIRST_TOKEN_STALL_S = 15.0
+# While the endpoint reports output, own streams may be paused for protected work; a pause lasts
+# about the class's longest wait, 30 s by default.
+PAUSED_STALL_S = 60.0
 EJECT_S = 5.0
 MAX_EJECT_S = 60.0
 SUCCESSES_TO_RETURN = 3
@@ -102,8 +104,10 @@
             return True
         if not self._streams_tokens:
             return False
-        idle_report = state.report.tokens_per_s <= 0 and state.has_tokens()
-        return state.silent_s(now) >= (STALL_S if idle_report else BUSY_STALL_S)
+        limit_s = STALL_S if state.has_tokens() else FIRST_TOKEN_STALL_S
+        if state.report.tokens_per_s > 0:
+            limit_s = PAUSED_STALL_S
+        return state.silent_s(now) >= limit_s
 
     def _eject_worst(self, states: Mapping[str, EndpointState], now: float) -> None:
         staying = [state for state in states.values() if not state.report.leaving]
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -61,12 +61,11 @@
         """Take a load report; one older than the last, or a duplicate, changes nothing."""
         self._seen_s = max(self._seen_s, now)
         state = self._states.get(rep.instance)
-        if state is None:
-            if not self._add(rep, now):
-                return
-        elif not state.take_report(rep):
+        was_leaving = state is not None and state.report.leaving
+        taken = state.take_report(rep) if state else self._add(rep, now)
+        if not taken:
             return
-        if rep.leaving:
+        if rep.leaving != was_leaving:
             self._restore_bound(now)
         self._refresh(rep.instance, now)
         self._check(now)
