--- a/cassiadrum/tests/test_weighted_choosers.py
+++ b/cassiadrum/tests/test_weighted_choosers.py
@@ -190,10 +190,12 @@
         assert chooser.health()["e3"] is HealthState.HEALTHY
 
     def test_stream_without_progress_ejects_unless_the_engine_reports_output(self) -> None:
-        for tokens_per_s, health in ((0.0, HealthState.EJECTED), (99.0, HealthState.HEALTHY)):
+        # With output, the stream may be paused for the default longest wait of 30 s.
+        cases = ((0.0, 4.0, HealthState.EJECTED), (99.0, 31.0, HealthState.HEALTHY))
+        for tokens_per_s, until_s, health in cases:
             chooser = make_chooser(6)
             stream(chooser, "e2", 0.0, 0.02)
-            for now in (4.0, 4.6, 5.2):
+            for now in (until_s, until_s + 0.6):
                 report_all(chooser, 6, now, tokens_per_s=tokens_per_s)
             assert chooser.health()["e2"] is health
 
