--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -57,7 +57,8 @@
     ) -> None:
         while True:
             try:
-                msg = await asyncio.wait_for(messages.get(), LIMITS.DETACHED_STREAM_S)
+                async with asyncio.timeout(LIMITS.DETACHED_STREAM_S):
+                    msg = await messages.get()
             except TimeoutError:
                 msg = RejectStart("", "unknown_request", 0.0)
             if isinstance(msg, Head):
--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -31,6 +31,10 @@
     def in_flight(self) -> int:
         """Return the number of requests that are not finished."""
 
+    @abstractmethod
+    def status(self) -> dict[str, Any]:
+        """Return the state that operators ask for."""
+
     @abstractmethod
     async def close(self) -> None:
         """Stop at once."""
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -88,7 +88,10 @@
         while True:
             try:
                 timeout = max(0.0, next_tick_s - self._clock())
-                self._handle(await asyncio.wait_for(self._inbox.get(), timeout))
+                # asyncio.wait_for can lose a cancellation that comes together with a message.
+                async with asyncio.timeout(timeout):
+                    msg = await self._inbox.get()
+                self._handle(msg)
                 while not self._inbox.empty():
                     self._handle(self._inbox.get_nowait())
             except TimeoutError:
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -102,7 +102,9 @@
         """Handle messages, and send reports, for ever."""
         while True:
             try:
-                msg = await asyncio.wait_for(self._inbox.get(), TICK_INTERVAL_S)
+                # asyncio.wait_for can lose a cancellation that comes together with a message.
+                async with asyncio.timeout(TICK_INTERVAL_S):
+                    msg = await self._inbox.get()
                 self._handle(msg)
                 while not self._inbox.empty():
                     self._handle(self._inbox.get_nowait())
@@ -250,8 +252,9 @@
             outcome.final,
         )
         stream.idle_since_s = self._clock()
-        kind = EventKind.FINISHED if outcome.ok else EventKind.CANCELLED
-        reason = outcome.reason if outcome.reason != "cancelled" else "caller_left"
+        cancelled = outcome.reason == "cancelled"
+        kind = EventKind.CANCELLED if cancelled else EventKind.FINISHED
+        reason = "caller_left" if cancelled else outcome.reason
         self._record_stream(kind, stream, reason=reason, ran=outcome.ran, tokens=outcome.tokens)
         stream.send(stream.end)
         self._report_due = True
--- a/cassiadrum/standins/engine_batches.py
+++ b/cassiadrum/standins/engine_batches.py
@@ -61,7 +61,8 @@
 
     async def _wait_for_work(self) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), 0.05)
+            async with asyncio.timeout(0.05):
+                await self._wake.wait()
         except TimeoutError:
             return
 
