Follow measured latency at the sidecar and preempt by the document

Cause: the concurrency limit was fixed and no class could be paused. Change: limit, targets and pausable classes come from the document in force; streams report their progress and times to the scheduler.

--- a/cassiadrum/decisions/latency_tracking_limits.py
+++ b/cassiadrum/decisions/latency_tracking_limits.py
@@ -46,6 +46,10 @@
         """Return the current limit."""
         return self._limit
 
+    def configure(self, targets: Mapping[str, LatencyTargets]) -> None:
+        """Replace the targets by class."""
+        self._targets = dict(targets)
+
     def observe(
         self,
         first_token_s: float,
--- a/cassiadrum/decisions/pause_preemptions.py
+++ b/cassiadrum/decisions/pause_preemptions.py
@@ -22,6 +22,10 @@
         self._pausable_classes = frozenset(pausable_classes)
         self._max_pauses = max_pauses
 
+    def configure(self, pausable_classes: Collection[str]) -> None:
+        """Replace the classes that may be paused."""
+        self._pausable_classes = frozenset(pausable_classes)
+
     def victim(
         self, req: QueuedRequest, running: Iterable[RunningStream], now: float
     ) -> str | None:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -87,6 +87,7 @@
     key: str = ""
     delivered_events: int = 0
     clock: list[int] = []  # noqa: RUF012 - never changed in place
+    max_wait_s: float = 30.0
 
 
 class Head(NamedTuple):
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -4,8 +4,6 @@
 import secrets
 import time
 
-from cassiadrum.decisions import EndpointScheduler, PausePreemption
-from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
 from cassiadrum.protocols import HttpClient
@@ -13,6 +11,7 @@
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
+from cassiadrum.roles.scheduler_factories import SchedulerFactory
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
 from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
@@ -60,12 +59,16 @@
     configurations: ConfigurationAgent,
     table: TableStore,
 ) -> SidecarDaemon:
-    limit = cfg.limits.concurrency
-    preemption = PausePreemption(()) if endpoint.kind == "engine" else None
-    scheduler = EndpointScheduler(limit, limit * LIMITS.SIDECAR_QUEUE_PER_SLOT, preemption)
+    target = _build_endpoint(endpoint)
+    schedulers = SchedulerFactory(
+        configurations.document, maximum=cfg.limits.concurrency, can_pause=target.can_pause
+    )
+    configurations.on_applied = lambda service: (
+        schedulers.configure(service) if service == endpoint.service else None
+    )
     objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
     claims = ClaimService(table, objects, cfg.instance)
-    return SidecarDaemon(cfg, ring, configurations, _build_endpoint(endpoint), scheduler, claims)
+    return SidecarDaemon(cfg, ring, configurations, target, schedulers.build(), claims)
 
 
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -323,6 +323,7 @@
             pending.key,
             pending.splitter.events,
             list(self._ring.clock.tick()),
+            req.max_wait_s,
         )
 
     def _refuse(self, action: Refuse) -> None:
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -6,6 +6,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import Link, StreamBuffer
 from cassiadrum.links.messages import End, Head, StartRequest
+from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["SidecarStream"]
 
@@ -24,6 +25,7 @@
         self.head: Head | None = None
         self.end: End | None = None
         self.task: asyncio.Task[None] | None = None
+        self.timing: StreamTiming | None = None
         self.room = asyncio.Event()
         self.room.set()
         self.cancelled = False
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -46,6 +46,7 @@
     SidecarMessage,
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
+from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["Sidecar"]
 
@@ -232,12 +233,20 @@
             stream.link.send(Data([(msg.attempt_id, position, msg.data)]))
         if stream.buffer.full and not stream.cancelled:
             stream.room.clear()
+        if stream.timing is not None:
+            now = self._clock()
+            events = stream.timing.data(msg.data, now)
+            self._scheduler.progressed(msg.attempt_id, events, now)
 
     def _call_ended(self, msg: CallEnded) -> None:
         stream = self.streams[msg.attempt_id]
         stream.task = None
         self._end(stream, msg.outcome)
-        self._carry_out(self._scheduler.finished(msg.attempt_id, self._clock()))
+        now = self._clock()
+        if msg.outcome.ok and stream.timing is not None:
+            first_s, gap_s = stream.timing.first_token_s, stream.timing.inter_token_s
+            self._carry_out(self._scheduler.observed(msg.attempt_id, first_s, gap_s, now))
+        self._carry_out(self._scheduler.finished(msg.attempt_id, now))
 
     def _end(self, stream: SidecarStream, outcome: Outcome) -> None:
         stream.end = End(
@@ -297,6 +306,7 @@
     def _run(self, req: QueuedRequest) -> None:
         stream = self.streams[req.request_id]
         self._record(EventKind.STARTED, req.request_id)
+        stream.timing = StreamTiming(self._clock())
         stream.task = asyncio.create_task(self._caller.run(stream))
 
     def _reject(self, action: Reject) -> None:
@@ -391,4 +401,5 @@
         now,
         now + left_s if math.isfinite(left_s) else math.inf,
         once_only=msg.once_only,
+        max_wait_s=msg.max_wait_s,
     )
--- /dev/null
+++ b/cassiadrum/roles/stream_timings.py
@@ -0,0 +1,36 @@
+"""Times of one stream as the sidecar measures them."""
+
+__all__ = ["StreamTiming"]
+
+SSE_EVENT = b"\n\n"
+
+
+class StreamTiming:
+    """Measure first-token and mean inter-token time of a started call, in seconds."""
+
+    def __init__(self, started_s: float) -> None:
+        self.tokens = 0
+        self._started_s = started_s
+        self._first_s = 0.0
+        self._last_s = 0.0
+
+    def data(self, data: bytes, now: float) -> int:
+        """Take bytes of the answer and return the number of new events."""
+        if not self._first_s:
+            self._first_s = now
+        self._last_s = now
+        events = data.count(SSE_EVENT)
+        self.tokens += events
+        return events
+
+    @property
+    def first_token_s(self) -> float:
+        """Return the time from the start to the first byte."""
+        return max(0.0, self._first_s - self._started_s)
+
+    @property
+    def inter_token_s(self) -> float:
+        """Return the mean time between events, 0 with fewer than two."""
+        if self.tokens < 2:
+            return 0.0
+        return (self._last_s - self._first_s) / (self.tokens - 1)
