Send orders to engines under a lease

Cause: nothing decided which engine loads which model, and old claims were never removed. Change: lease contenders among entry instances, order tasks from averaged demand, a guard at the sidecar that checks the fencing token right before the effect, and a claim janitor.

--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -11,14 +11,22 @@
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
+from cassiadrum.roles.maintenance_factories import MaintenanceFactory
+from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.scheduler_factories import SchedulerFactory
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
-from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
+from cassiadrum.states import (
+    ClaimService,
+    ConfigurationReader,
+    ConfigurationRegistry,
+    FencingGuard,
+)
 from cassiadrum.stores import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTableStore,
+    HttpWeightStore,
     HttpWire,
     TableStore,
 )
@@ -35,12 +43,12 @@
     reader = ConfigurationReader(table, registry)
     configurations = ConfigurationAgent(registry, reader, ring, _rng())
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, configurations)
+        return _build_entry(cfg, ring, configurations, table)
     return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
 
 
 def _build_entry(
-    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent
+    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent, table: TableStore
 ) -> EntryDaemon:
     dispatchers = DispatcherFactory(
         configurations.document,
@@ -49,7 +57,15 @@
         rng=_rng(),
     )
     instances = HttpInstanceList(_wire(cfg.platform.instance_list))
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
+    maintenance = MaintenanceFactory(
+        cfg.instance,
+        table,
+        _object_store(cfg),
+        _weight_store(cfg),
+        configurations.document,
+        ring,
+    )
+    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, maintenance)
 
 
 def _build_sidecar(
@@ -66,9 +82,19 @@
     configurations.on_applied = lambda service: (
         schedulers.configure(service) if service == endpoint.service else None
     )
-    objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
-    claims = ClaimService(table, objects, cfg.instance)
-    return SidecarDaemon(cfg, ring, configurations, target, schedulers.build(), claims)
+    claims = ClaimService(table, _object_store(cfg), cfg.instance)
+    guard = FencingGuard(table, endpoint_enforces=endpoint.enforces_fencing)
+    orders = OrderGuard(target, guard, ring)
+    return SidecarDaemon(cfg, ring, configurations, target, schedulers.build(), claims, orders)
+
+
+def _weight_store(cfg: Settings) -> HttpWeightStore | None:
+    address = cfg.platform.weight_store
+    return HttpWeightStore(_wire(address)) if address else None
+
+
+def _object_store(cfg: Settings) -> HttpObjectStore:
+    return HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
 
 
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -8,7 +8,7 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message
+from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message, Ordered
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
@@ -16,6 +16,7 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown
@@ -36,16 +37,21 @@
         configurations: ConfigurationAgent,
         instances: InstanceList,
         dispatchers: DispatcherFactory,
+        maintenance: MaintenanceFactory,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
-        configurations.on_applied = dispatchers.configure
+        self._dispatchers = dispatchers
+        configurations.on_applied = self._configure
         self._tls = tls
         self._process_start = secrets.token_hex(8)
         self._members = MemberLinks(instances, self._make_dialer)
         self._router = Router(dispatchers, self._members.service, ring)
+        self._janitor = maintenance.janitor(self._entries)
+        self._orders = maintenance.orders(self._router, self._entries)
+        self._router.on_report = self._orders.report
         self._fetcher = LinkAnswerFetcher(self._router.links.get)
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
@@ -67,6 +73,7 @@
         self._spawn(self._configurations.run())
         self._spawn(self._members.run())
         self._spawn(self._router.run())
+        self._spawn(self._janitor.run())
 
     def begin_drain(self) -> None:
         """Refuse new requests and let those in flight end."""
@@ -81,6 +88,7 @@
     async def close(self) -> None:
         """Stop at once."""
         await self._http.abort()
+        await self._orders.close()
         await self._members.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
@@ -103,6 +111,13 @@
             },
         }
 
+    def _configure(self, service: str) -> None:
+        self._dispatchers.configure(service)
+        self._orders.configure(service)
+
+    def _entries(self) -> list[str]:
+        return self._members.entries()
+
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
@@ -128,6 +143,8 @@
             self._configurations.link_up(link)
         if isinstance(msg, End):
             observe(self.ring, msg.clock)
+        if isinstance(msg, Ordered):
+            self._orders.ordered(msg)
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
--- /dev/null
+++ b/cassiadrum/roles/lease_contenders.py
@@ -0,0 +1,72 @@
+"""Leases that entry instances contend for."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.states import LeaseCore, LeaseKeeper, LeaseLost
+from cassiadrum.stores import TableStore
+
+__all__ = ["LeaseContender", "is_contender"]
+
+LEASE_DURATION_S = 6.0
+LEASE_MARGIN_S = 1.0
+RENEW_INTERVAL_S = LEASE_DURATION_S / 3
+# With three contenders a lease passes on within seconds, and the reads of a lease do not grow
+# with the fleet.
+CONTENDERS = 3
+
+
+def is_contender(lease: str, instance: str, entries: Iterable[str]) -> bool:
+    """Tell whether an entry instance is among those that contend for a lease."""
+    ranked = sorted(entries, key=lambda name: xxhash.xxh64_intdigest(f"{lease} {name}".encode()))
+    return instance in ranked[:CONTENDERS] or not ranked
+
+
+class LeaseContender:
+    """Hold or contend for one lease; `entries` names the live entry instances."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        name: str,
+        instance: str,
+        entries: Callable[[], Iterable[str]],
+        ring: EventRing,
+        clock: Callable[[], float],
+    ) -> None:
+        core = LeaseCore(instance, duration_s=LEASE_DURATION_S, margin_s=LEASE_MARGIN_S)
+        self.name = name
+        self._keeper = LeaseKeeper(store, name, core, clock)
+        self._core = core
+        self._instance = instance
+        self._entries = entries
+        self._ring = ring
+
+    async def run(self) -> None:
+        """Step for ever."""
+        while True:
+            await self.step()
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
+    async def step(self) -> None:
+        """Renew, contend, or stay out because other instances contend."""
+        held = self._core.is_holder
+        if held or is_contender(self.name, self._instance, self._entries()):
+            await self._keeper.step()
+        if held != self._core.is_holder:
+            kind = EventKind.LEASE_LOST if held else EventKind.LEASE_ACQUIRED
+            self._ring.record(kind, lease=self.name)
+
+    def fencing(self) -> int | None:
+        """Return the fencing token for an effect that starts right now, None without the lease."""
+        try:
+            return self._keeper.check()
+        except LeaseLost:
+            return None
+
+    async def release(self) -> None:
+        """Give the lease up, so that another instance need not wait for it to run out."""
+        await self._keeper.release()
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -23,12 +23,17 @@
         self._instances = instances
         self._make_dialer = make_dialer
         self._dialers: dict[str, LinkDialer] = {}
+        self._entries: set[str] = set()
 
     def service(self, instance: str) -> str:
         """Return the service of a sidecar, empty when unknown."""
         member = self.members.get(instance)
         return member.service if member else ""
 
+    def entries(self) -> list[str]:
+        """Return the names of the listed entry instances."""
+        return list(self._entries)
+
     async def run(self) -> None:
         """Poll for ever."""
         while True:
@@ -39,6 +44,7 @@
             await asyncio.sleep(LIMITS.INSTANCE_POLL_S)
 
     def _take(self, listed: tuple[Instance, ...]) -> None:
+        self._entries = {member.instance for member in listed if member.role == "entry"}
         for member in listed:
             if member.role != "sidecar" or member.instance in self._dialers:
                 continue
--- /dev/null
+++ b/cassiadrum/roles/order_guards.py
@@ -0,0 +1,41 @@
+"""Orders at the sidecar: the check of the fencing token right before the effect."""
+
+import asyncio
+
+from cassiadrum.endpoints import Endpoint, EndpointError
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Order, Ordered
+from cassiadrum.states import FencingGuard, FencingRefused
+
+__all__ = ["OrderGuard"]
+
+
+class OrderGuard:
+    """Carry out orders one after the other, each after its token was admitted."""
+
+    def __init__(self, endpoint: Endpoint, guard: FencingGuard, ring: EventRing) -> None:
+        self._endpoint = endpoint
+        self._guard = guard
+        self._ring = ring
+        self._orders: asyncio.Queue[tuple[Link, Order]] = asyncio.Queue()
+
+    def post(self, link: Link, order: Order) -> None:
+        """Queue an order."""
+        self._orders.put_nowait((link, order))
+
+    async def run(self) -> None:
+        """Carry out orders for ever."""
+        while True:
+            link, order = await self._orders.get()
+            ok, reason = await self._carry_out(order)
+            kind = EventKind.ORDER_CARRIED_OUT if ok else EventKind.ORDER_REFUSED
+            self._ring.record(kind, action=order.action, fencing=order.fencing, reason=reason)
+            link.send(Ordered(order.order_id, ok, reason))
+
+    async def _carry_out(self, order: Order) -> tuple[bool, str]:
+        try:
+            await self._guard.admit(order.lease, order.fencing)
+            return await self._endpoint.order(order.action, order.subject, order.fencing)
+        except (FencingRefused, EndpointError) as exc:
+            return False, str(exc)
--- /dev/null
+++ b/cassiadrum/roles/order_managers.py
@@ -0,0 +1,103 @@
+"""The order tasks of all model services at an entry instance."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable, Iterable
+
+from cassiadrum.decisions import DemandOrderPlanner, EndpointReport
+from cassiadrum.documents import ServiceDocument
+from cassiadrum.links.messages import Ordered
+from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.roles.order_tasks import OrderTask
+from cassiadrum.stores import StoreUnavailable, WeightStore
+
+__all__ = ["OrderManager"]
+
+logger = logging.getLogger(__name__)
+
+# The share of the weight store's rate that orders may use, in bytes per second.
+WEIGHT_BYTES_PER_S = 200e6
+SIZE_RETRY_S = 5.0
+
+
+class OrderManager:
+    """Run one lease and one order task for each model service while it is configured.
+
+    Without a weight store there is nothing to load, and no task runs.
+    """
+
+    def __init__(
+        self,
+        weights: WeightStore | None,
+        documents: Callable[[str], ServiceDocument | None],
+        make_lease: Callable[[str], LeaseContender],
+        make_task: Callable[[str, DemandOrderPlanner, LeaseContender], OrderTask],
+    ) -> None:
+        self._weights = weights
+        self._documents = documents
+        self._make_lease = make_lease
+        self._make_task = make_task
+        self._tasks: dict[str, OrderTask] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+
+    def configure(self, service: str) -> None:
+        """Start the task of a new service, and stop that of a deleted one."""
+        document = self._documents(service)
+        if document is None or document.kind != "model":
+            self._stop(service)
+        elif service not in self._running and self._weights is not None:
+            self._running[service] = asyncio.create_task(self._run(document, self._weights))
+
+    def report(self, service: str, rep: EndpointReport) -> None:
+        """Take a load report of an endpoint."""
+        if service in self._tasks:
+            self._tasks[service].report(rep)
+
+    def removed(self, service: str, instance: str) -> None:
+        """Forget an endpoint."""
+        if service in self._tasks:
+            self._tasks[service].removed(instance)
+
+    def ordered(self, msg: Ordered) -> None:
+        """Take the result of an order."""
+        for task in self._tasks.values():
+            task.ordered(msg.order_id, msg.ok, msg.reason)
+
+    async def close(self) -> None:
+        """Stop every task."""
+        running = list(self._running.values())
+        for service in list(self._running):
+            self._stop(service)
+        for task in running:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def _stop(self, service: str) -> None:
+        self._tasks.pop(service, None)
+        task = self._running.pop(service, None)
+        if task is not None:
+            task.cancel()
+
+    async def _run(self, document: ServiceDocument, weights: WeightStore) -> None:
+        sizes = await _sizes(weights, document.models)
+        planner = DemandOrderPlanner(sizes, WEIGHT_BYTES_PER_S)
+        lease = self._make_lease(f"orders/{document.name}")
+        task = self._make_task(document.name, planner, lease)
+        self._tasks[document.name] = task
+        try:
+            await asyncio.gather(lease.run(), task.run())
+        finally:
+            with contextlib.suppress(asyncio.CancelledError):
+                await lease.release()
+
+
+async def _sizes(weights: WeightStore, models: Iterable[str]) -> dict[tuple[str, str], int]:
+    """Return the sizes that the weight store knows; a model without one is never loaded."""
+    while True:
+        try:
+            sizes = {(name, ""): await weights.size(name) for name in models}
+            return {key: size for key, size in sizes.items() if size is not None}
+        except StoreUnavailable as exc:
+            logger.debug("weight store: %s", exc)
+        await asyncio.sleep(SIZE_RETRY_S)
--- /dev/null
+++ b/cassiadrum/roles/order_tasks.py
@@ -0,0 +1,115 @@
+"""Orders to the engines of one service, from whoever holds the service's lease."""
+
+import asyncio
+import time
+import uuid
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from cassiadrum.decisions import EndpointReport, EngineOrder, LoadDemand, OrderPlanner
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Order
+from cassiadrum.roles.lease_contenders import LeaseContender
+
+__all__ = ["OrderTask"]
+
+PLAN_INTERVAL_S = 1.0
+# Weight of the newest sample in the mean demand; the mean covers about a minute.
+DEMAND_WEIGHT = 1.0 / 60.0
+
+
+class OrderTask:
+    """Average the demand for models, plan orders and send them under the lease.
+
+    `waiting` gives model and adapter of each request of the service at this instance, `entries`
+    the number of entry instances, among which the balancer spreads the requests evenly.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        planner: OrderPlanner,
+        lease: LeaseContender,
+        *,
+        waiting: Callable[[str], Iterable[tuple[str, str]]],
+        entries: Callable[[], int],
+        links: Callable[[str], Link | None],
+        ring: EventRing,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._service = service
+        self._planner = planner
+        self._lease = lease
+        self._waiting = waiting
+        self._entries = entries
+        self._links = links
+        self._ring = ring
+        self._clock = clock
+        self._reports: dict[str, EndpointReport] = {}
+        self._demand: dict[tuple[str, str], float] = {}
+        self._sent: dict[str, str] = {}
+
+    def report(self, rep: EndpointReport) -> None:
+        """Take a load report of an engine of the service."""
+        self._reports[rep.instance] = rep
+
+    def removed(self, instance: str) -> None:
+        """Forget an engine."""
+        self._reports.pop(instance, None)
+
+    def ordered(self, order_id: str, ok: bool, reason: str) -> None:
+        """Take the result of an order."""
+        instance = self._sent.pop(order_id, None)
+        if instance is None:
+            return
+        self._planner.ordered(instance, self._clock())
+        kind = EventKind.ORDER_CARRIED_OUT if ok else EventKind.ORDER_REFUSED
+        self._ring.record(kind, service=self._service, to=instance, reason=reason)
+
+    async def run(self) -> None:
+        """Plan for ever."""
+        while True:
+            await asyncio.sleep(PLAN_INTERVAL_S)
+            self.step()
+
+    def step(self) -> None:
+        """Sample the demand, and plan if the lease is held."""
+        self._sample()
+        if self._lease.fencing() is not None:
+            self._plan()
+
+    def _sample(self) -> None:
+        counts = Counter(name for name in self._waiting(self._service) if name[0])
+        for name in {*counts, *self._demand}:
+            old = self._demand.get(name, 0.0)
+            self._demand[name] = old + DEMAND_WEIGHT * (counts[name] - old)
+
+    def _plan(self) -> None:
+        share = max(1, self._entries())
+        demand = [
+            LoadDemand(model, adapter, mean * share)
+            for (model, adapter), mean in self._demand.items()
+        ]
+        for order in self._planner.plan(demand, list(self._reports.values()), self._clock()):
+            self._send(order)
+
+    def _send(self, order: EngineOrder) -> None:
+        link = self._links(order.instance)
+        # Read again right before the effect: the lease may have run out since the plan.
+        fencing = self._lease.fencing()
+        if link is None or fencing is None:
+            self._planner.ordered(order.instance, self._clock())
+            return
+        order_id = uuid.uuid4().hex
+        self._sent[order_id] = order.instance
+        subject = order.adapter or order.model
+        self._ring.record(
+            EventKind.ORDER_SENT,
+            service=self._service,
+            to=order.instance,
+            action=order.kind.value,
+            subject=subject,
+            fencing=fencing,
+        )
+        link.send(Order(order_id, self._lease.name, fencing, order.kind.value, subject))
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -68,6 +68,7 @@
         self.pending: dict[str, PendingRequest] = {}
         self.links: dict[str, Link] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
+        self.on_report: Callable[[str, EndpointReport], None] = lambda service, rep: None
         self._make_dispatcher = make_dispatcher
         self._services = services
         self._ring = ring
@@ -78,6 +79,14 @@
         # Cancelled attempts whose end the dispatcher still has to hear of.
         self._cancelled: dict[str, tuple[Attempt, str]] = {}
 
+    def models_wanted(self, service: str) -> list[tuple[str, str]]:
+        """Return model and adapter of each request of a service that waits or runs."""
+        return [
+            (pending.queued.model, pending.queued.adapter)
+            for pending in self.pending.values()
+            if pending.queued.service == service
+        ]
+
     def post(self, msg: RouterMessage) -> None:
         """Queue a message for the task."""
         self._inbox.put_nowait(msg)
@@ -207,6 +216,7 @@
             msg.leaving,
             msg.tokens_per_s,
         )
+        self.on_report(self._services(link.peer.instance), report)
         self._carry_out(dispatcher.report(report, now))
 
     def _data(self, attempt_id: str, position: int, data: bytes) -> None:
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -12,7 +12,7 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order, StartRequest
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
@@ -20,6 +20,7 @@
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
 from cassiadrum.roles.once_gates import OnceGate
+from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
@@ -42,12 +43,14 @@
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
+        orders: OrderGuard,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
         self._claims = claims
+        self._orders = orders
         self._endpoint = endpoint
         self._tls = tls
         self._draining = False
@@ -69,6 +72,7 @@
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
         self._spawn(self._settle_claims())
+        self._spawn(self._orders.run())
         self._spawn(self._sidecar.run())
         self._spawn(self._poll_load())
 
@@ -141,7 +145,9 @@
             self._configurations.link_up(link)
         if isinstance(msg, StartRequest):
             observe(self.ring, msg.clock)
-        if not self._configurations.take(link, msg):
+        if isinstance(msg, Order):
+            self._orders.post(link, msg)
+        elif not self._configurations.take(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
     def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
--- /dev/null
+++ b/cassiadrum/tests/test_orders.py
@@ -0,0 +1,115 @@
+"""Tests of orders to engines: lease, fencing token and demand."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from cassiadrum.decisions import DemandOrderPlanner, EndpointReport
+from cassiadrum.endpoints import EngineEndpoint
+from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.links.messages import Message, Order, Ordered
+from cassiadrum.protocols import HttpClient
+from cassiadrum.roles.lease_contenders import CONTENDERS, LeaseContender, is_contender
+from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.order_tasks import OrderTask
+from cassiadrum.standins import EngineStandin, TableService
+from cassiadrum.states import FencingGuard
+from cassiadrum.stores import HttpTableStore, HttpWire, TableStore
+
+
+class Recorder:
+    """Keep the messages sent on a link."""
+
+    def __init__(self) -> None:
+        self.sent: asyncio.Queue[Message] = asyncio.Queue()
+
+    def send(self, msg: Message) -> None:
+        self.sent.put_nowait(msg)
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[TableStore]:
+    service = TableService()
+    client = HttpClient("127.0.0.1", await service.start())
+    yield HttpTableStore(HttpWire(client, time.monotonic))
+    client.close()
+    await service.close()
+
+
+def make_ring() -> EventRing:
+    return EventRing(HybridClock(lambda: 1.0), "instance", "role", "start")
+
+
+class TestContenders:
+    """Guards against a lease whose reads grow with the number of entry instances."""
+
+    def test_few_of_many_contend(self) -> None:
+        names = [f"entry-{number}" for number in range(200)]
+        contenders = [name for name in names if is_contender("orders/s", name, names)]
+        assert len(contenders) == CONTENDERS
+
+
+class TestOrderGuard:
+    """Guards against an order of a former lease holder at an engine that ignores tokens."""
+
+    async def test_old_token_is_refused_before_the_engine(self, store: TableStore) -> None:
+        now = [0.0]
+        first = LeaseContender(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
+        second = LeaseContender(store, "orders/s", "b", lambda: ["b"], make_ring(), lambda: now[0])
+        await first.step()
+        await first.step()
+        old = first.fencing()
+        await second.step()
+        now[0] += 10.0
+        await second.step()
+        new = second.fencing()
+        assert old is not None and new is not None and new > old
+        assert first.fencing() is None
+
+        engine = EngineStandin(enforces_fencing=False)
+        endpoint = EngineEndpoint("127.0.0.1", await engine.start())
+        guard = OrderGuard(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
+        task = asyncio.create_task(guard.run())
+        link = Recorder()
+        for fencing in (old, new):
+            guard.post(link, Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"))  # type: ignore[arg-type]
+        results = [await link.sent.get() for _ in range(2)]
+        assert [res.ok for res in results if isinstance(res, Ordered)] == [False, True]
+        assert (await endpoint.load()).models == (f"m{new}",)
+        task.cancel()
+        endpoint.close()
+        await engine.close()
+
+
+class TestOrderTask:
+    """Guards against models in demand that no engine loads, and against orders without a lease."""
+
+    async def test_order_is_sent_only_under_the_lease(self, store: TableStore) -> None:
+        now = [0.0]
+        lease = LeaseContender(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
+        link = Recorder()
+        task = OrderTask(
+            "s",
+            DemandOrderPlanner({("wanted", ""): 1000}, 1e9),
+            lease,
+            waiting=lambda service: [("wanted", "")] * 20,
+            entries=lambda: 1,
+            links=lambda instance: link,  # type: ignore[arg-type, return-value]
+            ring=make_ring(),
+            clock=lambda: now[0],
+        )
+        for number in range(3):
+            task.report(EndpointReport(f"e{number}", "z", 0, 0, 8, 0.0, ("other",)))
+        for _ in range(60):
+            task.step()
+            now[0] += 1.0
+        assert link.sent.empty()
+        for _ in range(12):
+            await lease.step()
+            task.step()
+            now[0] += 1.0
+        order = link.sent.get_nowait()
+        assert isinstance(order, Order)
+        assert (order.action, order.subject, order.fencing) == ("load_model", "wanted", 1)
