Keep the place of a requeued request among those that arrived together

Cause: a rejected request got a new serial number, so that it fell behind requests of the same arrival time. Found by a test that rejects the first of three equal requests. Change: the queue remembers the serial number with the charge. More tests: no charge for work that did not run, share of an overdue class, lost endpoints, truthful refusal after several attempts.

--- a/cassiadrum/decisions/fair_tier_queues.py
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -58,12 +58,11 @@
 
         Raises ValueError when a request with this id already waits.
         """
-        self._charges.pop(req.request_id, None)
-        return self._insert(req, None)
+        return self._insert(req, refund=False)
 
     def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
         """Put back a popped request that did not run, and take back its charges."""
-        return self._insert(req, self._charges.pop(req.request_id, None))
+        return self._insert(req, refund=True)
 
     def pop(self, now: float) -> QueuedRequest | None:
         """Remove and return the next request."""
@@ -74,7 +73,7 @@
         advance = 0.0 if cls.protected else self._ledger.charge(cls, tokens)
         entry = cls.serve()
         self._forget(entry)
-        self._remember_charge(entry.req.request_id, QueueCharge(tokens, advance))
+        self._remember_charge(entry.req.request_id, QueueCharge(tokens, entry.serial, advance))
         return entry.req
 
     def remove(self, request_id: str) -> QueuedRequest | None:
@@ -111,24 +110,30 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def _insert(self, req: QueuedRequest, refund: QueueCharge | None) -> list[QueuedRequest]:
+    def _insert(self, req: QueuedRequest, refund: bool) -> list[QueuedRequest]:
         if req.request_id in self._entries:
             raise ValueError(f"request {req.request_id} already waits in this queue")
-        self._serial += 1
-        tokens = refund.tokens if refund else self._cost(req)
-        entry = QueueEntry(req, tokens, self._serial)
+        charge = self._charges.pop(req.request_id, None)
+        entry = self._entry(req, charge)
         cls = self._classes.get(_key(req))
         if cls is None:
             cls = self._classes[_key(req)] = ClassQueue(req, self._counter)
-        if refund and not cls.protected:
-            self._ledger.refund(cls, refund.tokens, refund.share_advance)
-        cls.add(entry, refund is not None)
+        refunded = charge if refund else None
+        if refunded is not None and not cls.protected:
+            self._ledger.refund(cls, refunded.tokens, refunded.share_advance)
+        cls.add(entry, refunded is not None)
         self._entries[req.request_id] = entry
         self._tokens += entry.tokens
         if req.deadline_s < math.inf:
             self._deadlines.set(req.request_id, req.deadline_s)
         return self._shed()
 
+    def _entry(self, req: QueuedRequest, charge: QueueCharge | None) -> QueueEntry:
+        if charge is not None:
+            return QueueEntry(req, charge.tokens, charge.serial)
+        self._serial += 1
+        return QueueEntry(req, self._cost(req), self._serial)
+
     def _cost(self, req: QueuedRequest) -> float:
         # A request larger than the whole bound could otherwise never wait, not even alone.
         return min(max(self._estimate_tokens(req), 1.0), self._max_tokens)
--- a/cassiadrum/decisions/queue_charges.py
+++ b/cassiadrum/decisions/queue_charges.py
@@ -1,4 +1,4 @@
-"""What a popped request was charged."""
+"""What a queue remembers of a popped request, in case it comes back."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,8 @@
 
 
 class QueueCharge(NamedTuple):
-    """Hold a popped request's estimated tokens and the advance of its class's share tag."""
+    """Hold a popped request's tokens, its serial number and the advance of its class's tag."""
 
     tokens: float
+    serial: int
     share_advance: float
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -58,7 +58,7 @@
         self.ran: dict[str, Ran] = {}
         self.requests: dict[str, QueuedRequest] = {}
         self.ended: Counter[str] = Counter()
-        self.accepted = self.repeated = 0
+        self.lost: set[str] = set()
 
     def apply(self, actions: list[Action]) -> None:
         for action in actions:
@@ -70,6 +70,7 @@
                 continue
             assert self.ran[name] is Ran.NO or self.requests[name].idempotent
             assert name not in self.running
+            assert action.instance not in self.lost
             self.running[name] = action.instance
 
     def step(self, kind: str, number: int) -> None:
@@ -82,10 +83,13 @@
             self.requests[name], self.ran[name] = req, Ran.NO
             self.apply(self.dispatcher.submit(req, self.now))
         elif kind == "report":
+            self.lost.discard(instance)
             self.apply(self.dispatcher.report(make_report(instance, 2, self.now), self.now))
         elif kind == "lost":
+            self.lost.add(instance)
             self.apply(self.dispatcher.lost(instance, self.now))
         elif kind == "removed":
+            self.lost.discard(instance)
             for name in [name for name, where in self.running.items() if where == instance]:
                 del self.running[name]
                 self.ran[name] = self.ran[name].combined(Ran.UNKNOWN)
@@ -178,6 +182,34 @@
         assert isinstance(refusal, Refuse)
         assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.UNKNOWN)
 
+    def test_reject_after_an_attempt_that_may_have_run_says_so(self) -> None:
+        dispatcher = make_dispatcher()
+        dispatcher.submit(make_request("r")._replace(deadline_s=10.0), 0.0)
+        dispatcher.finished("r", UNKNOWN, 1.0)
+        (refusal,) = dispatcher.finished("r", NOT_RUN, 11.0)
+        assert isinstance(refusal, Refuse)
+        assert refusal.ran is Ran.UNKNOWN
+
+    def test_no_policy_can_repeat_an_effect(self) -> None:
+        class Unlimited(BudgetRetryPolicy):
+            def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+                return True
+
+        dispatcher = Dispatcher(FairTierQueue(9), LeastOutstandingChooser(), retry=Unlimited())
+        dispatcher.report(make_report("e0"), 0.0)
+        dispatcher.submit(make_request("once", idempotent=False), 0.0)
+        (refusal,) = dispatcher.finished("once", UNKNOWN, 1.0)
+        assert isinstance(refusal, Refuse)
+
+    def test_call_that_may_not_be_cut_runs_on_without_its_caller(self) -> None:
+        chooser = LeastOutstandingChooser()
+        dispatcher = Dispatcher(FairTierQueue(9), chooser, uncancellable=["class-2"])
+        dispatcher.report(make_report("e0"), 0.0)
+        dispatcher.submit(make_request("r"), 0.0)
+        assert dispatcher.cancelled("r", 1.0) == []
+        assert dispatcher.running() == 1
+        assert dispatcher.finished("r", NOT_RUN, 2.0) == []
+
 
 class TestConnections:
     """Guards against work sent to lost endpoints and against endless waits without any."""
@@ -191,6 +223,13 @@
         (action,) = dispatcher.report(make_report("e0"), 2.0)
         assert isinstance(action, Dispatch)
 
+    def test_lost_endpoint_is_passed_over_while_another_works(self) -> None:
+        dispatcher = make_dispatcher(endpoints=2, limit=1)
+        dispatcher.lost("e0", 0.0)
+        (action,) = dispatcher.submit(make_request("a"), 1.0)
+        assert action == Dispatch(make_request("a"), "e1")
+        assert dispatcher.submit(make_request("b"), 1.0) == []
+
     def test_refused_within_a_bounded_time_without_endpoints(self) -> None:
         dispatcher = make_dispatcher(endpoints=0)
         dispatcher.submit(make_request("r"), 0.0)
--- a/cassiadrum/tests/test_fair_tier_queues.py
+++ b/cassiadrum/tests/test_fair_tier_queues.py
@@ -3,6 +3,7 @@
 import math
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -148,6 +149,49 @@
             # Start-time fair queueing: at most one request of each customer apart.
             assert abs(served["small"] - served["large"]) <= 400 / weight + 400
 
+    def test_sending_one_request_at_a_time_gains_nothing(self) -> None:
+        queue = FairTierQueue(100)
+        for index in range(20):
+            queue.push(make_request(f"steady-{index}", customer="steady"), 0.0)
+        order: list[str] = []
+        for index in range(20):
+            if not order or order[-1] == "single":
+                req = make_request(f"single-{index}", customer="single", arrived_s=-1.0)
+                queue.push(req, 0.0)
+            popped = queue.pop(0.0)
+            assert popped is not None
+            order.append(popped.customer)
+        assert order.count("single") == 10
+
+    def test_work_that_did_not_run_is_not_charged(self) -> None:
+        queue = FairTierQueue(100)
+        for index in range(6):
+            customer = "rejected" if index < 3 else "other"
+            queue.push(make_request(f"{customer}-{index}", customer=customer), 0.0)
+        for _ in range(5):
+            req = queue.pop(0.0)
+            assert req is not None
+            assert req.request_id == "rejected-0"
+            queue.requeue(req, 0.0)
+
+    @pytest.mark.parametrize("rejects", [0, 3])
+    def test_overdue_class_gets_its_share_and_no_more(self, rejects: int) -> None:
+        queue = FairTierQueue(1000)
+        for index in range(300):
+            queue.push(make_request(f"high-{index}", 2, arrived_s=100.0), 100.0)
+        # Work served before the class was overdue is nothing that the others owe it.
+        for _ in range(100):
+            queue.pop(100.0)
+        for index in range(50):
+            queue.push(make_request(f"low-{index}", 4, min_share=0.1), 100.0)
+        for _ in range(rejects):
+            req = queue.pop(100.0)
+            assert req is not None
+            queue.requeue(req, 100.0)
+        tiers = [req.tier for _ in range(100) if (req := queue.pop(100.0))]
+        assert tiers[0] == 4
+        assert tiers.count(4) == 10
+
     def test_only_protected_work_is_ahead_of_a_protected_request(self) -> None:
         queue = FairTierQueue(10)
         for tier in (0, 1, 2, 3):
