--- /dev/null
+++ b/cassiadrum/tests/test_configurations.py
@@ -0,0 +1,292 @@
+"""Tests of configurations under racing operators, lost answers, restarts and reordering."""
+
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from cassiadrum.states import (
+    CONFIG_TABLE,
+    HISTORY_VERSIONS,
+    Accepted,
+    ConfigurationReader,
+    ConfigurationRecord,
+    ConfigurationRegistry,
+    ConfigurationWriter,
+    Conflicted,
+    Invalid,
+    InvalidRecord,
+    NotAccepted,
+    Unresolved,
+    poll_interval_s,
+)
+from cassiadrum.tests.stepped_stores import Fault, Stepped, SteppedStore, no_pause
+
+SERVICE = "permit-register"
+TEXT = (Path(__file__).parents[2] / "examples" / f"{SERVICE}.toml").read_text()
+SERVICES = [SERVICE, "drafting-desk"]
+TEXTS = [TEXT, TEXT.replace(SERVICE, "drafting-desk")]
+
+
+def new_writer(store: SteppedStore) -> ConfigurationWriter:
+    return ConfigurationWriter(store, wall_clock=lambda: 1.0, pause=no_pause)
+
+
+def current(store: SteppedStore, service: str = SERVICE) -> ConfigurationRecord:
+    return ConfigurationRecord.from_row(service, store.rows.get(CONFIG_TABLE, service))
+
+
+def accept(store: SteppedStore, base: int, operation: str, *faults: Fault) -> Any:
+    coro = new_writer(store).accept(SERVICE, TEXT, base, operation, "brigade")
+    process = Stepped(store, coro)
+    for fault in faults:
+        process.step(fault)
+    return process.finish()
+
+
+class TestConfigurationWriter:
+    """Guards against an accepted version that is lost and a refused one that takes effect."""
+
+    def test_invalid_document_is_not_written(self) -> None:
+        store = SteppedStore()
+        coro = new_writer(store).accept("other-name", TEXT, 0, "o", "brigade")
+        result = Stepped(store, coro).finish()
+        assert isinstance(result, Invalid) and result.findings[0].path == "service.name"
+
+    def test_second_operator_sees_the_difference(self) -> None:
+        store = SteppedStore()
+        assert isinstance(accept(store, 0, "first"), Accepted)
+        changed = TEXT.replace("tier = 0", "tier = 0  # changed", 1)
+        coro = new_writer(store).accept(SERVICE, changed, 0, "second", "council")
+        result = Stepped(store, coro).finish()
+        assert isinstance(result, Conflicted)
+        assert "-tier = 0\n+tier = 0  # changed\n" in result.difference
+        assert current(store).operation_id == "first"
+
+    def test_repeated_operation_is_accepted_once(self) -> None:
+        store = SteppedStore()
+        for base, operation in enumerate(["a", "b", "c"]):
+            accept(store, base, operation)
+        again = accept(store, 0, "a")
+        assert isinstance(again, Accepted) and (again.version, again.current.version) == (1, 3)
+
+    def test_lost_answer_is_read_back(self) -> None:
+        result = accept(SteppedStore(), 0, "o", Fault.NONE, Fault.ANSWER_LOST)
+        assert isinstance(result, Accepted) and result.version == 1
+
+    def test_delayed_write_meets_the_fence(self) -> None:
+        store = SteppedStore()
+        accept(store, 0, "first")
+        result = accept(store, 1, "late", Fault.NONE, Fault.DELAYED)
+        assert isinstance(result, NotAccepted)
+        store.deliver(0)
+        assert current(store).operation_id == "first"
+
+    def test_delayed_first_write_meets_the_fence(self) -> None:
+        store = SteppedStore()
+        assert isinstance(accept(store, 0, "late", Fault.NONE, Fault.DELAYED), NotAccepted)
+        store.deliver(0)
+        assert current(store).version == 0
+        registry = ConfigurationRegistry()
+        assert Stepped(store, ConfigurationReader(store, registry).poll()).finish() == []
+        assert isinstance(accept(store, 0, "next"), Accepted)
+
+    def test_outage_leaves_the_outcome_unresolved_until_repeated(self) -> None:
+        store = SteppedStore()
+        faults = [Fault.NONE, Fault.ANSWER_LOST, *[Fault.DROPPED] * 5]
+        assert isinstance(accept(store, 0, "o", *faults), Unresolved)
+        assert isinstance(accept(store, 0, "o"), Accepted)
+        assert current(store).version == 1
+
+    def test_history_is_bounded_and_shows_differences(self) -> None:
+        store = SteppedStore()
+        for base in range(HISTORY_VERSIONS + 5):
+            assert isinstance(accept(store, base, f"operation-{base}"), Accepted)
+        history = new_writer(store).history
+        versions = Stepped(store, history.versions(SERVICE)).finish()
+        last = HISTORY_VERSIONS + 5
+        assert [record.version for record in versions] == list(range(6, last + 1))
+        assert Stepped(store, history.diff(SERVICE, 6, last)).finish() == ""
+        assert Stepped(store, history.diff(SERVICE, 1, last)).finish() is None
+        # An operation that the record no longer names is found in the history.
+        old = accept(store, 6, "operation-6")
+        assert isinstance(old, Accepted) and old.version == 7
+        assert isinstance(accept(store, 6, "other"), Conflicted)
+        assert isinstance(accept(store, 0, "operation-0"), Unresolved)
+
+
+class TestConfigurationRegistry:
+    """Guards against a version that reverts or a document in force that is not valid."""
+
+    def test_apply_is_monotonic(self) -> None:
+        registry = ConfigurationRegistry()
+        assert registry.apply(ConfigurationRecord(SERVICE, 2, TEXT))
+        assert not registry.apply(ConfigurationRecord(SERVICE, 2, TEXT))
+        assert registry.apply(ConfigurationRecord(SERVICE, 3, deleted=True))
+        assert not registry.apply(ConfigurationRecord(SERVICE, 2, TEXT))
+        assert registry.document(SERVICE) is None and registry.versions() == {SERVICE: 3}
+        assert registry.missing({SERVICE: 3, "new": 1}) == ["new"]
+
+    def test_invalid_record_leaves_the_document_in_force(self) -> None:
+        registry = ConfigurationRegistry()
+        registry.apply(ConfigurationRecord(SERVICE, 1, TEXT))
+        for text in ("nonsense", TEXTS[1]):
+            with pytest.raises(InvalidRecord):
+                registry.apply(ConfigurationRecord(SERVICE, 2, text))
+        assert registry.version(SERVICE) == 1 and registry.document(SERVICE) is not None
+
+    def test_digest_depends_on_the_vector_only(self) -> None:
+        one, two = ConfigurationRegistry(), ConfigurationRegistry()
+        records = [
+            ConfigurationRecord(name, 1, text) for name, text in zip(SERVICES, TEXTS, strict=True)
+        ]
+        for record in records:
+            one.apply(record)
+        for record in reversed(records):
+            two.apply(record)
+        assert one.digest() == two.digest() != ConfigurationRegistry().digest()
+
+
+class TestPollInterval:
+    """Guards against a fleet that polls away the store's read budget."""
+
+    @pytest.mark.parametrize("processes", [1, 12, 9_600])
+    def test_fleet_stays_within_its_reads(self, processes: int) -> None:
+        intervals = [poll_interval_s(processes, random.Random(seed)) for seed in range(100)]
+        assert processes / min(intervals) <= 100
+        assert min(intervals) >= 2.0
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Race operators over two services while processes learn versions in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = SteppedStore()
+        self.operations: dict[str, Stepped[Any]] = {}
+        self.polls: list[tuple[int, Stepped[Any]]] = []
+        self.count = 0
+        self.seen: dict[tuple[str, int], ConfigurationRecord] = {}
+        self.applied: dict[str, str] = {}
+        self.refused: set[str] = set()
+        self.accepted: dict[str, tuple[str, int]] = {}
+        self.registries = [ConfigurationRegistry() for _ in range(3)]
+        self.floors: list[dict[str, int]] = [{} for _ in range(3)]
+
+    @rule(index=st.integers(0, 1), back=st.integers(0, 2), delete=st.booleans())
+    def submit(self, index: int, back: int, delete: bool) -> None:
+        service = SERVICES[index]
+        base = max(0, current(self.store, service).version - back)
+        self.count += 1
+        operation = f"operation-{self.count}"
+        writer = new_writer(self.store)
+        if delete:
+            coro = writer.delete(service, base, operation, "council")
+        else:
+            coro = writer.accept(service, TEXTS[index], base, operation, "council")
+        self.operations[operation] = Stepped(self.store, coro)
+        self.applied[operation] = service
+
+    @precondition(lambda self: self.operations)
+    @rule(index=st.integers(0, 9), fault=st.sampled_from(Fault))
+    def step_operation(self, index: int, fault: Fault) -> None:
+        operation = list(self.operations)[index % len(self.operations)]
+        process = self.operations[operation]
+        if process.step(fault):
+            del self.operations[operation]
+            self.note(operation, process.result)
+
+    def note(self, operation: str, result: Any) -> None:
+        if isinstance(result, Accepted):
+            self.accepted[operation] = (self.applied[operation], result.version)
+        elif isinstance(result, Conflicted | NotAccepted):
+            self.refused.add(operation)
+
+    @precondition(lambda self: self.store.delayed)
+    @rule(index=st.integers(0, 9))
+    def deliver(self, index: int) -> None:
+        self.store.deliver(index)
+
+    @precondition(lambda self: self.seen)
+    @rule(process=st.integers(0, 2), index=st.integers(0, 30))
+    def gossip(self, process: int, index: int) -> None:
+        """Bring a process any version that was ever current, again and out of order."""
+        records = list(self.seen.values())
+        self.registries[process].apply(records[index % len(records)])
+
+    @rule(process=st.integers(0, 2))
+    def poll(self, process: int) -> None:
+        reader = ConfigurationReader(self.store, self.registries[process])
+        self.polls.append((process, Stepped(self.store, self.poll_once(reader))))
+
+    @staticmethod
+    async def poll_once(reader: ConfigurationReader) -> None:
+        await reader.poll()
+
+    @precondition(lambda self: self.polls)
+    @rule(index=st.integers(0, 9))
+    def step_poll(self, index: int) -> None:
+        item = self.polls[index % len(self.polls)]
+        if item[1].step():
+            self.polls.remove(item)
+
+    @rule(process=st.integers(0, 2))
+    def restart(self, process: int) -> None:
+        for item in [item for item in self.polls if item[0] == process]:
+            item[1].close()
+            self.polls.remove(item)
+        self.registries[process] = ConfigurationRegistry()
+        self.floors[process] = {}
+
+    @invariant()
+    def record_current_versions(self) -> None:
+        for service in SERVICES:
+            record = current(self.store, service)
+            if record.version:
+                before = self.seen.setdefault((service, record.version), record)
+                assert before == record, "a version changed its content"
+            last = max((version for name, version in self.seen if name == service), default=0)
+            assert record.version == last, "the store went back"
+
+    @invariant()
+    def versions_in_force_never_go_back(self) -> None:
+        for registry, floor in zip(self.registries, self.floors, strict=True):
+            for service, version in registry.versions().items():
+                assert version >= floor.get(service, 0)
+                floor[service] = version
+                deleted = self.seen[service, version].deleted
+                assert (registry.document(service) is None) == deleted
+
+    @invariant()
+    def results_are_true(self) -> None:
+        written = {record.operation_id for record in self.seen.values()}
+        assert not written & self.refused, "a refused operation took effect"
+        for operation, key in self.accepted.items():
+            assert self.seen[key].operation_id == operation
+
+    def teardown(self) -> None:
+        while self.store.delayed:
+            self.store.deliver(0)
+        for operation, process in self.operations.items():
+            self.note(operation, process.finish())
+        for _, process in self.polls:
+            process.close()
+        history = new_writer(self.store).history
+        for service in SERVICES:
+            for record in Stepped(self.store, history.versions(service)).finish():
+                self.seen.setdefault((service, record.version), record)
+        self.results_are_true()
+        for registry in self.registries:
+            Stepped(self.store, ConfigurationReader(self.store, registry).poll()).finish()
+            for service in SERVICES:
+                assert registry.version(service) == current(self.store, service).version
+
+
+TestConfigurationSequences = ConfigurationMachine.TestCase
+TestConfigurationSequences.settings = settings(
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None, database=None
+)
