Record a start only when the endpoint is called

Cause: an answer kept for a key was recorded as started although nothing ran. Change: the caller task posts its start right before the call.

--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -8,7 +8,13 @@
 from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointLost, EndpointUnreachable
 from cassiadrum.protocols import HttpError, HttpResponse
 from cassiadrum.roles.once_gates import OnceGate, relayed_headers
-from cassiadrum.roles.sidecar_messages import CallData, CallEnded, CallHead, SidecarMessage
+from cassiadrum.roles.sidecar_messages import (
+    CallData,
+    CallEnded,
+    CallHead,
+    CallStarted,
+    SidecarMessage,
+)
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.states import Claimed, KeptAnswer
 
@@ -57,6 +63,7 @@
 
     async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         """Call the endpoint; collect the answer in `body` if that is to be kept."""
+        self._post(CallStarted(stream.start.attempt_id))
         try:
             response = await self._endpoint.call(_to_call(stream))
         except EndpointUnreachable:
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -11,6 +11,7 @@
     "CallData",
     "CallEnded",
     "CallHead",
+    "CallStarted",
     "DrainSidecar",
     "LinkLost",
     "LinkMessage",
@@ -32,6 +33,12 @@
     link: Link
 
 
+class CallStarted(NamedTuple):
+    """The call is sent to the endpoint now."""
+
+    attempt_id: str
+
+
 class CallHead(NamedTuple):
     """The endpoint answered with this status and these headers."""
 
@@ -66,5 +73,12 @@
 
 
 SidecarMessage = (
-    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar
+    LinkMessage
+    | LinkLost
+    | CallStarted
+    | CallHead
+    | CallData
+    | CallEnded
+    | LoadChanged
+    | DrainSidecar
 )
