--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -40,6 +40,8 @@
     CallData,
     CallEnded,
     CallHead,
+    CallStarted,
+    DrainSidecar,
     LinkLost,
     LinkMessage,
     LoadChanged,
@@ -118,6 +120,8 @@
             self._from_link(msg)
         elif isinstance(msg, CallData):
             self._call_data(msg)
+        elif isinstance(msg, CallStarted):
+            self._call_started(msg)
         elif isinstance(msg, CallHead):
             self._call_head(msg)
         elif isinstance(msg, CallEnded):
@@ -126,7 +130,7 @@
             self._load_changed(msg)
         elif isinstance(msg, LinkLost):
             self._link_lost(msg.link)
-        else:
+        elif isinstance(msg, DrainSidecar):
             self._drain()
 
     # Messages of entry instances.
@@ -221,6 +225,11 @@
 
     # Messages of the calls.
 
+    def _call_started(self, msg: CallStarted) -> None:
+        stream = self.streams[msg.attempt_id]
+        stream.timing = StreamTiming(self._clock())
+        self._record_stream(EventKind.STARTED, stream)
+
     def _call_head(self, msg: CallHead) -> None:
         stream = self.streams[msg.attempt_id]
         stream.head = Head(msg.attempt_id, msg.status, msg.headers)
@@ -305,8 +314,6 @@
 
     def _run(self, req: QueuedRequest) -> None:
         stream = self.streams[req.request_id]
-        self._record(EventKind.STARTED, req.request_id)
-        stream.timing = StreamTiming(self._clock())
         stream.task = asyncio.create_task(self._caller.run(stream))
 
     def _reject(self, action: Reject) -> None:
