Learn no correction from waits that had no prediction

Cause: while the service rate is unknown the predicted wait is 0, so the waits of a first burst would have driven the correction to its limit of 4 and refused requests that could be served. Change: predictions of 0 are not compared. Attempts at a removed endpoint end before the chooser forgets it.

--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -30,13 +30,16 @@
         """Start nothing at the instance until it reports again."""
         self._lost.add(instance)
 
-    def removed(self, instance: str, now: float) -> list[TrackedRequest]:
-        """Forget an instance and return the requests that have a copy there."""
+    def running_at(self, instance: str) -> list[TrackedRequest]:
+        """Return the requests that have a copy at the instance."""
+        return [tracked for tracked in self.running.values() if instance in tracked.copies]
+
+    def removed(self, instance: str, now: float) -> None:
+        """Forget an instance at which no copies are left but cancelled ones."""
         self._lost.discard(instance)
         for copy in self._cancelled.pop_instance(instance):
             self._settle(copy, 0, now)
         self._chooser.remove(instance)
-        return [tracked for tracked in self.running.values() if instance in tracked.copies]
 
     def connected(self) -> bool:
         """Tell whether any endpoint can take new work."""
--- a/cassiadrum/decisions/deadline_admissions.py
+++ b/cassiadrum/decisions/deadline_admissions.py
@@ -61,8 +61,11 @@
         return _bounded(self.predict_s(req, view))
 
     def observe_wait(self, predicted_s: float, actual_s: float) -> None:
-        """Move the correction towards actual / predicted wait."""
-        if max(predicted_s, actual_s) < MIN_WAIT_S:
+        """Move the correction towards actual / predicted wait.
+
+        A prediction of 0 was made without a rate or with a free slot and teaches nothing.
+        """
+        if predicted_s <= 0.0 or max(predicted_s, actual_s) < MIN_WAIT_S:
             return
         error_s = abs(predicted_s * self.correction - actual_s)
         self._mean_error_s += GAIN * (error_s - self._mean_error_s)
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -93,8 +93,9 @@
         """Forget an endpoint that is gone for good; its attempts end with `ran` unknown."""
         actions: list[Action] = []
         failure = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
-        for tracked in self._attempts.removed(instance, now):
+        for tracked in self._attempts.running_at(instance):
             actions += self._ended(tracked, instance, failure, now)
+        self._attempts.removed(instance, now)
         self._watch_connection(now)
         return actions + self._place(now)
 
--- a/cassiadrum/tests/test_admissions.py
+++ b/cassiadrum/tests/test_admissions.py
@@ -51,6 +51,13 @@
         assert math.isclose(admission.predict_s(make_request(), make_view(100)), 2.0, rel_tol=0.01)
         assert admission.error_s < 0.1
 
+    def test_waits_before_the_rate_is_known_correct_nothing(self) -> None:
+        admission = DeadlineAdmission()
+        for _ in range(200):
+            admission.observe_wait(0.0, 5.0)
+        admission.observe_wait(1.0, 1.0)
+        assert admission.predict_s(make_request(), make_view(100)) == 1.0
+
     def test_lower_tier_waits_do_not_refuse_protected_work(self) -> None:
         admission = DeadlineAdmission()
         for _ in range(200):
