Close idle connections at the limit and refuse dot segments in paths

Cause: connections that send nothing kept new callers out, and a path with dot segments could reach an endpoint's control interface under another class. Change: the oldest idle connection makes room; such paths are refused as not run; the queue takes learned lengths as its estimate. Figures: with 3 idle connections at a limit of 3, the fourth caller was cut before and is served after.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -37,7 +37,8 @@
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        # In order of arrival, so that the oldest idle connection is found first.
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._closing = False
 
@@ -54,7 +55,7 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
-        for task in self._tasks - self._busy:
+        for task in self._tasks.keys() - self._busy:
             task.cancel()
         if self._tasks:
             await asyncio.wait(self._tasks)
@@ -71,10 +72,10 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
-        if task is None or self._closing or len(self._tasks) >= self._connection_limit:
+        if task is None or self._closing or not self._make_room():
             writer.transport.abort()
             return
-        self._tasks.add(task)
+        self._tasks[task] = None
         try:
             await self._serve(reader, writer, task)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
@@ -83,10 +84,24 @@
             logger.exception("handler failed")
             writer.transport.abort()
         finally:
-            self._tasks.discard(task)
+            self._tasks.pop(task, None)
             self._busy.discard(task)
             writer.close()
 
+    def _make_room(self) -> bool:
+        """Close the oldest idle connection at the limit; return whether a new one may stay.
+
+        Otherwise a flood of connections that send nothing would keep all others out.
+        """
+        if len(self._tasks) < self._connection_limit:
+            return True
+        idle = next((task for task in self._tasks if task not in self._busy), None)
+        if idle is None:
+            return False
+        del self._tasks[idle]
+        idle.cancel()
+        return True
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
--- a/cassiadrum/roles/dispatcher_factories.py
+++ b/cassiadrum/roles/dispatcher_factories.py
@@ -38,14 +38,15 @@
         """Return a new dispatcher of a service."""
         document = self._documents(service)
         streams = document is None or document.kind == "model"
+        estimator = QuantileLengthEstimator()
         retry, hedge, uncancellable = BudgetRetryPolicy(), WasteBoundHedgePolicy(), set[str]()
         self._policies[service] = (retry, hedge, uncancellable)
         self.configure(service)
         return Dispatcher(
-            FairTierQueue(self._queue_requests),
+            FairTierQueue(self._queue_requests, estimate_tokens=estimator.expected_tokens),
             WeightedChooser(self._rng, self._zone, streams_tokens=streams),
             admission=DeadlineAdmission(),
-            estimator=QuantileLengthEstimator(),
+            estimator=estimator,
             retry=retry,
             hedge=hedge,
             uncancellable=uncancellable,
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
+from urllib.parse import unquote
 
 import msgspec
 
@@ -49,6 +50,7 @@
         """Return the request to route; raise InvalidRequest when it cannot be."""
         _, _, name, *rest = http.path.split("/", 3)
         target = "/" + (rest[0] if rest else "")
+        _check_path(target)
         document = self._documents(name)
         if document is None:
             raise InvalidRequest("unknown_service", f"no service `{name[:MAX_NAME_CHARS]}`")
@@ -85,6 +87,13 @@
         )
 
 
+def _check_path(target: str) -> None:
+    """Refuse dot segments: an endpoint could resolve them to a path of another class."""
+    segments = unquote(target).replace("\\", "/").split("/")
+    if ".." in segments or "." in segments:
+        raise InvalidRequest("bad_request", "the path has a `.` or `..` segment")
+
+
 def _find_class(document: ServiceDocument, http: HttpRequest, target: str) -> RequestClass:
     named = http.header("x-request-class")
     cls = document.named_class(named) if named else document.class_for(http.method, target)
--- a/cassiadrum/tests/test_local_sites.py
+++ b/cassiadrum/tests/test_local_sites.py
@@ -56,6 +56,8 @@
             ("/services/sprachdienst/v1/completions", b"{", 400, "bad_request"),
             ("/services/sprachdienst/v1/completions", b"{}", 400, "bad_request"),
             ("/services/permit-register/nowhere", b"{}", 404, "unknown_class"),
+            ("/services/sprachdienst/v1/../control/cancel", b"{}", 400, "bad_request"),
+            ("/services/sprachdienst/v1/%2e%2e/control/cancel", b"{}", 400, "bad_request"),
             ("/services/permit-register/permits", b"{}", 400, "key_required"),
         ],
     )
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -65,6 +65,21 @@
         client.close()
 
 
+class TestConnectionLimit:
+    """Guards against idle connections that keep a new caller out."""
+
+    async def test_oldest_idle_connection_makes_room(self) -> None:
+        server = HttpServer(echo, connection_limit=3)
+        port = await server.start("127.0.0.1", 0)
+        idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+        response = await HttpClient("127.0.0.1", port).request("POST", "/", (), b"served")
+        assert await response.read() == b"served"
+        assert await idle[0][0].read() == b""
+        for _, writer in idle:
+            writer.close()
+        await server.abort()
+
+
 class TestHttpClient:
     """Guards against a cut answer taken for a whole one."""
 
