Check that a document's values make sense together and explain them

A document could state values that have no effect or starve a class: a max_wait_s at or above deadline_s, min_share 0 without protection, a class that an earlier class covers. These are now errors when a document is submitted. A document in force is not checked for them again, so that a release with stricter checks does not reject what older releases accepted.

consequence_lines and changed_consequences word what a document means for each class.

--- a/cassiadrum/documents/__init__.py
+++ b/cassiadrum/documents/__init__.py
@@ -1,8 +1,23 @@
 """Service documents: what a team states about its service."""
 
+from cassiadrum.documents.class_consequences import ClassConsequences
+from cassiadrum.documents.consequences import (
+    changed_consequences,
+    class_consequences,
+    consequence_lines,
+)
 from cassiadrum.documents.errors import DocumentError
 from cassiadrum.documents.parsers import parse_document
 from cassiadrum.documents.request_classes import RequestClass
 from cassiadrum.documents.service_documents import ServiceDocument
 
-__all__ = ["DocumentError", "RequestClass", "ServiceDocument", "parse_document"]
+__all__ = [
+    "ClassConsequences",
+    "DocumentError",
+    "RequestClass",
+    "ServiceDocument",
+    "changed_consequences",
+    "class_consequences",
+    "consequence_lines",
+    "parse_document",
+]
--- a/cassiadrum/documents/parsers.py
+++ b/cassiadrum/documents/parsers.py
@@ -9,16 +9,21 @@
 from cassiadrum.documents.errors import DocumentError
 from cassiadrum.documents.request_classes import RequestClass
 from cassiadrum.documents.schemas import ClassTable, DocumentTable, ServiceTable
+from cassiadrum.documents.sense_checks import check_sense
 from cassiadrum.documents.service_documents import ServiceDocument
 from cassiadrum.schemas import Finding, check_table
 
 __all__ = ["parse_document"]
 
 
-def parse_document(text: str, file: str = "document") -> ServiceDocument:
+def parse_document(
+    text: str, file: str = "document", *, accepted: bool = False
+) -> ServiceDocument:
     """Return the document in `text`, checked in full.
 
-    Raises DocumentError with one finding for each error; `file` is named in each.
+    Raises DocumentError with one finding for each error; `file` is named in each. An `accepted`
+    document is in force already: whether its values make sense together is not checked again,
+    so that a release with stricter checks does not reject it.
     """
     try:
         raw = tomllib.loads(text)
@@ -28,6 +33,8 @@
     if not findings:
         document = _build(raw)
         findings = _check_meaning(document, file)
+        if not accepted:
+            findings += check_sense(document, file)
     if findings:
         raise DocumentError(findings)
     return document
--- /dev/null
+++ b/cassiadrum/documents/sense_checks.py
@@ -0,0 +1,74 @@
+"""Checks that the values of a document make sense together."""
+
+from cassiadrum.documents.request_classes import RequestClass
+from cassiadrum.documents.service_documents import ServiceDocument
+from cassiadrum.schemas import Finding
+
+__all__ = ["check_sense"]
+
+
+def check_sense(document: ServiceDocument, file: str) -> list[Finding]:
+    """Return a finding for each combination of values that cannot have its stated effect."""
+    findings = []
+    if len(set(document.zones)) < len(document.zones):
+        findings.append(
+            Finding(file, "service.zones", str(list(document.zones)), "each zone once")
+        )
+    if document.models and document.kind == "plain":
+        found = str(list(document.models))
+        findings.append(Finding(file, "service.models", found, "no models for a plain service"))
+    for index, cls in enumerate(document.classes):
+        path = f"class[{index}]"
+        findings += _check_times(cls, document.kind, file, path)
+        findings += _check_starvation(cls, file, path)
+        findings += _check_hedges(cls, file, path)
+        findings += _check_reachable(cls, document.classes[:index], file, path)
+    return findings
+
+
+def _check_times(cls: RequestClass, kind: str, file: str, path: str) -> list[Finding]:
+    target = "target_first_token_s" if kind == "model" else "target_total_s"
+    target_s: float = getattr(cls, target)
+    findings = []
+    if target_s > cls.deadline_s:
+        allowed = f"at most deadline_s, which is {cls.deadline_s:g}"
+        findings.append(Finding(file, f"{path}.{target}", f"{target_s:g}", allowed))
+    # The share of an overdue class begins after max_wait_s, when requests at their deadline are
+    # refused already.
+    if not cls.protected and cls.max_wait_s >= cls.deadline_s:
+        allowed = f"below deadline_s, which is {cls.deadline_s:g}"
+        findings.append(Finding(file, f"{path}.max_wait_s", f"{cls.max_wait_s:g}", allowed))
+    return findings
+
+
+def _check_starvation(cls: RequestClass, file: str, path: str) -> list[Finding]:
+    if cls.protected or cls.min_share > 0:
+        return []
+    allowed = "above 0 unless the class is protected; the class could starve"
+    return [Finding(file, f"{path}.min_share", f"{cls.min_share:g}", allowed)]
+
+
+def _check_hedges(cls: RequestClass, file: str, path: str) -> list[Finding]:
+    if cls.cancellable or cls.hedge_budget == 0:
+        return []
+    allowed = "0 unless the class is cancellable; the slower copy has to be cancelled"
+    return [Finding(file, f"{path}.hedge_budget", f"{cls.hedge_budget:g}", allowed)]
+
+
+def _check_reachable(
+    cls: RequestClass, earlier: tuple[RequestClass, ...], file: str, path: str
+) -> list[Finding]:
+    for other in earlier:
+        if _covers(other, cls):
+            found = f"{cls.path_prefix!r}, all of which the earlier class `{other.name}` takes"
+            allowed = "a prefix or method of its own, or a place before that class"
+            return [Finding(file, f"{path}.path_prefix", found, allowed)]
+    return []
+
+
+def _covers(first: RequestClass, second: RequestClass) -> bool:
+    """Tell whether the first class matches everything that the second does."""
+    methods = not first.methods or (
+        bool(second.methods) and set(second.methods) <= set(first.methods)
+    )
+    return methods and second.path_prefix.startswith(first.path_prefix)
--- a/cassiadrum/states/configuration_registries.py
+++ b/cassiadrum/states/configuration_registries.py
@@ -67,7 +67,7 @@
 
 def _parse(record: ConfigurationRecord) -> ServiceDocument:
     try:
-        document = parse_document(record.text, f"{record.service}.toml")
+        document = parse_document(record.text, f"{record.service}.toml", accepted=True)
     except DocumentError as exc:
         raise InvalidRecord(str(exc)) from exc
     if document.name != record.service:
