Accept service documents at the admin interface of entry instances

POST and DELETE /admin/services/NAME take the text, the base version and the operation id, record configuration_accepted and apply the version at once, so that it spreads over the links before the repair poll.

/admin/events answers 400 to a position that is no number, where the connection was cut before, and names the start id of the process.

--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -4,22 +4,31 @@
 from typing import Any
 
 from cassiadrum.events import EventRing, encode_event
-from cassiadrum.protocols import Exchange
+from cassiadrum.protocols import Exchange, Handler
 
 __all__ = ["AdminHandler"]
 
 EVENTS_LIMIT = 2000
+SERVICES = "/admin/services/"
 
 
 class AdminHandler:
-    """Serve status and events of a process; `status` returns a JSON object."""
+    """Serve status and events of a process; `status` returns a JSON object.
+
+    `services` answers changes of service documents, which only an entry instance accepts.
+    """
 
     def __init__(
-        self, ring: EventRing, status: Callable[[], dict[str, Any]], drain: Callable[[], None]
+        self,
+        ring: EventRing,
+        status: Callable[[], dict[str, Any]],
+        drain: Callable[[], None],
+        services: Handler | None = None,
     ) -> None:
         self._ring = ring
         self._status = status
         self._drain = drain
+        self._services = services
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
@@ -27,11 +36,21 @@
         if req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
         elif req.method == "GET" and req.path == "/admin/events":
-            after = int(req.query.removeprefix("after=") or 0)
-            events = [encode_event(event) for event in self._ring.after(after, EVENTS_LIMIT)]
-            await exchange.send_json(200, {"events": events, "last": self._ring.last_sequence})
+            await self._send_events(exchange)
         elif req.method == "POST" and req.path == "/admin/drain":
             self._drain()
             await exchange.send_json(202, {"draining": True})
+        elif self._services is not None and req.path.startswith(SERVICES):
+            await self._services(exchange)
         else:
             await exchange.send_json(404, {"error": "not found"})
+
+    async def _send_events(self, exchange: Exchange) -> None:
+        after = exchange.req.query.removeprefix("after=") or "0"
+        if not after.isdecimal():
+            await exchange.send_json(400, {"error": "the query allows only `after`, a number"})
+            return
+        events = [encode_event(event) for event in self._ring.after(int(after), EVENTS_LIMIT)]
+        # The start id tells a reader that the sequence numbers began anew.
+        answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
+        await exchange.send_json(200, {"events": events, **answer})
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -15,7 +15,12 @@
 from cassiadrum.roles.entry_daemons import EntryDaemon
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
-from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
+from cassiadrum.states import (
+    ClaimService,
+    ConfigurationReader,
+    ConfigurationRegistry,
+    ConfigurationWriter,
+)
 from cassiadrum.stores import (
     HttpInstanceList,
     HttpObjectStore,
@@ -36,12 +41,12 @@
     reader = ConfigurationReader(table, registry)
     configurations = ConfigurationAgent(registry, reader, ring, _rng())
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, configurations)
+        return _build_entry(cfg, ring, configurations, table)
     return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
 
 
 def _build_entry(
-    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent
+    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent, table: TableStore
 ) -> EntryDaemon:
     dispatchers = DispatcherFactory(
         configurations.document,
@@ -50,7 +55,8 @@
         rng=_rng(),
     )
     instances = HttpInstanceList(_wire(cfg.platform.instance_list))
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
+    writer = ConfigurationWriter(table)
+    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, writer)
 
 
 def _build_sidecar(
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -14,6 +14,7 @@
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
 from cassiadrum.roles.caller_handlers import CallerHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
+from cassiadrum.roles.configuration_handlers import ConfigurationHandler
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.members import MemberLinks
@@ -21,6 +22,7 @@
 from cassiadrum.roles.router_messages import FromLink, LinkDown
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
+from cassiadrum.states import ConfigurationWriter
 from cassiadrum.stores import Instance, InstanceList
 
 __all__ = ["EntryDaemon"]
@@ -36,6 +38,7 @@
         configurations: ConfigurationAgent,
         instances: InstanceList,
         dispatchers: DispatcherFactory,
+        writer: ConfigurationWriter,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
@@ -54,7 +57,8 @@
             lambda: configurations.ready,
         )
         self._http = HttpServer(self._handler)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        services = ConfigurationHandler(writer, configurations, ring)
+        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain, services))
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -93,6 +97,7 @@
             "instance": self._cfg.instance,
             "role": "entry",
             "zone": self._cfg.zone,
+            "http_address": self.addresses.get("http", ""),
             "draining": self._handler.draining,
             "in_flight": self.in_flight(),
             "versions": self._configurations.registry.versions(),
