Add the operators' command line

A command returns an action that runs only after fire has used every argument, so that a misspelt flag of apply changes nothing.

apply repeats a change whose answer was lost at the next entry instances with the same operation id, and prints the id when the outcome stays unknown.

--- /dev/null
+++ b/cassiadrum/commands/admin_clients.py
@@ -0,0 +1,79 @@
+"""Client of the admin interface of one process."""
+
+import asyncio
+import json
+from typing import Any, Final, NamedTuple
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError
+from cassiadrum.settings import Address
+
+__all__ = ["AdminAnswer", "AdminClient", "ask"]
+
+READ_TIMEOUT_S: Final = 2.0
+# The accepting process takes up to 3.4 s of pauses and several store timeouts of 2 s to resolve
+# a write with a lost answer.
+CHANGE_TIMEOUT_S: Final = 30.0
+
+
+class AdminAnswer(NamedTuple):
+    """Hold the status and the JSON object of an answer."""
+
+    status: int
+    body: dict[str, Any]
+
+
+class AdminClient:
+    """Ask one process; `address` is HOST:PORT."""
+
+    def __init__(self, address: str) -> None:
+        self._address = Address.parse(address)
+
+    async def get(self, path: str) -> dict[str, Any]:
+        """Return the JSON object at a path; raise CommandError with UNREACHABLE."""
+        try:
+            answer = await self._send("GET", path, None, READ_TIMEOUT_S)
+        except (HttpError, TimeoutError, ValueError) as exc:
+            raise self._unreachable(exc) from exc
+        if answer.status != 200:
+            raise self._unreachable(f"status {answer.status}")
+        return answer.body
+
+    async def change(self, method: str, path: str, body: dict[str, Any]) -> AdminAnswer:
+        """Send a change.
+
+        Raises CommandError with UNREACHABLE when it was certainly not sent, and with
+        OUTCOME_UNKNOWN when no valid answer came.
+        """
+        try:
+            return await self._send(method, path, body, CHANGE_TIMEOUT_S)
+        except ConnectFailed as exc:
+            raise self._unreachable(exc) from exc
+        except (HttpError, TimeoutError, ValueError) as exc:
+            detail = f"{self._address}: no answer to the change: {exc!r}"
+            raise CommandError(ExitCode.OUTCOME_UNKNOWN, detail) from exc
+
+    async def _send(
+        self, method: str, path: str, body: dict[str, Any] | None, timeout_s: float
+    ) -> AdminAnswer:
+        client = HttpClient(self._address.host, self._address.port)
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await client.request(method, path, (), data)
+                return AdminAnswer(response.status, json.loads(await response.read()))
+        finally:
+            client.close()
+
+    def _unreachable(self, reason: object) -> CommandError:
+        text = str(reason) or "no answer in time"
+        return CommandError(ExitCode.UNREACHABLE, f"{self._address}: {text}")
+
+
+async def ask(address: str, path: str) -> dict[str, Any] | None:
+    """Return the JSON object at a path of a process, None when it does not answer."""
+    try:
+        return await AdminClient(address).get(path)
+    except CommandError:
+        return None
--- /dev/null
+++ b/cassiadrum/commands/arguments.py
@@ -0,0 +1,77 @@
+"""Parsers of values on the command line."""
+
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any, TypeVar
+
+from fire import decorators
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+
+__all__ = ["parse_flag", "parse_seconds", "parse_time", "parse_whole", "takes"]
+
+# The help lists every attribute of a command whose name has no leading underscore as a group.
+decorators.FIRE_METADATA = "_fire_metadata"
+
+Function = TypeVar("Function", bound=Callable[..., Any])
+
+
+def takes(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
+    """Return a decorator that states the parser of each argument; the others are text.
+
+    Without it fire would read an id such as `1_000` as a number.
+    """
+
+    def decorate(function: Function) -> Function:
+        decorators.SetParseFn(str)(function)
+        decorators.SetParseFns(**parsers)(function)
+        return function
+
+    return decorate
+
+
+def parse_whole(text: str) -> int:
+    """Return a whole number of at least 0; raise CommandError."""
+    if not text.isdecimal():
+        raise _wrong(text, "a whole number of at least 0")
+    return int(text)
+
+
+def parse_seconds(text: str) -> float:
+    """Return a number of seconds of at least 0; raise CommandError."""
+    try:
+        seconds = float(text)
+    except ValueError as exc:
+        raise _wrong(text, "seconds") from exc
+    if not 0 <= seconds < float("inf"):
+        raise _wrong(text, "seconds of at least 0")
+    return seconds
+
+
+def parse_flag(text: str) -> bool:
+    """Return whether a flag is set; fire gives `True` or `False` as text."""
+    return text == "True"
+
+
+def parse_time(text: str) -> float | None:
+    """Return seconds since 1970 for a number of seconds ago or an ISO 8601 time.
+
+    A time without a zone is in UTC; an empty text gives None. Raises CommandError.
+    """
+    if not text:
+        return None
+    try:
+        return time.time() - float(text)
+    except ValueError:
+        pass
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError as exc:
+        raise _wrong(text, "seconds ago, or an ISO 8601 time") from exc
+    return (moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp()
+
+
+def _wrong(text: str, allowed: str) -> CommandError:
+    return CommandError(ExitCode.BAD_INPUT, f"found {text!r}; allowed: {allowed}")
--- /dev/null
+++ b/cassiadrum/commands/document_files.py
@@ -0,0 +1,61 @@
+"""Documents from files and from the table service."""
+
+from pathlib import Path
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.platforms import Platform
+from cassiadrum.documents import DocumentError, ServiceDocument, parse_document
+from cassiadrum.states import (
+    CONFIG_TABLE,
+    ConfigurationHistory,
+    ConfigurationRecord,
+    InvalidRecord,
+)
+from cassiadrum.stores import StoreUnavailable
+
+__all__ = ["document_of", "read_current", "read_file", "read_version"]
+
+
+def read_file(path: str) -> tuple[str, ServiceDocument]:
+    """Return the text and the document of a file; raise CommandError with all findings."""
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise CommandError(ExitCode.BAD_INPUT, f"{path}: {exc}") from exc
+    try:
+        return text, parse_document(text, path)
+    except DocumentError as exc:
+        findings = [finding._asdict() for finding in exc.findings]
+        raise CommandError(ExitCode.BAD_INPUT, str(exc), findings=findings) from exc
+
+
+async def read_current(platform: Platform, service: str) -> ConfigurationRecord:
+    """Return the newest record, version 0 for an unknown service; raise CommandError."""
+    try:
+        row = await platform.table().get(CONFIG_TABLE, service)
+        return ConfigurationRecord.from_row(service, row)
+    except (StoreUnavailable, InvalidRecord) as exc:
+        raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
+
+
+async def read_version(platform: Platform, service: str, version: int) -> ConfigurationRecord:
+    """Return the current record for version 0, else a kept version; raise CommandError."""
+    if version == 0:
+        record: ConfigurationRecord | None = await read_current(platform, service)
+    else:
+        try:
+            record = await ConfigurationHistory(platform.table()).show(service, version)
+        except (StoreUnavailable, InvalidRecord) as exc:
+            raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
+    if record is None or record.version == 0:
+        what = f"version {version} of {service} is not kept" if version else f"no {service}"
+        raise CommandError(ExitCode.BAD_INPUT, what)
+    return record
+
+
+def document_of(record: ConfigurationRecord) -> ServiceDocument | None:
+    """Return the document of a record, None for a tombstone."""
+    if record.deleted:
+        return None
+    return parse_document(record.text, f"version {record.version}", accepted=True)
--- /dev/null
+++ b/cassiadrum/commands/explain_commands.py
@@ -0,0 +1,156 @@
+"""Why a request went where it went, waited, or was refused."""
+
+import re
+from typing import Any, Final
+
+from cassiadrum.commands.actions import Action, Session
+from cassiadrum.commands.arguments import takes
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.event_collectors import EventCollector
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.results import Result
+from cassiadrum.events import Event, EventFilter, EventKind, Timeline
+
+__all__ = ["explain", "explain_request"]
+
+# An answer's id is the request's id with the number of the attempt and the sidecar.
+ANSWER_ID: Final = re.compile(r"(?P<request>.+-[0-9a-f]{8}-\d+)(\.\d+.*)?")
+
+REFUSALS: Final[dict[str, str]] = {
+    "overloaded": "the queue was full and nothing of a lower tier was queued",
+    "evicted": "it was the newest work of the lowest tier when the queue was full",
+    "deadline": "the predicted wait, or the wait itself, exceeded deadline_s of its class",
+    "no_endpoint": "no endpoint of the service was connected",
+    "draining": "the process was shutting down",
+    "store_unavailable": "the claim of a once-only call could not be written",
+    "key_reused": "the Idempotency-Key was used for another request before",
+    "in_progress": "a call with the same Idempotency-Key was running",
+    "endpoint_failed": "the endpoint failed it, and the class or its retry budget did not "
+    "permit another attempt",
+    "answer_lost": "the connection to the answer was lost, so whether it ran is not known",
+    "kept": "a call with the same Idempotency-Key had ended; its kept answer was sent",
+    "caller_left": "the caller closed its connection",
+}
+
+TEXTS: Final[dict[EventKind, str]] = {
+    EventKind.RECEIVED: "received from customer {customer} as class {class_name}",
+    EventKind.QUEUED: "waited for a free slot",
+    EventKind.DISPATCHED: "attempt {attempt} sent to {to}, chosen by free slots, zone and cache",
+    EventKind.HEDGED: "attempt {attempt} sent to {to} as a copy, since the first token was slow",
+    EventKind.STARTED: "started at the endpoint",
+    EventKind.FIRST_TOKEN: "first bytes of the answer",
+    EventKind.PAUSED: "paused for work of a higher tier",
+    EventKind.RESUMED: "resumed",
+    EventKind.RETRIED: "queued again for another attempt",
+    EventKind.REATTACHED: "connection to the stream restored at byte {position}",
+    EventKind.CLAIM_MADE: "claimed its Idempotency-Key before the effect",
+    EventKind.CLAIM_RESOLVED: "its claim was set to {state}",
+    EventKind.CLAIM_REFUSED: "not run under its Idempotency-Key: {why}",
+    EventKind.REJECTED: "given back by the sidecar as not run: {why}",
+    EventKind.REFUSED: "refused (ran: {ran}): {why}",
+    EventKind.EVICTED: "shed (ran: {ran}): {why}",
+    EventKind.CANCELLED: "cancelled: {why}",
+}
+
+
+@takes()
+def explain(request_id: str) -> Action:
+    """Tell why a request went where it went, waited, or was refused.
+
+    The id is in the header X-Request-Id of the answer, or in the body of the refusal.
+
+    Example: cassiadrum explain entry-1-5f0c2a9e-17
+    """
+
+    async def run(session: Session) -> Result:
+        match = ANSWER_ID.fullmatch(request_id)
+        request = match["request"] if match else request_id
+        collector = EventCollector(session.platform())
+        merged = await collector.timeline()
+        return explain_request(request, merged, collector.silent)
+
+    return Action(run)
+
+
+def explain_request(request_id: str, timeline: Timeline, silent: list[str]) -> Result:
+    """Return the story of a request from the merged events; raise CommandError without any."""
+    events = EventFilter(request_id).apply(timeline.events)
+    notes = [f"no answer from {name}; its events are missing" for name in silent]
+    if not events:
+        notes += [f"events of {gap.instance} were lost: {gap.kind.value}" for gap in timeline.gaps]
+        reason = "; ".join([f"no event of request {request_id}", *notes])
+        code = ExitCode.UNREACHABLE if silent else ExitCode.BAD_INPUT
+        raise CommandError(code, reason)
+    first = events[0]
+    steps = [
+        {
+            "at_ms": round((event.hlc.wall_us - first.hlc.wall_us) / 1e3, 1),
+            "instance": event.instance,
+            "kind": event.kind.value,
+            "text": _text(event),
+        }
+        for event in events
+    ]
+    summary = _summary(events)
+    lines = [f"{request_id} ({first.service}, class {first.class_name})"]
+    lines += [
+        f"{step['at_ms']:>10.1f} ms  {step['instance']:<18} {step['text']}" for step in steps
+    ]
+    data = {"request_id": request_id, "steps": steps, "summary": summary, "notes": notes}
+    code = ExitCode.UNREACHABLE if silent else ExitCode.OK
+    return Result(data, [*lines, *summary, *notes], code)
+
+
+def _text(event: Event) -> str:
+    reason = str(event.fields.get("reason", ""))
+    values: dict[str, Any] = {
+        "customer": event.customer,
+        "class_name": event.class_name,
+        "attempt": "?",
+        "to": "?",
+        "position": "?",
+        "state": "?",
+        "ran": "unknown",
+        **event.fields,
+        "why": REFUSALS.get(reason, reason),
+    }
+    if event.kind is EventKind.REJECTED and reason == "overloaded":
+        values["why"] = "the short queue beside the endpoint was full"
+    if event.kind is EventKind.FINISHED:
+        return _finished(event)
+    return TEXTS.get(event.kind, event.kind.value).format_map(values)
+
+
+def _finished(event: Event) -> str:
+    reason = event.fields.get("reason")
+    if event.role == "entry":
+        return "whole answer sent to the caller"
+    tokens = event.fields.get("tokens", 0)
+    if not reason:
+        return f"ended at the endpoint, {tokens} tokens"
+    return (
+        f"failed at the endpoint (ran: {event.fields.get('ran')}): {REFUSALS.get(reason, reason)}"
+    )
+
+
+def _summary(events: list[Event]) -> list[str]:
+    """Return where the time went and how the request ended."""
+    at_s: dict[tuple[str, EventKind], float] = {}
+    for event in events:
+        at_s.setdefault((event.role, event.kind), event.hlc.seconds)
+    lines = []
+    received = at_s.get(("entry", EventKind.RECEIVED))
+    dispatched = at_s.get(("entry", EventKind.DISPATCHED))
+    started = at_s.get(("sidecar", EventKind.STARTED))
+    first = at_s.get(("entry", EventKind.FIRST_TOKEN))
+    for label, start, end in (
+        ("waited at the entry instance", received, dispatched),
+        ("waited beside the endpoint, with the way there", dispatched, started),
+        ("first bytes after the start", started, first),
+    ):
+        if start is not None and end is not None:
+            lines.append(f"{label}: {(end - start) * 1e3:.1f} ms")
+    last = [event for event in events if event.role == "entry"]
+    if last:
+        lines.append(f"last event at the entry instance: {_text(last[-1])}")
+    return lines
--- /dev/null
+++ b/cassiadrum/commands/outputs.py
@@ -0,0 +1,50 @@
+"""Output of the command line."""
+
+import json
+import sys
+from typing import Any, TextIO
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.results import Result
+
+__all__ = ["Output"]
+
+
+class Output:
+    """Print results as text or as JSON, and progress only on a terminal."""
+
+    def __init__(
+        self, as_json: bool, stream: TextIO | None = None, errors: TextIO | None = None
+    ) -> None:
+        self.as_json = as_json
+        self._stream = stream or sys.stdout
+        self._errors = errors or sys.stderr
+
+    def result(self, result: Result) -> None:
+        """Print what a command returned."""
+        if self.as_json:
+            self.json({**result.data, "exit_code": int(result.code)})
+            return
+        for line in result.lines:
+            self.text(line + "\n")
+
+    def error(self, exc: CommandError) -> None:
+        """Print why a command ended."""
+        if self.as_json:
+            self.json({"error": str(exc), "exit_code": int(exc.code), **exc.data})
+        else:
+            print(f"cassiadrum: {exc}", file=self._errors)
+
+    def json(self, value: dict[str, Any]) -> None:
+        """Print one JSON object as a line."""
+        print(json.dumps(value, ensure_ascii=False), file=self._stream, flush=True)
+
+    def text(self, text: str) -> None:
+        """Print text as it is, at once."""
+        self._stream.write(text)
+        self._stream.flush()
+
+    def progress(self, text: str) -> None:
+        """Print a line on a terminal; files and pipes do not get it."""
+        if self._errors.isatty():
+            print(text, file=self._errors, flush=True)
--- /dev/null
+++ b/cassiadrum/commands/platforms.py
@@ -0,0 +1,76 @@
+"""Where the platform's services are."""
+
+import os
+import re
+import time
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.protocols import HttpClient
+from cassiadrum.settings import Address
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire
+
+__all__ = ["PLATFORM_VARIABLE", "Platform"]
+
+PLATFORM_VARIABLE: Final = "CASSIADRUM_PLATFORM"
+ADDRESS: Final = re.compile(r"(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}")
+ALLOWED: Final = "TABLE_SERVICE,INSTANCE_LIST as HOST:PORT,HOST:PORT, or a TOML file"
+
+
+class Platform(NamedTuple):
+    """Name the addresses of the table service and of the instance list."""
+
+    table_service: Address
+    instance_list: Address
+
+    @classmethod
+    def find(cls, option: str, environment: Mapping[str, str] = os.environ) -> "Platform":
+        """Return the platform of the option, else of the environment variable.
+
+        A TOML file needs a table `[platform]`, so a daemon's settings file serves as well.
+        """
+        text = option or environment.get(PLATFORM_VARIABLE, "")
+        if not text:
+            detail = f"no platform; give --platform or set {PLATFORM_VARIABLE}: {ALLOWED}"
+            raise CommandError(ExitCode.BAD_INPUT, detail)
+        if text.endswith(".toml"):
+            return cls(*_of_file(Path(text)))
+        parts = text.split(",")
+        if len(parts) != len(cls._fields):
+            detail = f"platform: found {text!r}; allowed: {ALLOWED}"
+            raise CommandError(ExitCode.BAD_INPUT, detail)
+        return cls(*(_address(part, "platform") for part in parts))
+
+    def table(self) -> HttpTableStore:
+        """Return a client of the table service."""
+        return HttpTableStore(_wire(self.table_service))
+
+    def instances(self) -> HttpInstanceList:
+        """Return a client of the instance list."""
+        return HttpInstanceList(_wire(self.instance_list))
+
+
+def _of_file(path: Path) -> list[Address]:
+    try:
+        raw: dict[str, Any] = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as exc:
+        raise CommandError(ExitCode.BAD_INPUT, f"{path}: {exc}") from exc
+    table = raw.get("platform")
+    if not isinstance(table, dict):
+        detail = f"{path}: platform: found nothing; allowed: a table"
+        raise CommandError(ExitCode.BAD_INPUT, detail)
+    return [_address(table.get(key), f"{path}: platform.{key}") for key in Platform._fields]
+
+
+def _address(text: object, where: str) -> Address:
+    if not isinstance(text, str) or not ADDRESS.fullmatch(text):
+        raise CommandError(ExitCode.BAD_INPUT, f"{where}: found {text!r}; allowed: HOST:PORT")
+    return Address.parse(text)
+
+
+def _wire(address: Address) -> HttpWire:
+    return HttpWire(HttpClient(address.host, address.port), time.monotonic)
--- /dev/null
+++ b/cassiadrum/commands/request_commands.py
@@ -0,0 +1,162 @@
+"""A small client that sends a request and prints the stream."""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from cassiadrum.commands.actions import Action, Session
+from cassiadrum.commands.arguments import parse_seconds, takes
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.outputs import Output
+from cassiadrum.commands.results import Result
+from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError, HttpResponse
+from cassiadrum.settings import Address
+
+__all__ = ["request"]
+
+ERROR_EVENT: Final = b"event: error\ndata: "
+BAD_INPUT_REASONS: Final = frozenset(
+    {"unknown_service", "unknown_class", "unknown_request", "bad_request", "too_large"}
+    | {"key_required", "key_reused"}
+)
+
+
+class Call(NamedTuple):
+    """Hold one request; `limit_s` bounds its whole answer."""
+
+    address: Address
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    limit_s: float
+
+
+@takes(limit_s=parse_seconds)
+def request(
+    target: str,
+    *,
+    body: str = "",
+    method: str = "",
+    entry: str = "",
+    class_name: str = "",
+    customer: str = "",
+    key: str = "",
+    limit_s: float = 300.0,
+) -> Action:
+    """Send a request to a service and print its answer as it arrives.
+
+    TARGET is the service and the path. --body is text, or @FILE; with a body the method is POST.
+    --entry is HOST:PORT; without it a live entry instance of the list is asked.
+
+    Examples: cassiadrum request permit-register/permits/7;
+    cassiadrum request sprachdienst/v1/completions --body '{"prompt": "yoke", "stream": true}'
+    """
+
+    async def run(session: Session) -> Result:
+        headers = {"x-request-class": class_name, "x-customer": customer, "idempotency-key": key}
+        call = Call(
+            await _address(session, entry),
+            method or ("POST" if body else "GET"),
+            "/services/" + target.removeprefix("/services/").lstrip("/"),
+            tuple((name, value) for name, value in headers.items() if value),
+            _body(body),
+            limit_s,
+        )
+        return await _send(session.output, call)
+
+    return Action(run)
+
+
+def _body(text: str) -> bytes:
+    if not text.startswith("@"):
+        return text.encode()
+    try:
+        return Path(text[1:]).read_bytes()
+    except OSError as exc:
+        raise CommandError(ExitCode.BAD_INPUT, f"--body: {exc}") from exc
+
+
+async def _address(session: Session, entry: str) -> Address:
+    if entry:
+        try:
+            return Address.parse(entry)
+        except ValueError as exc:
+            detail = f"--entry: found {entry!r}; allowed: HOST:PORT"
+            raise CommandError(ExitCode.BAD_INPUT, detail) from exc
+    listed = await list_instances(session.platform())
+    live = [item for item in listed if item.role == "entry" and item.state == "live"]
+    for answer in (await ask_all(live, "/admin/status")).values():
+        if answer and not answer["draining"]:
+            return Address.parse(answer["http_address"])
+    raise CommandError(ExitCode.UNREACHABLE, "no live entry instance answers; nothing was sent")
+
+
+async def _send(output: Output, call: Call) -> Result:
+    client = HttpClient(call.address.host, call.address.port)
+    try:
+        async with asyncio.timeout(call.limit_s):
+            response = await client.request(call.method, call.target, call.headers, call.body)
+            body = await _print_body(output, response)
+    except ConnectFailed as exc:
+        raise CommandError(ExitCode.UNREACHABLE, f"{exc}; nothing was sent") from exc
+    except (HttpError, TimeoutError) as exc:
+        reason = str(exc) or f"no whole answer in {call.limit_s:g} s"
+        raise CommandError(ExitCode.OUTCOME_UNKNOWN, f"the answer was lost: {reason}") from exc
+    finally:
+        client.close()
+    return _result(response, body)
+
+
+async def _print_body(output: Output, response: HttpResponse) -> bytes:
+    parts = []
+    async for part in response.body:
+        parts.append(part)
+        if not output.as_json and response.status < 400:
+            output.text(part.decode(errors="replace"))
+    return b"".join(parts)
+
+
+def _result(response: HttpResponse, body: bytes) -> Result:
+    request_id = response.header("x-request-id")
+    data: dict[str, Any] = {
+        "status": response.status,
+        "request_id": request_id,
+        "body": body.decode(errors="replace"),
+    }
+    problem = _problem(response, body)
+    if problem is None and response.status < 400:
+        return Result(data, ["", f"status {response.status}, request {request_id}"])
+    if problem is None:
+        detail = f"the endpoint answered with status {response.status}: {data['body']}"
+        raise CommandError(ExitCode.REFUSED, detail, **data)
+    detail = f"{problem['reason']} (ran: {problem['ran']}): {problem['detail']}"
+    if "retry_after_s" in problem:
+        detail += f"; try again after {problem['retry_after_s']:g} s"
+    request_id = problem.get("request_id") or request_id
+    detail += f"; request {request_id}" if request_id else ""
+    raise CommandError(_code(problem), detail, **data, problem=problem)
+
+
+def _problem(response: HttpResponse, body: bytes) -> dict[str, Any] | None:
+    """Return the refusal, which is the last event of a stream that had begun."""
+    text = body
+    if response.header("content-type").startswith("application/problem+json"):
+        pass
+    elif ERROR_EVENT in body:
+        text = body.rpartition(ERROR_EVENT)[2]
+    else:
+        return None
+    problem: dict[str, Any] = json.loads(text)
+    return problem
+
+
+def _code(problem: dict[str, Any]) -> ExitCode:
+    if problem["ran"] != "no":
+        return ExitCode.OUTCOME_UNKNOWN
+    if problem["reason"] in BAD_INPUT_REASONS:
+        return ExitCode.BAD_INPUT
+    return ExitCode.REFUSED
--- /dev/null
+++ b/cassiadrum/commands/service_changes.py
@@ -0,0 +1,181 @@
+"""Acceptance of a change by any entry instance, and the wait until it is in force."""
+
+import asyncio
+import secrets
+import time
+from typing import Any, Final, NamedTuple
+from urllib.parse import quote
+
+from cassiadrum.commands.actions import Session
+from cassiadrum.commands.admin_clients import AdminAnswer, AdminClient
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.results import Result
+from cassiadrum.stores import Instance
+
+__all__ = [
+    "ServiceChange",
+    "accept_and_wait",
+    "make_operation_id",
+    "submit_change",
+    "wait_in_force",
+]
+
+# Unknown outcomes are asked for again at the next entry instances, at most this often in all.
+UNKNOWN_ATTEMPTS: Final = 4
+RETRY_PAUSE_S: Final = 0.5
+POLL_INTERVAL_S: Final = 0.25
+CODES: Final = {
+    200: ExitCode.OK,
+    400: ExitCode.BAD_INPUT,
+    404: ExitCode.REFUSED,
+    409: ExitCode.REFUSED,
+    422: ExitCode.BAD_INPUT,
+    503: ExitCode.REFUSED,
+    504: ExitCode.OUTCOME_UNKNOWN,
+}
+
+
+class ServiceChange(NamedTuple):
+    """Replace version `base_version` of a service by a text, or delete it."""
+
+    service: str
+    base_version: int
+    operation_id: str
+    author: str
+    text: str = ""
+    deleted: bool = False
+
+
+def make_operation_id() -> str:
+    """Return an id that no other change has."""
+    return secrets.token_hex(16)
+
+
+async def submit_change(session: Session, change: ServiceChange) -> int:
+    """Return the accepted version; raise CommandError.
+
+    Every attempt carries the same operation id, so a change whose answer was lost is not made
+    twice.
+    """
+    entries = await _entries(session)
+    unknown: CommandError | None = None
+    attempts = 0
+    for entry in entries * UNKNOWN_ATTEMPTS:
+        session.output.progress(f"submitting to {entry.instance}")
+        try:
+            return _version(await _send(entry, change), change)
+        except CommandError as exc:
+            if exc.code not in (ExitCode.OUTCOME_UNKNOWN, ExitCode.UNREACHABLE):
+                raise
+            if exc.code is ExitCode.OUTCOME_UNKNOWN:
+                unknown, attempts = exc, attempts + 1
+        if attempts >= UNKNOWN_ATTEMPTS:
+            break
+        await asyncio.sleep(RETRY_PAUSE_S)
+    raise _given_up(change, unknown)
+
+
+async def wait_in_force(
+    session: Session, service: str, version: int, limit_s: float
+) -> dict[str, str]:
+    """Return the instances that do not have the version in force in time, with the reason."""
+    deadline_s = time.monotonic() + limit_s
+    pending = {item.instance: item for item in await list_instances(session.platform())}
+    while True:
+        answers = await ask_all(pending.values(), "/admin/status")
+        lagging = {
+            name: reason
+            for name, answer in answers.items()
+            if (reason := _lag(answer, service, version))
+        }
+        pending = {name: pending[name] for name in lagging}
+        if not pending or time.monotonic() >= deadline_s:
+            return lagging
+        session.output.progress(f"version {version}: waiting for {len(pending)} instances")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def accept_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
+    """Submit a change, wait until it is in force and return the result of the command."""
+    started_s = time.monotonic()
+    version = await submit_change(session, change)
+    lagging = await wait_in_force(session, change.service, version, limit_s)
+    waited_s = round(time.monotonic() - started_s, 3)
+    data: dict[str, Any] = {
+        "service": change.service,
+        "version": version,
+        "operation_id": change.operation_id,
+        "seconds": waited_s,
+        "lagging": lagging,
+    }
+    done = "deleted" if change.deleted else "accepted"
+    lines = [f"{change.service}: version {version} {done}"]
+    if not lagging:
+        return Result(data, [*lines, f"in force everywhere after {waited_s:g} s"])
+    lines += [f"not in force after {limit_s:g} s at:"]
+    lines += [f"  {name}: {reason}" for name, reason in lagging.items()]
+    return Result(data, lines, ExitCode.UNREACHABLE)
+
+
+async def _entries(session: Session) -> list[Instance]:
+    listed = await list_instances(session.platform())
+    entries = [item for item in listed if item.role == "entry"]
+    if not entries:
+        raise CommandError(ExitCode.UNREACHABLE, "the instance list has no entry instance")
+    # A leaving instance still accepts changes, but may stop before it answers.
+    return sorted(entries, key=lambda item: item.state == "leaving")
+
+
+async def _send(entry: Instance, change: ServiceChange) -> AdminAnswer:
+    body: dict[str, Any] = {
+        "base_version": change.base_version,
+        "operation_id": change.operation_id,
+        "author": change.author,
+    }
+    method = "DELETE" if change.deleted else "POST"
+    if not change.deleted:
+        body["text"] = change.text
+    path = f"/admin/services/{quote(change.service, safe='')}"
+    return await AdminClient(entry.admin_address).change(method, path, body)
+
+
+def _given_up(change: ServiceChange, unknown: CommandError | None) -> CommandError:
+    if unknown is None:
+        return CommandError(ExitCode.UNREACHABLE, "no entry instance answers; nothing was sent")
+    detail = (
+        f"the outcome is unknown: {unknown}; repeat the command with "
+        f"--operation {change.operation_id}"
+    )
+    data = {"operation_id": change.operation_id, "base_version": change.base_version}
+    return CommandError(ExitCode.OUTCOME_UNKNOWN, detail, **data)
+
+
+def _version(answer: AdminAnswer, change: ServiceChange) -> int:
+    body = answer.body
+    if answer.status == 200:
+        return int(body["version"])
+    code = CODES.get(answer.status, ExitCode.REFUSED)
+    raise CommandError(code, _refusal(body, change), **body)
+
+
+def _refusal(body: dict[str, Any], change: ServiceChange) -> str:
+    if body.get("result") == "conflict":
+        current = body["current"]
+        return (
+            f"conflict: {change.service} is at version {current['version']} by "
+            f"{current['author']}, not {change.base_version}; the difference to this change:\n"
+            f"{body['difference']}"
+        )
+    if body.get("result") == "invalid":
+        parts = [f"{item['path']}: found {item['found']}" for item in body["findings"]]
+        return "the document has errors: " + "; ".join(parts)
+    return f"not accepted: {body.get('reason') or body.get('error')}"
+
+
+def _lag(answer: dict[str, Any] | None, service: str, version: int) -> str:
+    if answer is None:
+        return "does not answer"
+    held = answer.get("versions", {}).get(service, 0)
+    return "" if held >= version else f"has version {held}"
--- /dev/null
+++ b/cassiadrum/commands/service_commands.py
@@ -0,0 +1,173 @@
+"""Commands on the documents of services."""
+
+import getpass
+from datetime import UTC, datetime
+from typing import Any
+
+from cassiadrum.commands.actions import Action, Session
+from cassiadrum.commands.arguments import parse_seconds, parse_whole, takes
+from cassiadrum.commands.document_files import (
+    read_current,
+    read_file,
+    read_version,
+)
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.results import Result
+from cassiadrum.commands.service_changes import (
+    ServiceChange,
+    accept_and_wait,
+    make_operation_id,
+)
+from cassiadrum.commands.service_differences import Side, compare
+from cassiadrum.documents import class_consequences, consequence_lines
+from cassiadrum.states import ConfigurationHistory, InvalidRecord
+from cassiadrum.stores import StoreUnavailable
+
+__all__ = ["ServiceCommands"]
+
+# The target for a change to be in force everywhere.
+IN_FORCE_S = 11.0
+
+
+class ServiceCommands:
+    """Check, change and read the documents of services."""
+
+    @takes()
+    def check(self, file: str) -> Action:
+        """Parse a document in full and explain its consequences; needs no platform.
+
+        Example: cassiadrum service check examples/auftragsdienst.toml
+        """
+
+        async def run(session: Session) -> Result:
+            _, document = read_file(file)
+            classes = [part._asdict() for part in class_consequences(document)]
+            data = {"file": file, "service": document.name, "classes": classes}
+            return Result(data, consequence_lines(document))
+
+        return Action(run)
+
+    @takes(base=parse_whole, wait_s=parse_seconds)
+    def apply(
+        self, file: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
+    ) -> Action:
+        """Accept a document and wait until it is in force everywhere.
+
+        Without --base the version that is current when the command starts is replaced; give the
+        version that was edited, so that a change made since then is a conflict. After exit code
+        5, repeat the command with the --operation that it printed.
+
+        Example: cassiadrum service apply examples/auftragsdienst.toml --base 3
+        """
+
+        async def run(session: Session) -> Result:
+            text, document = read_file(file)
+            version = base
+            if version < 0:
+                version = (await read_current(session.platform(), document.name)).version
+            change = ServiceChange(
+                document.name, version, operation or make_operation_id(), _author(), text
+            )
+            return await accept_and_wait(session, change, wait_s)
+
+        return Action(run)
+
+    @takes(version=parse_whole)
+    def show(self, name: str, *, version: int = 0) -> Action:
+        """Print the text of the current or of a kept version.
+
+        Example: cassiadrum service show auftragsdienst --version 2
+        """
+
+        async def run(session: Session) -> Result:
+            record = await read_version(session.platform(), name, version)
+            if record.deleted:
+                detail = f"{name} was deleted with version {record.version}"
+                raise CommandError(ExitCode.BAD_INPUT, detail)
+            return Result(record._asdict(), record.text.splitlines())
+
+        return Action(run)
+
+    @takes()
+    def diff(self, name: str, *sides: str) -> Action:
+        """Show which consequences differ, and the text, between versions or with a file.
+
+        One side is compared with the current version.
+
+        Examples: cassiadrum service diff auftragsdienst examples/auftragsdienst.toml;
+        cassiadrum service diff auftragsdienst 2 3
+        """
+
+        async def run(session: Session) -> Result:
+            if len(sides) not in (1, 2):
+                detail = f"diff: found {len(sides)} sides; allowed: a file, or one or two versions"
+                raise CommandError(ExitCode.BAD_INPUT, detail)
+            old, new = sides if len(sides) == 2 else ("0", sides[0])
+            return compare(
+                await Side.read(session, name, old), await Side.read(session, name, new)
+            )
+
+        return Action(run)
+
+    @takes()
+    def versions(self, name: str) -> Action:
+        """List the kept versions with their authors and times.
+
+        Example: cassiadrum service versions auftragsdienst
+        """
+
+        async def run(session: Session) -> Result:
+            history = ConfigurationHistory(session.platform().table())
+            try:
+                records = await history.versions(name)
+            except (StoreUnavailable, InvalidRecord) as exc:
+                raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
+            if not records:
+                raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
+            rows: list[dict[str, Any]] = [
+                {key: getattr(record, key) for key in ("version", "author", "deleted")}
+                | {"accepted_at": _time(record.accepted_at), "operation_id": record.operation_id}
+                for record in records
+            ]
+            return Result({"service": name, "versions": rows}, [_row(row) for row in rows])
+
+        return Action(run)
+
+    @takes(base=parse_whole, wait_s=parse_seconds)
+    def delete(
+        self, name: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
+    ) -> Action:
+        """Delete a service; its versions stay in the history.
+
+        Example: cassiadrum service delete auftragsdienst --base 3
+        """
+
+        async def run(session: Session) -> Result:
+            current = await read_current(session.platform(), name)
+            # With an operation id the deletion may have been made already.
+            if current.version == 0 or (current.deleted and not operation):
+                raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
+            version = base if base >= 0 else current.version
+            change = ServiceChange(
+                name, version, operation or make_operation_id(), _author(), deleted=True
+            )
+            return await accept_and_wait(session, change, wait_s)
+
+        return Action(run)
+
+
+def _author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+
+
+def _row(row: dict[str, Any]) -> str:
+    deleted = "  deleted" if row["deleted"] else ""
+    return f"{row['version']:>5}  {row['accepted_at']}  {row['author']}{deleted}"
--- /dev/null
+++ b/cassiadrum/commands/service_differences.py
@@ -0,0 +1,45 @@
+"""Comparison of two versions of a document."""
+
+from difflib import unified_diff
+from typing import NamedTuple
+
+from cassiadrum.commands.actions import Session
+from cassiadrum.commands.document_files import document_of, read_file, read_version
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.results import Result
+from cassiadrum.documents import ServiceDocument, changed_consequences
+
+__all__ = ["Side", "compare"]
+
+
+class Side(NamedTuple):
+    """Hold one of the two documents; `document` is None for a deleted service."""
+
+    label: str
+    text: str
+    document: ServiceDocument | None
+
+    @classmethod
+    async def read(cls, session: Session, service: str, what: str) -> "Side":
+        """Return a version, given as a number with 0 for the current one, or a file."""
+        if what.isdecimal():
+            record = await read_version(session.platform(), service, int(what))
+            return cls(f"version {record.version}", record.text, document_of(record))
+        text, document = read_file(what)
+        if document.name != service:
+            detail = f"{what}: service.name: found {document.name!r}; allowed: {service!r}"
+            raise CommandError(ExitCode.BAD_INPUT, detail)
+        return cls(what, text, document)
+
+
+def compare(old: Side, new: Side) -> Result:
+    """Return the consequences that differ and the difference of the texts."""
+    changed = changed_consequences(old.document, new.document)
+    before, after = old.text.splitlines(), new.text.splitlines()
+    text = list(unified_diff(before, after, old.label, new.label, lineterm=""))
+    data = {"old": old.label, "new": new.label, "consequences": changed, "text": text}
+    if not text:
+        return Result(data, [f"{old.label} and {new.label} are the same"])
+    lines = changed or ["no consequence changes"]
+    return Result(data, [f"consequences, {old.label} to {new.label}:", *lines, "text:", *text])
--- /dev/null
+++ b/cassiadrum/commands/timeline_commands.py
@@ -0,0 +1,151 @@
+"""The time line of all processes."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, Final
+
+from cassiadrum.commands.actions import Action, Session
+from cassiadrum.commands.arguments import parse_flag, parse_seconds, parse_time, takes
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.event_collectors import EventCollector
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.commands.results import Result
+from cassiadrum.events import (
+    Event,
+    EventFilter,
+    EventKind,
+    Gap,
+    Timeline,
+    TimelineSvgWriter,
+    TraceWriter,
+    encode_event,
+    merge,
+    to_json_line,
+)
+
+__all__ = ["event_dict", "event_line", "timeline"]
+
+FOLLOW_INTERVAL_S: Final = 0.5
+
+WRITERS: Final[dict[str, Callable[[Timeline], str]]] = {
+    ".html": lambda timeline: TimelineSvgWriter().write_html(timeline),
+    ".svg": lambda timeline: TimelineSvgWriter().write(timeline),
+    ".json": lambda timeline: TraceWriter().write(timeline),
+    ".jsonl": lambda timeline: "".join(to_json_line(event) + "\n" for event in timeline.events),
+}
+
+
+@takes(seconds=parse_seconds, follow=parse_flag)
+def timeline(
+    *,
+    request: str = "",
+    service: str = "",
+    class_name: str = "",
+    instance: str = "",
+    kind: str = "",
+    since: str = "",
+    until: str = "",
+    out: str = "",
+    follow: bool = False,
+    seconds: float = 0.0,
+) -> Action:
+    """Merge the events of all processes into one order, causes before effects.
+
+    --kind takes names separated by commas. --since and --until take seconds ago or an ISO 8601
+    time. --out writes FILE.html, .svg, .json (for trace viewers) or .jsonl. --follow prints new
+    events until it is interrupted, or for --seconds; with --json each event is one JSON object.
+
+    Examples: cassiadrum timeline --service sprachdienst --since 60 --out load.html;
+    cassiadrum timeline --follow --kind refused,evicted
+    """
+
+    async def run(session: Session) -> Result:
+        selection = EventFilter(
+            request,
+            service,
+            class_name,
+            instance,
+            _kinds(kind),
+            parse_time(since),
+            parse_time(until),
+        )
+        if out and (follow or Path(out).suffix not in WRITERS):
+            detail = f"--out: found {out!r}; allowed without --follow: a file {', '.join(WRITERS)}"
+            raise CommandError(ExitCode.BAD_INPUT, detail)
+        collector = EventCollector(session.platform())
+        if follow:
+            return await _follow(session, collector, selection, seconds)
+        merged = await collector.timeline()
+        return _finish(selection.select(merged), collector.silent, out)
+
+    return Action(run)
+
+
+def event_dict(event: Event) -> dict[str, Any]:
+    """Return an event as a JSON object."""
+    return dict(zip(Event._fields, encode_event(event), strict=True))
+
+
+def event_line(event: Event) -> str:
+    """Return an event as a line of text."""
+    moment = datetime.fromtimestamp(event.hlc.seconds, UTC)
+    parts = [event.request_id, event.service, event.class_name]
+    parts += [f"{key}={value}" for key, value in event.fields.items()]
+    rest = " ".join(part for part in parts if part)
+    return f"{moment:%H:%M:%S.%f} {event.instance:<18} {event.kind.value:<22} {rest}".rstrip()
+
+
+def _kinds(text: str) -> frozenset[EventKind]:
+    names = [name for name in text.split(",") if name]
+    unknown = [name for name in names if name not in set(EventKind)]
+    if unknown:
+        allowed = ", ".join(EventKind)
+        detail = f"--kind: found {', '.join(unknown)}; allowed: {allowed}"
+        raise CommandError(ExitCode.BAD_INPUT, detail)
+    return frozenset(EventKind(name) for name in names)
+
+
+def _finish(selected: Timeline, silent: list[str], out: str) -> Result:
+    code = ExitCode.UNREACHABLE if silent else ExitCode.OK
+    notes = [f"gap: {_gap_text(gap)}" for gap in selected.gaps]
+    notes += [f"no answer: {name}; its events are missing" for name in silent]
+    data: dict[str, Any] = {"count": len(selected.events), "silent": silent, "notes": notes}
+    if out:
+        try:
+            Path(out).write_text(WRITERS[Path(out).suffix](selected))
+        except OSError as exc:
+            raise CommandError(ExitCode.BAD_INPUT, f"--out: {exc}") from exc
+        written = f"{out}: {len(selected.events)} events"
+        return Result({**data, "out": out}, [written, *notes], code)
+    events = [event_dict(event) for event in selected.events]
+    lines = [event_line(event) for event in selected.events]
+    return Result({**data, "events": events}, [*lines, *notes], code)
+
+
+def _gap_text(gap: Gap) -> str:
+    missing = f", {gap.missing} events" if gap.missing else ""
+    return f"{gap.kind.value} at {gap.instance}{missing}"
+
+
+async def _follow(
+    session: Session, collector: EventCollector, selection: EventFilter, seconds: float
+) -> Result:
+    """Print new events; each round is ordered, rounds may overlap by the reading time."""
+    output = session.output
+    deadline_s = time.monotonic() + seconds
+    count = 0
+    while True:
+        events = selection.apply(merge(await collector.collect(), collector.alive).events)
+        count += len(events)
+        for event in events:
+            if output.as_json:
+                output.json(event_dict(event))
+            else:
+                output.text(event_line(event) + "\n")
+        if seconds and time.monotonic() >= deadline_s:
+            code = ExitCode.UNREACHABLE if collector.silent else ExitCode.OK
+            return Result({"count": count, "silent": collector.silent}, [], code)
+        await asyncio.sleep(FOLLOW_INTERVAL_S)
--- a/cassiadrum/documents/consequences.py
+++ b/cassiadrum/documents/consequences.py
@@ -119,10 +119,11 @@
     refusal = f"refused at once if the predicted wait exceeds {cls.deadline_s:g} s"
     if cls.protected:
         return f"only behind protected work; {refusal}"
-    factor = 1 / cls.min_share
+    if cls.min_share == 0:
+        return f"without bound, as the class has no share; {refusal}"
     return (
-        f"at most {cls.max_wait_s:g} s plus {factor:.3g} times the time that its own backlog takes "
-        f"on what protected classes leave; {refusal}"
+        f"at most {cls.max_wait_s:g} s plus {1 / cls.min_share:.3g} times the time that its own "
+        f"backlog takes on what protected classes leave; {refusal}"
     )
 
 
