--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -20,6 +20,7 @@
     ClaimService,
     ConfigurationReader,
     ConfigurationRegistry,
+    ConfigurationWriter,
     FencingGuard,
 )
 from cassiadrum.stores import (
@@ -65,7 +66,8 @@
         configurations.document,
         ring,
     )
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, maintenance)
+    writer = ConfigurationWriter(table)
+    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, maintenance, writer)
 
 
 def _build_sidecar(
