Feed the metrics from the roles and serve GET /metrics

Cause: RoleMetrics was defined but nothing measured, and the admin interface had no /metrics.

A cancelled call now ends with the tokens that were computed (it was always 0), the closing [DONE] of a stream is no longer counted as a token, and answers that are no streams count the tokens of their usage.

--- a/cassiadrum/events/event_rings.py
+++ b/cassiadrum/events/event_rings.py
@@ -1,6 +1,7 @@
 """Bounded event record of one process."""
 
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
 from typing import Any
 
@@ -33,6 +34,8 @@
         self._start_id = start_id
         self._events: deque[Event] = deque(maxlen=capacity)
         self._sequence = 0
+        # Called with each event right after it was recorded.
+        self.listener: Callable[[Event], None] | None = None
 
     def __len__(self) -> int:
         return len(self._events)
@@ -82,6 +85,8 @@
             self._start_id,
         )
         self._events.append(event)
+        if self.listener is not None:
+            self.listener(event)
         return event
 
     def after(self, sequence: int, limit: int) -> list[Event]:
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -12,13 +12,14 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.codecs import decode_message, encode_message
 from cassiadrum.links.errors import BadFrame
-from cassiadrum.links.messages import Data, Hello, Message, Ping, Pong
+from cassiadrum.links.messages import Data, Head, Hello, Message, Ping, Pong, StartRequest
 
 __all__ = ["Link"]
 
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
+CONTENT = (StartRequest, Head, Data)
 
 
 class Link:
@@ -43,6 +44,9 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.data_bytes = 0
+        # Bytes of messages that do not belong to a request's or an answer's content.
+        self.control_sent = 0
+        self.control_received = 0
         self.unknown_messages = 0
         self._conn = conn
         self._hello = hello
@@ -86,6 +90,8 @@
             self._last_heard_s = self._clock()
             self.bytes_received += len(frame)
             msg = decode_message(frame)
+            if not isinstance(msg, CONTENT):
+                self.control_received += len(frame)
             if msg is None:
                 self.unknown_messages += 1
             else:
@@ -114,6 +120,8 @@
                 self.bytes_sent += len(frame)
                 if isinstance(msg, Data):
                     self.data_bytes += len(frame)
+                if not isinstance(msg, CONTENT):
+                    self.control_sent += len(frame)
                 await self._conn.send(frame)
 
     async def _beat(self) -> None:
--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -9,23 +9,31 @@
 __all__ = ["AdminHandler"]
 
 EVENTS_LIMIT = 2000
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class AdminHandler:
-    """Serve status and events of a process; `status` returns a JSON object."""
+    """Serve status, events and metrics of a process; `status` returns a JSON object."""
 
     def __init__(
-        self, ring: EventRing, status: Callable[[], dict[str, Any]], drain: Callable[[], None]
+        self,
+        ring: EventRing,
+        status: Callable[[], dict[str, Any]],
+        drain: Callable[[], None],
+        metrics: Callable[[], bytes],
     ) -> None:
         self._ring = ring
         self._status = status
         self._drain = drain
+        self._metrics = metrics
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         req = exchange.req
         if req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
+        elif req.method == "GET" and req.path == "/metrics":
+            await exchange.send(200, self._metrics(), METRICS_TYPE)
         elif req.method == "GET" and req.path == "/admin/events":
             after = int(req.query.removeprefix("after=") or 0)
             events = [encode_event(event) for event in self._ring.after(after, EVENTS_LIMIT)]
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -28,7 +28,11 @@
 
 
 class CallerHandler:
-    """Route each request and write its answer; one task per connection runs it."""
+    """Route each request and write its answer; one task per connection runs it.
+
+    `refused(service, reason)` is told of refusals that happen before a request has a class; the
+    service is empty then, since its name is whatever the caller wrote.
+    """
 
     def __init__(
         self,
@@ -36,6 +40,7 @@
         post: Callable[[RouterMessage], None],
         fetcher: AnswerFetcher,
         ready: Callable[[], bool],
+        refused: Callable[[str, str], None],
     ) -> None:
         self.draining = False
         self.active = 0
@@ -43,6 +48,7 @@
         self._post = post
         self._fetcher = fetcher
         self._ready = ready
+        self._refused = refused
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
@@ -55,8 +61,10 @@
         elif not path.startswith(SERVICES):
             await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
         elif self.draining:
+            self._refused("", "draining")
             await send_problem(exchange, Problem("draining", "no", retry_after_s=DRAIN_RETRY_S))
         elif not self._ready():
+            self._refused("", "no_configuration")
             problem = Problem("no_configuration", "no", retry_after_s=DRAIN_RETRY_S)
             await send_problem(exchange, problem)
         else:
@@ -66,6 +74,7 @@
         try:
             pending = self._parser.parse(exchange.req)
         except InvalidRequest as exc:
+            self._refused("", exc.reason)
             await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
             return
         self.active += 1
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -1,6 +1,7 @@
 """The task that carries out one call to the endpoint."""
 
 import asyncio
+import re
 from collections.abc import Callable
 
 from cassiadrum.decisions import Outcome, Ran
@@ -15,6 +16,10 @@
 __all__ = ["EndpointCaller"]
 
 SSE_EVENT = b"\n\n"
+SSE_DONE = b"data: [DONE]\n\n"
+# The usage stands at the end of an answer that is not a stream.
+USAGE_BYTES = 512
+USAGE = re.compile(rb'"completion_tokens":\s*([0-9]{1,9})')
 
 
 class EndpointCaller:
@@ -37,7 +42,8 @@
                 outcome = await self._run(stream, None)
         finally:
             if stream.cancelled:
-                outcome = outcome._replace(ok=False, reason="cancelled")
+                # A cancelled call does not return, but its tokens were computed.
+                outcome = outcome._replace(ok=False, reason="cancelled", tokens=stream.tokens)
             self._post(CallEnded(stream.start.attempt_id, outcome))
 
     async def _run_once(self, stream: SidecarStream) -> Outcome:
@@ -69,10 +75,11 @@
     async def _relay(
         self, stream: SidecarStream, response: HttpResponse, body: bytearray | None
     ) -> Outcome:
-        tokens = 0
+        tail = b""
         try:
             async for data in response.body:
-                tokens += data.count(SSE_EVENT)
+                tail = (tail + data)[-USAGE_BYTES:]
+                stream.tokens += data.count(SSE_EVENT)
                 if body is not None:
                     body += data
                 self._post(CallData(stream.start.attempt_id, data))
@@ -80,8 +87,9 @@
                 await asyncio.sleep(0)
                 await stream.room.wait()
         except HttpError:
-            return Outcome(False, Ran.UNKNOWN, tokens, "answer_lost")
-        return Outcome(True, Ran.YES, tokens)
+            return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
+        stream.tokens = _tokens(stream.tokens, tail)
+        return Outcome(True, Ran.YES, stream.tokens)
 
     def _replay(self, stream: SidecarStream, kept: KeptAnswer) -> None:
         attempt_id = stream.start.attempt_id
@@ -91,6 +99,14 @@
             self._post(CallData(attempt_id, part))
 
 
+def _tokens(events: int, tail: bytes) -> int:
+    """Return the tokens of a whole answer: content events of a stream, else the usage."""
+    if events:
+        return events - tail.endswith(SSE_DONE)
+    usage = USAGE.search(tail)
+    return int(usage[1]) if usage else 0
+
+
 def _to_call(stream: SidecarStream) -> EndpointCall:
     start = stream.start
     return EndpointCall(
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -9,6 +9,7 @@
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
@@ -16,6 +17,7 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown
@@ -36,6 +38,7 @@
         configurations: ConfigurationAgent,
         instances: InstanceList,
         dispatchers: DispatcherFactory,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
@@ -52,9 +55,13 @@
             self._router.post,
             self._fetcher,
             lambda: configurations.ready,
+            metrics.refused,
         )
         self._http = HttpServer(self._handler)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
+        self._admin = HttpServer(
+            AdminHandler(ring, self.status, self.begin_drain, self._gauges.render)
+        )
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -103,6 +110,9 @@
             },
         }
 
+    def _queued(self) -> dict[str, int]:
+        return {name: part.queued() for name, part in self._router.dispatchers.items()}
+
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
@@ -126,6 +136,7 @@
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, End):
             observe(self.ring, msg.clock)
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
@@ -137,6 +148,7 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._router.post(LinkDown(link))
 
 
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -13,12 +13,14 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
+from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
@@ -42,6 +44,7 @@
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
@@ -57,7 +60,10 @@
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
+        self._admin = HttpServer(
+            AdminHandler(ring, self.status, self.begin_drain, self._gauges.render)
+        )
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -104,6 +110,10 @@
             "links": sorted(self._sidecar.links),
         }
 
+    def _queued(self) -> dict[str, int]:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        return {service: self._sidecar.waiting()}
+
     async def _poll_load(self) -> None:
         while True:
             try:
@@ -139,6 +149,7 @@
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, StartRequest):
             observe(self.ring, msg.clock)
         if not self._configurations.take(link, msg):
@@ -150,4 +161,5 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._sidecar.post(LinkLost(link))
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -13,6 +13,7 @@
 class SidecarStream:
     """Hold an attempt, its buffered answer and the link that it is attached to.
 
+    `tokens` counts what the endpoint computed so far, known or not to the caller.
     `room` is clear while the buffer is full, which stops the task that reads the endpoint.
     """
 
@@ -27,6 +28,7 @@
         self.room = asyncio.Event()
         self.room.set()
         self.cancelled = False
+        self.tokens = 0
         # Monotonic time since when no link is attached, or since the end of the answer.
         self.idle_since_s: float | None = None
         self.acked_end = False
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -98,6 +98,10 @@
             for stream in self.streams.values()
         )
 
+    def waiting(self) -> int:
+        """Return the number of requests in the short queue."""
+        return self._scheduler.waiting()
+
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
         while True:
--- a/cassiadrum/stores/http_wires.py
+++ b/cassiadrum/stores/http_wires.py
@@ -26,7 +26,10 @@
 
 
 class HttpWire:
-    """Send requests to one store; `clock` returns monotonic seconds."""
+    """Send requests to one store; `clock` returns monotonic seconds.
+
+    `called` is told the result of each call: `answered`, `not_applied` or `unknown`.
+    """
 
     def __init__(
         self,
@@ -36,12 +39,14 @@
         budget: StoreBudget | None = None,
         breaker: CircuitBreaker | None = None,
         timeout_s: float = LIMITS.STORE_TIMEOUT_S,
+        called: Callable[[str], None] = lambda result: None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._budget = budget
         self.breaker = breaker or CircuitBreaker()
         self._timeout_s = timeout_s
+        self._called = called
 
     async def read(self, target: str, headers: Headers = ()) -> WireAnswer:
         """Send a GET; raise StoreUnavailable when no valid answer came."""
@@ -77,7 +82,13 @@
             response = await self._client.request(method, target, headers, body)
             return WireAnswer(response.status, response.headers, await response.read())
 
-        return self._checked(await self._guarded(method, exchange))
+        try:
+            answer = self._checked(await self._guarded(method, exchange))
+        except StoreError as exc:
+            self._called("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
+            raise
+        self._called("answered")
+        return answer
 
     async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
         """Run `send` within budget, breaker and deadline."""
