--- a/cassiadrum/demo.py
+++ b/cassiadrum/demo.py
@@ -8,15 +8,14 @@
 from pathlib import Path
 from typing import Any
 
-from cassiadrum.invariants import Violation, check_record
-from cassiadrum.loads import LoadPlan, LoadSender
+from cassiadrum.invariants import check_record
+from cassiadrum.loads import LoadMix, LoadPlan, LoadReport, LoadSender, load_mix
 from cassiadrum.sites import LocalSite
 
-__all__ = ["main"]
+__all__ = ["main", "run"]
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
-RATE_PER_S = 40.0
-DURATION_S = 8.0
+MIXES = ("load-foundries.toml", "load-collective.toml")
 SEED = 1
 
 
@@ -26,57 +25,40 @@
     parser.add_argument("--json", action="store_true", help="print one JSON object at the end")
     options = parser.parse_args()
     logging.basicConfig(level=logging.WARNING)
-    report = asyncio.run(run())
-    _print_table(report)
+    report, computed = asyncio.run(run())
+    print(report.as_text())
     if options.json:
-        print(json.dumps(report))
-    sys.exit(1 if report["violations"] else 0)
+        print(json.dumps({**report.as_dict(), "tokens_computed": computed}))
+    sys.exit(1 if report.violations else 0)
 
 
-async def run() -> dict[str, Any]:
-    """Return the report of one run."""
-    texts = [path.read_text() for path in sorted(EXAMPLES.glob("*.toml"))]
-    site = LocalSite(texts)
+async def run() -> tuple[LoadReport, int]:
+    """Return the report of one run and the tokens that the engines computed."""
+    mix = _both([load_mix(EXAMPLES / name) for name in MIXES])
+    site = LocalSite(list(mix.texts))
     await site.start()
     sender = LoadSender([entry.addresses["http"] for entry in site.entries], site.documents, SEED)
-    await sender.run(LoadPlan.mixed(site.documents, RATE_PER_S, DURATION_S, SEED))
+    await sender.run(LoadPlan.of_mix(mix, SEED))
     await site.drain()
     record = site.record(sender.outcomes)
-    violations = check_record(record)
     await site.close()
-    return _report(site, sender, violations, record.missing_events)
-
-
-def _report(
-    site: LocalSite, sender: LoadSender, violations: list[Violation], missing: int
-) -> dict[str, Any]:
     computed = sum(run["tokens"] for slot in site.slots for run in slot.endpoint.runs)
-    delivered = sum(result.tokens for result in sender.results.values())
-    services: dict[str, dict[str, Any]] = {document.name: {} for document in site.documents}
-    for (service, class_name), result in sender.results.items():
-        services[service][class_name] = result.as_dict()
-    return {
-        "services": services,
-        "tokens_computed": computed,
-        "tokens_delivered": delivered,
-        "tokens_wasted": computed - delivered,
-        "missing_events": missing,
-        "violations": [violation._asdict() for violation in violations],
-    }
+    report = LoadReport.of_sender(sender, SEED, mix.duration_s)
+    return report._replace(
+        tokens_wasted=computed - report.tokens_delivered,
+        missing_events=record.missing_events,
+        violations=check_record(record),
+        checked="events and runs",
+    ), computed
 
 
-def _print_table(report: dict[str, Any]) -> None:
-    print(f"{'service':<16}{'class':<18}{'sent':>6}{'answered':>10}{'attained':>10}{'tokens':>9}")
-    for service, classes in report["services"].items():
-        for name, row in classes.items():
-            share = "-" if row["attainment"] is None else f"{row['attainment']:.1%}"
-            counts = f"{row['sent']:>6}{row['answered']:>10}{share:>10}{row['goodput_tokens']:>9}"
-            refused = ", ".join(f"{why} {count}" for why, count in row["refusals"].items())
-            print(f"{service:<16}{name:<18}{counts}  {refused}")
-    print(f"wasted tokens: {report['tokens_wasted']} of {report['tokens_computed']}")
-    print(f"invariant violations: {len(report['violations'])}")
-    for violation in report["violations"]:
-        print(f"  {violation['rule']}: {violation['detail']}")
+def _both(mixes: list[LoadMix]) -> LoadMix:
+    """Return one mix of two deployments that share a site."""
+    joined: dict[str, Any] = {
+        field: tuple(item for mix in mixes for item in getattr(mix, field))
+        for field in ("documents", "texts", "rates", "bursts")
+    }
+    return mixes[0]._replace(**joined)
 
 
 if __name__ == "__main__":
--- a/cassiadrum/loads/class_results.py
+++ b/cassiadrum/loads/class_results.py
@@ -1,14 +1,25 @@
 """What callers of one class saw."""
 
 from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
 
 from cassiadrum.documents import RequestClass
 
 __all__ = ["ClassResult"]
 
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 95.0, 99.0)
+
 
 class ClassResult:
-    """Count the outcomes of a class; latencies in seconds."""
+    """Count the outcomes of a class.
+
+    Latencies are in seconds from the planned time of arrival, so that a sender or a server that
+    falls behind cannot hide the wait of the requests behind it (coordinated omission).
+    """
 
     def __init__(self, cls: RequestClass, kind: str) -> None:
         self.sent = 0
@@ -16,7 +27,8 @@
         self.attained = 0
         self.tokens = 0
         self.refusals: Counter[str] = Counter()
-        self.first_token_s: list[float] = []
+        self.first_token: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
+        self.total: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
         self._cls = cls
         self._kind = kind
 
@@ -24,7 +36,8 @@
         """Count a whole answer; the targets decide whether it was in time."""
         self.answered += 1
         self.tokens += tokens
-        self.first_token_s.append(first_s)
+        self.first_token.record_value(_microseconds(first_s))
+        self.total.record_value(_microseconds(total_s))
         if self._kind == "plain":
             self.attained += total_s <= self._cls.target_total_s
             return
@@ -32,13 +45,32 @@
         in_time = first_s <= self._cls.target_first_token_s
         self.attained += in_time and gap_s <= self._cls.target_inter_token_s
 
-    def as_dict(self) -> dict[str, object]:
-        """Return the counts for a report; attainment is None without an answer."""
-        attainment = self.attained / self.answered if self.answered else None
+    def as_dict(self) -> dict[str, Any]:
+        """Return the counts for a report; attainment is None without an answer.
+
+        `latency_s` is the time to the first token of a model, and to the whole answer of a plain
+        service; `target_s` is its target. `attainment_of_sent` counts what was refused as missed.
+        """
+        plain = self._kind == "plain"
         return {
             "sent": self.sent,
             "answered": self.answered,
-            "attainment": attainment,
+            "attainment": self.attained / self.answered if self.answered else None,
+            "attainment_of_sent": self.attained / self.sent if self.sent else None,
             "goodput_tokens": self.tokens,
             "refusals": dict(self.refusals),
+            "target_s": self._cls.target_total_s if plain else self._cls.target_first_token_s,
+            "latency_s": _percentiles(self.total if plain else self.first_token),
+            "total_s": _percentiles(self.total),
         }
+
+
+def _microseconds(seconds: float) -> int:
+    return min(max(1, round(seconds * 1e6)), HIGHEST_US)
+
+
+def _percentiles(histogram: Any) -> dict[str, float]:
+    if not histogram.get_total_count():
+        return {}
+    shares = {f"p{p:g}": histogram.get_value_at_percentile(p) / 1e6 for p in PERCENTILES}
+    return {**shares, "max": histogram.get_max_value() / 1e6}
--- a/cassiadrum/loads/load_plans.py
+++ b/cassiadrum/loads/load_plans.py
@@ -2,12 +2,16 @@
 
 import json
 import random
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from cassiadrum.documents import RequestClass, ServiceDocument
+from cassiadrum.loads.load_mixes import Burst, ClassRate, LoadMix
 
-__all__ = ["LoadPlan", "PlannedRequest"]
+__all__ = ["MAX_TOKENS", "LoadPlan", "PlannedRequest"]
 
+MAX_TOKENS = 48
+STREAMED_SHARE = 0.8
 # A few large customers send most of the requests.
 CUSTOMER_WEIGHTS = (12, 8, 6, 1, 1, 1, 1, 1, 1, 1)
 TOPICS = ("clapper of bell 3", "skylight release in June", "yoke bearing", "council condition 14")
@@ -46,19 +50,78 @@
             if at_s >= duration_s:
                 return cls(tuple(requests))
             document, request_class = rng.choice(classes)
-            number = len(requests)
-            requests.append(_plan(document, request_class, at_s, f"{seed}-{number}", rng))
+            name = f"{seed}-{len(requests)}"
+            index = rng.choices(range(len(CUSTOMER_WEIGHTS)), CUSTOMER_WEIGHTS)[0]
+            streamed = rng.random() < STREAMED_SHARE
+            customer = f"customer-{index + 1}"
+            requests.append(
+                _plan(document, request_class, at_s, name, customer, streamed, rng.choice(TOPICS))
+            )
+
+    @classmethod
+    def of_mix(cls, mix: LoadMix, seed: int, scale: float = 1.0) -> "LoadPlan":
+        """Return Poisson arrivals of each class at its rate times `scale`, with its bursts."""
+        requests: list[PlannedRequest] = []
+        documents = {document.name: document for document in mix.documents}
+        for rate in mix.rates:
+            # A class keeps its arrivals when other classes are added to the mix.
+            rng = random.Random(f"{seed} {rate.service} {rate.name}")
+            document = documents[rate.service]
+            request_class = document.named_class(rate.name)
+            assert request_class is not None  # checked with the file
+            for number, at_s in enumerate(_arrivals(mix, rate, scale, rng)):
+                name = f"{seed}-{rate.name}-{number}"
+                customer, streamed = _customer(mix, rng), rng.random() < mix.streamed_share
+                topic = rng.choice(TOPICS)
+                requests.append(
+                    _plan(document, request_class, at_s, name, customer, streamed, topic)
+                )
+        return cls(tuple(sorted(requests)))
+
+
+def _arrivals(mix: LoadMix, rate: ClassRate, scale: float, rng: random.Random) -> Iterator[float]:
+    """Yield the arrivals of a rate that varies in time, by thinning those of the highest rate."""
+    bursts = [b for b in mix.bursts if (b.service, b.name) == (rate.service, rate.name)]
+    highest = 1.0
+    for burst in bursts:
+        highest *= max(1.0, burst.factor)
+    at_s = rng.expovariate(rate.rate_per_s * scale * highest)
+    while at_s < mix.duration_s:
+        if rng.random() * highest < _factor(bursts, at_s):
+            yield at_s
+        at_s += rng.expovariate(rate.rate_per_s * scale * highest)
+
+
+def _factor(bursts: list[Burst], at_s: float) -> float:
+    factor = 1.0
+    for burst in bursts:
+        if burst.start_s <= at_s < burst.start_s + burst.duration_s:
+            factor *= burst.factor
+    return factor
+
+
+def _customer(mix: LoadMix, rng: random.Random) -> str:
+    large = mix.large_customers
+    if large == mix.customers or rng.random() < mix.large_share:
+        return f"customer-{rng.randrange(large) + 1}"
+    return f"customer-{rng.randrange(large, mix.customers) + 1}"
 
 
 def _plan(
-    document: ServiceDocument, cls: RequestClass, at_s: float, name: str, rng: random.Random
+    document: ServiceDocument,
+    cls: RequestClass,
+    at_s: float,
+    name: str,
+    customer: str,
+    streamed: bool,
+    topic: str,
 ) -> PlannedRequest:
-    index = rng.choices(range(len(CUSTOMER_WEIGHTS)), CUSTOMER_WEIGHTS)[0]
-    customer = f"customer-{index + 1}"
     if document.kind == "model":
-        prompt = f"{rng.choice(TOPICS)}, request {name}"
+        prompt = f"{topic}, request {name}"
         target = f"/services/{document.name}{_model_path(cls)}"
-        body = {"model": document.models[0], "stream": rng.random() < 0.8, "max_tokens": 48}
+        body: dict[str, object] = {"stream": streamed, "max_tokens": MAX_TOKENS}
+        if document.models:
+            body["model"] = document.models[0]
         if target.endswith("/chat/completions"):
             body["messages"] = [{"role": "user", "content": prompt}]
         else:
--- a/cassiadrum/loads/load_senders.py
+++ b/cassiadrum/loads/load_senders.py
@@ -5,18 +5,21 @@
 import json
 import random
 import time
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cassiadrum.documents import RequestClass, ServiceDocument
 from cassiadrum.invariants import CallerOutcome
 from cassiadrum.loads.class_results import ClassResult
-from cassiadrum.loads.load_plans import LoadPlan, PlannedRequest
+from cassiadrum.loads.load_plans import MAX_TOKENS, LoadPlan, PlannedRequest
 from cassiadrum.protocols import Headers, HttpClient, HttpError, HttpResponse
 from cassiadrum.standins import answer_text
 
 __all__ = ["LoadSender"]
 
 PROBLEM = "application/problem+json"
+# An answer that is later than the deadline of its class by this much is given up on.
+GRACE_S = 10.0
 
 
 class _Answer(NamedTuple):
@@ -31,55 +34,73 @@
 
 
 class LoadSender:
-    """Send each request at its time, whatever became of those before it."""
-
-    def __init__(self, addresses: list[str], documents: list[ServiceDocument], seed: int) -> None:
+    """Send each request at its time, whatever became of those before it.
+
+    `standins` states that the answers come from this project's stand-in engines, whose text is
+    known in advance and is checked.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        documents: Sequence[ServiceDocument],
+        seed: int,
+        *,
+        standins: bool = True,
+    ) -> None:
         self.outcomes: list[CallerOutcome] = []
         self.results: dict[tuple[str, str], ClassResult] = {}
         self._classes: dict[tuple[str, str], RequestClass] = {}
         for document in documents:
             for cls in document.classes:
                 self.results[document.name, cls.name] = ClassResult(cls, document.kind)
+                self._classes[document.name, cls.name] = cls
         self._clients = [
             HttpClient(address.rpartition(":")[0], int(address.rpartition(":")[2]))
             for address in addresses
         ]
         self._rng = random.Random(seed)
+        self._standins = standins
 
     async def run(self, plan: LoadPlan) -> None:
         """Send the whole plan and wait for every answer."""
         started_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for req in plan.requests:
-                await asyncio.sleep(max(0.0, started_s + req.at_s - time.monotonic()))
-                group.create_task(self._send(req, self._rng.choice(self._clients)))
+                due_s = started_s + req.at_s
+                await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+                group.create_task(self._send(req, self._rng.choice(self._clients), due_s))
         for client in self._clients:
             client.close()
 
-    async def _send(self, req: PlannedRequest, client: HttpClient) -> None:
+    async def _send(self, req: PlannedRequest, client: HttpClient, due_s: float) -> None:
         result = self.results[req.service, req.class_name]
         result.sent += 1
-        answer = await _exchange(req, client)
+        limit_s = self._classes[req.service, req.class_name].deadline_s + GRACE_S
+        answer = await _exchange(req, client, due_s, limit_s)
         tokens = len(answer.content.split()) if req.prompt else 0
         if answer.complete and answer.status < 300:
             result.answer(answer.first_s or answer.total_s, answer.total_s, tokens)
         else:
             result.refusals[answer.reason or "connection_lost"] += 1
-        self.outcomes.append(_outcome(req, answer))
+        self.outcomes.append(_outcome(req, answer, self._standins))
 
 
-async def _exchange(req: PlannedRequest, client: HttpClient) -> _Answer:
+async def _exchange(
+    req: PlannedRequest, client: HttpClient, due_s: float, limit_s: float
+) -> _Answer:
     headers: Headers = (("x-customer", req.customer), ("x-request-class", req.class_name))
     if req.body:
         headers = (*headers, ("content-type", "application/json"))
     if req.key:
         headers = (*headers, ("idempotency-key", req.key))
-    started_s = time.monotonic()
     try:
-        response = await client.request(req.method, req.target, headers, req.body)
-    except HttpError:
-        return _Answer(0, "", b"", None, time.monotonic() - started_s, "", "", False)
-    return await _read(response, started_s)
+        async with asyncio.timeout(limit_s):
+            response = await client.request(req.method, req.target, headers, req.body)
+            return await _read(response, due_s)
+    except (HttpError, TimeoutError) as exc:
+        reason = "no_answer" if isinstance(exc, TimeoutError) else ""
+        return _Answer(0, "", b"", None, time.monotonic() - due_s, "", reason, False)
 
 
 async def _read(response: HttpResponse, started_s: float) -> _Answer:
@@ -131,8 +152,9 @@
     return text.encode(), problem, ended
 
 
-def _outcome(req: PlannedRequest, answer: _Answer) -> CallerOutcome:
-    expected = _digest(answer_text(req.prompt, 48).encode()) if req.prompt else ""
+def _outcome(req: PlannedRequest, answer: _Answer, standins: bool) -> CallerOutcome:
+    known = standins and req.prompt
+    expected = _digest(answer_text(req.prompt, MAX_TOKENS).encode()) if known else ""
     return CallerOutcome(
         answer.request_id,
         req.service,
--- /dev/null
+++ b/cassiadrum/loads/process_readers.py
@@ -0,0 +1,89 @@
+"""Reader of the events and metrics of a site's processes."""
+
+import asyncio
+import contextlib
+import re
+import time
+from typing import Any
+
+import msgspec
+
+from cassiadrum.events import Event, EventError, decode_event
+from cassiadrum.protocols import Headers, HttpClient, HttpError
+from cassiadrum.stores import HttpInstanceList, HttpWire, StoreUnavailable
+
+__all__ = ["ProcessReader"]
+
+POLL_S = 0.5
+READ_TIMEOUT_S = 5.0
+WASTED = re.compile(r"^cassiadrum_wasted_tokens_total\{[^}]*\} ([0-9.e+]+)$", re.MULTILINE)
+
+
+class ProcessReader:
+    """Read the events of every listed instance while a load runs.
+
+    The rings are bounded, so they are read often; what is overwritten before it is read shows as
+    missing events.
+    """
+
+    def __init__(self, instance_list: str, admin_token: str = "") -> None:
+        self.events: list[Event] = []
+        self._list = HttpInstanceList(HttpWire(_client(instance_list), time.monotonic))
+        self._headers: Headers = (("authorization", f"Bearer {admin_token}"),)
+        if not admin_token:
+            self._headers = ()
+        self._read_to: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Read events until cancelled."""
+        while True:
+            with contextlib.suppress(StoreUnavailable):
+                await self.read()
+            await asyncio.sleep(POLL_S)
+
+    async def read(self) -> None:
+        """Read all events that are new; raise StoreUnavailable without an instance list."""
+        addresses = [member.admin_address for member in await self._list.fetch()]
+        await asyncio.gather(*(self._read_events(address) for address in addresses))
+
+    async def wasted_tokens(self) -> int:
+        """Return the sum over all instances since their starts; raise StoreUnavailable."""
+        total = 0.0
+        for member in await self._list.fetch():
+            text = await self._get(member.admin_address, "/metrics")
+            total += sum(float(value) for value in WASTED.findall((text or b"").decode()))
+        return int(total)
+
+    async def _read_events(self, address: str) -> None:
+        while True:
+            after = self._read_to.get(address, 0)
+            body = await self._get(address, f"/admin/events?after={after}")
+            if body is None:
+                return
+            try:
+                page = msgspec.json.decode(body, type=dict[str, Any])
+                events = [decode_event(plain) for plain in page["events"]]
+            except (msgspec.DecodeError, KeyError, EventError):
+                return
+            if not events:
+                return
+            self.events += events
+            self._read_to[address] = events[-1].sequence
+
+    async def _get(self, address: str, target: str) -> bytes | None:
+        """Return a body, or None when the instance does not answer."""
+        client = _client(address)
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                response = await client.request("GET", target, self._headers)
+                body = await response.read()
+                return body if response.status == 200 else None
+        except (HttpError, TimeoutError):
+            return None
+        finally:
+            client.close()
+
+
+def _client(address: str) -> HttpClient:
+    host, _, port = address.rpartition(":")
+    return HttpClient(host, int(port))
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -46,6 +46,7 @@
         self._entry_count = entries
         self._step_s = step_s
         self._platform = ""
+        self.instance_list_address = ""
         self._instance_list: HttpInstanceList | None = None
         self.table_store: HttpTableStore | None = None
 
@@ -113,6 +114,7 @@
             f'[platform]\ntable_service = "{HOST}:{table}"\n'
             f'object_store = "{HOST}:{objects}"\ninstance_list = "{HOST}:{instances}"\n'
         )
+        self.instance_list_address = f"{HOST}:{instances}"
         self.table_store = HttpTableStore(_wire(table))
         self._instance_list = HttpInstanceList(_wire(instances))
 
