--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -9,11 +9,12 @@
 __all__ = ["AdminHandler"]
 
 EVENTS_LIMIT = 2000
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SERVICES = "/admin/services/"
 
 
 class AdminHandler:
-    """Serve status and events of a process; `status` returns a JSON object.
+    """Serve status, events and metrics of a process; `status` returns a JSON object.
 
     `services` answers changes of service documents, which only an entry instance accepts.
     """
@@ -23,18 +24,22 @@
         ring: EventRing,
         status: Callable[[], dict[str, Any]],
         drain: Callable[[], None],
+        metrics: Callable[[], bytes],
         services: Handler | None = None,
     ) -> None:
         self._ring = ring
         self._status = status
         self._drain = drain
         self._services = services
+        self._metrics = metrics
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         req = exchange.req
         if req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
+        elif req.method == "GET" and req.path == "/metrics":
+            await exchange.send(200, self._metrics(), METRICS_TYPE)
         elif req.method == "GET" and req.path == "/admin/events":
             await self._send_events(exchange)
         elif req.method == "POST" and req.path == "/admin/drain":
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -6,11 +6,13 @@
 
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
+from cassiadrum.roles.event_meters import EventMeter
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.scheduler_factories import SchedulerFactory
@@ -29,7 +31,6 @@
     HttpTableStore,
     HttpWeightStore,
     HttpWire,
-    TableStore,
 )
 
 __all__ = ["build_daemon"]
@@ -37,76 +38,94 @@
 
 def build_daemon(cfg: Settings) -> Daemon:
     """Return the daemon of the role that the settings name, not started yet."""
-    clock = HybridClock(time.time)
-    ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
-    table = HttpTableStore(_wire(cfg.platform.table_service))
-    registry = ConfigurationRegistry()
-    reader = ConfigurationReader(table, registry)
-    configurations = ConfigurationAgent(registry, reader, ring, _rng())
+    composition = _Composition(cfg)
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, configurations, table)
-    return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
-
-
-def _build_entry(
-    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent, table: TableStore
-) -> EntryDaemon:
-    dispatchers = DispatcherFactory(
-        configurations.document,
-        zone=cfg.zone,
-        queue_requests=cfg.limits.queue_requests,
-        rng=_rng(),
-    )
-    instances = HttpInstanceList(_wire(cfg.platform.instance_list))
-    maintenance = MaintenanceFactory(
-        cfg.instance,
-        table,
-        _object_store(cfg),
-        _weight_store(cfg),
-        configurations.document,
-        ring,
-    )
-    writer = ConfigurationWriter(table)
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, maintenance, writer)
-
-
-def _build_sidecar(
-    cfg: Settings,
-    endpoint: EndpointSettings,
-    ring: EventRing,
-    configurations: ConfigurationAgent,
-    table: TableStore,
-) -> SidecarDaemon:
-    target = _build_endpoint(endpoint)
-    schedulers = SchedulerFactory(
-        configurations.document, maximum=cfg.limits.concurrency, can_pause=target.can_pause
-    )
-    configurations.on_applied = lambda service: (
-        schedulers.configure(service) if service == endpoint.service else None
-    )
-    claims = ClaimService(table, _object_store(cfg), cfg.instance)
-    guard = FencingGuard(table, endpoint_enforces=endpoint.enforces_fencing)
-    orders = OrderGuard(target, guard, ring)
-    return SidecarDaemon(cfg, ring, configurations, target, schedulers.build(), claims, orders)
-
-
-def _weight_store(cfg: Settings) -> HttpWeightStore | None:
-    address = cfg.platform.weight_store
-    return HttpWeightStore(_wire(address)) if address else None
-
-
-def _object_store(cfg: Settings) -> HttpObjectStore:
-    return HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
+        return composition.entry()
+    return composition.sidecar(cfg.endpoint)
+
+
+class _Composition:
+    """Hold the parts that both roles share while the rest is built around them."""
+
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._rng = random.Random(secrets.randbits(64))
+        clock = HybridClock(time.time)
+        self._ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
+        self._metrics = RoleMetrics(time.monotonic, make_registry())
+        self._table = HttpTableStore(self._wire(cfg.platform.table_service, "table"))
+        registry = ConfigurationRegistry()
+        reader = ConfigurationReader(self._table, registry)
+        self._configurations = ConfigurationAgent(registry, reader, self._ring, self._rng)
+        self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
+
+    def entry(self) -> EntryDaemon:
+        """Return an entry instance."""
+        dispatchers = DispatcherFactory(
+            self._configurations.document,
+            zone=self._cfg.zone,
+            queue_requests=self._cfg.limits.queue_requests,
+            rng=self._rng,
+        )
+        maintenance = MaintenanceFactory(
+            self._cfg.instance,
+            self._table,
+            self._objects(),
+            self._weights(),
+            self._configurations.document,
+            self._ring,
+        )
+        return EntryDaemon(
+            self._cfg,
+            self._ring,
+            self._configurations,
+            HttpInstanceList(self._wire(self._cfg.platform.instance_list, "instances")),
+            dispatchers,
+            maintenance,
+            ConfigurationWriter(self._table),
+            self._metrics,
+        )
+
+    def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
+        """Return the process beside an endpoint."""
+        target = _build_endpoint(endpoint)
+        schedulers = SchedulerFactory(
+            self._configurations.document,
+            maximum=self._cfg.limits.concurrency,
+            can_pause=target.can_pause,
+        )
+        self._configurations.on_applied = lambda service: (
+            schedulers.configure(service) if service == endpoint.service else None
+        )
+        guard = FencingGuard(self._table, endpoint_enforces=endpoint.enforces_fencing)
+        return SidecarDaemon(
+            self._cfg,
+            self._ring,
+            self._configurations,
+            target,
+            schedulers.build(),
+            ClaimService(self._table, self._objects(), self._cfg.instance),
+            OrderGuard(target, guard, self._ring),
+            self._metrics,
+        )
+
+    def _objects(self) -> HttpObjectStore:
+        platform = self._cfg.platform
+        return HttpObjectStore(
+            self._wire(platform.object_store or platform.table_service, "objects")
+        )
+
+    def _weights(self) -> HttpWeightStore | None:
+        address = self._cfg.platform.weight_store
+        return HttpWeightStore(self._wire(address, "weights")) if address else None
+
+    def _wire(self, address: Address, store: str) -> HttpWire:
+        client = HttpClient(address.host, address.port)
+        return HttpWire(
+            client, time.monotonic, called=lambda result: self._metrics.store_called(store, result)
+        )
 
 
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
     kind = EngineEndpoint if endpoint.kind == "engine" else PlainEndpoint
     return kind(endpoint.address.host, endpoint.address.port)
-
-
-def _wire(address: Address) -> HttpWire:
-    return HttpWire(HttpClient(address.host, address.port), time.monotonic)
-
-
-def _rng() -> random.Random:
-    return random.Random(secrets.randbits(64))
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -9,6 +9,7 @@
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message, Ordered
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
@@ -17,6 +18,7 @@
 from cassiadrum.roles.configuration_handlers import ConfigurationHandler
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
@@ -41,6 +43,7 @@
         dispatchers: DispatcherFactory,
         maintenance: MaintenanceFactory,
         writer: ConfigurationWriter,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
@@ -61,10 +64,14 @@
             self._router.post,
             self._fetcher,
             lambda: configurations.ready,
+            metrics.refused,
         )
         self._http = HttpServer(self._handler)
         services = ConfigurationHandler(writer, configurations, ring)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain, services))
+        self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
+        self._admin = HttpServer(
+            AdminHandler(ring, self.status, self.begin_drain, self._gauges.render, services)
+        )
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -123,6 +130,9 @@
     def _entries(self) -> list[str]:
         return self._members.entries()
 
+    def _queued(self) -> dict[str, int]:
+        return {name: part.queued() for name, part in self._router.dispatchers.items()}
+
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
@@ -146,6 +156,7 @@
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, End):
             observe(self.ring, msg.clock)
         if isinstance(msg, Ordered):
@@ -159,6 +170,7 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._router.post(LinkDown(link))
 
 
