Add a process harness with a fault-injecting proxy and its first tests

Cause: the whole path was tested in one process only, so nothing showed that answers survive the loss of a process, and the last events of a stopping daemon could not be read: it closed its admin interface in the same step that recorded `stopped`.

Change: tests can start real daemons with a proxy on each hop, end, pause and replace them, and judge the merged record.

A retry of a stream needs saved budget, so the test of a killed sidecar sets retry_budget to 1.0.

--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -54,7 +54,8 @@
             lambda: configurations.ready,
         )
         self._http = HttpServer(self._handler)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._admin_handler = AdminHandler(ring, self.status, self.begin_drain)
+        self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -84,6 +85,7 @@
         await self._members.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
+        await self._admin_handler.last_events_read()
         await self._admin.abort()
 
     def status(self) -> dict[str, Any]:
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -57,7 +57,8 @@
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._admin_handler = AdminHandler(ring, self.status, self.begin_drain)
+        self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -87,6 +88,7 @@
         await self._server.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
+        await self._admin_handler.last_events_read()
         await self._admin.abort()
         self._endpoint.close()
 
--- /dev/null
+++ b/cassiadrum/tests/harness/__init__.py
@@ -0,0 +1,20 @@
+"""Real processes on loopback with a fault-injecting proxy on the hops between them."""
+
+from cassiadrum.tests.harness.callers import Answer, StreamCaller, call
+from cassiadrum.tests.harness.child_processes import ChildProcess
+from cassiadrum.tests.harness.event_collectors import EventCollector
+from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+from cassiadrum.tests.harness.process_sites import ProcessSite
+from cassiadrum.tests.harness.waits import until
+
+__all__ = [
+    "Answer",
+    "ChildProcess",
+    "EventCollector",
+    "FaultProxy",
+    "ProcessSite",
+    "StreamCaller",
+    "Way",
+    "call",
+    "until",
+]
--- /dev/null
+++ b/cassiadrum/tests/harness/event_collectors.py
@@ -0,0 +1,49 @@
+"""Continuous reader of a process's events."""
+
+import asyncio
+import contextlib
+import json
+
+from cassiadrum.events import Event, EventKind, decode_event
+from cassiadrum.protocols import HttpClient, HttpError
+
+__all__ = ["EventCollector"]
+
+POLL_S = 0.03
+READ_LIMIT_S = 1.0
+
+
+class EventCollector:
+    """Poll the admin interface, so that a killed process leaves what it had recorded."""
+
+    def __init__(self, admin_address: str) -> None:
+        host, _, port = admin_address.rpartition(":")
+        self.events: list[Event] = []
+        self._client = HttpClient(host, int(port))
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def stopped(self) -> bool:
+        """Tell whether the last event of the process was read."""
+        return bool(self.events) and self.events[-1].kind is EventKind.STOPPED
+
+    async def close(self) -> None:
+        """Stop reading."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._client.close()
+
+    async def _run(self) -> None:
+        while not self.stopped:
+            # The process may be paused, or gone; a later read continues where this one began.
+            with contextlib.suppress(HttpError, TimeoutError):
+                async with asyncio.timeout(READ_LIMIT_S):
+                    await self._read()
+            await asyncio.sleep(POLL_S)
+
+    async def _read(self) -> None:
+        after = self.events[-1].sequence if self.events else 0
+        response = await self._client.request("GET", f"/admin/events?after={after}")
+        body = json.loads(await response.read())
+        self.events += [decode_event(event) for event in body["events"]]
--- /dev/null
+++ b/cassiadrum/tests/harness/platforms.py
@@ -0,0 +1,96 @@
+"""The platform's stand-ins, in the test's process."""
+
+import time
+import uuid
+
+from cassiadrum.documents import ServiceDocument
+from cassiadrum.protocols import HttpClient
+from cassiadrum.standins import (
+    EngineStandin,
+    InstanceListService,
+    ObjectService,
+    PlainServiceStandin,
+    TableService,
+)
+from cassiadrum.states import Accepted, ConfigurationWriter
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
+
+__all__ = ["EndpointStandin", "Platform", "build_endpoint"]
+
+HOST = "127.0.0.1"
+
+
+class AddressedEngine(EngineStandin):
+    """An engine that knows its address."""
+
+    address = ""
+
+
+class AddressedPlainService(PlainServiceStandin):
+    """A plain service that knows its address."""
+
+    address = ""
+
+
+EndpointStandin = AddressedEngine | AddressedPlainService
+
+
+def build_endpoint(document: ServiceDocument, step_s: float) -> EndpointStandin:
+    """Return the endpoint of a service, not started yet."""
+    if document.kind == "model":
+        return AddressedEngine(step_s=step_s, models=document.models)
+    return AddressedPlainService()
+
+
+class Platform:
+    """Run table service, object store and instance list."""
+
+    def __init__(self) -> None:
+        self.table = TableService()
+        self.objects = ObjectService()
+        self.instances = InstanceListService()
+        self.table_address = ""
+        self.object_address = ""
+        self.list_address = ""
+
+    async def start(self) -> None:
+        """Start the stand-ins."""
+        self.table_address = f"{HOST}:{await self.table.start()}"
+        self.object_address = f"{HOST}:{await self.objects.start()}"
+        self.list_address = f"{HOST}:{await self.instances.start()}"
+
+    async def close(self) -> None:
+        """Stop the stand-ins."""
+        for standin in (self.table, self.objects, self.instances):
+            await standin.close()
+
+    def store(self, address: str = "") -> HttpTableStore:
+        """Return a client of the table service."""
+        return HttpTableStore(wire_to(address or self.table_address))
+
+    async def accept(self, service: str, text: str, base: int) -> Accepted:
+        """Write a configuration as an operator."""
+        writer = ConfigurationWriter(self.store())
+        result = await writer.accept(service, text, base, uuid.uuid4().hex, "test")
+        assert isinstance(result, Accepted), result
+        return result
+
+    async def register(self, name: str, service: str, zone: str, link: str, admin: str) -> None:
+        """Put an instance on the list."""
+        role = "sidecar" if service else "entry"
+        instances = HttpInstanceList(wire_to(self.list_address))
+        await instances.register(Instance(name, role, service, zone, link, admin))
+
+    async def deregister(self, name: str) -> None:
+        """Take an instance off the list."""
+        host, _, port = self.list_address.rpartition(":")
+        client = HttpClient(host, int(port))
+        response = await client.request("DELETE", f"/instances/{name}")
+        await response.read()
+        client.close()
+
+
+def wire_to(address: str) -> HttpWire:
+    """Return the wire to a store."""
+    host, _, port = address.rpartition(":")
+    return HttpWire(HttpClient(host, int(port)), time.monotonic)
--- /dev/null
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -0,0 +1,301 @@
+"""A site of real daemon processes on loopback."""
+
+import asyncio
+import contextlib
+import json
+import re
+import time
+import uuid
+from pathlib import Path
+from typing import Any
+
+from cassiadrum.documents import ServiceDocument, parse_document
+from cassiadrum.events import Event, EventKind, EventRing, HybridClock, merge
+from cassiadrum.invariants import CallerOutcome, EndpointRun, Outage, Record
+from cassiadrum.loads import LoadPlan, LoadSender
+from cassiadrum.tests.harness.callers import call
+from cassiadrum.tests.harness.child_processes import ChildProcess
+from cassiadrum.tests.harness.event_collectors import EventCollector
+from cassiadrum.tests.harness.fault_proxies import FaultProxy
+from cassiadrum.tests.harness.platforms import EndpointStandin, Platform, build_endpoint
+from cassiadrum.tests.harness.waits import until
+
+__all__ = ["ProcessSite"]
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+class ProcessSite:
+    """Run entry instances and sidecars as processes, the stand-ins in the test's process.
+
+    `hops` names the hops that get a proxy: `http` (caller to entry instance), `link` (entry
+    instance to sidecar), `endpoint` (sidecar to endpoint) and `table` (daemon to table service).
+    `proxies` holds them by `HOP:INSTANCE`. `edits` are regular expressions and replacements that
+    change the documents, `limits` the `[limits]` table of the settings.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        *,
+        services: tuple[str, ...] = ("sprachdienst", "permit-register"),
+        endpoints: int = 2,
+        entries: int = 2,
+        hops: tuple[str, ...] = (),
+        step_s: float = 0.004,
+        limits: str = "",
+        edits: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        self.texts = {name: document_text(name, endpoints, edits) for name in services}
+        self.documents: list[ServiceDocument] = [parse_document(t) for t in self.texts.values()]
+        self.platform = Platform()
+        self.children: dict[str, ChildProcess] = {}
+        self.endpoints: dict[str, EndpointStandin] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+        self.killed: set[str] = set()
+        self.outages: list[Outage] = []
+        self.collectors: dict[str, list[EventCollector]] = {}
+        self.operator = EventRing(HybridClock(time.time), "operator", "operator", uuid.uuid4().hex)
+        self._services: dict[str, str] = {}
+        self._zones: dict[str, str] = {}
+        self._directory = directory
+        self._entry_count = entries
+        self._hops = hops
+        self._step_s = step_s
+        self._limits = limits
+
+    async def start(self) -> None:
+        """Start everything and wait until each service can be reached at each entry instance."""
+        await self.platform.start()
+        for document in self.documents:
+            result = await self.platform.accept(document.name, self.texts[document.name], 0)
+            self.note_accepted(document.name, result.version, result.current.operation_id)
+        slots = [(doc, number) for doc in self.documents for number in range(doc.endpoints)]
+        await asyncio.gather(*(self._start_slot(document, number) for document, number in slots))
+        zones = [zone for document in self.documents for zone in document.zones]
+        numbers = range(self._entry_count)
+        names = [f"entry-{number + 1}" for number in numbers]
+        for name, zone in zip(names, zones, strict=False):
+            self._zones[name], self._services[name] = zone, ""
+        await asyncio.gather(*(self.launch(name) for name in names))
+        await until(self.all_linked, "a link to each sidecar at each entry instance")
+
+    async def close(self) -> None:
+        """End every process and stand-in."""
+        await asyncio.gather(*(child.end() for child in self.children.values()))
+        for collectors in self.collectors.values():
+            for collector in collectors:
+                await collector.close()
+        for part in (*self.proxies.values(), *self.endpoints.values()):
+            await part.close()
+        await self.platform.close()
+
+    # Names.
+
+    @property
+    def entries(self) -> list[str]:
+        """Return the names of the entry instances."""
+        return [name for name, service in self._services.items() if not service]
+
+    def sidecars(self, service: str = "") -> list[str]:
+        """Return the names of the sidecars, of one service if named."""
+        return [
+            name
+            for name, of in self._services.items()
+            if of and service in ("", of) and name in self.children
+        ]
+
+    def zone(self, name: str) -> str:
+        """Return the zone of an instance."""
+        return self._zones[name]
+
+    def http(self, entry: str = "entry-1") -> str:
+        """Return the address for callers, through the proxy if there is one."""
+        proxy = self.proxies.get(f"http:{entry}")
+        return proxy.address if proxy else str(self.children[entry].ready["http"])
+
+    # Processes.
+
+    async def launch(self, name: str) -> None:
+        """Start the process of an instance, for the first time or again."""
+        path = self._directory / f"{name}.toml"
+        path.write_text(await self._settings(name))
+        child = await ChildProcess.start(
+            "cassiadrum.daemon", ["--settings", str(path)], self._directory / f"{name}.log"
+        )
+        self.children[name] = child
+        ready = child.ready
+        self.collectors.setdefault(name, []).append(EventCollector(ready["admin"]))
+        if "http" in ready:
+            await self._through("http", name, ready["http"])
+        link = ready.get("link", "")
+        address = await self._through("link", name, link) if link else ""
+        await self.platform.register(
+            name, self._services[name], self._zones[name], address, ready["admin"]
+        )
+
+    async def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        self.killed.add(name)
+        await self.children[name].end()
+
+    async def stop(self, name: str) -> None:
+        """Stop a process with SIGTERM and wait for its end, which has to be a clean one."""
+        child = self.children[name]
+        child.terminate()
+        code = await child.wait()
+        assert code == 0, f"{name} ended with {code}: {child.log.read_text()[-2000:]}"
+        await self.platform.deregister(name)
+        with contextlib.suppress(AssertionError):
+            await until(lambda: self.collectors[name][-1].stopped, "the last event", 2.0)
+
+    async def replace(self, name: str, new_name: str) -> None:
+        """Start another instance with the same role, zone and endpoint, then stop the old one."""
+        self._zones[new_name], self._services[new_name] = self._zones[name], self._services[name]
+        if name in self.endpoints:
+            self.endpoints[new_name] = await self._start_endpoint(self._services[name])
+        await self.launch(new_name)
+        await until(self.all_linked, f"links of {new_name}")
+        await self.stop(name)
+        del self._services[name]
+
+    async def finish(self, outcomes: list[CallerOutcome]) -> Record:
+        """Stop every process that still runs, entry instances first, and return the record."""
+        for names in (self.entries, self.sidecars()):
+            running = [name for name in names if self.children[name].running]
+            await asyncio.gather(*(self.stop(name) for name in running))
+        return Record(
+            merge(self.events()),
+            tuple(outcomes),
+            tuple(self._runs()),
+            tuple(self.documents),
+            frozenset(self.killed),
+            tuple(self.outages),
+        )
+
+    # What the processes tell.
+
+    def events(self, kind: EventKind | None = None, instance: str = "") -> list[Event]:
+        """Return the events read so far, of one kind and instance if named."""
+        every = [
+            event
+            for collectors in self.collectors.values()
+            for collector in collectors
+            for event in collector.events
+        ]
+        every += self.operator.after(0, len(self.operator))
+        return [e for e in every if kind in (None, e.kind) and instance in ("", e.instance)]
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """Return the state that the admin interface tells."""
+        return (await call(self.children[name].ready["admin"], "GET", "/admin/status")).json
+
+    async def all_linked(self) -> bool:
+        """Tell whether each running entry instance has every running sidecar and document."""
+        sidecars = {name for name in self.sidecars() if self.children[name].running}
+        for name in self.entries:
+            if not self.children[name].running:
+                continue
+            status = await self.status(name)
+            if not sidecars <= set(status["links"]) or len(status["versions"]) < len(self.texts):
+                return False
+        return True
+
+    def note_accepted(self, service: str, version: int, operation_id: str) -> None:
+        """Record that a configuration was accepted."""
+        self.operator.record(
+            EventKind.CONFIGURATION_ACCEPTED,
+            service=service,
+            version=version,
+            operation_id=operation_id,
+        )
+
+    @contextlib.asynccontextmanager
+    async def load(self, rate_per_s: float = 25.0, duration_s: float = 2.0, seed: int = 1) -> Any:
+        """Send a mixed load while the block runs, and wait for its end after it."""
+        sender = LoadSender([self.http(name) for name in self.entries], self.documents, seed)
+        plan = LoadPlan.mixed(self.documents, rate_per_s, duration_s, seed)
+        task = asyncio.create_task(sender.run(plan))
+        try:
+            await until(lambda: len(sender.outcomes) > 3, "the first answers of the load")
+            yield sender
+            await task
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    def _runs(self) -> list[EndpointRun]:
+        return [
+            EndpointRun(
+                run["request_id"].rpartition(".")[0],
+                self._service_of(name),
+                name,
+                run["key"],
+                run["started"],
+                run["ended"] or None,
+                run["tokens"],
+                run["completed"],
+            )
+            for name, endpoint in self.endpoints.items()
+            for run in endpoint.runs
+        ]
+
+    def _service_of(self, name: str) -> str:
+        return next(service for service in self.texts if name.startswith(service))
+
+    # Construction.
+
+    async def _start_slot(self, document: ServiceDocument, number: int) -> None:
+        name = f"{document.name}-{number + 1}"
+        self._zones[name] = document.zones[number % len(document.zones)]
+        self._services[name] = document.name
+        self.endpoints[name] = await self._start_endpoint(document.name)
+        await self.launch(name)
+
+    async def _start_endpoint(self, service: str) -> EndpointStandin:
+        document = next(doc for doc in self.documents if doc.name == service)
+        endpoint = build_endpoint(document, self._step_s)
+        endpoint.address = f"127.0.0.1:{await endpoint.start()}"
+        return endpoint
+
+    async def _through(self, hop: str, name: str, address: str) -> str:
+        """Return the address to use for a hop: the proxy's, or the address itself."""
+        if hop not in self._hops:
+            return address
+        key = f"{hop}:{name}"
+        if key in self.proxies:
+            self.proxies[key].target = address
+        else:
+            self.proxies[key] = FaultProxy(address)
+            await self.proxies[key].start()
+        return self.proxies[key].address
+
+    async def _settings(self, name: str) -> str:
+        service = self._services[name]
+        table = await self._through("table", name, self.platform.table_address)
+        parts = [
+            f'role = "{"sidecar" if service else "entry"}"',
+            f'instance = "{name}"\nzone = "{self._zones[name]}"',
+            f'[platform]\ntable_service = "{table}"',
+            f'object_store = "{self.platform.object_address}"',
+            f'instance_list = "{self.platform.list_address}"',
+        ]
+        if self._limits:
+            parts.append(f"[limits]\n{self._limits}")
+        if service:
+            kind = next(doc.kind for doc in self.documents if doc.name == service)
+            address = await self._through("endpoint", name, self.endpoints[name].address)
+            parts += [
+                f'[endpoint]\nservice = "{service}"',
+                f'kind = "{"engine" if kind == "model" else "plain"}"',
+                f"address = {json.dumps(address)}",
+            ]
+        return "\n".join(parts) + "\n"
+
+
+def document_text(name: str, endpoints: int, edits: tuple[tuple[str, str], ...]) -> str:
+    """Return an example's document with another number of endpoints and other edits."""
+    text = (EXAMPLES / f"{name}.toml").read_text()
+    for old, new in ((r"endpoints = \d+", f"endpoints = {endpoints}"), *edits):
+        text = re.sub(old, new, text)
+    return text
--- /dev/null
+++ b/cassiadrum/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes and injected faults."""
--- /dev/null
+++ b/cassiadrum/tests/integration/conftest.py
@@ -0,0 +1,29 @@
+"""Fixtures of the tests with real processes."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cassiadrum.tests.harness import ProcessSite
+
+MakeSite = Callable[..., Awaitable[ProcessSite]]
+
+
+@pytest.fixture
+async def make_site(tmp_path: Path) -> AsyncIterator[MakeSite]:
+    """Start sites with the given options; every process ends with the test."""
+    sites: list[ProcessSite] = []
+
+    async def make(**options: Any) -> ProcessSite:
+        directory = tmp_path / f"site-{len(sites)}"
+        directory.mkdir()
+        site = ProcessSite(directory, **options)
+        sites.append(site)
+        await site.start()
+        return site
+
+    yield make
+    for site in sites:
+        await site.close()
--- /dev/null
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -0,0 +1,68 @@
+"""Tests that end, pause and replace instances."""
+
+import asyncio
+
+import pytest
+
+from cassiadrum.events import EventKind
+from cassiadrum.invariants import check_record
+from cassiadrum.standins import answer_tokens
+from cassiadrum.tests.harness import StreamCaller, call, until
+from cassiadrum.tests.integration.conftest import MakeSite
+
+pytestmark = pytest.mark.integration
+
+LONG_PROMPT = "assessment 4"
+# A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
+FULL_RETRIES = (("retry_budget = 0.1", "retry_budget = 1.0"),)
+
+
+class TestInstances:
+    """Guards against answers lost with an instance."""
+
+    async def test_killed_entry_instance_leaves_the_rest_to_another(
+        self, make_site: MakeSite
+    ) -> None:
+        site = await make_site(step_s=0.03)
+        async with site.load() as sender:
+            caller = StreamCaller.completion(site.http("entry-1"), LONG_PROMPT)
+            await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
+            await site.kill("entry-1")
+            broken = await caller.answer()
+            target = f"/requests/{caller.request_id}?position={len(broken.body)}"
+            rest = await call(site.http("entry-2"), "GET", target)
+        assert not broken.complete
+        assert (rest.status, rest.complete) == (200, True)
+        whole = (broken.body + rest.body).decode()
+        assert [whole.count(f'"{token}"') >= 1 for token in answer_tokens(LONG_PROMPT)]
+        assert whole.count('"content"') == len(answer_tokens(LONG_PROMPT))
+        assert whole.endswith("data: [DONE]\n\n")
+        assert check_record(await site.finish(sender.outcomes)) == []
+
+    async def test_killed_sidecar_continues_at_another_engine(self, make_site: MakeSite) -> None:
+        site = await make_site(step_s=0.03, edits=FULL_RETRIES)
+        async with site.load() as sender:
+            caller = StreamCaller.completion(site.http(), LONG_PROMPT)
+            await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
+            victim = caller.request_id.rpartition("@")[2]
+            await site.kill(victim)
+            answer = await caller.answer()
+        assert answer.complete
+        assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
+        assert check_record(await site.finish(sender.outcomes)) == []
+
+    async def test_stopped_instances_finish_their_streams(self, make_site: MakeSite) -> None:
+        site = await make_site(step_s=0.03)
+        async with site.load(duration_s=1.0) as sender:
+            callers = [
+                StreamCaller.completion(site.http(), f"{LONG_PROMPT} {n}") for n in range(4)
+            ]
+            await until(lambda: all(caller.body for caller in callers), "the first events")
+            await asyncio.gather(site.stop("entry-1"), site.stop("sprachdienst-1"))
+            answers = [await caller.answer() for caller in callers]
+        assert all(answer.complete and answer.status == 200 for answer in answers)
+        assert all(answer.body.endswith(b"data: [DONE]\n\n") for answer in answers)
+        record = await site.finish(sender.outcomes)
+        assert record.missing_events == 0
+        assert len(site.events(EventKind.STOPPED)) == 6
+        assert check_record(record) == []
