--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -1,5 +1,7 @@
 """The HTTP interface towards operators."""
 
+import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +13,9 @@
 EVENTS_LIMIT = 2000
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SERVICES = "/admin/services/"
+# A reader that polled within this time is expected to come for the last events too.
+READER_ACTIVE_S = 2.0
+LAST_READ_LIMIT_S = 1.0
 
 
 class AdminHandler:
@@ -32,6 +37,8 @@
         self._drain = drain
         self._services = services
         self._metrics = metrics
+        self._read_s = float("-inf")
+        self._read_sequence = 0
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
@@ -59,3 +66,12 @@
         # The start id tells a reader that the sequence numbers began anew.
         answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
         await exchange.send_json(200, {"events": events, **answer})
+        self._read_s, self._read_sequence = time.monotonic(), int(after) + len(events)
+
+    async def last_events_read(self) -> None:
+        """Wait until an active reader has the last event, at most LAST_READ_LIMIT_S."""
+        end_s = time.monotonic() + LAST_READ_LIMIT_S
+        while self._read_sequence < self._ring.last_sequence and time.monotonic() < end_s:
+            if time.monotonic() - self._read_s > READER_ACTIVE_S:
+                return
+            await asyncio.sleep(0.02)
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -47,6 +47,10 @@
         self._hold(pending, attempt, data)
         return 0
 
+    def continues(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Tell whether the attempt's answer fits what the caller already has."""
+        return not pending.head_sent or pending.streaming == attempt.streaming
+
     def finish(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Pass on what is left of a whole answer."""
         if not self._wins(pending, attempt):
@@ -64,7 +68,7 @@
 
     def repeatable(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Mark a failure as final when the caller has a part that no other attempt continues."""
-        if not pending.head_sent or pending.splitter.events:
+        if not pending.head_sent or pending.streaming:
             return outcome
         ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
         return outcome._replace(ran=ran, final=True)
@@ -78,7 +82,8 @@
 
     def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
         attempt.held += data
-        if len(attempt.held) <= HOLD_BYTES or not self._wins(pending, attempt):
+        fits = len(attempt.held) <= HOLD_BYTES or not self.continues(pending, attempt)
+        if fits or not self._wins(pending, attempt):
             return
         self._send_head(pending, attempt)
         held, attempt.held = bytes(attempt.held), bytearray()
@@ -93,6 +98,7 @@
         if pending.head_sent:
             return
         pending.head_sent = True
+        pending.streaming = attempt.streaming
         answer_id = f"{attempt.attempt_id}@{attempt.instance}"
         pending.events.put_nowait(AnswerHead(attempt.status, attempt.headers, answer_id))
 
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -69,9 +69,10 @@
         self._http = HttpServer(self._handler)
         services = ConfigurationHandler(writer, configurations, ring)
         self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
-        self._admin = HttpServer(
-            AdminHandler(ring, self.status, self.begin_drain, self._gauges.render, services)
+        self._admin_handler = AdminHandler(
+            ring, self.status, self.begin_drain, self._gauges.render, services
         )
+        self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -103,6 +104,7 @@
         await self._members.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
+        await self._admin_handler.last_events_read()
         await self._admin.abort()
 
     def status(self) -> dict[str, Any]:
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -31,6 +31,8 @@
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
+        # Whether the head announced an event stream.
+        self.streaming = False
         self.caller_gone = False
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
         self.winner: str | None = None
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -248,6 +248,8 @@
             return
         ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
         outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
+        if msg.ok and not self._relay.continues(pending, attempt):
+            outcome = Outcome(False, ran, msg.tokens, "endpoint_failed")
         self._send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
         self._ended(pending, attempt, outcome)
 
