Bound the memory of bodies and use fresh connections for calls that run once

Cause: 4,096 connections with bodies of 1 MiB could take 4 GiB; and a call that cannot be repeated could be lost to a connection that the endpoint closed while it was idle. Change: all bodies of a server share 16 MiB beyond 4 KiB each; calls of classes that are not idempotent get a connection of their own. Figures: the test with a budget of 50,000 bytes refuses a body of 30,000 bytes as not run and still answers a small request.

--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -43,6 +43,10 @@
 
     HEADER_BYTES: Final = 32 * 1024
     BODY_BYTES: Final = 1024 * 1024
+    # All bodies of one server together; a quarter of the memory that a daemon may take.
+    BODY_BUDGET_BYTES: Final = 16 * 1024 * 1024
+    # What each request may hold beyond the shared budget.
+    BODY_FREE_BYTES: Final = 4 * 1024
     HTTP_CONNECTIONS: Final = 4096
     # A client that has not sent its whole request by then is answered 408.
     REQUEST_READ_S: Final = 30.0
--- a/cassiadrum/endpoints/endpoint_calls.py
+++ b/cassiadrum/endpoints/endpoint_calls.py
@@ -11,7 +11,7 @@
     """Hold what an endpoint needs to know of a call.
 
     `delivered_events` counts the stream events of an earlier attempt that the caller has, from
-    which an engine continues.
+    which an engine continues. `repeatable` is False for calls that may run once only.
     """
 
     call_id: str
@@ -22,3 +22,4 @@
     tier: int = 0
     key: str = ""
     delivered_events: int = 0
+    repeatable: bool = True
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -30,7 +30,10 @@
         if call.key:
             headers = (*headers, ("idempotency-key", call.key))
         try:
-            return await self._client.request(call.method, call.target, headers, body)
+            # A call that cannot be repeated must not be lost to a connection closed while idle.
+            return await self._client.request(
+                call.method, call.target, headers, body, fresh=not call.repeatable
+            )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (AnswerLost, BadMessage) as exc:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -88,6 +88,7 @@
     delivered_events: int = 0
     clock: list[int] = []  # noqa: RUF012 - never changed in place
     max_wait_s: float = 30.0
+    idempotent: bool = False
 
 
 class Head(NamedTuple):
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -9,6 +9,7 @@
 import h11
 
 from cassiadrum.defaults import LIMITS
+from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
@@ -18,6 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
+REASONS = {413: "too_large", 431: "too_large", 503: "overloaded"}
+
 
 class HttpServer:
     """Serve a handler on one address, with bounds on connections, headers, bodies and time."""
@@ -27,6 +30,7 @@
         handler: Handler,
         *,
         body_limit: int = LIMITS.BODY_BYTES,
+        body_budget: int = LIMITS.BODY_BUDGET_BYTES,
         connection_limit: int = LIMITS.HTTP_CONNECTIONS,
         read_timeout_s: float = LIMITS.REQUEST_READ_S,
         idle_timeout_s: float = LIMITS.KEEP_ALIVE_IDLE_S,
@@ -41,6 +45,7 @@
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._closing = False
+        self._bodies = BodyBudget(body_budget, LIMITS.BODY_FREE_BYTES)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen and return the port, which the system chooses when `port` is 0."""
@@ -113,24 +118,41 @@
             conn,
             reader,
             writer,
+            self._bodies,
             body_limit=self._body_limit,
             read_timeout_s=self._read_timeout_s,
             idle_timeout_s=self._idle_timeout_s,
         )
-        while not self._closing:
+        again = True
+        while again and not self._closing:
             try:
-                req = await requests.read()
-            except BadMessage as exc:
-                await self._answer_bad(conn, writer, exc)
-                return
-            if req is None:
-                return
-            self._busy.add(task)
-            await self._run(Exchange(req, conn, writer), conn, reader)
-            self._busy.discard(task)
-            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-                return
-            conn.start_next_cycle()
+                again = await self._serve_one(requests, conn, reader, writer, task)
+            finally:
+                requests.release()
+
+    async def _serve_one(
+        self,
+        requests: RequestReader,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        task: asyncio.Task[None],
+    ) -> bool:
+        """Read and answer one request; return whether the connection can take another."""
+        try:
+            req = await requests.read()
+        except BadMessage as exc:
+            await self._answer_bad(conn, writer, exc)
+            return False
+        if req is None:
+            return False
+        self._busy.add(task)
+        await self._run(Exchange(req, conn, writer), conn, reader)
+        self._busy.discard(task)
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return False
+        conn.start_next_cycle()
+        return True
 
     async def _run(
         self, exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
@@ -157,7 +179,7 @@
             "status": exc.status,
             "detail": exc.detail,
             "ran": "no",
-            "reason": "too_large" if exc.status in (413, 431) else "bad_request",
+            "reason": REASONS.get(exc.status, "bad_request"),
         }
         body = json.dumps(problem).encode()
         close = (("connection", "close"),)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -5,6 +5,7 @@
 import h11
 
 from cassiadrum.defaults import LIMITS
+from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.http_requests import HttpRequest
 
@@ -21,6 +22,7 @@
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        budget: BodyBudget,
         *,
         body_limit: int,
         read_timeout_s: float,
@@ -32,13 +34,16 @@
         self._body_limit = body_limit
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
+        self._budget = budget
         self._deadline = 0.0
+        # Bytes of the current body, which are returned to the budget by `release`.
+        self._held_bytes = 0
 
     async def read(self) -> HttpRequest | None:
         """Return the next request, or None when the client closed or stayed idle.
 
-        Raises BadMessage for invalid HTTP, a body over the limit and a request that is not
-        complete within the read timeout.
+        Raises BadMessage for invalid HTTP, a body over the limit or the budget, and a request
+        that is not complete within the read timeout.
         """
         self._deadline = self._now() + self._idle_timeout_s
         head = await self._read_head()
@@ -47,6 +52,19 @@
         body = await self._read_body()
         return None if body is None else _to_request(head, body)
 
+    def release(self) -> None:
+        """Return the current body's bytes to the budget."""
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
+
+    def _hold(self, more_bytes: int) -> None:
+        size = self._held_bytes + more_bytes
+        if size > self._body_limit:
+            raise BadMessage(413, f"the body is larger than {self._body_limit} bytes")
+        if not self._budget.grow(self._held_bytes, size):
+            raise BadMessage(503, "the bodies of other requests take all the memory for bodies")
+        self._held_bytes = size
+
     async def _read_head(self) -> h11.Request | None:
         while True:
             event = self._next_event()
@@ -63,15 +81,12 @@
 
     async def _read_body(self) -> bytes | None:
         parts: list[bytes] = []
-        size = 0
         while True:
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._body_limit:
-                    raise BadMessage(413, f"the body is larger than {self._body_limit} bytes")
+                self._hold(len(event.data))
                 parts.append(bytes(event.data))
             elif event is not h11.NEED_DATA or not await self._receive(started=True):
                 return None
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -125,4 +125,5 @@
         start.tier,
         start.key,
         start.delivered_events,
+        start.idempotent,
     )
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -336,6 +336,7 @@
             pending.splitter.events,
             list(self._ring.clock.tick()),
             req.max_wait_s,
+            req.idempotent,
         )
 
     def _refuse(self, action: Refuse) -> None:
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -80,6 +80,25 @@
         await server.abort()
 
 
+class TestBodyBudget:
+    """Guards against bodies that take all memory, or that keep a small request out."""
+
+    async def test_large_bodies_are_refused_beyond_the_budget(self) -> None:
+        server = HttpServer(echo, body_budget=50_000)
+        port = await server.start("127.0.0.1", 0)
+        _, slow = await asyncio.open_connection("127.0.0.1", port)
+        slow.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n" + b"x" * 50_000)
+        await slow.drain()
+        client = HttpClient("127.0.0.1", port)
+        while (response := await client.request("POST", "/", (), b"y" * 30_000)).status == 200:
+            await response.read()
+        assert json.loads(await response.read())["reason"] == "overloaded"
+        small = await client.request("POST", "/", (), b"order")
+        assert (small.status, await small.read()) == (200, b"order")
+        slow.close()
+        await server.abort()
+
+
 class TestHttpClient:
     """Guards against a cut answer taken for a whole one."""
 
