Merge the instance list with what connections show

Cause: entry instances dialled every listed sidecar once and for ever: a leaving state in the list was ignored, a sidecar that came back at another address was never dialled, a gone one kept its attempts waiting, and a list entry with another sidecar's address made two links of the same process cut each other in turn. The repair poll counted one process.

Change: Membership merges list and connections. A member leaves at once when the list or its own report says so, is removed 10 s after it is neither listed nor connected, and is dialled at its new address after 1 s of silence. An empty list counts as a failed read. Hello names the instance that is meant. Both roles read the list, and the repair poll takes the number of processes from it. Links follow a subset by rendezvous rank.

--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -37,7 +37,11 @@
 
 
 class Hello(NamedTuple):
-    """Open a link in either direction."""
+    """Open a link in either direction.
+
+    `peer` is the instance that the dialling side means to reach: the list lags, and an address
+    may belong to another instance by now.
+    """
 
     protocol: int
     instance: str
@@ -45,6 +49,7 @@
     zone: str
     digest: str
     process_start: str = ""
+    peer: str = ""
 
 
 class Ping(NamedTuple):
--- /dev/null
+++ b/cassiadrum/members/__init__.py
@@ -0,0 +1,16 @@
+"""Membership and subsets, as plain code without sockets or clocks."""
+
+from cassiadrum.members.connection_bounds import ConnectionBound, mean_connections
+from cassiadrum.members.member_changes import ChangeKind, MemberChange
+from cassiadrum.members.memberships import REMOVAL_LIMIT_S, Membership
+from cassiadrum.members.subsets import Subset
+
+__all__ = [
+    "REMOVAL_LIMIT_S",
+    "ChangeKind",
+    "ConnectionBound",
+    "MemberChange",
+    "Membership",
+    "Subset",
+    "mean_connections",
+]
--- /dev/null
+++ b/cassiadrum/members/member_changes.py
@@ -0,0 +1,25 @@
+"""What a membership learned."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from cassiadrum.stores.instances import Instance
+
+__all__ = ["ChangeKind", "MemberChange"]
+
+
+class ChangeKind(StrEnum):
+    """Name the change; a member that moved has to be dialled at its new address."""
+
+    JOINED = "joined"
+    MOVED = "moved"
+    LEAVING = "leaving"
+    RETURNED = "returned"
+    LEFT = "left"
+
+
+class MemberChange(NamedTuple):
+    """A change of one member."""
+
+    kind: ChangeKind
+    member: Instance
--- /dev/null
+++ b/cassiadrum/members/memberships.py
@@ -0,0 +1,105 @@
+"""The instance list merged with what connections show."""
+
+from collections.abc import Iterable
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.members.member_changes import ChangeKind, MemberChange
+from cassiadrum.members.member_states import MemberState
+from cassiadrum.stores.instances import Instance
+
+__all__ = ["REMOVAL_LIMIT_S", "Membership"]
+
+# A sidecar that has not answered for this long has cancelled the streams of this process.
+REMOVAL_LIMIT_S = LIMITS.DETACHED_STREAM_S
+# A connection that was only reset is up again within this time, whatever address the list names.
+MOVE_DELAY_S = 1.0
+
+
+class Membership:
+    """Keep the members of one role; `now` is monotonic seconds.
+
+    The list lags and may be wrong, so it adds members and marks them as leaving, but a member is
+    removed only once it is not listed and has not been connected for REMOVAL_LIMIT_S. An empty
+    list is taken for a fault of the list.
+    """
+
+    def __init__(self, role: str) -> None:
+        self._role = role
+        self._states: dict[str, MemberState] = {}
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def member(self, instance: str) -> Instance | None:
+        """Return a member as it is dialled, or None."""
+        state = self._states.get(instance)
+        return state.member if state else None
+
+    def leaving(self, instance: str) -> bool:
+        """Tell whether a member is to get no new work."""
+        state = self._states.get(instance)
+        return state is not None and state.leaving
+
+    def listed(self, instances: Iterable[Instance], now: float) -> list[MemberChange]:
+        """Take a list that was read."""
+        found = {entry.instance: entry for entry in instances}
+        if not found:
+            return self.tick(now)
+        changes: list[MemberChange] = []
+        for name, entry in found.items():
+            if entry.role != self._role:
+                continue
+            state = self._states.get(name)
+            if state is None:
+                state = self._states[name] = MemberState(entry, now)
+                changes.append(MemberChange(ChangeKind.JOINED, entry))
+            state.listed = entry
+            state.absent_since_s = None
+        for name, state in self._states.items():
+            if name not in found and state.absent_since_s is None:
+                state.absent_since_s = now
+        return changes + self.tick(now)
+
+    def connected(self, instance: str) -> None:
+        """Take the hello of a member."""
+        if instance in self._states:
+            self._states[instance].silent_since_s = None
+
+    def disconnected(self, instance: str, now: float) -> None:
+        """Take the loss of a member's connection."""
+        state = self._states.get(instance)
+        if state is not None and state.silent_since_s is None:
+            state.silent_since_s = now
+
+    def reported(self, instance: str, leaving: bool, now: float) -> list[MemberChange]:
+        """Take what a member says of itself."""
+        state = self._states.get(instance)
+        if state is None:
+            return []
+        state.reports_leaving = leaving
+        return self._settle(state, now)
+
+    def tick(self, now: float) -> list[MemberChange]:
+        """Remove the members that are gone, and follow those that moved."""
+        changes: list[MemberChange] = []
+        for name, state in list(self._states.items()):
+            if state.gone_s(now) >= REMOVAL_LIMIT_S:
+                del self._states[name]
+                changes.append(MemberChange(ChangeKind.LEFT, state.member))
+            else:
+                changes += self._settle(state, now)
+        return changes
+
+    def _settle(self, state: MemberState, now: float) -> list[MemberChange]:
+        changes: list[MemberChange] = []
+        # A connection that works is kept even if the list names another address.
+        silent_s = 0.0 if state.silent_since_s is None else now - state.silent_since_s
+        if state.moved and silent_s >= MOVE_DELAY_S:
+            state.member = state.listed
+            state.reports_leaving = False
+            changes.append(MemberChange(ChangeKind.MOVED, state.member))
+        if state.should_leave != state.leaving:
+            state.leaving = state.should_leave
+            kind = ChangeKind.LEAVING if state.leaving else ChangeKind.RETURNED
+            changes.append(MemberChange(kind, state.member))
+        return changes
--- /dev/null
+++ b/cassiadrum/members/subsets.py
@@ -0,0 +1,83 @@
+"""The sidecars of a service that an entry instance connects to."""
+
+from bisect import bisect_left, insort
+from typing import NamedTuple
+
+import xxhash
+
+from cassiadrum.stores.instances import Instance
+
+__all__ = ["Subset"]
+
+# Asking a full sidecar again is only worth it when too few others are left.
+FULL_RETRY_S = 2.0
+
+
+class _Rank(NamedTuple):
+    """Sort key; the smallest is connected to first."""
+
+    other_zone: bool
+    hash: int
+    instance: str
+
+
+class Subset:
+    """Rank the sidecars of one service by rendezvous hashing, those of the own zone first.
+
+    The rank depends on the two names only, so a change of one sidecar moves no link between two
+    others, except the last in rank of an entry instance that gains or loses the changed one.
+    """
+
+    def __init__(self, entry: str, zone: str, size: int) -> None:
+        self._entry = entry
+        self._zone = zone
+        self._size = size
+        self._ranks: list[_Rank] = []
+        self._by_name: dict[str, _Rank] = {}
+        self._leaving: set[str] = set()
+        self._full: dict[str, float] = {}
+
+    def put(self, member: Instance) -> None:
+        """Add a sidecar, or one that came back at another place."""
+        self.remove(member.instance)
+        key = xxhash.xxh64_intdigest(f"{self._entry}\0{member.instance}".encode())
+        rank = _Rank(member.zone != self._zone, key, member.instance)
+        self._by_name[member.instance] = rank
+        insort(self._ranks, rank)
+
+    def remove(self, instance: str) -> None:
+        """Forget a sidecar."""
+        rank = self._by_name.pop(instance, None)
+        if rank is not None:
+            del self._ranks[bisect_left(self._ranks, rank)]
+        self._leaving.discard(instance)
+        self._full.pop(instance, None)
+
+    def set_leaving(self, instance: str, leaving: bool) -> None:
+        """Pass over a sidecar that is leaving, or count it again."""
+        if leaving:
+            self._leaving.add(instance)
+        else:
+            self._leaving.discard(instance)
+
+    def set_full(self, instance: str, now: float) -> None:
+        """Pass over a sidecar that has refused the connection."""
+        if instance in self._by_name:
+            self._full[instance] = now
+
+    def chosen(self, now: float) -> list[str]:
+        """Return the names of the sidecars to connect to, in rank order."""
+        chosen = self._first()
+        if len(chosen) < self._size and self._full:
+            self._full = {name: at for name, at in self._full.items() if now - at < FULL_RETRY_S}
+            chosen = self._first()
+        return chosen
+
+    def _first(self) -> list[str]:
+        chosen: list[str] = []
+        for rank in self._ranks:
+            if len(chosen) == self._size:
+                break
+            if rank.instance not in self._leaving and rank.instance not in self._full:
+                chosen.append(rank.instance)
+        return chosen
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -13,6 +13,7 @@
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
 from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
@@ -34,14 +35,17 @@
     table = HttpTableStore(_wire(cfg.platform.table_service))
     registry = ConfigurationRegistry()
     reader = ConfigurationReader(table, registry)
-    configurations = ConfigurationAgent(registry, reader, ring, _rng())
+    instances = InstanceWatch(HttpInstanceList(_wire(cfg.platform.instance_list)))
+    configurations = ConfigurationAgent(
+        registry, reader, ring, _rng(), processes=instances.processes
+    )
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, configurations)
-    return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
+        return _build_entry(cfg, ring, configurations, instances)
+    return _build_sidecar(cfg, cfg.endpoint, ring, configurations, instances, table)
 
 
 def _build_entry(
-    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent
+    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent, instances: InstanceWatch
 ) -> EntryDaemon:
     dispatchers = DispatcherFactory(
         configurations.document,
@@ -49,7 +53,6 @@
         queue_requests=cfg.limits.queue_requests,
         rng=_rng(),
     )
-    instances = HttpInstanceList(_wire(cfg.platform.instance_list))
     return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
 
 
@@ -58,6 +61,7 @@
     endpoint: EndpointSettings,
     ring: EventRing,
     configurations: ConfigurationAgent,
+    instances: InstanceWatch,
     table: TableStore,
 ) -> SidecarDaemon:
     limit = cfg.limits.concurrency
@@ -65,7 +69,9 @@
     scheduler = EndpointScheduler(limit, limit * LIMITS.SIDECAR_QUEUE_PER_SLOT, preemption)
     objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
     claims = ClaimService(table, objects, cfg.instance)
-    return SidecarDaemon(cfg, ring, configurations, _build_endpoint(endpoint), scheduler, claims)
+    return SidecarDaemon(
+        cfg, ring, configurations, instances, _build_endpoint(endpoint), scheduler, claims
+    )
 
 
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -8,7 +8,8 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message
+from cassiadrum.links.messages import PROTOCOL_VERSION, End, Full, Hello, Message, Report
+from cassiadrum.members import Subset
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
@@ -16,12 +17,13 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
-from cassiadrum.stores import Instance, InstanceList
+from cassiadrum.stores import Instance
 
 __all__ = ["EntryDaemon"]
 
@@ -34,7 +36,7 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
-        instances: InstanceList,
+        instances: InstanceWatch,
         dispatchers: DispatcherFactory,
         tls: ssl.SSLContext | None = None,
     ) -> None:
@@ -44,8 +46,18 @@
         configurations.on_applied = dispatchers.configure
         self._tls = tls
         self._process_start = secrets.token_hex(8)
-        self._members = MemberLinks(instances, self._make_dialer)
-        self._router = Router(dispatchers, self._members.service, ring)
+        self._instances = instances
+        services: dict[str, str] = {}
+        self._router = Router(dispatchers, lambda name: services.get(name, ""), ring)
+        self._members = MemberLinks(
+            lambda: Subset(cfg.instance, cfg.zone, cfg.limits.subset_size),
+            self._make_dialer,
+            self._router.post,
+            self._router.busy,
+            services,
+            ring,
+        )
+        instances.on_listed = self._members.listed
         self._fetcher = LinkAnswerFetcher(self._router.links.get)
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
@@ -65,7 +77,7 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
-        self._spawn(self._members.run())
+        self._spawn(self._instances.run())
         self._spawn(self._router.run())
 
     def begin_drain(self) -> None:
@@ -106,28 +118,43 @@
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
-            self._make_link,
-            on_down=self._link_down,
+            lambda conn: self._make_link(conn, member.instance),
+            on_down=lambda link: self._link_down(link, member.instance),
             tls=self._tls,
         )
 
-    def _make_link(self, conn: Connection) -> Link:
+    def _make_link(self, conn: Connection, expected: str) -> Link:
         hello = Hello(
-            PROTOCOL_VERSION, self._cfg.instance, "entry", self._cfg.zone, "", self._process_start
+            PROTOCOL_VERSION,
+            self._cfg.instance,
+            "entry",
+            self._cfg.zone,
+            "",
+            self._process_start,
+            expected,
         )
         return Link(
             conn,
             hello,
-            deliver=self._deliver,
+            deliver=lambda link, msg: self._deliver(link, msg, expected),
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
         )
 
-    def _deliver(self, link: Link, msg: Message) -> None:
+    def _deliver(self, link: Link, msg: Message, expected: str) -> None:
         if isinstance(msg, Hello):
+            if msg.instance != expected:
+                link.abort()
+                return
+            self._members.connected(expected, link)
             self._configurations.link_up(link)
-        if isinstance(msg, End):
+        elif isinstance(msg, End):
             observe(self.ring, msg.clock)
+        elif isinstance(msg, Report):
+            self._members.reported(expected, msg.leaving)
+        elif isinstance(msg, Full):
+            self._members.full(expected)
+            return
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
@@ -135,7 +162,8 @@
         observe(self.ring, clock)
         self._configurations.heard(link, digest)
 
-    def _link_down(self, link: Link) -> None:
+    def _link_down(self, link: Link, instance: str) -> None:
+        self._members.disconnected(instance, link)
         self._configurations.link_down(link)
         self._router.post(LinkDown(link))
 
--- /dev/null
+++ b/cassiadrum/roles/instance_watches.py
@@ -0,0 +1,38 @@
+"""The task that reads the instance list."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from cassiadrum.defaults import LIMITS
+from cassiadrum.stores import Instance, InstanceList, StoreUnavailable
+
+__all__ = ["InstanceWatch"]
+
+logger = logging.getLogger(__name__)
+
+
+class InstanceWatch:
+    """Poll the instance list and pass on what it holds."""
+
+    def __init__(self, instances: InstanceList) -> None:
+        self.on_listed: Callable[[tuple[Instance, ...]], None] = lambda listed: None
+        self._instances = instances
+        self._count = 1
+
+    def processes(self) -> int:
+        """Return the number of processes in the last list that was not empty."""
+        return self._count
+
+    async def run(self) -> None:
+        """Poll for ever."""
+        while True:
+            try:
+                listed = await self._instances.fetch()
+            except StoreUnavailable as exc:
+                logger.debug("instance list: %s", exc)
+                listed = ()
+            if listed:
+                self._count = len(listed)
+            self.on_listed(listed)
+            await asyncio.sleep(LIMITS.INSTANCE_POLL_S)
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -1,52 +1,151 @@
 """The links of an entry instance to the sidecars of the instance list."""
 
 import asyncio
-import logging
+import time
 from collections.abc import Callable
 
-from cassiadrum.defaults import LIMITS
-from cassiadrum.links import LinkDialer
-from cassiadrum.stores import Instance, InstanceList, StoreUnavailable
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.links import Link, LinkDialer
+from cassiadrum.members import ChangeKind, MemberChange, Membership, Subset
+from cassiadrum.roles.router_messages import MemberGone, MemberUsable, RouterMessage
+from cassiadrum.stores import Instance
 
 __all__ = ["MemberLinks"]
 
-logger = logging.getLogger(__name__)
+EVENT_KINDS = {
+    ChangeKind.JOINED: EventKind.MEMBER_JOINED,
+    ChangeKind.LEAVING: EventKind.MEMBER_LEAVING,
+    ChangeKind.LEFT: EventKind.MEMBER_LEFT,
+}
 
 
 class MemberLinks:
-    """Poll the instance list and keep a link to each sidecar."""
+    """Keep a link to each sidecar of the subsets and tell the router which may take work.
+
+    `make_dialer` builds the dialer of a member, `busy` tells whether an instance still has work
+    of this process; a sidecar that leaves the subset keeps its link until it has none. `services`
+    is filled with the service of each member.
+    """
 
     def __init__(
-        self, instances: InstanceList, make_dialer: Callable[[Instance], LinkDialer]
+        self,
+        make_subset: Callable[[], Subset],
+        make_dialer: Callable[[Instance], LinkDialer],
+        post: Callable[[RouterMessage], None],
+        busy: Callable[[str], bool],
+        services: dict[str, str],
+        ring: EventRing,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.members: dict[str, Instance] = {}
-        self._instances = instances
+        self._membership = Membership("sidecar")
+        self._subsets: dict[str, Subset] = {}
+        self._services = services
+        self._make_subset = make_subset
         self._make_dialer = make_dialer
+        self._post = post
+        self._busy = busy
+        self._ring = ring
+        self._clock = clock
         self._dialers: dict[str, LinkDialer] = {}
+        self._links: dict[str, Link] = {}
+        self._retired: set[str] = set()
+        self._stopping: set[asyncio.Task[None]] = set()
+
+    def listed(self, instances: tuple[Instance, ...]) -> None:
+        """Take the instance list; an empty one stands for a failed read."""
+        # Before the new list, so that the router had a poll interval to hear of a retirement.
+        self._release()
+        self._apply(self._membership.listed(instances, self._clock()))
+
+    def connected(self, instance: str, link: Link) -> None:
+        """Take the hello of a sidecar."""
+        self._links[instance] = link
+        self._membership.connected(instance)
 
-    def service(self, instance: str) -> str:
-        """Return the service of a sidecar, empty when unknown."""
-        member = self.members.get(instance)
-        return member.service if member else ""
-
-    async def run(self) -> None:
-        """Poll for ever."""
-        while True:
-            try:
-                self._take(await self._instances.fetch())
-            except StoreUnavailable as exc:
-                logger.debug("instance list: %s", exc)
-            await asyncio.sleep(LIMITS.INSTANCE_POLL_S)
-
-    def _take(self, listed: tuple[Instance, ...]) -> None:
-        for member in listed:
-            if member.role != "sidecar" or member.instance in self._dialers:
-                continue
-            self.members[member.instance] = member
-            dialer = self._make_dialer(member)
-            self._dialers[member.instance] = dialer
-            dialer.start()
+    def disconnected(self, instance: str, link: Link) -> None:
+        """Take the loss of a link; one that was replaced changes nothing."""
+        if self._links.get(instance) is link:
+            del self._links[instance]
+            self._membership.disconnected(instance, self._clock())
+
+    def reported(self, instance: str, leaving: bool) -> None:
+        """Take what a sidecar says of itself."""
+        changes = self._membership.reported(instance, leaving, self._clock())
+        if changes:
+            self._apply(changes)
+
+    def full(self, instance: str) -> None:
+        """Take the refusal of a sidecar that has its share of connections."""
+        service = self._services.get(instance)
+        if service is not None:
+            self._subsets[service].set_full(instance, self._clock())
+            self._drop(instance)
+            self._connect()
 
     async def close(self) -> None:
         """Close every link."""
         await asyncio.gather(*(dialer.stop() for dialer in self._dialers.values()))
+        await asyncio.gather(*self._stopping)
+
+    def _apply(self, changes: list[MemberChange]) -> None:
+        for change in changes:
+            self._take(change)
+        self._connect()
+
+    def _take(self, change: MemberChange) -> None:
+        kind, member = change
+        name = member.instance
+        if kind in EVENT_KINDS:
+            self._ring.record(EVENT_KINDS[kind], service=member.service, member=name)
+        if kind in (ChangeKind.MOVED, ChangeKind.LEFT):
+            # Streams may be found again at the new address, but not at another service.
+            if kind is ChangeKind.MOVED and member.service == self._services[name]:
+                self._stop_dialer(name)
+            else:
+                self._drop(name)
+            self._subsets[self._services.pop(name)].remove(name)
+        if kind in (ChangeKind.JOINED, ChangeKind.MOVED):
+            self._services[name] = member.service
+            subset = self._subsets.setdefault(member.service, self._make_subset())
+            subset.put(member)
+            subset.set_leaving(name, self._membership.leaving(name))
+        elif kind in (ChangeKind.LEAVING, ChangeKind.RETURNED):
+            leaving = kind is ChangeKind.LEAVING
+            self._subsets[member.service].set_leaving(name, leaving)
+            self._post(MemberUsable(name, not leaving))
+
+    def _connect(self) -> None:
+        now = self._clock()
+        chosen = {name for subset in self._subsets.values() for name in subset.chosen(now)}
+        for name in chosen - self._dialers.keys():
+            member = self._membership.member(name)
+            if member is not None:
+                self._dialers[name] = self._make_dialer(member)
+                self._dialers[name].start()
+        for name in self._retired & chosen:
+            self._retired.discard(name)
+            self._post(MemberUsable(name, True))
+        for name in self._dialers.keys() - chosen - self._retired:
+            # The link to a leaving sidecar stays up for its streams until the sidecar ends.
+            if not self._membership.leaving(name):
+                self._retired.add(name)
+                self._post(MemberUsable(name, False))
+
+    def _release(self) -> None:
+        for name in [name for name in self._retired if not self._busy(name)]:
+            self._drop(name)
+
+    def _drop(self, instance: str) -> None:
+        if self._stop_dialer(instance):
+            # The service is named because the member may be unknown when this is handled.
+            self._post(MemberGone(instance, self._services.get(instance, "")))
+
+    def _stop_dialer(self, instance: str) -> bool:
+        self._retired.discard(instance)
+        dialer = self._dialers.pop(instance, None)
+        if dialer is None:
+            return False
+        task = asyncio.ensure_future(dialer.stop())
+        self._stopping.add(task)
+        task.add_done_callback(self._stopping.discard)
+        return True
--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -11,6 +11,8 @@
     "Delivered",
     "FromLink",
     "LinkDown",
+    "MemberGone",
+    "MemberUsable",
     "RouterMessage",
     "Submit",
 ]
@@ -49,4 +51,18 @@
     link: Link
 
 
-RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown
+class MemberUsable(NamedTuple):
+    """A sidecar may, or may not, get new work from now on."""
+
+    instance: str
+    usable: bool
+
+
+class MemberGone(NamedTuple):
+    """A sidecar is gone for good, or not linked to any more."""
+
+    instance: str
+    service: str
+
+
+RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -9,7 +9,6 @@
     Cancel,
     Dispatch,
     Dispatcher,
-    EndpointReport,
     Hedge,
     Outcome,
     Ran,
@@ -40,9 +39,12 @@
     Delivered,
     FromLink,
     LinkDown,
+    MemberGone,
+    MemberUsable,
     RouterMessage,
     Submit,
 )
+from cassiadrum.roles.sidecar_links import SidecarLinks
 
 __all__ = ["Router"]
 
@@ -50,6 +52,7 @@
 CANCELLED_KEPT_S = 600.0
 # Acknowledging each frame would double the number of frames; the window is eight times as large.
 ACK_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
+LOST = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
 
 
 class Router:
@@ -66,7 +69,6 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.pending: dict[str, PendingRequest] = {}
-        self.links: dict[str, Link] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
         self._make_dispatcher = make_dispatcher
         self._services = services
@@ -74,7 +76,8 @@
         self._clock = clock
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
-        self._process_starts: dict[str, str] = {}
+        self._links = SidecarLinks()
+        self.links = self._links.by_instance
         # Cancelled attempts whose end the dispatcher still has to hear of.
         self._cancelled: dict[str, tuple[Attempt, str]] = {}
 
@@ -82,6 +85,10 @@
         """Queue a message for the task."""
         self._inbox.put_nowait(msg)
 
+    def busy(self, instance: str) -> bool:
+        """Tell whether attempts run at a sidecar."""
+        return bool(self._attempts_at(instance))
+
     async def run(self) -> None:
         """Handle messages, and tick the dispatchers, for ever."""
         next_tick_s = self._clock() + TICK_INTERVAL_S
@@ -109,6 +116,10 @@
             self._delivered(msg)
         elif isinstance(msg, LinkDown):
             self._link_down(msg.link)
+        elif isinstance(msg, MemberUsable):
+            self._member_usable(msg)
+        elif isinstance(msg, MemberGone):
+            self._member_gone(msg)
         elif msg.link.peer is not None:
             self._from_link(msg)
 
@@ -141,7 +152,7 @@
 
     def _ack(self, attempt: Attempt, position: int) -> None:
         attempt.acked = position
-        self._send(attempt.instance, Ack([(attempt.attempt_id, position)]))
+        self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
 
     # Links.
 
@@ -162,26 +173,20 @@
             self._rejected(msg)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
-        old = self.links.get(hello.instance)
-        if old is not None and old is not link:
-            old.abort()
-        self.links[hello.instance] = link
+        restarted = self._links.up(link, hello)
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
-        restarted = self._process_starts.get(hello.instance) not in (None, hello.process_start)
-        self._process_starts[hello.instance] = hello.process_start
         for pending, attempt in self._attempts_at(hello.instance):
             if restarted:
-                self._ended(pending, attempt, Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+                self._ended(pending, attempt, LOST)
             else:
                 attempt.detached_s = None
                 link.send(Attach(attempt.attempt_id, attempt.position))
                 self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
     def _link_down(self, link: Link) -> None:
-        if link.peer is None or self.links.get(link.peer.instance) is not link:
+        instance = self._links.down(link)
+        if not instance:
             return
-        instance = link.peer.instance
-        del self.links[instance]
         now = self._clock()
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
@@ -189,25 +194,29 @@
         self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
 
     def _report(self, link: Link, msg: Report) -> None:
-        if link.peer is None or self.links.get(link.peer.instance) is not link:
+        if link.peer is None or not self._links.is_current(link):
             return
         now = self._clock()
         dispatcher = self._dispatcher(self._services(link.peer.instance))
         if msg.cached:
             dispatcher.cached(link.peer.instance, msg.cached, now)
-        report = EndpointReport(
-            link.peer.instance,
-            link.peer.zone,
-            msg.running,
-            msg.queued,
-            msg.limit,
-            now - msg.age_s,
-            tuple(msg.models),
-            tuple(msg.adapters),
-            msg.leaving,
-            msg.tokens_per_s,
-        )
-        self._carry_out(dispatcher.report(report, now))
+        self._carry_out(dispatcher.report(self._links.report(link.peer, msg, now), now))
+
+    def _member_usable(self, msg: MemberUsable) -> None:
+        now = self._clock()
+        report = self._links.set_usable(msg.instance, msg.usable, now)
+        if report is not None:
+            dispatcher = self._dispatcher(self._services(msg.instance))
+            self._carry_out(dispatcher.report(report, now))
+
+    def _member_gone(self, msg: MemberGone) -> None:
+        self._links.forget(msg.instance)
+        dispatcher = self._dispatcher(msg.service)
+        # Nothing may be dispatched there again while its attempts end one after the other.
+        self._carry_out(dispatcher.lost(msg.instance, self._clock()))
+        for pending, attempt in self._attempts_at(msg.instance):
+            self._ended(pending, attempt, LOST)
+        self._carry_out(dispatcher.removed(msg.instance, self._clock()))
 
     def _data(self, attempt_id: str, position: int, data: bytes) -> None:
         found = self._find(attempt_id)
@@ -234,11 +243,11 @@
             return
         pending, attempt = found
         if msg.ok and msg.position != attempt.position:
-            self._send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
+            self._links.send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
             return
         ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
         outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
-        self._send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
+        self._links.send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
         self._ended(pending, attempt, outcome)
 
     def _rejected(self, msg: RejectStart) -> None:
@@ -345,7 +354,7 @@
     def _cancel_attempt(self, pending: PendingRequest, attempt: Attempt) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
         self._cancelled[attempt.attempt_id] = (attempt, pending.queued.service)
-        self._send(attempt.instance, CancelAttempt(attempt.attempt_id))
+        self._links.send(attempt.instance, CancelAttempt(attempt.attempt_id))
 
     def _close(
         self, pending: PendingRequest, problem: Problem | None, kind: EventKind, outcome: Outcome
@@ -372,7 +381,7 @@
             for attempt in list(pending.attempts.values()):
                 lost_s = attempt.detached_s
                 if lost_s is not None and now - lost_s >= LIMITS.DETACHED_STREAM_S:
-                    self._ended(pending, attempt, Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+                    self._ended(pending, attempt, LOST)
 
     # Helpers.
 
@@ -401,11 +410,6 @@
             if attempt.instance == instance
         ]
 
-    def _send(self, instance: str, msg: Ack | Attach | CancelAttempt) -> None:
-        link = self.links.get(instance)
-        if link is not None:
-            link.send(msg)
-
     def _record(self, kind: EventKind, pending: PendingRequest, **fields: object) -> None:
         req = pending.queued
         self._ring.record(
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -19,6 +19,7 @@
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
@@ -39,6 +40,7 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
+        instances: InstanceWatch,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
@@ -47,6 +49,7 @@
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
+        self._instances = instances
         self._claims = claims
         self._endpoint = endpoint
         self._tls = tls
@@ -68,6 +71,7 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
+        self._spawn(self._instances.run())
         self._spawn(self._settle_claims())
         self._spawn(self._sidecar.run())
         self._spawn(self._poll_load())
@@ -138,6 +142,9 @@
 
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
+            if msg.peer not in ("", self._cfg.instance):
+                link.abort()
+                return
             self._configurations.link_up(link)
         if isinstance(msg, StartRequest):
             observe(self.ring, msg.clock)
--- /dev/null
+++ b/cassiadrum/roles/sidecar_links.py
@@ -0,0 +1,80 @@
+"""The links of a router and what the sidecars said on them."""
+
+from cassiadrum.decisions import EndpointReport
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Hello, Message, Report
+
+__all__ = ["SidecarLinks"]
+
+
+class SidecarLinks:
+    """Keep the current link, process and last report of each sidecar."""
+
+    def __init__(self) -> None:
+        self.by_instance: dict[str, Link] = {}
+        self._process_starts: dict[str, str] = {}
+        self._reports: dict[str, EndpointReport] = {}
+        self._unusable: set[str] = set()
+
+    def up(self, link: Link, hello: Hello) -> bool:
+        """Make a link the current one; tell whether another process answers than before."""
+        old = self.by_instance.get(hello.instance)
+        if old is not None and old is not link:
+            old.abort()
+        self.by_instance[hello.instance] = link
+        known = self._process_starts.get(hello.instance)
+        self._process_starts[hello.instance] = hello.process_start
+        return known not in (None, hello.process_start)
+
+    def down(self, link: Link) -> str:
+        """Forget a link; return its instance, empty when the link was not the current one."""
+        if not self.is_current(link) or link.peer is None:
+            return ""
+        del self.by_instance[link.peer.instance]
+        return link.peer.instance
+
+    def is_current(self, link: Link) -> bool:
+        """Tell whether the link has not been replaced."""
+        return link.peer is not None and self.by_instance.get(link.peer.instance) is link
+
+    def send(self, instance: str, msg: Message) -> None:
+        """Send a message if there is a link."""
+        link = self.by_instance.get(instance)
+        if link is not None:
+            link.send(msg)
+
+    def report(self, peer: Hello, msg: Report, now: float) -> EndpointReport:
+        """Return a load report as the dispatcher takes it."""
+        report = EndpointReport(
+            peer.instance,
+            peer.zone,
+            msg.running,
+            msg.queued,
+            msg.limit,
+            now - msg.age_s,
+            tuple(msg.models),
+            tuple(msg.adapters),
+            msg.leaving or peer.instance in self._unusable,
+            msg.tokens_per_s,
+        )
+        self._reports[peer.instance] = report
+        return report
+
+    def set_usable(self, instance: str, usable: bool, now: float) -> EndpointReport | None:
+        """Permit or forbid new work; return a report that says so, None without an earlier one.
+
+        A sidecar becomes usable again with its own next report, which states whether it leaves.
+        """
+        if usable:
+            self._unusable.discard(instance)
+            return None
+        self._unusable.add(instance)
+        report = self._reports.get(instance)
+        return report and report._replace(leaving=True, reported_s=now)
+
+    def forget(self, instance: str) -> None:
+        """Drop what is known of a sidecar that is gone."""
+        self.by_instance.pop(instance, None)
+        self._process_starts.pop(instance, None)
+        self._reports.pop(instance, None)
+        self._unusable.discard(instance)
--- /dev/null
+++ b/cassiadrum/tests/test_site_members.py
@@ -0,0 +1,111 @@
+"""Tests of membership over a whole site."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from cassiadrum.events import Event, EventKind
+from cassiadrum.protocols import HttpClient
+from cassiadrum.roles import Daemon
+from cassiadrum.sites import LocalSite
+from cassiadrum.standins import Faults
+from cassiadrum.stores import HttpInstanceList, Instance
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+LIMIT_S = 15.0
+
+
+def events(daemon: Daemon) -> list[Event]:
+    return daemon.ring.after(0, daemon.ring.last_sequence)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():  # noqa: ASYNC110 - the state is spread over several tasks
+            await asyncio.sleep(0.02)
+
+
+def saw(daemon: Daemon, kind: EventKind, member: str) -> bool:
+    return any(e.kind is kind and e.fields["member"] == member for e in events(daemon))
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[LocalSite]:
+    site = LocalSite([(EXAMPLES / "permit-register.toml").read_text()], entries=1)
+    await site.start()
+    yield site
+    await site.drain()
+    await site.close()
+
+
+def listing(site: LocalSite) -> HttpInstanceList:
+    assert site._instance_list is not None
+    return site._instance_list
+
+
+async def polls(entry: Daemon, count: int) -> None:
+    """Wait until the entry instance has read the list `count` times more."""
+    watch = entry._instances  # type: ignore[attr-defined]
+    seen: list[int] = []
+    take = watch.on_listed
+
+    def count_and_take(listed: tuple[Instance, ...]) -> None:
+        seen.append(len(listed))
+        take(listed)
+
+    watch.on_listed = count_and_take
+    await until(lambda: len(seen) >= count)
+    watch.on_listed = take
+
+
+async def status_codes(site: LocalSite, count: int) -> set[int]:
+    host, _, port = site.entry_address().rpartition(":")
+    client = HttpClient(host, int(port))
+    codes = set()
+    for _ in range(count):
+        response = await client.request("GET", "/services/permit-register/permits/1")
+        await response.read()
+        codes.add(response.status)
+    client.close()
+    return codes
+
+
+class TestSiteMembers:
+    """Guards against work for leaving sidecars and against links cut by a bad list."""
+
+    @pytest.mark.parametrize("by_list", [True, False])
+    async def test_leaving_sidecar_gets_no_new_work(self, site: LocalSite, by_list: bool) -> None:
+        leaving, entry = site.slots[0], site.entries[0]
+        if by_list:
+            await listing(site).mark_leaving(leaving.instance)
+        else:
+            leaving.sidecar.begin_drain()
+        await until(lambda: saw(entry, EventKind.MEMBER_LEAVING, leaving.instance))
+        before = entry.ring.last_sequence
+        assert await status_codes(site, 30) == {200}
+        targets = {
+            event.fields["to"]
+            for event in entry.ring.after(before, 10_000)
+            if event.kind is EventKind.DISPATCHED
+        }
+        assert targets == {slot.instance for slot in site.slots[1:]}
+
+    async def test_bad_lists_cut_no_link(self, site: LocalSite) -> None:
+        entry = site.entries[0]
+        address = site.slots[0].sidecar.addresses["link"]
+        ghost = Instance("ghost", "sidecar", "permit-register", "z", address, address)
+        await listing(site).register(ghost)
+        await until(lambda: saw(entry, EventKind.MEMBER_JOINED, "ghost"))
+        for fault in (Faults(empty=True), Faults(wrong=[]), Faults(down=True)):
+            site.instances.set_faults(fault)
+            assert await status_codes(site, 5) == {200}
+        await polls(entry, 2)
+        kinds = {event.kind for event in events(entry)}
+        assert EventKind.DISCONNECTED not in kinds
+        assert sorted(entry.status()["links"]) == sorted(slot.instance for slot in site.slots)
+
+    async def test_count_of_processes_comes_from_the_list(self, site: LocalSite) -> None:
+        agent = site.entries[0]._configurations  # type: ignore[attr-defined]
+        assert agent._processes() == len(site.slots) + 1
