Bound the entry connections of a sidecar

Cause: sidecars admitted every entry instance, so the rank order alone decided the balance.

Change: a sidecar admits at most ceil(1.25 x mean) entry instances, with the mean taken from the instance list, and answers Full above that; the entry instance takes the next in rank. A lost connection keeps its place while its streams wait. Messages on a link that was refused or replaced are ignored. The local site takes a subset size.

--- /dev/null
+++ b/cassiadrum/roles/entry_links.py
@@ -0,0 +1,42 @@
+"""The links of a sidecar to entry instances."""
+
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Hello, Message
+from cassiadrum.members import ConnectionBound
+
+__all__ = ["EntryLinks"]
+
+
+class EntryLinks:
+    """Keep the current link to each entry instance, up to the bound on connections."""
+
+    def __init__(self, bound: ConnectionBound) -> None:
+        self.by_instance: dict[str, Link] = {}
+        self._bound = bound
+
+    def up(self, link: Link, hello: Hello, now: float) -> bool:
+        """Make a link the current one; return False when the sidecar has its share of links."""
+        old = self.by_instance.get(hello.instance)
+        if old is None and not self._bound.admit(hello.instance, now):
+            return False
+        self.by_instance[hello.instance] = link
+        if old is not None and old is not link:
+            old.abort()
+        return True
+
+    def down(self, link: Link, now: float) -> str:
+        """Forget a link; return its instance, empty when the link was not the current one."""
+        if not self.is_current(link) or link.peer is None:
+            return ""
+        del self.by_instance[link.peer.instance]
+        self._bound.lost(link.peer.instance, now)
+        return link.peer.instance
+
+    def is_current(self, link: Link) -> bool:
+        """Tell whether the link was admitted and has not been replaced."""
+        return link.peer is not None and self.by_instance.get(link.peer.instance) is link
+
+    def send(self, msg: Message) -> None:
+        """Send a message on every link."""
+        for link in self.by_instance.values():
+            link.send(msg)
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -13,6 +13,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.members import mean_connections
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
@@ -25,6 +26,7 @@
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ClaimService
+from cassiadrum.stores import Instance
 
 __all__ = ["SidecarDaemon"]
 
@@ -59,6 +61,7 @@
         self._sidecar = Sidecar(
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
+        instances.on_listed = self._listed
         self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
 
@@ -123,6 +126,12 @@
             if len(self._claims.pending):
                 await self._claims.settle_pending()
 
+    def _listed(self, listed: tuple[Instance, ...]) -> None:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        mean = mean_connections(listed, service, self._cfg.limits.subset_size)
+        if mean:
+            self._sidecar.bound.mean = mean
+
     def _make_link(self, conn: Connection) -> Link:
         hello = Hello(
             PROTOCOL_VERSION,
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -29,13 +29,16 @@
     Cancel,
     Data,
     End,
+    Full,
     Head,
     Hello,
     RejectStart,
     Report,
     StartRequest,
 )
+from cassiadrum.members import ConnectionBound
 from cassiadrum.roles.endpoint_callers import EndpointCaller
+from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.roles.sidecar_messages import (
     CallData,
     CallEnded,
@@ -69,7 +72,9 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.streams: dict[str, SidecarStream] = {}
-        self.links: dict[str, Link] = {}
+        self.bound = ConnectionBound()
+        self._links = EntryLinks(self.bound)
+        self.links = self._links.by_instance
         self._endpoint = endpoint
         self._scheduler = scheduler
         self._ring = ring
@@ -134,6 +139,8 @@
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
+        elif not self._links.is_current(link):
+            return
         elif isinstance(msg, StartRequest):
             self._start(link, msg)
         elif isinstance(msg, Ack):
@@ -145,17 +152,16 @@
             self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
-        old = self.links.get(hello.instance)
-        if old is not None and old is not link:
-            old.abort()
-        self.links[hello.instance] = link
+        if not self._links.up(link, hello, self._clock()):
+            link.send(Full(f"{len(self.bound)} entry instances are connected"))
+            return
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._report())
 
     def _link_lost(self, link: Link) -> None:
-        if link.peer is not None and self.links.get(link.peer.instance) is link:
-            del self.links[link.peer.instance]
-            self._ring.record(EventKind.DISCONNECTED, peer=link.peer.instance)
+        peer = self._links.down(link, self._clock())
+        if peer:
+            self._ring.record(EventKind.DISCONNECTED, peer=peer)
         now = self._clock()
         for stream in self.streams.values():
             if stream.link is link:
@@ -334,9 +340,7 @@
             self._cancel(stream.start.attempt_id)
 
     def _send_reports(self) -> None:
-        report = self._report()
-        for link in self.links.values():
-            link.send(report)
+        self._links.send(self._report())
         self._reported_s = self._clock()
         self._report_due = False
 
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -32,10 +32,18 @@
     """Run the platform's stand-ins, entry instances, and an endpoint with a sidecar each.
 
     `documents` are the texts of the service documents; `entries` counts entry instances. Engines
-    take `step_s` seconds for a token of one stream.
+    take `step_s` seconds for a token of one stream. `subset_size` bounds the sidecars of a
+    service that an entry instance connects to.
     """
 
-    def __init__(self, documents: list[str], *, entries: int = 2, step_s: float = 0.004) -> None:
+    def __init__(
+        self,
+        documents: list[str],
+        *,
+        entries: int = 2,
+        step_s: float = 0.004,
+        subset_size: int = 64,
+    ) -> None:
         self.documents: list[ServiceDocument] = [parse_document(text) for text in documents]
         self.entries: list[Daemon] = []
         self.slots: list[EndpointSlot] = []
@@ -45,6 +53,8 @@
         self._texts = documents
         self._entry_count = entries
         self._step_s = step_s
+        self._limits = f"[limits]\nsubset_size = {subset_size}\n"
+        self._subset_size = subset_size
         self._platform = ""
         self._instance_list: HttpInstanceList | None = None
         self.table_store: HttpTableStore | None = None
@@ -134,7 +144,7 @@
         settings = (
             f'role = "sidecar"\ninstance = "{instance}"\nzone = "{zone}"\n{self._platform}'
             f'[endpoint]\nservice = "{document.name}"\nkind = "{kind}"\n'
-            f'address = "{HOST}:{port}"\n'
+            f'address = "{HOST}:{port}"\n{self._limits}'
         )
         sidecar = build_daemon(parse_settings(settings))
         await sidecar.start()
@@ -143,7 +153,10 @@
 
     async def _start_entry(self, number: int, zone: str) -> None:
         instance = f"entry-{number + 1}"
-        settings = f'role = "entry"\ninstance = "{instance}"\nzone = "{zone}"\n{self._platform}'
+        settings = (
+            f'role = "entry"\ninstance = "{instance}"\nzone = "{zone}"\n'
+            f"{self._platform}{self._limits}"
+        )
         entry = build_daemon(parse_settings(settings))
         await entry.start()
         self.entries.append(entry)
@@ -158,9 +171,8 @@
 
     def _ready(self, entry: Daemon) -> bool:
         status = entry.status()
-        return len(status["links"]) == len(self.slots) and len(status["versions"]) == len(
-            self.documents
-        )
+        wanted = sum(min(document.endpoints, self._subset_size) for document in self.documents)
+        return len(status["links"]) == wanted and len(status["versions"]) == len(self.documents)
 
 
 def _wire(port: int) -> HttpWire:
