--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -13,6 +13,7 @@
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
 from cassiadrum.roles.event_meters import EventMeter
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.scheduler_factories import SchedulerFactory
@@ -56,7 +57,12 @@
         self._table = HttpTableStore(self._wire(cfg.platform.table_service, "table"))
         registry = ConfigurationRegistry()
         reader = ConfigurationReader(self._table, registry)
-        self._configurations = ConfigurationAgent(registry, reader, self._ring, self._rng)
+        self._instances = InstanceWatch(
+            HttpInstanceList(self._wire(cfg.platform.instance_list, "instances"))
+        )
+        self._configurations = ConfigurationAgent(
+            registry, reader, self._ring, self._rng, processes=self._instances.processes
+        )
         self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
 
     def entry(self) -> EntryDaemon:
@@ -79,7 +85,7 @@
             self._cfg,
             self._ring,
             self._configurations,
-            HttpInstanceList(self._wire(self._cfg.platform.instance_list, "instances")),
+            self._instances,
             dispatchers,
             maintenance,
             ConfigurationWriter(self._table),
@@ -102,6 +108,7 @@
             self._cfg,
             self._ring,
             self._configurations,
+            self._instances,
             target,
             schedulers.build(),
             ClaimService(self._table, self._objects(), self._cfg.instance),
