Test the commands on a local site; log the daemon's start as one line

The daemon used logging.basicConfig, so that its lines were neither structured nor redacted.

The tests found that status read the configuration rows without fields and so named the table service as faulty; it names the fields now.

--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -67,7 +67,9 @@
     page = RowPage((), "")
     try:
         while True:
-            page = await platform.table().list(CONFIG_TABLE, after=page.next_after)
+            page = await platform.table().list(
+                CONFIG_TABLE, after=page.next_after, fields=ConfigurationRecord._fields
+            )
             records += [ConfigurationRecord.from_row(row.key, row) for row in page.rows]
             if not page.next_after:
                 return records, []
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+from cassiadrum import __version__
+from cassiadrum.logs import configure_logging
 from cassiadrum.roles import Daemon, build_daemon
 from cassiadrum.settings import Settings, SettingsError, load_settings
 
@@ -23,13 +25,17 @@
     """Run the daemon until it is told to stop."""
     parser = argparse.ArgumentParser(prog="cassiadrumd", description="Run one role of cassiadrum.")
     parser.add_argument("--settings", type=Path, required=True, help="TOML file")
+    parser.add_argument("--check", action="store_true", help="validate the settings and exit")
     options = parser.parse_args()
     try:
         cfg = load_settings(options.settings)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
-    logging.basicConfig(level=cfg.log.level, format="%(asctime)s %(levelname)s %(message)s")
+    if options.check:
+        print(f"{options.settings}: valid settings of the {cfg.role} {cfg.instance}")
+        return
+    configure_logging(cfg.log.format, cfg.log.level, cfg.instance)
     sys.exit(asyncio.run(run(cfg)))
 
 
@@ -41,6 +47,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, daemon, stopping)
     await daemon.start()
+    _log_start(cfg, daemon)
     # Programs that start the daemon with port 0 read the addresses from this line.
     print(json.dumps({"instance": cfg.instance, **daemon.addresses}), flush=True)
     await stopping.wait()
@@ -55,6 +62,12 @@
     return 0
 
 
+def _log_start(cfg: Settings, daemon: Daemon) -> None:
+    facts = {"role": cfg.role, "zone": cfg.zone, "release": __version__, **daemon.addresses}
+    text = " ".join(f"{key}={value}" for key, value in facts.items())
+    logger.info("started %s", text, extra=facts)
+
+
 def _on_signal(daemon: Daemon, stopping: asyncio.Event) -> None:
     if stopping.is_set():
         logger.info("still waiting for %d requests in flight", daemon.in_flight())
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -45,6 +45,8 @@
         self._texts = documents
         self._entry_count = entries
         self._step_s = step_s
+        # HOST:PORT by the key of the settings' table `[platform]`.
+        self.platform_addresses: dict[str, str] = {}
         self._platform = ""
         self._instance_list: HttpInstanceList | None = None
         self.table_store: HttpTableStore | None = None
@@ -109,10 +111,13 @@
         table = await self.table.start()
         objects = await self.objects.start()
         instances = await self.instances.start()
-        self._platform = (
-            f'[platform]\ntable_service = "{HOST}:{table}"\n'
-            f'object_store = "{HOST}:{objects}"\ninstance_list = "{HOST}:{instances}"\n'
-        )
+        self.platform_addresses = {
+            "table_service": f"{HOST}:{table}",
+            "object_store": f"{HOST}:{objects}",
+            "instance_list": f"{HOST}:{instances}",
+        }
+        lines = [f'{key} = "{address}"\n' for key, address in self.platform_addresses.items()]
+        self._platform = "[platform]\n" + "".join(lines)
         self.table_store = HttpTableStore(_wire(table))
         self._instance_list = HttpInstanceList(_wire(instances))
 
--- a/cassiadrum/tests/conftest.py
+++ b/cassiadrum/tests/conftest.py
@@ -1,9 +1,29 @@
 """Settings that all tests share."""
 
+from collections.abc import AsyncIterator
+
+import pytest
 from hypothesis import settings
 
+from cassiadrum.commands import PLATFORM_VARIABLE
+from cassiadrum.sites import LocalSite
+from cassiadrum.tests.sites import example
+
 # The same examples in every run and no limit on their time, so that a busy machine or another
 # seed does not change the verdict.
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.register_profile("search", max_examples=3000, deadline=None, database=None)
 settings.load_profile("repeatable")
+
+
+@pytest.fixture
+async def command_site(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[LocalSite]:
+    """Run a site with a model and a plain service, which the command line finds by itself."""
+    site = LocalSite([example("permit-register"), example("sprachdienst")], entries=2)
+    await site.start()
+    addresses = site.platform_addresses
+    variable = f"{addresses['table_service']},{addresses['instance_list']}"
+    monkeypatch.setenv(PLATFORM_VARIABLE, variable)
+    yield site
+    await site.drain()
+    await site.close()
--- /dev/null
+++ b/cassiadrum/tests/test_process_commands.py
@@ -0,0 +1,127 @@
+"""Tests of the commands on processes, requests and events against a local site."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from cassiadrum.commands import ExitCode
+from cassiadrum.sites import LocalSite
+from cassiadrum.standins import Faults
+from cassiadrum.tests.command_runs import run
+
+REGISTER = "permit-register"
+
+
+class TestProcesses:
+    """Guards against a status that hides a process that is silent, draining or behind."""
+
+    async def test_status_of_a_healthy_site(self, command_site: LocalSite) -> None:
+        ran = await run("status", "--json")
+        assert ran.code == ExitCode.OK
+        assert len(ran.data["instances"]) == len(command_site.entries) + len(command_site.slots)
+        assert ran.data["versions"] == {REGISTER: 1, "sprachdienst": 1}
+        services = {row["service"]: row for row in ran.data["services"]}
+        assert len(services["sprachdienst"]["endpoints"]) == 6
+        assert services[REGISTER]["classes"][0] == "status-check"
+
+    async def test_status_names_a_silent_instance(self, command_site: LocalSite) -> None:
+        await command_site.slots[0].sidecar.close()
+        ran = await run("status", "--json")
+        assert ran.code == ExitCode.UNREACHABLE
+        silent = [row["instance"] for row in ran.data["instances"] if not row["answers"]]
+        assert silent == [command_site.slots[0].instance]
+
+    async def test_status_without_the_table_service(self, command_site: LocalSite) -> None:
+        command_site.table.set_faults(Faults(down=True))
+        ran = await run("status")
+        command_site.table.set_faults(Faults())
+        assert ran.code == ExitCode.UNREACHABLE
+        assert "table service: the store is unavailable" in ran.text
+
+    async def test_drained_instance_is_shown(self, command_site: LocalSite) -> None:
+        assert (await run("drain", "sprachdienst-1")).code == ExitCode.OK
+        rows = (await run("status", "--json")).data["instances"]
+        assert [row["instance"] for row in rows if row["draining"]] == ["sprachdienst-1"]
+
+    async def test_no_instance_list(self) -> None:
+        ran = await run("status", "--platform", "127.0.0.1:1,127.0.0.1:1")
+        assert ran.code == ExitCode.UNREACHABLE
+
+
+class TestRequests:
+    """Guards against a client that hides a refusal, and against a story without its cause."""
+
+    async def test_stream_is_printed_and_explained(self, command_site: LocalSite) -> None:
+        body = json.dumps({"prompt": "yoke", "stream": True})
+        given = ("request", "sprachdienst/v1/completions", "--body", body)
+        ran = await run(*given, "--json")
+        assert (ran.code, ran.data["status"]) == (ExitCode.OK, 200)
+        assert "data: [DONE]" in (await run(*given)).text
+        story = await run("explain", ran.data["request_id"])
+        assert story.code == ExitCode.OK
+        for text in ("class assessment", "attempt 1 sent to sprachdienst-", "whole answer sent"):
+            assert text in story.text
+
+    async def test_refusal_has_its_reason(self, command_site: LocalSite) -> None:
+        ran = await run("request", f"{REGISTER}/permits", "--body", "{}", "--json")
+        assert (ran.code, ran.data["problem"]["reason"]) == (ExitCode.BAD_INPUT, "key_required")
+
+    async def test_refusal_of_an_outage_is_explained(self, command_site: LocalSite) -> None:
+        command_site.table.set_faults(Faults(down=True))
+        ran = await run("request", f"{REGISTER}/permits", "--body", "{}", "--key", "k", "--json")
+        command_site.table.set_faults(Faults())
+        problem = ran.data["problem"]
+        assert (ran.code, problem["reason"]) == (ExitCode.REFUSED, "store_unavailable")
+        story = await run("explain", problem["request_id"])
+        assert "refused (ran: no): the claim of a once-only call could not be" in story.text
+
+    async def test_no_entry_instance(self) -> None:
+        ran = await run("request", "a/b", "--entry", "127.0.0.1:1")
+        assert (ran.code, "nothing was sent" in ran.errors) == (ExitCode.UNREACHABLE, True)
+
+
+class TestTimeline:
+    """Guards against events that are missing from the merged record without a note."""
+
+    async def test_filters(self, command_site: LocalSite) -> None:
+        await run("request", f"{REGISTER}/permits/7")
+        both = await run("timeline", "--service", REGISTER, "--kind", "received,started", "--json")
+        kinds = [event["kind"] for event in both.data["events"]]
+        assert (both.code, kinds) == (ExitCode.OK, ["received", "started"])
+        old = await run("timeline", "--until", "3600", "--json")
+        assert old.data["count"] == 0
+
+    @pytest.mark.parametrize(
+        ("suffix", "part"),
+        [
+            ("html", "<!DOCTYPE html>"),
+            ("svg", "<svg"),
+            ("json", '"traceEvents"'),
+            ("jsonl", '"kind":"received"'),
+        ],
+    )
+    async def test_out(
+        self, command_site: LocalSite, tmp_path: Path, suffix: str, part: str
+    ) -> None:
+        await run("request", f"{REGISTER}/permits/7")
+        path = tmp_path / f"line.{suffix}"
+        assert (await run("timeline", "--out", str(path))).code == ExitCode.OK
+        assert part in await asyncio.to_thread(path.read_text)
+
+    async def test_follow_prints_new_events_once(self, command_site: LocalSite) -> None:
+        follow = run("timeline", "--follow", "--seconds", "1.5", "--kind", "received")
+        task = asyncio.create_task(follow)
+        for _ in range(3):
+            await run("request", f"{REGISTER}/permits/7")
+        ran = await task
+        assert ran.text.count("received") == 3
+
+    async def test_silent_process_is_named(self, command_site: LocalSite) -> None:
+        await command_site.slots[0].sidecar.close()
+        ran = await run("timeline", "--json")
+        assert (ran.code, ran.data["silent"]) == (
+            ExitCode.UNREACHABLE,
+            [command_site.slots[0].instance],
+        )
