--- a/cassiadrum/documents/schemas.py
+++ b/cassiadrum/documents/schemas.py
@@ -6,7 +6,13 @@
 
 __all__ = ["ClassTable", "DocumentTable", "ServiceTable"]
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
+        description="lower-case letter or digit, then up to 62 of these or `-`",
+    ),
+]
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 
@@ -40,7 +46,9 @@
     retry_budget: NotRequired[Fraction]
     hedge_budget: NotRequired[Fraction]
     methods: NotRequired[list[Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]]]
-    path_prefix: NotRequired[Annotated[str, Meta(pattern=r"^/")]]
+    path_prefix: NotRequired[
+        Annotated[str, Meta(pattern=r"^/", description="text that begins with `/`")]
+    ]
 
 
 # The functional syntax is needed because `class` is a keyword.
--- a/cassiadrum/schemas/tables.py
+++ b/cassiadrum/schemas/tables.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cassiadrum.schemas.descriptions import describe
 from cassiadrum.schemas.findings import Finding
 
 __all__ = ["check_table"]
@@ -39,8 +40,8 @@
         (hint,) = get_args(hint)
     try:
         msgspec.convert(value, hint)
-    except msgspec.ValidationError as exc:
-        return [Finding(file, path, _shown(value), str(exc).split(" - at ")[0])]
+    except msgspec.ValidationError:
+        return [Finding(file, path, _shown(value), describe(hint))]
     return []
 
 
--- a/cassiadrum/settings/schemas.py
+++ b/cassiadrum/settings/schemas.py
@@ -14,8 +14,20 @@
     "TlsTable",
 ]
 
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
-HostPort = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}$")]
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$",
+        description="letter or digit, then up to 62 letters, digits, `_`, `.` or `-`",
+    ),
+]
+HostPort = Annotated[
+    str,
+    Meta(
+        pattern=r"^(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}$",
+        description="HOST:PORT or [IPV6]:PORT",
+    ),
+]
 
 
 class SettingsTable(TypedDict):
