--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -55,8 +55,9 @@
         self._step_s = step_s
         self._limits = f"[limits]\nsubset_size = {subset_size}\n"
         self._subset_size = subset_size
+        # HOST:PORT by the key of the settings' table `[platform]`.
+        self.platform_addresses: dict[str, str] = {}
         self._platform = ""
-        self.instance_list_address = ""
         self._instance_list: HttpInstanceList | None = None
         self.table_store: HttpTableStore | None = None
 
@@ -120,11 +121,13 @@
         table = await self.table.start()
         objects = await self.objects.start()
         instances = await self.instances.start()
-        self._platform = (
-            f'[platform]\ntable_service = "{HOST}:{table}"\n'
-            f'object_store = "{HOST}:{objects}"\ninstance_list = "{HOST}:{instances}"\n'
-        )
-        self.instance_list_address = f"{HOST}:{instances}"
+        self.platform_addresses = {
+            "table_service": f"{HOST}:{table}",
+            "object_store": f"{HOST}:{objects}",
+            "instance_list": f"{HOST}:{instances}",
+        }
+        lines = [f'{key} = "{address}"\n' for key, address in self.platform_addresses.items()]
+        self._platform = "[platform]\n" + "".join(lines)
         self.table_store = HttpTableStore(_wire(table))
         self._instance_list = HttpInstanceList(_wire(instances))
 
