Add the wall-clock cost of a request as ratios to a bare relay

Cause: the processor time that both processes spend on a request was unknown.

Change: make cost runs engine, bare h11 relay, entry instance and sidecar as processes and compares requests a core second and added latency in one run.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 JOBS ?= auto
 
-.PHONY: demo test bench lint format types lock clean
+.PHONY: demo test bench cost capacity lint format types lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
@@ -21,6 +21,12 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+cost: $(STAMP)
+	$(BIN)/python -m bench.wall_clock
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,77 @@
+"""Child processes of a measurement, with their processor time and memory."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+__all__ = ["Child", "ProcessGroup"]
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+START_LIMIT_S = 20.0
+# More processes than this are a mistake in a measurement's parameters.
+MAX_CHILDREN = 120
+
+
+class Child:
+    """One child process that printed a JSON object with its addresses when it was ready."""
+
+    def __init__(self, process: asyncio.subprocess.Process, ready: dict[str, Any]) -> None:
+        self.process = process
+        self.ready = ready
+
+    def cpu_s(self) -> float:
+        """Return user and system seconds so far."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+    def rss_bytes(self) -> int:
+        """Return the resident memory."""
+        statm = Path(f"/proc/{self.process.pid}/statm").read_text().split()
+        return int(statm[1]) * PAGE_BYTES
+
+    async def stop(self) -> None:
+        """End the process by its id and wait for it."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+class ProcessGroup:
+    """Start Python modules as child processes and stop all of them at the end of the block."""
+
+    def __init__(self) -> None:
+        self._children: list[Child] = []
+        self._directory = tempfile.TemporaryDirectory()
+
+    async def __aenter__(self) -> "ProcessGroup":
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await asyncio.gather(*(child.stop() for child in self._children))
+        self._directory.cleanup()
+
+    async def start(self, module: str, *arguments: str) -> Child:
+        """Start a module and wait for its line of addresses."""
+        if len(self._children) >= MAX_CHILDREN:
+            raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+        child = Child(process, {})
+        self._children.append(child)
+        assert process.stdout is not None
+        async with asyncio.timeout(START_LIMIT_S):
+            child.ready = json.loads(await process.stdout.readline())
+        return child
+
+    async def daemon(self, settings: str) -> Child:
+        """Start a daemon from the text of its settings."""
+        path = Path(self._directory.name) / f"{len(self._children)}.toml"
+        path.write_text(settings)
+        return await self.start("cassiadrum.daemon", "--settings", str(path))
--- /dev/null
+++ b/bench/wall_clock/__main__.py
@@ -0,0 +1,134 @@
+"""Measure the cost of a request: router, bare relay and direct path in one run."""
+
+import argparse
+import asyncio
+import json
+import sys
+from collections.abc import Sequence
+from statistics import quantiles
+from typing import Any
+
+from bench.processes import Child, ProcessGroup
+from bench.wall_clock.callers import Callers, Timing, Work
+from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
+from cassiadrum.protocols import HttpClient
+
+TOKENS = 64
+STREAM_BODY = json.dumps({"prompt": "yoke", "stream": True, "max_tokens": TOKENS}).encode()
+WORKS = (
+    Work("calls", "GET", "/permits/7", b"", 0),
+    Work("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS),
+)
+CONNECTIONS = 32
+# Targets of the project: half of the relay's requests for each core, and added milliseconds.
+MIN_RATIO = 0.5
+MAX_ADDED_MS = {"p50": 2.0, "p99": 10.0}
+SEED = 1
+
+
+async def measure(duration_s: float) -> dict[str, Any]:
+    """Return the figures of all works."""
+    async with ProcessGroup() as group:
+        platform = BenchPlatform(group)
+        await platform.start(DOCUMENTS)
+        engine = (await group.start("bench.wall_clock.engine")).ready["http"]
+        relay = await group.start("bench.wall_clock.relay", "--target", engine)
+        sidecars = {
+            "calls": await platform.sidecar("s-calls", "calls", "plain", engine),
+            "streams": await platform.sidecar("s-streams", "streams", "engine", engine),
+        }
+        entry = await platform.entry("e")
+        await _ready(entry, links=len(sidecars))
+        report = {}
+        for work in WORKS:
+            router = [entry, sidecars[work.name]]
+            report[work.name] = await _compare(work, engine, relay, router, duration_s)
+        await platform.close()
+        return report
+
+
+async def _ready(entry: Child, links: int) -> None:
+    """Wait until an entry instance has its links and documents."""
+    host, _, port = entry.ready["admin"].rpartition(":")
+    async with asyncio.timeout(20.0):
+        while True:
+            response = await HttpClient(host, int(port)).request("GET", "/admin/status")
+            status = json.loads(await response.read())
+            if len(status["links"]) == links and len(status["versions"]) == len(DOCUMENTS):
+                return
+            await asyncio.sleep(0.05)
+
+
+async def _compare(
+    work: Work, engine: str, relay: Child, router: list[Child], duration_s: float
+) -> dict[str, Any]:
+    services = f"/services/{work.name}"
+    routed = Callers(router[0].ready["http"], work.request(services))
+    relayed = Callers(relay.ready["http"], work.request(""))
+    direct = Callers(engine, work.request(""))
+    for callers in (routed, relayed, direct):
+        await callers.closed_loop(CONNECTIONS, 0.5)
+    relay_cost = await _cost(relayed, [relay], work, duration_s)
+    router_cost = await _cost(routed, router, work, duration_s)
+    rate_per_s = router_cost["requests_per_s"] / 2
+    delays = {}
+    for name, callers in (("direct", direct), ("relay", relayed), ("router", routed)):
+        delays[name] = _delays(await callers.open_loop(rate_per_s, duration_s, SEED))
+        callers.close()
+    added = {key: delays["router"][key] - delays["direct"][key] for key in MAX_ADDED_MS}
+    share = router_cost["requests_per_core_s"] / relay_cost["requests_per_core_s"]
+    return {
+        "relay": relay_cost,
+        "router": router_cost,
+        "ratio_to_relay": share,
+        "half_load_requests_per_s": rate_per_s,
+        "first_byte_ms": delays,
+        "added_ms": added,
+    }
+
+
+async def _cost(
+    callers: Callers, processes: Sequence[Child], work: Work, duration_s: float
+) -> dict[str, Any]:
+    before = [child.cpu_s() for child in processes]
+    answers = len(await callers.closed_loop(CONNECTIONS, duration_s))
+    spent = [child.cpu_s() - start for child, start in zip(processes, before, strict=True)]
+    return {
+        "requests_per_s": answers / duration_s,
+        "requests_per_core_s": answers / sum(spent),
+        "tokens_per_core_s": answers * work.tokens / sum(spent),
+        "cpu_us_per_request": [1e6 * cpu_s / answers for cpu_s in spent],
+    }
+
+
+def _delays(timings: list[Timing]) -> dict[str, float]:
+    cuts = quantiles([timing.first_s * 1e3 for timing in timings], n=100)
+    return {"p50": cuts[49], "p99": cuts[98]}
+
+
+def _missed(report: dict[str, Any]) -> list[str]:
+    missed = []
+    for name, figures in report.items():
+        if figures["ratio_to_relay"] < MIN_RATIO:
+            missed.append(f"{name}: ratio {figures['ratio_to_relay']:.2f}, at least {MIN_RATIO}")
+        for key, limit in MAX_ADDED_MS.items():
+            if figures["added_ms"][key] > limit:
+                found = figures["added_ms"][key]
+                missed.append(f"{name}: {key} {found:.2f} ms added, at most {limit:g}")
+    return missed
+
+
+def main() -> int:
+    """Print the report as JSON; return 1 when a target is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--duration", type=float, default=4.0, help="seconds for each figure")
+    report = asyncio.run(measure(parser.parse_args().duration))
+    print(json.dumps(report, indent=1))
+    missed = _missed(report)
+    for line in missed:
+        print(f"missed: {line}", file=sys.stderr)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/wall_clock/callers.py
@@ -0,0 +1,102 @@
+"""Cheap callers: fixed requests over kept connections."""
+
+import asyncio
+import random
+import re
+import time
+from typing import NamedTuple
+
+READ_BYTES = 65536
+LENGTH = re.compile(rb"content-length: ([0-9]+)", re.IGNORECASE)
+END_OF_CHUNKS = b"0\r\n\r\n"
+
+
+class Timing(NamedTuple):
+    """Seconds to the first bytes of the body and to the end of the answer."""
+
+    first_s: float
+    total_s: float
+
+
+class Work(NamedTuple):
+    """One kind of request; `tokens` is the number of tokens of its answer."""
+
+    name: str
+    method: str
+    target: str
+    body: bytes
+    tokens: int
+
+    def request(self, prefix: str) -> bytes:
+        """Return the bytes of the request below a path prefix."""
+        head = f"{self.method} {prefix}{self.target} HTTP/1.1\r\nhost: bench\r\n"
+        head += f"content-type: application/json\r\ncontent-length: {len(self.body)}\r\n\r\n"
+        return head.encode() + self.body
+
+
+class Callers:
+    """Send one request over and over to an address."""
+
+    def __init__(self, address: str, request: bytes) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._request = request
+        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def closed_loop(self, connections: int, duration_s: float) -> list[Timing]:
+        """Keep `connections` requests under way for a time."""
+        end_s = time.monotonic() + duration_s
+        found: list[Timing] = []
+
+        async def repeat() -> None:
+            while time.monotonic() < end_s:
+                found.append(await self._call())
+
+        await asyncio.gather(*(repeat() for _ in range(connections)))
+        return found
+
+    async def open_loop(self, rate_per_s: float, duration_s: float, seed: int) -> list[Timing]:
+        """Send Poisson arrivals at a mean rate, whatever became of those before."""
+        rng, found, tasks = random.Random(seed), list[Timing](), list[asyncio.Task[None]]()
+
+        async def once() -> None:
+            found.append(await self._call())
+
+        started_s, at_s = time.monotonic(), 0.0
+        while (at_s := at_s + rng.expovariate(rate_per_s)) < duration_s:
+            await asyncio.sleep(max(0.0, started_s + at_s - time.monotonic()))
+            tasks.append(asyncio.create_task(once()))
+        await asyncio.gather(*tasks)
+        return found
+
+    def close(self) -> None:
+        """Close all connections."""
+        for _, writer in self._idle:
+            writer.close()
+
+    async def _call(self) -> Timing:
+        stream = self._idle.pop() if self._idle else await self._connect()
+        reader, writer = stream
+        started_s = time.monotonic()
+        writer.write(self._request)
+        head, _, body = (await reader.readuntil(b"\r\n\r\n")).partition(b"\r\n\r\n")
+        if not head.startswith(b"HTTP/1.1 200"):
+            raise RuntimeError(f"unexpected answer: {head[:200]!r}")
+        length = LENGTH.search(head)
+        first_s = 0.0
+        while not _whole(body, int(length[1]) if length else None):
+            data = await reader.read(READ_BYTES)
+            if not data:
+                raise RuntimeError("the answer was cut")
+            first_s = first_s or time.monotonic() - started_s
+            # The end of a chunked answer is found in its last bytes.
+            body = body + data if length else (body + data)[-len(END_OF_CHUNKS) :]
+        self._idle.append(stream)
+        return Timing(first_s, time.monotonic() - started_s)
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(self._host, self._port)
+
+
+def _whole(body: bytes, length: int | None) -> bool:
+    return len(body) >= length if length is not None else body.endswith(END_OF_CHUNKS)
--- /dev/null
+++ b/bench/wall_clock/sites.py
@@ -0,0 +1,89 @@
+"""The processes of a cost measurement."""
+
+import time
+import uuid
+
+from bench.processes import Child, ProcessGroup
+from cassiadrum.protocols import HttpClient
+from cassiadrum.standins import InstanceListService, TableService
+from cassiadrum.states import Accepted, ConfigurationWriter
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
+
+__all__ = ["DOCUMENTS", "BenchPlatform", "document"]
+
+CONCURRENCY = 256
+
+
+def document(name: str, kind: str, endpoints: int = 1) -> str:
+    """Return a document with one class and generous targets."""
+    return (
+        f'[service]\nname = "{name}"\nkind = "{kind}"\nowner = "bench"\nzones = ["z"]\n'
+        f"endpoints = {endpoints}\n"
+        '[[class]]\nname = "all"\ntier = 1\nidempotent = true\ntarget_first_token_s = 10.0\n'
+        "target_inter_token_s = 1.0\ntarget_total_s = 10.0\n"
+    )
+
+
+DOCUMENTS = {"streams": document("streams", "model"), "calls": document("calls", "plain")}
+
+
+class BenchPlatform:
+    """The platform's stand-ins in this process, and daemons as child processes."""
+
+    def __init__(self, group: ProcessGroup) -> None:
+        self.table = TableService()
+        self.instances = InstanceListService()
+        self._group = group
+        self._text = ""
+        self.table_address = ""
+        self.list_address = ""
+
+    async def start(self, documents: dict[str, str]) -> None:
+        """Start the stand-ins and accept the documents."""
+        self.table_address = f"127.0.0.1:{await self.table.start()}"
+        self.list_address = f"127.0.0.1:{await self.instances.start()}"
+        self._text = (
+            f'[platform]\ntable_service = "{self.table_address}"\n'
+            f'instance_list = "{self.list_address}"\n'
+        )
+        for service, text in documents.items():
+            await self.accept(service, text, 0)
+
+    async def accept(self, service: str, text: str, version: int) -> None:
+        """Write a document over the given version."""
+        writer = ConfigurationWriter(HttpTableStore(_wire(self.table_address)))
+        result = await writer.accept(service, text, version, uuid.uuid4().hex, "bench")
+        if not isinstance(result, Accepted):
+            raise RuntimeError(f"document not accepted: {result}")
+
+    async def entry(self, instance: str, extra: str = "") -> Child:
+        """Start and register an entry instance."""
+        child = await self._group.daemon(
+            f'role = "entry"\ninstance = "{instance}"\nzone = "z"\n{self._text}{extra}'
+        )
+        await self._register(Instance(instance, "entry", "", "z", "", child.ready["admin"]))
+        return child
+
+    async def sidecar(self, instance: str, service: str, kind: str, endpoint: str) -> Child:
+        """Start and register a sidecar beside an endpoint."""
+        child = await self._group.daemon(
+            f'role = "sidecar"\ninstance = "{instance}"\nzone = "z"\n{self._text}'
+            f'[endpoint]\nservice = "{service}"\nkind = "{kind}"\naddress = "{endpoint}"\n'
+            f"[limits]\nconcurrency = {CONCURRENCY}\n"
+        )
+        link, admin = child.ready["link"], child.ready["admin"]
+        await self._register(Instance(instance, "sidecar", service, "z", link, admin))
+        return child
+
+    async def close(self) -> None:
+        """Stop the stand-ins."""
+        await self.table.close()
+        await self.instances.close()
+
+    async def _register(self, instance: Instance) -> None:
+        await HttpInstanceList(_wire(self.list_address)).register(instance)
+
+
+def _wire(address: str) -> HttpWire:
+    host, _, port = address.rpartition(":")
+    return HttpWire(HttpClient(host, int(port)), time.monotonic)
