Keep finished answers of a sidecar out of its tick

Cause: after every batch of messages the sidecar visited all streams, including the answers that it keeps for 60 s after their end; _expire was the first line of its profile. Each wait for a message also made a timeout object.

Change: ends are kept in their order and only open streams are visited, every 0.1 s; a Tick message replaces the timeouts in router and sidecar. A finished answer goes 60 s after its end, also when an entry instance attached to it (it was kept for good before).

--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -13,6 +13,7 @@
     "LinkDown",
     "RouterMessage",
     "Submit",
+    "Tick",
 ]
 
 
@@ -49,4 +50,8 @@
     link: Link
 
 
-RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown | Tick
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -42,6 +42,7 @@
     LinkDown,
     RouterMessage,
     Submit,
+    Tick,
 )
 
 __all__ = ["Router"]
@@ -84,21 +85,9 @@
 
     async def run(self) -> None:
         """Handle messages, and tick the dispatchers, for ever."""
-        next_tick_s = self._clock() + TICK_INTERVAL_S
+        self._tick()
         while True:
-            try:
-                timeout = max(0.0, next_tick_s - self._clock())
-                # asyncio.wait_for can lose a cancellation that comes together with a message.
-                async with asyncio.timeout(timeout):
-                    msg = await self._inbox.get()
-                self._handle(msg)
-                while not self._inbox.empty():
-                    self._handle(self._inbox.get_nowait())
-            except TimeoutError:
-                pass
-            if self._clock() >= next_tick_s:
-                self._tick()
-                next_tick_s = self._clock() + TICK_INTERVAL_S
+            self._handle(await self._inbox.get())
 
     def _handle(self, msg: RouterMessage) -> None:
         if isinstance(msg, Submit):
@@ -109,6 +98,8 @@
             self._delivered(msg)
         elif isinstance(msg, LinkDown):
             self._link_down(msg.link)
+        elif isinstance(msg, Tick):
+            self._tick()
         elif msg.link.peer is not None:
             self._from_link(msg)
 
@@ -361,11 +352,14 @@
             self._cancel_attempt(pending, attempt)
 
     def _tick(self) -> None:
+        asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
         horizon_s = now - CANCELLED_KEPT_S
-        self._cancelled = {
-            key: entry for key, entry in self._cancelled.items() if entry[0].started_s > horizon_s
-        }
+        while self._cancelled:
+            key, entry = next(iter(self._cancelled.items()))
+            if entry[0].started_s > horizon_s:
+                break
+            del self._cancelled[key]
         for dispatcher in self.dispatchers.values():
             self._carry_out(dispatcher.tick(now))
         for pending in list(self.pending.values()):
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -16,6 +16,7 @@
     "LinkMessage",
     "LoadChanged",
     "SidecarMessage",
+    "Tick",
 ]
 
 
@@ -65,6 +66,10 @@
     """Take no more work."""
 
 
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
 SidecarMessage = (
-    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar
+    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar | Tick
 )
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -29,7 +29,7 @@
         self.room.set()
         self.cancelled = False
         self.tokens = 0
-        # Monotonic time since when no link is attached, or since the end of the answer.
+        # Monotonic time since when no link is attached.
         self.idle_since_s: float | None = None
         self.acked_end = False
 
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import time
+from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -44,6 +45,7 @@
     LinkMessage,
     LoadChanged,
     SidecarMessage,
+    Tick,
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
 
@@ -70,6 +72,10 @@
     ) -> None:
         self.streams: dict[str, SidecarStream] = {}
         self.links: dict[str, Link] = {}
+        # Streams without an end, and the ends in their order: a busy sidecar keeps thousands of
+        # finished answers, which must not be visited at each tick.
+        self._open: dict[str, SidecarStream] = {}
+        self._ended: deque[tuple[float, str]] = deque()
         self._endpoint = endpoint
         self._scheduler = scheduler
         self._ring = ring
@@ -104,17 +110,12 @@
 
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
+        self._tick()
         while True:
-            try:
-                # asyncio.wait_for can lose a cancellation that comes together with a message.
-                async with asyncio.timeout(TICK_INTERVAL_S):
-                    msg = await self._inbox.get()
-                self._handle(msg)
-                while not self._inbox.empty():
-                    self._handle(self._inbox.get_nowait())
-            except TimeoutError:
-                pass
-            self._tick()
+            self._handle(await self._inbox.get())
+            while not self._inbox.empty():
+                self._handle(self._inbox.get_nowait())
+            self._report_when_due()
 
     def _handle(self, msg: SidecarMessage) -> None:
         if isinstance(msg, LinkMessage):
@@ -129,6 +130,8 @@
             self._load_changed(msg)
         elif isinstance(msg, LinkLost):
             self._link_lost(msg.link)
+        elif isinstance(msg, Tick):
+            self._tick()
         else:
             self._drain()
 
@@ -176,6 +179,7 @@
         queued = _to_queued(msg, now)
         stream = SidecarStream(msg, queued, link)
         self.streams[msg.attempt_id] = stream
+        self._open[msg.attempt_id] = stream
         actions = self._scheduler.arrive(queued, now)
         self._record_stream(EventKind.QUEUED, stream)
         self._carry_out(actions)
@@ -255,7 +259,8 @@
             list(self._ring.clock.tick()),
             outcome.final,
         )
-        stream.idle_since_s = self._clock()
+        self._open.pop(stream.start.attempt_id, None)
+        self._ended.append((self._clock(), stream.start.attempt_id))
         cancelled = outcome.reason == "cancelled"
         kind = EventKind.CANCELLED if cancelled else EventKind.FINISHED
         reason = "caller_left" if cancelled else outcome.reason
@@ -305,6 +310,7 @@
 
     def _reject(self, action: Reject) -> None:
         stream = self.streams.pop(action.req.request_id)
+        self._open.pop(action.req.request_id, None)
         self._record_stream(EventKind.REJECTED, stream, reason=action.reason)
         if stream.link is not None:
             stream.link.send(RejectStart(stream.start.attempt_id, action.reason, RETRY_AFTER_S))
@@ -317,23 +323,25 @@
     # Time.
 
     def _tick(self) -> None:
+        asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
-        for stream in list(self.streams.values()):
+        for stream in list(self._open.values()):
             self._expire(stream, now)
         horizon = now - FINISHED_KEPT_S
+        while self._ended and self._ended[0][0] <= horizon:
+            self.streams.pop(self._ended.popleft()[1], None)
         self._refused = {key: at for key, at in self._refused.items() if at > horizon}
-        idle = now - self._reported_s
+
+    def _report_when_due(self) -> None:
+        idle = self._clock() - self._reported_s
         due = self._report_due and idle >= LIMITS.REPORT_MIN_INTERVAL_S
         if due or idle >= LIMITS.REPORT_MAX_INTERVAL_S:
             self._send_reports()
 
     def _expire(self, stream: SidecarStream, now: float) -> None:
-        if stream.idle_since_s is None:
+        if stream.idle_since_s is None or stream.link is not None:
             return
-        idle_s = now - stream.idle_since_s
-        if stream.end is not None and idle_s >= FINISHED_KEPT_S:
-            del self.streams[stream.start.attempt_id]
-        elif stream.end is None and stream.link is None and idle_s >= LIMITS.DETACHED_STREAM_S:
+        if now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
             stream.idle_since_s = None
             self._cancel(stream.start.attempt_id)
 
