Wait for answer and caller on one queue

Cause: each wait for an event of an answer made two tasks, one for the queue and one for the caller's disconnect.

Change: the disconnect is put on the same queue by a callback of the exchange.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -21,6 +21,21 @@
         self.ended = False
         self._conn = conn
         self._writer = writer
+        self._on_gone: Callable[[], None] | None = None
+
+    def when_gone(self, act: Callable[[], None]) -> None:
+        """Call `act` once when the client closes its connection, at once if it has already."""
+        self._on_gone = act
+        if self.gone.is_set():
+            act()
+
+    def set_gone(self) -> None:
+        """Take note that the client closed its connection."""
+        if self.gone.is_set():
+            return
+        self.gone.set()
+        if self._on_gone is not None:
+            self._on_gone()
 
     async def send_head(self, status: int, headers: Headers = ()) -> None:
         """Send the status and headers; the body is chunked unless a length is given."""
@@ -69,7 +84,7 @@
         try:
             await self._writer.drain()
         except ConnectionError:
-            self.gone.set()
+            self.set_gone()
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -158,7 +158,7 @@
         except ConnectionError:
             data = b""
         if not data:
-            exchange.gone.set()
+            exchange.set_gone()
             return
         kept += len(data)
         conn.receive_data(data)
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -1,13 +1,11 @@
 """The HTTP interface towards callers."""
 
-import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
 from cassiadrum.frontends import Problem, send_problem
 from cassiadrum.protocols import Exchange, Headers
-from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead, CallerEvent
+from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead
 from cassiadrum.roles.errors import InvalidRequest
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.request_parsers import RequestParser
@@ -88,8 +86,9 @@
 
     async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
+        exchange.when_gone(lambda: pending.events.put_nowait(None))
         while True:
-            event = await _next_event(exchange, pending)
+            event = await pending.events.get()
             if event is None:
                 exchange.abort()
                 return
@@ -116,22 +115,6 @@
             self.active -= 1
 
 
-async def _next_event(exchange: Exchange, pending: PendingRequest) -> CallerEvent | None:
-    """Return the next event, or None when the caller is gone."""
-    if not pending.events.empty():
-        return pending.events.get_nowait()
-    getting = asyncio.ensure_future(pending.events.get())
-    gone = asyncio.ensure_future(exchange.gone.wait())
-    try:
-        await asyncio.wait((getting, gone), return_when=asyncio.FIRST_COMPLETED)
-        return getting.result() if getting.done() else None
-    finally:
-        for fut in (getting, gone):
-            fut.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await fut
-
-
 async def _finish(exchange: Exchange, event: AnswerEnd, pending: PendingRequest) -> None:
     if event.problem is None:
         await exchange.end()
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -26,7 +26,8 @@
         self.http = http
         self.target = target
         self.key = key
-        self.events: asyncio.Queue[CallerEvent] = asyncio.Queue()
+        # None tells that the caller is gone.
+        self.events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
