--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -15,6 +15,7 @@
     "MemberUsable",
     "RouterMessage",
     "Submit",
+    "Tick",
 ]
 
 
@@ -65,4 +66,10 @@
     service: str
 
 
-RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+RouterMessage = (
+    Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone | Tick
+)
