Test each fault alone with real processes

Change: a table of 37 faults, each run alone under a small mixed load, with a stream that its caller has to receive whole and the invariants checked at the end.

--- /dev/null
+++ b/cassiadrum/tests/harness/faults.py
@@ -0,0 +1,222 @@
+"""The table of faults that tests inject, alone or together."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import NamedTuple
+
+from cassiadrum.standins import Faults
+from cassiadrum.states import Accepted, ConfigurationWriter, Conflicted, Unresolved
+from cassiadrum.tests.harness.callers import call
+from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+from cassiadrum.tests.harness.platforms import AddressedEngine
+from cassiadrum.tests.harness.process_sites import ProcessSite
+
+__all__ = ["FAULTS", "HOPS", "Fault", "write_configuration"]
+
+HOPS = ("http", "link", "endpoint", "table")
+SERVICE = "sprachdienst"
+# Longer than the silence limit of a link, so that links are closed and dialled again.
+OUTAGE_S = 4.0
+
+Inject = Callable[[ProcessSite, random.Random], Awaitable[None]]
+
+
+class Fault(NamedTuple):
+    """Inject a fault, wait while it lasts, and end it.
+
+    `keeps_streams` tells that a stream at entry-1 reaches its caller whole without a fetch.
+    """
+
+    inject: Inject
+    keeps_streams: bool = True
+
+
+async def _straggler(site: ProcessSite, rng: random.Random) -> None:
+    engine = _engine(site, rng)
+    engine.batch.slow_factor = 20.0
+    await asyncio.sleep(2.0)
+    engine.batch.slow_factor = 1.0
+
+
+async def _engine_crash(site: ProcessSite, rng: random.Random) -> None:
+    body = json.dumps({"crash_after_tokens": 3}).encode()
+    answer = await call(_engine(site, rng).address, "POST", "/faults", {}, body)
+    assert answer.status == 200
+
+
+def _reports(kind: str) -> Inject:
+    async def inject(site: ProcessSite, rng: random.Random) -> None:
+        engine = _engine(site, rng)
+        engine.report_fault = kind
+        await asyncio.sleep(2.0)
+        engine.report_fault = ""
+
+    return inject
+
+
+def _store(faults: Faults, duration_s: float) -> Inject:
+    async def inject(site: ProcessSite, _rng: random.Random) -> None:
+        with site.outage():
+            site.platform.table.set_faults(faults)
+            await asyncio.sleep(duration_s)
+            site.platform.table.set_faults(Faults())
+
+    return inject
+
+
+def _instance_list(faults: Faults) -> Inject:
+    async def inject(site: ProcessSite, _rng: random.Random) -> None:
+        site.platform.instances.set_faults(faults)
+        await asyncio.sleep(2.5)
+        site.platform.instances.set_faults(Faults())
+
+    return inject
+
+
+def _proxied(hop: str, act: Callable[[FaultProxy], None], duration_s: float = 0.0) -> Inject:
+    """Act on one proxy of a hop; what lasts is undone after `duration_s`."""
+
+    async def inject(site: ProcessSite, rng: random.Random) -> None:
+        names = sorted(key for key in site.proxies if key.startswith(f"{hop}:"))
+        key = "http:entry-1" if hop == "http" else rng.choice(names)
+        proxy = site.proxies[key]
+        with site.outage(key.partition(":")[2]):
+            act(proxy)
+            await asyncio.sleep(duration_s)
+            proxy.delay_s = proxy.bytes_per_s = 0.0
+            proxy.release()
+
+    return inject
+
+
+def _delay(proxy: FaultProxy) -> None:
+    proxy.delay_s = 0.2
+
+
+def _silence(way: Way, proxy: FaultProxy) -> None:
+    proxy.silence(way)
+
+
+def _throttle(proxy: FaultProxy) -> None:
+    proxy.bytes_per_s = 20_000.0
+
+
+async def _zone_cut(site: ProcessSite, rng: random.Random) -> None:
+    zone = site.zone(rng.choice(site.sidecars()))
+    names = [name for name in site.sidecars() if site.zone(name) == zone]
+    proxies = [site.proxies[f"{hop}:{name}"] for name in names for hop in ("link", "table")]
+    with site.outage():
+        for proxy in proxies:
+            proxy.partition()
+        await asyncio.sleep(OUTAGE_S)
+        for proxy in proxies:
+            proxy.heal()
+
+
+def _paused(role: str, duration_s: float) -> Inject:
+    async def inject(site: ProcessSite, rng: random.Random) -> None:
+        name = _choose(site, role, rng)
+        with site.outage(name):
+            site.children[name].pause()
+            await asyncio.sleep(duration_s)
+            site.children[name].resume()
+
+    return inject
+
+
+def _killed(role: str) -> Inject:
+    async def inject(site: ProcessSite, rng: random.Random) -> None:
+        name = _choose(site, role, rng)
+        async with site.changing(name):
+            await site.kill(name)
+            await site.launch(name)
+
+    return inject
+
+
+def _stopped(role: str) -> Inject:
+    async def inject(site: ProcessSite, rng: random.Random) -> None:
+        name = _choose(site, role, rng)
+        async with site.changing(name):
+            if site.children[name].running:
+                await site.stop(name)
+            await site.launch(name)
+
+    return inject
+
+
+async def _operators(site: ProcessSite, _rng: random.Random) -> None:
+    """Let two operators write the same service from the same version at once."""
+    results = await asyncio.gather(*(write_configuration(site, SERVICE) for _ in range(2)))
+    assert len([result for result in results if isinstance(result, Accepted)]) <= 1
+    assert all(isinstance(result, Accepted | Conflicted | Unresolved) for result in results) or (
+        site.platform.table.faults != Faults()
+    )
+
+
+async def write_configuration(site: ProcessSite, service: str) -> object:
+    """Write a document again with another comment, as an operator who read the current row."""
+    store = site.platform.store()
+    row = await store.get("config", service)
+    base = int(str(row.value["version"])) if row else 0
+    operation = f"op-{time.monotonic_ns()}"
+    text = f"# {operation}\n{site.texts[service]}"
+    result = await ConfigurationWriter(store).accept(service, text, base, operation, "test")
+    if isinstance(result, Accepted):
+        site.note_accepted(service, result.version, operation)
+    return result
+
+
+def _choose(site: ProcessSite, role: str, rng: random.Random) -> str:
+    return rng.choice(sorted(site.entries if role == "entry" else site.sidecars()))
+
+
+def _engine(site: ProcessSite, rng: random.Random) -> AddressedEngine:
+    engine = site.endpoints[rng.choice(sorted(site.sidecars(SERVICE)))]
+    assert isinstance(engine, AddressedEngine)
+    return engine
+
+
+FAULTS: dict[str, Fault] = {
+    "straggler": Fault(_straggler),
+    "engine crash": Fault(_engine_crash),
+    "late reports": Fault(_reports("late")),
+    "missing reports": Fault(_reports("missing")),
+    "duplicate reports": Fault(_reports("duplicate")),
+    "store down": Fault(_store(Faults(down=True), OUTAGE_S)),
+    "store slow": Fault(_store(Faults(slow_s=1.0), OUTAGE_S)),
+    "store very slow": Fault(_store(Faults(slow_s=2.5), OUTAGE_S)),
+    "store limited": Fault(_store(Faults(limit_per_s=3.0), OUTAGE_S)),
+    "write answers lost": Fault(_store(Faults(drop_answers=2), 1.0)),
+    "empty instance list": Fault(_instance_list(Faults(empty=True))),
+    "stale instance list": Fault(_instance_list(Faults(stale=True))),
+    "link cut": Fault(_proxied("link", FaultProxy.cut)),
+    "link reset": Fault(_proxied("link", lambda proxy: proxy.cut(reset=True))),
+    "link delayed": Fault(_proxied("link", _delay, 1.5)),
+    "link throttled": Fault(_proxied("link", _throttle, 1.5)),
+    "link held": Fault(_proxied("link", FaultProxy.hold, 1.5)),
+    "link half a frame": Fault(_proxied("link", lambda p: p.half_frame(Way.TO_CLIENT))),
+    "endpoint reset": Fault(_proxied("endpoint", lambda proxy: proxy.cut(reset=True))),
+    "endpoint delayed": Fault(_proxied("endpoint", _delay, 1.5)),
+    "zone cut off": Fault(_zone_cut),
+    "entry paused": Fault(_paused("entry", OUTAGE_S)),
+    "sidecar paused": Fault(_paused("sidecar", OUTAGE_S)),
+    "sidecar paused for long": Fault(_paused("sidecar", 11.0)),
+    "entry killed": Fault(_killed("entry"), keeps_streams=False),
+    "sidecar killed": Fault(_killed("sidecar")),
+    "entry stopped": Fault(_stopped("entry")),
+    "sidecar stopped": Fault(_stopped("sidecar")),
+    "two operators": Fault(_operators),
+    **{
+        f"silent {hop} {way.value}": Fault(
+            _proxied(hop, partial(_silence, way)),
+            keeps_streams=hop != "http",
+        )
+        for hop in HOPS
+        for way in Way
+    },
+}
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -2,6 +2,7 @@
 
 import time
 import uuid
+from typing import Any
 
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.protocols import HttpClient
@@ -15,15 +16,42 @@
 from cassiadrum.states import Accepted, ConfigurationWriter
 from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
 
-__all__ = ["EndpointStandin", "Platform", "build_endpoint"]
+__all__ = ["AddressedEngine", "EndpointStandin", "Platform", "build_endpoint"]
 
 HOST = "127.0.0.1"
 
 
 class AddressedEngine(EngineStandin):
-    """An engine that knows its address."""
+    """An engine that knows its address and whose load reports can be wrong.
+
+    `report_fault` is `late` (figures of the first report of the fault, cache events held back
+    until its end), `missing` (half of the reports fail, cache events are lost), `duplicate`
+    (cache events come twice) or empty.
+    """
 
     address = ""
+    report_fault = ""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._reports = 0
+        self._late: dict[str, Any] = {}
+        self._held: list[int] = []
+
+    def _load(self) -> dict[str, Any]:
+        load = super()._load()
+        self._reports += 1
+        if self.report_fault == "late":
+            self._held += load["cached"]
+            self._late = self._late or load
+            return {**self._late, "cached": []}
+        self._late = {}
+        if self.report_fault == "missing":
+            return {} if self._reports % 2 else {**load, "cached": []}
+        if self.report_fault == "duplicate":
+            return {**load, "cached": load["cached"] * 2}
+        held, self._held = self._held, []
+        return {**load, "cached": held + load["cached"]}
 
 
 class AddressedPlainService(PlainServiceStandin):
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -6,6 +6,7 @@
 import re
 import time
 import uuid
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -56,6 +57,7 @@
         self.outages: list[Outage] = []
         self.collectors: dict[str, list[EventCollector]] = {}
         self.operator = EventRing(HybridClock(time.time), "operator", "operator", uuid.uuid4().hex)
+        self._locks: dict[str, asyncio.Lock] = {}
         self._services: dict[str, str] = {}
         self._zones: dict[str, str] = {}
         self._directory = directory
@@ -211,9 +213,12 @@
         )
 
     @contextlib.asynccontextmanager
-    async def load(self, rate_per_s: float = 25.0, duration_s: float = 2.0, seed: int = 1) -> Any:
-        """Send a mixed load while the block runs, and wait for its end after it."""
-        sender = LoadSender([self.http(name) for name in self.entries], self.documents, seed)
+    async def load(
+        self, rate_per_s: float = 25.0, duration_s: float = 2.0, seed: int = 1
+    ) -> AsyncIterator[LoadSender]:
+        """Send a mixed load to the entry instances directly, and wait for its end."""
+        addresses = [str(self.children[name].ready["http"]) for name in self.entries]
+        sender = LoadSender(addresses, self.documents, seed)
         plan = LoadPlan.mixed(self.documents, rate_per_s, duration_s, seed)
         task = asyncio.create_task(sender.run(plan))
         try:
@@ -224,6 +229,19 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
+    @contextlib.contextmanager
+    def outage(self, instance: str = "") -> Iterator[None]:
+        """State that an instance, or every one, may not reach its peers during the block."""
+        since_s = time.time()
+        try:
+            yield
+        finally:
+            self.outages.append(Outage(instance, since_s, time.time()))
+
+    def changing(self, name: str) -> asyncio.Lock:
+        """Return the lock under which a process is ended and started again."""
+        return self._locks.setdefault(name, asyncio.Lock())
+
     def _runs(self) -> list[EndpointRun]:
         return [
             EndpointRun(
--- a/cassiadrum/tests/integration/conftest.py
+++ b/cassiadrum/tests/integration/conftest.py
@@ -10,6 +10,10 @@
 
 MakeSite = Callable[..., Awaitable[ProcessSite]]
 
+LONG_PROMPT = "assessment 4"
+# A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
+FULL_RETRIES = (("retry_budget = 0.1", "retry_budget = 1.0"),)
+
 
 @pytest.fixture
 async def make_site(tmp_path: Path) -> AsyncIterator[MakeSite]:
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -8,14 +8,10 @@
 from cassiadrum.invariants import check_record
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import StreamCaller, call, until
-from cassiadrum.tests.integration.conftest import MakeSite
+from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite
 
 pytestmark = pytest.mark.integration
 
-LONG_PROMPT = "assessment 4"
-# A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
-FULL_RETRIES = (("retry_budget = 0.1", "retry_budget = 1.0"),)
-
 
 class TestInstances:
     """Guards against answers lost with an instance."""
--- /dev/null
+++ b/cassiadrum/tests/integration/test_single_faults.py
@@ -0,0 +1,61 @@
+"""Tests of each fault alone, under a small mixed load."""
+
+import random
+
+import pytest
+
+from cassiadrum.invariants import check_record
+from cassiadrum.standins import answer_tokens
+from cassiadrum.tests.harness import ProcessSite, StreamCaller, call, until
+from cassiadrum.tests.harness.faults import FAULTS, HOPS
+from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite
+
+pytestmark = pytest.mark.integration
+
+
+async def rest_of(site: ProcessSite, caller: StreamCaller) -> bytes:
+    """Fetch what the caller of a broken connection lacks through another entry instance."""
+    target = f"/requests/{caller.request_id}?position={len(caller.body)}"
+    answer = await call(site.http("entry-2"), "GET", target)
+    assert (answer.status, answer.complete) == (200, True), answer
+    return answer.body
+
+
+async def serves_every_class(site: ProcessSite, seed: int) -> None:
+    """Assert that each class is served again at each entry instance after the fault."""
+    for number, entry in enumerate(site.entries):
+        address = site.children[entry].ready["http"]
+        for _ in range(3):
+            stream = StreamCaller.completion(address, f"after {seed} {number}")
+            assert (await stream.answer()).body.endswith(b"data: [DONE]\n\n")
+        key = {"idempotency-key": f"after-{seed}-{number}"}
+        issued = await call(address, "POST", "/services/permit-register/permits", key, b"{}")
+        checked = await call(address, "GET", "/services/permit-register/permits/1")
+        assert (issued.status, checked.status) == (201, 200)
+
+
+class TestSingleFaults:
+    """Guards against a fault that loses, doubles or mixes answers, or that outlasts its cause."""
+
+    @pytest.mark.parametrize("name", FAULTS)
+    async def test_answers_survive(self, make_site: MakeSite, name: str) -> None:
+        fault = FAULTS[name]
+        rng = random.Random(name)
+        site = await make_site(hops=HOPS, step_s=0.02, edits=FULL_RETRIES)
+        async with site.load(rate_per_s=15.0, duration_s=2.5) as sender:
+            caller = StreamCaller.completion(site.http("entry-1"), LONG_PROMPT)
+            await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
+            await fault.inject(site, rng)
+            body = b""
+            if fault.keeps_streams:
+                body = (await caller.answer()).body
+            elif caller.request_id:
+                body = caller.body + await rest_of(site, caller)
+        await until(site.all_linked, "links after the fault")
+        await serves_every_class(site, 1)
+        await caller.leave()
+        assert body.count(b'"content"') == len(answer_tokens(LONG_PROMPT)), body[-400:]
+        assert body.endswith(b"data: [DONE]\n\n")
+        record = await site.finish(sender.outcomes)
+        assert record.missing_events == 0
+        assert [str(violation) for violation in check_record(record)] == []
