--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cassiadrum.events import EventRing, encode_event
-from cassiadrum.protocols import Exchange
+from cassiadrum.protocols import Exchange, Handler
 
 __all__ = ["AdminHandler"]
 
@@ -14,34 +14,46 @@
 # A reader that polled within this time is expected to come for the last events too.
 READER_ACTIVE_S = 2.0
 LAST_READ_LIMIT_S = 1.0
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SERVICES = "/admin/services/"
 
 
 class AdminHandler:
-    """Serve status and events of a process; `status` returns a JSON object."""
+    """Serve status, events and metrics of a process; `status` returns a JSON object.
+
+    `services` answers changes of service documents, which only an entry instance accepts.
+    """
 
     def __init__(
-        self, ring: EventRing, status: Callable[[], dict[str, Any]], drain: Callable[[], None]
+        self,
+        ring: EventRing,
+        status: Callable[[], dict[str, Any]],
+        drain: Callable[[], None],
+        metrics: Callable[[], bytes],
+        services: Handler | None = None,
     ) -> None:
         self._ring = ring
         self._status = status
         self._drain = drain
         self._read_s = float("-inf")
         self._read_sequence = 0
+        self._services = services
+        self._metrics = metrics
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         req = exchange.req
         if req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
+        elif req.method == "GET" and req.path == "/metrics":
+            await exchange.send(200, self._metrics(), METRICS_TYPE)
         elif req.method == "GET" and req.path == "/admin/events":
-            after = int(req.query.removeprefix("after=") or 0)
-            events = [encode_event(event) for event in self._ring.after(after, EVENTS_LIMIT)]
-            last = self._ring.last_sequence
-            await exchange.send_json(200, {"events": events, "last": last})
-            self._read_s, self._read_sequence = time.monotonic(), after + len(events)
+            await self._send_events(exchange)
         elif req.method == "POST" and req.path == "/admin/drain":
             self._drain()
             await exchange.send_json(202, {"draining": True})
+        elif self._services is not None and req.path.startswith(SERVICES):
+            await self._services(exchange)
         else:
             await exchange.send_json(404, {"error": "not found"})
 
@@ -52,3 +64,14 @@
             if time.monotonic() - self._read_s > READER_ACTIVE_S:
                 return
             await asyncio.sleep(0.02)
+
+    async def _send_events(self, exchange: Exchange) -> None:
+        after = exchange.req.query.removeprefix("after=") or "0"
+        if not after.isdecimal():
+            await exchange.send_json(400, {"error": "the query allows only `after`, a number"})
+            return
+        events = [encode_event(event) for event in self._ring.after(int(after), EVENTS_LIMIT)]
+        # The start id tells a reader that the sequence numbers began anew.
+        answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
+        await exchange.send_json(200, {"events": events, **answer})
+        self._read_s, self._read_sequence = time.monotonic(), int(after) + len(events)
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -4,24 +4,33 @@
 import secrets
 import time
 
-from cassiadrum.decisions import EndpointScheduler, PausePreemption
-from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
+from cassiadrum.roles.event_meters import EventMeter
+from cassiadrum.roles.maintenance_factories import MaintenanceFactory
+from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.scheduler_factories import SchedulerFactory
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
-from cassiadrum.states import ClaimService, ConfigurationReader, ConfigurationRegistry
+from cassiadrum.states import (
+    ClaimService,
+    ConfigurationReader,
+    ConfigurationRegistry,
+    ConfigurationWriter,
+    FencingGuard,
+)
 from cassiadrum.stores import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTableStore,
+    HttpWeightStore,
     HttpWire,
-    TableStore,
 )
 
 __all__ = ["build_daemon"]
@@ -29,53 +38,94 @@
 
 def build_daemon(cfg: Settings) -> Daemon:
     """Return the daemon of the role that the settings name, not started yet."""
-    clock = HybridClock(time.time)
-    ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
-    table = HttpTableStore(_wire(cfg.platform.table_service))
-    registry = ConfigurationRegistry()
-    reader = ConfigurationReader(table, registry)
-    configurations = ConfigurationAgent(registry, reader, ring, _rng())
+    composition = _Composition(cfg)
     if cfg.endpoint is None:
-        return _build_entry(cfg, ring, configurations)
-    return _build_sidecar(cfg, cfg.endpoint, ring, configurations, table)
+        return composition.entry()
+    return composition.sidecar(cfg.endpoint)
 
 
-def _build_entry(
-    cfg: Settings, ring: EventRing, configurations: ConfigurationAgent
-) -> EntryDaemon:
-    dispatchers = DispatcherFactory(
-        configurations.document,
-        zone=cfg.zone,
-        queue_requests=cfg.limits.queue_requests,
-        rng=_rng(),
-    )
-    instances = HttpInstanceList(_wire(cfg.platform.instance_list))
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
+class _Composition:
+    """Hold the parts that both roles share while the rest is built around them."""
 
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._rng = random.Random(secrets.randbits(64))
+        clock = HybridClock(time.time)
+        self._ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
+        self._metrics = RoleMetrics(time.monotonic, make_registry())
+        self._table = HttpTableStore(self._wire(cfg.platform.table_service, "table"))
+        registry = ConfigurationRegistry()
+        reader = ConfigurationReader(self._table, registry)
+        self._configurations = ConfigurationAgent(registry, reader, self._ring, self._rng)
+        self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
 
-def _build_sidecar(
-    cfg: Settings,
-    endpoint: EndpointSettings,
-    ring: EventRing,
-    configurations: ConfigurationAgent,
-    table: TableStore,
-) -> SidecarDaemon:
-    limit = cfg.limits.concurrency
-    preemption = PausePreemption(()) if endpoint.kind == "engine" else None
-    scheduler = EndpointScheduler(limit, limit * LIMITS.SIDECAR_QUEUE_PER_SLOT, preemption)
-    objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
-    claims = ClaimService(table, objects, cfg.instance)
-    return SidecarDaemon(cfg, ring, configurations, _build_endpoint(endpoint), scheduler, claims)
+    def entry(self) -> EntryDaemon:
+        """Return an entry instance."""
+        dispatchers = DispatcherFactory(
+            self._configurations.document,
+            zone=self._cfg.zone,
+            queue_requests=self._cfg.limits.queue_requests,
+            rng=self._rng,
+        )
+        maintenance = MaintenanceFactory(
+            self._cfg.instance,
+            self._table,
+            self._objects(),
+            self._weights(),
+            self._configurations.document,
+            self._ring,
+        )
+        return EntryDaemon(
+            self._cfg,
+            self._ring,
+            self._configurations,
+            HttpInstanceList(self._wire(self._cfg.platform.instance_list, "instances")),
+            dispatchers,
+            maintenance,
+            ConfigurationWriter(self._table),
+            self._metrics,
+        )
 
+    def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
+        """Return the process beside an endpoint."""
+        target = _build_endpoint(endpoint)
+        schedulers = SchedulerFactory(
+            self._configurations.document,
+            maximum=self._cfg.limits.concurrency,
+            can_pause=target.can_pause,
+        )
+        self._configurations.on_applied = lambda service: (
+            schedulers.configure(service) if service == endpoint.service else None
+        )
+        guard = FencingGuard(self._table, endpoint_enforces=endpoint.enforces_fencing)
+        return SidecarDaemon(
+            self._cfg,
+            self._ring,
+            self._configurations,
+            target,
+            schedulers.build(),
+            ClaimService(self._table, self._objects(), self._cfg.instance),
+            OrderGuard(target, guard, self._ring),
+            self._metrics,
+        )
 
-def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
-    kind = EngineEndpoint if endpoint.kind == "engine" else PlainEndpoint
-    return kind(endpoint.address.host, endpoint.address.port)
+    def _objects(self) -> HttpObjectStore:
+        platform = self._cfg.platform
+        return HttpObjectStore(
+            self._wire(platform.object_store or platform.table_service, "objects")
+        )
 
+    def _weights(self) -> HttpWeightStore | None:
+        address = self._cfg.platform.weight_store
+        return HttpWeightStore(self._wire(address, "weights")) if address else None
 
-def _wire(address: Address) -> HttpWire:
-    return HttpWire(HttpClient(address.host, address.port), time.monotonic)
+    def _wire(self, address: Address, store: str) -> HttpWire:
+        client = HttpClient(address.host, address.port)
+        return HttpWire(
+            client, time.monotonic, called=lambda result: self._metrics.store_called(store, result)
+        )
 
 
-def _rng() -> random.Random:
-    return random.Random(secrets.randbits(64))
+def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
+    kind = EngineEndpoint if endpoint.kind == "engine" else PlainEndpoint
+    return kind(endpoint.address.host, endpoint.address.port)
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -8,19 +8,24 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message
+from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message, Ordered
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
 from cassiadrum.roles.caller_handlers import CallerHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
+from cassiadrum.roles.configuration_handlers import ConfigurationHandler
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.gauges import Gauges
+from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
+from cassiadrum.states import ConfigurationWriter
 from cassiadrum.stores import Instance, InstanceList
 
 __all__ = ["EntryDaemon"]
@@ -36,25 +41,37 @@
         configurations: ConfigurationAgent,
         instances: InstanceList,
         dispatchers: DispatcherFactory,
+        maintenance: MaintenanceFactory,
+        writer: ConfigurationWriter,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
-        configurations.on_applied = dispatchers.configure
+        self._dispatchers = dispatchers
+        configurations.on_applied = self._configure
         self._tls = tls
         self._process_start = secrets.token_hex(8)
         self._members = MemberLinks(instances, self._make_dialer)
         self._router = Router(dispatchers, self._members.service, ring)
+        self._janitor = maintenance.janitor(self._entries)
+        self._orders = maintenance.orders(self._router, self._entries)
+        self._router.on_report = self._orders.report
         self._fetcher = LinkAnswerFetcher(self._router.links.get)
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
             self._router.post,
             self._fetcher,
             lambda: configurations.ready,
+            metrics.refused,
         )
         self._http = HttpServer(self._handler)
-        self._admin_handler = AdminHandler(ring, self.status, self.begin_drain)
+        services = ConfigurationHandler(writer, configurations, ring)
+        self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
+        self._admin_handler = AdminHandler(
+            ring, self.status, self.begin_drain, self._gauges.render, services
+        )
         self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
@@ -68,6 +85,7 @@
         self._spawn(self._configurations.run())
         self._spawn(self._members.run())
         self._spawn(self._router.run())
+        self._spawn(self._janitor.run())
 
     def begin_drain(self) -> None:
         """Refuse new requests and let those in flight end."""
@@ -82,6 +100,7 @@
     async def close(self) -> None:
         """Stop at once."""
         await self._http.abort()
+        await self._orders.close()
         await self._members.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
@@ -95,6 +114,7 @@
             "instance": self._cfg.instance,
             "role": "entry",
             "zone": self._cfg.zone,
+            "http_address": self.addresses.get("http", ""),
             "draining": self._handler.draining,
             "in_flight": self.in_flight(),
             "versions": self._configurations.registry.versions(),
@@ -105,6 +125,16 @@
             },
         }
 
+    def _configure(self, service: str) -> None:
+        self._dispatchers.configure(service)
+        self._orders.configure(service)
+
+    def _entries(self) -> list[str]:
+        return self._members.entries()
+
+    def _queued(self) -> dict[str, int]:
+        return {name: part.queued() for name, part in self._router.dispatchers.items()}
+
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
@@ -128,8 +158,11 @@
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, End):
             observe(self.ring, msg.clock)
+        if isinstance(msg, Ordered):
+            self._orders.ordered(msg)
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
@@ -139,6 +172,7 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._router.post(LinkDown(link))
 
 
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -12,14 +12,17 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order, StartRequest
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
+from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.once_gates import OnceGate
+from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
@@ -42,12 +45,15 @@
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
+        orders: OrderGuard,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
         self._claims = claims
+        self._orders = orders
         self._endpoint = endpoint
         self._tls = tls
         self._draining = False
@@ -57,7 +63,10 @@
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._admin_handler = AdminHandler(ring, self.status, self.begin_drain)
+        self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
+        self._admin_handler = AdminHandler(
+            ring, self.status, self.begin_drain, self._gauges.render
+        )
         self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
@@ -70,6 +79,7 @@
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
         self._spawn(self._settle_claims())
+        self._spawn(self._orders.run())
         self._spawn(self._sidecar.run())
         self._spawn(self._poll_load())
 
@@ -106,6 +116,10 @@
             "links": sorted(self._sidecar.links),
         }
 
+    def _queued(self) -> dict[str, int]:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        return {service: self._sidecar.waiting()}
+
     async def _poll_load(self) -> None:
         while True:
             try:
@@ -141,9 +155,12 @@
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, StartRequest):
             observe(self.ring, msg.clock)
-        if not self._configurations.take(link, msg):
+        if isinstance(msg, Order):
+            self._orders.post(link, msg)
+        elif not self._configurations.take(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
     def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
@@ -152,4 +169,5 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._sidecar.post(LinkLost(link))
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -6,6 +6,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import Link, StreamBuffer
 from cassiadrum.links.messages import End, Head, StartRequest
+from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["SidecarStream"]
 
@@ -13,6 +14,7 @@
 class SidecarStream:
     """Hold an attempt, its buffered answer and the link that it is attached to.
 
+    `tokens` counts what the endpoint computed so far, known or not to the caller.
     `room` is clear while the buffer is full, which stops the task that reads the endpoint.
     """
 
@@ -24,9 +26,11 @@
         self.head: Head | None = None
         self.end: End | None = None
         self.task: asyncio.Task[None] | None = None
+        self.timing: StreamTiming | None = None
         self.room = asyncio.Event()
         self.room.set()
         self.cancelled = False
+        self.tokens = 0
         # Monotonic time since when no link is attached, or since the end of the answer.
         self.idle_since_s: float | None = None
         self.acked_end = False
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -40,12 +40,15 @@
     CallData,
     CallEnded,
     CallHead,
+    CallStarted,
+    DrainSidecar,
     LinkLost,
     LinkMessage,
     LoadChanged,
     SidecarMessage,
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
+from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["Sidecar"]
 
@@ -98,6 +101,10 @@
             for stream in self.streams.values()
         )
 
+    def waiting(self) -> int:
+        """Return the number of requests in the short queue."""
+        return self._scheduler.waiting()
+
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
         while True:
@@ -117,6 +124,8 @@
             self._from_link(msg)
         elif isinstance(msg, CallData):
             self._call_data(msg)
+        elif isinstance(msg, CallStarted):
+            self._call_started(msg)
         elif isinstance(msg, CallHead):
             self._call_head(msg)
         elif isinstance(msg, CallEnded):
@@ -125,7 +134,7 @@
             self._load_changed(msg)
         elif isinstance(msg, LinkLost):
             self._link_lost(msg.link)
-        else:
+        elif isinstance(msg, DrainSidecar):
             self._drain()
 
     # Messages of entry instances.
@@ -220,6 +229,11 @@
 
     # Messages of the calls.
 
+    def _call_started(self, msg: CallStarted) -> None:
+        stream = self.streams[msg.attempt_id]
+        stream.timing = StreamTiming(self._clock())
+        self._record_stream(EventKind.STARTED, stream)
+
     def _call_head(self, msg: CallHead) -> None:
         stream = self.streams[msg.attempt_id]
         stream.head = Head(msg.attempt_id, msg.status, msg.headers)
@@ -232,12 +246,20 @@
             stream.link.send(Data([(msg.attempt_id, position, msg.data)]))
         if stream.buffer.full and not stream.cancelled:
             stream.room.clear()
+        if stream.timing is not None:
+            now = self._clock()
+            events = stream.timing.data(msg.data, now)
+            self._scheduler.progressed(msg.attempt_id, events, now)
 
     def _call_ended(self, msg: CallEnded) -> None:
         stream = self.streams[msg.attempt_id]
         stream.task = None
         self._end(stream, msg.outcome)
-        self._carry_out(self._scheduler.finished(msg.attempt_id, self._clock()))
+        now = self._clock()
+        if msg.outcome.ok and stream.timing is not None:
+            first_s, gap_s = stream.timing.first_token_s, stream.timing.inter_token_s
+            self._carry_out(self._scheduler.observed(msg.attempt_id, first_s, gap_s, now))
+        self._carry_out(self._scheduler.finished(msg.attempt_id, now))
 
     def _end(self, stream: SidecarStream, outcome: Outcome) -> None:
         stream.end = End(
@@ -296,7 +318,6 @@
 
     def _run(self, req: QueuedRequest) -> None:
         stream = self.streams[req.request_id]
-        self._record(EventKind.STARTED, req.request_id)
         stream.task = asyncio.create_task(self._caller.run(stream))
 
     def _reject(self, action: Reject) -> None:
@@ -391,4 +412,5 @@
         now,
         now + left_s if math.isfinite(left_s) else math.inf,
         once_only=msg.once_only,
+        max_wait_s=msg.max_wait_s,
     )
