Add the benchmark of the decisions in virtual time

Check the figures against bench/bounds.toml; a missed bound that KNOWN-RED.txt names is passed over.

--- /dev/null
+++ b/bench/bounds.py
@@ -0,0 +1,56 @@
+"""Bounds of the benchmark, and which missed ones are known."""
+
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+from bench.figures import Figure
+
+__all__ = ["Verdict", "check_bounds", "known_red", "read_bounds"]
+
+BOUNDS = Path(__file__).with_name("bounds.toml")
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+class Verdict(NamedTuple):
+    """State whether a figure keeps its bound."""
+
+    key: str
+    figure: Figure
+    bound: str
+    kept: bool
+    known: bool
+    source: str
+
+
+def read_bounds(path: Path = BOUNDS) -> dict[str, dict[str, float | str]]:
+    """Return the bounds by key, each with `min` or `max` and `source`."""
+    return tomllib.loads(path.read_text())
+
+
+def known_red(path: Path = KNOWN_RED) -> set[str]:
+    """Return the first word of each line of the list of known failures."""
+    if not path.exists():
+        return set()
+    lines = path.read_text().splitlines()
+    return {line.split()[0].rstrip(":") for line in lines if line.strip() and line[0] != "#"}
+
+
+def check_bounds(
+    found: dict[str, Figure], bounds: dict[str, dict[str, float | str]], known: set[str]
+) -> list[Verdict]:
+    """Compare the figures with their bounds."""
+    return [
+        _verdict(key, found[key], bound, key in known)
+        for key, bound in bounds.items()
+        if key in found
+    ]
+
+
+def _verdict(key: str, figure: Figure, bound: dict[str, float | str], known: bool) -> Verdict:
+    low, high = bound.get("min"), bound.get("max")
+    kept = (low is None or figure.value >= float(low)) and (
+        high is None or figure.value <= float(high)
+    )
+    text = f">= {low}" if low is not None else f"<= {high}"
+    return Verdict(key, figure, text, kept, known, str(bound["source"]))
--- /dev/null
+++ b/bench/class_profiles.py
@@ -0,0 +1,47 @@
+"""What the callers of each class send."""
+
+from typing import NamedTuple
+
+__all__ = ["PROFILES", "ClassProfile"]
+
+
+class ClassProfile(NamedTuple):
+    """Describe the requests of one class.
+
+    `share` is its part of the service's capacity at a load of 0.7. `work` is the mean number of
+    output tokens, or the service time in seconds of a plain service. `sigma` is the spread of
+    the logarithm of the length, 0 for a fixed one. `prompt_tokens` is the mean of the part of
+    the prompt that no other request has; `shared_blocks` is the number of leading blocks that
+    all requests of a customer share.
+    """
+
+    share: float
+    work: float
+    sigma: float = 0.0
+    prompt_tokens: int = 0
+    shared_blocks: int = 0
+
+
+# Protected classes take 0.15 of the capacity of their service at every load: a load above
+# capacity is made of the bursts of lower tiers.
+PROFILES: dict[str, dict[str, ClassProfile]] = {
+    "sprachdienst": {
+        "feast-assessment": ClassProfile(0.35, 140.0, 0.8, 250, 3),
+        "assessment": ClassProfile(0.35, 220.0, 1.0, 350, 3),
+    },
+    "auftragsdienst": {
+        "forging-order": ClassProfile(0.15, 0.25),
+        "invoice": ClassProfile(0.25, 0.25),
+        "order-status": ClassProfile(0.30, 0.20),
+    },
+    "drafting-desk": {
+        "question": ClassProfile(0.25, 100.0, 0.8, 200, 3),
+        "council-summary": ClassProfile(0.20, 180.0, 0.7, 500, 2),
+        "fire-risk-draft": ClassProfile(0.25, 320.0, 1.0, 350, 3),
+    },
+    "permit-register": {
+        "status-check": ClassProfile(0.15, 0.10),
+        "permit-issue": ClassProfile(0.25, 0.25),
+        "register-export": ClassProfile(0.30, 1.00),
+    },
+}
--- /dev/null
+++ b/bench/counting_choosers.py
@@ -0,0 +1,56 @@
+"""Base class of the plain choosers."""
+
+from abc import abstractmethod
+from collections.abc import Collection
+
+from cassiadrum.decisions import EndpointChooser, EndpointReport, QueuedRequest
+
+__all__ = ["CountingChooser"]
+
+
+class CountingChooser(EndpointChooser):
+    """Keep the last reports and the own dispatches, and let a subclass pick among free ones."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, EndpointReport] = {}
+        self._outstanding: dict[str, set[str]] = {}
+
+    def report(self, rep: EndpointReport, now: float) -> None:
+        self._reports[rep.instance] = rep
+        self._outstanding.setdefault(rep.instance, set())
+
+    def remove(self, instance: str) -> None:
+        self._reports.pop(instance, None)
+        self._outstanding.pop(instance, None)
+
+    def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
+        if instance in self._outstanding:
+            self._outstanding[instance].add(req.request_id)
+
+    def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
+        pass
+
+    def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
+        if instance in self._outstanding:
+            self._outstanding[instance].discard(request_id)
+
+    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+        pass
+
+    def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
+        free = [name for name in self.instances() if name not in exclude and self.free(name) > 0]
+        return self.pick(free, req) if free else None
+
+    def free_slots(self) -> int:
+        return sum(self.free(name) for name in self.instances())
+
+    def instances(self) -> list[str]:
+        return sorted(name for name, rep in self._reports.items() if not rep.leaving)
+
+    def free(self, name: str) -> int:
+        """Return the slots of an endpoint that this entry instance has not filled itself."""
+        return max(0, self._reports[name].limit - len(self._outstanding[name]))
+
+    @abstractmethod
+    def pick(self, free: list[str], req: QueuedRequest) -> str:
+        """Return one of the endpoints with a free slot."""
--- /dev/null
+++ b/bench/engine_profiles.py
@@ -0,0 +1,34 @@
+"""Speed of the fake engines."""
+
+from typing import NamedTuple
+
+__all__ = ["ENGINE", "EngineProfile"]
+
+
+class EngineProfile(NamedTuple):
+    """State how long one step of the engine takes.
+
+    A step yields one token for each decoding stream. A step that also carries a chunk of a
+    prompt takes `prefill_step_s` longer.
+    """
+
+    base_step_s: float
+    stream_step_s: float
+    prefill_step_s: float
+    chunk_tokens: int
+    cache_blocks: int
+
+    def step_s(self, decoding: int, prefilling: bool) -> float:
+        """Return the seconds of one step."""
+        extra_s = self.prefill_step_s if prefilling else 0.0
+        return self.base_step_s + self.stream_step_s * decoding + extra_s
+
+    def best_batch(self, target_inter_token_s: float) -> int:
+        """Return the largest batch whose slowest step is within the target."""
+        room_s = target_inter_token_s - self.base_step_s - self.prefill_step_s
+        return max(1, int(room_s / self.stream_step_s + 1e-9))
+
+
+# 24 streams fit the 40 ms target; the cache holds about half of the prompt
+# blocks that the customers of one deployment use, so that placement matters.
+ENGINE = EngineProfile(0.010, 0.00083, 0.010, 256, 40)
--- /dev/null
+++ b/bench/entries.py
@@ -0,0 +1,169 @@
+"""An entry instance of the benchmark."""
+
+from collections.abc import Callable
+
+from bench.calls import Call
+from bench.event_loops import EventLoop
+from bench.links import LINK_S
+from bench.records import Records
+from bench.safety_checks import SafetyCheck
+from bench.sidecars import Sidecar
+from cassiadrum.decisions import (
+    Action,
+    Cancel,
+    Dispatch,
+    Dispatcher,
+    EndpointReport,
+    Hedge,
+    Outcome,
+)
+
+__all__ = ["Entry"]
+
+TICK_S = 0.25
+MAX_RESENDS = 50
+
+
+class Entry:
+    """Carry out the actions of one dispatcher for each service."""
+
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        dispatchers: dict[str, Dispatcher],
+        sidecars: dict[str, Sidecar],
+        records: Records,
+        safety: SafetyCheck,
+        resend_after_s: Callable[[str, str], float] | None = None,
+    ) -> None:
+        self._loop = loop
+        self._dispatchers = dispatchers
+        self._sidecars = sidecars
+        self._records = records
+        self._safety = safety
+        self._resend_after_s = resend_after_s
+        self._calls: dict[str, Call] = {}
+        # The instances at which a request has attempts that have not ended.
+        self._places: dict[str, list[str]] = {}
+        self._loop.after(TICK_S, self._tick)
+
+    def submit(self, call: Call) -> None:
+        """Take a caller's request."""
+        self._records.open_calls += 1
+        self._safety.opened(call)
+        if call.leaves_at_s != float("inf"):
+            self._loop.at(call.leaves_at_s, self._caller_left, call)
+        self._send(call)
+
+    def started(self, instance: str, request_id: str) -> None:
+        """Take a first token: the caller reads this attempt's stream from now on."""
+        call = self._calls[request_id]
+        if call.open and not call.owner and instance in self._places.get(request_id, ()):
+            call.owner = instance
+            if call.first_token_at_s is None:
+                call.first_token_at_s = self._loop.now
+            elif call.last_token_at_s is not None:
+                call.take_gaps({self._loop.now - call.last_token_at_s: 1.0})
+            for other in self._places[request_id]:
+                if other != instance:
+                    self._cancel(request_id, other, "duplicate")
+
+    def progressed(self, instance: str, request_id: str, tokens: int) -> None:
+        """Take tokens of a stream."""
+        service = self._calls[request_id].req.service
+        self._dispatchers[service].progressed(instance, request_id, tokens, self._loop.now)
+
+    def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
+        """Take the end of an attempt."""
+        call = self._calls[request_id]
+        places = self._places[request_id]
+        places.remove(instance)
+        owner = call.owner == instance
+        if owner:
+            call.owner = ""
+        dispatcher = self._dispatchers[call.req.service]
+        if call.open and outcome.ok and (owner or not call.owner):
+            self._close(call, "done")
+        if not places:
+            # An attempt that nobody waits for is not repeated.
+            seen = outcome if call.open else outcome._replace(ok=True)
+            self._carry_out(dispatcher.finished(request_id, seen, self._loop.now))
+
+    def reported(self, service: str, rep: EndpointReport) -> None:
+        """Take a load report."""
+        self._carry_out(self._dispatchers[service].report(rep, self._loop.now))
+
+    def cached(self, service: str, instance: str, keys: list[int]) -> None:
+        """Take cache events."""
+        self._dispatchers[service].cached(instance, keys, self._loop.now)
+
+    def _send(self, call: Call) -> None:
+        request_id = call.req.request_id
+        self._calls[request_id] = call
+        self._places[request_id] = []
+        if self._resend_after_s is not None:
+            wait_s = self._resend_after_s(call.req.service, call.req.class_name)
+            self._loop.after(wait_s, self._resend, call, request_id)
+        dispatcher = self._dispatchers[call.req.service]
+        self._carry_out(dispatcher.submit(call.req, self._loop.now))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Dispatch | Hedge):
+                self._dispatch(action)
+            elif isinstance(action, Cancel):
+                self._cancel(action.request_id, action.instance, "duplicate")
+            else:
+                call = self._calls[action.req.request_id]
+                if call.open and call.req.request_id == action.req.request_id:
+                    self._safety.refused(action.req, action.reason)
+                    self._records.refusals[action.req.service, action.reason] += 1
+                    self._close(call, action.reason)
+
+    def _dispatch(self, action: Dispatch | Hedge) -> None:
+        call = self._calls[action.req.request_id]
+        self._places[action.req.request_id].append(action.instance)
+        sidecar = self._sidecars[action.instance]
+        self._loop.after(LINK_S, sidecar.arrive, call, action.req, self)
+
+    def _cancel(self, request_id: str, instance: str, reason: str) -> None:
+        self._loop.after(LINK_S, self._sidecars[instance].cancel, request_id, reason)
+
+    def _caller_left(self, call: Call) -> None:
+        if call.open:
+            request_id = call.req.request_id
+            self._close(call, "cancelled")
+            self._withdraw(call, request_id, "cancelled")
+
+    def _withdraw(self, call: Call, request_id: str, reason: str) -> None:
+        dispatcher = self._dispatchers[call.req.service]
+        for instance in self._places[request_id]:
+            self._cancel(request_id, instance, reason)
+        self._carry_out(dispatcher.cancelled(request_id, self._loop.now))
+
+    def _resend(self, call: Call, request_id: str) -> None:
+        """Send a request again from its start, as a caller with a time limit does."""
+        if not call.open or call.req.request_id != request_id or not call.req.idempotent:
+            return
+        base, _, count = request_id.partition("~")
+        if int(count or 0) >= MAX_RESENDS or self._loop.now >= call.req.deadline_s:
+            return
+        self._records.wasted[call.req.service, "resent"] += call.delivered
+        call.delivered, call.owner = 0.0, ""
+        call.req = call.req._replace(request_id=f"{base}~{int(count or 0) + 1}")
+        self._withdraw(call, request_id, "resent")
+        self._send(call)
+
+    def _close(self, call: Call, result: str) -> None:
+        call.ended_at_s = self._loop.now
+        call.result = result
+        if result != "done" and call.delivered:
+            self._records.wasted[call.req.service, result] += call.delivered
+        self._records.open_calls -= 1
+        self._safety.closed(call)
+
+    def _tick(self) -> None:
+        for dispatcher in self._dispatchers.values():
+            self._carry_out(dispatcher.tick(self._loop.now))
+        self._loop.after(TICK_S, self._tick)
--- /dev/null
+++ b/bench/event_loops.py
@@ -0,0 +1,34 @@
+"""Event loop in virtual time."""
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["EventLoop"]
+
+
+class EventLoop:
+    """Run callbacks in order of virtual time, and of scheduling at equal times."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._sequence = 0
+
+    def at(self, when_s: float, callback: Callable[..., None], *args: Any) -> None:
+        """Call `callback` at `when_s`, or now if that has passed."""
+        self._sequence += 1
+        heapq.heappush(self._heap, (max(when_s, self.now), self._sequence, callback, args))
+
+    def after(self, delay_s: float, callback: Callable[..., None], *args: Any) -> None:
+        """Call `callback` in `delay_s` seconds."""
+        self.at(self.now + delay_s, callback, *args)
+
+    def run(self, done: Callable[[], bool], limit_s: float) -> None:
+        """Run until `done` returns True or `limit_s` of virtual time has passed."""
+        while self._heap and not done():
+            when_s, _, callback, args = heapq.heappop(self._heap)
+            if when_s > limit_s:
+                return
+            self.now = when_s
+            callback(*args)
--- /dev/null
+++ b/bench/hash_affinity_choosers.py
@@ -0,0 +1,16 @@
+"""Choice by the prompt's prefix."""
+
+import xxhash
+
+from bench.counting_choosers import CountingChooser
+from cassiadrum.decisions import QueuedRequest
+
+__all__ = ["HashAffinityChooser"]
+
+
+class HashAffinityChooser(CountingChooser):
+    """Send equal prefixes to the same endpoint; a full one passes them to the next in rank."""
+
+    def pick(self, free: list[str], req: QueuedRequest) -> str:
+        key = req.prefix_keys[-1] if req.prefix_keys else req.customer
+        return max(free, key=lambda name: xxhash.xxh64_intdigest(f"{key}/{name}".encode()))
--- /dev/null
+++ b/bench/plain_services.py
@@ -0,0 +1,62 @@
+"""Fake plain service with fixed service times."""
+
+from collections.abc import Callable
+
+from bench.calls import Call
+from bench.event_loops import EventLoop
+from bench.streams import Stream
+
+__all__ = ["FakePlainService"]
+
+
+class FakePlainService:
+    """Run each call for its own fixed time, whatever else runs."""
+
+    def __init__(self, loop: EventLoop, on_end: Callable[[Stream], None]) -> None:
+        self._loop = loop
+        self._on_end = on_end
+        self.streams: dict[str, Stream] = {}
+        self.new_keys: list[int] = []
+        self.slowdown = 1.0
+        self.tokens = 0.0
+
+    def start(self, call: Call, request_id: str) -> Stream:
+        """Start a call."""
+        stream = Stream(call, request_id, call.work, 0.0, self._loop.now)
+        self.streams[request_id] = stream
+        self._loop.after(call.work * self.slowdown, self._end, stream)
+        return stream
+
+    def pause(self, request_id: str) -> None:
+        """Fail: a plain service has no such order."""
+        raise AssertionError(f"a plain service cannot pause {request_id}")
+
+    def resume(self, request_id: str) -> None:
+        """Fail: a plain service has no such order."""
+        raise AssertionError(f"a plain service cannot resume {request_id}")
+
+    def cancel(self, request_id: str) -> Stream | None:
+        """Cut a call off and return it, or None when it does not run here."""
+        stream = self.streams.pop(request_id, None)
+        if stream is not None:
+            stream.produced = (self._loop.now - stream.arrived_at_s) / self.slowdown
+        return stream
+
+    def crash(self) -> list[Stream]:
+        """Lose all calls and return them."""
+        return [stream for key in list(self.streams) if (stream := self.cancel(key))]
+
+    def slow_down(self, factor: float) -> None:
+        """Make the calls that start from now on `factor` times as long."""
+        self.slowdown = factor
+
+    def settle_all(self) -> None:
+        """Do nothing: a plain call shows no progress."""
+
+    def _end(self, stream: Stream) -> None:
+        if self.streams.get(stream.request_id) is not stream:
+            return
+        del self.streams[stream.request_id]
+        stream.produced = stream.call.work
+        self.tokens += stream.produced
+        self._on_end(stream)
--- /dev/null
+++ b/bench/random_choosers.py
@@ -0,0 +1,19 @@
+"""Random choice of the endpoint."""
+
+import random
+
+from bench.counting_choosers import CountingChooser
+from cassiadrum.decisions import QueuedRequest
+
+__all__ = ["RandomChooser"]
+
+
+class RandomChooser(CountingChooser):
+    """Choose any endpoint with a free slot."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self._rng = rng
+
+    def pick(self, free: list[str], req: QueuedRequest) -> str:
+        return self._rng.choice(free)
--- /dev/null
+++ b/bench/reported_load_choosers.py
@@ -0,0 +1,17 @@
+"""Choice by the load that endpoints reported."""
+
+from bench.counting_choosers import CountingChooser
+from cassiadrum.decisions import QueuedRequest
+
+__all__ = ["ReportedLoadChooser"]
+
+
+class ReportedLoadChooser(CountingChooser):
+    """Choose the endpoint with the least work in its last report, however old that is."""
+
+    def pick(self, free: list[str], req: QueuedRequest) -> str:
+        return min(free, key=self._reported)
+
+    def _reported(self, name: str) -> tuple[int, str]:
+        rep = self._reports[name]
+        return rep.running + rep.queued, name
--- /dev/null
+++ b/bench/reporters.py
@@ -0,0 +1,77 @@
+"""Load reports and cache events of one sidecar."""
+
+import random
+from collections.abc import Sequence
+
+from bench.event_loops import EventLoop
+from bench.links import LINK_S, Listener
+from bench.scenarios import Scenario
+from bench.sidecars import Sidecar
+from cassiadrum.decisions import EndpointReport
+from cassiadrum.defaults import LIMITS
+
+__all__ = ["Reporter"]
+
+
+class Reporter:
+    """Send a sidecar's report to all entry instances whenever it has changed."""
+
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        sidecar: Sidecar,
+        zone: str,
+        listeners: Sequence[Listener],
+        scenario: Scenario,
+        rng: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._sidecar = sidecar
+        self._zone = zone
+        self._listeners = listeners
+        self._scenario = scenario
+        self._rng = rng
+        self._last = (-1, -1, -1)
+        self._sent_at_s = -1.0
+        self._tokens = 0.0
+
+    def start(self) -> None:
+        """Send the first report and keep reporting."""
+        self._send_report(lag_s=0.0)
+        offset_s = self._rng.random() * LIMITS.REPORT_MIN_INTERVAL_S
+        self._loop.after(offset_s, self._tick)
+
+    def _tick(self) -> None:
+        self._sidecar.progress()
+        idle_s = self._loop.now - self._sent_at_s
+        if self._figures() != self._last or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
+            self._send_report(self._scenario.report_lag_s)
+        self._send_cache_events()
+        self._loop.after(LIMITS.REPORT_MIN_INTERVAL_S, self._tick)
+
+    def _figures(self) -> tuple[int, int, int]:
+        scheduler = self._sidecar.scheduler
+        limit = 0 if self._sidecar.down else scheduler.limit
+        return scheduler.running(), scheduler.waiting(), limit
+
+    def _send_report(self, lag_s: float) -> None:
+        now = self._loop.now
+        produced = self._sidecar.endpoint.tokens
+        rate = (produced - self._tokens) / (now - self._sent_at_s) if now > 0 else 0.0
+        self._tokens, self._sent_at_s, self._last = produced, now, self._figures()
+        rep = EndpointReport(
+            self._sidecar.instance, self._zone, *self._last, now, tokens_per_s=rate
+        )
+        for listener in self._listeners:
+            self._loop.after(lag_s + LINK_S, listener.reported, self._sidecar.service, rep)
+
+    def _send_cache_events(self) -> None:
+        keys, self._sidecar.endpoint.new_keys = self._sidecar.endpoint.new_keys, []
+        kept = [key for key in keys if self._rng.random() >= self._scenario.cache_gap]
+        if not kept:
+            return
+        delay_s = self._scenario.cache_lag_s + LINK_S
+        for listener in self._listeners:
+            message = (self._sidecar.service, self._sidecar.instance, kept)
+            self._loop.after(delay_s, listener.cached, *message)
--- /dev/null
+++ b/bench/reports.py
@@ -0,0 +1,49 @@
+"""Printed report of a run, and the committed results file."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from bench.bounds import Verdict
+
+__all__ = ["RESULTS", "print_changes", "print_verdicts", "write_results"]
+
+RESULTS = Path(__file__).with_name("results.json")
+# More changed lines than this are counted and not listed.
+LISTED_CHANGES = 40
+
+
+def print_verdicts(verdicts: list[Verdict]) -> None:
+    """Print each figure beside its bound."""
+    for verdict in verdicts:
+        state = "ok" if verdict.kept else "KNOWN RED" if verdict.known else "MISSED"
+        value = f"{verdict.figure.value:.4f}"
+        print(f"{state:9} {verdict.key:28} {value:>10} {verdict.bound:>9}  {verdict.figure.where}")
+        if not verdict.kept:
+            print(f"{'':9} {verdict.source}")
+
+
+def print_changes(results: dict[str, Any], path: Path = RESULTS) -> None:
+    """Print what differs from the committed file."""
+    if not path.exists():
+        print(f"no committed results in {path.name}")
+        return
+    before, after = _flat(json.loads(path.read_text())), _flat(results)
+    changed = [key for key in sorted(before | after) if before.get(key) != after.get(key)]
+    print(f"{len(changed)} figures differ from {path.name}")
+    for key in changed[:LISTED_CHANGES]:
+        print(f"  {key}: {before.get(key)} -> {after.get(key)}")
+
+
+def write_results(results: dict[str, Any], path: Path = RESULTS) -> None:
+    """Write the results with sorted keys."""
+    path.write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
+
+
+def _flat(value: Any, prefix: str = "") -> dict[str, Any]:
+    if not isinstance(value, dict):
+        return {prefix: value}
+    flat = {}
+    for key, item in value.items():
+        flat.update(_flat(item, f"{prefix}/{key}" if prefix else str(key)))
+    return flat
--- /dev/null
+++ b/bench/round_robin_choosers.py
@@ -0,0 +1,18 @@
+"""Choice of the endpoints in turn."""
+
+from bench.counting_choosers import CountingChooser
+from cassiadrum.decisions import QueuedRequest
+
+__all__ = ["RoundRobinChooser"]
+
+
+class RoundRobinChooser(CountingChooser):
+    """Choose the next endpoint with a free slot."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._last = ""
+
+    def pick(self, free: list[str], req: QueuedRequest) -> str:
+        self._last = next((name for name in free if name > self._last), free[0])
+        return self._last
--- /dev/null
+++ b/bench/safety_checks.py
@@ -0,0 +1,44 @@
+"""Check that protected work is not shed or preempted while lower-tier work holds its resources."""
+
+from bench.calls import Call
+from bench.records import Records
+from cassiadrum.decisions import QueuedRequest
+
+__all__ = ["SafetyCheck"]
+
+
+class SafetyCheck:
+    """Know every open call of a run, and count sheds and preemptions that break `tier_safety`."""
+
+    def __init__(self, records: Records) -> None:
+        self._records = records
+        # Open calls of lower tiers, by service and tier.
+        self._open: dict[str, dict[int, int]] = {}
+
+    def opened(self, call: Call) -> None:
+        """Count a call that was submitted."""
+        tiers = self._open.setdefault(call.req.service, {})
+        tiers[call.req.tier] = tiers.get(call.req.tier, 0) + 1
+
+    def closed(self, call: Call) -> None:
+        """Count a call that ended."""
+        self._open[call.req.service][call.req.tier] -= 1
+
+    def refused(self, req: QueuedRequest, reason: str) -> None:
+        """Take a final refusal."""
+        if req.protected and reason != "cancelled" and self._lower_open(req):
+            self._records.unsafe[f"refused: {reason}"] += 1
+
+    def paused(self, req: QueuedRequest, instance: str) -> None:
+        """Take a pause of a running stream."""
+        if req.protected and self._lower_open(req):
+            self._records.unsafe["paused"] += 1
+
+    def rejected(self, req: QueuedRequest, instance: str) -> None:
+        """Count a sidecar's rejection of protected work; the entry instance may place it again."""
+        if req.protected:
+            self._records.rejects["protected"] += 1
+
+    def _lower_open(self, req: QueuedRequest) -> bool:
+        tiers = self._open.get(req.service, {})
+        return any(count > 0 and tier > req.tier for tier, count in tiers.items())
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,52 @@
+"""What happens in each scenario of the design page."""
+
+from typing import NamedTuple
+
+__all__ = ["SCENARIOS", "Scenario"]
+
+FOUNDRIES = ("sprachdienst", "auftragsdienst")
+COLLECTIVE = ("drafting-desk", "permit-register")
+
+
+class Scenario(NamedTuple):
+    """Describe the load and the faults of one run.
+
+    `burst` names the classes that make up what exceeds a load of 0.7; without it all classes
+    that are not protected grow alike. `burst_customer_share` is the part of that excess which
+    one customer sends. Times are in seconds, `straggler` is the slowdown of one engine, and
+    `cache_gap` the share of cache events that are lost.
+    """
+
+    name: str
+    services: tuple[str, str]
+    burst: tuple[str, ...] = ()
+    burst_customer_share: float = 0.0
+    straggler: float = 1.0
+    crash: bool = False
+    report_lag_s: float = 0.0
+    cache_lag_s: float = 0.05
+    cache_gap: float = 0.0
+
+
+FAULTS = Scenario(
+    "all-together",
+    FOUNDRIES,
+    burst_customer_share=0.7,
+    straggler=3.0,
+    crash=True,
+    report_lag_s=2.0,
+    cache_lag_s=5.0,
+    cache_gap=0.3,
+)
+
+SCENARIOS = (
+    Scenario("feast-day-burst", FOUNDRIES, burst=("feast-assessment", "order-status")),
+    Scenario("fire-season-burst", COLLECTIVE, burst=("question", "permit-issue")),
+    Scenario("large-customer", FOUNDRIES, burst_customer_share=0.7),
+    Scenario("straggler", FOUNDRIES, straggler=3.0),
+    Scenario("engine-crash", COLLECTIVE, crash=True),
+    Scenario("late-reports", FOUNDRIES, report_lag_s=2.0),
+    Scenario("late-cache-events", FOUNDRIES, cache_lag_s=5.0, cache_gap=0.3),
+    FAULTS,
+    FAULTS._replace(name="all-together-collective", services=COLLECTIVE),
+)
--- /dev/null
+++ b/bench/sidecars.py
@@ -0,0 +1,164 @@
+"""A sidecar of the benchmark: one endpoint and its scheduler."""
+
+from bench.calls import Call
+from bench.engine_profiles import ENGINE
+from bench.engines import FakeEngine
+from bench.event_loops import EventLoop
+from bench.links import LINK_S, Listener
+from bench.plain_services import FakePlainService
+from bench.records import Records
+from bench.safety_checks import SafetyCheck
+from bench.streams import Stream
+from cassiadrum.decisions import (
+    EndpointScheduler,
+    Outcome,
+    Pause,
+    QueuedRequest,
+    Ran,
+    Reject,
+    SchedulerAction,
+    Start,
+)
+from cassiadrum.documents import ServiceDocument
+
+__all__ = ["Sidecar"]
+
+DETECT_CRASH_S = 0.1
+
+
+class Sidecar:
+    """Carry out a scheduler's actions on one fake endpoint and tell the entry instances."""
+
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        instance: str,
+        document: ServiceDocument,
+        scheduler: EndpointScheduler,
+        records: Records,
+        safety: SafetyCheck,
+    ) -> None:
+        self.instance = instance
+        self.service = document.name
+        self.scheduler = scheduler
+        self.down = False
+        self._loop = loop
+        self._records = records
+        self._safety = safety
+        self._held: dict[str, tuple[Call, Listener]] = {}
+        self.endpoint: FakeEngine | FakePlainService
+        if document.kind == "model":
+            self.endpoint = FakeEngine(loop, ENGINE, self._first_token, self._stream_ended)
+        else:
+            self.endpoint = FakePlainService(loop, self._stream_ended)
+
+    def arrive(self, call: Call, req: QueuedRequest, listener: Listener) -> None:
+        """Take a request from an entry instance."""
+        self._held[req.request_id] = (call, listener)
+        if self.down:
+            self._end(req.request_id, Outcome(False, Ran.NO, 0, "endpoint_failed"))
+            return
+        self._carry_out(self.scheduler.arrive(req, self._loop.now))
+
+    def cancel(self, request_id: str, reason: str) -> None:
+        """Stop a request, whether it waits or runs; its produced work is wasted."""
+        if request_id not in self._held:
+            return
+        if self.scheduler.cancelled(request_id, self._loop.now):
+            self._end(request_id, Outcome(False, Ran.NO, 0, "cancelled"))
+            return
+        stream = self.endpoint.cancel(request_id)
+        if stream is None:
+            return
+        self._end(request_id, self._failed(stream, reason))
+        self._carry_out(self.scheduler.finished(request_id, self._loop.now))
+
+    def crash(self, down_s: float) -> None:
+        """Lose the engine with all its streams; it restarts after `down_s`."""
+        self.down = True
+        lost = self.endpoint.crash()
+        until_s = self._loop.now + down_s
+        self._records.down_s.setdefault(self.service, []).append((self._loop.now, until_s))
+        self._loop.after(DETECT_CRASH_S, self._crash_seen, lost)
+        self._loop.at(until_s, self._restart)
+
+    def progress(self) -> None:
+        """Tell the entry instances how many tokens each stream produced since the last call."""
+        self.endpoint.settle_all()
+        for request_id, stream in self.endpoint.streams.items():
+            tokens = int(stream.produced - stream.reported)
+            if tokens:
+                stream.reported += tokens
+                listener = self._held[request_id][1]
+                message = (self.instance, request_id, tokens)
+                self._loop.after(LINK_S, listener.progressed, *message)
+
+    def _carry_out(self, actions: list[SchedulerAction]) -> None:
+        for action in actions:
+            if isinstance(action, Start):
+                self._start(action.req.request_id)
+            elif isinstance(action, Reject):
+                self._records.rejects[action.req.class_name] += 1
+                self._safety.rejected(action.req, self.instance)
+                self._end(action.req.request_id, Outcome(False, Ran.NO, 0, action.reason))
+            elif isinstance(action, Pause):
+                self._records.pauses += 1
+                self._safety.paused(self._held[action.request_id][0].req, self.instance)
+                self.endpoint.pause(action.request_id)
+            else:
+                self.endpoint.resume(action.request_id)
+
+    def _start(self, request_id: str) -> None:
+        call = self._held[request_id][0]
+        if call.served_at_s is None:
+            call.served_at_s = self._loop.now
+        stream = self.endpoint.start(call, request_id)
+        if isinstance(self.endpoint, FakePlainService):
+            self._first_token(stream)
+
+    def _first_token(self, stream: Stream) -> None:
+        listener = self._held[stream.request_id][1]
+        self._loop.after(LINK_S, listener.started, self.instance, stream.request_id)
+
+    def _stream_ended(self, stream: Stream) -> None:
+        self._deliver(stream, "duplicate")
+        self._end(stream.request_id, Outcome(True, Ran.YES, round(stream.call.work)))
+        self._carry_out(self.scheduler.finished(stream.request_id, self._loop.now))
+
+    def _crash_seen(self, lost: list[Stream]) -> None:
+        for stream in lost:
+            outcome = self._failed(stream, "endpoint_failed")
+            self._end(stream.request_id, outcome)
+            # The engine is down, so what the scheduler starts now is lost as well.
+            self._refuse_started(self.scheduler.finished(stream.request_id, self._loop.now))
+
+    def _refuse_started(self, actions: list[SchedulerAction]) -> None:
+        for action in actions:
+            if not isinstance(action, Start):
+                continue
+            request_id = action.req.request_id
+            self._end(request_id, Outcome(False, Ran.NO, 0, "endpoint_failed"))
+            self._refuse_started(self.scheduler.finished(request_id, self._loop.now))
+
+    def _restart(self) -> None:
+        self.down = False
+
+    def _failed(self, stream: Stream, reason: str) -> Outcome:
+        """Return the outcome of an attempt that did not complete, and keep what was delivered."""
+        self._deliver(stream, reason)
+        return Outcome(False, Ran.UNKNOWN, int(stream.produced), reason)
+
+    def _deliver(self, stream: Stream, reason: str) -> None:
+        """Credit the caller with what its stream produced, or count it as wasted."""
+        call = stream.call
+        if not call.open or call.owner != self.instance:
+            self._records.wasted[self.service, reason] += stream.produced
+            return
+        call.delivered += stream.produced
+        call.take_gaps(stream.gaps)
+        call.last_token_at_s = self._loop.now + LINK_S
+
+    def _end(self, request_id: str, outcome: Outcome) -> None:
+        listener = self._held.pop(request_id)[1]
+        self._loop.after(LINK_S, listener.ended, self.instance, request_id, outcome)
--- /dev/null
+++ b/bench/suites.py
@@ -0,0 +1,58 @@
+"""Runs in parallel processes."""
+
+import os
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from bench.ablations import ablations
+from bench.measures import measure
+from bench.plain_strategies import plain_strategies
+from bench.products import product
+from bench.run_specs import RunSpec
+from bench.scenarios import SCENARIOS
+from bench.strategies import Strategy
+from bench.worlds import World
+
+__all__ = ["full_suite", "run_all", "run_one"]
+
+LOADS = (0.7, 1.0, 1.5, 3.0)
+# Plain strategies are compared where capacity is short.
+COMPARED_LOADS = (1.5, 3.0)
+SEEDS = (1, 2, 3, 4, 5)
+
+
+def strategies() -> dict[str, Strategy]:
+    """Return every strategy by name."""
+    return {"product": product(), **plain_strategies(), **ablations()}
+
+
+def run_one(spec: RunSpec) -> dict[str, Any]:
+    """Carry out one run and return its measures."""
+    scenario = next(one for one in SCENARIOS if one.name == spec.scenario)
+    world = World(spec, scenario, strategies()[spec.strategy])
+    world.run()
+    return measure(world)
+
+
+def full_suite(seeds: Iterable[int] = SEEDS, only: str = "") -> list[RunSpec]:
+    """Return the runs of the product at all loads and of the plain strategies for comparison."""
+    return [
+        RunSpec(scenario.name, load, name, seed)
+        for scenario in SCENARIOS
+        if only in scenario.name
+        for load in LOADS
+        for name in ("product", *plain_strategies())
+        if name == "product" or load in COMPARED_LOADS
+        for seed in seeds
+    ]
+
+
+def run_all(specs: list[RunSpec]) -> Iterator[tuple[RunSpec, dict[str, Any]]]:
+    """Yield each run with its measures, in the order of `specs`."""
+    # Long runs first, so that no process is left alone with one at the end.
+    order = sorted(range(len(specs)), key=lambda index: -specs[index].load)
+    with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
+        futures = {index: pool.submit(run_one, specs[index]) for index in order}
+        for index, spec in enumerate(specs):
+            yield spec, futures[index].result()
--- /dev/null
+++ b/bench/workloads.py
@@ -0,0 +1,126 @@
+"""Arrivals of one run."""
+
+import math
+import random
+import zlib
+
+from bench.calls import Call
+from bench.capacities import capacity_per_endpoint, healthy_endpoints
+from bench.class_profiles import PROFILES, ClassProfile
+from bench.customers import CUSTOMERS, Customer
+from bench.engine_profiles import ENGINE
+from bench.scenarios import Scenario
+from cassiadrum.decisions import QueuedRequest
+from cassiadrum.documents import RequestClass, ServiceDocument
+
+__all__ = ["BASE_LOAD", "WARM_UP_S", "class_shares", "make_calls"]
+
+# The load at which the shares of the class profiles hold; what exceeds it is the burst.
+BASE_LOAD = 0.7
+# Time for empty engines and caches to fill before anything is measured.
+WARM_UP_S = 3.0
+# Share of callers that go away before their answer is complete.
+LEAVING_SHARE = 0.005
+LONGEST_ANSWER_TOKENS = 4096.0
+
+
+def make_calls(
+    document: ServiceDocument, scenario: Scenario, load: float, duration_s: float, seed: str
+) -> list[Call]:
+    """Return the calls of one service in order of arrival.
+
+    The work offered in the measured `duration_s` is exactly `load` times the capacity, up to one
+    request for each class and window.
+    """
+    rng = random.Random(f"{seed}/{document.name}/{scenario.name}")
+    capacity = capacity_per_endpoint(document) * healthy_endpoints(document, scenario)
+    windows = ((0.0, WARM_UP_S, min(load, BASE_LOAD)), (WARM_UP_S, duration_s, load))
+    calls = []
+    for cls in document.classes:
+        for start_s, length_s, window_load in windows:
+            base, burst = class_shares(document, scenario, cls, window_load)
+            for share, big in ((base, 0.0), (burst, scenario.burst_customer_share)):
+                maker = _Maker(document, cls, rng, big)
+                calls += maker.make(share * capacity * length_s, start_s, length_s)
+    calls.sort(key=lambda call: (call.req.arrived_s, call.req.request_id))
+    return calls
+
+
+def class_shares(
+    document: ServiceDocument, scenario: Scenario, cls: RequestClass, load: float
+) -> tuple[float, float]:
+    """Return a class's base load and burst load as parts of the capacity."""
+    profiles = PROFILES[document.name]
+    open_classes = [other.name for other in document.classes if not other.protected]
+    bursting = [name for name in open_classes if name in scenario.burst] or open_classes
+    base = profiles[cls.name].share * min(1.0, load / BASE_LOAD)
+    if cls.name not in bursting:
+        return base, 0.0
+    weight = profiles[cls.name].share / sum(profiles[name].share for name in bursting)
+    return base, weight * max(0.0, load - BASE_LOAD)
+
+
+class _Maker:
+    """Draw the calls of one class."""
+
+    def __init__(
+        self, document: ServiceDocument, cls: RequestClass, rng: random.Random, big: float
+    ) -> None:
+        self._document = document
+        self._cls = cls
+        self._profile: ClassProfile = PROFILES[document.name][cls.name]
+        self._rng = rng
+        self._big = big
+
+    def make(self, budget: float, start_s: float, length_s: float) -> list[Call]:
+        """Return calls with `budget` work in total, uniform over the window."""
+        calls = []
+        while budget > 0:
+            customer = self._customer()
+            work = self._work(customer)
+            budget -= work
+            arrived_s = start_s + self._rng.random() * length_s
+            calls.append(self._call(customer, work, arrived_s))
+        return calls
+
+    def _customer(self) -> Customer:
+        if self._rng.random() < self._big:
+            return CUSTOMERS[0]
+        return self._rng.choices(CUSTOMERS, [customer.share for customer in CUSTOMERS])[0]
+
+    def _work(self, customer: Customer) -> float:
+        sigma = self._profile.sigma
+        if not sigma:
+            return self._profile.work
+        mean = self._profile.work * customer.length
+        length = self._rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+        return float(round(min(LONGEST_ANSWER_TOKENS, max(8.0, length))))
+
+    def _call(self, customer: Customer, work: float, arrived_s: float) -> Call:
+        cls, profile = self._cls, self._profile
+        blocks = profile.shared_blocks
+        keys = [f"{cls.name}/{customer.name if block else ''}/{block}" for block in range(blocks)]
+        own = round(self._rng.expovariate(1 / profile.prompt_tokens)) if blocks else 0
+        req = QueuedRequest(
+            request_id=f"{self._document.name}-{self._rng.getrandbits(48):012x}",
+            service=self._document.name,
+            class_name=cls.name,
+            tier=cls.tier,
+            protected=cls.protected,
+            customer=customer.name,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + cls.deadline_s,
+            prompt_tokens=blocks * ENGINE.chunk_tokens + own,
+            prefix_keys=tuple(zlib.crc32(key.encode()) for key in keys),
+            model=self._document.models[0] if self._document.models else "",
+            idempotent=cls.idempotent,
+            once_only=cls.once_only,
+            max_wait_s=cls.max_wait_s,
+            min_share=cls.min_share,
+        )
+        return Call(req, work, leaves_at_s=self._leaves_at(arrived_s))
+
+    def _leaves_at(self, arrived_s: float) -> float:
+        if not self._cls.cancellable or self._rng.random() >= LEAVING_SHARE:
+            return math.inf
+        return arrived_s + self._rng.expovariate(0.5)
