Switch the benchmark to the full parts of the product

Plain strategies are now the product with one part replaced, so that a comparison shows that part alone.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.decisions import QueuedRequest
 
-__all__ = ["Call"]
+__all__ = ["Call", "gap_percentile"]
 
 
 @dataclass(slots=True, eq=False)
@@ -39,11 +39,12 @@
         for gap_s, tokens in gaps.items():
             self.gaps[gap_s] = self.gaps.get(gap_s, 0.0) + tokens
 
-    def gap_percentile(self, quantile: float) -> float:
-        """Return the quantile of the seconds between this request's own tokens."""
-        rank = quantile * sum(self.gaps.values())
-        for gap_s in sorted(self.gaps):
-            rank -= self.gaps[gap_s]
-            if rank <= 1e-9:
-                return gap_s
-        return 0.0
+
+def gap_percentile(gaps: dict[float, float], quantile: float) -> float:
+    """Return the quantile of the seconds between a request's own tokens."""
+    rank = quantile * sum(gaps.values())
+    for gap_s in sorted(gaps):
+        rank -= gaps[gap_s]
+        if rank <= 1e-9:
+            return gap_s
+    return 0.0
--- a/bench/class_measures.py
+++ b/bench/class_measures.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from bench.calls import Call
+from bench.calls import Call, gap_percentile
 from cassiadrum.documents import RequestClass
 
 __all__ = ["ClassMeasure", "in_target", "measure_class"]
@@ -42,7 +42,7 @@
     if call.first_token_at_s is None:
         return False
     first_s = call.first_token_at_s - call.req.arrived_s
-    gap_s = call.gap_percentile(0.95)
+    gap_s = gap_percentile(call.gaps, 0.95)
     return first_s <= cls.target_first_token_s and gap_s <= cls.target_inter_token_s + 1e-9
 
 
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -65,14 +65,13 @@
                 call.first_token_at_s = self._loop.now
             elif call.last_token_at_s is not None:
                 call.take_gaps({self._loop.now - call.last_token_at_s: 1.0})
-            for other in self._places[request_id]:
-                if other != instance:
-                    self._cancel(request_id, other, "duplicate")
 
     def progressed(self, instance: str, request_id: str, tokens: int) -> None:
         """Take tokens of a stream."""
         service = self._calls[request_id].req.service
-        self._dispatchers[service].progressed(instance, request_id, tokens, self._loop.now)
+        dispatcher = self._dispatchers[service]
+        actions = dispatcher.progressed(instance, request_id, tokens, self._loop.now)
+        self._carry_out(actions)
 
     def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
         """Take the end of an attempt."""
@@ -85,10 +84,7 @@
         dispatcher = self._dispatchers[call.req.service]
         if call.open and outcome.ok and (owner or not call.owner):
             self._close(call, "done")
-        if not places:
-            # An attempt that nobody waits for is not repeated.
-            seen = outcome if call.open else outcome._replace(ok=True)
-            self._carry_out(dispatcher.finished(request_id, seen, self._loop.now))
+        self._carry_out(dispatcher.finished(request_id, outcome, self._loop.now, instance))
 
     def reported(self, service: str, rep: EndpointReport) -> None:
         """Take a load report."""
@@ -132,15 +128,16 @@
 
     def _caller_left(self, call: Call) -> None:
         if call.open:
-            request_id = call.req.request_id
             self._close(call, "cancelled")
-            self._withdraw(call, request_id, "cancelled")
+            self._withdraw(call, call.req.request_id, "cancelled")
 
     def _withdraw(self, call: Call, request_id: str, reason: str) -> None:
         dispatcher = self._dispatchers[call.req.service]
-        for instance in self._places[request_id]:
-            self._cancel(request_id, instance, reason)
-        self._carry_out(dispatcher.cancelled(request_id, self._loop.now))
+        for action in dispatcher.cancelled(request_id, self._loop.now):
+            if isinstance(action, Cancel):
+                self._cancel(request_id, action.instance, reason)
+            else:
+                self._carry_out([action])
 
     def _resend(self, call: Call, request_id: str) -> None:
         """Send a request again from its start, as a caller with a time limit does."""
--- a/bench/plain_strategies.py
+++ b/bench/plain_strategies.py
@@ -3,64 +3,49 @@
 import random
 from collections.abc import Callable
 
-from bench.capacities import best_batch
 from bench.fifo_queues import FifoQueue
 from bench.hash_affinity_choosers import HashAffinityChooser
-from bench.products import QUEUE_REQUESTS
+from bench.parts import Parts
+from bench.products import QUEUE_REQUESTS, build, product_parts, product_scheduler
 from bench.random_choosers import RandomChooser
 from bench.reported_load_choosers import ReportedLoadChooser
 from bench.round_robin_choosers import RoundRobinChooser
 from bench.strategies import Strategy
-from cassiadrum.decisions import (
-    Dispatcher,
-    EndpointChooser,
-    EndpointScheduler,
-    LeastOutstandingChooser,
-    RequestQueue,
-    StrictTierQueue,
-)
+from bench.unbudgeted_retries import UnbudgetedRetry
+from cassiadrum.decisions import Dispatcher
 from cassiadrum.documents import RequestClass, ServiceDocument
 
-__all__ = ["plain_strategies"]
+__all__ = ["changed", "plain_strategies"]
 
 # Output tokens that a caller with a time limit allows for, more than most answers have.
 ALLOWED_TOKENS = 400
 
+Change = Callable[[Parts, str], Parts]
+
 
 def plain_strategies() -> dict[str, Strategy]:
-    """Return the plain strategies by name; each differs from the others in one part."""
-    choosers: dict[str, Callable[[str], EndpointChooser]] = {
-        "random": lambda seed: RandomChooser(random.Random(seed)),
-        "round-robin": lambda seed: RoundRobinChooser(),
-        "reported-load": lambda seed: ReportedLoadChooser(),
-        "hash-affinity": lambda seed: HashAffinityChooser(),
-    }
-    strategies = {
-        name: Strategy(name, _with(_tier_queue, chooser), _scheduler)
-        for name, chooser in choosers.items()
+    """Return the plain strategies by name; each is the product with one part replaced."""
+    changes: dict[str, Change] = {
+        "random": lambda parts, seed: parts._replace(chooser=RandomChooser(random.Random(seed))),
+        "round-robin": lambda parts, seed: parts._replace(chooser=RoundRobinChooser()),
+        "reported-load": lambda parts, seed: parts._replace(chooser=ReportedLoadChooser()),
+        "hash-affinity": lambda parts, seed: parts._replace(chooser=HashAffinityChooser()),
+        "fifo": lambda parts, seed: parts._replace(queue=FifoQueue(QUEUE_REQUESTS)),
+        "unbudgeted-retry": lambda parts, seed: parts._replace(retry=UnbudgetedRetry()),
     }
-    least = _with(_tier_queue, lambda seed: LeastOutstandingChooser())
-    fifo = _with(lambda: FifoQueue(QUEUE_REQUESTS), lambda seed: LeastOutstandingChooser())
-    strategies["fifo"] = Strategy("fifo", fifo, _scheduler)
-    strategies["unbudgeted-retry"] = Strategy("unbudgeted-retry", least, _scheduler, _resend_after)
+    strategies = {name: changed(name, change) for name, change in changes.items()}
+    retry = strategies["unbudgeted-retry"]
+    strategies["unbudgeted-retry"] = retry._replace(resend_after_s=_resend_after)
     return strategies
 
 
-def _with(
-    make_queue: Callable[[], RequestQueue], make_chooser: Callable[[str], EndpointChooser]
-) -> Callable[[ServiceDocument, int, str], Dispatcher]:
-    def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
-        return Dispatcher(make_queue(), make_chooser(seed))
-
-    return make
-
-
-def _tier_queue() -> RequestQueue:
-    return StrictTierQueue(QUEUE_REQUESTS)
+def changed(name: str, change: Change) -> Strategy:
+    """Return the product with some parts of its dispatchers replaced."""
 
+    def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
+        return build(change(product_parts(document, seed), seed))
 
-def _scheduler(document: ServiceDocument) -> EndpointScheduler:
-    return EndpointScheduler(best_batch(document), best_batch(document))
+    return Strategy(name, make, product_scheduler)
 
 
 def _resend_after(cls: RequestClass) -> float:
--- a/bench/products.py
+++ b/bench/products.py
@@ -1,29 +1,90 @@
 """The strategy of the product: the only file that names its parts."""
 
+import random
+
 from bench.capacities import best_batch
+from bench.parts import Parts
 from bench.strategies import Strategy
 from cassiadrum.decisions import (
+    BudgetRetryPolicy,
+    DeadlineAdmission,
     Dispatcher,
     EndpointScheduler,
-    LeastOutstandingChooser,
-    StrictTierQueue,
+    FairTierQueue,
+    FixedLimit,
+    LatencyTargets,
+    LatencyTrackingLimit,
+    PausePreemption,
+    QuantileLengthEstimator,
+    WasteBoundHedgePolicy,
+    WeightedChooser,
 )
 from cassiadrum.defaults import SETTINGS_DEFAULTS
 from cassiadrum.documents import ServiceDocument
 
-__all__ = ["product"]
+__all__ = ["QUEUE_REQUESTS", "build", "product", "product_parts", "product_scheduler"]
 
 QUEUE_REQUESTS = int(str(SETTINGS_DEFAULTS["limits.queue_requests"]))
+# The mean of a lognormal length with a spread of 0.8 to 1.0 is near its 0.67 quantile.
+COST_QUANTILE = 0.67
+# Lets the limit grow beyond the best batch, so that it is the measured latency that stops it.
+LIMIT_HEADROOM = 2
 
 
 def product(queue_requests: int = QUEUE_REQUESTS) -> Strategy:
     """Return the strategy that the daemon uses."""
 
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
-        return Dispatcher(StrictTierQueue(queue_requests), LeastOutstandingChooser())
+        return build(product_parts(document, seed, queue_requests))
+
+    return Strategy("product", make, product_scheduler)
+
+
+def build(parts: Parts) -> Dispatcher:
+    """Return the dispatcher of the parts."""
+    return Dispatcher(
+        parts.queue,
+        parts.chooser,
+        admission=parts.admission,
+        estimator=parts.estimator,
+        retry=parts.retry,
+        hedge=parts.hedge,
+        uncancellable=parts.uncancellable,
+    )
+
 
-    return Strategy("product", make, _scheduler)
+def product_parts(
+    document: ServiceDocument, seed: str, queue_requests: int = QUEUE_REQUESTS
+) -> Parts:
+    """Return the parts of one service's dispatcher."""
+    estimator = QuantileLengthEstimator()
+    queue = FairTierQueue(
+        queue_requests,
+        estimate_tokens=lambda req: estimator.estimate(
+            req.class_name, req.customer, COST_QUANTILE
+        ),
+    )
+    return Parts(
+        queue,
+        WeightedChooser(random.Random(seed), streams_tokens=document.kind == "model"),
+        DeadlineAdmission(),
+        estimator,
+        BudgetRetryPolicy({cls.name: cls.retry_budget for cls in document.classes}),
+        WasteBoundHedgePolicy({cls.name: cls.hedge_budget for cls in document.classes}),
+        frozenset(cls.name for cls in document.classes if not cls.cancellable),
+    )
 
 
-def _scheduler(document: ServiceDocument) -> EndpointScheduler:
-    return EndpointScheduler(best_batch(document), best_batch(document))
+def product_scheduler(document: ServiceDocument) -> EndpointScheduler:
+    """Return the scheduler of one endpoint, with the limit that its operator configured."""
+    batch = best_batch(document)
+    if document.kind == "plain":
+        return EndpointScheduler(FixedLimit(batch))
+    targets = {
+        cls.name: LatencyTargets(cls.target_first_token_s, cls.target_inter_token_s)
+        for cls in document.classes
+    }
+    strictest = min(targets.values(), key=lambda target: target.inter_token_s)
+    limit = LatencyTrackingLimit(strictest, LIMIT_HEADROOM * batch, batch, targets)
+    pausable = [cls.name for cls in document.classes if cls.cancellable]
+    return EndpointScheduler(limit, preemption=PausePreemption(pausable))
--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -22,6 +22,7 @@
         loop: EventLoop,
         sidecar: Sidecar,
         zone: str,
+        models: tuple[str, ...],
         listeners: Sequence[Listener],
         scenario: Scenario,
         rng: random.Random,
@@ -29,6 +30,7 @@
         self._loop = loop
         self._sidecar = sidecar
         self._zone = zone
+        self._models = models
         self._listeners = listeners
         self._scenario = scenario
         self._rng = rng
@@ -53,7 +55,7 @@
     def _figures(self) -> tuple[int, int, int]:
         scheduler = self._sidecar.scheduler
         limit = 0 if self._sidecar.down else scheduler.limit
-        return scheduler.running(), scheduler.waiting(), limit
+        return scheduler.running(), scheduler.waiting() + scheduler.paused(), limit
 
     def _send_report(self, lag_s: float) -> None:
         now = self._loop.now
@@ -61,7 +63,12 @@
         rate = (produced - self._tokens) / (now - self._sent_at_s) if now > 0 else 0.0
         self._tokens, self._sent_at_s, self._last = produced, now, self._figures()
         rep = EndpointReport(
-            self._sidecar.instance, self._zone, *self._last, now, tokens_per_s=rate
+            self._sidecar.instance,
+            self._zone,
+            *self._last,
+            now,
+            models=self._models,
+            tokens_per_s=rate,
         )
         for listener in self._listeners:
             self._loop.after(lag_s + LINK_S, listener.reported, self._sidecar.service, rep)
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -1,6 +1,6 @@
 """A sidecar of the benchmark: one endpoint and its scheduler."""
 
-from bench.calls import Call
+from bench.calls import Call, gap_percentile
 from bench.engine_profiles import ENGINE
 from bench.engines import FakeEngine
 from bench.event_loops import EventLoop
@@ -90,6 +90,7 @@
             tokens = int(stream.produced - stream.reported)
             if tokens:
                 stream.reported += tokens
+                self.scheduler.progressed(request_id, tokens, self._loop.now)
                 listener = self._held[request_id][1]
                 message = (self.instance, request_id, tokens)
                 self._loop.after(LINK_S, listener.progressed, *message)
@@ -123,7 +124,11 @@
 
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
-        self._end(stream.request_id, Outcome(True, Ran.YES, round(stream.call.work)))
+        self._end(stream.request_id, Outcome(True, Ran.YES, self._tokens(stream)))
+        if stream.started_at_s is not None:
+            first_s = stream.started_at_s - stream.arrived_at_s
+            times = (stream.request_id, first_s, gap_percentile(stream.gaps, 0.95))
+            self._carry_out(self.scheduler.observed(*times, self._loop.now))
         self._carry_out(self.scheduler.finished(stream.request_id, self._loop.now))
 
     def _crash_seen(self, lost: list[Stream]) -> None:
@@ -147,7 +152,11 @@
     def _failed(self, stream: Stream, reason: str) -> Outcome:
         """Return the outcome of an attempt that did not complete, and keep what was delivered."""
         self._deliver(stream, reason)
-        return Outcome(False, Ran.UNKNOWN, int(stream.produced), reason)
+        return Outcome(False, Ran.UNKNOWN, self._tokens(stream), reason)
+
+    def _tokens(self, stream: Stream) -> int:
+        """Return the tokens that the attempt produced; a plain service has none."""
+        return round(stream.produced) if isinstance(self.endpoint, FakeEngine) else 0
 
     def _deliver(self, stream: Stream, reason: str) -> None:
         """Credit the caller with what its stream produced, or count it as wasted."""
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -101,12 +101,13 @@
 
     def _start_reports(self) -> None:
         for index, (name, sidecar) in enumerate(self.sidecars.items()):
-            zones = self.documents[sidecar.service].zones
+            document = self.documents[sidecar.service]
             rng = random.Random(f"{self.spec.seed}/reports/{name}")
             reporter = Reporter(
                 loop=self.loop,
                 sidecar=sidecar,
-                zone=zones[index % len(zones)],
+                zone=document.zones[index % len(document.zones)],
+                models=document.models,
                 listeners=self._entries,
                 scenario=self.scenario,
                 rng=rng,
