--- a/cassiadrum/decisions/__init__.py
+++ b/cassiadrum/decisions/__init__.py
@@ -39,6 +39,7 @@
 from cassiadrum.decisions.pause_preemptions import PausePreemption
 from cassiadrum.decisions.preemption_policies import PreemptionPolicy
 from cassiadrum.decisions.prefix_indexes import PrefixIndex
+from cassiadrum.decisions.prefix_keys import prefix_keys
 from cassiadrum.decisions.quantile_length_estimators import QuantileLengthEstimator
 from cassiadrum.decisions.queue_charges import QueueCharge
 from cassiadrum.decisions.queue_entries import QueueEntry
@@ -124,5 +125,6 @@
     "WaitPredictor",
     "WasteBoundHedgePolicy",
     "WeightedChooser",
+    "prefix_keys",
     "wait_bound_s",
 ]
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -183,7 +183,8 @@
         if tracked.abandoned:
             return []
         req, ran = tracked.req, tracked.attempt_ran
-        if tracked.may_repeat and self._retry.may_retry(req, ran, now):
+        may_repeat = tracked.may_repeat and not outcome.final
+        if may_repeat and self._retry.may_retry(req, ran, now):
             tracked.next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -75,8 +75,10 @@
 
     async def _connect(self) -> _Connection:
         try:
-            opening = asyncio.open_connection(self._host, self._port, ssl=self._tls)
-            reader, writer = await asyncio.wait_for(opening, self._connect_timeout_s)
+            async with asyncio.timeout(self._connect_timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    self._host, self._port, ssl=self._tls
+                )
         except (OSError, TimeoutError) as exc:
             raise ConnectFailed(f"{self._host}:{self._port}: {exc}") from exc
         return _Connection(h11.Connection(h11.CLIENT), reader, writer)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -89,7 +89,8 @@
             self._writer.write(self._conn.send(reply) or b"")
         timeout = max(0.0, self._deadline - self._now())
         try:
-            data = await asyncio.wait_for(self._reader.read(READ_BYTES), timeout)
+            async with asyncio.timeout(timeout):
+                data = await self._reader.read(READ_BYTES)
         except TimeoutError as exc:
             if started:
                 limit = f"{self._read_timeout_s:g} s"
