--- a/bench/products.py
+++ b/bench/products.py
@@ -11,7 +11,6 @@
     Dispatcher,
     EndpointScheduler,
     FairTierQueue,
-    FixedLimit,
     LatencyTargets,
     LatencyTrackingLimit,
     PausePreemption,
@@ -76,15 +75,19 @@
 
 
 def product_scheduler(document: ServiceDocument) -> EndpointScheduler:
-    """Return the scheduler of one endpoint, with the limit that its operator configured."""
+    """Return the scheduler of one endpoint; the limit starts at half of its maximum."""
     batch = best_batch(document)
     if document.kind == "plain":
-        return EndpointScheduler(FixedLimit(batch))
+        plain = {cls.name: LatencyTargets(cls.target_total_s) for cls in document.classes}
+        return EndpointScheduler(_limit(batch, plain))
     targets = {
         cls.name: LatencyTargets(cls.target_first_token_s, cls.target_inter_token_s)
         for cls in document.classes
     }
-    strictest = min(targets.values(), key=lambda target: target.inter_token_s)
-    limit = LatencyTrackingLimit(strictest, LIMIT_HEADROOM * batch, batch, targets)
-    pausable = [cls.name for cls in document.classes if cls.cancellable]
+    pausable = [cls.name for cls in document.classes if cls.cancellable and not cls.protected]
+    limit = _limit(LIMIT_HEADROOM * batch, targets)
     return EndpointScheduler(limit, preemption=PausePreemption(pausable))
+
+
+def _limit(maximum: int, targets: dict[str, LatencyTargets]) -> LatencyTrackingLimit:
+    return LatencyTrackingLimit(LatencyTargets(0.0), maximum, maximum // 2, targets)
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -129,10 +129,11 @@
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
         self._end(stream.request_id, Outcome(True, Ran.YES, self._tokens(stream)))
-        if stream.started_at_s is not None:
-            first_s = stream.started_at_s - stream.arrived_at_s
-            times = (stream.request_id, first_s, gap_percentile(stream.gaps, 0.95))
-            self._carry_out(self.scheduler.observed(*times, self._loop.now))
+        # A plain call shows one time only, that of its whole answer.
+        first_at_s = self._loop.now if stream.started_at_s is None else stream.started_at_s
+        first_s, gap_s = first_at_s - stream.arrived_at_s, gap_percentile(stream.gaps, 0.95)
+        now = self._loop.now
+        self._carry_out(self.scheduler.observed(stream.request_id, first_s, gap_s, now))
         self._carry_out(self.scheduler.finished(stream.request_id, self._loop.now))
 
     def _crash_seen(self, lost: list[Stream]) -> None:
--- a/bench/unbudgeted_retries.py
+++ b/bench/unbudgeted_retries.py
@@ -1,15 +1,17 @@
 """Retries without a budget."""
 
-from cassiadrum.decisions import QueuedRequest, Ran, RetryPolicy
+from cassiadrum.decisions import BudgetRetryPolicy, QueuedRequest, Ran
 
 __all__ = ["UnbudgetedRetry"]
 
 
-class UnbudgetedRetry(RetryPolicy):
-    """Repeat every failed attempt that may be repeated, until the deadline."""
+class UnbudgetedRetry(BudgetRetryPolicy):
+    """Repeat every failed attempt that may have run, until the deadline.
 
-    def accepted(self, req: QueuedRequest) -> None:
-        pass
+    Attempts that did not run cost no tokens and follow the same rule as in the product.
+    """
 
     def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
-        return now < req.deadline_s and (ran is Ran.NO or req.idempotent)
+        if ran is Ran.NO:
+            return super().may_retry(req, ran, now)
+        return now < req.deadline_s and req.idempotent
