Place protected work while no slot is free, and count endpoints without a scan

Cause: the dispatcher asked for an endpoint only while it saw a free slot, so a protected request never reached a full endpoint's short queue, where the sidecar serves it first; other entry instances took each slot that became free. The check for a usable endpoint also visited the whole subset on every event.

Change: RequestQueue.protected_waiting lets the dispatcher try for protected work at any time, and EndpointChooser.count and offers answer in constant time.

--- a/bench/operation_counts.py
+++ b/bench/operation_counts.py
@@ -15,7 +15,7 @@
 
 SUBSETS = (8, 64, 512)
 QUEUES = (10, 1_000, 100_000)
-DECISIONS = 20
+DECISIONS = 100
 
 
 class CountedId(str):
--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -40,7 +40,7 @@
 
     def connected(self) -> bool:
         """Tell whether any endpoint can take new work."""
-        return any(name not in self._lost for name in self._chooser.instances())
+        return self._usable_besides(self._lost) > 0
 
     def free_slots(self) -> int:
         """Return the number of free slots, 0 when no endpoint is connected."""
@@ -64,8 +64,7 @@
         """
         exclude = self._lost | set(tracked.copies)
         exclude |= self._cancelled.instances(tracked.req.request_id)
-        others = set(self._chooser.instances()) - exclude - {tracked.failed_at}
-        if others:
+        if self._usable_besides(exclude | {tracked.failed_at}):
             exclude.add(tracked.failed_at)
         return self._chooser.choose(tracked.req, now, exclude)
 
@@ -110,6 +109,9 @@
         for copy in self._cancelled.pop_late(now):
             self._settle(copy, 0, now)
 
+    def _usable_besides(self, excluded: set[str]) -> int:
+        return self._chooser.count() - sum(self._chooser.offers(name) for name in excluded)
+
     def _settle(self, copy: CancelledCopy, tokens: int, now: float) -> None:
         self._chooser.finished(copy.instance, copy.request_id, True, now)
         if copy.hedge:
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -223,7 +223,7 @@
         late = self._queue.expired(now)
         actions = [self._refuse_waiting(req, "deadline") for req in late]
         set_aside: list[QueuedRequest] = []
-        while len(set_aside) < MAX_SET_ASIDE and self._attempts.free_slots() > 0:
+        while len(set_aside) < MAX_SET_ASIDE and self._may_place():
             req = self._queue.pop(now)
             if req is None:
                 break
@@ -240,6 +240,10 @@
             actions += self._refuse_evicted(self._queue.requeue(req, now))
         return actions
 
+    def _may_place(self) -> bool:
+        # Protected work may also go to a full endpoint's short queue, which only `choose` knows.
+        return self._attempts.free_slots() > 0 or self._queue.protected_waiting()
+
     def _hedge_slow(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for tracked in self._attempts.running.values():
--- a/cassiadrum/decisions/endpoint_choosers.py
+++ b/cassiadrum/decisions/endpoint_choosers.py
@@ -47,3 +47,11 @@
     @abstractmethod
     def instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
+
+    def count(self) -> int:
+        """Return the number of endpoints that may take new work."""
+        return len(self.instances())
+
+    def offers(self, instance: str) -> bool:
+        """Return whether the endpoint may take new work."""
+        return instance in self.instances()
--- a/cassiadrum/decisions/fair_tier_queues.py
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -108,6 +108,10 @@
             ahead += own.ahead_tokens(req.customer, self._cost(req))
         return ahead
 
+    def protected_waiting(self) -> bool:
+        """Return whether a protected request waits; it is then the next to be popped."""
+        return any(cls.protected and len(cls) for cls in self._classes.values())
+
     def __len__(self) -> int:
         return len(self._entries)
 
--- a/cassiadrum/decisions/request_queues.py
+++ b/cassiadrum/decisions/request_queues.py
@@ -34,5 +34,9 @@
     def ahead_tokens(self, req: QueuedRequest) -> float:
         """Return the estimated output tokens that are served before `req` would be."""
 
+    def protected_waiting(self) -> bool:
+        """Return whether a protected request waits; it is then the next to be popped."""
+        return False
+
     @abstractmethod
     def __len__(self) -> int: ...
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -51,6 +51,8 @@
         self._states: dict[str, EndpointState] = {}
         self._open = CapabilityIndex()  # with a free slot
         self._queueable = CapabilityIndex()  # with room in the short queue for protected work
+        # Neither leaving nor ejected, in order of arrival.
+        self._usable: dict[str, None] = {}
         self._free: dict[str, int] = {}
         self._free_total = 0
         self._first_report_s: float | None = None
@@ -131,11 +133,15 @@
 
     def instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
-        return [
-            name
-            for name, state in self._states.items()
-            if not state.report.leaving and state.health is not HealthState.EJECTED
-        ]
+        return list(self._usable)
+
+    def count(self) -> int:
+        """Return the number of endpoints that may take new work."""
+        return len(self._usable)
+
+    def offers(self, instance: str) -> bool:
+        """Return whether the endpoint may take new work."""
+        return instance in self._usable
 
     def health(self) -> dict[str, HealthState]:
         """Return the health of every connected endpoint."""
@@ -204,6 +210,7 @@
         if state.report.leaving or state.health is HealthState.EJECTED:
             self._withdraw(instance)
             return
+        self._usable[instance] = None
         slots, outstanding = state.slots(now), state.outstanding()
         queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
         free = max(0, slots - outstanding)
@@ -218,6 +225,7 @@
                 index.discard(instance)
 
     def _withdraw(self, instance: str) -> None:
+        self._usable.pop(instance, None)
         self._open.discard(instance)
         self._queueable.discard(instance)
         self._set_free(instance, 0)
