Smooth other instances' load over old reports, and pause after a rejection

Cause: with reports 2 s old all entry instances fill an endpoint together, then all wait until the reports show the excess, and the endpoint idles meanwhile. Work that was rejected went straight back to the same full endpoints and used up its eight attempts within milliseconds.

Change: outstanding work is the own streams plus a smoothed count of the others', with a time constant that follows the reports' age and the share of the others; fresh reports count at once. An endpoint that rejected work gets none for 0.1 s, the time after which it has reported.

--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -5,6 +5,7 @@
 from cassiadrum.decisions.endpoint_choosers import EndpointChooser
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.hedge_policies import HedgePolicy
+from cassiadrum.decisions.outcomes import Outcome, Ran
 from cassiadrum.decisions.tracked_requests import TrackedRequest
 
 __all__ = ["AttemptTable"]
@@ -76,9 +77,13 @@
         tracked.copies[instance] = now
         self._chooser.dispatched(instance, tracked.req, now)
 
-    def end(self, tracked: TrackedRequest, instance: str, healthy: bool, now: float) -> float:
+    def end(self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float) -> float:
         """Count the end of a copy and return for how many seconds it ran."""
-        self._chooser.finished(instance, tracked.req.request_id, healthy, now)
+        # A rejection as not run says nothing against the endpoint's health.
+        if not outcome.ok and outcome.ran is Ran.NO:
+            self._chooser.rejected(instance, tracked.req.request_id, now)
+        else:
+            self._chooser.finished(instance, tracked.req.request_id, outcome.ok, now)
         started_s = tracked.copies.pop(instance)
         if not tracked.copies:
             self._forget(tracked)
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -163,9 +163,7 @@
     def _ended(
         self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float
     ) -> list[Action]:
-        # A rejection as not run says nothing against the endpoint's health.
-        healthy = outcome.ok or outcome.ran is Ran.NO
-        duration_s = self._attempts.end(tracked, instance, healthy, now)
+        duration_s = self._attempts.end(tracked, instance, outcome, now)
         if outcome.ok:
             self._hedge.useful(outcome.tokens)
             self._predictor.answered(tracked.req, outcome.tokens, duration_s)
--- a/cassiadrum/decisions/endpoint_choosers.py
+++ b/cassiadrum/decisions/endpoint_choosers.py
@@ -32,6 +32,10 @@
     def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
         """Count the end of an attempt; `ok` is False when the endpoint failed it."""
 
+    def rejected(self, instance: str, request_id: str, now: float) -> None:
+        """Count an attempt that the endpoint rejected as not run."""
+        self.finished(instance, request_id, True, now)
+
     @abstractmethod
     def cached(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take prefix keys that the endpoint says it holds in its cache."""
--- a/cassiadrum/decisions/endpoint_states.py
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -1,5 +1,6 @@
 """What an entry instance knows of one connected endpoint."""
 
+import math
 from collections import deque
 
 from cassiadrum.decisions.capability_indexes import capabilities_of
@@ -14,6 +15,9 @@
 MIN_GAP_SAMPLES = 5
 # A new endpoint's caches are cold; its limit rises linearly over this time.
 SLOW_START_S = 10.0
+# With n entry instances and reports of age L, the feedback is stable from about 0.6 * n * L on;
+# twice that leaves a margin.
+SMOOTHED_AGES = 1.2
 
 
 class EndpointState:
@@ -35,15 +39,20 @@
         # Own inter-token time relative to the median at similar batch size; at least 1.
         self.slowdown = 1.0
         self.last_progress_s = now
+        # Set by a rejection: there is no room whatever the last report says.
+        self.full_until_s = now
         self._ramp_from_s = now - SLOW_START_S if warm else now
         self._gaps: deque[float] = deque(maxlen=GAP_SAMPLES)
         # Times of own dispatches and completions that the last report cannot show.
         self._dispatches: deque[float] = deque()
         self._completions: deque[float] = deque()
+        # Estimated requests of other entry instances.
+        self._others = self._others_at_report()
 
-    def take_report(self, rep: EndpointReport) -> bool:
+    def take_report(self, rep: EndpointReport, now: float) -> bool:
         """Replace the report if `rep` is newer; return False for an old or duplicate one."""
-        if rep.reported_s <= self.report.reported_s:
+        previous_s = self.report.reported_s
+        if rep.reported_s <= previous_s:
             return False
         loaded = (self.report.models, self.report.adapters)
         if loaded != (rep.models, rep.adapters):
@@ -52,6 +61,7 @@
         for times in (self._dispatches, self._completions):
             while times and times[0] <= rep.reported_s:
                 times.popleft()
+        self._follow_others(now - rep.reported_s, rep.reported_s - previous_s)
         return True
 
     def start(self, request_id: str, uncached_tokens: float, now: float) -> None:
@@ -83,9 +93,24 @@
 
     def outstanding(self) -> int:
         """Return the estimated number of requests at the endpoint from all entry instances."""
-        reported = self.report.running + self.report.queued
-        estimate = reported + len(self._dispatches) - len(self._completions)
-        return max(estimate, len(self.streams))
+        return len(self.streams) + max(0, round(self._others))
+
+    def _follow_others(self, age_s: float, interval_s: float) -> None:
+        """Smooth the number of other entry instances' requests over the age of the reports.
+
+        All entry instances act on the same old report. Without smoothing they fill the endpoint
+        together, then all wait until reports show the excess, and it runs idle meanwhile. The
+        more of them there are, the slower each has to follow.
+        """
+        others = self._others_at_report()
+        ratio = 1.0 + max(others, self._others) / max(1, len(self.streams))
+        span_s = max(age_s, 0.0) * ratio * SMOOTHED_AGES
+        weight = 1.0 if span_s <= 0.0 else 1.0 - math.exp(-interval_s / span_s)
+        self._others += weight * (others - self._others)
+
+    def _others_at_report(self) -> float:
+        own = len(self.streams) - len(self._dispatches) + len(self._completions)
+        return max(0.0, self.report.running + self.report.queued - own)
 
     def slots(self, now: float) -> int:
         """Return the limit on outstanding requests that this entry instance respects now."""
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -23,6 +23,8 @@
 # At 64 endpoints this bounds the prefix index to 32,768 entries of a few hundred bytes.
 PREFIX_KEYS_PER_ENDPOINT = 512
 REMEMBERED_REMOVALS = 256
+# A sidecar reports a change after at most this time.
+REJECT_PAUSE_S = LIMITS.REPORT_MIN_INTERVAL_S
 
 
 class WeightedChooser(EndpointChooser):
@@ -53,6 +55,8 @@
         self._queueable = CapabilityIndex()  # with room in the short queue for protected work
         # Neither leaving nor ejected, in order of arrival.
         self._usable: dict[str, None] = {}
+        # Endpoints that rejected work a short time ago, in order of the rejections.
+        self._full: dict[str, None] = {}
         self._free: dict[str, int] = {}
         self._free_total = 0
         self._first_report_s: float | None = None
@@ -64,12 +68,13 @@
         self._seen_s = max(self._seen_s, now)
         state = self._states.get(rep.instance)
         was_leaving = state is not None and state.report.leaving
-        taken = state.take_report(rep) if state else self._add(rep, now)
+        taken = state.take_report(rep, now) if state else self._add(rep, now)
         if not taken:
             return
         if rep.leaving != was_leaving:
             self._restore_bound(now)
         self._refresh(rep.instance, now)
+        self._release_full(now)
         self._check(now)
 
     def remove(self, instance: str) -> None:
@@ -115,6 +120,15 @@
         self._refresh(instance, now)
         self._check(now)
 
+    def rejected(self, instance: str, request_id: str, now: float) -> None:
+        """Count a rejection; the endpoint gets no new work until it had time to report."""
+        state = self._states.get(instance)
+        if state is not None and instance in self._usable:
+            state.full_until_s = now + REJECT_PAUSE_S
+            self._full.pop(instance, None)
+            self._full[instance] = None
+        self.finished(instance, request_id, True, now)
+
     def cached(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take prefix keys that the endpoint says it holds in its cache."""
         if instance in self._states:
@@ -211,6 +225,9 @@
             self._withdraw(instance)
             return
         self._usable[instance] = None
+        if now < state.full_until_s:
+            self._close(instance)
+            return
         slots, outstanding = state.slots(now), state.outstanding()
         queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
         free = max(0, slots - outstanding)
@@ -224,8 +241,18 @@
             else:
                 index.discard(instance)
 
+    def _release_full(self, now: float) -> None:
+        """Let endpoints take new work again some time after they rejected some."""
+        while self._full and self._states[first := next(iter(self._full))].full_until_s <= now:
+            del self._full[first]
+            self._refresh(first, now)
+
     def _withdraw(self, instance: str) -> None:
         self._usable.pop(instance, None)
+        self._full.pop(instance, None)
+        self._close(instance)
+
+    def _close(self, instance: str) -> None:
         self._open.discard(instance)
         self._queueable.discard(instance)
         self._set_free(instance, 0)
