--- a/bench/prefix_caches.py
+++ b/bench/prefix_caches.py
@@ -19,7 +19,8 @@
             if key not in self._blocks:
                 break
             found += 1
-        for key in keys:
+        # A block without those before it is useless, so the last ones are to be evicted first.
+        for key in reversed(keys):
             self._blocks[key] = None
             self._blocks.move_to_end(key)
         while len(self._blocks) > self._capacity:
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -17,8 +17,10 @@
 
 # The load at which the shares of the class profiles hold; what exceeds it is the burst.
 BASE_LOAD = 0.7
-# Time for empty engines and caches to fill before anything is measured.
-WARM_UP_S = 3.0
+# Time for empty engines and caches to fill, and then for the batches to grow with the load, before
+# anything is measured.
+FILL_S = 2.0
+WARM_UP_S = 5.0
 # Share of callers that go away before their answer is complete.
 LEAVING_SHARE = 0.005
 LONGEST_ANSWER_TOKENS = 4096.0
@@ -34,7 +36,11 @@
     """
     rng = random.Random(f"{seed}/{document.name}/{scenario.name}")
     capacity = capacity_per_endpoint(document) * healthy_endpoints(document, scenario)
-    windows = ((0.0, WARM_UP_S, min(load, BASE_LOAD)), (WARM_UP_S, duration_s, load))
+    windows = (
+        (0.0, FILL_S, min(load, BASE_LOAD)),
+        (FILL_S, WARM_UP_S - FILL_S, load),
+        (WARM_UP_S, duration_s, load),
+    )
     calls = []
     for cls in document.classes:
         for start_s, length_s, window_load in windows:
