Fill idle slots behind old reports, and requeue rejected work until its deadline

Cause: with old reports a slot that another entry instance left free stays idle for the reports' age, although the sidecar's short queue could hold work for it. A request that sidecars rejected eight times was refused although it had been accepted and its deadline was far away, and its rejections also used up the attempts after an engine crash.

Rejections are bounded by the deadline, or by eight attempts when there is none, and are counted apart from attempts that may have run.

--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -1,5 +1,6 @@
 """Retries within a share of the accepted work."""
 
+import math
 from collections.abc import Mapping
 
 from cassiadrum.decisions.outcomes import Ran
@@ -10,7 +11,8 @@
 
 DEFAULT_BUDGET = 0.1
 MAX_ATTEMPTS = 3
-# Attempts rejected as not run cost no capacity, so more of them are allowed than of others.
+# Attempts rejected as not run cost no capacity, so a request goes on until its deadline; this
+# bounds one that has none.
 MAX_REJECTED_ATTEMPTS = 8
 # Bounds the retries that a class with much earlier traffic can send in one burst.
 MAX_SAVED_RETRIES = 100.0
@@ -47,7 +49,7 @@
         if now >= req.deadline_s:
             return False
         if ran is Ran.NO:
-            return req.attempt + 1 < MAX_REJECTED_ATTEMPTS
+            return req.deadline_s < math.inf or req.attempt + 1 < MAX_REJECTED_ATTEMPTS
         if not req.idempotent or req.once_only or req.attempt + 1 >= MAX_ATTEMPTS:
             return False
         saved = self._saved.get(req.class_name, 0.0)
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -182,7 +182,8 @@
             return []
         req, ran = tracked.req, tracked.attempt_ran
         may_repeat = tracked.may_repeat and not outcome.final
-        if may_repeat and self._retry.may_retry(req, ran, now):
+        alike = req._replace(attempt=tracked.attempts_alike)
+        if may_repeat and self._retry.may_retry(alike, ran, now):
             tracked.next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
--- a/cassiadrum/decisions/endpoint_states.py
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -7,6 +7,7 @@
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.health_states import HealthState
 from cassiadrum.decisions.own_streams import OwnStream
+from cassiadrum.defaults import LIMITS
 
 __all__ = ["EndpointState"]
 
@@ -18,6 +19,10 @@
 # With n entry instances and reports of age L, the feedback is stable from about 0.6 * n * L on;
 # twice that leaves a margin.
 SMOOTHED_AGES = 1.2
+# Part of the short queue that is used when reports are older than their longest interval.
+EARLY_PART = 0.5
+# The age follows about the last eight reports, so that one delayed report changes little.
+AGE_GAIN = 1 / 8
 
 
 class EndpointState:
@@ -46,6 +51,7 @@
         # Times of own dispatches and completions that the last report cannot show.
         self._dispatches: deque[float] = deque()
         self._completions: deque[float] = deque()
+        self._age_s = 0.0
         # Estimated requests of other entry instances.
         self._others = self._others_at_report()
 
@@ -61,6 +67,7 @@
         for times in (self._dispatches, self._completions):
             while times and times[0] <= rep.reported_s:
                 times.popleft()
+        self._age_s += AGE_GAIN * (max(0.0, now - rep.reported_s) - self._age_s)
         self._follow_others(now - rep.reported_s, rep.reported_s - previous_s)
         return True
 
@@ -112,6 +119,15 @@
         own = len(self.streams) - len(self._dispatches) + len(self._completions)
         return max(0.0, self.report.running + self.report.queued - own)
 
+    def early(self, slots: int) -> int:
+        """Return how many requests beyond the slots may be sent ahead to the short queue.
+
+        Old reports cannot show slots that other entry instances left free. Some waiting work at
+        the endpoint fills them, up to half of the short queue.
+        """
+        share = min(1.0, self._age_s / LIMITS.REPORT_MAX_INTERVAL_S) * EARLY_PART
+        return round(slots * LIMITS.SIDECAR_QUEUE_PER_SLOT * share)
+
     def slots(self, now: float) -> int:
         """Return the limit on outstanding requests that this entry instance respects now."""
         limit = self.report.limit
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -19,5 +19,6 @@
     def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
         """Tell whether the failed attempt may be repeated, and spend the budget if so.
 
-        `req.attempt` is the number of earlier attempts.
+        `req.attempt` is the number of earlier attempts that ended as this one did: rejected as
+        not run, or failed after they may have run.
         """
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -15,7 +15,8 @@
 
     `copies` maps the instances that work on the current attempt to the time of the dispatch.
     `winner` is the instance whose first token arrived first. `ran` covers all attempts,
-    `attempt_ran` the failed copies of the current one.
+    `attempt_ran` the failed copies of the current one. `rejections` counts the attempts that did
+    not run; they are not counted against the attempts that may have run.
     """
 
     req: QueuedRequest
@@ -25,6 +26,7 @@
     attempt_ran: Ran = Ran.NO
     failed_at: str = ""
     winner: str = ""
+    rejections: int = 0
     abandoned: bool = False
     copies: dict[str, float] = field(default_factory=dict)
 
@@ -39,6 +41,13 @@
         harmless = self.req.idempotent and not self.req.once_only
         return harmless and not self.winner and not self.abandoned and len(self.copies) == 1
 
+    @property
+    def attempts_alike(self) -> int:
+        """Return the number of earlier attempts that ended as the current one did."""
+        if self.attempt_ran is Ran.NO:
+            return self.rejections
+        return self.req.attempt - self.rejections
+
     def main_instance(self) -> str:
         """Return the instance that is meant when an event names none; empty without copies."""
         return self.winner or next(iter(self.copies), "")
@@ -51,6 +60,7 @@
 
     def next_attempt(self) -> None:
         """Start over with one more attempt."""
+        self.rejections += self.attempt_ran is Ran.NO
         self.req = self.req._replace(attempt=self.req.attempt + 1)
         self.attempt_ran = Ran.NO
         self.winner = ""
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -230,7 +230,7 @@
             return
         slots, outstanding = state.slots(now), state.outstanding()
         queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
-        free = max(0, slots - outstanding)
+        free = max(0, slots + state.early(slots) - outstanding)
         if state.health is HealthState.PROBATION:
             free = min(free, max(0, 1 - len(state.streams)))
         self._set_free(instance, free)
