Spread load over idle endpoints instead of following the first cached prefix

Cause: the chooser learned the prefill rate from the mean time to the first token, which includes the wait for other prompts. The more an engine was loaded, the more a cached prefix seemed worth, so that load gathered on a few engines while others idled. Equal endpoints were ranked by name, so all entry instances began at the same one.

Change: the learned prefill rate follows short samples faster than long ones, and equal endpoints are ranked by a random number of each entry instance.

--- a/cassiadrum/decisions/cost_estimators.py
+++ b/cassiadrum/decisions/cost_estimators.py
@@ -13,6 +13,11 @@
 INITIAL_PREFILL_S_PER_TOKEN = 1 / 8000
 INITIAL_DURATION_S = 1.0
 SMOOTHING = 0.05
+# A first token also waits for other prompts, which only lengthens it: following shorter samples
+# faster gives about the twentieth percentile. The mean would count the load twice and make a
+# cached prefix outweigh almost any load.
+SHORTER_GAIN = 0.2
+LONGER_GAIN = 0.05
 # Shorter prefills are dominated by fixed costs.
 MIN_PREFILL_TOKENS = 64
 # Up to about the first-token target, silence is ordinary waiting.
@@ -37,7 +42,8 @@
         """Learn the prefill rate from the first token of a stream."""
         if stream.uncached_tokens >= MIN_PREFILL_TOKENS:
             sample = (now - stream.dispatched_s) / stream.uncached_tokens
-            self._prefill_s_per_token += SMOOTHING * (sample - self._prefill_s_per_token)
+            gain = SHORTER_GAIN if sample < self._prefill_s_per_token else LONGER_GAIN
+            self._prefill_s_per_token += gain * (sample - self._prefill_s_per_token)
 
     def observe_end(self, stream: OwnStream, now: float) -> None:
         """Learn the duration of a request from one that succeeded."""
--- a/cassiadrum/decisions/endpoint_states.py
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -35,6 +35,8 @@
         self.report = rep
         self.capabilities = capabilities_of(rep)
         self.streams: dict[str, OwnStream] = {}
+        # Orders equal endpoints; random, so that entry instances do not all start at the same one.
+        self.tie = 0.0
         self.health = HealthState.HEALTHY
         self.changed_s = now
         self.ejections = 0
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -173,7 +173,8 @@
             self._first_report_s = now
         # Endpoints that a new entry instance finds at its own start are not new themselves.
         warm = now - self._first_report_s < SLOW_START_S
-        self._states[rep.instance] = EndpointState(rep, now, warm)
+        state = self._states[rep.instance] = EndpointState(rep, now, warm)
+        state.tie = self._rng.random()
         return True
 
     def _best(
@@ -185,7 +186,7 @@
         candidates += self._affinity_candidates(index, req)
         self.operations += len(candidates) + 1
         allowed = [name for name in dict.fromkeys(candidates) if name not in exclude]
-        return min(allowed, key=lambda name: (self._estimate(name, req, now), name), default=None)
+        return min(allowed, key=lambda name: self._rank(name, req, now), default=None)
 
     def _affinity_candidates(self, index: CapabilityIndex, req: QueuedRequest) -> list[str]:
         capability = (req.model, req.adapter)
@@ -199,10 +200,11 @@
                 break
         return list(found)
 
-    def _estimate(self, instance: str, req: QueuedRequest, now: float) -> float:
+    def _rank(self, instance: str, req: QueuedRequest, now: float) -> tuple[float, float]:
         self.operations += 1
+        state = self._states[instance]
         uncached = self._uncached_tokens(instance, req)
-        return self._costs.estimate(self._states[instance], uncached, now)
+        return self._costs.estimate(state, uncached, now), state.tie
 
     def _uncached_tokens(self, instance: str, req: QueuedRequest) -> float:
         if not req.prefix_keys:
