Continue partly delivered answers after a crash without retry budget

Cause: a crash ends all streams of an engine at once, more than the budget that a class saves in the seconds before. The refused ones were accepted, and what had been delivered of them was wasted, although another engine only has to compute the prompt again.

Change: RetryPolicy.may_continue allows it within attempts and deadline; attempts that delivered nothing keep their budget.

--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -44,6 +44,14 @@
         saved = self._saved.get(req.class_name, 0.0) + share
         self._saved[req.class_name] = min(saved, MAX_SAVED_RETRIES)
 
+    def may_continue(self, req: QueuedRequest, now: float) -> bool:
+        """Allow it within attempts and deadline, without budget.
+
+        Only the prompt is computed again, and a refusal would waste what was delivered.
+        """
+        repeatable = req.idempotent and not req.once_only
+        return repeatable and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s
+
     def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
         """Allow a retry within attempts and deadline; spend budget unless it did not run."""
         if now >= req.deadline_s:
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -182,8 +182,7 @@
             return []
         req, ran = tracked.req, tracked.attempt_ran
         may_repeat = tracked.may_repeat and not outcome.final
-        alike = req._replace(attempt=tracked.attempts_alike)
-        if may_repeat and self._retry.may_retry(alike, ran, now):
+        if may_repeat and self._allows_retry(tracked, outcome, now):
             tracked.next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
@@ -192,6 +191,12 @@
         retry_after_s = outcome.retry_after_s or self._predictor.retry_after_s(req)
         return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
 
+    def _allows_retry(self, tracked: TrackedRequest, outcome: Outcome, now: float) -> bool:
+        alike = tracked.req._replace(attempt=tracked.attempts_alike)
+        if outcome.tokens > 0 and tracked.attempt_ran is not Ran.NO:
+            return self._retry.may_continue(alike, now)
+        return self._retry.may_retry(alike, tracked.attempt_ran, now)
+
     def _refuse_evicted(
         self, evicted: list[QueuedRequest], new: QueuedRequest | None = None
     ) -> list[Action]:
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -15,6 +15,10 @@
     def accepted(self, req: QueuedRequest) -> None:
         """Count an accepted request, which earns retry budget."""
 
+    def may_continue(self, req: QueuedRequest, now: float) -> bool:
+        """Tell whether another endpoint may continue an answer that was partly delivered."""
+        return self.may_retry(req, Ran.YES, now)
+
     @abstractmethod
     def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
         """Tell whether the failed attempt may be repeated, and spend the budget if so.
