--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -164,9 +164,7 @@
     def _ended(
         self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float
     ) -> list[Action]:
-        # A rejection as not run says nothing against the endpoint's health.
-        healthy = outcome.ok or outcome.ran is Ran.NO
-        duration_s = self._attempts.end(tracked, instance, healthy, now)
+        duration_s = self._attempts.end(tracked, instance, outcome, now)
         if outcome.ok:
             self._hedge.useful(outcome.tokens)
             self._predictor.answered(tracked.req, outcome.tokens, duration_s)
@@ -185,7 +183,7 @@
             return []
         req, ran = tracked.req, tracked.attempt_ran
         may_repeat = tracked.may_repeat and not outcome.final
-        if may_repeat and self._retry.may_retry(req, ran, now):
+        if may_repeat and self._allows_retry(tracked, outcome, now):
             tracked.next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
@@ -194,6 +192,12 @@
         retry_after_s = outcome.retry_after_s or self._predictor.retry_after_s(req)
         return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
 
+    def _allows_retry(self, tracked: TrackedRequest, outcome: Outcome, now: float) -> bool:
+        alike = tracked.req._replace(attempt=tracked.attempts_alike)
+        if outcome.tokens > 0 and tracked.attempt_ran is not Ran.NO:
+            return self._retry.may_continue(alike, now)
+        return self._retry.may_retry(alike, tracked.attempt_ran, now)
+
     def _refuse_evicted(
         self, evicted: list[QueuedRequest], new: QueuedRequest | None = None
     ) -> list[Action]:
@@ -224,7 +228,7 @@
         late = self._queue.expired(now)
         actions = [self._refuse_waiting(req, "deadline") for req in late]
         set_aside: list[QueuedRequest] = []
-        while len(set_aside) < MAX_SET_ASIDE and self._attempts.free_slots() > 0:
+        while len(set_aside) < MAX_SET_ASIDE and self._may_place():
             req = self._queue.pop(now)
             if req is None:
                 break
@@ -241,6 +245,10 @@
             actions += self._refuse_evicted(self._queue.requeue(req, now))
         return actions
 
+    def _may_place(self) -> bool:
+        # Protected work may also go to a full endpoint's short queue, which only `choose` knows.
+        return self._attempts.free_slots() > 0 or self._queue.protected_waiting()
+
     def _hedge_slow(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for tracked in self._attempts.running.values():
