Let the lease sequences find missing margins, tokens and row reads

Change: fewer rules with more waits of a whole duration, late orders, and a check that each fencing token has one holder; every sequence states which failure it guards against.

--- a/cassiadrum/tests/test_claims.py
+++ b/cassiadrum/tests/test_claims.py
@@ -179,7 +179,7 @@
 
 
 class ClaimMachine(RuleBasedStateMachine):
-    """Race sidecars over two keys, with faults at every store operation and every effect.
+    """Guards against a key that runs twice when sidecars race, crash and lose answers.
 
     Each call is one coroutine that pauses before every operation and before its effect.
     """
--- a/cassiadrum/tests/test_configuration_sequences.py
+++ b/cassiadrum/tests/test_configuration_sequences.py
@@ -23,7 +23,7 @@
 
 
 class ConfigurationMachine(RuleBasedStateMachine):
-    """Race operators over two services while processes learn versions in any order."""
+    """Guards against a version that reverts while operators race and processes learn late."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/cassiadrum/tests/test_leases.py
+++ b/cassiadrum/tests/test_leases.py
@@ -138,7 +138,7 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Three contenders with clocks of different rates, pauses and faults.
+    """Guards against two holders that act, with clocks of different rates, pauses and faults.
 
     Rates differ by up to a tenth, which is below margin over duration.
     """
@@ -155,6 +155,7 @@
         self.enforcing = FencingGuard(self.store, endpoint_enforces=True)
         self.accepted = 0
         self.highest = 0
+        self.holders: dict[int, str] = {}
         self.checked: list[int] = []
 
     def start(self, index: int) -> LeaseKeeper:
@@ -164,9 +165,9 @@
 
     @rule(
         index=st.integers(0, 2),
-        seconds=st.sampled_from([0.0, 0.5, 3.0, 9.0, 9.4, 10.6]),
+        seconds=st.sampled_from([0.0, 0.0, 0.0, 3.0, 9.0, 10.6]),
         faults=FAULT_RUNS,
-        order=st.sampled_from(["none", "now", "paused"]),
+        order=st.sampled_from(["none", "now", "paused", "late"]),
     )
     def act(self, index: int, seconds: float, faults: list[Fault], order: str) -> None:
         """Let time pass, then begin a step of a contender or go on with it, and send an order.
@@ -177,7 +178,9 @@
         process = self.steps.pop(index, None) or Stepped(self.store, self.keepers[index].step())
         if not process.steps(faults[:2]):
             self.steps[index] = process
-        if order == "none":
+        if order == "late" and self.checked:
+            self.arrive(self.checked.pop(0))
+        if order not in ("now", "paused"):
             return
         with contextlib.suppress(LeaseLost):
             fencing = self.keepers[index].check()
@@ -197,11 +200,6 @@
             self.steps.pop(index).close()
         self.keepers[index] = self.start(index)
 
-    @precondition(lambda self: self.checked)
-    @rule(index=st.integers(0, 9))
-    def paused_order(self, index: int) -> None:
-        self.arrive(self.checked.pop(index % len(self.checked)))
-
     def arrive(self, fencing: int) -> None:
         with contextlib.suppress(FencingRefused):
             Stepped(self.store, self.enforcing.admit(NAME, fencing)).finish()
@@ -225,11 +223,13 @@
         assert len(passed) <= 1, f"holders with tokens {passed}"
 
     @invariant()
-    def fencing_only_rises(self) -> None:
+    def fencing_only_rises_and_names_one_holder(self) -> None:
         record = stored(self.store)
         fencing = record.fencing if record else 0
         assert fencing >= self.highest
         self.highest = fencing
+        if record is not None:
+            assert self.holders.setdefault(fencing, record.holder) == record.holder
 
     def teardown(self) -> None:
         for process in self.steps.values():
@@ -238,5 +238,5 @@
 
 TestLeaseSequences = LeaseMachine.TestCase
 TestLeaseSequences.settings = settings(
-    max_examples=500, stateful_step_count=50, derandomize=True, deadline=None, database=None
+    max_examples=500, stateful_step_count=40, derandomize=True, deadline=None, database=None
 )
