Make links and streams survive faults of connections

Change: unanswered heartbeats count as silence, heartbeats overtake data, the hello carries the number of the link, Detach ends a fetch, and acknowledgements are repeated after reattaching. The link stamps and observes the hybrid clock of every message that causes events. Start messages have a file of their own.

--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -16,6 +16,11 @@
         self.events = 0
         self._rest = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the unfinished event."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the whole events among them."""
         self._rest += data
--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -1,6 +1,7 @@
 """Links between entry instances and sidecars: websockets with CBOR."""
 
 from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.data_merges import split_data
 from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
 from cassiadrum.links.link_dialers import LinkDialer
 from cassiadrum.links.link_servers import LinkServer
@@ -17,4 +18,5 @@
     "StreamBuffer",
     "decode_message",
     "encode_message",
+    "split_data",
 ]
--- /dev/null
+++ b/cassiadrum/links/data_merges.py
@@ -0,0 +1,36 @@
+"""Merging of data messages."""
+
+from cassiadrum.links.messages import Data, Message
+
+__all__ = ["MERGED_BYTES", "merge_data", "split_data"]
+
+# Streams that attach again together send up to 256 KiB each; in one frame they would pass the
+# frame limit.
+MERGED_BYTES = 256 * 1024
+
+
+def merge_data(batch: list[Message]) -> list[Message]:
+    """Put consecutive data messages into one: a frame per token costs too much processor time."""
+    merged: list[Message] = []
+    parts: list[tuple[str, int, bytes]] | None = None
+    size = 0
+    for msg in batch:
+        if not isinstance(msg, Data):
+            parts = None
+            merged.append(msg)
+            continue
+        added = sum(len(part[2]) for part in msg.parts)
+        if parts is None or size + added > MERGED_BYTES:
+            parts, size = [], 0
+            merged.append(Data(parts))
+        parts += msg.parts
+        size += added
+    return merged
+
+
+def split_data(attempt_id: str, position: int, data: bytes) -> list[Data]:
+    """Return messages of at most MERGED_BYTES each for the bytes from `position` on."""
+    return [
+        Data([(attempt_id, position + start, data[start : start + MERGED_BYTES])])
+        for start in range(0, len(data), MERGED_BYTES)
+    ]
--- a/cassiadrum/links/link_dialers.py
+++ b/cassiadrum/links/link_dialers.py
@@ -8,7 +8,7 @@
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.exceptions import InvalidHandshake, InvalidMessage
+from websockets.exceptions import WebSocketException
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.links import Link
@@ -72,7 +72,8 @@
                 open_timeout=OPEN_TIMEOUT_S,
                 proxy=None,
             )
-        except (OSError, TimeoutError, InvalidHandshake, InvalidMessage) as exc:
+        except (OSError, TimeoutError, WebSocketException, ValueError) as exc:
+            # The last two also stand for an address in the list that is not one.
             logger.debug("no link to %s: %s", self.address, exc)
             return False
         self.link = self._make_link(conn)
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -1,9 +1,9 @@
 """One websockets connection between two processes."""
 
 import asyncio
-import contextlib
 import logging
 import time
+from collections import deque
 from collections.abc import Callable
 
 from websockets.asyncio.connection import Connection
@@ -11,14 +11,16 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.data_merges import merge_data
 from cassiadrum.links.errors import BadFrame
-from cassiadrum.links.messages import Data, Hello, Message, Ping, Pong
+from cassiadrum.links.messages import CLOCKED, Data, Hello, Message, Ping, Pong
 
 __all__ = ["Link"]
 
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
+NO_DATA = Data([])
 
 
 class Link:
@@ -26,7 +28,8 @@
 
     `deliver(link, message)` is called for every message but heartbeats. `heartbeat()` gives the
     configuration digest and the hybrid clock to send; `heard(link, digest, clock)` takes the
-    peer's.
+    peer's. `stamp()` gives the hybrid clock for the messages that carry one and leave it empty,
+    `observe(clock)` takes the peer's before the message is delivered.
     """
 
     def __init__(
@@ -37,24 +40,36 @@
         deliver: Callable[["Link", Message], None],
         heartbeat: Callable[[], tuple[str, list[int]]],
         heard: Callable[["Link", str, list[int]], None],
+        stamp: Callable[[], list[int]] = list,
+        observe: Callable[[list[int]], None] = lambda clock: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.peer: Hello | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
         self.data_bytes = 0
+        self.closed = False
         self.unknown_messages = 0
         self._conn = conn
         self._hello = hello
         self._deliver = deliver
         self._heartbeat = heartbeat
         self._heard = heard
+        self._stamp = stamp
+        self._observe = observe
         self._clock = clock
         self._outbox: asyncio.Queue[Message] = asyncio.Queue()
+        # Heartbeats overtake data, whose queue may be long.
+        self._urgent: deque[Message] = deque()
         self._last_heard_s = clock()
+        self._last_pong_s = clock()
 
     def send(self, msg: Message) -> None:
         """Queue a message; what is queued when the connection ends is lost."""
+        if isinstance(msg, Ping | Pong):
+            self._urgent.append(msg)
+            # Wakes the writer when it waits; an empty part is not sent.
+            msg = NO_DATA
         self._outbox.put_nowait(msg)
 
     async def run(self) -> None:
@@ -67,13 +82,22 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in tasks:
-                task.cancel()
-            for task in tasks:
-                with contextlib.suppress(asyncio.CancelledError, ConnectionClosed, BadFrame):
-                    await task
+            self.closed = True
             # A closing handshake would wait for a peer that may be silent.
             self._conn.transport.abort()
+            for task in tasks:
+                task.cancel()
+            for result in await asyncio.gather(*tasks, return_exceptions=True):
+                self._report_failure(result)
+
+    def _report_failure(self, result: BaseException | None) -> None:
+        if isinstance(result, BadFrame):
+            logger.warning("link to %s sent an invalid message: %s", self._peer_name(), result)
+        elif isinstance(result, Exception) and not isinstance(result, ConnectionClosed):
+            logger.error("link to %s failed", self._peer_name(), exc_info=result)
+
+    def _peer_name(self) -> str:
+        return self.peer.instance if self.peer else "?"
 
     def abort(self) -> None:
         """Cut the connection at once."""
@@ -95,6 +119,8 @@
         if isinstance(msg, Ping):
             digest, clock = self._heartbeat()
             self.send(Pong(msg.sent_s, digest, clock))
+        if isinstance(msg, Pong):
+            self._last_pong_s = self._clock()
         if isinstance(msg, Ping | Pong):
             self._heard(self, msg.digest, msg.clock)
             return
@@ -102,6 +128,8 @@
             self.peer = msg
         if self.peer is None:
             raise BadFrame("a message before hello")
+        if isinstance(msg, CLOCKED) and msg.clock:
+            self._observe(msg.clock)
         self._deliver(self, msg)
 
     async def _write(self) -> None:
@@ -109,12 +137,20 @@
             batch = [await self._outbox.get()]
             while not self._outbox.empty():
                 batch.append(self._outbox.get_nowait())
-            for msg in _merge_data(batch):
-                frame = encode_message(msg)
-                self.bytes_sent += len(frame)
-                if isinstance(msg, Data):
-                    self.data_bytes += len(frame)
-                await self._conn.send(frame)
+            for msg in merge_data(batch):
+                while self._urgent:
+                    await self._send_frame(self._urgent.popleft())
+                if msg != NO_DATA:
+                    await self._send_frame(msg)
+
+    async def _send_frame(self, msg: Message) -> None:
+        if isinstance(msg, CLOCKED) and not msg.clock:
+            msg = msg._replace(clock=self._stamp())
+        frame = encode_message(msg)
+        self.bytes_sent += len(frame)
+        if isinstance(msg, Data):
+            self.data_bytes += len(frame)
+        await self._conn.send(frame)
 
     async def _beat(self) -> None:
         while True:
@@ -123,27 +159,19 @@
             self.send(Ping(self._clock(), digest, clock))
 
     async def _watch(self) -> None:
-        """End when the peer is silent; time in which this process did not run is not counted."""
-        silent_s = 0.0
+        """End when either direction is silent, or the peer says nothing but heartbeats.
+
+        Time in which this process did not run is not counted.
+        """
+        silent_s = unanswered_s = nameless_s = 0.0
         last_s = self._clock()
-        while silent_s < LIMITS.SILENCE_LIMIT_S:
+        while max(silent_s, unanswered_s, nameless_s) < LIMITS.SILENCE_LIMIT_S:
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = self._clock()
-            if self._last_heard_s >= last_s:
-                silent_s = 0.0
-            else:
-                silent_s += min(now - last_s, 2 * WATCH_INTERVAL_S)
+            passed_s = min(now - last_s, 2 * WATCH_INTERVAL_S)
+            silent_s = 0.0 if self._last_heard_s >= last_s else silent_s + passed_s
+            # A peer that does not answer heartbeats does not receive, whatever it sends.
+            unanswered_s = 0.0 if self._last_pong_s >= last_s else unanswered_s + passed_s
+            nameless_s = 0.0 if self.peer else nameless_s + passed_s
             last_s = now
-        logger.info("link to %s is silent, closing it", self.peer.instance if self.peer else "?")
-
-
-def _merge_data(batch: list[Message]) -> list[Message]:
-    """Put consecutive data messages into one: a frame per token costs too much processor time."""
-    merged: list[Message] = []
-    for msg in batch:
-        last = merged[-1] if merged else None
-        if isinstance(msg, Data) and isinstance(last, Data):
-            merged[-1] = Data(last.parts + msg.parts)
-        else:
-            merged.append(msg)
-    return merged
+        logger.info("link to %s is silent, closing it", self._peer_name())
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -8,12 +8,14 @@
 from typing import Final, NamedTuple
 
 __all__ = [
+    "CLOCKED",
     "MESSAGE_TYPES",
     "PROTOCOL_VERSION",
     "Ack",
     "Attach",
     "Cancel",
     "Data",
+    "Detach",
     "Document",
     "End",
     "Fetch",
@@ -40,7 +42,8 @@
     """Open a link in either direction.
 
     `peer` is the instance that the dialling side means to reach: the list lags, and an address
-    may belong to another instance by now.
+    may belong to another instance by now. `number` counts the links that the dialling process has
+    opened, so that the hello of an older one which arrives late is told apart.
     """
 
     protocol: int
@@ -50,6 +53,7 @@
     digest: str
     process_start: str = ""
     peer: str = ""
+    number: int = 0
 
 
 class Ping(NamedTuple):
@@ -131,6 +135,7 @@
     attempt_id: str
     reason: str
     retry_after_s: float
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Ack(NamedTuple):
@@ -144,12 +149,20 @@
 
     attempt_id: str
     position: int
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
+
+
+class Detach(NamedTuple):
+    """Stop sending an answer whose caller went away while it was fetched."""
+
+    attempt_id: str
 
 
 class Cancel(NamedTuple):
     """Cancel an attempt whose caller went away."""
 
     attempt_id: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Report(NamedTuple):
@@ -164,12 +177,14 @@
     leaving: bool
     tokens_per_s: float
     cached: list[int]
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Versions(NamedTuple):
     """Versions in force by service."""
 
     versions: dict[str, int]
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Fetch(NamedTuple):
@@ -185,6 +200,7 @@
     version: int
     text: str
     deleted: bool
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Order(NamedTuple):
@@ -195,6 +211,7 @@
     fencing: int
     action: str
     subject: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Ordered(NamedTuple):
@@ -203,6 +220,7 @@
     order_id: str
     ok: bool
     reason: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Full(NamedTuple):
@@ -230,6 +248,7 @@
     | Order
     | Ordered
     | Full
+    | Detach
 )
 
 # The type code is the position; append only.
@@ -252,4 +271,19 @@
     Order,
     Ordered,
     Full,
+    Detach,
+)
+
+# The messages that cause events at the receiver and carry the sender's hybrid clock.
+CLOCKED: Final = (
+    StartRequest,
+    End,
+    RejectStart,
+    Attach,
+    Cancel,
+    Report,
+    Versions,
+    Document,
+    Order,
+    Ordered,
 )
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -6,8 +6,9 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.frontends import Problem, send_problem
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Ack, Attach, Data, End, Head, Message, RejectStart
+from cassiadrum.links.messages import Ack, Attach, Data, Detach, End, Head, Message, RejectStart
 from cassiadrum.protocols import Exchange
+from cassiadrum.roles.answer_fetches import AnswerFetch
 
 __all__ = ["LinkAnswerFetcher"]
 
@@ -23,17 +24,27 @@
 
     def __init__(self, links: Callable[[str], Link | None]) -> None:
         self._links = links
-        self._fetches: dict[str, asyncio.Queue[Message]] = {}
+        self._fetches: dict[str, AnswerFetch] = {}
+
+    def busy(self, instance: str) -> bool:
+        """Tell whether an answer is fetched from a sidecar."""
+        return any(fetch.instance == instance for fetch in self._fetches.values())
+
+    def link_up(self, instance: str, link: Link) -> None:
+        """Go on with the fetches at a sidecar over its new link."""
+        for fetch in self._fetches.values():
+            if fetch.instance == instance:
+                fetch.attach(link)
 
     def offer(self, msg: Message) -> bool:
         """Take a message if a fetch waits for it."""
         if isinstance(msg, Data):
             for part in msg.parts:
                 if part[0] in self._fetches:
-                    self._fetches[part[0]].put_nowait(Data([part]))
+                    self._fetches[part[0]].messages.put_nowait(Data([part]))
             return False
         if isinstance(msg, Head | End | RejectStart) and msg.attempt_id in self._fetches:
-            self._fetches[msg.attempt_id].put_nowait(msg)
+            self._fetches[msg.attempt_id].messages.put_nowait(msg)
             return True
         return False
 
@@ -44,41 +55,59 @@
         if link is None or not attempt_id or attempt_id in self._fetches:
             await _refuse(exchange, answer_id)
             return
-        messages: asyncio.Queue[Message] = asyncio.Queue()
-        self._fetches[attempt_id] = messages
+        fetch = self._fetches[attempt_id] = AnswerFetch(attempt_id, instance, position)
         try:
-            link.send(Attach(attempt_id, position))
-            await self._relay(exchange, link, messages, answer_id)
+            fetch.attach(link)
+            if not await self._relay(exchange, fetch, answer_id):
+                await _refuse(exchange, answer_id)
         finally:
             del self._fetches[attempt_id]
+            if not fetch.ended:
+                # The caller may come back once more.
+                fetch.send(Detach(attempt_id))
 
-    async def _relay(
-        self, exchange: Exchange, link: Link, messages: asyncio.Queue[Message], answer_id: str
-    ) -> None:
-        while True:
+    async def _relay(self, exchange: Exchange, fetch: AnswerFetch, answer_id: str) -> bool:
+        """Pass the answer on; return False when the rest of it cannot be had."""
+        while not exchange.gone.is_set():
             try:
                 async with asyncio.timeout(LIMITS.DETACHED_STREAM_S):
-                    msg = await messages.get()
+                    msg = await fetch.messages.get()
             except TimeoutError:
-                msg = RejectStart("", "unknown_request", 0.0)
+                # A running answer may pause for longer than that.
+                if fetch.attached and exchange.started:
+                    continue
+                return False
             if isinstance(msg, Head):
-                headers = tuple((k, v) for k, v in msg.headers if k in RELAYED_HEADERS)
-                await exchange.send_head(msg.status, (*headers, ("x-request-id", answer_id)))
+                if not exchange.started:
+                    headers = tuple((k, v) for k, v in msg.headers if k in RELAYED_HEADERS)
+                    head = (*headers, ("x-request-id", answer_id))
+                    await exchange.send_head(msg.status, head)
             elif isinstance(msg, Data):
-                for attempt_id, position, data in msg.parts:
+                data = fetch.take(msg)
+                if data:
                     await exchange.send_data(data)
-                    link.send(Ack([(attempt_id, position + len(data))]))
-            elif isinstance(msg, End) and msg.ok and exchange.started:
-                link.send(Ack([(msg.attempt_id, msg.position)]))
-                await exchange.end()
-                return
+                    if not exchange.gone.is_set():
+                        fetch.send(Ack([(fetch.attempt_id, fetch.position)]))
+            elif isinstance(msg, End) and msg.ok and msg.position != fetch.position:
+                fetch.send(Attach(fetch.attempt_id, fetch.position))
             else:
-                await _refuse(exchange, answer_id)
-                return
+                return await _finish(exchange, fetch, msg)
+        return False
+
+
+async def _finish(exchange: Exchange, fetch: AnswerFetch, msg: Message) -> bool:
+    fetch.ended = True
+    if not isinstance(msg, End):
+        return False
+    fetch.send(Ack([(msg.attempt_id, msg.position)]))
+    if not msg.ok or not exchange.started:
+        return False
+    await exchange.end()
+    return True
 
 
 async def _refuse(exchange: Exchange, answer_id: str) -> None:
-    if exchange.started:
+    if exchange.started or exchange.gone.is_set():
         exchange.abort()
         return
     detail = "the answer was fetched, is too old, or its sidecar was replaced"
--- /dev/null
+++ b/cassiadrum/roles/answer_fetches.py
@@ -0,0 +1,48 @@
+"""One fetch of the rest of an answer."""
+
+import asyncio
+
+from cassiadrum.links import Link
+from cassiadrum.links.messages import Attach, Data, Message
+
+__all__ = ["AnswerFetch"]
+
+
+class AnswerFetch:
+    """Track what of an answer has arrived; `position` counts its bytes.
+
+    The queue of messages is bounded by the sidecar, which stops at STREAM_BUFFER_BYTES not
+    acknowledged.
+    """
+
+    def __init__(self, attempt_id: str, instance: str, position: int) -> None:
+        self.attempt_id = attempt_id
+        self.instance = instance
+        self.position = position
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.ended = False
+        self._link: Link | None = None
+
+    @property
+    def attached(self) -> bool:
+        """Tell whether the link that the answer comes over is open."""
+        return self._link is not None and not self._link.closed
+
+    def attach(self, link: Link) -> None:
+        """Ask for the rest over a link; what was received and is still queued is kept."""
+        self._link = link
+        link.send(Attach(self.attempt_id, self.position))
+
+    def send(self, msg: Message) -> None:
+        """Send a message over the current link."""
+        if self._link is not None:
+            self._link.send(msg)
+
+    def take(self, msg: Data) -> bytes:
+        """Return the bytes that did not arrive before; after a gap, none."""
+        _, position, data = msg.parts[0]
+        if position > self.position:
+            return b""
+        data = data[self.position - position :]
+        self.position += len(data)
+        return data
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -77,6 +77,10 @@
         return pending.splitter.events - before
 
     def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
+        if pending.head_sent:
+            # Held again it would be acknowledged before the caller took it.
+            pending.events.put_nowait(AnswerData(data, attempt.attempt_id, attempt.position))
+            return
         attempt.held += data
         if len(attempt.held) <= HOLD_BYTES or not self._wins(pending, attempt):
             return
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -8,7 +8,7 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, End, Full, Hello, Message, Report
+from cassiadrum.links.messages import PROTOCOL_VERSION, Full, Hello, Message, Report
 from cassiadrum.members import Subset
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
@@ -45,6 +45,7 @@
         self._configurations = configurations
         configurations.on_applied = dispatchers.configure
         self._tls = tls
+        self._links_opened = 0
         self._process_start = secrets.token_hex(8)
         self._instances = instances
         services: dict[str, str] = {}
@@ -53,7 +54,7 @@
             lambda: Subset(cfg.instance, cfg.zone, cfg.limits.subset_size),
             self._make_dialer,
             self._router.post,
-            self._router.busy,
+            lambda name: self._router.busy(name) or self._fetcher.busy(name),
             services,
             ring,
         )
@@ -124,6 +125,7 @@
         )
 
     def _make_link(self, conn: Connection, expected: str) -> Link:
+        self._links_opened += 1
         hello = Hello(
             PROTOCOL_VERSION,
             self._cfg.instance,
@@ -132,6 +134,7 @@
             "",
             self._process_start,
             expected,
+            self._links_opened,
         )
         return Link(
             conn,
@@ -139,6 +142,8 @@
             deliver=lambda link, msg: self._deliver(link, msg, expected),
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
+            stamp=lambda: list(self.ring.clock.tick()),
+            observe=lambda clock: observe(self.ring, clock),
         )
 
     def _deliver(self, link: Link, msg: Message, expected: str) -> None:
@@ -148,8 +153,7 @@
                 return
             self._members.connected(expected, link)
             self._configurations.link_up(link)
-        elif isinstance(msg, End):
-            observe(self.ring, msg.clock)
+            self._fetcher.link_up(expected, link)
         elif isinstance(msg, Report):
             self._members.reported(expected, msg.leaving)
         elif isinstance(msg, Full):
--- a/cassiadrum/roles/entry_links.py
+++ b/cassiadrum/roles/entry_links.py
@@ -14,6 +14,14 @@
         self.by_instance: dict[str, Link] = {}
         self._bound = bound
 
+    def is_older(self, hello: Hello) -> bool:
+        """Tell whether the hello was sent before that of the current link."""
+        current = self.by_instance.get(hello.instance)
+        if current is None or current.peer is None:
+            return False
+        same_process = current.peer.process_start == hello.process_start
+        return same_process and hello.number < current.peer.number
+
     def up(self, link: Link, hello: Hello, now: float) -> bool:
         """Make a link the current one; return False when the sidecar has its share of links."""
         old = self.by_instance.get(hello.instance)
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -27,7 +27,6 @@
     Hello,
     RejectStart,
     Report,
-    StartRequest,
 )
 from cassiadrum.links.messages import Cancel as CancelAttempt
 from cassiadrum.roles.answer_relays import AnswerRelay
@@ -45,6 +44,7 @@
     Submit,
 )
 from cassiadrum.roles.sidecar_links import SidecarLinks
+from cassiadrum.roles.start_messages import start_message
 
 __all__ = ["Router"]
 
@@ -52,6 +52,12 @@
 CANCELLED_KEPT_S = 600.0
 # Acknowledging each frame would double the number of frames; the window is eight times as large.
 ACK_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
+# The longest single event of a stream.
+EVENT_BYTES = 1024 * 1024
+# Half the time for which a sidecar knows the attempts that have ended.
+REJECTED_AS_NOT_RUN_S = 30.0
+# The reason in a sidecar's answer to `attach` when it does not know the attempt.
+UNKNOWN_ATTEMPT = "no_endpoint"
 LOST = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
 
 
@@ -168,7 +174,7 @@
             for attempt_id, position, data in msg.parts:
                 self._data(attempt_id, position, data)
         elif isinstance(msg, End):
-            self._end(msg)
+            self._end(link, msg)
         elif isinstance(msg, RejectStart):
             self._rejected(msg)
 
@@ -181,6 +187,8 @@
             else:
                 attempt.detached_s = None
                 link.send(Attach(attempt.attempt_id, attempt.position))
+                # An acknowledgement lost with the old connection would block a full buffer.
+                link.send(Ack([(attempt.attempt_id, attempt.acked)]))
                 self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
     def _link_down(self, link: Link) -> None:
@@ -231,14 +239,25 @@
                     attempt.instance, pending.queued.request_id, tokens, self._clock()
                 )
             )
+        if pending.splitter.held_bytes > EVENT_BYTES:
+            self._ended(
+                pending, attempt, Outcome(False, Ran.YES, 0, "endpoint_failed", final=True)
+            )
+            self._cancel_attempt(pending, attempt)
+            return
         # Bytes that are held back or have no receiver are confirmed here, the others once the
         # caller's socket took them.
         if pending.caller_gone or attempt.attempt_id != pending.winner or attempt.held:
             self._ack(attempt, attempt.position)
+        elif pending.splitter.held_bytes >= ACK_BYTES:
+            # The rest of a long event only comes once its beginning is confirmed.
+            self._ack(attempt, attempt.position)
 
-    def _end(self, msg: End) -> None:
+    def _end(self, link: Link, msg: End) -> None:
         found = self._find(msg.attempt_id)
         if found is None:
+            # A sidecar that drains waits for it.
+            link.send(Ack([(msg.attempt_id, msg.position)]))
             self._cancelled_ended(msg.attempt_id, msg.tokens)
             return
         pending, attempt = found
@@ -255,7 +274,10 @@
         if found is None:
             self._cancelled_ended(msg.attempt_id, 0)
             return
-        self._ended(*found, Outcome(False, Ran.NO, 0, msg.reason, msg.retry_after_s))
+        # An old attempt that the sidecar does not know may have run and been forgotten there.
+        old = self._clock() - found[1].started_s >= REJECTED_AS_NOT_RUN_S
+        ran = Ran.UNKNOWN if old and msg.reason == UNKNOWN_ATTEMPT else Ran.NO
+        self._ended(*found, Outcome(False, ran, 0, msg.reason, msg.retry_after_s))
 
     def _cancelled_ended(self, attempt_id: str, tokens: int) -> None:
         """Tell the dispatcher that a copy which nobody waits for has ended."""
@@ -310,29 +332,7 @@
         if link is None:
             self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
             return
-        link.send(self._start_message(pending, attempt_id, now))
-
-    def _start_message(self, pending: PendingRequest, attempt_id: str, now: float) -> StartRequest:
-        req, http = pending.queued, pending.http
-        return StartRequest(
-            attempt_id,
-            req.request_id,
-            req.service,
-            req.class_name,
-            req.tier,
-            req.protected,
-            req.once_only,
-            pending.cls.cancellable,
-            req.customer,
-            req.deadline_s - now,
-            http.method,
-            pending.target,
-            [(name, value) for name, value in http.headers if name in FORWARDED_HEADERS],
-            http.body,
-            pending.key,
-            pending.splitter.events,
-            list(self._ring.clock.tick()),
-        )
+        link.send(start_message(pending, attempt_id, now))
 
     def _refuse(self, action: Refuse) -> None:
         pending = self.pending.get(action.req.request_id)
@@ -415,9 +415,3 @@
         self._ring.record(
             kind, req.request_id, req.service, req.class_name, req.customer, **fields
         )
-
-
-# Hop-by-hop headers and those that the router sets itself are not passed on.
-FORWARDED_HEADERS = frozenset(
-    {"accept", "accept-language", "content-type", "authorization", "user-agent", "x-customer"}
-)
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -12,7 +12,7 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message
 from cassiadrum.members import mean_connections
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
@@ -147,6 +147,8 @@
             deliver=self._deliver,
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
+            stamp=lambda: list(self.ring.clock.tick()),
+            observe=lambda clock: observe(self.ring, clock),
         )
 
     def _deliver(self, link: Link, msg: Message) -> None:
@@ -155,8 +157,6 @@
                 link.abort()
                 return
             self._configurations.link_up(link)
-        if isinstance(msg, StartRequest):
-            observe(self.ring, msg.clock)
         if not self._configurations.take(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -27,6 +27,7 @@
         self.room = asyncio.Event()
         self.room.set()
         self.cancelled = False
+        self.abandoned = False
         # Monotonic time since when no link is attached, or since the end of the answer.
         self.idle_since_s: float | None = None
         self.acked_end = False
@@ -35,3 +36,19 @@
         """Send a message if a link is attached."""
         if self.link is not None:
             self.link.send(msg)
+
+    def unfinished(self, now: float) -> bool:
+        """Tell whether the call runs or an entry instance may still fetch its answer."""
+        if self.end is None:
+            return True
+        if self.acked_end:
+            return False
+        # Without a link the entry instance may be dialling again.
+        waits_s = 0.0 if self.idle_since_s is None else now - self.idle_since_s
+        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
+
+    def abandon(self) -> None:
+        """Let a call that may not be cut run to its end without a receiver."""
+        self.abandoned = True
+        self.buffer.ack(self.buffer.end)
+        self.room.set()
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import math
 import time
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -22,12 +21,13 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointError, EndpointLoad
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.links import BytesGone, Link
+from cassiadrum.links import BytesGone, Link, split_data
 from cassiadrum.links.messages import (
     Ack,
     Attach,
     Cancel,
     Data,
+    Detach,
     End,
     Full,
     Head,
@@ -49,6 +49,7 @@
     SidecarMessage,
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
+from cassiadrum.roles.start_messages import queued_request
 
 __all__ = ["Sidecar"]
 
@@ -98,10 +99,8 @@
 
     def unfinished(self) -> int:
         """Return the number of streams that run or that an entry instance still waits for."""
-        return sum(
-            stream.end is None or (stream.link is not None and not stream.acked_end)
-            for stream in self.streams.values()
-        )
+        now = self._clock()
+        return sum(stream.unfinished(now) for stream in self.streams.values())
 
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
@@ -148,10 +147,15 @@
                 self._ack(attempt_id, position)
         elif isinstance(msg, Attach):
             self._attach(link, msg)
+        elif isinstance(msg, Detach):
+            self._detach(link, msg.attempt_id)
         elif isinstance(msg, Cancel):
             self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
+        if self._links.is_older(hello):
+            link.abort()
+            return
         if not self._links.up(link, hello, self._clock()):
             link.send(Full(f"{len(self.bound)} entry instances are connected"))
             return
@@ -175,7 +179,7 @@
             link.send(RejectStart(msg.attempt_id, "answer_lost", 0.0))
             return
         now = self._clock()
-        queued = _to_queued(msg, now)
+        queued = queued_request(msg, now)
         stream = SidecarStream(msg, queued, link)
         self.streams[msg.attempt_id] = stream
         actions = self._scheduler.arrive(queued, now)
@@ -207,11 +211,17 @@
         stream.idle_since_s = None
         if stream.head is not None:
             link.send(stream.head)
-        if rest:
-            link.send(Data([(msg.attempt_id, msg.position, rest)]))
+        for part in split_data(msg.attempt_id, msg.position, rest):
+            link.send(part)
         if stream.end is not None:
             link.send(stream.end)
 
+    def _detach(self, link: Link, attempt_id: str) -> None:
+        stream = self.streams.get(attempt_id)
+        if stream is not None and stream.link is link:
+            stream.link = None
+            stream.idle_since_s = self._clock()
+
     def _cancel(self, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is None or stream.end is not None or not stream.start.cancellable:
@@ -236,6 +246,8 @@
         position = stream.buffer.append(msg.data)
         if stream.link is not None:
             stream.link.send(Data([(msg.attempt_id, position, msg.data)]))
+        if stream.abandoned:
+            stream.buffer.ack(stream.buffer.end)
         if stream.buffer.full and not stream.cancelled:
             stream.room.clear()
 
@@ -254,8 +266,7 @@
             outcome.reason,
             outcome.retry_after_s,
             stream.buffer.end,
-            list(self._ring.clock.tick()),
-            outcome.final,
+            final=outcome.final,
         )
         stream.idle_since_s = self._clock()
         cancelled = outcome.reason == "cancelled"
@@ -337,6 +348,8 @@
             del self.streams[stream.start.attempt_id]
         elif stream.end is None and stream.link is None and idle_s >= LIMITS.DETACHED_STREAM_S:
             stream.idle_since_s = None
+            if not stream.start.cancellable:
+                stream.abandon()
             self._cancel(stream.start.attempt_id)
 
     def _send_reports(self) -> None:
@@ -381,18 +394,3 @@
     """Wait for a control call; its failure shows in the load report and in the stream."""
     with contextlib.suppress(EndpointError):
         await call
-
-
-def _to_queued(msg: StartRequest, now: float) -> QueuedRequest:
-    left_s = msg.deadline_left_s
-    return QueuedRequest(
-        msg.attempt_id,
-        msg.service,
-        msg.class_name,
-        msg.tier,
-        msg.protected,
-        msg.customer,
-        now,
-        now + left_s if math.isfinite(left_s) else math.inf,
-        once_only=msg.once_only,
-    )
--- /dev/null
+++ b/cassiadrum/tests/test_site_streams.py
@@ -0,0 +1,177 @@
+"""Tests of streams over a whole site while parts fail."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from cassiadrum.events import EventKind
+from cassiadrum.protocols import HttpClient, HttpResponse
+from cassiadrum.roles import build_daemon
+from cassiadrum.settings import parse_settings
+from cassiadrum.sites import EndpointSlot, LocalSite
+from cassiadrum.standins import answer_tokens
+from cassiadrum.stores import HttpInstanceList, Instance
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+PROMPT = "the long bell of the north tower"
+LIMIT_S = 20.0
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():  # noqa: ASYNC110 - the state is spread over several tasks
+            await asyncio.sleep(0.01)
+
+
+def text_of(body: bytes) -> str:
+    deltas = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
+    return "".join(json.loads(delta)["choices"][0]["delta"]["content"] for delta in deltas)
+
+
+class Caller:
+    """Read one streamed answer; `body` grows while it arrives."""
+
+    def __init__(self, site: LocalSite, entry: int = 0) -> None:
+        host, _, port = site.entry_address(entry).rpartition(":")
+        self.client = HttpClient(host, int(port))
+        self.body = bytearray()
+        self.answer_id = ""
+        self.failed = False
+
+    async def send(self) -> None:
+        body = json.dumps({"prompt": PROMPT, "stream": True}).encode()
+        target = "/services/sprachdienst/v1/completions"
+        await self.read(await self.client.request("POST", target, (), body))
+
+    async def read(self, response: HttpResponse) -> None:
+        self.answer_id = dict(response.headers).get("x-request-id", "")
+        try:
+            async for data in response.body:
+                self.body += data
+        except Exception:
+            self.failed = True
+
+    def assert_whole(self) -> None:
+        assert text_of(bytes(self.body)) == "".join(answer_tokens(PROMPT))
+        assert self.body.count(b"[DONE]") == 1
+        assert b"event: error" not in self.body
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[LocalSite]:
+    text = (EXAMPLES / "sprachdienst.toml").read_text()
+    # The budget is a share of the accepted requests, and the first one needs a whole retry.
+    text = text.replace("retry_budget = 0.1", "retry_budget = 1.0")
+    site = LocalSite([text], entries=2, step_s=0.03)
+    await site.start()
+    yield site
+    await site.drain()
+    await site.close()
+
+
+def serving(site: LocalSite) -> EndpointSlot:
+    return next(slot for slot in site.slots if slot.sidecar.status()["in_flight"])
+
+
+async def kill(site: LocalSite) -> None:
+    """Stop the first entry instance without a word to its sidecars."""
+    entry = site.entries.pop(0)
+    await entry._cancel_tasks()
+    await entry._members.close()  # type: ignore[attr-defined]
+    await entry.close()
+
+
+async def restart(site: LocalSite, slot: EndpointSlot) -> None:
+    """Kill a sidecar and start another one under the same name, at another address."""
+    await slot.sidecar.close()
+    cfg = slot.sidecar._cfg  # type: ignore[attr-defined]
+    settings = (
+        f'role = "sidecar"\ninstance = "{cfg.instance}"\nzone = "{cfg.zone}"\n{site._platform}'
+        f'[endpoint]\nservice = "{slot.service}"\nkind = "engine"\n'
+        f'address = "{cfg.endpoint.address}"\n'
+    )
+    sidecar = build_daemon(parse_settings(settings))
+    await sidecar.start()
+    site.slots[site.slots.index(slot)] = slot._replace(sidecar=sidecar)
+    listing = site._instance_list
+    assert isinstance(listing, HttpInstanceList)
+    addresses = sidecar.addresses
+    await listing.register(
+        Instance(
+            cfg.instance, "sidecar", slot.service, cfg.zone, addresses["link"], addresses["admin"]
+        )
+    )
+
+
+class TestSiteStreams:
+    """Guards against answers that are cut, doubled or lost when a connection or process fails."""
+
+    async def test_reset_in_mid_stream_is_not_seen(self, site: LocalSite) -> None:
+        caller = Caller(site)
+        sending = asyncio.create_task(caller.send())
+        await until(lambda: len(caller.body) > 300)
+        for link in list(serving(site).sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
+            link.abort()
+        await sending
+        caller.assert_whole()
+        kinds = {event.kind for event in site.entries[0].ring.after(0, 10_000)}
+        assert EventKind.REATTACHED in kinds
+
+    async def test_rest_is_fetched_through_another_entry_instance(self, site: LocalSite) -> None:
+        caller = Caller(site)
+        sending = asyncio.create_task(caller.send())
+        await until(lambda: len(caller.body) > 300)
+        await kill(site)
+        await sending
+        assert caller.failed
+        second = Caller(site)
+        target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
+        await second.read(await second.client.request("GET", target))
+        caller.body += second.body
+        caller.assert_whole()
+
+    async def test_fetch_goes_on_over_a_new_link_and_can_be_repeated(
+        self, site: LocalSite
+    ) -> None:
+        caller = Caller(site)
+        sending = asyncio.create_task(caller.send())
+        await until(lambda: len(caller.body) > 200)
+        await kill(site)
+        await sending
+        slot = serving(site)
+        second = Caller(site)
+        target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
+        reading = asyncio.create_task(second.read(await second.client.request("GET", target)))
+        await until(lambda: len(second.body) > 200)
+        # The caller leaves, and the answer is kept for its next attempt.
+        reading.cancel()
+        await asyncio.wait([reading])
+        caller.body += second.body
+        third = Caller(site)
+        target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
+        async with asyncio.timeout(LIMIT_S):
+            # Refused while the entry instance has not noticed that the caller left.
+            while (response := await third.client.request("GET", target)).status != 200:
+                await response.read()
+        reading = asyncio.create_task(third.read(response))
+        await until(lambda: len(third.body) > 200)
+        for link in list(slot.sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
+            link.abort()
+        await reading
+        caller.body += third.body
+        caller.assert_whole()
+
+    async def test_sidecar_restarted_under_its_name_is_used_again(self, site: LocalSite) -> None:
+        caller = Caller(site)
+        sending = asyncio.create_task(caller.send())
+        await until(lambda: len(caller.body) > 300)
+        slot = serving(site)
+        await restart(site, slot)
+        await sending
+        # Another engine continued after the text that was delivered.
+        caller.assert_whole()
+        names = sorted(slot.instance for slot in site.slots)
+        await until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
