--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -81,9 +81,14 @@
         return pending.splitter.events - before
 
     def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
+        if not self.continues(pending, attempt):
+            return
+        if pending.head_sent:
+            # Held again it would be acknowledged before the caller took it.
+            pending.events.put_nowait(AnswerData(data, attempt.attempt_id, attempt.position))
+            return
         attempt.held += data
-        fits = len(attempt.held) <= HOLD_BYTES or not self.continues(pending, attempt)
-        if fits or not self._wins(pending, attempt):
+        if len(attempt.held) <= HOLD_BYTES or not self._wins(pending, attempt):
             return
         self._send_head(pending, attempt)
         held, attempt.held = bytes(attempt.held), bytearray()
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -12,7 +12,7 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order, StartRequest
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order
 from cassiadrum.members import mean_connections
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
@@ -163,6 +163,8 @@
             deliver=self._deliver,
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
+            stamp=lambda: list(self.ring.clock.tick()),
+            observe=lambda clock: observe(self.ring, clock),
         )
 
     def _deliver(self, link: Link, msg: Message) -> None:
@@ -172,8 +174,6 @@
                 return
             self._configurations.link_up(link)
             self._gauges.links.add(link)
-        if isinstance(msg, StartRequest):
-            observe(self.ring, msg.clock)
         if isinstance(msg, Order):
             self._orders.post(link, msg)
         elif not self._configurations.take(link, msg):
