--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -37,7 +37,7 @@
     EventKind.QUEUED: "waited for a free slot",
     EventKind.DISPATCHED: "attempt {attempt} sent to {to}, chosen by free slots, zone and cache",
     EventKind.HEDGED: "attempt {attempt} sent to {to} as a copy, since the first token was slow",
-    EventKind.STARTED: "started at the endpoint",
+    EventKind.STARTED: "given a slot at the endpoint",
     EventKind.FIRST_TOKEN: "first bytes of the answer",
     EventKind.PAUSED: "paused for work of a higher tier",
     EventKind.RESUMED: "resumed",
@@ -118,6 +118,8 @@
         values["why"] = "the short queue beside the endpoint was full"
     if event.kind is EventKind.FINISHED:
         return _finished(event)
+    if event.kind is EventKind.QUEUED and event.role == "sidecar":
+        return "arrived beside the endpoint"
     return TEXTS.get(event.kind, event.kind.value).format_map(values)
 
 
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -36,6 +36,8 @@
         print(f"{options.settings}: valid settings of the {cfg.role} {cfg.instance}")
         return
     configure_logging(cfg.log.format, cfg.log.level, cfg.instance)
+    # The library logs a line for each connection; events and status show those.
+    logging.getLogger("websockets").setLevel(logging.WARNING)
     sys.exit(asyncio.run(run(cfg)))
 
 
