--- a/cassiadrum/cli.py
+++ b/cassiadrum/cli.py
@@ -1,6 +1,7 @@
 """Entry point of `cassiadrum`, the operators' command line."""
 
 import asyncio
+import os
 import sys
 from collections.abc import Sequence
 from typing import Final, NamedTuple, TextIO
@@ -26,6 +27,8 @@
 
 # The shell's code for a program that SIGINT ended.
 EXIT_INTERRUPTED: Final = 130
+# The shell's code for a program that SIGPIPE ended, as after `| head`.
+EXIT_PIPE_CLOSED: Final = 141
 
 
 class CommandLine:
@@ -63,6 +66,10 @@
         code = asyncio.run(execute(sys.argv[1:]))
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The interpreter would report the closed pipe once more when it flushes at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = EXIT_PIPE_CLOSED
     sys.exit(code)
 
 
--- /dev/null
+++ b/cassiadrum/tests/test_operations_page.py
@@ -0,0 +1,42 @@
+"""Tests that docs/operations.md states what the code does."""
+
+import re
+from pathlib import Path
+
+from cassiadrum.cli import parse
+from cassiadrum.commands import ExitCode
+from cassiadrum.frontends.problems import REASONS
+
+TEXT = (Path(__file__).parents[2] / "docs" / "operations.md").read_text()
+COMMANDS = (
+    ("service", "check", "f"),
+    ("service", "apply", "f"),
+    ("service", "show", "n"),
+    ("service", "diff", "n", "f"),
+    ("service", "versions", "n"),
+    ("service", "delete", "n"),
+    ("status",),
+    ("timeline",),
+    ("explain", "r"),
+    ("drain", "i"),
+    ("request", "t"),
+)
+
+
+class TestOperationsPage:
+    """Guards against a refusal, exit code or command that operators cannot look up."""
+
+    def test_refusals(self) -> None:
+        rows = re.findall(r"^\| `([a-z_]+)` \| (\d{3}) \|", TEXT, re.MULTILINE)
+        assert rows == [(reason, str(status)) for reason, (status, _) in REASONS.items()]
+
+    def test_exit_codes(self) -> None:
+        rows = re.findall(r"^\| (\d) \| `([A-Z_]+)` \|", TEXT, re.MULTILINE)
+        assert rows == [(str(code.value), code.name) for code in ExitCode]
+
+    def test_commands(self) -> None:
+        section = TEXT.partition("## The operators' tool")[2].partition("###")[0]
+        for arguments in COMMANDS:
+            assert parse(arguments).action is not None
+            name = " ".join(word for word in arguments if len(word) > 1)
+            assert f"| `{name}" in section
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -10,6 +13,7 @@
 from cassiadrum.sites import LocalSite
 from cassiadrum.standins import Faults
 from cassiadrum.tests.command_runs import run
+from cassiadrum.tests.sites import EXAMPLES
 
 REGISTER = "permit-register"
 
@@ -125,3 +129,16 @@
             ExitCode.UNREACHABLE,
             [command_site.slots[0].instance],
         )
+
+
+class TestOutput:
+    """Guards against a traceback when the reader of the output leaves, as `head` does."""
+
+    def test_closed_pipe(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        document = str(EXAMPLES / "sprachdienst.toml")
+        command = [sys.executable, "-m", "cassiadrum.cli", "service", "check", document]
+        ran = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, check=False)
+        os.close(writer)
+        assert (ran.returncode, ran.stderr) == (141, b"")
