Keep the outcome of apply truthful when a refusal follows a lost answer

A failing instance list after the acceptance hid the accepted version. Ports above 65535 and malformed addresses in the instance list ended with a traceback; settings refuse such ports now.

--- a/cassiadrum/commands/admin_clients.py
+++ b/cassiadrum/commands/admin_clients.py
@@ -4,10 +4,10 @@
 import json
 from typing import Any, Final, NamedTuple
 
+from cassiadrum.commands.arguments import parse_address
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError
-from cassiadrum.settings import Address
 
 __all__ = ["AdminAnswer", "AdminClient", "ask"]
 
@@ -28,7 +28,11 @@
     """Ask one process; `address` is HOST:PORT."""
 
     def __init__(self, address: str) -> None:
-        self._address = Address.parse(address)
+        try:
+            self._address = parse_address(address, "admin address")
+        except CommandError as exc:
+            # The address is from the instance list, not from the operator.
+            raise CommandError(ExitCode.UNREACHABLE, str(exc)) from exc
 
     async def get(self, path: str) -> dict[str, Any]:
         """Return the JSON object at a path; raise CommandError with UNREACHABLE."""
@@ -62,7 +66,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await client.request(method, path, (), data)
-                return AdminAnswer(response.status, json.loads(await response.read()))
+                return AdminAnswer(response.status, _decoded(await response.read()))
         finally:
             client.close()
 
@@ -71,6 +75,13 @@
         return CommandError(ExitCode.UNREACHABLE, f"{self._address}: {text}")
 
 
+def _decoded(data: bytes) -> dict[str, Any]:
+    found = json.loads(data)
+    if not isinstance(found, dict):
+        raise ValueError("the answer is not a JSON object")
+    return found
+
+
 async def ask(address: str, path: str) -> dict[str, Any] | None:
     """Return the JSON object at a path of a process, None when it does not answer."""
     try:
--- a/cassiadrum/commands/arguments.py
+++ b/cassiadrum/commands/arguments.py
@@ -5,12 +5,16 @@
 from datetime import UTC, datetime
 from typing import Any, TypeVar
 
+import msgspec
 from fire import decorators
 
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.schemas import describe
+from cassiadrum.settings import Address
+from cassiadrum.settings.schemas import HostPort
 
-__all__ = ["parse_flag", "parse_seconds", "parse_time", "parse_whole", "takes"]
+__all__ = ["parse_address", "parse_flag", "parse_seconds", "parse_time", "parse_whole", "takes"]
 
 # The help lists every attribute of a command whose name has no leading underscore as a group.
 decorators.FIRE_METADATA = "_fire_metadata"
@@ -32,6 +36,15 @@
     return decorate
 
 
+def parse_address(text: object, where: str) -> Address:
+    """Return the address HOST:PORT in a text; raise CommandError."""
+    try:
+        return Address.parse(msgspec.convert(text, HostPort))
+    except msgspec.ValidationError as exc:
+        detail = f"{where}: found {text!r}; allowed: {describe(HostPort)}"
+        raise CommandError(ExitCode.BAD_INPUT, detail) from exc
+
+
 def parse_whole(text: str) -> int:
     """Return a whole number of at least 0; raise CommandError."""
     if not text.isdecimal():
--- a/cassiadrum/commands/event_collectors.py
+++ b/cassiadrum/commands/event_collectors.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.commands.fleets import ask_all, list_instances
 from cassiadrum.commands.platforms import Platform
-from cassiadrum.events import Event, Timeline, decode_event, merge
+from cassiadrum.events import Event, EventError, Timeline, decode_event, merge
 
 __all__ = ["EventCollector"]
 
@@ -35,7 +35,7 @@
             for name, answer in answers.items():
                 if answer is None:
                     self.silent.append(name)
-                if answer is None or self._take(name, answer, events):
+                if answer is None or self._take_page(name, answer, events):
                     del pending[name]
         return events
 
@@ -44,6 +44,14 @@
         events = await self.collect()
         return merge(events, self.alive)
 
+    def _take_page(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
+        """Add the events of an answer; a process that sends anything else counts as silent."""
+        try:
+            return self._take(name, answer, events)
+        except (EventError, KeyError, TypeError, ValueError):
+            self.silent.append(name)
+            return True
+
     def _take(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
         """Add the events of an answer and tell whether it was the last page."""
         start_id, last = str(answer["start_id"]), int(answer["last"])
--- a/cassiadrum/commands/platforms.py
+++ b/cassiadrum/commands/platforms.py
@@ -1,13 +1,13 @@
 """Where the platform's services are."""
 
 import os
-import re
 import time
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
+from cassiadrum.commands.arguments import parse_address
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.protocols import HttpClient
@@ -17,7 +17,6 @@
 __all__ = ["PLATFORM_VARIABLE", "Platform"]
 
 PLATFORM_VARIABLE: Final = "CASSIADRUM_PLATFORM"
-ADDRESS: Final = re.compile(r"(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}")
 ALLOWED: Final = "TABLE_SERVICE,INSTANCE_LIST as HOST:PORT,HOST:PORT, or a TOML file"
 
 
@@ -43,7 +42,7 @@
         if len(parts) != len(cls._fields):
             detail = f"platform: found {text!r}; allowed: {ALLOWED}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
-        return cls(*(_address(part, "platform") for part in parts))
+        return cls(*(parse_address(part, "platform") for part in parts))
 
     def table(self) -> HttpTableStore:
         """Return a client of the table service."""
@@ -63,13 +62,7 @@
     if not isinstance(table, dict):
         detail = f"{path}: platform: found nothing; allowed: a table"
         raise CommandError(ExitCode.BAD_INPUT, detail)
-    return [_address(table.get(key), f"{path}: platform.{key}") for key in Platform._fields]
-
-
-def _address(text: object, where: str) -> Address:
-    if not isinstance(text, str) or not ADDRESS.fullmatch(text):
-        raise CommandError(ExitCode.BAD_INPUT, f"{where}: found {text!r}; allowed: HOST:PORT")
-    return Address.parse(text)
+    return [parse_address(table.get(key), f"{path}: platform.{key}") for key in Platform._fields]
 
 
 def _wire(address: Address) -> HttpWire:
--- a/cassiadrum/commands/request_commands.py
+++ b/cassiadrum/commands/request_commands.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Final, NamedTuple
+from urllib.parse import quote
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, takes
+from cassiadrum.commands.arguments import parse_address, parse_seconds, takes
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.fleets import ask_all, list_instances
@@ -17,6 +19,8 @@
 
 __all__ = ["request"]
 
+# Characters of a target that are sent as they are.
+SAFE: Final = "/?&=%+,:;@!$'()*~"
 ERROR_EVENT: Final = b"event: error\ndata: "
 BAD_INPUT_REASONS: Final = frozenset(
     {"unknown_service", "unknown_class", "unknown_request", "bad_request", "too_large"}
@@ -61,8 +65,8 @@
         call = Call(
             await _address(session, entry),
             method or ("POST" if body else "GET"),
-            "/services/" + target.removeprefix("/services/").lstrip("/"),
-            tuple((name, value) for name, value in headers.items() if value),
+            "/services/" + quote(target.removeprefix("/services/").lstrip("/"), safe=SAFE),
+            tuple(_checked(headers)),
             _body(body),
             limit_s,
         )
@@ -71,6 +75,15 @@
     return Action(run)
 
 
+def _checked(headers: dict[str, str]) -> Iterator[tuple[str, str]]:
+    for name, value in headers.items():
+        if not value.isascii() or not value.isprintable():
+            detail = f"{name}: found {value!r}; allowed: printable ASCII characters"
+            raise CommandError(ExitCode.BAD_INPUT, detail)
+        if value:
+            yield name, value
+
+
 def _body(text: str) -> bytes:
     if not text.startswith("@"):
         return text.encode()
@@ -82,11 +95,7 @@
 
 async def _address(session: Session, entry: str) -> Address:
     if entry:
-        try:
-            return Address.parse(entry)
-        except ValueError as exc:
-            detail = f"--entry: found {entry!r}; allowed: HOST:PORT"
-            raise CommandError(ExitCode.BAD_INPUT, detail) from exc
+        return parse_address(entry, "--entry")
     listed = await list_instances(session.platform())
     live = [item for item in listed if item.role == "entry" and item.state == "live"]
     for answer in (await ask_all(live, "/admin/status")).values():
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -63,14 +63,17 @@
     unknown: CommandError | None = None
     attempts = 0
     for entry in entries * UNKNOWN_ATTEMPTS:
-        session.output.progress(f"submitting to {entry.instance}")
+        session.output.progress(f"operation {change.operation_id}: submitting to {entry.instance}")
         try:
             return _version(await _send(entry, change), change)
         except CommandError as exc:
-            if exc.code not in (ExitCode.OUTCOME_UNKNOWN, ExitCode.UNREACHABLE):
-                raise
             if exc.code is ExitCode.OUTCOME_UNKNOWN:
                 unknown, attempts = exc, attempts + 1
+            elif unknown is not None and exc.data.get("result") == "not_accepted":
+                # The attempt without an answer may still be applied after this refusal.
+                attempts += 1
+            elif exc.code is not ExitCode.UNREACHABLE:
+                raise
         if attempts >= UNKNOWN_ATTEMPTS:
             break
         await asyncio.sleep(RETRY_PAUSE_S)
@@ -101,7 +104,11 @@
     """Submit a change, wait until it is in force and return the result of the command."""
     started_s = time.monotonic()
     version = await submit_change(session, change)
-    lagging = await wait_in_force(session, change.service, version, limit_s)
+    try:
+        lagging = await wait_in_force(session, change.service, version, limit_s)
+    except CommandError as exc:
+        # The change is durable, which must not be hidden by a failure that follows.
+        lagging = {"(instance list)": str(exc)}
     waited_s = round(time.monotonic() - started_s, 3)
     data: dict[str, Any] = {
         "service": change.service,
--- a/cassiadrum/settings/schemas.py
+++ b/cassiadrum/settings/schemas.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "EndpointTable",
+    "HostPort",
     "LimitsTable",
     "ListenTable",
     "LogTable",
@@ -21,10 +22,11 @@
         description="letter or digit, then up to 62 letters, digits, `_`, `.` or `-`",
     ),
 ]
+PORT = "([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 HostPort = Annotated[
     str,
     Meta(
-        pattern=r"^(\[[0-9a-fA-F:]+\]|[^:\s]+):[0-9]{1,5}$",
+        pattern=rf"^(\[[0-9a-fA-F:]+\]|[^:\s]+):{PORT}$",
         description="HOST:PORT or [IPV6]:PORT",
     ),
 ]
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -49,6 +49,15 @@
         rows = (await run("status", "--json")).data["instances"]
         assert [row["instance"] for row in rows if row["draining"]] == ["sprachdienst-1"]
 
+    async def test_wrong_address_in_the_list(self, command_site: LocalSite) -> None:
+        slot = command_site.slots[0]
+        wrong = {"instance": slot.instance, "role": "sidecar", "service": slot.service}
+        wrong |= {"zone": slot.zone, "link_address": "x", "admin_address": "x", "state": "live"}
+        command_site.instances.set_faults(Faults(wrong=[wrong]))
+        ran = await run("status", "--json")
+        command_site.instances.set_faults(Faults())
+        assert (ran.code, ran.data["instances"][0]["answers"]) == (ExitCode.UNREACHABLE, False)
+
     async def test_no_instance_list(self) -> None:
         ran = await run("status", "--platform", "127.0.0.1:1,127.0.0.1:1")
         assert ran.code == ExitCode.UNREACHABLE
--- a/cassiadrum/tests/test_service_commands.py
+++ b/cassiadrum/tests/test_service_commands.py
@@ -106,6 +106,43 @@
         again = await run("service", "apply", str(edited), "--operation", operation, "--json")
         assert (again.code, again.data["version"]) == (ExitCode.OK, 2)
 
+    async def test_refusal_after_a_lost_answer_leaves_the_outcome_unknown(
+        self, command_site: LocalSite, edited: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        send = HttpClient.request
+
+        async def lose_first(
+            self: HttpClient, method: str, target: str, *rest: Any
+        ) -> HttpResponse:
+            if target.startswith("/admin/services/") and not command_site.table.faults.down:
+                command_site.table.set_faults(Faults(down=True))
+                raise AnswerLost("cut by the test before it was applied")
+            return await send(self, method, target, *rest)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(HttpClient, "request", lose_first)
+            ran = await run("service", "apply", str(edited), "--json")
+        command_site.table.set_faults(Faults())
+        assert ran.code == ExitCode.OUTCOME_UNKNOWN
+
+    async def test_acceptance_is_told_without_the_instance_list(
+        self, command_site: LocalSite, edited: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        send = HttpClient.request
+
+        async def then_stop(
+            self: HttpClient, method: str, target: str, *rest: Any
+        ) -> HttpResponse:
+            response = await send(self, method, target, *rest)
+            if target.startswith("/admin/services/"):
+                command_site.instances.set_faults(Faults(down=True))
+            return response
+
+        monkeypatch.setattr(HttpClient, "request", then_stop)
+        ran = await run("service", "apply", str(edited), "--json")
+        command_site.instances.set_faults(Faults())
+        assert (ran.code, ran.data["version"]) == (ExitCode.UNREACHABLE, 2)
+
     async def test_operation_id_of_another_text_is_refused(
         self, command_site: LocalSite, edited: Path, tmp_path: Path
     ) -> None:
@@ -186,6 +223,9 @@
             ("drain", "nowhere"),
             ("explain", "entry-1-00000000-1"),
             ("status", "--platform", "here"),
+            ("status", "--platform", "a:1,b:65536"),
+            ("request", "a/b", "--entry", "here"),
+            ("request", "a/b", "--key", "line\nbreak"),
         ],
     )
     async def test_bad_input_has_its_code(
--- a/cassiadrum/tests/test_texts.py
+++ b/cassiadrum/tests/test_texts.py
@@ -28,6 +28,7 @@
     "wrong choice": ('"entry"', '"router"'),
     "wrong type": ('"muenchen-a"', "7"),
     "address without a port": ("10.0.0.1:7001", "10.0.0.1"),
+    "port out of range": ("7001", "65536"),
     "missing key": ('instance_list = "10.0.0.1:7002"\n', ""),
     "no endpoint": ('"entry"', '"sidecar"'),
     "endpoint of an entry": (
