--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/weighted_choosers.py
@@ -23,6 +23,8 @@
 # At 64 endpoints this bounds the prefix index to 32,768 entries of a few hundred bytes.
 PREFIX_KEYS_PER_ENDPOINT = 512
 REMEMBERED_REMOVALS = 256
+# A sidecar reports a change after at most this time.
+REJECT_PAUSE_S = LIMITS.REPORT_MIN_INTERVAL_S
 
 
 class WeightedChooser(EndpointChooser):
@@ -51,6 +53,10 @@
         self._states: dict[str, EndpointState] = {}
         self._open = CapabilityIndex()  # with a free slot
         self._queueable = CapabilityIndex()  # with room in the short queue for protected work
+        # Neither leaving nor ejected, in order of arrival.
+        self._usable: dict[str, None] = {}
+        # Endpoints that rejected work a short time ago, in order of the rejections.
+        self._full: dict[str, None] = {}
         self._free: dict[str, int] = {}
         self._free_total = 0
         self._first_report_s: float | None = None
@@ -62,12 +68,13 @@
         self._seen_s = max(self._seen_s, now)
         state = self._states.get(rep.instance)
         was_leaving = state is not None and state.report.leaving
-        taken = state.take_report(rep) if state else self._add(rep, now)
+        taken = state.take_report(rep, now) if state else self._add(rep, now)
         if not taken:
             return
         if rep.leaving != was_leaving:
             self._restore_bound(now)
         self._refresh(rep.instance, now)
+        self._release_full(now)
         self._check(now)
 
     def remove(self, instance: str) -> None:
@@ -113,6 +120,15 @@
         self._refresh(instance, now)
         self._check(now)
 
+    def rejected(self, instance: str, request_id: str, now: float) -> None:
+        """Count a rejection; the endpoint gets no new work until it had time to report."""
+        state = self._states.get(instance)
+        if state is not None and instance in self._usable:
+            state.full_until_s = now + REJECT_PAUSE_S
+            self._full.pop(instance, None)
+            self._full[instance] = None
+        self.finished(instance, request_id, True, now)
+
     def cached(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take prefix keys that the endpoint says it holds in its cache."""
         if instance in self._states:
@@ -131,11 +147,15 @@
 
     def instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
-        return [
-            name
-            for name, state in self._states.items()
-            if not state.report.leaving and state.health is not HealthState.EJECTED
-        ]
+        return list(self._usable)
+
+    def count(self) -> int:
+        """Return the number of endpoints that may take new work."""
+        return len(self._usable)
+
+    def offers(self, instance: str) -> bool:
+        """Return whether the endpoint may take new work."""
+        return instance in self._usable
 
     def health(self) -> dict[str, HealthState]:
         """Return the health of every connected endpoint."""
@@ -153,7 +173,8 @@
             self._first_report_s = now
         # Endpoints that a new entry instance finds at its own start are not new themselves.
         warm = now - self._first_report_s < SLOW_START_S
-        self._states[rep.instance] = EndpointState(rep, now, warm)
+        state = self._states[rep.instance] = EndpointState(rep, now, warm)
+        state.tie = self._rng.random()
         return True
 
     def _best(
@@ -165,7 +186,7 @@
         candidates += self._affinity_candidates(index, req)
         self.operations += len(candidates) + 1
         allowed = [name for name in dict.fromkeys(candidates) if name not in exclude]
-        return min(allowed, key=lambda name: (self._estimate(name, req, now), name), default=None)
+        return min(allowed, key=lambda name: self._rank(name, req, now), default=None)
 
     def _affinity_candidates(self, index: CapabilityIndex, req: QueuedRequest) -> list[str]:
         capability = (req.model, req.adapter)
@@ -179,10 +200,11 @@
                 break
         return list(found)
 
-    def _estimate(self, instance: str, req: QueuedRequest, now: float) -> float:
+    def _rank(self, instance: str, req: QueuedRequest, now: float) -> tuple[float, float]:
         self.operations += 1
+        state = self._states[instance]
         uncached = self._uncached_tokens(instance, req)
-        return self._costs.estimate(self._states[instance], uncached, now)
+        return self._costs.estimate(state, uncached, now), state.tie
 
     def _uncached_tokens(self, instance: str, req: QueuedRequest) -> float:
         if not req.prefix_keys:
@@ -204,9 +226,13 @@
         if state.report.leaving or state.health is HealthState.EJECTED:
             self._withdraw(instance)
             return
+        self._usable[instance] = None
+        if now < state.full_until_s:
+            self._close(instance)
+            return
         slots, outstanding = state.slots(now), state.outstanding()
         queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
-        free = max(0, slots - outstanding)
+        free = max(0, slots + state.early(slots) - outstanding)
         if state.health is HealthState.PROBATION:
             free = min(free, max(0, 1 - len(state.streams)))
         self._set_free(instance, free)
@@ -217,7 +243,18 @@
             else:
                 index.discard(instance)
 
+    def _release_full(self, now: float) -> None:
+        """Let endpoints take new work again some time after they rejected some."""
+        while self._full and self._states[first := next(iter(self._full))].full_until_s <= now:
+            del self._full[first]
+            self._refresh(first, now)
+
     def _withdraw(self, instance: str) -> None:
+        self._usable.pop(instance, None)
+        self._full.pop(instance, None)
+        self._close(instance)
+
+    def _close(self, instance: str) -> None:
         self._open.discard(instance)
         self._queueable.discard(instance)
         self._set_free(instance, 0)
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -1,13 +1,11 @@
 """The HTTP interface towards callers."""
 
-import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
 from cassiadrum.frontends import Problem, send_problem
 from cassiadrum.protocols import Exchange, Headers
-from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead, CallerEvent
+from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead
 from cassiadrum.roles.errors import InvalidRequest
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.request_parsers import RequestParser
@@ -28,7 +26,11 @@
 
 
 class CallerHandler:
-    """Route each request and write its answer; one task per connection runs it."""
+    """Route each request and write its answer; one task per connection runs it.
+
+    `refused(service, reason)` is told of refusals that happen before a request has a class; the
+    service is empty then, since its name is whatever the caller wrote.
+    """
 
     def __init__(
         self,
@@ -36,6 +38,7 @@
         post: Callable[[RouterMessage], None],
         fetcher: AnswerFetcher,
         ready: Callable[[], bool],
+        refused: Callable[[str, str], None],
     ) -> None:
         self.draining = False
         self.active = 0
@@ -43,6 +46,7 @@
         self._post = post
         self._fetcher = fetcher
         self._ready = ready
+        self._refused = refused
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
@@ -55,8 +59,10 @@
         elif not path.startswith(SERVICES):
             await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
         elif self.draining:
+            self._refused("", "draining")
             await send_problem(exchange, Problem("draining", "no", retry_after_s=DRAIN_RETRY_S))
         elif not self._ready():
+            self._refused("", "no_configuration")
             problem = Problem("no_configuration", "no", retry_after_s=DRAIN_RETRY_S)
             await send_problem(exchange, problem)
         else:
@@ -66,6 +72,7 @@
         try:
             pending = self._parser.parse(exchange.req)
         except InvalidRequest as exc:
+            self._refused("", exc.reason)
             await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
             return
         self.active += 1
@@ -79,8 +86,9 @@
 
     async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
+        exchange.when_gone(lambda: pending.events.put_nowait(None))
         while True:
-            event = await _next_event(exchange, pending)
+            event = await pending.events.get()
             if event is None:
                 exchange.abort()
                 return
@@ -107,28 +115,12 @@
             self.active -= 1
 
 
-async def _next_event(exchange: Exchange, pending: PendingRequest) -> CallerEvent | None:
-    """Return the next event, or None when the caller is gone."""
-    if not pending.events.empty():
-        return pending.events.get_nowait()
-    getting = asyncio.ensure_future(pending.events.get())
-    gone = asyncio.ensure_future(exchange.gone.wait())
-    try:
-        await asyncio.wait((getting, gone), return_when=asyncio.FIRST_COMPLETED)
-        return getting.result() if getting.done() else None
-    finally:
-        for fut in (getting, gone):
-            fut.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await fut
-
-
 async def _finish(exchange: Exchange, event: AnswerEnd, pending: PendingRequest) -> None:
     if event.problem is None:
         await exchange.end()
     elif not exchange.started:
         await send_problem(exchange, event.problem)
-    elif pending.splitter.events:
+    elif pending.streaming:
         # The status is sent already, so the refusal is the stream's last event.
         body = event.problem.body().decode()
         await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -26,11 +26,14 @@
         self.http = http
         self.target = target
         self.key = key
-        self.events: asyncio.Queue[CallerEvent] = asyncio.Queue()
+        # None tells that the caller is gone.
+        self.events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
+        # Whether the head announced an event stream.
+        self.streaming = False
         self.caller_gone = False
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
         self.winner: str | None = None
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -12,18 +12,24 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, StartRequest
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order, StartRequest
+from cassiadrum.members import mean_connections
+from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
+from cassiadrum.roles.gauges import Gauges
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
+from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ClaimService
+from cassiadrum.stores import Instance
 
 __all__ = ["SidecarDaemon"]
 
@@ -39,15 +45,20 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
+        instances: InstanceWatch,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
+        orders: OrderGuard,
+        metrics: RoleMetrics,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
+        self._instances = instances
         self._claims = claims
+        self._orders = orders
         self._endpoint = endpoint
         self._tls = tls
         self._draining = False
@@ -56,8 +67,13 @@
         self._sidecar = Sidecar(
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
+        instances.on_listed = self._listed
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
+        self._admin_handler = AdminHandler(
+            ring, self.status, self.begin_drain, self._gauges.render
+        )
+        self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
@@ -68,7 +84,9 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
+        self._spawn(self._instances.run())
         self._spawn(self._settle_claims())
+        self._spawn(self._orders.run())
         self._spawn(self._sidecar.run())
         self._spawn(self._poll_load())
 
@@ -87,6 +105,7 @@
         await self._server.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
+        await self._admin_handler.last_events_read()
         await self._admin.abort()
         self._endpoint.close()
 
@@ -104,6 +123,10 @@
             "links": sorted(self._sidecar.links),
         }
 
+    def _queued(self) -> dict[str, int]:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        return {service: self._sidecar.waiting()}
+
     async def _poll_load(self) -> None:
         while True:
             try:
@@ -119,6 +142,12 @@
             if len(self._claims.pending):
                 await self._claims.settle_pending()
 
+    def _listed(self, listed: tuple[Instance, ...]) -> None:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        mean = mean_connections(listed, service, self._cfg.limits.subset_size)
+        if mean:
+            self._sidecar.bound.mean = mean
+
     def _make_link(self, conn: Connection) -> Link:
         hello = Hello(
             PROTOCOL_VERSION,
@@ -138,10 +167,16 @@
 
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
+            if msg.peer not in ("", self._cfg.instance):
+                link.abort()
+                return
             self._configurations.link_up(link)
+            self._gauges.links.add(link)
         if isinstance(msg, StartRequest):
             observe(self.ring, msg.clock)
-        if not self._configurations.take(link, msg):
+        if isinstance(msg, Order):
+            self._orders.post(link, msg)
+        elif not self._configurations.take(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
     def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
@@ -150,4 +185,5 @@
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
+        self._gauges.remove(link)
         self._sidecar.post(LinkLost(link))
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -11,11 +11,13 @@
     "CallData",
     "CallEnded",
     "CallHead",
+    "CallStarted",
     "DrainSidecar",
     "LinkLost",
     "LinkMessage",
     "LoadChanged",
     "SidecarMessage",
+    "Tick",
 ]
 
 
@@ -32,6 +34,12 @@
     link: Link
 
 
+class CallStarted(NamedTuple):
+    """The call is sent to the endpoint now."""
+
+    attempt_id: str
+
+
 class CallHead(NamedTuple):
     """The endpoint answered with this status and these headers."""
 
@@ -65,6 +73,18 @@
     """Take no more work."""
 
 
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
 SidecarMessage = (
-    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar
+    LinkMessage
+    | LinkLost
+    | CallStarted
+    | CallHead
+    | CallData
+    | CallEnded
+    | LoadChanged
+    | DrainSidecar
+    | Tick
 )
--- /dev/null
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -0,0 +1,70 @@
+"""Tests of the relay of answers to callers."""
+
+from cassiadrum.decisions import Outcome, QueuedRequest, Ran
+from cassiadrum.documents import parse_document
+from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.links.messages import Head
+from cassiadrum.protocols import HttpRequest
+from cassiadrum.roles.answer_relays import AnswerRelay
+from cassiadrum.roles.attempts import Attempt
+from cassiadrum.roles.caller_events import AnswerData
+from cassiadrum.roles.pending_requests import PendingRequest
+from cassiadrum.tests.test_documents import example
+
+STREAM = [("content-type", "text/event-stream")]
+JSON = [("content-type", "application/json")]
+
+
+def make_pending() -> PendingRequest:
+    cls = parse_document(example("sprachdienst")).classes[0]
+    req = QueuedRequest("r", "sprachdienst", cls.name, cls.tier, False, "c", 0.0)
+    return PendingRequest(req, cls, HttpRequest("POST", "/", (), b""), "/", "")
+
+
+def make_relay() -> AnswerRelay:
+    return AnswerRelay(EventRing(HybridClock(lambda: 1.0), "entry-1", "entry", "start"))
+
+
+def delivered(pending: PendingRequest) -> bytes:
+    events = [pending.events.get_nowait() for _ in range(pending.events.qsize())]
+    return b"".join(event.data for event in events if isinstance(event, AnswerData))
+
+
+class TestAnswerRelay:
+    """Guards against bytes of a failed attempt, or of another kind of answer, in a stream."""
+
+    def test_second_attempt_continues_after_whole_events(self) -> None:
+        relay, pending = make_relay(), make_pending()
+        first, second = Attempt("r.1", "r", "e1", 0.0), Attempt("r.2", "r", "e2", 0.0)
+        relay.head(pending, first, Head("r.1", 200, STREAM))
+        relay.data(pending, first, 0, b"data: 1\n\ndata: 2", 0.1)
+        relay.failed(pending, first)
+        relay.head(pending, second, Head("r.2", 200, STREAM))
+        relay.data(pending, second, 0, b"data: 2\n\ndata: [DONE]\n\n", 0.2)
+        relay.finish(pending, second)
+        assert delivered(pending) == b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
+
+    def test_repeated_bytes_are_skipped(self) -> None:
+        relay, pending = make_relay(), make_pending()
+        attempt = Attempt("r.1", "r", "e1", 0.0)
+        relay.head(pending, attempt, Head("r.1", 200, STREAM))
+        relay.data(pending, attempt, 0, b"data: 1\n\n", 0.1)
+        relay.data(pending, attempt, 4, b": 1\n\ndata: 2\n\n", 0.2)
+        assert delivered(pending) == b"data: 1\n\ndata: 2\n\n"
+
+    def test_stream_without_an_event_may_be_repeated(self) -> None:
+        relay, pending = make_relay(), make_pending()
+        attempt = Attempt("r.1", "r", "e1", 0.0)
+        relay.head(pending, attempt, Head("r.1", 200, STREAM))
+        failure = Outcome(False, Ran.UNKNOWN, reason="answer_lost")
+        assert relay.repeatable(pending, failure) == failure
+
+    def test_plain_answer_does_not_continue_a_stream(self) -> None:
+        relay, pending = make_relay(), make_pending()
+        first, second = Attempt("r.1", "r", "e1", 0.0), Attempt("r.2", "r", "e2", 0.0)
+        relay.head(pending, first, Head("r.1", 200, STREAM))
+        relay.failed(pending, first)
+        relay.head(pending, second, Head("r.2", 500, JSON))
+        relay.data(pending, second, 0, b"{}", 0.1)
+        assert not relay.continues(pending, second)
+        assert delivered(pending) == b""
