--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -1,15 +1,21 @@
 """Tests of the commands on processes, requests and events against a local site."""
 
 import asyncio
+import io
 import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
+from cassiadrum.cli import execute
 from cassiadrum.commands import ExitCode
 from cassiadrum.sites import LocalSite
 from cassiadrum.standins import Faults
 from cassiadrum.tests.command_runs import run
+from cassiadrum.tests.sites import EXAMPLES
 
 REGISTER = "permit-register"
 
@@ -45,6 +51,15 @@
         rows = (await run("status", "--json")).data["instances"]
         assert [row["instance"] for row in rows if row["draining"]] == ["sprachdienst-1"]
 
+    async def test_wrong_address_in_the_list(self, command_site: LocalSite) -> None:
+        slot = command_site.slots[0]
+        wrong = {"instance": slot.instance, "role": "sidecar", "service": slot.service}
+        wrong |= {"zone": slot.zone, "link_address": "x", "admin_address": "x", "state": "live"}
+        command_site.instances.set_faults(Faults(wrong=[wrong]))
+        ran = await run("status", "--json")
+        command_site.instances.set_faults(Faults())
+        assert (ran.code, ran.data["instances"][0]["answers"]) == (ExitCode.UNREACHABLE, False)
+
     async def test_no_instance_list(self) -> None:
         ran = await run("status", "--platform", "127.0.0.1:1,127.0.0.1:1")
         assert ran.code == ExitCode.UNREACHABLE
@@ -111,12 +126,21 @@
         assert part in await asyncio.to_thread(path.read_text)
 
     async def test_follow_prints_new_events_once(self, command_site: LocalSite) -> None:
-        follow = run("timeline", "--follow", "--seconds", "1.5", "--kind", "received")
-        task = asyncio.create_task(follow)
-        for _ in range(3):
+        stream = io.StringIO()
+        arguments = ("timeline", "--follow", "--kind", "received")
+        task = asyncio.create_task(execute(arguments, stream))
+        for count in range(1, 4):
             await run("request", f"{REGISTER}/permits/7")
-        ran = await task
-        assert ran.text.count("received") == 3
+            # The test's own time limit ends the wait for an event that is never printed.
+            while stream.getvalue().count("received") < count:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        task.cancel()
+        lines = stream.getvalue().splitlines()
+        assert (len(lines), len(set(lines))) == (3, 3)
+
+    async def test_follow_ends_by_itself(self, command_site: LocalSite) -> None:
+        ran = await run("timeline", "--follow", "--seconds", "0.1", "--json")
+        assert ran.code == ExitCode.OK
 
     async def test_silent_process_is_named(self, command_site: LocalSite) -> None:
         await command_site.slots[0].sidecar.close()
@@ -125,3 +149,16 @@
             ExitCode.UNREACHABLE,
             [command_site.slots[0].instance],
         )
+
+
+class TestOutput:
+    """Guards against a traceback when the reader of the output leaves, as `head` does."""
+
+    def test_closed_pipe(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        document = str(EXAMPLES / "sprachdienst.toml")
+        command = [sys.executable, "-m", "cassiadrum.cli", "service", "check", document]
+        ran = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, check=False)
+        os.close(writer)
+        assert (ran.returncode, ran.stderr) == (141, b"")
