Watch for a caller's disconnect without a task

Cause: the HTTP server started a task for each request that read the connection to see its end.

Change: the connection's reader calls back at the end of its input.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -1,7 +1,6 @@
 """An HTTP/1.1 server on asyncio streams and h11."""
 
 import asyncio
-import contextlib
 import json
 import logging
 import ssl
@@ -13,6 +12,7 @@
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
 from cassiadrum.protocols.request_readers import READ_BYTES, RequestReader
+from cassiadrum.protocols.watched_readers import WatchedReader
 
 __all__ = ["HttpServer"]
 
@@ -43,8 +43,8 @@
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen and return the port, which the system chooses when `port` is 0."""
-        self._server = await asyncio.start_server(
-            self._accept, host, port, ssl=tls, limit=READ_BYTES, backlog=1024
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, port, ssl=tls, backlog=1024
         )
         bound: int = self._server.sockets[0].getsockname()[1]
         return bound
@@ -69,7 +69,13 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        # The protocol does the same as asyncio.start_server, with a reader of another class.
+        reader = WatchedReader(limit=READ_BYTES)
+        return asyncio.StreamReaderProtocol(reader, self._accept)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert isinstance(reader, WatchedReader)
         task = asyncio.current_task()
         if task is None or self._closing or len(self._tasks) >= self._connection_limit:
             writer.transport.abort()
@@ -89,7 +95,7 @@
 
     async def _serve(
         self,
-        reader: asyncio.StreamReader,
+        reader: WatchedReader,
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
     ) -> None:
@@ -111,22 +117,18 @@
             if req is None:
                 return
             self._busy.add(task)
-            await self._run(Exchange(req, conn, writer), conn, reader)
+            await self._run(Exchange(req, conn, writer), reader)
             self._busy.discard(task)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
-    async def _run(
-        self, exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
-    ) -> None:
-        watcher = asyncio.create_task(_watch(exchange, conn, reader))
+    async def _run(self, exchange: Exchange, reader: WatchedReader) -> None:
+        reader.watch(exchange.set_gone)
         try:
             await self._handler(exchange)
         finally:
-            watcher.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await watcher
+            reader.watch(None)
         if not exchange.ended:
             exchange.abort()
 
@@ -147,18 +149,3 @@
         body = json.dumps(problem).encode()
         close = (("connection", "close"),)
         await exchange.send(exc.status, body, "application/problem+json", close)
-
-
-async def _watch(exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader) -> None:
-    """Set `gone` when the client closes; keep what it sends early, up to the header limit."""
-    kept = 0
-    while kept < LIMITS.HEADER_BYTES:
-        try:
-            data = await reader.read(READ_BYTES)
-        except ConnectionError:
-            data = b""
-        if not data:
-            exchange.set_gone()
-            return
-        kept += len(data)
-        conn.receive_data(data)
--- /dev/null
+++ b/cassiadrum/protocols/watched_readers.py
@@ -0,0 +1,38 @@
+"""A stream reader that tells at once when the peer is gone."""
+
+import asyncio
+from collections.abc import Callable
+
+__all__ = ["WatchedReader"]
+
+
+class WatchedReader(asyncio.StreamReader):
+    """Call back when the peer closes its connection, also while nobody reads.
+
+    A task that waits for the end of the input instead costs a task for each request. What the
+    peer sends early stays in the buffer, which stops the transport when it is full.
+    """
+
+    _on_gone: Callable[[], None] | None = None
+    _ended = False
+
+    def watch(self, on_gone: Callable[[], None] | None) -> None:
+        """Call `on_gone` at the end of the input, at once if it has come; None stops that."""
+        self._on_gone = on_gone
+        if on_gone is not None and self._ended:
+            on_gone()
+
+    def feed_eof(self) -> None:
+        """Take the end of the input."""
+        super().feed_eof()
+        self._end()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Take the loss of the connection."""
+        super().set_exception(exc)
+        self._end()
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._on_gone is not None:
+            self._on_gone()
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -65,6 +65,46 @@
         client.close()
 
 
+class TestDisconnect:
+    """Guards against an answer that is computed to its end for a caller that left."""
+
+    @pytest.mark.parametrize("early", [b"", b"GET /second HTTP/1.1\r\n"])
+    async def test_handler_is_told(self, early: bytes) -> None:
+        running, told = asyncio.Event(), asyncio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            exchange.when_gone(told.set)
+            running.set()
+            await told.wait()
+
+        server = HttpServer(wait)
+        port = await server.start("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" + early)
+        async with asyncio.timeout(5.0):
+            await running.wait()
+            writer.close()
+            await told.wait()
+        await server.abort()
+
+    async def test_caller_that_left_before_the_handler_ran(self) -> None:
+        told = asyncio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            await asyncio.sleep(0.05)
+            exchange.when_gone(told.set)
+            await told.wait()
+
+        server = HttpServer(wait)
+        port = await server.start("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        writer.close()
+        async with asyncio.timeout(5.0):
+            await told.wait()
+        await server.abort()
+
+
 class TestHttpClient:
     """Guards against a cut answer taken for a whole one."""
 
