Send messages that are ready together in one frame

Cause: head, data and end of a short answer were three frames, each with a system call on both sides; merging data was quadratic in the number of ready messages, and unbounded, so that a slow connection could build a frame above the peer's limit of 4 MiB and be closed for it.

Change: a frame is one message or an array of messages up to 256 KiB; data is merged in linear time up to the same size.

--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -1,6 +1,11 @@
 """Links between entry instances and sidecars: websockets with CBOR."""
 
-from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.codecs import (
+    decode_message,
+    decode_messages,
+    encode_message,
+    make_frames,
+)
 from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
 from cassiadrum.links.link_dialers import LinkDialer
 from cassiadrum.links.link_servers import LinkServer
@@ -16,5 +21,7 @@
     "LinkServer",
     "StreamBuffer",
     "decode_message",
+    "decode_messages",
     "encode_message",
+    "make_frames",
 ]
--- a/cassiadrum/links/codecs.py
+++ b/cassiadrum/links/codecs.py
@@ -1,6 +1,7 @@
 """CBOR codec of the messages."""
 
 import io
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import cbor2
@@ -9,25 +10,72 @@
 from cassiadrum.links.errors import BadFrame
 from cassiadrum.links.messages import MESSAGE_TYPES, Message
 
-__all__ = ["decode_message", "encode_message"]
+__all__ = ["decode_message", "decode_messages", "encode_message", "make_frames"]
+
+# A frame of this many bytes or messages is sent before it is filled further.
+FRAME_TARGET_BYTES: Final = 256 * 1024
+FRAME_MESSAGES: Final = 255
 
 _CODES: Final = {kind: code for code, kind in enumerate(MESSAGE_TYPES)}
 
 
 def encode_message(msg: Message) -> bytes:
-    """Return the frame of a message."""
+    """Return the CBOR array of a message."""
     return cbor2.dumps([_CODES[type(msg)], *msg])
 
 
+def make_frames(encoded: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield frames that hold the encoded messages in their order.
+
+    A frame is one message, or a CBOR array of messages, since each frame costs a system call on
+    both sides.
+    """
+    parts: list[bytes] = []
+    size = 0
+    for part in encoded:
+        if parts and (size + len(part) > FRAME_TARGET_BYTES or len(parts) == FRAME_MESSAGES):
+            yield _frame(parts)
+            parts, size = [], 0
+        parts.append(part)
+        size += len(part)
+    if parts:
+        yield _frame(parts)
+
+
+def _frame(parts: list[bytes]) -> bytes:
+    if len(parts) == 1:
+        return parts[0]
+    # The head of a CBOR array with a length of one byte.
+    return b"".join((bytes((0x98, len(parts))), *parts))
+
+
 def decode_message(frame: bytes) -> Message | None:
     """Return the message of a frame, or None when its type is unknown.
 
-    Raises BadFrame when the frame is not a message of the right shape.
+    Raises BadFrame when the frame is not one message of the right shape.
     """
+    return _message(_decoded(frame))
+
+
+def decode_messages(frame: bytes) -> list[Message | None]:
+    """Return the messages of a frame, with None for each of an unknown type.
+
+    Raises BadFrame when the frame holds anything else.
+    """
+    raw = _decoded(frame)
+    if isinstance(raw, list) and raw and isinstance(raw[0], list):
+        return [_message(item) for item in raw]
+    return [_message(raw)]
+
+
+def _decoded(frame: bytes) -> object:
     try:
-        raw = cbor2.CBORDecoder(io.BytesIO(frame)).decode()
+        return cbor2.CBORDecoder(io.BytesIO(frame)).decode()
     except Exception as exc:
         raise BadFrame(f"not CBOR: {type(exc).__name__}") from exc
+
+
+def _message(raw: object) -> Message | None:
     if not isinstance(raw, list) or not raw or type(raw[0]) is not int or raw[0] < 0:
         raise BadFrame("not an array that begins with a type code")
     if raw[0] >= len(MESSAGE_TYPES):
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -10,7 +10,12 @@
 from websockets.exceptions import ConnectionClosed
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.codecs import (
+    FRAME_TARGET_BYTES,
+    decode_messages,
+    encode_message,
+    make_frames,
+)
 from cassiadrum.links.errors import BadFrame
 from cassiadrum.links.messages import Data, Head, Hello, Message, Ping, Pong, StartRequest
 
@@ -89,13 +94,14 @@
                 raise BadFrame("a text frame")
             self._last_heard_s = self._clock()
             self.bytes_received += len(frame)
-            msg = decode_message(frame)
-            if not isinstance(msg, CONTENT):
+            messages = decode_messages(frame)
+            if not any(isinstance(msg, CONTENT) for msg in messages):
                 self.control_received += len(frame)
-            if msg is None:
-                self.unknown_messages += 1
-            else:
-                self._take(msg)
+            for msg in messages:
+                if msg is None:
+                    self.unknown_messages += 1
+                else:
+                    self._take(msg)
 
     def _take(self, msg: Message) -> None:
         if isinstance(msg, Ping):
@@ -115,15 +121,19 @@
             batch = [await self._outbox.get()]
             while not self._outbox.empty():
                 batch.append(self._outbox.get_nowait())
-            for msg in _merge_data(batch):
-                frame = encode_message(msg)
+            encoded = [self._encode(msg) for msg in _merge_data(batch)]
+            for frame in make_frames(encoded):
                 self.bytes_sent += len(frame)
-                if isinstance(msg, Data):
-                    self.data_bytes += len(frame)
-                if not isinstance(msg, CONTENT):
-                    self.control_sent += len(frame)
                 await self._conn.send(frame)
 
+    def _encode(self, msg: Message) -> bytes:
+        encoded = encode_message(msg)
+        if isinstance(msg, Data):
+            self.data_bytes += len(encoded)
+        if not isinstance(msg, CONTENT):
+            self.control_sent += len(encoded)
+        return encoded
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(LIMITS.HEARTBEAT_INTERVAL_S)
@@ -146,12 +156,22 @@
 
 
 def _merge_data(batch: list[Message]) -> list[Message]:
-    """Put consecutive data messages into one: a frame per token costs too much processor time."""
+    """Put consecutive data messages into one: a frame per token costs too much processor time.
+
+    A message is not extended beyond FRAME_TARGET_BYTES, so that the frame stays below the
+    peer's limit however much is ready.
+    """
     merged: list[Message] = []
+    size = 0
     for msg in batch:
         last = merged[-1] if merged else None
-        if isinstance(msg, Data) and isinstance(last, Data):
-            merged[-1] = Data(last.parts + msg.parts)
-        else:
+        if not isinstance(msg, Data):
             merged.append(msg)
+            continue
+        if isinstance(last, Data) and size < FRAME_TARGET_BYTES:
+            last.parts.extend(msg.parts)
+        else:
+            merged.append(Data(list(msg.parts)))
+            size = 0
+        size += sum(len(data) for _, _, data in msg.parts)
     return merged
--- a/cassiadrum/tests/test_links.py
+++ b/cassiadrum/tests/test_links.py
@@ -2,8 +2,18 @@
 
 import pytest
 
-from cassiadrum.links import BadFrame, BytesGone, StreamBuffer, decode_message, encode_message
-from cassiadrum.links.messages import Data, Hello, Versions
+from cassiadrum.defaults import LIMITS
+from cassiadrum.links import (
+    BadFrame,
+    BytesGone,
+    StreamBuffer,
+    decode_message,
+    decode_messages,
+    encode_message,
+    make_frames,
+)
+from cassiadrum.links.links import _merge_data
+from cassiadrum.links.messages import Ack, Data, Fetch, Hello, Message, Versions
 
 
 class TestCodec:
@@ -29,6 +39,41 @@
         assert decode_message(b"\x81\x18\xc8") is None
 
 
+class TestFrames:
+    """Guards against messages that are lost, reordered or too large when they share a frame."""
+
+    @pytest.mark.parametrize("count", [1, 2, 23, 24, 255, 256, 700])
+    def test_messages_keep_their_order(self, count: int) -> None:
+        sent: list[Message] = [Fetch(f"service-{index}") for index in range(count)]
+        frames = list(make_frames(map(encode_message, sent)))
+        assert len(frames) == -(-count // 255)
+        assert [msg for frame in frames for msg in decode_messages(frame)] == sent
+
+    def test_unknown_type_in_a_frame_does_not_hide_the_others(self) -> None:
+        frame = b"\x82\x81\x18\xc8" + encode_message(Fetch("s"))
+        assert decode_messages(frame) == [None, Fetch("s")]
+
+    @pytest.mark.parametrize("frame", [b"\x82\x81\x00\x01", b"\x81\x80", b"\x80"])
+    def test_wrong_shape_is_an_error(self, frame: bytes) -> None:
+        with pytest.raises(BadFrame):
+            decode_messages(frame)
+
+    def test_tokens_that_are_ready_together_share_a_message(self) -> None:
+        batch: list[Message] = [Data([(f"r{index}", 0, b"token")]) for index in range(100)]
+        batch.insert(50, Ack([("r1", 5)]))
+        merged = _merge_data(batch)
+        assert [type(msg) for msg in merged] == [Data, Ack, Data]
+        assert len(list(make_frames(map(encode_message, merged)))) == 1
+
+    def test_much_data_stays_below_the_frame_limit(self) -> None:
+        batch: list[Message] = [Data([("r", index, bytes(60_000))]) for index in range(200)]
+        frames = list(make_frames(map(encode_message, _merge_data(batch))))
+        assert max(map(len, frames)) < LIMITS.FRAME_BYTES
+        messages = [msg for frame in frames for msg in decode_messages(frame)]
+        parts = [part for msg in messages if isinstance(msg, Data) for part in msg.parts]
+        assert [part[1] for part in parts] == list(range(200))
+
+
 class TestStreamBuffer:
     """Guards against bytes lost or doubled when a stream is attached again."""
 
