Send the parts of an answer that are ready together in one write

Cause: head, data and end of an answer were three writes, and each chunk passed through h11's event checks.

Change: an exchange collects what is ready and flushes it at once; chunks are framed directly where the answer is chunked.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -11,6 +11,9 @@
 __all__ = ["Exchange", "Handler"]
 
 
+BODILESS = frozenset({204, 304})
+
+
 class Exchange:
     """Answer one request; `gone` is set when the client closes its connection."""
 
@@ -21,6 +24,8 @@
         self.ended = False
         self._conn = conn
         self._writer = writer
+        self._unsent: list[bytes] = []
+        self._chunked = False
         self._on_gone: Callable[[], None] | None = None
 
     def when_gone(self, act: Callable[[], None]) -> None:
@@ -37,34 +42,70 @@
         if self._on_gone is not None:
             self._on_gone()
 
-    async def send_head(self, status: int, headers: Headers = ()) -> None:
-        """Send the status and headers; the body is chunked unless a length is given."""
+    def put_head(self, status: int, headers: Headers = ()) -> None:
+        """Add the status and headers to what the next flush sends.
+
+        The body is chunked unless a length is given.
+        """
         names = {name.lower() for name, _ in headers}
-        if "content-length" not in names:
+        chunked = "content-length" not in names
+        if chunked:
             headers = (*headers, ("transfer-encoding", "chunked"))
         self.started = True
-        self._write(h11.Response(status_code=status, headers=list(headers)))
+        self._put(h11.Response(status_code=status, headers=list(headers)))
+        self._chunked = (
+            chunked
+            and self.req.method != "HEAD"
+            and status not in BODILESS
+            and self._conn.their_http_version == b"1.1"
+        )
+
+    def put_data(self, data: bytes) -> None:
+        """Add a part of the body to what the next flush sends."""
+        if not self._chunked:
+            self._put(h11.Data(data=data))
+        elif data:
+            # h11 checks each chunk's event and state, at several times the cost of framing it.
+            self._unsent += (b"%x\r\n" % len(data), data, b"\r\n")
+
+    def put_end(self) -> None:
+        """Add the end of the answer to what the next flush sends."""
+        self.ended = True
+        self._put(h11.EndOfMessage())
+
+    async def flush(self) -> None:
+        """Send what was added in one write and wait while the client's buffer is full."""
+        self._write()
+        try:
+            await self._writer.drain()
+        except ConnectionError:
+            self.set_gone()
+
+    async def send_head(self, status: int, headers: Headers = ()) -> None:
+        """Send the status and headers; the body is chunked unless a length is given."""
+        self.put_head(status, headers)
+        self._write()
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body and wait while the client's buffer is full."""
-        self._write(h11.Data(data=data))
-        await self._drain()
+        self.put_data(data)
+        await self.flush()
 
     async def end(self) -> None:
         """End the answer."""
-        self.ended = True
-        self._write(h11.EndOfMessage())
-        await self._drain()
+        self.put_end()
+        await self.flush()
 
     async def send(
         self, status: int, body: bytes, content_type: str, headers: Headers = ()
     ) -> None:
         """Send a whole answer."""
         length = (("content-type", content_type), ("content-length", str(len(body))))
-        await self.send_head(status, (*headers, *length))
+        self.put_head(status, (*headers, *length))
         if self.req.method != "HEAD":
-            await self.send_data(body)
-        await self.end()
+            self.put_data(body)
+        self.put_end()
+        await self.flush()
 
     async def send_json(self, status: int, value: object, headers: Headers = ()) -> None:
         """Send a whole answer as JSON."""
@@ -75,16 +116,15 @@
         self.ended = True
         self._writer.transport.abort()
 
-    def _write(self, event: h11.Event) -> None:
+    def _put(self, event: h11.Event) -> None:
         data = self._conn.send(event)
+        if data:
+            self._unsent.append(data)
+
+    def _write(self) -> None:
+        data, self._unsent = b"".join(self._unsent), []
         if data and not self._writer.is_closing():
             self._writer.write(data)
 
-    async def _drain(self) -> None:
-        try:
-            await self._writer.drain()
-        except ConnectionError:
-            self.set_gone()
-
 
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -87,20 +87,29 @@
     async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
         exchange.when_gone(lambda: pending.events.put_nowait(None))
+        events = pending.events
         while True:
-            event = await pending.events.get()
+            event, sent = await events.get(), None
+            # What is ready together is sent in one write.
+            while isinstance(event, AnswerHead | AnswerData):
+                if isinstance(event, AnswerHead):
+                    headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
+                    exchange.put_head(event.status, headers)
+                else:
+                    exchange.put_data(event.data)
+                    sent = event
+                if events.empty():
+                    break
+                event = events.get_nowait()
             if event is None:
                 exchange.abort()
                 return
-            if isinstance(event, AnswerHead):
-                headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
-                await exchange.send_head(event.status, headers)
-            elif isinstance(event, AnswerData):
-                await exchange.send_data(event.data)
-                self._post(Delivered(request_id, event.attempt_id, event.position))
-            else:
+            if isinstance(event, AnswerEnd):
                 await _finish(exchange, event, pending)
                 return
+            await exchange.flush()
+            if sent is not None:
+                self._post(Delivered(request_id, sent.attempt_id, sent.position))
 
     async def _fetch(self, exchange: Exchange, answer_id: str) -> None:
         name, _, value = exchange.req.query.partition("=")
