Measure relay and router in turns

Cause: other load on the machine met one of them more than the other.

Change: five rounds of each, in turns.

--- a/bench/wall_clock/__main__.py
+++ b/bench/wall_clock/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Sequence
 from statistics import quantiles
-from typing import Any
+from typing import Any, NamedTuple
 
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.callers import Callers, Timing, Work
@@ -24,6 +24,15 @@
 MIN_RATIO = 0.5
 MAX_ADDED_MS = {"p50": 2.0, "p99": 10.0}
 SEED = 1
+ROUNDS = 5
+
+
+class Cost(NamedTuple):
+    """Answers in a time, and the processor seconds of each process."""
+
+    answers: int
+    duration_s: float
+    cpu_s: list[float]
 
 
 async def measure(duration_s: float) -> dict[str, Any]:
@@ -68,8 +77,12 @@
     direct = Callers(engine, work.request(""))
     for callers in (routed, relayed, direct):
         await callers.closed_loop(CONNECTIONS, 0.5)
-    relay_cost = await _cost(relayed, [relay], work, duration_s)
-    router_cost = await _cost(routed, router, work, duration_s)
+    # Both take turns, so that other load on the machine meets both alike.
+    rounds: dict[str, list[Cost]] = {"relay": [], "router": []}
+    for _ in range(ROUNDS):
+        rounds["relay"].append(await _cost(relayed, [relay], duration_s / ROUNDS))
+        rounds["router"].append(await _cost(routed, router, duration_s / ROUNDS))
+    relay_cost, router_cost = (_summed(rounds[name], work) for name in ("relay", "router"))
     rate_per_s = router_cost["requests_per_s"] / 2
     delays = {}
     for name, callers in (("direct", direct), ("relay", relayed), ("router", routed)):
@@ -87,14 +100,18 @@
     }
 
 
-async def _cost(
-    callers: Callers, processes: Sequence[Child], work: Work, duration_s: float
-) -> dict[str, Any]:
+async def _cost(callers: Callers, processes: Sequence[Child], duration_s: float) -> Cost:
     before = [child.cpu_s() for child in processes]
     answers = len(await callers.closed_loop(CONNECTIONS, duration_s))
     spent = [child.cpu_s() - start for child, start in zip(processes, before, strict=True)]
+    return Cost(answers, duration_s, spent)
+
+
+def _summed(rounds: list[Cost], work: Work) -> dict[str, Any]:
+    answers = sum(part.answers for part in rounds)
+    spent = [sum(cpu_s) for cpu_s in zip(*(part.cpu_s for part in rounds), strict=True)]
     return {
-        "requests_per_s": answers / duration_s,
+        "requests_per_s": answers / sum(part.duration_s for part in rounds),
         "requests_per_core_s": answers / sum(spent),
         "tokens_per_core_s": answers * work.tokens / sum(spent),
         "cpu_us_per_request": [1e6 * cpu_s / answers for cpu_s in spent],
