Pass the tokens of an endpoint on without a loop pass for each

Cause: the call to the endpoint yielded to the event loop after each token, and the HTTP client passed chunks on one by one although they came in one read.

The claim keeps the answer's head from the call itself, because the sidecar's task may take it later now (the test of a repeated key found this).

--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -106,16 +106,25 @@
 
     async def _body(self, link: _Connection) -> AsyncIterator[bytes]:
         whole = False
+        ready: list[bytes] = []
         try:
             while True:
-                event = await _next_event(link)
+                event = _event(link)
                 if isinstance(event, h11.Data):
-                    yield bytes(event.data)
-                elif isinstance(event, h11.EndOfMessage):
+                    # Chunks that were received together are passed on together.
+                    ready.append(bytes(event.data))
+                    continue
+                if ready:
+                    yield b"".join(ready)
+                    ready = []
+                if isinstance(event, h11.EndOfMessage):
                     whole = True
                     return
-                else:
+                if isinstance(event, BadMessage | AnswerLost):
+                    raise event
+                if event is not h11.NEED_DATA:
                     raise AnswerLost("the connection ended inside the body")
+                await _receive(link)
         finally:
             if whole:
                 self._keep(link)
@@ -132,17 +141,26 @@
 
 
 async def _next_event(link: _Connection) -> object:
-    while True:
-        try:
-            event = link.conn.next_event()
-        except h11.RemoteProtocolError as exc:
-            if link.reader.at_eof():
-                raise AnswerLost(str(exc)) from exc
-            raise BadMessage(502, str(exc)) from exc
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            data = await link.reader.read(READ_BYTES)
-        except OSError as exc:
-            raise AnswerLost(str(exc)) from exc
-        link.conn.receive_data(data)
+    while (event := _event(link)) is h11.NEED_DATA:
+        await _receive(link)
+    if isinstance(event, BadMessage | AnswerLost):
+        raise event
+    return event
+
+
+def _event(link: _Connection) -> object:
+    """Return the next event of what was received, or the error that takes its place."""
+    try:
+        return link.conn.next_event()
+    except h11.RemoteProtocolError as exc:
+        if link.reader.at_eof():
+            return AnswerLost(str(exc))
+        return BadMessage(502, str(exc))
+
+
+async def _receive(link: _Connection) -> None:
+    try:
+        data = await link.reader.read(READ_BYTES)
+    except OSError as exc:
+        raise AnswerLost(str(exc)) from exc
+    link.conn.receive_data(data)
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -17,6 +17,8 @@
 
 SSE_EVENT = b"\n\n"
 SSE_DONE = b"data: [DONE]\n\n"
+# A pass through the event loop for each token costs more than the token's other work.
+PASS_BYTES = LIMITS.STREAM_BUFFER_BYTES // 16
 # The usage stands at the end of an answer that is not a stream.
 USAGE_BYTES = 512
 USAGE = re.compile(rb'"completion_tokens":\s*([0-9]{1,9})')
@@ -55,9 +57,9 @@
         body = bytearray()
         outcome = await self._run(stream, body)
         answer = None
-        if outcome.ok and stream.head is not None:
-            headers = relayed_headers(tuple(stream.head.headers))
-            answer = KeptAnswer(stream.head.status, headers, bytes(body))
+        if outcome.ok and stream.answered is not None:
+            headers = relayed_headers(tuple(stream.answered.headers))
+            answer = KeptAnswer(stream.answered.status, headers, bytes(body))
         await self._gate.leave(stream.start, entered, outcome, answer)
         return outcome
 
@@ -69,13 +71,17 @@
             return Outcome(False, Ran.NO, 0, "endpoint_failed")
         except EndpointLost:
             return Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
-        self._post(CallHead(stream.start.attempt_id, response.status, list(response.headers)))
+        # Kept here too, since the sidecar's task may take the message after the call has ended.
+        stream.answered = CallHead(
+            stream.start.attempt_id, response.status, list(response.headers)
+        )
+        self._post(stream.answered)
         return await self._relay(stream, response, body)
 
     async def _relay(
         self, stream: SidecarStream, response: HttpResponse, body: bytearray | None
     ) -> Outcome:
-        tail = b""
+        tail, posted = b"", 0
         try:
             async for data in response.body:
                 tail = (tail + data)[-USAGE_BYTES:]
@@ -83,9 +89,13 @@
                 if body is not None:
                     body += data
                 self._post(CallData(stream.start.attempt_id, data))
-                # Lets the sidecar's task clear `room` when the buffer is full.
-                await asyncio.sleep(0)
-                await stream.room.wait()
+                posted += len(data)
+                if posted >= PASS_BYTES:
+                    # Lets the sidecar's task clear `room` when the buffer is full.
+                    await asyncio.sleep(0)
+                    posted = 0
+                if not stream.room.is_set():
+                    await stream.room.wait()
         except HttpError:
             return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
         stream.tokens = _tokens(stream.tokens, tail)
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -6,6 +6,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import Link, StreamBuffer
 from cassiadrum.links.messages import End, Head, StartRequest
+from cassiadrum.roles.sidecar_messages import CallHead
 
 __all__ = ["SidecarStream"]
 
@@ -22,6 +23,7 @@
         self.queued = queued
         self.link: Link | None = link
         self.buffer = StreamBuffer(LIMITS.STREAM_BUFFER_BYTES)
+        self.answered: CallHead | None = None
         self.head: Head | None = None
         self.end: End | None = None
         self.task: asyncio.Task[None] | None = None
