--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -1,6 +1,11 @@
 """Links between entry instances and sidecars: websockets with CBOR."""
 
-from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.codecs import (
+    decode_message,
+    decode_messages,
+    encode_message,
+    make_frames,
+)
 from cassiadrum.links.data_merges import split_data
 from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
 from cassiadrum.links.link_dialers import LinkDialer
@@ -17,6 +22,8 @@
     "LinkServer",
     "StreamBuffer",
     "decode_message",
+    "decode_messages",
     "encode_message",
+    "make_frames",
     "split_data",
 ]
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -10,7 +10,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.codecs import decode_messages, encode_message, make_frames
 from cassiadrum.links.data_merges import merge_data
 from cassiadrum.links.errors import BadFrame
 from cassiadrum.links.messages import CLOCKED, Data, Head, Hello, Message, Ping, Pong, StartRequest
@@ -113,13 +113,14 @@
                 raise BadFrame("a text frame")
             self._last_heard_s = self._clock()
             self.bytes_received += len(frame)
-            msg = decode_message(frame)
-            if not isinstance(msg, CONTENT):
+            messages = decode_messages(frame)
+            if not any(isinstance(msg, CONTENT) for msg in messages):
                 self.control_received += len(frame)
-            if msg is None:
-                self.unknown_messages += 1
-            else:
-                self._take(msg)
+            for msg in messages:
+                if msg is None:
+                    self.unknown_messages += 1
+                else:
+                    self._take(msg)
 
     def _take(self, msg: Message) -> None:
         if isinstance(msg, Ping):
@@ -143,22 +144,29 @@
             batch = [await self._outbox.get()]
             while not self._outbox.empty():
                 batch.append(self._outbox.get_nowait())
-            for msg in merge_data(batch):
-                while self._urgent:
-                    await self._send_frame(self._urgent.popleft())
-                if msg != NO_DATA:
-                    await self._send_frame(msg)
+            messages = (msg for msg in merge_data(batch) if msg != NO_DATA)
+            for frame in make_frames(map(self._encode, messages)):
+                await self._send_urgent()
+                await self._send_frame(frame)
+            await self._send_urgent()
 
-    async def _send_frame(self, msg: Message) -> None:
+    async def _send_urgent(self) -> None:
+        while self._urgent:
+            await self._send_frame(self._encode(self._urgent.popleft()))
+
+    async def _send_frame(self, frame: bytes) -> None:
+        self.bytes_sent += len(frame)
+        await self._conn.send(frame)
+
+    def _encode(self, msg: Message) -> bytes:
         if isinstance(msg, CLOCKED) and not msg.clock:
             msg = msg._replace(clock=self._stamp())
-        frame = encode_message(msg)
-        self.bytes_sent += len(frame)
+        encoded = encode_message(msg)
         if isinstance(msg, Data):
-            self.data_bytes += len(frame)
+            self.data_bytes += len(encoded)
         if not isinstance(msg, CONTENT):
-            self.control_sent += len(frame)
-        await self._conn.send(frame)
+            self.control_sent += len(encoded)
+        return encoded
 
     async def _beat(self) -> None:
         while True:
