Repeat a stream that broke off before its first event

Cause: the head of an event stream is passed on at once, and an attempt that failed after its head and before its first event was marked as final, as for an answer whose bytes cannot be continued. The caller then got status 200 and a cut connection without an error event.

Change: only a head that is not a stream's forbids another attempt; a refusal after a stream's head is always an error event; the whole answer of another kind, such as an engine's error document, is not put into a stream that has begun.

--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -64,11 +64,15 @@
 
     def repeatable(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Mark a failure as final when the caller has a part that no other attempt continues."""
-        if not pending.head_sent or pending.splitter.events:
+        if not pending.head_sent or pending.streaming:
             return outcome
         ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
         return outcome._replace(ran=ran, final=True)
 
+    def continues(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Tell whether the attempt's answer fits the head that the caller has."""
+        return attempt.streaming or not pending.streaming
+
     def _stream(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
         before = pending.splitter.events
         whole = pending.splitter.feed(data)
@@ -78,7 +82,9 @@
 
     def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
         attempt.held += data
-        if len(attempt.held) <= HOLD_BYTES or not self._wins(pending, attempt):
+        if len(attempt.held) <= HOLD_BYTES or not self.continues(pending, attempt):
+            return
+        if not self._wins(pending, attempt):
             return
         self._send_head(pending, attempt)
         held, attempt.held = bytes(attempt.held), bytearray()
@@ -92,7 +98,7 @@
     def _send_head(self, pending: PendingRequest, attempt: Attempt) -> None:
         if pending.head_sent:
             return
-        pending.head_sent = True
+        pending.head_sent, pending.streaming = True, attempt.streaming
         answer_id = f"{attempt.attempt_id}@{attempt.instance}"
         pending.events.put_nowait(AnswerHead(attempt.status, attempt.headers, answer_id))
 
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -137,7 +137,7 @@
         await exchange.end()
     elif not exchange.started:
         await send_problem(exchange, event.problem)
-    elif pending.splitter.events:
+    elif pending.streaming:
         # The status is sent already, so the refusal is the stream's last event.
         body = event.problem.body().decode()
         await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
