Give up silent endpoint connections and end requests whose answer moved

Cause: (1) a connection from sidecar to endpoint that goes silent kept its call, and every idle connection its next call, for ever, since HTTP has no heartbeat. (2) When a caller fetches the rest of an answer through another entry instance because its connection is silent, the stream moves to that instance, and the first one waited for it for ever and could not drain.

Change: a call without a byte for 10 s, or three times the target of its class if that is longer, ends as lost; a class that may not be cut waits until its deadline. Pauses, a full buffer and time in which the sidecar did not run are not counted. Idle connections are then closed, and once-only calls never use an idle one. The sidecar ends the request of the entry instance that a stream was taken from, and that instance can no longer cancel it.

--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -55,6 +55,9 @@
     REPORT_MIN_INTERVAL_S: Final = 0.1
     REPORT_MAX_INTERVAL_S: Final = 1.0
     DETACHED_STREAM_S: Final = 10.0
+    # An endpoint that sends nothing for this long, or for three times the class's target if that
+    # is longer, is taken to be cut off: a connection can go silent without an error.
+    ENDPOINT_SILENCE_S: Final = 10.0
     SIDECAR_QUEUE_PER_SLOT: Final = 1
     KEPT_ANSWER_BYTES: Final = 64 * 1024
     EVENT_RING: Final = 16_384
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -30,7 +30,10 @@
         if call.key:
             headers = (*headers, ("idempotency-key", call.key))
         try:
-            return await self._client.request(call.method, call.target, headers, body)
+            # A call with a key cannot be repeated when its connection turns out to be dead.
+            return await self._client.request(
+                call.method, call.target, headers, body, fresh=bool(call.key)
+            )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (AnswerLost, BadMessage) as exc:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -67,7 +67,8 @@
     """Hand an attempt of a request to a sidecar.
 
     `deadline_left_s` is the time left until the deadline. `delivered_events` counts the events
-    of an earlier attempt that the caller already has.
+    of an earlier attempt that the caller already has. `silence_limit_s` bounds the time without
+    a byte from the endpoint, 0 for no bound.
     """
 
     attempt_id: str
@@ -88,6 +89,7 @@
     delivered_events: int = 0
     clock: list[int] = []  # noqa: RUF012 - never changed in place
     max_wait_s: float = 30.0
+    silence_limit_s: float = 0.0
 
 
 class Head(NamedTuple):
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -42,14 +42,22 @@
         self._idle: deque[_Connection] = deque()
 
     async def request(
-        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        *,
+        fresh: bool = False,
     ) -> HttpResponse:
         """Send a request and return its response once the headers arrived.
 
+        `fresh` asks for a new connection: an idle one may have gone silent without an error.
+
         Raises ConnectFailed when nothing was sent, AnswerLost when the outcome is unknown and
         BadMessage when the response is not valid HTTP. The caller sets the timeout.
         """
-        link = self._reuse() or await self._connect()
+        link = (None if fresh else self._reuse()) or await self._connect()
         try:
             head = await self._send(link, method, target, headers, body)
         except BaseException:
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -69,6 +69,17 @@
 
     async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         """Call the endpoint; collect the answer in `body` if that is to be kept."""
+        task = asyncio.current_task()
+        try:
+            return await self._exchange(stream, body)
+        except asyncio.CancelledError:
+            # When the sidecar gives up a silent call, the task still has to settle the claim.
+            if not stream.given_up or task is None:
+                raise
+            task.uncancel()
+            return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
+
+    async def _exchange(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         self._post(CallStarted(stream.start.attempt_id))
         try:
             response = await self._endpoint.call(_to_call(stream))
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -19,18 +19,27 @@
     """
 
     def __init__(
-        self, queued: QueuedRequest, cls: RequestClass, http: HttpRequest, target: str, key: str
+        self,
+        queued: QueuedRequest,
+        cls: RequestClass,
+        http: HttpRequest,
+        target: str,
+        key: str,
+        silence_limit_s: float = 0.0,
     ) -> None:
         self.queued = queued
         self.cls = cls
         self.http = http
         self.target = target
         self.key = key
+        self.silence_limit_s = silence_limit_s
         self.events: asyncio.Queue[CallerEvent] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
+        # Whether the head that the caller has is that of an event stream.
+        self.streaming = False
         self.caller_gone = False
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
         self.winner: str | None = None
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cassiadrum.decisions import QueuedRequest, prefix_keys
+from cassiadrum.defaults import LIMITS
 from cassiadrum.documents import RequestClass, ServiceDocument
 from cassiadrum.protocols import HttpRequest
 from cassiadrum.roles.errors import InvalidRequest
@@ -19,6 +20,7 @@
 CHARS_PER_TOKEN = 4
 MAX_NAME_CHARS = 128
 MAX_KEY_CHARS = 255
+SILENT_TARGETS = 3.0
 
 
 class PromptFacts(NamedTuple):
@@ -29,6 +31,7 @@
     keys: tuple[int, ...] = ()
     model: str = ""
     adapter: str = ""
+    streams: bool = False
 
 
 class RequestParser:
@@ -59,7 +62,9 @@
         facts = _prompt_facts(http) if document.kind == "model" else PromptFacts()
         if http.query:
             target = f"{target}?{http.query}"
-        return PendingRequest(self._queued(document, cls, http, facts), cls, http, target, key)
+        queued = self._queued(document, cls, http, facts)
+        silence_s = _silence_limit_s(cls, facts.streams)
+        return PendingRequest(queued, cls, http, target, key, silence_s)
 
     def _queued(
         self, document: ServiceDocument, cls: RequestClass, http: HttpRequest, facts: PromptFacts
@@ -115,6 +120,14 @@
     return key if cls.once_only else ""
 
 
+def _silence_limit_s(cls: RequestClass, streams: bool) -> float:
+    """Return how long the endpoint may send nothing before its connection is taken as lost."""
+    if not cls.cancellable:
+        return cls.deadline_s
+    target_s = cls.target_first_token_s if streams else cls.target_total_s
+    return max(LIMITS.ENDPOINT_SILENCE_S, SILENT_TARGETS * target_s)
+
+
 def _prompt_facts(http: HttpRequest) -> PromptFacts:
     if http.method != "POST":
         return PromptFacts()
@@ -132,6 +145,7 @@
         prefix_keys(prompt),
         str(body.get("model", "")),
         str(body.get("adapter", "")),
+        body.get("stream") is True,
     )
 
 
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -273,6 +273,9 @@
     def _ended(self, pending: PendingRequest, attempt: Attempt, outcome: Outcome) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
         req = pending.queued
+        if outcome.ok and not self._relay.continues(pending, attempt):
+            # Another engine answered the rest of a stream with something else, such as an error.
+            outcome = outcome._replace(ok=False, ran=Ran.UNKNOWN, reason="endpoint_failed")
         if outcome.ok:
             self._relay.finish(pending, attempt)
             self._close(pending, None, EventKind.FINISHED, outcome)
@@ -334,6 +337,7 @@
             pending.splitter.events,
             list(self._ring.clock.tick()),
             req.max_wait_s,
+            pending.silence_limit_s,
         )
 
     def _refuse(self, action: Refuse) -> None:
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -126,6 +126,8 @@
                 load, taken_s = await self._endpoint.load(), time.monotonic()
                 self._sidecar.post(LoadChanged(load, taken_s))
             except EndpointError:
+                # The idle connections may have gone silent together with the one just used.
+                self._endpoint.close()
                 self._sidecar.post(LoadChanged(None, time.monotonic()))
             await asyncio.sleep(LOAD_POLL_S)
 
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -30,6 +30,10 @@
         self.room = asyncio.Event()
         self.room.set()
         self.cancelled = False
+        self.paused = False
+        # Time without a byte from the endpoint while one was expected, in seconds.
+        self.silent_s = 0.0
+        self.given_up = False
         self.tokens = 0
         # Monotonic time since when no link is attached, or since the end of the answer.
         self.idle_since_s: float | None = None
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -84,6 +84,7 @@
         self._reachable = True
         self._draining = False
         self._reported_s = 0.0
+        self._ticked_s = clock()
         self._report_due = True
         # Attempts that a peer asked for before they arrived; a start of one of them that was
         # delayed on an old connection must not run.
@@ -151,7 +152,10 @@
         elif isinstance(msg, Attach):
             self._attach(link, msg)
         elif isinstance(msg, Cancel):
-            self._cancel(msg.attempt_id)
+            stream = self.streams.get(msg.attempt_id)
+            # An entry instance that another has replaced has no say over the stream any more.
+            if stream is not None and stream.link in (None, link):
+                self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
         old = self.links.get(hello.instance)
@@ -206,7 +210,7 @@
         except BytesGone:
             link.send(End(msg.attempt_id, False, Ran.YES, 0, "answer_lost", 0.0, 0))
             return
-        stream.link = link
+        self._take_over(stream, link)
         stream.idle_since_s = None
         if stream.head is not None:
             link.send(stream.head)
@@ -215,6 +219,17 @@
         if stream.end is not None:
             link.send(stream.end)
 
+    def _take_over(self, stream: SidecarStream, link: Link) -> None:
+        """Attach a stream to a link; an entry instance that had it until now gets an end.
+
+        The caller fetches the rest elsewhere, and without an end its first request would stay
+        open for as long as its silent connection does.
+        """
+        old, stream.link = stream.link, link
+        if old is not None and old.peer is not None and old.peer.instance != _instance(link):
+            end = End(stream.start.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0)
+            old.send(end._replace(final=True))
+
     def _cancel(self, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is None or stream.end is not None or not stream.start.cancellable:
@@ -232,16 +247,19 @@
     def _call_started(self, msg: CallStarted) -> None:
         stream = self.streams[msg.attempt_id]
         stream.timing = StreamTiming(self._clock())
+        stream.silent_s = 0.0
         self._record_stream(EventKind.STARTED, stream)
 
     def _call_head(self, msg: CallHead) -> None:
         stream = self.streams[msg.attempt_id]
         stream.head = Head(msg.attempt_id, msg.status, msg.headers)
+        stream.silent_s = 0.0
         stream.send(stream.head)
 
     def _call_data(self, msg: CallData) -> None:
         stream = self.streams[msg.attempt_id]
         position = stream.buffer.append(msg.data)
+        stream.silent_s = 0.0
         if stream.link is not None:
             stream.link.send(Data([(msg.attempt_id, position, msg.data)]))
         if stream.buffer.full and not stream.cancelled:
@@ -310,9 +328,11 @@
                 self._reject(action)
             elif isinstance(action, Pause):
                 self._record(EventKind.PAUSED, action.request_id)
+                self._set_paused(action.request_id, True)
                 self._control(self._endpoint.pause(action.request_id))
             elif isinstance(action, Resume):
                 self._record(EventKind.RESUMED, action.request_id)
+                self._set_paused(action.request_id, False)
                 self._control(self._endpoint.resume(action.request_id))
         self._report_due = True
 
@@ -320,6 +340,11 @@
         stream = self.streams[req.request_id]
         stream.task = asyncio.create_task(self._caller.run(stream))
 
+    def _set_paused(self, attempt_id: str, paused: bool) -> None:
+        stream = self.streams.get(attempt_id)
+        if stream is not None:
+            stream.paused, stream.silent_s = paused, 0.0
+
     def _reject(self, action: Reject) -> None:
         stream = self.streams.pop(action.req.request_id)
         self._record_stream(EventKind.REJECTED, stream, reason=action.reason)
@@ -335,8 +360,11 @@
 
     def _tick(self) -> None:
         now = self._clock()
+        # Time in which this process did not run is not counted.
+        passed_s, self._ticked_s = min(now - self._ticked_s, 2 * TICK_INTERVAL_S), now
         for stream in list(self.streams.values()):
             self._expire(stream, now)
+            self._watch_silence(stream, passed_s)
         horizon = now - FINISHED_KEPT_S
         self._refused = {key: at for key, at in self._refused.items() if at > horizon}
         idle = now - self._reported_s
@@ -354,6 +382,21 @@
             stream.idle_since_s = None
             self._cancel(stream.start.attempt_id)
 
+    def _watch_silence(self, stream: SidecarStream, passed_s: float) -> None:
+        """Give up a call whose endpoint has been silent for too long: its connection is lost."""
+        limit_s = stream.start.silence_limit_s
+        if stream.task is None or stream.timing is None or limit_s <= 0:
+            return
+        if stream.paused or not stream.room.is_set():
+            return
+        stream.silent_s += passed_s
+        if stream.silent_s >= limit_s and not stream.given_up:
+            stream.given_up = True
+            # Idle connections were opened before this one was found dead and may be dead too.
+            self._endpoint.close()
+            self._control(self._endpoint.cancel(stream.start.attempt_id))
+            stream.task.cancel()
+
     def _send_reports(self) -> None:
         report = self._report()
         for link in self.links.values():
@@ -400,6 +443,10 @@
         await call
 
 
+def _instance(link: Link) -> str:
+    return link.peer.instance if link.peer else ""
+
+
 def _to_queued(msg: StartRequest, now: float) -> QueuedRequest:
     left_s = msg.deadline_left_s
     return QueuedRequest(
--- a/cassiadrum/tests/integration/conftest.py
+++ b/cassiadrum/tests/integration/conftest.py
@@ -13,6 +13,12 @@
 LONG_PROMPT = "assessment 4"
 # A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
 FULL_RETRIES = (("retry_budget = 0.1", "retry_budget = 1.0"),)
+# Brings the times after which a silent endpoint is given up down to about 10 s for all classes.
+SHORT_LIMITS = (
+    (r"(cancellable = false\n.*\n)deadline_s = 60\.0", r"\1deadline_s = 12.0\nmax_wait_s = 10.0"),
+    (r"target_total_s = 30\.0", "target_total_s = 3.0"),
+    (r"target_first_token_s = .*", "target_first_token_s = 3.0\ntarget_total_s = 3.0"),
+)
 
 
 @pytest.fixture
