--- a/cassiadrum/tests/harness/__init__.py
+++ b/cassiadrum/tests/harness/__init__.py
@@ -5,6 +5,7 @@
 from cassiadrum.tests.harness.event_collectors import EventCollector
 from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
 from cassiadrum.tests.harness.process_sites import ProcessSite
+from cassiadrum.tests.harness.raw_links import RawLink
 from cassiadrum.tests.harness.waits import until
 
 __all__ = [
@@ -13,6 +14,7 @@
     "EventCollector",
     "FaultProxy",
     "ProcessSite",
+    "RawLink",
     "StreamCaller",
     "Way",
     "call",
--- /dev/null
+++ b/cassiadrum/tests/harness/raw_links.py
@@ -0,0 +1,49 @@
+"""A link that a test steers message by message."""
+
+from typing import TypeVar
+
+from websockets.asyncio.client import ClientConnection, connect
+
+from cassiadrum.links.codecs import decode_message, encode_message
+from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message
+
+__all__ = ["RawLink"]
+
+M = TypeVar("M", bound=Message)
+
+
+class RawLink:
+    """Speak to a sidecar as an entry instance would, without heartbeats."""
+
+    def __init__(self, conn: ClientConnection) -> None:
+        self._conn = conn
+
+    @classmethod
+    async def open(cls, address: str, instance: str = "raw", *, hello: bool = True) -> "RawLink":
+        """Connect, and say hello if asked to."""
+        link = cls(await connect(f"ws://{address}/", compression=None, proxy=None))
+        if hello:
+            await link.send(Hello(PROTOCOL_VERSION, instance, "entry", "zone", "", "start"))
+        return link
+
+    async def send(self, msg: Message) -> None:
+        """Send a message."""
+        await self._conn.send(encode_message(msg))
+
+    async def send_frame(self, frame: bytes | str) -> None:
+        """Send any frame."""
+        await self._conn.send(frame)
+
+    async def receive(self, kind: type[M]) -> M:
+        """Return the next message of a kind; raise websockets' ConnectionClosed at the end."""
+        while True:
+            frame = await self._conn.recv()
+            assert isinstance(frame, bytes)
+            msg = decode_message(frame)
+            if isinstance(msg, kind):
+                return msg
+
+    async def close(self) -> None:
+        """Cut the connection."""
+        self._conn.transport.abort()
+        await self._conn.wait_closed()
--- a/cassiadrum/tests/integration/conftest.py
+++ b/cassiadrum/tests/integration/conftest.py
@@ -1,11 +1,12 @@
 """Fixtures of the tests with real processes."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from cassiadrum.invariants import CallerOutcome, check_record
 from cassiadrum.tests.harness import ProcessSite
 
 MakeSite = Callable[..., Awaitable[ProcessSite]]
@@ -37,3 +38,10 @@
     yield make
     for site in sites:
         await site.close()
+
+
+async def is_clean(site: ProcessSite, outcomes: Sequence[CallerOutcome] = ()) -> None:
+    """Stop the site gracefully and assert that every invariant held."""
+    record = await site.finish(list(outcomes))
+    assert record.missing_events == 0
+    assert [str(violation) for violation in check_record(record)] == []
--- /dev/null
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -0,0 +1,136 @@
+"""Tests of bursts, planned changes and the lease, with real processes."""
+
+import asyncio
+
+import pytest
+
+from cassiadrum.events import EventKind
+from cassiadrum.links.messages import Order, Ordered
+from cassiadrum.standins import answer_tokens
+from cassiadrum.tests.harness import ProcessSite, RawLink, StreamCaller, Way, call, until
+from cassiadrum.tests.integration.conftest import LONG_PROMPT, MakeSite, is_clean
+
+pytestmark = pytest.mark.integration
+
+BURST = 120
+
+
+class TestBursts:
+    """Guards against important work that waits behind, or is shed for, a burst of other work."""
+
+    async def test_burst_of_exports_does_not_touch_brigade_checks(
+        self, make_site: MakeSite
+    ) -> None:
+        site = await make_site(services=("permit-register",), limits="queue_requests = 40")
+        for part in site.endpoints.values():
+            await call(part.address, "POST", "/faults", {}, b'{"service_s": 0.2}')
+        prefix = "/services/permit-register"
+        addresses = [site.http(name) for name in site.entries]
+        exports = [
+            asyncio.create_task(call(addresses[number % 2], "GET", f"{prefix}/export/{number}"))
+            for number in range(BURST)
+        ]
+        await until(lambda: len(site.events(EventKind.QUEUED)) > 20, "a queue")
+        checks = [
+            await call(addresses[number % 2], "GET", f"{prefix}/permits/{number}")
+            for number in range(10)
+        ]
+        answers = await asyncio.gather(*exports)
+        assert [check.status for check in checks] == [200] * 10
+        refused = [answer.json for answer in answers if answer.status != 200]
+        assert {(problem["ran"], problem["reason"]) for problem in refused} <= {
+            ("no", "overloaded"),
+            ("no", "evicted"),
+        }
+        assert all(problem["retry_after_s"] > 0 for problem in refused)
+        assert 0 < len(refused) < BURST
+        await is_clean(site)
+
+
+class TestPlannedChanges:
+    """Guards against requests cut off by planned stops and against work for leaving endpoints."""
+
+    async def test_replacing_every_instance_loses_nothing(self, make_site: MakeSite) -> None:
+        site = await make_site(step_s=0.01)
+        async with site.load(rate_per_s=15.0, duration_s=8.0) as sender:
+            for name in (*site.sidecars(), *site.entries):
+                # The load keeps sending to the entry instances it knows, so these go last.
+                await site.replace(name, f"{name}-new")
+        lost = [o for o in sender.outcomes if o.status not in (0, 200, 201)]
+        assert all(outcome.ran == "no" for outcome in lost), lost
+        assert all(outcome.complete for outcome in sender.outcomes if outcome.status == 200)
+        await is_clean(site, sender.outcomes)
+
+    async def test_leaving_endpoint_gets_no_new_work(self, make_site: MakeSite) -> None:
+        site = await make_site(services=("sprachdienst",), step_s=0.04)
+        async with site.load(rate_per_s=10.0, duration_s=6.0) as sender:
+            caller = StreamCaller.completion(site.http(), LONG_PROMPT)
+            await until(lambda: bool(caller.request_id), "the head of the answer")
+            leaving = caller.request_id.rpartition("@")[2]
+            site.children[leaving].terminate()
+            answer = await caller.answer()
+            assert await site.children[leaving].wait() == 0
+        assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
+        (draining,) = site.events(EventKind.DRAINING, leaving)
+        started = site.events(EventKind.STARTED, leaving)
+        assert all(event.sequence < draining.sequence for event in started)
+        await is_clean(site, sender.outcomes)
+
+    @pytest.mark.parametrize("victim", ["entry-1", "sprachdienst-1"])
+    @pytest.mark.parametrize("during", ["link silent", "engine slow", "peer killed"])
+    async def test_sigterm_during_a_fault(
+        self, make_site: MakeSite, victim: str, during: str
+    ) -> None:
+        site = await make_site(
+            services=("sprachdienst",),
+            hops=("link",),
+            step_s=0.03,
+            edits=(("retry_budget = 0.1", "retry_budget = 1.0"),),
+        )
+        async with site.load(rate_per_s=8.0, duration_s=2.0) as sender:
+            if during == "link silent":
+                site.proxies["link:sprachdienst-1"].silence(Way.TO_CLIENT)
+            elif during == "engine slow":
+                for part in site.endpoints.values():
+                    await call(part.address, "POST", "/faults", {}, b'{"slow_factor": 4.0}')
+            else:
+                await site.kill("sprachdienst-2")
+            await site.stop(victim)
+        assert all(o.complete or o.ran for o in sender.outcomes if o.status == 200)
+        await is_clean(site, sender.outcomes)
+
+    async def test_restarted_sidecar_is_found_at_its_new_address(
+        self, make_site: MakeSite
+    ) -> None:
+        site = await make_site(services=("permit-register",), endpoints=1)
+        await site.kill("permit-register-1")
+        await site.launch("permit-register-1")
+        await until(site.all_linked, "a link to the new address")
+        await is_clean(site)
+
+
+class TestLeases:
+    """Guards against two instances that both act under the lease."""
+
+    async def test_paused_holder_loses_the_lease(self, make_site: MakeSite) -> None:
+        site = await make_site(services=("sprachdienst",), endpoints=1)
+        await until(lambda: bool(site.events(EventKind.LEASE_ACQUIRED)), "a holder")
+        first = site.events(EventKind.LEASE_ACQUIRED)[0].instance
+        with site.outage(first):
+            site.children[first].pause()
+            await until(lambda: len(site.events(EventKind.LEASE_ACQUIRED)) == 2, "a takeover")
+            site.children[first].resume()
+        await until(lambda: bool(site.events(EventKind.LEASE_LOST, first)), "the loss noticed")
+        assert len({event.instance for event in site.events(EventKind.LEASE_ACQUIRED)}) == 2
+        results = [await self.order(site, fencing) for fencing in (2, 1, 2)]
+        assert [result.ok for result in results] == [True, False, True], results
+        await is_clean(site)
+
+    @staticmethod
+    async def order(site: ProcessSite, fencing: int) -> Ordered:
+        """Send an order as a holder with this fencing token would."""
+        link = await RawLink.open(site.children["sprachdienst-1"].ready["link"])
+        await link.send(Order(f"order-{fencing}", "claims", fencing, "load_model", "m"))
+        result = await link.receive(Ordered)
+        await link.close()
+        return result
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -5,10 +5,9 @@
 import pytest
 
 from cassiadrum.events import EventKind
-from cassiadrum.invariants import check_record
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import StreamCaller, call, until
-from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite
+from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite, is_clean
 
 pytestmark = pytest.mark.integration
 
@@ -33,7 +32,7 @@
         assert [whole.count(f'"{token}"') >= 1 for token in answer_tokens(LONG_PROMPT)]
         assert whole.count('"content"') == len(answer_tokens(LONG_PROMPT))
         assert whole.endswith("data: [DONE]\n\n")
-        assert check_record(await site.finish(sender.outcomes)) == []
+        await is_clean(site, sender.outcomes)
 
     async def test_killed_sidecar_continues_at_another_engine(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.03, edits=FULL_RETRIES)
@@ -45,7 +44,7 @@
             answer = await caller.answer()
         assert answer.complete
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
-        assert check_record(await site.finish(sender.outcomes)) == []
+        await is_clean(site, sender.outcomes)
 
     async def test_stopped_instances_finish_their_streams(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.03)
@@ -58,7 +57,5 @@
             answers = [await caller.answer() for caller in callers]
         assert all(answer.complete and answer.status == 200 for answer in answers)
         assert all(answer.body.endswith(b"data: [DONE]\n\n") for answer in answers)
-        record = await site.finish(sender.outcomes)
-        assert record.missing_events == 0
+        await is_clean(site, sender.outcomes)
         assert len(site.events(EventKind.STOPPED)) == 6
-        assert check_record(record) == []
--- a/cassiadrum/tests/integration/test_single_faults.py
+++ b/cassiadrum/tests/integration/test_single_faults.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from cassiadrum.invariants import check_record
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import ProcessSite, StreamCaller, call, until
 from cassiadrum.tests.harness.faults import FAULTS, HOPS
@@ -13,6 +12,7 @@
     LONG_PROMPT,
     SHORT_LIMITS,
     MakeSite,
+    is_clean,
 )
 
 pytestmark = pytest.mark.integration
@@ -61,6 +61,4 @@
         await caller.leave()
         assert body.count(b'"content"') == len(answer_tokens(LONG_PROMPT)), body[-400:]
         assert body.endswith(b"data: [DONE]\n\n")
-        record = await site.finish(sender.outcomes)
-        assert record.missing_events == 0
-        assert [str(violation) for violation in check_record(record)] == []
+        await is_clean(site, sender.outcomes)
