--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -5,6 +5,7 @@
 from cassiadrum.decisions.endpoint_choosers import EndpointChooser
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.hedge_policies import HedgePolicy
+from cassiadrum.decisions.outcomes import Outcome, Ran
 from cassiadrum.decisions.tracked_requests import TrackedRequest
 
 __all__ = ["AttemptTable"]
@@ -43,7 +44,7 @@
 
     def connected(self) -> bool:
         """Tell whether any endpoint can take new work."""
-        return any(name not in self._lost for name in self._chooser.instances())
+        return self._usable_besides(self._lost) > 0
 
     def free_slots(self) -> int:
         """Return the number of free slots, 0 when no endpoint is connected."""
@@ -67,8 +68,7 @@
         """
         exclude = self._lost | set(tracked.copies)
         exclude |= self._cancelled.instances(tracked.req.request_id)
-        others = set(self._chooser.instances()) - exclude - {tracked.failed_at}
-        if others:
+        if self._usable_besides(exclude | {tracked.failed_at}):
             exclude.add(tracked.failed_at)
         return self._chooser.choose(tracked.req, now, exclude)
 
@@ -80,9 +80,13 @@
         tracked.copies[instance] = now
         self._chooser.dispatched(instance, tracked.req, now)
 
-    def end(self, tracked: TrackedRequest, instance: str, healthy: bool, now: float) -> float:
+    def end(self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float) -> float:
         """Count the end of a copy and return for how many seconds it ran."""
-        self._chooser.finished(instance, tracked.req.request_id, healthy, now)
+        # A rejection as not run says nothing against the endpoint's health.
+        if not outcome.ok and outcome.ran is Ran.NO:
+            self._chooser.rejected(instance, tracked.req.request_id, now)
+        else:
+            self._chooser.finished(instance, tracked.req.request_id, outcome.ok, now)
         started_s = tracked.copies.pop(instance)
         if not tracked.copies:
             self._forget(tracked)
@@ -113,6 +117,9 @@
         for copy in self._cancelled.pop_late(now):
             self._settle(copy, 0, now)
 
+    def _usable_besides(self, excluded: set[str]) -> int:
+        return self._chooser.count() - sum(self._chooser.offers(name) for name in excluded)
+
     def _settle(self, copy: CancelledCopy, tokens: int, now: float) -> None:
         self._chooser.finished(copy.instance, copy.request_id, True, now)
         if copy.hedge:
--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -1,5 +1,6 @@
 """Retries within a share of the accepted work."""
 
+import math
 from collections.abc import Mapping
 
 from cassiadrum.decisions.outcomes import Ran
@@ -10,7 +11,8 @@
 
 DEFAULT_BUDGET = 0.1
 MAX_ATTEMPTS = 3
-# Attempts rejected as not run cost no capacity, so more of them are allowed than of others.
+# Attempts rejected as not run cost no capacity, so a request goes on until its deadline; this
+# bounds one that has none.
 MAX_REJECTED_ATTEMPTS = 8
 # Bounds the retries that a class with much earlier traffic can send in one burst.
 MAX_SAVED_RETRIES = 100.0
@@ -42,12 +44,20 @@
         saved = self._saved.get(req.class_name, 0.0) + share
         self._saved[req.class_name] = min(saved, MAX_SAVED_RETRIES)
 
+    def may_continue(self, req: QueuedRequest, now: float) -> bool:
+        """Allow it within attempts and deadline, without budget.
+
+        Only the prompt is computed again, and a refusal would waste what was delivered.
+        """
+        repeatable = req.idempotent and not req.once_only
+        return repeatable and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s
+
     def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
         """Allow a retry within attempts and deadline; spend budget unless it did not run."""
         if now >= req.deadline_s:
             return False
         if ran is Ran.NO:
-            return req.attempt + 1 < MAX_REJECTED_ATTEMPTS
+            return req.deadline_s < math.inf or req.attempt + 1 < MAX_REJECTED_ATTEMPTS
         if not req.idempotent or req.once_only or req.attempt + 1 >= MAX_ATTEMPTS:
             return False
         saved = self._saved.get(req.class_name, 0.0)
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -30,9 +30,9 @@
         if call.key:
             headers = (*headers, ("idempotency-key", call.key))
         try:
-            # A call with a key cannot be repeated when its connection turns out to be dead.
+            # A call that cannot be repeated must not be lost to a connection closed while idle.
             return await self._client.request(
-                call.method, call.target, headers, body, fresh=bool(call.key)
+                call.method, call.target, headers, body, fresh=not call.repeatable
             )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -136,4 +136,5 @@
         start.tier,
         start.key,
         start.delivered_events,
+        start.idempotent,
     )
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -8,7 +8,16 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, End, Hello, Message, Ordered
+from cassiadrum.links.messages import (
+    PROTOCOL_VERSION,
+    End,
+    Full,
+    Hello,
+    Message,
+    Ordered,
+    Report,
+)
+from cassiadrum.members import Subset
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
@@ -19,6 +28,7 @@
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.gauges import Gauges
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
@@ -26,7 +36,7 @@
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ConfigurationWriter
-from cassiadrum.stores import Instance, InstanceList
+from cassiadrum.stores import Instance
 
 __all__ = ["EntryDaemon"]
 
@@ -39,7 +49,7 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
-        instances: InstanceList,
+        instances: InstanceWatch,
         dispatchers: DispatcherFactory,
         maintenance: MaintenanceFactory,
         writer: ConfigurationWriter,
@@ -53,11 +63,22 @@
         configurations.on_applied = self._configure
         self._tls = tls
         self._process_start = secrets.token_hex(8)
-        self._members = MemberLinks(instances, self._make_dialer)
-        self._router = Router(dispatchers, self._members.service, ring)
-        self._janitor = maintenance.janitor(self._entries)
-        self._orders = maintenance.orders(self._router, self._entries)
+        self._instances = instances
+        services: dict[str, str] = {}
+        self._router = Router(dispatchers, lambda name: services.get(name, ""), ring)
+        self._members = MemberLinks(
+            lambda: Subset(cfg.instance, cfg.zone, cfg.limits.subset_size),
+            self._make_dialer,
+            self._router.post,
+            self._router.busy,
+            services,
+            ring,
+        )
+        instances.on_listed = self._members.listed
+        self._janitor = maintenance.janitor(instances.entries)
+        self._orders = maintenance.orders(self._router, instances.entries)
         self._router.on_report = self._orders.report
+        self._router.on_gone = self._orders.removed
         self._fetcher = LinkAnswerFetcher(self._router.links.get)
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
@@ -67,10 +88,10 @@
             metrics.refused,
         )
         self._http = HttpServer(self._handler)
-        services = ConfigurationHandler(writer, configurations, ring)
+        changes = ConfigurationHandler(writer, configurations, ring)
         self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
-            ring, self.status, self.begin_drain, self._gauges.render, services
+            ring, self.status, self.begin_drain, self._gauges.render, changes
         )
         self._admin = HttpServer(self._admin_handler)
 
@@ -83,7 +104,7 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
-        self._spawn(self._members.run())
+        self._spawn(self._instances.run())
         self._spawn(self._router.run())
         self._spawn(self._janitor.run())
 
@@ -129,40 +150,52 @@
         self._dispatchers.configure(service)
         self._orders.configure(service)
 
-    def _entries(self) -> list[str]:
-        return self._members.entries()
-
     def _queued(self) -> dict[str, int]:
         return {name: part.queued() for name, part in self._router.dispatchers.items()}
 
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
-            self._make_link,
-            on_down=self._link_down,
+            lambda conn: self._make_link(conn, member.instance),
+            on_down=lambda link: self._link_down(link, member.instance),
             tls=self._tls,
         )
 
-    def _make_link(self, conn: Connection) -> Link:
+    def _make_link(self, conn: Connection, expected: str) -> Link:
         hello = Hello(
-            PROTOCOL_VERSION, self._cfg.instance, "entry", self._cfg.zone, "", self._process_start
+            PROTOCOL_VERSION,
+            self._cfg.instance,
+            "entry",
+            self._cfg.zone,
+            "",
+            self._process_start,
+            expected,
         )
         return Link(
             conn,
             hello,
-            deliver=self._deliver,
+            deliver=lambda link, msg: self._deliver(link, msg, expected),
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
         )
 
-    def _deliver(self, link: Link, msg: Message) -> None:
+    def _deliver(self, link: Link, msg: Message, expected: str) -> None:
         if isinstance(msg, Hello):
+            if msg.instance != expected:
+                link.abort()
+                return
+            self._members.connected(expected, link)
             self._configurations.link_up(link)
             self._gauges.links.add(link)
-        if isinstance(msg, End):
+        elif isinstance(msg, End):
             observe(self.ring, msg.clock)
-        if isinstance(msg, Ordered):
+        elif isinstance(msg, Ordered):
             self._orders.ordered(msg)
+        elif isinstance(msg, Report):
+            self._members.reported(expected, msg.leaving)
+        elif isinstance(msg, Full):
+            self._members.full(expected)
+            return
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
@@ -170,7 +203,8 @@
         observe(self.ring, clock)
         self._configurations.heard(link, digest)
 
-    def _link_down(self, link: Link) -> None:
+    def _link_down(self, link: Link, instance: str) -> None:
+        self._members.disconnected(instance, link)
         self._configurations.link_down(link)
         self._gauges.remove(link)
         self._router.post(LinkDown(link))
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -33,12 +33,13 @@
         self.target = target
         self.key = key
         self.silence_limit_s = silence_limit_s
-        self.events: asyncio.Queue[CallerEvent] = asyncio.Queue()
+        # None tells that the caller is gone.
+        self.events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
-        # Whether the head that the caller has is that of an event stream.
+        # Whether the head announced an event stream.
         self.streaming = False
         self.caller_gone = False
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -13,6 +13,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkServer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order, StartRequest
+from cassiadrum.members import mean_connections
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
@@ -21,12 +22,14 @@
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
 from cassiadrum.roles.gauges import Gauges
+from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ClaimService
+from cassiadrum.stores import Instance
 
 __all__ = ["SidecarDaemon"]
 
@@ -42,6 +45,7 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
+        instances: InstanceWatch,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
@@ -52,6 +56,7 @@
         super().__init__(ring)
         self._cfg = cfg
         self._configurations = configurations
+        self._instances = instances
         self._claims = claims
         self._orders = orders
         self._endpoint = endpoint
@@ -62,6 +67,7 @@
         self._sidecar = Sidecar(
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
+        instances.on_listed = self._listed
         self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
@@ -78,6 +84,7 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self._configurations.run())
+        self._spawn(self._instances.run())
         self._spawn(self._settle_claims())
         self._spawn(self._orders.run())
         self._spawn(self._sidecar.run())
@@ -137,6 +144,12 @@
             if len(self._claims.pending):
                 await self._claims.settle_pending()
 
+    def _listed(self, listed: tuple[Instance, ...]) -> None:
+        service = self._cfg.endpoint.service if self._cfg.endpoint else ""
+        mean = mean_connections(listed, service, self._cfg.limits.subset_size)
+        if mean:
+            self._sidecar.bound.mean = mean
+
     def _make_link(self, conn: Connection) -> Link:
         hello = Hello(
             PROTOCOL_VERSION,
@@ -156,6 +169,9 @@
 
     def _deliver(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
+            if msg.peer not in ("", self._cfg.instance):
+                link.abort()
+                return
             self._configurations.link_up(link)
             self._gauges.links.add(link)
         if isinstance(msg, StartRequest):
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -17,6 +17,7 @@
     "LinkMessage",
     "LoadChanged",
     "SidecarMessage",
+    "Tick",
 ]
 
 
@@ -72,6 +73,10 @@
     """Take no more work."""
 
 
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
 SidecarMessage = (
     LinkMessage
     | LinkLost
@@ -81,4 +86,5 @@
     | CallEnded
     | LoadChanged
     | DrainSidecar
+    | Tick
 )
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -35,7 +35,7 @@
         self.silent_s = 0.0
         self.given_up = False
         self.tokens = 0
-        # Monotonic time since when no link is attached, or since the end of the answer.
+        # Monotonic time since when no link is attached.
         self.idle_since_s: float | None = None
         self.acked_end = False
 
--- a/cassiadrum/tests/test_loads.py
+++ b/cassiadrum/tests/test_loads.py
@@ -143,7 +143,7 @@
     async def test_report_of_a_site(self, site: LocalSite, mix: LoadMix) -> None:
         short = mix._replace(duration_s=1.5)
         entries = tuple(entry.addresses["http"] for entry in site.entries)
-        instances = site.instance_list_address
+        instances = site.platform_addresses["instance_list"]
         options = LoadOptions(short, entries, 2, 2.0, instances, standins=True)
         report = await send_load(options)
         plan = LoadPlan.of_mix(short, 2, 2.0)
