--- /dev/null
+++ b/bench/ablated_choosers.py
@@ -0,0 +1,26 @@
+"""Choosers without one of their rules."""
+
+from cassiadrum.decisions import EndpointReport, WeightedChooser
+
+__all__ = ["CountingReports", "NeverEject", "NoRejectPause"]
+
+
+class NeverEject(WeightedChooser):
+    """Keep every endpoint, however slow; its measured slowness still counts as cost."""
+
+    def _check(self, now: float) -> None:
+        self._detector._measure(self._states)
+
+
+class NoRejectPause(WeightedChooser):
+    """Send work on at once to an endpoint that just rejected some."""
+
+    def rejected(self, instance: str, request_id: str, now: float) -> None:
+        self.finished(instance, request_id, True, now)
+
+
+class CountingReports(WeightedChooser):
+    """Take every report as if it had just been made."""
+
+    def report(self, rep: EndpointReport, now: float) -> None:
+        super().report(rep, rep.reported_s)
--- /dev/null
+++ b/bench/ablated_policies.py
@@ -0,0 +1,35 @@
+"""Policies without one of their rules."""
+
+from cassiadrum.decisions import (
+    Admission,
+    Admitted,
+    BudgetRetryPolicy,
+    QueuedRequest,
+    Ran,
+    ServiceView,
+)
+
+__all__ = ["AdmitAlways", "EndWithAttempt"]
+
+
+class AdmitAlways(Admission):
+    """Accept every request whatever its deadline."""
+
+    def decide(self, req: QueuedRequest, now: float, view: ServiceView) -> Admitted:
+        return Admitted(0.0, 0.0)
+
+    def predict_s(self, req: QueuedRequest, view: ServiceView) -> float:
+        return 0.0
+
+    def retry_after_s(self, req: QueuedRequest, view: ServiceView) -> float:
+        return 1.0
+
+    def observe_wait(self, predicted_s: float, actual_s: float) -> None:
+        pass
+
+
+class EndWithAttempt(BudgetRetryPolicy):
+    """Retry partly delivered answers within the budget only."""
+
+    def may_continue(self, req: QueuedRequest, now: float) -> bool:
+        return self.may_retry(req, Ran.UNKNOWN, now)
--- /dev/null
+++ b/bench/ablated_queues.py
@@ -0,0 +1,50 @@
+"""Queues without one of their rules."""
+
+from cassiadrum.decisions import QueuedRequest, RequestQueue
+
+__all__ = ["NoMinShare", "NoShortQueueForProtected"]
+
+
+class WrappedQueue(RequestQueue):
+    """Pass every call on to another queue."""
+
+    def __init__(self, queue: RequestQueue) -> None:
+        self._queue = queue
+
+    def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        return self._queue.push(req, now)
+
+    def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        return self._queue.requeue(req, now)
+
+    def pop(self, now: float) -> QueuedRequest | None:
+        return self._queue.pop(now)
+
+    def remove(self, request_id: str) -> QueuedRequest | None:
+        return self._queue.remove(request_id)
+
+    def expired(self, now: float) -> list[QueuedRequest]:
+        return self._queue.expired(now)
+
+    def ahead_tokens(self, req: QueuedRequest) -> float:
+        return self._queue.ahead_tokens(req)
+
+    def protected_waiting(self) -> bool:
+        return self._queue.protected_waiting()
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+
+class NoShortQueueForProtected(WrappedQueue):
+    """Place protected work only while a slot is free."""
+
+    def protected_waiting(self) -> bool:
+        return False
+
+
+class NoMinShare(WrappedQueue):
+    """Serve strictly by tier, however long a lower one has waited."""
+
+    def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
+        return self._queue.push(req._replace(min_share=0.0), now)
--- /dev/null
+++ b/bench/ablation_tables.py
@@ -0,0 +1,77 @@
+"""What each mechanism changes, against the spread between seeds."""
+
+from statistics import mean, stdev
+from typing import Any, NamedTuple
+
+from bench.run_specs import RunSpec
+
+__all__ = ["Effect", "effects", "print_effects"]
+
+Runs = list[tuple[RunSpec, dict[str, Any]]]
+# Measures listed for each mechanism, those that moved most in units of the spread first.
+LISTED = 6
+
+
+class Effect(NamedTuple):
+    """Hold one measure with and without a mechanism; `spread` is the larger of both runs."""
+
+    mechanism: str
+    case: str
+    measure: str
+    with_it: float
+    without_it: float
+    spread: float
+
+    @property
+    def moved(self) -> bool:
+        """Tell whether the difference is larger than the spread between seeds."""
+        return abs(self.without_it - self.with_it) > max(self.spread, 1e-9)
+
+
+def effects(runs: Runs) -> list[Effect]:
+    """Return every measure of each ablation beside the product's on the same arrivals."""
+    values: dict[tuple[str, str], dict[str, list[float]]] = {}
+    for spec, measures in runs:
+        cases = values.setdefault((f"{spec.scenario}/{spec.load:g}", spec.strategy), {})
+        for name, value in _measures(measures).items():
+            cases.setdefault(name, []).append(value)
+    found = []
+    for (case, strategy), without in values.items():
+        if strategy == "product":
+            continue
+        product = values[case, "product"]
+        for name, seeds in without.items():
+            spread = max(stdev(seeds), stdev(product[name]))
+            mechanism = strategy.removeprefix("without-")
+            found.append(Effect(mechanism, case, name, mean(product[name]), mean(seeds), spread))
+    return found
+
+
+def print_effects(found: list[Effect]) -> None:
+    """Print the measures that each mechanism moves most, and the mechanisms that move none."""
+    for mechanism in dict.fromkeys(effect.mechanism for effect in found):
+        moved = [one for one in found if one.mechanism == mechanism and one.moved]
+        moved.sort(key=lambda one: abs(one.without_it - one.with_it) / (one.spread + 1e-3))
+        print(f"{mechanism}: moves {len(moved)} measures")
+        for one in moved[: -LISTED - 1 : -1]:
+            print(
+                f"  {one.case} {one.measure}: with {one.with_it:.4f}, "
+                f"without {one.without_it:.4f}, spread {one.spread:.4f}"
+            )
+
+
+def _measures(measures: dict[str, Any]) -> dict[str, float]:
+    found: dict[str, float] = {
+        "unsafe": measures["unsafe"],
+        "never ended": measures["never_ended"],
+        "pauses": measures["pauses"],
+    }
+    for name, service in measures["services"].items():
+        found[f"{name} goodput"] = service["goodput"]
+        found[f"{name} wasted share"] = sum(service["wasted"].values()) / service["produced"]
+        found[f"{name} refusals"] = sum(service["refusals"].values())
+        for class_name, cls in service["classes"].items():
+            found[f"{class_name} attainment"] = cls["met"] / max(1, cls["served"])
+            found[f"{class_name} offered attainment"] = cls["met"] / max(1, cls["offered"])
+            found[f"{class_name} longest wait s"] = cls["longest_wait_s"]
+    return found
--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -1,10 +1,93 @@
 """The product without one of its mechanisms."""
 
+import random
+from collections.abc import Callable
+
+from bench.ablated_choosers import CountingReports, NeverEject, NoRejectPause
+from bench.ablated_policies import AdmitAlways, EndWithAttempt
+from bench.ablated_queues import NoMinShare, NoShortQueueForProtected
+from bench.capacities import best_batch
+from bench.parts import Parts
+from bench.plain_strategies import changed
+from bench.products import QUEUE_REQUESTS, product, product_scheduler
 from bench.strategies import Strategy
+from bench.unbudgeted_retries import UnbudgetedRetry
+from cassiadrum.decisions import (
+    EndpointScheduler,
+    FairTierQueue,
+    FixedLimit,
+    PausePreemption,
+    StrictTierQueue,
+    WasteBoundHedgePolicy,
+    WeightedChooser,
+)
+from cassiadrum.documents import ServiceDocument
+
+__all__ = ["ABLATED_CASES", "ablations"]
 
-__all__ = ["ablations"]
+# One case for each fault and for each kind of burst.
+ABLATED_CASES = (
+    ("feast-day-burst", 3.0),
+    ("fire-season-burst", 1.5),
+    ("large-customer", 1.5),
+    ("straggler", 1.0),
+    ("engine-crash", 1.0),
+    ("late-reports", 1.5),
+    ("all-together", 1.5),
+)
 
 
 def ablations() -> dict[str, Strategy]:
     """Return the product without each mechanism, by the name of what is left out."""
-    return {}
+    changes: dict[str, Callable[[Parts, str], Parts]] = {
+        "fair-queue": lambda parts, seed: parts._replace(queue=StrictTierQueue(QUEUE_REQUESTS)),
+        "min-share": lambda parts, seed: parts._replace(queue=NoMinShare(parts.queue)),
+        "queueing-protected-work-at-full-endpoints": lambda parts, seed: parts._replace(
+            queue=NoShortQueueForProtected(parts.queue)
+        ),
+        "learned-lengths": lambda parts, seed: parts._replace(queue=FairTierQueue(QUEUE_REQUESTS)),
+        "deadline-admission": lambda parts, seed: parts._replace(admission=AdmitAlways()),
+        "retry-budget": lambda parts, seed: parts._replace(retry=UnbudgetedRetry()),
+        "continuation": lambda parts, seed: parts._replace(retry=EndWithAttempt()),
+        "hedging": lambda parts, seed: parts._replace(hedge=WasteBoundHedgePolicy()),
+        "prefix-affinity": _with_chooser(
+            lambda rng, streams: WeightedChooser(rng, streams_tokens=streams, prefix_keys=0)
+        ),
+        "ejection": _with_chooser(lambda rng, streams: NeverEject(rng, streams_tokens=streams)),
+        "reject-pause": _with_chooser(
+            lambda rng, streams: NoRejectPause(rng, streams_tokens=streams)
+        ),
+        "correction-of-old-reports": _with_chooser(
+            lambda rng, streams: CountingReports(rng, streams_tokens=streams)
+        ),
+    }
+    strategies = [changed(f"without-{name}", change) for name, change in changes.items()]
+    strategies += [
+        product()._replace(name="without-tracked-limit", make_scheduler=_fixed_limit),
+        product()._replace(name="without-preemption", make_scheduler=_no_preemption),
+        product()._replace(name="without-short-queue", make_scheduler=_no_short_queue),
+    ]
+    return {strategy.name: strategy for strategy in strategies}
+
+
+def _with_chooser(
+    make: Callable[[random.Random, bool], WeightedChooser],
+) -> Callable[[Parts, str], Parts]:
+    def change(parts: Parts, seed: str) -> Parts:
+        return parts._replace(chooser=make(random.Random(seed), parts.streams_tokens))
+
+    return change
+
+
+def _fixed_limit(document: ServiceDocument) -> EndpointScheduler:
+    pausable = [cls.name for cls in document.classes if cls.cancellable and not cls.protected]
+    preemption = PausePreemption(pausable) if document.kind == "model" else None
+    return EndpointScheduler(FixedLimit(best_batch(document)), preemption=preemption)
+
+
+def _no_preemption(document: ServiceDocument) -> EndpointScheduler:
+    return product_scheduler(document, preempt=False)
+
+
+def _no_short_queue(document: ServiceDocument) -> EndpointScheduler:
+    return product_scheduler(document, queue_limit=0)
--- a/bench/parts.py
+++ b/bench/parts.py
@@ -24,3 +24,4 @@
     retry: RetryPolicy
     hedge: HedgePolicy
     uncancellable: frozenset[str]
+    streams_tokens: bool
--- a/bench/products.py
+++ b/bench/products.py
@@ -71,10 +71,13 @@
         BudgetRetryPolicy({cls.name: cls.retry_budget for cls in document.classes}),
         WasteBoundHedgePolicy({cls.name: cls.hedge_budget for cls in document.classes}),
         frozenset(cls.name for cls in document.classes if not cls.cancellable),
+        document.kind == "model",
     )
 
 
-def product_scheduler(document: ServiceDocument) -> EndpointScheduler:
+def product_scheduler(
+    document: ServiceDocument, *, preempt: bool = True, queue_limit: int | None = None
+) -> EndpointScheduler:
     """Return the scheduler of one endpoint; the limit starts at the best batch.
 
     In the daemon it starts at half of the maximum. The runs are too short to measure both the
@@ -83,14 +86,14 @@
     batch = best_batch(document)
     if document.kind == "plain":
         plain = {cls.name: LatencyTargets(cls.target_total_s) for cls in document.classes}
-        return EndpointScheduler(_limit(batch, batch, plain))
+        return EndpointScheduler(_limit(batch, batch, plain), queue_limit)
     targets = {
         cls.name: LatencyTargets(cls.target_first_token_s, cls.target_inter_token_s)
         for cls in document.classes
     }
     pausable = [cls.name for cls in document.classes if cls.cancellable and not cls.protected]
     limit = _limit(LIMIT_HEADROOM * batch, batch, targets)
-    return EndpointScheduler(limit, preemption=PausePreemption(pausable))
+    return EndpointScheduler(limit, queue_limit, PausePreemption(pausable) if preempt else None)
 
 
 def _limit(maximum: int, initial: int, targets: dict[str, LatencyTargets]) -> LatencyTrackingLimit:
--- a/bench/suites.py
+++ b/bench/suites.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
-from bench.ablations import ablations
+from bench.ablations import ABLATED_CASES, ablations
 from bench.measures import measure
 from bench.plain_strategies import plain_strategies
 from bench.products import product
@@ -14,7 +14,7 @@
 from bench.strategies import Strategy
 from bench.worlds import World
 
-__all__ = ["full_suite", "run_all", "run_one"]
+__all__ = ["SEEDS", "ablation_suite", "full_suite", "run_all", "run_one"]
 
 LOADS = (0.7, 1.0, 1.5, 3.0)
 # Plain strategies are compared where capacity is short, in the scenarios that set them apart; the
@@ -50,6 +50,17 @@
     ]
 
 
+def ablation_suite(seeds: Iterable[int] = SEEDS, only: str = "") -> list[RunSpec]:
+    """Return the runs of the product with and without each mechanism."""
+    return [
+        RunSpec(scenario, load, name, seed)
+        for name in ("product", *ablations())
+        if name == "product" or only in name
+        for scenario, load in ABLATED_CASES
+        for seed in seeds
+    ]
+
+
 def run_all(specs: list[RunSpec]) -> Iterator[tuple[RunSpec, dict[str, Any]]]:
     """Yield each run with its measures, in the order of `specs`."""
     # Long runs first, so that no process is left alone with one at the end.
--- /dev/null
+++ b/cassiadrum/tests/test_bench.py
@@ -0,0 +1,109 @@
+"""Tests of the benchmark harness."""
+
+from pathlib import Path
+
+import pytest
+
+from bench import __main__ as command
+from bench.bounds import check_bounds, known_red, read_bounds
+from bench.figures import Figure, figures
+from bench.products import product
+from bench.results import pool_cases, rounded
+from bench.run_specs import RunSpec
+from bench.scenarios import SCENARIOS
+from bench.strategies import Strategy
+from bench.suites import run_one
+from bench.worlds import World
+from cassiadrum.decisions import (
+    Action,
+    Dispatcher,
+    LeastOutstandingChooser,
+    QueuedRequest,
+    Ran,
+    Refuse,
+    StrictTierQueue,
+)
+from cassiadrum.documents import ServiceDocument
+
+SHORT = RunSpec("feast-day-burst", 1.5, "product", 1, duration_s=1.0)
+
+
+class SheddingDispatcher(Dispatcher):
+    """Refuse every protected request."""
+
+    def submit(self, req: QueuedRequest, now: float) -> list[Action]:
+        if req.protected:
+            return [Refuse(req, "overloaded", Ran.NO, 1.0)]
+        return super().submit(req, now)
+
+
+class ForgetfulDispatcher(Dispatcher):
+    """Forget every protected request."""
+
+    def submit(self, req: QueuedRequest, now: float) -> list[Action]:
+        return [] if req.protected else super().submit(req, now)
+
+
+def run_with(dispatcher: type[Dispatcher]) -> World:
+    def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
+        return dispatcher(StrictTierQueue(100), LeastOutstandingChooser())
+
+    scenario = next(one for one in SCENARIOS if one.name == SHORT.scenario)
+    strategy = Strategy("broken", make, product().make_scheduler)
+    world = World(SHORT, scenario, strategy)
+    world.run()
+    return world
+
+
+class TestRuns:
+    """Guards against figures that change from run to run and against blind checks."""
+
+    def test_same_seed_gives_the_same_result(self) -> None:
+        first, second = run_one(SHORT), run_one(SHORT)
+        assert first == second
+        assert run_one(SHORT._replace(seed=2)) != first
+
+    def test_shed_protected_request_is_detected(self) -> None:
+        records = run_with(SheddingDispatcher).records
+        protected = sum(call.req.protected for call in records.calls)
+        assert protected > 0
+        assert records.unsafe["refused: overloaded"] > 0
+
+    def test_request_that_never_ends_is_detected(self) -> None:
+        records = run_with(ForgetfulDispatcher).records
+        protected = sum(call.req.protected for call in records.calls)
+        assert records.open_calls == protected > 0
+
+
+class TestBounds:
+    """Guards against a missed bound that passes unseen."""
+
+    def test_every_bound_has_a_figure_and_a_source(self) -> None:
+        specs = [
+            RunSpec(scenario, load, strategy, 1, duration_s=0.2)
+            for scenario, load, strategy in (
+                ("straggler", 1.0, "product"),
+                ("all-together", 3.0, "product"),
+                ("all-together", 3.0, "unbudgeted-retry"),
+                ("feast-day-burst", 3.0, "product"),
+            )
+        ]
+        cases = rounded(pool_cases([(spec, run_one(spec)) for spec in specs]))
+        operations = {
+            f"operations_by_{name}": {"8": 1.0, "512": 2.0} for name in ("subset", "queue")
+        }
+        bounds = read_bounds()
+        assert set(figures(cases, operations)) == set(bounds)
+        assert all(bound["source"] for bound in bounds.values())
+
+    @pytest.mark.parametrize(
+        ("value", "listed", "code"), [(0.0, "", 0), (1.0, "", 1), (1.0, "unsafe_protected: x", 0)]
+    )
+    def test_missed_bound_gives_a_non_zero_exit(
+        self, value: float, listed: str, code: int, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "KNOWN-RED.txt"
+        path.write_text(listed)
+        found = {"unsafe_protected": Figure(value, "all")}
+        verdicts = check_bounds(found, read_bounds(), known_red(path))
+        assert command.exit_code(verdicts) == code
--- /dev/null
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -0,0 +1,155 @@
+"""Tests of the decisions that only matter when endpoints are full, stale or failing."""
+
+from random import Random
+from typing import Any
+
+from cassiadrum.decisions import (
+    BudgetRetryPolicy,
+    Dispatch,
+    Dispatcher,
+    EndpointReport,
+    FairTierQueue,
+    Outcome,
+    QueuedRequest,
+    Ran,
+    Refuse,
+    WeightedChooser,
+)
+
+LIMIT = 8
+
+
+def make_request(request_id: str, **fields: Any) -> QueuedRequest:
+    req = QueuedRequest(request_id, "svc", "cls", 2, False, "customer", 0.0, 100.0)
+    return req._replace(idempotent=True)._replace(**fields)
+
+
+def make_report(instance: str, reported_s: float = 0.0, **fields: Any) -> EndpointReport:
+    return EndpointReport(instance, "z", 0, 0, LIMIT, reported_s)._replace(**fields)
+
+
+def make_dispatcher(endpoints: int, budget: float = 0.0, **fields: Any) -> Dispatcher:
+    chooser = WeightedChooser(Random(1), "z")
+    dispatcher = Dispatcher(FairTierQueue(20), chooser, retry=BudgetRetryPolicy({}, budget))
+    for index in range(endpoints):
+        dispatcher.report(make_report(f"e{index}", **fields), 0.0)
+    return dispatcher
+
+
+class TestFullEndpoints:
+    """Guards against protected work that waits while the sidecar would serve it first."""
+
+    def test_protected_request_goes_to_a_full_endpoint(self) -> None:
+        dispatcher = make_dispatcher(1, running=LIMIT)
+        assert dispatcher.submit(make_request("low"), 0.0) == []
+        (action,) = dispatcher.submit(make_request("high", tier=0, protected=True), 0.0)
+        assert isinstance(action, Dispatch)
+        assert action.req.request_id == "high"
+        assert dispatcher.queued() == 1
+
+    def test_endpoint_that_rejected_gets_no_work_for_a_moment(self) -> None:
+        dispatcher = make_dispatcher(1)
+        dispatcher.submit(make_request("r"), 1.0)
+        rejected = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
+        assert dispatcher.finished("r", rejected, 1.001) == []
+        assert dispatcher.report(make_report("e0", 1.05), 1.05) == []
+        (action,) = dispatcher.report(make_report("e0", 1.2), 1.2)
+        assert isinstance(action, Dispatch)
+
+
+class TestOldReports:
+    """Guards against entry instances that all act on the same old report."""
+
+    def test_load_of_others_is_smoothed_by_the_age_of_the_reports(self) -> None:
+        fresh, late = WeightedChooser(Random(1)), WeightedChooser(Random(1))
+        for chooser in (fresh, late):
+            chooser.report(make_report("e0", running=6), 0.0)
+        fresh.report(make_report("e0", 2.0, running=0), 2.0)
+        late.report(make_report("e0", 2.0, running=0), 4.0)
+        assert fresh.outstanding("e0") == 0
+        assert 2 <= late.outstanding("e0") <= 5
+
+    def test_part_of_the_short_queue_is_used_only_with_old_reports(self) -> None:
+        fresh, late = WeightedChooser(Random(1)), WeightedChooser(Random(1))
+        for step in range(100):
+            fresh.report(make_report("e0", step, running=LIMIT), step)
+            late.report(make_report("e0", step, running=LIMIT), step + 2.0)
+        assert (fresh.free_slots(), late.free_slots()) == (0, LIMIT // 2)
+
+    def test_equal_endpoints_are_not_taken_in_the_same_order_everywhere(self) -> None:
+        chosen = set()
+        for seed in range(20):
+            chooser = WeightedChooser(Random(seed))
+            for index in range(6):
+                chooser.report(make_report(f"e{index}"), 0.0)
+            chosen.add(chooser.choose(make_request("r"), 0.0))
+        assert len(chosen) > 2
+
+
+class TestPrefillRate:
+    """Guards against a cached prefix that outweighs load because the load itself was measured."""
+
+    def test_waiting_first_tokens_hardly_raise_the_worth_of_a_prefix(self) -> None:
+        chooser = WeightedChooser(Random(1))
+        for index in range(2):
+            chooser.report(make_report(f"e{index}"), 0.0)
+        for number in range(20):
+            # Every second first token waits a second for other prompts.
+            chooser.dispatched("e1", make_request(f"r{number}", prompt_tokens=800), number)
+            chooser.progressed("e1", f"r{number}", 1, number + (1.1 if number % 2 else 0.1))
+            chooser.finished("e1", f"r{number}", True, number + 4.0)
+        chooser.cached("e0", [1], 30.0)
+        chooser.report(make_report("e0", 30.0, running=LIMIT - 2), 30.0)
+        chooser.report(make_report("e1", 30.0), 30.0)
+        req = make_request("r", prompt_tokens=800, prefix_keys=(1,))
+        assert chooser.choose(req, 30.0) == "e1"
+
+
+class TestCrash:
+    """Guards against accepted requests that are refused after a crash or after rejections."""
+
+    def test_partly_delivered_answer_continues_without_budget(self) -> None:
+        dispatcher = make_dispatcher(2)
+        (first,) = dispatcher.submit(make_request("r"), 0.0)
+        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        (second,) = dispatcher.finished("r", crashed, 1.0)
+        assert isinstance(first, Dispatch)
+        assert isinstance(second, Dispatch)
+        assert first.instance != second.instance
+
+    def test_attempt_without_a_token_still_needs_budget(self) -> None:
+        dispatcher = make_dispatcher(2)
+        dispatcher.submit(make_request("r"), 0.0)
+        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, reason="endpoint_failed")
+        (refusal,) = dispatcher.finished("r", crashed, 1.0)
+        assert isinstance(refusal, Refuse)
+
+    def test_continuations_are_bounded(self) -> None:
+        dispatcher = make_dispatcher(2)
+        dispatcher.submit(make_request("r"), 0.0)
+        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        ended = [dispatcher.finished("r", crashed, step) for step in range(5)]
+        kinds = [type(action) for actions in ended for action in actions]
+        assert kinds == [Dispatch, Dispatch, Refuse]
+
+    def test_once_only_request_is_never_continued(self) -> None:
+        dispatcher = make_dispatcher(2)
+        dispatcher.submit(make_request("r", once_only=True, idempotent=False), 0.0)
+        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        (refusal,) = dispatcher.finished("r", crashed, 1.0)
+        assert isinstance(refusal, Refuse)
+
+    def test_rejections_do_not_use_up_the_attempts(self) -> None:
+        dispatcher = make_dispatcher(2, budget=1.0)
+        dispatcher.submit(make_request("r"), 0.0)
+        rejected = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
+        now = 0.0
+        for _ in range(10):
+            dispatcher.finished("r", rejected, now)
+            now += 0.2
+            for index in range(2):
+                dispatcher.report(make_report(f"e{index}", now), now)
+        assert dispatcher.running() == 1
+        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, reason="endpoint_failed")
+        (action,) = dispatcher.finished("r", crashed, now)
+        assert isinstance(action, Dispatch)
