--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 from bench.bounds import Verdict, check_bounds, known_red, read_bounds
 from bench.figures import figures
 from bench.operation_counts import by_queue, by_subset
-from bench.reports import print_changes, print_verdicts, write_results
+from bench.reports import print_changes, print_tables, print_verdicts, write_results
 from bench.results import pool_cases, rounded
 from bench.suites import SEEDS, ablation_suite, full_suite, run_all
 
@@ -22,6 +22,9 @@
     """Run what the arguments ask for; return 1 when a bound is missed that is not known."""
     options = _options(arguments)
     started_s = time.monotonic()
+    if options.tables:
+        print_tables()
+        return 0
     if options.ablate:
         print_effects(effects(list(run_all(ablation_suite(only=options.only)))))
         return 0
@@ -63,6 +66,7 @@
     parser.add_argument("--quick", action="store_true", help="run one seed only")
     parser.add_argument("--only", default="", metavar="NAME", help="run matching scenarios only")
     parser.add_argument("--ablate", action="store_true", help="leave out one mechanism at a time")
+    parser.add_argument("--tables", action="store_true", help="print the committed results")
     parser.add_argument("--json", action="store_true", help="print the results as JSON")
     parser.add_argument("--write", action="store_true", help="replace bench/results.json")
     return parser.parse_args(arguments)
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from bench.bounds import Verdict
+from bench.tables import attainment_table, goodput_table, waste_table
 
-__all__ = ["RESULTS", "print_changes", "print_verdicts", "write_results"]
+__all__ = ["RESULTS", "print_changes", "print_tables", "print_verdicts", "write_results"]
 
 RESULTS = Path(__file__).with_name("results.json")
 # More changed lines than this are counted and not listed.
@@ -35,6 +36,17 @@
         print(f"  {key}: {before.get(key)} -> {after.get(key)}")
 
 
+def print_tables(path: Path = RESULTS) -> None:
+    """Print the committed results as Markdown tables."""
+    cases = json.loads(path.read_text())["cases"]
+    for title, table in (
+        ("Goodput", goodput_table),
+        ("Attainment", attainment_table),
+        ("Waste and refusals", waste_table),
+    ):
+        print(f"### {title}\n\n{table(cases)}\n")
+
+
 def write_results(results: dict[str, Any], path: Path = RESULTS) -> None:
     """Write the results with sorted keys."""
     path.write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
