--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -93,16 +93,16 @@
         chooser = WeightedChooser(Random(1))
         for index in range(2):
             chooser.report(make_report(f"e{index}"), 0.0)
-        for number in range(20):
+        for number in range(60):
             # Every second first token waits a second for other prompts.
             chooser.dispatched("e1", make_request(f"r{number}", prompt_tokens=800), number)
             chooser.progressed("e1", f"r{number}", 1, number + (1.1 if number % 2 else 0.1))
             chooser.finished("e1", f"r{number}", True, number + 4.0)
-        chooser.cached("e0", [1], 30.0)
-        chooser.report(make_report("e0", 30.0, running=LIMIT - 2), 30.0)
-        chooser.report(make_report("e1", 30.0), 30.0)
+        chooser.cached("e0", [1], 90.0)
+        chooser.report(make_report("e0", 90.0, running=3), 90.0)
+        chooser.report(make_report("e1", 90.0), 90.0)
         req = make_request("r", prompt_tokens=800, prefix_keys=(1,))
-        assert chooser.choose(req, 30.0) == "e1"
+        assert chooser.choose(req, 90.0) == "e1"
 
 
 class TestCrash:
