--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -37,7 +37,7 @@
     EventKind.QUEUED: "waited for a free slot",
     EventKind.DISPATCHED: "attempt {attempt} sent to {to}, chosen by free slots, zone and cache",
     EventKind.HEDGED: "attempt {attempt} sent to {to} as a copy, since the first token was slow",
-    EventKind.STARTED: "given a slot at the endpoint",
+    EventKind.STARTED: "started at the endpoint",
     EventKind.FIRST_TOKEN: "first bytes of the answer",
     EventKind.PAUSED: "paused for work of a higher tier",
     EventKind.RESUMED: "resumed",
--- a/cassiadrum/tests/test_operations_page.py
+++ b/cassiadrum/tests/test_operations_page.py
@@ -6,6 +6,7 @@
 from cassiadrum.cli import parse
 from cassiadrum.commands import ExitCode
 from cassiadrum.frontends.problems import REASONS
+from cassiadrum.metrics.metric_definitions import DEFINITIONS
 
 TEXT = (Path(__file__).parents[2] / "docs" / "operations.md").read_text()
 COMMANDS = (
@@ -34,6 +35,12 @@
         rows = re.findall(r"^\| (\d) \| `([A-Z_]+)` \|", TEXT, re.MULTILINE)
         assert rows == [(str(code.value), code.name) for code in ExitCode]
 
+    def test_metrics(self) -> None:
+        rows = re.findall(r"^\| `(cassiadrum_\w+)` \| (\w+) \| ?(.*?) ?\|$", TEXT, re.MULTILINE)
+        assert rows == [
+            (item.name, item.kind, ", ".join(item.labels)) for item in DEFINITIONS.values()
+        ]
+
     def test_commands(self) -> None:
         section = TEXT.partition("## The operators' tool")[2].partition("###")[0]
         for arguments in COMMANDS:
