Wait for delivery and for late starts when a process stops

Cause: a sidecar stopped as soon as its own work was done, so that starts on their way to it and answers of connections that were being dialled again were lost; the drain limit cut callers off without a refusal; a second SIGTERM named only a count; the last bytes of a slow caller's answer could be cut off, as an exchange counted as ended before the system had taken it.

At the limit both roles end the rest with ran unknown and the reason draining, and wait up to 2 s for the delivery. A second signal logs each request in flight. The HTTP server waits until the system has taken the bytes.

--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -8,15 +8,18 @@
 import sys
 from pathlib import Path
 
+from cassiadrum.links import BadCertificate
 from cassiadrum.roles import Daemon, build_daemon
 from cassiadrum.settings import Settings, SettingsError, load_settings
 
-__all__ = ["main"]
+__all__ = ["drain", "main", "run"]
 
 logger = logging.getLogger(__name__)
 
 EXIT_BAD_INPUT = 2
 EXIT_DRAIN_LIMIT = 3
+# Requests that one log line names.
+DESCRIBED = 50
 
 
 def main() -> None:
@@ -35,29 +38,43 @@
 
 async def run(cfg: Settings) -> int:
     """Start the daemon, drain it at SIGTERM and return the exit code."""
-    daemon = build_daemon(cfg)
+    try:
+        daemon = build_daemon(cfg)
+    except BadCertificate as exc:
+        logger.error("%s", exc)
+        return EXIT_BAD_INPUT
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, daemon, stopping)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload_tls)
     await daemon.start()
     # Programs that start the daemon with port 0 read the addresses from this line.
     print(json.dumps({"instance": cfg.instance, **daemon.addresses}), flush=True)
     await stopping.wait()
     try:
-        async with asyncio.timeout(cfg.limits.drain_limit_s):
+        return await drain(daemon, cfg.limits.drain_limit_s)
+    finally:
+        await daemon.close()
+
+
+async def drain(daemon: Daemon, limit_s: float) -> int:
+    """Wait until a daemon that drains has finished, at most `limit_s`; return the exit code."""
+    try:
+        async with asyncio.timeout(limit_s):
             await daemon.drained()
     except TimeoutError:
         logger.warning("drain limit reached with %d requests in flight", daemon.in_flight())
+        await daemon.give_up()
         return EXIT_DRAIN_LIMIT
-    finally:
-        await daemon.close()
     return 0
 
 
 def _on_signal(daemon: Daemon, stopping: asyncio.Event) -> None:
     if stopping.is_set():
-        logger.info("still waiting for %d requests in flight", daemon.in_flight())
+        lines = daemon.describe_in_flight()
+        shown = "; ".join(lines[:DESCRIBED])
+        logger.info("still waiting for %d requests in flight: %s", len(lines), shown)
         return
     logger.info("draining, %d requests in flight", daemon.in_flight())
     daemon.begin_drain()
--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -2,13 +2,15 @@
 
 from cassiadrum.links.codecs import decode_message, encode_message
 from cassiadrum.links.data_merges import split_data
-from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
+from cassiadrum.links.errors import BadCertificate, BadFrame, BytesGone, LinkError
 from cassiadrum.links.link_dialers import LinkDialer
 from cassiadrum.links.link_servers import LinkServer
 from cassiadrum.links.links import Link
 from cassiadrum.links.stream_buffers import StreamBuffer
+from cassiadrum.links.tls_contexts import TlsContexts
 
 __all__ = [
+    "BadCertificate",
     "BadFrame",
     "BytesGone",
     "Link",
@@ -16,6 +18,7 @@
     "LinkError",
     "LinkServer",
     "StreamBuffer",
+    "TlsContexts",
     "decode_message",
     "encode_message",
     "split_data",
--- a/cassiadrum/links/errors.py
+++ b/cassiadrum/links/errors.py
@@ -2,13 +2,17 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["BadFrame", "BytesGone", "LinkError"]
+__all__ = ["BadCertificate", "BadFrame", "BytesGone", "LinkError"]
 
 
 class LinkError(CassiadrumError):
     """Base of the errors of the links."""
 
 
+class BadCertificate(LinkError):
+    """The files of certificate, key and CA cannot be loaded."""
+
+
 class BadFrame(LinkError):
     """A frame is not a valid message."""
 
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -75,6 +75,9 @@
             writer.transport.abort()
             return
         self._tasks.add(task)
+        # An exchange has ended only once the system has taken all of its answer, so that a stop
+        # of the process cuts off nothing.
+        writer.transport.set_write_buffer_limits(high=0)
         try:
             await self._serve(reader, writer, task)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -3,11 +3,13 @@
 import random
 import secrets
 import time
+from pathlib import Path
 
 from cassiadrum.decisions import EndpointScheduler, PausePreemption
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.links import TlsContexts
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
@@ -53,7 +55,7 @@
         queue_requests=cfg.limits.queue_requests,
         rng=_rng(),
     )
-    return EntryDaemon(cfg, ring, configurations, instances, dispatchers)
+    return EntryDaemon(cfg, ring, configurations, instances, dispatchers, _tls(cfg))
 
 
 def _build_sidecar(
@@ -70,10 +72,23 @@
     objects = HttpObjectStore(_wire(cfg.platform.object_store or cfg.platform.table_service))
     claims = ClaimService(table, objects, cfg.instance)
     return SidecarDaemon(
-        cfg, ring, configurations, instances, _build_endpoint(endpoint), scheduler, claims
+        cfg,
+        ring,
+        configurations,
+        instances,
+        _build_endpoint(endpoint),
+        scheduler,
+        claims,
+        _tls(cfg),
     )
 
 
+def _tls(cfg: Settings) -> TlsContexts | None:
+    if not cfg.tls.certificate:
+        return None
+    return TlsContexts(Path(cfg.tls.certificate), Path(cfg.tls.key), Path(cfg.tls.ca))
+
+
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
     kind = EngineEndpoint if endpoint.kind == "engine" else PlainEndpoint
     return kind(endpoint.address.host, endpoint.address.port)
--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -6,16 +6,24 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from cassiadrum.events import EventRing
+from cassiadrum.events import EventKind, EventRing
+from cassiadrum.links import TlsContexts
 
 __all__ = ["Daemon"]
 
+POLL_S = 0.05
+# Certificates are replaced hours before the old ones expire.
+TLS_POLL_S = 10.0
+# The time for the refusals at the drain limit to reach their callers.
+GIVE_UP_LIMIT_S = 2.0
+
 
 class Daemon(ABC):
     """Run a role's tasks; `addresses` holds the bound HOST:PORT by name after `start`."""
 
-    def __init__(self, ring: EventRing) -> None:
+    def __init__(self, ring: EventRing, tls: TlsContexts | None = None) -> None:
         self.ring = ring
+        self._tls = tls
         self.addresses: dict[str, str] = {}
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -31,6 +39,18 @@
     def in_flight(self) -> int:
         """Return the number of requests that are not finished."""
 
+    @abstractmethod
+    def describe_in_flight(self) -> list[str]:
+        """Return a line for each request that is not finished."""
+
+    @abstractmethod
+    def may_stop(self) -> bool:
+        """Tell whether a process that drains has nothing left to do."""
+
+    @abstractmethod
+    def refuse_rest(self) -> None:
+        """End what is in flight with `ran` unknown and the reason `draining`."""
+
     @abstractmethod
     def status(self) -> dict[str, Any]:
         """Return the state that operators ask for."""
@@ -40,10 +60,30 @@
         """Stop at once."""
 
     async def drained(self) -> None:
-        """Wait until nothing is in flight."""
-        # The count is spread over several tasks, so it is polled.
-        while self.in_flight():  # noqa: ASYNC110
-            await asyncio.sleep(0.05)
+        """Wait until nothing is left to do."""
+        # The state is spread over several tasks, so it is polled.
+        while self._tasks and not self.may_stop():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+    async def give_up(self) -> None:
+        """Refuse what is in flight at the drain limit and wait until that is delivered."""
+        self.ring.record(EventKind.DRAIN_LIMIT_REACHED, in_flight=self.in_flight())
+        self.refuse_rest()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GIVE_UP_LIMIT_S):
+                while self.in_flight():  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_S)
+
+    def reload_tls(self) -> None:
+        """Load the certificate files now."""
+        if self._tls is not None:
+            self._tls.reload(changed_only=False)
+
+    async def watch_tls(self) -> None:
+        """Load the certificate files when they change, for ever."""
+        while self._tls is not None:
+            await asyncio.sleep(TLS_POLL_S)
+            self._tls.reload()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
@@ -54,3 +94,4 @@
         for task in self._tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self._tasks.clear()
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -1,17 +1,18 @@
 """An entry instance."""
 
 import secrets
-import ssl
+from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.connection import Connection
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
-from cassiadrum.links import Link, LinkDialer
+from cassiadrum.links import Link, LinkDialer, TlsContexts
 from cassiadrum.links.messages import PROTOCOL_VERSION, Full, Hello, Message, Report
 from cassiadrum.members import Subset
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
+from cassiadrum.roles.admin_tokens import AdminToken
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
 from cassiadrum.roles.caller_handlers import CallerHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
@@ -20,7 +21,7 @@
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
-from cassiadrum.roles.router_messages import FromLink, LinkDown
+from cassiadrum.roles.router_messages import FromLink, LinkDown, RefuseAll
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
 from cassiadrum.stores import Instance
@@ -38,13 +39,13 @@
         configurations: ConfigurationAgent,
         instances: InstanceWatch,
         dispatchers: DispatcherFactory,
-        tls: ssl.SSLContext | None = None,
+        tls: TlsContexts | None = None,
     ) -> None:
-        super().__init__(ring)
+        super().__init__(ring, tls)
         self._cfg = cfg
         self._configurations = configurations
         configurations.on_applied = dispatchers.configure
-        self._tls = tls
+        token = AdminToken(Path(cfg.admin_token_file) if cfg.admin_token_file else None)
         self._links_opened = 0
         self._process_start = secrets.token_hex(8)
         self._instances = instances
@@ -67,16 +68,18 @@
             lambda: configurations.ready,
         )
         self._http = HttpServer(self._handler)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain, token.permits))
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        port = await self._http.start(listen.http.host, listen.http.port)
+        callers = self._tls and self._tls.callers
+        port = await self._http.start(listen.http.host, listen.http.port, callers)
         self.addresses["http"] = str(Address(listen.http.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self.watch_tls())
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._router.run())
@@ -91,6 +94,18 @@
         """Return the number of callers that wait for an answer."""
         return self._handler.active
 
+    def describe_in_flight(self) -> list[str]:
+        """Return a line for each request that is not answered."""
+        return self._router.describe()
+
+    def may_stop(self) -> bool:
+        """Tell whether every caller has its answer."""
+        return not self.in_flight()
+
+    def refuse_rest(self) -> None:
+        """Refuse every request that is not answered."""
+        self._router.post(RefuseAll())
+
     async def close(self) -> None:
         """Stop at once."""
         await self._http.abort()
@@ -121,7 +136,7 @@
             member.link_address,
             lambda conn: self._make_link(conn, member.instance),
             on_down=lambda link: self._link_down(link, member.instance),
-            tls=self._tls,
+            tls=self._tls and self._tls.dial,
         )
 
     def _make_link(self, conn: Connection, expected: str) -> Link:
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -35,3 +35,9 @@
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
         self.winner: str | None = None
         self.first_token_s: float | None = None
+
+    def describe(self) -> str:
+        """Return the request, its class and where its attempts run."""
+        req = self.queued
+        places = ", ".join(attempt.instance for attempt in self.attempts.values())
+        return f"{req.request_id} {req.service}/{req.class_name} at {places or 'the queue'}"
--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -13,6 +13,7 @@
     "LinkDown",
     "MemberGone",
     "MemberUsable",
+    "RefuseAll",
     "RouterMessage",
     "Submit",
 ]
@@ -65,4 +66,10 @@
     service: str
 
 
-RouterMessage = Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone
+class RefuseAll(NamedTuple):
+    """The drain limit is reached."""
+
+
+RouterMessage = (
+    Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone | RefuseAll
+)
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -40,6 +40,7 @@
     LinkDown,
     MemberGone,
     MemberUsable,
+    RefuseAll,
     RouterMessage,
     Submit,
 )
@@ -95,6 +96,10 @@
         """Tell whether attempts run at a sidecar."""
         return bool(self._attempts_at(instance))
 
+    def describe(self) -> list[str]:
+        """Return a line for each request that is not answered."""
+        return [pending.describe() for pending in self.pending.values()]
+
     async def run(self) -> None:
         """Handle messages, and tick the dispatchers, for ever."""
         next_tick_s = self._clock() + TICK_INTERVAL_S
@@ -122,6 +127,8 @@
             self._delivered(msg)
         elif isinstance(msg, LinkDown):
             self._link_down(msg.link)
+        elif isinstance(msg, RefuseAll):
+            self._refuse_all()
         elif isinstance(msg, MemberUsable):
             self._member_usable(msg)
         elif isinstance(msg, MemberGone):
@@ -345,6 +352,10 @@
         kind = EventKind.EVICTED if action.reason == "evicted" else EventKind.REFUSED
         self._close(pending, problem, kind, outcome)
 
+    def _refuse_all(self) -> None:
+        for pending in list(self.pending.values()):
+            self._refuse(Refuse(pending.queued, "draining", Ran.UNKNOWN, 0.0))
+
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
         for attempt in list(pending.attempts.values()) if pending else ():
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -2,27 +2,35 @@
 
 import asyncio
 import secrets
-import ssl
 import time
+from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.connection import Connection
 
 from cassiadrum.decisions import EndpointScheduler
+from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.links import Link, LinkServer
+from cassiadrum.links import Link, LinkServer, TlsContexts
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message
 from cassiadrum.members import mean_connections
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
+from cassiadrum.roles.admin_tokens import AdminToken
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_daemons import observe
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
-from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
+from cassiadrum.roles.sidecar_messages import (
+    DrainSidecar,
+    EndAll,
+    LinkLost,
+    LinkMessage,
+    LoadChanged,
+)
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ClaimService
@@ -32,6 +40,9 @@
 
 LOAD_POLL_S = 0.25
 SETTLE_INTERVAL_S = 1.0
+# How long a stop waits for the table service. A claim that is not settled by then is found as
+# `unknown` after its deadline, which keeps the call from running again.
+SETTLE_LIMIT_S = 10.0
 
 
 class SidecarDaemon(Daemon):
@@ -46,15 +57,15 @@
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
-        tls: ssl.SSLContext | None = None,
+        tls: TlsContexts | None = None,
     ) -> None:
-        super().__init__(ring)
+        super().__init__(ring, tls)
         self._cfg = cfg
         self._configurations = configurations
         self._instances = instances
         self._claims = claims
         self._endpoint = endpoint
-        self._tls = tls
+        token = AdminToken(Path(cfg.admin_token_file) if cfg.admin_token_file else None)
         self._draining = False
         self._process_start = secrets.token_hex(8)
         gate = OnceGate(claims, ring)
@@ -63,16 +74,20 @@
         )
         instances.on_listed = self._listed
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain))
+        self._admin = HttpServer(AdminHandler(ring, self.status, self.begin_drain, token.permits))
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        port = await self._server.start(listen.link.host, listen.link.port, self._tls)
+        callers = self._tls and self._tls.callers
+        port = await self._server.start(
+            listen.link.host, listen.link.port, self._tls and self._tls.links
+        )
         self.addresses["link"] = str(Address(listen.link.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self.watch_tls())
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._settle_claims())
@@ -89,6 +104,24 @@
         """Return the number of streams that are not finished and delivered."""
         return self._sidecar.unfinished()
 
+    def describe_in_flight(self) -> list[str]:
+        """Return a line for each stream that is not finished and delivered."""
+        return self._sidecar.describe()
+
+    def may_stop(self) -> bool:
+        """Tell whether all work is delivered and the entry instances send no more."""
+        drained_s = self._sidecar.drained_s()
+        if drained_s is None or self.in_flight():
+            return False
+        # Work that was sent before the announcement arrived is on its way.
+        told = not self._sidecar.links or drained_s >= LIMITS.LEAVING_LIMIT_S
+        settled = not len(self._claims.pending) or drained_s >= SETTLE_LIMIT_S
+        return told and settled
+
+    def refuse_rest(self) -> None:
+        """End every stream."""
+        self._sidecar.post(EndAll())
+
     async def close(self) -> None:
         """Stop at once."""
         await self._server.close()
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -12,6 +12,7 @@
     "CallEnded",
     "CallHead",
     "DrainSidecar",
+    "EndAll",
     "LinkLost",
     "LinkMessage",
     "LoadChanged",
@@ -65,6 +66,10 @@
     """Take no more work."""
 
 
+class EndAll(NamedTuple):
+    """The drain limit is reached."""
+
+
 SidecarMessage = (
-    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar
+    LinkMessage | LinkLost | CallHead | CallData | CallEnded | LoadChanged | DrainSidecar | EndAll
 )
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -52,3 +52,8 @@
         self.abandoned = True
         self.buffer.ack(self.buffer.end)
         self.room.set()
+
+    def describe(self) -> str:
+        """Return the attempt, its class and what it waits for."""
+        state = "running" if self.end is None else "waiting for its delivery"
+        return f"{self.start.attempt_id} {self.start.service}/{self.start.class_name} {state}"
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -43,6 +43,7 @@
     CallData,
     CallEnded,
     CallHead,
+    EndAll,
     LinkLost,
     LinkMessage,
     LoadChanged,
@@ -85,7 +86,8 @@
         self._load = EndpointLoad()
         self._load_taken_s = clock()
         self._reachable = True
-        self._draining = False
+        # Monotonic time of the announcement that the endpoint leaves.
+        self._draining_s: float | None = None
         self._reported_s = 0.0
         self._report_due = True
         # Attempts that a peer asked for before they arrived; a start of one of them that was
@@ -102,6 +104,15 @@
         now = self._clock()
         return sum(stream.unfinished(now) for stream in self.streams.values())
 
+    def describe(self) -> list[str]:
+        """Return a line for each stream that is not finished and delivered."""
+        now = self._clock()
+        return [stream.describe() for stream in self.streams.values() if stream.unfinished(now)]
+
+    def drained_s(self) -> float | None:
+        """Return how long ago the endpoint was announced as leaving, None when it was not."""
+        return None if self._draining_s is None else self._clock() - self._draining_s
+
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
         while True:
@@ -129,6 +140,8 @@
             self._load_changed(msg)
         elif isinstance(msg, LinkLost):
             self._link_lost(msg.link)
+        elif isinstance(msg, EndAll):
+            self._end_all()
         else:
             self._drain()
 
@@ -254,7 +267,8 @@
     def _call_ended(self, msg: CallEnded) -> None:
         stream = self.streams[msg.attempt_id]
         stream.task = None
-        self._end(stream, msg.outcome)
+        if stream.end is None:
+            self._end(stream, msg.outcome)
         self._carry_out(self._scheduler.finished(msg.attempt_id, self._clock()))
 
     def _end(self, stream: SidecarStream, outcome: Outcome) -> None:
@@ -290,11 +304,19 @@
             self._load_taken_s = msg.taken_s
 
     def _drain(self) -> None:
-        self._draining = True
+        self._draining_s = self._clock()
         self._ring.record(EventKind.DRAINING)
         self._carry_out(self._scheduler.drain(self._clock()))
         self._send_reports()
 
+    def _end_all(self) -> None:
+        for stream in self.streams.values():
+            if stream.end is None:
+                stream.room.set()
+                if stream.start.cancellable:
+                    self._control(self._endpoint.cancel(stream.start.attempt_id))
+                self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
+
     # Actions of the scheduler.
 
     def _carry_out(self, actions: list[SchedulerAction]) -> None:
@@ -367,7 +389,7 @@
             limit,
             list(load.models),
             list(load.adapters),
-            self._draining,
+            self._draining_s is not None,
             load.tokens_per_s,
             list(load.cached),
         )
