--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -7,13 +7,15 @@
     make_frames,
 )
 from cassiadrum.links.data_merges import split_data
-from cassiadrum.links.errors import BadFrame, BytesGone, LinkError
+from cassiadrum.links.errors import BadCertificate, BadFrame, BytesGone, LinkError
 from cassiadrum.links.link_dialers import LinkDialer
 from cassiadrum.links.link_servers import LinkServer
 from cassiadrum.links.links import Link
 from cassiadrum.links.stream_buffers import StreamBuffer
+from cassiadrum.links.tls_contexts import TlsContexts
 
 __all__ = [
+    "BadCertificate",
     "BadFrame",
     "BytesGone",
     "Link",
@@ -21,6 +23,7 @@
     "LinkError",
     "LinkServer",
     "StreamBuffer",
+    "TlsContexts",
     "decode_message",
     "decode_messages",
     "encode_message",
--- /dev/null
+++ b/cassiadrum/links/tls_contexts.py
@@ -0,0 +1,88 @@
+"""TLS with certificates that change while the process runs."""
+
+import logging
+import os
+import ssl
+from pathlib import Path
+
+from cassiadrum.links.errors import BadCertificate
+
+__all__ = ["TlsContexts"]
+
+logger = logging.getLogger(__name__)
+
+
+class TlsContexts:
+    """Hold the contexts of a process and put new files in force without a restart.
+
+    `links` and `dial` require a certificate of the CA from the peer, `callers` does not. New
+    connections use what was loaded last; open ones go on with theirs. Raises BadCertificate when
+    the files cannot be loaded at the start.
+    """
+
+    def __init__(self, certificate: Path, key: Path, ca: Path) -> None:
+        self._certificate = certificate
+        self._key = key
+        self._ca = ca
+        state = self._state()
+        self._links, self._callers, self.dial = self._build()
+        self._loaded = state
+        # Servers keep the context they started with; it hands each handshake to the newest one,
+        # since an old CA cannot be taken out of a context.
+        self.links, self.callers, _ = self._build()
+        self.links.sni_callback = self._use_links
+        self.callers.sni_callback = self._use_callers
+
+    def reload(self, *, changed_only: bool = True) -> bool:
+        """Load the files again if they changed; keep the old ones while the new do not fit.
+
+        Returns whether new ones are in force.
+        """
+        try:
+            state = self._state()
+            if changed_only and state == self._loaded:
+                return False
+            self._links, self._callers, self.dial = self._build()
+        except (OSError, BadCertificate) as exc:
+            logger.warning("certificate not reloaded: %s", exc)
+            return False
+        self._loaded = state
+        logger.info("certificate reloaded from %s", self._certificate)
+        return True
+
+    def _use_links(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
+        conn.context = self._links
+
+    def _use_callers(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
+        conn.context = self._callers
+
+    def _build(self) -> tuple[ssl.SSLContext, ssl.SSLContext, ssl.SSLContext]:
+        """Return new contexts for the servers of links and callers, and for dialling."""
+        links = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
+        callers = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
+        dial = _context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
+        try:
+            for context in (links, callers, dial):
+                context.load_cert_chain(self._certificate, self._key)
+                context.load_verify_locations(self._ca)
+        except (OSError, ssl.SSLError) as exc:
+            # The message names the fault of the file and holds no key material.
+            raise BadCertificate(f"{self._certificate}, {self._key}, {self._ca}: {exc}") from exc
+        return links, callers, dial
+
+    def _state(self) -> tuple[tuple[int, int, int], ...]:
+        """Return what tells one version of the files from another."""
+        try:
+            stats = [os.stat(path) for path in (self._certificate, self._key, self._ca)]
+        except OSError as exc:
+            raise BadCertificate(str(exc)) from exc
+        return tuple((stat.st_mtime_ns, stat.st_size, stat.st_ino) for stat in stats)
+
+
+def _context(protocol: int, verify: ssl.VerifyMode) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    # Instances are dialled by address, and the CA signs the instances of this site only.
+    context.check_hostname = False
+    context.verify_mode = verify
+    return context
--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -21,7 +21,8 @@
 class AdminHandler:
     """Serve status, events and metrics of a process; `status` returns a JSON object.
 
-    `services` answers changes of service documents, which only an entry instance accepts.
+    `permits` judges the Authorization header. `services` answers changes of service documents,
+    which only an entry instance accepts.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         status: Callable[[], dict[str, Any]],
         drain: Callable[[], None],
         metrics: Callable[[], bytes],
+        permits: Callable[[str], bool],
         services: Handler | None = None,
     ) -> None:
         self._ring = ring
@@ -39,11 +41,15 @@
         self._metrics = metrics
         self._read_s = float("-inf")
         self._read_sequence = 0
+        self._permits = permits
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         req = exchange.req
-        if req.method == "GET" and req.path == "/admin/status":
+        if not self._permits(req.header("authorization")):
+            challenge = (("www-authenticate", "Bearer"),)
+            await exchange.send_json(401, {"error": "a bearer token is required"}, challenge)
+        elif req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
         elif req.method == "GET" and req.path == "/metrics":
             await exchange.send(200, self._metrics(), METRICS_TYPE)
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -3,9 +3,11 @@
 import random
 import secrets
 import time
+from pathlib import Path
 
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
 from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.links import TlsContexts
 from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
@@ -90,6 +92,7 @@
             maintenance,
             ConfigurationWriter(self._table),
             self._metrics,
+            _tls(self._cfg),
         )
 
     def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
@@ -114,6 +117,7 @@
             ClaimService(self._table, self._objects(), self._cfg.instance),
             OrderGuard(target, guard, self._ring),
             self._metrics,
+            _tls(self._cfg),
         )
 
     def _objects(self) -> HttpObjectStore:
@@ -136,3 +140,9 @@
 def _build_endpoint(endpoint: EndpointSettings) -> Endpoint:
     kind = EngineEndpoint if endpoint.kind == "engine" else PlainEndpoint
     return kind(endpoint.address.host, endpoint.address.port)
+
+
+def _tls(cfg: Settings) -> TlsContexts | None:
+    if not cfg.tls.certificate:
+        return None
+    return TlsContexts(Path(cfg.tls.certificate), Path(cfg.tls.key), Path(cfg.tls.ca))
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -1,30 +1,41 @@
 """An entry instance."""
 
 import secrets
-import ssl
+from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.connection import Connection
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
-from cassiadrum.links import Link, LinkDialer
-from cassiadrum.links.messages import PROTOCOL_VERSION, Full, Hello, Message, Ordered, Report
+from cassiadrum.links import Link, LinkDialer, TlsContexts
+from cassiadrum.links.messages import (
+    FETCH_ROLE,
+    PROTOCOL_VERSION,
+    Full,
+    Hello,
+    Message,
+    Ordered,
+    Report,
+)
 from cassiadrum.members import Subset
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
+from cassiadrum.roles.admin_tokens import AdminToken
 from cassiadrum.roles.answer_fetchers import LinkAnswerFetcher
 from cassiadrum.roles.caller_handlers import CallerHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.configuration_handlers import ConfigurationHandler
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.fetch_links import FetchLinks
 from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
-from cassiadrum.roles.router_messages import FromLink, LinkDown
+from cassiadrum.roles.router_messages import FromLink, LinkDown, RefuseAll
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ConfigurationWriter
@@ -46,14 +57,14 @@
         maintenance: MaintenanceFactory,
         writer: ConfigurationWriter,
         metrics: RoleMetrics,
-        tls: ssl.SSLContext | None = None,
+        tls: TlsContexts | None = None,
     ) -> None:
-        super().__init__(ring)
+        super().__init__(ring, tls)
         self._cfg = cfg
         self._configurations = configurations
         self._dispatchers = dispatchers
         configurations.on_applied = self._configure
-        self._tls = tls
+        token = AdminToken(Path(cfg.admin_token_file) if cfg.admin_token_file else None)
         self._links_opened = 0
         self._process_start = secrets.token_hex(8)
         self._instances = instances
@@ -72,7 +83,9 @@
         self._orders = maintenance.orders(self._router, instances.entries)
         self._router.on_report = self._orders.report
         self._router.on_gone = self._orders.removed
-        self._fetcher = LinkAnswerFetcher(self._router.links.get)
+        self._fetcher = LinkAnswerFetcher(
+            FetchLinks(self._router.links.get, self._make_fetch_dialer)
+        )
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
             self._router.post,
@@ -84,18 +97,20 @@
         changes = ConfigurationHandler(writer, configurations, ring)
         self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
-            ring, self.status, self.begin_drain, self._gauges.render, changes
+            ring, self.status, self.begin_drain, self._gauges.render, token.permits, changes
         )
         self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        port = await self._http.start(listen.http.host, listen.http.port)
+        callers = self._tls.callers if self._tls else None
+        port = await self._http.start(listen.http.host, listen.http.port, callers)
         self.addresses["http"] = str(Address(listen.http.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self.watch_tls())
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._router.run())
@@ -111,6 +126,18 @@
         """Return the number of callers that wait for an answer."""
         return self._handler.active
 
+    def describe_in_flight(self) -> list[str]:
+        """Return a line for each request that is not answered."""
+        return self._router.describe()
+
+    def may_stop(self) -> bool:
+        """Tell whether every caller has its answer."""
+        return not self.in_flight()
+
+    def refuse_rest(self) -> None:
+        """Refuse every request that is not answered."""
+        self._router.post(RefuseAll())
+
     async def close(self) -> None:
         """Stop at once."""
         await self._http.abort()
@@ -151,25 +178,56 @@
             member.link_address,
             lambda conn: self._make_link(conn, member.instance),
             on_down=lambda link: self._link_down(link, member.instance),
-            tls=self._tls,
+            tls=lambda: self._tls.dial if self._tls else None,
+        )
+
+    def _make_fetch_dialer(
+        self, instance: str, on_up: Callable[[Link], None]
+    ) -> LinkDialer | None:
+        def deliver(link: Link, msg: Message) -> None:
+            if isinstance(msg, Hello):
+                self._fetcher.link_up(instance, link)
+                on_up(link)
+            else:
+                self._fetcher.offer(msg)
+
+        member = self._members.member(instance)
+        if member is None:
+            return None
+        return LinkDialer(
+            member.link_address,
+            lambda conn: self._link(conn, self._hello(instance, FETCH_ROLE), deliver),
+            on_down=lambda link: None,
+            tls=lambda: self._tls.dial if self._tls else None,
         )
 
     def _make_link(self, conn: Connection, expected: str) -> Link:
         self._links_opened += 1
-        hello = Hello(
+        return self._link(
+            conn,
+            self._hello(expected, "entry"),
+            lambda link, msg: self._deliver(link, msg, expected),
+        )
+
+    def _hello(self, peer: str, role: str) -> Hello:
+        return Hello(
             PROTOCOL_VERSION,
             self._cfg.instance,
-            "entry",
+            role,
             self._cfg.zone,
             "",
             self._process_start,
-            expected,
+            peer,
             self._links_opened,
         )
+
+    def _link(
+        self, conn: Connection, hello: Hello, deliver: Callable[[Link, Message], None]
+    ) -> Link:
         return Link(
             conn,
             hello,
-            deliver=lambda link, msg: self._deliver(link, msg, expected),
+            deliver=deliver,
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
             stamp=lambda: list(self.ring.clock.tick()),
--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -13,6 +13,7 @@
     "LinkDown",
     "MemberGone",
     "MemberUsable",
+    "RefuseAll",
     "RouterMessage",
     "Submit",
     "Tick",
@@ -70,6 +71,18 @@
     """Time has passed."""
 
 
+class RefuseAll(NamedTuple):
+    """The drain limit is reached."""
+
+
 RouterMessage = (
-    Submit | CallerGone | Delivered | FromLink | LinkDown | MemberUsable | MemberGone | Tick
+    Submit
+    | CallerGone
+    | Delivered
+    | FromLink
+    | LinkDown
+    | MemberUsable
+    | MemberGone
+    | RefuseAll
+    | Tick
 )
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import Any
 
 from cassiadrum.decisions import (
     Action,
@@ -41,6 +42,7 @@
     LinkDown,
     MemberGone,
     MemberUsable,
+    RefuseAll,
     RouterMessage,
     Submit,
     Tick,
@@ -90,6 +92,17 @@
         self.links = self._links.by_instance
         # Cancelled attempts whose end the dispatcher still has to hear of.
         self._cancelled: dict[str, tuple[Attempt, str]] = {}
+        self._handlers: dict[type[RouterMessage], Callable[[Any], None]] = {
+            Submit: lambda msg: self._submit(msg.pending),
+            CallerGone: lambda msg: self._caller_gone(msg.request_id),
+            Delivered: self._delivered,
+            FromLink: self._from_link,
+            LinkDown: lambda msg: self._link_down(msg.link),
+            MemberUsable: self._member_usable,
+            MemberGone: self._member_gone,
+            RefuseAll: lambda msg: self._refuse_all(),
+            Tick: lambda msg: self._tick(),
+        }
 
     def models_wanted(self, service: str) -> list[tuple[str, str]]:
         """Return model and adapter of each request of a service that waits or runs."""
@@ -107,6 +120,10 @@
         """Tell whether attempts run at a sidecar."""
         return bool(self._attempts_at(instance))
 
+    def describe(self) -> list[str]:
+        """Return a line for each request that is not answered."""
+        return [pending.describe() for pending in self.pending.values()]
+
     async def run(self) -> None:
         """Handle messages, and tick the dispatchers, for ever."""
         self._tick()
@@ -114,22 +131,7 @@
             self._handle(await self._inbox.get())
 
     def _handle(self, msg: RouterMessage) -> None:
-        if isinstance(msg, Submit):
-            self._submit(msg.pending)
-        elif isinstance(msg, CallerGone):
-            self._caller_gone(msg.request_id)
-        elif isinstance(msg, Delivered):
-            self._delivered(msg)
-        elif isinstance(msg, LinkDown):
-            self._link_down(msg.link)
-        elif isinstance(msg, MemberUsable):
-            self._member_usable(msg)
-        elif isinstance(msg, MemberGone):
-            self._member_gone(msg)
-        elif isinstance(msg, Tick):
-            self._tick()
-        elif msg.link.peer is not None:
-            self._from_link(msg)
+        self._handlers[type(msg)](msg)
 
     def _submit(self, pending: PendingRequest) -> None:
         req = pending.queued
@@ -166,6 +168,8 @@
 
     def _from_link(self, message: FromLink) -> None:
         link, msg = message
+        if link.peer is None:
+            return
         if isinstance(msg, Hello):
             self._link_up(link, msg)
         elif isinstance(msg, Report):
@@ -353,6 +357,10 @@
         kind = EventKind.EVICTED if action.reason == "evicted" else EventKind.REFUSED
         self._close(pending, problem, kind, outcome)
 
+    def _refuse_all(self) -> None:
+        for pending in list(self.pending.values()):
+            self._refuse(Refuse(pending.queued, "draining", Ran.UNKNOWN, 0.0))
+
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
         for attempt in list(pending.attempts.values()) if pending else ():
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -2,21 +2,23 @@
 
 import asyncio
 import secrets
-import ssl
 import time
+from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.connection import Connection
 
 from cassiadrum.decisions import EndpointScheduler
+from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.links import Link, LinkServer
+from cassiadrum.links import Link, LinkServer, TlsContexts
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello, Message, Order
 from cassiadrum.members import mean_connections
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
+from cassiadrum.roles.admin_tokens import AdminToken
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
@@ -25,7 +27,13 @@
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.order_guards import OrderGuard
-from cassiadrum.roles.sidecar_messages import DrainSidecar, LinkLost, LinkMessage, LoadChanged
+from cassiadrum.roles.sidecar_messages import (
+    DrainSidecar,
+    EndAll,
+    LinkLost,
+    LinkMessage,
+    LoadChanged,
+)
 from cassiadrum.roles.sidecars import Sidecar
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ClaimService
@@ -35,6 +43,9 @@
 
 LOAD_POLL_S = 0.25
 SETTLE_INTERVAL_S = 1.0
+# How long a stop waits for the table service. A claim that is not settled by then is found as
+# `unknown` after its deadline, which keeps the call from running again.
+SETTLE_LIMIT_S = 10.0
 
 
 class SidecarDaemon(Daemon):
@@ -51,16 +62,16 @@
         claims: ClaimService,
         orders: OrderGuard,
         metrics: RoleMetrics,
-        tls: ssl.SSLContext | None = None,
+        tls: TlsContexts | None = None,
     ) -> None:
-        super().__init__(ring)
+        super().__init__(ring, tls)
         self._cfg = cfg
         self._configurations = configurations
         self._instances = instances
         self._claims = claims
         self._orders = orders
         self._endpoint = endpoint
-        self._tls = tls
+        token = AdminToken(Path(cfg.admin_token_file) if cfg.admin_token_file else None)
         self._draining = False
         self._process_start = secrets.token_hex(8)
         gate = OnceGate(claims, ring)
@@ -71,18 +82,22 @@
         self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
-            ring, self.status, self.begin_drain, self._gauges.render
+            ring, self.status, self.begin_drain, self._gauges.render, token.permits
         )
         self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        port = await self._server.start(listen.link.host, listen.link.port, self._tls)
+        callers = self._tls.callers if self._tls else None
+        port = await self._server.start(
+            listen.link.host, listen.link.port, self._tls.links if self._tls else None
+        )
         self.addresses["link"] = str(Address(listen.link.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
+        self._spawn(self.watch_tls())
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._settle_claims())
@@ -100,6 +115,24 @@
         """Return the number of streams that are not finished and delivered."""
         return self._sidecar.unfinished()
 
+    def describe_in_flight(self) -> list[str]:
+        """Return a line for each stream that is not finished and delivered."""
+        return self._sidecar.describe()
+
+    def may_stop(self) -> bool:
+        """Tell whether all work is delivered and the entry instances send no more."""
+        drained_s = self._sidecar.drained_s()
+        if drained_s is None or self.in_flight():
+            return False
+        # Work that was sent before the announcement arrived is on its way.
+        told = not self._sidecar.links or drained_s >= LIMITS.LEAVING_LIMIT_S
+        settled = not len(self._claims.pending) or drained_s >= SETTLE_LIMIT_S
+        return told and settled
+
+    def refuse_rest(self) -> None:
+        """End every stream."""
+        self._sidecar.post(EndAll())
+
     async def close(self) -> None:
         """Stop at once."""
         await self._server.close()
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -13,6 +13,7 @@
     "CallHead",
     "CallStarted",
     "DrainSidecar",
+    "EndAll",
     "LinkLost",
     "LinkMessage",
     "LoadChanged",
@@ -77,6 +78,10 @@
     """Time has passed."""
 
 
+class EndAll(NamedTuple):
+    """The drain limit is reached."""
+
+
 SidecarMessage = (
     LinkMessage
     | LinkLost
@@ -87,4 +92,5 @@
     | LoadChanged
     | DrainSidecar
     | Tick
+    | EndAll
 )
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -24,6 +24,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import BytesGone, Link, split_data
 from cassiadrum.links.messages import (
+    FETCH_ROLE,
     Ack,
     Attach,
     Cancel,
@@ -46,6 +47,7 @@
     CallHead,
     CallStarted,
     DrainSidecar,
+    EndAll,
     LinkLost,
     LinkMessage,
     LoadChanged,
@@ -94,7 +96,8 @@
         self._load = EndpointLoad()
         self._load_taken_s = clock()
         self._reachable = True
-        self._draining = False
+        # Monotonic time of the announcement that the endpoint leaves.
+        self._draining_s: float | None = None
         self._reported_s = 0.0
         self._ticked_s = clock()
         self._report_due = True
@@ -102,6 +105,18 @@
         # delayed on an old connection must not run.
         self._refused: dict[str, float] = {}
         self._control_tasks: set[asyncio.Task[None]] = set()
+        self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
+            LinkMessage: self._from_link,
+            LinkLost: lambda msg: self._link_lost(msg.link),
+            CallStarted: self._call_started,
+            CallHead: self._call_head,
+            CallData: self._call_data,
+            CallEnded: self._call_ended,
+            LoadChanged: self._load_changed,
+            DrainSidecar: lambda msg: self._drain(),
+            EndAll: lambda msg: self._end_all(),
+            Tick: lambda msg: self._tick(),
+        }
 
     def post(self, msg: SidecarMessage) -> None:
         """Queue a message for the task."""
@@ -116,6 +131,15 @@
         """Return the number of requests in the short queue."""
         return self._scheduler.waiting()
 
+    def describe(self) -> list[str]:
+        """Return a line for each stream that is not finished and delivered."""
+        now = self._clock()
+        return [stream.describe() for stream in self.streams.values() if stream.unfinished(now)]
+
+    def drained_s(self) -> float | None:
+        """Return how long ago the endpoint was announced as leaving, None when it was not."""
+        return None if self._draining_s is None else self._clock() - self._draining_s
+
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
         self._tick()
@@ -126,24 +150,7 @@
             self._report_when_due()
 
     def _handle(self, msg: SidecarMessage) -> None:
-        if isinstance(msg, LinkMessage):
-            self._from_link(msg)
-        elif isinstance(msg, CallData):
-            self._call_data(msg)
-        elif isinstance(msg, CallStarted):
-            self._call_started(msg)
-        elif isinstance(msg, CallHead):
-            self._call_head(msg)
-        elif isinstance(msg, CallEnded):
-            self._call_ended(msg)
-        elif isinstance(msg, LoadChanged):
-            self._load_changed(msg)
-        elif isinstance(msg, LinkLost):
-            self._link_lost(msg.link)
-        elif isinstance(msg, Tick):
-            self._tick()
-        elif isinstance(msg, DrainSidecar):
-            self._drain()
+        self._handlers[type(msg)](msg)
 
     # Messages of entry instances.
 
@@ -151,7 +158,7 @@
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
-        elif not self._links.is_current(link):
+        elif not self._links.may_send(link, msg):
             return
         elif isinstance(msg, StartRequest):
             self._start(link, msg)
@@ -169,6 +176,9 @@
                 self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
+        if hello.role == FETCH_ROLE:
+            self._links.fetch_up(link)
+            return
         if self._links.is_older(hello):
             link.abort()
             return
@@ -302,7 +312,8 @@
     def _call_ended(self, msg: CallEnded) -> None:
         stream = self.streams[msg.attempt_id]
         stream.task = None
-        self._end(stream, msg.outcome)
+        if stream.end is None:
+            self._end(stream, msg.outcome)
         now = self._clock()
         if msg.outcome.ok and stream.timing is not None:
             first_s, gap_s = stream.timing.first_token_s, stream.timing.inter_token_s
@@ -343,11 +354,19 @@
             self._load_taken_s = msg.taken_s
 
     def _drain(self) -> None:
-        self._draining = True
+        self._draining_s = self._clock()
         self._ring.record(EventKind.DRAINING)
         self._carry_out(self._scheduler.drain(self._clock()))
         self._send_reports()
 
+    def _end_all(self) -> None:
+        for stream in self.streams.values():
+            if stream.end is None:
+                stream.room.set()
+                if stream.start.cancellable:
+                    self._control(self._endpoint.cancel(stream.start.attempt_id))
+                self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
+
     # Actions of the scheduler.
 
     def _carry_out(self, actions: list[SchedulerAction]) -> None:
@@ -447,7 +466,7 @@
             limit,
             list(load.models),
             list(load.adapters),
-            self._draining,
+            self._draining_s is not None,
             load.tokens_per_s,
             list(load.cached),
         )
