--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -430,8 +430,8 @@
     def _expire(self, stream: SidecarStream, now: float) -> None:
         if stream.idle_since_s is None or stream.link is not None:
             return
-        if now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
-            stream.idle_since_s = None
+        given_up = stream.cancelled or stream.abandoned
+        if not given_up and now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
             if not stream.start.cancellable:
                 stream.abandon()
             self._cancel(stream.start.attempt_id)
