--- /dev/null
+++ b/bench/capacity/state_series.py
@@ -0,0 +1,195 @@
+"""Series over the state of one process: queue, customers, endpoints, services, changes."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from bench.wall_clock.sites import document
+from cassiadrum.decisions import (
+    BudgetRetryPolicy,
+    Dispatcher,
+    EndpointReport,
+    FairTierQueue,
+    Outcome,
+    QuantileLengthEstimator,
+    QueuedRequest,
+    Ran,
+    WeightedChooser,
+)
+from cassiadrum.metrics import RoleMetrics
+from cassiadrum.states import ConfigurationRecord, ConfigurationRegistry
+
+__all__ = ["STATE_SERIES"]
+
+Points = list[tuple[float, float]]
+REPEATS = 2000
+
+
+def make_request(number: int, now: float, customers: int = 10) -> QueuedRequest:
+    """Return a request of one of `customers` customers."""
+    return QueuedRequest(
+        f"entry-1-1a2b3c4d-{number}",
+        "svc",
+        "all",
+        1,
+        False,
+        f"customer-{number % customers}",
+        now,
+        now + 300.0,
+        prompt_tokens=200,
+        max_tokens=400,
+        idempotent=True,
+    )
+
+
+def make_dispatcher(endpoints: int, queue: int = 200_000) -> Dispatcher:
+    """Return a dispatcher whose endpoints have reported free slots."""
+    dispatcher = Dispatcher(
+        FairTierQueue(queue),
+        WeightedChooser(random.Random(1), "z"),
+        estimator=QuantileLengthEstimator(),
+        retry=BudgetRetryPolicy(),
+    )
+    for number in range(endpoints):
+        report = EndpointReport(f"s{number}", "z", 0, 0, 64, 0.0, (), (), False, 1000.0)
+        dispatcher.report(report, 0.0)
+    return dispatcher
+
+
+def memory_of(build: Callable[[], object]) -> float:
+    """Return the bytes that are allocated by `build` and kept by its result."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def queue_memory() -> Points:
+    """Bytes of a queue by its length."""
+
+    def build(length: int) -> FairTierQueue:
+        queue = FairTierQueue(length)
+        for number in range(length):
+            queue.push(make_request(number, 0.0), 0.0)
+        return queue
+
+    return [(n, memory_of(lambda n=n: build(n))) for n in (10, 1000, 10_000, 40_000, 100_000)]  # type: ignore[misc]
+
+
+def queue_time() -> Points:
+    """Microseconds of a push and a pop by the logarithm of the queue's length."""
+    points = []
+    for length in (10, 100, 1000, 10_000, 100_000):
+        queue = FairTierQueue(length + REPEATS)
+        for number in range(length):
+            queue.push(make_request(number, 0.0), 0.0)
+        reqs = [make_request(length + number, 0.0) for number in range(REPEATS)]
+        started_s = time.process_time()
+        for req in reqs:
+            queue.push(req, 0.0)
+            queue.pop(0.0)
+        spent_s = time.process_time() - started_s
+        points.append((float(length.bit_length()), 1e6 * spent_s / REPEATS))
+    return points
+
+
+def customer_memory() -> Points:
+    """Bytes of a dispatcher and the metrics after one answer for each customer."""
+
+    def build(customers: int) -> tuple[Dispatcher, RoleMetrics]:
+        dispatcher, metrics = make_dispatcher(8), RoleMetrics(lambda: 0.0)
+        for number in range(customers):
+            req = make_request(number, 0.0, customers)
+            _serve(dispatcher, req, 0.0)
+            metrics.delivered("svc", "all", req.customer, 200)
+        return dispatcher, metrics
+
+    sizes = (10, 1000, 10_000, 20_000, 40_000)
+    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+
+
+def endpoint_memory() -> Points:
+    """Bytes of a dispatcher by the endpoints of its subset."""
+    sizes = (8, 64, 128, 256, 512)
+    return [(n, memory_of(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
+
+
+def endpoint_time() -> Points:
+    """Microseconds of the decisions on a request by the endpoints of the subset."""
+    points = []
+    for endpoints in (8, 64, 128, 256, 512):
+        dispatcher = make_dispatcher(endpoints)
+        for number in range(200):
+            _serve(dispatcher, make_request(number, 0.0), 0.0)
+        started_s = time.process_time()
+        for number in range(REPEATS):
+            _serve(dispatcher, make_request(1000 + number, 1.0), 1.0 + number * 1e-4)
+        spent_s = time.process_time() - started_s
+        points.append((float(endpoints), 1e6 * spent_s / REPEATS))
+    return points
+
+
+def service_memory() -> Points:
+    """Bytes of the configurations in force by the number of services."""
+    sizes = (1, 25, 50, 100, 200)
+    return [(n, memory_of(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
+
+
+def digest_time() -> Points:
+    """Microseconds of the digest that a heartbeat carries by the number of services."""
+    points = []
+    for services in (1, 25, 50, 100, 200):
+        registry = _registry(services)
+        started_s = time.process_time()
+        for _ in range(REPEATS):
+            registry.digest()
+        spent_s = time.process_time() - started_s
+        points.append((float(services), 1e6 * spent_s / REPEATS))
+    return points
+
+
+def change_time() -> Points:
+    """Microseconds spent on applying a number of changes to 17 services."""
+    points = []
+    for changes in (10, 50, 100, 200, 400):
+        registry = _registry(17)
+        started_s = time.process_time()
+        for number in range(changes):
+            name = f"svc-{number % 17}"
+            registry.apply(ConfigurationRecord(name, number + 2, document(name, "model"), False))
+        points.append((float(changes), 1e6 * (time.process_time() - started_s)))
+    return points
+
+
+def _registry(services: int) -> ConfigurationRegistry:
+    registry = ConfigurationRegistry()
+    for number in range(services):
+        name = f"svc-{number}"
+        registry.apply(ConfigurationRecord(name, 1, document(name, "model"), False))
+    return registry
+
+
+def _serve(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
+    """Pass a request through its whole life."""
+    actions = dispatcher.submit(req, now)
+    instance = getattr(actions[0], "instance", "")
+    dispatcher.progressed(instance, req.request_id, 1, now)
+    dispatcher.finished(req.request_id, Outcome(True, Ran.YES, 200), now, instance)
+
+
+STATE_SERIES: dict[str, Callable[[], Points]] = {
+    "queue_memory_bytes": queue_memory,
+    "queue_time_us": queue_time,
+    "customer_memory_bytes": customer_memory,
+    "endpoint_memory_bytes": endpoint_memory,
+    "endpoint_time_us": endpoint_time,
+    "service_memory_bytes": service_memory,
+    "digest_time_us": digest_time,
+    "change_time_us": change_time,
+}
