Slow heartbeats and reports of idle links; keep the configuration digest

Cause: at rest an entry instance with 64 links exchanged 11.9 KB/s of control and used 7.2 % of a core; the limits are 6 KB/s and 4.7 %. The digest was computed anew for each heartbeat of each link, in time linear in the services (0.61 us each).

Change: both sides send heartbeats on their own and no longer answer them; a link without streams for 10 s sends one in 3 s and takes 9 s of silence, until a stream uses it again; an unchanged report goes out every 3 s; the registry keeps its digest.

--- /dev/null
+++ b/bench/capacity/extrapolations.py
@@ -0,0 +1,116 @@
+"""What the measured lines say about the target size."""
+
+from collections.abc import Mapping
+from typing import Any, Final, NamedTuple
+
+from bench.capacity.fits import Fit
+
+__all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "Total", "fit_of", "totals"]
+
+# Section 1.8 of the design page.
+ENTRIES: Final = 2300
+ENGINES: Final = 7300
+REQUESTS_PER_S: Final = 66_000
+CUSTOMERS: Final = 39_000
+SERVICES: Final = 17
+CHANGES_PER_S: Final = 7900 / 86_400
+ENTRY_LINKS: Final = 64
+SIDECAR_LINKS: Final = 20
+QUEUE: Final = 2048
+EVENTS: Final = 16_384
+# A finished answer is kept for 60 s.
+KEPT_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
+LIMITS_AT_TARGET: Final = {"MB": 64.0, "% of a core": 4.7, "B/s": 6000.0}
+
+
+class Extrapolation(NamedTuple):
+    """Take a line at `x`, times `factor` for the unit; `slope_only` leaves out the base cost."""
+
+    role: str
+    what: str
+    series: str
+    x: float
+    factor: float
+    unit: str
+    slope_only: bool = False
+
+    def value(self, report: Mapping[str, Any]) -> float:
+        """Return the figure at the target size."""
+        fit = fit_of(report, self.series)
+        return self.factor * (fit.slope * self.x if self.slope_only else fit.at(self.x))
+
+
+class Total(NamedTuple):
+    """A role's sum in a unit against its limit."""
+
+    role: str
+    unit: str
+    value: float
+    limit: float
+
+
+REQUESTS_PER_ENTRY: Final = REQUESTS_PER_S / ENTRIES
+
+EXTRAPOLATIONS: Final = (
+    Extrapolation("entry", "links", "dialer_link_memory_bytes", ENTRY_LINKS, 1e-6, "MB", True),
+    Extrapolation("entry", "endpoints of the subset", "endpoint_memory_bytes", 64, 1e-6, "MB"),
+    Extrapolation("entry", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
+    Extrapolation("entry", "customers", "customer_memory_bytes", CUSTOMERS, 1e-6, "MB"),
+    Extrapolation("entry", "full queue", "queue_memory_bytes", QUEUE, 1e-6, "MB", True),
+    Extrapolation("entry", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
+    Extrapolation(
+        "entry", "links at rest", "dialer_link_cpu_us_per_s", ENTRY_LINKS, 1e-4, "% of a core"
+    ),
+    Extrapolation(
+        "entry",
+        "configuration changes",
+        "change_time_us",
+        CHANGES_PER_S,
+        1e-4,
+        "% of a core",
+        True,
+    ),
+    Extrapolation(
+        "entry", "links at rest", "link_control_bytes_per_s", ENTRY_LINKS, 1.0, "B/s", True
+    ),
+    Extrapolation(
+        "sidecar", "links", "sidecar_link_memory_bytes", SIDECAR_LINKS, 1e-6, "MB", True
+    ),
+    Extrapolation("sidecar", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
+    Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
+    Extrapolation("sidecar", "kept answers", "kept_answer_memory_bytes", KEPT_ANSWERS, 1e-6, "MB"),
+    Extrapolation(
+        "sidecar", "links at rest", "sidecar_link_cpu_us_per_s", SIDECAR_LINKS, 1e-4, "% of a core"
+    ),
+    Extrapolation(
+        "sidecar",
+        "configuration changes",
+        "change_time_us",
+        CHANGES_PER_S,
+        1e-4,
+        "% of a core",
+        True,
+    ),
+    Extrapolation(
+        "sidecar", "links at rest", "link_control_bytes_per_s", SIDECAR_LINKS, 1.0, "B/s", True
+    ),
+)
+
+
+def fit_of(report: Mapping[str, Any], series: str) -> Fit:
+    """Return the committed line of a series."""
+    entry = report["series"][series]
+    return Fit(*(entry[field] for field in Fit._fields))
+
+
+def totals(report: Mapping[str, Any]) -> list[Total]:
+    """Return each role's sums; memory starts from the measured idle daemon."""
+    found = []
+    for role in ("entry", "sidecar"):
+        for unit, limit in LIMITS_AT_TARGET.items():
+            parts = [e for e in EXTRAPOLATIONS if (e.role, e.unit) == (role, unit)]
+            value = sum(part.value(report) for part in parts)
+            if unit == "MB":
+                value += report["rest"][f"{role}_idle_mb"]
+            found.append(Total(role, unit, value, limit))
+    return found
--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -10,6 +10,7 @@
 
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
+from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventRing, HybridClock
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello
@@ -20,8 +21,9 @@
 __all__ = ["admin_get", "control_bytes", "measure_links"]
 
 COUNTS = (10, 100, 300, 600, 1000)
-REST_S = 5.0
-SETTLE_S = 2.0
+REST_S = 6.0
+# The links have to be idle, as those of a fleet at rest are.
+SETTLE_S = LIMITS.IDLE_AFTER_S + 1.0
 
 
 async def measure_links() -> dict[str, list[tuple[float, float]]]:
--- a/bench/capacity/rest_figures.py
+++ b/bench/capacity/rest_figures.py
@@ -7,6 +7,7 @@
 from bench.capacity.link_series import admin_get, control_bytes
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.sites import DOCUMENTS, BenchPlatform, document
+from cassiadrum.defaults import LIMITS
 from cassiadrum.standins import Faults
 
 __all__ = ["measure_rest", "measure_spread"]
@@ -37,7 +38,7 @@
         for number in range(1, SIDECAR_LINKS):
             await platform.entry(f"e{number}")
         await _linked(entry, ENTRY_LINKS)
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(LIMITS.IDLE_AFTER_S + 1.0)
         for name, child in (("entry", entry), ("sidecar", first)):
             found |= {f"{name}_{key}": value for key, value in (await _rest(child)).items()}
         await platform.close()
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -18,13 +18,20 @@
     Ran,
     WeightedChooser,
 )
+from cassiadrum.events import EventKind, EventRing, HybridClock
+from cassiadrum.links.messages import StartRequest
 from cassiadrum.metrics import RoleMetrics
+from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.states import ConfigurationRecord, ConfigurationRegistry
 
 __all__ = ["STATE_SERIES"]
 
 Points = list[tuple[float, float]]
 REPEATS = 2000
+# 197 tokens, the mean at the target size (13 million tokens for 66,000 requests), as events of
+# about 60 bytes; and a prompt of 200 tokens.
+ANSWER_BYTES = 12_000
+PROMPT_BYTES = 1000
 
 
 def make_request(number: int, now: float, customers: int = 10) -> QueuedRequest:
@@ -167,6 +174,49 @@
     return points
 
 
+def event_memory() -> Points:
+    """Bytes of an event ring by the events in it."""
+
+    def build(count: int) -> EventRing:
+        ring = EventRing(HybridClock(time.time), "entry-1", "entry", "1a2b3c4d")
+        for number in range(count):
+            req = make_request(number, 0.0)
+            ring.record(
+                EventKind.FINISHED,
+                req.request_id,
+                req.service,
+                req.class_name,
+                req.customer,
+                reason="",
+                ran="yes",
+                tokens=200,
+            )
+        return ring
+
+    sizes = (256, 2048, 4096, 8192, 16_384)
+    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+
+
+def kept_answer_memory() -> Points:
+    """Bytes of a sidecar's finished answers of ANSWER_BYTES by their number."""
+
+    def build(count: int) -> list[SidecarStream]:
+        kept = []
+        for number in range(count):
+            req, body = make_request(number, 0.0), bytes(PROMPT_BYTES)
+            start = StartRequest(
+                f"{req.request_id}.1", req.request_id, "svc", "all", 1, False, False, True,
+                req.customer, 300.0, "POST", "/v1/completions", [], body,
+            )  # fmt: skip
+            stream = SidecarStream(start, req, None)  # type: ignore[arg-type]
+            stream.buffer.append(bytes(ANSWER_BYTES))
+            kept.append(stream)
+        return kept
+
+    sizes = (10, 100, 300, 600, 1000)
+    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+
+
 def _registry(services: int) -> ConfigurationRegistry:
     registry = ConfigurationRegistry()
     for number in range(services):
@@ -192,4 +242,6 @@
     "service_memory_bytes": service_memory,
     "digest_time_us": digest_time,
     "change_time_us": change_time,
+    "event_memory_bytes": event_memory,
+    "kept_answer_memory_bytes": kept_answer_memory,
 }
--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -52,8 +52,14 @@
     HEARTBEAT_INTERVAL_S: Final = 1.0
     # Three missed heartbeats; bounds the pause that a caller sees on a silent connection.
     SILENCE_LIMIT_S: Final = 3.0
+    # A link without streams for this long takes the longer times, since the heartbeats of 64
+    # links each second exceed the control traffic that a daemon may cause.
+    IDLE_AFTER_S: Final = 10.0
+    IDLE_HEARTBEAT_INTERVAL_S: Final = 3.0
+    IDLE_SILENCE_LIMIT_S: Final = 9.0
     REPORT_MIN_INTERVAL_S: Final = 0.1
-    REPORT_MAX_INTERVAL_S: Final = 1.0
+    # A report whose figures changed is sent after REPORT_MIN_INTERVAL_S; this is for the rest.
+    REPORT_MAX_INTERVAL_S: Final = 3.0
     DETACHED_STREAM_S: Final = 10.0
     SIDECAR_QUEUE_PER_SLOT: Final = 1
     KEPT_ANSWER_BYTES: Final = 64 * 1024
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -17,19 +17,33 @@
     make_frames,
 )
 from cassiadrum.links.errors import BadFrame
-from cassiadrum.links.messages import Data, Head, Hello, Message, Ping, Pong, StartRequest
+from cassiadrum.links.messages import (
+    Attach,
+    Data,
+    End,
+    Head,
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    RejectStart,
+    StartRequest,
+)
 
 __all__ = ["Link"]
 
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
+IDLE_WATCH_INTERVAL_S = 0.5
 CONTENT = (StartRequest, Head, Data)
 
 
 class Link:
     """Own a connection: send queue, heartbeats in both directions and the silence limit.
 
+    Heartbeats and the silence limit are slower while the link is idle.
+
     `deliver(link, message)` is called for every message but heartbeats. `heartbeat()` gives the
     configuration digest and the hybrid clock to send; `heard(link, digest, clock)` takes the
     peer's.
@@ -61,6 +75,9 @@
         self._clock = clock
         self._outbox: asyncio.Queue[Message] = asyncio.Queue()
         self._last_heard_s = clock()
+        # Attempts under way on this link as seen from this side.
+        self._streams = 0
+        self._last_stream_s = clock()
 
     def send(self, msg: Message) -> None:
         """Queue a message; what is queued when the connection ends is lost."""
@@ -84,6 +101,20 @@
             # A closing handshake would wait for a peer that may be silent.
             self._conn.transport.abort()
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether no stream uses the link and none did for IDLE_AFTER_S."""
+        return not self._streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+
+    def _count_stream(self, msg: Message) -> None:
+        if isinstance(msg, StartRequest | Attach):
+            self._streams += 1
+        elif isinstance(msg, End | RejectStart):
+            self._streams = max(0, self._streams - 1)
+        else:
+            return
+        self._last_stream_s = self._clock()
+
     def abort(self) -> None:
         """Cut the connection at once."""
         self._conn.transport.abort()
@@ -104,9 +135,7 @@
                     self._take(msg)
 
     def _take(self, msg: Message) -> None:
-        if isinstance(msg, Ping):
-            digest, clock = self._heartbeat()
-            self.send(Pong(msg.sent_s, digest, clock))
+        self._count_stream(msg)
         if isinstance(msg, Ping | Pong):
             self._heard(self, msg.digest, msg.clock)
             return
@@ -127,6 +156,7 @@
                 await self._conn.send(frame)
 
     def _encode(self, msg: Message) -> bytes:
+        self._count_stream(msg)
         encoded = encode_message(msg)
         if isinstance(msg, Data):
             self.data_bytes += len(encoded)
@@ -135,23 +165,36 @@
         return encoded
 
     async def _beat(self) -> None:
+        sent_s = self._clock()
         while True:
+            # Short sleeps also while idle, so that a link that becomes active is heard in time.
             await asyncio.sleep(LIMITS.HEARTBEAT_INTERVAL_S)
+            now = self._clock()
+            # Half an interval is left for a timer that fires early or late.
+            due_s = LIMITS.IDLE_HEARTBEAT_INTERVAL_S - LIMITS.HEARTBEAT_INTERVAL_S / 2
+            if self.idle and now - sent_s < due_s:
+                continue
+            sent_s = now
             digest, clock = self._heartbeat()
-            self.send(Ping(self._clock(), digest, clock))
+            # Both sides send heartbeats on their own, so none is answered and none needs its time.
+            self.send(Ping(0, digest, clock))
 
     async def _watch(self) -> None:
         """End when the peer is silent; time in which this process did not run is not counted."""
         silent_s = 0.0
         last_s = self._clock()
-        while silent_s < LIMITS.SILENCE_LIMIT_S:
-            await asyncio.sleep(WATCH_INTERVAL_S)
-            now = self._clock()
-            if self._last_heard_s >= last_s:
+        limit_s, was_idle = LIMITS.SILENCE_LIMIT_S, False
+        while silent_s < limit_s:
+            interval_s = IDLE_WATCH_INTERVAL_S if was_idle else WATCH_INTERVAL_S
+            await asyncio.sleep(interval_s)
+            now, idle = self._clock(), self.idle
+            if self._last_heard_s >= last_s or (was_idle and not idle):
+                # The peer of a link that has just become active has the short time from now on.
                 silent_s = 0.0
             else:
-                silent_s += min(now - last_s, 2 * WATCH_INTERVAL_S)
-            last_s = now
+                silent_s += min(now - last_s, 2 * interval_s)
+            last_s, was_idle = now, idle
+            limit_s = LIMITS.IDLE_SILENCE_LIMIT_S if idle else LIMITS.SILENCE_LIMIT_S
         logger.info("link to %s is silent, closing it", self.peer.instance if self.peer else "?")
 
 
--- a/cassiadrum/states/configuration_registries.py
+++ b/cassiadrum/states/configuration_registries.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self._records: dict[str, ConfigurationRecord] = {}
         self._documents: dict[str, ServiceDocument] = {}
+        self._digest: int | None = None
 
     def apply(self, record: ConfigurationRecord) -> bool:
         """Put a record in force if its version is higher, and tell whether it is.
@@ -28,6 +29,7 @@
             return False
         document = None if record.deleted else _parse(record)
         self._records[record.service] = record
+        self._digest = None
         if document is None:
             self._documents.pop(record.service, None)
         else:
@@ -57,8 +59,12 @@
 
     def digest(self) -> int:
         """Return a 64-bit digest of the version vector."""
-        text = "\n".join(f"{name} {version}" for name, version in sorted(self.versions().items()))
-        return xxhash.xxh64_intdigest(text.encode())
+        # Kept, since each heartbeat of each link needs it.
+        if self._digest is None:
+            pairs = sorted(self.versions().items())
+            text = "\n".join(f"{name} {version}" for name, version in pairs)
+            self._digest = xxhash.xxh64_intdigest(text.encode())
+        return self._digest
 
     def missing(self, versions: Mapping[str, int]) -> list[str]:
         """Return the services of which `versions` has a higher version than is in force."""
