--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Child processes of a measurement, with their processor time and memory."""
 
 import asyncio
+import itertools
 import json
 import os
 import sys
@@ -47,6 +48,7 @@
 
     def __init__(self) -> None:
         self._children: list[Child] = []
+        self._numbers = itertools.count()
         self._directory = tempfile.TemporaryDirectory()
 
     async def __aenter__(self) -> "ProcessGroup":
@@ -72,6 +74,6 @@
 
     async def daemon(self, settings: str) -> Child:
         """Start a daemon from the text of its settings."""
-        path = Path(self._directory.name) / f"{len(self._children)}.toml"
+        path = Path(self._directory.name) / f"{next(self._numbers)}.toml"
         path.write_text(settings)
         return await self.start("cassiadrum.daemon", "--settings", str(path))
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -35,7 +35,8 @@
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
-IDLE_WATCH_INTERVAL_S = 0.5
+# One timer a second for each idle link; a core has to serve hundreds of them beside its work.
+IDLE_WATCH_INTERVAL_S = 1.0
 CONTENT = (StartRequest, Head, Data)
 
 
@@ -87,8 +88,7 @@
         """Serve the connection until it is closed, invalid or silent for too long."""
         self.send(self._hello)
         tasks = [
-            asyncio.create_task(part())
-            for part in (self._read, self._write, self._beat, self._watch)
+            asyncio.create_task(part()) for part in (self._read, self._write, self._keep_alive)
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -164,39 +164,38 @@
             self.control_sent += len(encoded)
         return encoded
 
-    async def _beat(self) -> None:
-        sent_s = self._clock()
-        while True:
-            # Short sleeps also while idle, so that a link that becomes active is heard in time.
-            await asyncio.sleep(LIMITS.HEARTBEAT_INTERVAL_S)
-            now = self._clock()
-            # Half an interval is left for a timer that fires early or late.
-            due_s = LIMITS.IDLE_HEARTBEAT_INTERVAL_S - LIMITS.HEARTBEAT_INTERVAL_S / 2
-            if self.idle and now - sent_s < due_s:
-                continue
-            sent_s = now
-            digest, clock = self._heartbeat()
-            # Both sides send heartbeats on their own, so none is answered and none needs its time.
-            self.send(Ping(0, digest, clock))
-
-    async def _watch(self) -> None:
-        """End when the peer is silent; time in which this process did not run is not counted."""
-        silent_s = 0.0
-        last_s = self._clock()
-        limit_s, was_idle = LIMITS.SILENCE_LIMIT_S, False
+    async def _keep_alive(self) -> None:
+        """Send heartbeats, and end when the peer is silent.
+
+        Time in which this process did not run is not counted.
+        """
+        silent_s, limit_s, was_idle = 0.0, LIMITS.SILENCE_LIMIT_S, False
+        sent_s = last_s = self._clock()
         while silent_s < limit_s:
             interval_s = IDLE_WATCH_INTERVAL_S if was_idle else WATCH_INTERVAL_S
             await asyncio.sleep(interval_s)
             now, idle = self._clock(), self.idle
-            if self._last_heard_s >= last_s or (was_idle and not idle):
-                # The peer of a link that has just become active has the short time from now on.
+            if self._last_heard_s >= last_s:
                 silent_s = 0.0
+            elif was_idle and not idle:
+                # The peer of a link that has become active has the short time from then on.
+                silent_s = min(now - self._last_stream_s, interval_s)
             else:
                 silent_s += min(now - last_s, 2 * interval_s)
             last_s, was_idle = now, idle
             limit_s = LIMITS.IDLE_SILENCE_LIMIT_S if idle else LIMITS.SILENCE_LIMIT_S
+            every_s = LIMITS.IDLE_HEARTBEAT_INTERVAL_S if idle else LIMITS.HEARTBEAT_INTERVAL_S
+            # Half a step is left for a timer that fires early.
+            if now - sent_s >= every_s - WATCH_INTERVAL_S / 2:
+                sent_s = now
+                self._send_heartbeat()
         logger.info("link to %s is silent, closing it", self.peer.instance if self.peer else "?")
 
+    def _send_heartbeat(self) -> None:
+        # Both sides send heartbeats on their own, so none is answered and none needs its time.
+        digest, clock = self._heartbeat()
+        self.send(Ping(0, digest, clock))
+
 
 def _merge_data(batch: list[Message]) -> list[Message]:
     """Put consecutive data messages into one: a frame per token costs too much processor time.
