--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,64 @@
+"""Measure the slopes and the figures at rest, and write bench/capacity.json."""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from bench.capacity.fits import fit_line
+from bench.capacity.link_series import measure_links
+from bench.capacity.pages import write_page
+from bench.capacity.rest_figures import measure_rest, measure_spread
+from bench.capacity.state_series import STATE_SERIES
+
+OUTPUT = Path(__file__).parent.parent / "capacity.json"
+PARTS = ("state", "links", "rest", "spread")
+
+
+def main() -> None:
+    """Run the parts that were asked for and merge them into the file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}; all by default")
+    parser.add_argument("--series", nargs="*", help="of the state series; all by default")
+    parser.add_argument("--page", action="store_true", help="only write the page again")
+    options = parser.parse_args()
+    parts = [] if options.page else options.parts or list(PARTS)
+    # asyncio.run then ends the child processes when this process is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    for part in parts:
+        load = os.getloadavg()[0]
+        measured = _measure(part, options.series or list(STATE_SERIES))
+        report = _read()
+        if part in ("state", "links"):
+            report["series"] |= {name: _entry(points) for name, points in measured.items()}
+        else:
+            report[part] = measured
+        at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime())
+        report["runs"][part] = {"at": at, "load_average": load}
+        OUTPUT.write_text(json.dumps(report, indent=1, sort_keys=True) + "\n")
+    write_page(_read())
+
+
+def _read() -> dict[str, Any]:
+    empty: dict[str, Any] = {"series": {}, "runs": {}}
+    return json.loads(OUTPUT.read_text()) if OUTPUT.exists() else empty
+
+
+def _measure(part: str, names: list[str]) -> dict[str, Any]:
+    if part == "state":
+        return {name: STATE_SERIES[name]() for name in names}
+    if part == "links":
+        return dict(asyncio.run(measure_links()))
+    return dict(asyncio.run(measure_rest() if part == "rest" else measure_spread()))
+
+
+def _entry(points: list[tuple[float, float]]) -> dict[str, Any]:
+    return {"points": points, **fit_line(points)._asdict()}
+
+
+if __name__ == "__main__":
+    main()
--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -56,8 +56,14 @@
     HEARTBEAT_INTERVAL_S: Final = 1.0
     # Three missed heartbeats; bounds the pause that a caller sees on a silent connection.
     SILENCE_LIMIT_S: Final = 3.0
+    # A link without streams for this long takes the longer times, since the heartbeats of 64
+    # links each second exceed the control traffic that a daemon may cause.
+    IDLE_AFTER_S: Final = 10.0
+    IDLE_HEARTBEAT_INTERVAL_S: Final = 3.0
+    IDLE_SILENCE_LIMIT_S: Final = 9.0
     REPORT_MIN_INTERVAL_S: Final = 0.1
-    REPORT_MAX_INTERVAL_S: Final = 1.0
+    # A report whose figures changed is sent after REPORT_MIN_INTERVAL_S; this is for the rest.
+    REPORT_MAX_INTERVAL_S: Final = 3.0
     DETACHED_STREAM_S: Final = 10.0
     # An endpoint that sends nothing for this long, or for three times the class's target if that
     # is longer, is taken to be cut off: a connection can go silent without an error.
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -13,13 +13,27 @@
 from cassiadrum.links.codecs import decode_messages, encode_message, make_frames
 from cassiadrum.links.data_merges import merge_data
 from cassiadrum.links.errors import BadFrame
-from cassiadrum.links.messages import CLOCKED, Data, Head, Hello, Message, Ping, Pong, StartRequest
+from cassiadrum.links.messages import (
+    CLOCKED,
+    Attach,
+    Data,
+    End,
+    Head,
+    Hello,
+    Message,
+    Ping,
+    RejectStart,
+    StartRequest,
+)
+from cassiadrum.links.silence_watches import SilenceWatch
 
 __all__ = ["Link"]
 
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
+# One timer a second for each idle link; a core has to serve hundreds of them beside its work.
+IDLE_WATCH_INTERVAL_S = 1.0
 CONTENT = (StartRequest, Head, Data)
 NO_DATA = Data([])
 
@@ -27,6 +41,8 @@
 class Link:
     """Own a connection: send queue, heartbeats in both directions and the silence limit.
 
+    Heartbeats and the silence limit are slower while the link is idle.
+
     `deliver(link, message)` is called for every message but heartbeats. `heartbeat()` gives the
     configuration digest and the hybrid clock to send; `heard(link, digest, clock)` takes the
     peer's. `stamp()` gives the hybrid clock for the messages that carry one and leave it empty,
@@ -66,11 +82,18 @@
         # Heartbeats overtake data, whose queue may be long.
         self._urgent: deque[Message] = deque()
         self._last_heard_s = clock()
-        self._last_pong_s = clock()
+        # The peer's last heartbeat, and the last of this side's that it has confirmed.
+        self._peer_number = 0
+        self._echoed = 0
+        self._number = 0
+        self._last_echo_s = clock()
+        # Attempts under way on this link as seen from this side.
+        self._streams = 0
+        self._last_stream_s = clock()
 
     def send(self, msg: Message) -> None:
         """Queue a message; what is queued when the connection ends is lost."""
-        if isinstance(msg, Ping | Pong):
+        if isinstance(msg, Ping):
             self._urgent.append(msg)
             # Wakes the writer when it waits; an empty part is not sent.
             msg = NO_DATA
@@ -80,8 +103,7 @@
         """Serve the connection until it is closed, invalid or silent for too long."""
         self.send(self._hello)
         tasks = [
-            asyncio.create_task(part())
-            for part in (self._read, self._write, self._beat, self._watch)
+            asyncio.create_task(part()) for part in (self._read, self._write, self._keep_alive)
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -103,6 +125,20 @@
     def _peer_name(self) -> str:
         return self.peer.instance if self.peer else "?"
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether no stream uses the link and none did for IDLE_AFTER_S."""
+        return not self._streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+
+    def _count_stream(self, msg: Message) -> None:
+        if isinstance(msg, StartRequest | Attach):
+            self._streams += 1
+        elif isinstance(msg, End | RejectStart):
+            self._streams = max(0, self._streams - 1)
+        else:
+            return
+        self._last_stream_s = self._clock()
+
     def abort(self) -> None:
         """Cut the connection at once."""
         self._conn.transport.abort()
@@ -123,13 +159,9 @@
                     self._take(msg)
 
     def _take(self, msg: Message) -> None:
+        self._count_stream(msg)
         if isinstance(msg, Ping):
-            digest, clock = self._heartbeat()
-            self.send(Pong(msg.sent_s, digest, clock))
-        if isinstance(msg, Pong):
-            self._last_pong_s = self._clock()
-        if isinstance(msg, Ping | Pong):
-            self._heard(self, msg.digest, msg.clock)
+            self._take_heartbeat(msg)
             return
         if isinstance(msg, Hello):
             self.peer = msg
@@ -161,6 +193,7 @@
     def _encode(self, msg: Message) -> bytes:
         if isinstance(msg, CLOCKED) and not msg.clock:
             msg = msg._replace(clock=self._stamp())
+        self._count_stream(msg)
         encoded = encode_message(msg)
         if isinstance(msg, Data):
             self.data_bytes += len(encoded)
@@ -168,26 +201,39 @@
             self.control_sent += len(encoded)
         return encoded
 
-    async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(LIMITS.HEARTBEAT_INTERVAL_S)
-            digest, clock = self._heartbeat()
-            self.send(Ping(self._clock(), digest, clock))
-
-    async def _watch(self) -> None:
-        """End when either direction is silent, or the peer says nothing but heartbeats.
+    async def _keep_alive(self) -> None:
+        """Send heartbeats, and end when either direction is silent or the peer has no name.
 
         Time in which this process did not run is not counted.
         """
-        silent_s = unanswered_s = nameless_s = 0.0
-        last_s = self._clock()
-        while max(silent_s, unanswered_s, nameless_s) < LIMITS.SILENCE_LIMIT_S:
-            await asyncio.sleep(WATCH_INTERVAL_S)
+        silence = SilenceWatch(self._clock())
+        sent_s = self._clock()
+        while not silence.expired:
+            step_s = IDLE_WATCH_INTERVAL_S if silence.idle else WATCH_INTERVAL_S
+            await asyncio.sleep(step_s)
             now = self._clock()
-            passed_s = min(now - last_s, 2 * WATCH_INTERVAL_S)
-            silent_s = 0.0 if self._last_heard_s >= last_s else silent_s + passed_s
-            # A peer that does not answer heartbeats does not receive, whatever it sends.
-            unanswered_s = 0.0 if self._last_pong_s >= last_s else unanswered_s + passed_s
-            nameless_s = 0.0 if self.peer else nameless_s + passed_s
-            last_s = now
+            marks = (self._last_heard_s, self._last_echo_s, now if self.peer else 0.0)
+            silence.check(
+                now, marks, step_s=step_s, idle=self.idle, last_stream_s=self._last_stream_s
+            )
+            every_s = LIMITS.HEARTBEAT_INTERVAL_S
+            if silence.idle:
+                every_s = LIMITS.IDLE_HEARTBEAT_INTERVAL_S
+            # Half a step is left for a timer that fires early.
+            if now - sent_s >= every_s - WATCH_INTERVAL_S / 2:
+                sent_s = now
+                self._send_heartbeat()
         logger.info("link to %s is silent, closing it", self._peer_name())
+
+    def _send_heartbeat(self) -> None:
+        # Each heartbeat confirms the peer's last one, so none needs an answer of its own.
+        digest, clock = self._heartbeat()
+        self._number += 1
+        self.send(Ping(self._number, digest, clock, self._peer_number))
+
+    def _take_heartbeat(self, msg: Ping) -> None:
+        self._peer_number = msg.number
+        if msg.echo != self._echoed:
+            self._echoed = msg.echo
+            self._last_echo_s = self._clock()
+        self._heard(self, msg.digest, msg.clock)
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -28,7 +28,6 @@
     "Order",
     "Ordered",
     "Ping",
-    "Pong",
     "RejectStart",
     "Report",
     "StartRequest",
@@ -61,19 +60,16 @@
 
 
 class Ping(NamedTuple):
-    """Heartbeat; `sent_s` is the sender's monotonic clock, `clock` its hybrid logical clock."""
+    """Heartbeat of either side.
 
-    sent_s: float
-    digest: str
-    clock: list[int]
-
-
-class Pong(NamedTuple):
-    """Answer to a heartbeat; `sent_s` is copied from it."""
+    `number` counts the sender's heartbeats, `echo` is the number of the last one that it
+    received, and `clock` is its hybrid logical clock.
+    """
 
-    sent_s: float
+    number: int
     digest: str
     clock: list[int]
+    echo: int = 0
 
 
 class StartRequest(NamedTuple):
@@ -244,7 +240,6 @@
 Message = (
     Hello
     | Ping
-    | Pong
     | StartRequest
     | Head
     | Data
@@ -267,7 +262,6 @@
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
     Hello,
     Ping,
-    Pong,
     StartRequest,
     Head,
     Data,
--- a/cassiadrum/tests/test_link_faults.py
+++ b/cassiadrum/tests/test_link_faults.py
@@ -143,7 +143,7 @@
             await conn.send(encode_message(Hello(1, "deaf", "sidecar", "z", "")))
             with contextlib.suppress(ConnectionClosed):
                 while True:
-                    await conn.send(encode_message(Ping(0.0, "", [])))
+                    await conn.send(encode_message(Ping(1, "", [])))
                     await asyncio.sleep(0.05)
 
         async with serve(talk, "127.0.0.1", 0, close_timeout=0.2) as server:
@@ -179,7 +179,7 @@
             async with asyncio.timeout(LIMIT_S):
                 with pytest.raises(Exception, match="no close frame"):
                     while True:
-                        await conn.send(encode_message(Ping(0.0, "", [])))
+                        await conn.send(encode_message(Ping(1, "", [])))
                         await asyncio.sleep(0.05)
 
     async def test_half_a_frame_is_silence(self, ends: Ends) -> None:
