Tell late news of an earlier start from a leaving endpoint in the rule

The trace shows that the leaving process had stopped and that the new one never left. Ruled out: a dispatch to the old process after 3 s.

Change: `member_leaving` does not count when its recorder was last connected to an earlier start of the instance. News of the present start counts as before; both are tested.

--- a/cassiadrum/invariants/leaving_endpoint_rules.py
+++ b/cassiadrum/invariants/leaving_endpoint_rules.py
@@ -1,8 +1,12 @@
 """A leaving endpoint gets no new work after 3 s.
 
 Needs `process_started` and `draining` at sidecars, `member_leaving` with the field `member` (an
-instance), `dispatched` and `hedged` with the field `to` (an instance), `started` at sidecars, and
-the endpoints' runs.
+instance), `connected` with the field `peer`, `dispatched` and `hedged` with the field `to` (an
+instance), `started` at sidecars, and the endpoints' runs.
+
+An entry instance that was paused may record `member_leaving` of a process that another start of
+the same instance has replaced already. Such late news does not concern the new process: it is
+told by the last `connected` of the recorder being older than that start.
 """
 
 from collections.abc import Iterator
@@ -25,6 +29,7 @@
     def check(self, record: Record) -> list[Violation]:
         """Return each dispatch to, and each start at, an endpoint that is leaving."""
         leaving: dict[str, float] = {}
+        late_news = _LateNews()
         periods: list[tuple[str, float, float]] = []
         violations: list[Violation] = []
         for event in record.timeline.events:
@@ -34,7 +39,8 @@
                 periods.append((event.instance, since_s, event.hlc.seconds))
             violations += self._judge(event, leaving)
             name = _leaving_instance(event)
-            if name:
+            late_news.note(event)
+            if name and not late_news.is_late(event, name):
                 leaving.setdefault(name, event.hlc.seconds)
         periods += [(name, since_s, float("inf")) for name, since_s in leaving.items()]
         return violations + list(self._late_runs(record, periods))
@@ -65,6 +71,26 @@
                     yield Violation(self.name, detail, run.request_id, name, run.started_s)
 
 
+class _LateNews:
+    """Tell which process of an instance an entry instance knew of."""
+
+    def __init__(self) -> None:
+        self._started_s: dict[str, float] = {}
+        self._connected_s: dict[tuple[str, object], float] = {}
+
+    def note(self, event: Event) -> None:
+        if event.kind is EventKind.PROCESS_STARTED:
+            self._started_s[event.instance] = event.hlc.seconds
+        elif event.kind is EventKind.CONNECTED:
+            self._connected_s[event.instance, event.fields.get("peer")] = event.hlc.seconds
+
+    def is_late(self, event: Event, name: str) -> bool:
+        connected_s = self._connected_s.get((event.instance, name))
+        if event.kind is not EventKind.MEMBER_LEAVING or connected_s is None:
+            return False
+        return connected_s < self._started_s.get(name, 0.0)
+
+
 def _leaving_instance(event: Event) -> str:
     if event.kind is EventKind.DRAINING and event.role == "sidecar":
         return event.instance
