--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -96,8 +96,7 @@
         self, link: _Connection, method: str, target: str, headers: Headers, body: bytes
     ) -> h11.Response:
         lines = [("host", f"{self._host}:{self._port}"), ("content-length", str(len(body)))]
-        request = h11.Request(method=method, target=target, headers=[*lines, *headers])
-        data = link.conn.send(request) or b""
+        data = link.conn.send(_request(method, target, (*lines, *headers))) or b""
         if body:
             data += link.conn.send(h11.Data(data=body)) or b""
         data += link.conn.send(h11.EndOfMessage()) or b""
@@ -115,16 +114,25 @@
 
     async def _body(self, link: _Connection) -> AsyncIterator[bytes]:
         whole = False
+        ready: list[bytes] = []
         try:
             while True:
-                event = await _next_event(link)
+                event = _event(link)
                 if isinstance(event, h11.Data):
-                    yield bytes(event.data)
-                elif isinstance(event, h11.EndOfMessage):
+                    # Chunks that were received together are passed on together.
+                    ready.append(bytes(event.data))
+                    continue
+                if ready:
+                    yield b"".join(ready)
+                    ready = []
+                if isinstance(event, h11.EndOfMessage):
                     whole = True
                     return
-                else:
+                if isinstance(event, BadMessage | AnswerLost):
+                    raise event
+                if event is not h11.NEED_DATA:
                     raise AnswerLost("the connection ended inside the body")
+                await _receive(link)
         finally:
             if whole:
                 self._keep(link)
@@ -140,18 +148,36 @@
             link.writer.close()
 
 
+def _request(method: str, target: str, headers: Headers) -> h11.Request:
+    """Return the request; raise ConnectFailed when it cannot be written as HTTP."""
+    try:
+        encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+        return h11.Request(method=method, target=target, headers=encoded)
+    except (h11.LocalProtocolError, UnicodeError) as exc:
+        raise ConnectFailed(f"not sent: {exc}") from exc
+
+
 async def _next_event(link: _Connection) -> object:
-    while True:
-        try:
-            event = link.conn.next_event()
-        except h11.RemoteProtocolError as exc:
-            if link.reader.at_eof():
-                raise AnswerLost(str(exc)) from exc
-            raise BadMessage(502, str(exc)) from exc
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            data = await link.reader.read(READ_BYTES)
-        except OSError as exc:
-            raise AnswerLost(str(exc)) from exc
-        link.conn.receive_data(data)
+    while (event := _event(link)) is h11.NEED_DATA:
+        await _receive(link)
+    if isinstance(event, BadMessage | AnswerLost):
+        raise event
+    return event
+
+
+def _event(link: _Connection) -> object:
+    """Return the next event of what was received, or the error that takes its place."""
+    try:
+        return link.conn.next_event()
+    except h11.RemoteProtocolError as exc:
+        if link.reader.at_eof():
+            return AnswerLost(str(exc))
+        return BadMessage(502, str(exc))
+
+
+async def _receive(link: _Connection) -> None:
+    try:
+        data = await link.reader.read(READ_BYTES)
+    except OSError as exc:
+        raise AnswerLost(str(exc)) from exc
+    link.conn.receive_data(data)
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -133,7 +133,7 @@
         return PromptFacts()
     try:
         body = msgspec.json.decode(http.body, type=dict[str, Any])
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise InvalidRequest("bad_request", f"the body is not a JSON object: {exc}") from exc
     max_tokens = body.get("max_tokens", 0)
     if not isinstance(max_tokens, int) or max_tokens < 0:
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import math
 import time
 from collections import deque
 from collections.abc import Callable, Coroutine
@@ -23,12 +22,13 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointError, EndpointLoad
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.links import BytesGone, Link
+from cassiadrum.links import BytesGone, Link, split_data
 from cassiadrum.links.messages import (
     Ack,
     Attach,
     Cancel,
     Data,
+    Detach,
     End,
     Full,
     Head,
@@ -53,6 +53,7 @@
     Tick,
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
+from cassiadrum.roles.start_messages import queued_request
 from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["Sidecar"]
@@ -108,10 +109,8 @@
 
     def unfinished(self) -> int:
         """Return the number of streams that run or that an entry instance still waits for."""
-        return sum(
-            stream.end is None or (stream.link is not None and not stream.acked_end)
-            for stream in self.streams.values()
-        )
+        now = self._clock()
+        return sum(stream.unfinished(now) for stream in self.streams.values())
 
     def waiting(self) -> int:
         """Return the number of requests in the short queue."""
@@ -161,6 +160,8 @@
                 self._ack(attempt_id, position)
         elif isinstance(msg, Attach):
             self._attach(link, msg)
+        elif isinstance(msg, Detach):
+            self._detach(link, msg.attempt_id)
         elif isinstance(msg, Cancel):
             stream = self.streams.get(msg.attempt_id)
             # An entry instance that another has replaced has no say over the stream any more.
@@ -168,6 +169,9 @@
                 self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
+        if self._links.is_older(hello):
+            link.abort()
+            return
         if not self._links.up(link, hello, self._clock()):
             link.send(Full(f"{len(self.bound)} entry instances are connected"))
             return
@@ -191,7 +195,7 @@
             link.send(RejectStart(msg.attempt_id, "answer_lost", 0.0))
             return
         now = self._clock()
-        queued = _to_queued(msg, now)
+        queued = queued_request(msg, now)
         stream = SidecarStream(msg, queued, link)
         self.streams[msg.attempt_id] = stream
         self._open[msg.attempt_id] = stream
@@ -212,8 +216,7 @@
     def _attach(self, link: Link, msg: Attach) -> None:
         stream = self.streams.get(msg.attempt_id)
         if stream is None:
-            self._refused[msg.attempt_id] = self._clock()
-            link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
+            self._attach_unknown(link, msg)
             return
         try:
             rest = stream.buffer.since(msg.position)
@@ -224,11 +227,26 @@
         stream.idle_since_s = None
         if stream.head is not None:
             link.send(stream.head)
-        if rest:
-            link.send(Data([(msg.attempt_id, msg.position, rest)]))
+        for part in split_data(msg.attempt_id, msg.position, rest):
+            link.send(part)
         if stream.end is not None:
             link.send(stream.end)
 
+    def _attach_unknown(self, link: Link, msg: Attach) -> None:
+        """Answer for an attempt that is not here: it never arrived, or it is forgotten."""
+        self._refused[msg.attempt_id] = self._clock()
+        if msg.age_s < FINISHED_KEPT_S / 2:
+            link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
+        else:
+            # It may have run and been forgotten, for example while its entry instance was paused.
+            link.send(End(msg.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0))
+
+    def _detach(self, link: Link, attempt_id: str) -> None:
+        stream = self.streams.get(attempt_id)
+        if stream is not None and stream.link is link:
+            stream.link = None
+            stream.idle_since_s = self._clock()
+
     def _take_over(self, stream: SidecarStream, link: Link) -> None:
         """Attach a stream to a link; an entry instance that had it until now gets an end.
 
@@ -272,6 +290,8 @@
         stream.silent_s = 0.0
         if stream.link is not None:
             stream.link.send(Data([(msg.attempt_id, position, msg.data)]))
+        if stream.abandoned:
+            stream.buffer.ack(stream.buffer.end)
         if stream.buffer.full and not stream.cancelled:
             stream.room.clear()
         if stream.timing is not None:
@@ -298,8 +318,7 @@
             outcome.reason,
             outcome.retry_after_s,
             stream.buffer.end,
-            list(self._ring.clock.tick()),
-            outcome.final,
+            final=outcome.final,
         )
         self._open.pop(stream.start.attempt_id, None)
         self._ended.append((self._clock(), stream.start.attempt_id))
@@ -394,6 +413,8 @@
             return
         if now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
             stream.idle_since_s = None
+            if not stream.start.cancellable:
+                stream.abandon()
             self._cancel(stream.start.attempt_id)
 
     def _watch_silence(self, stream: SidecarStream, passed_s: float) -> None:
@@ -457,19 +478,3 @@
 
 def _instance(link: Link) -> str:
     return link.peer.instance if link.peer else ""
-
-
-def _to_queued(msg: StartRequest, now: float) -> QueuedRequest:
-    left_s = msg.deadline_left_s
-    return QueuedRequest(
-        msg.attempt_id,
-        msg.service,
-        msg.class_name,
-        msg.tier,
-        msg.protected,
-        msg.customer,
-        now,
-        now + left_s if math.isfinite(left_s) else math.inf,
-        once_only=msg.once_only,
-        max_wait_s=msg.max_wait_s,
-    )
