--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -96,8 +96,7 @@
         self, link: _Connection, method: str, target: str, headers: Headers, body: bytes
     ) -> h11.Response:
         lines = [("host", f"{self._host}:{self._port}"), ("content-length", str(len(body)))]
-        request = h11.Request(method=method, target=target, headers=[*lines, *headers])
-        data = link.conn.send(request) or b""
+        data = link.conn.send(_request(method, target, (*lines, *headers))) or b""
         if body:
             data += link.conn.send(h11.Data(data=body)) or b""
         data += link.conn.send(h11.EndOfMessage()) or b""
@@ -149,6 +148,15 @@
             link.writer.close()
 
 
+def _request(method: str, target: str, headers: Headers) -> h11.Request:
+    """Return the request; raise ConnectFailed when it cannot be written as HTTP."""
+    try:
+        encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+        return h11.Request(method=method, target=target, headers=encoded)
+    except (h11.LocalProtocolError, UnicodeError) as exc:
+        raise ConnectFailed(f"not sent: {exc}") from exc
+
+
 async def _next_event(link: _Connection) -> object:
     while (event := _event(link)) is h11.NEED_DATA:
         await _receive(link)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -70,6 +70,7 @@
             event = self._next_event()
             if isinstance(event, h11.Request):
                 _check_size(event)
+                _check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -126,6 +127,13 @@
         raise BadMessage(431, f"the headers are larger than {LIMITS.HEADER_BYTES} bytes")
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Refuse a head with both framings: a balancer in front may take the other one of the two."""
+    names = {name for name, _ in head.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise BadMessage(400, "content-length and transfer-encoding exclude each other")
+
+
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
     return HttpRequest(head.method.decode(), head.target.decode("latin-1"), headers, body)
--- a/cassiadrum/settings/loaders.py
+++ b/cassiadrum/settings/loaders.py
@@ -52,7 +52,7 @@
     """Return the settings in `text`; raise SettingsError with one finding for each error."""
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise SettingsError([Finding(file, "(syntax)", str(exc), "TOML 1.0")]) from exc
     findings = check_table(raw, SettingsTable, file, "")
     for name, schema in _TABLES.items():
