Bound links over all services, list reads and answers kept for a key

Change: the subset is shared by the services, the list is read conditionally at a rate that the fleet may use, answers above 1 MiB are relayed but not kept; all stand-ins run as programs. Figures: links_per_service(64, 17) is 4, so 68 links in all.

--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -70,8 +70,15 @@
     ENDPOINT_SILENCE_S: Final = 10.0
     SIDECAR_QUEUE_PER_SLOT: Final = 1
     KEPT_ANSWER_BYTES: Final = 64 * 1024
+    # A longer answer of a once-only call reaches its caller but is not kept for a retry.
+    CLAIM_ANSWER_BYTES: Final = 1024 * 1024
     EVENT_RING: Final = 16_384
     INSTANCE_POLL_S: Final = 1.0
+    # Conditional reads of the instance list by the whole fleet; a change is then seen within
+    # 10 s at the target size, and a leaving sidecar tells its entry instances itself at once.
+    FLEET_LIST_READS_PER_S: Final = 1000.0
+    # With fewer links than this to a service there is little to choose between.
+    LINKS_PER_SERVICE_MIN: Final = 4
     LEAVING_LIMIT_S: Final = 3.0
     CLAIM_RETENTION_S: Final = 7 * 24 * 3600.0
     STORE_TIMEOUT_S: Final = 2.0
--- a/cassiadrum/members/__init__.py
+++ b/cassiadrum/members/__init__.py
@@ -1,6 +1,10 @@
 """Membership and subsets, as plain code without sockets or clocks."""
 
-from cassiadrum.members.connection_bounds import ConnectionBound, mean_connections
+from cassiadrum.members.connection_bounds import (
+    ConnectionBound,
+    links_per_service,
+    mean_connections,
+)
 from cassiadrum.members.member_changes import ChangeKind, MemberChange
 from cassiadrum.members.memberships import REMOVAL_LIMIT_S, Membership
 from cassiadrum.members.subsets import Subset
@@ -12,5 +16,6 @@
     "MemberChange",
     "Membership",
     "Subset",
+    "links_per_service",
     "mean_connections",
 ]
--- a/cassiadrum/members/connection_bounds.py
+++ b/cassiadrum/members/connection_bounds.py
@@ -1,12 +1,13 @@
 """The bound on the entry instances that connect to one sidecar."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.stores.instances import Instance
 
-__all__ = ["ConnectionBound", "mean_connections"]
+__all__ = ["ConnectionBound", "links_per_service", "mean_connections"]
 
 # The design's bound on the imbalance of connections.
 IMBALANCE = 1.25
@@ -14,11 +15,25 @@
 
 def mean_connections(listed: Iterable[Instance], service: str, subset_size: int) -> float:
     """Return the mean number of entry connections of a service's sidecars, 0 when unknown."""
-    entries = sidecars = 0
+    entries = 0
+    sidecars: Counter[str] = Counter()
     for instance in listed:
-        entries += instance.role == "entry"
-        sidecars += instance.role == "sidecar" and instance.service == service
-    return entries * min(subset_size, sidecars) / sidecars if sidecars else 0.0
+        if instance.role == "entry":
+            entries += 1
+        else:
+            sidecars[instance.service] += 1
+    own = sidecars[service]
+    size = links_per_service(subset_size, len(sidecars))
+    return entries * min(size, own) / own if own else 0.0
+
+
+def links_per_service(subset_size: int, services: int) -> int:
+    """Return how many of an entry instance's links go to each service.
+
+    `subset_size` is the bound on all its links, which a few small services may exceed.
+    """
+    share = max(LIMITS.LINKS_PER_SERVICE_MIN, subset_size // max(1, services))
+    return min(subset_size, share)
 
 
 class ConnectionBound:
--- a/cassiadrum/members/subsets.py
+++ b/cassiadrum/members/subsets.py
@@ -37,6 +37,10 @@
         self._leaving: set[str] = set()
         self._full: dict[str, float] = {}
 
+    def resize(self, size: int) -> None:
+        """Change the number of sidecars to connect to."""
+        self._size = size
+
     def put(self, member: Instance) -> None:
         """Add a sidecar, or one that came back at another place."""
         self.remove(member.instance)
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -65,7 +65,9 @@
         answer = None
         if outcome.ok and stream.answered is not None:
             headers = relayed_headers(tuple(stream.answered.headers))
-            answer = KeptAnswer(stream.answered.status, headers, bytes(body))
+            whole = len(body) <= LIMITS.CLAIM_ANSWER_BYTES
+            kept = bytes(body) if whole else b""
+            answer = KeptAnswer(stream.answered.status, headers, kept, whole)
         await self._gate.leave(stream.start, entered, outcome, answer)
         return outcome
 
@@ -104,7 +106,7 @@
             async for data in response.body:
                 tail = (tail + data)[-USAGE_BYTES:]
                 stream.tokens += data.count(SSE_EVENT)
-                if body is not None:
+                if body is not None and len(body) <= LIMITS.CLAIM_ANSWER_BYTES:
                     body += data
                 self._post(CallData(stream.start.attempt_id, data))
                 posted += len(data)
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -71,7 +71,8 @@
         services: dict[str, str] = {}
         self._router = Router(dispatchers, lambda name: services.get(name, ""), ring)
         self._members = MemberLinks(
-            lambda: Subset(cfg.instance, cfg.zone, cfg.limits.subset_size),
+            lambda size: Subset(cfg.instance, cfg.zone, size),
+            cfg.limits.subset_size,
             self._make_dialer,
             self._router.post,
             lambda name: self._router.busy(name) or self._fetcher.busy(name),
--- a/cassiadrum/roles/instance_watches.py
+++ b/cassiadrum/roles/instance_watches.py
@@ -7,11 +7,16 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.stores import Instance, InstanceList, StoreUnavailable
 
-__all__ = ["InstanceWatch"]
+__all__ = ["InstanceWatch", "list_poll_interval_s"]
 
 logger = logging.getLogger(__name__)
 
 
+def list_poll_interval_s(processes: int) -> float:
+    """Return the pause between reads that keeps the fleet within its reads a second."""
+    return max(LIMITS.INSTANCE_POLL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
+
+
 class InstanceWatch:
     """Poll the instance list and pass on what it holds."""
 
@@ -41,4 +46,4 @@
                 self._count = len(listed)
                 self._entries = [item.instance for item in listed if item.role == "entry"]
             self.on_listed(listed)
-            await asyncio.sleep(LIMITS.INSTANCE_POLL_S)
+            await asyncio.sleep(list_poll_interval_s(self._count))
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkDialer
-from cassiadrum.members import ChangeKind, MemberChange, Membership, Subset
+from cassiadrum.members import ChangeKind, MemberChange, Membership, Subset, links_per_service
 from cassiadrum.roles.router_messages import MemberGone, MemberUsable, RouterMessage
 from cassiadrum.stores import Instance
 
@@ -29,7 +29,8 @@
 
     def __init__(
         self,
-        make_subset: Callable[[], Subset],
+        make_subset: Callable[[int], Subset],
+        subset_size: int,
         make_dialer: Callable[[Instance], LinkDialer],
         post: Callable[[RouterMessage], None],
         busy: Callable[[str], bool],
@@ -41,6 +42,7 @@
         self._subsets: dict[str, Subset] = {}
         self._services = services
         self._make_subset = make_subset
+        self._subset_size = self._size = subset_size
         self._make_dialer = make_dialer
         self._post = post
         self._busy = busy
@@ -59,6 +61,11 @@
         """Take the instance list; an empty one stands for a failed read."""
         # Before the new list, so that the router had a poll interval to hear of a retirement.
         self._release()
+        services = {item.service for item in instances if item.role == "sidecar"}
+        if services:
+            self._size = links_per_service(self._subset_size, len(services))
+            for subset in self._subsets.values():
+                subset.resize(self._size)
         self._apply(self._membership.listed(instances, self._clock()))
 
     def connected(self, instance: str, link: Link) -> None:
@@ -110,7 +117,7 @@
             self._subsets[self._services.pop(name)].remove(name)
         if kind in (ChangeKind.JOINED, ChangeKind.MOVED):
             self._services[name] = member.service
-            subset = self._subsets.setdefault(member.service, self._make_subset())
+            subset = self._subsets.setdefault(member.service, self._make_subset(self._size))
             subset.put(member)
             subset.set_leaving(name, self._membership.leaving(name))
         elif kind in (ChangeKind.LEAVING, ChangeKind.RETURNED):
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -12,6 +12,7 @@
 from cassiadrum.standins.engine_batches import EngineBatch
 from cassiadrum.standins.engine_streams import EngineStream
 from cassiadrum.standins.run_records import RunRecord
+from cassiadrum.standins.standins import run_program
 
 __all__ = ["EngineStandin"]
 
@@ -202,3 +203,7 @@
     if "messages" in body:
         return "\n".join(str(message.get("content", "")) for message in body["messages"])
     return str(body.get("prompt", ""))
+
+
+if __name__ == "__main__":
+    run_program(EngineStandin, EngineStandin.__doc__)
--- a/cassiadrum/standins/instance_lists.py
+++ b/cassiadrum/standins/instance_lists.py
@@ -3,6 +3,7 @@
 from urllib.parse import unquote
 
 import msgspec
+import xxhash
 
 from cassiadrum.protocols import HttpRequest
 from cassiadrum.standins.answers import Answer
@@ -40,7 +41,7 @@
     def _route(self, req: HttpRequest, parts: list[str]) -> Answer:
         match (req.method, parts):
             case ("GET", ["instances"]):
-                return Answer.of_json(200, {"instances": self._listed()})
+                return self._list(req)
             case ("PUT", ["instances", name]):
                 raw = {**msgspec.json.decode(req.body, type=dict[str, str]), "instance": name}
                 ordered = [raw[field] for field in Instance._fields]
@@ -56,6 +57,13 @@
                 return Answer.of_json(404, {"error": "not found"})
         return Answer.of_json(200, {})
 
+    def _list(self, req: HttpRequest) -> Answer:
+        answer = Answer.of_json(200, {"instances": self._listed()})
+        etag = f'"{xxhash.xxh64_hexdigest(answer.body)}"'
+        if req.header("if-none-match") == etag:
+            return Answer(304, b"", answer.content_type, (("etag", etag),))
+        return answer._replace(headers=(("etag", etag),))
+
     def _put(self, instance: Instance) -> None:
         self._present[instance.instance] = instance
         self._record()
--- a/cassiadrum/standins/plain_services.py
+++ b/cassiadrum/standins/plain_services.py
@@ -6,6 +6,7 @@
 
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.standins.run_records import RunRecord
+from cassiadrum.standins.standins import run_program
 
 __all__ = ["PlainServiceStandin"]
 
@@ -67,3 +68,7 @@
         status = 200 if req.method == "GET" else 201
         answer = {"target": req.target, "body": req.body.decode("utf-8", "replace")}
         await exchange.send_json(status, {**answer, "number": number})
+
+
+if __name__ == "__main__":
+    run_program(PlainServiceStandin, PlainServiceStandin.__doc__)
--- a/cassiadrum/standins/standins.py
+++ b/cassiadrum/standins/standins.py
@@ -5,6 +5,7 @@
 import json
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -12,12 +13,19 @@
 from cassiadrum.standins.answers import Answer
 from cassiadrum.standins.faults import Faults
 
-__all__ = ["StandIn"]
+__all__ = ["StandIn", "run_program"]
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 RATE_WINDOW_S = 1.0
 
 
+class Program(Protocol):
+    """What can be run as a program."""
+
+    async def start(self, host: str = ..., port: int = ...) -> int:
+        """Listen and return the port."""
+
+
 class StandIn(ABC):
     """Serve one platform service in memory; `POST /faults` replaces its faults."""
 
@@ -55,11 +63,7 @@
     @classmethod
     def main(cls) -> None:
         """Run the stand-in from the command line until interrupted."""
-        parser = argparse.ArgumentParser(description=cls.__doc__)
-        parser.add_argument("--host", default="127.0.0.1")
-        parser.add_argument("--port", type=int, default=0)
-        options = parser.parse_args()
-        asyncio.run(_serve(cls, options.host, options.port))
+        run_program(cls, cls.__doc__)
 
     async def _handle(self, exchange: Exchange) -> None:
         if exchange.req.path == "/faults":
@@ -102,7 +106,16 @@
         return asyncio.get_running_loop().time()
 
 
-async def _serve(build: Callable[[], StandIn], host: str, port: int) -> None:
+def run_program(build: Callable[[], Program], description: str | None) -> None:
+    """Run a stand-in on the address of the command line; print its address as a JSON line."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    options = parser.parse_args()
+    asyncio.run(_serve(build, options.host, options.port))
+
+
+async def _serve(build: Callable[[], Program], host: str, port: int) -> None:
     standin = build()
     bound = await standin.start(host, port)
     print(json.dumps({"address": f"{host}:{bound}"}), flush=True)
--- a/cassiadrum/stores/http_instance_lists.py
+++ b/cassiadrum/stores/http_instance_lists.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cassiadrum.protocols import Headers
 from cassiadrum.stores.errors import StoreUnavailable
 from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
 from cassiadrum.stores.instance_lists import InstanceList
@@ -16,18 +17,28 @@
 
     def __init__(self, wire: HttpWire) -> None:
         self._wire = wire
+        self._etag = ""
+        self._last: tuple[Instance, ...] = ()
 
     async def fetch(self) -> tuple[Instance, ...]:
-        """Return the listed instances; raise StoreUnavailable."""
-        answer = await self._wire.read("/instances")
+        """Return the listed instances; raise StoreUnavailable.
+
+        The read is conditional, because at 9,600 instances the list takes more than a megabyte.
+        """
+        condition: Headers = (("if-none-match", self._etag),) if self._etag else ()
+        answer = await self._wire.read("/instances", condition)
+        if answer.status == 304:
+            return self._last
         if answer.status != 200:
             raise StoreUnavailable(f"status {answer.status}")
         try:
             raw = msgspec.json.decode(answer.body, type=dict[str, list[dict[str, object]]])
             ordered = [[item[name] for name in Instance._fields] for item in raw["instances"]]
-            return msgspec.convert(ordered, tuple[Instance, ...])
+            self._last = msgspec.convert(ordered, tuple[Instance, ...])
         except (msgspec.MsgspecError, KeyError) as exc:
             raise StoreUnavailable(f"invalid answer: {exc}") from exc
+        self._etag = next((value for name, value in answer.headers if name == "etag"), "")
+        return self._last
 
     async def register(self, instance: Instance) -> WriteResult:
         """Add or replace an entry; repeating it is harmless."""
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -91,7 +91,8 @@
         self.busy: set[str] = set()
         self.ring = EventRing(HybridClock(lambda: self.now), "e", "entry", "1")
         self.links = MemberLinks(
-            lambda: Subset("e", "z", 2),
+            lambda size: Subset("e", "z", size),
+            2,
             self.make_dialer,  # type: ignore[arg-type]
             self.posted.append,
             self.busy.__contains__,
--- a/cassiadrum/tests/test_stores.py
+++ b/cassiadrum/tests/test_stores.py
@@ -165,6 +165,29 @@
         await service.close()
 
 
+class TestConditionalRead:
+    """Guards against reading a list of megabytes again while it does not change."""
+
+    async def test_unchanged_list_is_not_sent_again(self) -> None:
+        statuses: list[int] = []
+
+        class Watched(InstanceListService):
+            def answer(self, req: HttpRequest) -> Answer:
+                answer = super().answer(req)
+                statuses.append(answer.status)
+                return answer
+
+        service = Watched()
+        instances = HttpInstanceList(await open_wire(service))
+        one = Instance("entry-1", "entry", "", "muenchen-a", "10.0.0.1:1", "10.0.0.1:2")
+        await instances.register(one)
+        assert [await instances.fetch() for _ in range(2)] == [(one,), (one,)]
+        await instances.mark_leaving("entry-1")
+        assert (await instances.fetch())[0].state == "leaving"
+        assert statuses == [200, 200, 304, 200, 200]
+        await service.close()
+
+
 class TestObjectStore:
     """Guards against an object reported as lost although it was written."""
 
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -3,7 +3,7 @@
 import math
 
 from cassiadrum.links.messages import Hello, Message
-from cassiadrum.members import ConnectionBound, Subset, mean_connections
+from cassiadrum.members import ConnectionBound, Subset, links_per_service, mean_connections
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.stores import Instance
 
@@ -190,3 +190,12 @@
         assert links.up(old, old.peer, 0.0) and links.up(new, new.peer, 0.0)  # type: ignore[arg-type]
         assert old.aborted and not new.aborted
         assert links.down(old, 1.0) == ""  # type: ignore[arg-type]
+
+
+class TestLinksPerService:
+    """Guards against links that grow with the number of services."""
+
+    def test_links_of_all_services_stay_near_the_subset(self) -> None:
+        assert links_per_service(64, 17) == 4
+        assert links_per_service(64, 1) == 64
+        assert links_per_service(2, 17) == 2
