Give a link that becomes active the whole short silence limit

Cause: a stream that began between two checks of an idle link found up to a heartbeat's time of silence already counted; and an old report was judged by the longest report interval, which idle links now stretch to 3 s. Change: the time since the link became active bounds the counted silence; a report is old at 1 s.

--- a/cassiadrum/decisions/endpoint_states.py
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -20,6 +20,8 @@
 # twice that leaves a margin.
 SMOOTHED_AGES = 1.2
 # Part of the short queue that is used when reports are older than their longest interval.
+# Reports of this age cause the full share; a report of an active endpoint is younger.
+OLD_REPORT_S = 1.0
 EARLY_PART = 0.5
 # The age follows about the last eight reports, so that one delayed report changes little.
 AGE_GAIN = 1 / 8
@@ -127,7 +129,7 @@
         Old reports cannot show slots that other entry instances left free. Some waiting work at
         the endpoint fills them, up to half of the short queue.
         """
-        share = min(1.0, self._age_s / LIMITS.REPORT_MAX_INTERVAL_S) * EARLY_PART
+        share = min(1.0, self._age_s / OLD_REPORT_S) * EARLY_PART
         return round(slots * LIMITS.SIDECAR_QUEUE_PER_SLOT * share)
 
     def slots(self, now: float) -> int:
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -89,7 +89,7 @@
         self._last_echo_s = clock()
         # Attempts under way on this link as seen from this side.
         self._streams = 0
-        self._last_stream_s = clock()
+        self._last_stream_s = self._active_since_s = clock()
 
     def send(self, msg: Message) -> None:
         """Queue a message; what is queued when the connection ends is lost."""
@@ -131,6 +131,8 @@
         return not self._streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
 
     def _count_stream(self, msg: Message) -> None:
+        if isinstance(msg, StartRequest | Attach) and self.idle:
+            self._active_since_s = self._clock()
         if isinstance(msg, StartRequest | Attach):
             self._streams += 1
         elif isinstance(msg, End | RejectStart):
@@ -206,7 +208,8 @@
 
         Time in which this process did not run is not counted.
         """
-        silence = SilenceWatch(self._clock())
+        # A confirmation comes with the peer's next heartbeat.
+        silence = SilenceWatch(self._clock(), late=(0, 1, 0))
         sent_s = self._clock()
         while not silence.expired:
             step_s = IDLE_WATCH_INTERVAL_S if silence.idle else WATCH_INTERVAL_S
@@ -214,7 +217,7 @@
             now = self._clock()
             marks = (self._last_heard_s, self._last_echo_s, now if self.peer else 0.0)
             silence.check(
-                now, marks, step_s=step_s, idle=self.idle, last_stream_s=self._last_stream_s
+                now, marks, step_s=step_s, idle=self.idle, active_since_s=self._active_since_s
             )
             every_s = LIMITS.HEARTBEAT_INTERVAL_S
             if silence.idle:
--- a/cassiadrum/links/silence_watches.py
+++ b/cassiadrum/links/silence_watches.py
@@ -13,19 +13,26 @@
 class SilenceWatch:
     """Add up the time without a sign of life, separately for each kind of sign.
 
-    All times are monotonic seconds. While the link is idle the limit is longer.
+    All times are monotonic seconds. While the link is idle the limit is longer. `late` has the
+    number of heartbeats by which each sign may lag behind the cause.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, late: Sequence[int]) -> None:
         self.idle = False
-        self._silent_s: list[float] = []
+        self._late = late
+        self._silent_s = [0.0] * len(late)
         self._last_s = now
 
     @property
     def expired(self) -> bool:
         """Tell whether any sign has been missing for too long."""
-        limit_s = LIMITS.IDLE_SILENCE_LIMIT_S if self.idle else LIMITS.SILENCE_LIMIT_S
-        return max(self._silent_s, default=0.0) >= limit_s
+        limit_s, beat_s = LIMITS.SILENCE_LIMIT_S, LIMITS.HEARTBEAT_INTERVAL_S
+        if self.idle:
+            limit_s, beat_s = LIMITS.IDLE_SILENCE_LIMIT_S, LIMITS.IDLE_HEARTBEAT_INTERVAL_S
+        return any(
+            silent >= limit_s + late * beat_s
+            for silent, late in zip(self._silent_s, self._late, strict=True)
+        )
 
     def check(
         self,
@@ -34,20 +41,19 @@
         *,
         step_s: float,
         idle: bool,
-        last_stream_s: float,
+        active_since_s: float,
     ) -> None:
         """Take the times of the last signs, after a pause that was to take `step_s`.
 
-        `last_stream_s` is when a stream last began or ended on the link.
+        `active_since_s` is when the link last stopped being idle.
         """
         passed_s = min(now - self._last_s, LONGEST_STEP * step_s)
-        silent_s = self._silent_s or [0.0] * len(marks)
         self._silent_s = [
             0.0 if mark >= self._last_s else silent + passed_s
-            for mark, silent in zip(marks, silent_s, strict=True)
+            for mark, silent in zip(marks, self._silent_s, strict=True)
         ]
-        if self.idle and not idle:
-            # The peer of a link that has become active has the short time from then on.
-            recent_s = max(0.0, now - last_stream_s)
-            self._silent_s = [min(silent, recent_s) for silent in self._silent_s]
+        # The peer of a link that has become active has the short time from then on.
+        active_s = max(0.0, now - active_since_s)
+        if not idle:
+            self._silent_s = [min(silent, active_s) for silent in self._silent_s]
         self._last_s, self.idle = now, idle
