--- /dev/null
+++ b/cassiadrum/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with generated input from outside."""
--- /dev/null
+++ b/cassiadrum/tests/fuzz/conftest.py
@@ -0,0 +1,86 @@
+"""A site in the test's process that generated examples share."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
+
+import pytest
+
+from cassiadrum.sites import LocalSite
+from cassiadrum.tests.harness import Answer, call
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+SERVICES = ("sprachdienst", "permit-register")
+EXAMPLE_LIMIT_S = 10.0
+T = TypeVar("T")
+
+
+class ErrorLog(logging.Handler):
+    """Collect what the product logs as an error: an exception that nothing expected."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.messages: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep the message with its traceback."""
+        self.messages.append(logging.Formatter().format(record))
+
+
+class FuzzSite:
+    """Run coroutines against a local site; `errors` holds unexpected errors."""
+
+    def __init__(self) -> None:
+        self._runner = asyncio.Runner()
+        self._log = ErrorLog()
+        for name in ("cassiadrum", "asyncio"):
+            logging.getLogger(name).addHandler(self._log)
+        texts = [(EXAMPLES / f"{name}.toml").read_text() for name in SERVICES]
+        self.site = LocalSite(texts, entries=1, step_s=0.001)
+        self._runner.run(self.site.start())
+
+    def run(self, coroutine: Coroutine[Any, Any, T], *, errors_expected: bool = False) -> T:
+        """Run one example; it has to end within EXAMPLE_LIMIT_S without an unexpected error."""
+
+        async def limited() -> T:
+            async with asyncio.timeout(EXAMPLE_LIMIT_S):
+                return await coroutine
+
+        result = self._runner.run(limited())
+        if errors_expected:
+            self._log.messages.clear()
+        assert self._log.messages == []
+        return result
+
+    def serves(self) -> None:
+        """Assert that an ordinary request of each service is answered."""
+
+        async def ask() -> list[Answer]:
+            address = self.site.entry_address()
+            body = b'{"prompt": "yoke"}'
+            path = "/services/sprachdienst/v1/completions"
+            return [
+                await call(address, "POST", path, {}, body),
+                await call(address, "GET", "/services/permit-register/permits/7"),
+            ]
+
+        answers = self.run(ask())
+        assert [answer.status for answer in answers] == [200, 200], answers
+
+    def close(self) -> None:
+        """Stop the site and the loop."""
+        for name in ("cassiadrum", "asyncio"):
+            logging.getLogger(name).removeHandler(self._log)
+        self._runner.run(self.site.drain())
+        self._runner.run(self.site.close())
+        self._runner.close()
+
+
+@pytest.fixture(scope="class")
+def fuzz_site() -> Iterator[FuzzSite]:
+    """Run a site for all examples of a class."""
+    site = FuzzSite()
+    yield site
+    site.close()
--- /dev/null
+++ b/cassiadrum/tests/fuzz/test_links.py
@@ -0,0 +1,129 @@
+"""Generated frames into a link."""
+
+import asyncio
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from websockets.exceptions import ConnectionClosed
+
+from cassiadrum.links import BadFrame, decode_message, encode_message
+from cassiadrum.links.messages import (
+    MESSAGE_TYPES,
+    Ack,
+    Attach,
+    Cancel,
+    Document,
+    End,
+    Fetch,
+    Message,
+    Order,
+    Ping,
+    Report,
+    StartRequest,
+    Versions,
+)
+from cassiadrum.tests.fuzz.conftest import FuzzSite
+from cassiadrum.tests.harness import RawLink
+
+VALUES: st.SearchStrategy[Any] = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=10,
+)
+# An order from a fabricated lease holder changes nothing on a plain service, and a document of a
+# higher version is what a peer may send; both only must not stop the process.
+SENT = (Ack, Attach, Cancel, End, Fetch, Order, Ping, Report, StartRequest, Versions)
+HOSTILE_FRAMES = {
+    "deep arrays": b"\x81" * 100_000,
+    "deep maps": b"\xa1\x00" * 50_000,
+    "huge array": b"\x9b" + b"\xff" * 8,
+    "huge bytes": b"\x5b\x7f" + b"\xff" * 7,
+    "huge text": b"\x7b\x00\x00\x00\xff" + b"\xff" * 4,
+    "huge tag": b"\xdb" + b"\xff" * 8 + b"\x00",
+    "endless array": b"\x9f\x00",
+    "shared reference": b"\xd8\x1d\x00",
+    "self reference": b"\xd8\x1c\x81\xd8\x1d\x00",
+    "big number": b"\x82\x01\xc2\x5a\x00\x01\x00\x00" + b"\xff" * 65536,
+    "regular expression": b"\x82\x02\xd8\x23\x68((a+)+)+",
+    "cut": encode_message(Versions({"a": 1}))[:-1],
+    "empty": b"",
+}
+
+
+class TestFrames:
+    """Guards against a frame that stops a process or is read as something else."""
+
+    @given(st.binary(max_size=200))
+    @settings(max_examples=500)
+    def test_any_bytes(self, frame: bytes) -> None:
+        self.decode(frame)
+
+    @given(st.integers(-2, len(MESSAGE_TYPES) + 3), st.lists(VALUES, max_size=20))
+    @settings(max_examples=500)
+    def test_any_fields(self, code: int, fields: list[Any]) -> None:
+        msg = self.decode(cbor2.dumps([code, *fields]))
+        assert msg is None or MESSAGE_TYPES[code] is type(msg)
+
+    @pytest.mark.parametrize("name", HOSTILE_FRAMES)
+    def test_hostile_frame(self, name: str) -> None:
+        with pytest.raises(BadFrame):
+            decode_message(HOSTILE_FRAMES[name])
+
+    @given(st.lists(VALUES, max_size=3))
+    def test_unknown_fields_at_the_end_are_ignored(self, more: list[Any]) -> None:
+        msg = Versions({"a": 1})
+        assert decode_message(cbor2.dumps([*cbor2.loads(encode_message(msg)), *more])) == msg
+
+    @staticmethod
+    def decode(frame: bytes) -> Message | None:
+        try:
+            return decode_message(frame)
+        except BadFrame:
+            return None
+
+
+class TestSidecar:
+    """Guards against a peer whose messages stop a sidecar or touch others' work."""
+
+    @given(st.lists(st.one_of(*(st.from_type(kind) for kind in SENT)), min_size=1, max_size=6))
+    @settings(max_examples=80)
+    def test_any_messages(self, fuzz_site: FuzzSite, messages: list[Message]) -> None:
+        fuzz_site.run(self.send(fuzz_site, messages))
+        fuzz_site.serves()
+
+    @pytest.mark.parametrize("text", ["", "[service]", "x = " + "[" * 5000])
+    def test_invalid_document_is_not_applied(self, fuzz_site: FuzzSite, text: str) -> None:
+        document = Document("sprachdienst", 2**40, text, False)
+        fuzz_site.run(self.send(fuzz_site, [document]), errors_expected=True)
+        assert fuzz_site.site.slots[0].sidecar.status()["versions"]["sprachdienst"] == 1
+        fuzz_site.serves()
+
+    @pytest.mark.parametrize("name", HOSTILE_FRAMES)
+    def test_hostile_frame_closes_only_its_connection(
+        self, fuzz_site: FuzzSite, name: str
+    ) -> None:
+        async def send() -> None:
+            link = await RawLink.open(fuzz_site.site.slots[0].sidecar.addresses["link"])
+            await link.send_frame(HOSTILE_FRAMES[name])
+            with pytest.raises(ConnectionClosed):
+                await link.receive(StartRequest)
+
+        fuzz_site.run(send())
+        fuzz_site.serves()
+
+    @staticmethod
+    async def send(fuzz_site: FuzzSite, messages: list[Message]) -> None:
+        """Send the messages to a sidecar of each kind, and wait until they were handled."""
+        for slot in (fuzz_site.site.slots[0], fuzz_site.site.slots[-1]):
+            link = await RawLink.open(slot.sidecar.addresses["link"])
+            try:
+                for msg in messages:
+                    await link.send(msg)
+                await asyncio.sleep(0.01)
+            except ConnectionClosed:
+                pass
+            finally:
+                await link.close()
