--- /dev/null
+++ b/bench/ablated_choosers.py
@@ -0,0 +1,19 @@
+"""Choosers without one of their rules."""
+
+from cassiadrum.decisions import EndpointReport, WeightedChooser
+
+__all__ = ["CountingReports", "NeverEject"]
+
+
+class NeverEject(WeightedChooser):
+    """Keep every endpoint, however slow; its measured slowness still counts as cost."""
+
+    def _check(self, now: float) -> None:
+        self._detector._measure(self._states)
+
+
+class CountingReports(WeightedChooser):
+    """Take every report as if it had just been made."""
+
+    def report(self, rep: EndpointReport, now: float) -> None:
+        super().report(rep, rep.reported_s)
--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -118,6 +118,8 @@
         values["why"] = "the short queue beside the endpoint was full"
     if event.kind is EventKind.FINISHED:
         return _finished(event)
+    if event.kind is EventKind.QUEUED and event.role == "sidecar":
+        return "arrived beside the endpoint"
     return TEXTS.get(event.kind, event.kind.value).format_map(values)
 
 
--- a/cassiadrum/documents/parsers.py
+++ b/cassiadrum/documents/parsers.py
@@ -27,7 +27,7 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise DocumentError([Finding(file, "(syntax)", str(exc), "TOML 1.0")]) from exc
     findings = _check_shape(raw, file)
     if not findings:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -5,15 +5,18 @@
 receiver ignores fields that it does not know.
 """
 
+import math
 from typing import Final, NamedTuple
 
 __all__ = [
+    "CLOCKED",
     "MESSAGE_TYPES",
     "PROTOCOL_VERSION",
     "Ack",
     "Attach",
     "Cancel",
     "Data",
+    "Detach",
     "Document",
     "End",
     "Fetch",
@@ -40,7 +43,8 @@
     """Open a link in either direction.
 
     `peer` is the instance that the dialling side means to reach: the list lags, and an address
-    may belong to another instance by now.
+    may belong to another instance by now. `number` counts the links that the dialling process has
+    opened, so that the hello of an older one which arrives late is told apart.
     """
 
     protocol: int
@@ -50,6 +54,7 @@
     digest: str
     process_start: str = ""
     peer: str = ""
+    number: int = 0
 
 
 class Ping(NamedTuple):
@@ -135,6 +140,7 @@
     attempt_id: str
     reason: str
     retry_after_s: float
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Ack(NamedTuple):
@@ -144,16 +150,28 @@
 
 
 class Attach(NamedTuple):
-    """Ask for an answer from a position on, after a new connection or a new entry instance."""
+    """Ask for an answer from a position on, after a new connection or a new entry instance.
+
+    `age_s` is the time since the attempt was handed over, infinite when the sender does not know.
+    """
 
     attempt_id: str
     position: int
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
+    age_s: float = math.inf
+
+
+class Detach(NamedTuple):
+    """Stop sending an answer whose caller went away while it was fetched."""
+
+    attempt_id: str
 
 
 class Cancel(NamedTuple):
     """Cancel an attempt whose caller went away."""
 
     attempt_id: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Report(NamedTuple):
@@ -168,12 +186,14 @@
     leaving: bool
     tokens_per_s: float
     cached: list[int]
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Versions(NamedTuple):
     """Versions in force by service."""
 
     versions: dict[str, int]
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Fetch(NamedTuple):
@@ -189,6 +209,7 @@
     version: int
     text: str
     deleted: bool
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Order(NamedTuple):
@@ -199,6 +220,7 @@
     fencing: int
     action: str
     subject: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Ordered(NamedTuple):
@@ -207,6 +229,7 @@
     order_id: str
     ok: bool
     reason: str
+    clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Full(NamedTuple):
@@ -234,6 +257,7 @@
     | Order
     | Ordered
     | Full
+    | Detach
 )
 
 # The type code is the position; append only.
@@ -256,4 +280,19 @@
     Order,
     Ordered,
     Full,
+    Detach,
+)
+
+# The messages that cause events at the receiver and carry the sender's hybrid clock.
+CLOCKED: Final = (
+    StartRequest,
+    End,
+    RejectStart,
+    Attach,
+    Cancel,
+    Report,
+    Versions,
+    Document,
+    Order,
+    Ordered,
 )
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -6,6 +6,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import Link, StreamBuffer
 from cassiadrum.links.messages import End, Head, StartRequest
+from cassiadrum.roles.sidecar_messages import CallHead
 from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["SidecarStream"]
@@ -23,6 +24,7 @@
         self.queued = queued
         self.link: Link | None = link
         self.buffer = StreamBuffer(LIMITS.STREAM_BUFFER_BYTES)
+        self.answered: CallHead | None = None
         self.head: Head | None = None
         self.end: End | None = None
         self.task: asyncio.Task[None] | None = None
@@ -35,6 +37,7 @@
         self.silent_s = 0.0
         self.given_up = False
         self.tokens = 0
+        self.abandoned = False
         # Monotonic time since when no link is attached.
         self.idle_since_s: float | None = None
         self.acked_end = False
@@ -43,3 +46,19 @@
         """Send a message if a link is attached."""
         if self.link is not None:
             self.link.send(msg)
+
+    def unfinished(self, now: float) -> bool:
+        """Tell whether the call runs or an entry instance may still fetch its answer."""
+        if self.end is None:
+            return True
+        if self.acked_end:
+            return False
+        # Without a link the entry instance may be dialling again.
+        waits_s = 0.0 if self.idle_since_s is None else now - self.idle_since_s
+        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
+
+    def abandon(self) -> None:
+        """Let a call that may not be cut run to its end without a receiver."""
+        self.abandoned = True
+        self.buffer.ack(self.buffer.end)
+        self.room.set()
--- a/cassiadrum/tests/fuzz/test_engine_streams.py
+++ b/cassiadrum/tests/fuzz/test_engine_streams.py
@@ -15,8 +15,19 @@
 DONE = b"data: [DONE]\n\n"
 HUGE = 1024 * 1024
 PARTS = st.sampled_from(
-    [EVENT, DONE, EVENT[:7], EVENT[7:], b"\n", b"\n\n", b"\r\n\r\n", b": comment\n\n"]
-    + [b"data: \xff\xfe\n\n", b"event: x\ndata: y\n\n", b"data: " + b"z" * 5000]
+    [
+        EVENT,
+        DONE,
+        EVENT[:7],
+        EVENT[7:],
+        b"\n",
+        b"\n\n",
+        b"\r\n\r\n",
+        b": comment\n\n",
+        b"data: \xff\xfe\n\n",
+        b"event: x\ndata: y\n\n",
+        b"data: " + b"z" * 5000,
+    ]
 ) | st.binary(min_size=1, max_size=20)
 
 
