--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -143,12 +143,19 @@
         len(prompt) // CHARS_PER_TOKEN + 1,
         max_tokens,
         prefix_keys(prompt),
-        str(body.get("model", "")),
-        str(body.get("adapter", "")),
+        _name(body, "model"),
+        _name(body, "adapter"),
         body.get("stream") is True,
     )
 
 
+def _name(body: dict[str, Any], key: str) -> str:
+    value = body.get(key)
+    if value is not None and not isinstance(value, str):
+        raise InvalidRequest("bad_request", f"{key} is not a text")
+    return value or ""
+
+
 def _prompt(body: dict[str, Any]) -> str:
     if "prompt" in body:
         return str(body["prompt"])
--- a/cassiadrum/tests/integration/test_table_service.py
+++ b/cassiadrum/tests/integration/test_table_service.py
@@ -69,6 +69,17 @@
         assert answers[-1].status == 201, answers
         await is_clean(site)
 
+    async def test_lost_answer_of_the_endpoint_is_unknown(self, make_site: MakeSite) -> None:
+        site = await make_site(services=REGISTER)
+        for part in site.endpoints.values():
+            await call(part.address, "POST", "/faults", {}, b'{"drop_answers": 1}')
+        first = await issue(site, "permit-1")
+        again = await issue(site, "permit-1", "entry-2")
+        assert (first.status, first.json["ran"]) == (502, "unknown")
+        assert again.json["ran"] == "unknown"
+        assert runs_of(site, "permit-1") == 1
+        await is_clean(site)
+
     async def test_killed_sidecar_leaves_the_outcome_unknown(self, make_site: MakeSite) -> None:
         site = await make_site(services=REGISTER, endpoints=2)
         for part in site.endpoints.values():
