Strengthen the tests that left a mutant alive

Cause: three of 17 mutants survived: lower_tier_first (the test did not compare the order of dispatches), leaving_not_announced (the load had ended before the limit of 3 s) and chunk_dropped_on_reattach (a retry at another engine hid it).

--- a/cassiadrum/tests/harness/callers.py
+++ b/cassiadrum/tests/harness/callers.py
@@ -79,6 +79,11 @@
         """Return the id of the answer, empty before its head."""
         return next((value for key, value in self._headers if key == "x-request-id"), "")
 
+    @property
+    def done(self) -> bool:
+        """Tell whether the answer has ended."""
+        return self._task.done()
+
     async def answer(self) -> Answer:
         """Wait for the end of the answer."""
         async with asyncio.timeout(CALL_LIMIT_S):
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.events import EventKind
 from cassiadrum.standins import answer_tokens
-from cassiadrum.tests.harness import StreamCaller, call, until
+from cassiadrum.tests.harness import StreamCaller, Way, call, until
 from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite, is_clean
 
 pytestmark = pytest.mark.integration
@@ -46,6 +46,22 @@
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
         await is_clean(site, sender.outcomes)
 
+    @pytest.mark.parametrize("way", Way)
+    async def test_silent_link_is_attached_again(self, make_site: MakeSite, way: Way) -> None:
+        site = await make_site(services=("sprachdienst",), hops=("link",), step_s=0.1)
+        caller = StreamCaller.completion(site.http(), LONG_PROMPT)
+        await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
+        request_id, _, instance = caller.request_id.rpartition("@")
+        site.proxies[f"link:{instance}"].silence(way)
+        answer = await caller.answer()
+        assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
+        assert answer.body.endswith(b"data: [DONE]\n\n")
+        await is_clean(site)
+        own = [e.kind for e in site.events() if f"{e.request_id}.1" == request_id]
+        # The same attempt goes on; a second one would compute the answer again.
+        assert own.count(EventKind.DISPATCHED) == 1
+        assert EventKind.REATTACHED in own
+
     async def test_stopped_instances_finish_their_streams(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.03)
         async with site.load(duration_s=1.0) as sender:
