--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -84,7 +84,7 @@
             lambda: bool(site.events(EventKind.DRAINING, leaving)), "the start of the stop"
         )
         # The stream takes 6 s, so that requests arrive after the limit of 3 s.
-        later = []
+        later: list[StreamCaller] = []
         while not caller.done:
             later.append(StreamCaller.completion(site.http("entry-2"), f"{len(later)}", 1))
             await asyncio.sleep(0.2)
