--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -20,9 +20,9 @@
     Start,
 )
 from cassiadrum.defaults import LIMITS
-from cassiadrum.endpoints import Endpoint, EndpointError, EndpointLoad
+from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.links import BytesGone, Link, split_data
+from cassiadrum.links import Link
 from cassiadrum.links.messages import (
     FETCH_ROLE,
     Ack,
@@ -35,12 +35,12 @@
     Head,
     Hello,
     RejectStart,
-    Report,
     StartRequest,
 )
 from cassiadrum.members import ConnectionBound
 from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.entry_links import EntryLinks
+from cassiadrum.roles.load_reporters import LoadReporter
 from cassiadrum.roles.sidecar_messages import (
     CallData,
     CallEnded,
@@ -56,6 +56,7 @@
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.roles.start_messages import queued_request
+from cassiadrum.roles.stream_attachments import FINISHED_KEPT_S, StreamAttachments
 from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["Sidecar"]
@@ -63,8 +64,6 @@
 logger = logging.getLogger(__name__)
 
 TICK_INTERVAL_S = 0.1
-# A finished answer stays fetchable for this long.
-FINISHED_KEPT_S = 60.0
 RETRY_AFTER_S = 0.2
 
 
@@ -93,17 +92,9 @@
         self._clock = clock
         self._inbox: asyncio.Queue[SidecarMessage] = asyncio.Queue()
         self._caller = caller(self.post)
-        self._load = EndpointLoad()
-        self._load_taken_s = clock()
-        self._reachable = True
-        # Monotonic time of the announcement that the endpoint leaves.
-        self._draining_s: float | None = None
-        self._reported_s = 0.0
+        self._attachments = StreamAttachments(self.streams, clock)
+        self._reporter = LoadReporter(scheduler, self._links, ring, clock)
         self._ticked_s = clock()
-        self._report_due = True
-        # Attempts that a peer asked for before they arrived; a start of one of them that was
-        # delayed on an old connection must not run.
-        self._refused: dict[str, float] = {}
         self._control_tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
             LinkMessage: self._from_link,
@@ -112,7 +103,7 @@
             CallHead: self._call_head,
             CallData: self._call_data,
             CallEnded: self._call_ended,
-            LoadChanged: self._load_changed,
+            LoadChanged: self._reporter.load_changed,
             DrainSidecar: lambda msg: self._drain(),
             EndAll: lambda msg: self._end_all(),
             Tick: lambda msg: self._tick(),
@@ -138,7 +129,8 @@
 
     def drained_s(self) -> float | None:
         """Return how long ago the endpoint was announced as leaving, None when it was not."""
-        return None if self._draining_s is None else self._clock() - self._draining_s
+        since_s = self._reporter.draining_s
+        return None if since_s is None else self._clock() - since_s
 
     async def run(self) -> None:
         """Handle messages, and send reports, for ever."""
@@ -147,7 +139,7 @@
             self._handle(await self._inbox.get())
             while not self._inbox.empty():
                 self._handle(self._inbox.get_nowait())
-            self._report_when_due()
+            self._reporter.send_when_due()
 
     def _handle(self, msg: SidecarMessage) -> None:
         self._handlers[type(msg)](msg)
@@ -166,9 +158,9 @@
             for attempt_id, position in msg.parts:
                 self._ack(attempt_id, position)
         elif isinstance(msg, Attach):
-            self._attach(link, msg)
+            self._attachments.attach(link, msg)
         elif isinstance(msg, Detach):
-            self._detach(link, msg.attempt_id)
+            self._attachments.detach(link, msg.attempt_id)
         elif isinstance(msg, Cancel):
             stream = self.streams.get(msg.attempt_id)
             # An entry instance that another has replaced has no say over the stream any more.
@@ -186,22 +178,18 @@
             link.send(Full(f"{len(self.bound)} entry instances are connected"))
             return
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
-        link.send(self._report())
+        link.send(self._reporter.report())
 
     def _link_lost(self, link: Link) -> None:
         peer = self._links.down(link, self._clock())
         if peer:
             self._ring.record(EventKind.DISCONNECTED, peer=peer)
-        now = self._clock()
-        for stream in self.streams.values():
-            if stream.link is link:
-                stream.link = None
-                stream.idle_since_s = now
+        self._attachments.link_lost(link)
 
     def _start(self, link: Link, msg: StartRequest) -> None:
         if msg.attempt_id in self.streams:
             return
-        if msg.attempt_id in self._refused:
+        if self._attachments.refused(msg.attempt_id):
             link.send(RejectStart(msg.attempt_id, "answer_lost", 0.0))
             return
         now = self._clock()
@@ -223,51 +211,6 @@
         if not stream.buffer.full:
             stream.room.set()
 
-    def _attach(self, link: Link, msg: Attach) -> None:
-        stream = self.streams.get(msg.attempt_id)
-        if stream is None:
-            self._attach_unknown(link, msg)
-            return
-        try:
-            rest = stream.buffer.since(msg.position)
-        except BytesGone:
-            link.send(End(msg.attempt_id, False, Ran.YES, 0, "answer_lost", 0.0, 0))
-            return
-        self._take_over(stream, link)
-        stream.idle_since_s = None
-        if stream.head is not None:
-            link.send(stream.head)
-        for part in split_data(msg.attempt_id, msg.position, rest):
-            link.send(part)
-        if stream.end is not None:
-            link.send(stream.end)
-
-    def _attach_unknown(self, link: Link, msg: Attach) -> None:
-        """Answer for an attempt that is not here: it never arrived, or it is forgotten."""
-        self._refused[msg.attempt_id] = self._clock()
-        if msg.age_s < FINISHED_KEPT_S / 2:
-            link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
-        else:
-            # It may have run and been forgotten, for example while its entry instance was paused.
-            link.send(End(msg.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0))
-
-    def _detach(self, link: Link, attempt_id: str) -> None:
-        stream = self.streams.get(attempt_id)
-        if stream is not None and stream.link is link:
-            stream.link = None
-            stream.idle_since_s = self._clock()
-
-    def _take_over(self, stream: SidecarStream, link: Link) -> None:
-        """Attach a stream to a link; an entry instance that had it until now gets an end.
-
-        The caller fetches the rest elsewhere, and without an end its first request would stay
-        open for as long as its silent connection does.
-        """
-        old, stream.link = stream.link, link
-        if old is not None and old.peer is not None and old.peer.instance != _instance(link):
-            end = End(stream.start.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0)
-            old.send(end._replace(final=True))
-
     def _cancel(self, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is None or stream.end is not None or not stream.start.cancellable:
@@ -338,26 +281,12 @@
         reason = "caller_left" if cancelled else outcome.reason
         self._record_stream(kind, stream, reason=reason, ran=outcome.ran, tokens=outcome.tokens)
         stream.send(stream.end)
-        self._report_due = True
-
-    def _load_changed(self, msg: LoadChanged) -> None:
-        reachable = msg.load is not None
-        if reachable != self._reachable:
-            logger.info("endpoint %s", "answers again" if reachable else "does not answer")
-            kind = EventKind.ENDPOINT_RECOVERED if reachable else EventKind.ENDPOINT_FAILED
-            self._ring.record(kind)
-            self._report_due = True
-        self._reachable = reachable
-        if msg.load is not None:
-            self._report_due = self._report_due or msg.load != self._load
-            self._load = msg.load
-            self._load_taken_s = msg.taken_s
+        self._reporter.due = True
 
     def _drain(self) -> None:
-        self._draining_s = self._clock()
         self._ring.record(EventKind.DRAINING)
         self._carry_out(self._scheduler.drain(self._clock()))
-        self._send_reports()
+        self._reporter.announce_leaving()
 
     def _end_all(self) -> None:
         for stream in self.streams.values():
@@ -383,7 +312,7 @@
                 self._record(EventKind.RESUMED, action.request_id)
                 self._set_paused(action.request_id, False)
                 self._control(self._endpoint.resume(action.request_id))
-        self._report_due = True
+        self._reporter.due = True
 
     def _run(self, req: QueuedRequest) -> None:
         stream = self.streams[req.request_id]
@@ -419,13 +348,7 @@
         horizon = now - FINISHED_KEPT_S
         while self._ended and self._ended[0][0] <= horizon:
             self.streams.pop(self._ended.popleft()[1], None)
-        self._refused = {key: at for key, at in self._refused.items() if at > horizon}
-
-    def _report_when_due(self) -> None:
-        idle = self._clock() - self._reported_s
-        due = self._report_due and idle >= LIMITS.REPORT_MIN_INTERVAL_S
-        if due or idle >= LIMITS.REPORT_MAX_INTERVAL_S:
-            self._send_reports()
+        self._attachments.forget(now)
 
     def _expire(self, stream: SidecarStream, now: float) -> None:
         if stream.idle_since_s is None or stream.link is not None:
@@ -451,26 +374,6 @@
             self._control(self._endpoint.cancel(stream.start.attempt_id))
             stream.task.cancel()
 
-    def _send_reports(self) -> None:
-        self._links.send(self._report())
-        self._reported_s = self._clock()
-        self._report_due = False
-
-    def _report(self) -> Report:
-        limit = self._scheduler.limit if self._reachable else 0
-        load, self._load = self._load, self._load._replace(cached=())
-        return Report(
-            min(self._clock() - self._load_taken_s, 1e6),
-            self._scheduler.running(),
-            self._scheduler.waiting(),
-            limit,
-            list(load.models),
-            list(load.adapters),
-            self._draining_s is not None,
-            load.tokens_per_s,
-            list(load.cached),
-        )
-
     def _record(self, kind: EventKind, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is not None:
@@ -493,7 +396,3 @@
     """Wait for a control call; its failure shows in the load report and in the stream."""
     with contextlib.suppress(EndpointError):
         await call
-
-
-def _instance(link: Link) -> str:
-    return link.peer.instance if link.peer else ""
