--- a/cassiadrum/commands/admin_clients.py
+++ b/cassiadrum/commands/admin_clients.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, NamedTuple
 
 from cassiadrum.commands.arguments import parse_address
+from cassiadrum.commands.credentials import TOKEN_VARIABLE, Credentials
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError
@@ -35,11 +36,14 @@
             raise CommandError(ExitCode.UNREACHABLE, str(exc)) from exc
 
     async def get(self, path: str) -> dict[str, Any]:
-        """Return the JSON object at a path; raise CommandError with UNREACHABLE."""
+        """Return the JSON object at a path; raise CommandError with UNREACHABLE or REFUSED."""
         try:
             answer = await self._send("GET", path, None, READ_TIMEOUT_S)
         except (HttpError, TimeoutError, ValueError) as exc:
             raise self._unreachable(exc) from exc
+        if answer.status == 401:
+            detail = f"{self._address}: the token was not accepted; set {TOKEN_VARIABLE}"
+            raise CommandError(ExitCode.REFUSED, detail)
         if answer.status != 200:
             raise self._unreachable(f"status {answer.status}")
         return answer.body
@@ -61,11 +65,12 @@
     async def _send(
         self, method: str, path: str, body: dict[str, Any] | None, timeout_s: float
     ) -> AdminAnswer:
-        client = HttpClient(self._address.host, self._address.port)
+        credentials = Credentials.find()
+        client = HttpClient(self._address.host, self._address.port, tls=credentials.tls)
         data = b"" if body is None else json.dumps(body).encode()
         try:
             async with asyncio.timeout(timeout_s):
-                response = await client.request(method, path, (), data)
+                response = await client.request(method, path, credentials.headers(), data)
                 return AdminAnswer(response.status, _decoded(await response.read()))
         finally:
             client.close()
--- /dev/null
+++ b/cassiadrum/commands/credentials.py
@@ -0,0 +1,49 @@
+"""How the command line proves who asks, and whom it talks to."""
+
+import os
+import ssl
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
+from cassiadrum.protocols import Headers
+
+__all__ = ["CA_VARIABLE", "TOKEN_VARIABLE", "Credentials"]
+
+TOKEN_VARIABLE: Final = "CASSIADRUM_TOKEN_FILE"
+CA_VARIABLE: Final = "CASSIADRUM_CA"
+
+
+class Credentials(NamedTuple):
+    """Hold the bearer token of the admin interface and the TLS context, None for plain HTTP."""
+
+    token: str = ""
+    tls: ssl.SSLContext | None = None
+
+    @classmethod
+    def find(cls, environment: Mapping[str, str] = os.environ) -> "Credentials":
+        """Return what the environment names: a file with the token, a PEM file of the CA.
+
+        They are not options, because a token on a command line shows in the list of processes.
+        """
+        try:
+            token = environment.get(TOKEN_VARIABLE, "")
+            text = Path(token).read_text().strip() if token else ""
+            ca = environment.get(CA_VARIABLE, "")
+            return cls(text, _context(ca) if ca else None)
+        except (OSError, UnicodeDecodeError, ssl.SSLError) as exc:
+            detail = f"{TOKEN_VARIABLE} or {CA_VARIABLE}: {exc}"
+            raise CommandError(ExitCode.BAD_INPUT, detail) from exc
+
+    def headers(self) -> Headers:
+        """Return the header that carries the token."""
+        return (("authorization", f"Bearer {self.token}"),) if self.token else ()
+
+
+def _context(ca: str) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=ca)
+    # Processes are known by IP number; a certificate of the CA is what counts.
+    context.check_hostname = False
+    return context
--- a/cassiadrum/commands/request_commands.py
+++ b/cassiadrum/commands/request_commands.py
@@ -9,6 +9,7 @@
 
 from cassiadrum.commands.actions import Action, Session
 from cassiadrum.commands.arguments import parse_address, parse_seconds, takes
+from cassiadrum.commands.credentials import Credentials
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.fleets import ask_all, list_instances
@@ -105,7 +106,7 @@
 
 
 async def _send(output: Output, call: Call) -> Result:
-    client = HttpClient(call.address.host, call.address.port)
+    client = HttpClient(call.address.host, call.address.port, tls=Credentials.find().tls)
     try:
         async with asyncio.timeout(call.limit_s):
             response = await client.request(call.method, call.target, call.headers, call.body)
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -12,6 +12,10 @@
 import pytest
 import trustme
 
+from cassiadrum.commands.admin_clients import AdminClient
+from cassiadrum.commands.credentials import CA_VARIABLE, TOKEN_VARIABLE
+from cassiadrum.commands.errors import CommandError
+from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.links import BadCertificate, Link, LinkDialer, LinkServer, TlsContexts
 from cassiadrum.links.messages import Hello, Message
 from cassiadrum.protocols import Exchange, HttpClient, HttpServer
@@ -291,3 +295,29 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+
+
+class TestCommandCredentials:
+    """Guards against operators who are locked out by the token or by TLS."""
+
+    async def test_command_line_proves_itself(
+        self, files: Files, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        path = tmp_path / "token"
+        path.write_text(TOKEN)
+        token = AdminToken(path)
+
+        async def handle(exchange: Exchange) -> None:
+            permitted = token.permits(exchange.req.header("authorization"))
+            await exchange.send_json(200 if permitted else 401, {})
+
+        server = HttpServer(handle)
+        port = await server.start("127.0.0.1", 0, files.contexts().callers)
+        client = AdminClient(f"127.0.0.1:{port}")
+        monkeypatch.setenv(CA_VARIABLE, str(files.ca))
+        with pytest.raises(CommandError) as info:
+            await client.get("/admin/status")
+        assert info.value.code is ExitCode.REFUSED
+        monkeypatch.setenv(TOKEN_VARIABLE, str(path))
+        assert await client.get("/admin/status") == {}
+        await server.abort()
