Add TLS on links and HTTP, and the token of the admin interface

Cause: the settings `[tls]` and `admin_token_file` had no effect.

Change: links use mutual TLS with the CA of the settings, callers and operators are served over TLS. The admin interface requires the bearer token when a file is set, compared in constant time and read again when the file changes; without a readable token nobody passes. One test of members waits for the sidecar's side of a link, which it did not before: KeyError once in four full runs.

--- a/cassiadrum/links/link_dialers.py
+++ b/cassiadrum/links/link_dialers.py
@@ -23,7 +23,10 @@
 
 
 class LinkDialer:
-    """Keep one link to an address up, dialling again with a growing pause."""
+    """Keep one link to an address up, dialling again with a growing pause.
+
+    `tls` gives the context for the next connection, None for a connection without TLS.
+    """
 
     def __init__(
         self,
@@ -31,7 +34,7 @@
         make_link: Callable[[Connection], Link],
         *,
         on_down: Callable[[Link], None],
-        tls: ssl.SSLContext | None = None,
+        tls: Callable[[], ssl.SSLContext | None] = lambda: None,
     ) -> None:
         self.address = address
         self.link: Link | None = None
@@ -61,11 +64,12 @@
 
     async def _connect_once(self) -> bool:
         """Return whether a connection was made, after it has ended."""
-        scheme = "wss" if self._tls else "ws"
+        tls = self._tls()
+        scheme = "wss" if tls else "ws"
         try:
             conn = await connect(
                 f"{scheme}://{self.address}/",
-                ssl=self._tls,
+                ssl=tls,
                 compression=None,
                 ping_interval=None,
                 max_size=LIMITS.FRAME_BYTES,
--- a/cassiadrum/links/tls_contexts.py
+++ b/cassiadrum/links/tls_contexts.py
@@ -24,13 +24,14 @@
         self._certificate = certificate
         self._key = key
         self._ca = ca
-        self.links = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
-        self.callers = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
-        self.dial = _context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
-        # Instances are dialled by address, and the CA signs the instances of this site only.
-        self.dial.check_hostname = False
-        self._loaded: tuple[tuple[int, int, int], ...] = ()
-        self._load(self._state())
+        state = self._state()
+        self._links, self._callers, self.dial = self._build()
+        self._loaded = state
+        # Servers keep the context they started with; it hands each handshake to the newest one,
+        # since an old CA cannot be taken out of a context.
+        self.links, self.callers, _ = self._build()
+        self.links.sni_callback = self._use_links
+        self.callers.sni_callback = self._use_callers
 
     def reload(self, *, changed_only: bool = True) -> bool:
         """Load the files again if they changed; keep the old ones while the new do not fit.
@@ -41,26 +42,33 @@
             state = self._state()
             if changed_only and state == self._loaded:
                 return False
-            self._load(state)
+            self._links, self._callers, self.dial = self._build()
         except (OSError, BadCertificate) as exc:
             logger.warning("certificate not reloaded: %s", exc)
             return False
+        self._loaded = state
         logger.info("certificate reloaded from %s", self._certificate)
         return True
 
-    def _load(self, state: tuple[tuple[int, int, int], ...]) -> None:
-        # A trial on another context, so that a certificate without its key changes nothing.
+    def _use_links(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
+        conn.context = self._links
+
+    def _use_callers(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
+        conn.context = self._callers
+
+    def _build(self) -> tuple[ssl.SSLContext, ssl.SSLContext, ssl.SSLContext]:
+        """Return new contexts for the servers of links and callers, and for dialling."""
+        links = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
+        callers = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
+        dial = _context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
         try:
-            for context in (_context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE), *self._all()):
+            for context in (links, callers, dial):
                 context.load_cert_chain(self._certificate, self._key)
                 context.load_verify_locations(self._ca)
         except (OSError, ssl.SSLError) as exc:
-            # Neither message holds key material: OpenSSL names the file's fault only.
+            # The message names the fault of the file and holds no key material.
             raise BadCertificate(f"{self._certificate}, {self._key}, {self._ca}: {exc}") from exc
-        self._loaded = state
-
-    def _all(self) -> tuple[ssl.SSLContext, ...]:
-        return self.links, self.callers, self.dial
+        return links, callers, dial
 
     def _state(self) -> tuple[tuple[int, int, int], ...]:
         """Return what tells one version of the files from another."""
@@ -74,7 +82,7 @@
 def _context(protocol: int, verify: ssl.VerifyMode) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    if verify is ssl.CERT_NONE:
-        context.check_hostname = False
+    # Instances are dialled by address, and the CA signs the instances of this site only.
+    context.check_hostname = False
     context.verify_mode = verify
     return context
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -73,7 +73,7 @@
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        callers = self._tls and self._tls.callers
+        callers = self._tls.callers if self._tls else None
         port = await self._http.start(listen.http.host, listen.http.port, callers)
         self.addresses["http"] = str(Address(listen.http.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
@@ -136,7 +136,7 @@
             member.link_address,
             lambda conn: self._make_link(conn, member.instance),
             on_down=lambda link: self._link_down(link, member.instance),
-            tls=self._tls and self._tls.dial,
+            tls=lambda: self._tls.dial if self._tls else None,
         )
 
     def _make_link(self, conn: Connection, expected: str) -> Link:
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -79,9 +79,9 @@
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        callers = self._tls and self._tls.callers
+        callers = self._tls.callers if self._tls else None
         port = await self._server.start(
-            listen.link.host, listen.link.port, self._tls and self._tls.links
+            listen.link.host, listen.link.port, self._tls.links if self._tls else None
         )
         self.addresses["link"] = str(Address(listen.link.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
--- a/cassiadrum/tests/test_link_faults.py
+++ b/cassiadrum/tests/test_link_faults.py
@@ -146,7 +146,7 @@
                     await conn.send(encode_message(Ping(0.0, "", [])))
                     await asyncio.sleep(0.05)
 
-        async with serve(talk, "127.0.0.1", 0) as server:
+        async with serve(talk, "127.0.0.1", 0, close_timeout=0.2) as server:
             port = next(iter(server.sockets)).getsockname()[1]
             downs: list[Link] = []
             dialer = LinkDialer(f"127.0.0.1:{port}", ends.make("entry"), on_down=downs.append)
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -125,6 +125,7 @@
             (first,) = entry.status()["links"]
             sidecar = next(slot.sidecar for slot in site.slots if slot.instance == first)
             task = sidecar._sidecar  # type: ignore[attr-defined]
+            await until(lambda: "entry-1" in task.links)
             # Every place is taken by the time the entry instance dials again.
             task.bound._places = {"another entry": None}
             task.bound.mean = 0.8
--- /dev/null
+++ b/cassiadrum/tests/test_tls.py
@@ -0,0 +1,215 @@
+"""Tests of TLS on links, callers' connections and the admin interface."""
+
+import asyncio
+import logging
+import os
+import ssl
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+import trustme
+
+from cassiadrum.links import BadCertificate, Link, LinkDialer, LinkServer, TlsContexts
+from cassiadrum.links.messages import Hello, Message
+from cassiadrum.protocols import Exchange, HttpClient, HttpServer
+from cassiadrum.roles import build_daemon
+from cassiadrum.roles.admin_tokens import AdminToken
+from cassiadrum.settings import parse_settings
+
+LIMIT_S = 10.0
+TOKEN = "a-token-that-must-not-be-logged"
+
+
+class Files:
+    """The files of one process; `write` replaces them as a certificate manager does."""
+
+    def __init__(self, path: Path) -> None:
+        self.certificate, self.key, self.ca = (path / f"{n}.pem" for n in ("cert", "key", "ca"))
+
+    def write(self, authority: trustme.CA) -> "Files":
+        issued = authority.issue_cert("127.0.0.1")
+        for path, blobs in (
+            (self.certificate, issued.cert_chain_pems),
+            (self.key, [issued.private_key_pem]),
+            (self.ca, [authority.cert_pem]),
+        ):
+            new = path.with_suffix(".new")
+            new.write_bytes(b"".join(blob.bytes() for blob in blobs))
+            os.replace(new, path)
+        return self
+
+    def contexts(self) -> TlsContexts:
+        return TlsContexts(self.certificate, self.key, self.ca)
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> Files:
+    return Files(tmp_path).write(trustme.CA())
+
+
+def other(tmp_path: Path, authority: trustme.CA) -> TlsContexts:
+    path = tmp_path / "other"
+    path.mkdir(exist_ok=True)
+    return Files(path).write(authority).contexts()
+
+
+class Server:
+    """A link server that notes the instances that said hello."""
+
+    def __init__(self, tls: TlsContexts) -> None:
+        self.hellos: list[str] = []
+        self.downs = 0
+        self._tls = tls
+        self._server = LinkServer(self.make("side"), on_down=lambda _: None)
+
+    async def start(self) -> None:
+        port = await self._server.start("127.0.0.1", 0, self._tls.links)
+        self.address = f"127.0.0.1:{port}"
+
+    def make(self, name: str) -> Callable[..., Link]:
+        def deliver(_: Link, msg: Message) -> None:
+            if isinstance(msg, Hello) and name == "side":
+                self.hellos.append(msg.instance)
+
+        return lambda conn: Link(
+            conn,
+            Hello(1, name, "", "z", ""),
+            deliver=deliver,
+            heartbeat=lambda: ("", []),
+            heard=lambda *_: None,
+        )
+
+    def dialer(self, name: str, tls: Callable[[], ssl.SSLContext | None]) -> LinkDialer:
+        return LinkDialer(self.address, self.make(name), on_down=lambda _: None, tls=tls)
+
+    async def accepts(self, tls: Callable[[], ssl.SSLContext | None]) -> bool:
+        """Tell whether a dialer gets a hello through before its connection ends."""
+        self.hellos.clear()
+        dialing = asyncio.create_task(self.dialer("e", tls)._connect_once())
+        async with asyncio.timeout(LIMIT_S):
+            while not dialing.done() and not self.hellos:  # noqa: ASYNC110 - two tasks
+                await asyncio.sleep(0.01)
+        dialing.cancel()
+        await asyncio.wait([dialing])
+        return bool(self.hellos)
+
+    async def close(self) -> None:
+        await self._server.close()
+
+
+@pytest.fixture
+async def server(files: Files) -> AsyncIterator[Server]:
+    server = Server(files.contexts())
+    await server.start()
+    yield server
+    await server.close()
+
+
+class TestTls:
+    """Guards against links with a stranger, and against old keys that stay in force."""
+
+    async def test_own_ca_is_accepted_and_others_are_not(
+        self, server: Server, files: Files, tmp_path: Path
+    ) -> None:
+        own = files.contexts()
+        stranger = other(tmp_path, trustme.CA())
+        nameless = ssl.create_default_context(cafile=str(files.ca))
+        nameless.check_hostname = False
+        assert await server.accepts(lambda: own.dial)
+        assert not await server.accepts(lambda: stranger.dial)
+        assert not await server.accepts(lambda: nameless)
+        assert not await server.accepts(lambda: None)
+
+    async def test_rotation_replaces_certificate_and_ca(
+        self, server: Server, files: Files, tmp_path: Path
+    ) -> None:
+        new_ca = trustme.CA()
+        old, new = files.contexts(), other(tmp_path, new_ca)
+        assert not await server.accepts(lambda: new.dial)
+        files.write(new_ca)
+        assert server._tls.reload()
+        assert await server.accepts(lambda: new.dial)
+        assert not await server.accepts(lambda: old.dial)
+        assert not server._tls.reload()
+
+    def test_files_that_do_not_fit_change_nothing(
+        self, files: Files, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        contexts = files.contexts()
+        before = contexts.dial
+        key = files.key.read_bytes()
+        files.key.write_bytes(key[:200])
+        with caplog.at_level(logging.DEBUG):
+            assert not contexts.reload()
+            files.key.unlink()
+            assert not contexts.reload(changed_only=False)
+        assert contexts.dial is before
+        assert caplog.messages and key[60:100].decode() not in caplog.text
+        with pytest.raises(BadCertificate):
+            files.contexts()
+
+    async def test_callers_are_served_over_tls_without_a_certificate(self, files: Files) -> None:
+        async def answer(exchange: Exchange) -> None:
+            await exchange.send_json(200, {})
+
+        http = HttpServer(answer)
+        port = await http.start("127.0.0.1", 0, files.contexts().callers)
+        context = ssl.create_default_context(cafile=str(files.ca))
+        response = await HttpClient("127.0.0.1", port, tls=context).request("GET", "/")
+        assert response.status == 200
+        await http.abort()
+
+
+class TestAdminToken:
+    """Guards against an admin interface that is open, or keeps an old token."""
+
+    def test_only_the_token_passes(self, tmp_path: Path) -> None:
+        path = tmp_path / "token"
+        path.write_text(TOKEN + "\n")
+        token = AdminToken(path)
+        assert token.permits(f"Bearer {TOKEN}")
+        for wrong in ("", TOKEN, f"Basic {TOKEN}", "Bearer ", f"Bearer {TOKEN}x", "Bearer é"):
+            assert not token.permits(wrong)
+
+    def test_replaced_file_counts_at_once(self, tmp_path: Path) -> None:
+        path = tmp_path / "token"
+        path.write_text(TOKEN)
+        token = AdminToken(path)
+        assert token.permits(f"Bearer {TOKEN}")
+        path.write_text("another")
+        assert token.permits("Bearer another") and not token.permits(f"Bearer {TOKEN}")
+        path.write_text("")
+        assert not token.permits("Bearer ")
+        path.unlink()
+        assert not token.permits("Bearer another")
+
+    async def test_admin_interface_of_a_daemon_over_tls(
+        self, files: Files, tmp_path: Path, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        path = tmp_path / "token"
+        path.write_text(TOKEN)
+        settings = (
+            f'role = "entry"\ninstance = "e"\nzone = "z"\nadmin_token_file = "{path}"\n'
+            '[platform]\ntable_service = "127.0.0.1:1"\ninstance_list = "127.0.0.1:1"\n'
+            f'[tls]\ncertificate = "{files.certificate}"\nkey = "{files.key}"\n'
+            f'ca = "{files.ca}"\n'
+        )
+        daemon = build_daemon(parse_settings(settings))
+        with caplog.at_level(logging.DEBUG):
+            await daemon.start()
+            port = int(daemon.addresses["admin"].rpartition(":")[2])
+            context = ssl.create_default_context(cafile=str(files.ca))
+            client = HttpClient("127.0.0.1", port, tls=context)
+            statuses = []
+            for value in ("Bearer wrong", f"Bearer {TOKEN}"):
+                headers = (("authorization", value),)
+                statuses.append((await client.request("GET", "/admin/status", headers)).status)
+            files.write(trustme.CA())
+            daemon.reload_tls()
+            context = ssl.create_default_context(cafile=str(files.ca))
+            client = HttpClient("127.0.0.1", port, tls=context)
+            response = await client.request("POST", "/admin/drain")
+            await daemon.close()
+        assert [*statuses, response.status] == [401, 200, 401]
+        assert TOKEN not in caplog.text
