Fetch answers from sidecars outside the subset; fix stalls over TLS

Cause: an answer can be fetched at any entry instance, but only those with the sidecar in their subset had a link to it. A write limit of 0, set so that exchanges end only when the system has taken all bytes, never resumes on a TLS transport of Python 3.11: answers stopped after the head.

Change: a fetch opens a link of its own, over which the sidecar takes attach, ack and detach only and which needs no place within its bound. The write limit is 1 byte over TLS. Tests cover a slow caller from socket to endpoint, a planned stop during a silent link, the whole path over TLS, and SIGHUP and SIGTERM of a daemon process.

--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CLOCKED",
+    "FETCH_ROLE",
     "MESSAGE_TYPES",
     "PROTOCOL_VERSION",
     "Ack",
@@ -34,6 +35,8 @@
 ]
 
 PROTOCOL_VERSION: Final = 1
+# The role in the hello of a link that an entry instance opens to fetch one answer.
+FETCH_ROLE: Final = "fetch"
 
 HeaderList = list[tuple[str, str]]
 
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -77,7 +77,9 @@
         self._tasks.add(task)
         # An exchange has ended only once the system has taken all of its answer, so that a stop
         # of the process cuts off nothing.
-        writer.transport.set_write_buffer_limits(high=0)
+        # A TLS transport pauses at the limit, not above it, and would never resume with 0.
+        over_tls = writer.get_extra_info("sslcontext") is not None
+        writer.transport.set_write_buffer_limits(high=int(over_tls), low=0)
         try:
             await self._serve(reader, writer, task)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -1,7 +1,6 @@
 """The rest of an answer for a caller that comes back."""
 
 import asyncio
-from collections.abc import Callable
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.frontends import Problem, send_problem
@@ -9,6 +8,7 @@
 from cassiadrum.links.messages import Ack, Attach, Data, Detach, End, Head, Message, RejectStart
 from cassiadrum.protocols import Exchange
 from cassiadrum.roles.answer_fetches import AnswerFetch
+from cassiadrum.roles.fetch_links import FetchLinks
 
 __all__ = ["LinkAnswerFetcher"]
 
@@ -18,11 +18,11 @@
 class LinkAnswerFetcher:
     """Attach to a stream at the sidecar that the answer's id names.
 
-    `links` finds the link to a sidecar instance. `offer` takes each message of a link and tells
-    whether it belonged to a fetch.
+    `links` finds or opens the link to a sidecar instance. `offer` takes each message of a link
+    and tells whether it belonged to a fetch.
     """
 
-    def __init__(self, links: Callable[[str], Link | None]) -> None:
+    def __init__(self, links: FetchLinks) -> None:
         self._links = links
         self._fetches: dict[str, AnswerFetch] = {}
 
@@ -51,10 +51,14 @@
     async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
         """Send the bytes of the answer from `position` on, or a refusal."""
         attempt_id, _, instance = answer_id.rpartition("@")
-        link = self._links(instance)
-        if link is None or not attempt_id or attempt_id in self._fetches:
-            await _refuse(exchange, answer_id)
-            return
+        async with self._links.open(instance) as link:
+            if link is None or not attempt_id or attempt_id in self._fetches:
+                await _refuse(exchange, answer_id)
+            else:
+                await self._fetch(exchange, answer_id, position, link)
+
+    async def _fetch(self, exchange: Exchange, answer_id: str, position: int, link: Link) -> None:
+        attempt_id, _, instance = answer_id.rpartition("@")
         fetch = self._fetches[attempt_id] = AnswerFetch(attempt_id, instance, position)
         try:
             fetch.attach(link)
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -1,6 +1,7 @@
 """An entry instance."""
 
 import secrets
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -8,7 +9,7 @@
 
 from cassiadrum.events import EventKind, EventRing, HybridTime
 from cassiadrum.links import Link, LinkDialer, TlsContexts
-from cassiadrum.links.messages import PROTOCOL_VERSION, Full, Hello, Message, Report
+from cassiadrum.links.messages import FETCH_ROLE, PROTOCOL_VERSION, Full, Hello, Message, Report
 from cassiadrum.members import Subset
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
@@ -18,6 +19,7 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
+from cassiadrum.roles.fetch_links import FetchLinks
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.request_parsers import RequestParser
@@ -60,7 +62,9 @@
             ring,
         )
         instances.on_listed = self._members.listed
-        self._fetcher = LinkAnswerFetcher(self._router.links.get)
+        self._fetcher = LinkAnswerFetcher(
+            FetchLinks(self._router.links.get, self._make_fetch_dialer)
+        )
         self._handler = CallerHandler(
             RequestParser(cfg.instance, configurations.document),
             self._router.post,
@@ -139,22 +143,53 @@
             tls=lambda: self._tls.dial if self._tls else None,
         )
 
+    def _make_fetch_dialer(
+        self, instance: str, on_up: Callable[[Link], None]
+    ) -> LinkDialer | None:
+        def deliver(link: Link, msg: Message) -> None:
+            if isinstance(msg, Hello):
+                self._fetcher.link_up(instance, link)
+                on_up(link)
+            else:
+                self._fetcher.offer(msg)
+
+        member = self._members.member(instance)
+        if member is None:
+            return None
+        return LinkDialer(
+            member.link_address,
+            lambda conn: self._link(conn, self._hello(instance, FETCH_ROLE), deliver),
+            on_down=lambda link: None,
+            tls=lambda: self._tls.dial if self._tls else None,
+        )
+
     def _make_link(self, conn: Connection, expected: str) -> Link:
         self._links_opened += 1
-        hello = Hello(
+        return self._link(
+            conn,
+            self._hello(expected, "entry"),
+            lambda link, msg: self._deliver(link, msg, expected),
+        )
+
+    def _hello(self, peer: str, role: str) -> Hello:
+        return Hello(
             PROTOCOL_VERSION,
             self._cfg.instance,
-            "entry",
+            role,
             self._cfg.zone,
             "",
             self._process_start,
-            expected,
+            peer,
             self._links_opened,
         )
+
+    def _link(
+        self, conn: Connection, hello: Hello, deliver: Callable[[Link, Message], None]
+    ) -> Link:
         return Link(
             conn,
             hello,
-            deliver=lambda link, msg: self._deliver(link, msg, expected),
+            deliver=deliver,
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
             stamp=lambda: list(self.ring.clock.tick()),
--- a/cassiadrum/roles/entry_links.py
+++ b/cassiadrum/roles/entry_links.py
@@ -1,7 +1,7 @@
 """The links of a sidecar to entry instances."""
 
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Hello, Message
+from cassiadrum.links.messages import Ack, Attach, Detach, Hello, Message
 from cassiadrum.members import ConnectionBound
 
 __all__ = ["EntryLinks"]
@@ -13,6 +13,8 @@
     def __init__(self, bound: ConnectionBound) -> None:
         self.by_instance: dict[str, Link] = {}
         self._bound = bound
+        # Links over which answers may be fetched and nothing else.
+        self._fetching: set[Link] = set()
 
     def is_older(self, hello: Hello) -> bool:
         """Tell whether the hello was sent before that of the current link."""
@@ -32,8 +34,19 @@
             old.abort()
         return True
 
+    def fetch_up(self, link: Link) -> None:
+        """Take a link that is opened for a fetch; it needs no place within the bound."""
+        self._fetching.add(link)
+
+    def may_send(self, link: Link, msg: Message) -> bool:
+        """Tell whether a message is taken from this link."""
+        return self.is_current(link) or (
+            link in self._fetching and isinstance(msg, Ack | Attach | Detach)
+        )
+
     def down(self, link: Link, now: float) -> str:
         """Forget a link; return its instance, empty when the link was not the current one."""
+        self._fetching.discard(link)
         if not self.is_current(link) or link.peer is None:
             return ""
         del self.by_instance[link.peer.instance]
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -51,6 +51,10 @@
         self._retired: set[str] = set()
         self._stopping: set[asyncio.Task[None]] = set()
 
+    def member(self, instance: str) -> Instance | None:
+        """Return a sidecar of the list, whether it is linked to or not."""
+        return self._membership.member(instance)
+
     def listed(self, instances: tuple[Instance, ...]) -> None:
         """Take the instance list; an empty one stands for a failed read."""
         # Before the new list, so that the router had a poll interval to hear of a retirement.
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -23,6 +23,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import BytesGone, Link, split_data
 from cassiadrum.links.messages import (
+    FETCH_ROLE,
     Ack,
     Attach,
     Cancel,
@@ -151,7 +152,7 @@
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
-        elif not self._links.is_current(link):
+        elif not self._links.may_send(link, msg):
             return
         elif isinstance(msg, StartRequest):
             self._start(link, msg)
@@ -166,6 +167,9 @@
             self._cancel(msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
+        if hello.role == FETCH_ROLE:
+            self._links.fetch_up(link)
+            return
         if self._links.is_older(hello):
             link.abort()
             return
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -65,11 +65,17 @@
         link.abort()
 
 
+def silence_links(sidecar: Daemon) -> None:
+    """Let the system hold back what arrives, as on a connection that a middlebox forgot."""
+    for link in sidecar._sidecar.links.values():  # type: ignore[attr-defined]
+        link._conn.transport.pause_reading()
+
+
 class TestGracefulShutdown:
     """Guards against a planned stop that cuts off requests, or never ends."""
 
     @pytest.mark.parametrize("role", ["entry", "sidecar"])
-    @pytest.mark.parametrize("fault", ["none", "reattach", "store"])
+    @pytest.mark.parametrize("fault", ["none", "reattach", "silent", "store"])
     async def test_stop_cuts_off_nothing(self, site: LocalSite, role: str, fault: str) -> None:
         caller = await start_stream(site)
         (sidecar,) = busy(site)
@@ -78,6 +84,8 @@
             site.table.set_faults(Faults(down=True))
         if fault == "reattach":
             cut_links(sidecar)
+        if fault == "silent":
+            silence_links(sidecar)
         daemon.begin_drain()
         assert await drain(daemon, LIMIT_S) == 0
         status, body = await caller
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventKind
-from cassiadrum.protocols import HttpClient, HttpResponse
+from cassiadrum.protocols import Exchange, HttpClient, HttpResponse, HttpServer
 from cassiadrum.roles import build_daemon
 from cassiadrum.settings import parse_settings
 from cassiadrum.sites import EndpointSlot, LocalSite
@@ -106,6 +107,60 @@
     )
 
 
+class LongAnswer:
+    """An endpoint whose answer never ends by itself; `sent` counts its bytes."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.server = HttpServer(self.answer)
+
+    async def answer(self, exchange: Exchange) -> None:
+        if exchange.req.method == "GET":
+            await exchange.send_json(200, {})
+            return
+        await exchange.send_head(200, (("content-type", "application/octet-stream"),))
+        while not exchange.gone.is_set():
+            await exchange.send_data(bytes(65536))
+            self.sent += 65536
+
+
+class TestSlowCaller:
+    """Guards against an answer that piles up in memory while its caller does not read."""
+
+    async def test_whole_path_stops_when_the_caller_does(self) -> None:
+        text = (EXAMPLES / "permit-register.toml").read_text()
+        site = LocalSite([text.replace("endpoints = 3", "endpoints = 1")], entries=1)
+        await site.start()
+        (slot,) = site.slots
+        endpoint = LongAnswer()
+        port = await endpoint.server.start("127.0.0.1", 0)
+        await slot.endpoint.close()
+        sidecar = slot.sidecar._sidecar  # type: ignore[attr-defined]
+        sidecar._endpoint._client._port = port
+        host, _, entry_port = site.entry_address().rpartition(":")
+        _reader, writer = await asyncio.open_connection(host, int(entry_port), limit=1024)
+        body = b"POST /services/permit-register/permits HTTP/1.1\r\nhost: a\r\n"
+        writer.write(body + b"idempotency-key: k\r\ncontent-length: 2\r\n\r\n{}")
+        try:
+            # Nothing is read from here on.
+            await until(lambda: any(s.buffer.full for s in sidecar.streams.values()))
+            before = -1
+            while endpoint.sent != before:
+                before = endpoint.sent
+                await asyncio.sleep(0.5)
+            (stream,) = sidecar.streams.values()
+            assert stream.buffer.end - stream.buffer._acked <= 2 * LIMITS.STREAM_BUFFER_BYTES
+            pending = site.entries[0]._router.pending.values()  # type: ignore[attr-defined]
+            (queue,) = [request.events for request in pending]
+            held = sum(len(getattr(event, "data", b"")) for event in queue._queue)
+            assert held <= 2 * LIMITS.STREAM_BUFFER_BYTES
+        finally:
+            writer.transport.abort()
+            await endpoint.server.abort()
+            await site.drain()
+            await site.close()
+
+
 class TestSiteStreams:
     """Guards against answers that are cut, doubled or lost when a connection or process fails."""
 
@@ -175,3 +230,25 @@
         caller.assert_whole()
         names = sorted(slot.instance for slot in site.slots)
         await until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
+
+    async def test_rest_is_fetched_from_outside_the_subset(self) -> None:
+        text = (EXAMPLES / "sprachdienst.toml").read_text()
+        site = LocalSite([text], entries=2, step_s=0.03, subset_size=1)
+        await site.start()
+        try:
+            caller = Caller(site)
+            sending = asyncio.create_task(caller.send())
+            await until(lambda: len(caller.body) > 300)
+            await kill(site)
+            await sending
+            name = caller.answer_id.rpartition("@")[2]
+            assert name not in site.entries[0].status()["links"]
+            second = Caller(site)
+            target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
+            await second.read(await second.client.request("GET", target))
+            caller.body += second.body
+            caller.assert_whole()
+            assert name not in site.entries[0].status()["links"]
+        finally:
+            await site.drain()
+            await site.close()
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -3,7 +3,9 @@
 import asyncio
 import logging
 import os
+import signal
 import ssl
+import sys
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -16,7 +18,9 @@
 from cassiadrum.roles import build_daemon
 from cassiadrum.roles.admin_tokens import AdminToken
 from cassiadrum.settings import parse_settings
+from cassiadrum.sites import LocalSite
 
+EXAMPLES = Path(__file__).parents[2] / "examples"
 LIMIT_S = 10.0
 TOKEN = "a-token-that-must-not-be-logged"
 
@@ -157,7 +161,8 @@
         port = await http.start("127.0.0.1", 0, files.contexts().callers)
         context = ssl.create_default_context(cafile=str(files.ca))
         response = await HttpClient("127.0.0.1", port, tls=context).request("GET", "/")
-        assert response.status == 200
+        async with asyncio.timeout(LIMIT_S):
+            assert (response.status, await response.read()) == (200, b"{}")
         await http.abort()
 
 
@@ -213,3 +218,76 @@
             await daemon.close()
         assert [*statuses, response.status] == [401, 200, 401]
         assert TOKEN not in caplog.text
+
+
+class TestSiteTls:
+    """Guards against a path that does not work, or is not encrypted, over TLS."""
+
+    async def test_request_passes_over_tls_and_links_refuse_strangers(
+        self, files: Files, tmp_path: Path
+    ) -> None:
+        site = LocalSite([(EXAMPLES / "permit-register.toml").read_text()], entries=1)
+        site._limits += (
+            f'[tls]\ncertificate = "{files.certificate}"\nkey = "{files.key}"\nca = "{files.ca}"\n'
+        )
+        await site.start()
+        try:
+            port = int(site.entry_address().rpartition(":")[2])
+            context = ssl.create_default_context(cafile=str(files.ca))
+            client = HttpClient("127.0.0.1", port, tls=context)
+            response = await client.request("GET", "/services/permit-register/permits/1")
+            assert response.status == 200
+            async with asyncio.timeout(LIMIT_S):
+                assert await response.read()
+            link = site.slots[0].sidecar.addresses["link"]
+            stranger = other(tmp_path, trustme.CA())
+            hellos: list[Message] = []
+            dialer = LinkDialer(
+                link,
+                lambda conn: Link(
+                    conn,
+                    Hello(1, "stranger", "entry", "z", ""),
+                    deliver=lambda _, msg: hellos.append(msg),
+                    heartbeat=lambda: ("", []),
+                    heard=lambda *_: None,
+                ),
+                on_down=lambda _: None,
+                tls=lambda: stranger.dial,
+            )
+            await dialer._connect_once()
+            assert hellos == []
+            assert site.slots[0].sidecar.status()["links"] == ["entry-1"]
+        finally:
+            await site.drain()
+            await site.close()
+
+    async def test_signals_of_a_daemon_process(self, files: Files, tmp_path: Path) -> None:
+        settings = tmp_path / "entry.toml"
+        settings.write_text(
+            'role = "entry"\ninstance = "e"\nzone = "z"\n'
+            '[platform]\ntable_service = "127.0.0.1:1"\ninstance_list = "127.0.0.1:1"\n'
+            f'[tls]\ncertificate = "{files.certificate}"\nkey = "{files.key}"\n'
+            f'ca = "{files.ca}"\n'
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cassiadrum.daemon",
+            "--settings",
+            str(settings),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert process.stdout and process.stderr
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await process.stdout.readline()
+                process.send_signal(signal.SIGHUP)
+                while b"certificate reloaded" not in await process.stderr.readline():
+                    pass
+                process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
