Share the stores' rates over the fleet

Cause: the store clients had no budget, so nothing kept the fleet within the rates of the stores. Change: one budget for all clients of a process follows the instance list; claims are shared by the sidecars of services with once-only classes.

--- /dev/null
+++ b/cassiadrum/roles/budget_shares.py
@@ -0,0 +1,62 @@
+"""The share of one process in the fleet's rates at the stores."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from cassiadrum.documents import ServiceDocument
+from cassiadrum.stores import Instance, StoreBudget, TokenBucket
+
+__all__ = ["BudgetShare"]
+
+# Of the several hundred writes and 2,000 reads a second of the table service and object store.
+CLAIM_WRITES_PER_S = 300.0
+OTHER_WRITES_PER_S = 100.0
+READS_PER_S = 1500.0
+# Few processes write at a time: holders of leases, and entry instances that accept a change. An
+# equal share of 2,300 would not let any of them renew a lease.
+LEAST_PER_S = 1.0
+BURST = 4.0
+
+
+class BudgetShare:
+    """Hold the budget that all store clients of a process share, and follow the fleet's size.
+
+    `service` is that of a sidecar's endpoint, empty at an entry instance.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        documents: Callable[[str], ServiceDocument | None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.budget = StoreBudget(
+            TokenBucket(READS_PER_S, BURST), TokenBucket(CLAIM_WRITES_PER_S, BURST)
+        )
+        self._service = service
+        self._documents = documents
+        self._clock = clock
+
+    def listed(self, instances: Iterable[Instance]) -> None:
+        """Take the instance list; an empty one changes nothing."""
+        processes = tuple(instances)
+        if not processes:
+            return
+        now = self._clock()
+        self.budget.reads.set_rate(max(LEAST_PER_S, READS_PER_S / len(processes)), now)
+        self.budget.writes.set_rate(max(LEAST_PER_S, self._writes_per_s(processes)), now)
+
+    def _writes_per_s(self, processes: tuple[Instance, ...]) -> float:
+        if not self._service:
+            entries = sum(item.role == "entry" for item in processes)
+            return OTHER_WRITES_PER_S / max(1, entries)
+        if not self._claims(self._service):
+            return 0.0
+        services = {item.service for item in processes if item.role == "sidecar"}
+        claiming = {service for service in services if self._claims(service)}
+        return CLAIM_WRITES_PER_S / max(1, sum(item.service in claiming for item in processes))
+
+    def _claims(self, service: str) -> bool:
+        document = self._documents(service)
+        # A document that has not arrived yet may have such a class.
+        return document is None or any(cls.once_only for cls in document.classes)
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -10,6 +10,7 @@
 from cassiadrum.links import TlsContexts
 from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
+from cassiadrum.roles.budget_shares import BudgetShare
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
@@ -34,6 +35,7 @@
     HttpTableStore,
     HttpWeightStore,
     HttpWire,
+    StoreBudget,
 )
 
 __all__ = ["build_daemon"]
@@ -56,12 +58,17 @@
         clock = HybridClock(time.time)
         self._ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
         self._metrics = RoleMetrics(time.monotonic, make_registry())
-        self._table = HttpTableStore(self._wire(cfg.platform.table_service, "table"))
         registry = ConfigurationRegistry()
+        service = cfg.endpoint.service if cfg.endpoint else ""
+        self._share = BudgetShare(service, registry.document)
+        self._table = HttpTableStore(
+            self._wire(cfg.platform.table_service, "table", self._share.budget)
+        )
         reader = ConfigurationReader(self._table, registry)
         self._instances = InstanceWatch(
             HttpInstanceList(self._wire(cfg.platform.instance_list, "instances"))
         )
+        self._instances.listeners.append(self._share.listed)
         self._configurations = ConfigurationAgent(
             registry, reader, self._ring, self._rng, processes=self._instances.processes
         )
@@ -122,18 +129,19 @@
 
     def _objects(self) -> HttpObjectStore:
         platform = self._cfg.platform
-        return HttpObjectStore(
-            self._wire(platform.object_store or platform.table_service, "objects")
-        )
+        address = platform.object_store or platform.table_service
+        return HttpObjectStore(self._wire(address, "objects", self._share.budget))
 
     def _weights(self) -> HttpWeightStore | None:
         address = self._cfg.platform.weight_store
         return HttpWeightStore(self._wire(address, "weights")) if address else None
 
-    def _wire(self, address: Address, store: str) -> HttpWire:
-        client = HttpClient(address.host, address.port)
+    def _wire(self, address: Address, store: str, budget: StoreBudget | None = None) -> HttpWire:
         return HttpWire(
-            client, time.monotonic, called=lambda result: self._metrics.store_called(store, result)
+            HttpClient(address.host, address.port),
+            time.monotonic,
+            budget=budget,
+            called=lambda result: self._metrics.store_called(store, result),
         )
 
 
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -79,7 +79,7 @@
             services,
             ring,
         )
-        instances.on_listed = self._members.listed
+        instances.listeners.append(self._members.listed)
         self._janitor = maintenance.janitor(instances.entries)
         self._orders = maintenance.orders(self._router, instances.entries)
         self._router.on_report = self._orders.report
--- a/cassiadrum/roles/instance_watches.py
+++ b/cassiadrum/roles/instance_watches.py
@@ -21,7 +21,7 @@
     """Poll the instance list and pass on what it holds."""
 
     def __init__(self, instances: InstanceList) -> None:
-        self.on_listed: Callable[[tuple[Instance, ...]], None] = lambda listed: None
+        self.listeners: list[Callable[[tuple[Instance, ...]], None]] = []
         self._instances = instances
         self._count = 1
         self._entries: list[str] = []
@@ -45,5 +45,6 @@
             if listed:
                 self._count = len(listed)
                 self._entries = [item.instance for item in listed if item.role == "entry"]
-            self.on_listed(listed)
+            for listener in self.listeners:
+                listener(listed)
             await asyncio.sleep(list_poll_interval_s(self._count))
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -78,7 +78,7 @@
         self._sidecar = Sidecar(
             endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
         )
-        instances.on_listed = self._listed
+        instances.listeners.append(self._listed)
         self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
--- /dev/null
+++ b/cassiadrum/tests/test_budget_shares.py
@@ -0,0 +1,58 @@
+"""Tests of the share in the stores' rates."""
+
+from cassiadrum.documents import ServiceDocument, parse_document
+from cassiadrum.roles.budget_shares import BudgetShare
+from cassiadrum.stores import Instance, TokenBucket
+from cassiadrum.tests.sites import example
+
+DOCUMENTS = {name: parse_document(example(name)) for name in ("sprachdienst", "auftragsdienst")}
+
+
+def document(name: str) -> ServiceDocument | None:
+    return DOCUMENTS.get(name)
+
+
+def fleet(entries: int, **sidecars: int) -> list[Instance]:
+    listed = [Instance(f"e{n}", "entry", "", "z", "", "") for n in range(entries)]
+    for service, count in sidecars.items():
+        listed += [
+            Instance(f"{service}{n}", "sidecar", service, "z", "", "") for n in range(count)
+        ]
+    return listed
+
+
+def rate_per_s(bucket: TokenBucket, now: float) -> int:
+    """Return how many tokens ten seconds bring, per second."""
+    taken = 0
+    while bucket.reserve(now, 0.0) is not None:
+        taken += 1
+    taken = 0
+    for step in range(1, 10_001):
+        while bucket.reserve(now + step / 1000, 0.0) is not None:
+            taken += 1
+    return taken // 10
+
+
+class TestBudgetShare:
+    """Guards against a fleet that together overloads the stores."""
+
+    def test_claims_are_shared_by_the_sidecars_that_claim(self) -> None:
+        share = BudgetShare("auftragsdienst", document, lambda: 0.0)
+        share.listed(fleet(3, sprachdienst=6, auftragsdienst=3))
+        assert rate_per_s(share.budget.writes, 0.0) in (99, 100)
+
+    def test_sidecar_without_once_only_classes_takes_none_of_it(self) -> None:
+        share = BudgetShare("sprachdienst", document, lambda: 0.0)
+        share.listed(fleet(3, sprachdienst=6, auftragsdienst=3))
+        assert rate_per_s(share.budget.writes, 0.0) <= 1
+
+    def test_entry_instances_share_the_rest(self) -> None:
+        share = BudgetShare("", document, lambda: 0.0)
+        share.listed(fleet(10, auftragsdienst=3))
+        assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
+
+    def test_empty_list_changes_nothing(self) -> None:
+        share = BudgetShare("", document, lambda: 0.0)
+        share.listed(fleet(10, auftragsdienst=3))
+        share.listed(())
+        assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -49,15 +49,13 @@
     """Wait until the entry instance has read the list `count` times more."""
     watch = entry._instances  # type: ignore[attr-defined]
     seen: list[int] = []
-    take = watch.on_listed
 
-    def count_and_take(listed: tuple[Instance, ...]) -> None:
+    def count_listed(listed: tuple[Instance, ...]) -> None:
         seen.append(len(listed))
-        take(listed)
 
-    watch.on_listed = count_and_take
+    watch.listeners.append(count_listed)
     await until(lambda: len(seen) >= count)
-    watch.on_listed = take
+    watch.listeners.remove(count_listed)
 
 
 async def status_codes(site: LocalSite, count: int) -> set[int]:
