--- a/cassiadrum/tests/harness/event_collectors.py
+++ b/cassiadrum/tests/harness/event_collectors.py
@@ -19,6 +19,8 @@
     def __init__(self, admin_address: str) -> None:
         host, _, port = admin_address.rpartition(":")
         self.events: list[Event] = []
+        self._start_id = ""
+        self._replaced = False
         self._client = HttpClient(host, int(port))
         self._task = asyncio.create_task(self._run())
 
@@ -35,7 +37,7 @@
         self._client.close()
 
     async def _run(self) -> None:
-        while not self.stopped:
+        while not self.stopped and not self._replaced:
             # The process may be paused, or gone; a later read continues where this one began.
             with contextlib.suppress(HttpError, TimeoutError):
                 async with asyncio.timeout(READ_LIMIT_S):
@@ -45,5 +47,13 @@
     async def _read(self) -> None:
         after = self.events[-1].sequence if self.events else 0
         response = await self._client.request("GET", f"/admin/events?after={after}")
-        body = json.loads(await response.read())
-        self.events += [decode_event(event) for event in body["events"]]
+        try:
+            body = json.loads(await response.read())
+            events, start_id = body["events"], str(body["start_id"])
+        except (ValueError, KeyError):
+            events, start_id = [], ""
+        self._start_id = self._start_id or start_id
+        # After a process has ended, another one may get its port.
+        self._replaced = not start_id or start_id != self._start_id
+        if not self._replaced:
+            self.events += [decode_event(event) for event in events]
