--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,10 @@
 	$(BIN)/python -m cassiadrum.demo $(if $(JSON),--json)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n $(JOBS)
+	$(BIN)/python -m pytest -n $(JOBS) --dist worksteal
 
 soak: $(STAMP)
-	SOAK_SEEDS=$(or $(SEEDS),50) $(BIN)/python -m pytest -n $(JOBS) \
+	SOAK_SEEDS=$(or $(SEEDS),50) $(BIN)/python -m pytest -n $(JOBS) --dist worksteal \
 	  cassiadrum/tests/integration/test_fault_pairs.py
 
 mutants: $(STAMP)
