Give both roles the peers' clock from a file of its own

Cause: the sidecar imported a function from the entry daemon and with it all of that role's code. Change: observe stands in peer_clocks.py.

--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -7,7 +7,7 @@
 
 from websockets.asyncio.connection import Connection
 
-from cassiadrum.events import EventKind, EventRing, HybridTime
+from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkDialer, TlsContexts
 from cassiadrum.links.messages import (
     FETCH_ROLE,
@@ -34,6 +34,7 @@
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
+from cassiadrum.roles.peer_clocks import observe
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown, RefuseAll
 from cassiadrum.roles.routers import Router
@@ -263,9 +264,3 @@
         self._configurations.link_down(link)
         self._gauges.remove(link)
         self._router.post(LinkDown(link))
-
-
-def observe(ring: EventRing, clock: list[int]) -> None:
-    """Move the hybrid clock past a peer's time."""
-    if len(clock) == len(HybridTime._fields):
-        ring.clock.observe(HybridTime(*clock))
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -22,11 +22,11 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
 from cassiadrum.roles.endpoint_callers import EndpointCaller
-from cassiadrum.roles.entry_daemons import observe
 from cassiadrum.roles.gauges import Gauges
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.peer_clocks import observe
 from cassiadrum.roles.sidecar_messages import (
     DrainSidecar,
     EndAll,
