--- /dev/null
+++ b/cassiadrum/gateways/__init__.py
@@ -0,0 +1,35 @@
+"""An entry instance that reaches endpoints directly over kept HTTP/1.1 connections."""
+
+from cassiadrum.gateways.answer_heads import AnswerHead, LoadSample
+from cassiadrum.gateways.call_protocols import CallProtocol
+from cassiadrum.gateways.calls import Call, PromptPart
+from cassiadrum.gateways.catalogs import (
+    CallKind,
+    Catalog,
+    Customer,
+    RequestLimits,
+    Route,
+    ServicePlan,
+    Share,
+)
+from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
+from cassiadrum.gateways.gateways import Gateway, GatewaySettings
+
+__all__ = [
+    "AnswerHead",
+    "Call",
+    "CallKind",
+    "CallProtocol",
+    "Catalog",
+    "Customer",
+    "EndpointEntry",
+    "Gateway",
+    "GatewaySettings",
+    "Incarnation",
+    "LoadSample",
+    "PromptPart",
+    "RequestLimits",
+    "Route",
+    "ServicePlan",
+    "Share",
+]
--- /dev/null
+++ b/cassiadrum/gateways/attempt_budgets.py
@@ -0,0 +1,40 @@
+"""Bound on the requests that endpoints get beyond the first of each."""
+
+from collections import deque
+
+__all__ = ["AttemptBudget"]
+
+
+class AttemptBudget:
+    """Permit repeated attempts at one service up to a part of its requests in a sliding window.
+
+    Answers the load pattern of many endpoints failing at once, when repeated attempts of all
+    gateways would add to the overload. Each gateway counts its own requests only, so the sum over
+    all of them keeps the bound without messages. `ratio` is the permitted part, `spare` a number
+    of attempts that is permitted besides, `window_s` the window in seconds.
+    """
+
+    def __init__(self, ratio: float, spare: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._spare = spare
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def arrived(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._expire(now)
+
+    def spend(self, now: float) -> bool:
+        """Take a repeated attempt from the budget; return False when there is none left."""
+        self._expire(now)
+        if len(self._repeats) + 1 > self._ratio * len(self._requests) + self._spare:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _expire(self, now: float) -> None:
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= now - self._window_s:
+                times.popleft()
--- /dev/null
+++ b/cassiadrum/gateways/attempts.py
@@ -0,0 +1,187 @@
+"""One request at one endpoint."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import NamedTuple, Self, TypeVar
+
+from cassiadrum.gateways.answer_heads import AnswerHead
+from cassiadrum.gateways.call_protocols import CallProtocol
+from cassiadrum.gateways.catalogs import CallKind
+from cassiadrum.gateways.endpoint_connections import EndpointConnection
+from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.errors import AttemptFailed
+from cassiadrum.gateways.placers import Placed
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.protocols import AnswerLost, BadMessage, ConnectFailed
+
+__all__ = ["Attempt", "WholeAnswer"]
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+# Largest answer of a plain call in bytes; it is held whole before it is passed on.
+ANSWER_BYTES = 8 * 1024 * 1024
+# An endpoint that refused work for lack of room gets none for this long, if others can take it.
+FULL_PAUSE_S = 0.15
+# An endpoint that another one replaced at its address; its registration is about to change.
+REPLACED_PAUSE_S = 5.0
+
+
+class WholeAnswer(NamedTuple):
+    """Hold an answer that was read to its end."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class Attempt:
+    """Send a request to an endpoint and read its answer; leaving the context ends both.
+
+    The connection is kept only when the answer was read whole; else it is closed, which also stops
+    the endpoint's work.
+    """
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        placed: Placed,
+        pool: EndpointPool,
+        protocol: CallProtocol,
+        clock: Callable[[], float],
+    ) -> None:
+        self.view = placed.view
+        self._ticket = ticket
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+        self._prefill_tokens = placed.prefill_tokens
+        self._prefilling = True
+        self._target = placed.view.entry.incarnation
+        self._conn: EndpointConnection | None = None
+        self._head: AnswerHead | None = None
+        self._whole = False
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._answered(None)
+        self.view.end()
+        if self._conn is None:
+            return
+        if self._whole and self._head is not None:
+            self._pool.give_back(self._target, self._conn, self._head.idle_s, self._clock())
+        else:
+            self._conn.abort()
+
+    async def start(self, last_event_id: str) -> AnswerHead:
+        """Send the request and return the head of its answer; raise AttemptFailed."""
+        ticket = self._ticket
+        assert ticket.route is not None
+        once = ticket.route.kind is CallKind.ONCE
+        try:
+            conn = await self._pool.lend(self._target, self._clock(), fresh=once)
+        except ConnectFailed as exc:
+            self.view.unreachable(self._clock())
+            raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
+        self._conn = conn
+        call = ticket.call
+        headers = self._protocol.encode_call(
+            call,
+            self.view.entry,
+            customer=ticket.customer.name if ticket.customer else "",
+            priority=ticket.priority,
+            timeout_s=ticket.deadline_s - self._clock(),
+            last_event_id=last_event_id,
+        )
+        ticket.sends += 1
+        ticket.tried.add(self.view.entry.instance)
+        already = ticket.may_have_run
+        ticket.may_have_run = True
+        conn.send(call.method, call.target, headers, call.body)
+        self.view.cached.add(call.prompt)
+        head = await self._read(self._matching_head())
+        if head.not_run:
+            ticket.may_have_run = already
+            self._refused(head)
+            raise AttemptFailed(f"not run, status {head.status}", not_run=True)
+        if head.encoded or (head.status < 300 and not head.signed):
+            self.view.failed(self._clock())
+            raise AttemptFailed("the answer is not the endpoint's")
+        self._answered(head)
+        self._head = head
+        return head
+
+    @property
+    def head(self) -> AnswerHead:
+        """Return the head of the answer."""
+        assert self._head is not None
+        return self._head
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes of the body, None at its end; raise AttemptFailed."""
+        assert self._conn is not None
+        data = await self._read(self._conn.read_data())
+        if data is None:
+            self._whole = True
+            self.view.succeeded()
+        return data
+
+    async def read_whole(self) -> WholeAnswer:
+        """Return the whole answer; raise AttemptFailed."""
+        assert self._head is not None
+        parts: list[bytes] = []
+        size = 0
+        while (data := await self.read()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > ANSWER_BYTES:
+                raise AttemptFailed(f"the answer is larger than {ANSWER_BYTES} bytes")
+        return WholeAnswer(self._head, b"".join(parts))
+
+    async def _matching_head(self) -> AnswerHead:
+        """Return the head of this request's answer; skip late answers to earlier requests."""
+        conn = self._conn
+        assert conn is not None
+        while True:
+            response = await conn.read_head()
+            headers = tuple((n.decode(), v.decode("latin-1")) for n, v in response.headers)
+            head = self._protocol.decode_head(response.status_code, headers)
+            if head.request_id == self._ticket.call.request_id:
+                return head
+            if not head.request_id:
+                if head.not_run:
+                    return head
+                raise AnswerLost(f"status {head.status} without a request id")
+            logger.info(
+                "skipped a late answer to request %s",
+                head.request_id,
+                extra={"request_id": self._ticket.call.request_id},
+            )
+            while await conn.read_data() is not None:
+                pass
+            conn.expect_another()
+
+    async def _read(self, step: Awaitable[T]) -> T:
+        try:
+            return await step
+        except (AnswerLost, BadMessage) as exc:
+            if self._conn is None or not self._conn.reused or self._head is not None:
+                self.view.failed(self._clock())
+            raise AttemptFailed(f"answer lost: {exc}") from exc
+
+    def _refused(self, head: AnswerHead) -> None:
+        pause_s = REPLACED_PAUSE_S if head.status == 421 else FULL_PAUSE_S
+        self.view.avoid(self._clock(), pause_s)
+
+    def _answered(self, head: AnswerHead | None) -> None:
+        if self._prefilling:
+            self._prefilling = False
+            self.view.answered(self._prefill_tokens, head.load if head else None, self._clock())
--- /dev/null
+++ b/cassiadrum/gateways/cached_parts.py
@@ -0,0 +1,38 @@
+"""What one endpoint's prompt cache is believed to hold."""
+
+from collections.abc import Sequence
+
+from cassiadrum.gateways.calls import PromptPart
+
+__all__ = ["CachedParts"]
+
+
+class CachedParts:
+    """Remember the prompt parts sent to an endpoint, the least recently used yield first.
+
+    `capacity_tokens` is the part of the endpoint's memory that this gateway counts on.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self._tokens: dict[str, int] = {}
+        self._total = 0
+
+    def add(self, parts: Sequence[PromptPart]) -> None:
+        """Mark parts as the most recently used."""
+        for part in parts:
+            self._total -= self._tokens.pop(part.part_id, 0)
+            self._tokens[part.part_id] = part.tokens
+            self._total += part.tokens
+        while self._total > self._capacity_tokens and len(self._tokens) > 1:
+            oldest = next(iter(self._tokens))
+            self._total -= self._tokens.pop(oldest)
+
+    def matched_tokens(self, parts: Sequence[PromptPart]) -> int:
+        """Return the length in tokens of the longest run of leading parts that are held."""
+        matched = 0
+        for part in parts:
+            if part.part_id not in self._tokens:
+                break
+            matched += part.tokens
+        return matched
--- /dev/null
+++ b/cassiadrum/gateways/catalogs.py
@@ -0,0 +1,131 @@
+"""The configuration in force: which request goes to which service, for whom and within what."""
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = [
+    "CallKind",
+    "Catalog",
+    "Customer",
+    "RequestLimits",
+    "Route",
+    "ServicePlan",
+    "Share",
+    "share_of",
+]
+
+
+class CallKind(Enum):
+    """Tell what may be repeated."""
+
+    ONCE = "once"
+    IDEMPOTENT = "idempotent"
+    STREAM = "stream"
+
+
+class Share(NamedTuple):
+    """Give a service its weight within a route."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Describe the requests of one host and path prefix; the lowest priority is the first."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    timeout_s: float
+    target_s: float
+    priority: int
+    shares: tuple[Share, ...]
+    max_attempts: int
+    public: bool
+    resumable: bool
+    # The longest pause between events of a stream that is still on time.
+    gap_s: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is CallKind.IDEMPOTENT or self.resumable
+
+
+class Customer(NamedTuple):
+    """Name the holder of a key; `priority` replaces the route's unless it is None."""
+
+    name: str
+    priority: int | None
+
+
+class ServicePlan(NamedTuple):
+    """Describe a service; `cache_tokens` is None for services that are not model engines."""
+
+    name: str
+    max_connections: int
+    cache_tokens: int | None
+
+
+class RequestLimits(NamedTuple):
+    """Bound what callers may send and how long they may take or stay idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class Catalog:
+    """Hold one version of the configuration.
+
+    With `keyed`, requests of routes that are not public need a key.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[ServicePlan],
+        customers_by_key: Mapping[str, Customer],
+        limits: RequestLimits,
+        *,
+        keyed: bool,
+    ) -> None:
+        self.version = version
+        self.keyed = keyed
+        self.limits = limits
+        self.services = {plan.name: plan for plan in services}
+        self._customers = dict(customers_by_key)
+        self._routes: dict[str, list[Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for found in self._routes.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        routes = self._routes.get(host, ())
+        return next((route for route in routes if path.startswith(route.prefix)), None)
+
+    def customer(self, key: str) -> Customer | None:
+        """Return the customer that holds a key."""
+        return self._customers.get(key)
+
+
+def share_of(route: Route, request_id: str) -> str:
+    """Return the service for a request; the choice is the same for each of its attempts."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    point = (
+        xxhash.xxh32_intdigest(request_id.encode()) / 2**32 * sum(s.weight for s in route.shares)
+    )
+    for share in route.shares:
+        point -= share.weight
+        if point < 0.0:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/cassiadrum/gateways/confirmations.py
@@ -0,0 +1,36 @@
+"""Age of the last confirmation that the configuration in force is the newest."""
+
+__all__ = ["Confirmation"]
+
+
+class Confirmation:
+    """Date the store's answers on the boot-time clock of this machine.
+
+    An answer that was held up on its way is older than its arrival. The least difference between
+    the two clocks that was ever seen gives the time at which the store made it, up to the fastest
+    transfer. `limit_s` is the age in seconds up to which requests with a key may be served.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        self.limit_s = limit_s
+        self._offset_s: float | None = None
+        self._confirmed_s: float | None = None
+
+    def answered(self, store_s: float, sent_s: float, received_s: float) -> None:
+        """Take an answer that the store dated `store_s`; the other times are boot-time seconds."""
+        offset_s = received_s - store_s
+        if self._offset_s is not None and store_s + self._offset_s < sent_s:
+            # The store's clock was set anew, so the difference to it has to be learned again.
+            self._offset_s = None
+        if self._offset_s is None or offset_s < self._offset_s:
+            self._offset_s = offset_s
+        made_s = min(received_s, store_s + self._offset_s)
+        self._confirmed_s = max(made_s, self._confirmed_s or made_s)
+
+    def age_s(self, now: float) -> float:
+        """Return the age at a boot-time second, infinite before the first confirmation."""
+        return float("inf") if self._confirmed_s is None else now - self._confirmed_s
+
+    def valid(self, now: float) -> bool:
+        """Return whether requests with a key may be served."""
+        return self.age_s(now) <= self.limit_s
--- /dev/null
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -0,0 +1,178 @@
+"""One kept HTTP/1.1 connection to an endpoint."""
+
+import asyncio
+
+import h11
+
+from cassiadrum.protocols import AnswerLost, BadMessage, ConnectFailed, Headers
+from cassiadrum.settings.addresses import Address
+
+__all__ = ["EndpointConnection"]
+
+# A caller that reads slowly stops the endpoint at this many unread bytes.
+BUFFER_BYTES = 64 * 1024
+
+
+class EndpointConnection(asyncio.Protocol):
+    """Carry one request at a time; bytes that arrive between requests make it unusable."""
+
+    def __init__(self) -> None:
+        self.idle_until_s = 0.0
+        self.reused = False
+        self._transport: asyncio.Transport | None = None
+        self._conn = h11.Connection(h11.CLIENT)
+        self._request: list[h11.Event] = []
+        self._buffer: list[bytes] = []
+        self._buffered_bytes = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._busy = False
+        self._eof = False
+        self._lost: Exception | None = None
+        self._broken = False
+
+    @classmethod
+    async def open(cls, address: Address, timeout_s: float) -> "EndpointConnection":
+        """Connect; raise ConnectFailed, in which case nothing was sent."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, conn = await loop.create_connection(cls, address.host, address.port)
+        except (OSError, TimeoutError) as exc:
+            raise ConnectFailed(f"{address}: {exc or 'no connection in time'}") from exc
+        return conn
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the answer."""
+        if not self._busy:
+            self.abort()
+            return
+        self._buffer.append(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes > BUFFER_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Take the end of the input."""
+        self._eof = True
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the loss of the connection."""
+        self._eof = True
+        self._lost = exc
+        self._transport = None
+        self._wake()
+
+    # Use by one request at a time.
+
+    @property
+    def usable(self) -> bool:
+        """Return whether a request may be sent."""
+        return self._transport is not None and not (self._eof or self._broken)
+
+    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Send a request without waiting for the endpoint to read it."""
+        assert self._transport is not None
+        lines = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+        if body or method in ("POST", "PUT", "PATCH"):
+            lines.append((b"content-length", str(len(body)).encode()))
+        self._request = [h11.Request(method=method, target=target, headers=lines)]
+        if body:
+            self._request.append(h11.Data(data=body))
+        self._request.append(h11.EndOfMessage())
+        self._busy = True
+        self._transport.write(b"".join(self._conn.send(event) or b"" for event in self._request))
+
+    async def read_head(self) -> h11.Response:
+        """Return the head of the next answer; raise AnswerLost or BadMessage."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise AnswerLost("the connection ended before the answer")
+
+    async def read_data(self) -> bytes | None:
+        """Return the next bytes of the body, None at its end; raise AnswerLost or BadMessage."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise AnswerLost("the connection ended inside the body")
+
+    def expect_another(self) -> None:
+        """Read the answer after one that belongs to an earlier request."""
+        rest, _ = self._conn.trailing_data
+        if self._conn.their_state is not h11.DONE or self._conn.our_state is not h11.DONE:
+            raise AnswerLost("the connection ended after an answer to another request")
+        self._conn = h11.Connection(h11.CLIENT)
+        for event in self._request:
+            self._conn.send(event)
+        if rest:
+            self._conn.receive_data(rest)
+
+    def finish(self) -> bool:
+        """End a request whose answer was read whole; return whether another may follow."""
+        done = self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+        extra = bool(self._buffer) or bool(self._conn.trailing_data[0])
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        if not done or extra or unsent or not self.usable:
+            self.abort()
+            return False
+        self._conn.start_next_cycle()
+        self._request = []
+        self._busy = False
+        self.reused = True
+        return True
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._broken = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as exc:
+                if self._eof:
+                    raise AnswerLost(str(exc)) from exc
+                raise BadMessage(502, str(exc)) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _receive(self) -> None:
+        while not self._buffer and not self._eof:
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        if self._buffer:
+            data = b"".join(self._buffer)
+            self._buffer.clear()
+            self._buffered_bytes = 0
+            if self._transport is not None:
+                self._transport.resume_reading()
+            self._conn.receive_data(data)
+        elif self._lost is not None:
+            # A reset is no regular end, also of a body that ends with its connection.
+            raise AnswerLost(str(self._lost) or "the connection was reset")
+        else:
+            self._conn.receive_data(b"")
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -0,0 +1,86 @@
+"""The registered endpoints and what is believed of each."""
+
+from collections.abc import Callable, Iterable
+
+from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
+from cassiadrum.gateways.endpoint_views import EndpointView
+
+__all__ = ["EndpointDirectory"]
+
+
+class EndpointDirectory:
+    """Follow the registrations; times are monotonic seconds.
+
+    Registrations lapse while the store is away, and living endpoints need `return_grace_s` to
+    come back. An entry that is missing at the store's return is therefore kept for that time.
+    """
+
+    def __init__(
+        self,
+        make_view: Callable[[EndpointEntry], EndpointView],
+        on_gone: Callable[[Incarnation], None],
+        return_grace_s: float,
+    ) -> None:
+        self._make_view = make_view
+        self._on_gone = on_gone
+        self._return_grace_s = return_grace_s
+        self._views: dict[str, EndpointView] = {}
+        # Entries that were removed shortly after an outage, with the time until they are kept.
+        self._lapsed: dict[str, float] = {}
+        self._grace_until_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    def store_returned(self, now: float) -> None:
+        """Take note that the store answers again after an outage."""
+        self._grace_until_s = now + self._return_grace_s
+
+    def put(self, entry: EndpointEntry) -> None:
+        """Add or change an endpoint; a new incarnation starts without beliefs."""
+        self._lapsed.pop(entry.instance, None)
+        view = self._views.get(entry.instance)
+        if view is not None and view.entry.incarnation == entry.incarnation:
+            view.entry = entry
+            return
+        if view is not None:
+            self._on_gone(view.entry.incarnation)
+        self._views[entry.instance] = self._make_view(entry)
+
+    def remove(self, instance: str, now: float) -> None:
+        """Remove an endpoint, at the end of the grace period after an outage."""
+        if instance not in self._views:
+            return
+        if now < self._grace_until_s:
+            self._lapsed.setdefault(instance, self._grace_until_s)
+        else:
+            self._drop(instance)
+
+    def replace(self, entries: Iterable[EndpointEntry], now: float) -> None:
+        """Take a full list."""
+        listed = set()
+        for entry in entries:
+            listed.add(entry.instance)
+            self.put(entry)
+        for instance in self._views.keys() - listed:
+            self.remove(instance, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Drop the entries whose grace period has ended and return their instances."""
+        gone = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
+        for instance in gone:
+            del self._lapsed[instance]
+            self._drop(instance)
+        return gone
+
+    def usable(self, service: str) -> list[EndpointView]:
+        """Return the endpoints of a service that may get new requests."""
+        return [
+            view
+            for view in self._views.values()
+            if view.entry.service == service and not view.entry.leaving
+        ]
+
+    def _drop(self, instance: str) -> None:
+        view = self._views.pop(instance)
+        self._on_gone(view.entry.incarnation)
--- /dev/null
+++ b/cassiadrum/gateways/endpoint_pools.py
@@ -0,0 +1,73 @@
+"""Kept connections to all endpoints."""
+
+import logging
+from collections import deque
+
+from cassiadrum.gateways.endpoint_connections import EndpointConnection
+from cassiadrum.gateways.endpoint_entries import Incarnation
+
+__all__ = ["EndpointPool"]
+
+logger = logging.getLogger(__name__)
+
+# A SYN that is lost is repeated after a second; waiting for that costs more than another endpoint.
+CONNECT_TIMEOUT_S = 0.4
+# Idle time of a connection whose endpoint does not state one.
+DEFAULT_IDLE_S = 4.0
+# Endpoints close a little before the time that they state, as seen from here.
+IDLE_MARGIN_S = 0.7
+# A once-only call must not meet a connection that the endpoint is about to close.
+ONCE_IDLE_S = 1.0
+
+
+class EndpointPool:
+    """Lend connections, each to one request at a time; a connection belongs to an incarnation."""
+
+    def __init__(self) -> None:
+        self._idle: dict[Incarnation, deque[EndpointConnection]] = {}
+
+    async def lend(
+        self, target: Incarnation, now: float, *, fresh: bool = False
+    ) -> EndpointConnection:
+        """Return a connection; raise ConnectFailed.
+
+        With `fresh`, an idle connection is taken only shortly after its last use.
+        """
+        idle = self._idle.get(target)
+        while idle:
+            conn = idle.pop()
+            spare_s = conn.idle_until_s - now
+            recent = not fresh or spare_s > DEFAULT_IDLE_S - IDLE_MARGIN_S - ONCE_IDLE_S
+            if conn.usable and spare_s > 0.0 and recent:
+                return conn
+            conn.abort()
+        return await EndpointConnection.open(target.address, CONNECT_TIMEOUT_S)
+
+    def give_back(
+        self, target: Incarnation, conn: EndpointConnection, idle_s: float | None, now: float
+    ) -> None:
+        """Keep a connection whose answer was read whole."""
+        if not conn.finish():
+            return
+        idle_s = DEFAULT_IDLE_S if idle_s is None else min(idle_s, DEFAULT_IDLE_S)
+        conn.idle_until_s = now + idle_s - IDLE_MARGIN_S
+        if conn.idle_until_s <= now:
+            conn.abort()
+            return
+        self._idle.setdefault(target, deque()).append(conn)
+
+    def forget(self, target: Incarnation) -> None:
+        """Close the idle connections to an endpoint."""
+        for conn in self._idle.pop(target, ()):
+            conn.abort()
+
+    def expire(self, now: float) -> None:
+        """Close connections that have been idle for too long."""
+        for idle in self._idle.values():
+            while idle and (idle[0].idle_until_s <= now or not idle[0].usable):
+                idle.popleft().abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for target in list(self._idle):
+            self.forget(target)
--- /dev/null
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -0,0 +1,93 @@
+"""What a gateway believes of one endpoint."""
+
+import math
+
+from cassiadrum.gateways.answer_heads import LoadSample
+from cassiadrum.gateways.cached_parts import CachedParts
+from cassiadrum.gateways.endpoint_entries import EndpointEntry
+
+__all__ = ["EndpointView"]
+
+# A sample older than this says nothing about the requests of other gateways.
+SAMPLE_LIFE_S = 2.0
+# Failures count half after this time, so that an endpoint that recovers is used again.
+FAILURE_HALF_LIFE_S = 2.0
+# An endpoint that cannot be reached is left alone for the first time, doubled at each repetition.
+UNREACHABLE_S = 0.5
+UNREACHABLE_MAX_S = 4.0
+
+
+class EndpointView:
+    """Estimate an endpoint's load from its samples and own requests; times are monotonic seconds.
+
+    `cache_tokens` is the memory for prompts that is counted on, 0 for plain services.
+    """
+
+    def __init__(self, entry: EndpointEntry, cache_tokens: int) -> None:
+        self.entry = entry
+        self.cached = CachedParts(cache_tokens)
+        self.own = 0
+        # Prompt tokens of own requests that have not answered yet.
+        self.prefill_tokens = 0
+        self.avoid_until_s = 0.0
+        self._refused_connects = 0
+        self._failures = 0.0
+        self._failed_s = 0.0
+        self._sample: LoadSample | None = None
+        self._sampled_s = 0.0
+        # Own starts less own ends since the sample.
+        self._change = 0
+
+    def start(self, prefill_tokens: int) -> None:
+        """Count an own request."""
+        self.own += 1
+        self._change += 1
+        self.prefill_tokens += prefill_tokens
+
+    def answered(self, prefill_tokens: int, load: LoadSample | None, now: float) -> None:
+        """Take the beginning of an answer to an own request."""
+        self.prefill_tokens -= prefill_tokens
+        if load is not None:
+            self._sample = load
+            self._sampled_s = now
+            self._change = 0
+
+    def end(self) -> None:
+        """Count the end of an own request."""
+        self.own -= 1
+        self._change -= 1
+
+    def succeeded(self) -> None:
+        """Take a whole answer."""
+        self._refused_connects = 0
+        self._failures *= 0.5
+
+    def failed(self, now: float) -> None:
+        """Take a failed attempt."""
+        self._failures = self.failures(now) + 1.0
+        self._failed_s = now
+
+    def unreachable(self, now: float) -> None:
+        """Take a connection that could not be made."""
+        self.failed(now)
+        pause_s = min(UNREACHABLE_MAX_S, UNREACHABLE_S * 2**self._refused_connects)
+        self._refused_connects += 1
+        self.avoid_until_s = max(self.avoid_until_s, now + pause_s)
+
+    def avoid(self, now: float, pause_s: float) -> None:
+        """Send nothing for a time in seconds where another endpoint can take it."""
+        self.avoid_until_s = max(self.avoid_until_s, now + pause_s)
+
+    def failures(self, now: float) -> float:
+        """Return the number of recent failures, where older ones count less."""
+        return self._failures * math.pow(0.5, (now - self._failed_s) / FAILURE_HALF_LIFE_S)
+
+    def outstanding(self, now: float) -> int:
+        """Return the estimated number of requests from all gateways."""
+        if self._sample is None or now - self._sampled_s > SAMPLE_LIFE_S:
+            return self.own
+        return max(self.own, self._sample.running + self._sample.waiting + self._change)
+
+    def waiting(self, now: float) -> int:
+        """Return the estimated number of requests in the endpoint's queue."""
+        return max(0, self.outstanding(now) - self.entry.slots)
--- /dev/null
+++ b/cassiadrum/gateways/errors.py
@@ -0,0 +1,36 @@
+"""Errors of the gateway."""
+
+from cassiadrum.errors import CassiadrumError
+
+__all__ = ["AttemptFailed", "Denied", "GatewayError", "Refused"]
+
+
+class GatewayError(CassiadrumError):
+    """Base of the errors of the gateway."""
+
+
+class Refused(GatewayError):
+    """The request has not run and never will; the caller may return after `retry_after_s`."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Denied(GatewayError):
+    """The configuration does not allow the request."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class AttemptFailed(GatewayError):
+    """An endpoint gave no answer that can be passed on; `not_run` tells that it did not run."""
+
+    def __init__(self, reason: str, *, not_run: bool = False) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.not_run = not_run
--- /dev/null
+++ b/cassiadrum/gateways/gateways.py
@@ -0,0 +1,249 @@
+"""The gateway: an entry instance that reaches endpoints directly."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cassiadrum.gateways.attempt_budgets import AttemptBudget
+from cassiadrum.gateways.attempts import Attempt
+from cassiadrum.gateways.call_protocols import CallProtocol
+from cassiadrum.gateways.catalogs import Catalog, share_of
+from cassiadrum.gateways.confirmations import Confirmation
+from cassiadrum.gateways.endpoint_directories import EndpointDirectory
+from cassiadrum.gateways.endpoint_entries import EndpointEntry
+from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.errors import AttemptFailed, Denied, Refused
+from cassiadrum.gateways.placements import Placement
+from cassiadrum.gateways.placers import Placer
+from cassiadrum.gateways.relays import Relay
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.protocols import Exchange
+
+__all__ = ["Gateway", "GatewaySettings"]
+
+logger = logging.getLogger(__name__)
+
+# Part of an endpoint's memory for prompts that this gateway counts on.
+CACHE_PART = 0.5
+TICK_S = 0.1
+# A gateway that cannot confirm its configuration says when callers should ask another one.
+ELSEWHERE_RETRY_S = 0.02
+DRAINING_RETRY_S = 0.02
+# Time after the deadline in which an endpoint's own answer to it may arrive.
+DEADLINE_GRACE_S = 0.05
+
+
+class GatewaySettings(NamedTuple):
+    """Hold the figures of the deployment; times are in seconds."""
+
+    zone: str
+    retry_ratio: float
+    retry_spare: float
+    retry_window_s: float
+    confirmation_limit_s: float
+    # Whether keys must not be served past their confirmation.
+    strict_keys: bool
+    # Time after an outage of the store in which lapsed entries come back.
+    return_grace_s: float
+
+
+class Gateway:
+    """Serve callers' requests by the configuration and the endpoints that it is told of."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        protocol: CallProtocol,
+        clock: Callable[[], float] = time.monotonic,
+        boot_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+    ) -> None:
+        self.catalog: Catalog | None = None
+        self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
+        self.draining = False
+        self.confirmation = Confirmation(cfg.confirmation_limit_s)
+        self.pool = EndpointPool()
+        self.directory = EndpointDirectory(self._make_view, self.pool.forget, cfg.return_grace_s)
+        self._cfg = cfg
+        self._protocol = protocol
+        self._clock = clock
+        self._boot_clock = boot_clock
+        self._placement = Placement(cfg.zone)
+        self._placer = Placer(self.directory, self._placement, clock)
+        self._budgets: dict[str, AttemptBudget] = {}
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether the configuration in force is known to be recent."""
+        return self.catalog is not None and self.confirmation.valid(self._boot_clock())
+
+    @property
+    def ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        return self.confirmed and not self.draining
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Put a configuration in force, unless it is older than the one in force."""
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return
+        self.catalog = catalog
+        self.on_catalog(catalog)
+        logger.info("configuration in force", extra={"version": catalog.version})
+
+    async def run(self) -> None:
+        """Keep the endpoints' state up to date, for ever."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock()
+            for instance in self.directory.expire(now):
+                logger.info("endpoint gone after the store's outage", extra={"instance": instance})
+            self.pool.expire(now)
+            self._placer.pump_all()
+
+    def changed(self) -> None:
+        """Place waiting requests after a change of the endpoints."""
+        self._placer.pump_all()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request of a caller."""
+        ticket = Ticket(self._protocol.decode_call(exchange.req), self._clock())
+        relay = Relay(ticket, exchange, self._clock)
+        try:
+            self._resolve(ticket)
+            self._budget(ticket.service).arrived(ticket.received_s)
+            self._watch_caller(ticket, exchange)
+            limit_s = ticket.deadline_s + DEADLINE_GRACE_S - self._clock()
+            async with asyncio.timeout(limit_s):
+                await self._serve(ticket, relay)
+        except Denied as exc:
+            self._log(ticket, f"denied: {exc}")
+            await exchange.send_json(exc.status, {"reason": exc.reason, "ran": "no"})
+        except Refused as exc:
+            self._log(ticket, f"refused: {exc}")
+            await self._refuse(exchange, exc)
+        except AttemptFailed as exc:
+            self._log(ticket, f"failed: {exc}")
+            await self._fail(exchange, relay, 502, exc.reason)
+        except TimeoutError:
+            self._log(ticket, "failed: deadline reached")
+            await self._deadline(ticket, exchange, relay)
+
+    def _make_view(self, entry: EndpointEntry) -> EndpointView:
+        plan = self.catalog.services.get(entry.service) if self.catalog else None
+        tokens = plan.cache_tokens if plan is not None else None
+        return EndpointView(entry, int(CACHE_PART * (tokens or 0)))
+
+    def _resolve(self, ticket: Ticket) -> None:
+        """Look the request up in the configuration in force; raise Denied or Refused."""
+        catalog = self.catalog
+        if catalog is None:
+            raise Refused("no_configuration", ELSEWHERE_RETRY_S)
+        call = ticket.call
+        route = catalog.route(call.host, call.path)
+        if route is None:
+            if not self.confirmed:
+                raise Refused("configuration_not_confirmed", ELSEWHERE_RETRY_S)
+            raise Denied(404, "no_route")
+        customer = None
+        if catalog.keyed and not route.public:
+            if self._cfg.strict_keys and not self.confirmed:
+                raise Refused("configuration_not_confirmed", ELSEWHERE_RETRY_S)
+            customer = catalog.customer(call.key)
+            if customer is None:
+                raise Denied(401, "unknown_key")
+        ticket.resolve(route, customer, share_of(route, call.request_id))
+
+    async def _serve(self, ticket: Ticket, relay: Relay) -> None:
+        """Make attempts until one is passed on; raise Refused, Denied or AttemptFailed."""
+        while True:
+            try:
+                if await self._attempt(ticket, relay):
+                    return
+            except AttemptFailed as exc:
+                self._log(ticket, f"attempt failed: {exc}")
+                if not self._may_repeat(ticket, exc):
+                    await self._give_up(ticket, relay, exc)
+                    return
+            except Refused as exc:
+                if ticket.may_have_run or relay.started:
+                    raise AttemptFailed(exc.reason) from exc
+                raise
+
+    async def _attempt(self, ticket: Ticket, relay: Relay) -> bool:
+        """Make one attempt; return False when the configuration moved the request meanwhile."""
+        placed = await self._placer.place(ticket)
+        service = ticket.service
+        try:
+            with Attempt(ticket, placed, self.pool, self._protocol, self._clock) as attempt:
+                if not relay.started:
+                    self._resolve(ticket)
+                if ticket.service != service:
+                    self._budget(ticket.service).arrived(ticket.received_s)
+                    return False
+                await relay.run(attempt)
+                return True
+        finally:
+            self._placer.pump(service)
+
+    def _may_repeat(self, ticket: Ticket, exc: AttemptFailed) -> bool:
+        if ticket.sends == 0:
+            return True
+        if self._clock() >= ticket.deadline_s or not ticket.may_repeat():
+            return False
+        return self._budget(ticket.service).spend(self._clock())
+
+    async def _give_up(self, ticket: Ticket, relay: Relay, exc: AttemptFailed) -> None:
+        if relay.failure is not None and not relay.started:
+            await relay.pass_failure()
+        elif not ticket.may_have_run:
+            raise Refused(exc.reason, DRAINING_RETRY_S) from exc
+        else:
+            raise exc
+
+    def _budget(self, service: str) -> AttemptBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            cfg = self._cfg
+            budget = AttemptBudget(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
+            self._budgets[service] = budget
+        return budget
+
+    def _watch_caller(self, ticket: Ticket, exchange: Exchange) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+
+        def on_gone() -> None:
+            if ticket.cancellable:
+                self._log(ticket, "caller left")
+                task.cancel()
+
+        exchange.when_gone(on_gone)
+
+    async def _refuse(self, exchange: Exchange, exc: Refused) -> None:
+        headers = (("retry-after", f"{exc.retry_after_s:g}"),)
+        await exchange.send_json(503, {"reason": exc.reason, "ran": "no"}, headers)
+
+    async def _fail(self, exchange: Exchange, relay: Relay, status: int, reason: str) -> None:
+        if relay.started:
+            exchange.abort()
+        else:
+            await exchange.send_json(status, {"reason": reason, "ran": "unknown"})
+
+    async def _deadline(self, ticket: Ticket, exchange: Exchange, relay: Relay) -> None:
+        if ticket.may_have_run:
+            await self._fail(exchange, relay, 504, "deadline")
+        else:
+            await self._refuse(exchange, Refused("deadline", ELSEWHERE_RETRY_S))
+
+    def _log(self, ticket: Ticket, message: str) -> None:
+        logger.info(
+            "%s",
+            message,
+            extra={
+                "request_id": ticket.call.request_id,
+                "service": ticket.service,
+                "sends": ticket.sends,
+            },
+        )
--- /dev/null
+++ b/cassiadrum/gateways/placers.py
@@ -0,0 +1,125 @@
+"""Waiting of requests for an endpoint."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cassiadrum.gateways.call_queues import CallQueue
+from cassiadrum.gateways.endpoint_directories import EndpointDirectory
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.errors import Refused
+from cassiadrum.gateways.placements import Placement
+from cassiadrum.gateways.tickets import Ticket
+
+__all__ = ["Placed", "Placer"]
+
+# Part of the latency target that a request waits here for an endpoint before it is refused.
+WAIT_PART = 0.3
+# When a full service is expected to have room again.
+FULL_RETRY_S = 0.5
+# An endpoint that starts needs about this long to register.
+NO_ENDPOINT_RETRY_S = 1.0
+
+
+class Placed(NamedTuple):
+    """Name the endpoint of an attempt, which counts the request from then on."""
+
+    view: EndpointView
+    # Prompt tokens that the endpoint is expected to read.
+    prefill_tokens: int
+
+
+class _Waiting(NamedTuple):
+    """Hold a request in the queue and the future of its endpoint."""
+
+    ticket: Ticket
+    fut: asyncio.Future[Placed]
+
+
+class Placer:
+    """Give each request an endpoint, at once or when one has room."""
+
+    def __init__(
+        self, directory: EndpointDirectory, placement: Placement, clock: Callable[[], float]
+    ) -> None:
+        self._directory = directory
+        self._placement = placement
+        self._clock = clock
+        self._queues: dict[str, CallQueue] = {}
+        self._waiting: dict[str, _Waiting] = {}
+
+    def waiting(self, service: str) -> int:
+        """Return the number of requests that wait for an endpoint of a service."""
+        return len(self._queues.get(service, ()))
+
+    async def place(self, ticket: Ticket) -> Placed:
+        """Return the endpoint for the next attempt; raise Refused when there is none in time.
+
+        The caller ends the request at the endpoint, by an Attempt.
+        """
+        views = self._directory.usable(ticket.service)
+        if not any(view.entry.instance not in ticket.tried for view in views):
+            raise Refused("no_endpoint", NO_ENDPOINT_RETRY_S)
+        if not self.waiting(ticket.service):
+            placed = self._choose(ticket)
+            if placed is not None:
+                return placed
+        return await self._wait(ticket)
+
+    def pump(self, service: str) -> None:
+        """Place what waits for a service, the most urgent first."""
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        for request_id in queue.ordered():
+            waiting = self._waiting[request_id]
+            if waiting.fut.done():
+                continue
+            placed = self._choose(waiting.ticket)
+            if placed is None:
+                return
+            queue.remove(request_id)
+            waiting.fut.set_result(placed)
+
+    def pump_all(self) -> None:
+        """Place what waits for any service."""
+        for service in self._queues:
+            self.pump(service)
+
+    def _choose(self, ticket: Ticket) -> Placed | None:
+        views = self._directory.usable(ticket.service)
+        view = self._placement.choose(ticket.call, views, self._clock(), ticket.tried)
+        if view is None:
+            return None
+        placed = Placed(view, self._placement.uncached_tokens(ticket.call, view))
+        view.start(placed.prefill_tokens)
+        return placed
+
+    async def _wait(self, ticket: Ticket) -> Placed:
+        assert ticket.route is not None
+        request_id = ticket.call.request_id
+        queue = self._queues.setdefault(ticket.service, CallQueue())
+        fut: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = _Waiting(ticket, fut)
+        queue.push(request_id, ticket.priority, ticket.target_s)
+        try:
+            async with asyncio.timeout(WAIT_PART * ticket.route.target_s):
+                return await asyncio.shield(fut)
+        except TimeoutError as exc:
+            self._release(fut)
+            raise Refused("overloaded", FULL_RETRY_S) from exc
+        except asyncio.CancelledError:
+            self._release(fut)
+            raise
+        finally:
+            queue.remove(request_id)
+            self._waiting.pop(request_id, None)
+
+    def _release(self, fut: asyncio.Future[Placed]) -> None:
+        """Give back an endpoint that was found just as the wait ended."""
+        if not fut.done():
+            fut.cancel()
+            return
+        view, prefill_tokens = fut.result()
+        view.answered(prefill_tokens, None, self._clock())
+        view.end()
--- /dev/null
+++ b/cassiadrum/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Adapter to the users' platform: settings, requests, store rows."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cassiadrum/platform/__main__.py
@@ -0,0 +1,28 @@
+"""Entry point of a gateway process on the platform."""
+
+import asyncio
+import sys
+
+from cassiadrum.logs import configure_logging
+from cassiadrum.platform.boot_settings import settings_path
+from cassiadrum.platform.errors import BadSettings
+from cassiadrum.platform.processes import GatewayProcess
+
+__all__ = ["main"]
+
+EXIT_BAD_INPUT = 2
+
+
+def main() -> None:
+    """Run a gateway until it is told to stop."""
+    try:
+        process = GatewayProcess(settings_path())
+    except BadSettings as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    configure_logging("json", "INFO", process.instance, sys.stdout)
+    asyncio.run(process.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cassiadrum/platform/call_codecs.py
@@ -0,0 +1,130 @@
+"""Calls and answers in the platform's headers."""
+
+import re
+
+from cassiadrum.gateways import (
+    AnswerHead,
+    Call,
+    CallProtocol,
+    EndpointEntry,
+    LoadSample,
+    PromptPart,
+)
+from cassiadrum.platform.wire_names import CONNECTION_HEADERS, GATEWAY_HEADERS, Header
+from cassiadrum.protocols import BadMessage, Headers, HttpRequest
+
+__all__ = ["PlatformProtocol"]
+
+LEAST_URGENT = 9
+MIN_TIMEOUT_MS = 1
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+
+class PlatformProtocol(CallProtocol):
+    """Translate between the platform's headers and the gateway's types."""
+
+    def decode_call(self, req: HttpRequest) -> Call:
+        """Return the call; raise BadMessage for a request without an id."""
+        request_id = req.header(Header.REQUEST_ID)
+        if not request_id:
+            raise BadMessage(400, "the request has no id")
+        prompt_tokens, max_output_tokens = _integers(req.header(Header.TOKENS), 2) or (0, 0)
+        keys = {value for name, value in req.headers if name == Header.KEY}
+        return Call(
+            request_id=request_id,
+            method=req.method,
+            target=req.target,
+            host=_host(req.header("host")),
+            headers=_passed_on(req.headers),
+            body=req.body,
+            key=keys.pop() if len(keys) == 1 else "",
+            timeout_s=_seconds(req.header(Header.TIMEOUT)),
+            prompt=_prompt(req.header(Header.PROMPT)),
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_output_tokens,
+            last_event_id=req.header(Header.LAST_EVENT_ID),
+        )
+
+    def encode_call(
+        self,
+        call: Call,
+        entry: EndpointEntry,
+        *,
+        customer: str,
+        priority: int,
+        timeout_s: float,
+        last_event_id: str,
+    ) -> Headers:
+        """Return the headers of a call to an endpoint, without those that frame the body."""
+        lines = [
+            (Header.INSTANCE_WANTED, entry.instance),
+            (Header.TIMEOUT, str(max(MIN_TIMEOUT_MS, int(timeout_s * 1000)))),
+            (Header.PRIORITY, str(min(LEAST_URGENT, max(0, priority)))),
+        ]
+        if customer:
+            lines.append((Header.CUSTOMER, customer))
+        if last_event_id:
+            lines.append((Header.LAST_EVENT_ID, last_event_id))
+        return (*call.headers, *lines)
+
+    def decode_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Return the head of an endpoint's answer."""
+        values = dict(headers)
+        load = _integers(values.get(Header.LOAD, ""), 3)
+        return AnswerHead(
+            status=status,
+            headers=tuple(line for line in headers if line[0] not in CONNECTION_HEADERS),
+            request_id=values.get(Header.REQUEST_ID, ""),
+            signed=Header.SIGNATURE in values,
+            not_run=Header.NOT_RUN in values or status == 421,
+            encoded=values.get("content-encoding", "identity") != "identity",
+            load=LoadSample(*load) if load else None,
+            idle_s=_keep_alive_s(values.get("keep-alive", "")),
+        )
+
+
+def _host(text: str) -> str:
+    return text.partition(":")[0].lower()
+
+
+def _passed_on(headers: Headers) -> Headers:
+    """Return the headers without those of the connection and those that the gateway sets."""
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key == "connection"
+        for name in value.split(",")
+    }
+    dropped = CONNECTION_HEADERS | GATEWAY_HEADERS | (named - {Header.REQUEST_ID})
+    return tuple(line for line in headers if line[0] not in dropped)
+
+
+def _seconds(text: str) -> float | None:
+    try:
+        return max(0.0, float(text) / 1000)
+    except ValueError:
+        return None
+
+
+def _integers(text: str, size: int) -> tuple[int, ...] | None:
+    """Return the integers of a list separated by commas, None if there are not `size`."""
+    try:
+        found = tuple(int(part) for part in text.split(","))
+    except ValueError:
+        return None
+    return found if len(found) == size else None
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(",") if text else ():
+        part_id, _, tokens = item.partition(":")
+        if not tokens.isdigit():
+            return ()
+        parts.append(PromptPart(part_id.strip(), int(tokens)))
+    return tuple(parts)
+
+
+def _keep_alive_s(text: str) -> float | None:
+    found = KEEP_ALIVE_TIMEOUT.search(text)
+    return float(found[1]) if found else None
--- /dev/null
+++ b/cassiadrum/platform/processes.py
@@ -0,0 +1,173 @@
+"""Composition root of a gateway process on the platform."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+from pathlib import Path
+
+from cassiadrum.gateways import Catalog, Gateway, GatewaySettings
+from cassiadrum.platform.boot_settings import BootSettings, load_boot_settings
+from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.platform.errors import BadSettings
+from cassiadrum.platform.row_stores import RowStore
+from cassiadrum.platform.table_followers import TableFollower, TableSink
+from cassiadrum.platform.table_sinks import (
+    CONFIGURATION_TABLE,
+    ENDPOINT_TABLE,
+    ConfigurationSink,
+    EndpointSink,
+)
+from cassiadrum.protocols import Exchange, HttpServer
+
+__all__ = ["GatewayProcess"]
+
+logger = logging.getLogger(__name__)
+
+READY_PATH = "/-/ready"
+# Part of `revoke_s` up to which a configuration counts as confirmed; the rest covers the way of a
+# request to its endpoint.
+CONFIRMED_PART = 0.8
+# Longest wait of a call for changes, as a part of the time after which a machine that lost its
+# connections silently has to act on changes again.
+WAIT_PART = 0.6
+# Entries that lapsed during an outage of the store are back within two seconds of its return.
+RETURN_GRACE_S = 2.0
+# Part of the retry budget's number that one gateway may use by itself; deployments have up to
+# about 30 gateways.
+SPARE_PART = 1 / 32
+# After SIGTERM new connections still arrive until the readiness checks have failed twice.
+ACCEPT_AFTER_STOP_S = 2.6
+STOP_MARGIN_S = 0.4
+WATCH_FILE_S = 1.0
+
+
+class GatewayProcess:
+    """Run a gateway by the platform's settings file until it is told to stop."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._cfg = load_boot_settings(path)
+        bounds = self._cfg.bounds
+        self.gateway = Gateway(
+            GatewaySettings(
+                zone=self._cfg.zone,
+                retry_ratio=bounds.retry_ratio,
+                retry_spare=bounds.retry_spare * SPARE_PART,
+                retry_window_s=bounds.retry_window_s,
+                confirmation_limit_s=bounds.revoke_s * CONFIRMED_PART,
+                strict_keys=bounds.strict_keys,
+                return_grace_s=RETURN_GRACE_S,
+            ),
+            PlatformProtocol(),
+        )
+        self._calls = HttpServer(self.gateway.handle)
+        self._readiness = HttpServer(self._answer_ready)
+        self.gateway.on_catalog = self._take_limits
+        self._tasks: list[asyncio.Task[None]] = []
+        self._followers: list[asyncio.Task[None]] = []
+
+    @property
+    def instance(self) -> str:
+        """Return the name of this process's machine."""
+        return self._cfg.instance
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then end what is in flight."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGINT, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        cfg = self._cfg
+        await self._calls.start(cfg.calls.host, cfg.calls.port)
+        await self._readiness.start(cfg.readiness.host, cfg.readiness.port)
+        self._follow(cfg)
+        self._tasks = [
+            asyncio.create_task(self.gateway.run()),
+            asyncio.create_task(self._watch_file()),
+        ]
+        logger.info("started in zone %s", cfg.zone)
+        await stopping.wait()
+        await self._stop()
+
+    def _follow(self, cfg: BootSettings) -> None:
+        """Follow the configuration and the endpoints at the store's address."""
+        for task in self._followers:
+            task.cancel()
+        self._followers.clear()
+        bounds = cfg.bounds
+        sinks: list[tuple[str, TableSink, float]] = [
+            (
+                CONFIGURATION_TABLE,
+                ConfigurationSink(self.gateway),
+                WAIT_PART * min(bounds.contact_s, bounds.revoke_s * CONFIRMED_PART),
+            ),
+            (ENDPOINT_TABLE, EndpointSink(self.gateway), WAIT_PART * bounds.contact_s),
+        ]
+        for table, sink, wait_s in sinks:
+            follower = TableFollower(RowStore(cfg.store), table, sink, wait_s)
+            self._followers.append(asyncio.create_task(follower.run()))
+
+    def _take_limits(self, catalog: Catalog) -> None:
+        limits = catalog.limits
+        self._calls.set_limits(
+            header_limit=limits.header_bytes,
+            body_limit=limits.body_bytes,
+            read_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        known = exchange.req.path == READY_PATH
+        status = 404 if not known else 200 if self.gateway.ready else 503
+        await exchange.send(status, b"", "text/plain")
+
+    def _reload(self) -> None:
+        """Take changed settings; those in force stay where the file is not valid."""
+        try:
+            cfg = load_boot_settings(self._path)
+        except BadSettings as exc:
+            logger.error("settings not taken: %s", exc)
+            return
+        if cfg == self._cfg:
+            return
+        logger.info("settings changed")
+        store_changed = cfg.store != self._cfg.store
+        self._cfg = cfg
+        if store_changed:
+            self._follow(cfg)
+
+    async def _watch_file(self) -> None:
+        """Reload the settings when the file changes without a signal."""
+        seen = _changed_ns(self._path)
+        while True:
+            await asyncio.sleep(WATCH_FILE_S)
+            changed = _changed_ns(self._path)
+            if changed not in (seen, 0):
+                seen = changed
+                self._reload()
+
+    async def _stop(self) -> None:
+        """Turn new connections away, end what is in flight and close."""
+        logger.info("stopping")
+        grace_s = self._cfg.bounds.grace_s - STOP_MARGIN_S
+        self.gateway.draining = True
+        self._calls.drain()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s):
+                await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+                await self._calls.close()
+        await self._calls.abort()
+        await self._readiness.abort()
+        for task in (*self._tasks, *self._followers):
+            task.cancel()
+        self.gateway.pool.close()
+        logger.info("stopped")
+
+
+def _changed_ns(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -15,15 +15,25 @@
 
 
 class Exchange:
-    """Answer one request; `gone` is set when the client closes its connection."""
+    """Answer one request; `gone` is set when the client closes its connection.
 
-    def __init__(self, req: HttpRequest, conn: h11.Connection, writer: asyncio.StreamWriter):
+    The answer announces the connection's end when `closing` returns true at its head.
+    """
+
+    def __init__(
+        self,
+        req: HttpRequest,
+        conn: h11.Connection,
+        writer: asyncio.StreamWriter,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.req = req
         self.gone = asyncio.Event()
         self.started = False
         self.ended = False
         self._conn = conn
         self._writer = writer
+        self._closing = closing
         self._unsent: list[bytes] = []
         self._chunked = False
         self._on_gone: Callable[[], None] | None = None
@@ -51,6 +61,8 @@
         chunked = "content-length" not in names
         if chunked:
             headers = (*headers, ("transfer-encoding", "chunked"))
+        if self._closing():
+            headers = (*headers, ("connection", "close"))
         self.started = True
         self._put(h11.Response(status_code=status, headers=list(headers)))
         self._chunked = (
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -12,7 +12,7 @@
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
-from cassiadrum.protocols.request_readers import READ_BYTES, RequestReader
+from cassiadrum.protocols.request_readers import READ_BYTES, ReadLimits, RequestReader
 from cassiadrum.protocols.watched_readers import WatchedReader
 
 __all__ = ["HttpServer"]
@@ -45,6 +45,8 @@
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._closing = False
+        self._draining = False
+        self._header_limit = LIMITS.HEADER_BYTES
         self._bodies = BodyBudget(body_budget, LIMITS.BODY_FREE_BYTES)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
@@ -55,6 +57,24 @@
         bound: int = self._server.sockets[0].getsockname()[1]
         return bound
 
+    def set_limits(
+        self,
+        *,
+        header_limit: int,
+        body_limit: int,
+        read_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        """Change the limits in bytes and seconds for requests that are read from now on."""
+        self._header_limit = header_limit
+        self._body_limit = body_limit
+        self._read_timeout_s = read_timeout_s
+        self._idle_timeout_s = idle_timeout_s
+
+    def drain(self) -> None:
+        """Let each connection end with its next answer."""
+        self._draining = True
+
     async def close(self) -> None:
         """Stop listening, let running exchanges end and close idle connections."""
         self._closing = True
@@ -104,6 +124,11 @@
             self._busy.discard(task)
             writer.close()
 
+    def _limits(self) -> ReadLimits:
+        return ReadLimits(
+            self._header_limit, self._body_limit, self._read_timeout_s, self._idle_timeout_s
+        )
+
     def _make_room(self) -> bool:
         """Close the oldest idle connection at the limit; return whether a new one may stay.
 
@@ -124,16 +149,8 @@
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
     ) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=LIMITS.HEADER_BYTES)
-        requests = RequestReader(
-            conn,
-            reader,
-            writer,
-            self._bodies,
-            body_limit=self._body_limit,
-            read_timeout_s=self._read_timeout_s,
-            idle_timeout_s=self._idle_timeout_s,
-        )
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_limit)
+        requests = RequestReader(conn, reader, writer, self._bodies, self._limits)
         again = True
         while again and not self._closing:
             try:
@@ -158,7 +175,7 @@
         if req is None:
             return False
         self._busy.add(task)
-        await self._run(Exchange(req, conn, writer), reader)
+        await self._run(Exchange(req, conn, writer, closing=lambda: self._draining), reader)
         self._busy.discard(task)
         if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
             return False
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -1,21 +1,31 @@
 """Reader of whole requests from one server connection."""
 
 import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
 
 import h11
 
-from cassiadrum.defaults import LIMITS
 from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.http_requests import HttpRequest
 
-__all__ = ["READ_BYTES", "RequestReader"]
+__all__ = ["READ_BYTES", "ReadLimits", "RequestReader"]
 
 READ_BYTES = 64 * 1024
 
 
+class ReadLimits(NamedTuple):
+    """Bound a request in bytes, and the time in seconds for it and for the idle time before."""
+
+    header_bytes: int
+    body_bytes: int
+    read_timeout_s: float
+    idle_timeout_s: float
+
+
 class RequestReader:
-    """Read requests within a body limit in bytes and time limits in seconds."""
+    """Read requests, each within the limits that `limits` returns when its reading begins."""
 
     def __init__(
         self,
@@ -23,17 +33,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         budget: BodyBudget,
-        *,
-        body_limit: int,
-        read_timeout_s: float,
-        idle_timeout_s: float,
+        limits: Callable[[], ReadLimits],
     ) -> None:
         self._conn = conn
         self._reader = reader
         self._writer = writer
-        self._body_limit = body_limit
-        self._read_timeout_s = read_timeout_s
-        self._idle_timeout_s = idle_timeout_s
+        self._limits_now = limits
+        self._limits = limits()
         self._budget = budget
         self._deadline = 0.0
         # Bytes of the current body, which are returned to the budget by `release`.
@@ -45,7 +51,8 @@
         Raises BadMessage for invalid HTTP, a body over the limit or the budget, and a request
         that is not complete within the read timeout.
         """
-        self._deadline = self._now() + self._idle_timeout_s
+        self._limits = self._limits_now()
+        self._deadline = self._now() + self._limits.idle_timeout_s
         head = await self._read_head()
         if head is None:
             return None
@@ -59,8 +66,8 @@
 
     def _hold(self, more_bytes: int) -> None:
         size = self._held_bytes + more_bytes
-        if size > self._body_limit:
-            raise BadMessage(413, f"the body is larger than {self._body_limit} bytes")
+        if size > self._limits.body_bytes:
+            raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
         if not self._budget.grow(self._held_bytes, size):
             raise BadMessage(503, "the bodies of other requests take all the memory for bodies")
         self._held_bytes = size
@@ -69,8 +76,9 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
-                _check_size(event)
+                _check_size(event, self._limits.header_bytes)
                 _check_framing(event)
+                self._check_length(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -78,7 +86,13 @@
             if not await self._receive(started=started):
                 return None
             if not started:
-                self._deadline = self._now() + self._read_timeout_s
+                self._deadline = self._now() + self._limits.read_timeout_s
+
+    def _check_length(self, head: h11.Request) -> None:
+        """Refuse a body over the limit before any of it is read."""
+        length = next((value for name, value in head.headers if name == b"content-length"), b"0")
+        if int(length) > self._limits.body_bytes:
+            raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
 
     async def _read_body(self) -> bytes | None:
         parts: list[bytes] = []
@@ -109,7 +123,7 @@
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError as exc:
             if started:
-                limit = f"{self._read_timeout_s:g} s"
+                limit = f"{self._limits.read_timeout_s:g} s"
                 raise BadMessage(408, f"the request did not arrive within {limit}") from exc
             return False
         self._conn.receive_data(data)
@@ -120,11 +134,11 @@
         return asyncio.get_running_loop().time()
 
 
-def _check_size(head: h11.Request) -> None:
+def _check_size(head: h11.Request, limit: int) -> None:
     """Refuse a head over the limit; h11 applies its own limit to incomplete heads only."""
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
-    if size > LIMITS.HEADER_BYTES:
-        raise BadMessage(431, f"the headers are larger than {LIMITS.HEADER_BYTES} bytes")
+    if size > limit:
+        raise BadMessage(431, f"the headers are larger than {limit} bytes")
 
 
 def _check_framing(head: h11.Request) -> None:
