--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -72,13 +72,11 @@
         if not shared:
             return None
         key = shared[-1].part_id
-        return max(
-            views, key=lambda view: xxhash.xxh64_intdigest((key + view.entry.instance).encode())
-        )
+        return max(views, key=lambda view: _rank(key, view))
 
     def _cost(
         self, call: Call, view: EndpointView, home: EndpointView | None, now: float
-    ) -> tuple[float, float]:
+    ) -> tuple[int, int]:
         cfg = self._cfg
         cost = view.failures(now) * cfg.failure_ms
         cost += view.entry.cold_s * cfg.cold_ms_per_s
@@ -95,5 +93,9 @@
             cost += view.outstanding(now) * cfg.outstanding_ms
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
-        tie = xxhash.xxh32_intdigest((call.request_id + view.entry.instance).encode())
-        return cost, tie
+        # Whole milliseconds, so that endpoints which hardly differ share the work.
+        return round(cost), _rank(call.request_id, view)
+
+
+def _rank(key: str, view: EndpointView) -> int:
+    return xxhash.xxh32_intdigest((key + view.entry.instance).encode())
--- /dev/null
+++ b/cassiadrum/platform/standins/__init__.py
@@ -0,0 +1,6 @@
+"""Stand-ins of the platform's store and endpoints for tests and trials on loopback."""
+
+from cassiadrum.platform.standins.endpoint_services import EndpointRun, EndpointService
+from cassiadrum.platform.standins.row_services import RowService, StoreFault
+
+__all__ = ["EndpointRun", "EndpointService", "RowService", "StoreFault"]
--- /dev/null
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -0,0 +1,115 @@
+"""A stand-in of an endpoint on the platform: plain calls and resumable streams, with faults."""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+from cassiadrum.platform.wire_names import Header
+from cassiadrum.protocols import Exchange, Headers, HttpServer
+
+__all__ = ["EndpointRun", "EndpointService"]
+
+
+class EndpointRun(NamedTuple):
+    """Record a request that ran here; header names are lower case."""
+
+    request_id: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class EndpointService:
+    """Answer every call with its own name; a call with an output size gets a stream of events.
+
+    `refuse` answers without running, `hang` never answers, `cut_after` breaks each stream off
+    after so many events, `fail` runs a request and answers 500.
+    """
+
+    def __init__(self, instance: str, *, slots: int = 8, event_s: float = 0.0) -> None:
+        self.instance = instance
+        self.runs: list[EndpointRun] = []
+        # Requests that stopped because their connection was closed.
+        self.stopped: list[str] = []
+        self.refuse = False
+        self.hang = False
+        self.fail = False
+        self.cut_after: int | None = None
+        self.running = 0
+        self._slots = slots
+        self._event_s = event_s
+        self._server = HttpServer(self._handle)
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen."""
+        self.address = f"{host}:{await self._server.start(host, port)}"
+
+    async def close(self) -> None:
+        """Cut every connection, as a crash does."""
+        await self._server.abort()
+
+    def entry(self, service: str, *, state: str = "ready", zone: str = "a") -> dict[str, object]:
+        """Return the registration."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": self._slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "born": 1,
+            "seq": 1,
+        }
+
+    async def _handle(self, exchange: Exchange) -> None:
+        req = exchange.req
+        request_id = req.header(Header.REQUEST_ID)
+        wanted = req.header(Header.INSTANCE_WANTED)
+        if wanted and wanted != self.instance:
+            await exchange.send_json(421, {}, (("x-cassiadrum-instance-id", self.instance),))
+            return
+        if self.refuse:
+            await exchange.send_json(503, {}, ((Header.NOT_RUN, "1"),))
+            return
+        self.runs.append(EndpointRun(request_id, req.target, dict(req.headers), req.body))
+        self.running += 1
+        try:
+            await self._run(exchange, request_id)
+        finally:
+            self.running -= 1
+
+    async def _run(self, exchange: Exchange, request_id: str) -> None:
+        if self.hang:
+            await exchange.gone.wait()
+            self.stopped.append(request_id)
+            return
+        head: Headers = (
+            (Header.REQUEST_ID, request_id),
+            (Header.SIGNATURE, f"signed-by-{self.instance}"),
+            (Header.LOAD, f"{self.running},0,{self._slots}"),
+        )
+        if self.fail:
+            await exchange.send_json(500, {"from": self.instance}, head)
+        elif exchange.req.header(Header.TOKENS):
+            await self._stream(exchange, head, request_id)
+        else:
+            await exchange.send(200, self.instance.encode(), "text/plain", head)
+
+    async def _stream(self, exchange: Exchange, head: Headers, request_id: str) -> None:
+        first = int(exchange.req.header(Header.LAST_EVENT_ID) or "0") + 1
+        count = int(exchange.req.header(Header.TOKENS).split(",")[1])
+        await exchange.send_head(200, (*head, ("content-type", "text/event-stream")))
+        for sent, number in enumerate(range(first, count + 1)):
+            if sent == self.cut_after:
+                await exchange.send_data(f"id: {number}\nda".encode())
+                exchange.abort()
+                return
+            if exchange.gone.is_set():
+                self.stopped.append(request_id)
+                return
+            event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
+            await exchange.send_data(event.encode())
+            await asyncio.sleep(self._event_s)
+        await exchange.end()
--- /dev/null
+++ b/cassiadrum/platform/standins/row_services.py
@@ -0,0 +1,172 @@
+"""A stand-in of the platform's store: rows, their changes, and its faults."""
+
+import asyncio
+import base64
+import json
+import time
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs
+
+from cassiadrum.protocols import Exchange, HttpServer
+
+__all__ = ["RowService", "StoreFault"]
+
+PAGE_ROWS = 500
+
+
+class StoreFault(Enum):
+    """Name what the store does instead of answering."""
+
+    NONE = "none"
+    BUSY = "busy"
+    RATE_LIMITED = "rate_limited"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class RowService:
+    """Serve the rows of tables; `fault` and `slow_s` change how calls are answered."""
+
+    def __init__(self) -> None:
+        self.fault = StoreFault.NONE
+        self.slow_s = 0.0
+        self.calls = 0
+        self._rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+        # All changes in order; a row that was removed is marked.
+        self._history: list[dict[str, Any]] = []
+        self._oldest = 0
+        self._version = 0
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle)
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Listen and return the port."""
+        return await self._server.start(host, port)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self._server.abort()
+
+    def put(self, table: str, key: str, value: object) -> int:
+        """Write a row as the operator or an endpoint does; return its version."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return self._apply([self._row(table, "", key, base64.b64encode(data).decode())])
+
+    def remove(self, table: str, key: str) -> int:
+        """Drop a row and return the version of the change."""
+        return self._apply([{"table": table, "part": "", "key": key, "removed": True}])
+
+    def forget_history(self) -> None:
+        """Drop all past changes, so that followers have to read in full."""
+        self._oldest = self._version
+        self._history.clear()
+
+    def rows(self, table: str) -> list[dict[str, Any]]:
+        """Return the rows of a table in the order of their keys."""
+        found = [row for (name, _, _), row in self._rows.items() if name == table]
+        return sorted(found, key=lambda row: str(row["key"]))
+
+    async def _handle(self, exchange: Exchange) -> None:
+        self.calls += 1
+        if self.fault is StoreFault.SILENT:
+            await exchange.gone.wait()
+        elif self.fault is StoreFault.RESET:
+            exchange.abort()
+        elif self.fault is StoreFault.BUSY:
+            await exchange.send_json(503, {})
+        elif self.fault is StoreFault.RATE_LIMITED:
+            await exchange.send_json(429, {})
+        else:
+            await asyncio.sleep(self.slow_s)
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        query = {name: values[0] for name, values in parse_qs(exchange.req.query).items()}
+        path = exchange.req.path
+        if path == "/-/rows-get":
+            await exchange.send_json(200, self._get(query))
+        elif path == "/-/rows-feed":
+            await self._feed(exchange, query)
+        elif path == "/-/rows-tx":
+            await exchange.send_json(*self._transact(json.loads(exchange.req.body)))
+        else:
+            await exchange.send_json(404, {})
+
+    def _get(self, query: dict[str, str]) -> dict[str, Any]:
+        limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
+        start, end = query.get("from", ""), query.get("to")
+        rows = [
+            row
+            for row in self.rows(query["table"])
+            if row["part"] == query.get("part", "")
+            and row["key"] >= start
+            and (end is None or row["key"] < end)
+        ]
+        return self._dated({"rows": rows[:limit], "truncated": len(rows) > limit})
+
+    async def _feed(self, exchange: Exchange, query: dict[str, str]) -> None:
+        since = int(query["since_rev"])
+        deadline_s = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
+        while since >= self._oldest:
+            rows = [
+                row
+                for row in self._history
+                if row["table"] == query["table"] and row["ver"] > since
+            ]
+            left_s = deadline_s - time.monotonic()
+            if rows or left_s <= 0.0:
+                await exchange.send_json(200, self._dated({"rows": rows}))
+                return
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+        await exchange.send_json(410, {})
+
+    def _transact(self, call: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        expected = call.get("expected_rev", [])
+        keys = [(row["table"], row.get("part", ""), row["key"]) for row in expected]
+        current = [self._rows.get(key) for key in keys]
+        if any(
+            (found["ver"] if found else 0) != row["ver"]
+            for found, row in zip(current, expected, strict=True)
+        ):
+            return 412, self._dated({"rows": [row for row in current if row]})
+        changes = [
+            self._row(row["table"], row.get("part", ""), row["key"], row["value"])
+            for row in call.get("set_keys", [])
+        ]
+        changes += [
+            {
+                "table": row["table"],
+                "part": row.get("part", ""),
+                "key": row["key"],
+                "removed": True,
+            }
+            for row in call.get("remove", [])
+        ]
+        self._apply(changes)
+        return 200, self._dated({})
+
+    def _apply(self, changes: list[dict[str, Any]]) -> int:
+        self._version += 1
+        for row in changes:
+            row["ver"] = self._version
+            key = (row["table"], row["part"], row["key"])
+            if row.get("removed"):
+                self._rows.pop(key, None)
+            else:
+                self._rows[key] = row
+            self._history.append(row)
+        self._changed.set()
+        return self._version
+
+    def _dated(self, answer: dict[str, Any]) -> dict[str, Any]:
+        return {**answer, "ver": self._version, "now_ms": time.monotonic() * 1000}
+
+    @staticmethod
+    def _row(table: str, part: str, key: str, value: str) -> dict[str, Any]:
+        return {"table": table, "part": part, "key": key, "value": value}
--- /dev/null
+++ b/cassiadrum/tests/gateways/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/cassiadrum/tests/gateways/conftest.py
@@ -0,0 +1,121 @@
+"""Fixtures of a gateway process on loopback."""
+
+import asyncio
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from cassiadrum.protocols import ConnectFailed, HttpClient
+from cassiadrum.tests.gateways.sites import (
+    Caller,
+    PlatformSite,
+    make_settings,
+    poll_until,
+    write_settings,
+)
+
+START_LIMIT_S = 20.0
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class GatewayRun:
+    """A gateway process and its addresses."""
+
+    def __init__(self, settings_path: Path, calls_port: int, ready_port: int, log: Path) -> None:
+        self.calls_port = calls_port
+        self.ready_port = ready_port
+        self.log = log
+        self.settings_path = settings_path
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        env = {**os.environ, "CASSIADRUM_NODE_FILE": str(self.settings_path)}
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "cassiadrum.platform", env=env, stdout=log, stderr=log
+            )
+
+    @property
+    def process(self) -> asyncio.subprocess.Process:
+        """Return the running process."""
+        assert self._process is not None
+        return self._process
+
+    async def ready(self) -> bool:
+        """Return whether the process says that it is ready."""
+        client = HttpClient("127.0.0.1", self.ready_port)
+        try:
+            response = await client.request("GET", "/-/ready")
+            await response.read()
+        except ConnectFailed:
+            return False
+        finally:
+            client.close()
+        return response.status == 200
+
+    async def wait_listening(self) -> None:
+        """Wait until the process answers readiness checks."""
+        await poll_until(self.listening, START_LIMIT_S)
+
+    async def listening(self) -> bool:
+        """Return whether the process answers readiness checks."""
+        client = HttpClient("127.0.0.1", self.ready_port)
+        try:
+            await (await client.request("GET", "/-/ready")).read()
+        except ConnectFailed:
+            return False
+        finally:
+            client.close()
+        return True
+
+    async def wait_ready(self, *, ready: bool = True, limit_s: float = START_LIMIT_S) -> None:
+        """Wait until the process says that it is ready, or that it is not."""
+
+        async def reached() -> bool:
+            return await self.ready() == ready
+
+        await poll_until(reached, limit_s)
+
+    async def kill(self) -> None:
+        """End the process if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[PlatformSite]:
+    site = PlatformSite()
+    await site.start()
+    yield site
+    await site.close()
+
+
+@pytest.fixture
+async def gateway(site: PlatformSite, tmp_path: Path) -> AsyncIterator[GatewayRun]:
+    calls_port, ready_port = free_port(), free_port()
+    path = tmp_path / "boot.json"
+    write_settings(path, make_settings(site.store_port, calls_port, ready_port))
+    run = GatewayRun(path, calls_port, ready_port, tmp_path / "gateway.log")
+    await run.start()
+    yield run
+    await run.kill()
+
+
+@pytest.fixture
+async def caller(gateway: GatewayRun) -> AsyncIterator[Caller]:
+    await gateway.wait_ready()
+    caller = Caller(gateway.calls_port)
+    yield caller
+    caller.close()
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -0,0 +1,205 @@
+"""Tests of budgets, queue, directory, confirmation and event order."""
+
+import pytest
+
+from cassiadrum.gateways.attempt_budgets import AttemptBudget
+from cassiadrum.gateways.cached_parts import CachedParts
+from cassiadrum.gateways.call_queues import CallQueue
+from cassiadrum.gateways.calls import PromptPart
+from cassiadrum.gateways.catalogs import Share, share_of
+from cassiadrum.gateways.confirmations import Confirmation
+from cassiadrum.gateways.endpoint_directories import EndpointDirectory
+from cassiadrum.gateways.endpoint_entries import Incarnation
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.errors import AttemptFailed
+from cassiadrum.gateways.event_sequences import EventSequence
+from cassiadrum.tests.gateways.makers import make_catalog, make_entry, make_route
+
+
+class TestAttemptBudget:
+    """Guards against more repeated attempts than the deployment permits, in any window."""
+
+    def test_sum_of_gateways_keeps_the_bound(self) -> None:
+        ratio, slack, window_s = 0.2, 58.0, 10.0
+        budgets = [AttemptBudget(ratio, slack / 32, window_s) for _ in range(6)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for step in range(4000):
+            now = step * 0.01
+            budget = budgets[step % 6]
+            budget.arrived(now)
+            requests.append(now)
+            if budget.spend(now):
+                repeats.append(now)
+        for start_s in range(0, 30):
+            in_window = [t for t in repeats if start_s <= t < start_s + window_s]
+            first = [t for t in requests if start_s <= t < start_s + window_s]
+            assert len(in_window) <= ratio * len(first) + slack
+
+    def test_first_failures_may_be_repeated_at_once(self) -> None:
+        budget = AttemptBudget(0.2, 1.8, 10.0)
+        budget.arrived(0.0)
+        assert budget.spend(0.0)
+
+    def test_old_requests_permit_nothing(self) -> None:
+        budget = AttemptBudget(1.0, 0.0, 10.0)
+        budget.arrived(0.0)
+        assert not budget.spend(10.5)
+
+
+class TestCallQueue:
+    """Guards against a burst of a less urgent class that keeps a more urgent one waiting."""
+
+    def test_priority_then_target(self) -> None:
+        queue = CallQueue()
+        for number in range(50):
+            queue.push(f"low-{number}", 2, 1.0)
+        queue.push("late", 0, 9.0)
+        queue.push("soon", 0, 2.0)
+        assert queue.ordered()[:2] == ["soon", "late"]
+
+    def test_removed_request_is_not_listed(self) -> None:
+        queue = CallQueue()
+        queue.push("a", 0, 1.0)
+        queue.remove("a")
+        assert not queue.ordered()
+        assert not len(queue)
+
+
+class TestCachedParts:
+    """Guards against counting on parts that an endpoint has dropped."""
+
+    def test_least_recently_used_yields(self) -> None:
+        cached = CachedParts(250)
+        first, second, third = (PromptPart(name, 100) for name in "abc")
+        cached.add((first,))
+        cached.add((second,))
+        cached.add((first,))
+        cached.add((third,))
+        assert cached.matched_tokens((second,)) == 0
+        assert cached.matched_tokens((first,)) == 100
+
+    def test_a_part_counts_only_behind_all_before_it(self) -> None:
+        cached = CachedParts(1000)
+        first, second = PromptPart("a", 100), PromptPart("b", 50)
+        cached.add((second,))
+        assert cached.matched_tokens((first, second)) == 0
+
+
+class TestEndpointDirectory:
+    """Guards against work for endpoints that are gone, and against losing living ones."""
+
+    def make(self) -> tuple[EndpointDirectory, list[Incarnation]]:
+        gone: list[Incarnation] = []
+        return EndpointDirectory(lambda e: EndpointView(e, 0), gone.append, 2.0), gone
+
+    def test_removed_endpoint_gets_nothing_at_once(self) -> None:
+        directory, gone = self.make()
+        entry = make_entry("i-0")
+        directory.put(entry)
+        directory.remove("i-0", 1.0)
+        assert not directory.usable("drafts")
+        assert gone == [entry.incarnation]
+
+    def test_leaving_endpoint_gets_nothing_also_after_an_outage(self) -> None:
+        directory, _ = self.make()
+        directory.put(make_entry("i-0"))
+        directory.store_returned(1.0)
+        directory.put(make_entry("i-0", leaving=True))
+        assert not directory.usable("drafts")
+
+    def test_entry_that_lapsed_in_an_outage_stays_for_its_grace(self) -> None:
+        directory, _ = self.make()
+        directory.put(make_entry("i-0"))
+        directory.put(make_entry("i-1"))
+        directory.store_returned(10.0)
+        directory.replace([], 10.0)
+        assert len(directory.usable("drafts")) == 2
+        directory.put(make_entry("i-1"))
+        assert directory.expire(12.1) == ["i-0"]
+        assert [view.entry.instance for view in directory.usable("drafts")] == ["i-1"]
+
+    def test_new_incarnation_starts_without_beliefs(self) -> None:
+        directory, gone = self.make()
+        directory.put(make_entry("i-0"))
+        directory.usable("drafts")[0].failed(0.0)
+        directory.put(make_entry("i-0", started_ms=2))
+        assert directory.usable("drafts")[0].failures(0.0) == 0.0
+        assert len(gone) == 1
+
+    def test_changed_entry_keeps_beliefs(self) -> None:
+        directory, gone = self.make()
+        directory.put(make_entry("i-0"))
+        directory.usable("drafts")[0].failed(0.0)
+        directory.put(make_entry("i-0", cold_s=1.0))
+        assert directory.usable("drafts")[0].failures(0.0) > 0.0
+        assert not gone
+
+
+class TestConfirmation:
+    """Guards against serving keys that were taken away while this machine heard nothing."""
+
+    def test_unknown_is_not_recent(self) -> None:
+        assert not Confirmation(4.0).valid(0.0)
+
+    def test_answer_that_was_held_up_is_dated_by_the_store(self) -> None:
+        confirmation = Confirmation(4.0)
+        confirmation.answered(100.0, 9.9, 10.0)
+        # The machine stood still for 6 s with this answer in its socket.
+        confirmation.answered(101.0, 10.0, 17.0)
+        assert confirmation.age_s(17.0) == pytest.approx(6.0)
+        assert not confirmation.valid(17.0)
+
+    def test_restarted_clock_of_the_store_is_learned_again(self) -> None:
+        confirmation = Confirmation(4.0)
+        confirmation.answered(100.0, 9.9, 10.0)
+        confirmation.answered(1.0, 19.9, 20.0)
+        assert confirmation.age_s(20.0) == pytest.approx(0.0)
+
+
+class TestEventSequence:
+    """Guards against a stream with a missing, repeated or torn event."""
+
+    def test_event_in_two_parts_is_passed_whole(self) -> None:
+        events = EventSequence("")
+        assert events.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+        assert events.feed(b"ta: b\n\n") == b"id: 2\ndata: b\n\n"
+        assert events.last_id == "2"
+
+    def test_resumed_stream_goes_on_after_the_last_whole_event(self) -> None:
+        events = EventSequence("")
+        events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        events.restart()
+        assert events.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+    @pytest.mark.parametrize("event", [b"id: 1\ndata: a\n\n", b"id: 3\ndata: c\n\n"])
+    def test_gap_and_repetition_fail(self, event: bytes) -> None:
+        events = EventSequence("")
+        events.feed(b"id: 1\ndata: a\n\n")
+        with pytest.raises(AttemptFailed):
+            events.feed(event)
+
+    def test_end_inside_an_event_fails(self) -> None:
+        events = EventSequence("")
+        events.feed(b"id: 1\nda")
+        with pytest.raises(AttemptFailed):
+            events.end()
+
+
+class TestCatalog:
+    """Guards against requests that reach another service than the configuration says."""
+
+    def test_longest_prefix_wins(self) -> None:
+        routes = make_route(prefix="/a/", name="short"), make_route(prefix="/a/b/", name="long")
+        catalog = make_catalog(*routes)
+        found = catalog.route("host.example", "/a/b/c")
+        assert found is not None
+        assert found.name == "long"
+        assert catalog.route("host.example", "/ab") is None
+        assert catalog.route("other.example", "/a/b/c") is None
+
+    def test_split_follows_the_weights_and_is_stable(self) -> None:
+        route = make_route(shares=(Share("x", 90.0), Share("y", 10.0)))
+        chosen = [share_of(route, f"r{number}") for number in range(2000)]
+        assert 0.06 < chosen.count("y") / 2000 < 0.14
+        assert chosen == [share_of(route, f"r{number}") for number in range(2000)]
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -0,0 +1,271 @@
+"""Tests of a gateway process between callers, endpoints and the platform's store."""
+
+import asyncio
+import signal
+
+import pytest
+
+from cassiadrum.platform.standins import StoreFault
+from cassiadrum.platform.wire_names import Header
+from cassiadrum.protocols import AnswerLost
+from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.sites import (
+    Caller,
+    PlatformSite,
+    make_configuration,
+    poll_until,
+    wait_until,
+)
+
+pytestmark = pytest.mark.integration
+
+
+def ids_of(body: bytes) -> list[int]:
+    return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
+
+
+class TestWholePath:
+    """Guards against answers that are not the endpoint's and headers that are not the caller's."""
+
+    async def test_plain_answer_is_the_endpoints(self, site: PlatformSite, caller: Caller) -> None:
+        status, headers, body = await caller.call("/once/a?b=c", request_id="one")
+        assert status == 200
+        assert headers[Header.SIGNATURE] == f"signed-by-{body.decode()}"
+        run = site.endpoints[body.decode()].runs[0]
+        assert (run.target, run.body) == ("/once/a?b=c", b"{}")
+        assert run.headers[Header.CUSTOMER] == "st-martin"
+        assert run.headers[Header.INSTANCE_WANTED] == body.decode()
+        assert int(run.headers[Header.TIMEOUT]) <= 3000
+        assert Header.KEY not in run.headers
+
+    async def test_callers_own_control_headers_are_dropped(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        _, _, body = await caller.call(
+            "/once/a", x_cassiadrum_hold="h", kv_from="x", x_cassiadrum_tenant="other"
+        )
+        headers = site.endpoints[body.decode()].runs[0].headers
+        assert not {"x-cassiadrum-hold", "kv-from"} & headers.keys()
+        assert headers[Header.CUSTOMER] == "st-martin"
+
+    async def test_stream_is_whole(self, caller: Caller) -> None:
+        status, _, body = await caller.call("/stream/a", events=20)
+        assert status == 200
+        assert ids_of(body) == list(range(1, 21))
+
+    async def test_unknown_route_and_key(self, caller: Caller) -> None:
+        assert (await caller.call("/nowhere/a"))[0] == 404
+        assert (await caller.call("/safe/a", key="other"))[0] == 401
+
+    async def test_declared_length_over_the_limit_is_refused_at_once(
+        self, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
+        writer.write(b"POST /once/a HTTP/1.1\r\nhost: a\r\ncontent-length: 10001\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert b"connection: close" in answer.lower()
+        writer.close()
+
+
+class TestFailedAttempts:
+    """Guards against a second run of what may run once, and against false refusals."""
+
+    async def test_broken_stream_is_resumed_at_another_endpoint(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        _, headers, _ = await caller.call("/stream/a", events=1)
+        first = headers[Header.SIGNATURE].removeprefix("signed-by-")
+        site.endpoints[first].cut_after = 5
+        status, headers, body = await caller.call("/stream/a", events=8, request_id="cut")
+        assert (status, ids_of(body)) == (200, list(range(1, 9)))
+        assert headers[Header.SIGNATURE] == f"signed-by-{first}"
+        assert site.runs("cut") == 2
+
+    async def test_once_only_request_with_a_lost_answer_is_not_repeated(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        for name in ("p-1", "p-2"):
+            site.endpoints[name].hang = True
+        task = asyncio.create_task(caller.call("/once/a", request_id="lost"))
+        await wait_until(lambda: site.runs("lost") == 1)
+        for name in ("p-1", "p-2"):
+            await site.endpoints[name].close()
+        status, headers, _ = await task
+        assert status == 502
+        assert "retry-after" not in headers
+        assert site.runs("lost") == 1
+
+    async def test_refusal_that_says_not_run_is_true(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        for name in ("p-1", "p-2"):
+            site.endpoints[name].refuse = True
+        status, headers, _ = await caller.call("/once/a", request_id="no")
+        assert status == 503
+        assert float(headers["retry-after"]) >= 0.0
+        assert site.runs("no") == 0
+
+    async def test_refused_request_is_tried_elsewhere(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        site.endpoints["p-1"].refuse = True
+        answers = [await caller.call("/once/a", request_id=f"e-{n}") for n in range(6)]
+        assert [status for status, _, _ in answers] == [200] * 6
+        assert all(site.runs(f"e-{n}") == 1 for n in range(6))
+
+    async def test_endpoints_own_failure_is_passed_on(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        for name in ("p-1", "p-2"):
+            site.endpoints[name].fail = True
+        status, headers, _ = await caller.call("/safe/a", request_id="f")
+        assert status == 500
+        assert headers[Header.SIGNATURE].startswith("signed-by-")
+        assert site.runs("f") == 2
+
+    async def test_reused_address_runs_nothing_of_another_endpoint(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        site.endpoints["p-1"].instance = "p-9"
+        answers = [await caller.call("/once/a", request_id=f"a-{n}") for n in range(6)]
+        assert {body for _, _, body in answers} == {b"p-2"}
+        assert not site.endpoints["p-1"].runs
+
+
+class TestCallerLeaves:
+    """Guards against endpoints that work on what nobody receives."""
+
+    async def test_stream_stops_at_the_endpoint(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        task = asyncio.create_task(caller.call("/stream/a", events=500, request_id="left"))
+        await wait_until(lambda: site.runs("left") == 1)
+        task.cancel()
+        stopped = [site.endpoints[name].stopped for name in ("e-1", "e-2")]
+        await wait_until(lambda: any("left" in found for found in stopped), limit_s=0.5)
+
+
+class TestConfiguration:
+    """Guards against a configuration that is not in force in time, or goes back."""
+
+    async def test_process_without_a_configuration_refuses(
+        self, site: PlatformSite, gateway: GatewayRun
+    ) -> None:
+        site.store.remove("op", "config")
+        site.store.fault = StoreFault.BUSY
+        await gateway.kill()
+        await gateway.start()
+        caller = Caller(gateway.calls_port)
+        await gateway.wait_listening()
+        status, _, _ = await caller.call("/safe/a", key="other")
+        assert status == 503
+        assert not await gateway.ready()
+
+    async def test_taken_key_is_denied(self, site: PlatformSite, caller: Caller) -> None:
+        site.store.put("op", "config", make_configuration(2, tenants=[]))
+        other = [{"name": "st-martin", "api_keys": ["key-2"]}]
+        site.store.put("op", "config", make_configuration(3, tenants=other))
+
+        async def denied() -> bool:
+            return (await caller.call("/safe/a"))[0] == 401
+
+        await poll_until(denied, 1.0)
+        assert (await caller.call("/safe/a", key="key-2"))[0] == 200
+
+    async def test_older_and_unreadable_configurations_are_not_taken(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        site.store.put("op", "config", make_configuration(5))
+        site.store.put("op", "config", make_configuration(4, tenants=[], routes=[]))
+        site.store.put("op", "config", b"\xff not json")
+        await asyncio.sleep(0.3)
+        assert (await caller.call("/safe/a"))[0] == 200
+
+
+class TestStoreFaults:
+    """Guards against trouble of the store that reaches callers."""
+
+    async def test_unconfirmed_keys_are_not_served_and_return_with_the_store(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        site.store.fault = StoreFault.SILENT
+        assert (await caller.call("/safe/a"))[0] == 200
+        await gateway.wait_ready(ready=False, limit_s=6.0)
+        status, headers, _ = await caller.call("/safe/a")
+        assert (status, "retry-after" in headers) == (503, True)
+        site.store.fault = StoreFault.NONE
+        await gateway.wait_ready(limit_s=4.0)
+        assert (await caller.call("/safe/a"))[0] == 200
+
+    async def test_forgotten_history_is_read_in_full(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        site.store.fault = StoreFault.RESET
+        await asyncio.sleep(0.2)
+        other = [{"name": "st-martin", "api_keys": ["key-2"]}]
+        site.store.put("op", "config", make_configuration(2, tenants=other))
+        site.store.remove("servers", "p-1")
+        site.store.forget_history()
+        site.store.fault = StoreFault.NONE
+
+        async def changed() -> bool:
+            return (await caller.call("/safe/a", key="key-2"))[0] == 200
+
+        await poll_until(changed, 5.0)
+        # A registration that is missing after an outage is kept for two seconds.
+        await asyncio.sleep(2.3)
+        answers = [await caller.call("/safe/a", key="key-2") for _ in range(6)]
+        assert {body for _, _, body in answers} == {b"p-2"}
+
+    async def test_leaving_endpoint_gets_nothing(self, site: PlatformSite, caller: Caller) -> None:
+        site.register("p-1", state="draining")
+        await asyncio.sleep(0.5)
+        answers = [await caller.call("/safe/a") for _ in range(6)]
+        assert {body for _, _, body in answers} == {b"p-2"}
+
+    async def test_unreadable_registrations_name_no_endpoint(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        site.store.put("servers", "bad-1", b"\x00\x01")
+        site.store.put("servers", "bad-2", {"service": "plain", "address": 7})
+        site.store.put("servers", "p-1", {"service": "plain", "state": "unheard of"})
+        await asyncio.sleep(0.5)
+        answers = [await caller.call("/safe/a") for _ in range(6)]
+        assert {(status, body) for status, _, body in answers} == {(200, b"p-2")}
+
+
+class TestPlannedStop:
+    """Guards against a planned stop that cuts off a request."""
+
+    async def test_running_stream_ends_whole_and_the_process_exits(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        task = asyncio.create_task(caller.call("/stream/a", events=250, request_id="long"))
+        await wait_until(lambda: site.runs("long") == 1)
+        gateway.process.send_signal(signal.SIGTERM)
+        await gateway.wait_ready(ready=False, limit_s=1.0)
+        late = Caller(gateway.calls_port)
+        status, headers, _ = await late.call("/safe/a")
+        assert (status, headers["connection"]) == (200, "close")
+        _, _, body = await task
+        assert ids_of(body) == list(range(1, 251))
+        async with asyncio.timeout(8.0):
+            assert await gateway.process.wait() == 0
+
+    async def test_idle_connection_is_closed_not_reset(
+        self, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        await caller.call("/safe/a")
+        gateway.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(8.0):
+            assert await gateway.process.wait() == 0
+
+    async def test_cut_answer_does_not_look_complete(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        for name in ("e-1", "e-2"):
+            site.endpoints[name].cut_after = 3
+        with pytest.raises(AnswerLost):
+            await caller.call("/stream/a", events=10)
