Hold long prompts at the gateway, order by customer and route, log each decision

Engines answered first bytes after 2 to 4 s while others were idle; requests left busy engines after a fixed patience, so their prompts were read twice; the customer's priority replaced the route's, so all classes had one priority.

Change: a request is sent only where the prompts before it leave time for its target; parts are read again only at idle endpoints; an endpoint is left only when it is silent to all requests; the customer's priority goes before the route's. Requests keep their decisions and log them at their end.

--- a/cassiadrum/gateways/attempt_budgets.py
+++ b/cassiadrum/gateways/attempt_budgets.py
@@ -26,10 +26,14 @@
         self._requests.append(now)
         self._expire(now)
 
+    def has_room(self, now: float) -> bool:
+        """Return whether a repeated attempt is permitted."""
+        self._expire(now)
+        return len(self._repeats) + 1 <= self._ratio * len(self._requests) + self._spare
+
     def spend(self, now: float) -> bool:
         """Take a repeated attempt from the budget; return False when there is none left."""
-        self._expire(now)
-        if len(self._repeats) + 1 > self._ratio * len(self._requests) + self._spare:
+        if not self.has_room(now):
             return False
         self._repeats.append(now)
         return True
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -58,6 +58,10 @@
         self._clock = clock
         self._prefill_tokens = placed.prefill_tokens
         self._prefilling = True
+        # Requests that were to be answered first, without this one.
+        self._before = max(0, placed.view.waiting(clock()) - 1)
+        self.expected_wait_s = self._before * placed.view.turn_ms / 1000
+        self._sent_s = 0.0
         self._target = placed.view.entry.incarnation
         self._conn: EndpointConnection | None = None
         self._head: AnswerHead | None = None
@@ -97,7 +101,7 @@
             call,
             self.view.entry,
             customer=ticket.customer.name if ticket.customer else "",
-            priority=ticket.priority,
+            priority=ticket.urgency,
             timeout_s=ticket.deadline_s - self._clock(),
             last_event_id=last_event_id,
         )
@@ -105,6 +109,7 @@
         ticket.tried.add(self.view.entry.instance)
         already = ticket.may_have_run
         ticket.may_have_run = True
+        self._sent_s = self._clock()
         conn.send(call.method, call.target, headers, call.body)
         self.view.cached.add(call.prompt)
         head = await self._read(self._matching_head())
@@ -115,6 +120,7 @@
         if head.encoded or (head.status < 300 and not head.signed):
             self.view.failed(self._clock())
             raise AttemptFailed("the answer is not the endpoint's")
+        self.view.learn_turn((self._clock() - self._sent_s) * 1000, self._before)
         self._answered(head)
         self._head = head
         return head
@@ -171,7 +177,9 @@
 
     async def _read(self, step: Awaitable[T]) -> T:
         try:
-            return await step
+            found = await step
+            self.view.heard_s = self._clock()
+            return found
         except (AnswerLost, BadMessage) as exc:
             if self._conn is None or not self._conn.reused or self._head is not None:
                 self.view.failed(self._clock())
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -57,7 +57,7 @@
 
 
 class Customer(NamedTuple):
-    """Name the holder of a key; `priority` replaces the route's unless it is None."""
+    """Name the holder of a key; `priority` goes before the routes' unless it is None."""
 
     name: str
     priority: int | None
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -9,7 +9,13 @@
 __all__ = ["EndpointView"]
 
 # A sample older than this says nothing about the requests of other gateways.
-SAMPLE_LIFE_S = 2.0
+SAMPLE_LIFE_S = 3.0
+# Time that each request before the first bytes adds to the wait of the next one: the value before
+# any answer, its bounds, and the part by which an answer changes it.
+TURN_MS = 150.0
+TURN_MIN_MS = 20.0
+TURN_MAX_MS = 800.0
+TURN_GAIN = 0.2
 # Failures count half after this time, so that an endpoint that recovers is used again.
 FAILURE_HALF_LIFE_S = 2.0
 # An endpoint that cannot be reached is left alone for the first time, doubled at each repetition.
@@ -27,30 +33,49 @@
         self.entry = entry
         self.cached = CachedParts(cache_tokens)
         self.own = 0
-        # Prompt tokens of own requests that have not answered yet.
+        # Own requests that have not answered yet, and their prompt tokens.
+        self.own_waiting = 0
         self.prefill_tokens = 0
+        self.turn_ms = TURN_MS
         self.avoid_until_s = 0.0
+        # When the endpoint last sent bytes of any answer.
+        self.heard_s = 0.0
         self._refused_connects = 0
         self._failures = 0.0
         self._failed_s = 0.0
         self._sample: LoadSample | None = None
         self._sampled_s = 0.0
-        # Own starts less own ends since the sample.
+        # Own starts less own ends since the sample, and own starts less own first bytes.
         self._change = 0
+        self._waiting_change = 0
 
     def start(self, prefill_tokens: int) -> None:
         """Count an own request."""
         self.own += 1
         self._change += 1
+        self.own_waiting += 1
+        self._waiting_change += 1
         self.prefill_tokens += prefill_tokens
 
     def answered(self, prefill_tokens: int, load: LoadSample | None, now: float) -> None:
-        """Take the beginning of an answer to an own request."""
+        """Take the beginning of an answer to an own request, or its end without one."""
         self.prefill_tokens -= prefill_tokens
+        self.own_waiting -= 1
+        self._waiting_change -= 1
         if load is not None:
-            self._sample = load
-            self._sampled_s = now
-            self._change = 0
+            self.take_sample(load, now)
+
+    def take_sample(self, load: LoadSample, now: float) -> None:
+        """Take the endpoint's own count of its requests."""
+        self._sample = load
+        self._sampled_s = now
+        self._change = 0
+        self._waiting_change = 0
+
+    def learn_turn(self, wait_ms: float, before: int) -> None:
+        """Learn from the time to the first bytes of a request with so many before it."""
+        turn_ms = min(TURN_MAX_MS, max(TURN_MIN_MS, wait_ms / (before + 1)))
+        self.turn_ms += TURN_GAIN * (turn_ms - self.turn_ms)
 
     def end(self) -> None:
         """Count the end of an own request."""
@@ -88,6 +113,12 @@
             return self.own
         return max(self.own, self._sample.running + self._sample.waiting + self._change)
 
+    def sample_age_ms(self, now: float) -> int | None:
+        """Return the age of the last load sample, None before the first one."""
+        return None if self._sample is None else round((now - self._sampled_s) * 1000)
+
     def waiting(self, now: float) -> int:
-        """Return the estimated number of requests in the endpoint's queue."""
-        return max(0, self.outstanding(now) - self.entry.slots)
+        """Return the estimated number of requests that have not answered yet."""
+        if self._sample is None or now - self._sampled_s > SAMPLE_LIFE_S:
+            return self.own_waiting
+        return max(self.own_waiting, self._sample.waiting + self._waiting_change)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -11,13 +11,14 @@
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.catalogs import Catalog, share_of
 from cassiadrum.gateways.confirmations import Confirmation
+from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_entries import EndpointEntry
 from cassiadrum.gateways.endpoint_pools import EndpointPool
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed, Denied, Refused
 from cassiadrum.gateways.placements import Placement
-from cassiadrum.gateways.placers import Placer
+from cassiadrum.gateways.placers import Placed, Placer
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.tickets import Ticket
 from cassiadrum.protocols import Exchange
@@ -34,6 +35,7 @@
 DRAINING_RETRY_S = 0.02
 # Time after the deadline in which an endpoint's own answer to it may arrive.
 DEADLINE_GRACE_S = 0.05
+ANSWERED = "answered"
 
 
 class GatewaySettings(NamedTuple):
@@ -73,6 +75,7 @@
         self._placement = Placement(cfg.zone)
         self._placer = Placer(self.directory, self._placement, clock)
         self._budgets: dict[str, AttemptBudget] = {}
+        self._log = DecisionLog(clock)
 
     @property
     def confirmed(self) -> bool:
@@ -109,7 +112,19 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
         ticket = Ticket(self._protocol.decode_call(exchange.req), self._clock())
-        relay = Relay(ticket, exchange, self._clock)
+        relay = Relay(ticket, exchange, self._log, self._clock, lambda: self._could_repeat(ticket))
+        try:
+            outcome = await self._answer(ticket, exchange, relay)
+        except asyncio.CancelledError:
+            self._log.end(ticket, "cancelled", well=exchange.gone.is_set())
+            raise
+        except BaseException as exc:
+            self._log.end(ticket, f"error: {exc!r}", well=False)
+            raise
+        self._log.end(ticket, outcome, well=outcome == ANSWERED)
+
+    async def _answer(self, ticket: Ticket, exchange: Exchange, relay: Relay) -> str:
+        """Answer a request and return the outcome for the log."""
         try:
             self._resolve(ticket)
             self._budget(ticket.service).arrived(ticket.received_s)
@@ -118,17 +133,18 @@
             async with asyncio.timeout(limit_s):
                 await self._serve(ticket, relay)
         except Denied as exc:
-            self._log(ticket, f"denied: {exc}")
             await exchange.send_json(exc.status, {"reason": exc.reason, "ran": "no"})
+            return f"denied: {exc}"
         except Refused as exc:
-            self._log(ticket, f"refused: {exc}")
             await self._refuse(exchange, exc)
+            return f"refused: {exc}, retry after {exc.retry_after_s:g} s"
         except AttemptFailed as exc:
-            self._log(ticket, f"failed: {exc}")
             await self._fail(exchange, relay, 502, exc.reason)
+            return f"failed: {exc}"
         except TimeoutError:
-            self._log(ticket, "failed: deadline reached")
             await self._deadline(ticket, exchange, relay)
+            return "deadline reached"
+        return ANSWERED
 
     def _make_view(self, entry: EndpointEntry) -> EndpointView:
         plan = self.catalog.services.get(entry.service) if self.catalog else None
@@ -162,8 +178,9 @@
                 if await self._attempt(ticket, relay):
                     return
             except AttemptFailed as exc:
-                self._log(ticket, f"attempt failed: {exc}")
-                if not self._may_repeat(ticket, exc):
+                repeat = self._may_repeat(ticket, exc)
+                self._log.note(ticket, "attempt failed", reason=exc.reason, repeated=repeat)
+                if not repeat:
                     await self._give_up(ticket, relay, exc)
                     return
             except Refused as exc:
@@ -175,6 +192,7 @@
         """Make one attempt; return False when the configuration moved the request meanwhile."""
         placed = await self._placer.place(ticket)
         service = ticket.service
+        self._log.note(ticket, "placed", **self._describe(placed))
         try:
             with Attempt(ticket, placed, self.pool, self._protocol, self._clock) as attempt:
                 if not relay.started:
@@ -187,6 +205,29 @@
         finally:
             self._placer.pump(service)
 
+    def _describe(self, placed: Placed) -> dict[str, object]:
+        """Return the inputs that decided a placement."""
+        view, prefill_tokens = placed
+        now = self._clock()
+        return {
+            "endpoint": view.entry.instance,
+            "zone": view.entry.zone,
+            "outstanding": view.outstanding(now),
+            "own": view.own,
+            "load_age_ms": view.sample_age_ms(now),
+            "prefill_tokens": prefill_tokens,
+            "own_prefill_tokens": view.prefill_tokens,
+            "failures": round(view.failures(now), 2),
+            "version": self.catalog.version if self.catalog else 0,
+        }
+
+    def _could_repeat(self, ticket: Ticket) -> bool:
+        """Return whether another endpoint could get a request whose answer is late."""
+        others = self._placer.others(ticket)
+        return (
+            ticket.may_repeat() and others and self._budget(ticket.service).has_room(self._clock())
+        )
+
     def _may_repeat(self, ticket: Ticket, exc: AttemptFailed) -> bool:
         if ticket.sends == 0:
             return True
@@ -216,7 +257,7 @@
 
         def on_gone() -> None:
             if ticket.cancellable:
-                self._log(ticket, "caller left")
+                self._log.note(ticket, "caller left")
                 task.cancel()
 
         exchange.when_gone(on_gone)
@@ -236,14 +277,3 @@
             await self._fail(exchange, relay, 504, "deadline")
         else:
             await self._refuse(exchange, Refused("deadline", ELSEWHERE_RETRY_S))
-
-    def _log(self, ticket: Ticket, message: str) -> None:
-        logger.info(
-            "%s",
-            message,
-            extra={
-                "request_id": ticket.call.request_id,
-                "service": ticket.service,
-                "sends": ticket.sends,
-            },
-        )
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -8,33 +8,49 @@
 from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.endpoint_views import EndpointView
 
-__all__ = ["Placement", "PlacementSettings"]
+__all__ = ["Demand", "Placement", "PlacementSettings"]
 
 
 class PlacementSettings(NamedTuple):
     """Weights of the placement; costs are in milliseconds of the caller's wait."""
 
-    prefill_tokens_per_ms: float = 50.0
-    # Reading a shared part again also takes memory and slows the streams beside it.
-    reread_weight: float = 2.5
+    prefill_tokens_per_ms: float = 30.0
+    # Shared parts that are read in less time than this may be read anywhere.
+    cheap_read_ms: float = 50.0
+    # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
+    # prompts; half as much at priority 2, a third at priority 4.
+    wait_part: float = 0.6
     # What each request at the endpoint adds to the wait of a new one.
     outstanding_ms: float = 6.0
     plain_outstanding_ms: float = 15.0
     other_zone_ms: float = 3.0
     failure_ms: float = 400.0
     cold_ms_per_s: float = 50.0
-    # Part of the slots that may be taken; the rest absorbs what other gateways send meanwhile.
-    fill: float = 1.0
+
+
+class Demand(NamedTuple):
+    """State what a request asks of an endpoint; the target is in milliseconds."""
+
+    call: Call
+    priority: int
+    target_ms: float
+
+    @property
+    def shared_tokens(self) -> int:
+        """Return the length of the prompt's shared parts."""
+        return sum(part.tokens for part in self.call.prompt[:-1])
 
 
 class Placement:
-    """Choose the endpoint with the least expected cost.
+    """Choose the endpoint with the least expected cost, or let the request wait here.
 
-    Answers two load patterns. Requests that share long prompt parts: all gateways rank the
+    Answers three load patterns. Requests that share long prompt parts: all gateways rank the
     endpoints for a part by the same hash, so a part is read at one endpoint without messages
-    between gateways, and moves to the next in rank when the wait there exceeds the reading.
-    Endpoints that fail or fall silent: recent failures count as wait, so work moves away in
-    proportion and returns as they age.
+    between gateways. Bursts of long prompts: a request is sent only where the prompts before it
+    leave time for its target, the less the lower its priority, so short urgent prompts do not
+    wait behind long ones; and a part is read at another endpoint only if that one is idle, since
+    reading it again while all are busy makes all of them later. Endpoints that fail: recent
+    failures count as wait, so work moves away in proportion and returns as they age.
     """
 
     def __init__(self, zone: str, cfg: PlacementSettings | None = None) -> None:
@@ -42,55 +58,68 @@
         self._cfg = cfg or PlacementSettings()
 
     def choose(
-        self, call: Call, views: Iterable[EndpointView], now: float, exclude: Collection[str] = ()
+        self,
+        demand: Demand,
+        views: Iterable[EndpointView],
+        now: float,
+        exclude: Collection[str] = (),
     ) -> EndpointView | None:
-        """Return the endpoint, or None when none may take the request now.
+        """Return the endpoint, or None when the request should wait.
 
         Endpoints to avoid are taken where there is no other.
         """
-        open_views = [
-            view
-            for view in views
-            if view.entry.instance not in exclude and self._has_room(view, now)
-        ]
-        usable = [view for view in open_views if view.avoid_until_s <= now] or open_views
-        if not usable:
-            return None
-        home = self._home(call, usable)
-        return min(usable, key=lambda view: self._cost(call, view, home, now))
+        allowed = [view for view in views if view.entry.instance not in exclude]
+        usable = [view for view in allowed if view.avoid_until_s <= now] or allowed
+        open_views = [view for view in usable if self._has_room(demand, view, now)]
+        if self._is_long(demand):
+            open_views = self._holders_or_idle(demand, usable, open_views, now)
+        return min(open_views, key=lambda view: self._cost(demand, view, now), default=None)
 
     def uncached_tokens(self, call: Call, view: EndpointView) -> int:
         """Return the prompt tokens that the endpoint is expected to read."""
         return max(0, call.prompt_tokens - view.cached.matched_tokens(call.prompt))
 
-    def _has_room(self, view: EndpointView, now: float) -> bool:
-        return view.outstanding(now) < max(1.0, view.entry.slots * self._cfg.fill)
-
-    def _home(self, call: Call, views: list[EndpointView]) -> EndpointView | None:
-        """Return the endpoint that ranks first for the longest shared run of parts."""
-        shared = call.prompt[:-1]
-        if not shared:
-            return None
+    def _is_long(self, demand: Demand) -> bool:
+        cfg = self._cfg
+        return demand.shared_tokens > cfg.cheap_read_ms * cfg.prefill_tokens_per_ms
+
+    def _has_room(self, demand: Demand, view: EndpointView, now: float) -> bool:
+        if view.outstanding(now) >= view.entry.slots:
+            return False
+        if not demand.call.prompt:
+            return True
+        limit_ms = demand.target_ms * self._cfg.wait_part / (1 + demand.priority / 2)
+        return view.waiting(now) * view.turn_ms <= limit_ms
+
+    def _holders_or_idle(
+        self,
+        demand: Demand,
+        usable: list[EndpointView],
+        open_views: list[EndpointView],
+        now: float,
+    ) -> list[EndpointView]:
+        """Return the open endpoints that hold the shared parts, else those that are idle."""
+        shared = demand.call.prompt[:-1]
         key = shared[-1].part_id
-        return max(views, key=lambda view: _rank(key, view))
+        home = max(usable, key=lambda view: _rank(key, view))
+        holders = [
+            view
+            for view in open_views
+            if view is home or view.cached.matched_tokens(shared) >= demand.shared_tokens
+        ]
+        return holders or [view for view in open_views if view.waiting(now) == 0]
 
-    def _cost(
-        self, call: Call, view: EndpointView, home: EndpointView | None, now: float
-    ) -> tuple[int, int]:
+    def _cost(self, demand: Demand, view: EndpointView, now: float) -> tuple[int, int]:
         cfg = self._cfg
+        call = demand.call
         cost = view.failures(now) * cfg.failure_ms
         cost += view.entry.cold_s * cfg.cold_ms_per_s
         if view.entry.zone != self._zone:
             cost += cfg.other_zone_ms
         if call.prompt:
-            shared_tokens = sum(part.tokens for part in call.prompt[:-1])
-            if view is home:
-                missing = 0
-            else:
-                missing = shared_tokens - view.cached.matched_tokens(call.prompt[:-1])
-            cost += cfg.reread_weight * missing / cfg.prefill_tokens_per_ms
-            cost += view.prefill_tokens / cfg.prefill_tokens_per_ms
+            cost += view.waiting(now) * view.turn_ms
             cost += view.outstanding(now) * cfg.outstanding_ms
+            cost += self.uncached_tokens(call, view) / cfg.prefill_tokens_per_ms
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
         # Whole milliseconds, so that endpoints which hardly differ share the work.
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -8,13 +8,14 @@
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import Refused
-from cassiadrum.gateways.placements import Placement
+from cassiadrum.gateways.placements import Demand, Placement
 from cassiadrum.gateways.tickets import Ticket
 
 __all__ = ["Placed", "Placer"]
 
-# Part of the latency target that a request waits here for an endpoint before it is refused.
-WAIT_PART = 0.3
+# Part of its time that a request waits here for an endpoint before it is refused; the rest leaves
+# its caller time to come back.
+WAIT_PART = 0.35
 # When a full service is expected to have room again.
 FULL_RETRY_S = 0.5
 # An endpoint that starts needs about this long to register.
@@ -52,18 +53,21 @@
         """Return the number of requests that wait for an endpoint of a service."""
         return len(self._queues.get(service, ()))
 
+    def others(self, ticket: Ticket) -> bool:
+        """Return whether there is an endpoint that did not get the request."""
+        views = self._directory.usable(ticket.service)
+        return any(view.entry.instance not in ticket.tried for view in views)
+
     async def place(self, ticket: Ticket) -> Placed:
         """Return the endpoint for the next attempt; raise Refused when there is none in time.
 
         The caller ends the request at the endpoint, by an Attempt.
         """
-        views = self._directory.usable(ticket.service)
-        if not any(view.entry.instance not in ticket.tried for view in views):
+        if not self.others(ticket):
             raise Refused("no_endpoint", NO_ENDPOINT_RETRY_S)
-        if not self.waiting(ticket.service):
-            placed = self._choose(ticket)
-            if placed is not None:
-                return placed
+        placed = self._choose(ticket)
+        if placed is not None:
+            return placed
         return await self._wait(ticket)
 
     def pump(self, service: str) -> None:
@@ -71,13 +75,13 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        for request_id in queue.ordered():
+        for request_id in queue.ordered(self._clock()):
             waiting = self._waiting[request_id]
             if waiting.fut.done():
                 continue
             placed = self._choose(waiting.ticket)
             if placed is None:
-                return
+                continue
             queue.remove(request_id)
             waiting.fut.set_result(placed)
 
@@ -88,7 +92,8 @@
 
     def _choose(self, ticket: Ticket) -> Placed | None:
         views = self._directory.usable(ticket.service)
-        view = self._placement.choose(ticket.call, views, self._clock(), ticket.tried)
+        demand = Demand(ticket.call, ticket.route_priority, ticket.target_ms)
+        view = self._placement.choose(demand, views, self._clock(), ticket.tried)
         if view is None:
             return None
         placed = Placed(view, self._placement.uncached_tokens(ticket.call, view))
@@ -101,9 +106,9 @@
         queue = self._queues.setdefault(ticket.service, CallQueue())
         fut: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = _Waiting(ticket, fut)
-        queue.push(request_id, ticket.priority, ticket.target_s)
+        queue.push(request_id, ticket.urgency, ticket.target_s)
         try:
-            async with asyncio.timeout(WAIT_PART * ticket.route.target_s):
+            async with asyncio.timeout(WAIT_PART * (ticket.deadline_s - ticket.received_s)):
                 return await asyncio.shield(fut)
         except TimeoutError as exc:
             self._release(fut)
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -1,13 +1,14 @@
 """Passing of endpoints' answers to the caller."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 
 from cassiadrum.gateways.attempts import Attempt, WholeAnswer
 from cassiadrum.gateways.catalogs import CallKind
+from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.event_sequences import EventSequence
+from cassiadrum.gateways.silence_limits import SilenceLimit
 from cassiadrum.gateways.tickets import Ticket
 from cassiadrum.protocols import Exchange
 
@@ -15,11 +16,15 @@
 
 logger = logging.getLogger(__name__)
 
-# An endpoint is given up for another one after these parts of the latency target without the
-# first bytes, and these multiples of the longest pause between events.
-FIRST_BYTES_PART = 1.2
+# An endpoint that sends nothing for any request is given up for another one after these parts of
+# the latency target before the first bytes, and multiples of the longest pause between events.
+FIRST_BYTES_PART = 0.5
 PAUSE_MULTIPLE = 6.0
-MIN_PAUSE_S = 1.0
+MIN_SILENCE_S = 0.6
+# Multiple of the expected wait that is granted besides.
+EXPECTED_MULTIPLE = 2.0
+# One that is busy with other requests is given up after this many times as long.
+BUSY_MULTIPLE = 4.0
 
 
 class Relay:
@@ -29,11 +34,16 @@
         self,
         ticket: Ticket,
         exchange: Exchange,
+        log: DecisionLog,
         clock: Callable[[], float],
+        may_repeat: Callable[[], bool],
     ) -> None:
         self._ticket = ticket
         self._exchange = exchange
+        self._log = log
         self._clock = clock
+        # Whether the budget of repeated attempts has room.
+        self._may_repeat = may_repeat
         self._events = EventSequence(ticket.call.last_event_id)
         # The last answer of an endpoint that says that it failed.
         self.failure: WholeAnswer | None = None
@@ -53,11 +63,18 @@
         route = self._ticket.route
         assert route is not None
         try:
-            async with asyncio.timeout(self._first_bytes_s()):
+            async with self._silence_limit(attempt, self._first_bytes_s(attempt)):
                 head = await attempt.start(self._events.last_id)
         except TimeoutError as exc:
             attempt.view.failed(self._clock())
             raise AttemptFailed("no answer in time") from exc
+        self._log.note(
+            self._ticket,
+            "first bytes",
+            endpoint=attempt.view.entry.instance,
+            status=head.status,
+            load=head.load,
+        )
         if route.kind is CallKind.STREAM and head.status < 300:
             await self._pass_stream(attempt)
             return
@@ -71,9 +88,11 @@
     async def _pass_stream(self, attempt: Attempt) -> None:
         self._events.restart()
         pause_s = self._pause_s()
+        heard_s = self._clock()
+        longest_s = 0.0
         while True:
             try:
-                async with asyncio.timeout(pause_s):
+                async with self._silence_limit(attempt, pause_s):
                     data = await attempt.read()
             except TimeoutError as exc:
                 attempt.view.failed(self._clock())
@@ -82,12 +101,16 @@
                 break
             whole = self._events.feed(data)
             if whole:
+                now = self._clock()
+                longest_s = max(longest_s, now - heard_s)
+                heard_s = now
                 self._put_stream_head(attempt)
                 self._exchange.put_data(whole)
                 await self._exchange.flush()
         self._events.end()
         self._put_stream_head(attempt)
         await self._exchange.end()
+        self._log.note(self._ticket, "stream ended", longest_pause_ms=round(longest_s * 1000))
 
     def _put_stream_head(self, attempt: Attempt) -> None:
         if not self._exchange.started:
@@ -101,17 +124,25 @@
             self._exchange.put_data(answer.body)
         await self._exchange.end()
 
-    def _first_bytes_s(self) -> float | None:
-        """Return how long to wait for the head where another endpoint could take the request."""
+    def _first_bytes_s(self, attempt: Attempt) -> float | None:
+        """Return how long the endpoint may be silent before the first bytes."""
         route = self._ticket.route
         assert route is not None
-        if not route.repeatable or self._ticket.sends + 1 >= route.max_attempts:
+        if not route.repeatable:
             return None
-        return FIRST_BYTES_PART * route.target_s
+        if route.kind is CallKind.STREAM:
+            limit_s = max(MIN_SILENCE_S, FIRST_BYTES_PART * route.target_s)
+            return limit_s + EXPECTED_MULTIPLE * attempt.expected_wait_s
+        return route.target_s
 
     def _pause_s(self) -> float | None:
+        """Return how long the endpoint may be silent within a stream."""
         route = self._ticket.route
         assert route is not None
-        if not route.resumable or self._ticket.sends >= route.max_attempts:
+        if not route.resumable:
             return None
-        return max(MIN_PAUSE_S, PAUSE_MULTIPLE * route.gap_s)
+        return max(MIN_SILENCE_S, PAUSE_MULTIPLE * route.gap_s)
+
+    def _silence_limit(self, attempt: Attempt, silence_s: float | None) -> SilenceLimit:
+        longest_s = (silence_s or 0.0) * BUSY_MULTIPLE
+        return SilenceLimit(attempt.view, silence_s, longest_s, self._may_repeat)
--- /dev/null
+++ b/cassiadrum/gateways/silence_limits.py
@@ -0,0 +1,69 @@
+"""Limit on the wait for an endpoint that has fallen silent."""
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from cassiadrum.gateways.endpoint_views import EndpointView
+
+__all__ = ["SilenceLimit"]
+
+RECHECK_S = 0.2
+
+
+class SilenceLimit:
+    """Raise TimeoutError when a wait passes `longest_s`, or `silence_s` of a silent endpoint.
+
+    An endpoint that is busy with other requests keeps sending bytes for them. Leaving it would
+    make another endpoint read the prompt again, so such a wait may last longer than one for an
+    endpoint that sends nothing at all. Both limits are in seconds; None waits without limit. The
+    wait goes on while `may_end` returns false, as when no other endpoint may be asked.
+    """
+
+    def __init__(
+        self,
+        view: EndpointView,
+        silence_s: float | None,
+        longest_s: float,
+        may_end: Callable[[], bool],
+    ) -> None:
+        self._view = view
+        self._silence_s = silence_s
+        self._longest_s = longest_s
+        self._may_end = may_end
+        self._timeout = asyncio.timeout(None)
+        self._handle: asyncio.TimerHandle | None = None
+        self._started_s = 0.0
+
+    async def __aenter__(self) -> Self:
+        await self._timeout.__aenter__()
+        if self._silence_s is not None:
+            loop = asyncio.get_running_loop()
+            self._started_s = loop.time()
+            self._handle = loop.call_at(self._started_s + self._silence_s, self._check)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        await self._timeout.__aexit__(kind, exc, trace)
+
+    def _check(self) -> None:
+        """End the wait if the endpoint was silent for all of the limit, else look again later."""
+        assert self._silence_s is not None
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        due_s = max(self._started_s, self._view.heard_s) + self._silence_s
+        due_s = min(due_s, self._started_s + self._longest_s)
+        if due_s > now:
+            self._handle = loop.call_at(due_s, self._check)
+        elif not self._may_end():
+            self._handle = loop.call_at(now + RECHECK_S, self._check)
+        elif not self._timeout.expired():
+            self._timeout.reschedule(now)
--- a/cassiadrum/gateways/tickets.py
+++ b/cassiadrum/gateways/tickets.py
@@ -6,6 +6,12 @@
 __all__ = ["Ticket"]
 
 
+# Priorities of routes that are told apart within one priority of customers. Endpoints know ten
+# priorities in all.
+ROUTE_PRIORITIES = 4
+DEFAULT_CUSTOMER_PRIORITY = 1
+
+
 class Ticket:
     """Track a request; times are monotonic seconds."""
 
@@ -36,13 +42,26 @@
             self.target_s = self.received_s + route.target_s
 
     @property
-    def priority(self) -> int:
-        """Return the customer's priority, the route's where the customer has none."""
+    def urgency(self) -> int:
+        """Return the order among requests: by the customer's priority, then by the route's."""
         assert self.route is not None
+        customer = DEFAULT_CUSTOMER_PRIORITY
         if self.customer is not None and self.customer.priority is not None:
-            return self.customer.priority
+            customer = self.customer.priority
+        return customer * ROUTE_PRIORITIES + min(self.route.priority, ROUTE_PRIORITIES - 1)
+
+    @property
+    def route_priority(self) -> int:
+        """Return the priority of the route."""
+        assert self.route is not None
         return self.route.priority
 
+    @property
+    def target_ms(self) -> float:
+        """Return the route's latency target in milliseconds."""
+        assert self.route is not None
+        return self.route.target_s * 1000
+
     @property
     def cancellable(self) -> bool:
         """Return whether the work stops when the caller leaves."""
--- a/cassiadrum/logs/repeat_filters.py
+++ b/cassiadrum/logs/repeat_filters.py
@@ -4,13 +4,16 @@
 from collections.abc import Callable
 from typing import Final
 
-__all__ = ["RepeatFilter"]
+__all__ = ["BOUNDED_FIELD", "RepeatFilter"]
 
 LINES_MAX: Final = 5
 WINDOW_S: Final = 10.0
 # Beyond this many different messages in a window, further ones are not limited.
 MESSAGES_MAX: Final = 1000
 
+# Set on records whose source bounds their number itself.
+BOUNDED_FIELD: Final = "bounded"
+
 logger = logging.getLogger(__name__)
 
 _Key = tuple[str, int, str]
@@ -43,7 +46,7 @@
         if now >= self._next_check_s:
             self._next_check_s = now + self._window_s
             self._report_before(now - self._window_s)
-        if record.name == __name__:
+        if record.name == __name__ or record.__dict__.pop(BOUNDED_FIELD, False):
             return True
         key = (record.name, record.levelno, str(record.msg))
         start_s, count = self._seen.get(key, (now, 0))
--- a/cassiadrum/logs/set_up.py
+++ b/cassiadrum/logs/set_up.py
@@ -1,9 +1,13 @@
 """Set-up of the `logging` package for a daemon."""
 
+import contextlib
 import logging
+import logging.handlers
+import queue
 import time
 from typing import Any, Final, TextIO
 
+from cassiadrum.logs.bounded_queue_handlers import BoundedQueueHandler
 from cassiadrum.logs.context_filters import CONTEXT_FIELDS, ContextFilter
 from cassiadrum.logs.errors import LogError
 from cassiadrum.logs.redaction_filters import RedactionFilter
@@ -12,6 +16,9 @@
 
 __all__ = ["configure_logging"]
 
+# What waits at the end of the process is written within this time in seconds.
+CLOSE_LIMIT_S: Final = 1.0
+
 JSON_FIELDS: Final = ("levelname", "name", "message", *CONTEXT_FIELDS)
 
 
@@ -28,12 +35,37 @@
         super().close()
 
 
+class _QueuedHandler(BoundedQueueHandler):
+    """Write by another handler in a thread of its own."""
+
+    def __init__(self, limit: int, handler: logging.Handler) -> None:
+        super().__init__(limit)
+        self._listener = logging.handlers.QueueListener(self.records, handler)
+        self._listener.start()
+
+    def close(self) -> None:
+        """Write what waits, unless the stream is not read."""
+        with contextlib.suppress(queue.Full):
+            self._listener.enqueue_sentinel()
+            thread = getattr(self._listener, "_thread", None)
+            if thread is not None:
+                thread.join(CLOSE_LIMIT_S)
+        super().close()
+
+
 def configure_logging(
-    format: str, level: str, instance: str, stream: TextIO | None = None
+    format: str,
+    level: str,
+    instance: str,
+    stream: TextIO | None = None,
+    *,
+    queue_limit: int = 0,
 ) -> None:
     """Send all log records as `text` or `json` lines to `stream`, stderr by default.
 
-    Replaces the handler of an earlier call. Raises LogError on an unknown format or level.
+    With `queue_limit`, a thread writes them and up to that many wait for it, so that a stream that
+    is not read delays nothing. Replaces the handler of an earlier call. Raises LogError on an
+    unknown format or level.
     """
     formatter = _make_formatter(format)
     if level not in logging.getLevelNamesMapping():
@@ -48,10 +80,10 @@
     # Last, so that it sees the fields that the other filters set.
     handler.addFilter(RedactionFilter())
     root = logging.getLogger()
-    for old in [old for old in root.handlers if isinstance(old, _LogHandler)]:
+    for old in [old for old in root.handlers if isinstance(old, _LogHandler | _QueuedHandler)]:
         old.close()
         root.removeHandler(old)
-    root.addHandler(handler)
+    root.addHandler(_QueuedHandler(queue_limit, handler) if queue_limit else handler)
     root.setLevel(level)
 
 
--- a/cassiadrum/platform/__main__.py
+++ b/cassiadrum/platform/__main__.py
@@ -11,6 +11,8 @@
 __all__ = ["main"]
 
 EXIT_BAD_INPUT = 2
+# Log lines that wait for a slow reader of standard output.
+LOG_QUEUE = 10_000
 
 
 def main() -> None:
@@ -20,7 +22,7 @@
     except BadSettings as exc:
         print(exc, file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
-    configure_logging("json", "INFO", process.instance, sys.stdout)
+    configure_logging("json", "INFO", process.instance, sys.stdout, queue_limit=LOG_QUEUE)
     asyncio.run(process.run())
 
 
--- a/cassiadrum/stores/token_buckets.py
+++ b/cassiadrum/stores/token_buckets.py
@@ -17,19 +17,19 @@
         self._refill(now)
         self._rate_per_s = rate_per_s
 
-    def reserve(self, now: float, limit_s: float) -> float | None:
-        """Take a token and return the wait for it in seconds.
+    def reserve(self, now: float, limit_s: float, tokens: float = 1.0) -> float | None:
+        """Take tokens and return the wait for them in seconds.
 
         Returns None and takes nothing when the wait would be longer than `limit_s`.
         """
         self._refill(now)
-        missing = 1.0 - self._tokens
+        missing = tokens - self._tokens
         wait_s = max(0.0, missing / self._rate_per_s) if self._rate_per_s > 0 else float("inf")
         if missing <= 0:
             wait_s = 0.0
         if wait_s > limit_s:
             return None
-        self._tokens -= 1.0
+        self._tokens -= tokens
         return wait_s
 
     def _refill(self, now: float) -> None:
