Read shared parts again only where that costs less than waiting for their holder

Cause: the first endpoint in rank was charged for reading parts that it holds, and an endpoint without a recent load sample counted as idle, so parts moved.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -11,6 +11,7 @@
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_pools import EndpointPool
 from cassiadrum.gateways.errors import AttemptFailed
+from cassiadrum.gateways.placements import FIRST_BYTES_MS, PREFILL_TOKENS_PER_MS
 from cassiadrum.gateways.placers import Placed
 from cassiadrum.gateways.tickets import Ticket
 from cassiadrum.protocols import AnswerLost, BadMessage, ConnectFailed
@@ -23,7 +24,7 @@
 
 # Largest answer of a plain call in bytes; it is held whole before it is passed on.
 ANSWER_BYTES = 8 * 1024 * 1024
-# An endpoint that refused work for lack of room gets none for this long, if others can take it.
+# An endpoint that refused work for lack of room gets none for this long.
 FULL_PAUSE_S = 0.15
 # An endpoint that another one replaced at its address; its registration is about to change.
 REPLACED_PAUSE_S = 5.0
@@ -120,7 +121,9 @@
         if head.encoded or (head.status < 300 and not head.signed):
             self.view.failed(self._clock())
             raise AttemptFailed("the answer is not the endpoint's")
-        self.view.learn_turn((self._clock() - self._sent_s) * 1000, self._before)
+        read_ms = FIRST_BYTES_MS + self._prefill_tokens / PREFILL_TOKENS_PER_MS
+        wait_ms = (self._clock() - self._sent_s) * 1000 - read_ms
+        self.view.learn_turn(wait_ms, self._before)
         self._answered(head)
         self._head = head
         return head
@@ -186,8 +189,10 @@
             raise AttemptFailed(f"answer lost: {exc}") from exc
 
     def _refused(self, head: AnswerHead) -> None:
-        pause_s = REPLACED_PAUSE_S if head.status == 421 else FULL_PAUSE_S
-        self.view.avoid(self._clock(), pause_s)
+        if head.status == 421:
+            self.view.avoid(self._clock(), REPLACED_PAUSE_S)
+        else:
+            self.view.full(self._clock(), FULL_PAUSE_S)
 
     def _answered(self, head: AnswerHead | None) -> None:
         if self._prefilling:
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -10,6 +10,8 @@
 
 # A sample older than this says nothing about the requests of other gateways.
 SAMPLE_LIFE_S = 3.0
+# A sample older than this does not show that an endpoint is idle.
+IDLE_SAMPLE_S = 1.0
 # Time that each request before the first bytes adds to the wait of the next one: the value before
 # any answer, its bounds, and the part by which an answer changes it.
 TURN_MS = 150.0
@@ -38,6 +40,7 @@
         self.prefill_tokens = 0
         self.turn_ms = TURN_MS
         self.avoid_until_s = 0.0
+        self.full_until_s = 0.0
         # When the endpoint last sent bytes of any answer.
         self.heard_s = 0.0
         self._refused_connects = 0
@@ -73,9 +76,10 @@
         self._waiting_change = 0
 
     def learn_turn(self, wait_ms: float, before: int) -> None:
-        """Learn from the time to the first bytes of a request with so many before it."""
-        turn_ms = min(TURN_MAX_MS, max(TURN_MIN_MS, wait_ms / (before + 1)))
-        self.turn_ms += TURN_GAIN * (turn_ms - self.turn_ms)
+        """Learn from the wait of a request, without its own reading, with so many before it."""
+        if before > 0:
+            turn_ms = min(TURN_MAX_MS, max(TURN_MIN_MS, wait_ms / before))
+            self.turn_ms += TURN_GAIN * (turn_ms - self.turn_ms)
 
     def end(self) -> None:
         """Count the end of an own request."""
@@ -103,6 +107,16 @@
         """Send nothing for a time in seconds where another endpoint can take it."""
         self.avoid_until_s = max(self.avoid_until_s, now + pause_s)
 
+    def full(self, now: float, pause_s: float) -> None:
+        """Let requests wait for a time in seconds; the endpoint keeps what it holds."""
+        self.full_until_s = max(self.full_until_s, now + pause_s)
+
+    def idle(self, now: float) -> bool:
+        """Return whether the endpoint lately said that no request waits there."""
+        if self._sample is None or now - self._sampled_s > IDLE_SAMPLE_S:
+            return False
+        return self._sample.waiting + self._waiting_change <= 0
+
     def failures(self, now: float) -> float:
         """Return the number of recent failures, where older ones count less."""
         return self._failures * math.pow(0.5, (now - self._failed_s) / FAILURE_HALF_LIFE_S)
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -11,10 +11,16 @@
 __all__ = ["Demand", "Placement", "PlacementSettings"]
 
 
+# Speed at which an engine reads a prompt beside other work, and its least time to the first bytes.
+PREFILL_TOKENS_PER_MS = 30.0
+FIRST_BYTES_MS = 90.0
+
+
 class PlacementSettings(NamedTuple):
     """Weights of the placement; costs are in milliseconds of the caller's wait."""
 
-    prefill_tokens_per_ms: float = 30.0
+    # Reading a shared part again also takes memory and slows the streams beside it.
+    reread_weight: float = 2.0
     # Shared parts that are read in less time than this may be read anywhere.
     cheap_read_ms: float = 50.0
     # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
@@ -70,9 +76,9 @@
         """
         allowed = [view for view in views if view.entry.instance not in exclude]
         usable = [view for view in allowed if view.avoid_until_s <= now] or allowed
-        open_views = [view for view in usable if self._has_room(demand, view, now)]
         if self._is_long(demand):
-            open_views = self._holders_or_idle(demand, usable, open_views, now)
+            return self._choose_holder(demand, usable, now)
+        open_views = [view for view in usable if self._has_room(demand, view, now)]
         return min(open_views, key=lambda view: self._cost(demand, view, now), default=None)
 
     def uncached_tokens(self, call: Call, view: EndpointView) -> int:
@@ -81,35 +87,43 @@
 
     def _is_long(self, demand: Demand) -> bool:
         cfg = self._cfg
-        return demand.shared_tokens > cfg.cheap_read_ms * cfg.prefill_tokens_per_ms
+        return demand.shared_tokens > cfg.cheap_read_ms * PREFILL_TOKENS_PER_MS
 
     def _has_room(self, demand: Demand, view: EndpointView, now: float) -> bool:
-        if view.outstanding(now) >= view.entry.slots:
+        if view.full_until_s > now or view.outstanding(now) >= view.entry.slots:
             return False
         if not demand.call.prompt:
             return True
         limit_ms = demand.target_ms * self._cfg.wait_part / (1 + demand.priority / 2)
         return view.waiting(now) * view.turn_ms <= limit_ms
 
-    def _holders_or_idle(
-        self,
-        demand: Demand,
-        usable: list[EndpointView],
-        open_views: list[EndpointView],
-        now: float,
-    ) -> list[EndpointView]:
-        """Return the open endpoints that hold the shared parts, else those that are idle."""
-        shared = demand.call.prompt[:-1]
-        key = shared[-1].part_id
-        home = max(usable, key=lambda view: _rank(key, view))
-        holders = [
-            view
-            for view in open_views
-            if view is home or view.cached.matched_tokens(shared) >= demand.shared_tokens
-        ]
-        return holders or [view for view in open_views if view.waiting(now) == 0]
-
-    def _cost(self, demand: Demand, view: EndpointView, now: float) -> tuple[int, int]:
+    def _choose_holder(
+        self, demand: Demand, views: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        """Return an endpoint that holds the shared parts, or an idle one where waiting costs more.
+
+        All gateways rank the same endpoint first for the longest run of shared parts, and count
+        on its holding them.
+        """
+        key = demand.call.prompt[-2].part_id
+        home = max(views, key=lambda view: _rank(key, view), default=None)
+        costs = {
+            view: self._cost(demand, view, now, 0 if view is home else reread_tokens)
+            for view in views
+            if (reread_tokens := self._reread_tokens(demand, view)) == 0
+            or view is home
+            or view.idle(now)
+        }
+        best = min(costs, key=lambda view: costs[view], default=None)
+        return best if best is not None and self._has_room(demand, best, now) else None
+
+    @staticmethod
+    def _reread_tokens(demand: Demand, view: EndpointView) -> int:
+        return demand.shared_tokens - view.cached.matched_tokens(demand.call.prompt[:-1])
+
+    def _cost(
+        self, demand: Demand, view: EndpointView, now: float, reread_tokens: int = 0
+    ) -> tuple[int, int]:
         cfg = self._cfg
         call = demand.call
         cost = view.failures(now) * cfg.failure_ms
@@ -119,7 +133,7 @@
         if call.prompt:
             cost += view.waiting(now) * view.turn_ms
             cost += view.outstanding(now) * cfg.outstanding_ms
-            cost += self.uncached_tokens(call, view) / cfg.prefill_tokens_per_ms
+            cost += cfg.reread_weight * reread_tokens / PREFILL_TOKENS_PER_MS
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
         # Whole milliseconds, so that endpoints which hardly differ share the work.
