--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -61,7 +61,8 @@
         self._prefilling = True
         # Requests that were to be answered first, without this one.
         self._before = max(0, placed.view.waiting(clock()) - 1)
-        self.expected_wait_s = self._before * placed.view.turn_ms / 1000
+        reading_ms = placed.prefill_tokens / PREFILL_TOKENS_PER_MS
+        self.expected_wait_s = (self._before * placed.view.turn_ms + reading_ms) / 1000
         self._sent_s = 0.0
         self._target = placed.view.entry.incarnation
         self._conn: EndpointConnection | None = None
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -192,7 +192,7 @@
         """Make one attempt; return False when the configuration moved the request meanwhile."""
         placed = await self._placer.place(ticket)
         service = ticket.service
-        self._log.note(ticket, "placed", **self._describe(placed))
+        self._log.note(ticket, "placed", **self._describe(ticket, placed))
         try:
             with Attempt(ticket, placed, self.pool, self._protocol, self._clock) as attempt:
                 if not relay.started:
@@ -205,11 +205,14 @@
         finally:
             self._placer.pump(service)
 
-    def _describe(self, placed: Placed) -> dict[str, object]:
+    def _describe(self, ticket: Ticket, placed: Placed) -> dict[str, object]:
         """Return the inputs that decided a placement."""
         view, prefill_tokens = placed
         now = self._clock()
+        shared = ticket.call.prompt[:-1]
         return {
+            "part": shared[-1].part_id if shared else "",
+            "shared_tokens": sum(part.tokens for part in shared),
             "endpoint": view.entry.instance,
             "zone": view.entry.zone,
             "outstanding": view.outstanding(now),
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -20,7 +20,7 @@
     """Weights of the placement; costs are in milliseconds of the caller's wait."""
 
     # Reading a shared part again also takes memory and slows the streams beside it.
-    reread_weight: float = 2.0
+    reread_weight: float = 5.0
     # Shared parts that are read in less time than this may be read anywhere.
     cheap_read_ms: float = 50.0
     # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
