--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -110,7 +110,8 @@
         try:
             return self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            raise BadMessage(exc.error_status_hint, str(exc)) from exc
+            # The library's text quotes the bytes that it received.
+            raise BadMessage(exc.error_status_hint, "the request is not valid HTTP/1.1") from exc
 
     async def _receive(self, *, started: bool) -> bool:
         """Pass received bytes to h11; return False when the client stayed idle."""
