--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -266,8 +266,11 @@
         exchange.when_gone(on_gone)
 
     async def _refuse(self, exchange: Exchange, exc: Refused) -> None:
-        headers = (("retry-after", f"{exc.retry_after_s:g}"),)
-        await exchange.send_json(503, {"reason": exc.reason, "ran": "no"}, headers)
+        headers = [("retry-after", f"{exc.retry_after_s:g}")]
+        if not self.confirmed:
+            # The caller's next request reaches a gateway that can serve it.
+            headers.append(("connection", "close"))
+        await exchange.send_json(503, {"reason": exc.reason, "ran": "no"}, tuple(headers))
 
     async def _fail(self, exchange: Exchange, relay: Relay, status: int, reason: str) -> None:
         if relay.started:
