Ask engines for their load where a gateway's knowledge of it is old

Cause: with many gateways each sees few answers of each engine and counted its own requests only, so that together they filled engines to first bytes after 4 to 9 s.

A long prompt is sent only on a load sample of the last 0.4 s; a report is asked for at most every 0.3 s. An endpoint that is silent to this gateway is asked before it is left.

Ruled out: more than 3 s of life for samples of answers (they are then wrong).

--- a/cassiadrum/gateways/call_protocols.py
+++ b/cassiadrum/gateways/call_protocols.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from cassiadrum.gateways.answer_heads import AnswerHead
+from cassiadrum.gateways.answer_heads import AnswerHead, LoadSample
 from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.endpoint_entries import EndpointEntry
 from cassiadrum.protocols import Headers, HttpRequest
@@ -30,6 +30,15 @@
     ) -> Headers:
         """Return the headers of a call to an endpoint, without those that frame the body."""
 
+    @property
+    @abstractmethod
+    def load_path(self) -> str:
+        """Return the path at which a model engine reports its load."""
+
+    @abstractmethod
+    def decode_load(self, body: bytes, slots: int) -> LoadSample:
+        """Return the load in a report; raise BadMessage."""
+
     @abstractmethod
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the head of an endpoint's answer."""
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -43,6 +43,8 @@
         self.full_until_s = 0.0
         # When the endpoint last sent bytes of any answer.
         self.heard_s = 0.0
+        # When the endpoint was last asked for its load.
+        self.asked_s = 0.0
         self._refused_connects = 0
         self._failures = 0.0
         self._failed_s = 0.0
@@ -127,6 +129,10 @@
             return self.own
         return max(self.own, self._sample.running + self._sample.waiting + self._change)
 
+    def known(self, now: float, age_s: float) -> bool:
+        """Return whether the load was sampled within the last seconds."""
+        return self._sample is not None and now - self._sampled_s <= age_s
+
     def sample_age_ms(self, now: float) -> int | None:
         """Return the age of the last load sample, None before the first one."""
         return None if self._sample is None else round((now - self._sampled_s) * 1000)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -17,6 +17,7 @@
 from cassiadrum.gateways.endpoint_pools import EndpointPool
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed, Denied, Refused
+from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placements import Placement
 from cassiadrum.gateways.placers import Placed, Placer
 from cassiadrum.gateways.relays import Relay
@@ -73,7 +74,12 @@
         self._clock = clock
         self._boot_clock = boot_clock
         self._placement = Placement(cfg.zone)
-        self._placer = Placer(self.directory, self._placement, clock)
+        self._placer = Placer(
+            self.directory,
+            self._placement,
+            lambda on_sample: LoadProber(self.pool, protocol, clock, on_sample),
+            clock,
+        )
         self._budgets: dict[str, AttemptBudget] = {}
         self._log = DecisionLog(clock)
 
@@ -112,7 +118,14 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
         ticket = Ticket(self._protocol.decode_call(exchange.req), self._clock())
-        relay = Relay(ticket, exchange, self._log, self._clock, lambda: self._could_repeat(ticket))
+        relay = Relay(
+            ticket,
+            exchange,
+            self._log,
+            self._clock,
+            self._placer.prober,
+            lambda: self._could_repeat(ticket),
+        )
         try:
             outcome = await self._answer(ticket, exchange, relay)
         except asyncio.CancelledError:
--- /dev/null
+++ b/cassiadrum/gateways/load_probers.py
@@ -0,0 +1,96 @@
+"""Questions to endpoints about their load."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from cassiadrum.gateways.call_protocols import CallProtocol
+from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.protocols import BadMessage, HttpError
+
+__all__ = ["LoadProber"]
+
+logger = logging.getLogger(__name__)
+
+ANSWER_LIMIT_S = 0.5
+# A question costs a caller's wait and some of the endpoint's time; samples of answers are free.
+INTERVAL_S = 0.3
+
+
+class LoadProber:
+    """Ask an endpoint for its load where what is known of it is old.
+
+    Answers the load pattern of many gateways that each see few answers of each endpoint: without
+    asking, each of them counts its own requests only, and together they fill the endpoint.
+    `on_sample` is called with the service after each question, also when it was not answered.
+    """
+
+    def __init__(
+        self,
+        pool: EndpointPool,
+        protocol: CallProtocol,
+        clock: Callable[[], float],
+        on_sample: Callable[[str], None],
+    ) -> None:
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+        self._on_sample = on_sample
+        self._running: dict[str, asyncio.Task[bool]] = {}
+
+    def refresh(self, view: EndpointView) -> None:
+        """Ask in a task of its own, unless it was asked shortly before."""
+        instance = view.entry.instance
+        if instance in self._running or self._clock() < view.asked_s + INTERVAL_S:
+            return
+        task = asyncio.create_task(self.ask(view))
+        self._running[instance] = task
+        task.add_done_callback(lambda _: self._done(view))
+
+    def pending(self, view: EndpointView) -> bool:
+        """Return whether an answer is expected."""
+        return view.entry.instance in self._running
+
+    async def ask(self, view: EndpointView) -> bool:
+        """Take the endpoint's load; return whether it answered."""
+        view.asked_s = self._clock()
+        target = view.entry.incarnation
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                conn = await self._pool.lend(target, self._clock())
+                try:
+                    conn.send("GET", self._protocol.load_path, self._host(view), b"")
+                    head = await conn.read_head()
+                    parts: list[bytes] = []
+                    while (data := await conn.read_data()) is not None:
+                        parts.append(data)
+                except BaseException:
+                    conn.abort()
+                    raise
+                self._pool.give_back(target, conn, None, self._clock())
+            if head.status_code != 200:
+                raise BadMessage(head.status_code, "no load report")
+            load = self._protocol.decode_load(b"".join(parts), view.entry.slots)
+        except (HttpError, TimeoutError) as exc:
+            logger.info(
+                "load report not answered: %s", exc, extra={"endpoint": view.entry.instance}
+            )
+            view.unreachable(self._clock())
+            return False
+        view.heard_s = self._clock()
+        view.take_sample(load, self._clock())
+        return True
+
+    def close(self) -> None:
+        """Stop asking."""
+        for task in self._running.values():
+            task.cancel()
+
+    def _done(self, view: EndpointView) -> None:
+        self._running.pop(view.entry.instance, None)
+        self._on_sample(view.entry.service)
+
+    @staticmethod
+    def _host(view: EndpointView) -> tuple[tuple[str, str], ...]:
+        return (("host", str(view.entry.address)),)
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -8,7 +8,7 @@
 from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.endpoint_views import EndpointView
 
-__all__ = ["Demand", "Placement", "PlacementSettings"]
+__all__ = ["Choice", "Demand", "Placement", "PlacementSettings"]
 
 
 # Speed at which an engine reads a prompt beside other work, and its least time to the first bytes.
@@ -47,6 +47,13 @@
         return sum(part.tokens for part in self.call.prompt[:-1])
 
 
+class Choice(NamedTuple):
+    """Name the best endpoint; without `room` the request should wait for it, or for any."""
+
+    view: EndpointView | None
+    room: bool
+
+
 class Placement:
     """Choose the endpoint with the least expected cost, or let the request wait here.
 
@@ -69,23 +76,25 @@
         views: Iterable[EndpointView],
         now: float,
         exclude: Collection[str] = (),
-    ) -> EndpointView | None:
-        """Return the endpoint, or None when the request should wait.
+    ) -> Choice:
+        """Return the endpoint to send the request to, or to wait for.
 
         Endpoints to avoid are taken where there is no other.
         """
         allowed = [view for view in views if view.entry.instance not in exclude]
         usable = [view for view in allowed if view.avoid_until_s <= now] or allowed
-        if self._is_long(demand):
+        if self.is_long(demand):
             return self._choose_holder(demand, usable, now)
         open_views = [view for view in usable if self._has_room(demand, view, now)]
-        return min(open_views, key=lambda view: self._cost(demand, view, now), default=None)
+        best = min(open_views, key=lambda view: self._cost(demand, view, now), default=None)
+        return Choice(best, best is not None)
 
     def uncached_tokens(self, call: Call, view: EndpointView) -> int:
         """Return the prompt tokens that the endpoint is expected to read."""
         return max(0, call.prompt_tokens - view.cached.matched_tokens(call.prompt))
 
-    def _is_long(self, demand: Demand) -> bool:
+    def is_long(self, demand: Demand) -> bool:
+        """Return whether the shared parts take long to read."""
         cfg = self._cfg
         return demand.shared_tokens > cfg.cheap_read_ms * PREFILL_TOKENS_PER_MS
 
@@ -97,9 +106,7 @@
         limit_ms = demand.target_ms * self._cfg.wait_part / (1 + demand.priority / 2)
         return view.waiting(now) * view.turn_ms <= limit_ms
 
-    def _choose_holder(
-        self, demand: Demand, views: list[EndpointView], now: float
-    ) -> EndpointView | None:
+    def _choose_holder(self, demand: Demand, views: list[EndpointView], now: float) -> Choice:
         """Return an endpoint that holds the shared parts, or an idle one where waiting costs more.
 
         All gateways rank the same endpoint first for the longest run of shared parts, and count
@@ -115,7 +122,7 @@
             or view.idle(now)
         }
         best = min(costs, key=lambda view: costs[view], default=None)
-        return best if best is not None and self._has_room(demand, best, now) else None
+        return Choice(best, best is not None and self._has_room(demand, best, now))
 
     @staticmethod
     def _reread_tokens(demand: Demand, view: EndpointView) -> int:
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -8,6 +8,7 @@
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import Refused
+from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placements import Demand, Placement
 from cassiadrum.gateways.tickets import Ticket
 
@@ -16,6 +17,8 @@
 # Part of its time that a request waits here for an endpoint before it is refused; the rest leaves
 # its caller time to come back.
 WAIT_PART = 0.35
+# A long prompt is not sent on the ground of a load sample older than this.
+KNOWN_S = 0.4
 # When a full service is expected to have room again.
 FULL_RETRY_S = 0.5
 # An endpoint that starts needs about this long to register.
@@ -41,8 +44,13 @@
     """Give each request an endpoint, at once or when one has room."""
 
     def __init__(
-        self, directory: EndpointDirectory, placement: Placement, clock: Callable[[], float]
+        self,
+        directory: EndpointDirectory,
+        placement: Placement,
+        make_prober: Callable[[Callable[[str], None]], LoadProber],
+        clock: Callable[[], float],
     ) -> None:
+        self.prober = make_prober(self.pump)
         self._directory = directory
         self._placement = placement
         self._clock = clock
@@ -93,9 +101,15 @@
     def _choose(self, ticket: Ticket) -> Placed | None:
         views = self._directory.usable(ticket.service)
         demand = Demand(ticket.call, ticket.route_priority, ticket.target_ms)
-        view = self._placement.choose(demand, views, self._clock(), ticket.tried)
+        now = self._clock()
+        view, room = self._placement.choose(demand, views, now, ticket.tried)
         if view is None:
             return None
+        if self._placement.is_long(demand) and not view.known(now, KNOWN_S):
+            self.prober.refresh(view)
+            room = room and not self.prober.pending(view)
+        if not room:
+            return None
         placed = Placed(view, self._placement.uncached_tokens(ticket.call, view))
         view.start(placed.prefill_tokens)
         return placed
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -8,6 +8,7 @@
 from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.event_sequences import EventSequence
+from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.silence_limits import SilenceLimit
 from cassiadrum.gateways.tickets import Ticket
 from cassiadrum.protocols import Exchange
@@ -23,8 +24,8 @@
 MIN_SILENCE_S = 0.6
 # Multiple of the expected wait that is granted besides.
 EXPECTED_MULTIPLE = 2.0
-# One that is busy with other requests is given up after this many times as long.
-BUSY_MULTIPLE = 4.0
+# One that is busy with other requests is given up after this part of the route's time.
+BUSY_PART = 0.4
 
 
 class Relay:
@@ -36,12 +37,14 @@
         exchange: Exchange,
         log: DecisionLog,
         clock: Callable[[], float],
+        prober: LoadProber,
         may_repeat: Callable[[], bool],
     ) -> None:
         self._ticket = ticket
         self._exchange = exchange
         self._log = log
         self._clock = clock
+        self._prober = prober
         # Whether the budget of repeated attempts has room.
         self._may_repeat = may_repeat
         self._events = EventSequence(ticket.call.last_event_id)
@@ -144,5 +147,9 @@
         return max(MIN_SILENCE_S, PAUSE_MULTIPLE * route.gap_s)
 
     def _silence_limit(self, attempt: Attempt, silence_s: float | None) -> SilenceLimit:
-        longest_s = (silence_s or 0.0) * BUSY_MULTIPLE
-        return SilenceLimit(attempt.view, silence_s, longest_s, self._may_repeat)
+        """Return the limit on a wait for bytes of the answer."""
+        route = self._ticket.route
+        assert route is not None
+        prober = self._prober if route.kind is CallKind.STREAM else None
+        longest_s = max(silence_s or 0.0, BUSY_PART * route.timeout_s)
+        return SilenceLimit(attempt.view, silence_s, longest_s, self._may_repeat, prober)
--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -6,6 +6,7 @@
 from typing import Self
 
 from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.load_probers import LoadProber
 
 __all__ = ["SilenceLimit"]
 
@@ -18,7 +19,8 @@
     An endpoint that is busy with other requests keeps sending bytes for them. Leaving it would
     make another endpoint read the prompt again, so such a wait may last longer than one for an
     endpoint that sends nothing at all. Both limits are in seconds; None waits without limit. The
-    wait goes on while `may_end` returns false, as when no other endpoint may be asked.
+    wait goes on while `may_end` returns false, as when no other endpoint may be asked. With a
+    `prober`, an endpoint that is silent here but reports its load is busy as well.
     """
 
     def __init__(
@@ -27,11 +29,14 @@
         silence_s: float | None,
         longest_s: float,
         may_end: Callable[[], bool],
+        prober: LoadProber | None = None,
     ) -> None:
         self._view = view
         self._silence_s = silence_s
         self._longest_s = longest_s
         self._may_end = may_end
+        self._prober = prober
+        self._question: asyncio.Task[None] | None = None
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
         self._started_s = 0.0
@@ -52,6 +57,8 @@
     ) -> None:
         if self._handle is not None:
             self._handle.cancel()
+        if self._question is not None:
+            self._question.cancel()
         await self._timeout.__aexit__(kind, exc, trace)
 
     def _check(self) -> None:
@@ -65,5 +72,18 @@
             self._handle = loop.call_at(due_s, self._check)
         elif not self._may_end():
             self._handle = loop.call_at(now + RECHECK_S, self._check)
-        elif not self._timeout.expired():
-            self._timeout.reschedule(now)
+        elif self._prober is not None and now < self._started_s + self._longest_s:
+            self._question = asyncio.create_task(self._ask(self._prober))
+        else:
+            self._end()
+
+    async def _ask(self, prober: LoadProber) -> None:
+        """End the wait unless the endpoint reports its load."""
+        if await prober.ask(self._view):
+            self._check()
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        if not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -2,6 +2,8 @@
 
 import re
 
+import msgspec
+
 from cassiadrum.gateways import (
     AnswerHead,
     Call,
@@ -20,6 +22,11 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
+class _ReportWire(msgspec.Struct):
+    running: int
+    waiting: int
+
+
 class PlatformProtocol(CallProtocol):
     """Translate between the platform's headers and the gateway's types."""
 
@@ -67,6 +74,19 @@
             lines.append((Header.LAST_EVENT_ID, last_event_id))
         return (*call.headers, *lines)
 
+    @property
+    def load_path(self) -> str:
+        """Return the path at which a model engine reports its load."""
+        return "/-/report"
+
+    def decode_load(self, body: bytes, slots: int) -> LoadSample:
+        """Return the load in a report; raise BadMessage."""
+        try:
+            report = msgspec.json.decode(body, type=_ReportWire)
+        except msgspec.MsgspecError as exc:
+            raise BadMessage(502, f"load report: {exc}") from exc
+        return LoadSample(report.running, report.waiting, slots)
+
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the head of an endpoint's answer."""
         values = dict(headers)
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_load_probers.py
@@ -0,0 +1,81 @@
+"""Tests of the questions to endpoints about their load."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.load_probers import LoadProber
+from cassiadrum.gateways.silence_limits import SilenceLimit
+from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.protocols import Exchange, HttpServer
+from cassiadrum.settings.addresses import Address
+from cassiadrum.tests.gateways.makers import make_view
+
+
+class Reporter:
+    """An endpoint that reports its load."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.body = b'{"running": 3, "waiting": 2, "seq": 1}'
+        self.server = HttpServer(self.handle)
+
+    async def handle(self, exchange: Exchange) -> None:
+        self.asked += 1
+        await exchange.send(200, self.body, "application/json")
+
+
+@pytest.fixture
+async def reporter() -> AsyncIterator[Reporter]:
+    reporter = Reporter()
+    yield reporter
+    await reporter.server.abort()
+
+
+class TestLoadProber:
+    """Guards against filling an endpoint of which this gateway knows nothing."""
+
+    def make(self, sampled: list[str]) -> LoadProber:
+        return LoadProber(EndpointPool(), PlatformProtocol(), time.monotonic, sampled.append)
+
+    async def test_answer_is_a_sample(self, reporter: Reporter) -> None:
+        view = make_view(
+            "i-0", address=Address("127.0.0.1", await reporter.server.start("127.0.0.1", 0))
+        )
+        sampled: list[str] = []
+        prober = self.make(sampled)
+        prober.refresh(view)
+        prober.refresh(view)
+        assert prober.pending(view)
+        async with asyncio.timeout(2.0):
+            while prober.pending(view):  # noqa: ASYNC110 - the prober sets no event
+                await asyncio.sleep(0.01)
+        now = time.monotonic()
+        assert (view.waiting(now), view.outstanding(now)) == (2, 5)
+        assert sampled == ["drafts"]
+        prober.refresh(view)
+        assert reporter.asked == 1
+
+    @pytest.mark.parametrize("body", [b"nonsense", b"{}"])
+    async def test_unreadable_report_is_no_sample(self, reporter: Reporter, body: bytes) -> None:
+        reporter.body = body
+        view = make_view(
+            "i-0", address=Address("127.0.0.1", await reporter.server.start("127.0.0.1", 0))
+        )
+        assert not await self.make([]).ask(view)
+        assert view.sample_age_ms(time.monotonic()) is None
+
+    async def test_dead_endpoint_is_left_and_a_busy_one_is_not(self, reporter: Reporter) -> None:
+        port = await reporter.server.start("127.0.0.1", 0)
+        view = make_view("i-0", address=Address("127.0.0.1", port))
+        prober = self.make([])
+        async with SilenceLimit(view, 0.05, 10.0, lambda: True, prober):
+            await asyncio.sleep(0.3)
+        assert reporter.asked > 0
+        await reporter.server.abort()
+        with pytest.raises(TimeoutError):
+            async with SilenceLimit(view, 0.05, 10.0, lambda: True, prober):
+                await asyncio.sleep(5.0)
--- a/cassiadrum/tests/gateways/test_placements.py
+++ b/cassiadrum/tests/gateways/test_placements.py
@@ -1,6 +1,7 @@
 """Tests of the choice of an endpoint, each under the load pattern that it answers."""
 
 from collections import Counter
+from collections.abc import Collection
 
 from cassiadrum.gateways.answer_heads import LoadSample
 from cassiadrum.gateways.endpoint_views import EndpointView
@@ -22,8 +23,16 @@
     return Demand(make_call(request_id), priority, TARGET_MS)
 
 
+def choose(
+    demand: Demand, views: list[EndpointView], now: float, exclude: Collection[str] = ()
+) -> EndpointView | None:
+    """Return the endpoint that gets the request now, None when it waits."""
+    view, room = Placement("a").choose(demand, views, now, exclude)
+    return view if room else None
+
+
 def chosen_for(part: str, views: list[EndpointView]) -> EndpointView:
-    view = Placement("a").choose(long_demand(part), views, 0)
+    view = choose(long_demand(part), views, 0)
     assert view is not None
     return view
 
@@ -35,7 +44,7 @@
         chosen = set()
         for gateway in range(6):
             placement = Placement("a" if gateway % 2 else "b")
-            view = placement.choose(long_demand("part", gateway), views_of(6), 0)
+            view, _ = placement.choose(long_demand("part", gateway), views_of(6), 0)
             assert view is not None
             chosen.add(view.entry.instance)
         assert len(chosen) == 1
@@ -54,7 +63,7 @@
         for view in views:
             view.answered(0, LoadSample(5, 8, 64), 0.0)
             view.own_waiting = 0
-        assert Placement("a").choose(long_demand("part", 1), views, 0.1) is None
+        assert choose(long_demand("part", 1), views, 0.1) is None
         assert first.waiting(0.1) > 0
 
     def test_idle_endpoint_helps_a_holder_with_a_long_backlog(self) -> None:
@@ -63,25 +72,25 @@
         idle = next(view for view in views if view is not first)
         idle.take_sample(LoadSample(0, 0, 8), 0.0)
         first.take_sample(LoadSample(4, 60, 64), 0.0)
-        assert Placement("a").choose(long_demand("part", 1), views, 0.1) is idle
+        assert choose(long_demand("part", 1), views, 0.1) is idle
 
     def test_unknown_load_is_not_idle(self) -> None:
         views = views_of(6)
         first = chosen_for("part", views)
         first.take_sample(LoadSample(4, 60, 64), 0.0)
-        assert Placement("a").choose(long_demand("part", 1), views, 0.1) is None
+        assert choose(long_demand("part", 1), views, 0.1) is None
 
     def test_full_endpoint_gets_nothing(self) -> None:
         view = make_view("i-0", slots=2)
         view.take_sample(LoadSample(2, 0, 2), 0.0)
-        assert Placement("a").choose(short_demand(), [view], 0.1) is None
+        assert choose(short_demand(), [view], 0.1) is None
 
     def test_endpoint_that_said_it_is_full_keeps_its_parts(self) -> None:
         views = views_of(6)
         first = chosen_for("part", views)
         first.full(0.0, 0.2)
-        assert Placement("a").choose(long_demand("part", 1), views, 0.1) is None
-        assert Placement("a").choose(long_demand("part", 1), views, 0.3) is first
+        assert choose(long_demand("part", 1), views, 0.1) is None
+        assert choose(long_demand("part", 1), views, 0.3) is first
 
 
 class TestBurstOfLongPrompts:
@@ -90,27 +99,25 @@
     def test_backlog_admits_the_urgent_only(self) -> None:
         view = make_view("i-0", slots=64)
         view.take_sample(LoadSample(5, 6, 64), 0.0)
-        placement = Placement("a")
-        assert placement.choose(long_demand("part", priority=2), [view], 0.1) is None
-        assert placement.choose(long_demand("part", priority=0), [view], 0.1) is view
+        assert choose(long_demand("part", priority=2), [view], 0.1) is None
+        assert choose(long_demand("part", priority=0), [view], 0.1) is view
 
 
 class TestFailingEndpoints:
     """Guards against work for endpoints that fail while their health is good."""
 
     def test_failures_move_work_away_and_age(self) -> None:
-        placement = Placement("a")
         bad, good = make_view("i-0"), make_view("i-1")
         bad.failed(0.0)
         demands = [short_demand(f"r{number}") for number in range(20)]
-        assert {placement.choose(demand, [bad, good], 0.1) for demand in demands} == {good}
-        found = {placement.choose(demand, [bad, good], 30.0) for demand in demands}
+        assert {choose(demand, [bad, good], 0.1) for demand in demands} == {good}
+        found = {choose(demand, [bad, good], 30.0) for demand in demands}
         assert found == {bad, good}
 
     def test_unreachable_endpoint_is_used_where_it_is_the_only_one(self) -> None:
         view = make_view("i-0")
         view.unreachable(0.0)
-        assert Placement("a").choose(short_demand(), [view], 0.1) is view
+        assert choose(short_demand(), [view], 0.1) is view
 
     def test_unreachable_endpoint_pauses_longer_each_time(self) -> None:
         view = make_view("i-0")
@@ -124,7 +131,7 @@
 
     def test_excluded_endpoint_gets_nothing(self) -> None:
         view = make_view("i-0")
-        assert Placement("a").choose(short_demand(), [view], 0.0, {"i-0"}) is None
+        assert choose(short_demand(), [view], 0.0, {"i-0"}) is None
 
 
 class TestEndpointView:
