Explain failed requests from logs: log command, inputs of refusals, gateway metrics

The log command merges files of processes that may be gone; a test takes three kinds of failed request from their id to their cause with it.

--- a/cassiadrum/cli.py
+++ b/cassiadrum/cli.py
@@ -17,6 +17,7 @@
     Session,
     drain,
     explain,
+    log,
     request,
     run_action,
     status,
@@ -48,6 +49,7 @@
         self.status = status
         self.timeline = timeline
         self.explain = explain
+        self.log = log
         self.drain = drain
         self.request = request
 
--- a/cassiadrum/commands/__init__.py
+++ b/cassiadrum/commands/__init__.py
@@ -4,6 +4,7 @@
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.explain_commands import explain, explain_request
+from cassiadrum.commands.log_commands import log
 from cassiadrum.commands.outputs import Output
 from cassiadrum.commands.platforms import PLATFORM_VARIABLE, Platform
 from cassiadrum.commands.request_commands import request
@@ -25,6 +26,7 @@
     "drain",
     "explain",
     "explain_request",
+    "log",
     "request",
     "run_action",
     "status",
--- a/cassiadrum/gateways/decision_logs.py
+++ b/cassiadrum/gateways/decision_logs.py
@@ -24,6 +24,8 @@
 
 class _Line(NamedTuple):
     at_s: float
+    # Seconds since the Unix epoch, to merge the lines of several processes.
+    wall_s: float
     event: str
     fields: dict[str, object]
 
@@ -47,11 +49,11 @@
         """Take a decision with the inputs that decided it."""
         lines = self._lines.setdefault(ticket, [])
         if len(lines) < LINES_PER_REQUEST:
-            lines.append(_Line(self._clock(), event, fields))
+            lines.append(_Line(self._clock(), time.time(), event, fields))
 
-    def end(self, ticket: Ticket, outcome: str, *, well: bool) -> None:
+    def end(self, ticket: Ticket, outcome: str, *, well: bool, **fields: object) -> None:
         """Take the end of a request."""
-        self.note(ticket, "ended", outcome=outcome, sends=ticket.sends)
+        self.note(ticket, "ended", outcome=outcome, sends=ticket.sends, **fields)
         lines = self._lines.pop(ticket)
         bucket = self._well if well else self._failed
         if bucket.reserve(self._clock(), 0.0, len(lines)) is None:
@@ -65,6 +67,7 @@
             "request_id": ticket.call.request_id,
             "service": ticket.service,
             BOUNDED_FIELD: True,
+            "at_s": round(line.wall_s, 4),
             "after_ms": round((line.at_s - ticket.received_s) * 1000, 1),
             **line.fields,
         }
--- a/cassiadrum/gateways/errors.py
+++ b/cassiadrum/gateways/errors.py
@@ -10,12 +10,16 @@
 
 
 class Refused(GatewayError):
-    """The request has not run and never will; the caller may return after `retry_after_s`."""
+    """The request has not run and never will; the caller may return after `retry_after_s`.
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    `inputs` are the figures that decided it, for the log.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float, **inputs: object) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.inputs = inputs
 
 
 class Denied(GatewayError):
--- /dev/null
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -0,0 +1,46 @@
+"""What a gateway measures."""
+
+from cassiadrum.metrics import GATEWAY_DEFINITIONS, make_registry
+from cassiadrum.metrics.exporters import Exporter
+from cassiadrum.metrics.metric_values import MetricValues
+
+__all__ = ["GatewayMetrics"]
+
+
+class GatewayMetrics:
+    """Count answers and attempts, and render them with the gauges that are set before.
+
+    Times are in seconds. The metrics library is loaded when metrics are rendered first.
+    """
+
+    def __init__(self) -> None:
+        self._values = MetricValues(definitions=GATEWAY_DEFINITIONS)
+        self._exporter: Exporter | None = None
+
+    def ended(self, service: str, outcome: str, seconds: float) -> None:
+        """Count a request by the first word of its outcome and observe the time that it took."""
+        labels = (service, outcome.partition(":")[0])
+        self._values.add("cassiadrum_gateway_answers_total", labels)
+        self._values.observe("cassiadrum_gateway_answer_seconds", labels, seconds)
+
+    def attempt_failed(self, service: str, repeated: bool) -> None:
+        """Count a failed attempt."""
+        labels = (service, "yes" if repeated else "no")
+        self._values.add("cassiadrum_gateway_failed_attempts_total", labels)
+
+    def set_service(self, service: str, waiting: int, outstanding: int, endpoints: int) -> None:
+        """Set the gauges of a service."""
+        self._values.set("cassiadrum_gateway_waiting", (service,), waiting)
+        self._values.set("cassiadrum_gateway_outstanding", (service,), outstanding)
+        self._values.set("cassiadrum_gateway_endpoints", (service,), endpoints)
+
+    def set_configuration(self, version: int, age_s: float) -> None:
+        """Set the version in force and the age of its last confirmation."""
+        self._values.set("cassiadrum_gateway_configuration_version", (), version)
+        self._values.set("cassiadrum_gateway_configuration_age_seconds", (), age_s)
+
+    def render(self) -> bytes:
+        """Return the text format."""
+        if self._exporter is None:
+            self._exporter = Exporter(make_registry(), GATEWAY_DEFINITIONS)
+        return self._exporter.render(self._values)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -17,6 +17,7 @@
 from cassiadrum.gateways.endpoint_pools import EndpointPool
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed, Denied, Refused
+from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placements import Placement
 from cassiadrum.gateways.placers import Placed, Placer
@@ -82,6 +83,7 @@
         )
         self._budgets: dict[str, AttemptBudget] = {}
         self._log = DecisionLog(clock)
+        self._metrics = GatewayMetrics()
 
     @property
     def confirmed(self) -> bool:
@@ -115,6 +117,19 @@
         """Place waiting requests after a change of the endpoints."""
         self._placer.pump_all()
 
+    def render_metrics(self) -> bytes:
+        """Return the metrics as text."""
+        now = self._clock()
+        for service in self.catalog.services if self.catalog else ():
+            views = self.directory.usable(service)
+            outstanding = sum(view.outstanding(now) for view in views)
+            waiting = self._placer.waiting(service)
+            self._metrics.set_service(service, waiting, outstanding, len(views))
+        if self.catalog is not None:
+            age_s = self.confirmation.age_s(self._boot_clock())
+            self._metrics.set_configuration(self.catalog.version, age_s)
+        return self._metrics.render()
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
         ticket = Ticket(self._protocol.decode_call(exchange.req), self._clock())
@@ -126,15 +141,16 @@
             self._placer.prober,
             lambda: self._could_repeat(ticket),
         )
+        outcome = "cancelled"
         try:
             outcome = await self._answer(ticket, exchange, relay)
-        except asyncio.CancelledError:
-            self._log.end(ticket, "cancelled", well=exchange.gone.is_set())
+        except Exception as exc:
+            outcome = f"error: {exc!r}"
             raise
-        except BaseException as exc:
-            self._log.end(ticket, f"error: {exc!r}", well=False)
-            raise
-        self._log.end(ticket, outcome, well=outcome == ANSWERED)
+        finally:
+            well = outcome == ANSWERED or exchange.gone.is_set()
+            self._log.end(ticket, outcome, well=well, **self._belief())
+            self._metrics.ended(ticket.service, outcome, self._clock() - ticket.received_s)
 
     async def _answer(self, ticket: Ticket, exchange: Exchange, relay: Relay) -> str:
         """Answer a request and return the outcome for the log."""
@@ -149,6 +165,7 @@
             await exchange.send_json(exc.status, {"reason": exc.reason, "ran": "no"})
             return f"denied: {exc}"
         except Refused as exc:
+            self._log.note(ticket, "refused", **exc.inputs)
             await self._refuse(exchange, exc)
             return f"refused: {exc}, retry after {exc.retry_after_s:g} s"
         except AttemptFailed as exc:
@@ -193,6 +210,7 @@
             except AttemptFailed as exc:
                 repeat = self._may_repeat(ticket, exc)
                 self._log.note(ticket, "attempt failed", reason=exc.reason, repeated=repeat)
+                self._metrics.attempt_failed(ticket.service, repeat)
                 if not repeat:
                     await self._give_up(ticket, relay, exc)
                     return
@@ -218,6 +236,14 @@
         finally:
             self._placer.pump(service)
 
+    def _belief(self) -> dict[str, object]:
+        """Return the version in force and the age of its last confirmation."""
+        age_s = self.confirmation.age_s(self._boot_clock())
+        return {
+            "version": self.catalog.version if self.catalog else 0,
+            "version_age_ms": round(age_s * 1000) if age_s < float("inf") else None,
+        }
+
     def _describe(self, ticket: Ticket, placed: Placed) -> dict[str, object]:
         """Return the inputs that decided a placement."""
         view, prefill_tokens = placed
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -126,7 +126,7 @@
                 return await asyncio.shield(fut)
         except TimeoutError as exc:
             self._release(fut)
-            raise Refused("overloaded", FULL_RETRY_S) from exc
+            raise Refused("overloaded", FULL_RETRY_S, **self._describe(ticket)) from exc
         except asyncio.CancelledError:
             self._release(fut)
             raise
@@ -134,6 +134,18 @@
             queue.remove(request_id)
             self._waiting.pop(request_id, None)
 
+    def _describe(self, ticket: Ticket) -> dict[str, object]:
+        """Return what kept a request waiting."""
+        now = self._clock()
+        views = self._directory.usable(ticket.service)
+        return {
+            "endpoints": len(views),
+            "outstanding": sum(view.outstanding(now) for view in views),
+            "slots": sum(view.entry.slots for view in views),
+            "waiting_at_endpoints": sum(view.waiting(now) for view in views),
+            "waiting_here": self.waiting(ticket.service),
+        }
+
     def _release(self, fut: asyncio.Future[Placed]) -> None:
         """Give back an endpoint that was found just as the wait ended."""
         if not fut.done():
--- a/cassiadrum/metrics/__init__.py
+++ b/cassiadrum/metrics/__init__.py
@@ -2,7 +2,18 @@
 
 from cassiadrum.metrics.customer_ranks import CustomerRanks
 from cassiadrum.metrics.exporters import make_registry
-from cassiadrum.metrics.metric_definitions import DEFINITIONS, MetricDefinition
+from cassiadrum.metrics.metric_definitions import (
+    DEFINITIONS,
+    GATEWAY_DEFINITIONS,
+    MetricDefinition,
+)
 from cassiadrum.metrics.role_metrics import RoleMetrics
 
-__all__ = ["DEFINITIONS", "CustomerRanks", "MetricDefinition", "RoleMetrics", "make_registry"]
+__all__ = [
+    "DEFINITIONS",
+    "GATEWAY_DEFINITIONS",
+    "CustomerRanks",
+    "MetricDefinition",
+    "RoleMetrics",
+    "make_registry",
+]
--- a/cassiadrum/metrics/exporters.py
+++ b/cassiadrum/metrics/exporters.py
@@ -3,6 +3,7 @@
 This module is the only one that loads the library, and only when metrics are rendered.
 """
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 from cassiadrum.metrics.metric_definitions import DEFINITIONS, MetricDefinition
@@ -24,21 +25,24 @@
 class Exporter:
     """Register a collector for each metric and fill it when rendering."""
 
-    def __init__(self, registry: "Registry") -> None:
+    def __init__(
+        self, registry: "Registry", definitions: Mapping[str, MetricDefinition] = DEFINITIONS
+    ) -> None:
         from aioprometheus.collectors import Counter, Gauge, Histogram  # noqa: PLC0415
 
         self._registry = registry
+        self._definitions = definitions
         kinds: dict[str, Any] = {"counter": Counter, "gauge": Gauge, "histogram": Histogram}
         self._collectors: dict[str, Any] = {
             name: kinds[definition.kind](name, definition.doc, registry=registry)
-            for name, definition in DEFINITIONS.items()
+            for name, definition in definitions.items()
         }
 
     def render(self, values: MetricValues) -> bytes:
         """Return the text format of all metrics in the registry."""
         from aioprometheus.renderer import render  # noqa: PLC0415
 
-        for name, definition in DEFINITIONS.items():
+        for name, definition in self._definitions.items():
             collector = self._collectors[name]
             collector.values.clear()
             for labels, value in values.numbers[name].items():
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -2,7 +2,7 @@
 
 from typing import Final, Literal, NamedTuple
 
-__all__ = ["DEFINITIONS", "MetricDefinition"]
+__all__ = ["DEFINITIONS", "GATEWAY_DEFINITIONS", "MetricDefinition"]
 
 # The bounds include the targets of 0.04 s between tokens and 0.97 s to the first token, so that
 # attainment can be read off the histograms.
@@ -21,6 +21,7 @@
 
 
 _SERVICE_CLASS: Final = ("service", "class")
+_SERVICE_OUTCOME: Final = ("service", "outcome")
 
 DEFINITIONS: Final[dict[str, MetricDefinition]] = {
     definition.name: definition
@@ -101,3 +102,50 @@
         ),
     )
 }
+
+# Those of a gateway.
+GATEWAY_DEFINITIONS: Final[dict[str, MetricDefinition]] = {
+    definition.name: definition
+    for definition in (
+        MetricDefinition(
+            "cassiadrum_gateway_answers_total", "counter", "Requests ended", _SERVICE_OUTCOME
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_answer_seconds",
+            "histogram",
+            "Time from receipt to the end of the answer",
+            _SERVICE_OUTCOME,
+            WAIT_BOUNDS_S,
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_failed_attempts_total",
+            "counter",
+            "Failed attempts at endpoints",
+            ("service", "repeated"),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_waiting", "gauge", "Requests waiting for an endpoint", ("service",)
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_outstanding",
+            "gauge",
+            "Estimated requests at the endpoints",
+            ("service",),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_endpoints",
+            "gauge",
+            "Endpoints that may get requests",
+            ("service",),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_configuration_version", "gauge", "Configuration in force", ()
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_configuration_age_seconds",
+            "gauge",
+            "Time since the configuration was confirmed by the store",
+            (),
+        ),
+    )
+}
--- a/cassiadrum/metrics/metric_values.py
+++ b/cassiadrum/metrics/metric_values.py
@@ -1,9 +1,10 @@
 """Values of the metrics, kept in plain dictionaries."""
 
 from bisect import bisect_left
+from collections.abc import Mapping
 from typing import Final
 
-from cassiadrum.metrics.metric_definitions import DEFINITIONS
+from cassiadrum.metrics.metric_definitions import DEFINITIONS, MetricDefinition
 
 __all__ = ["HistogramValue", "MetricValues"]
 
@@ -33,11 +34,16 @@
     at each update, which is too slow for one update a token.
     """
 
-    def __init__(self, series_max: int = SERIES_MAX) -> None:
+    def __init__(
+        self,
+        series_max: int = SERIES_MAX,
+        definitions: Mapping[str, MetricDefinition] = DEFINITIONS,
+    ) -> None:
         self._series_max = series_max
-        self.numbers: dict[str, dict[tuple[str, ...], float]] = {name: {} for name in DEFINITIONS}
+        self._definitions = definitions
+        self.numbers: dict[str, dict[tuple[str, ...], float]] = {name: {} for name in definitions}
         self.histograms: dict[str, dict[tuple[str, ...], HistogramValue]] = {
-            name: {} for name in DEFINITIONS
+            name: {} for name in definitions
         }
 
     def add(self, name: str, labels: tuple[str, ...], amount: float = 1) -> None:
@@ -64,5 +70,5 @@
         if histogram is None:
             if len(series) >= self._series_max:
                 labels = (OTHER,) * len(labels)
-            histogram = series.setdefault(labels, HistogramValue(DEFINITIONS[name].bounds))
+            histogram = series.setdefault(labels, HistogramValue(self._definitions[name].bounds))
         histogram.observe(value, count)
--- a/cassiadrum/platform/__main__.py
+++ b/cassiadrum/platform/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of a gateway process on the platform."""
 
+import argparse
 import asyncio
 import sys
 
@@ -17,8 +18,11 @@
 
 def main() -> None:
     """Run a gateway until it is told to stop."""
+    parser = argparse.ArgumentParser(prog="cassiadrum.platform", description=main.__doc__)
+    parser.add_argument("--metrics-port", type=int, help="serve /metrics at this port")
+    options = parser.parse_args()
     try:
-        process = GatewayProcess(settings_path())
+        process = GatewayProcess(settings_path(), options.metrics_port)
     except BadSettings as exc:
         print(exc, file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
--- a/cassiadrum/platform/boot_settings.py
+++ b/cassiadrum/platform/boot_settings.py
@@ -45,6 +45,7 @@
     zone: str
     listen: _ListenWire
     platform: _PlatformWire
+    ip: str = ""
     limits: _MachineWire = msgspec.field(default_factory=_MachineWire)
     bounds: _BoundsWire = msgspec.field(default_factory=_BoundsWire)
 
@@ -77,6 +78,8 @@
     calls: Address
     readiness: Address
     store: Address
+    # The machine's own address, where the metrics are served.
+    host: str
     connections: int
     bounds: Bounds
 
@@ -116,6 +119,7 @@
         calls=Address.parse(wire.listen.front),
         readiness=Address.parse(wire.listen.ready),
         store=Address.parse(wire.platform.address),
+        host=wire.ip,
         connections=wire.limits.max_fds,
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000,
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -25,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 READY_PATH = "/-/ready"
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Part of `revoke_s` up to which a configuration counts as confirmed; the rest covers the way of a
 # request to its endpoint.
 CONFIRMED_PART = 0.8
@@ -43,10 +45,14 @@
 
 
 class GatewayProcess:
-    """Run a gateway by the platform's settings file until it is told to stop."""
+    """Run a gateway by the platform's settings file until it is told to stop.
 
-    def __init__(self, path: Path) -> None:
+    Metrics are served at `metrics_port` of the machine's address, not at all without one.
+    """
+
+    def __init__(self, path: Path, metrics_port: int | None = None) -> None:
         self._path = path
+        self._metrics_port = metrics_port
         self._cfg = load_boot_settings(path)
         bounds = self._cfg.bounds
         self.gateway = Gateway(
@@ -63,6 +69,7 @@
         )
         self._calls = HttpServer(self.gateway.handle)
         self._readiness = HttpServer(self._answer_ready)
+        self._metrics = HttpServer(self._answer_metrics)
         self.gateway.on_catalog = self._take_limits
         self._tasks: list[asyncio.Task[None]] = []
         self._followers: list[asyncio.Task[None]] = []
@@ -82,6 +89,8 @@
         cfg = self._cfg
         await self._calls.start(cfg.calls.host, cfg.calls.port)
         await self._readiness.start(cfg.readiness.host, cfg.readiness.port)
+        if self._metrics_port is not None:
+            await self._metrics.start(cfg.host, self._metrics_port)
         self._follow(cfg)
         self._tasks = [
             asyncio.create_task(self.gateway.run()),
@@ -123,6 +132,12 @@
         status = 404 if not known else 200 if self.gateway.ready else 503
         await exchange.send(status, b"", "text/plain")
 
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        if exchange.req.path == METRICS_PATH:
+            await exchange.send(200, self.gateway.render_metrics(), METRICS_TYPE)
+        else:
+            await exchange.send(404, b"", "text/plain")
+
     def _reload(self) -> None:
         """Take changed settings; those in force stay where the file is not valid."""
         try:
@@ -160,6 +175,7 @@
                 await self._calls.close()
         await self._calls.abort()
         await self._readiness.abort()
+        await self._metrics.abort()
         for task in (*self._tasks, *self._followers):
             task.cancel()
         self.gateway.pool.close()
--- a/cassiadrum/tests/gateways/conftest.py
+++ b/cassiadrum/tests/gateways/conftest.py
@@ -32,6 +32,7 @@
     """A gateway process and its addresses."""
 
     def __init__(self, settings_path: Path, calls_port: int, ready_port: int, log: Path) -> None:
+        self.metrics_port = free_port()
         self.calls_port = calls_port
         self.ready_port = ready_port
         self.log = log
@@ -43,7 +44,14 @@
         env = {**os.environ, "CASSIADRUM_NODE_FILE": str(self.settings_path)}
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "cassiadrum.platform", env=env, stdout=log, stderr=log
+                sys.executable,
+                "-m",
+                "cassiadrum.platform",
+                "--metrics-port",
+                str(self.metrics_port),
+                env=env,
+                stdout=log,
+                stderr=log,
             )
 
     @property
--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -59,6 +59,7 @@
         "node": "front-a-1",
         "role": "gateway",
         "zone": "a",
+        "ip": "127.0.0.1",
         "listen": {"front": f"127.0.0.1:{calls_port}", "ready": f"127.0.0.1:{ready_port}"},
         "platform": {"address": f"127.0.0.1:{store_port}"},
         "bounds": {
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_decision_logs.py
@@ -0,0 +1,103 @@
+"""Tests of the log lines of decisions."""
+
+import json
+import logging
+import subprocess
+import sys
+import time
+
+import pytest
+
+from cassiadrum.gateways.decision_logs import BURST_LINES, DecisionLog
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.logs.bounded_queue_handlers import BoundedQueueHandler
+from cassiadrum.tests.gateways.makers import make_call
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def run_request(log: DecisionLog, number: int, *, well: bool) -> None:
+    ticket = Ticket(make_call(f"r{number}"), 0.0)
+    log.note(ticket, "placed", endpoint="i-0")
+    log.end(ticket, "answered" if well else "refused: overloaded", well=well)
+
+
+class TestDecisionLog:
+    """Guards against a failed request without its decisions, and against too many lines."""
+
+    def test_load_leaves_no_failed_request_out(self, caplog: pytest.LogCaptureFixture) -> None:
+        caplog.set_level(logging.INFO)
+        log = DecisionLog(Clock())
+        for number in range(1000):
+            run_request(log, number, well=number % 10 != 0)
+        written = [record.__dict__["request_id"] for record in caplog.records]
+        for number in range(0, 1000, 10):
+            assert written.count(f"r{number}") == 2
+        assert len(written) <= BURST_LINES + 200 + 2
+
+    def test_left_out_lines_are_counted(self, caplog: pytest.LogCaptureFixture) -> None:
+        caplog.set_level(logging.INFO)
+        clock = Clock()
+        log = DecisionLog(clock)
+        for number in range(int(BURST_LINES)):
+            run_request(log, number, well=True)
+        clock.now = 10.0
+        run_request(log, 9999, well=True)
+        assert caplog.records[-2].__dict__["left_out"] == BURST_LINES
+
+    def test_lines_of_one_request_are_together(self, caplog: pytest.LogCaptureFixture) -> None:
+        caplog.set_level(logging.INFO)
+        log = DecisionLog(Clock())
+        first, second = Ticket(make_call("a"), 0.0), Ticket(make_call("b"), 0.0)
+        log.note(first, "placed")
+        log.note(second, "placed")
+        log.end(first, "answered", well=True)
+        log.end(second, "answered", well=True)
+        ids = [record.__dict__["request_id"] for record in caplog.records]
+        assert ids == ["a", "a", "b", "b"]
+
+
+class TestBoundedQueueHandler:
+    """Guards against a slow reader of the log that delays requests."""
+
+    def test_what_does_not_fit_is_counted(self) -> None:
+        handler = BoundedQueueHandler(2)
+        for number in range(5):
+            handler.emit(logging.makeLogRecord({"msg": f"line {number}"}))
+        assert handler.records.get_nowait().msg == "line 0"
+        handler.records.get_nowait()
+        handler.emit(logging.makeLogRecord({"msg": "next"}))
+        assert "3 log lines left out" in handler.records.get_nowait().msg
+
+    def test_unread_standard_output_delays_nothing(self) -> None:
+        code = (
+            "import logging, sys, time\n"
+            "from cassiadrum.logs import configure_logging\n"
+            "configure_logging('json', 'INFO', 'g', sys.stdout, queue_limit=100)\n"
+            "logger = logging.getLogger('t')\n"
+            "start = time.monotonic()\n"
+            "for n in range(5000):\n"
+            "    logger.info('%s', 'x' * 200, extra={'bounded': True})\n"
+            "print(time.monotonic() - start, file=sys.stderr)\n"
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-c", code], stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        )
+        assert process.stderr is not None
+        assert process.stdout is not None
+        try:
+            assert float(process.stderr.readline()) < 5.0
+            time.sleep(0.1)
+            first = json.loads(process.stdout.readline())
+            assert first["instance"] == "g"
+        finally:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -0,0 +1,123 @@
+"""Tests that the cause of a failed request is found from the log of a process that is gone."""
+
+import asyncio
+import io
+import json
+from typing import Any
+
+import pytest
+
+from cassiadrum.cli import execute
+from cassiadrum.protocols import AnswerLost
+from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.sites import (
+    Caller,
+    PlatformSite,
+    make_configuration,
+    poll_until,
+    wait_until,
+)
+
+pytestmark = pytest.mark.integration
+
+
+async def log_of(gateway: GatewayRun, request_id: str, around: str = "0") -> list[dict[str, Any]]:
+    """Return the lines that the documented command prints."""
+    await gateway.kill()
+    stream = io.StringIO()
+    arguments = ["log", str(gateway.log), "--request", request_id, "--around", around, "--json"]
+    assert await execute(arguments, stream) == 0
+    lines: list[dict[str, Any]] = json.loads(stream.getvalue())["lines"]
+    return lines
+
+
+async def settle() -> None:
+    """Let the thread write the lines of the last request."""
+    await asyncio.sleep(0.3)
+
+
+class TestExplaining:
+    """Guards against a failed request whose cause the on-call engineer cannot find."""
+
+    async def test_refused_under_overload(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        for name in ("p-1", "p-2"):
+            site.endpoints[name].hang = True
+        others = [Caller(gateway.calls_port) for _ in range(16)]
+        tasks = [
+            asyncio.create_task(other.call("/once/a", request_id=f"o-{number}"))
+            for number, other in enumerate(others)
+        ]
+        await wait_until(lambda: sum(site.runs(f"o-{number}") for number in range(16)) == 16)
+        status, _, _ = await caller.call("/once/a", request_id="refused")
+        await settle()
+        lines = await log_of(gateway, "refused")
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert status == 503
+        assert [line["message"] for line in lines] == ["refused", "ended"]
+        inputs = lines[0]["fields"]
+        assert (inputs["outstanding"], inputs["slots"]) == (16, 16)
+        assert "overloaded" in lines[1]["fields"]["outcome"]
+
+    async def test_cut_off_by_a_dying_endpoint(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        for name in ("e-1", "e-2"):
+            site.endpoints[name].cut_after = 3
+        with pytest.raises(AnswerLost):
+            await caller.call("/stream/a", events=20, request_id="cut")
+        await settle()
+        lines = await log_of(gateway, "cut")
+        failed = [line["fields"] for line in lines if line["message"] == "attempt failed"]
+        placed = [line["fields"]["endpoint"] for line in lines if line["message"] == "placed"]
+        assert [item["repeated"] for item in failed] == [True, False]
+        assert set(placed) == {"e-1", "e-2"}
+        assert "answer lost" in lines[-1]["fields"]["outcome"]
+
+    async def test_denied_after_a_key_change(
+        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        other = [{"name": "st-martin", "api_keys": ["key-2"]}]
+        site.store.put("op", "config", make_configuration(7, tenants=other))
+
+        async def denied() -> bool:
+            return (await caller.call("/safe/a", request_id="denied"))[0] == 401
+
+        await poll_until(denied, 2.0)
+        await settle()
+        lines = await log_of(gateway, "denied", around="5")
+        beliefs = [line for line in lines if not line["request_id"]]
+        assert ("configuration in force", 7) in [
+            (line["message"], line["fields"].get("version")) for line in beliefs
+        ]
+        end = lines[-1]["fields"]
+        assert (end["outcome"], end["version"]) == ("denied: unknown_key", 7)
+        assert "key-1" not in gateway.log.read_text()
+
+
+class TestLogCommand:
+    """Guards against a merge that hides what it could not read."""
+
+    async def test_unreadable_lines_are_counted_and_order_is_by_time(self, tmp_path: Any) -> None:
+        first, second = tmp_path / "a.log", tmp_path / "b.log"
+        line = {"instance": "a", "message": "one", "time": "2026-12-04T05:00:02+00:00"}
+        first.write_text(json.dumps(line) + "\nnot json\n")
+        line = {"instance": "b", "message": "two", "time": "2026-12-04T05:00:01+00:00"}
+        second.write_text(json.dumps(line) + "\n")
+        stream = io.StringIO()
+        assert await execute(["log", str(first), str(second), "--json"], stream) == 0
+        found = json.loads(stream.getvalue())
+        assert [line["message"] for line in found["lines"]] == ["two", "one"]
+        assert found["unreadable"] == 1
+
+    @pytest.mark.parametrize(
+        ("arguments", "code"),
+        [(["--request", "x"], 3), (["--request", "x", "--around", "soon"], 2)],
+    )
+    async def test_bad_questions(self, tmp_path: Any, arguments: list[str], code: int) -> None:
+        path = tmp_path / "a.log"
+        line = {"instance": "a", "message": "one", "time": "2026-12-04T05:00:02+00:00"}
+        path.write_text(json.dumps(line))
+        assert await execute(["log", str(path), *arguments], io.StringIO(), io.StringIO()) == code
+        assert await execute(["log", str(tmp_path / "no")], None, io.StringIO()) == 2
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -7,7 +7,7 @@
 
 from cassiadrum.platform.standins import StoreFault
 from cassiadrum.platform.wire_names import Header
-from cassiadrum.protocols import AnswerLost
+from cassiadrum.protocols import AnswerLost, HttpClient
 from cassiadrum.tests.gateways.conftest import GatewayRun
 from cassiadrum.tests.gateways.sites import (
     Caller,
@@ -269,3 +269,20 @@
             site.endpoints[name].cut_after = 3
         with pytest.raises(AnswerLost):
             await caller.call("/stream/a", events=10)
+
+
+class TestMetrics:
+    """Guards against figures that an operator cannot fetch."""
+
+    async def test_answers_and_beliefs_are_counted(
+        self, caller: Caller, gateway: GatewayRun
+    ) -> None:
+        await caller.call("/safe/a")
+        await caller.call("/safe/a", key="other")
+        client = HttpClient("127.0.0.1", gateway.metrics_port)
+        text = (await (await client.request("GET", "/metrics")).read()).decode()
+        client.close()
+        assert 'cassiadrum_gateway_answers_total{outcome="answered",service="plain"} 1' in text
+        assert 'cassiadrum_gateway_answers_total{outcome="denied",service=""} 1' in text
+        assert 'cassiadrum_gateway_endpoints{service="engine"} 2' in text
+        assert "cassiadrum_gateway_configuration_version 1" in text
--- a/cassiadrum/tests/test_operations_page.py
+++ b/cassiadrum/tests/test_operations_page.py
@@ -1,4 +1,4 @@
-"""Tests that docs/operations.md states what the code does."""
+"""Tests that docs/OPERATIONS.md states what the code does."""
 
 import re
 from pathlib import Path
@@ -6,9 +6,9 @@
 from cassiadrum.cli import parse
 from cassiadrum.commands import ExitCode
 from cassiadrum.frontends.problems import REASONS
-from cassiadrum.metrics.metric_definitions import DEFINITIONS
+from cassiadrum.metrics.metric_definitions import DEFINITIONS, GATEWAY_DEFINITIONS
 
-TEXT = (Path(__file__).parents[2] / "docs" / "operations.md").read_text()
+TEXT = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text()
 COMMANDS = (
     ("service", "check", "f"),
     ("service", "apply", "f"),
@@ -19,6 +19,7 @@
     ("status",),
     ("timeline",),
     ("explain", "r"),
+    ("log", "f"),
     ("drain", "i"),
     ("request", "t"),
 )
@@ -38,7 +39,8 @@
     def test_metrics(self) -> None:
         rows = re.findall(r"^\| `(cassiadrum_\w+)` \| (\w+) \| ?(.*?) ?\|$", TEXT, re.MULTILINE)
         assert rows == [
-            (item.name, item.kind, ", ".join(item.labels)) for item in DEFINITIONS.values()
+            (item.name, item.kind, ", ".join(item.labels))
+            for item in (*DEFINITIONS.values(), *GATEWAY_DEFINITIONS.values())
         ]
 
     def test_commands(self) -> None:
