Let long prompts wait for the holder of their shared parts

An endpoint that looked idle to many gateways at once was given parts by each, and a wait that was learned too long made that look cheaper.

--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -10,8 +10,6 @@
 
 # A sample older than this says nothing about the requests of other gateways.
 SAMPLE_LIFE_S = 3.0
-# A sample older than this does not show that an endpoint is idle.
-IDLE_SAMPLE_S = 1.0
 # Time that each request before the first bytes adds to the wait of the next one: the value before
 # any answer, its bounds, and the part by which an answer changes it.
 TURN_MS = 150.0
@@ -113,12 +111,6 @@
         """Let requests wait for a time in seconds; the endpoint keeps what it holds."""
         self.full_until_s = max(self.full_until_s, now + pause_s)
 
-    def idle(self, now: float) -> bool:
-        """Return whether the endpoint lately said that no request waits there."""
-        if self._sample is None or now - self._sampled_s > IDLE_SAMPLE_S:
-            return False
-        return self._sample.waiting + self._waiting_change <= 0
-
     def failures(self, now: float) -> float:
         """Return the number of recent failures, where older ones count less."""
         return self._failures * math.pow(0.5, (now - self._failed_s) / FAILURE_HALF_LIFE_S)
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -19,8 +19,6 @@
 class PlacementSettings(NamedTuple):
     """Weights of the placement; costs are in milliseconds of the caller's wait."""
 
-    # Reading a shared part again also takes memory and slows the streams beside it.
-    reread_weight: float = 5.0
     # Shared parts that are read in less time than this may be read anywhere.
     cheap_read_ms: float = 50.0
     # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
@@ -61,8 +59,8 @@
     endpoints for a part by the same hash, so a part is read at one endpoint without messages
     between gateways. Bursts of long prompts: a request is sent only where the prompts before it
     leave time for its target, the less the lower its priority, so short urgent prompts do not
-    wait behind long ones; and a part is read at another endpoint only if that one is idle, since
-    reading it again while all are busy makes all of them later. Endpoints that fail: recent
+    wait behind long ones; and they wait for the holder of their parts, since reading parts again
+    while all endpoints are busy makes all of them later. Endpoints that fail: recent
     failures count as wait, so work moves away in proportion and returns as they age.
     """
 
@@ -107,30 +105,16 @@
         return view.waiting(now) * view.turn_ms <= limit_ms
 
     def _choose_holder(self, demand: Demand, views: list[EndpointView], now: float) -> Choice:
-        """Return an endpoint that holds the shared parts, or an idle one where waiting costs more.
+        """Return the endpoint that holds the shared parts.
 
         All gateways rank the same endpoint first for the longest run of shared parts, and count
         on its holding them.
         """
         key = demand.call.prompt[-2].part_id
         home = max(views, key=lambda view: _rank(key, view), default=None)
-        costs = {
-            view: self._cost(demand, view, now, 0 if view is home else reread_tokens)
-            for view in views
-            if (reread_tokens := self._reread_tokens(demand, view)) == 0
-            or view is home
-            or view.idle(now)
-        }
-        best = min(costs, key=lambda view: costs[view], default=None)
-        return Choice(best, best is not None and self._has_room(demand, best, now))
-
-    @staticmethod
-    def _reread_tokens(demand: Demand, view: EndpointView) -> int:
-        return demand.shared_tokens - view.cached.matched_tokens(demand.call.prompt[:-1])
-
-    def _cost(
-        self, demand: Demand, view: EndpointView, now: float, reread_tokens: int = 0
-    ) -> tuple[int, int]:
+        return Choice(home, home is not None and self._has_room(demand, home, now))
+
+    def _cost(self, demand: Demand, view: EndpointView, now: float) -> tuple[int, int]:
         cfg = self._cfg
         call = demand.call
         cost = view.failures(now) * cfg.failure_ms
@@ -140,7 +124,6 @@
         if call.prompt:
             cost += view.waiting(now) * view.turn_ms
             cost += view.outstanding(now) * cfg.outstanding_ms
-            cost += cfg.reread_weight * reread_tokens / PREFILL_TOKENS_PER_MS
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
         # Whole milliseconds, so that endpoints which hardly differ share the work.
