Count no attempt where another endpoint has the address

Cause: after crashes, engines came back under new ids at the same addresses. The budget of repeated attempts still counts such an arrival.

A test with one permitted attempt failed before.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -108,6 +108,7 @@
             last_event_id=last_event_id,
         )
         ticket.sends += 1
+        ticket.arrivals += 1
         ticket.tried.add(self.view.entry.instance)
         already = ticket.may_have_run
         ticket.may_have_run = True
@@ -191,6 +192,8 @@
 
     def _refused(self, head: AnswerHead) -> None:
         if head.status == 421:
+            # Another endpoint has the address now; the one that was meant got nothing.
+            self._ticket.sends -= 1
             self.view.avoid(self._clock(), REPLACED_PAUSE_S)
         else:
             self.view.full(self._clock(), FULL_PAUSE_S)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -271,7 +271,7 @@
         )
 
     def _may_repeat(self, ticket: Ticket, exc: AttemptFailed) -> bool:
-        if ticket.sends == 0:
+        if ticket.arrivals == 0:
             return True
         if self._clock() >= ticket.deadline_s or not ticket.may_repeat():
             return False
--- a/cassiadrum/gateways/tickets.py
+++ b/cassiadrum/gateways/tickets.py
@@ -27,6 +27,8 @@
         # Instances that got the request.
         self.tried: set[str] = set()
         self.sends = 0
+        # Sends that reached any endpoint, also one that was not meant.
+        self.arrivals = 0
         # Whether an endpoint may have run it.
         self.may_have_run = False
 
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -133,6 +133,18 @@
         assert {body for _, _, body in answers} == {b"p-2"}
         assert not site.endpoints["p-1"].runs
 
+    async def test_endpoint_that_was_not_meant_takes_no_attempt(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        configuration = make_configuration(2)
+        for route in configuration["routes"]:
+            route["max_attempts"] = 1
+        site.store.put("op", "config", configuration)
+        await asyncio.sleep(0.3)
+        site.endpoints["p-1"].instance = "p-9"
+        answers = [await caller.call("/once/a", request_id=f"a-{n}") for n in range(6)]
+        assert [status for status, _, _ in answers] == [200] * 6
+
 
 class TestCallerLeaves:
     """Guards against endpoints that work on what nobody receives."""
