End requests to unreachable services at once; split the gateway's answers off

Cause: an endpoint that refuses connections stayed a candidate, so a request to a service without a reachable endpoint was tried again without pause until its deadline; a request without an id ended its connection without an answer, and a denial after an attempt said that it had not run. Found by reading the diff; the test of the unreachable service fails without the change.

--- /dev/null
+++ b/cassiadrum/gateways/answer_writers.py
@@ -0,0 +1,39 @@
+"""Answers of the gateway itself."""
+
+from cassiadrum.gateways.errors import Denied, Refused
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.protocols import Exchange
+
+__all__ = ["AnswerWriter"]
+
+
+class AnswerWriter:
+    """Tell a caller why its request got no endpoint's answer, and whether it may have run."""
+
+    def __init__(self, ticket: Ticket, exchange: Exchange) -> None:
+        self._ticket = ticket
+        self._exchange = exchange
+
+    async def deny(self, exc: Denied) -> None:
+        """Say that the configuration does not allow the request."""
+        await self._exchange.send_json(exc.status, self._body(exc.reason))
+
+    async def refuse(self, exc: Refused, *, close: bool) -> None:
+        """Promise that the request has not run; with `close` the connection ends.
+
+        The caller's next request then reaches a gateway that can serve it.
+        """
+        headers = [("retry-after", f"{exc.retry_after_s:g}")]
+        if close:
+            headers.append(("connection", "close"))
+        await self._exchange.send_json(503, self._body(exc.reason), tuple(headers))
+
+    async def fail(self, status: int, reason: str) -> None:
+        """Say that the request may have run; an answer that has begun is cut."""
+        if self._exchange.started:
+            self._exchange.abort()
+        else:
+            await self._exchange.send_json(status, self._body(reason))
+
+    def _body(self, reason: str) -> dict[str, str]:
+        return {"reason": reason, "ran": "unknown" if self._ticket.may_have_run else "no"}
--- a/cassiadrum/gateways/attempt_budgets.py
+++ b/cassiadrum/gateways/attempt_budgets.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-__all__ = ["AttemptBudget"]
+__all__ = ["AttemptBudget", "AttemptBudgets"]
 
 
 class AttemptBudget:
@@ -42,3 +42,18 @@
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
+
+
+class AttemptBudgets:
+    """Keep a budget for each service, all with the same figures."""
+
+    def __init__(self, ratio: float, spare: float, window_s: float) -> None:
+        self._figures = (ratio, spare, window_s)
+        self._budgets: dict[str, AttemptBudget] = {}
+
+    def of(self, service: str) -> AttemptBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = AttemptBudget(*self._figures)
+        return budget
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -96,6 +96,8 @@
             conn = await self._pool.lend(self._target, self._clock(), fresh=once)
         except ConnectFailed as exc:
             self.view.unreachable(self._clock())
+            # Otherwise a service whose endpoints are all unreachable would be tried without end.
+            ticket.tried.add(self.view.entry.instance)
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
         call = ticket.call
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cassiadrum.gateways.attempt_budgets import AttemptBudget
+from cassiadrum.gateways.answer_writers import AnswerWriter
+from cassiadrum.gateways.attempt_budgets import AttemptBudgets
 from cassiadrum.gateways.attempts import Attempt
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.catalogs import Catalog, share_of
@@ -20,10 +21,10 @@
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placements import Placement
-from cassiadrum.gateways.placers import Placed, Placer
+from cassiadrum.gateways.placers import Placer
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.tickets import Ticket
-from cassiadrum.protocols import Exchange
+from cassiadrum.protocols import BadMessage, Exchange
 
 __all__ = ["Gateway", "GatewaySettings"]
 
@@ -32,9 +33,8 @@
 # Part of an endpoint's memory for prompts that this gateway counts on.
 CACHE_PART = 0.5
 TICK_S = 0.1
-# A gateway that cannot confirm its configuration says when callers should ask another one.
+# When a caller whose next request may reach another gateway or endpoint should come back.
 ELSEWHERE_RETRY_S = 0.02
-DRAINING_RETRY_S = 0.02
 # Time after the deadline in which an endpoint's own answer to it may arrive.
 DEADLINE_GRACE_S = 0.05
 ANSWERED = "answered"
@@ -81,7 +81,7 @@
             lambda on_sample: LoadProber(self.pool, protocol, clock, on_sample),
             clock,
         )
-        self._budgets: dict[str, AttemptBudget] = {}
+        self._budgets = AttemptBudgets(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
 
@@ -132,7 +132,12 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
-        ticket = Ticket(self._protocol.decode_call(exchange.req), self._clock())
+        try:
+            call = self._protocol.decode_call(exchange.req)
+        except BadMessage as exc:
+            await exchange.send_json(exc.status, {"reason": exc.detail, "ran": "no"})
+            return
+        ticket = Ticket(call, self._clock())
         relay = Relay(
             ticket,
             exchange,
@@ -154,28 +159,34 @@
 
     async def _answer(self, ticket: Ticket, exchange: Exchange, relay: Relay) -> str:
         """Answer a request and return the outcome for the log."""
+        writer = AnswerWriter(ticket, exchange)
         try:
             self._resolve(ticket)
-            self._budget(ticket.service).arrived(ticket.received_s)
+            self._budgets.of(ticket.service).arrived(ticket.received_s)
             self._watch_caller(ticket, exchange)
             limit_s = ticket.deadline_s + DEADLINE_GRACE_S - self._clock()
             async with asyncio.timeout(limit_s):
                 await self._serve(ticket, relay)
         except Denied as exc:
-            await exchange.send_json(exc.status, {"reason": exc.reason, "ran": "no"})
+            await writer.deny(exc)
             return f"denied: {exc}"
         except Refused as exc:
-            self._log.note(ticket, "refused", **exc.inputs)
-            await self._refuse(exchange, exc)
-            return f"refused: {exc}, retry after {exc.retry_after_s:g} s"
+            return await self._refuse(ticket, writer, exc)
         except AttemptFailed as exc:
-            await self._fail(exchange, relay, 502, exc.reason)
+            await writer.fail(502, exc.reason)
             return f"failed: {exc}"
         except TimeoutError:
-            await self._deadline(ticket, exchange, relay)
+            if not ticket.may_have_run:
+                return await self._refuse(ticket, writer, Refused("deadline", ELSEWHERE_RETRY_S))
+            await writer.fail(504, "deadline")
             return "deadline reached"
         return ANSWERED
 
+    async def _refuse(self, ticket: Ticket, writer: AnswerWriter, exc: Refused) -> str:
+        self._log.note(ticket, "refused", **exc.inputs)
+        await writer.refuse(exc, close=not self.confirmed)
+        return f"refused: {exc}, retry after {exc.retry_after_s:g} s"
+
     def _make_view(self, entry: EndpointEntry) -> EndpointView:
         plan = self.catalog.services.get(entry.service) if self.catalog else None
         tokens = plan.cache_tokens if plan is not None else None
@@ -208,7 +219,7 @@
                 if await self._attempt(ticket, relay):
                     return
             except AttemptFailed as exc:
-                repeat = self._may_repeat(ticket, exc)
+                repeat = self._may_repeat(ticket)
                 self._log.note(ticket, "attempt failed", reason=exc.reason, repeated=repeat)
                 self._metrics.attempt_failed(ticket.service, repeat)
                 if not repeat:
@@ -223,13 +234,13 @@
         """Make one attempt; return False when the configuration moved the request meanwhile."""
         placed = await self._placer.place(ticket)
         service = ticket.service
-        self._log.note(ticket, "placed", **self._describe(ticket, placed))
+        self._log.note(ticket, "placed", **placed.describe(ticket.call, self._clock()))
         try:
             with Attempt(ticket, placed, self.pool, self._protocol, self._clock) as attempt:
                 if not relay.started:
                     self._resolve(ticket)
                 if ticket.service != service:
-                    self._budget(ticket.service).arrived(ticket.received_s)
+                    self._budgets.of(ticket.service).arrived(ticket.received_s)
                     return False
                 await relay.run(attempt)
                 return True
@@ -244,55 +255,28 @@
             "version_age_ms": round(age_s * 1000) if age_s < float("inf") else None,
         }
 
-    def _describe(self, ticket: Ticket, placed: Placed) -> dict[str, object]:
-        """Return the inputs that decided a placement."""
-        view, prefill_tokens = placed
-        now = self._clock()
-        shared = ticket.call.prompt[:-1]
-        return {
-            "part": shared[-1].part_id if shared else "",
-            "shared_tokens": sum(part.tokens for part in shared),
-            "endpoint": view.entry.instance,
-            "zone": view.entry.zone,
-            "outstanding": view.outstanding(now),
-            "own": view.own,
-            "load_age_ms": view.sample_age_ms(now),
-            "prefill_tokens": prefill_tokens,
-            "own_prefill_tokens": view.prefill_tokens,
-            "failures": round(view.failures(now), 2),
-            "version": self.catalog.version if self.catalog else 0,
-        }
-
     def _could_repeat(self, ticket: Ticket) -> bool:
         """Return whether another endpoint could get a request whose answer is late."""
-        others = self._placer.others(ticket)
-        return (
-            ticket.may_repeat() and others and self._budget(ticket.service).has_room(self._clock())
-        )
+        if not ticket.may_repeat() or not self._placer.others(ticket):
+            return False
+        return self._budgets.of(ticket.service).has_room(self._clock())
 
-    def _may_repeat(self, ticket: Ticket, exc: AttemptFailed) -> bool:
+    def _may_repeat(self, ticket: Ticket) -> bool:
+        """Return whether a failed request goes to another endpoint; take it from the budget."""
         if ticket.arrivals == 0:
             return True
         if self._clock() >= ticket.deadline_s or not ticket.may_repeat():
             return False
-        return self._budget(ticket.service).spend(self._clock())
+        return self._budgets.of(ticket.service).spend(self._clock())
 
     async def _give_up(self, ticket: Ticket, relay: Relay, exc: AttemptFailed) -> None:
         if relay.failure is not None and not relay.started:
             await relay.pass_failure()
         elif not ticket.may_have_run:
-            raise Refused(exc.reason, DRAINING_RETRY_S) from exc
+            raise Refused(exc.reason, ELSEWHERE_RETRY_S) from exc
         else:
             raise exc
 
-    def _budget(self, service: str) -> AttemptBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            cfg = self._cfg
-            budget = AttemptBudget(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
-            self._budgets[service] = budget
-        return budget
-
     def _watch_caller(self, ticket: Ticket, exchange: Exchange) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -303,22 +287,3 @@
                 task.cancel()
 
         exchange.when_gone(on_gone)
-
-    async def _refuse(self, exchange: Exchange, exc: Refused) -> None:
-        headers = [("retry-after", f"{exc.retry_after_s:g}")]
-        if not self.confirmed:
-            # The caller's next request reaches a gateway that can serve it.
-            headers.append(("connection", "close"))
-        await exchange.send_json(503, {"reason": exc.reason, "ran": "no"}, tuple(headers))
-
-    async def _fail(self, exchange: Exchange, relay: Relay, status: int, reason: str) -> None:
-        if relay.started:
-            exchange.abort()
-        else:
-            await exchange.send_json(status, {"reason": reason, "ran": "unknown"})
-
-    async def _deadline(self, ticket: Ticket, exchange: Exchange, relay: Relay) -> None:
-        if ticket.may_have_run:
-            await self._fail(exchange, relay, 504, "deadline")
-        else:
-            await self._refuse(exchange, Refused("deadline", ELSEWHERE_RETRY_S))
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from cassiadrum.gateways.call_queues import CallQueue
+from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import Refused
@@ -32,6 +33,23 @@
     # Prompt tokens that the endpoint is expected to read.
     prefill_tokens: int
 
+    def describe(self, call: Call, now: float) -> dict[str, object]:
+        """Return the inputs that decided the placement, for the log."""
+        shared = call.prompt[:-1]
+        view = self.view
+        return {
+            "part": shared[-1].part_id if shared else "",
+            "shared_tokens": sum(part.tokens for part in shared),
+            "endpoint": view.entry.instance,
+            "zone": view.entry.zone,
+            "outstanding": view.outstanding(now),
+            "own": view.own,
+            "load_age_ms": view.sample_age_ms(now),
+            "prefill_tokens": self.prefill_tokens,
+            "own_prefill_tokens": view.prefill_tokens,
+            "failures": round(view.failures(now), 2),
+        }
+
 
 class _Waiting(NamedTuple):
     """Hold a request in the queue and the future of its endpoint."""
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -1,6 +1,7 @@
 """Tests of a gateway process between callers, endpoints and the platform's store."""
 
 import asyncio
+import json
 import signal
 
 import pytest
@@ -145,6 +146,24 @@
         answers = [await caller.call("/once/a", request_id=f"a-{n}") for n in range(6)]
         assert [status for status, _, _ in answers] == [200] * 6
 
+    async def test_unreachable_service_is_refused_at_once(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        for name in ("p-1", "p-2"):
+            await site.endpoints[name].close()
+        async with asyncio.timeout(1.5):
+            status, headers, body = await caller.call("/once/a")
+        assert (status, "retry-after" in headers) == (503, True)
+        assert json.loads(body)["ran"] == "no"
+
+    async def test_request_without_an_id_is_denied(self, gateway: GatewayRun) -> None:
+        await gateway.wait_ready()
+        client = HttpClient("127.0.0.1", gateway.calls_port)
+        response = await client.request("GET", "/safe/a")
+        await response.read()
+        client.close()
+        assert response.status == 400
+
 
 class TestCallerLeaves:
     """Guards against endpoints that work on what nobody receives."""
