--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -24,6 +24,7 @@
 from cassiadrum.gateways.placers import Placer
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.logs import BOUNDED_FIELD
 from cassiadrum.protocols import BadMessage, Exchange
 
 __all__ = ["Gateway", "GatewaySettings"]
@@ -101,7 +102,10 @@
             return
         self.catalog = catalog
         self.on_catalog(catalog)
-        logger.info("configuration in force", extra={"version": catalog.version})
+        # The operator's pace bounds these lines.
+        logger.info(
+            "configuration in force", extra={"version": catalog.version, BOUNDED_FIELD: True}
+        )
 
     async def run(self) -> None:
         """Keep the endpoints' state up to date, for ever."""
--- a/cassiadrum/platform/boot_settings.py
+++ b/cassiadrum/platform/boot_settings.py
@@ -37,7 +37,6 @@
 
 class _MachineWire(msgspec.Struct):
     max_fds: int = 1024
-    memory_mb: float = 256.0
 
 
 class _FileWire(msgspec.Struct):
@@ -80,7 +79,8 @@
     store: Address
     # The machine's own address, where the metrics are served.
     host: str
-    connections: int
+    # Files and sockets that the process may have open.
+    descriptors: int
     bounds: Bounds
 
 
@@ -120,7 +120,7 @@
         readiness=Address.parse(wire.listen.ready),
         store=Address.parse(wire.platform.address),
         host=wire.ip,
-        connections=wire.limits.max_fds,
+        descriptors=wire.limits.max_fds,
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000,
             apply_s=bounds.config_apply_ms / 1000,
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -38,6 +38,8 @@
 # Part of the retry budget's number that one gateway may use by itself; deployments have up to
 # about 30 gateways.
 SPARE_PART = 1 / 32
+# Part of the descriptors that callers' connections may take; endpoints and files need the rest.
+CALLER_DESCRIPTORS_PART = 0.6
 # After SIGTERM new connections still arrive until the readiness checks have failed twice.
 ACCEPT_AFTER_STOP_S = 2.6
 STOP_MARGIN_S = 0.4
@@ -67,7 +69,10 @@
             ),
             PlatformProtocol(),
         )
-        self._calls = HttpServer(self.gateway.handle)
+        self._calls = HttpServer(
+            self.gateway.handle,
+            connection_limit=int(self._cfg.descriptors * CALLER_DESCRIPTORS_PART),
+        )
         self._readiness = HttpServer(self._answer_ready)
         self._metrics = HttpServer(self._answer_metrics)
         self.gateway.on_catalog = self._take_limits
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_boot_settings.py
@@ -0,0 +1,71 @@
+"""Tests of the platform's settings file and records."""
+
+import json
+
+import pytest
+
+from cassiadrum.platform.boot_settings import parse_boot_settings
+from cassiadrum.platform.errors import BadRecord, BadSettings
+from cassiadrum.platform.records import decode_catalog, decode_entry
+from cassiadrum.tests.gateways.sites import make_configuration, make_settings
+
+ENTRY = {
+    "service": "plain",
+    "address": "10.1.0.2:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "born": 7,
+}
+
+
+class TestBootSettings:
+    """Guards against a process that starts with settings that it did not understand."""
+
+    def test_values_and_units(self) -> None:
+        cfg = parse_boot_settings(json.dumps(make_settings(1, 2, 3)).encode())
+        assert (cfg.store.port, cfg.calls.port, cfg.readiness.port) == (1, 2, 3)
+        assert cfg.bounds.revoke_s == 2.5
+        assert cfg.bounds.strict_keys
+
+    def test_unknown_keys_are_ignored(self) -> None:
+        raw = {**make_settings(1, 2, 3), "new_key": [1]}
+        assert parse_boot_settings(json.dumps(raw).encode()).zone == "a"
+
+    @pytest.mark.parametrize(
+        ("key", "value"), [("zone", 7), ("platform", {}), ("listen", {"front": "nonsense"})]
+    )
+    def test_wrong_values_name_their_key(self, key: str, value: object) -> None:
+        raw = {**make_settings(1, 2, 3), key: value}
+        with pytest.raises(BadSettings) as caught:
+            parse_boot_settings(json.dumps(raw).encode())
+        assert key in str(caught.value) or "nonsense" in str(caught.value)
+
+
+class TestRecords:
+    """Guards against rows of other writers that take a service down."""
+
+    def test_registration(self) -> None:
+        entry = decode_entry("i-1", json.dumps(ENTRY).encode())
+        assert (entry.started_ms, entry.leaving, entry.address.port) == (7, False, 80)
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"state": "sleeping"}, {"slots": "many"}, {"slots": 0}, {"address": ":80"}, {"zone": 1}],
+    )
+    def test_bad_registration(self, change: dict[str, object]) -> None:
+        with pytest.raises(BadRecord):
+            decode_entry("i-1", json.dumps({**ENTRY, **change}).encode())
+
+    @pytest.mark.parametrize("change", [{"version": "x"}, {"routes": [{"name": "r"}]}])
+    def test_bad_configuration(self, change: dict[str, object]) -> None:
+        with pytest.raises(BadRecord):
+            decode_catalog(json.dumps({**make_configuration(), **change}).encode())
+
+    def test_split_route(self) -> None:
+        raw = make_configuration()
+        split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+        raw["routes"][0] = {**raw["routes"][0], "split": split}
+        route = decode_catalog(json.dumps(raw).encode()).route("127.0.0.1", "/once/a")
+        assert route is not None
+        assert [share.service for share in route.shares] == ["x", "y"]
