--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 soak: $(STAMP)
 	SOAK_SEEDS=$(or $(SEEDS),50) $(BIN)/python -m pytest -n $(JOBS) --dist worksteal \
-	  cassiadrum/tests/integration/test_fault_pairs.py
+	  cassiadrum/tests/integration/test_fault_pairs.py cassiadrum/tests/gateways/test_gateway_soak.py
 
 mutants: $(STAMP)
 	$(BIN)/python -m bench.mutants $(NAMES)
--- /dev/null
+++ b/cassiadrum/tests/gateways/soak.py
@@ -0,0 +1,292 @@
+"""A randomized soak of two gateway processes under faults that overlap."""
+
+import asyncio
+import os
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from cassiadrum.platform.standins import StoreFault
+from cassiadrum.platform.wire_names import Header
+from cassiadrum.protocols import HttpError
+from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
+from cassiadrum.tests.gateways.sites import (
+    Caller,
+    PlatformSite,
+    make_configuration,
+    make_settings,
+    write_settings,
+)
+from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+
+CALLERS = 6
+GATEWAYS = 2
+FAULT_GAP_S = (0.1, 0.6)
+FAULT_LENGTH_S = (0.3, 2.0)
+ANSWER_LIMIT_S = 5.0
+# The deployment's time for being served again once all faults have ended.
+RECOVERY_S = 8.0
+NOT_RUN = (408, 421, 429, 503)
+
+
+class Seen(NamedTuple):
+    """Record what a caller saw of one request; `status` is 0 without a whole answer."""
+
+    request_id: str
+    kind: str
+    status: int
+    signature: str
+    body: bytes
+    events: int
+
+
+class GatewaySoak:
+    """Run callers and faults for a time, then heal, and list the promises that were broken."""
+
+    def __init__(self, seed: int, directory: Path) -> None:
+        self._rng = random.Random(seed)
+        self._site = PlatformSite()
+        self._directory = directory
+        self._gateways: list[GatewayRun] = []
+        self._proxies: list[FaultProxy] = []
+        self._seen: list[Seen] = []
+        self._version = 1
+        self._faults: list[Callable[[], Awaitable[None]]] = [
+            self._endpoint_fault,
+            self._connection_fault,
+            self._store_fault,
+            self._pause_gateway,
+            self._kill_gateway,
+            self._stop_gateway,
+            self._endpoint_leaves,
+            self._change_configuration,
+        ]
+        self.played: list[str] = []
+
+    async def run(self, seconds: float) -> list[str]:
+        """Return the broken promises."""
+        await self._start()
+        try:
+            callers = [asyncio.create_task(self._call_on(n)) for n in range(CALLERS)]
+            await self._inject(seconds)
+            for task in callers:
+                task.cancel()
+            await asyncio.gather(*callers, return_exceptions=True)
+            return self._check() + await self._check_recovery()
+        finally:
+            await self._close()
+
+    @property
+    def served(self) -> int:
+        """Return the number of requests that were answered with success."""
+        return sum(seen.status == 200 for seen in self._seen)
+
+    async def _start(self) -> None:
+        await self._site.start()
+        for endpoint in self._site.endpoints.values():
+            proxy = FaultProxy(endpoint.address)
+            endpoint.address = await proxy.start()
+            self._proxies.append(proxy)
+        for name in self._site.endpoints:
+            self._site.register(name)
+        store = FaultProxy(f"127.0.0.1:{self._site.store_port}")
+        await store.start()
+        self._proxies.append(store)
+        store_port = int(store.address.rpartition(":")[2])
+        for number in range(GATEWAYS):
+            ports = free_port(), free_port()
+            path = self._directory / f"boot-{number}.json"
+            write_settings(path, make_settings(store_port, *ports))
+            run = GatewayRun(path, *ports, self._directory / f"gateway-{number}.log")
+            await run.start()
+            self._gateways.append(run)
+        for run in self._gateways:
+            await run.wait_ready()
+
+    async def _close(self) -> None:
+        for run in self._gateways:
+            await run.kill()
+        for proxy in self._proxies:
+            await proxy.close()
+        await self._site.close()
+
+    # Callers keep a connection until their gateway is gone.
+
+    async def _call_on(self, number: int) -> None:
+        rng = random.Random(self._rng.random())
+        count = 0
+        while True:
+            caller = Caller(rng.choice(self._gateways).calls_port)
+            try:
+                for _ in range(rng.randint(1, 12)):
+                    count += 1
+                    await self._call(caller, rng, f"c{number}-{count}")
+                    await asyncio.sleep(rng.uniform(0.0, 0.05))
+            except (OSError, HttpError, TimeoutError):
+                await asyncio.sleep(0.05)
+            finally:
+                caller.close()
+
+    async def _call(self, caller: Caller, rng: random.Random, request_id: str) -> None:
+        kind = rng.choice(("once", "safe", "stream"))
+        events = rng.randint(1, 30) if kind == "stream" else 0
+        seen = Seen(request_id, kind, 0, "", b"", events)
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                status, headers, body = await caller.call(
+                    f"/{kind}/a", events=events, request_id=request_id
+                )
+            seen = Seen(request_id, kind, status, headers.get(Header.SIGNATURE, ""), body, events)
+        finally:
+            self._seen.append(seen)
+
+    # Faults, which overlap: each lasts for a time of its own.
+
+    async def _inject(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        running = []
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.uniform(*FAULT_GAP_S))
+            fault = self._rng.choice(self._faults)
+            self.played.append(fault.__name__)
+            running.append(asyncio.create_task(self._run_fault(fault)))
+        await asyncio.gather(*running)
+
+    @staticmethod
+    async def _run_fault(fault: Callable[[], Awaitable[None]]) -> None:
+        await fault()
+
+    async def _last(self) -> None:
+        await asyncio.sleep(self._rng.uniform(*FAULT_LENGTH_S))
+
+    async def _endpoint_fault(self) -> None:
+        endpoint = self._rng.choice(list(self._site.endpoints.values()))
+        name, value = self._rng.choice(
+            [("hang", True), ("fail", True), ("refuse", True), ("cut_after", 2)]
+        )
+        setattr(endpoint, name, value)
+        await self._last()
+        setattr(endpoint, name, None if name == "cut_after" else False)
+
+    async def _connection_fault(self) -> None:
+        proxy = self._rng.choice(self._proxies)
+        kind = self._rng.choice(("reset", "silence", "partition", "delay", "half"))
+        if kind == "reset":
+            proxy.cut(reset=True)
+        elif kind == "silence":
+            proxy.silence()
+        elif kind == "partition":
+            proxy.partition()
+            await self._last()
+            proxy.heal()
+        elif kind == "delay":
+            proxy.delay_s = 0.1
+            await self._last()
+            proxy.delay_s = 0.0
+        else:
+            proxy.half_frame(Way.TO_CLIENT)
+
+    async def _store_fault(self) -> None:
+        store = self._site.store
+        kind = self._rng.choice([*StoreFault, "slow", "forget"])
+        if isinstance(kind, StoreFault):
+            store.fault = kind
+            await self._last()
+            store.fault = StoreFault.NONE
+        elif kind == "slow":
+            store.slow_s = 0.3
+            await self._last()
+            store.slow_s = 0.0
+        else:
+            store.forget_history()
+
+    async def _pause_gateway(self) -> None:
+        process = self._rng.choice(self._gateways).process
+        if process.returncode is not None:
+            return
+        os.kill(process.pid, signal.SIGSTOP)
+        await self._last()
+        if process.returncode is None:
+            os.kill(process.pid, signal.SIGCONT)
+
+    async def _kill_gateway(self) -> None:
+        run = self._rng.choice(self._gateways)
+        await run.kill()
+        await run.start()
+
+    async def _stop_gateway(self) -> None:
+        run = self._rng.choice(self._gateways)
+        process = run.process
+        if process.returncode is not None:
+            return
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(4.0)
+        if run.process is process:
+            await run.kill()
+            await run.start()
+
+    async def _endpoint_leaves(self) -> None:
+        name = self._rng.choice(list(self._site.endpoints))
+        self._site.register(name, state="draining")
+        await self._last()
+        if self._rng.random() < 0.5:
+            self._site.store.remove("servers", name)
+            await self._last()
+        self._site.register(name)
+
+    async def _change_configuration(self) -> None:
+        self._version += self._rng.randint(1, 3)
+        key = f"key-{self._rng.randint(2, 9)}"
+        tenants = [{"name": "st-martin", "api_keys": ["key-1", key]}]
+        configuration = make_configuration(self._version, tenants=tenants)
+        self._site.store.put("op", "config", configuration)
+
+    # Promises, from what callers and endpoints saw.
+
+    def _check(self) -> list[str]:
+        return [broken for seen in self._seen if (broken := self._broken(seen))]
+
+    def _broken(self, seen: Seen) -> str:
+        runs = self._site.runs(seen.request_id)
+        what = f"{seen.kind} {seen.request_id} with status {seen.status}"
+        if seen.kind == "once" and runs > 1:
+            return f"{what} ran {runs} times"
+        if seen.status in NOT_RUN and runs and seen.kind == "once":
+            return f"{what} ran {runs} times, though it was refused as not run"
+        if seen.status in (401, 404):
+            return f"{what} is allowed by every configuration"
+        if seen.status == 200:
+            return self._broken_answer(seen, runs, what)
+        return ""
+
+    @staticmethod
+    def _broken_answer(seen: Seen, runs: int, what: str) -> str:
+        if not runs or not seen.signature:
+            return f"{what} has an answer that no endpoint gave"
+        if seen.kind != "stream":
+            signed = seen.signature == f"signed-by-{seen.body.decode()}"
+            return "" if signed else f"{what} has the body {seen.body!r} of {seen.signature}"
+        ids = [int(row[4:]) for row in seen.body.decode().splitlines() if row.startswith("id: ")]
+        if ids != list(range(1, seen.events + 1)):
+            return f"{what} has the events {ids} of {seen.events}"
+        return ""
+
+    async def _check_recovery(self) -> list[str]:
+        broken = []
+        for number, run in enumerate(self._gateways):
+            if run.process.returncode is not None:
+                await run.start()
+            try:
+                await run.wait_ready(limit_s=RECOVERY_S)
+                caller = Caller(run.calls_port)
+                status, _, _ = await caller.call("/safe/a", request_id=f"last-{number}")
+                caller.close()
+            except (OSError, HttpError, TimeoutError) as exc:
+                broken.append(f"gateway {number} does not serve after all faults: {exc!r}")
+            else:
+                if status != 200:
+                    broken.append(f"gateway {number} answers {status} after all faults")
+        return broken
