--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -55,6 +55,7 @@
         self._version = 1
         self._faults: list[Callable[[], Awaitable[None]]] = [
             self._endpoint_fault,
+            self._cut_streams,
             self._connection_fault,
             self._store_fault,
             self._pause_gateway,
@@ -164,12 +165,16 @@
 
     async def _endpoint_fault(self) -> None:
         endpoint = self._rng.choice(list(self._site.endpoints.values()))
-        name, value = self._rng.choice(
-            [("hang", True), ("fail", True), ("refuse", True), ("cut_after", 2)]
-        )
-        setattr(endpoint, name, value)
+        name = self._rng.choice(("hang", "fail", "refuse"))
+        setattr(endpoint, name, True)
         await self._last()
-        setattr(endpoint, name, None if name == "cut_after" else False)
+        setattr(endpoint, name, False)
+
+    async def _cut_streams(self) -> None:
+        endpoint = self._site.endpoints[self._rng.choice(("e-1", "e-2"))]
+        endpoint.cut_after = self._rng.randint(1, 3)
+        await self._last()
+        endpoint.cut_after = None
 
     async def _connection_fault(self) -> None:
         proxy = self._rng.choice(self._proxies)
@@ -269,10 +274,8 @@
         if seen.kind != "stream":
             signed = seen.signature == f"signed-by-{seen.body.decode()}"
             return "" if signed else f"{what} has the body {seen.body!r} of {seen.signature}"
-        ids = [int(row[4:]) for row in seen.body.decode().splitlines() if row.startswith("id: ")]
-        if ids != list(range(1, seen.events + 1)):
-            return f"{what} has the events {ids} of {seen.events}"
-        return ""
+        whole = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, seen.events + 1))
+        return "" if seen.body == whole.encode() else f"{what} has the events {seen.body!r}"
 
     async def _check_recovery(self) -> list[str]:
         broken = []
