--- a/cassiadrum/tests/gateways/conftest.py
+++ b/cassiadrum/tests/gateways/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures of a gateway process on loopback."""
 
 import asyncio
+import itertools
 import os
 import socket
 import sys
@@ -21,11 +22,27 @@
 START_LIMIT_S = 20.0
 
 
+# Below the ports that the system gives to connections, and apart for each test worker.
+FIRST_PORT = 20_000
+WORKER_PORTS = 500
+_numbers = itertools.cycle(range(WORKER_PORTS))
+
+
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now and was not returned shortly before.
+
+    A port that the system chose may be given away again before the gateway listens there.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    while True:
+        port = FIRST_PORT + worker * WORKER_PORTS + next(_numbers)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class GatewayRun:
