Print only the JSON object in make demo JSON=1

Cause: the table was printed before the object, so a program could not read standard output as JSON. Change: the demo prints the table or the object. Test: test_demo.py.

--- a/cassiadrum/demo.py
+++ b/cassiadrum/demo.py
@@ -12,7 +12,7 @@
 from cassiadrum.loads import LoadMix, LoadPlan, LoadReport, LoadSender, load_mix
 from cassiadrum.sites import LocalSite
 
-__all__ = ["main", "run"]
+__all__ = ["main", "render", "run"]
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 MIXES = ("load-foundries.toml", "load-collective.toml")
@@ -22,16 +22,21 @@
 def main() -> None:
     """Run the demo; the exit code is 0 only if every invariant held."""
     parser = argparse.ArgumentParser(description="Run both deployments on loopback.")
-    parser.add_argument("--json", action="store_true", help="print one JSON object at the end")
+    parser.add_argument("--json", action="store_true", help="print one JSON object only")
     options = parser.parse_args()
     logging.basicConfig(level=logging.WARNING)
     report, computed = asyncio.run(run())
-    print(report.as_text())
-    if options.json:
-        print(json.dumps({**report.as_dict(), "tokens_computed": computed}))
+    print(render(report, computed, as_json=options.json))
     sys.exit(1 if report.violations else 0)
 
 
+def render(report: LoadReport, computed: int, *, as_json: bool) -> str:
+    """Return the report and the tokens that the engines computed, as a table or as JSON."""
+    if as_json:
+        return json.dumps({**report.as_dict(), "tokens_computed": computed})
+    return report.as_text()
+
+
 async def run() -> tuple[LoadReport, int]:
     """Return the report of one run and the tokens that the engines computed."""
     mix = _both([load_mix(EXAMPLES / name) for name in MIXES])
--- /dev/null
+++ b/cassiadrum/tests/test_demo.py
@@ -0,0 +1,19 @@
+"""Tests of what the demo prints."""
+
+import json
+
+from cassiadrum.demo import render
+from cassiadrum.loads.load_reports import LoadReport
+
+REPORT = LoadReport(seed=1, duration_s=2.0, services={}, tokens_delivered=30, violations=[])
+
+
+class TestDemoOutput:
+    """Guards against a JSON output that a program cannot read as a whole."""
+
+    def test_json_alone(self) -> None:
+        found = json.loads(render(REPORT, 40, as_json=True))
+        assert (found["tokens_delivered"], found["tokens_computed"]) == (30, 40)
+
+    def test_table(self) -> None:
+        assert render(REPORT, 40, as_json=False).startswith("service ")
