Split the router from the way to its sidecars

Change: SidecarPath decodes what sidecars say and hands attempts over; the router takes typed events (AttemptEvents) and keeps requests and dispatchers. No behaviour changes. Tests: the 139 tests of links, streams, sites, orders, drains and invariants pass unchanged.

--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 from cassiadrum.decisions import (
@@ -20,17 +20,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.frontends import Problem
 from cassiadrum.links import Link
-from cassiadrum.links.messages import (
-    Ack,
-    Attach,
-    Data,
-    End,
-    Head,
-    Hello,
-    RejectStart,
-    Report,
-)
-from cassiadrum.links.messages import Cancel as CancelAttempt
+from cassiadrum.links.messages import Head
 from cassiadrum.roles.answer_relays import AnswerRelay
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.caller_events import AnswerEnd
@@ -47,8 +37,7 @@
     Submit,
     Tick,
 )
-from cassiadrum.roles.sidecar_links import SidecarLinks
-from cassiadrum.roles.start_messages import start_message
+from cassiadrum.roles.sidecar_paths import AttemptEvents, SidecarPath
 
 __all__ = ["Router"]
 
@@ -65,7 +54,7 @@
 LOST = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
 
 
-class Router:
+class Router(AttemptEvents):
     """Own all requests of an entry instance and carry out what the dispatchers decide.
 
     Other tasks post messages to it; `services` maps a sidecar instance to its service.
@@ -88,22 +77,26 @@
         self._clock = clock
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
-        self._links = SidecarLinks()
-        self.links = self._links.by_instance
+        self._path = SidecarPath(self, clock)
         # Cancelled attempts whose end the dispatcher still has to hear of.
         self._cancelled: dict[str, tuple[Attempt, str]] = {}
         self._handlers: dict[type[RouterMessage], Callable[[Any], None]] = {
             Submit: lambda msg: self._submit(msg.pending),
             CallerGone: lambda msg: self._caller_gone(msg.request_id),
             Delivered: self._delivered,
-            FromLink: self._from_link,
-            LinkDown: lambda msg: self._link_down(msg.link),
+            FromLink: self._path.take,
+            LinkDown: lambda msg: self._path.link_down(msg.link),
             MemberUsable: self._member_usable,
             MemberGone: self._member_gone,
             RefuseAll: lambda msg: self._refuse_all(),
             Tick: lambda msg: self._tick(),
         }
 
+    @property
+    def links(self) -> Mapping[str, Link]:
+        """Return the current link of each sidecar."""
+        return self._path.links
+
     def models_wanted(self, service: str) -> list[tuple[str, str]]:
         """Return model and adapter of each request of a service that waits or runs."""
         return [
@@ -158,76 +151,54 @@
         pending = self.pending.get(msg.request_id)
         attempt = pending.attempts.get(msg.attempt_id) if pending else None
         if attempt is not None and msg.position - attempt.acked >= ACK_BYTES:
-            self._ack(attempt, msg.position)
-
-    def _ack(self, attempt: Attempt, position: int) -> None:
-        attempt.acked = position
-        self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
+            self._path.acknowledge(attempt, msg.position)
 
-    # Links.
+    # Events of the sidecars.
 
-    def _from_link(self, message: FromLink) -> None:
-        link, msg = message
-        if link.peer is None:
-            return
-        if isinstance(msg, Hello):
-            self._link_up(link, msg)
-        elif isinstance(msg, Report):
-            self._report(link, msg)
-        elif isinstance(msg, Head):
-            self._with_attempt(msg.attempt_id, lambda p, a: self._relay.head(p, a, msg))
-        elif isinstance(msg, Data):
-            for attempt_id, position, data in msg.parts:
-                self._data(attempt_id, position, data)
-        elif isinstance(msg, End):
-            self._end(link, msg)
-        elif isinstance(msg, RejectStart):
-            self._rejected(msg)
-
-    def _link_up(self, link: Link, hello: Hello) -> None:
-        restarted = self._links.up(link, hello)
-        self._ring.record(EventKind.CONNECTED, peer=hello.instance)
-        for pending, attempt in self._attempts_at(hello.instance):
+    def attached(self, instance: str, restarted: bool) -> None:
+        """Go on with the attempts over a new link, or end them after a restart."""
+        self._ring.record(EventKind.CONNECTED, peer=instance)
+        for pending, attempt in self._attempts_at(instance):
             if restarted:
                 self._ended(pending, attempt, LOST)
-            else:
-                attempt.detached_s = None
-                age_s = self._clock() - attempt.started_s
-                link.send(Attach(attempt.attempt_id, attempt.position, age_s=age_s))
-                # An acknowledgement lost with the old connection would block a full buffer.
-                link.send(Ack([(attempt.attempt_id, attempt.acked)]))
-                self._record(EventKind.REATTACHED, pending, position=attempt.position)
-
-    def _link_down(self, link: Link) -> None:
-        instance = self._links.down(link)
-        if not instance:
-            return
+                continue
+            attempt.detached_s = None
+            self._path.reattach(attempt)
+            self._record(EventKind.REATTACHED, pending, position=attempt.position)
+
+    def detached(self, instance: str) -> None:
+        """Date the loss of the link; the attempts may be found again."""
         now = self._clock()
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
             attempt.detached_s = now
         self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
 
-    def _report(self, link: Link, msg: Report) -> None:
-        if link.peer is None or not self._links.is_current(link):
-            return
+    def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
+        """Pass a load report on to the service's dispatcher."""
         now = self._clock()
-        dispatcher = self._dispatcher(self._services(link.peer.instance))
-        if msg.cached:
-            dispatcher.cached(link.peer.instance, msg.cached, now)
-        rep = self._links.report(link.peer, msg, now)
-        self.on_report(self._services(link.peer.instance), rep)
+        service = self._services(rep.instance)
+        dispatcher = self._dispatcher(service)
+        if cached:
+            dispatcher.cached(rep.instance, cached, now)
+        self.on_report(service, rep)
         self._carry_out(dispatcher.report(rep, now))
 
+    def began(self, head: Head) -> None:
+        """Pass the head of an answer on."""
+        found = self._find(head.attempt_id)
+        if found is not None:
+            self._relay.head(*found, head)
+
     def _member_usable(self, msg: MemberUsable) -> None:
         now = self._clock()
-        report = self._links.set_usable(msg.instance, msg.usable, now)
+        report = self._path.set_usable(msg.instance, msg.usable)
         if report is not None:
             dispatcher = self._dispatcher(self._services(msg.instance))
             self._carry_out(dispatcher.report(report, now))
 
     def _member_gone(self, msg: MemberGone) -> None:
-        self._links.forget(msg.instance)
+        self._path.forget(msg.instance)
         self.on_gone(msg.service, msg.instance)
         dispatcher = self._dispatcher(msg.service)
         # Nothing may be dispatched there again while its attempts end one after the other.
@@ -236,7 +207,8 @@
             self._ended(pending, attempt, LOST)
         self._carry_out(dispatcher.removed(msg.instance, self._clock()))
 
-    def _data(self, attempt_id: str, position: int, data: bytes) -> None:
+    def received(self, attempt_id: str, position: int, data: bytes) -> None:
+        """Pass bytes of an answer on and confirm them."""
         found = self._find(attempt_id)
         if found is None:
             return
@@ -258,38 +230,37 @@
         # Bytes that are held back or have no receiver are confirmed here, the others once the
         # caller's socket took them.
         if pending.caller_gone or attempt.attempt_id != pending.winner or attempt.held:
-            self._ack(attempt, attempt.position)
+            self._path.acknowledge(attempt, attempt.position)
         elif pending.splitter.held_bytes >= ACK_BYTES:
             # The rest of a long event only comes once its beginning is confirmed.
-            self._ack(attempt, attempt.position)
+            self._path.acknowledge(attempt, attempt.position)
 
-    def _end(self, link: Link, msg: End) -> None:
-        found = self._find(msg.attempt_id)
+    def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
+        """Close the request of an attempt, or try again; return whether the attempt is known."""
+        found = self._find(attempt_id)
         if found is None:
-            # A sidecar that drains waits for it.
-            link.send(Ack([(msg.attempt_id, msg.position)]))
-            self._cancelled_ended(msg.attempt_id, msg.tokens)
-            return
+            self._cancelled_ended(attempt_id, outcome.tokens)
+            return False
         pending, attempt = found
-        if msg.ok and msg.position != attempt.position:
-            self._links.send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
-            return
-        ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
-        outcome = Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
-        if msg.ok and not self._relay.continues(pending, attempt):
-            outcome = Outcome(False, ran, msg.tokens, "endpoint_failed")
-        self._links.send(attempt.instance, Ack([(attempt.attempt_id, msg.position)]))
+        if outcome.ok and position != attempt.position:
+            self._path.ask_again(attempt)
+            return True
+        if outcome.ok and not self._relay.continues(pending, attempt):
+            outcome = Outcome(False, outcome.ran, outcome.tokens, "endpoint_failed")
+        self._path.acknowledge(attempt, position)
         self._ended(pending, attempt, outcome)
+        return True
 
-    def _rejected(self, msg: RejectStart) -> None:
-        found = self._find(msg.attempt_id)
+    def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
+        """Try an attempt elsewhere that did not run, unless it may have run long ago."""
+        found = self._find(attempt_id)
         if found is None:
-            self._cancelled_ended(msg.attempt_id, 0)
+            self._cancelled_ended(attempt_id, 0)
             return
         # An old attempt that the sidecar does not know may have run and been forgotten there.
         old = self._clock() - found[1].started_s >= REJECTED_AS_NOT_RUN_S
-        ran = Ran.UNKNOWN if old and msg.reason == UNKNOWN_ATTEMPT else Ran.NO
-        self._ended(*found, Outcome(False, ran, 0, msg.reason, msg.retry_after_s))
+        ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT else Ran.NO
+        self._ended(*found, Outcome(False, ran, 0, reason, retry_after_s))
 
     def _cancelled_ended(self, attempt_id: str, tokens: int) -> None:
         """Tell the dispatcher that a copy which nobody waits for has ended."""
@@ -340,11 +311,8 @@
         pending.attempts[attempt_id] = attempt
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
         self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
-        link = self.links.get(action.instance)
-        if link is None:
+        if not self._path.start(pending, attempt):
             self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
-            return
-        link.send(start_message(pending, attempt_id, now))
 
     def _refuse(self, action: Refuse) -> None:
         pending = self.pending.get(action.req.request_id)
@@ -370,7 +338,7 @@
     def _cancel_attempt(self, pending: PendingRequest, attempt: Attempt) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
         self._cancelled[attempt.attempt_id] = (attempt, pending.queued.service)
-        self._links.send(attempt.instance, CancelAttempt(attempt.attempt_id))
+        self._path.cancel(attempt)
 
     def _close(
         self, pending: PendingRequest, problem: Problem | None, kind: EventKind, outcome: Outcome
@@ -414,13 +382,6 @@
         attempt = pending.attempts.get(attempt_id) if pending else None
         return (pending, attempt) if pending and attempt else None
 
-    def _with_attempt(
-        self, attempt_id: str, act: Callable[[PendingRequest, Attempt], None]
-    ) -> None:
-        found = self._find(attempt_id)
-        if found is not None:
-            act(*found)
-
     def _attempts_at(self, instance: str) -> list[tuple[PendingRequest, Attempt]]:
         return [
             (pending, attempt)
--- /dev/null
+++ b/cassiadrum/roles/sidecar_paths.py
@@ -0,0 +1,145 @@
+"""The way of attempts to endpoints by the links to their sidecars."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Collection, Mapping
+
+from cassiadrum.decisions import EndpointReport, Outcome, Ran
+from cassiadrum.links import Link
+from cassiadrum.links.messages import (
+    Ack,
+    Attach,
+    Cancel,
+    Data,
+    End,
+    Head,
+    Hello,
+    RejectStart,
+    Report,
+)
+from cassiadrum.roles.attempts import Attempt
+from cassiadrum.roles.pending_requests import PendingRequest
+from cassiadrum.roles.router_messages import FromLink
+from cassiadrum.roles.sidecar_links import SidecarLinks
+from cassiadrum.roles.start_messages import start_message
+
+__all__ = ["AttemptEvents", "SidecarPath"]
+
+
+class AttemptEvents(ABC):
+    """Take what sidecars say of attempts and of themselves."""
+
+    @abstractmethod
+    def attached(self, instance: str, restarted: bool) -> None:
+        """Take a new link; after a restart of the sidecar its attempts are lost."""
+
+    @abstractmethod
+    def detached(self, instance: str) -> None:
+        """Take the loss of the link."""
+
+    @abstractmethod
+    def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
+        """Take a load report and prompt prefixes that the endpoint holds."""
+
+    @abstractmethod
+    def began(self, head: Head) -> None:
+        """Take the head of an answer."""
+
+    @abstractmethod
+    def received(self, attempt_id: str, position: int, data: bytes) -> None:
+        """Take bytes of an answer from a position on."""
+
+    @abstractmethod
+    def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
+        """Take the end of an answer of `position` bytes; return whether the attempt is known."""
+
+    @abstractmethod
+    def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
+        """Take an attempt that the sidecar did not start, or does not know."""
+
+
+class SidecarPath:
+    """Hand attempts to sidecars and pass what they answer on to `events`."""
+
+    def __init__(self, events: AttemptEvents, clock: Callable[[], float]) -> None:
+        self._events = events
+        self._clock = clock
+        self._links = SidecarLinks()
+
+    @property
+    def links(self) -> Mapping[str, Link]:
+        """Return the current link of each sidecar."""
+        return self._links.by_instance
+
+    def start(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Hand an attempt over; return False when the sidecar is not linked."""
+        link = self._links.by_instance.get(attempt.instance)
+        if link is None:
+            return False
+        link.send(start_message(pending, attempt.attempt_id, self._clock()))
+        return True
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop an attempt."""
+        self._links.send(attempt.instance, Cancel(attempt.attempt_id))
+
+    def acknowledge(self, attempt: Attempt, position: int) -> None:
+        """Confirm the bytes of an answer up to a position."""
+        attempt.acked = position
+        self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
+
+    def ask_again(self, attempt: Attempt) -> None:
+        """Ask for the bytes of an answer from the attempt's position on."""
+        self._links.send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
+
+    def reattach(self, attempt: Attempt) -> None:
+        """Go on with an attempt over a new link."""
+        age_s = self._clock() - attempt.started_s
+        self._links.send(
+            attempt.instance, Attach(attempt.attempt_id, attempt.position, age_s=age_s)
+        )
+        # An acknowledgement lost with the old connection would block a full buffer.
+        self.acknowledge(attempt, attempt.acked)
+
+    def set_usable(self, instance: str, usable: bool) -> EndpointReport | None:
+        """Permit or forbid new work; return the report that says so, if there is one."""
+        return self._links.set_usable(instance, usable, self._clock())
+
+    def forget(self, instance: str) -> None:
+        """Drop what is known of a sidecar that is gone."""
+        self._links.forget(instance)
+
+    def link_down(self, link: Link) -> None:
+        """Take the end of a link."""
+        instance = self._links.down(link)
+        if instance:
+            self._events.detached(instance)
+
+    def take(self, message: FromLink) -> None:
+        """Take a message of a sidecar."""
+        link, msg = message
+        if link.peer is None:
+            return
+        if isinstance(msg, Hello):
+            self._events.attached(msg.instance, self._links.up(link, msg))
+        elif isinstance(msg, Report):
+            self._report(link, link.peer, msg)
+        elif isinstance(msg, Head):
+            self._events.began(msg)
+        elif isinstance(msg, Data):
+            for attempt_id, position, data in msg.parts:
+                self._events.received(attempt_id, position, data)
+        elif isinstance(msg, End):
+            if not self._events.ended(msg.attempt_id, msg.position, _outcome(msg)):
+                # A sidecar that drains waits for it.
+                link.send(Ack([(msg.attempt_id, msg.position)]))
+        elif isinstance(msg, RejectStart):
+            self._events.rejected(msg.attempt_id, msg.reason, msg.retry_after_s)
+
+    def _report(self, link: Link, peer: Hello, msg: Report) -> None:
+        if self._links.is_current(link):
+            self._events.reported(self._links.report(peer, msg, self._clock()), msg.cached)
+
+
+def _outcome(msg: End) -> Outcome:
+    ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
+    return Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
