Let requests with the same id wait apart

Cause: what waits for an endpoint was kept by request id. When a caller repeated a request while the first one still waited, the second replaced the first, which was refused after its wait although the endpoint was idle; and the end of the first took the second out of the queue. Found by 32 concurrent requests with one id in the new cost measurement of the gateway: 14 refused after 7.0 s at 0 of 256 slots. Ruled out: the load samples (outstanding 0, waiting 0 at the refusal). Change: the queue keeps the requests themselves. Tests: test_placers.py, both red before.

--- a/cassiadrum/gateways/call_queues.py
+++ b/cassiadrum/gateways/call_queues.py
@@ -1,47 +1,51 @@
 """Requests that wait for an endpoint."""
 
+from collections.abc import Hashable
 from itertools import count
-from typing import NamedTuple
+from typing import Generic, NamedTuple, TypeVar
 
-__all__ = ["CallQueue", "QueuedCall"]
+__all__ = ["CallQueue"]
 
+Waiter = TypeVar("Waiter", bound=Hashable)
 
-class QueuedCall(NamedTuple):
-    """Order a waiting request by priority, then by the time until which it can be on time."""
+
+class _Entry(NamedTuple, Generic[Waiter]):
+    """Order a waiter by priority, then by the time until which it can be on time."""
 
     priority: int
     target_s: float
     number: int
-    request_id: str
+    waiter: Waiter
 
 
-class CallQueue:
+class CallQueue(Generic[Waiter]):
     """Keep waiting requests of one service, the most urgent first.
 
     Answers bursts of one class: a less urgent class waits behind a more urgent one. Within a
     priority the request whose latency target ends first goes first, and those that are late
-    already go last, so that a backlog does not make all that follow late as well.
+    already go last, so that a backlog does not make all that follow late as well. A waiter stands
+    for one request; ids do not, since a caller that repeats a request uses its id again.
     """
 
     def __init__(self) -> None:
-        self._entries: list[QueuedCall] = []
-        self._waiting: set[str] = set()
+        self._entries: list[_Entry[Waiter]] = []
+        self._waiting: set[Waiter] = set()
         self._numbers = count()
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def push(self, request_id: str, priority: int, target_s: float) -> None:
+    def push(self, waiter: Waiter, priority: int, target_s: float) -> None:
         """Add a request whose target ends at `target_s` in monotonic seconds."""
-        self._waiting.add(request_id)
-        self._entries.append(QueuedCall(priority, target_s, next(self._numbers), request_id))
+        self._waiting.add(waiter)
+        self._entries.append(_Entry(priority, target_s, next(self._numbers), waiter))
 
-    def remove(self, request_id: str) -> None:
+    def remove(self, waiter: Waiter) -> None:
         """Drop a request."""
-        self._waiting.discard(request_id)
+        self._waiting.discard(waiter)
 
-    def ordered(self, now: float) -> list[str]:
+    def ordered(self, now: float) -> list[Waiter]:
         """Return the waiting requests, the most urgent first."""
-        self._entries = [entry for entry in self._entries if entry.request_id in self._waiting]
+        self._entries = [entry for entry in self._entries if entry.waiter in self._waiting]
         self._entries.sort(key=lambda entry: (entry.priority, entry.target_s <= now, entry))
-        return [entry.request_id for entry in self._entries]
+        return [entry.waiter for entry in self._entries]
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -51,13 +51,6 @@
         }
 
 
-class _Waiting(NamedTuple):
-    """Hold a request in the queue and the future of its endpoint."""
-
-    ticket: Ticket
-    fut: asyncio.Future[Placed]
-
-
 class Placer:
     """Give each request an endpoint, at once or when one has room."""
 
@@ -72,8 +65,8 @@
         self._directory = directory
         self._placement = placement
         self._clock = clock
-        self._queues: dict[str, CallQueue] = {}
-        self._waiting: dict[str, _Waiting] = {}
+        self._queues: dict[str, CallQueue[Ticket]] = {}
+        self._waiting: dict[Ticket, asyncio.Future[Placed]] = {}
 
     def waiting(self, service: str) -> int:
         """Return the number of requests that wait for an endpoint of a service."""
@@ -101,15 +94,15 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        for request_id in queue.ordered(self._clock()):
-            waiting = self._waiting[request_id]
-            if waiting.fut.done():
+        for ticket in queue.ordered(self._clock()):
+            fut = self._waiting[ticket]
+            if fut.done():
                 continue
-            placed = self._choose(waiting.ticket)
+            placed = self._choose(ticket)
             if placed is None:
                 continue
-            queue.remove(request_id)
-            waiting.fut.set_result(placed)
+            queue.remove(ticket)
+            fut.set_result(placed)
 
     def pump_all(self) -> None:
         """Place what waits for any service."""
@@ -134,11 +127,10 @@
 
     async def _wait(self, ticket: Ticket) -> Placed:
         assert ticket.route is not None
-        request_id = ticket.call.request_id
         queue = self._queues.setdefault(ticket.service, CallQueue())
         fut: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
-        self._waiting[request_id] = _Waiting(ticket, fut)
-        queue.push(request_id, ticket.urgency, ticket.target_s)
+        self._waiting[ticket] = fut
+        queue.push(ticket, ticket.urgency, ticket.target_s)
         try:
             async with asyncio.timeout(WAIT_PART * (ticket.deadline_s - ticket.received_s)):
                 return await asyncio.shield(fut)
@@ -149,8 +141,8 @@
             self._release(fut)
             raise
         finally:
-            queue.remove(request_id)
-            self._waiting.pop(request_id, None)
+            queue.remove(ticket)
+            del self._waiting[ticket]
 
     def _describe(self, ticket: Ticket) -> dict[str, object]:
         """Return what kept a request waiting."""
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -51,7 +51,7 @@
     """Guards against a burst of a less urgent class that keeps a more urgent one waiting."""
 
     def test_priority_then_target(self) -> None:
-        queue = CallQueue()
+        queue = CallQueue[str]()
         for number in range(50):
             queue.push(f"low-{number}", 2, 1.0)
         queue.push("late", 0, 9.0)
@@ -59,13 +59,13 @@
         assert queue.ordered(0.0)[:2] == ["soon", "late"]
 
     def test_late_requests_do_not_make_others_late(self) -> None:
-        queue = CallQueue()
+        queue = CallQueue[str]()
         queue.push("late", 1, 1.0)
         queue.push("in-time", 1, 3.0)
         assert queue.ordered(2.0) == ["in-time", "late"]
 
     def test_removed_request_is_not_listed(self) -> None:
-        queue = CallQueue()
+        queue = CallQueue[str]()
         queue.push("a", 0, 1.0)
         queue.remove("a")
         assert not queue.ordered(0.0)
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_placers.py
@@ -0,0 +1,74 @@
+"""Tests of the waiting of requests for an endpoint."""
+
+import asyncio
+import time
+
+from cassiadrum.gateways.endpoint_directories import EndpointDirectory
+from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.load_probers import LoadProber
+from cassiadrum.gateways.placements import Placement
+from cassiadrum.gateways.placers import Placer
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.tests.gateways.makers import CACHE_TOKENS, make_call, make_entry, make_route
+
+
+def make_placer(directory: EndpointDirectory) -> Placer:
+    def make_prober(on_sample: object) -> LoadProber:
+        return LoadProber(EndpointPool(), PlatformProtocol(), time.monotonic, lambda service: None)
+
+    return Placer(directory, Placement("a"), make_prober, time.monotonic)
+
+
+def make_directory(slots: int) -> EndpointDirectory:
+    directory = EndpointDirectory(
+        lambda entry: EndpointView(entry, CACHE_TOKENS), lambda incarnation: None, 2.0
+    )
+    directory.put(make_entry("i-0", slots=slots))
+    return directory
+
+
+def make_ticket(request_id: str) -> Ticket:
+    ticket = Ticket(make_call(request_id), time.monotonic())
+    ticket.resolve(make_route(), None, "drafts")
+    return ticket
+
+
+class TestPlacer:
+    """Guards against a request that is refused while its endpoint has room."""
+
+    async def test_requests_with_the_same_id_wait_apart(self) -> None:
+        """A caller that repeats a request sends its id again while the first one still waits."""
+        directory = make_directory(slots=1)
+        placer = make_placer(directory)
+        first = await placer.place(make_ticket("other"))
+        tasks = [asyncio.create_task(placer.place(make_ticket("same"))) for _ in range(3)]
+        await asyncio.sleep(0)
+        assert placer.waiting("drafts") == 3
+        placed = first
+        for number in range(3):
+            placed.view.answered(placed.prefill_tokens, None, time.monotonic())
+            placed.view.end()
+            placer.pump("drafts")
+            async with asyncio.timeout(1.0):
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            assert len(done) == 1
+            placed = done.pop().result()
+            tasks = [task for task in tasks if not task.done()]
+            assert placer.waiting("drafts") == 2 - number
+
+    async def test_end_of_one_keeps_the_other(self) -> None:
+        """A repeated request must not lose its place when the first one's caller has left."""
+        directory = make_directory(slots=1)
+        placer = make_placer(directory)
+        placed = await placer.place(make_ticket("other"))
+        left, stays = (asyncio.create_task(placer.place(make_ticket("same"))) for _ in range(2))
+        await asyncio.sleep(0)
+        left.cancel()
+        await asyncio.wait([left])
+        placed.view.answered(placed.prefill_tokens, None, time.monotonic())
+        placed.view.end()
+        placer.pump("drafts")
+        async with asyncio.timeout(1.0):
+            assert (await stays).view is placed.view
