Measure the cost of a request through a gateway in make cost

Cause: the cost of the direct path was not measured; make cost knew entry instance and sidecar only.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -72,6 +72,20 @@
             child.ready = json.loads(await process.stdout.readline())
         return child
 
+    async def start_logged(self, module: str, variable: str, settings: str) -> Child:
+        """Start a module that finds its settings by a variable and writes its log to a file."""
+        if len(self._children) >= MAX_CHILDREN:
+            raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
+        path = Path(self._directory.name) / f"{next(self._numbers)}.json"
+        path.write_text(settings)
+        with path.with_suffix(".log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, env={**os.environ, variable: str(path)}, stdout=log
+            )
+        child = Child(process, {})
+        self._children.append(child)
+        return child
+
     async def daemon(self, settings: str) -> Child:
         """Start a daemon from the text of its settings."""
         path = Path(self._directory.name) / f"{next(self._numbers)}.toml"
--- a/bench/wall_clock/__main__.py
+++ b/bench/wall_clock/__main__.py
@@ -10,6 +10,7 @@
 
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.callers import Callers, Timing, Work
+from bench.wall_clock.gateways import GATEWAY_WORKS, GatewayPlatform
 from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
 from cassiadrum.protocols import HttpClient
 
@@ -35,6 +36,13 @@
     cpu_s: list[float]
 
 
+class Route(NamedTuple):
+    """Name the processes that a request passes and the path prefix that leads there."""
+
+    processes: list[Child]
+    prefix: str
+
+
 async def measure(duration_s: float) -> dict[str, Any]:
     """Return the figures of all works."""
     async with ProcessGroup() as group:
@@ -51,7 +59,23 @@
         report = {}
         for work in WORKS:
             router = [entry, sidecars[work.name]]
-            report[work.name] = await _compare(work, engine, relay, router, duration_s)
+            route = Route(router, f"/services/{work.name}")
+            report[work.name] = await _compare(work, engine, relay, route, duration_s)
+        await platform.close()
+        return report
+
+
+async def measure_gateway(duration_s: float) -> dict[str, Any]:
+    """Return the figures of a gateway, which reaches its endpoint without a sidecar."""
+    async with ProcessGroup() as group:
+        platform = GatewayPlatform(group)
+        route = Route([await platform.start()], "")
+        report = {}
+        for work in GATEWAY_WORKS:
+            engine = platform.engines[work.name]
+            relay = await group.start("bench.wall_clock.relay", "--target", engine)
+            found = await _compare(work, engine, relay, route, duration_s)
+            report[f"gateway {work.name}"] = found
         await platform.close()
         return report
 
@@ -69,10 +93,9 @@
 
 
 async def _compare(
-    work: Work, engine: str, relay: Child, router: list[Child], duration_s: float
+    work: Work, engine: str, relay: Child, route: Route, duration_s: float
 ) -> dict[str, Any]:
-    services = f"/services/{work.name}"
-    routed = Callers(router[0].ready["http"], work.request(services))
+    routed = Callers(route.processes[0].ready["http"], work.request(route.prefix))
     relayed = Callers(relay.ready["http"], work.request(""))
     direct = Callers(engine, work.request(""))
     for callers in (routed, relayed, direct):
@@ -81,7 +104,7 @@
     rounds: dict[str, list[Cost]] = {"relay": [], "router": []}
     for _ in range(ROUNDS):
         rounds["relay"].append(await _cost(relayed, [relay], duration_s / ROUNDS))
-        rounds["router"].append(await _cost(routed, router, duration_s / ROUNDS))
+        rounds["router"].append(await _cost(routed, route.processes, duration_s / ROUNDS))
     relay_cost, router_cost = (_summed(rounds[name], work) for name in ("relay", "router"))
     rate_per_s = router_cost["requests_per_s"] / 2
     delays = {}
@@ -139,7 +162,13 @@
     """Print the report as JSON; return 1 when a target is missed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--duration", type=float, default=4.0, help="seconds for each figure")
-    report = asyncio.run(measure(parser.parse_args().duration))
+    parser.add_argument("--only", choices=("router", "gateway"), help="measure one of them")
+    options = parser.parse_args()
+    report: dict[str, Any] = {}
+    if options.only != "gateway":
+        report |= asyncio.run(measure(options.duration))
+    if options.only != "router":
+        report |= asyncio.run(measure_gateway(options.duration))
     print(json.dumps(report, indent=1))
     missed = _missed(report)
     for line in missed:
--- a/bench/wall_clock/callers.py
+++ b/bench/wall_clock/callers.py
@@ -26,10 +26,12 @@
     target: str
     body: bytes
     tokens: int
+    headers: tuple[tuple[str, str], ...] = ()
 
     def request(self, prefix: str) -> bytes:
         """Return the bytes of the request below a path prefix."""
         head = f"{self.method} {prefix}{self.target} HTTP/1.1\r\nhost: bench\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in self.headers)
         head += f"content-type: application/json\r\ncontent-length: {len(self.body)}\r\n\r\n"
         return head.encode() + self.body
 
