Serve callers with keys for longer when the store goes away

Ruled out: a limit of the whole of revoke_ms; the rest covers the way of a request to its endpoint. Test: test_store_waits.py, red before.

--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -11,6 +11,7 @@
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.errors import BadSettings, StartFailed
 from cassiadrum.platform.row_stores import RowStore
+from cassiadrum.platform.store_waits import StoreWaits
 from cassiadrum.platform.table_followers import TableFollower, TableSink
 from cassiadrum.platform.table_sinks import (
     CONFIGURATION_TABLE,
@@ -28,12 +29,6 @@
 READY_PATH = "/-/ready"
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-# Part of `revoke_s` up to which a configuration counts as confirmed; the rest covers the way of a
-# request to its endpoint.
-CONFIRMED_PART = 0.8
-# Longest wait of a call for changes, as a part of the time after which a machine that lost its
-# connections silently has to act on changes again.
-WAIT_PART = 0.6
 # Entries that lapsed during an outage of the store are back within two seconds of its return.
 RETURN_GRACE_S = 2.0
 # Part of the retry budget's number that one gateway may use by itself; deployments have up to
@@ -64,7 +59,7 @@
                 retry_ratio=bounds.retry_ratio,
                 retry_spare=bounds.retry_spare * SPARE_PART,
                 retry_window_s=bounds.retry_window_s,
-                confirmation_limit_s=bounds.revoke_s * CONFIRMED_PART,
+                confirmation_limit_s=StoreWaits.of(bounds).confirmed_s,
                 strict_keys=bounds.strict_keys,
                 return_grace_s=RETURN_GRACE_S,
             ),
@@ -118,14 +113,10 @@
         for task in self._followers:
             task.cancel()
         self._followers.clear()
-        bounds = cfg.bounds
+        waits = StoreWaits.of(cfg.bounds)
         sinks: list[tuple[str, TableSink, float]] = [
-            (
-                CONFIGURATION_TABLE,
-                ConfigurationSink(self.gateway),
-                WAIT_PART * min(bounds.contact_s, bounds.revoke_s * CONFIRMED_PART),
-            ),
-            (ENDPOINT_TABLE, EndpointSink(self.gateway), WAIT_PART * bounds.contact_s),
+            (CONFIGURATION_TABLE, ConfigurationSink(self.gateway), waits.configuration_s),
+            (ENDPOINT_TABLE, EndpointSink(self.gateway), waits.endpoints_s),
         ]
         for table, sink, wait_s in sinks:
             follower = TableFollower(RowStore(cfg.store), table, sink, wait_s)
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_store_waits.py
@@ -0,0 +1,31 @@
+"""Tests of how long an outage of the store is bridged."""
+
+import json
+
+import pytest
+
+from cassiadrum.platform.boot_settings import parse_boot_settings
+from cassiadrum.platform.store_waits import StoreWaits
+from cassiadrum.tests.gateways.sites import make_settings
+
+# Callers with keys count on a gateway until it was apart from the store for this part of the time
+# after which a key that was taken away is no longer served.
+OWED_PART = 0.6
+# Longest time of an answer on its way.
+TRANSFER_S = 0.05
+
+
+class TestStoreWaits:
+    """Guards against callers with valid keys who are refused too early in an outage."""
+
+    @pytest.mark.parametrize(
+        ("contact_ms", "revoke_ms"), [(3000, 5000), (4000, 5000), (1500, 2500)]
+    )
+    def test_outage_is_bridged(self, contact_ms: int, revoke_ms: int) -> None:
+        raw = make_settings(1, 2, 3)
+        raw["bounds"] |= {"contact_ms": contact_ms, "revoke_ms": revoke_ms}
+        bounds = parse_boot_settings(json.dumps(raw).encode()).bounds
+        waits = StoreWaits.of(bounds)
+        bridged_s = waits.confirmed_s - waits.configuration_s - TRANSFER_S
+        assert bridged_s >= OWED_PART * bounds.revoke_s
+        assert waits.confirmed_s < bounds.revoke_s
