--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -12,6 +12,8 @@
 # The client states the address that it is connected to.
 HOST = "127.0.0.1"
 WAIT_S = 8.0
+# Time after which a key that was taken away is no longer served.
+REVOKE_S = 2.5
 
 
 def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -68,7 +70,7 @@
             "drain_ms": 1000,
             "grace_s": 6,
             "strict_revoke": True,
-            "revoke_ms": 2500,
+            "revoke_ms": REVOKE_S * 1000,
             "retry_budget_ratio": 0.2,
             "budget_window_s": 10,
             "retry_budget_slack": 320,
--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from cassiadrum.protocols import HttpError
 from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
 from cassiadrum.tests.gateways.sites import (
+    REVOKE_S,
     Caller,
     PlatformSite,
     make_configuration,
@@ -29,6 +31,8 @@
 # The deployment's time for being served again once all faults have ended.
 RECOVERY_S = 8.0
 NOT_RUN = (408, 421, 429, 503)
+# Keys that configurations give and take away besides the one that always holds.
+LENT_KEYS = tuple(f"key-{number}" for number in range(2, 10))
 
 
 class Seen(NamedTuple):
@@ -53,6 +57,9 @@
         self._proxies: list[FaultProxy] = []
         self._seen: list[Seen] = []
         self._version = 1
+        # Times at which the operator took a key away, monotonic seconds.
+        self._taken_s = dict.fromkeys(LENT_KEYS, float("-inf"))
+        self._served_taken: list[str] = []
         self._faults: list[Callable[[], Awaitable[None]]] = [
             self._endpoint_fault,
             self._cut_streams,
@@ -71,6 +78,7 @@
         await self._start()
         try:
             callers = [asyncio.create_task(self._call_on(n)) for n in range(CALLERS)]
+            callers.append(asyncio.create_task(self._call_with_lent_keys()))
             await self._inject(seconds)
             for task in callers:
                 task.cancel()
@@ -143,6 +151,27 @@
         finally:
             self._seen.append(seen)
 
+    async def _call_with_lent_keys(self) -> None:
+        """Send requests with keys that come and go; one that is gone for long is not served."""
+        rng = random.Random(self._rng.random())
+        while True:
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
+            key = rng.choice(LENT_KEYS)
+            taken_s = self._taken_s.get(key)
+            gone_s = time.monotonic() - taken_s if taken_s is not None else 0.0
+            caller = Caller(rng.choice(self._gateways).calls_port)
+            try:
+                async with asyncio.timeout(ANSWER_LIMIT_S):
+                    status, _, _ = await caller.call("/safe/a", key=key)
+            except (OSError, HttpError, TimeoutError):
+                continue
+            finally:
+                caller.close()
+            if status == 200 and gone_s > REVOKE_S and self._taken_s.get(key) == taken_s:
+                self._served_taken.append(
+                    f"{key} was served {gone_s:.2f} s after it was taken away"
+                )
+
     # Faults, which overlap: each lasts for a time of its own.
 
     async def _inject(self, seconds: float) -> None:
@@ -244,15 +273,20 @@
 
     async def _change_configuration(self) -> None:
         self._version += self._rng.randint(1, 3)
-        key = f"key-{self._rng.randint(2, 9)}"
+        key = self._rng.choice(LENT_KEYS)
         tenants = [{"name": "st-martin", "api_keys": ["key-1", key]}]
         configuration = make_configuration(self._version, tenants=tenants)
         self._site.store.put("op", "config", configuration)
+        now = time.monotonic()
+        self._taken_s = {
+            other: self._taken_s.get(other, now) for other in LENT_KEYS if other != key
+        }
 
     # Promises, from what callers and endpoints saw.
 
     def _check(self) -> list[str]:
-        return [broken for seen in self._seen if (broken := self._broken(seen))]
+        broken = [text for seen in self._seen if (text := self._broken(seen))]
+        return broken + self._served_taken
 
     def _broken(self, seen: Seen) -> str:
         runs = self._site.runs(seen.request_id)
