Log what a refused request waited for

Cause: the refusal of a request with shared prompt parts named totals of the service only (69 requests at 21 endpoints with 1344 slots), which does not explain it: it waits for the endpoint that holds its parts. Change: placed and refused carry what is believed of the endpoint; explain says which one it waited for.

--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -15,7 +15,7 @@
 TEXTS: Final[dict[str, str]] = {
     "received": "received on route {route} ({kind}) from customer {customer!r}: urgency {urgency},"
     " target {target_ms} ms, limit {limit_ms} ms",
-    "placed": "sent to {endpoint}, which had {outstanding} requests ({own} of this process) by"
+    "placed": "sent to {endpoint}, which had {at_endpoint} requests ({own} of this process) by"
     " a load report {load_age_ms} ms old, and {prefill_tokens} prompt tokens to read",
     "first bytes": "{endpoint} began to answer with status {status}",
     "attempt failed": "attempt failed: {reason}; repeated: {repeated}",
@@ -33,6 +33,12 @@
     "endpoint avoided": "{endpoint} avoided for {pause_ms} ms: {reason}",
 }
 
+# Added where a refused request waited for one endpoint, which holds its shared prompt parts.
+HOLDER_TEXT: Final = (
+    "; it waited for {endpoint}, which had {at_endpoint} requests, {without_first_bytes} of them"
+    " without first bytes at {turn_ms} ms each"
+)
+
 
 class _Step(NamedTuple):
     """Tell what happened, or, as a `belief`, what the process had learned."""
@@ -82,6 +88,8 @@
     template = TEXTS.get(line.message)
     if template is None:
         return line.message
+    if line.message == "refused" and "endpoint" in line.fields:
+        template += HOLDER_TEXT
     try:
         return template.format_map(line.fields)
     except KeyError:
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -140,6 +140,22 @@
             return self.own_waiting
         return max(self.own_waiting, self._sample.waiting + self._waiting_change)
 
+    def describe(self, now: float) -> dict[str, object]:
+        """Return what is believed, for the log."""
+        return {
+            "endpoint": self.entry.instance,
+            "zone": self.entry.zone,
+            "at_endpoint": self.outstanding(now),
+            "without_first_bytes": self.waiting(now),
+            "own": self.own,
+            "load_age_ms": self.sample_age_ms(now),
+            "turn_ms": round(self.turn_ms),
+            "own_prefill_tokens": self.prefill_tokens,
+            "failures": round(self.failures(now), 2),
+            "full": self.full_until_s > now,
+            "avoided": self.avoid_until_s > now,
+        }
+
     def _log(self, event: str, **fields: object) -> None:
         extra = {"endpoint": self.entry.instance, "failures": self._failures, **fields}
         logger.info(event, extra=extra)
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -36,18 +36,11 @@
     def describe(self, call: Call, now: float) -> dict[str, object]:
         """Return the inputs that decided the placement, for the log."""
         shared = call.prompt[:-1]
-        view = self.view
         return {
             "part": shared[-1].part_id if shared else "",
             "shared_tokens": sum(part.tokens for part in shared),
-            "endpoint": view.entry.instance,
-            "zone": view.entry.zone,
-            "outstanding": view.outstanding(now),
-            "own": view.own,
-            "load_age_ms": view.sample_age_ms(now),
             "prefill_tokens": self.prefill_tokens,
-            "own_prefill_tokens": view.prefill_tokens,
-            "failures": round(view.failures(now), 2),
+            **self.view.describe(now),
         }
 
 
@@ -148,12 +141,15 @@
         """Return what kept a request waiting."""
         now = self._clock()
         views = self._directory.usable(ticket.service)
+        demand = Demand(ticket.call, ticket.route_priority, ticket.target_ms)
+        view, _ = self._placement.choose(demand, views, now, ticket.tried)
         return {
             "endpoints": len(views),
             "outstanding": sum(view.outstanding(now) for view in views),
             "slots": sum(view.entry.slots for view in views),
             "waiting_at_endpoints": sum(view.waiting(now) for view in views),
             "waiting_here": self.waiting(ticket.service),
+            **(view.describe(now) if view is not None else {}),
         }
 
     def _release(self, fut: asyncio.Future[Placed]) -> None:
