Catch the mutants that survived

Change: the soak takes a key away while the store is out of reach for longer than keys may last; tests with an endpoint that sends fixed bytes.

--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -70,6 +70,7 @@
             self._stop_gateway,
             self._endpoint_leaves,
             self._change_configuration,
+            self._change_beyond_a_cut,
         ]
         self.played: list[str] = []
 
@@ -282,6 +283,14 @@
             other: self._taken_s.get(other, now) for other in LENT_KEYS if other != key
         }
 
+    async def _change_beyond_a_cut(self) -> None:
+        """Take a key away while no gateway reaches the store for longer than keys may last."""
+        store = self._proxies[-1]
+        store.partition()
+        await self._change_configuration()
+        await asyncio.sleep(REVOKE_S + self._rng.uniform(*FAULT_LENGTH_S))
+        store.heal()
+
     # Promises, from what callers and endpoints saw.
 
     def _check(self) -> list[str]:
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -1,8 +1,10 @@
 """Tests of a gateway process between callers, endpoints and the platform's store."""
 
 import asyncio
+import contextlib
 import json
 import signal
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
@@ -28,6 +30,33 @@
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
 
+def raw_answer(request_id: str, *, signed: bool = True) -> bytes:
+    """Return the bytes of a success."""
+    body = f"answer to {request_id}".encode()
+    head = f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: {request_id}\r\n"
+    head += f"{Header.SIGNATURE}: signed-by-p-1\r\n" if signed else ""
+    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+@contextlib.asynccontextmanager
+async def raw_endpoint(site: PlatformSite, answer: bytes) -> AsyncIterator[None]:
+    """Put an endpoint that sends fixed bytes in the place of all plain ones."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    site.store.remove("servers", "p-2")
+    site.endpoints["p-1"].address = f"127.0.0.1:{port}"
+    site.register("p-1")
+    async with server:
+        yield
+
+
 class TestWholePath:
     """Guards against answers that are not the endpoint's and headers that are not the caller's."""
 
@@ -130,6 +159,33 @@
         assert [status for status, _, _ in answers] == [200] * 6
         assert all(site.runs(f"e-{n}") == 1 for n in range(6))
 
+    async def test_late_answer_to_another_request_is_skipped(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        """Guards against a caller who gets the answer to somebody else's request."""
+        bodies: set[bytes] = set()
+
+        async def taken() -> bool:
+            bodies.add((await caller.call("/safe/a", request_id="own"))[2])
+            return b"answer to own" in bodies
+
+        async with raw_endpoint(site, raw_answer("earlier") + raw_answer("own")):
+            await poll_until(taken, 3.0)
+        assert b"answer to earlier" not in bodies
+
+    async def test_unsigned_success_is_not_passed_on(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        """Guards against a success that came from something else than an endpoint."""
+        async with raw_endpoint(site, raw_answer("own", signed=False)):
+
+            async def taken() -> bool:
+                status, _, body = await caller.call("/safe/a", request_id="own")
+                assert body != b"answer to own"
+                return status == 502
+
+            await poll_until(taken, 3.0)
+
     async def test_endpoints_own_failure_is_passed_on(
         self, site: PlatformSite, caller: Caller
     ) -> None:
