Date a confirmation no later than the store made it

Cause: the store's date was mapped to this machine's clock by the least difference seen at an arrival. While only slow answers had come, a confirmation counted as up to 0.8 s (the limit of a call) younger than it was, and with 0.95 of revoke_ms a key could be served 0.55 s past its time after a cold start beside a slow store. Ruled out: a lower part of revoke_ms, which refuses valid keys in every outage. Change: the largest difference between a call's time and the date of its answer bounds the clocks from the other side, so a confirmation is never taken for younger; it is learned again when the store's clock jumps.

--- a/cassiadrum/gateways/confirmations.py
+++ b/cassiadrum/gateways/confirmations.py
@@ -6,9 +6,11 @@
 class Confirmation:
     """Date the store's answers on the boot-time clock of this machine.
 
-    An answer that was held up on its way is older than its arrival. The least difference between
-    the two clocks that was ever seen gives the time at which the store made it, up to the fastest
-    transfer. `limit_s` is the age in seconds up to which requests with a key may be served.
+    The store makes an answer after the call was sent, so no answer is older than its call. The
+    largest difference between the time of a call and the store's date of its answer bounds the
+    difference of the two clocks from below, and so dates an answer that was held up on its way
+    never later than it was made. `limit_s` is the age in seconds up to which requests with a key
+    may be served.
     """
 
     def __init__(self, limit_s: float) -> None:
@@ -18,13 +20,12 @@
 
     def answered(self, store_s: float, sent_s: float, received_s: float) -> None:
         """Take an answer that the store dated `store_s`; the other times are boot-time seconds."""
-        offset_s = received_s - store_s
-        if self._offset_s is not None and store_s + self._offset_s < sent_s:
-            # The store's clock was set anew, so the difference to it has to be learned again.
-            self._offset_s = None
-        if self._offset_s is None or offset_s < self._offset_s:
+        offset_s = sent_s - store_s
+        # Beyond the difference at the arrival the bound is wrong: the store's clock was set
+        # forward, or runs faster, so the difference has to be learned again.
+        if self._offset_s is None or not offset_s <= self._offset_s <= received_s - store_s:
             self._offset_s = offset_s
-        made_s = min(received_s, store_s + self._offset_s)
+        made_s = store_s + self._offset_s
         self._confirmed_s = max(made_s, self._confirmed_s or made_s)
 
     def age_s(self, now: float) -> float:
--- a/cassiadrum/platform/table_followers.py
+++ b/cassiadrum/platform/table_followers.py
@@ -48,15 +48,21 @@
     async def run(self) -> None:
         """Follow the table."""
         while True:
-            try:
-                await self._step()
-            except HistoryGone:
-                logger.info("store forgot its history, reading %s in full", self._table)
-                self._version = None
-            except StoreUnavailable as exc:
-                await self._pause(str(exc))
-
-    async def _step(self) -> None:
+            pause_s = await self.step()
+            await asyncio.sleep(pause_s)
+
+    async def step(self) -> float:
+        """Make one call and pass its answer on; return the seconds until the next one."""
+        try:
+            await self._call()
+        except HistoryGone:
+            logger.info("store forgot its history, reading %s in full", self._table)
+            self._version = None
+        except StoreUnavailable as exc:
+            return self._pause_s(str(exc))
+        return 0.0
+
+    async def _call(self) -> None:
         if self._version is None:
             page = await self._store.read_all(self._table)
             self._answered()
@@ -76,9 +82,9 @@
             self._sink.returned()
         self._failures = 0
 
-    async def _pause(self, reason: str) -> None:
+    def _pause_s(self, reason: str) -> float:
         if not self._failures:
             logger.warning("store lost for %s: %s", self._table, reason)
         self._failures += 1
         longest_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** (self._failures - 1))
-        await asyncio.sleep(longest_s * random.uniform(0.5, 1.0))
+        return float(longest_s * random.uniform(0.5, 1.0))
