--- /dev/null
+++ b/cassiadrum/roles/endpoint_controls.py
@@ -0,0 +1,46 @@
+"""Pausing, resuming and cancelling at an endpoint, beside the task that decides it."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+from cassiadrum.endpoints import Endpoint, EndpointError
+
+__all__ = ["EndpointControls"]
+
+logger = logging.getLogger(__name__)
+
+
+class EndpointControls:
+    """Send control calls in tasks of their own.
+
+    A failure is only logged: the load report and the stream show what the endpoint does.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def pause(self, attempt_id: str) -> None:
+        """Stop the output of an attempt for a while."""
+        self._send("pause", attempt_id, self._endpoint.pause(attempt_id))
+
+    def resume(self, attempt_id: str) -> None:
+        """Let the output of an attempt go on."""
+        self._send("resume", attempt_id, self._endpoint.resume(attempt_id))
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt for good."""
+        self._send("cancel", attempt_id, self._endpoint.cancel(attempt_id))
+
+    def _send(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(self._wait(order, attempt_id, call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _wait(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
+        try:
+            await call
+        except EndpointError as exc:
+            logger.info("%s of %s failed at the endpoint: %s", order, attempt_id, exc)
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -1,11 +1,9 @@
 """The task of a sidecar that owns its streams and its scheduler."""
 
 import asyncio
-import contextlib
-import logging
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 from cassiadrum.decisions import (
@@ -20,7 +18,7 @@
     Start,
 )
 from cassiadrum.defaults import LIMITS
-from cassiadrum.endpoints import Endpoint, EndpointError
+from cassiadrum.endpoints import Endpoint
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
 from cassiadrum.links.messages import (
@@ -39,6 +37,7 @@
 )
 from cassiadrum.members import ConnectionBound
 from cassiadrum.roles.endpoint_callers import EndpointCaller
+from cassiadrum.roles.endpoint_controls import EndpointControls
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.roles.load_reporters import LoadReporter
 from cassiadrum.roles.sidecar_messages import (
@@ -61,8 +60,6 @@
 
 __all__ = ["Sidecar"]
 
-logger = logging.getLogger(__name__)
-
 TICK_INTERVAL_S = 0.1
 RETRY_AFTER_S = 0.2
 
@@ -87,6 +84,7 @@
         self._open: dict[str, SidecarStream] = {}
         self._ended: deque[tuple[float, str]] = deque()
         self._endpoint = endpoint
+        self._controls = EndpointControls(endpoint)
         self._scheduler = scheduler
         self._ring = ring
         self._clock = clock
@@ -95,7 +93,6 @@
         self._attachments = StreamAttachments(self.streams, clock)
         self._reporter = LoadReporter(scheduler, self._links, ring, clock)
         self._ticked_s = clock()
-        self._control_tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
             LinkMessage: self._from_link,
             LinkLost: lambda msg: self._link_lost(msg.link),
@@ -220,7 +217,7 @@
         if self._scheduler.cancelled(attempt_id, self._clock()):
             self._end(stream, Outcome(False, Ran.NO, 0, "cancelled"))
         elif stream.task is not None:
-            self._control(self._endpoint.cancel(attempt_id))
+            self._controls.cancel(attempt_id)
             stream.task.cancel()
 
     # Messages of the calls.
@@ -293,7 +290,7 @@
             if stream.end is None:
                 stream.room.set()
                 if stream.start.cancellable:
-                    self._control(self._endpoint.cancel(stream.start.attempt_id))
+                    self._controls.cancel(stream.start.attempt_id)
                 self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
 
     # Actions of the scheduler.
@@ -307,11 +304,11 @@
             elif isinstance(action, Pause):
                 self._record(EventKind.PAUSED, action.request_id)
                 self._set_paused(action.request_id, True)
-                self._control(self._endpoint.pause(action.request_id))
+                self._controls.pause(action.request_id)
             elif isinstance(action, Resume):
                 self._record(EventKind.RESUMED, action.request_id)
                 self._set_paused(action.request_id, False)
-                self._control(self._endpoint.resume(action.request_id))
+                self._controls.resume(action.request_id)
         self._reporter.due = True
 
     def _run(self, req: QueuedRequest) -> None:
@@ -330,11 +327,6 @@
         if stream.link is not None:
             stream.link.send(RejectStart(stream.start.attempt_id, action.reason, RETRY_AFTER_S))
 
-    def _control(self, call: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(_ignore_failure(call))
-        self._control_tasks.add(task)
-        task.add_done_callback(self._control_tasks.discard)
-
     # Time.
 
     def _tick(self) -> None:
@@ -371,7 +363,7 @@
             stream.given_up = True
             # Idle connections were opened before this one was found dead and may be dead too.
             self._endpoint.close()
-            self._control(self._endpoint.cancel(stream.start.attempt_id))
+            self._controls.cancel(stream.start.attempt_id)
             stream.task.cancel()
 
     def _record(self, kind: EventKind, attempt_id: str) -> None:
@@ -390,9 +382,3 @@
             attempt=start.attempt_id,
             **fields,
         )
-
-
-async def _ignore_failure(call: Coroutine[Any, Any, None]) -> None:
-    """Wait for a control call; its failure shows in the load report and in the stream."""
-    with contextlib.suppress(EndpointError):
-        await call
