--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -30,6 +30,8 @@
     "endpoint in": "{endpoint} of {service} registered in {zone} with {slots} slots",
     "endpoint out": "{endpoint} of {service} is gone: {reason}",
     "endpoint draining": "{endpoint} of {service} takes no new requests",
+    "endpoint says that it is full": "{endpoint} says that it is full; it gets nothing for"
+    " {pause_ms} ms",
     "endpoint avoided": "{endpoint} avoided for {pause_ms} ms: {reason}",
 }
 
