Sum up what a process left out of its log

Cause: explain and log printed a line for each gap of the whole file, more than a hundred in a soak's log.

--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -120,7 +120,8 @@
 def _notes(logs: MergedLogs, own: list[LogLine]) -> list[str]:
     """Return what may be missing from the story."""
     processes = {line.instance for line in own}
-    notes = [str(gap) for gap in logs.gaps if gap.instance in processes]
+    gaps = logs.gaps_between(own[0].at_s - BELIEF_S, own[-1].at_s + BELIEF_S)
+    notes = [str(gap) for gap in gaps if gap.instance in processes]
     if logs.unreadable:
         notes.append(f"{logs.unreadable} rows could not be read")
     return notes
--- a/cassiadrum/commands/log_commands.py
+++ b/cassiadrum/commands/log_commands.py
@@ -30,13 +30,14 @@
         lines = logs.of_request(request)
         if around_s:
             lines = sorted(lines + logs.beliefs(lines, around_s), key=lambda line: line.at_s)
+    gaps = logs.gaps_between(float("-inf"), float("inf"))
     text = [str(line) for line in lines]
-    text += [str(gap) for gap in logs.gaps]
+    text += [str(gap) for gap in gaps]
     if logs.unreadable:
         text.append(f"{logs.unreadable} lines could not be read")
     data = {
         "lines": [line._asdict() for line in lines],
-        "gaps": [gap._asdict() for gap in logs.gaps],
+        "gaps": [gap._asdict() for gap in gaps],
         "unreadable": logs.unreadable,
     }
     return Result(data, text)
--- a/cassiadrum/commands/log_files.py
+++ b/cassiadrum/commands/log_files.py
@@ -33,7 +33,7 @@
 
 
 class LogGap(NamedTuple):
-    """Count the lines that a process left out before a time in seconds since 1970."""
+    """Count the lines that a process left out up to a time in seconds since 1970."""
 
     before_s: float
     instance: str
@@ -57,11 +57,20 @@
         if own:
             return own
         reasons = [f"no line of request {request_id}"]
-        reasons += [str(gap) for gap in self.gaps]
+        reasons += [str(gap) for gap in self.gaps_between(float("-inf"), float("inf"))]
         if self.unreadable:
             reasons.append(f"{self.unreadable} rows could not be read")
         raise CommandError(ExitCode.REFUSED, "; ".join(reasons))
 
+    def gaps_between(self, start_s: float, end_s: float) -> list[LogGap]:
+        """Return what each process left out in a time, as one gap."""
+        found: dict[str, LogGap] = {}
+        for gap in self.gaps:
+            if start_s <= gap.before_s <= end_s:
+                before = found.get(gap.instance, gap._replace(left_out=0))
+                found[gap.instance] = gap._replace(left_out=before.left_out + gap.left_out)
+        return list(found.values())
+
     def beliefs(self, own: list[LogLine], before_s: float) -> list[LogLine]:
         """Return what the processes of a request learned up to its end.
 
--- a/cassiadrum/tests/gateways/test_explaining.py
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -174,12 +174,18 @@
     async def test_gaps_are_named(self, tmp_path: Any) -> None:
         """Guards against a missing request that is taken for one that never came."""
         path = tmp_path / "a.log"
-        path.write_text(line_of("a", "r-1", message="ended", at_s=5.0, after_ms=1.0, left_out=7))
+        rows = [(1.0, "r-0", 100), (39.0, "r-3", 4), (41.0, "r-1", 3)]
+        path.write_text(
+            "".join(
+                line_of("a", name, message="ended", at_s=at_s, after_ms=1.0, left_out=left_out)
+                for at_s, name, left_out in rows
+            )
+        )
         stream, errors = io.StringIO(), io.StringIO()
         assert await execute(["explain", "r-1", str(path)], stream) == 0
         assert "gap: a left out 7 lines before" in stream.getvalue()
         assert await execute(["explain", "r-2", str(path)], io.StringIO(), errors) == 3
-        assert "a left out 7 lines" in errors.getvalue()
+        assert "a left out 107 lines" in errors.getvalue()
 
     @pytest.mark.parametrize(
         ("arguments", "code"),
