Keep the platform's words of the cost measurement in the adapter

Cause: the new measurement spelled out configuration, settings and headers of the platform's pages in bench/. Change: standins/trials.py makes them; bench names services, kinds and keys only.

--- a/bench/wall_clock/gateways.py
+++ b/bench/wall_clock/gateways.py
@@ -6,26 +6,38 @@
 
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.callers import Work
+from cassiadrum.gateways import CallKind
 from cassiadrum.platform.boot_settings import FILE_VARIABLE
-from cassiadrum.platform.standins import RowService
-from cassiadrum.platform.wire_names import Header
+from cassiadrum.platform.processes import READY_PATH
+from cassiadrum.platform.standins import (
+    RowService,
+    TrialRoute,
+    trial_configuration,
+    trial_headers,
+    trial_settings,
+    trial_stream_headers,
+)
+from cassiadrum.platform.table_sinks import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    ENDPOINT_TABLE,
+)
 from cassiadrum.protocols import ConnectFailed, HttpClient
 
 __all__ = ["EVENTS", "GATEWAY_WORKS", "GatewayPlatform"]
 
 HOST = "127.0.0.1"
+# The host that the callers of the measurement name.
+CALLED_HOST = "bench"
 START_LIMIT_S = 20.0
 EVENTS = 64
 KEY = "bench-key"
-CALL_HEADERS = ((Header.REQUEST_ID, "bench"), (Header.KEY, KEY))
-STREAM_HEADERS = (
-    *CALL_HEADERS,
-    (Header.TOKENS, f"100,{EVENTS}"),
-    (Header.PROMPT, "shared:80,own:20"),
-)
+ROUTES = (TrialRoute("calls", CallKind.IDEMPOTENT), TrialRoute("streams", CallKind.STREAM))
 GATEWAY_WORKS = (
-    Work("calls", "GET", "/calls/7", b"", 0, CALL_HEADERS),
-    Work("streams", "POST", "/streams/7", b"{}", EVENTS, STREAM_HEADERS),
+    Work("calls", "GET", "/calls/7", b"", 0, trial_headers("bench", KEY)),
+    Work(
+        "streams", "POST", "/streams/7", b"{}", EVENTS, trial_stream_headers("bench", KEY, EVENTS)
+    ),
 )
 
 
@@ -46,15 +58,11 @@
                 "bench.wall_clock.signing_engine", "--instance", work.name
             )
             self.engines[work.name] = engine.ready["http"]
-            self._store.put("servers", work.name, engine.ready["entry"])
-        self._store.put("op", "config", _configuration())
+            self._store.put(ENDPOINT_TABLE, work.name, engine.ready["entry"])
+        configuration = trial_configuration(CALLED_HOST, KEY, ROUTES)
+        self._store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, configuration)
         calls_port, ready_port = _free_port(), _free_port()
-        settings = {
-            "node": "gateway",
-            "zone": "a",
-            "listen": {"front": f"{HOST}:{calls_port}", "ready": f"{HOST}:{ready_port}"},
-            "platform": {"address": f"{HOST}:{store_port}"},
-        }
+        settings = trial_settings(store_port, calls_port, ready_port)
         child = await self._group.start_logged(
             "cassiadrum.platform", FILE_VARIABLE, json.dumps(settings)
         )
@@ -69,43 +77,10 @@
         await self._store.close()
 
 
-def _configuration() -> dict[str, object]:
-    common = {"host": "bench", "timeout_ms": 20_000, "goal_ms": 10_000, "priority": 1}
-    kinds = {"calls": "idempotent", "streams": "stream"}
-    routes = [
-        {
-            **common,
-            "name": work.name,
-            "prefix": f"/{work.name}/",
-            "kind": kinds[work.name],
-            "service": work.name,
-            "max_attempts": 2,
-            "resumable": work.tokens > 0,
-            "gap_target_ms": 1000,
-        }
-        for work in GATEWAY_WORKS
-    ]
-    services = [
-        {"name": work.name, "health_path": "/health", "max_conns": 100} for work in GATEWAY_WORKS
-    ]
-    return {
-        "version": 1,
-        "routes": routes,
-        "services": services,
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 10_000,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 60_000,
-        },
-        "tenants": [{"name": "bench", "api_keys": [KEY]}],
-    }
-
-
 async def _is_ready(port: int) -> bool:
     client = HttpClient(HOST, port)
     try:
-        response = await client.request("GET", "/-/ready")
+        response = await client.request("GET", READY_PATH)
         await response.read()
     except ConnectFailed:
         return False
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -22,7 +22,7 @@
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.settings.addresses import Address
 
-__all__ = ["GatewayProcess"]
+__all__ = ["READY_PATH", "GatewayProcess"]
 
 logger = logging.getLogger(__name__)
 
--- a/cassiadrum/platform/standins/__init__.py
+++ b/cassiadrum/platform/standins/__init__.py
@@ -2,5 +2,22 @@
 
 from cassiadrum.platform.standins.endpoint_services import EndpointRun, EndpointService
 from cassiadrum.platform.standins.row_services import RowService, StoreFault
+from cassiadrum.platform.standins.trials import (
+    TrialRoute,
+    trial_configuration,
+    trial_headers,
+    trial_settings,
+    trial_stream_headers,
+)
 
-__all__ = ["EndpointRun", "EndpointService", "RowService", "StoreFault"]
+__all__ = [
+    "EndpointRun",
+    "EndpointService",
+    "RowService",
+    "StoreFault",
+    "TrialRoute",
+    "trial_configuration",
+    "trial_headers",
+    "trial_settings",
+    "trial_stream_headers",
+]
