--- a/cassiadrum/platform/standins/trials.py
+++ b/cassiadrum/platform/standins/trials.py
@@ -15,8 +15,13 @@
 ]
 
 HOST = "127.0.0.1"
-KINDS = {CallKind.ONCE: "non_idempotent", CallKind.IDEMPOTENT: "idempotent"}
-PROMPT_TOKENS = 100
+KINDS = {
+    CallKind.ONCE: "non_idempotent",
+    CallKind.IDEMPOTENT: "idempotent",
+    CallKind.STREAM: "stream",
+}
+SHARED_TOKENS = 80
+OWN_TOKENS = 20
 
 
 class TrialRoute(NamedTuple):
@@ -67,8 +72,8 @@
     """Return the headers of a call that is answered with a stream of so many events."""
     return (
         *trial_headers(request_id, key),
-        (Header.TOKENS, f"{PROMPT_TOKENS},{events}"),
-        (Header.PROMPT, f"shared:{PROMPT_TOKENS - 20},own:20"),
+        (Header.TOKENS, f"{SHARED_TOKENS + OWN_TOKENS},{events}"),
+        (Header.PROMPT, f"shared:{SHARED_TOKENS},own:{OWN_TOKENS}"),
     )
 
 
@@ -77,7 +82,7 @@
         "name": route.name,
         "host": host,
         "prefix": f"/{route.name}/",
-        "kind": KINDS.get(route.kind, "stream"),
+        "kind": KINDS[route.kind],
         "service": route.name,
         "priority": 1,
         "max_attempts": 2,
