Pace the stand-in's streams by the clock

The gateway's log of one of them says why: 250 events with a sleep of 10 ms after each took more than the route's 3 s, as late timers add up, and the request ended at its deadline. Events are now due at fixed times.

--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -117,6 +117,9 @@
         first = int(exchange.req.header(Header.LAST_EVENT_ID) or "0") + 1
         count = int(exchange.req.header(Header.TOKENS).split(",")[1])
         await exchange.send_head(200, (*head, ("content-type", "text/event-stream")))
+        loop = asyncio.get_running_loop()
+        # Events are due by the clock, so that late timers of a busy machine do not add up.
+        due_s = loop.time()
         for sent, number in enumerate(range(first, count + 1)):
             if sent == self.cut_after:
                 await exchange.send_data(f"id: {number}\nda".encode())
@@ -127,5 +130,6 @@
                 return
             event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
             await exchange.send_data(event.encode())
-            await asyncio.sleep(self._event_s)
+            due_s += self._event_s
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
         await exchange.end()
