--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -132,6 +132,10 @@
         gaps = [gap_s for _, gap_s in found]
         return MoreUrgent(len({other for other, _ in found}), min(gaps, default=float("inf")))
 
+    def has_less_urgent(self, service: str, priority: int) -> bool:
+        """Return whether the service has streams that are less urgent than the given priority."""
+        return any(other > priority for other, _ in self._gaps.get(service, ()))
+
     def customer(self, key: str) -> Customer | None:
         """Return the customer that holds a key."""
         return self._customers.get(key)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -240,6 +240,7 @@
         service = share_of(route, call.request_id)
         ticket.resolve(route, customer, service)
         ticket.more_urgent = catalog.more_urgent(service, route.priority)
+        ticket.has_less_urgent = catalog.has_less_urgent(service, route.priority)
 
     async def _serve(self, ticket: Ticket, relay: Relay) -> None:
         """Make attempts until one is passed on; raise Refused, Denied or AttemptFailed."""
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -155,10 +155,11 @@
         """Return an endpoint that has room for a long prompt whose holder had none in time.
 
         Answers calm load with one hot part: less urgent requests begin at the other endpoints, so
-        a refusal would put them first.
+        a refusal would put them first. The least urgent are refused, since reading a part again
+        takes time from all others.
         """
         demand = _demand(ticket)
-        if not self._placement.is_long(demand):
+        if not ticket.has_less_urgent or not self._placement.is_long(demand):
             return None
         for _ in range(ELSEWHERE_QUESTIONS):
             views = self._directory.usable(ticket.service)
--- a/cassiadrum/gateways/tickets.py
+++ b/cassiadrum/gateways/tickets.py
@@ -26,6 +26,8 @@
         self.target_s = float("inf")
         # The more urgent streams of the service.
         self.more_urgent = MoreUrgent(0, float("inf"))
+        # Whether the service has less urgent streams.
+        self.has_less_urgent = False
         # Instances that got the request.
         self.tried: set[str] = set()
         self.sends = 0
--- a/cassiadrum/tests/gateways/test_placers.py
+++ b/cassiadrum/tests/gateways/test_placers.py
@@ -123,11 +123,13 @@
     """
 
     @staticmethod
-    def make_long_ticket(request_id: str, part: str, **route: object) -> Ticket:
-        ticket = Ticket(
-            make_call(request_id, make_prompt(part, len(request_id))), time.monotonic()
-        )
+    def make_long_ticket(
+        request_id: str, part: str, *, has_less_urgent: bool = True, **route: object
+    ) -> Ticket:
+        call = make_call(request_id, make_prompt(part, len(request_id)))
+        ticket = Ticket(call, time.monotonic())
         ticket.resolve(make_route(**{"target_s": 1.0, "timeout_s": 0.5, **route}), None, "drafts")
+        ticket.has_less_urgent = has_less_urgent
         return ticket
 
     def make_busy_holder(self, part: str) -> tuple[Placer, EndpointDirectory, EndpointView]:
@@ -158,6 +160,11 @@
         # A part gets one further holder and not one for each request.
         assert second.view is first.view
 
+    async def test_least_urgent_request_reads_no_part_again(self) -> None:
+        placer, _, _ = self.make_busy_holder("hot")
+        with pytest.raises(Refused, match="overloaded"):
+            await placer.place(self.make_long_ticket("least", "hot", has_less_urgent=False))
+
     async def test_request_is_refused_where_no_endpoint_has_room(self) -> None:
         placer, directory, _ = self.make_busy_holder("hot")
         for view in directory.usable("drafts"):
