Measure silence within a stream by what its class allows again

A stream that paused for longer than its class allows is late however soon it is resumed, and resuming it reads its prompt again while the engines are full.

--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -19,8 +19,7 @@
 logger = logging.getLogger(__name__)
 
 # An endpoint that sends nothing for any request is given up for another one after these parts of
-# the latency target before the first bytes, and multiples of the usual pause between events, or of
-# the longest that is on time where that is shorter.
+# the latency target before the first bytes, and multiples of the longest pause between events.
 FIRST_BYTES_PART = 0.5
 PAUSE_MULTIPLE = 6.0
 MIN_SILENCE_S = 0.6
@@ -116,6 +115,7 @@
 
     async def _pass_stream(self, attempt: Attempt) -> None:
         self._events.restart()
+        pause_s = self._pause_s()
         route = self._ticket.route
         assert route is not None
         strictest_s = min(route.gap_s or inf, self._ticket.more_urgent.gap_s)
@@ -125,7 +125,7 @@
         begun = False
         while True:
             try:
-                async with self._silence_limit(attempt, self._pause_s(attempt), progress_s):
+                async with self._silence_limit(attempt, pause_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
                 raise attempt.broken("the stream stalled") from exc
@@ -191,18 +191,13 @@
             return limit_s + EXPECTED_MULTIPLE * attempt.expected_wait_s
         return route.target_s
 
-    def _pause_s(self, attempt: Attempt) -> float | None:
-        """Return how long the endpoint may be silent within a stream.
-
-        Answers endpoints that go dark while a class may pause for long: streams usually go on
-        much faster than that, and a silent endpoint that reports its load is not left.
-        """
+    def _pause_s(self) -> float | None:
+        """Return how long the endpoint may be silent within a stream."""
         route = self._ticket.route
         assert route is not None
         if not route.resumable:
             return None
-        usual_s = attempt.view.gap_s(self._clock()) or route.gap_s
-        return max(MIN_SILENCE_S, PAUSE_MULTIPLE * min(usual_s, route.gap_s))
+        return max(MIN_SILENCE_S, PAUSE_MULTIPLE * route.gap_s)
 
     def _silence_limit(
         self, attempt: Attempt, silence_s: float | None, since_s: float | None = None
