Spend less on placing the requests that wait

Each change of an endpoint ranks all waiting requests over all endpoints again: 6.0 ms for 60 requests and 28 endpoints, 2.2 ms now. Hashes are kept, and the endpoints of a service are listed once for each round.

--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placements.py
@@ -1,6 +1,7 @@
 """Choice of the endpoint for a request."""
 
 from collections.abc import Collection, Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 import xxhash
@@ -14,6 +15,8 @@
 # Speed at which an engine reads a prompt beside other work, and its least time to the first bytes.
 PREFILL_TOKENS_PER_MS = 30.0
 FIRST_BYTES_MS = 90.0
+# Waiting requests are ranked again at each change of an endpoint; the hashes of their parts stay.
+HASHES_KEPT = 8192
 
 
 class PlacementSettings(NamedTuple):
@@ -185,4 +188,9 @@
 
 
 def _rank(key: str, view: EndpointView) -> int:
-    return xxhash.xxh32_intdigest((key + view.entry.instance).encode())
+    return _hash(key + view.entry.instance)
+
+
+@lru_cache(maxsize=HASHES_KEPT)
+def _hash(text: str) -> int:
+    return xxhash.xxh32_intdigest(text.encode())
--- a/cassiadrum/gateways/placers.py
+++ b/cassiadrum/gateways/placers.py
@@ -88,13 +88,13 @@
         if self._directory.listed and not self.others(ticket):
             raise Refused("no_endpoint", NO_ENDPOINT_RETRY_S)
         self._require_no_pause(ticket)
-        if self._find(ticket) is not None and self._has_earlier(ticket):
+        views = self._directory.usable(ticket.service)
+        view = self._find(ticket, views)
+        if view is not None and self._has_earlier(ticket):
             # Room that came free since the last pump belongs to those that wait for it.
             self.pump(ticket.service)
-        placed = self._choose(ticket)
-        if placed is not None:
-            return placed
-        return await self._wait(ticket)
+            view = self._find(ticket, views)
+        return await self._wait(ticket) if view is None else self._start(ticket, view)
 
     def pump(self, service: str) -> None:
         """Place what waits for a service, the most urgent first."""
@@ -102,7 +102,8 @@
         if not queue:
             return
         now = self._clock()
-        paused = any(view.paused_until_s > now for view in self._directory.usable(service))
+        views = self._directory.usable(service)
+        paused = any(view.paused_until_s > now for view in views)
         for ticket in queue.ordered(now):
             fut = self._waiting[ticket]
             if fut.done():
@@ -114,10 +115,10 @@
                     queue.remove(ticket)
                     fut.set_exception(exc)
                     continue
-            placed = self._choose(ticket)
-            if placed is not None:
+            view = self._find(ticket, views)
+            if view is not None:
                 queue.remove(ticket)
-                fut.set_result(placed)
+                fut.set_result(self._start(ticket, view))
 
     def pump_all(self) -> None:
         """Place what waits for any service."""
@@ -129,13 +130,8 @@
         queue = self._queues.get(ticket.service)
         return queue is not None and queue.precedes(ticket.urgency, ticket.target_s)
 
-    def _choose(self, ticket: Ticket) -> Placed | None:
-        view = self._find(ticket)
-        return None if view is None else self._start(ticket, view)
-
-    def _find(self, ticket: Ticket) -> EndpointView | None:
+    def _find(self, ticket: Ticket, views: list[EndpointView]) -> EndpointView | None:
         """Return the endpoint that can take the request now; ask for its load where needed."""
-        views = self._directory.usable(ticket.service)
         demand = _demand(ticket)
         now = self._clock()
         view, room = self._placement.choose(demand, views, now, ticket.tried)
