Refuse a part of the new requests while the process falls behind

A gateway whose timers run late twice in a row now refuses a part of the new requests, more with each late second, and passes on no request that is past its target while it is behind.

--- /dev/null
+++ b/bench/gateway_switches.py
@@ -0,0 +1,62 @@
+"""Write a patch for each mechanism of the gateway that switches it off.
+
+Run `python -m bench.gateway_switches DIRECTORY [NAME...]`. Each patch is a unified diff against
+the tree, with which a day can be played on a copy and compared with the tree as it is.
+"""
+
+import difflib
+import sys
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = ["Switch", "load_switches", "patch_of"]
+
+ROOT = Path(__file__).parents[1]
+TABLE = ROOT / "bench" / "gateway_switches.toml"
+
+
+class Switch(NamedTuple):
+    """State a mechanism, the exact code that carries it, and what takes its place."""
+
+    name: str
+    mechanism: str
+    file: str
+    code: str
+    replacement: str
+
+
+def load_switches(text: str) -> list[Switch]:
+    """Return the switches of a table."""
+    return [Switch(**entry) for entry in tomllib.loads(text)["switch"]]
+
+
+def patch_of(switch: Switch, text: str) -> str:
+    """Return the unified diff against the text of the file; raise ValueError if it has changed."""
+    count = text.count(switch.code)
+    if count != 1:
+        raise ValueError(f"{switch.name}: {switch.file} has the code {count} times")
+    changed = text.replace(switch.code, switch.replacement)
+    lines = difflib.unified_diff(
+        text.splitlines(keepends=True),
+        changed.splitlines(keepends=True),
+        f"a/{switch.file}",
+        f"b/{switch.file}",
+    )
+    return "".join(lines)
+
+
+def main() -> None:
+    """Write the patches of the switches named on the command line, or of all."""
+    directory, names = Path(sys.argv[1]), sys.argv[2:]
+    directory.mkdir(parents=True, exist_ok=True)
+    for switch in load_switches(TABLE.read_text()):
+        if names and switch.name not in names:
+            continue
+        path = directory / f"{switch.name}.patch"
+        path.write_text(patch_of(switch, (ROOT / switch.file).read_text()))
+        print(f"{path}: {switch.mechanism}")
+
+
+if __name__ == "__main__":
+    main()
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -19,6 +19,7 @@
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed, Denied, Refused
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
+from cassiadrum.gateways.lag_limits import LagLimit
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.paces import ServicePace
 from cassiadrum.gateways.placements import Placement
@@ -41,6 +42,8 @@
 ELSEWHERE_RETRY_S = 0.02
 # Time after the deadline in which an endpoint's own answer to it may arrive.
 DEADLINE_GRACE_S = 0.05
+# Time in which a process that fell behind its work has caught up.
+BEHIND_RETRY_S = 0.5
 ANSWERED = "answered"
 
 
@@ -98,6 +101,7 @@
         self._budgets = AttemptBudgets(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
+        self.lag = LagLimit()
 
     @property
     def confirmed(self) -> bool:
@@ -134,8 +138,10 @@
     async def run(self) -> None:
         """Keep the endpoints' state up to date, for ever."""
         while True:
+            due_s = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
             now = self._clock()
+            self.lag.ticked(now - due_s)
             self.directory.expire(now)
             self.pool.expire(now)
             self._placer.pump_all()
@@ -188,6 +194,8 @@
         """Answer a request and return the outcome for the log."""
         writer = AnswerWriter(ticket, exchange)
         try:
+            if self.lag.refuses(ticket.call.request_id):
+                raise Refused("behind_its_work", BEHIND_RETRY_S)
             self._resolve(ticket)
             self._log.note(ticket, "received", **ticket.describe())
             self._budgets.of(ticket.service).arrived(ticket.received_s)
@@ -271,6 +279,7 @@
         self._log.note(ticket, "placed", **placed.describe(ticket.call, self._clock()))
         try:
             with self._begin(ticket, placed) as attempt:
+                self._require_pace(ticket)
                 if not relay.started:
                     self._resolve(ticket)
                 if ticket.service != service:
@@ -281,6 +290,11 @@
         finally:
             self._placer.pump(service)
 
+    def _require_pace(self, ticket: Ticket) -> None:
+        """Raise Refused when this process is so far behind that the caller may have left."""
+        if self.lag.behind and not ticket.sends and self._clock() > ticket.target_s:
+            raise Refused("behind_its_work", BEHIND_RETRY_S)
+
     def _begin(self, ticket: Ticket, placed: Placed) -> Attempt:
         return Attempt(ticket, placed, self.pool, self._protocol, self._bodies, self._clock)
 
--- /dev/null
+++ b/cassiadrum/tests/gateways/test_lag_limits.py
@@ -0,0 +1,122 @@
+"""Tests of refusals by a process that falls behind its work."""
+
+import pytest
+
+from cassiadrum.gateways import Gateway, GatewaySettings
+from cassiadrum.gateways.errors import Refused
+from cassiadrum.gateways.lag_limits import LagLimit
+from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.tests.gateways.makers import make_call, make_catalog, make_entry
+
+TICK_S = 0.1
+
+
+class SlowProcess:
+    """Run an event loop in virtual time: a round works off all that has arrived, then timers."""
+
+    def __init__(self, work_s: float, refusal_s: float, limit: LagLimit) -> None:
+        self._work_s = work_s
+        self._refusal_s = refusal_s
+        self._limit = limit
+        # From the arrival of each request that was taken until its work began.
+        self.waits_s: list[float] = []
+
+    def run(self, arrivals_s: list[float]) -> None:
+        now, due_s, number = 0.0, TICK_S, 0
+        while number < len(arrivals_s):
+            round_s = now
+            while number < len(arrivals_s) and arrivals_s[number] <= round_s:
+                if self._limit.refuses(f"r-{number}"):
+                    now += self._refusal_s
+                else:
+                    self.waits_s.append(now - arrivals_s[number])
+                    now += self._work_s
+                number += 1
+            if now >= due_s:
+                self._limit.ticked(now - due_s)
+                due_s = now + TICK_S
+            if now == round_s:
+                next_s = arrivals_s[number] if number < len(arrivals_s) else due_s
+                now = min(next_s, due_s)
+
+
+class BlindLimit(LagLimit):
+    """Take every request."""
+
+    def refuses(self, request_id: str) -> bool:
+        return False
+
+
+class TestLagLimit:
+    """Guards against requests that a slow machine passes on after their callers have left.
+
+    Replays the small twin of scale-2 of the further deployment: gateways on an eighth of a core
+    got twice what they could carry for ten seconds, and were three seconds behind.
+    """
+
+    def burst(self, limit: LagLimit) -> list[float]:
+        process = SlowProcess(0.02, 0.002, limit)
+        process.run([number / 100 for number in range(1000)])
+        return process.waits_s
+
+    def test_requests_that_are_taken_are_taken_in_time(self) -> None:
+        waits_s = sorted(self.burst(LagLimit()))
+        # Callers leave when nothing of their request was read for a second.
+        assert waits_s[int(0.9 * len(waits_s))] < 1.0
+        assert max(self.burst(BlindLimit())) > 5.0
+
+    def test_the_processor_is_not_left_idle(self) -> None:
+        # At 50 a second the machine carries 500 requests in the ten seconds.
+        assert len(self.burst(LagLimit())) > 0.7 * 500
+
+    def test_single_late_tick_refuses_nothing(self) -> None:
+        limit = LagLimit()
+        limit.ticked(5.0)
+        assert not any(limit.refuses(f"r-{number}") for number in range(100))
+        limit.ticked(0.0)
+        limit.ticked(5.0)
+        assert not any(limit.refuses(f"r-{number}") for number in range(100))
+
+    def test_slow_process_goes_on_serving(self) -> None:
+        limit = LagLimit()
+        for _ in range(100):
+            limit.ticked(5.0)
+        assert not all(limit.refuses(f"r-{number}") for number in range(1000))
+        for _ in range(100):
+            limit.ticked(0.0)
+        assert not any(limit.refuses(f"r-{number}") for number in range(1000))
+
+
+class UnstartedRelay:
+    """Stand for an answer of which the caller has got nothing."""
+
+    started = False
+
+    async def run(self, attempt: object) -> None:
+        self.started = True
+
+
+class TestLateSend:
+    """Guards against work for callers that left while the process was behind."""
+
+    @pytest.mark.parametrize(("late_s", "sent"), [(1.0, False), (0.0, True)])
+    async def test_request_past_its_target(self, late_s: float, sent: bool) -> None:
+        now = [0.0]
+        cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
+        gateway = Gateway(cfg, PlatformProtocol(), lambda: now[0], lambda: now[0])
+        gateway.set_catalog(make_catalog())
+        gateway.confirmation.answered(0.0, 0.0, 0.0)
+        gateway.directory.replace([make_entry("i-0")], 0.0)
+        ticket, relay = Ticket(make_call(), 0.0), UnstartedRelay()
+        gateway._resolve(ticket)
+        now[0] = 2.0
+        gateway.lag.ticked(late_s)
+        if sent:
+            assert await gateway._attempt(ticket, relay)  # type: ignore[arg-type]
+        else:
+            with pytest.raises(Refused, match="behind"):
+                await gateway._attempt(ticket, relay)  # type: ignore[arg-type]
+        assert relay.started is sent
+        (view,) = gateway.directory.usable("drafts")
+        assert view.own == 0
