Remember starts of endpoints that were replaced before a restore

A copy that names the first of two starts, the second being gone, brought the first back: the replaced start was never counted among those that are gone. Found by reading; the model of the store had not drawn it. An answer of the store without an era is a line of level info.

--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -45,6 +45,8 @@
         # Registrations of a restored store that wait for their endpoint to prove alive.
         self._doubtful: dict[str, EndpointEntry] = {}
         self._doubt_until_s = 0.0
+        # When entries were last expired, which is done all the time.
+        self._now = 0.0
 
     def __len__(self) -> int:
         return len(self._views)
@@ -71,6 +73,7 @@
             view.entry = entry
             return
         if view is not None:
+            self._gone.add(view.entry.incarnation, self._now, left=True)
             self._on_gone(view.entry.incarnation)
         self._views[entry.instance] = self._make_view(entry)
         _log("endpoint in", entry, slots=entry.slots, cold_s=entry.cold_s, draining=entry.leaving)
@@ -105,6 +108,7 @@
 
     def expire(self, now: float) -> list[str]:
         """Drop the entries whose grace period has ended and return their instances."""
+        self._now = now
         gone = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
         for instance in gone:
             self._drop(instance, "not back after the store's outage", now)
--- a/cassiadrum/platform/store_eras.py
+++ b/cassiadrum/platform/store_eras.py
@@ -32,10 +32,11 @@
         return True
 
     def _complain(self, text: str) -> None:
-        """Log an answer without an era, once; a store that was never restored may state none."""
+        """Log an answer without a readable era, once; a store may state none at all."""
         if not self._complained:
             self._complained = True
-            logger.warning("the store's answer states no readable era: %r", text[:ERA_DIGITS])
+            level = logging.WARNING if text else logging.INFO
+            logger.log(level, "the store states no readable era: %r", text[:ERA_DIGITS])
 
 
 def _readable(text: str) -> bool:
