Bound and reject foreign bytes that ended the following of the store or a request

Found by reading and a fuzz test of every parser on the platform's path; each failed before: a registration of many nested parts raised RecursionError, which ended the task that follows the store, so that the gateway knew no change until its keys ran out; a port above 65535 was taken and failed each attempt at it; a prompt part of "\xb2" or 5,000 digits, and an event id of such, raised ValueError, so that the caller got no answer. Answers of the store are bounded to 16 MiB.

--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -10,6 +10,9 @@
 EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 # What tells an event from a comment, which endpoints may send to keep a connection open.
 EVENT_DATA = re.compile(rb"(?m)^data:")
+# Longer ids are no numbers of events, and the interpreter refuses to convert very long ones.
+ID_DIGITS = 18
+NUMBER = re.compile(rf"[0-9]{{1,{ID_DIGITS}}}")
 # The longest single event in bytes.
 EVENT_BYTES = 1024 * 1024
 
@@ -32,11 +35,20 @@
         if self._splitter.held_bytes > EVENT_BYTES:
             raise AttemptFailed(f"an event is larger than {EVENT_BYTES} bytes")
         for found in EVENT_ID.findall(whole):
-            if self.last_id.isdigit() and int(found) != int(self.last_id) + 1:
-                raise AttemptFailed(f"event {int(found)} follows event {self.last_id}")
-            self.last_id = found.decode()
+            event_id = found.decode()
+            if not self._may_follow(event_id):
+                raise AttemptFailed(f"event {event_id[:ID_DIGITS]} follows event {self.last_id}")
+            self.last_id = event_id
         return whole
 
+    def _may_follow(self, event_id: str) -> bool:
+        """Return whether an event is the next one; any may be where the last has no number."""
+        if len(event_id) > ID_DIGITS:
+            return False
+        if not NUMBER.fullmatch(self.last_id):
+            return True
+        return int(event_id) == int(self.last_id) + 1
+
     @property
     def held_bytes(self) -> int:
         """Return the size of the unfinished event."""
--- a/cassiadrum/platform/boot_settings.py
+++ b/cassiadrum/platform/boot_settings.py
@@ -128,7 +128,7 @@
     """Return the settings in `data`; raise BadSettings with one finding for each error."""
     try:
         raw = msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise BadSettings([Finding(file, "(syntax)", str(exc), "JSON")]) from exc
     findings = check_struct(raw, _FileWire, file, "")
     if findings:
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -22,6 +22,8 @@
 MIN_TIMEOUT_MS = 1
 REFUSED = 503
 LEAVES = "1"
+# Longer numbers are no counts, and the interpreter refuses to convert very long ones.
+TOKEN_COUNT = re.compile(r"[0-9]{1,18}")
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -86,7 +88,7 @@
         """Return the load in a report; raise BadMessage."""
         try:
             report = msgspec.json.decode(body, type=_ReportWire)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise BadMessage(502, f"load report: {exc}") from exc
         return LoadSample(report.running, report.waiting, slots)
 
@@ -153,7 +155,7 @@
     parts = []
     for item in text.split(",") if text else ():
         part_id, _, tokens = item.partition(":")
-        if not tokens.isdigit():
+        if not TOKEN_COUNT.fullmatch(tokens):
             return ()
         parts.append(PromptPart(part_id.strip(), int(tokens)))
     return tuple(parts)
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -27,6 +27,9 @@
 READY: Final = "ready"
 DRAINING: Final = "draining"
 DEFAULT_PRIORITY: Final = 5
+LAST_PORT: Final = 65_535
+# What decoding raises; a document of many nested parts exceeds the interpreter's depth.
+UNREADABLE: Final = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _ShareWire(msgspec.Struct):
@@ -99,7 +102,7 @@
     try:
         wire = msgspec.json.decode(data, type=_CatalogWire)
         routes = [_route(route) for route in wire.routes]
-    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
+    except (*UNREADABLE, KeyError) as exc:
         raise BadRecord(f"configuration: {exc}") from exc
     customers = {
         key: Customer(customer.name, customer.priority)
@@ -128,11 +131,11 @@
     try:
         wire = msgspec.json.decode(data, type=_EntryWire)
         address = Address.parse(wire.address)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except UNREADABLE as exc:
         raise BadRecord(f"endpoint {instance}: {exc}") from exc
     if wire.state not in (READY, DRAINING):
         raise BadRecord(f"endpoint {instance}: unknown state {wire.state!r}")
-    if wire.slots < 1 or not address.host:
+    if wire.slots < 1 or not address.host or not 0 < address.port <= LAST_PORT:
         raise BadRecord(f"endpoint {instance}: no slots or no address")
     return EndpointEntry(
         instance=instance,
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -12,7 +12,7 @@
 from cassiadrum.platform.errors import HistoryGone
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.platform.wire_names import Header
-from cassiadrum.protocols import HttpClient, HttpError, HttpResponse
+from cassiadrum.protocols import BadMessage, HttpClient, HttpError, HttpResponse
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
@@ -23,6 +23,8 @@
 ANSWER_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
+# A page of rows is far smaller; what does not end must not take the process's memory.
+ANSWER_BYTES = 16 * 1024 * 1024
 GONE_STATUS = 410
 
 
@@ -114,7 +116,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._client.request("GET", target)
-                body = await response.read()
+                body = await _read_body(response)
         except (HttpError, TimeoutError) as exc:
             self._client.close()
             raise StoreUnavailable(str(exc) or f"no answer in {timeout_s:g} s") from exc
@@ -125,7 +127,7 @@
             raise StoreUnavailable(f"status {response.status}")
         try:
             wire = msgspec.json.decode(body, type=_PageWire)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise StoreUnavailable(f"unreadable answer: {exc}") from exc
         rows = tuple(ChangedRow(row.key, _content(row), row.ver) for row in wire.rows)
         page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, self._boot_clock())
@@ -139,6 +141,18 @@
             raise StoreUnavailable("an answer from before the store was restored")
 
 
+async def _read_body(response: HttpResponse) -> bytes:
+    """Return the body; raise BadMessage for one that does not end within the bound."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.body:
+        parts.append(part)
+        size += len(part)
+        if size > ANSWER_BYTES:
+            raise BadMessage(502, f"an answer over {ANSWER_BYTES} bytes")
+    return b"".join(parts)
+
+
 def _content(row: _RowWire) -> bytes | None:
     if row.removed:
         return None
