--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -1,6 +1,7 @@
 """The gateway: an entry instance that reaches endpoints directly."""
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Callable
@@ -42,6 +43,8 @@
 ELSEWHERE_RETRY_S = 0.02
 # Time after the deadline in which an endpoint's own answer to it may arrive.
 DEADLINE_GRACE_S = 0.05
+# A start takes one answer of the store; a request that meets it waits for that long.
+START_WAIT_S = 1.0
 # Time in which a process that fell behind its work has caught up.
 BEHIND_RETRY_S = 0.5
 ANSWERED = "answered"
@@ -77,6 +80,7 @@
     ) -> None:
         self.catalog: Catalog | None = None
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
+        self._configured = asyncio.Event()
         # Unix second since which the catalog is in force.
         self._catalog_s = 0.0
         self.draining = False
@@ -119,6 +123,7 @@
             return
         self.catalog = catalog
         self._catalog_s = time.time()
+        self._configured.set()
         self.on_catalog(catalog)
         # The operator's pace bounds these lines.
         logger.info(
@@ -196,6 +201,7 @@
         try:
             if self.lag.refuses(ticket.call.request_id):
                 raise Refused("behind_its_work", BEHIND_RETRY_S)
+            await self._wait_for_start()
             self._resolve(ticket)
             self._log.note(ticket, "received", **ticket.describe())
             self._budgets.of(ticket.service).arrived(ticket.received_s)
@@ -225,6 +231,13 @@
         await writer.refuse(exc.reason, retry_after_s, close=not self.confirmed)
         return f"refused: {exc}, retry after {retry_after_s:g} s"
 
+    async def _wait_for_start(self) -> None:
+        """Wait until a new process knows a configuration, for a bounded time."""
+        if self.catalog is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(START_WAIT_S):
+                    await self._configured.wait()
+
     def _make_view(self, entry: EndpointEntry) -> EndpointView:
         plan = self.catalog.services.get(entry.service) if self.catalog else None
         tokens = plan.cache_tokens if plan is not None else None
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -373,6 +373,40 @@
             await caller.call("/stream/a", events=10)
 
 
+class TestColdStart:
+    """Guards against refusals of a new process that waits for the store's first answer.
+
+    Traced on a varied day of cold-start-beside-slow-store: processes that were killed while the
+    store was slow refused everything for 0.6 s, and their callers came back to be refused again.
+    """
+
+    async def test_request_waits_for_the_first_configuration(
+        self, site: PlatformSite, gateway: GatewayRun
+    ) -> None:
+        await gateway.wait_ready()
+        await gateway.kill()
+        site.store.slow_s = 0.4
+        await gateway.start()
+        await gateway.wait_listening()
+        caller = Caller(gateway.calls_port)
+        status, _, _ = await caller.call("/safe/a")
+        caller.close()
+        assert status == 200
+
+    async def test_wait_is_bounded(self, site: PlatformSite, gateway: GatewayRun) -> None:
+        await gateway.wait_ready()
+        await gateway.kill()
+        site.store.fault = StoreFault.SILENT
+        await gateway.start()
+        await gateway.wait_listening()
+        caller = Caller(gateway.calls_port)
+        started_s = asyncio.get_running_loop().time()
+        status, headers, _ = await caller.call("/safe/a")
+        caller.close()
+        assert (status, headers["connection"]) == (503, "close")
+        assert 0.9 < asyncio.get_running_loop().time() - started_s < 2.0
+
+
 class TestStart:
     """Guards against a start that fails with a traceback, which log collectors cannot read."""
 
