Split the model of the store from its tests; drop a check that another one covers

A start of an endpoint that was replaced is counted among those that are gone, so that comparing the times of starts found nothing more: the mutant of it survived.

--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -128,13 +128,9 @@
 
     def _doubt(self, entry: EndpointEntry, now: float) -> bool:
         """Return whether a registration of a restored store has to wait, or may never return."""
-        if now >= self._doubt_until_s:
+        if now >= self._doubt_until_s or entry.incarnation not in self._gone:
             return False
-        view = self._views.get(entry.instance)
-        replaced = view is not None and entry.started_ms < view.entry.started_ms
-        if not replaced and entry.incarnation not in self._gone:
-            return False
-        left = replaced or self._gone.left(entry.incarnation)
+        left = self._gone.left(entry.incarnation)
         if not left:
             self._doubtful[entry.instance] = entry
         _log("endpoint of an older copy not taken", entry, left=left)
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -26,7 +26,7 @@
     poll_until,
     wait_until,
 )
-from cassiadrum.tests.gateways.test_store_properties import LAPSE_S, RETURN_GRACE_S
+from cassiadrum.tests.gateways.store_machines import LAPSE_S, RETURN_GRACE_S
 
 
 class TestEras:
