--- a/cassiadrum/roles/attempts.py
+++ b/cassiadrum/roles/attempts.py
@@ -4,13 +4,13 @@
 
 __all__ = ["Attempt"]
 
-SSE_TYPE = "text/event-stream"
+SSE_CONTENT_TYPE = "text/event-stream"
 
 
 class Attempt:
     """Track what arrived of an attempt's answer.
 
-    `position` counts the bytes received, `acked` those confirmed to the sidecar.
+    `position` counts the bytes received, `acknowledged` those confirmed to the sidecar.
     """
 
     def __init__(self, attempt_id: str, request_id: str, instance: str, started_s: float) -> None:
@@ -19,10 +19,10 @@
         self.instance = instance
         self.started_s = started_s
         self.position = 0
-        self.acked = 0
+        self.acknowledged = 0
         self.status = 0
         self.headers: tuple[tuple[str, str], ...] = ()
-        self.held = bytearray()
+        self.buffered = bytearray()
         self.splitter: EventSplitter | None = None
         # Monotonic time of the loss of the link, None while attached.
         self.detached_s: float | None = None
@@ -31,4 +31,4 @@
     def streaming(self) -> bool:
         """Tell whether the answer is a stream of events."""
         content_type = next((v for k, v in self.headers if k == "content-type"), "")
-        return content_type.startswith(SSE_TYPE)
+        return content_type.startswith(SSE_CONTENT_TYPE)
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -9,7 +9,7 @@
 from cassiadrum.roles.errors import InvalidRequest
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.request_parsers import RequestParser
-from cassiadrum.roles.router_messages import CallerGone, Delivered, RouterMessage, Submit
+from cassiadrum.roles.router_messages import CallerDisconnected, Delivered, RouterMessage, Submit
 
 __all__ = ["AnswerFetcher", "CallerHandler"]
 
@@ -82,12 +82,12 @@
         finally:
             self.active -= 1
             # Also reached when the connection's task is cancelled.
-            self._post(CallerGone(pending.queued.request_id))
+            self._post(CallerDisconnected(pending.queued.request_id))
 
     async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
-        exchange.when_gone(lambda: pending.events.put_nowait(None))
-        events = pending.events
+        exchange.when_gone(lambda: pending.caller_events.put_nowait(None))
+        events = pending.caller_events
         while True:
             event, sent = await events.get(), None
             # What is ready together is sent in one write.
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -36,7 +36,7 @@
 from cassiadrum.roles.members import MemberLinks
 from cassiadrum.roles.peer_clocks import observe
 from cassiadrum.roles.request_parsers import RequestParser
-from cassiadrum.roles.router_messages import FromLink, LinkDown, RefuseAll
+from cassiadrum.roles.router_messages import LinkClosed, ReceivedMessage, RefuseAll
 from cassiadrum.roles.routers import Router
 from cassiadrum.settings import Address, Settings
 from cassiadrum.states import ConfigurationWriter
@@ -76,7 +76,7 @@
             cfg.limits.subset_size,
             self._make_dialer,
             self._router.post,
-            lambda name: self._router.busy(name) or self._fetcher.busy(name),
+            lambda name: self._router.has_attempts(name) or self._fetcher.busy(name),
             services,
             ring,
         )
@@ -84,7 +84,7 @@
         self._janitor = maintenance.janitor(instances.entries)
         self._orders = maintenance.orders(self._router, instances.entries)
         self._router.on_report = self._orders.report
-        self._router.on_gone = self._orders.removed
+        self._router.on_removed = self._orders.removed
         self._fetcher = LinkAnswerFetcher(
             FetchLinks(self._router.links.get, self._make_fetch_dialer)
         )
@@ -253,7 +253,7 @@
             self._members.full(expected)
             return
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
-            self._router.post(FromLink(link, msg))
+            self._router.post(ReceivedMessage(link, msg))
 
     def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
         observe(self.ring, clock)
@@ -263,4 +263,4 @@
         self._members.disconnected(instance, link)
         self._configurations.link_down(link)
         self._gauges.remove(link)
-        self._router.post(LinkDown(link))
+        self._router.post(LinkClosed(link))
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -7,7 +7,7 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.members import ChangeKind, MemberChange, Membership, Subset, links_per_service
-from cassiadrum.roles.router_messages import MemberGone, MemberUsable, RouterMessage
+from cassiadrum.roles.router_messages import MemberRemoved, MemberUsable, RouterMessage
 from cassiadrum.stores import Instance
 
 __all__ = ["MemberLinks"]
@@ -149,7 +149,7 @@
     def _drop(self, instance: str) -> None:
         if self._stop_dialer(instance):
             # The service is named because the member may be unknown when this is handled.
-            self._post(MemberGone(instance, self._services.get(instance, "")))
+            self._post(MemberRemoved(instance, self._services.get(instance, "")))
 
     def _stop_dialer(self, instance: str) -> bool:
         self._retired.discard(instance)
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -21,27 +21,27 @@
     def __init__(
         self,
         queued: QueuedRequest,
-        cls: RequestClass,
+        request_class: RequestClass,
         http: HttpRequest,
         target: str,
-        key: str,
+        idempotency_key: str,
         silence_limit_s: float = 0.0,
     ) -> None:
         self.queued = queued
-        self.cls = cls
+        self.request_class = request_class
         self.http = http
         self.target = target
-        self.key = key
+        self.idempotency_key = idempotency_key
         self.silence_limit_s = silence_limit_s
         # None tells that the caller is gone.
-        self.events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
+        self.caller_events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
         # Whether the head announced an event stream.
         self.streaming = False
-        self.caller_gone = False
+        self.caller_disconnected = False
         # The attempt whose answer the caller receives; a hedge copy that answers later loses.
         self.winner: str | None = None
         self.first_token_s: float | None = None
--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -7,12 +7,12 @@
 from cassiadrum.roles.pending_requests import PendingRequest
 
 __all__ = [
-    "CallerGone",
+    "CallerDisconnected",
     "Delivered",
-    "FromLink",
-    "LinkDown",
-    "MemberGone",
+    "LinkClosed",
+    "MemberRemoved",
     "MemberUsable",
+    "ReceivedMessage",
     "RefuseAll",
     "RouterMessage",
     "Submit",
@@ -26,7 +26,7 @@
     pending: PendingRequest
 
 
-class CallerGone(NamedTuple):
+class CallerDisconnected(NamedTuple):
     """The caller closed its connection."""
 
     request_id: str
@@ -40,14 +40,14 @@
     position: int
 
 
-class FromLink(NamedTuple):
+class ReceivedMessage(NamedTuple):
     """A message of a sidecar."""
 
     link: Link
     msg: Message
 
 
-class LinkDown(NamedTuple):
+class LinkClosed(NamedTuple):
     """A link ended."""
 
     link: Link
@@ -60,7 +60,7 @@
     usable: bool
 
 
-class MemberGone(NamedTuple):
+class MemberRemoved(NamedTuple):
     """A sidecar is gone for good, or not linked to any more."""
 
     instance: str
@@ -77,12 +77,12 @@
 
 RouterMessage = (
     Submit
-    | CallerGone
+    | CallerDisconnected
     | Delivered
-    | FromLink
-    | LinkDown
+    | ReceivedMessage
+    | LinkClosed
     | MemberUsable
-    | MemberGone
+    | MemberRemoved
     | RefuseAll
     | Tick
 )
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -26,12 +26,12 @@
 from cassiadrum.roles.caller_events import AnswerEnd
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.router_messages import (
-    CallerGone,
+    CallerDisconnected,
     Delivered,
-    FromLink,
-    LinkDown,
-    MemberGone,
+    LinkClosed,
+    MemberRemoved,
     MemberUsable,
+    ReceivedMessage,
     RefuseAll,
     RouterMessage,
     Submit,
@@ -42,16 +42,16 @@
 __all__ = ["Router"]
 
 TICK_INTERVAL_S = 0.05
-CANCELLED_KEPT_S = 600.0
+CANCELLED_RETENTION_S = 600.0
 # Acknowledging each frame would double the number of frames; the window is eight times as large.
-ACK_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
+ACK_INTERVAL_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
 # The longest single event of a stream.
-EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 # Half the time for which a sidecar knows the attempts that have ended.
-REJECTED_AS_NOT_RUN_S = 30.0
+NOT_RUN_MAX_AGE_S = 30.0
 # The reason in a sidecar's answer to `attach` when it does not know the attempt.
-UNKNOWN_ATTEMPT = "no_endpoint"
-LOST = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+UNKNOWN_ATTEMPT_REASON = "no_endpoint"
+LOST_OUTCOME = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
 
 
 class Router(AttemptEvents):
@@ -63,31 +63,31 @@
     def __init__(
         self,
         make_dispatcher: Callable[[str], Dispatcher],
-        services: Callable[[str], str],
+        service_of: Callable[[str], str],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.pending: dict[str, PendingRequest] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
         self.on_report: Callable[[str, EndpointReport], None] = lambda service, rep: None
-        self.on_gone: Callable[[str, str], None] = lambda service, instance: None
+        self.on_removed: Callable[[str, str], None] = lambda service, instance: None
         self._make_dispatcher = make_dispatcher
-        self._services = services
+        self._service_of = service_of
         self._ring = ring
         self._clock = clock
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
-        self._path = SidecarPath(self, clock)
+        self._sidecars = SidecarPath(self, clock)
         # Cancelled attempts whose end the dispatcher still has to hear of.
-        self._cancelled: dict[str, tuple[Attempt, str]] = {}
+        self._cancelled_attempts: dict[str, tuple[Attempt, str]] = {}
         self._handlers: dict[type[RouterMessage], Callable[[Any], None]] = {
             Submit: lambda msg: self._submit(msg.pending),
-            CallerGone: lambda msg: self._caller_gone(msg.request_id),
+            CallerDisconnected: lambda msg: self._caller_disconnected(msg.request_id),
             Delivered: self._delivered,
-            FromLink: self._path.take,
-            LinkDown: lambda msg: self._path.link_down(msg.link),
+            ReceivedMessage: self._sidecars.take,
+            LinkClosed: lambda msg: self._sidecars.link_down(msg.link),
             MemberUsable: self._member_usable,
-            MemberGone: self._member_gone,
+            MemberRemoved: self._member_removed,
             RefuseAll: lambda msg: self._refuse_all(),
             Tick: lambda msg: self._tick(),
         }
@@ -95,7 +95,7 @@
     @property
     def links(self) -> Mapping[str, Link]:
         """Return the current link of each sidecar."""
-        return self._path.links
+        return self._sidecars.links
 
     def models_wanted(self, service: str) -> list[tuple[str, str]]:
         """Return model and adapter of each request of a service that waits or runs."""
@@ -109,7 +109,7 @@
         """Queue a message for the task."""
         self._inbox.put_nowait(msg)
 
-    def busy(self, instance: str) -> bool:
+    def has_attempts(self, instance: str) -> bool:
         """Tell whether attempts run at a sidecar."""
         return bool(self._attempts_at(instance))
 
@@ -133,25 +133,25 @@
         actions = self._dispatcher(req.service).submit(req, self._clock())
         if not any(isinstance(a, Dispatch | Refuse) and a.req is req for a in actions):
             self._record(EventKind.QUEUED, pending)
-        self._carry_out(actions)
+        self._execute(actions)
 
-    def _caller_gone(self, request_id: str) -> None:
+    def _caller_disconnected(self, request_id: str) -> None:
         pending = self.pending.get(request_id)
         if pending is None:
             return
-        pending.caller_gone = True
-        if not pending.cls.cancellable:
+        pending.caller_disconnected = True
+        if not pending.request_class.cancellable:
             return
         self._record(EventKind.CANCELLED, pending, reason="caller_left")
         dispatcher = self._dispatcher(pending.queued.service)
-        self._carry_out(dispatcher.cancelled(request_id, self._clock()))
-        self._forget(pending)
+        self._execute(dispatcher.cancelled(request_id, self._clock()))
+        self._remove(pending)
 
     def _delivered(self, msg: Delivered) -> None:
         pending = self.pending.get(msg.request_id)
         attempt = pending.attempts.get(msg.attempt_id) if pending else None
-        if attempt is not None and msg.position - attempt.acked >= ACK_BYTES:
-            self._path.acknowledge(attempt, msg.position)
+        if attempt is not None and msg.position - attempt.acknowledged >= ACK_INTERVAL_BYTES:
+            self._sidecars.acknowledge(attempt, msg.position)
 
     # Events of the sidecars.
 
@@ -160,10 +160,10 @@
         self._ring.record(EventKind.CONNECTED, peer=instance)
         for pending, attempt in self._attempts_at(instance):
             if restarted:
-                self._ended(pending, attempt, LOST)
+                self._finish_attempt(pending, attempt, LOST_OUTCOME)
                 continue
             attempt.detached_s = None
-            self._path.reattach(attempt)
+            self._sidecars.reattach(attempt)
             self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
     def detached(self, instance: str) -> None:
@@ -172,125 +172,125 @@
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
             attempt.detached_s = now
-        self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
+        self._execute(self._dispatcher(self._service_of(instance)).lost(instance, now))
 
     def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Pass a load report on to the service's dispatcher."""
         now = self._clock()
-        service = self._services(rep.instance)
+        service = self._service_of(rep.instance)
         dispatcher = self._dispatcher(service)
         if cached:
             dispatcher.cached(rep.instance, cached, now)
         self.on_report(service, rep)
-        self._carry_out(dispatcher.report(rep, now))
+        self._execute(dispatcher.report(rep, now))
 
     def began(self, head: Head) -> None:
         """Pass the head of an answer on."""
-        found = self._find(head.attempt_id)
+        found = self._find_attempt(head.attempt_id)
         if found is not None:
-            self._relay.head(*found, head)
+            self._relay.receive_head(*found, head)
 
     def _member_usable(self, msg: MemberUsable) -> None:
         now = self._clock()
-        report = self._path.set_usable(msg.instance, msg.usable)
+        report = self._sidecars.set_usable(msg.instance, msg.usable)
         if report is not None:
-            dispatcher = self._dispatcher(self._services(msg.instance))
-            self._carry_out(dispatcher.report(report, now))
+            dispatcher = self._dispatcher(self._service_of(msg.instance))
+            self._execute(dispatcher.report(report, now))
 
-    def _member_gone(self, msg: MemberGone) -> None:
-        self._path.forget(msg.instance)
-        self.on_gone(msg.service, msg.instance)
+    def _member_removed(self, msg: MemberRemoved) -> None:
+        self._sidecars.forget(msg.instance)
+        self.on_removed(msg.service, msg.instance)
         dispatcher = self._dispatcher(msg.service)
         # Nothing may be dispatched there again while its attempts end one after the other.
-        self._carry_out(dispatcher.lost(msg.instance, self._clock()))
+        self._execute(dispatcher.lost(msg.instance, self._clock()))
         for pending, attempt in self._attempts_at(msg.instance):
-            self._ended(pending, attempt, LOST)
-        self._carry_out(dispatcher.removed(msg.instance, self._clock()))
+            self._finish_attempt(pending, attempt, LOST_OUTCOME)
+        self._execute(dispatcher.removed(msg.instance, self._clock()))
 
     def received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Pass bytes of an answer on and confirm them."""
-        found = self._find(attempt_id)
+        found = self._find_attempt(attempt_id)
         if found is None:
             return
         pending, attempt = found
-        tokens = self._relay.data(pending, attempt, position, data, self._clock())
+        tokens = self._relay.receive_data(pending, attempt, position, data, self._clock())
         if tokens:
             dispatcher = self._dispatcher(pending.queued.service)
-            self._carry_out(
+            self._execute(
                 dispatcher.progressed(
                     attempt.instance, pending.queued.request_id, tokens, self._clock()
                 )
             )
-        if pending.splitter.held_bytes > EVENT_BYTES:
-            self._ended(
+        if pending.splitter.held_bytes > MAX_EVENT_BYTES:
+            self._finish_attempt(
                 pending, attempt, Outcome(False, Ran.YES, 0, "endpoint_failed", final=True)
             )
             self._cancel_attempt(pending, attempt)
             return
         # Bytes that are held back or have no receiver are confirmed here, the others once the
         # caller's socket took them.
-        if pending.caller_gone or attempt.attempt_id != pending.winner or attempt.held:
-            self._path.acknowledge(attempt, attempt.position)
-        elif pending.splitter.held_bytes >= ACK_BYTES:
+        if pending.caller_disconnected or attempt.attempt_id != pending.winner or attempt.buffered:
+            self._sidecars.acknowledge(attempt, attempt.position)
+        elif pending.splitter.held_bytes >= ACK_INTERVAL_BYTES:
             # The rest of a long event only comes once its beginning is confirmed.
-            self._path.acknowledge(attempt, attempt.position)
+            self._sidecars.acknowledge(attempt, attempt.position)
 
     def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
         """Close the request of an attempt, or try again; return whether the attempt is known."""
-        found = self._find(attempt_id)
+        found = self._find_attempt(attempt_id)
         if found is None:
-            self._cancelled_ended(attempt_id, outcome.tokens)
+            self._finish_cancelled(attempt_id, outcome.tokens)
             return False
         pending, attempt = found
         if outcome.ok and position != attempt.position:
-            self._path.ask_again(attempt)
+            self._sidecars.ask_again(attempt)
             return True
-        if outcome.ok and not self._relay.continues(pending, attempt):
+        if outcome.ok and not self._relay.is_compatible(pending, attempt):
             outcome = Outcome(False, outcome.ran, outcome.tokens, "endpoint_failed")
-        self._path.acknowledge(attempt, position)
-        self._ended(pending, attempt, outcome)
+        self._sidecars.acknowledge(attempt, position)
+        self._finish_attempt(pending, attempt, outcome)
         return True
 
     def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
         """Try an attempt elsewhere that did not run, unless it may have run long ago."""
-        found = self._find(attempt_id)
+        found = self._find_attempt(attempt_id)
         if found is None:
-            self._cancelled_ended(attempt_id, 0)
+            self._finish_cancelled(attempt_id, 0)
             return
         # An old attempt that the sidecar does not know may have run and been forgotten there.
-        old = self._clock() - found[1].started_s >= REJECTED_AS_NOT_RUN_S
-        ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT else Ran.NO
-        self._ended(*found, Outcome(False, ran, 0, reason, retry_after_s))
+        old = self._clock() - found[1].started_s >= NOT_RUN_MAX_AGE_S
+        ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT_REASON else Ran.NO
+        self._finish_attempt(*found, Outcome(False, ran, 0, reason, retry_after_s))
 
-    def _cancelled_ended(self, attempt_id: str, tokens: int) -> None:
+    def _finish_cancelled(self, attempt_id: str, tokens: int) -> None:
         """Tell the dispatcher that a copy which nobody waits for has ended."""
-        entry = self._cancelled.pop(attempt_id, None)
+        entry = self._cancelled_attempts.pop(attempt_id, None)
         if entry is None:
             return
         attempt, service = entry
         outcome = Outcome(False, Ran.UNKNOWN, tokens, "cancelled")
         dispatcher = self._dispatcher(service)
-        self._carry_out(
+        self._execute(
             dispatcher.finished(attempt.request_id, outcome, self._clock(), attempt.instance)
         )
 
-    def _ended(self, pending: PendingRequest, attempt: Attempt, outcome: Outcome) -> None:
+    def _finish_attempt(self, pending: PendingRequest, attempt: Attempt, outcome: Outcome) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
         req = pending.queued
         if outcome.ok:
             self._relay.finish(pending, attempt)
-            self._close(pending, None, EventKind.FINISHED, outcome)
+            self._complete(pending, None, EventKind.FINISHED, outcome)
         else:
-            self._relay.failed(pending, attempt)
-            outcome = self._relay.repeatable(pending, outcome)
+            self._relay.discard_partial(pending, attempt)
+            outcome = self._relay.restrict_retry(pending, outcome)
         dispatcher = self._dispatcher(req.service)
-        self._carry_out(
+        self._execute(
             dispatcher.finished(req.request_id, outcome, self._clock(), attempt.instance)
         )
 
     # Actions.
 
-    def _carry_out(self, actions: list[Action]) -> None:
+    def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Dispatch | Hedge):
                 self._dispatch(action)
@@ -311,8 +311,8 @@
         pending.attempts[attempt_id] = attempt
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
         self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
-        if not self._path.start(pending, attempt):
-            self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
+        if not self._sidecars.start(pending, attempt):
+            self._finish_attempt(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
 
     def _refuse(self, action: Refuse) -> None:
         pending = self.pending.get(action.req.request_id)
@@ -323,7 +323,7 @@
         )
         outcome = Outcome(False, action.ran, 0, action.reason, action.retry_after_s)
         kind = EventKind.EVICTED if action.reason == "evicted" else EventKind.REFUSED
-        self._close(pending, problem, kind, outcome)
+        self._complete(pending, problem, kind, outcome)
 
     def _refuse_all(self) -> None:
         for pending in list(self.pending.values()):
@@ -337,17 +337,17 @@
 
     def _cancel_attempt(self, pending: PendingRequest, attempt: Attempt) -> None:
         pending.attempts.pop(attempt.attempt_id, None)
-        self._cancelled[attempt.attempt_id] = (attempt, pending.queued.service)
-        self._path.cancel(attempt)
+        self._cancelled_attempts[attempt.attempt_id] = (attempt, pending.queued.service)
+        self._sidecars.cancel(attempt)
 
-    def _close(
+    def _complete(
         self, pending: PendingRequest, problem: Problem | None, kind: EventKind, outcome: Outcome
     ) -> None:
-        pending.events.put_nowait(AnswerEnd(problem))
-        self._forget(pending)
+        pending.caller_events.put_nowait(AnswerEnd(problem))
+        self._remove(pending)
         self._record(kind, pending, reason=outcome.reason, ran=outcome.ran, tokens=outcome.tokens)
 
-    def _forget(self, pending: PendingRequest) -> None:
+    def _remove(self, pending: PendingRequest) -> None:
         """Drop a request; attempts that still run are cancelled."""
         self.pending.pop(pending.queued.request_id, None)
         for attempt in list(pending.attempts.values()):
@@ -356,19 +356,19 @@
     def _tick(self) -> None:
         asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
-        horizon_s = now - CANCELLED_KEPT_S
-        while self._cancelled:
-            key, entry = next(iter(self._cancelled.items()))
+        horizon_s = now - CANCELLED_RETENTION_S
+        while self._cancelled_attempts:
+            key, entry = next(iter(self._cancelled_attempts.items()))
             if entry[0].started_s > horizon_s:
                 break
-            del self._cancelled[key]
+            del self._cancelled_attempts[key]
         for dispatcher in self.dispatchers.values():
-            self._carry_out(dispatcher.tick(now))
+            self._execute(dispatcher.tick(now))
         for pending in list(self.pending.values()):
             for attempt in list(pending.attempts.values()):
                 lost_s = attempt.detached_s
                 if lost_s is not None and now - lost_s >= LIMITS.DETACHED_STREAM_S:
-                    self._ended(pending, attempt, LOST)
+                    self._finish_attempt(pending, attempt, LOST_OUTCOME)
 
     # Helpers.
 
@@ -377,7 +377,7 @@
             self.dispatchers[service] = self._make_dispatcher(service)
         return self.dispatchers[service]
 
-    def _find(self, attempt_id: str) -> tuple[PendingRequest, Attempt] | None:
+    def _find_attempt(self, attempt_id: str) -> tuple[PendingRequest, Attempt] | None:
         pending = self.pending.get(attempt_id.rpartition(".")[0])
         attempt = pending.attempts.get(attempt_id) if pending else None
         return (pending, attempt) if pending and attempt else None
--- a/cassiadrum/roles/sidecar_paths.py
+++ b/cassiadrum/roles/sidecar_paths.py
@@ -18,7 +18,7 @@
 )
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.pending_requests import PendingRequest
-from cassiadrum.roles.router_messages import FromLink
+from cassiadrum.roles.router_messages import ReceivedMessage
 from cassiadrum.roles.sidecar_links import SidecarLinks
 from cassiadrum.roles.start_messages import start_message
 
@@ -84,7 +84,7 @@
 
     def acknowledge(self, attempt: Attempt, position: int) -> None:
         """Confirm the bytes of an answer up to a position."""
-        attempt.acked = position
+        attempt.acknowledged = position
         self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
 
     def ask_again(self, attempt: Attempt) -> None:
@@ -98,7 +98,7 @@
             attempt.instance, Attach(attempt.attempt_id, attempt.position, age_s=age_s)
         )
         # An acknowledgement lost with the old connection would block a full buffer.
-        self.acknowledge(attempt, attempt.acked)
+        self.acknowledge(attempt, attempt.acknowledged)
 
     def set_usable(self, instance: str, usable: bool) -> EndpointReport | None:
         """Permit or forbid new work; return the report that says so, if there is one."""
@@ -114,7 +114,7 @@
         if instance:
             self._events.detached(instance)
 
-    def take(self, message: FromLink) -> None:
+    def take(self, message: ReceivedMessage) -> None:
         """Take a message of a sidecar."""
         link, msg = message
         if link.peer is None:
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -26,7 +26,7 @@
 
 
 def delivered(pending: PendingRequest) -> bytes:
-    events = [pending.events.get_nowait() for _ in range(pending.events.qsize())]
+    events = [pending.caller_events.get_nowait() for _ in range(pending.caller_events.qsize())]
     return b"".join(event.data for event in events if isinstance(event, AnswerData))
 
 
@@ -36,35 +36,35 @@
     def test_second_attempt_continues_after_whole_events(self) -> None:
         relay, pending = make_relay(), make_pending()
         first, second = Attempt("r.1", "r", "e1", 0.0), Attempt("r.2", "r", "e2", 0.0)
-        relay.head(pending, first, Head("r.1", 200, STREAM))
-        relay.data(pending, first, 0, b"data: 1\n\ndata: 2", 0.1)
-        relay.failed(pending, first)
-        relay.head(pending, second, Head("r.2", 200, STREAM))
-        relay.data(pending, second, 0, b"data: 2\n\ndata: [DONE]\n\n", 0.2)
+        relay.receive_head(pending, first, Head("r.1", 200, STREAM))
+        relay.receive_data(pending, first, 0, b"data: 1\n\ndata: 2", 0.1)
+        relay.discard_partial(pending, first)
+        relay.receive_head(pending, second, Head("r.2", 200, STREAM))
+        relay.receive_data(pending, second, 0, b"data: 2\n\ndata: [DONE]\n\n", 0.2)
         relay.finish(pending, second)
         assert delivered(pending) == b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
 
     def test_repeated_bytes_are_skipped(self) -> None:
         relay, pending = make_relay(), make_pending()
         attempt = Attempt("r.1", "r", "e1", 0.0)
-        relay.head(pending, attempt, Head("r.1", 200, STREAM))
-        relay.data(pending, attempt, 0, b"data: 1\n\n", 0.1)
-        relay.data(pending, attempt, 4, b": 1\n\ndata: 2\n\n", 0.2)
+        relay.receive_head(pending, attempt, Head("r.1", 200, STREAM))
+        relay.receive_data(pending, attempt, 0, b"data: 1\n\n", 0.1)
+        relay.receive_data(pending, attempt, 4, b": 1\n\ndata: 2\n\n", 0.2)
         assert delivered(pending) == b"data: 1\n\ndata: 2\n\n"
 
     def test_stream_without_an_event_may_be_repeated(self) -> None:
         relay, pending = make_relay(), make_pending()
         attempt = Attempt("r.1", "r", "e1", 0.0)
-        relay.head(pending, attempt, Head("r.1", 200, STREAM))
+        relay.receive_head(pending, attempt, Head("r.1", 200, STREAM))
         failure = Outcome(False, Ran.UNKNOWN, reason="answer_lost")
-        assert relay.repeatable(pending, failure) == failure
+        assert relay.restrict_retry(pending, failure) == failure
 
     def test_plain_answer_does_not_continue_a_stream(self) -> None:
         relay, pending = make_relay(), make_pending()
         first, second = Attempt("r.1", "r", "e1", 0.0), Attempt("r.2", "r", "e2", 0.0)
-        relay.head(pending, first, Head("r.1", 200, STREAM))
-        relay.failed(pending, first)
-        relay.head(pending, second, Head("r.2", 500, JSON))
-        relay.data(pending, second, 0, b"{}", 0.1)
-        assert not relay.continues(pending, second)
+        relay.receive_head(pending, first, Head("r.1", 200, STREAM))
+        relay.discard_partial(pending, first)
+        relay.receive_head(pending, second, Head("r.2", 500, JSON))
+        relay.receive_data(pending, second, 0, b"{}", 0.1)
+        assert not relay.is_compatible(pending, second)
         assert delivered(pending) == b""
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -6,7 +6,7 @@
 from cassiadrum.members import REMOVAL_LIMIT_S, ChangeKind, Membership, Subset
 from cassiadrum.members.memberships import MOVE_DELAY_S
 from cassiadrum.roles.members import MemberLinks
-from cassiadrum.roles.router_messages import MemberGone, MemberUsable, RouterMessage
+from cassiadrum.roles.router_messages import MemberRemoved, MemberUsable, RouterMessage
 from cassiadrum.stores import Instance
 
 
@@ -123,7 +123,7 @@
         self.links.listed((sidecar("b"),))
         self.now = REMOVAL_LIMIT_S
         self.links.listed((sidecar("b"),))
-        assert self.posted == [MemberGone("a", "s")]
+        assert self.posted == [MemberRemoved("a", "s")]
         assert self.events(EventKind.MEMBER_LEFT) == ["a"]
         assert self.events(EventKind.MEMBER_JOINED) == ["a", "b"]
 
@@ -145,14 +145,14 @@
         self.links.listed((sidecar("b"),))
         self.now = 10 * REMOVAL_LIMIT_S
         self.links.listed((sidecar("b"),))
-        assert MemberGone("a", "s") not in self.posted
+        assert MemberRemoved("a", "s") not in self.posted
 
     async def test_full_sidecar_is_replaced_by_the_next_in_rank(self) -> None:
         self.links.listed((sidecar("a"), sidecar("b"), sidecar("c")))
         first = self.dialled()
         self.links.full(first[0])
         assert self.dialled() == ["a", "b", "c"]
-        assert self.posted == [MemberGone(first[0], "s")]
+        assert self.posted == [MemberRemoved(first[0], "s")]
 
     async def test_displaced_member_keeps_its_link_while_it_has_work(self) -> None:
         names = ["a", "b", "c", "d", "e"]
@@ -169,5 +169,5 @@
         assert self.posted == [MemberUsable(displaced, False)]
         self.busy.clear()
         self.links.listed((*old, sidecar(best)))
-        assert self.posted[1:] == [MemberGone(displaced, "s")]
+        assert self.posted[1:] == [MemberRemoved(displaced, "s")]
         assert last not in self.dialled()
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -35,7 +35,7 @@
 from cassiadrum.protocols import HttpRequest
 from cassiadrum.roles.caller_events import AnswerData, AnswerEnd
 from cassiadrum.roles.pending_requests import PendingRequest
-from cassiadrum.roles.router_messages import Delivered, FromLink, LinkDown, Submit
+from cassiadrum.roles.router_messages import Delivered, LinkClosed, ReceivedMessage, Submit
 from cassiadrum.roles.routers import Router
 from cassiadrum.roles.sidecar_messages import (
     CallData,
@@ -96,7 +96,7 @@
         self.router._handle(msg)
 
     def say(self, msg: Message) -> None:
-        self.handle(FromLink(self.link, msg))  # type: ignore[arg-type]
+        self.handle(ReceivedMessage(self.link, msg))  # type: ignore[arg-type]
 
     def connect(self, process_start: str = "p") -> FakeLink:
         self.link = FakeLink(Hello(1, "side", "sidecar", "z", "", process_start))
@@ -105,15 +105,15 @@
         return self.link
 
     def disconnect(self) -> None:
-        self.handle(LinkDown(self.link))  # type: ignore[arg-type]
+        self.handle(LinkClosed(self.link))  # type: ignore[arg-type]
 
     def head(self, content_type: str) -> None:
         self.say(Head(self.attempt_id, 200, [("content-type", content_type)]))
 
     def events(self) -> list[Any]:
         found = []
-        while not self.pending.events.empty():
-            found.append(self.pending.events.get_nowait())
+        while not self.pending.caller_events.empty():
+            found.append(self.pending.caller_events.get_nowait())
         return found
 
 
@@ -163,7 +163,9 @@
         # An entry instance that was stopped for a minute attaches to what has been forgotten.
         bench = RouterBench()
         outcomes: list[Any] = []
-        monkeypatch.setattr(bench.router, "_ended", lambda *args: outcomes.append(args[2]))
+        monkeypatch.setattr(
+            bench.router, "_finish_attempt", lambda *args: outcomes.append(args[2])
+        )
         bench.now += age_s
         bench.say(RejectStart(bench.attempt_id, reason, 0.0))
         assert outcomes[0].ran == ran
