--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -110,7 +110,7 @@
                 hello,
                 deliver=self._deliver,
                 heartbeat=lambda: (self._agent.digest(), list(self._ring.clock.tick())),
-                heard=lambda link, digest, clock: self._agent.heard(link, digest),
+                heard=lambda link, digest, clock: self._agent.compare_digest(link, digest),
             )
 
         return make
@@ -118,7 +118,7 @@
     def _deliver(self, link: Link, msg: Any) -> None:
         if isinstance(msg, Hello):
             self._agent.link_up(link)
-        self._agent.take(link, msg)
+        self._agent.handle_message(link, msg)
 
 
 if __name__ == "__main__":
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -71,10 +71,10 @@
     """Wait until a daemon that drains has finished, at most `limit_s`; return the exit code."""
     try:
         async with asyncio.timeout(limit_s):
-            await daemon.drained()
+            await daemon.wait_drained()
     except TimeoutError:
         logger.warning("drain limit reached with %d requests in flight", daemon.in_flight())
-        await daemon.give_up()
+        await daemon.refuse_and_wait()
         return EXIT_DRAIN_LIMIT
     return 0
 
--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -10,12 +10,12 @@
 
 __all__ = ["AdminHandler"]
 
-EVENTS_LIMIT = 2000
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-SERVICES = "/admin/services/"
+MAX_EVENTS = 2000
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SERVICES_PREFIX = "/admin/services/"
 # A reader that polled within this time is expected to come for the last events too.
 READER_ACTIVE_S = 2.0
-LAST_READ_LIMIT_S = 1.0
+LAST_READ_TIMEOUT_S = 1.0
 
 
 class AdminHandler:
@@ -31,35 +31,35 @@
         status: Callable[[], dict[str, Any]],
         drain: Callable[[], None],
         metrics: Callable[[], bytes],
-        permits: Callable[[str], bool],
-        services: Handler | None = None,
+        is_authorized: Callable[[str], bool],
+        service_handler: Handler | None = None,
     ) -> None:
         self._ring = ring
         self._status = status
         self._drain = drain
-        self._services = services
+        self._service_handler = service_handler
         self._metrics = metrics
-        self._read_s = float("-inf")
-        self._read_sequence = 0
-        self._permits = permits
+        self._last_read_s = float("-inf")
+        self._last_read_sequence = 0
+        self._is_authorized = is_authorized
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         req = exchange.req
-        if not self._permits(req.header("authorization")):
+        if not self._is_authorized(req.header("authorization")):
             challenge = (("www-authenticate", "Bearer"),)
             await exchange.send_json(401, {"error": "a bearer token is required"}, challenge)
         elif req.method == "GET" and req.path == "/admin/status":
             await exchange.send_json(200, self._status())
         elif req.method == "GET" and req.path == "/metrics":
-            await exchange.send(200, self._metrics(), METRICS_TYPE)
+            await exchange.send(200, self._metrics(), METRICS_CONTENT_TYPE)
         elif req.method == "GET" and req.path == "/admin/events":
             await self._send_events(exchange)
         elif req.method == "POST" and req.path == "/admin/drain":
             self._drain()
             await exchange.send_json(202, {"draining": True})
-        elif self._services is not None and req.path.startswith(SERVICES):
-            await self._services(exchange)
+        elif self._service_handler is not None and req.path.startswith(SERVICES_PREFIX):
+            await self._service_handler(exchange)
         else:
             await exchange.send_json(404, {"error": "not found"})
 
@@ -68,16 +68,16 @@
         if not after.isdecimal():
             await exchange.send_json(400, {"error": "the query allows only `after`, a number"})
             return
-        events = [encode_event(event) for event in self._ring.after(int(after), EVENTS_LIMIT)]
+        events = [encode_event(event) for event in self._ring.after(int(after), MAX_EVENTS)]
         # The start id tells a reader that the sequence numbers began anew.
         answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
         await exchange.send_json(200, {"events": events, **answer})
-        self._read_s, self._read_sequence = time.monotonic(), int(after) + len(events)
+        self._last_read_s, self._last_read_sequence = time.monotonic(), int(after) + len(events)
 
-    async def last_events_read(self) -> None:
+    async def wait_for_reader(self) -> None:
         """Wait until an active reader has the last event, at most LAST_READ_LIMIT_S."""
-        end_s = time.monotonic() + LAST_READ_LIMIT_S
-        while self._read_sequence < self._ring.last_sequence and time.monotonic() < end_s:
-            if time.monotonic() - self._read_s > READER_ACTIVE_S:
+        end_s = time.monotonic() + LAST_READ_TIMEOUT_S
+        while self._last_read_sequence < self._ring.last_sequence and time.monotonic() < end_s:
+            if time.monotonic() - self._last_read_s > READER_ACTIVE_S:
                 return
             await asyncio.sleep(0.02)
--- a/cassiadrum/roles/admin_tokens.py
+++ b/cassiadrum/roles/admin_tokens.py
@@ -8,7 +8,7 @@
 
 logger = logging.getLogger(__name__)
 
-SCHEME = "bearer "
+SCHEME_PREFIX = "bearer "
 
 
 class AdminToken:
@@ -19,27 +19,27 @@
 
     def __init__(self, path: Path | None) -> None:
         self._path = path
-        self._state: tuple[int, int, int] | None = None
+        self._file_state: tuple[int, int, int] | None = None
         self._token = b""
 
-    def permits(self, authorization: str) -> bool:
+    def is_authorized(self, authorization: str) -> bool:
         """Tell whether the value of an Authorization header carries the token."""
         if self._path is None:
             return True
-        self._refresh(self._path)
-        if not self._token or authorization[: len(SCHEME)].lower() != SCHEME:
+        self._reload_if_changed(self._path)
+        if not self._token or authorization[: len(SCHEME_PREFIX)].lower() != SCHEME_PREFIX:
             return False
-        offered = authorization[len(SCHEME) :].strip().encode()
+        offered = authorization[len(SCHEME_PREFIX) :].strip().encode()
         return hmac.compare_digest(offered, self._token)
 
-    def _refresh(self, path: Path) -> None:
+    def _reload_if_changed(self, path: Path) -> None:
         try:
             stat = path.stat()
             state = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
-            if state != self._state:
+            if state != self._file_state:
                 self._token = path.read_bytes().strip()
-                self._state = state
+                self._file_state = state
         except OSError as exc:
-            if self._state is not None or self._token:
+            if self._file_state is not None or self._token:
                 logger.warning("admin token file cannot be read: %s", exc.strerror)
-            self._token, self._state = b"", None
+            self._token, self._file_state = b"", None
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -26,7 +26,7 @@
         self._links = links
         self._fetches: dict[str, AnswerFetch] = {}
 
-    def busy(self, instance: str) -> bool:
+    def has_fetches(self, instance: str) -> bool:
         """Tell whether an answer is fetched from a sidecar."""
         return any(fetch.instance == instance for fetch in self._fetches.values())
 
@@ -36,7 +36,7 @@
             if fetch.instance == instance:
                 fetch.attach(link)
 
-    def offer(self, msg: Message) -> bool:
+    def deliver(self, msg: Message) -> bool:
         """Take a message if a fetch waits for it."""
         if isinstance(msg, Data):
             for part in msg.parts:
@@ -62,7 +62,7 @@
         fetch = self._fetches[attempt_id] = AnswerFetch(attempt_id, instance, position)
         try:
             fetch.attach(link)
-            if not await self._relay(exchange, fetch, answer_id):
+            if not await self._relay_answer(exchange, fetch, answer_id):
                 await _refuse(exchange, answer_id)
         finally:
             del self._fetches[attempt_id]
@@ -70,7 +70,7 @@
                 # The caller may come back once more.
                 fetch.send(Detach(attempt_id))
 
-    async def _relay(self, exchange: Exchange, fetch: AnswerFetch, answer_id: str) -> bool:
+    async def _relay_answer(self, exchange: Exchange, fetch: AnswerFetch, answer_id: str) -> bool:
         """Pass the answer on; return False when the rest of it cannot be had."""
         while not exchange.gone.is_set():
             try:
@@ -87,7 +87,7 @@
                     head = (*headers, ("x-request-id", answer_id))
                     await exchange.send_head(msg.status, head)
             elif isinstance(msg, Data):
-                data = fetch.take(msg)
+                data = fetch.new_bytes(msg)
                 if data:
                     await exchange.send_data(data)
                     if not exchange.gone.is_set():
--- a/cassiadrum/roles/answer_fetches.py
+++ b/cassiadrum/roles/answer_fetches.py
@@ -38,7 +38,7 @@
         if self._link is not None:
             self._link.send(msg)
 
-    def take(self, msg: Data) -> bytes:
+    def new_bytes(self, msg: Data) -> bytes:
         """Return the bytes that did not arrive before; after a gap, none."""
         _, position, data = msg.parts[0]
         if position > self.position:
--- a/cassiadrum/roles/budget_shares.py
+++ b/cassiadrum/roles/budget_shares.py
@@ -14,8 +14,8 @@
 READS_PER_S = 1500.0
 # Few processes write at a time: holders of leases, and entry instances that accept a change. An
 # equal share of 2,300 would not let any of them renew a lease.
-LEAST_PER_S = 1.0
-BURST = 4.0
+MIN_RATE_PER_S = 1.0
+BURST_CALLS = 4.0
 
 
 class BudgetShare:
@@ -27,36 +27,36 @@
     def __init__(
         self,
         service: str,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.budget = StoreBudget(
-            TokenBucket(READS_PER_S, BURST), TokenBucket(CLAIM_WRITES_PER_S, BURST)
+            TokenBucket(READS_PER_S, BURST_CALLS), TokenBucket(CLAIM_WRITES_PER_S, BURST_CALLS)
         )
         self._service = service
-        self._documents = documents
+        self._find_document = find_document
         self._clock = clock
 
-    def listed(self, instances: Iterable[Instance]) -> None:
+    def update_instances(self, instances: Iterable[Instance]) -> None:
         """Take the instance list; an empty one changes nothing."""
         processes = tuple(instances)
         if not processes:
             return
         now = self._clock()
-        self.budget.reads.set_rate(max(LEAST_PER_S, READS_PER_S / len(processes)), now)
-        self.budget.writes.set_rate(max(LEAST_PER_S, self._writes_per_s(processes)), now)
+        self.budget.reads.set_rate(max(MIN_RATE_PER_S, READS_PER_S / len(processes)), now)
+        self.budget.writes.set_rate(max(MIN_RATE_PER_S, self._writes_per_s(processes)), now)
 
     def _writes_per_s(self, processes: tuple[Instance, ...]) -> float:
         if not self._service:
             entries = sum(item.role == "entry" for item in processes)
             return OTHER_WRITES_PER_S / max(1, entries)
-        if not self._claims(self._service):
+        if not self._uses_claims(self._service):
             return 0.0
         services = {item.service for item in processes if item.role == "sidecar"}
-        claiming = {service for service in services if self._claims(service)}
+        claiming = {service for service in services if self._uses_claims(service)}
         return CLAIM_WRITES_PER_S / max(1, sum(item.service in claiming for item in processes))
 
-    def _claims(self, service: str) -> bool:
-        document = self._documents(service)
+    def _uses_claims(self, service: str) -> bool:
+        document = self._find_document(service)
         # A document that has not arrived yet may have such a class.
         return document is None or any(cls.once_only for cls in document.classes)
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -13,9 +13,9 @@
 
 __all__ = ["AnswerFetcher", "CallerHandler"]
 
-SERVICES = "/services/"
-REQUESTS = "/requests/"
-DRAIN_RETRY_S = 1.0
+SERVICES_PREFIX = "/services/"
+REQUESTS_PREFIX = "/requests/"
+RETRY_AFTER_S = 1.0
 
 
 class AnswerFetcher(Protocol):
@@ -37,54 +37,54 @@
         parser: RequestParser,
         post: Callable[[RouterMessage], None],
         fetcher: AnswerFetcher,
-        ready: Callable[[], bool],
-        refused: Callable[[str, str], None],
+        is_ready: Callable[[], bool],
+        on_refused: Callable[[str, str], None],
     ) -> None:
         self.draining = False
-        self.active = 0
+        self.active_requests = 0
         self._parser = parser
         self._post = post
         self._fetcher = fetcher
-        self._ready = ready
-        self._refused = refused
+        self._is_ready = is_ready
+        self._on_refused = on_refused
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         path = exchange.req.path
         if path == "/healthz":
-            serving = self._ready() and not self.draining
+            serving = self._is_ready() and not self.draining
             await exchange.send_json(200 if serving else 503, {"serving": serving})
-        elif path.startswith(REQUESTS) and exchange.req.method == "GET":
-            await self._fetch(exchange, path.removeprefix(REQUESTS))
-        elif not path.startswith(SERVICES):
+        elif path.startswith(REQUESTS_PREFIX) and exchange.req.method == "GET":
+            await self._handle_fetch(exchange, path.removeprefix(REQUESTS_PREFIX))
+        elif not path.startswith(SERVICES_PREFIX):
             await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
         elif self.draining:
-            self._refused("", "draining")
-            await send_problem(exchange, Problem("draining", "no", retry_after_s=DRAIN_RETRY_S))
-        elif not self._ready():
-            self._refused("", "no_configuration")
-            problem = Problem("no_configuration", "no", retry_after_s=DRAIN_RETRY_S)
+            self._on_refused("", "draining")
+            await send_problem(exchange, Problem("draining", "no", retry_after_s=RETRY_AFTER_S))
+        elif not self._is_ready():
+            self._on_refused("", "no_configuration")
+            problem = Problem("no_configuration", "no", retry_after_s=RETRY_AFTER_S)
             await send_problem(exchange, problem)
         else:
-            await self._route(exchange)
+            await self._handle_request(exchange)
 
-    async def _route(self, exchange: Exchange) -> None:
+    async def _handle_request(self, exchange: Exchange) -> None:
         try:
             pending = self._parser.parse(exchange.req)
         except InvalidRequest as exc:
-            self._refused("", exc.reason)
+            self._on_refused("", exc.reason)
             await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
             return
-        self.active += 1
+        self.active_requests += 1
         self._post(Submit(pending))
         try:
-            await self._relay(exchange, pending)
+            await self._relay_answer(exchange, pending)
         finally:
-            self.active -= 1
+            self.active_requests -= 1
             # Also reached when the connection's task is cancelled.
             self._post(CallerDisconnected(pending.queued.request_id))
 
-    async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
+    async def _relay_answer(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
         exchange.when_gone(lambda: pending.caller_events.put_nowait(None))
         events = pending.caller_events
@@ -111,17 +111,17 @@
             if sent is not None:
                 self._post(Delivered(request_id, sent.attempt_id, sent.position))
 
-    async def _fetch(self, exchange: Exchange, answer_id: str) -> None:
+    async def _handle_fetch(self, exchange: Exchange, answer_id: str) -> None:
         name, _, value = exchange.req.query.partition("=")
         if exchange.req.query and (name != "position" or not value.isdecimal()):
             detail = "the query allows only `position`, a count of bytes"
             await send_problem(exchange, Problem("bad_request", "no", detail))
             return
-        self.active += 1
+        self.active_requests += 1
         try:
             await self._fetcher.fetch(exchange, answer_id, int(value or 0))
         finally:
-            self.active -= 1
+            self.active_requests -= 1
 
 
 async def _finish(exchange: Exchange, event: AnswerEnd, pending: PendingRequest) -> None:
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -60,17 +60,17 @@
         self._metrics = RoleMetrics(time.monotonic, make_registry())
         registry = ConfigurationRegistry()
         service = cfg.endpoint.service if cfg.endpoint else ""
-        self._share = BudgetShare(service, registry.document)
+        self._budget_share = BudgetShare(service, registry.document)
         self._table = HttpTableStore(
-            self._wire(cfg.platform.table_service, "table", self._share.budget)
+            self._make_wire(cfg.platform.table_service, "table", self._budget_share.budget)
         )
         reader = ConfigurationReader(self._table, registry)
         self._instances = InstanceWatch(
-            HttpInstanceList(self._wire(cfg.platform.instance_list, "instances"))
+            HttpInstanceList(self._make_wire(cfg.platform.instance_list, "instances"))
         )
-        self._instances.listeners.append(self._share.listed)
+        self._instances.listeners.append(self._budget_share.update_instances)
         self._configurations = ConfigurationAgent(
-            registry, reader, self._ring, self._rng, processes=self._instances.processes
+            registry, reader, self._ring, self._rng, process_count=self._instances.processes
         )
         self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
 
@@ -130,13 +130,15 @@
     def _objects(self) -> HttpObjectStore:
         platform = self._cfg.platform
         address = platform.object_store or platform.table_service
-        return HttpObjectStore(self._wire(address, "objects", self._share.budget))
+        return HttpObjectStore(self._make_wire(address, "objects", self._budget_share.budget))
 
     def _weights(self) -> HttpWeightStore | None:
         address = self._cfg.platform.weight_store
-        return HttpWeightStore(self._wire(address, "weights")) if address else None
+        return HttpWeightStore(self._make_wire(address, "weights")) if address else None
 
-    def _wire(self, address: Address, store: str, budget: StoreBudget | None = None) -> HttpWire:
+    def _make_wire(
+        self, address: Address, store: str, budget: StoreBudget | None = None
+    ) -> HttpWire:
         return HttpWire(
             HttpClient(address.host, address.port),
             time.monotonic,
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -34,14 +34,14 @@
         ring: EventRing,
         rng: random.Random,
         *,
-        processes: Callable[[], int] = lambda: 1,
+        process_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self.registry = registry
         self.on_applied: Callable[[str], None] = lambda service: None
         self._reader = reader
         self._ring = ring
         self._rng = rng
-        self._processes = processes
+        self._process_count = process_count
         self._links: set[Link] = set()
 
     @property
@@ -59,7 +59,7 @@
 
     async def run(self) -> None:
         """Poll the table service for ever, at the rate that the fleet may use."""
-        await self._reader.run(self._processes, self._applied, self._rng)
+        await self._reader.run(self._process_count, self._announce, self._rng)
 
     def link_up(self, link: Link) -> None:
         """Compare versions with a new peer."""
@@ -70,12 +70,12 @@
         """Forget a peer."""
         self._links.discard(link)
 
-    def heard(self, link: Link, digest: str) -> None:
+    def compare_digest(self, link: Link, digest: str) -> None:
         """Compare a peer's digest and send the version vector when it differs."""
         if digest != self.digest():
             link.send(Versions(self.registry.versions()))
 
-    def take(self, link: Link, msg: Message) -> bool:
+    def handle_message(self, link: Link, msg: Message) -> bool:
         """Handle a message of the exchange; return False for any other."""
         if isinstance(msg, Versions):
             for service in self.registry.missing(msg.versions):
@@ -99,10 +99,10 @@
             )
             return False
         if applied:
-            self._applied(record)
+            self._announce(record)
         return applied
 
-    def _applied(self, record: ConfigurationRecord) -> None:
+    def _announce(self, record: ConfigurationRecord) -> None:
         self._ring.record(
             EventKind.CONFIGURATION_APPLIED, service=record.service, version=record.version
         )
--- a/cassiadrum/roles/configuration_handlers.py
+++ b/cassiadrum/roles/configuration_handlers.py
@@ -20,7 +20,7 @@
 
 __all__ = ["ConfigurationHandler"]
 
-SERVICES = "/admin/services/"
+SERVICES_PREFIX = "/admin/services/"
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -32,7 +32,7 @@
     text: str = ""
 
 
-class _Answer(NamedTuple):
+class _Response(NamedTuple):
     status: int
     body: dict[str, Any]
 
@@ -64,23 +64,23 @@
         answer = await self._change(req, submission)
         await exchange.send_json(answer.status, answer.body)
 
-    async def _change(self, req: HttpRequest, sub: _Submission) -> _Answer:
-        service = unquote(req.path.removeprefix(SERVICES))
+    async def _change(self, req: HttpRequest, sub: _Submission) -> _Response:
+        service = unquote(req.path.removeprefix(SERVICES_PREFIX))
         common = (sub.base_version, sub.operation_id, sub.author)
         if req.method == "DELETE":
             result = await self._writer.delete(service, *common)
         else:
             result = await self._writer.accept(service, sub.text, *common)
         if isinstance(result, Accepted):
-            return self._accepted(result, sub, req.method == "DELETE")
-        return _not_accepted(result)
+            return self._accepted_response(result, sub, req.method == "DELETE")
+        return _failure_response(result)
 
-    def _accepted(self, result: Accepted, sub: _Submission, deleted: bool) -> _Answer:
+    def _accepted_response(self, result: Accepted, sub: _Submission, deleted: bool) -> _Response:
         current = result.current
         same = (current.text, current.deleted) == ("" if deleted else sub.text, deleted)
         if current.version == result.version and not same:
             reason = f"operation {sub.operation_id} was used for another text"
-            return _Answer(409, {"result": "operation_reused", "reason": reason})
+            return _Response(409, {"result": "operation_reused", "reason": reason})
         self._ring.record(
             EventKind.CONFIGURATION_ACCEPTED,
             service=current.service,
@@ -90,22 +90,22 @@
         )
         self._agent.apply(current)
         body = {"result": "accepted", "version": result.version}
-        return _Answer(200, {**body, "current_version": current.version})
+        return _Response(200, {**body, "current_version": current.version})
 
 
-def _not_accepted(result: AcceptResult) -> _Answer:
+def _failure_response(result: AcceptResult) -> _Response:
     if isinstance(result, Conflicted):
-        body = {"result": "conflict", "current": _described(result.current)}
-        return _Answer(409, {**body, "difference": result.difference})
+        body = {"result": "conflict", "current": _record_fields(result.current)}
+        return _Response(409, {**body, "difference": result.difference})
     if isinstance(result, Invalid):
         findings = [finding._asdict() for finding in result.findings]
-        return _Answer(422, {"result": "invalid", "findings": findings})
+        return _Response(422, {"result": "invalid", "findings": findings})
     if isinstance(result, NotAccepted):
         body = {"result": "not_accepted", "reason": result.reason}
-        return _Answer(503, {**body, "retry_after_s": result.retry_after_s})
-    return _Answer(504, {"result": "unresolved", **result._asdict()})
+        return _Response(503, {**body, "retry_after_s": result.retry_after_s})
+    return _Response(504, {"result": "unresolved", **result._asdict()})
 
 
-def _described(record: ConfigurationRecord) -> dict[str, Any]:
+def _record_fields(record: ConfigurationRecord) -> dict[str, Any]:
     names = ("service", "version", "deleted", "operation_id", "author", "accepted_at")
     return {name: getattr(record, name) for name in names}
--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -11,11 +11,11 @@
 
 __all__ = ["Daemon"]
 
-POLL_S = 0.05
+POLL_INTERVAL_S = 0.05
 # Certificates are replaced hours before the old ones expire.
-TLS_POLL_S = 10.0
+TLS_POLL_INTERVAL_S = 10.0
 # The time for the refusals at the drain limit to reach their callers.
-GIVE_UP_LIMIT_S = 2.0
+REFUSAL_DELIVERY_TIMEOUT_S = 2.0
 
 
 class Daemon(ABC):
@@ -48,7 +48,7 @@
         """Tell whether a process that drains has nothing left to do."""
 
     @abstractmethod
-    def refuse_rest(self) -> None:
+    def refuse_in_flight(self) -> None:
         """End what is in flight with `ran` unknown and the reason `draining`."""
 
     @abstractmethod
@@ -59,20 +59,20 @@
     async def close(self) -> None:
         """Stop at once."""
 
-    async def drained(self) -> None:
+    async def wait_drained(self) -> None:
         """Wait until nothing is left to do."""
         # The state is spread over several tasks, so it is polled.
         while self._tasks and not self.may_stop():  # noqa: ASYNC110
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def give_up(self) -> None:
+    async def refuse_and_wait(self) -> None:
         """Refuse what is in flight at the drain limit and wait until that is delivered."""
         self.ring.record(EventKind.DRAIN_LIMIT_REACHED, in_flight=self.in_flight())
-        self.refuse_rest()
+        self.refuse_in_flight()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GIVE_UP_LIMIT_S):
+            async with asyncio.timeout(REFUSAL_DELIVERY_TIMEOUT_S):
                 while self.in_flight():  # noqa: ASYNC110
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
 
     def reload_tls(self) -> None:
         """Load the certificate files now."""
@@ -82,7 +82,7 @@
     async def watch_tls(self) -> None:
         """Load the certificate files when they change, for ever."""
         while self._tls is not None:
-            await asyncio.sleep(TLS_POLL_S)
+            await asyncio.sleep(TLS_POLL_INTERVAL_S)
             self._tls.reload()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
--- a/cassiadrum/roles/dispatcher_factories.py
+++ b/cassiadrum/roles/dispatcher_factories.py
@@ -22,13 +22,13 @@
 
     def __init__(
         self,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         *,
         zone: str,
         queue_requests: int,
         rng: random.Random,
     ) -> None:
-        self._documents = documents
+        self._find_document = find_document
         self._zone = zone
         self._queue_requests = queue_requests
         self._rng = rng
@@ -36,7 +36,7 @@
 
     def __call__(self, service: str) -> Dispatcher:
         """Return a new dispatcher of a service."""
-        document = self._documents(service)
+        document = self._find_document(service)
         streams = document is None or document.kind == "model"
         estimator = QuantileLengthEstimator()
         retry, hedge, uncancellable = BudgetRetryPolicy(), WasteBoundHedgePolicy(), set[str]()
@@ -54,7 +54,7 @@
 
     def configure(self, service: str) -> None:
         """Bring the budgets of a service in line with its document."""
-        document = self._documents(service)
+        document = self._find_document(service)
         if document is None or service not in self._policies:
             return
         retry, hedge, uncancellable = self._policies[service]
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -34,7 +34,7 @@
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
 from cassiadrum.roles.members import MemberLinks
-from cassiadrum.roles.peer_clocks import observe
+from cassiadrum.roles.peer_clocks import observe_peer_clock
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import LinkClosed, ReceivedMessage, RefuseAll
 from cassiadrum.roles.routers import Router
@@ -76,7 +76,7 @@
             cfg.limits.subset_size,
             self._make_dialer,
             self._router.post,
-            lambda name: self._router.has_attempts(name) or self._fetcher.busy(name),
+            lambda name: self._router.has_attempts(name) or self._fetcher.has_fetches(name),
             services,
             ring,
         )
@@ -97,9 +97,11 @@
         )
         self._http = HttpServer(self._handler)
         changes = ConfigurationHandler(writer, configurations, ring)
-        self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
+        self._gauges = Gauges(
+            metrics, "sidecar", configurations.registry.versions, self._queue_lengths
+        )
         self._admin_handler = AdminHandler(
-            ring, self.status, self.begin_drain, self._gauges.render, token.permits, changes
+            ring, self.status, self.begin_drain, self._gauges.render, token.is_authorized, changes
         )
         self._admin = HttpServer(self._admin_handler)
 
@@ -126,7 +128,7 @@
 
     def in_flight(self) -> int:
         """Return the number of callers that wait for an answer."""
-        return self._handler.active
+        return self._handler.active_requests
 
     def describe_in_flight(self) -> list[str]:
         """Return a line for each request that is not answered."""
@@ -136,7 +138,7 @@
         """Tell whether every caller has its answer."""
         return not self.in_flight()
 
-    def refuse_rest(self) -> None:
+    def refuse_in_flight(self) -> None:
         """Refuse every request that is not answered."""
         self._router.post(RefuseAll())
 
@@ -147,7 +149,7 @@
         await self._members.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
-        await self._admin_handler.last_events_read()
+        await self._admin_handler.wait_for_reader()
         await self._admin.abort()
 
     def status(self) -> dict[str, Any]:
@@ -172,13 +174,13 @@
         self._dispatchers.configure(service)
         self._orders.configure(service)
 
-    def _queued(self) -> dict[str, int]:
+    def _queue_lengths(self) -> dict[str, int]:
         return {name: part.queued() for name, part in self._router.dispatchers.items()}
 
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
             member.link_address,
-            lambda conn: self._make_link(conn, member.instance),
+            lambda conn: self._make_member_link(conn, member.instance),
             on_down=lambda link: self._link_down(link, member.instance),
             tls=lambda: self._tls.dial if self._tls else None,
         )
@@ -191,27 +193,27 @@
                 self._fetcher.link_up(instance, link)
                 on_up(link)
             else:
-                self._fetcher.offer(msg)
+                self._fetcher.deliver(msg)
 
         member = self._members.member(instance)
         if member is None:
             return None
         return LinkDialer(
             member.link_address,
-            lambda conn: self._link(conn, self._hello(instance, FETCH_ROLE), deliver),
+            lambda conn: self._make_link(conn, self._make_hello(instance, FETCH_ROLE), deliver),
             on_down=lambda link: None,
             tls=lambda: self._tls.dial if self._tls else None,
         )
 
-    def _make_link(self, conn: Connection, expected: str) -> Link:
+    def _make_member_link(self, conn: Connection, expected: str) -> Link:
         self._links_opened += 1
-        return self._link(
+        return self._make_link(
             conn,
-            self._hello(expected, "entry"),
-            lambda link, msg: self._deliver(link, msg, expected),
+            self._make_hello(expected, "entry"),
+            lambda link, msg: self._handle_message(link, msg, expected),
         )
 
-    def _hello(self, peer: str, role: str) -> Hello:
+    def _make_hello(self, peer: str, role: str) -> Hello:
         return Hello(
             PROTOCOL_VERSION,
             self._cfg.instance,
@@ -223,7 +225,7 @@
             self._links_opened,
         )
 
-    def _link(
+    def _make_link(
         self, conn: Connection, hello: Hello, deliver: Callable[[Link, Message], None]
     ) -> Link:
         return Link(
@@ -231,12 +233,12 @@
             hello,
             deliver=deliver,
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
-            heard=self._heard,
+            heard=self._heartbeat_received,
             stamp=lambda: list(self.ring.clock.tick()),
-            observe=lambda clock: observe(self.ring, clock),
+            observe=lambda clock: observe_peer_clock(self.ring, clock),
         )
 
-    def _deliver(self, link: Link, msg: Message, expected: str) -> None:
+    def _handle_message(self, link: Link, msg: Message, expected: str) -> None:
         if isinstance(msg, Hello):
             if msg.instance != expected:
                 link.abort()
@@ -252,12 +254,12 @@
         elif isinstance(msg, Full):
             self._members.full(expected)
             return
-        if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
+        if not self._configurations.handle_message(link, msg) and not self._fetcher.deliver(msg):
             self._router.post(ReceivedMessage(link, msg))
 
-    def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
-        observe(self.ring, clock)
-        self._configurations.heard(link, digest)
+    def _heartbeat_received(self, link: Link, digest: str, clock: list[int]) -> None:
+        observe_peer_clock(self.ring, clock)
+        self._configurations.compare_digest(link, digest)
 
     def _link_down(self, link: Link, instance: str) -> None:
         self._members.disconnected(instance, link)
--- a/cassiadrum/roles/event_meters.py
+++ b/cassiadrum/roles/event_meters.py
@@ -10,10 +10,10 @@
 __all__ = ["EventMeter"]
 
 # Reasons that are the caller's own doing and say nothing about the service level.
-CALLER_REASONS = frozenset({"key_reused", "in_progress", "cancelled"})
+CALLER_CAUSED_REASONS = frozenset({"key_reused", "in_progress", "cancelled"})
 
 
-class _Waiting(NamedTuple):
+class _Timing(NamedTuple):
     received_s: float
     first_token_s: float | None = None
 
@@ -28,14 +28,14 @@
     def __init__(
         self,
         metrics: RoleMetrics,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         clock: Callable[[], float],
     ) -> None:
         self._metrics = metrics
-        self._documents = documents
+        self._find_document = find_document
         self._clock = clock
         # Requests at an entry instance and attempts at a sidecar; each end removes its entry.
-        self._waiting: dict[str, _Waiting] = {}
+        self._timings: dict[str, _Timing] = {}
         self._handlers: dict[EventKind, Callable[[Event], None]] = {
             EventKind.RECEIVED: self._received,
             EventKind.QUEUED: self._queued,
@@ -45,12 +45,12 @@
             EventKind.HEDGED: lambda event: metrics.hedged(event.service, event.class_name),
             EventKind.FINISHED: self._finished,
             EventKind.CANCELLED: self._ended_early,
-            EventKind.REJECTED: self._forget,
+            EventKind.REJECTED: self._discard,
             EventKind.REFUSED: self._refused,
             EventKind.EVICTED: self._refused,
             EventKind.CLAIM_MADE: lambda event: metrics.claimed(event.service, "made"),
-            EventKind.CLAIM_REFUSED: lambda event: self._claim(event, "reason"),
-            EventKind.CLAIM_RESOLVED: lambda event: self._claim(event, "state"),
+            EventKind.CLAIM_REFUSED: lambda event: self._record_claim(event, "reason"),
+            EventKind.CLAIM_RESOLVED: lambda event: self._record_claim(event, "state"),
         }
 
     def __call__(self, event: Event) -> None:
@@ -61,58 +61,60 @@
 
     def _received(self, event: Event) -> None:
         self._metrics.received(event.service, event.class_name)
-        self._waiting[event.request_id] = _Waiting(self._clock())
+        self._timings[event.request_id] = _Timing(self._clock())
 
     def _queued(self, event: Event) -> None:
         if event.role == "sidecar":
-            self._waiting[event.fields["attempt"]] = _Waiting(self._clock())
+            self._timings[event.fields["attempt"]] = _Timing(self._clock())
 
     def _dispatched(self, event: Event) -> None:
-        waiting = self._waiting.get(event.request_id)
+        timing = self._timings.get(event.request_id)
         if event.fields["attempt"] > 1:
             self._metrics.retried(event.service, event.class_name)
-        elif waiting is not None:
-            wait_s = self._clock() - waiting.received_s
+        elif timing is not None:
+            wait_s = self._clock() - timing.received_s
             self._metrics.queue_wait(event.service, event.class_name, wait_s)
 
     def _started(self, event: Event) -> None:
-        waiting = self._waiting.pop(event.fields["attempt"], None)
-        if waiting is not None:
-            wait_s = self._clock() - waiting.received_s
+        timing = self._timings.pop(event.fields["attempt"], None)
+        if timing is not None:
+            wait_s = self._clock() - timing.received_s
             self._metrics.queue_wait(event.service, event.class_name, wait_s)
 
     def _first_token(self, event: Event) -> None:
-        waiting = self._waiting.get(event.request_id)
-        if waiting is None:
+        timing = self._timings.get(event.request_id)
+        if timing is None:
             return
         now = self._clock()
-        self._waiting[event.request_id] = waiting._replace(first_token_s=now)
-        self._metrics.first_token(event.service, event.class_name, now - waiting.received_s)
+        self._timings[event.request_id] = timing._replace(first_token_s=now)
+        self._metrics.first_token(event.service, event.class_name, now - timing.received_s)
 
     def _finished(self, event: Event) -> None:
         if event.role == "sidecar":
             if event.fields["reason"]:
                 self._ended_early(event)
             return
-        waiting = self._waiting.pop(event.request_id, None)
-        if waiting is None:
+        timing = self._timings.pop(event.request_id, None)
+        if timing is None:
             return
         tokens = int(event.fields["tokens"])
         self._metrics.delivered(event.service, event.class_name, event.customer, tokens)
-        total_s = self._clock() - waiting.received_s
+        total_s = self._clock() - timing.received_s
         first_s = total_s
-        if waiting.first_token_s is not None:
-            first_s = waiting.first_token_s - waiting.received_s
+        if timing.first_token_s is not None:
+            first_s = timing.first_token_s - timing.received_s
         gap_s = 0.0
         if tokens > 1:
             # One observation for each request: one for each token would cost a large share of
             # the processor time of a stream.
             gap_s = (total_s - first_s) / (tokens - 1)
             self._metrics.inter_token(event.service, event.class_name, gap_s, tokens - 1)
-        self._attained(event, first_s, gap_s, total_s)
+        self._record_attainment(event, first_s, gap_s, total_s)
 
-    def _attained(self, event: Event, first_s: float, gap_s: float, total_s: float) -> None:
-        document = self._documents(event.service)
+    def _record_attainment(
+        self, event: Event, first_s: float, gap_s: float, total_s: float
+    ) -> None:
+        document = self._find_document(event.service)
         cls = document.named_class(event.class_name) if document else None
         if document is None or cls is None:
             return
@@ -124,21 +126,21 @@
 
     def _ended_early(self, event: Event) -> None:
         """Count what a sidecar's endpoint computed for an attempt that was not delivered."""
-        self._forget(event)
+        self._discard(event)
         if event.role == "sidecar" and event.fields["tokens"]:
             reason = str(event.fields["reason"])
             self._metrics.wasted(event.service, reason, int(event.fields["tokens"]))
 
     def _refused(self, event: Event) -> None:
-        self._forget(event)
+        self._discard(event)
         reason = str(event.fields["reason"])
         self._metrics.refused(event.service, reason)
-        if reason not in CALLER_REASONS:
+        if reason not in CALLER_CAUSED_REASONS:
             self._metrics.attained(event.service, event.class_name, False)
 
-    def _claim(self, event: Event, field: str) -> None:
+    def _record_claim(self, event: Event, field: str) -> None:
         self._metrics.claimed(event.service, str(event.fields[field]))
 
-    def _forget(self, event: Event) -> None:
+    def _discard(self, event: Event) -> None:
         key = event.fields["attempt"] if event.role == "sidecar" else event.request_id
-        self._waiting.pop(key, None)
+        self._timings.pop(key, None)
--- a/cassiadrum/roles/fetch_links.py
+++ b/cassiadrum/roles/fetch_links.py
@@ -8,7 +8,7 @@
 
 __all__ = ["FetchLinks"]
 
-OPEN_LIMIT_S = 3.0
+OPEN_TIMEOUT_S = 3.0
 
 
 class FetchLinks:
@@ -20,25 +20,25 @@
 
     def __init__(
         self,
-        links: Callable[[str], Link | None],
-        dialer: Callable[[str, Callable[[Link], None]], LinkDialer | None],
+        subset_link: Callable[[str], Link | None],
+        make_dialer: Callable[[str, Callable[[Link], None]], LinkDialer | None],
     ) -> None:
-        self._links = links
-        self._dialer = dialer
+        self._subset_link = subset_link
+        self._make_dialer = make_dialer
 
     @asynccontextmanager
     async def open(self, instance: str) -> AsyncIterator[Link | None]:
         """Yield a link that said hello; None when the sidecar cannot be reached."""
-        link = self._links(instance)
+        link = self._subset_link(instance)
         up: asyncio.Queue[Link] = asyncio.Queue()
-        dialer = None if link else self._dialer(instance, up.put_nowait)
+        dialer = None if link else self._make_dialer(instance, up.put_nowait)
         if dialer is None:
             yield link
             return
         dialer.start()
         try:
             try:
-                async with asyncio.timeout(OPEN_LIMIT_S):
+                async with asyncio.timeout(OPEN_TIMEOUT_S):
                     link = await up.get()
             except TimeoutError:
                 link = None
--- a/cassiadrum/roles/gauges.py
+++ b/cassiadrum/roles/gauges.py
@@ -21,34 +21,34 @@
         metrics: RoleMetrics,
         peer: Literal["entry", "sidecar"],
         versions: Callable[[], Mapping[str, int]],
-        queued: Callable[[], Mapping[str, int]],
+        queue_lengths: Callable[[], Mapping[str, int]],
     ) -> None:
         self.links: set[Link] = set()
         self._metrics = metrics
         self._peer = peer
         self._versions = versions
-        self._queued = queued
-        self._counted: dict[Link, tuple[int, int]] = {}
+        self._queue_lengths = queue_lengths
+        self._counted_bytes: dict[Link, tuple[int, int]] = {}
 
     def remove(self, link: Link) -> None:
         """Count the last bytes of a link that ended and forget it."""
-        self._count(link)
+        self._count_bytes(link)
         self.links.discard(link)
-        self._counted.pop(link, None)
+        self._counted_bytes.pop(link, None)
 
     def render(self) -> bytes:
         """Return the text for `/metrics`."""
         self._metrics.connections(self._peer, len(self.links))
         for service, version in self._versions().items():
             self._metrics.configuration_version(service, version)
-        for service, count in self._queued().items():
+        for service, count in self._queue_lengths().items():
             self._metrics.queue_length(service, count)
         for link in self.links:
-            self._count(link)
+            self._count_bytes(link)
         return self._metrics.render()
 
-    def _count(self, link: Link) -> None:
-        sent, received = self._counted.get(link, (0, 0))
-        self._counted[link] = (link.control_sent, link.control_received)
+    def _count_bytes(self, link: Link) -> None:
+        sent, received = self._counted_bytes.get(link, (0, 0))
+        self._counted_bytes[link] = (link.control_sent, link.control_received)
         self._metrics.control_bytes("out", link.control_sent - sent)
         self._metrics.control_bytes("in", link.control_received - received)
--- a/cassiadrum/roles/load_reporters.py
+++ b/cassiadrum/roles/load_reporters.py
@@ -71,7 +71,7 @@
 
     def send(self) -> None:
         """Send a report on every link."""
-        self._links.send(self.report())
+        self._links.broadcast(self.report())
         self._sent_s = self._clock()
         self.due = False
 
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -20,15 +20,15 @@
 CHARS_PER_TOKEN = 4
 MAX_NAME_CHARS = 128
 MAX_KEY_CHARS = 255
-SILENT_TARGETS = 3.0
+SILENCE_TARGET_MULTIPLE = 3.0
 
 
-class PromptFacts(NamedTuple):
+class CompletionParameters(NamedTuple):
     """What a completion's body says about its cost and placement."""
 
     prompt_tokens: int = 0
     max_tokens: int = 0
-    keys: tuple[int, ...] = ()
+    prefix_keys: tuple[int, ...] = ()
     model: str = ""
     adapter: str = ""
     streams: bool = False
@@ -40,39 +40,45 @@
     def __init__(
         self,
         instance: str,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         # The random part keeps ids unique over restarts of the instance.
-        self._prefix = f"{instance}-{secrets.token_hex(4)}"
-        self._documents = documents
+        self._id_prefix = f"{instance}-{secrets.token_hex(4)}"
+        self._find_document = find_document
         self._clock = clock
-        self._count = 0
+        self._request_count = 0
 
     def parse(self, http: HttpRequest) -> PendingRequest:
         """Return the request to route; raise InvalidRequest when it cannot be."""
         _, _, name, *rest = http.path.split("/", 3)
         target = "/" + (rest[0] if rest else "")
         _check_path(target)
-        document = self._documents(name)
+        document = self._find_document(name)
         if document is None:
             raise InvalidRequest("unknown_service", f"no service `{name[:MAX_NAME_CHARS]}`")
         cls = _find_class(document, http, target)
-        key = _check_key(cls, http.header("idempotency-key"))
-        facts = _prompt_facts(http) if document.kind == "model" else PromptFacts()
+        key = _check_idempotency_key(cls, http.header("idempotency-key"))
+        params = (
+            _completion_parameters(http) if document.kind == "model" else CompletionParameters()
+        )
         if http.query:
             target = f"{target}?{http.query}"
-        queued = self._queued(document, cls, http, facts)
-        silence_s = _silence_limit_s(cls, facts.streams)
+        queued = self._make_queued(document, cls, http, params)
+        silence_s = _silence_limit_s(cls, params.streams)
         return PendingRequest(queued, cls, http, target, key, silence_s)
 
-    def _queued(
-        self, document: ServiceDocument, cls: RequestClass, http: HttpRequest, facts: PromptFacts
+    def _make_queued(
+        self,
+        document: ServiceDocument,
+        cls: RequestClass,
+        http: HttpRequest,
+        params: CompletionParameters,
     ) -> QueuedRequest:
-        self._count += 1
+        self._request_count += 1
         now = self._clock()
         return QueuedRequest(
-            request_id=f"{self._prefix}-{self._count}",
+            request_id=f"{self._id_prefix}-{self._request_count}",
             service=document.name,
             class_name=cls.name,
             tier=cls.tier,
@@ -80,11 +86,11 @@
             customer=http.header("x-customer", "anonymous")[:MAX_NAME_CHARS],
             arrived_s=now,
             deadline_s=now + cls.deadline_s,
-            prompt_tokens=facts.prompt_tokens,
-            max_tokens=facts.max_tokens,
-            prefix_keys=facts.keys,
-            model=facts.model if facts.model in document.models else "",
-            adapter=facts.adapter,
+            prompt_tokens=params.prompt_tokens,
+            max_tokens=params.max_tokens,
+            prefix_keys=params.prefix_keys,
+            model=params.model if params.model in document.models else "",
+            adapter=params.adapter,
             idempotent=cls.idempotent,
             once_only=cls.once_only,
             max_wait_s=cls.max_wait_s,
@@ -111,7 +117,7 @@
     return cls
 
 
-def _check_key(cls: RequestClass, key: str) -> str:
+def _check_idempotency_key(cls: RequestClass, key: str) -> str:
     if cls.once_only and not key:
         raise InvalidRequest("key_required", f"class `{cls.name}` requires an Idempotency-Key")
     if len(key) > MAX_KEY_CHARS or not key.isprintable():
@@ -125,12 +131,12 @@
     if not cls.cancellable:
         return cls.deadline_s
     target_s = cls.target_first_token_s if streams else cls.target_total_s
-    return max(LIMITS.ENDPOINT_SILENCE_S, SILENT_TARGETS * target_s)
+    return max(LIMITS.ENDPOINT_SILENCE_S, SILENCE_TARGET_MULTIPLE * target_s)
 
 
-def _prompt_facts(http: HttpRequest) -> PromptFacts:
+def _completion_parameters(http: HttpRequest) -> CompletionParameters:
     if http.method != "POST":
-        return PromptFacts()
+        return CompletionParameters()
     try:
         body = msgspec.json.decode(http.body, type=dict[str, Any])
     except (msgspec.DecodeError, RecursionError) as exc:
@@ -138,25 +144,25 @@
     max_tokens = body.get("max_tokens", 0)
     if not isinstance(max_tokens, int) or max_tokens < 0:
         raise InvalidRequest("bad_request", "max_tokens is not a whole number of at least 0")
-    prompt = _prompt(body)
-    return PromptFacts(
+    prompt = _prompt_text(body)
+    return CompletionParameters(
         len(prompt) // CHARS_PER_TOKEN + 1,
         max_tokens,
         prefix_keys(prompt),
-        _name(body, "model"),
-        _name(body, "adapter"),
+        _string_field(body, "model"),
+        _string_field(body, "adapter"),
         body.get("stream") is True,
     )
 
 
-def _name(body: dict[str, Any], key: str) -> str:
+def _string_field(body: dict[str, Any], key: str) -> str:
     value = body.get(key)
     if value is not None and not isinstance(value, str):
         raise InvalidRequest("bad_request", f"{key} is not a text")
     return value or ""
 
 
-def _prompt(body: dict[str, Any]) -> str:
+def _prompt_text(body: dict[str, Any]) -> str:
     if "prompt" in body:
         return str(body["prompt"])
     messages = body.get("messages")
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -26,7 +26,7 @@
 from cassiadrum.roles.instance_watches import InstanceWatch
 from cassiadrum.roles.once_gates import OnceGate
 from cassiadrum.roles.order_guards import OrderGuard
-from cassiadrum.roles.peer_clocks import observe
+from cassiadrum.roles.peer_clocks import observe_peer_clock
 from cassiadrum.roles.sidecar_messages import (
     DrainSidecar,
     EndAll,
@@ -82,7 +82,7 @@
         self._server = LinkServer(self._make_link, on_down=self._link_down)
         self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
         self._admin_handler = AdminHandler(
-            ring, self.status, self.begin_drain, self._gauges.render, token.permits
+            ring, self.status, self.begin_drain, self._gauges.render, token.is_authorized
         )
         self._admin = HttpServer(self._admin_handler)
 
@@ -129,7 +129,7 @@
         settled = not len(self._claims.pending) or drained_s >= SETTLE_LIMIT_S
         return told and settled
 
-    def refuse_rest(self) -> None:
+    def refuse_in_flight(self) -> None:
         """End every stream."""
         self._sidecar.post(EndAll())
 
@@ -138,7 +138,7 @@
         await self._server.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
-        await self._admin_handler.last_events_read()
+        await self._admin_handler.wait_for_reader()
         await self._admin.abort()
         self._endpoint.close()
 
@@ -199,7 +199,7 @@
             heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
             heard=self._heard,
             stamp=lambda: list(self.ring.clock.tick()),
-            observe=lambda clock: observe(self.ring, clock),
+            observe=lambda clock: observe_peer_clock(self.ring, clock),
         )
 
     def _deliver(self, link: Link, msg: Message) -> None:
@@ -211,12 +211,12 @@
             self._gauges.links.add(link)
         if isinstance(msg, Order):
             self._orders.post(link, msg)
-        elif not self._configurations.take(link, msg):
+        elif not self._configurations.handle_message(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
     def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
-        observe(self.ring, clock)
-        self._configurations.heard(link, digest)
+        observe_peer_clock(self.ring, clock)
+        self._configurations.compare_digest(link, digest)
 
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -147,7 +147,7 @@
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
-        elif not self._links.may_send(link, msg):
+        elif not self._links.accepts(link, msg):
             return
         elif isinstance(msg, StartRequest):
             self._start(link, msg)
@@ -166,19 +166,19 @@
 
     def _link_up(self, link: Link, hello: Hello) -> None:
         if hello.role == FETCH_ROLE:
-            self._links.fetch_up(link)
+            self._links.add_fetch_link(link)
             return
-        if self._links.is_older(hello):
+        if self._links.is_outdated(hello):
             link.abort()
             return
-        if not self._links.up(link, hello, self._clock()):
+        if not self._links.admit(link, hello, self._clock()):
             link.send(Full(f"{len(self.bound)} entry instances are connected"))
             return
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._reporter.report())
 
     def _link_lost(self, link: Link) -> None:
-        peer = self._links.down(link, self._clock())
+        peer = self._links.remove(link, self._clock())
         if peer:
             self._ring.record(EventKind.DISCONNECTED, peer=peer)
         self._attachments.link_lost(link)
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -85,7 +85,7 @@
         daemons = [*self.entries, *(slot.sidecar for slot in self.slots)]
         for daemon in daemons:
             daemon.begin_drain()
-            await daemon.drained()
+            await daemon.wait_drained()
             await daemon.close()
 
     async def close(self) -> None:
--- a/cassiadrum/tests/test_budget_shares.py
+++ b/cassiadrum/tests/test_budget_shares.py
@@ -38,21 +38,21 @@
 
     def test_claims_are_shared_by_the_sidecars_that_claim(self) -> None:
         share = BudgetShare("auftragsdienst", document, lambda: 0.0)
-        share.listed(fleet(3, sprachdienst=6, auftragsdienst=3))
+        share.update_instances(fleet(3, sprachdienst=6, auftragsdienst=3))
         assert rate_per_s(share.budget.writes, 0.0) in (99, 100)
 
     def test_sidecar_without_once_only_classes_takes_none_of_it(self) -> None:
         share = BudgetShare("sprachdienst", document, lambda: 0.0)
-        share.listed(fleet(3, sprachdienst=6, auftragsdienst=3))
+        share.update_instances(fleet(3, sprachdienst=6, auftragsdienst=3))
         assert rate_per_s(share.budget.writes, 0.0) <= 1
 
     def test_entry_instances_share_the_rest(self) -> None:
         share = BudgetShare("", document, lambda: 0.0)
-        share.listed(fleet(10, auftragsdienst=3))
+        share.update_instances(fleet(10, auftragsdienst=3))
         assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
 
     def test_empty_list_changes_nothing(self) -> None:
         share = BudgetShare("", document, lambda: 0.0)
-        share.listed(fleet(10, auftragsdienst=3))
-        share.listed(())
+        share.update_instances(fleet(10, auftragsdienst=3))
+        share.update_instances(())
         assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
--- a/cassiadrum/tests/test_event_meters.py
+++ b/cassiadrum/tests/test_event_meters.py
@@ -72,7 +72,7 @@
         ):
             found = values[f"cassiadrum_{name}_seconds_sum{{{labels}{service}}}"]
             assert found == pytest.approx(total)
-        assert not meter._waiting
+        assert not meter._timings
 
     @pytest.mark.parametrize("kind", [EventKind.REFUSED, EventKind.EVICTED])
     def test_refusal_counts_as_missed(self, kind: EventKind) -> None:
@@ -82,7 +82,7 @@
         text = metrics.render().decode()
         assert 'refusals_total{reason="overloaded",service="sprachdienst"} 1' in text
         assert 'result="missed",service="sprachdienst"} 1' in text
-        assert not meter._waiting
+        assert not meter._timings
 
     def test_sidecar_counts_waste_and_claims(self) -> None:
         meter, metrics, ring, times = self.make("sidecar")
@@ -94,7 +94,7 @@
         text = metrics.render().decode()
         assert 'wasted_tokens_total{reason="caller_left",service="sprachdienst"} 9' in text
         assert 'claims_total{outcome="in_progress",service="sprachdienst"} 1' in text
-        assert not meter._waiting
+        assert not meter._timings
 
 
 @pytest.fixture
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -178,7 +178,7 @@
         bound.mean = 1.0
         links = EntryLinks(bound)
         fakes = [FakeLink(f"e{n}") for n in range(3)]
-        admitted = [links.up(fake, fake.peer, 0.0) for fake in fakes]  # type: ignore[arg-type]
+        admitted = [links.admit(fake, fake.peer, 0.0) for fake in fakes]  # type: ignore[arg-type]
         assert admitted == [True, True, False]
         assert not links.is_current(fakes[2])  # type: ignore[arg-type]
 
@@ -187,9 +187,9 @@
         bound.mean = 0.5
         links = EntryLinks(bound)
         old, new = FakeLink("e0"), FakeLink("e0")
-        assert links.up(old, old.peer, 0.0) and links.up(new, new.peer, 0.0)  # type: ignore[arg-type]
+        assert links.admit(old, old.peer, 0.0) and links.admit(new, new.peer, 0.0)  # type: ignore[arg-type]
         assert old.aborted and not new.aborted
-        assert links.down(old, 1.0) == ""  # type: ignore[arg-type]
+        assert links.remove(old, 1.0) == ""  # type: ignore[arg-type]
 
 
 class TestLinksPerService:
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -177,21 +177,21 @@
         path = tmp_path / "token"
         path.write_text(TOKEN + "\n")
         token = AdminToken(path)
-        assert token.permits(f"Bearer {TOKEN}")
+        assert token.is_authorized(f"Bearer {TOKEN}")
         for wrong in ("", TOKEN, f"Basic {TOKEN}", "Bearer ", f"Bearer {TOKEN}x", "Bearer é"):
-            assert not token.permits(wrong)
+            assert not token.is_authorized(wrong)
 
     def test_replaced_file_counts_at_once(self, tmp_path: Path) -> None:
         path = tmp_path / "token"
         path.write_text(TOKEN)
         token = AdminToken(path)
-        assert token.permits(f"Bearer {TOKEN}")
+        assert token.is_authorized(f"Bearer {TOKEN}")
         path.write_text("another")
-        assert token.permits("Bearer another") and not token.permits(f"Bearer {TOKEN}")
+        assert token.is_authorized("Bearer another") and not token.is_authorized(f"Bearer {TOKEN}")
         path.write_text("")
-        assert not token.permits("Bearer ")
+        assert not token.is_authorized("Bearer ")
         path.unlink()
-        assert not token.permits("Bearer another")
+        assert not token.is_authorized("Bearer another")
 
     async def test_admin_interface_of_a_daemon_over_tls(
         self, files: Files, tmp_path: Path, caplog: pytest.LogCaptureFixture
@@ -308,7 +308,7 @@
         token = AdminToken(path)
 
         async def handle(exchange: Exchange) -> None:
-            permitted = token.permits(exchange.req.header("authorization"))
+            permitted = token.is_authorized(exchange.req.header("authorization"))
             await exchange.send_json(200 if permitted else 401, {})
 
         server = HttpServer(handle)
