--- a/cassiadrum/roles/__init__.py
+++ b/cassiadrum/roles/__init__.py
@@ -1,4 +1,4 @@
-"""The roles of the daemon: entry instance and sidecar."""
+"""The two roles of the daemon: entry instance and sidecar."""
 
 from cassiadrum.roles.composition import build_daemon
 from cassiadrum.roles.daemons import Daemon
--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -1,4 +1,4 @@
-"""The HTTP interface towards operators."""
+"""The HTTP admin interface."""
 
 import asyncio
 import time
@@ -13,16 +13,17 @@
 MAX_EVENTS = 2000
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SERVICES_PREFIX = "/admin/services/"
-# A reader that polled within this time is expected to come for the last events too.
+# A reader that polled within this time is expected to fetch the final events as well.
 READER_ACTIVE_S = 2.0
 LAST_READ_TIMEOUT_S = 1.0
 
 
 class AdminHandler:
-    """Serve status, events and metrics of a process; `status` returns a JSON object.
+    """Serve the status, events and metrics of a process and start its drain.
 
-    `permits` judges the Authorization header. `services` answers changes of service documents,
-    which only an entry instance accepts.
+    `status` returns a JSON object, `metrics` the metrics in Prometheus text format.
+    `is_authorized` checks the value of the Authorization header. `service_handler` handles changes
+    of service documents, which only entry instances accept.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         self._is_authorized = is_authorized
 
     async def __call__(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Handle one HTTP exchange."""
         req = exchange.req
         if not self._is_authorized(req.header("authorization")):
             challenge = (("www-authenticate", "Bearer"),)
@@ -69,13 +70,13 @@
             await exchange.send_json(400, {"error": "the query allows only `after`, a number"})
             return
         events = [encode_event(event) for event in self._ring.after(int(after), MAX_EVENTS)]
-        # The start id tells a reader that the sequence numbers began anew.
+        # A new start id tells a reader that the sequence numbers have started again.
         answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
         await exchange.send_json(200, {"events": events, **answer})
         self._last_read_s, self._last_read_sequence = time.monotonic(), int(after) + len(events)
 
     async def wait_for_reader(self) -> None:
-        """Wait until an active reader has the last event, at most LAST_READ_LIMIT_S."""
+        """Wait until an active reader has fetched the last event, at most LAST_READ_TIMEOUT_S."""
         end_s = time.monotonic() + LAST_READ_TIMEOUT_S
         while self._last_read_sequence < self._ring.last_sequence and time.monotonic() < end_s:
             if time.monotonic() - self._last_read_s > READER_ACTIVE_S:
--- a/cassiadrum/roles/admin_tokens.py
+++ b/cassiadrum/roles/admin_tokens.py
@@ -12,9 +12,9 @@
 
 
 class AdminToken:
-    """Compare tokens with the one in a file, which may be replaced at any time.
+    """Check bearer tokens against the one in a file, which may be replaced at any time.
 
-    Without a file every request passes; with one that cannot be read or is empty none does.
+    Without a file every request is authorized; if the file is empty or unreadable, none is.
     """
 
     def __init__(self, path: Path | None) -> None:
@@ -23,7 +23,7 @@
         self._token = b""
 
     def is_authorized(self, authorization: str) -> bool:
-        """Tell whether the value of an Authorization header carries the token."""
+        """Return whether the value of an Authorization header contains the token."""
         if self._path is None:
             return True
         self._reload_if_changed(self._path)
@@ -41,5 +41,8 @@
                 self._file_state = state
         except OSError as exc:
             if self._file_state is not None or self._token:
-                logger.warning("admin token file cannot be read: %s", exc.strerror)
+                logger.warning(
+                    "admin token file cannot be read, rejecting all admin requests: %s",
+                    exc.strerror,
+                )
             self._token, self._file_state = b"", None
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -1,4 +1,4 @@
-"""The rest of an answer for a caller that comes back."""
+"""Fetching the rest of an answer after the caller's connection was lost."""
 
 import asyncio
 
@@ -16,10 +16,10 @@
 
 
 class LinkAnswerFetcher:
-    """Attach to a stream at the sidecar that the answer's id names.
+    """Serve the rest of an answer from the sidecar that its id names.
 
-    `links` finds or opens the link to a sidecar instance. `offer` takes each message of a link
-    and tells whether it belonged to a fetch.
+    `links` finds or opens the link to a sidecar instance. Every message of a link has to be passed
+    to `deliver`.
     """
 
     def __init__(self, links: FetchLinks) -> None:
@@ -27,17 +27,20 @@
         self._fetches: dict[str, AnswerFetch] = {}
 
     def has_fetches(self, instance: str) -> bool:
-        """Tell whether an answer is fetched from a sidecar."""
+        """Return whether an answer is being fetched from a sidecar."""
         return any(fetch.instance == instance for fetch in self._fetches.values())
 
     def link_up(self, instance: str, link: Link) -> None:
-        """Go on with the fetches at a sidecar over its new link."""
+        """Resume the fetches from a sidecar over its new link."""
         for fetch in self._fetches.values():
             if fetch.instance == instance:
                 fetch.attach(link)
 
     def deliver(self, msg: Message) -> bool:
-        """Take a message if a fetch waits for it."""
+        """Pass a message to the fetch it belongs to; return whether only that fetch handles it.
+
+        Data messages can hold parts of several attempts and are handled by the router as well.
+        """
         if isinstance(msg, Data):
             for part in msg.parts:
                 if part[0] in self._fetches:
@@ -49,7 +52,10 @@
         return False
 
     async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
-        """Send the bytes of the answer from `position` on, or a refusal."""
+        """Send the bytes of the answer from `position` on, or a refusal.
+
+        Only one fetch of an answer can be in progress at a time.
+        """
         attempt_id, _, instance = answer_id.rpartition("@")
         async with self._links.open(instance) as link:
             if link is None or not attempt_id or attempt_id in self._fetches:
@@ -67,17 +73,17 @@
         finally:
             del self._fetches[attempt_id]
             if not fetch.ended:
-                # The caller may come back once more.
+                # Detached rather than cancelled, since the caller may fetch the rest again.
                 fetch.send(Detach(attempt_id))
 
     async def _relay_answer(self, exchange: Exchange, fetch: AnswerFetch, answer_id: str) -> bool:
-        """Pass the answer on; return False when the rest of it cannot be had."""
+        """Relay the answer; return False when the rest of it is not available."""
         while not exchange.gone.is_set():
             try:
                 async with asyncio.timeout(LIMITS.DETACHED_STREAM_S):
                     msg = await fetch.messages.get()
             except TimeoutError:
-                # A running answer may pause for longer than that.
+                # A running answer may pause for longer than the time-out.
                 if fetch.attached and exchange.started:
                     continue
                 return False
@@ -114,5 +120,5 @@
     if exchange.started or exchange.gone.is_set():
         exchange.abort()
         return
-    detail = "the answer was fetched, is too old, or its sidecar was replaced"
+    detail = "the answer was already fetched, has expired, or its sidecar was replaced"
     await send_problem(exchange, Problem("unknown_request", "unknown", detail, answer_id[:200]))
--- a/cassiadrum/roles/answer_fetches.py
+++ b/cassiadrum/roles/answer_fetches.py
@@ -1,4 +1,4 @@
-"""One fetch of the rest of an answer."""
+"""A fetch of the rest of an answer."""
 
 import asyncio
 
@@ -9,10 +9,10 @@
 
 
 class AnswerFetch:
-    """Track what of an answer has arrived; `position` counts its bytes.
+    """Track how much of an answer has arrived; `position` counts its bytes.
 
-    The queue of messages is bounded by the sidecar, which stops at STREAM_BUFFER_BYTES not
-    acknowledged.
+    The queue of messages is bounded because a sidecar stops sending at STREAM_BUFFER_BYTES
+    unacknowledged bytes.
     """
 
     def __init__(self, attempt_id: str, instance: str, position: int) -> None:
@@ -25,21 +25,21 @@
 
     @property
     def attached(self) -> bool:
-        """Tell whether the link that the answer comes over is open."""
+        """Return whether the link that carries the answer is open."""
         return self._link is not None and not self._link.closed
 
     def attach(self, link: Link) -> None:
-        """Ask for the rest over a link; what was received and is still queued is kept."""
+        """Request the rest of the answer over a link; messages already queued are kept."""
         self._link = link
         link.send(Attach(self.attempt_id, self.position))
 
     def send(self, msg: Message) -> None:
-        """Send a message over the current link."""
+        """Send a message over the current link, if there is one."""
         if self._link is not None:
             self._link.send(msg)
 
     def new_bytes(self, msg: Data) -> bytes:
-        """Return the bytes that did not arrive before; after a gap, none."""
+        """Return the bytes that have not arrived before and advance; after a gap, none."""
         _, position, data = msg.parts[0]
         if position > self.position:
             return b""
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -1,4 +1,4 @@
-"""Relay of answers from attempts to callers."""
+"""Relaying of answers from attempts to callers."""
 
 from cassiadrum.decisions import Outcome, Ran
 from cassiadrum.defaults import LIMITS
@@ -10,20 +10,23 @@
 
 __all__ = ["AnswerRelay"]
 
-# Answers that are no event streams are held back up to this size, so that a failed attempt can
-# be repeated before the caller has seen any of it.
+# Answers other than event streams are buffered up to this size, so that a failed attempt can be
+# retried before the caller has received any part of it.
 MAX_BUFFERED_BYTES = LIMITS.STREAM_BUFFER_BYTES // 2
 RELAYED_HEADERS = frozenset({"content-type", "retry-after", "location", "etag", "cache-control"})
 
 
 class AnswerRelay:
-    """Pass whole events, or held answers, of the winning attempt to the caller."""
+    """Relay the answer of a request's winning attempt to the task that serves the caller.
+
+    Event streams are relayed event by event, other answers after buffering.
+    """
 
     def __init__(self, ring: EventRing) -> None:
         self._ring = ring
 
     def receive_head(self, pending: PendingRequest, attempt: Attempt, msg: Head) -> None:
-        """Take status and headers; an event stream is passed on at once."""
+        """Store status and headers; the head of an event stream is relayed at once."""
         attempt.status = msg.status
         attempt.headers = tuple((k, v) for k, v in msg.headers if k in RELAYED_HEADERS)
         if attempt.streaming and self._try_become_winner(pending, attempt):
@@ -32,7 +35,10 @@
     def receive_data(
         self, pending: PendingRequest, attempt: Attempt, position: int, data: bytes, now: float
     ) -> int:
-        """Take bytes at a position, skip what was received before, return the new events."""
+        """Process bytes at a position and return the number of new events.
+
+        Bytes that were received before are skipped; bytes after a gap are discarded.
+        """
         data = data[max(0, attempt.position - position) :]
         if position > attempt.position or not data:
             return 0
@@ -48,11 +54,11 @@
         return 0
 
     def is_compatible(self, pending: PendingRequest, attempt: Attempt) -> bool:
-        """Tell whether the attempt's answer fits what the caller already has."""
+        """Return whether the answer can follow what the caller has already received."""
         return not pending.head_sent or pending.streaming == attempt.streaming
 
     def finish(self, pending: PendingRequest, attempt: Attempt) -> None:
-        """Pass on what is left of a whole answer."""
+        """Relay the rest of a complete answer."""
         if not self._try_become_winner(pending, attempt):
             return
         rest = pending.splitter.rest() if attempt.streaming else bytes(attempt.buffered)
@@ -63,13 +69,16 @@
             )
 
     def discard_partial(self, pending: PendingRequest, attempt: Attempt) -> None:
-        """Forget the unfinished part of a failed attempt."""
+        """Discard the incomplete event of a failed attempt and let another attempt win."""
         if pending.winner == attempt.attempt_id:
             pending.winner = None
             pending.splitter.restart()
 
     def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
-        """Mark a failure as final when the caller has a part that no other attempt continues."""
+        """Return the outcome, marked as final if the caller has part of an unresumable answer.
+
+        Only event streams can be resumed by another attempt. A final outcome never has `ran` NO.
+        """
         if not pending.head_sent or pending.streaming:
             return outcome
         ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
@@ -88,7 +97,8 @@
         if not self.is_compatible(pending, attempt):
             return
         if pending.head_sent:
-            # Held again it would be acknowledged before the caller took it.
+            # Buffered bytes are acknowledged at once, which would lift the flow control towards
+            # a slow caller.
             pending.caller_events.put_nowait(
                 AnswerData(data, attempt.attempt_id, attempt.position)
             )
--- a/cassiadrum/roles/attempts.py
+++ b/cassiadrum/roles/attempts.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one sidecar."""
+"""An attempt to run a request at a sidecar."""
 
 from cassiadrum.frontends import EventSplitter
 
@@ -8,9 +8,11 @@
 
 
 class Attempt:
-    """Track what arrived of an attempt's answer.
+    """Track how much of an attempt's answer has arrived.
 
-    `position` counts the bytes received, `acknowledged` those confirmed to the sidecar.
+    `position` counts the bytes received, `acknowledged` those acknowledged to the sidecar, and
+    `buffered` holds bytes that are not relayed to the caller yet. `started_s` is in monotonic
+    seconds.
     """
 
     def __init__(self, attempt_id: str, request_id: str, instance: str, started_s: float) -> None:
@@ -24,11 +26,11 @@
         self.headers: tuple[tuple[str, str], ...] = ()
         self.buffered = bytearray()
         self.splitter: EventSplitter | None = None
-        # Monotonic time of the loss of the link, None while attached.
+        # Monotonic time at which the link was lost, None while attached.
         self.detached_s: float | None = None
 
     @property
     def streaming(self) -> bool:
-        """Tell whether the answer is a stream of events."""
+        """Return whether the answer is a stream of server-sent events."""
         content_type = next((v for k, v in self.headers if k == "content-type"), "")
         return content_type.startswith(SSE_CONTENT_TYPE)
--- a/cassiadrum/roles/budget_shares.py
+++ b/cassiadrum/roles/budget_shares.py
@@ -1,4 +1,4 @@
-"""The share of one process in the fleet's rates at the stores."""
+"""The share of one process in the fleet's request rates at the stores."""
 
 import time
 from collections.abc import Callable, Iterable
@@ -8,20 +8,22 @@
 
 __all__ = ["BudgetShare"]
 
-# Of the several hundred writes and 2,000 reads a second of the table service and object store.
+# Rates of the whole fleet, within the several hundred writes and 2,000 reads per second of the
+# table service and object store.
 CLAIM_WRITES_PER_S = 300.0
 OTHER_WRITES_PER_S = 100.0
 READS_PER_S = 1500.0
-# Few processes write at a time: holders of leases, and entry instances that accept a change. An
-# equal share of 2,300 would not let any of them renew a lease.
+# Few processes write at a time: lease holders, and entry instances that accept a change. An equal
+# share for each of 2,300 processes would be too small to renew a lease.
 MIN_RATE_PER_S = 1.0
 BURST_CALLS = 4.0
 
 
 class BudgetShare:
-    """Hold the budget that all store clients of a process share, and follow the fleet's size.
+    """Hold the budget that all store clients of a process share, scaled to the fleet's size.
 
-    `service` is that of a sidecar's endpoint, empty at an entry instance.
+    `service` is the service of a sidecar's endpoint, empty at an entry instance. `find_document`
+    returns the document of a service, or None. `clock` returns monotonic seconds.
     """
 
     def __init__(
@@ -38,7 +40,7 @@
         self._clock = clock
 
     def update_instances(self, instances: Iterable[Instance]) -> None:
-        """Take the instance list; an empty one changes nothing."""
+        """Adapt the rates to a new instance list; an empty one is ignored as a failed read."""
         processes = tuple(instances)
         if not processes:
             return
@@ -58,5 +60,5 @@
 
     def _uses_claims(self, service: str) -> bool:
         document = self._find_document(service)
-        # A document that has not arrived yet may have such a class.
+        # A document that has not arrived yet may have a once-only class.
         return document is None or any(cls.once_only for cls in document.classes)
--- a/cassiadrum/roles/caller_events.py
+++ b/cassiadrum/roles/caller_events.py
@@ -1,4 +1,4 @@
-"""What the router tells the task that answers a caller."""
+"""Events that the router sends to the task that serves a caller."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class AnswerHead(NamedTuple):
-    """Status and headers of the answer; `answer_id` names where its rest can be fetched."""
+    """Status and headers of the answer; `answer_id` identifies it for a later fetch."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -16,7 +16,7 @@
 
 
 class AnswerData(NamedTuple):
-    """Bytes of the answer, and the position up to which they confirm the attempt."""
+    """Bytes of the answer; once written, the attempt is acknowledged up to `position`."""
 
     data: bytes
     attempt_id: str
@@ -24,7 +24,7 @@
 
 
 class AnswerEnd(NamedTuple):
-    """The end of the answer; `problem` is None when it is whole."""
+    """The end of the answer; `problem` is None when the answer is complete."""
 
     problem: Problem | None
 
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -1,4 +1,4 @@
-"""The HTTP interface towards callers."""
+"""The HTTP interface for callers."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -19,17 +19,19 @@
 
 
 class AnswerFetcher(Protocol):
-    """Answer a caller that comes back for the rest of an answer."""
+    """Serve the rest of an answer to a caller that has reconnected."""
 
     async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
         """Send the bytes of the answer from `position` on, or a refusal."""
 
 
 class CallerHandler:
-    """Route each request and write its answer; one task per connection runs it.
+    """Submit each request to the router and write its answer; each connection has its own task.
 
-    `refused(service, reason)` is told of refusals that happen before a request has a class; the
-    service is empty then, since its name is whatever the caller wrote.
+    `post` queues a message for the router. `is_ready` returns whether the instance has a
+    configuration. `on_refused(service, reason)` is called for refusals before the class of a
+    request is known. The service is empty then, because its name would be arbitrary text from the
+    caller.
     """
 
     def __init__(
@@ -49,7 +51,7 @@
         self._on_refused = on_refused
 
     async def __call__(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Handle one HTTP exchange."""
         path = exchange.req.path
         if path == "/healthz":
             serving = self._is_ready() and not self.draining
@@ -57,7 +59,9 @@
         elif path.startswith(REQUESTS_PREFIX) and exchange.req.method == "GET":
             await self._handle_fetch(exchange, path.removeprefix(REQUESTS_PREFIX))
         elif not path.startswith(SERVICES_PREFIX):
-            await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
+            await send_problem(
+                exchange, Problem("unknown_service", "no", f"unknown path {path[:200]}")
+            )
         elif self.draining:
             self._on_refused("", "draining")
             await send_problem(exchange, Problem("draining", "no", retry_after_s=RETRY_AFTER_S))
@@ -81,7 +85,7 @@
             await self._relay_answer(exchange, pending)
         finally:
             self.active_requests -= 1
-            # Also reached when the connection's task is cancelled.
+            # This also runs when the connection's task is cancelled.
             self._post(CallerDisconnected(pending.queued.request_id))
 
     async def _relay_answer(self, exchange: Exchange, pending: PendingRequest) -> None:
@@ -90,7 +94,7 @@
         events = pending.caller_events
         while True:
             event, sent = await events.get(), None
-            # What is ready together is sent in one write.
+            # Events that are ready together are sent in one write.
             while isinstance(event, AnswerHead | AnswerData):
                 if isinstance(event, AnswerHead):
                     headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
@@ -114,7 +118,7 @@
     async def _handle_fetch(self, exchange: Exchange, answer_id: str) -> None:
         name, _, value = exchange.req.query.partition("=")
         if exchange.req.query and (name != "position" or not value.isdecimal()):
-            detail = "the query allows only `position`, a count of bytes"
+            detail = "the only query parameter allowed is `position`, a byte offset"
             await send_problem(exchange, Problem("bad_request", "no", detail))
             return
         self.active_requests += 1
@@ -130,7 +134,7 @@
     elif not exchange.started:
         await send_problem(exchange, event.problem)
     elif pending.streaming:
-        # The status is sent already, so the refusal is the stream's last event.
+        # The status has already been sent, so the refusal becomes the last event of the stream.
         body = event.problem.body().decode()
         await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
         await exchange.end()
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -1,4 +1,4 @@
-"""The composition root: wires the parts of a daemon from its settings."""
+"""The composition root, which builds a daemon from its settings."""
 
 import random
 import secrets
@@ -42,7 +42,7 @@
 
 
 def build_daemon(cfg: Settings) -> Daemon:
-    """Return the daemon of the role that the settings name, not started yet."""
+    """Return the daemon for the role in the settings, not started yet."""
     composition = _Composition(cfg)
     if cfg.endpoint is None:
         return composition.entry()
@@ -50,7 +50,7 @@
 
 
 class _Composition:
-    """Hold the parts that both roles share while the rest is built around them."""
+    """Build the components that both roles share, then the daemon of one role."""
 
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
@@ -75,7 +75,7 @@
         self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
 
     def entry(self) -> EntryDaemon:
-        """Return an entry instance."""
+        """Return the daemon of an entry instance."""
         dispatchers = DispatcherFactory(
             self._configurations.document,
             zone=self._cfg.zone,
@@ -103,7 +103,7 @@
         )
 
     def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
-        """Return the process beside an endpoint."""
+        """Return the daemon of a sidecar for an endpoint."""
         target = _build_endpoint(endpoint)
         schedulers = SchedulerFactory(
             self._configurations.document,
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -1,4 +1,4 @@
-"""Spread of configurations between processes."""
+"""Distribution of configurations between processes."""
 
 import logging
 import random
@@ -23,8 +23,9 @@
 class ConfigurationAgent:
     """Keep the registry up to date from peers and from the table service.
 
-    Heartbeats carry the digest of the version vector; peers that differ exchange their vectors,
-    and each fetches what the other has in a higher version.
+    Heartbeats carry a digest of the version vector. Peers whose digests differ exchange their
+    vectors, and each fetches the records of which the other has a higher version.
+    `process_count` returns the size of the fleet, which determines the polling rate.
     """
 
     def __init__(
@@ -46,37 +47,37 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether a configuration has been received."""
+        """Return whether any configuration has been received."""
         return bool(self.registry.versions())
 
     def document(self, service: str) -> ServiceDocument | None:
-        """Return the document in force, or None."""
+        """Return the document in force for a service, or None."""
         return self.registry.document(service)
 
     def digest(self) -> str:
-        """Return the digest that heartbeats carry."""
+        """Return the digest of the version vector, as heartbeats carry it."""
         return f"{self.registry.digest():016x}"
 
     async def run(self) -> None:
-        """Poll the table service for ever, at the rate that the fleet may use."""
+        """Poll the table service until cancelled, within the read rate of the whole fleet."""
         await self._reader.run(self._process_count, self._announce, self._rng)
 
     def link_up(self, link: Link) -> None:
-        """Compare versions with a new peer."""
+        """Add the link to a new peer and send it the version vector."""
         self._links.add(link)
         link.send(Versions(self.registry.versions()))
 
     def link_down(self, link: Link) -> None:
-        """Forget a peer."""
+        """Remove the link to a peer."""
         self._links.discard(link)
 
     def compare_digest(self, link: Link, digest: str) -> None:
-        """Compare a peer's digest and send the version vector when it differs."""
+        """Send the version vector to a peer whose digest differs."""
         if digest != self.digest():
             link.send(Versions(self.registry.versions()))
 
     def handle_message(self, link: Link, msg: Message) -> bool:
-        """Handle a message of the exchange; return False for any other."""
+        """Handle a message about configurations; return False for any other message."""
         if isinstance(msg, Versions):
             for service in self.registry.missing(msg.versions):
                 link.send(Fetch(service))
@@ -89,7 +90,10 @@
         return True
 
     def apply(self, record: ConfigurationRecord) -> bool:
-        """Put a record in force if its version is higher, and tell the peers."""
+        """Put a record in force if its version is higher, and announce it to the peers.
+
+        Returns whether it was applied; an invalid record is logged and refused.
+        """
         try:
             applied = self.registry.apply(record)
         except InvalidRecord as exc:
--- a/cassiadrum/roles/configuration_handlers.py
+++ b/cassiadrum/roles/configuration_handlers.py
@@ -1,4 +1,4 @@
-"""Changes of service documents over the admin interface."""
+"""Changes of service documents through the admin interface."""
 
 from typing import Annotated, Any, NamedTuple
 from urllib.parse import unquote
@@ -24,7 +24,7 @@
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
-    """The body of a change; `text` is not used by a deletion."""
+    """The request body of a change; a deletion ignores `text`."""
 
     base_version: Annotated[int, msgspec.Meta(ge=0)]
     operation_id: Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
@@ -38,9 +38,9 @@
 
 
 class ConfigurationHandler:
-    """Accept (POST) or delete (DELETE) a service's document and put it in force here at once.
+    """Accept (POST) or delete (DELETE) a service's document and apply the change here at once.
 
-    Repeating a request with the same operation id is harmless.
+    Requests are idempotent by their operation id.
     """
 
     def __init__(
@@ -51,10 +51,12 @@
         self._ring = ring
 
     async def __call__(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Handle one HTTP exchange."""
         req = exchange.req
         if req.method not in ("POST", "DELETE"):
-            await exchange.send_json(405, {"result": "bad_request", "reason": "POST or DELETE"})
+            await exchange.send_json(
+                405, {"result": "bad_request", "reason": "only POST and DELETE are allowed"}
+            )
             return
         try:
             submission = msgspec.json.decode(req.body, type=_Submission)
--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -1,4 +1,4 @@
-"""What both roles have in common: start, graceful shutdown, stop."""
+"""The base class of both roles: start, graceful shutdown and stop."""
 
 import asyncio
 import contextlib
@@ -12,14 +12,14 @@
 __all__ = ["Daemon"]
 
 POLL_INTERVAL_S = 0.05
-# Certificates are replaced hours before the old ones expire.
+# A slow poll suffices because certificates are replaced hours before the old ones expire.
 TLS_POLL_INTERVAL_S = 10.0
-# The time for the refusals at the drain limit to reach their callers.
+# Limit for the delivery of the refusals that are sent when the drain limit is reached.
 REFUSAL_DELIVERY_TIMEOUT_S = 2.0
 
 
 class Daemon(ABC):
-    """Run a role's tasks; `addresses` holds the bound HOST:PORT by name after `start`."""
+    """Run the tasks of a role; after `start`, `addresses` maps names to the bound HOST:PORT."""
 
     def __init__(self, ring: EventRing, tls: TlsContexts | None = None) -> None:
         self.ring = ring
@@ -33,7 +33,7 @@
 
     @abstractmethod
     def begin_drain(self) -> None:
-        """Take no new work; may be called again without effect."""
+        """Stop accepting new work; further calls have no effect."""
 
     @abstractmethod
     def in_flight(self) -> int:
@@ -41,32 +41,35 @@
 
     @abstractmethod
     def describe_in_flight(self) -> list[str]:
-        """Return a line for each request that is not finished."""
+        """Return one line of text for each request that is not finished."""
 
     @abstractmethod
     def may_stop(self) -> bool:
-        """Tell whether a process that drains has nothing left to do."""
+        """Return whether a draining process has no work left."""
 
     @abstractmethod
     def refuse_in_flight(self) -> None:
-        """End what is in flight with `ran` unknown and the reason `draining`."""
+        """End all requests in flight with `ran` unknown and the reason `draining`."""
 
     @abstractmethod
     def status(self) -> dict[str, Any]:
-        """Return the state that operators ask for."""
+        """Return the state for `/admin/status` as a JSON object."""
 
     @abstractmethod
     async def close(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
 
     async def wait_drained(self) -> None:
-        """Wait until nothing is left to do."""
-        # The state is spread over several tasks, so it is polled.
+        """Wait until the process may stop."""
+        # The state is polled because it is spread over several tasks.
         while self._tasks and not self.may_stop():  # noqa: ASYNC110
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def refuse_and_wait(self) -> None:
-        """Refuse what is in flight at the drain limit and wait until that is delivered."""
+        """Refuse the requests in flight at the drain limit and wait for delivery.
+
+        Waits at most REFUSAL_DELIVERY_TIMEOUT_S.
+        """
         self.ring.record(EventKind.DRAIN_LIMIT_REACHED, in_flight=self.in_flight())
         self.refuse_in_flight()
         with contextlib.suppress(TimeoutError):
@@ -75,12 +78,12 @@
                     await asyncio.sleep(POLL_INTERVAL_S)
 
     def reload_tls(self) -> None:
-        """Load the certificate files now."""
+        """Reload the certificate files unconditionally."""
         if self._tls is not None:
             self._tls.reload(changed_only=False)
 
     async def watch_tls(self) -> None:
-        """Load the certificate files when they change, for ever."""
+        """Reload the certificate files when they change, until cancelled."""
         while self._tls is not None:
             await asyncio.sleep(TLS_POLL_INTERVAL_S)
             self._tls.reload()
--- a/cassiadrum/roles/dispatcher_factories.py
+++ b/cassiadrum/roles/dispatcher_factories.py
@@ -1,4 +1,4 @@
-"""Construction of a service's dispatcher from its document."""
+"""Construction of dispatchers from service documents."""
 
 import random
 from collections.abc import Callable
@@ -18,7 +18,11 @@
 
 
 class DispatcherFactory:
-    """Build dispatchers, and change their budgets when a new document is in force."""
+    """Build dispatchers, and update their budgets when a new document comes into force.
+
+    `find_document` returns the document of a service, or None. `zone` is the availability zone of
+    this instance, `queue_requests` the capacity of each queue.
+    """
 
     def __init__(
         self,
@@ -35,7 +39,7 @@
         self._policies: dict[str, tuple[BudgetRetryPolicy, WasteBoundHedgePolicy, set[str]]] = {}
 
     def __call__(self, service: str) -> Dispatcher:
-        """Return a new dispatcher of a service."""
+        """Return a new dispatcher for a service."""
         document = self._find_document(service)
         streams = document is None or document.kind == "model"
         estimator = QuantileLengthEstimator()
@@ -53,7 +57,7 @@
         )
 
     def configure(self, service: str) -> None:
-        """Bring the budgets of a service in line with its document."""
+        """Set the budgets of a service's dispatcher to those of its document."""
         document = self._find_document(service)
         if document is None or service not in self._policies:
             return
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -1,4 +1,4 @@
-"""An entry instance."""
+"""The daemon of an entry instance."""
 
 import secrets
 from collections.abc import Callable
@@ -46,7 +46,7 @@
 
 
 class EntryDaemon(Daemon):
-    """Serve callers and hold links to sidecars."""
+    """Serve callers and keep links to sidecars."""
 
     def __init__(
         self,
@@ -121,29 +121,29 @@
         self._spawn(self._janitor.run())
 
     def begin_drain(self) -> None:
-        """Refuse new requests and let those in flight end."""
+        """Refuse new requests and let those in flight finish."""
         if not self._handler.draining:
             self._handler.draining = True
             self.ring.record(EventKind.DRAINING)
 
     def in_flight(self) -> int:
-        """Return the number of callers that wait for an answer."""
+        """Return the number of requests that callers are waiting for."""
         return self._handler.active_requests
 
     def describe_in_flight(self) -> list[str]:
-        """Return a line for each request that is not answered."""
+        """Return one line of text for each unanswered request."""
         return self._router.describe()
 
     def may_stop(self) -> bool:
-        """Tell whether every caller has its answer."""
+        """Return whether every caller has received its answer."""
         return not self.in_flight()
 
     def refuse_in_flight(self) -> None:
-        """Refuse every request that is not answered."""
+        """Refuse every unanswered request."""
         self._router.post(RefuseAll())
 
     async def close(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
         await self._http.abort()
         await self._orders.close()
         await self._members.close()
@@ -153,7 +153,7 @@
         await self._admin.abort()
 
     def status(self) -> dict[str, Any]:
-        """Return the state that operators ask for."""
+        """Return the state for `/admin/status` as a JSON object."""
         dispatchers = self._router.dispatchers.items()
         return {
             "instance": self._cfg.instance,
--- a/cassiadrum/roles/entry_links.py
+++ b/cassiadrum/roles/entry_links.py
@@ -1,4 +1,4 @@
-"""The links of a sidecar to entry instances."""
+"""The links between a sidecar and entry instances."""
 
 from cassiadrum.links import Link
 from cassiadrum.links.messages import Ack, Attach, Detach, Hello, Message
@@ -8,16 +8,16 @@
 
 
 class EntryLinks:
-    """Keep the current link to each entry instance, up to the bound on connections."""
+    """Keep the current link to each entry instance, within the bound on connections."""
 
     def __init__(self, bound: ConnectionBound) -> None:
         self.by_instance: dict[str, Link] = {}
         self._bound = bound
-        # Links over which answers may be fetched and nothing else.
+        # Links that may only be used to fetch answers.
         self._fetch_links: set[Link] = set()
 
     def is_outdated(self, hello: Hello) -> bool:
-        """Tell whether the hello was sent before that of the current link."""
+        """Return whether the hello was sent before that of the current link."""
         current = self.by_instance.get(hello.instance)
         if current is None or current.peer is None:
             return False
@@ -25,7 +25,10 @@
         return same_process and hello.number < current.peer.number
 
     def admit(self, link: Link, hello: Hello, now: float) -> bool:
-        """Make a link the current one; return False when the sidecar has its share of links."""
+        """Make a link the current one; return False when the bound on connections is reached.
+
+        The link that it replaces is aborted.
+        """
         old = self.by_instance.get(hello.instance)
         if old is None and not self._bound.admit(hello.instance, now):
             return False
@@ -35,17 +38,17 @@
         return True
 
     def add_fetch_link(self, link: Link) -> None:
-        """Take a link that is opened for a fetch; it needs no place within the bound."""
+        """Add a link that was opened for a fetch; it does not count towards the bound."""
         self._fetch_links.add(link)
 
     def accepts(self, link: Link, msg: Message) -> bool:
-        """Tell whether a message is taken from this link."""
+        """Return whether a message may be accepted from a link."""
         return self.is_current(link) or (
             link in self._fetch_links and isinstance(msg, Ack | Attach | Detach)
         )
 
     def remove(self, link: Link, now: float) -> str:
-        """Forget a link; return its instance, empty when the link was not the current one."""
+        """Remove a link and return its instance, or "" if it was not the current link."""
         self._fetch_links.discard(link)
         if not self.is_current(link) or link.peer is None:
             return ""
@@ -54,10 +57,10 @@
         return link.peer.instance
 
     def is_current(self, link: Link) -> bool:
-        """Tell whether the link was admitted and has not been replaced."""
+        """Return whether the link was admitted and has not been replaced."""
         return link.peer is not None and self.by_instance.get(link.peer.instance) is link
 
     def broadcast(self, msg: Message) -> None:
-        """Send a message on every link."""
+        """Send a message over the current link to every entry instance."""
         for link in self.by_instance.values():
             link.send(msg)
--- a/cassiadrum/roles/errors.py
+++ b/cassiadrum/roles/errors.py
@@ -6,11 +6,11 @@
 
 
 class RoleError(CassiadrumError):
-    """Base of the errors of the roles."""
+    """Base class of the errors of the roles."""
 
 
 class InvalidRequest(RoleError):
-    """A caller's request cannot be routed; `reason` is one of the refusal reasons."""
+    """A caller's request cannot be routed; `reason` is a refusal reason for the caller."""
 
     def __init__(self, reason: str, detail: str) -> None:
         super().__init__(detail)
--- a/cassiadrum/roles/event_meters.py
+++ b/cassiadrum/roles/event_meters.py
@@ -1,4 +1,4 @@
-"""From recorded events to metrics."""
+"""Derivation of metrics from recorded events."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 __all__ = ["EventMeter"]
 
-# Reasons that are the caller's own doing and say nothing about the service level.
+# Refusals for these reasons are caused by the caller and do not count against the service level.
 CALLER_CAUSED_REASONS = frozenset({"key_reused", "in_progress", "cancelled"})
 
 
@@ -19,10 +19,10 @@
 
 
 class EventMeter:
-    """Listen to the event ring of a process and take the measurements that follow from events.
+    """Update the metrics of a process from the events that it records.
 
-    `documents` looks up the document whose targets decide attainment; `clock` returns monotonic
-    seconds, since the events' own times follow the wall clock and may jump.
+    `find_document` returns the document with the targets that decide attainment, or None. `clock`
+    returns monotonic seconds; the events' own times follow the wall clock, which may jump.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
         self._metrics = metrics
         self._find_document = find_document
         self._clock = clock
-        # Requests at an entry instance and attempts at a sidecar; each end removes its entry.
+        # By request id at an entry instance and by attempt id at a sidecar, until it has ended.
         self._timings: dict[str, _Timing] = {}
         self._handlers: dict[EventKind, Callable[[Event], None]] = {
             EventKind.RECEIVED: self._received,
@@ -54,7 +54,7 @@
         }
 
     def __call__(self, event: Event) -> None:
-        """Take one event."""
+        """Update the metrics for one event."""
         handler = self._handlers.get(event.kind)
         if handler is not None:
             handler(event)
@@ -105,8 +105,8 @@
             first_s = timing.first_token_s - timing.received_s
         gap_s = 0.0
         if tokens > 1:
-            # One observation for each request: one for each token would cost a large share of
-            # the processor time of a stream.
+            # One observation per request, because one per token would take a large share of the
+            # processor time of a stream.
             gap_s = (total_s - first_s) / (tokens - 1)
             self._metrics.inter_token(event.service, event.class_name, gap_s, tokens - 1)
         self._record_attainment(event, first_s, gap_s, total_s)
@@ -125,7 +125,7 @@
         self._metrics.attained(event.service, event.class_name, met)
 
     def _ended_early(self, event: Event) -> None:
-        """Count what a sidecar's endpoint computed for an attempt that was not delivered."""
+        """Count the tokens that a sidecar's endpoint computed for an undelivered attempt."""
         self._discard(event)
         if event.role == "sidecar" and event.fields["tokens"]:
             reason = str(event.fields["reason"])
--- a/cassiadrum/roles/fetch_links.py
+++ b/cassiadrum/roles/fetch_links.py
@@ -1,4 +1,4 @@
-"""Links to sidecars outside the subset, for callers that fetch the rest of an answer."""
+"""Links for fetching the rest of an answer, also from sidecars outside the subset."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -12,10 +12,11 @@
 
 
 class FetchLinks:
-    """Give the link of the subset to a sidecar, or a link of its own for one fetch.
+    """Provide the existing link to a sidecar of the subset, or open a link for one fetch.
 
-    `dialer(instance, on_up)` builds a dialer that calls `on_up` at each hello, and returns None
-    for an instance that is not a member.
+    `subset_link` returns the current link to an instance, or None. `make_dialer(instance, on_up)`
+    returns a dialer that calls `on_up` at each hello, or None for an instance that is not a
+    member.
     """
 
     def __init__(
@@ -28,7 +29,10 @@
 
     @asynccontextmanager
     async def open(self, instance: str) -> AsyncIterator[Link | None]:
-        """Yield a link that said hello; None when the sidecar cannot be reached."""
+        """Yield a link that has received its hello, or None if the sidecar is unreachable.
+
+        Waits at most OPEN_TIMEOUT_S; a link opened here is closed at the end.
+        """
         link = self._subset_link(instance)
         up: asyncio.Queue[Link] = asyncio.Queue()
         dialer = None if link else self._make_dialer(instance, up.put_nowait)
--- a/cassiadrum/roles/gauges.py
+++ b/cassiadrum/roles/gauges.py
@@ -1,4 +1,4 @@
-"""Figures of a process that are read when its metrics are."""
+"""Metrics whose values are collected when they are rendered."""
 
 from collections.abc import Callable, Mapping
 from typing import Literal
@@ -10,10 +10,11 @@
 
 
 class Gauges:
-    """Bring connections, versions, queue lengths and control bytes up to date before rendering.
+    """Update connections, versions, queue lengths and control bytes before each rendering.
 
-    `links` are the open links, which the daemon adds and removes; the bytes of a removed link
-    stay counted. `versions` gives the version in force by service, `queued` the queue length.
+    `links` are the open links, which the daemon adds; `remove` counts the last bytes of a link.
+    `versions` returns the version in force and `queue_lengths` the queue length, each by service.
+    `peer` is the role of the processes at the other end of the links.
     """
 
     def __init__(
@@ -31,13 +32,13 @@
         self._counted_bytes: dict[Link, tuple[int, int]] = {}
 
     def remove(self, link: Link) -> None:
-        """Count the last bytes of a link that ended and forget it."""
+        """Count the last bytes of a closed link and remove it."""
         self._count_bytes(link)
         self.links.discard(link)
         self._counted_bytes.pop(link, None)
 
     def render(self) -> bytes:
-        """Return the text for `/metrics`."""
+        """Return the current metrics as text for `/metrics`."""
         self._metrics.connections(self._peer, len(self.links))
         for service, version in self._versions().items():
             self._metrics.configuration_version(service, version)
--- a/cassiadrum/roles/peer_clocks.py
+++ b/cassiadrum/roles/peer_clocks.py
@@ -1,4 +1,4 @@
-"""The hybrid clocks of peers, as messages carry them."""
+"""Synchronization with the hybrid logical clocks of peers."""
 
 from cassiadrum.events import EventRing, HybridTime
 
@@ -6,6 +6,6 @@
 
 
 def observe_peer_clock(ring: EventRing, clock: list[int]) -> None:
-    """Move the ring's clock past a peer's time; a list of another shape is ignored."""
+    """Advance the ring's clock past a peer's time; a list of the wrong length is ignored."""
     if len(clock) == len(HybridTime._fields):
         ring.clock.observe(HybridTime(*clock))
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -1,4 +1,4 @@
-"""A request that an entry instance has accepted and not answered yet."""
+"""A request that an entry instance has accepted but not answered yet."""
 
 import asyncio
 
@@ -13,9 +13,11 @@
 
 
 class PendingRequest:
-    """Hold a request, its attempts and the queue towards the task that answers the caller.
+    """Hold a request, its attempts and the queue to the task that serves the caller.
 
-    The queue is bounded by the sidecar, which stops at STREAM_BUFFER_BYTES not acknowledged.
+    The queue is bounded because a sidecar stops sending at STREAM_BUFFER_BYTES unacknowledged
+    bytes. `target` is the request target at the endpoint. `silence_limit_s` bounds the time
+    without a byte from the endpoint, 0 for no bound.
     """
 
     def __init__(
@@ -33,21 +35,22 @@
         self.target = target
         self.idempotency_key = idempotency_key
         self.silence_limit_s = silence_limit_s
-        # None tells that the caller is gone.
+        # None means that the caller has disconnected.
         self.caller_events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
-        # Whether the head announced an event stream.
+        # Whether the head that was sent announced an event stream.
         self.streaming = False
         self.caller_disconnected = False
-        # The attempt whose answer the caller receives; a hedge copy that answers later loses.
+        # Id of the attempt whose answer the caller receives; the answer of a slower hedge copy is
+        # discarded.
         self.winner: str | None = None
         self.first_token_s: float | None = None
 
     def describe(self) -> str:
-        """Return the request, its class and where its attempts run."""
+        """Return a line with the request's id and class and the sidecars of its attempts."""
         req = self.queued
         places = ", ".join(attempt.instance for attempt in self.attempts.values())
         return f"{req.request_id} {req.service}/{req.class_name} at {places or 'the queue'}"
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -1,4 +1,4 @@
-"""From a caller's HTTP request to a request of a class."""
+"""Parsing of callers' HTTP requests into requests of a class."""
 
 import secrets
 import time
@@ -24,7 +24,7 @@
 
 
 class CompletionParameters(NamedTuple):
-    """What a completion's body says about its cost and placement."""
+    """Parameters of a completion request that determine its cost and placement."""
 
     prompt_tokens: int = 0
     max_tokens: int = 0
@@ -35,7 +35,10 @@
 
 
 class RequestParser:
-    """Find service, class, customer and cost of a request; `documents` looks a service up."""
+    """Determine the service, class, customer and cost of a request.
+
+    `find_document` returns the document of a service, or None; `clock` returns monotonic seconds.
+    """
 
     def __init__(
         self,
@@ -43,20 +46,20 @@
         find_document: Callable[[str], ServiceDocument | None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        # The random part keeps ids unique over restarts of the instance.
+        # The random part keeps ids unique across restarts of the instance.
         self._id_prefix = f"{instance}-{secrets.token_hex(4)}"
         self._find_document = find_document
         self._clock = clock
         self._request_count = 0
 
     def parse(self, http: HttpRequest) -> PendingRequest:
-        """Return the request to route; raise InvalidRequest when it cannot be."""
+        """Return the request to route; raise InvalidRequest if it cannot be routed."""
         _, _, name, *rest = http.path.split("/", 3)
         target = "/" + (rest[0] if rest else "")
         _check_path(target)
         document = self._find_document(name)
         if document is None:
-            raise InvalidRequest("unknown_service", f"no service `{name[:MAX_NAME_CHARS]}`")
+            raise InvalidRequest("unknown_service", f"unknown service `{name[:MAX_NAME_CHARS]}`")
         cls = _find_class(document, http, target)
         key = _check_idempotency_key(cls, http.header("idempotency-key"))
         params = (
@@ -99,10 +102,10 @@
 
 
 def _check_path(target: str) -> None:
-    """Refuse dot segments: an endpoint could resolve them to a path of another class."""
+    """Reject dot segments, which an endpoint could resolve to a path of another class."""
     segments = unquote(target).replace("\\", "/").split("/")
     if ".." in segments or "." in segments:
-        raise InvalidRequest("bad_request", "the path has a `.` or `..` segment")
+        raise InvalidRequest("bad_request", "the path contains a `.` or `..` segment")
 
 
 def _find_class(document: ServiceDocument, http: HttpRequest, target: str) -> RequestClass:
@@ -112,7 +115,7 @@
         what = f"`{named[:MAX_NAME_CHARS]}`" if named else f"for {http.method} {target[:200]}"
         raise InvalidRequest("unknown_class", f"{document.name} has no class {what}")
     if named and not cls.matches(http.method, target):
-        detail = f"class `{named}` does not take {http.method} {target[:200]}"
+        detail = f"class `{named}` does not accept {http.method} {target[:200]}"
         raise InvalidRequest("unknown_class", detail)
     return cls
 
@@ -127,7 +130,7 @@
 
 
 def _silence_limit_s(cls: RequestClass, streams: bool) -> float:
-    """Return how long the endpoint may send nothing before its connection is taken as lost."""
+    """Return the time without a byte from the endpoint after which its connection is lost."""
     if not cls.cancellable:
         return cls.deadline_s
     target_s = cls.target_first_token_s if streams else cls.target_total_s
@@ -143,7 +146,7 @@
         raise InvalidRequest("bad_request", f"the body is not a JSON object: {exc}") from exc
     max_tokens = body.get("max_tokens", 0)
     if not isinstance(max_tokens, int) or max_tokens < 0:
-        raise InvalidRequest("bad_request", "max_tokens is not a whole number of at least 0")
+        raise InvalidRequest("bad_request", "max_tokens is not a non-negative integer")
     prompt = _prompt_text(body)
     return CompletionParameters(
         len(prompt) // CHARS_PER_TOKEN + 1,
@@ -158,7 +161,7 @@
 def _string_field(body: dict[str, Any], key: str) -> str:
     value = body.get(key)
     if value is not None and not isinstance(value, str):
-        raise InvalidRequest("bad_request", f"{key} is not a text")
+        raise InvalidRequest("bad_request", f"{key} is not a string")
     return value or ""
 
 
--- a/cassiadrum/roles/router_messages.py
+++ b/cassiadrum/roles/router_messages.py
@@ -1,4 +1,4 @@
-"""Messages to the router of an entry instance."""
+"""Messages to the router task of an entry instance."""
 
 from typing import NamedTuple
 
@@ -21,19 +21,19 @@
 
 
 class Submit(NamedTuple):
-    """A new request."""
+    """A caller has sent a request."""
 
     pending: PendingRequest
 
 
 class CallerDisconnected(NamedTuple):
-    """The caller closed its connection."""
+    """The caller's connection has closed, or its request has been answered."""
 
     request_id: str
 
 
 class Delivered(NamedTuple):
-    """Bytes of an attempt up to a position were written to the caller."""
+    """The bytes of an attempt's answer up to `position` were written to the caller."""
 
     request_id: str
     attempt_id: str
@@ -41,38 +41,38 @@
 
 
 class ReceivedMessage(NamedTuple):
-    """A message of a sidecar."""
+    """A sidecar sent a message over a link."""
 
     link: Link
     msg: Message
 
 
 class LinkClosed(NamedTuple):
-    """A link ended."""
+    """A link to a sidecar was closed."""
 
     link: Link
 
 
 class MemberUsable(NamedTuple):
-    """A sidecar may, or may not, get new work from now on."""
+    """A sidecar may receive new work from now on, or may not if `usable` is false."""
 
     instance: str
     usable: bool
 
 
 class MemberRemoved(NamedTuple):
-    """A sidecar is gone for good, or not linked to any more."""
+    """A sidecar has left the fleet, or this instance no longer links to it."""
 
     instance: str
     service: str
 
 
 class Tick(NamedTuple):
-    """Time has passed."""
+    """The tick interval has elapsed."""
 
 
 class RefuseAll(NamedTuple):
-    """The drain limit is reached."""
+    """The drain limit is reached: refuse every unanswered request."""
 
 
 RouterMessage = (
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -1,4 +1,4 @@
-"""The task of an entry instance that owns its requests, dispatchers and links."""
+"""The router task of an entry instance, which owns its requests, dispatchers and links."""
 
 import asyncio
 import time
@@ -43,21 +43,26 @@
 
 TICK_INTERVAL_S = 0.05
 CANCELLED_RETENTION_S = 600.0
-# Acknowledging each frame would double the number of frames; the window is eight times as large.
+# One acknowledgement per data frame would double the number of frames. The send window of a
+# sidecar is eight times this interval.
 ACK_INTERVAL_BYTES = LIMITS.STREAM_BUFFER_BYTES // 8
-# The longest single event of a stream.
+# Limit for one server-sent event, which is held in memory until it is complete.
 MAX_EVENT_BYTES = 1024 * 1024
-# Half the time for which a sidecar knows the attempts that have ended.
+# Half the time for which a sidecar remembers ended attempts: a younger attempt that it does not
+# know was not run.
 NOT_RUN_MAX_AGE_S = 30.0
-# The reason in a sidecar's answer to `attach` when it does not know the attempt.
+# The reason a sidecar gives when asked to attach to an attempt that it does not know.
 UNKNOWN_ATTEMPT_REASON = "no_endpoint"
 LOST_OUTCOME = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
 
 
 class Router(AttemptEvents):
-    """Own all requests of an entry instance and carry out what the dispatchers decide.
+    """Own all requests of an entry instance and execute the decisions of the dispatchers.
 
-    Other tasks post messages to it; `services` maps a sidecar instance to its service.
+    One task runs it; other tasks interact with it by posting messages. `service_of` maps the
+    name of a sidecar instance to its service. `on_report(service, report)` is called for each load
+    report, `on_removed(service, instance)` when a sidecar is removed. `clock` returns monotonic
+    seconds.
     """
 
     def __init__(
@@ -78,7 +83,8 @@
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
         self._sidecars = SidecarPath(self, clock)
-        # Cancelled attempts whose end the dispatcher still has to hear of.
+        # Cancelled attempts whose end has not been reported to the dispatcher yet, with their
+        # service, in order of cancellation.
         self._cancelled_attempts: dict[str, tuple[Attempt, str]] = {}
         self._handlers: dict[type[RouterMessage], Callable[[Any], None]] = {
             Submit: lambda msg: self._submit(msg.pending),
@@ -94,11 +100,11 @@
 
     @property
     def links(self) -> Mapping[str, Link]:
-        """Return the current link of each sidecar."""
+        """Return the current link of each sidecar, by instance."""
         return self._sidecars.links
 
     def models_wanted(self, service: str) -> list[tuple[str, str]]:
-        """Return model and adapter of each request of a service that waits or runs."""
+        """Return the model and adapter of each waiting or running request of a service."""
         return [
             (pending.queued.model, pending.queued.adapter)
             for pending in self.pending.values()
@@ -106,19 +112,19 @@
         ]
 
     def post(self, msg: RouterMessage) -> None:
-        """Queue a message for the task."""
+        """Queue a message for the router's task."""
         self._inbox.put_nowait(msg)
 
     def has_attempts(self, instance: str) -> bool:
-        """Tell whether attempts run at a sidecar."""
+        """Return whether any attempt is in progress at a sidecar."""
         return bool(self._attempts_at(instance))
 
     def describe(self) -> list[str]:
-        """Return a line for each request that is not answered."""
+        """Return one line of text for each unanswered request."""
         return [pending.describe() for pending in self.pending.values()]
 
     async def run(self) -> None:
-        """Handle messages, and tick the dispatchers, for ever."""
+        """Handle messages and tick the dispatchers until cancelled."""
         self._tick()
         while True:
             self._handle(await self._inbox.get())
@@ -153,10 +159,10 @@
         if attempt is not None and msg.position - attempt.acknowledged >= ACK_INTERVAL_BYTES:
             self._sidecars.acknowledge(attempt, msg.position)
 
-    # Events of the sidecars.
+    # Events from sidecars.
 
     def attached(self, instance: str, restarted: bool) -> None:
-        """Go on with the attempts over a new link, or end them after a restart."""
+        """Resume the sidecar's attempts over its new link, or fail them if it restarted."""
         self._ring.record(EventKind.CONNECTED, peer=instance)
         for pending, attempt in self._attempts_at(instance):
             if restarted:
@@ -167,7 +173,7 @@
             self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
     def detached(self, instance: str) -> None:
-        """Date the loss of the link; the attempts may be found again."""
+        """Record when the link was lost; its attempts can be reattached over a new one."""
         now = self._clock()
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
@@ -175,7 +181,7 @@
         self._execute(self._dispatcher(self._service_of(instance)).lost(instance, now))
 
     def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
-        """Pass a load report on to the service's dispatcher."""
+        """Pass a load report and the cached prompt prefixes to the service's dispatcher."""
         now = self._clock()
         service = self._service_of(rep.instance)
         dispatcher = self._dispatcher(service)
@@ -185,7 +191,7 @@
         self._execute(dispatcher.report(rep, now))
 
     def began(self, head: Head) -> None:
-        """Pass the head of an answer on."""
+        """Relay the head of an answer."""
         found = self._find_attempt(head.attempt_id)
         if found is not None:
             self._relay.receive_head(*found, head)
@@ -201,14 +207,17 @@
         self._sidecars.forget(msg.instance)
         self.on_removed(msg.service, msg.instance)
         dispatcher = self._dispatcher(msg.service)
-        # Nothing may be dispatched there again while its attempts end one after the other.
+        # Marked as lost first, so that a retry of one of its attempts is not dispatched to it.
         self._execute(dispatcher.lost(msg.instance, self._clock()))
         for pending, attempt in self._attempts_at(msg.instance):
             self._finish_attempt(pending, attempt, LOST_OUTCOME)
         self._execute(dispatcher.removed(msg.instance, self._clock()))
 
     def received(self, attempt_id: str, position: int, data: bytes) -> None:
-        """Pass bytes of an answer on and confirm them."""
+        """Relay bytes of an answer and acknowledge those that the caller's task does not.
+
+        An event longer than MAX_EVENT_BYTES fails the attempt.
+        """
         found = self._find_attempt(attempt_id)
         if found is None:
             return
@@ -227,16 +236,19 @@
             )
             self._cancel_attempt(pending, attempt)
             return
-        # Bytes that are held back or have no receiver are confirmed here, the others once the
-        # caller's socket took them.
+        # Bytes that are buffered or have no receiver are acknowledged here, all others once they
+        # have been written to the caller's socket.
         if pending.caller_disconnected or attempt.attempt_id != pending.winner or attempt.buffered:
             self._sidecars.acknowledge(attempt, attempt.position)
         elif pending.splitter.held_bytes >= ACK_INTERVAL_BYTES:
-            # The rest of a long event only comes once its beginning is confirmed.
+            # The sidecar sends the rest of a long event only after an acknowledgement.
             self._sidecars.acknowledge(attempt, attempt.position)
 
     def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
-        """Close the request of an attempt, or try again; return whether the attempt is known."""
+        """Complete or retry the request of an attempt; return whether the attempt is known.
+
+        Bytes that are missing from a successful answer are requested again first.
+        """
         found = self._find_attempt(attempt_id)
         if found is None:
             self._finish_cancelled(attempt_id, outcome.tokens)
@@ -252,18 +264,18 @@
         return True
 
     def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
-        """Try an attempt elsewhere that did not run, unless it may have run long ago."""
+        """Report an attempt as not run, or as unknown if it may have run and been forgotten."""
         found = self._find_attempt(attempt_id)
         if found is None:
             self._finish_cancelled(attempt_id, 0)
             return
-        # An old attempt that the sidecar does not know may have run and been forgotten there.
+        # A sidecar forgets ended attempts, so an old one that it does not know may have run.
         old = self._clock() - found[1].started_s >= NOT_RUN_MAX_AGE_S
         ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT_REASON else Ran.NO
         self._finish_attempt(*found, Outcome(False, ran, 0, reason, retry_after_s))
 
     def _finish_cancelled(self, attempt_id: str, tokens: int) -> None:
-        """Tell the dispatcher that a copy which nobody waits for has ended."""
+        """Report the end of a cancelled attempt to its dispatcher."""
         entry = self._cancelled_attempts.pop(attempt_id, None)
         if entry is None:
             return
@@ -348,7 +360,7 @@
         self._record(kind, pending, reason=outcome.reason, ran=outcome.ran, tokens=outcome.tokens)
 
     def _remove(self, pending: PendingRequest) -> None:
-        """Drop a request; attempts that still run are cancelled."""
+        """Remove a request and cancel its remaining attempts."""
         self.pending.pop(pending.queued.request_id, None)
         for attempt in list(pending.attempts.values()):
             self._cancel_attempt(pending, attempt)
