Rename a few locals and the router's list of requested models

routers: Router.models_wanted -> requested_models admin_tokens: AdminToken.is_authorized.offered -> presented answer_relays: AnswerRelay._relay_events.whole -> events fetch_links: FetchLinks.open.up -> opened routers: Router._tick.lost_s -> detached_s entry_daemons: part -> dispatcher

--- a/cassiadrum/roles/admin_tokens.py
+++ b/cassiadrum/roles/admin_tokens.py
@@ -29,8 +29,8 @@
         self._reload_if_changed(self._path)
         if not self._token or authorization[: len(SCHEME_PREFIX)].lower() != SCHEME_PREFIX:
             return False
-        offered = authorization[len(SCHEME_PREFIX) :].strip().encode()
-        return hmac.compare_digest(offered, self._token)
+        presented = authorization[len(SCHEME_PREFIX) :].strip().encode()
+        return hmac.compare_digest(presented, self._token)
 
     def _reload_if_changed(self, path: Path) -> None:
         try:
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -86,10 +86,10 @@
 
     def _relay_events(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
         before = pending.splitter.events
-        whole = pending.splitter.feed(data)
-        if whole:
+        events = pending.splitter.feed(data)
+        if events:
             pending.caller_events.put_nowait(
-                AnswerData(whole, attempt.attempt_id, attempt.position)
+                AnswerData(events, attempt.attempt_id, attempt.position)
             )
         return pending.splitter.events - before
 
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -165,8 +165,8 @@
             "versions": self._configurations.registry.versions(),
             "links": sorted(self._router.links),
             "services": {
-                name: {"queued": part.queued(), "running": part.running()}
-                for name, part in dispatchers
+                name: {"queued": dispatcher.queued(), "running": dispatcher.running()}
+                for name, dispatcher in dispatchers
             },
         }
 
@@ -175,7 +175,7 @@
         self._orders.configure(service)
 
     def _queue_lengths(self) -> dict[str, int]:
-        return {name: part.queued() for name, part in self._router.dispatchers.items()}
+        return {name: dispatcher.queued() for name, dispatcher in self._router.dispatchers.items()}
 
     def _make_dialer(self, member: Instance) -> LinkDialer:
         return LinkDialer(
--- a/cassiadrum/roles/fetch_links.py
+++ b/cassiadrum/roles/fetch_links.py
@@ -34,8 +34,8 @@
         Waits at most OPEN_TIMEOUT_S; a link opened here is closed at the end.
         """
         link = self._subset_link(instance)
-        up: asyncio.Queue[Link] = asyncio.Queue()
-        dialer = None if link else self._make_dialer(instance, up.put_nowait)
+        opened: asyncio.Queue[Link] = asyncio.Queue()
+        dialer = None if link else self._make_dialer(instance, opened.put_nowait)
         if dialer is None:
             yield link
             return
@@ -43,7 +43,7 @@
         try:
             try:
                 async with asyncio.timeout(OPEN_TIMEOUT_S):
-                    link = await up.get()
+                    link = await opened.get()
             except TimeoutError:
                 link = None
             yield link
--- a/cassiadrum/roles/maintenance_factories.py
+++ b/cassiadrum/roles/maintenance_factories.py
@@ -51,7 +51,7 @@
                 service,
                 planner,
                 lease,
-                waiting=router.models_wanted,
+                waiting=router.requested_models,
                 entries=lambda: len(entries()),
                 links=router.links.get,
                 ring=self._ring,
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -103,7 +103,7 @@
         """Return the current link of each sidecar, by instance."""
         return self._sidecars.links
 
-    def models_wanted(self, service: str) -> list[tuple[str, str]]:
+    def requested_models(self, service: str) -> list[tuple[str, str]]:
         """Return the model and adapter of each waiting or running request of a service."""
         return [
             (pending.queued.model, pending.queued.adapter)
@@ -378,8 +378,8 @@
             self._execute(dispatcher.tick(now))
         for pending in list(self.pending.values()):
             for attempt in list(pending.attempts.values()):
-                lost_s = attempt.detached_s
-                if lost_s is not None and now - lost_s >= LIMITS.DETACHED_STREAM_S:
+                detached_s = attempt.detached_s
+                if detached_s is not None and now - detached_s >= LIMITS.DETACHED_STREAM_S:
                     self._finish_attempt(pending, attempt, LOST_OUTCOME)
 
     # Helpers.
