--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -108,7 +108,7 @@
     async def test_count_of_processes_comes_from_the_list(self, site: LocalSite) -> None:
         agent = site.entries[0]._configurations  # type: ignore[attr-defined]
         # The entry instance is listed from its second poll on.
-        await until(lambda: agent._processes() == len(site.slots) + 1)
+        await until(lambda: agent._process_count() == len(site.slots) + 1)
 
 
 class TestSiteSubsets:
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -151,7 +151,7 @@
             (stream,) = sidecar.streams.values()
             assert stream.buffer.end - stream.buffer._acked <= 2 * LIMITS.STREAM_BUFFER_BYTES
             pending = site.entries[0]._router.pending.values()  # type: ignore[attr-defined]
-            (queue,) = [request.events for request in pending]
+            (queue,) = [request.caller_events for request in pending]
             held = sum(len(getattr(event, "data", b"")) for event in queue._queue)
             assert held <= 2 * LIMITS.STREAM_BUFFER_BYTES
         finally:
