--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -130,7 +130,7 @@
 
 
 def _silence_limit_s(cls: RequestClass, streams: bool) -> float:
-    """Return the time without a byte from the endpoint after which its connection is lost."""
+    """Return the time without a byte after which the endpoint is considered unreachable."""
     if not cls.cancellable:
         return cls.deadline_s
     target_s = cls.target_first_token_s if streams else cls.target_total_s
