--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -1,4 +1,4 @@
-"""Relay of answers from attempts to callers."""
+"""Relaying of answers from attempts to callers."""
 
 from cassiadrum.decisions import Outcome, Ran
 from cassiadrum.defaults import LIMITS
@@ -10,29 +10,35 @@
 
 __all__ = ["AnswerRelay"]
 
-# Answers that are no event streams are held back up to this size, so that a failed attempt can
-# be repeated before the caller has seen any of it.
-HOLD_BYTES = LIMITS.STREAM_BUFFER_BYTES // 2
+# Answers other than event streams are buffered up to this size, so that a failed attempt can be
+# retried before the caller has received any part of it.
+MAX_BUFFERED_BYTES = LIMITS.STREAM_BUFFER_BYTES // 2
 RELAYED_HEADERS = frozenset({"content-type", "retry-after", "location", "etag", "cache-control"})
 
 
 class AnswerRelay:
-    """Pass whole events, or held answers, of the winning attempt to the caller."""
+    """Relay the answer of a request's winning attempt to the task that serves the caller.
+
+    Event streams are relayed event by event, other answers after buffering.
+    """
 
     def __init__(self, ring: EventRing) -> None:
         self._ring = ring
 
-    def head(self, pending: PendingRequest, attempt: Attempt, msg: Head) -> None:
-        """Take status and headers; an event stream is passed on at once."""
+    def receive_head(self, pending: PendingRequest, attempt: Attempt, msg: Head) -> None:
+        """Store status and headers; the head of an event stream is relayed at once."""
         attempt.status = msg.status
         attempt.headers = tuple((k, v) for k, v in msg.headers if k in RELAYED_HEADERS)
-        if attempt.streaming and self._wins(pending, attempt):
+        if attempt.streaming and self._try_become_winner(pending, attempt):
             self._send_head(pending, attempt)
 
-    def data(
+    def receive_data(
         self, pending: PendingRequest, attempt: Attempt, position: int, data: bytes, now: float
     ) -> int:
-        """Take bytes at a position, skip what was received before, return the new events."""
+        """Process bytes at a position and return the number of new events.
+
+        Bytes that were received before are skipped; bytes after a gap are discarded.
+        """
         data = data[max(0, attempt.position - position) :]
         if position > attempt.position or not data:
             return 0
@@ -43,58 +49,72 @@
             pending.first_token_s = now
             self._record_first_token(pending, attempt)
         if attempt.streaming:
-            return self._stream(pending, attempt, data)
-        self._hold(pending, attempt, data)
+            return self._relay_events(pending, attempt, data)
+        self._buffer(pending, attempt, data)
         return 0
 
-    def continues(self, pending: PendingRequest, attempt: Attempt) -> bool:
-        """Tell whether the attempt's answer fits what the caller already has."""
+    def is_compatible(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Return whether the answer can follow what the caller has already received."""
         return not pending.head_sent or pending.streaming == attempt.streaming
 
     def finish(self, pending: PendingRequest, attempt: Attempt) -> None:
-        """Pass on what is left of a whole answer."""
-        if not self._wins(pending, attempt):
+        """Relay the rest of a complete answer."""
+        if not self._try_become_winner(pending, attempt):
             return
-        rest = pending.splitter.rest() if attempt.streaming else bytes(attempt.held)
+        rest = pending.splitter.rest() if attempt.streaming else bytes(attempt.buffered)
         self._send_head(pending, attempt)
         if rest:
-            pending.events.put_nowait(AnswerData(rest, attempt.attempt_id, attempt.position))
+            pending.caller_events.put_nowait(
+                AnswerData(rest, attempt.attempt_id, attempt.position)
+            )
 
-    def failed(self, pending: PendingRequest, attempt: Attempt) -> None:
-        """Forget the unfinished part of a failed attempt."""
+    def discard_partial(self, pending: PendingRequest, attempt: Attempt) -> None:
+        """Discard the incomplete event of a failed attempt and let another attempt win."""
         if pending.winner == attempt.attempt_id:
             pending.winner = None
             pending.splitter.restart()
 
-    def repeatable(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
-        """Mark a failure as final when the caller has a part that no other attempt continues."""
+    def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
+        """Return the outcome, marked as final if the caller has part of an unresumable answer.
+
+        Only event streams can be resumed by another attempt. A final outcome never has `ran` NO.
+        """
         if not pending.head_sent or pending.streaming:
             return outcome
         ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
         return outcome._replace(ran=ran, final=True)
 
-    def _stream(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
+    def _relay_events(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
         before = pending.splitter.events
-        whole = pending.splitter.feed(data)
-        if whole:
-            pending.events.put_nowait(AnswerData(whole, attempt.attempt_id, attempt.position))
+        events = pending.splitter.feed(data)
+        if events:
+            pending.caller_events.put_nowait(
+                AnswerData(events, attempt.attempt_id, attempt.position)
+            )
         return pending.splitter.events - before
 
-    def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
-        if not self.continues(pending, attempt):
+    def _buffer(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
+        if not self.is_compatible(pending, attempt):
             return
         if pending.head_sent:
-            # Held again it would be acknowledged before the caller took it.
-            pending.events.put_nowait(AnswerData(data, attempt.attempt_id, attempt.position))
+            # Buffered bytes are acknowledged at once, which would lift the flow control towards
+            # a slow caller.
+            pending.caller_events.put_nowait(
+                AnswerData(data, attempt.attempt_id, attempt.position)
+            )
             return
-        attempt.held += data
-        if len(attempt.held) <= HOLD_BYTES or not self._wins(pending, attempt):
+        attempt.buffered += data
+        if len(attempt.buffered) <= MAX_BUFFERED_BYTES or not self._try_become_winner(
+            pending, attempt
+        ):
             return
         self._send_head(pending, attempt)
-        held, attempt.held = bytes(attempt.held), bytearray()
-        pending.events.put_nowait(AnswerData(held, attempt.attempt_id, attempt.position))
+        buffered, attempt.buffered = bytes(attempt.buffered), bytearray()
+        pending.caller_events.put_nowait(
+            AnswerData(buffered, attempt.attempt_id, attempt.position)
+        )
 
-    def _wins(self, pending: PendingRequest, attempt: Attempt) -> bool:
+    def _try_become_winner(self, pending: PendingRequest, attempt: Attempt) -> bool:
         if pending.winner is None:
             pending.winner = attempt.attempt_id
         return pending.winner == attempt.attempt_id
@@ -105,7 +125,7 @@
         pending.head_sent = True
         pending.streaming = attempt.streaming
         answer_id = f"{attempt.attempt_id}@{attempt.instance}"
-        pending.events.put_nowait(AnswerHead(attempt.status, attempt.headers, answer_id))
+        pending.caller_events.put_nowait(AnswerHead(attempt.status, attempt.headers, answer_id))
 
     def _record_first_token(self, pending: PendingRequest, attempt: Attempt) -> None:
         req = pending.queued
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -1,4 +1,4 @@
-"""The HTTP interface towards callers."""
+"""The HTTP interface for callers."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -9,27 +9,29 @@
 from cassiadrum.roles.errors import InvalidRequest
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.request_parsers import RequestParser
-from cassiadrum.roles.router_messages import CallerGone, Delivered, RouterMessage, Submit
+from cassiadrum.roles.router_messages import CallerDisconnected, Delivered, RouterMessage, Submit
 
 __all__ = ["AnswerFetcher", "CallerHandler"]
 
-SERVICES = "/services/"
-REQUESTS = "/requests/"
-DRAIN_RETRY_S = 1.0
+SERVICES_PREFIX = "/services/"
+REQUESTS_PREFIX = "/requests/"
+RETRY_AFTER_S = 1.0
 
 
 class AnswerFetcher(Protocol):
-    """Answer a caller that comes back for the rest of an answer."""
+    """Serve the rest of an answer to a caller that has reconnected."""
 
     async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
         """Send the bytes of the answer from `position` on, or a refusal."""
 
 
 class CallerHandler:
-    """Route each request and write its answer; one task per connection runs it.
+    """Submit each request to the router and write its answer; each connection has its own task.
 
-    `refused(service, reason)` is told of refusals that happen before a request has a class; the
-    service is empty then, since its name is whatever the caller wrote.
+    `post` queues a message for the router. `is_ready` returns whether the instance has a
+    configuration. `on_refused(service, reason)` is called for refusals before the class of a
+    request is known. The service is empty then, because its name would be arbitrary text from the
+    caller.
     """
 
     def __init__(
@@ -37,60 +39,62 @@
         parser: RequestParser,
         post: Callable[[RouterMessage], None],
         fetcher: AnswerFetcher,
-        ready: Callable[[], bool],
-        refused: Callable[[str, str], None],
+        is_ready: Callable[[], bool],
+        on_refused: Callable[[str, str], None],
     ) -> None:
         self.draining = False
-        self.active = 0
+        self.active_requests = 0
         self._parser = parser
         self._post = post
         self._fetcher = fetcher
-        self._ready = ready
-        self._refused = refused
+        self._is_ready = is_ready
+        self._on_refused = on_refused
 
     async def __call__(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Handle one HTTP exchange."""
         path = exchange.req.path
         if path == "/healthz":
-            serving = self._ready() and not self.draining
+            serving = self._is_ready() and not self.draining
             await exchange.send_json(200 if serving else 503, {"serving": serving})
-        elif path.startswith(REQUESTS) and exchange.req.method == "GET":
-            await self._fetch(exchange, path.removeprefix(REQUESTS))
-        elif not path.startswith(SERVICES):
-            await send_problem(exchange, Problem("unknown_service", "no", f"no path {path[:200]}"))
+        elif path.startswith(REQUESTS_PREFIX) and exchange.req.method == "GET":
+            await self._handle_fetch(exchange, path.removeprefix(REQUESTS_PREFIX))
+        elif not path.startswith(SERVICES_PREFIX):
+            await send_problem(
+                exchange, Problem("unknown_service", "no", f"unknown path {path[:200]}")
+            )
         elif self.draining:
-            self._refused("", "draining")
-            await send_problem(exchange, Problem("draining", "no", retry_after_s=DRAIN_RETRY_S))
-        elif not self._ready():
-            self._refused("", "no_configuration")
-            problem = Problem("no_configuration", "no", retry_after_s=DRAIN_RETRY_S)
+            self._on_refused("", "draining")
+            await send_problem(exchange, Problem("draining", "no", retry_after_s=RETRY_AFTER_S))
+        elif not self._is_ready():
+            self._on_refused("", "no_configuration")
+            problem = Problem("no_configuration", "no", retry_after_s=RETRY_AFTER_S)
             await send_problem(exchange, problem)
         else:
-            await self._route(exchange)
+            await self._handle_request(exchange)
 
-    async def _route(self, exchange: Exchange) -> None:
+    async def _handle_request(self, exchange: Exchange) -> None:
         try:
             pending = self._parser.parse(exchange.req)
         except InvalidRequest as exc:
-            self._refused("", exc.reason)
+            self._on_refused("", exc.reason)
             await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
             return
-        self.active += 1
+        self.active_requests += 1
         self._post(Submit(pending))
         try:
-            await self._relay(exchange, pending)
+            await self._relay_answer(exchange, pending)
         finally:
-            self.active -= 1
-            # Also reached when the connection's task is cancelled.
-            self._post(CallerGone(pending.queued.request_id))
+            self.active_requests -= 1
+            # This also runs when the connection's task is cancelled.
+            self._post(CallerDisconnected(pending.queued.request_id))
 
-    async def _relay(self, exchange: Exchange, pending: PendingRequest) -> None:
+    async def _relay_answer(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
-        exchange.when_gone(lambda: pending.events.put_nowait(None))
-        events = pending.events
+        exchange.when_gone(lambda: pending.caller_events.put_nowait(None))
+        events = pending.caller_events
         while True:
             event, sent = await events.get(), None
-            # What is ready together is sent in one write.
+            # Events that are ready together are sent in one write.
             while isinstance(event, AnswerHead | AnswerData):
                 if isinstance(event, AnswerHead):
                     headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
@@ -111,17 +115,17 @@
             if sent is not None:
                 self._post(Delivered(request_id, sent.attempt_id, sent.position))
 
-    async def _fetch(self, exchange: Exchange, answer_id: str) -> None:
+    async def _handle_fetch(self, exchange: Exchange, answer_id: str) -> None:
         name, _, value = exchange.req.query.partition("=")
         if exchange.req.query and (name != "position" or not value.isdecimal()):
-            detail = "the query allows only `position`, a count of bytes"
+            detail = "the only query parameter allowed is `position`, a byte offset"
             await send_problem(exchange, Problem("bad_request", "no", detail))
             return
-        self.active += 1
+        self.active_requests += 1
         try:
             await self._fetcher.fetch(exchange, answer_id, int(value or 0))
         finally:
-            self.active -= 1
+            self.active_requests -= 1
 
 
 async def _finish(exchange: Exchange, event: AnswerEnd, pending: PendingRequest) -> None:
@@ -130,7 +134,7 @@
     elif not exchange.started:
         await send_problem(exchange, event.problem)
     elif pending.streaming:
-        # The status is sent already, so the refusal is the stream's last event.
+        # The status has already been sent, so the refusal becomes the last event of the stream.
         body = event.problem.body().decode()
         await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
         await exchange.end()
--- a/cassiadrum/roles/fetch_links.py
+++ b/cassiadrum/roles/fetch_links.py
@@ -1,4 +1,4 @@
-"""Links to sidecars outside the subset, for callers that fetch the rest of an answer."""
+"""Links for fetching the rest of an answer, also from sidecars outside the subset."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -8,38 +8,42 @@
 
 __all__ = ["FetchLinks"]
 
-OPEN_LIMIT_S = 3.0
+OPEN_TIMEOUT_S = 3.0
 
 
 class FetchLinks:
-    """Give the link of the subset to a sidecar, or a link of its own for one fetch.
+    """Provide the existing link to a sidecar of the subset, or open a link for one fetch.
 
-    `dialer(instance, on_up)` builds a dialer that calls `on_up` at each hello, and returns None
-    for an instance that is not a member.
+    `subset_link` returns the current link to an instance, or None. `make_dialer(instance, on_up)`
+    returns a dialer that calls `on_up` at each hello, or None for an instance that is not a
+    member.
     """
 
     def __init__(
         self,
-        links: Callable[[str], Link | None],
-        dialer: Callable[[str, Callable[[Link], None]], LinkDialer | None],
+        subset_link: Callable[[str], Link | None],
+        make_dialer: Callable[[str, Callable[[Link], None]], LinkDialer | None],
     ) -> None:
-        self._links = links
-        self._dialer = dialer
+        self._subset_link = subset_link
+        self._make_dialer = make_dialer
 
     @asynccontextmanager
     async def open(self, instance: str) -> AsyncIterator[Link | None]:
-        """Yield a link that said hello; None when the sidecar cannot be reached."""
-        link = self._links(instance)
-        up: asyncio.Queue[Link] = asyncio.Queue()
-        dialer = None if link else self._dialer(instance, up.put_nowait)
+        """Yield a link that has received its hello, or None if the sidecar is unreachable.
+
+        Waits at most OPEN_TIMEOUT_S; a link opened here is closed at the end.
+        """
+        link = self._subset_link(instance)
+        opened: asyncio.Queue[Link] = asyncio.Queue()
+        dialer = None if link else self._make_dialer(instance, opened.put_nowait)
         if dialer is None:
             yield link
             return
         dialer.start()
         try:
             try:
-                async with asyncio.timeout(OPEN_LIMIT_S):
-                    link = await up.get()
+                async with asyncio.timeout(OPEN_TIMEOUT_S):
+                    link = await opened.get()
             except TimeoutError:
                 link = None
             yield link
