--- a/bench/ablated_choosers.py
+++ b/bench/ablated_choosers.py
@@ -1,18 +1,18 @@
 """Choosers without one of their rules."""
 
-from cassiadrum.decisions import EndpointReport, WeightedChooser
+from cassiadrum.decisions import EndpointReport, LeastCostChooser
 
 __all__ = ["CountingReports", "NeverEject"]
 
 
-class NeverEject(WeightedChooser):
+class NeverEject(LeastCostChooser):
     """Keep every endpoint, however slow; its measured slowness still counts as cost."""
 
     def _check(self, now: float) -> None:
         self._detector._measure(self._states)
 
 
-class CountingReports(WeightedChooser):
+class CountingReports(LeastCostChooser):
     """Take every report as if it had just been made."""
 
     def report(self, rep: EndpointReport, now: float) -> None:
--- a/bench/ablated_policies.py
+++ b/bench/ablated_policies.py
@@ -4,9 +4,9 @@
     Admission,
     Admitted,
     BudgetRetryPolicy,
+    ExecutionStatus,
     QueuedRequest,
-    Ran,
-    ServiceView,
+    ServiceSnapshot,
 )
 
 __all__ = ["AdmitAlways", "EndWithAttempt"]
@@ -15,13 +15,13 @@
 class AdmitAlways(Admission):
     """Accept every request whatever its deadline."""
 
-    def decide(self, req: QueuedRequest, now: float, view: ServiceView) -> Admitted:
+    def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted:
         return Admitted(0.0, 0.0)
 
-    def predict_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def predict_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         return 0.0
 
-    def retry_after_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         return 1.0
 
     def observe_wait(self, predicted_s: float, actual_s: float) -> None:
@@ -32,4 +32,4 @@
     """Retry partly delivered answers within the budget only."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
-        return self.may_retry(req, Ran.UNKNOWN, now)
+        return self.may_retry(req, ExecutionStatus.UNKNOWN, now)
--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -16,10 +16,10 @@
     EndpointScheduler,
     FairTierQueue,
     FixedLimit,
+    LeastCostChooser,
     PausePreemption,
     StrictTierQueue,
     WasteBoundHedgePolicy,
-    WeightedChooser,
 )
 from cassiadrum.documents import ServiceDocument
 
@@ -43,7 +43,7 @@
         "continuation": lambda parts, seed: parts._replace(retry=EndWithAttempt()),
         "hedging": lambda parts, seed: parts._replace(hedge=WasteBoundHedgePolicy()),
         "prefix-affinity": _with_chooser(
-            lambda rng, streams: WeightedChooser(rng, streams_tokens=streams, prefix_keys=0)
+            lambda rng, streams: LeastCostChooser(rng, streams_tokens=streams, prefix_keys=0)
         ),
         "ejection": _with_chooser(lambda rng, streams: NeverEject(rng, streams_tokens=streams)),
         "correction-of-old-reports": _with_chooser(
@@ -60,7 +60,7 @@
 
 
 def _with_chooser(
-    make: Callable[[random.Random, bool], WeightedChooser],
+    make: Callable[[random.Random, bool], LeastCostChooser],
 ) -> Callable[[Parts, str], Parts]:
     def change(parts: Parts, seed: str) -> Parts:
         return parts._replace(chooser=make(random.Random(seed), parts.streams_tokens))
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -11,12 +11,12 @@
     BudgetRetryPolicy,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     FairTierQueue,
+    LeastCostChooser,
     Outcome,
     QuantileLengthEstimator,
     QueuedRequest,
-    Ran,
-    WeightedChooser,
 )
 from cassiadrum.events import EventKind, EventRing, HybridClock
 from cassiadrum.links.messages import StartRequest
@@ -55,7 +55,7 @@
     """Return a dispatcher whose endpoints have reported free slots."""
     dispatcher = Dispatcher(
         FairTierQueue(queue),
-        WeightedChooser(random.Random(1), "z"),
+        LeastCostChooser(random.Random(1), "z"),
         estimator=QuantileLengthEstimator(),
         retry=BudgetRetryPolicy(),
     )
@@ -230,7 +230,9 @@
     actions = dispatcher.submit(req, now)
     instance = getattr(actions[0], "instance", "")
     dispatcher.progressed(instance, req.request_id, 1, now)
-    dispatcher.finished(req.request_id, Outcome(True, Ran.YES, 200), now, instance)
+    dispatcher.finished(
+        req.request_id, Outcome(True, ExecutionStatus.EXECUTED, 200), now, instance
+    )
 
 
 STATE_SERIES: dict[str, Callable[[], Points]] = {
--- a/bench/operation_counts.py
+++ b/bench/operation_counts.py
@@ -9,7 +9,14 @@
 
 from bench.products import product
 from bench.worlds import load_document
-from cassiadrum.decisions import Dispatch, Dispatcher, EndpointReport, Outcome, QueuedRequest, Ran
+from cassiadrum.decisions import (
+    Dispatch,
+    Dispatcher,
+    EndpointReport,
+    ExecutionStatus,
+    Outcome,
+    QueuedRequest,
+)
 
 __all__ = ["QUEUES", "SUBSETS", "by_queue", "by_subset"]
 
@@ -115,6 +122,6 @@
     if running:
         first = running.pop(0)
         dispatcher.progressed(first.instance, first.req.request_id, 5, now)
-        outcome = Outcome(True, Ran.YES, 100)
+        outcome = Outcome(True, ExecutionStatus.EXECUTED, 100)
         actions += dispatcher.finished(first.req.request_id, outcome, now)
     running += [action for action in actions if isinstance(action, Dispatch)]
--- a/bench/products.py
+++ b/bench/products.py
@@ -13,10 +13,10 @@
     FairTierQueue,
     LatencyTargets,
     LatencyTrackingLimit,
+    LeastCostChooser,
     PausePreemption,
     QuantileLengthEstimator,
     WasteBoundHedgePolicy,
-    WeightedChooser,
 )
 from cassiadrum.defaults import SETTINGS_DEFAULTS
 from cassiadrum.documents import ServiceDocument
@@ -65,7 +65,7 @@
     )
     return Parts(
         queue,
-        WeightedChooser(random.Random(seed), streams_tokens=document.kind == "model"),
+        LeastCostChooser(random.Random(seed), streams_tokens=document.kind == "model"),
         DeadlineAdmission(),
         estimator,
         BudgetRetryPolicy({cls.name: cls.retry_budget for cls in document.classes}),
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -11,10 +11,10 @@
 from bench.streams import Stream
 from cassiadrum.decisions import (
     EndpointScheduler,
+    ExecutionStatus,
     Outcome,
     Pause,
     QueuedRequest,
-    Ran,
     Reject,
     SchedulerAction,
     Start,
@@ -58,7 +58,9 @@
         """Take a request from an entry instance."""
         self._held[req.request_id] = (call, listener)
         if self.down:
-            self._end(req.request_id, Outcome(False, Ran.NO, 0, "endpoint_failed"))
+            self._end(
+                req.request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
+            )
             return
         self._carry_out(self.scheduler.arrive(req, self._loop.now))
 
@@ -67,7 +69,7 @@
         if request_id not in self._held:
             return
         if self.scheduler.cancelled(request_id, self._loop.now):
-            self._end(request_id, Outcome(False, Ran.NO, 0, "cancelled"))
+            self._end(request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "cancelled"))
             return
         stream = self.endpoint.cancel(request_id)
         if stream is None:
@@ -105,7 +107,10 @@
             elif isinstance(action, Reject):
                 self._records.rejects[action.req.class_name] += 1
                 self._safety.rejected(action.req, self.instance)
-                self._end(action.req.request_id, Outcome(False, Ran.NO, 0, action.reason))
+                self._end(
+                    action.req.request_id,
+                    Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, action.reason),
+                )
             elif isinstance(action, Pause):
                 self._records.pauses += 1
                 self._safety.paused(self._held[action.request_id][0].req, self.instance)
@@ -128,7 +133,7 @@
 
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
-        self._end(stream.request_id, Outcome(True, Ran.YES, self._tokens(stream)))
+        self._end(stream.request_id, Outcome(True, ExecutionStatus.EXECUTED, self._tokens(stream)))
         # A plain call shows one time only, that of its whole answer.
         first_at_s = self._loop.now if stream.started_at_s is None else stream.started_at_s
         first_s, gap_s = first_at_s - stream.arrived_at_s, gap_percentile(stream.gaps, 0.95)
@@ -148,7 +153,9 @@
             if not isinstance(action, Start):
                 continue
             request_id = action.req.request_id
-            self._end(request_id, Outcome(False, Ran.NO, 0, "endpoint_failed"))
+            self._end(
+                request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
+            )
             self._refuse_started(self.scheduler.finished(request_id, self._loop.now))
 
     def _restart(self) -> None:
@@ -157,7 +164,7 @@
     def _failed(self, stream: Stream, reason: str) -> Outcome:
         """Return the outcome of an attempt that did not complete, and keep what was delivered."""
         self._deliver(stream, reason)
-        return Outcome(False, Ran.UNKNOWN, self._tokens(stream), reason)
+        return Outcome(False, ExecutionStatus.UNKNOWN, self._tokens(stream), reason)
 
     def _tokens(self, stream: Stream) -> int:
         """Return the tokens that the attempt produced; a plain service has none."""
--- a/bench/unbudgeted_retries.py
+++ b/bench/unbudgeted_retries.py
@@ -1,6 +1,6 @@
 """Retries without a budget."""
 
-from cassiadrum.decisions import BudgetRetryPolicy, QueuedRequest, Ran
+from cassiadrum.decisions import BudgetRetryPolicy, ExecutionStatus, QueuedRequest
 
 __all__ = ["UnbudgetedRetry"]
 
@@ -11,7 +11,7 @@
     Attempts that did not run cost no tokens and follow the same rule as in the product.
     """
 
-    def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
-        if ran is Ran.NO:
+    def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
+        if ran is ExecutionStatus.NOT_EXECUTED:
             return super().may_retry(req, ran, now)
         return now < req.deadline_s and req.idempotent
--- a/cassiadrum/decisions/__init__.py
+++ b/cassiadrum/decisions/__init__.py
@@ -10,9 +10,10 @@
 from cassiadrum.decisions.class_queues import ClassQueue
 from cassiadrum.decisions.concurrency_limits import ConcurrencyLimit
 from cassiadrum.decisions.cost_estimators import CostEstimator
-from cassiadrum.decisions.customer_lanes import CustomerLane
+from cassiadrum.decisions.customer_queues import CustomerQueue
 from cassiadrum.decisions.deadline_admissions import DeadlineAdmission
 from cassiadrum.decisions.demand_order_planners import DemandOrderPlanner
+from cassiadrum.decisions.dispatched_streams import DispatchedStream
 from cassiadrum.decisions.dispatchers import Dispatcher
 from cassiadrum.decisions.endpoint_choosers import EndpointChooser
 from cassiadrum.decisions.endpoint_reports import EndpointReport
@@ -26,16 +27,17 @@
 from cassiadrum.decisions.latency_targets import LatencyTargets
 from cassiadrum.decisions.latency_tracking_limits import LatencyTrackingLimit
 from cassiadrum.decisions.lazy_heaps import LazyHeap
+from cassiadrum.decisions.least_cost_choosers import LeastCostChooser
 from cassiadrum.decisions.least_outstanding_choosers import LeastOutstandingChooser
 from cassiadrum.decisions.length_estimators import LengthEstimator
-from cassiadrum.decisions.load_demands import LoadDemand
 from cassiadrum.decisions.log_histograms import LogHistogram
+from cassiadrum.decisions.min_share_schedulers import MinShareScheduler
+from cassiadrum.decisions.model_demands import ModelDemand
 from cassiadrum.decisions.operation_counters import OperationCounter
 from cassiadrum.decisions.order_kinds import OrderKind
 from cassiadrum.decisions.order_planners import OrderPlanner
-from cassiadrum.decisions.outcomes import Outcome, Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus, Outcome
 from cassiadrum.decisions.outlier_detectors import OutlierDetector
-from cassiadrum.decisions.own_streams import OwnStream
 from cassiadrum.decisions.pause_preemptions import PausePreemption
 from cassiadrum.decisions.preemption_policies import PreemptionPolicy
 from cassiadrum.decisions.prefix_indexes import PrefixIndex
@@ -49,14 +51,12 @@
 from cassiadrum.decisions.running_streams import RunningStream
 from cassiadrum.decisions.scheduler_actions import Pause, Reject, Resume, SchedulerAction, Start
 from cassiadrum.decisions.service_rates import ServiceRate
-from cassiadrum.decisions.service_views import ServiceView
-from cassiadrum.decisions.share_ledgers import ShareLedger
+from cassiadrum.decisions.service_snapshots import ServiceSnapshot
 from cassiadrum.decisions.strict_tier_queues import StrictTierQueue
 from cassiadrum.decisions.tracked_requests import TrackedRequest
 from cassiadrum.decisions.wait_bounds import wait_bound_s
 from cassiadrum.decisions.wait_predictors import WaitPredictor
 from cassiadrum.decisions.waste_bound_hedge_policies import WasteBoundHedgePolicy
-from cassiadrum.decisions.weighted_choosers import WeightedChooser
 
 __all__ = [
     "Action",
@@ -71,16 +71,18 @@
     "ClassQueue",
     "ConcurrencyLimit",
     "CostEstimator",
-    "CustomerLane",
+    "CustomerQueue",
     "DeadlineAdmission",
     "DemandOrderPlanner",
     "Dispatch",
+    "DispatchedStream",
     "Dispatcher",
     "EndpointChooser",
     "EndpointReport",
     "EndpointScheduler",
     "EndpointState",
     "EngineOrder",
+    "ExecutionStatus",
     "FairTierQueue",
     "FixedLimit",
     "HealthState",
@@ -89,16 +91,17 @@
     "LatencyTargets",
     "LatencyTrackingLimit",
     "LazyHeap",
+    "LeastCostChooser",
     "LeastOutstandingChooser",
     "LengthEstimator",
-    "LoadDemand",
     "LogHistogram",
+    "MinShareScheduler",
+    "ModelDemand",
     "OperationCounter",
     "OrderKind",
     "OrderPlanner",
     "Outcome",
     "OutlierDetector",
-    "OwnStream",
     "Pause",
     "PausePreemption",
     "PreemptionPolicy",
@@ -107,7 +110,6 @@
     "QueueCharge",
     "QueueEntry",
     "QueuedRequest",
-    "Ran",
     "Refuse",
     "Reject",
     "Rejected",
@@ -117,14 +119,12 @@
     "RunningStream",
     "SchedulerAction",
     "ServiceRate",
-    "ServiceView",
-    "ShareLedger",
+    "ServiceSnapshot",
     "Start",
     "StrictTierQueue",
     "TrackedRequest",
     "WaitPredictor",
     "WasteBoundHedgePolicy",
-    "WeightedChooser",
     "prefix_keys",
     "wait_bound_s",
 ]
--- a/cassiadrum/decisions/actions.py
+++ b/cassiadrum/decisions/actions.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["Action", "Cancel", "Dispatch", "Hedge", "Refuse"]
@@ -34,7 +34,7 @@
 
     req: QueuedRequest
     reason: str
-    ran: Ran
+    ran: ExecutionStatus
     retry_after_s: float
 
 
--- a/cassiadrum/decisions/admissions.py
+++ b/cassiadrum/decisions/admissions.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.decisions.admission_decisions import Admitted, Rejected
 from cassiadrum.decisions.queued_requests import QueuedRequest
-from cassiadrum.decisions.service_views import ServiceView
+from cassiadrum.decisions.service_snapshots import ServiceSnapshot
 
 __all__ = ["Admission"]
 
@@ -13,15 +13,15 @@
     """Decide whether a request is accepted, and predict its wait."""
 
     @abstractmethod
-    def decide(self, req: QueuedRequest, now: float, view: ServiceView) -> Admitted | Rejected:
+    def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted | Rejected:
         """Accept or refuse a new request."""
 
     @abstractmethod
-    def predict_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def predict_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return the predicted wait in seconds until the request is dispatched."""
 
     @abstractmethod
-    def retry_after_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return after how many seconds a refused request is worth sending again."""
 
     @abstractmethod
--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -5,7 +5,7 @@
 from cassiadrum.decisions.endpoint_choosers import EndpointChooser
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.hedge_policies import HedgePolicy
-from cassiadrum.decisions.outcomes import Outcome, Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus, Outcome
 from cassiadrum.decisions.tracked_requests import TrackedRequest
 
 __all__ = ["AttemptTable"]
@@ -83,7 +83,7 @@
     def end(self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float) -> float:
         """Count the end of a copy and return for how many seconds it ran."""
         # A rejection as not run says nothing against the endpoint's health.
-        if not outcome.ok and outcome.ran is Ran.NO:
+        if not outcome.ok and outcome.ran is ExecutionStatus.NOT_EXECUTED:
             self._chooser.rejected(instance, tracked.req.request_id, now)
         else:
             self._chooser.finished(instance, tracked.req.request_id, outcome.ok, now)
--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Mapping
 
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.retry_policies import RetryPolicy
 
@@ -52,11 +52,11 @@
         repeatable = req.idempotent and not req.once_only
         return repeatable and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s
 
-    def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+    def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
         """Allow a retry within attempts and deadline; spend budget unless it did not run."""
         if now >= req.deadline_s:
             return False
-        if ran is Ran.NO:
+        if ran is ExecutionStatus.NOT_EXECUTED:
             return req.deadline_s < math.inf or req.attempt + 1 < MAX_REJECTED_ATTEMPTS
         if not req.idempotent or req.once_only or req.attempt + 1 >= MAX_ATTEMPTS:
             return False
--- a/cassiadrum/decisions/class_queues.py
+++ b/cassiadrum/decisions/class_queues.py
@@ -1,6 +1,6 @@
 """The waiting requests of one class, shared fairly by its customers."""
 
-from cassiadrum.decisions.customer_lanes import CustomerLane
+from cassiadrum.decisions.customer_queues import CustomerQueue
 from cassiadrum.decisions.lazy_heaps import LazyHeap
 from cassiadrum.decisions.operation_counters import OperationCounter
 from cassiadrum.decisions.queue_entries import QueueEntry
@@ -30,7 +30,7 @@
         self.share_tag = 0.0
         self._counter = counter
         self._clock = 0.0
-        self._lanes: dict[str, CustomerLane] = {}
+        self._lanes: dict[str, CustomerQueue] = {}
         self._by_tag = LazyHeap(counter)
         self._by_tokens = LazyHeap(counter)
         self._oldest = LazyHeap(counter)
@@ -45,9 +45,9 @@
         if lane is None:
             tag = max(self._clock, self._idle_tags.pop(req.customer, 0.0))
             self._idle.discard(req.customer)
-            lane = self._lanes[req.customer] = CustomerLane(tag, self._counter)
+            lane = self._lanes[req.customer] = CustomerQueue(tag, self._counter)
         if refund:
-            lane.tag -= _charge(entry)
+            lane.start_tag -= _charge(entry)
         lane.add(entry)
         self.tokens += entry.tokens
         self._oldest.set(req.request_id, entry.order)
@@ -57,8 +57,8 @@
         """Remove and return the next request and charge its customer."""
         entry = self.next()
         lane = self._lanes[entry.req.customer]
-        self._clock = max(self._clock, lane.tag)
-        lane.tag += _charge(entry)
+        self._clock = max(self._clock, lane.start_tag)
+        lane.start_tag += _charge(entry)
         self.remove(entry)
         self._forget_idle()
         return entry
@@ -106,23 +106,23 @@
     def __len__(self) -> int:
         return len(self._oldest)
 
-    def _lane(self, heap: LazyHeap) -> CustomerLane:
+    def _lane(self, heap: LazyHeap) -> CustomerQueue:
         first = heap.first()
         if first is None:
             raise LookupError("no request waits in this class")
         return self._lanes[first[1]]
 
-    def _reorder(self, customer: str, lane: CustomerLane) -> None:
-        self._by_tag.set(customer, (lane.tag, lane.oldest().order))
+    def _reorder(self, customer: str, lane: CustomerQueue) -> None:
+        self._by_tag.set(customer, (lane.start_tag, lane.oldest().order))
         self._by_tokens.set(customer, -lane.tokens)
 
-    def _retire(self, customer: str, lane: CustomerLane) -> None:
+    def _retire(self, customer: str, lane: CustomerQueue) -> None:
         del self._lanes[customer]
         self._by_tag.discard(customer)
         self._by_tokens.discard(customer)
-        if lane.tag > self._clock:
-            self._idle_tags[customer] = lane.tag
-            self._idle.set(customer, lane.tag)
+        if lane.start_tag > self._clock:
+            self._idle_tags[customer] = lane.start_tag
+            self._idle.set(customer, lane.start_tag)
 
     def _forget_idle(self) -> None:
         while (first := self._idle.first()) is not None and first[0] <= self._clock:
--- a/cassiadrum/decisions/cost_estimators.py
+++ b/cassiadrum/decisions/cost_estimators.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 
+from cassiadrum.decisions.dispatched_streams import DispatchedStream
 from cassiadrum.decisions.endpoint_states import EndpointState
-from cassiadrum.decisions.own_streams import OwnStream
 
 __all__ = ["CostEstimator"]
 
@@ -38,14 +38,14 @@
         self._prefill_s_per_token = INITIAL_PREFILL_S_PER_TOKEN
         self._duration_s = INITIAL_DURATION_S
 
-    def observe_first_token(self, stream: OwnStream, now: float) -> None:
+    def observe_first_token(self, stream: DispatchedStream, now: float) -> None:
         """Learn the prefill rate from the first token of a stream."""
         if stream.uncached_tokens >= MIN_PREFILL_TOKENS:
             sample = (now - stream.dispatched_s) / stream.uncached_tokens
             gain = SHORTER_GAIN if sample < self._prefill_s_per_token else LONGER_GAIN
             self._prefill_s_per_token += gain * (sample - self._prefill_s_per_token)
 
-    def observe_end(self, stream: OwnStream, now: float) -> None:
+    def observe_end(self, stream: DispatchedStream, now: float) -> None:
         """Learn the duration of a request from one that succeeded."""
         self._duration_s += SMOOTHING * (now - stream.dispatched_s - self._duration_s)
 
--- a/cassiadrum/decisions/customer_lanes.py
+++ b/cassiadrum/decisions/customer_queues.py
@@ -4,14 +4,14 @@
 from cassiadrum.decisions.operation_counters import OperationCounter
 from cassiadrum.decisions.queue_entries import QueueEntry
 
-__all__ = ["CustomerLane"]
+__all__ = ["CustomerQueue"]
 
 
-class CustomerLane:
+class CustomerQueue:
     """Keep one customer's requests by arrival; `tag` is its virtual time in weighted tokens."""
 
-    def __init__(self, tag: float, counter: OperationCounter) -> None:
-        self.tag = tag
+    def __init__(self, start_tag: float, counter: OperationCounter) -> None:
+        self.start_tag = start_tag
         self.tokens = 0.0
         self._entries: dict[str, QueueEntry] = {}
         self._oldest = LazyHeap(counter)
--- a/cassiadrum/decisions/deadline_admissions.py
+++ b/cassiadrum/decisions/deadline_admissions.py
@@ -3,7 +3,7 @@
 from cassiadrum.decisions.admission_decisions import Admitted, Rejected
 from cassiadrum.decisions.admissions import Admission
 from cassiadrum.decisions.queued_requests import QueuedRequest
-from cassiadrum.decisions.service_views import ServiceView
+from cassiadrum.decisions.service_snapshots import ServiceSnapshot
 
 __all__ = ["DeadlineAdmission"]
 
@@ -39,7 +39,7 @@
         """Return the mean absolute error of corrected predictions in seconds."""
         return self._mean_error_s
 
-    def decide(self, req: QueuedRequest, now: float, view: ServiceView) -> Admitted | Rejected:
+    def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted | Rejected:
         """Accept the request unless it would be dispatched after its deadline."""
         predicted_s = self.predict_s(req, view)
         over_s = now + predicted_s - req.deadline_s
@@ -47,7 +47,7 @@
             return Rejected("deadline", _bounded(over_s))
         return Admitted(predicted_s, _uncorrected_s(view))
 
-    def predict_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def predict_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return the predicted wait in seconds, 0 while the service rate is unknown.
 
         The correction is learned mostly from lower tiers, whose waits higher tiers lengthen. It
@@ -56,7 +56,7 @@
         correction = min(self.correction, 1.0) if req.protected else self.correction
         return _uncorrected_s(view) * correction
 
-    def retry_after_s(self, req: QueuedRequest, view: ServiceView) -> float:
+    def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return the predicted wait within bounds."""
         return _bounded(self.predict_s(req, view))
 
@@ -73,7 +73,7 @@
         self._mean_actual_s += GAIN * (actual_s - self._mean_actual_s)
 
 
-def _uncorrected_s(view: ServiceView) -> float:
+def _uncorrected_s(view: ServiceSnapshot) -> float:
     if view.tokens_per_s <= 0.0 or (view.free_slots > 0 and view.ahead_tokens <= 0.0):
         return 0.0
     until_slot = 0.0 if view.free_slots > 0 else view.slot_tokens
--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -6,7 +6,7 @@
 from cassiadrum.decisions.byte_budgets import ByteBudget
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.engine_orders import EngineOrder
-from cassiadrum.decisions.load_demands import LoadDemand
+from cassiadrum.decisions.model_demands import ModelDemand
 from cassiadrum.decisions.order_kinds import OrderKind
 from cassiadrum.decisions.order_planners import OrderPlanner
 from cassiadrum.decisions.sent_orders import SentOrder
@@ -58,7 +58,7 @@
         self._mean_limit = 1.0
 
     def plan(
-        self, demand: Collection[LoadDemand], endpoints: Collection[EndpointReport], now: float
+        self, demand: Collection[ModelDemand], endpoints: Collection[EndpointReport], now: float
     ) -> list[EngineOrder]:
         """Return the orders to send now; the caller sends each one exactly once."""
         staying = [rep for rep in endpoints if not rep.leaving]
@@ -98,7 +98,7 @@
             if now - ended_s < COOLDOWN_S
         }
 
-    def _count(self, demand: Collection[LoadDemand], staying: list[EndpointReport]) -> None:
+    def _count(self, demand: Collection[ModelDemand], staying: list[EndpointReport]) -> None:
         self._requests = {}
         for entry in demand:
             name = (entry.model, entry.adapter)
--- a/cassiadrum/decisions/own_streams.py
+++ b/cassiadrum/decisions/dispatched_streams.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["OwnStream"]
+__all__ = ["DispatchedStream"]
 
 
 @dataclass(slots=True)
-class OwnStream:
+class DispatchedStream:
     """Count the progress of one own request; it changes with each frame of tokens.
 
     Times are monotonic seconds; `uncached_tokens` is the part of the prompt that the endpoint
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -12,7 +12,7 @@
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.hedge_policies import HedgePolicy
 from cassiadrum.decisions.length_estimators import LengthEstimator
-from cassiadrum.decisions.outcomes import Outcome, Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus, Outcome
 from cassiadrum.decisions.quantile_length_estimators import QuantileLengthEstimator
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.request_queues import RequestQueue
@@ -70,7 +70,9 @@
         self._watch_connection(now)
         decision = self._predictor.decide(req, now)
         if isinstance(decision, Rejected):
-            return [Refuse(req, decision.reason, Ran.NO, decision.retry_after_s)]
+            return [
+                Refuse(req, decision.reason, ExecutionStatus.NOT_EXECUTED, decision.retry_after_s)
+            ]
         self._waiting[req.request_id] = TrackedRequest(req, decision, now)
         evicted = self._queue.push(req, now)
         if req not in evicted:
@@ -92,7 +94,7 @@
     def removed(self, instance: str, now: float) -> list[Action]:
         """Forget an endpoint that is gone for good; its attempts end with `ran` unknown."""
         actions: list[Action] = []
-        failure = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
+        failure = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
         for tracked in self._attempts.running_at(instance):
             actions += self._ended(tracked, instance, failure, now)
         self._attempts.removed(instance, now)
@@ -187,14 +189,16 @@
             tracked.next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
-            put_back = self._queue.requeue if ran is Ran.NO else self._queue.push
+            put_back = (
+                self._queue.requeue if ran is ExecutionStatus.NOT_EXECUTED else self._queue.push
+            )
             return self._refuse_evicted(put_back(tracked.req, now))
         retry_after_s = outcome.retry_after_s or self._predictor.retry_after_s(req)
         return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
 
     def _allows_retry(self, tracked: TrackedRequest, outcome: Outcome, now: float) -> bool:
         alike = tracked.req._replace(attempt=tracked.attempts_alike)
-        if outcome.tokens > 0 and tracked.attempt_ran is not Ran.NO:
+        if outcome.tokens > 0 and tracked.attempt_ran is not ExecutionStatus.NOT_EXECUTED:
             return self._retry.may_continue(alike, now)
         return self._retry.may_retry(alike, tracked.attempt_ran, now)
 
--- a/cassiadrum/decisions/endpoint_states.py
+++ b/cassiadrum/decisions/endpoint_states.py
@@ -4,9 +4,9 @@
 from collections import deque
 
 from cassiadrum.decisions.capability_indexes import capabilities_of
+from cassiadrum.decisions.dispatched_streams import DispatchedStream
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.health_states import HealthState
-from cassiadrum.decisions.own_streams import OwnStream
 from cassiadrum.defaults import LIMITS
 
 __all__ = ["EndpointState"]
@@ -36,7 +36,7 @@
     def __init__(self, rep: EndpointReport, now: float, warm: bool) -> None:
         self.report = rep
         self.capabilities = capabilities_of(rep)
-        self.streams: dict[str, OwnStream] = {}
+        self.streams: dict[str, DispatchedStream] = {}
         # Orders equal endpoints; random, so that entry instances do not all start at the same one.
         self.tie = 0.0
         self.health = HealthState.HEALTHY
@@ -79,10 +79,10 @@
         """Count an own dispatch."""
         if not self.streams:
             self.last_progress_s = now
-        self.streams[request_id] = OwnStream(now, now, uncached_tokens)
+        self.streams[request_id] = DispatchedStream(now, now, uncached_tokens)
         self._dispatches.append(now)
 
-    def progress(self, stream: OwnStream, tokens: int, now: float) -> None:
+    def progress(self, stream: DispatchedStream, tokens: int, now: float) -> None:
         """Count tokens of an own stream and take a sample of its inter-token time."""
         if stream.tokens:
             self._gaps.append((now - stream.last_s) / tokens)
@@ -90,7 +90,7 @@
         stream.last_s = now
         self.last_progress_s = now
 
-    def end(self, request_id: str, ok: bool, now: float) -> OwnStream | None:
+    def end(self, request_id: str, ok: bool, now: float) -> DispatchedStream | None:
         """Count the end of an own dispatch; return None when it is not known."""
         stream = self.streams.pop(request_id, None)
         if stream is None:
--- a/cassiadrum/decisions/fair_tier_queues.py
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -5,12 +5,12 @@
 
 from cassiadrum.decisions.class_queues import ClassQueue
 from cassiadrum.decisions.lazy_heaps import LazyHeap
+from cassiadrum.decisions.min_share_schedulers import MinShareScheduler
 from cassiadrum.decisions.operation_counters import OperationCounter
 from cassiadrum.decisions.queue_charges import QueueCharge
 from cassiadrum.decisions.queue_entries import QueueEntry
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.request_queues import RequestQueue
-from cassiadrum.decisions.share_ledgers import ShareLedger
 
 __all__ = ["FairTierQueue"]
 
@@ -45,7 +45,7 @@
         self._deadlines = LazyHeap(self._counter)
         self._tokens = 0.0
         self._serial = 0
-        self._ledger = ShareLedger()
+        self._ledger = MinShareScheduler()
         self._charges: dict[str, QueueCharge] = {}
 
     @property
@@ -167,7 +167,7 @@
         first = min(waiting, key=lambda cls: (not cls.protected, cls.tier, cls.head_arrived_s()))
         if first.protected:
             return first
-        return self._ledger.owed(waiting, now) or first
+        return self._ledger.next_due(waiting, now) or first
 
     def _remember_charge(self, request_id: str, charge: QueueCharge) -> None:
         self._charges[request_id] = charge
--- a/cassiadrum/decisions/weighted_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -14,7 +14,7 @@
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.defaults import LIMITS
 
-__all__ = ["WeightedChooser"]
+__all__ = ["LeastCostChooser"]
 
 # Candidates per choice: this many plus the binary logarithm of the endpoints, so that a subset
 # of today's size is compared almost whole and the cost stays logarithmic.
@@ -27,7 +27,7 @@
 REJECT_PAUSE_S = LIMITS.REPORT_MIN_INTERVAL_S
 
 
-class WeightedChooser(EndpointChooser):
+class LeastCostChooser(EndpointChooser):
     """Choose the endpoint with the lowest estimated time among a few candidates.
 
     Candidates are random endpoints with a free slot and endpoints believed to hold the longest
--- a/cassiadrum/decisions/share_ledgers.py
+++ b/cassiadrum/decisions/min_share_schedulers.py
@@ -4,10 +4,10 @@
 
 from cassiadrum.decisions.class_queues import ClassQueue
 
-__all__ = ["ShareLedger"]
+__all__ = ["MinShareScheduler"]
 
 
-class ShareLedger:
+class MinShareScheduler:
     """Decide which overdue class is owed its share; the clock is the tokens served so far.
 
     Each overdue class is released at its tag and due tokens / min_share later. The sum of the
@@ -15,17 +15,17 @@
     """
 
     def __init__(self) -> None:
-        self._served = 0.0
+        self._served_tokens = 0.0
 
-    def owed(self, waiting: Iterable[ClassQueue], now: float) -> ClassQueue | None:
+    def next_due(self, waiting: Iterable[ClassQueue], now: float) -> ClassQueue | None:
         """Return the overdue class whose share is due first, or None."""
         owed = []
         for cls in waiting:
             late = cls.min_share > 0.0 and now - cls.head_arrived_s() > cls.max_wait_s
             if late and not cls.overdue:
-                cls.share_tag = max(cls.share_tag, self._served)
+                cls.share_tag = max(cls.share_tag, self._served_tokens)
             cls.overdue = late
-            if late and cls.share_tag <= self._served:
+            if late and cls.share_tag <= self._served_tokens:
                 owed.append(cls)
         return min(owed, key=_due, default=None)
 
@@ -36,16 +36,16 @@
         otherwise it would starve when a burst of a higher tier begins.
         """
         advance = 0.0
-        if cls.overdue and cls.share_tag <= self._served:
+        if cls.overdue and cls.share_tag <= self._served_tokens:
             advance = tokens / cls.min_share
         cls.share_tag += advance
-        self._served += tokens
+        self._served_tokens += tokens
         return advance
 
     def refund(self, cls: ClassQueue, tokens: float, advance: float) -> None:
         """Take back a charge for a request that did not run."""
         cls.share_tag -= advance
-        self._served -= tokens
+        self._served_tokens -= tokens
 
 
 def _due(cls: ClassQueue) -> float:
--- a/cassiadrum/decisions/load_demands.py
+++ b/cassiadrum/decisions/model_demands.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["LoadDemand"]
+__all__ = ["ModelDemand"]
 
 
-class LoadDemand(NamedTuple):
+class ModelDemand(NamedTuple):
     """Hold the mean number of requests, running and queued, that need the model.
 
     With `adapter` set, the demand is for the adapter; it is counted in the model's as well.
--- a/cassiadrum/decisions/order_planners.py
+++ b/cassiadrum/decisions/order_planners.py
@@ -5,7 +5,7 @@
 
 from cassiadrum.decisions.endpoint_reports import EndpointReport
 from cassiadrum.decisions.engine_orders import EngineOrder
-from cassiadrum.decisions.load_demands import LoadDemand
+from cassiadrum.decisions.model_demands import ModelDemand
 
 __all__ = ["OrderPlanner"]
 
@@ -15,7 +15,7 @@
 
     @abstractmethod
     def plan(
-        self, demand: Collection[LoadDemand], endpoints: Collection[EndpointReport], now: float
+        self, demand: Collection[ModelDemand], endpoints: Collection[EndpointReport], now: float
     ) -> list[EngineOrder]:
         """Return the orders to send now, given all demand and the latest reports."""
 
--- a/cassiadrum/decisions/outcomes.py
+++ b/cassiadrum/decisions/outcomes.py
@@ -3,22 +3,22 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Outcome", "Ran"]
+__all__ = ["ExecutionStatus", "Outcome"]
 
 
-class Ran(StrEnum):
+class ExecutionStatus(StrEnum):
     """Tell truthfully whether a request ran."""
 
-    NO = "no"
-    YES = "yes"
+    NOT_EXECUTED = "no"
+    EXECUTED = "yes"
     UNKNOWN = "unknown"
 
-    def combined(self, other: "Ran") -> "Ran":
+    def combined(self, other: "ExecutionStatus") -> "ExecutionStatus":
         """Return what is true of a request after two attempts."""
-        for ran in (Ran.YES, Ran.UNKNOWN):
+        for ran in (ExecutionStatus.EXECUTED, ExecutionStatus.UNKNOWN):
             if ran in (self, other):
                 return ran
-        return Ran.NO
+        return ExecutionStatus.NOT_EXECUTED
 
 
 class Outcome(NamedTuple):
@@ -30,7 +30,7 @@
     """
 
     ok: bool
-    ran: Ran
+    ran: ExecutionStatus
     tokens: int = 0
     reason: str = ""
     retry_after_s: float = 0.0
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["RetryPolicy"]
@@ -17,10 +17,10 @@
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
         """Tell whether another endpoint may continue an answer that was partly delivered."""
-        return self.may_retry(req, Ran.YES, now)
+        return self.may_retry(req, ExecutionStatus.EXECUTED, now)
 
     @abstractmethod
-    def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+    def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
         """Tell whether the failed attempt may be repeated, and spend the budget if so.
 
         `req.attempt` is the number of earlier attempts that ended as this one did: rejected as
--- a/cassiadrum/decisions/service_views.py
+++ b/cassiadrum/decisions/service_snapshots.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["ServiceView"]
+__all__ = ["ServiceSnapshot"]
 
 
-class ServiceView(NamedTuple):
+class ServiceSnapshot(NamedTuple):
     """State the work ahead of one request and the rate at which it is served.
 
     `ahead_tokens` are estimated output tokens that are served first; for a protected request
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from cassiadrum.decisions.admission_decisions import Admitted
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["TrackedRequest"]
@@ -22,8 +22,8 @@
     req: QueuedRequest
     admitted: Admitted
     submitted_s: float
-    ran: Ran = Ran.NO
-    attempt_ran: Ran = Ran.NO
+    ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
+    attempt_ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
     failed_at: str = ""
     winner: str = ""
     rejections: int = 0
@@ -33,7 +33,9 @@
     @property
     def may_repeat(self) -> bool:
         """Tell whether another attempt cannot repeat an effect that must not be repeated."""
-        return self.ran is Ran.NO or (self.req.idempotent and not self.req.once_only)
+        return self.ran is ExecutionStatus.NOT_EXECUTED or (
+            self.req.idempotent and not self.req.once_only
+        )
 
     @property
     def may_be_copied(self) -> bool:
@@ -44,7 +46,7 @@
     @property
     def attempts_alike(self) -> int:
         """Return the number of earlier attempts that ended as the current one did."""
-        if self.attempt_ran is Ran.NO:
+        if self.attempt_ran is ExecutionStatus.NOT_EXECUTED:
             return self.rejections
         return self.req.attempt - self.rejections
 
@@ -52,7 +54,7 @@
         """Return the instance that is meant when an event names none; empty without copies."""
         return self.winner or next(iter(self.copies), "")
 
-    def failed(self, instance: str, ran: Ran) -> None:
+    def failed(self, instance: str, ran: ExecutionStatus) -> None:
         """Take the failure of one copy."""
         self.failed_at = instance
         self.ran = self.ran.combined(ran)
@@ -60,7 +62,7 @@
 
     def next_attempt(self) -> None:
         """Start over with one more attempt."""
-        self.rejections += self.attempt_ran is Ran.NO
+        self.rejections += self.attempt_ran is ExecutionStatus.NOT_EXECUTED
         self.req = self.req._replace(attempt=self.req.attempt + 1)
-        self.attempt_ran = Ran.NO
+        self.attempt_ran = ExecutionStatus.NOT_EXECUTED
         self.winner = ""
--- a/cassiadrum/decisions/wait_predictors.py
+++ b/cassiadrum/decisions/wait_predictors.py
@@ -7,7 +7,7 @@
 from cassiadrum.decisions.queued_requests import QueuedRequest
 from cassiadrum.decisions.request_queues import RequestQueue
 from cassiadrum.decisions.service_rates import ServiceRate
-from cassiadrum.decisions.service_views import ServiceView
+from cassiadrum.decisions.service_snapshots import ServiceSnapshot
 from cassiadrum.decisions.tracked_requests import TrackedRequest
 
 __all__ = ["WaitPredictor"]
@@ -52,12 +52,12 @@
         self._estimator.observe(req.class_name, req.customer, tokens)
         self._rate.observe(tokens, duration_s)
 
-    def _view(self, req: QueuedRequest) -> ServiceView:
+    def _view(self, req: QueuedRequest) -> ServiceSnapshot:
         free_slots = self._attempts.free_slots()
         slots = free_slots + len(self._attempts.running)
         # A sidecar makes room for protected work, so lower-tier streams are not ahead of it.
         behind_running = not req.protected or self._attempts.only_protected()
-        return ServiceView(
+        return ServiceSnapshot(
             ahead_tokens=self._queue.ahead_tokens(req),
             slot_tokens=self._rate.mean_tokens if behind_running else 0.0,
             tokens_per_s=self._rate.tokens_per_s(slots),
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -1,6 +1,6 @@
 """Relay of answers from attempts to callers."""
 
-from cassiadrum.decisions import Outcome, Ran
+from cassiadrum.decisions import ExecutionStatus, Outcome
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links.messages import Head
@@ -70,7 +70,9 @@
         """Mark a failure as final when the caller has a part that no other attempt continues."""
         if not pending.head_sent or pending.streaming:
             return outcome
-        ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
+        ran = (
+            ExecutionStatus.UNKNOWN if outcome.ran is ExecutionStatus.NOT_EXECUTED else outcome.ran
+        )
         return outcome._replace(ran=ran, final=True)
 
     def _stream(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
--- a/cassiadrum/roles/dispatcher_factories.py
+++ b/cassiadrum/roles/dispatcher_factories.py
@@ -8,9 +8,9 @@
     DeadlineAdmission,
     Dispatcher,
     FairTierQueue,
+    LeastCostChooser,
     QuantileLengthEstimator,
     WasteBoundHedgePolicy,
-    WeightedChooser,
 )
 from cassiadrum.documents import ServiceDocument
 
@@ -44,7 +44,7 @@
         self.configure(service)
         return Dispatcher(
             FairTierQueue(self._queue_requests, estimate_tokens=estimator.expected_tokens),
-            WeightedChooser(self._rng, self._zone, streams_tokens=streams),
+            LeastCostChooser(self._rng, self._zone, streams_tokens=streams),
             admission=DeadlineAdmission(),
             estimator=estimator,
             retry=retry,
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/endpoint_callers.py
@@ -4,7 +4,7 @@
 import re
 from collections.abc import Callable
 
-from cassiadrum.decisions import Outcome, Ran
+from cassiadrum.decisions import ExecutionStatus, Outcome
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointLost, EndpointUnreachable
 from cassiadrum.protocols import HttpError, HttpResponse
@@ -42,7 +42,7 @@
 
     async def run(self, stream: SidecarStream) -> None:
         """Carry out the call; always post exactly one CallEnded."""
-        outcome = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+        outcome = Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost")
         try:
             if stream.start.once_only:
                 outcome = await self._run_once(stream)
@@ -81,16 +81,16 @@
             if not stream.given_up or task is None:
                 raise
             task.uncancel()
-            return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
+            return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
 
     async def _exchange(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         self._post(CallStarted(stream.start.attempt_id))
         try:
             response = await self._endpoint.call(_to_call(stream))
         except EndpointUnreachable:
-            return Outcome(False, Ran.NO, 0, "endpoint_failed")
+            return Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
         except EndpointLost:
-            return Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+            return Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost")
         # Kept here too, since the sidecar's task may take the message after the call has ended.
         stream.answered = CallHead(
             stream.start.attempt_id, response.status, list(response.headers)
@@ -117,9 +117,9 @@
                 if not stream.room.is_set():
                     await stream.room.wait()
         except HttpError:
-            return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
+            return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
         stream.tokens = _tokens(stream.tokens, tail)
-        return Outcome(True, Ran.YES, stream.tokens)
+        return Outcome(True, ExecutionStatus.EXECUTED, stream.tokens)
 
     def _replay(self, stream: SidecarStream, kept: KeptAnswer) -> None:
         attempt_id = stream.start.attempt_id
--- a/cassiadrum/roles/once_gates.py
+++ b/cassiadrum/roles/once_gates.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import NamedTuple
 
-from cassiadrum.decisions import Outcome, Ran
+from cassiadrum.decisions import ExecutionStatus, Outcome
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.protocols import Headers
@@ -53,7 +53,7 @@
         if outcome.ok and answer is not None:
             await self._claims.finish(claim, answer)
             state = "done"
-        elif outcome.ran is Ran.NO:
+        elif outcome.ran is ExecutionStatus.NOT_EXECUTED:
             await self._claims.not_run(claim)
             state = "not_run"
         else:
@@ -75,17 +75,26 @@
 def _answer(result: object) -> GateAnswer:
     if isinstance(result, Kept):
         if not result.answer.body_kept:
-            return GateAnswer(Outcome(False, Ran.YES, 0, "answer_lost"))
-        return GateAnswer(Outcome(True, Ran.YES), result.answer)
+            return GateAnswer(Outcome(False, ExecutionStatus.EXECUTED, 0, "answer_lost"))
+        return GateAnswer(Outcome(True, ExecutionStatus.EXECUTED), result.answer)
     if isinstance(result, KeyReused):
-        return GateAnswer(Outcome(False, Ran.NO, 0, "key_reused", final=True))
+        return GateAnswer(
+            Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "key_reused", final=True)
+        )
     if isinstance(result, InProgress):
-        outcome = Outcome(False, Ran.UNKNOWN, 0, "in_progress", result.retry_after_s)
+        outcome = Outcome(False, ExecutionStatus.UNKNOWN, 0, "in_progress", result.retry_after_s)
         return GateAnswer(outcome)
     if isinstance(result, StoreUnavailable):
-        outcome = Outcome(False, Ran.NO, 0, "store_unavailable", result.retry_after_s, final=True)
+        outcome = Outcome(
+            False,
+            ExecutionStatus.NOT_EXECUTED,
+            0,
+            "store_unavailable",
+            result.retry_after_s,
+            final=True,
+        )
         return GateAnswer(outcome)
-    return GateAnswer(Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+    return GateAnswer(Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost"))
 
 
 def _body_hash(start: StartRequest) -> str:
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from cassiadrum.decisions import EndpointReport, EngineOrder, LoadDemand, OrderPlanner
+from cassiadrum.decisions import EndpointReport, EngineOrder, ModelDemand, OrderPlanner
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
 from cassiadrum.links.messages import Order
@@ -88,7 +88,7 @@
     def _plan(self) -> None:
         share = max(1, self._entries())
         demand = [
-            LoadDemand(model, adapter, mean * share)
+            ModelDemand(model, adapter, mean * share)
             for (model, adapter), mean in self._demand.items()
         ]
         for order in self._planner.plan(demand, list(self._reports.values()), self._clock()):
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -11,9 +11,9 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     Hedge,
     Outcome,
-    Ran,
     Refuse,
 )
 from cassiadrum.defaults import LIMITS
@@ -51,7 +51,7 @@
 REJECTED_AS_NOT_RUN_S = 30.0
 # The reason in a sidecar's answer to `attach` when it does not know the attempt.
 UNKNOWN_ATTEMPT = "no_endpoint"
-LOST = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+LOST = Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost")
 
 
 class Router(AttemptEvents):
@@ -223,7 +223,9 @@
             )
         if pending.splitter.held_bytes > EVENT_BYTES:
             self._ended(
-                pending, attempt, Outcome(False, Ran.YES, 0, "endpoint_failed", final=True)
+                pending,
+                attempt,
+                Outcome(False, ExecutionStatus.EXECUTED, 0, "endpoint_failed", final=True),
             )
             self._cancel_attempt(pending, attempt)
             return
@@ -259,7 +261,11 @@
             return
         # An old attempt that the sidecar does not know may have run and been forgotten there.
         old = self._clock() - found[1].started_s >= REJECTED_AS_NOT_RUN_S
-        ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT else Ran.NO
+        ran = (
+            ExecutionStatus.UNKNOWN
+            if old and reason == UNKNOWN_ATTEMPT
+            else ExecutionStatus.NOT_EXECUTED
+        )
         self._ended(*found, Outcome(False, ran, 0, reason, retry_after_s))
 
     def _cancelled_ended(self, attempt_id: str, tokens: int) -> None:
@@ -268,7 +274,7 @@
         if entry is None:
             return
         attempt, service = entry
-        outcome = Outcome(False, Ran.UNKNOWN, tokens, "cancelled")
+        outcome = Outcome(False, ExecutionStatus.UNKNOWN, tokens, "cancelled")
         dispatcher = self._dispatcher(service)
         self._carry_out(
             dispatcher.finished(attempt.request_id, outcome, self._clock(), attempt.instance)
@@ -312,7 +318,9 @@
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
         self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
         if not self._path.start(pending, attempt):
-            self._ended(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
+            self._ended(
+                pending, attempt, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "no_endpoint")
+            )
 
     def _refuse(self, action: Refuse) -> None:
         pending = self.pending.get(action.req.request_id)
@@ -327,7 +335,7 @@
 
     def _refuse_all(self) -> None:
         for pending in list(self.pending.values()):
-            self._refuse(Refuse(pending.queued, "draining", Ran.UNKNOWN, 0.0))
+            self._refuse(Refuse(pending.queued, "draining", ExecutionStatus.UNKNOWN, 0.0))
 
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
--- a/cassiadrum/roles/sidecar_paths.py
+++ b/cassiadrum/roles/sidecar_paths.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Mapping
 
-from cassiadrum.decisions import EndpointReport, Outcome, Ran
+from cassiadrum.decisions import EndpointReport, ExecutionStatus, Outcome
 from cassiadrum.links import Link
 from cassiadrum.links.messages import (
     Ack,
@@ -141,5 +141,5 @@
 
 
 def _outcome(msg: End) -> Outcome:
-    ran = Ran(msg.ran) if msg.ran in set(Ran) else Ran.UNKNOWN
+    ran = ExecutionStatus(msg.ran) if msg.ran in set(ExecutionStatus) else ExecutionStatus.UNKNOWN
     return Outcome(msg.ok, ran, msg.tokens, msg.reason, msg.retry_after_s, msg.final)
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -8,10 +8,10 @@
 
 from cassiadrum.decisions import (
     EndpointScheduler,
+    ExecutionStatus,
     Outcome,
     Pause,
     QueuedRequest,
-    Ran,
     Reject,
     Resume,
     SchedulerAction,
@@ -215,7 +215,7 @@
         stream.cancelled = True
         stream.room.set()
         if self._scheduler.cancelled(attempt_id, self._clock()):
-            self._end(stream, Outcome(False, Ran.NO, 0, "cancelled"))
+            self._end(stream, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "cancelled"))
         elif stream.task is not None:
             self._controls.cancel(attempt_id)
             stream.task.cancel()
@@ -291,7 +291,7 @@
                 stream.room.set()
                 if stream.start.cancellable:
                     self._controls.cancel(stream.start.attempt_id)
-                self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
+                self._end(stream, Outcome(False, ExecutionStatus.UNKNOWN, 0, "draining"))
 
     # Actions of the scheduler.
 
--- a/cassiadrum/roles/stream_attachments.py
+++ b/cassiadrum/roles/stream_attachments.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from cassiadrum.decisions import Ran
+from cassiadrum.decisions import ExecutionStatus
 from cassiadrum.links import BytesGone, Link, split_data
 from cassiadrum.links.messages import Attach, End, RejectStart
 from cassiadrum.roles.sidecar_streams import SidecarStream
@@ -32,7 +32,9 @@
         try:
             rest = stream.buffer.since(msg.position)
         except BytesGone:
-            link.send(End(msg.attempt_id, False, Ran.YES, 0, "answer_lost", 0.0, 0))
+            link.send(
+                End(msg.attempt_id, False, ExecutionStatus.EXECUTED, 0, "answer_lost", 0.0, 0)
+            )
             return
         _take_over(stream, link)
         stream.idle_since_s = None
@@ -71,7 +73,9 @@
             link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
         else:
             # It may have run and been forgotten, for example while its entry instance was paused.
-            link.send(End(msg.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0))
+            link.send(
+                End(msg.attempt_id, False, ExecutionStatus.UNKNOWN, 0, "answer_lost", 0.0, 0)
+            )
 
 
 def _take_over(stream: SidecarStream, link: Link) -> None:
@@ -82,7 +86,9 @@
     """
     old, stream.link = stream.link, link
     if old is not None and old.peer is not None and old.peer.instance != _instance(link):
-        end = End(stream.start.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0)
+        end = End(
+            stream.start.attempt_id, False, ExecutionStatus.UNKNOWN, 0, "answer_lost", 0.0, 0
+        )
         old.send(end._replace(final=True))
 
 
--- a/cassiadrum/tests/test_admissions.py
+++ b/cassiadrum/tests/test_admissions.py
@@ -12,7 +12,7 @@
     QuantileLengthEstimator,
     QueuedRequest,
     Rejected,
-    ServiceView,
+    ServiceSnapshot,
 )
 
 
@@ -20,8 +20,8 @@
     return QueuedRequest("r", "svc", "cls", 2, protected, "customer", 0.0, deadline_s)
 
 
-def make_view(ahead_tokens: float, free_slots: int = 0) -> ServiceView:
-    return ServiceView(ahead_tokens, 0.0, 100.0, free_slots)
+def make_view(ahead_tokens: float, free_slots: int = 0) -> ServiceSnapshot:
+    return ServiceSnapshot(ahead_tokens, 0.0, 100.0, free_slots)
 
 
 class TestDeadlineAdmission:
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -1,6 +1,6 @@
 """Tests of the relay of answers to callers."""
 
-from cassiadrum.decisions import Outcome, QueuedRequest, Ran
+from cassiadrum.decisions import ExecutionStatus, Outcome, QueuedRequest
 from cassiadrum.documents import parse_document
 from cassiadrum.events import EventRing, HybridClock
 from cassiadrum.links.messages import Head
@@ -56,7 +56,7 @@
         relay, pending = make_relay(), make_pending()
         attempt = Attempt("r.1", "r", "e1", 0.0)
         relay.head(pending, attempt, Head("r.1", 200, STREAM))
-        failure = Outcome(False, Ran.UNKNOWN, reason="answer_lost")
+        failure = Outcome(False, ExecutionStatus.UNKNOWN, reason="answer_lost")
         assert relay.repeatable(pending, failure) == failure
 
     def test_plain_answer_does_not_continue_a_stream(self) -> None:
--- a/cassiadrum/tests/test_bench.py
+++ b/cassiadrum/tests/test_bench.py
@@ -17,9 +17,9 @@
 from cassiadrum.decisions import (
     Action,
     Dispatcher,
+    ExecutionStatus,
     LeastOutstandingChooser,
     QueuedRequest,
-    Ran,
     Refuse,
     StrictTierQueue,
 )
@@ -33,7 +33,7 @@
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
         if req.protected:
-            return [Refuse(req, "overloaded", Ran.NO, 1.0)]
+            return [Refuse(req, "overloaded", ExecutionStatus.NOT_EXECUTED, 1.0)]
         return super().submit(req, now)
 
 
--- a/cassiadrum/tests/test_dispatcher_properties.py
+++ b/cassiadrum/tests/test_dispatcher_properties.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiadrum.decisions import Action, Cancel, Dispatch, QueuedRequest, Ran, Refuse
+from cassiadrum.decisions import Action, Cancel, Dispatch, ExecutionStatus, QueuedRequest, Refuse
 from cassiadrum.tests.test_dispatcher_requests import (
     DONE,
     NOT_RUN,
@@ -23,7 +23,7 @@
         self.dispatcher = make_dispatcher(endpoints=0, budget=0.3)
         self.now = 0.0
         self.running: dict[str, str] = {}
-        self.ran: dict[str, Ran] = {}
+        self.ran: dict[str, ExecutionStatus] = {}
         self.requests: dict[str, QueuedRequest] = {}
         self.ended: Counter[str] = Counter()
         self.lost: set[str] = set()
@@ -36,7 +36,7 @@
                 assert action.ran is self.ran[name]
                 self.ended[name] += 1
                 continue
-            assert self.ran[name] is Ran.NO or self.requests[name].idempotent
+            assert self.ran[name] is ExecutionStatus.NOT_EXECUTED or self.requests[name].idempotent
             assert name not in self.running
             assert action.instance not in self.lost
             self.running[name] = action.instance
@@ -48,7 +48,7 @@
             name = f"r{len(self.requests)}"
             req = make_request(name, number % 2 == 0, number % 5)
             req = req._replace(arrived_s=self.now, deadline_s=self.now + 5 + number)
-            self.requests[name], self.ran[name] = req, Ran.NO
+            self.requests[name], self.ran[name] = req, ExecutionStatus.NOT_EXECUTED
             self.apply(self.dispatcher.submit(req, self.now))
         elif kind == "report":
             self.lost.discard(instance)
@@ -60,7 +60,7 @@
             self.lost.discard(instance)
             for name in [name for name, where in self.running.items() if where == instance]:
                 del self.running[name]
-                self.ran[name] = self.ran[name].combined(Ran.UNKNOWN)
+                self.ran[name] = self.ran[name].combined(ExecutionStatus.UNKNOWN)
             self.apply(self.dispatcher.removed(instance, self.now))
         elif kind == "tick":
             self.apply(self.dispatcher.tick(self.now))
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -6,19 +6,19 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     FairTierQueue,
     Hedge,
     LeastOutstandingChooser,
     Outcome,
     QueuedRequest,
-    Ran,
     Refuse,
     WasteBoundHedgePolicy,
 )
 
-UNKNOWN = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
-NOT_RUN = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
-DONE = Outcome(ok=True, ran=Ran.YES, tokens=10)
+UNKNOWN = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
+NOT_RUN = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
+DONE = Outcome(ok=True, ran=ExecutionStatus.EXECUTED, tokens=10)
 
 
 def make_request(request_id: str, idempotent: bool = True, tier: int = 2) -> QueuedRequest:
@@ -75,7 +75,7 @@
         dispatcher.finished("r", UNKNOWN, 1.0)
         (refusal,) = dispatcher.tick(10.0)
         assert isinstance(refusal, Refuse)
-        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.UNKNOWN)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.UNKNOWN)
 
     def test_reject_after_an_attempt_that_may_have_run_says_so(self) -> None:
         dispatcher = make_dispatcher()
@@ -83,11 +83,11 @@
         dispatcher.finished("r", UNKNOWN, 1.0)
         (refusal,) = dispatcher.finished("r", NOT_RUN, 11.0)
         assert isinstance(refusal, Refuse)
-        assert refusal.ran is Ran.UNKNOWN
+        assert refusal.ran is ExecutionStatus.UNKNOWN
 
     def test_no_policy_can_repeat_an_effect(self) -> None:
         class Unlimited(BudgetRetryPolicy):
-            def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+            def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
                 return True
 
         dispatcher = Dispatcher(FairTierQueue(9), LeastOutstandingChooser(), retry=Unlimited())
@@ -131,7 +131,7 @@
         assert dispatcher.tick(4.9) == []
         (refusal,) = dispatcher.tick(5.0)
         assert isinstance(refusal, Refuse)
-        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.NO)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.NOT_EXECUTED)
 
     def test_predicted_wait_follows_the_queue(self) -> None:
         dispatcher = make_dispatcher(endpoints=1, limit=1)
--- a/cassiadrum/tests/test_dispatchers.py
+++ b/cassiadrum/tests/test_dispatchers.py
@@ -6,10 +6,10 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     LeastOutstandingChooser,
     Outcome,
     QueuedRequest,
-    Ran,
     Refuse,
     StrictTierQueue,
 )
@@ -41,13 +41,17 @@
         dispatcher.submit(make_request("low", 4), 0.0)
         (refusal,) = dispatcher.submit(make_request("high", 0), 0.0)
         assert isinstance(refusal, Refuse)
-        assert (refusal.req.request_id, refusal.reason, refusal.ran) == ("low", "evicted", Ran.NO)
+        assert (refusal.req.request_id, refusal.reason, refusal.ran) == (
+            "low",
+            "evicted",
+            ExecutionStatus.NOT_EXECUTED,
+        )
 
     def test_attempt_that_may_have_run_is_not_repeated(self) -> None:
         dispatcher = make_dispatcher()
         dispatcher.report(EndpointReport("e1", "z", 0, 0, 4, 0.0), 0.0)
         dispatcher.submit(make_request("once", once_only=True), 0.0)
-        failed = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
+        failed = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
         (refusal,) = dispatcher.finished("once", failed, 1.0)
         assert isinstance(refusal, Refuse)
-        assert refusal.ran is Ran.UNKNOWN
+        assert refusal.ran is ExecutionStatus.UNKNOWN
--- a/cassiadrum/tests/test_weighted_choosers.py
+++ b/cassiadrum/tests/test_least_cost_choosers.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiadrum.decisions import EndpointReport, HealthState, QueuedRequest, WeightedChooser
+from cassiadrum.decisions import EndpointReport, HealthState, LeastCostChooser, QueuedRequest
 
 LIMIT = 8
 
@@ -19,20 +19,20 @@
     return EndpointReport(instance, "z", 0, 0, LIMIT, reported_s)._replace(**fields)
 
 
-def make_chooser(endpoints: int, **fields: Any) -> WeightedChooser:
-    chooser = WeightedChooser(Random(1), "z")
+def make_chooser(endpoints: int, **fields: Any) -> LeastCostChooser:
+    chooser = LeastCostChooser(Random(1), "z")
     for index in range(endpoints):
         chooser.report(make_report(f"e{index}", **fields), 0.0)
     return chooser
 
 
-def report_all(chooser: WeightedChooser, endpoints: int, now: float, **fields: Any) -> None:
+def report_all(chooser: LeastCostChooser, endpoints: int, now: float, **fields: Any) -> None:
     for index in range(endpoints):
         chooser.report(make_report(f"e{index}", now, **fields), now)
 
 
 def stream(
-    chooser: WeightedChooser, instance: str, start_s: float, gap_s: float, tokens: int = 20
+    chooser: LeastCostChooser, instance: str, start_s: float, gap_s: float, tokens: int = 20
 ) -> None:
     """Run one stream that gives a token each `gap_s` and does not end."""
     request_id = f"{instance}-{start_s}"
@@ -75,7 +75,7 @@
         made = [make_report("e0", at, running=n, leaving=gone) for at, n, gone in reports]
         newest = max(made, key=lambda rep: rep.reported_s)
         made = [rep for rep in made if rep.reported_s < newest.reported_s] + [newest]
-        chooser = WeightedChooser(Random(1), "z")
+        chooser = LeastCostChooser(Random(1), "z")
         chooser.report(newest, 10.0)
         chooser.dispatched("e0", make_request(), 10.0)
         before = (chooser.outstanding("e0"), chooser.free_slots(), list(chooser.instances()))
@@ -90,7 +90,7 @@
     """Guards against work for an endpoint that cannot or should not serve it."""
 
     def test_only_endpoints_with_the_model_and_the_adapter(self) -> None:
-        chooser = WeightedChooser(Random(1), "z")
+        chooser = LeastCostChooser(Random(1), "z")
         chooser.report(make_report("a", models=("m",)), 0.0)
         chooser.report(make_report("b", models=("m",), adapters=("x",), running=6), 0.0)
         chooser.report(make_report("c", models=("other",), adapters=("x",)), 0.0)
@@ -200,7 +200,7 @@
             assert chooser.health()["e2"] is health
 
     def test_long_calls_of_a_plain_service_are_not_stalls(self) -> None:
-        chooser = WeightedChooser(Random(1), "z", streams_tokens=False)
+        chooser = LeastCostChooser(Random(1), "z", streams_tokens=False)
         report_all(chooser, 6, 0.0)
         chooser.dispatched("e0", make_request("call"), 0.0)
         for now in (28.0, 28.6, 29.2):
--- a/cassiadrum/tests/test_order_planners.py
+++ b/cassiadrum/tests/test_order_planners.py
@@ -9,7 +9,7 @@
     DemandOrderPlanner,
     EndpointReport,
     EngineOrder,
-    LoadDemand,
+    ModelDemand,
     OrderKind,
 )
 
@@ -25,13 +25,13 @@
     return DemandOrderPlanner(SIZES, bytes_per_s, **fields)
 
 
-def demand(**requests: float) -> list[LoadDemand]:
-    return [LoadDemand(model, "", amount) for model, amount in requests.items()]
+def demand(**requests: float) -> list[ModelDemand]:
+    return [ModelDemand(model, "", amount) for model, amount in requests.items()]
 
 
 def plan_at(
     planner: DemandOrderPlanner,
-    wanted: list[LoadDemand],
+    wanted: list[ModelDemand],
     engines: list[EndpointReport],
     *times: float,
 ) -> list[EngineOrder]:
@@ -90,7 +90,7 @@
     def test_adapter_is_loaded_where_its_model_is(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "b"), make_report("e2", "a")]
-        wanted = [*demand(a=2, b=2), LoadDemand("a", "x", 1.0)]
+        wanted = [*demand(a=2, b=2), ModelDemand("a", "x", 1.0)]
         (order,) = plan_at(planner, wanted, engines, 0, 10)
         assert order == EngineOrder(OrderKind.LOAD_ADAPTER, "e2", "a", "x", load_bytes=10)
 
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -8,12 +8,12 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     FairTierQueue,
+    LeastCostChooser,
     Outcome,
     QueuedRequest,
-    Ran,
     Refuse,
-    WeightedChooser,
 )
 
 LIMIT = 8
@@ -29,7 +29,7 @@
 
 
 def make_dispatcher(endpoints: int, budget: float = 0.0, **fields: Any) -> Dispatcher:
-    chooser = WeightedChooser(Random(1), "z")
+    chooser = LeastCostChooser(Random(1), "z")
     dispatcher = Dispatcher(FairTierQueue(20), chooser, retry=BudgetRetryPolicy({}, budget))
     for index in range(endpoints):
         dispatcher.report(make_report(f"e{index}", **fields), 0.0)
@@ -50,7 +50,7 @@
     def test_endpoint_that_rejected_gets_no_work_for_a_moment(self) -> None:
         dispatcher = make_dispatcher(1)
         dispatcher.submit(make_request("r"), 1.0)
-        rejected = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
+        rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
         assert dispatcher.finished("r", rejected, 1.001) == []
         assert dispatcher.report(make_report("e0", 1.05), 1.05) == []
         (action,) = dispatcher.report(make_report("e0", 1.2), 1.2)
@@ -61,7 +61,7 @@
     """Guards against entry instances that all act on the same old report."""
 
     def test_load_of_others_is_smoothed_by_the_age_of_the_reports(self) -> None:
-        fresh, late = WeightedChooser(Random(1)), WeightedChooser(Random(1))
+        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
         for chooser in (fresh, late):
             chooser.report(make_report("e0", running=6), 0.0)
         fresh.report(make_report("e0", 2.0, running=0), 2.0)
@@ -70,14 +70,14 @@
         assert 2 <= late.outstanding("e0") <= 5
 
     def test_part_of_the_short_queue_is_used_only_with_old_reports(self) -> None:
-        fresh, late = WeightedChooser(Random(1)), WeightedChooser(Random(1))
+        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
         for step in range(100):
             fresh.report(make_report("e0", step, running=LIMIT), step)
             late.report(make_report("e0", step, running=LIMIT), step + 2.0)
         assert (fresh.free_slots(), late.free_slots()) == (0, LIMIT // 2)
 
     def test_plain_service_gets_one_call_ahead(self) -> None:
-        chooser = WeightedChooser(Random(1), streams_tokens=False)
+        chooser = LeastCostChooser(Random(1), streams_tokens=False)
         chooser.report(make_report("e0", running=LIMIT), 0.0)
         assert chooser.free_slots() == 1
         chooser.report(make_report("e0", 1.0, running=LIMIT, queued=1), 1.0)
@@ -86,7 +86,7 @@
     def test_equal_endpoints_are_not_taken_in_the_same_order_everywhere(self) -> None:
         chosen = set()
         for seed in range(20):
-            chooser = WeightedChooser(Random(seed))
+            chooser = LeastCostChooser(Random(seed))
             for index in range(6):
                 chooser.report(make_report(f"e{index}"), 0.0)
             chosen.add(chooser.choose(make_request("r"), 0.0))
@@ -97,7 +97,7 @@
     """Guards against a cached prefix that outweighs load because the load itself was measured."""
 
     def test_waiting_first_tokens_hardly_raise_the_worth_of_a_prefix(self) -> None:
-        chooser = WeightedChooser(Random(1))
+        chooser = LeastCostChooser(Random(1))
         for index in range(2):
             chooser.report(make_report(f"e{index}"), 0.0)
         for number in range(60):
@@ -118,7 +118,9 @@
     def test_partly_delivered_answer_continues_without_budget(self) -> None:
         dispatcher = make_dispatcher(2)
         (first,) = dispatcher.submit(make_request("r"), 0.0)
-        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        crashed = Outcome(
+            ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="endpoint_failed"
+        )
         (second,) = dispatcher.finished("r", crashed, 1.0)
         assert isinstance(first, Dispatch)
         assert isinstance(second, Dispatch)
@@ -127,14 +129,16 @@
     def test_attempt_without_a_token_still_needs_budget(self) -> None:
         dispatcher = make_dispatcher(2)
         dispatcher.submit(make_request("r"), 0.0)
-        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, reason="endpoint_failed")
+        crashed = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="endpoint_failed")
         (refusal,) = dispatcher.finished("r", crashed, 1.0)
         assert isinstance(refusal, Refuse)
 
     def test_continuations_are_bounded(self) -> None:
         dispatcher = make_dispatcher(2)
         dispatcher.submit(make_request("r"), 0.0)
-        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        crashed = Outcome(
+            ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="endpoint_failed"
+        )
         ended = [dispatcher.finished("r", crashed, step) for step in range(5)]
         kinds = [type(action) for actions in ended for action in actions]
         assert kinds == [Dispatch, Dispatch, Refuse]
@@ -142,14 +146,16 @@
     def test_once_only_request_is_never_continued(self) -> None:
         dispatcher = make_dispatcher(2)
         dispatcher.submit(make_request("r", once_only=True, idempotent=False), 0.0)
-        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, tokens=5, reason="endpoint_failed")
+        crashed = Outcome(
+            ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="endpoint_failed"
+        )
         (refusal,) = dispatcher.finished("r", crashed, 1.0)
         assert isinstance(refusal, Refuse)
 
     def test_rejections_do_not_use_up_the_attempts(self) -> None:
         dispatcher = make_dispatcher(2, budget=1.0)
         dispatcher.submit(make_request("r"), 0.0)
-        rejected = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
+        rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
         now = 0.0
         for _ in range(10):
             dispatcher.finished("r", rejected, now)
@@ -157,6 +163,6 @@
             for index in range(2):
                 dispatcher.report(make_report(f"e{index}", now), now)
         assert dispatcher.running() == 1
-        crashed = Outcome(ok=False, ran=Ran.UNKNOWN, reason="endpoint_failed")
+        crashed = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="endpoint_failed")
         (action,) = dispatcher.finished("r", crashed, now)
         assert isinstance(action, Dispatch)
--- a/cassiadrum/tests/test_retry_policies.py
+++ b/cassiadrum/tests/test_retry_policies.py
@@ -5,7 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiadrum.decisions import BudgetRetryPolicy, QueuedRequest, Ran, WasteBoundHedgePolicy
+from cassiadrum.decisions import (
+    BudgetRetryPolicy,
+    ExecutionStatus,
+    QueuedRequest,
+    WasteBoundHedgePolicy,
+)
 
 REQ = QueuedRequest("r", "svc", "cls", 2, False, "customer", 0.0, 100.0, idempotent=True)
 
@@ -23,7 +28,7 @@
             if event == "accept":
                 policy.accepted(REQ)
                 accepted += 1
-            elif policy.may_retry(REQ, Ran(event), 1.0) and event != "no":
+            elif policy.may_retry(REQ, ExecutionStatus(event), 1.0) and event != "no":
                 retried += 1
             assert retried <= budget * accepted + 1e-6
 
@@ -31,23 +36,26 @@
         policy = BudgetRetryPolicy({"cls": 0.1})
         for _ in range(10):
             policy.accepted(REQ)
-        assert policy.may_retry(REQ, Ran.UNKNOWN, 1.0)
-        assert not policy.may_retry(REQ, Ran.UNKNOWN, 1.0)
+        assert policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
+        assert not policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
 
     def test_rejects_cost_no_budget_but_are_bounded(self) -> None:
         policy = BudgetRetryPolicy({"cls": 0.0})
         endless = REQ._replace(deadline_s=math.inf)
-        allowed = [policy.may_retry(endless._replace(attempt=n), Ran.NO, 1.0) for n in range(10)]
+        allowed = [
+            policy.may_retry(endless._replace(attempt=n), ExecutionStatus.NOT_EXECUTED, 1.0)
+            for n in range(10)
+        ]
         assert allowed == [True] * 7 + [False] * 3
-        assert policy.may_retry(REQ._replace(attempt=99), Ran.NO, 1.0)
-        assert not policy.may_retry(REQ, Ran.NO, 100.0)
+        assert policy.may_retry(REQ._replace(attempt=99), ExecutionStatus.NOT_EXECUTED, 1.0)
+        assert not policy.may_retry(REQ, ExecutionStatus.NOT_EXECUTED, 100.0)
 
     def test_effects_are_not_repeated(self) -> None:
         policy = BudgetRetryPolicy({"cls": 1.0})
         policy.accepted(REQ)
         for req in (REQ._replace(idempotent=False), REQ._replace(once_only=True)):
-            assert not policy.may_retry(req, Ran.UNKNOWN, 1.0)
-            assert not policy.may_retry(req, Ran.YES, 1.0)
+            assert not policy.may_retry(req, ExecutionStatus.UNKNOWN, 1.0)
+            assert not policy.may_retry(req, ExecutionStatus.EXECUTED, 1.0)
 
 
 class TestWasteBoundHedgePolicy:
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -10,11 +10,11 @@
 from cassiadrum.decisions import (
     Dispatcher,
     EndpointScheduler,
+    ExecutionStatus,
     FairTierQueue,
+    LeastCostChooser,
     Outcome,
     QueuedRequest,
-    Ran,
-    WeightedChooser,
 )
 from cassiadrum.defaults import LIMITS
 from cassiadrum.documents import RequestClass, parse_document
@@ -78,7 +78,7 @@
         self.now = 100.0
         ring = EventRing(HybridClock(lambda: self.now), "e", "entry", "1")
         self.router = Router(
-            lambda _: Dispatcher(FairTierQueue(10), WeightedChooser(Random(1))),
+            lambda _: Dispatcher(FairTierQueue(10), LeastCostChooser(Random(1))),
             lambda _: "s",
             ring,
             lambda: self.now,
@@ -351,4 +351,4 @@
 
 
 def ok_outcome() -> Any:
-    return Outcome(True, Ran.YES, 1)
+    return Outcome(True, ExecutionStatus.EXECUTED, 1)
