Name the methods of the dispatcher and its policies by what they do

Event methods say which object they concern: cached -> observe_cached_prefixes, lost -> endpoint_lost, removed -> endpoint_removed, ordered -> order_answered; accepted, hedged, settled, wasted and useful of the policies -> record_accepted, record_hedge_started, record_hedge_ended, add_wasted_tokens, add_useful_tokens. The chooser's instances, count and offers -> available_instances, available_count, is_available.

--- a/bench/counting_choosers.py
+++ b/bench/counting_choosers.py
@@ -42,17 +42,21 @@
         self._full.add(instance)
         self.finished(instance, request_id, True, now)
 
-    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+    def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
         pass
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
-        free = [name for name in self.instances() if name not in exclude and self.free(name) > 0]
+        free = [
+            name
+            for name in self.available_instances()
+            if name not in exclude and self.free(name) > 0
+        ]
         return self.pick(free, req) if free else None
 
     def free_slots(self) -> int:
-        return sum(self.free(name) for name in self.instances())
+        return sum(self.free(name) for name in self.available_instances())
 
-    def instances(self) -> list[str]:
+    def available_instances(self) -> list[str]:
         return sorted(name for name, rep in self._reports.items() if not rep.leaving)
 
     def free(self, name: str) -> int:
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -95,7 +95,7 @@
 
     def cached(self, service: str, instance: str, keys: list[int]) -> None:
         """Take cache events."""
-        self._dispatchers[service].cached(instance, keys, self._loop.now)
+        self._dispatchers[service].observe_cached_prefixes(instance, keys, self._loop.now)
 
     def _send(self, call: Call) -> None:
         request_id = call.req.request_id
--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -16,7 +16,7 @@
 
     def __init__(self, chooser: EndpointChooser, hedge: HedgePolicy) -> None:
         self._chooser = chooser
-        self._hedge = hedge
+        self._hedge_policy = hedge
         self._lost: set[str] = set()
         self._cancelled = CancelledCopies()
         self._unprotected = 0
@@ -27,38 +27,38 @@
         self._lost.discard(rep.instance)
         self._chooser.report(rep, now)
 
-    def lost(self, instance: str) -> None:
+    def mark_lost(self, instance: str) -> None:
         """Start nothing at the instance until it reports again."""
         self._lost.add(instance)
 
-    def running_at(self, instance: str) -> list[TrackedRequest]:
+    def requests_at(self, instance: str) -> list[TrackedRequest]:
         """Return the requests that have a copy at the instance."""
         return [tracked for tracked in self.running.values() if instance in tracked.copies]
 
-    def removed(self, instance: str, now: float) -> None:
+    def remove(self, instance: str, now: float) -> None:
         """Forget an instance at which no copies are left but cancelled ones."""
         self._lost.discard(instance)
         for copy in self._cancelled.pop_instance(instance):
-            self._settle(copy, 0, now)
+            self._end_copy(copy, 0, now)
         self._chooser.remove(instance)
 
-    def connected(self) -> bool:
+    def has_available_endpoint(self) -> bool:
         """Tell whether any endpoint can take new work."""
-        return self._usable_besides(self._lost) > 0
+        return self._available_excluding(self._lost) > 0
 
     def free_slots(self) -> int:
         """Return the number of free slots, 0 when no endpoint is connected."""
-        return self._chooser.free_slots() if self.connected() else 0
+        return self._chooser.free_slots() if self.has_available_endpoint() else 0
 
-    def only_protected(self) -> bool:
+    def all_protected(self) -> bool:
         """Tell whether all running requests are protected."""
         return self._unprotected == 0
 
-    def instance_meant(self, request_id: str) -> str:
+    def default_instance(self, request_id: str) -> str:
         """Return the instance of an event that names none, empty when nothing runs."""
         tracked = self.running.get(request_id)
         if tracked is not None:
-            return tracked.main_instance()
+            return tracked.primary_instance()
         return min(self._cancelled.instances(request_id), default="")
 
     def choose(self, tracked: TrackedRequest, now: float) -> str | None:
@@ -68,8 +68,8 @@
         """
         exclude = self._lost | set(tracked.copies)
         exclude |= self._cancelled.instances(tracked.req.request_id)
-        if self._usable_besides(exclude | {tracked.failed_at}):
-            exclude.add(tracked.failed_at)
+        if self._available_excluding(exclude | {tracked.last_failed_instance}):
+            exclude.add(tracked.last_failed_instance)
         return self._chooser.choose(tracked.req, now, exclude)
 
     def start(self, tracked: TrackedRequest, instance: str, now: float) -> None:
@@ -89,7 +89,7 @@
             self._chooser.finished(instance, tracked.req.request_id, outcome.ok, now)
         started_s = tracked.copies.pop(instance)
         if not tracked.copies:
-            self._forget(tracked)
+            self._remove_request(tracked)
         return now - started_s
 
     def cancel(self, tracked: TrackedRequest, keep: str, now: float) -> list[Action]:
@@ -102,30 +102,32 @@
             del tracked.copies[instance]
             actions.append(Cancel(request_id, instance))
         if not tracked.copies:
-            self._forget(tracked)
+            self._remove_request(tracked)
         return actions
 
-    def cancelled_ended(self, request_id: str, instance: str, tokens: int, now: float) -> bool:
+    def end_cancelled(self, request_id: str, instance: str, tokens: int, now: float) -> bool:
         """Take the end of a cancelled copy; return False when it was not cancelled."""
         copy = self._cancelled.pop(request_id, instance)
         if copy is not None:
-            self._settle(copy, tokens, now)
+            self._end_copy(copy, tokens, now)
         return copy is not None
 
-    def release_late(self, now: float) -> None:
+    def release_overdue(self, now: float) -> None:
         """Free the slots of cancelled copies whose end was never heard of."""
-        for copy in self._cancelled.pop_late(now):
-            self._settle(copy, 0, now)
+        for copy in self._cancelled.pop_overdue(now):
+            self._end_copy(copy, 0, now)
 
-    def _usable_besides(self, excluded: set[str]) -> int:
-        return self._chooser.count() - sum(self._chooser.offers(name) for name in excluded)
+    def _available_excluding(self, excluded: set[str]) -> int:
+        return self._chooser.available_count() - sum(
+            self._chooser.is_available(name) for name in excluded
+        )
 
-    def _settle(self, copy: CancelledCopy, tokens: int, now: float) -> None:
+    def _end_copy(self, copy: CancelledCopy, tokens: int, now: float) -> None:
         self._chooser.finished(copy.instance, copy.request_id, True, now)
         if copy.hedge:
-            self._hedge.wasted(tokens)
-            self._hedge.settled()
+            self._hedge_policy.add_wasted_tokens(tokens)
+            self._hedge_policy.record_hedge_ended()
 
-    def _forget(self, tracked: TrackedRequest) -> None:
+    def _remove_request(self, tracked: TrackedRequest) -> None:
         if self.running.pop(tracked.req.request_id, None) is not None:
             self._unprotected -= not tracked.req.protected
--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -15,9 +15,9 @@
 # bounds one that has none.
 MAX_REJECTED_ATTEMPTS = 8
 # Bounds the retries that a class with much earlier traffic can send in one burst.
-MAX_SAVED_RETRIES = 100.0
+BUCKET_CAPACITY_RETRIES = 100.0
 # Sums of shares such as 0.1 fall short of 1 by rounding.
-ROUNDING = 1e-9
+ROUNDING_TOLERANCE = 1e-9
 
 
 class BudgetRetryPolicy(RetryPolicy):
@@ -32,17 +32,17 @@
     ) -> None:
         self._budgets = dict(budgets or {})
         self._default_budget = default_budget
-        self._saved: dict[str, float] = {}
+        self._buckets: dict[str, float] = {}
 
     def configure(self, budgets: Mapping[str, float]) -> None:
         """Replace the budgets; what was saved stays."""
         self._budgets = dict(budgets)
 
-    def accepted(self, req: QueuedRequest) -> None:
+    def record_accepted(self, req: QueuedRequest) -> None:
         """Add the class's budget to its bucket."""
         share = self._budgets.get(req.class_name, self._default_budget)
-        saved = self._saved.get(req.class_name, 0.0) + share
-        self._saved[req.class_name] = min(saved, MAX_SAVED_RETRIES)
+        balance = self._buckets.get(req.class_name, 0.0) + share
+        self._buckets[req.class_name] = min(balance, BUCKET_CAPACITY_RETRIES)
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
         """Allow it within attempts and deadline, without budget.
@@ -60,8 +60,8 @@
             return req.deadline_s < math.inf or req.attempt + 1 < MAX_REJECTED_ATTEMPTS
         if not req.idempotent or req.once_only or req.attempt + 1 >= MAX_ATTEMPTS:
             return False
-        saved = self._saved.get(req.class_name, 0.0)
-        if saved < 1.0 - ROUNDING:
+        balance = self._buckets.get(req.class_name, 0.0)
+        if balance < 1.0 - ROUNDING_TOLERANCE:
             return False
-        self._saved[req.class_name] = max(saved - 1.0, 0.0)
+        self._buckets[req.class_name] = max(balance - 1.0, 0.0)
         return True
--- a/cassiadrum/decisions/byte_budgets.py
+++ b/cassiadrum/decisions/byte_budgets.py
@@ -10,12 +10,12 @@
         if bytes_per_s <= 0:
             raise ValueError(f"bytes_per_s is {bytes_per_s}; it must be above 0")
         self._bytes_per_s = bytes_per_s
-        self._free_s = float("-inf")
+        self._available_at_s = float("-inf")
 
     def available(self, now: float) -> bool:
         """Return whether all earlier transfers have had their time."""
-        return now >= self._free_s
+        return now >= self._available_at_s
 
-    def spend(self, size: int, now: float) -> None:
+    def reserve(self, size: int, now: float) -> None:
         """Reserve the time that a transfer of `size` bytes takes at the rate."""
-        self._free_s = max(now, self._free_s) + size / self._bytes_per_s
+        self._available_at_s = max(now, self._available_at_s) + size / self._bytes_per_s
--- a/cassiadrum/decisions/cancelled_copies.py
+++ b/cassiadrum/decisions/cancelled_copies.py
@@ -5,7 +5,7 @@
 __all__ = ["CancelledCopies", "CancelledCopy"]
 
 # A sidecar cancels a stream that nobody reads after 10 s by itself.
-CANCEL_LIMIT_S = 10.0
+CANCEL_TIMEOUT_S = 10.0
 
 
 class CancelledCopy(NamedTuple):
@@ -35,11 +35,11 @@
         """Return the instances at which copies of the request have not ended."""
         return {copy.instance for copy in self._copies.values() if copy.request_id == request_id}
 
-    def pop_late(self, now: float) -> list[CancelledCopy]:
+    def pop_overdue(self, now: float) -> list[CancelledCopy]:
         """Remove and return the copies whose end was not heard of in time."""
         late = []
         for copy in list(self._copies.values()):
-            if now - copy.cancelled_s < CANCEL_LIMIT_S:
+            if now - copy.cancelled_s < CANCEL_TIMEOUT_S:
                 break
             late.append(copy)
             del self._copies[copy.request_id, copy.instance]
@@ -47,7 +47,7 @@
 
     def pop_instance(self, instance: str) -> list[CancelledCopy]:
         """Remove and return the copies at one instance."""
-        here = [copy for copy in self._copies.values() if copy.instance == instance]
-        for copy in here:
+        copies = [copy for copy in self._copies.values() if copy.instance == instance]
+        for copy in copies:
             del self._copies[copy.request_id, copy.instance]
-        return here
+        return copies
--- a/cassiadrum/decisions/capability_indexes.py
+++ b/cassiadrum/decisions/capability_indexes.py
@@ -26,7 +26,7 @@
         self._positions: dict[Capability, dict[str, int]] = {}
         self._capabilities: dict[str, frozenset[Capability]] = {}
 
-    def offers(self, instance: str, capability: Capability) -> bool:
+    def contains(self, instance: str, capability: Capability) -> bool:
         """Return whether the instance is here with the capability."""
         return instance in self._positions.get(capability, ())
 
@@ -39,7 +39,7 @@
         old = self._capabilities.get(instance, frozenset())
         self._capabilities[instance] = capabilities
         if old != capabilities:
-            self._withdraw(instance, old - capabilities)
+            self._remove(instance, old - capabilities)
             for capability in sorted(capabilities - old):
                 members = self._members.setdefault(capability, [])
                 self._positions.setdefault(capability, {})[instance] = len(members)
@@ -47,14 +47,14 @@
 
     def discard(self, instance: str) -> None:
         """Remove an instance if it is here."""
-        self._withdraw(instance, self._capabilities.pop(instance, frozenset()))
+        self._remove(instance, self._capabilities.pop(instance, frozenset()))
 
     def sample(self, capability: Capability, size: int, rng: Random) -> list[str]:
         """Return up to `size` distinct random instances with the capability."""
         members = self._members.get(capability, [])
         return list(members) if len(members) <= size else rng.sample(members, size)
 
-    def _withdraw(self, instance: str, capabilities: Iterable[Capability]) -> None:
+    def _remove(self, instance: str, capabilities: Iterable[Capability]) -> None:
         for capability in capabilities:
             members, positions = self._members[capability], self._positions[capability]
             index = positions.pop(instance)
--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -69,12 +69,12 @@
         for name in self._needs(now):
             order = self._order(name, staying, now)
             if order is not None and self._may_send(staying, now):
-                self._budget.spend(order.load_bytes, now)
+                self._budget.reserve(order.load_bytes, now)
                 self._in_flight[order.instance] = SentOrder(order, now)
                 orders.append(order)
         return orders
 
-    def ordered(self, instance: str, now: float) -> None:
+    def order_answered(self, instance: str, now: float) -> None:
         """Take the result of the order in flight at the engine."""
         sent = self._in_flight.get(instance)
         if sent is not None:
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -24,9 +24,9 @@
 __all__ = ["Dispatcher"]
 
 # Covers a redial after 3 s of silence; then the callers are told at once.
-NO_ENDPOINT_LIMIT_S = 5.0
+NO_ENDPOINT_TIMEOUT_S = 5.0
 # Requests without a usable endpoint that one event may pass over to reach the ones behind them.
-MAX_SET_ASIDE = 8
+MAX_SKIPPED_REQUESTS = 8
 
 
 class Dispatcher:
@@ -50,10 +50,10 @@
     ) -> None:
         self._queue = queue
         self._chooser = chooser
-        self._retry = retry or BudgetRetryPolicy()
-        self._hedge = hedge or WasteBoundHedgePolicy()
+        self._retry_policy = retry or BudgetRetryPolicy()
+        self._hedge_policy = hedge or WasteBoundHedgePolicy()
         self._uncancellable = uncancellable
-        self._attempts = AttemptTable(chooser, self._hedge)
+        self._attempts = AttemptTable(chooser, self._hedge_policy)
         self._predictor = WaitPredictor(
             queue,
             self._attempts,
@@ -67,7 +67,7 @@
         """Admit or refuse a new request; raise ValueError when its id is in use."""
         if req.request_id in self._waiting or req.request_id in self._attempts.running:
             raise ValueError(f"request {req.request_id} was submitted before")
-        self._watch_connection(now)
+        self._update_connection_state(now)
         decision = self._predictor.decide(req, now)
         if isinstance(decision, Rejected):
             return [
@@ -76,30 +76,30 @@
         self._waiting[req.request_id] = TrackedRequest(req, decision, now)
         evicted = self._queue.push(req, now)
         if req not in evicted:
-            self._retry.accepted(req)
-        return self._refuse_evicted(evicted, req) + self._place(now)
+            self._retry_policy.record_accepted(req)
+        return self._refuse_evicted(evicted, req) + self._dispatch_waiting(now)
 
     def report(self, rep: EndpointReport, now: float) -> list[Action]:
         """Take an endpoint's load report, which also ends the effect of `lost`."""
         self._attempts.report(rep, now)
-        self._watch_connection(now)
-        return self._place(now)
+        self._update_connection_state(now)
+        return self._dispatch_waiting(now)
 
-    def lost(self, instance: str, now: float) -> list[Action]:
+    def endpoint_lost(self, instance: str, now: float) -> list[Action]:
         """Give an endpoint no new work, as its connection is lost; its streams may reattach."""
-        self._attempts.lost(instance)
-        self._watch_connection(now)
-        return self._place(now)
+        self._attempts.mark_lost(instance)
+        self._update_connection_state(now)
+        return self._dispatch_waiting(now)
 
-    def removed(self, instance: str, now: float) -> list[Action]:
+    def endpoint_removed(self, instance: str, now: float) -> list[Action]:
         """Forget an endpoint that is gone for good; its attempts end with `ran` unknown."""
         actions: list[Action] = []
         failure = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
-        for tracked in self._attempts.running_at(instance):
-            actions += self._ended(tracked, instance, failure, now)
-        self._attempts.removed(instance, now)
-        self._watch_connection(now)
-        return actions + self._place(now)
+        for tracked in self._attempts.requests_at(instance):
+            actions += self._end_attempt(tracked, instance, failure, now)
+        self._attempts.remove(instance, now)
+        self._update_connection_state(now)
+        return actions + self._dispatch_waiting(now)
 
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> list[Action]:
         """Take the number of tokens that arrived; the first token cancels the other copy."""
@@ -109,12 +109,12 @@
             return []
         tracked.winner = instance
         waited_s = now - min(tracked.copies.values())
-        self._hedge.first_token(tracked.req.class_name, waited_s)
+        self._hedge_policy.observe_first_token(tracked.req.class_name, waited_s)
         return self._attempts.cancel(tracked, instance, now)
 
-    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+    def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take cache events of an endpoint."""
-        self._chooser.cached(instance, keys, now)
+        self._chooser.observe_cached_prefixes(instance, keys, now)
 
     def finished(
         self, request_id: str, outcome: Outcome, now: float, instance: str = ""
@@ -124,19 +124,19 @@
         `instance` tells the copies of a hedged request apart, and has to be given for the end of
         a cancelled copy; without it the copy that answers is meant.
         """
-        instance = instance or self._attempts.instance_meant(request_id)
-        if self._attempts.cancelled_ended(request_id, instance, outcome.tokens, now):
-            return self._place(now)
+        instance = instance or self._attempts.default_instance(request_id)
+        if self._attempts.end_cancelled(request_id, instance, outcome.tokens, now):
+            return self._dispatch_waiting(now)
         tracked = self._attempts.running.get(request_id)
         if tracked is None or instance not in tracked.copies:
             return []
-        return self._ended(tracked, instance, outcome, now) + self._place(now)
+        return self._end_attempt(tracked, instance, outcome, now) + self._dispatch_waiting(now)
 
     def cancelled(self, request_id: str, now: float) -> list[Action]:
         """Drop a request whose caller went away; cancel its copies where that is allowed."""
         if self._queue.remove(request_id) is not None:
             del self._waiting[request_id]
-            return self._place(now)
+            return self._dispatch_waiting(now)
         tracked = self._attempts.running.get(request_id)
         if tracked is None:
             return []
@@ -147,9 +147,9 @@
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what has waited too long, place what can be placed, hedge what is slow."""
-        self._attempts.release_late(now)
-        self._watch_connection(now)
-        return self._refuse_disconnected(now) + self._place(now) + self._hedge_slow(now)
+        self._attempts.release_overdue(now)
+        self._update_connection_state(now)
+        return self._refuse_disconnected(now) + self._dispatch_waiting(now) + self._hedge_slow(now)
 
     def queued(self) -> int:
         """Return the number of waiting requests."""
@@ -163,18 +163,18 @@
         """Return the wait in seconds that the request would have if it arrived now."""
         return self._predictor.predict_s(req)
 
-    def _ended(
+    def _end_attempt(
         self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float
     ) -> list[Action]:
         duration_s = self._attempts.end(tracked, instance, outcome, now)
         if outcome.ok:
-            self._hedge.useful(outcome.tokens)
+            self._hedge_policy.add_useful_tokens(outcome.tokens)
             self._predictor.answered(tracked.req, outcome.tokens, duration_s)
             return self._attempts.cancel(tracked, instance, now)
-        tracked.failed(instance, outcome.ran)
+        tracked.record_failure(instance, outcome.ran)
         if tracked.copies:
-            self._hedge.wasted(outcome.tokens)
-            self._hedge.settled()
+            self._hedge_policy.add_wasted_tokens(outcome.tokens)
+            self._hedge_policy.record_hedge_ended()
             return []
         return self._after_failure(tracked, outcome, now)
 
@@ -186,21 +186,21 @@
         req, ran = tracked.req, tracked.attempt_ran
         may_repeat = tracked.may_repeat and not outcome.final
         if may_repeat and self._allows_retry(tracked, outcome, now):
-            tracked.next_attempt()
+            tracked.begin_next_attempt()
             self._waiting[req.request_id] = tracked
             # Work that did not run is taken off its customer's account.
-            put_back = (
+            enqueue = (
                 self._queue.requeue if ran is ExecutionStatus.NOT_EXECUTED else self._queue.push
             )
-            return self._refuse_evicted(put_back(tracked.req, now))
+            return self._refuse_evicted(enqueue(tracked.req, now))
         retry_after_s = outcome.retry_after_s or self._predictor.retry_after_s(req)
         return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
 
     def _allows_retry(self, tracked: TrackedRequest, outcome: Outcome, now: float) -> bool:
-        alike = tracked.req._replace(attempt=tracked.attempts_alike)
+        counted = tracked.req._replace(attempt=tracked.attempts_with_same_outcome)
         if outcome.tokens > 0 and tracked.attempt_ran is not ExecutionStatus.NOT_EXECUTED:
-            return self._retry.may_continue(alike, now)
-        return self._retry.may_retry(alike, tracked.attempt_ran, now)
+            return self._retry_policy.may_continue(counted, now)
+        return self._retry_policy.may_retry(counted, tracked.attempt_ran, now)
 
     def _refuse_evicted(
         self, evicted: list[QueuedRequest], new: QueuedRequest | None = None
@@ -213,26 +213,26 @@
         tracked = self._waiting.pop(req.request_id)
         return Refuse(req, reason, tracked.ran, self._predictor.retry_after_s(req))
 
-    def _watch_connection(self, now: float) -> None:
-        if self._attempts.connected():
+    def _update_connection_state(self, now: float) -> None:
+        if self._attempts.has_available_endpoint():
             self._disconnected_s = None
         elif self._disconnected_s is None:
             self._disconnected_s = now
 
     def _refuse_disconnected(self, now: float) -> list[Action]:
         since_s = self._disconnected_s
-        if since_s is None or now - since_s < NO_ENDPOINT_LIMIT_S:
+        if since_s is None or now - since_s < NO_ENDPOINT_TIMEOUT_S:
             return []
         actions = []
         while (req := self._queue.pop(now)) is not None:
             actions.append(self._refuse_waiting(req, "no_endpoint"))
         return actions
 
-    def _place(self, now: float) -> list[Action]:
+    def _dispatch_waiting(self, now: float) -> list[Action]:
         late = self._queue.expired(now)
         actions = [self._refuse_waiting(req, "deadline") for req in late]
         set_aside: list[QueuedRequest] = []
-        while len(set_aside) < MAX_SET_ASIDE and self._may_place():
+        while len(set_aside) < MAX_SKIPPED_REQUESTS and self._may_dispatch():
             req = self._queue.pop(now)
             if req is None:
                 break
@@ -249,7 +249,7 @@
             actions += self._refuse_evicted(self._queue.requeue(req, now))
         return actions
 
-    def _may_place(self) -> bool:
+    def _may_dispatch(self) -> bool:
         # Protected work may also go to a full endpoint's short queue, which only `choose` knows.
         return self._attempts.free_slots() > 0 or self._queue.protected_waiting()
 
@@ -261,12 +261,12 @@
             instance = self._attempts.choose(tracked, now)
             if instance is not None:
                 self._attempts.start(tracked, instance, now)
-                self._hedge.hedged()
+                self._hedge_policy.record_hedge_started()
                 actions.append(Hedge(tracked.req, instance))
         return actions
 
     def _may_hedge(self, tracked: TrackedRequest, now: float) -> bool:
         req = tracked.req
-        if not tracked.may_be_copied or req.class_name in self._uncancellable:
+        if not tracked.may_be_hedged or req.class_name in self._uncancellable:
             return False
-        return self._hedge.may_hedge(req, now - min(tracked.copies.values()), now)
+        return self._hedge_policy.may_hedge(req, now - min(tracked.copies.values()), now)
--- a/cassiadrum/decisions/endpoint_choosers.py
+++ b/cassiadrum/decisions/endpoint_choosers.py
@@ -37,7 +37,7 @@
         self.finished(instance, request_id, True, now)
 
     @abstractmethod
-    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+    def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take prefix keys that the endpoint says it holds in its cache."""
 
     @abstractmethod
@@ -49,13 +49,13 @@
         """Return the number of requests that can be dispatched now."""
 
     @abstractmethod
-    def instances(self) -> Collection[str]:
+    def available_instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
 
-    def count(self) -> int:
+    def available_count(self) -> int:
         """Return the number of endpoints that may take new work."""
-        return len(self.instances())
+        return len(self.available_instances())
 
-    def offers(self, instance: str) -> bool:
+    def is_available(self, instance: str) -> bool:
         """Return whether the endpoint may take new work."""
-        return instance in self.instances()
+        return instance in self.available_instances()
--- a/cassiadrum/decisions/hedge_policies.py
+++ b/cassiadrum/decisions/hedge_policies.py
@@ -15,21 +15,21 @@
         """Tell whether a request without a first token since `waited_s` may get a copy."""
 
     @abstractmethod
-    def hedged(self) -> None:
+    def record_hedge_started(self) -> None:
         """Count a copy that was sent; its waste is not known yet."""
 
     @abstractmethod
-    def settled(self) -> None:
+    def record_hedge_ended(self) -> None:
         """Count the end of a losing copy, after its waste was counted."""
 
     @abstractmethod
-    def first_token(self, class_name: str, waited_s: float) -> None:
+    def observe_first_token(self, class_name: str, waited_s: float) -> None:
         """Learn the seconds from the first dispatch of a request to its first token."""
 
     @abstractmethod
-    def wasted(self, tokens: int) -> None:
+    def add_wasted_tokens(self, tokens: int) -> None:
         """Count tokens computed for a losing copy."""
 
     @abstractmethod
-    def useful(self, tokens: int) -> None:
+    def add_useful_tokens(self, tokens: int) -> None:
         """Count tokens of an answer that was delivered."""
--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -131,7 +131,7 @@
             self._full[instance] = None
         self.finished(instance, request_id, True, now)
 
-    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+    def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
         """Take prefix keys that the endpoint says it holds in its cache."""
         if instance in self._states:
             self._prefixes.add(instance, keys)
@@ -147,15 +147,15 @@
         """Return the number of free slots of all endpoints that may take new work."""
         return self._free_total
 
-    def instances(self) -> Collection[str]:
+    def available_instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
         return list(self._usable)
 
-    def count(self) -> int:
+    def available_count(self) -> int:
         """Return the number of endpoints that may take new work."""
         return len(self._usable)
 
-    def offers(self, instance: str) -> bool:
+    def is_available(self, instance: str) -> bool:
         """Return whether the endpoint may take new work."""
         return instance in self._usable
 
@@ -196,7 +196,7 @@
         for key in reversed(req.prefix_keys):
             holders = self._prefixes.holders(key, AFFINITY_CANDIDATES)
             self.operations += 1 + len(holders)
-            offers = [name for name in holders if index.offers(name, capability)]
+            offers = [name for name in holders if index.contains(name, capability)]
             found.update(dict.fromkeys(offers))
             if len(found) >= AFFINITY_CANDIDATES:
                 break
--- a/cassiadrum/decisions/least_outstanding_choosers.py
+++ b/cassiadrum/decisions/least_outstanding_choosers.py
@@ -39,19 +39,23 @@
         if instance in self._running:
             self._running[instance].discard(request_id)
 
-    def cached(self, instance: str, keys: Collection[int], now: float) -> None:
+    def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
         """Ignore cache events: this strategy has no prefix affinity."""
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
         """Return the least loaded instance with a free slot."""
-        free = [name for name in self.instances() if name not in exclude and self._free(name) > 0]
+        free = [
+            name
+            for name in self.available_instances()
+            if name not in exclude and self._free(name) > 0
+        ]
         return min(free, key=lambda name: (len(self._running[name]), name), default=None)
 
     def free_slots(self) -> int:
         """Return the number of free slots of all endpoints."""
-        return sum(self._free(name) for name in self.instances())
+        return sum(self._free(name) for name in self.available_instances())
 
-    def instances(self) -> Collection[str]:
+    def available_instances(self) -> Collection[str]:
         """Return the endpoints that are not leaving."""
         return [name for name, rep in self._reports.items() if not rep.leaving]
 
--- a/cassiadrum/decisions/order_planners.py
+++ b/cassiadrum/decisions/order_planners.py
@@ -20,5 +20,5 @@
         """Return the orders to send now, given all demand and the latest reports."""
 
     @abstractmethod
-    def ordered(self, instance: str, now: float) -> None:
+    def order_answered(self, instance: str, now: float) -> None:
         """Take the result of the order in flight at the engine, whether it was done or not."""
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -12,7 +12,7 @@
     """Bound the attempts of requests."""
 
     @abstractmethod
-    def accepted(self, req: QueuedRequest) -> None:
+    def record_accepted(self, req: QueuedRequest) -> None:
         """Count an accepted request, which earns retry budget."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -24,7 +24,7 @@
     submitted_s: float
     ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
     attempt_ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
-    failed_at: str = ""
+    last_failed_instance: str = ""
     winner: str = ""
     rejections: int = 0
     abandoned: bool = False
@@ -38,29 +38,29 @@
         )
 
     @property
-    def may_be_copied(self) -> bool:
+    def may_be_hedged(self) -> bool:
         """Tell whether one copy runs, has not answered yet, and a second one is harmless."""
         harmless = self.req.idempotent and not self.req.once_only
         return harmless and not self.winner and not self.abandoned and len(self.copies) == 1
 
     @property
-    def attempts_alike(self) -> int:
+    def attempts_with_same_outcome(self) -> int:
         """Return the number of earlier attempts that ended as the current one did."""
         if self.attempt_ran is ExecutionStatus.NOT_EXECUTED:
             return self.rejections
         return self.req.attempt - self.rejections
 
-    def main_instance(self) -> str:
+    def primary_instance(self) -> str:
         """Return the instance that is meant when an event names none; empty without copies."""
         return self.winner or next(iter(self.copies), "")
 
-    def failed(self, instance: str, ran: ExecutionStatus) -> None:
+    def record_failure(self, instance: str, ran: ExecutionStatus) -> None:
         """Take the failure of one copy."""
-        self.failed_at = instance
+        self.last_failed_instance = instance
         self.ran = self.ran.combined(ran)
         self.attempt_ran = self.attempt_ran.combined(ran)
 
-    def next_attempt(self) -> None:
+    def begin_next_attempt(self) -> None:
         """Start over with one more attempt."""
         self.rejections += self.attempt_ran is ExecutionStatus.NOT_EXECUTED
         self.req = self.req._replace(attempt=self.req.attempt + 1)
--- a/cassiadrum/decisions/wait_predictors.py
+++ b/cassiadrum/decisions/wait_predictors.py
@@ -56,7 +56,7 @@
         free_slots = self._attempts.free_slots()
         slots = free_slots + len(self._attempts.running)
         # A sidecar makes room for protected work, so lower-tier streams are not ahead of it.
-        behind_running = not req.protected or self._attempts.only_protected()
+        behind_running = not req.protected or self._attempts.all_protected()
         return ServiceSnapshot(
             ahead_tokens=self._queue.ahead_tokens(req),
             slot_tokens=self._rate.mean_tokens if behind_running else 0.0,
--- a/cassiadrum/decisions/waste_bound_hedge_policies.py
+++ b/cassiadrum/decisions/waste_bound_hedge_policies.py
@@ -8,7 +8,7 @@
 
 __all__ = ["WasteBoundHedgePolicy"]
 
-QUANTILE = 0.95
+HEDGE_AFTER_QUANTILE = 0.95
 # With fewer first-token times the quantile is not known well enough to hedge.
 MIN_OBSERVATIONS = 50
 # A losing copy is assumed to waste this much until some have been measured.
@@ -29,17 +29,17 @@
     def __init__(self, budgets: Mapping[str, float] | None = None) -> None:
         self._budgets = dict(budgets or {})
         self._first_token_ms: dict[str, LogHistogram] = {}
-        self._wasted = 0.0
-        self._useful = 0.0
-        self._pending = 0
-        self._mean_waste = INITIAL_WASTE_TOKENS
-        self._waste_since_settled = 0.0
+        self._wasted_tokens = 0.0
+        self._useful_tokens = 0.0
+        self._running_hedges = 0
+        self._mean_waste_tokens = INITIAL_WASTE_TOKENS
+        self._unassigned_waste_tokens = 0.0
 
     @property
     def waste_share(self) -> float:
         """Return the share of wasted in all tokens."""
-        total = self._wasted + self._useful
-        return self._wasted / total if total else 0.0
+        total = self._wasted_tokens + self._useful_tokens
+        return self._wasted_tokens / total if total else 0.0
 
     def configure(self, budgets: Mapping[str, float]) -> None:
         """Replace the budgets; what was learned stays."""
@@ -50,40 +50,42 @@
         budget = self._budgets.get(req.class_name, 0.0)
         if budget <= 0.0 or not req.idempotent or req.once_only or now >= req.deadline_s:
             return False
-        learned = self._first_token_ms.get(req.class_name)
-        if learned is None or learned.total < MIN_OBSERVATIONS:
+        histogram = self._first_token_ms.get(req.class_name)
+        if histogram is None or histogram.total < MIN_OBSERVATIONS:
             return False
-        if waited_s * MS_PER_S <= learned.quantile(QUANTILE):
+        if waited_s * MS_PER_S <= histogram.quantile(HEDGE_AFTER_QUANTILE):
             return False
-        wasted = self._wasted + (self._pending + 1) * self._mean_waste
-        return wasted <= budget * (wasted + self._useful)
+        wasted = self._wasted_tokens + (self._running_hedges + 1) * self._mean_waste_tokens
+        return wasted <= budget * (wasted + self._useful_tokens)
 
-    def hedged(self) -> None:
+    def record_hedge_started(self) -> None:
         """Count a copy under way."""
-        self._pending += 1
+        self._running_hedges += 1
 
-    def settled(self) -> None:
+    def record_hedge_ended(self) -> None:
         """Take a losing copy out of those under way and learn what it wasted."""
-        self._pending = max(self._pending - 1, 0)
-        self._mean_waste += WASTE_GAIN * (self._waste_since_settled - self._mean_waste)
-        self._waste_since_settled = 0.0
+        self._running_hedges = max(self._running_hedges - 1, 0)
+        self._mean_waste_tokens += WASTE_GAIN * (
+            self._unassigned_waste_tokens - self._mean_waste_tokens
+        )
+        self._unassigned_waste_tokens = 0.0
 
-    def first_token(self, class_name: str, waited_s: float) -> None:
+    def observe_first_token(self, class_name: str, waited_s: float) -> None:
         """Learn a first-token time."""
         self._first_token_ms.setdefault(class_name, LogHistogram()).add(waited_s * MS_PER_S)
 
-    def wasted(self, tokens: int) -> None:
+    def add_wasted_tokens(self, tokens: int) -> None:
         """Count wasted tokens."""
-        self._wasted += tokens
-        self._waste_since_settled += tokens
-        self._halve()
+        self._wasted_tokens += tokens
+        self._unassigned_waste_tokens += tokens
+        self._decay()
 
-    def useful(self, tokens: int) -> None:
+    def add_useful_tokens(self, tokens: int) -> None:
         """Count delivered tokens."""
-        self._useful += tokens
-        self._halve()
+        self._useful_tokens += tokens
+        self._decay()
 
-    def _halve(self) -> None:
-        if self._wasted + self._useful > HALVING_TOKENS:
-            self._wasted /= 2
-            self._useful /= 2
+    def _decay(self) -> None:
+        if self._wasted_tokens + self._useful_tokens > HALVING_TOKENS:
+            self._wasted_tokens /= 2
+            self._useful_tokens /= 2
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -63,7 +63,7 @@
         instance = self._sent.pop(order_id, None)
         if instance is None:
             return
-        self._planner.ordered(instance, self._clock())
+        self._planner.order_answered(instance, self._clock())
         kind = EventKind.ORDER_CARRIED_OUT if ok else EventKind.ORDER_REFUSED
         self._ring.record(kind, service=self._service, to=instance, reason=reason)
 
@@ -99,7 +99,7 @@
         # Read again right before the effect: the lease may have run out since the plan.
         fencing = self._lease.fencing()
         if link is None or fencing is None:
-            self._planner.ordered(order.instance, self._clock())
+            self._planner.order_answered(order.instance, self._clock())
             return
         order_id = uuid.uuid4().hex
         self._sent[order_id] = order.instance
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -172,7 +172,7 @@
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
             attempt.detached_s = now
-        self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
+        self._carry_out(self._dispatcher(self._services(instance)).endpoint_lost(instance, now))
 
     def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Pass a load report on to the service's dispatcher."""
@@ -180,7 +180,7 @@
         service = self._services(rep.instance)
         dispatcher = self._dispatcher(service)
         if cached:
-            dispatcher.cached(rep.instance, cached, now)
+            dispatcher.observe_cached_prefixes(rep.instance, cached, now)
         self.on_report(service, rep)
         self._carry_out(dispatcher.report(rep, now))
 
@@ -202,10 +202,10 @@
         self.on_gone(msg.service, msg.instance)
         dispatcher = self._dispatcher(msg.service)
         # Nothing may be dispatched there again while its attempts end one after the other.
-        self._carry_out(dispatcher.lost(msg.instance, self._clock()))
+        self._carry_out(dispatcher.endpoint_lost(msg.instance, self._clock()))
         for pending, attempt in self._attempts_at(msg.instance):
             self._ended(pending, attempt, LOST)
-        self._carry_out(dispatcher.removed(msg.instance, self._clock()))
+        self._carry_out(dispatcher.endpoint_removed(msg.instance, self._clock()))
 
     def received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Pass bytes of an answer on and confirm them."""
--- a/cassiadrum/tests/test_dispatcher_properties.py
+++ b/cassiadrum/tests/test_dispatcher_properties.py
@@ -55,13 +55,13 @@
             self.apply(self.dispatcher.report(make_report(instance, 2, self.now), self.now))
         elif kind == "lost":
             self.lost.add(instance)
-            self.apply(self.dispatcher.lost(instance, self.now))
+            self.apply(self.dispatcher.endpoint_lost(instance, self.now))
         elif kind == "removed":
             self.lost.discard(instance)
             for name in [name for name, where in self.running.items() if where == instance]:
                 del self.running[name]
                 self.ran[name] = self.ran[name].combined(ExecutionStatus.UNKNOWN)
-            self.apply(self.dispatcher.removed(instance, self.now))
+            self.apply(self.dispatcher.endpoint_removed(instance, self.now))
         elif kind == "tick":
             self.apply(self.dispatcher.tick(self.now))
         elif self.running:
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -71,7 +71,7 @@
     def test_eviction_after_an_attempt_that_may_have_run_says_so(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("r"), 0.0)
-        dispatcher.lost("e0", 0.5)
+        dispatcher.endpoint_lost("e0", 0.5)
         dispatcher.finished("r", UNKNOWN, 1.0)
         (refusal,) = dispatcher.tick(10.0)
         assert isinstance(refusal, Refuse)
@@ -112,7 +112,7 @@
     def test_lost_endpoint_keeps_its_streams_and_gets_no_new_work(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("running"), 0.0)
-        assert dispatcher.lost("e0", 1.0) == []
+        assert dispatcher.endpoint_lost("e0", 1.0) == []
         assert dispatcher.submit(make_request("waiting"), 1.0) == []
         assert (dispatcher.running(), dispatcher.queued()) == (1, 1)
         (action,) = dispatcher.report(make_report("e0"), 2.0)
@@ -120,7 +120,7 @@
 
     def test_lost_endpoint_is_passed_over_while_another_works(self) -> None:
         dispatcher = make_dispatcher(endpoints=2, limit=1)
-        dispatcher.lost("e0", 0.0)
+        dispatcher.endpoint_lost("e0", 0.0)
         (action,) = dispatcher.submit(make_request("a"), 1.0)
         assert action == Dispatch(make_request("a"), "e1")
         assert dispatcher.submit(make_request("b"), 1.0) == []
@@ -169,7 +169,7 @@
 
     def test_failure_of_one_copy_leaves_the_other(self) -> None:
         dispatcher = self.make_hedged()
-        assert dispatcher.removed("e0", 101.1) == []
+        assert dispatcher.endpoint_removed("e0", 101.1) == []
         assert dispatcher.running() == 1
         assert dispatcher.finished("slow", DONE, 102.0) == []
         assert dispatcher.running() == 0
--- a/cassiadrum/tests/test_least_cost_choosers.py
+++ b/cassiadrum/tests/test_least_cost_choosers.py
@@ -78,11 +78,19 @@
         chooser = LeastCostChooser(Random(1), "z")
         chooser.report(newest, 10.0)
         chooser.dispatched("e0", make_request(), 10.0)
-        before = (chooser.outstanding("e0"), chooser.free_slots(), list(chooser.instances()))
+        before = (
+            chooser.outstanding("e0"),
+            chooser.free_slots(),
+            list(chooser.available_instances()),
+        )
         Random(seed).shuffle(made)
         for rep in made:
             chooser.report(rep, 10.5)
-        after = (chooser.outstanding("e0"), chooser.free_slots(), list(chooser.instances()))
+        after = (
+            chooser.outstanding("e0"),
+            chooser.free_slots(),
+            list(chooser.available_instances()),
+        )
         assert after == before
 
 
@@ -102,7 +110,7 @@
     def test_cached_prefix_outweighs_a_little_load_but_not_a_full_endpoint(self) -> None:
         req = make_request(prompt_tokens=2000, prefix_keys=(1, 2, 3, 4))
         chooser = make_chooser(64)
-        chooser.cached("e7", [1, 2, 3, 4], 0.0)
+        chooser.observe_cached_prefixes("e7", [1, 2, 3, 4], 0.0)
         chooser.report(make_report("e7", 1.0, running=2), 1.0)
         assert chooser.choose(req, 1.0) == "e7"
         chooser.report(make_report("e7", 2.0, running=7), 2.0)
@@ -150,7 +158,7 @@
         for endpoints in (8, 64, 512):
             chooser = make_chooser(endpoints)
             for index in range(endpoints):
-                chooser.cached(f"e{index}", [1, 2], 0.0)
+                chooser.observe_cached_prefixes(f"e{index}", [1, 2], 0.0)
             before = chooser.operations
             for _ in range(100):
                 chooser.choose(make_request(prompt_tokens=100, prefix_keys=(1, 2, 3)), 0.0)
--- a/cassiadrum/tests/test_order_planners.py
+++ b/cassiadrum/tests/test_order_planners.py
@@ -83,7 +83,7 @@
         engines = [make_report(f"e{n}", "a") for n in range(2)]
         wanted = demand(a=1, b=50)
         (order,) = plan_at(planner, wanted, engines, 0, 10)
-        planner.ordered(order.instance, 11.0)
+        planner.order_answered(order.instance, 11.0)
         for now in (12, 100, 1000):
             assert planner.plan(wanted, engines, now) == []
 
@@ -131,7 +131,7 @@
             if answers:
                 for instance, order in flying.items():
                     engines[instance] = order.model
-                    planner.ordered(instance, now)
+                    planner.order_answered(instance, now)
                 flying.clear()
                 now += 1
             reports = [
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -105,7 +105,7 @@
             chooser.dispatched("e1", make_request(f"r{number}", prompt_tokens=800), number)
             chooser.progressed("e1", f"r{number}", 1, number + (1.1 if number % 2 else 0.1))
             chooser.finished("e1", f"r{number}", True, number + 4.0)
-        chooser.cached("e0", [1], 90.0)
+        chooser.observe_cached_prefixes("e0", [1], 90.0)
         chooser.report(make_report("e0", 90.0, running=3), 90.0)
         chooser.report(make_report("e1", 90.0), 90.0)
         req = make_request("r", prompt_tokens=800, prefix_keys=(1,))
--- a/cassiadrum/tests/test_retry_policies.py
+++ b/cassiadrum/tests/test_retry_policies.py
@@ -26,7 +26,7 @@
         accepted = retried = 0
         for event in events:
             if event == "accept":
-                policy.accepted(REQ)
+                policy.record_accepted(REQ)
                 accepted += 1
             elif policy.may_retry(REQ, ExecutionStatus(event), 1.0) and event != "no":
                 retried += 1
@@ -35,7 +35,7 @@
     def test_saved_budget_is_spent_once(self) -> None:
         policy = BudgetRetryPolicy({"cls": 0.1})
         for _ in range(10):
-            policy.accepted(REQ)
+            policy.record_accepted(REQ)
         assert policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
         assert not policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
 
@@ -52,7 +52,7 @@
 
     def test_effects_are_not_repeated(self) -> None:
         policy = BudgetRetryPolicy({"cls": 1.0})
-        policy.accepted(REQ)
+        policy.record_accepted(REQ)
         for req in (REQ._replace(idempotent=False), REQ._replace(once_only=True)):
             assert not policy.may_retry(req, ExecutionStatus.UNKNOWN, 1.0)
             assert not policy.may_retry(req, ExecutionStatus.EXECUTED, 1.0)
@@ -65,8 +65,8 @@
     def make_policy(budget: float = 0.1) -> WasteBoundHedgePolicy:
         policy = WasteBoundHedgePolicy({"cls": budget})
         for _ in range(100):
-            policy.first_token("cls", 0.2)
-        policy.useful(10_000)
+            policy.observe_first_token("cls", 0.2)
+        policy.add_useful_tokens(10_000)
         return policy
 
     def test_only_after_the_learned_quantile(self) -> None:
@@ -87,16 +87,16 @@
         for wasted, useful in outcomes:
             if policy.may_hedge(REQ, 60.0, 1.0):
                 assert policy.waste_share <= 0.1
-                policy.hedged()
-                policy.wasted(wasted)
-                policy.settled()
-            policy.useful(useful)
+                policy.record_hedge_started()
+                policy.add_wasted_tokens(wasted)
+                policy.record_hedge_ended()
+            policy.add_useful_tokens(useful)
 
     def test_copies_under_way_count(self) -> None:
         policy = self.make_policy()
         sent = 0
         while policy.may_hedge(REQ, 60.0, 1.0):
-            policy.hedged()
+            policy.record_hedge_started()
             sent += 1
         # 11 copies of 100 tokens each are 1,100 of 11,100 tokens, just below a tenth.
         assert sent == 11
