Name the parts of queues, limits and the sidecar's scheduler plainly

Queues: _clock -> _virtual_time, _lanes -> _customers, next -> peek, _ledger -> _min_shares. Scheduler: arrive -> submit, observed -> observe_latency, cancelled -> cancel_waiting, and its private steps.

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -43,7 +43,9 @@
         "continuation": lambda parts, seed: parts._replace(retry=EndWithAttempt()),
         "hedging": lambda parts, seed: parts._replace(hedge=WasteBoundHedgePolicy()),
         "prefix-affinity": _with_chooser(
-            lambda rng, streams: LeastCostChooser(rng, streams_tokens=streams, prefix_keys=0)
+            lambda rng, streams: LeastCostChooser(
+                rng, streams_tokens=streams, prefix_keys_per_endpoint=0
+            )
         ),
         "ejection": _with_chooser(lambda rng, streams: NeverEject(rng, streams_tokens=streams)),
         "correction-of-old-reports": _with_chooser(
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -62,13 +62,13 @@
                 req.request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
             )
             return
-        self._carry_out(self.scheduler.arrive(req, self._loop.now))
+        self._carry_out(self.scheduler.submit(req, self._loop.now))
 
     def cancel(self, request_id: str, reason: str) -> None:
         """Stop a request, whether it waits or runs; its produced work is wasted."""
         if request_id not in self._held:
             return
-        if self.scheduler.cancelled(request_id, self._loop.now):
+        if self.scheduler.cancel_waiting(request_id, self._loop.now):
             self._end(request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "cancelled"))
             return
         stream = self.endpoint.cancel(request_id)
@@ -138,7 +138,7 @@
         first_at_s = self._loop.now if stream.started_at_s is None else stream.started_at_s
         first_s, gap_s = first_at_s - stream.arrived_at_s, gap_percentile(stream.gaps, 0.95)
         now = self._loop.now
-        self._carry_out(self.scheduler.observed(stream.request_id, first_s, gap_s, now))
+        self._carry_out(self.scheduler.observe_latency(stream.request_id, first_s, gap_s, now))
         self._carry_out(self.scheduler.finished(stream.request_id, self._loop.now))
 
     def _crash_seen(self, lost: list[Stream]) -> None:
--- a/cassiadrum/decisions/class_queues.py
+++ b/cassiadrum/decisions/class_queues.py
@@ -29,65 +29,67 @@
         self.overdue = False
         self.share_tag = 0.0
         self._counter = counter
-        self._clock = 0.0
-        self._lanes: dict[str, CustomerQueue] = {}
-        self._by_tag = LazyHeap(counter)
+        self._virtual_time = 0.0
+        self._customers: dict[str, CustomerQueue] = {}
+        self._by_start_tag = LazyHeap(counter)
         self._by_tokens = LazyHeap(counter)
-        self._oldest = LazyHeap(counter)
-        self._idle_tags: dict[str, float] = {}
-        self._idle = LazyHeap(counter)
+        self._by_arrival = LazyHeap(counter)
+        self._idle_start_tags: dict[str, float] = {}
+        self._idle_by_start_tag = LazyHeap(counter)
 
     def add(self, entry: QueueEntry, refund: bool) -> None:
         """Add a request; `refund` takes back what its customer was charged when it was served."""
         req = entry.req
         self.max_wait_s, self.min_share = req.max_wait_s, req.min_share
-        lane = self._lanes.get(req.customer)
-        if lane is None:
-            tag = max(self._clock, self._idle_tags.pop(req.customer, 0.0))
-            self._idle.discard(req.customer)
-            lane = self._lanes[req.customer] = CustomerQueue(tag, self._counter)
+        customer_queue = self._customers.get(req.customer)
+        if customer_queue is None:
+            start_tag = max(self._virtual_time, self._idle_start_tags.pop(req.customer, 0.0))
+            self._idle_by_start_tag.discard(req.customer)
+            customer_queue = self._customers[req.customer] = CustomerQueue(
+                start_tag, self._counter
+            )
         if refund:
-            lane.start_tag -= _charge(entry)
-        lane.add(entry)
+            customer_queue.start_tag -= _charge(entry)
+        customer_queue.add(entry)
         self.tokens += entry.tokens
-        self._oldest.set(req.request_id, entry.order)
-        self._reorder(req.customer, lane)
+        self._by_arrival.set(req.request_id, entry.order)
+        self._reorder(req.customer, customer_queue)
 
     def serve(self) -> QueueEntry:
         """Remove and return the next request and charge its customer."""
-        entry = self.next()
-        lane = self._lanes[entry.req.customer]
-        self._clock = max(self._clock, lane.start_tag)
-        lane.start_tag += _charge(entry)
+        entry = self.peek()
+        customer_queue = self._customers[entry.req.customer]
+        self._virtual_time = max(self._virtual_time, customer_queue.start_tag)
+        customer_queue.start_tag += _charge(entry)
         self.remove(entry)
-        self._forget_idle()
+        self._prune_idle_customers()
         return entry
 
     def remove(self, entry: QueueEntry) -> None:
         """Remove a request that waits here."""
         customer = entry.req.customer
-        lane = self._lanes[customer]
-        lane.remove(entry)
-        self._oldest.discard(entry.req.request_id)
+        customer_queue = self._customers[customer]
+        customer_queue.remove(entry)
+        self._by_arrival.discard(entry.req.request_id)
         self.tokens -= entry.tokens
-        if len(lane):
-            self._reorder(customer, lane)
+        if len(customer_queue):
+            self._reorder(customer, customer_queue)
         else:
-            self._retire(customer, lane)
-        if not self._lanes:
+            self._remove_customer(customer, customer_queue)
+        if not self._customers:
             self._reset()
 
-    def next(self) -> QueueEntry:
+    def peek(self) -> QueueEntry:
         """Return the request to serve next; raise LookupError when nothing waits."""
-        return self._lane(self._by_tag).oldest()
+        return self._first_customer(self._by_start_tag).oldest()
 
     def victim(self) -> QueueEntry:
         """Return the newest request of the customer with the most queued tokens."""
-        return self._lane(self._by_tokens).newest()
+        return self._first_customer(self._by_tokens).newest()
 
     def head_arrived_s(self) -> float:
         """Return when the request that waits longest arrived."""
-        first = self._oldest.first()
+        first = self._by_arrival.first()
         if first is None:
             raise LookupError("no request waits in this class")
         arrived_s: float = first[0][0]
@@ -98,45 +100,47 @@
 
         Each other customer gets at most as much as this one until then.
         """
-        lane = self._lanes.get(customer)
-        queued = lane.tokens if lane else 0.0
-        others = len(self._lanes) - (1 if lane else 0)
+        customer_queue = self._customers.get(customer)
+        queued = customer_queue.tokens if customer_queue else 0.0
+        others = len(self._customers) - (1 if customer_queue else 0)
         return min(self.tokens, queued + others * (queued + own_tokens))
 
     def __len__(self) -> int:
-        return len(self._oldest)
+        return len(self._by_arrival)
 
-    def _lane(self, heap: LazyHeap) -> CustomerQueue:
+    def _first_customer(self, heap: LazyHeap) -> CustomerQueue:
         first = heap.first()
         if first is None:
             raise LookupError("no request waits in this class")
-        return self._lanes[first[1]]
+        return self._customers[first[1]]
 
-    def _reorder(self, customer: str, lane: CustomerQueue) -> None:
-        self._by_tag.set(customer, (lane.start_tag, lane.oldest().order))
-        self._by_tokens.set(customer, -lane.tokens)
+    def _reorder(self, customer: str, customer_queue: CustomerQueue) -> None:
+        self._by_start_tag.set(customer, (customer_queue.start_tag, customer_queue.oldest().order))
+        self._by_tokens.set(customer, -customer_queue.tokens)
 
-    def _retire(self, customer: str, lane: CustomerQueue) -> None:
-        del self._lanes[customer]
-        self._by_tag.discard(customer)
+    def _remove_customer(self, customer: str, customer_queue: CustomerQueue) -> None:
+        del self._customers[customer]
+        self._by_start_tag.discard(customer)
         self._by_tokens.discard(customer)
-        if lane.start_tag > self._clock:
-            self._idle_tags[customer] = lane.start_tag
-            self._idle.set(customer, lane.start_tag)
+        if customer_queue.start_tag > self._virtual_time:
+            self._idle_start_tags[customer] = customer_queue.start_tag
+            self._idle_by_start_tag.set(customer, customer_queue.start_tag)
 
-    def _forget_idle(self) -> None:
-        while (first := self._idle.first()) is not None and first[0] <= self._clock:
-            self._idle.discard(first[1])
-            del self._idle_tags[first[1]]
+    def _prune_idle_customers(self) -> None:
+        while (first := self._idle_by_start_tag.first()) is not None and first[
+            0
+        ] <= self._virtual_time:
+            self._idle_by_start_tag.discard(first[1])
+            del self._idle_start_tags[first[1]]
 
     def _reset(self) -> None:
         # Nothing waits, so nobody is behind: all customers start again as equals. This also
         # removes the rounding error of the sums.
         self.tokens = 0.0
         self.overdue = False
-        self._clock = 0.0
-        self._idle_tags.clear()
-        self._idle = LazyHeap(self._counter)
+        self._virtual_time = 0.0
+        self._idle_start_tags.clear()
+        self._idle_by_start_tag = LazyHeap(self._counter)
 
 
 def _charge(entry: QueueEntry) -> float:
--- a/cassiadrum/decisions/deadline_admissions.py
+++ b/cassiadrum/decisions/deadline_admissions.py
@@ -12,10 +12,10 @@
 MAX_RETRY_AFTER_S = 60.0
 # The correction follows about the last 32 waits and stays within a factor of four, so that a
 # few outliers cannot shut the service or open it without limit.
-GAIN = 1 / 32
+CORRECTION_GAIN = 1 / 32
 MAX_CORRECTION = 4.0
 # Shorter waits are mostly the time to the next event and say nothing of the service rate.
-MIN_WAIT_S = 0.05
+MIN_OBSERVED_WAIT_S = 0.05
 
 
 class DeadlineAdmission(Admission):
@@ -42,9 +42,9 @@
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted | Rejected:
         """Accept the request unless it would be dispatched after its deadline."""
         predicted_s = self.predict_s(req, view)
-        over_s = now + predicted_s - req.deadline_s
-        if now >= req.deadline_s or over_s > 0.0:
-            return Rejected("deadline", _bounded(over_s))
+        overrun_s = now + predicted_s - req.deadline_s
+        if now >= req.deadline_s or overrun_s > 0.0:
+            return Rejected("deadline", _clamp_retry_after_s(overrun_s))
         return Admitted(predicted_s, _uncorrected_s(view))
 
     def predict_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
@@ -58,27 +58,27 @@
 
     def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return the predicted wait within bounds."""
-        return _bounded(self.predict_s(req, view))
+        return _clamp_retry_after_s(self.predict_s(req, view))
 
     def observe_wait(self, predicted_s: float, actual_s: float) -> None:
         """Move the correction towards actual / predicted wait.
 
         A prediction of 0 was made without a rate or with a free slot and teaches nothing.
         """
-        if predicted_s <= 0.0 or max(predicted_s, actual_s) < MIN_WAIT_S:
+        if predicted_s <= 0.0 or max(predicted_s, actual_s) < MIN_OBSERVED_WAIT_S:
             return
         error_s = abs(predicted_s * self.correction - actual_s)
-        self._mean_error_s += GAIN * (error_s - self._mean_error_s)
-        self._mean_predicted_s += GAIN * (predicted_s - self._mean_predicted_s)
-        self._mean_actual_s += GAIN * (actual_s - self._mean_actual_s)
+        self._mean_error_s += CORRECTION_GAIN * (error_s - self._mean_error_s)
+        self._mean_predicted_s += CORRECTION_GAIN * (predicted_s - self._mean_predicted_s)
+        self._mean_actual_s += CORRECTION_GAIN * (actual_s - self._mean_actual_s)
 
 
 def _uncorrected_s(view: ServiceSnapshot) -> float:
     if view.tokens_per_s <= 0.0 or (view.free_slots > 0 and view.ahead_tokens <= 0.0):
         return 0.0
-    until_slot = 0.0 if view.free_slots > 0 else view.slot_tokens
-    return (view.ahead_tokens + until_slot) / view.tokens_per_s
+    slot_tokens = 0.0 if view.free_slots > 0 else view.slot_tokens
+    return (view.ahead_tokens + slot_tokens) / view.tokens_per_s
 
 
-def _bounded(seconds: float) -> float:
+def _clamp_retry_after_s(seconds: float) -> float:
     return min(max(seconds, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -169,7 +169,7 @@
         duration_s = self._attempts.end(tracked, instance, outcome, now)
         if outcome.ok:
             self._hedge_policy.add_useful_tokens(outcome.tokens)
-            self._predictor.answered(tracked.req, outcome.tokens, duration_s)
+            self._predictor.observe_success(tracked.req, outcome.tokens, duration_s)
             return self._attempts.cancel(tracked, instance, now)
         tracked.record_failure(instance, outcome.ran)
         if tracked.copies:
@@ -243,7 +243,7 @@
                 continue
             del self._waiting[req.request_id]
             self._attempts.start(tracked, instance, now)
-            self._predictor.dispatched(tracked, now)
+            self._predictor.observe_dispatch(tracked, now)
             actions.append(Dispatch(req, instance))
         for req in reversed(set_aside):
             actions += self._refuse_evicted(self._queue.requeue(req, now))
--- a/cassiadrum/decisions/endpoint_schedulers.py
+++ b/cassiadrum/decisions/endpoint_schedulers.py
@@ -56,14 +56,14 @@
         """Return the number of requests in the short queue."""
         return len(self._waiting)
 
-    def arrive(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
+    def submit(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
         """Take a request from an entry instance; one that is already here changes nothing."""
         if any(req.request_id in held for held in (self._running, self._paused, self._waiting)):
             return []
         if self._draining:
             return [Reject(req, "draining")]
         self._waiting[req.request_id] = (req, now)
-        return self._settle(now)
+        return self._schedule(now)
 
     def progressed(self, request_id: str, tokens: int, now: float) -> None:
         """Count tokens that a running stream has produced since the last call."""
@@ -71,7 +71,7 @@
         if stream is not None:
             self._running[request_id] = stream._replace(tokens=stream.tokens + tokens)
 
-    def observed(
+    def observe_latency(
         self, request_id: str, first_token_s: float, inter_token_s: float, now: float
     ) -> list[SchedulerAction]:
         """Take the measured times of a running stream, in seconds."""
@@ -82,40 +82,40 @@
         self._limit.observe(
             first_token_s, inter_token_s, len(self._running), now, stream.req.class_name
         )
-        return self._settle(now)
+        return self._schedule(now)
 
     def finished(self, request_id: str, now: float) -> list[SchedulerAction]:
         """Take the end of a started request, whether it ran or was paused."""
         self._running.pop(request_id, None)
         self._paused.pop(request_id, None)
-        return self._settle(now)
+        return self._schedule(now)
 
-    def cancelled(self, request_id: str, now: float) -> bool:
+    def cancel_waiting(self, request_id: str, now: float) -> bool:
         """Drop a waiting request; return False when it does not wait here."""
         return self._waiting.pop(request_id, None) is not None
 
     def drain(self, now: float) -> list[SchedulerAction]:
         """Give all waiting work back as not run and take no more; paused streams still resume."""
         self._draining = True
-        given_back = sorted((req for req, _ in self._waiting.values()), key=queue_rank)
+        rejected = sorted((req for req, _ in self._waiting.values()), key=queue_rank)
         self._waiting.clear()
-        return [Reject(req, "draining") for req in given_back]
+        return [Reject(req, "draining") for req in rejected]
 
-    def _settle(self, now: float) -> list[SchedulerAction]:
-        actions = self._fill(now)
-        actions += self._preempt(now)
-        return actions + self._trim()
+    def _schedule(self, now: float) -> list[SchedulerAction]:
+        actions = self._fill_slots(now)
+        actions += self._preempt_for_protected(now)
+        return actions + self._reject_excess()
 
-    def _fill(self, now: float) -> list[SchedulerAction]:
+    def _fill_slots(self, now: float) -> list[SchedulerAction]:
         actions: list[SchedulerAction] = []
         while len(self._running) < self.limit:
-            candidate = self._next(now)
+            candidate = self._next_request_id(now)
             if candidate is None:
                 break
-            actions.append(self._run(candidate, now))
+            actions.append(self._start_or_resume(candidate, now))
         return actions
 
-    def _next(self, now: float) -> str | None:
+    def _next_request_id(self, now: float) -> str | None:
         """Return the id of the waiting or paused request that gets the next free slot."""
         ranked = [
             (stream.req.tier, 0, stream.req.arrived_s, stream.changed_s, stream.req)
@@ -142,7 +142,7 @@
         )
         return best[4].request_id if best else None
 
-    def _run(self, request_id: str, now: float) -> SchedulerAction:
+    def _start_or_resume(self, request_id: str, now: float) -> SchedulerAction:
         stream = self._paused.pop(request_id, None)
         if stream is not None:
             self._running[request_id] = stream._replace(changed_s=now)
@@ -151,24 +151,24 @@
         self._running[request_id] = RunningStream(req, now)
         return Start(req)
 
-    def _preempt(self, now: float) -> list[SchedulerAction]:
+    def _preempt_for_protected(self, now: float) -> list[SchedulerAction]:
         """Pause streams for protected requests that found no free slot."""
         actions: list[SchedulerAction] = []
         protected = sorted(
             (req for req, _ in self._waiting.values() if req.protected), key=queue_rank
         )
         for req in protected:
-            pauses = self._make_room(req, now)
+            pauses = self._pause_for(req, now)
             if not pauses:
                 break
-            actions += [*pauses, self._run(req.request_id, now)]
+            actions += [*pauses, self._start_or_resume(req.request_id, now)]
         return actions
 
-    def _make_room(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
+    def _pause_for(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
         """Pause streams until one more fits; more than one only after the limit went down."""
         pauses: list[SchedulerAction] = []
         while self._preemption is not None and len(self._running) >= self.limit:
-            victim = self._preemption.victim(req, self._running.values(), now)
+            victim = self._preemption.choose_victim(req, self._running.values(), now)
             if victim is None:
                 break
             stream = self._running.pop(victim)
@@ -176,7 +176,7 @@
             pauses.append(Pause(victim))
         return pauses
 
-    def _trim(self) -> list[SchedulerAction]:
+    def _reject_excess(self) -> list[SchedulerAction]:
         """Reject the lowest-ranked requests above the bound of the short queue."""
         bound = self._queue_limit
         if bound is None:
--- a/cassiadrum/decisions/fair_tier_queues.py
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -14,13 +14,13 @@
 
 __all__ = ["FairTierQueue"]
 
-DEFAULT_TOKENS = 200.0
+DEFAULT_OUTPUT_TOKENS = 200.0
 # A rejected request comes back within a round trip; older charges are no longer refunded.
-CHARGES_KEPT = 1024
+MAX_RETAINED_CHARGES = 1024
 
 
-def _stated_tokens(req: QueuedRequest) -> float:
-    return float(req.max_tokens or DEFAULT_TOKENS)
+def _requested_tokens(req: QueuedRequest) -> float:
+    return float(req.max_tokens or DEFAULT_OUTPUT_TOKENS)
 
 
 class FairTierQueue(RequestQueue):
@@ -34,7 +34,7 @@
         self,
         max_requests: int,
         max_tokens: float = math.inf,
-        estimate_tokens: Callable[[QueuedRequest], float] = _stated_tokens,
+        estimate_tokens: Callable[[QueuedRequest], float] = _requested_tokens,
     ) -> None:
         self._max_requests = max_requests
         self._max_tokens = max_tokens
@@ -45,7 +45,7 @@
         self._deadlines = LazyHeap(self._counter)
         self._tokens = 0.0
         self._serial = 0
-        self._ledger = MinShareScheduler()
+        self._min_shares = MinShareScheduler()
         self._charges: dict[str, QueueCharge] = {}
 
     @property
@@ -69,11 +69,11 @@
         cls = self._next_class(now)
         if cls is None:
             return None
-        tokens = cls.next().tokens
-        advance = 0.0 if cls.protected else self._ledger.charge(cls, tokens)
+        tokens = cls.peek().tokens
+        advance = 0.0 if cls.protected else self._min_shares.charge(cls, tokens)
         entry = cls.serve()
-        self._forget(entry)
-        self._remember_charge(entry.req.request_id, QueueCharge(tokens, entry.serial, advance))
+        self._drop_entry(entry)
+        self._retain_charge(entry.req.request_id, QueueCharge(tokens, entry.serial, advance))
         return entry.req
 
     def remove(self, request_id: str) -> QueuedRequest | None:
@@ -81,30 +81,32 @@
         entry = self._entries.get(request_id)
         if entry is None:
             return None
-        self._classes[_key(entry.req)].remove(entry)
-        self._forget(entry)
+        self._classes[_class_key(entry.req)].remove(entry)
+        self._drop_entry(entry)
         return entry.req
 
     def expired(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests whose deadline has passed."""
-        late = []
+        expired = []
         while (first := self._deadlines.first()) is not None and first[0] <= now:
             req = self.remove(first[1])
             if req is not None:
-                late.append(req)
-        return late
+                expired.append(req)
+        return expired
 
     def ahead_tokens(self, req: QueuedRequest) -> float:
         """Return the tokens served before `req` if it were pushed now.
 
         Only protected work counts as ahead of a protected request.
         """
-        own = self._classes.get(_key(req))
+        own = self._classes.get(_class_key(req))
         ahead = sum(
-            cls.tokens for cls in self._classes.values() if cls is not own and _before(cls, req)
+            cls.tokens
+            for cls in self._classes.values()
+            if cls is not own and _is_served_before(cls, req)
         )
         if own is not None:
-            ahead += own.ahead_tokens(req.customer, self._cost(req))
+            ahead += own.ahead_tokens(req.customer, self._bounded_tokens(req))
         return ahead
 
     def protected_waiting(self) -> bool:
@@ -119,12 +121,12 @@
             raise ValueError(f"request {req.request_id} already waits in this queue")
         charge = self._charges.pop(req.request_id, None)
         entry = self._entry(req, charge)
-        cls = self._classes.get(_key(req))
+        cls = self._classes.get(_class_key(req))
         if cls is None:
-            cls = self._classes[_key(req)] = ClassQueue(req, self._counter)
+            cls = self._classes[_class_key(req)] = ClassQueue(req, self._counter)
         refunded = charge if refund else None
         if refunded is not None and not cls.protected:
-            self._ledger.refund(cls, refunded.tokens, refunded.share_advance)
+            self._min_shares.refund(cls, refunded.tokens, refunded.share_advance)
         cls.add(entry, refunded is not None)
         self._entries[req.request_id] = entry
         self._tokens += entry.tokens
@@ -136,9 +138,9 @@
         if charge is not None:
             return QueueEntry(req, charge.tokens, charge.serial)
         self._serial += 1
-        return QueueEntry(req, self._cost(req), self._serial)
+        return QueueEntry(req, self._bounded_tokens(req), self._serial)
 
-    def _cost(self, req: QueuedRequest) -> float:
+    def _bounded_tokens(self, req: QueuedRequest) -> float:
         # A request larger than the whole bound could otherwise never wait, not even alone.
         return min(max(self._estimate_tokens(req), 1.0), self._max_tokens)
 
@@ -167,24 +169,24 @@
         first = min(waiting, key=lambda cls: (not cls.protected, cls.tier, cls.head_arrived_s()))
         if first.protected:
             return first
-        return self._ledger.next_due(waiting, now) or first
+        return self._min_shares.next_due(waiting, now) or first
 
-    def _remember_charge(self, request_id: str, charge: QueueCharge) -> None:
+    def _retain_charge(self, request_id: str, charge: QueueCharge) -> None:
         self._charges[request_id] = charge
-        if len(self._charges) > CHARGES_KEPT:
+        if len(self._charges) > MAX_RETAINED_CHARGES:
             del self._charges[next(iter(self._charges))]
 
-    def _forget(self, entry: QueueEntry) -> None:
+    def _drop_entry(self, entry: QueueEntry) -> None:
         del self._entries[entry.req.request_id]
         self._deadlines.discard(entry.req.request_id)
         self._tokens = self._tokens - entry.tokens if self._entries else 0.0
 
 
-def _key(req: QueuedRequest) -> tuple[str, int, bool]:
+def _class_key(req: QueuedRequest) -> tuple[str, int, bool]:
     return (req.class_name, req.tier, req.protected)
 
 
-def _before(cls: ClassQueue, req: QueuedRequest) -> bool:
+def _is_served_before(cls: ClassQueue, req: QueuedRequest) -> bool:
     if req.protected or cls.protected:
         return cls.protected and (not req.protected or cls.tier <= req.tier)
     return cls.tier <= req.tier
--- a/cassiadrum/decisions/latency_tracking_limits.py
+++ b/cassiadrum/decisions/latency_tracking_limits.py
@@ -14,10 +14,10 @@
 WINDOW_SAMPLES = 20
 # Between this share of the target and the target itself the limit rests, so that it does not
 # alternate between one step up and one step down.
-RAISE_BELOW = 0.9
+RAISE_BELOW_RATIO = 0.9
 # One window may at most halve the limit; a smaller overshoot still takes a tenth.
-MIN_DECREASE = 0.5
-MAX_DECREASE = 0.9
+MIN_DECREASE_FACTOR = 0.5
+MAX_DECREASE_FACTOR = 0.9
 
 
 class LatencyTrackingLimit(ConcurrencyLimit):
@@ -39,7 +39,7 @@
         self._maximum = max(1, maximum)
         self._limit = min(max(1, initial), self._maximum)
         self._ratios: list[float] = []
-        self._was_full = False
+        self._limit_reached = False
 
     @property
     def limit(self) -> int:
@@ -67,7 +67,7 @@
             return
         self._ratios.append(ratio)
         # Without full use, a good latency says nothing about a higher limit.
-        self._was_full = self._was_full or running >= self._limit
+        self._limit_reached = self._limit_reached or running >= self._limit
         if len(self._ratios) >= WINDOW_SAMPLES:
             self._adjust()
 
@@ -75,9 +75,9 @@
         ranked = sorted(self._ratios)
         ratio = ranked[math.ceil(TARGET_QUANTILE * len(ranked)) - 1]
         if ratio > 1.0:
-            factor = min(MAX_DECREASE, max(MIN_DECREASE, 1.0 / ratio))
+            factor = min(MAX_DECREASE_FACTOR, max(MIN_DECREASE_FACTOR, 1.0 / ratio))
             self._limit = max(1, math.floor(self._limit * factor))
-        elif ratio < RAISE_BELOW and self._was_full:
+        elif ratio < RAISE_BELOW_RATIO and self._limit_reached:
             self._limit = min(self._maximum, self._limit + 1)
         self._ratios.clear()
-        self._was_full = False
+        self._limit_reached = False
--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -41,17 +41,17 @@
         self,
         rng: Random,
         zone: str = "",
-        zone_distances: Mapping[str, float] | None = None,
+        zone_rtts_s: Mapping[str, float] | None = None,
         streams_tokens: bool = True,
-        prefix_keys: int = PREFIX_KEYS_PER_ENDPOINT,
+        prefix_keys_per_endpoint: int = PREFIX_KEYS_PER_ENDPOINT,
     ) -> None:
         self.operations = 0
         self._rng = rng
-        self._costs = CostEstimator(zone, zone_distances or {}, streams_tokens)
+        self._costs = CostEstimator(zone, zone_rtts_s or {}, streams_tokens)
         self._detector = OutlierDetector(streams_tokens)
         # A plain call is short, so a slot that idles for a round trip is a large part of it.
         self._ahead = 0 if streams_tokens else 1
-        self._prefixes = PrefixIndex(prefix_keys)
+        self._prefixes = PrefixIndex(prefix_keys_per_endpoint)
         self._states: dict[str, EndpointState] = {}
         self._open = CapabilityIndex()  # with a free slot
         self._queueable = CapabilityIndex()  # with room in the short queue for protected work
@@ -211,7 +211,7 @@
     def _uncached_tokens(self, instance: str, req: QueuedRequest) -> float:
         if not req.prefix_keys:
             return float(req.prompt_tokens)
-        matched = self._prefixes.matched(instance, req.prefix_keys)
+        matched = self._prefixes.matched_keys(instance, req.prefix_keys)
         return req.prompt_tokens * (1.0 - matched / len(req.prefix_keys))
 
     def _check(self, now: float) -> None:
--- a/cassiadrum/decisions/log_histograms.py
+++ b/cassiadrum/decisions/log_histograms.py
@@ -8,7 +8,7 @@
 BUCKETS_PER_OCTAVE = 4
 BUCKETS = 18 * BUCKETS_PER_OCTAVE
 # At this weight all counts are halved, so that about the last thousand values decide.
-HALVING_WEIGHT = 1024.0
+HALVE_AT_WEIGHT = 1024.0
 
 
 class LogHistogram:
@@ -33,7 +33,7 @@
         index = int(math.log2(max(value, 1.0)) * BUCKETS_PER_OCTAVE)
         self._counts[min(index, BUCKETS - 1)] += 1.0
         self._total += 1.0
-        if self._total >= HALVING_WEIGHT:
+        if self._total >= HALVE_AT_WEIGHT:
             self._counts = array("f", (count / 2 for count in self._counts))
             self._total /= 2
 
--- a/cassiadrum/decisions/min_share_schedulers.py
+++ b/cassiadrum/decisions/min_share_schedulers.py
@@ -19,15 +19,15 @@
 
     def next_due(self, waiting: Iterable[ClassQueue], now: float) -> ClassQueue | None:
         """Return the overdue class whose share is due first, or None."""
-        owed = []
+        due = []
         for cls in waiting:
-            late = cls.min_share > 0.0 and now - cls.head_arrived_s() > cls.max_wait_s
-            if late and not cls.overdue:
+            overdue = cls.min_share > 0.0 and now - cls.head_arrived_s() > cls.max_wait_s
+            if overdue and not cls.overdue:
                 cls.share_tag = max(cls.share_tag, self._served_tokens)
-            cls.overdue = late
-            if late and cls.share_tag <= self._served_tokens:
-                owed.append(cls)
-        return min(owed, key=_due, default=None)
+            cls.overdue = overdue
+            if overdue and cls.share_tag <= self._served_tokens:
+                due.append(cls)
+        return min(due, key=_due_tokens, default=None)
 
     def charge(self, cls: ClassQueue, tokens: float) -> float:
         """Count tokens about to be served and return what the class's tag advances by.
@@ -48,5 +48,5 @@
         self._served_tokens -= tokens
 
 
-def _due(cls: ClassQueue) -> float:
-    return cls.share_tag + cls.next().tokens / cls.min_share
+def _due_tokens(cls: ClassQueue) -> float:
+    return cls.share_tag + cls.peek().tokens / cls.min_share
--- a/cassiadrum/decisions/pause_preemptions.py
+++ b/cassiadrum/decisions/pause_preemptions.py
@@ -26,15 +26,15 @@
         """Replace the classes that may be paused."""
         self._pausable_classes = frozenset(pausable_classes)
 
-    def victim(
+    def choose_victim(
         self, req: QueuedRequest, running: Iterable[RunningStream], now: float
     ) -> str | None:
         """Return the stream to pause, or None when none may be paused for `req`."""
         if not req.protected:
             return None
-        allowed = [stream for stream in running if self._may_pause(stream, req)]
+        candidates = [stream for stream in running if self._may_pause(stream, req)]
         best = min(
-            allowed,
+            candidates,
             key=lambda stream: (-stream.req.tier, stream.tokens, -stream.changed_s),
             default=None,
         )
--- a/cassiadrum/decisions/preemption_policies.py
+++ b/cassiadrum/decisions/preemption_policies.py
@@ -13,7 +13,7 @@
     """Decide which running stream makes room for a waiting request."""
 
     @abstractmethod
-    def victim(
+    def choose_victim(
         self, req: QueuedRequest, running: Iterable[RunningStream], now: float
     ) -> str | None:
         """Return the request id of the stream to pause for `req`, or None."""
--- a/cassiadrum/decisions/prefix_indexes.py
+++ b/cassiadrum/decisions/prefix_indexes.py
@@ -31,18 +31,18 @@
         while len(held) > self._capacity:
             oldest = next(iter(held))
             del held[oldest]
-            self._release(oldest, instance)
+            self._remove_holder(oldest, instance)
 
     def remove(self, instance: str) -> None:
         """Forget an endpoint."""
         for key in self._keys.pop(instance, {}):
-            self._release(key, instance)
+            self._remove_holder(key, instance)
 
     def holders(self, key: int, size: int) -> list[str]:
         """Return up to `size` endpoints that hold the key, the most recent first."""
         return list(islice(reversed(self._holders.get(key, {})), size))
 
-    def matched(self, instance: str, keys: tuple[int, ...]) -> int:
+    def matched_keys(self, instance: str, keys: tuple[int, ...]) -> int:
         """Return the length, in keys, of the longest prefix that the endpoint holds."""
         held = self._keys.get(instance)
         if not held:
@@ -52,7 +52,7 @@
     def __len__(self) -> int:
         return sum(len(held) for held in self._keys.values())
 
-    def _release(self, key: int, instance: str) -> None:
+    def _remove_holder(self, key: int, instance: str) -> None:
         holders = self._holders[key]
         del holders[instance]
         if not holders:
--- a/cassiadrum/decisions/quantile_length_estimators.py
+++ b/cassiadrum/decisions/quantile_length_estimators.py
@@ -9,7 +9,7 @@
 
 __all__ = ["QuantileLengthEstimator"]
 
-DEFAULT_TOKENS = 200.0
+DEFAULT_OUTPUT_TOKENS = 200.0
 # With fewer observations a customer's quantile says less than that of its class.
 MIN_OBSERVATIONS = 16
 # 0.5 KB each, so 2 MB of the daemon's 64 MB.
@@ -26,7 +26,7 @@
     """
 
     def __init__(
-        self, max_customers: int = MAX_CUSTOMERS, default_tokens: float = DEFAULT_TOKENS
+        self, max_customers: int = MAX_CUSTOMERS, default_tokens: float = DEFAULT_OUTPUT_TOKENS
     ) -> None:
         self._max_customers = max_customers
         self._default_tokens = default_tokens
@@ -35,23 +35,23 @@
 
     def estimate(self, class_name: str, customer: str, quantile: float) -> float:
         """Return the quantile of the customer, of its class, or the default."""
-        own = self._customers.get((class_name, customer))
-        if own is not None and own.total >= MIN_OBSERVATIONS:
-            return own.quantile(quantile)
-        of_class = self._classes.get(class_name)
-        return of_class.quantile(quantile) if of_class else self._default_tokens
+        customer_histogram = self._customers.get((class_name, customer))
+        if customer_histogram is not None and customer_histogram.total >= MIN_OBSERVATIONS:
+            return customer_histogram.quantile(quantile)
+        class_histogram = self._classes.get(class_name)
+        return class_histogram.quantile(quantile) if class_histogram else self._default_tokens
 
     def observe(self, class_name: str, customer: str, tokens: int) -> None:
         """Learn a length for the customer and for its class."""
-        _recent(self._classes, class_name, MAX_CLASSES).add(tokens)
-        _recent(self._customers, (class_name, customer), self._max_customers).add(tokens)
+        _most_recent(self._classes, class_name, MAX_CLASSES).add(tokens)
+        _most_recent(self._customers, (class_name, customer), self._max_customers).add(tokens)
 
     def customers(self) -> int:
         """Return the number of customers with a histogram of their own."""
         return len(self._customers)
 
 
-def _recent(kept: OrderedDict[K, LogHistogram], key: K, limit: int) -> LogHistogram:
+def _most_recent(kept: OrderedDict[K, LogHistogram], key: K, limit: int) -> LogHistogram:
     histogram = kept.pop(key, None) or LogHistogram()
     kept[key] = histogram
     if len(kept) > limit:
--- a/cassiadrum/decisions/service_rates.py
+++ b/cassiadrum/decisions/service_rates.py
@@ -3,7 +3,7 @@
 __all__ = ["ServiceRate"]
 
 # The rate follows about the last 64 attempts.
-GAIN = 1 / 64
+RATE_GAIN = 1 / 64
 
 
 class ServiceRate:
@@ -15,7 +15,7 @@
 
     def __init__(self) -> None:
         self._mean_tokens = 0.0
-        self._mean_s = 0.0
+        self._mean_duration_s = 0.0
 
     @property
     def mean_tokens(self) -> float:
@@ -27,10 +27,14 @@
 
         A call of a plain service counts as one token.
         """
-        gain = GAIN if self._mean_s > 0.0 else 1.0
+        gain = RATE_GAIN if self._mean_duration_s > 0.0 else 1.0
         self._mean_tokens += gain * (max(tokens, 1) - self._mean_tokens)
-        self._mean_s += gain * (max(duration_s, 1e-6) - self._mean_s)
+        self._mean_duration_s += gain * (max(duration_s, 1e-6) - self._mean_duration_s)
 
     def tokens_per_s(self, slots: int) -> float:
         """Return the rate of this many slots, 0 while unknown."""
-        return slots * self._mean_tokens / self._mean_s if self._mean_s > 0.0 else 0.0
+        return (
+            slots * self._mean_tokens / self._mean_duration_s
+            if self._mean_duration_s > 0.0
+            else 0.0
+        )
--- a/cassiadrum/decisions/strict_tier_queues.py
+++ b/cassiadrum/decisions/strict_tier_queues.py
@@ -42,10 +42,10 @@
 
     def expired(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests whose deadline has passed."""
-        late = [req for tier in self._tiers.values() for req in tier if req.deadline_s <= now]
-        for req in late:
+        expired = [req for tier in self._tiers.values() for req in tier if req.deadline_s <= now]
+        for req in expired:
             self._tiers[req.tier].remove(req)
-        return late
+        return expired
 
     def ahead_tokens(self, req: QueuedRequest) -> float:
         """Return the estimated tokens of requests of the same and of higher tiers."""
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -194,7 +194,7 @@
         stream = SidecarStream(msg, queued, link)
         self.streams[msg.attempt_id] = stream
         self._open[msg.attempt_id] = stream
-        actions = self._scheduler.arrive(queued, now)
+        actions = self._scheduler.submit(queued, now)
         self._record_stream(EventKind.QUEUED, stream)
         self._carry_out(actions)
 
@@ -214,7 +214,7 @@
             return
         stream.cancelled = True
         stream.room.set()
-        if self._scheduler.cancelled(attempt_id, self._clock()):
+        if self._scheduler.cancel_waiting(attempt_id, self._clock()):
             self._end(stream, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "cancelled"))
         elif stream.task is not None:
             self._controls.cancel(attempt_id)
@@ -257,7 +257,7 @@
         now = self._clock()
         if msg.outcome.ok and stream.timing is not None:
             first_s, gap_s = stream.timing.first_token_s, stream.timing.inter_token_s
-            self._carry_out(self._scheduler.observed(msg.attempt_id, first_s, gap_s, now))
+            self._carry_out(self._scheduler.observe_latency(msg.attempt_id, first_s, gap_s, now))
         self._carry_out(self._scheduler.finished(msg.attempt_id, now))
 
     def _end(self, stream: SidecarStream, outcome: Outcome) -> None:
--- a/cassiadrum/tests/test_endpoint_schedulers.py
+++ b/cassiadrum/tests/test_endpoint_schedulers.py
@@ -51,17 +51,19 @@
 
     def test_lowest_tier_then_least_progress(self) -> None:
         running = [self.stream("a", 2, 1), self.stream("b", 4, 9), self.stream("c", 4, 5)]
-        assert PausePreemption([PAUSABLE]).victim(make_request("p", 0), running, 0.0) == "c"
+        assert PausePreemption([PAUSABLE]).choose_victim(make_request("p", 0), running, 0.0) == "c"
 
     def test_none_for_unprotected_or_among_what_may_not_be_cut(self) -> None:
         running = [self.stream("a", 4, 1)]
-        assert PausePreemption([PAUSABLE]).victim(make_request("n", 1), running, 0.0) is None
-        assert PausePreemption([]).victim(make_request("p", 0), running, 0.0) is None
+        assert (
+            PausePreemption([PAUSABLE]).choose_victim(make_request("n", 1), running, 0.0) is None
+        )
+        assert PausePreemption([]).choose_victim(make_request("p", 0), running, 0.0) is None
 
     def test_pauses_are_bounded(self) -> None:
         running = [self.stream("a", 4, 1, pauses=2)]
         policy = PausePreemption([PAUSABLE], max_pauses=2)
-        assert policy.victim(make_request("p", 0), running, 0.0) is None
+        assert policy.choose_victim(make_request("p", 0), running, 0.0) is None
 
 
 class TestEndpointScheduler:
@@ -69,30 +71,30 @@
 
     def test_protected_request_pauses_and_the_stream_resumes_before_new_work(self) -> None:
         scheduler = make_scheduler(limit=1, queue_limit=2)
-        scheduler.arrive(make_request("low", 4), 0.0)
-        protected = scheduler.arrive(make_request("high", 0), 1.0)
+        scheduler.submit(make_request("low", 4), 0.0)
+        protected = scheduler.submit(make_request("high", 0), 1.0)
         assert names(protected) == [("Pause", "low"), ("Start", "high")]
-        scheduler.arrive(make_request("new", 4), 2.0)
+        scheduler.submit(make_request("new", 4), 2.0)
         assert names(scheduler.finished("high", 3.0)) == [("Resume", "low")]
         assert names(scheduler.finished("low", 4.0)) == [("Start", "new")]
 
     def test_endpoint_without_pause_makes_protected_work_wait_first(self) -> None:
         scheduler = EndpointScheduler(1, 1)
-        scheduler.arrive(make_request("running", 4), 0.0)
-        scheduler.arrive(make_request("low", 4), 0.0)
-        assert names(scheduler.arrive(make_request("high", 0), 1.0)) == [("Reject", "low")]
+        scheduler.submit(make_request("running", 4), 0.0)
+        scheduler.submit(make_request("low", 4), 0.0)
+        assert names(scheduler.submit(make_request("high", 0), 1.0)) == [("Reject", "low")]
         assert names(scheduler.finished("running", 2.0)) == [("Start", "high")]
 
     def test_flood_of_a_higher_tier_delays_a_paused_stream_by_its_longest_wait(self) -> None:
         scheduler = make_scheduler(limit=2, queue_limit=2)
         for request_id, tier in (("low", 4), ("mid0", 1), ("high", 0)):
-            scheduler.arrive(make_request(request_id, tier), 0.0)
+            scheduler.submit(make_request(request_id, tier), 0.0)
         scheduler.finished("high", 0.0)
-        scheduler.arrive(make_request("high", 0), 0.0)
+        scheduler.submit(make_request("high", 0), 0.0)
         started = "high"
         for second in range(1, 31):
             assert started != "low"
-            scheduler.arrive(make_request(f"mid{second}", 1, float(second)), float(second))
+            scheduler.submit(make_request(f"mid{second}", 1, float(second)), float(second))
             ((kind, started),) = names(scheduler.finished(started, float(second)))
         assert (kind, started) == ("Resume", "low")
 
@@ -100,29 +102,29 @@
         limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=4)
         scheduler = EndpointScheduler(limit, 1, PausePreemption([PAUSABLE]))
         for index in range(4):
-            scheduler.arrive(make_request(f"low{index}", 4), 0.0)
+            scheduler.submit(make_request(f"low{index}", 4), 0.0)
         for _ in range(20):
-            scheduler.observed("low0", 9.0, 0.4, 1.0)
+            scheduler.observe_latency("low0", 9.0, 0.4, 1.0)
         assert (scheduler.limit, scheduler.running()) == (2, 4)
-        scheduler.arrive(make_request("high", 0), 2.0)
+        scheduler.submit(make_request("high", 0), 2.0)
         assert (scheduler.running(), scheduler.paused()) == (2, 3)
 
     def test_paused_stream_measures_nothing(self) -> None:
         limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=1)
         scheduler = EndpointScheduler(limit, 2, PausePreemption([PAUSABLE]))
-        scheduler.arrive(make_request("low", 4), 0.0)
-        scheduler.arrive(make_request("high", 0), 0.0)
+        scheduler.submit(make_request("low", 4), 0.0)
+        scheduler.submit(make_request("high", 0), 0.0)
         scheduler.finished("high", 9.0)
         for _ in range(20):
-            scheduler.observed("low", 0.1, 0.01, 10.0)
+            scheduler.observe_latency("low", 0.1, 0.01, 10.0)
         assert scheduler.limit == 1
 
     def test_drain_gives_back_waiting_work_and_finishes_paused_streams(self) -> None:
         scheduler = make_scheduler(limit=1, queue_limit=2)
         for request_id, tier in (("low", 4), ("high", 0), ("new", 3)):
-            scheduler.arrive(make_request(request_id, tier), 0.0)
+            scheduler.submit(make_request(request_id, tier), 0.0)
         assert names(scheduler.drain(1.0)) == [("Reject", "new")]
-        assert names(scheduler.arrive(make_request("late", 0), 1.0)) == [("Reject", "late")]
+        assert names(scheduler.submit(make_request("late", 0), 1.0)) == [("Reject", "late")]
         assert names(scheduler.finished("high", 2.0)) == [("Resume", "low")]
 
 
@@ -176,7 +178,7 @@
             streams = [
                 RunningStream(self.known[name], 0.0, 0, self.pauses[name]) for name in self.running
             ]
-            assert self.policy.victim(action.req, streams, 0.0) is None
+            assert self.policy.choose_victim(action.req, streams, 0.0) is None
         del self.known[action.req.request_id]
 
     def apply(self, kind: str, name: str, tier: int, value: float, now: float) -> None:
@@ -185,16 +187,16 @@
                 self.known[name] = make_request(name, tier, now)
                 self.waiting.add(name)
                 self.pauses[name] = 0
-            self.take(self.scheduler.arrive(self.known[name], now))
+            self.take(self.scheduler.submit(self.known[name], now))
         elif kind == "finish" and name in self.known and name not in self.waiting:
             self.running.discard(name)
             del self.known[name]
             self.take(self.scheduler.finished(name, now))
         elif kind == "observe":
             for _ in range(20):
-                self.take(self.scheduler.observed(name, value, value / 100, now))
+                self.take(self.scheduler.observe_latency(name, value, value / 100, now))
         elif kind == "cancel":
-            assert self.scheduler.cancelled(name, now) == (name in self.waiting)
+            assert self.scheduler.cancel_waiting(name, now) == (name in self.waiting)
             if name in self.waiting:
                 self.waiting.remove(name)
                 del self.known[name]
