Name the endpoint figures, the chooser's indexes and the order planner's steps plainly

Chooser: _open and _queueable -> _with_free_slot and _with_queue_room, _full -> _rejecting, _refresh -> _update_indexes. Order planner: Name -> ModelKey, _use -> _utilization, HOLD_S -> STABILIZATION_S, _settle, _count, _track and _needs -> _drop_finished_orders, _count_demand, _update_copy_states and _lasting_shortages. Divisors are called divisors, and locals such as set_aside and late say what they hold.

--- a/bench/ablated_choosers.py
+++ b/bench/ablated_choosers.py
@@ -8,8 +8,8 @@
 class NeverEject(LeastCostChooser):
     """Keep every endpoint, however slow; its measured slowness still counts as cost."""
 
-    def _check(self, now: float) -> None:
-        self._detector._measure(self._states)
+    def _check_outliers(self, now: float) -> None:
+        self._detector._update_slowdowns(self._states)
 
 
 class CountingReports(LeastCostChooser):
--- a/cassiadrum/decisions/cancelled_copies.py
+++ b/cassiadrum/decisions/cancelled_copies.py
@@ -37,13 +37,13 @@
 
     def pop_overdue(self, now: float) -> list[CancelledCopy]:
         """Remove and return the copies whose end was not heard of in time."""
-        late = []
+        overdue = []
         for copy in list(self._copies.values()):
             if now - copy.cancelled_s < CANCEL_TIMEOUT_S:
                 break
-            late.append(copy)
+            overdue.append(copy)
             del self._copies[copy.request_id, copy.instance]
-        return late
+        return overdue
 
     def pop_instance(self, instance: str) -> list[CancelledCopy]:
         """Remove and return the copies at one instance."""
--- a/cassiadrum/decisions/cost_estimators.py
+++ b/cassiadrum/decisions/cost_estimators.py
@@ -27,7 +27,7 @@
 class CostEstimator:
     """Add up queueing, uncached prefill, slowness, silence and zone distance in seconds.
 
-    `zone_distances` maps zones to the seconds of a round trip from `zone`.
+    `zone_rtts_s` maps zones to the seconds of a round trip from `zone`.
     """
 
     def __init__(self, zone: str, zone_rtts_s: Mapping[str, float], streams_tokens: bool) -> None:
--- a/cassiadrum/decisions/customer_queues.py
+++ b/cassiadrum/decisions/customer_queues.py
@@ -8,7 +8,7 @@
 
 
 class CustomerQueue:
-    """Keep one customer's requests by arrival; `tag` is its virtual time in weighted tokens."""
+    """Keep one customer's requests by arrival; `start_tag` is its virtual time in weighted tokens."""
 
     def __init__(self, start_tag: float, counter: OperationCounter) -> None:
         self.start_tag = start_tag
@@ -46,5 +46,5 @@
     def _entry(self, heap: LazyHeap) -> QueueEntry:
         first = heap.first()
         if first is None:
-            raise LookupError("no request waits in this lane")
+            raise LookupError("no request waits in this queue")
         return self._entries[first[1]]
--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -15,19 +15,19 @@
 
 # A copy is added above this use of the present copies and counts as spare only if the others
 # stay below the lower share without it; the distance keeps a load between them from moving.
-ADD_ABOVE_USE = 0.8
-SPARE_BELOW_USE = 0.5
+ADD_ABOVE_UTILIZATION = 0.8
+SPARE_BELOW_UTILIZATION = 0.5
 # A need or a spare copy has to last this long, so that a burst moves no weights.
-HOLD_S = 10.0
+STABILIZATION_S = 10.0
 # An engine gets its next order no sooner than this after the last one ended.
 COOLDOWN_S = 60.0
 # An engine that has not answered by then no longer keeps others from loading; it gets no second
 # order itself while it is connected.
 ORDER_TIMEOUT_S = 600.0
 # Engines that load serve less meanwhile, so at most a quarter of them (or one) does so at a time.
-IN_FLIGHT_PART = 4
+MAX_IN_FLIGHT_DIVISOR = 4
 
-Name = tuple[str, str]
+ModelKey = tuple[str, str]
 
 
 class DemandOrderPlanner(OrderPlanner):
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        sizes: Mapping[Name, int],
+        sizes: Mapping[ModelKey, int],
         bytes_per_s: float,
         models_per_engine: int = 1,
         adapters_per_engine: int = 8,
@@ -51,24 +51,24 @@
         self._adapters_per_engine = adapters_per_engine
         self._in_flight: dict[str, SentOrder] = {}
         self._ended_s: dict[str, float] = {}
-        self._short_since_s: dict[Name, float] = {}
-        self._spare_since_s: dict[Name, float] = {}
-        self._requests: dict[Name, float] = {}
-        self._holders: dict[Name, list[EndpointReport]] = {}
+        self._shortage_since_s: dict[ModelKey, float] = {}
+        self._spare_since_s: dict[ModelKey, float] = {}
+        self._requests: dict[ModelKey, float] = {}
+        self._holders: dict[ModelKey, list[EndpointReport]] = {}
         self._mean_limit = 1.0
 
     def plan(
         self, demand: Collection[ModelDemand], endpoints: Collection[EndpointReport], now: float
     ) -> list[EngineOrder]:
         """Return the orders to send now; the caller sends each one exactly once."""
-        staying = [rep for rep in endpoints if not rep.leaving]
-        self._settle(staying, now)
-        self._count(demand, staying)
-        self._track(now)
+        remaining = [rep for rep in endpoints if not rep.leaving]
+        self._drop_finished_orders(remaining, now)
+        self._count_demand(demand, remaining)
+        self._update_copy_states(now)
         orders: list[EngineOrder] = []
-        for name in self._needs(now):
-            order = self._order(name, staying, now)
-            if order is not None and self._may_send(staying, now):
+        for name in self._lasting_shortages(now):
+            order = self._plan_load(name, remaining, now)
+            if order is not None and self._may_send(remaining, now):
                 self._budget.reserve(order.load_bytes, now)
                 self._in_flight[order.instance] = SentOrder(order, now)
                 orders.append(order)
@@ -80,9 +80,9 @@
         if sent is not None:
             self._in_flight[instance] = sent._replace(answered_s=min(now, sent.answered_s))
 
-    def _settle(self, staying: list[EndpointReport], now: float) -> None:
+    def _drop_finished_orders(self, remaining: list[EndpointReport], now: float) -> None:
         """Drop orders whose effect the reports show, and those of engines lost for long."""
-        reported = {rep.instance: rep.reported_s for rep in staying}
+        reported = {rep.instance: rep.reported_s for rep in remaining}
         for instance, sent in list(self._in_flight.items()):
             if instance in reported:
                 # An older report still lists what the order has unloaded.
@@ -98,60 +98,70 @@
             if now - ended_s < COOLDOWN_S
         }
 
-    def _count(self, demand: Collection[ModelDemand], staying: list[EndpointReport]) -> None:
+    def _count_demand(
+        self, demand: Collection[ModelDemand], remaining: list[EndpointReport]
+    ) -> None:
         self._requests = {}
         for entry in demand:
             name = (entry.model, entry.adapter)
             self._requests[name] = self._requests.get(name, 0.0) + entry.requests
-        if staying:
-            self._mean_limit = max(1.0, sum(rep.limit for rep in staying) / len(staying))
+        if remaining:
+            self._mean_limit = max(1.0, sum(rep.limit for rep in remaining) / len(remaining))
         self._holders = {name: [] for name in self._requests}
-        for rep in staying:
+        for rep in remaining:
             for name in _loaded(rep):
                 self._holders.setdefault(name, []).append(rep)
 
-    def _track(self, now: float) -> None:
+    def _update_copy_states(self, now: float) -> None:
         """Note since when each model or adapter has had too few or too many copies."""
-        short, spare = set(), set()
+        shortage, spare = set(), set()
         for name, holders in self._holders.items():
-            coming = sum(
+            loading = sum(
                 (sent.order.model, sent.order.adapter) == name and not _is_overdue(sent, now)
                 for sent in self._in_flight.values()
             )
-            if self._use(name, len(holders) + coming) > ADD_ABOVE_USE:
-                short.add(name)
-            elif self._use(name, len(holders) - 1) < SPARE_BELOW_USE:
+            if self._utilization(name, len(holders) + loading) > ADD_ABOVE_UTILIZATION:
+                shortage.add(name)
+            elif self._utilization(name, len(holders) - 1) < SPARE_BELOW_UTILIZATION:
                 spare.add(name)
-        _keep_since(self._short_since_s, short, now)
-        _keep_since(self._spare_since_s, spare, now)
+        _update_since(self._shortage_since_s, shortage, now)
+        _update_since(self._spare_since_s, spare, now)
 
-    def _use(self, name: Name, copies: int) -> float:
+    def _utilization(self, name: ModelKey, copies: int) -> float:
         """Return the requests per slot if `copies` engines served the model or adapter."""
         requests = self._requests.get(name, 0.0)
         if requests <= 0:
             return 0.0
         return requests / (copies * self._mean_limit) if copies > 0 else math.inf
 
-    def _needs(self, now: float) -> list[Name]:
+    def _lasting_shortages(self, now: float) -> list[ModelKey]:
         """Return what lacks copies for long enough, the most overloaded first."""
-        lasting = [name for name, since in self._short_since_s.items() if now - since >= HOLD_S]
+        lasting = [
+            name
+            for name, since in self._shortage_since_s.items()
+            if now - since >= STABILIZATION_S
+        ]
         lasting = [name for name in lasting if name in self._sizes]
-        return sorted(lasting, key=lambda name: (-self._use(name, len(self._holders[name])), name))
+        return sorted(
+            lasting, key=lambda name: (-self._utilization(name, len(self._holders[name])), name)
+        )
 
-    def _may_send(self, staying: list[EndpointReport], now: float) -> bool:
-        bound = max(1, len(staying) // IN_FLIGHT_PART)
+    def _may_send(self, remaining: list[EndpointReport], now: float) -> bool:
+        bound = max(1, len(remaining) // MAX_IN_FLIGHT_DIVISOR)
         loading = sum(not _is_overdue(sent, now) for sent in self._in_flight.values())
         return loading < bound and self._budget.available(now)
 
-    def _order(self, name: Name, staying: list[EndpointReport], now: float) -> EngineOrder | None:
+    def _plan_load(
+        self, name: ModelKey, remaining: list[EndpointReport], now: float
+    ) -> EngineOrder | None:
         """Return the load at the engine that loses least by it, or None when none can."""
         model, adapter = name
         options: list[tuple[bool, int, str, str]] = []
-        for rep in staying:
+        for rep in remaining:
             busy = rep.instance in self._in_flight or rep.instance in self._ended_s
             if busy or name in _loaded(rep) or (adapter and model not in rep.models):
                 continue
-            replaces = self._replaced(rep, name, now)
+            replaces = self._choose_replaced(rep, name, now)
             if replaces is not None:
                 options.append((bool(replaces), rep.running + rep.queued, rep.instance, replaces))
         if not options:
@@ -162,40 +172,40 @@
             kind, instance, model, adapter, replaces=replaces, load_bytes=self._sizes[name]
         )
 
-    def _replaced(self, rep: EndpointReport, name: Name, now: float) -> str | None:
+    def _choose_replaced(self, rep: EndpointReport, name: ModelKey, now: float) -> str | None:
         """Return what the engine unloads for `name`, "" for nothing, None if it has no room."""
         adapter = name[1]
-        room = self._adapters_per_engine if adapter else self._models_per_engine
-        held = rep.adapters if adapter else rep.models
-        if len(held) < room:
+        capacity = self._adapters_per_engine if adapter else self._models_per_engine
+        present = rep.adapters if adapter else rep.models
+        if len(present) < capacity:
             return ""
         # What has no copy at all may also take one of several that are all in use.
-        may_take = self._is_spare if self._holders[name] else self._is_repeated
-        for other in held:
+        may_replace = self._is_spare if self._holders[name] else self._has_other_copy
+        for other in present:
             names = [(model, other) for model in rep.models] if adapter else [(other, "")]
             if not adapter:
                 # Adapters of a model go with it.
                 names += [(other, loaded) for loaded in rep.adapters]
-            if all(may_take(each, now) for each in names):
+            if all(may_replace(each, now) for each in names):
                 return other
         return None
 
-    def _is_spare(self, name: Name, now: float) -> bool:
+    def _is_spare(self, name: ModelKey, now: float) -> bool:
         since = self._spare_since_s.get(name)
-        if since is None or now - since < HOLD_S:
+        if since is None or now - since < STABILIZATION_S:
             return False
-        return self._use(name, self._copies_left(name)) < SPARE_BELOW_USE
+        return self._utilization(name, self._remaining_copies(name)) < SPARE_BELOW_UTILIZATION
 
-    def _is_repeated(self, name: Name, now: float) -> bool:
-        return self._is_spare(name, now) or self._copies_left(name) > 0
+    def _has_other_copy(self, name: ModelKey, now: float) -> bool:
+        return self._is_spare(name, now) or self._remaining_copies(name) > 0
 
-    def _copies_left(self, name: Name) -> int:
+    def _remaining_copies(self, name: ModelKey) -> int:
         """Return the copies after one more is unloaded and all orders in flight are done."""
-        leaving = sum(_takes(sent.order, name) for sent in self._in_flight.values())
-        return len(self._holders.get(name, ())) - leaving - 1
+        unloading = sum(_unloads(sent.order, name) for sent in self._in_flight.values())
+        return len(self._holders.get(name, ())) - unloading - 1
 
 
-def _loaded(rep: EndpointReport) -> list[Name]:
+def _loaded(rep: EndpointReport) -> list[ModelKey]:
     """Return the models of the engine, and its adapters under each of its models."""
     models = [(model, "") for model in rep.models]
     return models + [(model, adapter) for model in rep.models for adapter in rep.adapters]
@@ -205,14 +215,14 @@
     return now - sent.sent_s >= ORDER_TIMEOUT_S
 
 
-def _takes(order: EngineOrder, name: Name) -> bool:
+def _unloads(order: EngineOrder, name: ModelKey) -> bool:
     """Return whether the order unloads a copy of the model or adapter."""
     if not order.replaces:
         return False
     return order.replaces == (name[1] if order.kind is OrderKind.LOAD_ADAPTER else name[0])
 
 
-def _keep_since(since_s: dict[Name, float], names: set[Name], now: float) -> None:
+def _update_since(since_s: dict[ModelKey, float], names: set[ModelKey], now: float) -> None:
     for name in list(since_s):
         if name not in names:
             del since_s[name]
--- a/cassiadrum/decisions/dispatched_streams.py
+++ b/cassiadrum/decisions/dispatched_streams.py
@@ -14,6 +14,6 @@
     """
 
     dispatched_s: float
-    last_s: float
+    last_progress_s: float
     uncached_tokens: float = 0.0
     tokens: int = 0
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -229,23 +229,23 @@
         return actions
 
     def _dispatch_waiting(self, now: float) -> list[Action]:
-        late = self._queue.expired(now)
-        actions = [self._refuse_waiting(req, "deadline") for req in late]
-        set_aside: list[QueuedRequest] = []
-        while len(set_aside) < MAX_SKIPPED_REQUESTS and self._may_dispatch():
+        expired = self._queue.expired(now)
+        actions = [self._refuse_waiting(req, "deadline") for req in expired]
+        skipped: list[QueuedRequest] = []
+        while len(skipped) < MAX_SKIPPED_REQUESTS and self._may_dispatch():
             req = self._queue.pop(now)
             if req is None:
                 break
             tracked = self._waiting[req.request_id]
             instance = self._attempts.choose(tracked, now)
             if instance is None:
-                set_aside.append(req)
+                skipped.append(req)
                 continue
             del self._waiting[req.request_id]
             self._attempts.start(tracked, instance, now)
             self._predictor.observe_dispatch(tracked, now)
             actions.append(Dispatch(req, instance))
-        for req in reversed(set_aside):
+        for req in reversed(skipped):
             actions += self._refuse_evicted(self._queue.requeue(req, now))
         return actions
 
--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -22,9 +22,9 @@
 AFFINITY_CANDIDATES = 4
 # At 64 endpoints this bounds the prefix index to 32,768 entries of a few hundred bytes.
 PREFIX_KEYS_PER_ENDPOINT = 512
-REMEMBERED_REMOVALS = 256
+MAX_REMOVED_ENDPOINTS = 256
 # A sidecar reports a change after at most this time.
-REJECT_PAUSE_S = LIMITS.REPORT_MIN_INTERVAL_S
+REJECT_BACKOFF_S = LIMITS.REPORT_MIN_INTERVAL_S
 
 
 class LeastCostChooser(EndpointChooser):
@@ -32,7 +32,7 @@
 
     Candidates are random endpoints with a free slot and endpoints believed to hold the longest
     part of the prompt. The estimate, in seconds, adds queueing, uncached prefill, slowdown,
-    silence and zone distance. `zone_distances` maps zones to the seconds of a round trip.
+    silence and zone distance. `zone_rtts_s` maps zones to the seconds of a round trip.
     `operations` counts the steps of all choices. A protected request may also go to a full
     endpoint's short queue, where the sidecar preempts for it.
     """
@@ -50,46 +50,48 @@
         self._costs = CostEstimator(zone, zone_rtts_s or {}, streams_tokens)
         self._detector = OutlierDetector(streams_tokens)
         # A plain call is short, so a slot that idles for a round trip is a large part of it.
-        self._ahead = 0 if streams_tokens else 1
+        self._min_overcommit = 0 if streams_tokens else 1
         self._prefixes = PrefixIndex(prefix_keys_per_endpoint)
         self._states: dict[str, EndpointState] = {}
-        self._open = CapabilityIndex()  # with a free slot
-        self._queueable = CapabilityIndex()  # with room in the short queue for protected work
+        self._with_free_slot = CapabilityIndex()  # with a free slot
+        self._with_queue_room = (
+            CapabilityIndex()
+        )  # with room in the short queue for protected work
         # Neither leaving nor ejected, in order of arrival.
-        self._usable: dict[str, None] = {}
+        self._available: dict[str, None] = {}
         # Endpoints that rejected work a short time ago, in order of the rejections.
-        self._full: dict[str, None] = {}
-        self._free: dict[str, int] = {}
-        self._free_total = 0
+        self._rejecting: dict[str, None] = {}
+        self._free_slots: dict[str, int] = {}
+        self._total_free_slots = 0
         self._first_report_s: float | None = None
-        self._removed: dict[str, float] = {}
-        self._seen_s = float("-inf")
+        self._removed_reported_s: dict[str, float] = {}
+        self._last_report_s = float("-inf")
 
     def report(self, rep: EndpointReport, now: float) -> None:
         """Take a load report; one older than the last, or a duplicate, changes nothing."""
-        self._seen_s = max(self._seen_s, now)
+        self._last_report_s = max(self._last_report_s, now)
         state = self._states.get(rep.instance)
         was_leaving = state is not None and state.report.leaving
-        taken = state.take_report(rep, now) if state else self._add(rep, now)
+        taken = state.apply_report(rep, now) if state else self._add(rep, now)
         if not taken:
             return
         if rep.leaving != was_leaving:
-            self._restore_bound(now)
-        self._refresh(rep.instance, now)
-        self._release_full(now)
-        self._check(now)
+            self._enforce_ejection_bound(now)
+        self._update_indexes(rep.instance, now)
+        self._end_reject_backoffs(now)
+        self._check_outliers(now)
 
     def remove(self, instance: str) -> None:
         """Forget an endpoint; its older reports that are still on the way stay without effect."""
         state = self._states.pop(instance, None)
         if state is None:
             return
-        self._removed[instance] = state.report.reported_s
-        if len(self._removed) > REMEMBERED_REMOVALS:
-            del self._removed[next(iter(self._removed))]
+        self._removed_reported_s[instance] = state.report.reported_s
+        if len(self._removed_reported_s) > MAX_REMOVED_ENDPOINTS:
+            del self._removed_reported_s[next(iter(self._removed_reported_s))]
         self._prefixes.remove(instance)
-        self._withdraw(instance)
-        self._restore_bound(self._seen_s)
+        self._remove_available(instance)
+        self._enforce_ejection_bound(self._last_report_s)
 
     def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
         """Count a dispatch; the endpoint will have the prompt's prefixes in its cache."""
@@ -98,7 +100,7 @@
             return
         state.start(req.request_id, self._uncached_tokens(instance, req), now)
         self._prefixes.add(instance, req.prefix_keys)
-        self._refresh(instance, now)
+        self._update_indexes(instance, now)
 
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
         """Take the number of tokens that arrived for a stream since the last call."""
@@ -109,7 +111,7 @@
         if not stream.tokens:
             self._costs.observe_first_token(stream, now)
         state.progress(stream, tokens, now)
-        self._check(now)
+        self._check_outliers(now)
 
     def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
         """Count the end of an attempt; `ok` is False when the endpoint failed it."""
@@ -119,16 +121,16 @@
             return
         if ok:
             self._costs.observe_end(stream, now)
-        self._refresh(instance, now)
-        self._check(now)
+        self._update_indexes(instance, now)
+        self._check_outliers(now)
 
     def rejected(self, instance: str, request_id: str, now: float) -> None:
         """Count a rejection; the endpoint gets no new work until it had time to report."""
         state = self._states.get(instance)
-        if state is not None and instance in self._usable:
-            state.full_until_s = now + REJECT_PAUSE_S
-            self._full.pop(instance, None)
-            self._full[instance] = None
+        if state is not None and instance in self._available:
+            state.full_until_s = now + REJECT_BACKOFF_S
+            self._rejecting.pop(instance, None)
+            self._rejecting[instance] = None
         self.finished(instance, request_id, True, now)
 
     def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
@@ -138,26 +140,26 @@
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
         """Return the instance to send the request to, or None when none has room."""
-        chosen = self._best(self._open, req, now, exclude)
+        chosen = self._cheapest(self._with_free_slot, req, now, exclude)
         if chosen is None and req.protected:
-            chosen = self._best(self._queueable, req, now, exclude)
+            chosen = self._cheapest(self._with_queue_room, req, now, exclude)
         return chosen
 
     def free_slots(self) -> int:
         """Return the number of free slots of all endpoints that may take new work."""
-        return self._free_total
+        return self._total_free_slots
 
     def available_instances(self) -> Collection[str]:
         """Return the endpoints that may take new work."""
-        return list(self._usable)
+        return list(self._available)
 
     def available_count(self) -> int:
         """Return the number of endpoints that may take new work."""
-        return len(self._usable)
+        return len(self._available)
 
     def is_available(self, instance: str) -> bool:
         """Return whether the endpoint may take new work."""
-        return instance in self._usable
+        return instance in self._available
 
     def health(self) -> dict[str, HealthState]:
         """Return the health of every connected endpoint."""
@@ -168,18 +170,18 @@
         return self._states[instance].outstanding()
 
     def _add(self, rep: EndpointReport, now: float) -> bool:
-        if rep.reported_s <= self._removed.get(rep.instance, float("-inf")):
+        if rep.reported_s <= self._removed_reported_s.get(rep.instance, float("-inf")):
             return False
-        self._removed.pop(rep.instance, None)
+        self._removed_reported_s.pop(rep.instance, None)
         if self._first_report_s is None:
             self._first_report_s = now
         # Endpoints that a new entry instance finds at its own start are not new themselves.
         warm = now - self._first_report_s < SLOW_START_S
         state = self._states[rep.instance] = EndpointState(rep, now, warm)
-        state.tie = self._rng.random()
+        state.tie_breaker = self._rng.random()
         return True
 
-    def _best(
+    def _cheapest(
         self, index: CapabilityIndex, req: QueuedRequest, now: float, exclude: Collection[str]
     ) -> str | None:
         capability = (req.model, req.adapter)
@@ -196,8 +198,8 @@
         for key in reversed(req.prefix_keys):
             holders = self._prefixes.holders(key, AFFINITY_CANDIDATES)
             self.operations += 1 + len(holders)
-            offers = [name for name in holders if index.contains(name, capability)]
-            found.update(dict.fromkeys(offers))
+            capable = [name for name in holders if index.contains(name, capability)]
+            found.update(dict.fromkeys(capable))
             if len(found) >= AFFINITY_CANDIDATES:
                 break
         return list(found)
@@ -206,7 +208,7 @@
         self.operations += 1
         state = self._states[instance]
         uncached = self._uncached_tokens(instance, req)
-        return self._costs.estimate(state, uncached, now), state.tie
+        return self._costs.estimate(state, uncached, now), state.tie_breaker
 
     def _uncached_tokens(self, instance: str, req: QueuedRequest) -> float:
         if not req.prefix_keys:
@@ -214,55 +216,58 @@
         matched = self._prefixes.matched_keys(instance, req.prefix_keys)
         return req.prompt_tokens * (1.0 - matched / len(req.prefix_keys))
 
-    def _check(self, now: float) -> None:
+    def _check_outliers(self, now: float) -> None:
         for instance in self._detector.check(self._states, now):
-            self._refresh(instance, now)
+            self._update_indexes(instance, now)
 
-    def _restore_bound(self, now: float) -> None:
-        for instance in self._detector.restore_bound(self._states, now):
-            self._refresh(instance, now)
+    def _enforce_ejection_bound(self, now: float) -> None:
+        for instance in self._detector.enforce_ejection_bound(self._states, now):
+            self._update_indexes(instance, now)
 
-    def _refresh(self, instance: str, now: float) -> None:
+    def _update_indexes(self, instance: str, now: float) -> None:
         """Bring the indexes and the count of free slots up to date with the endpoint's state."""
         state = self._states[instance]
         if state.report.leaving or state.health is HealthState.EJECTED:
-            self._withdraw(instance)
+            self._remove_available(instance)
             return
-        self._usable[instance] = None
+        self._available[instance] = None
         if now < state.full_until_s:
-            self._close(instance)
+            self._remove_from_indexes(instance)
             return
         slots, outstanding = state.slots(now), state.outstanding()
         queue = slots * LIMITS.SIDECAR_QUEUE_PER_SLOT
-        ahead = max(state.early(slots), self._ahead)
-        free = max(0, slots + ahead - outstanding)
+        overcommit = max(state.overcommit(slots), self._min_overcommit)
+        free = max(0, slots + overcommit - outstanding)
         if state.health is HealthState.PROBATION:
             free = min(free, max(0, 1 - len(state.streams)))
         self._set_free(instance, free)
         queueable = state.health is HealthState.HEALTHY and slots + queue > outstanding
-        for index, room in ((self._open, free > 0), (self._queueable, queueable)):
+        for index, room in ((self._with_free_slot, free > 0), (self._with_queue_room, queueable)):
             if room:
                 index.put(instance, state.capabilities)
             else:
                 index.discard(instance)
 
-    def _release_full(self, now: float) -> None:
+    def _end_reject_backoffs(self, now: float) -> None:
         """Let endpoints take new work again some time after they rejected some."""
-        while self._full and self._states[first := next(iter(self._full))].full_until_s <= now:
-            del self._full[first]
-            self._refresh(first, now)
-
-    def _withdraw(self, instance: str) -> None:
-        self._usable.pop(instance, None)
-        self._full.pop(instance, None)
-        self._close(instance)
-
-    def _close(self, instance: str) -> None:
-        self._open.discard(instance)
-        self._queueable.discard(instance)
+        while (
+            self._rejecting
+            and self._states[first := next(iter(self._rejecting))].full_until_s <= now
+        ):
+            del self._rejecting[first]
+            self._update_indexes(first, now)
+
+    def _remove_available(self, instance: str) -> None:
+        self._available.pop(instance, None)
+        self._rejecting.pop(instance, None)
+        self._remove_from_indexes(instance)
+
+    def _remove_from_indexes(self, instance: str) -> None:
+        self._with_free_slot.discard(instance)
+        self._with_queue_room.discard(instance)
         self._set_free(instance, 0)
 
     def _set_free(self, instance: str, free: int) -> None:
-        self._free_total += free - self._free.pop(instance, 0)
+        self._total_free_slots += free - self._free_slots.pop(instance, 0)
         if free:
-            self._free[instance] = free
+            self._free_slots[instance] = free
--- a/cassiadrum/decisions/least_outstanding_choosers.py
+++ b/cassiadrum/decisions/least_outstanding_choosers.py
@@ -47,17 +47,17 @@
         free = [
             name
             for name in self.available_instances()
-            if name not in exclude and self._free(name) > 0
+            if name not in exclude and self._free_slots(name) > 0
         ]
         return min(free, key=lambda name: (len(self._running[name]), name), default=None)
 
     def free_slots(self) -> int:
         """Return the number of free slots of all endpoints."""
-        return sum(self._free(name) for name in self.available_instances())
+        return sum(self._free_slots(name) for name in self.available_instances())
 
     def available_instances(self) -> Collection[str]:
         """Return the endpoints that are not leaving."""
         return [name for name, rep in self._reports.items() if not rep.leaving]
 
-    def _free(self, name: str) -> int:
+    def _free_slots(self, name: str) -> int:
         return max(0, self._reports[name].limit - len(self._running[name]))
--- a/cassiadrum/decisions/outlier_detectors.py
+++ b/cassiadrum/decisions/outlier_detectors.py
@@ -13,7 +13,7 @@
 # Twice the median at similar batch size is beyond what load within a factor of two explains.
 STRAGGLER_RATIO = 2.0
 # Two checks in a row, so that one pause of a process does not eject an endpoint.
-STRIKES_TO_EJECT = 2
+BAD_CHECKS_TO_EJECT = 2
 FAILURES_TO_EJECT = 3
 # Same as the silence limit of the connections: a stream at 40 ms a token is silent far less.
 STALL_S = 3.0
@@ -21,11 +21,11 @@
 FIRST_TOKEN_STALL_S = 15.0
 # While the endpoint reports output, own streams may be paused for protected work; a pause lasts
 # about the class's longest wait, 30 s by default.
-PAUSED_STALL_S = 60.0
-EJECT_S = 5.0
+STALL_WHILE_PAUSED_S = 60.0
+INITIAL_EJECT_S = 5.0
 MAX_EJECT_S = 60.0
-SUCCESSES_TO_RETURN = 3
-MAX_EJECTED_PART = 3
+SUCCESSES_TO_RECOVER = 3
+MAX_EJECTED_DIVISOR = 3
 
 
 class OutlierDetector:
@@ -45,37 +45,39 @@
             return []
         self._next_check_s = now + CHECK_INTERVAL_S
         before = {instance: state.health for instance, state in states.items()}
-        self._measure(states)
+        self._update_slowdowns(states)
         for state in states.values():
-            self._judge(state, now)
+            self._update_health(state, now)
         self._eject_worst(states, now)
         return [name for name, state in states.items() if state.health is not before[name]]
 
-    def restore_bound(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
+    def enforce_ejection_bound(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
         """Put endpoints on probation after the subset shrank; return those changed."""
         ejected = [name for name in states if states[name].health is HealthState.EJECTED]
-        staying = [name for name in ejected if not states[name].report.leaving]
-        excess = max(0, len(staying) - _ejection_bound(states))
-        staying.sort(key=lambda name: states[name].changed_s)
-        changed = staying[:excess]
-        served = _served(states)
+        candidates = [name for name in ejected if not states[name].report.leaving]
+        excess = max(0, len(candidates) - _ejection_bound(states))
+        candidates.sort(key=lambda name: states[name].health_changed_s)
+        changed = candidates[:excess]
+        available = _available_by_capability(states)
         changed += [
-            name for name in staying[excess:] if not states[name].capabilities <= served.keys()
+            name
+            for name in candidates[excess:]
+            if not states[name].capabilities <= available.keys()
         ]
         for name in changed:
-            states[name].enter(HealthState.PROBATION, now)
+            states[name].set_health(HealthState.PROBATION, now)
         return changed
 
-    def _measure(self, states: Mapping[str, EndpointState]) -> None:
+    def _update_slowdowns(self, states: Mapping[str, EndpointState]) -> None:
         """Compare inter-token times with the median at a batch size within a factor of two."""
         groups: dict[int, list[float]] = {}
         measured: list[tuple[EndpointState, int, float]] = []
         for state in states.values():
-            gap = state.inter_token_s()
-            if gap is not None:
+            inter_token_s = state.inter_token_s()
+            if inter_token_s is not None:
                 group = (state.outstanding() + 1).bit_length()
-                measured.append((state, group, gap))
-                groups.setdefault(group, []).append(gap)
+                measured.append((state, group, inter_token_s))
+                groups.setdefault(group, []).append(inter_token_s)
         medians: dict[int, float] = {}
         for group in groups:
             # Where too few are alike, larger batches join: they are slower, which errs towards
@@ -83,56 +85,58 @@
             near = [gap for g, gaps in groups.items() if abs(g - group) <= 1 for gap in gaps]
             above = [gap for g, gaps in groups.items() if g >= group - 1 for gap in gaps]
             medians[group] = statistics.median_low(near if len(near) >= 3 else above)
-        for state, group, gap in measured:
-            state.slowdown = max(1.0, gap / medians[group]) if medians[group] > 0 else 1.0
+        for state, group, inter_token_s in measured:
+            state.slowdown = (
+                max(1.0, inter_token_s / medians[group]) if medians[group] > 0 else 1.0
+            )
 
-    def _judge(self, state: EndpointState, now: float) -> None:
+    def _update_health(self, state: EndpointState, now: float) -> None:
         if state.health is HealthState.EJECTED:
-            pause_s = min(MAX_EJECT_S, EJECT_S * 2.0 ** min(10, state.ejections - 1))
-            if now - state.changed_s >= pause_s:
-                state.enter(HealthState.PROBATION, now)
+            eject_s = min(MAX_EJECT_S, INITIAL_EJECT_S * 2.0 ** min(10, state.ejections - 1))
+            if now - state.health_changed_s >= eject_s:
+                state.set_health(HealthState.PROBATION, now)
             return
-        bad = self._is_bad(state, now)
-        state.strikes = state.strikes + 1 if bad else 0
+        bad = self._is_outlier(state, now)
+        state.consecutive_bad_checks = state.consecutive_bad_checks + 1 if bad else 0
         if state.health is HealthState.PROBATION and not bad:
-            recovered = state.successes >= SUCCESSES_TO_RETURN
+            recovered = state.successes >= SUCCESSES_TO_RECOVER
             if recovered or state.inter_token_s() is not None:
-                state.enter(HealthState.HEALTHY, now)
+                state.set_health(HealthState.HEALTHY, now)
 
-    def _is_bad(self, state: EndpointState, now: float) -> bool:
-        if state.failures >= FAILURES_TO_EJECT or state.slowdown >= STRAGGLER_RATIO:
+    def _is_outlier(self, state: EndpointState, now: float) -> bool:
+        if state.consecutive_failures >= FAILURES_TO_EJECT or state.slowdown >= STRAGGLER_RATIO:
             return True
         if not self._streams_tokens:
             return False
-        limit_s = STALL_S if state.has_tokens() else FIRST_TOKEN_STALL_S
+        limit_s = STALL_S if state.has_produced_tokens() else FIRST_TOKEN_STALL_S
         if state.report.tokens_per_s > 0:
-            limit_s = PAUSED_STALL_S
+            limit_s = STALL_WHILE_PAUSED_S
         return state.silent_s(now) >= limit_s
 
     def _eject_worst(self, states: Mapping[str, EndpointState], now: float) -> None:
-        staying = [state for state in states.values() if not state.report.leaving]
-        ejected = sum(state.health is HealthState.EJECTED for state in staying)
-        served = _served(states)
-        bad = [state for state in staying if state.strikes >= STRIKES_TO_EJECT]
+        remaining = [state for state in states.values() if not state.report.leaving]
+        ejected = sum(state.health is HealthState.EJECTED for state in remaining)
+        available = _available_by_capability(states)
+        bad = [state for state in remaining if state.consecutive_bad_checks >= BAD_CHECKS_TO_EJECT]
         bad.sort(key=lambda state: (state.silent_s(now), state.slowdown), reverse=True)
         for state in bad:
             if ejected >= _ejection_bound(states):
                 break
             # The only endpoint with a model stays: a slow answer is better than none.
-            if any(served[capability] < 2 for capability in state.capabilities):
+            if any(available[capability] < 2 for capability in state.capabilities):
                 continue
             ejected += 1
             for capability in state.capabilities:
-                served[capability] -= 1
+                available[capability] -= 1
             state.ejections += 1
-            state.enter(HealthState.EJECTED, now)
+            state.set_health(HealthState.EJECTED, now)
 
 
 def _ejection_bound(states: Mapping[str, EndpointState]) -> int:
-    return sum(not state.report.leaving for state in states.values()) // MAX_EJECTED_PART
+    return sum(not state.report.leaving for state in states.values()) // MAX_EJECTED_DIVISOR
 
 
-def _served(states: Mapping[str, EndpointState]) -> dict[Capability, int]:
+def _available_by_capability(states: Mapping[str, EndpointState]) -> dict[Capability, int]:
     """Count the endpoints that take new work, by capability."""
     counts: dict[Capability, int] = {}
     for state in states.values():
