--- a/cassiadrum/decisions/__init__.py
+++ b/cassiadrum/decisions/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions as plain code: no sockets, no clocks, no global random numbers."""
+"""Pure decision logic: no I/O, no clock reads and no global random state."""
 
 from cassiadrum.decisions.actions import Action, Cancel, Dispatch, Hedge, Refuse
 from cassiadrum.decisions.admission_decisions import Admitted, Rejected
--- a/cassiadrum/decisions/actions.py
+++ b/cassiadrum/decisions/actions.py
@@ -1,4 +1,4 @@
-"""What a dispatcher tells the entry instance to do."""
+"""Actions that a dispatcher returns to its entry instance."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 
 
 class Dispatch(NamedTuple):
-    """Send the request to the endpoint instance."""
+    """Send the request to an endpoint instance."""
 
     req: QueuedRequest
     instance: str
@@ -23,14 +23,17 @@
 
 
 class Cancel(NamedTuple):
-    """Cancel the request at the endpoint instance."""
+    """Cancel the request's copy at an endpoint instance."""
 
     request_id: str
     instance: str
 
 
 class Refuse(NamedTuple):
-    """Give the request its final refusal; `retry_after_s` is in seconds."""
+    """Answer the request with a final refusal.
+
+    `ran` says whether the request ran; `retry_after_s` is in seconds.
+    """
 
     req: QueuedRequest
     reason: str
--- a/cassiadrum/decisions/admission_decisions.py
+++ b/cassiadrum/decisions/admission_decisions.py
@@ -1,4 +1,4 @@
-"""What admission says about a request."""
+"""Results of an admission decision."""
 
 from typing import NamedTuple
 
@@ -6,14 +6,18 @@
 
 
 class Admitted(NamedTuple):
-    """Accept the request; both waits are in seconds, before and after the learned correction."""
+    """The request is accepted.
+
+    `uncorrected_s` is the predicted wait in seconds, `predicted_s` the same after the learned
+    correction.
+    """
 
     predicted_s: float = 0.0
     uncorrected_s: float = 0.0
 
 
 class Rejected(NamedTuple):
-    """Refuse the request at once; `retry_after_s` is in seconds."""
+    """The request is refused before it is queued; `retry_after_s` is in seconds."""
 
     reason: str
     retry_after_s: float
--- a/cassiadrum/decisions/admissions.py
+++ b/cassiadrum/decisions/admissions.py
@@ -1,4 +1,4 @@
-"""Base class of the decision to accept a request."""
+"""Base class of admission control."""
 
 from abc import ABC, abstractmethod
 
@@ -10,7 +10,7 @@
 
 
 class Admission(ABC):
-    """Decide whether a request is accepted, and predict its wait."""
+    """Admission control, which accepts or refuses requests by their predicted wait."""
 
     @abstractmethod
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted | Rejected:
@@ -22,8 +22,11 @@
 
     @abstractmethod
     def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
-        """Return after how many seconds a refused request is worth sending again."""
+        """Return the delay in seconds after which a refused request may be sent again."""
 
     @abstractmethod
     def observe_wait(self, predicted_s: float, actual_s: float) -> None:
-        """Learn from the wait of a dispatched request and its prediction before correction."""
+        """Update the correction from a dispatched request.
+
+        `predicted_s` is its uncorrected prediction, `actual_s` its wait, both in seconds.
+        """
--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -1,4 +1,4 @@
-"""The attempts under way and the endpoints they run at."""
+"""Running attempts and the endpoints at which they run."""
 
 from cassiadrum.decisions.actions import Action, Cancel
 from cassiadrum.decisions.cancelled_copies import CancelledCopies, CancelledCopy
@@ -12,7 +12,11 @@
 
 
 class AttemptTable:
-    """Tell the chooser of every start and end, and keep the copies of each request."""
+    """The running requests of a service with their copies.
+
+    Reports every start and end of a copy to the endpoint chooser, and wasted tokens to the hedge
+    policy.
+    """
 
     def __init__(self, chooser: EndpointChooser, hedge: HedgePolicy) -> None:
         self._chooser = chooser
@@ -23,39 +27,39 @@
         self.running: dict[str, TrackedRequest] = {}
 
     def report(self, rep: EndpointReport, now: float) -> None:
-        """Take a load report, which also shows that the connection works."""
+        """Apply a load report, which also proves that the connection works."""
         self._lost.discard(rep.instance)
         self._chooser.report(rep, now)
 
     def mark_lost(self, instance: str) -> None:
-        """Start nothing at the instance until it reports again."""
+        """Start no new work at the instance until its next report."""
         self._lost.add(instance)
 
     def requests_at(self, instance: str) -> list[TrackedRequest]:
-        """Return the requests that have a copy at the instance."""
+        """Return the running requests that have a copy at the instance."""
         return [tracked for tracked in self.running.values() if instance in tracked.copies]
 
     def remove(self, instance: str, now: float) -> None:
-        """Forget an instance at which no copies are left but cancelled ones."""
+        """Remove an instance whose only remaining copies are cancelled ones."""
         self._lost.discard(instance)
         for copy in self._cancelled.pop_instance(instance):
             self._end_copy(copy, 0, now)
         self._chooser.remove(instance)
 
     def has_available_endpoint(self) -> bool:
-        """Tell whether any endpoint can take new work."""
+        """Return whether any connected endpoint can take new work."""
         return self._available_excluding(self._lost) > 0
 
     def free_slots(self) -> int:
-        """Return the number of free slots, 0 when no endpoint is connected."""
+        """Return the number of free slots, 0 when no endpoint is available."""
         return self._chooser.free_slots() if self.has_available_endpoint() else 0
 
     def all_protected(self) -> bool:
-        """Tell whether all running requests are protected."""
+        """Return whether all running requests are protected."""
         return self._unprotected == 0
 
     def default_instance(self, request_id: str) -> str:
-        """Return the instance of an event that names none, empty when nothing runs."""
+        """Return the instance that an event without one refers to, empty if no copy runs."""
         tracked = self.running.get(request_id)
         if tracked is not None:
             return tracked.primary_instance()
@@ -64,7 +68,7 @@
     def choose(self, tracked: TrackedRequest, now: float) -> str | None:
         """Return an instance for the next copy of the request.
 
-        The instance that just failed it is left out where another one exists.
+        The instance of the last failure is avoided as long as another one is available.
         """
         exclude = self._lost | set(tracked.copies)
         exclude |= self._cancelled.instances(tracked.req.request_id)
@@ -73,7 +77,7 @@
         return self._chooser.choose(tracked.req, now, exclude)
 
     def start(self, tracked: TrackedRequest, instance: str, now: float) -> None:
-        """Count the start of a copy."""
+        """Record the start of a copy."""
         if tracked.req.request_id not in self.running:
             self.running[tracked.req.request_id] = tracked
             self._unprotected += not tracked.req.protected
@@ -81,8 +85,8 @@
         self._chooser.dispatched(instance, tracked.req, now)
 
     def end(self, tracked: TrackedRequest, instance: str, outcome: Outcome, now: float) -> float:
-        """Count the end of a copy and return for how many seconds it ran."""
-        # A rejection as not run says nothing against the endpoint's health.
+        """Record the end of a copy and return its duration in seconds."""
+        # A rejection as not run is no sign of a failing endpoint.
         if not outcome.ok and outcome.ran is ExecutionStatus.NOT_EXECUTED:
             self._chooser.rejected(instance, tracked.req.request_id, now)
         else:
@@ -93,7 +97,7 @@
         return now - started_s
 
     def cancel(self, tracked: TrackedRequest, keep: str, now: float) -> list[Action]:
-        """Cancel all copies but the one at `keep`; with an empty `keep`, the whole request."""
+        """Cancel all copies except the one at `keep`; an empty `keep` cancels the request."""
         actions: list[Action] = []
         for instance in [name for name in tracked.copies if name != keep]:
             hedge = bool(keep)
@@ -106,14 +110,14 @@
         return actions
 
     def end_cancelled(self, request_id: str, instance: str, tokens: int, now: float) -> bool:
-        """Take the end of a cancelled copy; return False when it was not cancelled."""
+        """Record the end of a cancelled copy; return False if the copy was not cancelled."""
         copy = self._cancelled.pop(request_id, instance)
         if copy is not None:
             self._end_copy(copy, tokens, now)
         return copy is not None
 
     def release_overdue(self, now: float) -> None:
-        """Free the slots of cancelled copies whose end was never heard of."""
+        """Free the slots of cancelled copies whose end was not reported in time."""
         for copy in self._cancelled.pop_overdue(now):
             self._end_copy(copy, 0, now)
 
--- a/cassiadrum/decisions/budget_retry_policies.py
+++ b/cassiadrum/decisions/budget_retry_policies.py
@@ -1,4 +1,4 @@
-"""Retries within a share of the accepted work."""
+"""Retries limited to a share of the accepted requests."""
 
 import math
 from collections.abc import Mapping
@@ -11,20 +11,20 @@
 
 DEFAULT_BUDGET = 0.1
 MAX_ATTEMPTS = 3
-# Attempts rejected as not run cost no capacity, so a request goes on until its deadline; this
-# bounds one that has none.
+# Attempts rejected as not run cost no capacity, so they are retried until the deadline; this
+# limit applies to requests without a deadline.
 MAX_REJECTED_ATTEMPTS = 8
-# Bounds the retries that a class with much earlier traffic can send in one burst.
+# Limits the burst of retries that a class can send after a long time without failures.
 BUCKET_CAPACITY_RETRIES = 100.0
-# Sums of shares such as 0.1 fall short of 1 by rounding.
+# Ten additions of 0.1 sum to slightly less than 1.
 ROUNDING_TOLERANCE = 1e-9
 
 
 class BudgetRetryPolicy(RetryPolicy):
-    """Keep a token bucket for each class; each accepted request adds the class's budget.
+    """Retry budget with one token bucket per class, filled by accepted requests.
 
-    `budgets` maps class names to shares between 0 and 1. Buckets start empty, so that retries
-    never exceed the share of the work accepted so far.
+    `budgets` maps class names to the retries earned by one accepted request, between 0 and 1.
+    Buckets start empty, so retries never exceed that share of the requests accepted so far.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
         self._buckets: dict[str, float] = {}
 
     def configure(self, budgets: Mapping[str, float]) -> None:
-        """Replace the budgets; what was saved stays."""
+        """Replace the budgets and keep the contents of the buckets."""
         self._budgets = dict(budgets)
 
     def record_accepted(self, req: QueuedRequest) -> None:
@@ -45,15 +45,18 @@
         self._buckets[req.class_name] = min(balance, BUCKET_CAPACITY_RETRIES)
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
-        """Allow it within attempts and deadline, without budget.
+        """Allow a continuation within the attempt limit and the deadline, at no budget cost.
 
-        Only the prompt is computed again, and a refusal would waste what was delivered.
+        Only the prompt is computed again, and a refusal would waste the delivered tokens.
         """
         repeatable = req.idempotent and not req.once_only
         return repeatable and req.attempt + 1 < MAX_ATTEMPTS and now < req.deadline_s
 
     def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
-        """Allow a retry within attempts and deadline; spend budget unless it did not run."""
+        """Allow a retry within the attempt limit and the deadline.
+
+        A retry costs budget unless the failed attempt did not run.
+        """
         if now >= req.deadline_s:
             return False
         if ran is ExecutionStatus.NOT_EXECUTED:
--- a/cassiadrum/decisions/capability_indexes.py
+++ b/cassiadrum/decisions/capability_indexes.py
@@ -1,4 +1,4 @@
-"""Sets of endpoints by what they have loaded."""
+"""Index of endpoints by loaded model and adapter."""
 
 from collections.abc import Iterable
 from random import Random
@@ -7,19 +7,22 @@
 
 __all__ = ["Capability", "CapabilityIndex", "capabilities_of"]
 
-# A model and an adapter; an empty name stands for any.
+# A model and an adapter; an empty name matches any.
 Capability = tuple[str, str]
 
 
 def capabilities_of(rep: EndpointReport) -> frozenset[Capability]:
-    """Return every capability that the endpoint's loaded models and adapters satisfy."""
+    """Return all capabilities that the endpoint's loaded models and adapters provide."""
     models = ("", *rep.models)
     adapters = ("", *rep.adapters)
     return frozenset((model, adapter) for model in models for adapter in adapters)
 
 
 class CapabilityIndex:
-    """Keep instances by capability, with random samples in time proportional to their size."""
+    """Index of instances by capability.
+
+    A random sample costs time proportional to its size, not to the number of instances.
+    """
 
     def __init__(self) -> None:
         self._members: dict[Capability, list[str]] = {}
@@ -27,7 +30,7 @@
         self._capabilities: dict[str, frozenset[Capability]] = {}
 
     def contains(self, instance: str, capability: Capability) -> bool:
-        """Return whether the instance is here with the capability."""
+        """Return whether the index lists the instance under the capability."""
         return instance in self._positions.get(capability, ())
 
     def count(self, capability: Capability) -> int:
@@ -35,7 +38,7 @@
         return len(self._members.get(capability, ()))
 
     def put(self, instance: str, capabilities: frozenset[Capability]) -> None:
-        """Add an instance, or change what it has loaded."""
+        """Add an instance, or replace its capabilities."""
         old = self._capabilities.get(instance, frozenset())
         self._capabilities[instance] = capabilities
         if old != capabilities:
@@ -46,7 +49,7 @@
                 members.append(instance)
 
     def discard(self, instance: str) -> None:
-        """Remove an instance if it is here."""
+        """Remove an instance if it is present."""
         self._remove(instance, self._capabilities.pop(instance, frozenset()))
 
     def sample(self, capability: Capability, size: int, rng: Random) -> list[str]:
--- a/cassiadrum/decisions/class_queues.py
+++ b/cassiadrum/decisions/class_queues.py
@@ -1,4 +1,4 @@
-"""The waiting requests of one class, shared fairly by its customers."""
+"""Queue of one class with fair queueing between its customers."""
 
 from cassiadrum.decisions.customer_queues import CustomerQueue
 from cassiadrum.decisions.lazy_heaps import LazyHeap
@@ -12,11 +12,12 @@
 
 
 class ClassQueue:
-    """Serve the customer with the least virtual time first (start-time fair queueing).
+    """Start-time fair queueing: the customer with the lowest start tag is served first.
 
-    A customer's virtual time advances by estimated tokens / weight with each request served. The
-    time of a customer without waiting requests is kept until the class's clock passes it, so
-    that sending one request at a time gains nothing, and memory follows the active customers.
+    A customer's start tag advances by estimated tokens / weight with each request served. The
+    tag of a customer without waiting requests is kept until the class's virtual time passes it:
+    a customer gains nothing by sending one request at a time, and memory use is proportional to
+    the number of active customers.
     """
 
     def __init__(self, req: QueuedRequest, counter: OperationCounter) -> None:
@@ -25,7 +26,7 @@
         self.max_wait_s = req.max_wait_s
         self.min_share = req.min_share
         self.tokens = 0.0
-        # Accounting of min_share, in tokens that classes without protection were served.
+        # State of the min_share scheduler; the tag is in tokens served to unprotected classes.
         self.overdue = False
         self.share_tag = 0.0
         self._counter = counter
@@ -38,7 +39,7 @@
         self._idle_by_start_tag = LazyHeap(counter)
 
     def add(self, entry: QueueEntry, refund: bool) -> None:
-        """Add a request; `refund` takes back what its customer was charged when it was served."""
+        """Add a request; `refund` reverses the charge to its customer for an earlier service."""
         req = entry.req
         self.max_wait_s, self.min_share = req.max_wait_s, req.min_share
         customer_queue = self._customers.get(req.customer)
@@ -66,7 +67,7 @@
         return entry
 
     def remove(self, entry: QueueEntry) -> None:
-        """Remove a request that waits here."""
+        """Remove a waiting request."""
         customer = entry.req.customer
         customer_queue = self._customers[customer]
         customer_queue.remove(entry)
@@ -80,25 +81,25 @@
             self._reset()
 
     def peek(self) -> QueueEntry:
-        """Return the request to serve next; raise LookupError when nothing waits."""
+        """Return the request to serve next; raise LookupError if the queue is empty."""
         return self._first_customer(self._by_start_tag).oldest()
 
     def victim(self) -> QueueEntry:
-        """Return the newest request of the customer with the most queued tokens."""
+        """Return the request to evict: the newest of the customer with the most queued tokens."""
         return self._first_customer(self._by_tokens).newest()
 
     def head_arrived_s(self) -> float:
-        """Return when the request that waits longest arrived."""
+        """Return the arrival time of the oldest request, in monotonic seconds."""
         first = self._by_arrival.first()
         if first is None:
-            raise LookupError("no request waits in this class")
+            raise LookupError("the class has no waiting requests")
         arrived_s: float = first[0][0]
         return arrived_s
 
     def ahead_tokens(self, customer: str, own_tokens: float) -> float:
-        """Return the tokens of this class served before a new request of the customer.
+        """Return the tokens of this class that are served before a new request of the customer.
 
-        Each other customer gets at most as much as this one until then.
+        Until then, fair queueing serves each other customer at most as many tokens as this one.
         """
         customer_queue = self._customers.get(customer)
         queued = customer_queue.tokens if customer_queue else 0.0
@@ -111,7 +112,7 @@
     def _first_customer(self, heap: LazyHeap) -> CustomerQueue:
         first = heap.first()
         if first is None:
-            raise LookupError("no request waits in this class")
+            raise LookupError("the class has no waiting requests")
         return self._customers[first[1]]
 
     def _reorder(self, customer: str, customer_queue: CustomerQueue) -> None:
@@ -134,8 +135,8 @@
             del self._idle_start_tags[first[1]]
 
     def _reset(self) -> None:
-        # Nothing waits, so nobody is behind: all customers start again as equals. This also
-        # removes the rounding error of the sums.
+        # In an empty class no customer is behind its share, so all start tags restart at 0. This
+        # also clears the accumulated rounding error of the sums.
         self.tokens = 0.0
         self.overdue = False
         self._virtual_time = 0.0
--- a/cassiadrum/decisions/concurrency_limits.py
+++ b/cassiadrum/decisions/concurrency_limits.py
@@ -1,4 +1,4 @@
-"""Base class of an endpoint's concurrency limit."""
+"""Base class of concurrency limits."""
 
 from abc import ABC, abstractmethod
 
@@ -6,7 +6,7 @@
 
 
 class ConcurrencyLimit(ABC):
-    """Bound the number of requests that run on one endpoint at a time."""
+    """Limit on the number of requests that run on one endpoint at a time."""
 
     @property
     @abstractmethod
@@ -22,4 +22,4 @@
         now: float,
         class_name: str = "",
     ) -> None:
-        """Take the times in seconds that one stream measured while `running` streams ran."""
+        """Record one stream's latencies, in seconds, measured while `running` streams ran."""
--- a/cassiadrum/decisions/cost_estimators.py
+++ b/cassiadrum/decisions/cost_estimators.py
@@ -1,4 +1,4 @@
-"""Estimate of what a request costs at an endpoint."""
+"""Estimated cost of a request at an endpoint."""
 
 from collections.abc import Mapping
 
@@ -7,27 +7,28 @@
 
 __all__ = ["CostEstimator"]
 
-# A round trip between zones at 0.5 ms each way (design 1.2).
+# Round trip between zones, at 0.5 ms each way.
 DEFAULT_ZONE_RTT_S = 0.001
-# Starting values until own streams have been measured.
+# Initial values until streams of this process have been measured.
 INITIAL_PREFILL_S_PER_TOKEN = 1 / 8000
 INITIAL_DURATION_S = 1.0
 DURATION_GAIN = 0.05
-# A first token also waits for other prompts, which only lengthens it: following shorter samples
-# faster gives about the twentieth percentile. The mean would count the load twice and make a
-# cached prefix outweigh almost any load.
+# The time to first token includes waiting for other prompts. A higher gain for shorter samples
+# makes the estimate follow about the 20th percentile. The mean would count the load twice, and a
+# cached prefix would then outweigh almost any load.
 PREFILL_DECREASE_GAIN = 0.2
 PREFILL_INCREASE_GAIN = 0.05
-# Shorter prefills are dominated by fixed costs.
+# The time of shorter prefills is mostly fixed cost.
 MIN_PREFILL_TOKENS = 64
-# Up to about the first-token target, silence is ordinary waiting.
+# About the first-token target; a shorter silence is normal queueing.
 TOLERATED_SILENCE_S = 1.0
 
 
 class CostEstimator:
-    """Add up queueing, uncached prefill, slowness, silence and zone distance in seconds.
+    """Cost of one more request at an endpoint, in seconds.
 
-    `zone_rtts_s` maps zones to the seconds of a round trip from `zone`.
+    Sums queueing, uncached prefill, slowdown, silence and the round trip to the endpoint's zone.
+    `zone_rtts_s` maps zones to the round-trip time from `zone` in seconds.
     """
 
     def __init__(self, zone: str, zone_rtts_s: Mapping[str, float], streams_tokens: bool) -> None:
@@ -37,7 +38,7 @@
         self._mean_duration_s = INITIAL_DURATION_S
 
     def observe_first_token(self, stream: DispatchedStream, now: float) -> None:
-        """Learn the prefill rate from the first token of a stream."""
+        """Update the prefill rate from the first token of a stream."""
         if stream.uncached_tokens >= MIN_PREFILL_TOKENS:
             sample = (now - stream.dispatched_s) / stream.uncached_tokens
             gain = (
@@ -48,16 +49,16 @@
             self._prefill_s_per_token += gain * (sample - self._prefill_s_per_token)
 
     def observe_end(self, stream: DispatchedStream, now: float) -> None:
-        """Learn the duration of a request from one that succeeded."""
+        """Update the mean request duration from a successful request."""
         self._mean_duration_s += DURATION_GAIN * (
             now - stream.dispatched_s - self._mean_duration_s
         )
 
     def estimate(self, state: EndpointState, uncached_tokens: float, now: float) -> float:
-        """Return the estimated seconds that one more request costs at the endpoint."""
+        """Return the estimated cost, in seconds, of one more request at the endpoint."""
         utilization = (state.outstanding() + 1) / max(1, state.slots(now))
-        # Work within the limit shares the batch, which costs more the fuller it is; work above
-        # the limit waits for a slot.
+        # Requests within the limit share the batch, so the cost rises with its size; requests
+        # above the limit wait for a slot.
         queueing = self._mean_duration_s * (
             min(utilization, 1.0) ** 2 / 2 + max(0.0, utilization - 1.0)
         )
--- a/cassiadrum/decisions/customer_queues.py
+++ b/cassiadrum/decisions/customer_queues.py
@@ -1,4 +1,4 @@
-"""The waiting requests of one customer in one class."""
+"""Queue of one customer's requests in one class."""
 
 from cassiadrum.decisions.lazy_heaps import LazyHeap
 from cassiadrum.decisions.operation_counters import OperationCounter
@@ -8,7 +8,10 @@
 
 
 class CustomerQueue:
-    """Keep one customer's requests by arrival; `start_tag` is its virtual time in weighted tokens."""
+    """One customer's waiting requests in order of arrival.
+
+    `start_tag` is the customer's virtual time in tokens / weight.
+    """
 
     def __init__(self, start_tag: float, counter: OperationCounter) -> None:
         self.start_tag = start_tag
@@ -18,7 +21,7 @@
         self._newest = LazyHeap(counter)
 
     def add(self, entry: QueueEntry) -> None:
-        """Add a request in its place by arrival."""
+        """Add a request, ordered by arrival."""
         arrived_s, serial = entry.order
         self._entries[entry.req.request_id] = entry
         self._oldest.set(entry.req.request_id, (arrived_s, serial))
@@ -26,18 +29,18 @@
         self.tokens += entry.tokens
 
     def remove(self, entry: QueueEntry) -> None:
-        """Remove a request that waits here."""
+        """Remove a waiting request."""
         del self._entries[entry.req.request_id]
         self._oldest.discard(entry.req.request_id)
         self._newest.discard(entry.req.request_id)
         self.tokens -= entry.tokens
 
     def oldest(self) -> QueueEntry:
-        """Return the request that arrived first; raise LookupError when nothing waits."""
+        """Return the request that arrived first; raise LookupError if the queue is empty."""
         return self._entry(self._oldest)
 
     def newest(self) -> QueueEntry:
-        """Return the request that arrived last; raise LookupError when nothing waits."""
+        """Return the request that arrived last; raise LookupError if the queue is empty."""
         return self._entry(self._newest)
 
     def __len__(self) -> int:
@@ -46,5 +49,5 @@
     def _entry(self, heap: LazyHeap) -> QueueEntry:
         first = heap.first()
         if first is None:
-            raise LookupError("no request waits in this queue")
+            raise LookupError("the customer has no waiting requests")
         return self._entries[first[1]]
--- a/cassiadrum/decisions/deadline_admissions.py
+++ b/cassiadrum/decisions/deadline_admissions.py
@@ -1,4 +1,4 @@
-"""Refusal of requests that would wait beyond their deadline."""
+"""Admission control by deadline."""
 
 from cassiadrum.decisions.admission_decisions import Admitted, Rejected
 from cassiadrum.decisions.admissions import Admission
@@ -7,19 +7,19 @@
 
 __all__ = ["DeadlineAdmission"]
 
-# A shorter time invites a retry storm; a longer one outlasts most bursts.
+# A shorter delay risks a retry storm; a longer one exceeds the duration of most bursts.
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
-# The correction follows about the last 32 waits and stays within a factor of four, so that a
-# few outliers cannot shut the service or open it without limit.
+# The correction averages about the last 32 waits. It is limited to a factor of four, so that a
+# few outliers cannot make admission refuse or accept everything.
 CORRECTION_GAIN = 1 / 32
 MAX_CORRECTION = 4.0
-# Shorter waits are mostly the time to the next event and say nothing of the service rate.
+# Shorter waits are mostly the time to the next event and do not reflect the service rate.
 MIN_OBSERVED_WAIT_S = 0.05
 
 
 class DeadlineAdmission(Admission):
-    """Refuse a request at once when its predicted wait passes its deadline."""
+    """Admission control that refuses requests whose predicted wait exceeds their deadline."""
 
     def __init__(self) -> None:
         self._mean_predicted_s = 0.0
@@ -28,7 +28,7 @@
 
     @property
     def correction(self) -> float:
-        """Return the factor from predicted to actual waits."""
+        """Return the ratio of actual to predicted waits, between 1/4 and 4."""
         if self._mean_predicted_s <= 0.0:
             return 1.0
         ratio = self._mean_actual_s / self._mean_predicted_s
@@ -36,7 +36,7 @@
 
     @property
     def error_s(self) -> float:
-        """Return the mean absolute error of corrected predictions in seconds."""
+        """Return the mean absolute error of the corrected predictions, in seconds."""
         return self._mean_error_s
 
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted | Rejected:
@@ -50,20 +50,20 @@
     def predict_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
         """Return the predicted wait in seconds, 0 while the service rate is unknown.
 
-        The correction is learned mostly from lower tiers, whose waits higher tiers lengthen. It
-        therefore never lengthens the prediction for a protected request.
+        Most observed waits are of lower tiers, which wait for higher ones. The correction
+        therefore never increases the prediction for a protected request.
         """
         correction = min(self.correction, 1.0) if req.protected else self.correction
         return _uncorrected_s(view) * correction
 
     def retry_after_s(self, req: QueuedRequest, view: ServiceSnapshot) -> float:
-        """Return the predicted wait within bounds."""
+        """Return the predicted wait, clamped to between 1 and 60 seconds."""
         return _clamp_retry_after_s(self.predict_s(req, view))
 
     def observe_wait(self, predicted_s: float, actual_s: float) -> None:
-        """Move the correction towards actual / predicted wait.
+        """Update the correction from the actual and the predicted wait, in seconds.
 
-        A prediction of 0 was made without a rate or with a free slot and teaches nothing.
+        Predictions of 0 are ignored: they were made with a free slot or without a known rate.
         """
         if predicted_s <= 0.0 or max(predicted_s, actual_s) < MIN_OBSERVED_WAIT_S:
             return
--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -1,4 +1,4 @@
-"""Planning of model and adapter loads from demand."""
+"""Planning of model and adapter loads by demand."""
 
 import math
 from collections.abc import Collection, Mapping
@@ -13,29 +13,31 @@
 
 __all__ = ["DemandOrderPlanner"]
 
-# A copy is added above this use of the present copies and counts as spare only if the others
-# stay below the lower share without it; the distance keeps a load between them from moving.
+# A copy is added when the utilization of the existing copies exceeds the first value. It is spare
+# if the others would stay below the second one without it. The gap between the values prevents
+# oscillation.
 ADD_ABOVE_UTILIZATION = 0.8
 SPARE_BELOW_UTILIZATION = 0.5
-# A need or a spare copy has to last this long, so that a burst moves no weights.
+# A shortage or a spare copy must last this long, so that a burst does not load any weights.
 STABILIZATION_S = 10.0
-# An engine gets its next order no sooner than this after the last one ended.
+# Minimum time between the end of one order to an engine and the next order to it.
 COOLDOWN_S = 60.0
-# An engine that has not answered by then no longer keeps others from loading; it gets no second
-# order itself while it is connected.
+# After this time an unanswered order no longer counts against the limit on loading engines. Its
+# engine gets no other order while it is connected.
 ORDER_TIMEOUT_S = 600.0
-# Engines that load serve less meanwhile, so at most a quarter of them (or one) does so at a time.
+# Engines serve less while they load, so at most a quarter of them, but at least one, may load at
+# a time.
 MAX_IN_FLIGHT_DIVISOR = 4
 
 ModelKey = tuple[str, str]
 
 
 class DemandOrderPlanner(OrderPlanner):
-    """Load what is in demand where there is room, or in place of spare copies.
+    """Planner that loads models and adapters in demand, if necessary in place of spare copies.
 
-    `sizes` maps (model, adapter) to bytes in the weight store; what has no size is never loaded.
-    `bytes_per_s` is the weight store's budget. An engine holds `models_per_engine` models and
-    `adapters_per_engine` adapters.
+    `sizes` maps (model, adapter) to the size in the weight store in bytes; entries without a size
+    are never loaded. `bytes_per_s` limits the mean read rate from the weight store. An engine
+    holds `models_per_engine` models and `adapters_per_engine` adapters.
     """
 
     def __init__(
@@ -60,7 +62,7 @@
     def plan(
         self, demand: Collection[ModelDemand], endpoints: Collection[EndpointReport], now: float
     ) -> list[EngineOrder]:
-        """Return the orders to send now; the caller sends each one exactly once."""
+        """Return the orders to send now; the caller must send each one exactly once."""
         remaining = [rep for rep in endpoints if not rep.leaving]
         self._drop_finished_orders(remaining, now)
         self._count_demand(demand, remaining)
@@ -75,17 +77,17 @@
         return orders
 
     def order_answered(self, instance: str, now: float) -> None:
-        """Take the result of the order in flight at the engine."""
+        """Record that the engine answered the order in flight."""
         sent = self._in_flight.get(instance)
         if sent is not None:
             self._in_flight[instance] = sent._replace(answered_s=min(now, sent.answered_s))
 
     def _drop_finished_orders(self, remaining: list[EndpointReport], now: float) -> None:
-        """Drop orders whose effect the reports show, and those of engines lost for long."""
+        """Drop orders that newer reports reflect, and overdue ones of disconnected engines."""
         reported = {rep.instance: rep.reported_s for rep in remaining}
         for instance, sent in list(self._in_flight.items()):
             if instance in reported:
-                # An older report still lists what the order has unloaded.
+                # A report from before the answer still lists what the order unloaded.
                 ended = reported[instance] > sent.answered_s
             else:
                 ended = _is_overdue(sent, now)
@@ -113,7 +115,7 @@
                 self._holders.setdefault(name, []).append(rep)
 
     def _update_copy_states(self, now: float) -> None:
-        """Note since when each model or adapter has had too few or too many copies."""
+        """Record since when each model or adapter has had too few or too many copies."""
         shortage, spare = set(), set()
         for name, holders in self._holders.items():
             loading = sum(
@@ -128,14 +130,14 @@
         _update_since(self._spare_since_s, spare, now)
 
     def _utilization(self, name: ModelKey, copies: int) -> float:
-        """Return the requests per slot if `copies` engines served the model or adapter."""
+        """Return the requests per slot when `copies` engines serve the model or adapter."""
         requests = self._requests.get(name, 0.0)
         if requests <= 0:
             return 0.0
         return requests / (copies * self._mean_limit) if copies > 0 else math.inf
 
     def _lasting_shortages(self, now: float) -> list[ModelKey]:
-        """Return what lacks copies for long enough, the most overloaded first."""
+        """Return the models and adapters with a lasting shortage, the most overloaded first."""
         lasting = [
             name
             for name, since in self._shortage_since_s.items()
@@ -154,7 +156,7 @@
     def _plan_load(
         self, name: ModelKey, remaining: list[EndpointReport], now: float
     ) -> EngineOrder | None:
-        """Return the load at the engine that loses least by it, or None when none can."""
+        """Return an order to the engine with the least to lose, or None if no engine can load."""
         model, adapter = name
         options: list[tuple[bool, int, str, str]] = []
         for rep in remaining:
@@ -179,12 +181,12 @@
         present = rep.adapters if adapter else rep.models
         if len(present) < capacity:
             return ""
-        # What has no copy at all may also take one of several that are all in use.
+        # A model or adapter without any copy may also replace one of several copies in use.
         may_replace = self._is_spare if self._holders[name] else self._has_other_copy
         for other in present:
             names = [(model, other) for model in rep.models] if adapter else [(other, "")]
             if not adapter:
-                # Adapters of a model go with it.
+                # Unloading a model also unloads its adapters.
                 names += [(other, loaded) for loaded in rep.adapters]
             if all(may_replace(each, now) for each in names):
                 return other
@@ -200,13 +202,13 @@
         return self._is_spare(name, now) or self._remaining_copies(name) > 0
 
     def _remaining_copies(self, name: ModelKey) -> int:
-        """Return the copies after one more is unloaded and all orders in flight are done."""
+        """Return the copies left after all orders in flight and the unloading of one more copy."""
         unloading = sum(_unloads(sent.order, name) for sent in self._in_flight.values())
         return len(self._holders.get(name, ())) - unloading - 1
 
 
 def _loaded(rep: EndpointReport) -> list[ModelKey]:
-    """Return the models of the engine, and its adapters under each of its models."""
+    """Return the engine's models, and its adapters combined with each of its models."""
     models = [(model, "") for model in rep.models]
     return models + [(model, adapter) for model in rep.models for adapter in rep.adapters]
 
--- a/cassiadrum/decisions/dispatched_streams.py
+++ b/cassiadrum/decisions/dispatched_streams.py
@@ -1,4 +1,4 @@
-"""A dispatched request as the entry instance sees it."""
+"""Progress of one dispatched request."""
 
 from dataclasses import dataclass
 
@@ -7,10 +7,10 @@
 
 @dataclass(slots=True)
 class DispatchedStream:
-    """Count the progress of one own request; it changes with each frame of tokens.
+    """Progress of a request that this entry instance dispatched, updated with each token frame.
 
-    Times are monotonic seconds; `uncached_tokens` is the part of the prompt that the endpoint
-    was not believed to hold at the time of the dispatch.
+    Times are monotonic seconds. `uncached_tokens` counts the prompt tokens that were presumably
+    not in the endpoint's cache at the time of the dispatch.
     """
 
     dispatched_s: float
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -1,4 +1,4 @@
-"""The decisions of one service at an entry instance, composed."""
+"""Request handling of one service at an entry instance, from admission to the last attempt."""
 
 from collections.abc import Collection
 
@@ -23,18 +23,18 @@
 
 __all__ = ["Dispatcher"]
 
-# Covers a redial after 3 s of silence; then the callers are told at once.
+# Longer than the 3 s of silence after which a connection is redialled, so that a single
+# reconnect refuses no requests.
 NO_ENDPOINT_TIMEOUT_S = 5.0
-# Requests without a usable endpoint that one event may pass over to reach the ones behind them.
+# Limits how many requests without a usable endpoint one event skips to reach those behind them.
 MAX_SKIPPED_REQUESTS = 8
 
 
 class Dispatcher:
-    """Take events of one service and return the actions that follow.
+    """State machine that turns the events of one service into actions.
 
-    Every method takes `now` in monotonic seconds and returns the actions in the order in which
-    they are to be carried out. Requests of the classes in `uncancellable` are neither cancelled
-    once dispatched nor hedged.
+    `now` is in monotonic seconds. The caller must carry out the returned actions in order.
+    Requests of the classes in `uncancellable` are neither hedged nor cancelled after dispatch.
     """
 
     def __init__(
@@ -64,9 +64,9 @@
         self._disconnected_s: float | None = None
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
-        """Admit or refuse a new request; raise ValueError when its id is in use."""
+        """Admit or refuse a new request; raise ValueError if its id is in use."""
         if req.request_id in self._waiting or req.request_id in self._attempts.running:
-            raise ValueError(f"request {req.request_id} was submitted before")
+            raise ValueError(f"request {req.request_id} is already waiting or running")
         self._update_connection_state(now)
         decision = self._predictor.decide(req, now)
         if isinstance(decision, Rejected):
@@ -80,19 +80,19 @@
         return self._refuse_evicted(evicted, req) + self._dispatch_waiting(now)
 
     def report(self, rep: EndpointReport, now: float) -> list[Action]:
-        """Take an endpoint's load report, which also ends the effect of `lost`."""
+        """Apply an endpoint's load report, which also ends the effect of `endpoint_lost`."""
         self._attempts.report(rep, now)
         self._update_connection_state(now)
         return self._dispatch_waiting(now)
 
     def endpoint_lost(self, instance: str, now: float) -> list[Action]:
-        """Give an endpoint no new work, as its connection is lost; its streams may reattach."""
+        """Send an endpoint no new work after its connection broke; its streams may reattach."""
         self._attempts.mark_lost(instance)
         self._update_connection_state(now)
         return self._dispatch_waiting(now)
 
     def endpoint_removed(self, instance: str, now: float) -> list[Action]:
-        """Forget an endpoint that is gone for good; its attempts end with `ran` unknown."""
+        """Remove an endpoint permanently; its attempts fail with `ran` unknown."""
         actions: list[Action] = []
         failure = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
         for tracked in self._attempts.requests_at(instance):
@@ -102,7 +102,7 @@
         return actions + self._dispatch_waiting(now)
 
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> list[Action]:
-        """Take the number of tokens that arrived; the first token cancels the other copy."""
+        """Count tokens that arrived; the first one of a hedged request cancels the other copy."""
         self._chooser.progressed(instance, request_id, tokens, now)
         tracked = self._attempts.running.get(request_id)
         if tracked is None or tracked.winner or tokens <= 0 or instance not in tracked.copies:
@@ -113,16 +113,16 @@
         return self._attempts.cancel(tracked, instance, now)
 
     def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
-        """Take cache events of an endpoint."""
+        """Record prefixes that an endpoint reported as cached."""
         self._chooser.observe_cached_prefixes(instance, keys, now)
 
     def finished(
         self, request_id: str, outcome: Outcome, now: float, instance: str = ""
     ) -> list[Action]:
-        """Take the end of an attempt; a failed one is retried where that is allowed.
+        """Handle the end of an attempt and retry a failed one if that is allowed.
 
-        `instance` tells the copies of a hedged request apart, and has to be given for the end of
-        a cancelled copy; without it the copy that answers is meant.
+        `instance` distinguishes the copies of a hedged request and is required for the end of a
+        cancelled copy. If empty, it defaults to the instance whose copy answers.
         """
         instance = instance or self._attempts.default_instance(request_id)
         if self._attempts.end_cancelled(request_id, instance, outcome.tokens, now):
@@ -133,7 +133,7 @@
         return self._end_attempt(tracked, instance, outcome, now) + self._dispatch_waiting(now)
 
     def cancelled(self, request_id: str, now: float) -> list[Action]:
-        """Drop a request whose caller went away; cancel its copies where that is allowed."""
+        """Drop a request whose caller disconnected and cancel its copies if that is allowed."""
         if self._queue.remove(request_id) is not None:
             del self._waiting[request_id]
             return self._dispatch_waiting(now)
@@ -146,7 +146,7 @@
         return self._attempts.cancel(tracked, "", now)
 
     def tick(self, now: float) -> list[Action]:
-        """Refuse what has waited too long, place what can be placed, hedge what is slow."""
+        """Refuse requests that waited too long, dispatch what fits and hedge slow requests."""
         self._attempts.release_overdue(now)
         self._update_connection_state(now)
         return self._refuse_disconnected(now) + self._dispatch_waiting(now) + self._hedge_slow(now)
@@ -160,7 +160,7 @@
         return len(self._attempts.running)
 
     def predicted_wait_s(self, req: QueuedRequest) -> float:
-        """Return the wait in seconds that the request would have if it arrived now."""
+        """Return the predicted wait, in seconds, of the request if it arrived now."""
         return self._predictor.predict_s(req)
 
     def _end_attempt(
@@ -188,7 +188,7 @@
         if may_repeat and self._allows_retry(tracked, outcome, now):
             tracked.begin_next_attempt()
             self._waiting[req.request_id] = tracked
-            # Work that did not run is taken off its customer's account.
+            # `requeue` also reverses the charge to the customer for work that did not run.
             enqueue = (
                 self._queue.requeue if ran is ExecutionStatus.NOT_EXECUTED else self._queue.push
             )
@@ -250,7 +250,7 @@
         return actions
 
     def _may_dispatch(self) -> bool:
-        # Protected work may also go to a full endpoint's short queue, which only `choose` knows.
+        # Protected requests may also enter a full endpoint's short queue; `choose` decides that.
         return self._attempts.free_slots() > 0 or self._queue.protected_waiting()
 
     def _hedge_slow(self, now: float) -> list[Action]:
--- a/cassiadrum/decisions/endpoint_choosers.py
+++ b/cassiadrum/decisions/endpoint_choosers.py
@@ -1,4 +1,4 @@
-"""Base class of the choice of an endpoint."""
+"""Base class of endpoint selection."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Collection
@@ -10,23 +10,23 @@
 
 
 class EndpointChooser(ABC):
-    """Know the connected endpoints of one service and choose one for each request."""
+    """The connected endpoints of one service, with a strategy to choose one for each request."""
 
     @abstractmethod
     def report(self, rep: EndpointReport, now: float) -> None:
-        """Take a load report; the first one of an instance adds the endpoint."""
+        """Apply a load report; the first one of an instance adds the endpoint."""
 
     @abstractmethod
     def remove(self, instance: str) -> None:
-        """Forget an endpoint, for example because its connection is lost."""
+        """Remove an endpoint, for example after its connection is lost."""
 
     @abstractmethod
     def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
-        """Count a dispatch that reports do not show yet."""
+        """Count a dispatch, which load reports do not include yet."""
 
     @abstractmethod
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
-        """Take the number of tokens that arrived for a stream since the last call."""
+        """Count the tokens that arrived for a stream since the last call."""
 
     @abstractmethod
     def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
@@ -38,7 +38,7 @@
 
     @abstractmethod
     def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
-        """Take prefix keys that the endpoint says it holds in its cache."""
+        """Record prefix keys that the endpoint reported as cached."""
 
     @abstractmethod
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
--- a/cassiadrum/decisions/endpoint_reports.py
+++ b/cassiadrum/decisions/endpoint_reports.py
@@ -6,10 +6,11 @@
 
 
 class EndpointReport(NamedTuple):
-    """State an endpoint's load at `reported_s`, in the receiver's monotonic seconds.
+    """An endpoint's load at `reported_s`, in the receiver's monotonic seconds.
 
-    `running` and `queued` count requests; `limit` is the current concurrency limit;
-    `tokens_per_s` is the measured output rate of the whole endpoint.
+    `running` and `queued` count requests, `limit` is the current concurrency limit, and
+    `tokens_per_s` is the measured output rate of the whole endpoint. A `leaving` endpoint takes
+    no new work.
     """
 
     instance: str
--- a/cassiadrum/decisions/endpoint_schedulers.py
+++ b/cassiadrum/decisions/endpoint_schedulers.py
@@ -1,4 +1,4 @@
-"""The decisions of a sidecar about the work on its endpoint."""
+"""Scheduling of requests on one endpoint by its sidecar."""
 
 from cassiadrum.decisions.concurrency_limits import ConcurrencyLimit
 from cassiadrum.decisions.fixed_limits import FixedLimit
@@ -12,16 +12,16 @@
 
 
 def queue_rank(req: QueuedRequest) -> tuple[bool, int, float]:
-    """Return the sort key of the short queue; the smallest is served first."""
+    """Return the sort key of the short queue; the lowest key is served first."""
     return (not req.protected, req.tier, req.arrived_s)
 
 
 class EndpointScheduler:
-    """Start requests up to a limit; keep a short queue; reject the rest as not run.
+    """Scheduler that runs requests up to a limit, queues a few and rejects the rest as not run.
 
-    `queue_limit` bounds the short queue; None bounds it to SIDECAR_QUEUE_PER_SLOT for each slot.
-    Without `preemption`, for example on an endpoint that cannot pause, a full endpoint makes
-    protected work wait for the next free slot. All times are monotonic seconds.
+    `queue_limit` bounds the short queue; None means SIDECAR_QUEUE_PER_SLOT requests per slot.
+    Without `preemption`, for example on an endpoint that cannot pause streams, protected requests
+    wait for the next free slot. All times are monotonic seconds.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
         self._preemption = preemption
         self._running: dict[str, RunningStream] = {}
         self._paused: dict[str, RunningStream] = {}
-        # Waiting requests by id, with the time of their arrival at this scheduler.
+        # Waiting requests by id, with their arrival times at this scheduler.
         self._waiting: dict[str, tuple[QueuedRequest, float]] = {}
         self._draining = False
 
@@ -45,7 +45,7 @@
         return self._limit.limit
 
     def running(self) -> int:
-        """Return the number of streams that run, without the paused ones."""
+        """Return the number of running streams, not counting paused ones."""
         return len(self._running)
 
     def paused(self) -> int:
@@ -57,7 +57,7 @@
         return len(self._waiting)
 
     def submit(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
-        """Take a request from an entry instance; one that is already here changes nothing."""
+        """Schedule a request from an entry instance; duplicates of a known request are ignored."""
         if any(req.request_id in held for held in (self._running, self._paused, self._waiting)):
             return []
         if self._draining:
@@ -74,9 +74,9 @@
     def observe_latency(
         self, request_id: str, first_token_s: float, inter_token_s: float, now: float
     ) -> list[SchedulerAction]:
-        """Take the measured times of a running stream, in seconds."""
+        """Record the measured latencies of a running stream, in seconds."""
         stream = self._running.get(request_id)
-        # A stream that was paused measures the pause and not the endpoint.
+        # The latencies of a paused stream include the pause, so they do not describe the endpoint.
         if stream is None or stream.pauses:
             return []
         self._limit.observe(
@@ -85,17 +85,17 @@
         return self._schedule(now)
 
     def finished(self, request_id: str, now: float) -> list[SchedulerAction]:
-        """Take the end of a started request, whether it ran or was paused."""
+        """Handle the end of a started request, running or paused."""
         self._running.pop(request_id, None)
         self._paused.pop(request_id, None)
         return self._schedule(now)
 
     def cancel_waiting(self, request_id: str, now: float) -> bool:
-        """Drop a waiting request; return False when it does not wait here."""
+        """Drop a waiting request; return False if it is not in the short queue."""
         return self._waiting.pop(request_id, None) is not None
 
     def drain(self, now: float) -> list[SchedulerAction]:
-        """Give all waiting work back as not run and take no more; paused streams still resume."""
+        """Reject all waiting and future requests as not run; paused streams still resume."""
         self._draining = True
         rejected = sorted((req for req, _ in self._waiting.values()), key=queue_rank)
         self._waiting.clear()
@@ -121,8 +121,8 @@
             (stream.req.tier, 0, stream.req.arrived_s, stream.changed_s, stream.req)
             for stream in self._paused.values()
         ]
-        # Paused streams hold KV cache, so while there are as many as slots only protected work
-        # starts anew.
+        # Paused streams hold KV cache, so only protected requests are started while there are as
+        # many paused streams as slots.
         only_protected = len(self._paused) >= self.limit
         ranked += [
             (req.tier, 1, req.arrived_s, since, req)
@@ -131,8 +131,8 @@
         ]
         best = min(
             ranked,
-            # Unprotected work past its longest wait goes first among unprotected work, so that a
-            # constant flow of higher tiers cannot hold it back for ever.
+            # Unprotected requests that exceeded their class's longest wait precede all other
+            # unprotected ones, so that constant load of higher tiers cannot starve them.
             key=lambda item: (
                 not item[4].protected,
                 now - item[3] < item[4].max_wait_s,
@@ -152,7 +152,7 @@
         return Start(req)
 
     def _preempt_for_protected(self, now: float) -> list[SchedulerAction]:
-        """Pause streams for protected requests that found no free slot."""
+        """Pause streams to start protected requests that found no free slot."""
         actions: list[SchedulerAction] = []
         protected = sorted(
             (req for req, _ in self._waiting.values() if req.protected), key=queue_rank
@@ -165,7 +165,7 @@
         return actions
 
     def _pause_for(self, req: QueuedRequest, now: float) -> list[SchedulerAction]:
-        """Pause streams until one more fits; more than one only after the limit went down."""
+        """Pause streams until `req` fits; only a lowered limit requires more than one pause."""
         pauses: list[SchedulerAction] = []
         while self._preemption is not None and len(self._running) >= self.limit:
             victim = self._preemption.choose_victim(req, self._running.values(), now)
@@ -177,7 +177,7 @@
         return pauses
 
     def _reject_excess(self) -> list[SchedulerAction]:
-        """Reject the lowest-ranked requests above the bound of the short queue."""
+        """Reject the lowest-ranked requests that exceed the bound of the short queue."""
         bound = self._queue_limit
         if bound is None:
             bound = LIMITS.SIDECAR_QUEUE_PER_SLOT * self.limit
--- a/cassiadrum/decisions/engine_orders.py
+++ b/cassiadrum/decisions/engine_orders.py
@@ -8,12 +8,12 @@
 
 
 class EngineOrder(NamedTuple):
-    """State one change that the engine `instance` is to make.
+    """An order to the engine `instance` to make one change.
 
-    `model`, `adapter`, `version` and `role` are what the engine has afterwards, `replaces` is the
-    model or adapter that it unloads first, empty for none. `source` and `prefix_key` belong to
-    MOVE_KV_CACHE: the engine to import from and what to import. `load_bytes` is what the order
-    reads from the weight store.
+    `model`, `adapter`, `version` and `role` describe the engine after the change. `replaces` is
+    the model or adapter to unload first, empty for none. For MOVE_KV_CACHE, `source` is the engine
+    to import from and `prefix_key` the prefix to import. `load_bytes` is the number of bytes that
+    the order reads from the weight store.
     """
 
     kind: OrderKind
--- a/cassiadrum/decisions/fair_tier_queues.py
+++ b/cassiadrum/decisions/fair_tier_queues.py
@@ -1,4 +1,4 @@
-"""A bounded queue with strict tiers, a minimum share and fairness between customers."""
+"""Bounded queue with strict tiers, minimum shares and fairness between customers."""
 
 import math
 from collections.abc import Callable
@@ -15,7 +15,7 @@
 __all__ = ["FairTierQueue"]
 
 DEFAULT_OUTPUT_TOKENS = 200.0
-# A rejected request comes back within a round trip; older charges are no longer refunded.
+# A rejected request returns within a round trip, so charges beyond this number are not refunded.
 MAX_RETAINED_CHARGES = 1024
 
 
@@ -24,10 +24,10 @@
 
 
 class FairTierQueue(RequestQueue):
-    """Serve protected classes first, then strict tiers; no class waits without bound.
+    """Queue that serves protected classes first, then strict tiers, with a minimum share for each.
 
-    `max_requests` and `max_tokens` bound the queue; `estimate_tokens` gives a request's output
-    tokens and is asked once per push. `operations` counts heap steps and visited entries.
+    `max_requests` and `max_tokens` bound the queue. `estimate_tokens` estimates a request's output
+    tokens and is called once per push. `operations` counts heap steps and visited entries.
     """
 
     def __init__(
@@ -54,14 +54,14 @@
         return self._counter.count
 
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
-        """Add a request in its place by arrival and return those evicted for it.
+        """Add a request, ordered by arrival, and return those evicted for it.
 
-        Raises ValueError when a request with this id already waits.
+        Raises ValueError if a request with this id is already in the queue.
         """
         return self._insert(req, refund=False)
 
     def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
-        """Put back a popped request that did not run, and take back its charges."""
+        """Put back a popped request that did not run, and reverse its charges."""
         return self._insert(req, refund=True)
 
     def pop(self, now: float) -> QueuedRequest | None:
@@ -97,7 +97,7 @@
     def ahead_tokens(self, req: QueuedRequest) -> float:
         """Return the tokens served before `req` if it were pushed now.
 
-        Only protected work counts as ahead of a protected request.
+        Only protected requests count as ahead of a protected one.
         """
         own = self._classes.get(_class_key(req))
         ahead = sum(
@@ -110,7 +110,7 @@
         return ahead
 
     def protected_waiting(self) -> bool:
-        """Return whether a protected request waits; it is then the next to be popped."""
+        """Return whether a protected request waits, which is then popped next."""
         return any(cls.protected and len(cls) for cls in self._classes.values())
 
     def __len__(self) -> int:
@@ -118,7 +118,7 @@
 
     def _insert(self, req: QueuedRequest, refund: bool) -> list[QueuedRequest]:
         if req.request_id in self._entries:
-            raise ValueError(f"request {req.request_id} already waits in this queue")
+            raise ValueError(f"request {req.request_id} is already in the queue")
         charge = self._charges.pop(req.request_id, None)
         entry = self._entry(req, charge)
         cls = self._classes.get(_class_key(req))
@@ -141,7 +141,7 @@
         return QueueEntry(req, self._bounded_tokens(req), self._serial)
 
     def _bounded_tokens(self, req: QueuedRequest) -> float:
-        # A request larger than the whole bound could otherwise never wait, not even alone.
+        # Without the upper bound, a request larger than the whole queue could never be queued.
         return min(max(self._estimate_tokens(req), 1.0), self._max_tokens)
 
     def _shed(self) -> list[QueuedRequest]:
--- a/cassiadrum/decisions/fixed_limits.py
+++ b/cassiadrum/decisions/fixed_limits.py
@@ -1,4 +1,4 @@
-"""A concurrency limit that does not change."""
+"""Constant concurrency limit."""
 
 from cassiadrum.decisions.concurrency_limits import ConcurrencyLimit
 
@@ -6,7 +6,7 @@
 
 
 class FixedLimit(ConcurrencyLimit):
-    """Keep the configured limit."""
+    """Concurrency limit that ignores measured latencies; a limit below 1 is raised to 1."""
 
     def __init__(self, limit: int) -> None:
         self._limit = max(1, limit)
@@ -24,4 +24,4 @@
         now: float,
         class_name: str = "",
     ) -> None:
-        """Ignore measured times."""
+        """Ignore the measured latencies."""
--- a/cassiadrum/decisions/health_states.py
+++ b/cassiadrum/decisions/health_states.py
@@ -1,4 +1,4 @@
-"""The health of an endpoint as an entry instance sees it."""
+"""Health of an endpoint as judged by an entry instance."""
 
 from enum import StrEnum
 
@@ -6,8 +6,8 @@
 
 
 class HealthState(StrEnum):
-    """Tell how much new work an endpoint gets."""
+    """Health of an endpoint, which determines how much new work it gets."""
 
     HEALTHY = "healthy"
-    PROBATION = "probation"  # one own request at a time
-    EJECTED = "ejected"  # none
+    PROBATION = "probation"  # one request of this entry instance at a time
+    EJECTED = "ejected"  # no new requests
--- a/cassiadrum/decisions/hedge_policies.py
+++ b/cassiadrum/decisions/hedge_policies.py
@@ -1,4 +1,4 @@
-"""Base class of the decision to send a second copy of a slow request."""
+"""Base class of hedging policies."""
 
 from abc import ABC, abstractmethod
 
@@ -8,28 +8,31 @@
 
 
 class HedgePolicy(ABC):
-    """Bound the copies of requests by the work they waste."""
+    """Decides whether a slow request gets a second copy, and accounts for the wasted work."""
 
     @abstractmethod
     def may_hedge(self, req: QueuedRequest, waited_s: float, now: float) -> bool:
-        """Tell whether a request without a first token since `waited_s` may get a copy."""
+        """Return whether a request that has waited `waited_s` for its first token may be hedged.
+
+        `waited_s` is in seconds since the dispatch.
+        """
 
     @abstractmethod
     def record_hedge_started(self) -> None:
-        """Count a copy that was sent; its waste is not known yet."""
+        """Count a hedge that was sent, whose waste is not known yet."""
 
     @abstractmethod
     def record_hedge_ended(self) -> None:
-        """Count the end of a losing copy, after its waste was counted."""
+        """Count the end of a losing copy; its wasted tokens must have been added before."""
 
     @abstractmethod
     def observe_first_token(self, class_name: str, waited_s: float) -> None:
-        """Learn the seconds from the first dispatch of a request to its first token."""
+        """Record the seconds from the first dispatch of a request to its first token."""
 
     @abstractmethod
     def add_wasted_tokens(self, tokens: int) -> None:
-        """Count tokens computed for a losing copy."""
+        """Add tokens that a losing copy computed."""
 
     @abstractmethod
     def add_useful_tokens(self, tokens: int) -> None:
-        """Count tokens of an answer that was delivered."""
+        """Add tokens of a delivered answer."""
--- a/cassiadrum/decisions/latency_targets.py
+++ b/cassiadrum/decisions/latency_targets.py
@@ -6,7 +6,7 @@
 
 
 class LatencyTargets(NamedTuple):
-    """Hold the targets in seconds; a target of 0 is not checked."""
+    """Targets in seconds; 0 disables a target."""
 
     first_token_s: float
     inter_token_s: float = 0.0
--- a/cassiadrum/decisions/latency_tracking_limits.py
+++ b/cassiadrum/decisions/latency_tracking_limits.py
@@ -1,4 +1,4 @@
-"""A concurrency limit that follows measured latency."""
+"""Concurrency limit adapted to measured latency."""
 
 import math
 from collections.abc import Mapping
@@ -8,23 +8,25 @@
 
 __all__ = ["LatencyTrackingLimit"]
 
-# Targets are stated for 95 in 100 requests.
+# Targets apply to 95 % of the requests.
 TARGET_QUANTILE = 0.95
-# At least 20 samples are needed for one of them to lie above the 95th percentile.
+# The smallest window with a sample above the 95th percentile.
 WINDOW_SAMPLES = 20
-# Between this share of the target and the target itself the limit rests, so that it does not
-# alternate between one step up and one step down.
+# Between this share of the target and the target, the limit stays constant, so that it does not
+# oscillate.
 RAISE_BELOW_RATIO = 0.9
-# One window may at most halve the limit; a smaller overshoot still takes a tenth.
+# One window reduces the limit by at least a tenth and at most a half.
 MIN_DECREASE_FACTOR = 0.5
 MAX_DECREASE_FACTOR = 0.9
 
 
 class LatencyTrackingLimit(ConcurrencyLimit):
-    """Raise the limit by one per window in target, cut it by the overshoot otherwise.
+    """Concurrency limit with additive increase and multiplicative decrease.
 
-    Each sample is divided by its own class's target, so classes with different targets share one
-    limit. `targets` maps class names; other classes use `default`.
+    A window of samples well within the targets raises the limit by one; a window above them
+    divides it by the ratio of the latency to the target. Each sample is compared with the target
+    of its own class, so that classes with different targets share one limit. `targets` is keyed
+    by class name; classes without an entry use `default`.
     """
 
     def __init__(
@@ -47,7 +49,7 @@
         return self._limit
 
     def configure(self, targets: Mapping[str, LatencyTargets]) -> None:
-        """Replace the targets by class."""
+        """Replace the targets of all classes."""
         self._targets = dict(targets)
 
     def observe(
@@ -58,7 +60,7 @@
         now: float,
         class_name: str = "",
     ) -> None:
-        """Take one sample and adjust the limit at the end of each window."""
+        """Record one sample and adjust the limit at the end of each window."""
         targets = self._targets.get(class_name, self._default)
         first = first_token_s / targets.first_token_s if targets.first_token_s > 0 else 0.0
         inter = inter_token_s / targets.inter_token_s if targets.inter_token_s > 0 else 0.0
@@ -66,7 +68,7 @@
         if not math.isfinite(ratio):
             return
         self._ratios.append(ratio)
-        # Without full use, a good latency says nothing about a higher limit.
+        # A low latency allows a higher limit only if the current one was reached.
         self._limit_reached = self._limit_reached or running >= self._limit
         if len(self._ratios) >= WINDOW_SAMPLES:
             self._adjust()
--- a/cassiadrum/decisions/lazy_heaps.py
+++ b/cassiadrum/decisions/lazy_heaps.py
@@ -1,4 +1,4 @@
-"""A heap whose items can be removed and moved."""
+"""Heap with lazy deletion."""
 
 import heapq
 from typing import Any
@@ -7,15 +7,15 @@
 
 __all__ = ["LazyHeap"]
 
-# Small heaps are not compacted: the copy would cost more than the memory is worth.
+# In smaller heaps, stale entries waste too little memory to justify the cost of compaction.
 COMPACT_MIN_ENTRIES = 16
 
 
 class LazyHeap:
-    """Keep items in order of a key, the smallest first.
+    """Min-heap of items by key, in which items can be moved and removed.
 
-    Removed and moved items stay in the heap until they surface or until they outnumber the live
-    ones, so every method costs amortised O(log n).
+    Stale entries of removed and moved items stay in the heap until they reach its top or outnumber
+    the live ones, so every method costs amortised O(log n).
     """
 
     def __init__(self, counter: OperationCounter) -> None:
@@ -38,7 +38,7 @@
         self._compact()
 
     def first(self) -> tuple[Any, str] | None:
-        """Return the smallest key and its item, or None when the heap is empty."""
+        """Return the smallest key and its item, or None if the heap is empty."""
         heap = self._heap
         while heap and self._live.get(heap[0][2]) != heap[0][1]:
             heapq.heappop(heap)
--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint by estimated time."""
+"""Endpoint selection by estimated cost."""
 
 from collections.abc import Collection, Mapping
 from random import Random
@@ -16,25 +16,25 @@
 
 __all__ = ["LeastCostChooser"]
 
-# Candidates per choice: this many plus the binary logarithm of the endpoints, so that a subset
-# of today's size is compared almost whole and the cost stays logarithmic.
+# The number of candidates per choice is this plus the binary logarithm of the number of endpoints.
+# Small subsets are compared almost completely, and the cost of a choice stays logarithmic.
 BASE_CANDIDATES = 4
 AFFINITY_CANDIDATES = 4
-# At 64 endpoints this bounds the prefix index to 32,768 entries of a few hundred bytes.
+# With 64 endpoints, limits the prefix index to 32,768 entries of a few hundred bytes each.
 PREFIX_KEYS_PER_ENDPOINT = 512
 MAX_REMOVED_ENDPOINTS = 256
-# A sidecar reports a change after at most this time.
+# A sidecar reports a change within this time.
 REJECT_BACKOFF_S = LIMITS.REPORT_MIN_INTERVAL_S
 
 
 class LeastCostChooser(EndpointChooser):
-    """Choose the endpoint with the lowest estimated time among a few candidates.
+    """Chooser of the endpoint with the lowest estimated cost among a few candidates.
 
-    Candidates are random endpoints with a free slot and endpoints believed to hold the longest
-    part of the prompt. The estimate, in seconds, adds queueing, uncached prefill, slowdown,
-    silence and zone distance. `zone_rtts_s` maps zones to the seconds of a round trip.
-    `operations` counts the steps of all choices. A protected request may also go to a full
-    endpoint's short queue, where the sidecar preempts for it.
+    Candidates are random endpoints with a free slot, and endpoints that presumably have the
+    longest part of the prompt in their cache. The cost, in seconds, sums queueing, uncached
+    prefill, slowdown, silence and the round trip between zones. `zone_rtts_s` maps zones to the
+    round-trip time in seconds. `operations` counts the steps of all choices. A protected request
+    may also go to a full endpoint's short queue, where the sidecar preempts other streams for it.
     """
 
     def __init__(
@@ -49,17 +49,16 @@
         self._rng = rng
         self._costs = CostEstimator(zone, zone_rtts_s or {}, streams_tokens)
         self._detector = OutlierDetector(streams_tokens)
-        # A plain call is short, so a slot that idles for a round trip is a large part of it.
+        # Calls to plain services are short, so a slot that idles for a round trip between two of
+        # them loses much of its capacity.
         self._min_overcommit = 0 if streams_tokens else 1
         self._prefixes = PrefixIndex(prefix_keys_per_endpoint)
         self._states: dict[str, EndpointState] = {}
-        self._with_free_slot = CapabilityIndex()  # with a free slot
-        self._with_queue_room = (
-            CapabilityIndex()
-        )  # with room in the short queue for protected work
-        # Neither leaving nor ejected, in order of arrival.
+        self._with_free_slot = CapabilityIndex()  # endpoints with a free slot
+        self._with_queue_room = CapabilityIndex()  # endpoints with room for protected requests
+        # Endpoints that are neither leaving nor ejected, in order of arrival.
         self._available: dict[str, None] = {}
-        # Endpoints that rejected work a short time ago, in order of the rejections.
+        # Endpoints that recently rejected a request, in order of the rejections.
         self._rejecting: dict[str, None] = {}
         self._free_slots: dict[str, int] = {}
         self._total_free_slots = 0
@@ -68,7 +67,7 @@
         self._last_report_s = float("-inf")
 
     def report(self, rep: EndpointReport, now: float) -> None:
-        """Take a load report; one older than the last, or a duplicate, changes nothing."""
+        """Apply a load report; duplicates and reports older than the last one are ignored."""
         self._last_report_s = max(self._last_report_s, now)
         state = self._states.get(rep.instance)
         was_leaving = state is not None and state.report.leaving
@@ -82,7 +81,7 @@
         self._check_outliers(now)
 
     def remove(self, instance: str) -> None:
-        """Forget an endpoint; its older reports that are still on the way stay without effect."""
+        """Remove an endpoint; its reports up to now that are still in transit are ignored."""
         state = self._states.pop(instance, None)
         if state is None:
             return
@@ -94,7 +93,7 @@
         self._enforce_ejection_bound(self._last_report_s)
 
     def dispatched(self, instance: str, req: QueuedRequest, now: float) -> None:
-        """Count a dispatch; the endpoint will have the prompt's prefixes in its cache."""
+        """Count a dispatch, after which the prompt's prefixes are assumed to be cached."""
         state = self._states.get(instance)
         if state is None:
             return
@@ -103,7 +102,7 @@
         self._update_indexes(instance, now)
 
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
-        """Take the number of tokens that arrived for a stream since the last call."""
+        """Count the tokens that arrived for a stream since the last call."""
         state = self._states.get(instance)
         stream = state.streams.get(request_id) if state else None
         if state is None or stream is None or tokens <= 0:
@@ -125,7 +124,7 @@
         self._check_outliers(now)
 
     def rejected(self, instance: str, request_id: str, now: float) -> None:
-        """Count a rejection; the endpoint gets no new work until it had time to report."""
+        """Count a rejection; the endpoint gets no new work until its next report is due."""
         state = self._states.get(instance)
         if state is not None and instance in self._available:
             state.full_until_s = now + REJECT_BACKOFF_S
@@ -134,12 +133,12 @@
         self.finished(instance, request_id, True, now)
 
     def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
-        """Take prefix keys that the endpoint says it holds in its cache."""
+        """Record prefix keys that the endpoint reported as cached."""
         if instance in self._states:
             self._prefixes.add(instance, keys)
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
-        """Return the instance to send the request to, or None when none has room."""
+        """Return the instance to send the request to, or None if none has room."""
         chosen = self._cheapest(self._with_free_slot, req, now, exclude)
         if chosen is None and req.protected:
             chosen = self._cheapest(self._with_queue_room, req, now, exclude)
@@ -175,7 +174,7 @@
         self._removed_reported_s.pop(rep.instance, None)
         if self._first_report_s is None:
             self._first_report_s = now
-        # Endpoints that a new entry instance finds at its own start are not new themselves.
+        # Endpoints that report shortly after the start of this entry instance are probably warm.
         warm = now - self._first_report_s < SLOW_START_S
         state = self._states[rep.instance] = EndpointState(rep, now, warm)
         state.tie_breaker = self._rng.random()
@@ -225,7 +224,7 @@
             self._update_indexes(instance, now)
 
     def _update_indexes(self, instance: str, now: float) -> None:
-        """Bring the indexes and the count of free slots up to date with the endpoint's state."""
+        """Update the indexes and the free slots from the endpoint's state."""
         state = self._states[instance]
         if state.report.leaving or state.health is HealthState.EJECTED:
             self._remove_available(instance)
@@ -249,7 +248,7 @@
                 index.discard(instance)
 
     def _end_reject_backoffs(self, now: float) -> None:
-        """Let endpoints take new work again some time after they rejected some."""
+        """Make endpoints available again whose back-off after a rejection has ended."""
         while (
             self._rejecting
             and self._states[first := next(iter(self._rejecting))].full_until_s <= now
--- a/cassiadrum/decisions/least_outstanding_choosers.py
+++ b/cassiadrum/decisions/least_outstanding_choosers.py
@@ -10,19 +10,19 @@
 
 
 class LeastOutstandingChooser(EndpointChooser):
-    """Choose by the entry instance's own outstanding requests."""
+    """Chooser that counts only the outstanding requests of this entry instance."""
 
     def __init__(self) -> None:
         self._reports: dict[str, EndpointReport] = {}
         self._running: dict[str, set[str]] = {}
 
     def report(self, rep: EndpointReport, now: float) -> None:
-        """Take a load report."""
+        """Apply a load report."""
         self._reports[rep.instance] = rep
         self._running.setdefault(rep.instance, set())
 
     def remove(self, instance: str) -> None:
-        """Forget an endpoint."""
+        """Remove an endpoint."""
         self._reports.pop(instance, None)
         self._running.pop(instance, None)
 
@@ -32,7 +32,7 @@
             self._running[instance].add(req.request_id)
 
     def progressed(self, instance: str, request_id: str, tokens: int, now: float) -> None:
-        """Ignore progress: this strategy counts requests only."""
+        """Ignore progress, since this strategy only counts requests."""
 
     def finished(self, instance: str, request_id: str, ok: bool, now: float) -> None:
         """Count the end of an attempt."""
@@ -40,7 +40,7 @@
             self._running[instance].discard(request_id)
 
     def observe_cached_prefixes(self, instance: str, keys: Collection[int], now: float) -> None:
-        """Ignore cache events: this strategy has no prefix affinity."""
+        """Ignore cached prefixes, since this strategy has no prefix affinity."""
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
         """Return the least loaded instance with a free slot."""
--- a/cassiadrum/decisions/length_estimators.py
+++ b/cassiadrum/decisions/length_estimators.py
@@ -1,4 +1,4 @@
-"""Base class of the prediction of output lengths."""
+"""Base class of output length estimators."""
 
 from abc import ABC, abstractmethod
 
@@ -11,17 +11,17 @@
 
 
 class LengthEstimator(ABC):
-    """Predict how many output tokens a request will produce."""
+    """Estimator of the number of output tokens of a request."""
 
     @abstractmethod
     def estimate(self, class_name: str, customer: str, quantile: float) -> float:
-        """Return the output tokens that `quantile` (0 to 1) of the requests stay within."""
+        """Return the `quantile` (0 to 1) of the output tokens of a customer's requests."""
 
     @abstractmethod
     def observe(self, class_name: str, customer: str, tokens: int) -> None:
-        """Learn the output tokens of a request that ended normally."""
+        """Record the output tokens of a successful request."""
 
     def expected_tokens(self, req: QueuedRequest) -> float:
-        """Return the median output tokens of requests like this one, within its `max_tokens`."""
+        """Return the median output tokens of similar requests, limited to `req.max_tokens`."""
         tokens = self.estimate(req.class_name, req.customer, EXPECTED_QUANTILE)
         return min(tokens, req.max_tokens) if req.max_tokens else tokens
--- a/cassiadrum/decisions/log_histograms.py
+++ b/cassiadrum/decisions/log_histograms.py
@@ -1,4 +1,4 @@
-"""A small histogram with logarithmic buckets that forgets old values."""
+"""Histogram with logarithmic buckets and exponential decay."""
 
 import math
 from array import array
@@ -7,14 +7,14 @@
 
 BUCKETS_PER_OCTAVE = 4
 BUCKETS = 18 * BUCKETS_PER_OCTAVE
-# At this weight all counts are halved, so that about the last thousand values decide.
+# At this weight all counts are halved, so that quantiles reflect about the last thousand values.
 HALVE_AT_WEIGHT = 1024.0
 
 
 class LogHistogram:
-    """Answer quantiles of positive values up to 2**18 with an error below 10 %.
+    """Quantiles of positive values up to 2**18, with an error below 10 %.
 
-    Old values fade by the number of later ones, not by time.
+    Old values lose weight with the number of newer values, not with time.
     """
 
     __slots__ = ("_counts", "_total")
@@ -38,7 +38,7 @@
             self._total /= 2
 
     def quantile(self, quantile: float) -> float:
-        """Return the middle of the bucket at `quantile` (0 to 1); 0 without values."""
+        """Return the geometric middle of the bucket at `quantile` (0 to 1), 0 without values."""
         rank = quantile * self._total
         seen = 0.0
         last = -1
--- a/cassiadrum/decisions/min_share_schedulers.py
+++ b/cassiadrum/decisions/min_share_schedulers.py
@@ -1,4 +1,4 @@
-"""Accounting of min_share among the classes that are not protected."""
+"""Minimum shares of the classes that are not protected."""
 
 from collections.abc import Iterable
 
@@ -8,17 +8,19 @@
 
 
 class MinShareScheduler:
-    """Decide which overdue class is owed its share; the clock is the tokens served so far.
+    """Earliest-deadline-first scheduler that gives overdue classes their minimum share.
 
-    Each overdue class is released at its tag and due tokens / min_share later. The sum of the
-    shares is at most 1, so earliest due first misses a due time by at most one request.
+    Time is measured in tokens served. A class is overdue when its oldest request exceeded the
+    longest wait. The next request of an overdue class becomes eligible at the class's share tag
+    and is due tokens / min_share later. As the shares sum to at most 1, a due time is missed by
+    at most one request.
     """
 
     def __init__(self) -> None:
         self._served_tokens = 0.0
 
     def next_due(self, waiting: Iterable[ClassQueue], now: float) -> ClassQueue | None:
-        """Return the overdue class whose share is due first, or None."""
+        """Return the eligible overdue class with the earliest due time, or None."""
         due = []
         for cls in waiting:
             overdue = cls.min_share > 0.0 and now - cls.head_arrived_s() > cls.max_wait_s
@@ -30,10 +32,10 @@
         return min(due, key=_due_tokens, default=None)
 
     def charge(self, cls: ClassQueue, tokens: float) -> float:
-        """Count tokens about to be served and return what the class's tag advances by.
+        """Count tokens about to be served and return the advance of the class's share tag.
 
-        A class that strict order serves beyond its share is not charged for the excess;
-        otherwise it would starve when a burst of a higher tier begins.
+        A class that tier order serves beyond its share is not charged for the excess. Otherwise
+        it would starve at the start of a burst of a higher tier.
         """
         advance = 0.0
         if cls.overdue and cls.share_tag <= self._served_tokens:
@@ -43,7 +45,7 @@
         return advance
 
     def refund(self, cls: ClassQueue, tokens: float, advance: float) -> None:
-        """Take back a charge for a request that did not run."""
+        """Reverse the charge for a request that did not run."""
         cls.share_tag -= advance
         self._served_tokens -= tokens
 
--- a/cassiadrum/decisions/model_demands.py
+++ b/cassiadrum/decisions/model_demands.py
@@ -1,4 +1,4 @@
-"""Demand for one model or adapter."""
+"""Demand for a model or an adapter."""
 
 from typing import NamedTuple
 
@@ -6,9 +6,9 @@
 
 
 class ModelDemand(NamedTuple):
-    """Hold the mean number of requests, running and queued, that need the model.
+    """Mean number of running and queued requests that need a model or one of its adapters.
 
-    With `adapter` set, the demand is for the adapter; it is counted in the model's as well.
+    If `adapter` is set, the demand is for the adapter; it is also part of the model's demand.
     """
 
     model: str
--- a/cassiadrum/decisions/operation_counters.py
+++ b/cassiadrum/decisions/operation_counters.py
@@ -1,14 +1,14 @@
-"""Counter of the work that a data structure does."""
+"""Counter of the elementary steps of a data structure."""
 
 __all__ = ["OperationCounter"]
 
 
 class OperationCounter:
-    """Count elementary steps, so that a benchmark can check how they grow with the load."""
+    """Counter of elementary steps, with which benchmarks check how cost grows with load."""
 
     def __init__(self) -> None:
         self.count = 0
 
     def add(self, steps: int) -> None:
-        """Count `steps` more steps."""
+        """Add `steps` to the count."""
         self.count += steps
--- a/cassiadrum/decisions/order_kinds.py
+++ b/cassiadrum/decisions/order_kinds.py
@@ -6,7 +6,7 @@
 
 
 class OrderKind(StrEnum):
-    """Name what an engine is ordered to do."""
+    """Kind of change that an engine is ordered to make."""
 
     LOAD_MODEL = "load_model"
     LOAD_ADAPTER = "load_adapter"
--- a/cassiadrum/decisions/order_planners.py
+++ b/cassiadrum/decisions/order_planners.py
@@ -1,4 +1,4 @@
-"""Base class of the planning of orders to engines."""
+"""Base class of planners of engine orders."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Collection
@@ -11,7 +11,7 @@
 
 
 class OrderPlanner(ABC):
-    """Decide which engines load what; only the holder of the service's lease plans."""
+    """Decides which engines load what; only the holder of the service's lease runs a planner."""
 
     @abstractmethod
     def plan(
@@ -21,4 +21,4 @@
 
     @abstractmethod
     def order_answered(self, instance: str, now: float) -> None:
-        """Take the result of the order in flight at the engine, whether it was done or not."""
+        """Record that the engine answered the order in flight, whether it succeeded or failed."""
--- a/cassiadrum/decisions/outcomes.py
+++ b/cassiadrum/decisions/outcomes.py
@@ -1,4 +1,4 @@
-"""How an attempt of a request ended."""
+"""Outcome of an attempt to run a request."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -7,14 +7,14 @@
 
 
 class ExecutionStatus(StrEnum):
-    """Tell truthfully whether a request ran."""
+    """Whether a request was executed; UNKNOWN if the answer was lost."""
 
     NOT_EXECUTED = "no"
     EXECUTED = "yes"
     UNKNOWN = "unknown"
 
     def combined(self, other: "ExecutionStatus") -> "ExecutionStatus":
-        """Return what is true of a request after two attempts."""
+        """Return the status of a request after two attempts with these statuses."""
         for ran in (ExecutionStatus.EXECUTED, ExecutionStatus.UNKNOWN):
             if ran in (self, other):
                 return ran
@@ -22,11 +22,11 @@
 
 
 class Outcome(NamedTuple):
-    """State whether an attempt succeeded, whether it ran, and the tokens it produced.
+    """Whether an attempt succeeded and ran, and how many tokens it produced.
 
     `reason` is one of the refusal reasons of the design page, empty on success.
-    `retry_after_s` is in seconds, 0 when unknown. `final` forbids another attempt, because the
-    caller has a part of the answer that no other attempt can continue.
+    `retry_after_s` is in seconds, 0 if unknown. `final` forbids another attempt, because the
+    caller already received a part of the answer that no other attempt can continue.
     """
 
     ok: bool
--- a/cassiadrum/decisions/outlier_detectors.py
+++ b/cassiadrum/decisions/outlier_detectors.py
@@ -1,4 +1,4 @@
-"""Detection of stragglers and of endpoints that make no progress."""
+"""Detection of slow, stalled and failing endpoints."""
 
 import statistics
 from collections.abc import Mapping
@@ -10,17 +10,17 @@
 __all__ = ["OutlierDetector"]
 
 CHECK_INTERVAL_S = 0.5
-# Twice the median at similar batch size is beyond what load within a factor of two explains.
+# A factor of two in batch size does not explain twice the median inter-token time.
 STRAGGLER_RATIO = 2.0
-# Two checks in a row, so that one pause of a process does not eject an endpoint.
+# Consecutive checks, so that a single pause of a process does not eject an endpoint.
 BAD_CHECKS_TO_EJECT = 2
 FAILURES_TO_EJECT = 3
-# Same as the silence limit of the connections: a stream at 40 ms a token is silent far less.
+# Equal to the silence limit of connections and far above the usual 40 ms per token.
 STALL_S = 3.0
-# Before the first token a stream may wait in the endpoint's queue.
+# Before its first token, a stream may wait in the endpoint's queue.
 FIRST_TOKEN_STALL_S = 15.0
-# While the endpoint reports output, own streams may be paused for protected work; a pause lasts
-# about the class's longest wait, 30 s by default.
+# While the endpoint reports output, this entry instance's streams may be paused for protected
+# requests. A pause lasts about the class's longest wait, 30 s by default.
 STALL_WHILE_PAUSED_S = 60.0
 INITIAL_EJECT_S = 5.0
 MAX_EJECT_S = 60.0
@@ -29,10 +29,10 @@
 
 
 class OutlierDetector:
-    """Eject slow, stalled and failing endpoints, at most a third of the subset.
+    """Outlier detector that ejects slow, stalled and failing endpoints, at most a third of all.
 
-    An ejected endpoint returns over a probation with one request at a time. `streams_tokens` is
-    False for plain services, whose calls show no progress before they end.
+    An ejected endpoint returns through a probation with one request at a time. `streams_tokens`
+    is False for plain services, whose calls show no progress before they end.
     """
 
     def __init__(self, streams_tokens: bool = True) -> None:
@@ -40,7 +40,7 @@
         self._next_check_s = float("-inf")
 
     def check(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
-        """Judge every endpoint at most twice a second; return those whose health changed."""
+        """Check all endpoints, at most twice a second, and return those whose health changed."""
         if now < self._next_check_s:
             return []
         self._next_check_s = now + CHECK_INTERVAL_S
@@ -52,7 +52,11 @@
         return [name for name, state in states.items() if state.health is not before[name]]
 
     def enforce_ejection_bound(self, states: Mapping[str, EndpointState], now: float) -> list[str]:
-        """Put endpoints on probation after the subset shrank; return those changed."""
+        """Put ejected endpoints on probation if too many are ejected, and return these.
+
+        The bound drops when the number of connected endpoints does. An ejected endpoint also
+        returns when no other one provides its models and adapters.
+        """
         ejected = [name for name in states if states[name].health is HealthState.EJECTED]
         candidates = [name for name in ejected if not states[name].report.leaving]
         excess = max(0, len(candidates) - _ejection_bound(states))
@@ -69,7 +73,7 @@
         return changed
 
     def _update_slowdowns(self, states: Mapping[str, EndpointState]) -> None:
-        """Compare inter-token times with the median at a batch size within a factor of two."""
+        """Compare inter-token times with the median at batch sizes within a factor of two."""
         groups: dict[int, list[float]] = {}
         measured: list[tuple[EndpointState, int, float]] = []
         for state in states.values():
@@ -80,8 +84,8 @@
                 groups.setdefault(group, []).append(inter_token_s)
         medians: dict[int, float] = {}
         for group in groups:
-            # Where too few are alike, larger batches join: they are slower, which errs towards
-            # keeping an endpoint.
+            # With fewer than three endpoints of similar batch size, all larger batches are
+            # included. They are slower, so an error favours keeping the endpoint.
             near = [gap for g, gaps in groups.items() if abs(g - group) <= 1 for gap in gaps]
             above = [gap for g, gaps in groups.items() if g >= group - 1 for gap in gaps]
             medians[group] = statistics.median_low(near if len(near) >= 3 else above)
@@ -122,7 +126,7 @@
         for state in bad:
             if ejected >= _ejection_bound(states):
                 break
-            # The only endpoint with a model stays: a slow answer is better than none.
+            # The only endpoint with a model is kept, as a slow answer is better than none.
             if any(available[capability] < 2 for capability in state.capabilities):
                 continue
             ejected += 1
@@ -137,7 +141,7 @@
 
 
 def _available_by_capability(states: Mapping[str, EndpointState]) -> dict[Capability, int]:
-    """Count the endpoints that take new work, by capability."""
+    """Return the number of endpoints that take new work, by capability."""
     counts: dict[Capability, int] = {}
     for state in states.values():
         if state.health is not HealthState.EJECTED and not state.report.leaving:
--- a/cassiadrum/decisions/pause_preemptions.py
+++ b/cassiadrum/decisions/pause_preemptions.py
@@ -1,4 +1,4 @@
-"""Preemption by pausing lower-tier streams."""
+"""Preemption by pausing streams of lower tiers."""
 
 from collections.abc import Collection, Iterable
 
@@ -8,14 +8,14 @@
 
 __all__ = ["PausePreemption"]
 
-# A stream that was paused this often runs to its end, so its class is eventually served.
+# After this many pauses a stream runs to its end, so that its class is not starved.
 MAX_PAUSES = 3
 
 
 class PausePreemption(PreemptionPolicy):
-    """Pause the lowest-tier, least-progressed stream for a protected request.
+    """Policy that pauses the lowest-tier stream with the fewest tokens for a protected request.
 
-    `pausable_classes` names the classes whose effect may be cut; all others are never paused.
+    Only streams of the classes in `pausable_classes` are paused.
     """
 
     def __init__(self, pausable_classes: Collection[str], max_pauses: int = MAX_PAUSES) -> None:
@@ -29,7 +29,7 @@
     def choose_victim(
         self, req: QueuedRequest, running: Iterable[RunningStream], now: float
     ) -> str | None:
-        """Return the stream to pause, or None when none may be paused for `req`."""
+        """Return the request id of the stream to pause for `req`, or None if there is none."""
         if not req.protected:
             return None
         candidates = [stream for stream in running if self._may_pause(stream, req)]
--- a/cassiadrum/decisions/preemption_policies.py
+++ b/cassiadrum/decisions/preemption_policies.py
@@ -1,4 +1,4 @@
-"""Base class of the choice of a stream to pause."""
+"""Base class of preemption policies."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 
 
 class PreemptionPolicy(ABC):
-    """Decide which running stream makes room for a waiting request."""
+    """Decides which running stream is paused for a waiting request."""
 
     @abstractmethod
     def choose_victim(
--- a/cassiadrum/decisions/prefix_indexes.py
+++ b/cassiadrum/decisions/prefix_indexes.py
@@ -1,4 +1,4 @@
-"""What the endpoints' prefix caches are believed to hold."""
+"""Estimated contents of the endpoints' prefix caches."""
 
 from collections.abc import Collection
 from itertools import islice
@@ -7,20 +7,20 @@
 
 
 class PrefixIndex:
-    """Keep the most recently used prefix keys of each endpoint, at most `capacity` each.
+    """The `capacity` most recently used prefix keys of each endpoint.
 
-    Cache events are late and have gaps, so the index is an estimate: own dispatches count as
-    cached, and the least recently used keys are forgotten as an engine with limited memory does.
+    Cache events are late and incomplete, so the index is an estimate: dispatched prefixes count as
+    cached, and the least recently used keys are evicted, as in an engine with limited memory.
     """
 
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
-        # The order of both inner dictionaries is the order of last use.
+        # Both inner dictionaries are ordered by last use, the most recent last.
         self._keys: dict[str, dict[int, None]] = {}
         self._holders: dict[int, dict[str, None]] = {}
 
     def add(self, instance: str, keys: Collection[int]) -> None:
-        """Mark the keys as the endpoint's most recently used."""
+        """Add the keys as the most recently used ones of the endpoint."""
         held = self._keys.setdefault(instance, {})
         for key in keys:
             held.pop(key, None)
@@ -34,16 +34,16 @@
             self._remove_holder(oldest, instance)
 
     def remove(self, instance: str) -> None:
-        """Forget an endpoint."""
+        """Remove an endpoint."""
         for key in self._keys.pop(instance, {}):
             self._remove_holder(key, instance)
 
     def holders(self, key: int, size: int) -> list[str]:
-        """Return up to `size` endpoints that hold the key, the most recent first."""
+        """Return up to `size` endpoints that hold the key, the most recent user first."""
         return list(islice(reversed(self._holders.get(key, {})), size))
 
     def matched_keys(self, instance: str, keys: tuple[int, ...]) -> int:
-        """Return the length, in keys, of the longest prefix that the endpoint holds."""
+        """Return the number of keys up to the longest one that the endpoint holds."""
         held = self._keys.get(instance)
         if not held:
             return 0
--- a/cassiadrum/decisions/quantile_length_estimators.py
+++ b/cassiadrum/decisions/quantile_length_estimators.py
@@ -1,4 +1,4 @@
-"""Output lengths learned by class and customer."""
+"""Output length estimator with histograms by class and customer."""
 
 from collections import OrderedDict
 from collections.abc import Hashable
@@ -10,9 +10,9 @@
 __all__ = ["QuantileLengthEstimator"]
 
 DEFAULT_OUTPUT_TOKENS = 200.0
-# With fewer observations a customer's quantile says less than that of its class.
+# With fewer observations, the quantile of the class is the better estimate for a customer.
 MIN_OBSERVATIONS = 16
-# 0.5 KB each, so 2 MB of the daemon's 64 MB.
+# At 0.5 KB each, 2 MB of the daemon's 64 MB.
 MAX_CUSTOMERS = 4096
 MAX_CLASSES = 256
 
@@ -20,9 +20,9 @@
 
 
 class QuantileLengthEstimator(LengthEstimator):
-    """Keep one histogram for each class and for each recently seen customer of a class.
+    """Estimator with one histogram per class and per recent customer of a class.
 
-    A customer that was not observed for longest is forgotten first and falls back to its class.
+    The least recently observed customers are evicted and then use the histogram of their class.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
         self._customers: OrderedDict[tuple[str, str], LogHistogram] = OrderedDict()
 
     def estimate(self, class_name: str, customer: str, quantile: float) -> float:
-        """Return the quantile of the customer, of its class, or the default."""
+        """Return the quantile for the customer, else for its class, else the default."""
         customer_histogram = self._customers.get((class_name, customer))
         if customer_histogram is not None and customer_histogram.total >= MIN_OBSERVATIONS:
             return customer_histogram.quantile(quantile)
@@ -42,7 +42,7 @@
         return class_histogram.quantile(quantile) if class_histogram else self._default_tokens
 
     def observe(self, class_name: str, customer: str, tokens: int) -> None:
-        """Learn a length for the customer and for its class."""
+        """Record an output length for the customer and its class."""
         _most_recent(self._classes, class_name, MAX_CLASSES).add(tokens)
         _most_recent(self._customers, (class_name, customer), self._max_customers).add(tokens)
 
--- a/cassiadrum/decisions/queue_charges.py
+++ b/cassiadrum/decisions/queue_charges.py
@@ -1,4 +1,4 @@
-"""What a queue remembers of a popped request, in case it comes back."""
+"""Charge for a popped request, kept in case the request is requeued."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class QueueCharge(NamedTuple):
-    """Hold a popped request's tokens, its serial number and the advance of its class's tag."""
+    """A popped request's tokens and serial number, and the advance of its class's share tag."""
 
     tokens: float
     serial: int
--- a/cassiadrum/decisions/queue_entries.py
+++ b/cassiadrum/decisions/queue_entries.py
@@ -1,4 +1,4 @@
-"""A request in a queue, with what the queue knows of it."""
+"""Entry of a queue."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class QueueEntry(NamedTuple):
-    """Hold a waiting request, its estimated output `tokens` and its serial number."""
+    """A waiting request with its estimated output `tokens` and its serial number in the queue."""
 
     req: QueuedRequest
     tokens: float
@@ -16,5 +16,5 @@
 
     @property
     def order(self) -> tuple[float, int]:
-        """Return the place by arrival: seconds, then the order of pushes."""
+        """Return the sort key by arrival: the time in seconds, then the serial number."""
         return (self.req.arrived_s, self.serial)
--- a/cassiadrum/decisions/queued_requests.py
+++ b/cassiadrum/decisions/queued_requests.py
@@ -1,4 +1,4 @@
-"""A request as the decisions see it."""
+"""Properties of a request that matter to admission, queueing and endpoint selection."""
 
 import math
 from typing import NamedTuple
@@ -7,12 +7,12 @@
 
 
 class QueuedRequest(NamedTuple):
-    """Hold what admission, order and endpoint choice need to know of one request.
+    """A request as seen by admission, queueing and endpoint selection.
 
     `arrived_s` and `deadline_s` are monotonic seconds; `deadline_s` is infinite without a
-    deadline. `prompt_tokens` and `max_tokens` are counts; `max_tokens` 0 means not stated.
-    `prefix_keys` are hashes of the prompt's leading blocks, longest prefix last. `weight` is the
-    customer's share relative to other customers of the class.
+    deadline. `max_tokens` is 0 if not specified. `prefix_keys` are hashes of prefixes of the
+    prompt, the longest last. `weight` is the customer's share relative to other customers of the
+    class.
     """
 
     request_id: str
--- a/cassiadrum/decisions/request_queues.py
+++ b/cassiadrum/decisions/request_queues.py
@@ -1,4 +1,4 @@
-"""Base class of the queues in which requests wait at an entry instance."""
+"""Base class of the request queues of an entry instance."""
 
 from abc import ABC, abstractmethod
 
@@ -8,23 +8,23 @@
 
 
 class RequestQueue(ABC):
-    """Keep waiting requests of one service, bounded, in the order in which they are served."""
+    """Bounded queue of the waiting requests of one service, in the order of service."""
 
     @abstractmethod
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
-        """Add a request and return those evicted for it, which may include `req` itself."""
+        """Add a request and return the evicted ones, which may include `req` itself."""
 
     def requeue(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
-        """Put back a popped request that did not run and return those evicted for it."""
+        """Put back a popped request that did not run and return the evicted ones."""
         return self.push(req, now)
 
     @abstractmethod
     def pop(self, now: float) -> QueuedRequest | None:
-        """Remove and return the next request, or None when nothing waits."""
+        """Remove and return the next request, or return None if the queue is empty."""
 
     @abstractmethod
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove a request by its id and return it, or None when it does not wait here."""
+        """Remove and return a request by its id, or return None if it is not in the queue."""
 
     @abstractmethod
     def expired(self, now: float) -> list[QueuedRequest]:
@@ -32,10 +32,10 @@
 
     @abstractmethod
     def ahead_tokens(self, req: QueuedRequest) -> float:
-        """Return the estimated output tokens that are served before `req` would be."""
+        """Return the estimated output tokens of the requests that are served before `req`."""
 
     def protected_waiting(self) -> bool:
-        """Return whether a protected request waits; it is then the next to be popped."""
+        """Return whether a protected request waits, which is then popped next."""
         return False
 
     @abstractmethod
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -1,4 +1,4 @@
-"""Base class of the decision to repeat a failed attempt."""
+"""Base class of retry policies."""
 
 from abc import ABC, abstractmethod
 
@@ -9,20 +9,20 @@
 
 
 class RetryPolicy(ABC):
-    """Bound the attempts of requests."""
+    """Decides whether a failed attempt is repeated."""
 
     @abstractmethod
     def record_accepted(self, req: QueuedRequest) -> None:
-        """Count an accepted request, which earns retry budget."""
+        """Count an accepted request, which adds retry budget."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
-        """Tell whether another endpoint may continue an answer that was partly delivered."""
+        """Return whether another endpoint may continue a partly delivered answer."""
         return self.may_retry(req, ExecutionStatus.EXECUTED, now)
 
     @abstractmethod
     def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
-        """Tell whether the failed attempt may be repeated, and spend the budget if so.
+        """Return whether the failed attempt may be repeated, and if so, consume retry budget.
 
-        `req.attempt` is the number of earlier attempts that ended as this one did: rejected as
-        not run, or failed after they may have run.
+        `req.attempt` counts only the earlier attempts that ended as this one did: either rejected
+        as not run, or failed after they may have run.
         """
--- a/cassiadrum/decisions/running_streams.py
+++ b/cassiadrum/decisions/running_streams.py
@@ -1,4 +1,4 @@
-"""A started request as the sidecar's decisions see it."""
+"""Started request at a sidecar."""
 
 from typing import NamedTuple
 
@@ -8,9 +8,9 @@
 
 
 class RunningStream(NamedTuple):
-    """Hold a started request with its progress; times are monotonic seconds.
+    """A started request with its progress.
 
-    `changed_s` is the time of the last start, pause or resume.
+    `changed_s` is the time of the last start, pause or resume, in monotonic seconds.
     """
 
     req: QueuedRequest
--- a/cassiadrum/decisions/scheduler_actions.py
+++ b/cassiadrum/decisions/scheduler_actions.py
@@ -1,4 +1,4 @@
-"""What a scheduler tells the sidecar to do."""
+"""Actions that an endpoint scheduler returns to its sidecar."""
 
 from typing import NamedTuple
 
@@ -26,7 +26,7 @@
 
 
 class Reject(NamedTuple):
-    """Give the request back to its entry instance as not run."""
+    """Return the request to its entry instance as not run."""
 
     req: QueuedRequest
     reason: str
--- a/cassiadrum/decisions/sent_orders.py
+++ b/cassiadrum/decisions/sent_orders.py
@@ -1,4 +1,4 @@
-"""An order that was sent to an engine."""
+"""Order that was sent to an engine."""
 
 import math
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class SentOrder(NamedTuple):
-    """Hold an order with the times, in monotonic seconds, at which it was sent and answered."""
+    """An order with the times, in monotonic seconds, at which it was sent and answered."""
 
     order: EngineOrder
     sent_s: float
--- a/cassiadrum/decisions/service_snapshots.py
+++ b/cassiadrum/decisions/service_snapshots.py
@@ -1,4 +1,4 @@
-"""What admission may see of a service."""
+"""State of a service as input to admission control."""
 
 from typing import NamedTuple
 
@@ -6,11 +6,11 @@
 
 
 class ServiceSnapshot(NamedTuple):
-    """State the work ahead of one request and the rate at which it is served.
+    """The work ahead of one request and the rate at which it is served.
 
-    `ahead_tokens` are estimated output tokens that are served first; for a protected request
-    only those of protected classes. `slot_tokens` are the tokens that the service produces on
-    average until a slot is free. `tokens_per_s` is the measured rate, 0 while unknown.
+    `ahead_tokens` counts the estimated output tokens that are served first; for a protected
+    request, only those of protected classes. `slot_tokens` is the mean number of tokens that the
+    service produces until a slot becomes free. `tokens_per_s` is the measured rate, 0 if unknown.
     """
 
     ahead_tokens: float
--- a/cassiadrum/decisions/strict_tier_queues.py
+++ b/cassiadrum/decisions/strict_tier_queues.py
@@ -1,4 +1,4 @@
-"""A bounded queue in strict order of tiers."""
+"""Bounded queue in strict tier order."""
 
 from collections import deque
 
@@ -9,7 +9,7 @@
 
 
 class StrictTierQueue(RequestQueue):
-    """Serve the highest tier first, in order of arrival within a tier."""
+    """Queue that serves the highest tier first, and requests of a tier in order of arrival."""
 
     def __init__(self, capacity: int, tokens_per_request: float = 200.0) -> None:
         self._capacity = capacity
@@ -48,7 +48,7 @@
         return expired
 
     def ahead_tokens(self, req: QueuedRequest) -> float:
-        """Return the estimated tokens of requests of the same and of higher tiers."""
+        """Return the estimated tokens of all requests of the same and of higher tiers."""
         ahead = sum(len(waiting) for tier, waiting in self._tiers.items() if tier <= req.tier)
         return ahead * self._tokens_per_request
 
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -1,4 +1,4 @@
-"""An accepted request and its attempts."""
+"""Accepted request with its attempts."""
 
 from dataclasses import dataclass, field
 
@@ -11,12 +11,13 @@
 
 @dataclass(slots=True)
 class TrackedRequest:
-    """Hold an accepted request until it ends.
+    """An accepted request that has not ended.
 
-    `copies` maps the instances that work on the current attempt to the time of the dispatch.
-    `winner` is the instance whose first token arrived first. `ran` covers all attempts,
-    `attempt_ran` the failed copies of the current one. `rejections` counts the attempts that did
-    not run; they are not counted against the attempts that may have run.
+    `copies` maps the instances that run the current attempt to the times of dispatch, in monotonic
+    seconds. `winner` is the instance that sent the first token. `ran` covers all attempts,
+    `attempt_ran` only the failed copies of the current one. `rejections` counts the attempts that
+    did not run, which do not count towards the limit on attempts that may have run. `abandoned`
+    is set after the caller disconnected.
     """
 
     req: QueuedRequest
@@ -32,14 +33,14 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Tell whether another attempt cannot repeat an effect that must not be repeated."""
+        """Return whether another attempt cannot repeat an effect that must occur only once."""
         return self.ran is ExecutionStatus.NOT_EXECUTED or (
             self.req.idempotent and not self.req.once_only
         )
 
     @property
     def may_be_hedged(self) -> bool:
-        """Tell whether one copy runs, has not answered yet, and a second one is harmless."""
+        """Return whether one copy runs without an answer so far, and a second one is safe."""
         harmless = self.req.idempotent and not self.req.once_only
         return harmless and not self.winner and not self.abandoned and len(self.copies) == 1
 
@@ -51,17 +52,17 @@
         return self.req.attempt - self.rejections
 
     def primary_instance(self) -> str:
-        """Return the instance that is meant when an event names none; empty without copies."""
+        """Return the instance whose copy answers, empty without copies."""
         return self.winner or next(iter(self.copies), "")
 
     def record_failure(self, instance: str, ran: ExecutionStatus) -> None:
-        """Take the failure of one copy."""
+        """Record the failure of one copy."""
         self.last_failed_instance = instance
         self.ran = self.ran.combined(ran)
         self.attempt_ran = self.attempt_ran.combined(ran)
 
     def begin_next_attempt(self) -> None:
-        """Start over with one more attempt."""
+        """Reset the state of the current attempt and count one more."""
         self.rejections += self.attempt_ran is ExecutionStatus.NOT_EXECUTED
         self.req = self.req._replace(attempt=self.req.attempt + 1)
         self.attempt_ran = ExecutionStatus.NOT_EXECUTED
--- a/cassiadrum/decisions/wait_bounds.py
+++ b/cassiadrum/decisions/wait_bounds.py
@@ -1,4 +1,4 @@
-"""The bound on the wait of a class that is not protected."""
+"""Upper bound on the wait of an unprotected class."""
 
 import math
 
@@ -14,12 +14,12 @@
     capacity_tokens_per_s: float,
     unshared_tokens: float = 0.0,
 ) -> float:
-    """Return the longest wait in seconds, infinite when the class has no share of the capacity.
+    """Return the longest wait in seconds, infinite if the class has no share of the capacity.
 
-    `backlog_tokens` are the class's tokens up to and including the request, with its last
-    dispatched request. `protected_load` is the share of capacity that protected classes take.
-    `unshared_tokens` is work that no share accounts for because requests are not divisible: the
-    request in service, one that overtakes, and a protected burst.
+    `backlog_tokens` counts the class's tokens up to and including the request, and those of its
+    last dispatched request. `protected_load` is the fraction of the capacity that protected
+    classes use. `unshared_tokens` counts work outside of all shares, because requests are
+    indivisible: the request in service, one that overtakes, and a protected burst.
     """
     left = (1.0 - protected_load) * capacity_tokens_per_s
     if min_share <= 0.0 or left <= 0.0:
--- a/cassiadrum/decisions/wait_predictors.py
+++ b/cassiadrum/decisions/wait_predictors.py
@@ -1,4 +1,4 @@
-"""Predicted waits of one service."""
+"""Prediction of the waits of one service."""
 
 from cassiadrum.decisions.admission_decisions import Admitted, Rejected
 from cassiadrum.decisions.admissions import Admission
@@ -14,7 +14,7 @@
 
 
 class WaitPredictor:
-    """Feed admission with the queue's state and with what finished attempts teach."""
+    """Wait predictions by admission control, from the queue's state and measured attempts."""
 
     def __init__(
         self,
@@ -34,28 +34,29 @@
         return self._admission.decide(req, now, self._snapshot(req))
 
     def predict_s(self, req: QueuedRequest) -> float:
-        """Return the wait in seconds that the request would have if it arrived now."""
+        """Return the predicted wait, in seconds, of the request if it arrived now."""
         return self._admission.predict_s(req, self._snapshot(req))
 
     def retry_after_s(self, req: QueuedRequest) -> float:
-        """Return after how many seconds the request is worth sending again."""
+        """Return the delay in seconds after which the request may be sent again."""
         return self._admission.retry_after_s(req, self._snapshot(req))
 
     def observe_dispatch(self, tracked: TrackedRequest, now: float) -> None:
-        """Compare the wait of a first attempt with its prediction."""
+        """Report the wait of a first attempt to admission control for comparison."""
         if tracked.req.attempt == 0:
             waited_s = now - tracked.submitted_s
             self._admission.observe_wait(tracked.admitted.uncorrected_s, waited_s)
 
     def observe_success(self, req: QueuedRequest, tokens: int, duration_s: float) -> None:
-        """Learn from a finished attempt."""
+        """Record the output length and the duration in seconds of a successful attempt."""
         self._estimator.observe(req.class_name, req.customer, tokens)
         self._rate.observe(tokens, duration_s)
 
     def _snapshot(self, req: QueuedRequest) -> ServiceSnapshot:
         free_slots = self._attempts.free_slots()
         slots = free_slots + len(self._attempts.running)
-        # A sidecar makes room for protected work, so lower-tier streams are not ahead of it.
+        # A sidecar pauses lower-tier streams for protected requests, so they need not wait for
+        # these streams to end.
         waits_for_slot = not req.protected or self._attempts.all_protected()
         return ServiceSnapshot(
             ahead_tokens=self._queue.ahead_tokens(req),
