--- a/cassiadrum/decisions/class_queues.py
+++ b/cassiadrum/decisions/class_queues.py
@@ -36,7 +36,7 @@
         self._by_tokens = LazyHeap(counter)
         self._by_arrival = LazyHeap(counter)
         self._idle_start_tags: dict[str, float] = {}
-        self._idle_by_start_tag = LazyHeap(counter)
+        self._idle_by_tag = LazyHeap(counter)
 
     def add(self, entry: QueueEntry, refund: bool) -> None:
         """Add a request; `refund` reverses the charge to its customer for an earlier service."""
@@ -45,7 +45,7 @@
         customer_queue = self._customers.get(req.customer)
         if customer_queue is None:
             start_tag = max(self._virtual_time, self._idle_start_tags.pop(req.customer, 0.0))
-            self._idle_by_start_tag.discard(req.customer)
+            self._idle_by_tag.discard(req.customer)
             customer_queue = self._customers[req.customer] = CustomerQueue(
                 start_tag, self._counter
             )
@@ -125,13 +125,11 @@
         self._by_tokens.discard(customer)
         if customer_queue.start_tag > self._virtual_time:
             self._idle_start_tags[customer] = customer_queue.start_tag
-            self._idle_by_start_tag.set(customer, customer_queue.start_tag)
+            self._idle_by_tag.set(customer, customer_queue.start_tag)
 
     def _prune_idle_customers(self) -> None:
-        while (first := self._idle_by_start_tag.first()) is not None and first[
-            0
-        ] <= self._virtual_time:
-            self._idle_by_start_tag.discard(first[1])
+        while (first := self._idle_by_tag.first()) is not None and first[0] <= self._virtual_time:
+            self._idle_by_tag.discard(first[1])
             del self._idle_start_tags[first[1]]
 
     def _reset(self) -> None:
@@ -141,7 +139,7 @@
         self.overdue = False
         self._virtual_time = 0.0
         self._idle_start_tags.clear()
-        self._idle_by_start_tag = LazyHeap(self._counter)
+        self._idle_by_tag = LazyHeap(self._counter)
 
 
 def _charge(entry: QueueEntry) -> float:
--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -29,6 +29,7 @@
 # a time.
 MAX_IN_FLIGHT_DIVISOR = 4
 
+# A model and an adapter; the adapter is empty for the model itself.
 ModelKey = tuple[str, str]
 
 
@@ -63,14 +64,14 @@
         self, demand: Collection[ModelDemand], endpoints: Collection[EndpointReport], now: float
     ) -> list[EngineOrder]:
         """Return the orders to send now; the caller must send each one exactly once."""
-        remaining = [rep for rep in endpoints if not rep.leaving]
-        self._drop_finished_orders(remaining, now)
-        self._count_demand(demand, remaining)
+        active = [rep for rep in endpoints if not rep.leaving]
+        self._drop_finished_orders(active, now)
+        self._count_demand(demand, active)
         self._update_copy_states(now)
         orders: list[EngineOrder] = []
         for name in self._lasting_shortages(now):
-            order = self._plan_load(name, remaining, now)
-            if order is not None and self._may_send(remaining, now):
+            order = self._plan_load(name, active, now)
+            if order is not None and self._may_send(active, now):
                 self._budget.reserve(order.load_bytes, now)
                 self._in_flight[order.instance] = SentOrder(order, now)
                 orders.append(order)
@@ -82,9 +83,9 @@
         if sent is not None:
             self._in_flight[instance] = sent._replace(answered_s=min(now, sent.answered_s))
 
-    def _drop_finished_orders(self, remaining: list[EndpointReport], now: float) -> None:
+    def _drop_finished_orders(self, active: list[EndpointReport], now: float) -> None:
         """Drop orders that newer reports reflect, and overdue ones of disconnected engines."""
-        reported = {rep.instance: rep.reported_s for rep in remaining}
+        reported = {rep.instance: rep.reported_s for rep in active}
         for instance, sent in list(self._in_flight.items()):
             if instance in reported:
                 # A report from before the answer still lists what the order unloaded.
@@ -100,17 +101,15 @@
             if now - ended_s < COOLDOWN_S
         }
 
-    def _count_demand(
-        self, demand: Collection[ModelDemand], remaining: list[EndpointReport]
-    ) -> None:
+    def _count_demand(self, demand: Collection[ModelDemand], active: list[EndpointReport]) -> None:
         self._requests = {}
         for entry in demand:
             name = (entry.model, entry.adapter)
             self._requests[name] = self._requests.get(name, 0.0) + entry.requests
-        if remaining:
-            self._mean_limit = max(1.0, sum(rep.limit for rep in remaining) / len(remaining))
+        if active:
+            self._mean_limit = max(1.0, sum(rep.limit for rep in active) / len(active))
         self._holders = {name: [] for name in self._requests}
-        for rep in remaining:
+        for rep in active:
             for name in _loaded(rep):
                 self._holders.setdefault(name, []).append(rep)
 
@@ -148,18 +147,18 @@
             lasting, key=lambda name: (-self._utilization(name, len(self._holders[name])), name)
         )
 
-    def _may_send(self, remaining: list[EndpointReport], now: float) -> bool:
-        bound = max(1, len(remaining) // MAX_IN_FLIGHT_DIVISOR)
+    def _may_send(self, active: list[EndpointReport], now: float) -> bool:
+        bound = max(1, len(active) // MAX_IN_FLIGHT_DIVISOR)
         loading = sum(not _is_overdue(sent, now) for sent in self._in_flight.values())
         return loading < bound and self._budget.available(now)
 
     def _plan_load(
-        self, name: ModelKey, remaining: list[EndpointReport], now: float
+        self, name: ModelKey, active: list[EndpointReport], now: float
     ) -> EngineOrder | None:
         """Return an order to the engine with the least to lose, or None if no engine can load."""
         model, adapter = name
         options: list[tuple[bool, int, str, str]] = []
-        for rep in remaining:
+        for rep in active:
             busy = rep.instance in self._in_flight or rep.instance in self._ended_s
             if busy or name in _loaded(rep) or (adapter and model not in rep.models):
                 continue
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -23,8 +23,8 @@
 
 __all__ = ["Dispatcher"]
 
-# Longer than the 3 s of silence after which a connection is redialled, so that a single
-# reconnect refuses no requests.
+# Longer than the 3 s of silence after which a connection is redialled, so that a reconnect refuses
+# no requests. After this time, callers are refused at once.
 NO_ENDPOINT_TIMEOUT_S = 5.0
 # Limits how many requests without a usable endpoint one event skips to reach those behind them.
 MAX_SKIPPED_REQUESTS = 8
--- a/cassiadrum/decisions/outlier_detectors.py
+++ b/cassiadrum/decisions/outlier_detectors.py
@@ -29,7 +29,7 @@
 
 
 class OutlierDetector:
-    """Outlier detector that ejects slow, stalled and failing endpoints, at most a third of all.
+    """Outlier detector that ejects slow, stalled and failing endpoints, at most a third of them.
 
     An ejected endpoint returns through a probation with one request at a time. `streams_tokens`
     is False for plain services, whose calls show no progress before they end.
@@ -118,10 +118,10 @@
         return state.silent_s(now) >= limit_s
 
     def _eject_worst(self, states: Mapping[str, EndpointState], now: float) -> None:
-        remaining = [state for state in states.values() if not state.report.leaving]
-        ejected = sum(state.health is HealthState.EJECTED for state in remaining)
+        active = [state for state in states.values() if not state.report.leaving]
+        ejected = sum(state.health is HealthState.EJECTED for state in active)
         available = _available_by_capability(states)
-        bad = [state for state in remaining if state.consecutive_bad_checks >= BAD_CHECKS_TO_EJECT]
+        bad = [state for state in active if state.consecutive_bad_checks >= BAD_CHECKS_TO_EJECT]
         bad.sort(key=lambda state: (state.silent_s(now), state.slowdown), reverse=True)
         for state in bad:
             if ejected >= _ejection_bound(states):
