--- a/cassiadrum/decisions/actions.py
+++ b/cassiadrum/decisions/actions.py
@@ -1,15 +1,15 @@
-"""What a dispatcher tells the entry instance to do."""
+"""Actions that a dispatcher returns to its entry instance."""
 
 from typing import NamedTuple
 
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["Action", "Cancel", "Dispatch", "Hedge", "Refuse"]
 
 
 class Dispatch(NamedTuple):
-    """Send the request to the endpoint instance."""
+    """Send the request to an endpoint instance."""
 
     req: QueuedRequest
     instance: str
@@ -23,18 +23,21 @@
 
 
 class Cancel(NamedTuple):
-    """Cancel the request at the endpoint instance."""
+    """Cancel the request's copy at an endpoint instance."""
 
     request_id: str
     instance: str
 
 
 class Refuse(NamedTuple):
-    """Give the request its final refusal; `retry_after_s` is in seconds."""
+    """Answer the request with a final refusal.
+
+    `ran` says whether the request ran; `retry_after_s` is in seconds.
+    """
 
     req: QueuedRequest
     reason: str
-    ran: Ran
+    ran: ExecutionStatus
     retry_after_s: float
 
 
--- a/cassiadrum/decisions/preemption_policies.py
+++ b/cassiadrum/decisions/preemption_policies.py
@@ -1,4 +1,4 @@
-"""Base class of the choice of a stream to pause."""
+"""Base class of preemption policies."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
@@ -10,10 +10,10 @@
 
 
 class PreemptionPolicy(ABC):
-    """Decide which running stream makes room for a waiting request."""
+    """Decides which running stream is paused for a waiting request."""
 
     @abstractmethod
-    def victim(
+    def choose_victim(
         self, req: QueuedRequest, running: Iterable[RunningStream], now: float
     ) -> str | None:
         """Return the request id of the stream to pause for `req`, or None."""
--- a/cassiadrum/decisions/retry_policies.py
+++ b/cassiadrum/decisions/retry_policies.py
@@ -1,28 +1,28 @@
-"""Base class of the decision to repeat a failed attempt."""
+"""Base class of retry policies."""
 
 from abc import ABC, abstractmethod
 
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["RetryPolicy"]
 
 
 class RetryPolicy(ABC):
-    """Bound the attempts of requests."""
+    """Decides whether a failed attempt is repeated."""
 
     @abstractmethod
-    def accepted(self, req: QueuedRequest) -> None:
-        """Count an accepted request, which earns retry budget."""
+    def record_accepted(self, req: QueuedRequest) -> None:
+        """Count an accepted request, which adds retry budget."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
-        """Tell whether another endpoint may continue an answer that was partly delivered."""
-        return self.may_retry(req, Ran.YES, now)
+        """Return whether another endpoint may continue a partly delivered answer."""
+        return self.may_retry(req, ExecutionStatus.EXECUTED, now)
 
     @abstractmethod
-    def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
-        """Tell whether the failed attempt may be repeated, and spend the budget if so.
+    def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
+        """Return whether the failed attempt may be repeated, and if so, consume retry budget.
 
-        `req.attempt` is the number of earlier attempts that ended as this one did: rejected as
-        not run, or failed after they may have run.
+        `req.attempt` counts only the earlier attempts that ended as this one did: either rejected
+        as not run, or failed after they may have run.
         """
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -1,9 +1,9 @@
-"""An accepted request and its attempts."""
+"""Accepted request with its attempts."""
 
 from dataclasses import dataclass, field
 
 from cassiadrum.decisions.admission_decisions import Admitted
-from cassiadrum.decisions.outcomes import Ran
+from cassiadrum.decisions.outcomes import ExecutionStatus
 from cassiadrum.decisions.queued_requests import QueuedRequest
 
 __all__ = ["TrackedRequest"]
@@ -11,20 +11,21 @@
 
 @dataclass(slots=True)
 class TrackedRequest:
-    """Hold an accepted request until it ends.
+    """An accepted request that has not ended.
 
-    `copies` maps the instances that work on the current attempt to the time of the dispatch.
-    `winner` is the instance whose first token arrived first. `ran` covers all attempts,
-    `attempt_ran` the failed copies of the current one. `rejections` counts the attempts that did
-    not run; they are not counted against the attempts that may have run.
+    `copies` maps the instances that run the current attempt to the times of dispatch, in monotonic
+    seconds. `winner` is the instance that sent the first token. `ran` covers all attempts,
+    `attempt_ran` only the failed copies of the current one. `rejections` counts the attempts that
+    did not run, which do not count towards the limit on attempts that may have run. `abandoned`
+    is set after the caller disconnected.
     """
 
     req: QueuedRequest
     admitted: Admitted
     submitted_s: float
-    ran: Ran = Ran.NO
-    attempt_ran: Ran = Ran.NO
-    failed_at: str = ""
+    ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
+    attempt_ran: ExecutionStatus = ExecutionStatus.NOT_EXECUTED
+    last_failed_instance: str = ""
     winner: str = ""
     rejections: int = 0
     abandoned: bool = False
@@ -32,35 +33,37 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Tell whether another attempt cannot repeat an effect that must not be repeated."""
-        return self.ran is Ran.NO or (self.req.idempotent and not self.req.once_only)
+        """Return whether another attempt cannot repeat an effect that must occur only once."""
+        return self.ran is ExecutionStatus.NOT_EXECUTED or (
+            self.req.idempotent and not self.req.once_only
+        )
 
     @property
-    def may_be_copied(self) -> bool:
-        """Tell whether one copy runs, has not answered yet, and a second one is harmless."""
+    def may_be_hedged(self) -> bool:
+        """Return whether one copy runs without an answer so far, and a second one is safe."""
         harmless = self.req.idempotent and not self.req.once_only
         return harmless and not self.winner and not self.abandoned and len(self.copies) == 1
 
     @property
-    def attempts_alike(self) -> int:
+    def attempts_with_same_outcome(self) -> int:
         """Return the number of earlier attempts that ended as the current one did."""
-        if self.attempt_ran is Ran.NO:
+        if self.attempt_ran is ExecutionStatus.NOT_EXECUTED:
             return self.rejections
         return self.req.attempt - self.rejections
 
-    def main_instance(self) -> str:
-        """Return the instance that is meant when an event names none; empty without copies."""
+    def primary_instance(self) -> str:
+        """Return the instance whose copy answers, empty without copies."""
         return self.winner or next(iter(self.copies), "")
 
-    def failed(self, instance: str, ran: Ran) -> None:
-        """Take the failure of one copy."""
-        self.failed_at = instance
+    def record_failure(self, instance: str, ran: ExecutionStatus) -> None:
+        """Record the failure of one copy."""
+        self.last_failed_instance = instance
         self.ran = self.ran.combined(ran)
         self.attempt_ran = self.attempt_ran.combined(ran)
 
-    def next_attempt(self) -> None:
-        """Start over with one more attempt."""
-        self.rejections += self.attempt_ran is Ran.NO
+    def begin_next_attempt(self) -> None:
+        """Reset the state of the current attempt and count one more."""
+        self.rejections += self.attempt_ran is ExecutionStatus.NOT_EXECUTED
         self.req = self.req._replace(attempt=self.req.attempt + 1)
-        self.attempt_ran = Ran.NO
+        self.attempt_ran = ExecutionStatus.NOT_EXECUTED
         self.winner = ""
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -1,6 +1,6 @@
 """Relaying of answers from attempts to callers."""
 
-from cassiadrum.decisions import Outcome, Ran
+from cassiadrum.decisions import ExecutionStatus, Outcome
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links.messages import Head
@@ -81,7 +81,9 @@
         """
         if not pending.head_sent or pending.streaming:
             return outcome
-        ran = Ran.UNKNOWN if outcome.ran is Ran.NO else outcome.ran
+        ran = (
+            ExecutionStatus.UNKNOWN if outcome.ran is ExecutionStatus.NOT_EXECUTED else outcome.ran
+        )
         return outcome._replace(ran=ran, final=True)
 
     def _relay_events(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from cassiadrum.decisions import EndpointReport, EngineOrder, LoadDemand, OrderPlanner
+from cassiadrum.decisions import EndpointReport, EngineOrder, ModelDemand, OrderPlanner
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
 from cassiadrum.links.messages import Order
@@ -63,7 +63,7 @@
         instance = self._sent.pop(order_id, None)
         if instance is None:
             return
-        self._planner.ordered(instance, self._clock())
+        self._planner.order_answered(instance, self._clock())
         kind = EventKind.ORDER_CARRIED_OUT if ok else EventKind.ORDER_REFUSED
         self._ring.record(kind, service=self._service, to=instance, reason=reason)
 
@@ -88,7 +88,7 @@
     def _plan(self) -> None:
         share = max(1, self._entries())
         demand = [
-            LoadDemand(model, adapter, mean * share)
+            ModelDemand(model, adapter, mean * share)
             for (model, adapter), mean in self._demand.items()
         ]
         for order in self._planner.plan(demand, list(self._reports.values()), self._clock()):
@@ -99,7 +99,7 @@
         # Read again right before the effect: the lease may have run out since the plan.
         fencing = self._lease.fencing()
         if link is None or fencing is None:
-            self._planner.ordered(order.instance, self._clock())
+            self._planner.order_answered(order.instance, self._clock())
             return
         order_id = uuid.uuid4().hex
         self._sent[order_id] = order.instance
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -11,9 +11,9 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     Hedge,
     Outcome,
-    Ran,
     Refuse,
 )
 from cassiadrum.defaults import LIMITS
@@ -53,7 +53,7 @@
 NOT_RUN_MAX_AGE_S = 30.0
 # The reason a sidecar gives when asked to attach to an attempt that it does not know.
 UNKNOWN_ATTEMPT_REASON = "no_endpoint"
-LOST_OUTCOME = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
+LOST_OUTCOME = Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost")
 
 
 class Router(AttemptEvents):
@@ -178,7 +178,7 @@
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
         for _, attempt in self._attempts_at(instance):
             attempt.detached_s = now
-        self._execute(self._dispatcher(self._service_of(instance)).lost(instance, now))
+        self._execute(self._dispatcher(self._service_of(instance)).endpoint_lost(instance, now))
 
     def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Pass a load report and the cached prompt prefixes to the service's dispatcher."""
@@ -186,7 +186,7 @@
         service = self._service_of(rep.instance)
         dispatcher = self._dispatcher(service)
         if cached:
-            dispatcher.cached(rep.instance, cached, now)
+            dispatcher.observe_cached_prefixes(rep.instance, cached, now)
         self.on_report(service, rep)
         self._execute(dispatcher.report(rep, now))
 
@@ -208,10 +208,10 @@
         self.on_removed(msg.service, msg.instance)
         dispatcher = self._dispatcher(msg.service)
         # Marked as lost first, so that a retry of one of its attempts is not dispatched to it.
-        self._execute(dispatcher.lost(msg.instance, self._clock()))
+        self._execute(dispatcher.endpoint_lost(msg.instance, self._clock()))
         for pending, attempt in self._attempts_at(msg.instance):
             self._finish_attempt(pending, attempt, LOST_OUTCOME)
-        self._execute(dispatcher.removed(msg.instance, self._clock()))
+        self._execute(dispatcher.endpoint_removed(msg.instance, self._clock()))
 
     def received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Relay bytes of an answer and acknowledge those that the caller's task does not.
@@ -232,7 +232,9 @@
             )
         if pending.splitter.held_bytes > MAX_EVENT_BYTES:
             self._finish_attempt(
-                pending, attempt, Outcome(False, Ran.YES, 0, "endpoint_failed", final=True)
+                pending,
+                attempt,
+                Outcome(False, ExecutionStatus.EXECUTED, 0, "endpoint_failed", final=True),
             )
             self._cancel_attempt(pending, attempt)
             return
@@ -271,7 +273,11 @@
             return
         # A sidecar forgets ended attempts, so an old one that it does not know may have run.
         old = self._clock() - found[1].started_s >= NOT_RUN_MAX_AGE_S
-        ran = Ran.UNKNOWN if old and reason == UNKNOWN_ATTEMPT_REASON else Ran.NO
+        ran = (
+            ExecutionStatus.UNKNOWN
+            if old and reason == UNKNOWN_ATTEMPT_REASON
+            else ExecutionStatus.NOT_EXECUTED
+        )
         self._finish_attempt(*found, Outcome(False, ran, 0, reason, retry_after_s))
 
     def _finish_cancelled(self, attempt_id: str, tokens: int) -> None:
@@ -280,7 +286,7 @@
         if entry is None:
             return
         attempt, service = entry
-        outcome = Outcome(False, Ran.UNKNOWN, tokens, "cancelled")
+        outcome = Outcome(False, ExecutionStatus.UNKNOWN, tokens, "cancelled")
         dispatcher = self._dispatcher(service)
         self._execute(
             dispatcher.finished(attempt.request_id, outcome, self._clock(), attempt.instance)
@@ -324,7 +330,9 @@
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
         self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
         if not self._sidecars.start(pending, attempt):
-            self._finish_attempt(pending, attempt, Outcome(False, Ran.NO, 0, "no_endpoint"))
+            self._finish_attempt(
+                pending, attempt, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "no_endpoint")
+            )
 
     def _refuse(self, action: Refuse) -> None:
         pending = self.pending.get(action.req.request_id)
@@ -339,7 +347,7 @@
 
     def _refuse_all(self) -> None:
         for pending in list(self.pending.values()):
-            self._refuse(Refuse(pending.queued, "draining", Ran.UNKNOWN, 0.0))
+            self._refuse(Refuse(pending.queued, "draining", ExecutionStatus.UNKNOWN, 0.0))
 
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -6,19 +6,19 @@
     Dispatch,
     Dispatcher,
     EndpointReport,
+    ExecutionStatus,
     FairTierQueue,
     Hedge,
     LeastOutstandingChooser,
     Outcome,
     QueuedRequest,
-    Ran,
     Refuse,
     WasteBoundHedgePolicy,
 )
 
-UNKNOWN = Outcome(ok=False, ran=Ran.UNKNOWN, reason="answer_lost")
-NOT_RUN = Outcome(ok=False, ran=Ran.NO, reason="overloaded")
-DONE = Outcome(ok=True, ran=Ran.YES, tokens=10)
+UNKNOWN = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, reason="answer_lost")
+NOT_RUN = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
+DONE = Outcome(ok=True, ran=ExecutionStatus.EXECUTED, tokens=10)
 
 
 def make_request(request_id: str, idempotent: bool = True, tier: int = 2) -> QueuedRequest:
@@ -71,11 +71,11 @@
     def test_eviction_after_an_attempt_that_may_have_run_says_so(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("r"), 0.0)
-        dispatcher.lost("e0", 0.5)
+        dispatcher.endpoint_lost("e0", 0.5)
         dispatcher.finished("r", UNKNOWN, 1.0)
         (refusal,) = dispatcher.tick(10.0)
         assert isinstance(refusal, Refuse)
-        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.UNKNOWN)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.UNKNOWN)
 
     def test_reject_after_an_attempt_that_may_have_run_says_so(self) -> None:
         dispatcher = make_dispatcher()
@@ -83,11 +83,11 @@
         dispatcher.finished("r", UNKNOWN, 1.0)
         (refusal,) = dispatcher.finished("r", NOT_RUN, 11.0)
         assert isinstance(refusal, Refuse)
-        assert refusal.ran is Ran.UNKNOWN
+        assert refusal.ran is ExecutionStatus.UNKNOWN
 
     def test_no_policy_can_repeat_an_effect(self) -> None:
         class Unlimited(BudgetRetryPolicy):
-            def may_retry(self, req: QueuedRequest, ran: Ran, now: float) -> bool:
+            def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
                 return True
 
         dispatcher = Dispatcher(FairTierQueue(9), LeastOutstandingChooser(), retry=Unlimited())
@@ -112,7 +112,7 @@
     def test_lost_endpoint_keeps_its_streams_and_gets_no_new_work(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("running"), 0.0)
-        assert dispatcher.lost("e0", 1.0) == []
+        assert dispatcher.endpoint_lost("e0", 1.0) == []
         assert dispatcher.submit(make_request("waiting"), 1.0) == []
         assert (dispatcher.running(), dispatcher.queued()) == (1, 1)
         (action,) = dispatcher.report(make_report("e0"), 2.0)
@@ -120,7 +120,7 @@
 
     def test_lost_endpoint_is_passed_over_while_another_works(self) -> None:
         dispatcher = make_dispatcher(endpoints=2, limit=1)
-        dispatcher.lost("e0", 0.0)
+        dispatcher.endpoint_lost("e0", 0.0)
         (action,) = dispatcher.submit(make_request("a"), 1.0)
         assert action == Dispatch(make_request("a"), "e1")
         assert dispatcher.submit(make_request("b"), 1.0) == []
@@ -131,7 +131,7 @@
         assert dispatcher.tick(4.9) == []
         (refusal,) = dispatcher.tick(5.0)
         assert isinstance(refusal, Refuse)
-        assert (refusal.reason, refusal.ran) == ("no_endpoint", Ran.NO)
+        assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.NOT_EXECUTED)
 
     def test_predicted_wait_follows_the_queue(self) -> None:
         dispatcher = make_dispatcher(endpoints=1, limit=1)
@@ -169,7 +169,7 @@
 
     def test_failure_of_one_copy_leaves_the_other(self) -> None:
         dispatcher = self.make_hedged()
-        assert dispatcher.removed("e0", 101.1) == []
+        assert dispatcher.endpoint_removed("e0", 101.1) == []
         assert dispatcher.running() == 1
         assert dispatcher.finished("slow", DONE, 102.0) == []
         assert dispatcher.running() == 0
