--- a/bench/wall_clock/gateways.py
+++ b/bench/wall_clock/gateways.py
@@ -7,7 +7,7 @@
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.callers import Work
 from cassiadrum.gateways import CallKind
-from cassiadrum.platform.boot_settings import FILE_VARIABLE
+from cassiadrum.platform.node_settings import FILE_VARIABLE
 from cassiadrum.platform.processes import READY_PATH
 from cassiadrum.platform.standins import (
     RowService,
--- a/bench/wall_clock/signing_engine.py
+++ b/bench/wall_clock/signing_engine.py
@@ -15,7 +15,7 @@
     parser.add_argument("--instance", required=True)
     parser.add_argument("--step-s", type=float, default=0.005)
     options = parser.parse_args()
-    engine = EndpointService(options.instance, slots=SLOTS, event_s=options.step_s)
+    engine = EndpointService(options.instance, slots=SLOTS, event_interval_s=options.step_s)
     await engine.start()
     entry = engine.entry(options.instance)
     print(json.dumps({"http": engine.address, "entry": entry}), flush=True)
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -7,8 +7,8 @@
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.results import Result
-from cassiadrum.platform.boot_settings import load_boot_settings
 from cassiadrum.platform.errors import BadSettings
+from cassiadrum.platform.node_settings import load_node_settings
 from cassiadrum.schemas import Finding
 from cassiadrum.settings import SettingsError, load_settings
 
@@ -51,7 +51,7 @@
         if path.suffix == TOML_SUFFIX:
             cfg = load_settings(path)
             return f"{path}: valid settings of the {cfg.role} {cfg.instance}", []
-        boot = load_boot_settings(path)
+        boot = load_node_settings(path)
         return f"{path}: valid settings of the gateway {boot.instance}", []
     except (SettingsError, BadSettings) as exc:
         return "", exc.findings
--- a/cassiadrum/platform/__main__.py
+++ b/cassiadrum/platform/__main__.py
@@ -6,8 +6,8 @@
 import sys
 
 from cassiadrum.logs import configure_logging
-from cassiadrum.platform.boot_settings import settings_path
 from cassiadrum.platform.errors import BadSettings, StartFailed
+from cassiadrum.platform.node_settings import settings_path
 from cassiadrum.platform.processes import GatewayProcess
 
 __all__ = ["main"]
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -13,15 +13,15 @@
     LoadSample,
     PromptPart,
 )
-from cassiadrum.platform.wire_names import CONNECTION_HEADERS, GATEWAY_HEADERS, Header
+from cassiadrum.platform.headers import CONNECTION_HEADERS, GATEWAY_HEADERS, Header
 from cassiadrum.protocols import BadMessage, Headers, HttpRequest
 
 __all__ = ["PlatformProtocol"]
 
-LEAST_URGENT = 9
+LOWEST_PRIORITY = 9
 MIN_TIMEOUT_MS = 1
-REFUSED = 503
-LEAVES = "1"
+SERVICE_UNAVAILABLE = 503
+LEAVING = "1"
 # Longer numbers are no counts, and the interpreter refuses to convert very long ones.
 TOKEN_COUNT = re.compile(r"[0-9]{1,18}")
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -40,18 +40,18 @@
         request_id = req.header(Header.REQUEST_ID)
         if not request_id:
             raise BadMessage(400, "the request has no id")
-        prompt_tokens, max_output_tokens = _integers(req.header(Header.TOKENS), 2) or (0, 0)
-        keys = {value for name, value in req.headers if name == Header.KEY}
+        prompt_tokens, max_output_tokens = _parse_integers(req.header(Header.TOKENS), 2) or (0, 0)
+        keys = {value for name, value in req.headers if name == Header.API_KEY}
         return Call(
             request_id=request_id,
             method=req.method,
             target=req.target,
             host=_host(req.header("host")),
-            headers=_passed_on(req.headers),
+            headers=_forwarded_headers(req.headers),
             body=req.body,
             key=keys.pop() if len(keys) == 1 else "",
-            timeout_s=_seconds(req.header(Header.TIMEOUT)),
-            prompt=_prompt(req.header(Header.PROMPT)),
+            timeout_s=_parse_timeout_s(req.header(Header.TIMEOUT)),
+            prompt=_parse_prompt_parts(req.header(Header.PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             last_event_id=req.header(Header.LAST_EVENT_ID),
@@ -69,9 +69,9 @@
     ) -> Headers:
         """Return the headers of a call to an endpoint, without those that frame the body."""
         lines = [
-            (Header.INSTANCE_WANTED, entry.instance),
+            (Header.TARGET_INSTANCE, entry.instance),
             (Header.TIMEOUT, str(max(MIN_TIMEOUT_MS, int(timeout_s * 1000)))),
-            (Header.PRIORITY, str(min(LEAST_URGENT, max(0, priority)))),
+            (Header.PRIORITY, str(min(LOWEST_PRIORITY, max(0, priority)))),
         ]
         if customer:
             lines.append((Header.CUSTOMER, customer))
@@ -95,7 +95,7 @@
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the head of an endpoint's answer."""
         values = dict(headers)
-        load = _integers(values.get(Header.LOAD, ""), 3)
+        load = _parse_integers(values.get(Header.LOAD, ""), 3)
         return AnswerHead(
             status=status,
             headers=tuple(line for line in headers if line[0] not in CONNECTION_HEADERS),
@@ -104,9 +104,11 @@
             not_run=Header.NOT_RUN in values or status == 421,
             encoded=values.get("content-encoding", "identity") != "identity",
             load=LoadSample(*load) if load else None,
-            idle_s=_keep_alive_s(values.get("keep-alive", "")),
-            leaving=values.get(Header.LEAVING, "") == LEAVES,
-            pause_s=_pause_s(values.get(Header.RETRY_AFTER, "")) if status == REFUSED else None,
+            idle_s=_parse_keep_alive_s(values.get("keep-alive", "")),
+            leaving=values.get(Header.LEAVING, "") == LEAVING,
+            pause_s=_retry_after_s(values.get(Header.RETRY_AFTER, ""))
+            if status == SERVICE_UNAVAILABLE
+            else None,
         )
 
 
@@ -114,26 +116,26 @@
     return text.partition(":")[0].lower()
 
 
-def _passed_on(headers: Headers) -> Headers:
+def _forwarded_headers(headers: Headers) -> Headers:
     """Return the headers without those of the connection and those that the gateway sets."""
-    named = {
+    connection_options = {
         name.strip().lower()
         for key, value in headers
         if key == "connection"
         for name in value.split(",")
     }
-    dropped = CONNECTION_HEADERS | GATEWAY_HEADERS | (named - {Header.REQUEST_ID})
+    dropped = CONNECTION_HEADERS | GATEWAY_HEADERS | (connection_options - {Header.REQUEST_ID})
     return tuple(line for line in headers if line[0] not in dropped)
 
 
-def _seconds(text: str) -> float | None:
+def _parse_timeout_s(text: str) -> float | None:
     try:
         return max(0.0, float(text) / 1000)
     except ValueError:
         return None
 
 
-def _pause_s(text: str) -> float | None:
+def _retry_after_s(text: str) -> float | None:
     """Return the seconds of a Retry-After; None for a date, a past or an unreadable value."""
     try:
         seconds = float(text)
@@ -142,7 +144,7 @@
     return seconds if math.isfinite(seconds) and seconds > 0.0 else None
 
 
-def _integers(text: str, size: int) -> tuple[int, ...] | None:
+def _parse_integers(text: str, size: int) -> tuple[int, ...] | None:
     """Return the integers of a list separated by commas, None if there are not `size`."""
     try:
         found = tuple(int(part) for part in text.split(","))
@@ -151,7 +153,7 @@
     return found if len(found) == size else None
 
 
-def _prompt(text: str) -> tuple[PromptPart, ...]:
+def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else ():
         part_id, _, tokens = item.partition(":")
@@ -161,6 +163,6 @@
     return tuple(parts)
 
 
-def _keep_alive_s(text: str) -> float | None:
+def _parse_keep_alive_s(text: str) -> float | None:
     found = KEEP_ALIVE_TIMEOUT.search(text)
     return float(found[1]) if found else None
--- a/cassiadrum/platform/wire_names.py
+++ b/cassiadrum/platform/headers.py
@@ -11,18 +11,18 @@
     REQUEST_ID: Final = "x-cassiadrum-request-id"
     # Milliseconds that the sender of the request waits.
     TIMEOUT: Final = "x-cassiadrum-timeout-ms"
-    KEY: Final = "x-api-key"
+    API_KEY: Final = "x-api-key"
     # The customer's name, towards endpoints only.
     CUSTOMER: Final = "x-cassiadrum-tenant"
     # The endpoint that is meant; any other one answers 421 without running the request.
-    INSTANCE_WANTED: Final = "x-cassiadrum-target-instance"
+    TARGET_INSTANCE: Final = "x-cassiadrum-target-instance"
     # 0 is the most urgent and 9 the least.
     PRIORITY: Final = "x-cassiadrum-request-priority"
     MODEL: Final = "x-cassiadrum-model"
     # Prompt tokens and the most output tokens, separated by a comma.
     TOKENS: Final = "x-cassiadrum-token-counts"
     # The prompt's parts as ID:TOKENS, separated by commas.
-    PROMPT: Final = "x-cassiadrum-prompt-prefix"
+    PROMPT_PARTS: Final = "x-cassiadrum-prompt-prefix"
     LAST_EVENT_ID: Final = "last-event-id"
     SIGNATURE: Final = "x-cassiadrum-response-signature"
     NOT_RUN: Final = "x-cassiadrum-not-executed"
@@ -55,9 +55,9 @@
 # What the gateway alone may say to endpoints; a caller's own is dropped.
 GATEWAY_HEADERS: Final = frozenset(
     {
-        Header.KEY,
+        Header.API_KEY,
         Header.CUSTOMER,
-        Header.INSTANCE_WANTED,
+        Header.TARGET_INSTANCE,
         Header.PRIORITY,
         Header.TIMEOUT,
         Header.LAST_EVENT_ID,
--- a/cassiadrum/platform/boot_settings.py
+++ b/cassiadrum/platform/node_settings.py
@@ -13,7 +13,7 @@
 from cassiadrum.settings.addresses import Address
 from cassiadrum.settings.schemas import HostPort
 
-__all__ = ["BootSettings", "Bounds", "load_boot_settings", "parse_boot_settings", "settings_path"]
+__all__ = ["Bounds", "NodeSettings", "load_node_settings", "parse_node_settings", "settings_path"]
 
 FILE_VARIABLE = "CASSIADRUM_NODE_FILE"
 MEGABYTE = 1024 * 1024
@@ -81,7 +81,7 @@
     retry_window_s: float
 
 
-class BootSettings(NamedTuple):
+class NodeSettings(NamedTuple):
     """Hold what a gateway needs of the settings file.
 
     The store and the bounds may change while it runs, the other fields at a start only.
@@ -115,16 +115,16 @@
     return Path(path)
 
 
-def load_boot_settings(path: Path) -> BootSettings:
+def load_node_settings(path: Path) -> NodeSettings:
     """Return the settings in a file; raise BadSettings with one finding for each error."""
     try:
         data = path.read_bytes()
     except OSError as exc:
         raise BadSettings([Finding(str(path), "(file)", str(exc), "a readable file")]) from exc
-    return parse_boot_settings(data, str(path))
+    return parse_node_settings(data, str(path))
 
 
-def parse_boot_settings(data: bytes, file: str = "settings") -> BootSettings:
+def parse_node_settings(data: bytes, file: str = "settings") -> NodeSettings:
     """Return the settings in `data`; raise BadSettings with one finding for each error."""
     try:
         raw = msgspec.json.decode(data)
@@ -136,9 +136,9 @@
     return _to_settings(msgspec.convert(raw, _FileWire))
 
 
-def _to_settings(wire: _FileWire) -> BootSettings:
+def _to_settings(wire: _FileWire) -> NodeSettings:
     bounds = wire.bounds
-    return BootSettings(
+    return NodeSettings(
         instance=wire.node,
         zone=wire.zone,
         calls=Address.parse(wire.listen.front),
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -9,9 +9,9 @@
 
 from cassiadrum.gateways import Catalog, Gateway, GatewaySettings
 from cassiadrum.logs import BOUNDED_FIELD
-from cassiadrum.platform.boot_settings import BootSettings, load_boot_settings
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.errors import BadSettings, StartFailed
+from cassiadrum.platform.node_settings import NodeSettings, load_node_settings
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
 from cassiadrum.platform.store_waits import StoreWaits
@@ -32,23 +32,23 @@
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Entries that lapsed during an outage of the store are back within two seconds of its return.
-RETURN_GRACE_S = 2.0
+STORE_RETURN_GRACE_S = 2.0
 # The store drops a registration after three heartbeats without one; the fourth is for lateness.
-LAPSE_HEARTBEATS = 4
+REGISTRATION_EXPIRY_HEARTBEATS = 4
 # Repeated attempts that a gateway may make beside those that its own requests permit, so that a
 # gateway with few requests can repeat one. The bound is for all gateways together, whose number
 # none of them knows; it holds for as many gateways as it permits attempts beside the part.
-RETRY_SPARE = 1.0
+MAX_RETRY_SPARE = 1.0
 # Part of the descriptors that callers' connections may take; endpoints and files need the rest.
-CALLER_DESCRIPTORS_PART = 0.6
+CALLER_DESCRIPTORS_FRACTION = 0.6
 # Part of the memory that unfinished answers may take; they are copied once when they are whole.
-ANSWERS_MEMORY_PART = 1 / 12
+ANSWERS_MEMORY_FRACTION = 1 / 12
 # After SIGTERM new connections still arrive until the readiness checks have failed twice.
-ACCEPT_AFTER_STOP_S = 2.6
-STOP_MARGIN_S = 0.4
-WATCH_FILE_S = 1.0
+ACCEPT_AFTER_SIGTERM_S = 2.6
+SHUTDOWN_MARGIN_S = 0.4
+SETTINGS_POLL_INTERVAL_S = 1.0
 # Settings that come into force without a restart.
-TAKEN_WHILE_RUNNING: Final = frozenset({"store", "bounds"})
+RELOADABLE_SETTINGS: Final = frozenset({"store", "bounds"})
 
 
 class GatewayProcess:
@@ -60,18 +60,18 @@
     def __init__(self, path: Path, metrics_port: int | None = None) -> None:
         self._path = path
         self._metrics_port = metrics_port
-        self._cfg = load_boot_settings(path)
+        self._cfg = load_node_settings(path)
         self.gateway = Gateway(_gateway_settings(self._cfg), PlatformProtocol())
         self.gateway.set_settings(self._cfg.digest, time.time())
-        self._calls = HttpServer(
+        self._call_server = HttpServer(
             self.gateway.handle,
-            connection_limit=int(self._cfg.descriptors * CALLER_DESCRIPTORS_PART),
+            connection_limit=int(self._cfg.descriptors * CALLER_DESCRIPTORS_FRACTION),
         )
-        self._readiness = HttpServer(self._answer_ready)
-        self._metrics = HttpServer(self._answer_metrics)
-        self.gateway.on_catalog = self._take_limits
+        self._readiness_server = HttpServer(self._handle_readiness)
+        self._metrics_server = HttpServer(self._handle_metrics)
+        self.gateway.on_catalog = self._apply_limits
         self._tasks: list[asyncio.Task[None]] = []
-        self._follower: asyncio.Task[None] | None = None
+        self._follower_task: asyncio.Task[None] | None = None
 
     @property
     def instance(self) -> str:
@@ -87,50 +87,50 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         cfg = self._cfg
         await self._listen(cfg)
-        self._follow(cfg)
+        self._restart_follower(cfg)
         self._tasks = [
             asyncio.create_task(self.gateway.run()),
-            asyncio.create_task(self._watch_file()),
+            asyncio.create_task(self._poll_settings_file()),
         ]
         logger.info("started in zone %s", cfg.zone)
         await stopping.wait()
-        await self._stop()
+        await self._shut_down()
 
-    async def _listen(self, cfg: BootSettings) -> None:
-        servers = [(self._calls, cfg.calls), (self._readiness, cfg.readiness)]
+    async def _listen(self, cfg: NodeSettings) -> None:
+        servers = [(self._call_server, cfg.calls), (self._readiness_server, cfg.readiness)]
         if self._metrics_port is not None:
-            servers.append((self._metrics, Address(cfg.host, self._metrics_port)))
+            servers.append((self._metrics_server, Address(cfg.host, self._metrics_port)))
         for server, address in servers:
             try:
                 await server.start(address.host, address.port)
             except OSError as exc:
                 raise StartFailed(f"cannot listen at {address}: {exc}") from exc
 
-    def _follow(self, cfg: BootSettings) -> None:
+    def _restart_follower(self, cfg: NodeSettings) -> None:
         """Follow the configuration and the endpoints at the store's address."""
-        if self._follower is not None:
-            self._follower.cancel()
+        if self._follower_task is not None:
+            self._follower_task.cancel()
         configuration = FollowedTable(CONFIGURATION_TABLE, ConfigurationSink(self.gateway))
         endpoints = FollowedTable(ENDPOINT_TABLE, EndpointSink(self.gateway))
-        wait_s = StoreWaits.of(cfg.bounds).change_s
+        wait_s = StoreWaits.from_bounds(cfg.bounds).change_s
         follower = StoreFollower(RowStore(cfg.store), configuration, [endpoints], wait_s)
-        self._follower = asyncio.create_task(follower.run())
+        self._follower_task = asyncio.create_task(follower.run())
 
-    def _take_limits(self, catalog: Catalog) -> None:
+    def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
-        self._calls.set_limits(
+        self._call_server.set_limits(
             header_limit=limits.header_bytes,
             body_limit=limits.body_bytes,
             read_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
         )
 
-    async def _answer_ready(self, exchange: Exchange) -> None:
+    async def _handle_readiness(self, exchange: Exchange) -> None:
         known = exchange.req.path == READY_PATH
         status = 404 if not known else 200 if self.gateway.ready else 503
         await exchange.send(status, b"", "text/plain")
 
-    async def _answer_metrics(self, exchange: Exchange) -> None:
+    async def _handle_metrics(self, exchange: Exchange) -> None:
         if exchange.req.path == METRICS_PATH:
             await exchange.send(200, self.gateway.render_metrics(), METRICS_TYPE)
         else:
@@ -139,14 +139,14 @@
     def _reload(self) -> None:
         """Take changed settings; those in force stay where the file is not valid."""
         try:
-            cfg = load_boot_settings(self._path)
+            cfg = load_node_settings(self._path)
         except BadSettings as exc:
             logger.error("settings not taken: %s", exc)
             return
         changed = {name for name in cfg._fields if getattr(cfg, name) != getattr(self._cfg, name)}
         if not changed:
             return
-        taken = changed & TAKEN_WHILE_RUNNING
+        taken = changed & RELOADABLE_SETTINGS
         logger.info(
             "settings changed",
             extra={
@@ -156,67 +156,67 @@
                 BOUNDED_FIELD: True,
             },
         )
-        self._take({name: getattr(cfg, name) for name in taken})
+        self._apply_settings({name: getattr(cfg, name) for name in taken})
 
-    def _take(self, values: dict[str, Any]) -> None:
+    def _apply_settings(self, values: dict[str, Any]) -> None:
         """Put changed settings in force; requests and connections go on."""
         self._cfg = self._cfg._replace(**values)
         self.gateway.reconfigure(_gateway_settings(self._cfg))
         self.gateway.set_settings(self._cfg.digest, time.time())
         if values:
-            self._follow(self._cfg)
+            self._restart_follower(self._cfg)
 
-    async def _watch_file(self) -> None:
+    async def _poll_settings_file(self) -> None:
         """Reload the settings when the file changes without a signal."""
-        seen = _changed_ns(self._path)
+        seen = _modified_ns(self._path)
         while True:
-            await asyncio.sleep(WATCH_FILE_S)
-            changed = _changed_ns(self._path)
+            await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
+            changed = _modified_ns(self._path)
             if changed not in (seen, 0):
                 seen = changed
                 self._reload()
 
-    async def _stop(self) -> None:
+    async def _shut_down(self) -> None:
         """Turn new connections away, end what is in flight and close."""
         logger.info("stopping")
-        grace_s = self._cfg.bounds.grace_s - STOP_MARGIN_S
+        grace_s = self._cfg.bounds.grace_s - SHUTDOWN_MARGIN_S
         self.gateway.draining = True
-        self._calls.drain()
+        self._call_server.drain()
         try:
             async with asyncio.timeout(grace_s):
-                await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-                await self._calls.close()
+                await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
+                await self._call_server.close()
         except TimeoutError:
-            running = self._calls.running
+            running = self._call_server.running
             logger.warning("grace time ended", extra={"cut_requests": running})
-        await self._calls.abort()
-        await self._readiness.abort()
-        await self._metrics.abort()
+        await self._call_server.abort()
+        await self._readiness_server.abort()
+        await self._metrics_server.abort()
         for task in self._tasks:
             task.cancel()
-        if self._follower is not None:
-            self._follower.cancel()
+        if self._follower_task is not None:
+            self._follower_task.cancel()
         self.gateway.pool.close()
         logger.info("stopped")
 
 
-def _gateway_settings(cfg: BootSettings) -> GatewaySettings:
+def _gateway_settings(cfg: NodeSettings) -> GatewaySettings:
     bounds = cfg.bounds
-    waits = StoreWaits.of(bounds)
+    waits = StoreWaits.from_bounds(bounds)
     return GatewaySettings(
         zone=cfg.zone,
         retry_ratio=bounds.retry_ratio,
-        retry_spare=min(RETRY_SPARE, bounds.retry_spare),
+        retry_spare=min(MAX_RETRY_SPARE, bounds.retry_spare),
         retry_window_s=bounds.retry_window_s,
         confirmation_limit_s=waits.confirmed_s,
         strict_keys=bounds.strict_keys,
-        return_grace_s=RETURN_GRACE_S,
-        answers_bytes=int(cfg.memory_bytes * ANSWERS_MEMORY_PART),
-        lapse_s=LAPSE_HEARTBEATS * cfg.heartbeat_s + waits.change_s,
+        return_grace_s=STORE_RETURN_GRACE_S,
+        answers_bytes=int(cfg.memory_bytes * ANSWERS_MEMORY_FRACTION),
+        lapse_s=REGISTRATION_EXPIRY_HEARTBEATS * cfg.heartbeat_s + waits.change_s,
     )
 
 
-def _changed_ns(path: Path) -> int:
+def _modified_ns(path: Path) -> int:
     try:
         return path.stat().st_mtime_ns
     except OSError:
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -19,7 +19,7 @@
 
 __all__ = ["decode_catalog", "decode_entry"]
 
-KINDS: Final = {
+CALL_KINDS: Final = {
     "non_idempotent": CallKind.ONCE,
     "idempotent": CallKind.IDEMPOTENT,
     "stream": CallKind.STREAM,
@@ -27,9 +27,9 @@
 READY: Final = "ready"
 DRAINING: Final = "draining"
 DEFAULT_PRIORITY: Final = 5
-LAST_PORT: Final = 65_535
+MAX_PORT: Final = 65_535
 # What decoding raises; a document of many nested parts exceeds the interpreter's depth.
-UNREADABLE: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _ShareWire(msgspec.Struct):
@@ -102,7 +102,7 @@
     try:
         wire = msgspec.json.decode(data, type=_CatalogWire)
         routes = [_route(route) for route in wire.routes]
-    except (*UNREADABLE, KeyError) as exc:
+    except (*DECODE_ERRORS, KeyError) as exc:
         raise BadRecord(f"configuration: {exc}") from exc
     customers = {
         key: Customer(customer.name, customer.priority)
@@ -131,11 +131,11 @@
     try:
         wire = msgspec.json.decode(data, type=_EntryWire)
         address = Address.parse(wire.address)
-    except UNREADABLE as exc:
+    except DECODE_ERRORS as exc:
         raise BadRecord(f"endpoint {instance}: {exc}") from exc
     if wire.state not in (READY, DRAINING):
         raise BadRecord(f"endpoint {instance}: unknown state {wire.state!r}")
-    if wire.slots < 1 or not address.host or not 0 < address.port <= LAST_PORT:
+    if wire.slots < 1 or not address.host or not 0 < address.port <= MAX_PORT:
         raise BadRecord(f"endpoint {instance}: no slots or no address")
     return EndpointEntry(
         instance=instance,
@@ -155,7 +155,7 @@
         name=wire.name,
         host=wire.host.lower(),
         prefix=wire.prefix,
-        kind=KINDS[wire.kind],
+        kind=CALL_KINDS[wire.kind],
         timeout_s=wire.timeout_ms / 1000,
         target_s=(wire.goal_ms or wire.timeout_ms) / 1000,
         priority=wire.priority,
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from cassiadrum.platform.errors import HistoryGone
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import BadMessage, HttpClient, HttpError, HttpResponse
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
@@ -20,11 +20,11 @@
 
 # Time for an answer beyond the wait that the call itself asks for; the store answers in
 # milliseconds, and a connection can fall silent for good.
-ANSWER_TIMEOUT_S = 0.8
+RESPONSE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
 # A page of rows is far smaller; what does not end must not take the process's memory.
-ANSWER_BYTES = 16 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 GONE_STATUS = 410
 
 
@@ -88,7 +88,7 @@
         while True:
             query = f"/-/rows-get?table={table}&part=&limit={PAGE_ROWS}"
             query += f"&from={start}" if start else ""
-            page, truncated = await self._call(query, ANSWER_TIMEOUT_S)
+            page, truncated = await self._call(query, RESPONSE_TIMEOUT_S)
             if first is None:
                 first, era = page, self.era.number
             elif self.era.number != era:
@@ -98,13 +98,13 @@
                 return first._replace(rows=tuple(rows.values()))
             start = page.rows[-1].key
 
-    async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
+    async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
         """Return the rows that changed after a version, at the latest after `wait_s` seconds.
 
         Raises HistoryGone, and StoreUnavailable when no valid answer came in time.
         """
         query = f"/-/rows-feed?table={table}&since_rev={since}&wait_ms={int(wait_s * 1000)}"
-        page, _ = await self._call(query, wait_s + ANSWER_TIMEOUT_S)
+        page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S)
         return page
 
     def close(self) -> None:
@@ -120,7 +120,7 @@
         except (HttpError, TimeoutError) as exc:
             self._client.close()
             raise StoreUnavailable(str(exc) or f"no answer in {timeout_s:g} s") from exc
-        self._take_era(response)
+        self._check_era(response)
         if response.status == GONE_STATUS:
             raise HistoryGone(target)
         if response.status != 200:
@@ -129,13 +129,13 @@
             wire = msgspec.json.decode(body, type=_PageWire)
         except (msgspec.MsgspecError, RecursionError) as exc:
             raise StoreUnavailable(f"unreadable answer: {exc}") from exc
-        rows = tuple(ChangedRow(row.key, _content(row), row.ver) for row in wire.rows)
+        rows = tuple(ChangedRow(row.key, _decode_content(row), row.ver) for row in wire.rows)
         page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, self._boot_clock())
         return page, wire.truncated
 
-    def _take_era(self, response: HttpResponse) -> None:
+    def _check_era(self, response: HttpResponse) -> None:
         """Learn the era from any answer; raise StoreUnavailable for an answer of an older one."""
-        if not self.era.take(response.header(Header.STORE_ERA)):
+        if not self.era.observe(response.header(Header.STORE_ERA)):
             # What else arrives on its connection may be as old.
             self._client.close()
             raise StoreUnavailable("an answer from before the store was restored")
@@ -148,12 +148,12 @@
     async for part in response.body:
         parts.append(part)
         size += len(part)
-        if size > ANSWER_BYTES:
-            raise BadMessage(502, f"an answer over {ANSWER_BYTES} bytes")
+        if size > MAX_RESPONSE_BYTES:
+            raise BadMessage(502, f"an answer over {MAX_RESPONSE_BYTES} bytes")
     return b"".join(parts)
 
 
-def _content(row: _RowWire) -> bytes | None:
+def _decode_content(row: _RowWire) -> bytes | None:
     if row.removed:
         return None
     try:
--- a/cassiadrum/platform/standins/__init__.py
+++ b/cassiadrum/platform/standins/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins of the platform's store and endpoints for tests and trials on loopback."""
 
 from cassiadrum.platform.standins.endpoint_services import EndpointRun, EndpointService
-from cassiadrum.platform.standins.row_services import RowService, StoreCopy, StoreFault
+from cassiadrum.platform.standins.row_services import RowService, StoreFault, StoreSnapshot
 from cassiadrum.platform.standins.trials import (
     TrialRoute,
     trial_configuration,
@@ -14,8 +14,8 @@
     "EndpointRun",
     "EndpointService",
     "RowService",
-    "StoreCopy",
     "StoreFault",
+    "StoreSnapshot",
     "TrialRoute",
     "trial_configuration",
     "trial_headers",
--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -4,7 +4,7 @@
 import json
 from typing import NamedTuple
 
-from cassiadrum.platform.wire_names import Header
+from cassiadrum.platform.headers import Header
 from cassiadrum.protocols import Exchange, Headers, HttpServer
 
 __all__ = ["EndpointRun", "EndpointService"]
@@ -27,7 +27,7 @@
     `leaving` says in all answers that the endpoint shuts down.
     """
 
-    def __init__(self, instance: str, *, slots: int = 8, event_s: float = 0.0) -> None:
+    def __init__(self, instance: str, *, slots: int = 8, event_interval_s: float = 0.0) -> None:
         self.instance = instance
         self.runs: list[EndpointRun] = []
         # Requests that stopped because their connection was closed.
@@ -43,7 +43,7 @@
         self.cut_after: int | None = None
         self.running = 0
         self._slots = slots
-        self._event_s = event_s
+        self._event_interval_s = event_interval_s
         self._server = HttpServer(self._handle)
         self.address = ""
 
@@ -72,15 +72,15 @@
     async def _handle(self, exchange: Exchange) -> None:
         req = exchange.req
         request_id = req.header(Header.REQUEST_ID)
-        wanted = req.header(Header.INSTANCE_WANTED)
+        wanted = req.header(Header.TARGET_INSTANCE)
         if wanted and wanted != self.instance:
             name = ("x-cassiadrum-instance-id", self.instance)
-            await exchange.send_json(421, {}, (name, *self._notices()))
+            await exchange.send_json(421, {}, (name, *self._notice_headers()))
             return
         if self.refuse:
             self.refused += 1
             head = ((Header.REQUEST_ID, request_id), (Header.NOT_RUN, "1"))
-            await exchange.send_json(503, {}, (*head, *self._notices()))
+            await exchange.send_json(503, {}, (*head, *self._notice_headers()))
             return
         self.runs.append(EndpointRun(request_id, req.target, dict(req.headers), req.body))
         self.running += 1
@@ -89,7 +89,7 @@
         finally:
             self.running -= 1
 
-    def _notices(self) -> Headers:
+    def _notice_headers(self) -> Headers:
         """Return what every answer says of further requests."""
         leaving = ((Header.LEAVING, "1"),) if self.leaving else ()
         pause = ((Header.RETRY_AFTER, self.retry_after),) if self.retry_after else ()
@@ -104,7 +104,7 @@
             (Header.REQUEST_ID, request_id),
             (Header.SIGNATURE, f"signed-by-{self.instance}"),
             (Header.LOAD, f"{self.running},0,{self._slots}"),
-            *self._notices(),
+            *self._notice_headers(),
         )
         if self.fail:
             await exchange.send_json(500, {"from": self.instance}, head)
@@ -130,6 +130,6 @@
                 return
             event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
             await exchange.send_data(event.encode())
-            due_s += self._event_s
+            due_s += self._event_interval_s
             await asyncio.sleep(max(0.0, due_s - loop.time()))
         await exchange.end()
--- a/cassiadrum/platform/standins/row_services.py
+++ b/cassiadrum/platform/standins/row_services.py
@@ -11,7 +11,7 @@
 
 from cassiadrum.protocols import Exchange, HttpServer
 
-__all__ = ["RowService", "StoreCopy", "StoreFault"]
+__all__ = ["RowService", "StoreFault", "StoreSnapshot"]
 
 PAGE_ROWS = 500
 
@@ -26,7 +26,7 @@
     SILENT = "silent"
 
 
-class StoreCopy(NamedTuple):
+class StoreSnapshot(NamedTuple):
     """Hold what the store knew at a moment."""
 
     rows: dict[tuple[str, str, str], dict[str, Any]]
@@ -71,18 +71,18 @@
         """Drop a row and return the version of the change."""
         return self._apply([{"table": table, "part": "", "key": key, "removed": True}])
 
-    def make_copy(self) -> StoreCopy:
+    def snapshot(self) -> StoreSnapshot:
         """Return a copy from which the store can be restored."""
-        return copy.deepcopy(StoreCopy(self._rows, self._history, self._oldest, self._version))
+        return copy.deepcopy(StoreSnapshot(self._rows, self._history, self._oldest, self._version))
 
-    def restore(self, saved: StoreCopy) -> None:
+    def restore(self, saved: StoreSnapshot) -> None:
         """Come back from an older copy; what was written since is lost."""
         self._rows, self._history, self._oldest, self._version = copy.deepcopy(saved)
         if self.era is not None:
             self.era += 1
         self._changed.set()
 
-    def forget_history(self) -> None:
+    def drop_history(self) -> None:
         """Drop all past changes, so that followers have to read in full."""
         self._oldest = self._version
         self._history.clear()
@@ -132,7 +132,7 @@
             and row["key"] >= start
             and (end is None or row["key"] < end)
         ]
-        return self._dated({"rows": rows[:limit], "truncated": len(rows) > limit})
+        return self._stamped({"rows": rows[:limit], "truncated": len(rows) > limit})
 
     async def _feed(self, exchange: Exchange, query: dict[str, str]) -> None:
         since = int(query["since_rev"])
@@ -145,7 +145,7 @@
             ]
             left_s = deadline_s - time.monotonic()
             if rows or left_s <= 0.0:
-                await self._send(exchange, 200, self._dated({"rows": rows}))
+                await self._send(exchange, 200, self._stamped({"rows": rows}))
                 return
             self._changed.clear()
             try:
@@ -163,7 +163,7 @@
             (found["ver"] if found else 0) != row["ver"]
             for found, row in zip(current, expected, strict=True)
         ):
-            return 412, self._dated({"rows": [row for row in current if row]})
+            return 412, self._stamped({"rows": [row for row in current if row]})
         changes = [
             self._row(row["table"], row.get("part", ""), row["key"], row["value"])
             for row in call.get("set_keys", [])
@@ -178,7 +178,7 @@
             for row in call.get("remove", [])
         ]
         self._apply(changes)
-        return 200, self._dated({})
+        return 200, self._stamped({})
 
     def _apply(self, changes: list[dict[str, Any]]) -> int:
         self._version += 1
@@ -193,7 +193,7 @@
         self._changed.set()
         return self._version
 
-    def _dated(self, answer: dict[str, Any]) -> dict[str, Any]:
+    def _stamped(self, answer: dict[str, Any]) -> dict[str, Any]:
         return {**answer, "ver": self._version, "now_ms": time.monotonic() * 1000}
 
     @staticmethod
--- a/cassiadrum/platform/standins/trials.py
+++ b/cassiadrum/platform/standins/trials.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from cassiadrum.gateways import CallKind
-from cassiadrum.platform.wire_names import Header
+from cassiadrum.platform.headers import Header
 
 __all__ = [
     "TrialRoute",
@@ -15,7 +15,7 @@
 ]
 
 HOST = "127.0.0.1"
-KINDS = {
+KIND_VALUES = {
     CallKind.ONCE: "non_idempotent",
     CallKind.IDEMPOTENT: "idempotent",
     CallKind.STREAM: "stream",
@@ -65,7 +65,7 @@
 
 def trial_headers(request_id: str, key: str) -> tuple[tuple[str, str], ...]:
     """Return the headers of a plain call."""
-    return (Header.REQUEST_ID, request_id), (Header.KEY, key)
+    return (Header.REQUEST_ID, request_id), (Header.API_KEY, key)
 
 
 def trial_stream_headers(request_id: str, key: str, events: int) -> tuple[tuple[str, str], ...]:
@@ -73,7 +73,7 @@
     return (
         *trial_headers(request_id, key),
         (Header.TOKENS, f"{SHARED_TOKENS + OWN_TOKENS},{events}"),
-        (Header.PROMPT, f"shared:{SHARED_TOKENS},own:{OWN_TOKENS}"),
+        (Header.PROMPT_PARTS, f"shared:{SHARED_TOKENS},own:{OWN_TOKENS}"),
     )
 
 
@@ -82,7 +82,7 @@
         "name": route.name,
         "host": host,
         "prefix": f"/{route.name}/",
-        "kind": KINDS[route.kind],
+        "kind": KIND_VALUES[route.kind],
         "service": route.name,
         "priority": 1,
         "max_attempts": 2,
--- a/cassiadrum/platform/store_eras.py
+++ b/cassiadrum/platform/store_eras.py
@@ -6,7 +6,7 @@
 
 logger = logging.getLogger(__name__)
 
-ERA_DIGITS = 18
+MAX_ERA_DIGITS = 18
 
 
 class StoreEra:
@@ -15,15 +15,15 @@
     def __init__(self) -> None:
         # None until the store states one.
         self.number: int | None = None
-        self._complained = False
+        self._unreadable_logged = False
 
-    def take(self, text: str) -> bool:
+    def observe(self, text: str) -> bool:
         """Take the era that an answer states; return False for an older one.
 
         An answer without a readable era counts as one of the newest era.
         """
-        if not _readable(text):
-            self._complain(text)
+        if not _is_readable(text):
+            self._log_unreadable(text)
             return True
         era = int(text)
         if self.number is not None and era < self.number:
@@ -31,13 +31,13 @@
         self.number = era
         return True
 
-    def _complain(self, text: str) -> None:
+    def _log_unreadable(self, text: str) -> None:
         """Log an answer without a readable era, once; a store may state none at all."""
-        if not self._complained:
-            self._complained = True
+        if not self._unreadable_logged:
+            self._unreadable_logged = True
             level = logging.WARNING if text else logging.INFO
-            logger.log(level, "the store states no readable era: %r", text[:ERA_DIGITS])
+            logger.log(level, "the store states no readable era: %r", text[:MAX_ERA_DIGITS])
 
 
-def _readable(text: str) -> bool:
-    return len(text) <= ERA_DIGITS and text.isascii() and text.isdecimal()
+def _is_readable(text: str) -> bool:
+    return len(text) <= MAX_ERA_DIGITS and text.isascii() and text.isdecimal()
--- a/cassiadrum/platform/store_waits.py
+++ b/cassiadrum/platform/store_waits.py
@@ -2,22 +2,22 @@
 
 from typing import NamedTuple
 
-from cassiadrum.platform.boot_settings import Bounds
+from cassiadrum.platform.node_settings import Bounds
 
 __all__ = ["StoreWaits"]
 
 # Part of `revoke_s` up to which a configuration counts as confirmed; the rest covers the way of a
 # request to its endpoint.
-CONFIRMED_PART = 0.95
+CONFIRMED_FRACTION = 0.95
 # Longest wait for changes, as a part of the time for which a configuration stays confirmed. An
 # outage of the store that begins at the end of such a wait is bridged for what is left.
-CONFIRMED_WAIT_PART = 1 / 3
+CONFIRMED_WAIT_FRACTION = 1 / 3
 # The same, as a part of the time after which a machine that lost its connections silently has to
 # act on changes again.
-CONTACT_WAIT_PART = 0.6
+CONTACT_WAIT_FRACTION = 0.6
 # The same, as a part of the time after which a leaving endpoint gets no new request: changes of
 # the endpoints are read at the end of a wait.
-DRAIN_WAIT_PART = 0.6
+DRAIN_WAIT_FRACTION = 0.6
 
 
 class StoreWaits(NamedTuple):
@@ -27,12 +27,12 @@
     change_s: float
 
     @classmethod
-    def of(cls, bounds: Bounds) -> "StoreWaits":
+    def from_bounds(cls, bounds: Bounds) -> "StoreWaits":
         """Return the times for the bounds of a deployment."""
-        confirmed_s = bounds.revoke_s * CONFIRMED_PART
+        confirmed_s = bounds.revoke_s * CONFIRMED_FRACTION
         change_s = min(
-            confirmed_s * CONFIRMED_WAIT_PART,
-            bounds.contact_s * CONTACT_WAIT_PART,
-            bounds.drain_s * DRAIN_WAIT_PART,
+            confirmed_s * CONFIRMED_WAIT_FRACTION,
+            bounds.contact_s * CONTACT_WAIT_FRACTION,
+            bounds.drain_s * DRAIN_WAIT_FRACTION,
         )
         return cls(confirmed_s, change_s)
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -31,36 +31,36 @@
         self._gateway = gateway
         # Whether the store was restored, or named an older configuration, since it last named one
         # that is as new as the one in force.
-        self._behind = False
+        self._outdated = False
 
     def replace(self, page: RowPage) -> None:
         """Take all rows."""
-        self.change(page)
+        self.apply_changes(page)
 
-    def change(self, page: RowPage) -> None:
+    def apply_changes(self, page: RowPage) -> None:
         """Take the rows that changed, then the confirmation."""
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
-                self._put(row.content)
-        if not self._behind:
+                self._apply_configuration(row.content)
+        if not self._outdated:
             self._gateway.confirmation.answered(page.store_s, page.sent_s, page.received_s)
 
-    def returned(self) -> None:
+    def store_returned(self) -> None:
         """Need nothing at the store's return: the rows that follow are the newest."""
 
-    def restored(self) -> None:
+    def store_restored(self) -> None:
         """Confirm nothing until a configuration as new as the one in force was read."""
-        self._behind = self._gateway.catalog is not None
+        self._outdated = self._gateway.catalog is not None
 
-    def _put(self, content: bytes) -> None:
+    def _apply_configuration(self, content: bytes) -> None:
         try:
             catalog = decode_catalog(content)
         except BadRecord as exc:
             logger.error("configuration not taken: %s", exc)
             return
         known = self._gateway.catalog
-        self._behind = known is not None and catalog.version < known.version
-        if self._behind and known is not None:
+        self._outdated = known is not None and catalog.version < known.version
+        if self._outdated and known is not None:
             logger.warning(
                 "the store names configuration %s, %s stays in force",
                 catalog.version,
@@ -82,7 +82,7 @@
         self._gateway.directory.replace(entries, self._clock())
         self._gateway.changed()
 
-    def change(self, page: RowPage) -> None:
+    def apply_changes(self, page: RowPage) -> None:
         """Take the rows that changed."""
         for row in page.rows:
             entry = self._decode(row)
@@ -93,11 +93,11 @@
         if page.rows:
             self._gateway.changed()
 
-    def returned(self) -> None:
+    def store_returned(self) -> None:
         """Keep what lapsed during the outage for a while."""
         self._gateway.directory.store_returned(self._clock())
 
-    def restored(self) -> None:
+    def store_restored(self) -> None:
         """Expect registrations of endpoints that left or are gone."""
         self._gateway.directory.store_restored(self._clock())
 
--- a/cassiadrum/tests/fuzz/test_platform.py
+++ b/cassiadrum/tests/fuzz/test_platform.py
@@ -11,13 +11,13 @@
 
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.event_sequences import EventSequence
-from cassiadrum.platform.boot_settings import parse_boot_settings
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.errors import BadRecord, BadSettings, HistoryGone
+from cassiadrum.platform.headers import Header
+from cassiadrum.platform.node_settings import parse_node_settings
 from cassiadrum.platform.records import decode_catalog, decode_entry
-from cassiadrum.platform.row_stores import ANSWER_BYTES, RowStore
+from cassiadrum.platform.row_stores import MAX_RESPONSE_BYTES, RowStore
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import BadMessage, Exchange, HttpRequest, HttpServer
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
@@ -79,7 +79,7 @@
     @given(changed(make_settings(1, 2, 3)))
     @example(NESTED)
     def test_settings(self, data: bytes) -> None:
-        self._raises_only(BadSettings, lambda: parse_boot_settings(data))
+        self._raises_only(BadSettings, lambda: parse_node_settings(data))
 
     @LIMITS
     @given(changed({"running": 1, "waiting": 2}))
@@ -108,7 +108,7 @@
             ("host", "a"),
             (Header.REQUEST_ID, "r-1"),
             (Header.TOKENS, tokens),
-            (Header.PROMPT, prompt),
+            (Header.PROMPT_PARTS, prompt),
             (Header.TIMEOUT, timeout),
             (Header.LAST_EVENT_ID, event),
         )
@@ -128,7 +128,7 @@
     @example(MANY_DIGITS)
     def test_era(self, text: str) -> None:
         era = StoreEra()
-        era.take(text)
+        era.observe(text)
         assert era.number is None or era.number >= 0
 
 
@@ -170,14 +170,14 @@
         async def serve(exchange: Exchange) -> None:
             nonlocal sent
             await exchange.send_head(200)
-            while not exchange.gone.is_set() and sent < 8 * ANSWER_BYTES:
+            while not exchange.gone.is_set() and sent < 8 * MAX_RESPONSE_BYTES:
                 await exchange.send_data(b" " * 262_144)
                 sent += 262_144
             exchange.abort()
 
         with pytest.raises(StoreUnavailable):
             asyncio.run(self._read(serve, swallow=False))
-        assert sent < 2 * ANSWER_BYTES
+        assert sent < 2 * MAX_RESPONSE_BYTES
 
     @staticmethod
     async def _read(serve: Callable[[Exchange], object], *, swallow: bool = True) -> None:
--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import EndpointService, RowService
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import HttpClient
 
 # The client states the address that it is connected to.
@@ -102,7 +102,8 @@
     def __init__(self) -> None:
         self.store = RowService()
         self.endpoints = {
-            name: EndpointService(name, event_s=0.01) for name in ("p-1", "p-2", "e-1", "e-2")
+            name: EndpointService(name, event_interval_s=0.01)
+            for name in ("p-1", "p-2", "e-1", "e-2")
         }
         self.store_port = 0
 
@@ -149,12 +150,12 @@
         headers = {
             Header.REQUEST_ID: request_id or f"r-{self._number}",
             Header.TIMEOUT: "3000",
-            Header.KEY: key,
+            Header.API_KEY: key,
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
         if events:
             headers[Header.TOKENS] = f"100,{events}"
-            headers[Header.PROMPT] = "aa:80,bb:20"
+            headers[Header.PROMPT_PARTS] = "aa:80,bb:20"
         response = await self._client.request("POST", path, tuple(headers.items()), b"{}")
         return response.status, dict(response.headers), await response.read()
 
--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import HttpError
 from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
 from cassiadrum.tests.gateways.sites import (
@@ -240,7 +240,7 @@
             await self._last()
             store.slow_s = 0.0
         else:
-            store.forget_history()
+            store.drop_history()
 
     async def _pause_gateway(self) -> None:
         process = self._rng.choice(self._gateways).process
@@ -286,7 +286,7 @@
     async def _restore_store(self) -> None:
         """Bring the store back from an older copy; endpoints write again a little later."""
         store = self._site.store
-        saved = store.make_copy()
+        saved = store.snapshot()
         await self._last()
         store.fault = StoreFault.RESET
         await asyncio.sleep(0.2)
--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -101,10 +101,10 @@
     async def read_all(self, table: str) -> RowPage:
         return self._answer(table, lambda: self._rows(table))
 
-    async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
+    async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
         if not self.floor <= since <= self.version:
             if not self.lost:
-                self.era.take(str(self.stated_era))
+                self.era.observe(str(self.stated_era))
             raise HistoryGone(table)
         return self._answer(table, lambda: self._changed_rows(table, since))
 
@@ -134,7 +134,7 @@
         self.outcomes.append((table, lost))
         if lost:
             raise StoreUnavailable("the answer was lost")
-        if not self.era.take(str(era)):
+        if not self.era.observe(str(era)):
             raise StoreUnavailable("an answer of an older era")
         store_s = made_s + self._skew_s
         return RowPage(tuple(rows), version, store_s, sent_s, self.now)
--- a/cassiadrum/tests/gateways/test_attempt_budget_properties.py
+++ b/cassiadrum/tests/gateways/test_attempt_budget_properties.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cassiadrum.gateways.attempt_budgets import AttemptBudget
-from cassiadrum.platform.processes import RETRY_SPARE
+from cassiadrum.platform.processes import MAX_RETRY_SPARE
 
 RATIO = 0.2
 WINDOW_S = 10.0
@@ -41,7 +41,7 @@
         """Start a gateway, unless it runs."""
         if number in self.budgets:
             return
-        self.budgets[number] = AttemptBudget(RATIO, RETRY_SPARE, WINDOW_S)
+        self.budgets[number] = AttemptBudget(RATIO, MAX_RETRY_SPARE, WINDOW_S)
 
     @rule(wait_s=st.floats(0.0, 12.0))
     def let_time_pass(self, wait_s: float) -> None:
@@ -84,7 +84,7 @@
     @pytest.mark.parametrize(("count", "slack"), [(6, 58), (31, 102), (68, 176), (300, 176)])
     def test_all_gateways_at_once_keep_the_bound(self, count: int, slack: int) -> None:
         """Gateways and slack of the users' deployments, and of a fleet grown to 300 machines."""
-        spare = min(RETRY_SPARE, float(slack))
+        spare = min(MAX_RETRY_SPARE, float(slack))
         budgets = [AttemptBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
         requests, repeats = 0, 0
         for budget in budgets:
--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -8,8 +8,8 @@
 
 from cassiadrum.gateways import Gateway, GatewaySettings
 from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import AnswerLost, HttpClient
 from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
 from cassiadrum.tests.gateways.sites import (
@@ -68,9 +68,9 @@
         run = site.endpoints[body.decode()].runs[0]
         assert (run.target, run.body) == ("/once/a?b=c", b"{}")
         assert run.headers[Header.CUSTOMER] == "st-martin"
-        assert run.headers[Header.INSTANCE_WANTED] == body.decode()
+        assert run.headers[Header.TARGET_INSTANCE] == body.decode()
         assert int(run.headers[Header.TIMEOUT]) <= 3000
-        assert Header.KEY not in run.headers
+        assert Header.API_KEY not in run.headers
 
     async def test_callers_own_control_headers_are_dropped(
         self, site: PlatformSite, caller: Caller
@@ -309,7 +309,7 @@
         other = [{"name": "st-martin", "api_keys": ["key-2"]}]
         site.store.put("op", "config", make_configuration(2, tenants=other))
         site.store.remove("servers", "p-1")
-        site.store.forget_history()
+        site.store.drop_history()
         site.store.fault = StoreFault.NONE
 
         async def changed() -> bool:
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cassiadrum.platform.wire_names import Header
+from cassiadrum.platform.headers import Header
 from cassiadrum.tests.gateways.conftest import GatewayRun
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
--- a/cassiadrum/tests/gateways/test_boot_settings.py
+++ b/cassiadrum/tests/gateways/test_node_settings.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cassiadrum.platform.boot_settings import parse_boot_settings
 from cassiadrum.platform.errors import BadRecord, BadSettings
+from cassiadrum.platform.node_settings import parse_node_settings
 from cassiadrum.platform.records import decode_catalog, decode_entry
 from cassiadrum.tests.command_runs import run
 from cassiadrum.tests.gateways.sites import make_configuration, make_settings, write_settings
@@ -21,18 +21,18 @@
 }
 
 
-class TestBootSettings:
+class TestNodeSettings:
     """Guards against a process that starts with settings that it did not understand."""
 
     def test_values_and_units(self) -> None:
-        cfg = parse_boot_settings(json.dumps(make_settings(1, 2, 3)).encode())
+        cfg = parse_node_settings(json.dumps(make_settings(1, 2, 3)).encode())
         assert (cfg.store.port, cfg.calls.port, cfg.readiness.port) == (1, 2, 3)
         assert cfg.bounds.revoke_s == 2.5
         assert cfg.bounds.strict_keys
 
     def test_unknown_keys_are_ignored(self) -> None:
         raw = {**make_settings(1, 2, 3), "new_key": [1]}
-        assert parse_boot_settings(json.dumps(raw).encode()).zone == "a"
+        assert parse_node_settings(json.dumps(raw).encode()).zone == "a"
 
     @pytest.mark.parametrize(
         ("key", "value"), [("zone", 7), ("platform", {}), ("listen", {"front": "nonsense"})]
@@ -40,7 +40,7 @@
     def test_wrong_values_name_their_key(self, key: str, value: object) -> None:
         raw = {**make_settings(1, 2, 3), key: value}
         with pytest.raises(BadSettings) as caught:
-            parse_boot_settings(json.dumps(raw).encode())
+            parse_node_settings(json.dumps(raw).encode())
         assert key in str(caught.value)
 
     def test_every_error_is_named(self) -> None:
@@ -49,7 +49,7 @@
         del raw["platform"]["address"]
         raw["bounds"]["contact_ms"] = "soon"
         with pytest.raises(BadSettings) as caught:
-            parse_boot_settings(json.dumps(raw).encode(), "boot.json")
+            parse_node_settings(json.dumps(raw).encode(), "boot.json")
         assert [str(finding) for finding in caught.value.findings] == [
             "boot.json: zone: found 7; allowed: text",
             "boot.json: platform.address: found nothing; allowed: a value; the key is required",
--- a/cassiadrum/tests/gateways/test_store_restore_properties.py
+++ b/cassiadrum/tests/gateways/test_store_restore_properties.py
@@ -156,7 +156,7 @@
         """Return whether the last step read all tables of the store's era."""
         return all(
             table.version == self.store.version
-            for table in (self.follower._leading, *self.follower._others)
+            for table in (self.follower._leading_table, *self.follower._other_tables)
         )
 
     def _compare(self) -> None:
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -34,9 +34,9 @@
 
     def test_late_answer_of_an_older_era_is_told(self) -> None:
         era = StoreEra()
-        assert era.take("3")
-        assert era.take("5")
-        assert not era.take("4")
+        assert era.observe("3")
+        assert era.observe("5")
+        assert not era.observe("4")
         assert era.number == 5
 
     @pytest.mark.parametrize("text", ["", "-1", "x", "1.5", "9" * 400, "\u0661"])
@@ -44,10 +44,10 @@
         self, text: str, caplog: pytest.LogCaptureFixture
     ) -> None:
         era = StoreEra()
-        era.take("7")
+        era.observe("7")
         with caplog.at_level(logging.INFO):
-            assert era.take(text)
-            assert era.take(text)
+            assert era.observe(text)
+            assert era.observe(text)
         assert era.number == 7
         assert len(caplog.records) == 1
 
@@ -78,7 +78,7 @@
         follower = StoreFollower(store, tables[0], tables[1:], 0.1)
         task = asyncio.create_task(follower.run())
         await wait_until(lambda: len(gateway.directory) == 4)
-        saved = site.store.make_copy()
+        saved = site.store.snapshot()
         for version in range(2, 9):
             site.store.put("op", "config", make_configuration(version))
         await wait_until(lambda: gateway.catalog is not None and gateway.catalog.version == 8)
@@ -178,7 +178,7 @@
     async def test_beliefs_do_not_go_back(
         self, site: PlatformSite, caller: Caller, gateway: GatewayRun
     ) -> None:
-        saved = site.store.make_copy()
+        saved = site.store.snapshot()
         tenants = [{"name": "st-martin", "api_keys": ["key-2"]}]
         site.store.put("op", "config", make_configuration(2, tenants=tenants))
         site.register("e-1", state="draining")
--- a/cassiadrum/tests/gateways/test_store_waits.py
+++ b/cassiadrum/tests/gateways/test_store_waits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiadrum.platform.boot_settings import parse_boot_settings
+from cassiadrum.platform.node_settings import parse_node_settings
 from cassiadrum.platform.store_waits import StoreWaits
 from cassiadrum.tests.gateways.sites import make_settings
 
@@ -24,8 +24,8 @@
     def test_outage_is_bridged(self, contact_ms: int, revoke_ms: int) -> None:
         raw = make_settings(1, 2, 3)
         raw["bounds"] |= {"contact_ms": contact_ms, "revoke_ms": revoke_ms}
-        bounds = parse_boot_settings(json.dumps(raw).encode()).bounds
-        waits = StoreWaits.of(bounds)
+        bounds = parse_node_settings(json.dumps(raw).encode()).bounds
+        waits = StoreWaits.from_bounds(bounds)
         bridged_s = waits.confirmed_s - waits.change_s - TRANSFER_S
         assert bridged_s >= OWED_PART * bounds.revoke_s
         assert waits.confirmed_s < bounds.revoke_s
@@ -35,6 +35,6 @@
         """Guards against requests for an endpoint that has left its wait of a whole call."""
         raw = make_settings(1, 2, 3)
         raw["bounds"] |= {"drain_ms": drain_ms}
-        bounds = parse_boot_settings(json.dumps(raw).encode()).bounds
-        waits = StoreWaits.of(bounds)
+        bounds = parse_node_settings(json.dumps(raw).encode()).bounds
+        waits = StoreWaits.from_bounds(bounds)
         assert waits.change_s + 2 * TRANSFER_S < bounds.drain_s
