--- a/bench/wall_clock/sites.py
+++ b/bench/wall_clock/sites.py
@@ -7,7 +7,7 @@
 from cassiadrum.protocols import HttpClient
 from cassiadrum.standins import InstanceListService, TableService
 from cassiadrum.states import Accepted, ConfigurationWriter
-from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, Instance, StoreTransport
 
 __all__ = ["DOCUMENTS", "BenchPlatform", "document"]
 
@@ -84,6 +84,6 @@
         await HttpInstanceList(_wire(self.list_address)).register(instance)
 
 
-def _wire(address: str) -> HttpWire:
+def _wire(address: str) -> StoreTransport:
     host, _, port = address.rpartition(":")
-    return HttpWire(HttpClient(host, int(port)), time.monotonic)
+    return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/cassiadrum/commands/document_files.py
+++ b/cassiadrum/commands/document_files.py
@@ -45,7 +45,7 @@
         record: ConfigurationRecord | None = await read_current(platform, service)
     else:
         try:
-            record = await ConfigurationHistory(platform.table()).show(service, version)
+            record = await ConfigurationHistory(platform.table()).get(service, version)
         except (StoreUnavailable, InvalidRecord) as exc:
             raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
     if record is None or record.version == 0:
--- a/cassiadrum/commands/platforms.py
+++ b/cassiadrum/commands/platforms.py
@@ -12,7 +12,7 @@
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.protocols import HttpClient
 from cassiadrum.settings import Address
-from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, StoreTransport
 
 __all__ = ["PLATFORM_VARIABLE", "Platform"]
 
@@ -65,5 +65,5 @@
     return [parse_address(table.get(key), f"{path}: platform.{key}") for key in Platform._fields]
 
 
-def _wire(address: Address) -> HttpWire:
-    return HttpWire(HttpClient(address.host, address.port), time.monotonic)
+def _wire(address: Address) -> StoreTransport:
+    return StoreTransport(HttpClient(address.host, address.port), time.monotonic)
--- a/cassiadrum/loads/process_readers.py
+++ b/cassiadrum/loads/process_readers.py
@@ -10,7 +10,7 @@
 
 from cassiadrum.events import Event, EventError, decode_event
 from cassiadrum.protocols import Headers, HttpClient, HttpError
-from cassiadrum.stores import HttpInstanceList, HttpWire, StoreUnavailable
+from cassiadrum.stores import HttpInstanceList, StoreTransport, StoreUnavailable
 
 __all__ = ["ProcessReader"]
 
@@ -28,7 +28,7 @@
 
     def __init__(self, instance_list: str, admin_token: str = "") -> None:
         self.events: list[Event] = []
-        self._list = HttpInstanceList(HttpWire(_client(instance_list), time.monotonic))
+        self._list = HttpInstanceList(StoreTransport(_client(instance_list), time.monotonic))
         self._headers: Headers = (("authorization", f"Bearer {admin_token}"),)
         if not admin_token:
             self._headers = ()
--- a/cassiadrum/members/connection_bounds.py
+++ b/cassiadrum/members/connection_bounds.py
@@ -10,7 +10,7 @@
 __all__ = ["ConnectionBound", "links_per_service", "mean_connections"]
 
 # The design's bound on the imbalance of connections.
-IMBALANCE = 1.25
+MAX_IMBALANCE = 1.25
 
 
 def mean_connections(listed: Iterable[Instance], service: str, subset_size: int) -> float:
@@ -46,29 +46,29 @@
     def __init__(self) -> None:
         self.mean = 0.0
         # Time of the loss of the connection, None while it is up.
-        self._places: dict[str, float | None] = {}
+        self._lost_at_s: dict[str, float | None] = {}
 
     def __len__(self) -> int:
-        return len(self._places)
+        return len(self._lost_at_s)
 
     @property
     def bound(self) -> int:
         """Return the highest number of entry instances, 0 for no bound."""
-        return math.ceil(IMBALANCE * self.mean)
+        return math.ceil(MAX_IMBALANCE * self.mean)
 
     def admit(self, entry: str, now: float) -> bool:
         """Give an entry instance a place, unless all are taken."""
-        self._places = {
+        self._lost_at_s = {
             name: lost_s
-            for name, lost_s in self._places.items()
+            for name, lost_s in self._lost_at_s.items()
             if lost_s is None or now - lost_s < LIMITS.DETACHED_STREAM_S
         }
-        if entry not in self._places and self.bound and len(self._places) >= self.bound:
+        if entry not in self._lost_at_s and self.bound and len(self._lost_at_s) >= self.bound:
             return False
-        self._places[entry] = None
+        self._lost_at_s[entry] = None
         return True
 
-    def lost(self, entry: str, now: float) -> None:
+    def connection_lost(self, entry: str, now: float) -> None:
         """Take the loss of a connection."""
-        if entry in self._places:
-            self._places[entry] = now
+        if entry in self._lost_at_s:
+            self._lost_at_s[entry] = now
--- a/cassiadrum/members/member_states.py
+++ b/cassiadrum/members/member_states.py
@@ -16,25 +16,25 @@
         self.listed = member
         self.leaving = False
         self.reports_leaving = False
-        self.absent_since_s: float | None = None
-        self.silent_since_s: float | None = now
+        self.unlisted_since_s: float | None = None
+        self.disconnected_since_s: float | None = now
 
     @property
-    def moved(self) -> bool:
+    def has_moved(self) -> bool:
         """Tell whether the list names another place than the one that is dialled."""
-        return _place(self.listed) != _place(self.member)
+        return _location(self.listed) != _location(self.member)
 
     @property
     def should_leave(self) -> bool:
         """Tell whether the list or the member's own report says that it is leaving."""
         return self.reports_leaving or self.listed.state == "leaving"
 
-    def gone_s(self, now: float) -> float:
+    def unreachable_s(self, now: float) -> float:
         """Return for how many seconds the member has been neither listed nor connected."""
-        if self.absent_since_s is None or self.silent_since_s is None:
+        if self.unlisted_since_s is None or self.disconnected_since_s is None:
             return 0.0
-        return now - max(self.absent_since_s, self.silent_since_s)
+        return now - max(self.unlisted_since_s, self.disconnected_since_s)
 
 
-def _place(member: Instance) -> tuple[str, str, str]:
+def _location(member: Instance) -> tuple[str, str, str]:
     return member.service, member.zone, member.link_address
--- a/cassiadrum/members/memberships.py
+++ b/cassiadrum/members/memberships.py
@@ -35,12 +35,12 @@
         state = self._states.get(instance)
         return state.member if state else None
 
-    def leaving(self, instance: str) -> bool:
+    def is_leaving(self, instance: str) -> bool:
         """Tell whether a member is to get no new work."""
         state = self._states.get(instance)
         return state is not None and state.leaving
 
-    def listed(self, instances: Iterable[Instance], now: float) -> list[MemberChange]:
+    def apply_list(self, instances: Iterable[Instance], now: float) -> list[MemberChange]:
         """Take a list that was read."""
         found = {entry.instance: entry for entry in instances}
         if not found:
@@ -54,47 +54,47 @@
                 state = self._states[name] = MemberState(entry, now)
                 changes.append(MemberChange(ChangeKind.JOINED, entry))
             state.listed = entry
-            state.absent_since_s = None
+            state.unlisted_since_s = None
         for name, state in self._states.items():
-            if name not in found and state.absent_since_s is None:
-                state.absent_since_s = now
+            if name not in found and state.unlisted_since_s is None:
+                state.unlisted_since_s = now
         return changes + self.tick(now)
 
-    def connected(self, instance: str) -> None:
+    def mark_connected(self, instance: str) -> None:
         """Take the hello of a member."""
         if instance in self._states:
-            self._states[instance].silent_since_s = None
+            self._states[instance].disconnected_since_s = None
 
-    def disconnected(self, instance: str, now: float) -> None:
+    def mark_disconnected(self, instance: str, now: float) -> None:
         """Take the loss of a member's connection."""
         state = self._states.get(instance)
-        if state is not None and state.silent_since_s is None:
-            state.silent_since_s = now
+        if state is not None and state.disconnected_since_s is None:
+            state.disconnected_since_s = now
 
-    def reported(self, instance: str, leaving: bool, now: float) -> list[MemberChange]:
+    def apply_report(self, instance: str, leaving: bool, now: float) -> list[MemberChange]:
         """Take what a member says of itself."""
         state = self._states.get(instance)
         if state is None:
             return []
         state.reports_leaving = leaving
-        return self._settle(state, now)
+        return self._update_state(state, now)
 
     def tick(self, now: float) -> list[MemberChange]:
         """Remove the members that are gone, and follow those that moved."""
         changes: list[MemberChange] = []
         for name, state in list(self._states.items()):
-            if state.gone_s(now) >= REMOVAL_LIMIT_S:
+            if state.unreachable_s(now) >= REMOVAL_LIMIT_S:
                 del self._states[name]
                 changes.append(MemberChange(ChangeKind.LEFT, state.member))
             else:
-                changes += self._settle(state, now)
+                changes += self._update_state(state, now)
         return changes
 
-    def _settle(self, state: MemberState, now: float) -> list[MemberChange]:
+    def _update_state(self, state: MemberState, now: float) -> list[MemberChange]:
         changes: list[MemberChange] = []
         # A connection that works is kept even if the list names another address.
-        silent_s = 0.0 if state.silent_since_s is None else now - state.silent_since_s
-        if state.moved and silent_s >= MOVE_DELAY_S:
+        silent_s = 0.0 if state.disconnected_since_s is None else now - state.disconnected_since_s
+        if state.has_moved and silent_s >= MOVE_DELAY_S:
             state.member = state.listed
             state.reports_leaving = False
             changes.append(MemberChange(ChangeKind.MOVED, state.member))
--- a/cassiadrum/members/subsets.py
+++ b/cassiadrum/members/subsets.py
@@ -69,15 +69,15 @@
         if instance in self._by_name:
             self._full[instance] = now
 
-    def chosen(self, now: float) -> list[str]:
+    def select(self, now: float) -> list[str]:
         """Return the names of the sidecars to connect to, in rank order."""
-        chosen = self._first()
+        chosen = self._first_ranked()
         if len(chosen) < self._size and self._full:
             self._full = {name: at for name, at in self._full.items() if now - at < FULL_RETRY_S}
-            chosen = self._first()
+            chosen = self._first_ranked()
         return chosen
 
-    def _first(self) -> list[str]:
+    def _first_ranked(self) -> list[str]:
         chosen: list[str] = []
         for rank in self._ranks:
             if len(chosen) == self._size:
--- a/cassiadrum/roles/claim_janitors.py
+++ b/cassiadrum/roles/claim_janitors.py
@@ -33,6 +33,6 @@
             if self._lease.fencing() is None:
                 continue
             try:
-                await self._cleaner.step()
+                await self._cleaner.clean_page()
             except StoreUnavailable as exc:
                 logger.debug("claims not cleaned: %s", exc)
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -34,8 +34,8 @@
     HttpObjectStore,
     HttpTableStore,
     HttpWeightStore,
-    HttpWire,
     StoreBudget,
+    StoreTransport,
 )
 
 __all__ = ["build_daemon"]
@@ -136,12 +136,14 @@
         address = self._cfg.platform.weight_store
         return HttpWeightStore(self._wire(address, "weights")) if address else None
 
-    def _wire(self, address: Address, store: str, budget: StoreBudget | None = None) -> HttpWire:
-        return HttpWire(
+    def _wire(
+        self, address: Address, store: str, budget: StoreBudget | None = None
+    ) -> StoreTransport:
+        return StoreTransport(
             HttpClient(address.host, address.port),
             time.monotonic,
             budget=budget,
-            called=lambda result: self._metrics.store_called(store, result),
+            on_result=lambda result: self._metrics.store_called(store, result),
         )
 
 
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -78,7 +78,7 @@
     def take(self, link: Link, msg: Message) -> bool:
         """Handle a message of the exchange; return False for any other."""
         if isinstance(msg, Versions):
-            for service in self.registry.missing(msg.versions):
+            for service in self.registry.outdated_services(msg.versions):
                 link.send(Fetch(service))
         elif isinstance(msg, Fetch):
             self._send_document(link, msg.service)
--- a/cassiadrum/roles/entry_links.py
+++ b/cassiadrum/roles/entry_links.py
@@ -50,7 +50,7 @@
         if not self.is_current(link) or link.peer is None:
             return ""
         del self.by_instance[link.peer.instance]
-        self._bound.lost(link.peer.instance, now)
+        self._bound.connection_lost(link.peer.instance, now)
         return link.peer.instance
 
     def is_current(self, link: Link) -> bool:
--- a/cassiadrum/roles/lease_contenders.py
+++ b/cassiadrum/roles/lease_contenders.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from cassiadrum.events import EventKind, EventRing
-from cassiadrum.states import LeaseCore, LeaseKeeper, LeaseLost
+from cassiadrum.states import LeaseLost, LeaseManager, LeaseStateMachine
 from cassiadrum.stores import TableStore
 
 __all__ = ["LeaseContender", "is_contender"]
@@ -37,9 +37,9 @@
         ring: EventRing,
         clock: Callable[[], float],
     ) -> None:
-        core = LeaseCore(instance, duration_s=LEASE_DURATION_S, margin_s=LEASE_MARGIN_S)
+        core = LeaseStateMachine(instance, duration_s=LEASE_DURATION_S, margin_s=LEASE_MARGIN_S)
         self.name = name
-        self._keeper = LeaseKeeper(store, name, core, clock)
+        self._keeper = LeaseManager(store, name, core, clock)
         self._core = core
         self._instance = instance
         self._entries = entries
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/members.py
@@ -66,22 +66,22 @@
             self._size = links_per_service(self._subset_size, len(services))
             for subset in self._subsets.values():
                 subset.resize(self._size)
-        self._apply(self._membership.listed(instances, self._clock()))
+        self._apply(self._membership.apply_list(instances, self._clock()))
 
     def connected(self, instance: str, link: Link) -> None:
         """Take the hello of a sidecar."""
         self._links[instance] = link
-        self._membership.connected(instance)
+        self._membership.mark_connected(instance)
 
     def disconnected(self, instance: str, link: Link) -> None:
         """Take the loss of a link; one that was replaced changes nothing."""
         if self._links.get(instance) is link:
             del self._links[instance]
-            self._membership.disconnected(instance, self._clock())
+            self._membership.mark_disconnected(instance, self._clock())
 
     def reported(self, instance: str, leaving: bool) -> None:
         """Take what a sidecar says of itself."""
-        changes = self._membership.reported(instance, leaving, self._clock())
+        changes = self._membership.apply_report(instance, leaving, self._clock())
         if changes:
             self._apply(changes)
 
@@ -119,7 +119,7 @@
             self._services[name] = member.service
             subset = self._subsets.setdefault(member.service, self._make_subset(self._size))
             subset.put(member)
-            subset.set_leaving(name, self._membership.leaving(name))
+            subset.set_leaving(name, self._membership.is_leaving(name))
         elif kind in (ChangeKind.LEAVING, ChangeKind.RETURNED):
             leaving = kind is ChangeKind.LEAVING
             self._subsets[member.service].set_leaving(name, leaving)
@@ -127,7 +127,7 @@
 
     def _connect(self) -> None:
         now = self._clock()
-        chosen = {name for subset in self._subsets.values() for name in subset.chosen(now)}
+        chosen = {name for subset in self._subsets.values() for name in subset.select(now)}
         for name in chosen - self._dialers.keys():
             member = self._membership.member(name)
             if member is not None:
@@ -138,7 +138,7 @@
             self._post(MemberUsable(name, True))
         for name in self._dialers.keys() - chosen - self._retired:
             # The link to a leaving sidecar stays up for its streams until the sidecar ends.
-            if not self._membership.leaving(name):
+            if not self._membership.is_leaving(name):
                 self._retired.add(name)
                 self._post(MemberUsable(name, False))
 
--- a/cassiadrum/roles/once_gates.py
+++ b/cassiadrum/roles/once_gates.py
@@ -8,11 +8,11 @@
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.protocols import Headers
 from cassiadrum.states import (
+    AlreadyCompleted,
     Claimed,
     ClaimKey,
     ClaimService,
     InProgress,
-    Kept,
     KeptAnswer,
     KeyReused,
     StoreUnavailable,
@@ -51,13 +51,13 @@
     ) -> None:
         """Record the end of the call; what cannot be written now is written later."""
         if outcome.ok and answer is not None:
-            await self._claims.finish(claim, answer)
+            await self._claims.record_answer(claim, answer)
             state = "done"
         elif outcome.ran is Ran.NO:
-            await self._claims.not_run(claim)
+            await self._claims.record_not_run(claim)
             state = "not_run"
         else:
-            await self._claims.lost_answer(claim)
+            await self._claims.record_lost_answer(claim)
             state = "unknown"
         self._record(EventKind.CLAIM_RESOLVED, start, state=state)
 
@@ -73,7 +73,7 @@
 
 
 def _answer(result: object) -> GateAnswer:
-    if isinstance(result, Kept):
+    if isinstance(result, AlreadyCompleted):
         if not result.answer.body_kept:
             return GateAnswer(Outcome(False, Ran.YES, 0, "answer_lost"))
         return GateAnswer(Outcome(True, Ran.YES), result.answer)
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -175,7 +175,7 @@
         while True:
             await asyncio.sleep(SETTLE_INTERVAL_S)
             if len(self._claims.pending):
-                await self._claims.settle_pending()
+                await self._claims.write_pending()
 
     def _listed(self, listed: tuple[Instance, ...]) -> None:
         service = self._cfg.endpoint.service if self._cfg.endpoint else ""
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -19,7 +19,7 @@
     TableService,
 )
 from cassiadrum.states import Accepted, ConfigurationWriter
-from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, Instance, StoreTransport
 
 __all__ = ["LocalSite"]
 
@@ -180,5 +180,5 @@
         return len(status["links"]) == wanted and len(status["versions"]) == len(self.documents)
 
 
-def _wire(port: int) -> HttpWire:
-    return HttpWire(HttpClient(HOST, port), time.monotonic)
+def _wire(port: int) -> StoreTransport:
+    return StoreTransport(HttpClient(HOST, port), time.monotonic)
--- a/cassiadrum/states/__init__.py
+++ b/cassiadrum/states/__init__.py
@@ -12,10 +12,10 @@
 from cassiadrum.states.claim_keys import ClaimKey
 from cassiadrum.states.claim_records import ClaimRecord, ClaimState
 from cassiadrum.states.claim_results import (
+    AlreadyCompleted,
     Claimed,
     ClaimResult,
     InProgress,
-    Kept,
     KeyReused,
     OutcomeUnknown,
     StoreUnavailable,
@@ -29,9 +29,9 @@
 from cassiadrum.states.errors import FencingRefused, InvalidRecord, LeaseLost, StateError
 from cassiadrum.states.fencing_guards import FencingGuard
 from cassiadrum.states.kept_answers import KeptAnswer
-from cassiadrum.states.lease_cores import LeaseCore, LeaseWrite
-from cassiadrum.states.lease_keepers import LEASE_TABLE, LeaseKeeper
+from cassiadrum.states.lease_managers import LEASE_TABLE, LeaseManager
 from cassiadrum.states.lease_records import LeaseRecord
+from cassiadrum.states.lease_state_machines import LeaseStateMachine, LeaseWrite
 
 __all__ = [
     "CLAIM_TABLE",
@@ -40,6 +40,7 @@
     "LEASE_TABLE",
     "AcceptResult",
     "Accepted",
+    "AlreadyCompleted",
     "ClaimCleaner",
     "ClaimKey",
     "ClaimRecord",
@@ -58,13 +59,12 @@
     "InProgress",
     "Invalid",
     "InvalidRecord",
-    "Kept",
     "KeptAnswer",
     "KeyReused",
-    "LeaseCore",
-    "LeaseKeeper",
     "LeaseLost",
+    "LeaseManager",
     "LeaseRecord",
+    "LeaseStateMachine",
     "LeaseWrite",
     "NotAccepted",
     "OutcomeUnknown",
--- a/cassiadrum/states/answer_keepers.py
+++ b/cassiadrum/states/answer_stores.py
@@ -5,20 +5,20 @@
 from cassiadrum.states.kept_answers import KeptAnswer
 from cassiadrum.stores import Done, ObjectStore, StoreUnavailable
 
-__all__ = ["UNKNOWN_ANSWER", "AnswerKeeper"]
+__all__ = ["PLACEHOLDER_ANSWER", "AnswerStore"]
 
 OBJECT_PREFIX = "once/"
 # The answer of a call that an operator settled by hand.
-UNKNOWN_ANSWER = StoredAnswer(200, (), b"", False)
+PLACEHOLDER_ANSWER = StoredAnswer(200, (), b"", False)
 
 
-class AnswerKeeper:
+class AnswerStore:
     """Keep bodies up to KEPT_ANSWER_BYTES in the row and larger ones as objects."""
 
     def __init__(self, objects: ObjectStore) -> None:
         self._objects = objects
 
-    async def keep(self, record: ClaimRecord, answer: KeptAnswer) -> ClaimRecord:
+    async def save(self, record: ClaimRecord, answer: KeptAnswer) -> ClaimRecord:
         """Return the record with its answer; a body that cannot be stored is left out."""
         stored = StoredAnswer(answer.status, answer.headers, answer.body, answer.body_kept)
         if len(answer.body) <= LIMITS.KEPT_ANSWER_BYTES:
@@ -30,7 +30,7 @@
 
     async def load(self, record: ClaimRecord) -> KeptAnswer:
         """Return the kept answer, without its body when it cannot be read."""
-        answer = KeptAnswer(*(record.answer or UNKNOWN_ANSWER))
+        answer = KeptAnswer(*(record.answer or PLACEHOLDER_ANSWER))
         if not record.object_key:
             return answer
         try:
--- a/cassiadrum/states/claim_cleaners.py
+++ b/cassiadrum/states/claim_cleaners.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.states.answer_keepers import AnswerKeeper
+from cassiadrum.states.answer_stores import AnswerStore
 from cassiadrum.states.claim_services import CLAIM_TABLE
 from cassiadrum.stores import BATCH_WRITES, Done, ObjectStore, Row, TableStore, TableWrite
 
@@ -23,12 +23,12 @@
         page_rows: int = 1000,
     ) -> None:
         self._store = store
-        self._answers = AnswerKeeper(objects)
+        self._answers = AnswerStore(objects)
         self._wall_clock = wall_clock
         self._page_rows = page_rows
         self._after = ""
 
-    async def step(self) -> int:
+    async def clean_page(self) -> int:
         """Clean one page of rows and return how many were removed; raise StoreUnavailable.
 
         Each call goes on where the last one stopped. A row that changes meanwhile is kept.
@@ -39,7 +39,7 @@
             after=self._after,
             fields=("claimed_at", "object_key"),
         )
-        old = [row for row in page.rows if await self._is_removable(row)]
+        old = [row for row in page.rows if await self._remove_expired_answer(row)]
         removed = 0
         for start in range(0, len(old), BATCH_WRITES):
             part = old[start : start + BATCH_WRITES]
@@ -49,7 +49,7 @@
         self._after = page.next_after
         return removed
 
-    async def _is_removable(self, row: Row) -> bool:
+    async def _remove_expired_answer(self, row: Row) -> bool:
         claimed_at, object_key = row.value.get("claimed_at"), row.value.get("object_key")
         if not isinstance(claimed_at, float | int) or not isinstance(object_key, str):
             return False
--- a/cassiadrum/states/claim_results.py
+++ b/cassiadrum/states/claim_results.py
@@ -7,10 +7,10 @@
 from cassiadrum.states.kept_answers import KeptAnswer
 
 __all__ = [
+    "AlreadyCompleted",
     "ClaimResult",
     "Claimed",
     "InProgress",
-    "Kept",
     "KeyReused",
     "OutcomeUnknown",
     "StoreUnavailable",
@@ -25,7 +25,7 @@
     row_version: int
 
 
-class Kept(NamedTuple):
+class AlreadyCompleted(NamedTuple):
     """The call ran; this is its answer (200 or what the endpoint said)."""
 
     answer: KeptAnswer
@@ -51,4 +51,6 @@
     retry_after_s: float
 
 
-ClaimResult = Claimed | Kept | InProgress | KeyReused | OutcomeUnknown | StoreUnavailable
+ClaimResult = (
+    Claimed | AlreadyCompleted | InProgress | KeyReused | OutcomeUnknown | StoreUnavailable
+)
--- a/cassiadrum/states/claim_services.py
+++ b/cassiadrum/states/claim_services.py
@@ -5,28 +5,28 @@
 from collections.abc import Callable
 from typing import Final
 
-from cassiadrum.states.answer_keepers import UNKNOWN_ANSWER, AnswerKeeper
+from cassiadrum.states.answer_stores import PLACEHOLDER_ANSWER, AnswerStore
 from cassiadrum.states.claim_keys import ClaimKey
 from cassiadrum.states.claim_records import ClaimRecord, ClaimState
 from cassiadrum.states.claim_results import (
+    AlreadyCompleted,
     Claimed,
     ClaimResult,
     InProgress,
-    Kept,
     KeyReused,
     OutcomeUnknown,
     StoreUnavailable,
 )
 from cassiadrum.states.errors import InvalidRecord
 from cassiadrum.states.kept_answers import KeptAnswer
-from cassiadrum.states.pending_marks import PendingMark, PendingMarks
+from cassiadrum.states.pending_outcomes import PendingOutcome, PendingOutcomes
 from cassiadrum.stores import Conflict, Done, ObjectStore, Refused, Row, TableStore, WriteResult
 from cassiadrum.stores import StoreUnavailable as ReadFailed
 
 __all__ = ["CLAIM_TABLE", "ClaimService"]
 
 CLAIM_TABLE: Final = "once"
-ATTEMPTS: Final = 3
+CLAIM_ATTEMPTS: Final = 3
 # Time after the class deadline until a running claim counts as lost with its sidecar.
 EXPIRY_GRACE_S: Final = 60.0
 RETRY_AFTER_S: Final = 1.0
@@ -45,11 +45,11 @@
         new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
     ) -> None:
         self._store = store
-        self._answers = AnswerKeeper(objects)
+        self._answers = AnswerStore(objects)
         self._instance = instance
         self._wall_clock = wall_clock
         self._new_id = new_id
-        self.pending = PendingMarks()
+        self.pending = PendingOutcomes()
 
     async def claim(self, key: ClaimKey, body_hash: str, deadline_s: float) -> ClaimResult:
         """Claim a call whose class deadline is `deadline_s` seconds from now.
@@ -67,7 +67,7 @@
             now + deadline_s + EXPIRY_GRACE_S,
         )
         expected, sent = 0, False
-        for _ in range(ATTEMPTS):
+        for _ in range(CLAIM_ATTEMPTS):
             result = await self._write(key, record, expected)
             if isinstance(result, Done):
                 return Claimed(key, record, result.version)
@@ -81,33 +81,33 @@
                 except ReadFailed:
                     break
             if row is not None and row.version != expected:
-                judged = await self._judge(key, record, row)
+                judged = await self._evaluate_existing(key, record, row)
                 if judged is not None:
                     return judged
             expected = row.version if row else 0
         return self._refuse(key, record, sent)
 
-    async def finish(self, claim: Claimed, answer: KeptAnswer) -> bool:
+    async def record_answer(self, claim: Claimed, answer: KeptAnswer) -> bool:
         """Record that the call ran, and keep its answer; tell whether this is durable now."""
         done = claim.record._replace(state=ClaimState.DONE)
-        return await self._mark(claim, await self._answers.keep(done, answer))
+        return await self._record_outcome(claim, await self._answers.save(done, answer))
 
-    async def lost_answer(self, claim: Claimed) -> bool:
+    async def record_lost_answer(self, claim: Claimed) -> bool:
         """Record that the endpoint's answer was lost; tell whether this is durable now."""
-        return await self._mark(claim, claim.record._replace(state=ClaimState.UNKNOWN))
+        return await self._record_outcome(claim, claim.record._replace(state=ClaimState.UNKNOWN))
 
-    async def not_run(self, claim: Claimed) -> bool:
+    async def record_not_run(self, claim: Claimed) -> bool:
         """Record that the effect was certainly not started, so that a retry may claim again."""
-        return await self._mark(claim, claim.record._replace(state=ClaimState.NOT_RUN))
+        return await self._record_outcome(claim, claim.record._replace(state=ClaimState.NOT_RUN))
 
-    async def settle_pending(self) -> int:
+    async def write_pending(self) -> int:
         """Write the states that could not be written before; return how many are left."""
-        for mark in self.pending.snapshot():
-            if await self._settle(mark):
-                self.pending.remove(mark.record.operation_id)
+        for outcome in self.pending.snapshot():
+            if await self._write_pending_outcome(outcome):
+                self.pending.remove(outcome.record.operation_id)
         return len(self.pending)
 
-    async def settle_unknown(self, key: ClaimKey, *, ran: bool) -> bool:
+    async def resolve_unknown(self, key: ClaimKey, *, ran: bool) -> bool:
         """Settle an `unknown` claim from the endpoint's record, as an operator found it.
 
         `ran=False` permits the call to run again. Returns False when the claim is not in state
@@ -118,10 +118,12 @@
         if row is None or record is None or record.state is not ClaimState.UNKNOWN:
             return False
         state = ClaimState.DONE if ran else ClaimState.NOT_RUN
-        settled = record._replace(state=state, answer=UNKNOWN_ANSWER if ran else None)
+        settled = record._replace(state=state, answer=PLACEHOLDER_ANSWER if ran else None)
         return isinstance(await self._write(key, settled, row.version), Done)
 
-    async def _judge(self, key: ClaimKey, own: ClaimRecord, row: Row) -> ClaimResult | None:
+    async def _evaluate_existing(
+        self, key: ClaimKey, own: ClaimRecord, row: Row
+    ) -> ClaimResult | None:
         """Return what an existing row means, None when a not-run claim may be replaced."""
         try:
             found = ClaimRecord.from_value(row.value)
@@ -134,7 +136,7 @@
         if found.state is ClaimState.NOT_RUN:
             return None
         if found.state is ClaimState.DONE:
-            return Kept(await self._answers.load(found))
+            return AlreadyCompleted(await self._answers.load(found))
         if found.state is ClaimState.RUNNING:
             if self._wall_clock() <= found.expires_at:
                 return InProgress(RETRY_AFTER_S)
@@ -146,36 +148,36 @@
     def _refuse(self, key: ClaimKey, record: ClaimRecord, sent: bool) -> StoreUnavailable:
         """Refuse a call; a claim that may still arrive is marked as not run later."""
         if sent:
-            mark = PendingMark(key, record._replace(state=ClaimState.NOT_RUN))
-            self.pending.add(mark)
+            outcome = PendingOutcome(key, record._replace(state=ClaimState.NOT_RUN))
+            self.pending.add(outcome)
         return StoreUnavailable(RETRY_AFTER_S)
 
-    async def _mark(self, claim: Claimed, record: ClaimRecord) -> bool:
+    async def _record_outcome(self, claim: Claimed, record: ClaimRecord) -> bool:
         result = await self._write(claim.key, record, claim.row_version)
         if isinstance(result, Done):
             return True
-        mark = PendingMark(claim.key, record)
-        if not isinstance(result, Refused) and await self._settle(mark):
+        outcome = PendingOutcome(claim.key, record)
+        if not isinstance(result, Refused) and await self._write_pending_outcome(outcome):
             return True
-        self.pending.add(mark)
+        self.pending.add(outcome)
         return False
 
-    async def _settle(self, mark: PendingMark) -> bool:
+    async def _write_pending_outcome(self, outcome: PendingOutcome) -> bool:
         """Write a mark over its own claim and tell whether nothing is left to do."""
         try:
-            row = await self._store.get(CLAIM_TABLE, mark.key.row_key())
+            row = await self._store.get(CLAIM_TABLE, outcome.key.row_key())
             found = ClaimRecord.from_value(row.value) if row else None
         except ReadFailed:
             return False
         except InvalidRecord:
             return True
-        own = found is not None and found.operation_id == mark.record.operation_id
-        if found is not None and (not own or found.state == mark.record.state):
+        own = found is not None and found.operation_id == outcome.record.operation_id
+        if found is not None and (not own or found.state == outcome.record.state):
             return True
         if found is not None and found.state is ClaimState.DONE:
             return True
         # Without a row the claim may still arrive; the mark then takes its place.
-        result = await self._write(mark.key, mark.record, row.version if row else 0)
+        result = await self._write(outcome.key, outcome.record, row.version if row else 0)
         return isinstance(result, Done)
 
     async def _write(self, key: ClaimKey, record: ClaimRecord, expected: int) -> WriteResult:
--- a/cassiadrum/states/configuration_histories.py
+++ b/cassiadrum/states/configuration_histories.py
@@ -13,7 +13,7 @@
     TableWrite,
 )
 
-__all__ = ["HISTORY_TABLE", "HISTORY_VERSIONS", "ConfigurationHistory", "difference"]
+__all__ = ["HISTORY_TABLE", "HISTORY_VERSIONS", "ConfigurationHistory", "text_diff"]
 
 HISTORY_TABLE: Final = "config-history"
 HISTORY_VERSIONS: Final = 50
@@ -25,7 +25,7 @@
     def __init__(self, store: TableStore) -> None:
         self._store = store
 
-    def row_of(self, record: ConfigurationRecord) -> TableWrite:
+    def history_write(self, record: ConfigurationRecord) -> TableWrite:
         """Return the write that adds a version to the history."""
         return TableWrite(
             HISTORY_TABLE, _key(record.service, record.version), record.to_value(), 0
@@ -38,18 +38,18 @@
         rows = [row._replace(value={**row.value, "text": ""}) for row in page.rows]
         return [ConfigurationRecord.from_row(service, row) for row in rows[-HISTORY_VERSIONS:]]
 
-    async def show(self, service: str, version: int) -> ConfigurationRecord | None:
+    async def get(self, service: str, version: int) -> ConfigurationRecord | None:
         """Return a kept version, or None; raise StoreUnavailable."""
         row = await self._store.get(HISTORY_TABLE, _key(service, version))
         return ConfigurationRecord.from_row(service, row) if row else None
 
     async def diff(self, service: str, old: int, new: int) -> str | None:
         """Return the unified diff of two kept versions, None when one is not kept."""
-        before = await self.show(service, old)
-        after = await self.show(service, new)
+        before = await self.get(service, old)
+        after = await self.get(service, new)
         if before is None or after is None:
             return None
-        return difference(before, after.text, f"version {new}")
+        return text_diff(before, after.text, f"version {new}")
 
     async def trim(self, service: str) -> None:
         """Delete the oldest rows beyond the bound; what fails is left to the next change."""
@@ -67,7 +67,7 @@
             )
 
 
-def difference(record: ConfigurationRecord, text: str, name: str = "submitted") -> str:
+def text_diff(record: ConfigurationRecord, text: str, name: str = "submitted") -> str:
     """Return the unified diff from a record's text to another."""
     before = record.text.splitlines(keepends=True)
     lines = unified_diff(before, text.splitlines(keepends=True), f"version {record.version}", name)
--- a/cassiadrum/states/configuration_readers.py
+++ b/cassiadrum/states/configuration_readers.py
@@ -16,7 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
-JITTER = 0.2
+POLL_JITTER = 0.2
 
 
 def poll_interval_s(processes: int, rng: random.Random) -> float:
@@ -24,8 +24,8 @@
 
     Jitter only lengthens it, so that the bound holds for every sequence of random numbers.
     """
-    shortest = max(LIMITS.CONFIG_POLL_MIN_S, processes / LIMITS.FLEET_CONFIG_READS_PER_S)
-    return shortest * rng.uniform(1.0, 1.0 + JITTER)
+    min_interval_s = max(LIMITS.CONFIG_POLL_MIN_S, processes / LIMITS.FLEET_CONFIG_READS_PER_S)
+    return min_interval_s * rng.uniform(1.0, 1.0 + POLL_JITTER)
 
 
 class ConfigurationReader:
@@ -51,7 +51,9 @@
                     versions[row.key] = version
             if not page.next_after:
                 break
-        applied = [await self.fetch(service) for service in self._registry.missing(versions)]
+        applied = [
+            await self.fetch(service) for service in self._registry.outdated_services(versions)
+        ]
         return [record for record in applied if record is not None]
 
     async def fetch(self, service: str) -> ConfigurationRecord | None:
@@ -75,12 +77,12 @@
             try:
                 for record in await self.poll():
                     applied(record)
-                self._note(True)
+                self._log_reachability(True)
             except StoreUnavailable as exc:
-                self._note(False, str(exc))
+                self._log_reachability(False, str(exc))
             await asyncio.sleep(poll_interval_s(processes(), rng))
 
-    def _note(self, reachable: bool, reason: str = "") -> None:
+    def _log_reachability(self, reachable: bool, reason: str = "") -> None:
         if reachable != self._reachable:
             state = "reachable" if reachable else "unreachable"
             logger.warning("configuration store %s %s", state, reason)
--- a/cassiadrum/states/configuration_registries.py
+++ b/cassiadrum/states/configuration_registries.py
@@ -66,7 +66,7 @@
             self._digest = xxhash.xxh64_intdigest(text.encode())
         return self._digest
 
-    def missing(self, versions: Mapping[str, int]) -> list[str]:
+    def outdated_services(self, versions: Mapping[str, int]) -> list[str]:
         """Return the services of which `versions` has a higher version than is in force."""
         return sorted(name for name, version in versions.items() if version > self.version(name))
 
--- a/cassiadrum/states/configuration_writers.py
+++ b/cassiadrum/states/configuration_writers.py
@@ -17,7 +17,7 @@
     Unresolved,
 )
 from cassiadrum.states.configuration_changes import ConfigurationChange
-from cassiadrum.states.configuration_histories import ConfigurationHistory, difference
+from cassiadrum.states.configuration_histories import ConfigurationHistory, text_diff
 from cassiadrum.states.configuration_records import KEPT_OPERATION_IDS, ConfigurationRecord
 from cassiadrum.states.errors import InvalidRecord
 from cassiadrum.stores import (
@@ -88,8 +88,8 @@
                 current = ConfigurationRecord.from_row(change.service, row)
             except (StoreUnavailable, InvalidRecord) as exc:
                 return NotAccepted(str(exc))
-            if settled := await self._settled(change, current):
-                return settled
+            if known_result := await self._resolve_from_record(change, current):
+                return known_result
             record = current.next(
                 change.text, change.deleted, change.operation_id, change.author, self._wall_clock()
             )
@@ -100,7 +100,7 @@
             if isinstance(result, Refused):
                 return NotAccepted(result.reason, result.retry_after_s)
             if isinstance(result, Unknown):
-                return await self._resolve(change, row)
+                return await self._resolve_unknown(change, row)
         return NotAccepted(f"{SUBMIT_ATTEMPTS} attempts met concurrent writes")
 
     async def _write(
@@ -112,11 +112,13 @@
         return await self._store.write(
             [
                 TableWrite(CONFIG_TABLE, record.service, value, expected),
-                self.history.row_of(record),
+                self.history.history_write(record),
             ]
         )
 
-    async def _resolve(self, change: ConfigurationChange, base: Row | None) -> AcceptResult:
+    async def _resolve_unknown(
+        self, change: ConfigurationChange, base: Row | None
+    ) -> AcceptResult:
         """Find out whether a write with an unknown outcome was applied, or prevent it."""
         for pause_s in RESOLVE_PAUSES_S:
             await self._pause(pause_s)
@@ -125,8 +127,8 @@
                 current = ConfigurationRecord.from_row(change.service, row)
             except (StoreUnavailable, InvalidRecord):
                 continue
-            if settled := await self._settled(change, current):
-                return settled
+            if known_result := await self._resolve_from_record(change, current):
+                return known_result
             # The write needs the row as `base` has it; any other row has made it impossible.
             if (row.version if row else 0) != (base.version if base else 0):
                 return NotAccepted("the write was not applied")
@@ -144,7 +146,7 @@
         result = await self._store.put(CONFIG_TABLE, current.service, current.to_value(), expected)
         return isinstance(result, Done)
 
-    async def _settled(
+    async def _resolve_from_record(
         self, change: ConfigurationChange, current: ConfigurationRecord
     ) -> AcceptResult | None:
         """Return what the current record implies, None when the change may be written."""
@@ -155,15 +157,15 @@
             return None
         if current.version - change.base_version > KEPT_OPERATION_IDS + 1:
             # The record no longer names the operation that followed the base; history may.
-            return await self._settled_by_history(change, current)
-        return Conflicted(current, difference(current, change.text))
+            return await self._resolve_from_history(change, current)
+        return Conflicted(current, text_diff(current, change.text))
 
-    async def _settled_by_history(
+    async def _resolve_from_history(
         self, change: ConfigurationChange, current: ConfigurationRecord
     ) -> AcceptResult:
         target = change.base_version + 1
         try:
-            record = await self.history.show(change.service, target)
+            record = await self.history.get(change.service, target)
         except (StoreUnavailable, InvalidRecord) as exc:
             return Unresolved(change.operation_id, str(exc))
         if record is None:
@@ -171,4 +173,4 @@
             return Unresolved(change.operation_id, reason)
         if record.operation_id == change.operation_id:
             return Accepted(target, current)
-        return Conflicted(current, difference(current, change.text))
+        return Conflicted(current, text_diff(current, change.text))
--- a/cassiadrum/states/fencing_guards.py
+++ b/cassiadrum/states/fencing_guards.py
@@ -1,7 +1,7 @@
 """Check of fencing tokens right before an effect."""
 
 from cassiadrum.states.errors import FencingRefused, InvalidRecord
-from cassiadrum.states.lease_keepers import LEASE_TABLE
+from cassiadrum.states.lease_managers import LEASE_TABLE
 from cassiadrum.states.lease_records import LeaseRecord
 from cassiadrum.stores import StoreUnavailable, TableStore
 
@@ -26,11 +26,11 @@
 
     async def admit(self, lease: str, fencing: int) -> None:
         """Return if the order's effect may start right now; raise FencingRefused."""
-        self._refuse_old(lease, fencing)
+        self._reject_stale(lease, fencing)
         if not self._endpoint_enforces:
             await self._compare_with_row(lease, fencing)
             # A newer order may have been admitted while the row was read.
-            self._refuse_old(lease, fencing)
+            self._reject_stale(lease, fencing)
         self._highest[lease] = fencing
 
     async def _compare_with_row(self, lease: str, fencing: int) -> None:
@@ -43,7 +43,7 @@
             self._highest[lease] = max(current, self.highest(lease))
             raise FencingRefused(f"token {fencing} of lease {lease}: the row has {current}")
 
-    def _refuse_old(self, lease: str, fencing: int) -> None:
+    def _reject_stale(self, lease: str, fencing: int) -> None:
         highest = self.highest(lease)
         if fencing < highest:
             raise FencingRefused(f"token {fencing} of lease {lease}: {highest} was seen")
--- a/cassiadrum/states/lease_keepers.py
+++ b/cassiadrum/states/lease_managers.py
@@ -6,75 +6,79 @@
 from typing import Final
 
 from cassiadrum.states.errors import InvalidRecord
-from cassiadrum.states.lease_cores import LeaseCore, LeaseWrite
 from cassiadrum.states.lease_records import LeaseRecord
+from cassiadrum.states.lease_state_machines import LeaseStateMachine, LeaseWrite
 from cassiadrum.stores import Conflict, Done, Refused, Row, StoreUnavailable, TableStore
 
-__all__ = ["LEASE_TABLE", "LeaseKeeper"]
+__all__ = ["LEASE_TABLE", "LeaseManager"]
 
 logger = logging.getLogger(__name__)
 
 LEASE_TABLE: Final = "lease"
 
 
-class LeaseKeeper:
+class LeaseManager:
     """Contend for a lease and renew it; `clock` returns monotonic seconds."""
 
     def __init__(
-        self, store: TableStore, name: str, core: LeaseCore, clock: Callable[[], float]
+        self,
+        store: TableStore,
+        name: str,
+        state_machine: LeaseStateMachine,
+        clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._name = name
-        self._core = core
+        self._state_machine = state_machine
         self._clock = clock
 
     def check(self) -> int:
         """Return the fencing token for an effect that starts right now; raise LeaseLost."""
-        return self._core.check(self._clock())
+        return self._state_machine.check(self._clock())
 
     async def step(self) -> None:
         """Read the row if needed and write it if due; a failure is left to the next step."""
-        if self._core.reads_row:
+        if self._state_machine.needs_read:
             try:
                 self._observe(await self._store.get(LEASE_TABLE, self._name))
             except (StoreUnavailable, InvalidRecord) as exc:
                 logger.debug("lease %s not read: %s", self._name, exc)
                 return
-        write = self._core.next_write(self._clock())
+        write = self._state_machine.next_write(self._clock())
         if write is not None:
             await self._put(write)
 
     async def release(self) -> None:
         """Give the lease up, as at a graceful shutdown."""
-        write = self._core.release()
+        write = self._state_machine.release()
         if write is not None:
             await self._put(write)
 
     async def run(self, renew_interval_s: float, contend_interval_s: Callable[[], float]) -> None:
         """Step for ever; a contender may read less often than a holder renews."""
         while True:
-            held = self._core.is_holder
+            held = self._state_machine.is_holder
             await self.step()
-            if held != self._core.is_holder:
+            if held != self._state_machine.is_holder:
                 state = "lost" if held else "taken"
                 logger.info("lease %s %s", self._name, state)
-            holding = self._core.is_holder
+            holding = self._state_machine.is_holder
             await asyncio.sleep(renew_interval_s if holding else contend_interval_s())
 
     async def _put(self, write: LeaseWrite) -> None:
         value = write.record.to_value()
         result = await self._store.put(LEASE_TABLE, self._name, value, write.expected)
         if isinstance(result, Done):
-            self._core.written(write, result.version)
+            self._state_machine.on_written(write, result.version)
         elif isinstance(result, Conflict):
             try:
                 self._observe(result.row)
             except InvalidRecord as exc:
                 logger.error("lease %s: %s", self._name, exc)
         elif isinstance(result, Refused):
-            self._core.refused(write)
+            self._state_machine.on_refused(write)
 
     def _observe(self, row: Row | None) -> None:
         record = LeaseRecord.from_value(row.value) if row else None
         # The time after the answer: a contender must not count the time of the read itself.
-        self._core.observe(row.version if row else 0, record, self._clock())
+        self._state_machine.observe(row.version if row else 0, record, self._clock())
--- a/cassiadrum/states/lease_cores.py
+++ b/cassiadrum/states/lease_state_machines.py
@@ -5,7 +5,7 @@
 from cassiadrum.states.errors import LeaseLost
 from cassiadrum.states.lease_records import LeaseRecord
 
-__all__ = ["LeaseCore", "LeaseWrite"]
+__all__ = ["LeaseStateMachine", "LeaseWrite"]
 
 
 class LeaseWrite(NamedTuple):
@@ -15,7 +15,7 @@
     expected: int
 
 
-class LeaseCore:
+class LeaseStateMachine:
     """Decide when to renew, take over and stop using one lease.
 
     `margin_s` is what a contender waits beyond the duration; it covers clocks that run at
@@ -39,7 +39,7 @@
         return self._record is not None and self._record.holder == self._holder
 
     @property
-    def reads_row(self) -> bool:
+    def needs_read(self) -> bool:
         """Tell whether the row must be read before the next decision."""
         return not self.is_holder or bool(self._sent_at_s)
 
@@ -70,23 +70,27 @@
         if self._version is None:
             return None
         if self._record is None:
-            return self._send(1, now)
+            return self._renewal_write(1, now)
         if self.is_holder:
-            return self._send(self._record.fencing, now) if self._is_due(now) else None
+            return (
+                self._renewal_write(self._record.fencing, now)
+                if self._is_renewal_due(now)
+                else None
+            )
         waited_s = now - self._seen_at_s
         # The holder's own duration counts: it may differ while settings change.
         if self._record.holder and waited_s < self._record.duration_s + self._margin_s:
             return None
-        return self._send(self._record.fencing + 1, now)
+        return self._renewal_write(self._record.fencing + 1, now)
 
-    def written(self, write: LeaseWrite, version: int) -> None:
+    def on_written(self, write: LeaseWrite, version: int) -> None:
         """Take in that a write was done."""
         self._version = version
         self._record = write.record
         self._valid_from_s = self._sent_at_s.get(write.record.renewal)
         self._sent_at_s.clear()
 
-    def refused(self, write: LeaseWrite) -> None:
+    def on_refused(self, write: LeaseWrite) -> None:
         """Take in that a write was not applied and never will be."""
         self._sent_at_s.pop(write.record.renewal, None)
 
@@ -99,10 +103,10 @@
         record = self._record._replace(holder="", renewal=self._renewal)
         return LeaseWrite(record, self._version)
 
-    def _is_due(self, now: float) -> bool:
+    def _is_renewal_due(self, now: float) -> bool:
         return self._valid_from_s is None or now >= self._valid_from_s + self._duration_s / 3
 
-    def _send(self, fencing: int, now: float) -> LeaseWrite:
+    def _renewal_write(self, fencing: int, now: float) -> LeaseWrite:
         self._renewal += 1
         self._sent_at_s[self._renewal] = now
         record = LeaseRecord(self._holder, fencing, self._renewal, self._duration_s)
--- a/cassiadrum/states/pending_marks.py
+++ b/cassiadrum/states/pending_outcomes.py
@@ -6,13 +6,13 @@
 from cassiadrum.states.claim_keys import ClaimKey
 from cassiadrum.states.claim_records import ClaimRecord
 
-__all__ = ["PendingMark", "PendingMarks"]
+__all__ = ["PendingOutcome", "PendingOutcomes"]
 
 # An estimate of the memory of a mark without its answer's body.
-MARK_BYTES = 1024
+OUTCOME_OVERHEAD_BYTES = 1024
 
 
-class PendingMark(NamedTuple):
+class PendingOutcome(NamedTuple):
     """A claim's record to write when the store is back."""
 
     key: ClaimKey
@@ -20,10 +20,10 @@
 
     def size(self) -> int:
         """Return the approximate size in bytes."""
-        return MARK_BYTES + (len(self.record.answer.body) if self.record.answer else 0)
+        return OUTCOME_OVERHEAD_BYTES + (len(self.record.answer.body) if self.record.answer else 0)
 
 
-class PendingMarks:
+class PendingOutcomes:
     """Keep marks by operation id up to a size in bytes; the oldest are dropped first.
 
     A claim whose mark is dropped becomes `unknown` when it expires.
@@ -31,28 +31,28 @@
 
     def __init__(self, limit_bytes: int = 2 * 1024 * 1024) -> None:
         self._limit_bytes = limit_bytes
-        self._marks: OrderedDict[str, PendingMark] = OrderedDict()
+        self._outcomes: OrderedDict[str, PendingOutcome] = OrderedDict()
         self._bytes = 0
         self.dropped = 0
 
     def __len__(self) -> int:
-        return len(self._marks)
+        return len(self._outcomes)
 
-    def add(self, mark: PendingMark) -> None:
+    def add(self, outcome: PendingOutcome) -> None:
         """Add a mark, or replace the one of the same operation."""
-        self.remove(mark.record.operation_id)
-        self._marks[mark.record.operation_id] = mark
-        self._bytes += mark.size()
+        self.remove(outcome.record.operation_id)
+        self._outcomes[outcome.record.operation_id] = outcome
+        self._bytes += outcome.size()
         while self._bytes > self._limit_bytes:
-            self.remove(next(iter(self._marks)))
+            self.remove(next(iter(self._outcomes)))
             self.dropped += 1
 
     def remove(self, operation_id: str) -> None:
         """Remove the mark of an operation, if there is one."""
-        mark = self._marks.pop(operation_id, None)
-        if mark is not None:
-            self._bytes -= mark.size()
+        outcome = self._outcomes.pop(operation_id, None)
+        if outcome is not None:
+            self._bytes -= outcome.size()
 
-    def snapshot(self) -> list[PendingMark]:
+    def snapshot(self) -> list[PendingOutcome]:
         """Return the marks, oldest first."""
-        return list(self._marks.values())
+        return list(self._outcomes.values())
--- a/cassiadrum/stores/__init__.py
+++ b/cassiadrum/stores/__init__.py
@@ -6,13 +6,13 @@
 from cassiadrum.stores.http_object_stores import HttpObjectStore
 from cassiadrum.stores.http_table_stores import HttpTableStore
 from cassiadrum.stores.http_weight_stores import HttpWeightStore
-from cassiadrum.stores.http_wires import HttpWire
 from cassiadrum.stores.instance_lists import InstanceList
 from cassiadrum.stores.instances import Instance
 from cassiadrum.stores.object_stores import ObjectStore
 from cassiadrum.stores.row_pages import RowPage
 from cassiadrum.stores.rows import Row
 from cassiadrum.stores.store_budgets import StoreBudget
+from cassiadrum.stores.store_transports import StoreTransport
 from cassiadrum.stores.table_stores import BATCH_WRITES, LIST_ROWS, TableStore
 from cassiadrum.stores.table_writes import TableWrite
 from cassiadrum.stores.token_buckets import TokenBucket
@@ -29,7 +29,6 @@
     "HttpObjectStore",
     "HttpTableStore",
     "HttpWeightStore",
-    "HttpWire",
     "Instance",
     "InstanceList",
     "ObjectStore",
@@ -38,6 +37,7 @@
     "RowPage",
     "StoreBudget",
     "StoreError",
+    "StoreTransport",
     "StoreUnavailable",
     "TableStore",
     "TableWrite",
--- a/cassiadrum/stores/circuit_breakers.py
+++ b/cassiadrum/stores/circuit_breakers.py
@@ -26,11 +26,11 @@
         self._probe_at_s = now + self._probe_interval_s
         return True
 
-    def succeeded(self) -> None:
+    def record_success(self) -> None:
         """Count an answer of the store; it closes the breaker."""
         self._failures = 0
 
-    def failed(self, now: float) -> None:
+    def record_failure(self, now: float) -> None:
         """Count a request without an answer."""
         self._failures += 1
         if self._failures == self._limit:
--- a/cassiadrum/stores/http_instance_lists.py
+++ b/cassiadrum/stores/http_instance_lists.py
@@ -4,9 +4,9 @@
 
 from cassiadrum.protocols import Headers
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
 from cassiadrum.stores.instance_lists import InstanceList
 from cassiadrum.stores.instances import Instance
+from cassiadrum.stores.store_transports import StoreResponse, StoreTransport, quote_segment
 from cassiadrum.stores.write_results import Done, Refused, WriteResult
 
 __all__ = ["HttpInstanceList"]
@@ -15,8 +15,8 @@
 class HttpInstanceList(InstanceList):
     """Speak the instance list's HTTP protocol."""
 
-    def __init__(self, wire: HttpWire) -> None:
-        self._wire = wire
+    def __init__(self, transport: StoreTransport) -> None:
+        self._transport = transport
         self._etag = ""
         self._last: tuple[Instance, ...] = ()
 
@@ -26,7 +26,7 @@
         The read is conditional, because at 9,600 instances the list takes more than a megabyte.
         """
         condition: Headers = (("if-none-match", self._etag),) if self._etag else ()
-        answer = await self._wire.read("/instances", condition)
+        answer = await self._transport.read("/instances", condition)
         if answer.status == 304:
             return self._last
         if answer.status != 200:
@@ -43,18 +43,18 @@
     async def register(self, instance: Instance) -> WriteResult:
         """Add or replace an entry; repeating it is harmless."""
         body = msgspec.json.encode(instance._asdict())
-        return await self._write("PUT", f"/instances/{quoted(instance.instance)}", body)
+        return await self._write("PUT", f"/instances/{quote_segment(instance.instance)}", body)
 
     async def deregister(self, instance: str) -> WriteResult:
         """Remove an entry; repeating it is harmless."""
-        return await self._write("DELETE", f"/instances/{quoted(instance)}")
+        return await self._write("DELETE", f"/instances/{quote_segment(instance)}")
 
     async def mark_leaving(self, instance: str) -> WriteResult:
         """Set the state of an entry to `leaving`; repeating it is harmless."""
-        return await self._write("POST", f"/instances/{quoted(instance)}/leaving")
+        return await self._write("POST", f"/instances/{quote_segment(instance)}/leaving")
 
     async def _write(self, method: str, target: str, body: bytes = b"") -> WriteResult:
-        answer = await self._wire.write(method, target, (), body)
-        if not isinstance(answer, WireAnswer):
+        answer = await self._transport.write(method, target, (), body)
+        if not isinstance(answer, StoreResponse):
             return answer
         return Done() if answer.status == 200 else Refused(f"status {answer.status}")
--- a/cassiadrum/stores/http_object_stores.py
+++ b/cassiadrum/stores/http_object_stores.py
@@ -1,8 +1,8 @@
 """The object store over HTTP."""
 
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
 from cassiadrum.stores.object_stores import ObjectStore
+from cassiadrum.stores.store_transports import StoreResponse, StoreTransport, quote_segment
 from cassiadrum.stores.write_results import Done, Refused, WriteResult
 
 __all__ = ["HttpObjectStore"]
@@ -11,12 +11,12 @@
 class HttpObjectStore(ObjectStore):
     """Speak the object store's HTTP protocol."""
 
-    def __init__(self, wire: HttpWire) -> None:
-        self._wire = wire
+    def __init__(self, transport: StoreTransport) -> None:
+        self._transport = transport
 
     async def get(self, key: str) -> bytes | None:
         """Return an object, or None when there is none; raise StoreUnavailable."""
-        answer = await self._wire.read(f"/objects/{quoted(key)}")
+        answer = await self._transport.read(f"/objects/{quote_segment(key)}")
         if answer.status == 404:
             return None
         if answer.status != 200:
@@ -32,7 +32,7 @@
         return await self._write("DELETE", key)
 
     async def _write(self, method: str, key: str, data: bytes = b"") -> WriteResult:
-        answer = await self._wire.write(method, f"/objects/{quoted(key)}", (), data)
-        if not isinstance(answer, WireAnswer):
+        answer = await self._transport.write(method, f"/objects/{quote_segment(key)}", (), data)
+        if not isinstance(answer, StoreResponse):
             return answer
         return Done() if answer.status == 200 else Refused(f"status {answer.status}")
--- a/cassiadrum/stores/http_table_stores.py
+++ b/cassiadrum/stores/http_table_stores.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.stores.http_wires import HttpWire, WireAnswer, quoted
 from cassiadrum.stores.row_pages import RowPage
 from cassiadrum.stores.rows import Row
+from cassiadrum.stores.store_transports import StoreResponse, StoreTransport, quote_segment
 from cassiadrum.stores.table_stores import LIST_ROWS, TableStore
 from cassiadrum.stores.table_writes import TableWrite
 from cassiadrum.stores.write_results import Conflict, Done, Refused, Unknown, WriteResult
@@ -19,12 +19,12 @@
 class HttpTableStore(TableStore):
     """Speak the table service's HTTP protocol."""
 
-    def __init__(self, wire: HttpWire) -> None:
-        self._wire = wire
+    def __init__(self, transport: StoreTransport) -> None:
+        self._transport = transport
 
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or None when there is none; raise StoreUnavailable."""
-        answer = await self._wire.read(_target(table, key))
+        answer = await self._transport.read(_target(table, key))
         if answer.status == 404:
             return None
         return _row(_decoded(answer))
@@ -40,8 +40,8 @@
     ) -> RowPage:
         """Return rows by key prefix, with only the named fields; raise StoreUnavailable."""
         query = {"prefix": prefix, "limit": limit, "after": after, "fields": ",".join(fields)}
-        target = f"/tables/{quoted(table)}/rows?{urlencode(query)}"
-        raw = _decoded(await self._wire.read(target))
+        target = f"/tables/{quote_segment(table)}/rows?{urlencode(query)}"
+        raw = _decoded(await self._transport.read(target))
         try:
             rows = tuple(_row(item) for item in msgspec.convert(raw["rows"], list[object]))
             return RowPage(rows, msgspec.convert(raw["next_after"], str))
@@ -54,25 +54,25 @@
             answer = await self._write_one(writes[0])
         else:
             body = msgspec.json.encode({"writes": [write._asdict() for write in writes]})
-            answer = await self._wire.write("POST", "/batch", (), body)
-        return _result(answer) if isinstance(answer, WireAnswer) else answer
+            answer = await self._transport.write("POST", "/batch", (), body)
+        return _result(answer) if isinstance(answer, StoreResponse) else answer
 
-    async def _write_one(self, write: TableWrite) -> WireAnswer | Refused | Unknown:
+    async def _write_one(self, write: TableWrite) -> StoreResponse | Refused | Unknown:
         target = _target(write.table, write.key)
         condition = ("if-match", f'"{write.expected}"')
         if write.expected == 0:
             condition = ("if-none-match", "*")
         if write.value is None:
-            return await self._wire.write("DELETE", target, (condition,))
+            return await self._transport.write("DELETE", target, (condition,))
         body = msgspec.json.encode(write.value)
-        return await self._wire.write("PUT", target, (condition,), body)
+        return await self._transport.write("PUT", target, (condition,), body)
 
 
 def _target(table: str, key: str) -> str:
-    return f"/tables/{quoted(table)}/rows/{quoted(key)}"
+    return f"/tables/{quote_segment(table)}/rows/{quote_segment(key)}"
 
 
-def _decoded(answer: WireAnswer) -> dict[str, object]:
+def _decoded(answer: StoreResponse) -> dict[str, object]:
     if answer.status != 200:
         raise StoreUnavailable(f"status {answer.status}")
     try:
@@ -89,7 +89,7 @@
         raise StoreUnavailable(f"invalid row: {exc}") from exc
 
 
-def _result(answer: WireAnswer) -> WriteResult:
+def _result(answer: StoreResponse) -> WriteResult:
     """Return the result of an answered write; one that cannot be read leaves it unknown."""
     if answer.status not in (200, 412):
         return Refused(f"status {answer.status}: {answer.body[:200].decode(errors='replace')}")
--- a/cassiadrum/stores/http_weight_stores.py
+++ b/cassiadrum/stores/http_weight_stores.py
@@ -8,7 +8,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.protocols import HttpError
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.stores.http_wires import HttpWire, quoted
+from cassiadrum.stores.store_transports import StoreTransport, quote_segment
 from cassiadrum.stores.weight_stores import WeightStore
 
 __all__ = ["HttpWeightStore"]
@@ -17,13 +17,15 @@
 class HttpWeightStore(WeightStore):
     """Speak the weight store's HTTP protocol."""
 
-    def __init__(self, wire: HttpWire, *, stall_timeout_s: float = LIMITS.STORE_TIMEOUT_S) -> None:
-        self._wire = wire
+    def __init__(
+        self, transport: StoreTransport, *, stall_timeout_s: float = LIMITS.STORE_TIMEOUT_S
+    ) -> None:
+        self._transport = transport
         self._stall_timeout_s = stall_timeout_s
 
     async def size(self, name: str) -> int | None:
         """Return the size in bytes, or None when the name is unknown; raise StoreUnavailable."""
-        answer = await self._wire.read(f"/weights/{quoted(name)}/size")
+        answer = await self._transport.read(f"/weights/{quote_segment(name)}/size")
         if answer.status == 404:
             return None
         try:
@@ -33,7 +35,7 @@
 
     async def download(self, name: str, offset: int = 0) -> AsyncGenerator[bytes, None]:
         """Yield the bytes from `offset`; raise StoreUnavailable when they stop early."""
-        response = await self._wire.open(f"/weights/{quoted(name)}?offset={offset}")
+        response = await self._transport.open(f"/weights/{quote_segment(name)}?offset={offset}")
         if response.status != 200:
             raise StoreUnavailable(f"status {response.status}")
         body = response.body
--- a/cassiadrum/stores/http_wires.py
+++ b/cassiadrum/stores/store_transports.py
@@ -12,12 +12,12 @@
 from cassiadrum.stores.store_budgets import StoreBudget
 from cassiadrum.stores.write_results import Refused, Unknown
 
-__all__ = ["HttpWire", "WireAnswer", "quoted"]
+__all__ = ["StoreResponse", "StoreTransport", "quote_segment"]
 
 T = TypeVar("T")
 
 
-class WireAnswer(NamedTuple):
+class StoreResponse(NamedTuple):
     """Hold the status, headers and body of an answer below 500 other than 429."""
 
     status: int
@@ -25,7 +25,7 @@
     body: bytes
 
 
-class HttpWire:
+class StoreTransport:
     """Send requests to one store; `clock` returns monotonic seconds.
 
     `called` is told the result of each call: `answered`, `not_applied` or `unknown`.
@@ -39,16 +39,16 @@
         budget: StoreBudget | None = None,
         breaker: CircuitBreaker | None = None,
         timeout_s: float = LIMITS.STORE_TIMEOUT_S,
-        called: Callable[[str], None] = lambda result: None,
+        on_result: Callable[[str], None] = lambda result: None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._budget = budget
         self.breaker = breaker or CircuitBreaker()
         self._timeout_s = timeout_s
-        self._called = called
+        self._on_result = on_result
 
-    async def read(self, target: str, headers: Headers = ()) -> WireAnswer:
+    async def read(self, target: str, headers: Headers = ()) -> StoreResponse:
         """Send a GET; raise StoreUnavailable when no valid answer came."""
         try:
             return await self._send("GET", target, headers, b"")
@@ -57,7 +57,7 @@
 
     async def write(
         self, method: str, target: str, headers: Headers = (), body: bytes = b""
-    ) -> WireAnswer | Refused | Unknown:
+    ) -> StoreResponse | Refused | Unknown:
         """Send a write and return its answer, or a result without one."""
         try:
             answer = await self._send(method, target, headers, body)
@@ -77,17 +77,19 @@
         except StoreError as exc:
             raise StoreUnavailable(str(exc)) from exc
 
-    async def _send(self, method: str, target: str, headers: Headers, body: bytes) -> WireAnswer:
-        async def exchange() -> WireAnswer:
+    async def _send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> StoreResponse:
+        async def exchange() -> StoreResponse:
             response = await self._client.request(method, target, headers, body)
-            return WireAnswer(response.status, response.headers, await response.read())
+            return StoreResponse(response.status, response.headers, await response.read())
 
         try:
-            answer = self._checked(await self._guarded(method, exchange))
+            answer = self._check_status(await self._guarded(method, exchange))
         except StoreError as exc:
-            self._called("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
+            self._on_result("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
             raise
-        self._called("answered")
+        self._on_result("answered")
         return answer
 
     async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
@@ -100,10 +102,10 @@
             async with asyncio.timeout(max(0.0, deadline_s - self._clock())):
                 return await send()
         except ConnectFailed as exc:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             raise NotApplied(str(exc)) from exc
         except (HttpError, TimeoutError) as exc:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             raise OutcomeLost(str(exc) or f"no answer in {self._timeout_s:g} s") from exc
 
     async def _wait_for_budget(self, method: str) -> None:
@@ -115,25 +117,25 @@
             raise NotApplied("rate budget of this process used up", 1.0)
         await asyncio.sleep(wait_s)
 
-    def _checked(self, answer: WireAnswer) -> WireAnswer:
+    def _check_status(self, answer: StoreResponse) -> StoreResponse:
         """Return an answer that the store gave on the request itself.
 
         By the protocol 429 and 503 state that nothing was applied; any other status of 500 or
         above leaves that open.
         """
         if answer.status == 429:
-            self.breaker.succeeded()
+            self.breaker.record_success()
             raise NotApplied("rate limited by the store", _retry_after_s(answer.headers))
         if answer.status >= 500:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             if answer.status == 503:
                 raise NotApplied("the store is unavailable", _retry_after_s(answer.headers))
             raise OutcomeLost(f"status {answer.status}")
-        self.breaker.succeeded()
+        self.breaker.record_success()
         return answer
 
 
-def quoted(text: str) -> str:
+def quote_segment(text: str) -> str:
     """Return a path segment or query value with every reserved character escaped."""
     return quote(text, safe="")
 
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -14,7 +14,7 @@
     TableService,
 )
 from cassiadrum.states import Accepted, ConfigurationWriter
-from cassiadrum.stores import HttpInstanceList, HttpTableStore, HttpWire, Instance
+from cassiadrum.stores import HttpInstanceList, HttpTableStore, Instance, StoreTransport
 
 __all__ = ["AddressedEngine", "EndpointStandin", "Platform", "build_endpoint"]
 
@@ -118,7 +118,7 @@
         client.close()
 
 
-def wire_to(address: str) -> HttpWire:
+def wire_to(address: str) -> StoreTransport:
     """Return the wire to a store."""
     host, _, port = address.rpartition(":")
-    return HttpWire(HttpClient(host, int(port)), time.monotonic)
+    return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/cassiadrum/tests/test_claims.py
+++ b/cassiadrum/tests/test_claims.py
@@ -11,6 +11,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.states import (
     CLAIM_TABLE,
+    AlreadyCompleted,
     ClaimCleaner,
     Claimed,
     ClaimKey,
@@ -18,7 +19,6 @@
     ClaimService,
     ClaimState,
     InProgress,
-    Kept,
     KeptAnswer,
     KeyReused,
     OutcomeUnknown,
@@ -81,8 +81,8 @@
         assert isinstance(claim, Claimed)
         other = bench.service("b")
         assert isinstance(bench.run(other.claim(KEY, "h", DEADLINE_S)), InProgress)
-        assert bench.run(service.finish(claim, ANSWER))
-        assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == Kept(ANSWER)
+        assert bench.run(service.record_answer(claim, ANSWER))
+        assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
         assert bench.run(other.claim(KEY, "other", DEADLINE_S)) == KeyReused()
 
     def test_lost_answer_to_the_claim_is_read_back(self) -> None:
@@ -97,7 +97,7 @@
         refused = bench.run(claim, Fault.ANSWER_LOST, Fault.REFUSED)
         assert isinstance(refused, StoreUnavailable)
         assert isinstance(bench.run(service.claim(KEY, "h", DEADLINE_S)), InProgress)
-        assert bench.run(service.settle_pending()) == 0
+        assert bench.run(service.write_pending()) == 0
         record = bench.record()
         assert record is not None and record.state is ClaimState.NOT_RUN
         assert isinstance(bench.run(bench.service("b").claim(KEY, "h", DEADLINE_S)), Claimed)
@@ -106,7 +106,7 @@
         bench = Bench()
         service = bench.service("a")
         bench.run(service.claim(KEY, "h", DEADLINE_S), Fault.DELAYED, Fault.REFUSED)
-        assert bench.run(service.settle_pending()) == 0
+        assert bench.run(service.write_pending()) == 0
         bench.store.deliver(0)
         record = bench.record()
         assert record is not None and record.state is ClaimState.NOT_RUN
@@ -116,11 +116,11 @@
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
         assert isinstance(claim, Claimed)
-        assert bench.run(service.lost_answer(claim))
+        assert bench.run(service.record_lost_answer(claim))
         assert isinstance(bench.run(service.claim(KEY, "h", DEADLINE_S)), OutcomeUnknown)
-        assert bench.run(service.settle_unknown(KEY, ran=True))
+        assert bench.run(service.resolve_unknown(KEY, ran=True))
         kept = bench.run(service.claim(KEY, "h", DEADLINE_S))
-        assert isinstance(kept, Kept) and not kept.answer.body_kept
+        assert isinstance(kept, AlreadyCompleted) and not kept.answer.body_kept
 
     def test_running_claim_of_a_lost_sidecar_becomes_unknown(self) -> None:
         bench = Bench()
@@ -134,18 +134,18 @@
         assert record is not None and record.state is ClaimState.UNKNOWN
         # The sidecar was only paused: its outcome replaces `unknown`.
         assert isinstance(claim, Claimed)
-        assert bench.run(bench.service("a").finish(claim, ANSWER))
-        assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == Kept(ANSWER)
+        assert bench.run(bench.service("a").record_answer(claim, ANSWER))
+        assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
     def test_outcome_is_written_when_the_store_is_back(self) -> None:
         bench = Bench()
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
         assert isinstance(claim, Claimed)
-        assert not bench.run(service.finish(claim, ANSWER), Fault.REFUSED)
-        assert bench.run(service.settle_pending(), Fault.REFUSED) == 1
-        assert bench.run(service.settle_pending()) == 0
-        assert bench.run(service.claim(KEY, "h", DEADLINE_S)) == Kept(ANSWER)
+        assert not bench.run(service.record_answer(claim, ANSWER), Fault.REFUSED)
+        assert bench.run(service.write_pending(), Fault.REFUSED) == 1
+        assert bench.run(service.write_pending()) == 0
+        assert bench.run(service.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
     def test_large_answer_goes_to_the_object_store_or_is_told_gone(self) -> None:
         bench = Bench()
@@ -155,9 +155,9 @@
             bench.objects.down = down
             claim = bench.run(service.claim(key, "h", DEADLINE_S))
             assert isinstance(claim, Claimed)
-            assert bench.run(service.finish(claim, large))
+            assert bench.run(service.record_answer(claim, large))
             expected = large._replace(body=b"", body_kept=False) if down else large
-            assert bench.run(service.claim(key, "h", DEADLINE_S)) == Kept(expected)
+            assert bench.run(service.claim(key, "h", DEADLINE_S)) == AlreadyCompleted(expected)
         assert len(bench.objects.objects) == 1
 
     def test_clean_up_removes_old_rows_only(self) -> None:
@@ -168,13 +168,13 @@
             claim = bench.run(service.claim(KEY._replace(key=str(index)), "h", DEADLINE_S))
             assert isinstance(claim, Claimed)
             if index == 0:
-                bench.run(service.finish(claim, large))
+                bench.run(service.record_answer(claim, large))
         bench.now += LIMITS.CLAIM_RETENTION_S
         assert isinstance(bench.run(service.claim(KEY, "h", DEADLINE_S)), Claimed)
         cleaner = ClaimCleaner(
             bench.store, bench.objects, wall_clock=lambda: bench.now, page_rows=40
         )
-        assert [bench.run(cleaner.step()) for _ in range(3)] == [40, 20, 0]
+        assert [bench.run(cleaner.clean_page()) for _ in range(3)] == [40, 20, 0]
         assert bench.record() is not None and not bench.objects.objects
 
 
@@ -194,18 +194,18 @@
 
     async def serve(self, service: ClaimService, key: ClaimKey) -> None:
         claim = await service.claim(key, "h", DEADLINE_S)
-        if isinstance(claim, Kept):
+        if isinstance(claim, AlreadyCompleted):
             assert claim.answer == ANSWER and len(self.runs[key]) == 1
         if not isinstance(claim, Claimed):
             return
         operation_id = claim.record.operation_id
         outcome = await Operation(lambda: self.runs[key].append(operation_id), True)
         if isinstance(outcome, Refused):
-            await service.not_run(claim)
+            await service.record_not_run(claim)
         elif isinstance(outcome, Unknown):
-            await service.lost_answer(claim)
+            await service.record_lost_answer(claim)
         else:
-            await service.finish(claim, ANSWER)
+            await service.record_answer(claim, ANSWER)
 
     def track(self, sidecar: int, coro: Coroutine[Any, Any, Any], faults: list[Fault]) -> None:
         process = Stepped(self.bench.store, coro)
@@ -225,7 +225,7 @@
 
     @rule(sidecar=st.integers(0, 2), faults=FAULT_RUNS)
     def settle(self, sidecar: int, faults: list[Fault]) -> None:
-        self.track(sidecar, self.sidecars[sidecar].settle_pending(), faults)
+        self.track(sidecar, self.sidecars[sidecar].write_pending(), faults)
 
     @precondition(lambda self: self.bench.store.delayed)
     @rule(index=st.integers(0, 9))
--- a/cassiadrum/tests/test_configurations.py
+++ b/cassiadrum/tests/test_configurations.py
@@ -126,7 +126,7 @@
         assert registry.apply(ConfigurationRecord(SERVICE, 3, deleted=True))
         assert not registry.apply(ConfigurationRecord(SERVICE, 2, TEXT))
         assert registry.document(SERVICE) is None and registry.versions() == {SERVICE: 3}
-        assert registry.missing({SERVICE: 3, "new": 1}) == ["new"]
+        assert registry.outdated_services({SERVICE: 3, "new": 1}) == ["new"]
 
     def test_invalid_record_leaves_the_document_in_force(self) -> None:
         registry = ConfigurationRegistry()
--- a/cassiadrum/tests/test_leases.py
+++ b/cassiadrum/tests/test_leases.py
@@ -12,10 +12,10 @@
     LEASE_TABLE,
     FencingGuard,
     FencingRefused,
-    LeaseCore,
-    LeaseKeeper,
     LeaseLost,
+    LeaseManager,
     LeaseRecord,
+    LeaseStateMachine,
 )
 from cassiadrum.tests.stepped_stores import FAULT_RUNS, Fault, Stepped, SteppedStore
 
@@ -28,9 +28,9 @@
 
 def new_keeper(
     store: SteppedStore, holder: str, clock: Callable[[], float], margin_s: float = MARGIN_S
-) -> LeaseKeeper:
-    core = LeaseCore(holder, duration_s=DURATION_S, margin_s=margin_s)
-    return LeaseKeeper(store, NAME, core, clock)
+) -> LeaseManager:
+    core = LeaseStateMachine(holder, duration_s=DURATION_S, margin_s=margin_s)
+    return LeaseManager(store, NAME, core, clock)
 
 
 def stored(store: SteppedStore) -> LeaseRecord | None:
@@ -47,7 +47,7 @@
         self.one = new_keeper(self.store, "one", lambda: self.now)
         self.two = new_keeper(self.store, "two", lambda: self.now)
 
-    def step(self, keeper: LeaseKeeper, *faults: Fault) -> None:
+    def step(self, keeper: LeaseManager, *faults: Fault) -> None:
         process = Stepped(self.store, keeper.step())
         for fault in faults:
             process.step(fault)
@@ -158,7 +158,7 @@
         self.holders: dict[int, str] = {}
         self.checked: list[int] = []
 
-    def start(self, index: int) -> LeaseKeeper:
+    def start(self, index: int) -> LeaseManager:
         self.starts += 1
         rate = self.rates[index]
         return new_keeper(self.store, f"{index}-{self.starts}", lambda: self.now * rate)
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -20,47 +20,47 @@
 
     def setup_method(self) -> None:
         self.members = Membership("sidecar")
-        self.members.listed([sidecar("a"), sidecar("b")], 0.0)
-        self.members.connected("a")
-        self.members.connected("b")
+        self.members.apply_list([sidecar("a"), sidecar("b")], 0.0)
+        self.members.mark_connected("a")
+        self.members.mark_connected("b")
 
     def kinds(self, changes: list) -> list[tuple[ChangeKind, str]]:  # type: ignore[type-arg]
         return [(change.kind, change.member.instance) for change in changes]
 
     @pytest.mark.parametrize("wrong", [[], [sidecar("c", service="other")]])
     def test_wrong_list_removes_nobody_who_answers(self, wrong: list[Instance]) -> None:
-        self.members.listed(wrong, 1.0)
-        changes = self.members.listed(wrong, 10 * REMOVAL_LIMIT_S)
+        self.members.apply_list(wrong, 1.0)
+        changes = self.members.apply_list(wrong, 10 * REMOVAL_LIMIT_S)
         assert ChangeKind.LEFT not in {c.kind for c in changes if c.member.service == "s"}
         assert self.members.member("a") and self.members.member("b")
 
     def test_empty_list_removes_nobody_who_is_silent_meanwhile(self) -> None:
-        self.members.disconnected("a", 1.0)
-        assert self.members.listed([], 1.0 + 2 * REMOVAL_LIMIT_S) == []
+        self.members.mark_disconnected("a", 1.0)
+        assert self.members.apply_list([], 1.0 + 2 * REMOVAL_LIMIT_S) == []
 
     def test_unlisted_and_silent_is_removed_after_the_limit(self) -> None:
-        self.members.listed([sidecar("b")], 1.0)
-        self.members.disconnected("a", 5.0)
+        self.members.apply_list([sidecar("b")], 1.0)
+        self.members.mark_disconnected("a", 5.0)
         assert self.members.tick(5.0 + REMOVAL_LIMIT_S - 0.1) == []
         changes = self.members.tick(5.0 + REMOVAL_LIMIT_S)
         assert self.kinds(changes) == [(ChangeKind.LEFT, "a")]
 
     def test_listed_again_is_not_removed(self) -> None:
-        self.members.listed([sidecar("b")], 1.0)
-        self.members.disconnected("a", 1.0)
-        self.members.listed([sidecar("a"), sidecar("b")], 5.0)
+        self.members.apply_list([sidecar("b")], 1.0)
+        self.members.mark_disconnected("a", 1.0)
+        self.members.apply_list([sidecar("a"), sidecar("b")], 5.0)
         assert self.members.tick(100.0) == []
 
     def test_either_source_makes_a_member_leave(self) -> None:
-        changes = self.members.listed([sidecar("a", state="leaving"), sidecar("b")], 1.0)
-        changes += self.members.reported("b", True, 1.0)
+        changes = self.members.apply_list([sidecar("a", state="leaving"), sidecar("b")], 1.0)
+        changes += self.members.apply_report("b", True, 1.0)
         assert self.kinds(changes) == [(ChangeKind.LEAVING, "a"), (ChangeKind.LEAVING, "b")]
-        assert self.members.reported("a", False, 2.0) == []
+        assert self.members.apply_report("a", False, 2.0) == []
 
     def test_new_address_is_used_once_the_old_one_is_silent(self) -> None:
-        assert self.members.listed([sidecar("a", 2), sidecar("b")], 1.0) == []
-        self.members.disconnected("a", 2.0)
-        self.members.disconnected("a", 2.9)
+        assert self.members.apply_list([sidecar("a", 2), sidecar("b")], 1.0) == []
+        self.members.mark_disconnected("a", 2.0)
+        self.members.mark_disconnected("a", 2.9)
         assert self.members.tick(2.0 + MOVE_DELAY_S - 0.1) == []
         changes = self.members.tick(2.0 + MOVE_DELAY_S)
         assert self.kinds(changes) == [(ChangeKind.MOVED, "a")]
@@ -159,10 +159,10 @@
         ranked = Subset("e", "z", 5)
         for name in names:
             ranked.put(sidecar(name))
-        best, *_, last = ranked.chosen(0.0)
+        best, *_, last = ranked.select(0.0)
         old = tuple(sidecar(name) for name in names if name != best)
         self.links.listed(old)
-        displaced = ranked.chosen(0.0)[2]
+        displaced = ranked.select(0.0)[2]
         self.busy.add(displaced)
         for _ in range(2):
             self.links.listed((*old, sidecar(best)))
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -16,7 +16,7 @@
 from cassiadrum.roles.order_tasks import OrderTask
 from cassiadrum.standins import EngineStandin, TableService
 from cassiadrum.states import FencingGuard
-from cassiadrum.stores import HttpTableStore, HttpWire, TableStore
+from cassiadrum.stores import HttpTableStore, StoreTransport, TableStore
 
 
 class Recorder:
@@ -33,7 +33,7 @@
 async def store() -> AsyncIterator[TableStore]:
     service = TableService()
     client = HttpClient("127.0.0.1", await service.start())
-    yield HttpTableStore(HttpWire(client, time.monotonic))
+    yield HttpTableStore(StoreTransport(client, time.monotonic))
     client.close()
     await service.close()
 
--- a/cassiadrum/tests/test_stores.py
+++ b/cassiadrum/tests/test_stores.py
@@ -26,10 +26,10 @@
     HttpObjectStore,
     HttpTableStore,
     HttpWeightStore,
-    HttpWire,
     Instance,
     Refused,
     StoreBudget,
+    StoreTransport,
     StoreUnavailable,
     TableWrite,
     TokenBucket,
@@ -37,9 +37,9 @@
 )
 
 
-async def open_wire(standin: StandIn, *, timeout_s: float = 2.0) -> HttpWire:
+async def open_wire(standin: StandIn, *, timeout_s: float = 2.0) -> StoreTransport:
     client = HttpClient("127.0.0.1", await standin.start())
-    return HttpWire(client, time.monotonic, timeout_s=timeout_s)
+    return StoreTransport(client, time.monotonic, timeout_s=timeout_s)
 
 
 @pytest.fixture
@@ -129,7 +129,7 @@
             client = HttpClient(host, int(port))
             body = msgspec.json.encode({"drop_answers": 1})
             assert (await client.request("POST", "/faults", (), body)).status == 200
-            store = HttpTableStore(HttpWire(client, time.monotonic))
+            store = HttpTableStore(StoreTransport(client, time.monotonic))
             assert isinstance(await store.put("t", "k", {}, 0), Unknown)
             assert await store.get("t", "k") is not None
         finally:
@@ -239,7 +239,7 @@
     async def test_used_up_budget_is_not_done(self, tables: TableService) -> None:
         client = HttpClient("127.0.0.1", await tables.start())
         budget = StoreBudget.of_share(1.0, 1.0, 100, burst=1.0)
-        store = HttpTableStore(HttpWire(client, time.monotonic, budget=budget))
+        store = HttpTableStore(StoreTransport(client, time.monotonic, budget=budget))
         assert isinstance(await store.put("t", "a", {}, 0), Done)
         assert isinstance(await store.put("t", "b", {}, 0), Refused)
         assert tables.rows.get("t", "b") is None
@@ -250,9 +250,9 @@
 
     def test_open_lets_one_probe_through(self) -> None:
         breaker = CircuitBreaker(failures=2, probe_interval_s=1.0)
-        breaker.failed(0.0)
+        breaker.record_failure(0.0)
         assert breaker.allow(0.0)
-        breaker.failed(0.0)
+        breaker.record_failure(0.0)
         assert [breaker.allow(now) for now in (0.5, 1.0, 1.1, 2.0)] == [False, True, False, True]
-        breaker.succeeded()
+        breaker.record_success()
         assert breaker.allow(2.1)
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -51,9 +51,9 @@
         """Dial until each entry instance has the links that it wants."""
         for entry, subset in self.subsets.items():
             linked = self.links[entry]
-            while linked != (chosen := set(subset.chosen(0.0))):
+            while linked != (chosen := set(subset.select(0.0))):
                 for name in linked - chosen:
-                    self.bounds[name].lost(entry, -1e9)
+                    self.bounds[name].connection_lost(entry, -1e9)
                 linked &= chosen
                 for name in chosen - linked:
                     if self.bounds[name].admit(entry, 0.0):
@@ -75,24 +75,24 @@
         subset = Subset("e", "z1", 3)
         for number in range(9):
             subset.put(instance("sidecar", f"s{number}", number))
-        assert sorted(subset.chosen(0.0)) == ["s1", "s4", "s7"]
+        assert sorted(subset.select(0.0)) == ["s1", "s4", "s7"]
 
     def test_leaving_sidecar_is_replaced_before_it_is_gone(self) -> None:
         subset = Subset("e", "z", 2)
         for number in range(3):
             subset.put(instance("sidecar", f"s{number}", number))
-        first = subset.chosen(0.0)
+        first = subset.select(0.0)
         subset.set_leaving(first[0], True)
-        assert first[0] not in subset.chosen(0.0)
-        assert len(subset.chosen(0.0)) == 2
+        assert first[0] not in subset.select(0.0)
+        assert len(subset.select(0.0)) == 2
 
     def test_full_sidecars_are_asked_again_when_too_few_are_left(self) -> None:
         subset = Subset("e", "z", 2)
         for number in range(2):
             subset.put(instance("sidecar", f"s{number}", number))
         subset.set_full("s0", 0.0)
-        assert subset.chosen(0.5) == ["s1"]
-        assert len(subset.chosen(5.0)) == 2
+        assert subset.select(0.5) == ["s1"]
+        assert len(subset.select(5.0)) == 2
 
 
 class TestConnectionBound:
@@ -107,10 +107,10 @@
         bound = ConnectionBound()
         bound.mean = 1.0
         assert bound.admit("e0", 0.0) and bound.admit("e1", 0.0)
-        bound.lost("e0", 1.0)
+        bound.connection_lost("e0", 1.0)
         assert not bound.admit("e2", 2.0)
         assert bound.admit("e0", 3.0)
-        bound.lost("e0", 4.0)
+        bound.connection_lost("e0", 4.0)
         assert bound.admit("e2", 20.0)
 
     def test_unknown_mean_refuses_nobody(self) -> None:
