--- a/cassiadrum/members/__init__.py
+++ b/cassiadrum/members/__init__.py
@@ -1,4 +1,4 @@
-"""Membership and subsets, as plain code without sockets or clocks."""
+"""Membership of the fleet and selection of connections, without I/O; callers pass the time."""
 
 from cassiadrum.members.connection_bounds import (
     ConnectionBound,
--- a/cassiadrum/members/connection_bounds.py
+++ b/cassiadrum/members/connection_bounds.py
@@ -1,4 +1,4 @@
-"""The bound on the entry instances that connect to one sidecar."""
+"""Limit on the entry instances connected to one sidecar."""
 
 import math
 from collections import Counter
@@ -9,12 +9,12 @@
 
 __all__ = ["ConnectionBound", "links_per_service", "mean_connections"]
 
-# The design's bound on the imbalance of connections.
+# Largest allowed ratio of a sidecar's connections to the mean.
 MAX_IMBALANCE = 1.25
 
 
 def mean_connections(listed: Iterable[Instance], service: str, subset_size: int) -> float:
-    """Return the mean number of entry connections of a service's sidecars, 0 when unknown."""
+    """Return the mean number of entry connections per sidecar of a service, 0 if unknown."""
     entries = 0
     sidecars: Counter[str] = Counter()
     for instance in listed:
@@ -28,24 +28,25 @@
 
 
 def links_per_service(subset_size: int, services: int) -> int:
-    """Return how many of an entry instance's links go to each service.
+    """Return the number of links of an entry instance to each service.
 
-    `subset_size` is the bound on all its links, which a few small services may exceed.
+    `subset_size` bounds the links to all services together. The minimum of links per service may
+    exceed it when there are many services.
     """
     share = max(LIMITS.LINKS_PER_SERVICE_MIN, subset_size // max(1, services))
     return min(subset_size, share)
 
 
 class ConnectionBound:
-    """Admit entry instances up to 1.25 times the mean; without a known mean admit all.
+    """Admit entry instances up to 1.25 times the mean, or all while the mean is unknown.
 
-    An entry instance whose connection was lost keeps its place for as long as its streams wait
-    for it. Times are monotonic seconds.
+    An entry instance whose connection was lost keeps its place for DETACHED_STREAM_S, during
+    which its streams wait for it. Times are monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.mean = 0.0
-        # Time of the loss of the connection, None while it is up.
+        # Per admitted entry instance, when its connection was lost, None while connected.
         self._lost_at_s: dict[str, float | None] = {}
 
     def __len__(self) -> int:
@@ -53,11 +54,11 @@
 
     @property
     def bound(self) -> int:
-        """Return the highest number of entry instances, 0 for no bound."""
+        """Return the largest allowed number of entry instances, 0 for no limit."""
         return math.ceil(MAX_IMBALANCE * self.mean)
 
     def admit(self, entry: str, now: float) -> bool:
-        """Give an entry instance a place, unless all are taken."""
+        """Admit an entry instance unless the limit is reached; return whether it was admitted."""
         self._lost_at_s = {
             name: lost_s
             for name, lost_s in self._lost_at_s.items()
@@ -69,6 +70,6 @@
         return True
 
     def connection_lost(self, entry: str, now: float) -> None:
-        """Take the loss of a connection."""
+        """Record that the connection of an entry instance was lost."""
         if entry in self._lost_at_s:
             self._lost_at_s[entry] = now
--- a/cassiadrum/members/member_changes.py
+++ b/cassiadrum/members/member_changes.py
@@ -1,4 +1,4 @@
-"""What a membership learned."""
+"""Changes of a membership."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class ChangeKind(StrEnum):
-    """Name the change; a member that moved has to be dialled at its new address."""
+    """Kind of a change; after `moved`, the member must be dialled at its new address."""
 
     JOINED = "joined"
     MOVED = "moved"
--- a/cassiadrum/members/member_states.py
+++ b/cassiadrum/members/member_states.py
@@ -1,4 +1,4 @@
-"""What is known of one member."""
+"""State of one member."""
 
 from cassiadrum.stores.instances import Instance
 
@@ -6,9 +6,10 @@
 
 
 class MemberState:
-    """Hold a member as it is dialled, its newest list entry and what its connection shows.
+    """Hold the entry used to dial a member, its newest list entry and its connection state.
 
-    `absent_since_s` is None while the member is listed, `silent_since_s` while it is connected.
+    `unlisted_since_s` is None while the member is listed, and `disconnected_since_s` while it is
+    connected. Times are monotonic seconds.
     """
 
     def __init__(self, member: Instance, now: float) -> None:
@@ -21,16 +22,16 @@
 
     @property
     def has_moved(self) -> bool:
-        """Tell whether the list names another place than the one that is dialled."""
+        """Return whether the list has another service, zone or address than the dialled entry."""
         return _location(self.listed) != _location(self.member)
 
     @property
     def should_leave(self) -> bool:
-        """Tell whether the list or the member's own report says that it is leaving."""
+        """Return whether the list or the member's own report says that it is leaving."""
         return self.reports_leaving or self.listed.state == "leaving"
 
     def unreachable_s(self, now: float) -> float:
-        """Return for how many seconds the member has been neither listed nor connected."""
+        """Return the seconds for which the member has been neither listed nor connected."""
         if self.unlisted_since_s is None or self.disconnected_since_s is None:
             return 0.0
         return now - max(self.unlisted_since_s, self.disconnected_since_s)
--- a/cassiadrum/members/memberships.py
+++ b/cassiadrum/members/memberships.py
@@ -1,4 +1,4 @@
-"""The instance list merged with what connections show."""
+"""Members of one role, from the instance list and the state of connections."""
 
 from collections.abc import Iterable
 
@@ -9,18 +9,19 @@
 
 __all__ = ["REMOVAL_LIMIT_S", "Membership"]
 
-# A sidecar that has not answered for this long has cancelled the streams of this process.
+# After this long without a connection, a sidecar has cancelled the streams of this process.
 REMOVAL_LIMIT_S = LIMITS.DETACHED_STREAM_S
-# A connection that was only reset is up again within this time, whatever address the list names.
+# A connection that was merely reset is restored within this time, so a different address in the
+# list is used only afterwards.
 MOVE_DELAY_S = 1.0
 
 
 class Membership:
-    """Keep the members of one role; `now` is monotonic seconds.
+    """Track the members of one role; `now` is monotonic seconds.
 
-    The list lags and may be wrong, so it adds members and marks them as leaving, but a member is
-    removed only once it is not listed and has not been connected for REMOVAL_LIMIT_S. An empty
-    list is taken for a fault of the list.
+    The list may be outdated or wrong. It adds members and marks them as leaving, but a member is
+    removed only after it has been neither listed nor connected for REMOVAL_LIMIT_S. An empty list
+    is taken as a fault of the list and ignored.
     """
 
     def __init__(self, role: str) -> None:
@@ -31,17 +32,17 @@
         return len(self._states)
 
     def member(self, instance: str) -> Instance | None:
-        """Return a member as it is dialled, or None."""
+        """Return the entry used to dial a member, None if it is unknown."""
         state = self._states.get(instance)
         return state.member if state else None
 
     def is_leaving(self, instance: str) -> bool:
-        """Tell whether a member is to get no new work."""
+        """Return whether a member is leaving and must get no new work."""
         state = self._states.get(instance)
         return state is not None and state.leaving
 
     def apply_list(self, instances: Iterable[Instance], now: float) -> list[MemberChange]:
-        """Take a list that was read."""
+        """Apply a list that was read; return the changes."""
         found = {entry.instance: entry for entry in instances}
         if not found:
             return self.tick(now)
@@ -61,18 +62,18 @@
         return changes + self.tick(now)
 
     def mark_connected(self, instance: str) -> None:
-        """Take the hello of a member."""
+        """Record that a member is connected."""
         if instance in self._states:
             self._states[instance].disconnected_since_s = None
 
     def mark_disconnected(self, instance: str, now: float) -> None:
-        """Take the loss of a member's connection."""
+        """Record that the connection to a member was lost."""
         state = self._states.get(instance)
         if state is not None and state.disconnected_since_s is None:
             state.disconnected_since_s = now
 
     def apply_report(self, instance: str, leaving: bool, now: float) -> list[MemberChange]:
-        """Take what a member says of itself."""
+        """Apply a member's own report whether it is leaving; return the changes."""
         state = self._states.get(instance)
         if state is None:
             return []
@@ -80,7 +81,7 @@
         return self._update_state(state, now)
 
     def tick(self, now: float) -> list[MemberChange]:
-        """Remove the members that are gone, and follow those that moved."""
+        """Remove members past REMOVAL_LIMIT_S and update moved ones; return the changes."""
         changes: list[MemberChange] = []
         for name, state in list(self._states.items()):
             if state.unreachable_s(now) >= REMOVAL_LIMIT_S:
@@ -92,7 +93,7 @@
 
     def _update_state(self, state: MemberState, now: float) -> list[MemberChange]:
         changes: list[MemberChange] = []
-        # A connection that works is kept even if the list names another address.
+        # A working connection is kept even if the list has another address.
         silent_s = 0.0 if state.disconnected_since_s is None else now - state.disconnected_since_s
         if state.has_moved and silent_s >= MOVE_DELAY_S:
             state.member = state.listed
--- a/cassiadrum/members/subsets.py
+++ b/cassiadrum/members/subsets.py
@@ -1,4 +1,4 @@
-"""The sidecars of a service that an entry instance connects to."""
+"""Selection of the sidecars of a service that an entry instance connects to."""
 
 from bisect import bisect_left, insort
 from typing import NamedTuple
@@ -9,12 +9,13 @@
 
 __all__ = ["Subset"]
 
-# Asking a full sidecar again is only worth it when too few others are left.
+# Time after which a sidecar that refused the connection may be selected again, which is done only
+# if too few others are left.
 FULL_RETRY_S = 2.0
 
 
 class _Rank(NamedTuple):
-    """Sort key; the smallest is connected to first."""
+    """Sort key of a sidecar; the smallest is selected first."""
 
     other_zone: bool
     hash: int
@@ -22,10 +23,10 @@
 
 
 class Subset:
-    """Rank the sidecars of one service by rendezvous hashing, those of the own zone first.
+    """Rank the sidecars of one service by rendezvous hashing, those in the own zone first.
 
-    The rank depends on the two names only, so a change of one sidecar moves no link between two
-    others, except the last in rank of an entry instance that gains or loses the changed one.
+    Within a zone, the rank depends only on the two names. So when a sidecar is added or removed,
+    an entry instance that gains or loses it changes at most one other link, the last in rank.
     """
 
     def __init__(self, entry: str, zone: str, size: int) -> None:
@@ -38,11 +39,11 @@
         self._full: dict[str, float] = {}
 
     def resize(self, size: int) -> None:
-        """Change the number of sidecars to connect to."""
+        """Set the number of sidecars to connect to."""
         self._size = size
 
     def put(self, member: Instance) -> None:
-        """Add a sidecar, or one that came back at another place."""
+        """Add a sidecar, or replace its entry."""
         self.remove(member.instance)
         key = xxhash.xxh64_intdigest(f"{self._entry}\0{member.instance}".encode())
         rank = _Rank(member.zone != self._zone, key, member.instance)
@@ -50,7 +51,7 @@
         insort(self._ranks, rank)
 
     def remove(self, instance: str) -> None:
-        """Forget a sidecar."""
+        """Remove a sidecar."""
         rank = self._by_name.pop(instance, None)
         if rank is not None:
             del self._ranks[bisect_left(self._ranks, rank)]
@@ -58,14 +59,14 @@
         self._full.pop(instance, None)
 
     def set_leaving(self, instance: str, leaving: bool) -> None:
-        """Pass over a sidecar that is leaving, or count it again."""
+        """Exclude a sidecar that is leaving, or include it again."""
         if leaving:
             self._leaving.add(instance)
         else:
             self._leaving.discard(instance)
 
     def set_full(self, instance: str, now: float) -> None:
-        """Pass over a sidecar that has refused the connection."""
+        """Exclude a sidecar that refused the connection because it is full."""
         if instance in self._by_name:
             self._full[instance] = now
 
--- a/cassiadrum/states/__init__.py
+++ b/cassiadrum/states/__init__.py
@@ -1,4 +1,4 @@
-"""State that processes share through the table service, with cores that own no sockets."""
+"""State that processes share through the table service: claims, leases and configurations."""
 
 from cassiadrum.states.accept_results import (
     Accepted,
--- a/cassiadrum/states/accept_results.py
+++ b/cassiadrum/states/accept_results.py
@@ -16,9 +16,9 @@
 
 
 class Conflicted(NamedTuple):
-    """Not accepted: another version is current.
+    """Not accepted: the submitted base version is not the current one.
 
-    `difference` is a unified diff from the current text to the one submitted.
+    `difference` is a unified diff from the current text to the submitted one.
     """
 
     current: ConfigurationRecord
@@ -32,14 +32,14 @@
 
 
 class NotAccepted(NamedTuple):
-    """Not accepted, and certainly not to be applied later; it may be submitted again."""
+    """Not accepted, and guaranteed not to be applied later; it may be submitted again."""
 
     reason: str
     retry_after_s: float = 0.0
 
 
 class Unresolved(NamedTuple):
-    """It is not known whether the write was applied; submit again with the operation id."""
+    """Unknown whether the write was applied; submit again with the same operation id."""
 
     operation_id: str
     reason: str
--- a/cassiadrum/states/claim_cleaners.py
+++ b/cassiadrum/states/claim_cleaners.py
@@ -1,4 +1,4 @@
-"""Clean-up of claims by age."""
+"""Removal of claims that exceed the retention time."""
 
 import time
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 
 
 class ClaimCleaner:
-    """Remove claims older than CLAIM_RETENTION_S; run by the holder of a lease."""
+    """Remove claims older than CLAIM_RETENTION_S; to be run by one process, under a lease."""
 
     def __init__(
         self,
@@ -29,9 +29,9 @@
         self._after = ""
 
     async def clean_page(self) -> int:
-        """Clean one page of rows and return how many were removed; raise StoreUnavailable.
+        """Check one page of rows and return how many were removed; raise StoreUnavailable.
 
-        Each call goes on where the last one stopped. A row that changes meanwhile is kept.
+        Each call continues after the previous page. A row that changes meanwhile is kept.
         """
         page = await self._store.list(
             CLAIM_TABLE,
@@ -55,5 +55,5 @@
             return False
         if claimed_at + LIMITS.CLAIM_RETENTION_S > self._wall_clock():
             return False
-        # The object goes first: its key is lost with the row.
+        # The object is deleted before the row, which holds the only reference to it.
         return await self._answers.remove(object_key)
--- a/cassiadrum/states/claim_keys.py
+++ b/cassiadrum/states/claim_keys.py
@@ -7,12 +7,12 @@
 
 
 class ClaimKey(NamedTuple):
-    """Name a call by service, customer and the caller's idempotency key."""
+    """Identify a call by service, customer and the caller's idempotency key."""
 
     service: str
     customer: str
     key: str
 
     def row_key(self) -> str:
-        """Return the key of the row; parts are escaped, so that no two calls share it."""
+        """Return the row key; parts are escaped so that different calls never share a key."""
         return "/".join(quote(part, safe="") for part in self)
--- a/cassiadrum/states/claim_records.py
+++ b/cassiadrum/states/claim_records.py
@@ -1,4 +1,4 @@
-"""The row of a once-only call."""
+"""The table row of a once-only call."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -11,7 +11,11 @@
 
 
 class ClaimState(StrEnum):
-    """State of a claim: `unknown` and `done` never change back to one that may run."""
+    """State of a claim.
+
+    A retry never changes `unknown` or `done` to a state in which the call may run. Only the
+    process that made the claim, or an operator, resolves `unknown`.
+    """
 
     RUNNING = "running"
     DONE = "done"
@@ -20,7 +24,7 @@
 
 
 class StoredAnswer(NamedTuple):
-    """Hold an answer in a row; the body is empty when it is in the object store or not kept."""
+    """Hold an answer in a row; the body is empty if it is in the object store or not stored."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -31,8 +35,8 @@
 class ClaimRecord(NamedTuple):
     """Hold a claim; times are wall-clock seconds since 1970.
 
-    Instances differ in their wall clocks. A reader that is ahead may set a running claim to
-    `unknown` early, which refuses retries but never lets the call run again.
+    The wall clocks of instances differ. An instance whose clock is ahead may set a running claim
+    to `unknown` early, which refuses retries but never lets the call run again.
     """
 
     state: ClaimState
@@ -42,18 +46,18 @@
     claimed_at: float
     expires_at: float
     answer: StoredAnswer | None = None
-    # Beside the answer, so that clean-up can list it without reading bodies.
+    # Kept outside `answer`, so that clean-up can list it without reading bodies.
     object_key: str = ""
 
     @classmethod
     def from_value(cls, value: dict[str, object]) -> "ClaimRecord":
-        """Return the record in a row; raise InvalidRecord."""
+        """Decode the value of a row; raise InvalidRecord."""
         try:
             return msgspec.convert([value[name] for name in cls._fields], cls)
         except (msgspec.MsgspecError, KeyError) as exc:
-            raise InvalidRecord(f"claim: {exc!r}") from exc
+            raise InvalidRecord(f"invalid claim: {exc!r}") from exc
 
     def to_value(self) -> dict[str, object]:
-        """Return the value of the row, of JSON types only; bytes become base64."""
+        """Return the value for a row, of JSON types only; bytes become base64."""
         value: dict[str, object] = msgspec.to_builtins(self._asdict())
         return value
--- a/cassiadrum/states/claim_results.py
+++ b/cassiadrum/states/claim_results.py
@@ -18,7 +18,7 @@
 
 
 class Claimed(NamedTuple):
-    """The caller of `claim`, and nobody else, may run the call once."""
+    """The claim was made: this caller alone may run the call, once."""
 
     key: ClaimKey
     record: ClaimRecord
@@ -26,19 +26,19 @@
 
 
 class AlreadyCompleted(NamedTuple):
-    """The call ran; this is its answer (200 or what the endpoint said)."""
+    """The call already ran; `answer` is the stored one (200 or the endpoint's status)."""
 
     answer: KeptAnswer
 
 
 class InProgress(NamedTuple):
-    """Another request with the key is running (409, `ran: unknown`)."""
+    """Another request with the same key is running (409, `ran: unknown`)."""
 
     retry_after_s: float
 
 
 class KeyReused(NamedTuple):
-    """The key belongs to a call with another body (422, `ran: no`)."""
+    """The key was used for a call with another body (422, `ran: no`)."""
 
 
 class OutcomeUnknown(NamedTuple):
--- a/cassiadrum/states/claim_services.py
+++ b/cassiadrum/states/claim_services.py
@@ -1,4 +1,4 @@
-"""Claims of calls that run at most once."""
+"""Claims, which let a call run at most once."""
 
 import time
 import uuid
@@ -27,13 +27,16 @@
 
 CLAIM_TABLE: Final = "once"
 CLAIM_ATTEMPTS: Final = 3
-# Time after the class deadline until a running claim counts as lost with its sidecar.
+# Time after the class deadline until a running claim is taken as lost with its sidecar.
 EXPIRY_GRACE_S: Final = 60.0
 RETRY_AFTER_S: Final = 1.0
 
 
 class ClaimService:
-    """Claim a call before its effect and record its outcome afterwards."""
+    """Claim a call before it runs and record its outcome afterwards.
+
+    Outcomes that cannot be written are kept in `pending` and retried by `write_pending`.
+    """
 
     def __init__(
         self,
@@ -54,8 +57,8 @@
     async def claim(self, key: ClaimKey, body_hash: str, deadline_s: float) -> ClaimResult:
         """Claim a call whose class deadline is `deadline_s` seconds from now.
 
-        Only `Claimed` permits the effect. The caller then reports through `finish`,
-        `lost_answer` or `not_run`.
+        Only `Claimed` permits the call to run. The caller then reports the outcome through
+        `record_answer`, `record_lost_answer` or `record_not_run`.
         """
         now = self._wall_clock()
         record = ClaimRecord(
@@ -88,29 +91,32 @@
         return self._refuse(key, record, sent)
 
     async def record_answer(self, claim: Claimed, answer: KeptAnswer) -> bool:
-        """Record that the call ran, and keep its answer; tell whether this is durable now."""
+        """Record that the call ran, with its answer; return whether this is durable now."""
         done = claim.record._replace(state=ClaimState.DONE)
         return await self._record_outcome(claim, await self._answers.save(done, answer))
 
     async def record_lost_answer(self, claim: Claimed) -> bool:
-        """Record that the endpoint's answer was lost; tell whether this is durable now."""
+        """Record that the endpoint's answer was lost; return whether this is durable now."""
         return await self._record_outcome(claim, claim.record._replace(state=ClaimState.UNKNOWN))
 
     async def record_not_run(self, claim: Claimed) -> bool:
-        """Record that the effect was certainly not started, so that a retry may claim again."""
+        """Record that the call certainly did not run, so that a retry may claim it again.
+
+        Returns whether this is durable now.
+        """
         return await self._record_outcome(claim, claim.record._replace(state=ClaimState.NOT_RUN))
 
     async def write_pending(self) -> int:
-        """Write the states that could not be written before; return how many are left."""
+        """Retry the pending outcomes; return how many are still not written."""
         for outcome in self.pending.snapshot():
             if await self._write_pending_outcome(outcome):
                 self.pending.remove(outcome.record.operation_id)
         return len(self.pending)
 
     async def resolve_unknown(self, key: ClaimKey, *, ran: bool) -> bool:
-        """Settle an `unknown` claim from the endpoint's record, as an operator found it.
+        """Resolve an `unknown` claim after an operator has checked the endpoint's records.
 
-        `ran=False` permits the call to run again. Returns False when the claim is not in state
+        `ran=False` permits the call to run again. Returns False if the claim is not in state
         `unknown` or could not be written; raises the store's StoreUnavailable and InvalidRecord.
         """
         row = await self._store.get(CLAIM_TABLE, key.row_key())
@@ -124,7 +130,10 @@
     async def _evaluate_existing(
         self, key: ClaimKey, own: ClaimRecord, row: Row
     ) -> ClaimResult | None:
-        """Return what an existing row means, None when a not-run claim may be replaced."""
+        """Return the result that an existing row implies, None if the row may be replaced.
+
+        Only a claim in state `not_run` may be replaced.
+        """
         try:
             found = ClaimRecord.from_value(row.value)
         except InvalidRecord:
@@ -141,12 +150,12 @@
             if self._wall_clock() <= found.expires_at:
                 return InProgress(RETRY_AFTER_S)
             expired = found._replace(state=ClaimState.UNKNOWN)
-            # Whether this write succeeds does not matter: the row keeps every claim out.
+            # The result of this write does not matter: the row prevents a new claim either way.
             await self._write(key, expired, row.version)
         return OutcomeUnknown()
 
     def _refuse(self, key: ClaimKey, record: ClaimRecord, sent: bool) -> StoreUnavailable:
-        """Refuse a call; a claim that may still arrive is marked as not run later."""
+        """Refuse a call; if its claim may still reach the store, have it marked as not run."""
         if sent:
             outcome = PendingOutcome(key, record._replace(state=ClaimState.NOT_RUN))
             self.pending.add(outcome)
@@ -163,7 +172,7 @@
         return False
 
     async def _write_pending_outcome(self, outcome: PendingOutcome) -> bool:
-        """Write a mark over its own claim and tell whether nothing is left to do."""
+        """Write an outcome over its own claim; return whether nothing is left to do."""
         try:
             row = await self._store.get(CLAIM_TABLE, outcome.key.row_key())
             found = ClaimRecord.from_value(row.value) if row else None
@@ -176,7 +185,7 @@
             return True
         if found is not None and found.state is ClaimState.DONE:
             return True
-        # Without a row the claim may still arrive; the mark then takes its place.
+        # Without a row, the claim may still arrive; the outcome is written in its place.
         result = await self._write(outcome.key, outcome.record, row.version if row else 0)
         return isinstance(result, Done)
 
--- a/cassiadrum/states/configuration_changes.py
+++ b/cassiadrum/states/configuration_changes.py
@@ -1,4 +1,4 @@
-"""A change of a configuration as an operator submits it."""
+"""A configuration change submitted by an operator."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class ConfigurationChange(NamedTuple):
-    """Replace version `base_version` (0 for a new service) by a text, or by a tombstone."""
+    """Change from version `base_version` (0 for a new service) to a text, or to a tombstone."""
 
     service: str
     base_version: int
--- a/cassiadrum/states/configuration_histories.py
+++ b/cassiadrum/states/configuration_histories.py
@@ -1,4 +1,4 @@
-"""Old versions of configurations."""
+"""History of configuration versions."""
 
 from difflib import unified_diff
 from typing import Final
@@ -32,19 +32,19 @@
         )
 
     async def versions(self, service: str) -> list[ConfigurationRecord]:
-        """Return the kept versions without their texts, oldest first; raise StoreUnavailable."""
+        """Return the stored versions without their texts, oldest first; raise StoreUnavailable."""
         names = tuple(name for name in ConfigurationRecord._fields if name != "text")
         page = await self._store.list(HISTORY_TABLE, f"{service}/", fields=names)
         rows = [row._replace(value={**row.value, "text": ""}) for row in page.rows]
         return [ConfigurationRecord.from_row(service, row) for row in rows[-HISTORY_VERSIONS:]]
 
     async def get(self, service: str, version: int) -> ConfigurationRecord | None:
-        """Return a kept version, or None; raise StoreUnavailable."""
+        """Return a version, None if it is not stored; raise StoreUnavailable."""
         row = await self._store.get(HISTORY_TABLE, _key(service, version))
         return ConfigurationRecord.from_row(service, row) if row else None
 
     async def diff(self, service: str, old: int, new: int) -> str | None:
-        """Return the unified diff of two kept versions, None when one is not kept."""
+        """Return the unified diff of two versions, None if one is not stored."""
         before = await self.get(service, old)
         after = await self.get(service, new)
         if before is None or after is None:
@@ -52,7 +52,7 @@
         return text_diff(before, after.text, f"version {new}")
 
     async def trim(self, service: str) -> None:
-        """Delete the oldest rows beyond the bound; what fails is left to the next change."""
+        """Delete the oldest rows beyond HISTORY_VERSIONS; a failure is left to the next call."""
         try:
             page = await self._store.list(HISTORY_TABLE, f"{service}/", limit=LIST_ROWS)
         except StoreUnavailable:
@@ -75,5 +75,5 @@
 
 
 def _key(service: str, version: int) -> str:
-    """Return a key that sorts by version."""
+    """Return a row key that sorts by version."""
     return f"{service}/{version:012d}"
--- a/cassiadrum/states/configuration_readers.py
+++ b/cassiadrum/states/configuration_readers.py
@@ -1,4 +1,4 @@
-"""Repair poll of configurations."""
+"""Periodic poll that applies configuration versions missed by other means."""
 
 import asyncio
 import logging
@@ -20,9 +20,10 @@
 
 
 def poll_interval_s(processes: int, rng: random.Random) -> float:
-    """Return the interval that keeps `processes` within the fleet's reads a second.
+    """Return a poll interval in seconds at which `processes` processes keep the fleet's read rate.
 
-    Jitter only lengthens it, so that the bound holds for every sequence of random numbers.
+    The random jitter only lengthens the interval, so the limit FLEET_CONFIG_READS_PER_S always
+    holds.
     """
     min_interval_s = max(LIMITS.CONFIG_POLL_MIN_S, processes / LIMITS.FLEET_CONFIG_READS_PER_S)
     return min_interval_s * rng.uniform(1.0, 1.0 + POLL_JITTER)
@@ -37,9 +38,9 @@
         self._reachable = True
 
     async def poll(self) -> list[ConfigurationRecord]:
-        """List the versions, read the records that are newer and return those applied.
+        """List the versions, read the newer records and return those that were applied.
 
-        Raises StoreUnavailable; what was applied before stays in force.
+        Raises StoreUnavailable; records applied before the failure stay in force.
         """
         versions: dict[str, int] = {}
         page = RowPage((), "")
@@ -63,7 +64,7 @@
             record = ConfigurationRecord.from_row(service, row)
             return record if self._registry.apply(record) else None
         except InvalidRecord as exc:
-            logger.error("configuration of %s not applied: %s", service, exc)
+            logger.error("configuration of service %s not applied: %s", service, exc)
             return None
 
     async def run(
@@ -72,7 +73,10 @@
         applied: Callable[[ConfigurationRecord], None],
         rng: random.Random,
     ) -> None:
-        """Poll for ever; `processes` returns the size of the fleet."""
+        """Poll until cancelled, calling `applied` for each record put in force.
+
+        `processes` returns the number of processes in the fleet.
+        """
         while True:
             try:
                 for record in await self.poll():
--- a/cassiadrum/states/configuration_records.py
+++ b/cassiadrum/states/configuration_records.py
@@ -13,9 +13,9 @@
 
 
 class ConfigurationRecord(NamedTuple):
-    """Hold a document's text, or a tombstone, and who accepted it.
+    """Hold a document's text, or a tombstone, with its author and operation id.
 
-    `previous_operation_ids` has the operations of the versions before, the latest first.
+    `previous_operation_ids` lists the operations of the preceding versions, the latest first.
     `accepted_at` is in seconds since 1970.
     """
 
@@ -30,17 +30,17 @@
 
     @classmethod
     def from_row(cls, service: str, row: Row | None) -> "ConfigurationRecord":
-        """Return the record in a row, version 0 without one; raise InvalidRecord."""
+        """Decode a row, giving version 0 if there is none; raise InvalidRecord."""
         if row is None:
             return cls(service, 0, deleted=True)
         try:
             values = {**row.value, "service": service}
             return msgspec.convert([values[name] for name in cls._fields], cls)
         except (msgspec.MsgspecError, KeyError) as exc:
-            raise InvalidRecord(f"configuration of {service}: {exc!r}") from exc
+            raise InvalidRecord(f"invalid configuration of service {service}: {exc!r}") from exc
 
     def to_value(self) -> dict[str, object]:
-        """Return the value of the row."""
+        """Return the value for a row."""
         return self._asdict()
 
     def next(
@@ -60,7 +60,7 @@
         )
 
     def version_of(self, operation_id: str) -> int | None:
-        """Return the version that an operation wrote, None when it is not among the last."""
+        """Return the version that an operation wrote, None if it is not among those recorded."""
         if self.version == 0:
             return None
         operations = (self.operation_id, *self.previous_operation_ids)
--- a/cassiadrum/states/configuration_registries.py
+++ b/cassiadrum/states/configuration_registries.py
@@ -1,4 +1,4 @@
-"""The configuration in force in one process."""
+"""The configurations in force in one process."""
 
 from collections.abc import Mapping
 
@@ -12,7 +12,7 @@
 
 
 class ConfigurationRegistry:
-    """Keep the highest version of each service; a tombstone counts as a version."""
+    """Hold the highest version of each service; a tombstone counts as a version."""
 
     def __init__(self) -> None:
         self._records: dict[str, ConfigurationRecord] = {}
@@ -20,10 +20,9 @@
         self._digest: int | None = None
 
     def apply(self, record: ConfigurationRecord) -> bool:
-        """Put a record in force if its version is higher, and tell whether it is.
+        """Put a record in force if its version is higher; return whether it was applied.
 
-        Raises InvalidRecord for a document that does not pass its check; the version in force
-        stays as it is.
+        Raises InvalidRecord if the document is invalid; the version in force then stays.
         """
         if record.version <= self.version(record.service):
             return False
@@ -37,7 +36,7 @@
         return True
 
     def document(self, service: str) -> ServiceDocument | None:
-        """Return the document in force, None for an unknown or a deleted service."""
+        """Return the document in force, None for an unknown or deleted service."""
         return self._documents.get(service)
 
     def documents(self) -> tuple[ServiceDocument, ...]:
@@ -59,7 +58,7 @@
 
     def digest(self) -> int:
         """Return a 64-bit digest of the version vector."""
-        # Kept, since each heartbeat of each link needs it.
+        # Cached because every heartbeat of every link needs it.
         if self._digest is None:
             pairs = sorted(self.versions().items())
             text = "\n".join(f"{name} {version}" for name, version in pairs)
@@ -67,7 +66,7 @@
         return self._digest
 
     def outdated_services(self, versions: Mapping[str, int]) -> list[str]:
-        """Return the services of which `versions` has a higher version than is in force."""
+        """Return the services that have a higher version in `versions` than in force here."""
         return sorted(name for name, version in versions.items() if version > self.version(name))
 
 
@@ -77,5 +76,7 @@
     except DocumentError as exc:
         raise InvalidRecord(str(exc)) from exc
     if document.name != record.service:
-        raise InvalidRecord(f"document of {document.name} in the record of {record.service}")
+        raise InvalidRecord(
+            f"document of service {document.name} in the record of service {record.service}"
+        )
     return document
--- a/cassiadrum/states/configuration_writers.py
+++ b/cassiadrum/states/configuration_writers.py
@@ -1,4 +1,4 @@
-"""Writer of configurations to the table service."""
+"""Accepts configuration changes and writes them to the table service."""
 
 import asyncio
 import logging
@@ -37,13 +37,13 @@
 
 CONFIG_TABLE: Final = "config"
 SUBMIT_ATTEMPTS: Final = 5
-# Pauses before each attempt to resolve an unknown outcome; together above the store's timeout,
-# so that a write still under way has reached the store or is lost.
+# Pauses before each attempt to resolve an unknown outcome. Together they exceed the store's
+# timeout, by when a write in flight has reached the store or is lost.
 RESOLVE_PAUSES_S: Final = (0.0, 0.1, 0.3, 1.0, 2.0)
 
 
 class ConfigurationWriter:
-    """Accept and delete configurations by compare-and-set; accepted means durable."""
+    """Accept and delete configurations by compare-and-set; an accepted change is durable."""
 
     def __init__(
         self,
@@ -60,9 +60,9 @@
     async def accept(
         self, service: str, text: str, base_version: int, operation_id: str, author: str
     ) -> AcceptResult:
-        """Check a document and write it as the version after `base_version`.
+        """Validate a document and write it as the version after `base_version`.
 
-        Repeating a call with the same operation id is harmless.
+        Repeating a call with the same operation id is safe.
         """
         try:
             name = parse_document(text, f"{service}.toml").name
@@ -101,12 +101,12 @@
                 return NotAccepted(result.reason, result.retry_after_s)
             if isinstance(result, Unknown):
                 return await self._resolve_unknown(change, row)
-        return NotAccepted(f"{SUBMIT_ATTEMPTS} attempts met concurrent writes")
+        return NotAccepted(f"{SUBMIT_ATTEMPTS} attempts conflicted with concurrent writes")
 
     async def _write(
         self, record: ConfigurationRecord, row: Row | None
     ) -> Done | Conflict | Refused | Unknown:
-        """Write the record and its history row together, so that history has no gaps."""
+        """Write the record and its history row in one batch, so that the history has no gaps."""
         value = record.to_value()
         expected = row.version if row else 0
         return await self._store.write(
@@ -119,7 +119,7 @@
     async def _resolve_unknown(
         self, change: ConfigurationChange, base: Row | None
     ) -> AcceptResult:
-        """Find out whether a write with an unknown outcome was applied, or prevent it."""
+        """Determine whether a write with an unknown outcome was applied, or prevent it."""
         for pause_s in RESOLVE_PAUSES_S:
             await self._pause(pause_s)
             try:
@@ -129,18 +129,20 @@
                 continue
             if known_result := await self._resolve_from_record(change, current):
                 return known_result
-            # The write needs the row as `base` has it; any other row has made it impossible.
+            # The write is conditional on the version of `base`; it cannot apply to any other.
             if (row.version if row else 0) != (base.version if base else 0):
                 return NotAccepted("the write was not applied")
             if await self._fence(current, row):
                 return NotAccepted("the write was not applied")
-        logger.warning("outcome of operation %s is unresolved", change.operation_id)
+        logger.warning(
+            "outcome of configuration operation %s is still unknown", change.operation_id
+        )
         return Unresolved(change.operation_id, "the table service did not answer")
 
     async def _fence(self, current: ConfigurationRecord, row: Row | None) -> bool:
-        """Write the row with its own content, so that a write under way meets a conflict.
+        """Rewrite the row with its own content, so that a write in flight gets a conflict.
 
-        A row that does not exist yet becomes a tombstone of version 0, which no process applies.
+        A missing row becomes a tombstone of version 0, which no process applies.
         """
         expected = row.version if row else 0
         result = await self._store.put(CONFIG_TABLE, current.service, current.to_value(), expected)
@@ -149,14 +151,14 @@
     async def _resolve_from_record(
         self, change: ConfigurationChange, current: ConfigurationRecord
     ) -> AcceptResult | None:
-        """Return what the current record implies, None when the change may be written."""
+        """Return the result that the current record implies, None if the change may be written."""
         version = current.version_of(change.operation_id)
         if version is not None:
             return Accepted(version, current)
         if current.version == change.base_version:
             return None
         if current.version - change.base_version > KEPT_OPERATION_IDS + 1:
-            # The record no longer names the operation that followed the base; history may.
+            # The record no longer lists the operation that followed the base; the history may.
             return await self._resolve_from_history(change, current)
         return Conflicted(current, text_diff(current, change.text))
 
@@ -169,7 +171,9 @@
         except (StoreUnavailable, InvalidRecord) as exc:
             return Unresolved(change.operation_id, str(exc))
         if record is None:
-            reason = f"current is version {current.version}; version {target} is no longer kept"
+            reason = (
+                f"the current version is {current.version}; version {target} is no longer stored"
+            )
             return Unresolved(change.operation_id, reason)
         if record.operation_id == change.operation_id:
             return Accepted(target, current)
--- a/cassiadrum/states/fencing_guards.py
+++ b/cassiadrum/states/fencing_guards.py
@@ -1,4 +1,4 @@
-"""Check of fencing tokens right before an effect."""
+"""Check of fencing tokens right before an order takes effect."""
 
 from cassiadrum.states.errors import FencingRefused, InvalidRecord
 from cassiadrum.states.lease_managers import LEASE_TABLE
@@ -11,8 +11,8 @@
 class FencingGuard:
     """Refuse orders whose token is below the highest seen.
 
-    `endpoint_enforces` tells whether the endpoint refuses old tokens itself. If not, the lease
-    row is read right before each effect, and the token must be the one in the row.
+    `endpoint_enforces` tells whether the endpoint itself refuses outdated tokens. If not, the
+    lease row is read right before each order, whose token must equal the one in the row.
     """
 
     def __init__(self, store: TableStore, *, endpoint_enforces: bool) -> None:
@@ -21,11 +21,11 @@
         self._highest: dict[str, int] = {}
 
     def highest(self, lease: str) -> int:
-        """Return the highest token seen, 0 when there was none."""
+        """Return the highest token seen for a lease, 0 if there was none."""
         return self._highest.get(lease, 0)
 
     async def admit(self, lease: str, fencing: int) -> None:
-        """Return if the order's effect may start right now; raise FencingRefused."""
+        """Return if the order may take effect right now; raise FencingRefused if not."""
         self._reject_stale(lease, fencing)
         if not self._endpoint_enforces:
             await self._compare_with_row(lease, fencing)
@@ -41,9 +41,13 @@
             raise FencingRefused(f"lease {lease} could not be read: {exc}") from exc
         if current != fencing:
             self._highest[lease] = max(current, self.highest(lease))
-            raise FencingRefused(f"token {fencing} of lease {lease}: the row has {current}")
+            raise FencingRefused(
+                f"token {fencing} of lease {lease} differs from {current} in the row"
+            )
 
     def _reject_stale(self, lease: str, fencing: int) -> None:
         highest = self.highest(lease)
         if fencing < highest:
-            raise FencingRefused(f"token {fencing} of lease {lease}: {highest} was seen")
+            raise FencingRefused(
+                f"token {fencing} of lease {lease} is below {highest} seen before"
+            )
--- a/cassiadrum/states/kept_answers.py
+++ b/cassiadrum/states/kept_answers.py
@@ -1,4 +1,4 @@
-"""The answer of a once-only call, kept for retries."""
+"""The stored answer of a once-only call, returned to retries."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class KeptAnswer(NamedTuple):
-    """Hold status, headers and body; `body_kept` is False when the body could not be stored."""
+    """Hold status, headers and body; `body_kept` is False if the body could not be stored."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
--- a/cassiadrum/states/lease_managers.py
+++ b/cassiadrum/states/lease_managers.py
@@ -1,4 +1,4 @@
-"""Keeper of a lease in the table service."""
+"""Acquisition and renewal of a lease in the table service."""
 
 import asyncio
 import logging
@@ -33,29 +33,29 @@
         self._clock = clock
 
     def check(self) -> int:
-        """Return the fencing token for an effect that starts right now; raise LeaseLost."""
+        """Return the fencing token for an action that starts right now; raise LeaseLost."""
         return self._state_machine.check(self._clock())
 
     async def step(self) -> None:
-        """Read the row if needed and write it if due; a failure is left to the next step."""
+        """Read the row if needed and write it if due; a failure is retried by the next step."""
         if self._state_machine.needs_read:
             try:
                 self._observe(await self._store.get(LEASE_TABLE, self._name))
             except (StoreUnavailable, InvalidRecord) as exc:
-                logger.debug("lease %s not read: %s", self._name, exc)
+                logger.debug("lease %s could not be read: %s", self._name, exc)
                 return
         write = self._state_machine.next_write(self._clock())
         if write is not None:
             await self._put(write)
 
     async def release(self) -> None:
-        """Give the lease up, as at a graceful shutdown."""
+        """Release the lease, as in a graceful shutdown."""
         write = self._state_machine.release()
         if write is not None:
             await self._put(write)
 
     async def run(self, renew_interval_s: float, contend_interval_s: Callable[[], float]) -> None:
-        """Step for ever; a contender may read less often than a holder renews."""
+        """Run steps until cancelled; a contender may read less often than a holder renews."""
         while True:
             held = self._state_machine.is_holder
             await self.step()
@@ -74,11 +74,11 @@
             try:
                 self._observe(result.row)
             except InvalidRecord as exc:
-                logger.error("lease %s: %s", self._name, exc)
+                logger.error("lease %s has an invalid row: %s", self._name, exc)
         elif isinstance(result, Refused):
             self._state_machine.on_refused(write)
 
     def _observe(self, row: Row | None) -> None:
         record = LeaseRecord.from_value(row.value) if row else None
-        # The time after the answer: a contender must not count the time of the read itself.
+        # Time after the answer: a contender's wait must not include the duration of the read.
         self._state_machine.observe(row.version if row else 0, record, self._clock())
--- a/cassiadrum/states/lease_records.py
+++ b/cassiadrum/states/lease_records.py
@@ -1,4 +1,4 @@
-"""The row of a lease."""
+"""The table row of a lease."""
 
 from typing import NamedTuple
 
@@ -12,7 +12,7 @@
 class LeaseRecord(NamedTuple):
     """Hold a lease; `holder` is unique to a process start and empty after a release.
 
-    `fencing` rises with each takeover and `renewal` with each write of a holder.
+    `fencing` increases with each takeover, and `renewal` with each write of a holder.
     """
 
     holder: str
@@ -22,12 +22,12 @@
 
     @classmethod
     def from_value(cls, value: dict[str, object]) -> "LeaseRecord":
-        """Return the record in a row; raise InvalidRecord."""
+        """Decode the value of a row; raise InvalidRecord."""
         try:
             return msgspec.convert([value[name] for name in cls._fields], cls)
         except (msgspec.MsgspecError, KeyError) as exc:
-            raise InvalidRecord(f"lease: {exc!r}") from exc
+            raise InvalidRecord(f"invalid lease: {exc!r}") from exc
 
     def to_value(self) -> dict[str, object]:
-        """Return the value of the row."""
+        """Return the value for a row."""
         return self._asdict()
--- a/cassiadrum/states/lease_state_machines.py
+++ b/cassiadrum/states/lease_state_machines.py
@@ -1,4 +1,4 @@
-"""Rules of a lease; time is an argument in monotonic seconds of this instance."""
+"""State machine of a lease, without I/O; times are monotonic seconds of this instance."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 
 
 class LeaseWrite(NamedTuple):
-    """A record to write if the row has the version `expected`, 0 for no row."""
+    """A record to write if the row has version `expected`, 0 if there must be no row."""
 
     record: LeaseRecord
     expected: int
@@ -18,8 +18,8 @@
 class LeaseStateMachine:
     """Decide when to renew, take over and stop using one lease.
 
-    `margin_s` is what a contender waits beyond the duration; it covers clocks that run at
-    different rates, up to margin_s / duration_s.
+    A contender waits `margin_s` beyond the duration, which covers clock rates that differ by up
+    to margin_s / duration_s.
     """
 
     def __init__(self, holder: str, *, duration_s: float, margin_s: float) -> None:
@@ -35,28 +35,30 @@
 
     @property
     def is_holder(self) -> bool:
-        """Tell whether the last row seen names this holder, valid or not."""
+        """Return whether the last row seen names this holder, expired or not."""
         return self._record is not None and self._record.holder == self._holder
 
     @property
     def needs_read(self) -> bool:
-        """Tell whether the row must be read before the next decision."""
+        """Return whether the row must be read before the next decision."""
         return not self.is_holder or bool(self._sent_at_s)
 
     def check(self, now: float) -> int:
-        """Return the fencing token for an effect that starts right now; raise LeaseLost.
+        """Return the fencing token for an action that starts right now; raise LeaseLost.
 
-        The time is counted from before the renewal was sent, so a pause of any length between
-        renewal and check is covered.
+        The validity counts from before the renewal was sent, so the check detects a pause of any
+        length between renewal and check.
         """
         if self._record is None or not self.is_holder or self._valid_from_s is None:
             raise LeaseLost("the lease is not held")
         if now >= self._valid_from_s + self._duration_s:
-            raise LeaseLost(f"the lease ran out {now - self._valid_from_s:.3f} s after renewal")
+            raise LeaseLost(
+                f"the lease expired; its last renewal was {now - self._valid_from_s:.3f} s ago"
+            )
         return self._record.fencing
 
     def observe(self, version: int, record: LeaseRecord | None, now: float) -> None:
-        """Take in the row as read; version 0 and None without a row."""
+        """Record the row as read; `version` is 0 and `record` None if there is no row."""
         if version != self._version:
             self._version = version
             self._record = record
@@ -66,7 +68,7 @@
         self._sent_at_s.clear()
 
     def next_write(self, now: float) -> LeaseWrite | None:
-        """Return the write that is due: a renewal, a takeover or the first row."""
+        """Return the write that is due (first row, renewal or takeover), None if there is none."""
         if self._version is None:
             return None
         if self._record is None:
@@ -78,24 +80,24 @@
                 else None
             )
         waited_s = now - self._seen_at_s
-        # The holder's own duration counts: it may differ while settings change.
+        # The duration in the holder's row applies: settings may differ while they change.
         if self._record.holder and waited_s < self._record.duration_s + self._margin_s:
             return None
         return self._renewal_write(self._record.fencing + 1, now)
 
     def on_written(self, write: LeaseWrite, version: int) -> None:
-        """Take in that a write was done."""
+        """Record that a write was applied."""
         self._version = version
         self._record = write.record
         self._valid_from_s = self._sent_at_s.get(write.record.renewal)
         self._sent_at_s.clear()
 
     def on_refused(self, write: LeaseWrite) -> None:
-        """Take in that a write was not applied and never will be."""
+        """Record that a write was not applied and never will be."""
         self._sent_at_s.pop(write.record.renewal, None)
 
     def release(self) -> LeaseWrite | None:
-        """Stop using the lease and return the write that lets others take it at once."""
+        """Stop using the lease; return the write that lets others take it at once."""
         self._valid_from_s = None
         if self._record is None or not self.is_holder or self._version is None:
             return None
--- a/cassiadrum/states/pending_outcomes.py
+++ b/cassiadrum/states/pending_outcomes.py
@@ -1,4 +1,4 @@
-"""States of claims that could not be written yet."""
+"""Outcomes of claims that could not be written yet."""
 
 from collections import OrderedDict
 from typing import NamedTuple
@@ -8,12 +8,12 @@
 
 __all__ = ["PendingOutcome", "PendingOutcomes"]
 
-# An estimate of the memory of a mark without its answer's body.
+# Estimated memory of an outcome without its answer's body.
 OUTCOME_OVERHEAD_BYTES = 1024
 
 
 class PendingOutcome(NamedTuple):
-    """A claim's record to write when the store is back."""
+    """A claim's record to write when the store is available again."""
 
     key: ClaimKey
     record: ClaimRecord
@@ -24,9 +24,9 @@
 
 
 class PendingOutcomes:
-    """Keep marks by operation id up to a size in bytes; the oldest are dropped first.
+    """Buffer outcomes by operation id up to a size in bytes; the oldest are dropped first.
 
-    A claim whose mark is dropped becomes `unknown` when it expires.
+    A claim whose outcome is dropped becomes `unknown` when it expires.
     """
 
     def __init__(self, limit_bytes: int = 2 * 1024 * 1024) -> None:
@@ -39,7 +39,7 @@
         return len(self._outcomes)
 
     def add(self, outcome: PendingOutcome) -> None:
-        """Add a mark, or replace the one of the same operation."""
+        """Add an outcome, or replace the one of the same operation."""
         self.remove(outcome.record.operation_id)
         self._outcomes[outcome.record.operation_id] = outcome
         self._bytes += outcome.size()
@@ -48,11 +48,11 @@
             self.dropped += 1
 
     def remove(self, operation_id: str) -> None:
-        """Remove the mark of an operation, if there is one."""
+        """Remove the outcome of an operation, if there is one."""
         outcome = self._outcomes.pop(operation_id, None)
         if outcome is not None:
             self._bytes -= outcome.size()
 
     def snapshot(self) -> list[PendingOutcome]:
-        """Return the marks, oldest first."""
+        """Return the outcomes, oldest first."""
         return list(self._outcomes.values())
--- a/cassiadrum/stores/__init__.py
+++ b/cassiadrum/stores/__init__.py
@@ -1,4 +1,4 @@
-"""Clients of the platform's stores; every write is done, not done or unknown."""
+"""Clients of the platform's stores; each write reports done, not done or unknown."""
 
 from cassiadrum.stores.circuit_breakers import CircuitBreaker
 from cassiadrum.stores.errors import StoreError, StoreUnavailable
--- a/cassiadrum/stores/circuit_breakers.py
+++ b/cassiadrum/stores/circuit_breakers.py
@@ -1,10 +1,10 @@
-"""A circuit breaker; time is an argument."""
+"""A circuit breaker; callers pass the time in monotonic seconds."""
 
 __all__ = ["CircuitBreaker"]
 
 
 class CircuitBreaker:
-    """Stop requests after consecutive failures, then let one probe through at a time."""
+    """Block requests after `failures` consecutive failures, except one probe per interval."""
 
     def __init__(self, failures: int = 5, probe_interval_s: float = 1.0) -> None:
         self._limit = failures
@@ -14,11 +14,11 @@
 
     @property
     def is_open(self) -> bool:
-        """Tell whether only probes are allowed."""
+        """Return whether only probes are allowed."""
         return self._failures >= self._limit
 
     def allow(self, now: float) -> bool:
-        """Tell whether a request may be sent; when open, this reserves the probe."""
+        """Return whether a request may be sent; while open, this reserves the probe."""
         if not self.is_open:
             return True
         if now < self._probe_at_s:
@@ -27,11 +27,11 @@
         return True
 
     def record_success(self) -> None:
-        """Count an answer of the store; it closes the breaker."""
+        """Record an answer of the store, which closes the breaker."""
         self._failures = 0
 
     def record_failure(self, now: float) -> None:
-        """Count a request without an answer."""
+        """Record a request that failed or got no answer."""
         self._failures += 1
         if self._failures == self._limit:
             self._probe_at_s = now + self._probe_interval_s
--- a/cassiadrum/stores/errors.py
+++ b/cassiadrum/stores/errors.py
@@ -6,7 +6,7 @@
 
 
 class StoreError(CassiadrumError):
-    """Base of the errors of the store clients."""
+    """Base class of the errors of the store clients."""
 
 
 class StoreUnavailable(StoreError):
@@ -14,7 +14,7 @@
 
 
 class NotApplied(StoreError):
-    """A request was certainly not applied; `retry_after_s` is 0 when unknown."""
+    """A request was certainly not applied; `retry_after_s` is 0 if unknown."""
 
     def __init__(self, reason: str, retry_after_s: float = 0.0) -> None:
         super().__init__(reason)
--- a/cassiadrum/stores/http_instance_lists.py
+++ b/cassiadrum/stores/http_instance_lists.py
@@ -1,4 +1,4 @@
-"""The instance list over HTTP."""
+"""Client of the instance list over HTTP."""
 
 import msgspec
 
@@ -13,7 +13,7 @@
 
 
 class HttpInstanceList(InstanceList):
-    """Speak the instance list's HTTP protocol."""
+    """Access the platform's instance list over HTTP."""
 
     def __init__(self, transport: StoreTransport) -> None:
         self._transport = transport
@@ -23,7 +23,7 @@
     async def fetch(self) -> tuple[Instance, ...]:
         """Return the listed instances; raise StoreUnavailable.
 
-        The read is conditional, because at 9,600 instances the list takes more than a megabyte.
+        The read is conditional, since a list of 9,600 instances is larger than a megabyte.
         """
         condition: Headers = (("if-none-match", self._etag),) if self._etag else ()
         answer = await self._transport.read("/instances", condition)
@@ -41,16 +41,16 @@
         return self._last
 
     async def register(self, instance: Instance) -> WriteResult:
-        """Add or replace an entry; repeating it is harmless."""
+        """Add or replace an entry; the call is idempotent."""
         body = msgspec.json.encode(instance._asdict())
         return await self._write("PUT", f"/instances/{quote_segment(instance.instance)}", body)
 
     async def deregister(self, instance: str) -> WriteResult:
-        """Remove an entry; repeating it is harmless."""
+        """Remove an entry; the call is idempotent."""
         return await self._write("DELETE", f"/instances/{quote_segment(instance)}")
 
     async def mark_leaving(self, instance: str) -> WriteResult:
-        """Set the state of an entry to `leaving`; repeating it is harmless."""
+        """Set the state of an entry to `leaving`; the call is idempotent."""
         return await self._write("POST", f"/instances/{quote_segment(instance)}/leaving")
 
     async def _write(self, method: str, target: str, body: bytes = b"") -> WriteResult:
--- a/cassiadrum/stores/http_object_stores.py
+++ b/cassiadrum/stores/http_object_stores.py
@@ -1,4 +1,4 @@
-"""The object store over HTTP."""
+"""Client of the object store over HTTP."""
 
 from cassiadrum.stores.errors import StoreUnavailable
 from cassiadrum.stores.object_stores import ObjectStore
@@ -9,13 +9,13 @@
 
 
 class HttpObjectStore(ObjectStore):
-    """Speak the object store's HTTP protocol."""
+    """Access the platform's object store over HTTP."""
 
     def __init__(self, transport: StoreTransport) -> None:
         self._transport = transport
 
     async def get(self, key: str) -> bytes | None:
-        """Return an object, or None when there is none; raise StoreUnavailable."""
+        """Return an object, or None if there is none; raise StoreUnavailable."""
         answer = await self._transport.read(f"/objects/{quote_segment(key)}")
         if answer.status == 404:
             return None
@@ -28,7 +28,7 @@
         return await self._write("PUT", key, data)
 
     async def delete(self, key: str) -> WriteResult:
-        """Remove an object; done also when there is none."""
+        """Delete an object; Done also if there is none."""
         return await self._write("DELETE", key)
 
     async def _write(self, method: str, key: str, data: bytes = b"") -> WriteResult:
--- a/cassiadrum/stores/http_table_stores.py
+++ b/cassiadrum/stores/http_table_stores.py
@@ -1,4 +1,4 @@
-"""The table service over HTTP."""
+"""Client of the table service over HTTP."""
 
 from collections.abc import Sequence
 from urllib.parse import urlencode
@@ -17,13 +17,13 @@
 
 
 class HttpTableStore(TableStore):
-    """Speak the table service's HTTP protocol."""
+    """Access the platform's table service over HTTP."""
 
     def __init__(self, transport: StoreTransport) -> None:
         self._transport = transport
 
     async def get(self, table: str, key: str) -> Row | None:
-        """Return a row, or None when there is none; raise StoreUnavailable."""
+        """Return a row, or None if there is none; raise StoreUnavailable."""
         answer = await self._transport.read(_target(table, key))
         if answer.status == 404:
             return None
@@ -38,7 +38,10 @@
         after: str = "",
         fields: Sequence[str] = (),
     ) -> RowPage:
-        """Return rows by key prefix, with only the named fields; raise StoreUnavailable."""
+        """Return rows by key prefix, with only the named fields; raise StoreUnavailable.
+
+        An empty `fields` returns all fields.
+        """
         query = {"prefix": prefix, "limit": limit, "after": after, "fields": ",".join(fields)}
         target = f"/tables/{quote_segment(table)}/rows?{urlencode(query)}"
         raw = _decoded(await self._transport.read(target))
@@ -90,7 +93,7 @@
 
 
 def _result(answer: StoreResponse) -> WriteResult:
-    """Return the result of an answered write; one that cannot be read leaves it unknown."""
+    """Return the result of a write; an invalid answer leaves it unknown."""
     if answer.status not in (200, 412):
         return Refused(f"status {answer.status}: {answer.body[:200].decode(errors='replace')}")
     try:
--- a/cassiadrum/stores/http_weight_stores.py
+++ b/cassiadrum/stores/http_weight_stores.py
@@ -1,4 +1,4 @@
-"""The weight store over HTTP."""
+"""Client of the weight store over HTTP."""
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -15,7 +15,10 @@
 
 
 class HttpWeightStore(WeightStore):
-    """Speak the weight store's HTTP protocol."""
+    """Access the platform's weight store over HTTP.
+
+    A download fails when no bytes arrive for `stall_timeout_s`.
+    """
 
     def __init__(
         self, transport: StoreTransport, *, stall_timeout_s: float = LIMITS.STORE_TIMEOUT_S
@@ -24,7 +27,7 @@
         self._stall_timeout_s = stall_timeout_s
 
     async def size(self, name: str) -> int | None:
-        """Return the size in bytes, or None when the name is unknown; raise StoreUnavailable."""
+        """Return the size in bytes, or None if the name is unknown; raise StoreUnavailable."""
         answer = await self._transport.read(f"/weights/{quote_segment(name)}/size")
         if answer.status == 404:
             return None
@@ -34,7 +37,7 @@
             raise StoreUnavailable(f"status {answer.status}: {exc}") from exc
 
     async def download(self, name: str, offset: int = 0) -> AsyncGenerator[bytes, None]:
-        """Yield the bytes from `offset`; raise StoreUnavailable when they stop early."""
+        """Yield the bytes from `offset`; raise StoreUnavailable if the download is cut off."""
         response = await self._transport.open(f"/weights/{quote_segment(name)}?offset={offset}")
         if response.status != 200:
             raise StoreUnavailable(f"status {response.status}")
@@ -51,4 +54,4 @@
             async with asyncio.timeout(self._stall_timeout_s):
                 return await anext(body, None)
         except (HttpError, TimeoutError) as exc:
-            raise StoreUnavailable(f"download stopped: {exc}") from exc
+            raise StoreUnavailable(f"download interrupted: {exc}") from exc
--- a/cassiadrum/stores/instance_lists.py
+++ b/cassiadrum/stores/instance_lists.py
@@ -9,7 +9,7 @@
 
 
 class InstanceList(ABC):
-    """Read the platform's lagging list of instances and change its entries."""
+    """Read the platform's list of instances, which may be outdated, and change its entries."""
 
     @abstractmethod
     async def fetch(self) -> tuple[Instance, ...]:
@@ -17,12 +17,12 @@
 
     @abstractmethod
     async def register(self, instance: Instance) -> WriteResult:
-        """Add or replace an entry; repeating it is harmless."""
+        """Add or replace an entry; the call is idempotent."""
 
     @abstractmethod
     async def deregister(self, instance: str) -> WriteResult:
-        """Remove an entry; repeating it is harmless."""
+        """Remove an entry; the call is idempotent."""
 
     @abstractmethod
     async def mark_leaving(self, instance: str) -> WriteResult:
-        """Set the state of an entry to `leaving`; repeating it is harmless."""
+        """Set the state of an entry to `leaving`; the call is idempotent."""
--- a/cassiadrum/stores/instances.py
+++ b/cassiadrum/stores/instances.py
@@ -6,7 +6,7 @@
 
 
 class Instance(NamedTuple):
-    """Describe an instance; `role` is `entry` or `sidecar`, addresses are `HOST:PORT`."""
+    """Entry of the instance list; `role` is `entry` or `sidecar`, addresses are `HOST:PORT`."""
 
     instance: str
     role: str
--- a/cassiadrum/stores/object_stores.py
+++ b/cassiadrum/stores/object_stores.py
@@ -8,11 +8,11 @@
 
 
 class ObjectStore(ABC):
-    """Keep objects by key; a put replaces the object, so repeating it is harmless."""
+    """Store objects by key; a put replaces the object, so it is idempotent."""
 
     @abstractmethod
     async def get(self, key: str) -> bytes | None:
-        """Return an object, or None when there is none; raise StoreUnavailable."""
+        """Return an object, or None if there is none; raise StoreUnavailable."""
 
     @abstractmethod
     async def put(self, key: str, data: bytes) -> WriteResult:
@@ -20,4 +20,4 @@
 
     @abstractmethod
     async def delete(self, key: str) -> WriteResult:
-        """Remove an object; done also when there is none."""
+        """Delete an object; Done also if there is none."""
--- a/cassiadrum/stores/row_pages.py
+++ b/cassiadrum/stores/row_pages.py
@@ -1,4 +1,4 @@
-"""A page of a listing."""
+"""A page of listed rows."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,10 @@
 
 
 class RowPage(NamedTuple):
-    """Hold rows in key order; `next_after` is empty on the last page."""
+    """Hold rows in key order.
+
+    `next_after` is the `after` argument for the next page, empty on the last page.
+    """
 
     rows: tuple[Row, ...]
     next_after: str = ""
--- a/cassiadrum/stores/store_budgets.py
+++ b/cassiadrum/stores/store_budgets.py
@@ -1,4 +1,4 @@
-"""The rate budget that all clients of a process share."""
+"""The rate budget shared by all store clients of a process."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class StoreBudget(NamedTuple):
-    """Hold the read and the write bucket of a process."""
+    """Hold the token buckets of a process for reads and writes."""
 
     reads: TokenBucket
     writes: TokenBucket
@@ -17,7 +17,7 @@
     def of_share(
         cls, reads_per_s: float, writes_per_s: float, processes: int, burst: float = 4.0
     ) -> "StoreBudget":
-        """Return the share of one of `processes` in the fleet's rates a second."""
+        """Return the budget of one process, an equal share of the fleet's rates."""
         return cls(
             TokenBucket(reads_per_s / processes, burst),
             TokenBucket(writes_per_s / processes, burst),
--- a/cassiadrum/stores/store_transports.py
+++ b/cassiadrum/stores/store_transports.py
@@ -1,4 +1,4 @@
-"""Requests of the store clients over HTTP, with deadline, budget and breaker."""
+"""HTTP requests to a store, with a deadline, a rate budget and a circuit breaker."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -18,7 +18,7 @@
 
 
 class StoreResponse(NamedTuple):
-    """Hold the status, headers and body of an answer below 500 other than 429."""
+    """Hold an answer of the store; the status is below 500 and not 429."""
 
     status: int
     headers: Headers
@@ -28,7 +28,7 @@
 class StoreTransport:
     """Send requests to one store; `clock` returns monotonic seconds.
 
-    `called` is told the result of each call: `answered`, `not_applied` or `unknown`.
+    `on_result` gets the result of each read and write: `answered`, `not_applied` or `unknown`.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         self._on_result = on_result
 
     async def read(self, target: str, headers: Headers = ()) -> StoreResponse:
-        """Send a GET; raise StoreUnavailable when no valid answer came."""
+        """Send a GET request; raise StoreUnavailable if there is no valid answer."""
         try:
             return await self._send("GET", target, headers, b"")
         except StoreError as exc:
@@ -58,7 +58,7 @@
     async def write(
         self, method: str, target: str, headers: Headers = (), body: bytes = b""
     ) -> StoreResponse | Refused | Unknown:
-        """Send a write and return its answer, or a result without one."""
+        """Send a write; return its answer, or Refused or Unknown without one."""
         try:
             answer = await self._send(method, target, headers, body)
         except NotApplied as exc:
@@ -68,9 +68,9 @@
         return answer
 
     async def open(self, target: str) -> HttpResponse:
-        """Send a GET and return its response once the headers arrived.
+        """Send a GET request and return its response once the headers have arrived.
 
-        Raises StoreUnavailable. The caller reads the body under its own timeout.
+        Raises StoreUnavailable. The caller reads the body with its own timeout.
         """
         try:
             return await self._guarded("GET", lambda: self._client.request("GET", target))
@@ -93,11 +93,11 @@
         return answer
 
     async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
-        """Run `send` within budget, breaker and deadline."""
+        """Run `send` subject to rate budget, circuit breaker and deadline."""
         deadline_s = self._clock() + self._timeout_s
         await self._wait_for_budget(method)
         if not self.breaker.allow(self._clock()):
-            raise NotApplied("circuit breaker open")
+            raise NotApplied("circuit breaker is open")
         try:
             async with asyncio.timeout(max(0.0, deadline_s - self._clock())):
                 return await send()
@@ -114,14 +114,14 @@
         bucket = self._budget.reads if method == "GET" else self._budget.writes
         wait_s = bucket.reserve(self._clock(), self._timeout_s / 2)
         if wait_s is None:
-            raise NotApplied("rate budget of this process used up", 1.0)
+            raise NotApplied("rate budget of this process is exhausted", 1.0)
         await asyncio.sleep(wait_s)
 
     def _check_status(self, answer: StoreResponse) -> StoreResponse:
-        """Return an answer that the store gave on the request itself.
+        """Return an answer, or raise if its status says that the request was not served.
 
-        By the protocol 429 and 503 state that nothing was applied; any other status of 500 or
-        above leaves that open.
+        By the protocol, 429 and 503 mean that nothing was applied; any other status of 500 or
+        above leaves the outcome unknown.
         """
         if answer.status == 429:
             self.breaker.record_success()
@@ -136,7 +136,7 @@
 
 
 def quote_segment(text: str) -> str:
-    """Return a path segment or query value with every reserved character escaped."""
+    """Return a path segment or query value with all reserved characters escaped."""
     return quote(text, safe="")
 
 
--- a/cassiadrum/stores/table_stores.py
+++ b/cassiadrum/stores/table_stores.py
@@ -17,11 +17,11 @@
 
 
 class TableStore(ABC):
-    """Read rows, and write them by compare-and-set."""
+    """Read rows and write them by compare-and-set."""
 
     @abstractmethod
     async def get(self, table: str, key: str) -> Row | None:
-        """Return a row, or None when there is none; raise StoreUnavailable."""
+        """Return a row, or None if there is none; raise StoreUnavailable."""
 
     @abstractmethod
     async def list(
@@ -33,7 +33,10 @@
         after: str = "",
         fields: Sequence[str] = (),
     ) -> RowPage:
-        """Return rows by key prefix, with only the named fields; raise StoreUnavailable."""
+        """Return rows by key prefix, with only the named fields; raise StoreUnavailable.
+
+        An empty `fields` returns all fields. `after` is the key after which the page starts.
+        """
 
     @abstractmethod
     async def write(self, writes: Sequence[TableWrite]) -> WriteResult:
@@ -42,9 +45,9 @@
     async def put(
         self, table: str, key: str, value: dict[str, object], expected: int
     ) -> WriteResult:
-        """Write a row if it has the version `expected`, 0 for no row."""
+        """Write a row if it has version `expected`, 0 if there must be no row."""
         return await self.write([TableWrite(table, key, value, expected)])
 
     async def delete(self, table: str, key: str, expected: int) -> WriteResult:
-        """Delete a row if it has the version `expected`."""
+        """Delete a row if it has version `expected`."""
         return await self.write([TableWrite(table, key, None, expected)])
--- a/cassiadrum/stores/table_writes.py
+++ b/cassiadrum/stores/table_writes.py
@@ -1,4 +1,4 @@
-"""One write of a batch."""
+"""One write of a batch to the table service."""
 
 from typing import NamedTuple
 
@@ -6,9 +6,9 @@
 
 
 class TableWrite(NamedTuple):
-    """Put a value, or delete when it is None, if the row has the version `expected`.
+    """Write a value, or delete the row if it is None, if the row has version `expected`.
 
-    `expected` 0 means that the row must not exist.
+    With `expected` 0 the row must not exist.
     """
 
     table: str
--- a/cassiadrum/stores/token_buckets.py
+++ b/cassiadrum/stores/token_buckets.py
@@ -1,10 +1,10 @@
-"""A token bucket; time is an argument."""
+"""A token bucket; callers pass the time in monotonic seconds."""
 
 __all__ = ["TokenBucket"]
 
 
 class TokenBucket:
-    """Bound a rate in tokens a second, with a burst in tokens."""
+    """Limit a rate in tokens per second, with bursts of up to `burst` tokens."""
 
     def __init__(self, rate_per_s: float, burst: float) -> None:
         self._rate_per_s = rate_per_s
@@ -18,9 +18,9 @@
         self._rate_per_s = rate_per_s
 
     def reserve(self, now: float, limit_s: float, tokens: float = 1.0) -> float | None:
-        """Take tokens and return the wait for them in seconds.
+        """Take tokens and return the seconds until they are available.
 
-        Returns None and takes nothing when the wait would be longer than `limit_s`.
+        Returns None and takes nothing if the wait would exceed `limit_s`.
         """
         self._refill(now)
         missing = tokens - self._tokens
--- a/cassiadrum/stores/weight_stores.py
+++ b/cassiadrum/stores/weight_stores.py
@@ -7,15 +7,15 @@
 
 
 class WeightStore(ABC):
-    """Download weights from a store that limits the rate of bytes."""
+    """Download model weights from a store that limits the byte rate."""
 
     @abstractmethod
     async def size(self, name: str) -> int | None:
-        """Return the size in bytes, or None when the name is unknown; raise StoreUnavailable."""
+        """Return the size in bytes, or None if the name is unknown; raise StoreUnavailable."""
 
     @abstractmethod
     def download(self, name: str, offset: int = 0) -> AsyncGenerator[bytes, None]:
-        """Yield the bytes from `offset`; raise StoreUnavailable when they stop early.
+        """Yield the bytes from `offset`; raise StoreUnavailable if the download is cut off.
 
-        A caller resumes with the offset of the first byte that it has not got.
+        A caller resumes at the offset of the first byte it has not received.
         """
--- a/cassiadrum/stores/write_results.py
+++ b/cassiadrum/stores/write_results.py
@@ -19,21 +19,21 @@
 
 
 class Conflict(NamedTuple):
-    """Not done: the row at `position` of the writes is as in `row`, None when there is none."""
+    """Not done: the write at `position` met the row `row`, or no row if that is None."""
 
     row: Row | None
     position: int = 0
 
 
 class Refused(NamedTuple):
-    """Not done: the store or this process did not take the write."""
+    """Not done: the store refused the write, or this process did not send it."""
 
     reason: str
     retry_after_s: float = 0.0
 
 
 class Unknown(NamedTuple):
-    """The write was sent and its outcome is not known; it may still be applied later."""
+    """The write was sent and its outcome is unknown; it may still be applied later."""
 
     reason: str
 
