Name the admitted entry instances of a connection bound

_places -> _admitted: the mapping holds every admitted entry instance, connected or not. Its doc names the setting that may exceed the bound on all links.

--- a/cassiadrum/members/connection_bounds.py
+++ b/cassiadrum/members/connection_bounds.py
@@ -30,8 +30,8 @@
 def links_per_service(subset_size: int, services: int) -> int:
     """Return the number of links of an entry instance to each service.
 
-    `subset_size` bounds the links to all services together. The minimum of links per service may
-    exceed it when there are many services.
+    `subset_size` bounds the links to all services together, but LINKS_PER_SERVICE_MIN links to
+    each of many services may exceed it.
     """
     share = max(LIMITS.LINKS_PER_SERVICE_MIN, subset_size // max(1, services))
     return min(subset_size, share)
@@ -46,11 +46,11 @@
 
     def __init__(self) -> None:
         self.mean = 0.0
-        # Per admitted entry instance, when its connection was lost, None while connected.
-        self._lost_at_s: dict[str, float | None] = {}
+        # Admitted entry instances and when their connection was lost, None while connected.
+        self._admitted: dict[str, float | None] = {}
 
     def __len__(self) -> int:
-        return len(self._lost_at_s)
+        return len(self._admitted)
 
     @property
     def bound(self) -> int:
@@ -59,17 +59,17 @@
 
     def admit(self, entry: str, now: float) -> bool:
         """Admit an entry instance unless the limit is reached; return whether it was admitted."""
-        self._lost_at_s = {
+        self._admitted = {
             name: lost_s
-            for name, lost_s in self._lost_at_s.items()
+            for name, lost_s in self._admitted.items()
             if lost_s is None or now - lost_s < LIMITS.DETACHED_STREAM_S
         }
-        if entry not in self._lost_at_s and self.bound and len(self._lost_at_s) >= self.bound:
+        if entry not in self._admitted and self.bound and len(self._admitted) >= self.bound:
             return False
-        self._lost_at_s[entry] = None
+        self._admitted[entry] = None
         return True
 
     def connection_lost(self, entry: str, now: float) -> None:
         """Record that the connection of an entry instance was lost."""
-        if entry in self._lost_at_s:
-            self._lost_at_s[entry] = now
+        if entry in self._admitted:
+            self._admitted[entry] = now
