--- a/cassiadrum/platform/boot_settings.py
+++ b/cassiadrum/platform/node_settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform gives each process."""
+"""The settings file that the platform provides to each process."""
 
 import os
 from pathlib import Path
@@ -13,7 +13,7 @@
 from cassiadrum.settings.addresses import Address
 from cassiadrum.settings.schemas import HostPort
 
-__all__ = ["BootSettings", "Bounds", "load_boot_settings", "parse_boot_settings", "settings_path"]
+__all__ = ["Bounds", "NodeSettings", "load_node_settings", "parse_node_settings", "settings_path"]
 
 FILE_VARIABLE = "CASSIADRUM_NODE_FILE"
 MEGABYTE = 1024 * 1024
@@ -62,29 +62,30 @@
 
 
 class Bounds(NamedTuple):
-    """Hold the deployment's bounds, in seconds where the name ends so."""
+    """Hold the deployment's bounds; names that end in `_s` are in seconds."""
 
-    # How long calm a machine and the store must be for the other bounds to hold.
+    # How long a machine and the store must be free of faults before the other bounds apply.
     contact_s: float
-    # From the acceptance of a configuration until it must be in force.
+    # Longest time from the acceptance of a configuration until it is in force.
     apply_s: float
-    # From an endpoint's leaving until it may get no new request.
+    # Longest time after an endpoint starts to drain in which it may still get new requests.
     drain_s: float
-    # From SIGTERM to SIGKILL.
+    # Time between SIGTERM and SIGKILL.
     grace_s: float
-    # Whether a key that was taken away must not be served past `revoke_s` under any fault.
+    # Whether a revoked API key must be refused after `revoke_s` under any fault.
     strict_keys: bool
     revoke_s: float
-    # Attempts beyond the first, as a part of the requests and a number besides, in a window.
+    # Retry budget: in each window of `retry_window_s`, the attempts beyond the first may number
+    # `retry_ratio` times the requests, plus `retry_spare`.
     retry_ratio: float
     retry_spare: float
     retry_window_s: float
 
 
-class BootSettings(NamedTuple):
-    """Hold what a gateway needs of the settings file.
+class NodeSettings(NamedTuple):
+    """Hold the values of the settings file that a gateway uses.
 
-    The store and the bounds may change while it runs, the other fields at a start only.
+    The store address and the bounds can be reloaded at run time; the other fields need a restart.
     """
 
     instance: str
@@ -92,40 +93,43 @@
     calls: Address
     readiness: Address
     store: Address
-    # The machine's own address, where the metrics are served.
+    # The machine's own address, on which the metrics are served.
     host: str
-    # Files and sockets that the process may have open.
+    # Limit on open file descriptors, sockets included.
     descriptors: int
     memory_bytes: int
-    # How often endpoints renew their registrations.
+    # Interval at which endpoints renew their registrations.
     heartbeat_s: float
     bounds: Bounds
 
     @property
     def digest(self) -> int:
-        """Return a number that is equal where all that may change while running is equal."""
+        """Return a 32-bit hash of the settings that can be reloaded at run time."""
         return xxhash.xxh32_intdigest(repr((self.store, self.bounds)).encode())
 
 
 def settings_path() -> Path:
-    """Return the path of the settings file; raise BadSettings when it is not named."""
+    """Return the path of the settings file; raise BadSettings if the variable is not set."""
     path = os.environ.get(FILE_VARIABLE)
     if not path:
         raise BadSettings([Finding("environment", FILE_VARIABLE, "nothing", "a path")])
     return Path(path)
 
 
-def load_boot_settings(path: Path) -> BootSettings:
-    """Return the settings in a file; raise BadSettings with one finding for each error."""
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read settings from a file; raise BadSettings with one finding for each error."""
     try:
         data = path.read_bytes()
     except OSError as exc:
         raise BadSettings([Finding(str(path), "(file)", str(exc), "a readable file")]) from exc
-    return parse_boot_settings(data, str(path))
+    return parse_node_settings(data, str(path))
 
 
-def parse_boot_settings(data: bytes, file: str = "settings") -> BootSettings:
-    """Return the settings in `data`; raise BadSettings with one finding for each error."""
+def parse_node_settings(data: bytes, file: str = "settings") -> NodeSettings:
+    """Parse settings from JSON; raise BadSettings with one finding for each error.
+
+    `file` is the file name used in the findings.
+    """
     try:
         raw = msgspec.json.decode(data)
     except (msgspec.DecodeError, RecursionError) as exc:
@@ -136,9 +140,9 @@
     return _to_settings(msgspec.convert(raw, _FileWire))
 
 
-def _to_settings(wire: _FileWire) -> BootSettings:
+def _to_settings(wire: _FileWire) -> NodeSettings:
     bounds = wire.bounds
-    return BootSettings(
+    return NodeSettings(
         instance=wire.node,
         zone=wire.zone,
         calls=Address.parse(wire.listen.front),
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -1,4 +1,4 @@
-"""Rows of the store that the operator and the endpoints write, decoded."""
+"""Decoding of the store rows that the operator and the endpoints write."""
 
 from typing import Final
 
@@ -19,7 +19,7 @@
 
 __all__ = ["decode_catalog", "decode_entry"]
 
-KINDS: Final = {
+CALL_KINDS: Final = {
     "non_idempotent": CallKind.ONCE,
     "idempotent": CallKind.IDEMPOTENT,
     "stream": CallKind.STREAM,
@@ -27,9 +27,9 @@
 READY: Final = "ready"
 DRAINING: Final = "draining"
 DEFAULT_PRIORITY: Final = 5
-LAST_PORT: Final = 65_535
-# What decoding raises; a document of many nested parts exceeds the interpreter's depth.
-UNREADABLE: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+MAX_PORT: Final = 65_535
+# Errors of decoding; a deeply nested document raises RecursionError.
+DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _ShareWire(msgspec.Struct):
@@ -43,11 +43,11 @@
     prefix: str
     kind: str
     timeout_ms: float
-    # The time within which an answer is on time.
+    # Latency target; 0 means `timeout_ms`.
     goal_ms: float = 0.0
     priority: int = DEFAULT_PRIORITY
     service: str = ""
-    # Services with weights, in place of one service.
+    # Weighted services; replaces `service` if not empty.
     split: list[_ShareWire] = []
     max_attempts: int = 1
     public: bool = False
@@ -93,16 +93,16 @@
     slots: int
     state: str
     cold_left_ms: float = 0.0
-    # The Unix millisecond of the endpoint's start.
+    # Start of the endpoint in milliseconds since 1970.
     born: int = 0
 
 
 def decode_catalog(data: bytes) -> Catalog:
-    """Return the configuration; raise BadRecord."""
+    """Decode the operator's configuration; raise BadRecord if it is invalid."""
     try:
         wire = msgspec.json.decode(data, type=_CatalogWire)
         routes = [_route(route) for route in wire.routes]
-    except (*UNREADABLE, KeyError) as exc:
+    except (*DECODE_ERRORS, KeyError) as exc:
         raise BadRecord(f"configuration: {exc}") from exc
     customers = {
         key: Customer(customer.name, customer.priority)
@@ -127,16 +127,16 @@
 
 
 def decode_entry(instance: str, data: bytes) -> EndpointEntry:
-    """Return an endpoint's registration; raise BadRecord."""
+    """Decode an endpoint's registration; raise BadRecord if it is invalid."""
     try:
         wire = msgspec.json.decode(data, type=_EntryWire)
         address = Address.parse(wire.address)
-    except UNREADABLE as exc:
+    except DECODE_ERRORS as exc:
         raise BadRecord(f"endpoint {instance}: {exc}") from exc
     if wire.state not in (READY, DRAINING):
         raise BadRecord(f"endpoint {instance}: unknown state {wire.state!r}")
-    if wire.slots < 1 or not address.host or not 0 < address.port <= LAST_PORT:
-        raise BadRecord(f"endpoint {instance}: no slots or no address")
+    if wire.slots < 1 or not address.host or not 0 < address.port <= MAX_PORT:
+        raise BadRecord(f"endpoint {instance}: needs at least 1 slot and a valid address")
     return EndpointEntry(
         instance=instance,
         service=wire.service,
@@ -155,7 +155,7 @@
         name=wire.name,
         host=wire.host.lower(),
         prefix=wire.prefix,
-        kind=KINDS[wire.kind],
+        kind=CALL_KINDS[wire.kind],
         timeout_s=wire.timeout_ms / 1000,
         target_s=(wire.goal_ms or wire.timeout_ms) / 1000,
         priority=wire.priority,
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store: the rows of a table and their changes."""
+"""Client of the platform's store for reading the rows of a table and their changes."""
 
 import asyncio
 import base64
@@ -10,27 +10,27 @@
 import msgspec
 
 from cassiadrum.platform.errors import HistoryGone
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.platform.wire_names import Header
 from cassiadrum.protocols import BadMessage, HttpClient, HttpError, HttpResponse
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
 __all__ = ["ChangedRow", "RowPage", "RowStore"]
 
-# Time for an answer beyond the wait that the call itself asks for; the store answers in
-# milliseconds, and a connection can fall silent for good.
-ANSWER_TIMEOUT_S = 0.8
+# Timeout for an answer, on top of the wait that the call requests. The store answers within
+# milliseconds, but a broken connection may never deliver an answer.
+RESPONSE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
-# A page of rows is far smaller; what does not end must not take the process's memory.
-ANSWER_BYTES = 16 * 1024 * 1024
+# Bounds memory use if a body does not end; a page of rows is far smaller.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 GONE_STATUS = 410
 
 
 class _RowWire(msgspec.Struct):
     key: str
-    # The content in base64; absent where the row was dropped.
+    # Content in base64; absent if the row was removed.
     value: str = ""
     ver: int = 0
     removed: bool = False
@@ -38,15 +38,18 @@
 
 class _PageWire(msgspec.Struct):
     rows: list[_RowWire]
-    # The newest version of the whole store at the time of the answer.
+    # Newest version of the whole store at the time of the answer.
     ver: int
-    # The store's steady clock.
+    # The store's monotonic clock.
     now_ms: float
     truncated: bool = False
 
 
 class ChangedRow(NamedTuple):
-    """Hold the content of a row at a version, None where the row was removed or is unreadable."""
+    """Hold the content of a row at a version, None if the row was removed.
+
+    Content that is not valid base64 is empty.
+    """
 
     key: str
     content: bytes | None
@@ -54,7 +57,10 @@
 
 
 class RowPage(NamedTuple):
-    """Hold rows as of one moment; the times are in seconds, `store_s` on the store's clock."""
+    """Hold the rows of an answer and the store's version.
+
+    Times are in seconds: `store_s` on the store's clock, the others on this machine's boot clock.
+    """
 
     rows: tuple[ChangedRow, ...]
     version: int
@@ -64,7 +70,10 @@
 
 
 class RowStore:
-    """Read tables over one connection for each caller; `boot_clock` returns boot-time seconds."""
+    """Read tables of the store; `boot_clock` returns seconds since boot, suspend included.
+
+    Concurrent calls use a connection each.
+    """
 
     def __init__(
         self,
@@ -78,8 +87,9 @@
     async def read_all(self, table: str) -> RowPage:
         """Return all rows of a table; raise StoreUnavailable.
 
-        The version is that of the first page, so that following it repeats what changed meanwhile.
-        Pages from before and after a restore of the store do not make up a table.
+        The version is that of the first page, so reading changes from there repeats those made
+        while the pages were read. Pages from before and after a restore of the store are not
+        combined, since they may be inconsistent.
         """
         first: RowPage | None = None
         era: int | None = None
@@ -88,23 +98,24 @@
         while True:
             query = f"/-/rows-get?table={table}&part=&limit={PAGE_ROWS}"
             query += f"&from={start}" if start else ""
-            page, truncated = await self._call(query, ANSWER_TIMEOUT_S)
+            page, truncated = await self._call(query, RESPONSE_TIMEOUT_S)
             if first is None:
                 first, era = page, self.era.number
             elif self.era.number != era:
-                raise StoreUnavailable("the store was restored between two pages")
+                raise StoreUnavailable("the store was restored while a table was read")
             rows.update((row.key, row) for row in page.rows)
             if not truncated or not page.rows or page.rows[-1].key == start:
                 return first._replace(rows=tuple(rows.values()))
             start = page.rows[-1].key
 
-    async def changes(self, table: str, since: int, wait_s: float) -> RowPage:
-        """Return the rows that changed after a version, at the latest after `wait_s` seconds.
+    async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
+        """Return the rows that changed after a version, waiting up to `wait_s` for a change.
 
-        Raises HistoryGone, and StoreUnavailable when no valid answer came in time.
+        Raises HistoryGone if the store no longer keeps the changes since that version, and
+        StoreUnavailable if no valid answer arrives in time.
         """
         query = f"/-/rows-feed?table={table}&since_rev={since}&wait_ms={int(wait_s * 1000)}"
-        page, _ = await self._call(query, wait_s + ANSWER_TIMEOUT_S)
+        page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S)
         return page
 
     def close(self) -> None:
@@ -120,7 +131,7 @@
         except (HttpError, TimeoutError) as exc:
             self._client.close()
             raise StoreUnavailable(str(exc) or f"no answer in {timeout_s:g} s") from exc
-        self._take_era(response)
+        self._check_era(response)
         if response.status == GONE_STATUS:
             raise HistoryGone(target)
         if response.status != 200:
@@ -128,32 +139,32 @@
         try:
             wire = msgspec.json.decode(body, type=_PageWire)
         except (msgspec.MsgspecError, RecursionError) as exc:
-            raise StoreUnavailable(f"unreadable answer: {exc}") from exc
-        rows = tuple(ChangedRow(row.key, _content(row), row.ver) for row in wire.rows)
+            raise StoreUnavailable(f"invalid answer: {exc}") from exc
+        rows = tuple(ChangedRow(row.key, _decode_content(row), row.ver) for row in wire.rows)
         page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, self._boot_clock())
         return page, wire.truncated
 
-    def _take_era(self, response: HttpResponse) -> None:
-        """Learn the era from any answer; raise StoreUnavailable for an answer of an older one."""
-        if not self.era.take(response.header(Header.STORE_ERA)):
-            # What else arrives on its connection may be as old.
+    def _check_era(self, response: HttpResponse) -> None:
+        """Observe the era in an answer; raise StoreUnavailable if it is older than the newest."""
+        if not self.era.observe(response.header(Header.STORE_ERA)):
+            # Further answers on this connection may be as old.
             self._client.close()
-            raise StoreUnavailable("an answer from before the store was restored")
+            raise StoreUnavailable("the answer predates a restore of the store")
 
 
 async def _read_body(response: HttpResponse) -> bytes:
-    """Return the body; raise BadMessage for one that does not end within the bound."""
+    """Return the body; raise BadMessage if it exceeds MAX_RESPONSE_BYTES."""
     parts: list[bytes] = []
     size = 0
     async for part in response.body:
         parts.append(part)
         size += len(part)
-        if size > ANSWER_BYTES:
-            raise BadMessage(502, f"an answer over {ANSWER_BYTES} bytes")
+        if size > MAX_RESPONSE_BYTES:
+            raise BadMessage(502, f"the answer exceeds {MAX_RESPONSE_BYTES} bytes")
     return b"".join(parts)
 
 
-def _content(row: _RowWire) -> bytes | None:
+def _decode_content(row: _RowWire) -> bytes | None:
     if row.removed:
         return None
     try:
--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -1,17 +1,17 @@
-"""A stand-in of an endpoint on the platform: plain calls and resumable streams, with faults."""
+"""A stand-in for an endpoint that serves plain calls and resumable streams, with faults."""
 
 import asyncio
 import json
 from typing import NamedTuple
 
-from cassiadrum.platform.wire_names import Header
+from cassiadrum.platform.headers import Header
 from cassiadrum.protocols import Exchange, Headers, HttpServer
 
 __all__ = ["EndpointRun", "EndpointService"]
 
 
 class EndpointRun(NamedTuple):
-    """Record a request that ran here; header names are lower case."""
+    """Record of a request that this endpoint ran; header names are in lower case."""
 
     request_id: str
     target: str
@@ -20,43 +20,44 @@
 
 
 class EndpointService:
-    """Answer every call with its own name; a call with an output size gets a stream of events.
+    """Answer a call with the endpoint's name, or with a stream of events if it has token counts.
 
-    `refuse` answers without running, with `retry_after` where it is set, `hang` never answers,
-    `cut_after` breaks each stream off after so many events, `fail` runs a request and answers 500,
-    `leaving` says in all answers that the endpoint shuts down.
+    Faults are set as attributes: `refuse` answers 503 without running the request, with
+    `retry_after` if that is set; `hang` never answers; `cut_after` aborts each stream after that
+    many events; `fail` runs a request and answers 500; `leaving` announces a shutdown in every
+    answer. Events are sent `event_interval_s` apart.
     """
 
-    def __init__(self, instance: str, *, slots: int = 8, event_s: float = 0.0) -> None:
+    def __init__(self, instance: str, *, slots: int = 8, event_interval_s: float = 0.0) -> None:
         self.instance = instance
         self.runs: list[EndpointRun] = []
-        # Requests that stopped because their connection was closed.
+        # Ids of requests that stopped because their connection was closed.
         self.stopped: list[str] = []
         self.refuse = False
         self.retry_after = ""
         self.refused = 0
         self.leaving = False
-        # The Unix millisecond of the start that is registered.
+        # Registered start time in milliseconds since 1970.
         self.born = 1
         self.hang = False
         self.fail = False
         self.cut_after: int | None = None
         self.running = 0
         self._slots = slots
-        self._event_s = event_s
+        self._event_interval_s = event_interval_s
         self._server = HttpServer(self._handle)
         self.address = ""
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        """Listen."""
+        """Listen, and set `address`."""
         self.address = f"{host}:{await self._server.start(host, port)}"
 
     async def close(self) -> None:
-        """Cut every connection, as a crash does."""
+        """Abort all connections, as a crash does."""
         await self._server.abort()
 
     def entry(self, service: str, *, state: str = "ready", zone: str = "a") -> dict[str, object]:
-        """Return the registration."""
+        """Return the row with which this endpoint registers."""
         return {
             "service": service,
             "address": self.address,
@@ -72,15 +73,15 @@
     async def _handle(self, exchange: Exchange) -> None:
         req = exchange.req
         request_id = req.header(Header.REQUEST_ID)
-        wanted = req.header(Header.INSTANCE_WANTED)
+        wanted = req.header(Header.TARGET_INSTANCE)
         if wanted and wanted != self.instance:
             name = ("x-cassiadrum-instance-id", self.instance)
-            await exchange.send_json(421, {}, (name, *self._notices()))
+            await exchange.send_json(421, {}, (name, *self._notice_headers()))
             return
         if self.refuse:
             self.refused += 1
             head = ((Header.REQUEST_ID, request_id), (Header.NOT_RUN, "1"))
-            await exchange.send_json(503, {}, (*head, *self._notices()))
+            await exchange.send_json(503, {}, (*head, *self._notice_headers()))
             return
         self.runs.append(EndpointRun(request_id, req.target, dict(req.headers), req.body))
         self.running += 1
@@ -89,8 +90,8 @@
         finally:
             self.running -= 1
 
-    def _notices(self) -> Headers:
-        """Return what every answer says of further requests."""
+    def _notice_headers(self) -> Headers:
+        """Return the headers that announce a shutdown or a pause, sent with every answer."""
         leaving = ((Header.LEAVING, "1"),) if self.leaving else ()
         pause = ((Header.RETRY_AFTER, self.retry_after),) if self.retry_after else ()
         return (*leaving, *pause)
@@ -104,7 +105,7 @@
             (Header.REQUEST_ID, request_id),
             (Header.SIGNATURE, f"signed-by-{self.instance}"),
             (Header.LOAD, f"{self.running},0,{self._slots}"),
-            *self._notices(),
+            *self._notice_headers(),
         )
         if self.fail:
             await exchange.send_json(500, {"from": self.instance}, head)
@@ -118,7 +119,7 @@
         count = int(exchange.req.header(Header.TOKENS).split(",")[1])
         await exchange.send_head(200, (*head, ("content-type", "text/event-stream")))
         loop = asyncio.get_running_loop()
-        # Events are due by the clock, so that late timers of a busy machine do not add up.
+        # Due times are absolute, so that late timers on a busy machine do not accumulate.
         due_s = loop.time()
         for sent, number in enumerate(range(first, count + 1)):
             if sent == self.cut_after:
@@ -130,6 +131,6 @@
                 return
             event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
             await exchange.send_data(event.encode())
-            due_s += self._event_s
+            due_s += self._event_interval_s
             await asyncio.sleep(max(0.0, due_s - loop.time()))
         await exchange.end()
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -1,4 +1,4 @@
-"""Following of the store's tables by one waiting call."""
+"""Follows changes of the store's tables with one long-polling call."""
 
 import asyncio
 import logging
@@ -16,167 +16,182 @@
 
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.6
-# All gateways learn of a restored store at once; their reads of all rows spread over this time.
-RESTORED_SPREAD_S = 0.4
+# All gateways detect a restored store at the same time; a random delay up to this spreads their
+# reads of all rows.
+RESTORE_SPREAD_S = 0.4
 
 
 class TableSink(ABC):
-    """Take the content of a table."""
+    """Receiver of a table's rows and changes."""
 
     @abstractmethod
     def replace(self, page: RowPage) -> None:
-        """Take all rows."""
+        """Replace the content by all rows of the table."""
 
     @abstractmethod
-    def change(self, page: RowPage) -> None:
-        """Take the rows that changed; none when nothing changed within the wait."""
+    def apply_changes(self, page: RowPage) -> None:
+        """Apply changed rows; there are none if nothing changed within the wait."""
 
     @abstractmethod
-    def returned(self) -> None:
-        """Take note that the store answers again, before its rows."""
+    def store_returned(self) -> None:
+        """Handle the end of a store outage; called before the rows that follow are passed on."""
 
     @abstractmethod
-    def restored(self) -> None:
-        """Take note that the store came back from an older copy, before all of its rows."""
+    def store_restored(self) -> None:
+        """Handle a restore of the store from an older copy; called before `replace`."""
 
 
 class FollowedTable:
-    """Pass a table's content and changes to its sink."""
+    """A table that is followed, its sink and the version that the sink has."""
 
     def __init__(self, name: str, sink: TableSink) -> None:
         self.name = name
         self.sink = sink
-        # The store's version up to which the sink knows the table, None before it was read.
+        # Store version up to which the sink is current, None if all rows must be read.
         self.version: int | None = None
 
     async def read(self, store: RowStore, wait_s: float) -> tuple[RowPage, bool]:
-        """Return the changes, or all rows and True; raise StoreUnavailable."""
+        """Return a page and whether it holds all rows, not only changes; raise StoreUnavailable.
+
+        A call for changes waits up to `wait_s` for one.
+        """
         if self.version is not None:
             try:
-                return await store.changes(self.name, self.version, wait_s), False
+                return await store.read_changes(self.name, self.version, wait_s), False
             except HistoryGone:
-                logger.info("store forgot its history, reading %s in full", self.name)
+                logger.info(
+                    "store no longer keeps the needed changes, reading all rows of table %s",
+                    self.name,
+                )
                 self.version = None
         return await store.read_all(self.name), True
 
-    def take(self, page: RowPage, *, full: bool) -> None:
-        """Pass an answer on."""
+    def apply(self, page: RowPage, *, full: bool) -> None:
+        """Pass a page to the sink; `full` tells that it holds all rows."""
         if full:
             self.sink.replace(page)
         else:
-            self.sink.change(page)
+            self.sink.apply_changes(page)
         self.version = page.version
 
-    def restored(self) -> None:
-        """Forget the version, so that the table is read in full."""
+    def reset(self) -> None:
+        """Notify the sink of a restored store, and have all rows read next."""
         self.version = None
-        self.sink.restored()
+        self.sink.store_restored()
 
 
 class StoreFollower:
-    """Wait for changes of one table, and read others when the store has changed, for ever.
+    """Long-poll one table, and read the others when the store's version has increased.
 
-    The store numbers all its changes with one counter and states the newest number in each answer.
-    So the answer about the leading table tells whether another table may have changed, and calm
-    times cost one call for each `wait_s` seconds. Many changes of the others within that time,
-    as when all endpoints of a service are replaced, cost one more call and not one for each.
+    The store numbers all changes with one counter and states the newest number in each answer, so
+    an answer about the leading table tells whether another table may have changed. Without
+    changes this costs one call per `wait_s` seconds. Many changes of the other tables within that
+    time, as when all endpoints of a service are replaced, cost one more call, not one per change.
 
-    A store that comes back from an older copy counts again from that copy's version. Its era, or
-    a version that went back where it states none, tells so; then all tables are read in full.
+    A store restored from an older copy continues from that copy's version. The follower detects
+    this by a higher era, or by a lower version if the store states no era, and then reads all
+    tables in full.
     """
 
     def __init__(
         self,
         store: RowStore,
-        leading: FollowedTable,
-        others: Sequence[FollowedTable],
+        leading_table: FollowedTable,
+        other_tables: Sequence[FollowedTable],
         wait_s: float,
     ) -> None:
         self._store = store
-        self._leading = leading
-        self._others = others
+        self._leading_table = leading_table
+        self._other_tables = other_tables
         self._wait_s = wait_s
-        # The newest version that the store has stated, and the era to which versions belong.
-        self._newest = 0
+        # Newest version that the store has stated, and the era that it belongs to.
+        self._newest_version = 0
         self._era = store.era.number
         self._failures = 0
 
     async def run(self) -> None:
-        """Follow the tables."""
+        """Follow the tables until cancelled."""
         while True:
             pause_s = await self.step()
             await asyncio.sleep(pause_s)
 
     async def step(self) -> float:
-        """Follow each table once; return the seconds until the next step."""
-        # The first call after an outage returns at once, so that its end is seen.
-        wait_s = 0.0 if self._failures or any(map(self._behind, self._others)) else self._wait_s
+        """Read the tables that may have changed once; return the seconds until the next step."""
+        # After a failure, call without a wait to detect the end of the outage early.
+        wait_s = (
+            0.0
+            if self._failures or any(map(self._is_behind, self._other_tables))
+            else self._wait_s
+        )
         try:
             await self._follow_leading(wait_s)
-            for table in self._others:
-                if self._behind(table):
+            for table in self._other_tables:
+                if self._is_behind(table):
                     await self._follow(table, 0.0)
         except StoreUnavailable as exc:
-            self._heed_era()
-            return self._pause_s(str(exc))
+            self._check_era()
+            return self._backoff_s(str(exc))
         except StoreRestored:
-            return random.uniform(0.0, RESTORED_SPREAD_S)
+            return random.uniform(0.0, RESTORE_SPREAD_S)
         if self._failures:
-            logger.info("store answers again")
+            logger.info("store is available again")
             self._failures = 0
         return 0.0
 
-    def _behind(self, table: FollowedTable) -> bool:
-        return table.version is None or table.version < self._newest
+    def _is_behind(self, table: FollowedTable) -> bool:
+        return table.version is None or table.version < self._newest_version
 
     async def _follow_leading(self, wait_s: float) -> None:
-        page, full = await self._read(self._leading, wait_s)
+        page, full = await self._read(self._leading_table, wait_s)
         if self._failures:
-            for table in (self._leading, *self._others):
-                table.sink.returned()
-        self._take(self._leading, page, full=full)
+            for table in (self._leading_table, *self._other_tables):
+                table.sink.store_returned()
+        self._apply(self._leading_table, page, full=full)
 
     async def _follow(self, table: FollowedTable, wait_s: float) -> None:
         page, full = await self._read(table, wait_s)
-        self._take(table, page, full=full)
+        self._apply(table, page, full=full)
 
     async def _read(self, table: FollowedTable, wait_s: float) -> tuple[RowPage, bool]:
-        """Return an answer of the followed era; raise StoreRestored or StoreUnavailable."""
+        """Read a table in the current era.
+
+        Raises StoreRestored if the store was restored, and StoreUnavailable.
+        """
         page, full = await table.read(self._store, wait_s)
-        if self._heed_era():
+        if self._check_era():
             raise StoreRestored(table.name)
-        if page.version < self._newest:
-            evidence = f"version {page.version} after {self._newest}"
+        if page.version < self._newest_version:
+            evidence = f"version {page.version} after {self._newest_version}"
             if self._era is not None:
-                raise StoreUnavailable(f"an old answer, {evidence}")
-            self._restored(evidence)
+                raise StoreUnavailable(f"outdated answer: {evidence}")
+            self._reset_tables(evidence)
             raise StoreRestored(table.name)
         return page, full
 
-    def _heed_era(self) -> bool:
-        """Return whether the era rose since versions were last taken, and start over if so."""
+    def _check_era(self) -> bool:
+        """Return whether the era increased since the last check; if so, reset all tables."""
         era, known = self._store.era.number, self._era
         self._era = era
         if era == known or known is None:
             return False
-        self._restored(f"era {era} after {known}")
+        self._reset_tables(f"era {era} after {known}")
         return True
 
-    def _restored(self, evidence: str) -> None:
+    def _reset_tables(self, evidence: str) -> None:
         logger.warning(
-            "store was restored from an older copy, reading all tables in full: %s", evidence
+            "store was restored from an older copy, reading all rows of all tables: %s", evidence
         )
-        self._newest = 0
-        for table in (self._leading, *self._others):
-            table.restored()
+        self._newest_version = 0
+        for table in (self._leading_table, *self._other_tables):
+            table.reset()
 
-    def _take(self, table: FollowedTable, page: RowPage, *, full: bool) -> None:
-        table.take(page, full=full)
-        self._newest = max(self._newest, page.version)
+    def _apply(self, table: FollowedTable, page: RowPage, *, full: bool) -> None:
+        table.apply(page, full=full)
+        self._newest_version = max(self._newest_version, page.version)
 
-    def _pause_s(self, reason: str) -> float:
+    def _backoff_s(self, reason: str) -> float:
         if not self._failures:
-            logger.warning("store lost: %s", reason)
+            logger.warning("store unavailable: %s", reason)
         self._failures += 1
         longest_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** (self._failures - 1))
         return float(longest_s * random.uniform(0.5, 1.0))
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -34,8 +34,8 @@
     HttpObjectStore,
     HttpTableStore,
     HttpWeightStore,
-    HttpWire,
     StoreBudget,
+    StoreTransport,
 )
 
 __all__ = ["build_daemon"]
@@ -138,12 +138,12 @@
 
     def _make_wire(
         self, address: Address, store: str, budget: StoreBudget | None = None
-    ) -> HttpWire:
-        return HttpWire(
+    ) -> StoreTransport:
+        return StoreTransport(
             HttpClient(address.host, address.port),
             time.monotonic,
             budget=budget,
-            called=lambda result: self._metrics.store_called(store, result),
+            on_result=lambda result: self._metrics.store_called(store, result),
         )
 
 
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -79,7 +79,7 @@
     def handle_message(self, link: Link, msg: Message) -> bool:
         """Handle a message about configurations; return False for any other message."""
         if isinstance(msg, Versions):
-            for service in self.registry.missing(msg.versions):
+            for service in self.registry.outdated_services(msg.versions):
                 link.send(Fetch(service))
         elif isinstance(msg, Fetch):
             self._send_document(link, msg.service)
--- a/cassiadrum/states/claim_results.py
+++ b/cassiadrum/states/claim_results.py
@@ -7,10 +7,10 @@
 from cassiadrum.states.kept_answers import KeptAnswer
 
 __all__ = [
+    "AlreadyCompleted",
     "ClaimResult",
     "Claimed",
     "InProgress",
-    "Kept",
     "KeyReused",
     "OutcomeUnknown",
     "StoreUnavailable",
@@ -18,27 +18,27 @@
 
 
 class Claimed(NamedTuple):
-    """The caller of `claim`, and nobody else, may run the call once."""
+    """The claim was made: this caller alone may run the call, once."""
 
     key: ClaimKey
     record: ClaimRecord
     row_version: int
 
 
-class Kept(NamedTuple):
-    """The call ran; this is its answer (200 or what the endpoint said)."""
+class AlreadyCompleted(NamedTuple):
+    """The call already ran; `answer` is the stored one (200 or the endpoint's status)."""
 
     answer: KeptAnswer
 
 
 class InProgress(NamedTuple):
-    """Another request with the key is running (409, `ran: unknown`)."""
+    """Another request with the same key is running (409, `ran: unknown`)."""
 
     retry_after_s: float
 
 
 class KeyReused(NamedTuple):
-    """The key belongs to a call with another body (422, `ran: no`)."""
+    """The key was used for a call with another body (422, `ran: no`)."""
 
 
 class OutcomeUnknown(NamedTuple):
@@ -51,4 +51,6 @@
     retry_after_s: float
 
 
-ClaimResult = Claimed | Kept | InProgress | KeyReused | OutcomeUnknown | StoreUnavailable
+ClaimResult = (
+    Claimed | AlreadyCompleted | InProgress | KeyReused | OutcomeUnknown | StoreUnavailable
+)
--- a/cassiadrum/stores/http_wires.py
+++ b/cassiadrum/stores/store_transports.py
@@ -1,4 +1,4 @@
-"""Requests of the store clients over HTTP, with deadline, budget and breaker."""
+"""HTTP requests to a store, with a deadline, a rate budget and a circuit breaker."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -12,23 +12,23 @@
 from cassiadrum.stores.store_budgets import StoreBudget
 from cassiadrum.stores.write_results import Refused, Unknown
 
-__all__ = ["HttpWire", "WireAnswer", "quoted"]
+__all__ = ["StoreResponse", "StoreTransport", "quote_segment"]
 
 T = TypeVar("T")
 
 
-class WireAnswer(NamedTuple):
-    """Hold the status, headers and body of an answer below 500 other than 429."""
+class StoreResponse(NamedTuple):
+    """Hold an answer of the store; the status is below 500 and not 429."""
 
     status: int
     headers: Headers
     body: bytes
 
 
-class HttpWire:
+class StoreTransport:
     """Send requests to one store; `clock` returns monotonic seconds.
 
-    `called` is told the result of each call: `answered`, `not_applied` or `unknown`.
+    `on_result` gets the result of each read and write: `answered`, `not_applied` or `unknown`.
     """
 
     def __init__(
@@ -39,17 +39,17 @@
         budget: StoreBudget | None = None,
         breaker: CircuitBreaker | None = None,
         timeout_s: float = LIMITS.STORE_TIMEOUT_S,
-        called: Callable[[str], None] = lambda result: None,
+        on_result: Callable[[str], None] = lambda result: None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._budget = budget
         self.breaker = breaker or CircuitBreaker()
         self._timeout_s = timeout_s
-        self._called = called
+        self._on_result = on_result
 
-    async def read(self, target: str, headers: Headers = ()) -> WireAnswer:
-        """Send a GET; raise StoreUnavailable when no valid answer came."""
+    async def read(self, target: str, headers: Headers = ()) -> StoreResponse:
+        """Send a GET request; raise StoreUnavailable if there is no valid answer."""
         try:
             return await self._send("GET", target, headers, b"")
         except StoreError as exc:
@@ -57,8 +57,8 @@
 
     async def write(
         self, method: str, target: str, headers: Headers = (), body: bytes = b""
-    ) -> WireAnswer | Refused | Unknown:
-        """Send a write and return its answer, or a result without one."""
+    ) -> StoreResponse | Refused | Unknown:
+        """Send a write; return its answer, or Refused or Unknown without one."""
         try:
             answer = await self._send(method, target, headers, body)
         except NotApplied as exc:
@@ -68,42 +68,44 @@
         return answer
 
     async def open(self, target: str) -> HttpResponse:
-        """Send a GET and return its response once the headers arrived.
+        """Send a GET request and return its response once the headers have arrived.
 
-        Raises StoreUnavailable. The caller reads the body under its own timeout.
+        Raises StoreUnavailable. The caller reads the body with its own timeout.
         """
         try:
             return await self._guarded("GET", lambda: self._client.request("GET", target))
         except StoreError as exc:
             raise StoreUnavailable(str(exc)) from exc
 
-    async def _send(self, method: str, target: str, headers: Headers, body: bytes) -> WireAnswer:
-        async def exchange() -> WireAnswer:
+    async def _send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> StoreResponse:
+        async def exchange() -> StoreResponse:
             response = await self._client.request(method, target, headers, body)
-            return WireAnswer(response.status, response.headers, await response.read())
+            return StoreResponse(response.status, response.headers, await response.read())
 
         try:
-            answer = self._checked(await self._guarded(method, exchange))
+            answer = self._check_status(await self._guarded(method, exchange))
         except StoreError as exc:
-            self._called("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
+            self._on_result("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
             raise
-        self._called("answered")
+        self._on_result("answered")
         return answer
 
     async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
-        """Run `send` within budget, breaker and deadline."""
+        """Run `send` subject to rate budget, circuit breaker and deadline."""
         deadline_s = self._clock() + self._timeout_s
         await self._wait_for_budget(method)
         if not self.breaker.allow(self._clock()):
-            raise NotApplied("circuit breaker open")
+            raise NotApplied("circuit breaker is open")
         try:
             async with asyncio.timeout(max(0.0, deadline_s - self._clock())):
                 return await send()
         except ConnectFailed as exc:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             raise NotApplied(str(exc)) from exc
         except (HttpError, TimeoutError) as exc:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             raise OutcomeLost(str(exc) or f"no answer in {self._timeout_s:g} s") from exc
 
     async def _wait_for_budget(self, method: str) -> None:
@@ -112,29 +114,29 @@
         bucket = self._budget.reads if method == "GET" else self._budget.writes
         wait_s = bucket.reserve(self._clock(), self._timeout_s / 2)
         if wait_s is None:
-            raise NotApplied("rate budget of this process used up", 1.0)
+            raise NotApplied("rate budget of this process is exhausted", 1.0)
         await asyncio.sleep(wait_s)
 
-    def _checked(self, answer: WireAnswer) -> WireAnswer:
-        """Return an answer that the store gave on the request itself.
+    def _check_status(self, answer: StoreResponse) -> StoreResponse:
+        """Return an answer, or raise if its status says that the request was not served.
 
-        By the protocol 429 and 503 state that nothing was applied; any other status of 500 or
-        above leaves that open.
+        By the protocol, 429 and 503 mean that nothing was applied; any other status of 500 or
+        above leaves the outcome unknown.
         """
         if answer.status == 429:
-            self.breaker.succeeded()
+            self.breaker.record_success()
             raise NotApplied("rate limited by the store", _retry_after_s(answer.headers))
         if answer.status >= 500:
-            self.breaker.failed(self._clock())
+            self.breaker.record_failure(self._clock())
             if answer.status == 503:
                 raise NotApplied("the store is unavailable", _retry_after_s(answer.headers))
             raise OutcomeLost(f"status {answer.status}")
-        self.breaker.succeeded()
+        self.breaker.record_success()
         return answer
 
 
-def quoted(text: str) -> str:
-    """Return a path segment or query value with every reserved character escaped."""
+def quote_segment(text: str) -> str:
+    """Return a path segment or query value with all reserved characters escaped."""
     return quote(text, safe="")
 
 
