--- a/cassiadrum/gateways/__init__.py
+++ b/cassiadrum/gateways/__init__.py
@@ -9,7 +9,7 @@
     Customer,
     RequestLimits,
     Route,
-    ServicePlan,
+    ServiceSettings,
     Share,
 )
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
@@ -30,6 +30,6 @@
     "PromptPart",
     "RequestLimits",
     "Route",
-    "ServicePlan",
+    "ServiceSettings",
     "Share",
 ]
--- a/cassiadrum/gateways/answer_writers.py
+++ b/cassiadrum/gateways/answer_writers.py
@@ -1,7 +1,7 @@
 """Answers of the gateway itself."""
 
 from cassiadrum.gateways.errors import Denied
-from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.protocols import Exchange
 
 __all__ = ["AnswerWriter"]
@@ -10,8 +10,8 @@
 class AnswerWriter:
     """Tell a caller why its request got no endpoint's answer, and whether it may have run."""
 
-    def __init__(self, ticket: Ticket, exchange: Exchange) -> None:
-        self._ticket = ticket
+    def __init__(self, ctx: RequestContext, exchange: Exchange) -> None:
+        self._ctx = ctx
         self._exchange = exchange
 
     async def deny(self, exc: Denied) -> None:
@@ -36,4 +36,4 @@
             await self._exchange.send_json(status, self._body(reason))
 
     def _body(self, reason: str) -> dict[str, str]:
-        return {"reason": reason, "ran": "unknown" if self._ticket.may_have_run else "no"}
+        return {"reason": reason, "ran": "unknown" if self._ctx.may_have_run else "no"}
--- a/cassiadrum/gateways/call_queues.py
+++ b/cassiadrum/gateways/call_queues.py
@@ -44,7 +44,7 @@
         """Drop a request."""
         self._waiting.discard(waiter)
 
-    def precedes(self, priority: int, target_s: float) -> bool:
+    def has_preceding(self, priority: int, target_s: float) -> bool:
         """Return whether any waiting request goes before one that would be added now."""
         own = (priority, target_s)
         return any(
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -12,9 +12,9 @@
     "Customer",
     "RequestLimits",
     "Route",
-    "ServicePlan",
+    "ServiceSettings",
     "Share",
-    "share_of",
+    "choose_service",
 ]
 
 
@@ -63,7 +63,7 @@
     priority: int | None
 
 
-class ServicePlan(NamedTuple):
+class ServiceSettings(NamedTuple):
     """Describe a service; `cache_tokens` is None for services that are not model engines."""
 
     name: str
@@ -80,7 +80,7 @@
     idle_timeout_s: float
 
 
-class MoreUrgent(NamedTuple):
+class MoreUrgentStreams(NamedTuple):
     """Count the more urgent classes of streams and state the shortest pause allowed to them."""
 
     classes: int
@@ -97,25 +97,27 @@
         self,
         version: int,
         routes: Iterable[Route],
-        services: Iterable[ServicePlan],
+        services: Iterable[ServiceSettings],
         customers_by_key: Mapping[str, Customer],
         limits: RequestLimits,
         *,
-        keyed: bool,
+        requires_keys: bool,
     ) -> None:
         self.version = version
-        self.keyed = keyed
+        self.requires_keys = requires_keys
         self.limits = limits
         self.services = {plan.name: plan for plan in services}
         self._customers = dict(customers_by_key)
         self._routes: dict[str, list[Route]] = {}
         # Priority and longest pause of the streams of each service.
-        self._gaps: dict[str, set[tuple[int, float]]] = {}
+        self._stream_classes: dict[str, set[tuple[int, float]]] = {}
         for route in routes:
             self._routes.setdefault(route.host, []).append(route)
             if route.gap_s > 0.0:
                 for share in route.shares:
-                    self._gaps.setdefault(share.service, set()).add((route.priority, route.gap_s))
+                    self._stream_classes.setdefault(share.service, set()).add(
+                        (route.priority, route.gap_s)
+                    )
         for found in self._routes.values():
             found.sort(key=lambda route: len(route.prefix), reverse=True)
 
@@ -124,24 +126,28 @@
         routes = self._routes.get(host, ())
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
-    def more_urgent(self, service: str, priority: int) -> "MoreUrgent":
+    def more_urgent(self, service: str, priority: int) -> "MoreUrgentStreams":
         """Return what a request of a service has to leave on time."""
         found = [
-            (other, gap_s) for other, gap_s in self._gaps.get(service, ()) if other < priority
+            (other, gap_s)
+            for other, gap_s in self._stream_classes.get(service, ())
+            if other < priority
         ]
         gaps = [gap_s for _, gap_s in found]
-        return MoreUrgent(len({other for other, _ in found}), min(gaps, default=float("inf")))
+        return MoreUrgentStreams(
+            len({other for other, _ in found}), min(gaps, default=float("inf"))
+        )
 
     def has_less_urgent(self, service: str, priority: int) -> bool:
         """Return whether the service has streams that are less urgent than the given priority."""
-        return any(other > priority for other, _ in self._gaps.get(service, ()))
+        return any(other > priority for other, _ in self._stream_classes.get(service, ()))
 
     def customer(self, key: str) -> Customer | None:
         """Return the customer that holds a key."""
         return self._customers.get(key)
 
 
-def share_of(route: Route, request_id: str) -> str:
+def choose_service(route: Route, request_id: str) -> str:
     """Return the service for a request; the choice is the same for each of its attempts."""
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/cassiadrum/gateways/confirmations.py
+++ b/cassiadrum/gateways/confirmations.py
@@ -18,7 +18,7 @@
         self._offset_s: float | None = None
         self._confirmed_s: float | None = None
 
-    def answered(self, store_s: float, sent_s: float, received_s: float) -> None:
+    def record_answer(self, store_s: float, sent_s: float, received_s: float) -> None:
         """Take an answer that the store dated `store_s`; the other times are boot-time seconds."""
         offset_s = sent_s - store_s
         # Beyond the difference at the arrival the bound is wrong: the store's clock was set
--- a/cassiadrum/gateways/endpoint_pools.py
+++ b/cassiadrum/gateways/connection_pools.py
@@ -6,7 +6,7 @@
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_entries import Incarnation
 
-__all__ = ["EndpointPool"]
+__all__ = ["ConnectionPool"]
 
 logger = logging.getLogger(__name__)
 
@@ -17,33 +17,33 @@
 # Endpoints close a little before the time that they state, as seen from here.
 IDLE_MARGIN_S = 0.7
 # A once-only call must not meet a connection that the endpoint is about to close.
-ONCE_IDLE_S = 1.0
+RECENT_USE_S = 1.0
 
 
-class EndpointPool:
+class ConnectionPool:
     """Lend connections, each to one request at a time; a connection belongs to an incarnation."""
 
     def __init__(self) -> None:
         self._idle: dict[Incarnation, deque[EndpointConnection]] = {}
 
-    async def lend(
-        self, target: Incarnation, now: float, *, fresh: bool = False
+    async def acquire(
+        self, target: Incarnation, now: float, *, recently_used: bool = False
     ) -> EndpointConnection:
         """Return a connection; raise ConnectFailed.
 
-        With `fresh`, an idle connection is taken only shortly after its last use.
+        With `recently_used`, an idle connection is taken only shortly after its last use.
         """
         idle = self._idle.get(target)
         while idle:
             conn = idle.pop()
-            spare_s = conn.idle_until_s - now
-            recent = not fresh or spare_s > DEFAULT_IDLE_S - IDLE_MARGIN_S - ONCE_IDLE_S
-            if conn.usable and spare_s > 0.0 and recent:
+            left_s = conn.idle_until_s - now
+            recent = not recently_used or left_s > DEFAULT_IDLE_S - IDLE_MARGIN_S - RECENT_USE_S
+            if conn.usable and left_s > 0.0 and recent:
                 return conn
             conn.abort()
         return await EndpointConnection.open(target.address, CONNECT_TIMEOUT_S)
 
-    def give_back(
+    def release(
         self, target: Incarnation, conn: EndpointConnection, idle_s: float | None, now: float
     ) -> None:
         """Keep a connection whose answer was read whole."""
@@ -56,7 +56,7 @@
             return
         self._idle.setdefault(target, deque()).append(conn)
 
-    def forget(self, target: Incarnation) -> None:
+    def close_idle(self, target: Incarnation) -> None:
         """Close the idle connections to an endpoint."""
         for conn in self._idle.pop(target, ()):
             conn.abort()
@@ -70,4 +70,4 @@
     def close(self) -> None:
         """Close all idle connections."""
         for target in list(self._idle):
-            self.forget(target)
+            self.close_idle(target)
--- a/cassiadrum/gateways/decision_logs.py
+++ b/cassiadrum/gateways/decision_logs.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.logs import BOUNDED_FIELD
 from cassiadrum.stores.token_buckets import TokenBucket
 
@@ -14,12 +14,12 @@
 logger = logging.getLogger(__name__)
 
 # Lines of requests that were answered well, and of all others.
-LINES_PER_S = 40.0
-BURST_LINES = 200.0
-FAILED_LINES_PER_S = 400.0
-FAILED_BURST_LINES = 4000.0
+SUCCESS_LINES_PER_S = 40.0
+SUCCESS_BURST_LINES = 200.0
+FAILURE_LINES_PER_S = 400.0
+FAILURE_BURST_LINES = 4000.0
 # What is kept of one request until its end.
-LINES_PER_REQUEST = 40
+MAX_LINES_PER_REQUEST = 40
 
 
 class _Line(NamedTuple):
@@ -40,35 +40,35 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._lines: dict[Ticket, list[_Line]] = {}
-        self._well = TokenBucket(LINES_PER_S, BURST_LINES)
-        self._failed = TokenBucket(FAILED_LINES_PER_S, FAILED_BURST_LINES)
+        self._lines: dict[RequestContext, list[_Line]] = {}
+        self._success_bucket = TokenBucket(SUCCESS_LINES_PER_S, SUCCESS_BURST_LINES)
+        self._failure_bucket = TokenBucket(FAILURE_LINES_PER_S, FAILURE_BURST_LINES)
         self._left_out = 0
 
-    def note(self, ticket: Ticket, event: str, **fields: object) -> None:
+    def record(self, ctx: RequestContext, event: str, **fields: object) -> None:
         """Take a decision with the inputs that decided it."""
-        lines = self._lines.setdefault(ticket, [])
-        if len(lines) < LINES_PER_REQUEST:
+        lines = self._lines.setdefault(ctx, [])
+        if len(lines) < MAX_LINES_PER_REQUEST:
             lines.append(_Line(self._clock(), time.time(), event, fields))
 
-    def end(self, ticket: Ticket, outcome: str, *, well: bool, **fields: object) -> None:
+    def finish(self, ctx: RequestContext, outcome: str, *, well: bool, **fields: object) -> None:
         """Take the end of a request."""
-        self.note(ticket, "ended", outcome=outcome, sends=ticket.sends, **fields)
-        lines = self._lines.pop(ticket)
-        bucket = self._well if well else self._failed
+        self.record(ctx, "ended", outcome=outcome, sends=ctx.sends, **fields)
+        lines = self._lines.pop(ctx)
+        bucket = self._success_bucket if well else self._failure_bucket
         if bucket.reserve(self._clock(), 0.0, len(lines)) is None:
             self._left_out += len(lines)
             return
         for line in lines:
-            self._write(ticket, line)
+            self._write(ctx, line)
 
-    def _write(self, ticket: Ticket, line: _Line) -> None:
+    def _write(self, ctx: RequestContext, line: _Line) -> None:
         extra: dict[str, object] = {
-            "request_id": ticket.call.request_id,
-            "service": ticket.service,
+            "request_id": ctx.call.request_id,
+            "service": ctx.service,
             BOUNDED_FIELD: True,
             "at_s": round(line.wall_s, 4),
-            "after_ms": round((line.at_s - ticket.received_s) * 1000, 1),
+            "after_ms": round((line.at_s - ctx.received_s) * 1000, 1),
             **line.fields,
         }
         if self._left_out:
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -10,9 +10,9 @@
 __all__ = ["EndpointConnection"]
 
 # A caller that reads slowly stops the endpoint at this many unread bytes.
-BUFFER_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024
 # Interim answers that an endpoint may send before the final one.
-INTERIM_ANSWERS = 8
+MAX_INTERIM_ANSWERS = 8
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -29,8 +29,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         self._eof = False
-        self._lost: Exception | None = None
-        self._broken = False
+        self._lost_exc: Exception | None = None
+        self._aborted = False
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EndpointConnection":
@@ -57,7 +57,7 @@
             return
         self._buffer.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > BUFFER_BYTES and self._transport is not None:
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
             self._transport.pause_reading()
         self._wake()
 
@@ -70,7 +70,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Take the loss of the connection."""
         self._eof = True
-        self._lost = exc
+        self._lost_exc = exc
         self._transport = None
         self._wake()
 
@@ -79,7 +79,7 @@
     @property
     def usable(self) -> bool:
         """Return whether a request may be sent."""
-        return self._transport is not None and not (self._eof or self._broken)
+        return self._transport is not None and not (self._eof or self._aborted)
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a request without waiting for the endpoint to read it."""
@@ -96,13 +96,13 @@
 
     async def read_head(self) -> h11.Response:
         """Return the head of the next answer; raise AnswerLost or BadMessage."""
-        for _ in range(INTERIM_ANSWERS + 1):
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerLost("the connection ended before the answer")
-        raise BadMessage(502, f"more than {INTERIM_ANSWERS} interim answers")
+        raise BadMessage(502, f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, None at its end; raise AnswerLost or BadMessage."""
@@ -113,7 +113,7 @@
             return None
         raise AnswerLost("the connection ended inside the body")
 
-    def expect_another(self) -> None:
+    def expect_next_answer(self) -> None:
         """Read the answer after one that belongs to an earlier request."""
         rest, _ = self._conn.trailing_data
         if self._conn.their_state is not h11.DONE or self._conn.our_state is not h11.DONE:
@@ -140,7 +140,7 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
-        self._broken = True
+        self._aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -170,9 +170,9 @@
             if self._transport is not None:
                 self._transport.resume_reading()
             self._conn.receive_data(data)
-        elif self._lost is not None:
+        elif self._lost_exc is not None:
             # A reset is no regular end, also of a body that ends with its connection.
-            raise AnswerLost(str(self._lost) or "the connection was reset")
+            raise AnswerLost(str(self._lost_exc) or "the connection was reset")
         else:
             self._conn.receive_data(b"")
 
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -5,7 +5,7 @@
 
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
-from cassiadrum.gateways.gone_incarnations import GoneIncarnations
+from cassiadrum.gateways.removed_incarnations import RemovedIncarnations
 from cassiadrum.logs import BOUNDED_FIELD
 
 __all__ = ["EndpointDirectory"]
@@ -27,24 +27,24 @@
     def __init__(
         self,
         make_view: Callable[[EndpointEntry], EndpointView],
-        on_gone: Callable[[Incarnation], None],
+        on_removed: Callable[[Incarnation], None],
         return_grace_s: float,
         lapse_s: float = 0.0,
     ) -> None:
         # Whether a full list was taken; before that a missing endpoint may only be unknown.
-        self.listed = False
+        self.has_full_list = False
         self._make_view = make_view
-        self._on_gone = on_gone
+        self._on_removed = on_removed
         self._return_grace_s = return_grace_s
         self._views: dict[str, EndpointView] = {}
         # Entries that were removed shortly after an outage, with the time until they are kept.
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
         self._lapse_s = lapse_s
-        self._gone = GoneIncarnations()
+        self._removed = RemovedIncarnations()
         # Registrations of a restored store that wait for their endpoint to prove alive.
-        self._doubtful: dict[str, EndpointEntry] = {}
-        self._doubt_until_s = 0.0
+        self._unconfirmed: dict[str, EndpointEntry] = {}
+        self._unconfirmed_until_s = 0.0
         # When entries were last expired, which is done all the time.
         self._now = 0.0
 
@@ -58,14 +58,14 @@
     def store_restored(self, now: float) -> None:
         """Take note that the next full list comes from an older copy of the store."""
         self.store_returned(now)
-        self._doubt_until_s = now + self._lapse_s
+        self._unconfirmed_until_s = now + self._lapse_s
         for view in self._views.values():
             view.leaving = view.leaving or view.entry.leaving
 
     def put(self, entry: EndpointEntry) -> None:
         """Add or change an endpoint; a new incarnation starts without beliefs."""
         self._lapsed.pop(entry.instance, None)
-        self._doubtful.pop(entry.instance, None)
+        self._unconfirmed.pop(entry.instance, None)
         view = self._views.get(entry.instance)
         if view is not None and view.entry.incarnation == entry.incarnation:
             if entry.leaving and not view.entry.leaving:
@@ -73,14 +73,14 @@
             view.entry = entry
             return
         if view is not None:
-            self._gone.add(view.entry.incarnation, self._now, left=True)
-            self._on_gone(view.entry.incarnation)
+            self._removed.add(view.entry.incarnation, self._now, left=True)
+            self._on_removed(view.entry.incarnation)
         self._views[entry.instance] = self._make_view(entry)
         _log("endpoint in", entry, slots=entry.slots, cold_s=entry.cold_s, draining=entry.leaving)
 
     def remove(self, instance: str, now: float) -> None:
         """Remove an endpoint, at the end of the grace period after an outage."""
-        self._doubtful.pop(instance, None)
+        self._unconfirmed.pop(instance, None)
         if instance not in self._views:
             return
         if now >= self._grace_until_s:
@@ -96,13 +96,13 @@
 
     def replace(self, entries: Iterable[EndpointEntry], now: float) -> None:
         """Take a full list."""
-        self.listed = True
+        self.has_full_list = True
         present = set()
         for entry in entries:
             present.add(entry.instance)
-            if not self._doubt(entry, now):
+            if not self._is_unconfirmed(entry, now):
                 self.put(entry)
-        self._doubtful = {name: e for name, e in self._doubtful.items() if name in present}
+        self._unconfirmed = {name: e for name, e in self._unconfirmed.items() if name in present}
         for instance in self._views.keys() - present:
             self.remove(instance, now)
 
@@ -112,10 +112,10 @@
         gone = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
         for instance in gone:
             self._drop(instance, "not back after the store's outage", now)
-        if self._doubtful and now >= self._doubt_until_s:
-            for entry in list(self._doubtful.values()):
+        if self._unconfirmed and now >= self._unconfirmed_until_s:
+            for entry in list(self._unconfirmed.values()):
                 self.put(entry)
-        self._gone.expire(now)
+        self._removed.expire(now)
         return gone
 
     def usable(self, service: str) -> list[EndpointView]:
@@ -126,13 +126,13 @@
             if view.entry.service == service and not (view.entry.leaving or view.leaving)
         ]
 
-    def _doubt(self, entry: EndpointEntry, now: float) -> bool:
+    def _is_unconfirmed(self, entry: EndpointEntry, now: float) -> bool:
         """Return whether a registration of a restored store has to wait, or may never return."""
-        if now >= self._doubt_until_s or entry.incarnation not in self._gone:
+        if now >= self._unconfirmed_until_s or entry.incarnation not in self._removed:
             return False
-        left = self._gone.left(entry.incarnation)
+        left = self._removed.announced_leaving(entry.incarnation)
         if not left:
-            self._doubtful[entry.instance] = entry
+            self._unconfirmed[entry.instance] = entry
         _log("endpoint of an older copy not taken", entry, left=left)
         return True
 
@@ -140,9 +140,9 @@
         self._lapsed.pop(instance, None)
         view = self._views.pop(instance)
         left = view.leaving or view.entry.leaving
-        self._gone.add(view.entry.incarnation, now, left=left)
+        self._removed.add(view.entry.incarnation, now, left=left)
         _log("endpoint out", view.entry, reason=reason)
-        self._on_gone(view.entry.incarnation)
+        self._on_removed(view.entry.incarnation)
 
 
 def _log(event: str, entry: EndpointEntry, **fields: object) -> None:
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -4,29 +4,29 @@
 import math
 
 from cassiadrum.gateways.answer_heads import LoadSample
-from cassiadrum.gateways.cached_parts import CachedParts
 from cassiadrum.gateways.endpoint_entries import EndpointEntry
-from cassiadrum.gateways.paces import Pace, ServicePace
+from cassiadrum.gateways.prompt_cache_estimates import PromptCacheEstimate
+from cassiadrum.gateways.stream_stats import EventGapAverage, ServiceStreamStats
 
 __all__ = ["EndpointView"]
 
 logger = logging.getLogger(__name__)
 
 # A sample older than this says nothing about the requests of other gateways.
-SAMPLE_LIFE_S = 3.0
+SAMPLE_MAX_AGE_S = 3.0
 # A pause is put down to the load that was sampled within this time.
-KNOWN_LOAD_S = 1.0
+GAP_LOAD_MAX_AGE_S = 1.0
 # Time that each request before the first bytes adds to the wait of the next one: the value before
 # any answer, its bounds, and the part by which an answer changes it.
-TURN_MS = 150.0
-TURN_MIN_MS = 20.0
-TURN_MAX_MS = 800.0
-TURN_GAIN = 0.2
+DEFAULT_WAIT_PER_REQUEST_MS = 150.0
+MIN_WAIT_PER_REQUEST_MS = 20.0
+MAX_WAIT_PER_REQUEST_MS = 800.0
+WAIT_SMOOTHING = 0.2
 # Failures count half after this time, so that an endpoint that recovers is used again.
 FAILURE_HALF_LIFE_S = 2.0
 # An endpoint that cannot be reached is left alone for the first time, doubled at each repetition.
-UNREACHABLE_S = 0.5
-UNREACHABLE_MAX_S = 4.0
+UNREACHABLE_BACKOFF_S = 0.5
+UNREACHABLE_BACKOFF_MAX_S = 4.0
 
 
 class EndpointView:
@@ -38,17 +38,20 @@
     """
 
     def __init__(
-        self, entry: EndpointEntry, cache_tokens: int, service: ServicePace | None = None
+        self,
+        entry: EndpointEntry,
+        cache_tokens: int,
+        service_stats: ServiceStreamStats | None = None,
     ) -> None:
         self.entry = entry
-        self._pace = Pace()
-        self._service = service or ServicePace()
-        self.cached = CachedParts(cache_tokens)
-        self.own = 0
+        self._event_gap = EventGapAverage()
+        self._service_stats = service_stats or ServiceStreamStats()
+        self.prompt_cache = PromptCacheEstimate(cache_tokens)
+        self.own_requests = 0
         # Own requests that have not answered yet, and their prompt tokens.
         self.own_waiting = 0
-        self.prefill_tokens = 0
-        self.turn_ms = TURN_MS
+        self.own_prefill_tokens = 0
+        self.wait_per_request_ms = DEFAULT_WAIT_PER_REQUEST_MS
         self.avoid_until_s = 0.0
         self.full_until_s = 0.0
         # Whether this incarnation said in an answer that it leaves.
@@ -57,81 +60,87 @@
         # still while the machine is suspended, which can only make a pause longer.
         self.paused_until_s = 0.0
         # When the endpoint last sent bytes of any answer.
-        self.heard_s = 0.0
+        self.last_received_s = 0.0
         # When the endpoint was last asked for its load.
-        self.asked_s = 0.0
+        self.last_probed_s = 0.0
         self._refused_connects = 0
         self._failures = 0.0
-        self._failed_s = 0.0
+        self._last_failure_s = 0.0
         self._sample: LoadSample | None = None
         self._sampled_s = 0.0
         # Own starts less own ends since the sample, and own starts less own first bytes.
-        self._change = 0
-        self._waiting_change = 0
+        self._outstanding_delta = 0
+        self._waiting_delta = 0
 
-    def start(self, prefill_tokens: int) -> None:
+    def record_start(self, prefill_tokens: int) -> None:
         """Count an own request."""
-        self.own += 1
-        self._change += 1
+        self.own_requests += 1
+        self._outstanding_delta += 1
         self.own_waiting += 1
-        self._waiting_change += 1
-        self.prefill_tokens += prefill_tokens
+        self._waiting_delta += 1
+        self.own_prefill_tokens += prefill_tokens
 
-    def answered(self, prefill_tokens: int, load: LoadSample | None, now: float) -> None:
+    def record_first_bytes(self, prefill_tokens: int, load: LoadSample | None, now: float) -> None:
         """Take the beginning of an answer to an own request, or its end without one."""
-        self.prefill_tokens -= prefill_tokens
+        self.own_prefill_tokens -= prefill_tokens
         self.own_waiting -= 1
-        self._waiting_change -= 1
+        self._waiting_delta -= 1
         if load is not None:
-            self.take_sample(load, now)
+            self.record_sample(load, now)
 
-    def take_sample(self, load: LoadSample, now: float) -> None:
+    def record_sample(self, load: LoadSample, now: float) -> None:
         """Take the endpoint's own count of its requests."""
         self._sample = load
         self._sampled_s = now
-        self._change = 0
-        self._waiting_change = 0
-
-    def learn_turn(self, wait_ms: float, before: int) -> None:
-        """Learn from the wait of a request, without its own reading, with so many before it."""
-        if before > 0:
-            turn_ms = min(TURN_MAX_MS, max(TURN_MIN_MS, wait_ms / before))
-            self.turn_ms += TURN_GAIN * (turn_ms - self.turn_ms)
-
-    def take_gap(self, gap_s: float, allowed_s: float, now: float) -> None:
+        self._outstanding_delta = 0
+        self._waiting_delta = 0
+
+    def update_wait_per_request(self, wait_ms: float, queued_ahead: int) -> None:
+        """Learn from the wait of a request less its prefill time, behind `queued_ahead` others."""
+        if queued_ahead > 0:
+            sample_ms = min(
+                MAX_WAIT_PER_REQUEST_MS, max(MIN_WAIT_PER_REQUEST_MS, wait_ms / queued_ahead)
+            )
+            self.wait_per_request_ms += WAIT_SMOOTHING * (sample_ms - self.wait_per_request_ms)
+
+    def record_event_gap(self, gap_s: float, allowed_s: float, now: float) -> None:
         """Take the time between two events of a stream, and what the strictest stream allows."""
-        self._pace.take(gap_s, now)
-        self._service.pace.take(gap_s, now)
-        outstanding = self.outstanding(now) if self.known(now, KNOWN_LOAD_S) else None
-        self._service.limit.take(gap_s, allowed_s, outstanding, now)
-
-    def admits_less_urgent(self, now: float, rank: int) -> bool:
+        self._event_gap.update(gap_s, now)
+        self._service_stats.event_gap.update(gap_s, now)
+        outstanding = (
+            self.outstanding(now) if self.has_sample_within(now, GAP_LOAD_MAX_AGE_S) else None
+        )
+        self._service_stats.limit.record_gap(gap_s, allowed_s, outstanding, now)
+
+    def keeps_urgent_on_time(self, now: float, more_urgent_classes: int) -> bool:
         """Return whether streams of `rank` more urgent classes stay on time beside a request."""
-        return self._service.limit.allows(self.outstanding(now), self.entry.slots, rank)
+        return self._service_stats.limit.allows(
+            self.outstanding(now), self.entry.slots, more_urgent_classes
+        )
 
     def gap_s(self, now: float) -> float:
         """Return the expected seconds between events of a stream, 0 where nothing is known."""
-        return self._pace.gap_s(now) or self._service.pace.gap_s(now) or 0.0
+        return self._event_gap.gap_s(now) or self._service_stats.event_gap.gap_s(now) or 0.0
 
-    def end(self) -> None:
+    def record_end(self) -> None:
         """Count the end of an own request."""
-        self.own -= 1
-        self._change -= 1
+        self.own_requests -= 1
+        self._outstanding_delta -= 1
 
-    def succeeded(self) -> None:
+    def record_success(self) -> None:
         """Take a whole answer."""
         self._refused_connects = 0
         self._failures *= 0.5
 
-    def failed(self, now: float) -> None:
+    def record_failure(self, now: float) -> None:
         """Take a failed attempt."""
         self._failures = self.failures(now) + 1.0
-        self._failed_s = now
+        self._last_failure_s = now
 
-    def unreachable(self, now: float) -> None:
+    def record_unreachable(self, now: float) -> None:
         """Take a connection that could not be made."""
-        self.failed(now)
-        pause_s = min(UNREACHABLE_MAX_S, UNREACHABLE_S * 2**self._refused_connects)
+        self.record_failure(now)
+        pause_s = min(UNREACHABLE_BACKOFF_MAX_S, UNREACHABLE_BACKOFF_S * 2**self._refused_connects)
         self._refused_connects += 1
         self.avoid(now, pause_s, "unreachable")
 
@@ -140,33 +149,36 @@
         self.avoid_until_s = max(self.avoid_until_s, now + pause_s)
         self._log("endpoint avoided", reason=reason, pause_ms=round(pause_s * 1000))
 
-    def full(self, now: float, pause_s: float) -> None:
+    def mark_full(self, now: float, pause_s: float) -> None:
         """Let requests wait for a time in seconds; the endpoint keeps what it holds."""
         self.full_until_s = max(self.full_until_s, now + pause_s)
         self._log("endpoint says that it is full", pause_ms=round(pause_s * 1000))
 
-    def leave(self) -> None:
+    def mark_leaving(self) -> None:
         """Take the endpoint's word that it shuts down; it gets no new request from now on."""
         if not self.leaving:
             self.leaving = True
             self._log("endpoint says that it leaves")
 
-    def pause(self, now: float, pause_s: float) -> None:
+    def mark_paused(self, now: float, pause_s: float) -> None:
         """Send nothing for a time in seconds, as the endpoint asked with a refusal."""
         self.paused_until_s = max(self.paused_until_s, now + pause_s)
         self._log("endpoint asks for a pause", pause_ms=round(pause_s * 1000))
 
     def failures(self, now: float) -> float:
         """Return the number of recent failures, where older ones count less."""
-        return self._failures * math.pow(0.5, (now - self._failed_s) / FAILURE_HALF_LIFE_S)
+        return self._failures * math.pow(0.5, (now - self._last_failure_s) / FAILURE_HALF_LIFE_S)
 
     def outstanding(self, now: float) -> int:
         """Return the estimated number of requests from all gateways."""
-        if self._sample is None or now - self._sampled_s > SAMPLE_LIFE_S:
-            return self.own
-        return max(self.own, self._sample.running + self._sample.waiting + self._change)
-
-    def known(self, now: float, age_s: float) -> bool:
+        if self._sample is None or now - self._sampled_s > SAMPLE_MAX_AGE_S:
+            return self.own_requests
+        return max(
+            self.own_requests,
+            self._sample.running + self._sample.waiting + self._outstanding_delta,
+        )
+
+    def has_sample_within(self, now: float, age_s: float) -> bool:
         """Return whether the load was sampled within the last seconds."""
         return self._sample is not None and now - self._sampled_s <= age_s
 
@@ -176,9 +188,9 @@
 
     def waiting(self, now: float) -> int:
         """Return the estimated number of requests that have not answered yet."""
-        if self._sample is None or now - self._sampled_s > SAMPLE_LIFE_S:
+        if self._sample is None or now - self._sampled_s > SAMPLE_MAX_AGE_S:
             return self.own_waiting
-        return max(self.own_waiting, self._sample.waiting + self._waiting_change)
+        return max(self.own_waiting, self._sample.waiting + self._waiting_delta)
 
     def describe(self, now: float) -> dict[str, object]:
         """Return what is believed, for the log."""
@@ -187,11 +199,11 @@
             "zone": self.entry.zone,
             "at_endpoint": self.outstanding(now),
             "without_first_bytes": self.waiting(now),
-            "own": self.own,
+            "own": self.own_requests,
             "load_age_ms": self.sample_age_ms(now),
-            "turn_ms": round(self.turn_ms),
+            "turn_ms": round(self.wait_per_request_ms),
             "gap_ms": round(self.gap_s(now) * 1000),
-            "own_prefill_tokens": self.prefill_tokens,
+            "own_prefill_tokens": self.own_prefill_tokens,
             "failures": round(self.failures(now), 2),
             "full": self.full_until_s > now,
             "avoided": self.avoid_until_s > now,
--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -11,10 +11,10 @@
 # What tells an event from a comment, which endpoints may send to keep a connection open.
 EVENT_DATA = re.compile(rb"(?m)^data:")
 # Longer ids are no numbers of events, and the interpreter refuses to convert very long ones.
-ID_DIGITS = 18
-NUMBER = re.compile(rf"[0-9]{{1,{ID_DIGITS}}}")
+MAX_ID_DIGITS = 18
+NUMBER = re.compile(rf"[0-9]{{1,{MAX_ID_DIGITS}}}")
 # The longest single event in bytes.
-EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventSequence:
@@ -25,25 +25,27 @@
 
     def __init__(self, last_id: str) -> None:
         self.last_id = last_id
-        self.count = 0
+        self.data_events = 0
         self._splitter = EventSplitter()
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the whole events; raise AttemptFailed on a gap or a repetition."""
         whole = self._splitter.feed(data)
-        self.count += len(EVENT_DATA.findall(whole))
-        if self._splitter.held_bytes > EVENT_BYTES:
-            raise AttemptFailed(f"an event is larger than {EVENT_BYTES} bytes")
+        self.data_events += len(EVENT_DATA.findall(whole))
+        if self._splitter.held_bytes > MAX_EVENT_BYTES:
+            raise AttemptFailed(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         for found in EVENT_ID.findall(whole):
             event_id = found.decode()
-            if not self._may_follow(event_id):
-                raise AttemptFailed(f"event {event_id[:ID_DIGITS]} follows event {self.last_id}")
+            if not self._is_next(event_id):
+                raise AttemptFailed(
+                    f"event {event_id[:MAX_ID_DIGITS]} follows event {self.last_id}"
+                )
             self.last_id = event_id
         return whole
 
-    def _may_follow(self, event_id: str) -> bool:
+    def _is_next(self, event_id: str) -> bool:
         """Return whether an event is the next one; any may be where the last has no number."""
-        if len(event_id) > ID_DIGITS:
+        if len(event_id) > MAX_ID_DIGITS:
             return False
         if not NUMBER.fullmatch(self.last_id):
             return True
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -17,13 +17,13 @@
         self._values = MetricValues(definitions=GATEWAY_DEFINITIONS)
         self._exporter: Exporter | None = None
 
-    def ended(self, service: str, outcome: str, seconds: float) -> None:
+    def record_end(self, service: str, outcome: str, seconds: float) -> None:
         """Count a request by the first word of its outcome and observe the time that it took."""
         labels = (service, outcome.partition(":")[0])
         self._values.add("cassiadrum_gateway_answers_total", labels)
         self._values.observe("cassiadrum_gateway_answer_seconds", labels, seconds)
 
-    def attempt_failed(self, service: str, repeated: bool) -> None:
+    def record_failed_attempt(self, service: str, repeated: bool) -> None:
         """Count a failed attempt."""
         labels = (service, "yes" if repeated else "no")
         self._values.add("cassiadrum_gateway_failed_attempts_total", labels)
--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from cassiadrum.gateways.call_protocols import CallProtocol
+from cassiadrum.gateways.connection_pools import ConnectionPool
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
-from cassiadrum.gateways.endpoint_pools import EndpointPool
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.protocols import BadMessage, HttpError
 
@@ -14,11 +14,11 @@
 
 logger = logging.getLogger(__name__)
 
-ANSWER_LIMIT_S = 0.5
+PROBE_TIMEOUT_S = 0.5
 # Reports list the running requests; this is far more than an endpoint's slots need.
-REPORT_BYTES = 256 * 1024
+MAX_REPORT_BYTES = 256 * 1024
 # A question costs a caller's wait and some of the endpoint's time; samples of answers are free.
-INTERVAL_S = 0.3
+MIN_PROBE_INTERVAL_S = 0.3
 
 
 class LoadProber:
@@ -31,37 +31,37 @@
 
     def __init__(
         self,
-        pool: EndpointPool,
+        pool: ConnectionPool,
         protocol: CallProtocol,
         clock: Callable[[], float],
-        on_sample: Callable[[str], None],
+        on_probed: Callable[[str], None],
     ) -> None:
         self._pool = pool
         self._protocol = protocol
         self._clock = clock
-        self._on_sample = on_sample
-        self._running: dict[str, asyncio.Task[bool]] = {}
+        self._on_probed = on_probed
+        self._probes: dict[str, asyncio.Task[bool]] = {}
 
-    def refresh(self, view: EndpointView) -> None:
+    def probe_in_background(self, view: EndpointView) -> None:
         """Ask in a task of its own, unless it was asked shortly before."""
         instance = view.entry.instance
-        if instance in self._running or self._clock() < view.asked_s + INTERVAL_S:
+        if instance in self._probes or self._clock() < view.last_probed_s + MIN_PROBE_INTERVAL_S:
             return
-        task = asyncio.create_task(self.ask(view))
-        self._running[instance] = task
+        task = asyncio.create_task(self.probe(view))
+        self._probes[instance] = task
         task.add_done_callback(lambda _: self._done(view))
 
-    def pending(self, view: EndpointView) -> bool:
+    def is_probing(self, view: EndpointView) -> bool:
         """Return whether an answer is expected."""
-        return view.entry.instance in self._running
+        return view.entry.instance in self._probes
 
-    async def ask(self, view: EndpointView) -> bool:
+    async def probe(self, view: EndpointView) -> bool:
         """Take the endpoint's load; return whether it answered."""
-        view.asked_s = self._clock()
+        view.last_probed_s = self._clock()
         target = view.entry.incarnation
         try:
-            async with asyncio.timeout(ANSWER_LIMIT_S):
-                conn = await self._pool.lend(target, self._clock())
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                conn = await self._pool.acquire(target, self._clock())
                 try:
                     conn.send("GET", self._protocol.load_path, self._host(view), b"")
                     head = await conn.read_head()
@@ -69,7 +69,7 @@
                 except BaseException:
                     conn.abort()
                     raise
-                self._pool.give_back(target, conn, None, self._clock())
+                self._pool.release(target, conn, None, self._clock())
             if head.status_code != 200:
                 raise BadMessage(head.status_code, "no load report")
             load = self._protocol.decode_load(body, view.entry.slots)
@@ -77,10 +77,10 @@
             logger.info(
                 "load report not answered: %s", exc, extra={"endpoint": view.entry.instance}
             )
-            view.unreachable(self._clock())
+            view.record_unreachable(self._clock())
             return False
-        view.heard_s = self._clock()
-        view.take_sample(load, self._clock())
+        view.last_received_s = self._clock()
+        view.record_sample(load, self._clock())
         return True
 
     @staticmethod
@@ -88,18 +88,18 @@
         body = b""
         while (data := await conn.read_data()) is not None:
             body += data
-            if len(body) > REPORT_BYTES:
-                raise BadMessage(502, f"a load report over {REPORT_BYTES} bytes")
+            if len(body) > MAX_REPORT_BYTES:
+                raise BadMessage(502, f"a load report over {MAX_REPORT_BYTES} bytes")
         return body
 
     def close(self) -> None:
         """Stop asking."""
-        for task in self._running.values():
+        for task in self._probes.values():
             task.cancel()
 
     def _done(self, view: EndpointView) -> None:
-        self._running.pop(view.entry.instance, None)
-        self._on_sample(view.entry.service)
+        self._probes.pop(view.entry.instance, None)
+        self._on_probed(view.entry.service)
 
     @staticmethod
     def _host(view: EndpointView) -> tuple[tuple[str, str], ...]:
--- a/cassiadrum/gateways/placements.py
+++ b/cassiadrum/gateways/placement_policies.py
@@ -9,30 +9,30 @@
 from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.endpoint_views import EndpointView
 
-__all__ = ["Choice", "Demand", "Placement", "PlacementSettings"]
+__all__ = ["Choice", "Demand", "PlacementPolicy", "PlacementSettings"]
 
 
 # Speed at which an engine reads a prompt beside other work, and its least time to the first bytes.
 PREFILL_TOKENS_PER_MS = 30.0
-FIRST_BYTES_MS = 90.0
+MIN_FIRST_BYTES_MS = 90.0
 # Waiting requests are ranked again at each change of an endpoint; the hashes of their parts stay.
-HASHES_KEPT = 8192
+HASH_CACHE_ENTRIES = 8192
 
 
 class PlacementSettings(NamedTuple):
     """Weights of the placement; costs are in milliseconds of the caller's wait."""
 
     # Shared parts that are read in less time than this may be read anywhere.
-    cheap_read_ms: float = 50.0
+    cheap_prefill_ms: float = 50.0
     # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
     # prompts; half as much at priority 2, a third at priority 4.
-    wait_part: float = 0.6
+    max_wait_fraction: float = 0.6
     # Prompts that are read in less time are let in beside urgent streams: they slow them little,
     # and would be shut out by heavier ones that can wait longer.
-    light_read_ms: float = 150.0
+    light_prefill_ms: float = 150.0
     # Part of the pause allowed to more urgent streams above which an endpoint that goes on more
     # slowly gets nothing less urgent.
-    gap_part: float = 0.6
+    max_gap_fraction: float = 0.6
     # What each request at the endpoint adds to the wait of a new one.
     outstanding_ms: float = 6.0
     plain_outstanding_ms: float = 15.0
@@ -49,8 +49,8 @@
     target_ms: float
     # The number of more urgent classes of streams at the service, and the shortest pause in
     # seconds that one of them may have between events.
-    rank: int = 0
-    urgent_gap_s: float = float("inf")
+    more_urgent_classes: int = 0
+    more_urgent_gap_s: float = float("inf")
 
     @property
     def shared_tokens(self) -> int:
@@ -62,10 +62,10 @@
     """Name the best endpoint; without `room` the request should wait for it, or for any."""
 
     view: EndpointView | None
-    room: bool
+    has_capacity: bool
 
 
-class Placement:
+class PlacementPolicy:
     """Choose the endpoint with the least expected cost, or let the request wait here.
 
     Answers three load patterns. Requests that share long prompt parts: all gateways rank the
@@ -92,14 +92,14 @@
 
         Endpoints to avoid are taken where there is no other, those that asked for a pause never.
         """
-        usable = _usable(views, now, exclude)
-        if self.is_long(demand):
-            return self._choose_holder(demand, usable, now)
-        open_views = [view for view in usable if self._has_room(demand, view, now)]
+        usable = _selectable(views, now, exclude)
+        if self.has_long_shared_prefix(demand):
+            return self._choose_prefix_holder(demand, usable, now)
+        open_views = [view for view in usable if self._has_capacity(demand, view, now)]
         best = min(open_views, key=lambda view: self._cost(demand, view, now), default=None)
         return Choice(best, best is not None)
 
-    def others_with_room(
+    def alternatives_with_capacity(
         self,
         demand: Demand,
         views: Iterable[EndpointView],
@@ -112,53 +112,55 @@
         further holder and not one for each request.
         """
         key = demand.call.prompt[-2].part_id
-        usable = _usable(views, now, exclude)
-        found = [view for view in usable if self._has_room(demand, view, now)]
-        return sorted(found, key=lambda view: _rank(key, view), reverse=True)
+        usable = _selectable(views, now, exclude)
+        found = [view for view in usable if self._has_capacity(demand, view, now)]
+        return sorted(found, key=lambda view: _rendezvous_score(key, view), reverse=True)
 
     def uncached_tokens(self, call: Call, view: EndpointView) -> int:
         """Return the prompt tokens that the endpoint is expected to read."""
-        return max(0, call.prompt_tokens - view.cached.matched_tokens(call.prompt))
+        return max(0, call.prompt_tokens - view.prompt_cache.matched_tokens(call.prompt))
 
-    def is_long(self, demand: Demand) -> bool:
+    def has_long_shared_prefix(self, demand: Demand) -> bool:
         """Return whether the shared parts take long to read."""
         cfg = self._cfg
-        return demand.shared_tokens > cfg.cheap_read_ms * PREFILL_TOKENS_PER_MS
+        return demand.shared_tokens > cfg.cheap_prefill_ms * PREFILL_TOKENS_PER_MS
 
-    def _has_room(self, demand: Demand, view: EndpointView, now: float) -> bool:
+    def _has_capacity(self, demand: Demand, view: EndpointView, now: float) -> bool:
         cfg = self._cfg
         if view.full_until_s > now or view.outstanding(now) >= view.entry.slots:
             return False
         if not demand.call.prompt:
             return True
-        heeds_urgent = demand.rank > 0 and self._is_heavy(demand)
-        if heeds_urgent and not self._leaves_urgent_on_time(demand, view, now):
+        yields_to_urgent = demand.more_urgent_classes > 0 and self._has_long_prefill(demand)
+        if yields_to_urgent and not self._keeps_urgent_on_time(demand, view, now):
             return False
-        if not self.is_long(demand):
+        if not self.has_long_shared_prefix(demand):
             # Engines admit it before less urgent prompts, which are what waits there in a burst.
             return True
-        limit_ms = demand.target_ms * cfg.wait_part / (1 + demand.priority / 2)
-        return view.waiting(now) * view.turn_ms <= limit_ms
+        limit_ms = demand.target_ms * cfg.max_wait_fraction / (1 + demand.priority / 2)
+        return view.waiting(now) * view.wait_per_request_ms <= limit_ms
 
-    def _is_heavy(self, demand: Demand) -> bool:
+    def _has_long_prefill(self, demand: Demand) -> bool:
         """Return whether reading the prompt keeps the streams of an endpoint waiting."""
-        return demand.call.prompt_tokens > self._cfg.light_read_ms * PREFILL_TOKENS_PER_MS
+        return demand.call.prompt_tokens > self._cfg.light_prefill_ms * PREFILL_TOKENS_PER_MS
 
-    def _leaves_urgent_on_time(self, demand: Demand, view: EndpointView, now: float) -> bool:
+    def _keeps_urgent_on_time(self, demand: Demand, view: EndpointView, now: float) -> bool:
         """Return whether more urgent streams at an endpoint stay on time beside the request."""
-        if not view.admits_less_urgent(now, demand.rank):
+        if not view.keeps_urgent_on_time(now, demand.more_urgent_classes):
             return False
-        return view.gap_s(now) <= self._cfg.gap_part * demand.urgent_gap_s
+        return view.gap_s(now) <= self._cfg.max_gap_fraction * demand.more_urgent_gap_s
 
-    def _choose_holder(self, demand: Demand, views: list[EndpointView], now: float) -> Choice:
+    def _choose_prefix_holder(
+        self, demand: Demand, views: list[EndpointView], now: float
+    ) -> Choice:
         """Return the endpoint that holds the shared parts.
 
         All gateways rank the same endpoint first for the longest run of shared parts, and count
         on its holding them.
         """
         key = demand.call.prompt[-2].part_id
-        home = max(views, key=lambda view: _rank(key, view), default=None)
-        return Choice(home, home is not None and self._has_room(demand, home, now))
+        holder = max(views, key=lambda view: _rendezvous_score(key, view), default=None)
+        return Choice(holder, holder is not None and self._has_capacity(demand, holder, now))
 
     def _cost(self, demand: Demand, view: EndpointView, now: float) -> tuple[int, int]:
         cfg = self._cfg
@@ -168,16 +170,16 @@
         if view.entry.zone != self._zone:
             cost += cfg.other_zone_ms
         if call.prompt:
-            cost += view.waiting(now) * view.turn_ms
+            cost += view.waiting(now) * view.wait_per_request_ms
             cost += view.outstanding(now) * cfg.outstanding_ms
             cost += view.gap_s(now) * 1000
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
         # Whole milliseconds, so that endpoints which hardly differ share the work.
-        return round(cost), _rank(call.request_id, view)
+        return round(cost), _rendezvous_score(call.request_id, view)
 
 
-def _usable(
+def _selectable(
     views: Iterable[EndpointView], now: float, exclude: Collection[str]
 ) -> list[EndpointView]:
     """Leave out who asked for a pause, and who is to be avoided where there is another one."""
@@ -187,10 +189,10 @@
     return [view for view in allowed if view.avoid_until_s <= now] or allowed
 
 
-def _rank(key: str, view: EndpointView) -> int:
+def _rendezvous_score(key: str, view: EndpointView) -> int:
     return _hash(key + view.entry.instance)
 
 
-@lru_cache(maxsize=HASHES_KEPT)
+@lru_cache(maxsize=HASH_CACHE_ENTRIES)
 def _hash(text: str) -> int:
     return xxhash.xxh32_intdigest(text.encode())
--- a/cassiadrum/gateways/cached_parts.py
+++ b/cassiadrum/gateways/prompt_cache_estimates.py
@@ -4,10 +4,10 @@
 
 from cassiadrum.gateways.calls import PromptPart
 
-__all__ = ["CachedParts"]
+__all__ = ["PromptCacheEstimate"]
 
 
-class CachedParts:
+class PromptCacheEstimate:
     """Remember the prompt parts sent to an endpoint, the least recently used yield first.
 
     `capacity_tokens` is the part of the endpoint's memory that this gateway counts on.
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from math import inf
 
-from cassiadrum.gateways.attempts import Attempt, WholeAnswer
+from cassiadrum.gateways.attempts import Attempt, BufferedAnswer
 from cassiadrum.gateways.catalogs import CallKind
 from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.event_sequences import EventSequence
 from cassiadrum.gateways.load_probers import LoadProber
+from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.gateways.silence_limits import SilenceLimit
-from cassiadrum.gateways.tickets import Ticket
 from cassiadrum.protocols import Exchange
 
 __all__ = ["Relay"]
@@ -20,15 +20,15 @@
 
 # An endpoint that sends nothing for any request is given up for another one after these parts of
 # the latency target before the first bytes, and multiples of the longest pause between events.
-FIRST_BYTES_PART = 0.5
-PAUSE_MULTIPLE = 6.0
+FIRST_BYTES_TARGET_FRACTION = 0.5
+GAP_MULTIPLE = 6.0
 MIN_SILENCE_S = 0.6
 # Multiple of the expected wait that is granted besides.
-EXPECTED_MULTIPLE = 2.0
+EXPECTED_WAIT_MULTIPLE = 2.0
 # Bytes of a plain answer that count as progress; less than that may be drip by drip.
-PROGRESS_BYTES = 4 * 1024
+MIN_PROGRESS_BYTES = 4 * 1024
 # One that is busy with other requests is given up after this part of the route's time.
-BUSY_PART = 0.4
+BUSY_TIMEOUT_FRACTION = 0.4
 
 
 class Relay:
@@ -36,45 +36,45 @@
 
     def __init__(
         self,
-        ticket: Ticket,
+        ctx: RequestContext,
         exchange: Exchange,
         log: DecisionLog,
         clock: Callable[[], float],
         prober: LoadProber,
-        may_repeat: Callable[[], bool],
+        may_retry: Callable[[], bool],
     ) -> None:
-        self._ticket = ticket
+        self._ctx = ctx
         self._exchange = exchange
         self._log = log
         self._clock = clock
         self._prober = prober
         # Whether the budget of repeated attempts has room.
-        self._may_repeat = may_repeat
-        self._events = EventSequence(ticket.call.last_event_id)
+        self._may_retry = may_retry
+        self._events = EventSequence(ctx.call.last_event_id)
         # The last answer of an endpoint that says that it failed.
-        self.failure: WholeAnswer | None = None
+        self.failure: BufferedAnswer | None = None
 
     @property
     def started(self) -> bool:
         """Return whether the caller has got a part of the answer."""
         return self._exchange.started
 
-    async def pass_failure(self) -> None:
+    async def send_failure(self) -> None:
         """Send the endpoint's own failure."""
         assert self.failure is not None
         await self._send(self.failure)
 
     async def run(self, attempt: Attempt) -> None:
         """Make an attempt and pass the answer on; raise AttemptFailed."""
-        route = self._ticket.route
+        route = self._ctx.route
         assert route is not None
         try:
-            async with self._silence_limit(attempt, self._first_bytes_s(attempt)):
+            async with self._silence_limit(attempt, self._first_bytes_limit_s(attempt)):
                 head = await attempt.start(self._events.last_id)
         except TimeoutError as exc:
-            raise attempt.broken("no answer in time") from exc
-        self._log.note(
-            self._ticket,
+            raise attempt.fail("no answer in time") from exc
+        self._log.record(
+            self._ctx,
             "first bytes",
             endpoint=attempt.view.entry.instance,
             status=head.status,
@@ -85,62 +85,62 @@
             return
         answer = await self._read_whole(attempt)
         if head.status >= 500:
-            attempt.view.failed(self._clock())
+            attempt.view.record_failure(self._clock())
             self.failure = answer
             raise AttemptFailed(f"status {head.status}")
         await self._send(answer)
 
-    async def _read_whole(self, attempt: Attempt) -> WholeAnswer:
+    async def _read_whole(self, attempt: Attempt) -> BufferedAnswer:
         """Return a plain answer; one that hardly goes on is given up as a silent one is."""
-        silence_s = self._first_bytes_s(attempt)
+        silence_s = self._first_bytes_limit_s(attempt)
         progress_s = self._clock()
         # Joined once: many buffers that grow side by side leave several times their size in holes.
         parts: list[bytes] = []
         size = 0
-        progress_bytes = PROGRESS_BYTES
+        progress_bytes = MIN_PROGRESS_BYTES
         while True:
             try:
                 async with self._silence_limit(attempt, silence_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
-                raise attempt.broken("the answer stalled") from exc
+                raise attempt.fail("the answer stalled") from exc
             if data is None:
-                return WholeAnswer(attempt.head, b"".join(parts))
+                return BufferedAnswer(attempt.head, b"".join(parts))
             parts.append(data)
             size += len(data)
-            attempt.hold(size)
+            attempt.reserve_memory(size)
             if size >= progress_bytes:
-                progress_bytes = size + PROGRESS_BYTES
+                progress_bytes = size + MIN_PROGRESS_BYTES
                 progress_s = self._clock()
 
     async def _pass_stream(self, attempt: Attempt) -> None:
         self._events.restart()
-        pause_s = self._pause_s()
-        route = self._ticket.route
+        silence_s = self._event_limit_s()
+        route = self._ctx.route
         assert route is not None
-        strictest_s = min(route.gap_s or inf, self._ticket.more_urgent.gap_s)
+        min_gap_s = min(route.gap_s or inf, self._ctx.more_urgent.gap_s)
         progress_s = self._clock()
-        longest_s = 0.0
+        longest_gap_s = 0.0
         # The time before the first event of an attempt is no pause.
-        begun = False
+        has_events = False
         while True:
             try:
-                async with self._silence_limit(attempt, pause_s, progress_s):
+                async with self._silence_limit(attempt, silence_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
-                raise attempt.broken("the stream stalled") from exc
+                raise attempt.fail("the stream stalled") from exc
             if data is None:
                 break
-            before = self._events.count
+            before = self._events.data_events
             whole = self._feed(attempt, data)
-            if self._events.count > before:
+            if self._events.data_events > before:
                 # Bytes and comments that never make up an event are no progress.
                 now = self._clock()
-                longest_s = max(longest_s, now - progress_s)
-                if begun:
-                    count = self._events.count - before
-                    attempt.view.take_gap((now - progress_s) / count, strictest_s, now)
-                begun = True
+                longest_gap_s = max(longest_gap_s, now - progress_s)
+                if has_events:
+                    count = self._events.data_events - before
+                    attempt.view.record_event_gap((now - progress_s) / count, min_gap_s, now)
+                has_events = True
                 progress_s = now
             if whole:
                 self._put_stream_head(attempt)
@@ -152,11 +152,11 @@
         self._events.end()
         self._put_stream_head(attempt)
         await self._exchange.end()
-        self._log.note(
-            self._ticket,
+        self._log.record(
+            self._ctx,
             "stream ended",
-            events=self._events.count,
-            longest_pause_ms=round(longest_s * 1000),
+            events=self._events.data_events,
+            longest_pause_ms=round(longest_gap_s * 1000),
         )
 
     def _feed(self, attempt: Attempt, data: bytes) -> bytes:
@@ -164,8 +164,8 @@
         try:
             whole = self._events.feed(data)
         except AttemptFailed as exc:
-            raise attempt.broken(exc.reason) from exc
-        attempt.hold(self._events.held_bytes)
+            raise attempt.fail(exc.reason) from exc
+        attempt.reserve_memory(self._events.held_bytes)
         return whole
 
     def _put_stream_head(self, attempt: Attempt) -> None:
@@ -173,38 +173,38 @@
             head = attempt.head
             self._exchange.put_head(head.status, head.headers)
 
-    async def _send(self, answer: WholeAnswer) -> None:
+    async def _send(self, answer: BufferedAnswer) -> None:
         headers = (*answer.head.headers, ("content-length", str(len(answer.body))))
         self._exchange.put_head(answer.head.status, headers)
         if self._exchange.req.method != "HEAD":
             self._exchange.put_data(answer.body)
         await self._exchange.end()
 
-    def _first_bytes_s(self, attempt: Attempt) -> float | None:
+    def _first_bytes_limit_s(self, attempt: Attempt) -> float | None:
         """Return how long the endpoint may be silent before the first bytes."""
-        route = self._ticket.route
+        route = self._ctx.route
         assert route is not None
         if not route.repeatable:
             return None
         if route.kind is CallKind.STREAM:
-            limit_s = max(MIN_SILENCE_S, FIRST_BYTES_PART * route.target_s)
-            return limit_s + EXPECTED_MULTIPLE * attempt.expected_wait_s
+            limit_s = max(MIN_SILENCE_S, FIRST_BYTES_TARGET_FRACTION * route.target_s)
+            return limit_s + EXPECTED_WAIT_MULTIPLE * attempt.expected_wait_s
         return route.target_s
 
-    def _pause_s(self) -> float | None:
+    def _event_limit_s(self) -> float | None:
         """Return how long the endpoint may be silent within a stream."""
-        route = self._ticket.route
+        route = self._ctx.route
         assert route is not None
         if not route.resumable:
             return None
-        return max(MIN_SILENCE_S, PAUSE_MULTIPLE * route.gap_s)
+        return max(MIN_SILENCE_S, GAP_MULTIPLE * route.gap_s)
 
     def _silence_limit(
         self, attempt: Attempt, silence_s: float | None, since_s: float | None = None
     ) -> SilenceLimit:
         """Return the limit on a wait for bytes of the answer."""
-        route = self._ticket.route
+        route = self._ctx.route
         assert route is not None
         prober = self._prober if route.kind is CallKind.STREAM else None
-        longest_s = max(silence_s or 0.0, BUSY_PART * route.timeout_s)
-        return SilenceLimit(attempt.view, silence_s, longest_s, self._may_repeat, prober, since_s)
+        max_wait_s = max(silence_s or 0.0, BUSY_TIMEOUT_FRACTION * route.timeout_s)
+        return SilenceLimit(attempt.view, silence_s, max_wait_s, self._may_retry, prober, since_s)
--- a/cassiadrum/gateways/tickets.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -1,9 +1,9 @@
 """The life of one request at the gateway."""
 
 from cassiadrum.gateways.calls import Call
-from cassiadrum.gateways.catalogs import CallKind, Customer, MoreUrgent, Route
+from cassiadrum.gateways.catalogs import CallKind, Customer, MoreUrgentStreams, Route
 
-__all__ = ["Ticket"]
+__all__ = ["RequestContext"]
 
 
 # Priorities of routes that are told apart within one priority of customers. Endpoints know ten
@@ -12,7 +12,7 @@
 DEFAULT_CUSTOMER_PRIORITY = 1
 
 
-class Ticket:
+class RequestContext:
     """Track a request; times are monotonic seconds."""
 
     def __init__(self, call: Call, received_s: float) -> None:
@@ -25,14 +25,14 @@
         self.deadline_s = float("inf")
         self.target_s = float("inf")
         # The more urgent streams of the service.
-        self.more_urgent = MoreUrgent(0, float("inf"))
+        self.more_urgent = MoreUrgentStreams(0, float("inf"))
         # Whether the service has less urgent streams.
         self.has_less_urgent = False
         # Instances that got the request.
         self.tried: set[str] = set()
         self.sends = 0
         # Sends that reached any endpoint, also one that was not meant.
-        self.arrivals = 0
+        self.deliveries = 0
         # Whether an endpoint may have run it.
         self.may_have_run = False
 
--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -31,22 +31,22 @@
         self,
         view: EndpointView,
         silence_s: float | None,
-        longest_s: float,
-        may_end: Callable[[], bool],
+        max_wait_s: float,
+        may_expire: Callable[[], bool],
         prober: LoadProber | None = None,
         since_s: float | None = None,
     ) -> None:
         self._view = view
         self._silence_s = silence_s
-        self._longest_s = longest_s
-        self._may_end = may_end
+        self._max_wait_s = max_wait_s
+        self._may_expire = may_expire
         self._prober = prober
-        self._question: asyncio.Task[None] | None = None
+        self._probe: asyncio.Task[None] | None = None
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
         self._started_s = 0.0
         self._since_s = since_s
-        self._until_s = 0.0
+        self._max_wait_end_s = 0.0
 
     async def __aenter__(self) -> Self:
         await self._timeout.__aenter__()
@@ -54,8 +54,8 @@
             loop = asyncio.get_running_loop()
             self._started_s = loop.time()
             since_s = self._started_s if self._since_s is None else self._since_s
-            self._until_s = since_s + self._longest_s
-            due_s = min(self._started_s + self._silence_s, self._until_s)
+            self._max_wait_end_s = since_s + self._max_wait_s
+            due_s = min(self._started_s + self._silence_s, self._max_wait_end_s)
             self._handle = loop.call_at(due_s, self._check)
         return self
 
@@ -67,8 +67,8 @@
     ) -> None:
         if self._handle is not None:
             self._handle.cancel()
-        if self._question is not None:
-            self._question.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
         await self._timeout.__aexit__(kind, exc, trace)
 
     def _check(self) -> None:
@@ -76,24 +76,24 @@
         assert self._silence_s is not None
         loop = asyncio.get_running_loop()
         now = loop.time()
-        due_s = max(self._started_s, self._view.heard_s) + self._silence_s
-        due_s = min(due_s, self._until_s)
+        due_s = max(self._started_s, self._view.last_received_s) + self._silence_s
+        due_s = min(due_s, self._max_wait_end_s)
         if due_s > now:
             self._handle = loop.call_at(due_s, self._check)
-        elif not self._may_end():
+        elif not self._may_expire():
             self._handle = loop.call_at(now + RECHECK_S, self._check)
-        elif self._prober is not None and now < self._until_s:
-            self._question = asyncio.create_task(self._ask(self._prober))
+        elif self._prober is not None and now < self._max_wait_end_s:
+            self._probe = asyncio.create_task(self._probe_endpoint(self._prober))
         else:
-            self._end()
+            self._expire()
 
-    async def _ask(self, prober: LoadProber) -> None:
+    async def _probe_endpoint(self, prober: LoadProber) -> None:
         """End the wait unless the endpoint reports its load."""
-        if await prober.ask(self._view):
+        if await prober.probe(self._view):
             self._check()
         else:
-            self._end()
+            self._expire()
 
-    def _end(self) -> None:
+    def _expire(self) -> None:
         if not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -11,7 +11,7 @@
     EndpointEntry,
     RequestLimits,
     Route,
-    ServicePlan,
+    ServiceSettings,
     Share,
 )
 from cassiadrum.platform.errors import BadRecord
@@ -116,14 +116,16 @@
         wire.limits.idle_timeout_ms / 1000,
     )
     plans = [
-        ServicePlan(
+        ServiceSettings(
             service.name,
             service.max_conns,
             service.engine.kv_capacity_tokens if service.engine else None,
         )
         for service in wire.services
     ]
-    return Catalog(wire.version, routes, plans, customers, limits, keyed=bool(wire.tenants))
+    return Catalog(
+        wire.version, routes, plans, customers, limits, requires_keys=bool(wire.tenants)
+    )
 
 
 def decode_entry(instance: str, data: bytes) -> EndpointEntry:
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -43,7 +43,7 @@
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._put(row.content)
         if not self._behind:
-            self._gateway.confirmation.answered(page.store_s, page.sent_s, page.received_s)
+            self._gateway.confirmation.record_answer(page.store_s, page.sent_s, page.received_s)
 
     def returned(self) -> None:
         """Need nothing at the store's return: the rows that follow are the newest."""
@@ -80,7 +80,7 @@
         """Take all rows."""
         entries = [entry for row in page.rows if (entry := self._decode(row)) is not None]
         self._gateway.directory.replace(entries, self._clock())
-        self._gateway.changed()
+        self._gateway.endpoints_changed()
 
     def change(self, page: RowPage) -> None:
         """Take the rows that changed."""
@@ -91,7 +91,7 @@
             else:
                 self._gateway.directory.put(entry)
         if page.rows:
-            self._gateway.changed()
+            self._gateway.endpoints_changed()
 
     def returned(self) -> None:
         """Keep what lapsed during the outage for a while."""
--- a/cassiadrum/tests/gateways/makers.py
+++ b/cassiadrum/tests/gateways/makers.py
@@ -9,7 +9,7 @@
     PromptPart,
     RequestLimits,
     Route,
-    ServicePlan,
+    ServiceSettings,
     Share,
 )
 from cassiadrum.gateways.endpoint_views import EndpointView
@@ -80,8 +80,8 @@
     return Catalog(
         version,
         routes or (make_route(),),
-        (ServicePlan("drafts", 64, 500_000),),
+        (ServiceSettings("drafts", 64, 500_000),),
         {key: Customer("customer", None) for key in keys},
         RequestLimits(16_384, 1_000_000, 3.0, 15.0),
-        keyed=True,
+        requires_keys=True,
     )
--- a/cassiadrum/tests/gateways/test_concurrency_limits.py
+++ b/cassiadrum/tests/gateways/test_concurrency_limits.py
@@ -1,7 +1,7 @@
 """Tests of the limit beside which urgent streams stay on time."""
 
 from cassiadrum.gateways.concurrency_limits import ConcurrencyLimit
-from cassiadrum.gateways.paces import Pace
+from cassiadrum.gateways.stream_stats import EventGapAverage
 
 SLOTS = 64
 ALLOWED_S = 0.3
@@ -13,7 +13,7 @@
 
     def cut(self, limit: ConcurrencyLimit, times: int, outstanding: int = 40) -> None:
         for number in range(times):
-            limit.take(LONG_S, ALLOWED_S, outstanding, float(number))
+            limit.record_gap(LONG_S, ALLOWED_S, outstanding, float(number))
 
     def test_without_long_pauses_all_slots_are_used(self) -> None:
         assert ConcurrencyLimit().allows(SLOTS - 1, SLOTS)
@@ -27,7 +27,7 @@
     def test_pauses_of_one_moment_count_once(self) -> None:
         limit = ConcurrencyLimit()
         for _ in range(20):
-            limit.take(LONG_S, ALLOWED_S, 40, 1.0)
+            limit.record_gap(LONG_S, ALLOWED_S, 40, 1.0)
         assert limit.allows(30, SLOTS)
 
     def test_some_less_urgent_work_always_goes_on(self) -> None:
@@ -39,24 +39,24 @@
         limit = ConcurrencyLimit()
         self.cut(limit, 1, outstanding=40)
         for number in range(100):
-            limit.take(SHORT_S, ALLOWED_S, 34, 1.0 + number * 0.1)
+            limit.record_gap(SHORT_S, ALLOWED_S, 34, 1.0 + number * 0.1)
         assert limit.allows(40, SLOTS)
 
     def test_short_pauses_of_idle_endpoints_tell_nothing(self) -> None:
         limit = ConcurrencyLimit()
         self.cut(limit, 1, outstanding=40)
         for number in range(100):
-            limit.take(SHORT_S, ALLOWED_S, 3, 1.0 + number * 0.1)
+            limit.record_gap(SHORT_S, ALLOWED_S, 3, 1.0 + number * 0.1)
         assert not limit.allows(36, SLOTS)
 
     def test_pause_of_a_fault_tells_nothing(self) -> None:
         limit = ConcurrencyLimit()
-        limit.take(FAULT_S, ALLOWED_S, 10, 0.0)
+        limit.record_gap(FAULT_S, ALLOWED_S, 10, 0.0)
         assert limit.allows(40, SLOTS)
 
     def test_pause_beside_an_unknown_load_tells_nothing(self) -> None:
         limit = ConcurrencyLimit()
-        limit.take(LONG_S, ALLOWED_S, None, 0.0)
+        limit.record_gap(LONG_S, ALLOWED_S, None, 0.0)
         assert limit.allows(40, SLOTS)
 
 
@@ -64,15 +64,15 @@
     """Guards against an old pace that keeps work away from an endpoint that is idle now."""
 
     def test_average_follows_the_gaps(self) -> None:
-        pace = Pace()
+        pace = EventGapAverage()
         for number in range(40):
-            pace.take(0.1 if number < 20 else 0.3, number * 0.1)
+            pace.update(0.1 if number < 20 else 0.3, number * 0.1)
         found = pace.gap_s(4.0)
         assert found is not None
         assert 0.28 < found < 0.3
 
     def test_old_gaps_say_nothing(self) -> None:
-        pace = Pace()
-        pace.take(0.1, 0.0)
+        pace = EventGapAverage()
+        pace.update(0.1, 0.0)
         assert pace.gap_s(1.0) == 0.1
         assert pace.gap_s(10.0) is None
--- a/cassiadrum/tests/gateways/test_decision_logs.py
+++ b/cassiadrum/tests/gateways/test_decision_logs.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from cassiadrum.gateways.decision_logs import BURST_LINES, DecisionLog
-from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.gateways.decision_logs import SUCCESS_BURST_LINES, DecisionLog
+from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.logs.bounded_queue_handlers import BoundedQueueHandler
 from cassiadrum.tests.gateways.makers import make_call
 
@@ -25,9 +25,9 @@
 
 
 def run_request(log: DecisionLog, number: int, *, well: bool) -> None:
-    ticket = Ticket(make_call(f"r{number}"), 0.0)
-    log.note(ticket, "placed", endpoint="i-0")
-    log.end(ticket, "answered" if well else "refused: overloaded", well=well)
+    ctx = RequestContext(make_call(f"r{number}"), 0.0)
+    log.record(ctx, "placed", endpoint="i-0")
+    log.finish(ctx, "answered" if well else "refused: overloaded", well=well)
 
 
 class TestDecisionLog:
@@ -41,26 +41,26 @@
         written = [record.__dict__["request_id"] for record in caplog.records]
         for number in range(0, 1000, 10):
             assert written.count(f"r{number}") == 2
-        assert len(written) <= BURST_LINES + 200 + 2
+        assert len(written) <= SUCCESS_BURST_LINES + 200 + 2
 
     def test_left_out_lines_are_counted(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
         clock = Clock()
         log = DecisionLog(clock)
-        for number in range(int(BURST_LINES)):
+        for number in range(int(SUCCESS_BURST_LINES)):
             run_request(log, number, well=True)
         clock.now = 10.0
         run_request(log, 9999, well=True)
-        assert caplog.records[-2].__dict__["left_out"] == BURST_LINES
+        assert caplog.records[-2].__dict__["left_out"] == SUCCESS_BURST_LINES
 
     def test_lines_of_one_request_are_together(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
         log = DecisionLog(Clock())
-        first, second = Ticket(make_call("a"), 0.0), Ticket(make_call("b"), 0.0)
-        log.note(first, "placed")
-        log.note(second, "placed")
-        log.end(first, "answered", well=True)
-        log.end(second, "answered", well=True)
+        first, second = RequestContext(make_call("a"), 0.0), RequestContext(make_call("b"), 0.0)
+        log.record(first, "placed")
+        log.record(second, "placed")
+        log.finish(first, "answered", well=True)
+        log.finish(second, "answered", well=True)
         ids = [record.__dict__["request_id"] for record in caplog.records]
         assert ids == ["a", "a", "b", "b"]
 
--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -201,14 +201,14 @@
     def test_both_end_with_the_incarnation(self) -> None:
         directory = self.make().directory
         view = directory.usable("drafts")[0]
-        view.leave()
-        view.pause(1.0, 60.0)
+        view.mark_leaving()
+        view.mark_paused(1.0, 60.0)
         assert not directory.usable("drafts")
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].paused_until_s == 0.0
 
     def test_longest_pause_holds(self) -> None:
         view = self.make().directory.usable("drafts")[0]
-        view.pause(1.0, 60.0)
-        view.pause(2.0, 0.5)
+        view.mark_paused(1.0, 60.0)
+        view.mark_paused(2.0, 0.5)
         assert view.paused_until_s == 61.0
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from cassiadrum.gateways.attempt_budgets import AttemptBudget
-from cassiadrum.gateways.cached_parts import CachedParts
 from cassiadrum.gateways.call_queues import CallQueue
 from cassiadrum.gateways.calls import PromptPart
-from cassiadrum.gateways.catalogs import Share, share_of
+from cassiadrum.gateways.catalogs import Share, choose_service
 from cassiadrum.gateways.confirmations import Confirmation
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_entries import Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.event_sequences import EventSequence
+from cassiadrum.gateways.prompt_cache_estimates import PromptCacheEstimate
+from cassiadrum.gateways.retry_budgets import RetryBudget
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry, make_route
 
 
@@ -21,15 +21,15 @@
 
     def test_sum_of_gateways_keeps_the_bound(self) -> None:
         ratio, slack, window_s = 0.2, 58.0, 10.0
-        budgets = [AttemptBudget(ratio, slack / 32, window_s) for _ in range(6)]
+        budgets = [RetryBudget(ratio, slack / 32, window_s) for _ in range(6)]
         requests: list[float] = []
         repeats: list[float] = []
         for step in range(4000):
             now = step * 0.01
             budget = budgets[step % 6]
-            budget.arrived(now)
+            budget.record_request(now)
             requests.append(now)
-            if budget.spend(now):
+            if budget.try_spend(now):
                 repeats.append(now)
         for start_s in range(0, 30):
             in_window = [t for t in repeats if start_s <= t < start_s + window_s]
@@ -37,14 +37,14 @@
             assert len(in_window) <= ratio * len(first) + slack
 
     def test_first_failures_may_be_repeated_at_once(self) -> None:
-        budget = AttemptBudget(0.2, 1.8, 10.0)
-        budget.arrived(0.0)
-        assert budget.spend(0.0)
+        budget = RetryBudget(0.2, 1.8, 10.0)
+        budget.record_request(0.0)
+        assert budget.try_spend(0.0)
 
     def test_old_requests_permit_nothing(self) -> None:
-        budget = AttemptBudget(1.0, 0.0, 10.0)
-        budget.arrived(0.0)
-        assert not budget.spend(10.5)
+        budget = RetryBudget(1.0, 0.0, 10.0)
+        budget.record_request(0.0)
+        assert not budget.try_spend(10.5)
 
 
 class TestCallQueue:
@@ -76,7 +76,7 @@
     """Guards against counting on parts that an endpoint has dropped."""
 
     def test_least_recently_used_yields(self) -> None:
-        cached = CachedParts(250)
+        cached = PromptCacheEstimate(250)
         first, second, third = (PromptPart(name, 100) for name in "abc")
         cached.add((first,))
         cached.add((second,))
@@ -86,7 +86,7 @@
         assert cached.matched_tokens((first,)) == 100
 
     def test_a_part_counts_only_behind_all_before_it(self) -> None:
-        cached = CachedParts(1000)
+        cached = PromptCacheEstimate(1000)
         first, second = PromptPart("a", 100), PromptPart("b", 50)
         cached.add((second,))
         assert cached.matched_tokens((first, second)) == 0
@@ -128,7 +128,7 @@
     def test_new_incarnation_starts_without_beliefs(self) -> None:
         directory, gone = self.make()
         directory.put(make_entry("i-0"))
-        directory.usable("drafts")[0].failed(0.0)
+        directory.usable("drafts")[0].record_failure(0.0)
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].failures(0.0) == 0.0
         assert len(gone) == 1
@@ -136,7 +136,7 @@
     def test_changed_entry_keeps_beliefs(self) -> None:
         directory, gone = self.make()
         directory.put(make_entry("i-0"))
-        directory.usable("drafts")[0].failed(0.0)
+        directory.usable("drafts")[0].record_failure(0.0)
         directory.put(make_entry("i-0", cold_s=1.0))
         assert directory.usable("drafts")[0].failures(0.0) > 0.0
         assert not gone
@@ -150,9 +150,9 @@
 
     def test_answer_that_was_held_up_is_dated_by_the_store(self) -> None:
         confirmation = Confirmation(4.0)
-        confirmation.answered(100.0, 9.9, 10.0)
+        confirmation.record_answer(100.0, 9.9, 10.0)
         # The machine stood still for 6 s with this answer in its socket.
-        confirmation.answered(101.0, 10.0, 17.0)
+        confirmation.record_answer(101.0, 10.0, 17.0)
         # Six seconds and the time of the first answer, whose way there is not known.
         assert confirmation.age_s(17.0) == pytest.approx(6.1)
         assert not confirmation.valid(17.0)
@@ -160,21 +160,21 @@
     def test_first_answer_is_as_old_as_its_call(self) -> None:
         """Nothing tells whether the call or its answer was held up, so the worse one counts."""
         confirmation = Confirmation(4.75)
-        confirmation.answered(100.0, 10.0, 10.8)
+        confirmation.record_answer(100.0, 10.0, 10.8)
         assert confirmation.age_s(10.8) == pytest.approx(0.8)
-        confirmation.answered(101.0, 11.2, 11.21)
+        confirmation.record_answer(101.0, 11.2, 11.21)
         assert confirmation.age_s(11.21) == pytest.approx(0.01)
 
     def test_clock_of_the_store_that_was_set_forward_is_learned_again(self) -> None:
         confirmation = Confirmation(4.0)
-        confirmation.answered(100.0, 9.9, 10.0)
-        confirmation.answered(500.0, 19.9, 20.0)
+        confirmation.record_answer(100.0, 9.9, 10.0)
+        confirmation.record_answer(500.0, 19.9, 20.0)
         assert confirmation.age_s(20.0) == pytest.approx(0.1)
 
     def test_restarted_clock_of_the_store_is_learned_again(self) -> None:
         confirmation = Confirmation(4.0)
-        confirmation.answered(100.0, 9.9, 10.0)
-        confirmation.answered(1.0, 19.9, 20.0)
+        confirmation.record_answer(100.0, 9.9, 10.0)
+        confirmation.record_answer(1.0, 19.9, 20.0)
         assert confirmation.age_s(20.0) == pytest.approx(0.1)
 
 
@@ -233,6 +233,6 @@
 
     def test_split_follows_the_weights_and_is_stable(self) -> None:
         route = make_route(shares=(Share("x", 90.0), Share("y", 10.0)))
-        chosen = [share_of(route, f"r{number}") for number in range(2000)]
+        chosen = [choose_service(route, f"r{number}") for number in range(2000)]
         assert 0.06 < chosen.count("y") / 2000 < 0.14
-        assert chosen == [share_of(route, f"r{number}") for number in range(2000)]
+        assert chosen == [choose_service(route, f"r{number}") for number in range(2000)]
--- a/cassiadrum/tests/gateways/test_lag_limits.py
+++ b/cassiadrum/tests/gateways/test_lag_limits.py
@@ -5,7 +5,7 @@
 from cassiadrum.gateways import Gateway, GatewaySettings
 from cassiadrum.gateways.errors import Refused
 from cassiadrum.gateways.lag_limits import LagLimit
-from cassiadrum.gateways.tickets import Ticket
+from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.tests.gateways.makers import make_call, make_catalog, make_entry
 
@@ -34,7 +34,7 @@
                     now += self._work_s
                 number += 1
             if now >= due_s:
-                self._limit.ticked(now - due_s)
+                self._limit.record_tick(now - due_s)
                 due_s = now + TICK_S
             if now == round_s:
                 next_s = arrivals_s[number] if number < len(arrivals_s) else due_s
@@ -72,19 +72,19 @@
 
     def test_single_late_tick_refuses_nothing(self) -> None:
         limit = LagLimit()
-        limit.ticked(5.0)
+        limit.record_tick(5.0)
         assert not any(limit.refuses(f"r-{number}") for number in range(100))
-        limit.ticked(0.0)
-        limit.ticked(5.0)
+        limit.record_tick(0.0)
+        limit.record_tick(5.0)
         assert not any(limit.refuses(f"r-{number}") for number in range(100))
 
     def test_slow_process_goes_on_serving(self) -> None:
         limit = LagLimit()
         for _ in range(100):
-            limit.ticked(5.0)
+            limit.record_tick(5.0)
         assert not all(limit.refuses(f"r-{number}") for number in range(1000))
         for _ in range(100):
-            limit.ticked(0.0)
+            limit.record_tick(0.0)
         assert not any(limit.refuses(f"r-{number}") for number in range(1000))
 
 
@@ -106,17 +106,17 @@
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
         gateway = Gateway(cfg, PlatformProtocol(), lambda: now[0], lambda: now[0])
         gateway.set_catalog(make_catalog())
-        gateway.confirmation.answered(0.0, 0.0, 0.0)
+        gateway.confirmation.record_answer(0.0, 0.0, 0.0)
         gateway.directory.replace([make_entry("i-0")], 0.0)
-        ticket, relay = Ticket(make_call(), 0.0), UnstartedRelay()
-        gateway._resolve(ticket)
+        ctx, relay = RequestContext(make_call(), 0.0), UnstartedRelay()
+        gateway._resolve(ctx)
         now[0] = 2.0
-        gateway.lag.ticked(late_s)
+        gateway.lag.record_tick(late_s)
         if sent:
-            assert await gateway._attempt(ticket, relay)  # type: ignore[arg-type]
+            assert await gateway._attempt(ctx, relay)  # type: ignore[arg-type]
         else:
             with pytest.raises(Refused, match="behind"):
-                await gateway._attempt(ticket, relay)  # type: ignore[arg-type]
+                await gateway._attempt(ctx, relay)  # type: ignore[arg-type]
         assert relay.started is sent
         (view,) = gateway.directory.usable("drafts")
-        assert view.own == 0
+        assert view.own_requests == 0
--- a/cassiadrum/tests/gateways/test_lasting_bursts.py
+++ b/cassiadrum/tests/gateways/test_lasting_bursts.py
@@ -10,8 +10,8 @@
 from cassiadrum.gateways.call_queues import CallQueue
 from cassiadrum.gateways.calls import PromptPart
 from cassiadrum.gateways.endpoint_views import EndpointView
-from cassiadrum.gateways.paces import ServicePace
-from cassiadrum.gateways.placements import Demand, Placement
+from cassiadrum.gateways.placement_policies import Demand, PlacementPolicy
+from cassiadrum.gateways.stream_stats import ServiceStreamStats
 from cassiadrum.tests.gateways.makers import make_call, make_entry
 
 GATEWAYS = 6
@@ -107,10 +107,10 @@
     """Place jobs by the product's decisions and learn from what streams show."""
 
     def __init__(self) -> None:
-        self.service = ServicePace()
+        self.service = ServiceStreamStats()
         entries = [make_entry(f"e-{number}", slots=SLOTS) for number in range(ENGINES)]
         self.views = [EndpointView(entry, 250_000, self.service) for entry in entries]
-        self.placement = Placement("a")
+        self.placement = PlacementPolicy("a")
         self.queue = CallQueue[Job]()
 
     def choose(self, job: Job, now: float, *, protect: bool) -> EndpointView | None:
@@ -172,7 +172,7 @@
         view = gateway.choose(job, now, protect=self.protect)
         if view is None:
             return False
-        view.start(0)
+        view.record_start(0)
         job.view = view
         self._engines[gateway.views.index(view)].add(job)
         return True
@@ -188,7 +188,7 @@
     def _sample(self, number: int, now: float) -> None:
         gateway = self._gateways[number]
         for view, engine in zip(gateway.views, self._engines, strict=True):
-            view.take_sample(self._load(engine), now)
+            view.record_sample(self._load(engine), now)
         self._pump(gateway, now)
         self._at(now + SAMPLE_S, partial(self._sample, number))
 
@@ -206,8 +206,8 @@
             job.done = job.tokens == 0
             assert job.view is not None
             if job.first_s < 0.0:
-                job.view.answered(0, None, now)
-            job.view.end()
+                job.view.record_first_bytes(0, None, now)
+            job.view.record_end()
             self._pump(self._gateways[job.gateway], now)
         self._at(now, partial(self._step, number))
 
@@ -215,11 +215,11 @@
         assert job.view is not None
         if job.first_s < 0.0:
             job.first_s = now
-            job.view.answered(0, self._load(engine), now)
+            job.view.record_first_bytes(0, self._load(engine), now)
         else:
             pause_s = now - job.event_s
             job.longest_pause_s = max(job.longest_pause_s, pause_s)
-            job.view.take_gap(pause_s, URGENT_PAUSE_S, now)
+            job.view.record_event_gap(pause_s, URGENT_PAUSE_S, now)
         job.event_s = now
 
 
--- a/cassiadrum/tests/gateways/test_load_probers.py
+++ b/cassiadrum/tests/gateways/test_load_probers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cassiadrum.gateways.endpoint_pools import EndpointPool
+from cassiadrum.gateways.connection_pools import ConnectionPool
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.silence_limits import SilenceLimit
 from cassiadrum.platform.call_codecs import PlatformProtocol
@@ -39,7 +39,7 @@
     """Guards against filling an endpoint of which this gateway knows nothing."""
 
     def make(self, sampled: list[str]) -> LoadProber:
-        return LoadProber(EndpointPool(), PlatformProtocol(), time.monotonic, sampled.append)
+        return LoadProber(ConnectionPool(), PlatformProtocol(), time.monotonic, sampled.append)
 
     async def test_answer_is_a_sample(self, reporter: Reporter) -> None:
         view = make_view(
@@ -47,16 +47,16 @@
         )
         sampled: list[str] = []
         prober = self.make(sampled)
-        prober.refresh(view)
-        prober.refresh(view)
-        assert prober.pending(view)
+        prober.probe_in_background(view)
+        prober.probe_in_background(view)
+        assert prober.is_probing(view)
         async with asyncio.timeout(2.0):
-            while prober.pending(view):  # noqa: ASYNC110 - the prober sets no event
+            while prober.is_probing(view):  # noqa: ASYNC110 - the prober sets no event
                 await asyncio.sleep(0.01)
         now = time.monotonic()
         assert (view.waiting(now), view.outstanding(now)) == (2, 5)
         assert sampled == ["drafts"]
-        prober.refresh(view)
+        prober.probe_in_background(view)
         assert reporter.asked == 1
 
     @pytest.mark.parametrize("body", [b"nonsense", b"{}"])
@@ -65,7 +65,7 @@
         view = make_view(
             "i-0", address=Address("127.0.0.1", await reporter.server.start("127.0.0.1", 0))
         )
-        assert not await self.make([]).ask(view)
+        assert not await self.make([]).probe(view)
         assert view.sample_age_ms(time.monotonic()) is None
 
     async def test_dead_endpoint_is_left_and_a_busy_one_is_not(self, reporter: Reporter) -> None:
--- a/cassiadrum/tests/gateways/test_placements.py
+++ b/cassiadrum/tests/gateways/test_placement_policies.py
@@ -5,7 +5,7 @@
 
 from cassiadrum.gateways.answer_heads import LoadSample
 from cassiadrum.gateways.endpoint_views import EndpointView
-from cassiadrum.gateways.placements import Demand, Placement
+from cassiadrum.gateways.placement_policies import Demand, PlacementPolicy
 from cassiadrum.tests.gateways.makers import make_call, make_prompt, make_view
 
 TARGET_MS = 2000.0
@@ -27,7 +27,7 @@
     demand: Demand, views: list[EndpointView], now: float, exclude: Collection[str] = ()
 ) -> EndpointView | None:
     """Return the endpoint that gets the request now, None when it waits."""
-    view, room = Placement("a").choose(demand, views, now, exclude)
+    view, room = PlacementPolicy("a").choose(demand, views, now, exclude)
     return view if room else None
 
 
@@ -43,7 +43,7 @@
     def test_gateways_agree_without_messages(self) -> None:
         chosen = set()
         for gateway in range(6):
-            placement = Placement("a" if gateway % 2 else "b")
+            placement = PlacementPolicy("a" if gateway % 2 else "b")
             view, _ = placement.choose(long_demand("part", gateway), views_of(6), 0)
             assert view is not None
             chosen.add(view.entry.instance)
@@ -61,7 +61,7 @@
         views = views_of(6)
         first = chosen_for("part", views)
         for view in views:
-            view.answered(0, LoadSample(5, 8, 64), 0.0)
+            view.record_first_bytes(0, LoadSample(5, 8, 64), 0.0)
             view.own_waiting = 0
         assert choose(long_demand("part", 1), views, 0.1) is None
         assert first.waiting(0.1) > 0
@@ -72,19 +72,19 @@
         views = views_of(6)
         first = chosen_for("part", views)
         for view in views:
-            view.take_sample(LoadSample(0, 0, 8), 0.0)
-        first.take_sample(LoadSample(4, 60, 64), 0.0)
+            view.record_sample(LoadSample(0, 0, 8), 0.0)
+        first.record_sample(LoadSample(4, 60, 64), 0.0)
         assert choose(long_demand("part", 1), views, 0.1) is None
 
     def test_full_endpoint_gets_nothing(self) -> None:
         view = make_view("i-0", slots=2)
-        view.take_sample(LoadSample(2, 0, 2), 0.0)
+        view.record_sample(LoadSample(2, 0, 2), 0.0)
         assert choose(short_demand(), [view], 0.1) is None
 
     def test_endpoint_that_said_it_is_full_keeps_its_parts(self) -> None:
         views = views_of(6)
         first = chosen_for("part", views)
-        first.full(0.0, 0.2)
+        first.mark_full(0.0, 0.2)
         assert choose(long_demand("part", 1), views, 0.1) is None
         assert choose(long_demand("part", 1), views, 0.3) is first
 
@@ -94,7 +94,7 @@
 
     def test_backlog_admits_the_urgent_only(self) -> None:
         view = make_view("i-0", slots=64)
-        view.take_sample(LoadSample(5, 6, 64), 0.0)
+        view.record_sample(LoadSample(5, 6, 64), 0.0)
         assert choose(long_demand("part", priority=2), [view], 0.1) is None
         assert choose(long_demand("part", priority=0), [view], 0.1) is view
 
@@ -104,7 +104,7 @@
 
     def slow_view(self, gap_s: float) -> EndpointView:
         view = make_view("i-0", slots=64)
-        view.take_gap(gap_s, 1.0, 0.0)
+        view.record_event_gap(gap_s, 1.0, 0.0)
         return view
 
     def test_slow_endpoint_gets_nothing_less_urgent(self) -> None:
@@ -119,7 +119,7 @@
         # Replays scale-1 of the further deployment: urgent requests waited at the gateway while
         # long prompts waited at the engines, which would have let the urgent ones go first.
         view = make_view("i-0", slots=64)
-        view.take_sample(LoadSample(20, 12, 64), 0.0)
+        view.record_sample(LoadSample(20, 12, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 0, 400.0)
         assert choose(demand, [view], 0.1) is view
 
@@ -127,7 +127,7 @@
         # Found by a hunt on the further deployment: at an endpoint with some prompts waiting, the
         # least urgent class had room by its long target and a more urgent one had not.
         view = make_view("i-0", slots=64)
-        view.take_sample(LoadSample(20, 3, 64), 0.0)
+        view.record_sample(LoadSample(20, 3, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 1, 600.0, 1, 0.3)
         assert choose(demand, [view], 0.1) is view
 
@@ -139,20 +139,20 @@
 
     def test_least_urgent_work_leaves_room_for_others(self) -> None:
         view = make_view("i-0", slots=64)
-        view.take_sample(LoadSample(60, 0, 64), 0.0)
+        view.record_sample(LoadSample(60, 0, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)), 1, TARGET_MS, 1, 0.3)
         assert choose(demand, [view], 0.1) is view
-        assert choose(demand._replace(priority=2, rank=2), [view], 0.1) is None
+        assert choose(demand._replace(priority=2, more_urgent_classes=2), [view], 0.1) is None
 
     def test_full_slots_hold_for_all(self) -> None:
         view = make_view("i-0", slots=4)
-        view.take_sample(LoadSample(4, 0, 4), 0.0)
+        view.record_sample(LoadSample(4, 0, 4), 0.0)
         assert choose(short_demand(), [view], 0.1) is None
 
     def test_quicker_endpoint_is_taken(self) -> None:
         prompt = make_prompt("part", 1)[1:]
         slow, quick = self.slow_view(0.25), make_view("i-1", slots=64)
-        quick.take_gap(0.05, 1.0, 0.0)
+        quick.record_event_gap(0.05, 1.0, 0.0)
         for number in range(10):
             demand = Demand(make_call(f"r{number}", prompt), 0, 400.0)
             assert choose(demand, [slow, quick], 0.1) is quick
@@ -163,7 +163,7 @@
 
     def test_failures_move_work_away_and_age(self) -> None:
         bad, good = make_view("i-0"), make_view("i-1")
-        bad.failed(0.0)
+        bad.record_failure(0.0)
         demands = [short_demand(f"r{number}") for number in range(20)]
         assert {choose(demand, [bad, good], 0.1) for demand in demands} == {good}
         found = {choose(demand, [bad, good], 30.0) for demand in demands}
@@ -171,17 +171,17 @@
 
     def test_unreachable_endpoint_is_used_where_it_is_the_only_one(self) -> None:
         view = make_view("i-0")
-        view.unreachable(0.0)
+        view.record_unreachable(0.0)
         assert choose(short_demand(), [view], 0.1) is view
 
     def test_unreachable_endpoint_pauses_longer_each_time(self) -> None:
         view = make_view("i-0")
-        view.unreachable(0.0)
+        view.record_unreachable(0.0)
         first_s = view.avoid_until_s
-        view.unreachable(first_s)
+        view.record_unreachable(first_s)
         assert view.avoid_until_s - first_s > first_s
-        view.succeeded()
-        view.unreachable(10.0)
+        view.record_success()
+        view.record_unreachable(10.0)
         assert view.avoid_until_s - 10.0 == first_s
 
     def test_excluded_endpoint_gets_nothing(self) -> None:
@@ -194,15 +194,15 @@
 
     def test_sample_of_others_counts_with_own_changes(self) -> None:
         view = make_view("i-0")
-        view.start(0)
-        view.answered(0, LoadSample(5, 1, 8), 0.0)
-        view.start(0)
+        view.record_start(0)
+        view.record_first_bytes(0, LoadSample(5, 1, 8), 0.0)
+        view.record_start(0)
         assert view.outstanding(0.1) == 7
-        view.end()
+        view.record_end()
         assert view.outstanding(0.1) == 6
 
     def test_old_sample_says_nothing(self) -> None:
         view = make_view("i-0")
-        view.start(0)
-        view.answered(0, LoadSample(5, 1, 8), 0.0)
+        view.record_start(0)
+        view.record_first_bytes(0, LoadSample(5, 1, 8), 0.0)
         assert view.outstanding(60.0) == 1
--- a/cassiadrum/tests/gateways/test_attempt_budget_properties.py
+++ b/cassiadrum/tests/gateways/test_retry_budget_properties.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from cassiadrum.gateways.attempt_budgets import AttemptBudget
+from cassiadrum.gateways.retry_budgets import RetryBudget
 from cassiadrum.platform.processes import RETRY_SPARE
 
 RATIO = 0.2
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.budgets: dict[int, AttemptBudget] = {}
+        self.budgets: dict[int, RetryBudget] = {}
         self.requests: list[float] = []
         self.repeats: list[float] = []
 
@@ -41,7 +41,7 @@
         """Start a gateway, unless it runs."""
         if number in self.budgets:
             return
-        self.budgets[number] = AttemptBudget(RATIO, RETRY_SPARE, WINDOW_S)
+        self.budgets[number] = RetryBudget(RATIO, RETRY_SPARE, WINDOW_S)
 
     @rule(wait_s=st.floats(0.0, 12.0))
     def let_time_pass(self, wait_s: float) -> None:
@@ -53,7 +53,7 @@
         budget = self.budgets.get(number)
         for _ in range(count if budget is not None else 0):
             assert budget is not None
-            budget.arrived(self.now)
+            budget.record_request(self.now)
             self.requests.append(self.now)
 
     @rule(count=st.integers(1, 20))
@@ -61,7 +61,7 @@
         """Let each gateway repeat as often as it may, as when an endpoint fails."""
         for budget in self.budgets.values():
             for _ in range(count):
-                if budget.spend(self.now):
+                if budget.try_spend(self.now):
                     self.repeats.append(self.now)
 
     @invariant()
@@ -85,12 +85,12 @@
     def test_all_gateways_at_once_keep_the_bound(self, count: int, slack: int) -> None:
         """Gateways and slack of the users' deployments, and of a fleet grown to 300 machines."""
         spare = min(RETRY_SPARE, float(slack))
-        budgets = [AttemptBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
+        budgets = [RetryBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
         requests, repeats = 0, 0
         for budget in budgets:
             for _ in range(REQUESTS):
-                budget.arrived(0.0)
+                budget.record_request(0.0)
                 requests += 1
-            while budget.spend(0.0):
+            while budget.try_spend(0.0):
                 repeats += 1
         assert repeats <= RATIO * requests + slack
--- a/cassiadrum/tests/gateways/test_silence_limits.py
+++ b/cassiadrum/tests/gateways/test_silence_limits.py
@@ -22,11 +22,11 @@
         async with SilenceLimit(view, 0.05, 10.0, lambda: True):
             for _ in range(10):
                 await asyncio.sleep(0.02)
-                view.heard_s = loop.time()
+                view.last_received_s = loop.time()
 
     async def test_endpoint_that_answers_only_others_is_left_in_the_end(self) -> None:
         view = make_view("i-0")
-        view.heard_s = asyncio.get_running_loop().time() + 60.0
+        view.last_received_s = asyncio.get_running_loop().time() + 60.0
         with pytest.raises(TimeoutError):
             async with SilenceLimit(view, 0.05, 0.2, lambda: True):
                 await asyncio.sleep(5.0)
