--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -115,7 +115,7 @@
 
     async def _pass_stream(self, attempt: Attempt) -> None:
         self._events.restart()
-        silence_s = self._event_limit_s()
+        event_limit_s = self._event_limit_s()
         route = self._ctx.route
         assert route is not None
         min_gap_s = min(route.gap_s or inf, self._ctx.more_urgent.gap_s)
@@ -125,7 +125,7 @@
         has_events = False
         while True:
             try:
-                async with self._silence_limit(attempt, silence_s, progress_s):
+                async with self._silence_limit(attempt, event_limit_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
                 raise attempt.fail("the stream stalled") from exc
