--- a/cassiadrum/gateways/__init__.py
+++ b/cassiadrum/gateways/__init__.py
@@ -1,4 +1,4 @@
-"""An entry instance that reaches endpoints directly over kept HTTP/1.1 connections."""
+"""An entry instance that reaches endpoints directly over persistent HTTP/1.1 connections."""
 
 from cassiadrum.gateways.answer_heads import AnswerHead, LoadSample
 from cassiadrum.gateways.call_protocols import CallProtocol
--- a/cassiadrum/gateways/answer_heads.py
+++ b/cassiadrum/gateways/answer_heads.py
@@ -1,4 +1,4 @@
-"""The head of an endpoint's answer, decoded."""
+"""The decoded head of an endpoint's answer."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class LoadSample(NamedTuple):
-    """Count an endpoint's requests as it stated them with an answer."""
+    """Request counts that an endpoint reported, and the number of its slots."""
 
     running: int
     waiting: int
@@ -16,13 +16,14 @@
 
 
 class AnswerHead(NamedTuple):
-    """Describe an answer before its body.
-
-    `headers` are those that the caller gets. `signed` tells that the endpoint vouches for the
-    answer, `not_run` that it did not run the request, `encoded` that the body is not as requested.
-    `idle_s` is how long the endpoint keeps the idle connection, None where it does not say.
-    `leaving` tells that the endpoint shuts down and wants no new requests. `pause_s` is how long
-    it wants none from this gateway, None where it does not say.
+    """Status, forwarded headers and endpoint notices of an answer.
+
+    `headers` are those that are forwarded to the caller. `signed` is true if the endpoint signed
+    the answer, `not_run` if it did not run the request, and `encoded` if the body has a content
+    encoding that was not requested. `idle_s` is the endpoint's keep-alive timeout in seconds, None
+    if not stated. `leaving` is true if the endpoint shuts down and accepts no new requests.
+    `pause_s` is the time in seconds for which it accepts none from this gateway, None if not
+    stated.
     """
 
     status: int
--- a/cassiadrum/gateways/answer_writers.py
+++ b/cassiadrum/gateways/answer_writers.py
@@ -1,4 +1,4 @@
-"""Answers of the gateway itself."""
+"""Answers that the gateway generates itself."""
 
 from cassiadrum.gateways.errors import Denied
 from cassiadrum.gateways.request_contexts import RequestContext
@@ -8,20 +8,21 @@
 
 
 class AnswerWriter:
-    """Tell a caller why its request got no endpoint's answer, and whether it may have run."""
+    """Report why a request got no answer of an endpoint, and whether it may have run."""
 
     def __init__(self, ctx: RequestContext, exchange: Exchange) -> None:
         self._ctx = ctx
         self._exchange = exchange
 
     async def deny(self, exc: Denied) -> None:
-        """Say that the configuration does not allow the request."""
+        """Report that the configuration does not allow the request."""
         await self._exchange.send_json(exc.status, self._body(exc.reason))
 
     async def refuse(self, reason: str, retry_after_s: float, *, close: bool) -> None:
-        """Promise that the request has not run; with `close` the connection ends.
+        """Report that the request has not run and may be retried after `retry_after_s` seconds.
 
-        The caller's next request then reaches a gateway that can serve it.
+        With `close` the connection is closed, so that the caller's next connection can reach a
+        gateway that is able to serve it.
         """
         headers = [("retry-after", f"{retry_after_s:.12g}")]
         if close:
@@ -29,7 +30,7 @@
         await self._exchange.send_json(503, self._body(reason), tuple(headers))
 
     async def fail(self, status: int, reason: str) -> None:
-        """Say that the request may have run; an answer that has begun is cut."""
+        """Report a failed request; an answer that has been started is aborted."""
         if self._exchange.started:
             self._exchange.abort()
         else:
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -1,4 +1,4 @@
-"""One request at one endpoint."""
+"""One attempt of a request at one endpoint."""
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -22,30 +22,31 @@
 
 T = TypeVar("T")
 
-# Largest answer of a plain call in bytes; it is held whole before it is passed on.
+# Largest answer of a plain call, which is buffered completely before it is forwarded.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# Late answers to earlier requests that are read before the connection is given up.
+# Number of late answers to earlier requests that are skipped before the connection is closed.
 MAX_SKIPPED_ANSWERS = 3
-# An endpoint that refused work for lack of room gets none for this long.
+# Time for which an endpoint that refused a request for lack of capacity gets no others.
 FULL_PAUSE_S = 0.15
-# Status of an endpoint that is not the one that was meant.
+# Status 421, Misdirected Request: another endpoint answers at the address.
 MISDIRECTED_STATUS = 421
-# An endpoint that another one replaced at its address; its registration is about to change.
+# Time for which an endpoint whose address another one took over is avoided; its registration is
+# expected to change within it.
 MISDIRECTED_PAUSE_S = 5.0
 
 
 class BufferedAnswer(NamedTuple):
-    """Hold an answer that was read to its end."""
+    """A complete answer in memory."""
 
     head: AnswerHead
     body: bytes
 
 
 class Attempt:
-    """Send a request to an endpoint and read its answer; leaving the context ends both.
+    """Send a request to an endpoint and read its answer; leaving the context ends the attempt.
 
-    The connection is kept only when the answer was read whole; else it is closed, which also stops
-    the endpoint's work.
+    The connection is reused only if the answer was read completely; otherwise it is closed, which
+    also makes the endpoint cancel the request.
     """
 
     def __init__(
@@ -61,13 +62,13 @@
         self._ctx = ctx
         self._pool = pool
         self._protocol = protocol
-        # The memory that the unfinished answers of all attempts share, and what this one holds.
+        # Memory budget shared by the unfinished answers of all attempts, and the part in use here.
         self._answer_memory = answer_memory
         self._held_bytes = 0
         self._clock = clock
         self._prefill_tokens = assignment.prefill_tokens
         self._prefilling = True
-        # Requests that were to be answered first, without this one.
+        # Number of other requests at the endpoint that have no first bytes yet.
         self._queued_ahead = max(0, assignment.view.waiting(clock()) - 1)
         reading_ms = assignment.prefill_tokens / PREFILL_TOKENS_PER_MS
         self.expected_wait_s = (
@@ -108,7 +109,7 @@
             conn = await self._pool.acquire(self._target, self._clock(), recently_used=once)
         except ConnectFailed as exc:
             self.view.record_unreachable(self._clock())
-            # Otherwise a service whose endpoints are all unreachable would be tried without end.
+            # Otherwise a service with unreachable endpoints only would be retried without end.
             ctx.tried.add(self.view.entry.instance)
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
@@ -161,7 +162,7 @@
         return data
 
     def reserve_memory(self, size_bytes: int) -> None:
-        """State how much of the answer is kept in memory; raise AttemptFailed for too much."""
+        """Set the bytes of the answer that are buffered; raise AttemptFailed beyond a limit."""
         if size_bytes > MAX_ANSWER_BYTES:
             raise self.fail(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
         if not self._answer_memory.grow(self._held_bytes, size_bytes):
@@ -169,12 +170,12 @@
         self._held_bytes = size_bytes
 
     def fail(self, reason: str) -> AttemptFailed:
-        """Count a failure of the endpoint and return the error to raise."""
+        """Record a failure of the endpoint and return the error to raise."""
         self.view.record_failure(self._clock())
         return AttemptFailed(reason)
 
     async def _read_own_head(self) -> AnswerHead:
-        """Return the head of this request's answer; skip late answers to earlier requests."""
+        """Return the head of the answer to this request, skipping late answers to earlier ones."""
         conn = self._conn
         assert conn is not None
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
@@ -184,12 +185,12 @@
             if head.request_id == self._ctx.call.request_id:
                 return head
             if not head.request_id:
-                # On a connection that was used before, it may answer an earlier request again.
+                # On a reused connection, it may be the answer to an earlier request.
                 if head.not_run and not conn.reused:
                     return head
                 raise AnswerLost(f"status {head.status} without a request id")
             logger.info(
-                "skipped a late answer to request %s",
+                "skipped a late answer to earlier request %s",
                 head.request_id,
                 extra={"request_id": self._ctx.call.request_id},
             )
@@ -215,9 +216,9 @@
             raise AttemptFailed(f"answer lost: {exc}") from exc
 
     def _apply_notices(self, head: AnswerHead) -> None:
-        """Take what the endpoint says of further requests from this gateway."""
+        """Apply the shutdown and pause notices that the endpoint sent with its answer."""
         if head.status == MISDIRECTED_STATUS:
-            # The answer is that of another endpoint, which has the address now.
+            # The answer comes from another endpoint that has taken over the address.
             return
         if head.leaving:
             self.view.mark_leaving()
@@ -226,7 +227,7 @@
 
     def _record_refusal(self, head: AnswerHead) -> None:
         if head.status == MISDIRECTED_STATUS:
-            # The one that was meant got nothing.
+            # The intended endpoint did not get the request.
             self._ctx.sends -= 1
             self.view.avoid(self._clock(), MISDIRECTED_PAUSE_S, "its address has another endpoint")
         else:
--- a/cassiadrum/gateways/call_protocols.py
+++ b/cassiadrum/gateways/call_protocols.py
@@ -1,4 +1,4 @@
-"""Interface of the wire format between callers, gateway and endpoints."""
+"""Interface of the wire protocol between callers, the gateway and endpoints."""
 
 from abc import ABC, abstractmethod
 
@@ -11,7 +11,7 @@
 
 
 class CallProtocol(ABC):
-    """Decode requests and answers, and encode what the gateway sends."""
+    """Decode requests and answers, and encode the requests to endpoints."""
 
     @abstractmethod
     def decode_call(self, req: HttpRequest) -> Call:
@@ -28,16 +28,16 @@
         timeout_s: float,
         last_event_id: str,
     ) -> Headers:
-        """Return the headers of a call to an endpoint, without those that frame the body."""
+        """Return the headers of a call to an endpoint, except those for the framing of the body."""
 
     @property
     @abstractmethod
     def load_path(self) -> str:
-        """Return the path at which a model engine reports its load."""
+        """Return the path of a model engine's load report."""
 
     @abstractmethod
     def decode_load(self, body: bytes, slots: int) -> LoadSample:
-        """Return the load in a report; raise BadMessage."""
+        """Return the load in a report; raise BadMessage if it is malformed."""
 
     @abstractmethod
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
--- a/cassiadrum/gateways/call_queues.py
+++ b/cassiadrum/gateways/call_queues.py
@@ -1,4 +1,4 @@
-"""Requests that wait for an endpoint."""
+"""Priority queue of the requests that wait for an endpoint."""
 
 from collections.abc import Hashable
 from itertools import count
@@ -10,7 +10,7 @@
 
 
 class _Entry(NamedTuple, Generic[Waiter]):
-    """Order a waiter by priority, then by the time until which it can be on time."""
+    """A queued request, ordered by priority, then by the end of its latency target."""
 
     priority: int
     target_s: float
@@ -19,12 +19,12 @@
 
 
 class CallQueue(Generic[Waiter]):
-    """Keep waiting requests of one service, the most urgent first.
+    """Hold the queued requests of one service, most urgent first.
 
-    Answers bursts of one class: a less urgent class waits behind a more urgent one. Within a
-    priority the request whose latency target ends first goes first, and those that are late
-    already go last, so that a backlog does not make all that follow late as well. A waiter stands
-    for one request; ids do not, since a caller that repeats a request uses its id again.
+    A less urgent class waits behind a more urgent one. Within a priority, the request whose
+    latency target ends first goes first, and requests past their target go last, so that a
+    backlog does not make all later requests miss their targets too. A waiter represents one
+    request; a request id does not, since a caller reuses it for a retry.
     """
 
     def __init__(self) -> None:
@@ -36,16 +36,16 @@
         return len(self._waiting)
 
     def push(self, waiter: Waiter, priority: int, target_s: float) -> None:
-        """Add a request whose target ends at `target_s` in monotonic seconds."""
+        """Add a request whose latency target ends at `target_s`, in monotonic seconds."""
         self._waiting.add(waiter)
         self._entries.append(_Entry(priority, target_s, next(self._numbers), waiter))
 
     def remove(self, waiter: Waiter) -> None:
-        """Drop a request."""
+        """Remove a request; an unknown one is ignored."""
         self._waiting.discard(waiter)
 
     def has_preceding(self, priority: int, target_s: float) -> bool:
-        """Return whether any waiting request goes before one that would be added now."""
+        """Return whether any queued request goes before one with this priority and target."""
         own = (priority, target_s)
         return any(
             (entry.priority, entry.target_s) < own
@@ -54,7 +54,7 @@
         )
 
     def ordered(self, now: float) -> list[Waiter]:
-        """Return the waiting requests, the most urgent first."""
+        """Return the queued requests, most urgent first."""
         self._entries = [entry for entry in self._entries if entry.waiter in self._waiting]
         self._entries.sort(key=lambda entry: (entry.priority, entry.target_s <= now, entry))
         return [entry.waiter for entry in self._entries]
--- a/cassiadrum/gateways/calls.py
+++ b/cassiadrum/gateways/calls.py
@@ -8,17 +8,17 @@
 
 
 class PromptPart(NamedTuple):
-    """Name a part of a prompt that requests may share, with its length in tokens."""
+    """Identifier and length in tokens of a part of a prompt that requests may share."""
 
     part_id: str
     tokens: int
 
 
 class Call(NamedTuple):
-    """Hold one whole request; `headers` are those that endpoints get from the caller.
+    """A complete request; `headers` are the caller's headers that are forwarded to endpoints.
 
-    `prompt` lists the parts in order; the last one belongs to the request alone. `timeout_s` is
-    the time in seconds that the caller waits, None where it does not say.
+    `prompt` lists the parts in order; the last one is not shared with other requests. `timeout_s`
+    is the caller's timeout in seconds, None if not stated.
     """
 
     request_id: str
@@ -36,5 +36,5 @@
 
     @property
     def path(self) -> str:
-        """Return the target without its query."""
+        """Return the request target without its query."""
         return self.target.partition("?")[0]
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -1,4 +1,4 @@
-"""The configuration in force: which request goes to which service, for whom and within what."""
+"""The configuration in force: routes, services, customers and request limits."""
 
 from collections.abc import Iterable, Mapping
 from enum import Enum
@@ -19,7 +19,7 @@
 
 
 class CallKind(Enum):
-    """Tell what may be repeated."""
+    """Kind of a route's requests, which decides whether they may be repeated."""
 
     ONCE = "once"
     IDEMPOTENT = "idempotent"
@@ -27,14 +27,14 @@
 
 
 class Share(NamedTuple):
-    """Give a service its weight within a route."""
+    """The weight of a service within a route."""
 
     service: str
     weight: float
 
 
 class Route(NamedTuple):
-    """Describe the requests of one host and path prefix; the lowest priority is the first."""
+    """Rules for the requests of one host and path prefix; priority 0 is the most urgent."""
 
     name: str
     host: str
@@ -47,7 +47,7 @@
     max_attempts: int
     public: bool
     resumable: bool
-    # The longest pause between events of a stream that is still on time.
+    # The longest gap in seconds between events of a stream that is still on time.
     gap_s: float
 
     @property
@@ -57,14 +57,14 @@
 
 
 class Customer(NamedTuple):
-    """Name the holder of a key; `priority` goes before the routes' unless it is None."""
+    """The holder of a key; its `priority` has precedence over that of routes unless it is None."""
 
     name: str
     priority: int | None
 
 
 class ServiceSettings(NamedTuple):
-    """Describe a service; `cache_tokens` is None for services that are not model engines."""
+    """Settings of a service; `cache_tokens` is None for services other than model engines."""
 
     name: str
     max_connections: int
@@ -72,7 +72,7 @@
 
 
 class RequestLimits(NamedTuple):
-    """Bound what callers may send and how long they may take or stay idle."""
+    """Limits on the size of callers' requests in bytes and on their transfer and idle times."""
 
     header_bytes: int
     body_bytes: int
@@ -81,16 +81,16 @@
 
 
 class MoreUrgentStreams(NamedTuple):
-    """Count the more urgent classes of streams and state the shortest pause allowed to them."""
+    """Number of more urgent classes of streams, and the shortest event gap they allow."""
 
     classes: int
     gap_s: float
 
 
 class Catalog:
-    """Hold one version of the configuration.
+    """One version of the configuration.
 
-    With `keyed`, requests of routes that are not public need a key.
+    With `requires_keys`, requests of routes that are not public need a key.
     """
 
     def __init__(
@@ -109,7 +109,7 @@
         self.services = {plan.name: plan for plan in services}
         self._customers = dict(customers_by_key)
         self._routes: dict[str, list[Route]] = {}
-        # Priority and longest pause of the streams of each service.
+        # Priority and allowed event gap of the stream classes of each service.
         self._stream_classes: dict[str, set[tuple[int, float]]] = {}
         for route in routes:
             self._routes.setdefault(route.host, []).append(route)
@@ -122,12 +122,12 @@
             found.sort(key=lambda route: len(route.prefix), reverse=True)
 
     def route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of the path."""
+        """Return the route with the longest matching path prefix."""
         routes = self._routes.get(host, ())
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
     def more_urgent(self, service: str, priority: int) -> "MoreUrgentStreams":
-        """Return what a request of a service has to leave on time."""
+        """Return the streams of a service that are more urgent than the given priority."""
         found = [
             (other, gap_s)
             for other, gap_s in self._stream_classes.get(service, ())
@@ -148,7 +148,7 @@
 
 
 def choose_service(route: Route, request_id: str) -> str:
-    """Return the service for a request; the choice is the same for each of its attempts."""
+    """Return the service for a request, which is the same for all of its attempts."""
     if len(route.shares) == 1:
         return route.shares[0].service
     point = (
--- a/cassiadrum/gateways/concurrency_limits.py
+++ b/cassiadrum/gateways/concurrency_limits.py
@@ -1,30 +1,32 @@
-"""Limit on the requests at an endpoint beside which urgent streams stay on time."""
+"""Concurrency limit of an endpoint that keeps urgent streams on time."""
 
 __all__ = ["ConcurrencyLimit"]
 
-# Part of the allowed pause above which the limit falls. A stream is late after one pause that is
-# too long among dozens, so the usual pause has to stay below.
+# Fraction of the allowed gap above which the limit is decreased. One long gap among dozens makes a
+# stream late, so the usual gap has to stay below the allowed one.
 LONG_GAP_FRACTION = 0.85
-# Part that is left of the limit after a pause that was too long, and the least part of the slots.
+# Factor of a decrease, and the lower bound of the limit as a fraction of the slots.
 DECREASE_FACTOR = 0.85
 MIN_SLOTS_FRACTION = 0.2
-# Pauses within this time after a cut have the same cause.
+# Long gaps within this time after a decrease are attributed to the same cause.
 DECREASE_INTERVAL_S = 0.5
-# Part of the limit that is kept free for more urgent work, for each class of it beyond the first.
+# Fraction of the limit that is reserved for each more urgent class beyond the first.
 RESERVED_FRACTION = 0.15
-# Growth while pauses are short enough beside at least this part of the limit.
+# Increase per second while gaps are short and the load is at least this fraction of the limit.
 INCREASE_PER_S = 2.0
 NEAR_LIMIT_FRACTION = 0.8
-# A pause of so many times what is allowed is a fault of the endpoint or of this machine.
+# A gap above this multiple of the allowed one is a fault of the endpoint or of this machine, not
+# an effect of load.
 FAULT_GAP_MULTIPLE = 3.0
 
 
 class ConcurrencyLimit:
-    """Learn the limit from the pauses of all streams at the endpoints of one service.
+    """Adapt the limit to the event gaps of all streams at the endpoints of one service.
 
-    Answers long bursts of less urgent prompts. An engine reads prompts between the tokens of all
-    its streams and gives each stream its turn in every step, so the more it holds, the longer the
-    pauses. What was admitted too much stays for many seconds. Times are monotonic seconds.
+    The limit protects urgent streams from long bursts of less urgent prompts. An engine runs
+    prefill between the decoding steps of its streams and serves all streams in each step, so the
+    gaps grow with its load. Requests admitted in excess occupy it for many seconds. Times are
+    monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -33,10 +35,10 @@
         self._increased_s = float("-inf")
 
     def allows(self, outstanding: int, slots: int, more_urgent_classes: int = 1) -> bool:
-        """Return whether an endpoint that holds so many requests may get a less urgent one.
+        """Return whether an endpoint with so many outstanding requests may get a less urgent one.
 
-        `rank` is the number of classes that are more urgent. What is left of the limit for the
-        others would be taken by the least urgent work, which waits for it the longest.
+        A part of the limit is reserved for each more urgent class beyond the first. Otherwise the
+        least urgent requests, which wait the longest, would take all capacity that becomes free.
         """
         limit = max(min(self._limit, slots), MIN_SLOTS_FRACTION * slots)
         return outstanding < limit * (1 - RESERVED_FRACTION * (more_urgent_classes - 1))
@@ -44,7 +46,7 @@
     def record_gap(
         self, gap_s: float, allowed_s: float, outstanding: int | None, now: float
     ) -> None:
-        """Take a pause between events; `outstanding` is None where the load is not known."""
+        """Record a gap between events; `outstanding` is None if the load is unknown."""
         if gap_s > FAULT_GAP_MULTIPLE * allowed_s:
             return
         if gap_s > LONG_GAP_FRACTION * allowed_s:
--- a/cassiadrum/gateways/confirmations.py
+++ b/cassiadrum/gateways/confirmations.py
@@ -1,16 +1,16 @@
-"""Age of the last confirmation that the configuration in force is the newest."""
+"""Age of the last confirmation that the configuration in force is the latest one."""
 
 __all__ = ["Confirmation"]
 
 
 class Confirmation:
-    """Date the store's answers on the boot-time clock of this machine.
+    """Convert the timestamps of the store's answers to the boot-time clock of this machine.
 
-    The store makes an answer after the call was sent, so no answer is older than its call. The
-    largest difference between the time of a call and the store's date of its answer bounds the
-    difference of the two clocks from below, and so dates an answer that was held up on its way
-    never later than it was made. `limit_s` is the age in seconds up to which requests with a key
-    may be served.
+    The store creates an answer after the call was sent, so no answer is older than its call. The
+    largest difference between the time of a call and the store's timestamp of its answer is a
+    lower bound on the offset of the two clocks. An answer that was delayed in transit is therefore
+    never dated later than it was created. `limit_s` is the maximum age in seconds at which
+    requests with a key may be served.
     """
 
     def __init__(self, limit_s: float) -> None:
@@ -19,17 +19,17 @@
         self._confirmed_s: float | None = None
 
     def record_answer(self, store_s: float, sent_s: float, received_s: float) -> None:
-        """Take an answer that the store dated `store_s`; the other times are boot-time seconds."""
+        """Record an answer with the store's timestamp; the other times are boot-time seconds."""
         offset_s = sent_s - store_s
-        # Beyond the difference at the arrival the bound is wrong: the store's clock was set
-        # forward, or runs faster, so the difference has to be learned again.
+        # An offset above that at the arrival is impossible: the store's clock was set forward or
+        # runs faster, so the offset has to be estimated again.
         if self._offset_s is None or not offset_s <= self._offset_s <= received_s - store_s:
             self._offset_s = offset_s
         made_s = store_s + self._offset_s
         self._confirmed_s = max(made_s, self._confirmed_s or made_s)
 
     def age_s(self, now: float) -> float:
-        """Return the age at a boot-time second, infinite before the first confirmation."""
+        """Return the age in seconds at a boot time, infinite before the first confirmation."""
         return float("inf") if self._confirmed_s is None else now - self._confirmed_s
 
     def valid(self, now: float) -> bool:
--- a/cassiadrum/gateways/connection_pools.py
+++ b/cassiadrum/gateways/connection_pools.py
@@ -1,4 +1,4 @@
-"""Kept connections to all endpoints."""
+"""Pool of persistent connections to all endpoints."""
 
 import logging
 from collections import deque
@@ -10,18 +10,20 @@
 
 logger = logging.getLogger(__name__)
 
-# A SYN that is lost is repeated after a second; waiting for that costs more than another endpoint.
+# Below the one second after which a lost SYN is retransmitted, since trying another endpoint is
+# faster.
 CONNECT_TIMEOUT_S = 0.4
-# Idle time of a connection whose endpoint does not state one.
+# Idle timeout of a connection whose endpoint does not state a shorter one.
 DEFAULT_IDLE_S = 4.0
-# Endpoints close a little before the time that they state, as seen from here.
+# Seen from the gateway, endpoints close connections slightly before the time that they state.
 IDLE_MARGIN_S = 0.7
-# A once-only call must not meet a connection that the endpoint is about to close.
+# Idle time up to which a connection is used for once-only calls, which must not be sent on one that
+# the endpoint is about to close.
 RECENT_USE_S = 1.0
 
 
 class ConnectionPool:
-    """Lend connections, each to one request at a time; a connection belongs to an incarnation."""
+    """Idle connections for reuse by one request at a time, by incarnation of the endpoint."""
 
     def __init__(self) -> None:
         self._idle: dict[Incarnation, deque[EndpointConnection]] = {}
@@ -29,9 +31,9 @@
     async def acquire(
         self, target: Incarnation, now: float, *, recently_used: bool = False
     ) -> EndpointConnection:
-        """Return a connection; raise ConnectFailed.
+        """Return an idle or a new connection; raise ConnectFailed.
 
-        With `recently_used`, an idle connection is taken only shortly after its last use.
+        With `recently_used`, an idle connection is reused only shortly after its last use.
         """
         idle = self._idle.get(target)
         while idle:
@@ -46,7 +48,7 @@
     def release(
         self, target: Incarnation, conn: EndpointConnection, idle_s: float | None, now: float
     ) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Return a connection to the pool after its answer was read completely."""
         if not conn.finish():
             return
         idle_s = DEFAULT_IDLE_S if idle_s is None else min(idle_s, DEFAULT_IDLE_S)
--- a/cassiadrum/gateways/decision_logs.py
+++ b/cassiadrum/gateways/decision_logs.py
@@ -1,4 +1,4 @@
-"""Log lines of the decisions on each request."""
+"""Log of the decisions on each request."""
 
 import logging
 import time
@@ -13,29 +13,29 @@
 
 logger = logging.getLogger(__name__)
 
-# Lines of requests that were answered well, and of all others.
+# Rate and burst limits of the lines of successful requests, and of all others.
 SUCCESS_LINES_PER_S = 40.0
 SUCCESS_BURST_LINES = 200.0
 FAILURE_LINES_PER_S = 400.0
 FAILURE_BURST_LINES = 4000.0
-# What is kept of one request until its end.
+# Lines that are buffered for one request; further ones are dropped.
 MAX_LINES_PER_REQUEST = 40
 
 
 class _Line(NamedTuple):
     at_s: float
-    # Seconds since the Unix epoch, to merge the lines of several processes.
+    # Unix time in seconds, by which the lines of several processes are merged.
     wall_s: float
     event: str
     fields: dict[str, object]
 
 
 class DecisionLog:
-    """Keep the decisions on each request until its end, then write them.
+    """Buffer the decisions on each request until it ends, then write them to the log.
 
-    A request is written whole or not at all. Those that were refused, denied or failed have a rate
-    of their own, ten times as high, so that load from requests that go well leaves none of them
-    out. What was left out is counted in the next line that is written.
+    The lines of a request are written completely or not at all. Requests that were refused, denied
+    or failed have a separate rate limit, ten times as high, so that successful requests do not
+    crowd them out. The next line that is written carries the number of dropped lines.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -46,13 +46,13 @@
         self._left_out = 0
 
     def record(self, ctx: RequestContext, event: str, **fields: object) -> None:
-        """Take a decision with the inputs that decided it."""
+        """Record a decision with its inputs."""
         lines = self._lines.setdefault(ctx, [])
         if len(lines) < MAX_LINES_PER_REQUEST:
             lines.append(_Line(self._clock(), time.time(), event, fields))
 
     def finish(self, ctx: RequestContext, outcome: str, *, well: bool, **fields: object) -> None:
-        """Take the end of a request."""
+        """Record the end of a request and write its lines; `well` marks a successful one."""
         self.record(ctx, "ended", outcome=outcome, sends=ctx.sends, **fields)
         lines = self._lines.pop(ctx)
         bucket = self._success_bucket if well else self._failure_bucket
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -1,4 +1,4 @@
-"""One kept HTTP/1.1 connection to an endpoint."""
+"""A persistent HTTP/1.1 connection to an endpoint."""
 
 import asyncio
 
@@ -9,14 +9,14 @@
 
 __all__ = ["EndpointConnection"]
 
-# A caller that reads slowly stops the endpoint at this many unread bytes.
+# Unread bytes at which reading from the endpoint stops, so that a slow caller slows it down.
 MAX_BUFFERED_BYTES = 64 * 1024
-# Interim answers that an endpoint may send before the final one.
+# Interim (1xx) answers that an endpoint may send before the final one.
 MAX_INTERIM_ANSWERS = 8
 
 
 class EndpointConnection(asyncio.Protocol):
-    """Carry one request at a time; bytes that arrive between requests make it unusable."""
+    """A connection for one request at a time; bytes received between requests close it."""
 
     def __init__(self) -> None:
         self.idle_until_s = 0.0
@@ -43,15 +43,15 @@
             raise ConnectFailed(f"{address}: {exc or 'no connection in time'}") from exc
         return conn
 
-    # Callbacks of the transport.
+    # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the transport."""
+        """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Take bytes of the answer."""
+        """Buffer bytes of the answer."""
         if not self._busy:
             self.abort()
             return
@@ -62,23 +62,23 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Take the end of the input."""
+        """Record the end of the input."""
         self._eof = True
         self._wake()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Take the loss of the connection."""
+        """Record the loss of the connection."""
         self._eof = True
         self._lost_exc = exc
         self._transport = None
         self._wake()
 
-    # Use by one request at a time.
+    # Methods for the current request.
 
     @property
     def usable(self) -> bool:
-        """Return whether a request may be sent."""
+        """Return whether a request can be sent."""
         return self._transport is not None and not (self._eof or self._aborted)
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
@@ -114,7 +114,7 @@
         raise AnswerLost("the connection ended inside the body")
 
     def expect_next_answer(self) -> None:
-        """Read the answer after one that belongs to an earlier request."""
+        """Prepare to read the next answer after one that belongs to an earlier request."""
         rest, _ = self._conn.trailing_data
         if self._conn.their_state is not h11.DONE or self._conn.our_state is not h11.DONE:
             raise AnswerLost("the connection ended after an answer to another request")
@@ -125,7 +125,7 @@
             self._conn.receive_data(rest)
 
     def finish(self) -> bool:
-        """End a request whose answer was read whole; return whether another may follow."""
+        """End a request whose answer was read completely; return whether another may follow."""
         done = self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
         extra = bool(self._buffer) or bool(self._conn.trailing_data[0])
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
@@ -171,7 +171,7 @@
                 self._transport.resume_reading()
             self._conn.receive_data(data)
         elif self._lost_exc is not None:
-            # A reset is no regular end, also of a body that ends with its connection.
+            # A reset is an error even for a body that is delimited by the end of the connection.
             raise AnswerLost(str(self._lost_exc) or "the connection was reset")
         else:
             self._conn.receive_data(b"")
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -1,4 +1,4 @@
-"""What a gateway believes of one endpoint."""
+"""A gateway's local estimate of the state of one endpoint."""
 
 import logging
 import math
@@ -12,19 +12,19 @@
 
 logger = logging.getLogger(__name__)
 
-# A sample older than this says nothing about the requests of other gateways.
+# Age beyond which a load sample no longer counts for the requests of other gateways.
 SAMPLE_MAX_AGE_S = 3.0
-# A pause is put down to the load that was sampled within this time.
+# Maximum age of the load sample that an event gap is attributed to.
 GAP_LOAD_MAX_AGE_S = 1.0
-# Time that each request before the first bytes adds to the wait of the next one: the value before
-# any answer, its bounds, and the part by which an answer changes it.
+# Wait that each request without first bytes adds to that of the next one: initial value, bounds
+# and the smoothing factor of its moving average.
 DEFAULT_WAIT_PER_REQUEST_MS = 150.0
 MIN_WAIT_PER_REQUEST_MS = 20.0
 MAX_WAIT_PER_REQUEST_MS = 800.0
 WAIT_SMOOTHING = 0.2
-# Failures count half after this time, so that an endpoint that recovers is used again.
+# Half-life of the failure count, so that an endpoint that recovers is used again.
 FAILURE_HALF_LIFE_S = 2.0
-# An endpoint that cannot be reached is left alone for the first time, doubled at each repetition.
+# An unreachable endpoint is avoided for an initial time that doubles with each failed connection.
 UNREACHABLE_BACKOFF_S = 0.5
 UNREACHABLE_BACKOFF_MAX_S = 4.0
 
@@ -32,9 +32,9 @@
 class EndpointView:
     """Estimate an endpoint's load from its samples and own requests; times are monotonic seconds.
 
-    `cache_tokens` is the memory for prompts that is counted on, 0 for plain services.
-    `service` is shared by the endpoints of a service and stands in for an endpoint at which this
-    gateway has no stream.
+    `cache_tokens` is the assumed size of the prompt cache in tokens, 0 for plain services.
+    `service_stats` is shared by the endpoints of a service and stands in for an endpoint at which
+    this gateway has no streams.
     """
 
     def __init__(
@@ -48,32 +48,31 @@
         self._service_stats = service_stats or ServiceStreamStats()
         self.prompt_cache = PromptCacheEstimate(cache_tokens)
         self.own_requests = 0
-        # Own requests that have not answered yet, and their prompt tokens.
+        # Own requests without first bytes, and their prompt tokens that need prefill.
         self.own_waiting = 0
         self.own_prefill_tokens = 0
         self.wait_per_request_ms = DEFAULT_WAIT_PER_REQUEST_MS
         self.avoid_until_s = 0.0
         self.full_until_s = 0.0
-        # Whether this incarnation said in an answer that it leaves.
+        # Whether this incarnation announced its shutdown in an answer.
         self.leaving = False
-        # Until when the endpoint asked this gateway to send nothing. The monotonic clock stands
-        # still while the machine is suspended, which can only make a pause longer.
+        # End of the pause that the endpoint requested from this gateway. The monotonic clock stops
+        # while the machine is suspended, which can only extend a pause.
         self.paused_until_s = 0.0
-        # When the endpoint last sent bytes of any answer.
+        # Time of the last bytes of any answer, and of the last load probe.
         self.last_received_s = 0.0
-        # When the endpoint was last asked for its load.
         self.last_probed_s = 0.0
         self._refused_connects = 0
         self._failures = 0.0
         self._last_failure_s = 0.0
         self._sample: LoadSample | None = None
         self._sampled_s = 0.0
-        # Own starts less own ends since the sample, and own starts less own first bytes.
+        # Changes of the own requests, and of those without first bytes, since the sample.
         self._outstanding_delta = 0
         self._waiting_delta = 0
 
     def record_start(self, prefill_tokens: int) -> None:
-        """Count an own request."""
+        """Record the start of an own request."""
         self.own_requests += 1
         self._outstanding_delta += 1
         self.own_waiting += 1
@@ -81,7 +80,7 @@
         self.own_prefill_tokens += prefill_tokens
 
     def record_first_bytes(self, prefill_tokens: int, load: LoadSample | None, now: float) -> None:
-        """Take the beginning of an answer to an own request, or its end without one."""
+        """Record the first bytes of an answer to an own request, or its end without an answer."""
         self.own_prefill_tokens -= prefill_tokens
         self.own_waiting -= 1
         self._waiting_delta -= 1
@@ -89,14 +88,14 @@
             self.record_sample(load, now)
 
     def record_sample(self, load: LoadSample, now: float) -> None:
-        """Take the endpoint's own count of its requests."""
+        """Record the request counts that the endpoint reported."""
         self._sample = load
         self._sampled_s = now
         self._outstanding_delta = 0
         self._waiting_delta = 0
 
     def update_wait_per_request(self, wait_ms: float, queued_ahead: int) -> None:
-        """Learn from the wait of a request less its prefill time, behind `queued_ahead` others."""
+        """Update the estimate from the wait, less its own prefill, of a request behind others."""
         if queued_ahead > 0:
             sample_ms = min(
                 MAX_WAIT_PER_REQUEST_MS, max(MIN_WAIT_PER_REQUEST_MS, wait_ms / queued_ahead)
@@ -104,7 +103,7 @@
             self.wait_per_request_ms += WAIT_SMOOTHING * (sample_ms - self.wait_per_request_ms)
 
     def record_event_gap(self, gap_s: float, allowed_s: float, now: float) -> None:
-        """Take the time between two events of a stream, and what the strictest stream allows."""
+        """Record the gap between two events; `allowed_s` is that of the most demanding stream."""
         self._event_gap.update(gap_s, now)
         self._service_stats.event_gap.update(gap_s, now)
         outstanding = (
@@ -113,64 +112,64 @@
         self._service_stats.limit.record_gap(gap_s, allowed_s, outstanding, now)
 
     def keeps_urgent_on_time(self, now: float, more_urgent_classes: int) -> bool:
-        """Return whether streams of `rank` more urgent classes stay on time beside a request."""
+        """Return whether more urgent streams stay on time if the endpoint gets a request."""
         return self._service_stats.limit.allows(
             self.outstanding(now), self.entry.slots, more_urgent_classes
         )
 
     def gap_s(self, now: float) -> float:
-        """Return the expected seconds between events of a stream, 0 where nothing is known."""
+        """Return the expected seconds between events of a stream, 0 if unknown."""
         return self._event_gap.gap_s(now) or self._service_stats.event_gap.gap_s(now) or 0.0
 
     def record_end(self) -> None:
-        """Count the end of an own request."""
+        """Record the end of an own request."""
         self.own_requests -= 1
         self._outstanding_delta -= 1
 
     def record_success(self) -> None:
-        """Take a whole answer."""
+        """Record a complete answer."""
         self._refused_connects = 0
         self._failures *= 0.5
 
     def record_failure(self, now: float) -> None:
-        """Take a failed attempt."""
+        """Record a failed attempt."""
         self._failures = self.failures(now) + 1.0
         self._last_failure_s = now
 
     def record_unreachable(self, now: float) -> None:
-        """Take a connection that could not be made."""
+        """Record a failed connection and avoid the endpoint, with exponential backoff."""
         self.record_failure(now)
         pause_s = min(UNREACHABLE_BACKOFF_MAX_S, UNREACHABLE_BACKOFF_S * 2**self._refused_connects)
         self._refused_connects += 1
         self.avoid(now, pause_s, "unreachable")
 
     def avoid(self, now: float, pause_s: float, reason: str) -> None:
-        """Send nothing for a time in seconds where another endpoint can take it."""
+        """Avoid the endpoint for `pause_s` seconds unless no other one is available."""
         self.avoid_until_s = max(self.avoid_until_s, now + pause_s)
         self._log("endpoint avoided", reason=reason, pause_ms=round(pause_s * 1000))
 
     def mark_full(self, now: float, pause_s: float) -> None:
-        """Let requests wait for a time in seconds; the endpoint keeps what it holds."""
+        """Send no new requests for `pause_s` seconds; requests at the endpoint continue."""
         self.full_until_s = max(self.full_until_s, now + pause_s)
         self._log("endpoint says that it is full", pause_ms=round(pause_s * 1000))
 
     def mark_leaving(self) -> None:
-        """Take the endpoint's word that it shuts down; it gets no new request from now on."""
+        """Record that the endpoint announced its shutdown; it gets no new requests."""
         if not self.leaving:
             self.leaving = True
-            self._log("endpoint says that it leaves")
+            self._log("endpoint announced its shutdown")
 
     def mark_paused(self, now: float, pause_s: float) -> None:
-        """Send nothing for a time in seconds, as the endpoint asked with a refusal."""
+        """Send nothing for `pause_s` seconds, as the endpoint requested with a refusal."""
         self.paused_until_s = max(self.paused_until_s, now + pause_s)
-        self._log("endpoint asks for a pause", pause_ms=round(pause_s * 1000))
+        self._log("endpoint requested a pause", pause_ms=round(pause_s * 1000))
 
     def failures(self, now: float) -> float:
-        """Return the number of recent failures, where older ones count less."""
+        """Return the number of failures, weighted by their age."""
         return self._failures * math.pow(0.5, (now - self._last_failure_s) / FAILURE_HALF_LIFE_S)
 
     def outstanding(self, now: float) -> int:
-        """Return the estimated number of requests from all gateways."""
+        """Return the estimated number of requests at the endpoint from all gateways."""
         if self._sample is None or now - self._sampled_s > SAMPLE_MAX_AGE_S:
             return self.own_requests
         return max(
@@ -179,7 +178,7 @@
         )
 
     def has_sample_within(self, now: float, age_s: float) -> bool:
-        """Return whether the load was sampled within the last seconds."""
+        """Return whether the load was sampled within the last `age_s` seconds."""
         return self._sample is not None and now - self._sampled_s <= age_s
 
     def sample_age_ms(self, now: float) -> int | None:
@@ -187,13 +186,13 @@
         return None if self._sample is None else round((now - self._sampled_s) * 1000)
 
     def waiting(self, now: float) -> int:
-        """Return the estimated number of requests that have not answered yet."""
+        """Return the estimated number of requests at the endpoint without first bytes."""
         if self._sample is None or now - self._sampled_s > SAMPLE_MAX_AGE_S:
             return self.own_waiting
         return max(self.own_waiting, self._sample.waiting + self._waiting_delta)
 
     def describe(self, now: float) -> dict[str, object]:
-        """Return what is believed, for the log."""
+        """Return the estimates as log fields."""
         return {
             "endpoint": self.entry.instance,
             "zone": self.entry.zone,
--- a/cassiadrum/gateways/errors.py
+++ b/cassiadrum/gateways/errors.py
@@ -10,9 +10,9 @@
 
 
 class Refused(GatewayError):
-    """The request has not run and never will; the caller may return after `retry_after_s`.
+    """The request has not run and will not run; the caller may retry after `retry_after_s`.
 
-    `inputs` are the figures that decided it, for the log.
+    `inputs` are the values behind the decision, for the log.
     """
 
     def __init__(self, reason: str, retry_after_s: float, **inputs: object) -> None:
@@ -32,7 +32,7 @@
 
 
 class AttemptFailed(GatewayError):
-    """An endpoint gave no answer that can be passed on; `not_run` tells that it did not run."""
+    """An attempt gave no usable answer; with `not_run` the endpoint did not run the request."""
 
     def __init__(self, reason: str, *, not_run: bool = False) -> None:
         super().__init__(reason)
--- a/cassiadrum/gateways/lag_limits.py
+++ b/cassiadrum/gateways/lag_limits.py
@@ -1,34 +1,34 @@
-"""Refusal of new requests by a process that falls behind its work."""
+"""Load shedding by the lag of the event loop."""
 
 import xxhash
 
 __all__ = ["LagLimit"]
 
-# Lateness of a timer from which on the process counts as behind.
+# Lag of a periodic timer above which the process counts as behind.
 LATE_TICK_S = 0.25
-# Growth of the refused part of the new requests for each second of lateness, since a process that
-# is far behind has few ticks, and its fall at a tick in time.
+# Increase of the refused fraction for each second of lag, since a process that is far behind has
+# few ticks, and its decrease at each punctual tick.
 INCREASE_PER_S = 1.0
 DECREASE_PER_TICK = 0.05
-# Some requests are always taken, so that a process which is slow for long still serves.
+# Some requests are always admitted, so that a process that stays slow still serves.
 MAX_REFUSED_FRACTION = 0.9
 
 
 class LagLimit:
-    """Refuse a part of the new requests while timers run late; times are in seconds.
+    """Refuse a fraction of the new requests while timers run late; times are in seconds.
 
-    Answers bursts beyond what the machine's processor carries. Each request that is taken then
-    delays all streams, and requests are passed on after their callers have left. One late tick is
-    no reason: a machine that was frozen has time again when it wakes.
+    In a burst that exceeds the CPU, each admitted request delays all streams, and requests reach
+    endpoints after their callers have left. A single late tick is ignored, since a machine that
+    was suspended has spare capacity when it resumes.
     """
 
     def __init__(self) -> None:
         self._refused_fraction = 0.0
-        # Whether the last tick was late.
+        # Whether the last tick was later than LATE_TICK_S.
         self.behind = False
 
     def record_tick(self, late_s: float) -> None:
-        """Take how much later than due a periodic timer ran."""
+        """Record the lag of a periodic timer in seconds."""
         late = late_s > LATE_TICK_S
         if late and self.behind:
             self._refused_fraction = min(
@@ -39,6 +39,6 @@
         self.behind = late
 
     def refuses(self, request_id: str) -> bool:
-        """Return whether a new request is refused; a repetition with the same id is as well."""
+        """Return whether a new request is refused; the id decides, also for a retry."""
         point = xxhash.xxh32_intdigest(request_id.encode()) / 2**32
         return point < self._refused_fraction
--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -1,4 +1,4 @@
-"""Questions to endpoints about their load."""
+"""Load probes of endpoints."""
 
 import asyncio
 import logging
@@ -15,18 +15,18 @@
 logger = logging.getLogger(__name__)
 
 PROBE_TIMEOUT_S = 0.5
-# Reports list the running requests; this is far more than an endpoint's slots need.
+# Reports list the running requests; the limit is far above the size for an endpoint's slots.
 MAX_REPORT_BYTES = 256 * 1024
-# A question costs a caller's wait and some of the endpoint's time; samples of answers are free.
+# A probe delays a request and costs the endpoint time, while samples in answers are free.
 MIN_PROBE_INTERVAL_S = 0.3
 
 
 class LoadProber:
-    """Ask an endpoint for its load where what is known of it is old.
+    """Request load reports from endpoints whose last sample is too old.
 
-    Answers the load pattern of many gateways that each see few answers of each endpoint: without
-    asking, each of them counts its own requests only, and together they fill the endpoint.
-    `on_sample` is called with the service after each question, also when it was not answered.
+    Where many gateways each see few answers of an endpoint, each would otherwise count only its
+    own requests, and together they would overload the endpoint. `on_probed` is called with the
+    service after each background probe, also after a failed one.
     """
 
     def __init__(
@@ -43,7 +43,7 @@
         self._probes: dict[str, asyncio.Task[bool]] = {}
 
     def probe_in_background(self, view: EndpointView) -> None:
-        """Ask in a task of its own, unless it was asked shortly before."""
+        """Probe an endpoint in a task of its own, unless it was probed shortly before."""
         instance = view.entry.instance
         if instance in self._probes or self._clock() < view.last_probed_s + MIN_PROBE_INTERVAL_S:
             return
@@ -52,11 +52,11 @@
         task.add_done_callback(lambda _: self._done(view))
 
     def is_probing(self, view: EndpointView) -> bool:
-        """Return whether an answer is expected."""
+        """Return whether a background probe of the endpoint is running."""
         return view.entry.instance in self._probes
 
     async def probe(self, view: EndpointView) -> bool:
-        """Take the endpoint's load; return whether it answered."""
+        """Request the endpoint's load and record it; return whether it answered."""
         view.last_probed_s = self._clock()
         target = view.entry.incarnation
         try:
@@ -74,9 +74,7 @@
                 raise BadMessage(head.status_code, "no load report")
             load = self._protocol.decode_load(body, view.entry.slots)
         except (HttpError, TimeoutError) as exc:
-            logger.info(
-                "load report not answered: %s", exc, extra={"endpoint": view.entry.instance}
-            )
+            logger.info("load probe failed: %s", exc, extra={"endpoint": view.entry.instance})
             view.record_unreachable(self._clock())
             return False
         view.last_received_s = self._clock()
@@ -93,7 +91,7 @@
         return body
 
     def close(self) -> None:
-        """Stop asking."""
+        """Cancel the background probes."""
         for task in self._probes.values():
             task.cancel()
 
--- a/cassiadrum/gateways/placement_policies.py
+++ b/cassiadrum/gateways/placement_policies.py
@@ -1,4 +1,4 @@
-"""Choice of the endpoint for a request."""
+"""Policy that selects the endpoint for a request."""
 
 from collections.abc import Collection, Iterable
 from functools import lru_cache
@@ -12,28 +12,29 @@
 __all__ = ["Choice", "Demand", "PlacementPolicy", "PlacementSettings"]
 
 
-# Speed at which an engine reads a prompt beside other work, and its least time to the first bytes.
+# Prefill speed of an engine that also serves other requests, and its minimum time to first byte.
 PREFILL_TOKENS_PER_MS = 30.0
 MIN_FIRST_BYTES_MS = 90.0
-# Waiting requests are ranked again at each change of an endpoint; the hashes of their parts stay.
+# Endpoints are scored again for each queued request whenever an endpoint changes, so hashes are
+# cached.
 HASH_CACHE_ENTRIES = 8192
 
 
 class PlacementSettings(NamedTuple):
-    """Weights of the placement; costs are in milliseconds of the caller's wait."""
+    """Weights of the placement policy; costs are in milliseconds of expected wait."""
 
-    # Shared parts that are read in less time than this may be read anywhere.
+    # Shared prompt parts with a shorter prefill than this are not bound to one endpoint.
     cheap_prefill_ms: float = 50.0
-    # Part of its latency target that a request of priority 0 may wait at an endpoint for others'
-    # prompts; half as much at priority 2, a third at priority 4.
+    # Fraction of its latency target that a request of priority 0 may wait for the prefill of
+    # earlier prompts at an endpoint; half of it at priority 2, a third at priority 4.
     max_wait_fraction: float = 0.6
-    # Prompts that are read in less time are let in beside urgent streams: they slow them little,
-    # and would be shut out by heavier ones that can wait longer.
+    # Prompts with a shorter prefill are not held back for more urgent streams: they delay them
+    # little, and would otherwise be starved by long prompts that can wait longer.
     light_prefill_ms: float = 150.0
-    # Part of the pause allowed to more urgent streams above which an endpoint that goes on more
-    # slowly gets nothing less urgent.
+    # Fraction of the event gap allowed to more urgent streams; an endpoint whose average gap
+    # exceeds it gets no less urgent work.
     max_gap_fraction: float = 0.6
-    # What each request at the endpoint adds to the wait of a new one.
+    # Wait that each outstanding request at an endpoint adds to that of a new request.
     outstanding_ms: float = 6.0
     plain_outstanding_ms: float = 15.0
     other_zone_ms: float = 3.0
@@ -42,39 +43,42 @@
 
 
 class Demand(NamedTuple):
-    """State what a request asks of an endpoint; the target is in milliseconds."""
+    """The requirements of a request on an endpoint; the latency target is in milliseconds."""
 
     call: Call
     priority: int
     target_ms: float
-    # The number of more urgent classes of streams at the service, and the shortest pause in
-    # seconds that one of them may have between events.
+    # Number of more urgent classes of streams at the service, and the shortest gap in seconds
+    # that any of them allows between events.
     more_urgent_classes: int = 0
     more_urgent_gap_s: float = float("inf")
 
     @property
     def shared_tokens(self) -> int:
-        """Return the length of the prompt's shared parts."""
+        """Return the number of tokens in the shared parts of the prompt."""
         return sum(part.tokens for part in self.call.prompt[:-1])
 
 
 class Choice(NamedTuple):
-    """Name the best endpoint; without `room` the request should wait for it, or for any."""
+    """The preferred endpoint; without `has_capacity` the request waits for it, or for any."""
 
     view: EndpointView | None
     has_capacity: bool
 
 
 class PlacementPolicy:
-    """Choose the endpoint with the least expected cost, or let the request wait here.
-
-    Answers three load patterns. Requests that share long prompt parts: all gateways rank the
-    endpoints for a part by the same hash, so a part is read at one endpoint without messages
-    between gateways. Bursts of long prompts: a request is sent only where the prompts before it
-    leave time for its target, the less the lower its priority, so short urgent prompts do not
-    wait behind long ones; and they wait for the holder of their parts, since reading parts again
-    while all endpoints are busy makes all of them later. Endpoints that fail: recent
-    failures count as wait, so work moves away in proportion and returns as they age.
+    """Choose the endpoint with the lowest expected cost, or queue the request at the gateway.
+
+    The policy covers three load patterns:
+
+    - Requests that share long prompt parts: all gateways rank the endpoints for a part by the
+      same rendezvous hash, so one endpoint caches the part without messages between gateways.
+    - Bursts of long prompts: a request is sent only where the prefill of earlier prompts leaves
+      time for its latency target, and a lower priority allows less of it, so that short urgent
+      prompts do not wait behind long ones. Long prompts wait for the endpoint that holds their
+      parts, since repeated prefill on busy endpoints delays all requests.
+    - Failing endpoints: recent failures count as wait, so that work moves away in proportion to
+      them and returns as they age.
     """
 
     def __init__(self, zone: str, cfg: PlacementSettings | None = None) -> None:
@@ -90,7 +94,7 @@
     ) -> Choice:
         """Return the endpoint to send the request to, or to wait for.
 
-        Endpoints to avoid are taken where there is no other, those that asked for a pause never.
+        Endpoints to avoid are used only if there are no others; paused endpoints are never used.
         """
         usable = _selectable(views, now, exclude)
         if self.has_long_shared_prefix(demand):
@@ -106,10 +110,10 @@
         now: float,
         exclude: Collection[str] = (),
     ) -> list[EndpointView]:
-        """Return the endpoints that could read all of a long prompt now, in the part's order.
+        """Return the endpoints with capacity for a long prompt and its whole prefill, best first.
 
-        The order is the same at all gateways, so a part that its holder has no time for gets one
-        further holder and not one for each request.
+        All gateways compute the same order for a shared part, so a part whose holder is
+        overloaded is cached at one further endpoint, not at a different one for each request.
         """
         key = demand.call.prompt[-2].part_id
         usable = _selectable(views, now, exclude)
@@ -117,11 +121,11 @@
         return sorted(found, key=lambda view: _rendezvous_score(key, view), reverse=True)
 
     def uncached_tokens(self, call: Call, view: EndpointView) -> int:
-        """Return the prompt tokens that the endpoint is expected to read."""
+        """Return the prompt tokens that are expected to miss the endpoint's prompt cache."""
         return max(0, call.prompt_tokens - view.prompt_cache.matched_tokens(call.prompt))
 
     def has_long_shared_prefix(self, demand: Demand) -> bool:
-        """Return whether the shared parts take long to read."""
+        """Return whether the prefill of the shared parts takes longer than `cheap_prefill_ms`."""
         cfg = self._cfg
         return demand.shared_tokens > cfg.cheap_prefill_ms * PREFILL_TOKENS_PER_MS
 
@@ -135,17 +139,17 @@
         if yields_to_urgent and not self._keeps_urgent_on_time(demand, view, now):
             return False
         if not self.has_long_shared_prefix(demand):
-            # Engines admit it before less urgent prompts, which are what waits there in a burst.
+            # Engines admit it before less urgent prompts, which make up their backlog in a burst.
             return True
         limit_ms = demand.target_ms * cfg.max_wait_fraction / (1 + demand.priority / 2)
         return view.waiting(now) * view.wait_per_request_ms <= limit_ms
 
     def _has_long_prefill(self, demand: Demand) -> bool:
-        """Return whether reading the prompt keeps the streams of an endpoint waiting."""
+        """Return whether the prefill is long enough to delay the other streams of an endpoint."""
         return demand.call.prompt_tokens > self._cfg.light_prefill_ms * PREFILL_TOKENS_PER_MS
 
     def _keeps_urgent_on_time(self, demand: Demand, view: EndpointView, now: float) -> bool:
-        """Return whether more urgent streams at an endpoint stay on time beside the request."""
+        """Return whether more urgent streams stay on time if the endpoint gets this request."""
         if not view.keeps_urgent_on_time(now, demand.more_urgent_classes):
             return False
         return view.gap_s(now) <= self._cfg.max_gap_fraction * demand.more_urgent_gap_s
@@ -153,10 +157,10 @@
     def _choose_prefix_holder(
         self, demand: Demand, views: list[EndpointView], now: float
     ) -> Choice:
-        """Return the endpoint that holds the shared parts.
+        """Return the endpoint that is assigned to the shared parts by rendezvous hashing.
 
-        All gateways rank the same endpoint first for the longest run of shared parts, and count
-        on its holding them.
+        The key is the last shared part, which stands for the longest shared prefix. All gateways
+        choose the same endpoint and assume that it has the prefix in its cache.
         """
         key = demand.call.prompt[-2].part_id
         holder = max(views, key=lambda view: _rendezvous_score(key, view), default=None)
@@ -175,14 +179,14 @@
             cost += view.gap_s(now) * 1000
         else:
             cost += view.outstanding(now) * cfg.plain_outstanding_ms
-        # Whole milliseconds, so that endpoints which hardly differ share the work.
+        # Costs are rounded to milliseconds, so that endpoints with similar costs share the load.
         return round(cost), _rendezvous_score(call.request_id, view)
 
 
 def _selectable(
     views: Iterable[EndpointView], now: float, exclude: Collection[str]
 ) -> list[EndpointView]:
-    """Leave out who asked for a pause, and who is to be avoided where there is another one."""
+    """Leave out paused endpoints, and avoided ones if any others remain."""
     allowed = [
         view for view in views if view.entry.instance not in exclude and view.paused_until_s <= now
     ]
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -1,4 +1,4 @@
-"""Waiting of requests for an endpoint."""
+"""Queues of requests that wait for an endpoint."""
 
 import asyncio
 from collections.abc import Callable, Collection
@@ -15,28 +15,28 @@
 
 __all__ = ["Assignment", "PlacementQueue"]
 
-# Part of its time that a request waits here for an endpoint before it is refused; the rest leaves
-# its caller time to come back.
+# Fraction of its timeout that a request may wait for an endpoint before it is refused; the rest
+# leaves the caller time to retry.
 MAX_WAIT_FRACTION = 0.35
-# A long prompt is not sent on the ground of a load sample older than this.
+# Maximum age of the load sample on which a long prompt is sent.
 MAX_SAMPLE_AGE_S = 0.4
-# Load reports that a request whose wait has ended may cost before it is refused.
+# Load reports requested on behalf of a request whose wait has ended, before it is refused.
 MAX_LOAD_PROBES = 3
-# When a full service is expected to have room again.
+# Retry-After of refusals by a service without capacity.
 OVERLOADED_RETRY_AFTER_S = 0.5
-# An endpoint that starts needs about this long to register.
+# An endpoint needs about this long to start and register.
 NO_ENDPOINT_RETRY_AFTER_S = 1.0
 
 
 class Assignment(NamedTuple):
-    """Name the endpoint of an attempt, which counts the request from then on."""
+    """The endpoint of an attempt; its view already counts the request."""
 
     view: EndpointView
-    # Prompt tokens that the endpoint is expected to read.
+    # Prompt tokens that are expected to miss the endpoint's prompt cache.
     prefill_tokens: int
 
     def describe(self, call: Call, now: float) -> dict[str, object]:
-        """Return the inputs that decided the placement, for the log."""
+        """Return the inputs of the placement decision as log fields."""
         shared = call.prompt[:-1]
         return {
             "part": shared[-1].part_id if shared else "",
@@ -47,7 +47,7 @@
 
 
 class PlacementQueue:
-    """Give each request an endpoint, at once or when one has room."""
+    """Assign each request to an endpoint, queueing it until one has capacity."""
 
     def __init__(
         self,
@@ -64,26 +64,26 @@
         self._futures: dict[RequestContext, asyncio.Future[Assignment]] = {}
 
     def waiting_count(self, service: str) -> int:
-        """Return the number of requests that wait for an endpoint of a service."""
+        """Return the number of queued requests of a service."""
         return len(self._queues.get(service, ()))
 
     def min_pause_s(self, service: str, exclude: Collection[str] = ()) -> float:
-        """Return the seconds until an endpoint may be asked again, 0 when one may be asked now."""
+        """Return the seconds until the first endpoint is not paused, 0 if one is not."""
         now = self._clock()
         views = self._directory.usable(service)
         ends = [view.paused_until_s for view in views if view.entry.instance not in exclude]
         return max(0.0, min(ends, default=now) - now)
 
     def has_untried_endpoint(self, ctx: RequestContext) -> bool:
-        """Return whether there is an endpoint that did not get the request."""
+        """Return whether any endpoint of the service has not been tried for the request."""
         views = self._directory.usable(ctx.service)
         return any(view.entry.instance not in ctx.tried for view in views)
 
     async def place(self, ctx: RequestContext) -> Assignment:
-        """Return the endpoint for the next attempt; raise Refused when there is none in time.
+        """Return the endpoint for the next attempt; raise Refused if none is available in time.
 
-        Before the endpoints are known the request waits. The caller ends it at the endpoint, by an
-        Attempt.
+        The request also waits until the list of endpoints has been read. The endpoint's view
+        counts the request until the caller ends it there, through an Attempt.
         """
         if self._directory.has_full_list and not self.has_untried_endpoint(ctx):
             raise Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER_S)
@@ -91,13 +91,13 @@
         views = self._directory.usable(ctx.service)
         view = self._find_endpoint(ctx, views)
         if view is not None and self._is_preceded(ctx):
-            # Room that came free since the last pump belongs to those that wait for it.
+            # Capacity that became free since the queue was last processed goes to queued requests.
             self.place_waiting(ctx.service)
             view = self._find_endpoint(ctx, views)
         return await self._wait(ctx) if view is None else self._assign(ctx, view)
 
     def place_waiting(self, service: str) -> None:
-        """Place what waits for a service, the most urgent first."""
+        """Assign the queued requests of a service while endpoints have capacity."""
         queue = self._queues.get(service)
         if not queue:
             return
@@ -121,19 +121,19 @@
                 fut.set_result(self._assign(ctx, view))
 
     def place_all_waiting(self) -> None:
-        """Place what waits for any service."""
+        """Assign the queued requests of all services."""
         for service in self._queues:
             self.place_waiting(service)
 
     def _is_preceded(self, ctx: RequestContext) -> bool:
-        """Return whether a waiting request goes before a new one."""
+        """Return whether a queued request goes before the given one."""
         queue = self._queues.get(ctx.service)
         return queue is not None and queue.has_preceding(ctx.urgency, ctx.target_s)
 
     def _find_endpoint(
         self, ctx: RequestContext, views: list[EndpointView]
     ) -> EndpointView | None:
-        """Return the endpoint that can take the request now; ask for its load where needed."""
+        """Return an endpoint with capacity, or None; probe its load if the sample is too old."""
         demand = _demand(ctx)
         now = self._clock()
         view, room = self._policy.choose(demand, views, now, ctx.tried)
@@ -152,11 +152,11 @@
         return assignment
 
     async def _place_at_alternative(self, ctx: RequestContext) -> Assignment | None:
-        """Return an endpoint that has room for a long prompt whose holder had none in time.
+        """Assign a long prompt whose prefix holder had no capacity in time to another endpoint.
 
-        Answers calm load with one hot part: less urgent requests begin at the other endpoints, so
-        a refusal would put them first. The least urgent are refused, since reading a part again
-        takes time from all others.
+        This covers moderate load with one hot prefix: less urgent requests are still admitted at
+        the other endpoints, so refusing this one would invert priorities. Requests of the least
+        urgent class are refused, since a repeated prefill takes time from all others.
         """
         demand = _demand(ctx)
         if not ctx.has_less_urgent or not self._policy.has_long_shared_prefix(demand):
@@ -202,21 +202,22 @@
             del self._futures[ctx]
 
     def _max_wait_s(self, ctx: RequestContext) -> float:
-        """Return the seconds that a request may wait here for its endpoint.
+        """Return the maximum queueing time of a request in seconds.
 
-        A new process has no endpoint to offer until it has read the list, which takes one call.
+        The latency target does not limit it until the list of endpoints has been read, which
+        takes a new process one call to the store.
         """
         wait_s = MAX_WAIT_FRACTION * (ctx.deadline_s - ctx.received_s)
         return min(wait_s, ctx.target_ms / 1000) if self._directory.has_full_list else wait_s
 
     def _check_pauses(self, ctx: RequestContext) -> None:
-        """Raise Refused when all endpoints want nothing for longer than the request may wait."""
+        """Raise Refused if all untried endpoints are paused past the request's maximum wait."""
         pause_s = self.min_pause_s(ctx.service, ctx.tried)
         if pause_s > self._max_wait_s(ctx):
             raise Refused("endpoints_paused", pause_s)
 
     def _describe_load(self, ctx: RequestContext) -> dict[str, object]:
-        """Return what kept a request waiting."""
+        """Return the load of the service's endpoints as log fields of a refusal."""
         now = self._clock()
         views = self._directory.usable(ctx.service)
         demand = _demand(ctx)
@@ -231,7 +232,7 @@
         }
 
     def _release(self, fut: asyncio.Future[Assignment]) -> None:
-        """Give back an endpoint that was found just as the wait ended."""
+        """Cancel a wait; undo an assignment that was made at the moment it ended."""
         if not fut.done():
             fut.cancel()
             return
--- a/cassiadrum/gateways/prompt_cache_estimates.py
+++ b/cassiadrum/gateways/prompt_cache_estimates.py
@@ -1,4 +1,4 @@
-"""What one endpoint's prompt cache is believed to hold."""
+"""Estimate of the contents of an endpoint's prompt cache."""
 
 from collections.abc import Sequence
 
@@ -8,9 +8,9 @@
 
 
 class PromptCacheEstimate:
-    """Remember the prompt parts sent to an endpoint, the least recently used yield first.
+    """Track the prompt parts sent to an endpoint, with least-recently-used eviction.
 
-    `capacity_tokens` is the part of the endpoint's memory that this gateway counts on.
+    `capacity_tokens` is the share of the endpoint's cache assumed for this gateway's prompts.
     """
 
     def __init__(self, capacity_tokens: int) -> None:
@@ -19,7 +19,7 @@
         self._total = 0
 
     def add(self, parts: Sequence[PromptPart]) -> None:
-        """Mark parts as the most recently used."""
+        """Add parts as the most recently used, evicting others beyond the capacity."""
         for part in parts:
             self._total -= self._tokens.pop(part.part_id, 0)
             self._tokens[part.part_id] = part.tokens
@@ -29,7 +29,7 @@
             self._total -= self._tokens.pop(oldest)
 
     def matched_tokens(self, parts: Sequence[PromptPart]) -> int:
-        """Return the length in tokens of the longest run of leading parts that are held."""
+        """Return the length in tokens of the longest cached prefix."""
         matched = 0
         for part in parts:
             if part.part_id not in self._tokens:
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -1,4 +1,4 @@
-"""Passing of endpoints' answers to the caller."""
+"""Forwarding of endpoint answers to the caller."""
 
 import logging
 from collections.abc import Callable
@@ -18,21 +18,23 @@
 
 logger = logging.getLogger(__name__)
 
-# An endpoint that sends nothing for any request is given up for another one after these parts of
-# the latency target before the first bytes, and multiples of the longest pause between events.
+# Silence after which an endpoint that sends no bytes for any request is given up: a fraction of
+# the latency target before the first bytes, and a multiple of the allowed gap between events.
 FIRST_BYTES_TARGET_FRACTION = 0.5
 GAP_MULTIPLE = 6.0
 MIN_SILENCE_S = 0.6
-# Multiple of the expected wait that is granted besides.
+# Multiple of the expected wait that is added to the limit before the first bytes.
 EXPECTED_WAIT_MULTIPLE = 2.0
-# Bytes of a plain answer that count as progress; less than that may be drip by drip.
+# A plain answer has to advance by this many bytes to count as progress, so that an endpoint that
+# sends single bytes counts as stalled.
 MIN_PROGRESS_BYTES = 4 * 1024
-# One that is busy with other requests is given up after this part of the route's time.
+# An endpoint that is busy with other requests is given up after this fraction of the route's
+# timeout.
 BUSY_TIMEOUT_FRACTION = 0.4
 
 
 class Relay:
-    """Pass the answer to one request on as it arrives, over one or more attempts."""
+    """Forward the answer to one request as it arrives, over one or more attempts."""
 
     def __init__(
         self,
@@ -48,24 +50,24 @@
         self._log = log
         self._clock = clock
         self._prober = prober
-        # Whether the budget of repeated attempts has room.
+        # Returns whether the retry budget and the endpoints permit another attempt.
         self._may_retry = may_retry
         self._events = EventSequence(ctx.call.last_event_id)
-        # The last answer of an endpoint that says that it failed.
+        # The last answer of an endpoint with a status of 500 or above.
         self.failure: BufferedAnswer | None = None
 
     @property
     def started(self) -> bool:
-        """Return whether the caller has got a part of the answer."""
+        """Return whether a part of the answer has been sent to the caller."""
         return self._exchange.started
 
     async def send_failure(self) -> None:
-        """Send the endpoint's own failure."""
+        """Send the last error answer of an endpoint to the caller."""
         assert self.failure is not None
         await self._send(self.failure)
 
     async def run(self, attempt: Attempt) -> None:
-        """Make an attempt and pass the answer on; raise AttemptFailed."""
+        """Make an attempt and forward the answer; raise AttemptFailed."""
         route = self._ctx.route
         assert route is not None
         try:
@@ -91,10 +93,11 @@
         await self._send(answer)
 
     async def _read_whole(self, attempt: Attempt) -> BufferedAnswer:
-        """Return a plain answer; one that hardly goes on is given up as a silent one is."""
+        """Return a plain answer; one that makes no progress is given up like a silent one."""
         silence_s = self._first_bytes_limit_s(attempt)
         progress_s = self._clock()
-        # Joined once: many buffers that grow side by side leave several times their size in holes.
+        # Joined once, since many buffers that grow concurrently fragment the heap to several times
+        # their size.
         parts: list[bytes] = []
         size = 0
         progress_bytes = MIN_PROGRESS_BYTES
@@ -121,7 +124,7 @@
         min_gap_s = min(route.gap_s or inf, self._ctx.more_urgent.gap_s)
         progress_s = self._clock()
         longest_gap_s = 0.0
-        # The time before the first event of an attempt is no pause.
+        # The time before the first event of an attempt is not a gap.
         has_events = False
         while True:
             try:
@@ -134,7 +137,7 @@
             before = self._events.data_events
             whole = self._feed(attempt, data)
             if self._events.data_events > before:
-                # Bytes and comments that never make up an event are no progress.
+                # Bytes and comments that do not complete an event are not progress.
                 now = self._clock()
                 longest_gap_s = max(longest_gap_s, now - progress_s)
                 if has_events:
@@ -147,7 +150,7 @@
                 self._exchange.put_data(whole)
                 flushed_s = self._clock()
                 await self._exchange.flush()
-                # A caller that reads slowly is no fault of the endpoint.
+                # Time spent waiting for a slow caller does not count against the endpoint.
                 progress_s += self._clock() - flushed_s
         self._events.end()
         self._put_stream_head(attempt)
@@ -160,7 +163,7 @@
         )
 
     def _feed(self, attempt: Attempt, data: bytes) -> bytes:
-        """Return the events that have become whole; raise AttemptFailed."""
+        """Return the events completed by the data; raise AttemptFailed."""
         try:
             whole = self._events.feed(data)
         except AttemptFailed as exc:
@@ -181,7 +184,7 @@
         await self._exchange.end()
 
     def _first_bytes_limit_s(self, attempt: Attempt) -> float | None:
-        """Return how long the endpoint may be silent before the first bytes."""
+        """Return the silence limit before the first bytes in seconds, None for no limit."""
         route = self._ctx.route
         assert route is not None
         if not route.repeatable:
@@ -192,7 +195,7 @@
         return route.target_s
 
     def _event_limit_s(self) -> float | None:
-        """Return how long the endpoint may be silent within a stream."""
+        """Return the silence limit between events in seconds, None for no limit."""
         route = self._ctx.route
         assert route is not None
         if not route.resumable:
@@ -202,7 +205,7 @@
     def _silence_limit(
         self, attempt: Attempt, silence_s: float | None, since_s: float | None = None
     ) -> SilenceLimit:
-        """Return the limit on a wait for bytes of the answer."""
+        """Return the time limit on a wait for bytes of the answer."""
         route = self._ctx.route
         assert route is not None
         prober = self._prober if route.kind is CallKind.STREAM else None
--- a/cassiadrum/gateways/retry_budgets.py
+++ b/cassiadrum/gateways/retry_budgets.py
@@ -1,4 +1,4 @@
-"""Bound on the requests that endpoints get beyond the first of each."""
+"""Limits on the number of retries at the endpoints of a service."""
 
 from collections import deque
 
@@ -6,12 +6,12 @@
 
 
 class RetryBudget:
-    """Permit repeated attempts at one service up to a part of its requests in a sliding window.
+    """Limit the retries at one service to a fraction of its requests in a sliding window.
 
-    Answers the load pattern of many endpoints failing at once, when repeated attempts of all
-    gateways would add to the overload. Each gateway counts its own requests only, so the sum over
-    all of them keeps the bound without messages. `ratio` is the permitted part, `spare` a number
-    of attempts that is permitted besides, `window_s` the window in seconds.
+    When many endpoints fail at once, retries by all gateways would add to the overload. Each
+    gateway counts only its own requests, so the fraction holds over all gateways without
+    messages between them. `ratio` is the permitted fraction, `spare` a number of retries
+    permitted in addition, and `window_s` the length of the window in seconds.
     """
 
     def __init__(self, ratio: float, spare: float, window_s: float) -> None:
@@ -22,7 +22,7 @@
         self._retries: deque[float] = deque()
 
     def reconfigure(self, ratio: float, spare: float, window_s: float) -> None:
-        """Change the permitted part, number and window; what was counted stays."""
+        """Change the limits; the counts are kept."""
         self._ratio, self._spare, self._window_s = ratio, spare, window_s
 
     def record_request(self, now: float) -> None:
@@ -31,12 +31,12 @@
         self._expire(now)
 
     def has_retry_left(self, now: float) -> bool:
-        """Return whether a repeated attempt is permitted."""
+        """Return whether a retry is permitted."""
         self._expire(now)
         return len(self._retries) + 1 <= self._ratio * len(self._requests) + self._spare
 
     def try_spend(self, now: float) -> bool:
-        """Take a repeated attempt from the budget; return False when there is none left."""
+        """Take a retry from the budget; return False if none is left."""
         if not self.has_retry_left(now):
             return False
         self._retries.append(now)
@@ -49,14 +49,14 @@
 
 
 class RetryBudgets:
-    """Keep a budget for each service, all with the same figures."""
+    """The retry budgets of all services, with the same limits."""
 
     def __init__(self, ratio: float, spare: float, window_s: float) -> None:
         self._limits = (ratio, spare, window_s)
         self._budgets: dict[str, RetryBudget] = {}
 
     def reconfigure(self, ratio: float, spare: float, window_s: float) -> None:
-        """Change the figures of all budgets."""
+        """Change the limits of all budgets."""
         self._limits = (ratio, spare, window_s)
         for budget in self._budgets.values():
             budget.reconfigure(*self._limits)
--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -1,4 +1,4 @@
-"""Limit on the wait for an endpoint that has fallen silent."""
+"""Time limit on the wait for an endpoint that sends no bytes."""
 
 import asyncio
 from collections.abc import Callable
@@ -14,17 +14,18 @@
 
 
 class SilenceLimit:
-    """Raise TimeoutError when a wait passes `longest_s`, or `silence_s` of a silent endpoint.
+    """Raise TimeoutError after `max_wait_s`, or after `silence_s` without bytes of the endpoint.
 
-    An endpoint that is busy with other requests keeps sending bytes for them. Leaving it would
-    make another endpoint read the prompt again, so such a wait may last longer than one for an
-    endpoint that sends nothing at all. Both limits are in seconds; None waits without limit. The
-    wait goes on while `may_end` returns false, as when no other endpoint may be asked. With a
-    `prober`, an endpoint that is silent here but reports its load is busy as well.
+    An endpoint that is busy with other requests keeps sending bytes for them. Moving the request
+    would repeat its prefill at another endpoint, so the wait for a busy endpoint may last longer
+    than that for a silent one. Both limits are in seconds; if `silence_s` is None, the wait is
+    unlimited. The wait continues while `may_expire` returns false, for example if no other
+    endpoint can be tried. With a `prober`, an endpoint that sends nothing but answers a load probe
+    counts as busy.
 
-    `longest_s` counts from `since_s`, in seconds of the loop's clock, or else from the beginning
-    of the wait. A caller that waits several times for one result states when the first wait began,
-    so that bytes which never make up a result do not prolong it.
+    `max_wait_s` counts from `since_s`, in seconds of the loop's clock, or else from the start of
+    the wait. A caller that waits several times for one result passes the start of the first wait,
+    so that bytes that never complete a result do not extend it.
     """
 
     def __init__(
@@ -72,7 +73,7 @@
         await self._timeout.__aexit__(kind, exc, trace)
 
     def _check(self) -> None:
-        """End the wait if the endpoint was silent for all of the limit, else look again later."""
+        """Expire the wait if the endpoint was silent for the limit, else check again later."""
         assert self._silence_s is not None
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -88,7 +89,7 @@
             self._expire()
 
     async def _probe_endpoint(self, prober: LoadProber) -> None:
-        """End the wait unless the endpoint reports its load."""
+        """Expire the wait unless the endpoint answers a load probe."""
         if await prober.probe(self._view):
             self._check()
         else:
