--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -307,7 +307,7 @@
             self._placement_queue.place_waiting(service)
 
     def _check_lag(self, ctx: RequestContext) -> None:
-        """Raise Refused if this process is behind and the caller may have left, past its target."""
+        """Raise Refused if this process is behind and the caller may have left at its target."""
         if self.lag.behind and not ctx.sends and self._clock() > ctx.target_s:
             raise Refused("behind_its_work", LAG_RETRY_AFTER_S)
 
