--- a/cassiadrum/gateways/__init__.py
+++ b/cassiadrum/gateways/__init__.py
@@ -1,4 +1,4 @@
-"""An entry instance that reaches endpoints directly over kept HTTP/1.1 connections."""
+"""An entry instance that reaches endpoints directly over persistent HTTP/1.1 connections."""
 
 from cassiadrum.gateways.answer_heads import AnswerHead, LoadSample
 from cassiadrum.gateways.call_protocols import CallProtocol
@@ -9,7 +9,7 @@
     Customer,
     RequestLimits,
     Route,
-    ServicePlan,
+    ServiceSettings,
     Share,
 )
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
@@ -30,6 +30,6 @@
     "PromptPart",
     "RequestLimits",
     "Route",
-    "ServicePlan",
+    "ServiceSettings",
     "Share",
 ]
--- a/cassiadrum/gateways/endpoint_pools.py
+++ b/cassiadrum/gateways/connection_pools.py
@@ -1,4 +1,4 @@
-"""Kept connections to all endpoints."""
+"""Pool of persistent connections to all endpoints."""
 
 import logging
 from collections import deque
@@ -6,47 +6,49 @@
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_entries import Incarnation
 
-__all__ = ["EndpointPool"]
+__all__ = ["ConnectionPool"]
 
 logger = logging.getLogger(__name__)
 
-# A SYN that is lost is repeated after a second; waiting for that costs more than another endpoint.
+# Below the one second after which a lost SYN is retransmitted, since trying another endpoint is
+# faster.
 CONNECT_TIMEOUT_S = 0.4
-# Idle time of a connection whose endpoint does not state one.
+# Idle timeout of a connection whose endpoint does not state a shorter one.
 DEFAULT_IDLE_S = 4.0
-# Endpoints close a little before the time that they state, as seen from here.
+# Seen from the gateway, endpoints close connections slightly before the time that they state.
 IDLE_MARGIN_S = 0.7
-# A once-only call must not meet a connection that the endpoint is about to close.
-ONCE_IDLE_S = 1.0
+# Idle time up to which a connection is used for once-only calls, which must not be sent on one
+# that the endpoint is about to close.
+RECENT_USE_S = 1.0
 
 
-class EndpointPool:
-    """Lend connections, each to one request at a time; a connection belongs to an incarnation."""
+class ConnectionPool:
+    """Idle connections for reuse by one request at a time, by incarnation of the endpoint."""
 
     def __init__(self) -> None:
         self._idle: dict[Incarnation, deque[EndpointConnection]] = {}
 
-    async def lend(
-        self, target: Incarnation, now: float, *, fresh: bool = False
+    async def acquire(
+        self, target: Incarnation, now: float, *, recently_used: bool = False
     ) -> EndpointConnection:
-        """Return a connection; raise ConnectFailed.
+        """Return an idle or a new connection; raise ConnectFailed.
 
-        With `fresh`, an idle connection is taken only shortly after its last use.
+        With `recently_used`, an idle connection is reused only shortly after its last use.
         """
         idle = self._idle.get(target)
         while idle:
             conn = idle.pop()
-            spare_s = conn.idle_until_s - now
-            recent = not fresh or spare_s > DEFAULT_IDLE_S - IDLE_MARGIN_S - ONCE_IDLE_S
-            if conn.usable and spare_s > 0.0 and recent:
+            left_s = conn.idle_until_s - now
+            recent = not recently_used or left_s > DEFAULT_IDLE_S - IDLE_MARGIN_S - RECENT_USE_S
+            if conn.usable and left_s > 0.0 and recent:
                 return conn
             conn.abort()
         return await EndpointConnection.open(target.address, CONNECT_TIMEOUT_S)
 
-    def give_back(
+    def release(
         self, target: Incarnation, conn: EndpointConnection, idle_s: float | None, now: float
     ) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Return a connection to the pool after its answer was read completely."""
         if not conn.finish():
             return
         idle_s = DEFAULT_IDLE_S if idle_s is None else min(idle_s, DEFAULT_IDLE_S)
@@ -56,7 +58,7 @@
             return
         self._idle.setdefault(target, deque()).append(conn)
 
-    def forget(self, target: Incarnation) -> None:
+    def close_idle(self, target: Incarnation) -> None:
         """Close the idle connections to an endpoint."""
         for conn in self._idle.pop(target, ()):
             conn.abort()
@@ -70,4 +72,4 @@
     def close(self) -> None:
         """Close all idle connections."""
         for target in list(self._idle):
-            self.forget(target)
+            self.close_idle(target)
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -1,11 +1,11 @@
-"""The registered endpoints and what is believed of each."""
+"""The registered endpoints with the local state of each."""
 
 import logging
 from collections.abc import Callable, Iterable
 
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
-from cassiadrum.gateways.gone_incarnations import GoneIncarnations
+from cassiadrum.gateways.removed_incarnations import RemovedIncarnations
 from cassiadrum.logs import BOUNDED_FIELD
 
 __all__ = ["EndpointDirectory"]
@@ -14,58 +14,60 @@
 
 
 class EndpointDirectory:
-    """Follow the registrations; times are monotonic seconds.
+    """Track the registrations in the store; times are monotonic seconds.
 
-    Registrations lapse while the store is away, and living endpoints need `return_grace_s` to
-    come back. An entry that is missing at the store's return is therefore kept for that time.
+    Registrations expire during an outage of the store, and live endpoints need up to
+    `return_grace_s` to register again. An entry that is missing after an outage is therefore kept
+    for that time.
 
-    A store that was restored from an older copy names incarnations again that left or were gone.
-    None of them returns to use on the ground of the copy: one that left never does, one that was
-    gone only if its registration still stands after `lapse_s`, when a dead one has lapsed again.
+    A store that was restored from an older copy contains incarnations again that had left or had
+    expired. An incarnation that announced its leaving is never used again. An expired one is used
+    only if its registration still exists after `lapse_s`, when that of a dead endpoint has expired
+    again.
     """
 
     def __init__(
         self,
         make_view: Callable[[EndpointEntry], EndpointView],
-        on_gone: Callable[[Incarnation], None],
+        on_removed: Callable[[Incarnation], None],
         return_grace_s: float,
         lapse_s: float = 0.0,
     ) -> None:
-        # Whether a full list was taken; before that a missing endpoint may only be unknown.
-        self.listed = False
+        # Whether a full list has been received; until then, a missing endpoint may be unknown.
+        self.has_full_list = False
         self._make_view = make_view
-        self._on_gone = on_gone
+        self._on_removed = on_removed
         self._return_grace_s = return_grace_s
         self._views: dict[str, EndpointView] = {}
-        # Entries that were removed shortly after an outage, with the time until they are kept.
+        # Instances that were removed shortly after an outage, with the end of their grace period.
         self._lapsed: dict[str, float] = {}
         self._grace_until_s = 0.0
         self._lapse_s = lapse_s
-        self._gone = GoneIncarnations()
-        # Registrations of a restored store that wait for their endpoint to prove alive.
-        self._doubtful: dict[str, EndpointEntry] = {}
-        self._doubt_until_s = 0.0
-        # When entries were last expired, which is done all the time.
+        self._removed = RemovedIncarnations()
+        # Registrations of a restored store whose endpoints are not known to be alive.
+        self._unconfirmed: dict[str, EndpointEntry] = {}
+        self._unconfirmed_until_s = 0.0
+        # Time of the last call of `expire`, which is called periodically.
         self._now = 0.0
 
     def __len__(self) -> int:
         return len(self._views)
 
     def store_returned(self, now: float) -> None:
-        """Take note that the store answers again after an outage."""
+        """Start the grace period after an outage of the store."""
         self._grace_until_s = now + self._return_grace_s
 
     def store_restored(self, now: float) -> None:
-        """Take note that the next full list comes from an older copy of the store."""
+        """Record that the next full list comes from a store restored from an older copy."""
         self.store_returned(now)
-        self._doubt_until_s = now + self._lapse_s
+        self._unconfirmed_until_s = now + self._lapse_s
         for view in self._views.values():
             view.leaving = view.leaving or view.entry.leaving
 
     def put(self, entry: EndpointEntry) -> None:
-        """Add or change an endpoint; a new incarnation starts without beliefs."""
+        """Add or update an endpoint; a new incarnation gets a new view."""
         self._lapsed.pop(entry.instance, None)
-        self._doubtful.pop(entry.instance, None)
+        self._unconfirmed.pop(entry.instance, None)
         view = self._views.get(entry.instance)
         if view is not None and view.entry.incarnation == entry.incarnation:
             if entry.leaving and not view.entry.leaving:
@@ -73,14 +75,14 @@
             view.entry = entry
             return
         if view is not None:
-            self._gone.add(view.entry.incarnation, self._now, left=True)
-            self._on_gone(view.entry.incarnation)
+            self._removed.add(view.entry.incarnation, self._now, left=True)
+            self._on_removed(view.entry.incarnation)
         self._views[entry.instance] = self._make_view(entry)
         _log("endpoint in", entry, slots=entry.slots, cold_s=entry.cold_s, draining=entry.leaving)
 
     def remove(self, instance: str, now: float) -> None:
-        """Remove an endpoint, at the end of the grace period after an outage."""
-        self._doubtful.pop(instance, None)
+        """Remove an endpoint; within the grace period after an outage, at its end."""
+        self._unconfirmed.pop(instance, None)
         if instance not in self._views:
             return
         if now >= self._grace_until_s:
@@ -95,58 +97,58 @@
             )
 
     def replace(self, entries: Iterable[EndpointEntry], now: float) -> None:
-        """Take a full list."""
-        self.listed = True
+        """Replace the registrations with a full list."""
+        self.has_full_list = True
         present = set()
         for entry in entries:
             present.add(entry.instance)
-            if not self._doubt(entry, now):
+            if not self._is_unconfirmed(entry, now):
                 self.put(entry)
-        self._doubtful = {name: e for name, e in self._doubtful.items() if name in present}
+        self._unconfirmed = {name: e for name, e in self._unconfirmed.items() if name in present}
         for instance in self._views.keys() - present:
             self.remove(instance, now)
 
     def expire(self, now: float) -> list[str]:
-        """Drop the entries whose grace period has ended and return their instances."""
+        """Remove the entries whose grace period has ended and return their instances."""
         self._now = now
         gone = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
         for instance in gone:
             self._drop(instance, "not back after the store's outage", now)
-        if self._doubtful and now >= self._doubt_until_s:
-            for entry in list(self._doubtful.values()):
+        if self._unconfirmed and now >= self._unconfirmed_until_s:
+            for entry in list(self._unconfirmed.values()):
                 self.put(entry)
-        self._gone.expire(now)
+        self._removed.expire(now)
         return gone
 
     def usable(self, service: str) -> list[EndpointView]:
-        """Return the endpoints of a service that may get new requests."""
+        """Return the endpoints of a service that accept new requests."""
         return [
             view
             for view in self._views.values()
             if view.entry.service == service and not (view.entry.leaving or view.leaving)
         ]
 
-    def _doubt(self, entry: EndpointEntry, now: float) -> bool:
-        """Return whether a registration of a restored store has to wait, or may never return."""
-        if now >= self._doubt_until_s or entry.incarnation not in self._gone:
+    def _is_unconfirmed(self, entry: EndpointEntry, now: float) -> bool:
+        """Return whether a registration of a restored store is held back or ignored."""
+        if now >= self._unconfirmed_until_s or entry.incarnation not in self._removed:
             return False
-        left = self._gone.left(entry.incarnation)
+        left = self._removed.announced_leaving(entry.incarnation)
         if not left:
-            self._doubtful[entry.instance] = entry
-        _log("endpoint of an older copy not taken", entry, left=left)
+            self._unconfirmed[entry.instance] = entry
+        _log("registration from an older store copy not accepted", entry, left=left)
         return True
 
     def _drop(self, instance: str, reason: str, now: float) -> None:
         self._lapsed.pop(instance, None)
         view = self._views.pop(instance)
         left = view.leaving or view.entry.leaving
-        self._gone.add(view.entry.incarnation, now, left=left)
+        self._removed.add(view.entry.incarnation, now, left=left)
         _log("endpoint out", view.entry, reason=reason)
-        self._on_gone(view.entry.incarnation)
+        self._on_removed(view.entry.incarnation)
 
 
 def _log(event: str, entry: EndpointEntry, **fields: object) -> None:
-    """Log a change; the store's rate of writes bounds these lines."""
+    """Log a change; the write rate of the store limits the number of these lines."""
     logger.info(
         event,
         extra={
--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -1,4 +1,4 @@
-"""Limit on the wait for an endpoint that has fallen silent."""
+"""Time limit on the wait for an endpoint that sends no bytes."""
 
 import asyncio
 from collections.abc import Callable
@@ -14,39 +14,40 @@
 
 
 class SilenceLimit:
-    """Raise TimeoutError when a wait passes `longest_s`, or `silence_s` of a silent endpoint.
+    """Raise TimeoutError after `max_wait_s`, or after `silence_s` without bytes of the endpoint.
 
-    An endpoint that is busy with other requests keeps sending bytes for them. Leaving it would
-    make another endpoint read the prompt again, so such a wait may last longer than one for an
-    endpoint that sends nothing at all. Both limits are in seconds; None waits without limit. The
-    wait goes on while `may_end` returns false, as when no other endpoint may be asked. With a
-    `prober`, an endpoint that is silent here but reports its load is busy as well.
+    An endpoint that is busy with other requests keeps sending bytes for them. Moving the request
+    would repeat its prefill at another endpoint, so the wait for a busy endpoint may last longer
+    than that for a silent one. Both limits are in seconds; if `silence_s` is None, the wait is
+    unlimited. The wait continues while `may_expire` returns false, for example if no other
+    endpoint can be tried. With a `prober`, an endpoint that sends nothing but answers a load probe
+    counts as busy.
 
-    `longest_s` counts from `since_s`, in seconds of the loop's clock, or else from the beginning
-    of the wait. A caller that waits several times for one result states when the first wait began,
-    so that bytes which never make up a result do not prolong it.
+    `max_wait_s` counts from `since_s`, in seconds of the loop's clock, or else from the start of
+    the wait. A caller that waits several times for one result passes the start of the first wait,
+    so that bytes that never complete a result do not extend it.
     """
 
     def __init__(
         self,
         view: EndpointView,
         silence_s: float | None,
-        longest_s: float,
-        may_end: Callable[[], bool],
+        max_wait_s: float,
+        may_expire: Callable[[], bool],
         prober: LoadProber | None = None,
         since_s: float | None = None,
     ) -> None:
         self._view = view
         self._silence_s = silence_s
-        self._longest_s = longest_s
-        self._may_end = may_end
+        self._max_wait_s = max_wait_s
+        self._may_expire = may_expire
         self._prober = prober
-        self._question: asyncio.Task[None] | None = None
+        self._probe: asyncio.Task[None] | None = None
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
         self._started_s = 0.0
         self._since_s = since_s
-        self._until_s = 0.0
+        self._max_wait_end_s = 0.0
 
     async def __aenter__(self) -> Self:
         await self._timeout.__aenter__()
@@ -54,8 +55,8 @@
             loop = asyncio.get_running_loop()
             self._started_s = loop.time()
             since_s = self._started_s if self._since_s is None else self._since_s
-            self._until_s = since_s + self._longest_s
-            due_s = min(self._started_s + self._silence_s, self._until_s)
+            self._max_wait_end_s = since_s + self._max_wait_s
+            due_s = min(self._started_s + self._silence_s, self._max_wait_end_s)
             self._handle = loop.call_at(due_s, self._check)
         return self
 
@@ -67,33 +68,33 @@
     ) -> None:
         if self._handle is not None:
             self._handle.cancel()
-        if self._question is not None:
-            self._question.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
         await self._timeout.__aexit__(kind, exc, trace)
 
     def _check(self) -> None:
-        """End the wait if the endpoint was silent for all of the limit, else look again later."""
+        """Expire the wait if the endpoint was silent for the limit, else check again later."""
         assert self._silence_s is not None
         loop = asyncio.get_running_loop()
         now = loop.time()
-        due_s = max(self._started_s, self._view.heard_s) + self._silence_s
-        due_s = min(due_s, self._until_s)
+        due_s = max(self._started_s, self._view.last_received_s) + self._silence_s
+        due_s = min(due_s, self._max_wait_end_s)
         if due_s > now:
             self._handle = loop.call_at(due_s, self._check)
-        elif not self._may_end():
+        elif not self._may_expire():
             self._handle = loop.call_at(now + RECHECK_S, self._check)
-        elif self._prober is not None and now < self._until_s:
-            self._question = asyncio.create_task(self._ask(self._prober))
+        elif self._prober is not None and now < self._max_wait_end_s:
+            self._probe = asyncio.create_task(self._probe_endpoint(self._prober))
         else:
-            self._end()
+            self._expire()
 
-    async def _ask(self, prober: LoadProber) -> None:
-        """End the wait unless the endpoint reports its load."""
-        if await prober.ask(self._view):
+    async def _probe_endpoint(self, prober: LoadProber) -> None:
+        """Expire the wait unless the endpoint answers a load probe."""
+        if await prober.probe(self._view):
             self._check()
         else:
-            self._end()
+            self._expire()
 
-    def _end(self) -> None:
+    def _expire(self) -> None:
         if not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -44,7 +44,7 @@
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._apply_configuration(row.content)
         if not self._outdated:
-            self._gateway.confirmation.answered(page.store_s, page.sent_s, page.received_s)
+            self._gateway.confirmation.record_answer(page.store_s, page.sent_s, page.received_s)
 
     def store_returned(self) -> None:
         """Do nothing: the rows that follow are current."""
@@ -81,7 +81,7 @@
         """Take all rows."""
         entries = [entry for row in page.rows if (entry := self._decode(row)) is not None]
         self._gateway.directory.replace(entries, self._clock())
-        self._gateway.changed()
+        self._gateway.endpoints_changed()
 
     def apply_changes(self, page: RowPage) -> None:
         """Add, update or remove the endpoints of the changed rows."""
@@ -92,7 +92,7 @@
             else:
                 self._gateway.directory.put(entry)
         if page.rows:
-            self._gateway.changed()
+            self._gateway.endpoints_changed()
 
     def store_returned(self) -> None:
         """Keep registrations that expired during the outage for a grace time."""
