--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -108,9 +108,9 @@
             return Link(
                 conn,
                 hello,
-                deliver=self._deliver,
-                heartbeat=lambda: (self._agent.digest(), list(self._ring.clock.tick())),
-                heard=lambda link, digest, clock: self._agent.heard(link, digest),
+                on_message=self._deliver,
+                heartbeat_payload=lambda: (self._agent.digest(), list(self._ring.clock.tick())),
+                on_heartbeat=lambda link, digest, clock: self._agent.heard(link, digest),
             )
 
         return make
--- a/cassiadrum/endpoints/__init__.py
+++ b/cassiadrum/endpoints/__init__.py
@@ -4,7 +4,7 @@
 from cassiadrum.endpoints.endpoint_loads import EndpointLoad
 from cassiadrum.endpoints.endpoints import Endpoint
 from cassiadrum.endpoints.engine_endpoints import EngineEndpoint
-from cassiadrum.endpoints.errors import EndpointError, EndpointLost, EndpointUnreachable
+from cassiadrum.endpoints.errors import EndpointError, EndpointResponseLost, EndpointUnreachable
 from cassiadrum.endpoints.plain_endpoints import PlainEndpoint
 
 __all__ = [
@@ -12,7 +12,7 @@
     "EndpointCall",
     "EndpointError",
     "EndpointLoad",
-    "EndpointLost",
+    "EndpointResponseLost",
     "EndpointUnreachable",
     "EngineEndpoint",
     "PlainEndpoint",
--- a/cassiadrum/endpoints/endpoints.py
+++ b/cassiadrum/endpoints/endpoints.py
@@ -19,7 +19,7 @@
     async def call(self, call: EndpointCall) -> HttpResponse:
         """Start a call and return its response with the body as a stream.
 
-        Raises EndpointUnreachable when the call did not run and EndpointLost when that is
+        Raises EndpointUnreachable when the call did not run and EndpointResponseLost when that is
         unknown; reading the body raises AnswerLost when it ends early.
         """
 
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -8,7 +8,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints.endpoint_calls import EndpointCall
 from cassiadrum.endpoints.endpoint_loads import EndpointLoad
-from cassiadrum.endpoints.errors import EndpointLost, EndpointUnreachable
+from cassiadrum.endpoints.errors import EndpointResponseLost, EndpointUnreachable
 from cassiadrum.endpoints.http_endpoints import HttpEndpoint
 from cassiadrum.protocols import ConnectFailed, HttpError, HttpResponse
 
@@ -48,7 +48,7 @@
         try:
             return msgspec.convert([response[name] for name in EndpointLoad._fields], EndpointLoad)
         except (msgspec.ValidationError, KeyError) as exc:
-            raise EndpointLost(f"load report: {exc}") from exc
+            raise EndpointResponseLost(f"load report: {exc}") from exc
 
     async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
         """Carry out an order; a 409 means that the engine has seen a higher fencing number."""
@@ -68,4 +68,4 @@
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (HttpError, TimeoutError, msgspec.DecodeError) as exc:
-            raise EndpointLost(str(exc)) from exc
+            raise EndpointResponseLost(str(exc)) from exc
--- a/cassiadrum/endpoints/errors.py
+++ b/cassiadrum/endpoints/errors.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["EndpointError", "EndpointLost", "EndpointUnreachable"]
+__all__ = ["EndpointError", "EndpointResponseLost", "EndpointUnreachable"]
 
 
 class EndpointError(CassiadrumError):
@@ -13,5 +13,5 @@
     """The call was certainly not sent, so it did not run."""
 
 
-class EndpointLost(EndpointError):
+class EndpointResponseLost(EndpointError):
     """The call was sent and its answer did not arrive whole; whether it ran is unknown."""
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.endpoints.endpoint_calls import EndpointCall
 from cassiadrum.endpoints.endpoints import Endpoint
-from cassiadrum.endpoints.errors import EndpointLost, EndpointUnreachable
+from cassiadrum.endpoints.errors import EndpointResponseLost, EndpointUnreachable
 from cassiadrum.protocols import (
     AnswerLost,
     BadMessage,
@@ -37,7 +37,7 @@
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (AnswerLost, BadMessage) as exc:
-            raise EndpointLost(str(exc)) from exc
+            raise EndpointResponseLost(str(exc)) from exc
 
     def close(self) -> None:
         """Close idle connections."""
--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -7,7 +7,7 @@
     make_frames,
 )
 from cassiadrum.links.data_merges import split_data
-from cassiadrum.links.errors import BadCertificate, BadFrame, BytesGone, LinkError
+from cassiadrum.links.errors import BadCertificate, BadFrame, LinkError, PositionUnavailable
 from cassiadrum.links.link_dialers import LinkDialer
 from cassiadrum.links.link_servers import LinkServer
 from cassiadrum.links.links import Link
@@ -17,11 +17,11 @@
 __all__ = [
     "BadCertificate",
     "BadFrame",
-    "BytesGone",
     "Link",
     "LinkDialer",
     "LinkError",
     "LinkServer",
+    "PositionUnavailable",
     "StreamBuffer",
     "TlsContexts",
     "decode_message",
--- a/cassiadrum/links/codecs.py
+++ b/cassiadrum/links/codecs.py
@@ -14,14 +14,14 @@
 
 # A frame of this many bytes or messages is sent before it is filled further.
 FRAME_TARGET_BYTES: Final = 256 * 1024
-FRAME_MESSAGES: Final = 255
+MAX_FRAME_MESSAGES: Final = 255
 
-_CODES: Final = {kind: code for code, kind in enumerate(MESSAGE_TYPES)}
+_TYPE_CODES: Final = {kind: code for code, kind in enumerate(MESSAGE_TYPES)}
 
 
 def encode_message(msg: Message) -> bytes:
     """Return the CBOR array of a message."""
-    return cbor2.dumps([_CODES[type(msg)], *msg])
+    return cbor2.dumps([_TYPE_CODES[type(msg)], *msg])
 
 
 def make_frames(encoded: Iterable[bytes]) -> Iterator[bytes]:
@@ -33,16 +33,16 @@
     parts: list[bytes] = []
     size = 0
     for part in encoded:
-        if parts and (size + len(part) > FRAME_TARGET_BYTES or len(parts) == FRAME_MESSAGES):
-            yield _frame(parts)
+        if parts and (size + len(part) > FRAME_TARGET_BYTES or len(parts) == MAX_FRAME_MESSAGES):
+            yield _join_messages(parts)
             parts, size = [], 0
         parts.append(part)
         size += len(part)
     if parts:
-        yield _frame(parts)
+        yield _join_messages(parts)
 
 
-def _frame(parts: list[bytes]) -> bytes:
+def _join_messages(parts: list[bytes]) -> bytes:
     if len(parts) == 1:
         return parts[0]
     # The head of a CBOR array with a length of one byte.
@@ -54,7 +54,7 @@
 
     Raises BadFrame when the frame is not one message of the right shape.
     """
-    return _message(_decoded(frame))
+    return _convert_message(_decode_cbor(frame))
 
 
 def decode_messages(frame: bytes) -> list[Message | None]:
@@ -62,20 +62,20 @@
 
     Raises BadFrame when the frame holds anything else.
     """
-    raw = _decoded(frame)
+    raw = _decode_cbor(frame)
     if isinstance(raw, list) and raw and isinstance(raw[0], list):
-        return [_message(item) for item in raw]
-    return [_message(raw)]
+        return [_convert_message(item) for item in raw]
+    return [_convert_message(raw)]
 
 
-def _decoded(frame: bytes) -> object:
+def _decode_cbor(frame: bytes) -> object:
     try:
         return cbor2.CBORDecoder(io.BytesIO(frame)).decode()
     except Exception as exc:
         raise BadFrame(f"not CBOR: {type(exc).__name__}") from exc
 
 
-def _message(raw: object) -> Message | None:
+def _convert_message(raw: object) -> Message | None:
     if not isinstance(raw, list) or not raw or type(raw[0]) is not int or raw[0] < 0:
         raise BadFrame("not an array that begins with a type code")
     if raw[0] >= len(MESSAGE_TYPES):
--- a/cassiadrum/links/data_merges.py
+++ b/cassiadrum/links/data_merges.py
@@ -2,11 +2,11 @@
 
 from cassiadrum.links.messages import Data, Message
 
-__all__ = ["MERGED_BYTES", "merge_data", "split_data"]
+__all__ = ["MAX_MERGED_BYTES", "merge_data", "split_data"]
 
 # Streams that attach again together send up to 256 KiB each; in one frame they would pass the
 # frame limit.
-MERGED_BYTES = 256 * 1024
+MAX_MERGED_BYTES = 256 * 1024
 
 
 def merge_data(batch: list[Message]) -> list[Message]:
@@ -20,7 +20,7 @@
             merged.append(msg)
             continue
         added = sum(len(part[2]) for part in msg.parts)
-        if parts is None or size + added > MERGED_BYTES:
+        if parts is None or size + added > MAX_MERGED_BYTES:
             parts, size = [], 0
             merged.append(Data(parts))
         parts += msg.parts
@@ -31,6 +31,6 @@
 def split_data(attempt_id: str, position: int, data: bytes) -> list[Data]:
     """Return messages of at most MERGED_BYTES each for the bytes from `position` on."""
     return [
-        Data([(attempt_id, position + start, data[start : start + MERGED_BYTES])])
-        for start in range(0, len(data), MERGED_BYTES)
+        Data([(attempt_id, position + start, data[start : start + MAX_MERGED_BYTES])])
+        for start in range(0, len(data), MAX_MERGED_BYTES)
     ]
--- a/cassiadrum/links/errors.py
+++ b/cassiadrum/links/errors.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["BadCertificate", "BadFrame", "BytesGone", "LinkError"]
+__all__ = ["BadCertificate", "BadFrame", "LinkError", "PositionUnavailable"]
 
 
 class LinkError(CassiadrumError):
@@ -17,5 +17,5 @@
     """A frame is not a valid message."""
 
 
-class BytesGone(LinkError):
+class PositionUnavailable(LinkError):
     """The requested position of an answer is no longer buffered."""
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -14,7 +14,7 @@
 from cassiadrum.links.data_merges import merge_data
 from cassiadrum.links.errors import BadFrame
 from cassiadrum.links.messages import (
-    CLOCKED,
+    TIMESTAMPED_MESSAGES,
     Attach,
     Data,
     End,
@@ -25,7 +25,7 @@
     RejectStart,
     StartRequest,
 )
-from cassiadrum.links.silence_watches import SilenceWatch
+from cassiadrum.links.silence_detectors import SilenceDetector
 
 __all__ = ["Link"]
 
@@ -34,8 +34,8 @@
 WATCH_INTERVAL_S = 0.25
 # One timer a second for each idle link; a core has to serve hundreds of them beside its work.
 IDLE_WATCH_INTERVAL_S = 1.0
-CONTENT = (StartRequest, Head, Data)
-NO_DATA = Data([])
+CONTENT_MESSAGES = (StartRequest, Head, Data)
+EMPTY_DATA = Data([])
 
 
 class Link:
@@ -54,41 +54,41 @@
         conn: Connection,
         hello: Hello,
         *,
-        deliver: Callable[["Link", Message], None],
-        heartbeat: Callable[[], tuple[str, list[int]]],
-        heard: Callable[["Link", str, list[int]], None],
-        stamp: Callable[[], list[int]] = list,
-        observe: Callable[[list[int]], None] = lambda clock: None,
+        on_message: Callable[["Link", Message], None],
+        heartbeat_payload: Callable[[], tuple[str, list[int]]],
+        on_heartbeat: Callable[["Link", str, list[int]], None],
+        next_timestamp: Callable[[], list[int]] = list,
+        observe_clock: Callable[[list[int]], None] = lambda clock: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.peer: Hello | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.data_bytes = 0
+        self.data_bytes_sent = 0
         # Bytes of messages that do not belong to a request's or an answer's content.
-        self.control_sent = 0
-        self.control_received = 0
+        self.control_bytes_sent = 0
+        self.control_bytes_received = 0
         self.closed = False
         self.unknown_messages = 0
         self._conn = conn
         self._hello = hello
-        self._deliver = deliver
-        self._heartbeat = heartbeat
-        self._heard = heard
-        self._stamp = stamp
-        self._observe = observe
+        self._on_message = on_message
+        self._heartbeat_payload = heartbeat_payload
+        self._on_heartbeat = on_heartbeat
+        self._next_timestamp = next_timestamp
+        self._observe_clock = observe_clock
         self._clock = clock
         self._outbox: asyncio.Queue[Message] = asyncio.Queue()
         # Heartbeats overtake data, whose queue may be long.
         self._urgent: deque[Message] = deque()
-        self._last_heard_s = clock()
+        self._last_received_s = clock()
         # The peer's last heartbeat, and the last of this side's that it has confirmed.
-        self._peer_number = 0
-        self._echoed = 0
-        self._number = 0
+        self._peer_heartbeat_number = 0
+        self._last_echo = 0
+        self._heartbeat_number = 0
         self._last_echo_s = clock()
         # Attempts under way on this link as seen from this side.
-        self._streams = 0
+        self._open_streams = 0
         self._last_stream_s = self._active_since_s = clock()
 
     def send(self, msg: Message) -> None:
@@ -96,7 +96,7 @@
         if isinstance(msg, Ping):
             self._urgent.append(msg)
             # Wakes the writer when it waits; an empty part is not sent.
-            msg = NO_DATA
+            msg = EMPTY_DATA
         self._outbox.put_nowait(msg)
 
     async def run(self) -> None:
@@ -114,9 +114,9 @@
             for task in tasks:
                 task.cancel()
             for result in await asyncio.gather(*tasks, return_exceptions=True):
-                self._report_failure(result)
+                self._log_failure(result)
 
-    def _report_failure(self, result: BaseException | None) -> None:
+    def _log_failure(self, result: BaseException | None) -> None:
         if isinstance(result, BadFrame):
             logger.warning("link to %s sent an invalid message: %s", self._peer_name(), result)
         elif isinstance(result, Exception) and not isinstance(result, ConnectionClosed):
@@ -128,15 +128,17 @@
     @property
     def idle(self) -> bool:
         """Tell whether no stream uses the link and none did for IDLE_AFTER_S."""
-        return not self._streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+        return (
+            not self._open_streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+        )
 
     def _count_stream(self, msg: Message) -> None:
         if isinstance(msg, StartRequest | Attach) and self.idle:
             self._active_since_s = self._clock()
         if isinstance(msg, StartRequest | Attach):
-            self._streams += 1
+            self._open_streams += 1
         elif isinstance(msg, End | RejectStart):
-            self._streams = max(0, self._streams - 1)
+            self._open_streams = max(0, self._open_streams - 1)
         else:
             return
         self._last_stream_s = self._clock()
@@ -149,36 +151,36 @@
         async for frame in self._conn:
             if isinstance(frame, str):
                 raise BadFrame("a text frame")
-            self._last_heard_s = self._clock()
+            self._last_received_s = self._clock()
             self.bytes_received += len(frame)
             messages = decode_messages(frame)
-            if not any(isinstance(msg, CONTENT) for msg in messages):
-                self.control_received += len(frame)
+            if not any(isinstance(msg, CONTENT_MESSAGES) for msg in messages):
+                self.control_bytes_received += len(frame)
             for msg in messages:
                 if msg is None:
                     self.unknown_messages += 1
                 else:
-                    self._take(msg)
+                    self._handle_message(msg)
 
-    def _take(self, msg: Message) -> None:
+    def _handle_message(self, msg: Message) -> None:
         self._count_stream(msg)
         if isinstance(msg, Ping):
-            self._take_heartbeat(msg)
+            self._handle_heartbeat(msg)
             return
         if isinstance(msg, Hello):
             self.peer = msg
         if self.peer is None:
             raise BadFrame("a message before hello")
-        if isinstance(msg, CLOCKED) and msg.clock:
-            self._observe(msg.clock)
-        self._deliver(self, msg)
+        if isinstance(msg, TIMESTAMPED_MESSAGES) and msg.clock:
+            self._observe_clock(msg.clock)
+        self._on_message(self, msg)
 
     async def _write(self) -> None:
         while True:
             batch = [await self._outbox.get()]
             while not self._outbox.empty():
                 batch.append(self._outbox.get_nowait())
-            messages = (msg for msg in merge_data(batch) if msg != NO_DATA)
+            messages = (msg for msg in merge_data(batch) if msg != EMPTY_DATA)
             for frame in make_frames(map(self._encode, messages)):
                 await self._send_urgent()
                 await self._send_frame(frame)
@@ -193,14 +195,14 @@
         await self._conn.send(frame)
 
     def _encode(self, msg: Message) -> bytes:
-        if isinstance(msg, CLOCKED) and not msg.clock:
-            msg = msg._replace(clock=self._stamp())
+        if isinstance(msg, TIMESTAMPED_MESSAGES) and not msg.clock:
+            msg = msg._replace(clock=self._next_timestamp())
         self._count_stream(msg)
         encoded = encode_message(msg)
         if isinstance(msg, Data):
-            self.data_bytes += len(encoded)
-        if not isinstance(msg, CONTENT):
-            self.control_sent += len(encoded)
+            self.data_bytes_sent += len(encoded)
+        if not isinstance(msg, CONTENT_MESSAGES):
+            self.control_bytes_sent += len(encoded)
         return encoded
 
     async def _keep_alive(self) -> None:
@@ -209,14 +211,14 @@
         Time in which this process did not run is not counted.
         """
         # A confirmation comes with the peer's next heartbeat.
-        silence = SilenceWatch(self._clock(), late=(0, 1, 0))
+        silence = SilenceDetector(self._clock(), allowed_lag=(0, 1, 0))
         sent_s = self._clock()
         while not silence.expired:
             step_s = IDLE_WATCH_INTERVAL_S if silence.idle else WATCH_INTERVAL_S
             await asyncio.sleep(step_s)
             now = self._clock()
-            marks = (self._last_heard_s, self._last_echo_s, now if self.peer else 0.0)
-            silence.check(
+            marks = (self._last_received_s, self._last_echo_s, now if self.peer else 0.0)
+            silence.update(
                 now, marks, step_s=step_s, idle=self.idle, active_since_s=self._active_since_s
             )
             every_s = LIMITS.HEARTBEAT_INTERVAL_S
@@ -230,13 +232,13 @@
 
     def _send_heartbeat(self) -> None:
         # Each heartbeat confirms the peer's last one, so none needs an answer of its own.
-        digest, clock = self._heartbeat()
-        self._number += 1
-        self.send(Ping(self._number, digest, clock, self._peer_number))
-
-    def _take_heartbeat(self, msg: Ping) -> None:
-        self._peer_number = msg.number
-        if msg.echo != self._echoed:
-            self._echoed = msg.echo
+        digest, clock = self._heartbeat_payload()
+        self._heartbeat_number += 1
+        self.send(Ping(self._heartbeat_number, digest, clock, self._peer_heartbeat_number))
+
+    def _handle_heartbeat(self, msg: Ping) -> None:
+        self._peer_heartbeat_number = msg.number
+        if msg.echo != self._last_echo:
+            self._last_echo = msg.echo
             self._last_echo_s = self._clock()
-        self._heard(self, msg.digest, msg.clock)
+        self._on_heartbeat(self, msg.digest, msg.clock)
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -9,10 +9,10 @@
 from typing import Final, NamedTuple
 
 __all__ = [
-    "CLOCKED",
     "FETCH_ROLE",
     "MESSAGE_TYPES",
     "PROTOCOL_VERSION",
+    "TIMESTAMPED_MESSAGES",
     "Ack",
     "Attach",
     "Cancel",
@@ -20,13 +20,13 @@
     "Detach",
     "Document",
     "End",
-    "Fetch",
-    "Full",
+    "FetchDocument",
     "Head",
     "Hello",
+    "LinkRefused",
     "Message",
     "Order",
-    "Ordered",
+    "OrderResult",
     "Ping",
     "RejectStart",
     "Report",
@@ -195,7 +195,7 @@
     clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
-class Fetch(NamedTuple):
+class FetchDocument(NamedTuple):
     """Ask for the document of a service."""
 
     service: str
@@ -222,7 +222,7 @@
     clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
-class Ordered(NamedTuple):
+class OrderResult(NamedTuple):
     """The result of an order."""
 
     order_id: str
@@ -231,7 +231,7 @@
     clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
-class Full(NamedTuple):
+class LinkRefused(NamedTuple):
     """The sidecar has more entry connections than its bound."""
 
     reason: str
@@ -250,11 +250,11 @@
     | Cancel
     | Report
     | Versions
-    | Fetch
+    | FetchDocument
     | Document
     | Order
-    | Ordered
-    | Full
+    | OrderResult
+    | LinkRefused
     | Detach
 )
 
@@ -272,16 +272,16 @@
     Cancel,
     Report,
     Versions,
-    Fetch,
+    FetchDocument,
     Document,
     Order,
-    Ordered,
-    Full,
+    OrderResult,
+    LinkRefused,
     Detach,
 )
 
 # The messages that cause events at the receiver and carry the sender's hybrid clock.
-CLOCKED: Final = (
+TIMESTAMPED_MESSAGES: Final = (
     StartRequest,
     End,
     RejectStart,
@@ -291,5 +291,5 @@
     Versions,
     Document,
     Order,
-    Ordered,
+    OrderResult,
 )
--- a/cassiadrum/links/stream_buffers.py
+++ b/cassiadrum/links/stream_buffers.py
@@ -1,6 +1,6 @@
 """Buffer of one answer at the sidecar."""
 
-from cassiadrum.links.errors import BytesGone
+from cassiadrum.links.errors import PositionUnavailable
 
 __all__ = ["StreamBuffer"]
 
@@ -41,13 +41,15 @@
         self._acked = max(self._acked, min(position, self.end))
         self._trim()
 
-    def since(self, position: int) -> bytes:
+    def read_from(self, position: int) -> bytes:
         """Return the bytes from `position` on.
 
-        Raises BytesGone when they are no longer or not yet there.
+        Raises PositionUnavailable when they are no longer or not yet there.
         """
         if not self._start <= position <= self.end:
-            raise BytesGone(f"position {position} is outside {self._start} to {self.end}")
+            raise PositionUnavailable(
+                f"position {position} is outside {self._start} to {self.end}"
+            )
         return bytes(self._data[position - self._start :])
 
     def _trim(self) -> None:
--- a/cassiadrum/links/tls_contexts.py
+++ b/cassiadrum/links/tls_contexts.py
@@ -24,14 +24,14 @@
         self._certificate = certificate
         self._key = key
         self._ca = ca
-        state = self._state()
-        self._links, self._callers, self.dial = self._build()
-        self._loaded = state
+        state = self._file_versions()
+        self._current_link_server, self._current_http_server, self.link_client = self._build()
+        self._loaded_versions = state
         # Servers keep the context they started with; it hands each handshake to the newest one,
         # since an old CA cannot be taken out of a context.
-        self.links, self.callers, _ = self._build()
-        self.links.sni_callback = self._use_links
-        self.callers.sni_callback = self._use_callers
+        self.link_server, self.http_server, _ = self._build()
+        self.link_server.sni_callback = self._select_link_server
+        self.http_server.sni_callback = self._select_http_server
 
     def reload(self, *, changed_only: bool = True) -> bool:
         """Load the files again if they changed; keep the old ones while the new do not fit.
@@ -39,28 +39,32 @@
         Returns whether new ones are in force.
         """
         try:
-            state = self._state()
-            if changed_only and state == self._loaded:
+            state = self._file_versions()
+            if changed_only and state == self._loaded_versions:
                 return False
-            self._links, self._callers, self.dial = self._build()
+            self._current_link_server, self._current_http_server, self.link_client = self._build()
         except (OSError, BadCertificate) as exc:
             logger.warning("certificate not reloaded: %s", exc)
             return False
-        self._loaded = state
+        self._loaded_versions = state
         logger.info("certificate reloaded from %s", self._certificate)
         return True
 
-    def _use_links(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
-        conn.context = self._links
+    def _select_link_server(
+        self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext
+    ) -> None:
+        conn.context = self._current_link_server
 
-    def _use_callers(self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext) -> None:
-        conn.context = self._callers
+    def _select_http_server(
+        self, conn: ssl.SSLObject, _name: str, _context: ssl.SSLContext
+    ) -> None:
+        conn.context = self._current_http_server
 
     def _build(self) -> tuple[ssl.SSLContext, ssl.SSLContext, ssl.SSLContext]:
         """Return new contexts for the servers of links and callers, and for dialling."""
-        links = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
-        callers = _context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
-        dial = _context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
+        links = _new_context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
+        callers = _new_context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
+        dial = _new_context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
         try:
             for context in (links, callers, dial):
                 context.load_cert_chain(self._certificate, self._key)
@@ -70,7 +74,7 @@
             raise BadCertificate(f"{self._certificate}, {self._key}, {self._ca}: {exc}") from exc
         return links, callers, dial
 
-    def _state(self) -> tuple[tuple[int, int, int], ...]:
+    def _file_versions(self) -> tuple[tuple[int, int, int], ...]:
         """Return what tells one version of the files from another."""
         try:
             stats = [os.stat(path) for path in (self._certificate, self._key, self._ca)]
@@ -79,7 +83,7 @@
         return tuple((stat.st_mtime_ns, stat.st_size, stat.st_ino) for stat in stats)
 
 
-def _context(protocol: int, verify: ssl.VerifyMode) -> ssl.SSLContext:
+def _new_context(protocol: int, verify: ssl.VerifyMode) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     # Instances are dialled by address, and the CA signs the instances of this site only.
--- a/cassiadrum/roles/endpoint_callers.py
+++ b/cassiadrum/roles/call_runners.py
@@ -6,9 +6,9 @@
 
 from cassiadrum.decisions import Outcome, Ran
 from cassiadrum.defaults import LIMITS
-from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointLost, EndpointUnreachable
+from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointResponseLost, EndpointUnreachable
 from cassiadrum.protocols import HttpError, HttpResponse
-from cassiadrum.roles.once_gates import OnceGate, relayed_headers
+from cassiadrum.roles.once_only_guards import OnceOnlyGuard, stored_headers
 from cassiadrum.roles.sidecar_messages import (
     CallData,
     CallEnded,
@@ -19,25 +19,28 @@
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.states import Claimed, KeptAnswer
 
-__all__ = ["EndpointCaller"]
+__all__ = ["CallRunner"]
 
 SSE_EVENT = b"\n\n"
 SSE_DONE = b"data: [DONE]\n\n"
 # A pass through the event loop for each token costs more than the token's other work.
-PASS_BYTES = LIMITS.STREAM_BUFFER_BYTES // 16
+YIELD_INTERVAL_BYTES = LIMITS.STREAM_BUFFER_BYTES // 16
 # The usage stands at the end of an answer that is not a stream.
-USAGE_BYTES = 512
-USAGE = re.compile(rb'"completion_tokens":\s*([0-9]{1,9})')
+USAGE_TAIL_BYTES = 512
+USAGE_PATTERN = re.compile(rb'"completion_tokens":\s*([0-9]{1,9})')
 
 
-class EndpointCaller:
+class CallRunner:
     """Call the endpoint for one stream and post its answer to the sidecar."""
 
     def __init__(
-        self, endpoint: Endpoint, gate: OnceGate, post: Callable[[SidecarMessage], None]
+        self,
+        endpoint: Endpoint,
+        once_only_guard: OnceOnlyGuard,
+        post: Callable[[SidecarMessage], None],
     ) -> None:
         self._endpoint = endpoint
-        self._gate = gate
+        self._once_only_guard = once_only_guard
         self._post = post
 
     async def run(self, stream: SidecarStream) -> None:
@@ -55,47 +58,47 @@
             self._post(CallEnded(stream.start.attempt_id, outcome))
 
     async def _run_once(self, stream: SidecarStream) -> Outcome:
-        entered = await self._gate.enter(stream.start)
+        entered = await self._once_only_guard.claim(stream.start)
         if not isinstance(entered, Claimed):
-            if entered.kept is not None:
-                self._replay(stream, entered.kept)
+            if entered.stored_answer is not None:
+                self._send_stored(stream, entered.stored_answer)
             return entered.outcome
         body = bytearray()
         outcome = await self._run(stream, body)
         answer = None
-        if outcome.ok and stream.answered is not None:
-            headers = relayed_headers(tuple(stream.answered.headers))
+        if outcome.ok and stream.call_head is not None:
+            headers = stored_headers(tuple(stream.call_head.headers))
             whole = len(body) <= LIMITS.CLAIM_ANSWER_BYTES
             kept = bytes(body) if whole else b""
-            answer = KeptAnswer(stream.answered.status, headers, kept, whole)
-        await self._gate.leave(stream.start, entered, outcome, answer)
+            answer = KeptAnswer(stream.call_head.status, headers, kept, whole)
+        await self._once_only_guard.settle(stream.start, entered, outcome, answer)
         return outcome
 
     async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         """Call the endpoint; collect the answer in `body` if that is to be kept."""
         task = asyncio.current_task()
         try:
-            return await self._exchange(stream, body)
+            return await self._call_endpoint(stream, body)
         except asyncio.CancelledError:
             # When the sidecar gives up a silent call, the task still has to settle the claim.
-            if not stream.given_up or task is None:
+            if not stream.silence_expired or task is None:
                 raise
             task.uncancel()
             return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
 
-    async def _exchange(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
+    async def _call_endpoint(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
         self._post(CallStarted(stream.start.attempt_id))
         try:
-            response = await self._endpoint.call(_to_call(stream))
+            response = await self._endpoint.call(_endpoint_call(stream))
         except EndpointUnreachable:
             return Outcome(False, Ran.NO, 0, "endpoint_failed")
-        except EndpointLost:
+        except EndpointResponseLost:
             return Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
         # Kept here too, since the sidecar's task may take the message after the call has ended.
-        stream.answered = CallHead(
+        stream.call_head = CallHead(
             stream.start.attempt_id, response.status, list(response.headers)
         )
-        self._post(stream.answered)
+        self._post(stream.call_head)
         return await self._relay(stream, response, body)
 
     async def _relay(
@@ -104,24 +107,24 @@
         tail, posted = b"", 0
         try:
             async for data in response.body:
-                tail = (tail + data)[-USAGE_BYTES:]
+                tail = (tail + data)[-USAGE_TAIL_BYTES:]
                 stream.tokens += data.count(SSE_EVENT)
                 if body is not None and len(body) <= LIMITS.CLAIM_ANSWER_BYTES:
                     body += data
                 self._post(CallData(stream.start.attempt_id, data))
                 posted += len(data)
-                if posted >= PASS_BYTES:
+                if posted >= YIELD_INTERVAL_BYTES:
                     # Lets the sidecar's task clear `room` when the buffer is full.
                     await asyncio.sleep(0)
                     posted = 0
-                if not stream.room.is_set():
-                    await stream.room.wait()
+                if not stream.buffer_has_space.is_set():
+                    await stream.buffer_has_space.wait()
         except HttpError:
             return Outcome(False, Ran.UNKNOWN, stream.tokens, "answer_lost")
-        stream.tokens = _tokens(stream.tokens, tail)
+        stream.tokens = _count_tokens(stream.tokens, tail)
         return Outcome(True, Ran.YES, stream.tokens)
 
-    def _replay(self, stream: SidecarStream, kept: KeptAnswer) -> None:
+    def _send_stored(self, stream: SidecarStream, kept: KeptAnswer) -> None:
         attempt_id = stream.start.attempt_id
         self._post(CallHead(attempt_id, kept.status, list(kept.headers)))
         for start in range(0, len(kept.body), LIMITS.STREAM_BUFFER_BYTES):
@@ -129,15 +132,15 @@
             self._post(CallData(attempt_id, part))
 
 
-def _tokens(events: int, tail: bytes) -> int:
+def _count_tokens(events: int, tail: bytes) -> int:
     """Return the tokens of a whole answer: content events of a stream, else the usage."""
     if events:
         return events - tail.endswith(SSE_DONE)
-    usage = USAGE.search(tail)
+    usage = USAGE_PATTERN.search(tail)
     return int(usage[1]) if usage else 0
 
 
-def _to_call(stream: SidecarStream) -> EndpointCall:
+def _endpoint_call(stream: SidecarStream) -> EndpointCall:
     start = stream.start
     return EndpointCall(
         start.attempt_id,
--- a/cassiadrum/roles/claim_janitors.py
+++ b/cassiadrum/roles/claim_cleanup_tasks.py
@@ -3,21 +3,21 @@
 import asyncio
 import logging
 
-from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.roles.lease_candidates import LeaseCandidate
 from cassiadrum.states import ClaimCleaner
 from cassiadrum.stores import StoreUnavailable
 
-__all__ = ["ClaimJanitor"]
+__all__ = ["ClaimCleanupTask"]
 
 logger = logging.getLogger(__name__)
 
-STEP_INTERVAL_S = 30.0
+CLEANUP_INTERVAL_S = 30.0
 
 
-class ClaimJanitor:
+class ClaimCleanupTask:
     """Clean one page of claims at a time while the lease is held."""
 
-    def __init__(self, lease: LeaseContender, cleaner: ClaimCleaner) -> None:
+    def __init__(self, lease: LeaseCandidate, cleaner: ClaimCleaner) -> None:
         self._lease = lease
         self._cleaner = cleaner
 
@@ -29,8 +29,8 @@
 
     async def _clean(self) -> None:
         while True:
-            await asyncio.sleep(STEP_INTERVAL_S)
-            if self._lease.fencing() is None:
+            await asyncio.sleep(CLEANUP_INTERVAL_S)
+            if self._lease.fencing_token() is None:
                 continue
             try:
                 await self._cleaner.step()
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -16,9 +16,9 @@
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.entry_daemons import EntryDaemon
 from cassiadrum.roles.event_meters import EventMeter
-from cassiadrum.roles.instance_watches import InstanceWatch
+from cassiadrum.roles.instance_list_pollers import InstanceListPoller
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
-from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.order_executors import OrderExecutor
 from cassiadrum.roles.scheduler_factories import SchedulerFactory
 from cassiadrum.roles.sidecar_daemons import SidecarDaemon
 from cassiadrum.settings import Address, EndpointSettings, Settings
@@ -65,12 +65,12 @@
             self._wire(cfg.platform.table_service, "table", self._share.budget)
         )
         reader = ConfigurationReader(self._table, registry)
-        self._instances = InstanceWatch(
+        self._instances = InstanceListPoller(
             HttpInstanceList(self._wire(cfg.platform.instance_list, "instances"))
         )
         self._instances.listeners.append(self._share.listed)
         self._configurations = ConfigurationAgent(
-            registry, reader, self._ring, self._rng, processes=self._instances.processes
+            registry, reader, self._ring, self._rng, processes=self._instances.process_count
         )
         self._ring.listener = EventMeter(self._metrics, registry.document, time.monotonic)
 
@@ -107,7 +107,7 @@
         target = _build_endpoint(endpoint)
         schedulers = SchedulerFactory(
             self._configurations.document,
-            maximum=self._cfg.limits.concurrency,
+            max_concurrency=self._cfg.limits.concurrency,
             can_pause=target.can_pause,
         )
         self._configurations.on_applied = lambda service: (
@@ -122,7 +122,7 @@
             target,
             schedulers.build(),
             ClaimService(self._table, self._objects(), self._cfg.instance),
-            OrderGuard(target, guard, self._ring),
+            OrderExecutor(target, guard, self._ring),
             self._metrics,
             _tls(self._cfg),
         )
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -7,7 +7,7 @@
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Document, Fetch, Message, Versions
+from cassiadrum.links.messages import Document, FetchDocument, Message, Versions
 from cassiadrum.states import (
     ConfigurationReader,
     ConfigurationRecord,
@@ -79,8 +79,8 @@
         """Handle a message of the exchange; return False for any other."""
         if isinstance(msg, Versions):
             for service in self.registry.missing(msg.versions):
-                link.send(Fetch(service))
-        elif isinstance(msg, Fetch):
+                link.send(FetchDocument(service))
+        elif isinstance(msg, FetchDocument):
             self._send_document(link, msg.service)
         elif isinstance(msg, Document):
             self.apply(ConfigurationRecord(msg.service, msg.version, msg.text, msg.deleted))
--- a/cassiadrum/roles/endpoint_controls.py
+++ b/cassiadrum/roles/endpoint_controls.py
@@ -35,11 +35,13 @@
         self._send("cancel", attempt_id, self._endpoint.cancel(attempt_id))
 
     def _send(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(self._wait(order, attempt_id, call))
+        task = asyncio.create_task(self._log_errors(order, attempt_id, call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _wait(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
+    async def _log_errors(
+        self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]
+    ) -> None:
         try:
             await call
         except EndpointError as exc:
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -12,10 +12,10 @@
 from cassiadrum.links.messages import (
     FETCH_ROLE,
     PROTOCOL_VERSION,
-    Full,
     Hello,
+    LinkRefused,
     Message,
-    Ordered,
+    OrderResult,
     Report,
 )
 from cassiadrum.members import Subset
@@ -31,9 +31,9 @@
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.fetch_links import FetchLinks
 from cassiadrum.roles.gauges import Gauges
-from cassiadrum.roles.instance_watches import InstanceWatch
+from cassiadrum.roles.instance_list_pollers import InstanceListPoller
 from cassiadrum.roles.maintenance_factories import MaintenanceFactory
-from cassiadrum.roles.members import MemberLinks
+from cassiadrum.roles.member_links import MemberLinks
 from cassiadrum.roles.peer_clocks import observe
 from cassiadrum.roles.request_parsers import RequestParser
 from cassiadrum.roles.router_messages import FromLink, LinkDown, RefuseAll
@@ -53,7 +53,7 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
-        instances: InstanceWatch,
+        instances: InstanceListPoller,
         dispatchers: DispatcherFactory,
         maintenance: MaintenanceFactory,
         writer: ConfigurationWriter,
@@ -80,11 +80,11 @@
             services,
             ring,
         )
-        instances.listeners.append(self._members.listed)
-        self._janitor = maintenance.janitor(instances.entries)
-        self._orders = maintenance.orders(self._router, instances.entries)
-        self._router.on_report = self._orders.report
-        self._router.on_gone = self._orders.removed
+        instances.listeners.append(self._members.update_instances)
+        self._janitor = maintenance.claim_cleanup(instances.entry_instances)
+        self._orders = maintenance.order_manager(self._router, instances.entry_instances)
+        self._router.on_report = self._orders.load_reported
+        self._router.on_gone = self._orders.endpoint_removed
         self._fetcher = LinkAnswerFetcher(
             FetchLinks(self._router.links.get, self._make_fetch_dialer)
         )
@@ -97,7 +97,9 @@
         )
         self._http = HttpServer(self._handler)
         changes = ConfigurationHandler(writer, configurations, ring)
-        self._gauges = Gauges(metrics, "sidecar", configurations.registry.versions, self._queued)
+        self._gauges = Gauges(
+            metrics, "sidecar", configurations.registry.versions, self._queue_lengths
+        )
         self._admin_handler = AdminHandler(
             ring, self.status, self.begin_drain, self._gauges.render, token.permits, changes
         )
@@ -106,7 +108,7 @@
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        callers = self._tls.callers if self._tls else None
+        callers = self._tls.http_server if self._tls else None
         port = await self._http.start(listen.http.host, listen.http.port, callers)
         self.addresses["http"] = str(Address(listen.http.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
@@ -172,7 +174,7 @@
         self._dispatchers.configure(service)
         self._orders.configure(service)
 
-    def _queued(self) -> dict[str, int]:
+    def _queue_lengths(self) -> dict[str, int]:
         return {name: part.queued() for name, part in self._router.dispatchers.items()}
 
     def _make_dialer(self, member: Instance) -> LinkDialer:
@@ -180,7 +182,7 @@
             member.link_address,
             lambda conn: self._make_link(conn, member.instance),
             on_down=lambda link: self._link_down(link, member.instance),
-            tls=lambda: self._tls.dial if self._tls else None,
+            tls=lambda: self._tls.link_client if self._tls else None,
         )
 
     def _make_fetch_dialer(
@@ -200,7 +202,7 @@
             member.link_address,
             lambda conn: self._link(conn, self._hello(instance, FETCH_ROLE), deliver),
             on_down=lambda link: None,
-            tls=lambda: self._tls.dial if self._tls else None,
+            tls=lambda: self._tls.link_client if self._tls else None,
         )
 
     def _make_link(self, conn: Connection, expected: str) -> Link:
@@ -208,7 +210,7 @@
         return self._link(
             conn,
             self._hello(expected, "entry"),
-            lambda link, msg: self._deliver(link, msg, expected),
+            lambda link, msg: self._handle_message(link, msg, expected),
         )
 
     def _hello(self, peer: str, role: str) -> Hello:
@@ -229,14 +231,17 @@
         return Link(
             conn,
             hello,
-            deliver=deliver,
-            heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
-            heard=self._heard,
-            stamp=lambda: list(self.ring.clock.tick()),
-            observe=lambda clock: observe(self.ring, clock),
+            on_message=deliver,
+            heartbeat_payload=lambda: (
+                self._configurations.digest(),
+                list(self.ring.clock.tick()),
+            ),
+            on_heartbeat=self._handle_heartbeat,
+            next_timestamp=lambda: list(self.ring.clock.tick()),
+            observe_clock=lambda clock: observe(self.ring, clock),
         )
 
-    def _deliver(self, link: Link, msg: Message, expected: str) -> None:
+    def _handle_message(self, link: Link, msg: Message, expected: str) -> None:
         if isinstance(msg, Hello):
             if msg.instance != expected:
                 link.abort()
@@ -245,17 +250,17 @@
             self._configurations.link_up(link)
             self._gauges.links.add(link)
             self._fetcher.link_up(expected, link)
-        elif isinstance(msg, Ordered):
-            self._orders.ordered(msg)
+        elif isinstance(msg, OrderResult):
+            self._orders.order_finished(msg)
         elif isinstance(msg, Report):
             self._members.reported(expected, msg.leaving)
-        elif isinstance(msg, Full):
-            self._members.full(expected)
+        elif isinstance(msg, LinkRefused):
+            self._members.link_refused(expected)
             return
         if not self._configurations.take(link, msg) and not self._fetcher.offer(msg):
             self._router.post(FromLink(link, msg))
 
-    def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
+    def _handle_heartbeat(self, link: Link, digest: str, clock: list[int]) -> None:
         observe(self.ring, clock)
         self._configurations.heard(link, digest)
 
--- a/cassiadrum/roles/gauges.py
+++ b/cassiadrum/roles/gauges.py
@@ -49,6 +49,6 @@
 
     def _count(self, link: Link) -> None:
         sent, received = self._counted.get(link, (0, 0))
-        self._counted[link] = (link.control_sent, link.control_received)
-        self._metrics.control_bytes("out", link.control_sent - sent)
-        self._metrics.control_bytes("in", link.control_received - received)
+        self._counted[link] = (link.control_bytes_sent, link.control_bytes_received)
+        self._metrics.control_bytes("out", link.control_bytes_sent - sent)
+        self._metrics.control_bytes("in", link.control_bytes_received - received)
--- a/cassiadrum/roles/instance_watches.py
+++ b/cassiadrum/roles/instance_list_pollers.py
@@ -7,7 +7,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.stores import Instance, InstanceList, StoreUnavailable
 
-__all__ = ["InstanceWatch", "list_poll_interval_s"]
+__all__ = ["InstanceListPoller", "list_poll_interval_s"]
 
 logger = logging.getLogger(__name__)
 
@@ -17,7 +17,7 @@
     return max(LIMITS.INSTANCE_POLL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
 
 
-class InstanceWatch:
+class InstanceListPoller:
     """Poll the instance list and pass on what it holds."""
 
     def __init__(self, instances: InstanceList) -> None:
@@ -26,11 +26,11 @@
         self._count = 1
         self._entries: list[str] = []
 
-    def processes(self) -> int:
+    def process_count(self) -> int:
         """Return the number of processes in the last list that was not empty."""
         return self._count
 
-    def entries(self) -> list[str]:
+    def entry_instances(self) -> list[str]:
         """Return the entry instances in the last list that was not empty."""
         return self._entries
 
--- a/cassiadrum/roles/lease_contenders.py
+++ b/cassiadrum/roles/lease_candidates.py
@@ -9,23 +9,23 @@
 from cassiadrum.states import LeaseCore, LeaseKeeper, LeaseLost
 from cassiadrum.stores import TableStore
 
-__all__ = ["LeaseContender", "is_contender"]
+__all__ = ["LeaseCandidate", "is_candidate"]
 
 LEASE_DURATION_S = 6.0
 LEASE_MARGIN_S = 1.0
 RENEW_INTERVAL_S = LEASE_DURATION_S / 3
 # With three contenders a lease passes on within seconds, and the reads of a lease do not grow
 # with the fleet.
-CONTENDERS = 3
+MAX_CANDIDATES = 3
 
 
-def is_contender(lease: str, instance: str, entries: Iterable[str]) -> bool:
+def is_candidate(lease: str, instance: str, entries: Iterable[str]) -> bool:
     """Tell whether an entry instance is among those that contend for a lease."""
     ranked = sorted(entries, key=lambda name: xxhash.xxh64_intdigest(f"{lease} {name}".encode()))
-    return instance in ranked[:CONTENDERS] or not ranked
+    return instance in ranked[:MAX_CANDIDATES] or not ranked
 
 
-class LeaseContender:
+class LeaseCandidate:
     """Hold or contend for one lease; `entries` names the live entry instances."""
 
     def __init__(
@@ -33,7 +33,7 @@
         store: TableStore,
         name: str,
         instance: str,
-        entries: Callable[[], Iterable[str]],
+        entry_instances: Callable[[], Iterable[str]],
         ring: EventRing,
         clock: Callable[[], float],
     ) -> None:
@@ -42,7 +42,7 @@
         self._keeper = LeaseKeeper(store, name, core, clock)
         self._core = core
         self._instance = instance
-        self._entries = entries
+        self._entry_instances = entry_instances
         self._ring = ring
 
     async def run(self) -> None:
@@ -54,13 +54,13 @@
     async def step(self) -> None:
         """Renew, contend, or stay out because other instances contend."""
         held = self._core.is_holder
-        if held or is_contender(self.name, self._instance, self._entries()):
+        if held or is_candidate(self.name, self._instance, self._entry_instances()):
             await self._keeper.step()
         if held != self._core.is_holder:
             kind = EventKind.LEASE_LOST if held else EventKind.LEASE_ACQUIRED
             self._ring.record(kind, lease=self.name)
 
-    def fencing(self) -> int | None:
+    def fencing_token(self) -> int | None:
         """Return the fencing token for an effect that starts right now, None without the lease."""
         try:
             return self._keeper.check()
--- a/cassiadrum/roles/load_reporters.py
+++ b/cassiadrum/roles/load_reporters.py
@@ -15,7 +15,7 @@
 
 logger = logging.getLogger(__name__)
 
-LONGEST_AGE_S = 1e6
+MAX_LOAD_AGE_S = 1e6
 
 
 class LoadReporter:
@@ -32,16 +32,16 @@
         ring: EventRing,
         clock: Callable[[], float],
     ) -> None:
-        self.due = True
-        self.draining_s: float | None = None
+        self.report_due = True
+        self.draining_since_s: float | None = None
         self._scheduler = scheduler
         self._links = links
         self._ring = ring
         self._clock = clock
         self._load = EndpointLoad()
-        self._load_taken_s = clock()
+        self._load_measured_s = clock()
         self._reachable = True
-        self._sent_s = 0.0
+        self._last_sent_s = 0.0
 
     def load_changed(self, msg: LoadChanged) -> None:
         """Take the endpoint's own report."""
@@ -50,42 +50,42 @@
             logger.info("endpoint %s", "answers again" if reachable else "does not answer")
             kind = EventKind.ENDPOINT_RECOVERED if reachable else EventKind.ENDPOINT_FAILED
             self._ring.record(kind)
-            self.due = True
+            self.report_due = True
         self._reachable = reachable
         if msg.load is not None:
-            self.due = self.due or msg.load != self._load
+            self.report_due = self.report_due or msg.load != self._load
             self._load = msg.load
-            self._load_taken_s = msg.taken_s
+            self._load_measured_s = msg.measured_s
 
     def announce_leaving(self) -> None:
         """Tell every entry instance at once that the endpoint takes no new work."""
-        self.draining_s = self._clock()
+        self.draining_since_s = self._clock()
         self.send()
 
     def send_when_due(self) -> None:
         """Send a report if the load changed, or if the last one is old."""
-        idle_s = self._clock() - self._sent_s
-        changed = self.due and idle_s >= LIMITS.REPORT_MIN_INTERVAL_S
+        idle_s = self._clock() - self._last_sent_s
+        changed = self.report_due and idle_s >= LIMITS.REPORT_MIN_INTERVAL_S
         if changed or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
             self.send()
 
     def send(self) -> None:
         """Send a report on every link."""
         self._links.send(self.report())
-        self._sent_s = self._clock()
-        self.due = False
+        self._last_sent_s = self._clock()
+        self.report_due = False
 
     def report(self) -> Report:
         """Return the report; cache events are passed on once."""
         load, self._load = self._load, self._load._replace(cached=())
         return Report(
-            min(self._clock() - self._load_taken_s, LONGEST_AGE_S),
+            min(self._clock() - self._load_measured_s, MAX_LOAD_AGE_S),
             self._scheduler.running(),
             self._scheduler.waiting(),
             self._scheduler.limit if self._reachable else 0,
             list(load.models),
             list(load.adapters),
-            self.draining_s is not None,
+            self.draining_since_s is not None,
             load.tokens_per_s,
             list(load.cached),
         )
--- a/cassiadrum/roles/maintenance_factories.py
+++ b/cassiadrum/roles/maintenance_factories.py
@@ -6,8 +6,8 @@
 from cassiadrum.decisions import DemandOrderPlanner
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.events import EventRing
-from cassiadrum.roles.claim_janitors import ClaimJanitor
-from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.roles.claim_cleanup_tasks import ClaimCleanupTask
+from cassiadrum.roles.lease_candidates import LeaseCandidate
 from cassiadrum.roles.order_managers import OrderManager
 from cassiadrum.roles.order_tasks import OrderTask
 from cassiadrum.roles.routers import Router
@@ -36,32 +36,37 @@
         self._documents = documents
         self._ring = ring
 
-    def janitor(self, entries: Callable[[], list[str]]) -> ClaimJanitor:
+    def claim_cleanup(self, entry_instances: Callable[[], list[str]]) -> ClaimCleanupTask:
         """Return the janitor; `entries` names the live entry instances."""
         cleaner = ClaimCleaner(self._table, self._objects)
-        return ClaimJanitor(self._lease("claims", entries), cleaner)
+        return ClaimCleanupTask(self._lease("claims", entry_instances), cleaner)
 
-    def orders(self, router: Router, entries: Callable[[], list[str]]) -> OrderManager:
+    def order_manager(
+        self, router: Router, entry_instances: Callable[[], list[str]]
+    ) -> OrderManager:
         """Return the order manager; it reads demand and links from the router."""
 
         def make_task(
-            service: str, planner: DemandOrderPlanner, lease: LeaseContender
+            service: str, planner: DemandOrderPlanner, lease: LeaseCandidate
         ) -> OrderTask:
             return OrderTask(
                 service,
                 planner,
                 lease,
-                waiting=router.models_wanted,
-                entries=lambda: len(entries()),
+                waiting_models=router.models_wanted,
+                entry_count=lambda: len(entry_instances()),
                 links=router.links.get,
                 ring=self._ring,
             )
 
         return OrderManager(
-            self._weights, self._documents, lambda name: self._lease(name, entries), make_task
+            self._weights,
+            self._documents,
+            lambda name: self._lease(name, entry_instances),
+            make_task,
         )
 
-    def _lease(self, name: str, entries: Callable[[], list[str]]) -> LeaseContender:
-        return LeaseContender(
-            self._table, name, self._instance, entries, self._ring, time.monotonic
+    def _lease(self, name: str, entry_instances: Callable[[], list[str]]) -> LeaseCandidate:
+        return LeaseCandidate(
+            self._table, name, self._instance, entry_instances, self._ring, time.monotonic
         )
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/member_links.py
@@ -12,7 +12,7 @@
 
 __all__ = ["MemberLinks"]
 
-EVENT_KINDS = {
+MEMBER_EVENT_KINDS = {
     ChangeKind.JOINED: EventKind.MEMBER_JOINED,
     ChangeKind.LEAVING: EventKind.MEMBER_LEAVING,
     ChangeKind.LEFT: EventKind.MEMBER_LEFT,
@@ -33,7 +33,7 @@
         subset_size: int,
         make_dialer: Callable[[Instance], LinkDialer],
         post: Callable[[RouterMessage], None],
-        busy: Callable[[str], bool],
+        has_work: Callable[[str], bool],
         services: dict[str, str],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
@@ -45,7 +45,7 @@
         self._subset_size = self._size = subset_size
         self._make_dialer = make_dialer
         self._post = post
-        self._busy = busy
+        self._has_work = has_work
         self._ring = ring
         self._clock = clock
         self._dialers: dict[str, LinkDialer] = {}
@@ -57,16 +57,16 @@
         """Return a sidecar of the list, whether it is linked to or not."""
         return self._membership.member(instance)
 
-    def listed(self, instances: tuple[Instance, ...]) -> None:
+    def update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Take the instance list; an empty one stands for a failed read."""
         # Before the new list, so that the router had a poll interval to hear of a retirement.
-        self._release()
+        self._close_retired()
         services = {item.service for item in instances if item.role == "sidecar"}
         if services:
             self._size = links_per_service(self._subset_size, len(services))
             for subset in self._subsets.values():
                 subset.resize(self._size)
-        self._apply(self._membership.listed(instances, self._clock()))
+        self._apply_changes(self._membership.listed(instances, self._clock()))
 
     def connected(self, instance: str, link: Link) -> None:
         """Take the hello of a sidecar."""
@@ -83,37 +83,37 @@
         """Take what a sidecar says of itself."""
         changes = self._membership.reported(instance, leaving, self._clock())
         if changes:
-            self._apply(changes)
+            self._apply_changes(changes)
 
-    def full(self, instance: str) -> None:
+    def link_refused(self, instance: str) -> None:
         """Take the refusal of a sidecar that has its share of connections."""
         service = self._services.get(instance)
         if service is not None:
             self._subsets[service].set_full(instance, self._clock())
-            self._drop(instance)
-            self._connect()
+            self._remove_link(instance)
+            self._update_links()
 
     async def close(self) -> None:
         """Close every link."""
         await asyncio.gather(*(dialer.stop() for dialer in self._dialers.values()))
         await asyncio.gather(*self._stopping)
 
-    def _apply(self, changes: list[MemberChange]) -> None:
+    def _apply_changes(self, changes: list[MemberChange]) -> None:
         for change in changes:
-            self._take(change)
-        self._connect()
+            self._apply_change(change)
+        self._update_links()
 
-    def _take(self, change: MemberChange) -> None:
+    def _apply_change(self, change: MemberChange) -> None:
         kind, member = change
         name = member.instance
-        if kind in EVENT_KINDS:
-            self._ring.record(EVENT_KINDS[kind], service=member.service, member=name)
+        if kind in MEMBER_EVENT_KINDS:
+            self._ring.record(MEMBER_EVENT_KINDS[kind], service=member.service, member=name)
         if kind in (ChangeKind.MOVED, ChangeKind.LEFT):
             # Streams may be found again at the new address, but not at another service.
             if kind is ChangeKind.MOVED and member.service == self._services[name]:
                 self._stop_dialer(name)
             else:
-                self._drop(name)
+                self._remove_link(name)
             self._subsets[self._services.pop(name)].remove(name)
         if kind in (ChangeKind.JOINED, ChangeKind.MOVED):
             self._services[name] = member.service
@@ -125,7 +125,7 @@
             self._subsets[member.service].set_leaving(name, leaving)
             self._post(MemberUsable(name, not leaving))
 
-    def _connect(self) -> None:
+    def _update_links(self) -> None:
         now = self._clock()
         chosen = {name for subset in self._subsets.values() for name in subset.chosen(now)}
         for name in chosen - self._dialers.keys():
@@ -142,11 +142,11 @@
                 self._retired.add(name)
                 self._post(MemberUsable(name, False))
 
-    def _release(self) -> None:
-        for name in [name for name in self._retired if not self._busy(name)]:
-            self._drop(name)
+    def _close_retired(self) -> None:
+        for name in [name for name in self._retired if not self._has_work(name)]:
+            self._remove_link(name)
 
-    def _drop(self, instance: str) -> None:
+    def _remove_link(self, instance: str) -> None:
         if self._stop_dialer(instance):
             # The service is named because the member may be unknown when this is handled.
             self._post(MemberGone(instance, self._services.get(instance, "")))
--- a/cassiadrum/roles/once_gates.py
+++ b/cassiadrum/roles/once_only_guards.py
@@ -18,35 +18,35 @@
     StoreUnavailable,
 )
 
-__all__ = ["GateAnswer", "OnceGate"]
+__all__ = ["ClaimRefusal", "OnceOnlyGuard"]
 
 
-class GateAnswer(NamedTuple):
+class ClaimRefusal(NamedTuple):
     """What to tell the caller instead of running the call; `kept` is an earlier answer."""
 
     outcome: Outcome
-    kept: KeptAnswer | None = None
+    stored_answer: KeptAnswer | None = None
 
 
-class OnceGate:
+class OnceOnlyGuard:
     """Let each once-only call pass once, and record how it ended."""
 
     def __init__(self, claims: ClaimService, ring: EventRing) -> None:
         self._claims = claims
         self._ring = ring
 
-    async def enter(self, start: StartRequest) -> Claimed | GateAnswer:
+    async def claim(self, start: StartRequest) -> Claimed | ClaimRefusal:
         """Claim the call; only a Claimed permits the effect."""
         key = ClaimKey(start.service, start.customer, start.key)
         result = await self._claims.claim(key, _body_hash(start), max(0.0, start.deadline_left_s))
         if isinstance(result, Claimed):
             self._record(EventKind.CLAIM_MADE, start)
             return result
-        answer = _answer(result)
+        answer = _refusal(result)
         self._record(EventKind.CLAIM_REFUSED, start, reason=answer.outcome.reason or "kept")
         return answer
 
-    async def leave(
+    async def settle(
         self, start: StartRequest, claim: Claimed, outcome: Outcome, answer: KeptAnswer | None
     ) -> None:
         """Record the end of the call; what cannot be written now is written later."""
@@ -67,25 +67,25 @@
         )
 
 
-def relayed_headers(headers: Headers) -> Headers:
+def stored_headers(headers: Headers) -> Headers:
     """Return the headers that are kept with an answer."""
     return tuple((k, v) for k, v in headers if k in ("content-type", "location", "etag"))
 
 
-def _answer(result: object) -> GateAnswer:
+def _refusal(result: object) -> ClaimRefusal:
     if isinstance(result, Kept):
         if not result.answer.body_kept:
-            return GateAnswer(Outcome(False, Ran.YES, 0, "answer_lost"))
-        return GateAnswer(Outcome(True, Ran.YES), result.answer)
+            return ClaimRefusal(Outcome(False, Ran.YES, 0, "answer_lost"))
+        return ClaimRefusal(Outcome(True, Ran.YES), result.answer)
     if isinstance(result, KeyReused):
-        return GateAnswer(Outcome(False, Ran.NO, 0, "key_reused", final=True))
+        return ClaimRefusal(Outcome(False, Ran.NO, 0, "key_reused", final=True))
     if isinstance(result, InProgress):
         outcome = Outcome(False, Ran.UNKNOWN, 0, "in_progress", result.retry_after_s)
-        return GateAnswer(outcome)
+        return ClaimRefusal(outcome)
     if isinstance(result, StoreUnavailable):
         outcome = Outcome(False, Ran.NO, 0, "store_unavailable", result.retry_after_s, final=True)
-        return GateAnswer(outcome)
-    return GateAnswer(Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
+        return ClaimRefusal(outcome)
+    return ClaimRefusal(Outcome(False, Ran.UNKNOWN, 0, "answer_lost"))
 
 
 def _body_hash(start: StartRequest) -> str:
--- a/cassiadrum/roles/order_guards.py
+++ b/cassiadrum/roles/order_executors.py
@@ -5,13 +5,13 @@
 from cassiadrum.endpoints import Endpoint, EndpointError
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Order, Ordered
+from cassiadrum.links.messages import Order, OrderResult
 from cassiadrum.states import FencingGuard, FencingRefused
 
-__all__ = ["OrderGuard"]
+__all__ = ["OrderExecutor"]
 
 
-class OrderGuard:
+class OrderExecutor:
     """Carry out orders one after the other, each after its token was admitted."""
 
     def __init__(self, endpoint: Endpoint, guard: FencingGuard, ring: EventRing) -> None:
@@ -28,12 +28,12 @@
         """Carry out orders for ever."""
         while True:
             link, order = await self._orders.get()
-            ok, reason = await self._carry_out(order)
+            ok, reason = await self._execute(order)
             kind = EventKind.ORDER_CARRIED_OUT if ok else EventKind.ORDER_REFUSED
             self._ring.record(kind, action=order.action, fencing=order.fencing, reason=reason)
-            link.send(Ordered(order.order_id, ok, reason))
+            link.send(OrderResult(order.order_id, ok, reason))
 
-    async def _carry_out(self, order: Order) -> tuple[bool, str]:
+    async def _execute(self, order: Order) -> tuple[bool, str]:
         try:
             await self._guard.admit(order.lease, order.fencing)
             return await self._endpoint.order(order.action, order.subject, order.fencing)
--- a/cassiadrum/roles/order_managers.py
+++ b/cassiadrum/roles/order_managers.py
@@ -7,8 +7,8 @@
 
 from cassiadrum.decisions import DemandOrderPlanner, EndpointReport
 from cassiadrum.documents import ServiceDocument
-from cassiadrum.links.messages import Ordered
-from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.links.messages import OrderResult
+from cassiadrum.roles.lease_candidates import LeaseCandidate
 from cassiadrum.roles.order_tasks import OrderTask
 from cassiadrum.stores import StoreUnavailable, WeightStore
 
@@ -17,8 +17,8 @@
 logger = logging.getLogger(__name__)
 
 # The share of the weight store's rate that orders may use, in bytes per second.
-WEIGHT_BYTES_PER_S = 200e6
-SIZE_RETRY_S = 5.0
+WEIGHT_STORE_BYTES_PER_S = 200e6
+SIZE_RETRY_INTERVAL_S = 5.0
 
 
 class OrderManager:
@@ -31,8 +31,8 @@
         self,
         weights: WeightStore | None,
         documents: Callable[[str], ServiceDocument | None],
-        make_lease: Callable[[str], LeaseContender],
-        make_task: Callable[[str, DemandOrderPlanner, LeaseContender], OrderTask],
+        make_lease: Callable[[str], LeaseCandidate],
+        make_task: Callable[[str, DemandOrderPlanner, LeaseCandidate], OrderTask],
     ) -> None:
         self._weights = weights
         self._documents = documents
@@ -49,20 +49,20 @@
         elif service not in self._running and self._weights is not None:
             self._running[service] = asyncio.create_task(self._run(document, self._weights))
 
-    def report(self, service: str, rep: EndpointReport) -> None:
+    def load_reported(self, service: str, rep: EndpointReport) -> None:
         """Take a load report of an endpoint."""
         if service in self._tasks:
-            self._tasks[service].report(rep)
+            self._tasks[service].load_reported(rep)
 
-    def removed(self, service: str, instance: str) -> None:
+    def endpoint_removed(self, service: str, instance: str) -> None:
         """Forget an endpoint."""
         if service in self._tasks:
-            self._tasks[service].removed(instance)
+            self._tasks[service].endpoint_removed(instance)
 
-    def ordered(self, msg: Ordered) -> None:
+    def order_finished(self, msg: OrderResult) -> None:
         """Take the result of an order."""
         for task in self._tasks.values():
-            task.ordered(msg.order_id, msg.ok, msg.reason)
+            task.order_finished(msg.order_id, msg.ok, msg.reason)
 
     async def close(self) -> None:
         """Stop every task."""
@@ -80,8 +80,8 @@
             task.cancel()
 
     async def _run(self, document: ServiceDocument, weights: WeightStore) -> None:
-        sizes = await _sizes(weights, document.models)
-        planner = DemandOrderPlanner(sizes, WEIGHT_BYTES_PER_S)
+        sizes = await _fetch_sizes(weights, document.models)
+        planner = DemandOrderPlanner(sizes, WEIGHT_STORE_BYTES_PER_S)
         lease = self._make_lease(f"orders/{document.name}")
         task = self._make_task(document.name, planner, lease)
         self._tasks[document.name] = task
@@ -92,7 +92,7 @@
                 await lease.release()
 
 
-async def _sizes(weights: WeightStore, models: Iterable[str]) -> dict[tuple[str, str], int]:
+async def _fetch_sizes(weights: WeightStore, models: Iterable[str]) -> dict[tuple[str, str], int]:
     """Return the sizes that the weight store knows; a model without one is never loaded."""
     while True:
         try:
@@ -100,4 +100,4 @@
             return {key: size for key, size in sizes.items() if size is not None}
         except StoreUnavailable as exc:
             logger.debug("weight store: %s", exc)
-        await asyncio.sleep(SIZE_RETRY_S)
+        await asyncio.sleep(SIZE_RETRY_INTERVAL_S)
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -10,13 +10,13 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
 from cassiadrum.links.messages import Order
-from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.roles.lease_candidates import LeaseCandidate
 
 __all__ = ["OrderTask"]
 
 PLAN_INTERVAL_S = 1.0
 # Weight of the newest sample in the mean demand; the mean covers about a minute.
-DEMAND_WEIGHT = 1.0 / 60.0
+DEMAND_SAMPLE_WEIGHT = 1.0 / 60.0
 
 
 class OrderTask:
@@ -30,10 +30,10 @@
         self,
         service: str,
         planner: OrderPlanner,
-        lease: LeaseContender,
+        lease: LeaseCandidate,
         *,
-        waiting: Callable[[str], Iterable[tuple[str, str]]],
-        entries: Callable[[], int],
+        waiting_models: Callable[[str], Iterable[tuple[str, str]]],
+        entry_count: Callable[[], int],
         links: Callable[[str], Link | None],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
@@ -41,26 +41,26 @@
         self._service = service
         self._planner = planner
         self._lease = lease
-        self._waiting = waiting
-        self._entries = entries
+        self._waiting_models = waiting_models
+        self._entry_count = entry_count
         self._links = links
         self._ring = ring
         self._clock = clock
         self._reports: dict[str, EndpointReport] = {}
         self._demand: dict[tuple[str, str], float] = {}
-        self._sent: dict[str, str] = {}
+        self._pending_orders: dict[str, str] = {}
 
-    def report(self, rep: EndpointReport) -> None:
+    def load_reported(self, rep: EndpointReport) -> None:
         """Take a load report of an engine of the service."""
         self._reports[rep.instance] = rep
 
-    def removed(self, instance: str) -> None:
+    def endpoint_removed(self, instance: str) -> None:
         """Forget an engine."""
         self._reports.pop(instance, None)
 
-    def ordered(self, order_id: str, ok: bool, reason: str) -> None:
+    def order_finished(self, order_id: str, ok: bool, reason: str) -> None:
         """Take the result of an order."""
-        instance = self._sent.pop(order_id, None)
+        instance = self._pending_orders.pop(order_id, None)
         if instance is None:
             return
         self._planner.ordered(instance, self._clock())
@@ -76,19 +76,19 @@
     def step(self) -> None:
         """Sample the demand, and plan if the lease is held."""
         self._sample()
-        if self._lease.fencing() is not None:
+        if self._lease.fencing_token() is not None:
             self._plan()
 
     def _sample(self) -> None:
-        counts = Counter(name for name in self._waiting(self._service) if name[0])
+        counts = Counter(name for name in self._waiting_models(self._service) if name[0])
         for name in {*counts, *self._demand}:
             old = self._demand.get(name, 0.0)
-            self._demand[name] = old + DEMAND_WEIGHT * (counts[name] - old)
+            self._demand[name] = old + DEMAND_SAMPLE_WEIGHT * (counts[name] - old)
 
     def _plan(self) -> None:
-        share = max(1, self._entries())
+        entry_count = max(1, self._entry_count())
         demand = [
-            LoadDemand(model, adapter, mean * share)
+            LoadDemand(model, adapter, mean * entry_count)
             for (model, adapter), mean in self._demand.items()
         ]
         for order in self._planner.plan(demand, list(self._reports.values()), self._clock()):
@@ -97,12 +97,12 @@
     def _send(self, order: EngineOrder) -> None:
         link = self._links(order.instance)
         # Read again right before the effect: the lease may have run out since the plan.
-        fencing = self._lease.fencing()
+        fencing = self._lease.fencing_token()
         if link is None or fencing is None:
             self._planner.ordered(order.instance, self._clock())
             return
         order_id = uuid.uuid4().hex
-        self._sent[order_id] = order.instance
+        self._pending_orders[order_id] = order.instance
         subject = order.adapter or order.model
         self._ring.record(
             EventKind.ORDER_SENT,
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -37,7 +37,7 @@
     Submit,
     Tick,
 )
-from cassiadrum.roles.sidecar_paths import AttemptEvents, SidecarPath
+from cassiadrum.roles.sidecar_clients import AttemptEvents, SidecarClient
 
 __all__ = ["Router"]
 
@@ -77,14 +77,14 @@
         self._clock = clock
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
-        self._path = SidecarPath(self, clock)
+        self._path = SidecarClient(self, clock)
         # Cancelled attempts whose end the dispatcher still has to hear of.
         self._cancelled: dict[str, tuple[Attempt, str]] = {}
         self._handlers: dict[type[RouterMessage], Callable[[Any], None]] = {
             Submit: lambda msg: self._submit(msg.pending),
             CallerGone: lambda msg: self._caller_gone(msg.request_id),
             Delivered: self._delivered,
-            FromLink: self._path.take,
+            FromLink: self._path.handle,
             LinkDown: lambda msg: self._path.link_down(msg.link),
             MemberUsable: self._member_usable,
             MemberGone: self._member_gone,
@@ -155,7 +155,7 @@
 
     # Events of the sidecars.
 
-    def attached(self, instance: str, restarted: bool) -> None:
+    def sidecar_connected(self, instance: str, restarted: bool) -> None:
         """Go on with the attempts over a new link, or end them after a restart."""
         self._ring.record(EventKind.CONNECTED, peer=instance)
         for pending, attempt in self._attempts_at(instance):
@@ -166,7 +166,7 @@
             self._path.reattach(attempt)
             self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
-    def detached(self, instance: str) -> None:
+    def sidecar_disconnected(self, instance: str) -> None:
         """Date the loss of the link; the attempts may be found again."""
         now = self._clock()
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
@@ -174,7 +174,7 @@
             attempt.detached_s = now
         self._carry_out(self._dispatcher(self._services(instance)).lost(instance, now))
 
-    def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
+    def load_reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Pass a load report on to the service's dispatcher."""
         now = self._clock()
         service = self._services(rep.instance)
@@ -184,7 +184,7 @@
         self.on_report(service, rep)
         self._carry_out(dispatcher.report(rep, now))
 
-    def began(self, head: Head) -> None:
+    def head_received(self, head: Head) -> None:
         """Pass the head of an answer on."""
         found = self._find(head.attempt_id)
         if found is not None:
@@ -207,7 +207,7 @@
             self._ended(pending, attempt, LOST)
         self._carry_out(dispatcher.removed(msg.instance, self._clock()))
 
-    def received(self, attempt_id: str, position: int, data: bytes) -> None:
+    def data_received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Pass bytes of an answer on and confirm them."""
         found = self._find(attempt_id)
         if found is None:
@@ -235,7 +235,7 @@
             # The rest of a long event only comes once its beginning is confirmed.
             self._path.acknowledge(attempt, attempt.position)
 
-    def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
+    def attempt_ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
         """Close the request of an attempt, or try again; return whether the attempt is known."""
         found = self._find(attempt_id)
         if found is None:
@@ -243,7 +243,7 @@
             return False
         pending, attempt = found
         if outcome.ok and position != attempt.position:
-            self._path.ask_again(attempt)
+            self._path.request_resend(attempt)
             return True
         if outcome.ok and not self._relay.continues(pending, attempt):
             outcome = Outcome(False, outcome.ran, outcome.tokens, "endpoint_failed")
@@ -251,7 +251,7 @@
         self._ended(pending, attempt, outcome)
         return True
 
-    def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
+    def attempt_rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
         """Try an attempt elsewhere that did not run, unless it may have run long ago."""
         found = self._find(attempt_id)
         if found is None:
--- a/cassiadrum/roles/scheduler_factories.py
+++ b/cassiadrum/roles/scheduler_factories.py
@@ -24,15 +24,17 @@
         self,
         documents: Callable[[str], ServiceDocument | None],
         *,
-        maximum: int,
+        max_concurrency: int,
         can_pause: bool,
     ) -> None:
         self._documents = documents
         self._can_pause = can_pause
         # Until the first document is in force nothing is measured against a target.
-        self._limit = LatencyTrackingLimit(LatencyTargets(0.0), maximum, max(1, maximum // 2))
+        self._limit = LatencyTrackingLimit(
+            LatencyTargets(0.0), max_concurrency, max(1, max_concurrency // 2)
+        )
         self._preemption = PausePreemption(())
-        self._queue_limit = maximum * LIMITS.SIDECAR_QUEUE_PER_SLOT
+        self._queue_limit = max_concurrency * LIMITS.SIDECAR_QUEUE_PER_SLOT
 
     def build(self) -> EndpointScheduler:
         """Return the scheduler."""
--- a/cassiadrum/roles/sidecar_paths.py
+++ b/cassiadrum/roles/sidecar_clients.py
@@ -22,42 +22,42 @@
 from cassiadrum.roles.sidecar_links import SidecarLinks
 from cassiadrum.roles.start_messages import start_message
 
-__all__ = ["AttemptEvents", "SidecarPath"]
+__all__ = ["AttemptEvents", "SidecarClient"]
 
 
 class AttemptEvents(ABC):
     """Take what sidecars say of attempts and of themselves."""
 
     @abstractmethod
-    def attached(self, instance: str, restarted: bool) -> None:
+    def sidecar_connected(self, instance: str, restarted: bool) -> None:
         """Take a new link; after a restart of the sidecar its attempts are lost."""
 
     @abstractmethod
-    def detached(self, instance: str) -> None:
+    def sidecar_disconnected(self, instance: str) -> None:
         """Take the loss of the link."""
 
     @abstractmethod
-    def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
+    def load_reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Take a load report and prompt prefixes that the endpoint holds."""
 
     @abstractmethod
-    def began(self, head: Head) -> None:
+    def head_received(self, head: Head) -> None:
         """Take the head of an answer."""
 
     @abstractmethod
-    def received(self, attempt_id: str, position: int, data: bytes) -> None:
+    def data_received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Take bytes of an answer from a position on."""
 
     @abstractmethod
-    def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
+    def attempt_ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
         """Take the end of an answer of `position` bytes; return whether the attempt is known."""
 
     @abstractmethod
-    def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
+    def attempt_rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
         """Take an attempt that the sidecar did not start, or does not know."""
 
 
-class SidecarPath:
+class SidecarClient:
     """Hand attempts to sidecars and pass what they answer on to `events`."""
 
     def __init__(self, events: AttemptEvents, clock: Callable[[], float]) -> None:
@@ -87,7 +87,7 @@
         attempt.acked = position
         self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
 
-    def ask_again(self, attempt: Attempt) -> None:
+    def request_resend(self, attempt: Attempt) -> None:
         """Ask for the bytes of an answer from the attempt's position on."""
         self._links.send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
 
@@ -110,34 +110,36 @@
 
     def link_down(self, link: Link) -> None:
         """Take the end of a link."""
-        instance = self._links.down(link)
+        instance = self._links.link_down(link)
         if instance:
-            self._events.detached(instance)
+            self._events.sidecar_disconnected(instance)
 
-    def take(self, message: FromLink) -> None:
+    def handle(self, message: FromLink) -> None:
         """Take a message of a sidecar."""
         link, msg = message
         if link.peer is None:
             return
         if isinstance(msg, Hello):
-            self._events.attached(msg.instance, self._links.up(link, msg))
+            self._events.sidecar_connected(msg.instance, self._links.link_up(link, msg))
         elif isinstance(msg, Report):
-            self._report(link, link.peer, msg)
+            self._handle_report(link, link.peer, msg)
         elif isinstance(msg, Head):
-            self._events.began(msg)
+            self._events.head_received(msg)
         elif isinstance(msg, Data):
             for attempt_id, position, data in msg.parts:
-                self._events.received(attempt_id, position, data)
+                self._events.data_received(attempt_id, position, data)
         elif isinstance(msg, End):
-            if not self._events.ended(msg.attempt_id, msg.position, _outcome(msg)):
+            if not self._events.attempt_ended(msg.attempt_id, msg.position, _outcome(msg)):
                 # A sidecar that drains waits for it.
                 link.send(Ack([(msg.attempt_id, msg.position)]))
         elif isinstance(msg, RejectStart):
-            self._events.rejected(msg.attempt_id, msg.reason, msg.retry_after_s)
+            self._events.attempt_rejected(msg.attempt_id, msg.reason, msg.retry_after_s)
 
-    def _report(self, link: Link, peer: Hello, msg: Report) -> None:
+    def _handle_report(self, link: Link, peer: Hello, msg: Report) -> None:
         if self._links.is_current(link):
-            self._events.reported(self._links.report(peer, msg, self._clock()), msg.cached)
+            self._events.load_reported(
+                self._links.store_report(peer, msg, self._clock()), msg.cached
+            )
 
 
 def _outcome(msg: End) -> Outcome:
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -19,17 +19,17 @@
 from cassiadrum.protocols import HttpServer
 from cassiadrum.roles.admin_handlers import AdminHandler
 from cassiadrum.roles.admin_tokens import AdminToken
+from cassiadrum.roles.call_runners import CallRunner
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.daemons import Daemon
-from cassiadrum.roles.endpoint_callers import EndpointCaller
 from cassiadrum.roles.gauges import Gauges
-from cassiadrum.roles.instance_watches import InstanceWatch
-from cassiadrum.roles.once_gates import OnceGate
-from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.instance_list_pollers import InstanceListPoller
+from cassiadrum.roles.once_only_guards import OnceOnlyGuard
+from cassiadrum.roles.order_executors import OrderExecutor
 from cassiadrum.roles.peer_clocks import observe
 from cassiadrum.roles.sidecar_messages import (
     DrainSidecar,
-    EndAll,
+    EndAllStreams,
     LinkLost,
     LinkMessage,
     LoadChanged,
@@ -41,11 +41,11 @@
 
 __all__ = ["SidecarDaemon"]
 
-LOAD_POLL_S = 0.25
+LOAD_POLL_INTERVAL_S = 0.25
 SETTLE_INTERVAL_S = 1.0
 # How long a stop waits for the table service. A claim that is not settled by then is found as
 # `unknown` after its deadline, which keeps the call from running again.
-SETTLE_LIMIT_S = 10.0
+SETTLE_TIMEOUT_S = 10.0
 
 
 class SidecarDaemon(Daemon):
@@ -56,11 +56,11 @@
         cfg: Settings,
         ring: EventRing,
         configurations: ConfigurationAgent,
-        instances: InstanceWatch,
+        instances: InstanceListPoller,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
         claims: ClaimService,
-        orders: OrderGuard,
+        orders: OrderExecutor,
         metrics: RoleMetrics,
         tls: TlsContexts | None = None,
     ) -> None:
@@ -74,13 +74,15 @@
         token = AdminToken(Path(cfg.admin_token_file) if cfg.admin_token_file else None)
         self._draining = False
         self._process_start = secrets.token_hex(8)
-        gate = OnceGate(claims, ring)
+        once_only_guard = OnceOnlyGuard(claims, ring)
         self._sidecar = Sidecar(
-            endpoint, scheduler, lambda post: EndpointCaller(endpoint, gate, post), ring
+            endpoint, scheduler, lambda post: CallRunner(endpoint, once_only_guard, post), ring
         )
-        instances.listeners.append(self._listed)
+        instances.listeners.append(self._instances_changed)
         self._server = LinkServer(self._make_link, on_down=self._link_down)
-        self._gauges = Gauges(metrics, "entry", configurations.registry.versions, self._queued)
+        self._gauges = Gauges(
+            metrics, "entry", configurations.registry.versions, self._queue_lengths
+        )
         self._admin_handler = AdminHandler(
             ring, self.status, self.begin_drain, self._gauges.render, token.permits
         )
@@ -89,9 +91,9 @@
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        callers = self._tls.callers if self._tls else None
+        callers = self._tls.http_server if self._tls else None
         port = await self._server.start(
-            listen.link.host, listen.link.port, self._tls.links if self._tls else None
+            listen.link.host, listen.link.port, self._tls.link_server if self._tls else None
         )
         self.addresses["link"] = str(Address(listen.link.host, port))
         port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
@@ -113,7 +115,7 @@
 
     def in_flight(self) -> int:
         """Return the number of streams that are not finished and delivered."""
-        return self._sidecar.unfinished()
+        return self._sidecar.unfinished_count()
 
     def describe_in_flight(self) -> list[str]:
         """Return a line for each stream that is not finished and delivered."""
@@ -121,17 +123,17 @@
 
     def may_stop(self) -> bool:
         """Tell whether all work is delivered and the entry instances send no more."""
-        drained_s = self._sidecar.drained_s()
+        drained_s = self._sidecar.draining_for_s()
         if drained_s is None or self.in_flight():
             return False
         # Work that was sent before the announcement arrived is on its way.
-        told = not self._sidecar.links or drained_s >= LIMITS.LEAVING_LIMIT_S
-        settled = not len(self._claims.pending) or drained_s >= SETTLE_LIMIT_S
-        return told and settled
+        entries_informed = not self._sidecar.links or drained_s >= LIMITS.LEAVING_LIMIT_S
+        settled = not len(self._claims.pending) or drained_s >= SETTLE_TIMEOUT_S
+        return entries_informed and settled
 
     def refuse_rest(self) -> None:
         """End every stream."""
-        self._sidecar.post(EndAll())
+        self._sidecar.post(EndAllStreams())
 
     async def close(self) -> None:
         """Stop at once."""
@@ -156,9 +158,9 @@
             "links": sorted(self._sidecar.links),
         }
 
-    def _queued(self) -> dict[str, int]:
+    def _queue_lengths(self) -> dict[str, int]:
         service = self._cfg.endpoint.service if self._cfg.endpoint else ""
-        return {service: self._sidecar.waiting()}
+        return {service: self._sidecar.waiting_count()}
 
     async def _poll_load(self) -> None:
         while True:
@@ -169,7 +171,7 @@
                 # The idle connections may have gone silent together with the one just used.
                 self._endpoint.close()
                 self._sidecar.post(LoadChanged(None, time.monotonic()))
-            await asyncio.sleep(LOAD_POLL_S)
+            await asyncio.sleep(LOAD_POLL_INTERVAL_S)
 
     async def _settle_claims(self) -> None:
         while True:
@@ -177,11 +179,11 @@
             if len(self._claims.pending):
                 await self._claims.settle_pending()
 
-    def _listed(self, listed: tuple[Instance, ...]) -> None:
+    def _instances_changed(self, listed: tuple[Instance, ...]) -> None:
         service = self._cfg.endpoint.service if self._cfg.endpoint else ""
         mean = mean_connections(listed, service, self._cfg.limits.subset_size)
         if mean:
-            self._sidecar.bound.mean = mean
+            self._sidecar.connection_bound.mean = mean
 
     def _make_link(self, conn: Connection) -> Link:
         hello = Hello(
@@ -195,14 +197,17 @@
         return Link(
             conn,
             hello,
-            deliver=self._deliver,
-            heartbeat=lambda: (self._configurations.digest(), list(self.ring.clock.tick())),
-            heard=self._heard,
-            stamp=lambda: list(self.ring.clock.tick()),
-            observe=lambda clock: observe(self.ring, clock),
+            on_message=self._handle_message,
+            heartbeat_payload=lambda: (
+                self._configurations.digest(),
+                list(self.ring.clock.tick()),
+            ),
+            on_heartbeat=self._handle_heartbeat,
+            next_timestamp=lambda: list(self.ring.clock.tick()),
+            observe_clock=lambda clock: observe(self.ring, clock),
         )
 
-    def _deliver(self, link: Link, msg: Message) -> None:
+    def _handle_message(self, link: Link, msg: Message) -> None:
         if isinstance(msg, Hello):
             if msg.peer not in ("", self._cfg.instance):
                 link.abort()
@@ -214,7 +219,7 @@
         elif not self._configurations.take(link, msg):
             self._sidecar.post(LinkMessage(link, msg))
 
-    def _heard(self, link: Link, digest: str, clock: list[int]) -> None:
+    def _handle_heartbeat(self, link: Link, digest: str, clock: list[int]) -> None:
         observe(self.ring, clock)
         self._configurations.heard(link, digest)
 
--- a/cassiadrum/roles/sidecar_links.py
+++ b/cassiadrum/roles/sidecar_links.py
@@ -16,7 +16,7 @@
         self._reports: dict[str, EndpointReport] = {}
         self._unusable: set[str] = set()
 
-    def up(self, link: Link, hello: Hello) -> bool:
+    def link_up(self, link: Link, hello: Hello) -> bool:
         """Make a link the current one; tell whether another process answers than before."""
         old = self.by_instance.get(hello.instance)
         if old is not None and old is not link:
@@ -26,7 +26,7 @@
         self._process_starts[hello.instance] = hello.process_start
         return known not in (None, hello.process_start)
 
-    def down(self, link: Link) -> str:
+    def link_down(self, link: Link) -> str:
         """Forget a link; return its instance, empty when the link was not the current one."""
         if not self.is_current(link) or link.peer is None:
             return ""
@@ -43,7 +43,7 @@
         if link is not None:
             link.send(msg)
 
-    def report(self, peer: Hello, msg: Report, now: float) -> EndpointReport:
+    def store_report(self, peer: Hello, msg: Report, now: float) -> EndpointReport:
         """Return a load report as the dispatcher takes it."""
         report = EndpointReport(
             peer.instance,
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -13,7 +13,7 @@
     "CallHead",
     "CallStarted",
     "DrainSidecar",
-    "EndAll",
+    "EndAllStreams",
     "LinkLost",
     "LinkMessage",
     "LoadChanged",
@@ -67,7 +67,7 @@
     """The endpoint's load report, None when the endpoint cannot be reached."""
 
     load: EndpointLoad | None
-    taken_s: float
+    measured_s: float
 
 
 class DrainSidecar(NamedTuple):
@@ -78,7 +78,7 @@
     """Time has passed."""
 
 
-class EndAll(NamedTuple):
+class EndAllStreams(NamedTuple):
     """The drain limit is reached."""
 
 
@@ -92,5 +92,5 @@
     | LoadChanged
     | DrainSidecar
     | Tick
-    | EndAll
+    | EndAllStreams
 )
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -24,23 +24,23 @@
         self.queued = queued
         self.link: Link | None = link
         self.buffer = StreamBuffer(LIMITS.STREAM_BUFFER_BYTES)
-        self.answered: CallHead | None = None
+        self.call_head: CallHead | None = None
         self.head: Head | None = None
         self.end: End | None = None
         self.task: asyncio.Task[None] | None = None
         self.timing: StreamTiming | None = None
-        self.room = asyncio.Event()
-        self.room.set()
+        self.buffer_has_space = asyncio.Event()
+        self.buffer_has_space.set()
         self.cancelled = False
         self.paused = False
         # Time without a byte from the endpoint while one was expected, in seconds.
         self.silent_s = 0.0
-        self.given_up = False
+        self.silence_expired = False
         self.tokens = 0
         self.abandoned = False
         # Monotonic time since when no link is attached.
-        self.idle_since_s: float | None = None
-        self.acked_end = False
+        self.detached_since_s: float | None = None
+        self.end_acked = False
 
     def send(self, msg: Head | End) -> None:
         """Send a message if a link is attached."""
@@ -51,17 +51,17 @@
         """Tell whether the call runs or an entry instance may still fetch its answer."""
         if self.end is None:
             return True
-        if self.acked_end:
+        if self.end_acked:
             return False
         # Without a link the entry instance may be dialling again.
-        waits_s = 0.0 if self.idle_since_s is None else now - self.idle_since_s
+        waits_s = 0.0 if self.detached_since_s is None else now - self.detached_since_s
         return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
 
     def abandon(self) -> None:
         """Let a call that may not be cut run to its end without a receiver."""
         self.abandoned = True
         self.buffer.ack(self.buffer.end)
-        self.room.set()
+        self.buffer_has_space.set()
 
     def describe(self) -> str:
         """Return the attempt, its class and what it waits for."""
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -29,14 +29,14 @@
     Data,
     Detach,
     End,
-    Full,
     Head,
     Hello,
+    LinkRefused,
     RejectStart,
     StartRequest,
 )
 from cassiadrum.members import ConnectionBound
-from cassiadrum.roles.endpoint_callers import EndpointCaller
+from cassiadrum.roles.call_runners import CallRunner
 from cassiadrum.roles.endpoint_controls import EndpointControls
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.roles.load_reporters import LoadReporter
@@ -46,7 +46,7 @@
     CallHead,
     CallStarted,
     DrainSidecar,
-    EndAll,
+    EndAllStreams,
     LinkLost,
     LinkMessage,
     LoadChanged,
@@ -55,13 +55,13 @@
 )
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.roles.start_messages import queued_request
-from cassiadrum.roles.stream_attachments import FINISHED_KEPT_S, StreamAttachments
+from cassiadrum.roles.stream_attachments import FINISHED_RETENTION_S, StreamAttachments
 from cassiadrum.roles.stream_timings import StreamTiming
 
 __all__ = ["Sidecar"]
 
 TICK_INTERVAL_S = 0.1
-RETRY_AFTER_S = 0.2
+REJECT_RETRY_AFTER_S = 0.2
 
 
 class Sidecar:
@@ -71,30 +71,30 @@
         self,
         endpoint: Endpoint,
         scheduler: EndpointScheduler,
-        caller: Callable[[Callable[[SidecarMessage], None]], EndpointCaller],
+        make_call_runner: Callable[[Callable[[SidecarMessage], None]], CallRunner],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.streams: dict[str, SidecarStream] = {}
-        self.bound = ConnectionBound()
-        self._links = EntryLinks(self.bound)
+        self.connection_bound = ConnectionBound()
+        self._links = EntryLinks(self.connection_bound)
         self.links = self._links.by_instance
         # Streams without an end, and the ends in their order: a busy sidecar keeps thousands of
         # finished answers, which must not be visited at each tick.
-        self._open: dict[str, SidecarStream] = {}
-        self._ended: deque[tuple[float, str]] = deque()
+        self._open_streams: dict[str, SidecarStream] = {}
+        self._ended_streams: deque[tuple[float, str]] = deque()
         self._endpoint = endpoint
         self._controls = EndpointControls(endpoint)
         self._scheduler = scheduler
         self._ring = ring
         self._clock = clock
         self._inbox: asyncio.Queue[SidecarMessage] = asyncio.Queue()
-        self._caller = caller(self.post)
+        self._call_runner = make_call_runner(self.post)
         self._attachments = StreamAttachments(self.streams, clock)
         self._reporter = LoadReporter(scheduler, self._links, ring, clock)
-        self._ticked_s = clock()
+        self._last_tick_s = clock()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
-            LinkMessage: self._from_link,
+            LinkMessage: self._handle_link_message,
             LinkLost: lambda msg: self._link_lost(msg.link),
             CallStarted: self._call_started,
             CallHead: self._call_head,
@@ -102,7 +102,7 @@
             CallEnded: self._call_ended,
             LoadChanged: self._reporter.load_changed,
             DrainSidecar: lambda msg: self._drain(),
-            EndAll: lambda msg: self._end_all(),
+            EndAllStreams: lambda msg: self._end_all(),
             Tick: lambda msg: self._tick(),
         }
 
@@ -110,12 +110,12 @@
         """Queue a message for the task."""
         self._inbox.put_nowait(msg)
 
-    def unfinished(self) -> int:
+    def unfinished_count(self) -> int:
         """Return the number of streams that run or that an entry instance still waits for."""
         now = self._clock()
         return sum(stream.unfinished(now) for stream in self.streams.values())
 
-    def waiting(self) -> int:
+    def waiting_count(self) -> int:
         """Return the number of requests in the short queue."""
         return self._scheduler.waiting()
 
@@ -124,9 +124,9 @@
         now = self._clock()
         return [stream.describe() for stream in self.streams.values() if stream.unfinished(now)]
 
-    def drained_s(self) -> float | None:
+    def draining_for_s(self) -> float | None:
         """Return how long ago the endpoint was announced as leaving, None when it was not."""
-        since_s = self._reporter.draining_s
+        since_s = self._reporter.draining_since_s
         return None if since_s is None else self._clock() - since_s
 
     async def run(self) -> None:
@@ -143,7 +143,7 @@
 
     # Messages of entry instances.
 
-    def _from_link(self, message: LinkMessage) -> None:
+    def _handle_link_message(self, message: LinkMessage) -> None:
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
@@ -172,7 +172,7 @@
             link.abort()
             return
         if not self._links.up(link, hello, self._clock()):
-            link.send(Full(f"{len(self.bound)} entry instances are connected"))
+            link.send(LinkRefused(f"{len(self.connection_bound)} entry instances are connected"))
             return
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._reporter.report())
@@ -186,17 +186,17 @@
     def _start(self, link: Link, msg: StartRequest) -> None:
         if msg.attempt_id in self.streams:
             return
-        if self._attachments.refused(msg.attempt_id):
+        if self._attachments.is_refused(msg.attempt_id):
             link.send(RejectStart(msg.attempt_id, "answer_lost", 0.0))
             return
         now = self._clock()
         queued = queued_request(msg, now)
         stream = SidecarStream(msg, queued, link)
         self.streams[msg.attempt_id] = stream
-        self._open[msg.attempt_id] = stream
+        self._open_streams[msg.attempt_id] = stream
         actions = self._scheduler.arrive(queued, now)
         self._record_stream(EventKind.QUEUED, stream)
-        self._carry_out(actions)
+        self._apply_actions(actions)
 
     def _ack(self, attempt_id: str, position: int) -> None:
         stream = self.streams.get(attempt_id)
@@ -204,16 +204,16 @@
             return
         stream.buffer.ack(position)
         if stream.end is not None and position >= stream.end.position:
-            stream.acked_end = True
+            stream.end_acked = True
         if not stream.buffer.full:
-            stream.room.set()
+            stream.buffer_has_space.set()
 
     def _cancel(self, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is None or stream.end is not None or not stream.start.cancellable:
             return
         stream.cancelled = True
-        stream.room.set()
+        stream.buffer_has_space.set()
         if self._scheduler.cancelled(attempt_id, self._clock()):
             self._end(stream, Outcome(False, Ran.NO, 0, "cancelled"))
         elif stream.task is not None:
@@ -243,10 +243,10 @@
         if stream.abandoned:
             stream.buffer.ack(stream.buffer.end)
         if stream.buffer.full and not stream.cancelled:
-            stream.room.clear()
+            stream.buffer_has_space.clear()
         if stream.timing is not None:
             now = self._clock()
-            events = stream.timing.data(msg.data, now)
+            events = stream.timing.record_data(msg.data, now)
             self._scheduler.progressed(msg.attempt_id, events, now)
 
     def _call_ended(self, msg: CallEnded) -> None:
@@ -257,8 +257,8 @@
         now = self._clock()
         if msg.outcome.ok and stream.timing is not None:
             first_s, gap_s = stream.timing.first_token_s, stream.timing.inter_token_s
-            self._carry_out(self._scheduler.observed(msg.attempt_id, first_s, gap_s, now))
-        self._carry_out(self._scheduler.finished(msg.attempt_id, now))
+            self._apply_actions(self._scheduler.observed(msg.attempt_id, first_s, gap_s, now))
+        self._apply_actions(self._scheduler.finished(msg.attempt_id, now))
 
     def _end(self, stream: SidecarStream, outcome: Outcome) -> None:
         stream.end = End(
@@ -271,49 +271,49 @@
             stream.buffer.end,
             final=outcome.final,
         )
-        self._open.pop(stream.start.attempt_id, None)
-        self._ended.append((self._clock(), stream.start.attempt_id))
+        self._open_streams.pop(stream.start.attempt_id, None)
+        self._ended_streams.append((self._clock(), stream.start.attempt_id))
         cancelled = outcome.reason == "cancelled"
         kind = EventKind.CANCELLED if cancelled else EventKind.FINISHED
         reason = "caller_left" if cancelled else outcome.reason
         self._record_stream(kind, stream, reason=reason, ran=outcome.ran, tokens=outcome.tokens)
         stream.send(stream.end)
-        self._reporter.due = True
+        self._reporter.report_due = True
 
     def _drain(self) -> None:
         self._ring.record(EventKind.DRAINING)
-        self._carry_out(self._scheduler.drain(self._clock()))
+        self._apply_actions(self._scheduler.drain(self._clock()))
         self._reporter.announce_leaving()
 
     def _end_all(self) -> None:
         for stream in self.streams.values():
             if stream.end is None:
-                stream.room.set()
+                stream.buffer_has_space.set()
                 if stream.start.cancellable:
                     self._controls.cancel(stream.start.attempt_id)
                 self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
 
     # Actions of the scheduler.
 
-    def _carry_out(self, actions: list[SchedulerAction]) -> None:
+    def _apply_actions(self, actions: list[SchedulerAction]) -> None:
         for action in actions:
             if isinstance(action, Start):
-                self._run(action.req)
+                self._start_call(action.req)
             elif isinstance(action, Reject):
                 self._reject(action)
             elif isinstance(action, Pause):
-                self._record(EventKind.PAUSED, action.request_id)
+                self._record_by_id(EventKind.PAUSED, action.request_id)
                 self._set_paused(action.request_id, True)
                 self._controls.pause(action.request_id)
             elif isinstance(action, Resume):
-                self._record(EventKind.RESUMED, action.request_id)
+                self._record_by_id(EventKind.RESUMED, action.request_id)
                 self._set_paused(action.request_id, False)
                 self._controls.resume(action.request_id)
-        self._reporter.due = True
+        self._reporter.report_due = True
 
-    def _run(self, req: QueuedRequest) -> None:
+    def _start_call(self, req: QueuedRequest) -> None:
         stream = self.streams[req.request_id]
-        stream.task = asyncio.create_task(self._caller.run(stream))
+        stream.task = asyncio.create_task(self._call_runner.run(stream))
 
     def _set_paused(self, attempt_id: str, paused: bool) -> None:
         stream = self.streams.get(attempt_id)
@@ -322,10 +322,12 @@
 
     def _reject(self, action: Reject) -> None:
         stream = self.streams.pop(action.req.request_id)
-        self._open.pop(action.req.request_id, None)
+        self._open_streams.pop(action.req.request_id, None)
         self._record_stream(EventKind.REJECTED, stream, reason=action.reason)
         if stream.link is not None:
-            stream.link.send(RejectStart(stream.start.attempt_id, action.reason, RETRY_AFTER_S))
+            stream.link.send(
+                RejectStart(stream.start.attempt_id, action.reason, REJECT_RETRY_AFTER_S)
+            )
 
     # Time.
 
@@ -333,40 +335,40 @@
         asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
         # Time in which this process did not run is not counted.
-        passed_s, self._ticked_s = min(now - self._ticked_s, 2 * TICK_INTERVAL_S), now
-        for stream in list(self._open.values()):
-            self._expire(stream, now)
-            self._watch_silence(stream, passed_s)
-        horizon = now - FINISHED_KEPT_S
-        while self._ended and self._ended[0][0] <= horizon:
-            self.streams.pop(self._ended.popleft()[1], None)
-        self._attachments.forget(now)
-
-    def _expire(self, stream: SidecarStream, now: float) -> None:
-        if stream.idle_since_s is None or stream.link is not None:
+        passed_s, self._last_tick_s = min(now - self._last_tick_s, 2 * TICK_INTERVAL_S), now
+        for stream in list(self._open_streams.values()):
+            self._expire_detached(stream, now)
+            self._check_silence(stream, passed_s)
+        horizon = now - FINISHED_RETENTION_S
+        while self._ended_streams and self._ended_streams[0][0] <= horizon:
+            self.streams.pop(self._ended_streams.popleft()[1], None)
+        self._attachments.expire_refusals(now)
+
+    def _expire_detached(self, stream: SidecarStream, now: float) -> None:
+        if stream.detached_since_s is None or stream.link is not None:
             return
-        given_up = stream.cancelled or stream.abandoned
-        if not given_up and now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
+        already_ending = stream.cancelled or stream.abandoned
+        if not already_ending and now - stream.detached_since_s >= LIMITS.DETACHED_STREAM_S:
             if not stream.start.cancellable:
                 stream.abandon()
             self._cancel(stream.start.attempt_id)
 
-    def _watch_silence(self, stream: SidecarStream, passed_s: float) -> None:
+    def _check_silence(self, stream: SidecarStream, passed_s: float) -> None:
         """Give up a call whose endpoint has been silent for too long: its connection is lost."""
         limit_s = stream.start.silence_limit_s
         if stream.task is None or stream.timing is None or limit_s <= 0:
             return
-        if stream.paused or not stream.room.is_set():
+        if stream.paused or not stream.buffer_has_space.is_set():
             return
         stream.silent_s += passed_s
-        if stream.silent_s >= limit_s and not stream.given_up:
-            stream.given_up = True
+        if stream.silent_s >= limit_s and not stream.silence_expired:
+            stream.silence_expired = True
             # Idle connections were opened before this one was found dead and may be dead too.
             self._endpoint.close()
             self._controls.cancel(stream.start.attempt_id)
             stream.task.cancel()
 
-    def _record(self, kind: EventKind, attempt_id: str) -> None:
+    def _record_by_id(self, kind: EventKind, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is not None:
             self._record_stream(kind, stream)
--- a/cassiadrum/roles/stream_attachments.py
+++ b/cassiadrum/roles/stream_attachments.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 
 from cassiadrum.decisions import Ran
-from cassiadrum.links import BytesGone, Link, split_data
+from cassiadrum.links import Link, PositionUnavailable, split_data
 from cassiadrum.links.messages import Attach, End, RejectStart
 from cassiadrum.roles.sidecar_streams import SidecarStream
 
-__all__ = ["FINISHED_KEPT_S", "StreamAttachments"]
+__all__ = ["FINISHED_RETENTION_S", "StreamAttachments"]
 
 # A finished answer stays fetchable for this long.
-FINISHED_KEPT_S = 60.0
+FINISHED_RETENTION_S = 60.0
 
 
 class StreamAttachments:
@@ -21,7 +21,7 @@
         self._clock = clock
         # Attempts that a peer asked for before they arrived; a start of one of them that was
         # delayed on an old connection must not run.
-        self._refused: dict[str, float] = {}
+        self._refused_starts: dict[str, float] = {}
 
     def attach(self, link: Link, msg: Attach) -> None:
         """Send the rest of an answer and all that follows on this link."""
@@ -30,12 +30,12 @@
             self._attach_unknown(link, msg)
             return
         try:
-            rest = stream.buffer.since(msg.position)
-        except BytesGone:
+            rest = stream.buffer.read_from(msg.position)
+        except PositionUnavailable:
             link.send(End(msg.attempt_id, False, Ran.YES, 0, "answer_lost", 0.0, 0))
             return
-        _take_over(stream, link)
-        stream.idle_since_s = None
+        _move_to_link(stream, link)
+        stream.detached_since_s = None
         if stream.head is not None:
             link.send(stream.head)
         for part in split_data(msg.attempt_id, msg.position, rest):
@@ -48,43 +48,45 @@
         stream = self._streams.get(attempt_id)
         if stream is not None and stream.link is link:
             stream.link = None
-            stream.idle_since_s = self._clock()
+            stream.detached_since_s = self._clock()
 
     def link_lost(self, link: Link) -> None:
         """Keep the streams of a link that ended."""
         for attempt_id in [key for key, stream in self._streams.items() if stream.link is link]:
             self.detach(link, attempt_id)
 
-    def refused(self, attempt_id: str) -> bool:
+    def is_refused(self, attempt_id: str) -> bool:
         """Tell whether a start of the attempt comes too late."""
-        return attempt_id in self._refused
+        return attempt_id in self._refused_starts
 
-    def forget(self, now: float) -> None:
+    def expire_refusals(self, now: float) -> None:
         """Drop refusals after which no delayed start can come."""
-        horizon = now - FINISHED_KEPT_S
-        self._refused = {key: at for key, at in self._refused.items() if at > horizon}
+        horizon = now - FINISHED_RETENTION_S
+        self._refused_starts = {
+            key: at for key, at in self._refused_starts.items() if at > horizon
+        }
 
     def _attach_unknown(self, link: Link, msg: Attach) -> None:
         """Answer for an attempt that is not here: it never arrived, or it is forgotten."""
-        self._refused[msg.attempt_id] = self._clock()
-        if msg.age_s < FINISHED_KEPT_S / 2:
+        self._refused_starts[msg.attempt_id] = self._clock()
+        if msg.age_s < FINISHED_RETENTION_S / 2:
             link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
         else:
             # It may have run and been forgotten, for example while its entry instance was paused.
             link.send(End(msg.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0))
 
 
-def _take_over(stream: SidecarStream, link: Link) -> None:
+def _move_to_link(stream: SidecarStream, link: Link) -> None:
     """Attach a stream to a link; an entry instance that had it until now gets an end.
 
     The caller fetches the rest elsewhere, and without an end its first request would stay open
     for as long as its silent connection does.
     """
     old, stream.link = stream.link, link
-    if old is not None and old.peer is not None and old.peer.instance != _instance(link):
+    if old is not None and old.peer is not None and old.peer.instance != _peer_instance(link):
         end = End(stream.start.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0)
         old.send(end._replace(final=True))
 
 
-def _instance(link: Link) -> str:
+def _peer_instance(link: Link) -> str:
     return link.peer.instance if link.peer else ""
--- a/cassiadrum/roles/stream_timings.py
+++ b/cassiadrum/roles/stream_timings.py
@@ -14,7 +14,7 @@
         self._first_s = 0.0
         self._last_s = 0.0
 
-    def data(self, data: bytes, now: float) -> int:
+    def record_data(self, data: bytes, now: float) -> int:
         """Take bytes of the answer and return the number of new events."""
         if not self._first_s:
             self._first_s = now
--- a/cassiadrum/tests/fuzz/test_links.py
+++ b/cassiadrum/tests/fuzz/test_links.py
@@ -18,7 +18,7 @@
     Cancel,
     Document,
     End,
-    Fetch,
+    FetchDocument,
     Message,
     Order,
     Ping,
@@ -36,7 +36,7 @@
 )
 # An order from a fabricated lease holder changes nothing on a plain service, and a document of a
 # higher version is what a peer may send; both only must not stop the process.
-SENT = (Ack, Attach, Cancel, End, Fetch, Order, Ping, Report, StartRequest, Versions)
+SENT = (Ack, Attach, Cancel, End, FetchDocument, Order, Ping, Report, StartRequest, Versions)
 HOSTILE_FRAMES = {
     "deep arrays": b"\x81" * 100_000,
     "deep maps": b"\xa1\x00" * 50_000,
--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiadrum.events import Event, EventKind
-from cassiadrum.links.messages import Order, Ordered
+from cassiadrum.links.messages import Order, OrderResult
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import ProcessSite, RawLink, StreamCaller, Way, call, until
 from cassiadrum.tests.integration.conftest import LONG_PROMPT, MakeSite, is_clean
@@ -149,10 +149,10 @@
         await is_clean(site)
 
     @staticmethod
-    async def order(site: ProcessSite, fencing: int) -> Ordered:
+    async def order(site: ProcessSite, fencing: int) -> OrderResult:
         """Send an order as a holder with this fencing token would."""
         link = await RawLink.open(site.children["sprachdienst-1"].ready["link"])
         await link.send(Order(f"order-{fencing}", "claims", fencing, "load_model", "m"))
-        result = await link.receive(Ordered)
+        result = await link.receive(OrderResult)
         await link.close()
         return result
--- a/cassiadrum/tests/test_endpoint_callers.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -9,7 +9,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.protocols import HttpResponse
-from cassiadrum.roles.endpoint_callers import EndpointCaller
+from cassiadrum.roles.call_runners import CallRunner
 from cassiadrum.roles.sidecar_messages import CallData, SidecarMessage
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.states import Claimed, KeptAnswer
@@ -31,16 +31,16 @@
         return HttpResponse(201, (("content-type", "text/plain"),), body())
 
 
-class FakeGate:
+class FakeOnceOnlyGuard:
     """Let a call pass, and note how it ended."""
 
     def __init__(self) -> None:
         self.answer: KeptAnswer | None = None
 
-    async def enter(self, start: StartRequest) -> Claimed:
+    async def claim(self, start: StartRequest) -> Claimed:
         return Claimed(None, None, 1)  # type: ignore[arg-type]
 
-    async def leave(
+    async def settle(
         self, start: StartRequest, claim: Claimed, outcome: Outcome, answer: KeptAnswer | None
     ) -> None:
         self.answer = answer
@@ -51,14 +51,14 @@
 
     @pytest.mark.parametrize(("parts", "kept"), [(2, True), (40, False)])
     async def test_long_answer_is_relayed_but_not_kept(self, parts: int, kept: bool) -> None:
-        gate, posted = FakeGate(), list[SidecarMessage]()
-        caller = EndpointCaller(FakeEndpoint(parts), gate, posted.append)  # type: ignore[arg-type]
+        guard, posted = FakeOnceOnlyGuard(), list[SidecarMessage]()
+        runner = CallRunner(FakeEndpoint(parts), guard, posted.append)  # type: ignore[arg-type]
         fields = ("r.1", "r", "s", "c", 1, False, True, False, "x", 60.0)
         start = StartRequest(*fields, "POST", "/", [], b"", "key")
         queued = QueuedRequest("r.1", "s", "c", 1, False, "x", 0.0)
-        await caller.run(SidecarStream(start, queued, None))  # type: ignore[arg-type]
+        await runner.run(SidecarStream(start, queued, None))  # type: ignore[arg-type]
         relayed = sum(len(msg.data) for msg in posted if isinstance(msg, CallData))
         assert relayed == parts * len(PART)
-        assert gate.answer is not None
-        assert gate.answer.body_kept is kept
-        assert len(gate.answer.body) <= LIMITS.CLAIM_ANSWER_BYTES
+        assert guard.answer is not None
+        assert guard.answer.body_kept is kept
+        assert len(guard.answer.body) <= LIMITS.CLAIM_ANSWER_BYTES
--- a/cassiadrum/tests/test_idle_links.py
+++ b/cassiadrum/tests/test_idle_links.py
@@ -33,9 +33,9 @@
     return Link(
         conn,
         HELLO,
-        deliver=lambda link, msg: None,
-        heartbeat=lambda: ("digest", [1, 2]),
-        heard=lambda link, digest, clock: None,
+        on_message=lambda link, msg: None,
+        heartbeat_payload=lambda: ("digest", [1, 2]),
+        on_heartbeat=lambda link, digest, clock: None,
     )
 
 
@@ -110,9 +110,9 @@
         link = Link(
             None,  # type: ignore[arg-type]
             HELLO,
-            deliver=lambda link, msg: None,
-            heartbeat=lambda: ("", []),
-            heard=lambda link, digest, clock: None,
+            on_message=lambda link, msg: None,
+            heartbeat_payload=lambda: ("", []),
+            on_heartbeat=lambda link, digest, clock: None,
             clock=lambda: now,
         )
         assert not link.idle
@@ -121,8 +121,8 @@
         link._encode(START)
         now += 100 * LIMITS.IDLE_AFTER_S
         assert not link.idle
-        link._take(HELLO)
-        link._take(End("r.1", True, "yes", 0, "", 0.0, 0))
+        link._handle_message(HELLO)
+        link._handle_message(End("r.1", True, "yes", 0, "", 0.0, 0))
         assert not link.idle
         now += LIMITS.IDLE_AFTER_S
         assert link.idle
--- a/cassiadrum/tests/test_link_faults.py
+++ b/cassiadrum/tests/test_link_faults.py
@@ -12,7 +12,7 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import Link, LinkDialer, LinkServer, decode_message, encode_message
-from cassiadrum.links.data_merges import MERGED_BYTES, merge_data, split_data
+from cassiadrum.links.data_merges import MAX_MERGED_BYTES, merge_data, split_data
 from cassiadrum.links.messages import Cancel, Data, Hello, Message, Ping, Report
 
 SILENCE_S = 0.6
@@ -92,11 +92,11 @@
         return lambda conn: Link(
             conn,
             Hello(1, name, name, "z", ""),
-            deliver=lambda _, msg: self.deliver(name, msg),
-            heartbeat=lambda: ("", [1, 0]),
-            heard=lambda *_: None,
-            stamp=lambda: [7, 1],
-            observe=self.observed.append,
+            on_message=lambda _, msg: self.deliver(name, msg),
+            heartbeat_payload=lambda: ("", [1, 0]),
+            on_heartbeat=lambda *_: None,
+            next_timestamp=lambda: [7, 1],
+            observe_clock=self.observed.append,
         )
 
     def deliver(self, name: str, msg: Message) -> None:
@@ -199,7 +199,7 @@
     """Guards against a frame above the limit, which would end the link again and again."""
 
     def test_streams_that_attach_together_fit_the_frame_limit(self) -> None:
-        batch: list[Message] = [Data([(f"a{n}", 0, bytes(MERGED_BYTES))]) for n in range(40)]
+        batch: list[Message] = [Data([(f"a{n}", 0, bytes(MAX_MERGED_BYTES))]) for n in range(40)]
         merged = merge_data(batch)
         assert max(len(encode_message(msg)) for msg in merged) < LIMITS.FRAME_BYTES
         assert [part for msg in merged if isinstance(msg, Data) for part in msg.parts] == [
@@ -214,7 +214,11 @@
         data = bytes(range(256)) * 3000
         parts = split_data("a", 10, data)
         assert b"".join(msg.parts[0][2] for msg in parts) == data
-        assert [msg.parts[0][1] for msg in parts] == [10, 10 + MERGED_BYTES, 10 + 2 * MERGED_BYTES]
+        assert [msg.parts[0][1] for msg in parts] == [
+            10,
+            10 + MAX_MERGED_BYTES,
+            10 + 2 * MAX_MERGED_BYTES,
+        ]
 
     def test_message_of_an_older_peer_has_an_empty_clock(self) -> None:
         frame = encode_message(Report(0.0, 0, 0, 1, [], [], False, 0.0, []))
--- a/cassiadrum/tests/test_links.py
+++ b/cassiadrum/tests/test_links.py
@@ -5,7 +5,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links import (
     BadFrame,
-    BytesGone,
+    PositionUnavailable,
     StreamBuffer,
     decode_message,
     decode_messages,
@@ -13,7 +13,7 @@
     make_frames,
 )
 from cassiadrum.links.data_merges import merge_data
-from cassiadrum.links.messages import Ack, Data, Fetch, Hello, Message, Versions
+from cassiadrum.links.messages import Ack, Data, FetchDocument, Hello, Message, Versions
 
 
 class TestCodec:
@@ -44,14 +44,14 @@
 
     @pytest.mark.parametrize("count", [1, 2, 23, 24, 255, 256, 700])
     def test_messages_keep_their_order(self, count: int) -> None:
-        sent: list[Message] = [Fetch(f"service-{index}") for index in range(count)]
+        sent: list[Message] = [FetchDocument(f"service-{index}") for index in range(count)]
         frames = list(make_frames(map(encode_message, sent)))
         assert len(frames) == -(-count // 255)
         assert [msg for frame in frames for msg in decode_messages(frame)] == sent
 
     def test_unknown_type_in_a_frame_does_not_hide_the_others(self) -> None:
-        frame = b"\x82\x81\x18\xc8" + encode_message(Fetch("s"))
-        assert decode_messages(frame) == [None, Fetch("s")]
+        frame = b"\x82\x81\x18\xc8" + encode_message(FetchDocument("s"))
+        assert decode_messages(frame) == [None, FetchDocument("s")]
 
     @pytest.mark.parametrize("frame", [b"\x82\x81\x00\x01", b"\x81\x80", b"\x80"])
     def test_wrong_shape_is_an_error(self, frame: bytes) -> None:
@@ -81,16 +81,16 @@
         buffer = StreamBuffer(4)
         buffer.append(b"abcdef")
         assert buffer.full
-        assert buffer.since(0) == b"abcdef"
+        assert buffer.read_from(0) == b"abcdef"
 
     def test_acknowledged_bytes_over_the_capacity_are_dropped(self) -> None:
         buffer = StreamBuffer(4)
         buffer.append(b"abcdef")
         buffer.ack(5)
-        assert buffer.since(2) == b"cdef"
-        with pytest.raises(BytesGone):
-            buffer.since(1)
+        assert buffer.read_from(2) == b"cdef"
+        with pytest.raises(PositionUnavailable):
+            buffer.read_from(1)
 
     def test_position_ahead_is_an_error(self) -> None:
-        with pytest.raises(BytesGone):
-            StreamBuffer(4).since(1)
+        with pytest.raises(PositionUnavailable):
+            StreamBuffer(4).read_from(1)
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -5,7 +5,7 @@
 from cassiadrum.events import EventKind, EventRing, HybridClock
 from cassiadrum.members import REMOVAL_LIMIT_S, ChangeKind, Membership, Subset
 from cassiadrum.members.memberships import MOVE_DELAY_S
-from cassiadrum.roles.members import MemberLinks
+from cassiadrum.roles.member_links import MemberLinks
 from cassiadrum.roles.router_messages import MemberGone, MemberUsable, RouterMessage
 from cassiadrum.stores import Instance
 
@@ -113,24 +113,24 @@
         return sorted(dialer.member.instance for dialer in self.dialers)
 
     async def test_leaving_member_gets_no_new_work_at_once(self) -> None:
-        self.links.listed((sidecar("a"), sidecar("b")))
+        self.links.update_instances((sidecar("a"), sidecar("b")))
         self.links.reported("a", True)
         assert self.posted == [MemberUsable("a", False)]
         assert self.events(EventKind.MEMBER_LEAVING) == ["a"]
 
     async def test_gone_member_is_given_up(self) -> None:
-        self.links.listed((sidecar("a"), sidecar("b")))
-        self.links.listed((sidecar("b"),))
+        self.links.update_instances((sidecar("a"), sidecar("b")))
+        self.links.update_instances((sidecar("b"),))
         self.now = REMOVAL_LIMIT_S
-        self.links.listed((sidecar("b"),))
+        self.links.update_instances((sidecar("b"),))
         assert self.posted == [MemberGone("a", "s")]
         assert self.events(EventKind.MEMBER_LEFT) == ["a"]
         assert self.events(EventKind.MEMBER_JOINED) == ["a", "b"]
 
     async def test_moved_member_is_dialled_anew_and_keeps_its_streams(self) -> None:
-        self.links.listed((sidecar("a"),))
+        self.links.update_instances((sidecar("a"),))
         self.now = MOVE_DELAY_S
-        self.links.listed((sidecar("a", 2),))
+        self.links.update_instances((sidecar("a", 2),))
         assert [dialer.member.link_address[-1] for dialer in self.dialers] == ["1", "2"]
         await self.links.close()
         assert not self.dialers[0].running
@@ -138,19 +138,19 @@
 
     async def test_late_loss_of_a_replaced_link_changes_nothing(self) -> None:
         old, new = object(), object()
-        self.links.listed((sidecar("a"),))
+        self.links.update_instances((sidecar("a"),))
         self.links.connected("a", old)  # type: ignore[arg-type]
         self.links.connected("a", new)  # type: ignore[arg-type]
         self.links.disconnected("a", old)  # type: ignore[arg-type]
-        self.links.listed((sidecar("b"),))
+        self.links.update_instances((sidecar("b"),))
         self.now = 10 * REMOVAL_LIMIT_S
-        self.links.listed((sidecar("b"),))
+        self.links.update_instances((sidecar("b"),))
         assert MemberGone("a", "s") not in self.posted
 
     async def test_full_sidecar_is_replaced_by_the_next_in_rank(self) -> None:
-        self.links.listed((sidecar("a"), sidecar("b"), sidecar("c")))
+        self.links.update_instances((sidecar("a"), sidecar("b"), sidecar("c")))
         first = self.dialled()
-        self.links.full(first[0])
+        self.links.link_refused(first[0])
         assert self.dialled() == ["a", "b", "c"]
         assert self.posted == [MemberGone(first[0], "s")]
 
@@ -161,13 +161,13 @@
             ranked.put(sidecar(name))
         best, *_, last = ranked.chosen(0.0)
         old = tuple(sidecar(name) for name in names if name != best)
-        self.links.listed(old)
+        self.links.update_instances(old)
         displaced = ranked.chosen(0.0)[2]
         self.busy.add(displaced)
         for _ in range(2):
-            self.links.listed((*old, sidecar(best)))
+            self.links.update_instances((*old, sidecar(best)))
         assert self.posted == [MemberUsable(displaced, False)]
         self.busy.clear()
-        self.links.listed((*old, sidecar(best)))
+        self.links.update_instances((*old, sidecar(best)))
         assert self.posted[1:] == [MemberGone(displaced, "s")]
         assert last not in self.dialled()
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -9,10 +9,10 @@
 from cassiadrum.decisions import DemandOrderPlanner, EndpointReport
 from cassiadrum.endpoints import EngineEndpoint
 from cassiadrum.events import EventRing, HybridClock
-from cassiadrum.links.messages import Message, Order, Ordered
+from cassiadrum.links.messages import Message, Order, OrderResult
 from cassiadrum.protocols import HttpClient
-from cassiadrum.roles.lease_contenders import CONTENDERS, LeaseContender, is_contender
-from cassiadrum.roles.order_guards import OrderGuard
+from cassiadrum.roles.lease_candidates import MAX_CANDIDATES, LeaseCandidate, is_candidate
+from cassiadrum.roles.order_executors import OrderExecutor
 from cassiadrum.roles.order_tasks import OrderTask
 from cassiadrum.standins import EngineStandin, TableService
 from cassiadrum.states import FencingGuard
@@ -47,8 +47,8 @@
 
     def test_few_of_many_contend(self) -> None:
         names = [f"entry-{number}" for number in range(200)]
-        contenders = [name for name in names if is_contender("orders/s", name, names)]
-        assert len(contenders) == CONTENDERS
+        contenders = [name for name in names if is_candidate("orders/s", name, names)]
+        assert len(contenders) == MAX_CANDIDATES
 
 
 class TestOrderGuard:
@@ -56,27 +56,27 @@
 
     async def test_old_token_is_refused_before_the_engine(self, store: TableStore) -> None:
         now = [0.0]
-        first = LeaseContender(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
-        second = LeaseContender(store, "orders/s", "b", lambda: ["b"], make_ring(), lambda: now[0])
+        first = LeaseCandidate(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
+        second = LeaseCandidate(store, "orders/s", "b", lambda: ["b"], make_ring(), lambda: now[0])
         await first.step()
         await first.step()
-        old = first.fencing()
+        old = first.fencing_token()
         await second.step()
         now[0] += 10.0
         await second.step()
-        new = second.fencing()
+        new = second.fencing_token()
         assert old is not None and new is not None and new > old
-        assert first.fencing() is None
+        assert first.fencing_token() is None
 
         engine = EngineStandin(enforces_fencing=False)
         endpoint = EngineEndpoint("127.0.0.1", await engine.start())
-        guard = OrderGuard(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
+        guard = OrderExecutor(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
         task = asyncio.create_task(guard.run())
         link = Recorder()
         for fencing in (old, new):
             guard.post(link, Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"))  # type: ignore[arg-type]
         results = [await link.sent.get() for _ in range(2)]
-        assert [res.ok for res in results if isinstance(res, Ordered)] == [False, True]
+        assert [res.ok for res in results if isinstance(res, OrderResult)] == [False, True]
         assert (await endpoint.load()).models == (f"m{new}",)
         task.cancel()
         endpoint.close()
@@ -88,20 +88,20 @@
 
     async def test_order_is_sent_only_under_the_lease(self, store: TableStore) -> None:
         now = [0.0]
-        lease = LeaseContender(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
+        lease = LeaseCandidate(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
         link = Recorder()
         task = OrderTask(
             "s",
             DemandOrderPlanner({("wanted", ""): 1000}, 1e9),
             lease,
-            waiting=lambda service: [("wanted", "")] * 20,
-            entries=lambda: 1,
+            waiting_models=lambda service: [("wanted", "")] * 20,
+            entry_count=lambda: 1,
             links=lambda instance: link,  # type: ignore[arg-type, return-value]
             ring=make_ring(),
             clock=lambda: now[0],
         )
         for number in range(3):
-            task.report(EndpointReport(f"e{number}", "z", 0, 0, 8, 0.0, ("other",)))
+            task.load_reported(EndpointReport(f"e{number}", "z", 0, 0, 8, 0.0, ("other",)))
         for _ in range(60):
             task.step()
             now[0] += 1.0
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -294,11 +294,11 @@
         bench.start(old)
         bench.handle(CallData("r.1", bytes(WINDOW)))
         stream = bench.sidecar.streams["r.1"]
-        assert not stream.room.is_set()
+        assert not stream.buffer_has_space.is_set()
         new = bench.connect(2)
         bench.say(new, Attach("r.1", WINDOW))
         bench.say(new, Ack([("r.1", WINDOW)]))
-        assert stream.room.is_set()
+        assert stream.buffer_has_space.is_set()
 
     @pytest.mark.parametrize("cancellable", [True, False])
     async def test_stream_without_receiver_holds_no_slot(self, cancellable: bool) -> None:
@@ -311,7 +311,7 @@
         bench.tick(LIMITS.DETACHED_STREAM_S)
         assert stream.cancelled is cancellable
         bench.handle(CallData("r.1", bytes(2 * WINDOW)))
-        assert stream.room.is_set()
+        assert stream.buffer_has_space.is_set()
 
     async def test_end_is_kept_for_an_entry_instance_that_dials_again(self) -> None:
         bench = SidecarBench()
@@ -321,12 +321,12 @@
         bench.lose(link)
         bench.handle(CallEnded("r.1", ok_outcome()))
         bench.handle(DrainSidecar())
-        assert bench.sidecar.unfinished() == 1
+        assert bench.sidecar.unfinished_count() == 1
         new = bench.connect(2)
         bench.say(new, Attach("r.1", 0))
         assert new.take(End)[0].ok
         bench.say(new, Ack([("r.1", 0)]))
-        assert bench.sidecar.unfinished() == 0
+        assert bench.sidecar.unfinished_count() == 0
 
     async def test_drain_does_not_wait_for_ever_for_an_entry_instance(self) -> None:
         bench = SidecarBench()
@@ -335,7 +335,7 @@
         bench.handle(CallEnded("r.1", ok_outcome()))
         bench.lose(link)
         bench.now += LIMITS.DETACHED_STREAM_S
-        assert bench.sidecar.unfinished() == 0
+        assert bench.sidecar.unfinished_count() == 0
 
     async def test_drain_gives_waiting_work_back_and_reports_at_once(self) -> None:
         bench = SidecarBench()
@@ -347,7 +347,7 @@
         assert link.take(Report)[-1].leaving
         bench.start(link, "late.1")
         assert link.take(RejectStart)[-1].attempt_id == "late.1"
-        assert bench.sidecar.unfinished() == 1
+        assert bench.sidecar.unfinished_count() == 1
 
 
 def ok_outcome() -> Any:
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -72,7 +72,7 @@
         self._server = LinkServer(self.make("side"), on_down=lambda _: None)
 
     async def start(self) -> None:
-        port = await self._server.start("127.0.0.1", 0, self._tls.links)
+        port = await self._server.start("127.0.0.1", 0, self._tls.link_server)
         self.address = f"127.0.0.1:{port}"
 
     def make(self, name: str) -> Callable[..., Link]:
@@ -83,9 +83,9 @@
         return lambda conn: Link(
             conn,
             Hello(1, name, "", "z", ""),
-            deliver=deliver,
-            heartbeat=lambda: ("", []),
-            heard=lambda *_: None,
+            on_message=deliver,
+            heartbeat_payload=lambda: ("", []),
+            on_heartbeat=lambda *_: None,
         )
 
     def dialer(self, name: str, tls: Callable[[], ssl.SSLContext | None]) -> LinkDialer:
@@ -124,8 +124,8 @@
         stranger = other(tmp_path, trustme.CA())
         nameless = ssl.create_default_context(cafile=str(files.ca))
         nameless.check_hostname = False
-        assert await server.accepts(lambda: own.dial)
-        assert not await server.accepts(lambda: stranger.dial)
+        assert await server.accepts(lambda: own.link_client)
+        assert not await server.accepts(lambda: stranger.link_client)
         assert not await server.accepts(lambda: nameless)
         assert not await server.accepts(lambda: None)
 
@@ -134,25 +134,25 @@
     ) -> None:
         new_ca = trustme.CA()
         old, new = files.contexts(), other(tmp_path, new_ca)
-        assert not await server.accepts(lambda: new.dial)
+        assert not await server.accepts(lambda: new.link_client)
         files.write(new_ca)
         assert server._tls.reload()
-        assert await server.accepts(lambda: new.dial)
-        assert not await server.accepts(lambda: old.dial)
+        assert await server.accepts(lambda: new.link_client)
+        assert not await server.accepts(lambda: old.link_client)
         assert not server._tls.reload()
 
     def test_files_that_do_not_fit_change_nothing(
         self, files: Files, caplog: pytest.LogCaptureFixture
     ) -> None:
         contexts = files.contexts()
-        before = contexts.dial
+        before = contexts.link_client
         key = files.key.read_bytes()
         files.key.write_bytes(key[:200])
         with caplog.at_level(logging.DEBUG):
             assert not contexts.reload()
             files.key.unlink()
             assert not contexts.reload(changed_only=False)
-        assert contexts.dial is before
+        assert contexts.link_client is before
         assert caplog.messages and key[60:100].decode() not in caplog.text
         with pytest.raises(BadCertificate):
             files.contexts()
@@ -162,7 +162,7 @@
             await exchange.send_json(200, {})
 
         http = HttpServer(answer)
-        port = await http.start("127.0.0.1", 0, files.contexts().callers)
+        port = await http.start("127.0.0.1", 0, files.contexts().http_server)
         context = ssl.create_default_context(cafile=str(files.ca))
         response = await HttpClient("127.0.0.1", port, tls=context).request("GET", "/")
         async with asyncio.timeout(LIMIT_S):
@@ -251,12 +251,12 @@
                 lambda conn: Link(
                     conn,
                     Hello(1, "stranger", "entry", "z", ""),
-                    deliver=lambda _, msg: hellos.append(msg),
-                    heartbeat=lambda: ("", []),
-                    heard=lambda *_: None,
+                    on_message=lambda _, msg: hellos.append(msg),
+                    heartbeat_payload=lambda: ("", []),
+                    on_heartbeat=lambda *_: None,
                 ),
                 on_down=lambda _: None,
-                tls=lambda: stranger.dial,
+                tls=lambda: stranger.link_client,
             )
             await dialer._connect_once()
             assert hellos == []
@@ -312,7 +312,7 @@
             await exchange.send_json(200 if permitted else 401, {})
 
         server = HttpServer(handle)
-        port = await server.start("127.0.0.1", 0, files.contexts().callers)
+        port = await server.start("127.0.0.1", 0, files.contexts().http_server)
         client = AdminClient(f"127.0.0.1:{port}")
         monkeypatch.setenv(CA_VARIABLE, str(files.ca))
         with pytest.raises(CommandError) as info:
