--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -1,4 +1,4 @@
-"""The task that carries out one call to the endpoint."""
+"""Calls to the endpoint on behalf of streams."""
 
 import asyncio
 import re
@@ -23,15 +23,18 @@
 
 SSE_EVENT = b"\n\n"
 SSE_DONE = b"data: [DONE]\n\n"
-# A pass through the event loop for each token costs more than the token's other work.
+# Yielding to the event loop for each token would cost more than relaying the token.
 YIELD_INTERVAL_BYTES = LIMITS.STREAM_BUFFER_BYTES // 16
-# The usage stands at the end of an answer that is not a stream.
+# An answer that is not a stream has its `usage` object at the end of the body.
 USAGE_TAIL_BYTES = 512
 USAGE_PATTERN = re.compile(rb'"completion_tokens":\s*([0-9]{1,9})')
 
 
 class CallRunner:
-    """Call the endpoint for one stream and post its answer to the sidecar."""
+    """Call the endpoint and post the answer of each call to the sidecar.
+
+    One runner serves all streams; each stream runs in a task of its own.
+    """
 
     def __init__(
         self,
@@ -44,7 +47,7 @@
         self._post = post
 
     async def run(self, stream: SidecarStream) -> None:
-        """Carry out the call; always post exactly one CallEnded."""
+        """Make the call of a stream; exactly one CallEnded is posted in every case."""
         outcome = Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
         try:
             if stream.start.once_only:
@@ -53,7 +56,7 @@
                 outcome = await self._run(stream, None)
         finally:
             if stream.cancelled:
-                # A cancelled call does not return, but its tokens were computed.
+                # A cancelled call raises instead of returning, but its tokens were computed.
                 outcome = outcome._replace(ok=False, reason="cancelled", tokens=stream.tokens)
             self._post(CallEnded(stream.start.attempt_id, outcome))
 
@@ -75,12 +78,12 @@
         return outcome
 
     async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
-        """Call the endpoint; collect the answer in `body` if that is to be kept."""
+        """Call the endpoint; the answer is also collected in `body` unless that is None."""
         task = asyncio.current_task()
         try:
             return await self._call_endpoint(stream, body)
         except asyncio.CancelledError:
-            # When the sidecar gives up a silent call, the task still has to settle the claim.
+            # After the silence limit the task continues, since it still has to settle the claim.
             if not stream.silence_expired or task is None:
                 raise
             task.uncancel()
@@ -94,7 +97,7 @@
             return Outcome(False, Ran.NO, 0, "endpoint_failed")
         except EndpointResponseLost:
             return Outcome(False, Ran.UNKNOWN, 0, "answer_lost")
-        # Kept here too, since the sidecar's task may take the message after the call has ended.
+        # Set here because the sidecar may handle the message only after the call has ended.
         stream.call_head = CallHead(
             stream.start.attempt_id, response.status, list(response.headers)
         )
@@ -114,7 +117,7 @@
                 self._post(CallData(stream.start.attempt_id, data))
                 posted += len(data)
                 if posted >= YIELD_INTERVAL_BYTES:
-                    # Lets the sidecar's task clear `room` when the buffer is full.
+                    # Lets the sidecar's task clear `buffer_has_space` when the buffer is full.
                     await asyncio.sleep(0)
                     posted = 0
                 if not stream.buffer_has_space.is_set():
@@ -133,7 +136,10 @@
 
 
 def _count_tokens(events: int, tail: bytes) -> int:
-    """Return the tokens of a whole answer: content events of a stream, else the usage."""
+    """Return the tokens of a complete answer.
+
+    Counts the content events of a stream; any other answer states them in its `usage` object.
+    """
     if events:
         return events - tail.endswith(SSE_DONE)
     usage = USAGE_PATTERN.search(tail)
--- a/cassiadrum/roles/claim_cleanup_tasks.py
+++ b/cassiadrum/roles/claim_cleanup_tasks.py
@@ -1,4 +1,4 @@
-"""Clean-up of old claims by whoever holds the lease."""
+"""Clean-up of old claims by the entry instance that holds the lease."""
 
 import asyncio
 import logging
@@ -15,14 +15,14 @@
 
 
 class ClaimCleanupTask:
-    """Clean one page of claims at a time while the lease is held."""
+    """Clean one page of claims per interval while this instance holds the lease."""
 
     def __init__(self, lease: LeaseCandidate, cleaner: ClaimCleaner) -> None:
         self._lease = lease
         self._cleaner = cleaner
 
     async def run(self) -> None:
-        """Hold the lease and step for ever."""
+        """Contend for the lease and clean claims until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._lease.run())
             group.create_task(self._clean())
@@ -35,4 +35,4 @@
             try:
                 await self._cleaner.step()
             except StoreUnavailable as exc:
-                logger.debug("claims not cleaned: %s", exc)
+                logger.debug("claim clean-up skipped until the next interval: %s", exc)
--- a/cassiadrum/roles/endpoint_controls.py
+++ b/cassiadrum/roles/endpoint_controls.py
@@ -1,4 +1,4 @@
-"""Pausing, resuming and cancelling at an endpoint, beside the task that decides it."""
+"""Control calls to an endpoint: pause, resume and cancel."""
 
 import asyncio
 import logging
@@ -13,9 +13,9 @@
 
 
 class EndpointControls:
-    """Send control calls in tasks of their own.
+    """Send control calls in background tasks, so that the sidecar does not wait for them.
 
-    A failure is only logged: the load report and the stream show what the endpoint does.
+    A failure is only logged, since the load report and the stream show what the endpoint does.
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
@@ -23,15 +23,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def pause(self, attempt_id: str) -> None:
-        """Stop the output of an attempt for a while."""
+        """Pause the output of an attempt."""
         self._send("pause", attempt_id, self._endpoint.pause(attempt_id))
 
     def resume(self, attempt_id: str) -> None:
-        """Let the output of an attempt go on."""
+        """Resume the output of a paused attempt."""
         self._send("resume", attempt_id, self._endpoint.resume(attempt_id))
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop an attempt for good."""
+        """Stop an attempt; it cannot be resumed."""
         self._send("cancel", attempt_id, self._endpoint.cancel(attempt_id))
 
     def _send(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
@@ -45,4 +45,4 @@
         try:
             await call
         except EndpointError as exc:
-            logger.info("%s of %s failed at the endpoint: %s", order, attempt_id, exc)
+            logger.info("control call %s for attempt %s failed: %s", order, attempt_id, exc)
--- a/cassiadrum/roles/instance_list_pollers.py
+++ b/cassiadrum/roles/instance_list_pollers.py
@@ -1,4 +1,4 @@
-"""The task that reads the instance list."""
+"""Polling of the instance list."""
 
 import asyncio
 import logging
@@ -13,12 +13,15 @@
 
 
 def list_poll_interval_s(processes: int) -> float:
-    """Return the pause between reads that keeps the fleet within its reads a second."""
+    """Return the poll interval in seconds for a fleet of that many processes.
+
+    It grows with the fleet so that all processes together stay within FLEET_LIST_READS_PER_S.
+    """
     return max(LIMITS.INSTANCE_POLL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
 
 
 class InstanceListPoller:
-    """Poll the instance list and pass on what it holds."""
+    """Poll the instance list and pass it to `listeners`; after a failed read, an empty one."""
 
     def __init__(self, instances: InstanceList) -> None:
         self.listeners: list[Callable[[tuple[Instance, ...]], None]] = []
@@ -27,20 +30,20 @@
         self._entries: list[str] = []
 
     def process_count(self) -> int:
-        """Return the number of processes in the last list that was not empty."""
+        """Return the number of processes in the last non-empty list, 1 before the first."""
         return self._count
 
     def entry_instances(self) -> list[str]:
-        """Return the entry instances in the last list that was not empty."""
+        """Return the names of the entry instances in the last non-empty list."""
         return self._entries
 
     async def run(self) -> None:
-        """Poll for ever."""
+        """Poll until cancelled."""
         while True:
             try:
                 listed = await self._instances.fetch()
             except StoreUnavailable as exc:
-                logger.debug("instance list: %s", exc)
+                logger.debug("instance list not read: %s", exc)
                 listed = ()
             if listed:
                 self._count = len(listed)
--- a/cassiadrum/roles/lease_candidates.py
+++ b/cassiadrum/roles/lease_candidates.py
@@ -14,19 +14,27 @@
 LEASE_DURATION_S = 6.0
 LEASE_MARGIN_S = 1.0
 RENEW_INTERVAL_S = LEASE_DURATION_S / 3
-# With three contenders a lease passes on within seconds, and the reads of a lease do not grow
-# with the fleet.
+# Three candidates take over a lost lease within seconds, and the number of reads of a lease does
+# not grow with the fleet.
 MAX_CANDIDATES = 3
 
 
 def is_candidate(lease: str, instance: str, entries: Iterable[str]) -> bool:
-    """Tell whether an entry instance is among those that contend for a lease."""
+    """Return whether an entry instance contends for a lease.
+
+    The candidates are the first MAX_CANDIDATES in the order of a hash of lease and instance. While
+    no entry instance is known, every instance is a candidate.
+    """
     ranked = sorted(entries, key=lambda name: xxhash.xxh64_intdigest(f"{lease} {name}".encode()))
     return instance in ranked[:MAX_CANDIDATES] or not ranked
 
 
 class LeaseCandidate:
-    """Hold or contend for one lease; `entries` names the live entry instances."""
+    """Hold or contend for one lease.
+
+    `entry_instances` returns the names of the live entry instances; `clock` gives monotonic
+    seconds.
+    """
 
     def __init__(
         self,
@@ -46,13 +54,13 @@
         self._ring = ring
 
     async def run(self) -> None:
-        """Step for ever."""
+        """Renew or contend until cancelled."""
         while True:
             await self.step()
             await asyncio.sleep(RENEW_INTERVAL_S)
 
     async def step(self) -> None:
-        """Renew, contend, or stay out because other instances contend."""
+        """Renew a held lease, or contend for it if this instance is a candidate."""
         held = self._core.is_holder
         if held or is_candidate(self.name, self._instance, self._entry_instances()):
             await self._keeper.step()
@@ -61,12 +69,12 @@
             self._ring.record(kind, lease=self.name)
 
     def fencing_token(self) -> int | None:
-        """Return the fencing token for an effect that starts right now, None without the lease."""
+        """Return the fencing token for an effect that starts now, None without the lease."""
         try:
             return self._keeper.check()
         except LeaseLost:
             return None
 
     async def release(self) -> None:
-        """Give the lease up, so that another instance need not wait for it to run out."""
+        """Release the lease, so that another instance need not wait for it to expire."""
         await self._keeper.release()
--- a/cassiadrum/roles/load_reporters.py
+++ b/cassiadrum/roles/load_reporters.py
@@ -1,4 +1,4 @@
-"""Load reports of a sidecar to its entry instances."""
+"""Load reports that a sidecar sends to entry instances."""
 
 import logging
 from collections.abc import Callable
@@ -19,10 +19,10 @@
 
 
 class LoadReporter:
-    """Send a report soon after a change, and at times without one.
+    """Send a report soon after a change of load, and periodically without one.
 
-    `due` is set by whoever changes the load. `draining_s` is the monotonic time of the
-    announcement that the endpoint leaves, None before.
+    Code that changes the load sets `report_due`. `draining_since_s` is the monotonic time at which
+    the drain was announced, None before.
     """
 
     def __init__(
@@ -44,10 +44,13 @@
         self._last_sent_s = 0.0
 
     def load_changed(self, msg: LoadChanged) -> None:
-        """Take the endpoint's own report."""
+        """Store the load that the endpoint itself reported."""
         reachable = msg.load is not None
         if reachable != self._reachable:
-            logger.info("endpoint %s", "answers again" if reachable else "does not answer")
+            logger.info(
+                "endpoint %s",
+                "is reachable again" if reachable else "does not answer load requests",
+            )
             kind = EventKind.ENDPOINT_RECOVERED if reachable else EventKind.ENDPOINT_FAILED
             self._ring.record(kind)
             self.report_due = True
@@ -58,25 +61,32 @@
             self._load_measured_s = msg.measured_s
 
     def announce_leaving(self) -> None:
-        """Tell every entry instance at once that the endpoint takes no new work."""
+        """Report at once to every entry instance that the endpoint takes no new work."""
         self.draining_since_s = self._clock()
         self.send()
 
     def send_when_due(self) -> None:
-        """Send a report if the load changed, or if the last one is old."""
+        """Send a report if the load changed or the last report is too old.
+
+        REPORT_MIN_INTERVAL_S and REPORT_MAX_INTERVAL_S bound the time between two reports.
+        """
         idle_s = self._clock() - self._last_sent_s
         changed = self.report_due and idle_s >= LIMITS.REPORT_MIN_INTERVAL_S
         if changed or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
             self.send()
 
     def send(self) -> None:
-        """Send a report on every link."""
+        """Send a report on the link of every entry instance."""
         self._links.send(self.report())
         self._last_sent_s = self._clock()
         self.report_due = False
 
     def report(self) -> Report:
-        """Return the report; cache events are passed on once."""
+        """Return the current report.
+
+        Newly cached prompt prefixes are part of one report only. The limit is 0 while the endpoint
+        cannot be reached.
+        """
         load, self._load = self._load, self._load._replace(cached=())
         return Report(
             min(self._clock() - self._load_measured_s, MAX_LOAD_AGE_S),
--- a/cassiadrum/roles/maintenance_factories.py
+++ b/cassiadrum/roles/maintenance_factories.py
@@ -1,4 +1,4 @@
-"""Construction of the work that only the holder of a lease does."""
+"""Construction of the tasks that run under a lease."""
 
 import time
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 
 class MaintenanceFactory:
-    """Build the claim janitor and the order manager of an entry instance."""
+    """Build the claim clean-up and the order manager of an entry instance."""
 
     def __init__(
         self,
@@ -37,14 +37,14 @@
         self._ring = ring
 
     def claim_cleanup(self, entry_instances: Callable[[], list[str]]) -> ClaimCleanupTask:
-        """Return the janitor; `entries` names the live entry instances."""
+        """Return the clean-up task; `entry_instances` names the live entry instances."""
         cleaner = ClaimCleaner(self._table, self._objects)
         return ClaimCleanupTask(self._lease("claims", entry_instances), cleaner)
 
     def order_manager(
         self, router: Router, entry_instances: Callable[[], list[str]]
     ) -> OrderManager:
-        """Return the order manager; it reads demand and links from the router."""
+        """Return the order manager, which reads demand and links from the router."""
 
         def make_task(
             service: str, planner: DemandOrderPlanner, lease: LeaseCandidate
--- a/cassiadrum/roles/member_links.py
+++ b/cassiadrum/roles/member_links.py
@@ -1,4 +1,4 @@
-"""The links of an entry instance to the sidecars of the instance list."""
+"""Links of an entry instance to the sidecars in the instance list."""
 
 import asyncio
 import time
@@ -20,11 +20,11 @@
 
 
 class MemberLinks:
-    """Keep a link to each sidecar of the subsets and tell the router which may take work.
+    """Keep a link to each sidecar of the chosen subsets and tell the router which are usable.
 
-    `make_dialer` builds the dialer of a member, `busy` tells whether an instance still has work
-    of this process; a sidecar that leaves the subset keeps its link until it has none. `services`
-    is filled with the service of each member.
+    `make_dialer` builds the dialer of a member. `has_work` returns whether an instance still has
+    work of this process: a sidecar that drops out of its subset keeps its link until it has none.
+    `services` is filled with the service of each member.
     """
 
     def __init__(
@@ -54,12 +54,13 @@
         self._stopping: set[asyncio.Task[None]] = set()
 
     def member(self, instance: str) -> Instance | None:
-        """Return a sidecar of the list, whether it is linked to or not."""
+        """Return a sidecar of the instance list, linked or not; None when it is not listed."""
         return self._membership.member(instance)
 
     def update_instances(self, instances: tuple[Instance, ...]) -> None:
-        """Take the instance list; an empty one stands for a failed read."""
-        # Before the new list, so that the router had a poll interval to hear of a retirement.
+        """Apply a new instance list; an empty one means that the read failed."""
+        # Links retired by the previous list are closed only now, so that the router has had one
+        # poll interval to stop using them.
         self._close_retired()
         services = {item.service for item in instances if item.role == "sidecar"}
         if services:
@@ -69,24 +70,24 @@
         self._apply_changes(self._membership.listed(instances, self._clock()))
 
     def connected(self, instance: str, link: Link) -> None:
-        """Take the hello of a sidecar."""
+        """Store the link on which a sidecar sent its hello."""
         self._links[instance] = link
         self._membership.connected(instance)
 
     def disconnected(self, instance: str, link: Link) -> None:
-        """Take the loss of a link; one that was replaced changes nothing."""
+        """Record the loss of a link, unless a newer one has replaced it."""
         if self._links.get(instance) is link:
             del self._links[instance]
             self._membership.disconnected(instance, self._clock())
 
     def reported(self, instance: str, leaving: bool) -> None:
-        """Take what a sidecar says of itself."""
+        """Record whether a sidecar reports that it is leaving."""
         changes = self._membership.reported(instance, leaving, self._clock())
         if changes:
             self._apply_changes(changes)
 
     def link_refused(self, instance: str) -> None:
-        """Take the refusal of a sidecar that has its share of connections."""
+        """Replace a sidecar that refused the link because it has reached its connection bound."""
         service = self._services.get(instance)
         if service is not None:
             self._subsets[service].set_full(instance, self._clock())
@@ -94,7 +95,7 @@
             self._update_links()
 
     async def close(self) -> None:
-        """Close every link."""
+        """Close every link and wait until they are closed."""
         await asyncio.gather(*(dialer.stop() for dialer in self._dialers.values()))
         await asyncio.gather(*self._stopping)
 
@@ -109,7 +110,7 @@
         if kind in MEMBER_EVENT_KINDS:
             self._ring.record(MEMBER_EVENT_KINDS[kind], service=member.service, member=name)
         if kind in (ChangeKind.MOVED, ChangeKind.LEFT):
-            # Streams may be found again at the new address, but not at another service.
+            # Streams can be attached again at a new address, but not at another service.
             if kind is ChangeKind.MOVED and member.service == self._services[name]:
                 self._stop_dialer(name)
             else:
@@ -137,7 +138,7 @@
             self._retired.discard(name)
             self._post(MemberUsable(name, True))
         for name in self._dialers.keys() - chosen - self._retired:
-            # The link to a leaving sidecar stays up for its streams until the sidecar ends.
+            # The link to a leaving sidecar stays up for its streams until the sidecar stops.
             if not self._membership.leaving(name):
                 self._retired.add(name)
                 self._post(MemberUsable(name, False))
@@ -148,7 +149,7 @@
 
     def _remove_link(self, instance: str) -> None:
         if self._stop_dialer(instance):
-            # The service is named because the member may be unknown when this is handled.
+            # The message names the service, since the member may be unknown when it is handled.
             self._post(MemberGone(instance, self._services.get(instance, "")))
 
     def _stop_dialer(self, instance: str) -> bool:
--- a/cassiadrum/roles/once_only_guards.py
+++ b/cassiadrum/roles/once_only_guards.py
@@ -1,4 +1,4 @@
-"""The claim of a once-only call right before its effect."""
+"""Claims for once-only calls, made right before the call to the endpoint."""
 
 import hashlib
 from typing import NamedTuple
@@ -22,21 +22,24 @@
 
 
 class ClaimRefusal(NamedTuple):
-    """What to tell the caller instead of running the call; `kept` is an earlier answer."""
+    """Outcome of a call whose claim was refused.
+
+    `stored_answer` is the answer of the earlier call with the same key, if it was stored.
+    """
 
     outcome: Outcome
     stored_answer: KeptAnswer | None = None
 
 
 class OnceOnlyGuard:
-    """Let each once-only call pass once, and record how it ended."""
+    """Permit each once-only call at most once and store its result in the claim."""
 
     def __init__(self, claims: ClaimService, ring: EventRing) -> None:
         self._claims = claims
         self._ring = ring
 
     async def claim(self, start: StartRequest) -> Claimed | ClaimRefusal:
-        """Claim the call; only a Claimed permits the effect."""
+        """Claim the call's key; the call may be sent to the endpoint only on a Claimed."""
         key = ClaimKey(start.service, start.customer, start.key)
         result = await self._claims.claim(key, _body_hash(start), max(0.0, start.deadline_left_s))
         if isinstance(result, Claimed):
@@ -49,7 +52,10 @@
     async def settle(
         self, start: StartRequest, claim: Claimed, outcome: Outcome, answer: KeptAnswer | None
     ) -> None:
-        """Record the end of the call; what cannot be written now is written later."""
+        """Write the result to the claim.
+
+        If the table service does not answer, the claim service keeps the write and repeats it.
+        """
         if outcome.ok and answer is not None:
             await self._claims.finish(claim, answer)
             state = "done"
@@ -68,7 +74,7 @@
 
 
 def stored_headers(headers: Headers) -> Headers:
-    """Return the headers that are kept with an answer."""
+    """Return the response headers that are stored with an answer."""
     return tuple((k, v) for k, v in headers if k in ("content-type", "location", "etag"))
 
 
--- a/cassiadrum/roles/order_executors.py
+++ b/cassiadrum/roles/order_executors.py
@@ -1,4 +1,4 @@
-"""Orders at the sidecar: the check of the fencing token right before the effect."""
+"""Execution of orders at the sidecar, each after a check of its fencing token."""
 
 import asyncio
 
@@ -12,7 +12,7 @@
 
 
 class OrderExecutor:
-    """Carry out orders one after the other, each after its token was admitted."""
+    """Execute orders one at a time; the fencing token is checked right before each."""
 
     def __init__(self, endpoint: Endpoint, guard: FencingGuard, ring: EventRing) -> None:
         self._endpoint = endpoint
@@ -21,11 +21,11 @@
         self._orders: asyncio.Queue[tuple[Link, Order]] = asyncio.Queue()
 
     def post(self, link: Link, order: Order) -> None:
-        """Queue an order."""
+        """Queue an order; its result is sent on the link."""
         self._orders.put_nowait((link, order))
 
     async def run(self) -> None:
-        """Carry out orders for ever."""
+        """Execute queued orders until cancelled."""
         while True:
             link, order = await self._orders.get()
             ok, reason = await self._execute(order)
--- a/cassiadrum/roles/order_managers.py
+++ b/cassiadrum/roles/order_managers.py
@@ -1,4 +1,4 @@
-"""The order tasks of all model services at an entry instance."""
+"""Order tasks of all model services at an entry instance."""
 
 import asyncio
 import contextlib
@@ -16,15 +16,15 @@
 
 logger = logging.getLogger(__name__)
 
-# The share of the weight store's rate that orders may use, in bytes per second.
+# The part of the weight store's bandwidth that orders may use.
 WEIGHT_STORE_BYTES_PER_S = 200e6
 SIZE_RETRY_INTERVAL_S = 5.0
 
 
 class OrderManager:
-    """Run one lease and one order task for each model service while it is configured.
+    """Run one lease and one order task for each configured model service.
 
-    Without a weight store there is nothing to load, and no task runs.
+    Without a weight store no model can be loaded, and no task runs.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         self._running: dict[str, asyncio.Task[None]] = {}
 
     def configure(self, service: str) -> None:
-        """Start the task of a new service, and stop that of a deleted one."""
+        """Start the task of a new model service, or stop that of a deleted one."""
         document = self._documents(service)
         if document is None or document.kind != "model":
             self._stop(service)
@@ -50,22 +50,22 @@
             self._running[service] = asyncio.create_task(self._run(document, self._weights))
 
     def load_reported(self, service: str, rep: EndpointReport) -> None:
-        """Take a load report of an endpoint."""
+        """Pass a load report of an endpoint to the task of its service."""
         if service in self._tasks:
             self._tasks[service].load_reported(rep)
 
     def endpoint_removed(self, service: str, instance: str) -> None:
-        """Forget an endpoint."""
+        """Remove an endpoint from the task of its service."""
         if service in self._tasks:
             self._tasks[service].endpoint_removed(instance)
 
     def order_finished(self, msg: OrderResult) -> None:
-        """Take the result of an order."""
+        """Pass the result of an order to the tasks; only the one that sent it uses it."""
         for task in self._tasks.values():
             task.order_finished(msg.order_id, msg.ok, msg.reason)
 
     async def close(self) -> None:
-        """Stop every task."""
+        """Stop every task and wait until its lease is released."""
         running = list(self._running.values())
         for service in list(self._running):
             self._stop(service)
@@ -93,11 +93,14 @@
 
 
 async def _fetch_sizes(weights: WeightStore, models: Iterable[str]) -> dict[tuple[str, str], int]:
-    """Return the sizes that the weight store knows; a model without one is never loaded."""
+    """Return the sizes in bytes by model and adapter, retrying while the store is unavailable.
+
+    A model of unknown size is left out, so that no order loads it.
+    """
     while True:
         try:
             sizes = {(name, ""): await weights.size(name) for name in models}
             return {key: size for key, size in sizes.items() if size is not None}
         except StoreUnavailable as exc:
-            logger.debug("weight store: %s", exc)
+            logger.debug("weight store did not return the model sizes, retrying: %s", exc)
         await asyncio.sleep(SIZE_RETRY_INTERVAL_S)
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -1,4 +1,4 @@
-"""Orders to the engines of one service, from whoever holds the service's lease."""
+"""Orders to the engines of one service, sent by the holder of the service's lease."""
 
 import asyncio
 import time
@@ -15,15 +15,16 @@
 __all__ = ["OrderTask"]
 
 PLAN_INTERVAL_S = 1.0
-# Weight of the newest sample in the mean demand; the mean covers about a minute.
+# Weight of the newest sample in the moving average, which spans about a minute.
 DEMAND_SAMPLE_WEIGHT = 1.0 / 60.0
 
 
 class OrderTask:
     """Average the demand for models, plan orders and send them under the lease.
 
-    `waiting` gives model and adapter of each request of the service at this instance, `entries`
-    the number of entry instances, among which the balancer spreads the requests evenly.
+    `waiting_models` returns model and adapter of each request of the service at this instance.
+    `entry_count` returns the number of entry instances; the demand of the service is estimated as
+    this instance's demand times that number, because the balancer spreads requests evenly.
     """
 
     def __init__(
@@ -51,15 +52,15 @@
         self._pending_orders: dict[str, str] = {}
 
     def load_reported(self, rep: EndpointReport) -> None:
-        """Take a load report of an engine of the service."""
+        """Store the latest load report of an engine of the service."""
         self._reports[rep.instance] = rep
 
     def endpoint_removed(self, instance: str) -> None:
-        """Forget an engine."""
+        """Drop the report of an engine that is gone."""
         self._reports.pop(instance, None)
 
     def order_finished(self, order_id: str, ok: bool, reason: str) -> None:
-        """Take the result of an order."""
+        """Record the result of an order that this task sent."""
         instance = self._pending_orders.pop(order_id, None)
         if instance is None:
             return
@@ -68,13 +69,13 @@
         self._ring.record(kind, service=self._service, to=instance, reason=reason)
 
     async def run(self) -> None:
-        """Plan for ever."""
+        """Plan once per PLAN_INTERVAL_S until cancelled."""
         while True:
             await asyncio.sleep(PLAN_INTERVAL_S)
             self.step()
 
     def step(self) -> None:
-        """Sample the demand, and plan if the lease is held."""
+        """Sample the demand; if the lease is held, plan and send orders."""
         self._sample()
         if self._lease.fencing_token() is not None:
             self._plan()
@@ -96,7 +97,7 @@
 
     def _send(self, order: EngineOrder) -> None:
         link = self._links(order.instance)
-        # Read again right before the effect: the lease may have run out since the plan.
+        # Checked again right before the order is sent: the lease may have expired meanwhile.
         fencing = self._lease.fencing_token()
         if link is None or fencing is None:
             self._planner.ordered(order.instance, self._clock())
--- a/cassiadrum/roles/scheduler_factories.py
+++ b/cassiadrum/roles/scheduler_factories.py
@@ -1,4 +1,4 @@
-"""Construction of a sidecar's scheduler from the service document."""
+"""Construction and configuration of a sidecar's scheduler."""
 
 from collections.abc import Callable
 
@@ -15,9 +15,10 @@
 
 
 class SchedulerFactory:
-    """Build the scheduler, and change targets and pausable classes with the document.
+    """Build the scheduler and apply latency targets and pausable classes of service documents.
 
-    `maximum` bounds the concurrency limit, which follows the measured latency from half of it.
+    `max_concurrency` bounds the concurrency limit, which starts at half of it and then follows the
+    measured latency.
     """
 
     def __init__(
@@ -29,7 +30,8 @@
     ) -> None:
         self._documents = documents
         self._can_pause = can_pause
-        # Until the first document is in force nothing is measured against a target.
+        # A target of 0 means that latency is not compared with a target until a document is in
+        # force.
         self._limit = LatencyTrackingLimit(
             LatencyTargets(0.0), max_concurrency, max(1, max_concurrency // 2)
         )
@@ -37,12 +39,12 @@
         self._queue_limit = max_concurrency * LIMITS.SIDECAR_QUEUE_PER_SLOT
 
     def build(self) -> EndpointScheduler:
-        """Return the scheduler."""
+        """Return a scheduler that uses the limit and the pausable classes of this factory."""
         preemption = self._preemption if self._can_pause else None
         return EndpointScheduler(self._limit, self._queue_limit, preemption)
 
     def configure(self, service: str) -> None:
-        """Bring targets and pausable classes in line with the service's document."""
+        """Apply the latency targets and pausable classes of the service's document."""
         document = self._documents(service)
         if document is None:
             return
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -1,4 +1,4 @@
-"""The task of a sidecar that owns its streams and its scheduler."""
+"""Message loop of a sidecar: it owns the streams and the scheduler of one endpoint."""
 
 import asyncio
 import time
@@ -65,7 +65,11 @@
 
 
 class Sidecar:
-    """Own the work of all entry instances on one endpoint."""
+    """Run the attempts that all entry instances send to one endpoint.
+
+    All state is changed by the task of `run`, which takes messages from a queue; other tasks only
+    post messages.
+    """
 
     def __init__(
         self,
@@ -79,8 +83,8 @@
         self.connection_bound = ConnectionBound()
         self._links = EntryLinks(self.connection_bound)
         self.links = self._links.by_instance
-        # Streams without an end, and the ends in their order: a busy sidecar keeps thousands of
-        # finished answers, which must not be visited at each tick.
+        # Running streams, and finished ones in order of their end time. A busy sidecar keeps
+        # thousands of finished answers, too many to visit at each tick.
         self._open_streams: dict[str, SidecarStream] = {}
         self._ended_streams: deque[tuple[float, str]] = deque()
         self._endpoint = endpoint
@@ -107,30 +111,30 @@
         }
 
     def post(self, msg: SidecarMessage) -> None:
-        """Queue a message for the task."""
+        """Queue a message for the task of `run`."""
         self._inbox.put_nowait(msg)
 
     def unfinished_count(self) -> int:
-        """Return the number of streams that run or that an entry instance still waits for."""
+        """Return the number of streams that run or whose answer may still be fetched."""
         now = self._clock()
         return sum(stream.unfinished(now) for stream in self.streams.values())
 
     def waiting_count(self) -> int:
-        """Return the number of requests in the short queue."""
+        """Return the number of requests that wait in the scheduler's queue."""
         return self._scheduler.waiting()
 
     def describe(self) -> list[str]:
-        """Return a line for each stream that is not finished and delivered."""
+        """Return one line of text for each unfinished stream."""
         now = self._clock()
         return [stream.describe() for stream in self.streams.values() if stream.unfinished(now)]
 
     def draining_for_s(self) -> float | None:
-        """Return how long ago the endpoint was announced as leaving, None when it was not."""
+        """Return the seconds since the drain was announced, None before a drain."""
         since_s = self._reporter.draining_since_s
         return None if since_s is None else self._clock() - since_s
 
     async def run(self) -> None:
-        """Handle messages, and send reports, for ever."""
+        """Handle messages and send load reports until cancelled."""
         self._tick()
         while True:
             self._handle(await self._inbox.get())
@@ -141,7 +145,7 @@
     def _handle(self, msg: SidecarMessage) -> None:
         self._handlers[type(msg)](msg)
 
-    # Messages of entry instances.
+    # Messages from entry instances.
 
     def _handle_link_message(self, message: LinkMessage) -> None:
         link, msg = message
@@ -160,7 +164,8 @@
             self._attachments.detach(link, msg.attempt_id)
         elif isinstance(msg, Cancel):
             stream = self.streams.get(msg.attempt_id)
-            # An entry instance that another has replaced has no say over the stream any more.
+            # The stream may meanwhile be attached to another entry instance, whose caller still
+            # reads it.
             if stream is not None and stream.link in (None, link):
                 self._cancel(msg.attempt_id)
 
@@ -220,7 +225,7 @@
             self._controls.cancel(attempt_id)
             stream.task.cancel()
 
-    # Messages of the calls.
+    # Messages from the tasks that call the endpoint.
 
     def _call_started(self, msg: CallStarted) -> None:
         stream = self.streams[msg.attempt_id]
@@ -293,7 +298,7 @@
                     self._controls.cancel(stream.start.attempt_id)
                 self._end(stream, Outcome(False, Ran.UNKNOWN, 0, "draining"))
 
-    # Actions of the scheduler.
+    # Actions that the scheduler returns.
 
     def _apply_actions(self, actions: list[SchedulerAction]) -> None:
         for action in actions:
@@ -329,12 +334,12 @@
                 RejectStart(stream.start.attempt_id, action.reason, REJECT_RETRY_AFTER_S)
             )
 
-    # Time.
+    # Periodic work.
 
     def _tick(self) -> None:
         asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
-        # Time in which this process did not run is not counted.
+        # Silence is not counted while this process itself was paused.
         passed_s, self._last_tick_s = min(now - self._last_tick_s, 2 * TICK_INTERVAL_S), now
         for stream in list(self._open_streams.values()):
             self._expire_detached(stream, now)
@@ -354,7 +359,7 @@
             self._cancel(stream.start.attempt_id)
 
     def _check_silence(self, stream: SidecarStream, passed_s: float) -> None:
-        """Give up a call whose endpoint has been silent for too long: its connection is lost."""
+        """End a call whose endpoint has sent nothing for the silence limit, as connection lost."""
         limit_s = stream.start.silence_limit_s
         if stream.task is None or stream.timing is None or limit_s <= 0:
             return
@@ -363,7 +368,7 @@
         stream.silent_s += passed_s
         if stream.silent_s >= limit_s and not stream.silence_expired:
             stream.silence_expired = True
-            # Idle connections were opened before this one was found dead and may be dead too.
+            # Idle connections to the same endpoint may be dead as well.
             self._endpoint.close()
             self._controls.cancel(stream.start.attempt_id)
             stream.task.cancel()
