--- a/cassiadrum/endpoints/endpoint_calls.py
+++ b/cassiadrum/endpoints/endpoint_calls.py
@@ -1,4 +1,4 @@
-"""One call to an endpoint."""
+"""Calls to endpoints."""
 
 from typing import NamedTuple
 
@@ -8,10 +8,10 @@
 
 
 class EndpointCall(NamedTuple):
-    """Hold what an endpoint needs to know of a call.
+    """A call to an endpoint.
 
-    `delivered_events` counts the stream events of an earlier attempt that the caller has, from
-    which an engine continues. `repeatable` is False for calls that may run once only.
+    `delivered_events` counts the stream events of an earlier attempt that the caller already has;
+    an engine continues after them. `repeatable` is False for calls that may run only once.
     """
 
     call_id: str
--- a/cassiadrum/endpoints/endpoint_loads.py
+++ b/cassiadrum/endpoints/endpoint_loads.py
@@ -6,9 +6,10 @@
 
 
 class EndpointLoad(NamedTuple):
-    """Count running and waiting requests; name loaded models, adapters and cached prefixes.
+    """Load of an endpoint: counts of requests, loaded models and adapters, cached prefixes.
 
-    `tokens_per_s` is the output rate; `cached` holds prefix keys since the last report.
+    `tokens_per_s` is the output rate. `cached` holds the keys of prompt prefixes that were cached
+    since the last report.
     """
 
     running: int = 0
--- a/cassiadrum/endpoints/endpoints.py
+++ b/cassiadrum/endpoints/endpoints.py
@@ -1,4 +1,4 @@
-"""Base class of what a sidecar stands beside."""
+"""Base class of endpoints, the back ends that sidecars call."""
 
 from abc import ABC, abstractmethod
 
@@ -10,9 +10,9 @@
 
 
 class Endpoint(ABC):
-    """Speak to one endpoint; a new wire format is a new subclass in a file of its own."""
+    """Client of one endpoint; each wire format has a subclass in its own file."""
 
-    # Whether a running stream can be paused and resumed without computing it again.
+    # Whether a running stream can be paused and resumed without being computed again.
     can_pause: bool = False
 
     @abstractmethod
@@ -25,15 +25,15 @@
 
     @abstractmethod
     async def cancel(self, call_id: str) -> None:
-        """Stop computing an answer that nobody receives."""
+        """Stop the computation of an answer that nobody receives."""
 
     @abstractmethod
     async def pause(self, call_id: str) -> None:
-        """Stop a stream and keep its KV cache."""
+        """Pause a running stream; the endpoint keeps its KV cache."""
 
     @abstractmethod
     async def resume(self, call_id: str) -> None:
-        """Go on with a paused stream."""
+        """Resume a paused stream."""
 
     @abstractmethod
     async def load(self) -> EndpointLoad:
@@ -41,7 +41,7 @@
 
     @abstractmethod
     async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
-        """Carry out an order; return whether it was accepted and the reason when not."""
+        """Execute an order; return whether it was accepted, and the reason if not."""
 
     @abstractmethod
     def close(self) -> None:
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -1,4 +1,4 @@
-"""The wire towards model engines: OpenAI-style completions and a control interface."""
+"""Client of model engines: OpenAI-style completions and a control interface."""
 
 import asyncio
 from typing import Any
@@ -16,7 +16,7 @@
 
 
 class EngineEndpoint(HttpEndpoint):
-    """Call a model engine and steer its running streams."""
+    """Call a model engine and control its running streams."""
 
     can_pause = True
 
@@ -31,15 +31,15 @@
         return await self._send(call, msgspec.json.encode(body))
 
     async def cancel(self, call_id: str) -> None:
-        """Stop computing an answer that nobody receives."""
+        """Stop the computation of an answer that nobody receives."""
         await self._control("cancel", {"request_id": call_id})
 
     async def pause(self, call_id: str) -> None:
-        """Stop a stream and keep its KV cache."""
+        """Pause a running stream; the engine keeps its KV cache."""
         await self._control("pause", {"request_id": call_id})
 
     async def resume(self, call_id: str) -> None:
-        """Go on with a paused stream."""
+        """Resume a paused stream."""
         await self._control("resume", {"request_id": call_id})
 
     async def load(self) -> EndpointLoad:
@@ -48,10 +48,10 @@
         try:
             return msgspec.convert([response[name] for name in EndpointLoad._fields], EndpointLoad)
         except (msgspec.ValidationError, KeyError) as exc:
-            raise EndpointResponseLost(f"load report: {exc}") from exc
+            raise EndpointResponseLost(f"invalid load report: {exc}") from exc
 
     async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
-        """Carry out an order; a 409 means that the engine has seen a higher fencing number."""
+        """Execute an order; the engine answers 409 if it has seen a higher fencing number."""
         order = {"action": action, "subject": subject, "fencing": fencing}
         reply = await self._exchange("POST", "/orders", msgspec.json.encode(order))
         return bool(reply.get("ok")), str(reply.get("reason", ""))
--- a/cassiadrum/endpoints/errors.py
+++ b/cassiadrum/endpoints/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the calls to endpoints."""
+"""Errors of calls to endpoints."""
 
 from cassiadrum.errors import CassiadrumError
 
@@ -6,12 +6,12 @@
 
 
 class EndpointError(CassiadrumError):
-    """Base of the errors of endpoints."""
+    """Base class of endpoint errors."""
 
 
 class EndpointUnreachable(EndpointError):
-    """The call was certainly not sent, so it did not run."""
+    """The call was not sent, so it certainly did not run."""
 
 
 class EndpointResponseLost(EndpointError):
-    """The call was sent and its answer did not arrive whole; whether it ran is unknown."""
+    """The call was sent but no complete answer arrived; whether it ran is unknown."""
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -1,4 +1,4 @@
-"""What engines and plain services have in common on the HTTP wire."""
+"""HTTP client that engines and plain services share."""
 
 from cassiadrum.endpoints.endpoint_calls import EndpointCall
 from cassiadrum.endpoints.endpoints import Endpoint
@@ -16,13 +16,13 @@
 
 
 class HttpEndpoint(Endpoint):
-    """Send calls by HTTP/1.1 to one address."""
+    """Send calls to one address over HTTP/1.1."""
 
     def __init__(self, host: str, port: int) -> None:
         self._client = HttpClient(host, port)
 
     async def call(self, call: EndpointCall) -> HttpResponse:
-        """Forward the call unchanged but for its id and key."""
+        """Forward the call unchanged except for added request id and idempotency key headers."""
         return await self._send(call, call.body)
 
     async def _send(self, call: EndpointCall, body: bytes) -> HttpResponse:
@@ -30,7 +30,8 @@
         if call.key:
             headers = (*headers, ("idempotency-key", call.key))
         try:
-            # A call that cannot be repeated must not be lost to a connection closed while idle.
+            # On a connection that the server closed while idle, the call would be lost; one that
+            # must not be repeated therefore gets a new connection.
             return await self._client.request(
                 call.method, call.target, headers, body, fresh=not call.repeatable
             )
--- a/cassiadrum/endpoints/plain_endpoints.py
+++ b/cassiadrum/endpoints/plain_endpoints.py
@@ -1,4 +1,4 @@
-"""The wire towards plain services."""
+"""Client of plain HTTP services."""
 
 from cassiadrum.endpoints.endpoint_loads import EndpointLoad
 from cassiadrum.endpoints.http_endpoints import HttpEndpoint
@@ -9,7 +9,7 @@
 class PlainEndpoint(HttpEndpoint):
     """Call a plain HTTP service, which has no control interface.
 
-    A call that was sent is left to end: closing its connection would not undo the effect.
+    A call that was sent runs to its end: closing its connection would not undo its effect.
     """
 
     async def cancel(self, call_id: str) -> None:
@@ -22,7 +22,7 @@
         """Do nothing: `can_pause` is False."""
 
     async def load(self) -> EndpointLoad:
-        """Return an empty load: the sidecar's own count is all there is."""
+        """Return an empty load, since a plain service reports none."""
         return EndpointLoad()
 
     async def order(self, action: str, subject: str, fencing: int) -> tuple[bool, str]:
--- a/cassiadrum/links/__init__.py
+++ b/cassiadrum/links/__init__.py
@@ -1,4 +1,4 @@
-"""Links between entry instances and sidecars: websockets with CBOR."""
+"""Links between entry instances and sidecars: CBOR messages over WebSocket connections."""
 
 from cassiadrum.links.codecs import (
     decode_message,
--- a/cassiadrum/links/codecs.py
+++ b/cassiadrum/links/codecs.py
@@ -1,4 +1,4 @@
-"""CBOR codec of the messages."""
+"""CBOR encoding and decoding of link messages."""
 
 import io
 from collections.abc import Iterable, Iterator
@@ -12,7 +12,7 @@
 
 __all__ = ["decode_message", "decode_messages", "encode_message", "make_frames"]
 
-# A frame of this many bytes or messages is sent before it is filled further.
+# A frame is closed before it exceeds this many bytes or messages. One message may be longer.
 FRAME_TARGET_BYTES: Final = 256 * 1024
 MAX_FRAME_MESSAGES: Final = 255
 
@@ -25,10 +25,10 @@
 
 
 def make_frames(encoded: Iterable[bytes]) -> Iterator[bytes]:
-    """Yield frames that hold the encoded messages in their order.
+    """Yield frames that hold the encoded messages in order.
 
-    A frame is one message, or a CBOR array of messages, since each frame costs a system call on
-    both sides.
+    A frame is one message or a CBOR array of messages. Messages are batched because each frame
+    costs a system call on both sides.
     """
     parts: list[bytes] = []
     size = 0
@@ -45,14 +45,14 @@
 def _join_messages(parts: list[bytes]) -> bytes:
     if len(parts) == 1:
         return parts[0]
-    # The head of a CBOR array with a length of one byte.
+    # 0x98 begins a CBOR array whose length is given in one byte.
     return b"".join((bytes((0x98, len(parts))), *parts))
 
 
 def decode_message(frame: bytes) -> Message | None:
     """Return the message of a frame, or None when its type is unknown.
 
-    Raises BadFrame when the frame is not one message of the right shape.
+    Raises BadFrame when the frame is not exactly one valid message.
     """
     return _convert_message(_decode_cbor(frame))
 
@@ -60,7 +60,7 @@
 def decode_messages(frame: bytes) -> list[Message | None]:
     """Return the messages of a frame, with None for each of an unknown type.
 
-    Raises BadFrame when the frame holds anything else.
+    Raises BadFrame when the frame is not a message or an array of messages.
     """
     raw = _decode_cbor(frame)
     if isinstance(raw, list) and raw and isinstance(raw[0], list):
@@ -72,12 +72,12 @@
     try:
         return cbor2.CBORDecoder(io.BytesIO(frame)).decode()
     except Exception as exc:
-        raise BadFrame(f"not CBOR: {type(exc).__name__}") from exc
+        raise BadFrame(f"frame is not valid CBOR: {type(exc).__name__}") from exc
 
 
 def _convert_message(raw: object) -> Message | None:
     if not isinstance(raw, list) or not raw or type(raw[0]) is not int or raw[0] < 0:
-        raise BadFrame("not an array that begins with a type code")
+        raise BadFrame("message is not an array that begins with a type code")
     if raw[0] >= len(MESSAGE_TYPES):
         return None
     kind = MESSAGE_TYPES[raw[0]]
@@ -85,4 +85,4 @@
     try:
         return msgspec.convert(fields, kind)
     except (msgspec.ValidationError, RecursionError, OverflowError) as exc:
-        raise BadFrame(f"{kind.__name__}: {exc}") from exc
+        raise BadFrame(f"invalid fields of {kind.__name__}: {exc}") from exc
--- a/cassiadrum/links/data_merges.py
+++ b/cassiadrum/links/data_merges.py
@@ -1,16 +1,19 @@
-"""Merging of data messages."""
+"""Merging and splitting of data messages."""
 
 from cassiadrum.links.messages import Data, Message
 
 __all__ = ["MAX_MERGED_BYTES", "merge_data", "split_data"]
 
-# Streams that attach again together send up to 256 KiB each; in one frame they would pass the
-# frame limit.
+# Each stream that is attached again sends up to 256 KiB. Several of them merged into one frame
+# would exceed the frame size limit.
 MAX_MERGED_BYTES = 256 * 1024
 
 
 def merge_data(batch: list[Message]) -> list[Message]:
-    """Put consecutive data messages into one: a frame per token costs too much processor time."""
+    """Merge consecutive data messages, up to MAX_MERGED_BYTES each.
+
+    One message per token would cost too much CPU time.
+    """
     merged: list[Message] = []
     parts: list[tuple[str, int, bytes]] | None = None
     size = 0
--- a/cassiadrum/links/errors.py
+++ b/cassiadrum/links/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the links between processes."""
+"""Errors of links between processes."""
 
 from cassiadrum.errors import CassiadrumError
 
@@ -6,16 +6,16 @@
 
 
 class LinkError(CassiadrumError):
-    """Base of the errors of the links."""
+    """Base class of link errors."""
 
 
 class BadCertificate(LinkError):
-    """The files of certificate, key and CA cannot be loaded."""
+    """The certificate, key or CA file cannot be loaded."""
 
 
 class BadFrame(LinkError):
-    """A frame is not a valid message."""
+    """A frame violates the link protocol."""
 
 
 class PositionUnavailable(LinkError):
-    """The requested position of an answer is no longer buffered."""
+    """The requested position of an answer is not in the buffer."""
--- a/cassiadrum/links/link_dialers.py
+++ b/cassiadrum/links/link_dialers.py
@@ -1,4 +1,4 @@
-"""The dialling side of a link."""
+"""Client side of a link."""
 
 import asyncio
 import contextlib
@@ -23,9 +23,9 @@
 
 
 class LinkDialer:
-    """Keep one link to an address up, dialling again with a growing pause.
+    """Keep a link to one address open, reconnecting with exponential backoff.
 
-    `tls` gives the context for the next connection, None for a connection without TLS.
+    `tls` returns the context for the next connection, None for a connection without TLS.
     """
 
     def __init__(
@@ -44,11 +44,11 @@
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin dialling."""
+        """Start connecting in the background."""
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Close the link and stop dialling."""
+        """Close the link and stop reconnecting."""
         if self._task is not None:
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -63,7 +63,7 @@
             pause_s = min(2 * pause_s, RETRY_MAX_S)
 
     async def _connect_once(self) -> bool:
-        """Return whether a connection was made, after it has ended."""
+        """Connect and run the link until it ends; return whether a connection was made."""
         tls = self._tls()
         scheme = "wss" if tls else "ws"
         try:
@@ -77,8 +77,8 @@
                 proxy=None,
             )
         except (OSError, TimeoutError, WebSocketException, ValueError) as exc:
-            # The last two also stand for an address in the list that is not one.
-            logger.debug("no link to %s: %s", self.address, exc)
+            # An invalid address in the instance list raises one of the last two.
+            logger.debug("connection to %s failed, retrying: %s", self.address, exc)
             return False
         self.link = self._make_link(conn)
         try:
--- a/cassiadrum/links/link_servers.py
+++ b/cassiadrum/links/link_servers.py
@@ -1,4 +1,4 @@
-"""The listening side of links."""
+"""Server side of links."""
 
 import asyncio
 import ssl
@@ -25,7 +25,7 @@
         self._server: Server | None = None
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
-        """Listen and return the port, which the system chooses when `port` is 0."""
+        """Listen and return the bound port; with `port` 0 the operating system chooses one."""
         self._server = await serve(
             self._accept,
             host,
@@ -39,7 +39,7 @@
         return bound
 
     async def close(self) -> None:
-        """Stop listening and cut every link."""
+        """Stop listening and abort every link."""
         if self._server is None:
             return
         self._server.close(close_connections=False)
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -1,4 +1,4 @@
-"""One websockets connection between two processes."""
+"""A WebSocket connection that carries messages between two processes."""
 
 import asyncio
 import logging
@@ -32,21 +32,22 @@
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_S = 0.25
-# One timer a second for each idle link; a core has to serve hundreds of them beside its work.
+# A core serves hundreds of idle links beside its other work, so each gets one timer a second.
 IDLE_WATCH_INTERVAL_S = 1.0
 CONTENT_MESSAGES = (StartRequest, Head, Data)
 EMPTY_DATA = Data([])
 
 
 class Link:
-    """Own a connection: send queue, heartbeats in both directions and the silence limit.
+    """Run a connection: send queue, heartbeats in both directions and a limit on silence.
 
-    Heartbeats and the silence limit are slower while the link is idle.
+    While the link is idle, heartbeats are rarer and the silence limit is longer.
 
-    `deliver(link, message)` is called for every message but heartbeats. `heartbeat()` gives the
-    configuration digest and the hybrid clock to send; `heard(link, digest, clock)` takes the
-    peer's. `stamp()` gives the hybrid clock for the messages that carry one and leave it empty,
-    `observe(clock)` takes the peer's before the message is delivered.
+    `on_message(link, message)` is called for every message except heartbeats.
+    `heartbeat_payload()` returns the configuration digest and the hybrid logical clock to send,
+    `on_heartbeat(link, digest, clock)` receives those of the peer. `next_timestamp()` returns the
+    hybrid logical clock for messages that carry one and leave it empty; `observe_clock(clock)`
+    receives the peer's before the message is delivered. `clock` gives monotonic seconds.
     """
 
     def __init__(
@@ -65,7 +66,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.data_bytes_sent = 0
-        # Bytes of messages that do not belong to a request's or an answer's content.
+        # Bytes of messages that carry no content of a request or an answer.
         self.control_bytes_sent = 0
         self.control_bytes_received = 0
         self.closed = False
@@ -79,28 +80,29 @@
         self._observe_clock = observe_clock
         self._clock = clock
         self._outbox: asyncio.Queue[Message] = asyncio.Queue()
-        # Heartbeats overtake data, whose queue may be long.
+        # Heartbeats overtake the messages in the outbox, which may hold much data.
         self._urgent: deque[Message] = deque()
         self._last_received_s = clock()
-        # The peer's last heartbeat, and the last of this side's that it has confirmed.
+        # Numbers of the last heartbeat received, of the last one that the peer confirmed, and of
+        # the last one sent.
         self._peer_heartbeat_number = 0
         self._last_echo = 0
         self._heartbeat_number = 0
         self._last_echo_s = clock()
-        # Attempts under way on this link as seen from this side.
+        # Attempts that are open on this link, as counted on this side.
         self._open_streams = 0
         self._last_stream_s = self._active_since_s = clock()
 
     def send(self, msg: Message) -> None:
-        """Queue a message; what is queued when the connection ends is lost."""
+        """Queue a message; messages still queued when the connection ends are lost."""
         if isinstance(msg, Ping):
             self._urgent.append(msg)
-            # Wakes the writer when it waits; an empty part is not sent.
+            # Wakes the writer; an empty data message is not sent.
             msg = EMPTY_DATA
         self._outbox.put_nowait(msg)
 
     async def run(self) -> None:
-        """Serve the connection until it is closed, invalid or silent for too long."""
+        """Run until the connection ends, carries an invalid frame or exceeds the silence limit."""
         self.send(self._hello)
         tasks = [
             asyncio.create_task(part()) for part in (self._read, self._write, self._keep_alive)
@@ -109,7 +111,7 @@
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             self.closed = True
-            # A closing handshake would wait for a peer that may be silent.
+            # A closing handshake would wait for a peer that may no longer respond.
             self._conn.transport.abort()
             for task in tasks:
                 task.cancel()
@@ -118,16 +120,20 @@
 
     def _log_failure(self, result: BaseException | None) -> None:
         if isinstance(result, BadFrame):
-            logger.warning("link to %s sent an invalid message: %s", self._peer_name(), result)
+            logger.warning(
+                "closed link to %s after an invalid message: %s", self._peer_name(), result
+            )
         elif isinstance(result, Exception) and not isinstance(result, ConnectionClosed):
-            logger.error("link to %s failed", self._peer_name(), exc_info=result)
+            logger.error(
+                "link to %s failed with an unexpected error", self._peer_name(), exc_info=result
+            )
 
     def _peer_name(self) -> str:
         return self.peer.instance if self.peer else "?"
 
     @property
     def idle(self) -> bool:
-        """Tell whether no stream uses the link and none did for IDLE_AFTER_S."""
+        """Return whether the link has had no open stream for IDLE_AFTER_S."""
         return (
             not self._open_streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
         )
@@ -144,13 +150,13 @@
         self._last_stream_s = self._clock()
 
     def abort(self) -> None:
-        """Cut the connection at once."""
+        """Abort the connection without a closing handshake."""
         self._conn.transport.abort()
 
     async def _read(self) -> None:
         async for frame in self._conn:
             if isinstance(frame, str):
-                raise BadFrame("a text frame")
+                raise BadFrame("received a text frame instead of a binary one")
             self._last_received_s = self._clock()
             self.bytes_received += len(frame)
             messages = decode_messages(frame)
@@ -170,7 +176,7 @@
         if isinstance(msg, Hello):
             self.peer = msg
         if self.peer is None:
-            raise BadFrame("a message before hello")
+            raise BadFrame("received another message before Hello")
         if isinstance(msg, TIMESTAMPED_MESSAGES) and msg.clock:
             self._observe_clock(msg.clock)
         self._on_message(self, msg)
@@ -206,11 +212,12 @@
         return encoded
 
     async def _keep_alive(self) -> None:
-        """Send heartbeats, and end when either direction is silent or the peer has no name.
+        """Send heartbeats; return when one direction is silent or the peer sends no hello.
 
-        Time in which this process did not run is not counted.
+        Time in which this process was paused is not counted.
         """
-        # A confirmation comes with the peer's next heartbeat.
+        # Limits apply to: any frame from the peer, a confirmed heartbeat, the peer's hello. The
+        # confirmation comes with the peer's next heartbeat, one interval later.
         silence = SilenceDetector(self._clock(), allowed_lag=(0, 1, 0))
         sent_s = self._clock()
         while not silence.expired:
@@ -224,14 +231,14 @@
             every_s = LIMITS.HEARTBEAT_INTERVAL_S
             if silence.idle:
                 every_s = LIMITS.IDLE_HEARTBEAT_INTERVAL_S
-            # Half a step is left for a timer that fires early.
+            # Half a step of tolerance, since a timer may fire early.
             if now - sent_s >= every_s - WATCH_INTERVAL_S / 2:
                 sent_s = now
                 self._send_heartbeat()
-        logger.info("link to %s is silent, closing it", self._peer_name())
+        logger.info("link to %s exceeded the silence limit; closing it", self._peer_name())
 
     def _send_heartbeat(self) -> None:
-        # Each heartbeat confirms the peer's last one, so none needs an answer of its own.
+        # Each heartbeat confirms the peer's last one, so no separate replies are needed.
         digest, clock = self._heartbeat_payload()
         self._heartbeat_number += 1
         self.send(Ping(self._heartbeat_number, digest, clock, self._peer_heartbeat_number))
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -1,8 +1,8 @@
-"""The messages between entry instances and sidecars.
+"""Messages of the link protocol between entry instances and sidecars.
 
-They stand in one file because together they are the protocol. On the wire a message is the CBOR
-array of its type code and its fields in order. Fields may be added at the end with a default; a
-receiver ignores fields that it does not know.
+On the wire a message is a CBOR array of its type code and its fields in order. New fields are
+added at the end with a default; a receiver ignores fields that it does not know. All messages are
+in this file because together they define the protocol.
 """
 
 import math
@@ -35,7 +35,7 @@
 ]
 
 PROTOCOL_VERSION: Final = 1
-# The role in the hello of a link that an entry instance opens to fetch one answer.
+# Role in the hello of a link that an entry instance opens to fetch one answer.
 FETCH_ROLE: Final = "fetch"
 
 HeaderList = list[tuple[str, str]]
@@ -44,9 +44,9 @@
 class Hello(NamedTuple):
     """Open a link in either direction.
 
-    `peer` is the instance that the dialling side means to reach: the list lags, and an address
-    may belong to another instance by now. `number` counts the links that the dialling process has
-    opened, so that the hello of an older one which arrives late is told apart.
+    `peer` is the instance that the dialling side means to reach: the instance list may be out of
+    date, and the address may belong to another instance by now. `number` counts the links that the
+    dialling process has opened, so that a late hello of an older link can be recognised.
     """
 
     protocol: int
@@ -73,11 +73,11 @@
 
 
 class StartRequest(NamedTuple):
-    """Hand an attempt of a request to a sidecar.
+    """Start an attempt of a request at a sidecar.
 
-    `deadline_left_s` is the time left until the deadline. `delivered_events` counts the events
-    of an earlier attempt that the caller already has. `silence_limit_s` bounds the time without
-    a byte from the endpoint, 0 for no bound.
+    `deadline_left_s` is the time left until the deadline, infinite without one. `delivered_events`
+    counts the events of an earlier attempt that the caller already has. `silence_limit_s` bounds
+    the time without a byte from the endpoint, 0 for no bound.
     """
 
     attempt_id: str
@@ -111,7 +111,7 @@
 
 
 class Data(NamedTuple):
-    """Parts of several answers: attempt, position in bytes, and bytes."""
+    """Parts of answers, each with its attempt, its position in bytes and its bytes."""
 
     parts: list[tuple[str, int, bytes]]
 
@@ -119,7 +119,7 @@
 class End(NamedTuple):
     """The end of an attempt; `position` is the length of the whole answer in bytes.
 
-    `final` forbids another attempt, because its result would be the same.
+    `final` forbids another attempt because its result would be the same.
     """
 
     attempt_id: str
@@ -134,7 +134,7 @@
 
 
 class RejectStart(NamedTuple):
-    """Give an attempt back as not run."""
+    """Reject an attempt that was not run."""
 
     attempt_id: str
     reason: str
@@ -143,15 +143,15 @@
 
 
 class Ack(NamedTuple):
-    """Positions up to which the answers reached their callers."""
+    """Positions in bytes up to which answers reached their callers."""
 
     parts: list[tuple[str, int]]
 
 
 class Attach(NamedTuple):
-    """Ask for an answer from a position on, after a new connection or a new entry instance.
+    """Ask for an answer from a position on, over a new link or through a new entry instance.
 
-    `age_s` is the time since the attempt was handed over, infinite when the sender does not know.
+    `age_s` is the time since the attempt was sent, infinite when the sender does not know it.
     """
 
     attempt_id: str
@@ -161,20 +161,23 @@
 
 
 class Detach(NamedTuple):
-    """Stop sending an answer whose caller went away while it was fetched."""
+    """Stop sending an answer whose caller disconnected while fetching it."""
 
     attempt_id: str
 
 
 class Cancel(NamedTuple):
-    """Cancel an attempt whose caller went away."""
+    """Cancel an attempt whose caller disconnected."""
 
     attempt_id: str
     clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
 class Report(NamedTuple):
-    """The load of an endpoint; `age_s` is the age of the figures."""
+    """Load of an endpoint; `age_s` is the age of the endpoint's own figures.
+
+    `cached` holds the keys of prompt prefixes cached since the last report.
+    """
 
     age_s: float
     running: int
@@ -189,7 +192,7 @@
 
 
 class Versions(NamedTuple):
-    """Versions in force by service."""
+    """Configuration versions in force, by service."""
 
     versions: dict[str, int]
     clock: list[int] = []  # noqa: RUF012 - never changed in place
@@ -232,7 +235,7 @@
 
 
 class LinkRefused(NamedTuple):
-    """The sidecar has more entry connections than its bound."""
+    """The sidecar refuses the link because it has reached its connection bound."""
 
     reason: str
 
@@ -258,7 +261,7 @@
     | Detach
 )
 
-# The type code is the position; append only.
+# The type code of a message is its index here, so types are only appended.
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
     Hello,
     Ping,
@@ -280,7 +283,7 @@
     Detach,
 )
 
-# The messages that cause events at the receiver and carry the sender's hybrid clock.
+# Messages that cause events at the receiver and carry the sender's hybrid logical clock.
 TIMESTAMPED_MESSAGES: Final = (
     StartRequest,
     End,
--- a/cassiadrum/links/silence_detectors.py
+++ b/cassiadrum/links/silence_detectors.py
@@ -1,4 +1,4 @@
-"""Detection of a silent connection."""
+"""Detection of connections on which the peer no longer responds."""
 
 from collections.abc import Sequence
 
@@ -6,15 +6,15 @@
 
 __all__ = ["SilenceDetector"]
 
-# A step that took much longer than asked for means that this process did not run.
+# A step that took longer than this many intervals means that this process was paused.
 MAX_STEP_FACTOR = 2.0
 
 
 class SilenceDetector:
-    """Add up the time without a sign of life, separately for each kind of sign.
+    """Measure the time without a sign of life, separately for each kind of sign.
 
-    All times are monotonic seconds. While the link is idle the limit is longer. `late` has the
-    number of heartbeats by which each sign may lag behind the cause.
+    All times are monotonic seconds. While the link is idle the limit is longer. `allowed_lag`
+    holds the number of heartbeat intervals by which each kind of sign may come later.
     """
 
     def __init__(self, now: float, allowed_lag: Sequence[int]) -> None:
@@ -25,7 +25,7 @@
 
     @property
     def expired(self) -> bool:
-        """Tell whether any sign has been missing for too long."""
+        """Return whether any sign has been missing for longer than its limit."""
         limit_s, beat_s = LIMITS.SILENCE_LIMIT_S, LIMITS.HEARTBEAT_INTERVAL_S
         if self.idle:
             limit_s, beat_s = LIMITS.IDLE_SILENCE_LIMIT_S, LIMITS.IDLE_HEARTBEAT_INTERVAL_S
@@ -43,16 +43,17 @@
         idle: bool,
         active_since_s: float,
     ) -> None:
-        """Take the times of the last signs, after a pause that was to take `step_s`.
+        """Update with the times of the last signs, `step_s` after the previous update.
 
-        `active_since_s` is when the link last stopped being idle.
+        A longer step counts as at most MAX_STEP_FACTOR times `step_s`. `active_since_s` is when
+        the link last stopped being idle.
         """
         passed_s = min(now - self._last_s, MAX_STEP_FACTOR * step_s)
         self._silent_s = [
             0.0 if mark >= self._last_s else silent + passed_s
             for mark, silent in zip(last_seen_s, self._silent_s, strict=True)
         ]
-        # The peer of a link that has become active has the short time from then on.
+        # When an idle link becomes active, the short limit applies from that moment on.
         active_s = max(0.0, now - active_since_s)
         if not idle:
             self._silent_s = [min(silent, active_s) for silent in self._silent_s]
--- a/cassiadrum/links/stream_buffers.py
+++ b/cassiadrum/links/stream_buffers.py
@@ -1,4 +1,4 @@
-"""Buffer of one answer at the sidecar."""
+"""Buffer for the answer of one attempt at the sidecar."""
 
 from cassiadrum.links.errors import PositionUnavailable
 
@@ -6,11 +6,11 @@
 
 
 class StreamBuffer:
-    """Keep the tail of an answer, so that it can be sent again from any kept position.
+    """Keep the tail of an answer, so that it can be sent again from any position in it.
 
-    Positions count bytes of the whole answer. At most `capacity` acknowledged bytes are kept
-    for a caller that comes back through another entry instance; bytes not yet acknowledged are
-    always kept, and the producer stops while there are more than `capacity` of them.
+    Positions count bytes of the whole answer. Acknowledged bytes are kept, up to `capacity` bytes
+    in total, for a caller that reconnects through another entry instance. Unacknowledged bytes are
+    always kept; the producer has to wait while there are `capacity` or more of them.
     """
 
     def __init__(self, capacity: int) -> None:
@@ -26,11 +26,11 @@
 
     @property
     def full(self) -> bool:
-        """Tell whether the producer has to wait for an acknowledgement."""
+        """Return whether the producer has to wait for an acknowledgement."""
         return self.end - self._acked >= self._capacity
 
     def append(self, data: bytes) -> int:
-        """Add bytes and return the position of the first."""
+        """Append bytes and return the position of the first."""
         position = self.end
         self._data += data
         self._trim()
@@ -44,11 +44,11 @@
     def read_from(self, position: int) -> bytes:
         """Return the bytes from `position` on.
 
-        Raises PositionUnavailable when they are no longer or not yet there.
+        Raises PositionUnavailable when the position is before or after the buffered bytes.
         """
         if not self._start <= position <= self.end:
             raise PositionUnavailable(
-                f"position {position} is outside {self._start} to {self.end}"
+                f"position {position} is outside the buffered bytes {self._start} to {self.end}"
             )
         return bytes(self._data[position - self._start :])
 
--- a/cassiadrum/links/tls_contexts.py
+++ b/cassiadrum/links/tls_contexts.py
@@ -1,4 +1,4 @@
-"""TLS with certificates that change while the process runs."""
+"""TLS contexts whose certificates can be reloaded while the process runs."""
 
 import logging
 import os
@@ -13,11 +13,11 @@
 
 
 class TlsContexts:
-    """Hold the contexts of a process and put new files in force without a restart.
+    """Hold the TLS contexts of a process and reload them without a restart.
 
-    `links` and `dial` require a certificate of the CA from the peer, `callers` does not. New
-    connections use what was loaded last; open ones go on with theirs. Raises BadCertificate when
-    the files cannot be loaded at the start.
+    `link_server` and `link_client` require a certificate of the CA from the peer, `http_server`
+    does not. New connections use the files loaded last; open connections are not affected. Raises
+    BadCertificate when the files cannot be loaded at the start.
     """
 
     def __init__(self, certificate: Path, key: Path, ca: Path) -> None:
@@ -27,16 +27,16 @@
         state = self._file_versions()
         self._current_link_server, self._current_http_server, self.link_client = self._build()
         self._loaded_versions = state
-        # Servers keep the context they started with; it hands each handshake to the newest one,
-        # since an old CA cannot be taken out of a context.
+        # A server keeps the context that it was started with. Its SNI callback switches each
+        # handshake to the newest context, since a CA cannot be removed from a context.
         self.link_server, self.http_server, _ = self._build()
         self.link_server.sni_callback = self._select_link_server
         self.http_server.sni_callback = self._select_http_server
 
     def reload(self, *, changed_only: bool = True) -> bool:
-        """Load the files again if they changed; keep the old ones while the new do not fit.
+        """Load the files again if they changed; keep the old contexts if loading fails.
 
-        Returns whether new ones are in force.
+        Returns whether new contexts are in use.
         """
         try:
             state = self._file_versions()
@@ -44,7 +44,7 @@
                 return False
             self._current_link_server, self._current_http_server, self.link_client = self._build()
         except (OSError, BadCertificate) as exc:
-            logger.warning("certificate not reloaded: %s", exc)
+            logger.warning("certificate reload failed, keeping the previous one: %s", exc)
             return False
         self._loaded_versions = state
         logger.info("certificate reloaded from %s", self._certificate)
@@ -61,7 +61,7 @@
         conn.context = self._current_http_server
 
     def _build(self) -> tuple[ssl.SSLContext, ssl.SSLContext, ssl.SSLContext]:
-        """Return new contexts for the servers of links and callers, and for dialling."""
+        """Return new contexts for the link server, the HTTP server and the link client."""
         links = _new_context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
         callers = _new_context(ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
         dial = _new_context(ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
@@ -70,12 +70,12 @@
                 context.load_cert_chain(self._certificate, self._key)
                 context.load_verify_locations(self._ca)
         except (OSError, ssl.SSLError) as exc:
-            # The message names the fault of the file and holds no key material.
+            # The text of the exception contains no key material.
             raise BadCertificate(f"{self._certificate}, {self._key}, {self._ca}: {exc}") from exc
         return links, callers, dial
 
     def _file_versions(self) -> tuple[tuple[int, int, int], ...]:
-        """Return what tells one version of the files from another."""
+        """Return modification time, size and inode of each file, to detect changes."""
         try:
             stats = [os.stat(path) for path in (self._certificate, self._key, self._ca)]
         except OSError as exc:
@@ -86,7 +86,7 @@
 def _new_context(protocol: int, verify: ssl.VerifyMode) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    # Instances are dialled by address, and the CA signs the instances of this site only.
+    # Instances are reached by address, and the CA signs certificates of this site only.
     context.check_hostname = False
     context.verify_mode = verify
     return context
--- a/cassiadrum/roles/sidecar_clients.py
+++ b/cassiadrum/roles/sidecar_clients.py
@@ -1,4 +1,4 @@
-"""The way of attempts to endpoints by the links to their sidecars."""
+"""Client side of the link protocol: attempts sent to sidecars and the messages they return."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Mapping
@@ -26,39 +26,39 @@
 
 
 class AttemptEvents(ABC):
-    """Take what sidecars say of attempts and of themselves."""
+    """Callbacks for the messages of sidecars."""
 
     @abstractmethod
     def sidecar_connected(self, instance: str, restarted: bool) -> None:
-        """Take a new link; after a restart of the sidecar its attempts are lost."""
+        """Handle a new link; if the sidecar has restarted, its earlier attempts are lost."""
 
     @abstractmethod
     def sidecar_disconnected(self, instance: str) -> None:
-        """Take the loss of the link."""
+        """Handle the loss of the link to a sidecar."""
 
     @abstractmethod
     def load_reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
-        """Take a load report and prompt prefixes that the endpoint holds."""
+        """Handle a load report and the keys of prompt prefixes that the endpoint cached."""
 
     @abstractmethod
     def head_received(self, head: Head) -> None:
-        """Take the head of an answer."""
+        """Handle status and headers of an answer."""
 
     @abstractmethod
     def data_received(self, attempt_id: str, position: int, data: bytes) -> None:
-        """Take bytes of an answer from a position on."""
+        """Handle bytes of an answer that begin at `position`."""
 
     @abstractmethod
     def attempt_ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
-        """Take the end of an answer of `position` bytes; return whether the attempt is known."""
+        """Handle the end of an answer of `position` bytes; return whether the attempt is known."""
 
     @abstractmethod
     def attempt_rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
-        """Take an attempt that the sidecar did not start, or does not know."""
+        """Handle an attempt that the sidecar did not start or does not know."""
 
 
 class SidecarClient:
-    """Hand attempts to sidecars and pass what they answer on to `events`."""
+    """Send attempts to sidecars and pass the messages of sidecars to `events`."""
 
     def __init__(self, events: AttemptEvents, clock: Callable[[], float]) -> None:
         self._events = events
@@ -71,7 +71,7 @@
         return self._links.by_instance
 
     def start(self, pending: PendingRequest, attempt: Attempt) -> bool:
-        """Hand an attempt over; return False when the sidecar is not linked."""
+        """Send an attempt to its sidecar; return False when there is no link to it."""
         link = self._links.by_instance.get(attempt.instance)
         if link is None:
             return False
@@ -79,43 +79,43 @@
         return True
 
     def cancel(self, attempt: Attempt) -> None:
-        """Stop an attempt."""
+        """Ask the sidecar to cancel an attempt."""
         self._links.send(attempt.instance, Cancel(attempt.attempt_id))
 
     def acknowledge(self, attempt: Attempt, position: int) -> None:
-        """Confirm the bytes of an answer up to a position."""
+        """Acknowledge the bytes of an answer before `position`."""
         attempt.acked = position
         self._links.send(attempt.instance, Ack([(attempt.attempt_id, position)]))
 
     def request_resend(self, attempt: Attempt) -> None:
-        """Ask for the bytes of an answer from the attempt's position on."""
+        """Ask the sidecar to send the answer again from the attempt's position on."""
         self._links.send(attempt.instance, Attach(attempt.attempt_id, attempt.position))
 
     def reattach(self, attempt: Attempt) -> None:
-        """Go on with an attempt over a new link."""
+        """Continue an attempt on a new link."""
         age_s = self._clock() - attempt.started_s
         self._links.send(
             attempt.instance, Attach(attempt.attempt_id, attempt.position, age_s=age_s)
         )
-        # An acknowledgement lost with the old connection would block a full buffer.
+        # If the acknowledgement was lost with the old link, a full buffer would stay blocked.
         self.acknowledge(attempt, attempt.acked)
 
     def set_usable(self, instance: str, usable: bool) -> EndpointReport | None:
-        """Permit or forbid new work; return the report that says so, if there is one."""
+        """Permit or forbid new work for a sidecar; return its report marked as leaving, if any."""
         return self._links.set_usable(instance, usable, self._clock())
 
     def forget(self, instance: str) -> None:
-        """Drop what is known of a sidecar that is gone."""
+        """Drop all state of a sidecar that is gone."""
         self._links.forget(instance)
 
     def link_down(self, link: Link) -> None:
-        """Take the end of a link."""
+        """Handle the end of a link."""
         instance = self._links.link_down(link)
         if instance:
             self._events.sidecar_disconnected(instance)
 
     def handle(self, message: FromLink) -> None:
-        """Take a message of a sidecar."""
+        """Handle a message of a sidecar."""
         link, msg = message
         if link.peer is None:
             return
@@ -130,7 +130,7 @@
                 self._events.data_received(attempt_id, position, data)
         elif isinstance(msg, End):
             if not self._events.attempt_ended(msg.attempt_id, msg.position, _outcome(msg)):
-                # A sidecar that drains waits for it.
+                # A draining sidecar waits until its answers are acknowledged.
                 link.send(Ack([(msg.attempt_id, msg.position)]))
         elif isinstance(msg, RejectStart):
             self._events.attempt_rejected(msg.attempt_id, msg.reason, msg.retry_after_s)
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -1,4 +1,4 @@
-"""The process beside an endpoint."""
+"""The sidecar process, which runs beside one endpoint."""
 
 import asyncio
 import secrets
@@ -43,13 +43,13 @@
 
 LOAD_POLL_INTERVAL_S = 0.25
 SETTLE_INTERVAL_S = 1.0
-# How long a stop waits for the table service. A claim that is not settled by then is found as
-# `unknown` after its deadline, which keeps the call from running again.
+# How long a stopping sidecar waits for the table service. A claim that is not settled by then
+# reads as `unknown` after its deadline, so the call is still not run again.
 SETTLE_TIMEOUT_S = 10.0
 
 
 class SidecarDaemon(Daemon):
-    """Serve entry instances and guard one endpoint."""
+    """Serve entry instances, run their attempts at one endpoint and execute orders."""
 
     def __init__(
         self,
@@ -89,7 +89,7 @@
         self._admin = HttpServer(self._admin_handler)
 
     async def start(self) -> None:
-        """Bind the addresses and start the tasks."""
+        """Bind the link and admin addresses and start the background tasks."""
         listen = self._cfg.listen
         callers = self._tls.http_server if self._tls else None
         port = await self._server.start(
@@ -108,35 +108,35 @@
         self._spawn(self._poll_load())
 
     def begin_drain(self) -> None:
-        """Announce that the endpoint is leaving and give waiting work back."""
+        """Announce that the endpoint is leaving and reject the requests that wait."""
         if not self._draining:
             self._draining = True
             self._sidecar.post(DrainSidecar())
 
     def in_flight(self) -> int:
-        """Return the number of streams that are not finished and delivered."""
+        """Return the number of streams that run or whose answer may still be fetched."""
         return self._sidecar.unfinished_count()
 
     def describe_in_flight(self) -> list[str]:
-        """Return a line for each stream that is not finished and delivered."""
+        """Return one line of text for each unfinished stream."""
         return self._sidecar.describe()
 
     def may_stop(self) -> bool:
-        """Tell whether all work is delivered and the entry instances send no more."""
+        """Return whether all work is delivered and the entry instances send no more."""
         drained_s = self._sidecar.draining_for_s()
         if drained_s is None or self.in_flight():
             return False
-        # Work that was sent before the announcement arrived is on its way.
+        # An entry instance may have sent work before it received the announcement.
         entries_informed = not self._sidecar.links or drained_s >= LIMITS.LEAVING_LIMIT_S
         settled = not len(self._claims.pending) or drained_s >= SETTLE_TIMEOUT_S
         return entries_informed and settled
 
     def refuse_rest(self) -> None:
-        """End every stream."""
+        """End every unfinished stream."""
         self._sidecar.post(EndAllStreams())
 
     async def close(self) -> None:
-        """Stop at once."""
+        """Close the links and stop all tasks without waiting for streams."""
         await self._server.close()
         await self._cancel_tasks()
         self.ring.record(EventKind.STOPPED)
@@ -145,7 +145,7 @@
         self._endpoint.close()
 
     def status(self) -> dict[str, Any]:
-        """Return the state that operators ask for."""
+        """Return the state for the admin status endpoint."""
         service = self._cfg.endpoint.service if self._cfg.endpoint else ""
         return {
             "instance": self._cfg.instance,
@@ -168,7 +168,7 @@
                 load, taken_s = await self._endpoint.load(), time.monotonic()
                 self._sidecar.post(LoadChanged(load, taken_s))
             except EndpointError:
-                # The idle connections may have gone silent together with the one just used.
+                # Idle connections to the same endpoint may be dead as well.
                 self._endpoint.close()
                 self._sidecar.post(LoadChanged(None, time.monotonic()))
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
--- a/cassiadrum/roles/sidecar_links.py
+++ b/cassiadrum/roles/sidecar_links.py
@@ -1,4 +1,4 @@
-"""The links of a router and what the sidecars said on them."""
+"""Links of a router to sidecars, with their last load reports."""
 
 from cassiadrum.decisions import EndpointReport
 from cassiadrum.links import Link
@@ -8,7 +8,7 @@
 
 
 class SidecarLinks:
-    """Keep the current link, process and last report of each sidecar."""
+    """Hold the current link, the process identity and the last report of each sidecar."""
 
     def __init__(self) -> None:
         self.by_instance: dict[str, Link] = {}
@@ -17,7 +17,7 @@
         self._unusable: set[str] = set()
 
     def link_up(self, link: Link, hello: Hello) -> bool:
-        """Make a link the current one; tell whether another process answers than before."""
+        """Make a link the current one; return whether the sidecar process has restarted."""
         old = self.by_instance.get(hello.instance)
         if old is not None and old is not link:
             old.abort()
@@ -34,17 +34,17 @@
         return link.peer.instance
 
     def is_current(self, link: Link) -> bool:
-        """Tell whether the link has not been replaced."""
+        """Return whether the link is the current one of its sidecar."""
         return link.peer is not None and self.by_instance.get(link.peer.instance) is link
 
     def send(self, instance: str, msg: Message) -> None:
-        """Send a message if there is a link."""
+        """Send a message to a sidecar, or drop it if there is no link."""
         link = self.by_instance.get(instance)
         if link is not None:
             link.send(msg)
 
     def store_report(self, peer: Hello, msg: Report, now: float) -> EndpointReport:
-        """Return a load report as the dispatcher takes it."""
+        """Store a load report and return it in the form that the dispatcher uses."""
         report = EndpointReport(
             peer.instance,
             peer.zone,
@@ -61,9 +61,11 @@
         return report
 
     def set_usable(self, instance: str, usable: bool, now: float) -> EndpointReport | None:
-        """Permit or forbid new work; return a report that says so, None without an earlier one.
+        """Permit or forbid new work for a sidecar.
 
-        A sidecar becomes usable again with its own next report, which states whether it leaves.
+        Returns the last report, marked as leaving, when work is now forbidden and there is one,
+        else None. A sidecar that is usable again gets work after its next report, which states
+        whether it is leaving.
         """
         if usable:
             self._unusable.discard(instance)
@@ -73,7 +75,7 @@
         return report and report._replace(leaving=True, reported_s=now)
 
     def forget(self, instance: str) -> None:
-        """Drop what is known of a sidecar that is gone."""
+        """Drop all state of a sidecar that is gone."""
         self.by_instance.pop(instance, None)
         self._process_starts.pop(instance, None)
         self._reports.pop(instance, None)
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -1,4 +1,4 @@
-"""Messages to the sidecar's task."""
+"""Messages to the task that runs a sidecar."""
 
 from typing import NamedTuple
 
@@ -23,7 +23,7 @@
 
 
 class LinkMessage(NamedTuple):
-    """A message of an entry instance."""
+    """An entry instance sent a message on a link."""
 
     link: Link
     msg: Message
@@ -36,7 +36,7 @@
 
 
 class CallStarted(NamedTuple):
-    """The call is sent to the endpoint now."""
+    """The call is about to be sent to the endpoint."""
 
     attempt_id: str
 
@@ -50,7 +50,7 @@
 
 
 class CallData(NamedTuple):
-    """Bytes of the endpoint's answer."""
+    """The endpoint sent bytes of its answer."""
 
     attempt_id: str
     data: bytes
@@ -64,22 +64,25 @@
 
 
 class LoadChanged(NamedTuple):
-    """The endpoint's load report, None when the endpoint cannot be reached."""
+    """The endpoint was polled for its load.
+
+    `load` is None when the endpoint could not be reached; `measured_s` is in monotonic seconds.
+    """
 
     load: EndpointLoad | None
     measured_s: float
 
 
 class DrainSidecar(NamedTuple):
-    """Take no more work."""
+    """Drain: accept no more work and announce it to the entry instances."""
 
 
 class Tick(NamedTuple):
-    """Time has passed."""
+    """The periodic timer fired."""
 
 
 class EndAllStreams(NamedTuple):
-    """The drain limit is reached."""
+    """The drain limit is reached; every unfinished stream is ended."""
 
 
 SidecarMessage = (
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -1,4 +1,4 @@
-"""One attempt at a sidecar."""
+"""State of an attempt at a sidecar."""
 
 import asyncio
 
@@ -15,8 +15,9 @@
 class SidecarStream:
     """Hold an attempt, its buffered answer and the link that it is attached to.
 
-    `tokens` counts what the endpoint computed so far, known or not to the caller.
-    `room` is clear while the buffer is full, which stops the task that reads the endpoint.
+    `tokens` counts the tokens that the endpoint has computed, delivered to the caller or not.
+    `buffer_has_space` is clear while the buffer is full; the task that reads the endpoint's answer
+    waits for it.
     """
 
     def __init__(self, start: StartRequest, queued: QueuedRequest, link: Link) -> None:
@@ -33,12 +34,12 @@
         self.buffer_has_space.set()
         self.cancelled = False
         self.paused = False
-        # Time without a byte from the endpoint while one was expected, in seconds.
+        # Seconds without a byte from the endpoint while one was expected.
         self.silent_s = 0.0
         self.silence_expired = False
         self.tokens = 0
         self.abandoned = False
-        # Monotonic time since when no link is attached.
+        # Monotonic time of the detachment, None while a link is attached.
         self.detached_since_s: float | None = None
         self.end_acked = False
 
@@ -48,22 +49,22 @@
             self.link.send(msg)
 
     def unfinished(self, now: float) -> bool:
-        """Tell whether the call runs or an entry instance may still fetch its answer."""
+        """Return whether the call runs or an entry instance may still fetch its answer."""
         if self.end is None:
             return True
         if self.end_acked:
             return False
-        # Without a link the entry instance may be dialling again.
+        # A detached entry instance may still reconnect within DETACHED_STREAM_S.
         waits_s = 0.0 if self.detached_since_s is None else now - self.detached_since_s
         return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
 
     def abandon(self) -> None:
-        """Let a call that may not be cut run to its end without a receiver."""
+        """Let a call that must not be cancelled run to its end and discard its answer."""
         self.abandoned = True
         self.buffer.ack(self.buffer.end)
         self.buffer_has_space.set()
 
     def describe(self) -> str:
-        """Return the attempt, its class and what it waits for."""
-        state = "running" if self.end is None else "waiting for its delivery"
+        """Return a line with the attempt, its service and class, and its state."""
+        state = "running" if self.end is None else "answer not yet delivered"
         return f"{self.start.attempt_id} {self.start.service}/{self.start.class_name} {state}"
--- a/cassiadrum/roles/start_messages.py
+++ b/cassiadrum/roles/start_messages.py
@@ -1,4 +1,4 @@
-"""The message that hands an attempt to a sidecar, on both sides."""
+"""Conversion of attempts to and from the message that starts them at a sidecar."""
 
 import math
 
@@ -8,14 +8,14 @@
 
 __all__ = ["queued_request", "start_message"]
 
-# Hop-by-hop headers and those that the router sets itself are not passed on.
+# Hop-by-hop headers and headers that the router sets itself are not forwarded.
 FORWARDED_HEADERS = frozenset(
     {"accept", "accept-language", "content-type", "authorization", "user-agent", "x-customer"}
 )
 
 
 def start_message(pending: PendingRequest, attempt_id: str, now: float) -> StartRequest:
-    """Return the message for an attempt that is dispatched at `now`, monotonic seconds."""
+    """Return the start message of an attempt dispatched at `now`, in monotonic seconds."""
     req, http = pending.queued, pending.http
     return StartRequest(
         attempt_id,
@@ -41,7 +41,7 @@
 
 
 def queued_request(msg: StartRequest, now: float) -> QueuedRequest:
-    """Return the attempt as the sidecar's scheduler takes it."""
+    """Return the queue entry for the sidecar's scheduler; `now` is in monotonic seconds."""
     left_s = msg.deadline_left_s
     return QueuedRequest(
         msg.attempt_id,
--- a/cassiadrum/roles/stream_attachments.py
+++ b/cassiadrum/roles/stream_attachments.py
@@ -9,22 +9,25 @@
 
 __all__ = ["FINISHED_RETENTION_S", "StreamAttachments"]
 
-# A finished answer stays fetchable for this long.
+# How long a finished answer can still be fetched.
 FINISHED_RETENTION_S = 60.0
 
 
 class StreamAttachments:
-    """Answer requests for streams from a position on; `streams` holds those by attempt."""
+    """Attach streams to links, on which answers are then sent from a position on.
+
+    `streams` holds the streams by attempt id.
+    """
 
     def __init__(self, streams: dict[str, SidecarStream], clock: Callable[[], float]) -> None:
         self._streams = streams
         self._clock = clock
-        # Attempts that a peer asked for before they arrived; a start of one of them that was
-        # delayed on an old connection must not run.
+        # Attempts that a peer asked for before their start message arrived. The peer was told that
+        # they did not run, so a start message delayed on an old connection must be refused.
         self._refused_starts: dict[str, float] = {}
 
     def attach(self, link: Link, msg: Attach) -> None:
-        """Send the rest of an answer and all that follows on this link."""
+        """Send the answer from the requested position on, and all that follows, on this link."""
         stream = self._streams.get(msg.attempt_id)
         if stream is None:
             self._attach_unknown(link, msg)
@@ -44,43 +47,43 @@
             link.send(stream.end)
 
     def detach(self, link: Link, attempt_id: str) -> None:
-        """Stop sending a stream on this link; it is kept for another one."""
+        """Stop sending a stream on this link and keep it for another link."""
         stream = self._streams.get(attempt_id)
         if stream is not None and stream.link is link:
             stream.link = None
             stream.detached_since_s = self._clock()
 
     def link_lost(self, link: Link) -> None:
-        """Keep the streams of a link that ended."""
+        """Detach the streams of a link that ended."""
         for attempt_id in [key for key, stream in self._streams.items() if stream.link is link]:
             self.detach(link, attempt_id)
 
     def is_refused(self, attempt_id: str) -> bool:
-        """Tell whether a start of the attempt comes too late."""
+        """Return whether a start message of the attempt must be refused."""
         return attempt_id in self._refused_starts
 
     def expire_refusals(self, now: float) -> None:
-        """Drop refusals after which no delayed start can come."""
+        """Drop refusals older than FINISHED_RETENTION_S; no delayed start can still arrive."""
         horizon = now - FINISHED_RETENTION_S
         self._refused_starts = {
             key: at for key, at in self._refused_starts.items() if at > horizon
         }
 
     def _attach_unknown(self, link: Link, msg: Attach) -> None:
-        """Answer for an attempt that is not here: it never arrived, or it is forgotten."""
+        """Answer for an unknown attempt: it never arrived, or it was already removed."""
         self._refused_starts[msg.attempt_id] = self._clock()
         if msg.age_s < FINISHED_RETENTION_S / 2:
             link.send(RejectStart(msg.attempt_id, "no_endpoint", 0.0))
         else:
-            # It may have run and been forgotten, for example while its entry instance was paused.
+            # It may have run and been removed, for example while its entry instance was paused.
             link.send(End(msg.attempt_id, False, Ran.UNKNOWN, 0, "answer_lost", 0.0, 0))
 
 
 def _move_to_link(stream: SidecarStream, link: Link) -> None:
-    """Attach a stream to a link; an entry instance that had it until now gets an end.
+    """Attach a stream to a link and send an end to the entry instance that had it before.
 
-    The caller fetches the rest elsewhere, and without an end its first request would stay open
-    for as long as its silent connection does.
+    The caller now fetches the rest through another entry instance. Without the end its first
+    request would stay open as long as its silent connection does.
     """
     old, stream.link = stream.link, link
     if old is not None and old.peer is not None and old.peer.instance != _peer_instance(link):
--- a/cassiadrum/roles/stream_timings.py
+++ b/cassiadrum/roles/stream_timings.py
@@ -1,4 +1,4 @@
-"""Times of one stream as the sidecar measures them."""
+"""Latency of one stream, measured at the sidecar."""
 
 __all__ = ["StreamTiming"]
 
@@ -6,7 +6,7 @@
 
 
 class StreamTiming:
-    """Measure first-token and mean inter-token time of a started call, in seconds."""
+    """Measure first-token and mean inter-token latency of a started call, in seconds."""
 
     def __init__(self, started_s: float) -> None:
         self.tokens = 0
@@ -15,7 +15,7 @@
         self._last_s = 0.0
 
     def record_data(self, data: bytes, now: float) -> int:
-        """Take bytes of the answer and return the number of new events."""
+        """Record bytes received at `now` and return the number of events that they end."""
         if not self._first_s:
             self._first_s = now
         self._last_s = now
@@ -25,12 +25,12 @@
 
     @property
     def first_token_s(self) -> float:
-        """Return the time from the start to the first byte."""
+        """Return the seconds from the start to the first byte."""
         return max(0.0, self._first_s - self._started_s)
 
     @property
     def inter_token_s(self) -> float:
-        """Return the mean time between events, 0 with fewer than two."""
+        """Return the mean seconds between events, 0 with fewer than two events."""
         if self.tokens < 2:
             return 0.0
         return (self._last_s - self._first_s) / (self.tokens - 1)
