--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -81,7 +81,7 @@
             ring,
         )
         instances.listeners.append(self._members.update_instances)
-        self._janitor = maintenance.claim_cleanup(instances.entry_instances)
+        self._claim_cleanup = maintenance.claim_cleanup(instances.entry_instances)
         self._orders = maintenance.order_manager(self._router, instances.entry_instances)
         self._router.on_report = self._orders.load_reported
         self._router.on_gone = self._orders.endpoint_removed
@@ -118,7 +118,7 @@
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._router.run())
-        self._spawn(self._janitor.run())
+        self._spawn(self._claim_cleanup.run())
 
     def begin_drain(self) -> None:
         """Refuse new requests and let those in flight end."""
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -91,12 +91,12 @@
     async def start(self) -> None:
         """Bind the link and admin addresses and start the background tasks."""
         listen = self._cfg.listen
-        callers = self._tls.http_server if self._tls else None
+        http_tls = self._tls.http_server if self._tls else None
         port = await self._server.start(
             listen.link.host, listen.link.port, self._tls.link_server if self._tls else None
         )
         self.addresses["link"] = str(Address(listen.link.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, http_tls)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self.watch_tls())
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -47,8 +47,8 @@
 
     def test_few_of_many_contend(self) -> None:
         names = [f"entry-{number}" for number in range(200)]
-        contenders = [name for name in names if is_candidate("orders/s", name, names)]
-        assert len(contenders) == MAX_CANDIDATES
+        candidates = [name for name in names if is_candidate("orders/s", name, names)]
+        assert len(candidates) == MAX_CANDIDATES
 
 
 class TestOrderGuard:
