--- a/cassiadrum/endpoints/errors.py
+++ b/cassiadrum/endpoints/errors.py
@@ -1,17 +1,17 @@
-"""Errors of the calls to endpoints."""
+"""Errors of calls to endpoints."""
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["EndpointError", "EndpointLost", "EndpointUnreachable"]
+__all__ = ["EndpointError", "EndpointResponseLost", "EndpointUnreachable"]
 
 
 class EndpointError(CassiadrumError):
-    """Base of the errors of endpoints."""
+    """Base class of endpoint errors."""
 
 
 class EndpointUnreachable(EndpointError):
-    """The call was certainly not sent, so it did not run."""
+    """The call was not sent, so it certainly did not run."""
 
 
-class EndpointLost(EndpointError):
-    """The call was sent and its answer did not arrive whole; whether it ran is unknown."""
+class EndpointResponseLost(EndpointError):
+    """The call was sent but no complete answer arrived; whether it ran is unknown."""
--- a/cassiadrum/links/errors.py
+++ b/cassiadrum/links/errors.py
@@ -1,21 +1,21 @@
-"""Errors of the links between processes."""
+"""Errors of links between processes."""
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["BadCertificate", "BadFrame", "BytesGone", "LinkError"]
+__all__ = ["BadCertificate", "BadFrame", "LinkError", "PositionUnavailable"]
 
 
 class LinkError(CassiadrumError):
-    """Base of the errors of the links."""
+    """Base class of link errors."""
 
 
 class BadCertificate(LinkError):
-    """The files of certificate, key and CA cannot be loaded."""
+    """The certificate, key or CA file cannot be loaded."""
 
 
 class BadFrame(LinkError):
-    """A frame is not a valid message."""
+    """A frame violates the link protocol."""
 
 
-class BytesGone(LinkError):
-    """The requested position of an answer is no longer buffered."""
+class PositionUnavailable(LinkError):
+    """The requested position of an answer is not in the buffer."""
--- a/cassiadrum/roles/configuration_agents.py
+++ b/cassiadrum/roles/configuration_agents.py
@@ -7,7 +7,7 @@
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Document, Fetch, Message, Versions
+from cassiadrum.links.messages import Document, FetchDocument, Message, Versions
 from cassiadrum.states import (
     ConfigurationReader,
     ConfigurationRecord,
@@ -80,8 +80,8 @@
         """Handle a message about configurations; return False for any other message."""
         if isinstance(msg, Versions):
             for service in self.registry.outdated_services(msg.versions):
-                link.send(Fetch(service))
-        elif isinstance(msg, Fetch):
+                link.send(FetchDocument(service))
+        elif isinstance(msg, FetchDocument):
             self._send_document(link, msg.service)
         elif isinstance(msg, Document):
             self.apply(ConfigurationRecord(msg.service, msg.version, msg.text, msg.deleted))
--- a/cassiadrum/roles/maintenance_factories.py
+++ b/cassiadrum/roles/maintenance_factories.py
@@ -1,4 +1,4 @@
-"""Construction of the work that only the holder of a lease does."""
+"""Construction of the tasks that run under a lease."""
 
 import time
 from collections.abc import Callable
@@ -6,8 +6,8 @@
 from cassiadrum.decisions import DemandOrderPlanner
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.events import EventRing
-from cassiadrum.roles.claim_janitors import ClaimJanitor
-from cassiadrum.roles.lease_contenders import LeaseContender
+from cassiadrum.roles.claim_cleanup_tasks import ClaimCleanupTask
+from cassiadrum.roles.lease_candidates import LeaseCandidate
 from cassiadrum.roles.order_managers import OrderManager
 from cassiadrum.roles.order_tasks import OrderTask
 from cassiadrum.roles.routers import Router
@@ -18,7 +18,7 @@
 
 
 class MaintenanceFactory:
-    """Build the claim janitor and the order manager of an entry instance."""
+    """Build the claim clean-up and the order manager of an entry instance."""
 
     def __init__(
         self,
@@ -36,32 +36,37 @@
         self._documents = documents
         self._ring = ring
 
-    def janitor(self, entries: Callable[[], list[str]]) -> ClaimJanitor:
-        """Return the janitor; `entries` names the live entry instances."""
+    def claim_cleanup(self, entry_instances: Callable[[], list[str]]) -> ClaimCleanupTask:
+        """Return the clean-up task; `entry_instances` names the live entry instances."""
         cleaner = ClaimCleaner(self._table, self._objects)
-        return ClaimJanitor(self._lease("claims", entries), cleaner)
+        return ClaimCleanupTask(self._lease("claims", entry_instances), cleaner)
 
-    def orders(self, router: Router, entries: Callable[[], list[str]]) -> OrderManager:
-        """Return the order manager; it reads demand and links from the router."""
+    def order_manager(
+        self, router: Router, entry_instances: Callable[[], list[str]]
+    ) -> OrderManager:
+        """Return the order manager, which reads demand and links from the router."""
 
         def make_task(
-            service: str, planner: DemandOrderPlanner, lease: LeaseContender
+            service: str, planner: DemandOrderPlanner, lease: LeaseCandidate
         ) -> OrderTask:
             return OrderTask(
                 service,
                 planner,
                 lease,
-                waiting=router.requested_models,
-                entries=lambda: len(entries()),
+                waiting_models=router.requested_models,
+                entry_count=lambda: len(entry_instances()),
                 links=router.links.get,
                 ring=self._ring,
             )
 
         return OrderManager(
-            self._weights, self._documents, lambda name: self._lease(name, entries), make_task
+            self._weights,
+            self._documents,
+            lambda name: self._lease(name, entry_instances),
+            make_task,
         )
 
-    def _lease(self, name: str, entries: Callable[[], list[str]]) -> LeaseContender:
-        return LeaseContender(
-            self._table, name, self._instance, entries, self._ring, time.monotonic
+    def _lease(self, name: str, entry_instances: Callable[[], list[str]]) -> LeaseCandidate:
+        return LeaseCandidate(
+            self._table, name, self._instance, entry_instances, self._ring, time.monotonic
         )
--- a/cassiadrum/roles/members.py
+++ b/cassiadrum/roles/member_links.py
@@ -1,4 +1,4 @@
-"""The links of an entry instance to the sidecars of the instance list."""
+"""Links of an entry instance to the sidecars in the instance list."""
 
 import asyncio
 import time
@@ -12,7 +12,7 @@
 
 __all__ = ["MemberLinks"]
 
-EVENT_KINDS = {
+MEMBER_EVENT_KINDS = {
     ChangeKind.JOINED: EventKind.MEMBER_JOINED,
     ChangeKind.LEAVING: EventKind.MEMBER_LEAVING,
     ChangeKind.LEFT: EventKind.MEMBER_LEFT,
@@ -20,11 +20,11 @@
 
 
 class MemberLinks:
-    """Keep a link to each sidecar of the subsets and tell the router which may take work.
+    """Keep a link to each sidecar of the chosen subsets and tell the router which are usable.
 
-    `make_dialer` builds the dialer of a member, `busy` tells whether an instance still has work
-    of this process; a sidecar that leaves the subset keeps its link until it has none. `services`
-    is filled with the service of each member.
+    `make_dialer` builds the dialer of a member. `has_work` returns whether an instance still has
+    work of this process: a sidecar that drops out of its subset keeps its link until it has none.
+    `services` is filled with the service of each member.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
         subset_size: int,
         make_dialer: Callable[[Instance], LinkDialer],
         post: Callable[[RouterMessage], None],
-        busy: Callable[[str], bool],
+        has_work: Callable[[str], bool],
         services: dict[str, str],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
@@ -45,7 +45,7 @@
         self._subset_size = self._size = subset_size
         self._make_dialer = make_dialer
         self._post = post
-        self._busy = busy
+        self._has_work = has_work
         self._ring = ring
         self._clock = clock
         self._dialers: dict[str, LinkDialer] = {}
@@ -54,66 +54,67 @@
         self._stopping: set[asyncio.Task[None]] = set()
 
     def member(self, instance: str) -> Instance | None:
-        """Return a sidecar of the list, whether it is linked to or not."""
+        """Return a sidecar of the instance list, linked or not; None when it is not listed."""
         return self._membership.member(instance)
 
-    def listed(self, instances: tuple[Instance, ...]) -> None:
-        """Take the instance list; an empty one stands for a failed read."""
-        # Before the new list, so that the router had a poll interval to hear of a retirement.
-        self._release()
+    def update_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Apply a new instance list; an empty one means that the read failed."""
+        # Links retired by the previous list are closed only now, so that the router has had one
+        # poll interval to stop using them.
+        self._close_retired()
         services = {item.service for item in instances if item.role == "sidecar"}
         if services:
             self._size = links_per_service(self._subset_size, len(services))
             for subset in self._subsets.values():
                 subset.resize(self._size)
-        self._apply(self._membership.apply_list(instances, self._clock()))
+        self._apply_changes(self._membership.apply_list(instances, self._clock()))
 
     def connected(self, instance: str, link: Link) -> None:
-        """Take the hello of a sidecar."""
+        """Store the link on which a sidecar sent its hello."""
         self._links[instance] = link
         self._membership.mark_connected(instance)
 
     def disconnected(self, instance: str, link: Link) -> None:
-        """Take the loss of a link; one that was replaced changes nothing."""
+        """Record the loss of a link, unless a newer one has replaced it."""
         if self._links.get(instance) is link:
             del self._links[instance]
             self._membership.mark_disconnected(instance, self._clock())
 
     def reported(self, instance: str, leaving: bool) -> None:
-        """Take what a sidecar says of itself."""
+        """Record whether a sidecar reports that it is leaving."""
         changes = self._membership.apply_report(instance, leaving, self._clock())
         if changes:
-            self._apply(changes)
+            self._apply_changes(changes)
 
-    def full(self, instance: str) -> None:
-        """Take the refusal of a sidecar that has its share of connections."""
+    def link_refused(self, instance: str) -> None:
+        """Replace a sidecar that refused the link because it has reached its connection bound."""
         service = self._services.get(instance)
         if service is not None:
             self._subsets[service].set_full(instance, self._clock())
-            self._drop(instance)
-            self._connect()
+            self._remove_link(instance)
+            self._update_links()
 
     async def close(self) -> None:
-        """Close every link."""
+        """Close every link and wait until they are closed."""
         await asyncio.gather(*(dialer.stop() for dialer in self._dialers.values()))
         await asyncio.gather(*self._stopping)
 
-    def _apply(self, changes: list[MemberChange]) -> None:
+    def _apply_changes(self, changes: list[MemberChange]) -> None:
         for change in changes:
-            self._take(change)
-        self._connect()
+            self._apply_change(change)
+        self._update_links()
 
-    def _take(self, change: MemberChange) -> None:
+    def _apply_change(self, change: MemberChange) -> None:
         kind, member = change
         name = member.instance
-        if kind in EVENT_KINDS:
-            self._ring.record(EVENT_KINDS[kind], service=member.service, member=name)
+        if kind in MEMBER_EVENT_KINDS:
+            self._ring.record(MEMBER_EVENT_KINDS[kind], service=member.service, member=name)
         if kind in (ChangeKind.MOVED, ChangeKind.LEFT):
-            # Streams may be found again at the new address, but not at another service.
+            # Streams can be attached again at a new address, but not at another service.
             if kind is ChangeKind.MOVED and member.service == self._services[name]:
                 self._stop_dialer(name)
             else:
-                self._drop(name)
+                self._remove_link(name)
             self._subsets[self._services.pop(name)].remove(name)
         if kind in (ChangeKind.JOINED, ChangeKind.MOVED):
             self._services[name] = member.service
@@ -125,7 +126,7 @@
             self._subsets[member.service].set_leaving(name, leaving)
             self._post(MemberUsable(name, not leaving))
 
-    def _connect(self) -> None:
+    def _update_links(self) -> None:
         now = self._clock()
         chosen = {name for subset in self._subsets.values() for name in subset.select(now)}
         for name in chosen - self._dialers.keys():
@@ -137,18 +138,18 @@
             self._retired.discard(name)
             self._post(MemberUsable(name, True))
         for name in self._dialers.keys() - chosen - self._retired:
-            # The link to a leaving sidecar stays up for its streams until the sidecar ends.
+            # The link to a leaving sidecar stays up for its streams until the sidecar stops.
             if not self._membership.is_leaving(name):
                 self._retired.add(name)
                 self._post(MemberUsable(name, False))
 
-    def _release(self) -> None:
-        for name in [name for name in self._retired if not self._busy(name)]:
-            self._drop(name)
+    def _close_retired(self) -> None:
+        for name in [name for name in self._retired if not self._has_work(name)]:
+            self._remove_link(name)
 
-    def _drop(self, instance: str) -> None:
+    def _remove_link(self, instance: str) -> None:
         if self._stop_dialer(instance):
-            # The service is named because the member may be unknown when this is handled.
+            # The message names the service, since the member may be unknown when it is handled.
             self._post(MemberRemoved(instance, self._services.get(instance, "")))
 
     def _stop_dialer(self, instance: str) -> bool:
--- a/cassiadrum/roles/once_gates.py
+++ b/cassiadrum/roles/once_only_guards.py
@@ -1,4 +1,4 @@
-"""The claim of a once-only call right before its effect."""
+"""Claims for once-only calls, made right before the call to the endpoint."""
 
 import hashlib
 from typing import NamedTuple
@@ -18,38 +18,44 @@
     StoreUnavailable,
 )
 
-__all__ = ["GateAnswer", "OnceGate"]
+__all__ = ["ClaimRefusal", "OnceOnlyGuard"]
 
 
-class GateAnswer(NamedTuple):
-    """What to tell the caller instead of running the call; `kept` is an earlier answer."""
+class ClaimRefusal(NamedTuple):
+    """Outcome of a call whose claim was refused.
+
+    `stored_answer` is the answer of the earlier call with the same key, if it was stored.
+    """
 
     outcome: Outcome
-    kept: KeptAnswer | None = None
+    stored_answer: KeptAnswer | None = None
 
 
-class OnceGate:
-    """Let each once-only call pass once, and record how it ended."""
+class OnceOnlyGuard:
+    """Permit each once-only call at most once and store its result in the claim."""
 
     def __init__(self, claims: ClaimService, ring: EventRing) -> None:
         self._claims = claims
         self._ring = ring
 
-    async def enter(self, start: StartRequest) -> Claimed | GateAnswer:
-        """Claim the call; only a Claimed permits the effect."""
+    async def claim(self, start: StartRequest) -> Claimed | ClaimRefusal:
+        """Claim the call's key; the call may be sent to the endpoint only on a Claimed."""
         key = ClaimKey(start.service, start.customer, start.key)
         result = await self._claims.claim(key, _body_hash(start), max(0.0, start.deadline_left_s))
         if isinstance(result, Claimed):
             self._record(EventKind.CLAIM_MADE, start)
             return result
-        answer = _answer(result)
+        answer = _refusal(result)
         self._record(EventKind.CLAIM_REFUSED, start, reason=answer.outcome.reason or "kept")
         return answer
 
-    async def leave(
+    async def settle(
         self, start: StartRequest, claim: Claimed, outcome: Outcome, answer: KeptAnswer | None
     ) -> None:
-        """Record the end of the call; what cannot be written now is written later."""
+        """Write the result to the claim.
+
+        If the table service does not answer, the claim service keeps the write and repeats it.
+        """
         if outcome.ok and answer is not None:
             await self._claims.record_answer(claim, answer)
             state = "done"
@@ -67,23 +73,23 @@
         )
 
 
-def relayed_headers(headers: Headers) -> Headers:
-    """Return the headers that are kept with an answer."""
+def stored_headers(headers: Headers) -> Headers:
+    """Return the response headers that are stored with an answer."""
     return tuple((k, v) for k, v in headers if k in ("content-type", "location", "etag"))
 
 
-def _answer(result: object) -> GateAnswer:
+def _refusal(result: object) -> ClaimRefusal:
     if isinstance(result, AlreadyCompleted):
         if not result.answer.body_kept:
-            return GateAnswer(Outcome(False, ExecutionStatus.EXECUTED, 0, "answer_lost"))
-        return GateAnswer(Outcome(True, ExecutionStatus.EXECUTED), result.answer)
+            return ClaimRefusal(Outcome(False, ExecutionStatus.EXECUTED, 0, "answer_lost"))
+        return ClaimRefusal(Outcome(True, ExecutionStatus.EXECUTED), result.answer)
     if isinstance(result, KeyReused):
-        return GateAnswer(
+        return ClaimRefusal(
             Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "key_reused", final=True)
         )
     if isinstance(result, InProgress):
         outcome = Outcome(False, ExecutionStatus.UNKNOWN, 0, "in_progress", result.retry_after_s)
-        return GateAnswer(outcome)
+        return ClaimRefusal(outcome)
     if isinstance(result, StoreUnavailable):
         outcome = Outcome(
             False,
@@ -93,8 +99,8 @@
             result.retry_after_s,
             final=True,
         )
-        return GateAnswer(outcome)
-    return GateAnswer(Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost"))
+        return ClaimRefusal(outcome)
+    return ClaimRefusal(Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost"))
 
 
 def _body_hash(start: StartRequest) -> str:
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -37,7 +37,7 @@
     Submit,
     Tick,
 )
-from cassiadrum.roles.sidecar_paths import AttemptEvents, SidecarPath
+from cassiadrum.roles.sidecar_clients import AttemptEvents, SidecarClient
 
 __all__ = ["Router"]
 
@@ -82,7 +82,7 @@
         self._clock = clock
         self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
         self._relay = AnswerRelay(ring)
-        self._sidecars = SidecarPath(self, clock)
+        self._sidecars = SidecarClient(self, clock)
         # Cancelled attempts whose end has not been reported to the dispatcher yet, with their
         # service, in order of cancellation.
         self._cancelled_attempts: dict[str, tuple[Attempt, str]] = {}
@@ -90,7 +90,7 @@
             Submit: lambda msg: self._submit(msg.pending),
             CallerDisconnected: lambda msg: self._caller_disconnected(msg.request_id),
             Delivered: self._delivered,
-            ReceivedMessage: self._sidecars.take,
+            ReceivedMessage: self._sidecars.handle,
             LinkClosed: lambda msg: self._sidecars.link_down(msg.link),
             MemberUsable: self._member_usable,
             MemberRemoved: self._member_removed,
@@ -161,7 +161,7 @@
 
     # Events from sidecars.
 
-    def attached(self, instance: str, restarted: bool) -> None:
+    def sidecar_connected(self, instance: str, restarted: bool) -> None:
         """Resume the sidecar's attempts over its new link, or fail them if it restarted."""
         self._ring.record(EventKind.CONNECTED, peer=instance)
         for pending, attempt in self._attempts_at(instance):
@@ -172,7 +172,7 @@
             self._sidecars.reattach(attempt)
             self._record(EventKind.REATTACHED, pending, position=attempt.position)
 
-    def detached(self, instance: str) -> None:
+    def sidecar_disconnected(self, instance: str) -> None:
         """Record when the link was lost; its attempts can be reattached over a new one."""
         now = self._clock()
         self._ring.record(EventKind.DISCONNECTED, peer=instance)
@@ -180,7 +180,7 @@
             attempt.detached_s = now
         self._execute(self._dispatcher(self._service_of(instance)).endpoint_lost(instance, now))
 
-    def reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
+    def load_reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Pass a load report and the cached prompt prefixes to the service's dispatcher."""
         now = self._clock()
         service = self._service_of(rep.instance)
@@ -190,7 +190,7 @@
         self.on_report(service, rep)
         self._execute(dispatcher.report(rep, now))
 
-    def began(self, head: Head) -> None:
+    def head_received(self, head: Head) -> None:
         """Relay the head of an answer."""
         found = self._find_attempt(head.attempt_id)
         if found is not None:
@@ -213,7 +213,7 @@
             self._finish_attempt(pending, attempt, LOST_OUTCOME)
         self._execute(dispatcher.endpoint_removed(msg.instance, self._clock()))
 
-    def received(self, attempt_id: str, position: int, data: bytes) -> None:
+    def data_received(self, attempt_id: str, position: int, data: bytes) -> None:
         """Relay bytes of an answer and acknowledge those that the caller's task does not.
 
         An event longer than MAX_EVENT_BYTES fails the attempt.
@@ -246,7 +246,7 @@
             # The sidecar sends the rest of a long event only after an acknowledgement.
             self._sidecars.acknowledge(attempt, attempt.position)
 
-    def ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
+    def attempt_ended(self, attempt_id: str, position: int, outcome: Outcome) -> bool:
         """Complete or retry the request of an attempt; return whether the attempt is known.
 
         Bytes that are missing from a successful answer are requested again first.
@@ -257,7 +257,7 @@
             return False
         pending, attempt = found
         if outcome.ok and position != attempt.position:
-            self._sidecars.ask_again(attempt)
+            self._sidecars.request_resend(attempt)
             return True
         if outcome.ok and not self._relay.is_compatible(pending, attempt):
             outcome = Outcome(False, outcome.ran, outcome.tokens, "endpoint_failed")
@@ -265,7 +265,7 @@
         self._finish_attempt(pending, attempt, outcome)
         return True
 
-    def rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
+    def attempt_rejected(self, attempt_id: str, reason: str, retry_after_s: float) -> None:
         """Report an attempt as not run, or as unknown if it may have run and been forgotten."""
         found = self._find_attempt(attempt_id)
         if found is None:
