--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from bench.ablation_tables import effects, print_effects
-from bench.bounds import Verdict, check_bounds, known_red, read_bounds
+from bench.bounds import Verdict, check_bounds, read_bounds, read_known_failures
 from bench.figures import figures
-from bench.operation_counts import by_queue, by_subset
+from bench.operation_counts import count_by_queue_length, count_by_subset_size
 from bench.reports import print_changes, print_tables, print_verdicts, write_results
 from bench.results import pool_cases, rounded
 from bench.suites import SEEDS, ablation_suite, full_suite, run_all
@@ -32,10 +32,13 @@
     runs = list(run_all(full_suite(seeds, options.only)))
     operations = {}
     if not options.only or options.only == "operations":
-        operations = {"operations_by_subset": by_subset(), "operations_by_queue": by_queue()}
+        operations = {
+            "operations_by_subset": count_by_subset_size(),
+            "operations_by_queue": count_by_queue_length(),
+        }
     results = rounded({"cases": pool_cases(runs), "operations": operations})
     verdicts = check_bounds(
-        figures(results["cases"], results["operations"]), read_bounds(), known_red()
+        figures(results["cases"], results["operations"]), read_bounds(), read_known_failures()
     )
     if options.json:
         print(json.dumps({**results, "bounds": _bounds(verdicts)}, sort_keys=True))
@@ -51,12 +54,12 @@
 
 def exit_code(verdicts: list[Verdict]) -> int:
     """Return 1 when a bound is missed that is not in the list of known failures."""
-    return int(any(not verdict.kept and not verdict.known for verdict in verdicts))
+    return int(any(not verdict.is_met and not verdict.is_known_failure for verdict in verdicts))
 
 
 def _bounds(verdicts: list[Verdict]) -> dict[str, Any]:
     return {
-        verdict.key: {**verdict.figure._asdict(), "bound": verdict.bound, "kept": verdict.kept}
+        verdict.key: {**verdict.figure._asdict(), "bound": verdict.bound, "kept": verdict.is_met}
         for verdict in verdicts
     }
 
--- a/bench/ablated_policies.py
+++ b/bench/ablated_policies.py
@@ -9,10 +9,10 @@
     ServiceSnapshot,
 )
 
-__all__ = ["AdmitAlways", "EndWithAttempt"]
+__all__ = ["NonContinuingRetryPolicy", "UnconditionalAdmission"]
 
 
-class AdmitAlways(Admission):
+class UnconditionalAdmission(Admission):
     """Accept every request whatever its deadline."""
 
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted:
@@ -28,7 +28,7 @@
         pass
 
 
-class EndWithAttempt(BudgetRetryPolicy):
+class NonContinuingRetryPolicy(BudgetRetryPolicy):
     """Retry partly delivered answers within the budget only."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
--- a/bench/ablated_queues.py
+++ b/bench/ablated_queues.py
@@ -2,10 +2,10 @@
 
 from cassiadrum.decisions import QueuedRequest, RequestQueue
 
-__all__ = ["NoMinShare", "NoShortQueueForProtected"]
+__all__ = ["FreeSlotOnlyQueue", "NoMinShareQueue"]
 
 
-class WrappedQueue(RequestQueue):
+class DelegatingQueue(RequestQueue):
     """Pass every call on to another queue."""
 
     def __init__(self, queue: RequestQueue) -> None:
@@ -36,14 +36,14 @@
         return len(self._queue)
 
 
-class NoShortQueueForProtected(WrappedQueue):
+class FreeSlotOnlyQueue(DelegatingQueue):
     """Place protected work only while a slot is free."""
 
     def protected_waiting(self) -> bool:
         return False
 
 
-class NoMinShare(WrappedQueue):
+class NoMinShareQueue(DelegatingQueue):
     """Serve strictly by tier, however long a lower one has waited."""
 
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
--- a/bench/ablation_tables.py
+++ b/bench/ablation_tables.py
@@ -9,7 +9,7 @@
 
 Runs = list[tuple[RunSpec, dict[str, Any]]]
 # Measures listed for each mechanism, those that moved most in units of the spread first.
-LISTED = 6
+MAX_LISTED_MEASURES = 6
 
 
 class Effect(NamedTuple):
@@ -18,14 +18,14 @@
     mechanism: str
     case: str
     measure: str
-    with_it: float
-    without_it: float
+    with_mechanism: float
+    without_mechanism: float
     spread: float
 
     @property
-    def moved(self) -> bool:
+    def is_significant(self) -> bool:
         """Tell whether the difference is larger than the spread between seeds."""
-        return abs(self.without_it - self.with_it) > max(self.spread, 1e-9)
+        return abs(self.without_mechanism - self.with_mechanism) > max(self.spread, 1e-9)
 
 
 def effects(runs: Runs) -> list[Effect]:
@@ -50,13 +50,19 @@
 def print_effects(found: list[Effect]) -> None:
     """Print the measures that each mechanism moves most, and the mechanisms that move none."""
     for mechanism in dict.fromkeys(effect.mechanism for effect in found):
-        moved = [one for one in found if one.mechanism == mechanism and one.moved]
-        moved.sort(key=lambda one: abs(one.without_it - one.with_it) / (one.spread + 1e-3))
+        moved = [
+            effect for effect in found if effect.mechanism == mechanism and effect.is_significant
+        ]
+        moved.sort(
+            key=lambda effect: (
+                abs(effect.without_mechanism - effect.with_mechanism) / (effect.spread + 1e-3)
+            )
+        )
         print(f"{mechanism}: moves {len(moved)} measures")
-        for one in moved[: -LISTED - 1 : -1]:
+        for effect in moved[: -MAX_LISTED_MEASURES - 1 : -1]:
             print(
-                f"  {one.case} {one.measure}: with {one.with_it:.4f}, "
-                f"without {one.without_it:.4f}, spread {one.spread:.4f}"
+                f"  {effect.case} {effect.measure}: with {effect.with_mechanism:.4f}, "
+                f"without {effect.without_mechanism:.4f}, spread {effect.spread:.4f}"
             )
 
 
--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -3,12 +3,12 @@
 import random
 from collections.abc import Callable
 
-from bench.ablated_choosers import CountingReports, NeverEject
-from bench.ablated_policies import AdmitAlways, EndWithAttempt
-from bench.ablated_queues import NoMinShare, NoShortQueueForProtected
+from bench.ablated_choosers import NonEjectingChooser, UncorrectedReportChooser
+from bench.ablated_policies import NonContinuingRetryPolicy, UnconditionalAdmission
+from bench.ablated_queues import FreeSlotOnlyQueue, NoMinShareQueue
 from bench.capacities import best_batch
-from bench.parts import Parts
-from bench.plain_strategies import changed
+from bench.dispatcher_parts import DispatcherParts
+from bench.plain_strategies import with_replaced_parts
 from bench.products import QUEUE_REQUESTS, product, product_scheduler
 from bench.strategies import Strategy
 from bench.unbudgeted_retries import UnbudgetedRetry
@@ -31,28 +31,34 @@
 
 def ablations() -> dict[str, Strategy]:
     """Return the product without each mechanism, by the name of what is left out."""
-    changes: dict[str, Callable[[Parts, str], Parts]] = {
+    changes: dict[str, Callable[[DispatcherParts, str], DispatcherParts]] = {
         "fair-queue": lambda parts, seed: parts._replace(queue=StrictTierQueue(QUEUE_REQUESTS)),
-        "min-share": lambda parts, seed: parts._replace(queue=NoMinShare(parts.queue)),
+        "min-share": lambda parts, seed: parts._replace(queue=NoMinShareQueue(parts.queue)),
         "queueing-protected-work-at-full-endpoints": lambda parts, seed: parts._replace(
-            queue=NoShortQueueForProtected(parts.queue)
+            queue=FreeSlotOnlyQueue(parts.queue)
         ),
         "learned-lengths": lambda parts, seed: parts._replace(queue=FairTierQueue(QUEUE_REQUESTS)),
-        "deadline-admission": lambda parts, seed: parts._replace(admission=AdmitAlways()),
+        "deadline-admission": lambda parts, seed: parts._replace(
+            admission=UnconditionalAdmission()
+        ),
         "retry-budget": lambda parts, seed: parts._replace(retry=UnbudgetedRetry()),
-        "continuation": lambda parts, seed: parts._replace(retry=EndWithAttempt()),
+        "continuation": lambda parts, seed: parts._replace(retry=NonContinuingRetryPolicy()),
         "hedging": lambda parts, seed: parts._replace(hedge=WasteBoundHedgePolicy()),
         "prefix-affinity": _with_chooser(
             lambda rng, streams: LeastCostChooser(
                 rng, streams_tokens=streams, prefix_keys_per_endpoint=0
             )
         ),
-        "ejection": _with_chooser(lambda rng, streams: NeverEject(rng, streams_tokens=streams)),
+        "ejection": _with_chooser(
+            lambda rng, streams: NonEjectingChooser(rng, streams_tokens=streams)
+        ),
         "correction-of-old-reports": _with_chooser(
-            lambda rng, streams: CountingReports(rng, streams_tokens=streams)
+            lambda rng, streams: UncorrectedReportChooser(rng, streams_tokens=streams)
         ),
     }
-    strategies = [changed(f"without-{name}", change) for name, change in changes.items()]
+    strategies = [
+        with_replaced_parts(f"without-{name}", change) for name, change in changes.items()
+    ]
     strategies += [
         product()._replace(name="without-tracked-limit", make_scheduler=_fixed_limit),
         product()._replace(name="without-preemption", make_scheduler=_no_preemption),
@@ -63,8 +69,8 @@
 
 def _with_chooser(
     make: Callable[[random.Random, bool], LeastCostChooser],
-) -> Callable[[Parts, str], Parts]:
-    def change(parts: Parts, seed: str) -> Parts:
+) -> Callable[[DispatcherParts, str], DispatcherParts]:
+    def change(parts: DispatcherParts, seed: str) -> DispatcherParts:
         return parts._replace(chooser=make(random.Random(seed), parts.streams_tokens))
 
     return change
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -6,10 +6,10 @@
 
 from bench.figures import Figure
 
-__all__ = ["Verdict", "check_bounds", "known_red", "read_bounds"]
+__all__ = ["Verdict", "check_bounds", "read_bounds", "read_known_failures"]
 
-BOUNDS = Path(__file__).with_name("bounds.toml")
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+BOUNDS_PATH = Path(__file__).with_name("bounds.toml")
+KNOWN_FAILURES_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
 class Verdict(NamedTuple):
@@ -18,17 +18,17 @@
     key: str
     figure: Figure
     bound: str
-    kept: bool
-    known: bool
+    is_met: bool
+    is_known_failure: bool
     source: str
 
 
-def read_bounds(path: Path = BOUNDS) -> dict[str, dict[str, float | str]]:
+def read_bounds(path: Path = BOUNDS_PATH) -> dict[str, dict[str, float | str]]:
     """Return the bounds by key, each with `min` or `max` and `source`."""
     return tomllib.loads(path.read_text())
 
 
-def known_red(path: Path = KNOWN_RED) -> set[str]:
+def read_known_failures(path: Path = KNOWN_FAILURES_PATH) -> set[str]:
     """Return the first word of each line of the list of known failures."""
     if not path.exists():
         return set()
--- a/bench/calls.py
+++ b/bench/calls.py
@@ -19,8 +19,8 @@
     req: QueuedRequest
     work: float
     entry: int = 0
-    leaves_at_s: float = float("inf")
-    owner: str = ""
+    disconnects_at_s: float = float("inf")
+    active_instance: str = ""
     delivered: float = 0.0
     first_token_at_s: float | None = None
     last_token_at_s: float | None = None
@@ -30,11 +30,11 @@
     gaps: dict[float, float] = field(default_factory=dict)
 
     @property
-    def open(self) -> bool:
+    def is_open(self) -> bool:
         """Tell whether the caller still waits for the end."""
         return self.ended_at_s is None
 
-    def take_gaps(self, gaps: dict[float, float]) -> None:
+    def add_gaps(self, gaps: dict[float, float]) -> None:
         """Add the tokens of one attempt, by the seconds since the token before."""
         for gap_s, tokens in gaps.items():
             self.gaps[gap_s] = self.gaps.get(gap_s, 0.0) + tokens
--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from bench.capacity.fits import fit_line
+from bench.capacity.idle_figures import measure_idle, measure_propagation
 from bench.capacity.link_series import measure_links
 from bench.capacity.pages import write_page
-from bench.capacity.rest_figures import measure_rest, measure_spread
 from bench.capacity.state_series import STATE_SERIES
 
 OUTPUT = Path(__file__).parent.parent / "capacity.json"
@@ -34,7 +34,7 @@
         measured = _measure(part, options.series or list(STATE_SERIES))
         report = _read()
         if part in ("state", "links"):
-            report["series"] |= {name: _entry(points) for name, points in measured.items()}
+            report["series"] |= {name: _series_entry(points) for name, points in measured.items()}
         else:
             report[part] = measured
         at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime())
@@ -53,10 +53,10 @@
         return {name: STATE_SERIES[name]() for name in names}
     if part == "links":
         return dict(asyncio.run(measure_links()))
-    return dict(asyncio.run(measure_rest() if part == "rest" else measure_spread()))
+    return dict(asyncio.run(measure_idle() if part == "rest" else measure_propagation()))
 
 
-def _entry(points: list[tuple[float, float]]) -> dict[str, Any]:
+def _series_entry(points: list[tuple[float, float]]) -> dict[str, Any]:
     return {"points": points, **fit_line(points)._asdict()}
 
 
--- a/bench/capacity/extrapolations.py
+++ b/bench/capacity/extrapolations.py
@@ -5,7 +5,7 @@
 
 from bench.capacity.fits import Fit
 
-__all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "Total", "fit_of", "totals"]
+__all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "RoleTotal", "fit_of", "totals"]
 
 # Section 1.8 of the design page.
 ENTRIES: Final = 2300
@@ -19,7 +19,7 @@
 QUEUE: Final = 2048
 EVENTS: Final = 16_384
 # A finished answer is kept for 60 s.
-KEPT_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
+RETAINED_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
 LIMITS_AT_TARGET: Final = {"MB": 64.0, "% of a core": 4.7, "B/s": 6000.0}
 
 
@@ -27,7 +27,7 @@
     """Take a line at `x`, times `factor` for the unit; `slope_only` leaves out the base cost."""
 
     role: str
-    what: str
+    resource: str
     series: str
     x: float
     factor: float
@@ -40,7 +40,7 @@
         return self.factor * (fit.slope * self.x if self.slope_only else fit.at(self.x))
 
 
-class Total(NamedTuple):
+class RoleTotal(NamedTuple):
     """A role's sum in a unit against its limit."""
 
     role: str
@@ -78,7 +78,9 @@
     ),
     Extrapolation("sidecar", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
     Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
-    Extrapolation("sidecar", "kept answers", "kept_answer_memory_bytes", KEPT_ANSWERS, 1e-6, "MB"),
+    Extrapolation(
+        "sidecar", "kept answers", "kept_answer_memory_bytes", RETAINED_ANSWERS, 1e-6, "MB"
+    ),
     Extrapolation(
         "sidecar", "links at rest", "sidecar_link_cpu_us_per_s", SIDECAR_LINKS, 1e-4, "% of a core"
     ),
@@ -103,7 +105,7 @@
     return Fit(*(entry[field] for field in Fit._fields))
 
 
-def totals(report: Mapping[str, Any]) -> list[Total]:
+def totals(report: Mapping[str, Any]) -> list[RoleTotal]:
     """Return each role's sums; memory starts from the measured idle daemon."""
     found = []
     for role in ("entry", "sidecar"):
@@ -112,5 +114,5 @@
             value = sum(part.value(report) for part in parts)
             if unit == "MB":
                 value += report["rest"][f"{role}_idle_mb"]
-            found.append(Total(role, unit, value, limit))
+            found.append(RoleTotal(role, unit, value, limit))
     return found
--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -8,8 +8,8 @@
 
 from websockets.asyncio.connection import Connection
 
-from bench.processes import Child, ProcessGroup
-from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
+from bench.processes import ChildProcess, ProcessGroup
+from bench.wall_clock.bench_platforms import DOCUMENTS, BenchPlatform
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventRing, HybridClock
 from cassiadrum.links import Link, LinkDialer
@@ -18,12 +18,12 @@
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.states import ConfigurationReader, ConfigurationRegistry
 
-__all__ = ["admin_get", "control_bytes", "measure_links"]
+__all__ = ["admin_get", "measure_links", "read_control_bytes"]
 
-COUNTS = (10, 100, 300, 600, 1000)
-REST_S = 6.0
+LINK_COUNTS = (10, 100, 300, 600, 1000)
+IDLE_MEASUREMENT_S = 6.0
 # The links have to be idle, as those of a fleet at rest are.
-SETTLE_S = LIMITS.IDLE_AFTER_S + 1.0
+IDLE_TRANSITION_S = LIMITS.IDLE_AFTER_S + 1.0
 
 
 async def measure_links() -> dict[str, list[tuple[float, float]]]:
@@ -32,13 +32,13 @@
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
         await platform.start(DOCUMENTS)
-        engine = (await group.start("bench.wall_clock.engine")).ready["http"]
-        for count in COUNTS:
-            sidecar = await platform.sidecar(f"s{count}", "calls", "plain", engine)
+        engine = (await group.start("bench.wall_clock.engine")).startup_info["http"]
+        for count in LINK_COUNTS:
+            sidecar = await platform.start_sidecar(f"s{count}", "calls", "plain", engine)
             dialer = await group.start(
-                "bench.capacity.link_series", sidecar.ready["link"], str(count)
+                "bench.capacity.link_series", sidecar.startup_info["link"], str(count)
             )
-            found = await _rest(sidecar, dialer)
+            found = await _measure_idle_links(sidecar, dialer)
             for name, value in found.items():
                 series.setdefault(name, []).append((float(count), value))
             await dialer.stop()
@@ -47,11 +47,11 @@
     return series
 
 
-async def _rest(sidecar: Child, dialer: Child) -> dict[str, float]:
-    await asyncio.sleep(SETTLE_S)
-    before = (sidecar.cpu_s(), dialer.cpu_s(), await control_bytes(sidecar), time.monotonic())
-    await asyncio.sleep(REST_S)
-    bytes_after = await control_bytes(sidecar)
+async def _measure_idle_links(sidecar: ChildProcess, dialer: ChildProcess) -> dict[str, float]:
+    await asyncio.sleep(IDLE_TRANSITION_S)
+    before = (sidecar.cpu_s(), dialer.cpu_s(), await read_control_bytes(sidecar), time.monotonic())
+    await asyncio.sleep(IDLE_MEASUREMENT_S)
+    bytes_after = await read_control_bytes(sidecar)
     passed_s = time.monotonic() - before[3]
     return {
         "sidecar_link_memory_bytes": float(sidecar.rss_bytes()),
@@ -62,22 +62,22 @@
     }
 
 
-async def control_bytes(child: Child) -> float:
+async def read_control_bytes(child: ChildProcess) -> float:
     """Return the control bytes in both directions since the start of a daemon."""
     text = (await admin_get(child, "/metrics")).decode()
     lines = [line for line in text.splitlines() if line.startswith("cassiadrum_control_bytes")]
     return sum(float(line.rpartition(" ")[2]) for line in lines)
 
 
-async def admin_get(child: Child, target: str) -> bytes:
+async def admin_get(child: ChildProcess, target: str) -> bytes:
     """Return what the admin interface of a daemon answers."""
-    body = await ProcessReader("127.0.0.1:1")._get(child.ready["admin"], target)
+    body = await ProcessReader("127.0.0.1:1")._get(child.startup_info["admin"], target)
     if body is None:
         raise RuntimeError(f"no answer to {target}")
     return body
 
 
-class _Dialers:
+class _DialerGroup:
     """Hold links to one sidecar, each as another entry instance with the same documents."""
 
     def __init__(self, address: str, count: int) -> None:
@@ -126,4 +126,4 @@
     parser.add_argument("address")
     parser.add_argument("count", type=int)
     options = parser.parse_args()
-    asyncio.run(_Dialers(options.address, options.count).run())
+    asyncio.run(_DialerGroup(options.address, options.count).run())
--- a/bench/capacity/pages.py
+++ b/bench/capacity/pages.py
@@ -87,7 +87,7 @@
     return [
         (
             part.role,
-            part.what,
+            part.resource,
             f"`{part.series}`" + (", slope only" if part.slope_only else ""),
             f"{part.x:.5g}",
             f"{part.value(report):.4g} {part.unit}",
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -6,7 +6,7 @@
 import tracemalloc
 from collections.abc import Callable
 
-from bench.wall_clock.sites import document
+from bench.wall_clock.bench_platforms import make_document
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
     Dispatcher,
@@ -65,7 +65,7 @@
     return dispatcher
 
 
-def memory_of(build: Callable[[], object]) -> float:
+def measure_memory(build: Callable[[], object]) -> float:
     """Return the bytes that are allocated by `build` and kept by its result."""
     gc.collect()
     tracemalloc.start()
@@ -86,7 +86,7 @@
             queue.push(make_request(number, 0.0), 0.0)
         return queue
 
-    return [(n, memory_of(lambda n=n: build(n))) for n in (10, 1000, 10_000, 40_000, 100_000)]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in (10, 1000, 10_000, 40_000, 100_000)]  # type: ignore[misc]
 
 
 def queue_time() -> Points:
@@ -113,18 +113,18 @@
         dispatcher, metrics = make_dispatcher(8), RoleMetrics(lambda: 0.0)
         for number in range(customers):
             req = make_request(number, 0.0, customers)
-            _serve(dispatcher, req, 0.0)
+            _complete_request(dispatcher, req, 0.0)
             metrics.delivered("svc", "all", req.customer, 200)
         return dispatcher, metrics
 
     sizes = (10, 1000, 10_000, 20_000, 40_000)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def endpoint_memory() -> Points:
     """Bytes of a dispatcher by the endpoints of its subset."""
     sizes = (8, 64, 128, 256, 512)
-    return [(n, memory_of(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
 
 
 def endpoint_time() -> Points:
@@ -133,10 +133,10 @@
     for endpoints in (8, 64, 128, 256, 512):
         dispatcher = make_dispatcher(endpoints)
         for number in range(200):
-            _serve(dispatcher, make_request(number, 0.0), 0.0)
+            _complete_request(dispatcher, make_request(number, 0.0), 0.0)
         started_s = time.process_time()
         for number in range(REPEATS):
-            _serve(dispatcher, make_request(1000 + number, 1.0), 1.0 + number * 1e-4)
+            _complete_request(dispatcher, make_request(1000 + number, 1.0), 1.0 + number * 1e-4)
         spent_s = time.process_time() - started_s
         points.append((float(endpoints), 1e6 * spent_s / REPEATS))
     return points
@@ -145,7 +145,7 @@
 def service_memory() -> Points:
     """Bytes of the configurations in force by the number of services."""
     sizes = (1, 25, 50, 100, 200)
-    return [(n, memory_of(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
 
 
 def digest_time() -> Points:
@@ -169,7 +169,9 @@
         started_s = time.process_time()
         for number in range(changes):
             name = f"svc-{number % 17}"
-            registry.apply(ConfigurationRecord(name, number + 2, document(name, "model"), False))
+            registry.apply(
+                ConfigurationRecord(name, number + 2, make_document(name, "model"), False)
+            )
         points.append((float(changes), 1e6 * (time.process_time() - started_s)))
     return points
 
@@ -194,7 +196,7 @@
         return ring
 
     sizes = (256, 2048, 4096, 8192, 16_384)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def kept_answer_memory() -> Points:
@@ -214,18 +216,18 @@
         return kept
 
     sizes = (10, 100, 300, 600, 1000)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def _registry(services: int) -> ConfigurationRegistry:
     registry = ConfigurationRegistry()
     for number in range(services):
         name = f"svc-{number}"
-        registry.apply(ConfigurationRecord(name, 1, document(name, "model"), False))
+        registry.apply(ConfigurationRecord(name, 1, make_document(name, "model"), False))
     return registry
 
 
-def _serve(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
+def _complete_request(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
     """Pass a request through its whole life."""
     actions = dispatcher.submit(req, now)
     instance = getattr(actions[0], "instance", "")
--- a/bench/class_measures.py
+++ b/bench/class_measures.py
@@ -5,7 +5,7 @@
 from bench.calls import Call, gap_percentile
 from cassiadrum.documents import RequestClass
 
-__all__ = ["ClassMeasure", "in_target", "measure_class"]
+__all__ = ["ClassMeasure", "is_within_targets", "measure_class"]
 
 # Reasons for which a request was refused before any endpoint ran it to an end.
 NOT_SERVED = frozenset({"overloaded", "evicted", "deadline", "no_endpoint"})
@@ -28,12 +28,12 @@
     """Return the measures of the calls of one class; `end_s` is when the run stopped."""
     calls = [call for call in calls if call.result != "cancelled"]
     served = [call for call in calls if call.result not in NOT_SERVED]
-    met = sum(in_target(cls, kind, call) for call in served)
+    met = sum(is_within_targets(cls, kind, call) for call in served)
     longest = max((wait_s(call, end_s) for call in calls), default=0.0)
     return ClassMeasure(len(served), len(calls), met, longest)
 
 
-def in_target(cls: RequestClass, kind: str, call: Call) -> bool:
+def is_within_targets(cls: RequestClass, kind: str, call: Call) -> bool:
     """Tell whether an answer was complete and within its class's latency targets."""
     if call.result != "done" or call.ended_at_s is None:
         return False
--- a/bench/class_profiles.py
+++ b/bench/class_profiles.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["PROFILES", "ClassProfile"]
+__all__ = ["CLASS_PROFILES", "ClassProfile"]
 
 
 class ClassProfile(NamedTuple):
@@ -24,7 +24,7 @@
 
 # Protected classes take 0.15 of the capacity of their service at every load: a load above
 # capacity is made of the bursts of lower tiers.
-PROFILES: dict[str, dict[str, ClassProfile]] = {
+CLASS_PROFILES: dict[str, dict[str, ClassProfile]] = {
     "sprachdienst": {
         "feast-assessment": ClassProfile(0.35, 140.0, 0.8, 250, 3),
         "assessment": ClassProfile(0.35, 220.0, 1.0, 350, 3),
--- a/bench/customers.py
+++ b/bench/customers.py
@@ -10,7 +10,7 @@
 
     name: str
     share: float
-    length: float
+    length_factor: float
 
 
 # Ten customers, three of them large. The lengths weighted by the shares have the mean 1.00.
--- a/bench/counting_choosers.py
+++ b/bench/dispatch_counting_choosers.py
@@ -5,10 +5,10 @@
 
 from cassiadrum.decisions import EndpointChooser, EndpointReport, QueuedRequest
 
-__all__ = ["CountingChooser"]
+__all__ = ["DispatchCountingChooser"]
 
 
-class CountingChooser(EndpointChooser):
+class DispatchCountingChooser(EndpointChooser):
     """Keep the last reports and the own dispatches, and let a subclass pick among free ones."""
 
     def __init__(self) -> None:
--- a/bench/parts.py
+++ b/bench/dispatcher_parts.py
@@ -11,10 +11,10 @@
     RetryPolicy,
 )
 
-__all__ = ["Parts"]
+__all__ = ["DispatcherParts"]
 
 
-class Parts(NamedTuple):
+class DispatcherParts(NamedTuple):
     """Hold what a dispatcher is built from."""
 
     queue: RequestQueue
--- a/bench/engine_profiles.py
+++ b/bench/engine_profiles.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["ENGINE", "EngineProfile"]
+__all__ = ["ENGINE_PROFILE", "EngineProfile"]
 
 
 class EngineProfile(NamedTuple):
@@ -31,4 +31,4 @@
 
 # 24 streams fit the 40 ms target; the cache holds about half of the prompt
 # blocks that the customers of one deployment use, so that placement matters.
-ENGINE = EngineProfile(0.010, 0.00083, 0.010, 256, 40)
+ENGINE_PROFILE = EngineProfile(0.010, 0.00083, 0.010, 256, 40)
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -38,8 +38,8 @@
         self._prefills: list[tuple[int, int, Stream]] = []
         self._ends: list[tuple[float, int, int, Stream]] = []
         self._sequence = 0
-        self._log_steps: list[float] = [0.0]
-        self._log_gaps: list[float] = [0.0]
+        self._interval_starts: list[float] = [0.0]
+        self._interval_gaps_s: list[float] = [0.0]
         self.streams: dict[str, Stream] = {}
         self.cache = PrefixCache(profile.cache_blocks)
         self.new_keys: list[int] = []
@@ -63,9 +63,9 @@
         """Stop a stream; its KV cache stays."""
         self._advance()
         stream = self.streams[request_id]
-        self._settle(stream)
+        self._update_stream(stream)
         stream.paused_at_s = self._loop.now
-        self._withdraw(stream)
+        self._unschedule(stream)
         self._schedule()
 
     def resume(self, request_id: str) -> None:
@@ -87,8 +87,8 @@
         if stream is None:
             return None
         self._advance()
-        self._settle(stream)
-        self._withdraw(stream)
+        self._update_stream(stream)
+        self._unschedule(stream)
         del self.streams[request_id]
         self._schedule()
         return stream
@@ -105,11 +105,11 @@
         self.slowdown = factor
         self._schedule()
 
-    def settle_all(self) -> None:
+    def update_progress(self) -> None:
         """Bring the counts of all streams up to now."""
         self._advance()
         for stream in self._decoding.values():
-            self._settle(stream)
+            self._update_stream(stream)
 
     def step_s(self) -> float:
         """Return the seconds of the current step."""
@@ -130,7 +130,7 @@
         end = self._steps + stream.remaining
         heapq.heappush(self._ends, (end, self._sequence, stream.epoch, stream))
 
-    def _withdraw(self, stream: Stream) -> None:
+    def _unschedule(self, stream: Stream) -> None:
         stream.epoch += 1
         stream.start_step = -1.0
         self._decoding.pop(stream.request_id, None)
@@ -139,15 +139,15 @@
             heapq.heapify(kept)
             self._prefills = kept
 
-    def _settle(self, stream: Stream) -> None:
+    def _update_stream(self, stream: Stream) -> None:
         """Credit a decoding stream with the steps since it was last settled."""
         if stream.start_step < 0:
             return
         first, last = stream.start_step, self._steps
-        steps, gaps = self._log_steps, stream.gaps
+        steps, gaps = self._interval_starts, stream.gaps
         for index in range(bisect_right(steps, first) - 1, len(steps)):
             end = steps[index + 1] if index + 1 < len(steps) else last
-            gap_s = self._log_gaps[index]
+            gap_s = self._interval_gaps_s[index]
             gaps[gap_s] = gaps.get(gap_s, 0.0) + end - first
             first = end
         tokens = min(self._steps - stream.start_step, stream.remaining)
@@ -162,9 +162,9 @@
         if elapsed_s <= 0 or not (self._decoding or self._prefills):
             return
         step_s = self.step_s()
-        if self._log_gaps[-1] != step_s:
-            self._log_steps.append(self._steps)
-            self._log_gaps.append(step_s)
+        if self._interval_gaps_s[-1] != step_s:
+            self._interval_starts.append(self._steps)
+            self._interval_gaps_s.append(step_s)
         steps = elapsed_s / step_s
         self._steps += steps
         if self._prefills:
@@ -196,8 +196,8 @@
             if stream_epoch == stream.epoch:
                 ended.append(stream)
         for stream in ended:
-            self._settle(stream)
-            self._withdraw(stream)
+            self._update_stream(stream)
+            self._unschedule(stream)
             del self.streams[stream.request_id]
         self._schedule()
         for stream in ended:
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -4,8 +4,8 @@
 
 from bench.calls import Call
 from bench.event_loops import EventLoop
-from bench.links import LINK_S
-from bench.records import Records
+from bench.links import LINK_LATENCY_S
+from bench.run_records import RunRecords
 from bench.safety_checks import SafetyCheck
 from bench.sidecars import Sidecar
 from cassiadrum.decisions import (
@@ -20,7 +20,7 @@
 
 __all__ = ["Entry"]
 
-TICK_S = 0.25
+TICK_INTERVAL_S = 0.25
 MAX_RESENDS = 50
 
 
@@ -33,7 +33,7 @@
         loop: EventLoop,
         dispatchers: dict[str, Dispatcher],
         sidecars: dict[str, Sidecar],
-        records: Records,
+        records: RunRecords,
         safety: SafetyCheck,
         resend_after_s: Callable[[str, str], float] | None = None,
     ) -> None:
@@ -45,15 +45,15 @@
         self._resend_after_s = resend_after_s
         self._calls: dict[str, Call] = {}
         # The instances at which a request has attempts that have not ended.
-        self._places: dict[str, list[str]] = {}
-        self._loop.after(TICK_S, self._tick)
+        self._attempt_instances: dict[str, list[str]] = {}
+        self._loop.after(TICK_INTERVAL_S, self._tick)
 
     def submit(self, call: Call) -> None:
         """Take a caller's request."""
         self._records.open_calls += 1
         self._safety.opened(call)
-        if call.leaves_at_s != float("inf"):
-            self._loop.at(call.leaves_at_s, self._caller_left, call)
+        if call.disconnects_at_s != float("inf"):
+            self._loop.at(call.disconnects_at_s, self._caller_left, call)
         self._send(call)
 
     def started(self, instance: str, request_id: str) -> None:
@@ -61,37 +61,41 @@
         call = self._calls[request_id]
         dispatcher = self._dispatchers[call.req.service]
         if self._sidecars[instance].streams_tokens:
-            self._carry_out(dispatcher.progressed(instance, request_id, 1, self._loop.now))
-        if call.open and not call.owner and instance in self._places.get(request_id, ()):
-            call.owner = instance
+            self._execute(dispatcher.progressed(instance, request_id, 1, self._loop.now))
+        if (
+            call.is_open
+            and not call.active_instance
+            and instance in self._attempt_instances.get(request_id, ())
+        ):
+            call.active_instance = instance
             if call.first_token_at_s is None:
                 call.first_token_at_s = self._loop.now
             elif call.last_token_at_s is not None:
-                call.take_gaps({self._loop.now - call.last_token_at_s: 1.0})
+                call.add_gaps({self._loop.now - call.last_token_at_s: 1.0})
 
     def progressed(self, instance: str, counts: list[tuple[str, int]]) -> None:
         """Take the tokens of several streams."""
         dispatcher = self._dispatchers[self._sidecars[instance].service]
         for request_id, tokens in counts:
             actions = dispatcher.progressed(instance, request_id, tokens, self._loop.now)
-            self._carry_out(actions)
+            self._execute(actions)
 
     def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
         """Take the end of an attempt."""
         call = self._calls[request_id]
-        places = self._places[request_id]
+        places = self._attempt_instances[request_id]
         places.remove(instance)
-        owner = call.owner == instance
+        owner = call.active_instance == instance
         if owner:
-            call.owner = ""
+            call.active_instance = ""
         dispatcher = self._dispatchers[call.req.service]
-        if call.open and outcome.ok and (owner or not call.owner):
+        if call.is_open and outcome.ok and (owner or not call.active_instance):
             self._close(call, "done")
-        self._carry_out(dispatcher.finished(request_id, outcome, self._loop.now, instance))
+        self._execute(dispatcher.finished(request_id, outcome, self._loop.now, instance))
 
     def reported(self, service: str, rep: EndpointReport) -> None:
         """Take a load report."""
-        self._carry_out(self._dispatchers[service].report(rep, self._loop.now))
+        self._execute(self._dispatchers[service].report(rep, self._loop.now))
 
     def cached(self, service: str, instance: str, keys: list[int]) -> None:
         """Take cache events."""
@@ -100,14 +104,14 @@
     def _send(self, call: Call) -> None:
         request_id = call.req.request_id
         self._calls[request_id] = call
-        self._places[request_id] = []
+        self._attempt_instances[request_id] = []
         if self._resend_after_s is not None:
             wait_s = self._resend_after_s(call.req.service, call.req.class_name)
             self._loop.after(wait_s, self._resend, call, request_id)
         dispatcher = self._dispatchers[call.req.service]
-        self._carry_out(dispatcher.submit(call.req, self._loop.now))
+        self._execute(dispatcher.submit(call.req, self._loop.now))
 
-    def _carry_out(self, actions: list[Action]) -> None:
+    def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Dispatch | Hedge):
                 self._dispatch(action)
@@ -115,44 +119,44 @@
                 self._cancel(action.request_id, action.instance, "duplicate")
             else:
                 call = self._calls[action.req.request_id]
-                if call.open and call.req.request_id == action.req.request_id:
+                if call.is_open and call.req.request_id == action.req.request_id:
                     self._safety.refused(action.req, action.reason)
                     self._records.refusals[action.req.service, action.reason] += 1
                     self._close(call, action.reason)
 
     def _dispatch(self, action: Dispatch | Hedge) -> None:
         call = self._calls[action.req.request_id]
-        self._places[action.req.request_id].append(action.instance)
+        self._attempt_instances[action.req.request_id].append(action.instance)
         sidecar = self._sidecars[action.instance]
-        self._loop.after(LINK_S, sidecar.arrive, call, action.req, self)
+        self._loop.after(LINK_LATENCY_S, sidecar.receive, call, action.req, self)
 
     def _cancel(self, request_id: str, instance: str, reason: str) -> None:
-        self._loop.after(LINK_S, self._sidecars[instance].cancel, request_id, reason)
+        self._loop.after(LINK_LATENCY_S, self._sidecars[instance].cancel, request_id, reason)
 
     def _caller_left(self, call: Call) -> None:
-        if call.open:
+        if call.is_open:
             self._close(call, "cancelled")
-            self._withdraw(call, call.req.request_id, "cancelled")
+            self._cancel_attempts(call, call.req.request_id, "cancelled")
 
-    def _withdraw(self, call: Call, request_id: str, reason: str) -> None:
+    def _cancel_attempts(self, call: Call, request_id: str, reason: str) -> None:
         dispatcher = self._dispatchers[call.req.service]
         for action in dispatcher.cancelled(request_id, self._loop.now):
             if isinstance(action, Cancel):
                 self._cancel(request_id, action.instance, reason)
             else:
-                self._carry_out([action])
+                self._execute([action])
 
     def _resend(self, call: Call, request_id: str) -> None:
         """Send a request again from its start, as a caller with a time limit does."""
-        if not call.open or call.req.request_id != request_id or not call.req.idempotent:
+        if not call.is_open or call.req.request_id != request_id or not call.req.idempotent:
             return
         base, _, count = request_id.partition("~")
         if int(count or 0) >= MAX_RESENDS or self._loop.now >= call.req.deadline_s:
             return
         self._records.wasted[call.req.service, "resent"] += call.delivered
-        call.delivered, call.owner = 0.0, ""
+        call.delivered, call.active_instance = 0.0, ""
         call.req = call.req._replace(request_id=f"{base}~{int(count or 0) + 1}")
-        self._withdraw(call, request_id, "resent")
+        self._cancel_attempts(call, request_id, "resent")
         self._send(call)
 
     def _close(self, call: Call, result: str) -> None:
@@ -165,5 +169,5 @@
 
     def _tick(self) -> None:
         for dispatcher in self._dispatchers.values():
-            self._carry_out(dispatcher.tick(self._loop.now))
-        self._loop.after(TICK_S, self._tick)
+            self._execute(dispatcher.tick(self._loop.now))
+        self._loop.after(TICK_INTERVAL_S, self._tick)
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from bench.scenarios import FAULTS, SCENARIOS, Scenario
-from bench.worlds import load_document
+from bench.scenarios import ALL_FAULTS, SCENARIOS, Scenario
+from bench.simulations import load_document
 
 __all__ = ["Figure", "figures"]
 
-OVERLOADS = (1.5, 3.0)
+OVERLOAD_LOADS = (1.5, 3.0)
 LOADS = (0.7, 1.0, 1.5, 3.0)
 Cases = dict[str, Any]
 
@@ -27,10 +27,10 @@
         "protected_attainment_3x": _worst(min, _protected(cases)),
         "assessments_straggler_1x": _worst(min, _straggler(cases)),
         "goodput_overload": _worst(min, _goodput(cases)),
-        "goodput_above_plain": _worst(min, _above_plain(cases)),
+        "goodput_above_plain": _worst(min, _goodput_margins(cases)),
         "wasted_without_faults": _worst(max, _wasted(cases, faults=False)),
         "wasted_all_faults": _worst(max, _wasted(cases, faults=True)),
-        "wasted_against_unbudgeted": _worst(max, _against_unbudgeted(cases)),
+        "wasted_against_unbudgeted": _worst(max, _wasted_ratios(cases)),
         "never_ended": _total(cases, "never_ended"),
         "wait_against_bound": _worst(max, _waits(cases)),
     }
@@ -81,7 +81,7 @@
 
 
 def _goodput(cases: Cases) -> Iterator[Figure]:
-    for scenario, load, case in _product(cases, OVERLOADS):
+    for scenario, load, case in _product(cases, OVERLOAD_LOADS):
         for name, service in case["services"].items():
             yield Figure(service["goodput"], f"{scenario.name}/{load:g}/{name}")
 
@@ -94,8 +94,8 @@
             yield strategy, case
 
 
-def _above_plain(cases: Cases) -> Iterator[Figure]:
-    for scenario, load, case in _product(cases, OVERLOADS):
+def _goodput_margins(cases: Cases) -> Iterator[Figure]:
+    for scenario, load, case in _product(cases, OVERLOAD_LOADS):
         for strategy, plain in _plain(cases, scenario, load):
             for name, service in case["services"].items():
                 value = service["goodput"] - plain["services"][name]["goodput"]
@@ -105,15 +105,15 @@
 def _wasted(cases: Cases, faults: bool) -> Iterator[Figure]:
     for scenario, load, case in _product(cases, LOADS):
         breaks = scenario.crash or scenario.straggler != 1.0
-        everything = scenario.name.startswith(FAULTS.name)
+        everything = scenario.name.startswith(ALL_FAULTS.name)
         if everything if faults else not breaks:
             for name, service in case["services"].items():
                 yield Figure(service["wasted_share"], f"{scenario.name}/{load:g}/{name}")
 
 
-def _against_unbudgeted(cases: Cases) -> Iterator[Figure]:
+def _wasted_ratios(cases: Cases) -> Iterator[Figure]:
     """Yield the wasted tokens of all scenarios together, for each load."""
-    for load in OVERLOADS:
+    for load in OVERLOAD_LOADS:
         own = other = 0.0
         for scenario, _, case in _product(cases, (load,)):
             plain = cases.get(f"{scenario.name}/{load:g}/unbudgeted-retry")
--- a/bench/gateway_switches.py
+++ b/bench/gateway_switches.py
@@ -13,7 +13,7 @@
 __all__ = ["Switch", "load_switches", "patch_of"]
 
 ROOT = Path(__file__).parents[1]
-TABLE = ROOT / "bench" / "gateway_switches.toml"
+TABLE_PATH = ROOT / "bench" / "gateway_switches.toml"
 
 
 class Switch(NamedTuple):
@@ -50,7 +50,7 @@
     """Write the patches of the switches named on the command line, or of all."""
     directory, names = Path(sys.argv[1]), sys.argv[2:]
     directory.mkdir(parents=True, exist_ok=True)
-    for switch in load_switches(TABLE.read_text()):
+    for switch in load_switches(TABLE_PATH.read_text()):
         if names and switch.name not in names:
             continue
         path = directory / f"{switch.name}.patch"
--- a/bench/hash_affinity_choosers.py
+++ b/bench/hash_affinity_choosers.py
@@ -2,13 +2,13 @@
 
 import xxhash
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["HashAffinityChooser"]
 
 
-class HashAffinityChooser(CountingChooser):
+class HashAffinityChooser(DispatchCountingChooser):
     """Send equal prefixes to the same endpoint; a full one passes them to the next in rank."""
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
--- a/bench/links.py
+++ b/bench/links.py
@@ -4,13 +4,13 @@
 
 from cassiadrum.decisions import EndpointReport, Outcome
 
-__all__ = ["LINK_S", "Listener"]
+__all__ = ["LINK_LATENCY_S", "SidecarListener"]
 
 # One-way latency between zones, from the workloads of the design page.
-LINK_S = 0.0005
+LINK_LATENCY_S = 0.0005
 
 
-class Listener(Protocol):
+class SidecarListener(Protocol):
     """Receive a sidecar's messages; each call is made when the message arrives."""
 
     def started(self, instance: str, request_id: str) -> None:
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 ROOT = Path(__file__).parents[1]
-TABLE = ROOT / "bench" / "mutants.toml"
-COPIED = ("cassiadrum", "bench", "examples", "pyproject.toml", "conftest.py")
-TEST_LIMIT_S = 600.0
+TABLE_PATH = ROOT / "bench" / "mutants.toml"
+COPIED_PATHS = ("cassiadrum", "bench", "examples", "pyproject.toml", "conftest.py")
+TEST_TIMEOUT_S = 600.0
 # Exit codes of pytest.
 PASSED = 0
 FAILED = 1
@@ -48,7 +48,7 @@
     command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests]
     try:
         done = subprocess.run(
-            command, cwd=tree, capture_output=True, check=False, timeout=TEST_LIMIT_S
+            command, cwd=tree, capture_output=True, check=False, timeout=TEST_TIMEOUT_S
         )
     except subprocess.TimeoutExpired:
         return FAILED
@@ -57,7 +57,7 @@
 
 def copy_tree(tree: Path) -> Path:
     """Copy what the tests need."""
-    for name in COPIED:
+    for name in COPIED_PATHS:
         source = ROOT / name
         if source.is_dir():
             ignored = shutil.ignore_patterns("__pycache__")
@@ -67,7 +67,7 @@
     return tree
 
 
-def judge(mutant: Mutant) -> str:
+def run_mutant(mutant: Mutant) -> str:
     """Return `killed`, `SURVIVED` or what went wrong."""
     with tempfile.TemporaryDirectory() as directory:
         tree = copy_tree(Path(directory))
@@ -78,7 +78,7 @@
 
 def main() -> None:
     """Run the mutants named on the command line, or all."""
-    mutants = load_mutants(TABLE.read_text())
+    mutants = load_mutants(TABLE_PATH.read_text())
     chosen = [mutant for mutant in mutants if not sys.argv[1:] or mutant.name in sys.argv[1:]]
     # A test that fails without a mutant would kill every one.
     tests = sorted({test for mutant in chosen for test in mutant.tests})
@@ -87,7 +87,7 @@
             sys.exit("the tests fail without a mutant")
     results = []
     for mutant in chosen:
-        results.append(judge(mutant))
+        results.append(run_mutant(mutant))
         print(f"{results[-1]:10} {mutant.name}: {mutant.promise}", flush=True)
     sys.exit(any(result != "killed" for result in results))
 
--- a/bench/operation_counts.py
+++ b/bench/operation_counts.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from bench.products import product
-from bench.worlds import load_document
+from bench.simulations import load_document
 from cassiadrum.decisions import (
     Dispatch,
     Dispatcher,
@@ -18,10 +18,10 @@
     QueuedRequest,
 )
 
-__all__ = ["QUEUES", "SUBSETS", "by_queue", "by_subset"]
+__all__ = ["QUEUE_LENGTHS", "SUBSET_SIZES", "count_by_queue_length", "count_by_subset_size"]
 
-SUBSETS = (8, 64, 512)
-QUEUES = (10, 1_000, 100_000)
+SUBSET_SIZES = (8, 64, 512)
+QUEUE_LENGTHS = (10, 1_000, 100_000)
 DECISIONS = 100
 
 
@@ -64,14 +64,14 @@
     return count + CountedId.compared - before
 
 
-def by_subset() -> dict[int, float]:
+def count_by_subset_size() -> dict[int, float]:
     """Return the operations per decision for each number of endpoints."""
-    return {size: _per_decision(_dispatcher(size, limit=8), 0) for size in SUBSETS}
+    return {size: _per_decision(_dispatcher(size, limit=8), 0) for size in SUBSET_SIZES}
 
 
-def by_queue() -> dict[int, float]:
+def count_by_queue_length() -> dict[int, float]:
     """Return the operations per decision for each number of waiting requests."""
-    return {size: _per_decision(_dispatcher(8, limit=1), size) for size in QUEUES}
+    return {size: _per_decision(_dispatcher(8, limit=1), size) for size in QUEUE_LENGTHS}
 
 
 def _dispatcher(endpoints: int, limit: int) -> Dispatcher:
@@ -108,12 +108,12 @@
         running += [action for action in actions if isinstance(action, Dispatch)]
     total = 0
     for step in range(DECISIONS):
-        decide = partial(_round, dispatcher, _request(queued + step, rng), running)
+        decide = partial(_run_decision, dispatcher, _request(queued + step, rng), running)
         total += count_operations(partial(decide, 1.0 + step * 1e-3))
     return total / DECISIONS
 
 
-def _round(
+def _run_decision(
     dispatcher: Dispatcher, req: QueuedRequest, running: list[Dispatch], now: float
 ) -> None:
     actions = dispatcher.submit(req, now)
--- a/bench/plain_services.py
+++ b/bench/plain_services.py
@@ -50,7 +50,7 @@
         """Make the calls that start from now on `factor` times as long."""
         self.slowdown = factor
 
-    def settle_all(self) -> None:
+    def update_progress(self) -> None:
         """Do nothing: a plain call shows no progress."""
 
     def _end(self, stream: Stream) -> None:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,21 +9,21 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["Child", "ProcessGroup"]
+__all__ = ["ChildProcess", "ProcessGroup"]
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-START_LIMIT_S = 20.0
+START_TIMEOUT_S = 20.0
 # More processes than this are a mistake in a measurement's parameters.
 MAX_CHILDREN = 120
 
 
-class Child:
+class ChildProcess:
     """One child process that printed a JSON object with its addresses when it was ready."""
 
-    def __init__(self, process: asyncio.subprocess.Process, ready: dict[str, Any]) -> None:
+    def __init__(self, process: asyncio.subprocess.Process, startup_info: dict[str, Any]) -> None:
         self.process = process
-        self.ready = ready
+        self.startup_info = startup_info
 
     def cpu_s(self) -> float:
         """Return user and system seconds so far."""
@@ -47,7 +47,7 @@
     """Start Python modules as child processes and stop all of them at the end of the block."""
 
     def __init__(self) -> None:
-        self._children: list[Child] = []
+        self._children: list[ChildProcess] = []
         self._numbers = itertools.count()
         self._directory = tempfile.TemporaryDirectory()
 
@@ -58,21 +58,21 @@
         await asyncio.gather(*(child.stop() for child in self._children))
         self._directory.cleanup()
 
-    async def start(self, module: str, *arguments: str) -> Child:
+    async def start(self, module: str, *arguments: str) -> ChildProcess:
         """Start a module and wait for its line of addresses."""
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", module, *arguments, stdout=asyncio.subprocess.PIPE
         )
-        child = Child(process, {})
+        child = ChildProcess(process, {})
         self._children.append(child)
         assert process.stdout is not None
-        async with asyncio.timeout(START_LIMIT_S):
-            child.ready = json.loads(await process.stdout.readline())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            child.startup_info = json.loads(await process.stdout.readline())
         return child
 
-    async def start_logged(self, module: str, variable: str, settings: str) -> Child:
+    async def start_logged(self, module: str, variable: str, settings: str) -> ChildProcess:
         """Start a module that finds its settings by a variable and writes its log to a file."""
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
@@ -82,11 +82,11 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", module, env={**os.environ, variable: str(path)}, stdout=log
             )
-        child = Child(process, {})
+        child = ChildProcess(process, {})
         self._children.append(child)
         return child
 
-    async def daemon(self, settings: str) -> Child:
+    async def start_daemon(self, settings: str) -> ChildProcess:
         """Start a daemon from the text of its settings."""
         path = Path(self._directory.name) / f"{next(self._numbers)}.toml"
         path.write_text(settings)
--- a/bench/products.py
+++ b/bench/products.py
@@ -3,7 +3,7 @@
 import random
 
 from bench.capacities import best_batch
-from bench.parts import Parts
+from bench.dispatcher_parts import DispatcherParts
 from bench.strategies import Strategy
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
@@ -21,7 +21,7 @@
 from cassiadrum.defaults import SETTINGS_DEFAULTS
 from cassiadrum.documents import ServiceDocument
 
-__all__ = ["QUEUE_REQUESTS", "build", "product", "product_parts", "product_scheduler"]
+__all__ = ["QUEUE_REQUESTS", "build_dispatcher", "product", "product_parts", "product_scheduler"]
 
 QUEUE_REQUESTS = int(str(SETTINGS_DEFAULTS["limits.queue_requests"]))
 # The mean of a lognormal length with a spread of 0.8 to 1.0 is near its 0.67 quantile.
@@ -34,12 +34,12 @@
     """Return the strategy that the daemon uses."""
 
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
-        return build(product_parts(document, seed, queue_requests))
+        return build_dispatcher(product_parts(document, seed, queue_requests))
 
     return Strategy("product", make, product_scheduler)
 
 
-def build(parts: Parts) -> Dispatcher:
+def build_dispatcher(parts: DispatcherParts) -> Dispatcher:
     """Return the dispatcher of the parts."""
     return Dispatcher(
         parts.queue,
@@ -54,7 +54,7 @@
 
 def product_parts(
     document: ServiceDocument, seed: str, queue_requests: int = QUEUE_REQUESTS
-) -> Parts:
+) -> DispatcherParts:
     """Return the parts of one service's dispatcher."""
     estimator = QuantileLengthEstimator()
     queue = FairTierQueue(
@@ -63,7 +63,7 @@
             req.class_name, req.customer, COST_QUANTILE
         ),
     )
-    return Parts(
+    return DispatcherParts(
         queue,
         LeastCostChooser(random.Random(seed), streams_tokens=document.kind == "model"),
         DeadlineAdmission(),
--- a/bench/random_choosers.py
+++ b/bench/random_choosers.py
@@ -2,13 +2,13 @@
 
 import random
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["RandomChooser"]
 
 
-class RandomChooser(CountingChooser):
+class RandomChooser(DispatchCountingChooser):
     """Choose any endpoint with a free slot."""
 
     def __init__(self, rng: random.Random) -> None:
--- a/bench/reported_load_choosers.py
+++ b/bench/reported_load_choosers.py
@@ -1,12 +1,12 @@
 """Choice by the load that endpoints reported."""
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["ReportedLoadChooser"]
 
 
-class ReportedLoadChooser(CountingChooser):
+class ReportedLoadChooser(DispatchCountingChooser):
     """Choose the endpoint with the least work in its last report, however old that is."""
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from bench.event_loops import EventLoop
-from bench.links import LINK_S, Listener
+from bench.links import LINK_LATENCY_S, SidecarListener
 from bench.scenarios import Scenario
 from bench.sidecars import Sidecar
 from cassiadrum.decisions import EndpointReport
@@ -13,7 +13,7 @@
 __all__ = ["Reporter"]
 
 # Real streams show progress with every frame; counting it less often keeps the run short.
-PROGRESS_TICKS = 2
+TICKS_PER_PROGRESS = 2
 
 
 class Reporter:
@@ -26,7 +26,7 @@
         sidecar: Sidecar,
         zone: str,
         models: tuple[str, ...],
-        listeners: Sequence[Listener],
+        listeners: Sequence[SidecarListener],
         scenario: Scenario,
         rng: random.Random,
     ) -> None:
@@ -50,15 +50,15 @@
 
     def _tick(self) -> None:
         self._ticks += 1
-        if self._ticks % PROGRESS_TICKS == 0:
+        if self._ticks % TICKS_PER_PROGRESS == 0:
             self._sidecar.progress()
         idle_s = self._loop.now - self._sent_at_s
-        if self._figures() != self._last or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
+        if self._load_figures() != self._last or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
             self._send_report(self._scenario.report_lag_s)
         self._send_cache_events()
         self._loop.after(LIMITS.REPORT_MIN_INTERVAL_S, self._tick)
 
-    def _figures(self) -> tuple[int, int, int]:
+    def _load_figures(self) -> tuple[int, int, int]:
         scheduler = self._sidecar.scheduler
         limit = 0 if self._sidecar.down else scheduler.limit
         return scheduler.running(), scheduler.waiting() + scheduler.paused(), limit
@@ -67,7 +67,7 @@
         now = self._loop.now
         produced = self._sidecar.endpoint.tokens
         rate = (produced - self._tokens) / (now - self._sent_at_s) if now > 0 else 0.0
-        self._tokens, self._sent_at_s, self._last = produced, now, self._figures()
+        self._tokens, self._sent_at_s, self._last = produced, now, self._load_figures()
         rep = EndpointReport(
             self._sidecar.instance,
             self._zone,
@@ -77,14 +77,14 @@
             tokens_per_s=rate,
         )
         for listener in self._listeners:
-            self._loop.after(lag_s + LINK_S, listener.reported, self._sidecar.service, rep)
+            self._loop.after(lag_s + LINK_LATENCY_S, listener.reported, self._sidecar.service, rep)
 
     def _send_cache_events(self) -> None:
         keys, self._sidecar.endpoint.new_keys = self._sidecar.endpoint.new_keys, []
-        kept = [key for key in keys if self._rng.random() >= self._scenario.cache_gap]
+        kept = [key for key in keys if self._rng.random() >= self._scenario.cache_event_loss]
         if not kept:
             return
-        delay_s = self._scenario.cache_lag_s + LINK_S
+        delay_s = self._scenario.cache_lag_s + LINK_LATENCY_S
         for listener in self._listeners:
             message = (self._sidecar.service, self._sidecar.instance, kept)
             self._loop.after(delay_s, listener.cached, *message)
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -7,24 +7,24 @@
 from bench.bounds import Verdict
 from bench.tables import attainment_table, goodput_table, waste_table
 
-__all__ = ["RESULTS", "print_changes", "print_tables", "print_verdicts", "write_results"]
+__all__ = ["RESULTS_PATH", "print_changes", "print_tables", "print_verdicts", "write_results"]
 
-RESULTS = Path(__file__).with_name("results.json")
+RESULTS_PATH = Path(__file__).with_name("results.json")
 # More changed lines than this are counted and not listed.
-LISTED_CHANGES = 40
+MAX_LISTED_CHANGES = 40
 
 
 def print_verdicts(verdicts: list[Verdict]) -> None:
     """Print each figure beside its bound."""
     for verdict in verdicts:
-        state = "ok" if verdict.kept else "KNOWN RED" if verdict.known else "MISSED"
+        state = "ok" if verdict.is_met else "KNOWN RED" if verdict.is_known_failure else "MISSED"
         value = f"{verdict.figure.value:.4f}"
         print(f"{state:9} {verdict.key:28} {value:>10} {verdict.bound:>9}  {verdict.figure.where}")
-        if not verdict.kept:
+        if not verdict.is_met:
             print(f"{'':9} {verdict.source}")
 
 
-def print_changes(results: dict[str, Any], path: Path = RESULTS) -> None:
+def print_changes(results: dict[str, Any], path: Path = RESULTS_PATH) -> None:
     """Print what differs from the committed file."""
     if not path.exists():
         print(f"no committed results in {path.name}")
@@ -32,11 +32,11 @@
     before, after = _flat(json.loads(path.read_text())), _flat(results)
     changed = [key for key in sorted(before | after) if before.get(key) != after.get(key)]
     print(f"{len(changed)} figures differ from {path.name}")
-    for key in changed[:LISTED_CHANGES]:
+    for key in changed[:MAX_LISTED_CHANGES]:
         print(f"  {key}: {before.get(key)} -> {after.get(key)}")
 
 
-def print_tables(path: Path = RESULTS) -> None:
+def print_tables(path: Path = RESULTS_PATH) -> None:
     """Print the committed results as Markdown tables."""
     cases = json.loads(path.read_text())["cases"]
     for title, table in (
@@ -47,7 +47,7 @@
         print(f"### {title}\n\n{table(cases)}\n")
 
 
-def write_results(results: dict[str, Any], path: Path = RESULTS) -> None:
+def write_results(results: dict[str, Any], path: Path = RESULTS_PATH) -> None:
     """Write the results with sorted keys."""
     path.write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
 
--- a/bench/round_robin_choosers.py
+++ b/bench/round_robin_choosers.py
@@ -1,12 +1,12 @@
 """Choice of the endpoints in turn."""
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["RoundRobinChooser"]
 
 
-class RoundRobinChooser(CountingChooser):
+class RoundRobinChooser(DispatchCountingChooser):
     """Choose the next endpoint with a free slot."""
 
     def __init__(self) -> None:
--- a/bench/records.py
+++ b/bench/run_records.py
@@ -5,11 +5,11 @@
 
 from bench.calls import Call
 
-__all__ = ["Records"]
+__all__ = ["RunRecords"]
 
 
 @dataclass
-class Records:
+class RunRecords:
     """Collect what the calls themselves do not show.
 
     `wasted` is work and `refusals` requests, each by service and reason. `unsafe` counts the sheds
@@ -24,5 +24,5 @@
     pauses: int = 0
     open_calls: int = 0
     # Seconds in which an engine was down, by service; that is no capacity.
-    down_s: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    downtimes_s: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     stragglers: list[str] = field(default_factory=list)
--- a/bench/safety_checks.py
+++ b/bench/safety_checks.py
@@ -1,7 +1,7 @@
 """Check that protected work is not shed or preempted while lower-tier work holds its resources."""
 
 from bench.calls import Call
-from bench.records import Records
+from bench.run_records import RunRecords
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["SafetyCheck"]
@@ -10,7 +10,7 @@
 class SafetyCheck:
     """Know every open call of a run, and count sheds and preemptions that break `tier_safety`."""
 
-    def __init__(self, records: Records) -> None:
+    def __init__(self, records: RunRecords) -> None:
         self._records = records
         # Open calls of lower tiers, by service and tier.
         self._open: dict[str, dict[int, int]] = {}
@@ -26,12 +26,12 @@
 
     def refused(self, req: QueuedRequest, reason: str) -> None:
         """Take a final refusal."""
-        if req.protected and reason != "cancelled" and self._lower_open(req):
+        if req.protected and reason != "cancelled" and self._has_lower_tier_open(req):
             self._records.unsafe[f"refused: {reason}"] += 1
 
     def paused(self, req: QueuedRequest, instance: str) -> None:
         """Take a pause of a running stream."""
-        if req.protected and self._lower_open(req):
+        if req.protected and self._has_lower_tier_open(req):
             self._records.unsafe["paused"] += 1
 
     def rejected(self, req: QueuedRequest, instance: str) -> None:
@@ -39,6 +39,6 @@
         if req.protected:
             self._records.rejects["protected"] += 1
 
-    def _lower_open(self, req: QueuedRequest) -> bool:
+    def _has_lower_tier_open(self, req: QueuedRequest) -> bool:
         tiers = self._open.get(req.service, {})
         return any(count > 0 and tier > req.tier for tier, count in tiers.items())
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -4,8 +4,8 @@
 
 __all__ = ["SCENARIOS", "Scenario"]
 
-FOUNDRIES = ("sprachdienst", "auftragsdienst")
-COLLECTIVE = ("drafting-desk", "permit-register")
+FOUNDRY_SERVICES = ("sprachdienst", "auftragsdienst")
+COLLECTIVE_SERVICES = ("drafting-desk", "permit-register")
 
 
 class Scenario(NamedTuple):
@@ -25,28 +25,28 @@
     crash: bool = False
     report_lag_s: float = 0.0
     cache_lag_s: float = 0.05
-    cache_gap: float = 0.0
+    cache_event_loss: float = 0.0
 
 
-FAULTS = Scenario(
+ALL_FAULTS = Scenario(
     "all-together",
-    FOUNDRIES,
+    FOUNDRY_SERVICES,
     burst_customer_share=0.7,
     straggler=3.0,
     crash=True,
     report_lag_s=2.0,
     cache_lag_s=5.0,
-    cache_gap=0.3,
+    cache_event_loss=0.3,
 )
 
 SCENARIOS = (
-    Scenario("feast-day-burst", FOUNDRIES, burst=("feast-assessment", "order-status")),
-    Scenario("fire-season-burst", COLLECTIVE, burst=("question", "permit-issue")),
-    Scenario("large-customer", FOUNDRIES, burst_customer_share=0.7),
-    Scenario("straggler", FOUNDRIES, straggler=3.0),
-    Scenario("engine-crash", COLLECTIVE, crash=True),
-    Scenario("late-reports", FOUNDRIES, report_lag_s=2.0),
-    Scenario("late-cache-events", FOUNDRIES, cache_lag_s=5.0, cache_gap=0.3),
-    FAULTS,
-    FAULTS._replace(name="all-together-collective", services=COLLECTIVE),
+    Scenario("feast-day-burst", FOUNDRY_SERVICES, burst=("feast-assessment", "order-status")),
+    Scenario("fire-season-burst", COLLECTIVE_SERVICES, burst=("question", "permit-issue")),
+    Scenario("large-customer", FOUNDRY_SERVICES, burst_customer_share=0.7),
+    Scenario("straggler", FOUNDRY_SERVICES, straggler=3.0),
+    Scenario("engine-crash", COLLECTIVE_SERVICES, crash=True),
+    Scenario("late-reports", FOUNDRY_SERVICES, report_lag_s=2.0),
+    Scenario("late-cache-events", FOUNDRY_SERVICES, cache_lag_s=5.0, cache_event_loss=0.3),
+    ALL_FAULTS,
+    ALL_FAULTS._replace(name="all-together-collective", services=COLLECTIVE_SERVICES),
 )
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -1,12 +1,12 @@
 """A sidecar of the benchmark: one endpoint and its scheduler."""
 
 from bench.calls import Call, gap_percentile
-from bench.engine_profiles import ENGINE
+from bench.engine_profiles import ENGINE_PROFILE
 from bench.engines import FakeEngine
 from bench.event_loops import EventLoop
-from bench.links import LINK_S, Listener
+from bench.links import LINK_LATENCY_S, SidecarListener
 from bench.plain_services import FakePlainService
-from bench.records import Records
+from bench.run_records import RunRecords
 from bench.safety_checks import SafetyCheck
 from bench.streams import Stream
 from cassiadrum.decisions import (
@@ -23,7 +23,7 @@
 
 __all__ = ["Sidecar"]
 
-DETECT_CRASH_S = 0.1
+CRASH_DETECTION_S = 0.1
 
 
 class Sidecar:
@@ -36,7 +36,7 @@
         instance: str,
         document: ServiceDocument,
         scheduler: EndpointScheduler,
-        records: Records,
+        records: RunRecords,
         safety: SafetyCheck,
     ) -> None:
         self.instance = instance
@@ -47,26 +47,26 @@
         self._loop = loop
         self._records = records
         self._safety = safety
-        self._held: dict[str, tuple[Call, Listener]] = {}
+        self._requests: dict[str, tuple[Call, SidecarListener]] = {}
         self.endpoint: FakeEngine | FakePlainService
         if self.streams_tokens:
-            self.endpoint = FakeEngine(loop, ENGINE, self._first_token, self._stream_ended)
+            self.endpoint = FakeEngine(loop, ENGINE_PROFILE, self._first_token, self._stream_ended)
         else:
             self.endpoint = FakePlainService(loop, self._stream_ended)
 
-    def arrive(self, call: Call, req: QueuedRequest, listener: Listener) -> None:
+    def receive(self, call: Call, req: QueuedRequest, listener: SidecarListener) -> None:
         """Take a request from an entry instance."""
-        self._held[req.request_id] = (call, listener)
+        self._requests[req.request_id] = (call, listener)
         if self.down:
             self._end(
                 req.request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
             )
             return
-        self._carry_out(self.scheduler.submit(req, self._loop.now))
+        self._execute(self.scheduler.submit(req, self._loop.now))
 
     def cancel(self, request_id: str, reason: str) -> None:
         """Stop a request, whether it waits or runs; its produced work is wasted."""
-        if request_id not in self._held:
+        if request_id not in self._requests:
             return
         if self.scheduler.cancel_waiting(request_id, self._loop.now):
             self._end(request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "cancelled"))
@@ -75,32 +75,32 @@
         if stream is None:
             return
         self._end(request_id, self._failed(stream, reason))
-        self._carry_out(self.scheduler.finished(request_id, self._loop.now))
+        self._execute(self.scheduler.finished(request_id, self._loop.now))
 
     def crash(self, down_s: float) -> None:
         """Lose the engine with all its streams; it restarts after `down_s`."""
         self.down = True
         lost = self.endpoint.crash()
         until_s = self._loop.now + down_s
-        self._records.down_s.setdefault(self.service, []).append((self._loop.now, until_s))
-        self._loop.after(DETECT_CRASH_S, self._crash_seen, lost)
+        self._records.downtimes_s.setdefault(self.service, []).append((self._loop.now, until_s))
+        self._loop.after(CRASH_DETECTION_S, self._on_crash_detected, lost)
         self._loop.at(until_s, self._restart)
 
     def progress(self) -> None:
         """Tell the entry instances how many tokens each stream produced since the last call."""
-        self.endpoint.settle_all()
-        messages: dict[Listener, list[tuple[str, int]]] = {}
+        self.endpoint.update_progress()
+        messages: dict[SidecarListener, list[tuple[str, int]]] = {}
         for request_id, stream in self.endpoint.streams.items():
-            tokens = int(stream.produced - stream.reported)
+            tokens = int(stream.produced - stream.reported_tokens)
             if tokens:
-                stream.reported += tokens
+                stream.reported_tokens += tokens
                 self.scheduler.progressed(request_id, tokens, self._loop.now)
-                listener = self._held[request_id][1]
+                listener = self._requests[request_id][1]
                 messages.setdefault(listener, []).append((request_id, tokens))
         for listener, counts in messages.items():
-            self._loop.after(LINK_S, listener.progressed, self.instance, counts)
+            self._loop.after(LINK_LATENCY_S, listener.progressed, self.instance, counts)
 
-    def _carry_out(self, actions: list[SchedulerAction]) -> None:
+    def _execute(self, actions: list[SchedulerAction]) -> None:
         for action in actions:
             if isinstance(action, Start):
                 self._start(action.req.request_id)
@@ -113,13 +113,13 @@
                 )
             elif isinstance(action, Pause):
                 self._records.pauses += 1
-                self._safety.paused(self._held[action.request_id][0].req, self.instance)
+                self._safety.paused(self._requests[action.request_id][0].req, self.instance)
                 self.endpoint.pause(action.request_id)
             else:
                 self.endpoint.resume(action.request_id)
 
     def _start(self, request_id: str) -> None:
-        call = self._held[request_id][0]
+        call = self._requests[request_id][0]
         if call.served_at_s is None:
             call.served_at_s = self._loop.now
         stream = self.endpoint.start(call, request_id)
@@ -127,9 +127,9 @@
             self._first_token(stream)
 
     def _first_token(self, stream: Stream) -> None:
-        listener = self._held[stream.request_id][1]
-        stream.reported = 1.0
-        self._loop.after(LINK_S, listener.started, self.instance, stream.request_id)
+        listener = self._requests[stream.request_id][1]
+        stream.reported_tokens = 1.0
+        self._loop.after(LINK_LATENCY_S, listener.started, self.instance, stream.request_id)
 
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
@@ -138,17 +138,17 @@
         first_at_s = self._loop.now if stream.started_at_s is None else stream.started_at_s
         first_s, gap_s = first_at_s - stream.arrived_at_s, gap_percentile(stream.gaps, 0.95)
         now = self._loop.now
-        self._carry_out(self.scheduler.observe_latency(stream.request_id, first_s, gap_s, now))
-        self._carry_out(self.scheduler.finished(stream.request_id, self._loop.now))
+        self._execute(self.scheduler.observe_latency(stream.request_id, first_s, gap_s, now))
+        self._execute(self.scheduler.finished(stream.request_id, self._loop.now))
 
-    def _crash_seen(self, lost: list[Stream]) -> None:
+    def _on_crash_detected(self, lost: list[Stream]) -> None:
         for stream in lost:
             outcome = self._failed(stream, "endpoint_failed")
             self._end(stream.request_id, outcome)
             # The engine is down, so what the scheduler starts now is lost as well.
-            self._refuse_started(self.scheduler.finished(stream.request_id, self._loop.now))
+            self._fail_started(self.scheduler.finished(stream.request_id, self._loop.now))
 
-    def _refuse_started(self, actions: list[SchedulerAction]) -> None:
+    def _fail_started(self, actions: list[SchedulerAction]) -> None:
         for action in actions:
             if not isinstance(action, Start):
                 continue
@@ -156,7 +156,7 @@
             self._end(
                 request_id, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "endpoint_failed")
             )
-            self._refuse_started(self.scheduler.finished(request_id, self._loop.now))
+            self._fail_started(self.scheduler.finished(request_id, self._loop.now))
 
     def _restart(self) -> None:
         self.down = False
@@ -173,13 +173,13 @@
     def _deliver(self, stream: Stream, reason: str) -> None:
         """Credit the caller with what its stream produced, or count it as wasted."""
         call = stream.call
-        if not call.open or call.owner != self.instance:
+        if not call.is_open or call.active_instance != self.instance:
             self._records.wasted[self.service, reason] += stream.produced
             return
         call.delivered += stream.produced
-        call.take_gaps(stream.gaps)
-        call.last_token_at_s = self._loop.now + LINK_S
+        call.add_gaps(stream.gaps)
+        call.last_token_at_s = self._loop.now + LINK_LATENCY_S
 
     def _end(self, request_id: str, outcome: Outcome) -> None:
-        listener = self._held.pop(request_id)[1]
-        self._loop.after(LINK_S, listener.ended, self.instance, request_id, outcome)
+        listener = self._requests.pop(request_id)[1]
+        self._loop.after(LINK_LATENCY_S, listener.ended, self.instance, request_id, outcome)
--- a/bench/worlds.py
+++ b/bench/simulations.py
@@ -7,8 +7,8 @@
 from bench.calls import Call
 from bench.entries import Entry
 from bench.event_loops import EventLoop
-from bench.records import Records
 from bench.reporters import Reporter
+from bench.run_records import RunRecords
 from bench.run_specs import RunSpec
 from bench.safety_checks import SafetyCheck
 from bench.scenarios import Scenario
@@ -17,13 +17,13 @@
 from bench.workloads import WARM_UP_S, make_calls
 from cassiadrum.documents import ServiceDocument, parse_document
 
-__all__ = ["DOWN_S", "World", "load_document"]
+__all__ = ["ENGINE_RESTART_S", "Simulation", "load_document"]
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 # Longer than the longest class deadline, so that every request could have ended.
-LIMIT_S = 4000.0
+MAX_RUN_S = 4000.0
 # Time for a crashed engine to restart and load its weights.
-DOWN_S = 5.0
+ENGINE_RESTART_S = 5.0
 
 
 def load_document(service: str) -> ServiceDocument:
@@ -32,7 +32,7 @@
     return parse_document(path.read_text(), path.name)
 
 
-class World:
+class Simulation:
     """Build one run and carry it out."""
 
     def __init__(self, spec: RunSpec, scenario: Scenario, strategy: Strategy) -> None:
@@ -40,7 +40,7 @@
         self.scenario = scenario
         self.documents = {name: load_document(name) for name in scenario.services}
         self.loop = EventLoop()
-        self.records = Records()
+        self.records = RunRecords()
         self.sidecars: dict[str, Sidecar] = {}
         self._strategy = strategy
         self._safety = SafetyCheck(self.records)
@@ -55,7 +55,7 @@
         """Run until every request has ended, or until all deadlines have long passed."""
         end_s = WARM_UP_S + self.spec.duration_s
         self.loop.run(
-            lambda: self.records.open_calls == 0 and self.loop.now > end_s, limit_s=LIMIT_S
+            lambda: self.records.open_calls == 0 and self.loop.now > end_s, limit_s=MAX_RUN_S
         )
 
     def _add_sidecars(self, document: ServiceDocument) -> None:
@@ -126,7 +126,7 @@
             self.loop.at(0.0, endpoint.slow_down, self.scenario.straggler)
         if self.scenario.crash:
             crash_at_s = WARM_UP_S + 0.4 * self.spec.duration_s
-            self.loop.at(crash_at_s, self.sidecars[engines[1]].crash, DOWN_S)
+            self.loop.at(crash_at_s, self.sidecars[engines[1]].crash, ENGINE_RESTART_S)
 
     def _start_arrivals(self) -> None:
         for document in self.documents.values():
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -22,7 +22,7 @@
     prefill_tokens: float
     arrived_at_s: float
     produced: float = 0.0
-    reported: float = 0.0
+    reported_tokens: float = 0.0
     start_step: float = -1.0
     paused_at_s: float = -1.0
     epoch: int = 0
--- a/bench/suites.py
+++ b/bench/suites.py
@@ -11,8 +11,8 @@
 from bench.products import product
 from bench.run_specs import RunSpec
 from bench.scenarios import SCENARIOS
+from bench.simulations import Simulation
 from bench.strategies import Strategy
-from bench.worlds import World
 
 __all__ = ["SEEDS", "ablation_suite", "full_suite", "run_all", "run_one"]
 
@@ -20,7 +20,7 @@
 # Plain strategies are compared where capacity is short, in the scenarios that set them apart; the
 # others would double the time of the run.
 COMPARED_LOADS = (1.5, 3.0)
-COMPARED = ("feast-day-burst", "fire-season-burst", "all-together")
+COMPARED_SCENARIOS = ("feast-day-burst", "fire-season-burst", "all-together")
 SEEDS = (1, 2, 3, 4, 5)
 
 
@@ -31,10 +31,10 @@
 
 def run_one(spec: RunSpec) -> dict[str, Any]:
     """Carry out one run and return its measures."""
-    scenario = next(one for one in SCENARIOS if one.name == spec.scenario)
-    world = World(spec, scenario, strategies()[spec.strategy])
-    world.run()
-    return measure(world)
+    scenario = next(item for item in SCENARIOS if item.name == spec.scenario)
+    simulation = Simulation(spec, scenario, strategies()[spec.strategy])
+    simulation.run()
+    return measure(simulation)
 
 
 def full_suite(seeds: Iterable[int] = SEEDS, only: str = "") -> list[RunSpec]:
@@ -45,7 +45,7 @@
         if only in scenario.name
         for load in LOADS
         for name in ("product", *plain_strategies())
-        if name == "product" or (load in COMPARED_LOADS and scenario.name in COMPARED)
+        if name == "product" or (load in COMPARED_LOADS and scenario.name in COMPARED_SCENARIOS)
         for seed in seeds
     ]
 
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -32,7 +32,8 @@
             for cls in by_load[0][service]["classes"]:
                 found = [services[service]["classes"][cls] for services in by_load]
                 cells = [
-                    f"{one['attainment']:.3f} / {one['offered_attainment']:.3f}" for one in found
+                    f"{cls_case['attainment']:.3f} / {cls_case['offered_attainment']:.3f}"
+                    for cls_case in found
                 ]
                 rows.append([scenario, cls, *cells])
     return _table(["scenario", "class", *(f"{load}x" for load in loads)], rows)
--- a/bench/wait_checks.py
+++ b/bench/wait_checks.py
@@ -18,11 +18,11 @@
     """
 
     def __init__(
-        self, cls: RequestClass, calls: list[Call], left_per_s: float, end_s: float
+        self, cls: RequestClass, calls: list[Call], available_per_s: float, end_s: float
     ) -> None:
         self._cls = cls
         self._calls = calls
-        self._left_per_s = left_per_s
+        self._available_per_s = available_per_s
         self._end_s = end_s
         changes = sorted(
             change
@@ -35,11 +35,11 @@
         self._times = [when_s for when_s, _ in changes]
         self._backlogs = list(accumulate(work for _, work in changes))
 
-    def worst(self) -> float:
+    def max_ratio(self) -> float:
         """Return the largest wait as a part of its bound."""
-        return max((self._part(call) for call in self._calls), default=0.0)
+        return max((self._ratio(call) for call in self._calls), default=0.0)
 
-    def _part(self, call: Call) -> float:
+    def _ratio(self, call: Call) -> float:
         waited_s = wait_s(call, self._end_s)
         if waited_s <= self._cls.max_wait_s:
             return waited_s / self._cls.max_wait_s if call.work else 0.0
@@ -54,4 +54,4 @@
         first = bisect_left(self._times, call.req.arrived_s)
         last = bisect_left(self._times, call.req.arrived_s + waited_s)
         backlog = max(self._backlogs[first : last + 1])
-        return self._cls.max_wait_s + backlog / (self._cls.min_share * self._left_per_s)
+        return self._cls.max_wait_s + backlog / (self._cls.min_share * self._available_per_s)
--- a/bench/wall_clock/__main__.py
+++ b/bench/wall_clock/__main__.py
@@ -8,17 +8,17 @@
 from statistics import quantiles
 from typing import Any, NamedTuple
 
-from bench.processes import Child, ProcessGroup
-from bench.wall_clock.callers import Callers, Timing, Work
-from bench.wall_clock.gateways import GATEWAY_WORKS, GatewayPlatform
-from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
+from bench.processes import ChildProcess, ProcessGroup
+from bench.wall_clock.bench_platforms import DOCUMENTS, BenchPlatform
+from bench.wall_clock.gateways import GATEWAY_REQUEST_TEMPLATES, GatewayPlatform
+from bench.wall_clock.load_generators import LoadGenerator, RequestTemplate, Timing
 from cassiadrum.protocols import HttpClient
 
 TOKENS = 64
 STREAM_BODY = json.dumps({"prompt": "yoke", "stream": True, "max_tokens": TOKENS}).encode()
-WORKS = (
-    Work("calls", "GET", "/permits/7", b"", 0),
-    Work("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS),
+REQUEST_TEMPLATES = (
+    RequestTemplate("calls", "GET", "/permits/7", b"", 0),
+    RequestTemplate("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS),
 )
 CONNECTIONS = 32
 # Targets of the project: half of the relay's requests for each core, and added milliseconds.
@@ -28,7 +28,7 @@
 ROUNDS = 5
 
 
-class Cost(NamedTuple):
+class CostSample(NamedTuple):
     """Answers in a time, and the processor seconds of each process."""
 
     answers: int
@@ -39,28 +39,28 @@
 class Route(NamedTuple):
     """Name the processes that a request passes and the path prefix that leads there."""
 
-    processes: list[Child]
+    processes: list[ChildProcess]
     prefix: str
 
 
 async def measure(duration_s: float) -> dict[str, Any]:
-    """Return the figures of all works."""
+    """Return the figures of all request templates."""
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
         await platform.start(DOCUMENTS)
-        engine = (await group.start("bench.wall_clock.engine")).ready["http"]
+        engine = (await group.start("bench.wall_clock.engine")).startup_info["http"]
         relay = await group.start("bench.wall_clock.relay", "--target", engine)
         sidecars = {
-            "calls": await platform.sidecar("s-calls", "calls", "plain", engine),
-            "streams": await platform.sidecar("s-streams", "streams", "engine", engine),
+            "calls": await platform.start_sidecar("s-calls", "calls", "plain", engine),
+            "streams": await platform.start_sidecar("s-streams", "streams", "engine", engine),
         }
-        entry = await platform.entry("e")
-        await _ready(entry, links=len(sidecars))
+        entry = await platform.start_entry("e")
+        await _wait_for_links(entry, links=len(sidecars))
         report = {}
-        for work in WORKS:
-            router = [entry, sidecars[work.name]]
-            route = Route(router, f"/services/{work.name}")
-            report[work.name] = await _compare(work, engine, relay, route, duration_s)
+        for template in REQUEST_TEMPLATES:
+            router = [entry, sidecars[template.name]]
+            route = Route(router, f"/services/{template.name}")
+            report[template.name] = await _compare(template, engine, relay, route, duration_s)
         await platform.close()
         return report
 
@@ -71,18 +71,18 @@
         platform = GatewayPlatform(group)
         route = Route([await platform.start()], "")
         report = {}
-        for work in GATEWAY_WORKS:
-            engine = platform.engines[work.name]
+        for template in GATEWAY_REQUEST_TEMPLATES:
+            engine = platform.engines[template.name]
             relay = await group.start("bench.wall_clock.relay", "--target", engine)
-            found = await _compare(work, engine, relay, route, duration_s)
-            report[f"gateway {work.name}"] = found
+            found = await _compare(template, engine, relay, route, duration_s)
+            report[f"gateway {template.name}"] = found
         await platform.close()
         return report
 
 
-async def _ready(entry: Child, links: int) -> None:
+async def _wait_for_links(entry: ChildProcess, links: int) -> None:
     """Wait until an entry instance has its links and documents."""
-    host, _, port = entry.ready["admin"].rpartition(":")
+    host, _, port = entry.startup_info["admin"].rpartition(":")
     async with asyncio.timeout(20.0):
         while True:
             response = await HttpClient(host, int(port)).request("GET", "/admin/status")
@@ -93,24 +93,26 @@
 
 
 async def _compare(
-    work: Work, engine: str, relay: Child, route: Route, duration_s: float
+    template: RequestTemplate, engine: str, relay: ChildProcess, route: Route, duration_s: float
 ) -> dict[str, Any]:
-    routed = Callers(route.processes[0].ready["http"], work.request(route.prefix))
-    relayed = Callers(relay.ready["http"], work.request(""))
-    direct = Callers(engine, work.request(""))
-    for callers in (routed, relayed, direct):
-        await callers.closed_loop(CONNECTIONS, 0.5)
+    routed = LoadGenerator(route.processes[0].startup_info["http"], template.encode(route.prefix))
+    relayed = LoadGenerator(relay.startup_info["http"], template.encode(""))
+    direct = LoadGenerator(engine, template.encode(""))
+    for generator in (routed, relayed, direct):
+        await generator.closed_loop(CONNECTIONS, 0.5)
     # Both take turns, so that other load on the machine meets both alike.
-    rounds: dict[str, list[Cost]] = {"relay": [], "router": []}
+    rounds: dict[str, list[CostSample]] = {"relay": [], "router": []}
     for _ in range(ROUNDS):
-        rounds["relay"].append(await _cost(relayed, [relay], duration_s / ROUNDS))
-        rounds["router"].append(await _cost(routed, route.processes, duration_s / ROUNDS))
-    relay_cost, router_cost = (_summed(rounds[name], work) for name in ("relay", "router"))
+        rounds["relay"].append(await _sample_cost(relayed, [relay], duration_s / ROUNDS))
+        rounds["router"].append(await _sample_cost(routed, route.processes, duration_s / ROUNDS))
+    relay_cost, router_cost = (_aggregate(rounds[name], template) for name in ("relay", "router"))
     rate_per_s = router_cost["requests_per_s"] / 2
     delays = {}
-    for name, callers in (("direct", direct), ("relay", relayed), ("router", routed)):
-        delays[name] = _delays(await callers.open_loop(rate_per_s, duration_s, SEED))
-        callers.close()
+    for name, generator in (("direct", direct), ("relay", relayed), ("router", routed)):
+        delays[name] = _first_byte_percentiles(
+            await generator.open_loop(rate_per_s, duration_s, SEED)
+        )
+        generator.close()
     added = {key: delays["router"][key] - delays["direct"][key] for key in MAX_ADDED_MS}
     share = router_cost["requests_per_core_s"] / relay_cost["requests_per_core_s"]
     return {
@@ -123,25 +125,27 @@
     }
 
 
-async def _cost(callers: Callers, processes: Sequence[Child], duration_s: float) -> Cost:
+async def _sample_cost(
+    generator: LoadGenerator, processes: Sequence[ChildProcess], duration_s: float
+) -> CostSample:
     before = [child.cpu_s() for child in processes]
-    answers = len(await callers.closed_loop(CONNECTIONS, duration_s))
+    answers = len(await generator.closed_loop(CONNECTIONS, duration_s))
     spent = [child.cpu_s() - start for child, start in zip(processes, before, strict=True)]
-    return Cost(answers, duration_s, spent)
+    return CostSample(answers, duration_s, spent)
 
 
-def _summed(rounds: list[Cost], work: Work) -> dict[str, Any]:
+def _aggregate(rounds: list[CostSample], template: RequestTemplate) -> dict[str, Any]:
     answers = sum(part.answers for part in rounds)
     spent = [sum(cpu_s) for cpu_s in zip(*(part.cpu_s for part in rounds), strict=True)]
     return {
         "requests_per_s": answers / sum(part.duration_s for part in rounds),
         "requests_per_core_s": answers / sum(spent),
-        "tokens_per_core_s": answers * work.tokens / sum(spent),
+        "tokens_per_core_s": answers * template.tokens / sum(spent),
         "cpu_us_per_request": [1e6 * cpu_s / answers for cpu_s in spent],
     }
 
 
-def _delays(timings: list[Timing]) -> dict[str, float]:
+def _first_byte_percentiles(timings: list[Timing]) -> dict[str, float]:
     cuts = quantiles([timing.first_s * 1e3 for timing in timings], n=100)
     return {"p50": cuts[49], "p99": cuts[98]}
 
--- a/bench/wall_clock/sites.py
+++ b/bench/wall_clock/bench_platforms.py
@@ -3,18 +3,18 @@
 import time
 import uuid
 
-from bench.processes import Child, ProcessGroup
+from bench.processes import ChildProcess, ProcessGroup
 from cassiadrum.protocols import HttpClient
 from cassiadrum.standins import InstanceListService, TableService
 from cassiadrum.states import Accepted, ConfigurationWriter
 from cassiadrum.stores import HttpInstanceList, HttpTableStore, Instance, StoreTransport
 
-__all__ = ["DOCUMENTS", "BenchPlatform", "document"]
+__all__ = ["DOCUMENTS", "BenchPlatform", "make_document"]
 
 CONCURRENCY = 256
 
 
-def document(name: str, kind: str, endpoints: int = 1) -> str:
+def make_document(name: str, kind: str, endpoints: int = 1) -> str:
     """Return a document with one class and generous targets."""
     return (
         f'[service]\nname = "{name}"\nkind = "{kind}"\nowner = "bench"\nzones = ["z"]\n'
@@ -24,7 +24,10 @@
     )
 
 
-DOCUMENTS = {"streams": document("streams", "model"), "calls": document("calls", "plain")}
+DOCUMENTS = {
+    "streams": make_document("streams", "model"),
+    "calls": make_document("calls", "plain"),
+}
 
 
 class BenchPlatform:
@@ -34,44 +37,46 @@
         self.table = TableService()
         self.instances = InstanceListService()
         self._group = group
-        self._text = ""
+        self._platform_toml = ""
         self.table_address = ""
-        self.list_address = ""
+        self.instance_list_address = ""
 
     async def start(self, documents: dict[str, str]) -> None:
         """Start the stand-ins and accept the documents."""
         self.table_address = f"127.0.0.1:{await self.table.start()}"
-        self.list_address = f"127.0.0.1:{await self.instances.start()}"
-        self._text = (
+        self.instance_list_address = f"127.0.0.1:{await self.instances.start()}"
+        self._platform_toml = (
             f'[platform]\ntable_service = "{self.table_address}"\n'
-            f'instance_list = "{self.list_address}"\n'
+            f'instance_list = "{self.instance_list_address}"\n'
         )
         for service, text in documents.items():
-            await self.accept(service, text, 0)
+            await self.write_document(service, text, 0)
 
-    async def accept(self, service: str, text: str, version: int) -> None:
+    async def write_document(self, service: str, text: str, version: int) -> None:
         """Write a document over the given version."""
-        writer = ConfigurationWriter(HttpTableStore(_wire(self.table_address)))
+        writer = ConfigurationWriter(HttpTableStore(_make_transport(self.table_address)))
         result = await writer.accept(service, text, version, uuid.uuid4().hex, "bench")
         if not isinstance(result, Accepted):
             raise RuntimeError(f"document not accepted: {result}")
 
-    async def entry(self, instance: str, extra: str = "") -> Child:
+    async def start_entry(self, instance: str, extra: str = "") -> ChildProcess:
         """Start and register an entry instance."""
-        child = await self._group.daemon(
-            f'role = "entry"\ninstance = "{instance}"\nzone = "z"\n{self._text}{extra}'
+        child = await self._group.start_daemon(
+            f'role = "entry"\ninstance = "{instance}"\nzone = "z"\n{self._platform_toml}{extra}'
         )
-        await self._register(Instance(instance, "entry", "", "z", "", child.ready["admin"]))
+        await self._register(Instance(instance, "entry", "", "z", "", child.startup_info["admin"]))
         return child
 
-    async def sidecar(self, instance: str, service: str, kind: str, endpoint: str) -> Child:
+    async def start_sidecar(
+        self, instance: str, service: str, kind: str, endpoint: str
+    ) -> ChildProcess:
         """Start and register a sidecar beside an endpoint."""
-        child = await self._group.daemon(
-            f'role = "sidecar"\ninstance = "{instance}"\nzone = "z"\n{self._text}'
+        child = await self._group.start_daemon(
+            f'role = "sidecar"\ninstance = "{instance}"\nzone = "z"\n{self._platform_toml}'
             f'[endpoint]\nservice = "{service}"\nkind = "{kind}"\naddress = "{endpoint}"\n'
             f"[limits]\nconcurrency = {CONCURRENCY}\n"
         )
-        link, admin = child.ready["link"], child.ready["admin"]
+        link, admin = child.startup_info["link"], child.startup_info["admin"]
         await self._register(Instance(instance, "sidecar", service, "z", link, admin))
         return child
 
@@ -81,9 +86,9 @@
         await self.instances.close()
 
     async def _register(self, instance: Instance) -> None:
-        await HttpInstanceList(_wire(self.list_address)).register(instance)
+        await HttpInstanceList(_make_transport(self.instance_list_address)).register(instance)
 
 
-def _wire(address: str) -> StoreTransport:
+def _make_transport(address: str) -> StoreTransport:
     host, _, port = address.rpartition(":")
     return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/bench/wall_clock/gateways.py
+++ b/bench/wall_clock/gateways.py
@@ -4,8 +4,8 @@
 import json
 import socket
 
-from bench.processes import Child, ProcessGroup
-from bench.wall_clock.callers import Work
+from bench.processes import ChildProcess, ProcessGroup
+from bench.wall_clock.load_generators import RequestTemplate
 from cassiadrum.gateways import CallKind
 from cassiadrum.platform.node_settings import FILE_VARIABLE
 from cassiadrum.platform.processes import READY_PATH
@@ -24,19 +24,24 @@
 )
 from cassiadrum.protocols import ConnectFailed, HttpClient
 
-__all__ = ["EVENTS", "GATEWAY_WORKS", "GatewayPlatform"]
+__all__ = ["EVENTS", "GATEWAY_REQUEST_TEMPLATES", "GatewayPlatform"]
 
 HOST = "127.0.0.1"
 # The host that the callers of the measurement name.
 CALLED_HOST = "bench"
-START_LIMIT_S = 20.0
+START_TIMEOUT_S = 20.0
 EVENTS = 64
-KEY = "bench-key"
+API_KEY = "bench-key"
 ROUTES = (TrialRoute("calls", CallKind.IDEMPOTENT), TrialRoute("streams", CallKind.STREAM))
-GATEWAY_WORKS = (
-    Work("calls", "GET", "/calls/7", b"", 0, trial_headers("bench", KEY)),
-    Work(
-        "streams", "POST", "/streams/7", b"{}", EVENTS, trial_stream_headers("bench", KEY, EVENTS)
+GATEWAY_REQUEST_TEMPLATES = (
+    RequestTemplate("calls", "GET", "/calls/7", b"", 0, trial_headers("bench", API_KEY)),
+    RequestTemplate(
+        "streams",
+        "POST",
+        "/streams/7",
+        b"{}",
+        EVENTS,
+        trial_stream_headers("bench", API_KEY, EVENTS),
     ),
 )
 
@@ -50,24 +55,24 @@
         # Addresses by service.
         self.engines: dict[str, str] = {}
 
-    async def start(self) -> Child:
+    async def start(self) -> ChildProcess:
         """Start and register the endpoints and return a gateway that is ready."""
         store_port = await self._store.start()
-        for work in GATEWAY_WORKS:
+        for template in GATEWAY_REQUEST_TEMPLATES:
             engine = await self._group.start(
-                "bench.wall_clock.signing_engine", "--instance", work.name
+                "bench.wall_clock.signing_engine", "--instance", template.name
             )
-            self.engines[work.name] = engine.ready["http"]
-            self._store.put(ENDPOINT_TABLE, work.name, engine.ready["entry"])
-        configuration = trial_configuration(CALLED_HOST, KEY, ROUTES)
+            self.engines[template.name] = engine.startup_info["http"]
+            self._store.put(ENDPOINT_TABLE, template.name, engine.startup_info["entry"])
+        configuration = trial_configuration(CALLED_HOST, API_KEY, ROUTES)
         self._store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, configuration)
         calls_port, ready_port = _free_port(), _free_port()
         settings = trial_settings(store_port, calls_port, ready_port)
         child = await self._group.start_logged(
             "cassiadrum.platform", FILE_VARIABLE, json.dumps(settings)
         )
-        child.ready = {"http": f"{HOST}:{calls_port}"}
-        async with asyncio.timeout(START_LIMIT_S):
+        child.startup_info = {"http": f"{HOST}:{calls_port}"}
+        async with asyncio.timeout(START_TIMEOUT_S):
             while not await _is_ready(ready_port):  # noqa: ASYNC110 - another process sets no event
                 await asyncio.sleep(0.05)
         return child
--- a/bench/wall_clock/callers.py
+++ b/bench/wall_clock/load_generators.py
@@ -18,7 +18,7 @@
     total_s: float
 
 
-class Work(NamedTuple):
+class RequestTemplate(NamedTuple):
     """One kind of request; `tokens` is the number of tokens of its answer."""
 
     name: str
@@ -28,7 +28,7 @@
     tokens: int
     headers: tuple[tuple[str, str], ...] = ()
 
-    def request(self, prefix: str) -> bytes:
+    def encode(self, prefix: str) -> bytes:
         """Return the bytes of the request below a path prefix."""
         head = f"{self.method} {prefix}{self.target} HTTP/1.1\r\nhost: bench\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.headers)
@@ -36,7 +36,7 @@
         return head.encode() + self.body
 
 
-class Callers:
+class LoadGenerator:
     """Send one request over and over to an address."""
 
     def __init__(self, address: str, request: bytes) -> None:
@@ -86,7 +86,7 @@
             raise RuntimeError(f"unexpected answer: {head[:200]!r}")
         length = LENGTH.search(head)
         first_s = 0.0
-        while not _whole(body, int(length[1]) if length else None):
+        while not _is_complete(body, int(length[1]) if length else None):
             data = await reader.read(READ_BYTES)
             if not data:
                 raise RuntimeError("the answer was cut")
@@ -100,5 +100,5 @@
         return await asyncio.open_connection(self._host, self._port)
 
 
-def _whole(body: bytes, length: int | None) -> bool:
+def _is_complete(body: bytes, length: int | None) -> bool:
     return len(body) >= length if length is not None else body.endswith(END_OF_CHUNKS)
--- a/bench/wall_clock/relay.py
+++ b/bench/wall_clock/relay.py
@@ -12,7 +12,7 @@
 import h11
 
 READ_BYTES = 65536
-HOP = {b"host", b"connection", b"transfer-encoding", b"content-length"}
+RECOMPUTED_HEADERS = {b"host", b"connection", b"transfer-encoding", b"content-length"}
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -51,14 +51,16 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         stream = self._idle.pop() if self._idle else await asyncio.open_connection(*self._address)
-        back = h11.Connection(h11.CLIENT)
-        headers = [(name, value) for name, value in request.headers if name not in HOP]
+        upstream = h11.Connection(h11.CLIENT)
+        headers = [
+            (name, value) for name, value in request.headers if name not in RECOMPUTED_HEADERS
+        ]
         headers += [(b"host", b"engine"), (b"content-length", str(len(body)).encode())]
         head = h11.Request(method=request.method, target=request.target, headers=headers)
-        data = (back.send(head) or b"") + (back.send(h11.Data(data=body)) or b"")
-        stream[1].write(data + (back.send(h11.EndOfMessage()) or b""))
+        data = (upstream.send(head) or b"") + (upstream.send(h11.Data(data=body)) or b"")
+        stream[1].write(data + (upstream.send(h11.EndOfMessage()) or b""))
         while True:
-            event = await next_event(back, stream[0])
+            event = await next_event(upstream, stream[0])
             if type(event) is h11.Response:
                 event = h11.Response(status_code=event.status_code, headers=event.headers)
             assert isinstance(event, h11.Event)
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -5,10 +5,10 @@
 import zlib
 
 from bench.calls import Call
-from bench.capacities import capacity_per_endpoint, healthy_endpoints
-from bench.class_profiles import PROFILES, ClassProfile
+from bench.capacities import capacity_per_endpoint, count_healthy_endpoints
+from bench.class_profiles import CLASS_PROFILES, ClassProfile
 from bench.customers import CUSTOMERS, Customer
-from bench.engine_profiles import ENGINE
+from bench.engine_profiles import ENGINE_PROFILE
 from bench.scenarios import Scenario
 from cassiadrum.decisions import QueuedRequest
 from cassiadrum.documents import RequestClass, ServiceDocument
@@ -19,11 +19,11 @@
 BASE_LOAD = 0.7
 # Time for empty engines and caches to fill, and then for the batches to grow with the load, before
 # anything is measured.
-FILL_S = 2.0
+CACHE_FILL_S = 2.0
 WARM_UP_S = 5.0
 # Share of callers that go away before their answer is complete.
-LEAVING_SHARE = 0.005
-LONGEST_ANSWER_TOKENS = 4096.0
+DISCONNECT_FRACTION = 0.005
+MAX_ANSWER_TOKENS = 4096.0
 
 
 def make_calls(
@@ -35,10 +35,10 @@
     request for each class and window.
     """
     rng = random.Random(f"{seed}/{document.name}/{scenario.name}")
-    capacity = capacity_per_endpoint(document) * healthy_endpoints(document, scenario)
+    capacity = capacity_per_endpoint(document) * count_healthy_endpoints(document, scenario)
     windows = (
-        (0.0, FILL_S, min(load, BASE_LOAD)),
-        (FILL_S, WARM_UP_S - FILL_S, load),
+        (0.0, CACHE_FILL_S, min(load, BASE_LOAD)),
+        (CACHE_FILL_S, WARM_UP_S - CACHE_FILL_S, load),
         (WARM_UP_S, duration_s, load),
     )
     calls = []
@@ -46,8 +46,8 @@
         for start_s, length_s, window_load in windows:
             base, burst = class_shares(document, scenario, cls, window_load)
             for share, big in ((base, 0.0), (burst, scenario.burst_customer_share)):
-                maker = _Maker(document, cls, rng, big)
-                calls += maker.make(share * capacity * length_s, start_s, length_s)
+                maker = _CallGenerator(document, cls, rng, big)
+                calls += maker.generate(share * capacity * length_s, start_s, length_s)
     calls.sort(key=lambda call: (call.req.arrived_s, call.req.request_id))
     return calls
 
@@ -56,7 +56,7 @@
     document: ServiceDocument, scenario: Scenario, cls: RequestClass, load: float
 ) -> tuple[float, float]:
     """Return a class's base load and burst load as parts of the capacity."""
-    profiles = PROFILES[document.name]
+    profiles = CLASS_PROFILES[document.name]
     open_classes = [other.name for other in document.classes if not other.protected]
     bursting = [name for name in open_classes if name in scenario.burst] or open_classes
     base = profiles[cls.name].share * min(1.0, load / BASE_LOAD)
@@ -66,19 +66,23 @@
     return base, weight * max(0.0, load - BASE_LOAD)
 
 
-class _Maker:
+class _CallGenerator:
     """Draw the calls of one class."""
 
     def __init__(
-        self, document: ServiceDocument, cls: RequestClass, rng: random.Random, big: float
+        self,
+        document: ServiceDocument,
+        cls: RequestClass,
+        rng: random.Random,
+        burst_customer_share: float,
     ) -> None:
         self._document = document
         self._cls = cls
-        self._profile: ClassProfile = PROFILES[document.name][cls.name]
+        self._profile: ClassProfile = CLASS_PROFILES[document.name][cls.name]
         self._rng = rng
-        self._big = big
+        self._burst_customer_share = burst_customer_share
 
-    def make(self, budget: float, start_s: float, length_s: float) -> list[Call]:
+    def generate(self, budget: float, start_s: float, length_s: float) -> list[Call]:
         """Return calls with `budget` work in total, uniform over the window."""
         calls = []
         while budget > 0:
@@ -90,7 +94,7 @@
         return calls
 
     def _customer(self) -> Customer:
-        if self._rng.random() < self._big:
+        if self._rng.random() < self._burst_customer_share:
             return CUSTOMERS[0]
         return self._rng.choices(CUSTOMERS, [customer.share for customer in CUSTOMERS])[0]
 
@@ -98,9 +102,9 @@
         sigma = self._profile.sigma
         if not sigma:
             return self._profile.work
-        mean = self._profile.work * customer.length
+        mean = self._profile.work * customer.length_factor
         length = self._rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
-        return float(round(min(LONGEST_ANSWER_TOKENS, max(8.0, length))))
+        return float(round(min(MAX_ANSWER_TOKENS, max(8.0, length))))
 
     def _call(self, customer: Customer, work: float, arrived_s: float) -> Call:
         cls, profile = self._cls, self._profile
@@ -116,7 +120,7 @@
             customer=customer.name,
             arrived_s=arrived_s,
             deadline_s=arrived_s + cls.deadline_s,
-            prompt_tokens=blocks * ENGINE.chunk_tokens + own,
+            prompt_tokens=blocks * ENGINE_PROFILE.chunk_tokens + own,
             prefix_keys=tuple(zlib.crc32(key.encode()) for key in keys),
             model=self._document.models[0] if self._document.models else "",
             idempotent=cls.idempotent,
@@ -124,9 +128,9 @@
             max_wait_s=cls.max_wait_s,
             min_share=cls.min_share,
         )
-        return Call(req, work, leaves_at_s=self._leaves_at(arrived_s))
+        return Call(req, work, disconnects_at_s=self._disconnects_at(arrived_s))
 
-    def _leaves_at(self, arrived_s: float) -> float:
-        if not self._cls.cancellable or self._rng.random() >= LEAVING_SHARE:
+    def _disconnects_at(self, arrived_s: float) -> float:
+        if not self._cls.cancellable or self._rng.random() >= DISCONNECT_FRACTION:
             return math.inf
         return arrived_s + self._rng.expovariate(0.5)
--- a/cassiadrum/tests/test_bench.py
+++ b/cassiadrum/tests/test_bench.py
@@ -5,15 +5,15 @@
 import pytest
 
 from bench import __main__ as command
-from bench.bounds import check_bounds, known_red, read_bounds
+from bench.bounds import check_bounds, read_bounds, read_known_failures
 from bench.figures import Figure, figures
 from bench.products import product
 from bench.results import pool_cases, rounded
 from bench.run_specs import RunSpec
 from bench.scenarios import SCENARIOS
+from bench.simulations import Simulation
 from bench.strategies import Strategy
 from bench.suites import run_one
-from bench.worlds import World
 from cassiadrum.decisions import (
     Action,
     Dispatcher,
@@ -44,15 +44,15 @@
         return [] if req.protected else super().submit(req, now)
 
 
-def run_with(dispatcher: type[Dispatcher]) -> World:
+def run_with(dispatcher: type[Dispatcher]) -> Simulation:
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
         return dispatcher(StrictTierQueue(100), LeastOutstandingChooser())
 
     scenario = next(one for one in SCENARIOS if one.name == SHORT.scenario)
     strategy = Strategy("broken", make, product().make_scheduler)
-    world = World(SHORT, scenario, strategy)
-    world.run()
-    return world
+    simulation = Simulation(SHORT, scenario, strategy)
+    simulation.run()
+    return simulation
 
 
 class TestRuns:
@@ -105,5 +105,5 @@
         path = tmp_path / "KNOWN-RED.txt"
         path.write_text(listed)
         found = {"unsafe_protected": Figure(value, "all")}
-        verdicts = check_bounds(found, read_bounds(), known_red(path))
+        verdicts = check_bounds(found, read_bounds(), read_known_failures(path))
         assert command.exit_code(verdicts) == code
--- a/cassiadrum/tests/test_capacity_page.py
+++ b/cassiadrum/tests/test_capacity_page.py
@@ -40,7 +40,7 @@
             row = next(
                 row
                 for row in page.splitlines()
-                if row.startswith(f"| {part.role} | {part.what} | `{part.series}`")
+                if row.startswith(f"| {part.role} | {part.resource} | `{part.series}`")
             )
             assert f"| {value:.4g} {part.unit} |" in row
 
--- a/cassiadrum/tests/test_gateway_switches.py
+++ b/cassiadrum/tests/test_gateway_switches.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from bench.gateway_switches import ROOT, TABLE, Switch, load_switches, patch_of
+from bench.gateway_switches import ROOT, TABLE_PATH, Switch, load_switches, patch_of
 
-SWITCHES = load_switches(TABLE.read_text())
+SWITCHES = load_switches(TABLE_PATH.read_text())
 
 
 class TestSwitches:
--- a/cassiadrum/tests/test_mutants.py
+++ b/cassiadrum/tests/test_mutants.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from bench.mutants import ROOT, TABLE, Mutant, load_mutants
+from bench.mutants import ROOT, TABLE_PATH, Mutant, load_mutants
 
-MUTANTS = load_mutants(TABLE.read_text())
+MUTANTS = load_mutants(TABLE_PATH.read_text())
 
 
 class TestMutants:
