--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks with regression bounds, in virtual time."""
+"""Deterministic simulation benchmarks in virtual time, with regression bounds."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Run the benchmarks in virtual time and check their bounds."""
+"""Run the simulation benchmarks and check the regression bounds."""
 
 import argparse
 import json
@@ -19,7 +19,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run what the arguments ask for; return 1 when a bound is missed that is not known."""
+    """Run the selected benchmarks; return 1 if a bound is missed that is not a known failure."""
     options = _options(arguments)
     started_s = time.monotonic()
     if options.tables:
@@ -66,10 +66,16 @@
 
 def _options(arguments: Sequence[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
-    parser.add_argument("--quick", action="store_true", help="run one seed only")
-    parser.add_argument("--only", default="", metavar="NAME", help="run matching scenarios only")
-    parser.add_argument("--ablate", action="store_true", help="leave out one mechanism at a time")
-    parser.add_argument("--tables", action="store_true", help="print the committed results")
+    parser.add_argument("--quick", action="store_true", help="run only the first seed")
+    parser.add_argument(
+        "--only", default="", metavar="NAME", help="run only scenarios whose name contains NAME"
+    )
+    parser.add_argument(
+        "--ablate", action="store_true", help="run the product without one mechanism at a time"
+    )
+    parser.add_argument(
+        "--tables", action="store_true", help="print the committed results as tables"
+    )
     parser.add_argument("--json", action="store_true", help="print the results as JSON")
     parser.add_argument("--write", action="store_true", help="replace bench/results.json")
     return parser.parse_args(arguments)
--- a/bench/ablated_policies.py
+++ b/bench/ablated_policies.py
@@ -1,4 +1,4 @@
-"""Policies without one of their rules."""
+"""Admission and retry policies of the ablations, each without one rule."""
 
 from cassiadrum.decisions import (
     Admission,
@@ -13,7 +13,7 @@
 
 
 class UnconditionalAdmission(Admission):
-    """Accept every request whatever its deadline."""
+    """Admits every request regardless of its deadline."""
 
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted:
         return Admitted(0.0, 0.0)
@@ -29,7 +29,7 @@
 
 
 class NonContinuingRetryPolicy(BudgetRetryPolicy):
-    """Retry partly delivered answers within the budget only."""
+    """Treats the continuation of a partly delivered answer as a retry that costs budget."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
         return self.may_retry(req, ExecutionStatus.UNKNOWN, now)
--- a/bench/ablated_queues.py
+++ b/bench/ablated_queues.py
@@ -1,4 +1,4 @@
-"""Queues without one of their rules."""
+"""Request queues of the ablations, each without one rule."""
 
 from cassiadrum.decisions import QueuedRequest, RequestQueue
 
@@ -6,7 +6,7 @@
 
 
 class DelegatingQueue(RequestQueue):
-    """Pass every call on to another queue."""
+    """Delegates every call to another queue."""
 
     def __init__(self, queue: RequestQueue) -> None:
         self._queue = queue
@@ -37,14 +37,14 @@
 
 
 class FreeSlotOnlyQueue(DelegatingQueue):
-    """Place protected work only while a slot is free."""
+    """Dispatches protected work only while a slot is free, as other work."""
 
     def protected_waiting(self) -> bool:
         return False
 
 
 class NoMinShareQueue(DelegatingQueue):
-    """Serve strictly by tier, however long a lower one has waited."""
+    """Serves strictly by tier, without a minimum share for lower tiers."""
 
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
         return self._queue.push(req._replace(min_share=0.0), now)
--- a/bench/ablation_tables.py
+++ b/bench/ablation_tables.py
@@ -1,4 +1,4 @@
-"""What each mechanism changes, against the spread between seeds."""
+"""Effect of each mechanism on the measures, compared with the spread between seeds."""
 
 from statistics import mean, stdev
 from typing import Any, NamedTuple
@@ -8,12 +8,15 @@
 __all__ = ["Effect", "effects", "print_effects"]
 
 Runs = list[tuple[RunSpec, dict[str, Any]]]
-# Measures listed for each mechanism, those that moved most in units of the spread first.
+# Measures listed for each mechanism, the largest changes relative to the spread first.
 MAX_LISTED_MEASURES = 6
 
 
 class Effect(NamedTuple):
-    """Hold one measure with and without a mechanism; `spread` is the larger of both runs."""
+    """Mean of one measure with and without a mechanism.
+
+    `spread` is the larger of the two standard deviations between seeds.
+    """
 
     mechanism: str
     case: str
@@ -24,12 +27,12 @@
 
     @property
     def is_significant(self) -> bool:
-        """Tell whether the difference is larger than the spread between seeds."""
+        """Whether the difference exceeds the spread between seeds."""
         return abs(self.without_mechanism - self.with_mechanism) > max(self.spread, 1e-9)
 
 
 def effects(runs: Runs) -> list[Effect]:
-    """Return every measure of each ablation beside the product's on the same arrivals."""
+    """Return every measure of each ablation with the product's on the same arrivals."""
     values: dict[tuple[str, str], dict[str, list[float]]] = {}
     for spec, measures in runs:
         cases = values.setdefault((f"{spec.scenario}/{spec.load:g}", spec.strategy), {})
@@ -48,7 +51,7 @@
 
 
 def print_effects(found: list[Effect]) -> None:
-    """Print the measures that each mechanism moves most, and the mechanisms that move none."""
+    """Print the measures that each mechanism changes most, and mechanisms that change none."""
     for mechanism in dict.fromkeys(effect.mechanism for effect in found):
         moved = [
             effect for effect in found if effect.mechanism == mechanism and effect.is_significant
@@ -58,7 +61,7 @@
                 abs(effect.without_mechanism - effect.with_mechanism) / (effect.spread + 1e-3)
             )
         )
-        print(f"{mechanism}: moves {len(moved)} measures")
+        print(f"{mechanism}: changes {len(moved)} measures by more than the spread")
         for effect in moved[: -MAX_LISTED_MEASURES - 1 : -1]:
             print(
                 f"  {effect.case} {effect.measure}: with {effect.with_mechanism:.4f}, "
--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -1,4 +1,4 @@
-"""The product without one of its mechanisms."""
+"""Ablations: the product's strategy without one of its mechanisms."""
 
 import random
 from collections.abc import Callable
@@ -25,12 +25,12 @@
 
 __all__ = ["ABLATED_CASES", "ablations"]
 
-# One case without and one with faults, where capacity is short but not hopeless.
+# Scenario and load of a moderate overload, once without and once with faults.
 ABLATED_CASES = (("fire-season-burst", 1.5), ("all-together", 1.5))
 
 
 def ablations() -> dict[str, Strategy]:
-    """Return the product without each mechanism, by the name of what is left out."""
+    """Return a strategy for each mechanism left out, by the strategy's name."""
     changes: dict[str, Callable[[DispatcherParts, str], DispatcherParts]] = {
         "fair-queue": lambda parts, seed: parts._replace(queue=StrictTierQueue(QUEUE_REQUESTS)),
         "min-share": lambda parts, seed: parts._replace(queue=NoMinShareQueue(parts.queue)),
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -1,4 +1,4 @@
-"""Bounds of the benchmark, and which missed ones are known."""
+"""Regression bounds of the benchmark and the list of known failures."""
 
 import tomllib
 from pathlib import Path
@@ -13,7 +13,7 @@
 
 
 class Verdict(NamedTuple):
-    """State whether a figure keeps its bound."""
+    """Result of comparing a figure with its bound."""
 
     key: str
     figure: Figure
@@ -29,7 +29,7 @@
 
 
 def read_known_failures(path: Path = KNOWN_FAILURES_PATH) -> set[str]:
-    """Return the first word of each line of the list of known failures."""
+    """Return the first word of each line of the known-failures file, without its colon."""
     if not path.exists():
         return set()
     lines = path.read_text().splitlines()
@@ -39,7 +39,7 @@
 def check_bounds(
     found: dict[str, Figure], bounds: dict[str, dict[str, float | str]], known: set[str]
 ) -> list[Verdict]:
-    """Compare the figures with their bounds."""
+    """Compare the figures with their bounds; a bound without a figure is left out."""
     return [
         _verdict(key, found[key], bound, key in known)
         for key, bound in bounds.items()
--- a/bench/calls.py
+++ b/bench/calls.py
@@ -1,4 +1,4 @@
-"""One request of the benchmark and what became of it."""
+"""A simulated request and its progress."""
 
 from dataclasses import dataclass, field
 
@@ -9,11 +9,13 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """Hold a request, the output length that strategies do not see, and its course.
+    """A request, its output length, which strategies do not see, and its progress.
 
-    `work` is output tokens for a model service and seconds of service time for a plain one;
-    `delivered` is the part of it that reached the caller. `owner` names the endpoint whose
-    stream the caller reads, `served_at_s` is when an endpoint first started it.
+    `work` is the number of output tokens for a model service and the service time in seconds for
+    a plain one; `delivered` is the part of it that reached the caller. `active_instance` is the
+    instance whose stream the caller reads, empty without one. `served_at_s` is the time at which
+    an endpoint first started the request. `gaps` maps the seconds between tokens to the number
+    of tokens.
     """
 
     req: QueuedRequest
@@ -31,17 +33,17 @@
 
     @property
     def is_open(self) -> bool:
-        """Tell whether the caller still waits for the end."""
+        """Whether the caller still waits for the end of the answer."""
         return self.ended_at_s is None
 
     def add_gaps(self, gaps: dict[float, float]) -> None:
-        """Add the tokens of one attempt, by the seconds since the token before."""
+        """Add the tokens of one attempt, by the seconds since the previous token."""
         for gap_s, tokens in gaps.items():
             self.gaps[gap_s] = self.gaps.get(gap_s, 0.0) + tokens
 
 
 def gap_percentile(gaps: dict[float, float], quantile: float) -> float:
-    """Return the quantile of the seconds between a request's own tokens."""
+    """Return the quantile of the seconds between a request's tokens, weighted by tokens."""
     rank = quantile * sum(gaps.values())
     for gap_s in sorted(gaps):
         rank -= gaps[gap_s]
--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Growth of each role's state, messages, processor time and memory, measured on this machine."""
+"""Measured growth of each role's state, messages, CPU time and memory with its inputs."""
--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""Measure the slopes and the figures at rest, and write bench/capacity.json."""
+"""Measure the capacity series and idle figures, and write bench/capacity.json and its page."""
 
 import argparse
 import asyncio
@@ -20,14 +20,19 @@
 
 
 def main() -> None:
-    """Run the parts that were asked for and merge them into the file."""
+    """Run the selected parts and merge their figures into the file."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}; all by default")
-    parser.add_argument("--series", nargs="*", help="of the state series; all by default")
-    parser.add_argument("--page", action="store_true", help="only write the page again")
+    parser.add_argument("--series", nargs="*", help="names of state series; all by default")
+    parser.add_argument(
+        "--page",
+        action="store_true",
+        help="write the page from the committed figures without measuring",
+    )
     options = parser.parse_args()
     parts = [] if options.page else options.parts or list(PARTS)
-    # asyncio.run then ends the child processes when this process is ended.
+    # With KeyboardInterrupt on SIGTERM, asyncio.run cancels the measurement, which then kills its
+    # child processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     for part in parts:
         load = os.getloadavg()[0]
--- a/bench/capacity/extrapolations.py
+++ b/bench/capacity/extrapolations.py
@@ -1,4 +1,4 @@
-"""What the measured lines say about the target size."""
+"""Extrapolation of the measured lines to the target size."""
 
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
@@ -7,7 +7,7 @@
 
 __all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "RoleTotal", "fit_of", "totals"]
 
-# Section 1.8 of the design page.
+# Target size, from section 1.8 of docs/design.md.
 ENTRIES: Final = 2300
 ENGINES: Final = 7300
 REQUESTS_PER_S: Final = 66_000
@@ -18,13 +18,16 @@
 SIDECAR_LINKS: Final = 20
 QUEUE: Final = 2048
 EVENTS: Final = 16_384
-# A finished answer is kept for 60 s.
+# A sidecar retains finished answers for 60 s.
 RETAINED_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
 LIMITS_AT_TARGET: Final = {"MB": 64.0, "% of a core": 4.7, "B/s": 6000.0}
 
 
 class Extrapolation(NamedTuple):
-    """Take a line at `x`, times `factor` for the unit; `slope_only` leaves out the base cost."""
+    """Value of a series' fitted line at `x`, times `factor` to convert it to `unit`.
+
+    `slope_only` leaves out the intercept, the cost of the process without the resource.
+    """
 
     role: str
     resource: str
@@ -41,7 +44,7 @@
 
 
 class RoleTotal(NamedTuple):
-    """A role's sum in a unit against its limit."""
+    """Sum of a role's extrapolations in one unit and its limit."""
 
     role: str
     unit: str
@@ -100,13 +103,13 @@
 
 
 def fit_of(report: Mapping[str, Any], series: str) -> Fit:
-    """Return the committed line of a series."""
+    """Return the fitted line of a series in the report."""
     entry = report["series"][series]
     return Fit(*(entry[field] for field in Fit._fields))
 
 
 def totals(report: Mapping[str, Any]) -> list[RoleTotal]:
-    """Return each role's sums; memory starts from the measured idle daemon."""
+    """Return the sums of each role and unit; memory includes that of the idle daemon."""
     found = []
     for role in ("entry", "sidecar"):
         for unit, limit in LIMITS_AT_TARGET.items():
--- a/bench/capacity/fits.py
+++ b/bench/capacity/fits.py
@@ -1,4 +1,4 @@
-"""Straight lines through measured points."""
+"""Least-squares lines through measured points."""
 
 from collections.abc import Sequence
 from math import sqrt
@@ -16,12 +16,12 @@
     error: float
 
     def at(self, x: float) -> float:
-        """Return the line's value."""
+        """Return the line's value at `x`."""
         return self.intercept + self.slope * x
 
 
 def fit_line(points: Sequence[tuple[float, float]]) -> Fit:
-    """Return the line through at least three points with different x."""
+    """Return the least-squares line through at least three points, not all with the same x."""
     count = len(points)
     mean_x = sum(x for x, _ in points) / count
     mean_y = sum(y for _, y in points) / count
--- a/bench/capacity/idle_figures.py
+++ b/bench/capacity/idle_figures.py
@@ -1,4 +1,4 @@
-"""Figures of real daemons at rest, and of the spread of a configuration."""
+"""Figures of idle daemon processes and of the propagation of a configuration."""
 
 import asyncio
 import json
@@ -17,7 +17,7 @@
 __all__ = ["measure_idle", "measure_propagation"]
 
 IDLE_MEASUREMENT_S = 8.0
-# Links for each role at the target size (section 2.2 of the design page).
+# Links of each role at the target size (section 2.2 of docs/design.md).
 ENTRY_LINKS = 64
 SIDECAR_LINKS = 20
 PROPAGATION_ENTRIES = 10
@@ -27,7 +27,7 @@
 
 
 async def measure_idle() -> dict[str, float]:
-    """Return memory, processor share, control bytes and store calls of each role at rest."""
+    """Return memory, CPU share, control bytes and store calls of an idle daemon of each role."""
     found: dict[str, float] = {}
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
@@ -59,7 +59,7 @@
 async def _start_all(
     starts: Sequence[Callable[[], Awaitable[ChildProcess]]],
 ) -> list[ChildProcess]:
-    """Start daemons, a few at a time."""
+    """Start daemons, at most MAX_CONCURRENT_STARTS at a time."""
     children: list[ChildProcess] = []
     for first in range(0, len(starts), MAX_CONCURRENT_STARTS):
         batch = starts[first : first + MAX_CONCURRENT_STARTS]
@@ -95,11 +95,11 @@
 
 
 async def measure_propagation() -> dict[str, float]:
-    """Return the seconds until a configuration is in force in each of 50 processes.
+    """Return quantiles of the seconds until a configuration is in force in 50 processes.
 
-    `up` counts from the write with the store up. `after_return` counts from the return of a store
-    that went down right after the write. `peers` counts from the first process that has the
-    configuration, with the store down from that read on.
+    `up` is measured from the write, with the store up. `after_return` is measured from the end of
+    an outage of the store that began right after the write. `peers` is measured from the first
+    process that has the configuration, with the store down since that process read it.
     """
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
@@ -144,7 +144,7 @@
 async def _propagate_after_outage(
     platform: BenchPlatform, children: list[ChildProcess], version: int
 ) -> list[float]:
-    """Write a row, take the store down before anyone polls it, and bring it back after 5 s."""
+    """Write a row, take the store down before a process polls it, and restore it after 5 s."""
     await platform.write_document("calls", make_document("calls", "plain"), version)
     platform.table.set_faults(Faults(down=True))
     await asyncio.sleep(5.0)
@@ -155,7 +155,7 @@
 async def _propagate_through_peers(
     platform: BenchPlatform, children: list[ChildProcess], version: int
 ) -> list[float]:
-    """Take the store down at the first read of the new row; peers have to spread it."""
+    """Take the store down after the first read of the new row, so that peers propagate it."""
     table, answer = platform.table, platform.table.answer
 
     def answer_once(req: HttpRequest) -> Answer:
@@ -173,7 +173,10 @@
 async def _applied_times_s(
     children: list[ChildProcess], version: int, since_s: float
 ) -> list[float]:
-    """Return when each process applied the version, by the times of its own events."""
+    """Return when each process applied the version, in seconds after `since_s`.
+
+    The times are those of the processes' own events.
+    """
     async with asyncio.timeout(30.0):
         return await asyncio.gather(
             *(_applied_at_s(child, version, since_s) for child in children)
--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -1,4 +1,4 @@
-"""Series over the number of links: a real sidecar, and a real process that dials it."""
+"""Series by the number of links between a sidecar process and a process that dials it."""
 
 import argparse
 import asyncio
@@ -22,12 +22,15 @@
 
 LINK_COUNTS = (10, 100, 300, 600, 1000)
 IDLE_MEASUREMENT_S = 6.0
-# The links have to be idle, as those of a fleet at rest are.
+# The links have to be idle, as in an idle fleet.
 IDLE_TRANSITION_S = LIMITS.IDLE_AFTER_S + 1.0
 
 
 async def measure_links() -> dict[str, list[tuple[float, float]]]:
-    """Return memory, processor time and control bytes of both ends by the number of links."""
+    """Return memory, CPU time and control bytes by the number of links.
+
+    Memory and CPU time are those of each end, control bytes those of the sidecar.
+    """
     series: dict[str, list[tuple[float, float]]] = {}
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
@@ -63,22 +66,22 @@
 
 
 async def read_control_bytes(child: ChildProcess) -> float:
-    """Return the control bytes in both directions since the start of a daemon."""
+    """Return the control bytes in both directions since the daemon started."""
     text = (await admin_get(child, "/metrics")).decode()
     lines = [line for line in text.splitlines() if line.startswith("cassiadrum_control_bytes")]
     return sum(float(line.rpartition(" ")[2]) for line in lines)
 
 
 async def admin_get(child: ChildProcess, target: str) -> bytes:
-    """Return what the admin interface of a daemon answers."""
+    """Return the body of an admin response of a daemon; raise RuntimeError without one."""
     body = await ProcessReader("127.0.0.1:1")._get(child.startup_info["admin"], target)
     if body is None:
-        raise RuntimeError(f"no answer to {target}")
+        raise RuntimeError(f"admin interface of the daemon did not answer GET {target}")
     return body
 
 
 class _DialerGroup:
-    """Hold links to one sidecar, each as another entry instance with the same documents."""
+    """Links to one sidecar, each as a different entry instance with the same documents."""
 
     def __init__(self, address: str, count: int) -> None:
         self._ring = EventRing(HybridClock(time.time), "d", "entry", "x")
@@ -91,11 +94,11 @@
         ]
 
     async def run(self) -> None:
-        """Dial all and hold the links."""
+        """Dial all links and hold them until the process is killed."""
         for dialer in self._dialers:
             dialer.start()
         async with asyncio.timeout(15.0):
-            # The state is spread over many links, so it is polled.
+            # No single event covers the state of all links, so it is polled.
             while not all(d.link and d.link.peer for d in self._dialers):  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
         print(json.dumps({"links": len(self._dialers)}), flush=True)
--- a/bench/capacity/pages.py
+++ b/bench/capacity/pages.py
@@ -1,4 +1,4 @@
-"""The capacity page, written from the committed figures."""
+"""Generation of the figures on the capacity page from the committed report."""
 
 from collections.abc import Mapping
 from pathlib import Path
@@ -29,7 +29,7 @@
 
 
 def write_page(report: Mapping[str, Any]) -> None:
-    """Replace the figures on the page."""
+    """Replace the generated figures on the page."""
     text = PAGE.read_text()
     before, _, rest = text.partition(BEGIN)
     _, _, after = rest.partition(END)
@@ -37,7 +37,7 @@
 
 
 def render_tables(report: Mapping[str, Any]) -> str:
-    """Return the tables of runs, lines, extrapolations, totals and figures at rest."""
+    """Return the tables of runs, fitted lines, extrapolations, totals and idle figures."""
     return "\n".join(
         (
             _table(("run", "at (UTC)", "load average before"), _runs(report)),
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -1,4 +1,4 @@
-"""Series over the state of one process: queue, customers, endpoints, services, changes."""
+"""Series by the size of one process's state, such as its queue, customers or endpoints."""
 
 import gc
 import random
@@ -28,14 +28,14 @@
 
 Points = list[tuple[float, float]]
 REPEATS = 2000
-# 197 tokens, the mean at the target size (13 million tokens for 66,000 requests), as events of
-# about 60 bytes; and a prompt of 200 tokens.
+# An answer of 197 tokens, the mean at the target size (13 million tokens for 66,000 requests), as
+# events of about 60 bytes; and a prompt of 200 tokens.
 ANSWER_BYTES = 12_000
 PROMPT_BYTES = 1000
 
 
 def make_request(number: int, now: float, customers: int = 10) -> QueuedRequest:
-    """Return a request of one of `customers` customers."""
+    """Return a request of one of `customers` customers, in turn by its number."""
     return QueuedRequest(
         f"entry-1-1a2b3c4d-{number}",
         "svc",
@@ -66,7 +66,7 @@
 
 
 def measure_memory(build: Callable[[], object]) -> float:
-    """Return the bytes that are allocated by `build` and kept by its result."""
+    """Return the bytes that `build` allocates and its result retains."""
     gc.collect()
     tracemalloc.start()
     kept = build()
@@ -78,7 +78,7 @@
 
 
 def queue_memory() -> Points:
-    """Bytes of a queue by its length."""
+    """Return the bytes of a queue by its length."""
 
     def build(length: int) -> FairTierQueue:
         queue = FairTierQueue(length)
@@ -90,7 +90,7 @@
 
 
 def queue_time() -> Points:
-    """Microseconds of a push and a pop by the logarithm of the queue's length."""
+    """Return the CPU microseconds of a push and a pop by the bit length of the queue's length."""
     points = []
     for length in (10, 100, 1000, 10_000, 100_000):
         queue = FairTierQueue(length + REPEATS)
@@ -107,7 +107,7 @@
 
 
 def customer_memory() -> Points:
-    """Bytes of a dispatcher and the metrics after one answer for each customer."""
+    """Return the bytes of a dispatcher and its metrics by the customers with one answer each."""
 
     def build(customers: int) -> tuple[Dispatcher, RoleMetrics]:
         dispatcher, metrics = make_dispatcher(8), RoleMetrics(lambda: 0.0)
@@ -122,13 +122,13 @@
 
 
 def endpoint_memory() -> Points:
-    """Bytes of a dispatcher by the endpoints of its subset."""
+    """Return the bytes of a dispatcher by the number of endpoints in its subset."""
     sizes = (8, 64, 128, 256, 512)
     return [(n, measure_memory(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
 
 
 def endpoint_time() -> Points:
-    """Microseconds of the decisions on a request by the endpoints of the subset."""
+    """Return the CPU microseconds of a request's decisions by the endpoints in the subset."""
     points = []
     for endpoints in (8, 64, 128, 256, 512):
         dispatcher = make_dispatcher(endpoints)
@@ -143,13 +143,13 @@
 
 
 def service_memory() -> Points:
-    """Bytes of the configurations in force by the number of services."""
+    """Return the bytes of the configurations in force by the number of services."""
     sizes = (1, 25, 50, 100, 200)
     return [(n, measure_memory(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
 
 
 def digest_time() -> Points:
-    """Microseconds of the digest that a heartbeat carries by the number of services."""
+    """Return the CPU microseconds of a heartbeat's digest by the number of services."""
     points = []
     for services in (1, 25, 50, 100, 200):
         registry = _registry(services)
@@ -162,7 +162,7 @@
 
 
 def change_time() -> Points:
-    """Microseconds spent on applying a number of changes to 17 services."""
+    """Return the CPU microseconds to apply changes to 17 services by the number of changes."""
     points = []
     for changes in (10, 50, 100, 200, 400):
         registry = _registry(17)
@@ -177,7 +177,7 @@
 
 
 def event_memory() -> Points:
-    """Bytes of an event ring by the events in it."""
+    """Return the bytes of an event ring by its number of events."""
 
     def build(count: int) -> EventRing:
         ring = EventRing(HybridClock(time.time), "entry-1", "entry", "1a2b3c4d")
@@ -200,7 +200,7 @@
 
 
 def kept_answer_memory() -> Points:
-    """Bytes of a sidecar's finished answers of ANSWER_BYTES by their number."""
+    """Return the bytes of a sidecar's finished answers of ANSWER_BYTES by their number."""
 
     def build(count: int) -> list[SidecarStream]:
         kept = []
@@ -228,7 +228,7 @@
 
 
 def _complete_request(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
-    """Pass a request through its whole life."""
+    """Submit a request, report its first token and finish it."""
     actions = dispatcher.submit(req, now)
     instance = getattr(actions[0], "instance", "")
     dispatcher.progressed(instance, req.request_id, 1, now)
--- a/bench/class_measures.py
+++ b/bench/class_measures.py
@@ -1,4 +1,4 @@
-"""Measures of one class in one run."""
+"""Measures of one request class in one run."""
 
 from typing import NamedTuple
 
@@ -7,15 +7,15 @@
 
 __all__ = ["ClassMeasure", "is_within_targets", "measure_class"]
 
-# Reasons for which a request was refused before any endpoint ran it to an end.
+# Results of requests that were refused or evicted before an endpoint completed them.
 NOT_SERVED = frozenset({"overloaded", "evicted", "deadline", "no_endpoint"})
 
 
 class ClassMeasure(NamedTuple):
-    """Count the requests of a class that arrived while measured.
+    """Counts of the requests of a class that arrived in the measurement window.
 
-    `served` leaves out what was refused or evicted, `offered` does not; callers that went away
-    are in neither.
+    `served` excludes refused and evicted requests, `offered` includes them; requests whose
+    caller disconnected are in neither. `met` counts the served requests within their targets.
     """
 
     served: int
@@ -25,7 +25,7 @@
 
 
 def measure_class(cls: RequestClass, kind: str, calls: list[Call], end_s: float) -> ClassMeasure:
-    """Return the measures of the calls of one class; `end_s` is when the run stopped."""
+    """Return the measures of the calls of one class; `end_s` is the end time of the run."""
     calls = [call for call in calls if call.result != "cancelled"]
     served = [call for call in calls if call.result not in NOT_SERVED]
     met = sum(is_within_targets(cls, kind, call) for call in served)
@@ -34,7 +34,7 @@
 
 
 def is_within_targets(cls: RequestClass, kind: str, call: Call) -> bool:
-    """Tell whether an answer was complete and within its class's latency targets."""
+    """Return whether the answer was complete and within the latency targets of its class."""
     if call.result != "done" or call.ended_at_s is None:
         return False
     if kind == "plain":
@@ -47,6 +47,6 @@
 
 
 def wait_s(call: Call, end_s: float) -> float:
-    """Return the seconds until an endpoint started the call, or until it ended without."""
+    """Return the seconds until an endpoint started the call, or until it ended unserved."""
     until_s = call.served_at_s if call.served_at_s is not None else call.ended_at_s
     return (end_s if until_s is None else until_s) - call.req.arrived_s
--- a/bench/class_profiles.py
+++ b/bench/class_profiles.py
@@ -1,4 +1,4 @@
-"""What the callers of each class send."""
+"""Request mix and request sizes of each class."""
 
 from typing import NamedTuple
 
@@ -6,13 +6,13 @@
 
 
 class ClassProfile(NamedTuple):
-    """Describe the requests of one class.
+    """Distribution of the requests of one class.
 
-    `share` is its part of the service's capacity at a load of 0.7. `work` is the mean number of
-    output tokens, or the service time in seconds of a plain service. `sigma` is the spread of
-    the logarithm of the length, 0 for a fixed one. `prompt_tokens` is the mean of the part of
-    the prompt that no other request has; `shared_blocks` is the number of leading blocks that
-    all requests of a customer share.
+    `share` is the fraction of the service's capacity that the class takes at a load of 0.7.
+    `work` is the mean number of output tokens, or the service time in seconds of a plain service.
+    `sigma` is the standard deviation of the logarithm of the length, 0 for a fixed length.
+    `prompt_tokens` is the mean length of the unshared part of the prompt; `shared_blocks` is the
+    number of leading prompt blocks that all requests of a customer share.
     """
 
     share: float
@@ -22,8 +22,8 @@
     shared_blocks: int = 0
 
 
-# Protected classes take 0.15 of the capacity of their service at every load: a load above
-# capacity is made of the bursts of lower tiers.
+# Protected classes take 0.15 of the capacity of their service at every load, because an overload
+# consists of bursts of lower tiers.
 CLASS_PROFILES: dict[str, dict[str, ClassProfile]] = {
     "sprachdienst": {
         "feast-assessment": ClassProfile(0.35, 140.0, 0.8, 250, 3),
--- a/bench/customers.py
+++ b/bench/customers.py
@@ -1,4 +1,4 @@
-"""Customers of a deployment."""
+"""Customers of the simulated deployments."""
 
 from typing import NamedTuple
 
@@ -6,14 +6,14 @@
 
 
 class Customer(NamedTuple):
-    """State a customer's part of the requests and how long its answers are against the mean."""
+    """A customer's share of the requests and its answer length relative to the mean."""
 
     name: str
     share: float
     length_factor: float
 
 
-# Ten customers, three of them large. The lengths weighted by the shares have the mean 1.00.
+# Ten customers, three of them large. The mean length factor weighted by the shares is 1.00.
 CUSTOMERS = (
     Customer("c0", 0.28, 1.0),
     Customer("c1", 0.20, 1.3),
--- a/bench/dispatch_counting_choosers.py
+++ b/bench/dispatch_counting_choosers.py
@@ -1,4 +1,4 @@
-"""Base class of the plain choosers."""
+"""Base class of the choosers of the plain strategies."""
 
 from abc import abstractmethod
 from collections.abc import Collection
@@ -9,13 +9,16 @@
 
 
 class DispatchCountingChooser(EndpointChooser):
-    """Keep the last reports and the own dispatches, and let a subclass pick among free ones."""
+    """Tracks the last report and the own dispatches of each endpoint.
+
+    A subclass picks one of the endpoints that have a free slot.
+    """
 
     def __init__(self) -> None:
         self._reports: dict[str, EndpointReport] = {}
         self._outstanding: dict[str, set[str]] = {}
         # Endpoints that rejected work since their last report. Without this a rejected request
-        # would go back and forth until its deadline.
+        # would be dispatched to the same endpoint again until its deadline.
         self._full: set[str] = set()
 
     def report(self, rep: EndpointReport, now: float) -> None:
@@ -60,7 +63,7 @@
         return sorted(name for name, rep in self._reports.items() if not rep.leaving)
 
     def free(self, name: str) -> int:
-        """Return the slots of an endpoint that this entry instance has not filled itself."""
+        """Return the slots of an endpoint that this entry instance's requests do not occupy."""
         if name in self._full:
             return 0
         return max(0, self._reports[name].limit - len(self._outstanding[name]))
--- a/bench/dispatcher_parts.py
+++ b/bench/dispatcher_parts.py
@@ -1,4 +1,4 @@
-"""The replaceable parts of a dispatcher."""
+"""The replaceable components of a dispatcher."""
 
 from typing import NamedTuple
 
@@ -15,7 +15,11 @@
 
 
 class DispatcherParts(NamedTuple):
-    """Hold what a dispatcher is built from."""
+    """The components that a dispatcher is built from.
+
+    `uncancellable` names the classes whose requests are not cancellable. `streams_tokens` tells
+    whether the service answers with a token stream.
+    """
 
     queue: RequestQueue
     chooser: EndpointChooser
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -14,10 +14,10 @@
 
 
 class FakeEngine:
-    """Decode all running streams in steps whose length grows with the batch.
+    """Decodes all running streams in steps whose duration grows with the batch size.
 
-    Between two events all steps have the same length, so the engine counts steps as a real
-    number and needs one event for each end of a prefill and of a stream.
+    Between two events all steps have the same duration, so the engine counts steps as a real
+    number and schedules events only for the ends of prefills and of streams.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         self.prefilled = 0.0
 
     def start(self, call: Call, request_id: str) -> Stream:
-        """Start a request; a resumed one continues behind the text already delivered."""
+        """Start a request; a resumed request continues after the text already delivered."""
         found, added = self.cache.use(call.req.prefix_keys)
         self.new_keys += added
         cached = found * self._profile.chunk_tokens
@@ -60,7 +60,7 @@
         return stream
 
     def pause(self, request_id: str) -> None:
-        """Stop a stream; its KV cache stays."""
+        """Pause a stream; its KV cache is kept."""
         self._advance()
         stream = self.streams[request_id]
         self._update_stream(stream)
@@ -69,7 +69,7 @@
         self._schedule()
 
     def resume(self, request_id: str) -> None:
-        """Let a paused stream go on."""
+        """Resume a paused stream."""
         stream = self.streams[request_id]
         if stream.started_at_s is None:
             stream.paused_at_s = -1.0
@@ -82,7 +82,7 @@
         self._schedule()
 
     def cancel(self, request_id: str) -> Stream | None:
-        """Stop a request for good and return it, or None when it does not run here."""
+        """Abort a request and return its stream, or None if it does not run here."""
         stream = self.streams.get(request_id)
         if stream is None:
             return None
@@ -94,25 +94,25 @@
         return stream
 
     def crash(self) -> list[Stream]:
-        """Lose all streams and the cache; return the streams."""
+        """Abort all streams, clear the cache and return the streams."""
         lost = [stream for key in list(self.streams) if (stream := self.cancel(key))]
         self.cache.clear()
         return lost
 
     def slow_down(self, factor: float) -> None:
-        """Make every step `factor` times as long."""
+        """Multiply the duration of every step by `factor`."""
         self._advance()
         self.slowdown = factor
         self._schedule()
 
     def update_progress(self) -> None:
-        """Bring the counts of all streams up to now."""
+        """Update the token counts of all streams to the current time."""
         self._advance()
         for stream in self._decoding.values():
             self._update_stream(stream)
 
     def step_s(self) -> float:
-        """Return the seconds of the current step."""
+        """Return the duration of the current step in seconds."""
         step_s = self._profile.step_s(len(self._decoding), bool(self._prefills))
         return step_s * self.slowdown
 
@@ -140,7 +140,7 @@
             self._prefills = kept
 
     def _update_stream(self, stream: Stream) -> None:
-        """Credit a decoding stream with the steps since it was last settled."""
+        """Add the tokens of the steps since the last update to a decoding stream."""
         if stream.start_step < 0:
             return
         first, last = stream.start_step, self._steps
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -1,4 +1,4 @@
-"""An entry instance of the benchmark."""
+"""Simulated entry instance."""
 
 from collections.abc import Callable
 
@@ -25,7 +25,7 @@
 
 
 class Entry:
-    """Carry out the actions of one dispatcher for each service."""
+    """Runs one dispatcher for each service and executes the dispatchers' actions."""
 
     def __init__(
         self,
@@ -44,12 +44,12 @@
         self._safety = safety
         self._resend_after_s = resend_after_s
         self._calls: dict[str, Call] = {}
-        # The instances at which a request has attempts that have not ended.
+        # Instances with an unfinished attempt, by request id.
         self._attempt_instances: dict[str, list[str]] = {}
         self._loop.after(TICK_INTERVAL_S, self._tick)
 
     def submit(self, call: Call) -> None:
-        """Take a caller's request."""
+        """Accept a caller's request."""
         self._records.open_calls += 1
         self._safety.opened(call)
         if call.disconnects_at_s != float("inf"):
@@ -57,7 +57,10 @@
         self._send(call)
 
     def started(self, instance: str, request_id: str) -> None:
-        """Take a first token: the caller reads this attempt's stream from now on."""
+        """Handle the first token of an attempt.
+
+        The caller reads the stream of this attempt from now on, unless it already reads another.
+        """
         call = self._calls[request_id]
         dispatcher = self._dispatchers[call.req.service]
         if self._sidecars[instance].streams_tokens:
@@ -74,14 +77,14 @@
                 call.add_gaps({self._loop.now - call.last_token_at_s: 1.0})
 
     def progressed(self, instance: str, counts: list[tuple[str, int]]) -> None:
-        """Take the tokens of several streams."""
+        """Handle the token counts of several streams."""
         dispatcher = self._dispatchers[self._sidecars[instance].service]
         for request_id, tokens in counts:
             actions = dispatcher.progressed(instance, request_id, tokens, self._loop.now)
             self._execute(actions)
 
     def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
-        """Take the end of an attempt."""
+        """Handle the end of an attempt."""
         call = self._calls[request_id]
         places = self._attempt_instances[request_id]
         places.remove(instance)
@@ -94,11 +97,11 @@
         self._execute(dispatcher.finished(request_id, outcome, self._loop.now, instance))
 
     def reported(self, service: str, rep: EndpointReport) -> None:
-        """Take a load report."""
+        """Handle a load report."""
         self._execute(self._dispatchers[service].report(rep, self._loop.now))
 
     def cached(self, service: str, instance: str, keys: list[int]) -> None:
-        """Take cache events."""
+        """Handle cache events."""
         self._dispatchers[service].observe_cached_prefixes(instance, keys, self._loop.now)
 
     def _send(self, call: Call) -> None:
@@ -147,7 +150,7 @@
                 self._execute([action])
 
     def _resend(self, call: Call, request_id: str) -> None:
-        """Send a request again from its start, as a caller with a time limit does."""
+        """Send a request again from its start, as a caller does after its timeout."""
         if not call.is_open or call.req.request_id != request_id or not call.req.idempotent:
             return
         base, _, count = request_id.partition("~")
--- a/bench/event_loops.py
+++ b/bench/event_loops.py
@@ -8,7 +8,7 @@
 
 
 class EventLoop:
-    """Run callbacks in order of virtual time, and of scheduling at equal times."""
+    """Runs callbacks in order of virtual time; callbacks with equal times run in FIFO order."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -16,16 +16,16 @@
         self._sequence = 0
 
     def at(self, when_s: float, callback: Callable[..., None], *args: Any) -> None:
-        """Call `callback` at `when_s`, or now if that has passed."""
+        """Schedule `callback` at `when_s`, or at the current time if that has passed."""
         self._sequence += 1
         heapq.heappush(self._heap, (max(when_s, self.now), self._sequence, callback, args))
 
     def after(self, delay_s: float, callback: Callable[..., None], *args: Any) -> None:
-        """Call `callback` in `delay_s` seconds."""
+        """Schedule `callback` after `delay_s` seconds."""
         self.at(self.now + delay_s, callback, *args)
 
     def run(self, done: Callable[[], bool], limit_s: float) -> None:
-        """Run until `done` returns True or `limit_s` of virtual time has passed."""
+        """Run until `done` returns True, the queue is empty or the time would pass `limit_s`."""
         while self._heap and not done():
             when_s, _, callback, args = heapq.heappop(self._heap)
             if when_s > limit_s:
--- a/bench/fifo_queues.py
+++ b/bench/fifo_queues.py
@@ -1,4 +1,4 @@
-"""Queue in order of arrival."""
+"""Request queue in order of arrival."""
 
 from collections import OrderedDict
 
@@ -8,7 +8,7 @@
 
 
 class FifoQueue(RequestQueue):
-    """Serve in order of arrival without regard to tiers, and refuse the newest on overflow."""
+    """Serves in order of arrival without regard to tiers; refuses the newest on overflow."""
 
     def __init__(self, capacity: int, tokens_per_request: float = 200.0) -> None:
         self._capacity = capacity
@@ -17,7 +17,7 @@
 
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
         self._waiting[req.request_id] = req
-        # A request that was taken out and could not be placed goes back to the front.
+        # A popped request that could not be dispatched returns to the front.
         oldest = next(iter(self._waiting.values()))
         if req.arrived_s < oldest.arrived_s:
             self._waiting.move_to_end(req.request_id, last=False)
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,4 +1,4 @@
-"""The figure that each bound is about, from the pooled results."""
+"""Computes the figure of each bound from the pooled results."""
 
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
@@ -14,14 +14,14 @@
 
 
 class Figure(NamedTuple):
-    """Hold a measured value and where it was the worst."""
+    """The worst measured value and the case in which it occurred."""
 
     value: float
     where: str
 
 
 def figures(cases: Cases, operations: dict[str, dict[str, float]]) -> dict[str, Figure]:
-    """Return the worst figure for each bound key; a key without any run is left out."""
+    """Return the worst figure for each bound key; a key without runs is left out."""
     found = {
         "unsafe_protected": _total(cases, "unsafe"),
         "protected_attainment_3x": _worst(min, _protected(cases)),
@@ -68,7 +68,7 @@
         for name, service in case["services"].items():
             for cls in load_document(name).classes:
                 if cls.protected:
-                    # A refused protected request is not in target either.
+                    # A refused protected request counts as out of target.
                     value = service["classes"][cls.name]["offered_attainment"]
                     yield Figure(value, f"{scenario.name}/{load:g}/{cls.name}")
 
@@ -112,7 +112,10 @@
 
 
 def _wasted_ratios(cases: Cases) -> Iterator[Figure]:
-    """Yield the wasted tokens of all scenarios together, for each load."""
+    """Yield for each load the product's wasted tokens relative to retries without a budget.
+
+    Both sums are over all scenarios.
+    """
     for load in OVERLOAD_LOADS:
         own = other = 0.0
         for scenario, _, case in _product(cases, (load,)):
--- a/bench/gateway_switches.py
+++ b/bench/gateway_switches.py
@@ -1,7 +1,8 @@
-"""Write a patch for each mechanism of the gateway that switches it off.
+"""Write a patch for each mechanism of the gateway that disables it.
 
 Run `python -m bench.gateway_switches DIRECTORY [NAME...]`. Each patch is a unified diff against
-the tree, with which a day can be played on a copy and compared with the tree as it is.
+the source tree. Applied to a copy, it allows a workload to be replayed without the mechanism and
+compared with the unchanged tree.
 """
 
 import difflib
@@ -17,7 +18,7 @@
 
 
 class Switch(NamedTuple):
-    """State a mechanism, the exact code that carries it, and what takes its place."""
+    """A mechanism, the exact code that implements it and the code that disables it."""
 
     name: str
     mechanism: str
@@ -27,15 +28,20 @@
 
 
 def load_switches(text: str) -> list[Switch]:
-    """Return the switches of a table."""
+    """Parse the switches of a TOML table."""
     return [Switch(**entry) for entry in tomllib.loads(text)["switch"]]
 
 
 def patch_of(switch: Switch, text: str) -> str:
-    """Return the unified diff against the text of the file; raise ValueError if it has changed."""
+    """Return the unified diff against the text of the file.
+
+    Raises ValueError if the code does not occur exactly once.
+    """
     count = text.count(switch.code)
     if count != 1:
-        raise ValueError(f"{switch.name}: {switch.file} has the code {count} times")
+        raise ValueError(
+            f"switch {switch.name}: {switch.file} has the code {count} times, expected once"
+        )
     changed = text.replace(switch.code, switch.replacement)
     lines = difflib.unified_diff(
         text.splitlines(keepends=True),
@@ -47,7 +53,7 @@
 
 
 def main() -> None:
-    """Write the patches of the switches named on the command line, or of all."""
+    """Write the patches of the switches named on the command line, by default of all."""
     directory, names = Path(sys.argv[1]), sys.argv[2:]
     directory.mkdir(parents=True, exist_ok=True)
     for switch in load_switches(TABLE_PATH.read_text()):
--- a/bench/hash_affinity_choosers.py
+++ b/bench/hash_affinity_choosers.py
@@ -1,4 +1,4 @@
-"""Choice by the prompt's prefix."""
+"""Endpoint choice by a hash of the prompt prefix."""
 
 import xxhash
 
@@ -9,7 +9,10 @@
 
 
 class HashAffinityChooser(DispatchCountingChooser):
-    """Send equal prefixes to the same endpoint; a full one passes them to the next in rank."""
+    """Sends equal prefixes to the same endpoint by rendezvous hashing.
+
+    Requests for a full endpoint go to the next one in rank.
+    """
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
         key = req.prefix_keys[-1] if req.prefix_keys else req.customer
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -14,7 +14,7 @@
 
 
 def measure(simulation: Simulation) -> dict[str, Any]:
-    """Return the measures of a finished run, ready for JSON."""
+    """Return the measures of a finished run as JSON-serializable values."""
     services = {name: _service(simulation, doc) for name, doc in simulation.documents.items()}
     return {
         "services": services,
@@ -64,7 +64,7 @@
 
 
 def _goodput(simulation: Simulation, document: ServiceDocument, calls: list[Call]) -> float:
-    """Return the delivered work as a part of what the healthy endpoints can deliver."""
+    """Return the delivered work as a fraction of the capacity of the healthy endpoints."""
     start_s, end_s = WARM_UP_S, WARM_UP_S + simulation.spec.duration_s
     done = sum(_work_within(call, start_s, end_s) for call in calls if call.result == "done")
     down_s = sum(
@@ -76,7 +76,7 @@
 
 
 def _work_within(call: Call, start_s: float, end_s: float) -> float:
-    """Return the work of a completed call that falls into the window."""
+    """Return the work of a completed call within the window, assuming a constant rate."""
     began_s, ended_s = call.first_token_at_s, call.ended_at_s
     if began_s is None or ended_s is None or ended_s <= began_s:
         return 0.0
@@ -87,14 +87,14 @@
 def _wait_ratios(
     simulation: Simulation, document: ServiceDocument, calls: list[Call]
 ) -> dict[str, float]:
-    """Return each class's longest wait as a part of its bound, over all entry instances."""
+    """Return each class's longest wait relative to its bound, over all entry instances."""
     load = simulation.spec.load
     protected = sum(
         class_shares(document, simulation.scenario, cls, load)[0]
         for cls in document.classes
         if cls.protected
     )
-    # An engine that is down for part of the run is no capacity to whoever waits meanwhile.
+    # An engine that is down for part of the run is no capacity for requests waiting meanwhile.
     endpoints = count_healthy_endpoints(document, simulation.scenario)
     endpoints -= simulation.scenario.crash and document.kind == "model"
     capacity = capacity_per_endpoint(document) * endpoints / simulation.spec.entries
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -1,4 +1,4 @@
-"""Break one promise at a time in a copy of the tree and require that a named test fails."""
+"""Mutation tests: break one guarantee in a copy of the source tree and expect a test to fail."""
 
 import shutil
 import subprocess
@@ -18,7 +18,7 @@
 
 
 class Mutant(NamedTuple):
-    """State a promise, the exact code that keeps it, its replacement, and tests that notice."""
+    """A guarantee, the exact code that keeps it, its replacement and the tests that must fail."""
 
     name: str
     promise: str
@@ -29,22 +29,24 @@
 
 
 def load_mutants(text: str) -> list[Mutant]:
-    """Return the mutants of a table."""
+    """Parse the mutants of a TOML table."""
     return [Mutant(**entry) for entry in tomllib.loads(text)["mutant"]]
 
 
 def apply(tree: Path, mutant: Mutant) -> None:
-    """Replace the code, which has to occur exactly once."""
+    """Replace the code of the mutant; raise ValueError if it does not occur exactly once."""
     path = tree / mutant.file
     text = path.read_text()
     count = text.count(mutant.code)
     if count != 1:
-        raise ValueError(f"{mutant.name}: {mutant.file} has the code {count} times")
+        raise ValueError(
+            f"mutant {mutant.name}: {mutant.file} has the code {count} times, expected once"
+        )
     path.write_text(text.replace(mutant.code, mutant.replacement))
 
 
 def run_tests(tree: Path, tests: list[str]) -> int:
-    """Return pytest's exit code; a run that does not end within the limit has failed."""
+    """Return pytest's exit code; a run that exceeds the timeout counts as failed."""
     command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests]
     try:
         done = subprocess.run(
@@ -56,7 +58,7 @@
 
 
 def copy_tree(tree: Path) -> Path:
-    """Copy what the tests need."""
+    """Copy the files that the tests need to `tree` and return it."""
     for name in COPIED_PATHS:
         source = ROOT / name
         if source.is_dir():
@@ -68,7 +70,7 @@
 
 
 def run_mutant(mutant: Mutant) -> str:
-    """Return `killed`, `SURVIVED` or what went wrong."""
+    """Run the tests of a mutant; return `killed`, `SURVIVED` or the unexpected exit code."""
     with tempfile.TemporaryDirectory() as directory:
         tree = copy_tree(Path(directory))
         apply(tree, mutant)
@@ -77,14 +79,14 @@
 
 
 def main() -> None:
-    """Run the mutants named on the command line, or all."""
+    """Run the mutants named on the command line, by default all."""
     mutants = load_mutants(TABLE_PATH.read_text())
     chosen = [mutant for mutant in mutants if not sys.argv[1:] or mutant.name in sys.argv[1:]]
-    # A test that fails without a mutant would kill every one.
+    # A test that fails on unchanged code would report every mutant as killed.
     tests = sorted({test for mutant in chosen for test in mutant.tests})
     with tempfile.TemporaryDirectory() as directory:
         if run_tests(copy_tree(Path(directory)), tests) != PASSED:
-            sys.exit("the tests fail without a mutant")
+            sys.exit("the tests fail on the unchanged code; no mutants were run")
     results = []
     for mutant in chosen:
         results.append(run_mutant(mutant))
--- a/bench/operation_counts.py
+++ b/bench/operation_counts.py
@@ -1,4 +1,4 @@
-"""Operations per decision, by the size of the subset and of the queue."""
+"""Operations per dispatch decision, by the subset size and by the queue length."""
 
 import random
 import sys
@@ -26,7 +26,10 @@
 
 
 class CountedId(str):
-    """A request id that counts comparisons, which built-in functions do out of sight."""
+    """A request id that counts its comparisons.
+
+    Comparisons within built-in functions run no bytecode and are not traced otherwise.
+    """
 
     __slots__ = ()
     compared = 0
@@ -43,7 +46,7 @@
 
 
 def count_operations(call: Callable[[], object]) -> int:
-    """Return the bytecodes run in `cassiadrum.decisions`, and comparisons, during `call`."""
+    """Return the number of bytecodes in `cassiadrum.decisions` and id comparisons of `call`."""
     count = 0
 
     def trace(frame: FrameType, event: str, arg: Any) -> Any:
@@ -100,7 +103,7 @@
 
 
 def _per_decision(dispatcher: Dispatcher, queued: int) -> float:
-    """Return the operations for a submit, a report, progress, a tick and an end, on average."""
+    """Return the mean operations of a submit, a report, a progress message, a tick and an end."""
     rng = random.Random(1)
     running: list[Dispatch] = []
     for index in range(queued):
--- a/bench/plain_services.py
+++ b/bench/plain_services.py
@@ -10,7 +10,7 @@
 
 
 class FakePlainService:
-    """Run each call for its own fixed time, whatever else runs."""
+    """Runs each call for its service time, independent of concurrent calls."""
 
     def __init__(self, loop: EventLoop, on_end: Callable[[Stream], None]) -> None:
         self._loop = loop
@@ -28,30 +28,30 @@
         return stream
 
     def pause(self, request_id: str) -> None:
-        """Fail: a plain service has no such order."""
-        raise AssertionError(f"a plain service cannot pause {request_id}")
+        """Raise AssertionError: plain calls cannot be paused."""
+        raise AssertionError(f"plain service was told to pause request {request_id}")
 
     def resume(self, request_id: str) -> None:
-        """Fail: a plain service has no such order."""
-        raise AssertionError(f"a plain service cannot resume {request_id}")
+        """Raise AssertionError: plain calls cannot be resumed."""
+        raise AssertionError(f"plain service was told to resume request {request_id}")
 
     def cancel(self, request_id: str) -> Stream | None:
-        """Cut a call off and return it, or None when it does not run here."""
+        """Abort a call and return its stream, or None if it does not run here."""
         stream = self.streams.pop(request_id, None)
         if stream is not None:
             stream.produced = (self._loop.now - stream.arrived_at_s) / self.slowdown
         return stream
 
     def crash(self) -> list[Stream]:
-        """Lose all calls and return them."""
+        """Abort all calls and return their streams."""
         return [stream for key in list(self.streams) if (stream := self.cancel(key))]
 
     def slow_down(self, factor: float) -> None:
-        """Make the calls that start from now on `factor` times as long."""
+        """Multiply the service time of calls that start from now on by `factor`."""
         self.slowdown = factor
 
     def update_progress(self) -> None:
-        """Do nothing: a plain call shows no progress."""
+        """Do nothing: a plain call reports no progress before its end."""
 
     def _end(self, stream: Stream) -> None:
         if self.streams.get(stream.request_id) is not stream:
--- a/bench/plain_strategies.py
+++ b/bench/plain_strategies.py
@@ -1,4 +1,4 @@
-"""The plain strategies that the product is compared with."""
+"""Baseline strategies that the product is compared with."""
 
 import random
 from collections.abc import Callable
@@ -17,14 +17,14 @@
 
 __all__ = ["plain_strategies", "with_replaced_parts"]
 
-# Output tokens that a caller with a time limit allows for, more than most answers have.
+# Output tokens that a caller's timeout allows for, more than most answers have.
 RESEND_TIMEOUT_TOKENS = 400
 
 PartsChange = Callable[[DispatcherParts, str], DispatcherParts]
 
 
 def plain_strategies() -> dict[str, Strategy]:
-    """Return the plain strategies by name; each is the product with one part replaced."""
+    """Return the plain strategies by name; each is the product with one component replaced."""
     changes: dict[str, PartsChange] = {
         "random": lambda parts, seed: parts._replace(chooser=RandomChooser(random.Random(seed))),
         "round-robin": lambda parts, seed: parts._replace(chooser=RoundRobinChooser()),
@@ -40,7 +40,7 @@
 
 
 def with_replaced_parts(name: str, change: PartsChange) -> Strategy:
-    """Return the product with some parts of its dispatchers replaced."""
+    """Return the product's strategy with some components of its dispatchers replaced."""
 
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
         return build_dispatcher(change(product_parts(document, seed), seed))
@@ -49,6 +49,6 @@
 
 
 def _resend_after(cls: RequestClass) -> float:
-    """Return when callers give up on an answer and send the request again, in seconds."""
+    """Return the timeout in seconds after which callers send an unanswered request again."""
     answer_s = cls.target_first_token_s + RESEND_TIMEOUT_TOKENS * cls.target_inter_token_s
     return max(answer_s, 2 * cls.target_total_s) if cls.target_total_s < 30.0 else answer_s
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of a measurement, with their processor time and memory."""
+"""Child processes of a measurement and their CPU time and memory."""
 
 import asyncio
 import itertools
@@ -14,37 +14,37 @@
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 START_TIMEOUT_S = 20.0
-# More processes than this are a mistake in a measurement's parameters.
+# Guards against a mistake in a measurement's parameters.
 MAX_CHILDREN = 120
 
 
 class ChildProcess:
-    """One child process that printed a JSON object with its addresses when it was ready."""
+    """A child process; `startup_info` is the JSON object with addresses printed at its start."""
 
     def __init__(self, process: asyncio.subprocess.Process, startup_info: dict[str, Any]) -> None:
         self.process = process
         self.startup_info = startup_info
 
     def cpu_s(self) -> float:
-        """Return user and system seconds so far."""
+        """Return the user and system CPU time so far in seconds."""
         stat = Path(f"/proc/{self.process.pid}/stat").read_text()
         fields = stat.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
     def rss_bytes(self) -> int:
-        """Return the resident memory."""
+        """Return the resident memory in bytes."""
         statm = Path(f"/proc/{self.process.pid}/statm").read_text().split()
         return int(statm[1]) * PAGE_BYTES
 
     async def stop(self) -> None:
-        """End the process by its id and wait for it."""
+        """Kill the process if it runs, and wait for its exit."""
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
 
 
 class ProcessGroup:
-    """Start Python modules as child processes and stop all of them at the end of the block."""
+    """Context manager that starts Python modules as child processes and kills them on exit."""
 
     def __init__(self) -> None:
         self._children: list[ChildProcess] = []
@@ -59,7 +59,10 @@
         self._directory.cleanup()
 
     async def start(self, module: str, *arguments: str) -> ChildProcess:
-        """Start a module and wait for its line of addresses."""
+        """Start a module and wait until it prints its startup information.
+
+        Raises TimeoutError after START_TIMEOUT_S, and RuntimeError if MAX_CHILDREN were started.
+        """
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
         process = await asyncio.create_subprocess_exec(
@@ -73,7 +76,10 @@
         return child
 
     async def start_logged(self, module: str, variable: str, settings: str) -> ChildProcess:
-        """Start a module that finds its settings by a variable and writes its log to a file."""
+        """Start a module whose settings file is named by an environment variable.
+
+        Its standard output goes to a log file. Raises RuntimeError if MAX_CHILDREN were started.
+        """
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
         path = Path(self._directory.name) / f"{next(self._numbers)}.json"
@@ -87,7 +93,7 @@
         return child
 
     async def start_daemon(self, settings: str) -> ChildProcess:
-        """Start a daemon from the text of its settings."""
+        """Start a daemon with the given TOML settings."""
         path = Path(self._directory.name) / f"{next(self._numbers)}.toml"
         path.write_text(settings)
         return await self.start("cassiadrum.daemon", "--settings", str(path))
--- a/bench/products.py
+++ b/bench/products.py
@@ -1,4 +1,4 @@
-"""The strategy of the product: the only file that names its parts."""
+"""The product's strategy; no other benchmark module selects the components of its dispatcher."""
 
 import random
 
@@ -24,9 +24,9 @@
 __all__ = ["QUEUE_REQUESTS", "build_dispatcher", "product", "product_parts", "product_scheduler"]
 
 QUEUE_REQUESTS = int(str(SETTINGS_DEFAULTS["limits.queue_requests"]))
-# The mean of a lognormal length with a spread of 0.8 to 1.0 is near its 0.67 quantile.
+# The mean of a lognormal length with a sigma of 0.8 to 1.0 is near its 0.67 quantile.
 COST_QUANTILE = 0.67
-# Lets the limit grow beyond the best batch, so that it is the measured latency that stops it.
+# Lets the limit grow beyond the best batch size, so that the measured latency bounds it.
 LIMIT_HEADROOM = 2
 
 
@@ -40,7 +40,7 @@
 
 
 def build_dispatcher(parts: DispatcherParts) -> Dispatcher:
-    """Return the dispatcher of the parts."""
+    """Return a dispatcher built from the components."""
     return Dispatcher(
         parts.queue,
         parts.chooser,
@@ -55,7 +55,7 @@
 def product_parts(
     document: ServiceDocument, seed: str, queue_requests: int = QUEUE_REQUESTS
 ) -> DispatcherParts:
-    """Return the parts of one service's dispatcher."""
+    """Return the components of the dispatcher of one service."""
     estimator = QuantileLengthEstimator()
     queue = FairTierQueue(
         queue_requests,
@@ -78,10 +78,10 @@
 def product_scheduler(
     document: ServiceDocument, *, preempt: bool = True, queue_limit: int | None = None
 ) -> EndpointScheduler:
-    """Return the scheduler of one endpoint; the limit starts at the best batch.
+    """Return the scheduler of one endpoint; its limit starts at the best batch size.
 
-    In the daemon it starts at half of the maximum. The runs are too short to measure both the
-    search for the limit and the state after it.
+    In the daemon the limit starts at half of the maximum. The runs are too short to measure both
+    the adaptation of the limit and the steady state after it.
     """
     batch = best_batch(document)
     if document.kind == "plain":
--- a/bench/random_choosers.py
+++ b/bench/random_choosers.py
@@ -1,4 +1,4 @@
-"""Random choice of the endpoint."""
+"""Random endpoint choice."""
 
 import random
 
@@ -9,7 +9,7 @@
 
 
 class RandomChooser(DispatchCountingChooser):
-    """Choose any endpoint with a free slot."""
+    """Chooses uniformly among the endpoints with a free slot."""
 
     def __init__(self, rng: random.Random) -> None:
         super().__init__()
--- a/bench/reported_load_choosers.py
+++ b/bench/reported_load_choosers.py
@@ -1,4 +1,4 @@
-"""Choice by the load that endpoints reported."""
+"""Endpoint choice by reported load."""
 
 from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
@@ -7,7 +7,7 @@
 
 
 class ReportedLoadChooser(DispatchCountingChooser):
-    """Choose the endpoint with the least work in its last report, however old that is."""
+    """Chooses the endpoint with the fewest requests in its last report, whatever its age."""
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
         return min(free, key=self._reported)
--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -1,4 +1,4 @@
-"""Load reports and cache events of one sidecar."""
+"""Load reports and cache events of a simulated sidecar."""
 
 import random
 from collections.abc import Sequence
@@ -12,12 +12,15 @@
 
 __all__ = ["Reporter"]
 
-# Real streams show progress with every frame; counting it less often keeps the run short.
+# Real streams report progress with every frame; reporting it less often shortens the run.
 TICKS_PER_PROGRESS = 2
 
 
 class Reporter:
-    """Send a sidecar's report to all entry instances whenever it has changed."""
+    """Sends a sidecar's load report to all entry instances when it changes or grows too old.
+
+    It also sends the sidecar's cache events and triggers its progress messages.
+    """
 
     def __init__(
         self,
@@ -43,7 +46,7 @@
         self._ticks = 0
 
     def start(self) -> None:
-        """Send the first report and keep reporting."""
+        """Send the first report and start periodic reporting at a random offset."""
         self._send_report(lag_s=0.0)
         offset_s = self._rng.random() * LIMITS.REPORT_MIN_INTERVAL_S
         self._loop.after(offset_s, self._tick)
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -1,4 +1,4 @@
-"""Printed report of a run, and the committed results file."""
+"""Printing of results and bounds, and the committed results file."""
 
 import json
 from pathlib import Path
@@ -10,12 +10,12 @@
 __all__ = ["RESULTS_PATH", "print_changes", "print_tables", "print_verdicts", "write_results"]
 
 RESULTS_PATH = Path(__file__).with_name("results.json")
-# More changed lines than this are counted and not listed.
+# Further changes are only counted.
 MAX_LISTED_CHANGES = 40
 
 
 def print_verdicts(verdicts: list[Verdict]) -> None:
-    """Print each figure beside its bound."""
+    """Print each figure with its bound and verdict."""
     for verdict in verdicts:
         state = "ok" if verdict.is_met else "KNOWN RED" if verdict.is_known_failure else "MISSED"
         value = f"{verdict.figure.value:.4f}"
@@ -25,7 +25,7 @@
 
 
 def print_changes(results: dict[str, Any], path: Path = RESULTS_PATH) -> None:
-    """Print what differs from the committed file."""
+    """Print the figures that differ from the committed file."""
     if not path.exists():
         print(f"no committed results in {path.name}")
         return
@@ -48,7 +48,7 @@
 
 
 def write_results(results: dict[str, Any], path: Path = RESULTS_PATH) -> None:
-    """Write the results with sorted keys."""
+    """Write the results as JSON with sorted keys."""
     path.write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
 
 
--- a/bench/results.py
+++ b/bench/results.py
@@ -12,7 +12,7 @@
 
 
 def pool_cases(runs: list[tuple[RunSpec, dict[str, Any]]]) -> dict[str, Any]:
-    """Return the figures of each case: means over seeds, and the spread between them."""
+    """Return the figures of each case: means or totals over seeds, and standard deviations."""
     cases: dict[str, Case] = {}
     for spec, measures in runs:
         cases.setdefault(spec.case, {})[spec.seed] = measures
@@ -20,7 +20,7 @@
 
 
 def rounded(value: Any) -> Any:
-    """Return the value with all numbers rounded, for a file that is compared line by line."""
+    """Return the value with floats rounded to 4 digits and keys as strings, for stable diffs."""
     if isinstance(value, dict):
         return {str(key): rounded(item) for key, item in value.items()}
     if isinstance(value, list):
@@ -67,7 +67,7 @@
 
 
 def wasted_share(run: dict[str, Any]) -> float:
-    """Return the wasted part of the work that a service's endpoints produced."""
+    """Return the wasted fraction of the work that a service's endpoints produced."""
     return float(sum(run["wasted"].values()) / run["produced"]) if run["produced"] else 0.0
 
 
@@ -89,7 +89,7 @@
 
 
 def _spread(values: list[float]) -> float:
-    """Return the standard deviation between seeds."""
+    """Return the standard deviation between seeds, 0 for a single seed."""
     return stdev(values) if len(values) > 1 else 0.0
 
 
--- a/bench/round_robin_choosers.py
+++ b/bench/round_robin_choosers.py
@@ -1,4 +1,4 @@
-"""Choice of the endpoints in turn."""
+"""Round-robin endpoint choice."""
 
 from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
@@ -7,7 +7,7 @@
 
 
 class RoundRobinChooser(DispatchCountingChooser):
-    """Choose the next endpoint with a free slot."""
+    """Chooses the next endpoint with a free slot in order of names."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/bench/run_records.py
+++ b/bench/run_records.py
@@ -1,4 +1,4 @@
-"""Counts that a run collects as it goes."""
+"""Calls, counters and downtimes collected during a run."""
 
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -10,10 +10,11 @@
 
 @dataclass
 class RunRecords:
-    """Collect what the calls themselves do not show.
+    """Calls and counters of one run.
 
-    `wasted` is work and `refusals` requests, each by service and reason. `unsafe` counts the sheds
-    and preemptions of protected work while lower-tier work holds what it needs.
+    `wasted` is the wasted work and `refusals` the number of refused requests, each by service and
+    reason. `unsafe` counts sheds and preemptions of protected work while lower-tier work holds
+    the resources that it needs.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -23,6 +24,6 @@
     rejects: Counter[str] = field(default_factory=Counter)
     pauses: int = 0
     open_calls: int = 0
-    # Seconds in which an engine was down, by service; that is no capacity.
+    # Start and end of each engine downtime in seconds, by service; excluded from the capacity.
     downtimes_s: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     stragglers: list[str] = field(default_factory=list)
--- a/bench/run_specs.py
+++ b/bench/run_specs.py
@@ -1,4 +1,4 @@
-"""What identifies one run."""
+"""Parameters that identify one run."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,11 @@
 
 
 class RunSpec(NamedTuple):
-    """Name the scenario, the load, the strategy and the seed of a run."""
+    """Scenario, load, strategy, seed, measured duration and entry instances of a run.
+
+    `load` is relative to the capacity of the services; `entries` is the number of entry
+    instances.
+    """
 
     scenario: str
     load: float
@@ -17,5 +21,5 @@
 
     @property
     def case(self) -> str:
-        """Return the key of the run's results without the seed."""
+        """Key of the run's results, without the seed."""
         return f"{self.scenario}/{self.load:g}/{self.strategy}"
--- a/bench/safety_checks.py
+++ b/bench/safety_checks.py
@@ -1,4 +1,4 @@
-"""Check that protected work is not shed or preempted while lower-tier work holds its resources."""
+"""Check that protected work is not shed or preempted while lower-tier work holds resources."""
 
 from bench.calls import Call
 from bench.run_records import RunRecords
@@ -8,34 +8,37 @@
 
 
 class SafetyCheck:
-    """Know every open call of a run, and count sheds and preemptions that break `tier_safety`."""
+    """Tracks the open calls of a run and counts sheds and preemptions that break `tier_safety`."""
 
     def __init__(self, records: RunRecords) -> None:
         self._records = records
-        # Open calls of lower tiers, by service and tier.
+        # Number of open calls by service and tier.
         self._open: dict[str, dict[int, int]] = {}
 
     def opened(self, call: Call) -> None:
-        """Count a call that was submitted."""
+        """Record that a call was submitted."""
         tiers = self._open.setdefault(call.req.service, {})
         tiers[call.req.tier] = tiers.get(call.req.tier, 0) + 1
 
     def closed(self, call: Call) -> None:
-        """Count a call that ended."""
+        """Record that a call ended."""
         self._open[call.req.service][call.req.tier] -= 1
 
     def refused(self, req: QueuedRequest, reason: str) -> None:
-        """Take a final refusal."""
+        """Check a final refusal."""
         if req.protected and reason != "cancelled" and self._has_lower_tier_open(req):
             self._records.unsafe[f"refused: {reason}"] += 1
 
     def paused(self, req: QueuedRequest, instance: str) -> None:
-        """Take a pause of a running stream."""
+        """Check the pause of a running stream."""
         if req.protected and self._has_lower_tier_open(req):
             self._records.unsafe["paused"] += 1
 
     def rejected(self, req: QueuedRequest, instance: str) -> None:
-        """Count a sidecar's rejection of protected work; the entry instance may place it again."""
+        """Count a rejection of protected work by a sidecar.
+
+        It is no violation, since the entry instance may dispatch the request again.
+        """
         if req.protected:
             self._records.rejects["protected"] += 1
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""What happens in each scenario of the design page."""
+"""Load and faults of the scenarios in docs/design.md."""
 
 from typing import NamedTuple
 
@@ -9,12 +9,13 @@
 
 
 class Scenario(NamedTuple):
-    """Describe the load and the faults of one run.
+    """Load and faults of one run.
 
-    `burst` names the classes that make up what exceeds a load of 0.7; without it all classes
-    that are not protected grow alike. `burst_customer_share` is the part of that excess which
-    one customer sends. Times are in seconds, `straggler` is the slowdown of one engine, and
-    `cache_gap` the share of cache events that are lost.
+    `burst` names the classes that make up the load beyond 0.7; if it is empty, all unprotected
+    classes grow in proportion. `burst_customer_share` is the fraction of this excess load that
+    one customer sends in addition to its regular share. `straggler` is the slowdown factor of one
+    engine, `crash` crashes one engine. The lags of load reports and cache events are in seconds;
+    `cache_event_loss` is the fraction of cache events that are lost.
     """
 
     name: str
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -1,4 +1,4 @@
-"""A sidecar of the benchmark: one endpoint and its scheduler."""
+"""Simulated sidecar with its endpoint and scheduler."""
 
 from bench.calls import Call, gap_percentile
 from bench.engine_profiles import ENGINE_PROFILE
@@ -27,7 +27,7 @@
 
 
 class Sidecar:
-    """Carry out a scheduler's actions on one fake endpoint and tell the entry instances."""
+    """Executes a scheduler's actions on one fake endpoint and notifies the entry instances."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
             self.endpoint = FakePlainService(loop, self._stream_ended)
 
     def receive(self, call: Call, req: QueuedRequest, listener: SidecarListener) -> None:
-        """Take a request from an entry instance."""
+        """Accept a request from an entry instance."""
         self._requests[req.request_id] = (call, listener)
         if self.down:
             self._end(
@@ -65,7 +65,7 @@
         self._execute(self.scheduler.submit(req, self._loop.now))
 
     def cancel(self, request_id: str, reason: str) -> None:
-        """Stop a request, whether it waits or runs; its produced work is wasted."""
+        """Cancel a waiting or running request; `reason` classifies its wasted work."""
         if request_id not in self._requests:
             return
         if self.scheduler.cancel_waiting(request_id, self._loop.now):
@@ -78,7 +78,7 @@
         self._execute(self.scheduler.finished(request_id, self._loop.now))
 
     def crash(self, down_s: float) -> None:
-        """Lose the engine with all its streams; it restarts after `down_s`."""
+        """Crash the engine, which loses all streams and restarts after `down_s`."""
         self.down = True
         lost = self.endpoint.crash()
         until_s = self._loop.now + down_s
@@ -87,7 +87,7 @@
         self._loop.at(until_s, self._restart)
 
     def progress(self) -> None:
-        """Tell the entry instances how many tokens each stream produced since the last call."""
+        """Send the entry instances the tokens of each stream since the last call."""
         self.endpoint.update_progress()
         messages: dict[SidecarListener, list[tuple[str, int]]] = {}
         for request_id, stream in self.endpoint.streams.items():
@@ -134,7 +134,7 @@
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
         self._end(stream.request_id, Outcome(True, ExecutionStatus.EXECUTED, self._tokens(stream)))
-        # A plain call shows one time only, that of its whole answer.
+        # A plain call has only one latency, that of the whole answer.
         first_at_s = self._loop.now if stream.started_at_s is None else stream.started_at_s
         first_s, gap_s = first_at_s - stream.arrived_at_s, gap_percentile(stream.gaps, 0.95)
         now = self._loop.now
@@ -145,7 +145,7 @@
         for stream in lost:
             outcome = self._failed(stream, "endpoint_failed")
             self._end(stream.request_id, outcome)
-            # The engine is down, so what the scheduler starts now is lost as well.
+            # The engine is down, so requests that the scheduler starts now fail as well.
             self._fail_started(self.scheduler.finished(stream.request_id, self._loop.now))
 
     def _fail_started(self, actions: list[SchedulerAction]) -> None:
@@ -162,16 +162,16 @@
         self.down = False
 
     def _failed(self, stream: Stream, reason: str) -> Outcome:
-        """Return the outcome of an attempt that did not complete, and keep what was delivered."""
+        """Deliver what an incomplete attempt produced and return the attempt's outcome."""
         self._deliver(stream, reason)
         return Outcome(False, ExecutionStatus.UNKNOWN, self._tokens(stream), reason)
 
     def _tokens(self, stream: Stream) -> int:
-        """Return the tokens that the attempt produced; a plain service has none."""
+        """Return the tokens that the attempt produced, 0 for a plain service."""
         return round(stream.produced) if self.streams_tokens else 0
 
     def _deliver(self, stream: Stream, reason: str) -> None:
-        """Credit the caller with what its stream produced, or count it as wasted."""
+        """Add the produced work to the call if its caller reads this stream, else to the waste."""
         call = stream.call
         if not call.is_open or call.active_instance != self.instance:
             self._records.wasted[self.service, reason] += stream.produced
--- a/bench/simulations.py
+++ b/bench/simulations.py
@@ -1,4 +1,4 @@
-"""One run: entry instances, sidecars, fake endpoints and arrivals in one event loop."""
+"""Simulation of one run: entry instances, sidecars, endpoints and arrivals in one event loop."""
 
 import random
 from collections.abc import Callable, Sequence
@@ -20,20 +20,20 @@
 __all__ = ["ENGINE_RESTART_S", "Simulation", "load_document"]
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
-# Longer than the longest class deadline, so that every request could have ended.
+# Longer than the longest class deadline, so that every request has time to end.
 MAX_RUN_S = 4000.0
-# Time for a crashed engine to restart and load its weights.
+# Restart time of a crashed engine, including loading its weights.
 ENGINE_RESTART_S = 5.0
 
 
 def load_document(service: str) -> ServiceDocument:
-    """Return a service document of the examples."""
+    """Return the service document of an example service."""
     path = EXAMPLES / f"{service}.toml"
     return parse_document(path.read_text(), path.name)
 
 
 class Simulation:
-    """Build one run and carry it out."""
+    """Sets up and executes one run."""
 
     def __init__(self, spec: RunSpec, scenario: Scenario, strategy: Strategy) -> None:
         self.spec = spec
@@ -52,7 +52,7 @@
         self._start_arrivals()
 
     def run(self) -> None:
-        """Run until every request has ended, or until all deadlines have long passed."""
+        """Run until every request has ended after the measurement window, or MAX_RUN_S passed."""
         end_s = WARM_UP_S + self.spec.duration_s
         self.loop.run(
             lambda: self.records.open_calls == 0 and self.loop.now > end_s, limit_s=MAX_RUN_S
--- a/bench/strategies.py
+++ b/bench/strategies.py
@@ -1,4 +1,4 @@
-"""A strategy: the parts that one run is built from."""
+"""A strategy: factories of the dispatchers and schedulers of a run."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -10,11 +10,11 @@
 
 
 class Strategy(NamedTuple):
-    """Make the dispatchers and schedulers of one run.
+    """Factories of the dispatchers and schedulers of one run.
 
     `make_dispatcher` takes the document, the number of entry instances and a seed.
-    `resend_after_s` gives the time after which callers send an unanswered request again from its
-    start, None for callers that wait.
+    `resend_after_s` returns the seconds after which callers of a class send an unanswered request
+    again from its start; with None callers wait for the answer.
     """
 
     name: str
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -1,4 +1,4 @@
-"""A request that runs at a fake endpoint."""
+"""A request attempt that runs at a fake endpoint."""
 
 from dataclasses import dataclass, field
 
@@ -9,11 +9,12 @@
 
 @dataclass(slots=True, eq=False)
 class Stream:
-    """Hold the progress of one attempt.
+    """Progress of one attempt.
 
-    `start_step` is the engine's step count when decoding began, was resumed or was last counted;
-    it is negative while the stream does not decode. `epoch` changes whenever a scheduled end
-    becomes invalid. `gaps` maps the seconds between tokens to the number of tokens.
+    `start_step` is the engine's step count when decoding began, was resumed or was last accounted
+    for; it is negative while the stream does not decode. `epoch` increases whenever a scheduled
+    end becomes invalid. `gaps` maps the seconds between tokens to the number of tokens.
+    `reported_tokens` is the number of tokens already sent to the entry instance.
     """
 
     call: Call
@@ -30,5 +31,5 @@
     gaps: dict[float, float] = field(default_factory=dict)
 
     def add_gap(self, gap_s: float, tokens: float) -> None:
-        """Count `tokens` that each came `gap_s` after the one before."""
+        """Count `tokens` that each came `gap_s` seconds after the previous one."""
         self.gaps[gap_s] = self.gaps.get(gap_s, 0.0) + tokens
--- a/bench/suites.py
+++ b/bench/suites.py
@@ -1,4 +1,4 @@
-"""Runs in parallel processes."""
+"""Benchmark suites and their execution in parallel processes."""
 
 import os
 from collections.abc import Iterable, Iterator
@@ -17,8 +17,8 @@
 __all__ = ["SEEDS", "ablation_suite", "full_suite", "run_all", "run_one"]
 
 LOADS = (0.7, 1.0, 1.5, 3.0)
-# Plain strategies are compared where capacity is short, in the scenarios that set them apart; the
-# others would double the time of the run.
+# Plain strategies are compared at overload, in the scenarios in which they differ; the other
+# scenarios would double the duration of the suite.
 COMPARED_LOADS = (1.5, 3.0)
 COMPARED_SCENARIOS = ("feast-day-burst", "fire-season-burst", "all-together")
 SEEDS = (1, 2, 3, 4, 5)
@@ -30,7 +30,7 @@
 
 
 def run_one(spec: RunSpec) -> dict[str, Any]:
-    """Carry out one run and return its measures."""
+    """Execute one run and return its measures."""
     scenario = next(item for item in SCENARIOS if item.name == spec.scenario)
     simulation = Simulation(spec, scenario, strategies()[spec.strategy])
     simulation.run()
@@ -63,7 +63,7 @@
 
 def run_all(specs: list[RunSpec]) -> Iterator[tuple[RunSpec, dict[str, Any]]]:
     """Yield each run with its measures, in the order of `specs`."""
-    # Long runs first, so that no process is left alone with one at the end.
+    # Runs with the highest load take longest; starting them first keeps all processes busy.
     order = sorted(range(len(specs)), key=lambda index: -specs[index].load)
     with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
         futures = {index: pool.submit(run_one, specs[index]) for index in order}
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -1,4 +1,4 @@
-"""Tables of the committed results, in Markdown."""
+"""Markdown tables of the committed results."""
 
 from typing import Any
 
@@ -6,7 +6,7 @@
 
 
 def goodput_table(cases: dict[str, Any]) -> str:
-    """Return the goodput of the product and of the plain strategies on the same arrivals."""
+    """Return the goodput of the product and the plain strategies on the same arrivals."""
     strategies = sorted({name.split("/")[2] for name in cases} - {"product"})
     rows = []
     for name, case in cases.items():
@@ -22,7 +22,7 @@
 
 
 def attainment_table(cases: dict[str, Any]) -> str:
-    """Return the product's attainment by class: served requests, then all offered ones."""
+    """Return the product's attainment by class, of served and of all offered requests."""
     loads = sorted({name.split("/")[1] for name in cases}, key=float)
     scenarios = dict.fromkeys(name.split("/")[0] for name in cases)
     rows = []
@@ -40,7 +40,7 @@
 
 
 def waste_table(cases: dict[str, Any]) -> str:
-    """Return the product's wasted share of the work and its refusals by reason."""
+    """Return the product's wasted fraction of the work, wasted work and refusals by reason."""
     rows = []
     for name, case in cases.items():
         scenario, load, strategy = name.split("/")
--- a/bench/unbudgeted_retries.py
+++ b/bench/unbudgeted_retries.py
@@ -1,4 +1,4 @@
-"""Retries without a budget."""
+"""Retry policy without a budget."""
 
 from cassiadrum.decisions import BudgetRetryPolicy, ExecutionStatus, QueuedRequest
 
@@ -6,9 +6,9 @@
 
 
 class UnbudgetedRetry(BudgetRetryPolicy):
-    """Repeat every failed attempt that may have run, until the deadline.
+    """Repeats failed attempts of idempotent requests that may have run, until the deadline.
 
-    Attempts that did not run cost no tokens and follow the same rule as in the product.
+    Attempts that did not run cost no tokens and follow the product's rule.
     """
 
     def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
--- a/bench/wait_checks.py
+++ b/bench/wait_checks.py
@@ -1,4 +1,4 @@
-"""Check of the longest wait against the bound of section 4.1 of the design page."""
+"""Check of the longest wait against the bound in section 4.1 of docs/design.md."""
 
 from bisect import bisect_left
 from itertools import accumulate
@@ -11,10 +11,10 @@
 
 
 class WaitCheck:
-    """Compare the waits of one class at one entry instance with its bound.
+    """Compares the waits of one class at one entry instance with their bounds.
 
-    `left_per_s` is the work a second that the entry instance's part of the service leaves for
-    classes that are not protected.
+    `available_per_s` is the work per second that the entry instance's share of the capacity leaves
+    for unprotected classes.
     """
 
     def __init__(
@@ -36,7 +36,7 @@
         self._backlogs = list(accumulate(work for _, work in changes))
 
     def max_ratio(self) -> float:
-        """Return the largest wait as a part of its bound."""
+        """Return the largest ratio of a wait to its bound."""
         return max((self._ratio(call) for call in self._calls), default=0.0)
 
     def _ratio(self, call: Call) -> float:
@@ -46,10 +46,10 @@
         return waited_s / self._bound_s(call, waited_s)
 
     def _bound_s(self, call: Call, waited_s: float) -> float:
-        """Return the bound with the largest backlog of the class during the wait.
+        """Return the bound in seconds, from the largest backlog of the class during the wait.
 
-        Customers share a class, so later requests of other customers may be served first; the
-        backlog at arrival alone would not count them.
+        The backlog at arrival is not enough: customers share a class, so later requests of other
+        customers may be served first.
         """
         first = bisect_left(self._times, call.req.arrived_s)
         last = bisect_left(self._times, call.req.arrived_s + waited_s)
--- a/bench/wall_clock/__init__.py
+++ b/bench/wall_clock/__init__.py
@@ -1,1 +1,1 @@
-"""Wall-clock cost of a request through real processes, as ratios within one run."""
+"""Wall-clock cost of a request through separate processes, compared within one run."""
--- a/bench/wall_clock/__main__.py
+++ b/bench/wall_clock/__main__.py
@@ -1,4 +1,4 @@
-"""Measure the cost of a request: router, bare relay and direct path in one run."""
+"""Measure the cost of a request through the router, a minimal relay and the direct path."""
 
 import argparse
 import asyncio
@@ -21,7 +21,7 @@
     RequestTemplate("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS),
 )
 CONNECTIONS = 32
-# Targets of the project: half of the relay's requests for each core, and added milliseconds.
+# Targets: the ratio of requests per core-second to the relay's, and the added first-byte latency.
 MIN_RATIO = 0.5
 MAX_ADDED_MS = {"p50": 2.0, "p99": 10.0}
 SEED = 1
@@ -29,7 +29,7 @@
 
 
 class CostSample(NamedTuple):
-    """Answers in a time, and the processor seconds of each process."""
+    """Number of answers in a period and the CPU seconds of each process."""
 
     answers: int
     duration_s: float
@@ -37,14 +37,14 @@
 
 
 class Route(NamedTuple):
-    """Name the processes that a request passes and the path prefix that leads there."""
+    """The processes that a request passes, the first one first, and its path prefix."""
 
     processes: list[ChildProcess]
     prefix: str
 
 
 async def measure(duration_s: float) -> dict[str, Any]:
-    """Return the figures of all request templates."""
+    """Return the figures of all request templates through an entry instance and a sidecar."""
     async with ProcessGroup() as group:
         platform = BenchPlatform(group)
         await platform.start(DOCUMENTS)
@@ -66,7 +66,7 @@
 
 
 async def measure_gateway(duration_s: float) -> dict[str, Any]:
-    """Return the figures of a gateway, which reaches its endpoint without a sidecar."""
+    """Return the figures of a gateway, which calls its endpoints without a sidecar."""
     async with ProcessGroup() as group:
         platform = GatewayPlatform(group)
         route = Route([await platform.start()], "")
@@ -81,7 +81,7 @@
 
 
 async def _wait_for_links(entry: ChildProcess, links: int) -> None:
-    """Wait until an entry instance has its links and documents."""
+    """Wait until an entry instance has its links and all documents."""
     host, _, port = entry.startup_info["admin"].rpartition(":")
     async with asyncio.timeout(20.0):
         while True:
@@ -100,7 +100,7 @@
     direct = LoadGenerator(engine, template.encode(""))
     for generator in (routed, relayed, direct):
         await generator.closed_loop(CONNECTIONS, 0.5)
-    # Both take turns, so that other load on the machine meets both alike.
+    # The rounds alternate, so that other load on the machine affects both alike.
     rounds: dict[str, list[CostSample]] = {"relay": [], "router": []}
     for _ in range(ROUNDS):
         rounds["relay"].append(await _sample_cost(relayed, [relay], duration_s / ROUNDS))
@@ -154,19 +154,21 @@
     missed = []
     for name, figures in report.items():
         if figures["ratio_to_relay"] < MIN_RATIO:
-            missed.append(f"{name}: ratio {figures['ratio_to_relay']:.2f}, at least {MIN_RATIO}")
+            missed.append(
+                f"{name}: ratio to relay {figures['ratio_to_relay']:.2f}, target >= {MIN_RATIO}"
+            )
         for key, limit in MAX_ADDED_MS.items():
             if figures["added_ms"][key] > limit:
                 found = figures["added_ms"][key]
-                missed.append(f"{name}: {key} {found:.2f} ms added, at most {limit:g}")
+                missed.append(f"{name}: added {key} {found:.2f} ms, target <= {limit:g} ms")
     return missed
 
 
 def main() -> int:
-    """Print the report as JSON; return 1 when a target is missed."""
+    """Print the report as JSON; return 1 if a target is missed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--duration", type=float, default=4.0, help="seconds for each figure")
-    parser.add_argument("--only", choices=("router", "gateway"), help="measure one of them")
+    parser.add_argument("--only", choices=("router", "gateway"), help="measure only this path")
     options = parser.parse_args()
     report: dict[str, Any] = {}
     if options.only != "gateway":
@@ -176,7 +178,7 @@
     print(json.dumps(report, indent=1))
     missed = _missed(report)
     for line in missed:
-        print(f"missed: {line}", file=sys.stderr)
+        print(f"target missed: {line}", file=sys.stderr)
     return 1 if missed else 0
 
 
--- a/bench/wall_clock/bench_platforms.py
+++ b/bench/wall_clock/bench_platforms.py
@@ -1,4 +1,4 @@
-"""The processes of a cost measurement."""
+"""Platform stand-ins and daemon processes of the cost and capacity measurements."""
 
 import time
 import uuid
@@ -15,7 +15,7 @@
 
 
 def make_document(name: str, kind: str, endpoints: int = 1) -> str:
-    """Return a document with one class and generous targets."""
+    """Return a service document with one class and generous latency targets."""
     return (
         f'[service]\nname = "{name}"\nkind = "{kind}"\nowner = "bench"\nzones = ["z"]\n'
         f"endpoints = {endpoints}\n"
@@ -31,7 +31,7 @@
 
 
 class BenchPlatform:
-    """The platform's stand-ins in this process, and daemons as child processes."""
+    """The platform's stand-ins in this process and daemons as child processes."""
 
     def __init__(self, group: ProcessGroup) -> None:
         self.table = TableService()
@@ -42,7 +42,7 @@
         self.instance_list_address = ""
 
     async def start(self, documents: dict[str, str]) -> None:
-        """Start the stand-ins and accept the documents."""
+        """Start the stand-ins and write the documents to the table service."""
         self.table_address = f"127.0.0.1:{await self.table.start()}"
         self.instance_list_address = f"127.0.0.1:{await self.instances.start()}"
         self._platform_toml = (
@@ -53,11 +53,11 @@
             await self.write_document(service, text, 0)
 
     async def write_document(self, service: str, text: str, version: int) -> None:
-        """Write a document over the given version."""
+        """Write a document based on the given version; raise RuntimeError if it is refused."""
         writer = ConfigurationWriter(HttpTableStore(_make_transport(self.table_address)))
         result = await writer.accept(service, text, version, uuid.uuid4().hex, "bench")
         if not isinstance(result, Accepted):
-            raise RuntimeError(f"document not accepted: {result}")
+            raise RuntimeError(f"service document was not accepted: {result}")
 
     async def start_entry(self, instance: str, extra: str = "") -> ChildProcess:
         """Start and register an entry instance."""
@@ -70,7 +70,7 @@
     async def start_sidecar(
         self, instance: str, service: str, kind: str, endpoint: str
     ) -> ChildProcess:
-        """Start and register a sidecar beside an endpoint."""
+        """Start and register a sidecar of an endpoint."""
         child = await self._group.start_daemon(
             f'role = "sidecar"\ninstance = "{instance}"\nzone = "z"\n{self._platform_toml}'
             f'[endpoint]\nservice = "{service}"\nkind = "{kind}"\naddress = "{endpoint}"\n'
--- a/bench/wall_clock/engine.py
+++ b/bench/wall_clock/engine.py
@@ -1,4 +1,4 @@
-"""An engine without work: paced tokens for streams, an immediate answer for plain calls."""
+"""Stub engine: paced tokens for streams, immediate answers for plain calls."""
 
 import argparse
 import asyncio
@@ -11,21 +11,21 @@
 
 
 class Engine:
-    """Give each running stream a token at each step, as continuous batching does."""
+    """Sends each running stream one token per step, as continuous batching does."""
 
     def __init__(self, step_s: float) -> None:
         self._step_s = step_s
         self._step = asyncio.Event()
 
     async def run(self) -> None:
-        """Step for ever."""
+        """Run steps until cancelled."""
         while True:
             await asyncio.sleep(self._step_s)
             self._step.set()
             self._step = asyncio.Event()
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer a load report, a completion or a plain call."""
+        """Answer a load report request, a completion or a plain call."""
         req = exchange.req
         if req.path == "/load":
             load = {"running": 0, "waiting": 0, "tokens_per_s": 0.0}
@@ -45,7 +45,7 @@
 
 
 async def main() -> None:
-    """Serve until the process is ended."""
+    """Print the address and serve until the process is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--step-s", type=float, default=0.005)
     engine = Engine(parser.parse_args().step_s)
--- a/bench/wall_clock/gateways.py
+++ b/bench/wall_clock/gateways.py
@@ -1,4 +1,4 @@
-"""A gateway process on the stand-ins of the platform, for the measurement of its cost."""
+"""A gateway process with stand-ins of the platform, for cost measurements."""
 
 import asyncio
 import json
@@ -27,7 +27,7 @@
 __all__ = ["EVENTS", "GATEWAY_REQUEST_TEMPLATES", "GatewayPlatform"]
 
 HOST = "127.0.0.1"
-# The host that the callers of the measurement name.
+# Host header of the load generator's requests.
 CALLED_HOST = "bench"
 START_TIMEOUT_S = 20.0
 EVENTS = 64
@@ -47,16 +47,16 @@
 
 
 class GatewayPlatform:
-    """The store in this process, a gateway and an endpoint of each service as child processes."""
+    """A gateway and one endpoint per service as child processes, and the store in this process."""
 
     def __init__(self, group: ProcessGroup) -> None:
         self._group = group
         self._store = RowService()
-        # Addresses by service.
+        # Addresses of the endpoints by service.
         self.engines: dict[str, str] = {}
 
     async def start(self) -> ChildProcess:
-        """Start and register the endpoints and return a gateway that is ready."""
+        """Start and register the endpoints, start a gateway and return it once it is ready."""
         store_port = await self._store.start()
         for template in GATEWAY_REQUEST_TEMPLATES:
             engine = await self._group.start(
--- a/bench/wall_clock/load_generators.py
+++ b/bench/wall_clock/load_generators.py
@@ -1,4 +1,4 @@
-"""Cheap callers: fixed requests over kept connections."""
+"""Load generators with little overhead: fixed requests over persistent connections."""
 
 import asyncio
 import random
@@ -12,14 +12,14 @@
 
 
 class Timing(NamedTuple):
-    """Seconds to the first bytes of the body and to the end of the answer."""
+    """Seconds from the request to the first bytes of the body and to the end of the answer."""
 
     first_s: float
     total_s: float
 
 
 class RequestTemplate(NamedTuple):
-    """One kind of request; `tokens` is the number of tokens of its answer."""
+    """A fixed request; `tokens` is the number of tokens of its answer."""
 
     name: str
     method: str
@@ -29,7 +29,7 @@
     headers: tuple[tuple[str, str], ...] = ()
 
     def encode(self, prefix: str) -> bytes:
-        """Return the bytes of the request below a path prefix."""
+        """Return the HTTP/1.1 request, with `prefix` before its path."""
         head = f"{self.method} {prefix}{self.target} HTTP/1.1\r\nhost: bench\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.headers)
         head += f"content-type: application/json\r\ncontent-length: {len(self.body)}\r\n\r\n"
@@ -37,7 +37,7 @@
 
 
 class LoadGenerator:
-    """Send one request over and over to an address."""
+    """Sends the same request repeatedly to one address."""
 
     def __init__(self, address: str, request: bytes) -> None:
         self._host, _, port = address.rpartition(":")
@@ -46,7 +46,7 @@
         self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
 
     async def closed_loop(self, connections: int, duration_s: float) -> list[Timing]:
-        """Keep `connections` requests under way for a time."""
+        """Keep `connections` requests in flight for `duration_s` and return their timings."""
         end_s = time.monotonic() + duration_s
         found: list[Timing] = []
 
@@ -58,7 +58,7 @@
         return found
 
     async def open_loop(self, rate_per_s: float, duration_s: float, seed: int) -> list[Timing]:
-        """Send Poisson arrivals at a mean rate, whatever became of those before."""
+        """Send Poisson arrivals at a mean rate, independent of answers, and return the timings."""
         rng, found, tasks = random.Random(seed), list[Timing](), list[asyncio.Task[None]]()
 
         async def once() -> None:
@@ -83,15 +83,15 @@
         writer.write(self._request)
         head, _, body = (await reader.readuntil(b"\r\n\r\n")).partition(b"\r\n\r\n")
         if not head.startswith(b"HTTP/1.1 200"):
-            raise RuntimeError(f"unexpected answer: {head[:200]!r}")
+            raise RuntimeError(f"answer without status 200: {head[:200]!r}")
         length = LENGTH.search(head)
         first_s = 0.0
         while not _is_complete(body, int(length[1]) if length else None):
             data = await reader.read(READ_BYTES)
             if not data:
-                raise RuntimeError("the answer was cut")
+                raise RuntimeError("connection closed before the end of the answer")
             first_s = first_s or time.monotonic() - started_s
-            # The end of a chunked answer is found in its last bytes.
+            # Of a chunked answer only the last bytes are kept, to detect the final chunk.
             body = body + data if length else (body + data)[-len(END_OF_CHUNKS) :]
         self._idle.append(stream)
         return Timing(first_s, time.monotonic() - started_s)
--- a/bench/wall_clock/relay.py
+++ b/bench/wall_clock/relay.py
@@ -1,7 +1,7 @@
-"""The least that an h11 relay does: the yardstick of the cost of a request.
+"""Minimal h11 relay, the baseline for the cost of a request.
 
-It reads a request, sends it to one address over a kept connection and passes the answer on chunk
-by chunk. It has no queue, no limits, no retries, no second process and no events.
+It reads a request, sends it to one address over a persistent connection and forwards the answer
+chunk by chunk. It has no queue, no limits, no retries, no second process and no events.
 """
 
 import argparse
@@ -17,14 +17,14 @@
 
 
 class Relay:
-    """Pass requests to one address."""
+    """Forwards requests to one address."""
 
     def __init__(self, host: str, port: int) -> None:
         self._address = (host, port)
         self._idle: deque[Stream] = deque()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one caller's connection."""
+        """Serve the requests of one caller's connection."""
         caller = h11.Connection(h11.SERVER)
         while True:
             request, body = None, b""
@@ -72,14 +72,14 @@
 
 
 async def next_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
-    """Return the next event of a connection."""
+    """Return the next event of a connection, reading more data as needed."""
     while (event := conn.next_event()) is h11.NEED_DATA:
         conn.receive_data(await reader.read(READ_BYTES))
     return event
 
 
 async def main() -> None:
-    """Serve until the process is ended."""
+    """Print the address and serve until the process is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--target", required=True)
     host, _, port = parser.parse_args().target.rpartition(":")
--- a/bench/wall_clock/signing_engine.py
+++ b/bench/wall_clock/signing_engine.py
@@ -1,4 +1,4 @@
-"""An endpoint of the platform without work: paced events for streams, immediate plain answers."""
+"""Stub endpoint of the platform: paced events for streams, immediate plain answers."""
 
 import argparse
 import asyncio
@@ -10,7 +10,7 @@
 
 
 async def main() -> None:
-    """Serve until the process is ended."""
+    """Print the address and the directory entry, and serve until the process is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--instance", required=True)
     parser.add_argument("--step-s", type=float, default=0.005)
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Arrivals of one run."""
+"""Generated arrivals of one run."""
 
 import math
 import random
@@ -15,13 +15,13 @@
 
 __all__ = ["BASE_LOAD", "WARM_UP_S", "class_shares", "make_calls"]
 
-# The load at which the shares of the class profiles hold; what exceeds it is the burst.
+# The load at which the shares of the class profiles hold; load beyond it is the burst.
 BASE_LOAD = 0.7
-# Time for empty engines and caches to fill, and then for the batches to grow with the load, before
-# anything is measured.
+# Before the measurement, empty engines and caches fill at the base load at most, and then batches
+# grow with the load until the end of the warm-up.
 CACHE_FILL_S = 2.0
 WARM_UP_S = 5.0
-# Share of callers that go away before their answer is complete.
+# Fraction of requests of cancellable classes whose caller may disconnect early.
 DISCONNECT_FRACTION = 0.005
 MAX_ANSWER_TOKENS = 4096.0
 
@@ -31,7 +31,7 @@
 ) -> list[Call]:
     """Return the calls of one service in order of arrival.
 
-    The work offered in the measured `duration_s` is exactly `load` times the capacity, up to one
+    The work offered in the measured `duration_s` is `load` times the capacity, to within one
     request for each class and window.
     """
     rng = random.Random(f"{seed}/{document.name}/{scenario.name}")
@@ -55,7 +55,7 @@
 def class_shares(
     document: ServiceDocument, scenario: Scenario, cls: RequestClass, load: float
 ) -> tuple[float, float]:
-    """Return a class's base load and burst load as parts of the capacity."""
+    """Return a class's base load and burst load as fractions of the capacity."""
     profiles = CLASS_PROFILES[document.name]
     open_classes = [other.name for other in document.classes if not other.protected]
     bursting = [name for name in open_classes if name in scenario.burst] or open_classes
@@ -67,7 +67,7 @@
 
 
 class _CallGenerator:
-    """Draw the calls of one class."""
+    """Generates random calls of one class."""
 
     def __init__(
         self,
@@ -83,7 +83,7 @@
         self._burst_customer_share = burst_customer_share
 
     def generate(self, budget: float, start_s: float, length_s: float) -> list[Call]:
-        """Return calls with `budget` work in total, uniform over the window."""
+        """Return calls with at least `budget` work in total, with arrivals uniform in a window."""
         calls = []
         while budget > 0:
             customer = self._customer()
