Rename further identifiers of the benchmark

The virtual event loop takes the method names of asyncio, and constants name what they count.

bench/event_loops.py::EventLoop.at -> call_at bench/event_loops.py::EventLoop.after -> call_later bench/capacity/fits.py::Fit.at -> value_at bench/capacity/extrapolations.py::fit_of -> read_fit bench/capacity/extrapolations.py::QUEUE -> MAX_QUEUED_REQUESTS bench/capacity/extrapolations.py::EVENTS -> EVENT_RING_SIZE bench/capacity/extrapolations.py::ENTRY_LINKS -> LINKS_PER_ENTRY bench/capacity/extrapolations.py::SIDECAR_LINKS -> LINKS_PER_SIDECAR bench/capacity/idle_figures.py::ENTRY_LINKS -> LINKS_PER_ENTRY bench/capacity/idle_figures.py::SIDECAR_LINKS -> LINKS_PER_SIDECAR bench/capacity/idle_figures.py::_store_calls -> _read_table_calls bench/capacity/link_series.py::_DialerGroup._maker -> _make_link_factory bench/capacity/pages.py::PAGE -> PAGE_PATH bench/capacity/__main__.py::OUTPUT -> OUTPUT_PATH bench/capacity/__main__.py::_read -> _read_report bench/gateway_switches.py::patch_of -> make_patch bench/wall_clock/gateways.py::EVENTS -> EVENTS_PER_STREAM bench/wall_clock/__main__.py::TOKENS -> TOKENS_PER_STREAM bench/workloads.py::make_calls.maker -> generator bench/workloads.py::make_calls.big -> customer_share bench/workloads.py::class_shares.open_classes -> unprotected bench/entries.py::Entry.ended.owner -> is_active bench/entries.py::Entry._caller_left -> _on_caller_left bench/capacities.py::best_batch -> best_batch_size bench/engine_profiles.py::EngineProfile.best_batch -> best_batch_size bench/engines.py::FakeEngine._wake -> _process_due_events bench/engines.py::FakeEngine.prefilled -> prefilled_tokens bench/engines.py::FakeEngine.tokens -> produced bench/plain_services.py::FakePlainService.tokens -> produced

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -6,7 +6,7 @@
 from bench.ablated_choosers import NonEjectingChooser, UncorrectedReportChooser
 from bench.ablated_policies import NonContinuingRetryPolicy, UnconditionalAdmission
 from bench.ablated_queues import FreeSlotOnlyQueue, NoMinShareQueue
-from bench.capacities import best_batch
+from bench.capacities import best_batch_size
 from bench.dispatcher_parts import DispatcherParts
 from bench.plain_strategies import with_replaced_parts
 from bench.products import QUEUE_REQUESTS, product, product_scheduler
@@ -79,7 +79,7 @@
 def _fixed_limit(document: ServiceDocument) -> EndpointScheduler:
     pausable = [cls.name for cls in document.classes if cls.cancellable and not cls.protected]
     preemption = PausePreemption(pausable) if document.kind == "model" else None
-    return EndpointScheduler(FixedLimit(best_batch(document)), preemption=preemption)
+    return EndpointScheduler(FixedLimit(best_batch_size(document)), preemption=preemption)
 
 
 def _no_preemption(document: ServiceDocument) -> EndpointScheduler:
--- a/bench/capacities.py
+++ b/bench/capacities.py
@@ -5,17 +5,19 @@
 from bench.scenarios import Scenario
 from cassiadrum.documents import ServiceDocument
 
-__all__ = ["PLAIN_SLOTS", "best_batch", "capacity_per_endpoint", "count_healthy_endpoints"]
+__all__ = ["PLAIN_SLOTS", "best_batch_size", "capacity_per_endpoint", "count_healthy_endpoints"]
 
 # Concurrent calls of one plain endpoint.
 PLAIN_SLOTS = 4
 
 
-def best_batch(document: ServiceDocument) -> int:
+def best_batch_size(document: ServiceDocument) -> int:
     """Return the largest batch size that meets the strictest inter-token target of the classes."""
     if document.kind == "plain":
         return PLAIN_SLOTS
-    return ENGINE_PROFILE.best_batch(min(cls.target_inter_token_s for cls in document.classes))
+    return ENGINE_PROFILE.best_batch_size(
+        min(cls.target_inter_token_s for cls in document.classes)
+    )
 
 
 def capacity_per_endpoint(document: ServiceDocument) -> float:
@@ -29,7 +31,7 @@
     """
     if document.kind == "plain":
         return float(PLAIN_SLOTS)
-    batch = best_batch(document)
+    batch = best_batch_size(document)
     chunks_per_token = _chunks_per_token(document.name)
     prefilling = batch * chunks_per_token / (1.0 + chunks_per_token)
     decoding = batch - prefilling
--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -15,7 +15,7 @@
 from bench.capacity.pages import write_page
 from bench.capacity.state_series import STATE_SERIES
 
-OUTPUT = Path(__file__).parent.parent / "capacity.json"
+OUTPUT_PATH = Path(__file__).parent.parent / "capacity.json"
 PARTS = ("state", "links", "rest", "spread")
 
 
@@ -37,20 +37,20 @@
     for part in parts:
         load = os.getloadavg()[0]
         measured = _measure(part, options.series or list(STATE_SERIES))
-        report = _read()
+        report = _read_report()
         if part in ("state", "links"):
             report["series"] |= {name: _series_entry(points) for name, points in measured.items()}
         else:
             report[part] = measured
         at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime())
         report["runs"][part] = {"at": at, "load_average": load}
-        OUTPUT.write_text(json.dumps(report, indent=1, sort_keys=True) + "\n")
-    write_page(_read())
+        OUTPUT_PATH.write_text(json.dumps(report, indent=1, sort_keys=True) + "\n")
+    write_page(_read_report())
 
 
-def _read() -> dict[str, Any]:
+def _read_report() -> dict[str, Any]:
     empty: dict[str, Any] = {"series": {}, "runs": {}}
-    return json.loads(OUTPUT.read_text()) if OUTPUT.exists() else empty
+    return json.loads(OUTPUT_PATH.read_text()) if OUTPUT_PATH.exists() else empty
 
 
 def _measure(part: str, names: list[str]) -> dict[str, Any]:
--- a/bench/capacity/extrapolations.py
+++ b/bench/capacity/extrapolations.py
@@ -5,7 +5,14 @@
 
 from bench.capacity.fits import Fit
 
-__all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "RoleTotal", "fit_of", "totals"]
+__all__ = [
+    "EXTRAPOLATIONS",
+    "LIMITS_AT_TARGET",
+    "Extrapolation",
+    "RoleTotal",
+    "read_fit",
+    "totals",
+]
 
 # Target size, from section 1.8 of docs/design.md.
 ENTRIES: Final = 2300
@@ -14,10 +21,10 @@
 CUSTOMERS: Final = 39_000
 SERVICES: Final = 17
 CHANGES_PER_S: Final = 7900 / 86_400
-ENTRY_LINKS: Final = 64
-SIDECAR_LINKS: Final = 20
-QUEUE: Final = 2048
-EVENTS: Final = 16_384
+LINKS_PER_ENTRY: Final = 64
+LINKS_PER_SIDECAR: Final = 20
+MAX_QUEUED_REQUESTS: Final = 2048
+EVENT_RING_SIZE: Final = 16_384
 # A sidecar retains finished answers for 60 s.
 RETAINED_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
 LIMITS_AT_TARGET: Final = {"MB": 64.0, "% of a core": 4.7, "B/s": 6000.0}
@@ -39,8 +46,8 @@
 
     def value(self, report: Mapping[str, Any]) -> float:
         """Return the figure at the target size."""
-        fit = fit_of(report, self.series)
-        return self.factor * (fit.slope * self.x if self.slope_only else fit.at(self.x))
+        fit = read_fit(report, self.series)
+        return self.factor * (fit.slope * self.x if self.slope_only else fit.value_at(self.x))
 
 
 class RoleTotal(NamedTuple):
@@ -55,14 +62,16 @@
 REQUESTS_PER_ENTRY: Final = REQUESTS_PER_S / ENTRIES
 
 EXTRAPOLATIONS: Final = (
-    Extrapolation("entry", "links", "dialer_link_memory_bytes", ENTRY_LINKS, 1e-6, "MB", True),
+    Extrapolation("entry", "links", "dialer_link_memory_bytes", LINKS_PER_ENTRY, 1e-6, "MB", True),
     Extrapolation("entry", "endpoints of the subset", "endpoint_memory_bytes", 64, 1e-6, "MB"),
     Extrapolation("entry", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
     Extrapolation("entry", "customers", "customer_memory_bytes", CUSTOMERS, 1e-6, "MB"),
-    Extrapolation("entry", "full queue", "queue_memory_bytes", QUEUE, 1e-6, "MB", True),
-    Extrapolation("entry", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
     Extrapolation(
-        "entry", "links at rest", "dialer_link_cpu_us_per_s", ENTRY_LINKS, 1e-4, "% of a core"
+        "entry", "full queue", "queue_memory_bytes", MAX_QUEUED_REQUESTS, 1e-6, "MB", True
+    ),
+    Extrapolation("entry", "full event ring", "event_memory_bytes", EVENT_RING_SIZE, 1e-6, "MB"),
+    Extrapolation(
+        "entry", "links at rest", "dialer_link_cpu_us_per_s", LINKS_PER_ENTRY, 1e-4, "% of a core"
     ),
     Extrapolation(
         "entry",
@@ -74,18 +83,23 @@
         True,
     ),
     Extrapolation(
-        "entry", "links at rest", "link_control_bytes_per_s", ENTRY_LINKS, 1.0, "B/s", True
+        "entry", "links at rest", "link_control_bytes_per_s", LINKS_PER_ENTRY, 1.0, "B/s", True
     ),
     Extrapolation(
-        "sidecar", "links", "sidecar_link_memory_bytes", SIDECAR_LINKS, 1e-6, "MB", True
+        "sidecar", "links", "sidecar_link_memory_bytes", LINKS_PER_SIDECAR, 1e-6, "MB", True
     ),
     Extrapolation("sidecar", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
-    Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
+    Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENT_RING_SIZE, 1e-6, "MB"),
     Extrapolation(
         "sidecar", "kept answers", "kept_answer_memory_bytes", RETAINED_ANSWERS, 1e-6, "MB"
     ),
     Extrapolation(
-        "sidecar", "links at rest", "sidecar_link_cpu_us_per_s", SIDECAR_LINKS, 1e-4, "% of a core"
+        "sidecar",
+        "links at rest",
+        "sidecar_link_cpu_us_per_s",
+        LINKS_PER_SIDECAR,
+        1e-4,
+        "% of a core",
     ),
     Extrapolation(
         "sidecar",
@@ -97,12 +111,12 @@
         True,
     ),
     Extrapolation(
-        "sidecar", "links at rest", "link_control_bytes_per_s", SIDECAR_LINKS, 1.0, "B/s", True
+        "sidecar", "links at rest", "link_control_bytes_per_s", LINKS_PER_SIDECAR, 1.0, "B/s", True
     ),
 )
 
 
-def fit_of(report: Mapping[str, Any], series: str) -> Fit:
+def read_fit(report: Mapping[str, Any], series: str) -> Fit:
     """Return the fitted line of a series in the report."""
     entry = report["series"][series]
     return Fit(*(entry[field] for field in Fit._fields))
--- a/bench/capacity/fits.py
+++ b/bench/capacity/fits.py
@@ -15,7 +15,7 @@
     r_squared: float
     error: float
 
-    def at(self, x: float) -> float:
+    def value_at(self, x: float) -> float:
         """Return the line's value at `x`."""
         return self.intercept + self.slope * x
 
--- a/bench/capacity/idle_figures.py
+++ b/bench/capacity/idle_figures.py
@@ -18,8 +18,8 @@
 
 IDLE_MEASUREMENT_S = 8.0
 # Links of each role at the target size (section 2.2 of docs/design.md).
-ENTRY_LINKS = 64
-SIDECAR_LINKS = 20
+LINKS_PER_ENTRY = 64
+LINKS_PER_SIDECAR = 20
 PROPAGATION_ENTRIES = 10
 PROPAGATION_SIDECARS = 40
 CHANGE_COUNT = 10
@@ -41,11 +41,13 @@
         await _start_all(
             [
                 partial(platform.start_sidecar, f"s{n}", "calls", "plain", engine)
-                for n in range(1, ENTRY_LINKS)
+                for n in range(1, LINKS_PER_ENTRY)
             ]
         )
-        await _start_all([partial(platform.start_entry, f"e{n}") for n in range(1, SIDECAR_LINKS)])
-        await _wait_for_links(entry, ENTRY_LINKS)
+        await _start_all(
+            [partial(platform.start_entry, f"e{n}") for n in range(1, LINKS_PER_SIDECAR)]
+        )
+        await _wait_for_links(entry, LINKS_PER_ENTRY)
         await asyncio.sleep(LIMITS.IDLE_AFTER_S + 1.0)
         for name, child in (("entry", entry), ("sidecar", first)):
             found |= {
@@ -69,18 +71,18 @@
 
 async def _measure_idle_daemon(child: ChildProcess) -> dict[str, float]:
     cpu_s, sent, started_s = child.cpu_s(), await read_control_bytes(child), time.monotonic()
-    calls = await _store_calls(child)
+    calls = await _read_table_calls(child)
     await asyncio.sleep(IDLE_MEASUREMENT_S)
     passed_s = time.monotonic() - started_s
     return {
         "cpu_share": (child.cpu_s() - cpu_s) / passed_s,
         "control_bytes_per_s": (await read_control_bytes(child) - sent) / passed_s,
-        "table_calls_per_s": (await _store_calls(child) - calls) / passed_s,
+        "table_calls_per_s": (await _read_table_calls(child) - calls) / passed_s,
         "linked_mb": child.rss_bytes() / 1e6,
     }
 
 
-async def _store_calls(child: ChildProcess) -> float:
+async def _read_table_calls(child: ChildProcess) -> float:
     text = (await admin_get(child, "/metrics")).decode()
     lines = [line for line in text.splitlines() if line.startswith("cassiadrum_store_calls")]
     return sum(float(line.rpartition(" ")[2]) for line in lines if 'store="table"' in line)
--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -89,7 +89,7 @@
         reader: Any = ConfigurationReader
         self._agent = ConfigurationAgent(registry, reader, self._ring, None)  # type: ignore[arg-type]
         self._dialers = [
-            LinkDialer(address, self._maker(number), on_down=self._agent.link_down)
+            LinkDialer(address, self._make_link_factory(number), on_down=self._agent.link_down)
             for number in range(count)
         ]
 
@@ -104,7 +104,7 @@
         print(json.dumps({"links": len(self._dialers)}), flush=True)
         await asyncio.Event().wait()
 
-    def _maker(self, number: int) -> Any:
+    def _make_link_factory(self, number: int) -> Any:
         hello = Hello(PROTOCOL_VERSION, f"e{number}", "entry", "z", "", "x")
 
         def make(conn: Connection) -> Link:
--- a/bench/capacity/pages.py
+++ b/bench/capacity/pages.py
@@ -4,11 +4,11 @@
 from pathlib import Path
 from typing import Any, Final
 
-from bench.capacity.extrapolations import EXTRAPOLATIONS, fit_of, totals
+from bench.capacity.extrapolations import EXTRAPOLATIONS, read_fit, totals
 
 __all__ = ["render_tables", "write_page"]
 
-PAGE: Final = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
+PAGE_PATH: Final = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
 BEGIN: Final = "<!-- figures: written by `python -m bench.capacity --page` -->"
 END: Final = "<!-- end of figures -->"
 
@@ -30,10 +30,10 @@
 
 def write_page(report: Mapping[str, Any]) -> None:
     """Replace the generated figures on the page."""
-    text = PAGE.read_text()
+    text = PAGE_PATH.read_text()
     before, _, rest = text.partition(BEGIN)
     _, _, after = rest.partition(END)
-    PAGE.write_text(f"{before}{BEGIN}\n\n{render_tables(report)}\n{END}{after}")
+    PAGE_PATH.write_text(f"{before}{BEGIN}\n\n{render_tables(report)}\n{END}{after}")
 
 
 def render_tables(report: Mapping[str, Any]) -> str:
@@ -68,7 +68,7 @@
 def _lines(report: Mapping[str, Any]) -> list[tuple[str, ...]]:
     rows: list[tuple[str, ...]] = []
     for name, entry in sorted(report["series"].items()):
-        fit, xs = fit_of(report, name), [x for x, _ in entry["points"]]
+        fit, xs = read_fit(report, name), [x for x, _ in entry["points"]]
         rows.append(
             (
                 f"`{name}`",
--- a/bench/engine_profiles.py
+++ b/bench/engine_profiles.py
@@ -23,7 +23,7 @@
         extra_s = self.prefill_step_s if prefilling else 0.0
         return self.base_step_s + self.stream_step_s * decoding + extra_s
 
-    def best_batch(self, target_inter_token_s: float) -> int:
+    def best_batch_size(self, target_inter_token_s: float) -> int:
         """Return the largest batch size whose slowest step is within the target, at least 1."""
         room_s = target_inter_token_s - self.base_step_s - self.prefill_step_s
         return max(1, int(room_s / self.stream_step_s + 1e-9))
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -44,8 +44,8 @@
         self.cache = PrefixCache(profile.cache_blocks)
         self.new_keys: list[int] = []
         self.slowdown = 1.0
-        self.tokens = 0.0
-        self.prefilled = 0.0
+        self.produced = 0.0
+        self.prefilled_tokens = 0.0
 
     def start(self, call: Call, request_id: str) -> Stream:
         """Start a request; a resumed request continues after the text already delivered."""
@@ -53,7 +53,7 @@
         self.new_keys += added
         cached = found * self._profile.chunk_tokens
         tokens = max(1.0, call.req.prompt_tokens - cached + call.delivered)
-        self.prefilled += tokens
+        self.prefilled_tokens += tokens
         stream = Stream(call, request_id, call.work - call.delivered, tokens, self._loop.now)
         self.streams[request_id] = stream
         self._queue_prefill(stream)
@@ -153,7 +153,7 @@
         tokens = min(self._steps - stream.start_step, stream.remaining)
         stream.produced += tokens
         stream.remaining -= tokens
-        self.tokens += tokens
+        self.produced += tokens
         stream.start_step = self._steps
 
     def _advance(self) -> None:
@@ -179,9 +179,11 @@
             left = self._prefills[0][2].prefill_tokens / self._profile.chunk_tokens
             steps = min(steps, left)
         if steps != float("inf"):
-            self._loop.after(max(0.0, steps) * self.step_s(), self._wake, self._epoch)
+            self._loop.call_later(
+                max(0.0, steps) * self.step_s(), self._process_due_events, self._epoch
+            )
 
-    def _wake(self, epoch: int) -> None:
+    def _process_due_events(self, epoch: int) -> None:
         if epoch != self._epoch:
             return
         self._advance()
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -46,14 +46,14 @@
         self._calls: dict[str, Call] = {}
         # Instances with an unfinished attempt, by request id.
         self._attempt_instances: dict[str, list[str]] = {}
-        self._loop.after(TICK_INTERVAL_S, self._tick)
+        self._loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def submit(self, call: Call) -> None:
         """Accept a caller's request."""
         self._records.open_calls += 1
         self._safety.opened(call)
         if call.disconnects_at_s != float("inf"):
-            self._loop.at(call.disconnects_at_s, self._caller_left, call)
+            self._loop.call_at(call.disconnects_at_s, self._on_caller_left, call)
         self._send(call)
 
     def started(self, instance: str, request_id: str) -> None:
@@ -88,11 +88,11 @@
         call = self._calls[request_id]
         places = self._attempt_instances[request_id]
         places.remove(instance)
-        owner = call.active_instance == instance
-        if owner:
+        is_active = call.active_instance == instance
+        if is_active:
             call.active_instance = ""
         dispatcher = self._dispatchers[call.req.service]
-        if call.is_open and outcome.ok and (owner or not call.active_instance):
+        if call.is_open and outcome.ok and (is_active or not call.active_instance):
             self._close(call, "done")
         self._execute(dispatcher.finished(request_id, outcome, self._loop.now, instance))
 
@@ -110,7 +110,7 @@
         self._attempt_instances[request_id] = []
         if self._resend_after_s is not None:
             wait_s = self._resend_after_s(call.req.service, call.req.class_name)
-            self._loop.after(wait_s, self._resend, call, request_id)
+            self._loop.call_later(wait_s, self._resend, call, request_id)
         dispatcher = self._dispatchers[call.req.service]
         self._execute(dispatcher.submit(call.req, self._loop.now))
 
@@ -131,12 +131,12 @@
         call = self._calls[action.req.request_id]
         self._attempt_instances[action.req.request_id].append(action.instance)
         sidecar = self._sidecars[action.instance]
-        self._loop.after(LINK_LATENCY_S, sidecar.receive, call, action.req, self)
+        self._loop.call_later(LINK_LATENCY_S, sidecar.receive, call, action.req, self)
 
     def _cancel(self, request_id: str, instance: str, reason: str) -> None:
-        self._loop.after(LINK_LATENCY_S, self._sidecars[instance].cancel, request_id, reason)
+        self._loop.call_later(LINK_LATENCY_S, self._sidecars[instance].cancel, request_id, reason)
 
-    def _caller_left(self, call: Call) -> None:
+    def _on_caller_left(self, call: Call) -> None:
         if call.is_open:
             self._close(call, "cancelled")
             self._cancel_attempts(call, call.req.request_id, "cancelled")
@@ -173,4 +173,4 @@
     def _tick(self) -> None:
         for dispatcher in self._dispatchers.values():
             self._execute(dispatcher.tick(self._loop.now))
-        self._loop.after(TICK_INTERVAL_S, self._tick)
+        self._loop.call_later(TICK_INTERVAL_S, self._tick)
--- a/bench/event_loops.py
+++ b/bench/event_loops.py
@@ -15,14 +15,14 @@
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._sequence = 0
 
-    def at(self, when_s: float, callback: Callable[..., None], *args: Any) -> None:
+    def call_at(self, when_s: float, callback: Callable[..., None], *args: Any) -> None:
         """Schedule `callback` at `when_s`, or at the current time if that has passed."""
         self._sequence += 1
         heapq.heappush(self._heap, (max(when_s, self.now), self._sequence, callback, args))
 
-    def after(self, delay_s: float, callback: Callable[..., None], *args: Any) -> None:
+    def call_later(self, delay_s: float, callback: Callable[..., None], *args: Any) -> None:
         """Schedule `callback` after `delay_s` seconds."""
-        self.at(self.now + delay_s, callback, *args)
+        self.call_at(self.now + delay_s, callback, *args)
 
     def run(self, done: Callable[[], bool], limit_s: float) -> None:
         """Run until `done` returns True, the queue is empty or the time would pass `limit_s`."""
--- a/bench/gateway_switches.py
+++ b/bench/gateway_switches.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-__all__ = ["Switch", "load_switches", "patch_of"]
+__all__ = ["Switch", "load_switches", "make_patch"]
 
 ROOT = Path(__file__).parents[1]
 TABLE_PATH = ROOT / "bench" / "gateway_switches.toml"
@@ -32,7 +32,7 @@
     return [Switch(**entry) for entry in tomllib.loads(text)["switch"]]
 
 
-def patch_of(switch: Switch, text: str) -> str:
+def make_patch(switch: Switch, text: str) -> str:
     """Return the unified diff against the text of the file.
 
     Raises ValueError if the code does not occur exactly once.
@@ -60,7 +60,7 @@
         if names and switch.name not in names:
             continue
         path = directory / f"{switch.name}.patch"
-        path.write_text(patch_of(switch, (ROOT / switch.file).read_text()))
+        path.write_text(make_patch(switch, (ROOT / switch.file).read_text()))
         print(f"{path}: {switch.mechanism}")
 
 
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -29,7 +29,7 @@
     records = simulation.records
     calls = [call for call in records.calls if call.req.service == document.name]
     produced = sum(
-        sidecar.endpoint.tokens
+        sidecar.endpoint.produced
         for sidecar in simulation.sidecars.values()
         if sidecar.service == document.name
     )
--- a/bench/plain_services.py
+++ b/bench/plain_services.py
@@ -18,13 +18,13 @@
         self.streams: dict[str, Stream] = {}
         self.new_keys: list[int] = []
         self.slowdown = 1.0
-        self.tokens = 0.0
+        self.produced = 0.0
 
     def start(self, call: Call, request_id: str) -> Stream:
         """Start a call."""
         stream = Stream(call, request_id, call.work, 0.0, self._loop.now)
         self.streams[request_id] = stream
-        self._loop.after(call.work * self.slowdown, self._end, stream)
+        self._loop.call_later(call.work * self.slowdown, self._end, stream)
         return stream
 
     def pause(self, request_id: str) -> None:
@@ -58,5 +58,5 @@
             return
         del self.streams[stream.request_id]
         stream.produced = stream.call.work
-        self.tokens += stream.produced
+        self.produced += stream.produced
         self._on_end(stream)
--- a/bench/products.py
+++ b/bench/products.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bench.capacities import best_batch
+from bench.capacities import best_batch_size
 from bench.dispatcher_parts import DispatcherParts
 from bench.strategies import Strategy
 from cassiadrum.decisions import (
@@ -83,7 +83,7 @@
     In the daemon the limit starts at half of the maximum. The runs are too short to measure both
     the adaptation of the limit and the steady state after it.
     """
-    batch = best_batch(document)
+    batch = best_batch_size(document)
     if document.kind == "plain":
         plain = {cls.name: LatencyTargets(cls.target_total_s) for cls in document.classes}
         return EndpointScheduler(_limit(batch, batch, plain), queue_limit)
--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -49,7 +49,7 @@
         """Send the first report and start periodic reporting at a random offset."""
         self._send_report(lag_s=0.0)
         offset_s = self._rng.random() * LIMITS.REPORT_MIN_INTERVAL_S
-        self._loop.after(offset_s, self._tick)
+        self._loop.call_later(offset_s, self._tick)
 
     def _tick(self) -> None:
         self._ticks += 1
@@ -59,7 +59,7 @@
         if self._load_figures() != self._last or idle_s >= LIMITS.REPORT_MAX_INTERVAL_S:
             self._send_report(self._scenario.report_lag_s)
         self._send_cache_events()
-        self._loop.after(LIMITS.REPORT_MIN_INTERVAL_S, self._tick)
+        self._loop.call_later(LIMITS.REPORT_MIN_INTERVAL_S, self._tick)
 
     def _load_figures(self) -> tuple[int, int, int]:
         scheduler = self._sidecar.scheduler
@@ -68,7 +68,7 @@
 
     def _send_report(self, lag_s: float) -> None:
         now = self._loop.now
-        produced = self._sidecar.endpoint.tokens
+        produced = self._sidecar.endpoint.produced
         rate = (produced - self._tokens) / (now - self._sent_at_s) if now > 0 else 0.0
         self._tokens, self._sent_at_s, self._last = produced, now, self._load_figures()
         rep = EndpointReport(
@@ -80,7 +80,9 @@
             tokens_per_s=rate,
         )
         for listener in self._listeners:
-            self._loop.after(lag_s + LINK_LATENCY_S, listener.reported, self._sidecar.service, rep)
+            self._loop.call_later(
+                lag_s + LINK_LATENCY_S, listener.reported, self._sidecar.service, rep
+            )
 
     def _send_cache_events(self) -> None:
         keys, self._sidecar.endpoint.new_keys = self._sidecar.endpoint.new_keys, []
@@ -90,4 +92,4 @@
         delay_s = self._scenario.cache_lag_s + LINK_LATENCY_S
         for listener in self._listeners:
             message = (self._sidecar.service, self._sidecar.instance, kept)
-            self._loop.after(delay_s, listener.cached, *message)
+            self._loop.call_later(delay_s, listener.cached, *message)
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -83,8 +83,8 @@
         lost = self.endpoint.crash()
         until_s = self._loop.now + down_s
         self._records.downtimes_s.setdefault(self.service, []).append((self._loop.now, until_s))
-        self._loop.after(CRASH_DETECTION_S, self._on_crash_detected, lost)
-        self._loop.at(until_s, self._restart)
+        self._loop.call_later(CRASH_DETECTION_S, self._on_crash_detected, lost)
+        self._loop.call_at(until_s, self._restart)
 
     def progress(self) -> None:
         """Send the entry instances the tokens of each stream since the last call."""
@@ -98,7 +98,7 @@
                 listener = self._requests[request_id][1]
                 messages.setdefault(listener, []).append((request_id, tokens))
         for listener, counts in messages.items():
-            self._loop.after(LINK_LATENCY_S, listener.progressed, self.instance, counts)
+            self._loop.call_later(LINK_LATENCY_S, listener.progressed, self.instance, counts)
 
     def _execute(self, actions: list[SchedulerAction]) -> None:
         for action in actions:
@@ -129,7 +129,7 @@
     def _first_token(self, stream: Stream) -> None:
         listener = self._requests[stream.request_id][1]
         stream.reported_tokens = 1.0
-        self._loop.after(LINK_LATENCY_S, listener.started, self.instance, stream.request_id)
+        self._loop.call_later(LINK_LATENCY_S, listener.started, self.instance, stream.request_id)
 
     def _stream_ended(self, stream: Stream) -> None:
         self._deliver(stream, "duplicate")
@@ -182,4 +182,4 @@
 
     def _end(self, request_id: str, outcome: Outcome) -> None:
         listener = self._requests.pop(request_id)[1]
-        self._loop.after(LINK_LATENCY_S, listener.ended, self.instance, request_id, outcome)
+        self._loop.call_later(LINK_LATENCY_S, listener.ended, self.instance, request_id, outcome)
--- a/bench/simulations.py
+++ b/bench/simulations.py
@@ -123,10 +123,10 @@
         if self.scenario.straggler != 1.0:
             self.records.stragglers.append(engines[0])
             endpoint = self.sidecars[engines[0]].endpoint
-            self.loop.at(0.0, endpoint.slow_down, self.scenario.straggler)
+            self.loop.call_at(0.0, endpoint.slow_down, self.scenario.straggler)
         if self.scenario.crash:
             crash_at_s = WARM_UP_S + 0.4 * self.spec.duration_s
-            self.loop.at(crash_at_s, self.sidecars[engines[1]].crash, ENGINE_RESTART_S)
+            self.loop.call_at(crash_at_s, self.sidecars[engines[1]].crash, ENGINE_RESTART_S)
 
     def _start_arrivals(self) -> None:
         for document in self.documents.values():
@@ -144,4 +144,4 @@
         for call in calls:
             call.entry = rng.randrange(len(self._entries))
             self.records.calls.append(call)
-            self.loop.at(call.req.arrived_s, self._entries[call.entry].submit, call)
+            self.loop.call_at(call.req.arrived_s, self._entries[call.entry].submit, call)
--- a/bench/wall_clock/__main__.py
+++ b/bench/wall_clock/__main__.py
@@ -14,11 +14,13 @@
 from bench.wall_clock.load_generators import LoadGenerator, RequestTemplate, Timing
 from cassiadrum.protocols import HttpClient
 
-TOKENS = 64
-STREAM_BODY = json.dumps({"prompt": "yoke", "stream": True, "max_tokens": TOKENS}).encode()
+TOKENS_PER_STREAM = 64
+STREAM_BODY = json.dumps(
+    {"prompt": "yoke", "stream": True, "max_tokens": TOKENS_PER_STREAM}
+).encode()
 REQUEST_TEMPLATES = (
     RequestTemplate("calls", "GET", "/permits/7", b"", 0),
-    RequestTemplate("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS),
+    RequestTemplate("streams", "POST", "/v1/completions", STREAM_BODY, TOKENS_PER_STREAM),
 )
 CONNECTIONS = 32
 # Targets: the ratio of requests per core-second to the relay's, and the added first-byte latency.
--- a/bench/wall_clock/gateways.py
+++ b/bench/wall_clock/gateways.py
@@ -24,13 +24,13 @@
 )
 from cassiadrum.protocols import ConnectFailed, HttpClient
 
-__all__ = ["EVENTS", "GATEWAY_REQUEST_TEMPLATES", "GatewayPlatform"]
+__all__ = ["EVENTS_PER_STREAM", "GATEWAY_REQUEST_TEMPLATES", "GatewayPlatform"]
 
 HOST = "127.0.0.1"
 # Host header of the load generator's requests.
 CALLED_HOST = "bench"
 START_TIMEOUT_S = 20.0
-EVENTS = 64
+EVENTS_PER_STREAM = 64
 API_KEY = "bench-key"
 ROUTES = (TrialRoute("calls", CallKind.IDEMPOTENT), TrialRoute("streams", CallKind.STREAM))
 GATEWAY_REQUEST_TEMPLATES = (
@@ -40,8 +40,8 @@
         "POST",
         "/streams/7",
         b"{}",
-        EVENTS,
-        trial_stream_headers("bench", API_KEY, EVENTS),
+        EVENTS_PER_STREAM,
+        trial_stream_headers("bench", API_KEY, EVENTS_PER_STREAM),
     ),
 )
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -45,9 +45,9 @@
     for cls in document.classes:
         for start_s, length_s, window_load in windows:
             base, burst = class_shares(document, scenario, cls, window_load)
-            for share, big in ((base, 0.0), (burst, scenario.burst_customer_share)):
-                maker = _CallGenerator(document, cls, rng, big)
-                calls += maker.generate(share * capacity * length_s, start_s, length_s)
+            for share, customer_share in ((base, 0.0), (burst, scenario.burst_customer_share)):
+                generator = _CallGenerator(document, cls, rng, customer_share)
+                calls += generator.generate(share * capacity * length_s, start_s, length_s)
     calls.sort(key=lambda call: (call.req.arrived_s, call.req.request_id))
     return calls
 
@@ -57,8 +57,8 @@
 ) -> tuple[float, float]:
     """Return a class's base load and burst load as fractions of the capacity."""
     profiles = CLASS_PROFILES[document.name]
-    open_classes = [other.name for other in document.classes if not other.protected]
-    bursting = [name for name in open_classes if name in scenario.burst] or open_classes
+    unprotected = [other.name for other in document.classes if not other.protected]
+    bursting = [name for name in unprotected if name in scenario.burst] or unprotected
     base = profiles[cls.name].share * min(1.0, load / BASE_LOAD)
     if cls.name not in bursting:
         return base, 0.0
--- a/cassiadrum/tests/test_gateway_switches.py
+++ b/cassiadrum/tests/test_gateway_switches.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.gateway_switches import ROOT, TABLE_PATH, Switch, load_switches, patch_of
+from bench.gateway_switches import ROOT, TABLE_PATH, Switch, load_switches, make_patch
 
 SWITCHES = load_switches(TABLE_PATH.read_text())
 
@@ -15,13 +15,13 @@
     @pytest.mark.parametrize("switch", SWITCHES, ids=lambda switch: switch.name)
     def test_patch_changes_the_file_and_leaves_it_valid(self, switch: Switch) -> None:
         text = (ROOT / switch.file).read_text()
-        patch = patch_of(switch, text)
+        patch = make_patch(switch, text)
         assert patch.startswith(f"--- a/{switch.file}\n+++ b/{switch.file}\n@@ ")
         ast.parse(text.replace(switch.code, switch.replacement))
 
     def test_code_that_has_changed_is_an_error(self) -> None:
         with pytest.raises(ValueError, match="has the code 0 times"):
-            patch_of(SWITCHES[0], "")
+            make_patch(SWITCHES[0], "")
 
     def test_names_are_unique(self) -> None:
         assert len({switch.name for switch in SWITCHES}) == len(SWITCHES)
