--- a/bench/ablated_policies.py
+++ b/bench/ablated_policies.py
@@ -1,4 +1,4 @@
-"""Policies without one of their rules."""
+"""Admission and retry policies of the ablations, each without one rule."""
 
 from cassiadrum.decisions import (
     Admission,
@@ -9,11 +9,11 @@
     ServiceSnapshot,
 )
 
-__all__ = ["AdmitAlways", "EndWithAttempt"]
+__all__ = ["NonContinuingRetryPolicy", "UnconditionalAdmission"]
 
 
-class AdmitAlways(Admission):
-    """Accept every request whatever its deadline."""
+class UnconditionalAdmission(Admission):
+    """Admits every request regardless of its deadline."""
 
     def decide(self, req: QueuedRequest, now: float, view: ServiceSnapshot) -> Admitted:
         return Admitted(0.0, 0.0)
@@ -28,8 +28,8 @@
         pass
 
 
-class EndWithAttempt(BudgetRetryPolicy):
-    """Retry partly delivered answers within the budget only."""
+class NonContinuingRetryPolicy(BudgetRetryPolicy):
+    """Treats the continuation of a partly delivered answer as a retry that costs budget."""
 
     def may_continue(self, req: QueuedRequest, now: float) -> bool:
         return self.may_retry(req, ExecutionStatus.UNKNOWN, now)
--- a/bench/ablated_queues.py
+++ b/bench/ablated_queues.py
@@ -1,12 +1,12 @@
-"""Queues without one of their rules."""
+"""Request queues of the ablations, each without one rule."""
 
 from cassiadrum.decisions import QueuedRequest, RequestQueue
 
-__all__ = ["NoMinShare", "NoShortQueueForProtected"]
+__all__ = ["FreeSlotOnlyQueue", "NoMinShareQueue"]
 
 
-class WrappedQueue(RequestQueue):
-    """Pass every call on to another queue."""
+class DelegatingQueue(RequestQueue):
+    """Delegates every call to another queue."""
 
     def __init__(self, queue: RequestQueue) -> None:
         self._queue = queue
@@ -36,15 +36,15 @@
         return len(self._queue)
 
 
-class NoShortQueueForProtected(WrappedQueue):
-    """Place protected work only while a slot is free."""
+class FreeSlotOnlyQueue(DelegatingQueue):
+    """Dispatches protected work only while a slot is free, as other work."""
 
     def protected_waiting(self) -> bool:
         return False
 
 
-class NoMinShare(WrappedQueue):
-    """Serve strictly by tier, however long a lower one has waited."""
+class NoMinShareQueue(DelegatingQueue):
+    """Serves strictly by tier, without a minimum share for lower tiers."""
 
     def push(self, req: QueuedRequest, now: float) -> list[QueuedRequest]:
         return self._queue.push(req._replace(min_share=0.0), now)
--- a/bench/capacity/extrapolations.py
+++ b/bench/capacity/extrapolations.py
@@ -1,33 +1,43 @@
-"""What the measured lines say about the target size."""
+"""Extrapolation of the measured lines to the target size."""
 
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
 
 from bench.capacity.fits import Fit
 
-__all__ = ["EXTRAPOLATIONS", "LIMITS_AT_TARGET", "Extrapolation", "Total", "fit_of", "totals"]
+__all__ = [
+    "EXTRAPOLATIONS",
+    "LIMITS_AT_TARGET",
+    "Extrapolation",
+    "RoleTotal",
+    "read_fit",
+    "totals",
+]
 
-# Section 1.8 of the design page.
+# Target size, from section 1.8 of docs/design.md.
 ENTRIES: Final = 2300
 ENGINES: Final = 7300
 REQUESTS_PER_S: Final = 66_000
 CUSTOMERS: Final = 39_000
 SERVICES: Final = 17
 CHANGES_PER_S: Final = 7900 / 86_400
-ENTRY_LINKS: Final = 64
-SIDECAR_LINKS: Final = 20
-QUEUE: Final = 2048
-EVENTS: Final = 16_384
-# A finished answer is kept for 60 s.
-KEPT_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
+LINKS_PER_ENTRY: Final = 64
+LINKS_PER_SIDECAR: Final = 20
+MAX_QUEUED_REQUESTS: Final = 2048
+EVENT_RING_SIZE: Final = 16_384
+# A sidecar retains finished answers for 60 s.
+RETAINED_ANSWERS: Final = REQUESTS_PER_S / ENGINES * 60
 LIMITS_AT_TARGET: Final = {"MB": 64.0, "% of a core": 4.7, "B/s": 6000.0}
 
 
 class Extrapolation(NamedTuple):
-    """Take a line at `x`, times `factor` for the unit; `slope_only` leaves out the base cost."""
+    """Value of a series' fitted line at `x`, times `factor` to convert it to `unit`.
+
+    `slope_only` leaves out the intercept, the cost of the process without the resource.
+    """
 
     role: str
-    what: str
+    resource: str
     series: str
     x: float
     factor: float
@@ -36,12 +46,12 @@
 
     def value(self, report: Mapping[str, Any]) -> float:
         """Return the figure at the target size."""
-        fit = fit_of(report, self.series)
-        return self.factor * (fit.slope * self.x if self.slope_only else fit.at(self.x))
+        fit = read_fit(report, self.series)
+        return self.factor * (fit.slope * self.x if self.slope_only else fit.value_at(self.x))
 
 
-class Total(NamedTuple):
-    """A role's sum in a unit against its limit."""
+class RoleTotal(NamedTuple):
+    """Sum of a role's extrapolations in one unit and its limit."""
 
     role: str
     unit: str
@@ -52,14 +62,16 @@
 REQUESTS_PER_ENTRY: Final = REQUESTS_PER_S / ENTRIES
 
 EXTRAPOLATIONS: Final = (
-    Extrapolation("entry", "links", "dialer_link_memory_bytes", ENTRY_LINKS, 1e-6, "MB", True),
+    Extrapolation("entry", "links", "dialer_link_memory_bytes", LINKS_PER_ENTRY, 1e-6, "MB", True),
     Extrapolation("entry", "endpoints of the subset", "endpoint_memory_bytes", 64, 1e-6, "MB"),
     Extrapolation("entry", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
     Extrapolation("entry", "customers", "customer_memory_bytes", CUSTOMERS, 1e-6, "MB"),
-    Extrapolation("entry", "full queue", "queue_memory_bytes", QUEUE, 1e-6, "MB", True),
-    Extrapolation("entry", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
     Extrapolation(
-        "entry", "links at rest", "dialer_link_cpu_us_per_s", ENTRY_LINKS, 1e-4, "% of a core"
+        "entry", "full queue", "queue_memory_bytes", MAX_QUEUED_REQUESTS, 1e-6, "MB", True
+    ),
+    Extrapolation("entry", "full event ring", "event_memory_bytes", EVENT_RING_SIZE, 1e-6, "MB"),
+    Extrapolation(
+        "entry", "links at rest", "dialer_link_cpu_us_per_s", LINKS_PER_ENTRY, 1e-4, "% of a core"
     ),
     Extrapolation(
         "entry",
@@ -71,16 +83,23 @@
         True,
     ),
     Extrapolation(
-        "entry", "links at rest", "link_control_bytes_per_s", ENTRY_LINKS, 1.0, "B/s", True
+        "entry", "links at rest", "link_control_bytes_per_s", LINKS_PER_ENTRY, 1.0, "B/s", True
     ),
     Extrapolation(
-        "sidecar", "links", "sidecar_link_memory_bytes", SIDECAR_LINKS, 1e-6, "MB", True
+        "sidecar", "links", "sidecar_link_memory_bytes", LINKS_PER_SIDECAR, 1e-6, "MB", True
     ),
     Extrapolation("sidecar", "services", "service_memory_bytes", SERVICES, 1e-6, "MB"),
-    Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENTS, 1e-6, "MB"),
-    Extrapolation("sidecar", "kept answers", "kept_answer_memory_bytes", KEPT_ANSWERS, 1e-6, "MB"),
+    Extrapolation("sidecar", "full event ring", "event_memory_bytes", EVENT_RING_SIZE, 1e-6, "MB"),
+    Extrapolation(
+        "sidecar", "kept answers", "kept_answer_memory_bytes", RETAINED_ANSWERS, 1e-6, "MB"
+    ),
     Extrapolation(
-        "sidecar", "links at rest", "sidecar_link_cpu_us_per_s", SIDECAR_LINKS, 1e-4, "% of a core"
+        "sidecar",
+        "links at rest",
+        "sidecar_link_cpu_us_per_s",
+        LINKS_PER_SIDECAR,
+        1e-4,
+        "% of a core",
     ),
     Extrapolation(
         "sidecar",
@@ -92,19 +111,19 @@
         True,
     ),
     Extrapolation(
-        "sidecar", "links at rest", "link_control_bytes_per_s", SIDECAR_LINKS, 1.0, "B/s", True
+        "sidecar", "links at rest", "link_control_bytes_per_s", LINKS_PER_SIDECAR, 1.0, "B/s", True
     ),
 )
 
 
-def fit_of(report: Mapping[str, Any], series: str) -> Fit:
-    """Return the committed line of a series."""
+def read_fit(report: Mapping[str, Any], series: str) -> Fit:
+    """Return the fitted line of a series in the report."""
     entry = report["series"][series]
     return Fit(*(entry[field] for field in Fit._fields))
 
 
-def totals(report: Mapping[str, Any]) -> list[Total]:
-    """Return each role's sums; memory starts from the measured idle daemon."""
+def totals(report: Mapping[str, Any]) -> list[RoleTotal]:
+    """Return the sums of each role and unit; memory includes that of the idle daemon."""
     found = []
     for role in ("entry", "sidecar"):
         for unit, limit in LIMITS_AT_TARGET.items():
@@ -112,5 +131,5 @@
             value = sum(part.value(report) for part in parts)
             if unit == "MB":
                 value += report["rest"][f"{role}_idle_mb"]
-            found.append(Total(role, unit, value, limit))
+            found.append(RoleTotal(role, unit, value, limit))
     return found
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -1,4 +1,4 @@
-"""Series over the state of one process: queue, customers, endpoints, services, changes."""
+"""Series by the size of one process's state, such as its queue, customers or endpoints."""
 
 import gc
 import random
@@ -6,7 +6,7 @@
 import tracemalloc
 from collections.abc import Callable
 
-from bench.wall_clock.sites import document
+from bench.wall_clock.bench_platforms import make_document
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
     Dispatcher,
@@ -28,14 +28,14 @@
 
 Points = list[tuple[float, float]]
 REPEATS = 2000
-# 197 tokens, the mean at the target size (13 million tokens for 66,000 requests), as events of
-# about 60 bytes; and a prompt of 200 tokens.
+# An answer of 197 tokens, the mean at the target size (13 million tokens for 66,000 requests), as
+# events of about 60 bytes; and a prompt of 200 tokens.
 ANSWER_BYTES = 12_000
 PROMPT_BYTES = 1000
 
 
 def make_request(number: int, now: float, customers: int = 10) -> QueuedRequest:
-    """Return a request of one of `customers` customers."""
+    """Return a request of one of `customers` customers, in turn by its number."""
     return QueuedRequest(
         f"entry-1-1a2b3c4d-{number}",
         "svc",
@@ -65,8 +65,8 @@
     return dispatcher
 
 
-def memory_of(build: Callable[[], object]) -> float:
-    """Return the bytes that are allocated by `build` and kept by its result."""
+def measure_memory(build: Callable[[], object]) -> float:
+    """Return the bytes that `build` allocates and its result retains."""
     gc.collect()
     tracemalloc.start()
     kept = build()
@@ -78,7 +78,7 @@
 
 
 def queue_memory() -> Points:
-    """Bytes of a queue by its length."""
+    """Return the bytes of a queue by its length."""
 
     def build(length: int) -> FairTierQueue:
         queue = FairTierQueue(length)
@@ -86,11 +86,11 @@
             queue.push(make_request(number, 0.0), 0.0)
         return queue
 
-    return [(n, memory_of(lambda n=n: build(n))) for n in (10, 1000, 10_000, 40_000, 100_000)]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in (10, 1000, 10_000, 40_000, 100_000)]  # type: ignore[misc]
 
 
 def queue_time() -> Points:
-    """Microseconds of a push and a pop by the logarithm of the queue's length."""
+    """Return the CPU microseconds of a push and a pop by the bit length of the queue's length."""
     points = []
     for length in (10, 100, 1000, 10_000, 100_000):
         queue = FairTierQueue(length + REPEATS)
@@ -107,49 +107,49 @@
 
 
 def customer_memory() -> Points:
-    """Bytes of a dispatcher and the metrics after one answer for each customer."""
+    """Return the bytes of a dispatcher and its metrics by the customers with one answer each."""
 
     def build(customers: int) -> tuple[Dispatcher, RoleMetrics]:
         dispatcher, metrics = make_dispatcher(8), RoleMetrics(lambda: 0.0)
         for number in range(customers):
             req = make_request(number, 0.0, customers)
-            _serve(dispatcher, req, 0.0)
+            _complete_request(dispatcher, req, 0.0)
             metrics.delivered("svc", "all", req.customer, 200)
         return dispatcher, metrics
 
     sizes = (10, 1000, 10_000, 20_000, 40_000)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def endpoint_memory() -> Points:
-    """Bytes of a dispatcher by the endpoints of its subset."""
+    """Return the bytes of a dispatcher by the number of endpoints in its subset."""
     sizes = (8, 64, 128, 256, 512)
-    return [(n, memory_of(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: make_dispatcher(n))) for n in sizes]  # type: ignore[misc]
 
 
 def endpoint_time() -> Points:
-    """Microseconds of the decisions on a request by the endpoints of the subset."""
+    """Return the CPU microseconds of a request's decisions by the endpoints in the subset."""
     points = []
     for endpoints in (8, 64, 128, 256, 512):
         dispatcher = make_dispatcher(endpoints)
         for number in range(200):
-            _serve(dispatcher, make_request(number, 0.0), 0.0)
+            _complete_request(dispatcher, make_request(number, 0.0), 0.0)
         started_s = time.process_time()
         for number in range(REPEATS):
-            _serve(dispatcher, make_request(1000 + number, 1.0), 1.0 + number * 1e-4)
+            _complete_request(dispatcher, make_request(1000 + number, 1.0), 1.0 + number * 1e-4)
         spent_s = time.process_time() - started_s
         points.append((float(endpoints), 1e6 * spent_s / REPEATS))
     return points
 
 
 def service_memory() -> Points:
-    """Bytes of the configurations in force by the number of services."""
+    """Return the bytes of the configurations in force by the number of services."""
     sizes = (1, 25, 50, 100, 200)
-    return [(n, memory_of(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: _registry(n))) for n in sizes]  # type: ignore[misc]
 
 
 def digest_time() -> Points:
-    """Microseconds of the digest that a heartbeat carries by the number of services."""
+    """Return the CPU microseconds of a heartbeat's digest by the number of services."""
     points = []
     for services in (1, 25, 50, 100, 200):
         registry = _registry(services)
@@ -162,20 +162,22 @@
 
 
 def change_time() -> Points:
-    """Microseconds spent on applying a number of changes to 17 services."""
+    """Return the CPU microseconds to apply changes to 17 services by the number of changes."""
     points = []
     for changes in (10, 50, 100, 200, 400):
         registry = _registry(17)
         started_s = time.process_time()
         for number in range(changes):
             name = f"svc-{number % 17}"
-            registry.apply(ConfigurationRecord(name, number + 2, document(name, "model"), False))
+            registry.apply(
+                ConfigurationRecord(name, number + 2, make_document(name, "model"), False)
+            )
         points.append((float(changes), 1e6 * (time.process_time() - started_s)))
     return points
 
 
 def event_memory() -> Points:
-    """Bytes of an event ring by the events in it."""
+    """Return the bytes of an event ring by its number of events."""
 
     def build(count: int) -> EventRing:
         ring = EventRing(HybridClock(time.time), "entry-1", "entry", "1a2b3c4d")
@@ -194,11 +196,11 @@
         return ring
 
     sizes = (256, 2048, 4096, 8192, 16_384)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def kept_answer_memory() -> Points:
-    """Bytes of a sidecar's finished answers of ANSWER_BYTES by their number."""
+    """Return the bytes of a sidecar's finished answers of ANSWER_BYTES by their number."""
 
     def build(count: int) -> list[SidecarStream]:
         kept = []
@@ -214,19 +216,19 @@
         return kept
 
     sizes = (10, 100, 300, 600, 1000)
-    return [(n, memory_of(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
+    return [(n, measure_memory(lambda n=n: build(n))) for n in sizes]  # type: ignore[misc]
 
 
 def _registry(services: int) -> ConfigurationRegistry:
     registry = ConfigurationRegistry()
     for number in range(services):
         name = f"svc-{number}"
-        registry.apply(ConfigurationRecord(name, 1, document(name, "model"), False))
+        registry.apply(ConfigurationRecord(name, 1, make_document(name, "model"), False))
     return registry
 
 
-def _serve(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
-    """Pass a request through its whole life."""
+def _complete_request(dispatcher: Dispatcher, req: QueuedRequest, now: float) -> None:
+    """Submit a request, report its first token and finish it."""
     actions = dispatcher.submit(req, now)
     instance = getattr(actions[0], "instance", "")
     dispatcher.progressed(instance, req.request_id, 1, now)
--- a/bench/parts.py
+++ b/bench/dispatcher_parts.py
@@ -1,4 +1,4 @@
-"""The replaceable parts of a dispatcher."""
+"""The replaceable components of a dispatcher."""
 
 from typing import NamedTuple
 
@@ -11,11 +11,15 @@
     RetryPolicy,
 )
 
-__all__ = ["Parts"]
+__all__ = ["DispatcherParts"]
 
 
-class Parts(NamedTuple):
-    """Hold what a dispatcher is built from."""
+class DispatcherParts(NamedTuple):
+    """The components that a dispatcher is built from.
+
+    `uncancellable` names the classes whose requests are not cancellable. `streams_tokens` tells
+    whether the service answers with a token stream.
+    """
 
     queue: RequestQueue
     chooser: EndpointChooser
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -14,10 +14,10 @@
 
 
 class FakeEngine:
-    """Decode all running streams in steps whose length grows with the batch.
+    """Decodes all running streams in steps whose duration grows with the batch size.
 
-    Between two events all steps have the same length, so the engine counts steps as a real
-    number and needs one event for each end of a prefill and of a stream.
+    Between two events all steps have the same duration, so the engine counts steps as a real
+    number and schedules events only for the ends of prefills and of streams.
     """
 
     def __init__(
@@ -38,38 +38,38 @@
         self._prefills: list[tuple[int, int, Stream]] = []
         self._ends: list[tuple[float, int, int, Stream]] = []
         self._sequence = 0
-        self._log_steps: list[float] = [0.0]
-        self._log_gaps: list[float] = [0.0]
+        self._interval_starts: list[float] = [0.0]
+        self._interval_gaps_s: list[float] = [0.0]
         self.streams: dict[str, Stream] = {}
         self.cache = PrefixCache(profile.cache_blocks)
         self.new_keys: list[int] = []
         self.slowdown = 1.0
-        self.tokens = 0.0
-        self.prefilled = 0.0
+        self.produced = 0.0
+        self.prefilled_tokens = 0.0
 
     def start(self, call: Call, request_id: str) -> Stream:
-        """Start a request; a resumed one continues behind the text already delivered."""
+        """Start a request; a resumed request continues after the text already delivered."""
         found, added = self.cache.use(call.req.prefix_keys)
         self.new_keys += added
         cached = found * self._profile.chunk_tokens
         tokens = max(1.0, call.req.prompt_tokens - cached + call.delivered)
-        self.prefilled += tokens
+        self.prefilled_tokens += tokens
         stream = Stream(call, request_id, call.work - call.delivered, tokens, self._loop.now)
         self.streams[request_id] = stream
         self._queue_prefill(stream)
         return stream
 
     def pause(self, request_id: str) -> None:
-        """Stop a stream; its KV cache stays."""
+        """Pause a stream; its KV cache is kept."""
         self._advance()
         stream = self.streams[request_id]
-        self._settle(stream)
+        self._update_stream(stream)
         stream.paused_at_s = self._loop.now
-        self._withdraw(stream)
+        self._unschedule(stream)
         self._schedule()
 
     def resume(self, request_id: str) -> None:
-        """Let a paused stream go on."""
+        """Resume a paused stream."""
         stream = self.streams[request_id]
         if stream.started_at_s is None:
             stream.paused_at_s = -1.0
@@ -82,37 +82,37 @@
         self._schedule()
 
     def cancel(self, request_id: str) -> Stream | None:
-        """Stop a request for good and return it, or None when it does not run here."""
+        """Abort a request and return its stream, or None if it does not run here."""
         stream = self.streams.get(request_id)
         if stream is None:
             return None
         self._advance()
-        self._settle(stream)
-        self._withdraw(stream)
+        self._update_stream(stream)
+        self._unschedule(stream)
         del self.streams[request_id]
         self._schedule()
         return stream
 
     def crash(self) -> list[Stream]:
-        """Lose all streams and the cache; return the streams."""
+        """Abort all streams, clear the cache and return the streams."""
         lost = [stream for key in list(self.streams) if (stream := self.cancel(key))]
         self.cache.clear()
         return lost
 
     def slow_down(self, factor: float) -> None:
-        """Make every step `factor` times as long."""
+        """Multiply the duration of every step by `factor`."""
         self._advance()
         self.slowdown = factor
         self._schedule()
 
-    def settle_all(self) -> None:
-        """Bring the counts of all streams up to now."""
+    def update_progress(self) -> None:
+        """Update the token counts of all streams to the current time."""
         self._advance()
         for stream in self._decoding.values():
-            self._settle(stream)
+            self._update_stream(stream)
 
     def step_s(self) -> float:
-        """Return the seconds of the current step."""
+        """Return the duration of the current step in seconds."""
         step_s = self._profile.step_s(len(self._decoding), bool(self._prefills))
         return step_s * self.slowdown
 
@@ -130,7 +130,7 @@
         end = self._steps + stream.remaining
         heapq.heappush(self._ends, (end, self._sequence, stream.epoch, stream))
 
-    def _withdraw(self, stream: Stream) -> None:
+    def _unschedule(self, stream: Stream) -> None:
         stream.epoch += 1
         stream.start_step = -1.0
         self._decoding.pop(stream.request_id, None)
@@ -139,21 +139,21 @@
             heapq.heapify(kept)
             self._prefills = kept
 
-    def _settle(self, stream: Stream) -> None:
-        """Credit a decoding stream with the steps since it was last settled."""
+    def _update_stream(self, stream: Stream) -> None:
+        """Add the tokens of the steps since the last update to a decoding stream."""
         if stream.start_step < 0:
             return
         first, last = stream.start_step, self._steps
-        steps, gaps = self._log_steps, stream.gaps
+        steps, gaps = self._interval_starts, stream.gaps
         for index in range(bisect_right(steps, first) - 1, len(steps)):
             end = steps[index + 1] if index + 1 < len(steps) else last
-            gap_s = self._log_gaps[index]
+            gap_s = self._interval_gaps_s[index]
             gaps[gap_s] = gaps.get(gap_s, 0.0) + end - first
             first = end
         tokens = min(self._steps - stream.start_step, stream.remaining)
         stream.produced += tokens
         stream.remaining -= tokens
-        self.tokens += tokens
+        self.produced += tokens
         stream.start_step = self._steps
 
     def _advance(self) -> None:
@@ -162,9 +162,9 @@
         if elapsed_s <= 0 or not (self._decoding or self._prefills):
             return
         step_s = self.step_s()
-        if self._log_gaps[-1] != step_s:
-            self._log_steps.append(self._steps)
-            self._log_gaps.append(step_s)
+        if self._interval_gaps_s[-1] != step_s:
+            self._interval_starts.append(self._steps)
+            self._interval_gaps_s.append(step_s)
         steps = elapsed_s / step_s
         self._steps += steps
         if self._prefills:
@@ -179,9 +179,11 @@
             left = self._prefills[0][2].prefill_tokens / self._profile.chunk_tokens
             steps = min(steps, left)
         if steps != float("inf"):
-            self._loop.after(max(0.0, steps) * self.step_s(), self._wake, self._epoch)
+            self._loop.call_later(
+                max(0.0, steps) * self.step_s(), self._process_due_events, self._epoch
+            )
 
-    def _wake(self, epoch: int) -> None:
+    def _process_due_events(self, epoch: int) -> None:
         if epoch != self._epoch:
             return
         self._advance()
@@ -196,8 +198,8 @@
             if stream_epoch == stream.epoch:
                 ended.append(stream)
         for stream in ended:
-            self._settle(stream)
-            self._withdraw(stream)
+            self._update_stream(stream)
+            self._unschedule(stream)
             del self.streams[stream.request_id]
         self._schedule()
         for stream in ended:
--- a/bench/hash_affinity_choosers.py
+++ b/bench/hash_affinity_choosers.py
@@ -1,15 +1,18 @@
-"""Choice by the prompt's prefix."""
+"""Endpoint choice by a hash of the prompt prefix."""
 
 import xxhash
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["HashAffinityChooser"]
 
 
-class HashAffinityChooser(CountingChooser):
-    """Send equal prefixes to the same endpoint; a full one passes them to the next in rank."""
+class HashAffinityChooser(DispatchCountingChooser):
+    """Sends equal prefixes to the same endpoint by rendezvous hashing.
+
+    Requests for a full endpoint go to the next one in rank.
+    """
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
         key = req.prefix_keys[-1] if req.prefix_keys else req.customer
--- a/bench/operation_counts.py
+++ b/bench/operation_counts.py
@@ -1,4 +1,4 @@
-"""Operations per decision, by the size of the subset and of the queue."""
+"""Operations per dispatch decision, by the subset size and by the queue length."""
 
 import random
 import sys
@@ -8,7 +8,7 @@
 from typing import Any
 
 from bench.products import product
-from bench.worlds import load_document
+from bench.simulations import load_document
 from cassiadrum.decisions import (
     Dispatch,
     Dispatcher,
@@ -18,15 +18,18 @@
     QueuedRequest,
 )
 
-__all__ = ["QUEUES", "SUBSETS", "by_queue", "by_subset"]
+__all__ = ["QUEUE_LENGTHS", "SUBSET_SIZES", "count_by_queue_length", "count_by_subset_size"]
 
-SUBSETS = (8, 64, 512)
-QUEUES = (10, 1_000, 100_000)
+SUBSET_SIZES = (8, 64, 512)
+QUEUE_LENGTHS = (10, 1_000, 100_000)
 DECISIONS = 100
 
 
 class CountedId(str):
-    """A request id that counts comparisons, which built-in functions do out of sight."""
+    """A request id that counts its comparisons.
+
+    Comparisons within built-in functions run no bytecode and are not traced otherwise.
+    """
 
     __slots__ = ()
     compared = 0
@@ -43,7 +46,7 @@
 
 
 def count_operations(call: Callable[[], object]) -> int:
-    """Return the bytecodes run in `cassiadrum.decisions`, and comparisons, during `call`."""
+    """Return the number of bytecodes in `cassiadrum.decisions` and id comparisons of `call`."""
     count = 0
 
     def trace(frame: FrameType, event: str, arg: Any) -> Any:
@@ -64,14 +67,14 @@
     return count + CountedId.compared - before
 
 
-def by_subset() -> dict[int, float]:
+def count_by_subset_size() -> dict[int, float]:
     """Return the operations per decision for each number of endpoints."""
-    return {size: _per_decision(_dispatcher(size, limit=8), 0) for size in SUBSETS}
+    return {size: _per_decision(_dispatcher(size, limit=8), 0) for size in SUBSET_SIZES}
 
 
-def by_queue() -> dict[int, float]:
+def count_by_queue_length() -> dict[int, float]:
     """Return the operations per decision for each number of waiting requests."""
-    return {size: _per_decision(_dispatcher(8, limit=1), size) for size in QUEUES}
+    return {size: _per_decision(_dispatcher(8, limit=1), size) for size in QUEUE_LENGTHS}
 
 
 def _dispatcher(endpoints: int, limit: int) -> Dispatcher:
@@ -100,7 +103,7 @@
 
 
 def _per_decision(dispatcher: Dispatcher, queued: int) -> float:
-    """Return the operations for a submit, a report, progress, a tick and an end, on average."""
+    """Return the mean operations of a submit, a report, a progress message, a tick and an end."""
     rng = random.Random(1)
     running: list[Dispatch] = []
     for index in range(queued):
@@ -108,12 +111,12 @@
         running += [action for action in actions if isinstance(action, Dispatch)]
     total = 0
     for step in range(DECISIONS):
-        decide = partial(_round, dispatcher, _request(queued + step, rng), running)
+        decide = partial(_run_decision, dispatcher, _request(queued + step, rng), running)
         total += count_operations(partial(decide, 1.0 + step * 1e-3))
     return total / DECISIONS
 
 
-def _round(
+def _run_decision(
     dispatcher: Dispatcher, req: QueuedRequest, running: list[Dispatch], now: float
 ) -> None:
     actions = dispatcher.submit(req, now)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of a measurement, with their processor time and memory."""
+"""Child processes of a measurement and their CPU time and memory."""
 
 import asyncio
 import itertools
@@ -9,45 +9,45 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["Child", "ProcessGroup"]
+__all__ = ["ChildProcess", "ProcessGroup"]
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-START_LIMIT_S = 20.0
-# More processes than this are a mistake in a measurement's parameters.
+START_TIMEOUT_S = 20.0
+# Guards against a mistake in a measurement's parameters.
 MAX_CHILDREN = 120
 
 
-class Child:
-    """One child process that printed a JSON object with its addresses when it was ready."""
+class ChildProcess:
+    """A child process; `startup_info` is the JSON object with addresses printed at its start."""
 
-    def __init__(self, process: asyncio.subprocess.Process, ready: dict[str, Any]) -> None:
+    def __init__(self, process: asyncio.subprocess.Process, startup_info: dict[str, Any]) -> None:
         self.process = process
-        self.ready = ready
+        self.startup_info = startup_info
 
     def cpu_s(self) -> float:
-        """Return user and system seconds so far."""
+        """Return the user and system CPU time so far in seconds."""
         stat = Path(f"/proc/{self.process.pid}/stat").read_text()
         fields = stat.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
     def rss_bytes(self) -> int:
-        """Return the resident memory."""
+        """Return the resident memory in bytes."""
         statm = Path(f"/proc/{self.process.pid}/statm").read_text().split()
         return int(statm[1]) * PAGE_BYTES
 
     async def stop(self) -> None:
-        """End the process by its id and wait for it."""
+        """Kill the process if it runs, and wait for its exit."""
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
 
 
 class ProcessGroup:
-    """Start Python modules as child processes and stop all of them at the end of the block."""
+    """Context manager that starts Python modules as child processes and kills them on exit."""
 
     def __init__(self) -> None:
-        self._children: list[Child] = []
+        self._children: list[ChildProcess] = []
         self._numbers = itertools.count()
         self._directory = tempfile.TemporaryDirectory()
 
@@ -58,22 +58,28 @@
         await asyncio.gather(*(child.stop() for child in self._children))
         self._directory.cleanup()
 
-    async def start(self, module: str, *arguments: str) -> Child:
-        """Start a module and wait for its line of addresses."""
+    async def start(self, module: str, *arguments: str) -> ChildProcess:
+        """Start a module and wait until it prints its startup information.
+
+        Raises TimeoutError after START_TIMEOUT_S, and RuntimeError if MAX_CHILDREN were started.
+        """
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", module, *arguments, stdout=asyncio.subprocess.PIPE
         )
-        child = Child(process, {})
+        child = ChildProcess(process, {})
         self._children.append(child)
         assert process.stdout is not None
-        async with asyncio.timeout(START_LIMIT_S):
-            child.ready = json.loads(await process.stdout.readline())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            child.startup_info = json.loads(await process.stdout.readline())
         return child
 
-    async def start_logged(self, module: str, variable: str, settings: str) -> Child:
-        """Start a module that finds its settings by a variable and writes its log to a file."""
+    async def start_logged(self, module: str, variable: str, settings: str) -> ChildProcess:
+        """Start a module whose settings file is named by an environment variable.
+
+        Its standard output goes to a log file. Raises RuntimeError if MAX_CHILDREN were started.
+        """
         if len(self._children) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} child processes")
         path = Path(self._directory.name) / f"{next(self._numbers)}.json"
@@ -82,12 +88,12 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", module, env={**os.environ, variable: str(path)}, stdout=log
             )
-        child = Child(process, {})
+        child = ChildProcess(process, {})
         self._children.append(child)
         return child
 
-    async def daemon(self, settings: str) -> Child:
-        """Start a daemon from the text of its settings."""
+    async def start_daemon(self, settings: str) -> ChildProcess:
+        """Start a daemon with the given TOML settings."""
         path = Path(self._directory.name) / f"{next(self._numbers)}.toml"
         path.write_text(settings)
         return await self.start("cassiadrum.daemon", "--settings", str(path))
--- a/bench/products.py
+++ b/bench/products.py
@@ -1,9 +1,9 @@
-"""The strategy of the product: the only file that names its parts."""
+"""The product's strategy; no other benchmark module selects the components of its dispatcher."""
 
 import random
 
-from bench.capacities import best_batch
-from bench.parts import Parts
+from bench.capacities import best_batch_size
+from bench.dispatcher_parts import DispatcherParts
 from bench.strategies import Strategy
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
@@ -21,12 +21,12 @@
 from cassiadrum.defaults import SETTINGS_DEFAULTS
 from cassiadrum.documents import ServiceDocument
 
-__all__ = ["QUEUE_REQUESTS", "build", "product", "product_parts", "product_scheduler"]
+__all__ = ["QUEUE_REQUESTS", "build_dispatcher", "product", "product_parts", "product_scheduler"]
 
 QUEUE_REQUESTS = int(str(SETTINGS_DEFAULTS["limits.queue_requests"]))
-# The mean of a lognormal length with a spread of 0.8 to 1.0 is near its 0.67 quantile.
+# The mean of a lognormal length with a sigma of 0.8 to 1.0 is near its 0.67 quantile.
 COST_QUANTILE = 0.67
-# Lets the limit grow beyond the best batch, so that it is the measured latency that stops it.
+# Lets the limit grow beyond the best batch size, so that the measured latency bounds it.
 LIMIT_HEADROOM = 2
 
 
@@ -34,13 +34,13 @@
     """Return the strategy that the daemon uses."""
 
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
-        return build(product_parts(document, seed, queue_requests))
+        return build_dispatcher(product_parts(document, seed, queue_requests))
 
     return Strategy("product", make, product_scheduler)
 
 
-def build(parts: Parts) -> Dispatcher:
-    """Return the dispatcher of the parts."""
+def build_dispatcher(parts: DispatcherParts) -> Dispatcher:
+    """Return a dispatcher built from the components."""
     return Dispatcher(
         parts.queue,
         parts.chooser,
@@ -54,8 +54,8 @@
 
 def product_parts(
     document: ServiceDocument, seed: str, queue_requests: int = QUEUE_REQUESTS
-) -> Parts:
-    """Return the parts of one service's dispatcher."""
+) -> DispatcherParts:
+    """Return the components of the dispatcher of one service."""
     estimator = QuantileLengthEstimator()
     queue = FairTierQueue(
         queue_requests,
@@ -63,7 +63,7 @@
             req.class_name, req.customer, COST_QUANTILE
         ),
     )
-    return Parts(
+    return DispatcherParts(
         queue,
         LeastCostChooser(random.Random(seed), streams_tokens=document.kind == "model"),
         DeadlineAdmission(),
@@ -78,12 +78,12 @@
 def product_scheduler(
     document: ServiceDocument, *, preempt: bool = True, queue_limit: int | None = None
 ) -> EndpointScheduler:
-    """Return the scheduler of one endpoint; the limit starts at the best batch.
+    """Return the scheduler of one endpoint; its limit starts at the best batch size.
 
-    In the daemon it starts at half of the maximum. The runs are too short to measure both the
-    search for the limit and the state after it.
+    In the daemon the limit starts at half of the maximum. The runs are too short to measure both
+    the adaptation of the limit and the steady state after it.
     """
-    batch = best_batch(document)
+    batch = best_batch_size(document)
     if document.kind == "plain":
         plain = {cls.name: LatencyTargets(cls.target_total_s) for cls in document.classes}
         return EndpointScheduler(_limit(batch, batch, plain), queue_limit)
--- a/bench/random_choosers.py
+++ b/bench/random_choosers.py
@@ -1,15 +1,15 @@
-"""Random choice of the endpoint."""
+"""Random endpoint choice."""
 
 import random
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["RandomChooser"]
 
 
-class RandomChooser(CountingChooser):
-    """Choose any endpoint with a free slot."""
+class RandomChooser(DispatchCountingChooser):
+    """Chooses uniformly among the endpoints with a free slot."""
 
     def __init__(self, rng: random.Random) -> None:
         super().__init__()
--- a/bench/reported_load_choosers.py
+++ b/bench/reported_load_choosers.py
@@ -1,13 +1,13 @@
-"""Choice by the load that endpoints reported."""
+"""Endpoint choice by reported load."""
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["ReportedLoadChooser"]
 
 
-class ReportedLoadChooser(CountingChooser):
-    """Choose the endpoint with the least work in its last report, however old that is."""
+class ReportedLoadChooser(DispatchCountingChooser):
+    """Chooses the endpoint with the fewest requests in its last report, whatever its age."""
 
     def pick(self, free: list[str], req: QueuedRequest) -> str:
         return min(free, key=self._reported)
--- a/bench/round_robin_choosers.py
+++ b/bench/round_robin_choosers.py
@@ -1,13 +1,13 @@
-"""Choice of the endpoints in turn."""
+"""Round-robin endpoint choice."""
 
-from bench.counting_choosers import CountingChooser
+from bench.dispatch_counting_choosers import DispatchCountingChooser
 from cassiadrum.decisions import QueuedRequest
 
 __all__ = ["RoundRobinChooser"]
 
 
-class RoundRobinChooser(CountingChooser):
-    """Choose the next endpoint with a free slot."""
+class RoundRobinChooser(DispatchCountingChooser):
+    """Chooses the next endpoint with a free slot in order of names."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/bench/wait_checks.py
+++ b/bench/wait_checks.py
@@ -1,4 +1,4 @@
-"""Check of the longest wait against the bound of section 4.1 of the design page."""
+"""Check of the longest wait against the bound in section 4.1 of docs/design.md."""
 
 from bisect import bisect_left
 from itertools import accumulate
@@ -11,18 +11,18 @@
 
 
 class WaitCheck:
-    """Compare the waits of one class at one entry instance with its bound.
+    """Compares the waits of one class at one entry instance with their bounds.
 
-    `left_per_s` is the work a second that the entry instance's part of the service leaves for
-    classes that are not protected.
+    `available_per_s` is the work per second that the entry instance's share of the capacity leaves
+    for unprotected classes.
     """
 
     def __init__(
-        self, cls: RequestClass, calls: list[Call], left_per_s: float, end_s: float
+        self, cls: RequestClass, calls: list[Call], available_per_s: float, end_s: float
     ) -> None:
         self._cls = cls
         self._calls = calls
-        self._left_per_s = left_per_s
+        self._available_per_s = available_per_s
         self._end_s = end_s
         changes = sorted(
             change
@@ -35,23 +35,23 @@
         self._times = [when_s for when_s, _ in changes]
         self._backlogs = list(accumulate(work for _, work in changes))
 
-    def worst(self) -> float:
-        """Return the largest wait as a part of its bound."""
-        return max((self._part(call) for call in self._calls), default=0.0)
+    def max_ratio(self) -> float:
+        """Return the largest ratio of a wait to its bound."""
+        return max((self._ratio(call) for call in self._calls), default=0.0)
 
-    def _part(self, call: Call) -> float:
+    def _ratio(self, call: Call) -> float:
         waited_s = wait_s(call, self._end_s)
         if waited_s <= self._cls.max_wait_s:
             return waited_s / self._cls.max_wait_s if call.work else 0.0
         return waited_s / self._bound_s(call, waited_s)
 
     def _bound_s(self, call: Call, waited_s: float) -> float:
-        """Return the bound with the largest backlog of the class during the wait.
+        """Return the bound in seconds, from the largest backlog of the class during the wait.
 
-        Customers share a class, so later requests of other customers may be served first; the
-        backlog at arrival alone would not count them.
+        The backlog at arrival is not enough: customers share a class, so later requests of other
+        customers may be served first.
         """
         first = bisect_left(self._times, call.req.arrived_s)
         last = bisect_left(self._times, call.req.arrived_s + waited_s)
         backlog = max(self._backlogs[first : last + 1])
-        return self._cls.max_wait_s + backlog / (self._cls.min_share * self._left_per_s)
+        return self._cls.max_wait_s + backlog / (self._cls.min_share * self._available_per_s)
--- a/bench/wall_clock/relay.py
+++ b/bench/wall_clock/relay.py
@@ -1,7 +1,7 @@
-"""The least that an h11 relay does: the yardstick of the cost of a request.
+"""Minimal h11 relay, the baseline for the cost of a request.
 
-It reads a request, sends it to one address over a kept connection and passes the answer on chunk
-by chunk. It has no queue, no limits, no retries, no second process and no events.
+It reads a request, sends it to one address over a persistent connection and forwards the answer
+chunk by chunk. It has no queue, no limits, no retries, no second process and no events.
 """
 
 import argparse
@@ -12,19 +12,19 @@
 import h11
 
 READ_BYTES = 65536
-HOP = {b"host", b"connection", b"transfer-encoding", b"content-length"}
+RECOMPUTED_HEADERS = {b"host", b"connection", b"transfer-encoding", b"content-length"}
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class Relay:
-    """Pass requests to one address."""
+    """Forwards requests to one address."""
 
     def __init__(self, host: str, port: int) -> None:
         self._address = (host, port)
         self._idle: deque[Stream] = deque()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one caller's connection."""
+        """Serve the requests of one caller's connection."""
         caller = h11.Connection(h11.SERVER)
         while True:
             request, body = None, b""
@@ -51,14 +51,16 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         stream = self._idle.pop() if self._idle else await asyncio.open_connection(*self._address)
-        back = h11.Connection(h11.CLIENT)
-        headers = [(name, value) for name, value in request.headers if name not in HOP]
+        upstream = h11.Connection(h11.CLIENT)
+        headers = [
+            (name, value) for name, value in request.headers if name not in RECOMPUTED_HEADERS
+        ]
         headers += [(b"host", b"engine"), (b"content-length", str(len(body)).encode())]
         head = h11.Request(method=request.method, target=request.target, headers=headers)
-        data = (back.send(head) or b"") + (back.send(h11.Data(data=body)) or b"")
-        stream[1].write(data + (back.send(h11.EndOfMessage()) or b""))
+        data = (upstream.send(head) or b"") + (upstream.send(h11.Data(data=body)) or b"")
+        stream[1].write(data + (upstream.send(h11.EndOfMessage()) or b""))
         while True:
-            event = await next_event(back, stream[0])
+            event = await next_event(upstream, stream[0])
             if type(event) is h11.Response:
                 event = h11.Response(status_code=event.status_code, headers=event.headers)
             assert isinstance(event, h11.Event)
@@ -70,14 +72,14 @@
 
 
 async def next_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
-    """Return the next event of a connection."""
+    """Return the next event of a connection, reading more data as needed."""
     while (event := conn.next_event()) is h11.NEED_DATA:
         conn.receive_data(await reader.read(READ_BYTES))
     return event
 
 
 async def main() -> None:
-    """Serve until the process is ended."""
+    """Print the address and serve until the process is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--target", required=True)
     host, _, port = parser.parse_args().target.rpartition(":")
