--- a/cassiadrum/commands/admin_clients.py
+++ b/cassiadrum/commands/admin_clients.py
@@ -10,7 +10,7 @@
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError
 
-__all__ = ["AdminAnswer", "AdminClient", "ask"]
+__all__ = ["AdminAnswer", "AdminClient", "try_get"]
 
 READ_TIMEOUT_S: Final = 2.0
 # The accepting process takes up to 3.4 s of pauses and several store timeouts of 2 s to resolve
@@ -48,7 +48,7 @@
             raise self._unreachable(f"status {answer.status}")
         return answer.body
 
-    async def change(self, method: str, path: str, body: dict[str, Any]) -> AdminAnswer:
+    async def send_change(self, method: str, path: str, body: dict[str, Any]) -> AdminAnswer:
         """Send a change.
 
         Raises CommandError with UNREACHABLE when it was certainly not sent, and with
@@ -65,13 +65,13 @@
     async def _send(
         self, method: str, path: str, body: dict[str, Any] | None, timeout_s: float
     ) -> AdminAnswer:
-        credentials = Credentials.find()
+        credentials = Credentials.from_environment()
         client = HttpClient(self._address.host, self._address.port, tls=credentials.tls)
         data = b"" if body is None else json.dumps(body).encode()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await client.request(method, path, credentials.headers(), data)
-                return AdminAnswer(response.status, _decoded(await response.read()))
+                return AdminAnswer(response.status, _decode_object(await response.read()))
         finally:
             client.close()
 
@@ -80,14 +80,14 @@
         return CommandError(ExitCode.UNREACHABLE, f"{self._address}: {text}")
 
 
-def _decoded(data: bytes) -> dict[str, Any]:
+def _decode_object(data: bytes) -> dict[str, Any]:
     found = json.loads(data)
     if not isinstance(found, dict):
         raise ValueError("the answer is not a JSON object")
     return found
 
 
-async def ask(address: str, path: str) -> dict[str, Any] | None:
+async def try_get(address: str, path: str) -> dict[str, Any] | None:
     """Return the JSON object at a path of a process, None when it does not answer."""
     try:
         return await AdminClient(address).get(path)
--- a/cassiadrum/commands/arguments.py
+++ b/cassiadrum/commands/arguments.py
@@ -20,8 +20,8 @@
     "parse_seconds",
     "parse_text",
     "parse_time",
-    "parse_whole",
-    "takes",
+    "parse_whole_number",
+    "argument_parsers",
 ]
 
 # The help lists every attribute of a command whose name has no leading underscore as a group.
@@ -30,7 +30,7 @@
 Function = TypeVar("Function", bound=Callable[..., Any])
 
 
-def takes(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
+def argument_parsers(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
     """Return a decorator that states the parser of each argument; the others are text.
 
     Without it fire would read an id such as `1_000` as a number.
@@ -53,10 +53,10 @@
         raise CommandError(ExitCode.BAD_INPUT, detail) from exc
 
 
-def parse_whole(text: str) -> int:
+def parse_whole_number(text: str) -> int:
     """Return a whole number of at least 0; raise CommandError."""
     if not text.isdecimal():
-        raise _wrong(text, "a whole number of at least 0")
+        raise _invalid_value(text, "a whole number of at least 0")
     return int(text)
 
 
@@ -65,16 +65,16 @@
     try:
         seconds = float(text)
     except ValueError as exc:
-        raise _wrong(text, "seconds") from exc
+        raise _invalid_value(text, "seconds") from exc
     if not 0 <= seconds < float("inf"):
-        raise _wrong(text, "seconds of at least 0")
+        raise _invalid_value(text, "seconds of at least 0")
     return seconds
 
 
 def parse_text(text: str) -> str:
     """Return a text; raise CommandError when the option has no value, which fire reads as True."""
     if text == "True":
-        raise _wrong("nothing", "a value after the option")
+        raise _invalid_value("nothing", "a value after the option")
     return text
 
 
@@ -97,9 +97,9 @@
     try:
         moment = datetime.fromisoformat(text)
     except ValueError as exc:
-        raise _wrong(text, "seconds ago, or an ISO 8601 time") from exc
+        raise _invalid_value(text, "seconds ago, or an ISO 8601 time") from exc
     return (moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp()
 
 
-def _wrong(text: str, allowed: str) -> CommandError:
+def _invalid_value(text: str, allowed: str) -> CommandError:
     return CommandError(ExitCode.BAD_INPUT, f"found {text!r}; allowed: {allowed}")
--- a/cassiadrum/commands/credentials.py
+++ b/cassiadrum/commands/credentials.py
@@ -23,7 +23,7 @@
     tls: ssl.SSLContext | None = None
 
     @classmethod
-    def find(cls, environment: Mapping[str, str] = os.environ) -> "Credentials":
+    def from_environment(cls, environment: Mapping[str, str] = os.environ) -> "Credentials":
         """Return what the environment names: a file with the token, a PEM file of the CA.
 
         They are not options, because a token on a command line shows in the list of processes.
@@ -32,7 +32,7 @@
             token = environment.get(TOKEN_VARIABLE, "")
             text = Path(token).read_text().strip() if token else ""
             ca = environment.get(CA_VARIABLE, "")
-            return cls(text, _context(ca) if ca else None)
+            return cls(text, _tls_context(ca) if ca else None)
         except (OSError, UnicodeDecodeError, ssl.SSLError) as exc:
             detail = f"{TOKEN_VARIABLE} or {CA_VARIABLE}: {exc}"
             raise CommandError(ExitCode.BAD_INPUT, detail) from exc
@@ -42,7 +42,7 @@
         return (("authorization", f"Bearer {self.token}"),) if self.token else ()
 
 
-def _context(ca: str) -> ssl.SSLContext:
+def _tls_context(ca: str) -> ssl.SSLContext:
     context = ssl.create_default_context(cafile=ca)
     # Processes are known by IP number; a certificate of the CA is what counts.
     context.check_hostname = False
--- a/cassiadrum/commands/document_files.py
+++ b/cassiadrum/commands/document_files.py
@@ -14,10 +14,10 @@
 )
 from cassiadrum.stores import StoreUnavailable
 
-__all__ = ["document_of", "read_current", "read_file", "read_version"]
+__all__ = ["parse_record", "read_current_record", "read_document_file", "read_record"]
 
 
-def read_file(path: str) -> tuple[str, ServiceDocument]:
+def read_document_file(path: str) -> tuple[str, ServiceDocument]:
     """Return the text and the document of a file; raise CommandError with all findings."""
     try:
         text = Path(path).read_text()
@@ -30,7 +30,7 @@
         raise CommandError(ExitCode.BAD_INPUT, str(exc), findings=findings) from exc
 
 
-async def read_current(platform: Platform, service: str) -> ConfigurationRecord:
+async def read_current_record(platform: Platform, service: str) -> ConfigurationRecord:
     """Return the newest record, version 0 for an unknown service; raise CommandError."""
     try:
         row = await platform.table().get(CONFIG_TABLE, service)
@@ -39,10 +39,10 @@
         raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
 
 
-async def read_version(platform: Platform, service: str, version: int) -> ConfigurationRecord:
+async def read_record(platform: Platform, service: str, version: int) -> ConfigurationRecord:
     """Return the current record for version 0, else a kept version; raise CommandError."""
     if version == 0:
-        record: ConfigurationRecord | None = await read_current(platform, service)
+        record: ConfigurationRecord | None = await read_current_record(platform, service)
     else:
         try:
             record = await ConfigurationHistory(platform.table()).get(service, version)
@@ -54,7 +54,7 @@
     return record
 
 
-def document_of(record: ConfigurationRecord) -> ServiceDocument | None:
+def parse_record(record: ConfigurationRecord) -> ServiceDocument | None:
     """Return the document of a record, None for a tombstone."""
     if record.deleted:
         return None
--- a/cassiadrum/commands/event_collectors.py
+++ b/cassiadrum/commands/event_collectors.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.fleets import get_from_all, list_instances
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.events import Event, EventError, Timeline, decode_event, merge
 
@@ -18,9 +18,9 @@
     def __init__(self, platform: Platform) -> None:
         self._platform = platform
         self._positions: dict[str, int] = {}
-        self._starts: dict[str, str] = {}
+        self._start_ids: dict[str, str] = {}
         self.silent: list[str] = []
-        self.alive: set[str] = set()
+        self.answered_start_ids: set[str] = set()
 
     async def collect(self) -> list[Event]:
         """Return the new events of all processes; raise CommandError without a list."""
@@ -31,36 +31,36 @@
             targets = {
                 name: f"/admin/events?after={self._positions.get(name, 0)}" for name in pending
             }
-            answers = await ask_all(pending.values(), targets)
+            answers = await get_from_all(pending.values(), targets)
             for name, answer in answers.items():
                 if answer is None:
                     self.silent.append(name)
-                if answer is None or self._take_page(name, answer, events):
+                if answer is None or self._add_answer(name, answer, events):
                     del pending[name]
         return events
 
     async def timeline(self) -> Timeline:
         """Return what is recorded now as one timeline; raise CommandError."""
         events = await self.collect()
-        return merge(events, self.alive)
+        return merge(events, self.answered_start_ids)
 
-    def _take_page(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
+    def _add_answer(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
         """Add the events of an answer; a process that sends anything else counts as silent."""
         try:
-            return self._take(name, answer, events)
+            return self._add_page(name, answer, events)
         except (EventError, KeyError, TypeError, ValueError):
             self.silent.append(name)
             return True
 
-    def _take(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
+    def _add_page(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
         """Add the events of an answer and tell whether it was the last page."""
         start_id, last = str(answer["start_id"]), int(answer["last"])
-        if self._starts.get(name, start_id) != start_id:
+        if self._start_ids.get(name, start_id) != start_id:
             # The process was replaced; its sequence numbers began anew.
-            self._starts[name], self._positions[name] = start_id, 0
+            self._start_ids[name], self._positions[name] = start_id, 0
             return False
-        self._starts[name] = start_id
-        self.alive.add(start_id)
+        self._start_ids[name] = start_id
+        self.answered_start_ids.add(start_id)
         page = [decode_event(plain) for plain in answer["events"]]
         events += page
         if page:
--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -4,20 +4,20 @@
 from typing import Any, Final
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import takes
+from cassiadrum.commands.arguments import argument_parsers
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.event_collectors import EventCollector
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.explain_logs import explain_logged
+from cassiadrum.commands.explain_logs import explain_from_logs
 from cassiadrum.commands.results import Result
 from cassiadrum.events import Event, EventFilter, EventKind, Timeline
 
 __all__ = ["explain", "explain_request"]
 
 # An answer's id is the request's id with the number of the attempt and the sidecar.
-ANSWER_ID: Final = re.compile(r"(?P<request>.+-[0-9a-f]{8}-\d+)(\.\d+.*)?")
+ANSWER_ID_PATTERN: Final = re.compile(r"(?P<request>.+-[0-9a-f]{8}-\d+)(\.\d+.*)?")
 
-REFUSALS: Final[dict[str, str]] = {
+REASON_TEXTS: Final[dict[str, str]] = {
     "overloaded": "the queue was full and nothing of a lower tier was queued",
     "evicted": "it was the newest work of the lowest tier when the queue was full",
     "deadline": "the predicted wait, or the wait itself, exceeded deadline_s of its class",
@@ -33,7 +33,7 @@
     "caller_left": "the caller closed its connection",
 }
 
-TEXTS: Final[dict[EventKind, str]] = {
+EVENT_TEXTS: Final[dict[EventKind, str]] = {
     EventKind.RECEIVED: "received from customer {customer} as class {class_name}",
     EventKind.QUEUED: "waited for a free slot",
     EventKind.DISPATCHED: "attempt {attempt} sent to {to}, chosen by free slots, zone and cache",
@@ -54,7 +54,7 @@
 }
 
 
-@takes()
+@argument_parsers()
 def explain(request_id: str, *files: str) -> Action:
     """Tell why a request went where it went, waited, or was refused.
 
@@ -67,8 +67,8 @@
 
     async def run(session: Session) -> Result:
         if files:
-            return explain_logged(request_id, files)
-        match = ANSWER_ID.fullmatch(request_id)
+            return explain_from_logs(request_id, files)
+        match = ANSWER_ID_PATTERN.fullmatch(request_id)
         request = match["request"] if match else request_id
         collector = EventCollector(session.platform())
         merged = await collector.timeline()
@@ -92,11 +92,11 @@
             "at_ms": round((event.hlc.wall_us - first.hlc.wall_us) / 1e3, 1),
             "instance": event.instance,
             "kind": event.kind.value,
-            "text": _text(event),
+            "text": _event_text(event),
         }
         for event in events
     ]
-    summary = _summary(events)
+    summary = _summary_lines(events)
     lines = [f"{request_id} ({first.service}, class {first.class_name})"]
     lines += [
         f"{step['at_ms']:>10.1f} ms  {step['instance']:<18} {step['text']}" for step in steps
@@ -106,7 +106,7 @@
     return Result(data, [*lines, *summary, *notes], code)
 
 
-def _text(event: Event) -> str:
+def _event_text(event: Event) -> str:
     reason = str(event.fields.get("reason", ""))
     values: dict[str, Any] = {
         "customer": event.customer,
@@ -117,30 +117,28 @@
         "state": "?",
         "ran": "unknown",
         **event.fields,
-        "why": REFUSALS.get(reason, reason),
+        "why": REASON_TEXTS.get(reason, reason),
     }
     if event.kind is EventKind.REJECTED and reason == "overloaded":
         values["why"] = "the short queue beside the endpoint was full"
     if event.kind is EventKind.FINISHED:
-        return _finished(event)
+        return _finished_text(event)
     if event.kind is EventKind.QUEUED and event.role == "sidecar":
         return "arrived beside the endpoint"
-    return TEXTS.get(event.kind, event.kind.value).format_map(values)
+    return EVENT_TEXTS.get(event.kind, event.kind.value).format_map(values)
 
 
-def _finished(event: Event) -> str:
+def _finished_text(event: Event) -> str:
     reason = event.fields.get("reason")
     if event.role == "entry":
         return "whole answer sent to the caller"
     tokens = event.fields.get("tokens", 0)
     if not reason:
         return f"ended at the endpoint, {tokens} tokens"
-    return (
-        f"failed at the endpoint (ran: {event.fields.get('ran')}): {REFUSALS.get(reason, reason)}"
-    )
+    return f"failed at the endpoint (ran: {event.fields.get('ran')}): {REASON_TEXTS.get(reason, reason)}"
 
 
-def _summary(events: list[Event]) -> list[str]:
+def _summary_lines(events: list[Event]) -> list[str]:
     """Return where the time went and how the request ended."""
     at_s: dict[tuple[str, EventKind], float] = {}
     for event in events:
@@ -159,5 +157,5 @@
             lines.append(f"{label}: {(end - start) * 1e3:.1f} ms")
     last = [event for event in events if event.role == "entry"]
     if last:
-        lines.append(f"last event at the entry instance: {_text(last[-1])}")
+        lines.append(f"last event at the entry instance: {_event_text(last[-1])}")
     return lines
--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -6,13 +6,13 @@
 from cassiadrum.commands.log_files import LogLine, MergedLogs, merge_logs
 from cassiadrum.commands.results import Result
 
-__all__ = ["explain_logged"]
+__all__ = ["explain_from_logs"]
 
 # What a process learned this long before a request may have decided it: longer than the age up
 # to which a configuration counts as confirmed.
-BELIEF_S: Final = 10.0
+CONTEXT_S: Final = 10.0
 
-TEXTS: Final[dict[str, str]] = {
+MESSAGE_TEXTS: Final[dict[str, str]] = {
     "received": "received on route {route} ({kind}) from customer {customer!r}: urgency {urgency},"
     " target {target_ms} ms, limit {limit_ms} ms",
     "placed": "sent to {endpoint}, which had {at_endpoint} requests ({own} of this process) by"
@@ -36,7 +36,7 @@
 }
 
 # Added where a refused request waited for one endpoint, which holds its shared prompt parts.
-HOLDER_TEXT: Final = (
+PREFIX_ENDPOINT_TEXT: Final = (
     "; it waited for {endpoint}, which had {at_endpoint} requests, {without_first_bytes} of them"
     " without first bytes at {turn_ms} ms each"
 )
@@ -55,20 +55,23 @@
         return f"{self.at_ms:>10.1f} ms  {self.instance:<18} {text}"
 
 
-def explain_logged(request_id: str, files: Iterable[str]) -> Result:
+def explain_from_logs(request_id: str, files: Iterable[str]) -> Result:
     """Return the story of a request with what its processes believed; raise CommandError."""
     logs = merge_logs(files)
     own = logs.of_request(request_id)
-    beliefs = [line for line in logs.beliefs(own, BELIEF_S) if _concerns(line, own)]
+    beliefs = [line for line in logs.process_lines(own, CONTEXT_S) if _is_relevant(line, own)]
     first_s = own[0].at_s
     steps = [
         _Step(
-            round((line.at_s - first_s) * 1000, 1), line.instance, not line.request_id, _text(line)
+            round((line.at_s - first_s) * 1000, 1),
+            line.instance,
+            not line.request_id,
+            _line_text(line),
         )
         for line in sorted(beliefs + own, key=lambda line: line.at_s)
     ]
-    summary = _summary(own)
-    notes = _notes(logs, own)
+    summary = _summary_lines(own)
+    notes = _missing_parts(logs, own)
     lines = [f"{request_id} ({own[0].fields.get('service') or 'no service'})"]
     lines += [str(step) for step in steps]
     data = {
@@ -80,18 +83,18 @@
     return Result(data, [*lines, *summary, *notes])
 
 
-def _concerns(line: LogLine, own: list[LogLine]) -> bool:
+def _is_relevant(line: LogLine, own: list[LogLine]) -> bool:
     """Return whether a belief is about an endpoint of the request, or about none at all."""
     endpoint = line.fields.get("endpoint")
     return endpoint is None or endpoint in {item.fields.get("endpoint") for item in own}
 
 
-def _text(line: LogLine) -> str:
-    template = TEXTS.get(line.message)
+def _line_text(line: LogLine) -> str:
+    template = MESSAGE_TEXTS.get(line.message)
     if template is None:
         return line.message
     if line.message == "refused" and "endpoint" in line.fields:
-        template += HOLDER_TEXT
+        template += PREFIX_ENDPOINT_TEXT
     try:
         return template.format_map(line.fields)
     except KeyError:
@@ -99,7 +102,7 @@
         return f"{line.message} {inputs}".rstrip()
 
 
-def _summary(own: list[LogLine]) -> list[str]:
+def _summary_lines(own: list[LogLine]) -> list[str]:
     """Return where the time went and how the request ended."""
     at_s: dict[str, float] = {}
     for line in own:
@@ -117,10 +120,10 @@
     return lines
 
 
-def _notes(logs: MergedLogs, own: list[LogLine]) -> list[str]:
+def _missing_parts(logs: MergedLogs, own: list[LogLine]) -> list[str]:
     """Return what may be missing from the story."""
     processes = {line.instance for line in own}
-    gaps = logs.gaps_between(own[0].at_s - BELIEF_S, own[-1].at_s + BELIEF_S)
+    gaps = logs.gaps_between(own[0].at_s - CONTEXT_S, own[-1].at_s + CONTEXT_S)
     notes = [str(gap) for gap in gaps if gap.instance in processes]
     if logs.unreadable:
         notes.append(f"{logs.unreadable} rows could not be read")
--- a/cassiadrum/commands/fleets.py
+++ b/cassiadrum/commands/fleets.py
@@ -4,16 +4,16 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-from cassiadrum.commands.admin_clients import ask
+from cassiadrum.commands.admin_clients import try_get
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.stores import Instance, StoreUnavailable
 
-__all__ = ["ask_all", "find_instance", "list_instances"]
+__all__ = ["get_from_all", "find_instance", "list_instances"]
 
 # Bounds the open connections of the tool; the target size has 9,600 processes.
-CONCURRENT_REQUESTS: Final = 64
+MAX_CONCURRENT_REQUESTS: Final = 64
 
 
 async def list_instances(platform: Platform) -> list[Instance]:
@@ -33,19 +33,19 @@
     raise CommandError(ExitCode.BAD_INPUT, f"no instance `{name}` in the instance list")
 
 
-async def ask_all(
+async def get_from_all(
     instances: Iterable[Instance], path: str | Mapping[str, str]
 ) -> dict[str, dict[str, Any] | None]:
     """Return the answer of each instance by name, None of those that do not answer.
 
     `path` may give each instance its own.
     """
-    slots = asyncio.Semaphore(CONCURRENT_REQUESTS)
+    slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
     async def ask_one(item: Instance) -> dict[str, Any] | None:
         async with slots:
             own = path if isinstance(path, str) else path[item.instance]
-            return await ask(item.admin_address, own)
+            return await try_get(item.admin_address, own)
 
     listed = list(instances)
     answers = await asyncio.gather(*(ask_one(item) for item in listed))
--- a/cassiadrum/commands/log_commands.py
+++ b/cassiadrum/commands/log_commands.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterable
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, parse_text, takes
+from cassiadrum.commands.arguments import parse_seconds, parse_text, argument_parsers
 from cassiadrum.commands.log_files import merge_logs
 from cassiadrum.commands.results import Result
 
 __all__ = ["log"]
 
 
-@takes(request=parse_text, around=parse_seconds)
+@argument_parsers(request=parse_text, around=parse_seconds)
 def log(*files: str, request: str = "", around: float = 0.0) -> Action:
     """Merge log files of several processes by time.
 
@@ -29,7 +29,7 @@
     if request:
         lines = logs.of_request(request)
         if around_s:
-            lines = sorted(lines + logs.beliefs(lines, around_s), key=lambda line: line.at_s)
+            lines = sorted(lines + logs.process_lines(lines, around_s), key=lambda line: line.at_s)
     gaps = logs.gaps_between(float("-inf"), float("inf"))
     text = [str(line) for line in lines]
     text += [str(gap) for gap in gaps]
--- a/cassiadrum/commands/log_files.py
+++ b/cassiadrum/commands/log_files.py
@@ -12,7 +12,7 @@
 __all__ = ["LogGap", "LogLine", "MergedLogs", "merge_logs"]
 
 # Fields that stand in front of a line, or say nothing about the decision.
-HEAD_FIELDS: Final = frozenset(
+PREFIX_FIELDS: Final = frozenset(
     {"time", "at_s", "level", "logger", "message", "instance", "request_id"}
 )
 
@@ -71,7 +71,7 @@
                 found[gap.instance] = gap._replace(left_out=before.left_out + gap.left_out)
         return list(found.values())
 
-    def beliefs(self, own: list[LogLine], before_s: float) -> list[LogLine]:
+    def process_lines(self, own: list[LogLine], before_s: float) -> list[LogLine]:
         """Return what the processes of a request learned up to its end.
 
         The lines belong to no request and begin `before_s` seconds before the first of `own`.
@@ -95,14 +95,14 @@
     gaps: list[LogGap] = []
     unreadable = 0
     for name in files:
-        begun: dict[str, LogLine] = {}
-        for row in _rows(Path(name)):
+        first_lines: dict[str, LogLine] = {}
+        for row in _read_rows(Path(name)):
             try:
-                line = _parse(json.loads(row))
+                line = _parse_row(json.loads(row))
             except (ValueError, KeyError, TypeError, AttributeError):
                 unreadable += 1
                 continue
-            line = _after_first(line, begun)
+            line = _with_monotonic_time(line, first_lines)
             lines.append(line)
             if left_out := line.fields.get("left_out"):
                 gaps.append(LogGap(line.at_s, line.instance, left_out))
@@ -113,28 +113,28 @@
     return MergedLogs(lines, gaps, unreadable)
 
 
-def _rows(path: Path) -> list[str]:
+def _read_rows(path: Path) -> list[str]:
     try:
         return path.read_text(errors="replace").splitlines()
     except OSError as exc:
         raise CommandError(ExitCode.BAD_INPUT, f"{path}: {exc.strerror}") from exc
 
 
-def _parse(row: dict[str, Any]) -> LogLine:
+def _parse_row(row: dict[str, Any]) -> LogLine:
     at_s = row["at_s"] if "at_s" in row else datetime.fromisoformat(row["time"]).timestamp()
-    fields = {name: value for name, value in row.items() if name not in HEAD_FIELDS}
+    fields = {name: value for name, value in row.items() if name not in PREFIX_FIELDS}
     return LogLine(float(at_s), row["instance"], row.get("request_id", ""), row["message"], fields)
 
 
-def _after_first(line: LogLine, begun: dict[str, LogLine]) -> LogLine:
+def _with_monotonic_time(line: LogLine, first_lines: dict[str, LogLine]) -> LogLine:
     """Return a request's line dated by its monotonic distance from the request's first line."""
     after_ms = line.fields.get("after_ms")
     if not line.request_id or after_ms is None:
         return line
-    first = begun.setdefault(line.request_id, line)
+    first = first_lines.setdefault(line.request_id, line)
     distance_s = (after_ms - first.fields["after_ms"]) / 1000
     if distance_s < 0:
         # The same id came a second time.
-        begun[line.request_id] = line
+        first_lines[line.request_id] = line
         return line
     return line._replace(at_s=first.at_s + distance_s)
--- a/cassiadrum/commands/request_commands.py
+++ b/cassiadrum/commands/request_commands.py
@@ -8,11 +8,11 @@
 from urllib.parse import quote
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_address, parse_seconds, takes
+from cassiadrum.commands.arguments import parse_address, parse_seconds, argument_parsers
 from cassiadrum.commands.credentials import Credentials
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.fleets import get_from_all, list_instances
 from cassiadrum.commands.outputs import Output
 from cassiadrum.commands.results import Result
 from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError, HttpResponse
@@ -40,7 +40,7 @@
     limit_s: float
 
 
-@takes(limit_s=parse_seconds)
+@argument_parsers(limit_s=parse_seconds)
 def request(
     target: str,
     *,
@@ -99,14 +99,16 @@
         return parse_address(entry, "--entry")
     listed = await list_instances(session.platform())
     live = [item for item in listed if item.role == "entry" and item.state == "live"]
-    for answer in (await ask_all(live, "/admin/status")).values():
+    for answer in (await get_from_all(live, "/admin/status")).values():
         if answer and not answer["draining"]:
             return Address.parse(answer["http_address"])
     raise CommandError(ExitCode.UNREACHABLE, "no live entry instance answers; nothing was sent")
 
 
 async def _send(output: Output, call: Call) -> Result:
-    client = HttpClient(call.address.host, call.address.port, tls=Credentials.find().tls)
+    client = HttpClient(
+        call.address.host, call.address.port, tls=Credentials.from_environment().tls
+    )
     try:
         async with asyncio.timeout(call.limit_s):
             response = await client.request(call.method, call.target, call.headers, call.body)
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -10,7 +10,7 @@
 from cassiadrum.commands.admin_clients import AdminAnswer, AdminClient
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.fleets import get_from_all, list_instances
 from cassiadrum.commands.results import Result
 from cassiadrum.stores import Instance
 
@@ -87,7 +87,7 @@
     deadline_s = time.monotonic() + limit_s
     pending = {item.instance: item for item in await list_instances(session.platform())}
     while True:
-        answers = await ask_all(pending.values(), "/admin/status")
+        answers = await get_from_all(pending.values(), "/admin/status")
         lagging = {
             name: reason
             for name, answer in answers.items()
@@ -145,7 +145,7 @@
     if not change.deleted:
         body["text"] = change.text
     path = f"/admin/services/{quote(change.service, safe='')}"
-    return await AdminClient(entry.admin_address).change(method, path, body)
+    return await AdminClient(entry.admin_address).send_change(method, path, body)
 
 
 def _given_up(change: ServiceChange, unknown: CommandError | None) -> CommandError:
--- a/cassiadrum/commands/service_commands.py
+++ b/cassiadrum/commands/service_commands.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, parse_whole, takes
+from cassiadrum.commands.arguments import parse_seconds, parse_whole_number, argument_parsers
 from cassiadrum.commands.document_files import (
-    read_current,
-    read_file,
-    read_version,
+    read_current_record,
+    read_document_file,
+    read_record,
 )
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
@@ -33,7 +33,7 @@
 class ServiceCommands:
     """Check, change and read the documents of services."""
 
-    @takes()
+    @argument_parsers()
     def check(self, file: str) -> Action:
         """Parse a document in full and explain its consequences; needs no platform.
 
@@ -41,14 +41,14 @@
         """
 
         async def run(session: Session) -> Result:
-            _, document = read_file(file)
+            _, document = read_document_file(file)
             classes = [part._asdict() for part in class_consequences(document)]
             data = {"file": file, "service": document.name, "classes": classes}
             return Result(data, consequence_lines(document))
 
         return Action(run)
 
-    @takes(base=parse_whole, wait_s=parse_seconds)
+    @argument_parsers(base=parse_whole_number, wait_s=parse_seconds)
     def apply(
         self, file: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
     ) -> Action:
@@ -62,10 +62,10 @@
         """
 
         async def run(session: Session) -> Result:
-            text, document = read_file(file)
+            text, document = read_document_file(file)
             version = base
             if version < 0:
-                version = (await read_current(session.platform(), document.name)).version
+                version = (await read_current_record(session.platform(), document.name)).version
             change = ServiceChange(
                 document.name, version, operation or make_operation_id(), _author(), text
             )
@@ -73,7 +73,7 @@
 
         return Action(run)
 
-    @takes(version=parse_whole)
+    @argument_parsers(version=parse_whole_number)
     def show(self, name: str, *, version: int = 0) -> Action:
         """Print the text of the current or of a kept version.
 
@@ -81,7 +81,7 @@
         """
 
         async def run(session: Session) -> Result:
-            record = await read_version(session.platform(), name, version)
+            record = await read_record(session.platform(), name, version)
             if record.deleted:
                 detail = f"{name} was deleted with version {record.version}"
                 raise CommandError(ExitCode.BAD_INPUT, detail)
@@ -89,7 +89,7 @@
 
         return Action(run)
 
-    @takes()
+    @argument_parsers()
     def diff(self, name: str, *sides: str) -> Action:
         """Show which consequences differ, and the text, between versions or with a file.
 
@@ -110,7 +110,7 @@
 
         return Action(run)
 
-    @takes()
+    @argument_parsers()
     def versions(self, name: str) -> Action:
         """List the kept versions with their authors and times.
 
@@ -134,7 +134,7 @@
 
         return Action(run)
 
-    @takes(base=parse_whole, wait_s=parse_seconds)
+    @argument_parsers(base=parse_whole_number, wait_s=parse_seconds)
     def delete(
         self, name: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
     ) -> Action:
@@ -144,7 +144,7 @@
         """
 
         async def run(session: Session) -> Result:
-            current = await read_current(session.platform(), name)
+            current = await read_current_record(session.platform(), name)
             # With an operation id the deletion may have been made already.
             if current.version == 0 or (current.deleted and not operation):
                 raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
--- a/cassiadrum/commands/service_differences.py
+++ b/cassiadrum/commands/service_differences.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cassiadrum.commands.actions import Session
-from cassiadrum.commands.document_files import document_of, read_file, read_version
+from cassiadrum.commands.document_files import parse_record, read_document_file, read_record
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.results import Result
@@ -24,9 +24,9 @@
     async def read(cls, session: Session, service: str, what: str) -> "Side":
         """Return a version, given as a number with 0 for the current one, or a file."""
         if what.isdecimal():
-            record = await read_version(session.platform(), service, int(what))
-            return cls(f"version {record.version}", record.text, document_of(record))
-        text, document = read_file(what)
+            record = await read_record(session.platform(), service, int(what))
+            return cls(f"version {record.version}", record.text, parse_record(record))
+        text, document = read_document_file(what)
         if document.name != service:
             detail = f"{what}: service.name: found {document.name!r}; allowed: {service!r}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import takes
+from cassiadrum.commands.arguments import argument_parsers
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.results import Result
@@ -20,7 +20,7 @@
 class SettingsCommands:
     """Check settings files without starting a process."""
 
-    @takes()
+    @argument_parsers()
     def check(self, *files: str) -> Action:
         """Check settings files and print one line for each error; needs no platform.
 
--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -4,11 +4,11 @@
 
 from cassiadrum.commands.actions import Action, Session
 from cassiadrum.commands.admin_clients import AdminClient
-from cassiadrum.commands.arguments import takes
-from cassiadrum.commands.document_files import document_of
+from cassiadrum.commands.arguments import argument_parsers
+from cassiadrum.commands.document_files import parse_record
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import ask_all, find_instance, list_instances
+from cassiadrum.commands.fleets import get_from_all, find_instance, list_instances
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.commands.results import Result
 from cassiadrum.documents import class_consequences
@@ -28,7 +28,7 @@
     return Action(_status)
 
 
-@takes()
+@argument_parsers()
 def drain(instance: str) -> Action:
     """Let an instance take no new work and finish what it has; it does not exit by itself.
 
@@ -37,7 +37,7 @@
 
     async def run(session: Session) -> Result:
         item = await find_instance(session.platform(), instance)
-        answer = await AdminClient(item.admin_address).change("POST", "/admin/drain", {})
+        answer = await AdminClient(item.admin_address).send_change("POST", "/admin/drain", {})
         if answer.status != 202:
             raise CommandError(ExitCode.REFUSED, f"{instance}: {answer.body}")
         return Result({"instance": instance, "draining": True}, [f"{instance} is draining"])
@@ -48,7 +48,7 @@
 async def _status(session: Session) -> Result:
     platform = session.platform()
     instances = await list_instances(platform)
-    answers = await ask_all(instances, "/admin/status")
+    answers = await get_from_all(instances, "/admin/status")
     records, store_error = await _records(platform)
     newest = {record.service: record.version for record in records}
     if store_error:
@@ -106,7 +106,7 @@
     instances: list[Instance],
     answers: dict[str, dict[str, Any] | None],
 ) -> dict[str, Any]:
-    document = document_of(record)
+    document = parse_record(record)
     answered = [answer for answer in answers.values() if answer]
     queued = sum(_load(answer, record.service, "queued") for answer in answered)
     running = sum(_load(answer, record.service, "running") for answer in answered)
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_flag, parse_seconds, parse_time, takes
+from cassiadrum.commands.arguments import parse_flag, parse_seconds, parse_time, argument_parsers
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.event_collectors import EventCollector
 from cassiadrum.commands.exit_codes import ExitCode
@@ -38,7 +38,7 @@
 }
 
 
-@takes(seconds=parse_seconds, follow=parse_flag)
+@argument_parsers(seconds=parse_seconds, follow=parse_flag)
 def timeline(
     *,
     request: str = "",
@@ -138,7 +138,9 @@
     deadline_s = time.monotonic() + seconds
     count = 0
     while True:
-        events = selection.apply(merge(await collector.collect(), collector.alive).events)
+        events = selection.apply(
+            merge(await collector.collect(), collector.answered_start_ids).events
+        )
         count += len(events)
         for event in events:
             if output.as_json:
