--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -23,7 +23,7 @@
 COUNTS = (10, 100, 300, 600, 1000)
 REST_S = 6.0
 # The links have to be idle, as those of a fleet at rest are.
-SETTLE_S = LIMITS.IDLE_AFTER_S + 1.0
+SETTLE_S = LIMITS.LINK_IDLE_AFTER_S + 1.0
 
 
 async def measure_links() -> dict[str, list[tuple[float, float]]]:
--- a/bench/capacity/rest_figures.py
+++ b/bench/capacity/rest_figures.py
@@ -46,7 +46,7 @@
         )
         await _start_all([partial(platform.entry, f"e{n}") for n in range(1, SIDECAR_LINKS)])
         await _linked(entry, ENTRY_LINKS)
-        await asyncio.sleep(LIMITS.IDLE_AFTER_S + 1.0)
+        await asyncio.sleep(LIMITS.LINK_IDLE_AFTER_S + 1.0)
         for name, child in (("entry", entry), ("sidecar", first)):
             found |= {f"{name}_{key}": value for key, value in (await _rest(child)).items()}
         await platform.close()
--- a/cassiadrum/cli.py
+++ b/cassiadrum/cli.py
@@ -56,7 +56,7 @@
         self.request = request
 
 
-class Parsed(NamedTuple):
+class ParsedArguments(NamedTuple):
     """Hold what the arguments ask for; `action` is None after help was shown."""
 
     action: Action | None
@@ -89,13 +89,13 @@
         output = Output(parsed.as_json, stream, errors)
         result = await run_action(parsed.action, Session(output, parsed.platform))
     except CommandError as exc:
-        output.error(exc)
+        output.print_error(exc)
         return exc.code
-    output.result(result)
+    output.print_result(result)
     return result.code
 
 
-def parse(arguments: Sequence[str]) -> Parsed:
+def parse(arguments: Sequence[str]) -> ParsedArguments:
     """Return the command in the arguments.
 
     Raises CommandError for wrong values and SystemExit for help and usage errors.
@@ -113,11 +113,11 @@
     wants_help = not arguments or arguments[0] in ("-h", "--help", "help")
     root = Root() if wants_help else Root
     given = ["--help"] if wants_help else list(arguments)
-    found = fire.Fire(root, command=given, name="cassiadrum", serialize=_shown)
-    return Parsed(found if isinstance(found, Action) else None, *options[-1])
+    found = fire.Fire(root, command=given, name="cassiadrum", serialize=_printed_by_fire)
+    return ParsedArguments(found if isinstance(found, Action) else None, *options[-1])
 
 
-def _shown(found: object) -> object:
+def _printed_by_fire(found: object) -> object:
     """Return what fire prints: nothing for a command, the help for a group."""
     return None if isinstance(found, Action) else found
 
--- a/cassiadrum/commands/actions.py
+++ b/cassiadrum/commands/actions.py
@@ -18,7 +18,7 @@
 
     def platform(self) -> Platform:
         """Return the addresses; raise CommandError without them."""
-        return Platform.find(self._platform)
+        return Platform.resolve(self._platform)
 
 
 class Action:
--- a/cassiadrum/commands/arguments.py
+++ b/cassiadrum/commands/arguments.py
@@ -15,13 +15,13 @@
 from cassiadrum.settings.schemas import HostPort
 
 __all__ = [
+    "argument_parsers",
     "parse_address",
     "parse_flag",
     "parse_seconds",
     "parse_text",
     "parse_time",
     "parse_whole_number",
-    "argument_parsers",
 ]
 
 # The help lists every attribute of a command whose name has no leading underscore as a group.
--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -17,7 +17,7 @@
 # An answer's id is the request's id with the number of the attempt and the sidecar.
 ANSWER_ID_PATTERN: Final = re.compile(r"(?P<request>.+-[0-9a-f]{8}-\d+)(\.\d+.*)?")
 
-REASON_TEXTS: Final[dict[str, str]] = {
+REASONS: Final[dict[str, str]] = {
     "overloaded": "the queue was full and nothing of a lower tier was queued",
     "evicted": "it was the newest work of the lowest tier when the queue was full",
     "deadline": "the predicted wait, or the wait itself, exceeded deadline_s of its class",
@@ -117,7 +117,7 @@
         "state": "?",
         "ran": "unknown",
         **event.fields,
-        "why": REASON_TEXTS.get(reason, reason),
+        "why": REASONS.get(reason, reason),
     }
     if event.kind is EventKind.REJECTED and reason == "overloaded":
         values["why"] = "the short queue beside the endpoint was full"
@@ -135,7 +135,9 @@
     tokens = event.fields.get("tokens", 0)
     if not reason:
         return f"ended at the endpoint, {tokens} tokens"
-    return f"failed at the endpoint (ran: {event.fields.get('ran')}): {REASON_TEXTS.get(reason, reason)}"
+    return (
+        f"failed at the endpoint (ran: {event.fields.get('ran')}): {REASONS.get(reason, reason)}"
+    )
 
 
 def _summary_lines(events: list[Event]) -> list[str]:
--- a/cassiadrum/commands/fleets.py
+++ b/cassiadrum/commands/fleets.py
@@ -10,7 +10,7 @@
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.stores import Instance, StoreUnavailable
 
-__all__ = ["get_from_all", "find_instance", "list_instances"]
+__all__ = ["find_instance", "get_from_all", "list_instances"]
 
 # Bounds the open connections of the tool; the target size has 9,600 processes.
 MAX_CONCURRENT_REQUESTS: Final = 64
--- a/cassiadrum/commands/log_commands.py
+++ b/cassiadrum/commands/log_commands.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, parse_text, argument_parsers
+from cassiadrum.commands.arguments import argument_parsers, parse_seconds, parse_text
 from cassiadrum.commands.log_files import merge_logs
 from cassiadrum.commands.results import Result
 
--- a/cassiadrum/commands/outputs.py
+++ b/cassiadrum/commands/outputs.py
@@ -20,31 +20,31 @@
         self._stream = stream or sys.stdout
         self._errors = errors or sys.stderr
 
-    def result(self, result: Result) -> None:
+    def print_result(self, result: Result) -> None:
         """Print what a command returned."""
         if self.as_json:
-            self.json({**result.data, "exit_code": int(result.code)})
+            self.print_json({**result.data, "exit_code": int(result.code)})
             return
         for line in result.lines:
-            self.text(line + "\n")
+            self.print_text(line + "\n")
 
-    def error(self, exc: CommandError) -> None:
+    def print_error(self, exc: CommandError) -> None:
         """Print why a command ended."""
         if self.as_json:
-            self.json({"error": str(exc), "exit_code": int(exc.code), **exc.data})
+            self.print_json({"error": str(exc), "exit_code": int(exc.code), **exc.data})
         else:
             print(f"cassiadrum: {exc}", file=self._errors)
 
-    def json(self, value: dict[str, Any]) -> None:
+    def print_json(self, value: dict[str, Any]) -> None:
         """Print one JSON object as a line."""
         print(json.dumps(value, ensure_ascii=False), file=self._stream, flush=True)
 
-    def text(self, text: str) -> None:
+    def print_text(self, text: str) -> None:
         """Print text as it is, at once."""
         self._stream.write(text)
         self._stream.flush()
 
-    def progress(self, text: str) -> None:
+    def print_progress(self, text: str) -> None:
         """Print a line on a terminal; files and pipes do not get it."""
         if self._errors.isatty():
             print(text, file=self._errors, flush=True)
--- a/cassiadrum/commands/platforms.py
+++ b/cassiadrum/commands/platforms.py
@@ -17,7 +17,7 @@
 __all__ = ["PLATFORM_VARIABLE", "Platform"]
 
 PLATFORM_VARIABLE: Final = "CASSIADRUM_PLATFORM"
-ALLOWED: Final = "TABLE_SERVICE,INSTANCE_LIST as HOST:PORT,HOST:PORT, or a TOML file"
+PLATFORM_FORMAT: Final = "TABLE_SERVICE,INSTANCE_LIST as HOST:PORT,HOST:PORT, or a TOML file"
 
 
 class Platform(NamedTuple):
@@ -27,33 +27,33 @@
     instance_list: Address
 
     @classmethod
-    def find(cls, option: str, environment: Mapping[str, str] = os.environ) -> "Platform":
+    def resolve(cls, option: str, environment: Mapping[str, str] = os.environ) -> "Platform":
         """Return the platform of the option, else of the environment variable.
 
         A TOML file needs a table `[platform]`, so a daemon's settings file serves as well.
         """
         text = option or environment.get(PLATFORM_VARIABLE, "")
         if not text:
-            detail = f"no platform; give --platform or set {PLATFORM_VARIABLE}: {ALLOWED}"
+            detail = f"no platform; give --platform or set {PLATFORM_VARIABLE}: {PLATFORM_FORMAT}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
         if text.endswith(".toml"):
-            return cls(*_of_file(Path(text)))
+            return cls(*_read_addresses(Path(text)))
         parts = text.split(",")
         if len(parts) != len(cls._fields):
-            detail = f"platform: found {text!r}; allowed: {ALLOWED}"
+            detail = f"platform: found {text!r}; allowed: {PLATFORM_FORMAT}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
         return cls(*(parse_address(part, "platform") for part in parts))
 
     def table(self) -> HttpTableStore:
         """Return a client of the table service."""
-        return HttpTableStore(_wire(self.table_service))
+        return HttpTableStore(_store_transport(self.table_service))
 
     def instances(self) -> HttpInstanceList:
         """Return a client of the instance list."""
-        return HttpInstanceList(_wire(self.instance_list))
+        return HttpInstanceList(_store_transport(self.instance_list))
 
 
-def _of_file(path: Path) -> list[Address]:
+def _read_addresses(path: Path) -> list[Address]:
     try:
         raw: dict[str, Any] = tomllib.loads(path.read_text())
     except (OSError, ValueError) as exc:
@@ -65,5 +65,5 @@
     return [parse_address(table.get(key), f"{path}: platform.{key}") for key in Platform._fields]
 
 
-def _wire(address: Address) -> StoreTransport:
+def _store_transport(address: Address) -> StoreTransport:
     return StoreTransport(HttpClient(address.host, address.port), time.monotonic)
--- a/cassiadrum/commands/request_commands.py
+++ b/cassiadrum/commands/request_commands.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_address, parse_seconds, argument_parsers
+from cassiadrum.commands.arguments import argument_parsers, parse_address, parse_seconds
 from cassiadrum.commands.credentials import Credentials
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
@@ -21,15 +21,15 @@
 __all__ = ["request"]
 
 # Characters of a target that are sent as they are.
-SAFE: Final = "/?&=%+,:;@!$'()*~"
-ERROR_EVENT: Final = b"event: error\ndata: "
+SAFE_CHARACTERS: Final = "/?&=%+,:;@!$'()*~"
+ERROR_EVENT_PREFIX: Final = b"event: error\ndata: "
 BAD_INPUT_REASONS: Final = frozenset(
     {"unknown_service", "unknown_class", "unknown_request", "bad_request", "too_large"}
     | {"key_required", "key_reused"}
 )
 
 
-class Call(NamedTuple):
+class PreparedRequest(NamedTuple):
     """Hold one request; `limit_s` bounds its whole answer."""
 
     address: Address
@@ -63,12 +63,13 @@
 
     async def run(session: Session) -> Result:
         headers = {"x-request-class": class_name, "x-customer": customer, "idempotency-key": key}
-        call = Call(
-            await _address(session, entry),
+        call = PreparedRequest(
+            await _find_address(session, entry),
             method or ("POST" if body else "GET"),
-            "/services/" + quote(target.removeprefix("/services/").lstrip("/"), safe=SAFE),
-            tuple(_checked(headers)),
-            _body(body),
+            "/services/"
+            + quote(target.removeprefix("/services/").lstrip("/"), safe=SAFE_CHARACTERS),
+            tuple(_validate_headers(headers)),
+            _read_body(body),
             limit_s,
         )
         return await _send(session.output, call)
@@ -76,7 +77,7 @@
     return Action(run)
 
 
-def _checked(headers: dict[str, str]) -> Iterator[tuple[str, str]]:
+def _validate_headers(headers: dict[str, str]) -> Iterator[tuple[str, str]]:
     for name, value in headers.items():
         if not value.isascii() or not value.isprintable():
             detail = f"{name}: found {value!r}; allowed: printable ASCII characters"
@@ -85,7 +86,7 @@
             yield name, value
 
 
-def _body(text: str) -> bytes:
+def _read_body(text: str) -> bytes:
     if not text.startswith("@"):
         return text.encode()
     try:
@@ -94,7 +95,7 @@
         raise CommandError(ExitCode.BAD_INPUT, f"--body: {exc}") from exc
 
 
-async def _address(session: Session, entry: str) -> Address:
+async def _find_address(session: Session, entry: str) -> Address:
     if entry:
         return parse_address(entry, "--entry")
     listed = await list_instances(session.platform())
@@ -105,7 +106,7 @@
     raise CommandError(ExitCode.UNREACHABLE, "no live entry instance answers; nothing was sent")
 
 
-async def _send(output: Output, call: Call) -> Result:
+async def _send(output: Output, call: PreparedRequest) -> Result:
     client = HttpClient(
         call.address.host, call.address.port, tls=Credentials.from_environment().tls
     )
@@ -128,7 +129,7 @@
     async for part in response.body:
         parts.append(part)
         if not output.as_json and response.status < 400:
-            output.text(part.decode(errors="replace"))
+            output.print_text(part.decode(errors="replace"))
     return b"".join(parts)
 
 
@@ -139,7 +140,7 @@
         "request_id": request_id,
         "body": body.decode(errors="replace"),
     }
-    problem = _problem(response, body)
+    problem = _parse_problem(response, body)
     if problem is None and response.status < 400:
         return Result(data, ["", f"status {response.status}, request {request_id}"])
     if problem is None:
@@ -150,23 +151,23 @@
         detail += f"; try again after {problem['retry_after_s']:g} s"
     request_id = problem.get("request_id") or request_id
     detail += f"; request {request_id}" if request_id else ""
-    raise CommandError(_code(problem), detail, **data, problem=problem)
+    raise CommandError(_exit_code(problem), detail, **data, problem=problem)
 
 
-def _problem(response: HttpResponse, body: bytes) -> dict[str, Any] | None:
+def _parse_problem(response: HttpResponse, body: bytes) -> dict[str, Any] | None:
     """Return the refusal, which is the last event of a stream that had begun."""
     text = body
     if response.header("content-type").startswith("application/problem+json"):
         pass
-    elif ERROR_EVENT in body:
-        text = body.rpartition(ERROR_EVENT)[2]
+    elif ERROR_EVENT_PREFIX in body:
+        text = body.rpartition(ERROR_EVENT_PREFIX)[2]
     else:
         return None
     problem: dict[str, Any] = json.loads(text)
     return problem
 
 
-def _code(problem: dict[str, Any]) -> ExitCode:
+def _exit_code(problem: dict[str, Any]) -> ExitCode:
     if problem["ran"] != "no":
         return ExitCode.OUTCOME_UNKNOWN
     if problem["reason"] in BAD_INPUT_REASONS:
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -16,17 +16,17 @@
 
 __all__ = [
     "ServiceChange",
-    "accept_and_wait",
     "make_operation_id",
+    "submit_and_wait",
     "submit_change",
     "wait_in_force",
 ]
 
 # Unknown outcomes are asked for again at the next entry instances, at most this often in all.
-UNKNOWN_ATTEMPTS: Final = 4
+MAX_UNKNOWN_OUTCOMES: Final = 4
 RETRY_PAUSE_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.25
-CODES: Final = {
+EXIT_CODES: Final = {
     200: ExitCode.OK,
     400: ExitCode.BAD_INPUT,
     404: ExitCode.REFUSED,
@@ -59,13 +59,15 @@
     Every attempt carries the same operation id, so a change whose answer was lost is not made
     twice.
     """
-    entries = await _entries(session)
+    entries = await _list_entries(session)
     unknown: CommandError | None = None
     attempts = 0
-    for entry in entries * UNKNOWN_ATTEMPTS:
-        session.output.progress(f"operation {change.operation_id}: submitting to {entry.instance}")
+    for entry in entries * MAX_UNKNOWN_OUTCOMES:
+        session.output.print_progress(
+            f"operation {change.operation_id}: submitting to {entry.instance}"
+        )
         try:
-            return _version(await _send(entry, change), change)
+            return _accepted_version(await _send(entry, change), change)
         except CommandError as exc:
             if exc.code is ExitCode.OUTCOME_UNKNOWN:
                 unknown, attempts = exc, attempts + 1
@@ -74,10 +76,10 @@
                 attempts += 1
             elif exc.code is not ExitCode.UNREACHABLE:
                 raise
-        if attempts >= UNKNOWN_ATTEMPTS:
+        if attempts >= MAX_UNKNOWN_OUTCOMES:
             break
         await asyncio.sleep(RETRY_PAUSE_S)
-    raise _given_up(change, unknown)
+    raise _submission_error(change, unknown)
 
 
 async def wait_in_force(
@@ -91,16 +93,16 @@
         lagging = {
             name: reason
             for name, answer in answers.items()
-            if (reason := _lag(answer, service, version))
+            if (reason := _lag_reason(answer, service, version))
         }
         pending = {name: pending[name] for name in lagging}
         if not pending or time.monotonic() >= deadline_s:
             return lagging
-        session.output.progress(f"version {version}: waiting for {len(pending)} instances")
+        session.output.print_progress(f"version {version}: waiting for {len(pending)} instances")
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-async def accept_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
+async def submit_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
     """Submit a change, wait until it is in force and return the result of the command."""
     started_s = time.monotonic()
     version = await submit_change(session, change)
@@ -126,7 +128,7 @@
     return Result(data, lines, ExitCode.UNREACHABLE)
 
 
-async def _entries(session: Session) -> list[Instance]:
+async def _list_entries(session: Session) -> list[Instance]:
     listed = await list_instances(session.platform())
     entries = [item for item in listed if item.role == "entry"]
     if not entries:
@@ -148,7 +150,7 @@
     return await AdminClient(entry.admin_address).send_change(method, path, body)
 
 
-def _given_up(change: ServiceChange, unknown: CommandError | None) -> CommandError:
+def _submission_error(change: ServiceChange, unknown: CommandError | None) -> CommandError:
     if unknown is None:
         return CommandError(ExitCode.UNREACHABLE, "no entry instance answers; nothing was sent")
     detail = (
@@ -159,15 +161,15 @@
     return CommandError(ExitCode.OUTCOME_UNKNOWN, detail, **data)
 
 
-def _version(answer: AdminAnswer, change: ServiceChange) -> int:
+def _accepted_version(answer: AdminAnswer, change: ServiceChange) -> int:
     body = answer.body
     if answer.status == 200:
         return int(body["version"])
-    code = CODES.get(answer.status, ExitCode.REFUSED)
-    raise CommandError(code, _refusal(body, change), **body)
+    code = EXIT_CODES.get(answer.status, ExitCode.REFUSED)
+    raise CommandError(code, _refusal_text(body, change), **body)
 
 
-def _refusal(body: dict[str, Any], change: ServiceChange) -> str:
+def _refusal_text(body: dict[str, Any], change: ServiceChange) -> str:
     if body.get("result") == "conflict":
         current = body["current"]
         return (
@@ -181,7 +183,7 @@
     return f"not accepted: {body.get('reason') or body.get('error')}"
 
 
-def _lag(answer: dict[str, Any] | None, service: str, version: int) -> str:
+def _lag_reason(answer: dict[str, Any] | None, service: str, version: int) -> str:
     if answer is None:
         return "does not answer"
     held = answer.get("versions", {}).get(service, 0)
--- a/cassiadrum/commands/service_commands.py
+++ b/cassiadrum/commands/service_commands.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, parse_whole_number, argument_parsers
+from cassiadrum.commands.arguments import argument_parsers, parse_seconds, parse_whole_number
 from cassiadrum.commands.document_files import (
     read_current_record,
     read_document_file,
@@ -16,10 +16,10 @@
 from cassiadrum.commands.results import Result
 from cassiadrum.commands.service_changes import (
     ServiceChange,
-    accept_and_wait,
     make_operation_id,
+    submit_and_wait,
 )
-from cassiadrum.commands.service_differences import Side, compare
+from cassiadrum.commands.service_differences import ComparedDocument, compare_documents
 from cassiadrum.documents import class_consequences, consequence_lines
 from cassiadrum.states import ConfigurationHistory, InvalidRecord
 from cassiadrum.stores import StoreUnavailable
@@ -27,7 +27,7 @@
 __all__ = ["ServiceCommands"]
 
 # The target for a change to be in force everywhere.
-IN_FORCE_S = 11.0
+ROLLOUT_TARGET_S = 11.0
 
 
 class ServiceCommands:
@@ -50,7 +50,7 @@
 
     @argument_parsers(base=parse_whole_number, wait_s=parse_seconds)
     def apply(
-        self, file: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
+        self, file: str, *, base: int = -1, operation: str = "", wait_s: float = ROLLOUT_TARGET_S
     ) -> Action:
         """Accept a document and wait until it is in force everywhere.
 
@@ -69,7 +69,7 @@
             change = ServiceChange(
                 document.name, version, operation or make_operation_id(), _author(), text
             )
-            return await accept_and_wait(session, change, wait_s)
+            return await submit_and_wait(session, change, wait_s)
 
         return Action(run)
 
@@ -104,8 +104,9 @@
                 detail = f"diff: found {len(sides)} sides; allowed: a file, or one or two versions"
                 raise CommandError(ExitCode.BAD_INPUT, detail)
             old, new = sides if len(sides) == 2 else ("0", sides[0])
-            return compare(
-                await Side.read(session, name, old), await Side.read(session, name, new)
+            return compare_documents(
+                await ComparedDocument.read(session, name, old),
+                await ComparedDocument.read(session, name, new),
             )
 
         return Action(run)
@@ -127,16 +128,21 @@
                 raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
             rows: list[dict[str, Any]] = [
                 {key: getattr(record, key) for key in ("version", "author", "deleted")}
-                | {"accepted_at": _time(record.accepted_at), "operation_id": record.operation_id}
+                | {
+                    "accepted_at": _iso_time(record.accepted_at),
+                    "operation_id": record.operation_id,
+                }
                 for record in records
             ]
-            return Result({"service": name, "versions": rows}, [_row(row) for row in rows])
+            return Result(
+                {"service": name, "versions": rows}, [_version_line(row) for row in rows]
+            )
 
         return Action(run)
 
     @argument_parsers(base=parse_whole_number, wait_s=parse_seconds)
     def delete(
-        self, name: str, *, base: int = -1, operation: str = "", wait_s: float = IN_FORCE_S
+        self, name: str, *, base: int = -1, operation: str = "", wait_s: float = ROLLOUT_TARGET_S
     ) -> Action:
         """Delete a service; its versions stay in the history.
 
@@ -152,7 +158,7 @@
             change = ServiceChange(
                 name, version, operation or make_operation_id(), _author(), deleted=True
             )
-            return await accept_and_wait(session, change, wait_s)
+            return await submit_and_wait(session, change, wait_s)
 
         return Action(run)
 
@@ -164,10 +170,10 @@
         return "unknown"
 
 
-def _time(seconds: float) -> str:
+def _iso_time(seconds: float) -> str:
     return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
 
 
-def _row(row: dict[str, Any]) -> str:
+def _version_line(row: dict[str, Any]) -> str:
     deleted = "  deleted" if row["deleted"] else ""
     return f"{row['version']:>5}  {row['accepted_at']}  {row['author']}{deleted}"
--- a/cassiadrum/commands/service_differences.py
+++ b/cassiadrum/commands/service_differences.py
@@ -10,10 +10,10 @@
 from cassiadrum.commands.results import Result
 from cassiadrum.documents import ServiceDocument, changed_consequences
 
-__all__ = ["Side", "compare"]
+__all__ = ["ComparedDocument", "compare_documents"]
 
 
-class Side(NamedTuple):
+class ComparedDocument(NamedTuple):
     """Hold one of the two documents; `document` is None for a deleted service."""
 
     label: str
@@ -21,7 +21,7 @@
     document: ServiceDocument | None
 
     @classmethod
-    async def read(cls, session: Session, service: str, what: str) -> "Side":
+    async def read(cls, session: Session, service: str, what: str) -> "ComparedDocument":
         """Return a version, given as a number with 0 for the current one, or a file."""
         if what.isdecimal():
             record = await read_record(session.platform(), service, int(what))
@@ -33,7 +33,7 @@
         return cls(what, text, document)
 
 
-def compare(old: Side, new: Side) -> Result:
+def compare_documents(old: ComparedDocument, new: ComparedDocument) -> Result:
     """Return the consequences that differ and the difference of the texts."""
     changed = changed_consequences(old.document, new.document)
     before, after = old.text.splitlines(), new.text.splitlines()
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -33,7 +33,7 @@
         async def run(session: Session) -> Result:
             if not files:
                 raise CommandError(ExitCode.BAD_INPUT, "FILES: found nothing; allowed: paths")
-            found = [_check(Path(file)) for file in files]
+            found = [_check_file(Path(file)) for file in files]
             findings = [finding for _, wrong in found for finding in wrong]
             if findings:
                 detail = "\n".join(str(finding) for finding in findings)
@@ -45,7 +45,7 @@
         return Action(run)
 
 
-def _check(path: Path) -> tuple[str, list[Finding]]:
+def _check_file(path: Path) -> tuple[str, list[Finding]]:
     """Return the line for a valid file and the errors of any other."""
     try:
         if path.suffix == TOML_SUFFIX:
--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -8,7 +8,7 @@
 from cassiadrum.commands.document_files import parse_record
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import get_from_all, find_instance, list_instances
+from cassiadrum.commands.fleets import find_instance, get_from_all, list_instances
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.commands.results import Result
 from cassiadrum.documents import class_consequences
@@ -25,7 +25,7 @@
 
     Example: cassiadrum status
     """
-    return Action(_status)
+    return Action(_collect_status)
 
 
 @argument_parsers()
@@ -45,23 +45,25 @@
     return Action(run)
 
 
-async def _status(session: Session) -> Result:
+async def _collect_status(session: Session) -> Result:
     platform = session.platform()
     instances = await list_instances(platform)
     answers = await get_from_all(instances, "/admin/status")
-    records, store_error = await _records(platform)
+    records, store_error = await _read_records(platform)
     newest = {record.service: record.version for record in records}
     if store_error:
-        newest = _newest(answers)
-    rows = [_row(item, answers[item.instance], newest) for item in instances]
-    services = [_service(record, instances, answers) for record in records if not record.deleted]
+        newest = _newest_versions(answers)
+    rows = [_instance_row(item, answers[item.instance], newest) for item in instances]
+    services = [
+        _service_row(record, instances, answers) for record in records if not record.deleted
+    ]
     data = {"instances": rows, "services": services, "versions": newest, "store": store_error}
     healthy = not store_error and not any(row["lags"] for row in rows)
     code = ExitCode.OK if healthy else ExitCode.UNREACHABLE
     return Result(data, [*_instance_lines(rows), *_service_lines(services), *store_error], code)
 
 
-async def _records(platform: Platform) -> tuple[list[ConfigurationRecord], list[str]]:
+async def _read_records(platform: Platform) -> tuple[list[ConfigurationRecord], list[str]]:
     """Return the newest record of each service, and why they could not be read."""
     records: list[ConfigurationRecord] = []
     page = RowPage((), "")
@@ -77,7 +79,7 @@
         return [], [f"table service: {exc}; the newest versions are those of the instances"]
 
 
-def _newest(answers: dict[str, dict[str, Any] | None]) -> dict[str, int]:
+def _newest_versions(answers: dict[str, dict[str, Any] | None]) -> dict[str, int]:
     newest: dict[str, int] = {}
     for answer in answers.values():
         for service, version in (answer or {}).get("versions", {}).items():
@@ -85,7 +87,9 @@
     return newest
 
 
-def _row(item: Instance, answer: dict[str, Any] | None, newest: dict[str, int]) -> dict[str, Any]:
+def _instance_row(
+    item: Instance, answer: dict[str, Any] | None, newest: dict[str, int]
+) -> dict[str, Any]:
     row: dict[str, Any] = {key: getattr(item, key) for key in ("instance", "role", "service")}
     row |= {"zone": item.zone, "state": item.state, "answers": answer is not None}
     if answer is None:
@@ -101,15 +105,15 @@
     return row | {"draining": answer["draining"], **counts}
 
 
-def _service(
+def _service_row(
     record: ConfigurationRecord,
     instances: list[Instance],
     answers: dict[str, dict[str, Any] | None],
 ) -> dict[str, Any]:
     document = parse_record(record)
     answered = [answer for answer in answers.values() if answer]
-    queued = sum(_load(answer, record.service, "queued") for answer in answered)
-    running = sum(_load(answer, record.service, "running") for answer in answered)
+    queued = sum(_load_figure(answer, record.service, "queued") for answer in answered)
+    running = sum(_load_figure(answer, record.service, "running") for answer in answered)
     return {
         "service": record.service,
         "version": record.version,
@@ -121,7 +125,7 @@
     }
 
 
-def _load(answer: dict[str, Any], service: str, key: str) -> int:
+def _load_figure(answer: dict[str, Any], service: str, key: str) -> int:
     return int(answer.get("services", {}).get(service, {}).get(key, 0))
 
 
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_flag, parse_seconds, parse_time, argument_parsers
+from cassiadrum.commands.arguments import argument_parsers, parse_flag, parse_seconds, parse_time
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.event_collectors import EventCollector
 from cassiadrum.commands.exit_codes import ExitCode
@@ -26,7 +26,7 @@
     to_json_line,
 )
 
-__all__ = ["event_dict", "event_line", "timeline"]
+__all__ = ["event_to_dict", "format_event", "timeline"]
 
 FOLLOW_INTERVAL_S: Final = 0.5
 
@@ -68,7 +68,7 @@
             service,
             class_name,
             instance,
-            _kinds(kind),
+            _parse_kinds(kind),
             parse_time(since),
             parse_time(until),
         )
@@ -79,17 +79,17 @@
         if follow:
             return await _follow(session, collector, selection, seconds)
         merged = await collector.timeline()
-        return _finish(selection.select(merged), collector.silent, out)
+        return _timeline_result(selection.select(merged), collector.silent, out)
 
     return Action(run)
 
 
-def event_dict(event: Event) -> dict[str, Any]:
+def event_to_dict(event: Event) -> dict[str, Any]:
     """Return an event as a JSON object."""
     return dict(zip(Event._fields, encode_event(event), strict=True))
 
 
-def event_line(event: Event) -> str:
+def format_event(event: Event) -> str:
     """Return an event as a line of text."""
     moment = datetime.fromtimestamp(event.hlc.seconds, UTC)
     parts = [event.request_id, event.service, event.class_name]
@@ -98,7 +98,7 @@
     return f"{moment:%H:%M:%S.%f} {event.instance:<18} {event.kind.value:<22} {rest}".rstrip()
 
 
-def _kinds(text: str) -> frozenset[EventKind]:
+def _parse_kinds(text: str) -> frozenset[EventKind]:
     names = [name for name in text.split(",") if name]
     unknown = [name for name in names if name not in set(EventKind)]
     if unknown:
@@ -108,9 +108,9 @@
     return frozenset(EventKind(name) for name in names)
 
 
-def _finish(selected: Timeline, silent: list[str], out: str) -> Result:
+def _timeline_result(selected: Timeline, silent: list[str], out: str) -> Result:
     code = ExitCode.UNREACHABLE if silent else ExitCode.OK
-    notes = [f"gap: {_gap_text(gap)}" for gap in selected.gaps]
+    notes = [f"gap: {_format_gap(gap)}" for gap in selected.gaps]
     notes += [f"no answer: {name}; its events are missing" for name in silent]
     data: dict[str, Any] = {"count": len(selected.events), "silent": silent, "notes": notes}
     if out:
@@ -120,12 +120,12 @@
             raise CommandError(ExitCode.BAD_INPUT, f"--out: {exc}") from exc
         written = f"{out}: {len(selected.events)} events"
         return Result({**data, "out": out}, [written, *notes], code)
-    events = [event_dict(event) for event in selected.events]
-    lines = [event_line(event) for event in selected.events]
+    events = [event_to_dict(event) for event in selected.events]
+    lines = [format_event(event) for event in selected.events]
     return Result({**data, "events": events}, [*lines, *notes], code)
 
 
-def _gap_text(gap: Gap) -> str:
+def _format_gap(gap: Gap) -> str:
     missing = f", {gap.missing} events" if gap.missing else ""
     return f"{gap.kind.value} at {gap.instance}{missing}"
 
@@ -144,9 +144,9 @@
         count += len(events)
         for event in events:
             if output.as_json:
-                output.json(event_dict(event))
+                output.print_json(event_to_dict(event))
             else:
-                output.text(event_line(event) + "\n")
+                output.print_text(format_event(event) + "\n")
         if seconds and time.monotonic() >= deadline_s:
             code = ExitCode.UNREACHABLE if collector.silent else ExitCode.OK
             return Result({"count": count, "silent": collector.silent}, [], code)
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -21,7 +21,7 @@
 EXIT_BAD_INPUT = 2
 EXIT_DRAIN_LIMIT = 3
 # Requests that one log line names.
-DESCRIBED = 50
+MAX_DESCRIBED_REQUESTS = 50
 
 
 def main() -> None:
@@ -88,7 +88,7 @@
 def _on_signal(daemon: Daemon, stopping: asyncio.Event) -> None:
     if stopping.is_set():
         lines = daemon.describe_in_flight()
-        shown = "; ".join(lines[:DESCRIBED])
+        shown = "; ".join(lines[:MAX_DESCRIBED_REQUESTS])
         logger.info("still waiting for %d requests in flight: %s", len(lines), shown)
         return
     logger.info("draining, %d requests in flight", daemon.in_flight())
--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -46,11 +46,11 @@
     # All bodies of one server together; a quarter of the memory that a daemon may take.
     BODY_BUDGET_BYTES: Final = 16 * 1024 * 1024
     # What each request may hold beyond the shared budget.
-    BODY_FREE_BYTES: Final = 4 * 1024
+    BODY_UNBUDGETED_BYTES: Final = 4 * 1024
     HTTP_CONNECTIONS: Final = 4096
     # A client that has not sent its whole request by then is answered 408.
-    REQUEST_READ_S: Final = 30.0
-    KEEP_ALIVE_IDLE_S: Final = 60.0
+    REQUEST_READ_TIMEOUT_S: Final = 30.0
+    KEEP_ALIVE_TIMEOUT_S: Final = 60.0
     FRAME_BYTES: Final = 4 * 1024 * 1024
     STREAM_BUFFER_BYTES: Final = 256 * 1024
     HEARTBEAT_INTERVAL_S: Final = 1.0
@@ -58,22 +58,22 @@
     SILENCE_LIMIT_S: Final = 3.0
     # A link without streams for this long takes the longer times, since the heartbeats of 64
     # links each second exceed the control traffic that a daemon may cause.
-    IDLE_AFTER_S: Final = 10.0
+    LINK_IDLE_AFTER_S: Final = 10.0
     IDLE_HEARTBEAT_INTERVAL_S: Final = 3.0
     IDLE_SILENCE_LIMIT_S: Final = 9.0
     REPORT_MIN_INTERVAL_S: Final = 0.1
     # A report whose figures changed is sent after REPORT_MIN_INTERVAL_S; this is for the rest.
     REPORT_MAX_INTERVAL_S: Final = 3.0
-    DETACHED_STREAM_S: Final = 10.0
+    DETACHED_STREAM_TIMEOUT_S: Final = 10.0
     # An endpoint that sends nothing for this long, or for three times the class's target if that
     # is longer, is taken to be cut off: a connection can go silent without an error.
-    ENDPOINT_SILENCE_S: Final = 10.0
+    ENDPOINT_SILENCE_LIMIT_S: Final = 10.0
     SIDECAR_QUEUE_PER_SLOT: Final = 1
     KEPT_ANSWER_BYTES: Final = 64 * 1024
     # A longer answer of a once-only call reaches its caller but is not kept for a retry.
     CLAIM_ANSWER_BYTES: Final = 1024 * 1024
-    EVENT_RING: Final = 16_384
-    INSTANCE_POLL_S: Final = 1.0
+    EVENT_BUFFER_EVENTS: Final = 16_384
+    INSTANCE_POLL_INTERVAL_S: Final = 1.0
     # Conditional reads of the instance list by the whole fleet; a change is then seen within
     # 10 s at the target size, and a leaving sidecar tells its entry instances itself at once.
     FLEET_LIST_READS_PER_S: Final = 1000.0
--- a/cassiadrum/demo.py
+++ b/cassiadrum/demo.py
@@ -39,7 +39,7 @@
 
 async def run() -> tuple[LoadReport, int]:
     """Return the report of one run and the tokens that the engines computed."""
-    mix = _both([load_mix(EXAMPLES / name) for name in MIXES])
+    mix = _join_mixes([load_mix(EXAMPLES / name) for name in MIXES])
     site = LocalSite(list(mix.texts))
     await site.start()
     sender = LoadSender([entry.addresses["http"] for entry in site.entries], site.documents, SEED)
@@ -57,7 +57,7 @@
     ), computed
 
 
-def _both(mixes: list[LoadMix]) -> LoadMix:
+def _join_mixes(mixes: list[LoadMix]) -> LoadMix:
     """Return one mix of two deployments that share a site."""
     joined: dict[str, Any] = {
         field: tuple(item for mix in mixes for item in getattr(mix, field))
--- a/cassiadrum/documents/consequences.py
+++ b/cassiadrum/documents/consequences.py
@@ -11,7 +11,7 @@
 __all__ = ["changed_consequences", "class_consequences", "consequence_lines"]
 
 DAY_S: Final = 24 * 3600.0
-UNWORDED: Final = ("name", "place")
+FIELDS_WITHOUT_TEXT: Final = ("name", "place")
 
 
 def class_consequences(document: ServiceDocument) -> list[ClassConsequences]:
@@ -25,7 +25,7 @@
     lines = [_summary(document)]
     for part in class_consequences(document):
         lines.append(f"{part.place}. {part.name}")
-        lines += [f"   {key}: {text}" for key, text in _worded(part)]
+        lines += [f"   {key}: {text}" for key, text in _labelled_texts(part)]
     return lines
 
 
@@ -53,19 +53,19 @@
     if new is None:
         return [f"- {name}: the class is removed"]
     if old is None:
-        return [f"+ {name}: {key}: {text}" for key, text in _worded(new)]
+        return [f"+ {name}: {key}: {text}" for key, text in _labelled_texts(new)]
     lines = []
     if old.place != new.place:
         lines += [f"- {name}: served as class {old.place}", f"+ {name}: as class {new.place}"]
-    for (key, before), (_, after) in zip(_worded(old), _worded(new), strict=True):
+    for (key, before), (_, after) in zip(_labelled_texts(old), _labelled_texts(new), strict=True):
         if before != after:
             lines += [f"- {name}: {key}: {before}", f"+ {name}: {key}: {after}"]
     return lines
 
 
-def _worded(part: ClassConsequences) -> Iterator[tuple[str, str]]:
+def _labelled_texts(part: ClassConsequences) -> Iterator[tuple[str, str]]:
     for key, text in part._asdict().items():
-        if key not in UNWORDED:
+        if key not in FIELDS_WITHOUT_TEXT:
             yield key.replace("_", " "), text
 
 
--- a/cassiadrum/documents/sense_checks.py
+++ b/cassiadrum/documents/consistency_checks.py
@@ -4,10 +4,10 @@
 from cassiadrum.documents.service_documents import ServiceDocument
 from cassiadrum.schemas import Finding
 
-__all__ = ["check_sense"]
+__all__ = ["check_consistency"]
 
 
-def check_sense(document: ServiceDocument, file: str) -> list[Finding]:
+def check_consistency(document: ServiceDocument, file: str) -> list[Finding]:
     """Return a finding for each combination of values that cannot have its stated effect."""
     findings = []
     if len(set(document.zones)) < len(document.zones):
--- a/cassiadrum/documents/parsers.py
+++ b/cassiadrum/documents/parsers.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from cassiadrum.defaults import DOCUMENT_DEFAULTS
+from cassiadrum.documents.consistency_checks import check_consistency
 from cassiadrum.documents.errors import DocumentError
 from cassiadrum.documents.request_classes import RequestClass
 from cassiadrum.documents.schemas import ClassTable, DocumentTable, ServiceTable
-from cassiadrum.documents.sense_checks import check_sense
 from cassiadrum.documents.service_documents import ServiceDocument
 from cassiadrum.schemas import Finding, check_table
 
@@ -29,18 +29,18 @@
         raw = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise DocumentError([Finding(file, "(syntax)", str(exc), "TOML 1.0")]) from exc
-    findings = _check_shape(raw, file)
+    findings = _check_schema(raw, file)
     if not findings:
         document = _build(raw)
-        findings = _check_meaning(document, file)
+        findings = _check_constraints(document, file)
         if not accepted:
-            findings += check_sense(document, file)
+            findings += check_consistency(document, file)
     if findings:
         raise DocumentError(findings)
     return document
 
 
-def _check_shape(raw: dict[str, Any], file: str) -> list[Finding]:
+def _check_schema(raw: dict[str, Any], file: str) -> list[Finding]:
     findings = check_table(raw, DocumentTable, file, "")
     if findings:
         return findings
@@ -69,7 +69,7 @@
     return msgspec.convert(ordered, RequestClass)
 
 
-def _check_meaning(document: ServiceDocument, file: str) -> list[Finding]:
+def _check_constraints(document: ServiceDocument, file: str) -> list[Finding]:
     findings = []
     if not document.classes:
         findings.append(Finding(file, "class", "no class", "at least one class"))
@@ -84,14 +84,14 @@
         if cls.hedge_budget > 0 and not cls.idempotent:
             allowed = "0 unless the class is idempotent"
             findings.append(Finding(file, f"{path}.hedge_budget", str(cls.hedge_budget), allowed))
-        findings += _check_protection(document, index, file)
+        findings += _check_protected_tier(document, index, file)
     shares = sum(cls.min_share for cls in document.classes if not cls.protected)
     if shares > 1:
         findings.append(Finding(file, "class", f"min_share sum {shares:g}", "a sum of at most 1"))
     return findings
 
 
-def _check_protection(document: ServiceDocument, index: int, file: str) -> list[Finding]:
+def _check_protected_tier(document: ServiceDocument, index: int, file: str) -> list[Finding]:
     cls = document.classes[index]
     others = [other.tier for other in document.classes if not other.protected]
     if cls.protected and others and cls.tier >= min(others):
--- a/cassiadrum/documents/service_documents.py
+++ b/cassiadrum/documents/service_documents.py
@@ -18,10 +18,10 @@
     models: tuple[str, ...]
     classes: tuple[RequestClass, ...]
 
-    def named_class(self, name: str) -> RequestClass | None:
+    def find_class(self, name: str) -> RequestClass | None:
         """Return the class of this name, or None."""
         return next((cls for cls in self.classes if cls.name == name), None)
 
-    def class_for(self, method: str, path: str) -> RequestClass | None:
+    def match_class(self, method: str, path: str) -> RequestClass | None:
         """Return the first class that matches the method and path, or None."""
         return next((cls for cls in self.classes if cls.matches(method, path)), None)
--- a/cassiadrum/events/event_rings.py
+++ b/cassiadrum/events/event_rings.py
@@ -26,7 +26,7 @@
         instance: str,
         role: str,
         start_id: str,
-        capacity: int = LIMITS.EVENT_RING,
+        capacity: int = LIMITS.EVENT_BUFFER_EVENTS,
     ) -> None:
         self._clock = clock
         self._instance = instance
--- a/cassiadrum/invariants/records.py
+++ b/cassiadrum/invariants/records.py
@@ -38,5 +38,5 @@
         """Return the class of a request, or None when the documents do not name it."""
         for document in self.documents:
             if document.name == service:
-                return document.named_class(class_name)
+                return document.find_class(class_name)
         return None
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -127,8 +127,10 @@
 
     @property
     def idle(self) -> bool:
-        """Tell whether no stream uses the link and none did for IDLE_AFTER_S."""
-        return not self._streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+        """Tell whether no stream uses the link and none did for LINK_IDLE_AFTER_S."""
+        return (
+            not self._streams and self._clock() - self._last_stream_s >= LIMITS.LINK_IDLE_AFTER_S
+        )
 
     def _count_stream(self, msg: Message) -> None:
         if isinstance(msg, StartRequest | Attach) and self.idle:
--- a/cassiadrum/loads/load_plans.py
+++ b/cassiadrum/loads/load_plans.py
@@ -67,7 +67,7 @@
             # A class keeps its arrivals when other classes are added to the mix.
             rng = random.Random(f"{seed} {rate.service} {rate.name}")
             document = documents[rate.service]
-            request_class = document.named_class(rate.name)
+            request_class = document.find_class(rate.name)
             assert request_class is not None  # checked with the file
             for number, at_s in enumerate(_arrivals(mix, rate, scale, rng)):
                 name = f"{seed}-{rate.name}-{number}"
--- a/cassiadrum/members/connection_bounds.py
+++ b/cassiadrum/members/connection_bounds.py
@@ -40,8 +40,8 @@
 class ConnectionBound:
     """Admit entry instances up to 1.25 times the mean, or all while the mean is unknown.
 
-    An entry instance whose connection was lost keeps its place for DETACHED_STREAM_S, during
-    which its streams wait for it. Times are monotonic seconds.
+    An entry instance whose connection was lost keeps its place for DETACHED_STREAM_TIMEOUT_S,
+    during which its streams wait for it. Times are monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -62,7 +62,7 @@
         self._admitted = {
             name: lost_s
             for name, lost_s in self._admitted.items()
-            if lost_s is None or now - lost_s < LIMITS.DETACHED_STREAM_S
+            if lost_s is None or now - lost_s < LIMITS.DETACHED_STREAM_TIMEOUT_S
         }
         if entry not in self._admitted and self.bound and len(self._admitted) >= self.bound:
             return False
--- a/cassiadrum/members/memberships.py
+++ b/cassiadrum/members/memberships.py
@@ -10,7 +10,7 @@
 __all__ = ["REMOVAL_LIMIT_S", "Membership"]
 
 # After this long without a connection, a sidecar has cancelled the streams of this process.
-REMOVAL_LIMIT_S = LIMITS.DETACHED_STREAM_S
+REMOVAL_LIMIT_S = LIMITS.DETACHED_STREAM_TIMEOUT_S
 # A connection that was merely reset is restored within this time, so a different address in the
 # list is used only afterwards.
 MOVE_DELAY_S = 1.0
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -32,8 +32,8 @@
         body_limit: int = LIMITS.BODY_BYTES,
         body_budget: int = LIMITS.BODY_BUDGET_BYTES,
         connection_limit: int = LIMITS.HTTP_CONNECTIONS,
-        read_timeout_s: float = LIMITS.REQUEST_READ_S,
-        idle_timeout_s: float = LIMITS.KEEP_ALIVE_IDLE_S,
+        read_timeout_s: float = LIMITS.REQUEST_READ_TIMEOUT_S,
+        idle_timeout_s: float = LIMITS.KEEP_ALIVE_TIMEOUT_S,
     ) -> None:
         self._handler = handler
         self._body_limit = body_limit
@@ -47,7 +47,7 @@
         self._closing = False
         self._draining = False
         self._header_limit = LIMITS.HEADER_BYTES
-        self._bodies = BodyBudget(body_budget, LIMITS.BODY_FREE_BYTES)
+        self._bodies = BodyBudget(body_budget, LIMITS.BODY_UNBUDGETED_BYTES)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen and return the port, which the system chooses when `port` is 0."""
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -80,7 +80,7 @@
         """Relay the answer; return False when the rest of it is not available."""
         while not exchange.gone.is_set():
             try:
-                async with asyncio.timeout(LIMITS.DETACHED_STREAM_S):
+                async with asyncio.timeout(LIMITS.DETACHED_STREAM_TIMEOUT_S):
                     msg = await fetch.messages.get()
             except TimeoutError:
                 # A running answer may pause for longer than the time-out.
--- a/cassiadrum/roles/event_meters.py
+++ b/cassiadrum/roles/event_meters.py
@@ -115,7 +115,7 @@
         self, event: Event, first_s: float, gap_s: float, total_s: float
     ) -> None:
         document = self._find_document(event.service)
-        cls = document.named_class(event.class_name) if document else None
+        cls = document.find_class(event.class_name) if document else None
         if document is None or cls is None:
             return
         if document.kind == "plain":
--- a/cassiadrum/roles/instance_watches.py
+++ b/cassiadrum/roles/instance_watches.py
@@ -14,7 +14,7 @@
 
 def list_poll_interval_s(processes: int) -> float:
     """Return the pause between reads that keeps the fleet within its reads a second."""
-    return max(LIMITS.INSTANCE_POLL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
+    return max(LIMITS.INSTANCE_POLL_INTERVAL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
 
 
 class InstanceWatch:
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -110,7 +110,7 @@
 
 def _find_class(document: ServiceDocument, http: HttpRequest, target: str) -> RequestClass:
     named = http.header("x-request-class")
-    cls = document.named_class(named) if named else document.class_for(http.method, target)
+    cls = document.find_class(named) if named else document.match_class(http.method, target)
     if cls is None:
         what = f"`{named[:MAX_NAME_CHARS]}`" if named else f"for {http.method} {target[:200]}"
         raise InvalidRequest("unknown_class", f"{document.name} has no class {what}")
@@ -134,7 +134,7 @@
     if not cls.cancellable:
         return cls.deadline_s
     target_s = cls.target_first_token_s if streams else cls.target_total_s
-    return max(LIMITS.ENDPOINT_SILENCE_S, SILENCE_TARGET_MULTIPLE * target_s)
+    return max(LIMITS.ENDPOINT_SILENCE_LIMIT_S, SILENCE_TARGET_MULTIPLE * target_s)
 
 
 def _completion_parameters(http: HttpRequest) -> CompletionParameters:
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -387,7 +387,7 @@
         for pending in list(self.pending.values()):
             for attempt in list(pending.attempts.values()):
                 detached_s = attempt.detached_s
-                if detached_s is not None and now - detached_s >= LIMITS.DETACHED_STREAM_S:
+                if detached_s is not None and now - detached_s >= LIMITS.DETACHED_STREAM_TIMEOUT_S:
                     self._finish_attempt(pending, attempt, LOST_OUTCOME)
 
     # Helpers.
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -55,7 +55,7 @@
             return False
         # Without a link the entry instance may be dialling again.
         waits_s = 0.0 if self.idle_since_s is None else now - self.idle_since_s
-        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
+        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_TIMEOUT_S
 
     def abandon(self) -> None:
         """Let a call that may not be cut run to its end without a receiver."""
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -346,7 +346,7 @@
         if stream.idle_since_s is None or stream.link is not None:
             return
         given_up = stream.cancelled or stream.abandoned
-        if not given_up and now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_S:
+        if not given_up and now - stream.idle_since_s >= LIMITS.DETACHED_STREAM_TIMEOUT_S:
             if not stream.start.cancellable:
                 stream.abandon()
             self._cancel(stream.start.attempt_id)
--- a/cassiadrum/schemas/descriptions.py
+++ b/cassiadrum/schemas/descriptions.py
@@ -6,7 +6,12 @@
 
 __all__ = ["describe"]
 
-KINDS: dict[Any, str] = {str: "text", int: "whole number", float: "number", bool: "true or false"}
+TYPE_NAMES: dict[Any, str] = {
+    str: "text",
+    int: "whole number",
+    float: "number",
+    bool: "true or false",
+}
 
 
 def describe(hint: Any) -> str:
@@ -17,16 +22,16 @@
     if get_origin(hint) is NotRequired:
         return describe(get_args(hint)[0])
     if hasattr(hint, "__metadata__"):
-        return _described_with(hint.__metadata__[0], hint.__origin__)
+        return _describe_annotated(hint.__metadata__[0], hint.__origin__)
     if get_origin(hint) is Literal:
         return ", ".join(f"`{value}`" for value in get_args(hint))
     if get_origin(hint) is list:
         item = get_args(hint)[0]
         return "list of tables" if item is object else f"list of: {describe(item)}"
-    return "table" if get_origin(hint) is dict else KINDS[hint]
+    return "table" if get_origin(hint) is dict else TYPE_NAMES[hint]
 
 
-def _described_with(meta: Meta, bare: Any) -> str:
+def _describe_annotated(meta: Meta, bare: Any) -> str:
     if meta.description is not None:
         return meta.description
     text = describe(bare)
--- a/cassiadrum/schemas/structs.py
+++ b/cassiadrum/schemas/structs.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cassiadrum.schemas.findings import Finding
-from cassiadrum.schemas.tables import check_value, shown
+from cassiadrum.schemas.tables import check_value, short_repr
 
 __all__ = ["check_struct"]
 
@@ -17,7 +17,7 @@
     valid.
     """
     if not isinstance(raw, Mapping):
-        return [Finding(file, path or "(top level)", shown(raw), "a table")]
+        return [Finding(file, path or "(top level)", short_repr(raw), "a table")]
     prefix = f"{path}." if path else ""
     findings: list[Finding] = []
     for field in msgspec.structs.fields(schema):
--- a/cassiadrum/schemas/tables.py
+++ b/cassiadrum/schemas/tables.py
@@ -9,7 +9,7 @@
 from cassiadrum.schemas.descriptions import describe
 from cassiadrum.schemas.findings import Finding
 
-__all__ = ["check_table", "check_value", "shown"]
+__all__ = ["check_table", "check_value", "short_repr"]
 
 
 def check_table(raw: object, schema: Any, file: str, path: str) -> list[Finding]:
@@ -19,11 +19,11 @@
     dotted key path of the table, empty for the top level. An empty list means valid.
     """
     if not isinstance(raw, Mapping):
-        return [Finding(file, path or "(top level)", shown(raw), "a table")]
+        return [Finding(file, path or "(top level)", short_repr(raw), "a table")]
     hints = get_type_hints(schema, include_extras=True)
     prefix = f"{path}." if path else ""
     findings = [
-        Finding(file, prefix + key, "an unknown key", _known(key, list(hints)))
+        Finding(file, prefix + key, "an unknown key", _suggest_keys(key, list(hints)))
         for key in raw
         if key not in hints
     ]
@@ -42,16 +42,16 @@
     try:
         msgspec.convert(value, hint)
     except msgspec.ValidationError:
-        return [Finding(file, path, shown(value), describe(hint))]
+        return [Finding(file, path, short_repr(value), describe(hint))]
     return []
 
 
-def _known(key: str, keys: list[str]) -> str:
+def _suggest_keys(key: str, keys: list[str]) -> str:
     near = get_close_matches(key, keys, n=1, cutoff=0.5)
     return f"`{near[0]}` (nearest known key)" if near else f"one of {', '.join(sorted(keys))}"
 
 
-def shown(value: object) -> str:
+def short_repr(value: object) -> str:
     """Return a value as text of at most 60 characters."""
     text = repr(value)
     return text if len(text) <= 60 else text[:57] + "..."
--- a/cassiadrum/settings/loaders.py
+++ b/cassiadrum/settings/loaders.py
@@ -29,7 +29,7 @@
 
 __all__ = ["load_settings", "parse_settings"]
 
-_TABLES = {
+_TABLE_SCHEMAS = {
     "listen": ListenTable,
     "platform": PlatformTable,
     "endpoint": EndpointTable,
@@ -55,7 +55,7 @@
     except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise SettingsError([Finding(file, "(syntax)", str(exc), "TOML 1.0")]) from exc
     findings = check_table(raw, SettingsTable, file, "")
-    for name, schema in _TABLES.items():
+    for name, schema in _TABLE_SCHEMAS.items():
         if isinstance(raw.get(name), dict):
             findings += check_table(raw[name], schema, file, name)
     if raw.get("role") == "sidecar" and "endpoint" not in raw:
@@ -82,7 +82,9 @@
         listen=ListenSettings(
             *(Address.parse(value(f"listen.{key}")) for key in ListenSettings._fields)
         ),
-        platform=PlatformSettings(*(_address(platform, key) for key in PlatformSettings._fields)),
+        platform=PlatformSettings(
+            *(_optional_address(platform, key) for key in PlatformSettings._fields)
+        ),
         endpoint=_build_endpoint(raw.get("endpoint")),
         log=LogSettings(value("log.format"), value("log.level")),
         limits=LimitSettings(*(value(f"limits.{key}") for key in LimitSettings._fields)),
@@ -91,7 +93,7 @@
     )
 
 
-def _address(table: dict[str, Any], key: str) -> Any:
+def _optional_address(table: dict[str, Any], key: str) -> Any:
     return Address.parse(table[key]) if key in table else None
 
 
--- a/cassiadrum/settings/schemas.py
+++ b/cassiadrum/settings/schemas.py
@@ -22,11 +22,11 @@
         description="letter or digit, then up to 62 letters, digits, `_`, `.` or `-`",
     ),
 ]
-PORT = "([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
+PORT_PATTERN = "([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 HostPort = Annotated[
     str,
     Meta(
-        pattern=rf"^(\[[0-9a-fA-F:]+\]|[^:\s]+):{PORT}$",
+        pattern=rf"^(\[[0-9a-fA-F:]+\]|[^:\s]+):{PORT_PATTERN}$",
         description="HOST:PORT or [IPV6]:PORT",
     ),
 ]
--- a/cassiadrum/tests/test_idle_links.py
+++ b/cassiadrum/tests/test_idle_links.py
@@ -21,7 +21,7 @@
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch: pytest.MonkeyPatch) -> None:
     """Make the times short enough for a test, in the proportions of the defaults."""
-    for name in ("HEARTBEAT_INTERVAL_S", "IDLE_HEARTBEAT_INTERVAL_S", "IDLE_AFTER_S"):
+    for name in ("HEARTBEAT_INTERVAL_S", "IDLE_HEARTBEAT_INTERVAL_S", "LINK_IDLE_AFTER_S"):
         monkeypatch.setattr(LIMITS, name, getattr(LIMITS, name) / 20)
     for name in ("SILENCE_LIMIT_S", "IDLE_SILENCE_LIMIT_S"):
         monkeypatch.setattr(LIMITS, name, getattr(LIMITS, name) / 20)
@@ -116,13 +116,13 @@
             clock=lambda: now,
         )
         assert not link.idle
-        now = LIMITS.IDLE_AFTER_S
+        now = LIMITS.LINK_IDLE_AFTER_S
         assert link.idle
         link._encode(START)
-        now += 100 * LIMITS.IDLE_AFTER_S
+        now += 100 * LIMITS.LINK_IDLE_AFTER_S
         assert not link.idle
         link._take(HELLO)
         link._take(End("r.1", True, "yes", 0, "", 0.0, 0))
         assert not link.idle
-        now += LIMITS.IDLE_AFTER_S
+        now += LIMITS.LINK_IDLE_AFTER_S
         assert link.idle
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -310,7 +310,7 @@
         stream = bench.sidecar.streams["r.1"]
         bench.handle(CallData("r.1", bytes(2 * WINDOW)))
         bench.lose(link)
-        bench.tick(LIMITS.DETACHED_STREAM_S)
+        bench.tick(LIMITS.DETACHED_STREAM_TIMEOUT_S)
         assert stream.cancelled is cancellable
         bench.handle(CallData("r.1", bytes(2 * WINDOW)))
         assert stream.room.is_set()
@@ -336,7 +336,7 @@
         bench.start(link)
         bench.handle(CallEnded("r.1", ok_outcome()))
         bench.lose(link)
-        bench.now += LIMITS.DETACHED_STREAM_S
+        bench.now += LIMITS.DETACHED_STREAM_TIMEOUT_S
         assert bench.sidecar.unfinished() == 0
 
     async def test_drain_gives_waiting_work_back_and_reports_at_once(self) -> None:
