--- a/cassiadrum/commands/__init__.py
+++ b/cassiadrum/commands/__init__.py
@@ -1,4 +1,4 @@
-"""The groups of the operators' command line."""
+"""Commands and command groups of the operators' command line."""
 
 from cassiadrum.commands.actions import Action, Session, run_action
 from cassiadrum.commands.errors import CommandError
--- a/cassiadrum/commands/actions.py
+++ b/cassiadrum/commands/actions.py
@@ -1,4 +1,4 @@
-"""A command with its arguments, ready to run."""
+"""Parsed commands and the session in which they run."""
 
 from collections.abc import Awaitable, Callable
 
@@ -10,22 +10,22 @@
 
 
 class Session:
-    """Give a command its output and the platform, which is looked up when first used."""
+    """Output and platform of a command; the platform is resolved only when it is needed."""
 
     def __init__(self, output: Output, platform: str = "") -> None:
         self.output = output
         self._platform = platform
 
     def platform(self) -> Platform:
-        """Return the addresses; raise CommandError without them."""
+        """Return the platform addresses; raise CommandError if they are missing or invalid."""
         return Platform.resolve(self._platform)
 
 
 class Action:
-    """Hold what the command line asked for.
+    """Deferred run of a command with its arguments.
 
-    The commands return an Action instead of doing their work, since fire reports arguments that
-    it cannot use only after it has called the command.
+    Commands return an Action instead of doing their work at once, because fire reports unusable
+    arguments only after it has called the command.
     """
 
     def __init__(self, run: Callable[[Session], Awaitable[Result]]) -> None:
@@ -36,5 +36,5 @@
 
 
 async def run_action(action: Action, session: Session) -> Result:
-    """Run an action; raise CommandError when it fails."""
+    """Run an action; raise CommandError if it fails."""
     return await action._start(session)
--- a/cassiadrum/commands/admin_clients.py
+++ b/cassiadrum/commands/admin_clients.py
@@ -1,4 +1,4 @@
-"""Client of the admin interface of one process."""
+"""Client for the admin interface of one process."""
 
 import asyncio
 import json
@@ -13,26 +13,26 @@
 __all__ = ["AdminAnswer", "AdminClient", "try_get"]
 
 READ_TIMEOUT_S: Final = 2.0
-# The accepting process takes up to 3.4 s of pauses and several store timeouts of 2 s to resolve
-# a write with a lost answer.
+# To resolve a write whose answer was lost, the accepting process pauses for up to 3.4 s in total
+# and may run into several store timeouts of 2 s.
 CHANGE_TIMEOUT_S: Final = 30.0
 
 
 class AdminAnswer(NamedTuple):
-    """Hold the status and the JSON object of an answer."""
+    """Status and JSON object of an answer."""
 
     status: int
     body: dict[str, Any]
 
 
 class AdminClient:
-    """Ask one process; `address` is HOST:PORT."""
+    """Client of one process; `address` is HOST:PORT."""
 
     def __init__(self, address: str) -> None:
         try:
             self._address = parse_address(address, "admin address")
         except CommandError as exc:
-            # The address is from the instance list, not from the operator.
+            # The address comes from the instance list, so a wrong one is not bad input.
             raise CommandError(ExitCode.UNREACHABLE, str(exc)) from exc
 
     async def get(self, path: str) -> dict[str, Any]:
@@ -42,17 +42,17 @@
         except (HttpError, TimeoutError, ValueError) as exc:
             raise self._unreachable(exc) from exc
         if answer.status == 401:
-            detail = f"{self._address}: the token was not accepted; set {TOKEN_VARIABLE}"
+            detail = f"{self._address}: the admin token was rejected; set {TOKEN_VARIABLE}"
             raise CommandError(ExitCode.REFUSED, detail)
         if answer.status != 200:
             raise self._unreachable(f"status {answer.status}")
         return answer.body
 
     async def send_change(self, method: str, path: str, body: dict[str, Any]) -> AdminAnswer:
-        """Send a change.
+        """Send a change and return the answer.
 
-        Raises CommandError with UNREACHABLE when it was certainly not sent, and with
-        OUTCOME_UNKNOWN when no valid answer came.
+        Raises CommandError with UNREACHABLE if the change was certainly not sent, and with
+        OUTCOME_UNKNOWN if no valid answer arrived.
         """
         try:
             return await self._send(method, path, body, CHANGE_TIMEOUT_S)
@@ -76,7 +76,7 @@
             client.close()
 
     def _unreachable(self, reason: object) -> CommandError:
-        text = str(reason) or "no answer in time"
+        text = str(reason) or "timed out waiting for an answer"
         return CommandError(ExitCode.UNREACHABLE, f"{self._address}: {text}")
 
 
@@ -88,7 +88,7 @@
 
 
 async def try_get(address: str, path: str) -> dict[str, Any] | None:
-    """Return the JSON object at a path of a process, None when it does not answer."""
+    """Return the JSON object at a path of a process, or None if it does not answer."""
     try:
         return await AdminClient(address).get(path)
     except CommandError:
--- a/cassiadrum/commands/arguments.py
+++ b/cassiadrum/commands/arguments.py
@@ -1,4 +1,4 @@
-"""Parsers of values on the command line."""
+"""Parsers for command-line values."""
 
 import time
 from collections.abc import Callable
@@ -24,16 +24,17 @@
     "parse_whole_number",
 ]
 
-# The help lists every attribute of a command whose name has no leading underscore as a group.
+# fire stores its metadata in an attribute of the command, and its help lists every attribute
+# without a leading underscore as a command group.
 decorators.FIRE_METADATA = "_fire_metadata"
 
 Function = TypeVar("Function", bound=Callable[..., Any])
 
 
 def argument_parsers(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
-    """Return a decorator that states the parser of each argument; the others are text.
+    """Return a decorator that sets the parsers of named arguments; all others are parsed as text.
 
-    Without it fire would read an id such as `1_000` as a number.
+    By default, fire would parse an id such as `1_000` as a number.
     """
 
     def decorate(function: Function) -> Function:
@@ -45,7 +46,7 @@
 
 
 def parse_address(text: object, where: str) -> Address:
-    """Return the address HOST:PORT in a text; raise CommandError."""
+    """Parse an address HOST:PORT; raise CommandError if invalid, with `where` in its message."""
     try:
         return Address.parse(msgspec.convert(text, HostPort))
     except msgspec.ValidationError as exc:
@@ -54,14 +55,14 @@
 
 
 def parse_whole_number(text: str) -> int:
-    """Return a whole number of at least 0; raise CommandError."""
+    """Parse a non-negative whole number; raise CommandError if invalid."""
     if not text.isdecimal():
         raise _invalid_value(text, "a whole number of at least 0")
     return int(text)
 
 
 def parse_seconds(text: str) -> float:
-    """Return a number of seconds of at least 0; raise CommandError."""
+    """Parse a non-negative number of seconds; raise CommandError if invalid."""
     try:
         seconds = float(text)
     except ValueError as exc:
@@ -72,21 +73,21 @@
 
 
 def parse_text(text: str) -> str:
-    """Return a text; raise CommandError when the option has no value, which fire reads as True."""
+    """Return a text; raise CommandError if the option has no value, which fire passes as True."""
     if text == "True":
         raise _invalid_value("nothing", "a value after the option")
     return text
 
 
 def parse_flag(text: str) -> bool:
-    """Return whether a flag is set; fire gives `True` or `False` as text."""
+    """Return whether a flag is set; fire passes the text `True` or `False`."""
     return text == "True"
 
 
 def parse_time(text: str) -> float | None:
-    """Return seconds since 1970 for a number of seconds ago or an ISO 8601 time.
+    """Parse a number of seconds ago or an ISO 8601 time and return it as seconds since 1970.
 
-    A time without a zone is in UTC; an empty text gives None. Raises CommandError.
+    A time without a zone is in UTC. An empty text returns None. Raises CommandError if invalid.
     """
     if not text:
         return None
--- a/cassiadrum/commands/credentials.py
+++ b/cassiadrum/commands/credentials.py
@@ -1,4 +1,4 @@
-"""How the command line proves who asks, and whom it talks to."""
+"""Admin token and TLS context of the command line."""
 
 import os
 import ssl
@@ -17,16 +17,17 @@
 
 
 class Credentials(NamedTuple):
-    """Hold the bearer token of the admin interface and the TLS context, None for plain HTTP."""
+    """Bearer token of the admin interface and the TLS context, None for plain HTTP."""
 
     token: str = ""
     tls: ssl.SSLContext | None = None
 
     @classmethod
     def from_environment(cls, environment: Mapping[str, str] = os.environ) -> "Credentials":
-        """Return what the environment names: a file with the token, a PEM file of the CA.
+        """Load the token file and the PEM file of the CA that environment variables name.
 
-        They are not options, because a token on a command line shows in the list of processes.
+        They are not options, because a token on the command line is visible in the process list.
+        Raises CommandError if a file cannot be read.
         """
         try:
             token = environment.get(TOKEN_VARIABLE, "")
@@ -38,12 +39,12 @@
             raise CommandError(ExitCode.BAD_INPUT, detail) from exc
 
     def headers(self) -> Headers:
-        """Return the header that carries the token."""
+        """Return the authorization header, or no header without a token."""
         return (("authorization", f"Bearer {self.token}"),) if self.token else ()
 
 
 def _tls_context(ca: str) -> ssl.SSLContext:
     context = ssl.create_default_context(cafile=ca)
-    # Processes are known by IP number; a certificate of the CA is what counts.
+    # Processes are addressed by IP address; any certificate signed by the CA is accepted.
     context.check_hostname = False
     return context
--- a/cassiadrum/commands/document_files.py
+++ b/cassiadrum/commands/document_files.py
@@ -1,4 +1,4 @@
-"""Documents from files and from the table service."""
+"""Service documents from files and from the table service."""
 
 from pathlib import Path
 
@@ -18,7 +18,7 @@
 
 
 def read_document_file(path: str) -> tuple[str, ServiceDocument]:
-    """Return the text and the document of a file; raise CommandError with all findings."""
+    """Return the text and the parsed document of a file; raise CommandError with all findings."""
     try:
         text = Path(path).read_text()
     except (OSError, UnicodeDecodeError) as exc:
@@ -31,7 +31,10 @@
 
 
 async def read_current_record(platform: Platform, service: str) -> ConfigurationRecord:
-    """Return the newest record, version 0 for an unknown service; raise CommandError."""
+    """Return the newest record, with version 0 for an unknown service.
+
+    Raises CommandError if the record cannot be read.
+    """
     try:
         row = await platform.table().get(CONFIG_TABLE, service)
         return ConfigurationRecord.from_row(service, row)
@@ -40,7 +43,10 @@
 
 
 async def read_record(platform: Platform, service: str, version: int) -> ConfigurationRecord:
-    """Return the current record for version 0, else a kept version; raise CommandError."""
+    """Return a version from the history, or the current record for version 0.
+
+    Raises CommandError if there is no such version or it cannot be read.
+    """
     if version == 0:
         record: ConfigurationRecord | None = await read_current_record(platform, service)
     else:
@@ -49,13 +55,17 @@
         except (StoreUnavailable, InvalidRecord) as exc:
             raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
     if record is None or record.version == 0:
-        what = f"version {version} of {service} is not kept" if version else f"no {service}"
+        what = (
+            f"version {version} of {service} is not in the history"
+            if version
+            else f"no service {service}"
+        )
         raise CommandError(ExitCode.BAD_INPUT, what)
     return record
 
 
 def parse_record(record: ConfigurationRecord) -> ServiceDocument | None:
-    """Return the document of a record, None for a tombstone."""
+    """Return the document of a record, or None for the record of a deletion."""
     if record.deleted:
         return None
     return parse_document(record.text, f"version {record.version}", accepted=True)
--- a/cassiadrum/commands/errors.py
+++ b/cassiadrum/commands/errors.py
@@ -9,7 +9,7 @@
 
 
 class CommandError(CassiadrumError):
-    """End a command with an exit code; `data` is added to its JSON object."""
+    """Raised to end a command with an exit code; `data` is added to the JSON output."""
 
     def __init__(self, code: ExitCode, detail: str, **data: Any) -> None:
         super().__init__(detail)
--- a/cassiadrum/commands/event_collectors.py
+++ b/cassiadrum/commands/event_collectors.py
@@ -1,4 +1,4 @@
-"""Events of all processes of the instance list."""
+"""Collector for the events of all processes in the instance list."""
 
 from typing import Any
 
@@ -10,9 +10,10 @@
 
 
 class EventCollector:
-    """Read the rings of the processes; each `collect` returns what was recorded since the last.
+    """Reader of the event buffers of all processes; `collect` returns each event only once.
 
-    `silent` names the instances that did not answer, `alive` the start ids of those that did.
+    `silent` lists the instances that did not answer the last `collect`, `answered_start_ids` the
+    start ids of the processes that have answered so far.
     """
 
     def __init__(self, platform: Platform) -> None:
@@ -23,7 +24,10 @@
         self.answered_start_ids: set[str] = set()
 
     async def collect(self) -> list[Event]:
-        """Return the new events of all processes; raise CommandError without a list."""
+        """Return the events recorded since the last call.
+
+        Raises CommandError if the instance list cannot be read.
+        """
         self.silent = []
         events: list[Event] = []
         pending = {item.instance: item for item in await list_instances(self._platform)}
@@ -40,12 +44,15 @@
         return events
 
     async def timeline(self) -> Timeline:
-        """Return what is recorded now as one timeline; raise CommandError."""
+        """Return the new events merged into one timeline; raise CommandError as `collect` does."""
         events = await self.collect()
         return merge(events, self.answered_start_ids)
 
     def _add_answer(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
-        """Add the events of an answer; a process that sends anything else counts as silent."""
+        """Add the events of an answer and return whether it is the last page.
+
+        A process with a malformed answer counts as silent.
+        """
         try:
             return self._add_page(name, answer, events)
         except (EventError, KeyError, TypeError, ValueError):
@@ -53,10 +60,10 @@
             return True
 
     def _add_page(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
-        """Add the events of an answer and tell whether it was the last page."""
+        """Add the events of a valid answer and return whether it is the last page."""
         start_id, last = str(answer["start_id"]), int(answer["last"])
         if self._start_ids.get(name, start_id) != start_id:
-            # The process was replaced; its sequence numbers began anew.
+            # The process was restarted, so its sequence numbers start from the beginning.
             self._start_ids[name], self._positions[name] = start_id, 0
             return False
         self._start_ids[name] = start_id
--- a/cassiadrum/commands/exit_codes.py
+++ b/cassiadrum/commands/exit_codes.py
@@ -6,14 +6,14 @@
 
 
 class ExitCode(IntEnum):
-    """Tell a script what happened; 1 is left to faults of the program itself."""
+    """Exit codes for scripts; 1 is reserved for unhandled errors of the program itself."""
 
     OK = 0
     # Wrong arguments, or a file with errors; nothing was sent or changed.
     BAD_INPUT = 2
     # Refused, or another version is current; nothing was changed.
     REFUSED = 3
-    # A process or store did not answer, or lags; a change that was accepted is durable.
+    # A process or store did not answer or is behind; a change that was accepted is durable.
     UNREACHABLE = 4
     # A change or call was sent and its outcome is not known.
     OUTCOME_UNKNOWN = 5
--- a/cassiadrum/commands/explain_commands.py
+++ b/cassiadrum/commands/explain_commands.py
@@ -1,4 +1,4 @@
-"""Why a request went where it went, waited, or was refused."""
+"""Command that explains the routing, waiting and outcome of a request."""
 
 import re
 from typing import Any, Final
@@ -14,22 +14,23 @@
 
 __all__ = ["explain", "explain_request"]
 
-# An answer's id is the request's id with the number of the attempt and the sidecar.
+# The id in an answer is the request id followed by the number of the attempt and the sidecar.
 ANSWER_ID_PATTERN: Final = re.compile(r"(?P<request>.+-[0-9a-f]{8}-\d+)(\.\d+.*)?")
 
 REASONS: Final[dict[str, str]] = {
-    "overloaded": "the queue was full and nothing of a lower tier was queued",
-    "evicted": "it was the newest work of the lowest tier when the queue was full",
-    "deadline": "the predicted wait, or the wait itself, exceeded deadline_s of its class",
+    "overloaded": "the queue was full and no request of a lower tier was queued",
+    "evicted": "it was the newest request of the lowest tier when the queue was full",
+    "deadline": "the predicted or actual wait exceeded deadline_s of its class",
     "no_endpoint": "no endpoint of the service was connected",
     "draining": "the process was shutting down",
     "store_unavailable": "the claim of a once-only call could not be written",
     "key_reused": "the Idempotency-Key was used for another request before",
     "in_progress": "a call with the same Idempotency-Key was running",
-    "endpoint_failed": "the endpoint failed it, and the class or its retry budget did not "
-    "permit another attempt",
-    "answer_lost": "the connection to the answer was lost, so whether it ran is not known",
-    "kept": "a call with the same Idempotency-Key had ended; its kept answer was sent",
+    "endpoint_failed": "the endpoint failed, and the class or its retry budget did not permit "
+    "another attempt",
+    "answer_lost": "the connection was lost before the end of the answer, so whether it ran is "
+    "not known",
+    "kept": "a call with the same Idempotency-Key had ended; its stored answer was sent",
     "caller_left": "the caller closed its connection",
 }
 
@@ -37,17 +38,17 @@
     EventKind.RECEIVED: "received from customer {customer} as class {class_name}",
     EventKind.QUEUED: "waited for a free slot",
     EventKind.DISPATCHED: "attempt {attempt} sent to {to}, chosen by free slots, zone and cache",
-    EventKind.HEDGED: "attempt {attempt} sent to {to} as a copy, since the first token was slow",
+    EventKind.HEDGED: "attempt {attempt} sent to {to} as a hedge, since the first token was slow",
     EventKind.STARTED: "started at the endpoint",
     EventKind.FIRST_TOKEN: "first bytes of the answer",
     EventKind.PAUSED: "paused for work of a higher tier",
     EventKind.RESUMED: "resumed",
     EventKind.RETRIED: "queued again for another attempt",
     EventKind.REATTACHED: "connection to the stream restored at byte {position}",
-    EventKind.CLAIM_MADE: "claimed its Idempotency-Key before the effect",
+    EventKind.CLAIM_MADE: "claimed its Idempotency-Key before execution",
     EventKind.CLAIM_RESOLVED: "its claim was set to {state}",
     EventKind.CLAIM_REFUSED: "not run under its Idempotency-Key: {why}",
-    EventKind.REJECTED: "given back by the sidecar as not run: {why}",
+    EventKind.REJECTED: "returned by the sidecar as not run: {why}",
     EventKind.REFUSED: "refused (ran: {ran}): {why}",
     EventKind.EVICTED: "shed (ran: {ran}): {why}",
     EventKind.CANCELLED: "cancelled: {why}",
@@ -56,10 +57,10 @@
 
 @argument_parsers()
 def explain(request_id: str, *files: str) -> Action:
-    """Tell why a request went where it went, waited, or was refused.
+    """Explain how a request was routed and why it waited, failed or was refused.
 
     The id is in the header X-Request-Id of the answer, or in the body of the refusal. With log
-    files of the processes no process is asked, so they may be gone.
+    files, only the files are read, so the processes that wrote them need not run any more.
 
     Example: cassiadrum explain entry-1-5f0c2a9e-17
     Example: cassiadrum explain 9c41d07be2a35f68 gateway-*.log
@@ -78,7 +79,10 @@
 
 
 def explain_request(request_id: str, timeline: Timeline, silent: list[str]) -> Result:
-    """Return the story of a request from the merged events; raise CommandError without any."""
+    """Return the steps of a request from the merged events.
+
+    Raises CommandError if there is no event of the request.
+    """
     events = EventFilter(request_id).apply(timeline.events)
     notes = [f"no answer from {name}; its events are missing" for name in silent]
     if not events:
@@ -120,18 +124,18 @@
         "why": REASONS.get(reason, reason),
     }
     if event.kind is EventKind.REJECTED and reason == "overloaded":
-        values["why"] = "the short queue beside the endpoint was full"
+        values["why"] = "the queue of the sidecar was full"
     if event.kind is EventKind.FINISHED:
         return _finished_text(event)
     if event.kind is EventKind.QUEUED and event.role == "sidecar":
-        return "arrived beside the endpoint"
+        return "arrived at the sidecar"
     return EVENT_TEXTS.get(event.kind, event.kind.value).format_map(values)
 
 
 def _finished_text(event: Event) -> str:
     reason = event.fields.get("reason")
     if event.role == "entry":
-        return "whole answer sent to the caller"
+        return "complete answer sent to the caller"
     tokens = event.fields.get("tokens", 0)
     if not reason:
         return f"ended at the endpoint, {tokens} tokens"
@@ -141,7 +145,7 @@
 
 
 def _summary_lines(events: list[Event]) -> list[str]:
-    """Return where the time went and how the request ended."""
+    """Return the durations of the phases and the last event of the request."""
     at_s: dict[tuple[str, EventKind], float] = {}
     for event in events:
         at_s.setdefault((event.role, event.kind), event.hlc.seconds)
@@ -152,7 +156,7 @@
     first = at_s.get(("entry", EventKind.FIRST_TOKEN))
     for label, start, end in (
         ("waited at the entry instance", received, dispatched),
-        ("waited beside the endpoint, with the way there", dispatched, started),
+        ("transfer to the sidecar and wait there", dispatched, started),
         ("first bytes after the start", started, first),
     ):
         if start is not None and end is not None:
--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -1,4 +1,4 @@
-"""The story of a request from the log files of processes that may be gone."""
+"""Explanation of a request from log files, without access to the processes that wrote them."""
 
 from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
@@ -8,18 +8,18 @@
 
 __all__ = ["explain_from_logs"]
 
-# What a process learned this long before a request may have decided it: longer than the age up
-# to which a configuration counts as confirmed.
+# State changes up to this long before a request may have influenced its decisions. It is longer
+# than the age up to which a configuration counts as confirmed.
 CONTEXT_S: Final = 10.0
 
 MESSAGE_TEXTS: Final[dict[str, str]] = {
     "received": "received on route {route} ({kind}) from customer {customer!r}: urgency {urgency},"
     " target {target_ms} ms, limit {limit_ms} ms",
     "placed": "sent to {endpoint}, which had {at_endpoint} requests ({own} of this process) by"
-    " a load report {load_age_ms} ms old, and {prefill_tokens} prompt tokens to read",
+    " a load report {load_age_ms} ms old, and {prefill_tokens} prompt tokens to prefill",
     "first bytes": "{endpoint} began to answer with status {status}",
     "attempt failed": "attempt failed: {reason}; repeated: {repeated}",
-    "stream ended": "whole stream passed on, longest pause {longest_pause_ms} ms",
+    "stream ended": "complete stream relayed, longest pause {longest_pause_ms} ms",
     "caller left": "the caller closed its connection",
     "refused": "no endpoint had room in time: {outstanding} requests at {endpoints} endpoints with"
     " {slots} slots, {waiting_at_endpoints} of them without first bytes, {waiting_here} waiting"
@@ -28,14 +28,15 @@
     " {version_age_ms} ms before",
     "configuration in force": "configuration {version} came into force",
     "endpoint in": "{endpoint} of {service} registered in {zone} with {slots} slots",
-    "endpoint out": "{endpoint} of {service} is gone: {reason}",
+    "endpoint out": "{endpoint} of {service} was removed: {reason}",
     "endpoint draining": "{endpoint} of {service} takes no new requests",
-    "endpoint says that it is full": "{endpoint} says that it is full; it gets nothing for"
-    " {pause_ms} ms",
+    "endpoint says that it is full": "{endpoint} reported that it is full; it gets no requests"
+    " for {pause_ms} ms",
     "endpoint avoided": "{endpoint} avoided for {pause_ms} ms: {reason}",
 }
 
-# Added where a refused request waited for one endpoint, which holds its shared prompt parts.
+# Added to a refusal if the request waited for the one endpoint that holds its shared prompt
+# prefix in the cache.
 PREFIX_ENDPOINT_TEXT: Final = (
     "; it waited for {endpoint}, which had {at_endpoint} requests, {without_first_bytes} of them"
     " without first bytes at {turn_ms} ms each"
@@ -43,7 +44,7 @@
 
 
 class _Step(NamedTuple):
-    """Tell what happened, or, as a `belief`, what the process had learned."""
+    """Step of a request, or, as a `belief`, a state change that its process had learned of."""
 
     at_ms: float
     instance: str
@@ -56,7 +57,10 @@
 
 
 def explain_from_logs(request_id: str, files: Iterable[str]) -> Result:
-    """Return the story of a request with what its processes believed; raise CommandError."""
+    """Return the steps of a request and the state changes its processes had learned of.
+
+    Raises CommandError if the files have no line of the request.
+    """
     logs = merge_logs(files)
     own = logs.of_request(request_id)
     beliefs = [line for line in logs.process_lines(own, CONTEXT_S) if _is_relevant(line, own)]
@@ -84,7 +88,7 @@
 
 
 def _is_relevant(line: LogLine, own: list[LogLine]) -> bool:
-    """Return whether a belief is about an endpoint of the request, or about none at all."""
+    """Return whether a line is about an endpoint of the request, or about no endpoint at all."""
     endpoint = line.fields.get("endpoint")
     return endpoint is None or endpoint in {item.fields.get("endpoint") for item in own}
 
@@ -103,7 +107,7 @@
 
 
 def _summary_lines(own: list[LogLine]) -> list[str]:
-    """Return where the time went and how the request ended."""
+    """Return the durations of the phases and the outcome of the request."""
     at_s: dict[str, float] = {}
     for line in own:
         at_s.setdefault(line.message, line.at_s)
@@ -116,12 +120,14 @@
         if start in at_s and end in at_s:
             lines.append(f"{label}: {(at_s[end] - at_s[start]) * 1000:.1f} ms")
     ended: dict[str, Any] = own[-1].fields if own[-1].message == "ended" else {}
-    lines.append(f"outcome: {ended.get('outcome', 'no end in the files')}")
+    lines.append(
+        f"outcome: {ended.get('outcome', 'unknown, as the files have no line of its end')}"
+    )
     return lines
 
 
 def _missing_parts(logs: MergedLogs, own: list[LogLine]) -> list[str]:
-    """Return what may be missing from the story."""
+    """Return notes on lines that may be missing from the explanation."""
     processes = {line.instance for line in own}
     gaps = logs.gaps_between(own[0].at_s - CONTEXT_S, own[-1].at_s + CONTEXT_S)
     notes = [str(gap) for gap in gaps if gap.instance in processes]
--- a/cassiadrum/commands/fleets.py
+++ b/cassiadrum/commands/fleets.py
@@ -1,4 +1,4 @@
-"""The processes of the instance list."""
+"""Requests to the processes in the instance list."""
 
 import asyncio
 from collections.abc import Iterable, Mapping
@@ -12,12 +12,15 @@
 
 __all__ = ["find_instance", "get_from_all", "list_instances"]
 
-# Bounds the open connections of the tool; the target size has 9,600 processes.
+# Bounds the open connections of one command; the target size of a fleet is 9,600 processes.
 MAX_CONCURRENT_REQUESTS: Final = 64
 
 
 async def list_instances(platform: Platform) -> list[Instance]:
-    """Return the instances in the order of role and name; raise CommandError."""
+    """Return the instances sorted by role and name.
+
+    Raises CommandError if the instance list cannot be read.
+    """
     try:
         listed = await platform.instances().fetch()
     except StoreUnavailable as exc:
@@ -26,7 +29,7 @@
 
 
 async def find_instance(platform: Platform, name: str) -> Instance:
-    """Return an instance by its name; raise CommandError when it is not listed."""
+    """Return the instance with this name; raise CommandError if it is not listed."""
     for item in await list_instances(platform):
         if item.instance == name:
             return item
@@ -36,9 +39,9 @@
 async def get_from_all(
     instances: Iterable[Instance], path: str | Mapping[str, str]
 ) -> dict[str, dict[str, Any] | None]:
-    """Return the answer of each instance by name, None of those that do not answer.
+    """Return the answers by instance name, None for each instance that does not answer.
 
-    `path` may give each instance its own.
+    `path` is one path for all instances, or a mapping from instance names to paths.
     """
     slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
--- a/cassiadrum/commands/log_commands.py
+++ b/cassiadrum/commands/log_commands.py
@@ -1,4 +1,4 @@
-"""Reading of the log files of many processes."""
+"""Command that merges the log files of several processes."""
 
 from collections.abc import Iterable
 
@@ -14,9 +14,10 @@
 def log(*files: str, request: str = "", around: float = 0.0) -> Action:
     """Merge log files of several processes by time.
 
-    --request prints only the lines of one request. --around prints also the lines of its process
-    that belong to no request, from so many seconds before it to its end: what the process
-    believed. Lines that a process left out are shown as gaps.
+    --request prints only the lines of one request. --around also prints the lines of the same
+    processes that belong to no request, from this many seconds before the request to its end;
+    they show the state on which the request was decided. Lines that a process dropped are shown
+    as gaps.
 
     Example: cassiadrum log gateway-*.log --request 9c41d07be2a35f68 --around 5
     """
--- a/cassiadrum/commands/log_files.py
+++ b/cassiadrum/commands/log_files.py
@@ -1,4 +1,4 @@
-"""Lines of the log files of many processes, merged."""
+"""Parsing and merging of the log files of several processes."""
 
 import json
 from collections.abc import Iterable
@@ -11,14 +11,14 @@
 
 __all__ = ["LogGap", "LogLine", "MergedLogs", "merge_logs"]
 
-# Fields that stand in front of a line, or say nothing about the decision.
+# Fields that are printed at the start of a line or do not explain a decision.
 PREFIX_FIELDS: Final = frozenset(
     {"time", "at_s", "level", "logger", "message", "instance", "request_id"}
 )
 
 
 class LogLine(NamedTuple):
-    """Hold one line; `at_s` is in seconds since 1970 by the clock of its process."""
+    """Line of a log file; `at_s` is in seconds since 1970 by the clock of its process."""
 
     at_s: float
     instance: str
@@ -33,7 +33,7 @@
 
 
 class LogGap(NamedTuple):
-    """Count the lines that a process left out up to a time in seconds since 1970."""
+    """Number of lines that a process dropped before a time in seconds since 1970."""
 
     before_s: float
     instance: str
@@ -41,18 +41,18 @@
 
     def __str__(self) -> str:
         at = datetime.fromtimestamp(self.before_s).strftime("%H:%M:%S.%f")[:-3]
-        return f"gap: {self.instance} left out {self.left_out} lines before {at}"
+        return f"gap: {self.instance} dropped {self.left_out} lines before {at}"
 
 
 class MergedLogs(NamedTuple):
-    """Hold the lines in order, what the processes left out, and the rows without a line."""
+    """Lines ordered by time, gaps, and the number of unreadable rows."""
 
     lines: list[LogLine]
     gaps: list[LogGap]
     unreadable: int
 
     def of_request(self, request_id: str) -> list[LogLine]:
-        """Return the lines of one request; raise CommandError when there is none."""
+        """Return the lines of one request; raise CommandError if there is none."""
         own = [line for line in self.lines if line.request_id == request_id]
         if own:
             return own
@@ -63,7 +63,7 @@
         raise CommandError(ExitCode.REFUSED, "; ".join(reasons))
 
     def gaps_between(self, start_s: float, end_s: float) -> list[LogGap]:
-        """Return what each process left out in a time, as one gap."""
+        """Return one gap for each process that dropped lines in a period."""
         found: dict[str, LogGap] = {}
         for gap in self.gaps:
             if start_s <= gap.before_s <= end_s:
@@ -72,9 +72,10 @@
         return list(found.values())
 
     def process_lines(self, own: list[LogLine], before_s: float) -> list[LogLine]:
-        """Return what the processes of a request learned up to its end.
+        """Return the lines without a request id that the processes of a request wrote.
 
-        The lines belong to no request and begin `before_s` seconds before the first of `own`.
+        `own` holds the lines of the request. The period begins `before_s` seconds before the first
+        of them and ends with the last.
         """
         start_s, end_s = own[0].at_s - before_s, own[-1].at_s
         processes = {line.instance for line in own}
@@ -86,10 +87,10 @@
 
 
 def merge_logs(files: Iterable[str]) -> MergedLogs:
-    """Return the lines of the files by time; raise CommandError when there is none.
+    """Merge the lines of the files by time; raise CommandError if there is no line.
 
-    The lines of one request at one process stay in the order in which it wrote them, also when
-    its clock was set back meanwhile.
+    The lines of one request in one process keep the order in which it wrote them, even if its
+    clock was set back in between.
     """
     lines: list[LogLine] = []
     gaps: list[LogGap] = []
@@ -127,14 +128,17 @@
 
 
 def _with_monotonic_time(line: LogLine, first_lines: dict[str, LogLine]) -> LogLine:
-    """Return a request's line dated by its monotonic distance from the request's first line."""
+    """Return the line with a time computed from the monotonic distance to the first line.
+
+    `first_lines` maps request ids to the first line of each request.
+    """
     after_ms = line.fields.get("after_ms")
     if not line.request_id or after_ms is None:
         return line
     first = first_lines.setdefault(line.request_id, line)
     distance_s = (after_ms - first.fields["after_ms"]) / 1000
     if distance_s < 0:
-        # The same id came a second time.
+        # The request id was used a second time.
         first_lines[line.request_id] = line
         return line
     return line._replace(at_s=first.at_s + distance_s)
--- a/cassiadrum/commands/outputs.py
+++ b/cassiadrum/commands/outputs.py
@@ -1,4 +1,4 @@
-"""Output of the command line."""
+"""Output of the command line to the terminal, files or pipes."""
 
 import json
 import sys
@@ -11,7 +11,7 @@
 
 
 class Output:
-    """Print results as text or as JSON, and progress only on a terminal."""
+    """Printer of results as text or JSON, and of progress on a terminal only."""
 
     def __init__(
         self, as_json: bool, stream: TextIO | None = None, errors: TextIO | None = None
@@ -21,7 +21,7 @@
         self._errors = errors or sys.stderr
 
     def print_result(self, result: Result) -> None:
-        """Print what a command returned."""
+        """Print the result of a command."""
         if self.as_json:
             self.print_json({**result.data, "exit_code": int(result.code)})
             return
@@ -29,22 +29,22 @@
             self.print_text(line + "\n")
 
     def print_error(self, exc: CommandError) -> None:
-        """Print why a command ended."""
+        """Print the error that ended a command."""
         if self.as_json:
             self.print_json({"error": str(exc), "exit_code": int(exc.code), **exc.data})
         else:
             print(f"cassiadrum: {exc}", file=self._errors)
 
     def print_json(self, value: dict[str, Any]) -> None:
-        """Print one JSON object as a line."""
+        """Print a JSON object on one line."""
         print(json.dumps(value, ensure_ascii=False), file=self._stream, flush=True)
 
     def print_text(self, text: str) -> None:
-        """Print text as it is, at once."""
+        """Print text unchanged and flush it."""
         self._stream.write(text)
         self._stream.flush()
 
     def print_progress(self, text: str) -> None:
-        """Print a line on a terminal; files and pipes do not get it."""
+        """Print a line if the error stream is a terminal."""
         if self._errors.isatty():
             print(text, file=self._errors, flush=True)
--- a/cassiadrum/commands/platforms.py
+++ b/cassiadrum/commands/platforms.py
@@ -1,4 +1,4 @@
-"""Where the platform's services are."""
+"""Addresses of the platform services."""
 
 import os
 import time
@@ -21,20 +21,21 @@
 
 
 class Platform(NamedTuple):
-    """Name the addresses of the table service and of the instance list."""
+    """Addresses of the table service and of the instance list."""
 
     table_service: Address
     instance_list: Address
 
     @classmethod
     def resolve(cls, option: str, environment: Mapping[str, str] = os.environ) -> "Platform":
-        """Return the platform of the option, else of the environment variable.
+        """Return the platform from the option or else from the environment variable.
 
-        A TOML file needs a table `[platform]`, so a daemon's settings file serves as well.
+        A TOML file needs a table `[platform]`, so a daemon's settings file can be given. Raises
+        CommandError if there is no platform or it is invalid.
         """
         text = option or environment.get(PLATFORM_VARIABLE, "")
         if not text:
-            detail = f"no platform; give --platform or set {PLATFORM_VARIABLE}: {PLATFORM_FORMAT}"
+            detail = f"no platform; use --platform or set {PLATFORM_VARIABLE}: {PLATFORM_FORMAT}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
         if text.endswith(".toml"):
             return cls(*_read_addresses(Path(text)))
--- a/cassiadrum/commands/request_commands.py
+++ b/cassiadrum/commands/request_commands.py
@@ -1,4 +1,4 @@
-"""A small client that sends a request and prints the stream."""
+"""Command that sends one request and prints the answer as it arrives."""
 
 import asyncio
 import json
@@ -20,7 +20,7 @@
 
 __all__ = ["request"]
 
-# Characters of a target that are sent as they are.
+# Characters of a target that are not percent-encoded.
 SAFE_CHARACTERS: Final = "/?&=%+,:;@!$'()*~"
 ERROR_EVENT_PREFIX: Final = b"event: error\ndata: "
 BAD_INPUT_REASONS: Final = frozenset(
@@ -30,7 +30,7 @@
 
 
 class PreparedRequest(NamedTuple):
-    """Hold one request; `limit_s` bounds its whole answer."""
+    """Request to send; `limit_s` bounds the time until the end of the answer."""
 
     address: Address
     method: str
@@ -54,8 +54,8 @@
 ) -> Action:
     """Send a request to a service and print its answer as it arrives.
 
-    TARGET is the service and the path. --body is text, or @FILE; with a body the method is POST.
-    --entry is HOST:PORT; without it a live entry instance of the list is asked.
+    TARGET is the service and the path. --body is text, or @FILE; with a body the default method
+    is POST. --entry is HOST:PORT; by default, a live entry instance of the instance list is used.
 
     Examples: cassiadrum request permit-register/permits/7;
     cassiadrum request sprachdienst/v1/completions --body '{"prompt": "yoke", "stream": true}'
@@ -117,7 +117,7 @@
     except ConnectFailed as exc:
         raise CommandError(ExitCode.UNREACHABLE, f"{exc}; nothing was sent") from exc
     except (HttpError, TimeoutError) as exc:
-        reason = str(exc) or f"no whole answer in {call.limit_s:g} s"
+        reason = str(exc) or f"no complete answer within {call.limit_s:g} s"
         raise CommandError(ExitCode.OUTCOME_UNKNOWN, f"the answer was lost: {reason}") from exc
     finally:
         client.close()
@@ -148,14 +148,14 @@
         raise CommandError(ExitCode.REFUSED, detail, **data)
     detail = f"{problem['reason']} (ran: {problem['ran']}): {problem['detail']}"
     if "retry_after_s" in problem:
-        detail += f"; try again after {problem['retry_after_s']:g} s"
+        detail += f"; retry after {problem['retry_after_s']:g} s"
     request_id = problem.get("request_id") or request_id
     detail += f"; request {request_id}" if request_id else ""
     raise CommandError(_exit_code(problem), detail, **data, problem=problem)
 
 
 def _parse_problem(response: HttpResponse, body: bytes) -> dict[str, Any] | None:
-    """Return the refusal, which is the last event of a stream that had begun."""
+    """Return the refusal, which is the last event if the stream had already started."""
     text = body
     if response.header("content-type").startswith("application/problem+json"):
         pass
--- a/cassiadrum/commands/results.py
+++ b/cassiadrum/commands/results.py
@@ -1,4 +1,4 @@
-"""The result of a command."""
+"""Result of a command."""
 
 from typing import Any, NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class Result(NamedTuple):
-    """Hold the JSON object and the text lines that a command prints; only one is printed."""
+    """Result of a command as a JSON object and as text lines; one of them is printed."""
 
     data: dict[str, Any]
     lines: list[str]
--- a/cassiadrum/documents/__init__.py
+++ b/cassiadrum/documents/__init__.py
@@ -1,4 +1,4 @@
-"""Service documents: what a team states about its service."""
+"""Service documents, in which a team declares its service and its request classes."""
 
 from cassiadrum.documents.class_consequences import ClassConsequences
 from cassiadrum.documents.consequences import (
--- a/cassiadrum/documents/class_consequences.py
+++ b/cassiadrum/documents/class_consequences.py
@@ -1,4 +1,4 @@
-"""What a document means for the requests of one class."""
+"""Consequences of a service document for the requests of one class."""
 
 from typing import NamedTuple
 
@@ -6,9 +6,9 @@
 
 
 class ClassConsequences(NamedTuple):
-    """State in words how requests of a class are chosen, served, repeated and ended.
+    """Text on how requests of a class are matched, ordered, retried, hedged and cancelled.
 
-    `place` is the position in the order of service, counted from 1.
+    `place` is the position of the class in the order of service, counted from 1.
     """
 
     name: str
--- a/cassiadrum/documents/consequences.py
+++ b/cassiadrum/documents/consequences.py
@@ -1,4 +1,4 @@
-"""The consequences of a service document in words."""
+"""Descriptions of the consequences of a service document, as text."""
 
 from collections.abc import Iterator
 from typing import Final
@@ -15,7 +15,7 @@
 
 
 def class_consequences(document: ServiceDocument) -> list[ClassConsequences]:
-    """Return the consequences for each class, in the order in which classes are served."""
+    """Return the consequences for each class, in the order in which the classes are served."""
     ordered = sorted(document.classes, key=lambda cls: (not cls.protected, cls.tier))
     return [_consequences(document, cls, place) for place, cls in enumerate(ordered, 1)]
 
@@ -30,7 +30,10 @@
 
 
 def changed_consequences(old: ServiceDocument | None, new: ServiceDocument | None) -> list[str]:
-    """Return a line for each consequence that differs; None stands for a deleted service."""
+    """Return the changed consequences as removed (`-`) and added (`+`) lines.
+
+    None stands for a deleted service.
+    """
     if old is None or new is None:
         present = old or new
         if present is None:
@@ -56,7 +59,10 @@
         return [f"+ {name}: {key}: {text}" for key, text in _labelled_texts(new)]
     lines = []
     if old.place != new.place:
-        lines += [f"- {name}: served as class {old.place}", f"+ {name}: as class {new.place}"]
+        lines += [
+            f"- {name}: served in position {old.place}",
+            f"+ {name}: served in position {new.place}",
+        ]
     for (key, before), (_, after) in zip(_labelled_texts(old), _labelled_texts(new), strict=True):
         if before != after:
             lines += [f"- {name}: {key}: {before}", f"+ {name}: {key}: {after}"]
@@ -89,7 +95,7 @@
         waiting=_waiting(cls),
         repeats=_repeats(cls),
         hedges=_hedges(cls),
-        caller_leaves="the call is cancelled" if cls.cancellable else "the call runs to its end",
+        caller_leaves="the call is cancelled" if cls.cancellable else "the call is completed",
         target=_target(document.kind, cls),
     )
 
@@ -102,28 +108,28 @@
 def _order(cls: RequestClass) -> str:
     if cls.protected:
         return f"tier {cls.tier}, protected: served before every class that is not protected"
-    return f"tier {cls.tier}: served after protected classes and lower tier numbers"
+    return f"tier {cls.tier}: served after protected classes and lower-numbered tiers"
 
 
 def _overload(cls: RequestClass) -> str:
     if cls.protected:
-        return "never shed or preempted for lower tiers; refused only when nothing lower is queued"
+        return "never shed or preempted for lower tiers; refused only if no lower tier is queued"
     return (
-        f"once its first request has waited {cls.max_wait_s:g} s it gets {cls.min_share:.0%} of "
-        "what protected classes leave; when the queue is full the newest of the lowest tier "
-        "is shed"
+        f"once its oldest request has waited {cls.max_wait_s:g} s, it gets {cls.min_share:.0%} of "
+        "the capacity left by protected classes; when the queue is full, the newest request of "
+        "the lowest tier is shed"
     )
 
 
 def _waiting(cls: RequestClass) -> str:
     refusal = f"refused at once if the predicted wait exceeds {cls.deadline_s:g} s"
     if cls.protected:
-        return f"only behind protected work; {refusal}"
+        return f"only behind requests of protected classes; {refusal}"
     if cls.min_share == 0:
-        return f"without bound, as the class has no share; {refusal}"
+        return f"without bound, as min_share is 0; {refusal}"
     return (
-        f"at most {cls.max_wait_s:g} s plus {1 / cls.min_share:.3g} times the time that its own "
-        f"backlog takes on what protected classes leave; {refusal}"
+        f"at most {cls.max_wait_s:g} s plus {1 / cls.min_share:.3g} times the time to process "
+        f"its own backlog with the capacity left by protected classes; {refusal}"
     )
 
 
@@ -131,28 +137,28 @@
     if cls.once_only:
         days = LIMITS.CLAIM_RETENTION_S / DAY_S
         return (
-            "runs at most once for each Idempotency-Key, which is required; the same key gets "
-            f"the kept answer for {days:g} days; refused while the table service is out"
+            "runs at most once for each Idempotency-Key, which is required; a repeated key gets "
+            f"the stored answer for {days:g} days; refused while the table service is unavailable"
         )
     if cls.idempotent:
         return (
-            "may run again after a failure, on another endpoint, for at most "
+            "may be retried on another endpoint after a failure, for at most "
             f"{cls.retry_budget:.0%} of the class's requests"
         )
-    return "dispatched once; tried again only if it certainly did not run"
+    return "dispatched once; retried only if it certainly did not run"
 
 
 def _hedges(cls: RequestClass) -> str:
     if cls.hedge_budget == 0:
-        return "never copied to a second endpoint"
+        return "never hedged"
     return (
-        "a slow first token may start a copy on a second endpoint, within "
-        f"{cls.hedge_budget:.3g} of the tokens wasted"
+        "a slow first token may start a hedged attempt on a second endpoint, while at most "
+        f"{cls.hedge_budget:.3g} of all tokens are wasted"
     )
 
 
 def _target(kind: str, cls: RequestClass) -> str:
     if kind == "plain":
-        return f"whole answer within {cls.target_total_s:g} s"
+        return f"complete answer within {cls.target_total_s:g} s"
     first_s, inter_ms = cls.target_first_token_s, cls.target_inter_token_s * 1000
     return f"first token within {first_s:g} s, {inter_ms:g} ms between tokens"
--- a/cassiadrum/documents/consistency_checks.py
+++ b/cassiadrum/documents/consistency_checks.py
@@ -1,4 +1,4 @@
-"""Checks that the values of a document make sense together."""
+"""Checks for values of a service document that contradict each other."""
 
 from cassiadrum.documents.request_classes import RequestClass
 from cassiadrum.documents.service_documents import ServiceDocument
@@ -33,8 +33,8 @@
     if target_s > cls.deadline_s:
         allowed = f"at most deadline_s, which is {cls.deadline_s:g}"
         findings.append(Finding(file, f"{path}.{target}", f"{target_s:g}", allowed))
-    # The share of an overdue class begins after max_wait_s, when requests at their deadline are
-    # refused already.
+    # A class gets its minimum share only after max_wait_s, by which time its requests must not
+    # have been refused for passing their deadline.
     if not cls.protected and cls.max_wait_s >= cls.deadline_s:
         allowed = f"below deadline_s, which is {cls.deadline_s:g}"
         findings.append(Finding(file, f"{path}.max_wait_s", f"{cls.max_wait_s:g}", allowed))
@@ -44,14 +44,14 @@
 def _check_starvation(cls: RequestClass, file: str, path: str) -> list[Finding]:
     if cls.protected or cls.min_share > 0:
         return []
-    allowed = "above 0 unless the class is protected; the class could starve"
+    allowed = "above 0 unless the class is protected, as the class could starve"
     return [Finding(file, f"{path}.min_share", f"{cls.min_share:g}", allowed)]
 
 
 def _check_hedges(cls: RequestClass, file: str, path: str) -> list[Finding]:
     if cls.cancellable or cls.hedge_budget == 0:
         return []
-    allowed = "0 unless the class is cancellable; the slower copy has to be cancelled"
+    allowed = "0 unless the class is cancellable, as the slower attempt has to be cancelled"
     return [Finding(file, f"{path}.hedge_budget", f"{cls.hedge_budget:g}", allowed)]
 
 
@@ -60,14 +60,14 @@
 ) -> list[Finding]:
     for other in earlier:
         if _covers(other, cls):
-            found = f"{cls.path_prefix!r}, all of which the earlier class `{other.name}` takes"
-            allowed = "a prefix or method of its own, or a place before that class"
+            found = f"{cls.path_prefix!r}, all of which the earlier class `{other.name}` matches"
+            allowed = "a path prefix or method of its own, or a position before that class"
             return [Finding(file, f"{path}.path_prefix", found, allowed)]
     return []
 
 
 def _covers(first: RequestClass, second: RequestClass) -> bool:
-    """Tell whether the first class matches everything that the second does."""
+    """Return whether the first class matches every request that the second matches."""
     methods = not first.methods or (
         bool(second.methods) and set(second.methods) <= set(first.methods)
     )
--- a/cassiadrum/documents/errors.py
+++ b/cassiadrum/documents/errors.py
@@ -7,7 +7,7 @@
 
 
 class DocumentError(CassiadrumError):
-    """Carry every finding of a document that was not accepted."""
+    """Raised for a document that was not accepted; `findings` has one entry for each error."""
 
     def __init__(self, findings: list[Finding]) -> None:
         super().__init__("\n".join(str(finding) for finding in findings))
--- a/cassiadrum/documents/parsers.py
+++ b/cassiadrum/documents/parsers.py
@@ -1,4 +1,4 @@
-"""Parser and checks of service documents."""
+"""Parser and validation of service documents."""
 
 import tomllib
 from typing import Any
@@ -19,11 +19,11 @@
 def parse_document(
     text: str, file: str = "document", *, accepted: bool = False
 ) -> ServiceDocument:
-    """Return the document in `text`, checked in full.
+    """Return the document in `text` after full validation.
 
-    Raises DocumentError with one finding for each error; `file` is named in each. An `accepted`
-    document is in force already: whether its values make sense together is not checked again,
-    so that a release with stricter checks does not reject it.
+    Raises DocumentError with one finding for each error; each finding names `file`. An `accepted`
+    document is already in force: its consistency is not checked again, so that a release with
+    stricter checks does not reject it.
     """
     try:
         raw = tomllib.loads(text)
--- a/cassiadrum/documents/request_classes.py
+++ b/cassiadrum/documents/request_classes.py
@@ -1,4 +1,4 @@
-"""One class of requests of a service."""
+"""Request class of a service."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class RequestClass(NamedTuple):
-    """State the priority, the latency targets and the permitted handling of a class.
+    """Priority, latency targets and permitted retries, hedges and cancellation of a class.
 
     Times are in seconds. `tier` 0 is the highest. `min_share`, `retry_budget` and
     `hedge_budget` are fractions between 0 and 1.
@@ -30,5 +30,5 @@
     path_prefix: str
 
     def matches(self, method: str, path: str) -> bool:
-        """Tell whether a request with this method and path belongs to the class."""
+        """Return whether a request with this method and path belongs to the class."""
         return (not self.methods or method in self.methods) and path.startswith(self.path_prefix)
--- a/cassiadrum/documents/schemas.py
+++ b/cassiadrum/documents/schemas.py
@@ -1,4 +1,4 @@
-"""The TOML shape of a service document."""
+"""TOML schema of a service document."""
 
 from typing import Annotated, Literal, NotRequired, TypedDict
 
--- a/cassiadrum/documents/service_documents.py
+++ b/cassiadrum/documents/service_documents.py
@@ -1,4 +1,4 @@
-"""The document of one service."""
+"""Document of one service."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class ServiceDocument(NamedTuple):
-    """Describe a service: its kind (`model` or `plain`), endpoints and request classes."""
+    """Declaration of a service: kind (`model` or `plain`), endpoints and request classes."""
 
     name: str
     kind: str
@@ -19,7 +19,7 @@
     classes: tuple[RequestClass, ...]
 
     def find_class(self, name: str) -> RequestClass | None:
-        """Return the class of this name, or None."""
+        """Return the class with this name, or None."""
         return next((cls for cls in self.classes if cls.name == name), None)
 
     def match_class(self, method: str, path: str) -> RequestClass | None:
--- a/cassiadrum/schemas/__init__.py
+++ b/cassiadrum/schemas/__init__.py
@@ -1,4 +1,4 @@
-"""Checks of settings and documents against their schemas, with every error and its key path."""
+"""Validation of settings and documents that reports every error with its key path."""
 
 from cassiadrum.schemas.descriptions import describe
 from cassiadrum.schemas.findings import Finding
--- a/cassiadrum/schemas/descriptions.py
+++ b/cassiadrum/schemas/descriptions.py
@@ -1,4 +1,4 @@
-"""Descriptions of the values that an annotation allows."""
+"""Text descriptions of the values that an annotation allows."""
 
 from typing import Any, Literal, NotRequired, get_args, get_origin
 
@@ -15,7 +15,7 @@
 
 
 def describe(hint: Any) -> str:
-    """Return in words what an annotation of a schema allows.
+    """Return a description of the values that a schema annotation allows.
 
     A pattern is described by the `description` of its `msgspec.Meta`.
     """
--- a/cassiadrum/schemas/findings.py
+++ b/cassiadrum/schemas/findings.py
@@ -1,4 +1,4 @@
-"""One error in a TOML file."""
+"""Validation error of a settings file or service document."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class Finding(NamedTuple):
-    """Name the file and key path of an error, what was found and what is allowed."""
+    """File and key path of an error, the value that was found and the values that are allowed."""
 
     file: str
     path: str
--- a/cassiadrum/schemas/structs.py
+++ b/cassiadrum/schemas/structs.py
@@ -1,4 +1,4 @@
-"""Check of one decoded object against a msgspec.Struct that ignores unknown keys."""
+"""Validation of a decoded object against a msgspec.Struct, ignoring unknown keys."""
 
 from collections.abc import Mapping
 
@@ -11,7 +11,7 @@
 
 
 def check_struct(raw: object, schema: type[msgspec.Struct], file: str, path: str) -> list[Finding]:
-    """Return every missing and wrongly typed key of an object and of those within it.
+    """Return a finding for each missing or wrongly typed key of an object and its nested objects.
 
     `path` is the dotted key path of the object, empty for the top level. An empty list means
     valid.
--- a/cassiadrum/schemas/tables.py
+++ b/cassiadrum/schemas/tables.py
@@ -1,4 +1,4 @@
-"""Check of one TOML table against a TypedDict."""
+"""Validation of a TOML table against a TypedDict."""
 
 from collections.abc import Mapping
 from difflib import get_close_matches
@@ -13,7 +13,7 @@
 
 
 def check_table(raw: object, schema: Any, file: str, path: str) -> list[Finding]:
-    """Return every unknown, missing and wrongly typed key of one table.
+    """Return a finding for each unknown, missing or wrongly typed key of a table.
 
     `schema` is a TypedDict whose annotations may carry `msgspec.Meta` ranges; `path` is the
     dotted key path of the table, empty for the top level. An empty list means valid.
@@ -36,7 +36,7 @@
 
 
 def check_value(value: object, hint: Any, file: str, path: str) -> list[Finding]:
-    """Return the error of one value against its annotation, an empty list for a valid one."""
+    """Return a finding if the value does not match its annotation, else an empty list."""
     if get_origin(hint) is NotRequired:
         (hint,) = get_args(hint)
     try:
@@ -52,6 +52,6 @@
 
 
 def short_repr(value: object) -> str:
-    """Return a value as text of at most 60 characters."""
+    """Return the representation of a value, shortened to 60 characters."""
     text = repr(value)
     return text if len(text) <= 60 else text[:57] + "..."
--- a/cassiadrum/settings/addresses.py
+++ b/cassiadrum/settings/addresses.py
@@ -1,4 +1,4 @@
-"""A host and port."""
+"""Network address."""
 
 from typing import NamedTuple
 
@@ -6,14 +6,14 @@
 
 
 class Address(NamedTuple):
-    """Name an IP address and a TCP port; port 0 lets the system choose."""
+    """IP address and TCP port; with port 0 the operating system chooses a free port."""
 
     host: str
     port: int
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Return the address in `text`, which has the form HOST:PORT or [HOST]:PORT."""
+        """Parse an address of the form HOST:PORT or [HOST]:PORT."""
         host, _, port = text.rpartition(":")
         return cls(host.strip("[]"), int(port))
 
--- a/cassiadrum/settings/errors.py
+++ b/cassiadrum/settings/errors.py
@@ -7,7 +7,7 @@
 
 
 class SettingsError(CassiadrumError):
-    """Carry every finding of a settings file."""
+    """Raised for an invalid settings file; `findings` has one entry for each error."""
 
     def __init__(self, findings: list[Finding]) -> None:
         super().__init__("\n".join(str(finding) for finding in findings))
--- a/cassiadrum/settings/loaders.py
+++ b/cassiadrum/settings/loaders.py
@@ -1,4 +1,4 @@
-"""Reader and checks of the settings file."""
+"""Loading and validation of the settings file."""
 
 import tomllib
 from pathlib import Path
--- a/cassiadrum/settings/schemas.py
+++ b/cassiadrum/settings/schemas.py
@@ -1,4 +1,4 @@
-"""The TOML shape of the settings."""
+"""TOML schema of the settings."""
 
 from typing import Annotated, Literal, NotRequired, TypedDict
 
@@ -33,7 +33,7 @@
 
 
 class SettingsTable(TypedDict):
-    """The top level."""
+    """Top level of the settings file."""
 
     role: Literal["entry", "sidecar"]
     instance: Name
--- a/cassiadrum/settings/settings.py
+++ b/cassiadrum/settings/settings.py
@@ -1,6 +1,6 @@
-"""The settings of a daemon.
+"""Settings of a daemon.
 
-The tables stand in one file because they are one format.
+All tables of the settings file are in this module, since they form one format.
 """
 
 from typing import NamedTuple
@@ -27,7 +27,7 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Addresses of the platform's services; None when the deployment has none."""
+    """Addresses of the platform's services; None for a service that is not deployed."""
 
     table_service: Address
     instance_list: Address
@@ -36,7 +36,7 @@
 
 
 class EndpointSettings(NamedTuple):
-    """The endpoint that a sidecar stands beside; `kind` is `engine` or `plain`."""
+    """Endpoint that a sidecar serves; `kind` is `engine` or `plain`."""
 
     service: str
     kind: str
@@ -45,14 +45,14 @@
 
 
 class LogSettings(NamedTuple):
-    """`format` is `json` or `text`."""
+    """Log settings; `format` is `json` or `text`."""
 
     format: str
     level: str
 
 
 class LimitSettings(NamedTuple):
-    """Limits that an operator may change; times in seconds."""
+    """Limits that an operator can change; times are in seconds."""
 
     drain_limit_s: float
     subset_size: int
@@ -61,7 +61,7 @@
 
 
 class TlsSettings(NamedTuple):
-    """Paths of PEM files; empty means no TLS. `ca` signs the peers' certificates."""
+    """Paths of PEM files, empty without TLS. `ca` verifies the certificates of the peers."""
 
     certificate: str
     key: str
@@ -69,7 +69,7 @@
 
 
 class Settings(NamedTuple):
-    """Everything that a daemon learns from its file."""
+    """Contents of a daemon's settings file."""
 
     role: str
     instance: str
--- a/cassiadrum/tests/gateways/test_explaining.py
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -185,9 +185,9 @@
         )
         stream, errors = io.StringIO(), io.StringIO()
         assert await execute(["explain", "r-1", str(path)], stream) == 0
-        assert "gap: a left out 7 lines before" in stream.getvalue()
+        assert "gap: a dropped 7 lines before" in stream.getvalue()
         assert await execute(["explain", "r-2", str(path)], io.StringIO(), errors) == 3
-        assert "a left out 107 lines" in errors.getvalue()
+        assert "a dropped 107 lines" in errors.getvalue()
 
     @pytest.mark.parametrize(
         ("arguments", "code"),
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -76,7 +76,11 @@
         assert "data: [DONE]" in (await run(*given)).text
         story = await run("explain", ran.data["request_id"])
         assert story.code == ExitCode.OK
-        for text in ("class assessment", "attempt 1 sent to sprachdienst-", "whole answer sent"):
+        for text in (
+            "class assessment",
+            "attempt 1 sent to sprachdienst-",
+            "complete answer sent",
+        ):
             assert text in story.text
 
     async def test_refusal_has_its_reason(self, command_site: LocalSite) -> None:
--- a/cassiadrum/tests/test_service_commands.py
+++ b/cassiadrum/tests/test_service_commands.py
@@ -190,8 +190,8 @@
     ) -> None:
         ran = await run("service", "diff", REGISTER, str(edited), "--json")
         assert [line[:40] for line in ran.data["consequences"]] == [
-            "- register-export: overload: once its fi",
-            "+ register-export: overload: once its fi",
+            "- register-export: overload: once its ol",
+            "+ register-export: overload: once its ol",
             "- register-export: waiting: at most 120 ",
             "+ register-export: waiting: at most 60 s",
         ]
