Reword the commands, the entry points and the limits

Help texts, messages and comments state what a command does, what a limit bounds and which failure a rule avoids. An unknown service is reported as 'no service NAME', and a difference without changed consequences as 'no change of consequences'.

--- a/cassiadrum/cli.py
+++ b/cassiadrum/cli.py
@@ -27,18 +27,18 @@
 
 __all__ = ["execute", "main"]
 
-# The shell's code for a program that SIGINT ended.
+# Exit code that a shell reports for a program ended by SIGINT.
 EXIT_INTERRUPTED: Final = 130
-# The shell's code for a program that SIGPIPE ended, as after `| head`.
+# Exit code that a shell reports for a program ended by SIGPIPE, for example before `| head`.
 EXIT_PIPE_CLOSED: Final = 141
 
 
 class CommandLine:
-    """Operate cassiadrum: services, settings, processes, the time line and single requests.
+    """Operate cassiadrum: services, settings, processes, the timeline and single requests.
 
-    --platform names the platform as TABLE_SERVICE,INSTANCE_LIST (two HOST:PORT) or as a TOML file
-    with a table [platform]; without it the environment variable CASSIADRUM_PLATFORM is used.
-    --json prints one JSON object, which has the exit code in `exit_code`. Both may stand anywhere.
+    --platform is TABLE_SERVICE,INSTANCE_LIST (two HOST:PORT) or a TOML file with a table
+    [platform]; by default, the environment variable CASSIADRUM_PLATFORM is used. --json prints
+    one JSON object with the exit code in `exit_code`. Both options can be given anywhere.
 
     Exit codes: 0 ok, 2 bad input, 3 refused or conflict, 4 unreachable, 5 outcome unknown.
 
@@ -57,7 +57,7 @@
 
 
 class ParsedArguments(NamedTuple):
-    """Hold what the arguments ask for; `action` is None after help was shown."""
+    """Command and options from the command line; `action` is None after help was shown."""
 
     action: Action | None
     platform: str
@@ -71,7 +71,7 @@
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
     except BrokenPipeError:
-        # The interpreter would report the closed pipe once more when it flushes at exit.
+        # Without this, the interpreter reports the closed pipe again when it flushes at exit.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         code = EXIT_PIPE_CLOSED
     sys.exit(code)
@@ -96,9 +96,9 @@
 
 
 def parse(arguments: Sequence[str]) -> ParsedArguments:
-    """Return the command in the arguments.
+    """Parse the arguments.
 
-    Raises CommandError for wrong values and SystemExit for help and usage errors.
+    Raises CommandError for invalid values and SystemExit for help and usage errors.
     """
     options: list[tuple[str, bool]] = []
 
@@ -109,7 +109,7 @@
             super().__init__()
             options.append((str(platform), bool(json)))
 
-    # The help of an instance lists the commands, the help of a class only its options.
+    # fire lists the commands only in the help of an instance; the help of a class has its options.
     wants_help = not arguments or arguments[0] in ("-h", "--help", "help")
     root = Root() if wants_help else Root
     given = ["--help"] if wants_help else list(arguments)
@@ -118,7 +118,7 @@
 
 
 def _printed_by_fire(found: object) -> object:
-    """Return what fire prints: nothing for a command, the help for a group."""
+    """Return what fire prints: nothing for a command, help for a group."""
     return None if isinstance(found, Action) else found
 
 
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -1,4 +1,4 @@
-"""Acceptance of a change by any entry instance, and the wait until it is in force."""
+"""Submission of a change to any entry instance, and the wait until it is in force."""
 
 import asyncio
 import secrets
@@ -22,7 +22,8 @@
     "wait_in_force",
 ]
 
-# Unknown outcomes are asked for again at the next entry instances, at most this often in all.
+# After an attempt with an unknown outcome, the change is submitted to the next entry instance, up
+# to this many times in total.
 MAX_UNKNOWN_OUTCOMES: Final = 4
 RETRY_PAUSE_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.25
@@ -38,7 +39,7 @@
 
 
 class ServiceChange(NamedTuple):
-    """Replace version `base_version` of a service by a text, or delete it."""
+    """Replacement of version `base_version` of a service by a text, or its deletion."""
 
     service: str
     base_version: int
@@ -49,14 +50,14 @@
 
 
 def make_operation_id() -> str:
-    """Return an id that no other change has."""
+    """Return a new id that identifies a change over all its attempts."""
     return secrets.token_hex(16)
 
 
 async def submit_change(session: Session, change: ServiceChange) -> int:
-    """Return the accepted version; raise CommandError.
+    """Submit a change and return the accepted version; raise CommandError if it fails.
 
-    Every attempt carries the same operation id, so a change whose answer was lost is not made
+    Every attempt has the same operation id, so a change whose answer was lost is not applied
     twice.
     """
     entries = await _list_entries(session)
@@ -85,7 +86,10 @@
 async def wait_in_force(
     session: Session, service: str, version: int, limit_s: float
 ) -> dict[str, str]:
-    """Return the instances that do not have the version in force in time, with the reason."""
+    """Wait until a version is in force everywhere.
+
+    Returns the instances that do not have it in force after `limit_s`, with the reasons.
+    """
     deadline_s = time.monotonic() + limit_s
     pending = {item.instance: item for item in await list_instances(session.platform())}
     while True:
@@ -103,13 +107,13 @@
 
 
 async def submit_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
-    """Submit a change, wait until it is in force and return the result of the command."""
+    """Submit a change, wait up to `limit_s` until it is in force and return the result."""
     started_s = time.monotonic()
     version = await submit_change(session, change)
     try:
         lagging = await wait_in_force(session, change.service, version, limit_s)
     except CommandError as exc:
-        # The change is durable, which must not be hidden by a failure that follows.
+        # The change is durable, so a later failure must not hide that it was accepted.
         lagging = {"(instance list)": str(exc)}
     waited_s = round(time.monotonic() - started_s, 3)
     data: dict[str, Any] = {
@@ -132,7 +136,7 @@
     listed = await list_instances(session.platform())
     entries = [item for item in listed if item.role == "entry"]
     if not entries:
-        raise CommandError(ExitCode.UNREACHABLE, "the instance list has no entry instance")
+        raise CommandError(ExitCode.UNREACHABLE, "no entry instance in the instance list")
     # A leaving instance still accepts changes, but may stop before it answers.
     return sorted(entries, key=lambda item: item.state == "leaving")
 
@@ -154,7 +158,7 @@
     if unknown is None:
         return CommandError(ExitCode.UNREACHABLE, "no entry instance answers; nothing was sent")
     detail = (
-        f"the outcome is unknown: {unknown}; repeat the command with "
+        f"the outcome is unknown: {unknown}; to retry, run the command with "
         f"--operation {change.operation_id}"
     )
     data = {"operation_id": change.operation_id, "base_version": change.base_version}
@@ -174,7 +178,7 @@
         current = body["current"]
         return (
             f"conflict: {change.service} is at version {current['version']} by "
-            f"{current['author']}, not {change.base_version}; the difference to this change:\n"
+            f"{current['author']}, not {change.base_version}; difference to this change:\n"
             f"{body['difference']}"
         )
     if body.get("result") == "invalid":
--- a/cassiadrum/commands/service_commands.py
+++ b/cassiadrum/commands/service_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the documents of services."""
+"""Commands that check, change and show service documents."""
 
 import getpass
 from datetime import UTC, datetime
@@ -26,16 +26,16 @@
 
 __all__ = ["ServiceCommands"]
 
-# The target for a change to be in force everywhere.
+# Target for the time until a change is in force everywhere.
 ROLLOUT_TARGET_S = 11.0
 
 
 class ServiceCommands:
-    """Check, change and read the documents of services."""
+    """Check, change and show service documents."""
 
     @argument_parsers()
     def check(self, file: str) -> Action:
-        """Parse a document in full and explain its consequences; needs no platform.
+        """Validate a document and explain its consequences; needs no platform.
 
         Example: cassiadrum service check examples/auftragsdienst.toml
         """
@@ -52,11 +52,11 @@
     def apply(
         self, file: str, *, base: int = -1, operation: str = "", wait_s: float = ROLLOUT_TARGET_S
     ) -> Action:
-        """Accept a document and wait until it is in force everywhere.
+        """Submit a document and wait until it is in force everywhere.
 
-        Without --base the version that is current when the command starts is replaced; give the
-        version that was edited, so that a change made since then is a conflict. After exit code
-        5, repeat the command with the --operation that it printed.
+        By default, the version that is current at the start of the command is replaced. Set
+        --base to the version that was edited, so that a change made in the meantime causes a
+        conflict. After exit code 5, run the command again with the --operation that it printed.
 
         Example: cassiadrum service apply examples/auftragsdienst.toml --base 3
         """
@@ -75,7 +75,7 @@
 
     @argument_parsers(version=parse_whole_number)
     def show(self, name: str, *, version: int = 0) -> Action:
-        """Print the text of the current or of a kept version.
+        """Print the text of the current version, or of a version in the history.
 
         Example: cassiadrum service show auftragsdienst --version 2
         """
@@ -91,9 +91,9 @@
 
     @argument_parsers()
     def diff(self, name: str, *sides: str) -> Action:
-        """Show which consequences differ, and the text, between versions or with a file.
+        """Show the differences in consequences and text between two versions, or to a file.
 
-        One side is compared with the current version.
+        A single version or file is compared with the current version.
 
         Examples: cassiadrum service diff auftragsdienst examples/auftragsdienst.toml;
         cassiadrum service diff auftragsdienst 2 3
@@ -101,7 +101,7 @@
 
         async def run(session: Session) -> Result:
             if len(sides) not in (1, 2):
-                detail = f"diff: found {len(sides)} sides; allowed: a file, or one or two versions"
+                detail = f"diff: found {len(sides)} sides; allowed: one or two versions or files"
                 raise CommandError(ExitCode.BAD_INPUT, detail)
             old, new = sides if len(sides) == 2 else ("0", sides[0])
             return compare_documents(
@@ -113,7 +113,7 @@
 
     @argument_parsers()
     def versions(self, name: str) -> Action:
-        """List the kept versions with their authors and times.
+        """List the versions in the history with their authors and times.
 
         Example: cassiadrum service versions auftragsdienst
         """
@@ -125,7 +125,7 @@
             except (StoreUnavailable, InvalidRecord) as exc:
                 raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
             if not records:
-                raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
+                raise CommandError(ExitCode.BAD_INPUT, f"no service {name}")
             rows: list[dict[str, Any]] = [
                 {key: getattr(record, key) for key in ("version", "author", "deleted")}
                 | {
@@ -144,16 +144,16 @@
     def delete(
         self, name: str, *, base: int = -1, operation: str = "", wait_s: float = ROLLOUT_TARGET_S
     ) -> Action:
-        """Delete a service; its versions stay in the history.
+        """Delete a service; its versions remain in the history.
 
         Example: cassiadrum service delete auftragsdienst --base 3
         """
 
         async def run(session: Session) -> Result:
             current = await read_current_record(session.platform(), name)
-            # With an operation id the deletion may have been made already.
+            # With an operation id, an earlier attempt may already have deleted the service.
             if current.version == 0 or (current.deleted and not operation):
-                raise CommandError(ExitCode.BAD_INPUT, f"no {name}")
+                raise CommandError(ExitCode.BAD_INPUT, f"no service {name}")
             version = base if base >= 0 else current.version
             change = ServiceChange(
                 name, version, operation or make_operation_id(), _author(), deleted=True
--- a/cassiadrum/commands/service_differences.py
+++ b/cassiadrum/commands/service_differences.py
@@ -1,4 +1,4 @@
-"""Comparison of two versions of a document."""
+"""Comparison of two versions of a service document."""
 
 from difflib import unified_diff
 from typing import NamedTuple
@@ -14,7 +14,7 @@
 
 
 class ComparedDocument(NamedTuple):
-    """Hold one of the two documents; `document` is None for a deleted service."""
+    """Document to compare, with a label for the output; None for a deleted service."""
 
     label: str
     text: str
@@ -22,7 +22,7 @@
 
     @classmethod
     async def read(cls, session: Session, service: str, what: str) -> "ComparedDocument":
-        """Return a version, given as a number with 0 for the current one, or a file."""
+        """Read a version, given as a number with 0 for the current one, or a file."""
         if what.isdecimal():
             record = await read_record(session.platform(), service, int(what))
             return cls(f"version {record.version}", record.text, parse_record(record))
@@ -34,12 +34,12 @@
 
 
 def compare_documents(old: ComparedDocument, new: ComparedDocument) -> Result:
-    """Return the consequences that differ and the difference of the texts."""
+    """Return the differences in consequences and a unified diff of the texts."""
     changed = changed_consequences(old.document, new.document)
     before, after = old.text.splitlines(), new.text.splitlines()
     text = list(unified_diff(before, after, old.label, new.label, lineterm=""))
     data = {"old": old.label, "new": new.label, "consequences": changed, "text": text}
     if not text:
-        return Result(data, [f"{old.label} and {new.label} are the same"])
-    lines = changed or ["no consequence changes"]
+        return Result(data, [f"{old.label} and {new.label} are identical"])
+    lines = changed or ["no change of consequences"]
     return Result(data, [f"consequences, {old.label} to {new.label}:", *lines, "text:", *text])
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -1,4 +1,4 @@
-"""Checks of settings files."""
+"""Command that checks settings files."""
 
 from pathlib import Path
 
@@ -24,7 +24,7 @@
     def check(self, *files: str) -> Action:
         """Check settings files and print one line for each error; needs no platform.
 
-        A file whose name ends with .toml holds the settings of a cassiadrumd, any other the JSON
+        A file with the suffix .toml holds the settings of cassiadrumd, any other file the JSON
         settings of a gateway on the platform.
 
         Example: cassiadrum settings check examples/settings/entry.toml boot.json
@@ -46,7 +46,7 @@
 
 
 def _check_file(path: Path) -> tuple[str, list[Finding]]:
-    """Return the line for a valid file and the errors of any other."""
+    """Return the line to print for a valid file, or the findings of an invalid one."""
     try:
         if path.suffix == TOML_SUFFIX:
             cfg = load_settings(path)
--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the processes."""
+"""Commands that show the status of processes and drain them."""
 
 from typing import Any
 
@@ -19,9 +19,9 @@
 
 
 def status() -> Action:
-    """Show instances, endpoints, classes, the versions in force and who lags.
+    """Show instances, endpoints, classes, versions in force and instances that lag behind.
 
-    The exit code is 4 when an instance does not answer or lags.
+    The exit code is 4 if an instance does not answer or lags behind.
 
     Example: cassiadrum status
     """
@@ -30,7 +30,7 @@
 
 @argument_parsers()
 def drain(instance: str) -> Action:
-    """Let an instance take no new work and finish what it has; it does not exit by itself.
+    """Let an instance finish its requests and accept no new ones; it does not exit by itself.
 
     Example: cassiadrum drain sprachdienst-2
     """
@@ -64,7 +64,7 @@
 
 
 async def _read_records(platform: Platform) -> tuple[list[ConfigurationRecord], list[str]]:
-    """Return the newest record of each service, and why they could not be read."""
+    """Return the newest record of each service, or none and the error of the table service."""
     records: list[ConfigurationRecord] = []
     page = RowPage((), "")
     try:
@@ -76,7 +76,7 @@
             if not page.next_after:
                 return records, []
     except (StoreUnavailable, InvalidRecord) as exc:
-        return [], [f"table service: {exc}; the newest versions are those of the instances"]
+        return [], [f"table service: {exc}; showing the newest versions known to the instances"]
 
 
 def _newest_versions(answers: dict[str, dict[str, Any] | None]) -> dict[str, int]:
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -1,4 +1,4 @@
-"""The time line of all processes."""
+"""Command that shows the merged events of all processes."""
 
 import asyncio
 import time
@@ -52,11 +52,12 @@
     follow: bool = False,
     seconds: float = 0.0,
 ) -> Action:
-    """Merge the events of all processes into one order, causes before effects.
+    """Merge the events of all processes in causal order.
 
-    --kind takes names separated by commas. --since and --until take seconds ago or an ISO 8601
-    time. --out writes FILE.html, .svg, .json (for trace viewers) or .jsonl. --follow prints new
-    events until it is interrupted, or for --seconds; with --json each event is one JSON object.
+    --kind is a comma-separated list of event kinds. --since and --until are seconds ago or an
+    ISO 8601 time. --out writes a .html, .svg, .json (for trace viewers) or .jsonl file. --follow
+    prints new events until it is interrupted or for --seconds; with --json, each event is one
+    JSON object.
 
     Examples: cassiadrum timeline --service sprachdienst --since 60 --out load.html;
     cassiadrum timeline --follow --kind refused,evicted
@@ -85,7 +86,7 @@
 
 
 def event_to_dict(event: Event) -> dict[str, Any]:
-    """Return an event as a JSON object."""
+    """Return an event as a dictionary for JSON output."""
     return dict(zip(Event._fields, encode_event(event), strict=True))
 
 
@@ -133,7 +134,11 @@
 async def _follow(
     session: Session, collector: EventCollector, selection: EventFilter, seconds: float
 ) -> Result:
-    """Print new events; each round is ordered, rounds may overlap by the reading time."""
+    """Print new events as they are recorded.
+
+    The events of one round are ordered. Since the processes are read one after another, the
+    times of successive rounds can overlap.
+    """
     output = session.output
     deadline_s = time.monotonic() + seconds
     count = 0
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -1,4 +1,4 @@
-"""Entry point of `cassiadrumd`."""
+"""Entry point of `cassiadrumd`, which runs one role."""
 
 import argparse
 import asyncio
@@ -20,12 +20,12 @@
 
 EXIT_BAD_INPUT = 2
 EXIT_DRAIN_LIMIT = 3
-# Requests that one log line names.
+# Maximum number of requests described in one log line.
 MAX_DESCRIBED_REQUESTS = 50
 
 
 def main() -> None:
-    """Run the daemon until it is told to stop."""
+    """Run the daemon until SIGTERM or SIGINT and exit with its code."""
     parser = argparse.ArgumentParser(prog="cassiadrumd", description="Run one role of cassiadrum.")
     parser.add_argument("--settings", type=Path, required=True, help="TOML file")
     parser.add_argument("--check", action="store_true", help="validate the settings and exit")
@@ -39,13 +39,13 @@
         print(f"{options.settings}: valid settings of the {cfg.role} {cfg.instance}")
         return
     configure_logging(cfg.log.format, cfg.log.level, cfg.instance)
-    # The library logs a line for each connection; events and status show those.
+    # The library logs each connection at INFO; events and status already report connections.
     logging.getLogger("websockets").setLevel(logging.WARNING)
     sys.exit(asyncio.run(run(cfg)))
 
 
 async def run(cfg: Settings) -> int:
-    """Start the daemon, drain it at SIGTERM and return the exit code."""
+    """Start the daemon, drain it at SIGTERM or SIGINT and return the exit code."""
     try:
         daemon = build_daemon(cfg)
     except BadCertificate as exc:
@@ -58,7 +58,7 @@
     loop.add_signal_handler(signal.SIGHUP, daemon.reload_tls)
     await daemon.start()
     _log_start(cfg, daemon)
-    # Programs that start the daemon with port 0 read the addresses from this line.
+    # Programs that start the daemon with port 0 read its addresses from this line.
     print(json.dumps({"instance": cfg.instance, **daemon.addresses}), flush=True)
     await stopping.wait()
     try:
@@ -68,7 +68,7 @@
 
 
 async def drain(daemon: Daemon, limit_s: float) -> int:
-    """Wait until a daemon that drains has finished, at most `limit_s`; return the exit code."""
+    """Wait at most `limit_s` seconds until the daemon is drained; return the exit code."""
     try:
         async with asyncio.timeout(limit_s):
             await daemon.wait_drained()
--- a/cassiadrum/defaults.py
+++ b/cassiadrum/defaults.py
@@ -1,4 +1,7 @@
-"""Every default of the settings and of the service documents, with its unit in the name."""
+"""Defaults of the settings and of the service documents, and fixed limits.
+
+Names end in their units.
+"""
 
 from typing import Final
 
@@ -22,7 +25,7 @@
     "path_prefix": "/",
 }
 
-# Defaults of the daemon's settings, keyed by dotted path.
+# Defaults of the daemon settings, keyed by dotted path.
 SETTINGS_DEFAULTS: Final[dict[str, object]] = {
     "region": "local",
     "listen.http": "127.0.0.1:0",
@@ -43,12 +46,12 @@
 
     HEADER_BYTES: Final = 32 * 1024
     BODY_BYTES: Final = 1024 * 1024
-    # All bodies of one server together; a quarter of the memory that a daemon may take.
+    # All bodies of one server together; a quarter of the memory that a daemon may use.
     BODY_BUDGET_BYTES: Final = 16 * 1024 * 1024
-    # What each request may hold beyond the shared budget.
+    # Bytes of each body that do not count against the shared budget.
     BODY_UNBUDGETED_BYTES: Final = 4 * 1024
     HTTP_CONNECTIONS: Final = 4096
-    # A client that has not sent its whole request by then is answered 408.
+    # A client that has not sent its complete request by then gets status 408.
     REQUEST_READ_TIMEOUT_S: Final = 30.0
     KEEP_ALIVE_TIMEOUT_S: Final = 60.0
     FRAME_BYTES: Final = 4 * 1024 * 1024
@@ -56,28 +59,28 @@
     HEARTBEAT_INTERVAL_S: Final = 1.0
     # Three missed heartbeats; bounds the pause that a caller sees on a silent connection.
     SILENCE_LIMIT_S: Final = 3.0
-    # A link without streams for this long takes the longer times, since the heartbeats of 64
-    # links each second exceed the control traffic that a daemon may cause.
+    # A link without streams for this long uses the longer intervals below, since heartbeats on
+    # 64 links each second exceed the control traffic that a daemon may cause.
     LINK_IDLE_AFTER_S: Final = 10.0
     IDLE_HEARTBEAT_INTERVAL_S: Final = 3.0
     IDLE_SILENCE_LIMIT_S: Final = 9.0
     REPORT_MIN_INTERVAL_S: Final = 0.1
-    # A report whose figures changed is sent after REPORT_MIN_INTERVAL_S; this is for the rest.
+    # Interval for unchanged reports; a changed report is sent after REPORT_MIN_INTERVAL_S.
     REPORT_MAX_INTERVAL_S: Final = 3.0
     DETACHED_STREAM_TIMEOUT_S: Final = 10.0
-    # An endpoint that sends nothing for this long, or for three times the class's target if that
-    # is longer, is taken to be cut off: a connection can go silent without an error.
+    # An endpoint that sends nothing for this long, or for three times the target of the class if
+    # that is longer, counts as lost: a connection can go silent without an error.
     ENDPOINT_SILENCE_LIMIT_S: Final = 10.0
     SIDECAR_QUEUE_PER_SLOT: Final = 1
     KEPT_ANSWER_BYTES: Final = 64 * 1024
-    # A longer answer of a once-only call reaches its caller but is not kept for a retry.
+    # A longer answer of a once-only call reaches its caller but is not stored for a retry.
     CLAIM_ANSWER_BYTES: Final = 1024 * 1024
     EVENT_BUFFER_EVENTS: Final = 16_384
     INSTANCE_POLL_INTERVAL_S: Final = 1.0
-    # Conditional reads of the instance list by the whole fleet; a change is then seen within
-    # 10 s at the target size, and a leaving sidecar tells its entry instances itself at once.
+    # Conditional reads of the instance list by the whole fleet. Changes are then seen within 10 s
+    # at the target size; a leaving sidecar notifies its entry instances at once.
     FLEET_LIST_READS_PER_S: Final = 1000.0
-    # With fewer links than this to a service there is little to choose between.
+    # With fewer links to a service, there are too few endpoints to choose between.
     LINKS_PER_SERVICE_MIN: Final = 4
     LEAVING_LIMIT_S: Final = 3.0
     CLAIM_RETENTION_S: Final = 7 * 24 * 3600.0
--- a/cassiadrum/demo.py
+++ b/cassiadrum/demo.py
@@ -1,4 +1,4 @@
-"""Both deployments on loopback: start, mixed load, table by class, invariant check."""
+"""Demo that runs both example deployments on loopback under mixed load and checks invariants."""
 
 import argparse
 import asyncio
@@ -20,7 +20,7 @@
 
 
 def main() -> None:
-    """Run the demo; the exit code is 0 only if every invariant held."""
+    """Run the demo; exit with code 0 only if no invariant was violated."""
     parser = argparse.ArgumentParser(description="Run both deployments on loopback.")
     parser.add_argument("--json", action="store_true", help="print one JSON object only")
     options = parser.parse_args()
@@ -31,14 +31,14 @@
 
 
 def render(report: LoadReport, computed: int, *, as_json: bool) -> str:
-    """Return the report and the tokens that the engines computed, as a table or as JSON."""
+    """Return the report as text, or as JSON with the number of tokens the engines computed."""
     if as_json:
         return json.dumps({**report.as_dict(), "tokens_computed": computed})
     return report.as_text()
 
 
 async def run() -> tuple[LoadReport, int]:
-    """Return the report of one run and the tokens that the engines computed."""
+    """Return the report of one run and the number of tokens the engines computed."""
     mix = _join_mixes([load_mix(EXAMPLES / name) for name in MIXES])
     site = LocalSite(list(mix.texts))
     await site.start()
@@ -58,7 +58,7 @@
 
 
 def _join_mixes(mixes: list[LoadMix]) -> LoadMix:
-    """Return one mix of two deployments that share a site."""
+    """Return one load mix for several deployments that share a site."""
     joined: dict[str, Any] = {
         field: tuple(item for mix in mixes for item in getattr(mix, field))
         for field in ("documents", "texts", "rates", "bursts")
--- a/cassiadrum/errors.py
+++ b/cassiadrum/errors.py
@@ -1,7 +1,7 @@
-"""The root of the exception tree; each package derives its own errors from it."""
+"""Base class of all errors; each package derives its own errors from it."""
 
 __all__ = ["CassiadrumError"]
 
 
 class CassiadrumError(Exception):
-    """Base of every error that this project raises on purpose."""
+    """Base class of the errors that this project raises."""
