Rename local variables of the commands

The lines of a request and the context lines around it, the source of a compared document and the failure with an unknown outcome have names that say what they hold.

--- a/cassiadrum/cli.py
+++ b/cassiadrum/cli.py
@@ -112,9 +112,11 @@
     # fire lists the commands only in the help of an instance; the help of a class has its options.
     wants_help = not arguments or arguments[0] in ("-h", "--help", "help")
     root = Root() if wants_help else Root
-    given = ["--help"] if wants_help else list(arguments)
-    found = fire.Fire(root, command=given, name="cassiadrum", serialize=_printed_by_fire)
-    return ParsedArguments(found if isinstance(found, Action) else None, *options[-1])
+    fire_arguments = ["--help"] if wants_help else list(arguments)
+    component = fire.Fire(
+        root, command=fire_arguments, name="cassiadrum", serialize=_printed_by_fire
+    )
+    return ParsedArguments(component if isinstance(component, Action) else None, *options[-1])
 
 
 def _printed_by_fire(found: object) -> object:
--- a/cassiadrum/commands/document_files.py
+++ b/cassiadrum/commands/document_files.py
@@ -55,12 +55,12 @@
         except (StoreUnavailable, InvalidRecord) as exc:
             raise CommandError(ExitCode.UNREACHABLE, f"table service: {exc}") from exc
     if record is None or record.version == 0:
-        what = (
+        detail = (
             f"version {version} of {service} is not in the history"
             if version
             else f"no service {service}"
         )
-        raise CommandError(ExitCode.BAD_INPUT, what)
+        raise CommandError(ExitCode.BAD_INPUT, detail)
     return record
 
 
--- a/cassiadrum/commands/explain_logs.py
+++ b/cassiadrum/commands/explain_logs.py
@@ -62,9 +62,13 @@
     Raises CommandError if the files have no line of the request.
     """
     logs = merge_logs(files)
-    own = logs.of_request(request_id)
-    beliefs = [line for line in logs.process_lines(own, CONTEXT_S) if _is_relevant(line, own)]
-    first_s = own[0].at_s
+    request_lines = logs.of_request(request_id)
+    context_lines = [
+        line
+        for line in logs.process_lines(request_lines, CONTEXT_S)
+        if _is_relevant(line, request_lines)
+    ]
+    first_s = request_lines[0].at_s
     steps = [
         _Step(
             round((line.at_s - first_s) * 1000, 1),
@@ -72,11 +76,11 @@
             not line.request_id,
             _line_text(line),
         )
-        for line in sorted(beliefs + own, key=lambda line: line.at_s)
+        for line in sorted(context_lines + request_lines, key=lambda line: line.at_s)
     ]
-    summary = _summary_lines(own)
-    notes = _missing_parts(logs, own)
-    lines = [f"{request_id} ({own[0].fields.get('service') or 'no service'})"]
+    summary = _summary_lines(request_lines)
+    notes = _missing_part_notes(logs, request_lines)
+    lines = [f"{request_id} ({request_lines[0].fields.get('service') or 'no service'})"]
     lines += [str(step) for step in steps]
     data = {
         "request_id": request_id,
@@ -87,10 +91,10 @@
     return Result(data, [*lines, *summary, *notes])
 
 
-def _is_relevant(line: LogLine, own: list[LogLine]) -> bool:
+def _is_relevant(line: LogLine, request_lines: list[LogLine]) -> bool:
     """Return whether a line is about an endpoint of the request, or about no endpoint at all."""
     endpoint = line.fields.get("endpoint")
-    return endpoint is None or endpoint in {item.fields.get("endpoint") for item in own}
+    return endpoint is None or endpoint in {item.fields.get("endpoint") for item in request_lines}
 
 
 def _line_text(line: LogLine) -> str:
@@ -106,10 +110,10 @@
         return f"{line.message} {inputs}".rstrip()
 
 
-def _summary_lines(own: list[LogLine]) -> list[str]:
+def _summary_lines(request_lines: list[LogLine]) -> list[str]:
     """Return the durations of the phases and the outcome of the request."""
     at_s: dict[str, float] = {}
-    for line in own:
+    for line in request_lines:
         at_s.setdefault(line.message, line.at_s)
     lines = []
     for label, start, end in (
@@ -119,17 +123,19 @@
     ):
         if start in at_s and end in at_s:
             lines.append(f"{label}: {(at_s[end] - at_s[start]) * 1000:.1f} ms")
-    ended: dict[str, Any] = own[-1].fields if own[-1].message == "ended" else {}
+    ended: dict[str, Any] = (
+        request_lines[-1].fields if request_lines[-1].message == "ended" else {}
+    )
     lines.append(
         f"outcome: {ended.get('outcome', 'unknown, as the files have no line of its end')}"
     )
     return lines
 
 
-def _missing_parts(logs: MergedLogs, own: list[LogLine]) -> list[str]:
+def _missing_part_notes(logs: MergedLogs, request_lines: list[LogLine]) -> list[str]:
     """Return notes on lines that may be missing from the explanation."""
-    processes = {line.instance for line in own}
-    gaps = logs.gaps_between(own[0].at_s - CONTEXT_S, own[-1].at_s + CONTEXT_S)
+    processes = {line.instance for line in request_lines}
+    gaps = logs.gaps_between(request_lines[0].at_s - CONTEXT_S, request_lines[-1].at_s + CONTEXT_S)
     notes = [str(gap) for gap in gaps if gap.instance in processes]
     if logs.unreadable:
         notes.append(f"{logs.unreadable} rows could not be read")
--- a/cassiadrum/commands/fleets.py
+++ b/cassiadrum/commands/fleets.py
@@ -45,11 +45,11 @@
     """
     slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
-    async def ask_one(item: Instance) -> dict[str, Any] | None:
+    async def get_one(item: Instance) -> dict[str, Any] | None:
         async with slots:
-            own = path if isinstance(path, str) else path[item.instance]
-            return await try_get(item.admin_address, own)
+            target = path if isinstance(path, str) else path[item.instance]
+            return await try_get(item.admin_address, target)
 
     listed = list(instances)
-    answers = await asyncio.gather(*(ask_one(item) for item in listed))
+    answers = await asyncio.gather(*(get_one(item) for item in listed))
     return {item.instance: answer for item, answer in zip(listed, answers, strict=True)}
--- a/cassiadrum/commands/log_files.py
+++ b/cassiadrum/commands/log_files.py
@@ -53,9 +53,9 @@
 
     def of_request(self, request_id: str) -> list[LogLine]:
         """Return the lines of one request; raise CommandError if there is none."""
-        own = [line for line in self.lines if line.request_id == request_id]
-        if own:
-            return own
+        request_lines = [line for line in self.lines if line.request_id == request_id]
+        if request_lines:
+            return request_lines
         reasons = [f"no line of request {request_id}"]
         reasons += [str(gap) for gap in self.gaps_between(float("-inf"), float("inf"))]
         if self.unreadable:
@@ -67,18 +67,18 @@
         found: dict[str, LogGap] = {}
         for gap in self.gaps:
             if start_s <= gap.before_s <= end_s:
-                before = found.get(gap.instance, gap._replace(left_out=0))
-                found[gap.instance] = gap._replace(left_out=before.left_out + gap.left_out)
+                previous = found.get(gap.instance, gap._replace(left_out=0))
+                found[gap.instance] = gap._replace(left_out=previous.left_out + gap.left_out)
         return list(found.values())
 
-    def process_lines(self, own: list[LogLine], before_s: float) -> list[LogLine]:
+    def process_lines(self, request_lines: list[LogLine], before_s: float) -> list[LogLine]:
         """Return the lines without a request id that the processes of a request wrote.
 
         `own` holds the lines of the request. The period begins `before_s` seconds before the first
         of them and ends with the last.
         """
-        start_s, end_s = own[0].at_s - before_s, own[-1].at_s
-        processes = {line.instance for line in own}
+        start_s, end_s = request_lines[0].at_s - before_s, request_lines[-1].at_s
+        processes = {line.instance for line in request_lines}
         return [
             line
             for line in self.lines
@@ -136,9 +136,9 @@
     if not line.request_id or after_ms is None:
         return line
     first = first_lines.setdefault(line.request_id, line)
-    distance_s = (after_ms - first.fields["after_ms"]) / 1000
-    if distance_s < 0:
+    elapsed_s = (after_ms - first.fields["after_ms"]) / 1000
+    if elapsed_s < 0:
         # The request id was used a second time.
         first_lines[line.request_id] = line
         return line
-    return line._replace(at_s=first.at_s + distance_s)
+    return line._replace(at_s=first.at_s + elapsed_s)
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -61,7 +61,7 @@
     twice.
     """
     entries = await _list_entries(session)
-    unknown: CommandError | None = None
+    unknown_exc: CommandError | None = None
     attempts = 0
     for entry in entries * MAX_UNKNOWN_OUTCOMES:
         session.output.print_progress(
@@ -71,8 +71,8 @@
             return _accepted_version(await _send(entry, change), change)
         except CommandError as exc:
             if exc.code is ExitCode.OUTCOME_UNKNOWN:
-                unknown, attempts = exc, attempts + 1
-            elif unknown is not None and exc.data.get("result") == "not_accepted":
+                unknown_exc, attempts = exc, attempts + 1
+            elif unknown_exc is not None and exc.data.get("result") == "not_accepted":
                 # The attempt without an answer may still be applied after this refusal.
                 attempts += 1
             elif exc.code is not ExitCode.UNREACHABLE:
@@ -80,7 +80,7 @@
         if attempts >= MAX_UNKNOWN_OUTCOMES:
             break
         await asyncio.sleep(RETRY_PAUSE_S)
-    raise _submission_error(change, unknown)
+    raise _submission_error(change, unknown_exc)
 
 
 async def wait_in_force(
@@ -154,11 +154,11 @@
     return await AdminClient(entry.admin_address).send_change(method, path, body)
 
 
-def _submission_error(change: ServiceChange, unknown: CommandError | None) -> CommandError:
-    if unknown is None:
+def _submission_error(change: ServiceChange, unknown_exc: CommandError | None) -> CommandError:
+    if unknown_exc is None:
         return CommandError(ExitCode.UNREACHABLE, "no entry instance answers; nothing was sent")
     detail = (
-        f"the outcome is unknown: {unknown}; to retry, run the command with "
+        f"the outcome is unknown: {unknown_exc}; to retry, run the command with "
         f"--operation {change.operation_id}"
     )
     data = {"operation_id": change.operation_id, "base_version": change.base_version}
@@ -190,5 +190,5 @@
 def _lag_reason(answer: dict[str, Any] | None, service: str, version: int) -> str:
     if answer is None:
         return "does not answer"
-    held = answer.get("versions", {}).get(service, 0)
-    return "" if held >= version else f"has version {held}"
+    current = answer.get("versions", {}).get(service, 0)
+    return "" if current >= version else f"has version {current}"
--- a/cassiadrum/commands/service_differences.py
+++ b/cassiadrum/commands/service_differences.py
@@ -21,16 +21,16 @@
     document: ServiceDocument | None
 
     @classmethod
-    async def read(cls, session: Session, service: str, what: str) -> "ComparedDocument":
+    async def read(cls, session: Session, service: str, source: str) -> "ComparedDocument":
         """Read a version, given as a number with 0 for the current one, or a file."""
-        if what.isdecimal():
-            record = await read_record(session.platform(), service, int(what))
+        if source.isdecimal():
+            record = await read_record(session.platform(), service, int(source))
             return cls(f"version {record.version}", record.text, parse_record(record))
-        text, document = read_document_file(what)
+        text, document = read_document_file(source)
         if document.name != service:
-            detail = f"{what}: service.name: found {document.name!r}; allowed: {service!r}"
+            detail = f"{source}: service.name: found {document.name!r}; allowed: {service!r}"
             raise CommandError(ExitCode.BAD_INPUT, detail)
-        return cls(what, text, document)
+        return cls(source, text, document)
 
 
 def compare_documents(old: ComparedDocument, new: ComparedDocument) -> Result:
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -51,7 +51,7 @@
         if path.suffix == TOML_SUFFIX:
             cfg = load_settings(path)
             return f"{path}: valid settings of the {cfg.role} {cfg.instance}", []
-        boot = load_node_settings(path)
-        return f"{path}: valid settings of the gateway {boot.instance}", []
+        node_cfg = load_node_settings(path)
+        return f"{path}: valid settings of the gateway {node_cfg.instance}", []
     except (SettingsError, BadSettings) as exc:
         return "", exc.findings
--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -94,11 +94,11 @@
     row |= {"zone": item.zone, "state": item.state, "answers": answer is not None}
     if answer is None:
         return row | {"draining": None, "in_flight": None, "links": None, "lags": ["no answer"]}
-    held = answer["versions"]
+    versions = answer["versions"]
     lags = [
-        f"{service} {held.get(service, 0)} of {version}"
+        f"{service} {versions.get(service, 0)} of {version}"
         for service, version in sorted(newest.items())
-        if held.get(service, 0) < version
+        if versions.get(service, 0) < version
     ]
     links = len(answer["links"])
     counts = {"in_flight": answer["in_flight"], "links": links, "lags": lags}
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -136,8 +136,8 @@
 ) -> Result:
     """Print new events as they are recorded.
 
-    The events of one round are ordered. Since the processes are read one after another, the
-    times of successive rounds can overlap.
+    The events of one round are ordered. The times of successive rounds can overlap by the time
+    that reading the processes takes.
     """
     output = session.output
     deadline_s = time.monotonic() + seconds
--- a/cassiadrum/daemon.py
+++ b/cassiadrum/daemon.py
@@ -80,16 +80,16 @@
 
 
 def _log_start(cfg: Settings, daemon: Daemon) -> None:
-    facts = {"role": cfg.role, "zone": cfg.zone, "release": __version__, **daemon.addresses}
-    text = " ".join(f"{key}={value}" for key, value in facts.items())
-    logger.info("started %s", text, extra=facts)
+    fields = {"role": cfg.role, "zone": cfg.zone, "release": __version__, **daemon.addresses}
+    text = " ".join(f"{key}={value}" for key, value in fields.items())
+    logger.info("started %s", text, extra=fields)
 
 
 def _on_signal(daemon: Daemon, stopping: asyncio.Event) -> None:
     if stopping.is_set():
         lines = daemon.describe_in_flight()
-        shown = "; ".join(lines[:MAX_DESCRIBED_REQUESTS])
-        logger.info("still waiting for %d requests in flight: %s", len(lines), shown)
+        described = "; ".join(lines[:MAX_DESCRIBED_REQUESTS])
+        logger.info("still waiting for %d requests in flight: %s", len(lines), described)
         return
     logger.info("draining, %d requests in flight", daemon.in_flight())
     daemon.begin_drain()
