Merge the wording of the commands, settings and documents

Both sides renamed in one line of links.py, and one edited a module that the other had moved; the renames of one side were run again on the other.

--- a/bench/capacity/idle_figures.py
+++ b/bench/capacity/idle_figures.py
@@ -48,7 +48,7 @@
             [partial(platform.start_entry, f"e{n}") for n in range(1, LINKS_PER_SIDECAR)]
         )
         await _wait_for_links(entry, LINKS_PER_ENTRY)
-        await asyncio.sleep(LIMITS.IDLE_AFTER_S + 1.0)
+        await asyncio.sleep(LIMITS.LINK_IDLE_AFTER_S + 1.0)
         for name, child in (("entry", entry), ("sidecar", first)):
             found |= {
                 f"{name}_{key}": value
--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -23,7 +23,7 @@
 LINK_COUNTS = (10, 100, 300, 600, 1000)
 IDLE_MEASUREMENT_S = 6.0
 # The links have to be idle, as in an idle fleet.
-IDLE_TRANSITION_S = LIMITS.IDLE_AFTER_S + 1.0
+IDLE_TRANSITION_S = LIMITS.LINK_IDLE_AFTER_S + 1.0
 
 
 async def measure_links() -> dict[str, list[tuple[float, float]]]:
--- a/cassiadrum/commands/arguments.py
+++ b/cassiadrum/commands/arguments.py
@@ -1,4 +1,4 @@
-"""Parsers of values on the command line."""
+"""Parsers for command-line values."""
 
 import time
 from collections.abc import Callable
@@ -15,25 +15,26 @@
 from cassiadrum.settings.schemas import HostPort
 
 __all__ = [
+    "argument_parsers",
     "parse_address",
     "parse_flag",
     "parse_seconds",
     "parse_text",
     "parse_time",
-    "parse_whole",
-    "takes",
+    "parse_whole_number",
 ]
 
-# The help lists every attribute of a command whose name has no leading underscore as a group.
+# fire stores its metadata in an attribute of the command, and its help lists every attribute
+# without a leading underscore as a command group.
 decorators.FIRE_METADATA = "_fire_metadata"
 
 Function = TypeVar("Function", bound=Callable[..., Any])
 
 
-def takes(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
-    """Return a decorator that states the parser of each argument; the others are text.
+def argument_parsers(**parsers: Callable[[str], Any]) -> Callable[[Function], Function]:
+    """Return a decorator that sets the parsers of named arguments; all others are parsed as text.
 
-    Without it fire would read an id such as `1_000` as a number.
+    By default, fire would parse an id such as `1_000` as a number.
     """
 
     def decorate(function: Function) -> Function:
@@ -45,7 +46,7 @@
 
 
 def parse_address(text: object, where: str) -> Address:
-    """Return the address HOST:PORT in a text; raise CommandError."""
+    """Parse an address HOST:PORT; raise CommandError if invalid, with `where` in its message."""
     try:
         return Address.parse(msgspec.convert(text, HostPort))
     except msgspec.ValidationError as exc:
@@ -53,40 +54,40 @@
         raise CommandError(ExitCode.BAD_INPUT, detail) from exc
 
 
-def parse_whole(text: str) -> int:
-    """Return a whole number of at least 0; raise CommandError."""
+def parse_whole_number(text: str) -> int:
+    """Parse a non-negative whole number; raise CommandError if invalid."""
     if not text.isdecimal():
-        raise _wrong(text, "a whole number of at least 0")
+        raise _invalid_value(text, "a whole number of at least 0")
     return int(text)
 
 
 def parse_seconds(text: str) -> float:
-    """Return a number of seconds of at least 0; raise CommandError."""
+    """Parse a non-negative number of seconds; raise CommandError if invalid."""
     try:
         seconds = float(text)
     except ValueError as exc:
-        raise _wrong(text, "seconds") from exc
+        raise _invalid_value(text, "seconds") from exc
     if not 0 <= seconds < float("inf"):
-        raise _wrong(text, "seconds of at least 0")
+        raise _invalid_value(text, "seconds of at least 0")
     return seconds
 
 
 def parse_text(text: str) -> str:
-    """Return a text; raise CommandError when the option has no value, which fire reads as True."""
+    """Return a text; raise CommandError if the option has no value, which fire passes as True."""
     if text == "True":
-        raise _wrong("nothing", "a value after the option")
+        raise _invalid_value("nothing", "a value after the option")
     return text
 
 
 def parse_flag(text: str) -> bool:
-    """Return whether a flag is set; fire gives `True` or `False` as text."""
+    """Return whether a flag is set; fire passes the text `True` or `False`."""
     return text == "True"
 
 
 def parse_time(text: str) -> float | None:
-    """Return seconds since 1970 for a number of seconds ago or an ISO 8601 time.
+    """Parse a number of seconds ago or an ISO 8601 time and return it as seconds since 1970.
 
-    A time without a zone is in UTC; an empty text gives None. Raises CommandError.
+    A time without a zone is in UTC. An empty text returns None. Raises CommandError if invalid.
     """
     if not text:
         return None
@@ -97,9 +98,9 @@
     try:
         moment = datetime.fromisoformat(text)
     except ValueError as exc:
-        raise _wrong(text, "seconds ago, or an ISO 8601 time") from exc
+        raise _invalid_value(text, "seconds ago, or an ISO 8601 time") from exc
     return (moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp()
 
 
-def _wrong(text: str, allowed: str) -> CommandError:
+def _invalid_value(text: str, allowed: str) -> CommandError:
     return CommandError(ExitCode.BAD_INPUT, f"found {text!r}; allowed: {allowed}")
--- a/cassiadrum/commands/log_commands.py
+++ b/cassiadrum/commands/log_commands.py
@@ -1,22 +1,23 @@
-"""Reading of the log files of many processes."""
+"""Command that merges the log files of several processes."""
 
 from collections.abc import Iterable
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import parse_seconds, parse_text, takes
+from cassiadrum.commands.arguments import argument_parsers, parse_seconds, parse_text
 from cassiadrum.commands.log_files import merge_logs
 from cassiadrum.commands.results import Result
 
 __all__ = ["log"]
 
 
-@takes(request=parse_text, around=parse_seconds)
+@argument_parsers(request=parse_text, around=parse_seconds)
 def log(*files: str, request: str = "", around: float = 0.0) -> Action:
     """Merge log files of several processes by time.
 
-    --request prints only the lines of one request. --around prints also the lines of its process
-    that belong to no request, from so many seconds before it to its end: what the process
-    believed. Lines that a process left out are shown as gaps.
+    --request prints only the lines of one request. --around also prints the lines of the same
+    processes that belong to no request, from this many seconds before the request to its end;
+    they show the state on which the request was decided. Lines that a process dropped are shown
+    as gaps.
 
     Example: cassiadrum log gateway-*.log --request 9c41d07be2a35f68 --around 5
     """
@@ -29,7 +30,7 @@
     if request:
         lines = logs.of_request(request)
         if around_s:
-            lines = sorted(lines + logs.beliefs(lines, around_s), key=lambda line: line.at_s)
+            lines = sorted(lines + logs.process_lines(lines, around_s), key=lambda line: line.at_s)
     gaps = logs.gaps_between(float("-inf"), float("inf"))
     text = [str(line) for line in lines]
     text += [str(gap) for gap in gaps]
--- a/cassiadrum/commands/service_changes.py
+++ b/cassiadrum/commands/service_changes.py
@@ -1,4 +1,4 @@
-"""Acceptance of a change by any entry instance, and the wait until it is in force."""
+"""Submission of a change to any entry instance, and the wait until it is in force."""
 
 import asyncio
 import secrets
@@ -10,23 +10,24 @@
 from cassiadrum.commands.admin_clients import AdminAnswer, AdminClient
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import ask_all, list_instances
+from cassiadrum.commands.fleets import get_from_all, list_instances
 from cassiadrum.commands.results import Result
 from cassiadrum.stores import Instance
 
 __all__ = [
     "ServiceChange",
-    "accept_and_wait",
     "make_operation_id",
+    "submit_and_wait",
     "submit_change",
     "wait_in_force",
 ]
 
-# Unknown outcomes are asked for again at the next entry instances, at most this often in all.
-UNKNOWN_ATTEMPTS: Final = 4
+# After an attempt with an unknown outcome, the change is submitted to the next entry instance, up
+# to this many times in total.
+MAX_UNKNOWN_OUTCOMES: Final = 4
 RETRY_PAUSE_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.25
-CODES: Final = {
+EXIT_CODES: Final = {
     200: ExitCode.OK,
     400: ExitCode.BAD_INPUT,
     404: ExitCode.REFUSED,
@@ -38,7 +39,7 @@
 
 
 class ServiceChange(NamedTuple):
-    """Replace version `base_version` of a service by a text, or delete it."""
+    """Replacement of version `base_version` of a service by a text, or its deletion."""
 
     service: str
     base_version: int
@@ -49,65 +50,70 @@
 
 
 def make_operation_id() -> str:
-    """Return an id that no other change has."""
+    """Return a new id that identifies a change over all its attempts."""
     return secrets.token_hex(16)
 
 
 async def submit_change(session: Session, change: ServiceChange) -> int:
-    """Return the accepted version; raise CommandError.
+    """Submit a change and return the accepted version; raise CommandError if it fails.
 
-    Every attempt carries the same operation id, so a change whose answer was lost is not made
+    Every attempt has the same operation id, so a change whose answer was lost is not applied
     twice.
     """
-    entries = await _entries(session)
-    unknown: CommandError | None = None
+    entries = await _list_entries(session)
+    unknown_exc: CommandError | None = None
     attempts = 0
-    for entry in entries * UNKNOWN_ATTEMPTS:
-        session.output.progress(f"operation {change.operation_id}: submitting to {entry.instance}")
+    for entry in entries * MAX_UNKNOWN_OUTCOMES:
+        session.output.print_progress(
+            f"operation {change.operation_id}: submitting to {entry.instance}"
+        )
         try:
-            return _version(await _send(entry, change), change)
+            return _accepted_version(await _send(entry, change), change)
         except CommandError as exc:
             if exc.code is ExitCode.OUTCOME_UNKNOWN:
-                unknown, attempts = exc, attempts + 1
-            elif unknown is not None and exc.data.get("result") == "not_accepted":
+                unknown_exc, attempts = exc, attempts + 1
+            elif unknown_exc is not None and exc.data.get("result") == "not_accepted":
                 # The attempt without an answer may still be applied after this refusal.
                 attempts += 1
             elif exc.code is not ExitCode.UNREACHABLE:
                 raise
-        if attempts >= UNKNOWN_ATTEMPTS:
+        if attempts >= MAX_UNKNOWN_OUTCOMES:
             break
         await asyncio.sleep(RETRY_PAUSE_S)
-    raise _given_up(change, unknown)
+    raise _submission_error(change, unknown_exc)
 
 
 async def wait_in_force(
     session: Session, service: str, version: int, limit_s: float
 ) -> dict[str, str]:
-    """Return the instances that do not have the version in force in time, with the reason."""
+    """Wait until a version is in force everywhere.
+
+    Returns the instances that do not have it in force after `limit_s`, with the reasons.
+    """
     deadline_s = time.monotonic() + limit_s
     pending = {item.instance: item for item in await list_instances(session.platform())}
     while True:
-        answers = await ask_all(pending.values(), "/admin/status")
+        answers = await get_from_all(pending.values(), "/admin/status")
         lagging = {
             name: reason
             for name, answer in answers.items()
-            if (reason := _lag(answer, service, version))
+            if (reason := _lag_reason(answer, service, version))
         }
         pending = {name: pending[name] for name in lagging}
         if not pending or time.monotonic() >= deadline_s:
             return lagging
-        session.output.progress(f"version {version}: waiting for {len(pending)} instances")
+        session.output.print_progress(f"version {version}: waiting for {len(pending)} instances")
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-async def accept_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
-    """Submit a change, wait until it is in force and return the result of the command."""
+async def submit_and_wait(session: Session, change: ServiceChange, limit_s: float) -> Result:
+    """Submit a change, wait up to `limit_s` until it is in force and return the result."""
     started_s = time.monotonic()
     version = await submit_change(session, change)
     try:
         lagging = await wait_in_force(session, change.service, version, limit_s)
     except CommandError as exc:
-        # The change is durable, which must not be hidden by a failure that follows.
+        # The change is durable, so a later failure must not hide that it was accepted.
         lagging = {"(instance list)": str(exc)}
     waited_s = round(time.monotonic() - started_s, 3)
     data: dict[str, Any] = {
@@ -126,11 +132,11 @@
     return Result(data, lines, ExitCode.UNREACHABLE)
 
 
-async def _entries(session: Session) -> list[Instance]:
+async def _list_entries(session: Session) -> list[Instance]:
     listed = await list_instances(session.platform())
     entries = [item for item in listed if item.role == "entry"]
     if not entries:
-        raise CommandError(ExitCode.UNREACHABLE, "the instance list has no entry instance")
+        raise CommandError(ExitCode.UNREACHABLE, "no entry instance in the instance list")
     # A leaving instance still accepts changes, but may stop before it answers.
     return sorted(entries, key=lambda item: item.state == "leaving")
 
@@ -145,34 +151,34 @@
     if not change.deleted:
         body["text"] = change.text
     path = f"/admin/services/{quote(change.service, safe='')}"
-    return await AdminClient(entry.admin_address).change(method, path, body)
+    return await AdminClient(entry.admin_address).send_change(method, path, body)
 
 
-def _given_up(change: ServiceChange, unknown: CommandError | None) -> CommandError:
-    if unknown is None:
+def _submission_error(change: ServiceChange, unknown_exc: CommandError | None) -> CommandError:
+    if unknown_exc is None:
         return CommandError(ExitCode.UNREACHABLE, "no entry instance answers; nothing was sent")
     detail = (
-        f"the outcome is unknown: {unknown}; repeat the command with "
+        f"the outcome is unknown: {unknown_exc}; to retry, run the command with "
         f"--operation {change.operation_id}"
     )
     data = {"operation_id": change.operation_id, "base_version": change.base_version}
     return CommandError(ExitCode.OUTCOME_UNKNOWN, detail, **data)
 
 
-def _version(answer: AdminAnswer, change: ServiceChange) -> int:
+def _accepted_version(answer: AdminAnswer, change: ServiceChange) -> int:
     body = answer.body
     if answer.status == 200:
         return int(body["version"])
-    code = CODES.get(answer.status, ExitCode.REFUSED)
-    raise CommandError(code, _refusal(body, change), **body)
+    code = EXIT_CODES.get(answer.status, ExitCode.REFUSED)
+    raise CommandError(code, _refusal_text(body, change), **body)
 
 
-def _refusal(body: dict[str, Any], change: ServiceChange) -> str:
+def _refusal_text(body: dict[str, Any], change: ServiceChange) -> str:
     if body.get("result") == "conflict":
         current = body["current"]
         return (
             f"conflict: {change.service} is at version {current['version']} by "
-            f"{current['author']}, not {change.base_version}; the difference to this change:\n"
+            f"{current['author']}, not {change.base_version}; difference to this change:\n"
             f"{body['difference']}"
         )
     if body.get("result") == "invalid":
@@ -181,8 +187,8 @@
     return f"not accepted: {body.get('reason') or body.get('error')}"
 
 
-def _lag(answer: dict[str, Any] | None, service: str, version: int) -> str:
+def _lag_reason(answer: dict[str, Any] | None, service: str, version: int) -> str:
     if answer is None:
         return "does not answer"
-    held = answer.get("versions", {}).get(service, 0)
-    return "" if held >= version else f"has version {held}"
+    current = answer.get("versions", {}).get(service, 0)
+    return "" if current >= version else f"has version {current}"
--- a/cassiadrum/commands/settings_commands.py
+++ b/cassiadrum/commands/settings_commands.py
@@ -1,9 +1,9 @@
-"""Checks of settings files."""
+"""Command that checks settings files."""
 
 from pathlib import Path
 
 from cassiadrum.commands.actions import Action, Session
-from cassiadrum.commands.arguments import takes
+from cassiadrum.commands.arguments import argument_parsers
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
 from cassiadrum.commands.results import Result
@@ -20,11 +20,11 @@
 class SettingsCommands:
     """Check settings files without starting a process."""
 
-    @takes()
+    @argument_parsers()
     def check(self, *files: str) -> Action:
         """Check settings files and print one line for each error; needs no platform.
 
-        A file whose name ends with .toml holds the settings of a cassiadrumd, any other the JSON
+        A file with the suffix .toml holds the settings of cassiadrumd, any other file the JSON
         settings of a gateway on the platform.
 
         Example: cassiadrum settings check examples/settings/entry.toml boot.json
@@ -33,7 +33,7 @@
         async def run(session: Session) -> Result:
             if not files:
                 raise CommandError(ExitCode.BAD_INPUT, "FILES: found nothing; allowed: paths")
-            found = [_check(Path(file)) for file in files]
+            found = [_check_file(Path(file)) for file in files]
             findings = [finding for _, wrong in found for finding in wrong]
             if findings:
                 detail = "\n".join(str(finding) for finding in findings)
@@ -45,13 +45,13 @@
         return Action(run)
 
 
-def _check(path: Path) -> tuple[str, list[Finding]]:
-    """Return the line for a valid file and the errors of any other."""
+def _check_file(path: Path) -> tuple[str, list[Finding]]:
+    """Return the line to print for a valid file, or the findings of an invalid one."""
     try:
         if path.suffix == TOML_SUFFIX:
             cfg = load_settings(path)
             return f"{path}: valid settings of the {cfg.role} {cfg.instance}", []
-        boot = load_node_settings(path)
-        return f"{path}: valid settings of the gateway {boot.instance}", []
+        node_cfg = load_node_settings(path)
+        return f"{path}: valid settings of the gateway {node_cfg.instance}", []
     except (SettingsError, BadSettings) as exc:
         return "", exc.findings
--- a/cassiadrum/commands/status_commands.py
+++ b/cassiadrum/commands/status_commands.py
@@ -1,14 +1,14 @@
-"""Commands on the processes."""
+"""Commands that show the status of processes and drain them."""
 
 from typing import Any
 
 from cassiadrum.commands.actions import Action, Session
 from cassiadrum.commands.admin_clients import AdminClient
-from cassiadrum.commands.arguments import takes
-from cassiadrum.commands.document_files import document_of
+from cassiadrum.commands.arguments import argument_parsers
+from cassiadrum.commands.document_files import parse_record
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.commands.fleets import ask_all, find_instance, list_instances
+from cassiadrum.commands.fleets import find_instance, get_from_all, list_instances
 from cassiadrum.commands.platforms import Platform
 from cassiadrum.commands.results import Result
 from cassiadrum.documents import class_consequences
@@ -19,25 +19,25 @@
 
 
 def status() -> Action:
-    """Show instances, endpoints, classes, the versions in force and who lags.
+    """Show instances, endpoints, classes, versions in force and instances that lag behind.
 
-    The exit code is 4 when an instance does not answer or lags.
+    The exit code is 4 if an instance does not answer or lags behind.
 
     Example: cassiadrum status
     """
-    return Action(_status)
+    return Action(_collect_status)
 
 
-@takes()
+@argument_parsers()
 def drain(instance: str) -> Action:
-    """Let an instance take no new work and finish what it has; it does not exit by itself.
+    """Let an instance finish its requests and accept no new ones; it does not exit by itself.
 
     Example: cassiadrum drain sprachdienst-2
     """
 
     async def run(session: Session) -> Result:
         item = await find_instance(session.platform(), instance)
-        answer = await AdminClient(item.admin_address).change("POST", "/admin/drain", {})
+        answer = await AdminClient(item.admin_address).send_change("POST", "/admin/drain", {})
         if answer.status != 202:
             raise CommandError(ExitCode.REFUSED, f"{instance}: {answer.body}")
         return Result({"instance": instance, "draining": True}, [f"{instance} is draining"])
@@ -45,24 +45,26 @@
     return Action(run)
 
 
-async def _status(session: Session) -> Result:
+async def _collect_status(session: Session) -> Result:
     platform = session.platform()
     instances = await list_instances(platform)
-    answers = await ask_all(instances, "/admin/status")
-    records, store_error = await _records(platform)
+    answers = await get_from_all(instances, "/admin/status")
+    records, store_error = await _read_records(platform)
     newest = {record.service: record.version for record in records}
     if store_error:
-        newest = _newest(answers)
-    rows = [_row(item, answers[item.instance], newest) for item in instances]
-    services = [_service(record, instances, answers) for record in records if not record.deleted]
+        newest = _newest_versions(answers)
+    rows = [_instance_row(item, answers[item.instance], newest) for item in instances]
+    services = [
+        _service_row(record, instances, answers) for record in records if not record.deleted
+    ]
     data = {"instances": rows, "services": services, "versions": newest, "store": store_error}
     healthy = not store_error and not any(row["lags"] for row in rows)
     code = ExitCode.OK if healthy else ExitCode.UNREACHABLE
     return Result(data, [*_instance_lines(rows), *_service_lines(services), *store_error], code)
 
 
-async def _records(platform: Platform) -> tuple[list[ConfigurationRecord], list[str]]:
-    """Return the newest record of each service, and why they could not be read."""
+async def _read_records(platform: Platform) -> tuple[list[ConfigurationRecord], list[str]]:
+    """Return the newest record of each service, or none and the error of the table service."""
     records: list[ConfigurationRecord] = []
     page = RowPage((), "")
     try:
@@ -74,10 +76,10 @@
             if not page.next_after:
                 return records, []
     except (StoreUnavailable, InvalidRecord) as exc:
-        return [], [f"table service: {exc}; the newest versions are those of the instances"]
+        return [], [f"table service: {exc}; showing the newest versions known to the instances"]
 
 
-def _newest(answers: dict[str, dict[str, Any] | None]) -> dict[str, int]:
+def _newest_versions(answers: dict[str, dict[str, Any] | None]) -> dict[str, int]:
     newest: dict[str, int] = {}
     for answer in answers.values():
         for service, version in (answer or {}).get("versions", {}).items():
@@ -85,31 +87,33 @@
     return newest
 
 
-def _row(item: Instance, answer: dict[str, Any] | None, newest: dict[str, int]) -> dict[str, Any]:
+def _instance_row(
+    item: Instance, answer: dict[str, Any] | None, newest: dict[str, int]
+) -> dict[str, Any]:
     row: dict[str, Any] = {key: getattr(item, key) for key in ("instance", "role", "service")}
     row |= {"zone": item.zone, "state": item.state, "answers": answer is not None}
     if answer is None:
         return row | {"draining": None, "in_flight": None, "links": None, "lags": ["no answer"]}
-    held = answer["versions"]
+    versions = answer["versions"]
     lags = [
-        f"{service} {held.get(service, 0)} of {version}"
+        f"{service} {versions.get(service, 0)} of {version}"
         for service, version in sorted(newest.items())
-        if held.get(service, 0) < version
+        if versions.get(service, 0) < version
     ]
     links = len(answer["links"])
     counts = {"in_flight": answer["in_flight"], "links": links, "lags": lags}
     return row | {"draining": answer["draining"], **counts}
 
 
-def _service(
+def _service_row(
     record: ConfigurationRecord,
     instances: list[Instance],
     answers: dict[str, dict[str, Any] | None],
 ) -> dict[str, Any]:
-    document = document_of(record)
+    document = parse_record(record)
     answered = [answer for answer in answers.values() if answer]
-    queued = sum(_load(answer, record.service, "queued") for answer in answered)
-    running = sum(_load(answer, record.service, "running") for answer in answered)
+    queued = sum(_load_figure(answer, record.service, "queued") for answer in answered)
+    running = sum(_load_figure(answer, record.service, "running") for answer in answered)
     return {
         "service": record.service,
         "version": record.version,
@@ -121,7 +125,7 @@
     }
 
 
-def _load(answer: dict[str, Any], service: str, key: str) -> int:
+def _load_figure(answer: dict[str, Any], service: str, key: str) -> int:
     return int(answer.get("services", {}).get(service, {}).get(key, 0))
 
 
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -133,9 +133,10 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether the link has had no open stream for IDLE_AFTER_S."""
+        """Return whether the link has had no open stream for LINK_IDLE_AFTER_S."""
         return (
-            not self._open_streams and self._clock() - self._last_stream_s >= LIMITS.IDLE_AFTER_S
+            not self._open_streams
+            and self._clock() - self._last_stream_s >= LIMITS.LINK_IDLE_AFTER_S
         )
 
     def _count_stream(self, msg: Message) -> None:
--- a/cassiadrum/roles/instance_list_pollers.py
+++ b/cassiadrum/roles/instance_list_pollers.py
@@ -17,7 +17,7 @@
 
     It grows with the fleet so that all processes together stay within FLEET_LIST_READS_PER_S.
     """
-    return max(LIMITS.INSTANCE_POLL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
+    return max(LIMITS.INSTANCE_POLL_INTERVAL_S, processes / LIMITS.FLEET_LIST_READS_PER_S)
 
 
 class InstanceListPoller:
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -56,7 +56,7 @@
             return False
         # A detached entry instance may still reconnect within DETACHED_STREAM_S.
         waits_s = 0.0 if self.detached_since_s is None else now - self.detached_since_s
-        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_S
+        return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_TIMEOUT_S
 
     def abandon(self) -> None:
         """Let a call that must not be cancelled run to its end and discard its answer."""
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -355,7 +355,10 @@
         if stream.detached_since_s is None or stream.link is not None:
             return
         already_ending = stream.cancelled or stream.abandoned
-        if not already_ending and now - stream.detached_since_s >= LIMITS.DETACHED_STREAM_S:
+        if (
+            not already_ending
+            and now - stream.detached_since_s >= LIMITS.DETACHED_STREAM_TIMEOUT_S
+        ):
             if not stream.start.cancellable:
                 stream.abandon()
             self._cancel(stream.start.attempt_id)
