--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -11,7 +11,7 @@
 from bench.processes import Child, ProcessGroup
 from bench.wall_clock.sites import DOCUMENTS, BenchPlatform
 from cassiadrum.defaults import LIMITS
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello
 from cassiadrum.loads.process_readers import ProcessReader
@@ -81,7 +81,7 @@
     """Hold links to one sidecar, each as another entry instance with the same documents."""
 
     def __init__(self, address: str, count: int) -> None:
-        self._ring = EventRing(HybridClock(time.time), "d", "entry", "x")
+        self._ring = EventRing(HybridLogicalClock(time.time), "d", "entry", "x")
         registry = ConfigurationRegistry()
         reader: Any = ConfigurationReader
         self._agent = ConfigurationAgent(registry, reader, self._ring, None)  # type: ignore[arg-type]
--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -18,7 +18,7 @@
     QuantileLengthEstimator,
     QueuedRequest,
 )
-from cassiadrum.events import EventKind, EventRing, HybridClock
+from cassiadrum.events import EventKind, EventRing, HybridLogicalClock
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.metrics import RoleMetrics
 from cassiadrum.roles.sidecar_streams import SidecarStream
@@ -114,7 +114,7 @@
         for number in range(customers):
             req = make_request(number, 0.0, customers)
             _serve(dispatcher, req, 0.0)
-            metrics.delivered("svc", "all", req.customer, 200)
+            metrics.count_delivered_tokens("svc", "all", req.customer, 200)
         return dispatcher, metrics
 
     sizes = (10, 1000, 10_000, 20_000, 40_000)
@@ -178,7 +178,7 @@
     """Bytes of an event ring by the events in it."""
 
     def build(count: int) -> EventRing:
-        ring = EventRing(HybridClock(time.time), "entry-1", "entry", "1a2b3c4d")
+        ring = EventRing(HybridLogicalClock(time.time), "entry-1", "entry", "1a2b3c4d")
         for number in range(count):
             req = make_request(number, 0.0)
             ring.record(
--- a/cassiadrum/commands/event_collectors.py
+++ b/cassiadrum/commands/event_collectors.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.commands.fleets import ask_all, list_instances
 from cassiadrum.commands.platforms import Platform
-from cassiadrum.events import Event, EventError, Timeline, decode_event, merge
+from cassiadrum.events import Event, EventError, Timeline, decode_event, merge_events
 
 __all__ = ["EventCollector"]
 
@@ -42,7 +42,7 @@
     async def timeline(self) -> Timeline:
         """Return what is recorded now as one timeline; raise CommandError."""
         events = await self.collect()
-        return merge(events, self.alive)
+        return merge_events(events, self.alive)
 
     def _take_page(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
         """Add the events of an answer; a process that sends anything else counts as silent."""
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -22,7 +22,7 @@
     TimelineSvgWriter,
     TraceWriter,
     encode_event,
-    merge,
+    merge_events,
     to_json_line,
 )
 
@@ -138,7 +138,7 @@
     deadline_s = time.monotonic() + seconds
     count = 0
     while True:
-        events = selection.apply(merge(await collector.collect(), collector.alive).events)
+        events = selection.apply(merge_events(await collector.collect(), collector.alive).events)
         count += len(events)
         for event in events:
             if output.as_json:
--- a/cassiadrum/events/codecs.py
+++ b/cassiadrum/events/codecs.py
@@ -31,7 +31,7 @@
     `unknown_kind`. Raises EventError on any other shape.
     """
     try:
-        return msgspec.convert(_known(plain), Event)
+        return msgspec.convert(_replace_unknown_kind(plain), Event)
     except msgspec.ValidationError as exc:
         raise EventError(f"not an event: {exc}") from exc
 
@@ -57,7 +57,7 @@
             raise EventError(f"line {number}: {exc}") from exc
 
 
-def _known(plain: object) -> object:
+def _replace_unknown_kind(plain: object) -> object:
     if not isinstance(plain, list | tuple) or len(plain) != len(Event._fields):
         return plain
     kind, fields = plain[KIND_INDEX], plain[FIELDS_INDEX]
--- a/cassiadrum/events/event_kinds.py
+++ b/cassiadrum/events/event_kinds.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import Final
 
-__all__ = ["REQUEST_ENDS", "EventKind"]
+__all__ = ["REQUEST_END_KINDS", "EventKind"]
 
 
 class EventKind(StrEnum):
@@ -65,7 +65,7 @@
 
 
 # The kinds that end a request, or an attempt of it, in the process that records them.
-REQUEST_ENDS: Final = frozenset(
+REQUEST_END_KINDS: Final = frozenset(
     {
         EventKind.FINISHED,
         EventKind.CANCELLED,
--- a/cassiadrum/events/event_rings.py
+++ b/cassiadrum/events/event_rings.py
@@ -8,7 +8,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events.event_kinds import EventKind
 from cassiadrum.events.events import Event
-from cassiadrum.events.hybrid_clocks import HybridClock
+from cassiadrum.events.hybrid_logical_clocks import HybridLogicalClock
 
 __all__ = ["EventRing"]
 
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        clock: HybridClock,
+        clock: HybridLogicalClock,
         instance: str,
         role: str,
         start_id: str,
@@ -41,7 +41,7 @@
         return len(self._events)
 
     @property
-    def clock(self) -> HybridClock:
+    def clock(self) -> HybridLogicalClock:
         """Return the clock that stamps the events."""
         return self._clock
 
@@ -56,7 +56,7 @@
         return self._sequence
 
     @property
-    def dropped(self) -> int:
+    def overwritten_count(self) -> int:
         """Return how many events were overwritten."""
         return self._sequence - len(self._events)
 
@@ -89,10 +89,10 @@
             self.listener(event)
         return event
 
-    def after(self, sequence: int, limit: int) -> list[Event]:
+    def read_after(self, sequence: int, limit: int) -> list[Event]:
         """Return the oldest kept events above `sequence`, at most `limit`.
 
         A first event above `sequence + 1` means that events in between were overwritten.
         """
-        skipped = max(sequence - self.dropped, 0)
+        skipped = max(sequence - self.overwritten_count, 0)
         return list(islice(self._events, skipped, skipped + limit))
--- a/cassiadrum/events/events.py
+++ b/cassiadrum/events/events.py
@@ -3,7 +3,7 @@
 from typing import Any, NamedTuple
 
 from cassiadrum.events.event_kinds import EventKind
-from cassiadrum.events.hybrid_times import HybridTime
+from cassiadrum.events.hybrid_timestamps import HybridTimestamp
 
 __all__ = ["Event"]
 
@@ -16,7 +16,7 @@
     Texts that do not apply are empty.
     """
 
-    hlc: HybridTime
+    hlc: HybridTimestamp
     instance: str
     role: str
     kind: EventKind
--- a/cassiadrum/events/gaps.py
+++ b/cassiadrum/events/gaps.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from cassiadrum.events.hybrid_times import HybridTime
+from cassiadrum.events.hybrid_timestamps import HybridTimestamp
 
 __all__ = ["Gap", "GapKind"]
 
@@ -31,5 +31,5 @@
     role: str
     start_id: str
     missing: int
-    since: HybridTime | None
-    until: HybridTime | None
+    since: HybridTimestamp | None
+    until: HybridTimestamp | None
--- a/cassiadrum/events/hybrid_times.py
+++ b/cassiadrum/events/hybrid_timestamps.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["HybridTime"]
+__all__ = ["HybridTimestamp"]
 
 
-class HybridTime(NamedTuple):
+class HybridTimestamp(NamedTuple):
     """Order events: wall time in microseconds since the epoch, then a logical counter."""
 
     wall_us: int
--- a/cassiadrum/events/merges.py
+++ b/cassiadrum/events/merges.py
@@ -7,13 +7,13 @@
 from cassiadrum.events.event_kinds import EventKind
 from cassiadrum.events.events import Event
 from cassiadrum.events.gaps import Gap, GapKind
-from cassiadrum.events.hybrid_times import HybridTime
+from cassiadrum.events.hybrid_timestamps import HybridTimestamp
 from cassiadrum.events.timelines import Timeline
 
-__all__ = ["merge"]
+__all__ = ["merge_events"]
 
 
-def merge(events: Iterable[Event], alive: Collection[str] = ()) -> Timeline:
+def merge_events(events: Iterable[Event], running_start_ids: Collection[str] = ()) -> Timeline:
     """Return all events in one order, each once, with the gaps of each process.
 
     `alive` holds the start ids of processes that still run, which are not expected to have
@@ -22,35 +22,39 @@
     processes: dict[tuple[str, str], dict[int, Event]] = defaultdict(dict)
     for event in events:
         processes[event.instance, event.start_id].setdefault(event.sequence, event)
-    keyed: list[tuple[HybridTime, str, str, int, Event]] = []
+    keyed: list[tuple[HybridTimestamp, str, str, int, Event]] = []
     gaps: list[Gap] = []
     for (instance, start_id), by_sequence in sorted(processes.items()):
         ordered = [by_sequence[sequence] for sequence in sorted(by_sequence)]
-        latest = HybridTime(0, 0)
+        latest = HybridTimestamp(0, 0)
         for event in ordered:
             # The process's own order holds even where its times do not ascend.
             latest = max(latest, event.hlc)
             keyed.append((latest, instance, start_id, event.sequence, event))
-        gaps += _gaps(ordered, start_id in alive)
+        gaps += _find_gaps(ordered, start_id in running_start_ids)
     keyed.sort(key=lambda entry: entry[:4])
     return Timeline([entry[4] for entry in keyed], gaps)
 
 
-def _gaps(ordered: list[Event], alive: bool) -> list[Gap]:
+def _find_gaps(ordered: list[Event], running: bool) -> list[Gap]:
     first, last = ordered[0], ordered[-1]
     gaps = []
     if first.sequence > 1:
-        gaps.append(_gap(GapKind.OVERWRITTEN, first, first.sequence - 1, None, first.hlc))
+        gaps.append(_make_gap(GapKind.OVERWRITTEN, first, first.sequence - 1, None, first.hlc))
     for before, after in pairwise(ordered):
         count = after.sequence - before.sequence - 1
         if count:
-            gaps.append(_gap(GapKind.MISSING, before, count, before.hlc, after.hlc))
-    if last.kind is not EventKind.STOPPED and not alive:
-        gaps.append(_gap(GapKind.NOT_STOPPED, last, 0, last.hlc, None))
+            gaps.append(_make_gap(GapKind.MISSING, before, count, before.hlc, after.hlc))
+    if last.kind is not EventKind.STOPPED and not running:
+        gaps.append(_make_gap(GapKind.NOT_STOPPED, last, 0, last.hlc, None))
     return gaps
 
 
-def _gap(
-    kind: GapKind, event: Event, count: int, since: HybridTime | None, until: HybridTime | None
+def _make_gap(
+    kind: GapKind,
+    event: Event,
+    count: int,
+    since: HybridTimestamp | None,
+    until: HybridTimestamp | None,
 ) -> Gap:
     return Gap(kind, event.instance, event.role, event.start_id, count, since, until)
--- a/cassiadrum/events/spans.py
+++ b/cassiadrum/events/spans.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from cassiadrum.events.event_kinds import REQUEST_ENDS
+from cassiadrum.events.event_kinds import REQUEST_END_KINDS
 from cassiadrum.events.events import Event
 from cassiadrum.events.timelines import Timeline
 
@@ -32,19 +32,19 @@
     for event in timeline.events:
         if event.request_id:
             groups[event.instance, event.start_id, event.request_id].append(event)
-    spans = [_span(events) for events in groups.values()]
+    spans = [_make_span(events) for events in groups.values()]
     spans.sort(key=lambda span: (span.start_us, span.instance, span.request_id))
-    return _with_rows(spans)
+    return _assign_rows(spans)
 
 
-def _span(events: list[Event]) -> Span:
+def _make_span(events: list[Event]) -> Span:
     first, last = events[0], events[-1]
     start_us, end_us = first.hlc.wall_us, last.hlc.wall_us
-    ended = last.kind in REQUEST_ENDS
+    ended = last.kind in REQUEST_END_KINDS
     return Span(first.instance, first.request_id, start_us, end_us, 0, ended, tuple(events))
 
 
-def _with_rows(spans: list[Span]) -> list[Span]:
+def _assign_rows(spans: list[Span]) -> list[Span]:
     row_ends: dict[str, list[int]] = defaultdict(list)
     placed = []
     for span in spans:
--- a/cassiadrum/events/timeline_svg_writers.py
+++ b/cassiadrum/events/timeline_svg_writers.py
@@ -23,7 +23,7 @@
     "text{font:11px sans-serif}.lane{fill:#f4f4f4;stroke:#ccc}"
     ".gap{fill:url(#hatch);stroke:#a00}.open{stroke:#a00;stroke-dasharray:3}.tick{stroke:#000}"
 )
-HATCH: Final = (
+HATCH_PATTERN: Final = (
     '<pattern id="hatch" width="6" height="6" patternUnits="userSpaceOnUse">'
     '<path d="M0 6 6 0" stroke="#a00"/></pattern>'
 )
@@ -41,7 +41,7 @@
 
     def write(self, timeline: Timeline) -> str:
         """Return the picture as one SVG element."""
-        return _Drawing(timeline, self._bars_max).text()
+        return _Drawing(timeline, self._bars_max).render()
 
     def write_html(self, timeline: Timeline, title: str = "Timeline") -> str:
         """Return the picture as a complete HTML page."""
@@ -56,19 +56,19 @@
     def __init__(self, timeline: Timeline, bars_max: int) -> None:
         self._timeline = timeline
         spans = make_spans(timeline)
-        self._left_out = max(len(spans) - bars_max, 0)
+        self._omitted_count = max(len(spans) - bars_max, 0)
         self._spans = spans[:bars_max]
         walls = [event.hlc.wall_us for event in timeline.events]
         self._first_us, self._last_us = min(walls, default=0), max(walls, default=0)
-        self._tops: dict[str, int] = {}
-        self._rows: dict[str, int] = {}
-        self._height = self._place_lanes()
+        self._lane_tops: dict[str, int] = {}
+        self._row_counts: dict[str, int] = {}
+        self._height = self._lay_out_lanes()
 
-    def text(self) -> str:
+    def render(self) -> str:
         width = LABEL_PX + PLOT_PX + MARGIN_PX
         parts = [
             f'<svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{self._height}">',
-            f"<style>{STYLE}</style><defs>{HATCH}</defs>",
+            f"<style>{STYLE}</style><defs>{HATCH_PATTERN}</defs>",
             *self._lanes(),
             *(self._gap(gap) for gap in self._timeline.gaps),
             *(self._bar(span) for span in self._spans),
@@ -78,18 +78,18 @@
         ]
         return "\n".join(parts)
 
-    def _place_lanes(self) -> int:
+    def _lay_out_lanes(self) -> int:
         # Row 0 of a lane shows gaps and the events that belong to no request.
         for event in self._timeline.events:
-            self._rows.setdefault(event.instance, 1)
+            self._row_counts.setdefault(event.instance, 1)
         for gap in self._timeline.gaps:
-            self._rows.setdefault(gap.instance, 1)
+            self._row_counts.setdefault(gap.instance, 1)
         for span in self._spans:
-            self._rows[span.instance] = max(self._rows[span.instance], span.row + 2)
+            self._row_counts[span.instance] = max(self._row_counts[span.instance], span.row + 2)
         top = MARGIN_PX
-        for instance in sorted(self._rows):
-            self._tops[instance] = top
-            top += self._rows[instance] * ROW_PX + ROW_PX // 2
+        for instance in sorted(self._row_counts):
+            self._lane_tops[instance] = top
+            top += self._row_counts[instance] * ROW_PX + ROW_PX // 2
         return top + MARGIN_PX
 
     def _x(self, wall_us: int) -> float:
@@ -99,8 +99,8 @@
         return round(LABEL_PX + (inside_us - self._first_us) / length_us * PLOT_PX, 2)
 
     def _lanes(self) -> Iterator[str]:
-        for instance, top in self._tops.items():
-            height = self._rows[instance] * ROW_PX
+        for instance, top in self._lane_tops.items():
+            height = self._row_counts[instance] * ROW_PX
             yield f'<text x="4" y="{top + 12}">{escape(instance)}</text>'
             yield (
                 f'<rect class="lane" x="{LABEL_PX}" y="{top}" width="{PLOT_PX}" '
@@ -108,7 +108,7 @@
             )
 
     def _bar(self, span: Span) -> str:
-        top = self._tops[span.instance] + (span.row + 1) * ROW_PX
+        top = self._lane_tops[span.instance] + (span.row + 1) * ROW_PX
         x, end = self._x(span.start_us), self._x(span.end_us)
         ticks = "".join(self._tick(self._x(event.hlc.wall_us), top) for event in span.events)
         hue = xxhash.xxh64_intdigest(span.request_id.encode()) % 360
@@ -121,7 +121,7 @@
     def _process_events(self) -> Iterator[str]:
         for event in self._timeline.events:
             if not event.request_id:
-                tick = self._tick(self._x(event.hlc.wall_us), self._tops[event.instance])
+                tick = self._tick(self._x(event.hlc.wall_us), self._lane_tops[event.instance])
                 yield f"<g><title>{escape(event.kind.value)}</title>{tick}</g>"
 
     def _gap(self, gap: Gap) -> str:
@@ -130,13 +130,13 @@
         title = f"{gap.kind.value}, {gap.missing or 'unknown number of'} events missing"
         return (
             f'<g><title>{escape(title)}</title><rect class="gap" x="{x}" '
-            f'y="{self._tops[gap.instance]}" width="{max(end - x, 3):.2f}" '
-            f'height="{self._rows[gap.instance] * ROW_PX}" fill-opacity="0.5"/></g>'
+            f'y="{self._lane_tops[gap.instance]}" width="{max(end - x, 3):.2f}" '
+            f'height="{self._row_counts[gap.instance] * ROW_PX}" fill-opacity="0.5"/></g>'
         )
 
     def _footer(self) -> str:
         length_s = (self._last_us - self._first_us) / 1e6
-        left_out = f"; {self._left_out} bars left out" if self._left_out else ""
+        left_out = f"; {self._omitted_count} bars left out" if self._omitted_count else ""
         text = f"{length_s:.3f} s, {len(self._spans)} bars{left_out}"
         return f'<text x="{LABEL_PX}" y="{self._height - 8}">{text}</text>'
 
--- a/cassiadrum/events/trace_writers.py
+++ b/cassiadrum/events/trace_writers.py
@@ -11,7 +11,7 @@
 __all__ = ["TraceWriter"]
 
 # Thread 0 of each process shows its gaps and the events that belong to no request.
-PROCESS_THREAD = 0
+PROCESS_TID = 0
 
 
 class TraceWriter:
@@ -26,23 +26,25 @@
         pids = {name: pid for pid, name in enumerate(names, 1)}
         walls = [event.hlc.wall_us for event in timeline.events]
         first_us, last_us = min(walls, default=0), max(walls, default=0)
-        entries = [_process_name(name, pid) for name, pid in pids.items()]
-        entries += [_gap(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps]
+        entries = [_process_name_entry(name, pid) for name, pid in pids.items()]
+        entries += [
+            _gap_entry(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps
+        ]
         for span in spans:
-            entries += _span(span, pids[span.instance], first_us)
+            entries += _span_entries(span, pids[span.instance], first_us)
         entries += [
-            _instant(event, pids[event.instance], PROCESS_THREAD, first_us)
+            _instant_entry(event, pids[event.instance], PROCESS_TID, first_us)
             for event in timeline.events
             if not event.request_id
         ]
         return json.dumps({"traceEvents": entries, "displayTimeUnit": "ms"}, ensure_ascii=False)
 
 
-def _process_name(name: str, pid: int) -> dict[str, Any]:
+def _process_name_entry(name: str, pid: int) -> dict[str, Any]:
     return {"ph": "M", "name": "process_name", "pid": pid, "tid": 0, "args": {"name": name}}
 
 
-def _span(span: Span, pid: int, first_us: int) -> list[dict[str, Any]]:
+def _span_entries(span: Span, pid: int, first_us: int) -> list[dict[str, Any]]:
     tid = span.row + 1
     first = span.events[0]
     args = {
@@ -61,10 +63,10 @@
         "dur": span.end_us - span.start_us,
         "args": args,
     }
-    return [bar, *(_instant(event, pid, tid, first_us) for event in span.events)]
+    return [bar, *(_instant_entry(event, pid, tid, first_us) for event in span.events)]
 
 
-def _instant(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
+def _instant_entry(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
     return {
         "ph": "i",
         "s": "t",
@@ -77,7 +79,7 @@
     }
 
 
-def _gap(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
+def _gap_entry(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
     # A gap may begin or end outside the selected events.
     start_us = min(max(gap.since.wall_us if gap.since else first_us, first_us), last_us)
     end_us = max(min(gap.until.wall_us if gap.until else last_us, last_us), start_us)
@@ -86,7 +88,7 @@
         "cat": "gap",
         "name": f"gap: {gap.kind.value}",
         "pid": pid,
-        "tid": PROCESS_THREAD,
+        "tid": PROCESS_TID,
         "ts": start_us - first_us,
         "dur": end_us - start_us,
         "args": {"missing": gap.missing, "start_id": gap.start_id},
--- a/cassiadrum/gateways/decision_logs.py
+++ b/cassiadrum/gateways/decision_logs.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cassiadrum.gateways.request_contexts import RequestContext
-from cassiadrum.logs import BOUNDED_FIELD
+from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.stores.token_buckets import TokenBucket
 
 __all__ = ["DecisionLog"]
@@ -66,7 +66,7 @@
         extra: dict[str, object] = {
             "request_id": ctx.call.request_id,
             "service": ctx.service,
-            BOUNDED_FIELD: True,
+            RATE_LIMITED_FIELD: True,
             "at_s": round(line.wall_s, 4),
             "after_ms": round((line.at_s - ctx.received_s) * 1000, 1),
             **line.fields,
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -6,7 +6,7 @@
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.removed_incarnations import RemovedIncarnations
-from cassiadrum.logs import BOUNDED_FIELD
+from cassiadrum.logs import RATE_LIMITED_FIELD
 
 __all__ = ["EndpointDirectory"]
 
@@ -155,7 +155,7 @@
             "endpoint": entry.instance,
             "service": entry.service,
             "zone": entry.zone,
-            BOUNDED_FIELD: True,
+            RATE_LIMITED_FIELD: True,
             **fields,
         },
     )
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -1,7 +1,7 @@
 """Metrics of a gateway."""
 
 from cassiadrum.metrics import GATEWAY_DEFINITIONS, make_registry
-from cassiadrum.metrics.exporters import Exporter
+from cassiadrum.metrics.metric_exporters import MetricExporter
 from cassiadrum.metrics.metric_values import MetricValues
 
 __all__ = ["GatewayMetrics"]
@@ -15,7 +15,7 @@
 
     def __init__(self) -> None:
         self._values = MetricValues(definitions=GATEWAY_DEFINITIONS)
-        self._exporter: Exporter | None = None
+        self._exporter: MetricExporter | None = None
 
     def record_end(self, service: str, outcome: str, seconds: float) -> None:
         """Count a request by its outcome up to the first colon, and observe its duration."""
@@ -48,5 +48,5 @@
     def render(self) -> bytes:
         """Return the metrics in the text exposition format."""
         if self._exporter is None:
-            self._exporter = Exporter(make_registry(), GATEWAY_DEFINITIONS)
+            self._exporter = MetricExporter(make_registry(), GATEWAY_DEFINITIONS)
         return self._exporter.render(self._values)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -27,7 +27,7 @@
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
-from cassiadrum.logs import BOUNDED_FIELD
+from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.protocols import BadMessage, BodyBudget, Exchange
 
 __all__ = ["Gateway", "GatewaySettings"]
@@ -128,7 +128,7 @@
         self.on_catalog(catalog)
         # The number of these lines is limited by the operator's rate of changes.
         logger.info(
-            "configuration in force", extra={"version": catalog.version, BOUNDED_FIELD: True}
+            "configuration in force", extra={"version": catalog.version, RATE_LIMITED_FIELD: True}
         )
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
--- a/cassiadrum/invariants/__init__.py
+++ b/cassiadrum/invariants/__init__.py
@@ -10,11 +10,11 @@
 from cassiadrum.invariants.configuration_monotonic_rules import ConfigurationMonotonicRule
 from cassiadrum.invariants.endpoint_runs import EndpointRun
 from cassiadrum.invariants.eventual_service_rules import EventualServiceRule
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.leaving_endpoint_rules import LeavingEndpointRule
 from cassiadrum.invariants.once_only_rules import OnceOnlyRule
 from cassiadrum.invariants.outages import Outage
 from cassiadrum.invariants.planned_stop_rules import PlannedStopRule
-from cassiadrum.invariants.records import Record
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.tier_safety_rules import TierSafetyRule
 from cassiadrum.invariants.truthful_not_run_rules import TruthfulNotRunRule
@@ -27,11 +27,11 @@
     "ConfigurationMonotonicRule",
     "EndpointRun",
     "EventualServiceRule",
+    "FleetRecord",
     "LeavingEndpointRule",
     "OnceOnlyRule",
     "Outage",
     "PlannedStopRule",
-    "Record",
     "Rule",
     "TierSafetyRule",
     "TruthfulNotRunRule",
--- a/cassiadrum/invariants/checks.py
+++ b/cassiadrum/invariants/checks.py
@@ -4,10 +4,10 @@
 
 from cassiadrum.invariants.configuration_monotonic_rules import ConfigurationMonotonicRule
 from cassiadrum.invariants.eventual_service_rules import EventualServiceRule
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.leaving_endpoint_rules import LeavingEndpointRule
 from cassiadrum.invariants.once_only_rules import OnceOnlyRule
 from cassiadrum.invariants.planned_stop_rules import PlannedStopRule
-from cassiadrum.invariants.records import Record
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.tier_safety_rules import TierSafetyRule
 from cassiadrum.invariants.truthful_not_run_rules import TruthfulNotRunRule
@@ -28,6 +28,6 @@
 )
 
 
-def check_record(record: Record) -> list[Violation]:
+def check_record(record: FleetRecord) -> list[Violation]:
     """Return the violations of all eight invariants, in the order of the design page."""
     return [violation for rule in RULES for violation in rule.check(record)]
--- a/cassiadrum/invariants/configuration_monotonic_rules.py
+++ b/cassiadrum/invariants/configuration_monotonic_rules.py
@@ -10,14 +10,14 @@
 from typing import ClassVar, Final
 
 from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.process_records import ProcessRecord, process_records
-from cassiadrum.invariants.records import Record
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
 __all__ = ["ConfigurationMonotonicRule"]
 
-IN_FORCE_LIMIT_S: Final = 11.0
+PROPAGATION_LIMIT_S: Final = 11.0
 ROLES: Final = frozenset({"entry", "sidecar"})
 
 
@@ -26,17 +26,17 @@
 
     name: ClassVar[str] = "configuration_monotonic"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each reverted, late and ambiguous version."""
         processes = [process for process in process_records(record) if process.role in ROLES]
         violations = list(self._ambiguous(record))
         for process in processes:
             violations += self._reverted(process)
-            if not process.lossy:
+            if not process.incomplete:
                 violations += self._late(record, process)
         return violations
 
-    def _ambiguous(self, record: Record) -> Iterator[Violation]:
+    def _ambiguous(self, record: FleetRecord) -> Iterator[Violation]:
         seen: dict[tuple[str, str, int], object] = {}
         marks = {
             EventKind.CONFIGURATION_ACCEPTED: "operation_id",
@@ -62,13 +62,13 @@
                 yield self._violation(event, f"{event.service} {version} applied after {before}")
             in_force[event.service] = max(version, before)
 
-    def _late(self, record: Record, process: ProcessRecord) -> Iterator[Violation]:
+    def _late(self, record: FleetRecord, process: ProcessRecord) -> Iterator[Violation]:
         events = record.timeline.events
         until_s = process.observed_until_s(events[-1].hlc.seconds)
         for accepted in events:
             if accepted.kind is not EventKind.CONFIGURATION_ACCEPTED:
                 continue
-            due_s = _due_s(record, process, accepted)
+            due_s = _due_time_s(record, process, accepted)
             if due_s <= until_s and not _is_applied(process, accepted, due_s):
                 detail = f"{accepted.service} {_version(accepted)} is not in force when it is due"
                 yield Violation(self.name, detail, "", process.instance, due_s)
@@ -81,14 +81,14 @@
     return int(event.fields.get("version", 0))
 
 
-def _due_s(record: Record, process: ProcessRecord, accepted: Event) -> float:
+def _due_time_s(record: FleetRecord, process: ProcessRecord, accepted: Event) -> float:
     """Return when the version has to be in force; the limit starts anew after an outage."""
     start_s = max(accepted.hlc.seconds, process.started_s)
     for outage in sorted(record.outages, key=lambda outage: outage.since_s):
         concerned = outage.instance in ("", process.instance, accepted.instance)
-        if concerned and outage.since_s < start_s + IN_FORCE_LIMIT_S:
+        if concerned and outage.since_s < start_s + PROPAGATION_LIMIT_S:
             start_s = max(start_s, outage.until_s)
-    return start_s + IN_FORCE_LIMIT_S
+    return start_s + PROPAGATION_LIMIT_S
 
 
 def _is_applied(process: ProcessRecord, accepted: Event, due_s: float) -> bool:
--- a/cassiadrum/invariants/eventual_service_rules.py
+++ b/cassiadrum/invariants/eventual_service_rules.py
@@ -12,17 +12,17 @@
 
 from cassiadrum.documents import RequestClass
 from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.process_records import ProcessRecord, process_records
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.request_states import ends_request
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
-from cassiadrum.invariants.work_states import ends_request
 
 __all__ = ["EventualServiceRule"]
 
 # A class that is due gets `min_share` of the dispatches, which is one in `1 / min_share`. Twice
 # that many without one leaves room for shares counted in tokens instead of requests.
-SHARE_SLACK: Final = 2
+SHARE_TOLERANCE_FACTOR: Final = 2
 
 # Service and class name.
 ClassKey = tuple[str, str]
@@ -33,16 +33,18 @@
 
     name: ClassVar[str] = "eventual_service"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each request without an end and each starved class."""
         violations: list[Violation] = []
         for process in process_records(record):
-            violations += self._without_end(record, process)
-            violations += _StarvationCheck(record, self.name).follow(process)
+            violations += self._unended_requests(record, process)
+            violations += _StarvationCheck(record, self.name).check(process)
         return violations
 
-    def _without_end(self, record: Record, process: ProcessRecord) -> Iterator[Violation]:
-        if process.lossy or process.instance in record.killed:
+    def _unended_requests(
+        self, record: FleetRecord, process: ProcessRecord
+    ) -> Iterator[Violation]:
+        if process.incomplete or process.instance in record.killed:
             return
         open_requests: dict[str, Event] = {}
         for event in process.events:
@@ -55,14 +57,14 @@
 
 
 class _StarvationCheck:
-    def __init__(self, record: Record, rule: str) -> None:
+    def __init__(self, record: FleetRecord, rule: str) -> None:
         self._classes = record.class_index()
         self._rule = rule
         # The waiting requests of each class by id, the head first.
         self._waiting: dict[ClassKey, dict[str, Event]] = defaultdict(dict)
         self._passed_over: dict[ClassKey, int] = {}
 
-    def follow(self, process: ProcessRecord) -> Iterator[Violation]:
+    def check(self, process: ProcessRecord) -> Iterator[Violation]:
         for event in process.events:
             key = (event.service, event.class_name)
             if event.kind is EventKind.QUEUED:
@@ -70,16 +72,16 @@
             elif event.kind is EventKind.DISPATCHED or ends_request(event):
                 self._waiting[key].pop(event.request_id, None)
             if event.kind is EventKind.DISPATCHED:
-                yield from self._judge(event, key)
+                yield from self._check_dispatch(event, key)
 
-    def _judge(self, dispatched: Event, served_key: ClassKey) -> Iterator[Violation]:
+    def _check_dispatch(self, dispatched: Event, served_key: ClassKey) -> Iterator[Violation]:
         self._passed_over.pop(served_key, None)
         served = self._classes.get(served_key)
         if served is None or served.protected:
             return
-        for key, head, cls in self._due(dispatched, served_key):
+        for key, head, cls in self._due_classes(dispatched, served_key):
             self._passed_over[key] = self._passed_over.get(key, 0) + 1
-            if self._passed_over[key] == SHARE_SLACK * math.ceil(1 / cls.min_share) + 1:
+            if self._passed_over[key] == SHARE_TOLERANCE_FACTOR * math.ceil(1 / cls.min_share) + 1:
                 waited_s = dispatched.hlc.seconds - head.hlc.seconds
                 detail = (
                     f"class {cls.name} got none of {self._passed_over[key]} dispatches while its "
@@ -87,7 +89,7 @@
                 )
                 yield _violation(self._rule, head, detail)
 
-    def _due(
+    def _due_classes(
         self, dispatched: Event, served_key: ClassKey
     ) -> Iterator[tuple[ClassKey, Event, RequestClass]]:
         for key, waiting in self._waiting.items():
--- a/cassiadrum/invariants/records.py
+++ b/cassiadrum/invariants/fleet_records.py
@@ -8,10 +8,10 @@
 from cassiadrum.invariants.endpoint_runs import EndpointRun
 from cassiadrum.invariants.outages import Outage
 
-__all__ = ["Record"]
+__all__ = ["FleetRecord"]
 
 
-class Record(NamedTuple):
+class FleetRecord(NamedTuple):
     """Hold the merged events, what callers saw, what endpoints ran, and the documents.
 
     The record has to be taken when no request is in flight. `killed` names the instances that
--- a/cassiadrum/invariants/leaving_endpoint_rules.py
+++ b/cassiadrum/invariants/leaving_endpoint_rules.py
@@ -14,7 +14,7 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import Event, EventKind
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
@@ -26,10 +26,10 @@
 
     name: ClassVar[str] = "leaving_endpoint"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each dispatch to, and each start at, an endpoint that is leaving."""
         leaving: dict[str, float] = {}
-        late_news = _LateNews()
+        stale_notices = _StaleNoticeDetector()
         periods: list[tuple[str, float, float]] = []
         violations: list[Violation] = []
         for event in record.timeline.events:
@@ -37,15 +37,15 @@
                 # An instance that starts anew under the same name takes work again.
                 since_s = leaving.pop(event.instance)
                 periods.append((event.instance, since_s, event.hlc.seconds))
-            violations += self._judge(event, leaving)
+            violations += self._check_event(event, leaving)
             name = _leaving_instance(event)
-            late_news.note(event)
-            if name and not late_news.is_late(event, name):
+            stale_notices.track(event)
+            if name and not stale_notices.is_stale(event, name):
                 leaving.setdefault(name, event.hlc.seconds)
         periods += [(name, since_s, float("inf")) for name, since_s in leaving.items()]
         return violations + list(self._late_runs(record, periods))
 
-    def _judge(self, event: Event, leaving: dict[str, float]) -> Iterator[Violation]:
+    def _check_event(self, event: Event, leaving: dict[str, float]) -> Iterator[Violation]:
         if event.kind in (EventKind.DISPATCHED, EventKind.HEDGED):
             target = event.fields.get("to", "")
         elif event.kind is EventKind.STARTED:
@@ -61,7 +61,7 @@
                 )
 
     def _late_runs(
-        self, record: Record, periods: list[tuple[str, float, float]]
+        self, record: FleetRecord, periods: list[tuple[str, float, float]]
     ) -> Iterator[Violation]:
         for run in record.runs:
             for name, since_s, until_s in periods:
@@ -71,20 +71,20 @@
                     yield Violation(self.name, detail, run.request_id, name, run.started_s)
 
 
-class _LateNews:
+class _StaleNoticeDetector:
     """Tell which process of an instance an entry instance knew of."""
 
     def __init__(self) -> None:
         self._started_s: dict[str, float] = {}
         self._connected_s: dict[tuple[str, object], float] = {}
 
-    def note(self, event: Event) -> None:
+    def track(self, event: Event) -> None:
         if event.kind is EventKind.PROCESS_STARTED:
             self._started_s[event.instance] = event.hlc.seconds
         elif event.kind is EventKind.CONNECTED:
             self._connected_s[event.instance, event.fields.get("peer")] = event.hlc.seconds
 
-    def is_late(self, event: Event, name: str) -> bool:
+    def is_stale(self, event: Event, name: str) -> bool:
         connected_s = self._connected_s.get((event.instance, name))
         if event.kind is not EventKind.MEMBER_LEAVING or connected_s is None:
             return False
--- a/cassiadrum/invariants/once_only_rules.py
+++ b/cassiadrum/invariants/once_only_rules.py
@@ -10,7 +10,7 @@
 
 from cassiadrum.events import EventKind
 from cassiadrum.invariants.endpoint_runs import EndpointRun
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
@@ -22,7 +22,7 @@
 
     name: ClassVar[str] = "once_only"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each call that ran more than once."""
         known = _classes_and_customers(record)
         groups: dict[tuple[str, ...], list[EndpointRun]] = defaultdict(list)
@@ -43,7 +43,7 @@
         return Violation(self.name, detail, second.request_id, second.instance, second.started_s)
 
 
-def _classes_and_customers(record: Record) -> dict[str, tuple[str, str]]:
+def _classes_and_customers(record: FleetRecord) -> dict[str, tuple[str, str]]:
     known = {
         event.request_id: (event.class_name, event.customer)
         for event in record.timeline.events
--- a/cassiadrum/invariants/planned_stop_rules.py
+++ b/cassiadrum/invariants/planned_stop_rules.py
@@ -9,11 +9,11 @@
 from typing import ClassVar
 
 from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.process_records import ProcessRecord, process_records
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.request_states import ends_request
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
-from cassiadrum.invariants.work_states import ends_request
 
 __all__ = ["PlannedStopRule"]
 
@@ -23,16 +23,16 @@
 
     name: ClassVar[str] = "planned_stop"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each request that a planned stop cut off before its deadline."""
         return [
             violation
             for process in process_records(record)
             if process.instance not in record.killed
-            for violation in self._judge(record, process)
+            for violation in self._check_process(record, process)
         ]
 
-    def _judge(self, record: Record, process: ProcessRecord) -> Iterator[Violation]:
+    def _check_process(self, record: FleetRecord, process: ProcessRecord) -> Iterator[Violation]:
         draining = process.first(EventKind.DRAINING)
         if draining is None:
             return
@@ -40,14 +40,14 @@
             yield self._violation(draining, "the process drained but did not record `stopped`")
         in_flight: dict[str, Event] = {}
         for event in process.events:
-            if _begins(event, draining):
+            if _begins_responsibility(event, draining):
                 in_flight.setdefault(event.request_id, event)
             elif ends_request(event):
                 begun = in_flight.pop(event.request_id, None)
-                if begun and _is_cut(record, begun, event):
+                if begun and _is_cut_off_early(record, begun, event):
                     yield self._violation(event, "cut off by a planned stop")
         stopped = process.first(EventKind.STOPPED)
-        if stopped is not None and not process.lossy:
+        if stopped is not None and not process.incomplete:
             for event in in_flight.values():
                 yield self._violation(event, "still in flight when the process stopped")
 
@@ -55,13 +55,13 @@
         return Violation(self.name, detail, event.request_id, event.instance, event.hlc.seconds)
 
 
-def _begins(event: Event, draining: Event) -> bool:
+def _begins_responsibility(event: Event, draining: Event) -> bool:
     """Tell whether the event makes the process responsible for the end of the request."""
     received = event.kind is EventKind.RECEIVED and event.sequence < draining.sequence
     return received or event.kind is EventKind.STARTED
 
 
-def _is_cut(record: Record, begun: Event, end: Event) -> bool:
+def _is_cut_off_early(record: FleetRecord, begun: Event, end: Event) -> bool:
     if end.fields.get("reason") != "draining":
         return False
     cls = record.request_class(begun.service, begun.class_name)
--- a/cassiadrum/invariants/process_records.py
+++ b/cassiadrum/invariants/process_records.py
@@ -3,11 +3,11 @@
 from typing import NamedTuple
 
 from cassiadrum.events import Event, EventKind, GapKind
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 
 __all__ = ["ProcessRecord", "process_records"]
 
-ENDED = (EventKind.STOPPED, EventKind.DRAINING)
+END_KINDS = (EventKind.STOPPED, EventKind.DRAINING)
 
 
 class ProcessRecord(NamedTuple):
@@ -21,7 +21,7 @@
     start_id: str
     role: str
     events: tuple[Event, ...]
-    lossy: bool
+    incomplete: bool
     crashed: bool
 
     @property
@@ -35,13 +35,13 @@
 
     def observed_until_s(self, record_end_s: float) -> float:
         """Return until when the process is known to have worked, in seconds since the epoch."""
-        end = self.first(*ENDED)
+        end = self.first(*END_KINDS)
         if end is not None:
             return end.hlc.seconds
         return self.events[-1].hlc.seconds if self.crashed else record_end_s
 
 
-def process_records(record: Record) -> list[ProcessRecord]:
+def process_records(record: FleetRecord) -> list[ProcessRecord]:
     """Return the processes of the record by instance and start id."""
     groups: dict[tuple[str, str], list[Event]] = {}
     for event in record.timeline.events:
--- a/cassiadrum/invariants/work_states.py
+++ b/cassiadrum/invariants/request_states.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from cassiadrum.events import REQUEST_ENDS, Event, EventKind
+from cassiadrum.events import REQUEST_END_KINDS, Event, EventKind
 
-__all__ = ["CALLER_LEFT", "HEDGE_LOST", "PREEMPTED", "WorkState", "ends_request"]
+__all__ = ["CALLER_LEFT", "HEDGE_LOST", "PREEMPTED", "RequestStates", "ends_request"]
 
 # Reasons of `cancelled`.
 CALLER_LEFT: Final = "caller_left"
@@ -18,13 +18,13 @@
     At an entry instance a sidecar's reject or a lost hedge ends an attempt, not the request.
     """
     if event.role != "entry":
-        return event.kind in REQUEST_ENDS
+        return event.kind in REQUEST_END_KINDS
     if event.kind is EventKind.CANCELLED:
         return event.fields.get("reason") != HEDGE_LOST
-    return event.kind in REQUEST_ENDS and event.kind is not EventKind.REJECTED
+    return event.kind in REQUEST_END_KINDS and event.kind is not EventKind.REJECTED
 
 
-class WorkState:
+class RequestStates:
     """Hold which requests wait, run and are paused, each by id with the event of the change."""
 
     def __init__(self) -> None:
--- a/cassiadrum/invariants/rules.py
+++ b/cassiadrum/invariants/rules.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import ClassVar
 
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.violations import Violation
 
 __all__ = ["Rule"]
@@ -15,5 +15,5 @@
     name: ClassVar[str]
 
     @abstractmethod
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return every violation, an empty list when the invariant holds."""
--- a/cassiadrum/invariants/tier_safety_rules.py
+++ b/cassiadrum/invariants/tier_safety_rules.py
@@ -11,11 +11,11 @@
 
 from cassiadrum.documents import RequestClass
 from cassiadrum.events import Event, EventKind
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.process_records import process_records
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.request_states import PREEMPTED, RequestStates
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
-from cassiadrum.invariants.work_states import PREEMPTED, WorkState
 
 __all__ = ["TierSafetyRule"]
 
@@ -27,60 +27,60 @@
 
     name: ClassVar[str] = "tier_safety"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each protected request that lower-tier work displaced."""
         return [
             violation
             for process in process_records(record)
-            for violation in _Follower(record, self.name).follow(process.events)
+            for violation in _DisplacementCheck(record, self.name).check(process.events)
         ]
 
 
-class _Follower:
-    def __init__(self, record: Record, rule: str) -> None:
+class _DisplacementCheck:
+    def __init__(self, record: FleetRecord, rule: str) -> None:
         self._classes = record.class_index()
         self._rule = rule
-        self._state = WorkState()
+        self._state = RequestStates()
         # Protected requests seen so far that may still wait.
         self._protected: dict[str, RequestClass] = {}
         # Protected requests that saw lower-tier work dispatched while they waited.
         self._overtaken: dict[str, Event] = {}
         self._dispatched: set[str] = set()
 
-    def follow(self, events: Iterable[Event]) -> Iterator[Violation]:
+    def check(self, events: Iterable[Event]) -> Iterator[Violation]:
         for event in events:
             cls = self._class(event)
             if cls is not None:
-                yield from self._judge(event, cls)
-                self._note(event, cls)
+                yield from self._check_event(event, cls)
+                self._track(event, cls)
             self._state.apply(event)
 
-    def _judge(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
+    def _check_event(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
         if event.kind in (EventKind.STARTED, EventKind.RESUMED):
-            yield from self._taken_places(event, cls)
+            yield from self._check_paused_requests(event, cls)
         if not cls.protected:
             return
         reason = event.fields.get("reason", "")
         if _is_shed(event, reason):
-            yield from self._displaced(event, cls, "shed", self._state.waiting)
+            yield from self._check_displacement(event, cls, "shed", self._state.waiting)
         elif event.kind is EventKind.PAUSED or (
             event.kind is EventKind.CANCELLED and reason == PREEMPTED
         ):
-            yield from self._displaced(event, cls, "preempted", self._state.running)
+            yield from self._check_displacement(event, cls, "preempted", self._state.running)
         elif event.kind is EventKind.REFUSED and reason == "deadline":
             other = self._overtaken.get(event.request_id)
             if other is not None:
                 detail = f"missed its deadline after {other.request_id} was dispatched"
                 yield self._violation(event, detail)
 
-    def _displaced(
+    def _check_displacement(
         self, event: Event, cls: RequestClass, how: str, work: dict[str, Event]
     ) -> Iterator[Violation]:
         other = next((other for other in work.values() if self._is_lower(other, event, cls)), None)
         if other is not None:
             yield self._violation(event, f"{how} while lower-tier {other.request_id} stayed")
 
-    def _taken_places(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
+    def _check_paused_requests(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
         for paused in self._state.paused.values():
             paused_cls = self._class(paused)
             if paused_cls is None or not paused_cls.protected or paused_cls.tier >= cls.tier:
@@ -88,16 +88,16 @@
             if paused.request_id != event.request_id:
                 yield self._violation(paused, f"paused while {event.request_id} was started")
 
-    def _note(self, event: Event, cls: RequestClass) -> None:
+    def _track(self, event: Event, cls: RequestClass) -> None:
         if event.kind is EventKind.QUEUED and cls.protected:
             self._protected[event.request_id] = cls
         elif event.kind is EventKind.DISPATCHED:
             # A retry may exclude the endpoint that lower-tier work can still use.
             self._protected.pop(event.request_id, None)
             self._dispatched.add(event.request_id)
-            self._note_overtaken(event)
+            self._track_overtaken(event)
 
-    def _note_overtaken(self, event: Event) -> None:
+    def _track_overtaken(self, event: Event) -> None:
         queued = self._state.waiting.get(event.request_id, event)
         for request_id, cls in list(self._protected.items()):
             waiting = self._state.waiting.get(request_id)
--- a/cassiadrum/invariants/truthful_not_run_rules.py
+++ b/cassiadrum/invariants/truthful_not_run_rules.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from cassiadrum.events import EventKind
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
@@ -19,7 +19,7 @@
 
     name: ClassVar[str] = "truthful_not_run"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each request that ran although its caller was told that it did not."""
         told = {caller.request_id for caller in record.callers if caller.ran == "no"}
         told |= {
--- a/cassiadrum/invariants/whole_answer_rules.py
+++ b/cassiadrum/invariants/whole_answer_rules.py
@@ -8,10 +8,10 @@
 
 from cassiadrum.events import EventKind
 from cassiadrum.invariants.caller_outcomes import CallerOutcome
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
+from cassiadrum.invariants.request_states import CALLER_LEFT
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
-from cassiadrum.invariants.work_states import CALLER_LEFT
 
 __all__ = ["WholeAnswerRule"]
 
@@ -21,10 +21,10 @@
 
     name: ClassVar[str] = "whole_answer"
 
-    def check(self, record: Record) -> list[Violation]:
+    def check(self, record: FleetRecord) -> list[Violation]:
         """Return each answer that is not whole without the caller being told."""
         owners = {c.expected_digest: c.request_id for c in record.callers if c.expected_digest}
-        accepted, excused = _accepted(record), _excused(record)
+        accepted, excused = _accepted_requests(record), _excused_requests(record)
         violations = []
         for caller in record.callers:
             request_id = caller.request_id
@@ -36,13 +36,13 @@
                 broken = request_id in accepted and not is_excused
                 detail = "accepted, but no answer came" if broken else ""
             else:
-                detail = _fault(caller, owners, is_excused)
+                detail = _describe_fault(caller, owners, is_excused)
             if detail:
                 violations.append(Violation(self.name, detail, caller.request_id))
         return violations
 
 
-def _fault(caller: CallerOutcome, owners: dict[str, str], excused: bool) -> str:
+def _describe_fault(caller: CallerOutcome, owners: dict[str, str], excused: bool) -> str:
     if not 200 <= caller.status < 300:
         return ""
     if not caller.complete:
@@ -53,12 +53,12 @@
     return f"got the answer of {owner}" if owner else "the body differs from the right answer"
 
 
-def _accepted(record: Record) -> set[str]:
+def _accepted_requests(record: FleetRecord) -> set[str]:
     events = record.timeline.events
     return {event.request_id for event in events if event.kind is EventKind.RECEIVED}
 
 
-def _excused(record: Record) -> set[str]:
+def _excused_requests(record: FleetRecord) -> set[str]:
     """Return the requests whose connection broke with a killed instance or whose caller left."""
     return {
         event.request_id
--- a/cassiadrum/loads/load_runs.py
+++ b/cassiadrum/loads/load_runs.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 
-from cassiadrum.events import merge
-from cassiadrum.invariants import Record, check_record
+from cassiadrum.events import merge_events
+from cassiadrum.invariants import FleetRecord, check_record
 from cassiadrum.loads.load_options import LoadOptions
 from cassiadrum.loads.load_plans import LoadPlan
 from cassiadrum.loads.load_reports import LoadReport
@@ -37,7 +37,7 @@
         with contextlib.suppress(asyncio.CancelledError):
             await reading
     await reader.read()
-    record = Record(merge(reader.events), tuple(sender.outcomes), (), mix.documents)
+    record = FleetRecord(merge_events(reader.events), tuple(sender.outcomes), (), mix.documents)
     return LoadReport.of_sender(sender, options.seed, mix.duration_s)._replace(
         tokens_wasted=await reader.wasted_tokens() - wasted_before,
         missing_events=record.missing_events,
--- a/cassiadrum/logs/bounded_queue_handlers.py
+++ b/cassiadrum/logs/bounded_queue_handlers.py
@@ -10,10 +10,10 @@
 class BoundedQueueHandler(logging.handlers.QueueHandler):
     """Queue up to `limit` records; leave out what does not fit and say how many that were."""
 
-    def __init__(self, limit: int) -> None:
-        self.records: queue.Queue[logging.LogRecord] = queue.Queue(limit)
+    def __init__(self, capacity: int) -> None:
+        self.records: queue.Queue[logging.LogRecord] = queue.Queue(capacity)
         super().__init__(self.records)
-        self._left_out = 0
+        self._dropped_count = 0
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Return the record as it is; the thread formats it."""
@@ -22,19 +22,19 @@
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue a record, or count it."""
         try:
-            if self._left_out:
-                self.records.put_nowait(self._report())
-                self._left_out = 0
+            if self._dropped_count:
+                self.records.put_nowait(self._make_dropped_record())
+                self._dropped_count = 0
             self.records.put_nowait(record)
         except queue.Full:
-            self._left_out += 1
+            self._dropped_count += 1
 
-    def _report(self) -> logging.LogRecord:
+    def _make_dropped_record(self) -> logging.LogRecord:
         return logging.makeLogRecord(
             {
                 "name": __name__,
                 "levelno": logging.WARNING,
                 "levelname": "WARNING",
-                "msg": f"{self._left_out} log lines left out: the reader of the log is too slow",
+                "msg": f"{self._dropped_count} log lines left out: the log reader is too slow",
             }
         )
--- a/cassiadrum/logs/redactions.py
+++ b/cassiadrum/logs/redactions.py
@@ -23,7 +23,7 @@
         "token",
     }
 )
-_PATTERNS: Final = (
+_REPLACEMENTS: Final = (
     # PEM blocks, also cut off at the end.
     (
         re.compile(
@@ -51,7 +51,7 @@
 
 def redact_text(text: str) -> str:
     """Return the text without private keys, credentials and credential headers."""
-    for pattern, replacement in _PATTERNS:
+    for pattern, replacement in _REPLACEMENTS:
         text = pattern.sub(replacement, text)
     return text
 
@@ -63,9 +63,9 @@
     if isinstance(value, str):
         return redact_text(value)
     if isinstance(value, Mapping):
-        return {k: REDACTED if _is_secret(k) else redact_value(v) for k, v in value.items()}
+        return {k: REDACTED if _is_secret_name(k) else redact_value(v) for k, v in value.items()}
     if isinstance(value, list | tuple):
-        if len(value) == 2 and _is_secret(value[0]):
+        if len(value) == 2 and _is_secret_name(value[0]):
             return [value[0], REDACTED]
         return [redact_value(item) for item in value]
     if value is None or isinstance(value, bool | int | float):
@@ -73,7 +73,7 @@
     return redact_text(str(value))
 
 
-def _is_secret(name: object) -> bool:
+def _is_secret_name(name: object) -> bool:
     if isinstance(name, bytes):
         name = name.decode("latin-1")
     return isinstance(name, str) and name.lower() in SECRET_NAMES
--- a/cassiadrum/logs/set_up.py
+++ b/cassiadrum/logs/set_up.py
@@ -17,12 +17,12 @@
 __all__ = ["configure_logging"]
 
 # What waits at the end of the process is written within this time in seconds.
-CLOSE_LIMIT_S: Final = 1.0
+CLOSE_TIMEOUT_S: Final = 1.0
 
 JSON_FIELDS: Final = ("levelname", "name", "message", *CONTEXT_FIELDS)
 
 
-class _LogHandler(logging.StreamHandler[TextIO]):
+class _ReportingStreamHandler(logging.StreamHandler[TextIO]):
     """Report the lines left out before the process ends."""
 
     def __init__(self, stream: TextIO | None, repeat_filter: RepeatFilter) -> None:
@@ -31,15 +31,15 @@
 
     def close(self) -> None:
         if self in logging.getLogger().handlers:
-            self._repeat_filter.report()
+            self._repeat_filter.report_suppressed()
         super().close()
 
 
-class _QueuedHandler(BoundedQueueHandler):
+class _ThreadedHandler(BoundedQueueHandler):
     """Write by another handler in a thread of its own."""
 
-    def __init__(self, limit: int, handler: logging.Handler) -> None:
-        super().__init__(limit)
+    def __init__(self, capacity: int, handler: logging.Handler) -> None:
+        super().__init__(capacity)
         self._listener = logging.handlers.QueueListener(self.records, handler)
         self._listener.start()
 
@@ -49,7 +49,7 @@
             self._listener.enqueue_sentinel()
             thread = getattr(self._listener, "_thread", None)
             if thread is not None:
-                thread.join(CLOSE_LIMIT_S)
+                thread.join(CLOSE_TIMEOUT_S)
         super().close()
 
 
@@ -73,17 +73,19 @@
             f"log level: found {level!r}; allowed: DEBUG, INFO, WARNING, ERROR, CRITICAL"
         )
     repeat_filter = RepeatFilter(time.monotonic)
-    handler = _LogHandler(stream, repeat_filter)
+    handler = _ReportingStreamHandler(stream, repeat_filter)
     handler.setFormatter(formatter)
     handler.addFilter(repeat_filter)
     handler.addFilter(ContextFilter(instance))
     # Last, so that it sees the fields that the other filters set.
     handler.addFilter(RedactionFilter())
     root = logging.getLogger()
-    for old in [old for old in root.handlers if isinstance(old, _LogHandler | _QueuedHandler)]:
+    for old in [
+        old for old in root.handlers if isinstance(old, _ReportingStreamHandler | _ThreadedHandler)
+    ]:
         old.close()
         root.removeHandler(old)
-    root.addHandler(_QueuedHandler(queue_limit, handler) if queue_limit else handler)
+    root.addHandler(_ThreadedHandler(queue_limit, handler) if queue_limit else handler)
     root.setLevel(level)
 
 
--- a/cassiadrum/metrics/__init__.py
+++ b/cassiadrum/metrics/__init__.py
@@ -1,18 +1,18 @@
 """Metrics of the daemon; aioprometheus is loaded only where metrics are rendered."""
 
-from cassiadrum.metrics.customer_ranks import CustomerRanks
-from cassiadrum.metrics.exporters import make_registry
+from cassiadrum.metrics.customer_rankings import CustomerRanking
 from cassiadrum.metrics.metric_definitions import (
     DEFINITIONS,
     GATEWAY_DEFINITIONS,
     MetricDefinition,
 )
+from cassiadrum.metrics.metric_exporters import make_registry
 from cassiadrum.metrics.role_metrics import RoleMetrics
 
 __all__ = [
     "DEFINITIONS",
     "GATEWAY_DEFINITIONS",
-    "CustomerRanks",
+    "CustomerRanking",
     "MetricDefinition",
     "RoleMetrics",
     "make_registry",
--- a/cassiadrum/metrics/customer_ranks.py
+++ b/cassiadrum/metrics/customer_rankings.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import Final
 
-__all__ = ["CustomerRanks"]
+__all__ = ["CustomerRanking"]
 
 TOP_CUSTOMERS: Final = 20
 WINDOW_S: Final = 60.0
@@ -11,7 +11,7 @@
 CUSTOMERS_MAX: Final = 4096
 
 
-class CustomerRanks:
+class CustomerRanking:
     """Count tokens by customer in windows of `window_s` and rank the last full window."""
 
     def __init__(self, window_s: float = WINDOW_S, top: int = TOP_CUSTOMERS) -> None:
@@ -25,7 +25,7 @@
 
     def add(self, customer: str, tokens: int, now: float) -> None:
         """Count tokens; `now` is in monotonic seconds."""
-        self._roll(now)
+        self._advance_window(now)
         if customer in self._current or len(self._current) < CUSTOMERS_MAX:
             self._current[customer] += tokens
         else:
@@ -33,10 +33,10 @@
 
     def last_window(self, now: float) -> tuple[list[tuple[str, int]], int]:
         """Return the top customers with their tokens, most first, and the tokens of all others."""
-        self._roll(now)
+        self._advance_window(now)
         return self._ranked, self._other
 
-    def _roll(self, now: float) -> None:
+    def _advance_window(self, now: float) -> None:
         window = int(now // self._window_s)
         if window == self._window:
             return
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -6,8 +6,8 @@
 
 # The bounds include the targets of 0.04 s between tokens and 0.97 s to the first token, so that
 # attainment can be read off the histograms.
-TOKEN_BOUNDS_S: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.25, 1.0)
-WAIT_BOUNDS_S: Final = (0.01, 0.05, 0.097, 0.25, 0.5, 0.97, 2.0, 5.0, 15.0, 30.0, 120.0)
+INTER_TOKEN_BOUNDS_S: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.25, 1.0)
+LATENCY_BOUNDS_S: Final = (0.01, 0.05, 0.097, 0.25, 0.5, 0.97, 2.0, 5.0, 15.0, 30.0, 120.0)
 
 
 class MetricDefinition(NamedTuple):
@@ -31,21 +31,21 @@
             "histogram",
             "Time from receipt to the first token",
             _SERVICE_CLASS,
-            WAIT_BOUNDS_S,
+            LATENCY_BOUNDS_S,
         ),
         MetricDefinition(
             "cassiadrum_inter_token_seconds",
             "histogram",
             "Time between tokens",
             _SERVICE_CLASS,
-            TOKEN_BOUNDS_S,
+            INTER_TOKEN_BOUNDS_S,
         ),
         MetricDefinition(
             "cassiadrum_queue_wait_seconds",
             "histogram",
             "Time in the queue before dispatch",
             _SERVICE_CLASS,
-            WAIT_BOUNDS_S,
+            LATENCY_BOUNDS_S,
         ),
         MetricDefinition(
             "cassiadrum_requests_total", "counter", "Requests received", _SERVICE_CLASS
@@ -115,7 +115,7 @@
             "histogram",
             "Time from receipt to the end of the answer",
             _SERVICE_OUTCOME,
-            WAIT_BOUNDS_S,
+            LATENCY_BOUNDS_S,
         ),
         MetricDefinition(
             "cassiadrum_gateway_failed_attempts_total",
--- a/cassiadrum/metrics/exporters.py
+++ b/cassiadrum/metrics/metric_exporters.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from aioprometheus.collectors import Registry
 
-__all__ = ["Exporter", "make_registry"]
+__all__ = ["MetricExporter", "make_registry"]
 
 
 def make_registry() -> "Registry":
@@ -22,7 +22,7 @@
     return Registry()
 
 
-class Exporter:
+class MetricExporter:
     """Register a collector for each metric and fill it when rendering."""
 
     def __init__(
@@ -45,24 +45,26 @@
         for name, definition in self._definitions.items():
             collector = self._collectors[name]
             collector.values.clear()
-            for labels, value in values.numbers[name].items():
+            for labels, value in values.scalars[name].items():
                 collector.set_value(_label_dict(definition, labels), value)
             for labels, histogram in values.histograms[name].items():
-                collector.set_value(_label_dict(definition, labels), _library_value(histogram))
+                collector.set_value(
+                    _label_dict(definition, labels), _to_library_histogram(histogram)
+                )
         content, _ = render(self._registry, [])
         return content
 
 
 def _label_dict(definition: MetricDefinition, labels: tuple[str, ...]) -> dict[str, str]:
-    return dict(zip(definition.labels, map(_escape, labels), strict=True))
+    return dict(zip(definition.labels, map(_escape_label_value, labels), strict=True))
 
 
-def _escape(value: str) -> str:
+def _escape_label_value(value: str) -> str:
     # The library writes label values as they are, but the text format requires these escapes.
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
-def _library_value(histogram: HistogramValue) -> Any:
+def _to_library_histogram(histogram: HistogramValue) -> Any:
     from aioprometheus.histogram import Histogram  # noqa: PLC0415
 
     value = Histogram(*histogram.bounds)
--- a/cassiadrum/metrics/metric_values.py
+++ b/cassiadrum/metrics/metric_values.py
@@ -10,7 +10,7 @@
 
 # Bounds the memory of one metric when label values come from outside, such as unknown services.
 SERIES_MAX: Final = 1000
-OTHER: Final = "other"
+OVERFLOW_LABEL: Final = "other"
 
 
 class HistogramValue:
@@ -41,27 +41,27 @@
     ) -> None:
         self._series_max = series_max
         self._definitions = definitions
-        self.numbers: dict[str, dict[tuple[str, ...], float]] = {name: {} for name in definitions}
+        self.scalars: dict[str, dict[tuple[str, ...], float]] = {name: {} for name in definitions}
         self.histograms: dict[str, dict[tuple[str, ...], HistogramValue]] = {
             name: {} for name in definitions
         }
 
     def add(self, name: str, labels: tuple[str, ...], amount: float = 1) -> None:
         """Raise a counter."""
-        series = self.numbers[name]
+        series = self.scalars[name]
         if labels not in series and len(series) >= self._series_max:
-            labels = (OTHER,) * len(labels)
+            labels = (OVERFLOW_LABEL,) * len(labels)
         series[labels] = series.get(labels, 0) + amount
 
     def set(self, name: str, labels: tuple[str, ...], value: float) -> None:
         """Set a gauge."""
-        series = self.numbers[name]
+        series = self.scalars[name]
         if labels in series or len(series) < self._series_max:
             series[labels] = value
 
     def clear(self, name: str) -> None:
         """Remove all values of a metric."""
-        self.numbers[name].clear()
+        self.scalars[name].clear()
 
     def observe(self, name: str, labels: tuple[str, ...], value: float, count: int = 1) -> None:
         """Add `count` observations of a value to a histogram."""
@@ -69,6 +69,6 @@
         histogram = series.get(labels)
         if histogram is None:
             if len(series) >= self._series_max:
-                labels = (OTHER,) * len(labels)
+                labels = (OVERFLOW_LABEL,) * len(labels)
             histogram = series.setdefault(labels, HistogramValue(self._definitions[name].bounds))
         histogram.observe(value, count)
--- a/cassiadrum/metrics/role_metrics.py
+++ b/cassiadrum/metrics/role_metrics.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Literal
 
-from cassiadrum.metrics.customer_ranks import CustomerRanks
-from cassiadrum.metrics.exporters import Exporter
+from cassiadrum.metrics.customer_rankings import CustomerRanking
+from cassiadrum.metrics.metric_exporters import MetricExporter
 from cassiadrum.metrics.metric_values import MetricValues
 
 if TYPE_CHECKING:
@@ -25,77 +25,81 @@
     ) -> None:
         self._monotonic_s = monotonic_s
         self._values = MetricValues()
-        self._customers = CustomerRanks()
-        self._exporter = Exporter(registry) if registry is not None else None
+        self._customers = CustomerRanking()
+        self._exporter = MetricExporter(registry) if registry is not None else None
 
-    def received(self, service: str, class_name: str) -> None:
+    def count_request(self, service: str, class_name: str) -> None:
         """Count a request."""
         self._values.add("cassiadrum_requests_total", (service, class_name))
 
-    def queue_wait(self, service: str, class_name: str, wait_s: float) -> None:
+    def observe_queue_wait(self, service: str, class_name: str, wait_s: float) -> None:
         """Observe the time in the queue before a dispatch."""
         self._values.observe("cassiadrum_queue_wait_seconds", (service, class_name), wait_s)
 
-    def first_token(self, service: str, class_name: str, latency_s: float) -> None:
+    def observe_first_token(self, service: str, class_name: str, latency_s: float) -> None:
         """Observe the time from receipt to the first token."""
         self._values.observe("cassiadrum_first_token_seconds", (service, class_name), latency_s)
 
-    def inter_token(self, service: str, class_name: str, gap_s: float, count: int = 1) -> None:
+    def observe_inter_token(
+        self, service: str, class_name: str, gap_s: float, count: int = 1
+    ) -> None:
         """Observe `count` equal gaps between tokens."""
         labels = (service, class_name)
         self._values.observe("cassiadrum_inter_token_seconds", labels, gap_s, count)
 
-    def refused(self, service: str, reason: str) -> None:
+    def count_refusal(self, service: str, reason: str) -> None:
         """Count a refusal by its reason."""
         self._values.add("cassiadrum_refusals_total", (service, reason))
 
-    def attained(self, service: str, class_name: str, met: bool) -> None:
+    def count_attainment(self, service: str, class_name: str, met: bool) -> None:
         """Count a request that met or missed the latency target of its class."""
         labels = (service, class_name, "met" if met else "missed")
         self._values.add("cassiadrum_attainment_total", labels)
 
-    def delivered(self, service: str, class_name: str, customer: str, tokens: int) -> None:
+    def count_delivered_tokens(
+        self, service: str, class_name: str, customer: str, tokens: int
+    ) -> None:
         """Count the tokens of a completed and delivered answer."""
         self._values.add("cassiadrum_goodput_tokens_total", (service, class_name), tokens)
         self._customers.add(customer, tokens, self._monotonic_s())
 
-    def wasted(self, service: str, reason: str, tokens: int) -> None:
+    def count_wasted_tokens(self, service: str, reason: str, tokens: int) -> None:
         """Count tokens computed for nobody."""
         self._values.add("cassiadrum_wasted_tokens_total", (service, reason), tokens)
 
-    def retried(self, service: str, class_name: str) -> None:
+    def count_retry(self, service: str, class_name: str) -> None:
         """Count a retry."""
         self._values.add("cassiadrum_retries_total", (service, class_name))
 
-    def hedged(self, service: str, class_name: str) -> None:
+    def count_hedge(self, service: str, class_name: str) -> None:
         """Count a hedge."""
         self._values.add("cassiadrum_hedges_total", (service, class_name))
 
-    def claimed(self, service: str, outcome: str) -> None:
+    def count_claim(self, service: str, outcome: str) -> None:
         """Count a once-only claim by its outcome."""
         self._values.add("cassiadrum_claims_total", (service, outcome))
 
-    def control_bytes(self, direction: Literal["in", "out"], size: int) -> None:
+    def count_control_bytes(self, direction: Literal["in", "out"], size: int) -> None:
         """Count bytes of messages between own processes, without bodies."""
         self._values.add("cassiadrum_control_bytes_total", (direction,), size)
 
-    def store_called(self, store: str, result: str) -> None:
+    def count_store_call(self, store: str, result: str) -> None:
         """Count a call to a store by its result."""
         self._values.add("cassiadrum_store_calls_total", (store, result))
 
-    def leases_held(self, count: int) -> None:
+    def set_leases_held(self, count: int) -> None:
         """Set the number of leases held."""
         self._values.set("cassiadrum_leases_held", (), count)
 
-    def configuration_version(self, service: str, version: int) -> None:
+    def set_configuration_version(self, service: str, version: int) -> None:
         """Set the version of a service document in force."""
         self._values.set("cassiadrum_configuration_version", (service,), version)
 
-    def connections(self, peer: str, count: int) -> None:
+    def set_connections(self, peer: str, count: int) -> None:
         """Set the number of open connections by kind of peer, such as `sidecar` or `caller`."""
         self._values.set("cassiadrum_connections", (peer,), count)
 
-    def queue_length(self, service: str, count: int) -> None:
+    def set_queue_length(self, service: str, count: int) -> None:
         """Set the number of waiting requests."""
         self._values.set("cassiadrum_queue_length", (service,), count)
 
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from cassiadrum.gateways import Catalog, Gateway, GatewaySettings
-from cassiadrum.logs import BOUNDED_FIELD
+from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.errors import BadSettings, StartFailed
 from cassiadrum.platform.node_settings import NodeSettings, load_node_settings
@@ -156,7 +156,7 @@
                 "taken": sorted(taken),
                 "need_restart": sorted(changed - taken),
                 "digest": f"{cfg.digest:08x}",
-                BOUNDED_FIELD: True,
+                RATE_LIMITED_FIELD: True,
             },
         )
         self._apply_settings({name: getattr(cfg, name) for name in taken})
--- a/cassiadrum/roles/admin_handlers.py
+++ b/cassiadrum/roles/admin_handlers.py
@@ -69,7 +69,7 @@
         if not after.isdecimal():
             await exchange.send_json(400, {"error": "the query allows only `after`, a number"})
             return
-        events = [encode_event(event) for event in self._ring.after(int(after), MAX_EVENTS)]
+        events = [encode_event(event) for event in self._ring.read_after(int(after), MAX_EVENTS)]
         # A new start id tells a reader that the sequence numbers have started again.
         answer = {"last": self._ring.last_sequence, "start_id": self._ring.start_id}
         await exchange.send_json(200, {"events": events, **answer})
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from cassiadrum.endpoints import Endpoint, EngineEndpoint, PlainEndpoint
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links import TlsContexts
 from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
@@ -55,7 +55,7 @@
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
         self._rng = random.Random(secrets.randbits(64))
-        clock = HybridClock(time.time)
+        clock = HybridLogicalClock(time.time)
         self._ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
         self._metrics = RoleMetrics(time.monotonic, make_registry())
         registry = ConfigurationRegistry()
@@ -143,7 +143,7 @@
             HttpClient(address.host, address.port),
             time.monotonic,
             budget=budget,
-            on_result=lambda result: self._metrics.store_called(store, result),
+            on_result=lambda result: self._metrics.count_store_call(store, result),
         )
 
 
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -93,7 +93,7 @@
             self._router.post,
             self._fetcher,
             lambda: configurations.ready,
-            metrics.refused,
+            metrics.count_refusal,
         )
         self._http = HttpServer(self._handler)
         changes = ConfigurationHandler(writer, configurations, ring)
--- a/cassiadrum/roles/event_meters.py
+++ b/cassiadrum/roles/event_meters.py
@@ -42,13 +42,13 @@
             EventKind.DISPATCHED: self._dispatched,
             EventKind.STARTED: self._started,
             EventKind.FIRST_TOKEN: self._first_token,
-            EventKind.HEDGED: lambda event: metrics.hedged(event.service, event.class_name),
+            EventKind.HEDGED: lambda event: metrics.count_hedge(event.service, event.class_name),
             EventKind.FINISHED: self._finished,
             EventKind.CANCELLED: self._ended_early,
             EventKind.REJECTED: self._discard,
             EventKind.REFUSED: self._refused,
             EventKind.EVICTED: self._refused,
-            EventKind.CLAIM_MADE: lambda event: metrics.claimed(event.service, "made"),
+            EventKind.CLAIM_MADE: lambda event: metrics.count_claim(event.service, "made"),
             EventKind.CLAIM_REFUSED: lambda event: self._record_claim(event, "reason"),
             EventKind.CLAIM_RESOLVED: lambda event: self._record_claim(event, "state"),
         }
@@ -60,7 +60,7 @@
             handler(event)
 
     def _received(self, event: Event) -> None:
-        self._metrics.received(event.service, event.class_name)
+        self._metrics.count_request(event.service, event.class_name)
         self._timings[event.request_id] = _Timing(self._clock())
 
     def _queued(self, event: Event) -> None:
@@ -70,16 +70,16 @@
     def _dispatched(self, event: Event) -> None:
         timing = self._timings.get(event.request_id)
         if event.fields["attempt"] > 1:
-            self._metrics.retried(event.service, event.class_name)
+            self._metrics.count_retry(event.service, event.class_name)
         elif timing is not None:
             wait_s = self._clock() - timing.received_s
-            self._metrics.queue_wait(event.service, event.class_name, wait_s)
+            self._metrics.observe_queue_wait(event.service, event.class_name, wait_s)
 
     def _started(self, event: Event) -> None:
         timing = self._timings.pop(event.fields["attempt"], None)
         if timing is not None:
             wait_s = self._clock() - timing.received_s
-            self._metrics.queue_wait(event.service, event.class_name, wait_s)
+            self._metrics.observe_queue_wait(event.service, event.class_name, wait_s)
 
     def _first_token(self, event: Event) -> None:
         timing = self._timings.get(event.request_id)
@@ -87,7 +87,7 @@
             return
         now = self._clock()
         self._timings[event.request_id] = timing._replace(first_token_s=now)
-        self._metrics.first_token(event.service, event.class_name, now - timing.received_s)
+        self._metrics.observe_first_token(event.service, event.class_name, now - timing.received_s)
 
     def _finished(self, event: Event) -> None:
         if event.role == "sidecar":
@@ -98,7 +98,9 @@
         if timing is None:
             return
         tokens = int(event.fields["tokens"])
-        self._metrics.delivered(event.service, event.class_name, event.customer, tokens)
+        self._metrics.count_delivered_tokens(
+            event.service, event.class_name, event.customer, tokens
+        )
         total_s = self._clock() - timing.received_s
         first_s = total_s
         if timing.first_token_s is not None:
@@ -108,7 +110,7 @@
             # One observation per request, because one per token would take a large share of the
             # processor time of a stream.
             gap_s = (total_s - first_s) / (tokens - 1)
-            self._metrics.inter_token(event.service, event.class_name, gap_s, tokens - 1)
+            self._metrics.observe_inter_token(event.service, event.class_name, gap_s, tokens - 1)
         self._record_attainment(event, first_s, gap_s, total_s)
 
     def _record_attainment(
@@ -122,24 +124,24 @@
             met = total_s <= cls.target_total_s
         else:
             met = first_s <= cls.target_first_token_s and gap_s <= cls.target_inter_token_s
-        self._metrics.attained(event.service, event.class_name, met)
+        self._metrics.count_attainment(event.service, event.class_name, met)
 
     def _ended_early(self, event: Event) -> None:
         """Count the tokens that a sidecar's endpoint computed for an undelivered attempt."""
         self._discard(event)
         if event.role == "sidecar" and event.fields["tokens"]:
             reason = str(event.fields["reason"])
-            self._metrics.wasted(event.service, reason, int(event.fields["tokens"]))
+            self._metrics.count_wasted_tokens(event.service, reason, int(event.fields["tokens"]))
 
     def _refused(self, event: Event) -> None:
         self._discard(event)
         reason = str(event.fields["reason"])
-        self._metrics.refused(event.service, reason)
+        self._metrics.count_refusal(event.service, reason)
         if reason not in CALLER_CAUSED_REASONS:
-            self._metrics.attained(event.service, event.class_name, False)
+            self._metrics.count_attainment(event.service, event.class_name, False)
 
     def _record_claim(self, event: Event, field: str) -> None:
-        self._metrics.claimed(event.service, str(event.fields[field]))
+        self._metrics.count_claim(event.service, str(event.fields[field]))
 
     def _discard(self, event: Event) -> None:
         key = event.fields["attempt"] if event.role == "sidecar" else event.request_id
--- a/cassiadrum/roles/gauges.py
+++ b/cassiadrum/roles/gauges.py
@@ -39,11 +39,11 @@
 
     def render(self) -> bytes:
         """Return the current metrics as text for `/metrics`."""
-        self._metrics.connections(self._peer, len(self.links))
+        self._metrics.set_connections(self._peer, len(self.links))
         for service, version in self._versions().items():
-            self._metrics.configuration_version(service, version)
+            self._metrics.set_configuration_version(service, version)
         for service, count in self._queue_lengths().items():
-            self._metrics.queue_length(service, count)
+            self._metrics.set_queue_length(service, count)
         for link in self.links:
             self._count_bytes(link)
         return self._metrics.render()
@@ -51,5 +51,5 @@
     def _count_bytes(self, link: Link) -> None:
         sent, received = self._counted_bytes.get(link, (0, 0))
         self._counted_bytes[link] = (link.control_sent, link.control_received)
-        self._metrics.control_bytes("out", link.control_sent - sent)
-        self._metrics.control_bytes("in", link.control_received - received)
+        self._metrics.count_control_bytes("out", link.control_sent - sent)
+        self._metrics.count_control_bytes("in", link.control_received - received)
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -5,8 +5,8 @@
 import uuid
 
 from cassiadrum.documents import ServiceDocument, parse_document
-from cassiadrum.events import Event, merge
-from cassiadrum.invariants import CallerOutcome, EndpointRun, Record
+from cassiadrum.events import Event, merge_events
+from cassiadrum.invariants import CallerOutcome, EndpointRun, FleetRecord
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles import Daemon, build_daemon
 from cassiadrum.settings import parse_settings
@@ -95,12 +95,12 @@
         for standin in (self.table, self.objects, self.instances):
             await standin.close()
 
-    def record(self, callers: list[CallerOutcome]) -> Record:
+    def record(self, callers: list[CallerOutcome]) -> FleetRecord:
         """Return the record for the invariant rules; taken after `drain`."""
         daemons = [*self.entries, *(slot.sidecar for slot in self.slots)]
         events: list[Event] = []
         for daemon in daemons:
-            events += daemon.ring.after(0, daemon.ring.last_sequence)
+            events += daemon.ring.read_after(0, daemon.ring.last_sequence)
         runs = [
             EndpointRun(
                 run["request_id"].rpartition(".")[0],
@@ -115,7 +115,9 @@
             for slot in self.slots
             for run in slot.endpoint.runs
         ]
-        return Record(merge(events), tuple(callers), tuple(runs), tuple(self.documents))
+        return FleetRecord(
+            merge_events(events), tuple(callers), tuple(runs), tuple(self.documents)
+        )
 
     async def _start_platform(self) -> None:
         table = await self.table.start()
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from cassiadrum.documents import ServiceDocument, parse_document
-from cassiadrum.events import Event, EventKind, EventRing, HybridClock, merge
-from cassiadrum.invariants import CallerOutcome, EndpointRun, Outage, Record
+from cassiadrum.events import Event, EventKind, EventRing, HybridLogicalClock, merge_events
+from cassiadrum.invariants import CallerOutcome, EndpointRun, FleetRecord, Outage
 from cassiadrum.loads import LoadPlan, LoadSender
 from cassiadrum.tests.harness.callers import call
 from cassiadrum.tests.harness.child_processes import ChildProcess
@@ -56,7 +56,9 @@
         self.killed: set[str] = set()
         self.outages: list[Outage] = []
         self.collectors: dict[str, list[EventCollector]] = {}
-        self.operator = EventRing(HybridClock(time.time), "operator", "operator", uuid.uuid4().hex)
+        self.operator = EventRing(
+            HybridLogicalClock(time.time), "operator", "operator", uuid.uuid4().hex
+        )
         self._locks: dict[str, asyncio.Lock] = {}
         self._services: dict[str, str] = {}
         self._zones: dict[str, str] = {}
@@ -161,13 +163,13 @@
         await self.stop(name)
         del self._services[name]
 
-    async def finish(self, outcomes: list[CallerOutcome]) -> Record:
+    async def finish(self, outcomes: list[CallerOutcome]) -> FleetRecord:
         """Stop every process that still runs, entry instances first, and return the record."""
         for names in (self.entries, self.sidecars()):
             running = [name for name in names if self.children[name].running]
             await asyncio.gather(*(self.stop(name) for name in running))
-        return Record(
-            merge(self.events()),
+        return FleetRecord(
+            merge_events(self.events()),
             tuple(outcomes),
             tuple(self._runs()),
             tuple(self.documents),
@@ -185,7 +187,7 @@
             for collector in collectors
             for event in collector.events
         ]
-        every += self.operator.after(0, len(self.operator))
+        every += self.operator.read_after(0, len(self.operator))
         return [e for e in every if kind in (None, e.kind) and instance in ("", e.instance)]
 
     async def status(self, name: str) -> dict[str, Any]:
--- a/cassiadrum/tests/records.py
+++ b/cassiadrum/tests/records.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from cassiadrum.documents import parse_document
-from cassiadrum.events import EventKind, EventRing, HybridClock, merge
-from cassiadrum.invariants import CallerOutcome, EndpointRun, Record
+from cassiadrum.events import EventKind, EventRing, HybridLogicalClock, merge_events
+from cassiadrum.invariants import CallerOutcome, EndpointRun, FleetRecord
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 DOCUMENTS = tuple(
@@ -22,19 +22,19 @@
     return at_s, instance, kind, request_id, class_name, fields
 
 
-def make_record(*steps: Step, alive: bool = True, **parts: Any) -> Record:
+def make_record(*steps: Step, alive: bool = True, **parts: Any) -> FleetRecord:
     """Return a record of the steps; `alive` tells that no process has ended."""
     rings: dict[str, EventRing] = {}
     clock_s = [0.0]
     for at_s, instance, kind, request_id, class_name, fields in steps:
         clock_s[0] = at_s
         if instance not in rings:
-            clock = HybridClock(lambda: clock_s[0])
+            clock = HybridLogicalClock(lambda: clock_s[0])
             rings[instance] = EventRing(clock, instance, instance.split("-")[0], f"{instance}-1")
         rings[instance].record(EventKind(kind), request_id, SERVICE, class_name, "c", **fields)
-    events = [event for ring in rings.values() for event in ring.after(0, len(ring))]
-    timeline = merge(events, [f"{name}-1" for name in rings] if alive else [])
-    return Record(timeline, documents=DOCUMENTS, **parts)
+    events = [event for ring in rings.values() for event in ring.read_after(0, len(ring))]
+    timeline = merge_events(events, [f"{name}-1" for name in rings] if alive else [])
+    return FleetRecord(timeline, documents=DOCUMENTS, **parts)
 
 
 def make_caller(request_id: str, **fields: Any) -> CallerOutcome:
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.decisions import ExecutionStatus, Outcome, QueuedRequest
 from cassiadrum.documents import parse_document
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links.messages import Head
 from cassiadrum.protocols import HttpRequest
 from cassiadrum.roles.answer_relays import AnswerRelay
@@ -22,7 +22,7 @@
 
 
 def make_relay() -> AnswerRelay:
-    return AnswerRelay(EventRing(HybridClock(lambda: 1.0), "entry-1", "entry", "start"))
+    return AnswerRelay(EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "start"))
 
 
 def delivered(pending: PendingRequest) -> bytes:
--- a/cassiadrum/tests/test_event_collectors.py
+++ b/cassiadrum/tests/test_event_collectors.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from cassiadrum.events import EventKind, EventRing, HybridClock, encode_event
+from cassiadrum.events import EventKind, EventRing, HybridLogicalClock, encode_event
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.tests.harness.event_collectors import EventCollector
 
@@ -12,13 +12,13 @@
     """Guards against events of another process that got the port of one that ended."""
 
     async def test_answer_of_another_process_ends_the_reading(self) -> None:
-        ring = EventRing(HybridClock(lambda: 1.0), "entry-1", "entry", "one")
+        ring = EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "one")
         ring.record(EventKind.PROCESS_STARTED)
         answers: list[dict[str, Any]] = []
 
         async def handle(exchange: Exchange) -> None:
             start_id = "two" if answers else "one"
-            events = [encode_event(event) for event in ring.after(0, 10)]
+            events = [encode_event(event) for event in ring.read_after(0, 10)]
             answers.append({"events": events, "start_id": start_id})
             await exchange.send_json(200, answers[-1])
 
--- a/cassiadrum/tests/test_event_meters.py
+++ b/cassiadrum/tests/test_event_meters.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cassiadrum.documents import parse_document
-from cassiadrum.events import EventKind, EventRing, HybridClock
+from cassiadrum.events import EventKind, EventRing, HybridLogicalClock
 from cassiadrum.loads import LoadPlan, LoadSender
 from cassiadrum.metrics import RoleMetrics, make_registry
 from cassiadrum.protocols import HttpClient
@@ -44,7 +44,7 @@
         times = Times()
         metrics = RoleMetrics(times, make_registry())
         meter = EventMeter(metrics, lambda service: DOCUMENT, times)
-        ring = EventRing(HybridClock(times), "i", role, "s")
+        ring = EventRing(HybridLogicalClock(times), "i", role, "s")
         ring.listener = meter
         return meter, metrics, ring, times
 
--- a/cassiadrum/tests/test_event_pictures.py
+++ b/cassiadrum/tests/test_event_pictures.py
@@ -7,12 +7,12 @@
     EventFilter,
     EventKind,
     EventRing,
-    HybridClock,
+    HybridLogicalClock,
     Timeline,
     TimelineSvgWriter,
     TraceWriter,
     make_spans,
-    merge,
+    merge_events,
 )
 
 SVG = "{http://www.w3.org/2000/svg}"
@@ -20,13 +20,13 @@
 
 def make_timeline() -> Timeline:
     walls = iter([10.0, 10.1, 10.2, 10.3, 10.4])
-    ring = EventRing(HybridClock(lambda: next(walls)), "a<&", "entry", "a-1")
+    ring = EventRing(HybridLogicalClock(lambda: next(walls)), "a<&", "entry", "a-1")
     ring.record(EventKind.RECEIVED, "r1", customer='"Rosenheim" & Sohn')
     ring.record(EventKind.RECEIVED, "r2<script>")
     ring.record(EventKind.MEMBER_JOINED, member="s1")
     ring.record(EventKind.FINISHED, "r1")
     ring.record(EventKind.RECEIVED, "r3")
-    return merge(event for event in ring.after(0, 9) if event.sequence != 3)
+    return merge_events(event for event in ring.read_after(0, 9) if event.sequence != 3)
 
 
 class TestSpans:
--- a/cassiadrum/tests/test_events.py
+++ b/cassiadrum/tests/test_events.py
@@ -15,40 +15,42 @@
     EventKind,
     EventRing,
     GapKind,
-    HybridClock,
-    HybridTime,
+    HybridLogicalClock,
+    HybridTimestamp,
     decode_event,
     encode_event,
-    merge,
+    merge_events,
     read_json_lines,
     to_json_line,
 )
 
 
 def make_ring(instance: str = "a", wall_s: float = 100.0, **options: Any) -> EventRing:
-    return EventRing(HybridClock(lambda: wall_s), instance, "entry", f"{instance}-1", **options)
+    return EventRing(
+        HybridLogicalClock(lambda: wall_s), instance, "entry", f"{instance}-1", **options
+    )
 
 
-class TestHybridClock:
+class TestHybridLogicalClock:
     """Guards against effects that stand before their causes."""
 
     def test_time_ascends_while_the_wall_clock_goes_back(self) -> None:
         walls = iter([100.0, 90.0, 90.0, 101.0])
-        clock = HybridClock(lambda: next(walls))
+        clock = HybridLogicalClock(lambda: next(walls))
         times = [clock.tick() for _ in range(4)]
         assert times == sorted(set(times))
 
     def test_effect_is_after_a_cause_on_a_clock_ahead(self) -> None:
-        ahead, behind = HybridClock(lambda: 200.0), HybridClock(lambda: 100.0)
+        ahead, behind = HybridLogicalClock(lambda: 200.0), HybridLogicalClock(lambda: 100.0)
         cause = ahead.tick()
         assert behind.observe(cause)
         assert behind.tick() > cause
 
     def test_wrong_peer_clock_does_not_move_the_fleet(self) -> None:
-        clock = HybridClock(lambda: 100.0)
-        assert not clock.observe(HybridTime(2**60, 0))
+        clock = HybridLogicalClock(lambda: 100.0)
+        assert not clock.observe(HybridTimestamp(2**60, 0))
         assert clock.tick().seconds == 100.0
-        assert clock.ignored == 1
+        assert clock.ignored_count == 1
 
 
 class TestEventRing:
@@ -58,8 +60,8 @@
         ring = make_ring(capacity=3)
         for index in range(5):
             ring.record(EventKind.RECEIVED, f"r{index}")
-        assert (len(ring), ring.dropped, ring.last_sequence) == (3, 2, 5)
-        assert [event.sequence for event in ring.after(0, 10)] == [3, 4, 5]
+        assert (len(ring), ring.overwritten_count, ring.last_sequence) == (3, 2, 5)
+        assert [event.sequence for event in ring.read_after(0, 10)] == [3, 4, 5]
 
     @pytest.mark.parametrize(
         ("sequence", "limit", "expected"),
@@ -69,7 +71,7 @@
         ring = make_ring(capacity=3)
         for _ in range(5):
             ring.record(EventKind.RECEIVED)
-        assert [event.sequence for event in ring.after(sequence, limit)] == expected
+        assert [event.sequence for event in ring.read_after(sequence, limit)] == expected
 
 
 class TestMerge:
@@ -82,7 +84,7 @@
         effect = sidecar.record(EventKind.STARTED, "r")
         entry.clock.observe(effect.hlc)
         last = entry.record(EventKind.FINISHED, "r")
-        assert merge([effect, last, cause, cause]).events == [cause, effect, last]
+        assert merge_events([effect, last, cause, cause]).events == [cause, effect, last]
 
     @settings(derandomize=True, deadline=None)
     @given(
@@ -92,7 +94,7 @@
     def test_messages_over_jumping_clocks(
         self, walls: list[float], messages: list[tuple[int, int, float]]
     ) -> None:
-        clocks = [HybridClock(lambda i=index: walls[i]) for index in range(3)]  # type: ignore[misc]
+        clocks = [HybridLogicalClock(lambda i=index: walls[i]) for index in range(3)]  # type: ignore[misc]
         rings = [EventRing(clock, f"p{i}", "entry", f"s{i}") for i, clock in enumerate(clocks)]
         pairs = []
         for number, (sender, receiver, jump_s) in enumerate(messages):
@@ -100,7 +102,7 @@
             cause = rings[sender].record(EventKind.DISPATCHED, f"m{number}")
             rings[receiver].clock.observe(cause.hlc)
             pairs.append((cause, rings[receiver].record(EventKind.STARTED, f"m{number}")))
-        merged = merge(event for ring in rings for event in ring.after(0, 99)).events
+        merged = merge_events(event for ring in rings for event in ring.read_after(0, 99)).events
         places = {(event.instance, event.sequence): i for i, event in enumerate(merged)}
         for cause, effect in pairs:
             before = places[cause.instance, cause.sequence]
@@ -110,8 +112,8 @@
         ring = make_ring(capacity=4)
         for _ in range(6):
             ring.record(EventKind.RECEIVED)
-        first, _, *rest = ring.after(0, 9)
-        gaps = merge([first, *rest]).gaps
+        first, _, *rest = ring.read_after(0, 9)
+        gaps = merge_events([first, *rest]).gaps
         assert [(gap.kind, gap.missing) for gap in gaps] == [
             (GapKind.OVERWRITTEN, 2),
             (GapKind.MISSING, 1),
@@ -121,7 +123,7 @@
     def test_stopped_and_running_processes_have_no_gap_at_the_end(self) -> None:
         stopped, running = make_ring("a"), make_ring("b")
         events = [stopped.record(EventKind.STOPPED), running.record(EventKind.RECEIVED)]
-        assert merge(events, alive=["b-1"]).gaps == []
+        assert merge_events(events, running_start_ids=["b-1"]).gaps == []
 
 
 class TestEventFilter:
@@ -145,14 +147,14 @@
         ring = make_ring()
         ring.record(EventKind.RECEIVED, "r1", "s1", "c1")
         ring.record(EventKind.QUEUED, "r2", "s2", "c2")
-        assert [event.request_id for event in selection.apply(ring.after(0, 9))] == expected
+        assert [event.request_id for event in selection.apply(ring.read_after(0, 9))] == expected
 
 
 class TestCodecs:
     """Guards against events that change or are lost on the way to another process."""
 
     EVENT = Event(
-        HybridTime(1_700_000_000_000_001, 3),
+        HybridTimestamp(1_700_000_000_000_001, 3),
         "entry-1",
         "entry",
         EventKind.REFUSED,
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -122,7 +122,7 @@
         status, body = await caller
         problem = json.loads(body)
         assert (status, problem["reason"], problem["ran"]) == (503, "draining", "unknown")
-        kinds = [event.kind for event in daemon.ring.after(0, 10_000)]
+        kinds = [event.kind for event in daemon.ring.read_after(0, 10_000)]
         assert EventKind.DRAIN_LIMIT_REACHED in kinds
         # Ends the call that may not be cut, so that the rest of the site can stop.
         for slot in site.slots:
--- a/cassiadrum/tests/test_invariants_of_processes.py
+++ b/cassiadrum/tests/test_invariants_of_processes.py
@@ -7,10 +7,10 @@
 from cassiadrum.invariants import (
     RULES,
     ConfigurationMonotonicRule,
+    FleetRecord,
     LeavingEndpointRule,
     Outage,
     PlannedStopRule,
-    Record,
     Rule,
     check_record,
 )
@@ -19,7 +19,7 @@
 TOP, LOW, ONCE = "top:status-check", "low:register-export", "once:permit-issue"
 
 
-def details(rule: Rule, record: Record) -> list[str]:
+def details(rule: Rule, record: FleetRecord) -> list[str]:
     return [violation.detail for violation in rule.check(record)]
 
 
--- a/cassiadrum/tests/test_invariants_of_requests.py
+++ b/cassiadrum/tests/test_invariants_of_requests.py
@@ -7,8 +7,8 @@
 
 from cassiadrum.invariants import (
     EventualServiceRule,
+    FleetRecord,
     OnceOnlyRule,
-    Record,
     Rule,
     TierSafetyRule,
     TruthfulNotRunRule,
@@ -19,7 +19,7 @@
 TOP, LOW, ONCE = "top:status-check", "low:register-export", "once:permit-issue"
 
 
-def details(rule: Rule, record: Record) -> list[str]:
+def details(rule: Rule, record: FleetRecord) -> list[str]:
     return [violation.detail for violation in rule.check(record)]
 
 
@@ -118,7 +118,7 @@
         assert EventualServiceRule().check(ended) == EventualServiceRule().check(killed) == []
 
     @staticmethod
-    def make_dispatches(own_turn: int) -> Record:
+    def make_dispatches(own_turn: int) -> FleetRecord:
         # The class has max_wait_s 120 and min_share 0.05, so 2 * 20 dispatches may pass it over.
         steps = waiting(LOW, "low2:register-export")
         for turn in range(50):
@@ -204,7 +204,7 @@
     """Guards against a checker that misses a second effect of one call."""
 
     @staticmethod
-    def make(class_name: str, customers: str, keys: tuple[str, str]) -> Record:
+    def make(class_name: str, customers: str, keys: tuple[str, str]) -> FleetRecord:
         names = ("r1", "r2")
         callers = tuple(
             make_caller(name, class_name=class_name, customer=customer)
--- a/cassiadrum/tests/test_logs.py
+++ b/cassiadrum/tests/test_logs.py
@@ -116,7 +116,8 @@
         for index in range(12):
             logger.warning("instance %d is slow", index)
         logger.info("another line")
-        (handler,) = (h for h in logging.getLogger().handlers if type(h).__name__ == "_LogHandler")
+        handlers = logging.getLogger().handlers
+        (handler,) = (h for h in handlers if type(h).__name__ == "_ReportingStreamHandler")
         handler.close()
         written = stream.getvalue()
         assert written.count("is slow") == 6
@@ -124,7 +125,7 @@
 
     def test_report_when_the_window_ends(self, caplog: pytest.LogCaptureFixture) -> None:
         now = 0.0
-        limit = RepeatFilter(lambda: now, lines=1, window_s=10)
+        limit = RepeatFilter(lambda: now, records_max=1, window_s=10)
         record = logging.makeLogRecord({"name": "a", "msg": "m", "levelno": logging.ERROR})
         other = logging.makeLogRecord({"name": "b", "msg": "n"})
         assert [limit.filter(record) for _ in range(3)] == [True, False, False]
@@ -132,5 +133,5 @@
         assert limit.filter(other)
         assert [r.getMessage() for r in caplog.records] == ["2 lines of a left out: m"]
         assert limit.filter(record)
-        limit.report()
+        limit.report_suppressed()
         assert len(caplog.records) == 1
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cassiadrum.events import EventKind, EventRing, HybridClock
+from cassiadrum.events import EventKind, EventRing, HybridLogicalClock
 from cassiadrum.members import REMOVAL_LIMIT_S, ChangeKind, Membership, Subset
 from cassiadrum.members.memberships import MOVE_DELAY_S
 from cassiadrum.roles.members import MemberLinks
@@ -89,7 +89,7 @@
         self.posted: list[RouterMessage] = []
         self.dialers: list[FakeDialer] = []
         self.busy: set[str] = set()
-        self.ring = EventRing(HybridClock(lambda: self.now), "e", "entry", "1")
+        self.ring = EventRing(HybridLogicalClock(lambda: self.now), "e", "entry", "1")
         self.links = MemberLinks(
             lambda size: Subset("e", "z", size),
             2,
@@ -106,7 +106,7 @@
         return self.dialers[-1]
 
     def events(self, kind: EventKind) -> list[str]:
-        events = self.ring.after(0, self.ring.last_sequence)
+        events = self.ring.read_after(0, self.ring.last_sequence)
         return [event.fields["member"] for event in events if event.kind is kind]
 
     def dialled(self) -> list[str]:
--- a/cassiadrum/tests/test_metrics.py
+++ b/cassiadrum/tests/test_metrics.py
@@ -3,7 +3,7 @@
 import subprocess
 import sys
 
-from cassiadrum.metrics import DEFINITIONS, CustomerRanks, RoleMetrics, make_registry
+from cassiadrum.metrics import DEFINITIONS, CustomerRanking, RoleMetrics, make_registry
 from cassiadrum.metrics.metric_values import SERIES_MAX
 
 
@@ -21,21 +21,25 @@
 
     def test_every_metric_is_rendered(self) -> None:
         metrics = make_metrics()
-        metrics.received("s", "c")
-        metrics.refused("s", "overloaded")
-        metrics.attained("s", "c", met=False)
-        metrics.delivered("s", "c", "customer", 7)
-        metrics.wasted("s", "cancelled", 3)
-        metrics.retried("s", "c")
-        metrics.hedged("s", "c")
-        metrics.claimed("s", "made")
-        metrics.control_bytes("in", 10)
-        metrics.store_called("table", "unknown")
-        metrics.leases_held(1)
-        metrics.configuration_version("s", 4)
-        metrics.connections("sidecar", 9)
-        metrics.queue_length("s", 2)
-        for observe in (metrics.queue_wait, metrics.first_token, metrics.inter_token):
+        metrics.count_request("s", "c")
+        metrics.count_refusal("s", "overloaded")
+        metrics.count_attainment("s", "c", met=False)
+        metrics.count_delivered_tokens("s", "c", "customer", 7)
+        metrics.count_wasted_tokens("s", "cancelled", 3)
+        metrics.count_retry("s", "c")
+        metrics.count_hedge("s", "c")
+        metrics.count_claim("s", "made")
+        metrics.count_control_bytes("in", 10)
+        metrics.count_store_call("table", "unknown")
+        metrics.set_leases_held(1)
+        metrics.set_configuration_version("s", 4)
+        metrics.set_connections("sidecar", 9)
+        metrics.set_queue_length("s", 2)
+        for observe in (
+            metrics.observe_queue_wait,
+            metrics.observe_first_token,
+            metrics.observe_inter_token,
+        ):
             observe("s", "c", 0.5)
         rendered = lines(metrics)
         bare = {line.split("{")[0].split(" ")[0] for line in rendered}
@@ -45,8 +49,8 @@
 
     def test_histogram_is_cumulative_and_bounds_are_inclusive(self) -> None:
         metrics = make_metrics()
-        metrics.first_token("s", "c", 0.97)
-        metrics.first_token("s", "c", 1000.0)
+        metrics.observe_first_token("s", "c", 0.97)
+        metrics.observe_first_token("s", "c", 1000.0)
         rendered = [line for line in lines(metrics) if "first_token" in line]
         name = "cassiadrum_first_token_seconds"
         assert f'{name}_bucket{{class="c",le="0.5",service="s"}} 0.0' in rendered
@@ -57,18 +61,18 @@
 
     def test_rendering_twice_counts_once(self) -> None:
         metrics = make_metrics()
-        metrics.received("s", "c")
+        metrics.count_request("s", "c")
         assert lines(metrics) == lines(metrics)
 
     def test_label_values_are_escaped(self) -> None:
         metrics = make_metrics()
-        metrics.queue_length('a"b\\c\nd', 1)
+        metrics.set_queue_length('a"b\\c\nd', 1)
         assert 'cassiadrum_queue_length{service="a\\"b\\\\c\\nd"} 1' in lines(metrics)
 
     def test_unknown_services_do_not_grow_the_output(self) -> None:
         metrics = make_metrics()
         for index in range(SERIES_MAX + 5):
-            metrics.received(f"guess-{index}", "")
+            metrics.count_request(f"guess-{index}", "")
         rendered = [line for line in lines(metrics) if "requests_total" in line]
         assert len(rendered) == SERIES_MAX + 1
         assert 'cassiadrum_requests_total{class="other",service="other"} 5' in rendered
@@ -76,17 +80,18 @@
     def test_library_is_not_loaded_without_a_registry(self) -> None:
         code = (
             "import sys, time; from cassiadrum.metrics import RoleMetrics\n"
-            "m = RoleMetrics(time.monotonic); m.received('s', 'c'); assert m.render() == b''\n"
+            "m = RoleMetrics(time.monotonic); m.count_request('s', 'c')\n"
+            "assert m.render() == b''\n"
             "sys.exit('aioprometheus' in sys.modules)"
         )
         assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
 
 
-class TestCustomerRanks:
+class TestCustomerRanking:
     """Guards against customers' names in labels and against unbounded label sets."""
 
     def test_top_of_the_last_full_window_and_the_others(self) -> None:
-        ranks = CustomerRanks(window_s=10, top=2)
+        ranks = CustomerRanking(window_s=10, top=2)
         for customer, tokens in (("a", 1), ("b", 5), ("c", 3), ("d", 1)):
             ranks.add(customer, tokens, 5.0)
         assert ranks.last_window(9.9) == ([], 0)
@@ -97,7 +102,7 @@
         now = 0.0
         metrics = RoleMetrics(lambda: now, make_registry())
         for index in range(50):
-            metrics.delivered("s", "c", f"parish-{index}", index + 1)
+            metrics.count_delivered_tokens("s", "c", f"parish-{index}", index + 1)
         now = 60.0
         rendered = [line for line in lines(metrics) if "customer_tokens" in line]
         assert len(rendered) == 21
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -8,7 +8,7 @@
 
 from cassiadrum.decisions import DemandOrderPlanner, EndpointReport
 from cassiadrum.endpoints import EngineEndpoint
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links.messages import Message, Order, Ordered
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.lease_contenders import CONTENDERS, LeaseContender, is_contender
@@ -39,7 +39,7 @@
 
 
 def make_ring() -> EventRing:
-    return EventRing(HybridClock(lambda: 1.0), "instance", "role", "start")
+    return EventRing(HybridLogicalClock(lambda: 1.0), "instance", "role", "start")
 
 
 class TestContenders:
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -18,7 +18,7 @@
 
 
 def events(daemon: Daemon) -> list[Event]:
-    return daemon.ring.after(0, daemon.ring.last_sequence)
+    return daemon.ring.read_after(0, daemon.ring.last_sequence)
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -85,7 +85,7 @@
         assert await status_codes(site, 30) == {200}
         targets = {
             event.fields["to"]
-            for event in entry.ring.after(before, 10_000)
+            for event in entry.ring.read_after(before, 10_000)
             if event.kind is EventKind.DISPATCHED
         }
         # The leaving sidecar is the one in the entry instance's zone, which would be preferred.
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -172,7 +172,7 @@
             link.abort()
         await sending
         caller.assert_whole()
-        kinds = {event.kind for event in site.entries[0].ring.after(0, 10_000)}
+        kinds = {event.kind for event in site.entries[0].ring.read_after(0, 10_000)}
         assert EventKind.REATTACHED in kinds
 
     async def test_rest_is_fetched_through_another_entry_instance(self, site: LocalSite) -> None:
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -18,7 +18,7 @@
 )
 from cassiadrum.defaults import LIMITS
 from cassiadrum.documents import RequestClass, parse_document
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links.messages import (
     Ack,
     Attach,
@@ -76,7 +76,7 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        ring = EventRing(HybridClock(lambda: self.now), "e", "entry", "1")
+        ring = EventRing(HybridLogicalClock(lambda: self.now), "e", "entry", "1")
         self.router = Router(
             lambda _: Dispatcher(FairTierQueue(10), LeastCostChooser(Random(1))),
             lambda _: "s",
@@ -207,7 +207,7 @@
     def __init__(self) -> None:
         self.now = 100.0
         self.ran: list[str] = []
-        ring = EventRing(HybridClock(lambda: self.now), "side", "sidecar", "1")
+        ring = EventRing(HybridLogicalClock(lambda: self.now), "side", "sidecar", "1")
         self.sidecar = Sidecar(
             FakeEndpoint(),  # type: ignore[arg-type]
             EndpointScheduler(1, 1),
--- a/conftest.py
+++ b/conftest.py
@@ -5,19 +5,19 @@
 
 import pytest
 
-KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
+KNOWN_RED_PATH = Path(__file__).parent / "KNOWN-RED.txt"
 KNOWN_RED_KEY = pytest.StashKey[set[str]]()
 
 
-def read_known_red(text: str) -> set[str]:
+def parse_known_red(text: str) -> set[str]:
     """Return the node ids of a KNOWN-RED.txt; lines that begin with `test: ` name one each."""
     return {line[6:].strip() for line in text.splitlines() if line.startswith("test: ")}
 
 
 def pytest_configure(config: pytest.Config) -> None:
     """Read the list."""
-    text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
-    config.stash[KNOWN_RED_KEY] = read_known_red(text)
+    text = KNOWN_RED_PATH.read_text() if KNOWN_RED_PATH.exists() else ""
+    config.stash[KNOWN_RED_KEY] = parse_known_red(text)
 
 
 @pytest.hookimpl(wrapper=True)
