Rename local variables of events and invariants

mark -> field, concerned -> affected, told -> reported_not_run, broken -> unanswered, begun -> start, how -> action, work -> candidates or requests, walls -> walls_us, inside_us -> clamped_us, placed -> assigned, and bar -> complete_event, the name of the entry type in the Trace Event format.

A test again looks up the log handler in one statement.

--- a/cassiadrum/events/spans.py
+++ b/cassiadrum/events/spans.py
@@ -46,10 +46,10 @@
 
 def _assign_rows(spans: list[Span]) -> list[Span]:
     row_ends: dict[str, list[int]] = defaultdict(list)
-    placed = []
+    assigned = []
     for span in spans:
         ends = row_ends[span.instance]
         row = next((row for row, end_us in enumerate(ends) if end_us < span.start_us), len(ends))
         ends[row : row + 1] = [span.end_us]
-        placed.append(span._replace(row=row))
-    return placed
+        assigned.append(span._replace(row=row))
+    return assigned
--- a/cassiadrum/events/timeline_svg_writers.py
+++ b/cassiadrum/events/timeline_svg_writers.py
@@ -58,8 +58,8 @@
         spans = make_spans(timeline)
         self._omitted_count = max(len(spans) - bars_max, 0)
         self._spans = spans[:bars_max]
-        walls = [event.hlc.wall_us for event in timeline.events]
-        self._first_us, self._last_us = min(walls, default=0), max(walls, default=0)
+        walls_us = [event.hlc.wall_us for event in timeline.events]
+        self._first_us, self._last_us = min(walls_us, default=0), max(walls_us, default=0)
         self._lane_tops: dict[str, int] = {}
         self._row_counts: dict[str, int] = {}
         self._height = self._lay_out_lanes()
@@ -94,9 +94,9 @@
 
     def _x(self, wall_us: int) -> float:
         # A gap may begin or end outside the selected events.
-        inside_us = min(max(wall_us, self._first_us), self._last_us)
+        clamped_us = min(max(wall_us, self._first_us), self._last_us)
         length_us = max(self._last_us - self._first_us, 1)
-        return round(LABEL_PX + (inside_us - self._first_us) / length_us * PLOT_PX, 2)
+        return round(LABEL_PX + (clamped_us - self._first_us) / length_us * PLOT_PX, 2)
 
     def _lanes(self) -> Iterator[str]:
         for instance, top in self._lane_tops.items():
--- a/cassiadrum/events/trace_writers.py
+++ b/cassiadrum/events/trace_writers.py
@@ -24,8 +24,8 @@
             {event.instance for event in timeline.events} | {gap.instance for gap in timeline.gaps}
         )
         pids = {name: pid for pid, name in enumerate(names, 1)}
-        walls = [event.hlc.wall_us for event in timeline.events]
-        first_us, last_us = min(walls, default=0), max(walls, default=0)
+        walls_us = [event.hlc.wall_us for event in timeline.events]
+        first_us, last_us = min(walls_us, default=0), max(walls_us, default=0)
         entries = [_process_name_entry(name, pid) for name, pid in pids.items()]
         entries += [
             _gap_entry(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps
@@ -53,7 +53,7 @@
         "customer": first.customer,
         "end": span.events[-1].kind.value if span.ended else "not recorded",
     }
-    bar = {
+    complete_event = {
         "ph": "X",
         "cat": "request",
         "name": span.request_id,
@@ -63,7 +63,7 @@
         "dur": span.end_us - span.start_us,
         "args": args,
     }
-    return [bar, *(_instant_entry(event, pid, tid, first_us) for event in span.events)]
+    return [complete_event, *(_instant_entry(event, pid, tid, first_us) for event in span.events)]
 
 
 def _instant_entry(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
--- a/cassiadrum/invariants/configuration_monotonic_rules.py
+++ b/cassiadrum/invariants/configuration_monotonic_rules.py
@@ -38,18 +38,18 @@
 
     def _ambiguous(self, record: FleetRecord) -> Iterator[Violation]:
         seen: dict[tuple[str, str, int], object] = {}
-        marks = {
+        identity_fields = {
             EventKind.CONFIGURATION_ACCEPTED: "operation_id",
             EventKind.CONFIGURATION_APPLIED: "digest",
         }
         for event in record.timeline.events:
-            mark = marks.get(event.kind)
-            value = event.fields.get(mark) if mark else None
-            if mark is None or value is None:
+            field = identity_fields.get(event.kind)
+            value = event.fields.get(field) if field else None
+            if field is None or value is None:
                 continue
-            first = seen.setdefault((event.service, mark, _version(event)), value)
+            first = seen.setdefault((event.service, field, _version(event)), value)
             if first != value:
-                detail = f"{event.service} {_version(event)} has {mark} {value} and {first}"
+                detail = f"{event.service} {_version(event)} has {field} {value} and {first}"
                 yield self._violation(event, detail)
 
     def _reverted(self, process: ProcessRecord) -> Iterator[Violation]:
@@ -85,8 +85,8 @@
     """Return when the version has to be in force; the limit starts anew after an outage."""
     start_s = max(accepted.hlc.seconds, process.started_s)
     for outage in sorted(record.outages, key=lambda outage: outage.since_s):
-        concerned = outage.instance in ("", process.instance, accepted.instance)
-        if concerned and outage.since_s < start_s + PROPAGATION_LIMIT_S:
+        affected = outage.instance in ("", process.instance, accepted.instance)
+        if affected and outage.since_s < start_s + PROPAGATION_LIMIT_S:
             start_s = max(start_s, outage.until_s)
     return start_s + PROPAGATION_LIMIT_S
 
--- a/cassiadrum/invariants/planned_stop_rules.py
+++ b/cassiadrum/invariants/planned_stop_rules.py
@@ -43,8 +43,8 @@
             if _begins_responsibility(event, draining):
                 in_flight.setdefault(event.request_id, event)
             elif ends_request(event):
-                begun = in_flight.pop(event.request_id, None)
-                if begun and _is_cut_off_early(record, begun, event):
+                start = in_flight.pop(event.request_id, None)
+                if start and _is_cut_off_early(record, start, event):
                     yield self._violation(event, "cut off by a planned stop")
         stopped = process.first(EventKind.STOPPED)
         if stopped is not None and not process.incomplete:
@@ -61,9 +61,9 @@
     return received or event.kind is EventKind.STARTED
 
 
-def _is_cut_off_early(record: FleetRecord, begun: Event, end: Event) -> bool:
+def _is_cut_off_early(record: FleetRecord, start: Event, end: Event) -> bool:
     if end.fields.get("reason") != "draining":
         return False
-    cls = record.request_class(begun.service, begun.class_name)
+    cls = record.request_class(start.service, start.class_name)
     # The drain limit may end work that has already missed its deadline.
-    return cls is None or end.hlc.seconds - begun.hlc.seconds < cls.deadline_s
+    return cls is None or end.hlc.seconds - start.hlc.seconds < cls.deadline_s
--- a/cassiadrum/invariants/request_states.py
+++ b/cassiadrum/invariants/request_states.py
@@ -48,5 +48,5 @@
             self._remove(request_id)
 
     def _remove(self, request_id: str) -> None:
-        for work in (self.waiting, self.running, self.paused):
-            work.pop(request_id, None)
+        for requests in (self.waiting, self.running, self.paused):
+            requests.pop(request_id, None)
--- a/cassiadrum/invariants/tier_safety_rules.py
+++ b/cassiadrum/invariants/tier_safety_rules.py
@@ -74,11 +74,13 @@
                 yield self._violation(event, detail)
 
     def _check_displacement(
-        self, event: Event, cls: RequestClass, how: str, work: dict[str, Event]
+        self, event: Event, cls: RequestClass, action: str, candidates: dict[str, Event]
     ) -> Iterator[Violation]:
-        other = next((other for other in work.values() if self._is_lower(other, event, cls)), None)
+        other = next(
+            (other for other in candidates.values() if self._is_lower(other, event, cls)), None
+        )
         if other is not None:
-            yield self._violation(event, f"{how} while lower-tier {other.request_id} stayed")
+            yield self._violation(event, f"{action} while lower-tier {other.request_id} stayed")
 
     def _check_paused_requests(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
         for paused in self._state.paused.values():
--- a/cassiadrum/invariants/truthful_not_run_rules.py
+++ b/cassiadrum/invariants/truthful_not_run_rules.py
@@ -21,8 +21,8 @@
 
     def check(self, record: FleetRecord) -> list[Violation]:
         """Return each request that ran although its caller was told that it did not."""
-        told = {caller.request_id for caller in record.callers if caller.ran == "no"}
-        told |= {
+        reported_not_run = {caller.request_id for caller in record.callers if caller.ran == "no"}
+        reported_not_run |= {
             event.request_id
             for event in record.timeline.events
             if event.kind in (EventKind.REFUSED, EventKind.EVICTED)
@@ -37,5 +37,5 @@
                 run.started_s,
             )
             for run in record.runs
-            if run.request_id in told
+            if run.request_id in reported_not_run
         ]
--- a/cassiadrum/invariants/whole_answer_rules.py
+++ b/cassiadrum/invariants/whole_answer_rules.py
@@ -33,8 +33,8 @@
                 bool(record.killed) and request_id not in accepted
             )
             if caller.status == 0:
-                broken = request_id in accepted and not is_excused
-                detail = "accepted, but no answer came" if broken else ""
+                unanswered = request_id in accepted and not is_excused
+                detail = "accepted, but no answer came" if unanswered else ""
             else:
                 detail = _describe_fault(caller, owners, is_excused)
             if detail:
--- a/cassiadrum/tests/test_logs.py
+++ b/cassiadrum/tests/test_logs.py
@@ -116,8 +116,11 @@
         for index in range(12):
             logger.warning("instance %d is slow", index)
         logger.info("another line")
-        handlers = logging.getLogger().handlers
-        (handler,) = (h for h in handlers if type(h).__name__ == "_ReportingStreamHandler")
+        (handler,) = (
+            h
+            for h in logging.getLogger().handlers
+            if type(h).__name__ == "_ReportingStreamHandler"
+        )
         handler.close()
         written = stream.getvalue()
         assert written.count("is slow") == 6
