--- a/cassiadrum/events/__init__.py
+++ b/cassiadrum/events/__init__.py
@@ -1,4 +1,4 @@
-"""Typed events of all processes: ring, hybrid logical clock, merge and encodings."""
+"""Typed events of all processes: ring buffer, hybrid logical clock, merge and encodings."""
 
 from cassiadrum.events.codecs import decode_event, encode_event, read_json_lines, to_json_line
 from cassiadrum.events.errors import EventError
--- a/cassiadrum/events/codecs.py
+++ b/cassiadrum/events/codecs.py
@@ -1,4 +1,4 @@
-"""Encoding of events as plain lists (for CBOR) and as JSON lines."""
+"""Encoding of events as lists of plain values (for CBOR) and as JSON lines."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -25,15 +25,15 @@
 
 
 def decode_event(plain: object) -> Event:
-    """Return the event of a list made by `encode_event`.
+    """Decode an event from a list returned by `encode_event`.
 
-    A kind that this version does not know becomes `EventKind.UNKNOWN` with its name in the field
-    `unknown_kind`. Raises EventError on any other shape.
+    A kind that this version does not know becomes `EventKind.UNKNOWN`, and its name is stored in
+    the field `unknown_kind`. Raises EventError on any other mismatch.
     """
     try:
         return msgspec.convert(_replace_unknown_kind(plain), Event)
     except msgspec.ValidationError as exc:
-        raise EventError(f"not an event: {exc}") from exc
+        raise EventError(f"cannot decode event: {exc}") from exc
 
 
 def to_json_line(event: Event) -> str:
@@ -43,9 +43,9 @@
 
 
 def read_json_lines(lines: Iterable[str | bytes]) -> Iterator[Event]:
-    """Yield the events of JSON lines; empty lines are skipped.
+    """Decode events from JSON lines, skipping empty lines.
 
-    Raises EventError with the line number on a line that holds no event.
+    Raises EventError with the line number on a line that does not hold an event.
     """
     for number, line in enumerate(lines, 1):
         if not line.strip():
--- a/cassiadrum/events/errors.py
+++ b/cassiadrum/events/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the event record."""
+"""Errors raised when events are decoded."""
 
 from cassiadrum.errors import CassiadrumError
 
--- a/cassiadrum/events/event_filters.py
+++ b/cassiadrum/events/event_filters.py
@@ -1,4 +1,4 @@
-"""Selection of events."""
+"""Filter that selects events of a timeline."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -11,9 +11,9 @@
 
 
 class EventFilter(NamedTuple):
-    """Select events; an empty field selects all.
+    """Select the events that match every field that is set; an empty field matches all events.
 
-    `since_s` and `until_s` are seconds since the epoch; `until_s` is excluded.
+    `since_s` (inclusive) and `until_s` (exclusive) are in seconds since the epoch.
     """
 
     request_id: str = ""
@@ -25,7 +25,7 @@
     until_s: float | None = None
 
     def matches(self, event: Event) -> bool:
-        """Tell whether the event is selected."""
+        """Return whether the event is selected."""
         return (
             self.request_id in ("", event.request_id)
             and self.service in ("", event.service)
@@ -37,13 +37,13 @@
         )
 
     def apply(self, events: Iterable[Event]) -> list[Event]:
-        """Return the selected events in their order."""
+        """Return the selected events in the given order."""
         return [event for event in events if self.matches(event)]
 
     def select(self, timeline: Timeline) -> Timeline:
-        """Return the selected events with the gaps of the selected instances.
+        """Return a timeline of the selected events and the gaps of the selected instances.
 
-        Gaps are kept whatever the other fields are, since the missing events might be selected.
+        The other fields do not filter gaps, since the missing events might match them.
         """
         gaps = [gap for gap in timeline.gaps if self.instance in ("", gap.instance)]
         return Timeline(self.apply(timeline.events), gaps)
--- a/cassiadrum/events/event_kinds.py
+++ b/cassiadrum/events/event_kinds.py
@@ -1,4 +1,4 @@
-"""The kinds of events."""
+"""Kinds of events."""
 
 from enum import StrEnum
 from typing import Final
@@ -7,14 +7,14 @@
 
 
 class EventKind(StrEnum):
-    """Name what happened; `cassiadrum.invariants` states the fields that its rules read."""
+    """Kind of an event; `cassiadrum.invariants` documents the fields that its rules need."""
 
-    # Life of a process. `draining` starts a planned stop, `stopped` is its last event.
+    # Process lifecycle. `draining` starts a planned stop, `stopped` is the last event.
     PROCESS_STARTED = "process_started"
     DRAINING = "draining"
     DRAIN_LIMIT_REACHED = "drain_limit_reached"
     STOPPED = "stopped"
-    # Life of a request.
+    # Request lifecycle.
     RECEIVED = "received"
     QUEUED = "queued"
     DISPATCHED = "dispatched"
@@ -32,11 +32,11 @@
     DETACHED = "detached"
     REATTACHED = "reattached"
     ANSWER_KEPT = "answer_kept"
-    # Calls that run at most once.
+    # Claims of once-only calls.
     CLAIM_MADE = "claim_made"
     CLAIM_REFUSED = "claim_refused"
     CLAIM_RESOLVED = "claim_resolved"
-    # Authority and orders to engines.
+    # Leases, and orders to engines.
     LEASE_ACQUIRED = "lease_acquired"
     LEASE_LOST = "lease_lost"
     LEASE_RELEASED = "lease_released"
@@ -47,24 +47,24 @@
     CONFIGURATION_ACCEPTED = "configuration_accepted"
     CONFIGURATION_APPLIED = "configuration_applied"
     CONFIGURATION_REFUSED = "configuration_refused"
-    # Members and connections.
+    # Membership and connections.
     MEMBER_JOINED = "member_joined"
     MEMBER_LEAVING = "member_leaving"
     MEMBER_LEFT = "member_left"
     CONNECTED = "connected"
     DISCONNECTED = "disconnected"
-    # State of what a process depends on.
+    # Health of endpoints, and circuit breakers.
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_RECOVERED = "endpoint_recovered"
     ENDPOINT_EJECTED = "endpoint_ejected"
     ENDPOINT_RESTORED = "endpoint_restored"
     BREAKER_OPENED = "breaker_opened"
     BREAKER_CLOSED = "breaker_closed"
-    # A kind that a newer process recorded; its name is in the field `unknown_kind`.
+    # Kind recorded by a newer version; its name is in the field `unknown_kind`.
     UNKNOWN = "unknown"
 
 
-# The kinds that end a request, or an attempt of it, in the process that records them.
+# Kinds that end a request, or one attempt of it, in the process that records them.
 REQUEST_END_KINDS: Final = frozenset(
     {
         EventKind.FINISHED,
--- a/cassiadrum/events/event_rings.py
+++ b/cassiadrum/events/event_rings.py
@@ -1,4 +1,4 @@
-"""Bounded event record of one process."""
+"""Ring buffer of the events of one process."""
 
 from collections import deque
 from collections.abc import Callable
@@ -14,10 +14,10 @@
 
 
 class EventRing:
-    """Keep the newest `capacity` events of a process; the oldest are overwritten first.
+    """Ring buffer that keeps the newest `capacity` events of a process.
 
-    `start_id` has to differ for each start of the process, so that a restarted instance's
-    sequence numbers are not taken for those of its predecessor.
+    `start_id` must be unique for each start of the process, so that readers can tell the sequence
+    numbers of a restarted instance from those before the restart.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
         self._start_id = start_id
         self._events: deque[Event] = deque(maxlen=capacity)
         self._sequence = 0
-        # Called with each event right after it was recorded.
+        # Called with each event after it has been appended.
         self.listener: Callable[[Event], None] | None = None
 
     def __len__(self) -> int:
@@ -42,22 +42,22 @@
 
     @property
     def clock(self) -> HybridLogicalClock:
-        """Return the clock that stamps the events."""
+        """Return the clock that timestamps the events."""
         return self._clock
 
     @property
     def start_id(self) -> str:
-        """Return the id of this start of the process; readers start from 0 when it changes."""
+        """Return the id of this process start; when it changes, readers must restart from 0."""
         return self._start_id
 
     @property
     def last_sequence(self) -> int:
-        """Return the sequence number of the newest event, 0 when none was recorded."""
+        """Return the sequence number of the newest event, or 0 if there is none."""
         return self._sequence
 
     @property
     def overwritten_count(self) -> int:
-        """Return how many events were overwritten."""
+        """Return the number of events that have been overwritten."""
         return self._sequence - len(self._events)
 
     def record(
@@ -69,7 +69,7 @@
         customer: str = "",
         **fields: Any,
     ) -> Event:
-        """Append an event and return it; `fields` must be plain values."""
+        """Append an event and return it; `fields` must hold plain values as defined by `Event`."""
         self._sequence += 1
         event = Event(
             self._clock.tick(),
@@ -90,9 +90,9 @@
         return event
 
     def read_after(self, sequence: int, limit: int) -> list[Event]:
-        """Return the oldest kept events above `sequence`, at most `limit`.
+        """Return up to `limit` events with sequence numbers above `sequence`, oldest first.
 
-        A first event above `sequence + 1` means that events in between were overwritten.
+        If the first event returned is above `sequence + 1`, those in between were overwritten.
         """
         skipped = max(sequence - self.overwritten_count, 0)
         return list(islice(self._events, skipped, skipped + limit))
--- a/cassiadrum/events/events.py
+++ b/cassiadrum/events/events.py
@@ -1,4 +1,4 @@
-"""One recorded event."""
+"""Event recorded by a process."""
 
 from typing import Any, NamedTuple
 
@@ -9,11 +9,11 @@
 
 
 class Event(NamedTuple):
-    """State what happened, when and where.
+    """Event of one process, with its timestamp, source and the request it belongs to.
 
     `fields` holds plain values (None, bool, int, float, str, and lists and dicts of these).
-    `sequence` counts from 1 in each process; `start_id` differs for each start of a process.
-    Texts that do not apply are empty.
+    `sequence` counts from 1 in each process; `start_id` is unique for each start of a process.
+    Strings that do not apply are empty.
     """
 
     hlc: HybridTimestamp
--- a/cassiadrum/events/gaps.py
+++ b/cassiadrum/events/gaps.py
@@ -1,4 +1,4 @@
-"""A part of the record that is missing."""
+"""Gap in the recorded events of a process."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -9,21 +9,21 @@
 
 
 class GapKind(StrEnum):
-    """Say why events are missing."""
+    """Reason why events are missing."""
 
-    # Sequence numbers between two events of a process are missing.
+    # Events between two recorded events of a process are missing.
     MISSING = "missing"
-    # Sequence numbers before the first event are missing: the ring was overwritten.
+    # Events before the first recorded one are missing: the ring buffer overwrote them.
     OVERWRITTEN = "overwritten"
-    # The last event of a process is not `stopped`: it crashed, or its last events were lost.
+    # The last event is not `stopped`: the process crashed, or its last events were lost.
     NOT_STOPPED = "not_stopped"
 
 
 class Gap(NamedTuple):
-    """Bound a gap in the record of one start of a process.
+    """Gap in the events of one start of a process.
 
-    `missing` is the number of missing events, 0 when unknown. `since` is None before the first
-    event, `until` is None after the last.
+    `missing` is the number of missing events, or 0 if it is unknown. `since` is None for a gap
+    before the first event, `until` is None for a gap after the last one.
     """
 
     kind: GapKind
--- a/cassiadrum/events/hybrid_logical_clocks.py
+++ b/cassiadrum/events/hybrid_logical_clocks.py
@@ -7,17 +7,17 @@
 
 __all__ = ["HybridLogicalClock"]
 
-# A peer whose wall clock is further ahead is not followed, since one wrong clock would otherwise
-# move the times of the whole fleet for good.
+# Timestamps further ahead of the own wall clock are ignored: one wrong clock would otherwise move
+# the clocks of the whole fleet ahead permanently.
 MAX_OFFSET_S: Final = 3600.0
 
 
 class HybridLogicalClock:
-    """Give each event a time after all events that caused it, in every process.
+    """Issue timestamps that order each event after the events that caused it, in all processes.
 
-    `wall_s` returns seconds since the epoch and may jump. Every message between processes has to
-    carry `tick()` of the sender, and the receiver passes it to `observe()` before it records an
-    event caused by the message.
+    `wall_s` returns seconds since the epoch and may jump. Every message between processes must
+    carry a timestamp from the sender's `tick()`, and the receiver must pass it to `observe()`
+    before it records an event caused by the message.
     """
 
     def __init__(self, wall_s: Callable[[], float], max_offset_s: float = MAX_OFFSET_S) -> None:
@@ -28,16 +28,16 @@
 
     @property
     def last(self) -> HybridTimestamp:
-        """Return the latest time given out or observed."""
+        """Return the latest timestamp issued or observed."""
         return self._last
 
     @property
     def ignored_count(self) -> int:
-        """Return how many observed times were too far ahead to be followed."""
+        """Return the number of observed timestamps that were ignored as too far ahead."""
         return self._ignored_count
 
     def tick(self) -> HybridTimestamp:
-        """Return a time later than every time given out or observed before."""
+        """Return a timestamp later than every timestamp issued or observed before."""
         wall_us = self._wall_us()
         if wall_us > self._last.wall_us:
             self._last = HybridTimestamp(wall_us, 0)
@@ -46,7 +46,7 @@
         return self._last
 
     def observe(self, remote: HybridTimestamp) -> bool:
-        """Move past a peer's time; return False when it is too far ahead and was ignored."""
+        """Advance to a peer's timestamp; return False if it was ignored as too far ahead."""
         if remote.wall_us - self._wall_us() > self._max_offset_us:
             self._ignored_count += 1
             return False
--- a/cassiadrum/events/hybrid_timestamps.py
+++ b/cassiadrum/events/hybrid_timestamps.py
@@ -1,4 +1,4 @@
-"""A point in hybrid logical time."""
+"""Timestamp of a hybrid logical clock."""
 
 from typing import NamedTuple
 
@@ -6,12 +6,12 @@
 
 
 class HybridTimestamp(NamedTuple):
-    """Order events: wall time in microseconds since the epoch, then a logical counter."""
+    """Wall-clock time in microseconds since the epoch and a logical counter, ordered as a pair."""
 
     wall_us: int
     counter: int
 
     @property
     def seconds(self) -> float:
-        """Return the wall part in seconds since the epoch."""
+        """Return the wall-clock time in seconds since the epoch."""
         return self.wall_us / 1e6
--- a/cassiadrum/events/merges.py
+++ b/cassiadrum/events/merges.py
@@ -1,4 +1,4 @@
-"""Merge of the records of several processes."""
+"""Merge of the events of several processes."""
 
 from collections import defaultdict
 from collections.abc import Collection, Iterable
@@ -14,10 +14,10 @@
 
 
 def merge_events(events: Iterable[Event], running_start_ids: Collection[str] = ()) -> Timeline:
-    """Return all events in one order, each once, with the gaps of each process.
+    """Return the deduplicated events in causal order, with the gaps of each process.
 
-    `alive` holds the start ids of processes that still run, which are not expected to have
-    recorded `stopped`.
+    `running_start_ids` holds the start ids of processes that are still running and therefore need
+    not have recorded `stopped`.
     """
     processes: dict[tuple[str, str], dict[int, Event]] = defaultdict(dict)
     for event in events:
@@ -28,7 +28,7 @@
         ordered = [by_sequence[sequence] for sequence in sorted(by_sequence)]
         latest = HybridTimestamp(0, 0)
         for event in ordered:
-            # The process's own order holds even where its times do not ascend.
+            # Events of a process keep their sequence order even if their timestamps do not ascend.
             latest = max(latest, event.hlc)
             keyed.append((latest, instance, start_id, event.sequence, event))
         gaps += _find_gaps(ordered, start_id in running_start_ids)
--- a/cassiadrum/events/spans.py
+++ b/cassiadrum/events/spans.py
@@ -1,4 +1,4 @@
-"""The time that one request spent in one process."""
+"""Time span of one request in one process."""
 
 from collections import defaultdict
 from typing import NamedTuple
@@ -11,10 +11,10 @@
 
 
 class Span(NamedTuple):
-    """Hold the events of one request in one process, in order, and the row it is drawn in.
+    """Ordered events of one request in one process, and the row in which the span is drawn.
 
     Times are in microseconds since the epoch. Spans of an instance that overlap in time have
-    different rows, counted from 0. `ended` is False when the end of the request is not recorded.
+    different rows, counted from 0. `ended` is False if no end of the request was recorded.
     """
 
     instance: str
@@ -27,7 +27,7 @@
 
 
 def make_spans(timeline: Timeline) -> list[Span]:
-    """Return a span for each request and process, ordered by start."""
+    """Return a span for each request and process, ordered by start time."""
     groups: dict[tuple[str, str, str], list[Event]] = defaultdict(list)
     for event in timeline.events:
         if event.request_id:
--- a/cassiadrum/events/timeline_svg_writers.py
+++ b/cassiadrum/events/timeline_svg_writers.py
@@ -1,4 +1,4 @@
-"""Picture of a timeline as SVG and as an HTML page."""
+"""Rendering of a timeline as SVG and as an HTML page."""
 
 from collections.abc import Iterator
 from html import escape
@@ -30,21 +30,21 @@
 
 
 class TimelineSvgWriter:
-    """Draw a lane for each instance, a bar for each request and the gaps, without outside files.
+    """Draw a lane for each instance, a bar for each request and the gaps as self-contained SVG.
 
-    A request has the same colour in every lane. Bars beyond `bars_max` are left out, and the
-    picture says how many.
+    A request has the same colour in every lane. Bars beyond `bars_max` are omitted; the footer
+    states their number.
     """
 
     def __init__(self, bars_max: int = BARS_MAX) -> None:
         self._bars_max = bars_max
 
     def write(self, timeline: Timeline) -> str:
-        """Return the picture as one SVG element."""
+        """Return the timeline as one SVG element."""
         return _Drawing(timeline, self._bars_max).render()
 
     def write_html(self, timeline: Timeline, title: str = "Timeline") -> str:
-        """Return the picture as a complete HTML page."""
+        """Return the timeline as a complete HTML page."""
         return (
             f'<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
             f"<title>{escape(title)}</title></head><body><h1>{escape(title)}</h1>"
@@ -79,7 +79,7 @@
         return "\n".join(parts)
 
     def _lay_out_lanes(self) -> int:
-        # Row 0 of a lane shows gaps and the events that belong to no request.
+        # Row 0 of a lane is reserved for events that belong to no request.
         for event in self._timeline.events:
             self._row_counts.setdefault(event.instance, 1)
         for gap in self._timeline.gaps:
@@ -93,7 +93,7 @@
         return top + MARGIN_PX
 
     def _x(self, wall_us: int) -> float:
-        # A gap may begin or end outside the selected events.
+        # A gap may extend beyond the selected events.
         clamped_us = min(max(wall_us, self._first_us), self._last_us)
         length_us = max(self._last_us - self._first_us, 1)
         return round(LABEL_PX + (clamped_us - self._first_us) / length_us * PLOT_PX, 2)
--- a/cassiadrum/events/timelines.py
+++ b/cassiadrum/events/timelines.py
@@ -1,4 +1,4 @@
-"""The record of several processes in one order."""
+"""Merged events of several processes."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 
 
 class Timeline(NamedTuple):
-    """Hold events with causes before effects, and the gaps between them."""
+    """Events of several processes in causal order, and the gaps in them."""
 
     events: list[Event]
     gaps: list[Gap]
--- a/cassiadrum/events/trace_writers.py
+++ b/cassiadrum/events/trace_writers.py
@@ -1,4 +1,4 @@
-"""Trace Event JSON, the format that trace viewers open."""
+"""Export of a timeline in the Trace Event JSON format of trace viewers."""
 
 import json
 from typing import Any
@@ -10,15 +10,15 @@
 
 __all__ = ["TraceWriter"]
 
-# Thread 0 of each process shows its gaps and the events that belong to no request.
+# Thread id that shows the gaps of a process and the events that belong to no request.
 PROCESS_TID = 0
 
 
 class TraceWriter:
-    """Write a timeline with one process for each instance and one thread for each row."""
+    """Convert a timeline to trace events: a process for each instance, a thread for each row."""
 
     def write(self, timeline: Timeline) -> str:
-        """Return the JSON text; times are in microseconds from the first event."""
+        """Return the JSON text; times are in microseconds since the first event."""
         spans = make_spans(timeline)
         names = sorted(
             {event.instance for event in timeline.events} | {gap.instance for gap in timeline.gaps}
@@ -80,7 +80,7 @@
 
 
 def _gap_entry(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
-    # A gap may begin or end outside the selected events.
+    # A gap may extend beyond the selected events.
     start_us = min(max(gap.since.wall_us if gap.since else first_us, first_us), last_us)
     end_us = max(min(gap.until.wall_us if gap.until else last_us, last_us), start_us)
     return {
--- a/cassiadrum/invariants/__init__.py
+++ b/cassiadrum/invariants/__init__.py
@@ -1,8 +1,8 @@
-"""One rule for each invariant of the design page, over the record of all processes.
+"""Rules that check the invariants of the design page against the record of all processes.
 
-Each rule's module states the events and fields that it needs from the roles. `Record.killed` and
-`Record.outages` state the faults that an experiment caused. A record with missing events is judged
-as far as it goes, so tests also assert that `Record.missing_events` is 0.
+There is one rule for each invariant; its module lists the events and fields that it needs.
+`FleetRecord.killed` and `FleetRecord.outages` hold the faults that were injected. A record with
+missing events is only partly checked, so tests also assert that `FleetRecord.missing_events` is 0.
 """
 
 from cassiadrum.invariants.caller_outcomes import CallerOutcome
--- a/cassiadrum/invariants/caller_outcomes.py
+++ b/cassiadrum/invariants/caller_outcomes.py
@@ -1,4 +1,4 @@
-"""What a caller saw."""
+"""Outcome of a request as observed by its caller."""
 
 from typing import NamedTuple
 
@@ -6,12 +6,12 @@
 
 
 class CallerOutcome(NamedTuple):
-    """State how one request ended for its caller.
+    """Outcome of one request as observed by its caller.
 
-    `status` is 0 when no answer came. `ran` is `no`, `yes` or `unknown` as told by a refusal or
-    an error event, empty when nothing was told. `expected_digest` is empty when the caller cannot
-    know the right answer. `first_token_s` is in seconds since the epoch, None without a token.
-    `complete` tells whether the answer ended regularly.
+    `status` is 0 if no answer was received. `ran` is `no`, `yes` or `unknown` as stated by a
+    refusal or an error event, or empty if neither was received. `expected_digest` is empty if the
+    caller cannot know the correct answer. `first_token_s` is in seconds since the epoch, or None
+    if no token was received. `complete` is True if the answer was not truncated.
     """
 
     request_id: str
--- a/cassiadrum/invariants/checks.py
+++ b/cassiadrum/invariants/checks.py
@@ -1,4 +1,4 @@
-"""Check of a record against all rules."""
+"""Check of a fleet record against all rules."""
 
 from typing import Final
 
--- a/cassiadrum/invariants/configuration_monotonic_rules.py
+++ b/cassiadrum/invariants/configuration_monotonic_rules.py
@@ -2,7 +2,7 @@
 
 Needs `configuration_accepted` with the service and the fields `version` and `operation_id`, and
 `configuration_applied` at every entry instance and sidecar with the service and the fields
-`version` and, if known, `digest` (of the text).
+`version` and, if known, `digest` (of the service document's text).
 """
 
 from collections import defaultdict
@@ -22,12 +22,12 @@
 
 
 class ConfigurationMonotonicRule(Rule):
-    """Reject versions that go back, come late, or stand for two texts."""
+    """Reject versions that revert, are applied late, or identify two different texts."""
 
     name: ClassVar[str] = "configuration_monotonic"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each reverted, late and ambiguous version."""
+        """Return a violation for each reverted, late or ambiguous version."""
         processes = [process for process in process_records(record) if process.role in ROLES]
         violations = list(self._ambiguous(record))
         for process in processes:
@@ -70,7 +70,7 @@
                 continue
             due_s = _due_time_s(record, process, accepted)
             if due_s <= until_s and not _is_applied(process, accepted, due_s):
-                detail = f"{accepted.service} {_version(accepted)} is not in force when it is due"
+                detail = f"{accepted.service} {_version(accepted)} is not in force at its deadline"
                 yield Violation(self.name, detail, "", process.instance, due_s)
 
     def _violation(self, event: Event, detail: str) -> Violation:
@@ -82,7 +82,10 @@
 
 
 def _due_time_s(record: FleetRecord, process: ProcessRecord, accepted: Event) -> float:
-    """Return when the version has to be in force; the limit starts anew after an outage."""
+    """Return the deadline of a version, in seconds since the epoch.
+
+    The limit starts again at the end of an outage of the instance that accepted or applies it.
+    """
     start_s = max(accepted.hlc.seconds, process.started_s)
     for outage in sorted(record.outages, key=lambda outage: outage.since_s):
         affected = outage.instance in ("", process.instance, accepted.instance)
--- a/cassiadrum/invariants/endpoint_runs.py
+++ b/cassiadrum/invariants/endpoint_runs.py
@@ -1,4 +1,4 @@
-"""What an endpoint ran."""
+"""Run of a request at an endpoint."""
 
 from typing import NamedTuple
 
@@ -6,10 +6,11 @@
 
 
 class EndpointRun(NamedTuple):
-    """State one run of a request from the endpoint's own record.
+    """Run of a request as recorded by the endpoint itself.
 
-    Times are in seconds since the epoch; `ended_s` is None while the run goes on. `instance` is
-    the instance of the endpoint, which its sidecar shares. `key` is empty without a key.
+    Times are in seconds since the epoch; `ended_s` is None if the run has not ended. `instance` is
+    the instance name that the endpoint shares with its sidecar. `key` is empty without an
+    Idempotency-Key.
     """
 
     request_id: str
--- a/cassiadrum/invariants/eventual_service_rules.py
+++ b/cassiadrum/invariants/eventual_service_rules.py
@@ -2,7 +2,7 @@
 
 Needs at entry instances, with request id, service and class: `received`, `queued`, `dispatched`,
 and one of `finished`, `refused`, `evicted` and `cancelled` at the end of each request. A
-`cancelled` with the reason `hedge_lost` ends only an attempt.
+`cancelled` event with the reason `hedge_lost` ends only an attempt.
 """
 
 import math
@@ -20,8 +20,8 @@
 
 __all__ = ["EventualServiceRule"]
 
-# A class that is due gets `min_share` of the dispatches, which is one in `1 / min_share`. Twice
-# that many without one leaves room for shares counted in tokens instead of requests.
+# A class that is due gets `min_share` of the dispatches, which is one in `1 / min_share`. The rule
+# allows twice that many without one, since shares may be counted in tokens instead of requests.
 SHARE_TOLERANCE_FACTOR: Final = 2
 
 # Service and class name.
@@ -29,12 +29,12 @@
 
 
 class EventualServiceRule(Rule):
-    """Reject requests without an end and classes that are due but get no dispatch."""
+    """Reject requests without a recorded end and classes that are due but not dispatched."""
 
     name: ClassVar[str] = "eventual_service"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each request without an end and each starved class."""
+        """Return a violation for each request without an end and each starved class."""
         violations: list[Violation] = []
         for process in process_records(record):
             violations += self._unended_requests(record, process)
@@ -60,7 +60,7 @@
     def __init__(self, record: FleetRecord, rule: str) -> None:
         self._classes = record.class_index()
         self._rule = rule
-        # The waiting requests of each class by id, the head first.
+        # Waiting requests of each class by request id, the head first.
         self._waiting: dict[ClassKey, dict[str, Event]] = defaultdict(dict)
         self._passed_over: dict[ClassKey, int] = {}
 
--- a/cassiadrum/invariants/fleet_records.py
+++ b/cassiadrum/invariants/fleet_records.py
@@ -1,4 +1,4 @@
-"""Everything that the rules judge."""
+"""Record of a fleet that the rules check."""
 
 from typing import NamedTuple
 
@@ -12,10 +12,10 @@
 
 
 class FleetRecord(NamedTuple):
-    """Hold the merged events, what callers saw, what endpoints ran, and the documents.
+    """Merged events, callers' outcomes, endpoints' runs and service documents of a fleet.
 
-    The record has to be taken when no request is in flight. `killed` names the instances that
-    the experiment killed without a planned stop; only these may leave requests without an end.
+    The record must be taken while no request is in flight. `killed` names the instances that were
+    killed without a planned stop; only these may leave requests without a recorded end.
     """
 
     timeline: Timeline
@@ -27,7 +27,7 @@
 
     @property
     def missing_events(self) -> int:
-        """Return how many events are known to be lost; above 0 some rules cannot judge fully."""
+        """Return the number of events known to be lost; if above 0, some checks are incomplete."""
         return sum(gap.missing for gap in self.timeline.gaps)
 
     def class_index(self) -> dict[tuple[str, str], RequestClass]:
@@ -35,7 +35,7 @@
         return {(doc.name, cls.name): cls for doc in self.documents for cls in doc.classes}
 
     def request_class(self, service: str, class_name: str) -> RequestClass | None:
-        """Return the class of a request, or None when the documents do not name it."""
+        """Return the class of a request, or None if the documents do not define it."""
         for document in self.documents:
             if document.name == service:
                 return document.named_class(class_name)
--- a/cassiadrum/invariants/leaving_endpoint_rules.py
+++ b/cassiadrum/invariants/leaving_endpoint_rules.py
@@ -4,9 +4,9 @@
 instance), `connected` with the field `peer`, `dispatched` and `hedged` with the field `to` (an
 instance), `started` at sidecars, and the endpoints' runs.
 
-An entry instance that was paused may record `member_leaving` of a process that another start of
-the same instance has replaced already. Such late news does not concern the new process: it is
-told by the last `connected` of the recorder being older than that start.
+An entry instance that was paused may record `member_leaving` for a process that has already been
+replaced by a restart of the same instance. Such a stale notice does not apply to the new process.
+A notice is stale if the last `connected` event of its recorder is older than that restart.
 """
 
 from collections.abc import Iterator
@@ -22,19 +22,19 @@
 
 
 class LeavingEndpointRule(Rule):
-    """Reject work given to an endpoint after its time to leave has passed."""
+    """Reject work sent to an endpoint more than LEAVING_LIMIT_S after it began to leave."""
 
     name: ClassVar[str] = "leaving_endpoint"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each dispatch to, and each start at, an endpoint that is leaving."""
+        """Return a violation for each late dispatch to, or late start at, a leaving endpoint."""
         leaving: dict[str, float] = {}
         stale_notices = _StaleNoticeDetector()
         periods: list[tuple[str, float, float]] = []
         violations: list[Violation] = []
         for event in record.timeline.events:
             if event.kind is EventKind.PROCESS_STARTED and event.instance in leaving:
-                # An instance that starts anew under the same name takes work again.
+                # An instance that is restarted under the same name takes work again.
                 since_s = leaving.pop(event.instance)
                 periods.append((event.instance, since_s, event.hlc.seconds))
             violations += self._check_event(event, leaving)
@@ -67,12 +67,12 @@
             for name, since_s, until_s in periods:
                 late_s = run.started_s - since_s
                 if run.instance == name and LIMITS.LEAVING_LIMIT_S < late_s < until_s - since_s:
-                    detail = f"the endpoint ran it {late_s:.1f} s after {name} began to leave"
+                    detail = f"the endpoint started it {late_s:.1f} s after {name} began to leave"
                     yield Violation(self.name, detail, run.request_id, name, run.started_s)
 
 
 class _StaleNoticeDetector:
-    """Tell which process of an instance an entry instance knew of."""
+    """Detect `member_leaving` events about a process that has been replaced by a restart."""
 
     def __init__(self) -> None:
         self._started_s: dict[str, float] = {}
--- a/cassiadrum/invariants/once_only_rules.py
+++ b/cassiadrum/invariants/once_only_rules.py
@@ -1,8 +1,8 @@
 """A once-only call runs at most once.
 
 Needs the endpoints' runs, and the class and customer of each request from the callers' outcomes or
-from `received`. A run whose class is unknown is judged as once-only if it carries a key. Classes
-that are neither idempotent nor once-only run at most once for each request id.
+from `received`. A run whose class is unknown counts as once-only if it has an Idempotency-Key.
+Requests of classes that are neither idempotent nor once-only run at most once per request id.
 """
 
 from collections import defaultdict
@@ -18,12 +18,12 @@
 
 
 class OnceOnlyRule(Rule):
-    """Reject a second run of a call, whichever instance ran it and whether it completed."""
+    """Reject a second run of a call, on any instance and whether or not it completed."""
 
     name: ClassVar[str] = "once_only"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each call that ran more than once."""
+        """Return a violation for each call that ran more than once."""
         known = _classes_and_customers(record)
         groups: dict[tuple[str, ...], list[EndpointRun]] = defaultdict(list)
         for run in record.runs:
--- a/cassiadrum/invariants/outages.py
+++ b/cassiadrum/invariants/outages.py
@@ -1,4 +1,4 @@
-"""A fault that an experiment caused on purpose."""
+"""Injected network outage."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class Outage(NamedTuple):
-    """State when an instance could not reach its peers; an empty instance means all.
+    """Period in which an instance could not reach its peers; an empty instance means all.
 
     Times are in seconds since the epoch.
     """
--- a/cassiadrum/invariants/planned_stop_rules.py
+++ b/cassiadrum/invariants/planned_stop_rules.py
@@ -1,8 +1,8 @@
-"""A planned stop is graceful and cuts off no request in flight.
+"""A planned stop is graceful and does not cut off requests in flight.
 
 Needs `draining` when a planned stop begins and `stopped` as the last event of the process,
 `received` at entry instances, `started` at sidecars, and the end of each request with the field
-`reason`, which is `draining` for work that the stop cuts off.
+`reason`, which is `draining` for requests that the stop cuts off.
 """
 
 from collections.abc import Iterator
@@ -19,12 +19,12 @@
 
 
 class PlannedStopRule(Rule):
-    """Reject planned stops that cut requests off or that never end."""
+    """Reject planned stops that cut off requests or do not complete."""
 
     name: ClassVar[str] = "planned_stop"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each request that a planned stop cut off before its deadline."""
+        """Return a violation for each request cut off early and each drain without `stopped`."""
         return [
             violation
             for process in process_records(record)
@@ -56,7 +56,7 @@
 
 
 def _begins_responsibility(event: Event, draining: Event) -> bool:
-    """Tell whether the event makes the process responsible for the end of the request."""
+    """Return whether the event makes the process responsible for ending the request."""
     received = event.kind is EventKind.RECEIVED and event.sequence < draining.sequence
     return received or event.kind is EventKind.STARTED
 
@@ -65,5 +65,5 @@
     if end.fields.get("reason") != "draining":
         return False
     cls = record.request_class(start.service, start.class_name)
-    # The drain limit may end work that has already missed its deadline.
+    # The drain limit may end requests that have already missed their deadline.
     return cls is None or end.hlc.seconds - start.hlc.seconds < cls.deadline_s
--- a/cassiadrum/invariants/process_records.py
+++ b/cassiadrum/invariants/process_records.py
@@ -1,4 +1,4 @@
-"""The events of one start of a process."""
+"""Events of one start of a process."""
 
 from typing import NamedTuple
 
@@ -11,10 +11,10 @@
 
 
 class ProcessRecord(NamedTuple):
-    """Hold the events of one start of a process in order.
+    """Ordered events of one start of a process.
 
-    `lossy` tells that events are missing in between or before. `crashed` tells that the process
-    ended without `stopped`.
+    `incomplete` is True if events before the last recorded one are missing. `crashed` is True if
+    the last recorded event is not `stopped` and the process is not known to be running.
     """
 
     instance: str
@@ -30,11 +30,11 @@
         return self.events[0].hlc.seconds
 
     def first(self, *kinds: EventKind) -> Event | None:
-        """Return the first event of these kinds, or None."""
+        """Return the first event of one of the kinds, or None."""
         return next((event for event in self.events if event.kind in kinds), None)
 
     def observed_until_s(self, record_end_s: float) -> float:
-        """Return until when the process is known to have worked, in seconds since the epoch."""
+        """Return until when the process is known to have served, in seconds since the epoch."""
         end = self.first(*END_KINDS)
         if end is not None:
             return end.hlc.seconds
@@ -42,17 +42,17 @@
 
 
 def process_records(record: FleetRecord) -> list[ProcessRecord]:
-    """Return the processes of the record by instance and start id."""
+    """Return the process records, sorted by instance and start id."""
     groups: dict[tuple[str, str], list[Event]] = {}
     for event in record.timeline.events:
         groups.setdefault((event.instance, event.start_id), []).append(event)
-    lossy = {(gap.instance, gap.start_id) for gap in record.timeline.gaps if gap.missing}
+    incomplete = {(gap.instance, gap.start_id) for gap in record.timeline.gaps if gap.missing}
     crashed = {
         (gap.instance, gap.start_id)
         for gap in record.timeline.gaps
         if gap.kind is GapKind.NOT_STOPPED
     }
     return [
-        ProcessRecord(*key, events[0].role, tuple(events), key in lossy, key in crashed)
+        ProcessRecord(*key, events[0].role, tuple(events), key in incomplete, key in crashed)
         for key, events in sorted(groups.items())
     ]
--- a/cassiadrum/invariants/request_states.py
+++ b/cassiadrum/invariants/request_states.py
@@ -1,4 +1,4 @@
-"""The work at one process, followed through its events."""
+"""States of the requests at one process, derived from its events."""
 
 from typing import Final
 
@@ -6,16 +6,16 @@
 
 __all__ = ["CALLER_LEFT", "HEDGE_LOST", "PREEMPTED", "RequestStates", "ends_request"]
 
-# Reasons of `cancelled`.
+# Values of the field `reason` of `cancelled`.
 CALLER_LEFT: Final = "caller_left"
 HEDGE_LOST: Final = "hedge_lost"
 PREEMPTED: Final = "preempted"
 
 
 def ends_request(event: Event) -> bool:
-    """Tell whether the request ends with the event in the process that recorded it.
+    """Return whether the event ends the request in the process that recorded it.
 
-    At an entry instance a sidecar's reject or a lost hedge ends an attempt, not the request.
+    At an entry instance, a rejection by a sidecar or a lost hedge ends only an attempt.
     """
     if event.role != "entry":
         return event.kind in REQUEST_END_KINDS
@@ -25,7 +25,7 @@
 
 
 class RequestStates:
-    """Hold which requests wait, run and are paused, each by id with the event of the change."""
+    """Waiting, running and paused requests by id, with the event that caused the state."""
 
     def __init__(self) -> None:
         self.waiting: dict[str, Event] = {}
@@ -33,7 +33,7 @@
         self.paused: dict[str, Event] = {}
 
     def apply(self, event: Event) -> None:
-        """Move the request of the event; events of other kinds change nothing."""
+        """Update the state of the request; events of other kinds have no effect."""
         request_id = event.request_id
         if event.kind is EventKind.QUEUED:
             self._remove(request_id)
--- a/cassiadrum/invariants/rules.py
+++ b/cassiadrum/invariants/rules.py
@@ -1,4 +1,4 @@
-"""Base class of the rules."""
+"""Base class of rules."""
 
 from abc import ABC, abstractmethod
 from typing import ClassVar
@@ -10,10 +10,10 @@
 
 
 class Rule(ABC):
-    """Check one invariant of the design page over a record."""
+    """Check of one invariant of the design page against a fleet record."""
 
     name: ClassVar[str]
 
     @abstractmethod
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return every violation, an empty list when the invariant holds."""
+        """Return all violations, or an empty list if the invariant holds."""
--- a/cassiadrum/invariants/tier_safety_rules.py
+++ b/cassiadrum/invariants/tier_safety_rules.py
@@ -2,8 +2,8 @@
 
 Needs, with request id, service and class: `queued` (at the entry instance and at the sidecar),
 `dispatched`, `started`, `paused`, `resumed`, `finished`, `evicted`, and `refused`, `rejected` and
-`cancelled` with the field `reason`, which is `preempted` for work that is cut for other work.
-`queued` may carry `model`; work for different models does not compete.
+`cancelled` with the field `reason`, which is `preempted` for preempted requests. `queued` may have
+the field `model`; requests for different models do not compete.
 """
 
 from collections.abc import Iterable, Iterator
@@ -28,7 +28,7 @@
     name: ClassVar[str] = "tier_safety"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each protected request that lower-tier work displaced."""
+        """Return a violation for each protected request that was displaced by lower-tier work."""
         return [
             violation
             for process in process_records(record)
@@ -41,9 +41,9 @@
         self._classes = record.class_index()
         self._rule = rule
         self._state = RequestStates()
-        # Protected requests seen so far that may still wait.
+        # Protected requests that have been queued and may still be waiting.
         self._protected: dict[str, RequestClass] = {}
-        # Protected requests that saw lower-tier work dispatched while they waited.
+        # First dispatch of lower-tier work while the protected request was waiting.
         self._overtaken: dict[str, Event] = {}
         self._dispatched: set[str] = set()
 
@@ -80,7 +80,7 @@
             (other for other in candidates.values() if self._is_lower(other, event, cls)), None
         )
         if other is not None:
-            yield self._violation(event, f"{action} while lower-tier {other.request_id} stayed")
+            yield self._violation(event, f"{action} while lower-tier {other.request_id} was kept")
 
     def _check_paused_requests(self, event: Event, cls: RequestClass) -> Iterator[Violation]:
         for paused in self._state.paused.values():
@@ -94,7 +94,7 @@
         if event.kind is EventKind.QUEUED and cls.protected:
             self._protected[event.request_id] = cls
         elif event.kind is EventKind.DISPATCHED:
-            # A retry may exclude the endpoint that lower-tier work can still use.
+            # A retry may exclude an endpoint that lower-tier work can still use.
             self._protected.pop(event.request_id, None)
             self._dispatched.add(event.request_id)
             self._track_overtaken(event)
--- a/cassiadrum/invariants/truthful_not_run_rules.py
+++ b/cassiadrum/invariants/truthful_not_run_rules.py
@@ -15,12 +15,12 @@
 
 
 class TruthfulNotRunRule(Rule):
-    """Reject refusals with `ran: no` of requests that an endpoint ran."""
+    """Reject refusals that state `ran: no` for requests that an endpoint ran."""
 
     name: ClassVar[str] = "truthful_not_run"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each request that ran although its caller was told that it did not."""
+        """Return a violation for each run of a request that was reported as not run."""
         reported_not_run = {caller.request_id for caller in record.callers if caller.ran == "no"}
         reported_not_run |= {
             event.request_id
--- a/cassiadrum/invariants/violations.py
+++ b/cassiadrum/invariants/violations.py
@@ -1,4 +1,4 @@
-"""A broken invariant."""
+"""Violation of an invariant."""
 
 from typing import NamedTuple
 
@@ -6,9 +6,9 @@
 
 
 class Violation(NamedTuple):
-    """Name the broken rule and state what was found.
+    """Violated rule, with a description and the request and instance concerned.
 
-    `at_s` is in seconds since the epoch, 0 when no single event shows the violation.
+    `at_s` is in seconds since the epoch, or 0 if no single event shows the violation.
     """
 
     rule: str
--- a/cassiadrum/invariants/whole_answer_rules.py
+++ b/cassiadrum/invariants/whole_answer_rules.py
@@ -1,7 +1,7 @@
-"""Each caller receives the whole answer to its own request.
+"""Each caller receives the complete answer to its own request.
 
 Needs the callers' outcomes, and at entry instances, with the request id, `received` and
-`cancelled` with the field `reason`, which is `caller_left` when the caller gave up.
+`cancelled` with the field `reason`, which is `caller_left` if the caller disconnected.
 """
 
 from typing import ClassVar
@@ -17,24 +17,24 @@
 
 
 class WholeAnswerRule(Rule):
-    """Reject answers that are wrong, that belong to another request or that break off untold."""
+    """Reject wrong answers, answers to other requests, and truncation that is not reported."""
 
     name: ClassVar[str] = "whole_answer"
 
     def check(self, record: FleetRecord) -> list[Violation]:
-        """Return each answer that is not whole without the caller being told."""
+        """Return a violation for each wrong, truncated or missing answer that is not excused."""
         owners = {c.expected_digest: c.request_id for c in record.callers if c.expected_digest}
         accepted, excused = _accepted_requests(record), _excused_requests(record)
         violations = []
         for caller in record.callers:
             request_id = caller.request_id
             is_excused = request_id in excused or (
-                # The event of a killed instance may be lost with it.
+                # The `received` event may have been lost with a killed instance.
                 bool(record.killed) and request_id not in accepted
             )
             if caller.status == 0:
                 unanswered = request_id in accepted and not is_excused
-                detail = "accepted, but no answer came" if unanswered else ""
+                detail = "accepted, but no answer was received" if unanswered else ""
             else:
                 detail = _describe_fault(caller, owners, is_excused)
             if detail:
@@ -46,11 +46,17 @@
     if not 200 <= caller.status < 300:
         return ""
     if not caller.complete:
-        return "" if excused or caller.ran == "unknown" else "the answer broke off untold"
+        return (
+            ""
+            if excused or caller.ran == "unknown"
+            else "the answer was truncated but not reported as unknown"
+        )
     if not caller.expected_digest or caller.body_digest == caller.expected_digest:
         return ""
     owner = owners.get(caller.body_digest)
-    return f"got the answer of {owner}" if owner else "the body differs from the right answer"
+    return (
+        f"received the answer to {owner}" if owner else "the body differs from the expected answer"
+    )
 
 
 def _accepted_requests(record: FleetRecord) -> set[str]:
@@ -59,7 +65,7 @@
 
 
 def _excused_requests(record: FleetRecord) -> set[str]:
-    """Return the requests whose connection broke with a killed instance or whose caller left."""
+    """Return the requests whose entry instance was killed or whose caller disconnected."""
     return {
         event.request_id
         for event in record.timeline.events
--- a/cassiadrum/logs/__init__.py
+++ b/cassiadrum/logs/__init__.py
@@ -1,4 +1,4 @@
-"""Log lines as text or JSON, with limits on repeated lines and without secrets."""
+"""Logging as text or JSON, with rate-limited repetitions and redacted secrets."""
 
 from cassiadrum.logs.context_filters import CONTEXT_FIELDS, ContextFilter
 from cassiadrum.logs.errors import LogError
--- a/cassiadrum/logs/bounded_queue_handlers.py
+++ b/cassiadrum/logs/bounded_queue_handlers.py
@@ -1,4 +1,4 @@
-"""Handler that passes records to a thread and never waits for it."""
+"""Log handler that passes records to a writer thread without blocking."""
 
 import logging
 import logging.handlers
@@ -8,7 +8,7 @@
 
 
 class BoundedQueueHandler(logging.handlers.QueueHandler):
-    """Queue up to `limit` records; leave out what does not fit and say how many that were."""
+    """Queue up to `capacity` records; drop further ones and log how many were dropped."""
 
     def __init__(self, capacity: int) -> None:
         self.records: queue.Queue[logging.LogRecord] = queue.Queue(capacity)
@@ -16,11 +16,11 @@
         self._dropped_count = 0
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        """Return the record as it is; the thread formats it."""
+        """Return the record unformatted; the writer thread formats it."""
         return record
 
     def enqueue(self, record: logging.LogRecord) -> None:
-        """Queue a record, or count it."""
+        """Queue a record, or count it as dropped if the queue is full."""
         try:
             if self._dropped_count:
                 self.records.put_nowait(self._make_dropped_record())
--- a/cassiadrum/logs/context_filters.py
+++ b/cassiadrum/logs/context_filters.py
@@ -1,4 +1,4 @@
-"""Fields that every log line carries."""
+"""Filter that adds context fields to log records."""
 
 import logging
 from typing import Final
@@ -9,14 +9,14 @@
 
 
 class ContextFilter(logging.Filter):
-    """Set the instance and give the fields that a call did not pass in `extra` an empty value."""
+    """Set the instance, and context fields that were not passed in `extra` to empty strings."""
 
     def __init__(self, instance: str) -> None:
         super().__init__()
         self._instance = instance
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Complete the record; every record passes."""
+        """Add the missing fields; every record passes."""
         if not getattr(record, "instance", ""):
             record.instance = self._instance
         for field in CONTEXT_FIELDS:
--- a/cassiadrum/logs/errors.py
+++ b/cassiadrum/logs/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the logging set-up."""
+"""Errors of the logging configuration."""
 
 from cassiadrum.errors import CassiadrumError
 
@@ -6,4 +6,4 @@
 
 
 class LogError(CassiadrumError):
-    """The format or level of the log is not known."""
+    """The log format or log level is unknown."""
--- a/cassiadrum/logs/redaction_filters.py
+++ b/cassiadrum/logs/redaction_filters.py
@@ -1,4 +1,4 @@
-"""Filter that keeps secrets out of log lines."""
+"""Filter that redacts secrets in log records."""
 
 import logging
 from typing import Final
@@ -12,7 +12,7 @@
 
 
 class RedactionFilter(logging.Filter):
-    """Format the message, traceback and extra fields of a record and replace the secrets."""
+    """Format message and traceback of a record and redact secrets, also in extra fields."""
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Redact the record; every record passes."""
@@ -20,7 +20,7 @@
         record.args = ()
         if record.exc_info:
             record.exc_text = record.exc_text or _FORMATTER.formatException(record.exc_info)
-            # Formatters that see only the text cannot format the exception a second time.
+            # Without exc_info, a formatter cannot format the unredacted exception again.
             record.exc_info = None
         if record.exc_text:
             record.exc_text = redact_text(record.exc_text)
@@ -35,5 +35,5 @@
     try:
         return record.getMessage()
     except (TypeError, ValueError, KeyError):
-        # The handler would report this with the arguments in clear text.
-        return f"{record.msg} (arguments do not fit the message)"
+        # The error report of the handler would contain the unredacted arguments.
+        return f"{record.msg} (arguments do not match the message)"
--- a/cassiadrum/logs/redactions.py
+++ b/cassiadrum/logs/redactions.py
@@ -1,4 +1,4 @@
-"""Removal of secrets from texts and values."""
+"""Redaction of secrets in strings and nested values."""
 
 import re
 from collections.abc import Mapping
@@ -24,7 +24,7 @@
     }
 )
 _REPLACEMENTS: Final = (
-    # PEM blocks, also cut off at the end.
+    # PEM blocks of private keys, also truncated ones.
     (
         re.compile(
             r"-----BEGIN [A-Z0-9 ]*PRIVATE KEY-----.*?(-----END [A-Z0-9 ]*PRIVATE KEY-----|\Z)",
@@ -32,7 +32,7 @@
         ),
         REDACTED,
     ),
-    # A header as text, as an item of a dict or as a pair, with or without bytes literals.
+    # A credential header as text, dict item or pair, with or without bytes literals.
     (
         re.compile(
             r"""(?ix) \b ((?:proxy-)?authorization|(?:set-)?cookie|x-api-key|api[-_]key)
@@ -41,7 +41,7 @@
         rf"\1\2{REDACTED}",
     ),
     (re.compile(r"(?i)\b(bearer)\s+(?!\[redacted\])[A-Za-z0-9._~+/=-]{6,}"), rf"\1 {REDACTED}"),
-    # Base64 has capitals, digits or padding, which tells it from the word after "basic".
+    # Requiring a capital, digit or padding excludes ordinary words after "basic".
     (
         re.compile(r"\b([Bb]asic)\s+(?=\S*[A-Z0-9=])[A-Za-z0-9+/]{6,}={0,2}"),
         rf"\1 {REDACTED}",
@@ -50,14 +50,14 @@
 
 
 def redact_text(text: str) -> str:
-    """Return the text without private keys, credentials and credential headers."""
+    """Return the text with private keys, credentials and credential headers redacted."""
     for pattern, replacement in _REPLACEMENTS:
         text = pattern.sub(replacement, text)
     return text
 
 
 def redact_value(value: Any) -> Any:
-    """Return the value with the secrets in nested dicts, lists and header pairs replaced."""
+    """Return the value with secrets in nested dicts, lists and header pairs redacted."""
     if isinstance(value, bytes):
         value = value.decode("utf-8", "replace")
     if isinstance(value, str):
--- a/cassiadrum/logs/repeat_filters.py
+++ b/cassiadrum/logs/repeat_filters.py
@@ -1,4 +1,4 @@
-"""Filter that limits repeated log lines."""
+"""Filter that rate-limits repeated log messages."""
 
 import logging
 from collections.abc import Callable
@@ -8,10 +8,10 @@
 
 RECORDS_MAX: Final = 5
 WINDOW_S: Final = 10.0
-# Beyond this many different messages in a window, further ones are not limited.
+# Limit of tracked message templates; further templates are not rate-limited.
 TEMPLATES_MAX: Final = 1000
 
-# Set on records whose source bounds their number itself.
+# Attribute of records that their source rate-limits itself; the filter lets them pass.
 RATE_LIMITED_FIELD: Final = "bounded"
 
 logger = logging.getLogger(__name__)
@@ -20,10 +20,10 @@
 
 
 class RepeatFilter(logging.Filter):
-    """Pass `lines` records of the same logger, level and message template in each window.
+    """Pass up to `records_max` records per logger, level and message template in each window.
 
-    A summary line reports how many were left out when the window has ended and any record
-    passes, or on `report()`. `monotonic_s` returns monotonic seconds.
+    The number of suppressed records is logged when a record arrives after the end of the window,
+    or by `report_suppressed()`. `monotonic_s` returns monotonic seconds.
     """
 
     def __init__(
@@ -36,12 +36,12 @@
         self._monotonic_s = monotonic_s
         self._records_max = records_max
         self._window_s = window_s
-        # Start of the window and number of records in it.
+        # Start of the window in monotonic seconds, and number of records in it, by template.
         self._windows: dict[_TemplateKey, tuple[float, int]] = {}
         self._next_sweep_s = monotonic_s() + window_s
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Tell whether the record is within the limit."""
+        """Return whether the record is within the limit."""
         now = self._monotonic_s()
         if now >= self._next_sweep_s:
             self._next_sweep_s = now + self._window_s
@@ -58,7 +58,7 @@
         return count < self._records_max
 
     def report_suppressed(self) -> None:
-        """Report all lines left out so far and start new windows."""
+        """Log the number of records suppressed so far and start new windows."""
         self._close_windows(float("inf"))
 
     def _close_windows(self, started_by_s: float) -> None:
--- a/cassiadrum/logs/set_up.py
+++ b/cassiadrum/logs/set_up.py
@@ -1,4 +1,4 @@
-"""Set-up of the `logging` package for a daemon."""
+"""Configuration of the `logging` package for a daemon."""
 
 import contextlib
 import logging
@@ -16,14 +16,14 @@
 
 __all__ = ["configure_logging"]
 
-# What waits at the end of the process is written within this time in seconds.
+# Time limit for writing queued records when the handler is closed.
 CLOSE_TIMEOUT_S: Final = 1.0
 
 JSON_FIELDS: Final = ("levelname", "name", "message", *CONTEXT_FIELDS)
 
 
 class _ReportingStreamHandler(logging.StreamHandler[TextIO]):
-    """Report the lines left out before the process ends."""
+    """Stream handler that logs the number of suppressed records when it is closed."""
 
     def __init__(self, stream: TextIO | None, repeat_filter: RepeatFilter) -> None:
         super().__init__(stream)
@@ -36,7 +36,7 @@
 
 
 class _ThreadedHandler(BoundedQueueHandler):
-    """Write by another handler in a thread of its own."""
+    """Handler that passes records to another handler in a separate thread."""
 
     def __init__(self, capacity: int, handler: logging.Handler) -> None:
         super().__init__(capacity)
@@ -44,7 +44,7 @@
         self._listener.start()
 
     def close(self) -> None:
-        """Write what waits, unless the stream is not read."""
+        """Write the queued records, but give up after CLOSE_TIMEOUT_S if the stream is blocked."""
         with contextlib.suppress(queue.Full):
             self._listener.enqueue_sentinel()
             thread = getattr(self._listener, "_thread", None)
@@ -61,11 +61,11 @@
     *,
     queue_limit: int = 0,
 ) -> None:
-    """Send all log records as `text` or `json` lines to `stream`, stderr by default.
+    """Write all log records as `text` or `json` lines to `stream`, stderr by default.
 
-    With `queue_limit`, a thread writes them and up to that many wait for it, so that a stream that
-    is not read delays nothing. Replaces the handler of an earlier call. Raises LogError on an
-    unknown format or level.
+    With a `queue_limit` above 0, a separate thread writes them from a queue of that many records,
+    so that a blocked stream does not block the caller. Replaces the handler of an earlier call.
+    Raises LogError on an unknown format or level.
     """
     formatter = _make_formatter(format)
     if level not in logging.getLevelNamesMapping():
@@ -77,7 +77,7 @@
     handler.setFormatter(formatter)
     handler.addFilter(repeat_filter)
     handler.addFilter(ContextFilter(instance))
-    # Last, so that it sees the fields that the other filters set.
+    # Last, so that it also redacts the fields that the other filters set.
     handler.addFilter(RedactionFilter())
     root = logging.getLogger()
     for old in [
@@ -97,7 +97,7 @@
     from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
 
     class Formatter(JsonFormatter):
-        """Leave empty context fields out."""
+        """JSON formatter that omits empty fields."""
 
         def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
             return {key: value for key, value in log_data.items() if value != ""}
--- a/cassiadrum/logs/text_formatters.py
+++ b/cassiadrum/logs/text_formatters.py
@@ -1,4 +1,4 @@
-"""Log lines as text."""
+"""Formatter of log lines as text."""
 
 import logging
 
@@ -8,13 +8,13 @@
 
 
 class TextFormatter(logging.Formatter):
-    """Write time, level, logger and message, then the context fields that are not empty."""
+    """Format time, level, logger and message, then the context fields that are not empty."""
 
     def __init__(self) -> None:
         super().__init__("%(asctime)s %(levelname)s %(name)s: %(message)s")
 
     def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
-        """Return the first line, without a traceback."""
+        """Return the log line without the traceback, with line breaks of the message escaped."""
         values = ((field, getattr(record, field, "")) for field in CONTEXT_FIELDS)
         fields = "".join(f" {field}={value}" for field, value in values if value != "")
         return super().formatMessage(record).replace("\n", "\\n") + fields
--- a/cassiadrum/metrics/__init__.py
+++ b/cassiadrum/metrics/__init__.py
@@ -1,4 +1,4 @@
-"""Metrics of the daemon; aioprometheus is loaded only where metrics are rendered."""
+"""Metrics of the daemons; aioprometheus is imported only if metrics are rendered."""
 
 from cassiadrum.metrics.customer_rankings import CustomerRanking
 from cassiadrum.metrics.metric_definitions import (
--- a/cassiadrum/metrics/customer_rankings.py
+++ b/cassiadrum/metrics/customer_rankings.py
@@ -1,4 +1,4 @@
-"""The customers with the most tokens."""
+"""Ranking of the customers with the most tokens."""
 
 from collections import Counter
 from typing import Final
@@ -7,12 +7,12 @@
 
 TOP_CUSTOMERS: Final = 20
 WINDOW_S: Final = 60.0
-# Bounds the memory of a window; later customers of the window are counted together.
+# Bounds the memory of a window; tokens of further customers are counted as one sum.
 CUSTOMERS_MAX: Final = 4096
 
 
 class CustomerRanking:
-    """Count tokens by customer in windows of `window_s` and rank the last full window."""
+    """Count tokens by customer in windows of `window_s` and rank the last complete window."""
 
     def __init__(self, window_s: float = WINDOW_S, top: int = TOP_CUSTOMERS) -> None:
         self._window_s = window_s
@@ -24,7 +24,7 @@
         self._other = 0
 
     def add(self, customer: str, tokens: int, now: float) -> None:
-        """Count tokens; `now` is in monotonic seconds."""
+        """Add tokens of a customer; `now` is in monotonic seconds."""
         self._advance_window(now)
         if customer in self._current or len(self._current) < CUSTOMERS_MAX:
             self._current[customer] += tokens
@@ -32,7 +32,7 @@
             self._current_other += tokens
 
     def last_window(self, now: float) -> tuple[list[tuple[str, int]], int]:
-        """Return the top customers with their tokens, most first, and the tokens of all others."""
+        """Return the top customers with their tokens in descending order, and all other tokens."""
         self._advance_window(now)
         return self._ranked, self._other
 
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -1,17 +1,17 @@
-"""Every metric of the daemon in one table."""
+"""Definitions of all metrics of the daemons."""
 
 from typing import Final, Literal, NamedTuple
 
 __all__ = ["DEFINITIONS", "GATEWAY_DEFINITIONS", "MetricDefinition"]
 
-# The bounds include the targets of 0.04 s between tokens and 0.97 s to the first token, so that
-# attainment can be read off the histograms.
+# The bounds include the latency targets of 0.04 s between tokens and 0.97 s to the first token, so
+# that attainment can be computed from the histograms.
 INTER_TOKEN_BOUNDS_S: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.25, 1.0)
 LATENCY_BOUNDS_S: Final = (0.01, 0.05, 0.097, 0.25, 0.5, 0.97, 2.0, 5.0, 15.0, 30.0, 120.0)
 
 
 class MetricDefinition(NamedTuple):
-    """State the name, kind, labels and, for histograms, the upper bounds of a metric."""
+    """Name, kind, help text, label names and, for histograms, upper bucket bounds of a metric."""
 
     name: str
     kind: Literal["counter", "gauge", "histogram"]
@@ -103,7 +103,7 @@
     )
 }
 
-# Those of a gateway.
+# Metrics of a gateway.
 GATEWAY_DEFINITIONS: Final[dict[str, MetricDefinition]] = {
     definition.name: definition
     for definition in (
--- a/cassiadrum/metrics/metric_exporters.py
+++ b/cassiadrum/metrics/metric_exporters.py
@@ -1,6 +1,6 @@
-"""Transfer of the values into the collectors of aioprometheus.
+"""Export of metric values through the collectors of aioprometheus.
 
-This module is the only one that loads the library, and only when metrics are rendered.
+Only this module imports the library, and only when metrics are rendered.
 """
 
 from collections.abc import Mapping
@@ -16,14 +16,14 @@
 
 
 def make_registry() -> "Registry":
-    """Return a new, empty registry; loads aioprometheus."""
+    """Return a new, empty registry; imports aioprometheus."""
     from aioprometheus.collectors import Registry  # noqa: PLC0415
 
     return Registry()
 
 
 class MetricExporter:
-    """Register a collector for each metric and fill it when rendering."""
+    """Register a collector for each metric and fill the collectors on rendering."""
 
     def __init__(
         self, registry: "Registry", definitions: Mapping[str, MetricDefinition] = DEFINITIONS
@@ -39,7 +39,7 @@
         }
 
     def render(self, values: MetricValues) -> bytes:
-        """Return the text format of all metrics in the registry."""
+        """Return all metrics of the registry in the Prometheus text format."""
         from aioprometheus.renderer import render  # noqa: PLC0415
 
         for name, definition in self._definitions.items():
@@ -60,7 +60,7 @@
 
 
 def _escape_label_value(value: str) -> str:
-    # The library writes label values as they are, but the text format requires these escapes.
+    # The library does not escape label values as the text format requires.
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
--- a/cassiadrum/metrics/metric_values.py
+++ b/cassiadrum/metrics/metric_values.py
@@ -1,4 +1,4 @@
-"""Values of the metrics, kept in plain dictionaries."""
+"""Metric values, stored in plain dictionaries."""
 
 from bisect import bisect_left
 from collections.abc import Mapping
@@ -8,13 +8,13 @@
 
 __all__ = ["HistogramValue", "MetricValues"]
 
-# Bounds the memory of one metric when label values come from outside, such as unknown services.
+# Bounds the memory of a metric whose label values come from clients, such as unknown services.
 SERIES_MAX: Final = 1000
 OVERFLOW_LABEL: Final = "other"
 
 
 class HistogramValue:
-    """Count observations by bucket; the last bucket is unbounded."""
+    """Histogram with a count for each bucket; the last bucket has no upper bound."""
 
     def __init__(self, bounds: tuple[float, ...]) -> None:
         self.bounds = bounds
@@ -22,16 +22,16 @@
         self.total = 0.0
 
     def observe(self, value: float, count: int = 1) -> None:
-        """Add `count` observations of one value."""
+        """Add `count` observations of a value."""
         self.counts[bisect_left(self.bounds, value)] += count
         self.total += value * count
 
 
 class MetricValues:
-    """Hold a value for each metric and each tuple of label values.
+    """Values of all metrics by metric name and tuple of label values.
 
-    Updates touch only dictionaries, because collectors of the metrics library encode their labels
-    at each update, which is too slow for one update a token.
+    Updates change only dictionaries: the collectors of the metrics library encode their labels on
+    every update, which is too slow for an update per token.
     """
 
     def __init__(
@@ -47,14 +47,14 @@
         }
 
     def add(self, name: str, labels: tuple[str, ...], amount: float = 1) -> None:
-        """Raise a counter."""
+        """Increment a counter; label values beyond the series limit are counted as `other`."""
         series = self.scalars[name]
         if labels not in series and len(series) >= self._series_max:
             labels = (OVERFLOW_LABEL,) * len(labels)
         series[labels] = series.get(labels, 0) + amount
 
     def set(self, name: str, labels: tuple[str, ...], value: float) -> None:
-        """Set a gauge."""
+        """Set a gauge; new series beyond the series limit are ignored."""
         series = self.scalars[name]
         if labels in series or len(series) < self._series_max:
             series[labels] = value
@@ -64,7 +64,7 @@
         self.scalars[name].clear()
 
     def observe(self, name: str, labels: tuple[str, ...], value: float, count: int = 1) -> None:
-        """Add `count` observations of a value to a histogram."""
+        """Add observations of a value to a histogram, as `other` beyond the series limit."""
         series = self.histograms[name]
         histogram = series.get(labels)
         if histogram is None:
--- a/cassiadrum/metrics/role_metrics.py
+++ b/cassiadrum/metrics/role_metrics.py
@@ -1,4 +1,4 @@
-"""What the roles measure."""
+"""Metrics recorded by the roles."""
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Literal
@@ -14,10 +14,10 @@
 
 
 class RoleMetrics:
-    """Take measurements of a role and render them.
+    """Record the metrics of a role and render them.
 
-    `monotonic_s` returns monotonic seconds. Without a registry, measurements are taken but not
-    rendered, and the metrics library is not loaded. Times are in seconds.
+    `monotonic_s` returns monotonic seconds. Without a registry, metrics are recorded but not
+    rendered, and the metrics library is not imported. Times are in seconds.
     """
 
     def __init__(
@@ -29,7 +29,7 @@
         self._exporter = MetricExporter(registry) if registry is not None else None
 
     def count_request(self, service: str, class_name: str) -> None:
-        """Count a request."""
+        """Count a received request."""
         self._values.add("cassiadrum_requests_total", (service, class_name))
 
     def observe_queue_wait(self, service: str, class_name: str, wait_s: float) -> None:
@@ -43,7 +43,7 @@
     def observe_inter_token(
         self, service: str, class_name: str, gap_s: float, count: int = 1
     ) -> None:
-        """Observe `count` equal gaps between tokens."""
+        """Observe `count` equal intervals between tokens."""
         labels = (service, class_name)
         self._values.observe("cassiadrum_inter_token_seconds", labels, gap_s, count)
 
@@ -64,7 +64,7 @@
         self._customers.add(customer, tokens, self._monotonic_s())
 
     def count_wasted_tokens(self, service: str, reason: str, tokens: int) -> None:
-        """Count tokens computed for nobody."""
+        """Count tokens of cancelled, duplicated or discarded answers by reason."""
         self._values.add("cassiadrum_wasted_tokens_total", (service, reason), tokens)
 
     def count_retry(self, service: str, class_name: str) -> None:
@@ -80,7 +80,7 @@
         self._values.add("cassiadrum_claims_total", (service, outcome))
 
     def count_control_bytes(self, direction: Literal["in", "out"], size: int) -> None:
-        """Count bytes of messages between own processes, without bodies."""
+        """Count bytes of control messages between own processes, excluding bodies."""
         self._values.add("cassiadrum_control_bytes_total", (direction,), size)
 
     def count_store_call(self, store: str, result: str) -> None:
@@ -92,7 +92,7 @@
         self._values.set("cassiadrum_leases_held", (), count)
 
     def set_configuration_version(self, service: str, version: int) -> None:
-        """Set the version of a service document in force."""
+        """Set the version in force of a service document."""
         self._values.set("cassiadrum_configuration_version", (service,), version)
 
     def set_connections(self, peer: str, count: int) -> None:
@@ -104,11 +104,11 @@
         self._values.set("cassiadrum_queue_length", (service,), count)
 
     def top_customers(self) -> list[tuple[str, int]]:
-        """Return the names and tokens of the ranked customers in the last full window."""
+        """Return the names and tokens of the top customers in the last complete window."""
         return self._customers.last_window(self._monotonic_s())[0]
 
     def render(self) -> bytes:
-        """Return the text for `/metrics`, empty without a registry."""
+        """Return the response body of `/metrics`, empty without a registry."""
         if self._exporter is None:
             return b""
         ranked, other = self._customers.last_window(self._monotonic_s())
--- a/cassiadrum/tests/test_invariants_of_processes.py
+++ b/cassiadrum/tests/test_invariants_of_processes.py
@@ -159,8 +159,8 @@
     @pytest.mark.parametrize(
         ("steps", "detail"),
         [
-            ([], "permit-register 2 is not in force when it is due"),
-            ([(21.1, 2)], "permit-register 2 is not in force when it is due"),
+            ([], "permit-register 2 is not in force at its deadline"),
+            ([(21.1, 2)], "permit-register 2 is not in force at its deadline"),
             ([(11, 2), (12, 1)], "permit-register 1 applied after 2"),
             ([(11, 2), (12, 2)], "permit-register 2 applied after 2"),
         ],
@@ -222,7 +222,7 @@
             runs=(make_run("top"),),
         )
         assert [str(violation) for violation in check_record(record)] == [
-            "tier_safety: protected class status-check: shed while lower-tier low stayed "
+            "tier_safety: protected class status-check: shed while lower-tier low was kept "
             "(top entry-1)",
             'truthful_not_run: refused as "not run" but ran (top sidecar-1)',
         ]
--- a/cassiadrum/tests/test_invariants_of_requests.py
+++ b/cassiadrum/tests/test_invariants_of_requests.py
@@ -144,11 +144,14 @@
     @pytest.mark.parametrize(
         ("fields", "detail"),
         [
-            ({"body_digest": "x"}, "the body differs from the right answer"),
-            ({"body_digest": "d2"}, "got the answer of r2"),
-            ({"complete": False}, "the answer broke off untold"),
-            ({"complete": False, "ran": "no"}, "the answer broke off untold"),
-            ({"status": 0, "complete": False}, "accepted, but no answer came"),
+            ({"body_digest": "x"}, "the body differs from the expected answer"),
+            ({"body_digest": "d2"}, "received the answer to r2"),
+            ({"complete": False}, "the answer was truncated but not reported as unknown"),
+            (
+                {"complete": False, "ran": "no"},
+                "the answer was truncated but not reported as unknown",
+            ),
+            ({"status": 0, "complete": False}, "accepted, but no answer was received"),
         ],
     )
     def test_rejects(self, fields: dict[str, Any], detail: str) -> None:
--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""The list of tests that are known to fail."""
+"""Pytest hooks that let tests listed in KNOWN-RED.txt fail without failing the run."""
 
 from collections.abc import Iterator
 from pathlib import Path
@@ -10,19 +10,19 @@
 
 
 def parse_known_red(text: str) -> set[str]:
-    """Return the node ids of a KNOWN-RED.txt; lines that begin with `test: ` name one each."""
+    """Return the node ids in the text of KNOWN-RED.txt, one per line that begins with `test: `."""
     return {line[6:].strip() for line in text.splitlines() if line.startswith("test: ")}
 
 
 def pytest_configure(config: pytest.Config) -> None:
-    """Read the list."""
+    """Read the node ids in KNOWN-RED.txt, if the file exists."""
     text = KNOWN_RED_PATH.read_text() if KNOWN_RED_PATH.exists() else ""
     config.stash[KNOWN_RED_KEY] = parse_known_red(text)
 
 
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Iterator[None]:
-    """Report a listed test's failure as an expected one, so that it does not fail the run."""
+    """Report the failure of a listed test as an expected failure."""
     report: pytest.TestReport = yield  # type: ignore[assignment]
     if report.failed and item.nodeid in item.config.stash[KNOWN_RED_KEY]:
         report.outcome = "skipped"
@@ -31,7 +31,7 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the listed tests that failed and those that passed."""
+    """Print which listed tests failed and which passed."""
     listed = terminalreporter.config.stash[KNOWN_RED_KEY]
     for outcome, text in (("xfailed", "failed"), ("passed", "passed; remove it from the list")):
         for report in terminalreporter.stats.get(outcome, []):
