--- a/bench/capacity/link_series.py
+++ b/bench/capacity/link_series.py
@@ -11,7 +11,7 @@
 from bench.processes import ChildProcess, ProcessGroup
 from bench.wall_clock.bench_platforms import DOCUMENTS, BenchPlatform
 from cassiadrum.defaults import LIMITS
-from cassiadrum.events import EventRing, HybridClock
+from cassiadrum.events import EventRing, HybridLogicalClock
 from cassiadrum.links import Link, LinkDialer
 from cassiadrum.links.messages import PROTOCOL_VERSION, Hello
 from cassiadrum.loads.process_readers import ProcessReader
@@ -84,7 +84,7 @@
     """Links to one sidecar, each as a different entry instance with the same documents."""
 
     def __init__(self, address: str, count: int) -> None:
-        self._ring = EventRing(HybridClock(time.time), "d", "entry", "x")
+        self._ring = EventRing(HybridLogicalClock(time.time), "d", "entry", "x")
         registry = ConfigurationRegistry()
         reader: Any = ConfigurationReader
         self._agent = ConfigurationAgent(registry, reader, self._ring, None)  # type: ignore[arg-type]
--- a/cassiadrum/commands/event_collectors.py
+++ b/cassiadrum/commands/event_collectors.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.commands.fleets import get_from_all, list_instances
 from cassiadrum.commands.platforms import Platform
-from cassiadrum.events import Event, EventError, Timeline, decode_event, merge
+from cassiadrum.events import Event, EventError, Timeline, decode_event, merge_events
 
 __all__ = ["EventCollector"]
 
@@ -46,7 +46,7 @@
     async def timeline(self) -> Timeline:
         """Return the new events merged into one timeline; raise CommandError as `collect` does."""
         events = await self.collect()
-        return merge(events, self.answered_start_ids)
+        return merge_events(events, self.answered_start_ids)
 
     def _add_answer(self, name: str, answer: dict[str, Any], events: list[Event]) -> bool:
         """Add the events of an answer and return whether it is the last page.
--- a/cassiadrum/commands/timeline_commands.py
+++ b/cassiadrum/commands/timeline_commands.py
@@ -22,7 +22,7 @@
     TimelineSvgWriter,
     TraceWriter,
     encode_event,
-    merge,
+    merge_events,
     to_json_line,
 )
 
@@ -144,7 +144,7 @@
     count = 0
     while True:
         events = selection.apply(
-            merge(await collector.collect(), collector.answered_start_ids).events
+            merge_events(await collector.collect(), collector.answered_start_ids).events
         )
         count += len(events)
         for event in events:
--- a/cassiadrum/events/trace_writers.py
+++ b/cassiadrum/events/trace_writers.py
@@ -1,4 +1,4 @@
-"""Trace Event JSON, the format that trace viewers open."""
+"""Export of a timeline in the Trace Event JSON format of trace viewers."""
 
 import json
 from typing import Any
@@ -10,39 +10,41 @@
 
 __all__ = ["TraceWriter"]
 
-# Thread 0 of each process shows its gaps and the events that belong to no request.
-PROCESS_THREAD = 0
+# Thread id that shows the gaps of a process and the events that belong to no request.
+PROCESS_TID = 0
 
 
 class TraceWriter:
-    """Write a timeline with one process for each instance and one thread for each row."""
+    """Convert a timeline to trace events: a process for each instance, a thread for each row."""
 
     def write(self, timeline: Timeline) -> str:
-        """Return the JSON text; times are in microseconds from the first event."""
+        """Return the JSON text; times are in microseconds since the first event."""
         spans = make_spans(timeline)
         names = sorted(
             {event.instance for event in timeline.events} | {gap.instance for gap in timeline.gaps}
         )
         pids = {name: pid for pid, name in enumerate(names, 1)}
-        walls = [event.hlc.wall_us for event in timeline.events]
-        first_us, last_us = min(walls, default=0), max(walls, default=0)
-        entries = [_process_name(name, pid) for name, pid in pids.items()]
-        entries += [_gap(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps]
+        walls_us = [event.hlc.wall_us for event in timeline.events]
+        first_us, last_us = min(walls_us, default=0), max(walls_us, default=0)
+        entries = [_process_name_entry(name, pid) for name, pid in pids.items()]
+        entries += [
+            _gap_entry(gap, pids[gap.instance], first_us, last_us) for gap in timeline.gaps
+        ]
         for span in spans:
-            entries += _span(span, pids[span.instance], first_us)
+            entries += _span_entries(span, pids[span.instance], first_us)
         entries += [
-            _instant(event, pids[event.instance], PROCESS_THREAD, first_us)
+            _instant_entry(event, pids[event.instance], PROCESS_TID, first_us)
             for event in timeline.events
             if not event.request_id
         ]
         return json.dumps({"traceEvents": entries, "displayTimeUnit": "ms"}, ensure_ascii=False)
 
 
-def _process_name(name: str, pid: int) -> dict[str, Any]:
+def _process_name_entry(name: str, pid: int) -> dict[str, Any]:
     return {"ph": "M", "name": "process_name", "pid": pid, "tid": 0, "args": {"name": name}}
 
 
-def _span(span: Span, pid: int, first_us: int) -> list[dict[str, Any]]:
+def _span_entries(span: Span, pid: int, first_us: int) -> list[dict[str, Any]]:
     tid = span.row + 1
     first = span.events[0]
     args = {
@@ -51,7 +53,7 @@
         "customer": first.customer,
         "end": span.events[-1].kind.value if span.ended else "not recorded",
     }
-    bar = {
+    complete_event = {
         "ph": "X",
         "cat": "request",
         "name": span.request_id,
@@ -61,10 +63,10 @@
         "dur": span.end_us - span.start_us,
         "args": args,
     }
-    return [bar, *(_instant(event, pid, tid, first_us) for event in span.events)]
+    return [complete_event, *(_instant_entry(event, pid, tid, first_us) for event in span.events)]
 
 
-def _instant(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
+def _instant_entry(event: Event, pid: int, tid: int, first_us: int) -> dict[str, Any]:
     return {
         "ph": "i",
         "s": "t",
@@ -77,8 +79,8 @@
     }
 
 
-def _gap(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
-    # A gap may begin or end outside the selected events.
+def _gap_entry(gap: Gap, pid: int, first_us: int, last_us: int) -> dict[str, Any]:
+    # A gap may extend beyond the selected events.
     start_us = min(max(gap.since.wall_us if gap.since else first_us, first_us), last_us)
     end_us = max(min(gap.until.wall_us if gap.until else last_us, last_us), start_us)
     return {
@@ -86,7 +88,7 @@
         "cat": "gap",
         "name": f"gap: {gap.kind.value}",
         "pid": pid,
-        "tid": PROCESS_THREAD,
+        "tid": PROCESS_TID,
         "ts": start_us - first_us,
         "dur": end_us - start_us,
         "args": {"missing": gap.missing, "start_id": gap.start_id},
--- a/cassiadrum/invariants/__init__.py
+++ b/cassiadrum/invariants/__init__.py
@@ -1,8 +1,8 @@
-"""One rule for each invariant of the design page, over the record of all processes.
+"""Rules that check the invariants of the design page against the record of all processes.
 
-Each rule's module states the events and fields that it needs from the roles. `Record.killed` and
-`Record.outages` state the faults that an experiment caused. A record with missing events is judged
-as far as it goes, so tests also assert that `Record.missing_events` is 0.
+There is one rule for each invariant; its module lists the events and fields that it needs.
+`FleetRecord.killed` and `FleetRecord.outages` hold the faults that were injected. A record with
+missing events is only partly checked, so tests also assert that `FleetRecord.missing_events` is 0.
 """
 
 from cassiadrum.invariants.caller_outcomes import CallerOutcome
@@ -10,11 +10,11 @@
 from cassiadrum.invariants.configuration_monotonic_rules import ConfigurationMonotonicRule
 from cassiadrum.invariants.endpoint_runs import EndpointRun
 from cassiadrum.invariants.eventual_service_rules import EventualServiceRule
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.leaving_endpoint_rules import LeavingEndpointRule
 from cassiadrum.invariants.once_only_rules import OnceOnlyRule
 from cassiadrum.invariants.outages import Outage
 from cassiadrum.invariants.planned_stop_rules import PlannedStopRule
-from cassiadrum.invariants.records import Record
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.tier_safety_rules import TierSafetyRule
 from cassiadrum.invariants.truthful_not_run_rules import TruthfulNotRunRule
@@ -27,11 +27,11 @@
     "ConfigurationMonotonicRule",
     "EndpointRun",
     "EventualServiceRule",
+    "FleetRecord",
     "LeavingEndpointRule",
     "OnceOnlyRule",
     "Outage",
     "PlannedStopRule",
-    "Record",
     "Rule",
     "TierSafetyRule",
     "TruthfulNotRunRule",
--- a/cassiadrum/invariants/records.py
+++ b/cassiadrum/invariants/fleet_records.py
@@ -1,4 +1,4 @@
-"""Everything that the rules judge."""
+"""Record of a fleet that the rules check."""
 
 from typing import NamedTuple
 
@@ -8,14 +8,14 @@
 from cassiadrum.invariants.endpoint_runs import EndpointRun
 from cassiadrum.invariants.outages import Outage
 
-__all__ = ["Record"]
+__all__ = ["FleetRecord"]
 
 
-class Record(NamedTuple):
-    """Hold the merged events, what callers saw, what endpoints ran, and the documents.
+class FleetRecord(NamedTuple):
+    """Merged events, callers' outcomes, endpoints' runs and service documents of a fleet.
 
-    The record has to be taken when no request is in flight. `killed` names the instances that
-    the experiment killed without a planned stop; only these may leave requests without an end.
+    The record must be taken while no request is in flight. `killed` names the instances that were
+    killed without a planned stop; only these may leave requests without a recorded end.
     """
 
     timeline: Timeline
@@ -27,7 +27,7 @@
 
     @property
     def missing_events(self) -> int:
-        """Return how many events are known to be lost; above 0 some rules cannot judge fully."""
+        """Return the number of events known to be lost; if above 0, some checks are incomplete."""
         return sum(gap.missing for gap in self.timeline.gaps)
 
     def class_index(self) -> dict[tuple[str, str], RequestClass]:
@@ -35,7 +35,7 @@
         return {(doc.name, cls.name): cls for doc in self.documents for cls in doc.classes}
 
     def request_class(self, service: str, class_name: str) -> RequestClass | None:
-        """Return the class of a request, or None when the documents do not name it."""
+        """Return the class of a request, or None if the documents do not define it."""
         for document in self.documents:
             if document.name == service:
                 return document.find_class(class_name)
--- a/cassiadrum/invariants/leaving_endpoint_rules.py
+++ b/cassiadrum/invariants/leaving_endpoint_rules.py
@@ -4,9 +4,9 @@
 instance), `connected` with the field `peer`, `dispatched` and `hedged` with the field `to` (an
 instance), `started` at sidecars, and the endpoints' runs.
 
-An entry instance that was paused may record `member_leaving` of a process that another start of
-the same instance has replaced already. Such late news does not concern the new process: it is
-told by the last `connected` of the recorder being older than that start.
+An entry instance that was paused may record `member_leaving` for a process that has already been
+replaced by a restart of the same instance. Such a stale notice does not apply to the new process.
+A notice is stale if the last `connected` event of its recorder is older than that restart.
 """
 
 from collections.abc import Iterator
@@ -14,7 +14,7 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import Event, EventKind
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
@@ -22,30 +22,30 @@
 
 
 class LeavingEndpointRule(Rule):
-    """Reject work given to an endpoint after its time to leave has passed."""
+    """Reject work sent to an endpoint more than LEAVING_LIMIT_S after it began to leave."""
 
     name: ClassVar[str] = "leaving_endpoint"
 
-    def check(self, record: Record) -> list[Violation]:
-        """Return each dispatch to, and each start at, an endpoint that is leaving."""
+    def check(self, record: FleetRecord) -> list[Violation]:
+        """Return a violation for each late dispatch to, or late start at, a leaving endpoint."""
         leaving: dict[str, float] = {}
-        late_news = _LateNews()
+        stale_notices = _StaleNoticeDetector()
         periods: list[tuple[str, float, float]] = []
         violations: list[Violation] = []
         for event in record.timeline.events:
             if event.kind is EventKind.PROCESS_STARTED and event.instance in leaving:
-                # An instance that starts anew under the same name takes work again.
+                # An instance that is restarted under the same name takes work again.
                 since_s = leaving.pop(event.instance)
                 periods.append((event.instance, since_s, event.hlc.seconds))
-            violations += self._judge(event, leaving)
+            violations += self._check_event(event, leaving)
             name = _leaving_instance(event)
-            late_news.note(event)
-            if name and not late_news.is_late(event, name):
+            stale_notices.track(event)
+            if name and not stale_notices.is_stale(event, name):
                 leaving.setdefault(name, event.hlc.seconds)
         periods += [(name, since_s, float("inf")) for name, since_s in leaving.items()]
         return violations + list(self._late_runs(record, periods))
 
-    def _judge(self, event: Event, leaving: dict[str, float]) -> Iterator[Violation]:
+    def _check_event(self, event: Event, leaving: dict[str, float]) -> Iterator[Violation]:
         if event.kind in (EventKind.DISPATCHED, EventKind.HEDGED):
             target = event.fields.get("to", "")
         elif event.kind is EventKind.STARTED:
@@ -61,30 +61,30 @@
                 )
 
     def _late_runs(
-        self, record: Record, periods: list[tuple[str, float, float]]
+        self, record: FleetRecord, periods: list[tuple[str, float, float]]
     ) -> Iterator[Violation]:
         for run in record.runs:
             for name, since_s, until_s in periods:
                 late_s = run.started_s - since_s
                 if run.instance == name and LIMITS.LEAVING_LIMIT_S < late_s < until_s - since_s:
-                    detail = f"the endpoint ran it {late_s:.1f} s after {name} began to leave"
+                    detail = f"the endpoint started it {late_s:.1f} s after {name} began to leave"
                     yield Violation(self.name, detail, run.request_id, name, run.started_s)
 
 
-class _LateNews:
-    """Tell which process of an instance an entry instance knew of."""
+class _StaleNoticeDetector:
+    """Detect `member_leaving` events about a process that has been replaced by a restart."""
 
     def __init__(self) -> None:
         self._started_s: dict[str, float] = {}
         self._connected_s: dict[tuple[str, object], float] = {}
 
-    def note(self, event: Event) -> None:
+    def track(self, event: Event) -> None:
         if event.kind is EventKind.PROCESS_STARTED:
             self._started_s[event.instance] = event.hlc.seconds
         elif event.kind is EventKind.CONNECTED:
             self._connected_s[event.instance, event.fields.get("peer")] = event.hlc.seconds
 
-    def is_late(self, event: Event, name: str) -> bool:
+    def is_stale(self, event: Event, name: str) -> bool:
         connected_s = self._connected_s.get((event.instance, name))
         if event.kind is not EventKind.MEMBER_LEAVING or connected_s is None:
             return False
--- a/cassiadrum/invariants/rules.py
+++ b/cassiadrum/invariants/rules.py
@@ -1,19 +1,19 @@
-"""Base class of the rules."""
+"""Base class of rules."""
 
 from abc import ABC, abstractmethod
 from typing import ClassVar
 
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.violations import Violation
 
 __all__ = ["Rule"]
 
 
 class Rule(ABC):
-    """Check one invariant of the design page over a record."""
+    """Check of one invariant of the design page against a fleet record."""
 
     name: ClassVar[str]
 
     @abstractmethod
-    def check(self, record: Record) -> list[Violation]:
-        """Return every violation, an empty list when the invariant holds."""
+    def check(self, record: FleetRecord) -> list[Violation]:
+        """Return all violations, or an empty list if the invariant holds."""
--- a/cassiadrum/invariants/truthful_not_run_rules.py
+++ b/cassiadrum/invariants/truthful_not_run_rules.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from cassiadrum.events import EventKind
-from cassiadrum.invariants.records import Record
+from cassiadrum.invariants.fleet_records import FleetRecord
 from cassiadrum.invariants.rules import Rule
 from cassiadrum.invariants.violations import Violation
 
@@ -15,14 +15,14 @@
 
 
 class TruthfulNotRunRule(Rule):
-    """Reject refusals with `ran: no` of requests that an endpoint ran."""
+    """Reject refusals that state `ran: no` for requests that an endpoint ran."""
 
     name: ClassVar[str] = "truthful_not_run"
 
-    def check(self, record: Record) -> list[Violation]:
-        """Return each request that ran although its caller was told that it did not."""
-        told = {caller.request_id for caller in record.callers if caller.ran == "no"}
-        told |= {
+    def check(self, record: FleetRecord) -> list[Violation]:
+        """Return a violation for each run of a request that was reported as not run."""
+        reported_not_run = {caller.request_id for caller in record.callers if caller.ran == "no"}
+        reported_not_run |= {
             event.request_id
             for event in record.timeline.events
             if event.kind in (EventKind.REFUSED, EventKind.EVICTED)
@@ -37,5 +37,5 @@
                 run.started_s,
             )
             for run in record.runs
-            if run.request_id in told
+            if run.request_id in reported_not_run
         ]
--- a/cassiadrum/logs/set_up.py
+++ b/cassiadrum/logs/set_up.py
@@ -1,4 +1,4 @@
-"""Set-up of the `logging` package for a daemon."""
+"""Configuration of the `logging` package for a daemon."""
 
 import contextlib
 import logging
@@ -16,14 +16,14 @@
 
 __all__ = ["configure_logging"]
 
-# What waits at the end of the process is written within this time in seconds.
-CLOSE_LIMIT_S: Final = 1.0
+# Time limit for writing queued records when the handler is closed.
+CLOSE_TIMEOUT_S: Final = 1.0
 
 JSON_FIELDS: Final = ("levelname", "name", "message", *CONTEXT_FIELDS)
 
 
-class _LogHandler(logging.StreamHandler[TextIO]):
-    """Report the lines left out before the process ends."""
+class _ReportingStreamHandler(logging.StreamHandler[TextIO]):
+    """Stream handler that logs the number of suppressed records when it is closed."""
 
     def __init__(self, stream: TextIO | None, repeat_filter: RepeatFilter) -> None:
         super().__init__(stream)
@@ -31,25 +31,25 @@
 
     def close(self) -> None:
         if self in logging.getLogger().handlers:
-            self._repeat_filter.report()
+            self._repeat_filter.report_suppressed()
         super().close()
 
 
-class _QueuedHandler(BoundedQueueHandler):
-    """Write by another handler in a thread of its own."""
+class _ThreadedHandler(BoundedQueueHandler):
+    """Handler that passes records to another handler in a separate thread."""
 
-    def __init__(self, limit: int, handler: logging.Handler) -> None:
-        super().__init__(limit)
+    def __init__(self, capacity: int, handler: logging.Handler) -> None:
+        super().__init__(capacity)
         self._listener = logging.handlers.QueueListener(self.records, handler)
         self._listener.start()
 
     def close(self) -> None:
-        """Write what waits, unless the stream is not read."""
+        """Write the queued records, but give up after CLOSE_TIMEOUT_S if the stream is blocked."""
         with contextlib.suppress(queue.Full):
             self._listener.enqueue_sentinel()
             thread = getattr(self._listener, "_thread", None)
             if thread is not None:
-                thread.join(CLOSE_LIMIT_S)
+                thread.join(CLOSE_TIMEOUT_S)
         super().close()
 
 
@@ -61,11 +61,11 @@
     *,
     queue_limit: int = 0,
 ) -> None:
-    """Send all log records as `text` or `json` lines to `stream`, stderr by default.
+    """Write all log records as `text` or `json` lines to `stream`, stderr by default.
 
-    With `queue_limit`, a thread writes them and up to that many wait for it, so that a stream that
-    is not read delays nothing. Replaces the handler of an earlier call. Raises LogError on an
-    unknown format or level.
+    With a `queue_limit` above 0, a separate thread writes them from a queue of that many records,
+    so that a blocked stream does not block the caller. Replaces the handler of an earlier call.
+    Raises LogError on an unknown format or level.
     """
     formatter = _make_formatter(format)
     if level not in logging.getLevelNamesMapping():
@@ -73,17 +73,19 @@
             f"log level: found {level!r}; allowed: DEBUG, INFO, WARNING, ERROR, CRITICAL"
         )
     repeat_filter = RepeatFilter(time.monotonic)
-    handler = _LogHandler(stream, repeat_filter)
+    handler = _ReportingStreamHandler(stream, repeat_filter)
     handler.setFormatter(formatter)
     handler.addFilter(repeat_filter)
     handler.addFilter(ContextFilter(instance))
-    # Last, so that it sees the fields that the other filters set.
+    # Last, so that it also redacts the fields that the other filters set.
     handler.addFilter(RedactionFilter())
     root = logging.getLogger()
-    for old in [old for old in root.handlers if isinstance(old, _LogHandler | _QueuedHandler)]:
+    for old in [
+        old for old in root.handlers if isinstance(old, _ReportingStreamHandler | _ThreadedHandler)
+    ]:
         old.close()
         root.removeHandler(old)
-    root.addHandler(_QueuedHandler(queue_limit, handler) if queue_limit else handler)
+    root.addHandler(_ThreadedHandler(queue_limit, handler) if queue_limit else handler)
     root.setLevel(level)
 
 
@@ -95,7 +97,7 @@
     from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
 
     class Formatter(JsonFormatter):
-        """Leave empty context fields out."""
+        """JSON formatter that omits empty fields."""
 
         def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
             return {key: value for key, value in log_data.items() if value != ""}
--- a/cassiadrum/metrics/exporters.py
+++ b/cassiadrum/metrics/metric_exporters.py
@@ -1,6 +1,6 @@
-"""Transfer of the values into the collectors of aioprometheus.
+"""Export of metric values through the collectors of aioprometheus.
 
-This module is the only one that loads the library, and only when metrics are rendered.
+Only this module imports the library, and only when metrics are rendered.
 """
 
 from collections.abc import Mapping
@@ -12,18 +12,18 @@
 if TYPE_CHECKING:
     from aioprometheus.collectors import Registry
 
-__all__ = ["Exporter", "make_registry"]
+__all__ = ["MetricExporter", "make_registry"]
 
 
 def make_registry() -> "Registry":
-    """Return a new, empty registry; loads aioprometheus."""
+    """Return a new, empty registry; imports aioprometheus."""
     from aioprometheus.collectors import Registry  # noqa: PLC0415
 
     return Registry()
 
 
-class Exporter:
-    """Register a collector for each metric and fill it when rendering."""
+class MetricExporter:
+    """Register a collector for each metric and fill the collectors on rendering."""
 
     def __init__(
         self, registry: "Registry", definitions: Mapping[str, MetricDefinition] = DEFINITIONS
@@ -39,30 +39,32 @@
         }
 
     def render(self, values: MetricValues) -> bytes:
-        """Return the text format of all metrics in the registry."""
+        """Return all metrics of the registry in the Prometheus text format."""
         from aioprometheus.renderer import render  # noqa: PLC0415
 
         for name, definition in self._definitions.items():
             collector = self._collectors[name]
             collector.values.clear()
-            for labels, value in values.numbers[name].items():
+            for labels, value in values.scalars[name].items():
                 collector.set_value(_label_dict(definition, labels), value)
             for labels, histogram in values.histograms[name].items():
-                collector.set_value(_label_dict(definition, labels), _library_value(histogram))
+                collector.set_value(
+                    _label_dict(definition, labels), _to_library_histogram(histogram)
+                )
         content, _ = render(self._registry, [])
         return content
 
 
 def _label_dict(definition: MetricDefinition, labels: tuple[str, ...]) -> dict[str, str]:
-    return dict(zip(definition.labels, map(_escape, labels), strict=True))
+    return dict(zip(definition.labels, map(_escape_label_value, labels), strict=True))
 
 
-def _escape(value: str) -> str:
-    # The library writes label values as they are, but the text format requires these escapes.
+def _escape_label_value(value: str) -> str:
+    # The library does not escape label values as the text format requires.
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
-def _library_value(histogram: HistogramValue) -> Any:
+def _to_library_histogram(histogram: HistogramValue) -> Any:
     from aioprometheus.histogram import Histogram  # noqa: PLC0415
 
     value = Histogram(*histogram.bounds)
--- a/cassiadrum/metrics/role_metrics.py
+++ b/cassiadrum/metrics/role_metrics.py
@@ -1,10 +1,10 @@
-"""What the roles measure."""
+"""Metrics recorded by the roles."""
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Literal
 
-from cassiadrum.metrics.customer_ranks import CustomerRanks
-from cassiadrum.metrics.exporters import Exporter
+from cassiadrum.metrics.customer_rankings import CustomerRanking
+from cassiadrum.metrics.metric_exporters import MetricExporter
 from cassiadrum.metrics.metric_values import MetricValues
 
 if TYPE_CHECKING:
@@ -14,10 +14,10 @@
 
 
 class RoleMetrics:
-    """Take measurements of a role and render them.
+    """Record the metrics of a role and render them.
 
-    `monotonic_s` returns monotonic seconds. Without a registry, measurements are taken but not
-    rendered, and the metrics library is not loaded. Times are in seconds.
+    `monotonic_s` returns monotonic seconds. Without a registry, metrics are recorded but not
+    rendered, and the metrics library is not imported. Times are in seconds.
     """
 
     def __init__(
@@ -25,86 +25,90 @@
     ) -> None:
         self._monotonic_s = monotonic_s
         self._values = MetricValues()
-        self._customers = CustomerRanks()
-        self._exporter = Exporter(registry) if registry is not None else None
+        self._customers = CustomerRanking()
+        self._exporter = MetricExporter(registry) if registry is not None else None
 
-    def received(self, service: str, class_name: str) -> None:
-        """Count a request."""
+    def count_request(self, service: str, class_name: str) -> None:
+        """Count a received request."""
         self._values.add("cassiadrum_requests_total", (service, class_name))
 
-    def queue_wait(self, service: str, class_name: str, wait_s: float) -> None:
+    def observe_queue_wait(self, service: str, class_name: str, wait_s: float) -> None:
         """Observe the time in the queue before a dispatch."""
         self._values.observe("cassiadrum_queue_wait_seconds", (service, class_name), wait_s)
 
-    def first_token(self, service: str, class_name: str, latency_s: float) -> None:
+    def observe_first_token(self, service: str, class_name: str, latency_s: float) -> None:
         """Observe the time from receipt to the first token."""
         self._values.observe("cassiadrum_first_token_seconds", (service, class_name), latency_s)
 
-    def inter_token(self, service: str, class_name: str, gap_s: float, count: int = 1) -> None:
-        """Observe `count` equal gaps between tokens."""
+    def observe_inter_token(
+        self, service: str, class_name: str, gap_s: float, count: int = 1
+    ) -> None:
+        """Observe `count` equal intervals between tokens."""
         labels = (service, class_name)
         self._values.observe("cassiadrum_inter_token_seconds", labels, gap_s, count)
 
-    def refused(self, service: str, reason: str) -> None:
+    def count_refusal(self, service: str, reason: str) -> None:
         """Count a refusal by its reason."""
         self._values.add("cassiadrum_refusals_total", (service, reason))
 
-    def attained(self, service: str, class_name: str, met: bool) -> None:
+    def count_attainment(self, service: str, class_name: str, met: bool) -> None:
         """Count a request that met or missed the latency target of its class."""
         labels = (service, class_name, "met" if met else "missed")
         self._values.add("cassiadrum_attainment_total", labels)
 
-    def delivered(self, service: str, class_name: str, customer: str, tokens: int) -> None:
+    def count_delivered_tokens(
+        self, service: str, class_name: str, customer: str, tokens: int
+    ) -> None:
         """Count the tokens of a completed and delivered answer."""
         self._values.add("cassiadrum_goodput_tokens_total", (service, class_name), tokens)
         self._customers.add(customer, tokens, self._monotonic_s())
 
-    def wasted(self, service: str, reason: str, tokens: int) -> None:
-        """Count tokens computed for nobody."""
+    def count_wasted_tokens(self, service: str, reason: str, tokens: int) -> None:
+        """Count tokens of cancelled, duplicated or discarded answers by reason."""
         self._values.add("cassiadrum_wasted_tokens_total", (service, reason), tokens)
 
-    def retried(self, service: str, class_name: str) -> None:
+    def count_retry(self, service: str, class_name: str) -> None:
         """Count a retry."""
         self._values.add("cassiadrum_retries_total", (service, class_name))
 
-    def hedged(self, service: str, class_name: str) -> None:
+    def count_hedge(self, service: str, class_name: str) -> None:
         """Count a hedge."""
         self._values.add("cassiadrum_hedges_total", (service, class_name))
 
-    def claimed(self, service: str, outcome: str) -> None:
+    def count_claim(self, service: str, outcome: str) -> None:
         """Count a once-only claim by its outcome."""
         self._values.add("cassiadrum_claims_total", (service, outcome))
 
-    def control_bytes(self, direction: Literal["in", "out"], size: int) -> None:
-        """Count bytes of messages between own processes, without bodies."""
+    def count_control_bytes(self, direction: Literal["in", "out"], size: int) -> None:
+        """Count bytes of control messages between own processes, excluding bodies."""
         self._values.add("cassiadrum_control_bytes_total", (direction,), size)
 
-    def store_called(self, store: str, result: str) -> None:
+    def count_store_call(self, store: str, result: str) -> None:
         """Count a call to a store by its result."""
         self._values.add("cassiadrum_store_calls_total", (store, result))
 
-    def leases_held(self, count: int) -> None:
+    def set_leases_held(self, count: int) -> None:
         """Set the number of leases held."""
         self._values.set("cassiadrum_leases_held", (), count)
 
-    def configuration_version(self, service: str, version: int) -> None:
-        """Set the version of a service document in force."""
+    def set_configuration_version(self, service: str, version: int) -> None:
+        """Set the version in force of a service document."""
         self._values.set("cassiadrum_configuration_version", (service,), version)
 
-    def connections(self, peer: str, count: int) -> None:
+    def set_connections(self, peer: str, count: int) -> None:
         """Set the number of open connections by kind of peer, such as `sidecar` or `caller`."""
         self._values.set("cassiadrum_connections", (peer,), count)
 
-    def queue_length(self, service: str, count: int) -> None:
+    def set_queue_length(self, service: str, count: int) -> None:
         """Set the number of waiting requests."""
         self._values.set("cassiadrum_queue_length", (service,), count)
 
     def top_customers(self) -> list[tuple[str, int]]:
-        """Return the names and tokens of the ranked customers in the last full window."""
+        """Return the names and tokens of the top customers in the last complete window."""
         return self._customers.last_window(self._monotonic_s())[0]
 
     def render(self) -> bytes:
-        """Return the text for `/metrics`, empty without a registry."""
+        """Return the response body of `/metrics`, empty without a registry."""
         if self._exporter is None:
             return b""
         ranked, other = self._customers.last_window(self._monotonic_s())
