--- a/bench/capacity/state_series.py
+++ b/bench/capacity/state_series.py
@@ -206,7 +206,10 @@
         kept = []
         for number in range(count):
             req, body = make_request(number, 0.0), bytes(PROMPT_BYTES)
-            start = StartRequest(                f"{req.request_id}.1", req.request_id, "svc", "all", 1, False, False, True,                req.customer, 300.0, "POST", "/v1/completions", [], body,            )  # fmt: skip
+            start = StartRequest(
+                f"{req.request_id}.1", req.request_id, "svc", "all", 1, False, False, True,
+                req.customer, 300.0, "POST", "/v1/completions", [], body,
+            )  # fmt: skip
             stream = SidecarStream(start, req, None)  # type: ignore[arg-type]
             stream.buffer.append(bytes(ANSWER_BYTES))
             kept.append(stream)
