--- a/cassiadrum/demo.py
+++ b/cassiadrum/demo.py
@@ -43,12 +43,12 @@
     site = LocalSite(list(mix.texts))
     await site.start()
     sender = LoadSender([entry.addresses["http"] for entry in site.entries], site.documents, SEED)
-    await sender.run(LoadPlan.of_mix(mix, SEED))
+    await sender.run(LoadPlan.from_mix(mix, SEED))
     await site.drain()
     record = site.record(sender.outcomes)
     await site.close()
-    computed = sum(run["tokens"] for slot in site.slots for run in slot.endpoint.runs)
-    report = LoadReport.of_sender(sender, SEED, mix.duration_s)
+    computed = sum(run["tokens"] for endpoint in site.endpoints for run in endpoint.standin.runs)
+    report = LoadReport.from_sender(sender, SEED, mix.duration_s)
     return report._replace(
         tokens_wasted=computed - report.tokens_delivered,
         missing_events=record.missing_events,
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -32,7 +32,7 @@
         try:
             # A call that cannot be repeated must not be lost to a connection closed while idle.
             return await self._client.request(
-                call.method, call.target, headers, body, fresh=not call.repeatable
+                call.method, call.target, headers, body, new_connection=not call.repeatable
             )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
--- a/cassiadrum/frontends/problems.py
+++ b/cassiadrum/frontends/problems.py
@@ -11,7 +11,7 @@
 PROBLEM_TYPE: Final = "application/problem+json"
 
 # Reason: HTTP status and title.
-REASONS: Final[dict[str, tuple[int, str]]] = {
+STATUS_AND_TITLE_BY_REASON: Final[dict[str, tuple[int, str]]] = {
     "unknown_service": (404, "No service of this name is configured"),
     "unknown_class": (404, "No class of the service matches the request"),
     "unknown_request": (404, "No answer of this request is kept here"),
@@ -45,11 +45,11 @@
     @property
     def status(self) -> int:
         """Return the HTTP status."""
-        return REASONS.get(self.reason, (500, ""))[0]
+        return STATUS_AND_TITLE_BY_REASON.get(self.reason, (500, ""))[0]
 
     def body(self) -> bytes:
         """Return the JSON body."""
-        status, title = REASONS.get(self.reason, (500, "Internal error"))
+        status, title = STATUS_AND_TITLE_BY_REASON.get(self.reason, (500, "Internal error"))
         fields: dict[str, object] = {
             "type": f"urn:cassiadrum:problem:{self.reason}",
             "title": title,
--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -2,8 +2,8 @@
 
 __all__ = ["EventSplitter"]
 
-SEPARATOR = b"\n\n"
-DONE = b"data: [DONE]"
+EVENT_SEPARATOR = b"\n\n"
+DONE_EVENT = b"data: [DONE]"
 
 
 class EventSplitter:
@@ -14,28 +14,28 @@
 
     def __init__(self) -> None:
         self.events = 0
-        self._rest = b""
+        self._buffer = b""
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Return the size of the unfinished event."""
-        return len(self._rest)
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the whole events among them."""
-        self._rest += data
-        end = self._rest.rfind(SEPARATOR)
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_SEPARATOR)
         if end < 0:
             return b""
-        whole, self._rest = self._rest[: end + 2], self._rest[end + 2 :]
-        self.events += whole.count(SEPARATOR) - whole.count(DONE)
+        whole, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
+        self.events += whole.count(EVENT_SEPARATOR) - whole.count(DONE_EVENT)
         return whole
 
-    def restart(self) -> None:
+    def discard_partial_event(self) -> None:
         """Drop the part of an event that a failed attempt left."""
-        self._rest = b""
+        self._buffer = b""
 
-    def rest(self) -> bytes:
+    def take_rest(self) -> bytes:
         """Return what is left at the end of the stream."""
-        rest, self._rest = self._rest, b""
+        rest, self._buffer = self._buffer, b""
         return rest
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -162,7 +162,7 @@
         """State how much of the answer is kept in memory; raise AttemptFailed for too much."""
         if size_bytes > ANSWER_BYTES:
             raise self.broken(f"the answer is larger than {ANSWER_BYTES} bytes")
-        if not self._bodies.grow(self._held_bytes, size_bytes):
+        if not self._bodies.try_resize(self._held_bytes, size_bytes):
             raise self.broken("the answers of all requests take more than their memory")
         self._held_bytes = size_bytes
 
--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -32,7 +32,7 @@
         """Add bytes and return the whole events; raise AttemptFailed on a gap or a repetition."""
         whole = self._splitter.feed(data)
         self.count += len(EVENT_DATA.findall(whole))
-        if self._splitter.held_bytes > EVENT_BYTES:
+        if self._splitter.buffered_bytes > EVENT_BYTES:
             raise AttemptFailed(f"an event is larger than {EVENT_BYTES} bytes")
         for found in EVENT_ID.findall(whole):
             event_id = found.decode()
@@ -52,13 +52,13 @@
     @property
     def held_bytes(self) -> int:
         """Return the size of the unfinished event."""
-        return self._splitter.held_bytes
+        return self._splitter.buffered_bytes
 
     def end(self) -> None:
         """Take the end of the stream; raise AttemptFailed inside an event."""
-        if self._splitter.held_bytes:
+        if self._splitter.buffered_bytes:
             raise AttemptFailed("the stream ended inside an event")
 
     def restart(self) -> None:
         """Drop the part of an event that a failed attempt left."""
-        self._splitter.restart()
+        self._splitter.discard_partial_event()
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -191,7 +191,7 @@
             outcome = f"error: {exc!r}"
             raise
         finally:
-            well = outcome == ANSWERED or exchange.gone.is_set()
+            well = outcome == ANSWERED or exchange.disconnected.is_set()
             self._log.end(ticket, outcome, well=well, **self._belief())
             self._metrics.ended(ticket.service, outcome, self._clock() - ticket.received_s)
 
@@ -350,4 +350,4 @@
                 self._log.note(ticket, "caller left")
                 task.cancel()
 
-        exchange.when_gone(on_gone)
+        exchange.on_disconnect(on_gone)
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -144,7 +144,7 @@
                 progress_s = now
             if whole:
                 self._put_stream_head(attempt)
-                self._exchange.put_data(whole)
+                self._exchange.buffer_data(whole)
                 flushed_s = self._clock()
                 await self._exchange.flush()
                 # A caller that reads slowly is no fault of the endpoint.
@@ -171,13 +171,13 @@
     def _put_stream_head(self, attempt: Attempt) -> None:
         if not self._exchange.started:
             head = attempt.head
-            self._exchange.put_head(head.status, head.headers)
+            self._exchange.buffer_head(head.status, head.headers)
 
     async def _send(self, answer: WholeAnswer) -> None:
         headers = (*answer.head.headers, ("content-length", str(len(answer.body))))
-        self._exchange.put_head(answer.head.status, headers)
+        self._exchange.buffer_head(answer.head.status, headers)
         if self._exchange.req.method != "HEAD":
-            self._exchange.put_data(answer.body)
+            self._exchange.buffer_data(answer.body)
         await self._exchange.end()
 
     def _first_bytes_s(self, attempt: Attempt) -> float | None:
--- a/cassiadrum/loads/class_results.py
+++ b/cassiadrum/loads/class_results.py
@@ -9,8 +9,8 @@
 
 __all__ = ["ClassResult"]
 
-HIGHEST_US = 3_600_000_000
-DIGITS = 3
+MAX_LATENCY_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 3
 PERCENTILES = (50.0, 90.0, 95.0, 99.0)
 
 
@@ -27,12 +27,12 @@
         self.attained = 0
         self.tokens = 0
         self.refusals: Counter[str] = Counter()
-        self.first_token: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
-        self.total: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
+        self.first_token: Any = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self.total: Any = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         self._cls = cls
         self._kind = kind
 
-    def answer(self, first_s: float, total_s: float, tokens: int) -> None:
+    def record_answer(self, first_s: float, total_s: float, tokens: int) -> None:
         """Count a whole answer; the targets decide whether it was in time."""
         self.answered += 1
         self.tokens += tokens
@@ -66,7 +66,7 @@
 
 
 def _microseconds(seconds: float) -> int:
-    return min(max(1, round(seconds * 1e6)), HIGHEST_US)
+    return min(max(1, round(seconds * 1e6)), MAX_LATENCY_US)
 
 
 def _percentiles(histogram: Any) -> dict[str, float]:
--- a/cassiadrum/loads/load_mixes.py
+++ b/cassiadrum/loads/load_mixes.py
@@ -51,8 +51,8 @@
 
     Raises MixError with one finding for each error, those of the documents included.
     """
-    raw = _read(path)
-    findings = _check_shape(raw, str(path))
+    raw = _parse_toml(path)
+    findings = _check_schema(raw, str(path))
     if findings:
         raise MixError(findings)
     texts, documents = _read_documents(path, raw["load"]["documents"])
@@ -68,13 +68,13 @@
         tuple(ClassRate(**table) for table in raw["class"]),
         tuple(Burst(**table) for table in raw.get("burst", [])),
     )
-    findings = _check_meaning(mix, str(path))
+    findings = _check_consistency(mix, str(path))
     if findings:
         raise MixError(findings)
     return mix
 
 
-def _read(path: Path) -> dict[str, Any]:
+def _parse_toml(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError) as exc:
@@ -83,7 +83,7 @@
         raise MixError([Finding(str(path), "(syntax)", str(exc), "TOML 1.0")]) from exc
 
 
-def _check_shape(raw: dict[str, Any], file: str) -> list[Finding]:
+def _check_schema(raw: dict[str, Any], file: str) -> list[Finding]:
     findings = check_table(raw, MixTable, file, "")
     if findings:
         return findings
@@ -110,7 +110,7 @@
     return texts, documents
 
 
-def _check_meaning(mix: LoadMix, file: str) -> list[Finding]:
+def _check_consistency(mix: LoadMix, file: str) -> list[Finding]:
     known = {(doc.name, cls.name) for doc in mix.documents for cls in doc.classes}
     findings: list[Finding] = []
     if not mix.rates:
--- a/cassiadrum/loads/load_plans.py
+++ b/cassiadrum/loads/load_plans.py
@@ -37,7 +37,7 @@
     requests: tuple[PlannedRequest, ...]
 
     @classmethod
-    def mixed(
+    def uniform_mix(
         cls, documents: list[ServiceDocument], rate_per_s: float, duration_s: float, seed: int
     ) -> "LoadPlan":
         """Return Poisson arrivals spread evenly over the classes of all documents."""
@@ -55,11 +55,13 @@
             streamed = rng.random() < STREAMED_SHARE
             customer = f"customer-{index + 1}"
             requests.append(
-                _plan(document, request_class, at_s, name, customer, streamed, rng.choice(TOPICS))
+                _plan_request(
+                    document, request_class, at_s, name, customer, streamed, rng.choice(TOPICS)
+                )
             )
 
     @classmethod
-    def of_mix(cls, mix: LoadMix, seed: int, scale: float = 1.0) -> "LoadPlan":
+    def from_mix(cls, mix: LoadMix, seed: int, scale: float = 1.0) -> "LoadPlan":
         """Return Poisson arrivals of each class at its rate times `scale`, with its bursts."""
         requests: list[PlannedRequest] = []
         documents = {document.name: document for document in mix.documents}
@@ -69,30 +71,32 @@
             document = documents[rate.service]
             request_class = document.named_class(rate.name)
             assert request_class is not None  # checked with the file
-            for number, at_s in enumerate(_arrivals(mix, rate, scale, rng)):
+            for number, at_s in enumerate(_arrival_times(mix, rate, scale, rng)):
                 name = f"{seed}-{rate.name}-{number}"
-                customer, streamed = _customer(mix, rng), rng.random() < mix.streamed_share
+                customer, streamed = _choose_customer(mix, rng), rng.random() < mix.streamed_share
                 topic = rng.choice(TOPICS)
                 requests.append(
-                    _plan(document, request_class, at_s, name, customer, streamed, topic)
+                    _plan_request(document, request_class, at_s, name, customer, streamed, topic)
                 )
         return cls(tuple(sorted(requests)))
 
 
-def _arrivals(mix: LoadMix, rate: ClassRate, scale: float, rng: random.Random) -> Iterator[float]:
-    """Yield the arrivals of a rate that varies in time, by thinning those of the highest rate."""
+def _arrival_times(
+    mix: LoadMix, rate: ClassRate, scale: float, rng: random.Random
+) -> Iterator[float]:
+    """Yield the arrival times of a class, thinning a Poisson process at its peak rate."""
     bursts = [b for b in mix.bursts if (b.service, b.name) == (rate.service, rate.name)]
-    highest = 1.0
+    peak_factor = 1.0
     for burst in bursts:
-        highest *= max(1.0, burst.factor)
-    at_s = rng.expovariate(rate.rate_per_s * scale * highest)
+        peak_factor *= max(1.0, burst.factor)
+    at_s = rng.expovariate(rate.rate_per_s * scale * peak_factor)
     while at_s < mix.duration_s:
-        if rng.random() * highest < _factor(bursts, at_s):
+        if rng.random() * peak_factor < _burst_factor(bursts, at_s):
             yield at_s
-        at_s += rng.expovariate(rate.rate_per_s * scale * highest)
+        at_s += rng.expovariate(rate.rate_per_s * scale * peak_factor)
 
 
-def _factor(bursts: list[Burst], at_s: float) -> float:
+def _burst_factor(bursts: list[Burst], at_s: float) -> float:
     factor = 1.0
     for burst in bursts:
         if burst.start_s <= at_s < burst.start_s + burst.duration_s:
@@ -100,14 +104,14 @@
     return factor
 
 
-def _customer(mix: LoadMix, rng: random.Random) -> str:
+def _choose_customer(mix: LoadMix, rng: random.Random) -> str:
     large = mix.large_customers
     if large == mix.customers or rng.random() < mix.large_share:
         return f"customer-{rng.randrange(large) + 1}"
     return f"customer-{rng.randrange(large, mix.customers) + 1}"
 
 
-def _plan(
+def _plan_request(
     document: ServiceDocument,
     cls: RequestClass,
     at_s: float,
--- a/cassiadrum/loads/load_reports.py
+++ b/cassiadrum/loads/load_reports.py
@@ -26,7 +26,7 @@
     checked: str = "nothing"
 
     @classmethod
-    def of_sender(cls, sender: LoadSender, seed: int, duration_s: float) -> "LoadReport":
+    def from_sender(cls, sender: LoadSender, seed: int, duration_s: float) -> "LoadReport":
         """Return the report of what callers saw."""
         services: dict[str, dict[str, dict[str, Any]]] = {}
         for (service, class_name), result in sender.results.items():
--- a/cassiadrum/loads/load_runs.py
+++ b/cassiadrum/loads/load_runs.py
@@ -23,12 +23,12 @@
     """Send the load from a running event loop; see `run_load`."""
     mix = options.mix
     sender = LoadSender(options.entries, mix.documents, options.seed, standins=options.standins)
-    plan = LoadPlan.of_mix(mix, options.seed, options.scale)
+    plan = LoadPlan.from_mix(mix, options.seed, options.scale)
     if not options.instances:
         await sender.run(plan)
-        return LoadReport.of_sender(sender, options.seed, mix.duration_s)
+        return LoadReport.from_sender(sender, options.seed, mix.duration_s)
     reader = ProcessReader(options.instances, options.admin_token)
-    wasted_before = await reader.wasted_tokens()
+    wasted_before = await reader.read_wasted_tokens()
     reading = asyncio.create_task(reader.run())
     try:
         await sender.run(plan)
@@ -38,8 +38,8 @@
             await reading
     await reader.read()
     record = Record(merge(reader.events), tuple(sender.outcomes), (), mix.documents)
-    return LoadReport.of_sender(sender, options.seed, mix.duration_s)._replace(
-        tokens_wasted=await reader.wasted_tokens() - wasted_before,
+    return LoadReport.from_sender(sender, options.seed, mix.duration_s)._replace(
+        tokens_wasted=await reader.read_wasted_tokens() - wasted_before,
         missing_events=record.missing_events,
         violations=check_record(record),
         checked="events",
--- a/cassiadrum/loads/load_senders.py
+++ b/cassiadrum/loads/load_senders.py
@@ -17,9 +17,9 @@
 
 __all__ = ["LoadSender"]
 
-PROBLEM = "application/problem+json"
+PROBLEM_TYPE = "application/problem+json"
 # An answer that is later than the deadline of its class by this much is given up on.
-GRACE_S = 10.0
+DEADLINE_GRACE_S = 10.0
 
 
 class _Answer(NamedTuple):
@@ -76,17 +76,17 @@
     async def _send(self, req: PlannedRequest, client: HttpClient, due_s: float) -> None:
         result = self.results[req.service, req.class_name]
         result.sent += 1
-        limit_s = self._classes[req.service, req.class_name].deadline_s + GRACE_S
-        answer = await _exchange(req, client, due_s, limit_s)
+        limit_s = self._classes[req.service, req.class_name].deadline_s + DEADLINE_GRACE_S
+        answer = await _send_request(req, client, due_s, limit_s)
         tokens = len(answer.content.split()) if req.prompt else 0
         if answer.complete and answer.status < 300:
-            result.answer(answer.first_s or answer.total_s, answer.total_s, tokens)
+            result.record_answer(answer.first_s or answer.total_s, answer.total_s, tokens)
         else:
             result.refusals[answer.reason or "connection_lost"] += 1
         self.outcomes.append(_outcome(req, answer, self._standins))
 
 
-async def _exchange(
+async def _send_request(
     req: PlannedRequest, client: HttpClient, due_s: float, limit_s: float
 ) -> _Answer:
     headers: Headers = (("x-customer", req.customer), ("x-request-class", req.class_name))
@@ -97,13 +97,13 @@
     try:
         async with asyncio.timeout(limit_s):
             response = await client.request(req.method, req.target, headers, req.body)
-            return await _read(response, due_s)
+            return await _read_answer(response, due_s)
     except (HttpError, TimeoutError) as exc:
         reason = "no_answer" if isinstance(exc, TimeoutError) else ""
         return _Answer(0, "", b"", None, time.monotonic() - due_s, "", reason, False)
 
 
-async def _read(response: HttpResponse, started_s: float) -> _Answer:
+async def _read_answer(response: HttpResponse, started_s: float) -> _Answer:
     request_id = response.header("x-request-id").partition("@")[0]
     if "." in request_id:
         request_id = request_id.rpartition(".")[0]
@@ -117,7 +117,7 @@
         complete = False
     total_s = time.monotonic() - started_s
     content_type = response.header("content-type")
-    if content_type == PROBLEM:
+    if content_type == PROBLEM_TYPE:
         problem = json.loads(body)
         ran, reason = problem["ran"], problem["reason"]
         return _Answer(response.status, request_id, body, first_s, total_s, ran, reason, True)
@@ -154,7 +154,7 @@
 
 def _outcome(req: PlannedRequest, answer: _Answer, standins: bool) -> CallerOutcome:
     known = standins and req.prompt
-    expected = _digest(answer_text(req.prompt, MAX_TOKENS).encode()) if known else ""
+    expected = _sha256_hex(answer_text(req.prompt, MAX_TOKENS).encode()) if known else ""
     return CallerOutcome(
         answer.request_id,
         req.service,
@@ -163,12 +163,12 @@
         req.key,
         answer.status,
         answer.ran,
-        _digest(answer.content),
+        _sha256_hex(answer.content),
         expected,
         None if answer.first_s is None else time.time() - answer.total_s + answer.first_s,
         answer.complete,
     )
 
 
-def _digest(content: bytes) -> str:
+def _sha256_hex(content: bytes) -> str:
     return hashlib.sha256(content).hexdigest()
--- a/cassiadrum/loads/process_readers.py
+++ b/cassiadrum/loads/process_readers.py
@@ -14,9 +14,11 @@
 
 __all__ = ["ProcessReader"]
 
-POLL_S = 0.5
+POLL_INTERVAL_S = 0.5
 READ_TIMEOUT_S = 5.0
-WASTED = re.compile(r"^cassiadrum_wasted_tokens_total\{[^}]*\} ([0-9.e+]+)$", re.MULTILINE)
+WASTED_TOKENS_PATTERN = re.compile(
+    r"^cassiadrum_wasted_tokens_total\{[^}]*\} ([0-9.e+]+)$", re.MULTILINE
+)
 
 
 class ProcessReader:
@@ -28,35 +30,39 @@
 
     def __init__(self, instance_list: str, admin_token: str = "") -> None:
         self.events: list[Event] = []
-        self._list = HttpInstanceList(StoreTransport(_client(instance_list), time.monotonic))
+        self._instance_list = HttpInstanceList(
+            StoreTransport(_client(instance_list), time.monotonic)
+        )
         self._headers: Headers = (("authorization", f"Bearer {admin_token}"),)
         if not admin_token:
             self._headers = ()
-        self._read_to: dict[str, int] = {}
+        self._last_sequences: dict[str, int] = {}
 
     async def run(self) -> None:
         """Read events until cancelled."""
         while True:
             with contextlib.suppress(StoreUnavailable):
                 await self.read()
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def read(self) -> None:
         """Read all events that are new; raise StoreUnavailable without an instance list."""
-        addresses = [member.admin_address for member in await self._list.fetch()]
+        addresses = [member.admin_address for member in await self._instance_list.fetch()]
         await asyncio.gather(*(self._read_events(address) for address in addresses))
 
-    async def wasted_tokens(self) -> int:
+    async def read_wasted_tokens(self) -> int:
         """Return the sum over all instances since their starts; raise StoreUnavailable."""
         total = 0.0
-        for member in await self._list.fetch():
+        for member in await self._instance_list.fetch():
             text = await self._get(member.admin_address, "/metrics")
-            total += sum(float(value) for value in WASTED.findall((text or b"").decode()))
+            total += sum(
+                float(value) for value in WASTED_TOKENS_PATTERN.findall((text or b"").decode())
+            )
         return int(total)
 
     async def _read_events(self, address: str) -> None:
         while True:
-            after = self._read_to.get(address, 0)
+            after = self._last_sequences.get(address, 0)
             body = await self._get(address, f"/admin/events?after={after}")
             if body is None:
                 return
@@ -68,7 +74,7 @@
             if not events:
                 return
             self.events += events
-            self._read_to[address] = events[-1].sequence
+            self._last_sequences[address] = events[-1].sequence
 
     async def _get(self, address: str, target: str) -> bytes | None:
         """Return a body, or None when the instance does not answer."""
--- a/cassiadrum/loads/report_pages.py
+++ b/cassiadrum/loads/report_pages.py
@@ -11,8 +11,8 @@
 WIDTH: Final = 900
 ROW_HEIGHT: Final = 26
 LABEL_WIDTH: Final = 260
-MIN_S: Final = 0.001
-MAX_S: Final = 1000.0
+AXIS_MIN_S: Final = 0.001
+AXIS_MAX_S: Final = 1000.0
 COLOURS: Final = {"p50": "#2b6cb0", "p90": "#63b3ed", "p99": "#dd6b20", "max": "#a0aec0"}
 STYLE: Final = (
     "body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}"
@@ -39,14 +39,14 @@
 def _summary(report: LoadReport) -> str:
     violations = "not checked" if report.violations is None else str(len(report.violations))
     wasted = "not read" if report.tokens_wasted is None else str(report.tokens_wasted)
-    facts = {
+    summary = {
         "Seed": report.seed,
         "Duration": f"{report.duration_s:g} s",
         "Delivered tokens": report.tokens_delivered,
         "Wasted tokens": wasted,
         "Invariant violations": violations,
     }
-    items = "".join(f"<li>{escape(k)}: {escape(str(v))}</li>" for k, v in facts.items())
+    items = "".join(f"<li>{escape(k)}: {escape(str(v))}</li>" for k, v in summary.items())
     found = "".join(
         f"<li>{escape(violation.rule)}: {escape(violation.detail)}</li>"
         for violation in report.violations or []
@@ -72,21 +72,21 @@
 
 def _decades(height: int) -> list[tuple[float, str]]:
     marks = []
-    for power in range(round(math.log10(MIN_S)), round(math.log10(MAX_S)) + 1):
-        x = _x(10.0**power)
+    for power in range(round(math.log10(AXIS_MIN_S)), round(math.log10(AXIS_MAX_S)) + 1):
+        x = _axis_x(10.0**power)
         marks.append((x, f'<text x="{x:.1f}" y="{height - 6}">{10.0**power:g} s</text>'))
     return marks
 
 
 def _plot_row(y: int, name: str, row: dict[str, Any]) -> str:
     label = f'<text x="0" y="{y + 17}">{escape(name)}</text>'
-    target = _x(row["target_s"])
+    target = _axis_x(row["target_s"])
     line = (
         f'<line x1="{target:.1f}" y1="{y + 3}" x2="{target:.1f}" y2="{y + 23}" '
         'stroke="#c53030" stroke-width="2"/>'
     )
     dots = "".join(
-        f'<circle cx="{_x(row["latency_s"][key]):.1f}" cy="{y + 13}" r="5" fill="{colour}">'
+        f'<circle cx="{_axis_x(row["latency_s"][key]):.1f}" cy="{y + 13}" r="5" fill="{colour}">'
         f"<title>{key} {row['latency_s'][key]:.4f} s</title></circle>"
         for key, colour in COLOURS.items()
         if key in row["latency_s"]
@@ -94,9 +94,11 @@
     return label + line + dots
 
 
-def _x(seconds: float) -> float:
+def _axis_x(seconds: float) -> float:
     """Return the place of a time on the logarithmic axis, in pixels."""
-    share = math.log(min(max(seconds, MIN_S), MAX_S) / MIN_S) / math.log(MAX_S / MIN_S)
+    share = math.log(min(max(seconds, AXIS_MIN_S), AXIS_MAX_S) / AXIS_MIN_S) / math.log(
+        AXIS_MAX_S / AXIS_MIN_S
+    )
     return LABEL_WIDTH + share * (WIDTH - LABEL_WIDTH - 60)
 
 
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -122,8 +122,8 @@
     def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
         self._call_server.set_limits(
-            header_limit=limits.header_bytes,
-            body_limit=limits.body_bytes,
+            header_limit_bytes=limits.header_bytes,
+            body_limit_bytes=limits.body_bytes,
             read_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
         )
@@ -190,7 +190,7 @@
                 await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
                 await self._call_server.close()
         except TimeoutError:
-            running = self._call_server.running
+            running = self._call_server.requests_in_flight
             logger.warning(
                 "grace time ended, cutting running requests", extra={"cut_requests": running}
             )
--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -98,7 +98,7 @@
 
     async def _run(self, exchange: Exchange, request_id: str) -> None:
         if self.hang:
-            await exchange.gone.wait()
+            await exchange.disconnected.wait()
             self.stopped.append(request_id)
             return
         head: Headers = (
@@ -126,7 +126,7 @@
                 await exchange.send_data(f"id: {number}\nda".encode())
                 exchange.abort()
                 return
-            if exchange.gone.is_set():
+            if exchange.disconnected.is_set():
                 self.stopped.append(request_id)
                 return
             event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
--- a/cassiadrum/platform/standins/row_services.py
+++ b/cassiadrum/platform/standins/row_services.py
@@ -96,7 +96,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
         if self.fault is StoreFault.SILENT:
-            await exchange.gone.wait()
+            await exchange.disconnected.wait()
         elif self.fault is StoreFault.RESET:
             exchange.abort()
         elif self.fault is StoreFault.BUSY:
--- a/cassiadrum/protocols/body_budgets.py
+++ b/cassiadrum/protocols/body_budgets.py
@@ -10,14 +10,14 @@
     out; the rest comes from `limit_bytes`, which all share.
     """
 
-    def __init__(self, limit_bytes: int, free_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, exempt_bytes: int) -> None:
         self.used_bytes = 0
         self._limit_bytes = limit_bytes
-        self._free_bytes = free_bytes
+        self._exempt_bytes = exempt_bytes
 
-    def grow(self, old_bytes: int, new_bytes: int) -> bool:
+    def try_resize(self, old_bytes: int, new_bytes: int) -> bool:
         """Let one body grow; return False when the shared limit does not allow it."""
-        more = self._shared(new_bytes) - self._shared(old_bytes)
+        more = self._shared_part(new_bytes) - self._shared_part(old_bytes)
         if self.used_bytes + more > self._limit_bytes:
             return False
         self.used_bytes += more
@@ -25,7 +25,7 @@
 
     def release(self, size_bytes: int) -> None:
         """Give back what a body has taken."""
-        self.used_bytes -= self._shared(size_bytes)
+        self.used_bytes -= self._shared_part(size_bytes)
 
-    def _shared(self, size_bytes: int) -> int:
-        return max(0, size_bytes - self._free_bytes)
+    def _shared_part(self, size_bytes: int) -> int:
+        return max(0, size_bytes - self._exempt_bytes)
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -11,7 +11,7 @@
 __all__ = ["Exchange", "Handler"]
 
 
-BODILESS = frozenset({204, 304})
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Exchange:
@@ -25,34 +25,34 @@
         req: HttpRequest,
         conn: h11.Connection,
         writer: asyncio.StreamWriter,
-        closing: Callable[[], bool] = lambda: False,
+        should_close: Callable[[], bool] = lambda: False,
     ) -> None:
         self.req = req
-        self.gone = asyncio.Event()
+        self.disconnected = asyncio.Event()
         self.started = False
         self.ended = False
         self._conn = conn
         self._writer = writer
-        self._closing = closing
+        self._should_close = should_close
         self._unsent: list[bytes] = []
         self._chunked = False
-        self._on_gone: Callable[[], None] | None = None
+        self._disconnect_callback: Callable[[], None] | None = None
 
-    def when_gone(self, act: Callable[[], None]) -> None:
+    def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call `act` once when the client closes its connection, at once if it has already."""
-        self._on_gone = act
-        if self.gone.is_set():
-            act()
+        self._disconnect_callback = callback
+        if self.disconnected.is_set():
+            callback()
 
-    def set_gone(self) -> None:
+    def set_disconnected(self) -> None:
         """Take note that the client closed its connection."""
-        if self.gone.is_set():
+        if self.disconnected.is_set():
             return
-        self.gone.set()
-        if self._on_gone is not None:
-            self._on_gone()
+        self.disconnected.set()
+        if self._disconnect_callback is not None:
+            self._disconnect_callback()
 
-    def put_head(self, status: int, headers: Headers = ()) -> None:
+    def buffer_head(self, status: int, headers: Headers = ()) -> None:
         """Add the status and headers to what the next flush sends.
 
         The body is chunked unless a length is given.
@@ -61,29 +61,29 @@
         chunked = "content-length" not in names
         if chunked:
             headers = (*headers, ("transfer-encoding", "chunked"))
-        if self._closing():
+        if self._should_close():
             headers = (*headers, ("connection", "close"))
         self.started = True
-        self._put(h11.Response(status_code=status, headers=list(headers)))
+        self._buffer_event(h11.Response(status_code=status, headers=list(headers)))
         self._chunked = (
             chunked
             and self.req.method != "HEAD"
-            and status not in BODILESS
+            and status not in BODILESS_STATUSES
             and self._conn.their_http_version == b"1.1"
         )
 
-    def put_data(self, data: bytes) -> None:
+    def buffer_data(self, data: bytes) -> None:
         """Add a part of the body to what the next flush sends."""
         if not self._chunked:
-            self._put(h11.Data(data=data))
+            self._buffer_event(h11.Data(data=data))
         elif data:
             # h11 checks each chunk's event and state, at several times the cost of framing it.
             self._unsent += (b"%x\r\n" % len(data), data, b"\r\n")
 
-    def put_end(self) -> None:
+    def buffer_end(self) -> None:
         """Add the end of the answer to what the next flush sends."""
         self.ended = True
-        self._put(h11.EndOfMessage())
+        self._buffer_event(h11.EndOfMessage())
 
     async def flush(self) -> None:
         """Send what was added in one write and wait while the client's buffer is full."""
@@ -91,21 +91,21 @@
         try:
             await self._writer.drain()
         except ConnectionError:
-            self.set_gone()
+            self.set_disconnected()
 
     async def send_head(self, status: int, headers: Headers = ()) -> None:
         """Send the status and headers; the body is chunked unless a length is given."""
-        self.put_head(status, headers)
+        self.buffer_head(status, headers)
         self._write()
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body and wait while the client's buffer is full."""
-        self.put_data(data)
+        self.buffer_data(data)
         await self.flush()
 
     async def end(self) -> None:
         """End the answer."""
-        self.put_end()
+        self.buffer_end()
         await self.flush()
 
     async def send(
@@ -113,10 +113,10 @@
     ) -> None:
         """Send a whole answer."""
         length = (("content-type", content_type), ("content-length", str(len(body))))
-        self.put_head(status, (*headers, *length))
+        self.buffer_head(status, (*headers, *length))
         if self.req.method != "HEAD":
-            self.put_data(body)
-        self.put_end()
+            self.buffer_data(body)
+        self.buffer_end()
         await self.flush()
 
     async def send_json(self, status: int, value: object, headers: Headers = ()) -> None:
@@ -128,7 +128,7 @@
         self.ended = True
         self._writer.transport.abort()
 
-    def _put(self, event: h11.Event) -> None:
+    def _buffer_event(self, event: h11.Event) -> None:
         data = self._conn.send(event)
         if data:
             self._unsent.append(data)
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -15,11 +15,11 @@
 __all__ = ["HttpClient"]
 
 READ_BYTES = 64 * 1024
-IDLE_CONNECTIONS = 32
+MAX_IDLE_CONNECTIONS = 32
 
 
 class _Connection(NamedTuple):
-    conn: h11.Connection
+    protocol: h11.Connection
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
@@ -48,7 +48,7 @@
         headers: Headers = (),
         body: bytes = b"",
         *,
-        fresh: bool = False,
+        new_connection: bool = False,
     ) -> HttpResponse:
         """Send a request and return its response once the headers arrived.
 
@@ -57,29 +57,29 @@
         Raises ConnectFailed when nothing was sent, AnswerLost when the outcome is unknown and
         BadMessage when the response is not valid HTTP. The caller sets the timeout.
         """
-        link = None if fresh else self._reuse()
-        link = link or await self._connect()
+        conn = None if new_connection else self._take_idle()
+        conn = conn or await self._connect()
         try:
-            head = await self._send(link, method, target, headers, body)
+            head = await self._send(conn, method, target, headers, body)
         except BaseException:
-            link.writer.transport.abort()
+            conn.writer.transport.abort()
             raise
         lines = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        return HttpResponse(head.status_code, lines, self._body(link))
+        return HttpResponse(head.status_code, lines, self._iterate_body(conn))
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
             self._idle.popleft().writer.close()
 
-    def _reuse(self) -> _Connection | None:
+    def _take_idle(self) -> _Connection | None:
         while self._idle:
-            link = self._idle.pop()
+            conn = self._idle.pop()
             # A connection that the server closed while idle must not carry a request: its
             # loss could not be told from a lost answer.
-            if not link.reader.at_eof() and not link.writer.is_closing():
-                return link
-            link.writer.close()
+            if not conn.reader.at_eof() and not conn.writer.is_closing():
+                return conn
+            conn.writer.close()
         return None
 
     async def _connect(self) -> _Connection:
@@ -93,18 +93,18 @@
         return _Connection(h11.Connection(h11.CLIENT), reader, writer)
 
     async def _send(
-        self, link: _Connection, method: str, target: str, headers: Headers, body: bytes
+        self, conn: _Connection, method: str, target: str, headers: Headers, body: bytes
     ) -> h11.Response:
         lines = [("host", f"{self._host}:{self._port}"), ("content-length", str(len(body)))]
-        data = link.conn.send(_request(method, target, (*lines, *headers))) or b""
+        data = conn.protocol.send(_build_request(method, target, (*lines, *headers))) or b""
         if body:
-            data += link.conn.send(h11.Data(data=body)) or b""
-        data += link.conn.send(h11.EndOfMessage()) or b""
+            data += conn.protocol.send(h11.Data(data=body)) or b""
+        data += conn.protocol.send(h11.EndOfMessage()) or b""
         try:
-            link.writer.write(data)
-            await link.writer.drain()
+            conn.writer.write(data)
+            await conn.writer.drain()
             while True:
-                event = await _next_event(link)
+                event = await _read_event(conn)
                 if isinstance(event, h11.Response):
                     return event
                 if not isinstance(event, h11.InformationalResponse):
@@ -112,43 +112,43 @@
         except OSError as exc:
             raise AnswerLost(str(exc)) from exc
 
-    async def _body(self, link: _Connection) -> AsyncIterator[bytes]:
-        whole = False
-        ready: list[bytes] = []
+    async def _iterate_body(self, conn: _Connection) -> AsyncIterator[bytes]:
+        complete = False
+        chunks: list[bytes] = []
         try:
             while True:
-                event = _event(link)
+                event = _parse_event(conn)
                 if isinstance(event, h11.Data):
                     # Chunks that were received together are passed on together.
-                    ready.append(bytes(event.data))
+                    chunks.append(bytes(event.data))
                     continue
-                if ready:
-                    yield b"".join(ready)
-                    ready = []
+                if chunks:
+                    yield b"".join(chunks)
+                    chunks = []
                 if isinstance(event, h11.EndOfMessage):
-                    whole = True
+                    complete = True
                     return
                 if isinstance(event, BadMessage | AnswerLost):
                     raise event
                 if event is not h11.NEED_DATA:
                     raise AnswerLost("the connection ended inside the body")
-                await _receive(link)
+                await _receive(conn)
         finally:
-            if whole:
-                self._keep(link)
+            if complete:
+                self._release(conn)
             else:
-                link.writer.transport.abort()
+                conn.writer.transport.abort()
 
-    def _keep(self, link: _Connection) -> None:
-        reusable = link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE
-        if reusable and len(self._idle) < IDLE_CONNECTIONS:
-            link.conn.start_next_cycle()
-            self._idle.append(link)
+    def _release(self, conn: _Connection) -> None:
+        reusable = conn.protocol.our_state is h11.DONE and conn.protocol.their_state is h11.DONE
+        if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            conn.protocol.start_next_cycle()
+            self._idle.append(conn)
         else:
-            link.writer.close()
+            conn.writer.close()
 
 
-def _request(method: str, target: str, headers: Headers) -> h11.Request:
+def _build_request(method: str, target: str, headers: Headers) -> h11.Request:
     """Return the request; raise ConnectFailed when it cannot be written as HTTP."""
     try:
         encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
@@ -157,27 +157,27 @@
         raise ConnectFailed(f"not sent: {exc}") from exc
 
 
-async def _next_event(link: _Connection) -> object:
-    while (event := _event(link)) is h11.NEED_DATA:
-        await _receive(link)
+async def _read_event(conn: _Connection) -> object:
+    while (event := _parse_event(conn)) is h11.NEED_DATA:
+        await _receive(conn)
     if isinstance(event, BadMessage | AnswerLost):
         raise event
     return event
 
 
-def _event(link: _Connection) -> object:
+def _parse_event(conn: _Connection) -> object:
     """Return the next event of what was received, or the error that takes its place."""
     try:
-        return link.conn.next_event()
+        return conn.protocol.next_event()
     except h11.RemoteProtocolError as exc:
-        if link.reader.at_eof():
+        if conn.reader.at_eof():
             return AnswerLost(str(exc))
         return BadMessage(502, str(exc))
 
 
-async def _receive(link: _Connection) -> None:
+async def _receive(conn: _Connection) -> None:
     try:
-        data = await link.reader.read(READ_BYTES)
+        data = await conn.reader.read(READ_BYTES)
     except OSError as exc:
         raise AnswerLost(str(exc)) from exc
-    link.conn.receive_data(data)
+    conn.protocol.receive_data(data)
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -12,14 +12,14 @@
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
+from cassiadrum.protocols.notifying_readers import NotifyingReader
 from cassiadrum.protocols.request_readers import READ_BYTES, ReadLimits, RequestReader
-from cassiadrum.protocols.watched_readers import WatchedReader
 
 __all__ = ["HttpServer"]
 
 logger = logging.getLogger(__name__)
 
-REASONS = {413: "too_large", 431: "too_large", 503: "overloaded"}
+REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
 
 class HttpServer:
@@ -29,25 +29,25 @@
         self,
         handler: Handler,
         *,
-        body_limit: int = LIMITS.BODY_BYTES,
-        body_budget: int = LIMITS.BODY_BUDGET_BYTES,
+        body_limit_bytes: int = LIMITS.BODY_BYTES,
+        body_budget_bytes: int = LIMITS.BODY_BUDGET_BYTES,
         connection_limit: int = LIMITS.HTTP_CONNECTIONS,
         read_timeout_s: float = LIMITS.REQUEST_READ_S,
         idle_timeout_s: float = LIMITS.KEEP_ALIVE_IDLE_S,
     ) -> None:
         self._handler = handler
-        self._body_limit = body_limit
+        self._body_limit_bytes = body_limit_bytes
         self._connection_limit = connection_limit
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._server: asyncio.Server | None = None
         # In order of arrival, so that the oldest idle connection is found first.
-        self._tasks: dict[asyncio.Task[None], RequestReader | None] = {}
-        self._busy: set[asyncio.Task[None]] = set()
+        self._connections: dict[asyncio.Task[None], RequestReader | None] = {}
+        self._serving: set[asyncio.Task[None]] = set()
         self._closing = False
         self._draining = False
-        self._header_limit = LIMITS.HEADER_BYTES
-        self._bodies = BodyBudget(body_budget, LIMITS.BODY_FREE_BYTES)
+        self._header_limit_bytes = LIMITS.HEADER_BYTES
+        self._body_budget = BodyBudget(body_budget_bytes, LIMITS.BODY_FREE_BYTES)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen and return the port, which the system chooses when `port` is 0."""
@@ -58,21 +58,21 @@
         return bound
 
     @property
-    def running(self) -> int:
+    def requests_in_flight(self) -> int:
         """Return the number of requests that are being answered."""
-        return len(self._busy)
+        return len(self._serving)
 
     def set_limits(
         self,
         *,
-        header_limit: int,
-        body_limit: int,
+        header_limit_bytes: int,
+        body_limit_bytes: int,
         read_timeout_s: float,
         idle_timeout_s: float,
     ) -> None:
         """Change the limits in bytes and seconds for requests that are read from now on."""
-        self._header_limit = header_limit
-        self._body_limit = body_limit
+        self._header_limit_bytes = header_limit_bytes
+        self._body_limit_bytes = body_limit_bytes
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
 
@@ -89,34 +89,34 @@
         # the second one follows the callbacks that take it.
         for _ in range(2):
             await asyncio.sleep(0)
-        for task, requests in self._tasks.items():
-            if requests is None or not requests.begun:
+        for task, request_reader in self._connections.items():
+            if request_reader is None or not request_reader.request_started:
                 task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
+        if self._connections:
+            await asyncio.wait(self._connections)
 
     async def abort(self) -> None:
         """Stop at once and cut every connection."""
         self._closing = True
         if self._server is not None:
             self._server.close()
-        for task in self._tasks:
+        for task in self._connections:
             task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
+        if self._connections:
+            await asyncio.wait(self._connections)
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         # The protocol does the same as asyncio.start_server, with a reader of another class.
-        reader = WatchedReader(limit=READ_BYTES)
+        reader = NotifyingReader(limit=READ_BYTES)
         return asyncio.StreamReaderProtocol(reader, self._accept)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        assert isinstance(reader, WatchedReader)
+        assert isinstance(reader, NotifyingReader)
         task = asyncio.current_task()
-        if task is None or self._closing or not self._make_room():
+        if task is None or self._closing or not self._admit_connection():
             writer.transport.abort()
             return
-        self._tasks[task] = None
+        self._connections[task] = None
         # An exchange has ended only once the system has taken all of its answer, so that a stop
         # of the process cuts off nothing.
         # A TLS transport pauses at the limit, not above it, and would never resume with 0.
@@ -130,79 +130,84 @@
             logger.exception("handler failed")
             writer.transport.abort()
         finally:
-            self._tasks.pop(task, None)
-            self._busy.discard(task)
+            self._connections.pop(task, None)
+            self._serving.discard(task)
             writer.close()
 
-    def _limits(self) -> ReadLimits:
+    def _read_limits(self) -> ReadLimits:
         return ReadLimits(
-            self._header_limit, self._body_limit, self._read_timeout_s, self._idle_timeout_s
+            self._header_limit_bytes,
+            self._body_limit_bytes,
+            self._read_timeout_s,
+            self._idle_timeout_s,
         )
 
-    def _make_room(self) -> bool:
+    def _admit_connection(self) -> bool:
         """Close the oldest idle connection at the limit; return whether a new one may stay.
 
         Otherwise a flood of connections that send nothing would keep all others out.
         """
-        if len(self._tasks) < self._connection_limit:
+        if len(self._connections) < self._connection_limit:
             return True
-        idle = next((task for task in self._tasks if task not in self._busy), None)
+        idle = next((task for task in self._connections if task not in self._serving), None)
         if idle is None:
             return False
-        del self._tasks[idle]
+        del self._connections[idle]
         idle.cancel()
         return True
 
     async def _serve(
         self,
-        reader: WatchedReader,
+        reader: NotifyingReader,
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
     ) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_limit)
-        requests = RequestReader(conn, reader, writer, self._bodies, self._limits)
-        self._tasks[task] = requests
-        again = True
-        while again and (not self._closing or requests.begun):
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_limit_bytes)
+        request_reader = RequestReader(conn, reader, writer, self._body_budget, self._read_limits)
+        self._connections[task] = request_reader
+        keep_alive = True
+        while keep_alive and (not self._closing or request_reader.request_started):
             try:
-                again = await self._serve_one(requests, conn, reader, writer, task)
+                keep_alive = await self._serve_one(request_reader, conn, reader, writer, task)
             finally:
-                requests.release()
+                request_reader.release_body()
 
     async def _serve_one(
         self,
-        requests: RequestReader,
+        request_reader: RequestReader,
         conn: h11.Connection,
-        reader: WatchedReader,
+        reader: NotifyingReader,
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
     ) -> bool:
         """Read and answer one request; return whether the connection can take another."""
         try:
-            req = await requests.read()
+            req = await request_reader.read()
         except BadMessage as exc:
-            await self._answer_bad(conn, writer, exc)
+            await self._send_problem(conn, writer, exc)
             return False
         if req is None:
             return False
-        self._busy.add(task)
-        await self._run(Exchange(req, conn, writer, closing=lambda: self._draining), reader)
-        self._busy.discard(task)
+        self._serving.add(task)
+        await self._run_handler(
+            Exchange(req, conn, writer, should_close=lambda: self._draining), reader
+        )
+        self._serving.discard(task)
         if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
             return False
         conn.start_next_cycle()
         return True
 
-    async def _run(self, exchange: Exchange, reader: WatchedReader) -> None:
-        reader.watch(exchange.set_gone)
+    async def _run_handler(self, exchange: Exchange, reader: NotifyingReader) -> None:
+        reader.set_disconnect_callback(exchange.set_disconnected)
         try:
             await self._handler(exchange)
         finally:
-            reader.watch(None)
+            reader.set_disconnect_callback(None)
         if not exchange.ended:
             exchange.abort()
 
-    async def _answer_bad(
+    async def _send_problem(
         self, conn: h11.Connection, writer: asyncio.StreamWriter, exc: BadMessage
     ) -> None:
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -214,7 +219,7 @@
             "status": exc.status,
             "detail": exc.detail,
             "ran": "no",
-            "reason": REASONS.get(exc.status, "bad_request"),
+            "reason": REASON_BY_STATUS.get(exc.status, "bad_request"),
         }
         body = json.dumps(problem).encode()
         close = (("connection", "close"),)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -9,7 +9,7 @@
 from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.http_requests import HttpRequest
-from cassiadrum.protocols.watched_readers import WatchedReader
+from cassiadrum.protocols.notifying_readers import NotifyingReader
 
 __all__ = ["READ_BYTES", "ReadLimits", "RequestReader"]
 
@@ -31,7 +31,7 @@
     def __init__(
         self,
         conn: h11.Connection,
-        reader: WatchedReader,
+        reader: NotifyingReader,
         writer: asyncio.StreamWriter,
         budget: BodyBudget,
         limits: Callable[[], ReadLimits],
@@ -39,17 +39,17 @@
         self._conn = conn
         self._reader = reader
         self._writer = writer
-        self._limits_now = limits
+        self._get_limits = limits
         self._limits = limits()
         self._budget = budget
         self._deadline = 0.0
         # Bytes of the current body, which are returned to the budget by `release`.
-        self._held_bytes = 0
+        self._reserved_bytes = 0
 
     @property
-    def begun(self) -> bool:
+    def request_started(self) -> bool:
         """Return whether any byte of a request has arrived that is not answered yet."""
-        received = bool(self._conn.trailing_data[0]) or self._reader.pending > 0
+        received = bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
         return received or self._conn.their_state is not h11.IDLE
 
     async def read(self) -> HttpRequest | None:
@@ -58,7 +58,7 @@
         Raises BadMessage for invalid HTTP, a body over the limit or the budget, and a request
         that is not complete within the read timeout.
         """
-        self._limits = self._limits_now()
+        self._limits = self._get_limits()
         self._deadline = self._now() + self._limits.idle_timeout_s
         head = await self._read_head()
         if head is None:
@@ -66,24 +66,24 @@
         body = await self._read_body()
         return None if body is None else _to_request(head, body)
 
-    def release(self) -> None:
+    def release_body(self) -> None:
         """Return the current body's bytes to the budget."""
-        self._budget.release(self._held_bytes)
-        self._held_bytes = 0
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
 
-    def _hold(self, more_bytes: int) -> None:
-        size = self._held_bytes + more_bytes
+    def _reserve(self, more_bytes: int) -> None:
+        size = self._reserved_bytes + more_bytes
         if size > self._limits.body_bytes:
             raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
-        if not self._budget.grow(self._held_bytes, size):
+        if not self._budget.try_resize(self._reserved_bytes, size):
             raise BadMessage(503, "the bodies of other requests take all the memory for bodies")
-        self._held_bytes = size
+        self._reserved_bytes = size
 
     async def _read_head(self) -> h11.Request | None:
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
-                _check_size(event, self._limits.header_bytes)
+                _check_head_size(event, self._limits.header_bytes)
                 _check_framing(event)
                 self._check_length(event)
                 return event
@@ -108,7 +108,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if isinstance(event, h11.Data):
-                self._hold(len(event.data))
+                self._reserve(len(event.data))
                 parts.append(bytes(event.data))
             elif event is not h11.NEED_DATA or not await self._receive(started=True):
                 return None
@@ -142,11 +142,11 @@
         return asyncio.get_running_loop().time()
 
 
-def _check_size(head: h11.Request, limit: int) -> None:
+def _check_head_size(head: h11.Request, limit_bytes: int) -> None:
     """Refuse a head over the limit; h11 applies its own limit to incomplete heads only."""
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
-    if size > limit:
-        raise BadMessage(431, f"the headers are larger than {limit} bytes")
+    if size > limit_bytes:
+        raise BadMessage(431, f"the headers are larger than {limit_bytes} bytes")
 
 
 def _check_framing(head: h11.Request) -> None:
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -78,7 +78,7 @@
 
     async def _relay_answer(self, exchange: Exchange, fetch: AnswerFetch, answer_id: str) -> bool:
         """Relay the answer; return False when the rest of it is not available."""
-        while not exchange.gone.is_set():
+        while not exchange.disconnected.is_set():
             try:
                 async with asyncio.timeout(LIMITS.DETACHED_STREAM_S):
                     msg = await fetch.messages.get()
@@ -96,7 +96,7 @@
                 data = fetch.new_bytes(msg)
                 if data:
                     await exchange.send_data(data)
-                    if not exchange.gone.is_set():
+                    if not exchange.disconnected.is_set():
                         fetch.send(Ack([(fetch.attempt_id, fetch.position)]))
             elif isinstance(msg, End) and msg.ok and msg.position != fetch.position:
                 fetch.send(Attach(fetch.attempt_id, fetch.position))
@@ -117,7 +117,7 @@
 
 
 async def _refuse(exchange: Exchange, answer_id: str) -> None:
-    if exchange.started or exchange.gone.is_set():
+    if exchange.started or exchange.disconnected.is_set():
         exchange.abort()
         return
     detail = "the answer was already fetched, has expired, or its sidecar was replaced"
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -61,7 +61,7 @@
         """Relay the rest of a complete answer."""
         if not self._try_become_winner(pending, attempt):
             return
-        rest = pending.splitter.rest() if attempt.streaming else bytes(attempt.buffered)
+        rest = pending.splitter.take_rest() if attempt.streaming else bytes(attempt.buffered)
         self._send_head(pending, attempt)
         if rest:
             pending.caller_events.put_nowait(
@@ -72,7 +72,7 @@
         """Discard the incomplete event of a failed attempt and let another attempt win."""
         if pending.winner == attempt.attempt_id:
             pending.winner = None
-            pending.splitter.restart()
+            pending.splitter.discard_partial_event()
 
     def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Return the outcome, marked as final if the caller has part of an unresumable answer.
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -90,7 +90,7 @@
 
     async def _relay_answer(self, exchange: Exchange, pending: PendingRequest) -> None:
         request_id = pending.queued.request_id
-        exchange.when_gone(lambda: pending.caller_events.put_nowait(None))
+        exchange.on_disconnect(lambda: pending.caller_events.put_nowait(None))
         events = pending.caller_events
         while True:
             event, sent = await events.get(), None
@@ -98,9 +98,9 @@
             while isinstance(event, AnswerHead | AnswerData):
                 if isinstance(event, AnswerHead):
                     headers: Headers = (*event.headers, ("x-request-id", event.answer_id))
-                    exchange.put_head(event.status, headers)
+                    exchange.buffer_head(event.status, headers)
                 else:
-                    exchange.put_data(event.data)
+                    exchange.buffer_data(event.data)
                     sent = event
                 if events.empty():
                     break
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -230,7 +230,7 @@
                     attempt.instance, pending.queued.request_id, tokens, self._clock()
                 )
             )
-        if pending.splitter.held_bytes > MAX_EVENT_BYTES:
+        if pending.splitter.buffered_bytes > MAX_EVENT_BYTES:
             self._finish_attempt(
                 pending,
                 attempt,
@@ -242,7 +242,7 @@
         # have been written to the caller's socket.
         if pending.caller_disconnected or attempt.attempt_id != pending.winner or attempt.buffered:
             self._sidecars.acknowledge(attempt, attempt.position)
-        elif pending.splitter.held_bytes >= ACK_INTERVAL_BYTES:
+        elif pending.splitter.buffered_bytes >= ACK_INTERVAL_BYTES:
             # The sidecar sends the rest of a long event only after an acknowledgement.
             self._sidecars.acknowledge(attempt, attempt.position)
 
--- a/cassiadrum/sites/__init__.py
+++ b/cassiadrum/sites/__init__.py
@@ -1,6 +1,6 @@
 """A whole site on loopback with embedded stand-ins, for the demo and for tests."""
 
-from cassiadrum.sites.endpoint_slots import EndpointSlot
 from cassiadrum.sites.local_sites import LocalSite
+from cassiadrum.sites.site_endpoints import SiteEndpoint
 
-__all__ = ["EndpointSlot", "LocalSite"]
+__all__ = ["LocalSite", "SiteEndpoint"]
--- a/cassiadrum/sites/endpoint_slots.py
+++ b/cassiadrum/sites/site_endpoints.py
@@ -3,16 +3,16 @@
 from typing import NamedTuple
 
 from cassiadrum.roles import Daemon
-from cassiadrum.standins import EngineStandin, PlainServiceStandin
+from cassiadrum.standins import EngineStandIn, PlainServiceStandIn
 
-__all__ = ["EndpointSlot"]
+__all__ = ["SiteEndpoint"]
 
 
-class EndpointSlot(NamedTuple):
+class SiteEndpoint(NamedTuple):
     """Hold an endpoint stand-in and the sidecar beside it."""
 
     instance: str
     service: str
     zone: str
-    endpoint: EngineStandin | PlainServiceStandin
+    standin: EngineStandIn | PlainServiceStandIn
     sidecar: Daemon
--- a/cassiadrum/standins/__init__.py
+++ b/cassiadrum/standins/__init__.py
@@ -2,11 +2,11 @@
 
 from cassiadrum.standins.answer_texts import answer_text, answer_tokens
 from cassiadrum.standins.answers import Answer
-from cassiadrum.standins.engines import EngineStandin, prompt_of
+from cassiadrum.standins.engines import EngineStandIn, extract_prompt
 from cassiadrum.standins.faults import Faults
 from cassiadrum.standins.instance_lists import InstanceListService
 from cassiadrum.standins.object_services import ObjectService
-from cassiadrum.standins.plain_services import PlainServiceStandin
+from cassiadrum.standins.plain_services import PlainServiceStandIn
 from cassiadrum.standins.run_records import RunRecord
 from cassiadrum.standins.standins import StandIn
 from cassiadrum.standins.table_rows import TableRows
@@ -15,11 +15,11 @@
 
 __all__ = [
     "Answer",
-    "EngineStandin",
+    "EngineStandIn",
     "Faults",
     "InstanceListService",
     "ObjectService",
-    "PlainServiceStandin",
+    "PlainServiceStandIn",
     "RunRecord",
     "StandIn",
     "TableRows",
@@ -27,5 +27,5 @@
     "WeightService",
     "answer_text",
     "answer_tokens",
-    "prompt_of",
+    "extract_prompt",
 ]
--- a/cassiadrum/standins/answer_texts.py
+++ b/cassiadrum/standins/answer_texts.py
@@ -5,8 +5,8 @@
 __all__ = ["answer_text", "answer_tokens"]
 
 MIN_TOKENS = 8
-TOKEN_SPREAD = 56
-VOCABULARY = 9973
+TOKEN_COUNT_RANGE = 56
+VOCABULARY_SIZE = 9973
 
 
 def answer_tokens(prompt: str, max_tokens: int = 0) -> list[str]:
@@ -14,11 +14,12 @@
 
     The same prompt always gives the same tokens, so that a caller can check an answer.
     """
-    count = MIN_TOKENS + xxhash.xxh32_intdigest(prompt.encode()) % TOKEN_SPREAD
+    count = MIN_TOKENS + xxhash.xxh32_intdigest(prompt.encode()) % TOKEN_COUNT_RANGE
     if max_tokens:
         count = min(count, max_tokens)
     return [
-        f"w{xxhash.xxh32_intdigest(prompt.encode(), seed=i) % VOCABULARY} " for i in range(count)
+        f"w{xxhash.xxh32_intdigest(prompt.encode(), seed=i) % VOCABULARY_SIZE} "
+        for i in range(count)
     ]
 
 
--- a/cassiadrum/standins/answers.py
+++ b/cassiadrum/standins/answers.py
@@ -17,6 +17,6 @@
     headers: Headers = ()
 
     @classmethod
-    def of_json(cls, status: int, value: object) -> "Answer":
+    def from_object(cls, status: int, value: object) -> "Answer":
         """Return an answer with a JSON body."""
         return cls(status, json.dumps(value).encode())
--- a/cassiadrum/standins/engine_batches.py
+++ b/cassiadrum/standins/engine_batches.py
@@ -8,8 +8,8 @@
 __all__ = ["EngineBatch"]
 
 # Each stream in the batch makes a step longer by this fraction.
-STEP_GROWTH = 0.02
-CACHED_PREFIXES = 256
+STEP_GROWTH_PER_STREAM = 0.02
+MAX_CACHED_PREFIXES = 256
 
 
 class EngineBatch:
@@ -31,12 +31,12 @@
         self.streams[stream.request_id] = stream
         self._wake.set()
 
-    def remember_prefix(self, key: int) -> bool:
+    def cache_prefix(self, key: int) -> bool:
         """Put a prefix into the cache and return whether it was there."""
         known = key in self._prefixes
         self._prefixes[key] = None
         self._prefixes.move_to_end(key)
-        while len(self._prefixes) > CACHED_PREFIXES:
+        while len(self._prefixes) > MAX_CACHED_PREFIXES:
             self._prefixes.popitem(last=False)
         return known
 
@@ -53,7 +53,7 @@
                 self._wake.clear()
                 await self._wait_for_work()
                 continue
-            growth = 1.0 + STEP_GROWTH * (len(batch) - 1)
+            growth = 1.0 + STEP_GROWTH_PER_STREAM * (len(batch) - 1)
             await asyncio.sleep(self.step_s * growth * self.slow_factor)
             for stream in batch:
                 self._step(stream)
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -12,14 +12,14 @@
 from cassiadrum.standins.engine_batches import EngineBatch
 from cassiadrum.standins.engine_streams import EngineStream
 from cassiadrum.standins.run_records import RunRecord
-from cassiadrum.standins.standins import run_program
+from cassiadrum.standins.standins import run_standin
 
-__all__ = ["EngineStandin"]
+__all__ = ["EngineStandIn"]
 
 PREFILL_STEPS = 3
 
 
-class EngineStandin:
+class EngineStandIn:
     """Serve completions, load, control, orders and the record of runs.
 
     `step_s` is the time of one step with one stream. `enforces_fencing` makes the engine refuse
@@ -62,7 +62,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         req = exchange.req
         if req.method == "GET" and req.path == "/load":
-            await exchange.send_json(200, self._load())
+            await exchange.send_json(200, self._load_report())
         elif req.method == "GET" and req.path == "/runs":
             await exchange.send_json(200, {"runs": self.runs})
         elif req.method == "POST" and req.path.startswith("/control/"):
@@ -76,7 +76,7 @@
         else:
             await exchange.send_json(404, {"error": {"message": "not found"}})
 
-    def _load(self) -> dict[str, Any]:
+    def _load_report(self) -> dict[str, Any]:
         running = len(self.batch.active())
         cached, self._new_prefixes = self._new_prefixes, []
         return {
@@ -130,7 +130,7 @@
             stream.run["ended"] = time.time()
 
     def _open_stream(self, exchange: Exchange, body: dict[str, Any]) -> EngineStream:
-        prompt = prompt_of(body)
+        prompt = extract_prompt(body)
         request_id = exchange.req.header("x-request-id") or f"direct-{len(self.runs)}"
         run = RunRecord(
             request_id=request_id,
@@ -144,7 +144,7 @@
         )
         self.runs.append(run)
         keys = prefix_keys(prompt)
-        known = [self.batch.remember_prefix(key) for key in keys][-1]
+        known = [self.batch.cache_prefix(key) for key in keys][-1]
         self._new_prefixes += keys
         stream = EngineStream(
             request_id,
@@ -188,7 +188,7 @@
     async def _next_token(self, exchange: Exchange, stream: EngineStream) -> str | None:
         """Return the next token, or None at the end, after a cancel or when the caller is gone."""
         token = await stream.output.get()
-        if token is not None and exchange.gone.is_set():
+        if token is not None and exchange.disconnected.is_set():
             stream.cancel()
             return None
         if self._crash_after_tokens and stream.run["tokens"] >= self._crash_after_tokens:
@@ -198,7 +198,7 @@
         return token
 
 
-def prompt_of(body: dict[str, Any]) -> str:
+def extract_prompt(body: dict[str, Any]) -> str:
     """Return the prompt of a chat or text completion as one string."""
     if "messages" in body:
         return "\n".join(str(message.get("content", "")) for message in body["messages"])
@@ -206,4 +206,4 @@
 
 
 if __name__ == "__main__":
-    run_program(EngineStandin, EngineStandin.__doc__)
+    run_standin(EngineStandIn, EngineStandIn.__doc__)
--- a/cassiadrum/standins/instance_lists.py
+++ b/cassiadrum/standins/instance_lists.py
@@ -20,14 +20,14 @@
     def __init__(self, lag_s: float = 0.0) -> None:
         super().__init__()
         self.lag_s = lag_s
-        self._present: dict[str, Instance] = {}
-        self._past: list[tuple[float, tuple[Instance, ...]]] = []
-        self._frozen: tuple[Instance, ...] = ()
+        self._instances: dict[str, Instance] = {}
+        self._snapshots: list[tuple[float, tuple[Instance, ...]]] = []
+        self._stale_snapshot: tuple[Instance, ...] = ()
 
     def set_faults(self, faults: Faults) -> None:
         """Replace the faults; `stale` keeps the list as it is seen now."""
         if faults.stale and not self.faults.stale:
-            self._frozen = self._seen()
+            self._stale_snapshot = self._lagged_snapshot()
         super().set_faults(faults)
 
     def answer(self, req: HttpRequest) -> Answer:
@@ -36,56 +36,56 @@
         try:
             return self._route(req, parts)
         except (msgspec.MsgspecError, KeyError) as exc:
-            return Answer.of_json(400, {"error": str(exc)})
+            return Answer.from_object(400, {"error": str(exc)})
 
     def _route(self, req: HttpRequest, parts: list[str]) -> Answer:
         match (req.method, parts):
             case ("GET", ["instances"]):
-                return self._list(req)
+                return self._list_instances(req)
             case ("PUT", ["instances", name]):
                 raw = {**msgspec.json.decode(req.body, type=dict[str, str]), "instance": name}
                 ordered = [raw[field] for field in Instance._fields]
-                self._put(msgspec.convert(ordered, Instance))
+                self._set_instance(msgspec.convert(ordered, Instance))
             case ("DELETE", ["instances", name]):
-                self._present.pop(name, None)
-                self._record()
-            case ("POST", ["instances", name, "leaving"]) if name in self._present:
-                self._put(self._present[name]._replace(state="leaving"))
+                self._instances.pop(name, None)
+                self._add_snapshot()
+            case ("POST", ["instances", name, "leaving"]) if name in self._instances:
+                self._set_instance(self._instances[name]._replace(state="leaving"))
             case ("PUT", ["lag"]):
                 self.lag_s = msgspec.json.decode(req.body, type=dict[str, float])["lag_s"]
             case _:
-                return Answer.of_json(404, {"error": "not found"})
-        return Answer.of_json(200, {})
+                return Answer.from_object(404, {"error": "not found"})
+        return Answer.from_object(200, {})
 
-    def _list(self, req: HttpRequest) -> Answer:
-        answer = Answer.of_json(200, {"instances": self._listed()})
+    def _list_instances(self, req: HttpRequest) -> Answer:
+        answer = Answer.from_object(200, {"instances": self._visible_instances()})
         etag = f'"{xxhash.xxh64_hexdigest(answer.body)}"'
         if req.header("if-none-match") == etag:
             return Answer(304, b"", answer.content_type, (("etag", etag),))
         return answer._replace(headers=(("etag", etag),))
 
-    def _put(self, instance: Instance) -> None:
-        self._present[instance.instance] = instance
-        self._record()
+    def _set_instance(self, instance: Instance) -> None:
+        self._instances[instance.instance] = instance
+        self._add_snapshot()
 
-    def _record(self) -> None:
+    def _add_snapshot(self) -> None:
         now = self.now()
-        self._past.append((now, tuple(self._present.values())))
+        self._snapshots.append((now, tuple(self._instances.values())))
         # The newest snapshot older than the lag is the one in view; those before it are not
         # needed any more.
-        while len(self._past) > 1 and self._past[1][0] <= now - self.lag_s:
-            self._past.pop(0)
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= now - self.lag_s:
+            self._snapshots.pop(0)
 
-    def _seen(self) -> tuple[Instance, ...]:
+    def _lagged_snapshot(self) -> tuple[Instance, ...]:
         limit = self.now() - self.lag_s
-        return next((seen for at, seen in reversed(self._past) if at <= limit), ())
+        return next((seen for at, seen in reversed(self._snapshots) if at <= limit), ())
 
-    def _listed(self) -> list[dict[str, str]]:
+    def _visible_instances(self) -> list[dict[str, str]]:
         if self.faults.empty:
             return []
         if self.faults.wrong is not None:
             return self.faults.wrong
-        seen = self._frozen if self.faults.stale else self._seen()
+        seen = self._stale_snapshot if self.faults.stale else self._lagged_snapshot()
         return [instance._asdict() for instance in seen]
 
 
--- a/cassiadrum/standins/object_services.py
+++ b/cassiadrum/standins/object_services.py
@@ -27,8 +27,8 @@
             case ("DELETE", ["objects", key]):
                 self.objects.pop(key, None)
             case _:
-                return Answer.of_json(404, {"error": "not found"})
-        return Answer.of_json(200, {})
+                return Answer.from_object(404, {"error": "not found"})
+        return Answer.from_object(200, {})
 
 
 if __name__ == "__main__":
--- a/cassiadrum/standins/plain_services.py
+++ b/cassiadrum/standins/plain_services.py
@@ -6,12 +6,12 @@
 
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.standins.run_records import RunRecord
-from cassiadrum.standins.standins import run_program
+from cassiadrum.standins.standins import run_standin
 
-__all__ = ["PlainServiceStandin"]
+__all__ = ["PlainServiceStandIn"]
 
 
-class PlainServiceStandin:
+class PlainServiceStandIn:
     """Record each call and answer it after `service_s` seconds.
 
     Faults are set by POST /faults: `drop_answers` (run the next n calls and cut the connection
@@ -71,4 +71,4 @@
 
 
 if __name__ == "__main__":
-    run_program(PlainServiceStandin, PlainServiceStandin.__doc__)
+    run_standin(PlainServiceStandIn, PlainServiceStandIn.__doc__)
--- a/cassiadrum/standins/standins.py
+++ b/cassiadrum/standins/standins.py
@@ -13,13 +13,13 @@
 from cassiadrum.standins.answers import Answer
 from cassiadrum.standins.faults import Faults
 
-__all__ = ["StandIn", "run_program"]
+__all__ = ["StandIn", "run_standin"]
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 RATE_WINDOW_S = 1.0
 
 
-class Program(Protocol):
+class Runnable(Protocol):
     """What can be run as a program."""
 
     async def start(self, host: str = ..., port: int = ...) -> int:
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.faults = Faults()
-        self._server = HttpServer(self._handle, body_limit=BODY_LIMIT_BYTES)
+        self._server = HttpServer(self._handle, body_limit_bytes=BODY_LIMIT_BYTES)
         self._window_started_s = 0.0
         self._window_requests = 0
 
@@ -63,13 +63,13 @@
     @classmethod
     def main(cls) -> None:
         """Run the stand-in from the command line until interrupted."""
-        run_program(cls, cls.__doc__)
+        run_standin(cls, cls.__doc__)
 
     async def _handle(self, exchange: Exchange) -> None:
         if exchange.req.path == "/faults":
             await self._change_faults(exchange)
             return
-        if self._over_limit():
+        if self._is_rate_limited():
             retry = (("retry-after", "1"),)
             await exchange.send_json(429, {"error": "rate limit"}, retry)
             return
@@ -91,7 +91,7 @@
                 return
         await exchange.send_json(200, self.faults._asdict())
 
-    def _over_limit(self) -> bool:
+    def _is_rate_limited(self) -> bool:
         limit = self.faults.limit_per_s
         now = self.now()
         if now - self._window_started_s >= RATE_WINDOW_S:
@@ -106,7 +106,7 @@
         return asyncio.get_running_loop().time()
 
 
-def run_program(build: Callable[[], Program], description: str | None) -> None:
+def run_standin(build: Callable[[], Runnable], description: str | None) -> None:
     """Run a stand-in on the address of the command line; print its address as a JSON line."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--host", default="127.0.0.1")
@@ -115,7 +115,7 @@
     asyncio.run(_serve(build, options.host, options.port))
 
 
-async def _serve(build: Callable[[], Program], host: str, port: int) -> None:
+async def _serve(build: Callable[[], Runnable], host: str, port: int) -> None:
     standin = build()
     bound = await standin.start(host, port)
     print(json.dumps({"address": f"{host}:{bound}"}), flush=True)
--- a/cassiadrum/standins/table_services.py
+++ b/cassiadrum/standins/table_services.py
@@ -12,7 +12,7 @@
 
 __all__ = ["TableService"]
 
-NOT_FOUND = Answer.of_json(404, {"error": "not found"})
+NOT_FOUND = Answer.from_object(404, {"error": "not found"})
 
 
 class TableService(StandIn):
@@ -27,30 +27,30 @@
         parts = [unquote(part) for part in req.path.split("/")[1:]]
         try:
             if parts == ["batch"] and req.method == "POST":
-                return self._batch(req)
+                return self._write_batch(req)
             if len(parts) == 3 and parts[::2] == ["tables", "rows"] and req.method == "GET":
-                return self._list(parts[1], req)
+                return self._list_rows(parts[1], req)
             if len(parts) == 4 and parts[::2] == ["tables", "rows"]:
-                return self._row(parts[1], parts[3], req)
+                return self._handle_row(parts[1], parts[3], req)
         except (msgspec.MsgspecError, ValueError) as exc:
-            return Answer.of_json(400, {"error": str(exc)})
+            return Answer.from_object(400, {"error": str(exc)})
         return NOT_FOUND
 
-    def _row(self, table: str, key: str, req: HttpRequest) -> Answer:
+    def _handle_row(self, table: str, key: str, req: HttpRequest) -> Answer:
         if req.method == "GET":
             row = self.rows.get(table, key)
-            return Answer.of_json(200, row._asdict()) if row else NOT_FOUND
+            return Answer.from_object(200, row._asdict()) if row else NOT_FOUND
         if req.method not in ("PUT", "DELETE"):
-            return Answer.of_json(405, {"error": "GET, PUT or DELETE"})
-        expected = _expected(req)
+            return Answer.from_object(405, {"error": "GET, PUT or DELETE"})
+        expected = _expected_version(req)
         if expected is None:
-            return Answer.of_json(428, {"error": "If-Match or If-None-Match is required"})
+            return Answer.from_object(428, {"error": "If-Match or If-None-Match is required"})
         value = None
         if req.method == "PUT":
             value = msgspec.json.decode(req.body, type=dict[str, object])
-        return _written(self.rows.write([TableWrite(table, key, value, expected)]))
+        return _write_answer(self.rows.write([TableWrite(table, key, value, expected)]))
 
-    def _list(self, table: str, req: HttpRequest) -> Answer:
+    def _list_rows(self, table: str, req: HttpRequest) -> Answer:
         query = {name: values[0] for name, values in parse_qs(req.query).items()}
         limit = int(query.get("limit", LIST_ROWS))
         if not 0 < limit <= LIST_ROWS:
@@ -59,15 +59,15 @@
         prefix, after = query.get("prefix", ""), query.get("after", "")
         page = self.rows.list(table, prefix, limit=limit, after=after, fields=fields)
         rows = [row._asdict() for row in page.rows]
-        return Answer.of_json(200, {"rows": rows, "next_after": page.next_after})
+        return Answer.from_object(200, {"rows": rows, "next_after": page.next_after})
 
-    def _batch(self, req: HttpRequest) -> Answer:
+    def _write_batch(self, req: HttpRequest) -> Answer:
         raw = msgspec.json.decode(req.body, type=dict[str, list[dict[str, object]]])
         ordered = [[item[field] for field in TableWrite._fields] for item in raw["writes"]]
-        return _written(self.rows.write(msgspec.convert(ordered, list[TableWrite])))
+        return _write_answer(self.rows.write(msgspec.convert(ordered, list[TableWrite])))
 
 
-def _expected(req: HttpRequest) -> int | None:
+def _expected_version(req: HttpRequest) -> int | None:
     """Return the version that the row must have, 0 for no row, None without a condition."""
     if req.header("if-none-match") == "*":
         return 0
@@ -75,13 +75,13 @@
     return int(match) if match else None
 
 
-def _written(result: WriteResult) -> Answer:
+def _write_answer(result: WriteResult) -> Answer:
     if isinstance(result, Done):
-        return Answer.of_json(200, {"versions": result.versions})
+        return Answer.from_object(200, {"versions": result.versions})
     if isinstance(result, Conflict):
         row = result.row._asdict() if result.row else None
-        return Answer.of_json(412, {"row": row, "position": result.position})
-    return Answer.of_json(400, {"error": result.reason})
+        return Answer.from_object(412, {"row": row, "position": result.position})
+    return Answer.from_object(400, {"error": result.reason})
 
 
 if __name__ == "__main__":
--- a/cassiadrum/standins/weight_services.py
+++ b/cassiadrum/standins/weight_services.py
@@ -11,7 +11,7 @@
 
 __all__ = ["WeightService"]
 
-PART_BYTES = 16 * 1024
+CHUNK_BYTES = 16 * 1024
 
 
 class WeightService(StandIn):
@@ -21,22 +21,22 @@
         super().__init__()
         self.bytes_per_s = bytes_per_s
         self.sizes: dict[str, int] = {}
-        self._free_at_s = 0.0
+        self._next_send_s = 0.0
 
     def answer(self, req: HttpRequest) -> Answer:
         """Return a size, or set one by PUT with {"bytes": N}."""
         parts = [unquote(part) for part in req.path.split("/")[1:]]
         match (req.method, parts):
             case ("GET", ["weights", name, "size"]) if name in self.sizes:
-                return Answer.of_json(200, {"bytes": self.sizes[name]})
+                return Answer.from_object(200, {"bytes": self.sizes[name]})
             case ("PUT", ["weights", name]):
                 try:
                     raw = msgspec.json.decode(req.body, type=dict[str, int])
                     self.sizes[name] = raw["bytes"]
                 except (msgspec.MsgspecError, KeyError) as exc:
-                    return Answer.of_json(400, {"error": str(exc)})
-                return Answer.of_json(200, {})
-        return Answer.of_json(404, {"error": "not found"})
+                    return Answer.from_object(400, {"error": str(exc)})
+                return Answer.from_object(200, {})
+        return Answer.from_object(404, {"error": "not found"})
 
     async def send(self, exchange: Exchange) -> None:
         """Stream a download; answer any other request at once."""
@@ -48,24 +48,24 @@
         offset = int(parse_qs(exchange.req.query).get("offset", ["0"])[0])
         await self._stream(exchange, max(0, self.sizes[name] - offset))
 
-    async def _stream(self, exchange: Exchange, left: int) -> None:
-        await exchange.send_head(200, (("content-length", str(left)),))
-        while left and not exchange.gone.is_set():
-            size = min(left, PART_BYTES)
-            await self._wait_for_rate(size)
+    async def _stream(self, exchange: Exchange, remaining_bytes: int) -> None:
+        await exchange.send_head(200, (("content-length", str(remaining_bytes)),))
+        while remaining_bytes and not exchange.disconnected.is_set():
+            size = min(remaining_bytes, CHUNK_BYTES)
+            await self._limit_rate(size)
             if self.faults.drop_answers > 0:
                 self.faults = self.faults._replace(drop_answers=self.faults.drop_answers - 1)
                 exchange.abort()
                 return
             await exchange.send_data(bytes(size))
-            left -= size
-        if not exchange.gone.is_set():
+            remaining_bytes -= size
+        if not exchange.disconnected.is_set():
             await exchange.end()
 
-    async def _wait_for_rate(self, size: int) -> None:
+    async def _limit_rate(self, size: int) -> None:
         now = self.now()
-        self._free_at_s = max(now, self._free_at_s) + size / self.bytes_per_s
-        await asyncio.sleep(self._free_at_s - now)
+        self._next_send_s = max(now, self._next_send_s) + size / self.bytes_per_s
+        await asyncio.sleep(self._next_send_s - now)
 
 
 if __name__ == "__main__":
--- a/cassiadrum/tests/conftest.py
+++ b/cassiadrum/tests/conftest.py
@@ -22,7 +22,7 @@
     """Run a site with a model and a plain service, which the command line finds by itself."""
     site = LocalSite([example("permit-register"), example("sprachdienst")], entries=2)
     await site.start()
-    daemons = [*site.entries, *(slot.sidecar for slot in site.slots)]
+    daemons = [*site.entries, *(endpoint.sidecar for endpoint in site.endpoints)]
     # The site is ready before every sidecar has the documents of the other services.
     while not all(len(daemon.status()["versions"]) == 2 for daemon in daemons):  # noqa: ASYNC110
         await asyncio.sleep(0.02)
--- a/cassiadrum/tests/fuzz/test_engine_streams.py
+++ b/cassiadrum/tests/fuzz/test_engine_streams.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cassiadrum.protocols import Exchange
-from cassiadrum.standins import EngineStandin
+from cassiadrum.standins import EngineStandIn
 from cassiadrum.tests.fuzz.conftest import FuzzSite
 from cassiadrum.tests.harness import Answer, StreamCaller
 
@@ -43,7 +43,7 @@
     """Let every engine of the site answer by a script."""
     current = Script()
 
-    async def complete(self: EngineStandin, exchange: Exchange) -> None:
+    async def complete(self: EngineStandIn, exchange: Exchange) -> None:
         await exchange.send_head(200, (("content-type", "text/event-stream"),))
         for part in current.parts:
             await exchange.send_data(part)
@@ -53,7 +53,7 @@
             await exchange.end()
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(EngineStandin, "_complete", complete)
+        patch.setattr(EngineStandIn, "_complete", complete)
         yield current
 
 
--- a/cassiadrum/tests/fuzz/test_links.py
+++ b/cassiadrum/tests/fuzz/test_links.py
@@ -99,7 +99,7 @@
     def test_invalid_document_is_not_applied(self, fuzz_site: FuzzSite, text: str) -> None:
         document = Document("sprachdienst", 2**40, text, False)
         fuzz_site.run(self.send(fuzz_site, [document]), errors_expected=True)
-        assert fuzz_site.site.slots[0].sidecar.status()["versions"]["sprachdienst"] == 1
+        assert fuzz_site.site.endpoints[0].sidecar.status()["versions"]["sprachdienst"] == 1
         fuzz_site.serves()
 
     @pytest.mark.parametrize("name", HOSTILE_FRAMES)
@@ -107,7 +107,7 @@
         self, fuzz_site: FuzzSite, name: str
     ) -> None:
         async def send() -> None:
-            link = await RawLink.open(fuzz_site.site.slots[0].sidecar.addresses["link"])
+            link = await RawLink.open(fuzz_site.site.endpoints[0].sidecar.addresses["link"])
             await link.send_frame(HOSTILE_FRAMES[name])
             with pytest.raises(ConnectionClosed):
                 await link.receive(StartRequest)
@@ -118,8 +118,8 @@
     @staticmethod
     async def send(fuzz_site: FuzzSite, messages: list[Message]) -> None:
         """Send the messages to a sidecar of each kind, and wait until they were handled."""
-        for slot in (fuzz_site.site.slots[0], fuzz_site.site.slots[-1]):
-            link = await RawLink.open(slot.sidecar.addresses["link"])
+        for endpoint in (fuzz_site.site.endpoints[0], fuzz_site.site.endpoints[-1]):
+            link = await RawLink.open(endpoint.sidecar.addresses["link"])
             try:
                 for msg in messages:
                     await link.send(msg)
--- a/cassiadrum/tests/fuzz/test_platform.py
+++ b/cassiadrum/tests/fuzz/test_platform.py
@@ -170,7 +170,7 @@
         async def serve(exchange: Exchange) -> None:
             nonlocal sent
             await exchange.send_head(200)
-            while not exchange.gone.is_set() and sent < 8 * MAX_RESPONSE_BYTES:
+            while not exchange.disconnected.is_set() and sent < 8 * MAX_RESPONSE_BYTES:
                 await exchange.send_data(b" " * 262_144)
                 sent += 262_144
             exchange.abort()
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -7,10 +7,10 @@
 from cassiadrum.documents import ServiceDocument
 from cassiadrum.protocols import HttpClient
 from cassiadrum.standins import (
-    EngineStandin,
+    EngineStandIn,
     InstanceListService,
     ObjectService,
-    PlainServiceStandin,
+    PlainServiceStandIn,
     TableService,
 )
 from cassiadrum.states import Accepted, ConfigurationWriter
@@ -21,7 +21,7 @@
 HOST = "127.0.0.1"
 
 
-class AddressedEngine(EngineStandin):
+class AddressedEngine(EngineStandIn):
     """An engine that knows its address and whose load reports can be wrong.
 
     `report_fault` is `late` (figures of the first report of the fault, cache events held back
@@ -38,8 +38,8 @@
         self._late: dict[str, Any] = {}
         self._held: list[int] = []
 
-    def _load(self) -> dict[str, Any]:
-        load = super()._load()
+    def _load_report(self) -> dict[str, Any]:
+        load = super()._load_report()
         self._reports += 1
         if self.report_fault == "late":
             self._held += load["cached"]
@@ -54,7 +54,7 @@
         return {**load, "cached": held + load["cached"]}
 
 
-class AddressedPlainService(PlainServiceStandin):
+class AddressedPlainService(PlainServiceStandIn):
     """A plain service that knows its address."""
 
     address = ""
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -219,7 +219,7 @@
         """Send a mixed load to the entry instances directly, and wait for its end."""
         addresses = [str(self.children[name].ready["http"]) for name in self.entries]
         sender = LoadSender(addresses, self.documents, seed)
-        plan = LoadPlan.mixed(self.documents, rate_per_s, duration_s, seed)
+        plan = LoadPlan.uniform_mix(self.documents, rate_per_s, duration_s, seed)
         task = asyncio.create_task(sender.run(plan))
         try:
             await until(lambda: len(sender.outcomes) > 3, "the first answers of the load")
--- a/cassiadrum/tests/test_event_meters.py
+++ b/cassiadrum/tests/test_event_meters.py
@@ -122,17 +122,17 @@
 
     async def test_counters_agree_with_what_callers_saw(self, site: LocalSite) -> None:
         sender = LoadSender([site.entry_address()], site.documents, seed=5)
-        await sender.run(LoadPlan.mixed(site.documents, 40.0, 1.0, seed=5))
+        await sender.run(LoadPlan.uniform_mix(site.documents, 40.0, 1.0, seed=5))
         values = await scrape(site.entries[0])
         results = sender.results.values()
         assert total(values, "cassiadrum_requests_total") == sum(res.sent for res in results)
         assert total(values, "cassiadrum_goodput") == sum(res.tokens for res in results)
         assert total(values, "cassiadrum_attainment") == sum(res.answered for res in results)
-        assert total(values, "cassiadrum_connections", "sidecar") == len(site.slots)
+        assert total(values, "cassiadrum_connections", "sidecar") == len(site.endpoints)
         assert total(values, "cassiadrum_store_calls_total", "answered") > 0
         assert total(values, "cassiadrum_control_bytes_total", "in") > 0
         assert total(values, "cassiadrum_configuration_version") == len(SERVICES)
-        sidecars = [await scrape(slot.sidecar) for slot in site.slots]
+        sidecars = [await scrape(endpoint.sidecar) for endpoint in site.endpoints]
         made = sum(total(found, "cassiadrum_claims_total", "made") for found in sidecars)
         assert made == sender.results["permit-register", "permit-issue"].answered
 
@@ -146,7 +146,7 @@
         writer.transport.abort()
         async with asyncio.timeout(5.0):
             while True:
-                found = [await scrape(slot.sidecar) for slot in site.slots]
+                found = [await scrape(endpoint.sidecar) for endpoint in site.endpoints]
                 if sum(total(values, "cassiadrum_wasted", "caller_left") for values in found) > 0:
                     return
                 await asyncio.sleep(0.02)
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -37,7 +37,7 @@
     )
     await site.start()
     yield site
-    site.table.set_faults(Faults())
+    site.table_service.set_faults(Faults())
     await site.drain()
     await site.close()
 
@@ -57,7 +57,7 @@
 
 
 def busy(site: LocalSite) -> list[Daemon]:
-    return [slot.sidecar for slot in site.slots if slot.sidecar.in_flight()]
+    return [endpoint.sidecar for endpoint in site.endpoints if endpoint.sidecar.in_flight()]
 
 
 def cut_links(sidecar: Daemon) -> None:
@@ -81,7 +81,7 @@
         (sidecar,) = busy(site)
         daemon = site.entries[0] if role == "entry" else sidecar
         if fault == "store":
-            site.table.set_faults(Faults(down=True))
+            site.table_service.set_faults(Faults(down=True))
         if fault == "reattach":
             cut_links(sidecar)
         if fault == "silent":
@@ -91,7 +91,7 @@
         status, body = await caller
         assert status == 200 and b"[DONE]" in body and b"event: error" not in body
         await daemon.close()
-        site.table.set_faults(Faults())
+        site.table_service.set_faults(Faults())
         await site.drain()
         assert check_record(site.record([])) == []
 
@@ -103,7 +103,7 @@
         assert (await caller)[0] == 200
 
     async def test_sidecar_stays_until_entry_instances_send_no_more(self, site: LocalSite) -> None:
-        sidecar = site.slots[0].sidecar
+        sidecar = site.endpoints[0].sidecar
         sidecar.begin_drain()
         began = asyncio.get_running_loop().time()
         assert await drain(sidecar, LIMIT_S) == 0
@@ -111,9 +111,9 @@
 
     @pytest.mark.parametrize("role", ["entry", "sidecar"])
     async def test_drain_limit_refuses_what_is_left(self, site: LocalSite, role: str) -> None:
-        for slot in site.slots:
-            if slot.service == "permit-register":
-                slot.endpoint._service_s = 60.0  # type: ignore[union-attr]
+        for endpoint in site.endpoints:
+            if endpoint.service == "permit-register":
+                endpoint.standin._service_s = 60.0  # type: ignore[union-attr]
         caller = asyncio.create_task(send(site, PERMIT_TARGET))
         await until(lambda: bool(busy(site)))
         daemon = site.entries[0] if role == "entry" else busy(site)[0]
@@ -125,8 +125,8 @@
         kinds = [event.kind for event in daemon.ring.after(0, 10_000)]
         assert EventKind.DRAIN_LIMIT_REACHED in kinds
         # Ends the call that may not be cut, so that the rest of the site can stop.
-        for slot in site.slots:
-            await slot.endpoint.close()
+        for endpoint in site.endpoints:
+            await endpoint.standin.close()
 
     async def test_second_signal_names_what_is_in_flight(
         self, site: LocalSite, caplog: pytest.LogCaptureFixture
--- a/cassiadrum/tests/test_loads.py
+++ b/cassiadrum/tests/test_loads.py
@@ -68,11 +68,11 @@
     """Guards against arrivals that depend on more than the seed or miss the stated rates."""
 
     def test_same_seed_gives_the_same_plan(self, mix: LoadMix) -> None:
-        assert LoadPlan.of_mix(mix, 7) == LoadPlan.of_mix(mix, 7)
-        assert LoadPlan.of_mix(mix, 7) != LoadPlan.of_mix(mix, 8)
+        assert LoadPlan.from_mix(mix, 7) == LoadPlan.from_mix(mix, 7)
+        assert LoadPlan.from_mix(mix, 7) != LoadPlan.from_mix(mix, 8)
 
     def test_rates_and_bursts(self, mix: LoadMix) -> None:
-        plan = LoadPlan.of_mix(mix, 3, scale=100.0)
+        plan = LoadPlan.from_mix(mix, 3, scale=100.0)
         burst = mix.bursts[0]
         inside = Counter[bool]()
         for req in plan.requests:
@@ -83,7 +83,7 @@
         assert [req.at_s for req in plan.requests] == sorted(req.at_s for req in plan.requests)
 
     def test_large_customers_send_their_share(self, mix: LoadMix) -> None:
-        plan = LoadPlan.of_mix(mix, 3, scale=50.0)
+        plan = LoadPlan.from_mix(mix, 3, scale=50.0)
         sent = Counter(req.customer for req in plan.requests)
         large = sum(sent[f"customer-{number}"] for number in (1, 2, 3))
         assert len(sent) == mix.customers
@@ -100,7 +100,9 @@
         server = HttpServer(answer)
         port = await server.start("127.0.0.1", 0)
         sender = LoadSender([f"127.0.0.1:{port}"], mix.documents, 1)
-        late = next(r for r in LoadPlan.of_mix(mix, 1).requests if r.class_name == "order-status")
+        late = next(
+            r for r in LoadPlan.from_mix(mix, 1).requests if r.class_name == "order-status"
+        )
         await sender.run(LoadPlan((late._replace(at_s=-1.0),)))
         await server.abort()
         row = sender.results["auftragsdienst", "order-status"].as_dict()
@@ -121,7 +123,7 @@
         server = HttpServer(hold)
         port = await server.start("127.0.0.1", 0)
         sender = LoadSender([f"127.0.0.1:{port}"], mix.documents, 1)
-        orders = [r for r in LoadPlan.of_mix(mix, 1).requests if not r.prompt][:5]
+        orders = [r for r in LoadPlan.from_mix(mix, 1).requests if not r.prompt][:5]
         async with asyncio.timeout(10.0):
             await sender.run(LoadPlan(tuple(req._replace(at_s=0.0) for req in orders)))
         await server.abort()
@@ -146,7 +148,7 @@
         instances = site.platform_addresses["instance_list"]
         options = LoadOptions(short, entries, 2, 2.0, instances, standins=True)
         report = await send_load(options)
-        plan = LoadPlan.of_mix(short, 2, 2.0)
+        plan = LoadPlan.from_mix(short, 2, 2.0)
         rows = [row for classes in report.services.values() for row in classes.values()]
         assert sum(row["sent"] for row in rows) == len(plan.requests)
         assert sum(row["answered"] for row in rows) == len(plan.requests)
--- a/cassiadrum/tests/test_local_sites.py
+++ b/cassiadrum/tests/test_local_sites.py
@@ -77,13 +77,13 @@
             )
             answers.append((response.status, await response.read()))
         assert answers[0] == answers[1]
-        runs = [run for slot in site.slots for run in slot.endpoint.runs if run["key"]]
+        runs = [run for endpoint in site.endpoints for run in endpoint.standin.runs if run["key"]]
         assert len(runs) == 1
 
     async def test_mixed_load_keeps_every_invariant(self, site: LocalSite) -> None:
         addresses = [entry.addresses["http"] for entry in site.entries]
         sender = LoadSender(addresses, site.documents, seed=3)
-        await sender.run(LoadPlan.mixed(site.documents, 60.0, 1.5, seed=3))
+        await sender.run(LoadPlan.uniform_mix(site.documents, 60.0, 1.5, seed=3))
         await site.drain()
         record = site.record(sender.outcomes)
         assert record.missing_events == 0
--- a/cassiadrum/tests/test_operations_page.py
+++ b/cassiadrum/tests/test_operations_page.py
@@ -5,7 +5,7 @@
 
 from cassiadrum.cli import parse
 from cassiadrum.commands import ExitCode
-from cassiadrum.frontends.problems import REASONS
+from cassiadrum.frontends.problems import STATUS_AND_TITLE_BY_REASON
 from cassiadrum.metrics.metric_definitions import DEFINITIONS, GATEWAY_DEFINITIONS
 
 TEXT = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text()
@@ -31,7 +31,9 @@
 
     def test_refusals(self) -> None:
         rows = re.findall(r"^\| `([a-z_]+)` \| (\d{3}) \|", TEXT, re.MULTILINE)
-        assert rows == [(reason, str(status)) for reason, (status, _) in REASONS.items()]
+        assert rows == [
+            (reason, str(status)) for reason, (status, _) in STATUS_AND_TITLE_BY_REASON.items()
+        ]
 
     def test_exit_codes(self) -> None:
         rows = re.findall(r"^\| (\d) \| `([A-Z_]+)` \|", TEXT, re.MULTILINE)
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -14,7 +14,7 @@
 from cassiadrum.roles.lease_contenders import CONTENDERS, LeaseContender, is_contender
 from cassiadrum.roles.order_guards import OrderGuard
 from cassiadrum.roles.order_tasks import OrderTask
-from cassiadrum.standins import EngineStandin, TableService
+from cassiadrum.standins import EngineStandIn, TableService
 from cassiadrum.states import FencingGuard
 from cassiadrum.stores import HttpTableStore, StoreTransport, TableStore
 
@@ -68,7 +68,7 @@
         assert old is not None and new is not None and new > old
         assert first.fencing() is None
 
-        engine = EngineStandin(enforces_fencing=False)
+        engine = EngineStandIn(enforces_fencing=False)
         endpoint = EngineEndpoint("127.0.0.1", await engine.start())
         guard = OrderGuard(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
         task = asyncio.create_task(guard.run())
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -26,23 +26,25 @@
     async def test_status_of_a_healthy_site(self, command_site: LocalSite) -> None:
         ran = await run("status", "--json")
         assert ran.code == ExitCode.OK
-        assert len(ran.data["instances"]) == len(command_site.entries) + len(command_site.slots)
+        assert len(ran.data["instances"]) == len(command_site.entries) + len(
+            command_site.endpoints
+        )
         assert ran.data["versions"] == {REGISTER: 1, "sprachdienst": 1}
         services = {row["service"]: row for row in ran.data["services"]}
         assert len(services["sprachdienst"]["endpoints"]) == 6
         assert services[REGISTER]["classes"][0] == "status-check"
 
     async def test_status_names_a_silent_instance(self, command_site: LocalSite) -> None:
-        await command_site.slots[0].sidecar.close()
+        await command_site.endpoints[0].sidecar.close()
         ran = await run("status", "--json")
         assert ran.code == ExitCode.UNREACHABLE
         silent = [row["instance"] for row in ran.data["instances"] if not row["answers"]]
-        assert silent == [command_site.slots[0].instance]
+        assert silent == [command_site.endpoints[0].instance]
 
     async def test_status_without_the_table_service(self, command_site: LocalSite) -> None:
-        command_site.table.set_faults(Faults(down=True))
+        command_site.table_service.set_faults(Faults(down=True))
         ran = await run("status")
-        command_site.table.set_faults(Faults())
+        command_site.table_service.set_faults(Faults())
         assert ran.code == ExitCode.UNREACHABLE
         assert "table service: the store is unavailable" in ran.text
 
@@ -52,12 +54,17 @@
         assert [row["instance"] for row in rows if row["draining"]] == ["sprachdienst-1"]
 
     async def test_wrong_address_in_the_list(self, command_site: LocalSite) -> None:
-        slot = command_site.slots[0]
-        wrong = {"instance": slot.instance, "role": "sidecar", "service": slot.service}
-        wrong |= {"zone": slot.zone, "link_address": "x", "admin_address": "x", "state": "live"}
-        command_site.instances.set_faults(Faults(wrong=[wrong]))
+        endpoint = command_site.endpoints[0]
+        wrong = {"instance": endpoint.instance, "role": "sidecar", "service": endpoint.service}
+        wrong |= {
+            "zone": endpoint.zone,
+            "link_address": "x",
+            "admin_address": "x",
+            "state": "live",
+        }
+        command_site.instance_list_service.set_faults(Faults(wrong=[wrong]))
         ran = await run("status", "--json")
-        command_site.instances.set_faults(Faults())
+        command_site.instance_list_service.set_faults(Faults())
         assert (ran.code, ran.data["instances"][0]["answers"]) == (ExitCode.UNREACHABLE, False)
 
     async def test_no_instance_list(self) -> None:
@@ -84,9 +91,9 @@
         assert (ran.code, ran.data["problem"]["reason"]) == (ExitCode.BAD_INPUT, "key_required")
 
     async def test_refusal_of_an_outage_is_explained(self, command_site: LocalSite) -> None:
-        command_site.table.set_faults(Faults(down=True))
+        command_site.table_service.set_faults(Faults(down=True))
         ran = await run("request", f"{REGISTER}/permits", "--body", "{}", "--key", "k", "--json")
-        command_site.table.set_faults(Faults())
+        command_site.table_service.set_faults(Faults())
         problem = ran.data["problem"]
         assert (ran.code, problem["reason"]) == (ExitCode.REFUSED, "store_unavailable")
         story = await run("explain", problem["request_id"])
@@ -143,11 +150,11 @@
         assert ran.code == ExitCode.OK
 
     async def test_silent_process_is_named(self, command_site: LocalSite) -> None:
-        await command_site.slots[0].sidecar.close()
+        await command_site.endpoints[0].sidecar.close()
         ran = await run("timeline", "--json")
         assert (ran.code, ran.data["silent"]) == (
             ExitCode.UNREACHABLE,
-            [command_site.slots[0].instance],
+            [command_site.endpoints[0].instance],
         )
 
 
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 async def port() -> AsyncIterator[int]:
-    server = HttpServer(echo, body_limit=1000, read_timeout_s=0.2)
+    server = HttpServer(echo, body_limit_bytes=1000, read_timeout_s=0.2)
     yield await server.start("127.0.0.1", 0)
     await server.abort()
 
@@ -72,7 +72,7 @@
 
     @pytest.mark.parametrize("sent", [HEAD[:10], HEAD, HEAD + b"o"])
     async def test_request_that_has_begun_is_answered(self, sent: bytes) -> None:
-        server = HttpServer(echo, body_limit=1000, read_timeout_s=5.0)
+        server = HttpServer(echo, body_limit_bytes=1000, read_timeout_s=5.0)
         port = await server.start("127.0.0.1", 0)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(sent)
@@ -88,7 +88,7 @@
         assert b"connection: close" in answer.lower()
 
     async def test_request_that_just_arrived_is_answered(self) -> None:
-        server = HttpServer(echo, body_limit=1000, read_timeout_s=5.0)
+        server = HttpServer(echo, body_limit_bytes=1000, read_timeout_s=5.0)
         port = await server.start("127.0.0.1", 0)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         await asyncio.sleep(0.05)
@@ -100,7 +100,7 @@
         assert answer.startswith(b"HTTP/1.1 200")
 
     async def test_idle_connection_is_closed_at_once(self) -> None:
-        server = HttpServer(echo, body_limit=1000, read_timeout_s=5.0)
+        server = HttpServer(echo, body_limit_bytes=1000, read_timeout_s=5.0)
         port = await server.start("127.0.0.1", 0)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         await asyncio.sleep(0.05)
@@ -129,7 +129,7 @@
     """Guards against bodies that take all memory, or that keep a small request out."""
 
     async def test_large_bodies_are_refused_beyond_the_budget(self) -> None:
-        server = HttpServer(echo, body_budget=50_000)
+        server = HttpServer(echo, body_budget_bytes=50_000)
         port = await server.start("127.0.0.1", 0)
         _, slow = await asyncio.open_connection("127.0.0.1", port)
         slow.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n" + b"x" * 50_000)
@@ -152,7 +152,7 @@
         running, told = asyncio.Event(), asyncio.Event()
 
         async def wait(exchange: Exchange) -> None:
-            exchange.when_gone(told.set)
+            exchange.on_disconnect(told.set)
             running.set()
             await told.wait()
 
@@ -171,7 +171,7 @@
 
         async def wait(exchange: Exchange) -> None:
             await asyncio.sleep(0.05)
-            exchange.when_gone(told.set)
+            exchange.on_disconnect(told.set)
             await told.wait()
 
         server = HttpServer(wait)
--- a/cassiadrum/tests/test_service_commands.py
+++ b/cassiadrum/tests/test_service_commands.py
@@ -32,7 +32,10 @@
     async def test_is_in_force_everywhere(self, command_site: LocalSite, edited: Path) -> None:
         ran = await run("service", "apply", str(edited), "--json")
         assert (ran.code, ran.data["version"], ran.data["lagging"]) == (ExitCode.OK, 2, {})
-        daemons = [*command_site.entries, *(slot.sidecar for slot in command_site.slots)]
+        daemons = [
+            *command_site.entries,
+            *(endpoint.sidecar for endpoint in command_site.endpoints),
+        ]
         assert {daemon.status()["versions"][REGISTER] for daemon in daemons} == {2}
         assert ran.errors == ""
 
@@ -114,15 +117,18 @@
         async def lose_first(
             self: HttpClient, method: str, target: str, *rest: Any
         ) -> HttpResponse:
-            if target.startswith("/admin/services/") and not command_site.table.faults.down:
-                command_site.table.set_faults(Faults(down=True))
+            if (
+                target.startswith("/admin/services/")
+                and not command_site.table_service.faults.down
+            ):
+                command_site.table_service.set_faults(Faults(down=True))
                 raise AnswerLost("cut by the test before it was applied")
             return await send(self, method, target, *rest)
 
         with monkeypatch.context() as patch:
             patch.setattr(HttpClient, "request", lose_first)
             ran = await run("service", "apply", str(edited), "--json")
-        command_site.table.set_faults(Faults())
+        command_site.table_service.set_faults(Faults())
         assert ran.code == ExitCode.OUTCOME_UNKNOWN
 
     async def test_acceptance_is_told_without_the_instance_list(
@@ -135,12 +141,12 @@
         ) -> HttpResponse:
             response = await send(self, method, target, *rest)
             if target.startswith("/admin/services/"):
-                command_site.instances.set_faults(Faults(down=True))
+                command_site.instance_list_service.set_faults(Faults(down=True))
             return response
 
         monkeypatch.setattr(HttpClient, "request", then_stop)
         ran = await run("service", "apply", str(edited), "--json")
-        command_site.instances.set_faults(Faults())
+        command_site.instance_list_service.set_faults(Faults())
         assert (ran.code, ran.data["version"]) == (ExitCode.UNREACHABLE, 2)
 
     async def test_operation_id_of_another_text_is_refused(
@@ -155,15 +161,15 @@
         assert "was used for another text" in ran.errors
 
     async def test_names_who_lags(self, command_site: LocalSite, edited: Path) -> None:
-        await command_site.slots[0].sidecar.close()
+        await command_site.endpoints[0].sidecar.close()
         ran = await run("service", "apply", str(edited), "--wait-s", "0.5", "--json")
         assert ran.code == ExitCode.UNREACHABLE
-        assert ran.data["lagging"][command_site.slots[0].instance] == "does not answer"
+        assert ran.data["lagging"][command_site.endpoints[0].instance] == "does not answer"
 
     async def test_store_outage_is_a_refusal(self, command_site: LocalSite, edited: Path) -> None:
-        command_site.table.set_faults(Faults(down=True))
+        command_site.table_service.set_faults(Faults(down=True))
         ran = await run("service", "apply", str(edited), "--base", "1", "--json")
-        command_site.table.set_faults(Faults())
+        command_site.table_service.set_faults(Faults())
         assert (ran.code, ran.data["result"]) == (ExitCode.REFUSED, "not_accepted")
 
     async def test_misspelt_flag_changes_nothing(
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -75,7 +75,7 @@
 
     @pytest.mark.parametrize("by_list", [True, False])
     async def test_leaving_sidecar_gets_no_new_work(self, site: LocalSite, by_list: bool) -> None:
-        leaving, entry = site.slots[0], site.entries[0]
+        leaving, entry = site.endpoints[0], site.entries[0]
         if by_list:
             await listing(site).mark_leaving(leaving.instance)
         else:
@@ -93,22 +93,24 @@
 
     async def test_bad_lists_cut_no_link(self, site: LocalSite) -> None:
         entry = site.entries[0]
-        address = site.slots[0].sidecar.addresses["link"]
+        address = site.endpoints[0].sidecar.addresses["link"]
         ghost = Instance("ghost", "sidecar", "permit-register", "z", address, address)
         await listing(site).register(ghost)
         await until(lambda: saw(entry, EventKind.MEMBER_JOINED, "ghost"))
         for fault in (Faults(empty=True), Faults(wrong=[]), Faults(down=True)):
-            site.instances.set_faults(fault)
+            site.instance_list_service.set_faults(fault)
             assert await status_codes(site, 5) == {200}
         await polls(entry, 2)
         kinds = {event.kind for event in events(entry)}
         assert EventKind.DISCONNECTED not in kinds
-        assert sorted(entry.status()["links"]) == sorted(slot.instance for slot in site.slots)
+        assert sorted(entry.status()["links"]) == sorted(
+            endpoint.instance for endpoint in site.endpoints
+        )
 
     async def test_count_of_processes_comes_from_the_list(self, site: LocalSite) -> None:
         agent = site.entries[0]._configurations  # type: ignore[attr-defined]
         # The entry instance is listed from its second poll on.
-        await until(lambda: agent._process_count() == len(site.slots) + 1)
+        await until(lambda: agent._process_count() == len(site.endpoints) + 1)
 
 
 class TestSiteSubsets:
@@ -121,7 +123,9 @@
         try:
             entry = site.entries[0]
             (first,) = entry.status()["links"]
-            sidecar = next(slot.sidecar for slot in site.slots if slot.instance == first)
+            sidecar = next(
+                endpoint.sidecar for endpoint in site.endpoints if endpoint.instance == first
+            )
             task = sidecar._sidecar  # type: ignore[attr-defined]
             await until(lambda: "entry-1" in task.links)
             # Every place is taken by the time the entry instance dials again.
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -12,7 +12,7 @@
 from cassiadrum.protocols import Exchange, HttpClient, HttpResponse, HttpServer
 from cassiadrum.roles import build_daemon
 from cassiadrum.settings import parse_settings
-from cassiadrum.sites import EndpointSlot, LocalSite
+from cassiadrum.sites import LocalSite, SiteEndpoint
 from cassiadrum.standins import answer_tokens
 from cassiadrum.stores import HttpInstanceList, Instance
 
@@ -73,8 +73,8 @@
     await site.close()
 
 
-def serving(site: LocalSite) -> EndpointSlot:
-    return next(slot for slot in site.slots if slot.sidecar.status()["in_flight"])
+def serving(site: LocalSite) -> SiteEndpoint:
+    return next(endpoint for endpoint in site.endpoints if endpoint.sidecar.status()["in_flight"])
 
 
 async def kill(site: LocalSite) -> None:
@@ -85,24 +85,30 @@
     await entry.close()
 
 
-async def restart(site: LocalSite, slot: EndpointSlot) -> None:
+async def restart(site: LocalSite, endpoint: SiteEndpoint) -> None:
     """Kill a sidecar and start another one under the same name, at another address."""
-    await slot.sidecar.close()
-    cfg = slot.sidecar._cfg  # type: ignore[attr-defined]
+    await endpoint.sidecar.close()
+    cfg = endpoint.sidecar._cfg  # type: ignore[attr-defined]
     settings = (
-        f'role = "sidecar"\ninstance = "{cfg.instance}"\nzone = "{cfg.zone}"\n{site._platform}'
-        f'[endpoint]\nservice = "{slot.service}"\nkind = "engine"\n'
+        f'role = "sidecar"\ninstance = "{cfg.instance}"\nzone = "{cfg.zone}"\n'
+        f"{site._platform_table}"
+        f'[endpoint]\nservice = "{endpoint.service}"\nkind = "engine"\n'
         f'address = "{cfg.endpoint.address}"\n'
     )
     sidecar = build_daemon(parse_settings(settings))
     await sidecar.start()
-    site.slots[site.slots.index(slot)] = slot._replace(sidecar=sidecar)
+    site.endpoints[site.endpoints.index(endpoint)] = endpoint._replace(sidecar=sidecar)
     listing = site._instance_list
     assert isinstance(listing, HttpInstanceList)
     addresses = sidecar.addresses
     await listing.register(
         Instance(
-            cfg.instance, "sidecar", slot.service, cfg.zone, addresses["link"], addresses["admin"]
+            cfg.instance,
+            "sidecar",
+            endpoint.service,
+            cfg.zone,
+            addresses["link"],
+            addresses["admin"],
         )
     )
 
@@ -119,7 +125,7 @@
             await exchange.send_json(200, {})
             return
         await exchange.send_head(200, (("content-type", "application/octet-stream"),))
-        while not exchange.gone.is_set():
+        while not exchange.disconnected.is_set():
             await exchange.send_data(bytes(65536))
             self.sent += 65536
 
@@ -131,11 +137,11 @@
         text = (EXAMPLES / "permit-register.toml").read_text()
         site = LocalSite([text.replace("endpoints = 3", "endpoints = 1")], entries=1)
         await site.start()
-        (slot,) = site.slots
+        (site_endpoint,) = site.endpoints
         endpoint = LongAnswer()
         port = await endpoint.server.start("127.0.0.1", 0)
-        await slot.endpoint.close()
-        sidecar = slot.sidecar._sidecar  # type: ignore[attr-defined]
+        await site_endpoint.standin.close()
+        sidecar = site_endpoint.sidecar._sidecar  # type: ignore[attr-defined]
         sidecar._endpoint._client._port = port
         host, _, entry_port = site.entry_address().rpartition(":")
         _reader, writer = await asyncio.open_connection(host, int(entry_port), limit=1024)
@@ -196,7 +202,7 @@
         await until(lambda: len(caller.body) > 200)
         await kill(site)
         await sending
-        slot = serving(site)
+        endpoint = serving(site)
         second = Caller(site)
         target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
         reading = asyncio.create_task(second.read(await second.client.request("GET", target)))
@@ -213,7 +219,7 @@
                 await response.read()
         reading = asyncio.create_task(third.read(response))
         await until(lambda: len(third.body) > 200)
-        for link in list(slot.sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
+        for link in list(endpoint.sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
             link.abort()
         await reading
         caller.body += third.body
@@ -223,12 +229,12 @@
         caller = Caller(site)
         sending = asyncio.create_task(caller.send())
         await until(lambda: len(caller.body) > 300)
-        slot = serving(site)
-        await restart(site, slot)
+        endpoint = serving(site)
+        await restart(site, endpoint)
         await sending
         # Another engine continued after the text that was delivered.
         caller.assert_whole()
-        names = sorted(slot.instance for slot in site.slots)
+        names = sorted(endpoint.instance for endpoint in site.endpoints)
         await until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
 
     async def test_rest_is_fetched_from_outside_the_subset(self) -> None:
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -231,7 +231,7 @@
         self, files: Files, tmp_path: Path
     ) -> None:
         site = LocalSite([(EXAMPLES / "permit-register.toml").read_text()], entries=1)
-        site._limits += (
+        site._limits_table += (
             f'[tls]\ncertificate = "{files.certificate}"\nkey = "{files.key}"\nca = "{files.ca}"\n'
         )
         await site.start()
@@ -243,7 +243,7 @@
             assert response.status == 200
             async with asyncio.timeout(LIMIT_S):
                 assert await response.read()
-            link = site.slots[0].sidecar.addresses["link"]
+            link = site.endpoints[0].sidecar.addresses["link"]
             stranger = other(tmp_path, trustme.CA())
             hellos: list[Message] = []
             dialer = LinkDialer(
@@ -260,7 +260,7 @@
             )
             await dialer._connect_once()
             assert hellos == []
-            assert site.slots[0].sidecar.status()["links"] == ["entry-1"]
+            assert site.endpoints[0].sidecar.status()["links"] == ["entry-1"]
         finally:
             await site.drain()
             await site.close()
