--- a/cassiadrum/frontends/__init__.py
+++ b/cassiadrum/frontends/__init__.py
@@ -1,4 +1,4 @@
-"""What callers and operators meet."""
+"""Formats of answers to callers: problem documents and server-sent events."""
 
 from cassiadrum.frontends.problems import PROBLEM_TYPE, Problem, send_problem
 from cassiadrum.frontends.server_sent_events import EventSplitter
--- a/cassiadrum/frontends/problems.py
+++ b/cassiadrum/frontends/problems.py
@@ -1,4 +1,4 @@
-"""Refusals as application/problem+json."""
+"""Error responses as application/problem+json (RFC 9457)."""
 
 import json
 import math
@@ -10,7 +10,7 @@
 
 PROBLEM_TYPE: Final = "application/problem+json"
 
-# Reason: HTTP status and title.
+# HTTP status and title of each reason.
 STATUS_AND_TITLE_BY_REASON: Final[dict[str, tuple[int, str]]] = {
     "unknown_service": (404, "No service of this name is configured"),
     "unknown_class": (404, "No class of the service matches the request"),
@@ -34,7 +34,10 @@
 
 
 class Problem(NamedTuple):
-    """One refusal; `ran` is `no`, `yes` or `unknown`, `retry_after_s` 0 when not stated."""
+    """One error response; `retry_after_s` 0 means that no time is stated.
+
+    `ran` tells whether the request was executed: `no`, `yes` or `unknown`.
+    """
 
     reason: str
     ran: str
@@ -65,7 +68,7 @@
 
 
 async def send_problem(exchange: Exchange, problem: Problem) -> None:
-    """Answer a request with a refusal."""
+    """Answer a request with a problem document."""
     headers: Headers = ()
     if problem.request_id:
         headers = (("x-request-id", problem.request_id),)
--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -1,4 +1,4 @@
-"""Splitting of a byte stream into whole server-sent events."""
+"""Split a byte stream at the boundaries of server-sent events."""
 
 __all__ = ["EventSplitter"]
 
@@ -7,9 +7,9 @@
 
 
 class EventSplitter:
-    """Pass on whole events only, so that another engine can continue after the last one.
+    """Pass on complete events only, so that another engine can resume after the last one.
 
-    `events` counts the content events passed on; the closing `[DONE]` is not counted.
+    `events` counts the events passed on, except the final `[DONE]`.
     """
 
     def __init__(self) -> None:
@@ -18,24 +18,24 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Return the size of the unfinished event."""
+        """Return the size of the incomplete event."""
         return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the whole events among them."""
+        """Add received bytes and return the events that are now complete."""
         self._buffer += data
         end = self._buffer.rfind(EVENT_SEPARATOR)
         if end < 0:
             return b""
-        whole, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
-        self.events += whole.count(EVENT_SEPARATOR) - whole.count(DONE_EVENT)
-        return whole
+        complete, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
+        self.events += complete.count(EVENT_SEPARATOR) - complete.count(DONE_EVENT)
+        return complete
 
     def discard_partial_event(self) -> None:
-        """Drop the part of an event that a failed attempt left."""
+        """Drop the incomplete event of a failed attempt."""
         self._buffer = b""
 
     def take_rest(self) -> bytes:
-        """Return what is left at the end of the stream."""
+        """Return and clear the bytes that are left at the end of the stream."""
         rest, self._buffer = self._buffer, b""
         return rest
--- a/cassiadrum/loads/__init__.py
+++ b/cassiadrum/loads/__init__.py
@@ -1,4 +1,4 @@
-"""Load tool: callers that send a seeded load and check every answer."""
+"""Load tool that sends a seeded load to a site and checks every answer."""
 
 from cassiadrum.loads.class_results import ClassResult
 from cassiadrum.loads.errors import LoadError, MixError
--- a/cassiadrum/loads/__main__.py
+++ b/cassiadrum/loads/__main__.py
@@ -11,7 +11,7 @@
 
 
 def main() -> int:
-    """Send a mix and print its report; the exit code is 1 when an invariant was broken."""
+    """Send a mix and print its report; the exit code is 1 if an invariant was violated."""
     options = _parse()
     try:
         mix = load_mix(options.mix)
--- a/cassiadrum/loads/class_results.py
+++ b/cassiadrum/loads/class_results.py
@@ -1,4 +1,4 @@
-"""What callers of one class saw."""
+"""Results of the requests of one class, as seen by their callers."""
 
 from collections import Counter
 from typing import Any
@@ -15,10 +15,10 @@
 
 
 class ClassResult:
-    """Count the outcomes of a class.
+    """Count the outcomes of a class and record their latencies.
 
-    Latencies are in seconds from the planned time of arrival, so that a sender or a server that
-    falls behind cannot hide the wait of the requests behind it (coordinated omission).
+    Latencies are in seconds from the planned time of arrival. Otherwise a sender or server that
+    falls behind would hide the wait of later requests (coordinated omission).
     """
 
     def __init__(self, cls: RequestClass, kind: str) -> None:
@@ -33,7 +33,7 @@
         self._kind = kind
 
     def record_answer(self, first_s: float, total_s: float, tokens: int) -> None:
-        """Count a whole answer; the targets decide whether it was in time."""
+        """Count a complete answer, and whether it attained the targets of the class."""
         self.answered += 1
         self.tokens += tokens
         self.first_token.record_value(_microseconds(first_s))
@@ -46,10 +46,10 @@
         self.attained += in_time and gap_s <= self._cls.target_inter_token_s
 
     def as_dict(self) -> dict[str, Any]:
-        """Return the counts for a report; attainment is None without an answer.
+        """Return the results for a report; attainment is None without an answer.
 
-        `latency_s` is the time to the first token of a model, and to the whole answer of a plain
-        service; `target_s` is its target. `attainment_of_sent` counts what was refused as missed.
+        `latency_s` is the time to the first token of a model or to the whole answer of a plain
+        service, and `target_s` its target. `attainment_of_sent` counts refused requests as missed.
         """
         plain = self._kind == "plain"
         return {
--- a/cassiadrum/loads/errors.py
+++ b/cassiadrum/loads/errors.py
@@ -11,7 +11,7 @@
 
 
 class MixError(LoadError):
-    """Carry every finding of a mix file that is not valid."""
+    """A mix file is invalid; `findings` holds every error in it."""
 
     def __init__(self, findings: list[Finding]) -> None:
         super().__init__("\n".join(str(finding) for finding in findings))
--- a/cassiadrum/loads/load_mixes.py
+++ b/cassiadrum/loads/load_mixes.py
@@ -1,4 +1,4 @@
-"""A load by class, read from a TOML file."""
+"""Load mixes: arrival rates by class, read from a TOML file."""
 
 import tomllib
 from pathlib import Path
@@ -15,7 +15,7 @@
 
 
 class ClassRate(NamedTuple):
-    """Mean arrivals a second of a class outside bursts."""
+    """Mean arrivals per second of a class outside bursts."""
 
     service: str
     name: str
@@ -23,7 +23,7 @@
 
 
 class Burst(NamedTuple):
-    """A time from `start_s` on, in seconds, in which a class arrives `factor` times as often."""
+    """A period, in seconds from the start, in which a class arrives `factor` times as often."""
 
     service: str
     name: str
@@ -33,7 +33,11 @@
 
 
 class LoadMix(NamedTuple):
-    """State what arrives: the first `large_customers` send `large_share` of the requests."""
+    """A load by class and customer.
+
+    `large_customers` of the `customers` send the share `large_share` of the requests.
+    `streamed_share` is the share of model requests that ask for a streamed answer.
+    """
 
     documents: tuple[ServiceDocument, ...]
     texts: tuple[str, ...]
@@ -47,9 +51,9 @@
 
 
 def load_mix(path: Path) -> LoadMix:
-    """Return the mix in a file with its documents.
+    """Return the mix in a file, with the service documents that it names.
 
-    Raises MixError with one finding for each error, those of the documents included.
+    Raises MixError with one finding for each error, including those of the documents.
     """
     raw = _parse_toml(path)
     findings = _check_schema(raw, str(path))
--- a/cassiadrum/loads/load_options.py
+++ b/cassiadrum/loads/load_options.py
@@ -1,4 +1,4 @@
-"""What a run of the load tool needs."""
+"""Options of a run of the load tool."""
 
 from typing import NamedTuple
 
@@ -8,10 +8,10 @@
 
 
 class LoadOptions(NamedTuple):
-    """State where a mix is sent; addresses are HOST:PORT.
+    """The mix, where to send it and how; addresses are HOST:PORT.
 
-    `instances` is the address of the platform's instance list; with it, events and metrics of
-    the processes are read, otherwise they are left out of the report. `scale` multiplies all
+    `instances` is the address of the instance list of the platform. Without it, the events and
+    metrics of the processes are not read and missing from the report. `scale` multiplies all
     rates. `standins` states that the engines are stand-ins, whose answers can be checked.
     """
 
--- a/cassiadrum/loads/load_plans.py
+++ b/cassiadrum/loads/load_plans.py
@@ -1,4 +1,4 @@
-"""What a load sends, and when."""
+"""The requests of a load and their times of arrival."""
 
 import json
 import random
@@ -12,13 +12,13 @@
 
 MAX_TOKENS = 48
 STREAMED_SHARE = 0.8
-# A few large customers send most of the requests.
+# Relative request rates of the customers: a few large ones send most of the requests.
 CUSTOMER_WEIGHTS = (12, 8, 6, 1, 1, 1, 1, 1, 1, 1)
 TOPICS = ("clapper of bell 3", "skylight release in June", "yoke bearing", "council condition 14")
 
 
 class PlannedRequest(NamedTuple):
-    """One request of the plan; `at_s` is its time of arrival after the start, in seconds."""
+    """One request of the plan; `at_s` is its time of arrival, in seconds after the start."""
 
     at_s: float
     service: str
@@ -32,7 +32,7 @@
 
 
 class LoadPlan(NamedTuple):
-    """Requests in order of arrival."""
+    """The requests of a load in order of arrival."""
 
     requests: tuple[PlannedRequest, ...]
 
@@ -40,7 +40,7 @@
     def uniform_mix(
         cls, documents: list[ServiceDocument], rate_per_s: float, duration_s: float, seed: int
     ) -> "LoadPlan":
-        """Return Poisson arrivals spread evenly over the classes of all documents."""
+        """Return Poisson arrivals, distributed uniformly over the classes of all documents."""
         rng = random.Random(seed)
         classes = [(doc, request_class) for doc in documents for request_class in doc.classes]
         requests: list[PlannedRequest] = []
@@ -66,11 +66,11 @@
         requests: list[PlannedRequest] = []
         documents = {document.name: document for document in mix.documents}
         for rate in mix.rates:
-            # A class keeps its arrivals when other classes are added to the mix.
+            # Seeded by class, so that adding classes to the mix does not change its arrivals.
             rng = random.Random(f"{seed} {rate.service} {rate.name}")
             document = documents[rate.service]
             request_class = document.named_class(rate.name)
-            assert request_class is not None  # checked with the file
+            assert request_class is not None  # checked by load_mix
             for number, at_s in enumerate(_arrival_times(mix, rate, scale, rng)):
                 name = f"{seed}-{rate.name}-{number}"
                 customer, streamed = _choose_customer(mix, rng), rng.random() < mix.streamed_share
--- a/cassiadrum/loads/load_reports.py
+++ b/cassiadrum/loads/load_reports.py
@@ -1,4 +1,4 @@
-"""The result of one run of the load tool."""
+"""Report of one run of the load tool."""
 
 import json
 from typing import Any, NamedTuple
@@ -10,10 +10,11 @@
 
 
 class LoadReport(NamedTuple):
-    """Hold the results by service and class, and what the processes' own records say.
+    """Results by service and class, with figures from the events and metrics of the processes.
 
     `tokens_wasted`, `missing_events` and `violations` are None when the events were not read.
-    `checked` names what the rules had: `events`, or `events and runs` of the endpoints.
+    `checked` names the input of the invariant checks: `events`, or `events and runs` of the
+    endpoints.
     """
 
     seed: int
@@ -27,7 +28,7 @@
 
     @classmethod
     def from_sender(cls, sender: LoadSender, seed: int, duration_s: float) -> "LoadReport":
-        """Return the report of what callers saw."""
+        """Return a report with the results that callers saw."""
         services: dict[str, dict[str, dict[str, Any]]] = {}
         for (service, class_name), result in sender.results.items():
             services.setdefault(service, {})[class_name] = result.as_dict()
@@ -35,17 +36,17 @@
         return cls(seed, duration_s, services, delivered)
 
     def as_dict(self) -> dict[str, Any]:
-        """Return plain values for JSON."""
+        """Return the report as values that JSON can represent."""
         found = self.violations
         violations = None if found is None else [violation._asdict() for violation in found]
         return {**self._asdict(), "violations": violations}
 
     def as_json(self) -> str:
-        """Return one JSON object."""
+        """Return the report as one JSON object."""
         return json.dumps(self.as_dict())
 
     def as_text(self) -> str:
-        """Return a table by class and the summary below it; latencies in milliseconds."""
+        """Return a table by class, with latencies in milliseconds, and a summary."""
         lines = [
             f"{'service':<16}{'class':<18}{'sent':>6}{'answered':>10}{'attained':>10}"
             f"{'p50 ms':>9}{'p99 ms':>9}{'tokens':>9}"
@@ -56,7 +57,7 @@
         if self.tokens_wasted is not None:
             lines.append(f"wasted tokens: {self.tokens_wasted}")
         if self.violations is None:
-            lines.append("invariants: not checked, since the events were not read")
+            lines.append("invariants: not checked, because the events were not read")
         else:
             missing = f", {self.missing_events} events missing" if self.missing_events else ""
             lines.append(
--- a/cassiadrum/loads/load_runs.py
+++ b/cassiadrum/loads/load_runs.py
@@ -1,4 +1,4 @@
-"""One run of the load tool against a running site."""
+"""A run of the load tool against a running site."""
 
 import asyncio
 import contextlib
@@ -15,12 +15,15 @@
 
 
 def run_load(options: LoadOptions) -> LoadReport:
-    """Send the load and return its report; raise StoreUnavailable without an instance list."""
+    """Send the load and return its report.
+
+    Raises StoreUnavailable if the instance list is needed and cannot be read.
+    """
     return asyncio.run(send_load(options))
 
 
 async def send_load(options: LoadOptions) -> LoadReport:
-    """Send the load from a running event loop; see `run_load`."""
+    """Send the load from within a running event loop; see `run_load`."""
     mix = options.mix
     sender = LoadSender(options.entries, mix.documents, options.seed, standins=options.standins)
     plan = LoadPlan.from_mix(mix, options.seed, options.scale)
--- a/cassiadrum/loads/load_senders.py
+++ b/cassiadrum/loads/load_senders.py
@@ -18,7 +18,7 @@
 __all__ = ["LoadSender"]
 
 PROBLEM_TYPE = "application/problem+json"
-# An answer that is later than the deadline of its class by this much is given up on.
+# How long a caller waits for an answer after the deadline of its class.
 DEADLINE_GRACE_S = 10.0
 
 
@@ -34,10 +34,10 @@
 
 
 class LoadSender:
-    """Send each request at its time, whatever became of those before it.
+    """Send each request at its planned time, without waiting for earlier answers.
 
-    `standins` states that the answers come from this project's stand-in engines, whose text is
-    known in advance and is checked.
+    `standins` states that the engines are the stand-ins of this project. Their answers are known
+    in advance and are checked.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         self._standins = standins
 
     async def run(self, plan: LoadPlan) -> None:
-        """Send the whole plan and wait for every answer."""
+        """Send all requests of the plan and wait for every answer."""
         started_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for req in plan.requests:
@@ -131,7 +131,7 @@
 
 
 def _completion_text(body: bytes) -> bytes:
-    """Return the text of a completion, or the body of any other answer."""
+    """Return the text of a completion, or the body of another answer."""
     parsed = json.loads(body)
     if isinstance(parsed, dict) and "choices" in parsed:
         return str(parsed["choices"][0]["message"]["content"]).encode()
@@ -139,7 +139,7 @@
 
 
 def _stream_text(body: bytes) -> tuple[bytes, dict[str, str], bool]:
-    """Return the text of an event stream, its error event, and whether it ended regularly."""
+    """Return the text of an event stream, its error event, and whether it ended with `[DONE]`."""
     text, problem, ended = "", {}, False
     for event in body.decode().split("\n\n"):
         data = event.rpartition("data: ")[2]
@@ -153,8 +153,8 @@
 
 
 def _outcome(req: PlannedRequest, answer: _Answer, standins: bool) -> CallerOutcome:
-    known = standins and req.prompt
-    expected = _sha256_hex(answer_text(req.prompt, MAX_TOKENS).encode()) if known else ""
+    verifiable = standins and req.prompt
+    expected = _sha256_hex(answer_text(req.prompt, MAX_TOKENS).encode()) if verifiable else ""
     return CallerOutcome(
         answer.request_id,
         req.service,
--- a/cassiadrum/loads/mix_schemas.py
+++ b/cassiadrum/loads/mix_schemas.py
@@ -1,4 +1,4 @@
-"""The TOML shape of a mix file."""
+"""Schemas of the TOML tables of a mix file."""
 
 from typing import Annotated, NotRequired, TypedDict
 
@@ -8,11 +8,11 @@
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Count = Annotated[int, Meta(ge=1, le=100_000)]
-# The bounds on rate, factor and duration keep a mistyped file from flooding a site.
+# Limits on rate, factor and duration prevent a typing error in a file from flooding a site.
 Rate = Annotated[float, Meta(gt=0, le=100_000)]
 Duration = Annotated[float, Meta(gt=0, le=3600)]
 
-# The functional syntax is needed because `class` is a keyword.
+# Functional syntax, because `class` is a keyword.
 MixTable = TypedDict(
     "MixTable",
     {"load": dict[str, object], "class": list[object], "burst": NotRequired[list[object]]},
@@ -20,7 +20,7 @@
 
 
 class LoadTable(TypedDict):
-    """The `[load]` table; `documents` are paths relative to the file."""
+    """The `[load]` table; the paths in `documents` are relative to the file."""
 
     documents: Annotated[list[str], Meta(min_length=1)]
     duration_s: Duration
@@ -39,7 +39,7 @@
 
 
 class BurstTable(TypedDict):
-    """One `[[burst]]` table: the class arrives `factor` times as often for a while."""
+    """One `[[burst]]` table: for `duration_s` the class arrives `factor` times as often."""
 
     service: Name
     name: Name
--- a/cassiadrum/loads/process_readers.py
+++ b/cassiadrum/loads/process_readers.py
@@ -1,4 +1,4 @@
-"""Reader of the events and metrics of a site's processes."""
+"""Reader of the events and metrics of the processes of a site."""
 
 import asyncio
 import contextlib
@@ -22,10 +22,10 @@
 
 
 class ProcessReader:
-    """Read the events of every listed instance while a load runs.
+    """Read the events of all instances in the instance list while a load runs.
 
-    The rings are bounded, so they are read often; what is overwritten before it is read shows as
-    missing events.
+    The event rings of the processes are bounded, so they are read often. Events that are
+    overwritten before they are read are counted as missing in the report.
     """
 
     def __init__(self, instance_list: str, admin_token: str = "") -> None:
@@ -46,12 +46,15 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def read(self) -> None:
-        """Read all events that are new; raise StoreUnavailable without an instance list."""
+        """Read all new events; raise StoreUnavailable if the instance list cannot be read."""
         addresses = [member.admin_address for member in await self._instance_list.fetch()]
         await asyncio.gather(*(self._read_events(address) for address in addresses))
 
     async def read_wasted_tokens(self) -> int:
-        """Return the sum over all instances since their starts; raise StoreUnavailable."""
+        """Return the wasted tokens of all instances since they started.
+
+        Raises StoreUnavailable if the instance list cannot be read.
+        """
         total = 0.0
         for member in await self._instance_list.fetch():
             text = await self._get(member.admin_address, "/metrics")
@@ -77,7 +80,7 @@
             self._last_sequences[address] = events[-1].sequence
 
     async def _get(self, address: str, target: str) -> bytes | None:
-        """Return a body, or None when the instance does not answer."""
+        """Return the response body, or None without an answer or on a status other than 200."""
         client = _client(address)
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
--- a/cassiadrum/loads/report_pages.py
+++ b/cassiadrum/loads/report_pages.py
@@ -1,4 +1,4 @@
-"""A load report as one HTML page without other files."""
+"""Load report as one self-contained HTML page."""
 
 import math
 from html import escape
@@ -23,7 +23,7 @@
 
 
 def render_page(report: LoadReport) -> str:
-    """Return the page: summary, plot of latencies by class, and the table."""
+    """Return the page with a summary, a plot of latencies by class and a table."""
     rows = [
         (f"{service} / {name}", row)
         for service, classes in report.services.items()
@@ -95,7 +95,7 @@
 
 
 def _axis_x(seconds: float) -> float:
-    """Return the place of a time on the logarithmic axis, in pixels."""
+    """Return the position of a time on the logarithmic axis, in pixels."""
     share = math.log(min(max(seconds, AXIS_MIN_S), AXIS_MAX_S) / AXIS_MIN_S) / math.log(
         AXIS_MAX_S / AXIS_MIN_S
     )
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 by h11 for servers and clients."""
+"""HTTP/1.1 server and client on asyncio and h11."""
 
 from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed, HttpError
--- a/cassiadrum/protocols/body_budgets.py
+++ b/cassiadrum/protocols/body_budgets.py
@@ -1,13 +1,13 @@
-"""Bound on the memory that request bodies take in one server."""
+"""Limit on the memory that message bodies take."""
 
 __all__ = ["BodyBudget"]
 
 
 class BodyBudget:
-    """Count the bytes of all bodies that are being read or served.
+    """Limit the total size of the bodies that are held in memory at one time.
 
-    Each request has `free_bytes` of its own, so that large bodies cannot keep a small request
-    out; the rest comes from `limit_bytes`, which all share.
+    The first `exempt_bytes` of each body are not counted, so that large bodies cannot block small
+    ones. All bytes beyond them count towards the shared `limit_bytes`.
     """
 
     def __init__(self, limit_bytes: int, exempt_bytes: int) -> None:
@@ -16,15 +16,15 @@
         self._exempt_bytes = exempt_bytes
 
     def try_resize(self, old_bytes: int, new_bytes: int) -> bool:
-        """Let one body grow; return False when the shared limit does not allow it."""
-        more = self._shared_part(new_bytes) - self._shared_part(old_bytes)
-        if self.used_bytes + more > self._limit_bytes:
+        """Change the size of one body; return False, without effect, above the shared limit."""
+        added_bytes = self._shared_part(new_bytes) - self._shared_part(old_bytes)
+        if self.used_bytes + added_bytes > self._limit_bytes:
             return False
-        self.used_bytes += more
+        self.used_bytes += added_bytes
         return True
 
     def release(self, size_bytes: int) -> None:
-        """Give back what a body has taken."""
+        """Return the bytes of a body to the budget."""
         self.used_bytes -= self._shared_part(size_bytes)
 
     def _shared_part(self, size_bytes: int) -> int:
--- a/cassiadrum/protocols/errors.py
+++ b/cassiadrum/protocols/errors.py
@@ -10,7 +10,10 @@
 
 
 class BadMessage(HttpError):
-    """The peer sent a message that is not valid HTTP or passes a limit."""
+    """The peer sent a message that is not valid HTTP or exceeds a limit.
+
+    `status` is the HTTP status that a server answers with; `detail` names the error.
+    """
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
@@ -19,8 +22,8 @@
 
 
 class ConnectFailed(HttpError):
-    """No connection could be made, so the request was certainly not sent."""
+    """The request was not sent: no connection was established, or it is not valid HTTP."""
 
 
 class AnswerLost(HttpError):
-    """The request was sent in part or whole and its answer did not arrive in full."""
+    """The request was sent, in part or in full, but no complete response was received."""
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -1,4 +1,4 @@
-"""One request and its answer on a server connection."""
+"""One request and its response on a server connection."""
 
 import asyncio
 import json
@@ -15,9 +15,10 @@
 
 
 class Exchange:
-    """Answer one request; `gone` is set when the client closes its connection.
+    """Send the response to one request; `disconnected` is set when the client disconnects.
 
-    The answer announces the connection's end when `closing` returns true at its head.
+    The response carries `connection: close` if `should_close` returns true when its headers are
+    written. `started` and `ended` tell whether its headers and its end have been written.
     """
 
     def __init__(
@@ -39,13 +40,13 @@
         self._disconnect_callback: Callable[[], None] | None = None
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
-        """Call `act` once when the client closes its connection, at once if it has already."""
+        """Call `callback` once when the client disconnects, immediately if it already has."""
         self._disconnect_callback = callback
         if self.disconnected.is_set():
             callback()
 
     def set_disconnected(self) -> None:
-        """Take note that the client closed its connection."""
+        """Record that the client disconnected, and run the callback on the first call."""
         if self.disconnected.is_set():
             return
         self.disconnected.set()
@@ -53,9 +54,9 @@
             self._disconnect_callback()
 
     def buffer_head(self, status: int, headers: Headers = ()) -> None:
-        """Add the status and headers to what the next flush sends.
+        """Buffer the status and headers for the next flush.
 
-        The body is chunked unless a length is given.
+        The body is sent in chunks unless `headers` has a content-length.
         """
         names = {name.lower() for name, _ in headers}
         chunked = "content-length" not in names
@@ -73,20 +74,21 @@
         )
 
     def buffer_data(self, data: bytes) -> None:
-        """Add a part of the body to what the next flush sends."""
+        """Buffer a part of the body for the next flush."""
         if not self._chunked:
             self._buffer_event(h11.Data(data=data))
         elif data:
-            # h11 checks each chunk's event and state, at several times the cost of framing it.
+            # Framed here: h11 checks an event and the state for each chunk, which costs several
+            # times as much as the framing itself.
             self._unsent += (b"%x\r\n" % len(data), data, b"\r\n")
 
     def buffer_end(self) -> None:
-        """Add the end of the answer to what the next flush sends."""
+        """Buffer the end of the response for the next flush."""
         self.ended = True
         self._buffer_event(h11.EndOfMessage())
 
     async def flush(self) -> None:
-        """Send what was added in one write and wait while the client's buffer is full."""
+        """Send the buffered data in one write and wait while the send buffer is full."""
         self._write()
         try:
             await self._writer.drain()
@@ -94,24 +96,24 @@
             self.set_disconnected()
 
     async def send_head(self, status: int, headers: Headers = ()) -> None:
-        """Send the status and headers; the body is chunked unless a length is given."""
+        """Send the status and headers; see `buffer_head`."""
         self.buffer_head(status, headers)
         self._write()
 
     async def send_data(self, data: bytes) -> None:
-        """Send a part of the body and wait while the client's buffer is full."""
+        """Send a part of the body and wait while the send buffer is full."""
         self.buffer_data(data)
         await self.flush()
 
     async def end(self) -> None:
-        """End the answer."""
+        """Send the end of the response."""
         self.buffer_end()
         await self.flush()
 
     async def send(
         self, status: int, body: bytes, content_type: str, headers: Headers = ()
     ) -> None:
-        """Send a whole answer."""
+        """Send a complete response with a content-length."""
         length = (("content-type", content_type), ("content-length", str(len(body))))
         self.buffer_head(status, (*headers, *length))
         if self.req.method != "HEAD":
@@ -120,11 +122,11 @@
         await self.flush()
 
     async def send_json(self, status: int, value: object, headers: Headers = ()) -> None:
-        """Send a whole answer as JSON."""
+        """Send a complete response with a JSON body."""
         await self.send(status, json.dumps(value).encode(), "application/json", headers)
 
     def abort(self) -> None:
-        """Close the connection, so that the client sees a cut answer and not a short one."""
+        """Abort the connection, so that the client detects a truncated response."""
         self.ended = True
         self._writer.transport.abort()
 
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 client for one address, on asyncio streams and h11."""
+"""HTTP/1.1 client for one address, on asyncio streams and h11."""
 
 import asyncio
 import ssl
@@ -25,7 +25,7 @@
 
 
 class HttpClient:
-    """Send requests to one address and keep idle connections for reuse."""
+    """Send requests to one address over reused connections."""
 
     def __init__(
         self,
@@ -50,12 +50,13 @@
         *,
         new_connection: bool = False,
     ) -> HttpResponse:
-        """Send a request and return its response once the headers arrived.
+        """Send a request and return its response once its headers have arrived.
 
-        With `fresh` a new connection is made: a server may close an idle one just as the request
-        is sent, which cannot be told from a lost answer.
+        With `new_connection` no idle connection is reused: a server may close an idle connection
+        just as the request is sent, which is indistinguishable from a lost response.
         Raises ConnectFailed when nothing was sent, AnswerLost when the outcome is unknown and
-        BadMessage when the response is not valid HTTP. The caller sets the timeout.
+        BadMessage when the response is not valid HTTP. Only connecting is limited in time here;
+        the caller sets the timeout of the request.
         """
         conn = None if new_connection else self._take_idle()
         conn = conn or await self._connect()
@@ -75,8 +76,8 @@
     def _take_idle(self) -> _Connection | None:
         while self._idle:
             conn = self._idle.pop()
-            # A connection that the server closed while idle must not carry a request: its
-            # loss could not be told from a lost answer.
+            # A request on a connection that the server has already closed would fail in the same
+            # way as one whose response was lost.
             if not conn.reader.at_eof() and not conn.writer.is_closing():
                 return conn
             conn.writer.close()
@@ -89,7 +90,7 @@
                     self._host, self._port, ssl=self._tls
                 )
         except (OSError, TimeoutError) as exc:
-            raise ConnectFailed(f"{self._host}:{self._port}: {exc}") from exc
+            raise ConnectFailed(f"cannot connect to {self._host}:{self._port}: {exc}") from exc
         return _Connection(h11.Connection(h11.CLIENT), reader, writer)
 
     async def _send(
@@ -108,7 +109,7 @@
                 if isinstance(event, h11.Response):
                     return event
                 if not isinstance(event, h11.InformationalResponse):
-                    raise AnswerLost("the connection ended before the response")
+                    raise AnswerLost("connection closed before the response headers arrived")
         except OSError as exc:
             raise AnswerLost(str(exc)) from exc
 
@@ -119,7 +120,7 @@
             while True:
                 event = _parse_event(conn)
                 if isinstance(event, h11.Data):
-                    # Chunks that were received together are passed on together.
+                    # Chunks that arrived in one read are yielded as one byte string.
                     chunks.append(bytes(event.data))
                     continue
                 if chunks:
@@ -131,7 +132,7 @@
                 if isinstance(event, BadMessage | AnswerLost):
                     raise event
                 if event is not h11.NEED_DATA:
-                    raise AnswerLost("the connection ended inside the body")
+                    raise AnswerLost("connection closed before the response body was complete")
                 await _receive(conn)
         finally:
             if complete:
@@ -149,12 +150,12 @@
 
 
 def _build_request(method: str, target: str, headers: Headers) -> h11.Request:
-    """Return the request; raise ConnectFailed when it cannot be written as HTTP."""
+    """Return the request event; raise ConnectFailed if it cannot be encoded as HTTP."""
     try:
         encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
         return h11.Request(method=method, target=target, headers=encoded)
     except (h11.LocalProtocolError, UnicodeError) as exc:
-        raise ConnectFailed(f"not sent: {exc}") from exc
+        raise ConnectFailed(f"request cannot be encoded as HTTP: {exc}") from exc
 
 
 async def _read_event(conn: _Connection) -> object:
@@ -166,7 +167,7 @@
 
 
 def _parse_event(conn: _Connection) -> object:
-    """Return the next event of what was received, or the error that takes its place."""
+    """Parse the next event from the received data; return an error instead of raising it."""
     try:
         return conn.protocol.next_event()
     except h11.RemoteProtocolError as exc:
--- a/cassiadrum/protocols/http_requests.py
+++ b/cassiadrum/protocols/http_requests.py
@@ -1,4 +1,4 @@
-"""A request as the server read it."""
+"""An HTTP request that a server received."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 
 
 class HttpRequest(NamedTuple):
-    """Hold one whole request; header names are lower case, `target` is path and query."""
+    """One complete request; header names are lower case, `target` is path and query."""
 
     method: str
     target: str
@@ -26,5 +26,5 @@
         return self.target.partition("?")[2]
 
     def header(self, name: str, default: str = "") -> str:
-        """Return the first value of a header, given in lower case."""
+        """Return the first value of a header; `name` is in lower case."""
         return next((value for key, value in self.headers if key == name), default)
--- a/cassiadrum/protocols/http_responses.py
+++ b/cassiadrum/protocols/http_responses.py
@@ -1,4 +1,4 @@
-"""A response as the client reads it."""
+"""An HTTP response that a client received."""
 
 from collections.abc import AsyncIterator
 from typing import NamedTuple
@@ -9,10 +9,10 @@
 
 
 class HttpResponse(NamedTuple):
-    """Hold status and headers, and the body as a stream of byte strings.
+    """Status, headers and a stream of the body.
 
     Iterating `body` raises AnswerLost when the connection ends before the body does. The body
-    must be read to its end or closed with `aclose()`, which drops the connection.
+    must be read to its end, or closed with `aclose()`, which closes the connection.
     """
 
     status: int
@@ -20,7 +20,7 @@
     body: AsyncIterator[bytes]
 
     def header(self, name: str, default: str = "") -> str:
-        """Return the first value of a header, given in lower case."""
+        """Return the first value of a header; `name` is in lower case."""
         return next((value for key, value in self.headers if key == name), default)
 
     async def read(self) -> bytes:
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 server on asyncio streams and h11."""
+"""HTTP/1.1 server on asyncio streams and h11."""
 
 import asyncio
 import json
@@ -23,7 +23,11 @@
 
 
 class HttpServer:
-    """Serve a handler on one address, with bounds on connections, headers, bodies and time."""
+    """Call a handler for each request on one address.
+
+    Connections, header and body sizes, the memory of all bodies, and the times for reading a
+    request and for idle connections are limited.
+    """
 
     def __init__(
         self,
@@ -41,7 +45,7 @@
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._server: asyncio.Server | None = None
-        # In order of arrival, so that the oldest idle connection is found first.
+        # In order of arrival, so that the oldest idle connection is closed first.
         self._connections: dict[asyncio.Task[None], RequestReader | None] = {}
         self._serving: set[asyncio.Task[None]] = set()
         self._closing = False
@@ -59,7 +63,7 @@
 
     @property
     def requests_in_flight(self) -> int:
-        """Return the number of requests that are being answered."""
+        """Return the number of requests that are being handled."""
         return len(self._serving)
 
     def set_limits(
@@ -70,23 +74,23 @@
         read_timeout_s: float,
         idle_timeout_s: float,
     ) -> None:
-        """Change the limits in bytes and seconds for requests that are read from now on."""
+        """Set the limits for requests whose reading begins after this call."""
         self._header_limit_bytes = header_limit_bytes
         self._body_limit_bytes = body_limit_bytes
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
 
     def drain(self) -> None:
-        """Let each connection end with its next answer."""
+        """Close each connection after its next response."""
         self._draining = True
 
     async def close(self) -> None:
-        """Stop listening, answer what has begun to arrive and close idle connections."""
+        """Stop listening, answer requests that have begun to arrive and close idle connections."""
         self._closing = self._draining = True
         if self._server is not None:
             self._server.close()
-        # Lets the event loop read what the system has received already: the first pass finds it,
-        # the second one follows the callbacks that take it.
+        # Lets the event loop read data that the kernel has already received: the first iteration
+        # polls the sockets, the second runs after the callbacks that read them.
         for _ in range(2):
             await asyncio.sleep(0)
         for task, request_reader in self._connections.items():
@@ -96,7 +100,7 @@
             await asyncio.wait(self._connections)
 
     async def abort(self) -> None:
-        """Stop at once and cut every connection."""
+        """Stop listening and reset every connection."""
         self._closing = True
         if self._server is not None:
             self._server.close()
@@ -106,7 +110,7 @@
             await asyncio.wait(self._connections)
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
-        # The protocol does the same as asyncio.start_server, with a reader of another class.
+        # Same as asyncio.start_server, except for the class of the reader.
         reader = NotifyingReader(limit=READ_BYTES)
         return asyncio.StreamReaderProtocol(reader, self._accept)
 
@@ -117,9 +121,9 @@
             writer.transport.abort()
             return
         self._connections[task] = None
-        # An exchange has ended only once the system has taken all of its answer, so that a stop
-        # of the process cuts off nothing.
-        # A TLS transport pauses at the limit, not above it, and would never resume with 0.
+        # With a write buffer limit of 0, draining waits until the kernel has accepted the whole
+        # response, so that a process that exits after its last exchange truncates none.
+        # A TLS transport pauses at the limit instead of above it, and would never resume with 0.
         over_tls = writer.get_extra_info("sslcontext") is not None
         writer.transport.set_write_buffer_limits(high=int(over_tls), low=0)
         try:
@@ -127,7 +131,7 @@
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
             writer.transport.abort()
         except Exception:
-            logger.exception("handler failed")
+            logger.exception("HTTP handler failed, connection reset")
             writer.transport.abort()
         finally:
             self._connections.pop(task, None)
@@ -143,9 +147,9 @@
         )
 
     def _admit_connection(self) -> bool:
-        """Close the oldest idle connection at the limit; return whether a new one may stay.
+        """Return whether a new connection is accepted; at the limit, close the oldest idle one.
 
-        Otherwise a flood of connections that send nothing would keep all others out.
+        Otherwise clients that open connections and send nothing could exhaust the limit.
         """
         if len(self._connections) < self._connection_limit:
             return True
@@ -180,7 +184,7 @@
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
     ) -> bool:
-        """Read and answer one request; return whether the connection can take another."""
+        """Read and answer one request; return whether the connection can be reused."""
         try:
             req = await request_reader.read()
         except BadMessage as exc:
--- a/cassiadrum/protocols/notifying_readers.py
+++ b/cassiadrum/protocols/notifying_readers.py
@@ -1,4 +1,4 @@
-"""A stream reader that tells at once when the peer is gone."""
+"""Stream reader that reports the disconnect of the peer immediately."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,41 +8,41 @@
 
 
 class NotifyingReader(asyncio.StreamReader):
-    """Call back when the peer closes its connection, also while nobody reads.
+    """Call back when the peer closes the connection, even while no read is pending.
 
-    A task that waits for the end of the input instead costs a task for each request. What the
-    peer sends early stays in the buffer, which stops the transport when it is full.
+    This saves a task per request that would wait for the end of the input. Data that arrives
+    before it is read stays in the buffer; a full buffer pauses the transport.
     """
 
-    # Bytes that arrived and were not read yet.
+    # Number of bytes received but not read.
     unread_bytes = 0
     _disconnect_callback: Callable[[], None] | None = None
     _disconnected = False
 
-    def set_disconnect_callback(self, on_gone: Callable[[], None] | None) -> None:
-        """Call `on_gone` at the end of the input, at once if it has come; None stops that."""
-        self._disconnect_callback = on_gone
-        if on_gone is not None and self._disconnected:
-            on_gone()
+    def set_disconnect_callback(self, callback: Callable[[], None] | None) -> None:
+        """Call `callback` at the end of the input, or now if it was reached; None removes it."""
+        self._disconnect_callback = callback
+        if callback is not None and self._disconnected:
+            callback()
 
     def feed_data(self, data: Any) -> None:
-        """Take bytes."""
+        """Buffer received bytes."""
         super().feed_data(data)
         self.unread_bytes += len(data)
 
     async def read(self, n: int = -1) -> bytes:
-        """Return at most `n` bytes, none at the end."""
+        """Return at most `n` bytes, or no bytes at the end of the input."""
         data = await super().read(n)
         self.unread_bytes -= len(data)
         return data
 
     def feed_eof(self) -> None:
-        """Take the end of the input."""
+        """Mark the end of the input and call back."""
         super().feed_eof()
         self._notify_disconnected()
 
     def set_exception(self, exc: Exception) -> None:
-        """Take the loss of the connection."""
+        """Mark the loss of the connection and call back."""
         super().set_exception(exc)
         self._notify_disconnected()
 
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -1,4 +1,4 @@
-"""Reader of whole requests from one server connection."""
+"""Reader of complete requests from one server connection."""
 
 import asyncio
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 
 
 class ReadLimits(NamedTuple):
-    """Bound a request in bytes, and the time in seconds for it and for the idle time before."""
+    """Limits of one request: sizes in bytes, time to read it and idle time before it."""
 
     header_bytes: int
     body_bytes: int
@@ -26,7 +26,7 @@
 
 
 class RequestReader:
-    """Read requests, each within the limits that `limits` returns when its reading begins."""
+    """Read requests, each within the limits that `limits()` returns when its reading begins."""
 
     def __init__(
         self,
@@ -43,20 +43,20 @@
         self._limits = limits()
         self._budget = budget
         self._deadline = 0.0
-        # Bytes of the current body, which are returned to the budget by `release`.
+        # Size of the current body; `release_body` returns it to the budget.
         self._reserved_bytes = 0
 
     @property
     def request_started(self) -> bool:
-        """Return whether any byte of a request has arrived that is not answered yet."""
+        """Return whether any byte of a request that is not answered yet has arrived."""
         received = bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
         return received or self._conn.their_state is not h11.IDLE
 
     async def read(self) -> HttpRequest | None:
-        """Return the next request, or None when the client closed or stayed idle.
+        """Return the next request, or None when the client disconnects or stays idle.
 
         Raises BadMessage for invalid HTTP, a body over the limit or the budget, and a request
-        that is not complete within the read timeout.
+        that is incomplete at the end of the read timeout.
         """
         self._limits = self._get_limits()
         self._deadline = self._now() + self._limits.idle_timeout_s
@@ -76,7 +76,7 @@
         if size > self._limits.body_bytes:
             raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
         if not self._budget.try_resize(self._reserved_bytes, size):
-            raise BadMessage(503, "the bodies of other requests take all the memory for bodies")
+            raise BadMessage(503, "the memory for request bodies is exhausted")
         self._reserved_bytes = size
 
     async def _read_head(self) -> h11.Request | None:
@@ -96,7 +96,7 @@
                 self._deadline = self._now() + self._limits.read_timeout_s
 
     def _check_length(self, head: h11.Request) -> None:
-        """Refuse a body over the limit before any of it is read."""
+        """Reject a body over the limit before any of it is read."""
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
         if int(length) > self._limits.body_bytes:
             raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
@@ -117,11 +117,11 @@
         try:
             return self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            # The library's text quotes the bytes that it received.
+            # The message of h11 quotes received bytes, so it is not passed on.
             raise BadMessage(exc.error_status_hint, "the request is not valid HTTP/1.1") from exc
 
     async def _receive(self, *, started: bool) -> bool:
-        """Pass received bytes to h11; return False when the client stayed idle."""
+        """Pass received bytes to h11; return False after the idle timeout."""
         if self._conn.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._conn.send(reply) or b"")
@@ -143,17 +143,21 @@
 
 
 def _check_head_size(head: h11.Request, limit_bytes: int) -> None:
-    """Refuse a head over the limit; h11 applies its own limit to incomplete heads only."""
+    """Reject headers over the limit; h11 limits only the size of incomplete ones."""
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
     if size > limit_bytes:
         raise BadMessage(431, f"the headers are larger than {limit_bytes} bytes")
 
 
 def _check_framing(head: h11.Request) -> None:
-    """Refuse a head with both framings: a balancer in front may take the other one of the two."""
+    """Reject a request with both framings.
+
+    A load balancer in front may use the other one and so see other request boundaries (request
+    smuggling).
+    """
     names = {name for name, _ in head.headers}
     if {b"content-length", b"transfer-encoding"} <= names:
-        raise BadMessage(400, "content-length and transfer-encoding exclude each other")
+        raise BadMessage(400, "content-length and transfer-encoding must not both be present")
 
 
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
--- a/cassiadrum/sites/__main__.py
+++ b/cassiadrum/sites/__main__.py
@@ -1,4 +1,4 @@
-"""A local site to try the operators' commands on."""
+"""Run a local site for trying out the commands of operators."""
 
 import argparse
 import asyncio
@@ -12,7 +12,7 @@
 
 
 def main() -> None:
-    """Run a site on loopback for a bounded time and print how to reach it."""
+    """Run a site on loopback for a limited time and print the variable that names its platform."""
     parser = argparse.ArgumentParser(prog="python -m cassiadrum.sites", description=__doc__)
     parser.add_argument("documents", type=Path, nargs="+", help="service documents")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="time to run")
@@ -21,7 +21,7 @@
 
 
 async def run(texts: list[str], seconds: float) -> None:
-    """Keep a site up for a number of seconds."""
+    """Start a site, keep it running for a number of seconds and drain it."""
     site = LocalSite(texts)
     await site.start()
     addresses = site.platform_addresses
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -1,4 +1,4 @@
-"""Start and stop of a local site."""
+"""A site on loopback, started and stopped within one event loop."""
 
 import asyncio
 import time
@@ -29,11 +29,11 @@
 
 
 class LocalSite:
-    """Run the platform's stand-ins, entry instances, and an endpoint with a sidecar each.
+    """Run the stand-ins of the platform, entry instances, and endpoints with their sidecars.
 
-    `documents` are the texts of the service documents; `entries` counts entry instances. Engines
-    take `step_s` seconds for a token of one stream. `subset_size` bounds the sidecars of a
-    service that an entry instance connects to.
+    `documents` are the texts of the service documents, `entries` is the number of entry
+    instances, and `step_s` is the time in seconds in which an engine computes one token of a
+    single stream. An entry instance connects to at most `subset_size` sidecars of a service.
     """
 
     def __init__(
@@ -55,14 +55,14 @@
         self._step_s = step_s
         self._limits_table = f"[limits]\nsubset_size = {subset_size}\n"
         self._subset_size = subset_size
-        # HOST:PORT by the key of the settings' table `[platform]`.
+        # HOST:PORT by key of the table `[platform]` in the settings.
         self.platform_addresses: dict[str, str] = {}
         self._platform_table = ""
         self._instance_list: HttpInstanceList | None = None
         self.table_store: HttpTableStore | None = None
 
     async def start(self) -> None:
-        """Start everything and wait until each service can be reached at each entry instance."""
+        """Start the site and wait until each entry instance is connected to all services."""
         await self._start_platform()
         for document, text in zip(self.documents, self._document_texts, strict=True):
             await self._publish_document(document.name, text)
@@ -72,16 +72,16 @@
         for number in range(self._entry_count):
             await self._start_entry(number, zones[number % len(zones)])
         async with asyncio.timeout(START_TIMEOUT_S):
-            # The readiness is spread over several processes, so it is polled.
+            # No single event marks readiness, since several daemons connect independently.
             while not all(self._is_ready(entry) for entry in self.entries):  # noqa: ASYNC110
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     def entry_address(self, number: int = 0) -> str:
-        """Return the HOST:PORT of an entry instance for callers."""
+        """Return the HOST:PORT at which callers reach an entry instance."""
         return self.entries[number].addresses["http"]
 
     async def drain(self) -> None:
-        """Stop every daemon gracefully."""
+        """Drain and stop every daemon, one after the other."""
         daemons = [*self.entries, *(endpoint.sidecar for endpoint in self.endpoints)]
         for daemon in daemons:
             daemon.begin_drain()
@@ -89,14 +89,14 @@
             await daemon.close()
 
     async def close(self) -> None:
-        """Stop what still runs."""
+        """Stop the stand-ins of the endpoints and the platform."""
         for endpoint in self.endpoints:
             await endpoint.standin.close()
         for standin in (self.table_service, self.object_service, self.instance_list_service):
             await standin.close()
 
     def record(self, callers: list[CallerOutcome]) -> Record:
-        """Return the record for the invariant rules; taken after `drain`."""
+        """Return the input of the invariant checks; complete only after `drain`."""
         daemons = [*self.entries, *(endpoint.sidecar for endpoint in self.endpoints)]
         events: list[Event] = []
         for daemon in daemons:
@@ -136,7 +136,7 @@
         writer = ConfigurationWriter(self.table_store)
         result = await writer.accept(service, text, 0, uuid.uuid4().hex, "local site")
         if not isinstance(result, Accepted):
-            raise RuntimeError(f"document of {service} was not accepted: {result}")
+            raise RuntimeError(f"service document of {service} was rejected: {result}")
 
     async def _start_endpoint(self, document: ServiceDocument, number: int) -> None:
         zone = document.zones[number % len(document.zones)]
@@ -176,8 +176,12 @@
 
     def _is_ready(self, entry: Daemon) -> bool:
         status = entry.status()
-        wanted = sum(min(document.endpoints, self._subset_size) for document in self.documents)
-        return len(status["links"]) == wanted and len(status["versions"]) == len(self.documents)
+        expected_links = sum(
+            min(document.endpoints, self._subset_size) for document in self.documents
+        )
+        return len(status["links"]) == expected_links and len(status["versions"]) == len(
+            self.documents
+        )
 
 
 def _store_transport(port: int) -> StoreTransport:
--- a/cassiadrum/sites/site_endpoints.py
+++ b/cassiadrum/sites/site_endpoints.py
@@ -9,7 +9,7 @@
 
 
 class SiteEndpoint(NamedTuple):
-    """Hold an endpoint stand-in and the sidecar beside it."""
+    """One endpoint of a local site: a stand-in and its sidecar."""
 
     instance: str
     service: str
--- a/cassiadrum/standins/__init__.py
+++ b/cassiadrum/standins/__init__.py
@@ -1,4 +1,4 @@
-"""Small runnable stand-ins for the outside systems, with faults, for tests and the demo."""
+"""Runnable stand-ins for external systems, with injectable faults, for tests and the demo."""
 
 from cassiadrum.standins.answer_texts import answer_text, answer_tokens
 from cassiadrum.standins.answers import Answer
--- a/cassiadrum/standins/answer_texts.py
+++ b/cassiadrum/standins/answer_texts.py
@@ -1,4 +1,4 @@
-"""The answers that the stand-in engine gives, as a function of the prompt."""
+"""Deterministic answers of the stand-in engine, derived from the prompt."""
 
 import xxhash
 
@@ -12,7 +12,7 @@
 def answer_tokens(prompt: str, max_tokens: int = 0) -> list[str]:
     """Return the tokens of the answer to a prompt; `max_tokens` 0 means no limit.
 
-    The same prompt always gives the same tokens, so that a caller can check an answer.
+    Equal prompts give equal tokens, so that callers can verify answers.
     """
     count = MIN_TOKENS + xxhash.xxh32_intdigest(prompt.encode()) % TOKEN_COUNT_RANGE
     if max_tokens:
@@ -24,5 +24,5 @@
 
 
 def answer_text(prompt: str, max_tokens: int = 0) -> str:
-    """Return the whole answer to a prompt."""
+    """Return the text of the answer to a prompt."""
     return "".join(answer_tokens(prompt, max_tokens))
--- a/cassiadrum/standins/answers.py
+++ b/cassiadrum/standins/answers.py
@@ -1,4 +1,4 @@
-"""The answer of a stand-in to one request."""
+"""Answer of a stand-in to one request."""
 
 import json
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class Answer(NamedTuple):
-    """Hold status, body, content type and further headers."""
+    """Status, body, content type and further headers of an answer."""
 
     status: int
     body: bytes = b""
@@ -18,5 +18,5 @@
 
     @classmethod
     def from_object(cls, status: int, value: object) -> "Answer":
-        """Return an answer with a JSON body."""
+        """Return an answer with the JSON encoding of `value` as its body."""
         return cls(status, json.dumps(value).encode())
--- a/cassiadrum/standins/engine_batches.py
+++ b/cassiadrum/standins/engine_batches.py
@@ -1,4 +1,4 @@
-"""Continuous batching of the stand-in engine."""
+"""Continuous batching in the stand-in engine."""
 
 import asyncio
 from collections import OrderedDict
@@ -7,13 +7,17 @@
 
 __all__ = ["EngineBatch"]
 
-# Each stream in the batch makes a step longer by this fraction.
+# Fraction by which each further stream in the batch lengthens a step.
 STEP_GROWTH_PER_STREAM = 0.02
 MAX_CACHED_PREFIXES = 256
 
 
 class EngineBatch:
-    """Compute one token per step for up to `max_batch` streams, lowest priority number first."""
+    """Compute one token per step for each of up to `max_batch` streams.
+
+    Streams with the lowest priority number are served first. A step takes `step_s` seconds with
+    one stream, multiplied by `slow_factor`; while `stalled`, no step is computed.
+    """
 
     def __init__(self, *, max_batch: int, step_s: float) -> None:
         self.max_batch = max_batch
@@ -27,26 +31,26 @@
         self._wake = asyncio.Event()
 
     def add(self, stream: EngineStream) -> None:
-        """Add a stream; it waits while the batch is full."""
+        """Add a stream; it waits while streams with a better priority fill the batch."""
         self.streams[stream.request_id] = stream
         self._wake.set()
 
     def cache_prefix(self, key: int) -> bool:
-        """Put a prefix into the cache and return whether it was there."""
-        known = key in self._prefixes
+        """Add a prefix to the cache, or refresh it, and return whether it was cached before."""
+        cached = key in self._prefixes
         self._prefixes[key] = None
         self._prefixes.move_to_end(key)
         while len(self._prefixes) > MAX_CACHED_PREFIXES:
             self._prefixes.popitem(last=False)
-        return known
+        return cached
 
     def active(self) -> list[EngineStream]:
-        """Return the streams of the current batch."""
+        """Return the streams that the next step computes, best priority first."""
         ready = [stream for stream in self.streams.values() if not stream.paused]
         return sorted(ready, key=lambda stream: stream.priority)[: self.max_batch]
 
     async def run(self) -> None:
-        """Step for ever."""
+        """Compute steps until cancelled."""
         while True:
             batch = self.active()
             if not batch or self.stalled:
--- a/cassiadrum/standins/engine_streams.py
+++ b/cassiadrum/standins/engine_streams.py
@@ -1,4 +1,4 @@
-"""One stream in the stand-in engine."""
+"""State of one completion in the stand-in engine."""
 
 import asyncio
 
@@ -8,9 +8,10 @@
 
 
 class EngineStream:
-    """Hold the state of one completion; the engine's step loop moves it on.
+    """One completion, advanced by the steps of the engine.
 
-    `prefill_left` counts steps until the first token. A lower `priority` is served first.
+    `prefill_left` is the number of steps before the first token; a lower `priority` is served
+    first. Computed tokens are put into `output`, and None at the end.
     """
 
     def __init__(
@@ -34,11 +35,11 @@
 
     @property
     def done(self) -> bool:
-        """Tell whether no token is left to compute."""
+        """Return whether no token is left to compute."""
         return self.cancelled or self.position >= len(self.tokens)
 
     def step(self) -> None:
-        """Compute one step."""
+        """Compute one prefill step or one token."""
         if self.prefill_left > 0:
             self.prefill_left -= 1
             return
@@ -49,6 +50,6 @@
             self.output.put_nowait(None)
 
     def cancel(self) -> None:
-        """End the stream without the rest of its tokens."""
+        """End the stream without its remaining tokens."""
         self.cancelled = True
         self.output.put_nowait(None)
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -1,4 +1,4 @@
-"""A model engine for tests and the demo: OpenAI-style completions on loopback."""
+"""Stand-in for a model engine with an OpenAI-compatible completion interface."""
 
 import asyncio
 import contextlib
@@ -20,11 +20,11 @@
 
 
 class EngineStandIn:
-    """Serve completions, load, control, orders and the record of runs.
+    """Serve completions, load reports, control requests, orders and the records of runs.
 
-    `step_s` is the time of one step with one stream. `enforces_fencing` makes the engine refuse
-    orders with an old fencing number. Faults are set by POST /faults: `slow_factor`, `stalled`,
-    `crash_after_tokens` (cut every connection once, after that many tokens).
+    `step_s` is the time in seconds of a step with one stream. With `enforces_fencing` the engine
+    rejects orders with an old fencing number. POST /faults sets `slow_factor`, `stalled` and
+    `crash_after_tokens` (the next stream to reach that many tokens loses its connection).
     """
 
     def __init__(
@@ -47,12 +47,12 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
-        """Listen and return the port."""
+        """Listen and return the bound port."""
         self._task = asyncio.create_task(self.batch.run())
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Cut all connections and stop."""
+        """Reset all connections and stop."""
         await self._server.abort()
         if self._task is not None:
             self._task.cancel()
@@ -144,14 +144,14 @@
         )
         self.runs.append(run)
         keys = prefix_keys(prompt)
-        known = [self.batch.cache_prefix(key) for key in keys][-1]
+        cached = [self.batch.cache_prefix(key) for key in keys][-1]
         self._new_prefixes += keys
         stream = EngineStream(
             request_id,
             int(body.get("priority", 0)),
             answer_tokens(prompt, int(body.get("max_tokens", 0))),
             int(body.get("continue_from", 0)),
-            1 if known else PREFILL_STEPS,
+            1 if cached else PREFILL_STEPS,
             run,
         )
         if stream.done:
@@ -186,7 +186,7 @@
         stream.run["completed"] = True
 
     async def _next_token(self, exchange: Exchange, stream: EngineStream) -> str | None:
-        """Return the next token, or None at the end, after a cancel or when the caller is gone."""
+        """Return the next token, or None at the end, once cancelled or without a caller."""
         token = await stream.output.get()
         if token is not None and exchange.disconnected.is_set():
             stream.cancel()
@@ -199,7 +199,7 @@
 
 
 def extract_prompt(body: dict[str, Any]) -> str:
-    """Return the prompt of a chat or text completion as one string."""
+    """Return the prompt of a chat or text completion request as one string."""
     if "messages" in body:
         return "\n".join(str(message.get("content", "")) for message in body["messages"])
     return str(body.get("prompt", ""))
--- a/cassiadrum/standins/faults.py
+++ b/cassiadrum/standins/faults.py
@@ -1,4 +1,4 @@
-"""Faults that a test sets on a stand-in."""
+"""Faults that can be injected into a stand-in."""
 
 from typing import NamedTuple
 
@@ -6,15 +6,15 @@
 
 
 class Faults(NamedTuple):
-    """State the faults in force; the defaults are a service without faults.
+    """The faults in effect; by default there are none.
 
-    `down` answers 503 and applies nothing. `slow_s` delays each request, in seconds, before it
-    is applied, so a client that gave up cannot stop the write. `drop_answers` is the number of
-    next writes that are applied without an answer. `limit_per_s` is the number of requests
-    answered in one second before 429, 0 for no limit.
+    With `down`, requests are answered with 503 and not applied. `slow_s` delays each request in
+    seconds before it is applied, so that a write takes effect even if its client has given up.
+    `drop_answers` is the number of writes that are applied from now on without an answer. Above
+    `limit_per_s` requests in one second the answer is 429; 0 means no limit.
 
-    `empty`, `stale` and `wrong` concern the instance list: it answers with no instance, with the
-    list as it was when the fault was set, or with the given instances.
+    `empty`, `stale` and `wrong` apply to the instance list: it returns no instances, the list at
+    the time when the fault was set, or the given instances.
     """
 
     down: bool = False
--- a/cassiadrum/standins/instance_lists.py
+++ b/cassiadrum/standins/instance_lists.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's lagging list of instances."""
+"""Stand-in for the instance list of the platform, which lags behind."""
 
 from urllib.parse import unquote
 
@@ -15,7 +15,7 @@
 
 
 class InstanceListService(StandIn):
-    """Serve the list as it was `lag_s` seconds ago."""
+    """Serve the list of instances as it was `lag_s` seconds ago."""
 
     def __init__(self, lag_s: float = 0.0) -> None:
         super().__init__()
@@ -25,13 +25,13 @@
         self._stale_snapshot: tuple[Instance, ...] = ()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replace the faults; `stale` keeps the list as it is seen now."""
+        """Replace the faults; `stale` freezes the list that is visible now."""
         if faults.stale and not self.faults.stale:
             self._stale_snapshot = self._lagged_snapshot()
         super().set_faults(faults)
 
     def answer(self, req: HttpRequest) -> Answer:
-        """List, register, deregister or mark an instance, or set the lag."""
+        """List, register or deregister instances, mark one as leaving, or set the lag."""
         parts = [unquote(part) for part in req.path.split("/")[1:]]
         try:
             return self._route(req, parts)
@@ -71,8 +71,8 @@
     def _add_snapshot(self) -> None:
         now = self.now()
         self._snapshots.append((now, tuple(self._instances.values())))
-        # The newest snapshot older than the lag is the one in view; those before it are not
-        # needed any more.
+        # The newest snapshot that is older than the lag is the visible one; older snapshots are
+        # no longer needed.
         while len(self._snapshots) > 1 and self._snapshots[1][0] <= now - self.lag_s:
             self._snapshots.pop(0)
 
--- a/cassiadrum/standins/object_services.py
+++ b/cassiadrum/standins/object_services.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's object store."""
+"""Stand-in for the object store of the platform."""
 
 from urllib.parse import unquote
 
@@ -10,7 +10,7 @@
 
 
 class ObjectService(StandIn):
-    """Serve objects by key."""
+    """Store objects by key in memory."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/cassiadrum/standins/plain_services.py
+++ b/cassiadrum/standins/plain_services.py
@@ -1,4 +1,4 @@
-"""A plain service for tests and the demo: orders, invoices and permits on loopback."""
+"""Stand-in for a plain service, such as one for orders, invoices or permits."""
 
 import asyncio
 import json
@@ -14,8 +14,8 @@
 class PlainServiceStandIn:
     """Record each call and answer it after `service_s` seconds.
 
-    Faults are set by POST /faults: `drop_answers` (run the next n calls and cut the connection
-    before the answer) and `service_s`.
+    POST /faults sets `service_s` and `drop_answers`, the number of calls that are executed from
+    now on without an answer.
     """
 
     def __init__(self, *, service_s: float = 0.01) -> None:
@@ -25,11 +25,11 @@
         self._server = HttpServer(self._handle)
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
-        """Listen and return the port."""
+        """Listen and return the bound port."""
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Cut all connections and stop."""
+        """Reset all connections and stop."""
         await self._server.abort()
 
     async def _handle(self, exchange: Exchange) -> None:
--- a/cassiadrum/standins/run_records.py
+++ b/cassiadrum/standins/run_records.py
@@ -1,4 +1,4 @@
-"""What an endpoint stand-in did."""
+"""Record of the calls that an endpoint stand-in executed."""
 
 from typing import TypedDict
 
@@ -6,9 +6,10 @@
 
 
 class RunRecord(TypedDict):
-    """One call that reached an endpoint; times are wall-clock seconds, `ended` 0 while running.
+    """One call that reached an endpoint.
 
-    `tokens` counts computed tokens; `completed` is False for a cancelled or cut call.
+    Times are wall-clock seconds since the epoch; `ended` is 0 while the call is running. `tokens`
+    is the number of computed tokens. `completed` is False for a cancelled or aborted call.
     """
 
     request_id: str
--- a/cassiadrum/standins/standins.py
+++ b/cassiadrum/standins/standins.py
@@ -1,4 +1,4 @@
-"""Base of the stand-ins: server, faults and the command line."""
+"""Base class of the stand-ins, with server, faults and command line."""
 
 import argparse
 import asyncio
@@ -20,14 +20,14 @@
 
 
 class Runnable(Protocol):
-    """What can be run as a program."""
+    """A server that `run_standin` can run."""
 
     async def start(self, host: str = ..., port: int = ...) -> int:
-        """Listen and return the port."""
+        """Listen and return the bound port."""
 
 
 class StandIn(ABC):
-    """Serve one platform service in memory; `POST /faults` replaces its faults."""
+    """Serve one platform service from memory; `POST /faults` replaces its faults."""
 
     def __init__(self) -> None:
         self.faults = Faults()
@@ -40,11 +40,11 @@
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Stop at once and cut every connection."""
+        """Stop listening and reset every connection."""
         await self._server.abort()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replace the faults in force."""
+        """Replace the faults in effect."""
         self.faults = faults
 
     @abstractmethod
@@ -52,7 +52,7 @@
         """Apply a request and return its answer."""
 
     async def send(self, exchange: Exchange) -> None:
-        """Apply a request and send its answer; a variant may stream instead."""
+        """Apply a request and send its answer; subclasses may stream it."""
         answer = self.answer(exchange.req)
         if exchange.req.method != "GET" and self.faults.drop_answers > 0:
             self.faults = self.faults._replace(drop_answers=self.faults.drop_answers - 1)
@@ -107,7 +107,7 @@
 
 
 def run_standin(build: Callable[[], Runnable], description: str | None) -> None:
-    """Run a stand-in on the address of the command line; print its address as a JSON line."""
+    """Run a stand-in on the address from the command line; print the address as a JSON line."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
--- a/cassiadrum/standins/table_rows.py
+++ b/cassiadrum/standins/table_rows.py
@@ -1,4 +1,4 @@
-"""Rows of a table service in memory."""
+"""In-memory rows of the table service."""
 
 from collections.abc import Sequence
 
@@ -17,22 +17,22 @@
 
 
 class TableRows:
-    """Hold rows with versions from one counter, so that a key never gets an old version again."""
+    """Rows whose versions come from one counter, so that no key ever reuses a version."""
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], Row] = {}
         self._version = 0
 
     def get(self, table: str, key: str) -> Row | None:
-        """Return a row, or None."""
+        """Return a row, or None if the key has none."""
         return self._rows.get((table, key))
 
     def write(self, writes: Sequence[TableWrite]) -> WriteResult:
-        """Apply all writes, or none when one condition does not hold."""
+        """Apply all writes, or none if one of their conditions fails."""
         if not 0 < len(writes) <= BATCH_WRITES:
-            return Refused(f"a batch has 1 to {BATCH_WRITES} writes")
+            return Refused(f"a batch must have 1 to {BATCH_WRITES} writes")
         if len({(write.table, write.key) for write in writes}) < len(writes):
-            return Refused("a batch names each row once")
+            return Refused("a batch must not name a row more than once")
         for index, write in enumerate(writes):
             row = self.get(write.table, write.key)
             if (row.version if row else 0) != write.expected:
@@ -48,7 +48,7 @@
         after: str = "",
         fields: Sequence[str] = (),
     ) -> RowPage:
-        """Return the rows of a prefix in the order of their keys, after the key `after`."""
+        """Return at most `limit` rows with a key prefix in key order, after the key `after`."""
         keys = sorted(
             key
             for name, key in self._rows
--- a/cassiadrum/standins/table_services.py
+++ b/cassiadrum/standins/table_services.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's transactional table service."""
+"""Stand-in for the transactional table service of the platform."""
 
 from urllib.parse import parse_qs, unquote
 
@@ -16,14 +16,14 @@
 
 
 class TableService(StandIn):
-    """Serve rows with compare-and-set writes, listings by prefix and batches."""
+    """Serve rows with compare-and-set writes, listings by prefix and atomic batches."""
 
     def __init__(self) -> None:
         super().__init__()
         self.rows = TableRows()
 
     def answer(self, req: HttpRequest) -> Answer:
-        """Apply a request for a row, a listing or a batch."""
+        """Apply a request for a row, a listing or a batch of writes."""
         parts = [unquote(part) for part in req.path.split("/")[1:]]
         try:
             if parts == ["batch"] and req.method == "POST":
@@ -41,7 +41,7 @@
             row = self.rows.get(table, key)
             return Answer.from_object(200, row._asdict()) if row else NOT_FOUND
         if req.method not in ("PUT", "DELETE"):
-            return Answer.from_object(405, {"error": "GET, PUT or DELETE"})
+            return Answer.from_object(405, {"error": "method must be GET, PUT or DELETE"})
         expected = _expected_version(req)
         if expected is None:
             return Answer.from_object(428, {"error": "If-Match or If-None-Match is required"})
--- a/cassiadrum/standins/weight_services.py
+++ b/cassiadrum/standins/weight_services.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's rate-limited weight store."""
+"""Stand-in for the rate-limited weight store of the platform."""
 
 import asyncio
 from urllib.parse import parse_qs, unquote
@@ -15,7 +15,7 @@
 
 
 class WeightService(StandIn):
-    """Serve weights of a given size; all downloads together get `bytes_per_s`."""
+    """Serve weights of a given size; all downloads share `bytes_per_s`."""
 
     def __init__(self, bytes_per_s: float = 100e6) -> None:
         super().__init__()
@@ -24,7 +24,7 @@
         self._next_send_s = 0.0
 
     def answer(self, req: HttpRequest) -> Answer:
-        """Return a size, or set one by PUT with {"bytes": N}."""
+        """Return the size of weights, or set it by PUT with {"bytes": N}."""
         parts = [unquote(part) for part in req.path.split("/")[1:]]
         match (req.method, parts):
             case ("GET", ["weights", name, "size"]) if name in self.sizes:
@@ -39,7 +39,7 @@
         return Answer.from_object(404, {"error": "not found"})
 
     async def send(self, exchange: Exchange) -> None:
-        """Stream a download; answer any other request at once."""
+        """Stream a download; answer any other request as the base class does."""
         parts = [unquote(part) for part in exchange.req.path.split("/")[1:]]
         name = parts[-1]
         if exchange.req.method != "GET" or len(parts) != 2 or name not in self.sizes:
