--- a/cassiadrum/loads/load_options.py
+++ b/cassiadrum/loads/load_options.py
@@ -11,7 +11,7 @@
     """The mix, where to send it and how; addresses are HOST:PORT.
 
     `instances` is the address of the instance list of the platform. Without it, the events and
-    metrics of the processes are not read and missing from the report. `scale` multiplies all
+    metrics of the processes are not read and are missing from the report. `scale` multiplies all
     rates. `standins` states that the engines are stand-ins, whose answers can be checked.
     """
 
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -76,8 +76,8 @@
     def _take_idle(self) -> _Connection | None:
         while self._idle:
             conn = self._idle.pop()
-            # A request on a connection that the server has already closed would fail in the same
-            # way as one whose response was lost.
+            # Skips connections that the server closed while they were idle: a request on one would
+            # fail in the same way as one whose response was lost.
             if not conn.reader.at_eof() and not conn.writer.is_closing():
                 return conn
             conn.writer.close()
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -100,7 +100,7 @@
             await asyncio.wait(self._connections)
 
     async def abort(self) -> None:
-        """Stop listening and reset every connection."""
+        """Stop listening and abort every connection."""
         self._closing = True
         if self._server is not None:
             self._server.close()
@@ -131,7 +131,7 @@
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
             writer.transport.abort()
         except Exception:
-            logger.exception("HTTP handler failed, connection reset")
+            logger.exception("HTTP handler failed, connection aborted")
             writer.transport.abort()
         finally:
             self._connections.pop(task, None)
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -52,7 +52,7 @@
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Reset all connections and stop."""
+        """Abort all connections and stop."""
         await self._server.abort()
         if self._task is not None:
             self._task.cancel()
--- a/cassiadrum/standins/plain_services.py
+++ b/cassiadrum/standins/plain_services.py
@@ -29,7 +29,7 @@
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Reset all connections and stop."""
+        """Abort all connections and stop."""
         await self._server.abort()
 
     async def _handle(self, exchange: Exchange) -> None:
--- a/cassiadrum/standins/standins.py
+++ b/cassiadrum/standins/standins.py
@@ -40,7 +40,7 @@
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Stop listening and reset every connection."""
+        """Stop listening and abort every connection."""
         await self._server.abort()
 
     def set_faults(self, faults: Faults) -> None:
