--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -33,7 +33,7 @@
             # On a connection that the server closed while idle, the call would be lost; one that
             # must not be repeated therefore gets a new connection.
             return await self._client.request(
-                call.method, call.target, headers, body, fresh=not call.repeatable
+                call.method, call.target, headers, body, new_connection=not call.repeatable
             )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -1,41 +1,41 @@
-"""Splitting of a byte stream into whole server-sent events."""
+"""Split a byte stream at the boundaries of server-sent events."""
 
 __all__ = ["EventSplitter"]
 
-SEPARATOR = b"\n\n"
-DONE = b"data: [DONE]"
+EVENT_SEPARATOR = b"\n\n"
+DONE_EVENT = b"data: [DONE]"
 
 
 class EventSplitter:
-    """Pass on whole events only, so that another engine can continue after the last one.
+    """Pass on complete events only, so that another engine can resume after the last one.
 
-    `events` counts the content events passed on; the closing `[DONE]` is not counted.
+    `events` counts the events passed on, except the final `[DONE]`.
     """
 
     def __init__(self) -> None:
         self.events = 0
-        self._rest = b""
+        self._buffer = b""
 
     @property
-    def held_bytes(self) -> int:
-        """Return the size of the unfinished event."""
-        return len(self._rest)
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the whole events among them."""
-        self._rest += data
-        end = self._rest.rfind(SEPARATOR)
+        """Add received bytes and return the events that are now complete."""
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_SEPARATOR)
         if end < 0:
             return b""
-        whole, self._rest = self._rest[: end + 2], self._rest[end + 2 :]
-        self.events += whole.count(SEPARATOR) - whole.count(DONE)
-        return whole
+        complete, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
+        self.events += complete.count(EVENT_SEPARATOR) - complete.count(DONE_EVENT)
+        return complete
 
-    def restart(self) -> None:
-        """Drop the part of an event that a failed attempt left."""
-        self._rest = b""
+    def discard_partial_event(self) -> None:
+        """Drop the incomplete event of a failed attempt."""
+        self._buffer = b""
 
-    def rest(self) -> bytes:
-        """Return what is left at the end of the stream."""
-        rest, self._rest = self._rest, b""
+    def take_rest(self) -> bytes:
+        """Return and clear the bytes that are left at the end of the stream."""
+        rest, self._buffer = self._buffer, b""
         return rest
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -165,7 +165,7 @@
         """Set the bytes of the answer that are buffered; raise AttemptFailed beyond a limit."""
         if size_bytes > MAX_ANSWER_BYTES:
             raise self.fail(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-        if not self._answer_memory.grow(self._held_bytes, size_bytes):
+        if not self._answer_memory.try_resize(self._held_bytes, size_bytes):
             raise self.fail("the answers of all requests take more than their memory")
         self._held_bytes = size_bytes
 
--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -32,7 +32,7 @@
         """Add bytes and return complete events; raise AttemptFailed on a gap or a repetition."""
         whole = self._splitter.feed(data)
         self.data_events += len(EVENT_DATA.findall(whole))
-        if self._splitter.held_bytes > MAX_EVENT_BYTES:
+        if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
             raise AttemptFailed(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         for found in EVENT_ID.findall(whole):
             event_id = found.decode()
@@ -54,13 +54,13 @@
     @property
     def held_bytes(self) -> int:
         """Return the size of the incomplete event in bytes."""
-        return self._splitter.held_bytes
+        return self._splitter.buffered_bytes
 
     def end(self) -> None:
         """End the stream; raise AttemptFailed if the last event is incomplete."""
-        if self._splitter.held_bytes:
+        if self._splitter.buffered_bytes:
             raise AttemptFailed("the stream ended inside an event")
 
     def restart(self) -> None:
         """Discard the incomplete event of a failed attempt."""
-        self._splitter.restart()
+        self._splitter.discard_partial_event()
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -192,7 +192,7 @@
             outcome = f"error: {exc!r}"
             raise
         finally:
-            well = outcome == ANSWERED or exchange.gone.is_set()
+            well = outcome == ANSWERED or exchange.disconnected.is_set()
             self._log.finish(ctx, outcome, well=well, **self._configuration_fields())
             self._metrics.record_end(ctx.service, outcome, self._clock() - ctx.received_s)
 
@@ -355,4 +355,4 @@
                 self._log.record(ctx, "caller left")
                 task.cancel()
 
-        exchange.when_gone(on_gone)
+        exchange.on_disconnect(on_gone)
--- a/cassiadrum/loads/class_results.py
+++ b/cassiadrum/loads/class_results.py
@@ -1,4 +1,4 @@
-"""What callers of one class saw."""
+"""Results of the requests of one class, as seen by their callers."""
 
 from collections import Counter
 from typing import Any
@@ -9,16 +9,16 @@
 
 __all__ = ["ClassResult"]
 
-HIGHEST_US = 3_600_000_000
-DIGITS = 3
+MAX_LATENCY_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 3
 PERCENTILES = (50.0, 90.0, 95.0, 99.0)
 
 
 class ClassResult:
-    """Count the outcomes of a class.
+    """Count the outcomes of a class and record their latencies.
 
-    Latencies are in seconds from the planned time of arrival, so that a sender or a server that
-    falls behind cannot hide the wait of the requests behind it (coordinated omission).
+    Latencies are in seconds from the planned time of arrival. Otherwise a sender or server that
+    falls behind would hide the wait of later requests (coordinated omission).
     """
 
     def __init__(self, cls: RequestClass, kind: str) -> None:
@@ -27,13 +27,13 @@
         self.attained = 0
         self.tokens = 0
         self.refusals: Counter[str] = Counter()
-        self.first_token: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
-        self.total: Any = HdrHistogram(1, HIGHEST_US, DIGITS)
+        self.first_token: Any = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self.total: Any = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         self._cls = cls
         self._kind = kind
 
-    def answer(self, first_s: float, total_s: float, tokens: int) -> None:
-        """Count a whole answer; the targets decide whether it was in time."""
+    def record_answer(self, first_s: float, total_s: float, tokens: int) -> None:
+        """Count a complete answer, and whether it attained the targets of the class."""
         self.answered += 1
         self.tokens += tokens
         self.first_token.record_value(_microseconds(first_s))
@@ -46,10 +46,10 @@
         self.attained += in_time and gap_s <= self._cls.target_inter_token_s
 
     def as_dict(self) -> dict[str, Any]:
-        """Return the counts for a report; attainment is None without an answer.
+        """Return the results for a report; attainment is None without an answer.
 
-        `latency_s` is the time to the first token of a model, and to the whole answer of a plain
-        service; `target_s` is its target. `attainment_of_sent` counts what was refused as missed.
+        `latency_s` is the time to the first token of a model or to the whole answer of a plain
+        service, and `target_s` its target. `attainment_of_sent` counts refused requests as missed.
         """
         plain = self._kind == "plain"
         return {
@@ -66,7 +66,7 @@
 
 
 def _microseconds(seconds: float) -> int:
-    return min(max(1, round(seconds * 1e6)), HIGHEST_US)
+    return min(max(1, round(seconds * 1e6)), MAX_LATENCY_US)
 
 
 def _percentiles(histogram: Any) -> dict[str, float]:
--- a/cassiadrum/loads/load_mixes.py
+++ b/cassiadrum/loads/load_mixes.py
@@ -1,4 +1,4 @@
-"""A load by class, read from a TOML file."""
+"""Load mixes: arrival rates by class, read from a TOML file."""
 
 import tomllib
 from pathlib import Path
@@ -15,7 +15,7 @@
 
 
 class ClassRate(NamedTuple):
-    """Mean arrivals a second of a class outside bursts."""
+    """Mean arrivals per second of a class outside bursts."""
 
     service: str
     name: str
@@ -23,7 +23,7 @@
 
 
 class Burst(NamedTuple):
-    """A time from `start_s` on, in seconds, in which a class arrives `factor` times as often."""
+    """A period, in seconds from the start, in which a class arrives `factor` times as often."""
 
     service: str
     name: str
@@ -33,7 +33,11 @@
 
 
 class LoadMix(NamedTuple):
-    """State what arrives: the first `large_customers` send `large_share` of the requests."""
+    """A load by class and customer.
+
+    `large_customers` of the `customers` send the share `large_share` of the requests.
+    `streamed_share` is the share of model requests that ask for a streamed answer.
+    """
 
     documents: tuple[ServiceDocument, ...]
     texts: tuple[str, ...]
@@ -47,12 +51,12 @@
 
 
 def load_mix(path: Path) -> LoadMix:
-    """Return the mix in a file with its documents.
+    """Return the mix in a file, with the service documents that it names.
 
-    Raises MixError with one finding for each error, those of the documents included.
+    Raises MixError with one finding for each error, including those of the documents.
     """
-    raw = _read(path)
-    findings = _check_shape(raw, str(path))
+    raw = _parse_toml(path)
+    findings = _check_schema(raw, str(path))
     if findings:
         raise MixError(findings)
     texts, documents = _read_documents(path, raw["load"]["documents"])
@@ -68,13 +72,13 @@
         tuple(ClassRate(**table) for table in raw["class"]),
         tuple(Burst(**table) for table in raw.get("burst", [])),
     )
-    findings = _check_meaning(mix, str(path))
+    findings = _check_consistency(mix, str(path))
     if findings:
         raise MixError(findings)
     return mix
 
 
-def _read(path: Path) -> dict[str, Any]:
+def _parse_toml(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError) as exc:
@@ -83,7 +87,7 @@
         raise MixError([Finding(str(path), "(syntax)", str(exc), "TOML 1.0")]) from exc
 
 
-def _check_shape(raw: dict[str, Any], file: str) -> list[Finding]:
+def _check_schema(raw: dict[str, Any], file: str) -> list[Finding]:
     findings = check_table(raw, MixTable, file, "")
     if findings:
         return findings
@@ -110,7 +114,7 @@
     return texts, documents
 
 
-def _check_meaning(mix: LoadMix, file: str) -> list[Finding]:
+def _check_consistency(mix: LoadMix, file: str) -> list[Finding]:
     known = {(doc.name, cls.name) for doc in mix.documents for cls in doc.classes}
     findings: list[Finding] = []
     if not mix.rates:
--- a/cassiadrum/loads/load_runs.py
+++ b/cassiadrum/loads/load_runs.py
@@ -1,4 +1,4 @@
-"""One run of the load tool against a running site."""
+"""A run of the load tool against a running site."""
 
 import asyncio
 import contextlib
@@ -15,20 +15,23 @@
 
 
 def run_load(options: LoadOptions) -> LoadReport:
-    """Send the load and return its report; raise StoreUnavailable without an instance list."""
+    """Send the load and return its report.
+
+    Raises StoreUnavailable if the instance list is needed and cannot be read.
+    """
     return asyncio.run(send_load(options))
 
 
 async def send_load(options: LoadOptions) -> LoadReport:
-    """Send the load from a running event loop; see `run_load`."""
+    """Send the load from within a running event loop; see `run_load`."""
     mix = options.mix
     sender = LoadSender(options.entries, mix.documents, options.seed, standins=options.standins)
-    plan = LoadPlan.of_mix(mix, options.seed, options.scale)
+    plan = LoadPlan.from_mix(mix, options.seed, options.scale)
     if not options.instances:
         await sender.run(plan)
-        return LoadReport.of_sender(sender, options.seed, mix.duration_s)
+        return LoadReport.from_sender(sender, options.seed, mix.duration_s)
     reader = ProcessReader(options.instances, options.admin_token)
-    wasted_before = await reader.wasted_tokens()
+    wasted_before = await reader.read_wasted_tokens()
     reading = asyncio.create_task(reader.run())
     try:
         await sender.run(plan)
@@ -38,8 +41,8 @@
             await reading
     await reader.read()
     record = FleetRecord(merge_events(reader.events), tuple(sender.outcomes), (), mix.documents)
-    return LoadReport.of_sender(sender, options.seed, mix.duration_s)._replace(
-        tokens_wasted=await reader.wasted_tokens() - wasted_before,
+    return LoadReport.from_sender(sender, options.seed, mix.duration_s)._replace(
+        tokens_wasted=await reader.read_wasted_tokens() - wasted_before,
         missing_events=record.missing_events,
         violations=check_record(record),
         checked="events",
--- a/cassiadrum/loads/load_senders.py
+++ b/cassiadrum/loads/load_senders.py
@@ -17,9 +17,9 @@
 
 __all__ = ["LoadSender"]
 
-PROBLEM = "application/problem+json"
-# An answer that is later than the deadline of its class by this much is given up on.
-GRACE_S = 10.0
+PROBLEM_TYPE = "application/problem+json"
+# How long a caller waits for an answer after the deadline of its class.
+DEADLINE_GRACE_S = 10.0
 
 
 class _Answer(NamedTuple):
@@ -34,10 +34,10 @@
 
 
 class LoadSender:
-    """Send each request at its time, whatever became of those before it.
+    """Send each request at its planned time, without waiting for earlier answers.
 
-    `standins` states that the answers come from this project's stand-in engines, whose text is
-    known in advance and is checked.
+    `standins` states that the engines are the stand-ins of this project. Their answers are known
+    in advance and are checked.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         self._standins = standins
 
     async def run(self, plan: LoadPlan) -> None:
-        """Send the whole plan and wait for every answer."""
+        """Send all requests of the plan and wait for every answer."""
         started_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for req in plan.requests:
@@ -76,17 +76,17 @@
     async def _send(self, req: PlannedRequest, client: HttpClient, due_s: float) -> None:
         result = self.results[req.service, req.class_name]
         result.sent += 1
-        limit_s = self._classes[req.service, req.class_name].deadline_s + GRACE_S
-        answer = await _exchange(req, client, due_s, limit_s)
+        limit_s = self._classes[req.service, req.class_name].deadline_s + DEADLINE_GRACE_S
+        answer = await _send_request(req, client, due_s, limit_s)
         tokens = len(answer.content.split()) if req.prompt else 0
         if answer.complete and answer.status < 300:
-            result.answer(answer.first_s or answer.total_s, answer.total_s, tokens)
+            result.record_answer(answer.first_s or answer.total_s, answer.total_s, tokens)
         else:
             result.refusals[answer.reason or "connection_lost"] += 1
         self.outcomes.append(_outcome(req, answer, self._standins))
 
 
-async def _exchange(
+async def _send_request(
     req: PlannedRequest, client: HttpClient, due_s: float, limit_s: float
 ) -> _Answer:
     headers: Headers = (("x-customer", req.customer), ("x-request-class", req.class_name))
@@ -97,13 +97,13 @@
     try:
         async with asyncio.timeout(limit_s):
             response = await client.request(req.method, req.target, headers, req.body)
-            return await _read(response, due_s)
+            return await _read_answer(response, due_s)
     except (HttpError, TimeoutError) as exc:
         reason = "no_answer" if isinstance(exc, TimeoutError) else ""
         return _Answer(0, "", b"", None, time.monotonic() - due_s, "", reason, False)
 
 
-async def _read(response: HttpResponse, started_s: float) -> _Answer:
+async def _read_answer(response: HttpResponse, started_s: float) -> _Answer:
     request_id = response.header("x-request-id").partition("@")[0]
     if "." in request_id:
         request_id = request_id.rpartition(".")[0]
@@ -117,7 +117,7 @@
         complete = False
     total_s = time.monotonic() - started_s
     content_type = response.header("content-type")
-    if content_type == PROBLEM:
+    if content_type == PROBLEM_TYPE:
         problem = json.loads(body)
         ran, reason = problem["ran"], problem["reason"]
         return _Answer(response.status, request_id, body, first_s, total_s, ran, reason, True)
@@ -131,7 +131,7 @@
 
 
 def _completion_text(body: bytes) -> bytes:
-    """Return the text of a completion, or the body of any other answer."""
+    """Return the text of a completion, or the body of another answer."""
     parsed = json.loads(body)
     if isinstance(parsed, dict) and "choices" in parsed:
         return str(parsed["choices"][0]["message"]["content"]).encode()
@@ -139,7 +139,7 @@
 
 
 def _stream_text(body: bytes) -> tuple[bytes, dict[str, str], bool]:
-    """Return the text of an event stream, its error event, and whether it ended regularly."""
+    """Return the text of an event stream, its error event, and whether it ended with `[DONE]`."""
     text, problem, ended = "", {}, False
     for event in body.decode().split("\n\n"):
         data = event.rpartition("data: ")[2]
@@ -153,8 +153,8 @@
 
 
 def _outcome(req: PlannedRequest, answer: _Answer, standins: bool) -> CallerOutcome:
-    known = standins and req.prompt
-    expected = _digest(answer_text(req.prompt, MAX_TOKENS).encode()) if known else ""
+    verifiable = standins and req.prompt
+    expected = _sha256_hex(answer_text(req.prompt, MAX_TOKENS).encode()) if verifiable else ""
     return CallerOutcome(
         answer.request_id,
         req.service,
@@ -163,12 +163,12 @@
         req.key,
         answer.status,
         answer.ran,
-        _digest(answer.content),
+        _sha256_hex(answer.content),
         expected,
         None if answer.first_s is None else time.time() - answer.total_s + answer.first_s,
         answer.complete,
     )
 
 
-def _digest(content: bytes) -> str:
+def _sha256_hex(content: bytes) -> str:
     return hashlib.sha256(content).hexdigest()
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -1,4 +1,4 @@
-"""One request and its answer on a server connection."""
+"""One request and its response on a server connection."""
 
 import asyncio
 import json
@@ -11,13 +11,14 @@
 __all__ = ["Exchange", "Handler"]
 
 
-BODILESS = frozenset({204, 304})
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Exchange:
-    """Answer one request; `gone` is set when the client closes its connection.
+    """Send the response to one request; `disconnected` is set when the client disconnects.
 
-    The answer announces the connection's end when `closing` returns true at its head.
+    The response carries `connection: close` if `should_close` returns true when its headers are
+    written. `started` and `ended` tell whether its headers and its end have been written.
     """
 
     def __init__(
@@ -25,110 +26,111 @@
         req: HttpRequest,
         conn: h11.Connection,
         writer: asyncio.StreamWriter,
-        closing: Callable[[], bool] = lambda: False,
+        should_close: Callable[[], bool] = lambda: False,
     ) -> None:
         self.req = req
-        self.gone = asyncio.Event()
+        self.disconnected = asyncio.Event()
         self.started = False
         self.ended = False
         self._conn = conn
         self._writer = writer
-        self._closing = closing
+        self._should_close = should_close
         self._unsent: list[bytes] = []
         self._chunked = False
-        self._on_gone: Callable[[], None] | None = None
+        self._disconnect_callback: Callable[[], None] | None = None
 
-    def when_gone(self, act: Callable[[], None]) -> None:
-        """Call `act` once when the client closes its connection, at once if it has already."""
-        self._on_gone = act
-        if self.gone.is_set():
-            act()
+    def on_disconnect(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once when the client disconnects, immediately if it already has."""
+        self._disconnect_callback = callback
+        if self.disconnected.is_set():
+            callback()
 
-    def set_gone(self) -> None:
-        """Take note that the client closed its connection."""
-        if self.gone.is_set():
+    def set_disconnected(self) -> None:
+        """Record that the client disconnected, and run the callback on the first call."""
+        if self.disconnected.is_set():
             return
-        self.gone.set()
-        if self._on_gone is not None:
-            self._on_gone()
+        self.disconnected.set()
+        if self._disconnect_callback is not None:
+            self._disconnect_callback()
 
-    def put_head(self, status: int, headers: Headers = ()) -> None:
-        """Add the status and headers to what the next flush sends.
+    def buffer_head(self, status: int, headers: Headers = ()) -> None:
+        """Buffer the status and headers for the next flush.
 
-        The body is chunked unless a length is given.
+        The body is sent in chunks unless `headers` has a content-length.
         """
         names = {name.lower() for name, _ in headers}
         chunked = "content-length" not in names
         if chunked:
             headers = (*headers, ("transfer-encoding", "chunked"))
-        if self._closing():
+        if self._should_close():
             headers = (*headers, ("connection", "close"))
         self.started = True
-        self._put(h11.Response(status_code=status, headers=list(headers)))
+        self._buffer_event(h11.Response(status_code=status, headers=list(headers)))
         self._chunked = (
             chunked
             and self.req.method != "HEAD"
-            and status not in BODILESS
+            and status not in BODILESS_STATUSES
             and self._conn.their_http_version == b"1.1"
         )
 
-    def put_data(self, data: bytes) -> None:
-        """Add a part of the body to what the next flush sends."""
+    def buffer_data(self, data: bytes) -> None:
+        """Buffer a part of the body for the next flush."""
         if not self._chunked:
-            self._put(h11.Data(data=data))
+            self._buffer_event(h11.Data(data=data))
         elif data:
-            # h11 checks each chunk's event and state, at several times the cost of framing it.
+            # Framed here: h11 checks an event and the state for each chunk, which costs several
+            # times as much as the framing itself.
             self._unsent += (b"%x\r\n" % len(data), data, b"\r\n")
 
-    def put_end(self) -> None:
-        """Add the end of the answer to what the next flush sends."""
+    def buffer_end(self) -> None:
+        """Buffer the end of the response for the next flush."""
         self.ended = True
-        self._put(h11.EndOfMessage())
+        self._buffer_event(h11.EndOfMessage())
 
     async def flush(self) -> None:
-        """Send what was added in one write and wait while the client's buffer is full."""
+        """Send the buffered data in one write and wait while the send buffer is full."""
         self._write()
         try:
             await self._writer.drain()
         except ConnectionError:
-            self.set_gone()
+            self.set_disconnected()
 
     async def send_head(self, status: int, headers: Headers = ()) -> None:
-        """Send the status and headers; the body is chunked unless a length is given."""
-        self.put_head(status, headers)
+        """Send the status and headers; see `buffer_head`."""
+        self.buffer_head(status, headers)
         self._write()
 
     async def send_data(self, data: bytes) -> None:
-        """Send a part of the body and wait while the client's buffer is full."""
-        self.put_data(data)
+        """Send a part of the body and wait while the send buffer is full."""
+        self.buffer_data(data)
         await self.flush()
 
     async def end(self) -> None:
-        """End the answer."""
-        self.put_end()
+        """Send the end of the response."""
+        self.buffer_end()
         await self.flush()
 
     async def send(
         self, status: int, body: bytes, content_type: str, headers: Headers = ()
     ) -> None:
-        """Send a whole answer."""
+        """Send a complete response with a content-length."""
         length = (("content-type", content_type), ("content-length", str(len(body))))
-        self.put_head(status, (*headers, *length))
+        self.buffer_head(status, (*headers, *length))
         if self.req.method != "HEAD":
-            self.put_data(body)
-        self.put_end()
+            self.buffer_data(body)
+        self.buffer_end()
         await self.flush()
 
     async def send_json(self, status: int, value: object, headers: Headers = ()) -> None:
-        """Send a whole answer as JSON."""
+        """Send a complete response with a JSON body."""
         await self.send(status, json.dumps(value).encode(), "application/json", headers)
 
     def abort(self) -> None:
-        """Close the connection, so that the client sees a cut answer and not a short one."""
+        """Abort the connection, so that the client detects a truncated response."""
         self.ended = True
         self._writer.transport.abort()
 
-    def _put(self, event: h11.Event) -> None:
+    def _buffer_event(self, event: h11.Event) -> None:
         data = self._conn.send(event)
         if data:
             self._unsent.append(data)
--- /dev/null
+++ b/cassiadrum/protocols/notifying_readers.py
@@ -0,0 +1,52 @@
+"""Stream reader that reports the disconnect of the peer immediately."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["NotifyingReader"]
+
+
+class NotifyingReader(asyncio.StreamReader):
+    """Call back when the peer closes the connection, even while no read is pending.
+
+    This saves a task per request that would wait for the end of the input. Data that arrives
+    before it is read stays in the buffer; a full buffer pauses the transport.
+    """
+
+    # Number of bytes received but not read.
+    unread_bytes = 0
+    _disconnect_callback: Callable[[], None] | None = None
+    _disconnected = False
+
+    def set_disconnect_callback(self, callback: Callable[[], None] | None) -> None:
+        """Call `callback` at the end of the input, or now if it was reached; None removes it."""
+        self._disconnect_callback = callback
+        if callback is not None and self._disconnected:
+            callback()
+
+    def feed_data(self, data: Any) -> None:
+        """Buffer received bytes."""
+        super().feed_data(data)
+        self.unread_bytes += len(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return at most `n` bytes, or no bytes at the end of the input."""
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
+    def feed_eof(self) -> None:
+        """Mark the end of the input and call back."""
+        super().feed_eof()
+        self._notify_disconnected()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Mark the loss of the connection and call back."""
+        super().set_exception(exc)
+        self._notify_disconnected()
+
+    def _notify_disconnected(self) -> None:
+        self._disconnected = True
+        if self._disconnect_callback is not None:
+            self._disconnect_callback()
--- a/cassiadrum/standins/answers.py
+++ b/cassiadrum/standins/answers.py
@@ -1,4 +1,4 @@
-"""The answer of a stand-in to one request."""
+"""Answer of a stand-in to one request."""
 
 import json
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class Answer(NamedTuple):
-    """Hold status, body, content type and further headers."""
+    """Status, body, content type and further headers of an answer."""
 
     status: int
     body: bytes = b""
@@ -17,6 +17,6 @@
     headers: Headers = ()
 
     @classmethod
-    def of_json(cls, status: int, value: object) -> "Answer":
-        """Return an answer with a JSON body."""
+    def from_object(cls, status: int, value: object) -> "Answer":
+        """Return an answer with the JSON encoding of `value` as its body."""
         return cls(status, json.dumps(value).encode())
--- a/cassiadrum/standins/object_services.py
+++ b/cassiadrum/standins/object_services.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's object store."""
+"""Stand-in for the object store of the platform."""
 
 from urllib.parse import unquote
 
@@ -10,7 +10,7 @@
 
 
 class ObjectService(StandIn):
-    """Serve objects by key."""
+    """Store objects by key in memory."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -27,8 +27,8 @@
             case ("DELETE", ["objects", key]):
                 self.objects.pop(key, None)
             case _:
-                return Answer.of_json(404, {"error": "not found"})
-        return Answer.of_json(200, {})
+                return Answer.from_object(404, {"error": "not found"})
+        return Answer.from_object(200, {})
 
 
 if __name__ == "__main__":
--- a/cassiadrum/standins/standins.py
+++ b/cassiadrum/standins/standins.py
@@ -1,4 +1,4 @@
-"""Base of the stand-ins: server, faults and the command line."""
+"""Base class of the stand-ins, with server, faults and command line."""
 
 import argparse
 import asyncio
@@ -13,25 +13,25 @@
 from cassiadrum.standins.answers import Answer
 from cassiadrum.standins.faults import Faults
 
-__all__ = ["StandIn", "run_program"]
+__all__ = ["StandIn", "run_standin"]
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 RATE_WINDOW_S = 1.0
 
 
-class Program(Protocol):
-    """What can be run as a program."""
+class Runnable(Protocol):
+    """A server that `run_standin` can run."""
 
     async def start(self, host: str = ..., port: int = ...) -> int:
-        """Listen and return the port."""
+        """Listen and return the bound port."""
 
 
 class StandIn(ABC):
-    """Serve one platform service in memory; `POST /faults` replaces its faults."""
+    """Serve one platform service from memory; `POST /faults` replaces its faults."""
 
     def __init__(self) -> None:
         self.faults = Faults()
-        self._server = HttpServer(self._handle, body_limit=BODY_LIMIT_BYTES)
+        self._server = HttpServer(self._handle, body_limit_bytes=BODY_LIMIT_BYTES)
         self._window_started_s = 0.0
         self._window_requests = 0
 
@@ -40,11 +40,11 @@
         return await self._server.start(host, port)
 
     async def close(self) -> None:
-        """Stop at once and cut every connection."""
+        """Stop listening and abort every connection."""
         await self._server.abort()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replace the faults in force."""
+        """Replace the faults in effect."""
         self.faults = faults
 
     @abstractmethod
@@ -52,7 +52,7 @@
         """Apply a request and return its answer."""
 
     async def send(self, exchange: Exchange) -> None:
-        """Apply a request and send its answer; a variant may stream instead."""
+        """Apply a request and send its answer; subclasses may stream it."""
         answer = self.answer(exchange.req)
         if exchange.req.method != "GET" and self.faults.drop_answers > 0:
             self.faults = self.faults._replace(drop_answers=self.faults.drop_answers - 1)
@@ -63,13 +63,13 @@
     @classmethod
     def main(cls) -> None:
         """Run the stand-in from the command line until interrupted."""
-        run_program(cls, cls.__doc__)
+        run_standin(cls, cls.__doc__)
 
     async def _handle(self, exchange: Exchange) -> None:
         if exchange.req.path == "/faults":
             await self._change_faults(exchange)
             return
-        if self._over_limit():
+        if self._is_rate_limited():
             retry = (("retry-after", "1"),)
             await exchange.send_json(429, {"error": "rate limit"}, retry)
             return
@@ -91,7 +91,7 @@
                 return
         await exchange.send_json(200, self.faults._asdict())
 
-    def _over_limit(self) -> bool:
+    def _is_rate_limited(self) -> bool:
         limit = self.faults.limit_per_s
         now = self.now()
         if now - self._window_started_s >= RATE_WINDOW_S:
@@ -106,8 +106,8 @@
         return asyncio.get_running_loop().time()
 
 
-def run_program(build: Callable[[], Program], description: str | None) -> None:
-    """Run a stand-in on the address of the command line; print its address as a JSON line."""
+def run_standin(build: Callable[[], Runnable], description: str | None) -> None:
+    """Run a stand-in on the address from the command line; print the address as a JSON line."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
@@ -115,7 +115,7 @@
     asyncio.run(_serve(build, options.host, options.port))
 
 
-async def _serve(build: Callable[[], Program], host: str, port: int) -> None:
+async def _serve(build: Callable[[], Runnable], host: str, port: int) -> None:
     standin = build()
     bound = await standin.start(host, port)
     print(json.dumps({"address": f"{host}:{bound}"}), flush=True)
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -14,7 +14,7 @@
 from cassiadrum.roles.lease_candidates import MAX_CANDIDATES, LeaseCandidate, is_candidate
 from cassiadrum.roles.order_executors import OrderExecutor
 from cassiadrum.roles.order_tasks import OrderTask
-from cassiadrum.standins import EngineStandin, TableService
+from cassiadrum.standins import EngineStandIn, TableService
 from cassiadrum.states import FencingGuard
 from cassiadrum.stores import HttpTableStore, StoreTransport, TableStore
 
@@ -68,7 +68,7 @@
         assert old is not None and new is not None and new > old
         assert first.fencing_token() is None
 
-        engine = EngineStandin(enforces_fencing=False)
+        engine = EngineStandIn(enforces_fencing=False)
         endpoint = EngineEndpoint("127.0.0.1", await engine.start())
         guard = OrderExecutor(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
         task = asyncio.create_task(guard.run())
