--- a/cassiadrum/tests/command_runs.py
+++ b/cassiadrum/tests/command_runs.py
@@ -6,10 +6,10 @@
 
 from cassiadrum.cli import execute
 
-__all__ = ["Ran", "run"]
+__all__ = ["CommandRun", "run"]
 
 
-class Ran(NamedTuple):
+class CommandRun(NamedTuple):
     """Hold the exit code and the output of one command."""
 
     code: int
@@ -24,8 +24,8 @@
         return found
 
 
-async def run(*arguments: str) -> Ran:
+async def run(*arguments: str) -> CommandRun:
     """Run one command."""
     stream, errors = io.StringIO(), io.StringIO()
     code = await execute(arguments, stream, errors)
-    return Ran(code, stream.getvalue(), errors.getvalue())
+    return CommandRun(code, stream.getvalue(), errors.getvalue())
--- a/cassiadrum/tests/test_admissions.py
+++ b/cassiadrum/tests/test_admissions.py
@@ -40,18 +40,18 @@
             assert decision.reason == "deadline"
             assert 1.0 <= decision.retry_after_s <= 60.0
 
-    def test_unknown_rate_refuses_nothing(self) -> None:
+    def test_unknown_rate_admits_every_request(self) -> None:
         view = make_view(1e9)._replace(tokens_per_s=0.0)
         assert isinstance(DeadlineAdmission().decide(make_request(), 0.0, view), Admitted)
 
-    def test_error_corrects_later_predictions(self) -> None:
+    def test_observed_error_corrects_later_predictions(self) -> None:
         admission = DeadlineAdmission()
         for _ in range(200):
             admission.observe_wait(1.0, 2.0)
         assert math.isclose(admission.predict_s(make_request(), make_view(100)), 2.0, rel_tol=0.01)
         assert admission.error_s < 0.1
 
-    def test_waits_before_the_rate_is_known_correct_nothing(self) -> None:
+    def test_waits_before_the_rate_is_known_are_ignored(self) -> None:
         admission = DeadlineAdmission()
         for _ in range(200):
             admission.observe_wait(0.0, 5.0)
@@ -99,6 +99,6 @@
             estimator.observe("cls", f"customer-{index}", 10)
         assert estimator.customers() == 1000
 
-    def test_length_within_the_stated_maximum(self) -> None:
+    def test_stated_maximum_limits_the_estimate(self) -> None:
         req = make_request()._replace(max_tokens=50)
         assert QuantileLengthEstimator().expected_tokens(req) == 50
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -25,7 +25,7 @@
     return AnswerRelay(EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "start"))
 
 
-def delivered(pending: PendingRequest) -> bytes:
+def delivered_bytes(pending: PendingRequest) -> bytes:
     events = [pending.caller_events.get_nowait() for _ in range(pending.caller_events.qsize())]
     return b"".join(event.data for event in events if isinstance(event, AnswerData))
 
@@ -42,7 +42,7 @@
         relay.receive_head(pending, second, Head("r.2", 200, STREAM))
         relay.receive_data(pending, second, 0, b"data: 2\n\ndata: [DONE]\n\n", 0.2)
         relay.finish(pending, second)
-        assert delivered(pending) == b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
+        assert delivered_bytes(pending) == b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n"
 
     def test_repeated_bytes_are_skipped(self) -> None:
         relay, pending = make_relay(), make_pending()
@@ -50,9 +50,9 @@
         relay.receive_head(pending, attempt, Head("r.1", 200, STREAM))
         relay.receive_data(pending, attempt, 0, b"data: 1\n\n", 0.1)
         relay.receive_data(pending, attempt, 4, b": 1\n\ndata: 2\n\n", 0.2)
-        assert delivered(pending) == b"data: 1\n\ndata: 2\n\n"
+        assert delivered_bytes(pending) == b"data: 1\n\ndata: 2\n\n"
 
-    def test_stream_without_an_event_may_be_repeated(self) -> None:
+    def test_stream_without_a_complete_event_may_be_retried(self) -> None:
         relay, pending = make_relay(), make_pending()
         attempt = Attempt("r.1", "r", "e1", 0.0)
         relay.receive_head(pending, attempt, Head("r.1", 200, STREAM))
@@ -67,4 +67,4 @@
         relay.receive_head(pending, second, Head("r.2", 500, JSON))
         relay.receive_data(pending, second, 0, b"{}", 0.1)
         assert not relay.is_compatible(pending, second)
-        assert delivered(pending) == b""
+        assert delivered_bytes(pending) == b""
--- a/cassiadrum/tests/test_bench.py
+++ b/cassiadrum/tests/test_bench.py
@@ -37,14 +37,14 @@
         return super().submit(req, now)
 
 
-class ForgetfulDispatcher(Dispatcher):
+class DroppingDispatcher(Dispatcher):
     """Forget every protected request."""
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
         return [] if req.protected else super().submit(req, now)
 
 
-def run_with(dispatcher: type[Dispatcher]) -> Simulation:
+def run_with_dispatcher(dispatcher: type[Dispatcher]) -> Simulation:
     def make(document: ServiceDocument, entries: int, seed: str) -> Dispatcher:
         return dispatcher(StrictTierQueue(100), LeastOutstandingChooser())
 
@@ -64,13 +64,13 @@
         assert run_one(SHORT._replace(seed=2)) != first
 
     def test_shed_protected_request_is_detected(self) -> None:
-        records = run_with(SheddingDispatcher).records
+        records = run_with_dispatcher(SheddingDispatcher).records
         protected = sum(call.req.protected for call in records.calls)
         assert protected > 0
         assert records.unsafe["refused: overloaded"] > 0
 
-    def test_request_that_never_ends_is_detected(self) -> None:
-        records = run_with(ForgetfulDispatcher).records
+    def test_dropped_protected_request_is_detected(self) -> None:
+        records = run_with_dispatcher(DroppingDispatcher).records
         protected = sum(call.req.protected for call in records.calls)
         assert records.open_calls == protected > 0
 
--- a/cassiadrum/tests/test_budget_shares.py
+++ b/cassiadrum/tests/test_budget_shares.py
@@ -8,11 +8,11 @@
 DOCUMENTS = {name: parse_document(example(name)) for name in ("sprachdienst", "auftragsdienst")}
 
 
-def document(name: str) -> ServiceDocument | None:
+def find_document(name: str) -> ServiceDocument | None:
     return DOCUMENTS.get(name)
 
 
-def fleet(entries: int, **sidecars: int) -> list[Instance]:
+def make_instances(entries: int, **sidecars: int) -> list[Instance]:
     listed = [Instance(f"e{n}", "entry", "", "z", "", "") for n in range(entries)]
     for service, count in sidecars.items():
         listed += [
@@ -21,7 +21,7 @@
     return listed
 
 
-def rate_per_s(bucket: TokenBucket, now: float) -> int:
+def measure_rate_per_s(bucket: TokenBucket, now: float) -> int:
     """Return how many tokens ten seconds bring, per second."""
     taken = 0
     while bucket.reserve(now, 0.0) is not None:
@@ -36,23 +36,23 @@
 class TestBudgetShare:
     """Guards against a fleet that together overloads the stores."""
 
-    def test_claims_are_shared_by_the_sidecars_that_claim(self) -> None:
-        share = BudgetShare("auftragsdienst", document, lambda: 0.0)
-        share.update_instances(fleet(3, sprachdienst=6, auftragsdienst=3))
-        assert rate_per_s(share.budget.writes, 0.0) in (99, 100)
+    def test_sidecars_with_once_only_classes_share_the_claim_rate(self) -> None:
+        share = BudgetShare("auftragsdienst", find_document, lambda: 0.0)
+        share.update_instances(make_instances(3, sprachdienst=6, auftragsdienst=3))
+        assert measure_rate_per_s(share.budget.writes, 0.0) in (99, 100)
 
-    def test_sidecar_without_once_only_classes_takes_none_of_it(self) -> None:
-        share = BudgetShare("sprachdienst", document, lambda: 0.0)
-        share.update_instances(fleet(3, sprachdienst=6, auftragsdienst=3))
-        assert rate_per_s(share.budget.writes, 0.0) <= 1
+    def test_sidecar_without_once_only_classes_gets_the_minimum_rate(self) -> None:
+        share = BudgetShare("sprachdienst", find_document, lambda: 0.0)
+        share.update_instances(make_instances(3, sprachdienst=6, auftragsdienst=3))
+        assert measure_rate_per_s(share.budget.writes, 0.0) <= 1
 
-    def test_entry_instances_share_the_rest(self) -> None:
-        share = BudgetShare("", document, lambda: 0.0)
-        share.update_instances(fleet(10, auftragsdienst=3))
-        assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
+    def test_entry_instances_share_the_other_writes(self) -> None:
+        share = BudgetShare("", find_document, lambda: 0.0)
+        share.update_instances(make_instances(10, auftragsdienst=3))
+        assert measure_rate_per_s(share.budget.writes, 0.0) in (9, 10)
 
-    def test_empty_list_changes_nothing(self) -> None:
-        share = BudgetShare("", document, lambda: 0.0)
-        share.update_instances(fleet(10, auftragsdienst=3))
+    def test_empty_instance_list_is_ignored(self) -> None:
+        share = BudgetShare("", find_document, lambda: 0.0)
+        share.update_instances(make_instances(10, auftragsdienst=3))
         share.update_instances(())
-        assert rate_per_s(share.budget.writes, 0.0) in (9, 10)
+        assert measure_rate_per_s(share.budget.writes, 0.0) in (9, 10)
--- a/cassiadrum/tests/test_call_runners.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -14,24 +14,24 @@
 from cassiadrum.roles.sidecar_streams import SidecarStream
 from cassiadrum.states import Claimed, KeptAnswer
 
-PART = bytes(64 * 1024)
+CHUNK = bytes(64 * 1024)
 
 
 class FakeEndpoint:
     """Answer with a body of so many parts."""
 
     def __init__(self, parts: int) -> None:
-        self._parts = parts
+        self._chunk_count = parts
 
     async def call(self, call: Any) -> HttpResponse:
         async def body() -> AsyncIterator[bytes]:
-            for _ in range(self._parts):
-                yield PART
+            for _ in range(self._chunk_count):
+                yield CHUNK
 
         return HttpResponse(201, (("content-type", "text/plain"),), body())
 
 
-class FakeOnceOnlyGuard:
+class RecordingOnceOnlyGuard:
     """Let a call pass, and note how it ended."""
 
     def __init__(self) -> None:
@@ -51,14 +51,14 @@
 
     @pytest.mark.parametrize(("parts", "kept"), [(2, True), (40, False)])
     async def test_long_answer_is_relayed_but_not_kept(self, parts: int, kept: bool) -> None:
-        guard, posted = FakeOnceOnlyGuard(), list[SidecarMessage]()
+        guard, posted = RecordingOnceOnlyGuard(), list[SidecarMessage]()
         runner = CallRunner(FakeEndpoint(parts), guard, posted.append)  # type: ignore[arg-type]
         fields = ("r.1", "r", "s", "c", 1, False, True, False, "x", 60.0)
         start = StartRequest(*fields, "POST", "/", [], b"", "key")
         queued = QueuedRequest("r.1", "s", "c", 1, False, "x", 0.0)
         await runner.run(SidecarStream(start, queued, None))  # type: ignore[arg-type]
         relayed = sum(len(msg.data) for msg in posted if isinstance(msg, CallData))
-        assert relayed == parts * len(PART)
+        assert relayed == parts * len(CHUNK)
         assert guard.answer is not None
         assert guard.answer.body_kept is kept
         assert len(guard.answer.body) <= LIMITS.CLAIM_ANSWER_BYTES
--- a/cassiadrum/tests/test_claims.py
+++ b/cassiadrum/tests/test_claims.py
@@ -102,7 +102,7 @@
         assert record is not None and record.state is ClaimState.NOT_RUN
         assert isinstance(bench.run(bench.service("b").claim(KEY, "h", DEADLINE_S)), Claimed)
 
-    def test_claim_that_arrives_after_its_refusal_meets_the_mark(self) -> None:
+    def test_delayed_claim_does_not_replace_the_not_run_record(self) -> None:
         bench = Bench()
         service = bench.service("a")
         bench.run(service.claim(KEY, "h", DEADLINE_S), Fault.DELAYED, Fault.REFUSED)
@@ -111,7 +111,7 @@
         record = bench.record()
         assert record is not None and record.state is ClaimState.NOT_RUN
 
-    def test_lost_endpoint_answer_stays_unknown_until_settled(self) -> None:
+    def test_lost_endpoint_answer_stays_unknown_until_resolved(self) -> None:
         bench = Bench()
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
@@ -137,7 +137,7 @@
         assert bench.run(bench.service("a").record_answer(claim, ANSWER))
         assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
-    def test_outcome_is_written_when_the_store_is_back(self) -> None:
+    def test_outcome_is_written_when_the_store_has_recovered(self) -> None:
         bench = Bench()
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
@@ -147,7 +147,7 @@
         assert bench.run(service.write_pending()) == 0
         assert bench.run(service.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
-    def test_large_answer_goes_to_the_object_store_or_is_told_gone(self) -> None:
+    def test_large_answer_is_stored_as_an_object_or_marked_as_not_kept(self) -> None:
         bench = Bench()
         service = bench.service("a")
         large = ANSWER._replace(body=b"x" * (LIMITS.KEPT_ANSWER_BYTES + 1))
@@ -160,7 +160,7 @@
             assert bench.run(service.claim(key, "h", DEADLINE_S)) == AlreadyCompleted(expected)
         assert len(bench.objects.objects) == 1
 
-    def test_clean_up_removes_old_rows_only(self) -> None:
+    def test_clean_up_removes_only_expired_rows(self) -> None:
         bench = Bench()
         service = bench.service("a")
         large = ANSWER._replace(body=b"x" * (LIMITS.KEPT_ANSWER_BYTES + 1))
--- a/cassiadrum/tests/test_configuration_page.py
+++ b/cassiadrum/tests/test_configuration_page.py
@@ -57,12 +57,12 @@
             if name in tables:
                 continue
             key = f"{table}.{name}" if table else name
-            default = default_text(key, name, name in schema.__required_keys__, defaults)
+            default = expected_default(key, name, name in schema.__required_keys__, defaults)
             allowed = describe(hint)
-            yield Row(key, unit_of(name, allowed), default, allowed)
+            yield Row(key, expected_unit(name, allowed), default, allowed)
 
 
-def default_text(key: str, name: str, required: bool, defaults: dict[str, object]) -> str:
+def expected_default(key: str, name: str, required: bool, defaults: dict[str, object]) -> str:
     if required:
         return "required"
     value = defaults.get(key, defaults.get(name)) if key.startswith("class.") else None
@@ -70,7 +70,7 @@
     return "none" if value is None else f"`{msgspec.json.encode(value).decode()}`"
 
 
-def unit_of(name: str, allowed: str) -> str:
+def expected_unit(name: str, allowed: str) -> str:
     if name.endswith("_s"):
         return "seconds"
     return "share" if allowed == "number from 0 to 1" else "-"
--- a/cassiadrum/tests/test_configurations.py
+++ b/cassiadrum/tests/test_configurations.py
@@ -54,7 +54,7 @@
         result = Stepped(store, coro).finish()
         assert isinstance(result, Invalid) and result.findings[0].path == "service.name"
 
-    def test_second_operator_sees_the_difference(self) -> None:
+    def test_conflict_shows_the_difference_to_the_second_operator(self) -> None:
         store = SteppedStore()
         assert isinstance(accept(store, 0, "first"), Accepted)
         changed = TEXT.replace("tier = 0", "tier = 0  # changed", 1)
@@ -75,7 +75,7 @@
         result = accept(SteppedStore(), 0, "o", Fault.NONE, Fault.ANSWER_LOST)
         assert isinstance(result, Accepted) and result.version == 1
 
-    def test_delayed_write_meets_the_fence(self) -> None:
+    def test_delayed_write_is_fenced_off(self) -> None:
         store = SteppedStore()
         accept(store, 0, "first")
         result = accept(store, 1, "late", Fault.NONE, Fault.DELAYED)
@@ -83,7 +83,7 @@
         store.deliver(0)
         assert current(store).operation_id == "first"
 
-    def test_delayed_first_write_meets_the_fence(self) -> None:
+    def test_delayed_first_write_is_fenced_off(self) -> None:
         store = SteppedStore()
         assert isinstance(accept(store, 0, "late", Fault.NONE, Fault.DELAYED), NotAccepted)
         store.deliver(0)
@@ -92,7 +92,7 @@
         assert Stepped(store, ConfigurationReader(store, registry).poll()).finish() == []
         assert isinstance(accept(store, 0, "next"), Accepted)
 
-    def test_outage_leaves_the_outcome_unresolved_until_repeated(self) -> None:
+    def test_outage_leaves_an_operation_unresolved_until_it_is_repeated(self) -> None:
         store = SteppedStore()
         faults = [Fault.NONE, Fault.ANSWER_LOST, *[Fault.DROPPED] * 5]
         assert isinstance(accept(store, 0, "o", *faults), Unresolved)
@@ -152,7 +152,7 @@
     """Guards against a fleet that polls away the store's read budget."""
 
     @pytest.mark.parametrize("processes", [1, 12, 9_600])
-    def test_fleet_stays_within_its_reads(self, processes: int) -> None:
+    def test_fleet_stays_within_its_read_rate(self, processes: int) -> None:
         intervals = [poll_interval_s(processes, random.Random(seed)) for seed in range(100)]
         assert processes / min(intervals) <= 100
         assert min(intervals) >= 2.0
--- a/cassiadrum/tests/test_daemon.py
+++ b/cassiadrum/tests/test_daemon.py
@@ -27,7 +27,7 @@
     return path
 
 
-class TestCheck:
+class TestCheckOption:
     """Guards against a check that starts the daemon, or accepts settings that it refuses."""
 
     def check(self, path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -42,7 +42,7 @@
         self.check(settings, monkeypatch)
         assert capsys.readouterr().out == f"{settings}: valid settings of the entry entry-1\n"
 
-    def test_wrong_settings(
+    def test_invalid_settings(
         self, settings: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
     ) -> None:
         settings.write_text(SETTINGS.replace("zone", "zoen"))
@@ -55,7 +55,7 @@
 class TestProcess:
     """Guards against log lines that are not structured, and against a start nobody can follow."""
 
-    async def test_start_line_and_graceful_stop(self, settings: Path) -> None:
+    async def test_logs_its_start_and_stops_gracefully(self, settings: Path) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/cassiadrum/tests/test_demo.py
+++ b/cassiadrum/tests/test_demo.py
@@ -11,9 +11,9 @@
 class TestDemoOutput:
     """Guards against a JSON output that a program cannot read as a whole."""
 
-    def test_json_alone(self) -> None:
+    def test_json_output_is_one_document(self) -> None:
         found = json.loads(render(REPORT, 40, as_json=True))
         assert (found["tokens_delivered"], found["tokens_computed"]) == (30, 40)
 
-    def test_table(self) -> None:
+    def test_text_output_is_a_table(self) -> None:
         assert render(REPORT, 40, as_json=False).startswith("service ")
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -60,7 +60,7 @@
         (again,) = dispatcher.finished("r", NOT_RUN, 1.0)
         assert isinstance(again, Dispatch)
 
-    def test_rejected_request_is_served_before_later_ones(self) -> None:
+    def test_rejected_request_is_dispatched_before_later_ones(self) -> None:
         dispatcher = make_dispatcher(endpoints=1, limit=1)
         dispatcher.submit(make_request("first"), 0.0)
         dispatcher.submit(make_request("second")._replace(arrived_s=1.0), 1.0)
@@ -68,7 +68,7 @@
         assert isinstance(again, Dispatch)
         assert again.req.request_id == "first"
 
-    def test_eviction_after_an_attempt_that_may_have_run_says_so(self) -> None:
+    def test_eviction_after_a_possible_execution_is_reported_as_unknown(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("r"), 0.0)
         dispatcher.endpoint_lost("e0", 0.5)
@@ -77,7 +77,7 @@
         assert isinstance(refusal, Refuse)
         assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.UNKNOWN)
 
-    def test_reject_after_an_attempt_that_may_have_run_says_so(self) -> None:
+    def test_rejection_after_a_possible_execution_is_reported_as_unknown(self) -> None:
         dispatcher = make_dispatcher()
         dispatcher.submit(make_request("r")._replace(deadline_s=10.0), 0.0)
         dispatcher.finished("r", UNKNOWN, 1.0)
@@ -85,7 +85,7 @@
         assert isinstance(refusal, Refuse)
         assert refusal.ran is ExecutionStatus.UNKNOWN
 
-    def test_no_policy_can_repeat_an_effect(self) -> None:
+    def test_no_retry_policy_can_repeat_an_effect(self) -> None:
         class Unlimited(BudgetRetryPolicy):
             def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
                 return True
@@ -96,7 +96,7 @@
         (refusal,) = dispatcher.finished("once", UNKNOWN, 1.0)
         assert isinstance(refusal, Refuse)
 
-    def test_call_that_may_not_be_cut_runs_on_without_its_caller(self) -> None:
+    def test_uncancellable_call_continues_after_its_caller_left(self) -> None:
         chooser = LeastOutstandingChooser()
         dispatcher = Dispatcher(FairTierQueue(9), chooser, uncancellable=["class-2"])
         dispatcher.report(make_report("e0"), 0.0)
@@ -118,14 +118,14 @@
         (action,) = dispatcher.report(make_report("e0"), 2.0)
         assert isinstance(action, Dispatch)
 
-    def test_lost_endpoint_is_passed_over_while_another_works(self) -> None:
+    def test_lost_endpoint_is_skipped_while_another_is_connected(self) -> None:
         dispatcher = make_dispatcher(endpoints=2, limit=1)
         dispatcher.endpoint_lost("e0", 0.0)
         (action,) = dispatcher.submit(make_request("a"), 1.0)
         assert action == Dispatch(make_request("a"), "e1")
         assert dispatcher.submit(make_request("b"), 1.0) == []
 
-    def test_refused_within_a_bounded_time_without_endpoints(self) -> None:
+    def test_request_is_refused_within_a_bounded_time_without_endpoints(self) -> None:
         dispatcher = make_dispatcher(endpoints=0)
         dispatcher.submit(make_request("r"), 0.0)
         assert dispatcher.tick(4.9) == []
@@ -174,7 +174,7 @@
         assert dispatcher.finished("slow", DONE, 102.0) == []
         assert dispatcher.running() == 0
 
-    def test_caller_gone_cancels_all_copies(self) -> None:
+    def test_caller_that_left_cancels_all_copies(self) -> None:
         dispatcher = self.make_hedged()
         actions = dispatcher.cancelled("slow", 101.1)
         assert actions == [Cancel("slow", "e0"), Cancel("slow", "e1")]
--- a/cassiadrum/tests/test_endpoint_schedulers.py
+++ b/cassiadrum/tests/test_endpoint_schedulers.py
@@ -33,7 +33,7 @@
     return EndpointScheduler(limit, queue_limit, PausePreemption([PAUSABLE]))
 
 
-def names(actions: Sequence[SchedulerAction]) -> list[tuple[str, str]]:
+def action_names(actions: Sequence[SchedulerAction]) -> list[tuple[str, str]]:
     return [
         (
             type(action).__name__,
@@ -53,7 +53,7 @@
         running = [self.stream("a", 2, 1), self.stream("b", 4, 9), self.stream("c", 4, 5)]
         assert PausePreemption([PAUSABLE]).choose_victim(make_request("p", 0), running, 0.0) == "c"
 
-    def test_none_for_unprotected_or_among_what_may_not_be_cut(self) -> None:
+    def test_no_victim_for_unprotected_requests_or_among_unpausable_streams(self) -> None:
         running = [self.stream("a", 4, 1)]
         assert (
             PausePreemption([PAUSABLE]).choose_victim(make_request("n", 1), running, 0.0) is None
@@ -73,17 +73,17 @@
         scheduler = make_scheduler(limit=1, queue_limit=2)
         scheduler.submit(make_request("low", 4), 0.0)
         protected = scheduler.submit(make_request("high", 0), 1.0)
-        assert names(protected) == [("Pause", "low"), ("Start", "high")]
+        assert action_names(protected) == [("Pause", "low"), ("Start", "high")]
         scheduler.submit(make_request("new", 4), 2.0)
-        assert names(scheduler.finished("high", 3.0)) == [("Resume", "low")]
-        assert names(scheduler.finished("low", 4.0)) == [("Start", "new")]
+        assert action_names(scheduler.finished("high", 3.0)) == [("Resume", "low")]
+        assert action_names(scheduler.finished("low", 4.0)) == [("Start", "new")]
 
-    def test_endpoint_without_pause_makes_protected_work_wait_first(self) -> None:
+    def test_protected_request_waits_first_at_an_endpoint_without_pauses(self) -> None:
         scheduler = EndpointScheduler(1, 1)
         scheduler.submit(make_request("running", 4), 0.0)
         scheduler.submit(make_request("low", 4), 0.0)
-        assert names(scheduler.submit(make_request("high", 0), 1.0)) == [("Reject", "low")]
-        assert names(scheduler.finished("running", 2.0)) == [("Start", "high")]
+        assert action_names(scheduler.submit(make_request("high", 0), 1.0)) == [("Reject", "low")]
+        assert action_names(scheduler.finished("running", 2.0)) == [("Start", "high")]
 
     def test_flood_of_a_higher_tier_delays_a_paused_stream_by_its_longest_wait(self) -> None:
         scheduler = make_scheduler(limit=2, queue_limit=2)
@@ -95,10 +95,10 @@
         for second in range(1, 31):
             assert started != "low"
             scheduler.submit(make_request(f"mid{second}", 1, float(second)), float(second))
-            ((kind, started),) = names(scheduler.finished(started, float(second)))
+            ((kind, started),) = action_names(scheduler.finished(started, float(second)))
         assert (kind, started) == ("Resume", "low")
 
-    def test_shrunk_limit_pauses_down_to_it(self) -> None:
+    def test_streams_above_a_reduced_limit_are_paused(self) -> None:
         limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=4)
         scheduler = EndpointScheduler(limit, 1, PausePreemption([PAUSABLE]))
         for index in range(4):
@@ -109,7 +109,7 @@
         scheduler.submit(make_request("high", 0), 2.0)
         assert (scheduler.running(), scheduler.paused()) == (2, 3)
 
-    def test_paused_stream_measures_nothing(self) -> None:
+    def test_latencies_of_a_resumed_stream_are_ignored(self) -> None:
         limit = LatencyTrackingLimit(TARGETS, maximum=4, initial=1)
         scheduler = EndpointScheduler(limit, 2, PausePreemption([PAUSABLE]))
         scheduler.submit(make_request("low", 4), 0.0)
@@ -119,13 +119,13 @@
             scheduler.observe_latency("low", 0.1, 0.01, 10.0)
         assert scheduler.limit == 1
 
-    def test_drain_gives_back_waiting_work_and_finishes_paused_streams(self) -> None:
+    def test_drain_rejects_waiting_requests_and_resumes_paused_streams(self) -> None:
         scheduler = make_scheduler(limit=1, queue_limit=2)
         for request_id, tier in (("low", 4), ("high", 0), ("new", 3)):
             scheduler.submit(make_request(request_id, tier), 0.0)
-        assert names(scheduler.drain(1.0)) == [("Reject", "new")]
-        assert names(scheduler.submit(make_request("late", 0), 1.0)) == [("Reject", "late")]
-        assert names(scheduler.finished("high", 2.0)) == [("Resume", "low")]
+        assert action_names(scheduler.drain(1.0)) == [("Reject", "new")]
+        assert action_names(scheduler.submit(make_request("late", 0), 1.0)) == [("Reject", "late")]
+        assert action_names(scheduler.finished("high", 2.0)) == [("Resume", "low")]
 
 
 EVENTS = st.lists(
@@ -151,7 +151,7 @@
         self.waiting: set[str] = set()
         self.pauses: dict[str, int] = {}
 
-    def take(self, actions: Sequence[SchedulerAction]) -> None:
+    def apply_actions(self, actions: Sequence[SchedulerAction]) -> None:
         before = len(self.running)
         for action in actions:
             if isinstance(action, Start):
@@ -165,13 +165,13 @@
                 self.pauses[action.request_id] += 1
                 assert self.pauses[action.request_id] <= 2
             else:
-                self.reject(action)
+                self.apply_rejection(action)
             # Work above a limit that went down may finish, but nothing is added to it.
             assert len(self.running) <= max(before, self.scheduler.limit)
         assert len(self.running) == self.scheduler.running()
         assert len(self.waiting) == self.scheduler.waiting()
 
-    def reject(self, action: Reject) -> None:
+    def apply_rejection(self, action: Reject) -> None:
         self.waiting.remove(action.req.request_id)
         if action.req.protected:
             assert all(self.known[name].protected for name in self.waiting)
@@ -187,14 +187,14 @@
                 self.known[name] = make_request(name, tier, now)
                 self.waiting.add(name)
                 self.pauses[name] = 0
-            self.take(self.scheduler.submit(self.known[name], now))
+            self.apply_actions(self.scheduler.submit(self.known[name], now))
         elif kind == "finish" and name in self.known and name not in self.waiting:
             self.running.discard(name)
             del self.known[name]
-            self.take(self.scheduler.finished(name, now))
+            self.apply_actions(self.scheduler.finished(name, now))
         elif kind == "observe":
             for _ in range(20):
-                self.take(self.scheduler.observe_latency(name, value, value / 100, now))
+                self.apply_actions(self.scheduler.observe_latency(name, value, value / 100, now))
         elif kind == "cancel":
             assert self.scheduler.cancel_waiting(name, now) == (name in self.waiting)
             if name in self.waiting:
--- a/cassiadrum/tests/test_event_collectors.py
+++ b/cassiadrum/tests/test_event_collectors.py
@@ -11,7 +11,7 @@
 class TestEventCollector:
     """Guards against events of another process that got the port of one that ended."""
 
-    async def test_answer_of_another_process_ends_the_reading(self) -> None:
+    async def test_events_of_another_process_end_the_collection(self) -> None:
         ring = EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "one")
         ring.record(EventKind.PROCESS_STARTED)
         answers: list[dict[str, Any]] = []
--- a/cassiadrum/tests/test_event_meters.py
+++ b/cassiadrum/tests/test_event_meters.py
@@ -22,7 +22,7 @@
 DOCUMENT = parse_document((EXAMPLES / "sprachdienst.toml").read_text())
 
 
-class Times:
+class ManualClock:
     """A clock that the test moves."""
 
     def __init__(self) -> None:
@@ -40,26 +40,28 @@
 class TestEventMeter:
     """Guards against measurements that miss an event, and against entries kept for ever."""
 
-    def make(self, role: str) -> tuple[EventMeter, RoleMetrics, EventRing, Times]:
-        times = Times()
-        metrics = RoleMetrics(times, make_registry())
-        meter = EventMeter(metrics, lambda service: DOCUMENT, times)
-        ring = EventRing(HybridLogicalClock(times), "i", role, "s")
+    def make(self, role: str) -> tuple[EventMeter, RoleMetrics, EventRing, ManualClock]:
+        clock = ManualClock()
+        metrics = RoleMetrics(clock, make_registry())
+        meter = EventMeter(metrics, lambda service: DOCUMENT, clock)
+        ring = EventRing(HybridLogicalClock(clock), "i", role, "s")
         ring.listener = meter
-        return meter, metrics, ring, times
+        return meter, metrics, ring, clock
 
     def record(self, ring: EventRing, kind: EventKind, **fields: Any) -> None:
         ring.record(kind, "r", "sprachdienst", "feast-assessment", "parish", **fields)
 
     @pytest.mark.parametrize(("gap_s", "result"), [(0.03, "met"), (0.05, "missed")])
-    def test_answer_is_measured_against_its_targets(self, gap_s: float, result: str) -> None:
-        meter, metrics, ring, times = self.make("entry")
+    def test_answer_is_measured_against_its_latency_targets(
+        self, gap_s: float, result: str
+    ) -> None:
+        meter, metrics, ring, clock = self.make("entry")
         self.record(ring, EventKind.RECEIVED)
-        times.now = 0.2
+        clock.now = 0.2
         self.record(ring, EventKind.DISPATCHED, attempt=1)
-        times.now = 0.5
+        clock.now = 0.5
         self.record(ring, EventKind.FIRST_TOKEN)
-        times.now = 0.5 + 10 * gap_s
+        clock.now = 0.5 + 10 * gap_s
         self.record(ring, EventKind.FINISHED, reason="", ran="yes", tokens=11)
         values = parse_metrics(metrics.render().decode())
         labels = 'class="feast-assessment",'
@@ -84,10 +86,10 @@
         assert 'result="missed",service="sprachdienst"} 1' in text
         assert not meter._timings
 
-    def test_sidecar_counts_waste_and_claims(self) -> None:
-        meter, metrics, ring, times = self.make("sidecar")
+    def test_sidecar_counts_wasted_tokens_and_claims(self) -> None:
+        meter, metrics, ring, clock = self.make("sidecar")
         self.record(ring, EventKind.QUEUED, attempt="r.1")
-        times.now = 0.1
+        clock.now = 0.1
         self.record(ring, EventKind.STARTED, attempt="r.1")
         self.record(ring, EventKind.CLAIM_REFUSED, reason="in_progress")
         self.record(ring, EventKind.CANCELLED, attempt="r.1", reason="caller_left", tokens=9)
@@ -117,7 +119,7 @@
     return sum(value for key, value in values.items() if key.startswith(name) and label in key)
 
 
-class TestMetricsOfASite:
+class TestSiteMetrics:
     """Guards against metrics that the roles do not feed or the admin interface does not serve."""
 
     async def test_counters_agree_with_what_callers_saw(self, site: LocalSite) -> None:
@@ -136,7 +138,9 @@
         made = sum(total(found, "cassiadrum_claims_total", "made") for found in sidecars)
         assert made == sender.results["permit-register", "permit-issue"].answered
 
-    async def test_tokens_of_a_cancelled_stream_are_wasted(self, site: LocalSite) -> None:
+    async def test_tokens_of_a_cancelled_stream_are_counted_as_wasted(
+        self, site: LocalSite
+    ) -> None:
         host, _, port = site.entry_address().rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         body = json.dumps({"prompt": "yoke", "stream": True}).encode()
--- a/cassiadrum/tests/test_event_pictures.py
+++ b/cassiadrum/tests/test_event_pictures.py
@@ -76,7 +76,7 @@
         assert classes == ["lane", "gap", "gap", "bar", "bar open", "bar open"]
         assert any("a<&" in (text.text or "") for text in root.iter(f"{SVG}text"))
 
-    def test_bars_left_out_are_counted(self) -> None:
+    def test_omitted_bars_are_counted(self) -> None:
         assert "2 bars left out" in TimelineSvgWriter(bars_max=1).write(make_timeline())
 
     def test_page_is_self_contained_and_escaped(self) -> None:
--- a/cassiadrum/tests/test_events.py
+++ b/cassiadrum/tests/test_events.py
@@ -40,13 +40,13 @@
         times = [clock.tick() for _ in range(4)]
         assert times == sorted(set(times))
 
-    def test_effect_is_after_a_cause_on_a_clock_ahead(self) -> None:
+    def test_effect_is_after_a_cause_from_a_clock_that_is_ahead(self) -> None:
         ahead, behind = HybridLogicalClock(lambda: 200.0), HybridLogicalClock(lambda: 100.0)
         cause = ahead.tick()
         assert behind.observe(cause)
         assert behind.tick() > cause
 
-    def test_wrong_peer_clock_does_not_move_the_fleet(self) -> None:
+    def test_wrong_clock_of_a_peer_is_ignored(self) -> None:
         clock = HybridLogicalClock(lambda: 100.0)
         assert not clock.observe(HybridTimestamp(2**60, 0))
         assert clock.tick().seconds == 100.0
@@ -180,7 +180,7 @@
         assert event.fields["unknown_kind"] == "teleported"
 
     @pytest.mark.parametrize("line", ["{}", "[]", "{", "1", '{"hlc": "x"}'])
-    def test_malformed_line_is_named(self, line: str) -> None:
+    def test_error_names_the_malformed_line(self, line: str) -> None:
         with pytest.raises(EventError, match="line 2"):
             list(read_json_lines(["", line]))
 
--- a/cassiadrum/tests/test_fair_tier_queues.py
+++ b/cassiadrum/tests/test_fair_tier_queues.py
@@ -106,7 +106,7 @@
 class TestOrder:
     """Guards against a wrong order between tiers, classes and customers."""
 
-    def test_protected_then_strict_tiers(self) -> None:
+    def test_protected_classes_are_first_then_the_tiers_in_order(self) -> None:
         queue = FairTierQueue(10)
         for tier in (4, 2, 1, 3, 0):
             queue.push(make_request(f"t{tier}", tier), 0.0)
@@ -163,7 +163,7 @@
             order.append(popped.customer)
         assert order.count("single") == 10
 
-    def test_work_that_did_not_run_is_not_charged(self) -> None:
+    def test_requeued_request_is_not_charged_to_its_customer(self) -> None:
         queue = FairTierQueue(100)
         for index in range(6):
             customer = "rejected" if index < 3 else "other"
@@ -175,7 +175,7 @@
             queue.requeue(req, 0.0)
 
     @pytest.mark.parametrize("rejects", [0, 3])
-    def test_overdue_class_gets_its_share_and_no_more(self, rejects: int) -> None:
+    def test_overdue_class_gets_exactly_its_share(self, rejects: int) -> None:
         queue = FairTierQueue(1000)
         for index in range(300):
             queue.push(make_request(f"high-{index}", 2, arrived_s=100.0), 100.0)
--- a/cassiadrum/tests/test_gateway_switches.py
+++ b/cassiadrum/tests/test_gateway_switches.py
@@ -19,7 +19,7 @@
         assert patch.startswith(f"--- a/{switch.file}\n+++ b/{switch.file}\n@@ ")
         ast.parse(text.replace(switch.code, switch.replacement))
 
-    def test_code_that_has_changed_is_an_error(self) -> None:
+    def test_switch_without_matching_code_is_an_error(self) -> None:
         with pytest.raises(ValueError, match="has the code 0 times"):
             make_patch(SWITCHES[0], "")
 
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -18,13 +18,13 @@
 from cassiadrum.standins import Faults
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
-LIMIT_S = 30.0
+WAIT_LIMIT_S = 30.0
 STREAM_TARGET = "/services/sprachdienst/v1/completions"
 PERMIT_TARGET = "/services/permit-register/permits"
 
 
 async def until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(LIMIT_S):
+    async with asyncio.timeout(WAIT_LIMIT_S):
         while not condition():  # noqa: ASYNC110 - the state is spread over several tasks
             await asyncio.sleep(0.01)
 
@@ -52,11 +52,11 @@
 
 async def start_stream(site: LocalSite) -> "asyncio.Task[tuple[int, bytes]]":
     task = asyncio.create_task(send(site, STREAM_TARGET))
-    await until(lambda: bool(busy(site)))
+    await until(lambda: bool(busy_sidecars(site)))
     return task
 
 
-def busy(site: LocalSite) -> list[Daemon]:
+def busy_sidecars(site: LocalSite) -> list[Daemon]:
     return [endpoint.sidecar for endpoint in site.endpoints if endpoint.sidecar.in_flight()]
 
 
@@ -76,9 +76,11 @@
 
     @pytest.mark.parametrize("role", ["entry", "sidecar"])
     @pytest.mark.parametrize("fault", ["none", "reattach", "silent", "store"])
-    async def test_stop_cuts_off_nothing(self, site: LocalSite, role: str, fault: str) -> None:
+    async def test_planned_stop_completes_running_requests(
+        self, site: LocalSite, role: str, fault: str
+    ) -> None:
         caller = await start_stream(site)
-        (sidecar,) = busy(site)
+        (sidecar,) = busy_sidecars(site)
         daemon = site.entries[0] if role == "entry" else sidecar
         if fault == "store":
             site.table_service.set_faults(Faults(down=True))
@@ -87,7 +89,7 @@
         if fault == "silent":
             silence_links(sidecar)
         daemon.begin_drain()
-        assert await drain(daemon, LIMIT_S) == 0
+        assert await drain(daemon, WAIT_LIMIT_S) == 0
         status, body = await caller
         assert status == 200 and b"[DONE]" in body and b"event: error" not in body
         await daemon.close()
@@ -102,21 +104,23 @@
         assert (status, json.loads(body)["ran"]) == (503, "no")
         assert (await caller)[0] == 200
 
-    async def test_sidecar_stays_until_entry_instances_send_no_more(self, site: LocalSite) -> None:
+    async def test_sidecar_stays_until_entry_instances_stop_sending(self, site: LocalSite) -> None:
         sidecar = site.endpoints[0].sidecar
         sidecar.begin_drain()
         began = asyncio.get_running_loop().time()
-        assert await drain(sidecar, LIMIT_S) == 0
+        assert await drain(sidecar, WAIT_LIMIT_S) == 0
         assert asyncio.get_running_loop().time() - began >= LIMITS.LEAVING_LIMIT_S
 
     @pytest.mark.parametrize("role", ["entry", "sidecar"])
-    async def test_drain_limit_refuses_what_is_left(self, site: LocalSite, role: str) -> None:
+    async def test_drain_limit_ends_the_remaining_requests(
+        self, site: LocalSite, role: str
+    ) -> None:
         for endpoint in site.endpoints:
             if endpoint.service == "permit-register":
                 endpoint.standin._service_s = 60.0  # type: ignore[union-attr]
         caller = asyncio.create_task(send(site, PERMIT_TARGET))
-        await until(lambda: bool(busy(site)))
-        daemon = site.entries[0] if role == "entry" else busy(site)[0]
+        await until(lambda: bool(busy_sidecars(site)))
+        daemon = site.entries[0] if role == "entry" else busy_sidecars(site)[0]
         daemon.begin_drain()
         assert await drain(daemon, 0.3) == EXIT_DRAIN_LIMIT
         status, body = await caller
@@ -128,11 +132,11 @@
         for endpoint in site.endpoints:
             await endpoint.standin.close()
 
-    async def test_second_signal_names_what_is_in_flight(
+    async def test_second_signal_logs_the_requests_in_flight(
         self, site: LocalSite, caplog: pytest.LogCaptureFixture
     ) -> None:
         caller = await start_stream(site)
-        (sidecar,) = busy(site)
+        (sidecar,) = busy_sidecars(site)
         stopping = asyncio.Event()
         with caplog.at_level(logging.INFO):
             for daemon in (site.entries[0], sidecar):
--- a/cassiadrum/tests/test_idle_links.py
+++ b/cassiadrum/tests/test_idle_links.py
@@ -19,7 +19,7 @@
 
 
 @pytest.fixture(autouse=True)
-def short_times(monkeypatch: pytest.MonkeyPatch) -> None:
+def short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
     """Make the times short enough for a test, in the proportions of the defaults."""
     for name in ("HEARTBEAT_INTERVAL_S", "IDLE_HEARTBEAT_INTERVAL_S", "LINK_IDLE_AFTER_S"):
         monkeypatch.setattr(LIMITS, name, getattr(LIMITS, name) / 20)
@@ -75,7 +75,7 @@
         await dialer.stop()
 
 
-async def stay_idle(peer: Peer, link: Link) -> None:
+async def wait_until_idle(peer: Peer, link: Link) -> None:
     """Let a link become idle while its peer sends heartbeats."""
     async with asyncio.timeout(10.0):
         while not link.idle:
@@ -86,19 +86,23 @@
 class TestIdleLink:
     """Guards against slow detection of a silent link that carries streams."""
 
-    async def test_idle_link_outlives_the_short_limit(self, pair: tuple[Peer, LinkDialer]) -> None:
+    async def test_idle_link_stays_open_beyond_the_short_limit(
+        self, pair: tuple[Peer, LinkDialer]
+    ) -> None:
         peer, dialer = pair
         assert dialer.link is not None
-        await stay_idle(peer, dialer.link)
+        await wait_until_idle(peer, dialer.link)
         since_s = time.monotonic()
         await peer.ended.wait()
         assert time.monotonic() - since_s > LIMITS.SILENCE_LIMIT_S * 1.5
 
-    async def test_stream_brings_the_short_limit_back(self, pair: tuple[Peer, LinkDialer]) -> None:
+    async def test_new_stream_restores_the_short_limit(
+        self, pair: tuple[Peer, LinkDialer]
+    ) -> None:
         peer, dialer = pair
         link = dialer.link
         assert link is not None
-        await stay_idle(peer, link)
+        await wait_until_idle(peer, link)
         since_s = time.monotonic()
         link.send(START)
         await peer.ended.wait()
--- a/cassiadrum/tests/test_invariants_of_processes.py
+++ b/cassiadrum/tests/test_invariants_of_processes.py
@@ -23,7 +23,7 @@
     return [violation.detail for violation in rule.check(record)]
 
 
-def waiting(*requests: str, instance: str = "entry-1") -> list[Step]:
+def queued_steps(*requests: str, instance: str = "entry-1") -> list[Step]:
     return [step(0, instance, "queued", request) for request in requests]
 
 
@@ -78,7 +78,7 @@
     def test_accepts(self, steps: list[Step]) -> None:
         assert LeavingEndpointRule().check(make_record(*steps)) == []
 
-    def test_accepts_runs_after_the_instance_started_anew(self) -> None:
+    def test_accepts_runs_after_the_instance_restarted(self) -> None:
         steps = [self.DRAINING, step(15, "sidecar-1", "process_started")]
         record = make_record(*steps, runs=(make_run("r1", 12.9), make_run("r2", 20)))
         assert LeavingEndpointRule().check(record) == []
@@ -125,7 +125,7 @@
             [STARTED, DRAINING, step(6, "sidecar-1", "finished", TOP), STOPPED],
             [
                 DRAINING,
-                *waiting(TOP, instance="sidecar-1"),
+                *queued_steps(TOP, instance="sidecar-1"),
                 step(6, "sidecar-1", "rejected", TOP, reason="draining"),
                 STOPPED,
             ],
@@ -147,9 +147,9 @@
 class TestConfigurationMonotonic:
     """Guards against a checker that misses reverted, late and ambiguous versions."""
 
-    BEGUN = step(0, "sidecar-1", "process_started")
+    PROCESS_STARTED = step(0, "sidecar-1", "process_started")
     ACCEPTED = step(10, "entry-1", "configuration_accepted", version=2, operation_id="o1")
-    OWN = step(10, "entry-1", "configuration_applied", version=2, digest="x")
+    APPLIED_AT_ENTRY = step(10, "entry-1", "configuration_applied", version=2, digest="x")
     END = step(100, "entry-1", "member_joined")
 
     @staticmethod
@@ -168,12 +168,20 @@
     )
     def test_rejects(self, steps: list[tuple[float, int]], detail: str) -> None:
         applied = [self.applied(at_s, version) for at_s, version in steps]
-        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, *applied, self.END)
+        record = make_record(
+            self.PROCESS_STARTED, self.ACCEPTED, self.APPLIED_AT_ENTRY, *applied, self.END
+        )
         assert details(ConfigurationMonotonicRule(), record) == [detail]
 
-    def test_rejects_one_version_of_two_texts(self) -> None:
+    def test_rejects_one_version_with_two_contents(self) -> None:
         other = step(11, "entry-2", "configuration_accepted", version=2, operation_id="o2")
-        steps = [self.BEGUN, self.ACCEPTED, self.OWN, other, self.applied(11, digest="y")]
+        steps = [
+            self.PROCESS_STARTED,
+            self.ACCEPTED,
+            self.APPLIED_AT_ENTRY,
+            other,
+            self.applied(11, digest="y"),
+        ]
         assert details(ConfigurationMonotonicRule(), make_record(*steps)) == [
             "permit-register 2 has operation_id o2 and o1",
             "permit-register 2 has digest y and x",
@@ -190,12 +198,16 @@
     )
     def test_accepts(self, steps: list[tuple[float, int]], parts: dict[str, Any]) -> None:
         applied = [self.applied(at_s, version) for at_s, version in steps]
-        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, *applied, self.END, **parts)
+        record = make_record(
+            self.PROCESS_STARTED, self.ACCEPTED, self.APPLIED_AT_ENTRY, *applied, self.END, **parts
+        )
         assert ConfigurationMonotonicRule().check(record) == []
 
     def test_accepts_a_process_that_stopped_before_the_version_was_due(self) -> None:
         stopped = step(20, "sidecar-1", "stopped")
-        record = make_record(self.BEGUN, self.ACCEPTED, self.OWN, stopped, self.END)
+        record = make_record(
+            self.PROCESS_STARTED, self.ACCEPTED, self.APPLIED_AT_ENTRY, stopped, self.END
+        )
         assert ConfigurationMonotonicRule().check(record) == []
 
 
@@ -214,9 +226,9 @@
             "configuration_monotonic",
         ]
 
-    def test_reports_over_all_rules(self) -> None:
+    def test_reports_the_violations_of_all_rules(self) -> None:
         record = make_record(
-            *waiting(LOW),
+            *queued_steps(LOW),
             step(1, "entry-1", "received", TOP),
             step(2, "entry-1", "refused", TOP, reason="overloaded", ran="no"),
             runs=(make_run("top"),),
--- a/cassiadrum/tests/test_invariants_of_requests.py
+++ b/cassiadrum/tests/test_invariants_of_requests.py
@@ -23,7 +23,7 @@
     return [violation.detail for violation in rule.check(record)]
 
 
-def waiting(*requests: str, instance: str = "entry-1") -> list[Step]:
+def queued_steps(*requests: str, instance: str = "entry-1") -> list[Step]:
     return [step(0, instance, "queued", request) for request in requests]
 
 
@@ -33,10 +33,10 @@
     @pytest.mark.parametrize(
         "steps",
         [
-            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", TOP)],
-            [*waiting(LOW), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [*queued_steps(TOP, LOW), step(1, "entry-1", "evicted", TOP)],
+            [*queued_steps(LOW), step(1, "entry-1", "refused", TOP, reason="overloaded")],
             [
-                *waiting(TOP, LOW, instance="sidecar-1"),
+                *queued_steps(TOP, LOW, instance="sidecar-1"),
                 step(1, "sidecar-1", "rejected", TOP, reason="overloaded"),
             ],
             [
@@ -55,7 +55,7 @@
                 step(1, "sidecar-1", "cancelled", TOP, reason="preempted"),
             ],
             [
-                *waiting(TOP, LOW),
+                *queued_steps(TOP, LOW),
                 step(1, "entry-1", "dispatched", LOW),
                 step(11, "entry-1", "refused", TOP, reason="deadline"),
             ],
@@ -69,10 +69,10 @@
     @pytest.mark.parametrize(
         "steps",
         [
-            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", LOW)],
-            [*waiting(TOP), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [*queued_steps(TOP, LOW), step(1, "entry-1", "evicted", LOW)],
+            [*queued_steps(TOP), step(1, "entry-1", "refused", TOP, reason="overloaded")],
             [
-                *waiting(LOW),
+                *queued_steps(LOW),
                 step(1, "entry-1", "dispatched", LOW),
                 step(1, "entry-1", "refused", TOP, reason="overloaded"),
             ],
@@ -87,7 +87,7 @@
                 step(1, "entry-1", "evicted", TOP),
             ],
             [
-                *waiting(TOP, LOW),
+                *queued_steps(TOP, LOW),
                 step(1, "entry-1", "dispatched", TOP),
                 step(2, "entry-1", "queued", TOP),
                 step(3, "entry-1", "dispatched", LOW),
@@ -118,22 +118,22 @@
         assert EventualServiceRule().check(ended) == EventualServiceRule().check(killed) == []
 
     @staticmethod
-    def make_dispatches(own_turn: int) -> FleetRecord:
+    def make_dispatches(served_turn: int) -> FleetRecord:
         # The class has max_wait_s 120 and min_share 0.05, so 2 * 20 dispatches may pass it over.
-        steps = waiting(LOW, "low2:register-export")
+        steps = queued_steps(LOW, "low2:register-export")
         for turn in range(50):
             steps.append(step(121 + turn, "entry-1", "queued", f"r{turn}:permit-issue"))
             steps.append(step(121 + turn, "entry-1", "dispatched", f"r{turn}:permit-issue"))
-            if turn == own_turn:
+            if turn == served_turn:
                 steps.append(step(121 + turn, "entry-1", "dispatched", LOW))
         return make_record(*steps)
 
-    def test_rejects_a_class_that_is_due_and_passed_over(self) -> None:
-        (detail,) = details(EventualServiceRule(), self.make_dispatches(own_turn=-1))
+    def test_rejects_an_overdue_class_without_dispatches(self) -> None:
+        (detail,) = details(EventualServiceRule(), self.make_dispatches(served_turn=-1))
         assert detail.startswith("class register-export got none of 41 dispatches")
 
     def test_accepts_a_class_that_gets_its_share(self) -> None:
-        assert EventualServiceRule().check(self.make_dispatches(own_turn=25)) == []
+        assert EventualServiceRule().check(self.make_dispatches(served_turn=25)) == []
 
 
 class TestWholeAnswer:
