Reword the tests of dispatchers, events, claims and invariants

Each test class says which failure it guards against and how that comes about. Some parameter ids say what their case is; the cases are the same.

The sources of property tests and state machines stay as they are apart from comments, so that Hypothesis derives the same derandomized examples.

--- a/cassiadrum/tests/__init__.py
+++ b/cassiadrum/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests, a class for each subject."""
+"""Tests of the package, one class for each subject."""
--- a/cassiadrum/tests/command_runs.py
+++ b/cassiadrum/tests/command_runs.py
@@ -1,4 +1,4 @@
-"""A runner of the command line for tests."""
+"""Runs commands of the command line in the process of the test."""
 
 import io
 import json
@@ -10,7 +10,7 @@
 
 
 class CommandRun(NamedTuple):
-    """Hold the exit code and the output of one command."""
+    """Exit code, output and error output of one command."""
 
     code: int
     text: str
@@ -18,14 +18,14 @@
 
     @property
     def data(self) -> dict[str, Any]:
-        """Return the one JSON object that was printed."""
+        """Return the output, which has to be one line with a JSON object."""
         (line,) = self.text.splitlines()
         found: dict[str, Any] = json.loads(line)
         return found
 
 
 async def run(*arguments: str) -> CommandRun:
-    """Run one command."""
+    """Run one command with its arguments and return the result."""
     stream, errors = io.StringIO(), io.StringIO()
     code = await execute(arguments, stream, errors)
     return CommandRun(code, stream.getvalue(), errors.getvalue())
--- a/cassiadrum/tests/conftest.py
+++ b/cassiadrum/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings that all tests share."""
+"""Hypothesis profiles and fixtures for all tests."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -10,8 +10,8 @@
 from cassiadrum.sites import LocalSite
 from cassiadrum.tests.sites import example
 
-# The same examples in every run and no limit on their time, so that a busy machine or another
-# seed does not change the verdict.
+# The same examples in every run and no deadline, so that neither another seed nor a busy machine
+# changes the result.
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.register_profile("search", max_examples=3000, deadline=None, database=None)
 settings.load_profile("repeatable")
@@ -19,11 +19,11 @@
 
 @pytest.fixture
 async def command_site(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[LocalSite]:
-    """Run a site with a model and a plain service, which the command line finds by itself."""
+    """Run a site with an engine and a plain service; its address is in the environment."""
     site = LocalSite([example("permit-register"), example("sprachdienst")], entries=2)
     await site.start()
     daemons = [*site.entries, *(endpoint.sidecar for endpoint in site.endpoints)]
-    # The site is ready before every sidecar has the documents of the other services.
+    # A started site does not yet have the documents of all services at every sidecar.
     while not all(len(daemon.status()["versions"]) == 2 for daemon in daemons):  # noqa: ASYNC110
         await asyncio.sleep(0.02)
     addresses = site.platform_addresses
--- a/cassiadrum/tests/records.py
+++ b/cassiadrum/tests/records.py
@@ -1,4 +1,4 @@
-"""Forged records for tests of the rules."""
+"""Constructed fleet records for tests of the invariant rules."""
 
 from pathlib import Path
 from typing import Any
@@ -17,13 +17,19 @@
 
 
 def step(at_s: float, instance: str, kind: str, request: str = "", **fields: Any) -> Step:
-    """Return an event; `request` is `ID:CLASS`, and the instance starts with its role."""
+    """Return one event of a record.
+
+    `request` is `ID:CLASS`. The role of the instance is its name up to the first hyphen.
+    """
     request_id, _, class_name = request.partition(":")
     return at_s, instance, kind, request_id, class_name, fields
 
 
 def make_record(*steps: Step, alive: bool = True, **parts: Any) -> FleetRecord:
-    """Return a record of the steps; `alive` tells that no process has ended."""
+    """Return a record of the steps, each at its own time on the clock of its instance.
+
+    With `alive` all processes still run, so a missing `stopped` event is no gap.
+    """
     rings: dict[str, EventRing] = {}
     clock_s = [0.0]
     for at_s, instance, kind, request_id, class_name, fields in steps:
--- a/cassiadrum/tests/sites.py
+++ b/cassiadrum/tests/sites.py
@@ -1,4 +1,4 @@
-"""Examples that tests of a whole site share."""
+"""Example documents for tests of a whole site."""
 
 from pathlib import Path
 
--- a/cassiadrum/tests/stepped_stores.py
+++ b/cassiadrum/tests/stepped_stores.py
@@ -1,4 +1,4 @@
-"""A fake table store whose every operation waits for the test to carry it out."""
+"""A fake table store whose operations wait until the test executes them."""
 
 from collections.abc import Callable, Coroutine, Generator, Sequence
 from enum import Enum
@@ -25,7 +25,7 @@
 
 
 class Fault(Enum):
-    """What happens to one operation; a read fails under every fault."""
+    """Result of one operation; a read fails with any fault except NONE."""
 
     NONE = "applied and answered"
     REFUSED = "not applied, and told so"
@@ -34,13 +34,13 @@
     DELAYED = "applied at a later time, answer lost"
 
 
-# Faults of consecutive operations. Most operations succeed: a sequence in which nearly every one
-# fails ends before two processes ever meet on a row.
+# Faults of consecutive operations. Most operations succeed: if nearly all of them fail, a sequence
+# ends before two processes access the same row.
 FAULT_RUNS = st.lists(st.sampled_from([*[Fault.NONE] * 8, *Fault]), min_size=1, max_size=6)
 
 
 class Operation:
-    """One awaited operation; the test sends its result into the coroutine."""
+    """An awaited store operation; the test sends its result into the coroutine."""
 
     def __init__(self, apply: Callable[[], Any], is_write: bool) -> None:
         self.apply = apply
@@ -54,7 +54,7 @@
 
 
 class SteppedStore(TableStore):
-    """Rows in memory; writes under way may arrive in any order."""
+    """Rows in memory; the test applies delayed writes in any order."""
 
     def __init__(self) -> None:
         self.rows = TableRows()
@@ -88,7 +88,7 @@
         self.delayed.pop(index % len(self.delayed))()
 
     def carry_out(self, operation: Operation, fault: Fault) -> Any:
-        """Return what the caller of an operation sees under a fault."""
+        """Execute an operation with a fault and return what its caller receives."""
         if fault is Fault.NONE:
             return operation.apply()
         if not operation.is_write:
@@ -114,26 +114,26 @@
         self._send(None)
 
     def steps(self, faults: Sequence[Fault]) -> bool:
-        """Carry out one operation for each fault and tell whether the coroutine ended."""
+        """Execute one operation for each fault and return whether the coroutine has ended."""
         for fault in faults:
             if not self.done:
                 self.step(fault)
         return self.done
 
     def step(self, fault: Fault = Fault.NONE) -> bool:
-        """Carry out the operation waited for and tell whether the coroutine ended."""
+        """Execute the awaited operation and return whether the coroutine has ended."""
         assert self._operation is not None
         self._send(self._store.carry_out(self._operation, fault))
         return self.done
 
     def finish(self) -> T:
-        """Carry out all operations without faults and return the result."""
+        """Execute the remaining operations without faults and return the result."""
         while not self.done:
             self.step()
         return self.result  # type: ignore[return-value]
 
     def close(self) -> None:
-        """End the coroutine where it stands, as when its process is lost."""
+        """End the coroutine at its current operation, as in a crash of its process."""
         self._coro.close()
         self.done = True
 
@@ -145,7 +145,7 @@
 
 
 class MemoryObjects(ObjectStore):
-    """Objects in memory, with an outage."""
+    """Objects in memory; every operation fails while `down` is set."""
 
     def __init__(self) -> None:
         self.objects: dict[str, bytes] = {}
@@ -170,4 +170,4 @@
 
 
 async def no_pause(_: float) -> None:
-    """Stand in for a sleep."""
+    """Return at once in place of a sleep."""
--- a/cassiadrum/tests/test_admissions.py
+++ b/cassiadrum/tests/test_admissions.py
@@ -1,4 +1,4 @@
-"""Tests of admission and of learned lengths."""
+"""Tests of admission control and of the estimates of answer lengths."""
 
 import math
 
@@ -25,7 +25,11 @@
 
 
 class TestDeadlineAdmission:
-    """Guards against accepted requests that cannot be served in time."""
+    """Guards against accepted requests that cannot be served in time, and needless refusals.
+
+    The predicted wait is corrected by observed waits, which may be those of other tiers or from
+    before the service rate was known.
+    """
 
     @given(st.floats(0, 1e6), st.floats(0.1, 1e3))
     def test_refuses_exactly_when_the_wait_passes_the_deadline(
@@ -68,7 +72,7 @@
 
 
 class TestLogHistogram:
-    """Guards against quantiles beyond the stated error of 10 %."""
+    """Guards against quantiles whose error exceeds the documented 10 %."""
 
     @given(st.lists(st.integers(1, 100_000), min_size=1, max_size=500), st.floats(0.01, 1.0))
     def test_quantile_error(self, values: list[int], quantile: float) -> None:
@@ -80,7 +84,10 @@
 
 
 class TestQuantileLengthEstimator:
-    """Guards against unbounded memory and against one customer's lengths used for another."""
+    """Guards against unbounded memory and against estimates from another customer's lengths.
+
+    Each customer has a histogram of its own; the number of histograms is limited.
+    """
 
     def test_customer_with_few_observations_falls_back_to_its_class(self) -> None:
         estimator = QuantileLengthEstimator()
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -31,7 +31,11 @@
 
 
 class TestAnswerRelay:
-    """Guards against bytes of a failed attempt, or of another kind of answer, in a stream."""
+    """Guards against bytes of a failed attempt, or of another type of answer, in a stream.
+
+    A retry continues an event stream after its last complete event, and a link that is attached
+    again may repeat bytes.
+    """
 
     def test_second_attempt_continues_after_whole_events(self) -> None:
         relay, pending = make_relay(), make_pending()
--- a/cassiadrum/tests/test_bench.py
+++ b/cassiadrum/tests/test_bench.py
@@ -29,7 +29,7 @@
 
 
 class SheddingDispatcher(Dispatcher):
-    """Refuse every protected request."""
+    """A faulty dispatcher that refuses every protected request."""
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
         if req.protected:
@@ -38,7 +38,7 @@
 
 
 class DroppingDispatcher(Dispatcher):
-    """Forget every protected request."""
+    """A faulty dispatcher that neither queues nor refuses protected requests."""
 
     def submit(self, req: QueuedRequest, now: float) -> list[Action]:
         return [] if req.protected else super().submit(req, now)
@@ -56,7 +56,10 @@
 
 
 class TestRuns:
-    """Guards against figures that change from run to run and against blind checks."""
+    """Guards against results that vary with the same seed and checks that miss a fault.
+
+    Dispatchers that refuse or drop all protected requests have to show in the records.
+    """
 
     def test_same_seed_gives_the_same_result(self) -> None:
         first, second = run_one(SHORT), run_one(SHORT)
@@ -76,7 +79,10 @@
 
 
 class TestBounds:
-    """Guards against a missed bound that passes unseen."""
+    """Guards against a missed bound that does not fail the benchmark.
+
+    A bound without a figure would never be compared; only listed known failures may pass.
+    """
 
     def test_every_bound_has_a_figure_and_a_source(self) -> None:
         specs = [
--- a/cassiadrum/tests/test_budget_shares.py
+++ b/cassiadrum/tests/test_budget_shares.py
@@ -1,4 +1,4 @@
-"""Tests of the share in the stores' rates."""
+"""Tests of the share of a process in the request rates of the stores."""
 
 from cassiadrum.documents import ServiceDocument, parse_document
 from cassiadrum.roles.budget_shares import BudgetShare
@@ -22,7 +22,7 @@
 
 
 def measure_rate_per_s(bucket: TokenBucket, now: float) -> int:
-    """Return how many tokens ten seconds bring, per second."""
+    """Empty the bucket and return its mean rate over the next ten seconds, per second."""
     taken = 0
     while bucket.reserve(now, 0.0) is not None:
         taken += 1
@@ -34,7 +34,10 @@
 
 
 class TestBudgetShare:
-    """Guards against a fleet that together overloads the stores."""
+    """Guards against processes that together exceed the request rates of the stores.
+
+    Each process computes its share from the instance list, without a central limit.
+    """
 
     def test_sidecars_with_once_only_classes_share_the_claim_rate(self) -> None:
         share = BudgetShare("auftragsdienst", find_document, lambda: 0.0)
--- a/cassiadrum/tests/test_call_runners.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -1,4 +1,4 @@
-"""Tests of the task that calls the endpoint."""
+"""Tests of the task that calls the endpoint for a request."""
 
 from collections.abc import AsyncIterator
 from typing import Any
@@ -18,7 +18,7 @@
 
 
 class FakeEndpoint:
-    """Answer with a body of so many parts."""
+    """An endpoint that answers with a body of `parts` chunks."""
 
     def __init__(self, parts: int) -> None:
         self._chunk_count = parts
@@ -32,7 +32,7 @@
 
 
 class RecordingOnceOnlyGuard:
-    """Let a call pass, and note how it ended."""
+    """A guard that permits every call and records the answer to keep."""
 
     def __init__(self) -> None:
         self.answer: KeptAnswer | None = None
@@ -47,7 +47,10 @@
 
 
 class TestOnceOnlyAnswers:
-    """Guards against an answer that is collected in memory without a bound."""
+    """Guards against unbounded memory for the kept answer of a once-only call.
+
+    The answer is collected while it is relayed; one that is too long is relayed but not kept.
+    """
 
     @pytest.mark.parametrize(("parts", "kept"), [(2, True), (40, False)])
     async def test_long_answer_is_relayed_but_not_kept(self, parts: int, kept: bool) -> None:
--- a/cassiadrum/tests/test_capacity_page.py
+++ b/cassiadrum/tests/test_capacity_page.py
@@ -1,4 +1,4 @@
-"""Tests of the capacity page against the committed figures."""
+"""Tests that the capacity page agrees with the committed measurements."""
 
 import json
 from pathlib import Path
@@ -24,7 +24,10 @@
 
 
 class TestCapacityPage:
-    """Guards against a page whose figures do not follow from what was measured."""
+    """Guards against figures on the page that do not follow from the measurements.
+
+    Page and measurements are separate files, so one can change without the other.
+    """
 
     def test_lines_follow_from_the_points(self, report: Any) -> None:
         for name, entry in report["series"].items():
@@ -57,7 +60,7 @@
 
 
 class TestFit:
-    """Guards against a wrong line through the points."""
+    """Guards against a wrong linear fit, on which all extrapolations depend."""
 
     def test_exact_line(self) -> None:
         fit = fit_line([(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)])
--- a/cassiadrum/tests/test_claims.py
+++ b/cassiadrum/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of the once-only claims under lost answers, delays, outages and crashes."""
+"""Tests of once-only claims with lost answers, delayed writes, outages and crashes."""
 
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -38,12 +38,12 @@
 KEY = ClaimKey("auftragsdienst", "parish", "order-1")
 ANSWER = KeptAnswer(201, (("content-type", "text/plain"),), b"cast")
 DEADLINE_S = 10.0
-# The number of sequences is fixed, so a busy machine must not turn them into a failure.
+# The number of sequences is fixed, so a busy machine needs longer than the default time limit.
 pytestmark = pytest.mark.timeout(240)
 
 
 class Bench:
-    """One store, a wall clock and services with operation ids that count up."""
+    """A store, a wall clock and claim services whose operation ids are numbered."""
 
     def __init__(self) -> None:
         self.store = SteppedStore()
@@ -72,7 +72,11 @@
 
 
 class TestClaimService:
-    """Guards against a second run of a key and against a false "not run"."""
+    """Guards against a second run of a key and against a false "not run".
+
+    Both may result from a lost answer of the store or the endpoint, a delayed write, or a sidecar
+    that is lost or paused between its claim and the outcome.
+    """
 
     def test_answer_is_kept_for_the_same_body_only(self) -> None:
         bench = Bench()
@@ -132,7 +136,7 @@
         assert isinstance(bench.run(other.claim(KEY, "h", DEADLINE_S)), OutcomeUnknown)
         record = bench.record()
         assert record is not None and record.state is ClaimState.UNKNOWN
-        # The sidecar was only paused: its outcome replaces `unknown`.
+        # The first sidecar was only paused; the outcome that it records replaces `unknown`.
         assert isinstance(claim, Claimed)
         assert bench.run(bench.service("a").record_answer(claim, ANSWER))
         assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
--- a/cassiadrum/tests/test_configuration_page.py
+++ b/cassiadrum/tests/test_configuration_page.py
@@ -1,4 +1,4 @@
-"""Tests that docs/configuration.md, the defaults and the schemas agree."""
+"""Tests that docs/configuration.md agrees with the schemas and the defaults."""
 
 import re
 from collections.abc import Iterator
@@ -35,7 +35,7 @@
 
 
 class Row(NamedTuple):
-    """Hold what the page and the schemas both state of a key."""
+    """Properties of a key that both the page and the schemas state."""
 
     key: str
     unit: str
@@ -44,7 +44,7 @@
 
 
 def page_rows(section: str) -> list[Row]:
-    """Return the rows of the tables under a heading of the second level."""
+    """Return the table rows in the section with this second-level heading."""
     _, _, rest = PAGE.read_text().partition(f"\n## {section}\n")
     text = rest.partition("\n## ")[0]
     rows = re.findall(r"^\| `([a-z_.]+)` \| (.*?) \| (.*?) \| (.*?) \|", text, re.MULTILINE)
@@ -77,7 +77,10 @@
 
 
 class TestConfigurationPage:
-    """Guards against a key that the page omits, invents, or states another default of."""
+    """Guards against a page with missing or unknown keys, or with another unit, default or range.
+
+    The page is written by hand, so a change of a schema or a default does not reach it.
+    """
 
     @pytest.mark.parametrize(
         ("section", "tables", "defaults"),
--- a/cassiadrum/tests/test_configuration_sequences.py
+++ b/cassiadrum/tests/test_configuration_sequences.py
@@ -1,4 +1,4 @@
-"""Sequences of configuration changes under races, lost answers, restarts and reordering."""
+"""Sequences of configuration changes with races, lost answers, restarts and reordering."""
 
 from typing import Any
 
@@ -18,7 +18,7 @@
 from cassiadrum.tests.stepped_stores import FAULT_RUNS, Fault, Stepped, SteppedStore
 from cassiadrum.tests.test_configurations import SERVICES, TEXTS, current, new_writer
 
-# The number of sequences is fixed, so a busy machine must not turn them into a failure.
+# The number of sequences is fixed, so a busy machine needs longer than the default time limit.
 pytestmark = pytest.mark.timeout(240)
 
 
--- a/cassiadrum/tests/test_configurations.py
+++ b/cassiadrum/tests/test_configurations.py
@@ -1,4 +1,4 @@
-"""Tests of configurations under racing operators and lost answers."""
+"""Tests of configurations with concurrent operators and lost answers."""
 
 import random
 from pathlib import Path
@@ -46,7 +46,11 @@
 
 
 class TestConfigurationWriter:
-    """Guards against an accepted version that is lost and a refused one that takes effect."""
+    """Guards against an accepted version that is lost and a refused one that takes effect.
+
+    Operators write concurrently, the answer to a write may be lost, and a write may arrive after
+    its writer has given up.
+    """
 
     def test_invalid_document_is_not_written(self) -> None:
         store = SteppedStore()
@@ -109,7 +113,7 @@
         assert [record.version for record in versions] == list(range(6, last + 1))
         assert Stepped(store, history.diff(SERVICE, 6, last)).finish() == ""
         assert Stepped(store, history.diff(SERVICE, 1, last)).finish() is None
-        # An operation that the record no longer names is found in the history.
+        # The history still has an operation whose id is no longer in the current record.
         old = accept(store, 6, "operation-6")
         assert isinstance(old, Accepted) and old.version == 7
         assert isinstance(accept(store, 6, "other"), Conflicted)
@@ -117,7 +121,10 @@
 
 
 class TestConfigurationRegistry:
-    """Guards against a version that reverts or a document in force that is not valid."""
+    """Guards against a version that goes back and against an invalid document in force.
+
+    Records arrive again and out of order, and a stored record may be invalid.
+    """
 
     def test_apply_is_monotonic(self) -> None:
         registry = ConfigurationRegistry()
@@ -149,7 +156,10 @@
 
 
 class TestPollInterval:
-    """Guards against a fleet that polls away the store's read budget."""
+    """Guards against polls that together exceed the read rate of the store.
+
+    Every process polls, so the interval has to grow with the size of the fleet.
+    """
 
     @pytest.mark.parametrize("processes", [1, 12, 9_600])
     def test_fleet_stays_within_its_read_rate(self, processes: int) -> None:
--- a/cassiadrum/tests/test_daemon.py
+++ b/cassiadrum/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""Tests of the daemon as a process of its own."""
+"""Tests of the command that runs a daemon."""
 
 import asyncio
 import json
@@ -9,7 +9,7 @@
 
 from cassiadrum import daemon
 
-# Ports that nothing listens on: the daemon has to start without its platform.
+# Nothing listens on these ports: the daemon has to start while its platform is unreachable.
 SETTINGS = """
 role = "entry"
 instance = "entry-1"
@@ -28,7 +28,7 @@
 
 
 class TestCheckOption:
-    """Guards against a check that starts the daemon, or accepts settings that it refuses."""
+    """Guards against `--check` starting a daemon or accepting settings that a daemon refuses."""
 
     def check(self, path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
         arguments = ["cassiadrumd", "--check", "--settings", str(path)]
@@ -53,7 +53,10 @@
 
 
 class TestProcess:
-    """Guards against log lines that are not structured, and against a start nobody can follow."""
+    """Guards against log lines that are not JSON and against a start that is not logged.
+
+    The line about the start has to state the role, the instance and the admin address.
+    """
 
     async def test_logs_its_start_and_stops_gracefully(self, settings: Path) -> None:
         process = await asyncio.create_subprocess_exec(
--- a/cassiadrum/tests/test_demo.py
+++ b/cassiadrum/tests/test_demo.py
@@ -1,4 +1,4 @@
-"""Tests of what the demo prints."""
+"""Tests of the output of the demo."""
 
 import json
 
@@ -9,7 +9,7 @@
 
 
 class TestDemoOutput:
-    """Guards against a JSON output that a program cannot read as a whole."""
+    """Guards against JSON output that a program cannot parse as one document."""
 
     def test_json_output_is_one_document(self) -> None:
         found = json.loads(render(REPORT, 40, as_json=True))
--- a/cassiadrum/tests/test_dispatcher_properties.py
+++ b/cassiadrum/tests/test_dispatcher_properties.py
@@ -1,4 +1,4 @@
-"""Tests of what the dispatcher owes each request, whatever the order of events."""
+"""Property tests of the dispatcher's guarantees for a request under any order of events."""
 
 from collections import Counter
 
@@ -17,7 +17,7 @@
 
 
 class RequestRecord:
-    """Run events on a dispatcher and check every action against what happened before."""
+    """Apply events to a dispatcher and check each action against the events so far."""
 
     def __init__(self) -> None:
         self.dispatcher = make_dispatcher(endpoints=0, budget=0.3)
@@ -86,7 +86,10 @@
 
 
 class TestEveryRequest:
-    """Guards against lost, doubled and wrongly repeated requests and untruthful refusals."""
+    """Guards against lost, duplicated and wrongly retried requests and untruthful refusals.
+
+    Endpoints are lost and removed while requests wait, run, fail and are cancelled.
+    """
 
     @given(st.lists(st.tuples(st.sampled_from([*KINDS, "submit", "report"]), st.integers(0, 9))))
     def test_each_request_ends_once_and_no_effect_is_repeated(
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -1,4 +1,4 @@
-"""Tests of retries, connections and hedges of the dispatcher."""
+"""Tests of the dispatcher's retries, lost connections and hedges."""
 
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
@@ -43,7 +43,11 @@
 
 
 class TestRetry:
-    """Guards against retries at the same endpoint and against a lost place."""
+    """Guards against wrong retries and against refusals that deny a possible execution.
+
+    A retry goes to another endpoint if there is one and keeps its place in the queue. Work that
+    may have run is repeated only if it is idempotent, and a later refusal still says so.
+    """
 
     def test_retry_goes_to_another_endpoint(self) -> None:
         dispatcher = make_dispatcher()
@@ -107,7 +111,10 @@
 
 
 class TestConnections:
-    """Guards against work sent to lost endpoints and against endless waits without any."""
+    """Guards against requests to disconnected endpoints and against waits without a limit.
+
+    A lost connection does not end the streams at its endpoint, and the endpoint may return.
+    """
 
     def test_lost_endpoint_keeps_its_streams_and_gets_no_new_work(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
@@ -140,12 +147,15 @@
         dispatcher.submit(make_request("b")._replace(max_tokens=100), 0.0)
         dispatcher.finished("a", DONE, 1.0)
         dispatcher.submit(make_request("c")._replace(max_tokens=100), 1.0)
-        # 10 tokens a second, 100 tokens ahead and 10 until a slot is free.
+        # At 10 tokens per second: 100 queued tokens ahead, and 10 tokens until a slot is free.
         assert dispatcher.predicted_wait_s(make_request("new")) == 11.0
 
 
 class TestHedge:
-    """Guards against copies that are not cancelled and against lost answers of hedged requests."""
+    """Guards against copies that are not cancelled and against lost answers of hedged requests.
+
+    Two copies run until one produces a token or fails, or the caller leaves.
+    """
 
     @staticmethod
     def make_hedged() -> Dispatcher:
--- a/cassiadrum/tests/test_dispatchers.py
+++ b/cassiadrum/tests/test_dispatchers.py
@@ -1,4 +1,4 @@
-"""Tests of the dispatcher."""
+"""Tests of the dispatcher's order and refusals."""
 
 from typing import Any
 
@@ -25,7 +25,10 @@
 
 
 class TestDispatcher:
-    """Guards against a lower tier taken first and against untruthful refusals."""
+    """Guards against dispatching a lower tier first and against untruthful refusals.
+
+    Requests compete for one free slot or one queue place, or fail after they may have run.
+    """
 
     def test_higher_tier_is_dispatched_first(self) -> None:
         dispatcher = make_dispatcher()
--- a/cassiadrum/tests/test_documents.py
+++ b/cassiadrum/tests/test_documents.py
@@ -1,4 +1,4 @@
-"""Tests of the service documents."""
+"""Tests of the parser of service documents."""
 
 from pathlib import Path
 
@@ -14,7 +14,7 @@
 
 
 class TestExamples:
-    """Guards against examples that the parser no longer accepts."""
+    """Guards against example documents that the parser no longer accepts."""
 
     @pytest.mark.parametrize(
         ("name", "endpoints"),
@@ -40,7 +40,7 @@
 
 
 class TestErrors:
-    """Guards against a document that is accepted although a key in it is wrong."""
+    """Guards against accepting a document with a misspelled key or contradictory values."""
 
     def test_unknown_key_names_the_nearest(self) -> None:
         text = example("permit-register").replace("tier = 0", "teir = 0")
--- a/cassiadrum/tests/test_endpoint_schedulers.py
+++ b/cassiadrum/tests/test_endpoint_schedulers.py
@@ -1,4 +1,4 @@
-"""Tests of the sidecar's decisions."""
+"""Tests of the scheduler that a sidecar uses for its endpoint."""
 
 from collections.abc import Sequence
 
@@ -24,7 +24,7 @@
 
 
 def make_request(request_id: str, tier: int = 3, arrived_s: float = 0.0) -> QueuedRequest:
-    """Return a protected request in tier 0 and one that may be paused in the others."""
+    """Return a request that is protected in tier 0 and pausable in the other tiers."""
     name = "status" if tier == 0 else PAUSABLE
     return QueuedRequest(request_id, "svc", name, tier, tier == 0, "customer", arrived_s)
 
@@ -44,7 +44,11 @@
 
 
 class TestPausePreemption:
-    """Guards against a victim that may not be paused or costs more than another."""
+    """Guards against pausing a stream that must not be paused, or a worse choice of victim.
+
+    The victim has the lowest tier and then the least progress, and a stream is paused only a
+    limited number of times.
+    """
 
     def stream(self, request_id: str, tier: int, tokens: int, pauses: int = 0) -> RunningStream:
         return RunningStream(make_request(request_id, tier), 0.0, tokens, pauses)
@@ -67,7 +71,10 @@
 
 
 class TestEndpointScheduler:
-    """Guards against lost, doubled or wrongly ordered work at a full endpoint."""
+    """Guards against lost, duplicated or wrongly ordered work at a full endpoint.
+
+    Protected requests pause streams; these resume, while other requests wait or are rejected.
+    """
 
     def test_protected_request_pauses_and_the_stream_resumes_before_new_work(self) -> None:
         scheduler = make_scheduler(limit=1, queue_limit=2)
@@ -140,7 +147,7 @@
 
 
 class SchedulerModel:
-    """Replay a scheduler's actions and check each against the invariants."""
+    """Apply events to a scheduler and check each of its actions against the invariants."""
 
     def __init__(self, limit: int, queue_limit: int) -> None:
         tracking = LatencyTrackingLimit(TARGETS, limit, limit)
@@ -166,7 +173,7 @@
                 assert self.pauses[action.request_id] <= 2
             else:
                 self.apply_rejection(action)
-            # Work above a limit that went down may finish, but nothing is added to it.
+            # Streams above a reduced limit may finish, but no further ones start above it.
             assert len(self.running) <= max(before, self.scheduler.limit)
         assert len(self.running) == self.scheduler.running()
         assert len(self.waiting) == self.scheduler.waiting()
@@ -203,7 +210,10 @@
 
 
 class TestSchedulerInvariants:
-    """Guards against a broken limit, a second start, and protected work cut or rejected."""
+    """Guards against an exceeded limit, a second start, and protected work paused or rejected.
+
+    Requests arrive, finish and are cancelled while measured latencies change the limit.
+    """
 
     @given(EVENTS, st.integers(1, 4), st.integers(0, 4))
     def test_every_action_is_allowed(
--- a/cassiadrum/tests/test_event_collectors.py
+++ b/cassiadrum/tests/test_event_collectors.py
@@ -1,4 +1,4 @@
-"""Tests of the harness's reader of events."""
+"""Tests of the harness's event collector."""
 
 import asyncio
 from typing import Any
@@ -9,7 +9,10 @@
 
 
 class TestEventCollector:
-    """Guards against events of another process that got the port of one that ended."""
+    """Guards against events of another process that reuses the port of one that has ended.
+
+    The start id in each answer identifies the process.
+    """
 
     async def test_events_of_another_process_end_the_collection(self) -> None:
         ring = EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "one")
--- a/cassiadrum/tests/test_event_meters.py
+++ b/cassiadrum/tests/test_event_meters.py
@@ -1,4 +1,4 @@
-"""Tests of the metrics of running roles."""
+"""Tests of the metrics that roles derive from their events."""
 
 import asyncio
 import json
@@ -23,7 +23,7 @@
 
 
 class ManualClock:
-    """A clock that the test moves."""
+    """A clock that the test sets."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -38,7 +38,10 @@
 
 
 class TestEventMeter:
-    """Guards against measurements that miss an event, and against entries kept for ever."""
+    """Guards against missing measurements and against per-request entries that are never removed.
+
+    A request ends in several ways, and each of them has to be counted and to remove its entry.
+    """
 
     def make(self, role: str) -> tuple[EventMeter, RoleMetrics, EventRing, ManualClock]:
         clock = ManualClock()
@@ -120,7 +123,7 @@
 
 
 class TestSiteMetrics:
-    """Guards against metrics that the roles do not feed or the admin interface does not serve."""
+    """Guards against metrics that a role does not update or its admin interface does not serve."""
 
     async def test_counters_agree_with_what_callers_saw(self, site: LocalSite) -> None:
         sender = LoadSender([site.entry_address()], site.documents, seed=5)
--- a/cassiadrum/tests/test_event_pictures.py
+++ b/cassiadrum/tests/test_event_pictures.py
@@ -1,4 +1,4 @@
-"""Tests of the pictures of a timeline."""
+"""Tests of a timeline's output as trace file, SVG and HTML."""
 
 import json
 from xml.etree import ElementTree
@@ -30,7 +30,7 @@
 
 
 class TestSpans:
-    """Guards against bars that hide each other."""
+    """Guards against bars of overlapping requests that cover each other in one row."""
 
     def test_overlapping_requests_have_different_rows(self) -> None:
         spans = make_spans(make_timeline())
@@ -42,7 +42,10 @@
 
 
 class TestTraceWriter:
-    """Guards against files that trace viewers cannot open or that hide gaps."""
+    """Guards against files that trace viewers cannot open or that hide gaps.
+
+    Gaps outside of the selected events are drawn at the edge of the selection.
+    """
 
     def test_entries_have_the_keys_of_the_format(self) -> None:
         entries = json.loads(TraceWriter().write(make_timeline()))["traceEvents"]
@@ -68,7 +71,10 @@
 
 
 class TestTimelineSvgWriter:
-    """Guards against pictures that are not well-formed, load outside files or hide gaps."""
+    """Guards against output that is not well-formed, loads external files or hides gaps.
+
+    Names of instances, requests and customers may contain markup and have to be escaped.
+    """
 
     def test_is_well_formed_and_shows_bars_and_gaps(self) -> None:
         root = ElementTree.fromstring(TimelineSvgWriter().write(make_timeline()))
--- a/cassiadrum/tests/test_events.py
+++ b/cassiadrum/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the events, their order and their encodings."""
+"""Tests of events, their order and their encodings."""
 
 import json
 from typing import Any
@@ -32,7 +32,10 @@
 
 
 class TestHybridLogicalClock:
-    """Guards against effects that stand before their causes."""
+    """Guards against an effect that is ordered before its cause.
+
+    Wall clocks differ between processes and may go back; one that is far ahead is ignored.
+    """
 
     def test_time_ascends_while_the_wall_clock_goes_back(self) -> None:
         walls = iter([100.0, 90.0, 90.0, 101.0])
@@ -54,7 +57,10 @@
 
 
 class TestEventRing:
-    """Guards against unbounded memory and against loss that is not counted."""
+    """Guards against unbounded memory and against lost events that are not counted.
+
+    A full ring overwrites its oldest events; readers page through the others.
+    """
 
     def test_overwrites_the_oldest_and_counts_them(self) -> None:
         ring = make_ring(capacity=3)
@@ -75,7 +81,11 @@
 
 
 class TestMerge:
-    """Guards against a merged record that hides lost events or misorders the rest."""
+    """Guards against a merged timeline that hides lost events or misorders the others.
+
+    The events come from processes with different clocks, and some may be overwritten, missing or
+    lost at a crash.
+    """
 
     def test_cause_is_before_effect_over_processes(self) -> None:
         entry, sidecar = make_ring("entry", 200.0), make_ring("sidecar", 100.0)
@@ -127,7 +137,7 @@
 
 
 class TestEventFilter:
-    """Guards against a filter that shows the events of others."""
+    """Guards against a filter that returns events outside of the selection or omits some of it."""
 
     @pytest.mark.parametrize(
         ("selection", "expected"),
@@ -151,7 +161,10 @@
 
 
 class TestCodecs:
-    """Guards against events that change or are lost on the way to another process."""
+    """Guards against events that change or are lost in the transfer to another process.
+
+    The sender may be a newer version, and its data may be malformed.
+    """
 
     EVENT = Event(
         HybridTimestamp(1_700_000_000_000_001, 3),
--- a/cassiadrum/tests/test_fair_tier_queues.py
+++ b/cassiadrum/tests/test_fair_tier_queues.py
@@ -1,4 +1,4 @@
-"""Tests of the fair queue."""
+"""Tests of the fair queue with tiers."""
 
 import math
 from typing import Any
@@ -31,7 +31,7 @@
 
 
 class QueueModel:
-    """Compare a queue with a plain record of what waits in it."""
+    """Apply steps to a queue and compare it with a dictionary of the waiting requests."""
 
     def __init__(self) -> None:
         self.queue = FairTierQueue(8, 1000.0)
@@ -81,7 +81,10 @@
 
 
 class TestBoundedQueue:
-    """Guards against lost or doubled requests and against protected work shed for lower tiers."""
+    """Guards against lost or duplicated requests and against shedding a higher tier first.
+
+    A full queue evicts requests, while others are removed, expire and are queued again.
+    """
 
     @given(STEPS)
     def test_each_request_leaves_once_and_the_lowest_tier_is_evicted(
@@ -104,7 +107,11 @@
 
 
 class TestOrder:
-    """Guards against a wrong order between tiers, classes and customers."""
+    """Guards against a wrong order between tiers, classes and customers.
+
+    Customers that send many or large requests, overdue classes and requests that are queued again
+    must not get more than their share.
+    """
 
     def test_protected_classes_are_first_then_the_tiers_in_order(self) -> None:
         queue = FairTierQueue(10)
@@ -146,7 +153,7 @@
             assert req is not None
             served[req.customer] += req.max_tokens / req.weight
             left[req.customer] -= 1
-            # Start-time fair queueing: at most one request of each customer apart.
+            # Start-time fair queueing: the shares differ by at most one request of each customer.
             assert abs(served["small"] - served["large"]) <= 400 / weight + 400
 
     def test_sending_one_request_at_a_time_gains_nothing(self) -> None:
@@ -179,7 +186,7 @@
         queue = FairTierQueue(1000)
         for index in range(300):
             queue.push(make_request(f"high-{index}", 2, arrived_s=100.0), 100.0)
-        # Work served before the class was overdue is nothing that the others owe it.
+        # Requests dispatched before the class was overdue give it no claim to more than its share.
         for _ in range(100):
             queue.pop(100.0)
         for index in range(50):
@@ -202,12 +209,13 @@
 
 
 class TestCost:
-    """Guards against work by decision that grows faster than the logarithm of the length."""
+    """Guards against a cost per request that grows faster than the log of the queue length."""
 
     @staticmethod
     def operations_per_request(length: int) -> float:
-        # Customers grow with the length, so that each has as many requests at both lengths;
-        # removing a customer's last request does other work than removing one of many.
+        # The number of customers grows with the length, so that each has as many requests at both
+        # lengths: removing a customer's last request takes fewer or more operations than removing
+        # one of many.
         queue, customers = FairTierQueue(length // 2), length // 25
         for index in range(length):
             customer = f"c{index * 7919 % customers}"
--- a/cassiadrum/tests/test_gateway_switches.py
+++ b/cassiadrum/tests/test_gateway_switches.py
@@ -1,4 +1,4 @@
-"""Tests of the switches that leave out one mechanism of the gateway."""
+"""Tests of the switches that each disable one mechanism of the gateway."""
 
 import ast
 
@@ -10,7 +10,10 @@
 
 
 class TestSwitches:
-    """Guards against a switch that no longer applies, so that a comparison shows nothing."""
+    """Guards against a switch that changes nothing, so that a comparison shows no difference.
+
+    A switch quotes code of the gateway, which may have changed since.
+    """
 
     @pytest.mark.parametrize("switch", SWITCHES, ids=lambda switch: switch.name)
     def test_patch_changes_the_file_and_leaves_it_valid(self, switch: Switch) -> None:
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -1,4 +1,4 @@
-"""Tests of the graceful shutdown of both roles."""
+"""Tests of the graceful shutdown of entry instances and sidecars."""
 
 import asyncio
 import json
@@ -66,13 +66,17 @@
 
 
 def silence_links(sidecar: Daemon) -> None:
-    """Let the system hold back what arrives, as on a connection that a middlebox forgot."""
+    """Stop reading from all links, as if a middlebox had silently dropped the connections."""
     for link in sidecar._sidecar.links.values():  # type: ignore[attr-defined]
         link._conn.transport.pause_reading()
 
 
 class TestGracefulShutdown:
-    """Guards against a planned stop that cuts off requests, or never ends."""
+    """Guards against a planned stop that interrupts requests or never ends.
+
+    Links may break or fall silent and the table service may be down while a process drains, and
+    some requests outlast the drain limit.
+    """
 
     @pytest.mark.parametrize("role", ["entry", "sidecar"])
     @pytest.mark.parametrize("fault", ["none", "reattach", "silent", "store"])
@@ -128,7 +132,7 @@
         assert (status, problem["reason"], problem["ran"]) == (503, "draining", "unknown")
         kinds = [event.kind for event in daemon.ring.read_after(0, 10_000)]
         assert EventKind.DRAIN_LIMIT_REACHED in kinds
-        # Ends the call that may not be cut, so that the rest of the site can stop.
+        # Ends the uncancellable call, so that the rest of the site can stop.
         for endpoint in site.endpoints:
             await endpoint.standin.close()
 
--- a/cassiadrum/tests/test_idle_links.py
+++ b/cassiadrum/tests/test_idle_links.py
@@ -1,4 +1,4 @@
-"""Tests of the heartbeats of idle and active links."""
+"""Tests of the silence limits of idle and active links."""
 
 import asyncio
 import time
@@ -20,7 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Make the times short enough for a test, in the proportions of the defaults."""
+    """Shorten the intervals and limits to a twentieth of their defaults."""
     for name in ("HEARTBEAT_INTERVAL_S", "IDLE_HEARTBEAT_INTERVAL_S", "LINK_IDLE_AFTER_S"):
         monkeypatch.setattr(LIMITS, name, getattr(LIMITS, name) / 20)
     for name in ("SILENCE_LIMIT_S", "IDLE_SILENCE_LIMIT_S"):
@@ -40,7 +40,7 @@
 
 
 class Peer:
-    """A listening side that says hello, counts what it gets and then sends only on demand."""
+    """A server that sends a hello, records received frames and then sends only on demand."""
 
     def __init__(self) -> None:
         self.received: list[float] = []
@@ -68,7 +68,7 @@
         dialer = LinkDialer(f"127.0.0.1:{port}", make_link, on_down=lambda link: None)
         dialer.start()
         async with asyncio.timeout(5.0):
-            # The dialer tells nobody when the hello has arrived, so it is polled.
+            # The dialer does not signal the arrival of the hello, so its state is polled.
             while dialer.link is None or dialer.link.peer is None:  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
         yield peer, dialer
@@ -76,7 +76,7 @@
 
 
 async def wait_until_idle(peer: Peer, link: Link) -> None:
-    """Let a link become idle while its peer sends heartbeats."""
+    """Send heartbeats from the peer until the link is idle."""
     async with asyncio.timeout(10.0):
         while not link.idle:
             await peer.conn.send(encode_message(Ping(1, "digest", [1, 2], peer.number)))
@@ -84,7 +84,10 @@
 
 
 class TestIdleLink:
-    """Guards against slow detection of a silent link that carries streams."""
+    """Guards against slow detection of a silent link that carries streams.
+
+    An idle link has a longer silence limit, which must not apply once a stream starts on it.
+    """
 
     async def test_idle_link_stays_open_beyond_the_short_limit(
         self, pair: tuple[Peer, LinkDialer]
--- a/cassiadrum/tests/test_invariants_of_processes.py
+++ b/cassiadrum/tests/test_invariants_of_processes.py
@@ -1,4 +1,4 @@
-"""Tests of the rules: each must reject forged violations and accept what the design allows."""
+"""Tests of the rules about processes, on records with and without violations."""
 
 from typing import Any
 
@@ -28,7 +28,11 @@
 
 
 class TestLeavingEndpoint:
-    """Guards against a checker that misses work sent to an endpoint that leaves."""
+    """Guards against a rule that misses work sent to a leaving endpoint.
+
+    The work may show only in an event of one process or in a run of the endpoint. Work for a
+    restarted instance and stale notices about its earlier process are no violations.
+    """
 
     DRAINING = step(10, "sidecar-1", "draining")
     LEAVING = step(10, "entry-1", "member_leaving", member="sidecar-1")
@@ -73,7 +77,7 @@
                 step(13.1, "entry-2", "dispatched", TOP, to="sidecar-1"),
             ],
         ],
-        ids=["in time", "other", "started anew", "late news of an earlier start"],
+        ids=["in time", "other endpoint", "restarted", "stale notice of an earlier process"],
     )
     def test_accepts(self, steps: list[Step]) -> None:
         assert LeavingEndpointRule().check(make_record(*steps)) == []
@@ -85,7 +89,11 @@
 
 
 class TestPlannedStop:
-    """Guards against a checker that misses requests cut off by a planned stop."""
+    """Guards against a rule that misses requests interrupted by a planned stop.
+
+    Requests that end, never started, arrive during the drain or are past their deadline are no
+    violations.
+    """
 
     DRAINING, STOPPED = step(5, "sidecar-1", "draining"), step(9, "sidecar-1", "stopped")
     STARTED = step(1, "sidecar-1", "started", TOP)
@@ -135,17 +143,20 @@
                 step(6, "entry-1", "refused", TOP, reason="draining"),
                 step(7, "entry-1", "stopped"),
             ],
-            # The class's deadline is 10 s.
+            # The deadline of the class is 10 s.
             [STARTED, DRAINING, step(12, "sidecar-1", "cancelled", TOP, reason="draining")],
         ],
-        ids=["finished", "not started", "new", "past deadline"],
+        ids=["finished", "not started", "new request", "past deadline"],
     )
     def test_accepts(self, steps: list[Step]) -> None:
         assert PlannedStopRule().check(make_record(*steps)) == []
 
 
 class TestConfigurationMonotonic:
-    """Guards against a checker that misses reverted, late and ambiguous versions."""
+    """Guards against a rule that misses versions that are reverted, late or ambiguous.
+
+    A process may skip a version for a newer one, and an outage extends the deadline.
+    """
 
     PROCESS_STARTED = step(0, "sidecar-1", "process_started")
     ACCEPTED = step(10, "entry-1", "configuration_accepted", version=2, operation_id="o1")
@@ -212,7 +223,7 @@
 
 
 class TestCheckRecord:
-    """Guards against an invariant that has no rule or is not checked."""
+    """Guards against an invariant that has no rule or whose rule is not run."""
 
     def test_has_the_eight_invariants(self) -> None:
         assert [rule.name for rule in RULES] == [
--- a/cassiadrum/tests/test_invariants_of_requests.py
+++ b/cassiadrum/tests/test_invariants_of_requests.py
@@ -1,4 +1,4 @@
-"""Tests of the rules: each must reject forged violations and accept what the design allows."""
+"""Tests of the rules about requests, on records with and without violations."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -28,7 +28,10 @@
 
 
 class TestTierSafety:
-    """Guards against a checker that misses protected work displaced by lower tiers."""
+    """Guards against a rule that misses protected work displaced by lower tiers.
+
+    It may be evicted, refused, rejected, paused or cancelled while a lower tier is kept or served.
+    """
 
     @pytest.mark.parametrize(
         "steps",
@@ -60,7 +63,7 @@
                 step(11, "entry-1", "refused", TOP, reason="deadline"),
             ],
         ],
-        ids=["evicted", "refused", "rejected", "paused", "place", "cancelled", "deadline"],
+        ids=["evicted", "refused", "rejected", "paused", "lower started", "cancelled", "deadline"],
     )
     def test_rejects(self, steps: Sequence[Step]) -> None:
         (violation,) = TierSafetyRule().check(make_record(*steps))
@@ -101,7 +104,10 @@
 
 
 class TestEventualService:
-    """Guards against a checker that misses lost requests and starved classes."""
+    """Guards against a rule that misses lost requests and starved classes.
+
+    A request may have no end at all, or its class may wait although it is overdue for its share.
+    """
 
     RECEIVED = step(0, "entry-1", "received", TOP)
 
@@ -137,7 +143,10 @@
 
 
 class TestWholeAnswer:
-    """Guards against a checker that misses wrong, foreign and cut answers."""
+    """Guards against a rule that misses wrong, foreign and truncated answers.
+
+    A truncated answer is permitted if the caller was told so, left, or used a killed instance.
+    """
 
     RECEIVED = step(0, "entry-1", "received", "r1:status-check")
 
@@ -174,7 +183,15 @@
             ),
             ({"status": 0, "complete": False}, [], ""),
         ],
-        ids=["whole", "refused", "told", "killed", "event lost", "left", "not accepted"],
+        ids=[
+            "whole",
+            "refused",
+            "reported",
+            "killed",
+            "event lost",
+            "caller left",
+            "not accepted",
+        ],
     )
     def test_accepts(self, fields: dict[str, Any], steps: list[Step], killed: str) -> None:
         callers = (make_caller("r1", **fields),)
@@ -183,7 +200,7 @@
 
 
 class TestTruthfulNotRun:
-    """Guards against a checker that misses work that ran although it was refused as not run."""
+    """Guards against a rule that misses work that ran although it was refused as not run."""
 
     def test_rejects(self) -> None:
         by_caller = make_record(
@@ -204,7 +221,10 @@
 
 
 class TestOnceOnly:
-    """Guards against a checker that misses a second effect of one call."""
+    """Guards against a rule that misses a second run of a once-only call.
+
+    The second run may be known only to the endpoints, or have no idempotency key.
+    """
 
     @staticmethod
     def make(class_name: str, customers: str, keys: tuple[str, str]) -> FleetRecord:
