--- a/cassiadrum/tests/command_runs.py
+++ b/cassiadrum/tests/command_runs.py
@@ -1,4 +1,4 @@
-"""A runner of the command line for tests."""
+"""Runs commands of the command line in the process of the test."""
 
 import io
 import json
@@ -6,11 +6,11 @@
 
 from cassiadrum.cli import execute
 
-__all__ = ["Ran", "run"]
+__all__ = ["CommandRun", "run"]
 
 
-class Ran(NamedTuple):
-    """Hold the exit code and the output of one command."""
+class CommandRun(NamedTuple):
+    """Exit code, output and error output of one command."""
 
     code: int
     text: str
@@ -18,14 +18,14 @@
 
     @property
     def data(self) -> dict[str, Any]:
-        """Return the one JSON object that was printed."""
+        """Return the output, which has to be one line with a JSON object."""
         (line,) = self.text.splitlines()
         found: dict[str, Any] = json.loads(line)
         return found
 
 
-async def run(*arguments: str) -> Ran:
-    """Run one command."""
+async def run(*arguments: str) -> CommandRun:
+    """Run one command with its arguments and return the result."""
     stream, errors = io.StringIO(), io.StringIO()
     code = await execute(arguments, stream, errors)
-    return Ran(code, stream.getvalue(), errors.getvalue())
+    return CommandRun(code, stream.getvalue(), errors.getvalue())
--- a/cassiadrum/tests/test_admissions.py
+++ b/cassiadrum/tests/test_admissions.py
@@ -1,4 +1,4 @@
-"""Tests of admission and of learned lengths."""
+"""Tests of admission control and of the estimates of answer lengths."""
 
 import math
 
@@ -25,7 +25,11 @@
 
 
 class TestDeadlineAdmission:
-    """Guards against accepted requests that cannot be served in time."""
+    """Guards against accepted requests that cannot be served in time, and needless refusals.
+
+    The predicted wait is corrected by observed waits, which may be those of other tiers or from
+    before the service rate was known.
+    """
 
     @given(st.floats(0, 1e6), st.floats(0.1, 1e3))
     def test_refuses_exactly_when_the_wait_passes_the_deadline(
@@ -40,18 +44,18 @@
             assert decision.reason == "deadline"
             assert 1.0 <= decision.retry_after_s <= 60.0
 
-    def test_unknown_rate_refuses_nothing(self) -> None:
+    def test_unknown_rate_admits_every_request(self) -> None:
         view = make_view(1e9)._replace(tokens_per_s=0.0)
         assert isinstance(DeadlineAdmission().decide(make_request(), 0.0, view), Admitted)
 
-    def test_error_corrects_later_predictions(self) -> None:
+    def test_observed_error_corrects_later_predictions(self) -> None:
         admission = DeadlineAdmission()
         for _ in range(200):
             admission.observe_wait(1.0, 2.0)
         assert math.isclose(admission.predict_s(make_request(), make_view(100)), 2.0, rel_tol=0.01)
         assert admission.error_s < 0.1
 
-    def test_waits_before_the_rate_is_known_correct_nothing(self) -> None:
+    def test_waits_before_the_rate_is_known_are_ignored(self) -> None:
         admission = DeadlineAdmission()
         for _ in range(200):
             admission.observe_wait(0.0, 5.0)
@@ -68,7 +72,7 @@
 
 
 class TestLogHistogram:
-    """Guards against quantiles beyond the stated error of 10 %."""
+    """Guards against quantiles whose error exceeds the documented 10 %."""
 
     @given(st.lists(st.integers(1, 100_000), min_size=1, max_size=500), st.floats(0.01, 1.0))
     def test_quantile_error(self, values: list[int], quantile: float) -> None:
@@ -80,7 +84,10 @@
 
 
 class TestQuantileLengthEstimator:
-    """Guards against unbounded memory and against one customer's lengths used for another."""
+    """Guards against unbounded memory and against estimates from another customer's lengths.
+
+    Each customer has a histogram of its own; the number of histograms is limited.
+    """
 
     def test_customer_with_few_observations_falls_back_to_its_class(self) -> None:
         estimator = QuantileLengthEstimator()
@@ -99,6 +106,6 @@
             estimator.observe("cls", f"customer-{index}", 10)
         assert estimator.customers() == 1000
 
-    def test_length_within_the_stated_maximum(self) -> None:
+    def test_stated_maximum_limits_the_estimate(self) -> None:
         req = make_request()._replace(max_tokens=50)
         assert QuantileLengthEstimator().expected_tokens(req) == 50
--- a/cassiadrum/tests/test_claims.py
+++ b/cassiadrum/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of the once-only claims under lost answers, delays, outages and crashes."""
+"""Tests of once-only claims with lost answers, delayed writes, outages and crashes."""
 
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -38,12 +38,12 @@
 KEY = ClaimKey("auftragsdienst", "parish", "order-1")
 ANSWER = KeptAnswer(201, (("content-type", "text/plain"),), b"cast")
 DEADLINE_S = 10.0
-# The number of sequences is fixed, so a busy machine must not turn them into a failure.
+# The number of sequences is fixed, so a busy machine needs longer than the default time limit.
 pytestmark = pytest.mark.timeout(240)
 
 
 class Bench:
-    """One store, a wall clock and services with operation ids that count up."""
+    """A store, a wall clock and claim services whose operation ids are numbered."""
 
     def __init__(self) -> None:
         self.store = SteppedStore()
@@ -72,7 +72,11 @@
 
 
 class TestClaimService:
-    """Guards against a second run of a key and against a false "not run"."""
+    """Guards against a second run of a key and against a false "not run".
+
+    Both may result from a lost answer of the store or the endpoint, a delayed write, or a sidecar
+    that is lost or paused between its claim and the outcome.
+    """
 
     def test_answer_is_kept_for_the_same_body_only(self) -> None:
         bench = Bench()
@@ -102,7 +106,7 @@
         assert record is not None and record.state is ClaimState.NOT_RUN
         assert isinstance(bench.run(bench.service("b").claim(KEY, "h", DEADLINE_S)), Claimed)
 
-    def test_claim_that_arrives_after_its_refusal_meets_the_mark(self) -> None:
+    def test_delayed_claim_does_not_replace_the_not_run_record(self) -> None:
         bench = Bench()
         service = bench.service("a")
         bench.run(service.claim(KEY, "h", DEADLINE_S), Fault.DELAYED, Fault.REFUSED)
@@ -111,7 +115,7 @@
         record = bench.record()
         assert record is not None and record.state is ClaimState.NOT_RUN
 
-    def test_lost_endpoint_answer_stays_unknown_until_settled(self) -> None:
+    def test_lost_endpoint_answer_stays_unknown_until_resolved(self) -> None:
         bench = Bench()
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
@@ -132,12 +136,12 @@
         assert isinstance(bench.run(other.claim(KEY, "h", DEADLINE_S)), OutcomeUnknown)
         record = bench.record()
         assert record is not None and record.state is ClaimState.UNKNOWN
-        # The sidecar was only paused: its outcome replaces `unknown`.
+        # The first sidecar was only paused; the outcome that it records replaces `unknown`.
         assert isinstance(claim, Claimed)
         assert bench.run(bench.service("a").record_answer(claim, ANSWER))
         assert bench.run(other.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
-    def test_outcome_is_written_when_the_store_is_back(self) -> None:
+    def test_outcome_is_written_when_the_store_has_recovered(self) -> None:
         bench = Bench()
         service = bench.service("a")
         claim = bench.run(service.claim(KEY, "h", DEADLINE_S))
@@ -147,7 +151,7 @@
         assert bench.run(service.write_pending()) == 0
         assert bench.run(service.claim(KEY, "h", DEADLINE_S)) == AlreadyCompleted(ANSWER)
 
-    def test_large_answer_goes_to_the_object_store_or_is_told_gone(self) -> None:
+    def test_large_answer_is_stored_as_an_object_or_marked_as_not_kept(self) -> None:
         bench = Bench()
         service = bench.service("a")
         large = ANSWER._replace(body=b"x" * (LIMITS.KEPT_ANSWER_BYTES + 1))
@@ -160,7 +164,7 @@
             assert bench.run(service.claim(key, "h", DEADLINE_S)) == AlreadyCompleted(expected)
         assert len(bench.objects.objects) == 1
 
-    def test_clean_up_removes_old_rows_only(self) -> None:
+    def test_clean_up_removes_only_expired_rows(self) -> None:
         bench = Bench()
         service = bench.service("a")
         large = ANSWER._replace(body=b"x" * (LIMITS.KEPT_ANSWER_BYTES + 1))
--- a/cassiadrum/tests/test_configuration_page.py
+++ b/cassiadrum/tests/test_configuration_page.py
@@ -1,4 +1,4 @@
-"""Tests that docs/configuration.md, the defaults and the schemas agree."""
+"""Tests that docs/configuration.md agrees with the schemas and the defaults."""
 
 import re
 from collections.abc import Iterator
@@ -35,7 +35,7 @@
 
 
 class Row(NamedTuple):
-    """Hold what the page and the schemas both state of a key."""
+    """Properties of a key that both the page and the schemas state."""
 
     key: str
     unit: str
@@ -44,7 +44,7 @@
 
 
 def page_rows(section: str) -> list[Row]:
-    """Return the rows of the tables under a heading of the second level."""
+    """Return the table rows in the section with this second-level heading."""
     _, _, rest = PAGE.read_text().partition(f"\n## {section}\n")
     text = rest.partition("\n## ")[0]
     rows = re.findall(r"^\| `([a-z_.]+)` \| (.*?) \| (.*?) \| (.*?) \|", text, re.MULTILINE)
@@ -57,12 +57,12 @@
             if name in tables:
                 continue
             key = f"{table}.{name}" if table else name
-            default = default_text(key, name, name in schema.__required_keys__, defaults)
+            default = expected_default(key, name, name in schema.__required_keys__, defaults)
             allowed = describe(hint)
-            yield Row(key, unit_of(name, allowed), default, allowed)
+            yield Row(key, expected_unit(name, allowed), default, allowed)
 
 
-def default_text(key: str, name: str, required: bool, defaults: dict[str, object]) -> str:
+def expected_default(key: str, name: str, required: bool, defaults: dict[str, object]) -> str:
     if required:
         return "required"
     value = defaults.get(key, defaults.get(name)) if key.startswith("class.") else None
@@ -70,14 +70,17 @@
     return "none" if value is None else f"`{msgspec.json.encode(value).decode()}`"
 
 
-def unit_of(name: str, allowed: str) -> str:
+def expected_unit(name: str, allowed: str) -> str:
     if name.endswith("_s"):
         return "seconds"
     return "share" if allowed == "number from 0 to 1" else "-"
 
 
 class TestConfigurationPage:
-    """Guards against a key that the page omits, invents, or states another default of."""
+    """Guards against a page with missing or unknown keys, or with another unit, default or range.
+
+    The page is written by hand, so a change of a schema or a default does not reach it.
+    """
 
     @pytest.mark.parametrize(
         ("section", "tables", "defaults"),
--- a/cassiadrum/tests/test_daemon.py
+++ b/cassiadrum/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""Tests of the daemon as a process of its own."""
+"""Tests of the command that runs a daemon."""
 
 import asyncio
 import json
@@ -9,7 +9,7 @@
 
 from cassiadrum import daemon
 
-# Ports that nothing listens on: the daemon has to start without its platform.
+# Nothing listens on these ports: the daemon has to start while its platform is unreachable.
 SETTINGS = """
 role = "entry"
 instance = "entry-1"
@@ -27,8 +27,8 @@
     return path
 
 
-class TestCheck:
-    """Guards against a check that starts the daemon, or accepts settings that it refuses."""
+class TestCheckOption:
+    """Guards against `--check` starting a daemon or accepting settings that a daemon refuses."""
 
     def check(self, path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
         arguments = ["cassiadrumd", "--check", "--settings", str(path)]
@@ -42,7 +42,7 @@
         self.check(settings, monkeypatch)
         assert capsys.readouterr().out == f"{settings}: valid settings of the entry entry-1\n"
 
-    def test_wrong_settings(
+    def test_invalid_settings(
         self, settings: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
     ) -> None:
         settings.write_text(SETTINGS.replace("zone", "zoen"))
@@ -53,9 +53,12 @@
 
 
 class TestProcess:
-    """Guards against log lines that are not structured, and against a start nobody can follow."""
+    """Guards against log lines that are not JSON and against a start that is not logged.
 
-    async def test_start_line_and_graceful_stop(self, settings: Path) -> None:
+    The line about the start has to state the role, the instance and the admin address.
+    """
+
+    async def test_logs_its_start_and_stops_gracefully(self, settings: Path) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -1,4 +1,4 @@
-"""Tests of retries, connections and hedges of the dispatcher."""
+"""Tests of the dispatcher's retries, lost connections and hedges."""
 
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
@@ -43,7 +43,11 @@
 
 
 class TestRetry:
-    """Guards against retries at the same endpoint and against a lost place."""
+    """Guards against wrong retries and against refusals that deny a possible execution.
+
+    A retry goes to another endpoint if there is one and keeps its place in the queue. Work that
+    may have run is repeated only if it is idempotent, and a later refusal still says so.
+    """
 
     def test_retry_goes_to_another_endpoint(self) -> None:
         dispatcher = make_dispatcher()
@@ -60,7 +64,7 @@
         (again,) = dispatcher.finished("r", NOT_RUN, 1.0)
         assert isinstance(again, Dispatch)
 
-    def test_rejected_request_is_served_before_later_ones(self) -> None:
+    def test_rejected_request_is_dispatched_before_later_ones(self) -> None:
         dispatcher = make_dispatcher(endpoints=1, limit=1)
         dispatcher.submit(make_request("first"), 0.0)
         dispatcher.submit(make_request("second")._replace(arrived_s=1.0), 1.0)
@@ -68,7 +72,7 @@
         assert isinstance(again, Dispatch)
         assert again.req.request_id == "first"
 
-    def test_eviction_after_an_attempt_that_may_have_run_says_so(self) -> None:
+    def test_eviction_after_a_possible_execution_is_reported_as_unknown(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
         dispatcher.submit(make_request("r"), 0.0)
         dispatcher.endpoint_lost("e0", 0.5)
@@ -77,7 +81,7 @@
         assert isinstance(refusal, Refuse)
         assert (refusal.reason, refusal.ran) == ("no_endpoint", ExecutionStatus.UNKNOWN)
 
-    def test_reject_after_an_attempt_that_may_have_run_says_so(self) -> None:
+    def test_rejection_after_a_possible_execution_is_reported_as_unknown(self) -> None:
         dispatcher = make_dispatcher()
         dispatcher.submit(make_request("r")._replace(deadline_s=10.0), 0.0)
         dispatcher.finished("r", UNKNOWN, 1.0)
@@ -85,7 +89,7 @@
         assert isinstance(refusal, Refuse)
         assert refusal.ran is ExecutionStatus.UNKNOWN
 
-    def test_no_policy_can_repeat_an_effect(self) -> None:
+    def test_no_retry_policy_can_repeat_an_effect(self) -> None:
         class Unlimited(BudgetRetryPolicy):
             def may_retry(self, req: QueuedRequest, ran: ExecutionStatus, now: float) -> bool:
                 return True
@@ -96,7 +100,7 @@
         (refusal,) = dispatcher.finished("once", UNKNOWN, 1.0)
         assert isinstance(refusal, Refuse)
 
-    def test_call_that_may_not_be_cut_runs_on_without_its_caller(self) -> None:
+    def test_uncancellable_call_continues_after_its_caller_left(self) -> None:
         chooser = LeastOutstandingChooser()
         dispatcher = Dispatcher(FairTierQueue(9), chooser, uncancellable=["class-2"])
         dispatcher.report(make_report("e0"), 0.0)
@@ -107,7 +111,10 @@
 
 
 class TestConnections:
-    """Guards against work sent to lost endpoints and against endless waits without any."""
+    """Guards against requests to disconnected endpoints and against waits without a limit.
+
+    A lost connection does not end the streams at its endpoint, and the endpoint may return.
+    """
 
     def test_lost_endpoint_keeps_its_streams_and_gets_no_new_work(self) -> None:
         dispatcher = make_dispatcher(endpoints=1)
@@ -118,14 +125,14 @@
         (action,) = dispatcher.report(make_report("e0"), 2.0)
         assert isinstance(action, Dispatch)
 
-    def test_lost_endpoint_is_passed_over_while_another_works(self) -> None:
+    def test_lost_endpoint_is_skipped_while_another_is_connected(self) -> None:
         dispatcher = make_dispatcher(endpoints=2, limit=1)
         dispatcher.endpoint_lost("e0", 0.0)
         (action,) = dispatcher.submit(make_request("a"), 1.0)
         assert action == Dispatch(make_request("a"), "e1")
         assert dispatcher.submit(make_request("b"), 1.0) == []
 
-    def test_refused_within_a_bounded_time_without_endpoints(self) -> None:
+    def test_request_is_refused_within_a_bounded_time_without_endpoints(self) -> None:
         dispatcher = make_dispatcher(endpoints=0)
         dispatcher.submit(make_request("r"), 0.0)
         assert dispatcher.tick(4.9) == []
@@ -140,12 +147,15 @@
         dispatcher.submit(make_request("b")._replace(max_tokens=100), 0.0)
         dispatcher.finished("a", DONE, 1.0)
         dispatcher.submit(make_request("c")._replace(max_tokens=100), 1.0)
-        # 10 tokens a second, 100 tokens ahead and 10 until a slot is free.
+        # At 10 tokens per second: 100 queued tokens ahead, and 10 tokens until a slot is free.
         assert dispatcher.predicted_wait_s(make_request("new")) == 11.0
 
 
 class TestHedge:
-    """Guards against copies that are not cancelled and against lost answers of hedged requests."""
+    """Guards against copies that are not cancelled and against lost answers of hedged requests.
+
+    Two copies run until one produces a token or fails, or the caller leaves.
+    """
 
     @staticmethod
     def make_hedged() -> Dispatcher:
@@ -174,7 +184,7 @@
         assert dispatcher.finished("slow", DONE, 102.0) == []
         assert dispatcher.running() == 0
 
-    def test_caller_gone_cancels_all_copies(self) -> None:
+    def test_caller_that_left_cancels_all_copies(self) -> None:
         dispatcher = self.make_hedged()
         actions = dispatcher.cancelled("slow", 101.1)
         assert actions == [Cancel("slow", "e0"), Cancel("slow", "e1")]
--- a/cassiadrum/tests/test_event_collectors.py
+++ b/cassiadrum/tests/test_event_collectors.py
@@ -1,4 +1,4 @@
-"""Tests of the harness's reader of events."""
+"""Tests of the harness's event collector."""
 
 import asyncio
 from typing import Any
@@ -9,9 +9,12 @@
 
 
 class TestEventCollector:
-    """Guards against events of another process that got the port of one that ended."""
+    """Guards against events of another process that reuses the port of one that has ended.
 
-    async def test_answer_of_another_process_ends_the_reading(self) -> None:
+    The start id in each answer identifies the process.
+    """
+
+    async def test_events_of_another_process_end_the_collection(self) -> None:
         ring = EventRing(HybridLogicalClock(lambda: 1.0), "entry-1", "entry", "one")
         ring.record(EventKind.PROCESS_STARTED)
         answers: list[dict[str, Any]] = []
--- a/cassiadrum/tests/test_invariants_of_requests.py
+++ b/cassiadrum/tests/test_invariants_of_requests.py
@@ -1,4 +1,4 @@
-"""Tests of the rules: each must reject forged violations and accept what the design allows."""
+"""Tests of the rules about requests, on records with and without violations."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -23,20 +23,23 @@
     return [violation.detail for violation in rule.check(record)]
 
 
-def waiting(*requests: str, instance: str = "entry-1") -> list[Step]:
+def queued_steps(*requests: str, instance: str = "entry-1") -> list[Step]:
     return [step(0, instance, "queued", request) for request in requests]
 
 
 class TestTierSafety:
-    """Guards against a checker that misses protected work displaced by lower tiers."""
+    """Guards against a rule that misses protected work displaced by lower tiers.
+
+    It may be evicted, refused, rejected, paused or cancelled while a lower tier is kept or served.
+    """
 
     @pytest.mark.parametrize(
         "steps",
         [
-            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", TOP)],
-            [*waiting(LOW), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [*queued_steps(TOP, LOW), step(1, "entry-1", "evicted", TOP)],
+            [*queued_steps(LOW), step(1, "entry-1", "refused", TOP, reason="overloaded")],
             [
-                *waiting(TOP, LOW, instance="sidecar-1"),
+                *queued_steps(TOP, LOW, instance="sidecar-1"),
                 step(1, "sidecar-1", "rejected", TOP, reason="overloaded"),
             ],
             [
@@ -55,12 +58,12 @@
                 step(1, "sidecar-1", "cancelled", TOP, reason="preempted"),
             ],
             [
-                *waiting(TOP, LOW),
+                *queued_steps(TOP, LOW),
                 step(1, "entry-1", "dispatched", LOW),
                 step(11, "entry-1", "refused", TOP, reason="deadline"),
             ],
         ],
-        ids=["evicted", "refused", "rejected", "paused", "place", "cancelled", "deadline"],
+        ids=["evicted", "refused", "rejected", "paused", "lower started", "cancelled", "deadline"],
     )
     def test_rejects(self, steps: Sequence[Step]) -> None:
         (violation,) = TierSafetyRule().check(make_record(*steps))
@@ -69,10 +72,10 @@
     @pytest.mark.parametrize(
         "steps",
         [
-            [*waiting(TOP, LOW), step(1, "entry-1", "evicted", LOW)],
-            [*waiting(TOP), step(1, "entry-1", "refused", TOP, reason="overloaded")],
+            [*queued_steps(TOP, LOW), step(1, "entry-1", "evicted", LOW)],
+            [*queued_steps(TOP), step(1, "entry-1", "refused", TOP, reason="overloaded")],
             [
-                *waiting(LOW),
+                *queued_steps(LOW),
                 step(1, "entry-1", "dispatched", LOW),
                 step(1, "entry-1", "refused", TOP, reason="overloaded"),
             ],
@@ -87,7 +90,7 @@
                 step(1, "entry-1", "evicted", TOP),
             ],
             [
-                *waiting(TOP, LOW),
+                *queued_steps(TOP, LOW),
                 step(1, "entry-1", "dispatched", TOP),
                 step(2, "entry-1", "queued", TOP),
                 step(3, "entry-1", "dispatched", LOW),
@@ -101,7 +104,10 @@
 
 
 class TestEventualService:
-    """Guards against a checker that misses lost requests and starved classes."""
+    """Guards against a rule that misses lost requests and starved classes.
+
+    A request may have no end at all, or its class may wait although it is overdue for its share.
+    """
 
     RECEIVED = step(0, "entry-1", "received", TOP)
 
@@ -118,26 +124,29 @@
         assert EventualServiceRule().check(ended) == EventualServiceRule().check(killed) == []
 
     @staticmethod
-    def make_dispatches(own_turn: int) -> FleetRecord:
+    def make_dispatches(served_turn: int) -> FleetRecord:
         # The class has max_wait_s 120 and min_share 0.05, so 2 * 20 dispatches may pass it over.
-        steps = waiting(LOW, "low2:register-export")
+        steps = queued_steps(LOW, "low2:register-export")
         for turn in range(50):
             steps.append(step(121 + turn, "entry-1", "queued", f"r{turn}:permit-issue"))
             steps.append(step(121 + turn, "entry-1", "dispatched", f"r{turn}:permit-issue"))
-            if turn == own_turn:
+            if turn == served_turn:
                 steps.append(step(121 + turn, "entry-1", "dispatched", LOW))
         return make_record(*steps)
 
-    def test_rejects_a_class_that_is_due_and_passed_over(self) -> None:
-        (detail,) = details(EventualServiceRule(), self.make_dispatches(own_turn=-1))
+    def test_rejects_an_overdue_class_without_dispatches(self) -> None:
+        (detail,) = details(EventualServiceRule(), self.make_dispatches(served_turn=-1))
         assert detail.startswith("class register-export got none of 41 dispatches")
 
     def test_accepts_a_class_that_gets_its_share(self) -> None:
-        assert EventualServiceRule().check(self.make_dispatches(own_turn=25)) == []
+        assert EventualServiceRule().check(self.make_dispatches(served_turn=25)) == []
 
 
 class TestWholeAnswer:
-    """Guards against a checker that misses wrong, foreign and cut answers."""
+    """Guards against a rule that misses wrong, foreign and truncated answers.
+
+    A truncated answer is permitted if the caller was told so, left, or used a killed instance.
+    """
 
     RECEIVED = step(0, "entry-1", "received", "r1:status-check")
 
@@ -174,7 +183,15 @@
             ),
             ({"status": 0, "complete": False}, [], ""),
         ],
-        ids=["whole", "refused", "told", "killed", "event lost", "left", "not accepted"],
+        ids=[
+            "whole",
+            "refused",
+            "reported",
+            "killed",
+            "event lost",
+            "caller left",
+            "not accepted",
+        ],
     )
     def test_accepts(self, fields: dict[str, Any], steps: list[Step], killed: str) -> None:
         callers = (make_caller("r1", **fields),)
@@ -183,7 +200,7 @@
 
 
 class TestTruthfulNotRun:
-    """Guards against a checker that misses work that ran although it was refused as not run."""
+    """Guards against a rule that misses work that ran although it was refused as not run."""
 
     def test_rejects(self) -> None:
         by_caller = make_record(
@@ -204,7 +221,10 @@
 
 
 class TestOnceOnly:
-    """Guards against a checker that misses a second effect of one call."""
+    """Guards against a rule that misses a second run of a once-only call.
+
+    The second run may be known only to the endpoints, or have no idempotency key.
+    """
 
     @staticmethod
     def make(class_name: str, customers: str, keys: tuple[str, str]) -> FleetRecord:
