--- a/cassiadrum/tests/test_known_red.py
+++ b/cassiadrum/tests/test_known_red.py
@@ -22,6 +22,8 @@
         (tests / "test_x.py").write_text(TESTS.format(other=other))
         (tmp_path / "KNOWN-RED.txt").write_text(LIST)
         command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "cassiadrum"]
-        done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
-        assert done.returncode == code, done.stdout
-        assert "KNOWN-RED cassiadrum/tests/test_x.py::test_listed: failed" in done.stdout
+        completed = subprocess.run(
+            command, cwd=tmp_path, capture_output=True, text=True, check=False
+        )
+        assert completed.returncode == code, completed.stdout
+        assert "KNOWN-RED cassiadrum/tests/test_x.py::test_listed: failed" in completed.stdout
--- a/cassiadrum/tests/test_latency_tracking_limits.py
+++ b/cassiadrum/tests/test_latency_tracking_limits.py
@@ -11,15 +11,17 @@
 class TestLatencyTrackingLimit:
     """Guards against a limit that ignores latency, leaves its bounds or grows unused."""
 
-    def feed(self, limit: LatencyTrackingLimit, inter_token_s: float, running: int) -> None:
+    def observe_samples(
+        self, limit: LatencyTrackingLimit, inter_token_s: float, running: int
+    ) -> None:
         for _ in range(20):
             limit.observe(0.1, inter_token_s, running, 0.0)
 
-    def test_grows_in_target_only_while_full(self) -> None:
+    def test_grows_only_while_full_and_within_the_target(self) -> None:
         limit = LatencyTrackingLimit(TARGETS, maximum=8, initial=4)
-        self.feed(limit, 0.01, running=3)
+        self.observe_samples(limit, 0.01, running=3)
         assert limit.limit == 4
-        self.feed(limit, 0.01, running=4)
+        self.observe_samples(limit, 0.01, running=4)
         assert limit.limit == 5
 
     def test_one_slow_sample_in_twenty_is_within_the_target(self) -> None:
@@ -36,19 +38,19 @@
             limit.observe(20.0, 0.5, 4, 0.0, "slow")
         assert limit.limit == 5
 
-    def test_settles_where_an_engine_meets_the_target(self) -> None:
+    def test_converges_where_an_engine_meets_the_target(self) -> None:
         # The engine's inter-token time grows with its batch; 10 streams meet 40 ms exactly.
         limit = LatencyTrackingLimit(TARGETS, maximum=64)
-        reached = []
+        limits = []
         for _ in range(200):
-            self.feed(limit, 0.004 * limit.limit, running=limit.limit)
-            reached.append(limit.limit)
-        assert 8 <= min(reached[100:]) <= max(reached[100:]) <= 10
+            self.observe_samples(limit, 0.004 * limit.limit, running=limit.limit)
+            limits.append(limit.limit)
+        assert 8 <= min(limits[100:]) <= max(limits[100:]) <= 10
 
     @given(st.lists(st.floats(0.0, 100.0), max_size=200), st.integers(1, 16))
-    def test_stays_within_its_bounds(self, times: list[float], maximum: int) -> None:
+    def test_stays_within_its_bounds(self, times_s: list[float], maximum: int) -> None:
         limit = LatencyTrackingLimit(TARGETS, maximum)
-        for time_s in times:
+        for time_s in times_s:
             limit.observe(time_s, time_s / 10, limit.limit, 0.0)
             assert 1 <= limit.limit <= maximum
 
--- a/cassiadrum/tests/test_leases.py
+++ b/cassiadrum/tests/test_leases.py
@@ -26,29 +26,29 @@
 pytestmark = pytest.mark.timeout(240)
 
 
-def new_keeper(
+def make_manager(
     store: SteppedStore, holder: str, clock: Callable[[], float], margin_s: float = MARGIN_S
 ) -> LeaseManager:
-    core = LeaseStateMachine(holder, duration_s=DURATION_S, margin_s=margin_s)
-    return LeaseManager(store, NAME, core, clock)
+    state_machine = LeaseStateMachine(holder, duration_s=DURATION_S, margin_s=margin_s)
+    return LeaseManager(store, NAME, state_machine, clock)
 
 
-def stored(store: SteppedStore) -> LeaseRecord | None:
+def read_record(store: SteppedStore) -> LeaseRecord | None:
     row = store.rows.get(LEASE_TABLE, NAME)
     return LeaseRecord.from_value(row.value) if row else None
 
 
-class Pair:
+class ManagerPair:
     """Two keepers on one clock."""
 
     def __init__(self) -> None:
         self.store = SteppedStore()
         self.now = 0.0
-        self.one = new_keeper(self.store, "one", lambda: self.now)
-        self.two = new_keeper(self.store, "two", lambda: self.now)
+        self.first = make_manager(self.store, "one", lambda: self.now)
+        self.second = make_manager(self.store, "two", lambda: self.now)
 
-    def step(self, keeper: LeaseManager, *faults: Fault) -> None:
-        process = Stepped(self.store, keeper.step())
+    def step(self, manager: LeaseManager, *faults: Fault) -> None:
+        process = Stepped(self.store, manager.step())
         for fault in faults:
             process.step(fault)
         process.finish()
@@ -58,56 +58,56 @@
     """Guards against a holder that acts after its lease may have been taken over."""
 
     def test_takeover_waits_for_duration_and_margin(self) -> None:
-        pair = Pair()
-        pair.step(pair.one)
-        assert pair.one.check() == 1
-        pair.step(pair.two)
+        pair = ManagerPair()
+        pair.step(pair.first)
+        assert pair.first.check() == 1
+        pair.step(pair.second)
         pair.now = DURATION_S + MARGIN_S - 0.1
-        pair.step(pair.two)
+        pair.step(pair.second)
         with pytest.raises(LeaseLost):
-            pair.two.check()
+            pair.second.check()
         with pytest.raises(LeaseLost):
-            pair.one.check()
+            pair.first.check()
         pair.now += 0.1
-        pair.step(pair.two)
-        assert pair.two.check() == 2
+        pair.step(pair.second)
+        assert pair.second.check() == 2
 
     def test_renewal_keeps_the_lease(self) -> None:
-        pair = Pair()
+        pair = ManagerPair()
         for _ in range(20):
-            pair.step(pair.one)
-            pair.step(pair.two)
-            assert pair.one.check() == 1
+            pair.step(pair.first)
+            pair.step(pair.second)
+            assert pair.first.check() == 1
             pair.now += DURATION_S / 3
 
     def test_duration_counts_from_before_the_renewal(self) -> None:
-        pair = Pair()
-        process = Stepped(pair.store, pair.one.step())
+        pair = ManagerPair()
+        process = Stepped(pair.store, pair.first.step())
         process.step()
         pair.now = DURATION_S
         process.finish()
         with pytest.raises(LeaseLost):
-            pair.one.check()
+            pair.first.check()
 
     def test_lost_answer_of_a_takeover_is_read_back(self) -> None:
-        pair = Pair()
-        pair.step(pair.one, Fault.NONE, Fault.ANSWER_LOST)
+        pair = ManagerPair()
+        pair.step(pair.first, Fault.NONE, Fault.ANSWER_LOST)
         with pytest.raises(LeaseLost):
-            pair.one.check()
+            pair.first.check()
         pair.now = 1.0
-        pair.step(pair.one)
-        assert pair.one.check() == 1
+        pair.step(pair.first)
+        assert pair.first.check() == 1
         pair.now = DURATION_S - 0.1
-        assert pair.one.check() == 1
+        assert pair.first.check() == 1
 
-    def test_release_lets_the_next_take_over_at_once(self) -> None:
-        pair = Pair()
-        pair.step(pair.one)
-        Stepped(pair.store, pair.one.release()).finish()
+    def test_release_allows_an_immediate_takeover(self) -> None:
+        pair = ManagerPair()
+        pair.step(pair.first)
+        Stepped(pair.store, pair.first.release()).finish()
         with pytest.raises(LeaseLost):
-            pair.one.check()
-        pair.step(pair.two)
-        assert pair.two.check() == 2
+            pair.first.check()
+        pair.step(pair.second)
+        assert pair.second.check() == 2
 
 
 class TestFencingGuard:
@@ -115,19 +115,19 @@
 
     @pytest.mark.parametrize("enforces", [True, False])
     def test_old_token_is_refused(self, enforces: bool) -> None:
-        pair = Pair()
-        pair.step(pair.one)
+        pair = ManagerPair()
+        pair.step(pair.first)
         guard = FencingGuard(pair.store, endpoint_enforces=enforces)
         Stepped(pair.store, guard.admit(NAME, 1)).finish()
-        Stepped(pair.store, pair.one.release()).finish()
-        pair.step(pair.two)
+        Stepped(pair.store, pair.first.release()).finish()
+        pair.step(pair.second)
         Stepped(pair.store, guard.admit(NAME, 2)).finish()
         with pytest.raises(FencingRefused):
             Stepped(pair.store, guard.admit(NAME, 1)).finish()
 
-    def test_unread_row_refuses_where_the_endpoint_ignores_tokens(self) -> None:
-        pair = Pair()
-        pair.step(pair.one)
+    def test_unreadable_row_refuses_where_the_endpoint_ignores_tokens(self) -> None:
+        pair = ManagerPair()
+        pair.step(pair.first)
         guard = FencingGuard(pair.store, endpoint_enforces=False)
         with pytest.raises(FencingRefused, match="could not be read"):
             Stepped(pair.store, guard.admit(NAME, 1)).step(Fault.DROPPED)
@@ -148,20 +148,20 @@
         self.store = SteppedStore()
         self.now = 0.0
         self.rates = [0.95, 1.0, 1.05]
-        self.starts = 0
-        self.keepers = [self.start(index) for index in range(3)]
+        self.start_count = 0
+        self.managers = [self.start(index) for index in range(3)]
         self.steps: dict[int, Stepped[None]] = {}
         self.guard = FencingGuard(self.store, endpoint_enforces=False)
-        self.enforcing = FencingGuard(self.store, endpoint_enforces=True)
-        self.accepted = 0
-        self.highest = 0
+        self.enforcing_guard = FencingGuard(self.store, endpoint_enforces=True)
+        self.accepted_by_endpoint = 0
+        self.highest_fencing = 0
         self.holders: dict[int, str] = {}
-        self.checked: list[int] = []
+        self.checked_tokens: list[int] = []
 
     def start(self, index: int) -> LeaseManager:
-        self.starts += 1
+        self.start_count += 1
         rate = self.rates[index]
-        return new_keeper(self.store, f"{index}-{self.starts}", lambda: self.now * rate)
+        return make_manager(self.store, f"{index}-{self.start_count}", lambda: self.now * rate)
 
     @rule(
         index=st.integers(0, 2),
@@ -169,25 +169,27 @@
         faults=FAULT_RUNS,
         order=st.sampled_from(["none", "now", "paused", "late"]),
     )
-    def act(self, index: int, seconds: float, faults: list[Fault], order: str) -> None:
+    def step_or_send_order(
+        self, index: int, seconds: float, faults: list[Fault], order: str
+    ) -> None:
         """Let time pass, then begin a step of a contender or go on with it, and send an order.
 
         A contender left out is paused where it stands; a paused order arrives at any later time.
         """
         self.now += seconds
-        process = self.steps.pop(index, None) or Stepped(self.store, self.keepers[index].step())
+        process = self.steps.pop(index, None) or Stepped(self.store, self.managers[index].step())
         if not process.steps(faults[:2]):
             self.steps[index] = process
-        if order == "late" and self.checked:
-            self.arrive(self.checked.pop(0))
+        if order == "late" and self.checked_tokens:
+            self.deliver_order(self.checked_tokens.pop(0))
         if order not in ("now", "paused"):
             return
         with contextlib.suppress(LeaseLost):
-            fencing = self.keepers[index].check()
+            fencing = self.managers[index].check()
             if order == "now":
-                self.arrive(fencing)
+                self.deliver_order(fencing)
             else:
-                self.checked.append(fencing)
+                self.checked_tokens.append(fencing)
 
     @precondition(lambda self: self.store.delayed)
     @rule(index=st.integers(0, 9))
@@ -198,36 +200,38 @@
     def restart(self, index: int) -> None:
         if index in self.steps:
             self.steps.pop(index).close()
-        self.keepers[index] = self.start(index)
+        self.managers[index] = self.start(index)
 
-    def arrive(self, fencing: int) -> None:
+    def deliver_order(self, fencing: int) -> None:
         with contextlib.suppress(FencingRefused):
-            Stepped(self.store, self.enforcing.admit(NAME, fencing)).finish()
-            assert fencing >= self.accepted, "an order of an old holder followed a newer one"
-            self.accepted = fencing
+            Stepped(self.store, self.enforcing_guard.admit(NAME, fencing)).finish()
+            assert fencing >= self.accepted_by_endpoint, (
+                "an order of an old holder followed a newer one"
+            )
+            self.accepted_by_endpoint = fencing
         try:
             Stepped(self.store, self.guard.admit(NAME, fencing)).finish()
         except FencingRefused:
             return
-        record = stored(self.store)
+        record = read_record(self.store)
         assert record is not None and record.fencing == fencing, "an old order took effect"
 
     @invariant()
     def at_most_one_holder_passes_the_check(self) -> None:
-        passed = []
-        for keeper in self.keepers:
+        passed_tokens = []
+        for manager in self.managers:
             try:
-                passed.append(keeper.check())
+                passed_tokens.append(manager.check())
             except LeaseLost:
                 continue
-        assert len(passed) <= 1, f"holders with tokens {passed}"
+        assert len(passed_tokens) <= 1, f"holders with tokens {passed_tokens}"
 
     @invariant()
-    def fencing_only_rises_and_names_one_holder(self) -> None:
-        record = stored(self.store)
+    def fencing_token_never_falls_and_has_one_holder(self) -> None:
+        record = read_record(self.store)
         fencing = record.fencing if record else 0
-        assert fencing >= self.highest
-        self.highest = fencing
+        assert fencing >= self.highest_fencing
+        self.highest_fencing = fencing
         if record is not None:
             assert self.holders.setdefault(fencing, record.holder) == record.holder
 
--- a/cassiadrum/tests/test_least_cost_choosers.py
+++ b/cassiadrum/tests/test_least_cost_choosers.py
@@ -31,7 +31,7 @@
         chooser.report(make_report(f"e{index}", now, **fields), now)
 
 
-def stream(
+def run_stream(
     chooser: LeastCostChooser, instance: str, start_s: float, gap_s: float, tokens: int = 20
 ) -> None:
     """Run one stream that gives a token each `gap_s` and does not end."""
@@ -56,7 +56,7 @@
         chooser.finished("e0", "r0", True, 2.2)
         assert (chooser.outstanding("e0"), chooser.free_slots()) == (5, LIMIT - 5)
 
-    def test_removed_endpoint_is_not_brought_back_by_a_late_report(self) -> None:
+    def test_late_report_does_not_restore_a_removed_endpoint(self) -> None:
         chooser = make_chooser(1)
         chooser.report(make_report("e0", 2.0, leaving=True), 2.0)
         chooser.remove("e0")
@@ -72,9 +72,9 @@
     def test_old_or_duplicate_report_changes_nothing(
         self, reports: list[tuple[float, int, bool]], seed: int
     ) -> None:
-        made = [make_report("e0", at, running=n, leaving=gone) for at, n, gone in reports]
-        newest = max(made, key=lambda rep: rep.reported_s)
-        made = [rep for rep in made if rep.reported_s < newest.reported_s] + [newest]
+        sent = [make_report("e0", at, running=n, leaving=leaves) for at, n, leaves in reports]
+        newest = max(sent, key=lambda rep: rep.reported_s)
+        sent = [rep for rep in sent if rep.reported_s < newest.reported_s] + [newest]
         chooser = LeastCostChooser(Random(1), "z")
         chooser.report(newest, 10.0)
         chooser.dispatched("e0", make_request(), 10.0)
@@ -83,8 +83,8 @@
             chooser.free_slots(),
             list(chooser.available_instances()),
         )
-        Random(seed).shuffle(made)
-        for rep in made:
+        Random(seed).shuffle(sent)
+        for rep in sent:
             chooser.report(rep, 10.5)
         after = (
             chooser.outstanding("e0"),
@@ -116,7 +116,7 @@
         chooser.report(make_report("e7", 2.0, running=7), 2.0)
         assert chooser.choose(req, 2.0) != "e7"
 
-    def test_own_dispatch_counts_as_cached_and_gaps_are_bridged(self) -> None:
+    def test_own_dispatch_counts_as_cached_for_a_longer_prompt(self) -> None:
         req = make_request(prompt_tokens=4000, prefix_keys=(1, 2, 3, 4))
         chooser = make_chooser(64)
         chooser.dispatched("e9", req._replace(prefix_keys=(1, 2, 3)), 0.0)
@@ -126,8 +126,8 @@
         chooser = make_chooser(3, zone="far")
         chooser.report(make_report("near"), 0.0)
         assert chooser.choose(make_request(), 0.0) == "near"
-        others = ["near", "e0", "e1"]
-        assert chooser.choose(make_request(), 0.0, others) == "e2"
+        excluded = ["near", "e0", "e1"]
+        assert chooser.choose(make_request(), 0.0, excluded) == "e2"
 
     def test_free_slot_is_found_among_many_full_endpoints(self) -> None:
         chooser = make_chooser(64, running=LIMIT)
@@ -137,7 +137,7 @@
         chooser.dispatched("e40", make_request(), 1.0)
         assert (chooser.choose(make_request(), 1.0), chooser.free_slots()) == (None, 0)
 
-    def test_protected_request_may_queue_where_the_sidecar_preempts(self) -> None:
+    def test_protected_request_may_queue_at_a_full_endpoint(self) -> None:
         chooser = make_chooser(2, running=LIMIT)
         chooser.report(make_report("e1", 1.0, running=LIMIT, queued=LIMIT), 1.0)
         assert chooser.choose(make_request(), 1.0) is None
@@ -154,7 +154,7 @@
         assert chooser.free_slots() == 3 * LIMIT
 
     def test_operations_grow_no_faster_than_the_logarithm(self) -> None:
-        costs = []
+        operations_per_choice = []
         for endpoints in (8, 64, 512):
             chooser = make_chooser(endpoints)
             for index in range(endpoints):
@@ -162,10 +162,10 @@
             before = chooser.operations
             for _ in range(100):
                 chooser.choose(make_request(prompt_tokens=100, prefix_keys=(1, 2, 3)), 0.0)
-            costs.append((chooser.operations - before) / 100)
+            operations_per_choice.append((chooser.operations - before) / 100)
         # log2 is 3, 6 and 9: each factor of eight may add as much as the first three did.
-        assert costs[1] <= 2 * costs[0]
-        assert costs[2] <= 3 * costs[0]
+        assert operations_per_choice[1] <= 2 * operations_per_choice[0]
+        assert operations_per_choice[2] <= 3 * operations_per_choice[0]
 
 
 class TestEjection:
@@ -174,7 +174,7 @@
     def test_straggler_is_ejected_then_returns_over_probation(self) -> None:
         chooser = make_chooser(6)
         for index in range(6):
-            stream(chooser, f"e{index}", 0.0, 0.2 if index == 3 else 0.02)
+            run_stream(chooser, f"e{index}", 0.0, 0.2 if index == 3 else 0.02)
         report_all(chooser, 6, 4.6, tokens_per_s=50.0)
         assert chooser.health()["e3"] is HealthState.EJECTED
         assert chooser.health()["e0"] is HealthState.HEALTHY
@@ -183,16 +183,16 @@
         assert chooser.health()["e3"] is HealthState.PROBATION
         for index in range(6):
             chooser.finished(f"e{index}", f"e{index}-0.0", True, 10.0)
-        stream(chooser, "e3", 10.1, 0.02)
+        run_stream(chooser, "e3", 10.1, 0.02)
         assert chooser.choose(make_request(), 10.5, [f"e{n}" for n in range(6) if n != 3]) is None
         report_all(chooser, 6, 11.0, tokens_per_s=50.0)
         assert chooser.health()["e3"] is HealthState.HEALTHY
 
-    def test_busy_endpoint_with_a_larger_batch_stays(self) -> None:
+    def test_busy_endpoint_with_a_larger_batch_is_not_ejected(self) -> None:
         chooser = make_chooser(6, limit=64)
         chooser.report(make_report("e3", 0.1, running=40, limit=64), 0.1)
         for index in range(6):
-            stream(chooser, f"e{index}", 0.2, 0.09 if index == 3 else 0.02)
+            run_stream(chooser, f"e{index}", 0.2, 0.09 if index == 3 else 0.02)
         for now in (3.0, 3.6, 4.2):
             chooser.report(make_report("e3", now, running=40, limit=64, tokens_per_s=400.0), now)
         assert chooser.health()["e3"] is HealthState.HEALTHY
@@ -202,7 +202,7 @@
         cases = ((0.0, 4.0, HealthState.EJECTED), (99.0, 31.0, HealthState.HEALTHY))
         for tokens_per_s, until_s, health in cases:
             chooser = make_chooser(6)
-            stream(chooser, "e2", 0.0, 0.02)
+            run_stream(chooser, "e2", 0.0, 0.02)
             for now in (until_s, until_s + 0.6):
                 report_all(chooser, 6, now, tokens_per_s=tokens_per_s)
             assert chooser.health()["e2"] is health
@@ -215,19 +215,19 @@
             report_all(chooser, 6, now)
         assert chooser.health()["e0"] is HealthState.HEALTHY
 
-    def test_only_endpoint_with_a_model_stays(self) -> None:
+    def test_only_endpoint_with_a_model_is_not_ejected(self) -> None:
         chooser = make_chooser(6, models=("m",))
         chooser.report(make_report("e3", 0.1, models=("rare",)), 0.1)
         for index in range(6):
-            stream(chooser, f"e{index}", 0.2, 0.2 if index == 3 else 0.02)
+            run_stream(chooser, f"e{index}", 0.2, 0.2 if index == 3 else 0.02)
         assert chooser.choose(make_request(model="rare"), 5.0) == "e3"
 
-    def test_bound_holds_when_an_ejected_endpoint_leaves_and_returns(self) -> None:
+    def test_ejection_bound_holds_when_an_ejected_endpoint_leaves_and_returns(self) -> None:
         chooser = make_chooser(9)
         for index in range(3):
-            stream(chooser, f"e{index}", 0.0, 0.2)
+            run_stream(chooser, f"e{index}", 0.0, 0.2)
         for index in range(3, 9):
-            stream(chooser, f"e{index}", 0.0, 0.02)
+            run_stream(chooser, f"e{index}", 0.0, 0.02)
         for now in (4.6, 5.2):
             report_all(chooser, 9, now, tokens_per_s=50.0)
         assert list(chooser.health().values()).count(HealthState.EJECTED) == 3
@@ -245,7 +245,7 @@
             max_size=120,
         )
     )
-    def test_at_most_a_third_is_ever_ejected_and_leaving_ones_get_no_work(
+    def test_at_most_a_third_is_ejected_and_leaving_endpoints_get_no_work(
         self, events: list[tuple[str, int]]
     ) -> None:
         chooser = make_chooser(9)
@@ -260,7 +260,7 @@
                     chooser.finished(instance, f"{step}-{attempt}", False, now)
             elif kind in ("slow", "stall"):
                 gap_s = 0.5 if kind == "slow" else 0.01
-                stream(chooser, instance, now, gap_s, tokens=7)
+                run_stream(chooser, instance, now, gap_s, tokens=7)
                 now += 7 * gap_s
             elif kind == "remove":
                 chooser.remove(instance)
--- a/cassiadrum/tests/test_link_faults.py
+++ b/cassiadrum/tests/test_link_faults.py
@@ -19,7 +19,7 @@
 LIMIT_S = 10.0
 
 
-class Pipe:
+class FaultyProxy:
     """Forward one TCP connection at a time; each direction can be made to swallow bytes."""
 
     def __init__(self, target: int) -> None:
@@ -36,30 +36,34 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        other, up = await asyncio.open_connection("127.0.0.1", self.target)
-        self._writers += [writer, up]
+        upstream_reader, upstream_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        self._writers += [writer, upstream_writer]
         number = self.connections
         self._tasks += [
-            asyncio.create_task(self._copy(reader, up, lambda: self.swallow_up, number)),
-            asyncio.create_task(self._copy(other, writer, lambda: self.swallow_down, number)),
+            asyncio.create_task(
+                self._copy(reader, upstream_writer, lambda: self.swallow_up, number)
+            ),
+            asyncio.create_task(
+                self._copy(upstream_reader, writer, lambda: self.swallow_down, number)
+            ),
         ]
 
     async def _copy(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        swallows: Callable[[], bool],
+        drops: Callable[[], bool],
         number: int,
     ) -> None:
         try:
             while data := await reader.read(65536):
                 # Only the first connection is faulty, as when a middlebox lost its state.
-                if number > 1 or not swallows():
+                if number > 1 or not drops():
                     writer.write(data)
         except ConnectionError:
             pass
         # A silent direction does not pass the end of the connection on either.
-        if number > 1 or not swallows():
+        if number > 1 or not drops():
             writer.close()
 
     async def close(self) -> None:
@@ -70,25 +74,27 @@
             writer.transport.abort()
 
 
-class Ends:
+class LinkPair:
     """A server and a dialer with a pipe in between."""
 
     def __init__(self) -> None:
         self.delivered: list[tuple[str, Message]] = []
-        self.downs: list[str] = []
-        self.observed: list[list[int]] = []
-        self.server = LinkServer(self.make("sidecar"), on_down=lambda _: self.downs.append("s"))
-        self.fail_on_deliver = False
+        self.disconnects: list[str] = []
+        self.observed_clocks: list[list[int]] = []
+        self.server = LinkServer(
+            self.link_factory("sidecar"), on_down=lambda _: self.disconnects.append("s")
+        )
+        self.fail_next_delivery = False
 
     async def start(self) -> None:
-        self.pipe = Pipe(await self.server.start("127.0.0.1", 0))
-        address = f"127.0.0.1:{await self.pipe.start()}"
+        self.faulty_proxy = FaultyProxy(await self.server.start("127.0.0.1", 0))
+        address = f"127.0.0.1:{await self.faulty_proxy.start()}"
         self.dialer = LinkDialer(
-            address, self.make("entry"), on_down=lambda _: self.downs.append("e")
+            address, self.link_factory("entry"), on_down=lambda _: self.disconnects.append("e")
         )
         self.dialer.start()
 
-    def make(self, name: str) -> Callable[[Connection], Link]:
+    def link_factory(self, name: str) -> Callable[[Connection], Link]:
         return lambda conn: Link(
             conn,
             Hello(1, name, name, "z", ""),
@@ -96,102 +102,104 @@
             heartbeat_payload=lambda: ("", [1, 0]),
             on_heartbeat=lambda *_: None,
             next_timestamp=lambda: [7, 1],
-            observe_clock=self.observed.append,
+            observe_clock=self.observed_clocks.append,
         )
 
     def deliver(self, name: str, msg: Message) -> None:
-        if self.fail_on_deliver:
-            self.fail_on_deliver = False
+        if self.fail_next_delivery:
+            self.fail_next_delivery = False
             raise KeyError("a fault in a handler")
         self.delivered.append((name, msg))
 
-    async def until(self, condition: Callable[[], bool]) -> None:
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(LIMIT_S):
             while not condition():  # noqa: ASYNC110 - two tasks and their sockets
                 await asyncio.sleep(0.01)
 
-    async def up(self) -> None:
-        await self.until(lambda: {name for name, _ in self.delivered} == {"entry", "sidecar"})
+    async def wait_until_connected(self) -> None:
+        await self.wait_until(lambda: {name for name, _ in self.delivered} == {"entry", "sidecar"})
         self.delivered.clear()
 
 
 @pytest.fixture
-async def ends(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Ends]:
+async def pair(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[LinkPair]:
     monkeypatch.setattr(LIMITS, "HEARTBEAT_INTERVAL_S", 0.1)
     monkeypatch.setattr(LIMITS, "SILENCE_LIMIT_S", SILENCE_S)
-    ends = Ends()
-    await ends.start()
-    await ends.up()
-    yield ends
-    await ends.dialer.stop()
-    await ends.server.close()
-    await ends.pipe.close()
+    pair = LinkPair()
+    await pair.start()
+    await pair.wait_until_connected()
+    yield pair
+    await pair.dialer.stop()
+    await pair.server.close()
+    await pair.faulty_proxy.close()
 
 
 class TestLinkFaults:
     """Guards against a link that stays up without working, or is not dialled again."""
 
     @pytest.mark.parametrize("fault", ["swallow_up", "swallow_down"])
-    async def test_one_silent_direction_ends_both_ends(self, ends: Ends, fault: str) -> None:
-        setattr(ends.pipe, fault, True)
-        await ends.until(lambda: {"s", "e"} <= set(ends.downs))
-        await ends.up()
+    async def test_one_silent_direction_closes_both_ends(self, pair: LinkPair, fault: str) -> None:
+        setattr(pair.faulty_proxy, fault, True)
+        await pair.wait_until(lambda: {"s", "e"} <= set(pair.disconnects))
+        await pair.wait_until_connected()
 
-    async def test_peer_that_answers_no_heartbeat_is_given_up(self, ends: Ends) -> None:
+    async def test_peer_that_answers_no_heartbeat_is_disconnected(self, pair: LinkPair) -> None:
         # What this end sends is lost on the way, while the peer's messages arrive.
-        async def talk(conn: ServerConnection) -> None:
+        async def send_pings(conn: ServerConnection) -> None:
             await conn.send(encode_message(Hello(1, "deaf", "sidecar", "z", "")))
             with contextlib.suppress(ConnectionClosed):
                 while True:
                     await conn.send(encode_message(Ping(1, "", [])))
                     await asyncio.sleep(0.05)
 
-        async with serve(talk, "127.0.0.1", 0, close_timeout=0.2) as server:
+        async with serve(send_pings, "127.0.0.1", 0, close_timeout=0.2) as server:
             port = next(iter(server.sockets)).getsockname()[1]
-            downs: list[Link] = []
-            dialer = LinkDialer(f"127.0.0.1:{port}", ends.make("entry"), on_down=downs.append)
+            disconnects: list[Link] = []
+            dialer = LinkDialer(
+                f"127.0.0.1:{port}", pair.link_factory("entry"), on_down=disconnects.append
+            )
             dialer.start()
-            await ends.until(lambda: bool(downs))
+            await pair.wait_until(lambda: bool(disconnects))
             await dialer.stop()
 
-    async def test_reset_is_dialled_again(self, ends: Ends) -> None:
-        for writer in ends.pipe._writers:
+    async def test_reset_connection_is_dialled_again(self, pair: LinkPair) -> None:
+        for writer in pair.faulty_proxy._writers:
             writer.transport.abort()
-        await ends.up()
-        assert ends.pipe.connections == 2
-
-    async def test_fault_in_a_handler_does_not_end_the_dialling(self, ends: Ends) -> None:
-        ends.fail_on_deliver = True
-        assert ends.dialer.link is not None
-        ends.dialer.link.send(Cancel("a"))
-        await ends.until(lambda: "e" in ends.downs)
-        await ends.up()
-
-    async def test_clock_travels_with_messages_that_cause_events(self, ends: Ends) -> None:
-        assert ends.dialer.link is not None
-        ends.dialer.link.send(Cancel("a"))
-        ends.dialer.link.send(Cancel("b", [9, 9]))
-        await ends.until(lambda: len(ends.delivered) == 2)
-        assert ends.observed == [[7, 1], [9, 9]]
-
-    async def test_peer_that_only_pings_is_closed(self, ends: Ends) -> None:
-        async with connect(f"ws://127.0.0.1:{ends.pipe.target}/", proxy=None) as conn:
+        await pair.wait_until_connected()
+        assert pair.faulty_proxy.connections == 2
+
+    async def test_error_in_a_handler_does_not_stop_the_dialer(self, pair: LinkPair) -> None:
+        pair.fail_next_delivery = True
+        assert pair.dialer.link is not None
+        pair.dialer.link.send(Cancel("a"))
+        await pair.wait_until(lambda: "e" in pair.disconnects)
+        await pair.wait_until_connected()
+
+    async def test_messages_that_cause_events_carry_the_clock(self, pair: LinkPair) -> None:
+        assert pair.dialer.link is not None
+        pair.dialer.link.send(Cancel("a"))
+        pair.dialer.link.send(Cancel("b", [9, 9]))
+        await pair.wait_until(lambda: len(pair.delivered) == 2)
+        assert pair.observed_clocks == [[7, 1], [9, 9]]
+
+    async def test_peer_that_only_pings_is_closed(self, pair: LinkPair) -> None:
+        async with connect(f"ws://127.0.0.1:{pair.faulty_proxy.target}/", proxy=None) as conn:
             async with asyncio.timeout(LIMIT_S):
                 with pytest.raises(Exception, match="no close frame"):
                     while True:
                         await conn.send(encode_message(Ping(1, "", [])))
                         await asyncio.sleep(0.05)
 
-    async def test_half_a_frame_is_silence(self, ends: Ends) -> None:
-        async with connect(f"ws://127.0.0.1:{ends.pipe.target}/", proxy=None) as conn:
+    async def test_incomplete_frame_counts_as_silence(self, pair: LinkPair) -> None:
+        async with connect(f"ws://127.0.0.1:{pair.faulty_proxy.target}/", proxy=None) as conn:
             await conn.send(encode_message(Hello(1, "x", "entry", "z", "")))
             # A header that announces 120 bytes, and the mask without the bytes.
             conn.transport.write(b"\x82\xf8\x00\x00\x00\x00")
             async with asyncio.timeout(LIMIT_S):
                 await conn.wait_closed()
 
-    async def test_address_that_is_none_is_dialled_again(self) -> None:
-        dialer = LinkDialer("no address", Ends().make("entry"), on_down=lambda _: None)
+    async def test_invalid_address_is_a_failed_attempt(self) -> None:
+        dialer = LinkDialer("no address", LinkPair().link_factory("entry"), on_down=lambda _: None)
         assert not await dialer._connect_once()
 
 
@@ -206,7 +214,7 @@
             part for msg in batch if isinstance(msg, Data) for part in msg.parts
         ]
 
-    def test_tokens_share_a_frame_and_keep_their_order(self) -> None:
+    def test_tokens_share_a_message_and_keep_their_order(self) -> None:
         batch: list[Message] = [Data([("a", 0, b"x")]), Data([("b", 0, b"y")]), Cancel("c")]
         assert merge_data(batch) == [Data([("a", 0, b"x"), ("b", 0, b"y")]), Cancel("c")]
 
--- a/cassiadrum/tests/test_links.py
+++ b/cassiadrum/tests/test_links.py
@@ -35,7 +35,7 @@
         with pytest.raises(BadFrame):
             decode_message(frame)
 
-    def test_unknown_type_is_told_apart(self) -> None:
+    def test_unknown_type_decodes_to_none(self) -> None:
         assert decode_message(b"\x81\x18\xc8") is None
 
 
@@ -65,7 +65,7 @@
         assert [type(msg) for msg in merged] == [Data, Ack, Data]
         assert len(list(make_frames(map(encode_message, merged)))) == 1
 
-    def test_much_data_stays_below_the_frame_limit(self) -> None:
+    def test_large_batch_stays_below_the_frame_limit(self) -> None:
         batch: list[Message] = [Data([("r", index, bytes(60_000))]) for index in range(200)]
         frames = list(make_frames(map(encode_message, merge_data(batch))))
         assert max(map(len, frames)) < LIMITS.FRAME_BYTES
@@ -91,6 +91,6 @@
         with pytest.raises(PositionUnavailable):
             buffer.read_from(1)
 
-    def test_position_ahead_is_an_error(self) -> None:
+    def test_position_beyond_the_end_is_an_error(self) -> None:
         with pytest.raises(PositionUnavailable):
             StreamBuffer(4).read_from(1)
--- a/cassiadrum/tests/test_loads.py
+++ b/cassiadrum/tests/test_loads.py
@@ -37,10 +37,12 @@
 
     @pytest.mark.parametrize("name", MIXES)
     def test_example_covers_every_class(self, name: str) -> None:
-        found = load_mix(EXAMPLES / name)
-        named = {(rate.service, rate.name) for rate in found.rates}
-        assert named == {(doc.name, cls.name) for doc in found.documents for cls in doc.classes}
-        assert found.bursts
+        parsed = load_mix(EXAMPLES / name)
+        class_names = {(rate.service, rate.name) for rate in parsed.rates}
+        assert class_names == {
+            (doc.name, cls.name) for doc in parsed.documents for cls in doc.classes
+        }
+        assert parsed.bursts
 
     @pytest.mark.parametrize(
         ("old", "new", "path"),
@@ -54,7 +56,7 @@
             ("[load]", "[load", "(syntax)"),
         ],
     )
-    def test_mistake_names_the_key(self, tmp_path: Path, old: str, new: str, path: str) -> None:
+    def test_error_names_the_key(self, tmp_path: Path, old: str, new: str, path: str) -> None:
         for name in ("sprachdienst.toml", "auftragsdienst.toml"):
             (tmp_path / name).write_text((EXAMPLES / name).read_text())
         file = tmp_path / "mix.toml"
@@ -74,12 +76,14 @@
     def test_rates_and_bursts(self, mix: LoadMix) -> None:
         plan = LoadPlan.from_mix(mix, 3, scale=100.0)
         burst = mix.bursts[0]
-        inside = Counter[bool]()
+        count_by_burst = Counter[bool]()
         for req in plan.requests:
             if req.class_name == burst.name:
-                inside[burst.start_s <= req.at_s < burst.start_s + burst.duration_s] += 1
-        assert inside[True] == pytest.approx(600 * burst.factor * burst.duration_s, rel=0.1)
-        assert inside[False] == pytest.approx(600 * (8.0 - burst.duration_s), rel=0.1)
+                count_by_burst[burst.start_s <= req.at_s < burst.start_s + burst.duration_s] += 1
+        assert count_by_burst[True] == pytest.approx(
+            600 * burst.factor * burst.duration_s, rel=0.1
+        )
+        assert count_by_burst[False] == pytest.approx(600 * (8.0 - burst.duration_s), rel=0.1)
         assert [req.at_s for req in plan.requests] == sorted(req.at_s for req in plan.requests)
 
     def test_large_customers_send_their_share(self, mix: LoadMix) -> None:
@@ -100,27 +104,27 @@
         server = HttpServer(answer)
         port = await server.start("127.0.0.1", 0)
         sender = LoadSender([f"127.0.0.1:{port}"], mix.documents, 1)
-        late = next(
+        order_status = next(
             r for r in LoadPlan.from_mix(mix, 1).requests if r.class_name == "order-status"
         )
-        await sender.run(LoadPlan((late._replace(at_s=-1.0),)))
+        await sender.run(LoadPlan((order_status._replace(at_s=-1.0),)))
         await server.abort()
         row = sender.results["auftragsdienst", "order-status"].as_dict()
         assert row["latency_s"]["max"] >= 1.0
 
     async def test_arrivals_do_not_wait_for_answers(self, mix: LoadMix) -> None:
         arrived = 0
-        released = asyncio.Event()
+        all_arrived = asyncio.Event()
 
-        async def hold(exchange: Exchange) -> None:
+        async def answer_after_five(exchange: Exchange) -> None:
             nonlocal arrived
             arrived += 1
             if arrived == 5:
-                released.set()
-            await released.wait()
+                all_arrived.set()
+            await all_arrived.wait()
             await exchange.send_json(200, {})
 
-        server = HttpServer(hold)
+        server = HttpServer(answer_after_five)
         port = await server.start("127.0.0.1", 0)
         sender = LoadSender([f"127.0.0.1:{port}"], mix.documents, 1)
         orders = [r for r in LoadPlan.from_mix(mix, 1).requests if not r.prompt][:5]
@@ -143,12 +147,12 @@
     """Guards against a report that leaves out what callers or processes saw."""
 
     async def test_report_of_a_site(self, site: LocalSite, mix: LoadMix) -> None:
-        short = mix._replace(duration_s=1.5)
+        short_mix = mix._replace(duration_s=1.5)
         entries = tuple(entry.addresses["http"] for entry in site.entries)
         instances = site.platform_addresses["instance_list"]
-        options = LoadOptions(short, entries, 2, 2.0, instances, standins=True)
+        options = LoadOptions(short_mix, entries, 2, 2.0, instances, standins=True)
         report = await send_load(options)
-        plan = LoadPlan.from_mix(short, 2, 2.0)
+        plan = LoadPlan.from_mix(short_mix, 2, 2.0)
         rows = [row for classes in report.services.values() for row in classes.values()]
         assert sum(row["sent"] for row in rows) == len(plan.requests)
         assert sum(row["answered"] for row in rows) == len(plan.requests)
@@ -163,11 +167,11 @@
         entries = tuple(entry.addresses["http"] for entry in site.entries)
         report = await send_load(LoadOptions(mix._replace(duration_s=0.5), entries))
         assert report.violations is None
-        broken = [Violation("once_only", "<script>ran twice</script>")]
-        page = render_page(report._replace(violations=broken))
+        found_violations = [Violation("once_only", "<script>ran twice</script>")]
+        page = render_page(report._replace(violations=found_violations))
         svg = page[page.index("<svg") : page.index("</svg>") + 6]
         assert ElementTree.fromstring(svg).findall(".//{http://www.w3.org/2000/svg}circle")
         assert "<script" not in page
         assert "src=" not in page
         assert "href=" not in page
-        assert "once_only" in report._replace(violations=broken).as_text()
+        assert "once_only" in report._replace(violations=found_violations).as_text()
--- a/cassiadrum/tests/test_local_sites.py
+++ b/cassiadrum/tests/test_local_sites.py
@@ -26,12 +26,12 @@
     await site.close()
 
 
-def client_of(site: LocalSite, number: int = 0) -> HttpClient:
+def make_client(site: LocalSite, number: int = 0) -> HttpClient:
     host, _, port = site.entry_address(number).rpartition(":")
     return HttpClient(host, int(port))
 
 
-class TestWholePath:
+class TestRequestPath:
     """Guards against a request that does not get from the caller to the endpoint and back."""
 
     async def test_raw_request_gets_a_stream(self, site: LocalSite) -> None:
@@ -64,7 +64,7 @@
     async def test_bad_request_is_refused_as_not_run(
         self, site: LocalSite, target: str, body: bytes, status: int, reason: str
     ) -> None:
-        response = await client_of(site).request("POST", target, (), body)
+        response = await make_client(site).request("POST", target, (), body)
         problem = json.loads(await response.read())
         assert (response.status, problem["reason"], problem["ran"]) == (status, reason, "no")
 
@@ -72,7 +72,7 @@
         headers = (("idempotency-key", "permit-7"), ("x-customer", "organiser"))
         answers = []
         for number in (0, 1):
-            response = await client_of(site, number).request(
+            response = await make_client(site, number).request(
                 "POST", "/services/permit-register/permits", headers, b"{}"
             )
             answers.append((response.status, await response.read()))
@@ -80,7 +80,7 @@
         runs = [run for endpoint in site.endpoints for run in endpoint.standin.runs if run["key"]]
         assert len(runs) == 1
 
-    async def test_mixed_load_keeps_every_invariant(self, site: LocalSite) -> None:
+    async def test_mixed_load_violates_no_invariant(self, site: LocalSite) -> None:
         addresses = [entry.addresses["http"] for entry in site.entries]
         sender = LoadSender(addresses, site.documents, seed=3)
         await sender.run(LoadPlan.uniform_mix(site.documents, 60.0, 1.5, seed=3))
--- a/cassiadrum/tests/test_logs.py
+++ b/cassiadrum/tests/test_logs.py
@@ -55,7 +55,7 @@
         assert stream.getvalue() == ""
         assert len(second.getvalue().splitlines()) == 1
 
-    def test_text_of_a_caller_does_not_forge_a_line(self, stream: io.StringIO) -> None:
+    def test_line_break_in_an_argument_starts_no_line(self, stream: io.StringIO) -> None:
         logger.info("path %s", "/x\n2026-01-01 INFO forged")
         assert len(stream.getvalue().splitlines()) == 1
 
@@ -128,13 +128,13 @@
 
     def test_report_when_the_window_ends(self, caplog: pytest.LogCaptureFixture) -> None:
         now = 0.0
-        limit = RepeatFilter(lambda: now, records_max=1, window_s=10)
+        repeat_filter = RepeatFilter(lambda: now, records_max=1, window_s=10)
         record = logging.makeLogRecord({"name": "a", "msg": "m", "levelno": logging.ERROR})
         other = logging.makeLogRecord({"name": "b", "msg": "n"})
-        assert [limit.filter(record) for _ in range(3)] == [True, False, False]
+        assert [repeat_filter.filter(record) for _ in range(3)] == [True, False, False]
         now = 10.0
-        assert limit.filter(other)
+        assert repeat_filter.filter(other)
         assert [r.getMessage() for r in caplog.records] == ["2 lines of a left out: m"]
-        assert limit.filter(record)
-        limit.report_suppressed()
+        assert repeat_filter.filter(record)
+        repeat_filter.report_suppressed()
         assert len(caplog.records) == 1
--- a/cassiadrum/tests/test_metrics.py
+++ b/cassiadrum/tests/test_metrics.py
@@ -11,7 +11,7 @@
     return RoleMetrics(lambda: now, make_registry())
 
 
-def lines(metrics: RoleMetrics) -> list[str]:
+def sample_lines(metrics: RoleMetrics) -> list[str]:
     text = metrics.render().decode()
     return [line for line in text.splitlines() if not line.startswith("#")]
 
@@ -41,9 +41,9 @@
             metrics.observe_inter_token,
         ):
             observe("s", "c", 0.5)
-        rendered = lines(metrics)
-        bare = {line.split("{")[0].split(" ")[0] for line in rendered}
-        assert all(name in bare or f"{name}_bucket" in bare for name in DEFINITIONS)
+        rendered = sample_lines(metrics)
+        names = {line.split("{")[0].split(" ")[0] for line in rendered}
+        assert all(name in names or f"{name}_bucket" in names for name in DEFINITIONS)
         assert 'cassiadrum_attainment_total{class="c",result="missed",service="s"} 1' in rendered
         assert 'cassiadrum_configuration_version{service="s"} 4' in rendered
 
@@ -51,7 +51,7 @@
         metrics = make_metrics()
         metrics.observe_first_token("s", "c", 0.97)
         metrics.observe_first_token("s", "c", 1000.0)
-        rendered = [line for line in lines(metrics) if "first_token" in line]
+        rendered = [line for line in sample_lines(metrics) if "first_token" in line]
         name = "cassiadrum_first_token_seconds"
         assert f'{name}_bucket{{class="c",le="0.5",service="s"}} 0.0' in rendered
         assert f'{name}_bucket{{class="c",le="0.97",service="s"}} 1.0' in rendered
@@ -62,18 +62,18 @@
     def test_rendering_twice_counts_once(self) -> None:
         metrics = make_metrics()
         metrics.count_request("s", "c")
-        assert lines(metrics) == lines(metrics)
+        assert sample_lines(metrics) == sample_lines(metrics)
 
     def test_label_values_are_escaped(self) -> None:
         metrics = make_metrics()
         metrics.set_queue_length('a"b\\c\nd', 1)
-        assert 'cassiadrum_queue_length{service="a\\"b\\\\c\\nd"} 1' in lines(metrics)
+        assert 'cassiadrum_queue_length{service="a\\"b\\\\c\\nd"} 1' in sample_lines(metrics)
 
     def test_unknown_services_do_not_grow_the_output(self) -> None:
         metrics = make_metrics()
         for index in range(SERIES_MAX + 5):
             metrics.count_request(f"guess-{index}", "")
-        rendered = [line for line in lines(metrics) if "requests_total" in line]
+        rendered = [line for line in sample_lines(metrics) if "requests_total" in line]
         assert len(rendered) == SERIES_MAX + 1
         assert 'cassiadrum_requests_total{class="other",service="other"} 5' in rendered
 
@@ -91,12 +91,12 @@
     """Guards against customers' names in labels and against unbounded label sets."""
 
     def test_top_of_the_last_full_window_and_the_others(self) -> None:
-        ranks = CustomerRanking(window_s=10, top=2)
+        ranking = CustomerRanking(window_s=10, top=2)
         for customer, tokens in (("a", 1), ("b", 5), ("c", 3), ("d", 1)):
-            ranks.add(customer, tokens, 5.0)
-        assert ranks.last_window(9.9) == ([], 0)
-        assert ranks.last_window(10.0) == ([("b", 5), ("c", 3)], 2)
-        assert ranks.last_window(30.0) == ([], 0)
+            ranking.add(customer, tokens, 5.0)
+        assert ranking.last_window(9.9) == ([], 0)
+        assert ranking.last_window(10.0) == ([("b", 5), ("c", 3)], 2)
+        assert ranking.last_window(30.0) == ([], 0)
 
     def test_labels_are_ranks(self) -> None:
         now = 0.0
@@ -104,9 +104,9 @@
         for index in range(50):
             metrics.count_delivered_tokens("s", "c", f"parish-{index}", index + 1)
         now = 60.0
-        rendered = [line for line in lines(metrics) if "customer_tokens" in line]
+        rendered = [line for line in sample_lines(metrics) if "customer_tokens" in line]
         assert len(rendered) == 21
         assert 'cassiadrum_customer_tokens{rank="1"} 50' in rendered
         assert f'cassiadrum_customer_tokens{{rank="other"}} {sum(range(1, 31))}' in rendered
-        assert not any("parish" in line for line in lines(metrics))
+        assert not any("parish" in line for line in sample_lines(metrics))
         assert metrics.top_customers()[0] == ("parish-49", 50)
--- a/cassiadrum/tests/test_order_planners.py
+++ b/cassiadrum/tests/test_order_planners.py
@@ -13,8 +13,13 @@
     OrderKind,
 )
 
-SIZE = 1000
-SIZES = {("a", ""): SIZE, ("b", ""): SIZE, ("c", ""): SIZE, ("a", "x"): 10}
+MODEL_BYTES = 1000
+BYTES_BY_MODEL = {
+    ("a", ""): MODEL_BYTES,
+    ("b", ""): MODEL_BYTES,
+    ("c", ""): MODEL_BYTES,
+    ("a", "x"): 10,
+}
 
 
 def make_report(instance: str, *models: str, at: float = 0.0, **fields: Any) -> EndpointReport:
@@ -22,7 +27,7 @@
 
 
 def make_planner(bytes_per_s: float = 1e9, **fields: Any) -> DemandOrderPlanner:
-    return DemandOrderPlanner(SIZES, bytes_per_s, **fields)
+    return DemandOrderPlanner(BYTES_BY_MODEL, bytes_per_s, **fields)
 
 
 def demand(**requests: float) -> list[ModelDemand]:
@@ -46,39 +51,39 @@
 class TestDemandOrderPlanner:
     """Guards against needless, unaffordable and harmful loads of weights."""
 
-    def test_burst_shorter_than_the_hold_moves_nothing(self) -> None:
+    def test_burst_shorter_than_the_hold_time_loads_nothing(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "a"), make_report("e2")]
         assert plan_at(planner, demand(a=20), engines, 0, 9) == []
         assert plan_at(planner, demand(a=1), engines, 9.5) == []
         assert plan_at(planner, demand(a=20), engines, 10, 19) == []
         (order,) = plan_at(planner, demand(a=20), engines, 20)
-        assert order == EngineOrder(OrderKind.LOAD_MODEL, "e2", "a", load_bytes=SIZE)
+        assert order == EngineOrder(OrderKind.LOAD_MODEL, "e2", "a", load_bytes=MODEL_BYTES)
 
-    def test_load_between_the_thresholds_moves_nothing(self) -> None:
+    def test_use_between_the_thresholds_loads_nothing(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "a"), make_report("e2", "a"), make_report("e3", "b")]
         # Use is 0.5 on two copies: too much for one, too little for three.
         assert plan_at(planner, demand(a=8, b=5), engines, *range(0, 200, 10)) == []
 
-    def test_spare_copy_makes_room(self) -> None:
+    def test_spare_copy_is_replaced(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "a"), make_report("e2", "a"), make_report("e3", "b")]
         (order,) = plan_at(planner, demand(a=1, b=20), engines, 0, 10)
         assert (order.instance, order.model, order.replaces) == ("e1", "b", "a")
 
-    def test_last_copy_in_demand_stays(self) -> None:
+    def test_last_copy_in_demand_is_kept(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "a"), make_report("e2", "a", leaving=True)]
         assert plan_at(planner, demand(a=0.1, b=50), engines, *range(0, 500, 10)) == []
 
-    def test_model_without_a_copy_takes_one_of_several_in_use(self) -> None:
+    def test_model_without_a_copy_replaces_one_of_several_copies(self) -> None:
         engines = [make_report("e1", "a"), make_report("e2", "a"), make_report("e3", "b")]
         wanted = demand(a=50, b=50, c=1)
         (order,) = plan_at(make_planner(), wanted, engines, *range(0, 500, 10))
         assert (order.model, order.replaces) == ("c", "a")
 
-    def test_late_report_does_not_count_an_unloaded_copy(self) -> None:
+    def test_late_report_does_not_restore_a_replaced_copy(self) -> None:
         planner = make_planner()
         engines = [make_report(f"e{n}", "a") for n in range(2)]
         wanted = demand(a=1, b=50)
@@ -94,8 +99,8 @@
         (order,) = plan_at(planner, wanted, engines, 0, 10)
         assert order == EngineOrder(OrderKind.LOAD_ADAPTER, "e2", "a", "x", load_bytes=10)
 
-    def test_byte_budget_spaces_the_loads(self) -> None:
-        planner = make_planner(bytes_per_s=SIZE / 50)
+    def test_byte_budget_limits_the_rate_of_loads(self) -> None:
+        planner = make_planner(bytes_per_s=MODEL_BYTES / 50)
         engines = [make_report(f"e{n}") for n in range(8)]
         wanted = demand(a=20, b=20, c=20)
         assert len(plan_at(planner, wanted, engines, 0, 10, 20, 59)) == 1
@@ -121,18 +126,18 @@
     def test_orders_keep_the_bounds(
         self, steps: list[tuple[dict[str, float], bool, int]], loaded: list[str]
     ) -> None:
-        rate = SIZE / 20
+        rate = MODEL_BYTES / 20
         planner = make_planner(rate)
         engines = {f"e{n}": model for n, model in enumerate(loaded)}
-        flying: dict[str, EngineOrder] = {}
+        unanswered: dict[str, EngineOrder] = {}
         now, spent = 0.0, 0
         for wanted, answers, pause_s in steps:
             now += pause_s
             if answers:
-                for instance, order in flying.items():
+                for instance, order in unanswered.items():
                     engines[instance] = order.model
                     planner.order_answered(instance, now)
-                flying.clear()
+                unanswered.clear()
                 now += 1
             reports = [
                 make_report(name, *([model] if model else []), at=now)
@@ -140,12 +145,12 @@
             ]
             orders = planner.plan(demand(**wanted), reports, now)
             for order in orders:
-                assert order.instance not in flying
-                flying[order.instance] = order
+                assert order.instance not in unanswered
+                unanswered[order.instance] = order
                 spent += order.load_bytes
-                assert len(flying) <= max(1, len(engines) // 4)
-                assert spent <= rate * now + SIZE
-            kept = {model for name, model in engines.items() if name not in flying}
+                assert len(unanswered) <= max(1, len(engines) // 4)
+                assert spent <= rate * now + MODEL_BYTES
+            kept = {model for name, model in engines.items() if name not in unanswered}
             for order in orders:
                 assert (
                     not order.replaces or not wanted.get(order.replaces) or order.replaces in kept
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -19,7 +19,7 @@
 from cassiadrum.stores import HttpTableStore, StoreTransport, TableStore
 
 
-class Recorder:
+class RecordingLink:
     """Keep the messages sent on a link."""
 
     def __init__(self) -> None:
@@ -42,16 +42,16 @@
     return EventRing(HybridLogicalClock(lambda: 1.0), "instance", "role", "start")
 
 
-class TestContenders:
+class TestLeaseCandidates:
     """Guards against a lease whose reads grow with the number of entry instances."""
 
-    def test_few_of_many_contend(self) -> None:
+    def test_few_of_many_instances_are_candidates(self) -> None:
         names = [f"entry-{number}" for number in range(200)]
         candidates = [name for name in names if is_candidate("orders/s", name, names)]
         assert len(candidates) == MAX_CANDIDATES
 
 
-class TestOrderGuard:
+class TestOrderExecutor:
     """Guards against an order of a former lease holder at an engine that ignores tokens."""
 
     async def test_old_token_is_refused_before_the_engine(self, store: TableStore) -> None:
@@ -70,11 +70,16 @@
 
         engine = EngineStandIn(enforces_fencing=False)
         endpoint = EngineEndpoint("127.0.0.1", await engine.start())
-        guard = OrderExecutor(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
-        task = asyncio.create_task(guard.run())
-        link = Recorder()
+        executor = OrderExecutor(
+            endpoint, FencingGuard(store, endpoint_enforces=False), make_ring()
+        )
+        task = asyncio.create_task(executor.run())
+        link = RecordingLink()
         for fencing in (old, new):
-            guard.post(link, Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"))  # type: ignore[arg-type]
+            executor.post(
+                link,  # type: ignore[arg-type]
+                Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"),
+            )
         results = [await link.sent.get() for _ in range(2)]
         assert [res.ok for res in results if isinstance(res, OrderResult)] == [False, True]
         assert (await endpoint.load()).models == (f"m{new}",)
@@ -89,7 +94,7 @@
     async def test_order_is_sent_only_under_the_lease(self, store: TableStore) -> None:
         now = [0.0]
         lease = LeaseCandidate(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
-        link = Recorder()
+        link = RecordingLink()
         task = OrderTask(
             "s",
             DemandOrderPlanner({("wanted", ""): 1000}, 1e9),
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -47,7 +47,7 @@
         assert action.req.request_id == "high"
         assert dispatcher.queued() == 1
 
-    def test_endpoint_that_rejected_gets_no_work_for_a_moment(self) -> None:
+    def test_endpoint_that_rejected_gets_no_work_for_a_short_time(self) -> None:
         dispatcher = make_dispatcher(1)
         dispatcher.submit(make_request("r"), 1.0)
         rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
@@ -57,33 +57,33 @@
         assert isinstance(action, Dispatch)
 
 
-class TestOldReports:
+class TestOutdatedReports:
     """Guards against entry instances that all act on the same old report."""
 
-    def test_load_of_others_is_smoothed_by_the_age_of_the_reports(self) -> None:
-        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
-        for chooser in (fresh, late):
+    def test_load_from_other_instances_is_smoothed_by_report_age(self) -> None:
+        fresh, outdated = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
+        for chooser in (fresh, outdated):
             chooser.report(make_report("e0", running=6), 0.0)
         fresh.report(make_report("e0", 2.0, running=0), 2.0)
-        late.report(make_report("e0", 2.0, running=0), 4.0)
+        outdated.report(make_report("e0", 2.0, running=0), 4.0)
         assert fresh.outstanding("e0") == 0
-        assert 2 <= late.outstanding("e0") <= 5
+        assert 2 <= outdated.outstanding("e0") <= 5
 
-    def test_part_of_the_short_queue_is_used_only_with_old_reports(self) -> None:
-        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
+    def test_short_queue_is_used_only_with_outdated_reports(self) -> None:
+        fresh, outdated = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
         for step in range(100):
             fresh.report(make_report("e0", step, running=LIMIT), step)
-            late.report(make_report("e0", step, running=LIMIT), step + 2.0)
-        assert (fresh.free_slots(), late.free_slots()) == (0, LIMIT // 2)
+            outdated.report(make_report("e0", step, running=LIMIT), step + 2.0)
+        assert (fresh.free_slots(), outdated.free_slots()) == (0, LIMIT // 2)
 
-    def test_plain_service_gets_one_call_ahead(self) -> None:
+    def test_plain_service_gets_one_call_beyond_its_slots(self) -> None:
         chooser = LeastCostChooser(Random(1), streams_tokens=False)
         chooser.report(make_report("e0", running=LIMIT), 0.0)
         assert chooser.free_slots() == 1
         chooser.report(make_report("e0", 1.0, running=LIMIT, queued=1), 1.0)
         assert chooser.free_slots() == 0
 
-    def test_equal_endpoints_are_not_taken_in_the_same_order_everywhere(self) -> None:
+    def test_entry_instances_order_equal_endpoints_differently(self) -> None:
         chosen = set()
         for seed in range(20):
             chooser = LeastCostChooser(Random(seed))
@@ -96,7 +96,7 @@
 class TestPrefillRate:
     """Guards against a cached prefix that outweighs load because the load itself was measured."""
 
-    def test_waiting_first_tokens_hardly_raise_the_worth_of_a_prefix(self) -> None:
+    def test_queueing_before_first_tokens_hardly_raises_the_value_of_a_prefix(self) -> None:
         chooser = LeastCostChooser(Random(1))
         for index in range(2):
             chooser.report(make_report(f"e{index}"), 0.0)
@@ -112,7 +112,7 @@
         assert chooser.choose(req, 90.0) == "e1"
 
 
-class TestCrash:
+class TestFailedAttempts:
     """Guards against accepted requests that are refused after a crash or after rejections."""
 
     def test_partly_delivered_answer_continues_without_budget(self) -> None:
@@ -139,8 +139,8 @@
         crashed = Outcome(
             ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="endpoint_failed"
         )
-        ended = [dispatcher.finished("r", crashed, step) for step in range(5)]
-        kinds = [type(action) for actions in ended for action in actions]
+        actions_by_step = [dispatcher.finished("r", crashed, step) for step in range(5)]
+        kinds = [type(action) for actions in actions_by_step for action in actions]
         assert kinds == [Dispatch, Dispatch, Refuse]
 
     def test_once_only_request_is_never_continued(self) -> None:
@@ -152,7 +152,7 @@
         (refusal,) = dispatcher.finished("r", crashed, 1.0)
         assert isinstance(refusal, Refuse)
 
-    def test_rejections_do_not_use_up_the_attempts(self) -> None:
+    def test_rejections_do_not_count_as_attempts(self) -> None:
         dispatcher = make_dispatcher(2, budget=1.0)
         dispatcher.submit(make_request("r"), 0.0)
         rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -24,29 +24,31 @@
     """Guards against a status that hides a process that is silent, draining or behind."""
 
     async def test_status_of_a_healthy_site(self, command_site: LocalSite) -> None:
-        ran = await run("status", "--json")
-        assert ran.code == ExitCode.OK
-        assert len(ran.data["instances"]) == len(command_site.entries) + len(
+        result = await run("status", "--json")
+        assert result.code == ExitCode.OK
+        assert len(result.data["instances"]) == len(command_site.entries) + len(
             command_site.endpoints
         )
-        assert ran.data["versions"] == {REGISTER: 1, "sprachdienst": 1}
-        services = {row["service"]: row for row in ran.data["services"]}
+        assert result.data["versions"] == {REGISTER: 1, "sprachdienst": 1}
+        services = {row["service"]: row for row in result.data["services"]}
         assert len(services["sprachdienst"]["endpoints"]) == 6
         assert services[REGISTER]["classes"][0] == "status-check"
 
     async def test_status_names_a_silent_instance(self, command_site: LocalSite) -> None:
         await command_site.endpoints[0].sidecar.close()
-        ran = await run("status", "--json")
-        assert ran.code == ExitCode.UNREACHABLE
-        silent = [row["instance"] for row in ran.data["instances"] if not row["answers"]]
-        assert silent == [command_site.endpoints[0].instance]
+        result = await run("status", "--json")
+        assert result.code == ExitCode.UNREACHABLE
+        silent_instances = [
+            row["instance"] for row in result.data["instances"] if not row["answers"]
+        ]
+        assert silent_instances == [command_site.endpoints[0].instance]
 
     async def test_status_without_the_table_service(self, command_site: LocalSite) -> None:
         command_site.table_service.set_faults(Faults(down=True))
-        ran = await run("status")
+        result = await run("status")
         command_site.table_service.set_faults(Faults())
-        assert ran.code == ExitCode.UNREACHABLE
-        assert "table service: the store is unavailable" in ran.text
+        assert result.code == ExitCode.UNREACHABLE
+        assert "table service: the store is unavailable" in result.text
 
     async def test_drained_instance_is_shown(self, command_site: LocalSite) -> None:
         assert (await run("drain", "sprachdienst-1")).code == ExitCode.OK
@@ -63,13 +65,16 @@
             "state": "live",
         }
         command_site.instance_list_service.set_faults(Faults(wrong=[wrong]))
-        ran = await run("status", "--json")
+        result = await run("status", "--json")
         command_site.instance_list_service.set_faults(Faults())
-        assert (ran.code, ran.data["instances"][0]["answers"]) == (ExitCode.UNREACHABLE, False)
+        assert (result.code, result.data["instances"][0]["answers"]) == (
+            ExitCode.UNREACHABLE,
+            False,
+        )
 
     async def test_no_instance_list(self) -> None:
-        ran = await run("status", "--platform", "127.0.0.1:1,127.0.0.1:1")
-        assert ran.code == ExitCode.UNREACHABLE
+        result = await run("status", "--platform", "127.0.0.1:1,127.0.0.1:1")
+        assert result.code == ExitCode.UNREACHABLE
 
 
 class TestRequests:
@@ -77,35 +82,40 @@
 
     async def test_stream_is_printed_and_explained(self, command_site: LocalSite) -> None:
         body = json.dumps({"prompt": "yoke", "stream": True})
-        given = ("request", "sprachdienst/v1/completions", "--body", body)
-        ran = await run(*given, "--json")
-        assert (ran.code, ran.data["status"]) == (ExitCode.OK, 200)
-        assert "data: [DONE]" in (await run(*given)).text
-        story = await run("explain", ran.data["request_id"])
-        assert story.code == ExitCode.OK
+        request_args = ("request", "sprachdienst/v1/completions", "--body", body)
+        result = await run(*request_args, "--json")
+        assert (result.code, result.data["status"]) == (ExitCode.OK, 200)
+        assert "data: [DONE]" in (await run(*request_args)).text
+        explanation = await run("explain", result.data["request_id"])
+        assert explanation.code == ExitCode.OK
         for text in (
             "class assessment",
             "attempt 1 sent to sprachdienst-",
             "complete answer sent",
         ):
-            assert text in story.text
+            assert text in explanation.text
 
     async def test_refusal_has_its_reason(self, command_site: LocalSite) -> None:
-        ran = await run("request", f"{REGISTER}/permits", "--body", "{}", "--json")
-        assert (ran.code, ran.data["problem"]["reason"]) == (ExitCode.BAD_INPUT, "key_required")
+        result = await run("request", f"{REGISTER}/permits", "--body", "{}", "--json")
+        assert (result.code, result.data["problem"]["reason"]) == (
+            ExitCode.BAD_INPUT,
+            "key_required",
+        )
 
     async def test_refusal_of_an_outage_is_explained(self, command_site: LocalSite) -> None:
         command_site.table_service.set_faults(Faults(down=True))
-        ran = await run("request", f"{REGISTER}/permits", "--body", "{}", "--key", "k", "--json")
+        result = await run(
+            "request", f"{REGISTER}/permits", "--body", "{}", "--key", "k", "--json"
+        )
         command_site.table_service.set_faults(Faults())
-        problem = ran.data["problem"]
-        assert (ran.code, problem["reason"]) == (ExitCode.REFUSED, "store_unavailable")
-        story = await run("explain", problem["request_id"])
-        assert "refused (ran: no): the claim of a once-only call could not be" in story.text
+        problem = result.data["problem"]
+        assert (result.code, problem["reason"]) == (ExitCode.REFUSED, "store_unavailable")
+        explanation = await run("explain", problem["request_id"])
+        assert "refused (ran: no): the claim of a once-only call could not be" in explanation.text
 
     async def test_no_entry_instance(self) -> None:
-        ran = await run("request", "a/b", "--entry", "127.0.0.1:1")
-        assert (ran.code, "nothing was sent" in ran.errors) == (ExitCode.UNREACHABLE, True)
+        result = await run("request", "a/b", "--entry", "127.0.0.1:1")
+        assert (result.code, "nothing was sent" in result.errors) == (ExitCode.UNREACHABLE, True)
 
 
 class TestTimeline:
@@ -113,9 +123,11 @@
 
     async def test_filters(self, command_site: LocalSite) -> None:
         await run("request", f"{REGISTER}/permits/7")
-        both = await run("timeline", "--service", REGISTER, "--kind", "received,started", "--json")
-        kinds = [event["kind"] for event in both.data["events"]]
-        assert (both.code, kinds) == (ExitCode.OK, ["received", "started"])
+        filtered = await run(
+            "timeline", "--service", REGISTER, "--kind", "received,started", "--json"
+        )
+        kinds = [event["kind"] for event in filtered.data["events"]]
+        assert (filtered.code, kinds) == (ExitCode.OK, ["received", "started"])
         old = await run("timeline", "--until", "3600", "--json")
         assert old.data["count"] == 0
 
@@ -128,7 +140,7 @@
             ("jsonl", '"kind":"received"'),
         ],
     )
-    async def test_out(
+    async def test_output_file(
         self, command_site: LocalSite, tmp_path: Path, suffix: str, part: str
     ) -> None:
         await run("request", f"{REGISTER}/permits/7")
@@ -149,14 +161,14 @@
         lines = stream.getvalue().splitlines()
         assert (len(lines), len(set(lines))) == (3, 3)
 
-    async def test_follow_ends_by_itself(self, command_site: LocalSite) -> None:
-        ran = await run("timeline", "--follow", "--seconds", "0.1", "--json")
-        assert ran.code == ExitCode.OK
+    async def test_follow_ends_after_the_given_seconds(self, command_site: LocalSite) -> None:
+        result = await run("timeline", "--follow", "--seconds", "0.1", "--json")
+        assert result.code == ExitCode.OK
 
     async def test_silent_process_is_named(self, command_site: LocalSite) -> None:
         await command_site.endpoints[0].sidecar.close()
-        ran = await run("timeline", "--json")
-        assert (ran.code, ran.data["silent"]) == (
+        result = await run("timeline", "--json")
+        assert (result.code, result.data["silent"]) == (
             ExitCode.UNREACHABLE,
             [command_site.endpoints[0].instance],
         )
@@ -170,6 +182,6 @@
         os.close(reader)
         document = str(EXAMPLES / "sprachdienst.toml")
         command = [sys.executable, "-m", "cassiadrum.cli", "service", "check", document]
-        ran = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, check=False)
+        result = subprocess.run(command, stdout=writer, stderr=subprocess.PIPE, check=False)
         os.close(writer)
-        assert (ran.returncode, ran.stderr) == (141, b"")
+        assert (result.returncode, result.stderr) == (141, b"")
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -147,47 +147,47 @@
 class TestDisconnect:
     """Guards against an answer that is computed to its end for a caller that left."""
 
-    @pytest.mark.parametrize("early", [b"", b"GET /second HTTP/1.1\r\n"])
-    async def test_handler_is_told(self, early: bytes) -> None:
-        running, told = asyncio.Event(), asyncio.Event()
+    @pytest.mark.parametrize("pipelined", [b"", b"GET /second HTTP/1.1\r\n"])
+    async def test_handler_is_notified(self, pipelined: bytes) -> None:
+        running, notified = asyncio.Event(), asyncio.Event()
 
-        async def wait(exchange: Exchange) -> None:
-            exchange.on_disconnect(told.set)
+        async def wait_for_disconnect(exchange: Exchange) -> None:
+            exchange.on_disconnect(notified.set)
             running.set()
-            await told.wait()
+            await notified.wait()
 
-        server = HttpServer(wait)
+        server = HttpServer(wait_for_disconnect)
         port = await server.start("127.0.0.1", 0)
         _, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" + early)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" + pipelined)
         async with asyncio.timeout(5.0):
             await running.wait()
             writer.close()
-            await told.wait()
+            await notified.wait()
         await server.abort()
 
     async def test_caller_that_left_before_the_handler_ran(self) -> None:
-        told = asyncio.Event()
+        notified = asyncio.Event()
 
-        async def wait(exchange: Exchange) -> None:
+        async def wait_for_disconnect(exchange: Exchange) -> None:
             await asyncio.sleep(0.05)
-            exchange.on_disconnect(told.set)
-            await told.wait()
+            exchange.on_disconnect(notified.set)
+            await notified.wait()
 
-        server = HttpServer(wait)
+        server = HttpServer(wait_for_disconnect)
         port = await server.start("127.0.0.1", 0)
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
         writer.close()
         async with asyncio.timeout(5.0):
-            await told.wait()
+            await notified.wait()
         await server.abort()
 
 
 class TestHttpClient:
     """Guards against a cut answer taken for a whole one."""
 
-    async def test_cut_answer_is_lost(self, port: int) -> None:
+    async def test_truncated_answer_is_lost(self, port: int) -> None:
         response = await HttpClient("127.0.0.1", port).request("GET", "/cut")
         with pytest.raises(AnswerLost):
             await response.read()
--- a/cassiadrum/tests/test_retry_policies.py
+++ b/cassiadrum/tests/test_retry_policies.py
@@ -32,18 +32,20 @@
                 retried += 1
             assert retried <= budget * accepted + 1e-6
 
-    def test_saved_budget_is_spent_once(self) -> None:
+    def test_accumulated_budget_is_spent_once(self) -> None:
         policy = BudgetRetryPolicy({"cls": 0.1})
         for _ in range(10):
             policy.record_accepted(REQ)
         assert policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
         assert not policy.may_retry(REQ, ExecutionStatus.UNKNOWN, 1.0)
 
-    def test_rejects_cost_no_budget_but_are_bounded(self) -> None:
+    def test_retries_after_rejections_cost_no_budget_but_are_bounded(self) -> None:
         policy = BudgetRetryPolicy({"cls": 0.0})
-        endless = REQ._replace(deadline_s=math.inf)
+        without_deadline = REQ._replace(deadline_s=math.inf)
         allowed = [
-            policy.may_retry(endless._replace(attempt=n), ExecutionStatus.NOT_EXECUTED, 1.0)
+            policy.may_retry(
+                without_deadline._replace(attempt=n), ExecutionStatus.NOT_EXECUTED, 1.0
+            )
             for n in range(10)
         ]
         assert allowed == [True] * 7 + [False] * 3
@@ -80,7 +82,7 @@
             assert not self.make_policy().may_hedge(req, 60.0, 1.0)
 
     @given(st.lists(st.tuples(st.integers(0, 500), st.integers(0, 2000)), max_size=200))
-    def test_no_copy_while_the_measured_share_is_at_the_budget(
+    def test_no_hedge_while_the_measured_share_exceeds_the_budget(
         self, outcomes: list[tuple[int, int]]
     ) -> None:
         policy = self.make_policy()
@@ -92,7 +94,7 @@
                 policy.record_hedge_ended()
             policy.add_useful_tokens(useful)
 
-    def test_copies_under_way_count(self) -> None:
+    def test_hedges_in_progress_count_as_waste(self) -> None:
         policy = self.make_policy()
         sent = 0
         while policy.may_hedge(REQ, 60.0, 1.0):
--- a/cassiadrum/tests/test_service_commands.py
+++ b/cassiadrum/tests/test_service_commands.py
@@ -29,20 +29,26 @@
 class TestApply:
     """Guards against a change that is lost, made twice, or overwrites another one."""
 
-    async def test_is_in_force_everywhere(self, command_site: LocalSite, edited: Path) -> None:
-        ran = await run("service", "apply", str(edited), "--json")
-        assert (ran.code, ran.data["version"], ran.data["lagging"]) == (ExitCode.OK, 2, {})
+    async def test_applied_version_is_in_force_everywhere(
+        self, command_site: LocalSite, edited: Path
+    ) -> None:
+        result = await run("service", "apply", str(edited), "--json")
+        assert (result.code, result.data["version"], result.data["lagging"]) == (
+            ExitCode.OK,
+            2,
+            {},
+        )
         daemons = [
             *command_site.entries,
             *(endpoint.sidecar for endpoint in command_site.endpoints),
         ]
         assert {daemon.status()["versions"][REGISTER] for daemon in daemons} == {2}
-        assert ran.errors == ""
+        assert result.errors == ""
 
     async def test_accepted_event_satisfies_the_rule(
         self, command_site: LocalSite, edited: Path
     ) -> None:
-        ran = await run("service", "apply", str(edited), "--json")
+        result = await run("service", "apply", str(edited), "--json")
         await command_site.drain()
         record = command_site.record([])
         accepted = [
@@ -51,41 +57,44 @@
             if event.kind is EventKind.CONFIGURATION_ACCEPTED
         ]
         assert [(item["version"], item["operation_id"]) for item in accepted] == [
-            (2, ran.data["operation_id"])
+            (2, result.data["operation_id"])
         ]
         assert ConfigurationMonotonicRule().check(record) == []
 
-    async def test_of_two_racing_operators_one_gets_the_difference(
+    async def test_one_of_two_concurrent_changes_is_refused_with_the_difference(
         self, command_site: LocalSite, edited: Path, tmp_path: Path
     ) -> None:
         other = tmp_path / "other.toml"
         other.write_text(example(REGISTER).replace("min_share = 0.3", "min_share = 0.4"))
         arguments = [("service", "apply", str(path), "--base", "1") for path in (edited, other)]
-        first, second = await asyncio.gather(*(run(*given) for given in arguments))
+        first, second = await asyncio.gather(*(run(*args) for args in arguments))
         assert sorted((first.code, second.code)) == [ExitCode.OK, ExitCode.REFUSED]
-        loser = first if first.code else second
-        assert "conflict: permit-register is at version 2" in loser.errors
-        assert "-max_wait_s = 60.0" in loser.errors or "+max_wait_s = 60.0" in loser.errors
+        refused_result = first if first.code else second
+        assert "conflict: permit-register is at version 2" in refused_result.errors
+        assert (
+            "-max_wait_s = 60.0" in refused_result.errors
+            or "+max_wait_s = 60.0" in refused_result.errors
+        )
 
     async def test_lost_answer_is_repeated_without_a_second_version(
         self, command_site: LocalSite, edited: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         send = HttpClient.request
-        lost: list[bytes] = []
+        lost_answers: list[bytes] = []
 
-        async def lose_first(
+        async def drop_first_answer(
             self: HttpClient, method: str, target: str, *rest: Any
         ) -> HttpResponse:
             response = await send(self, method, target, *rest)
-            if target.startswith("/admin/services/") and not lost:
-                lost.append(await response.read())
+            if target.startswith("/admin/services/") and not lost_answers:
+                lost_answers.append(await response.read())
                 raise AnswerLost("cut by the test")
             return response
 
-        monkeypatch.setattr(HttpClient, "request", lose_first)
-        ran = await run("service", "apply", str(edited), "--json")
-        assert len(lost) == 1
-        assert (ran.code, ran.data["version"]) == (ExitCode.OK, 2)
+        monkeypatch.setattr(HttpClient, "request", drop_first_answer)
+        result = await run("service", "apply", str(edited), "--json")
+        assert len(lost_answers) == 1
+        assert (result.code, result.data["version"]) == (ExitCode.OK, 2)
         listed = await run("service", "versions", REGISTER, "--json")
         assert [row["version"] for row in listed.data["versions"]] == [1, 2]
 
@@ -94,7 +103,9 @@
     ) -> None:
         send = HttpClient.request
 
-        async def lose(self: HttpClient, method: str, target: str, *rest: Any) -> HttpResponse:
+        async def drop_answer(
+            self: HttpClient, method: str, target: str, *rest: Any
+        ) -> HttpResponse:
             response = await send(self, method, target, *rest)
             if target.startswith("/admin/services/"):
                 await response.read()
@@ -102,10 +113,10 @@
             return response
 
         with monkeypatch.context() as patch:
-            patch.setattr(HttpClient, "request", lose)
-            ran = await run("service", "apply", str(edited), "--json")
-        assert ran.code == ExitCode.OUTCOME_UNKNOWN
-        operation = ran.data["operation_id"]
+            patch.setattr(HttpClient, "request", drop_answer)
+            result = await run("service", "apply", str(edited), "--json")
+        assert result.code == ExitCode.OUTCOME_UNKNOWN
+        operation = result.data["operation_id"]
         again = await run("service", "apply", str(edited), "--operation", operation, "--json")
         assert (again.code, again.data["version"]) == (ExitCode.OK, 2)
 
@@ -114,7 +125,7 @@
     ) -> None:
         send = HttpClient.request
 
-        async def lose_first(
+        async def drop_first_answer(
             self: HttpClient, method: str, target: str, *rest: Any
         ) -> HttpResponse:
             if (
@@ -126,17 +137,17 @@
             return await send(self, method, target, *rest)
 
         with monkeypatch.context() as patch:
-            patch.setattr(HttpClient, "request", lose_first)
-            ran = await run("service", "apply", str(edited), "--json")
+            patch.setattr(HttpClient, "request", drop_first_answer)
+            result = await run("service", "apply", str(edited), "--json")
         command_site.table_service.set_faults(Faults())
-        assert ran.code == ExitCode.OUTCOME_UNKNOWN
+        assert result.code == ExitCode.OUTCOME_UNKNOWN
 
-    async def test_acceptance_is_told_without_the_instance_list(
+    async def test_acceptance_is_reported_without_the_instance_list(
         self, command_site: LocalSite, edited: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         send = HttpClient.request
 
-        async def then_stop(
+        async def stop_instance_list(
             self: HttpClient, method: str, target: str, *rest: Any
         ) -> HttpResponse:
             response = await send(self, method, target, *rest)
@@ -144,10 +155,10 @@
                 command_site.instance_list_service.set_faults(Faults(down=True))
             return response
 
-        monkeypatch.setattr(HttpClient, "request", then_stop)
-        ran = await run("service", "apply", str(edited), "--json")
+        monkeypatch.setattr(HttpClient, "request", stop_instance_list)
+        result = await run("service", "apply", str(edited), "--json")
         command_site.instance_list_service.set_faults(Faults())
-        assert (ran.code, ran.data["version"]) == (ExitCode.UNREACHABLE, 2)
+        assert (result.code, result.data["version"]) == (ExitCode.UNREACHABLE, 2)
 
     async def test_operation_id_of_another_text_is_refused(
         self, command_site: LocalSite, edited: Path, tmp_path: Path
@@ -156,21 +167,21 @@
         other = tmp_path / "other.toml"
         other.write_text(example(REGISTER))
         operation = first.data["operation_id"]
-        ran = await run("service", "apply", str(other), "--operation", operation)
-        assert ran.code == ExitCode.REFUSED
-        assert "was used for another text" in ran.errors
+        result = await run("service", "apply", str(other), "--operation", operation)
+        assert result.code == ExitCode.REFUSED
+        assert "was used for another text" in result.errors
 
-    async def test_names_who_lags(self, command_site: LocalSite, edited: Path) -> None:
+    async def test_lagging_instance_is_named(self, command_site: LocalSite, edited: Path) -> None:
         await command_site.endpoints[0].sidecar.close()
-        ran = await run("service", "apply", str(edited), "--wait-s", "0.5", "--json")
-        assert ran.code == ExitCode.UNREACHABLE
-        assert ran.data["lagging"][command_site.endpoints[0].instance] == "does not answer"
+        result = await run("service", "apply", str(edited), "--wait-s", "0.5", "--json")
+        assert result.code == ExitCode.UNREACHABLE
+        assert result.data["lagging"][command_site.endpoints[0].instance] == "does not answer"
 
     async def test_store_outage_is_a_refusal(self, command_site: LocalSite, edited: Path) -> None:
         command_site.table_service.set_faults(Faults(down=True))
-        ran = await run("service", "apply", str(edited), "--base", "1", "--json")
+        result = await run("service", "apply", str(edited), "--base", "1", "--json")
         command_site.table_service.set_faults(Faults())
-        assert (ran.code, ran.data["result"]) == (ExitCode.REFUSED, "not_accepted")
+        assert (result.code, result.data["result"]) == (ExitCode.REFUSED, "not_accepted")
 
     async def test_misspelt_flag_changes_nothing(
         self, command_site: LocalSite, edited: Path
@@ -194,8 +205,8 @@
     async def test_diff_shows_the_consequences(
         self, command_site: LocalSite, edited: Path
     ) -> None:
-        ran = await run("service", "diff", REGISTER, str(edited), "--json")
-        assert [line[:40] for line in ran.data["consequences"]] == [
+        result = await run("service", "diff", REGISTER, str(edited), "--json")
+        assert [line[:40] for line in result.data["consequences"]] == [
             "- register-export: overload: once its ol",
             "+ register-export: overload: once its ol",
             "- register-export: waiting: at most 120 ",
@@ -203,13 +214,17 @@
         ]
         await run("service", "apply", str(edited))
         versions = await run("service", "diff", REGISTER, "1", "2", "--json")
-        assert versions.data["consequences"] == ran.data["consequences"]
+        assert versions.data["consequences"] == result.data["consequences"]
 
     async def test_delete_ends_the_service_and_keeps_its_versions(
         self, command_site: LocalSite
     ) -> None:
-        ran = await run("service", "delete", REGISTER, "--json")
-        assert (ran.code, ran.data["version"], ran.data["lagging"]) == (ExitCode.OK, 2, {})
+        result = await run("service", "delete", REGISTER, "--json")
+        assert (result.code, result.data["version"], result.data["lagging"]) == (
+            ExitCode.OK,
+            2,
+            {},
+        )
         refused = await run("request", f"{REGISTER}/permits/7", "--json")
         assert refused.data["problem"]["reason"] == "unknown_service"
         assert (await run("service", "show", REGISTER)).code == ExitCode.BAD_INPUT
@@ -237,5 +252,5 @@
     async def test_bad_input_has_its_code(
         self, command_site: LocalSite, arguments: list[str]
     ) -> None:
-        ran = await run(*arguments, "--json")
-        assert (ran.code, ran.data["exit_code"]) == (ExitCode.BAD_INPUT, ExitCode.BAD_INPUT)
+        result = await run(*arguments, "--json")
+        assert (result.code, result.data["exit_code"]) == (ExitCode.BAD_INPUT, ExitCode.BAD_INPUT)
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -21,13 +21,13 @@
     return daemon.ring.read_after(0, daemon.ring.last_sequence)
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(LIMIT_S):
         while not condition():  # noqa: ASYNC110 - the state is spread over several tasks
             await asyncio.sleep(0.02)
 
 
-def saw(daemon: Daemon, kind: EventKind, member: str) -> bool:
+def has_event(daemon: Daemon, kind: EventKind, member: str) -> bool:
     return any(e.kind is kind and e.fields["member"] == member for e in events(daemon))
 
 
@@ -40,22 +40,22 @@
     await site.close()
 
 
-def listing(site: LocalSite) -> HttpInstanceList:
+def instance_list(site: LocalSite) -> HttpInstanceList:
     assert site._instance_list is not None
     return site._instance_list
 
 
-async def polls(entry: Daemon, count: int) -> None:
+async def wait_for_polls(entry: Daemon, count: int) -> None:
     """Wait until the entry instance has read the list `count` times more."""
-    watch = entry._instances  # type: ignore[attr-defined]
-    seen: list[int] = []
+    instance_watch = entry._instances  # type: ignore[attr-defined]
+    sizes: list[int] = []
 
     def count_listed(listed: tuple[Instance, ...]) -> None:
-        seen.append(len(listed))
+        sizes.append(len(listed))
 
-    watch.listeners.append(count_listed)
-    await until(lambda: len(seen) >= count)
-    watch.listeners.remove(count_listed)
+    instance_watch.listeners.append(count_listed)
+    await wait_until(lambda: len(sizes) >= count)
+    instance_watch.listeners.remove(count_listed)
 
 
 async def status_codes(site: LocalSite, count: int) -> set[int]:
@@ -77,10 +77,10 @@
     async def test_leaving_sidecar_gets_no_new_work(self, site: LocalSite, by_list: bool) -> None:
         leaving, entry = site.endpoints[0], site.entries[0]
         if by_list:
-            await listing(site).mark_leaving(leaving.instance)
+            await instance_list(site).mark_leaving(leaving.instance)
         else:
             leaving.sidecar.begin_drain()
-        await until(lambda: saw(entry, EventKind.MEMBER_LEAVING, leaving.instance))
+        await wait_until(lambda: has_event(entry, EventKind.MEMBER_LEAVING, leaving.instance))
         before = entry.ring.last_sequence
         assert await status_codes(site, 30) == {200}
         targets = {
@@ -91,16 +91,16 @@
         # The leaving sidecar is the one in the entry instance's zone, which would be preferred.
         assert targets and leaving.instance not in targets
 
-    async def test_bad_lists_cut_no_link(self, site: LocalSite) -> None:
+    async def test_wrong_lists_close_no_link(self, site: LocalSite) -> None:
         entry = site.entries[0]
         address = site.endpoints[0].sidecar.addresses["link"]
-        ghost = Instance("ghost", "sidecar", "permit-register", "z", address, address)
-        await listing(site).register(ghost)
-        await until(lambda: saw(entry, EventKind.MEMBER_JOINED, "ghost"))
+        extra_member = Instance("ghost", "sidecar", "permit-register", "z", address, address)
+        await instance_list(site).register(extra_member)
+        await wait_until(lambda: has_event(entry, EventKind.MEMBER_JOINED, "ghost"))
         for fault in (Faults(empty=True), Faults(wrong=[]), Faults(down=True)):
             site.instance_list_service.set_faults(fault)
             assert await status_codes(site, 5) == {200}
-        await polls(entry, 2)
+        await wait_for_polls(entry, 2)
         kinds = {event.kind for event in events(entry)}
         assert EventKind.DISCONNECTED not in kinds
         assert sorted(entry.status()["links"]) == sorted(
@@ -110,13 +110,13 @@
     async def test_count_of_processes_comes_from_the_list(self, site: LocalSite) -> None:
         agent = site.entries[0]._configurations  # type: ignore[attr-defined]
         # The entry instance is listed from its second poll on.
-        await until(lambda: agent._process_count() == len(site.endpoints) + 1)
+        await wait_until(lambda: agent._process_count() == len(site.endpoints) + 1)
 
 
 class TestSiteSubsets:
     """Guards against a sidecar that refuses links which nobody makes up for."""
 
-    async def test_refused_entry_instance_takes_the_next_in_rank(self) -> None:
+    async def test_refused_entry_instance_dials_the_next_sidecar_in_rank(self) -> None:
         text = (EXAMPLES / "permit-register.toml").read_text()
         site = LocalSite([text], entries=1, subset_size=1)
         await site.start()
@@ -127,12 +127,12 @@
                 endpoint.sidecar for endpoint in site.endpoints if endpoint.instance == first
             )
             task = sidecar._sidecar  # type: ignore[attr-defined]
-            await until(lambda: "entry-1" in task.links)
+            await wait_until(lambda: "entry-1" in task.links)
             # Every place is taken by the time the entry instance dials again.
             task.bound._admitted = {"another entry": None}
             task.bound.mean = 0.8
             task.links["entry-1"].abort()
-            await until(lambda: entry.status()["links"] not in ([], [first]))
+            await wait_until(lambda: entry.status()["links"] not in ([], [first]))
             assert sidecar.status()["links"] == []
             assert await status_codes(site, 5) == {200}
         finally:
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -21,13 +21,13 @@
 LIMIT_S = 20.0
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(LIMIT_S):
         while not condition():  # noqa: ASYNC110 - the state is spread over several tasks
             await asyncio.sleep(0.01)
 
 
-def text_of(body: bytes) -> str:
+def answer_text(body: bytes) -> str:
     deltas = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
     return "".join(json.loads(delta)["choices"][0]["delta"]["content"] for delta in deltas)
 
@@ -55,8 +55,8 @@
         except Exception:
             self.failed = True
 
-    def assert_whole(self) -> None:
-        assert text_of(bytes(self.body)) == "".join(answer_tokens(PROMPT))
+    def assert_complete(self) -> None:
+        assert answer_text(bytes(self.body)) == "".join(answer_tokens(PROMPT))
         assert self.body.count(b"[DONE]") == 1
         assert b"event: error" not in self.body
 
@@ -73,11 +73,11 @@
     await site.close()
 
 
-def serving(site: LocalSite) -> SiteEndpoint:
+def serving_endpoint(site: LocalSite) -> SiteEndpoint:
     return next(endpoint for endpoint in site.endpoints if endpoint.sidecar.status()["in_flight"])
 
 
-async def kill(site: LocalSite) -> None:
+async def kill_first_entry(site: LocalSite) -> None:
     """Stop the first entry instance without a word to its sidecars."""
     entry = site.entries.pop(0)
     await entry._cancel_tasks()
@@ -85,7 +85,7 @@
     await entry.close()
 
 
-async def restart(site: LocalSite, endpoint: SiteEndpoint) -> None:
+async def restart_sidecar(site: LocalSite, endpoint: SiteEndpoint) -> None:
     """Kill a sidecar and start another one under the same name, at another address."""
     await endpoint.sidecar.close()
     cfg = endpoint.sidecar._cfg  # type: ignore[attr-defined]
@@ -98,10 +98,10 @@
     sidecar = build_daemon(parse_settings(settings))
     await sidecar.start()
     site.endpoints[site.endpoints.index(endpoint)] = endpoint._replace(sidecar=sidecar)
-    listing = site._instance_list
-    assert isinstance(listing, HttpInstanceList)
+    instance_list = site._instance_list
+    assert isinstance(instance_list, HttpInstanceList)
     addresses = sidecar.addresses
-    await listing.register(
+    await instance_list.register(
         Instance(
             cfg.instance,
             "sidecar",
@@ -113,7 +113,7 @@
     )
 
 
-class LongAnswer:
+class EndlessAnswer:
     """An endpoint whose answer never ends by itself; `sent` counts its bytes."""
 
     def __init__(self) -> None:
@@ -133,12 +133,12 @@
 class TestSlowCaller:
     """Guards against an answer that piles up in memory while its caller does not read."""
 
-    async def test_whole_path_stops_when_the_caller_does(self) -> None:
+    async def test_stalled_caller_stops_the_endpoint(self) -> None:
         text = (EXAMPLES / "permit-register.toml").read_text()
         site = LocalSite([text.replace("endpoints = 3", "endpoints = 1")], entries=1)
         await site.start()
         (site_endpoint,) = site.endpoints
-        endpoint = LongAnswer()
+        endpoint = EndlessAnswer()
         port = await endpoint.server.start("127.0.0.1", 0)
         await site_endpoint.standin.close()
         sidecar = site_endpoint.sidecar._sidecar  # type: ignore[attr-defined]
@@ -149,7 +149,7 @@
         writer.write(body + b"idempotency-key: k\r\ncontent-length: 2\r\n\r\n{}")
         try:
             # Nothing is read from here on.
-            await until(lambda: any(s.buffer.full for s in sidecar.streams.values()))
+            await wait_until(lambda: any(s.buffer.full for s in sidecar.streams.values()))
             before = -1
             while endpoint.sent != before:
                 before = endpoint.sent
@@ -158,8 +158,8 @@
             assert stream.buffer.end - stream.buffer._acked <= 2 * LIMITS.STREAM_BUFFER_BYTES
             pending = site.entries[0]._router.pending.values()  # type: ignore[attr-defined]
             (queue,) = [request.caller_events for request in pending]
-            held = sum(len(getattr(event, "data", b"")) for event in queue._queue)
-            assert held <= 2 * LIMITS.STREAM_BUFFER_BYTES
+            buffered_bytes = sum(len(getattr(event, "data", b"")) for event in queue._queue)
+            assert buffered_bytes <= 2 * LIMITS.STREAM_BUFFER_BYTES
         finally:
             writer.transport.abort()
             await endpoint.server.abort()
@@ -170,43 +170,43 @@
 class TestSiteStreams:
     """Guards against answers that are cut, doubled or lost when a connection or process fails."""
 
-    async def test_reset_in_mid_stream_is_not_seen(self, site: LocalSite) -> None:
+    async def test_caller_does_not_notice_a_reset_link(self, site: LocalSite) -> None:
         caller = Caller(site)
         sending = asyncio.create_task(caller.send())
-        await until(lambda: len(caller.body) > 300)
-        for link in list(serving(site).sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
+        await wait_until(lambda: len(caller.body) > 300)
+        for link in list(serving_endpoint(site).sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
             link.abort()
         await sending
-        caller.assert_whole()
+        caller.assert_complete()
         kinds = {event.kind for event in site.entries[0].ring.read_after(0, 10_000)}
         assert EventKind.REATTACHED in kinds
 
     async def test_rest_is_fetched_through_another_entry_instance(self, site: LocalSite) -> None:
         caller = Caller(site)
         sending = asyncio.create_task(caller.send())
-        await until(lambda: len(caller.body) > 300)
-        await kill(site)
+        await wait_until(lambda: len(caller.body) > 300)
+        await kill_first_entry(site)
         await sending
         assert caller.failed
         second = Caller(site)
         target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
         await second.read(await second.client.request("GET", target))
         caller.body += second.body
-        caller.assert_whole()
+        caller.assert_complete()
 
-    async def test_fetch_goes_on_over_a_new_link_and_can_be_repeated(
+    async def test_fetch_continues_over_a_new_link_and_can_be_repeated(
         self, site: LocalSite
     ) -> None:
         caller = Caller(site)
         sending = asyncio.create_task(caller.send())
-        await until(lambda: len(caller.body) > 200)
-        await kill(site)
+        await wait_until(lambda: len(caller.body) > 200)
+        await kill_first_entry(site)
         await sending
-        endpoint = serving(site)
+        endpoint = serving_endpoint(site)
         second = Caller(site)
         target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
         reading = asyncio.create_task(second.read(await second.client.request("GET", target)))
-        await until(lambda: len(second.body) > 200)
+        await wait_until(lambda: len(second.body) > 200)
         # The caller leaves, and the answer is kept for its next attempt.
         reading.cancel()
         await asyncio.wait([reading])
@@ -218,24 +218,24 @@
             while (response := await third.client.request("GET", target)).status != 200:
                 await response.read()
         reading = asyncio.create_task(third.read(response))
-        await until(lambda: len(third.body) > 200)
+        await wait_until(lambda: len(third.body) > 200)
         for link in list(endpoint.sidecar._sidecar.links.values()):  # type: ignore[attr-defined]
             link.abort()
         await reading
         caller.body += third.body
-        caller.assert_whole()
+        caller.assert_complete()
 
     async def test_sidecar_restarted_under_its_name_is_used_again(self, site: LocalSite) -> None:
         caller = Caller(site)
         sending = asyncio.create_task(caller.send())
-        await until(lambda: len(caller.body) > 300)
-        endpoint = serving(site)
-        await restart(site, endpoint)
+        await wait_until(lambda: len(caller.body) > 300)
+        endpoint = serving_endpoint(site)
+        await restart_sidecar(site, endpoint)
         await sending
         # Another engine continued after the text that was delivered.
-        caller.assert_whole()
+        caller.assert_complete()
         names = sorted(endpoint.instance for endpoint in site.endpoints)
-        await until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
+        await wait_until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
 
     async def test_rest_is_fetched_from_outside_the_subset(self) -> None:
         text = (EXAMPLES / "sprachdienst.toml").read_text()
@@ -244,8 +244,8 @@
         try:
             caller = Caller(site)
             sending = asyncio.create_task(caller.send())
-            await until(lambda: len(caller.body) > 300)
-            await kill(site)
+            await wait_until(lambda: len(caller.body) > 300)
+            await kill_first_entry(site)
             await sending
             name = caller.answer_id.rpartition("@")[2]
             assert name not in site.entries[0].status()["links"]
@@ -253,7 +253,7 @@
             target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
             await second.read(await second.client.request("GET", target))
             caller.body += second.body
-            caller.assert_whole()
+            caller.assert_complete()
             assert name not in site.entries[0].status()["links"]
         finally:
             await site.drain()
--- a/cassiadrum/tests/test_stores.py
+++ b/cassiadrum/tests/test_stores.py
@@ -37,7 +37,7 @@
 )
 
 
-async def open_wire(standin: StandIn, *, timeout_s: float = 2.0) -> StoreTransport:
+async def open_transport(standin: StandIn, *, timeout_s: float = 2.0) -> StoreTransport:
     client = HttpClient("127.0.0.1", await standin.start())
     return StoreTransport(client, time.monotonic, timeout_s=timeout_s)
 
@@ -53,7 +53,7 @@
     """Guards against a write reported as not done that took effect, and the reverse."""
 
     async def test_compare_and_set(self, tables: TableService) -> None:
-        store = HttpTableStore(await open_wire(tables))
+        store = HttpTableStore(await open_transport(tables))
         key = "auftragsdienst/parish of St. Anna/ä/1"
         first = await store.put("once", key, {"state": "running"}, 0)
         assert isinstance(first, Done)
@@ -68,7 +68,7 @@
         assert isinstance(third, Done) and third.version > second.version
 
     async def test_batch_applies_all_or_none(self, tables: TableService) -> None:
-        store = HttpTableStore(await open_wire(tables))
+        store = HttpTableStore(await open_transport(tables))
         writes = [TableWrite("t", f"k{index}", {"n": index, "m": 0}, 0) for index in range(3)]
         assert isinstance(await store.write(writes), Done)
         result = await store.write([TableWrite("t", "new", {}, 0), writes[1]])
@@ -79,7 +79,7 @@
         assert [row.key for row in rest.rows] == ["k2"] and not rest.next_after
 
     async def test_dropped_answer_is_unknown_and_applied(self, tables: TableService) -> None:
-        store = HttpTableStore(await open_wire(tables))
+        store = HttpTableStore(await open_transport(tables))
         tables.set_faults(Faults(drop_answers=1))
         assert isinstance(await store.put("t", "k", {"n": 1}, 0), Unknown)
         row = await store.get("t", "k")
@@ -88,13 +88,13 @@
     async def test_timeout_is_unknown_and_applied_later(self) -> None:
         applied = asyncio.Event()
 
-        class Watched(TableService):
+        class RecordingService(TableService):
             def answer(self, req: HttpRequest) -> Answer:
                 applied.set()
                 return super().answer(req)
 
-        tables = Watched()
-        store = HttpTableStore(await open_wire(tables, timeout_s=0.1))
+        tables = RecordingService()
+        store = HttpTableStore(await open_transport(tables, timeout_s=0.1))
         tables.set_faults(Faults(slow_s=0.3))
         assert isinstance(await store.put("t", "k", {}, 0), Unknown)
         assert tables.rows.get("t", "k") is None
@@ -102,8 +102,8 @@
         assert tables.rows.get("t", "k") is not None
         await tables.close()
 
-    async def test_outage_is_not_done(self, tables: TableService) -> None:
-        store = HttpTableStore(await open_wire(tables))
+    async def test_outage_is_reported_as_not_applied(self, tables: TableService) -> None:
+        store = HttpTableStore(await open_transport(tables))
         tables.set_faults(Faults(down=True))
         assert isinstance(await store.put("t", "k", {}, 0), Refused)
         with pytest.raises(StoreUnavailable):
@@ -142,18 +142,18 @@
 
     async def test_lag_and_faults(self) -> None:
         service = InstanceListService(lag_s=0.1)
-        instances = HttpInstanceList(await open_wire(service))
-        one = Instance("entry-1", "entry", "", "muenchen-a", "10.0.0.1:1", "10.0.0.1:2")
-        assert isinstance(await instances.register(one), Done)
+        instances = HttpInstanceList(await open_transport(service))
+        entry = Instance("entry-1", "entry", "", "muenchen-a", "10.0.0.1:1", "10.0.0.1:2")
+        assert isinstance(await instances.register(entry), Done)
         assert await instances.fetch() == ()
         service.lag_s = 0.0
-        assert await instances.fetch() == (one,)
+        assert await instances.fetch() == (entry,)
         service.set_faults(Faults(stale=True))
         service.set_faults(service.faults._replace(drop_answers=1))
         assert isinstance(await instances.mark_leaving("entry-1"), Unknown)
-        assert await instances.fetch() == (one,)
+        assert await instances.fetch() == (entry,)
         service.set_faults(Faults())
-        assert await instances.fetch() == (one._replace(state="leaving"),)
+        assert await instances.fetch() == (entry._replace(state="leaving"),)
         service.set_faults(Faults(empty=True))
         assert await instances.fetch() == ()
         service.set_faults(Faults(wrong=[{"instance": "broken"}]))
@@ -171,17 +171,17 @@
     async def test_unchanged_list_is_not_sent_again(self) -> None:
         statuses: list[int] = []
 
-        class Watched(InstanceListService):
+        class RecordingService(InstanceListService):
             def answer(self, req: HttpRequest) -> Answer:
                 answer = super().answer(req)
                 statuses.append(answer.status)
                 return answer
 
-        service = Watched()
-        instances = HttpInstanceList(await open_wire(service))
-        one = Instance("entry-1", "entry", "", "muenchen-a", "10.0.0.1:1", "10.0.0.1:2")
-        await instances.register(one)
-        assert [await instances.fetch() for _ in range(2)] == [(one,), (one,)]
+        service = RecordingService()
+        instances = HttpInstanceList(await open_transport(service))
+        entry = Instance("entry-1", "entry", "", "muenchen-a", "10.0.0.1:1", "10.0.0.1:2")
+        await instances.register(entry)
+        assert [await instances.fetch() for _ in range(2)] == [(entry,), (entry,)]
         await instances.mark_leaving("entry-1")
         assert (await instances.fetch())[0].state == "leaving"
         assert statuses == [200, 200, 304, 200, 200]
@@ -193,7 +193,7 @@
 
     async def test_objects_and_dropped_answers(self) -> None:
         service = ObjectService()
-        objects = HttpObjectStore(await open_wire(service))
+        objects = HttpObjectStore(await open_transport(service))
         assert isinstance(await objects.put("a/b", b"one"), Done)
         service.set_faults(Faults(drop_answers=1))
         assert isinstance(await objects.put("a/b", b"two"), Unknown)
@@ -208,12 +208,12 @@
 
     async def test_download_is_limited_and_resumes(self) -> None:
         service = WeightService(bytes_per_s=200_000)
-        weights = HttpWeightStore(await open_wire(service))
+        weights = HttpWeightStore(await open_transport(service))
         assert await weights.size("assessor-1") is None
         service.sizes["assessor-1"] = 60_000
         started = time.monotonic()
-        got = sum([len(part) async for part in weights.download("assessor-1")])
-        assert got == await weights.size("assessor-1") == 60_000
+        received = sum([len(part) async for part in weights.download("assessor-1")])
+        assert received == await weights.size("assessor-1") == 60_000
         assert time.monotonic() - started >= 60_000 / 200_000
         service.set_faults(Faults(drop_answers=1))
         with pytest.raises(StoreUnavailable):
@@ -236,7 +236,7 @@
         waits = [bucket.reserve(0.0, 0.25) for _ in range(5)]
         assert waits == [0.0, pytest.approx(0.1), pytest.approx(0.2), None, None]
 
-    async def test_used_up_budget_is_not_done(self, tables: TableService) -> None:
+    async def test_exhausted_budget_is_reported_as_not_applied(self, tables: TableService) -> None:
         client = HttpClient("127.0.0.1", await tables.start())
         budget = StoreBudget.of_share(1.0, 1.0, 100, burst=1.0)
         store = HttpTableStore(StoreTransport(client, time.monotonic, budget=budget))
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -32,7 +32,7 @@
         self.links: dict[str, set[str]] = {name: set() for name in self.subsets}
         for member in self.sidecars:
             self.add(member)
-        self.settle()
+        self.dial_until_stable()
 
     def add(self, member: Instance) -> None:
         self.bounds[member.instance] = ConnectionBound()
@@ -47,15 +47,15 @@
         for linked in self.links.values():
             linked.discard(name)
 
-    def settle(self) -> None:
+    def dial_until_stable(self) -> None:
         """Dial until each entry instance has the links that it wants."""
         for entry, subset in self.subsets.items():
             linked = self.links[entry]
-            while linked != (chosen := set(subset.select(0.0))):
-                for name in linked - chosen:
+            while linked != (selected := set(subset.select(0.0))):
+                for name in linked - selected:
                     self.bounds[name].connection_lost(entry, -1e9)
-                linked &= chosen
-                for name in chosen - linked:
+                linked &= selected
+                for name in selected - linked:
                     if self.bounds[name].admit(entry, 0.0):
                         linked.add(name)
                     else:
@@ -86,7 +86,7 @@
         assert first[0] not in subset.select(0.0)
         assert len(subset.select(0.0)) == 2
 
-    def test_full_sidecars_are_asked_again_when_too_few_are_left(self) -> None:
+    def test_full_sidecars_are_dialled_again_when_too_few_remain(self) -> None:
         subset = Subset("e", "z", 2)
         for number in range(2):
             subset.put(instance("sidecar", f"s{number}", number))
@@ -103,7 +103,7 @@
         bound.mean = 2.0
         assert [bound.admit(f"e{n}", 0.0) for n in range(4)] == [True, True, True, False]
 
-    def test_lost_link_keeps_its_place_while_its_streams_wait(self) -> None:
+    def test_lost_link_keeps_its_slot_while_its_streams_wait(self) -> None:
         bound = ConnectionBound()
         bound.mean = 1.0
         assert bound.admit("e0", 0.0) and bound.admit("e1", 0.0)
@@ -113,7 +113,7 @@
         bound.connection_lost("e0", 4.0)
         assert bound.admit("e2", 20.0)
 
-    def test_unknown_mean_refuses_nobody(self) -> None:
+    def test_unknown_mean_refuses_no_link(self) -> None:
         bound = ConnectionBound()
         assert all(bound.admit(f"e{n}", 0.0) for n in range(100))
 
@@ -130,7 +130,7 @@
             fleet.remove(old.instance)
             kept = fleet.pairs()
             fleet.add(old)
-            fleet.settle()
+            fleet.dial_until_stable()
             assert all(name == old.instance for _, name in fleet.pairs() - kept)
             assert max(fleet.counts()) <= math.ceil(1.25 * fleet.mean)
         print(f"mean {fleet.mean:.1f}, most {max(fleet.counts())}, least {min(fleet.counts())}")
@@ -143,9 +143,9 @@
             old = fleet.sidecars[number * 13]
             before = fleet.pairs()
             fleet.remove(old.instance)
-            fleet.settle()
+            fleet.dial_until_stable()
             fleet.add(old._replace(instance=f"new{number}"))
-            fleet.settle()
+            fleet.dial_until_stable()
             after = fleet.pairs()
             opened += len(after - before)
             closed += len(before - after)
@@ -173,16 +173,16 @@
 class TestEntryLinks:
     """Guards against a sidecar that takes more entry instances than its share."""
 
-    def test_the_one_above_the_bound_is_refused(self) -> None:
+    def test_link_above_the_bound_is_refused(self) -> None:
         bound = ConnectionBound()
         bound.mean = 1.0
         links = EntryLinks(bound)
-        fakes = [FakeLink(f"e{n}") for n in range(3)]
-        admitted = [links.admit(fake, fake.peer, 0.0) for fake in fakes]  # type: ignore[arg-type]
+        fake_links = [FakeLink(f"e{n}") for n in range(3)]
+        admitted = [links.admit(fake, fake.peer, 0.0) for fake in fake_links]  # type: ignore[arg-type]
         assert admitted == [True, True, False]
-        assert not links.is_current(fakes[2])  # type: ignore[arg-type]
+        assert not links.is_current(fake_links[2])  # type: ignore[arg-type]
 
-    def test_reconnection_takes_no_second_place(self) -> None:
+    def test_reconnection_takes_no_second_slot(self) -> None:
         bound = ConnectionBound()
         bound.mean = 0.5
         links = EntryLinks(bound)
--- a/cassiadrum/tests/test_texts.py
+++ b/cassiadrum/tests/test_texts.py
@@ -12,7 +12,7 @@
 from cassiadrum.settings import SettingsError, parse_settings
 from cassiadrum.tests.sites import EXAMPLES, example
 
-ENTRY = """
+ENTRY_SETTINGS = """
 role = "entry"
 instance = "entry-1"
 zone = "muenchen-a"
@@ -69,7 +69,7 @@
 
     @pytest.mark.parametrize("case", SETTINGS_EDITS)
     def test_settings(self, case: str, snapshot: SnapshotAssertion) -> None:
-        text = ENTRY.replace(*SETTINGS_EDITS[case])
+        text = ENTRY_SETTINGS.replace(*SETTINGS_EDITS[case])
         with pytest.raises(SettingsError) as info:
             parse_settings(text, "entry.toml")
         assert str(info.value) == snapshot
@@ -86,7 +86,7 @@
     """Guards against a release whose stricter checks reject a document that is in force."""
 
     @pytest.mark.parametrize("case", ["no share", "wait at the deadline", "unreachable"])
-    def test_is_not_checked_again(self, case: str) -> None:
+    def test_accepted_document_is_not_checked_again(self, case: str) -> None:
         text = example("auftragsdienst").replace(*DOCUMENT_EDITS[case])
         document = parse_document(text, accepted=True)
         assert consequence_lines(document)
@@ -110,7 +110,7 @@
         changes = changed_consequences(old, parse_document(new))
         assert "\n".join(changes) == snapshot
 
-    def test_deleted_service_loses_everything(self) -> None:
+    def test_deleted_service_removes_every_line(self) -> None:
         document = parse_document(example("auftragsdienst"))
         lines = changed_consequences(document, None)
         assert lines == [f"- {line}" for line in consequence_lines(document)]
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -29,13 +29,13 @@
 TOKEN = "a-token-that-must-not-be-logged"
 
 
-class Files:
+class TlsFiles:
     """The files of one process; `write` replaces them as a certificate manager does."""
 
     def __init__(self, path: Path) -> None:
         self.certificate, self.key, self.ca = (path / f"{n}.pem" for n in ("cert", "key", "ca"))
 
-    def write(self, authority: trustme.CA) -> "Files":
+    def write(self, authority: trustme.CA) -> "TlsFiles":
         issued = authority.issue_cert("127.0.0.1")
         for path, blobs in (
             (self.certificate, issued.cert_chain_pems),
@@ -52,17 +52,17 @@
 
 
 @pytest.fixture
-def files(tmp_path: Path) -> Files:
-    return Files(tmp_path).write(trustme.CA())
+def files(tmp_path: Path) -> TlsFiles:
+    return TlsFiles(tmp_path).write(trustme.CA())
 
 
-def other(tmp_path: Path, authority: trustme.CA) -> TlsContexts:
+def make_other_contexts(tmp_path: Path, authority: trustme.CA) -> TlsContexts:
     path = tmp_path / "other"
     path.mkdir(exist_ok=True)
-    return Files(path).write(authority).contexts()
+    return TlsFiles(path).write(authority).contexts()
 
 
-class Server:
+class HelloServer:
     """A link server that notes the instances that said hello."""
 
     def __init__(self, tls: TlsContexts) -> None:
@@ -107,8 +107,8 @@
 
 
 @pytest.fixture
-async def server(files: Files) -> AsyncIterator[Server]:
-    server = Server(files.contexts())
+async def server(files: TlsFiles) -> AsyncIterator[HelloServer]:
+    server = HelloServer(files.contexts())
     await server.start()
     yield server
     await server.close()
@@ -117,23 +117,23 @@
 class TestTls:
     """Guards against links with a stranger, and against old keys that stay in force."""
 
-    async def test_own_ca_is_accepted_and_others_are_not(
-        self, server: Server, files: Files, tmp_path: Path
+    async def test_only_certificates_of_the_own_ca_are_accepted(
+        self, server: HelloServer, files: TlsFiles, tmp_path: Path
     ) -> None:
-        own = files.contexts()
-        stranger = other(tmp_path, trustme.CA())
-        nameless = ssl.create_default_context(cafile=str(files.ca))
-        nameless.check_hostname = False
-        assert await server.accepts(lambda: own.link_client)
-        assert not await server.accepts(lambda: stranger.link_client)
-        assert not await server.accepts(lambda: nameless)
+        trusted = files.contexts()
+        untrusted = make_other_contexts(tmp_path, trustme.CA())
+        without_certificate = ssl.create_default_context(cafile=str(files.ca))
+        without_certificate.check_hostname = False
+        assert await server.accepts(lambda: trusted.link_client)
+        assert not await server.accepts(lambda: untrusted.link_client)
+        assert not await server.accepts(lambda: without_certificate)
         assert not await server.accepts(lambda: None)
 
     async def test_rotation_replaces_certificate_and_ca(
-        self, server: Server, files: Files, tmp_path: Path
+        self, server: HelloServer, files: TlsFiles, tmp_path: Path
     ) -> None:
         new_ca = trustme.CA()
-        old, new = files.contexts(), other(tmp_path, new_ca)
+        old, new = files.contexts(), make_other_contexts(tmp_path, new_ca)
         assert not await server.accepts(lambda: new.link_client)
         files.write(new_ca)
         assert server._tls.reload()
@@ -142,7 +142,7 @@
         assert not server._tls.reload()
 
     def test_files_that_do_not_fit_change_nothing(
-        self, files: Files, caplog: pytest.LogCaptureFixture
+        self, files: TlsFiles, caplog: pytest.LogCaptureFixture
     ) -> None:
         contexts = files.contexts()
         before = contexts.link_client
@@ -157,7 +157,9 @@
         with pytest.raises(BadCertificate):
             files.contexts()
 
-    async def test_callers_are_served_over_tls_without_a_certificate(self, files: Files) -> None:
+    async def test_callers_are_served_over_tls_without_a_certificate(
+        self, files: TlsFiles
+    ) -> None:
         async def answer(exchange: Exchange) -> None:
             await exchange.send_json(200, {})
 
@@ -181,7 +183,7 @@
         for wrong in ("", TOKEN, f"Basic {TOKEN}", "Bearer ", f"Bearer {TOKEN}x", "Bearer é"):
             assert not token.is_authorized(wrong)
 
-    def test_replaced_file_counts_at_once(self, tmp_path: Path) -> None:
+    def test_replaced_token_file_takes_effect_at_once(self, tmp_path: Path) -> None:
         path = tmp_path / "token"
         path.write_text(TOKEN)
         token = AdminToken(path)
@@ -194,7 +196,7 @@
         assert not token.is_authorized("Bearer another")
 
     async def test_admin_interface_of_a_daemon_over_tls(
-        self, files: Files, tmp_path: Path, caplog: pytest.LogCaptureFixture
+        self, files: TlsFiles, tmp_path: Path, caplog: pytest.LogCaptureFixture
     ) -> None:
         path = tmp_path / "token"
         path.write_text(TOKEN)
@@ -227,8 +229,8 @@
 class TestSiteTls:
     """Guards against a path that does not work, or is not encrypted, over TLS."""
 
-    async def test_request_passes_over_tls_and_links_refuse_strangers(
-        self, files: Files, tmp_path: Path
+    async def test_request_passes_over_tls_and_links_refuse_untrusted_peers(
+        self, files: TlsFiles, tmp_path: Path
     ) -> None:
         site = LocalSite([(EXAMPLES / "permit-register.toml").read_text()], entries=1)
         site._limits_table += (
@@ -244,7 +246,7 @@
             async with asyncio.timeout(LIMIT_S):
                 assert await response.read()
             link = site.endpoints[0].sidecar.addresses["link"]
-            stranger = other(tmp_path, trustme.CA())
+            untrusted = make_other_contexts(tmp_path, trustme.CA())
             hellos: list[Message] = []
             dialer = LinkDialer(
                 link,
@@ -256,7 +258,7 @@
                     on_heartbeat=lambda *_: None,
                 ),
                 on_down=lambda _: None,
-                tls=lambda: stranger.link_client,
+                tls=lambda: untrusted.link_client,
             )
             await dialer._connect_once()
             assert hellos == []
@@ -265,7 +267,7 @@
             await site.drain()
             await site.close()
 
-    async def test_signals_of_a_daemon_process(self, files: Files, tmp_path: Path) -> None:
+    async def test_signals_of_a_daemon_process(self, files: TlsFiles, tmp_path: Path) -> None:
         settings = tmp_path / "entry.toml"
         settings.write_text(
             'role = "entry"\ninstance = "e"\nzone = "z"\n'
@@ -300,8 +302,8 @@
 class TestCommandCredentials:
     """Guards against operators who are locked out by the token or by TLS."""
 
-    async def test_command_line_proves_itself(
-        self, files: Files, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    async def test_command_line_sends_its_token(
+        self, files: TlsFiles, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         path = tmp_path / "token"
         path.write_text(TOKEN)
--- a/cassiadrum/tests/test_wait_bounds.py
+++ b/cassiadrum/tests/test_wait_bounds.py
@@ -18,14 +18,14 @@
 class TestWaitBound:
     """Guards against a class that waits longer than the bound of design section 4.1."""
 
-    CAPACITY = 20.0
+    CAPACITY_TOKENS_PER_S = 20.0
     PROTECTED_TOKENS = 50
-    LARGEST = 200.0
+    LARGEST_TOKENS = 200.0
 
     def test_formula(self) -> None:
-        known = {"max_wait_s": 30.0, "backlog_tokens": 100.0, "capacity_tokens_per_s": 50.0}
-        assert wait_bound_s(**known, min_share=0.2, protected_load=0.5) == 50.0
-        assert wait_bound_s(**known, min_share=0.0, protected_load=0.5) == math.inf
+        terms = {"max_wait_s": 30.0, "backlog_tokens": 100.0, "capacity_tokens_per_s": 50.0}
+        assert wait_bound_s(**terms, min_share=0.2, protected_load=0.5) == 50.0
+        assert wait_bound_s(**terms, min_share=0.0, protected_load=0.5) == math.inf
 
     @given(
         ARRIVALS,
@@ -46,8 +46,10 @@
             )
             for index, (tier, at, tokens) in enumerate(arrivals)
         ]
-        period = self.PROTECTED_TOKENS / (load * self.CAPACITY) if load else math.inf
-        horizon = 60 + sum(req.max_tokens for req in requests) / self.CAPACITY / (1 - load)
+        period = self.PROTECTED_TOKENS / (load * self.CAPACITY_TOKENS_PER_S) if load else math.inf
+        horizon = 60 + sum(req.max_tokens for req in requests) / self.CAPACITY_TOKENS_PER_S / (
+            1 - load
+        )
         for index in range(int(horizon / period) if load else 0):
             fields = {"arrived_s": index * period, "max_tokens": self.PROTECTED_TOKENS}
             requests.append(make_request(f"p{index}", 0, **fields))
@@ -56,7 +58,10 @@
     def serve(self, requests: list[QueuedRequest], load: float) -> None:
         """Serve one request at a time and compare each wait with the bound at its arrival."""
         queue = FairTierQueue(len(requests))
-        queued, last = dict.fromkeys(range(5), 0.0), dict.fromkeys(range(5), 0.0)
+        queued_tokens, last_served_tokens = (
+            dict.fromkeys(range(5), 0.0),
+            dict.fromkeys(range(5), 0.0),
+        )
         bounds: dict[str, float] = {}
         now, index = 0.0, 0
         while index < len(requests) or len(queue):
@@ -64,14 +69,14 @@
                 now = max(now, requests[index].arrived_s)
             while index < len(requests) and requests[index].arrived_s <= now:
                 req = requests[index]
-                queued[req.tier] += req.max_tokens
+                queued_tokens[req.tier] += req.max_tokens
                 bounds[req.request_id] = wait_bound_s(
                     max_wait_s=req.max_wait_s,
-                    backlog_tokens=queued[req.tier] + last[req.tier],
+                    backlog_tokens=queued_tokens[req.tier] + last_served_tokens[req.tier],
                     min_share=req.min_share,
                     protected_load=load,
-                    capacity_tokens_per_s=self.CAPACITY,
-                    unshared_tokens=3 * self.LARGEST,
+                    capacity_tokens_per_s=self.CAPACITY_TOKENS_PER_S,
+                    unshared_tokens=3 * self.LARGEST_TOKENS,
                 )
                 queue.push(req, now)
                 index += 1
@@ -79,6 +84,6 @@
             assert served is not None
             waited_s = now - served.arrived_s
             assert served.protected or waited_s <= bounds[served.request_id]
-            queued[served.tier] -= served.max_tokens
-            last[served.tier] = served.max_tokens
-            now += served.max_tokens / self.CAPACITY
+            queued_tokens[served.tier] -= served.max_tokens
+            last_served_tokens[served.tier] = served.max_tokens
+            now += served.max_tokens / self.CAPACITY_TOKENS_PER_S
