Reword doc comments and comments of the tests of leases to wait bounds

Each test class states which failure it guards against and how it comes about. Comments and messages use plain terms; the example of a large deployment is described by its load figures.

--- a/cassiadrum/tests/test_known_red.py
+++ b/cassiadrum/tests/test_known_red.py
@@ -12,7 +12,11 @@
 
 
 class TestKnownRed:
-    """Guards against a listed test that fails the run, and an unlisted one that does not."""
+    """Guards against a wrong exit code of a run in which tests fail.
+
+    conftest.py turns the failures of the tests in KNOWN-RED.txt into expected ones. A listed test
+    must not fail the run, and an unlisted one must.
+    """
 
     @pytest.mark.parametrize(("other", "code"), [("True", 0), ("False", 1)])
     def test_only_listed_tests_may_fail(self, tmp_path: Path, other: str, code: int) -> None:
--- a/cassiadrum/tests/test_latency_tracking_limits.py
+++ b/cassiadrum/tests/test_latency_tracking_limits.py
@@ -9,7 +9,10 @@
 
 
 class TestLatencyTrackingLimit:
-    """Guards against a limit that ignores latency, leaves its bounds or grows unused."""
+    """Guards against a limit that ignores latency, exceeds its bounds or grows while unused.
+
+    Such a limit overloads the engine, or admits a whole batch at once after a time of low load.
+    """
 
     def observe_samples(
         self, limit: LatencyTrackingLimit, inter_token_s: float, running: int
@@ -39,7 +42,7 @@
         assert limit.limit == 5
 
     def test_converges_where_an_engine_meets_the_target(self) -> None:
-        # The engine's inter-token time grows with its batch; 10 streams meet 40 ms exactly.
+        # Each stream in the batch adds 4 ms between tokens: 10 streams meet the 40 ms exactly.
         limit = LatencyTrackingLimit(TARGETS, maximum=64)
         limits = []
         for _ in range(200):
--- a/cassiadrum/tests/test_leases.py
+++ b/cassiadrum/tests/test_leases.py
@@ -22,7 +22,7 @@
 NAME = "orders"
 DURATION_S = 9.0
 MARGIN_S = 1.0
-# The number of sequences is fixed, so a busy machine must not turn them into a failure.
+# The number of sequences is fixed, so a busy machine needs more than the usual time limit.
 pytestmark = pytest.mark.timeout(240)
 
 
@@ -39,7 +39,7 @@
 
 
 class ManagerPair:
-    """Two keepers on one clock."""
+    """Two lease managers with one store and one clock."""
 
     def __init__(self) -> None:
         self.store = SteppedStore()
@@ -55,7 +55,11 @@
 
 
 class TestLease:
-    """Guards against a holder that acts after its lease may have been taken over."""
+    """Guards against a holder that acts after its lease may have been taken over.
+
+    It happens when a pause or a lost answer delays the renewal beyond the duration, or when the
+    other manager does not wait for the duration and the margin.
+    """
 
     def test_takeover_waits_for_duration_and_margin(self) -> None:
         pair = ManagerPair()
@@ -111,7 +115,10 @@
 
 
 class TestFencingGuard:
-    """Guards against an order of an old holder that takes effect after a newer one."""
+    """Guards against an order of an old holder that takes effect after a newer one.
+
+    The old holder passed its check, was paused, and sent the order after the takeover.
+    """
 
     @pytest.mark.parametrize("enforces", [True, False])
     def test_old_token_is_refused(self, enforces: bool) -> None:
@@ -131,16 +138,17 @@
         guard = FencingGuard(pair.store, endpoint_enforces=False)
         with pytest.raises(FencingRefused, match="could not be read"):
             Stepped(pair.store, guard.admit(NAME, 1)).step(Fault.DROPPED)
-        # A token that was never in the row must not block the true ones.
+        # A token that never was in the row must not make the guard refuse valid ones.
         with pytest.raises(FencingRefused):
             Stepped(pair.store, guard.admit(NAME, 7)).finish()
         Stepped(pair.store, guard.admit(NAME, 1)).finish()
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Guards against two holders that act, with clocks of different rates, pauses and faults.
+    """Guards against two holders that act at the same time.
 
-    Rates differ by up to a tenth, which is below margin over duration.
+    It can happen with clocks of different rates, pauses, restarts and store faults. The rates
+    differ by up to a tenth, which is less than the ratio of the margin to the duration.
     """
 
     def __init__(self) -> None:
@@ -172,9 +180,10 @@
     def step_or_send_order(
         self, index: int, seconds: float, faults: list[Fault], order: str
     ) -> None:
-        """Let time pass, then begin a step of a contender or go on with it, and send an order.
+        """Advance the time, begin or continue a step of one manager, and send an order.
 
-        A contender left out is paused where it stands; a paused order arrives at any later time.
+        A manager that is not chosen stays paused within its step. A paused order is delivered at
+        any later time.
         """
         self.now += seconds
         process = self.steps.pop(index, None) or Stepped(self.store, self.managers[index].step())
--- a/cassiadrum/tests/test_least_cost_choosers.py
+++ b/cassiadrum/tests/test_least_cost_choosers.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an endpoint."""
+"""Tests of the choice of an endpoint by its estimated cost."""
 
 from random import Random
 from typing import Any
@@ -34,7 +34,7 @@
 def run_stream(
     chooser: LeastCostChooser, instance: str, start_s: float, gap_s: float, tokens: int = 20
 ) -> None:
-    """Run one stream that gives a token each `gap_s` and does not end."""
+    """Start a stream that yields a token every `gap_s` seconds and does not end."""
     request_id = f"{instance}-{start_s}"
     chooser.dispatched(instance, make_request(request_id), start_s)
     for number in range(1, tokens + 1):
@@ -42,14 +42,18 @@
 
 
 class TestOutstanding:
-    """Guards against load counted twice, forgotten, or taken from an outdated report."""
+    """Guards against load that is counted twice, lost, or taken from an outdated report.
+
+    A report covers the dispatches made before it. Reports arrive late, repeated and out of order,
+    and dispatches and ends happen while a report is in transit.
+    """
 
     def test_own_events_since_the_report_are_added(self) -> None:
         chooser = make_chooser(1, running=3)
         for number in range(2):
             chooser.dispatched("e0", make_request(f"r{number}"), 1.0)
         assert chooser.outstanding("e0") == 5
-        # Made after the first dispatches, received after the third one.
+        # Made after the first two dispatches, received after the third.
         chooser.dispatched("e0", make_request("r2"), 2.0)
         chooser.report(make_report("e0", 1.5, running=5), 2.1)
         assert chooser.outstanding("e0") == 6
@@ -95,7 +99,11 @@
 
 
 class TestChoice:
-    """Guards against work for an endpoint that cannot or should not serve it."""
+    """Guards against work for an endpoint that cannot serve it or is a poor choice.
+
+    It lacks the model or the adapter, is full, has just started, is in another zone, or lacks the
+    cached prefix; or the choice costs too much among many endpoints.
+    """
 
     def test_only_endpoints_with_the_model_and_the_adapter(self) -> None:
         chooser = LeastCostChooser(Random(1), "z")
@@ -163,13 +171,18 @@
             for _ in range(100):
                 chooser.choose(make_request(prompt_tokens=100, prefix_keys=(1, 2, 3)), 0.0)
             operations_per_choice.append((chooser.operations - before) / 100)
-        # log2 is 3, 6 and 9: each factor of eight may add as much as the first three did.
+        # log2 of the endpoints is 3, 6 and 9, so the operations may double and triple.
         assert operations_per_choice[1] <= 2 * operations_per_choice[0]
         assert operations_per_choice[2] <= 3 * operations_per_choice[0]
 
 
 class TestEjection:
-    """Guards against work for a straggler and against ejecting what is only busy."""
+    """Guards against work for a straggler, and against ejection of a merely busy endpoint.
+
+    Slow or missing tokens and failed attempts eject an endpoint. A larger batch, a paused stream
+    and a long call of a plain service look alike but are normal, and ejecting too many endpoints
+    overloads the others.
+    """
 
     def test_straggler_is_ejected_then_returns_over_probation(self) -> None:
         chooser = make_chooser(6)
@@ -198,7 +211,8 @@
         assert chooser.health()["e3"] is HealthState.HEALTHY
 
     def test_stream_without_progress_ejects_unless_the_engine_reports_output(self) -> None:
-        # With output, the stream may be paused for the default longest wait of 30 s.
+        # While the engine reports output, the stream may be paused for 30 s, the default
+        # longest wait.
         cases = ((0.0, 4.0, HealthState.EJECTED), (99.0, 31.0, HealthState.HEALTHY))
         for tokens_per_s, until_s, health in cases:
             chooser = make_chooser(6)
--- a/cassiadrum/tests/test_link_faults.py
+++ b/cassiadrum/tests/test_link_faults.py
@@ -1,4 +1,4 @@
-"""Tests of one link over a connection with faults."""
+"""Tests of a link over a connection with faults."""
 
 import asyncio
 import contextlib
@@ -20,7 +20,7 @@
 
 
 class FaultyProxy:
-    """Forward one TCP connection at a time; each direction can be made to swallow bytes."""
+    """A TCP proxy that can drop all bytes of either direction of its first connection."""
 
     def __init__(self, target: int) -> None:
         self.target = target
@@ -57,12 +57,12 @@
     ) -> None:
         try:
             while data := await reader.read(65536):
-                # Only the first connection is faulty, as when a middlebox lost its state.
+                # Only the first connection is faulty, as after a middlebox lost its state.
                 if number > 1 or not drops():
                     writer.write(data)
         except ConnectionError:
             pass
-        # A silent direction does not pass the end of the connection on either.
+        # A silent direction does not forward the end of the connection either.
         if number > 1 or not drops():
             writer.close()
 
@@ -75,7 +75,7 @@
 
 
 class LinkPair:
-    """A server and a dialer with a pipe in between."""
+    """A link server and a dialer with a faulty proxy in between."""
 
     def __init__(self) -> None:
         self.delivered: list[tuple[str, Message]] = []
@@ -108,12 +108,12 @@
     def deliver(self, name: str, msg: Message) -> None:
         if self.fail_next_delivery:
             self.fail_next_delivery = False
-            raise KeyError("a fault in a handler")
+            raise KeyError("error raised by the handler")
         self.delivered.append((name, msg))
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(LIMIT_S):
-            while not condition():  # noqa: ASYNC110 - two tasks and their sockets
+            while not condition():  # noqa: ASYNC110 - the state is spread over two tasks
                 await asyncio.sleep(0.01)
 
     async def wait_until_connected(self) -> None:
@@ -135,7 +135,11 @@
 
 
 class TestLinkFaults:
-    """Guards against a link that stays up without working, or is not dialled again."""
+    """Guards against a link that stays up without working, or is not dialled again.
+
+    One direction becomes silent, the peer answers no heartbeat or sends half a frame, the
+    connection is reset, or a message handler raises an error.
+    """
 
     @pytest.mark.parametrize("fault", ["swallow_up", "swallow_down"])
     async def test_one_silent_direction_closes_both_ends(self, pair: LinkPair, fault: str) -> None:
@@ -144,7 +148,7 @@
         await pair.wait_until_connected()
 
     async def test_peer_that_answers_no_heartbeat_is_disconnected(self, pair: LinkPair) -> None:
-        # What this end sends is lost on the way, while the peer's messages arrive.
+        # The dialer's messages are lost in transit, while those of the peer arrive.
         async def send_pings(conn: ServerConnection) -> None:
             await conn.send(encode_message(Hello(1, "deaf", "sidecar", "z", "")))
             with contextlib.suppress(ConnectionClosed):
@@ -193,7 +197,7 @@
     async def test_incomplete_frame_counts_as_silence(self, pair: LinkPair) -> None:
         async with connect(f"ws://127.0.0.1:{pair.faulty_proxy.target}/", proxy=None) as conn:
             await conn.send(encode_message(Hello(1, "x", "entry", "z", "")))
-            # A header that announces 120 bytes, and the mask without the bytes.
+            # A frame header that announces 120 bytes and its mask, without the payload.
             conn.transport.write(b"\x82\xf8\x00\x00\x00\x00")
             async with asyncio.timeout(LIMIT_S):
                 await conn.wait_closed()
@@ -204,7 +208,11 @@
 
 
 class TestDataMerges:
-    """Guards against a frame above the limit, which would end the link again and again."""
+    """Guards against a frame above the limit, and against reordered or missing bytes.
+
+    Many streams that attach together send their buffers in one batch. A frame above the limit
+    closes the link, and the next link would send the same frame again.
+    """
 
     def test_streams_that_attach_together_fit_the_frame_limit(self) -> None:
         batch: list[Message] = [Data([(f"a{n}", 0, bytes(MAX_MERGED_BYTES))]) for n in range(40)]
--- a/cassiadrum/tests/test_links.py
+++ b/cassiadrum/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Tests of the codec and the stream buffer."""
+"""Tests of the message codec and the stream buffer."""
 
 import pytest
 
@@ -17,7 +17,10 @@
 
 
 class TestCodec:
-    """Guards against a frame that is read as something else than was sent."""
+    """Guards against a frame that decodes to another message than was sent.
+
+    Frames can be malformed, or come from a newer peer with unknown message types.
+    """
 
     @pytest.mark.parametrize(
         "msg",
@@ -40,7 +43,11 @@
 
 
 class TestFrames:
-    """Guards against messages that are lost, reordered or too large when they share a frame."""
+    """Guards against messages that are lost, reordered or too large when they share a frame.
+
+    A frame holds at most 255 messages, and a batch of messages may exceed that or the size limit
+    of a frame.
+    """
 
     @pytest.mark.parametrize("count", [1, 2, 23, 24, 255, 256, 700])
     def test_messages_keep_their_order(self, count: int) -> None:
@@ -75,7 +82,11 @@
 
 
 class TestStreamBuffer:
-    """Guards against bytes lost or doubled when a stream is attached again."""
+    """Guards against bytes lost or repeated when a stream is attached again.
+
+    The receiver names a position, and the buffer has dropped acknowledged bytes over its
+    capacity.
+    """
 
     def test_unacknowledged_bytes_are_kept(self) -> None:
         buffer = StreamBuffer(4)
--- a/cassiadrum/tests/test_loads.py
+++ b/cassiadrum/tests/test_loads.py
@@ -33,7 +33,10 @@
 
 
 class TestLoadMix:
-    """Guards against a mix file whose mistake is found only by an odd result."""
+    """Guards against a mistake in a mix file that is noticed only by an odd result.
+
+    A misspelt key or class, or a value out of range, must be an error that names the key.
+    """
 
     @pytest.mark.parametrize("name", MIXES)
     def test_example_covers_every_class(self, name: str) -> None:
@@ -67,7 +70,11 @@
 
 
 class TestLoadPlan:
-    """Guards against arrivals that depend on more than the seed or miss the stated rates."""
+    """Guards against arrivals that depend on more than the seed or miss the stated rates.
+
+    Two runs with one seed could then not be compared, and a burst would not be the load that the
+    mix file states.
+    """
 
     def test_same_seed_gives_the_same_plan(self, mix: LoadMix) -> None:
         assert LoadPlan.from_mix(mix, 7) == LoadPlan.from_mix(mix, 7)
@@ -95,7 +102,11 @@
 
 
 class TestCoordinatedOmission:
-    """Guards against latencies that leave out the wait behind a stalled answer."""
+    """Guards against coordinated omission: latencies without the wait behind a stalled answer.
+
+    It comes about when the sender waits for one answer before it sends the next request, or
+    measures from the time of sending instead of the planned arrival.
+    """
 
     async def test_latency_counts_from_the_planned_arrival(self, mix: LoadMix) -> None:
         async def answer(exchange: Exchange) -> None:
@@ -144,7 +155,11 @@
 
 
 class TestRunLoad:
-    """Guards against a report that leaves out what callers or processes saw."""
+    """Guards against a report that omits requests, events or violations, or an unsafe page.
+
+    The report joins the callers' outcomes with the events of all processes. The page contains
+    their texts, which must be escaped.
+    """
 
     async def test_report_of_a_site(self, site: LocalSite, mix: LoadMix) -> None:
         short_mix = mix._replace(duration_s=1.5)
--- a/cassiadrum/tests/test_local_sites.py
+++ b/cassiadrum/tests/test_local_sites.py
@@ -1,4 +1,4 @@
-"""Tests of the whole path in one process."""
+"""Tests of a site in one process, from the caller to the endpoint."""
 
 import asyncio
 import json
@@ -32,7 +32,11 @@
 
 
 class TestRequestPath:
-    """Guards against a request that does not get from the caller to the endpoint and back."""
+    """Guards against a request that does not get from the caller to the endpoint and back.
+
+    A bad request must be refused before it runs, and a repeated once-only call must not run again
+    at another entry instance.
+    """
 
     async def test_raw_request_gets_a_stream(self, site: LocalSite) -> None:
         host, _, port = site.entry_address().rpartition(":")
--- a/cassiadrum/tests/test_logs.py
+++ b/cassiadrum/tests/test_logs.py
@@ -26,7 +26,11 @@
 
 
 class TestConfigureLogging:
-    """Guards against lines without their context and against lines written twice."""
+    """Guards against log lines without their context, written twice or forged.
+
+    A second set-up that adds a handler doubles each line, and a line break in a logged value
+    starts a line that looks genuine.
+    """
 
     def test_fields_and_level(self, stream: io.StringIO) -> None:
         logger.debug("hidden")
@@ -66,7 +70,10 @@
 
 
 class TestRedaction:
-    """Guards against key material and credentials in log lines."""
+    """Guards against key material and credentials in log lines.
+
+    They get there as part of a message, an argument, an extra field or a traceback.
+    """
 
     @pytest.mark.parametrize(
         ("message", "args", "extra"),
@@ -110,7 +117,10 @@
 
 
 class TestRepeatFilter:
-    """Guards against floods of one line and against lines left out without a report."""
+    """Guards against floods of one line, and against suppressed lines that are not reported.
+
+    A fault that repeats logs the same message many times per second.
+    """
 
     def test_limit_and_report(self, stream: io.StringIO) -> None:
         for index in range(12):
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -1,4 +1,4 @@
-"""Tests of membership and of the links that follow from it."""
+"""Tests of the membership and of the links to its members."""
 
 import pytest
 
@@ -16,7 +16,11 @@
 
 
 class TestMembership:
-    """Guards against members lost to a bad list, and against gone ones that stay."""
+    """Guards against members removed because of a wrong list, and absent ones that are kept.
+
+    The instance list can be empty, outdated or wrong while the members work. A member that is
+    unlisted and disconnected beyond REMOVAL_LIMIT_S is gone.
+    """
 
     def setup_method(self) -> None:
         self.members = Membership("sidecar")
@@ -73,7 +77,7 @@
 
 
 class FakeDialer:
-    """Stand in for a LinkDialer; `link` is any object."""
+    """A dialer that only records whether it was started."""
 
     def __init__(self, member: Instance) -> None:
         self.member = member
@@ -87,7 +91,11 @@
 
 
 class TestMemberLinks:
-    """Guards against links that do not follow the membership."""
+    """Guards against links that do not follow the membership.
+
+    Members leave, move to another address, are removed or refuse the link, and the end of a
+    replaced link is noticed late.
+    """
 
     def setup_method(self) -> None:
         self.now = 0.0
--- a/cassiadrum/tests/test_metrics.py
+++ b/cassiadrum/tests/test_metrics.py
@@ -17,7 +17,11 @@
 
 
 class TestRoleMetrics:
-    """Guards against measurements that are lost, mislabelled or unbounded."""
+    """Guards against measurements that are lost, mislabelled or unbounded in number.
+
+    Label values come from requests: they need escaping, and callers can use any number of service
+    names.
+    """
 
     def test_every_metric_is_rendered(self) -> None:
         metrics = make_metrics()
@@ -88,7 +92,10 @@
 
 
 class TestCustomerRanking:
-    """Guards against customers' names in labels and against unbounded label sets."""
+    """Guards against customer names in labels and against a series for each customer.
+
+    Labels are ranks in the last full window; the other customers are summed.
+    """
 
     def test_top_of_the_last_full_window_and_the_others(self) -> None:
         ranking = CustomerRanking(window_s=10, top=2)
--- a/cassiadrum/tests/test_mutants.py
+++ b/cassiadrum/tests/test_mutants.py
@@ -8,7 +8,11 @@
 
 
 class TestMutants:
-    """Guards against a mutant that no longer applies, and so proves nothing."""
+    """Guards against a mutant that can no longer be applied.
+
+    A change of the source or of a test's path leaves the table outdated, and the mutant would not
+    show that a test detects it.
+    """
 
     @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
     def test_code_occurs_once_and_tests_exist(self, mutant: Mutant) -> None:
--- a/cassiadrum/tests/test_operations_page.py
+++ b/cassiadrum/tests/test_operations_page.py
@@ -27,7 +27,10 @@
 
 
 class TestOperationsPage:
-    """Guards against a refusal, exit code or command that operators cannot look up."""
+    """Guards against refusals, exit codes, metrics and commands missing from the page.
+
+    Each of them is defined in the code, and the page is easily forgotten in a change.
+    """
 
     def test_refusals(self) -> None:
         rows = re.findall(r"^\| `([a-z_]+)` \| (\d{3}) \|", TEXT, re.MULTILINE)
--- a/cassiadrum/tests/test_order_planners.py
+++ b/cassiadrum/tests/test_order_planners.py
@@ -1,4 +1,4 @@
-"""Tests of the planning of orders to engines."""
+"""Tests of the planner of orders to engines."""
 
 from typing import Any
 
@@ -49,7 +49,11 @@
 
 
 class TestDemandOrderPlanner:
-    """Guards against needless, unaffordable and harmful loads of weights."""
+    """Guards against loads of weights that are needless, exceed the byte budget or do harm.
+
+    A short burst or an outdated report asks for a load that is not needed, and a load can replace
+    the last copy of a model in demand or take too many engines out of service.
+    """
 
     def test_burst_shorter_than_the_hold_time_loads_nothing(self) -> None:
         planner = make_planner()
@@ -63,7 +67,7 @@
     def test_use_between_the_thresholds_loads_nothing(self) -> None:
         planner = make_planner()
         engines = [make_report("e1", "a"), make_report("e2", "a"), make_report("e3", "b")]
-        # Use is 0.5 on two copies: too much for one, too little for three.
+        # The use of two copies is 0.5: too high for one copy, too low for three.
         assert plan_at(planner, demand(a=8, b=5), engines, *range(0, 200, 10)) == []
 
     def test_spare_copy_is_replaced(self) -> None:
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -1,4 +1,4 @@
-"""Tests of orders to engines: lease, fencing token and demand."""
+"""Tests of orders to engines and of the lease and fencing token that protect them."""
 
 import asyncio
 import time
@@ -20,7 +20,7 @@
 
 
 class RecordingLink:
-    """Keep the messages sent on a link."""
+    """A link that records the messages sent on it."""
 
     def __init__(self) -> None:
         self.sent: asyncio.Queue[Message] = asyncio.Queue()
@@ -43,7 +43,10 @@
 
 
 class TestLeaseCandidates:
-    """Guards against a lease whose reads grow with the number of entry instances."""
+    """Guards against reads of a lease that grow with the number of entry instances.
+
+    Every candidate reads the lease row on each step.
+    """
 
     def test_few_of_many_instances_are_candidates(self) -> None:
         names = [f"entry-{number}" for number in range(200)]
@@ -52,7 +55,11 @@
 
 
 class TestOrderExecutor:
-    """Guards against an order of a former lease holder at an engine that ignores tokens."""
+    """Guards against an order of a former lease holder at an engine that ignores tokens.
+
+    The order was sent before the lease was lost and arrives after the takeover; only the sidecar
+    compares its fencing token.
+    """
 
     async def test_old_token_is_refused_before_the_engine(self, store: TableStore) -> None:
         now = [0.0]
@@ -89,7 +96,10 @@
 
 
 class TestOrderTask:
-    """Guards against models in demand that no engine loads, and against orders without a lease."""
+    """Guards against models in demand that no engine loads, and against orders without a lease.
+
+    Every entry instance plans from the demand it sees, but only the lease holder may send.
+    """
 
     async def test_order_is_sent_only_under_the_lease(self, store: TableStore) -> None:
         now = [0.0]
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions that only matter when endpoints are full, stale or failing."""
+"""Tests of decisions with endpoints that are full, failing or known from old reports."""
 
 from random import Random
 from typing import Any
@@ -37,7 +37,11 @@
 
 
 class TestFullEndpoints:
-    """Guards against protected work that waits while the sidecar would serve it first."""
+    """Guards against protected work that waits, and against work for a full endpoint.
+
+    A sidecar serves protected requests first, so they need no free slot. An endpoint that has
+    just rejected a request would reject the next one too.
+    """
 
     def test_protected_request_goes_to_a_full_endpoint(self) -> None:
         dispatcher = make_dispatcher(1, running=LIMIT)
@@ -58,7 +62,11 @@
 
 
 class TestOutdatedReports:
-    """Guards against entry instances that all act on the same old report."""
+    """Guards against entry instances that all act on the same outdated report.
+
+    They would all send to the endpoint that the report shows as free, or keep slots idle that
+    became free since. With outdated reports a short queue at the endpoint fills them.
+    """
 
     def test_load_from_other_instances_is_smoothed_by_report_age(self) -> None:
         fresh, outdated = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
@@ -94,14 +102,18 @@
 
 
 class TestPrefillRate:
-    """Guards against a cached prefix that outweighs load because the load itself was measured."""
+    """Guards against a cached prefix that outweighs the load of its endpoint.
+
+    The prefill rate is learned from times to the first token. If these contain queueing behind
+    other prompts, prefill seems slow and a cached prefix too valuable.
+    """
 
     def test_queueing_before_first_tokens_hardly_raises_the_value_of_a_prefix(self) -> None:
         chooser = LeastCostChooser(Random(1))
         for index in range(2):
             chooser.report(make_report(f"e{index}"), 0.0)
         for number in range(60):
-            # Every second first token waits a second for other prompts.
+            # Every second request waits 1 s behind other prompts before its first token.
             chooser.dispatched("e1", make_request(f"r{number}", prompt_tokens=800), number)
             chooser.progressed("e1", f"r{number}", 1, number + (1.1 if number % 2 else 0.1))
             chooser.finished("e1", f"r{number}", True, number + 4.0)
@@ -113,7 +125,11 @@
 
 
 class TestFailedAttempts:
-    """Guards against accepted requests that are refused after a crash or after rejections."""
+    """Guards against accepted requests that are refused after a crash or after rejections.
+
+    An answer that was delivered in part continues elsewhere without retry budget, but only a
+    bounded number of times and never for once-only requests.
+    """
 
     def test_partly_delivered_answer_continues_without_budget(self) -> None:
         dispatcher = make_dispatcher(2)
--- a/cassiadrum/tests/test_process_commands.py
+++ b/cassiadrum/tests/test_process_commands.py
@@ -21,7 +21,11 @@
 
 
 class TestProcesses:
-    """Guards against a status that hides a process that is silent, draining or behind."""
+    """Guards against a status that hides a silent, draining or lagging process.
+
+    The status asks each listed instance; one may not answer, have a wrong address, or the list or
+    the table service may be unavailable.
+    """
 
     async def test_status_of_a_healthy_site(self, command_site: LocalSite) -> None:
         result = await run("status", "--json")
@@ -78,7 +82,11 @@
 
 
 class TestRequests:
-    """Guards against a client that hides a refusal, and against a story without its cause."""
+    """Guards against a client that hides a refusal, and an explanation without the cause.
+
+    Exit codes and reasons come from the problem in the answer; `explain` finds the cause in the
+    events of all processes.
+    """
 
     async def test_stream_is_printed_and_explained(self, command_site: LocalSite) -> None:
         body = json.dumps({"prompt": "yoke", "stream": True})
@@ -119,7 +127,10 @@
 
 
 class TestTimeline:
-    """Guards against events that are missing from the merged record without a note."""
+    """Guards against events that are missing from the merged timeline without a note.
+
+    A process may not answer, and a follower reads the events of each process repeatedly.
+    """
 
     async def test_filters(self, command_site: LocalSite) -> None:
         await run("request", f"{REGISTER}/permits/7")
@@ -154,7 +165,7 @@
         task = asyncio.create_task(execute(arguments, stream))
         for count in range(1, 4):
             await run("request", f"{REGISTER}/permits/7")
-            # The test's own time limit ends the wait for an event that is never printed.
+            # If an event is never printed, the time limit of the test ends the loop.
             while stream.getvalue().count("received") < count:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
         task.cancel()
@@ -175,7 +186,7 @@
 
 
 class TestOutput:
-    """Guards against a traceback when the reader of the output leaves, as `head` does."""
+    """Guards against a traceback when the reader of the output closes the pipe, as `head` does."""
 
     def test_closed_pipe(self) -> None:
         reader, writer = os.pipe()
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -34,7 +34,10 @@
 
 
 class TestHttpServer:
-    """Guards against invalid requests that get no typed answer or stop the server."""
+    """Guards against invalid requests that get no problem document or stop the server.
+
+    They are malformed, too large, incomplete or have contradictory lengths.
+    """
 
     @pytest.mark.parametrize(
         ("data", "status"),
@@ -66,7 +69,11 @@
 
 
 class TestClose:
-    """Guards against a planned stop that cuts off what has begun to arrive."""
+    """Guards against a planned stop that cuts off a request which has begun to arrive.
+
+    A part of the request, or all of it, is still in the socket buffer when the server closes.
+    Idle connections must not delay the stop.
+    """
 
     HEAD = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n"
 
@@ -111,7 +118,10 @@
 
 
 class TestConnectionLimit:
-    """Guards against idle connections that keep a new caller out."""
+    """Guards against idle connections that keep a new caller out.
+
+    At the connection limit the connection that was idle for longest is closed.
+    """
 
     async def test_oldest_idle_connection_makes_room(self) -> None:
         server = HttpServer(echo, connection_limit=3)
@@ -126,7 +136,10 @@
 
 
 class TestBodyBudget:
-    """Guards against bodies that take all memory, or that keep a small request out."""
+    """Guards against bodies that take all memory, or that keep a small request out.
+
+    Slow or large bodies fill the common budget; a small body is accepted beyond it.
+    """
 
     async def test_large_bodies_are_refused_beyond_the_budget(self) -> None:
         server = HttpServer(echo, body_budget_bytes=50_000)
@@ -145,7 +158,11 @@
 
 
 class TestDisconnect:
-    """Guards against an answer that is computed to its end for a caller that left."""
+    """Guards against an answer that is computed to its end for a caller that has left.
+
+    The caller leaves before or while the handler runs, possibly with a second, pipelined request
+    under way.
+    """
 
     @pytest.mark.parametrize("pipelined", [b"", b"GET /second HTTP/1.1\r\n"])
     async def test_handler_is_notified(self, pipelined: bytes) -> None:
@@ -185,7 +202,10 @@
 
 
 class TestHttpClient:
-    """Guards against a cut answer taken for a whole one."""
+    """Guards against a truncated answer taken for a complete one.
+
+    A refused connection, in contrast, means that the request was not sent.
+    """
 
     async def test_truncated_answer_is_lost(self, port: int) -> None:
         response = await HttpClient("127.0.0.1", port).request("GET", "/cut")
--- a/cassiadrum/tests/test_retry_policies.py
+++ b/cassiadrum/tests/test_retry_policies.py
@@ -1,4 +1,4 @@
-"""Tests of the policies of retries and hedges."""
+"""Tests of the retry and hedge policies."""
 
 import math
 
@@ -16,7 +16,11 @@
 
 
 class TestBudgetRetryPolicy:
-    """Guards against retry storms and against repeated effects."""
+    """Guards against retry storms and against repeated effects.
+
+    Retries multiply the load while endpoints fail. A request that may have run must not run again
+    unless it is idempotent.
+    """
 
     @given(
         st.lists(st.sampled_from(["accept", "no", "yes", "unknown"])), st.sampled_from([0.1, 0.5])
@@ -61,7 +65,10 @@
 
 
 class TestWasteBoundHedgePolicy:
-    """Guards against copies that waste more than the class allows."""
+    """Guards against hedges that waste more tokens than the class allows.
+
+    The waste of a hedge is known only when it ends, so hedges in progress have to count too.
+    """
 
     @staticmethod
     def make_policy(budget: float = 0.1) -> WasteBoundHedgePolicy:
--- a/cassiadrum/tests/test_service_commands.py
+++ b/cassiadrum/tests/test_service_commands.py
@@ -1,4 +1,4 @@
-"""Tests of the commands on services against a local command_site."""
+"""Tests of the commands on services against a local site."""
 
 import asyncio
 from pathlib import Path
@@ -27,7 +27,11 @@
 
 
 class TestApply:
-    """Guards against a change that is lost, made twice, or overwrites another one."""
+    """Guards against a change that is lost, made twice, or overwrites another one.
+
+    The answer is lost, two operators change the document at once, the store or the list is
+    unavailable, or an operation id is used again for another text.
+    """
 
     async def test_applied_version_is_in_force_everywhere(
         self, command_site: LocalSite, edited: Path
@@ -133,7 +137,7 @@
                 and not command_site.table_service.faults.down
             ):
                 command_site.table_service.set_faults(Faults(down=True))
-                raise AnswerLost("cut by the test before it was applied")
+                raise AnswerLost("lost before the change was applied")
             return await send(self, method, target, *rest)
 
         with monkeypatch.context() as patch:
@@ -194,7 +198,11 @@
 
 
 class TestDocuments:
-    """Guards against commands that show another version than asked for."""
+    """Guards against commands that show a wrong version or accept wrong input.
+
+    Versions are given by number, as the current one or as a file, and a deleted service keeps its
+    versions.
+    """
 
     async def test_show_prints_the_text(self, command_site: LocalSite, edited: Path) -> None:
         await run("service", "apply", str(edited))
--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -1,4 +1,4 @@
-"""Tests of membership over a whole site."""
+"""Tests of the membership within a whole site."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -46,7 +46,7 @@
 
 
 async def wait_for_polls(entry: Daemon, count: int) -> None:
-    """Wait until the entry instance has read the list `count` times more."""
+    """Wait until the entry instance has read the list `count` more times."""
     instance_watch = entry._instances  # type: ignore[attr-defined]
     sizes: list[int] = []
 
@@ -71,7 +71,11 @@
 
 
 class TestSiteMembers:
-    """Guards against work for leaving sidecars and against links cut by a bad list."""
+    """Guards against work for leaving sidecars and against links closed by a wrong list.
+
+    A sidecar leaves by the list or by its own report. The list can be empty, wrong or unavailable
+    while all links work.
+    """
 
     @pytest.mark.parametrize("by_list", [True, False])
     async def test_leaving_sidecar_gets_no_new_work(self, site: LocalSite, by_list: bool) -> None:
@@ -88,7 +92,7 @@
             for event in entry.ring.read_after(before, 10_000)
             if event.kind is EventKind.DISPATCHED
         }
-        # The leaving sidecar is the one in the entry instance's zone, which would be preferred.
+        # The leaving sidecar is in the zone of the entry instance and would be preferred.
         assert targets and leaving.instance not in targets
 
     async def test_wrong_lists_close_no_link(self, site: LocalSite) -> None:
@@ -109,12 +113,16 @@
 
     async def test_count_of_processes_comes_from_the_list(self, site: LocalSite) -> None:
         agent = site.entries[0]._configurations  # type: ignore[attr-defined]
-        # The entry instance is listed from its second poll on.
+        # The entry instance finds itself in the list from its second poll on.
         await wait_until(lambda: agent._process_count() == len(site.endpoints) + 1)
 
 
 class TestSiteSubsets:
-    """Guards against a sidecar that refuses links which nobody makes up for."""
+    """Guards against an entry instance without links after a sidecar refused it.
+
+    A sidecar at its connection bound refuses the link, and the next sidecar in rank has to
+    replace it.
+    """
 
     async def test_refused_entry_instance_dials_the_next_sidecar_in_rank(self) -> None:
         text = (EXAMPLES / "permit-register.toml").read_text()
@@ -128,7 +136,7 @@
             )
             task = sidecar._sidecar  # type: ignore[attr-defined]
             await wait_until(lambda: "entry-1" in task.links)
-            # Every place is taken by the time the entry instance dials again.
+            # No connection is left by the time the entry instance dials again.
             task.bound._admitted = {"another entry": None}
             task.bound.mean = 0.8
             task.links["entry-1"].abort()
--- a/cassiadrum/tests/test_site_streams.py
+++ b/cassiadrum/tests/test_site_streams.py
@@ -1,4 +1,4 @@
-"""Tests of streams over a whole site while parts fail."""
+"""Tests of streams through a whole site while links and processes fail."""
 
 import asyncio
 import json
@@ -33,7 +33,7 @@
 
 
 class Caller:
-    """Read one streamed answer; `body` grows while it arrives."""
+    """A caller that reads a streamed answer; `body` grows while it arrives."""
 
     def __init__(self, site: LocalSite, entry: int = 0) -> None:
         host, _, port = site.entry_address(entry).rpartition(":")
@@ -64,7 +64,7 @@
 @pytest.fixture
 async def site() -> AsyncIterator[LocalSite]:
     text = (EXAMPLES / "sprachdienst.toml").read_text()
-    # The budget is a share of the accepted requests, and the first one needs a whole retry.
+    # The retry budget is a share of the accepted requests; the first request needs a full retry.
     text = text.replace("retry_budget = 0.1", "retry_budget = 1.0")
     site = LocalSite([text], entries=2, step_s=0.03)
     await site.start()
@@ -78,7 +78,7 @@
 
 
 async def kill_first_entry(site: LocalSite) -> None:
-    """Stop the first entry instance without a word to its sidecars."""
+    """Stop the first entry instance without notice to its sidecars."""
     entry = site.entries.pop(0)
     await entry._cancel_tasks()
     await entry._members.close()  # type: ignore[attr-defined]
@@ -86,7 +86,7 @@
 
 
 async def restart_sidecar(site: LocalSite, endpoint: SiteEndpoint) -> None:
-    """Kill a sidecar and start another one under the same name, at another address."""
+    """Stop a sidecar and start another with the same name at another address."""
     await endpoint.sidecar.close()
     cfg = endpoint.sidecar._cfg  # type: ignore[attr-defined]
     settings = (
@@ -114,7 +114,7 @@
 
 
 class EndlessAnswer:
-    """An endpoint whose answer never ends by itself; `sent` counts its bytes."""
+    """An endpoint whose answer ends only when the caller leaves; `sent` counts its bytes."""
 
     def __init__(self) -> None:
         self.sent = 0
@@ -131,7 +131,11 @@
 
 
 class TestSlowCaller:
-    """Guards against an answer that piles up in memory while its caller does not read."""
+    """Guards against an answer that accumulates in memory while its caller does not read.
+
+    Flow control has to reach from the caller's socket through the entry instance and the sidecar
+    to the endpoint.
+    """
 
     async def test_stalled_caller_stops_the_endpoint(self) -> None:
         text = (EXAMPLES / "permit-register.toml").read_text()
@@ -168,7 +172,12 @@
 
 
 class TestSiteStreams:
-    """Guards against answers that are cut, doubled or lost when a connection or process fails."""
+    """Guards against answers that are truncated, repeated or lost when a link or process fails.
+
+    A link is reset, an entry instance is killed or a sidecar is restarted in mid-stream. The
+    caller gets the rest on the same connection, or fetches it by the request id from another
+    entry instance.
+    """
 
     async def test_caller_does_not_notice_a_reset_link(self, site: LocalSite) -> None:
         caller = Caller(site)
@@ -207,14 +216,14 @@
         target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
         reading = asyncio.create_task(second.read(await second.client.request("GET", target)))
         await wait_until(lambda: len(second.body) > 200)
-        # The caller leaves, and the answer is kept for its next attempt.
+        # The caller leaves; the answer is kept for its next fetch.
         reading.cancel()
         await asyncio.wait([reading])
         caller.body += second.body
         third = Caller(site)
         target = f"/requests/{caller.answer_id}?position={len(caller.body)}"
         async with asyncio.timeout(LIMIT_S):
-            # Refused while the entry instance has not noticed that the caller left.
+            # Refused until the entry instance has noticed that the caller left.
             while (response := await third.client.request("GET", target)).status != 200:
                 await response.read()
         reading = asyncio.create_task(third.read(response))
@@ -232,7 +241,7 @@
         endpoint = serving_endpoint(site)
         await restart_sidecar(site, endpoint)
         await sending
-        # Another engine continued after the text that was delivered.
+        # Another engine continued the answer after the delivered text.
         caller.assert_complete()
         names = sorted(endpoint.instance for endpoint in site.endpoints)
         await wait_until(lambda: all(sorted(e.status()["links"]) == names for e in site.entries))
--- a/cassiadrum/tests/test_stores.py
+++ b/cassiadrum/tests/test_stores.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-ins with their clients, over real sockets."""
+"""Tests of the stores' clients against their stand-ins, over real sockets."""
 
 import asyncio
 import sys
@@ -50,7 +50,11 @@
 
 
 class TestTableStore:
-    """Guards against a write reported as not done that took effect, and the reverse."""
+    """Guards against a write reported as refused that took effect, and the reverse.
+
+    An answer that is lost or late leaves the outcome unknown; an outage or a rate limit does not.
+    Versions must not repeat when a key is deleted and written again.
+    """
 
     async def test_compare_and_set(self, tables: TableService) -> None:
         store = HttpTableStore(await open_transport(tables))
@@ -138,7 +142,10 @@
 
 
 class TestInstanceList:
-    """Guards against a client that takes a lagging or wrong list for a failure."""
+    """Guards against a client that takes a lagging or empty list for a failure.
+
+    The service may return an old or empty list; only an unreadable one is an error.
+    """
 
     async def test_lag_and_faults(self) -> None:
         service = InstanceListService(lag_s=0.1)
@@ -166,7 +173,10 @@
 
 
 class TestConditionalRead:
-    """Guards against reading a list of megabytes again while it does not change."""
+    """Guards against repeated transfer of an unchanged list, which may have megabytes.
+
+    Without a conditional request every poll of every process transfers the whole list.
+    """
 
     async def test_unchanged_list_is_not_sent_again(self) -> None:
         statuses: list[int] = []
@@ -189,7 +199,10 @@
 
 
 class TestObjectStore:
-    """Guards against an object reported as lost although it was written."""
+    """Guards against an object reported as not written although it was.
+
+    The service applies the write and its answer is lost.
+    """
 
     async def test_objects_and_dropped_answers(self) -> None:
         service = ObjectService()
@@ -204,7 +217,10 @@
 
 
 class TestWeightStore:
-    """Guards against a cut download taken for a whole one."""
+    """Guards against a truncated download taken for a complete one.
+
+    The connection ends before the announced size, and the download continues at an offset.
+    """
 
     async def test_download_is_limited_and_resumes(self) -> None:
         service = WeightService(bytes_per_s=200_000)
@@ -224,7 +240,10 @@
 
 
 class TestTokenBucket:
-    """Guards against a process that sends more than its share of the rate budget."""
+    """Guards against a process that sends more than its share of the rate budget.
+
+    A call that finds the budget used up waits within a limit or is refused before it is sent.
+    """
 
     def test_rate_is_bounded(self) -> None:
         bucket = TokenBucket(10.0, burst=2.0)
@@ -246,7 +265,10 @@
 
 
 class TestCircuitBreaker:
-    """Guards against requests piling up on a store that is down."""
+    """Guards against requests that accumulate on a store that is down.
+
+    After repeated failures only one probe per interval is let through.
+    """
 
     def test_open_lets_one_probe_through(self) -> None:
         breaker = CircuitBreaker(failures=2, probe_interval_s=1.0)
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -1,4 +1,4 @@
-"""Tests of the router and the sidecar with faults between them."""
+"""Tests of the router and the sidecar with faults on the link between them."""
 
 import asyncio
 import math
@@ -54,7 +54,7 @@
 
 
 class FakeLink:
-    """Keep what was sent; `hello` is the peer's."""
+    """A link that records the messages sent on it; `hello` is the hello of the peer."""
 
     def __init__(self, hello: Hello) -> None:
         self.peer = hello
@@ -118,7 +118,11 @@
 
 
 class TestRouterFaults:
-    """Guards against answers that stall, double or are misjudged at the entry instance."""
+    """Guards against answers that stall, repeat or get a wrong outcome at the entry instance.
+
+    A message from the sidecar is lost, repeated or late, the sidecar restarts, the entry instance
+    is paused, or the caller reads slowly.
+    """
 
     def test_lost_acknowledgement_is_sent_again(self) -> None:
         harness = RouterHarness()
@@ -148,7 +152,7 @@
         assert harness.events()[-1] == AnswerEnd(None)
 
     def test_end_of_an_unknown_attempt_is_acknowledged(self) -> None:
-        # A sidecar that drains waits for the confirmation of each end.
+        # A draining sidecar waits for the acknowledgement of each end.
         harness = RouterHarness()
         harness.receive(End("gone.1", False, "unknown", 1, "cancelled", 0.0, 30))
         assert harness.link.sent_of(Ack)[-1].parts == [("gone.1", 30)]
@@ -160,7 +164,8 @@
     def test_unknown_attempt_that_is_old_may_have_run(
         self, monkeypatch: pytest.MonkeyPatch, reason: str, age_s: float, ran: str
     ) -> None:
-        # An entry instance that was stopped for a minute attaches to what has been forgotten.
+        # An entry instance that was paused for a minute attaches to an attempt that the
+        # sidecar has forgotten.
         harness = RouterHarness()
         outcomes: list[Any] = []
         monkeypatch.setattr(
@@ -202,7 +207,7 @@
 
 
 class SidecarHarness:
-    """A sidecar whose calls never answer by themselves."""
+    """A sidecar whose calls answer only when the test sends their data."""
 
     def __init__(self) -> None:
         self.now = 100.0
@@ -240,14 +245,14 @@
 
 
 class FakeEndpoint:
-    """Take control calls."""
+    """An endpoint that ignores control calls."""
 
     async def cancel(self, attempt_id: str) -> None:
         """Do nothing."""
 
 
 class FakeCaller:
-    """Note which attempts run."""
+    """A call runner that records the attempts that run."""
 
     def __init__(self, ran: list[str]) -> None:
         self._ran = ran
@@ -257,7 +262,11 @@
 
 
 class TestSidecarFaults:
-    """Guards against work that runs twice or for nobody, and against streams that block."""
+    """Guards against work that runs twice or without a receiver, and streams that block.
+
+    Links are lost and replaced: messages of the old link arrive late, acknowledgements are lost,
+    and the entry instance may never return.
+    """
 
     async def test_delayed_start_after_attach_does_not_run(self) -> None:
         harness = SidecarHarness()
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -1,4 +1,4 @@
-"""Tests of the subsets and of the bound on connections."""
+"""Tests of the subsets of sidecars and of the bound on connections."""
 
 import math
 
@@ -7,8 +7,8 @@
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.stores import Instance
 
-# The target's 2,300 entry instances and 7,300 sidecars, 27 zones and 560 replacements a day,
-# scaled down by ten; the subset size and so the mean of 20.2 connections stay.
+# A tenth of a large deployment: 2,300 entry instances, 7,300 sidecars, 27 zones and 560
+# replacements a day. With the same subset size the mean stays 20.2 connections.
 ENTRIES = 230
 SIDECARS = 730
 ZONES = 3
@@ -21,7 +21,7 @@
 
 
 class Fleet:
-    """Run the subsets of all entry instances against the bounds of all sidecars."""
+    """The subsets of all entry instances and the connection bounds of all sidecars."""
 
     def __init__(self) -> None:
         self.entries = [instance("entry", f"e{n}", n) for n in range(ENTRIES)]
@@ -48,7 +48,7 @@
             linked.discard(name)
 
     def dial_until_stable(self) -> None:
-        """Dial until each entry instance has the links that it wants."""
+        """Dial until each entry instance has links to its whole subset."""
         for entry, subset in self.subsets.items():
             linked = self.links[entry]
             while linked != (selected := set(subset.select(0.0))):
@@ -69,7 +69,11 @@
 
 
 class TestSubset:
-    """Guards against a subset that does not follow rank, zone and load."""
+    """Guards against a subset that does not follow zone, rank and availability.
+
+    A sidecar that leaves or is full must be replaced, and full ones must be tried again if too
+    few remain.
+    """
 
     def test_own_zone_comes_first(self) -> None:
         subset = Subset("e", "z1", 3)
@@ -96,7 +100,11 @@
 
 
 class TestConnectionBound:
-    """Guards against a sidecar with more links than its share, or one that refuses its own."""
+    """Guards against a sidecar with too many links, or one that refuses known peers.
+
+    Entry instances choose independently, so some sidecars are chosen too often. An entry instance
+    that reconnects must keep its slot.
+    """
 
     def test_bound_is_a_quarter_above_the_mean(self) -> None:
         bound = ConnectionBound()
@@ -119,7 +127,11 @@
 
 
 class TestChurn:
-    """Guards against connections that concentrate or move when instances are replaced."""
+    """Guards against connections that concentrate or move when instances are replaced.
+
+    A replacement changes the ranks in every subset; only links of the replaced sidecar may move,
+    and no sidecar may exceed 1.25 times the mean.
+    """
 
     def test_replacement_under_the_same_name_moves_only_its_own_links(self) -> None:
         fleet = Fleet()
@@ -156,7 +168,7 @@
 
 
 class FakeLink:
-    """Stand in for a link; keeps what was sent."""
+    """A link that records the messages sent on it."""
 
     def __init__(self, entry: str) -> None:
         self.peer = Hello(1, entry, "entry", "z", "")
@@ -171,7 +183,10 @@
 
 
 class TestEntryLinks:
-    """Guards against a sidecar that takes more entry instances than its share."""
+    """Guards against a sidecar that admits too many entry instances.
+
+    A reconnection replaces the old link and must not be counted twice.
+    """
 
     def test_link_above_the_bound_is_refused(self) -> None:
         bound = ConnectionBound()
@@ -193,7 +208,10 @@
 
 
 class TestLinksPerService:
-    """Guards against links that grow with the number of services."""
+    """Guards against a number of links that grows with the number of services.
+
+    The subset size bounds the links to all services together.
+    """
 
     def test_links_of_all_services_stay_near_the_subset(self) -> None:
         assert links_per_service(64, 17) == 4
--- a/cassiadrum/tests/test_texts.py
+++ b/cassiadrum/tests/test_texts.py
@@ -40,7 +40,7 @@
     "tls without a key": ("[platform]", '[tls]\ncertificate = "c.pem"\n[platform]'),
 }
 
-# Replacements in the example auftragsdienst.
+# Replacements in the text of the example document auftragsdienst.
 DOCUMENT_EDITS = {
     "syntax": ("tier = 0", "tier ="),
     "missing key": ("tier = 0\n", ""),
@@ -65,7 +65,10 @@
 
 
 class TestErrorTexts:
-    """Guards against errors that no longer say what was found, where, and what is allowed."""
+    """Guards against errors that no longer say what was found, where, and what is allowed.
+
+    Each case makes one mistake in a valid file.
+    """
 
     @pytest.mark.parametrize("case", SETTINGS_EDITS)
     def test_settings(self, case: str, snapshot: SnapshotAssertion) -> None:
@@ -83,7 +86,10 @@
 
 
 class TestAcceptedDocuments:
-    """Guards against a release whose stricter checks reject a document that is in force."""
+    """Guards against a release whose stricter checks reject a document that is in force.
+
+    A document was accepted under older checks and is parsed again after the upgrade.
+    """
 
     @pytest.mark.parametrize("case", ["no share", "wait at the deadline", "unreachable"])
     def test_accepted_document_is_not_checked_again(self, case: str) -> None:
@@ -93,7 +99,10 @@
 
 
 class TestConsequences:
-    """Guards against an explanation that differs from the document."""
+    """Guards against consequences of a document that are wrong or missing.
+
+    Operators decide on a change by these lines.
+    """
 
     @pytest.mark.parametrize(
         "name",
--- a/cassiadrum/tests/test_tls.py
+++ b/cassiadrum/tests/test_tls.py
@@ -30,7 +30,7 @@
 
 
 class TlsFiles:
-    """The files of one process; `write` replaces them as a certificate manager does."""
+    """TLS files of a process; `write` replaces them atomically, as certificate managers do."""
 
     def __init__(self, path: Path) -> None:
         self.certificate, self.key, self.ca = (path / f"{n}.pem" for n in ("cert", "key", "ca"))
@@ -63,7 +63,7 @@
 
 
 class HelloServer:
-    """A link server that notes the instances that said hello."""
+    """A link server that records the instances whose hello arrived."""
 
     def __init__(self, tls: TlsContexts) -> None:
         self.hellos: list[str] = []
@@ -92,7 +92,7 @@
         return LinkDialer(self.address, self.make(name), on_down=lambda _: None, tls=tls)
 
     async def accepts(self, tls: Callable[[], ssl.SSLContext | None]) -> bool:
-        """Tell whether a dialer gets a hello through before its connection ends."""
+        """Return whether a dialer's hello arrives before its connection ends."""
         self.hellos.clear()
         dialing = asyncio.create_task(self.dialer("e", tls)._connect_once())
         async with asyncio.timeout(LIMIT_S):
@@ -115,7 +115,11 @@
 
 
 class TestTls:
-    """Guards against links with a stranger, and against old keys that stay in force."""
+    """Guards against links with untrusted peers, and against old keys that stay in force.
+
+    Peers without a certificate of the CA have to be refused. After a rotation only the new files
+    may count, unless they cannot be loaded.
+    """
 
     async def test_only_certificates_of_the_own_ca_are_accepted(
         self, server: HelloServer, files: TlsFiles, tmp_path: Path
@@ -173,7 +177,10 @@
 
 
 class TestAdminToken:
-    """Guards against an admin interface that is open, or keeps an old token."""
+    """Guards against an admin interface that is open or accepts a replaced token.
+
+    The token file is replaced, emptied or removed while the process runs.
+    """
 
     def test_only_the_token_passes(self, tmp_path: Path) -> None:
         path = tmp_path / "token"
@@ -227,7 +234,10 @@
 
 
 class TestSiteTls:
-    """Guards against a path that does not work, or is not encrypted, over TLS."""
+    """Guards against a site that does not work over TLS or admits untrusted peers.
+
+    All connections of the site use TLS, and a signal makes a process reload its files.
+    """
 
     async def test_request_passes_over_tls_and_links_refuse_untrusted_peers(
         self, files: TlsFiles, tmp_path: Path
@@ -300,7 +310,10 @@
 
 
 class TestCommandCredentials:
-    """Guards against operators who are locked out by the token or by TLS."""
+    """Guards against operators who cannot reach an admin interface with a token and TLS.
+
+    The command line reads the CA and the token file from environment variables.
+    """
 
     async def test_command_line_sends_its_token(
         self, files: TlsFiles, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/cassiadrum/tests/test_wait_bounds.py
+++ b/cassiadrum/tests/test_wait_bounds.py
@@ -1,4 +1,4 @@
-"""Tests of the bound on waits."""
+"""Tests of the bound on the waits of unprotected classes."""
 
 import math
 
@@ -16,7 +16,11 @@
 
 
 class TestWaitBound:
-    """Guards against a class that waits longer than the bound of design section 4.1."""
+    """Guards against a class that waits longer than wait_bound_s states.
+
+    Higher tiers and protected classes delay the others; a class's minimum share and longest wait
+    have to limit that under any arrivals.
+    """
 
     CAPACITY_TOKENS_PER_S = 20.0
     PROTECTED_TOKENS = 50
