Use the current name of the connection bound in a test of a site

The test reaches the sidecar through an untyped attribute, so the rename of Sidecar.bound to Sidecar.connection_bound missed it, and the test failed with an AttributeError. It checks the same as before.

--- a/cassiadrum/tests/test_site_members.py
+++ b/cassiadrum/tests/test_site_members.py
@@ -137,8 +137,8 @@
             task = sidecar._sidecar  # type: ignore[attr-defined]
             await wait_until(lambda: "entry-1" in task.links)
             # No connection is left by the time the entry instance dials again.
-            task.bound._admitted = {"another entry": None}
-            task.bound.mean = 0.8
+            task.connection_bound._admitted = {"another entry": None}
+            task.connection_bound.mean = 0.8
             task.links["entry-1"].abort()
             await wait_until(lambda: entry.status()["links"] not in ([], [first]))
             assert sidecar.status()["links"] == []
