--- a/cassiadrum/tests/test_known_red.py
+++ b/cassiadrum/tests/test_known_red.py
@@ -12,7 +12,11 @@
 
 
 class TestKnownRed:
-    """Guards against a listed test that fails the run, and an unlisted one that does not."""
+    """Guards against a wrong exit code of a run in which tests fail.
+
+    conftest.py turns the failures of the tests in KNOWN-RED.txt into expected ones. A listed test
+    must not fail the run, and an unlisted one must.
+    """
 
     @pytest.mark.parametrize(("other", "code"), [("True", 0), ("False", 1)])
     def test_only_listed_tests_may_fail(self, tmp_path: Path, other: str, code: int) -> None:
@@ -22,6 +26,8 @@
         (tests / "test_x.py").write_text(TESTS.format(other=other))
         (tmp_path / "KNOWN-RED.txt").write_text(LIST)
         command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "cassiadrum"]
-        done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
-        assert done.returncode == code, done.stdout
-        assert "KNOWN-RED cassiadrum/tests/test_x.py::test_listed: failed" in done.stdout
+        completed = subprocess.run(
+            command, cwd=tmp_path, capture_output=True, text=True, check=False
+        )
+        assert completed.returncode == code, completed.stdout
+        assert "KNOWN-RED cassiadrum/tests/test_x.py::test_listed: failed" in completed.stdout
--- a/cassiadrum/tests/test_links.py
+++ b/cassiadrum/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Tests of the codec and the stream buffer."""
+"""Tests of the message codec and the stream buffer."""
 
 import pytest
 
@@ -17,7 +17,10 @@
 
 
 class TestCodec:
-    """Guards against a frame that is read as something else than was sent."""
+    """Guards against a frame that decodes to another message than was sent.
+
+    Frames can be malformed, or come from a newer peer with unknown message types.
+    """
 
     @pytest.mark.parametrize(
         "msg",
@@ -35,12 +38,16 @@
         with pytest.raises(BadFrame):
             decode_message(frame)
 
-    def test_unknown_type_is_told_apart(self) -> None:
+    def test_unknown_type_decodes_to_none(self) -> None:
         assert decode_message(b"\x81\x18\xc8") is None
 
 
 class TestFrames:
-    """Guards against messages that are lost, reordered or too large when they share a frame."""
+    """Guards against messages that are lost, reordered or too large when they share a frame.
+
+    A frame holds at most 255 messages, and a batch of messages may exceed that or the size limit
+    of a frame.
+    """
 
     @pytest.mark.parametrize("count", [1, 2, 23, 24, 255, 256, 700])
     def test_messages_keep_their_order(self, count: int) -> None:
@@ -65,7 +72,7 @@
         assert [type(msg) for msg in merged] == [Data, Ack, Data]
         assert len(list(make_frames(map(encode_message, merged)))) == 1
 
-    def test_much_data_stays_below_the_frame_limit(self) -> None:
+    def test_large_batch_stays_below_the_frame_limit(self) -> None:
         batch: list[Message] = [Data([("r", index, bytes(60_000))]) for index in range(200)]
         frames = list(make_frames(map(encode_message, merge_data(batch))))
         assert max(map(len, frames)) < LIMITS.FRAME_BYTES
@@ -75,7 +82,11 @@
 
 
 class TestStreamBuffer:
-    """Guards against bytes lost or doubled when a stream is attached again."""
+    """Guards against bytes lost or repeated when a stream is attached again.
+
+    The receiver names a position, and the buffer has dropped acknowledged bytes over its
+    capacity.
+    """
 
     def test_unacknowledged_bytes_are_kept(self) -> None:
         buffer = StreamBuffer(4)
@@ -91,6 +102,6 @@
         with pytest.raises(PositionUnavailable):
             buffer.read_from(1)
 
-    def test_position_ahead_is_an_error(self) -> None:
+    def test_position_beyond_the_end_is_an_error(self) -> None:
         with pytest.raises(PositionUnavailable):
             StreamBuffer(4).read_from(1)
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -1,4 +1,4 @@
-"""Tests of orders to engines: lease, fencing token and demand."""
+"""Tests of orders to engines and of the lease and fencing token that protect them."""
 
 import asyncio
 import time
@@ -19,8 +19,8 @@
 from cassiadrum.stores import HttpTableStore, StoreTransport, TableStore
 
 
-class Recorder:
-    """Keep the messages sent on a link."""
+class RecordingLink:
+    """A link that records the messages sent on it."""
 
     def __init__(self) -> None:
         self.sent: asyncio.Queue[Message] = asyncio.Queue()
@@ -42,17 +42,24 @@
     return EventRing(HybridLogicalClock(lambda: 1.0), "instance", "role", "start")
 
 
-class TestContenders:
-    """Guards against a lease whose reads grow with the number of entry instances."""
+class TestLeaseCandidates:
+    """Guards against reads of a lease that grow with the number of entry instances.
 
-    def test_few_of_many_contend(self) -> None:
+    Every candidate reads the lease row on each step.
+    """
+
+    def test_few_of_many_instances_are_candidates(self) -> None:
         names = [f"entry-{number}" for number in range(200)]
         candidates = [name for name in names if is_candidate("orders/s", name, names)]
         assert len(candidates) == MAX_CANDIDATES
 
 
-class TestOrderGuard:
-    """Guards against an order of a former lease holder at an engine that ignores tokens."""
+class TestOrderExecutor:
+    """Guards against an order of a former lease holder at an engine that ignores tokens.
+
+    The order was sent before the lease was lost and arrives after the takeover; only the sidecar
+    compares its fencing token.
+    """
 
     async def test_old_token_is_refused_before_the_engine(self, store: TableStore) -> None:
         now = [0.0]
@@ -70,11 +77,16 @@
 
         engine = EngineStandIn(enforces_fencing=False)
         endpoint = EngineEndpoint("127.0.0.1", await engine.start())
-        guard = OrderExecutor(endpoint, FencingGuard(store, endpoint_enforces=False), make_ring())
-        task = asyncio.create_task(guard.run())
-        link = Recorder()
+        executor = OrderExecutor(
+            endpoint, FencingGuard(store, endpoint_enforces=False), make_ring()
+        )
+        task = asyncio.create_task(executor.run())
+        link = RecordingLink()
         for fencing in (old, new):
-            guard.post(link, Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"))  # type: ignore[arg-type]
+            executor.post(
+                link,  # type: ignore[arg-type]
+                Order(str(fencing), "orders/s", fencing, "load_model", f"m{fencing}"),
+            )
         results = [await link.sent.get() for _ in range(2)]
         assert [res.ok for res in results if isinstance(res, OrderResult)] == [False, True]
         assert (await endpoint.load()).models == (f"m{new}",)
@@ -84,12 +96,15 @@
 
 
 class TestOrderTask:
-    """Guards against models in demand that no engine loads, and against orders without a lease."""
+    """Guards against models in demand that no engine loads, and against orders without a lease.
+
+    Every entry instance plans from the demand it sees, but only the lease holder may send.
+    """
 
     async def test_order_is_sent_only_under_the_lease(self, store: TableStore) -> None:
         now = [0.0]
         lease = LeaseCandidate(store, "orders/s", "a", lambda: ["a"], make_ring(), lambda: now[0])
-        link = Recorder()
+        link = RecordingLink()
         task = OrderTask(
             "s",
             DemandOrderPlanner({("wanted", ""): 1000}, 1e9),
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions that only matter when endpoints are full, stale or failing."""
+"""Tests of decisions with endpoints that are full, failing or known from old reports."""
 
 from random import Random
 from typing import Any
@@ -37,7 +37,11 @@
 
 
 class TestFullEndpoints:
-    """Guards against protected work that waits while the sidecar would serve it first."""
+    """Guards against protected work that waits, and against work for a full endpoint.
+
+    A sidecar serves protected requests first, so they need no free slot. An endpoint that has
+    just rejected a request would reject the next one too.
+    """
 
     def test_protected_request_goes_to_a_full_endpoint(self) -> None:
         dispatcher = make_dispatcher(1, running=LIMIT)
@@ -47,7 +51,7 @@
         assert action.req.request_id == "high"
         assert dispatcher.queued() == 1
 
-    def test_endpoint_that_rejected_gets_no_work_for_a_moment(self) -> None:
+    def test_endpoint_that_rejected_gets_no_work_for_a_short_time(self) -> None:
         dispatcher = make_dispatcher(1)
         dispatcher.submit(make_request("r"), 1.0)
         rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
@@ -57,33 +61,37 @@
         assert isinstance(action, Dispatch)
 
 
-class TestOldReports:
-    """Guards against entry instances that all act on the same old report."""
+class TestOutdatedReports:
+    """Guards against entry instances that all act on the same outdated report.
+
+    They would all send to the endpoint that the report shows as free, or keep slots idle that
+    became free since. With outdated reports a short queue at the endpoint fills them.
+    """
 
-    def test_load_of_others_is_smoothed_by_the_age_of_the_reports(self) -> None:
-        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
-        for chooser in (fresh, late):
+    def test_load_from_other_instances_is_smoothed_by_report_age(self) -> None:
+        fresh, outdated = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
+        for chooser in (fresh, outdated):
             chooser.report(make_report("e0", running=6), 0.0)
         fresh.report(make_report("e0", 2.0, running=0), 2.0)
-        late.report(make_report("e0", 2.0, running=0), 4.0)
+        outdated.report(make_report("e0", 2.0, running=0), 4.0)
         assert fresh.outstanding("e0") == 0
-        assert 2 <= late.outstanding("e0") <= 5
+        assert 2 <= outdated.outstanding("e0") <= 5
 
-    def test_part_of_the_short_queue_is_used_only_with_old_reports(self) -> None:
-        fresh, late = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
+    def test_short_queue_is_used_only_with_outdated_reports(self) -> None:
+        fresh, outdated = LeastCostChooser(Random(1)), LeastCostChooser(Random(1))
         for step in range(100):
             fresh.report(make_report("e0", step, running=LIMIT), step)
-            late.report(make_report("e0", step, running=LIMIT), step + 2.0)
-        assert (fresh.free_slots(), late.free_slots()) == (0, LIMIT // 2)
+            outdated.report(make_report("e0", step, running=LIMIT), step + 2.0)
+        assert (fresh.free_slots(), outdated.free_slots()) == (0, LIMIT // 2)
 
-    def test_plain_service_gets_one_call_ahead(self) -> None:
+    def test_plain_service_gets_one_call_beyond_its_slots(self) -> None:
         chooser = LeastCostChooser(Random(1), streams_tokens=False)
         chooser.report(make_report("e0", running=LIMIT), 0.0)
         assert chooser.free_slots() == 1
         chooser.report(make_report("e0", 1.0, running=LIMIT, queued=1), 1.0)
         assert chooser.free_slots() == 0
 
-    def test_equal_endpoints_are_not_taken_in_the_same_order_everywhere(self) -> None:
+    def test_entry_instances_order_equal_endpoints_differently(self) -> None:
         chosen = set()
         for seed in range(20):
             chooser = LeastCostChooser(Random(seed))
@@ -94,14 +102,18 @@
 
 
 class TestPrefillRate:
-    """Guards against a cached prefix that outweighs load because the load itself was measured."""
+    """Guards against a cached prefix that outweighs the load of its endpoint.
 
-    def test_waiting_first_tokens_hardly_raise_the_worth_of_a_prefix(self) -> None:
+    The prefill rate is learned from times to the first token. If these contain queueing behind
+    other prompts, prefill seems slow and a cached prefix too valuable.
+    """
+
+    def test_queueing_before_first_tokens_hardly_raises_the_value_of_a_prefix(self) -> None:
         chooser = LeastCostChooser(Random(1))
         for index in range(2):
             chooser.report(make_report(f"e{index}"), 0.0)
         for number in range(60):
-            # Every second first token waits a second for other prompts.
+            # Every second request waits 1 s behind other prompts before its first token.
             chooser.dispatched("e1", make_request(f"r{number}", prompt_tokens=800), number)
             chooser.progressed("e1", f"r{number}", 1, number + (1.1 if number % 2 else 0.1))
             chooser.finished("e1", f"r{number}", True, number + 4.0)
@@ -112,8 +124,12 @@
         assert chooser.choose(req, 90.0) == "e1"
 
 
-class TestCrash:
-    """Guards against accepted requests that are refused after a crash or after rejections."""
+class TestFailedAttempts:
+    """Guards against accepted requests that are refused after a crash or after rejections.
+
+    An answer that was delivered in part continues elsewhere without retry budget, but only a
+    bounded number of times and never for once-only requests.
+    """
 
     def test_partly_delivered_answer_continues_without_budget(self) -> None:
         dispatcher = make_dispatcher(2)
@@ -139,8 +155,8 @@
         crashed = Outcome(
             ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="endpoint_failed"
         )
-        ended = [dispatcher.finished("r", crashed, step) for step in range(5)]
-        kinds = [type(action) for actions in ended for action in actions]
+        actions_by_step = [dispatcher.finished("r", crashed, step) for step in range(5)]
+        kinds = [type(action) for actions in actions_by_step for action in actions]
         assert kinds == [Dispatch, Dispatch, Refuse]
 
     def test_once_only_request_is_never_continued(self) -> None:
@@ -152,7 +168,7 @@
         (refusal,) = dispatcher.finished("r", crashed, 1.0)
         assert isinstance(refusal, Refuse)
 
-    def test_rejections_do_not_use_up_the_attempts(self) -> None:
+    def test_rejections_do_not_count_as_attempts(self) -> None:
         dispatcher = make_dispatcher(2, budget=1.0)
         dispatcher.submit(make_request("r"), 0.0)
         rejected = Outcome(ok=False, ran=ExecutionStatus.NOT_EXECUTED, reason="overloaded")
--- a/cassiadrum/tests/test_subsets.py
+++ b/cassiadrum/tests/test_subsets.py
@@ -1,4 +1,4 @@
-"""Tests of the subsets and of the bound on connections."""
+"""Tests of the subsets of sidecars and of the bound on connections."""
 
 import math
 
@@ -7,8 +7,8 @@
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.stores import Instance
 
-# The target's 2,300 entry instances and 7,300 sidecars, 27 zones and 560 replacements a day,
-# scaled down by ten; the subset size and so the mean of 20.2 connections stay.
+# A tenth of a large deployment: 2,300 entry instances, 7,300 sidecars, 27 zones and 560
+# replacements a day. With the same subset size the mean stays 20.2 connections.
 ENTRIES = 230
 SIDECARS = 730
 ZONES = 3
@@ -21,7 +21,7 @@
 
 
 class Fleet:
-    """Run the subsets of all entry instances against the bounds of all sidecars."""
+    """The subsets of all entry instances and the connection bounds of all sidecars."""
 
     def __init__(self) -> None:
         self.entries = [instance("entry", f"e{n}", n) for n in range(ENTRIES)]
@@ -32,7 +32,7 @@
         self.links: dict[str, set[str]] = {name: set() for name in self.subsets}
         for member in self.sidecars:
             self.add(member)
-        self.settle()
+        self.dial_until_stable()
 
     def add(self, member: Instance) -> None:
         self.bounds[member.instance] = ConnectionBound()
@@ -47,15 +47,15 @@
         for linked in self.links.values():
             linked.discard(name)
 
-    def settle(self) -> None:
-        """Dial until each entry instance has the links that it wants."""
+    def dial_until_stable(self) -> None:
+        """Dial until each entry instance has links to its whole subset."""
         for entry, subset in self.subsets.items():
             linked = self.links[entry]
-            while linked != (chosen := set(subset.select(0.0))):
-                for name in linked - chosen:
+            while linked != (selected := set(subset.select(0.0))):
+                for name in linked - selected:
                     self.bounds[name].connection_lost(entry, -1e9)
-                linked &= chosen
-                for name in chosen - linked:
+                linked &= selected
+                for name in selected - linked:
                     if self.bounds[name].admit(entry, 0.0):
                         linked.add(name)
                     else:
@@ -69,7 +69,11 @@
 
 
 class TestSubset:
-    """Guards against a subset that does not follow rank, zone and load."""
+    """Guards against a subset that does not follow zone, rank and availability.
+
+    A sidecar that leaves or is full must be replaced, and full ones must be tried again if too
+    few remain.
+    """
 
     def test_own_zone_comes_first(self) -> None:
         subset = Subset("e", "z1", 3)
@@ -86,7 +90,7 @@
         assert first[0] not in subset.select(0.0)
         assert len(subset.select(0.0)) == 2
 
-    def test_full_sidecars_are_asked_again_when_too_few_are_left(self) -> None:
+    def test_full_sidecars_are_dialled_again_when_too_few_remain(self) -> None:
         subset = Subset("e", "z", 2)
         for number in range(2):
             subset.put(instance("sidecar", f"s{number}", number))
@@ -96,14 +100,18 @@
 
 
 class TestConnectionBound:
-    """Guards against a sidecar with more links than its share, or one that refuses its own."""
+    """Guards against a sidecar with too many links, or one that refuses known peers.
+
+    Entry instances choose independently, so some sidecars are chosen too often. An entry instance
+    that reconnects must keep its slot.
+    """
 
     def test_bound_is_a_quarter_above_the_mean(self) -> None:
         bound = ConnectionBound()
         bound.mean = 2.0
         assert [bound.admit(f"e{n}", 0.0) for n in range(4)] == [True, True, True, False]
 
-    def test_lost_link_keeps_its_place_while_its_streams_wait(self) -> None:
+    def test_lost_link_keeps_its_slot_while_its_streams_wait(self) -> None:
         bound = ConnectionBound()
         bound.mean = 1.0
         assert bound.admit("e0", 0.0) and bound.admit("e1", 0.0)
@@ -113,13 +121,17 @@
         bound.connection_lost("e0", 4.0)
         assert bound.admit("e2", 20.0)
 
-    def test_unknown_mean_refuses_nobody(self) -> None:
+    def test_unknown_mean_refuses_no_link(self) -> None:
         bound = ConnectionBound()
         assert all(bound.admit(f"e{n}", 0.0) for n in range(100))
 
 
 class TestChurn:
-    """Guards against connections that concentrate or move when instances are replaced."""
+    """Guards against connections that concentrate or move when instances are replaced.
+
+    A replacement changes the ranks in every subset; only links of the replaced sidecar may move,
+    and no sidecar may exceed 1.25 times the mean.
+    """
 
     def test_replacement_under_the_same_name_moves_only_its_own_links(self) -> None:
         fleet = Fleet()
@@ -130,7 +142,7 @@
             fleet.remove(old.instance)
             kept = fleet.pairs()
             fleet.add(old)
-            fleet.settle()
+            fleet.dial_until_stable()
             assert all(name == old.instance for _, name in fleet.pairs() - kept)
             assert max(fleet.counts()) <= math.ceil(1.25 * fleet.mean)
         print(f"mean {fleet.mean:.1f}, most {max(fleet.counts())}, least {min(fleet.counts())}")
@@ -143,9 +155,9 @@
             old = fleet.sidecars[number * 13]
             before = fleet.pairs()
             fleet.remove(old.instance)
-            fleet.settle()
+            fleet.dial_until_stable()
             fleet.add(old._replace(instance=f"new{number}"))
-            fleet.settle()
+            fleet.dial_until_stable()
             after = fleet.pairs()
             opened += len(after - before)
             closed += len(before - after)
@@ -156,7 +168,7 @@
 
 
 class FakeLink:
-    """Stand in for a link; keeps what was sent."""
+    """A link that records the messages sent on it."""
 
     def __init__(self, entry: str) -> None:
         self.peer = Hello(1, entry, "entry", "z", "")
@@ -171,18 +183,21 @@
 
 
 class TestEntryLinks:
-    """Guards against a sidecar that takes more entry instances than its share."""
+    """Guards against a sidecar that admits too many entry instances.
 
-    def test_the_one_above_the_bound_is_refused(self) -> None:
+    A reconnection replaces the old link and must not be counted twice.
+    """
+
+    def test_link_above_the_bound_is_refused(self) -> None:
         bound = ConnectionBound()
         bound.mean = 1.0
         links = EntryLinks(bound)
-        fakes = [FakeLink(f"e{n}") for n in range(3)]
-        admitted = [links.admit(fake, fake.peer, 0.0) for fake in fakes]  # type: ignore[arg-type]
+        fake_links = [FakeLink(f"e{n}") for n in range(3)]
+        admitted = [links.admit(fake, fake.peer, 0.0) for fake in fake_links]  # type: ignore[arg-type]
         assert admitted == [True, True, False]
-        assert not links.is_current(fakes[2])  # type: ignore[arg-type]
+        assert not links.is_current(fake_links[2])  # type: ignore[arg-type]
 
-    def test_reconnection_takes_no_second_place(self) -> None:
+    def test_reconnection_takes_no_second_slot(self) -> None:
         bound = ConnectionBound()
         bound.mean = 0.5
         links = EntryLinks(bound)
@@ -193,7 +208,10 @@
 
 
 class TestLinksPerService:
-    """Guards against links that grow with the number of services."""
+    """Guards against a number of links that grows with the number of services.
+
+    The subset size bounds the links to all services together.
+    """
 
     def test_links_of_all_services_stay_near_the_subset(self) -> None:
         assert links_per_service(64, 17) == 4
--- a/cassiadrum/tests/test_texts.py
+++ b/cassiadrum/tests/test_texts.py
@@ -12,7 +12,7 @@
 from cassiadrum.settings import SettingsError, parse_settings
 from cassiadrum.tests.sites import EXAMPLES, example
 
-ENTRY = """
+ENTRY_SETTINGS = """
 role = "entry"
 instance = "entry-1"
 zone = "muenchen-a"
@@ -40,7 +40,7 @@
     "tls without a key": ("[platform]", '[tls]\ncertificate = "c.pem"\n[platform]'),
 }
 
-# Replacements in the example auftragsdienst.
+# Replacements in the text of the example document auftragsdienst.
 DOCUMENT_EDITS = {
     "syntax": ("tier = 0", "tier ="),
     "missing key": ("tier = 0\n", ""),
@@ -65,11 +65,14 @@
 
 
 class TestErrorTexts:
-    """Guards against errors that no longer say what was found, where, and what is allowed."""
+    """Guards against errors that no longer say what was found, where, and what is allowed.
+
+    Each case makes one mistake in a valid file.
+    """
 
     @pytest.mark.parametrize("case", SETTINGS_EDITS)
     def test_settings(self, case: str, snapshot: SnapshotAssertion) -> None:
-        text = ENTRY.replace(*SETTINGS_EDITS[case])
+        text = ENTRY_SETTINGS.replace(*SETTINGS_EDITS[case])
         with pytest.raises(SettingsError) as info:
             parse_settings(text, "entry.toml")
         assert str(info.value) == snapshot
@@ -83,17 +86,23 @@
 
 
 class TestAcceptedDocuments:
-    """Guards against a release whose stricter checks reject a document that is in force."""
+    """Guards against a release whose stricter checks reject a document that is in force.
+
+    A document was accepted under older checks and is parsed again after the upgrade.
+    """
 
     @pytest.mark.parametrize("case", ["no share", "wait at the deadline", "unreachable"])
-    def test_is_not_checked_again(self, case: str) -> None:
+    def test_accepted_document_is_not_checked_again(self, case: str) -> None:
         text = example("auftragsdienst").replace(*DOCUMENT_EDITS[case])
         document = parse_document(text, accepted=True)
         assert consequence_lines(document)
 
 
 class TestConsequences:
-    """Guards against an explanation that differs from the document."""
+    """Guards against consequences of a document that are wrong or missing.
+
+    Operators decide on a change by these lines.
+    """
 
     @pytest.mark.parametrize(
         "name",
@@ -110,7 +119,7 @@
         changes = changed_consequences(old, parse_document(new))
         assert "\n".join(changes) == snapshot
 
-    def test_deleted_service_loses_everything(self) -> None:
+    def test_deleted_service_removes_every_line(self) -> None:
         document = parse_document(example("auftragsdienst"))
         lines = changed_consequences(document, None)
         assert lines == [f"- {line}" for line in consequence_lines(document)]
