Rename identifiers that are vague or differ between folders

The same thing now has one word in every folder:

- sidecar messages LinkMessage -> EntryMessage, LinkLost -> EntryLinkClosed
- LeaseCandidate._keeper -> _manager, _core -> _state_machine; a contender is called a candidate in comments
- MemberLinks.connected -> link_up, disconnected -> link_down, reported -> apply_report, services -> service_by_instance, _size -> _effective_subset_size
- LinkAnswerFetcher.deliver -> handle_message
- EventSequence.held_bytes -> buffered_bytes, restart -> discard_partial_event
- Attempt._held_bytes -> _reserved_bytes, Relay._read_whole -> _read_plain_answer
- ANSWER_FREE_BYTES -> ANSWER_UNBUDGETED_BYTES
- BodyBudget -> MemoryBudget (also used for answers), with its module
- ConfigurationSink._outdated -> _store_outdated
- several local variables

--- a/bench/entries.py
+++ b/bench/entries.py
@@ -86,8 +86,8 @@
     def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
         """Handle the end of an attempt."""
         call = self._calls[request_id]
-        places = self._attempt_instances[request_id]
-        places.remove(instance)
+        instances = self._attempt_instances[request_id]
+        instances.remove(instance)
         is_active = call.active_instance == instance
         if is_active:
             call.active_instance = ""
@@ -96,11 +96,11 @@
             self._close(call, "done")
         self._execute(dispatcher.finished(request_id, outcome, self._loop.now, instance))
 
-    def reported(self, service: str, rep: EndpointReport) -> None:
+    def load_reported(self, service: str, rep: EndpointReport) -> None:
         """Handle a load report."""
         self._execute(self._dispatchers[service].report(rep, self._loop.now))
 
-    def cached(self, service: str, instance: str, keys: list[int]) -> None:
+    def prefixes_cached(self, service: str, instance: str, keys: list[int]) -> None:
         """Handle cache events."""
         self._dispatchers[service].observe_cached_prefixes(instance, keys, self._loop.now)
 
--- a/bench/links.py
+++ b/bench/links.py
@@ -22,8 +22,8 @@
     def ended(self, instance: str, request_id: str, outcome: Outcome) -> None:
         """Handle the end of an attempt."""
 
-    def reported(self, service: str, rep: EndpointReport) -> None:
+    def load_reported(self, service: str, rep: EndpointReport) -> None:
         """Handle a load report."""
 
-    def cached(self, service: str, instance: str, keys: list[int]) -> None:
+    def prefixes_cached(self, service: str, instance: str, keys: list[int]) -> None:
         """Handle the keys of newly cached prompt blocks."""
--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -81,7 +81,7 @@
         )
         for listener in self._listeners:
             self._loop.call_later(
-                lag_s + LINK_LATENCY_S, listener.reported, self._sidecar.service, rep
+                lag_s + LINK_LATENCY_S, listener.load_reported, self._sidecar.service, rep
             )
 
     def _send_cache_events(self) -> None:
@@ -92,4 +92,4 @@
         delay_s = self._scenario.cache_lag_s + LINK_LATENCY_S
         for listener in self._listeners:
             message = (self._sidecar.service, self._sidecar.instance, kept)
-            self._loop.call_later(delay_s, listener.cached, *message)
+            self._loop.call_later(delay_s, listener.prefixes_cached, *message)
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -14,7 +14,7 @@
 from cassiadrum.gateways.placement_policies import MIN_FIRST_BYTES_MS, PREFILL_TOKENS_PER_MS
 from cassiadrum.gateways.placement_queues import Assignment
 from cassiadrum.gateways.request_contexts import RequestContext
-from cassiadrum.protocols import AnswerLost, BadMessage, BodyBudget, ConnectFailed
+from cassiadrum.protocols import AnswerLost, BadMessage, ConnectFailed, MemoryBudget
 
 __all__ = ["Attempt", "BufferedAnswer"]
 
@@ -55,7 +55,7 @@
         assignment: Assignment,
         pool: ConnectionPool,
         protocol: CallProtocol,
-        answer_memory: BodyBudget,
+        answer_memory: MemoryBudget,
         clock: Callable[[], float],
     ) -> None:
         self.view = assignment.view
@@ -64,7 +64,7 @@
         self._protocol = protocol
         # Memory budget shared by the unfinished answers of all attempts, and the part in use here.
         self._answer_memory = answer_memory
-        self._held_bytes = 0
+        self._reserved_bytes = 0
         self._clock = clock
         self._prefill_tokens = assignment.prefill_tokens
         self._prefilling = True
@@ -91,8 +91,8 @@
     ) -> None:
         self._end_prefill(None)
         self.view.record_end()
-        self._answer_memory.release(self._held_bytes)
-        self._held_bytes = 0
+        self._answer_memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
         if self._conn is None:
             return
         if self._complete and self._head is not None:
@@ -165,9 +165,9 @@
         """Set the bytes of the answer that are buffered; raise AttemptFailed beyond a limit."""
         if size_bytes > MAX_ANSWER_BYTES:
             raise self.fail(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-        if not self._answer_memory.try_resize(self._held_bytes, size_bytes):
+        if not self._answer_memory.try_resize(self._reserved_bytes, size_bytes):
             raise self.fail("the answers of all requests take more than their memory")
-        self._held_bytes = size_bytes
+        self._reserved_bytes = size_bytes
 
     def fail(self, reason: str) -> AttemptFailed:
         """Record a failure of the endpoint and return the error to raise."""
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -106,7 +106,7 @@
         self.version = version
         self.requires_keys = requires_keys
         self.limits = limits
-        self.services = {plan.name: plan for plan in services}
+        self.services = {service.name: service for service in services}
         self._customers = dict(customers_by_key)
         self._routes: dict[str, list[Route]] = {}
         # Priority and allowed event gap of the stream classes of each service.
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -111,14 +111,14 @@
     def expire(self, now: float) -> list[str]:
         """Remove the entries whose grace period has ended and return their instances."""
         self._now = now
-        gone = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
-        for instance in gone:
+        expired = [instance for instance, until_s in self._lapsed.items() if until_s <= now]
+        for instance in expired:
             self._drop(instance, "not back after the store's outage", now)
         if self._unconfirmed and now >= self._unconfirmed_until_s:
             for entry in list(self._unconfirmed.values()):
                 self.put(entry)
         self._removed.expire(now)
-        return gone
+        return expired
 
     def usable(self, service: str) -> list[EndpointView]:
         """Return the endpoints of a service that accept new requests."""
--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -30,18 +30,18 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return complete events; raise AttemptFailed on a gap or a repetition."""
-        whole = self._splitter.feed(data)
-        self.data_events += len(EVENT_DATA.findall(whole))
+        complete = self._splitter.feed(data)
+        self.data_events += len(EVENT_DATA.findall(complete))
         if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
             raise AttemptFailed(f"an event is larger than {MAX_EVENT_BYTES} bytes")
-        for found in EVENT_ID.findall(whole):
+        for found in EVENT_ID.findall(complete):
             event_id = found.decode()
             if not self._is_next(event_id):
                 raise AttemptFailed(
                     f"event {event_id[:MAX_ID_DIGITS]} follows event {self.last_id}"
                 )
             self.last_id = event_id
-        return whole
+        return complete
 
     def _is_next(self, event_id: str) -> bool:
         """Return whether an event is the next one; any id may follow one that is not a number."""
@@ -52,7 +52,7 @@
         return int(event_id) == int(self.last_id) + 1
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Return the size of the incomplete event in bytes."""
         return self._splitter.buffered_bytes
 
@@ -61,6 +61,6 @@
         if self._splitter.buffered_bytes:
             raise AttemptFailed("the stream ended inside an event")
 
-    def restart(self) -> None:
+    def discard_partial_event(self) -> None:
         """Discard the incomplete event of a failed attempt."""
         self._splitter.discard_partial_event()
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -28,7 +28,7 @@
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
 from cassiadrum.logs import RATE_LIMITED_FIELD
-from cassiadrum.protocols import BadMessage, BodyBudget, Exchange
+from cassiadrum.protocols import BadMessage, Exchange, MemoryBudget
 
 __all__ = ["Gateway", "GatewaySettings"]
 
@@ -37,7 +37,7 @@
 # Fraction of an endpoint's prompt cache that is assumed to hold prompts of this gateway.
 CACHE_FRACTION = 0.5
 # Memory of each answer that does not count against the shared budget.
-ANSWER_FREE_BYTES = 16 * 1024
+ANSWER_UNBUDGETED_BYTES = 16 * 1024
 TICK_S = 0.1
 # Retry-After where the next request may succeed at another gateway or endpoint.
 IMMEDIATE_RETRY_AFTER_S = 0.02
@@ -63,7 +63,8 @@
     strict_keys: bool
     # Time after an outage of the store within which endpoints register again.
     return_grace_s: float
-    # Memory budget of the unfinished answers of all requests, beyond ANSWER_FREE_BYTES for each.
+    # Memory budget of the unfinished answers of all requests, beyond ANSWER_UNBUDGETED_BYTES for
+    # each.
     answers_bytes: int = 32 * 1024 * 1024
     # Time after which the store has expired the registration of a dead endpoint.
     lapse_s: float = 5.0
@@ -102,7 +103,7 @@
             lambda on_sample: LoadProber(self.pool, protocol, clock, on_sample),
             clock,
         )
-        self._answer_memory = BodyBudget(cfg.answers_bytes, ANSWER_FREE_BYTES)
+        self._answer_memory = MemoryBudget(cfg.answers_bytes, ANSWER_UNBUDGETED_BYTES)
         self._budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
@@ -350,9 +351,9 @@
         task = asyncio.current_task()
         assert task is not None
 
-        def on_gone() -> None:
+        def on_disconnect() -> None:
             if ctx.cancellable:
                 self._log.record(ctx, "caller left")
                 task.cancel()
 
-        exchange.on_disconnect(on_gone)
+        exchange.on_disconnect(on_disconnect)
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -85,14 +85,14 @@
         if route.kind is CallKind.STREAM and head.status < 300:
             await self._pass_stream(attempt)
             return
-        answer = await self._read_whole(attempt)
+        answer = await self._read_plain_answer(attempt)
         if head.status >= 500:
             attempt.view.record_failure(self._clock())
             self.failure = answer
             raise AttemptFailed(f"status {head.status}")
         await self._send(answer)
 
-    async def _read_whole(self, attempt: Attempt) -> BufferedAnswer:
+    async def _read_plain_answer(self, attempt: Attempt) -> BufferedAnswer:
         """Return a plain answer; one that makes no progress is given up like a silent one."""
         silence_s = self._first_bytes_limit_s(attempt)
         progress_s = self._clock()
@@ -117,7 +117,7 @@
                 progress_s = self._clock()
 
     async def _pass_stream(self, attempt: Attempt) -> None:
-        self._events.restart()
+        self._events.discard_partial_event()
         event_limit_s = self._event_limit_s()
         route = self._ctx.route
         assert route is not None
@@ -135,7 +135,7 @@
             if data is None:
                 break
             before = self._events.data_events
-            whole = self._feed(attempt, data)
+            complete = self._feed(attempt, data)
             if self._events.data_events > before:
                 # Bytes and comments that do not complete an event are not progress.
                 now = self._clock()
@@ -145,9 +145,9 @@
                     attempt.view.record_event_gap((now - progress_s) / count, min_gap_s, now)
                 has_events = True
                 progress_s = now
-            if whole:
+            if complete:
                 self._put_stream_head(attempt)
-                self._exchange.buffer_data(whole)
+                self._exchange.buffer_data(complete)
                 flushed_s = self._clock()
                 await self._exchange.flush()
                 # Time spent waiting for a slow caller does not count against the endpoint.
@@ -165,11 +165,11 @@
     def _feed(self, attempt: Attempt, data: bytes) -> bytes:
         """Return the events completed by the data; raise AttemptFailed."""
         try:
-            whole = self._events.feed(data)
+            complete = self._events.feed(data)
         except AttemptFailed as exc:
             raise attempt.fail(exc.reason) from exc
-        attempt.reserve_memory(self._events.held_bytes)
-        return whole
+        attempt.reserve_memory(self._events.buffered_bytes)
+        return complete
 
     def _put_stream_head(self, attempt: Attempt) -> None:
         if not self._exchange.started:
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -115,7 +115,7 @@
         wire.limits.header_timeout_ms / 1000,
         wire.limits.idle_timeout_ms / 1000,
     )
-    plans = [
+    services = [
         ServiceSettings(
             service.name,
             service.max_conns,
@@ -124,7 +124,7 @@
         for service in wire.services
     ]
     return Catalog(
-        wire.version, routes, plans, customers, limits, requires_keys=bool(wire.tenants)
+        wire.version, routes, services, customers, limits, requires_keys=bool(wire.tenants)
     )
 
 
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -32,7 +32,7 @@
         self._gateway = gateway
         # Whether the store was restored, or returned an older configuration, since it last
         # returned one at least as new as the one in force.
-        self._outdated = False
+        self._store_outdated = False
 
     def replace(self, page: RowPage) -> None:
         """Take all rows."""
@@ -43,7 +43,7 @@
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._apply_configuration(row.content)
-        if not self._outdated:
+        if not self._store_outdated:
             self._gateway.confirmation.record_answer(page.store_s, page.sent_s, page.received_s)
 
     def store_returned(self) -> None:
@@ -51,7 +51,7 @@
 
     def store_restored(self) -> None:
         """Stop confirming until a configuration as new as the one in force is read."""
-        self._outdated = self._gateway.catalog is not None
+        self._store_outdated = self._gateway.catalog is not None
 
     def _apply_configuration(self, content: bytes) -> None:
         try:
@@ -60,8 +60,8 @@
             logger.error("configuration rejected: %s", exc)
             return
         known = self._gateway.catalog
-        self._outdated = known is not None and catalog.version < known.version
-        if self._outdated and known is not None:
+        self._store_outdated = known is not None and catalog.version < known.version
+        if self._store_outdated and known is not None:
             logger.warning(
                 "store returned outdated configuration %s, keeping %s in force",
                 catalog.version,
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -1,17 +1,16 @@
 """HTTP/1.1 server and client on asyncio and h11."""
 
-from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed, HttpError
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_clients import HttpClient
 from cassiadrum.protocols.http_requests import Headers, HttpRequest
 from cassiadrum.protocols.http_responses import HttpResponse
 from cassiadrum.protocols.http_servers import HttpServer
+from cassiadrum.protocols.memory_budgets import MemoryBudget
 
 __all__ = [
     "AnswerLost",
     "BadMessage",
-    "BodyBudget",
     "ConnectFailed",
     "Exchange",
     "Handler",
@@ -21,4 +20,5 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "MemoryBudget",
 ]
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -8,10 +8,10 @@
 import h11
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
+from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader
 from cassiadrum.protocols.request_readers import READ_BYTES, ReadLimits, RequestReader
 
@@ -51,7 +51,7 @@
         self._closing = False
         self._draining = False
         self._header_limit_bytes = LIMITS.HEADER_BYTES
-        self._body_budget = BodyBudget(body_budget_bytes, LIMITS.BODY_UNBUDGETED_BYTES)
+        self._body_budget = MemoryBudget(body_budget_bytes, LIMITS.BODY_UNBUDGETED_BYTES)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen and return the port, which the system chooses when `port` is 0."""
--- a/cassiadrum/protocols/body_budgets.py
+++ b/cassiadrum/protocols/memory_budgets.py
@@ -1,9 +1,9 @@
 """Limit on the memory that message bodies take."""
 
-__all__ = ["BodyBudget"]
+__all__ = ["MemoryBudget"]
 
 
-class BodyBudget:
+class MemoryBudget:
     """Limit the total size of the bodies that are held in memory at one time.
 
     The first `exempt_bytes` of each body are not counted, so that large bodies cannot block small
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -6,9 +6,9 @@
 
 import h11
 
-from cassiadrum.protocols.body_budgets import BodyBudget
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.http_requests import HttpRequest
+from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader
 
 __all__ = ["READ_BYTES", "ReadLimits", "RequestReader"]
@@ -33,7 +33,7 @@
         conn: h11.Connection,
         reader: NotifyingReader,
         writer: asyncio.StreamWriter,
-        budget: BodyBudget,
+        budget: MemoryBudget,
         limits: Callable[[], ReadLimits],
     ) -> None:
         self._conn = conn
--- a/cassiadrum/roles/answer_fetchers.py
+++ b/cassiadrum/roles/answer_fetchers.py
@@ -19,7 +19,7 @@
     """Serve the rest of an answer from the sidecar that its id names.
 
     `links` finds or opens the link to a sidecar instance. Every message of a link has to be passed
-    to `deliver`.
+    to `handle_message`.
     """
 
     def __init__(self, links: FetchLinks) -> None:
@@ -36,7 +36,7 @@
             if fetch.instance == instance:
                 fetch.attach(link)
 
-    def deliver(self, msg: Message) -> bool:
+    def handle_message(self, msg: Message) -> bool:
         """Pass a message to the fetch it belongs to; return whether only that fetch handles it.
 
         Data messages can hold parts of several attempts and are handled by the router as well.
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -69,15 +69,15 @@
         self._links_opened = 0
         self._process_start = secrets.token_hex(8)
         self._instances = instances
-        services: dict[str, str] = {}
-        self._router = Router(dispatchers, lambda name: services.get(name, ""), ring)
+        service_by_instance: dict[str, str] = {}
+        self._router = Router(dispatchers, lambda name: service_by_instance.get(name, ""), ring)
         self._members = MemberLinks(
             lambda size: Subset(cfg.instance, cfg.zone, size),
             cfg.limits.subset_size,
             self._make_dialer,
             self._router.post,
             lambda name: self._router.has_attempts(name) or self._fetcher.has_fetches(name),
-            services,
+            service_by_instance,
             ring,
         )
         instances.listeners.append(self._members.update_instances)
@@ -108,10 +108,10 @@
     async def start(self) -> None:
         """Bind the addresses and start the tasks."""
         listen = self._cfg.listen
-        callers = self._tls.http_server if self._tls else None
-        port = await self._http.start(listen.http.host, listen.http.port, callers)
+        http_tls = self._tls.http_server if self._tls else None
+        port = await self._http.start(listen.http.host, listen.http.port, http_tls)
         self.addresses["http"] = str(Address(listen.http.host, port))
-        port = await self._admin.start(listen.admin.host, listen.admin.port, callers)
+        port = await self._admin.start(listen.admin.host, listen.admin.port, http_tls)
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self.watch_tls())
@@ -188,19 +188,19 @@
     def _make_fetch_dialer(
         self, instance: str, on_up: Callable[[Link], None]
     ) -> LinkDialer | None:
-        def deliver(link: Link, msg: Message) -> None:
+        def on_message(link: Link, msg: Message) -> None:
             if isinstance(msg, Hello):
                 self._fetcher.link_up(instance, link)
                 on_up(link)
             else:
-                self._fetcher.deliver(msg)
+                self._fetcher.handle_message(msg)
 
         member = self._members.member(instance)
         if member is None:
             return None
         return LinkDialer(
             member.link_address,
-            lambda conn: self._make_link(conn, self._make_hello(instance, FETCH_ROLE), deliver),
+            lambda conn: self._make_link(conn, self._make_hello(instance, FETCH_ROLE), on_message),
             on_down=lambda link: None,
             tls=lambda: self._tls.link_client if self._tls else None,
         )
@@ -226,12 +226,12 @@
         )
 
     def _make_link(
-        self, conn: Connection, hello: Hello, deliver: Callable[[Link, Message], None]
+        self, conn: Connection, hello: Hello, on_message: Callable[[Link, Message], None]
     ) -> Link:
         return Link(
             conn,
             hello,
-            on_message=deliver,
+            on_message=on_message,
             heartbeat_payload=lambda: (
                 self._configurations.digest(),
                 list(self.ring.clock.tick()),
@@ -246,18 +246,20 @@
             if msg.instance != expected:
                 link.abort()
                 return
-            self._members.connected(expected, link)
+            self._members.link_up(expected, link)
             self._configurations.link_up(link)
             self._gauges.links.add(link)
             self._fetcher.link_up(expected, link)
         elif isinstance(msg, OrderResult):
             self._orders.order_finished(msg)
         elif isinstance(msg, Report):
-            self._members.reported(expected, msg.leaving)
+            self._members.apply_report(expected, msg.leaving)
         elif isinstance(msg, LinkRefused):
             self._members.link_refused(expected)
             return
-        if not self._configurations.handle_message(link, msg) and not self._fetcher.deliver(msg):
+        if not self._configurations.handle_message(link, msg) and not self._fetcher.handle_message(
+            msg
+        ):
             self._router.post(ReceivedMessage(link, msg))
 
     def _handle_heartbeat(self, link: Link, digest: str, clock: list[int]) -> None:
@@ -265,7 +267,7 @@
         self._configurations.compare_digest(link, digest)
 
     def _link_down(self, link: Link, instance: str) -> None:
-        self._members.disconnected(instance, link)
+        self._members.link_down(instance, link)
         self._configurations.link_down(link)
         self._gauges.remove(link)
         self._router.post(LinkClosed(link))
--- a/cassiadrum/roles/lease_candidates.py
+++ b/cassiadrum/roles/lease_candidates.py
@@ -45,10 +45,12 @@
         ring: EventRing,
         clock: Callable[[], float],
     ) -> None:
-        core = LeaseStateMachine(instance, duration_s=LEASE_DURATION_S, margin_s=LEASE_MARGIN_S)
+        state_machine = LeaseStateMachine(
+            instance, duration_s=LEASE_DURATION_S, margin_s=LEASE_MARGIN_S
+        )
         self.name = name
-        self._keeper = LeaseManager(store, name, core, clock)
-        self._core = core
+        self._manager = LeaseManager(store, name, state_machine, clock)
+        self._state_machine = state_machine
         self._instance = instance
         self._entry_instances = entry_instances
         self._ring = ring
@@ -61,20 +63,20 @@
 
     async def step(self) -> None:
         """Renew a held lease, or contend for it if this instance is a candidate."""
-        held = self._core.is_holder
+        held = self._state_machine.is_holder
         if held or is_candidate(self.name, self._instance, self._entry_instances()):
-            await self._keeper.step()
-        if held != self._core.is_holder:
+            await self._manager.step()
+        if held != self._state_machine.is_holder:
             kind = EventKind.LEASE_LOST if held else EventKind.LEASE_ACQUIRED
             self._ring.record(kind, lease=self.name)
 
     def fencing_token(self) -> int | None:
         """Return the fencing token for an effect that starts now, None without the lease."""
         try:
-            return self._keeper.check()
+            return self._manager.check()
         except LeaseLost:
             return None
 
     async def release(self) -> None:
         """Release the lease, so that another instance need not wait for it to expire."""
-        await self._keeper.release()
+        await self._manager.release()
--- a/cassiadrum/roles/member_links.py
+++ b/cassiadrum/roles/member_links.py
@@ -24,7 +24,7 @@
 
     `make_dialer` builds the dialer of a member. `has_work` returns whether an instance still has
     work of this process: a sidecar that drops out of its subset keeps its link until it has none.
-    `services` is filled with the service of each member.
+    `service_by_instance` is filled with the service of each member.
     """
 
     def __init__(
@@ -34,15 +34,15 @@
         make_dialer: Callable[[Instance], LinkDialer],
         post: Callable[[RouterMessage], None],
         has_work: Callable[[str], bool],
-        services: dict[str, str],
+        service_by_instance: dict[str, str],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._membership = Membership("sidecar")
         self._subsets: dict[str, Subset] = {}
-        self._services = services
+        self._service_by_instance = service_by_instance
         self._make_subset = make_subset
-        self._subset_size = self._size = subset_size
+        self._subset_size = self._effective_subset_size = subset_size
         self._make_dialer = make_dialer
         self._post = post
         self._has_work = has_work
@@ -64,23 +64,23 @@
         self._close_retired()
         services = {item.service for item in instances if item.role == "sidecar"}
         if services:
-            self._size = links_per_service(self._subset_size, len(services))
+            self._effective_subset_size = links_per_service(self._subset_size, len(services))
             for subset in self._subsets.values():
-                subset.resize(self._size)
+                subset.resize(self._effective_subset_size)
         self._apply_changes(self._membership.apply_list(instances, self._clock()))
 
-    def connected(self, instance: str, link: Link) -> None:
+    def link_up(self, instance: str, link: Link) -> None:
         """Store the link on which a sidecar sent its hello."""
         self._links[instance] = link
         self._membership.mark_connected(instance)
 
-    def disconnected(self, instance: str, link: Link) -> None:
+    def link_down(self, instance: str, link: Link) -> None:
         """Record the loss of a link, unless a newer one has replaced it."""
         if self._links.get(instance) is link:
             del self._links[instance]
             self._membership.mark_disconnected(instance, self._clock())
 
-    def reported(self, instance: str, leaving: bool) -> None:
+    def apply_report(self, instance: str, leaving: bool) -> None:
         """Record whether a sidecar reports that it is leaving."""
         changes = self._membership.apply_report(instance, leaving, self._clock())
         if changes:
@@ -88,7 +88,7 @@
 
     def link_refused(self, instance: str) -> None:
         """Replace a sidecar that refused the link because it has reached its connection bound."""
-        service = self._services.get(instance)
+        service = self._service_by_instance.get(instance)
         if service is not None:
             self._subsets[service].set_full(instance, self._clock())
             self._remove_link(instance)
@@ -111,14 +111,16 @@
             self._ring.record(MEMBER_EVENT_KINDS[kind], service=member.service, member=name)
         if kind in (ChangeKind.MOVED, ChangeKind.LEFT):
             # Streams can be attached again at a new address, but not at another service.
-            if kind is ChangeKind.MOVED and member.service == self._services[name]:
+            if kind is ChangeKind.MOVED and member.service == self._service_by_instance[name]:
                 self._stop_dialer(name)
             else:
                 self._remove_link(name)
-            self._subsets[self._services.pop(name)].remove(name)
+            self._subsets[self._service_by_instance.pop(name)].remove(name)
         if kind in (ChangeKind.JOINED, ChangeKind.MOVED):
-            self._services[name] = member.service
-            subset = self._subsets.setdefault(member.service, self._make_subset(self._size))
+            self._service_by_instance[name] = member.service
+            subset = self._subsets.setdefault(
+                member.service, self._make_subset(self._effective_subset_size)
+            )
             subset.put(member)
             subset.set_leaving(name, self._membership.is_leaving(name))
         elif kind in (ChangeKind.LEAVING, ChangeKind.RETURNED):
@@ -150,7 +152,7 @@
     def _remove_link(self, instance: str) -> None:
         if self._stop_dialer(instance):
             # The message names the service, since the member may be unknown when it is handled.
-            self._post(MemberRemoved(instance, self._services.get(instance, "")))
+            self._post(MemberRemoved(instance, self._service_by_instance.get(instance, "")))
 
     def _stop_dialer(self, instance: str) -> bool:
         self._retired.discard(instance)
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -30,8 +30,8 @@
 from cassiadrum.roles.sidecar_messages import (
     DrainSidecar,
     EndAllStreams,
-    LinkLost,
-    LinkMessage,
+    EntryLinkClosed,
+    EntryMessage,
     LoadChanged,
 )
 from cassiadrum.roles.sidecars import Sidecar
@@ -217,7 +217,7 @@
         if isinstance(msg, Order):
             self._orders.post(link, msg)
         elif not self._configurations.handle_message(link, msg):
-            self._sidecar.post(LinkMessage(link, msg))
+            self._sidecar.post(EntryMessage(link, msg))
 
     def _handle_heartbeat(self, link: Link, digest: str, clock: list[int]) -> None:
         observe_peer_clock(self.ring, clock)
@@ -226,4 +226,4 @@
     def _link_down(self, link: Link) -> None:
         self._configurations.link_down(link)
         self._gauges.remove(link)
-        self._sidecar.post(LinkLost(link))
+        self._sidecar.post(EntryLinkClosed(link))
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -14,22 +14,22 @@
     "CallStarted",
     "DrainSidecar",
     "EndAllStreams",
-    "LinkLost",
-    "LinkMessage",
+    "EntryLinkClosed",
+    "EntryMessage",
     "LoadChanged",
     "SidecarMessage",
     "Tick",
 ]
 
 
-class LinkMessage(NamedTuple):
+class EntryMessage(NamedTuple):
     """An entry instance sent a message on a link."""
 
     link: Link
     msg: Message
 
 
-class LinkLost(NamedTuple):
+class EntryLinkClosed(NamedTuple):
     """A link ended."""
 
     link: Link
@@ -86,8 +86,8 @@
 
 
 SidecarMessage = (
-    LinkMessage
-    | LinkLost
+    EntryMessage
+    | EntryLinkClosed
     | CallStarted
     | CallHead
     | CallData
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -47,8 +47,8 @@
     CallStarted,
     DrainSidecar,
     EndAllStreams,
-    LinkLost,
-    LinkMessage,
+    EntryLinkClosed,
+    EntryMessage,
     LoadChanged,
     SidecarMessage,
     Tick,
@@ -98,8 +98,8 @@
         self._reporter = LoadReporter(scheduler, self._links, ring, clock)
         self._last_tick_s = clock()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
-            LinkMessage: self._handle_link_message,
-            LinkLost: lambda msg: self._link_lost(msg.link),
+            EntryMessage: self._handle_entry_message,
+            EntryLinkClosed: lambda msg: self._entry_link_closed(msg.link),
             CallStarted: self._call_started,
             CallHead: self._call_head,
             CallData: self._call_data,
@@ -147,7 +147,7 @@
 
     # Messages from entry instances.
 
-    def _handle_link_message(self, message: LinkMessage) -> None:
+    def _handle_entry_message(self, message: EntryMessage) -> None:
         link, msg = message
         if isinstance(msg, Hello):
             self._link_up(link, msg)
@@ -182,7 +182,7 @@
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._reporter.report())
 
-    def _link_lost(self, link: Link) -> None:
+    def _entry_link_closed(self, link: Link) -> None:
         peer = self._links.remove(link, self._clock())
         if peer:
             self._ring.record(EventKind.DISCONNECTED, peer=peer)
--- a/cassiadrum/states/lease_managers.py
+++ b/cassiadrum/states/lease_managers.py
@@ -55,7 +55,7 @@
             await self._put(write)
 
     async def run(self, renew_interval_s: float, contend_interval_s: Callable[[], float]) -> None:
-        """Run steps until cancelled; a contender may read less often than a holder renews."""
+        """Run steps until cancelled; a candidate may read less often than a holder renews."""
         while True:
             held = self._state_machine.is_holder
             await self.step()
@@ -80,5 +80,5 @@
 
     def _observe(self, row: Row | None) -> None:
         record = LeaseRecord.from_value(row.value) if row else None
-        # Time after the answer: a contender's wait must not include the duration of the read.
+        # Time after the answer: a candidate's wait must not include the duration of the read.
         self._state_machine.observe(row.version if row else 0, record, self._clock())
--- a/cassiadrum/tests/test_memberships.py
+++ b/cassiadrum/tests/test_memberships.py
@@ -114,7 +114,7 @@
 
     async def test_leaving_member_gets_no_new_work_at_once(self) -> None:
         self.links.update_instances((sidecar("a"), sidecar("b")))
-        self.links.reported("a", True)
+        self.links.apply_report("a", True)
         assert self.posted == [MemberUsable("a", False)]
         assert self.events(EventKind.MEMBER_LEAVING) == ["a"]
 
@@ -139,9 +139,9 @@
     async def test_late_loss_of_a_replaced_link_changes_nothing(self) -> None:
         old, new = object(), object()
         self.links.update_instances((sidecar("a"),))
-        self.links.connected("a", old)  # type: ignore[arg-type]
-        self.links.connected("a", new)  # type: ignore[arg-type]
-        self.links.disconnected("a", old)  # type: ignore[arg-type]
+        self.links.link_up("a", old)  # type: ignore[arg-type]
+        self.links.link_up("a", new)  # type: ignore[arg-type]
+        self.links.link_down("a", old)  # type: ignore[arg-type]
         self.links.update_instances((sidecar("b"),))
         self.now = 10 * REMOVAL_LIMIT_S
         self.links.update_instances((sidecar("b"),))
--- a/cassiadrum/tests/test_stream_faults.py
+++ b/cassiadrum/tests/test_stream_faults.py
@@ -41,8 +41,8 @@
     CallData,
     CallEnded,
     DrainSidecar,
-    LinkLost,
-    LinkMessage,
+    EntryLinkClosed,
+    EntryMessage,
 )
 from cassiadrum.roles.sidecars import Sidecar
 
@@ -225,14 +225,14 @@
         return link
 
     def say(self, link: FakeLink, msg: Message) -> None:
-        self.handle(LinkMessage(link, msg))  # type: ignore[arg-type]
+        self.handle(EntryMessage(link, msg))  # type: ignore[arg-type]
 
     def start(self, link: FakeLink, name: str = "r.1", cancellable: bool = True) -> None:
         fields = (name, name[:-2], "s", "c", 1, False, False, cancellable, "x", 60.0)
         self.say(link, StartRequest(*fields, "POST", "/", [], b""))
 
     def lose(self, link: FakeLink) -> None:
-        self.handle(LinkLost(link))  # type: ignore[arg-type]
+        self.handle(EntryLinkClosed(link))  # type: ignore[arg-type]
 
     def tick(self, seconds: float) -> None:
         self.now += seconds
