Rename callbacks, builders and locals to one word per thing

Callables that look something up are called find_document and find_link, methods that build something make_...; a closed link is handled by link_down everywhere.

- OrderManager, MaintenanceFactory, SchedulerFactory: documents -> find_document
- OrderTask: links -> find_link
- MaintenanceFactory._lease -> _make_lease
- StreamAttachments.link_lost -> link_down, Sidecar._entry_link_closed -> _link_down
- composition: _make_wire -> _make_transport, _objects -> _make_object_store, _weights -> _make_weight_store, _tls -> _make_tls_contexts
- several local variables

--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -71,8 +71,8 @@
         self._last_report_s = max(self._last_report_s, now)
         state = self._states.get(rep.instance)
         was_leaving = state is not None and state.report.leaving
-        taken = state.apply_report(rep, now) if state else self._add(rep, now)
-        if not taken:
+        applied = state.apply_report(rep, now) if state else self._add(rep, now)
+        if not applied:
             return
         if rep.leaving != was_leaving:
             self._enforce_ejection_bound(now)
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -136,15 +136,15 @@
         """Return an endpoint with capacity, or None; probe its load if the sample is too old."""
         demand = _demand(ctx)
         now = self._clock()
-        view, room = self._policy.choose(demand, views, now, ctx.tried)
+        view, has_capacity = self._policy.choose(demand, views, now, ctx.tried)
         if view is None:
             return None
         if self._policy.has_long_shared_prefix(demand) and not view.has_sample_within(
             now, MAX_SAMPLE_AGE_S
         ):
             self.prober.probe_in_background(view)
-            room = room and not self.prober.is_probing(view)
-        return view if room else None
+            has_capacity = has_capacity and not self.prober.is_probing(view)
+        return view if has_capacity else None
 
     def _assign(self, ctx: RequestContext, view: EndpointView) -> Assignment:
         assignment = Assignment(view, self._policy.uncached_tokens(ctx.call, view))
--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -61,20 +61,20 @@
             self._post(CallEnded(stream.start.attempt_id, outcome))
 
     async def _run_once(self, stream: SidecarStream) -> Outcome:
-        entered = await self._once_only_guard.claim(stream.start)
-        if not isinstance(entered, Claimed):
-            if entered.stored_answer is not None:
-                self._send_stored(stream, entered.stored_answer)
-            return entered.outcome
+        claim = await self._once_only_guard.claim(stream.start)
+        if not isinstance(claim, Claimed):
+            if claim.stored_answer is not None:
+                self._send_stored(stream, claim.stored_answer)
+            return claim.outcome
         body = bytearray()
         outcome = await self._run(stream, body)
         answer = None
         if outcome.ok and stream.call_head is not None:
             headers = stored_headers(tuple(stream.call_head.headers))
-            whole = len(body) <= LIMITS.CLAIM_ANSWER_BYTES
-            kept = bytes(body) if whole else b""
-            answer = KeptAnswer(stream.call_head.status, headers, kept, whole)
-        await self._once_only_guard.settle(stream.start, entered, outcome, answer)
+            complete = len(body) <= LIMITS.CLAIM_ANSWER_BYTES
+            kept = bytes(body) if complete else b""
+            answer = KeptAnswer(stream.call_head.status, headers, kept, complete)
+        await self._once_only_guard.settle(stream.start, claim, outcome, answer)
         return outcome
 
     async def _run(self, stream: SidecarStream, body: bytearray | None) -> Outcome:
--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -62,11 +62,11 @@
         service = cfg.endpoint.service if cfg.endpoint else ""
         self._budget_share = BudgetShare(service, registry.document)
         self._table = HttpTableStore(
-            self._make_wire(cfg.platform.table_service, "table", self._budget_share.budget)
+            self._make_transport(cfg.platform.table_service, "table", self._budget_share.budget)
         )
         reader = ConfigurationReader(self._table, registry)
         self._instances = InstanceListPoller(
-            HttpInstanceList(self._make_wire(cfg.platform.instance_list, "instances"))
+            HttpInstanceList(self._make_transport(cfg.platform.instance_list, "instances"))
         )
         self._instances.listeners.append(self._budget_share.update_instances)
         self._configurations = ConfigurationAgent(
@@ -85,8 +85,8 @@
         maintenance = MaintenanceFactory(
             self._cfg.instance,
             self._table,
-            self._objects(),
-            self._weights(),
+            self._make_object_store(),
+            self._make_weight_store(),
             self._configurations.document,
             self._ring,
         )
@@ -99,7 +99,7 @@
             maintenance,
             ConfigurationWriter(self._table),
             self._metrics,
-            _tls(self._cfg),
+            _make_tls_contexts(self._cfg),
         )
 
     def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
@@ -121,22 +121,22 @@
             self._instances,
             target,
             schedulers.build(),
-            ClaimService(self._table, self._objects(), self._cfg.instance),
+            ClaimService(self._table, self._make_object_store(), self._cfg.instance),
             OrderExecutor(target, guard, self._ring),
             self._metrics,
-            _tls(self._cfg),
+            _make_tls_contexts(self._cfg),
         )
 
-    def _objects(self) -> HttpObjectStore:
+    def _make_object_store(self) -> HttpObjectStore:
         platform = self._cfg.platform
         address = platform.object_store or platform.table_service
-        return HttpObjectStore(self._make_wire(address, "objects", self._budget_share.budget))
+        return HttpObjectStore(self._make_transport(address, "objects", self._budget_share.budget))
 
-    def _weights(self) -> HttpWeightStore | None:
+    def _make_weight_store(self) -> HttpWeightStore | None:
         address = self._cfg.platform.weight_store
-        return HttpWeightStore(self._make_wire(address, "weights")) if address else None
+        return HttpWeightStore(self._make_transport(address, "weights")) if address else None
 
-    def _make_wire(
+    def _make_transport(
         self, address: Address, store: str, budget: StoreBudget | None = None
     ) -> StoreTransport:
         return StoreTransport(
@@ -152,7 +152,7 @@
     return kind(endpoint.address.host, endpoint.address.port)
 
 
-def _tls(cfg: Settings) -> TlsContexts | None:
+def _make_tls_contexts(cfg: Settings) -> TlsContexts | None:
     if not cfg.tls.certificate:
         return None
     return TlsContexts(Path(cfg.tls.certificate), Path(cfg.tls.key), Path(cfg.tls.ca))
--- a/cassiadrum/roles/endpoint_controls.py
+++ b/cassiadrum/roles/endpoint_controls.py
@@ -34,15 +34,15 @@
         """Stop an attempt; it cannot be resumed."""
         self._send("cancel", attempt_id, self._endpoint.cancel(attempt_id))
 
-    def _send(self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(self._log_errors(order, attempt_id, call))
+    def _send(self, action: str, attempt_id: str, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(self._log_errors(action, attempt_id, call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _log_errors(
-        self, order: str, attempt_id: str, call: Coroutine[Any, Any, None]
+        self, action: str, attempt_id: str, call: Coroutine[Any, Any, None]
     ) -> None:
         try:
             await call
         except EndpointError as exc:
-            logger.info("control call %s for attempt %s failed: %s", order, attempt_id, exc)
+            logger.info("control call %s for attempt %s failed: %s", action, attempt_id, exc)
--- a/cassiadrum/roles/maintenance_factories.py
+++ b/cassiadrum/roles/maintenance_factories.py
@@ -26,20 +26,20 @@
         table: TableStore,
         objects: ObjectStore,
         weights: WeightStore | None,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         ring: EventRing,
     ) -> None:
         self._instance = instance
         self._table = table
         self._objects = objects
         self._weights = weights
-        self._documents = documents
+        self._find_document = find_document
         self._ring = ring
 
     def claim_cleanup(self, entry_instances: Callable[[], list[str]]) -> ClaimCleanupTask:
         """Return the clean-up task; `entry_instances` names the live entry instances."""
         cleaner = ClaimCleaner(self._table, self._objects)
-        return ClaimCleanupTask(self._lease("claims", entry_instances), cleaner)
+        return ClaimCleanupTask(self._make_lease("claims", entry_instances), cleaner)
 
     def order_manager(
         self, router: Router, entry_instances: Callable[[], list[str]]
@@ -55,18 +55,18 @@
                 lease,
                 waiting_models=router.requested_models,
                 entry_count=lambda: len(entry_instances()),
-                links=router.links.get,
+                find_link=router.links.get,
                 ring=self._ring,
             )
 
         return OrderManager(
             self._weights,
-            self._documents,
-            lambda name: self._lease(name, entry_instances),
+            self._find_document,
+            lambda name: self._make_lease(name, entry_instances),
             make_task,
         )
 
-    def _lease(self, name: str, entry_instances: Callable[[], list[str]]) -> LeaseCandidate:
+    def _make_lease(self, name: str, entry_instances: Callable[[], list[str]]) -> LeaseCandidate:
         return LeaseCandidate(
             self._table, name, self._instance, entry_instances, self._ring, time.monotonic
         )
--- a/cassiadrum/roles/order_managers.py
+++ b/cassiadrum/roles/order_managers.py
@@ -30,12 +30,12 @@
     def __init__(
         self,
         weights: WeightStore | None,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         make_lease: Callable[[str], LeaseCandidate],
         make_task: Callable[[str, DemandOrderPlanner, LeaseCandidate], OrderTask],
     ) -> None:
         self._weights = weights
-        self._documents = documents
+        self._find_document = find_document
         self._make_lease = make_lease
         self._make_task = make_task
         self._tasks: dict[str, OrderTask] = {}
@@ -43,7 +43,7 @@
 
     def configure(self, service: str) -> None:
         """Start the task of a new model service, or stop that of a deleted one."""
-        document = self._documents(service)
+        document = self._find_document(service)
         if document is None or document.kind != "model":
             self._stop(service)
         elif service not in self._running and self._weights is not None:
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -35,7 +35,7 @@
         *,
         waiting_models: Callable[[str], Iterable[tuple[str, str]]],
         entry_count: Callable[[], int],
-        links: Callable[[str], Link | None],
+        find_link: Callable[[str], Link | None],
         ring: EventRing,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -44,7 +44,7 @@
         self._lease = lease
         self._waiting_models = waiting_models
         self._entry_count = entry_count
-        self._links = links
+        self._find_link = find_link
         self._ring = ring
         self._clock = clock
         self._reports: dict[str, EndpointReport] = {}
@@ -96,7 +96,7 @@
             self._send(order)
 
     def _send(self, order: EngineOrder) -> None:
-        link = self._links(order.instance)
+        link = self._find_link(order.instance)
         # Checked again right before the order is sent: the lease may have expired meanwhile.
         fencing = self._lease.fencing_token()
         if link is None or fencing is None:
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -52,5 +52,5 @@
     def describe(self) -> str:
         """Return a line with the request's id and class and the sidecars of its attempts."""
         req = self.queued
-        places = ", ".join(attempt.instance for attempt in self.attempts.values())
-        return f"{req.request_id} {req.service}/{req.class_name} at {places or 'the queue'}"
+        instances = ", ".join(attempt.instance for attempt in self.attempts.values())
+        return f"{req.request_id} {req.service}/{req.class_name} at {instances or 'the queue'}"
--- a/cassiadrum/roles/scheduler_factories.py
+++ b/cassiadrum/roles/scheduler_factories.py
@@ -23,12 +23,12 @@
 
     def __init__(
         self,
-        documents: Callable[[str], ServiceDocument | None],
+        find_document: Callable[[str], ServiceDocument | None],
         *,
         max_concurrency: int,
         can_pause: bool,
     ) -> None:
-        self._documents = documents
+        self._find_document = find_document
         self._can_pause = can_pause
         # A target of 0 means that latency is not compared with a target until a document is in
         # force.
@@ -45,7 +45,7 @@
 
     def configure(self, service: str) -> None:
         """Apply the latency targets and pausable classes of the service's document."""
-        document = self._documents(service)
+        document = self._find_document(service)
         if document is None:
             return
         model = document.kind == "model"
--- a/cassiadrum/roles/sidecar_daemons.py
+++ b/cassiadrum/roles/sidecar_daemons.py
@@ -165,8 +165,8 @@
     async def _poll_load(self) -> None:
         while True:
             try:
-                load, taken_s = await self._endpoint.load(), time.monotonic()
-                self._sidecar.post(LoadChanged(load, taken_s))
+                load, measured_s = await self._endpoint.load(), time.monotonic()
+                self._sidecar.post(LoadChanged(load, measured_s))
             except EndpointError:
                 # Idle connections to the same endpoint may be dead as well.
                 self._endpoint.close()
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -99,7 +99,7 @@
         self._last_tick_s = clock()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
             EntryMessage: self._handle_entry_message,
-            EntryLinkClosed: lambda msg: self._entry_link_closed(msg.link),
+            EntryLinkClosed: lambda msg: self._link_down(msg.link),
             CallStarted: self._call_started,
             CallHead: self._call_head,
             CallData: self._call_data,
@@ -182,11 +182,11 @@
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._reporter.report())
 
-    def _entry_link_closed(self, link: Link) -> None:
+    def _link_down(self, link: Link) -> None:
         peer = self._links.remove(link, self._clock())
         if peer:
             self._ring.record(EventKind.DISCONNECTED, peer=peer)
-        self._attachments.link_lost(link)
+        self._attachments.link_down(link)
 
     def _start(self, link: Link, msg: StartRequest) -> None:
         if msg.attempt_id in self.streams:
--- a/cassiadrum/roles/stream_attachments.py
+++ b/cassiadrum/roles/stream_attachments.py
@@ -55,7 +55,7 @@
             stream.link = None
             stream.detached_since_s = self._clock()
 
-    def link_lost(self, link: Link) -> None:
+    def link_down(self, link: Link) -> None:
         """Detach the streams of a link that ended."""
         for attempt_id in [key for key, stream in self._streams.items() if stream.link is link]:
             self.detach(link, attempt_id)
--- a/cassiadrum/tests/test_orders.py
+++ b/cassiadrum/tests/test_orders.py
@@ -96,7 +96,7 @@
             lease,
             waiting_models=lambda service: [("wanted", "")] * 20,
             entry_count=lambda: 1,
-            links=lambda instance: link,  # type: ignore[arg-type, return-value]
+            find_link=lambda instance: link,  # type: ignore[arg-type, return-value]
             ring=make_ring(),
             clock=lambda: now[0],
         )
