Reword comments that used an old name or a vague phrase

Doc comments name the constant and the status that exist now and say what was removed. LeastCostChooser._with_queue_room -> _with_queue_space.

--- a/cassiadrum/decisions/demand_order_planners.py
+++ b/cassiadrum/decisions/demand_order_planners.py
@@ -174,7 +174,7 @@
         )
 
     def _choose_replaced(self, rep: EndpointReport, name: ModelKey, now: float) -> str | None:
-        """Return what the engine unloads for `name`, "" for nothing, None if it has no room."""
+        """Return what to unload for `name`, "" if the engine has space, None if it cannot load."""
         adapter = name[1]
         capacity = self._adapters_per_engine if adapter else self._models_per_engine
         present = rep.adapters if adapter else rep.models
--- a/cassiadrum/decisions/least_cost_choosers.py
+++ b/cassiadrum/decisions/least_cost_choosers.py
@@ -54,8 +54,9 @@
         self._min_overcommit = 0 if streams_tokens else 1
         self._prefixes = PrefixIndex(prefix_keys_per_endpoint)
         self._states: dict[str, EndpointState] = {}
-        self._with_free_slot = CapabilityIndex()  # endpoints with a free slot
-        self._with_queue_room = CapabilityIndex()  # endpoints with room for protected requests
+        self._with_free_slot = CapabilityIndex()
+        # Endpoints with queue space for protected requests.
+        self._with_queue_space = CapabilityIndex()
         # Endpoints that are neither leaving nor ejected, in order of arrival.
         self._available: dict[str, None] = {}
         # Endpoints that recently rejected a request, in order of the rejections.
@@ -138,10 +139,10 @@
             self._prefixes.add(instance, keys)
 
     def choose(self, req: QueuedRequest, now: float, exclude: Collection[str] = ()) -> str | None:
-        """Return the instance to send the request to, or None if none has room."""
+        """Return the instance to send the request to, or None if none has space."""
         chosen = self._cheapest(self._with_free_slot, req, now, exclude)
         if chosen is None and req.protected:
-            chosen = self._cheapest(self._with_queue_room, req, now, exclude)
+            chosen = self._cheapest(self._with_queue_space, req, now, exclude)
         return chosen
 
     def free_slots(self) -> int:
@@ -241,8 +242,11 @@
             free = min(free, max(0, 1 - len(state.streams)))
         self._set_free(instance, free)
         queueable = state.health is HealthState.HEALTHY and slots + queue > outstanding
-        for index, room in ((self._with_free_slot, free > 0), (self._with_queue_room, queueable)):
-            if room:
+        for index, eligible in (
+            (self._with_free_slot, free > 0),
+            (self._with_queue_space, queueable),
+        ):
+            if eligible:
                 index.put(instance, state.capabilities)
             else:
                 index.discard(instance)
@@ -263,7 +267,7 @@
 
     def _remove_from_indexes(self, instance: str) -> None:
         self._with_free_slot.discard(instance)
-        self._with_queue_room.discard(instance)
+        self._with_queue_space.discard(instance)
         self._set_free(instance, 0)
 
     def _set_free(self, instance: str, free: int) -> None:
--- a/cassiadrum/decisions/outcomes.py
+++ b/cassiadrum/decisions/outcomes.py
@@ -24,7 +24,7 @@
 class Outcome(NamedTuple):
     """Whether an attempt succeeded and ran, and how many tokens it produced.
 
-    `reason` is one of the refusal reasons of the design page, empty on success.
+    `reason` is a refusal reason as callers receive it, empty on success.
     `retry_after_s` is in seconds, 0 if unknown. `final` forbids another attempt, because the
     caller already received a part of the answer that no other attempt can continue.
     """
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -35,7 +35,7 @@
         self._store_outdated = False
 
     def replace(self, page: RowPage) -> None:
-        """Take all rows."""
+        """Apply all rows of a full read."""
         self.apply_changes(page)
 
     def apply_changes(self, page: RowPage) -> None:
@@ -78,7 +78,7 @@
         self._clock = clock
 
     def replace(self, page: RowPage) -> None:
-        """Take all rows."""
+        """Apply all rows of a full read."""
         entries = [entry for row in page.rows if (entry := self._decode(row)) is not None]
         self._gateway.directory.replace(entries, self._clock())
         self._gateway.endpoints_changed()
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -77,7 +77,8 @@
     def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Return the outcome, marked as final if the caller has part of an unresumable answer.
 
-        Only event streams can be resumed by another attempt. A final outcome never has `ran` NO.
+        Only event streams can be resumed by another attempt. The `ran` of a final outcome is never
+        NOT_EXECUTED.
         """
         if not pending.head_sent or pending.streaming:
             return outcome
--- a/cassiadrum/roles/order_tasks.py
+++ b/cassiadrum/roles/order_tasks.py
@@ -56,7 +56,7 @@
         self._reports[rep.instance] = rep
 
     def endpoint_removed(self, instance: str) -> None:
-        """Drop the report of an engine that is gone."""
+        """Drop the report of an engine that was removed."""
         self._reports.pop(instance, None)
 
     def order_finished(self, order_id: str, ok: bool, reason: str) -> None:
--- a/cassiadrum/roles/sidecar_clients.py
+++ b/cassiadrum/roles/sidecar_clients.py
@@ -105,7 +105,7 @@
         return self._links.set_usable(instance, usable, self._clock())
 
     def forget(self, instance: str) -> None:
-        """Drop all state of a sidecar that is gone."""
+        """Drop all state of a sidecar that has left or is no longer linked."""
         self._links.forget(instance)
 
     def link_down(self, link: Link) -> None:
--- a/cassiadrum/roles/sidecar_links.py
+++ b/cassiadrum/roles/sidecar_links.py
@@ -27,7 +27,7 @@
         return known not in (None, hello.process_start)
 
     def link_down(self, link: Link) -> str:
-        """Forget a link; return its instance, empty when the link was not the current one."""
+        """Remove a link; return its instance, empty when the link was not the current one."""
         if not self.is_current(link) or link.peer is None:
             return ""
         del self.by_instance[link.peer.instance]
@@ -75,7 +75,7 @@
         return report and report._replace(leaving=True, reported_s=now)
 
     def forget(self, instance: str) -> None:
-        """Drop all state of a sidecar that is gone."""
+        """Drop all state of a sidecar that has left or is no longer linked."""
         self.by_instance.pop(instance, None)
         self._process_starts.pop(instance, None)
         self._reports.pop(instance, None)
--- a/cassiadrum/roles/sidecar_streams.py
+++ b/cassiadrum/roles/sidecar_streams.py
@@ -54,7 +54,7 @@
             return True
         if self.end_acked:
             return False
-        # A detached entry instance may still reconnect within DETACHED_STREAM_S.
+        # A detached entry instance may still reconnect within DETACHED_STREAM_TIMEOUT_S.
         waits_s = 0.0 if self.detached_since_s is None else now - self.detached_since_s
         return self.link is not None or waits_s < LIMITS.DETACHED_STREAM_TIMEOUT_S
 
