--- a/cassiadrum/tests/gateways/conftest.py
+++ b/cassiadrum/tests/gateways/conftest.py
@@ -19,13 +19,13 @@
     write_settings,
 )
 
-START_LIMIT_S = 20.0
+START_TIMEOUT_S = 20.0
 
 
 # Below the ports that the system gives to connections, and apart for each test worker.
 FIRST_PORT = 20_000
-WORKER_PORTS = 500
-_numbers = itertools.cycle(range(WORKER_PORTS))
+PORTS_PER_WORKER = 500
+_port_offsets = itertools.cycle(range(PORTS_PER_WORKER))
 
 
 def free_port() -> int:
@@ -35,7 +35,7 @@
     """
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
     while True:
-        port = FIRST_PORT + worker * WORKER_PORTS + next(_numbers)
+        port = FIRST_PORT + worker * PORTS_PER_WORKER + next(_port_offsets)
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -45,7 +45,7 @@
         return port
 
 
-class GatewayRun:
+class GatewaySubprocess:
     """A gateway process and its addresses."""
 
     def __init__(self, settings_path: Path, calls_port: int, ready_port: int, log: Path) -> None:
@@ -77,7 +77,7 @@
         assert self._process is not None
         return self._process
 
-    async def ready(self) -> bool:
+    async def is_ready(self) -> bool:
         """Return whether the process says that it is ready."""
         client = HttpClient("127.0.0.1", self.ready_port)
         try:
@@ -91,7 +91,7 @@
 
     async def wait_listening(self) -> None:
         """Wait until the process answers readiness checks."""
-        await poll_until(self.listening, START_LIMIT_S)
+        await poll_until(self.listening, START_TIMEOUT_S)
 
     async def listening(self) -> bool:
         """Return whether the process answers readiness checks."""
@@ -104,11 +104,11 @@
             client.close()
         return True
 
-    async def wait_ready(self, *, ready: bool = True, limit_s: float = START_LIMIT_S) -> None:
+    async def wait_ready(self, *, ready: bool = True, limit_s: float = START_TIMEOUT_S) -> None:
         """Wait until the process says that it is ready, or that it is not."""
 
         async def reached() -> bool:
-            return await self.ready() == ready
+            return await self.is_ready() == ready
 
         await poll_until(reached, limit_s)
 
@@ -128,18 +128,18 @@
 
 
 @pytest.fixture
-async def gateway(site: PlatformSite, tmp_path: Path) -> AsyncIterator[GatewayRun]:
+async def gateway(site: PlatformSite, tmp_path: Path) -> AsyncIterator[GatewaySubprocess]:
     calls_port, ready_port = free_port(), free_port()
     path = tmp_path / "boot.json"
     write_settings(path, make_settings(site.store_port, calls_port, ready_port))
-    run = GatewayRun(path, calls_port, ready_port, tmp_path / "gateway.log")
+    run = GatewaySubprocess(path, calls_port, ready_port, tmp_path / "gateway.log")
     await run.start()
     yield run
     await run.kill()
 
 
 @pytest.fixture
-async def caller(gateway: GatewayRun) -> AsyncIterator[Caller]:
+async def caller(gateway: GatewaySubprocess) -> AsyncIterator[Caller]:
     await gateway.wait_ready()
     caller = Caller(gateway.calls_port)
     yield caller
--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -11,7 +11,7 @@
 
 # The client states the address that it is connected to.
 HOST = "127.0.0.1"
-WAIT_S = 8.0
+WAIT_TIMEOUT_S = 8.0
 # Time after which a key that was taken away is no longer served.
 REVOKE_S = 2.5
 # Time after which an endpoint that drains, or is gone, gets no new request.
@@ -80,7 +80,7 @@
     }
 
 
-async def wait_until(check: Callable[[], bool], limit_s: float = WAIT_S) -> None:
+async def wait_until(check: Callable[[], bool], limit_s: float = WAIT_TIMEOUT_S) -> None:
     """Wait until a condition holds."""
 
     async def holds() -> bool:
@@ -89,7 +89,9 @@
     await poll_until(holds, limit_s)
 
 
-async def poll_until(check: Callable[[], Awaitable[bool]], limit_s: float = WAIT_S) -> None:
+async def poll_until(
+    check: Callable[[], Awaitable[bool]], limit_s: float = WAIT_TIMEOUT_S
+) -> None:
     """Wait until a condition that has to be asked for holds."""
     async with asyncio.timeout(limit_s):
         while not await check():  # noqa: ASYNC110 - other processes set no event
@@ -140,15 +142,15 @@
 
     def __init__(self, port: int) -> None:
         self._client = HttpClient("127.0.0.1", port)
-        self._number = 0
+        self._request_count = 0
 
     async def call(
         self, path: str, *, key: str = "key-1", events: int = 0, request_id: str = "", **more: str
     ) -> tuple[int, dict[str, str], bytes]:
         """Return status, headers and body; raise AnswerLost when the answer is cut."""
-        self._number += 1
+        self._request_count += 1
         headers = {
-            Header.REQUEST_ID: request_id or f"r-{self._number}",
+            Header.REQUEST_ID: request_id or f"r-{self._request_count}",
             Header.TIMEOUT: "3000",
             Header.API_KEY: key,
             **{name.replace("_", "-"): value for name, value in more.items()},
--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -12,7 +12,7 @@
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
 from cassiadrum.protocols import HttpError
-from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess, free_port
 from cassiadrum.tests.gateways.sites import (
     REVOKE_S,
     Caller,
@@ -21,21 +21,21 @@
     make_settings,
     write_settings,
 )
-from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+from cassiadrum.tests.harness.fault_proxies import Direction, FaultProxy
 
 CALLERS = 6
 GATEWAYS = 2
-FAULT_GAP_S = (0.1, 0.6)
-FAULT_LENGTH_S = (0.3, 2.0)
-ANSWER_LIMIT_S = 5.0
+FAULT_INTERVAL_S = (0.1, 0.6)
+FAULT_DURATION_S = (0.3, 2.0)
+ANSWER_TIMEOUT_S = 5.0
 # The deployment's time for being served again once all faults have ended.
-RECOVERY_S = 8.0
-NOT_RUN = (408, 421, 429, 503)
+RECOVERY_TIMEOUT_S = 8.0
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Keys that configurations give and take away besides the one that always holds.
-LENT_KEYS = tuple(f"key-{number}" for number in range(2, 10))
+TEMPORARY_KEYS = tuple(f"key-{number}" for number in range(2, 10))
 
 
-class Seen(NamedTuple):
+class RequestOutcome(NamedTuple):
     """Record what a caller saw of one request; `status` is 0 without a whole answer."""
 
     request_id: str
@@ -47,22 +47,22 @@
 
 
 class GatewaySoak:
-    """Run callers and faults for a time, then heal, and list the promises that were broken."""
+    """Run callers and faults for a time, then heal, and list the promises that were violations."""
 
     def __init__(self, seed: int, directory: Path) -> None:
         self._rng = random.Random(seed)
         self._site = PlatformSite()
         self._directory = directory
-        self._gateways: list[GatewayRun] = []
+        self._gateways: list[GatewaySubprocess] = []
         self._proxies: list[FaultProxy] = []
-        self._seen: list[Seen] = []
+        self._outcomes: list[RequestOutcome] = []
         self._version = 1
         # What endpoints and operator wrote last; None where an entry was removed.
         self._states: dict[str, str | None] = dict.fromkeys(self._site.endpoints, "ready")
         self._configuration = make_configuration()
         # Times at which the operator took a key away, monotonic seconds.
-        self._taken_s = dict.fromkeys(LENT_KEYS, float("-inf"))
-        self._served_taken: list[str] = []
+        self._revoked_s = dict.fromkeys(TEMPORARY_KEYS, float("-inf"))
+        self._served_after_revocation: list[str] = []
         self._faults: list[Callable[[], Awaitable[None]]] = [
             self._endpoint_fault,
             self._cut_streams,
@@ -70,32 +70,32 @@
             self._store_fault,
             self._pause_gateway,
             self._kill_gateway,
-            self._stop_gateway,
-            self._endpoint_leaves,
+            self._restart_gateway,
+            self._drain_endpoint,
             self._change_configuration,
-            self._change_beyond_a_cut,
+            self._revoke_key_during_partition,
             self._restore_store,
         ]
-        self.played: list[str] = []
+        self.injected: list[str] = []
 
     async def run(self, seconds: float) -> list[str]:
-        """Return the broken promises."""
+        """Return the violations promises."""
         await self._start()
         try:
-            callers = [asyncio.create_task(self._call_on(n)) for n in range(CALLERS)]
-            callers.append(asyncio.create_task(self._call_with_lent_keys()))
+            callers = [asyncio.create_task(self._call_repeatedly(n)) for n in range(CALLERS)]
+            callers.append(asyncio.create_task(self._call_with_temporary_keys()))
             await self._inject(seconds)
             for task in callers:
                 task.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
-            return self._check() + await self._check_recovery()
+            return self._find_violations() + await self._find_recovery_violations()
         finally:
             await self._close()
 
     @property
     def served(self) -> int:
         """Return the number of requests that were answered with success."""
-        return sum(seen.status == 200 for seen in self._seen)
+        return sum(outcome.status == 200 for outcome in self._outcomes)
 
     async def _start(self) -> None:
         await self._site.start()
@@ -113,7 +113,7 @@
             ports = free_port(), free_port()
             path = self._directory / f"boot-{number}.json"
             write_settings(path, make_settings(store_port, *ports))
-            run = GatewayRun(path, *ports, self._directory / f"gateway-{number}.log")
+            run = GatewaySubprocess(path, *ports, self._directory / f"gateway-{number}.log")
             await run.start()
             self._gateways.append(run)
         for run in self._gateways:
@@ -128,7 +128,7 @@
 
     # Callers keep a connection until their gateway is gone.
 
-    async def _call_on(self, number: int) -> None:
+    async def _call_repeatedly(self, number: int) -> None:
         rng = random.Random(self._rng.random())
         count = 0
         while True:
@@ -146,35 +146,41 @@
     async def _call(self, caller: Caller, rng: random.Random, request_id: str) -> None:
         kind = rng.choice(("once", "safe", "stream"))
         events = rng.randint(1, 30) if kind == "stream" else 0
-        seen = Seen(request_id, kind, 0, "", b"", events)
+        outcome = RequestOutcome(request_id, kind, 0, "", b"", events)
         try:
-            async with asyncio.timeout(ANSWER_LIMIT_S):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 status, headers, body = await caller.call(
                     f"/{kind}/a", events=events, request_id=request_id
                 )
-            seen = Seen(request_id, kind, status, headers.get(Header.SIGNATURE, ""), body, events)
+            outcome = RequestOutcome(
+                request_id, kind, status, headers.get(Header.SIGNATURE, ""), body, events
+            )
         finally:
-            self._seen.append(seen)
+            self._outcomes.append(outcome)
 
-    async def _call_with_lent_keys(self) -> None:
+    async def _call_with_temporary_keys(self) -> None:
         """Send requests with keys that come and go; one that is gone for long is not served."""
         rng = random.Random(self._rng.random())
         while True:
             await asyncio.sleep(rng.uniform(0.0, 0.05))
-            key = rng.choice(LENT_KEYS)
-            taken_s = self._taken_s.get(key)
-            gone_s = time.monotonic() - taken_s if taken_s is not None else 0.0
+            key = rng.choice(TEMPORARY_KEYS)
+            revoked_s = self._revoked_s.get(key)
+            revoked_for_s = time.monotonic() - revoked_s if revoked_s is not None else 0.0
             caller = Caller(rng.choice(self._gateways).calls_port)
             try:
-                async with asyncio.timeout(ANSWER_LIMIT_S):
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     status, _, _ = await caller.call("/safe/a", key=key)
             except (OSError, HttpError, TimeoutError):
                 continue
             finally:
                 caller.close()
-            if status == 200 and gone_s > REVOKE_S and self._taken_s.get(key) == taken_s:
-                self._served_taken.append(
-                    f"{key} was served {gone_s:.2f} s after it was taken away"
+            if (
+                status == 200
+                and revoked_for_s > REVOKE_S
+                and self._revoked_s.get(key) == revoked_s
+            ):
+                self._served_after_revocation.append(
+                    f"{key} was served {revoked_for_s:.2f} s after it was taken away"
                 )
 
     # Faults, which overlap: each lasts for a time of its own.
@@ -184,9 +190,9 @@
         end_s = loop.time() + seconds
         running = []
         while loop.time() < end_s:
-            await asyncio.sleep(self._rng.uniform(*FAULT_GAP_S))
+            await asyncio.sleep(self._rng.uniform(*FAULT_INTERVAL_S))
             fault = self._rng.choice(self._faults)
-            self.played.append(fault.__name__)
+            self.injected.append(fault.__name__)
             running.append(asyncio.create_task(self._run_fault(fault)))
         await asyncio.gather(*running)
 
@@ -194,20 +200,20 @@
     async def _run_fault(fault: Callable[[], Awaitable[None]]) -> None:
         await fault()
 
-    async def _last(self) -> None:
-        await asyncio.sleep(self._rng.uniform(*FAULT_LENGTH_S))
+    async def _wait_fault_duration(self) -> None:
+        await asyncio.sleep(self._rng.uniform(*FAULT_DURATION_S))
 
     async def _endpoint_fault(self) -> None:
         endpoint = self._rng.choice(list(self._site.endpoints.values()))
         name = self._rng.choice(("hang", "fail", "refuse"))
         setattr(endpoint, name, True)
-        await self._last()
+        await self._wait_fault_duration()
         setattr(endpoint, name, False)
 
     async def _cut_streams(self) -> None:
         endpoint = self._site.endpoints[self._rng.choice(("e-1", "e-2"))]
         endpoint.cut_after = self._rng.randint(1, 3)
-        await self._last()
+        await self._wait_fault_duration()
         endpoint.cut_after = None
 
     async def _connection_fault(self) -> None:
@@ -219,25 +225,25 @@
             proxy.silence()
         elif kind == "partition":
             proxy.partition()
-            await self._last()
+            await self._wait_fault_duration()
             proxy.heal()
         elif kind == "delay":
             proxy.delay_s = 0.1
-            await self._last()
+            await self._wait_fault_duration()
             proxy.delay_s = 0.0
         else:
-            proxy.half_frame(Way.TO_CLIENT)
+            proxy.truncate_next_read(Direction.TO_CLIENT)
 
     async def _store_fault(self) -> None:
         store = self._site.store
         kind = self._rng.choice([*StoreFault, "slow", "forget"])
         if isinstance(kind, StoreFault):
             store.fault = kind
-            await self._last()
+            await self._wait_fault_duration()
             store.fault = StoreFault.NONE
         elif kind == "slow":
             store.slow_s = 0.3
-            await self._last()
+            await self._wait_fault_duration()
             store.slow_s = 0.0
         else:
             store.drop_history()
@@ -247,7 +253,7 @@
         # Another fault may end the process meanwhile.
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGSTOP)
-            await self._last()
+            await self._wait_fault_duration()
             process.send_signal(signal.SIGCONT)
 
     async def _kill_gateway(self) -> None:
@@ -255,7 +261,7 @@
         await run.kill()
         await run.start()
 
-    async def _stop_gateway(self) -> None:
+    async def _restart_gateway(self) -> None:
         run = self._rng.choice(self._gateways)
         process = run.process
         with contextlib.suppress(ProcessLookupError):
@@ -265,13 +271,13 @@
             await run.kill()
             await run.start()
 
-    async def _endpoint_leaves(self) -> None:
+    async def _drain_endpoint(self) -> None:
         name = self._rng.choice(list(self._site.endpoints))
         self._write_state(name, "draining")
-        await self._last()
+        await self._wait_fault_duration()
         if self._rng.random() < 0.5:
             self._write_state(name, None)
-            await self._last()
+            await self._wait_fault_duration()
         # It starts again under its name.
         self._site.endpoints[name].born += 1
         self._write_state(name, "ready")
@@ -287,7 +293,7 @@
         """Bring the store back from an older copy; endpoints write again a little later."""
         store = self._site.store
         saved = store.snapshot()
-        await self._last()
+        await self._wait_fault_duration()
         store.fault = StoreFault.RESET
         await asyncio.sleep(0.2)
         store.restore(saved)
@@ -299,65 +305,65 @@
 
     async def _change_configuration(self) -> None:
         self._version += self._rng.randint(1, 3)
-        key = self._rng.choice(LENT_KEYS)
+        key = self._rng.choice(TEMPORARY_KEYS)
         tenants = [{"name": "st-martin", "api_keys": ["key-1", key]}]
         self._configuration = make_configuration(self._version, tenants=tenants)
         self._site.store.put("op", "config", self._configuration)
         now = time.monotonic()
-        self._taken_s = {
-            other: self._taken_s.get(other, now) for other in LENT_KEYS if other != key
+        self._revoked_s = {
+            other: self._revoked_s.get(other, now) for other in TEMPORARY_KEYS if other != key
         }
 
-    async def _change_beyond_a_cut(self) -> None:
+    async def _revoke_key_during_partition(self) -> None:
         """Take a key away while no gateway reaches the store for longer than keys may last."""
         store = self._proxies[-1]
         store.partition()
         await self._change_configuration()
-        await asyncio.sleep(REVOKE_S + self._rng.uniform(*FAULT_LENGTH_S))
+        await asyncio.sleep(REVOKE_S + self._rng.uniform(*FAULT_DURATION_S))
         store.heal()
 
     # Promises, from what callers and endpoints saw.
 
-    def _check(self) -> list[str]:
-        broken = [text for seen in self._seen if (text := self._broken(seen))]
-        return broken + self._served_taken
+    def _find_violations(self) -> list[str]:
+        violations = [text for outcome in self._outcomes if (text := self._violation(outcome))]
+        return violations + self._served_after_revocation
 
-    def _broken(self, seen: Seen) -> str:
-        runs = self._site.runs(seen.request_id)
-        what = f"{seen.kind} {seen.request_id} with status {seen.status}"
-        if seen.kind == "once" and runs > 1:
+    def _violation(self, outcome: RequestOutcome) -> str:
+        runs = self._site.runs(outcome.request_id)
+        what = f"{outcome.kind} {outcome.request_id} with status {outcome.status}"
+        if outcome.kind == "once" and runs > 1:
             return f"{what} ran {runs} times"
-        if seen.status in NOT_RUN and runs and seen.kind == "once":
+        if outcome.status in NOT_RUN_STATUSES and runs and outcome.kind == "once":
             return f"{what} ran {runs} times, though it was refused as not run"
-        if seen.status in (401, 404):
+        if outcome.status in (401, 404):
             return f"{what} is allowed by every configuration"
-        if seen.status == 200:
-            return self._broken_answer(seen, runs, what)
+        if outcome.status == 200:
+            return self._answer_violation(outcome, runs, what)
         return ""
 
     @staticmethod
-    def _broken_answer(seen: Seen, runs: int, what: str) -> str:
-        if not runs or not seen.signature:
+    def _answer_violation(outcome: RequestOutcome, runs: int, what: str) -> str:
+        if not runs or not outcome.signature:
             return f"{what} has an answer that no endpoint gave"
-        if seen.kind != "stream":
-            signed = seen.signature == f"signed-by-{seen.body.decode()}"
-            return "" if signed else f"{what} has the body {seen.body!r} of {seen.signature}"
-        whole = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, seen.events + 1))
-        return "" if seen.body == whole.encode() else f"{what} has the events {seen.body!r}"
-
-    async def _check_recovery(self) -> list[str]:
-        broken = []
+        if outcome.kind != "stream":
+            signed = outcome.signature == f"signed-by-{outcome.body.decode()}"
+            return "" if signed else f"{what} has the body {outcome.body!r} of {outcome.signature}"
+        whole = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, outcome.events + 1))
+        return "" if outcome.body == whole.encode() else f"{what} has the events {outcome.body!r}"
+
+    async def _find_recovery_violations(self) -> list[str]:
+        violations = []
         for number, run in enumerate(self._gateways):
             if run.process.returncode is not None:
                 await run.start()
             try:
-                await run.wait_ready(limit_s=RECOVERY_S)
+                await run.wait_ready(limit_s=RECOVERY_TIMEOUT_S)
                 caller = Caller(run.calls_port)
                 status, _, _ = await caller.call("/safe/a", request_id=f"last-{number}")
                 caller.close()
             except (OSError, HttpError, TimeoutError) as exc:
-                broken.append(f"gateway {number} does not serve after all faults: {exc!r}")
+                violations.append(f"gateway {number} does not serve after all faults: {exc!r}")
             else:
                 if status != 200:
-                    broken.append(f"gateway {number} answers {status} after all faults")
-        return broken
+                    violations.append(f"gateway {number} answers {status} after all faults")
+        return violations
--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -24,20 +24,20 @@
 from cassiadrum.stores.errors import StoreUnavailable
 from cassiadrum.tests.gateways.sites import make_configuration
 
-LIMIT_S = 4.75
+CONFIRMATION_LIMIT_S = 4.75
 RETURN_GRACE_S = 2.0
 LAPSE_S = 5.0
 INSTANCES = ("i-0", "i-1", "i-2")
 SERVICE = "engine"
 
 # Seconds that a call and its answer take; a call for changes may wait in the store.
-travel_s = st.sampled_from([0.002, 0.1, 0.8])
+transit_s = st.sampled_from([0.002, 0.1, 0.8])
 instances = st.sampled_from(INSTANCES)
 # How many runs of how many steps each machine makes.
-MACHINE_LIMITS = settings(max_examples=100, stateful_step_count=40, deadline=None)
+MACHINE_SETTINGS = settings(max_examples=100, stateful_step_count=40, deadline=None)
 
 
-def _run(step: Coroutine[None, None, float]) -> None:
+def _run_without_waiting(step: Coroutine[None, None, float]) -> None:
     """Carry out a call of the follower; the model never waits."""
     try:
         step.send(None)
@@ -46,7 +46,7 @@
     raise AssertionError("the call waits")
 
 
-class Change(NamedTuple):
+class RowChange(NamedTuple):
     """Hold one write; `content` is None for a removal."""
 
     version: int
@@ -61,14 +61,14 @@
     def __init__(self, skew_s: float) -> None:
         super().__init__(Address("127.0.0.1", 1))
         self.now = 0.0
-        self.changes_made: list[Change] = []
+        self.row_changes: list[RowChange] = []
         # The oldest version from which changes are known.
-        self.floor = 0
+        self.oldest_kept_version = 0
         self.lost = False
         # The era that the store states in each answer.
         self.stated_era = 1
-        self.there_s = 0.0
-        self.back_s = 0.0
+        self.request_transit_s = 0.0
+        self.answer_transit_s = 0.0
         # Tables whose answers arrived or were lost, in order.
         self.outcomes: list[tuple[str, bool]] = []
         # The one table whose answers are lost.
@@ -81,42 +81,42 @@
     @property
     def version(self) -> int:
         """Return the newest version."""
-        return len(self.changes_made)
+        return len(self.row_changes)
 
     def write(self, table: str, key: str, content: bytes | None) -> None:
         """Write or remove a row."""
-        self.changes_made.append(Change(self.version + 1, table, key, content))
+        self.row_changes.append(RowChange(self.version + 1, table, key, content))
 
     def restore(self, version: int) -> None:
         """Come back from a copy made at a version; what was written since is lost."""
-        del self.changes_made[version:]
-        self.floor = min(self.floor, version)
+        del self.row_changes[version:]
+        self.oldest_kept_version = min(self.oldest_kept_version, version)
         self.stated_era += 1
 
     def row(self, table: str, key: str) -> bytes | None:
         """Return the content of a row, None when there is none."""
-        found = [item for item in self.changes_made if (item.table, item.key) == (table, key)]
+        found = [item for item in self.row_changes if (item.table, item.key) == (table, key)]
         return found[-1].content if found else None
 
     async def read_all(self, table: str) -> RowPage:
         return self._answer(table, lambda: self._rows(table))
 
     async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
-        if not self.floor <= since <= self.version:
+        if not self.oldest_kept_version <= since <= self.version:
             if not self.lost:
                 self.era.observe(str(self.stated_era))
             raise HistoryGone(table)
         return self._answer(table, lambda: self._changed_rows(table, since))
 
     def _rows(self, table: str) -> list[ChangedRow]:
-        keys = {item.key for item in self.changes_made if item.table == table}
+        keys = {item.key for item in self.row_changes if item.table == table}
         rows = [(key, self.row(table, key)) for key in sorted(keys)]
         return [ChangedRow(key, content, 1) for key, content in rows if content is not None]
 
     def _changed_rows(self, table: str, since: int) -> list[ChangedRow]:
         found = {
             item.key: ChangedRow(item.key, item.content, item.version)
-            for item in self.changes_made
+            for item in self.row_changes
             if item.table == table and item.version > since
         }
         return list(found.values())
@@ -124,12 +124,12 @@
     def _answer(self, table: str, make_rows: Callable[[], list[ChangedRow]]) -> RowPage:
         """Let the call travel, make the answer, let it travel back; writes happen meanwhile."""
         sent_s = self.now
-        self.now += self.there_s
+        self.now += self.request_transit_s
         self.on_arrival()
         made_s = self.now
         rows, version, era = make_rows(), self.version, self.stated_era
         self.on_departure()
-        self.now += self.back_s
+        self.now += self.answer_transit_s
         lost = self.lost or self.lost_table == table
         self.outcomes.append((table, lost))
         if lost:
@@ -148,7 +148,7 @@
         self.store = ModelStore(skew_s=1234.5)
         # When the operator's versions were accepted.
         self.accepted_s: dict[int, float] = {}
-        self.newest = 0
+        self.newest_version = 0
         self._start()
 
     def _start(self) -> None:
@@ -157,7 +157,7 @@
             retry_ratio=0.2,
             retry_spare=1.0,
             retry_window_s=10.0,
-            confirmation_limit_s=LIMIT_S,
+            confirmation_limit_s=CONFIRMATION_LIMIT_S,
             strict_keys=True,
             return_grace_s=RETURN_GRACE_S,
             lapse_s=LAPSE_S,
@@ -169,12 +169,14 @@
         self.gateway = Gateway(cfg, PlatformProtocol(), clock, clock)
         configuration = FollowedTable(CONFIGURATION_TABLE, ConfigurationSink(self.gateway))
         endpoints = FollowedTable(ENDPOINT_TABLE, EndpointSink(self.gateway, clock))
-        self.follower = StoreFollower(self.store, configuration, self._others(endpoints), 0.0)
-        self.seen = 0
+        self.follower = StoreFollower(
+            self.store, configuration, self._other_tables(endpoints), 0.0
+        )
+        self.last_version = 0
         self.outage_ended_s = float("-inf")
         self.endpoints_lost = False
 
-    def _others(self, endpoints: FollowedTable) -> list[FollowedTable]:
+    def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
         """Return the tables that are followed beside the configuration."""
         return []
 
@@ -185,13 +187,15 @@
 
     @rule()
     def forget_history(self) -> None:
-        self.store.floor = self.store.version + 1
+        self.store.oldest_kept_version = self.store.version + 1
 
-    def _ask(self, there_s: float, back_s: float, lost: bool, lost_table: str = "") -> None:
+    def _step_follower(
+        self, request_s: float, answer_s: float, lost: bool, lost_table: str = ""
+    ) -> None:
         """Let the follower make its calls; all answers are lost, or those about one table."""
-        self.store.there_s, self.store.back_s = there_s, back_s
+        self.store.request_transit_s, self.store.answer_transit_s = request_s, answer_s
         self.store.lost, self.store.lost_table = lost, lost_table
-        _run(self.follower.step())
+        _run_without_waiting(self.follower.step())
         self.store.lost_table = ""
 
 
@@ -204,57 +208,63 @@
 
     @rule()
     def accept_configuration(self) -> None:
-        self.newest += 1
-        self.accepted_s[self.newest] = self.store.now
-        self._write_configuration(self.newest)
+        self.newest_version += 1
+        self.accepted_s[self.newest_version] = self.store.now
+        self._write_configuration(self.newest_version)
 
-    @precondition(lambda self: self.newest > 1)
+    @precondition(lambda self: self.newest_version > 1)
     @rule()
-    def see_an_older_configuration(self) -> None:
+    def read_an_older_configuration(self) -> None:
         """Put an older one in the place of the newest for the time of a call."""
-        for version in (self.newest - 1, self.newest):
+        for version in (self.newest_version - 1, self.newest_version):
             self._write_configuration(version)
-            self._ask(0.01, 0.01, lost=False)
-            self.goes_back_to_no_older_configuration()
+            self._step_follower(0.01, 0.01, lost=False)
+            self.never_returns_to_an_older_configuration()
 
     @rule(
-        there_s=travel_s,
-        back_s=travel_s,
+        request_s=transit_s,
+        answer_s=transit_s,
         lost=st.booleans(),
         before=st.booleans(),
         after=st.booleans(),
     )
-    def ask_for_configurations(
-        self, there_s: float, back_s: float, lost: bool, before: bool, after: bool
+    def read_configurations(
+        self, request_s: float, answer_s: float, lost: bool, before: bool, after: bool
     ) -> None:
         """Ask while a configuration is accepted just before or after the answer is made."""
         if before:
             self.store.on_arrival = self.accept_configuration
         if after:
             self.store.on_departure = self.accept_configuration
-        self._ask(there_s, back_s, lost)
+        self._step_follower(request_s, answer_s, lost)
         self.store.on_arrival = self.store.on_departure = lambda: None
 
-    @rule(there_s=travel_s, back_s=travel_s, wait_s=st.floats(0.0, LIMIT_S))
-    def lose_the_store_after_an_answer(self, there_s: float, back_s: float, wait_s: float) -> None:
+    @rule(request_s=transit_s, answer_s=transit_s, wait_s=st.floats(0.0, CONFIRMATION_LIMIT_S))
+    def lose_the_store_after_an_answer(
+        self, request_s: float, answer_s: float, wait_s: float
+    ) -> None:
         """Replace the configuration while a new process's first answer travels back to it."""
         self._start()
-        self.ask_for_configurations(there_s, back_s, lost=False, before=False, after=True)
+        self.read_configurations(request_s, answer_s, lost=False, before=False, after=True)
         self.let_time_pass(wait_s)
 
     @invariant()
-    def goes_back_to_no_older_configuration(self) -> None:
+    def never_returns_to_an_older_configuration(self) -> None:
         catalog = self.gateway.catalog
         version = catalog.version if catalog is not None else 0
-        assert version >= self.seen
-        self.seen = version
+        assert version >= self.last_version
+        self.last_version = version
 
     @invariant()
-    def confirms_nothing_that_was_replaced_long_ago(self) -> None:
+    def confirms_no_superseded_configuration(self) -> None:
         if not self.gateway.confirmed:
             return
         now = self.store.now
-        due = [version for version, at_s in self.accepted_s.items() if now - at_s > LIMIT_S]
+        due = [
+            version
+            for version, at_s in self.accepted_s.items()
+            if now - at_s > CONFIRMATION_LIMIT_S
+        ]
         assert self.gateway.catalog is not None
         assert self.gateway.catalog.version >= max(due, default=0)
 
--- a/cassiadrum/tests/gateways/test_changed_settings.py
+++ b/cassiadrum/tests/gateways/test_changed_settings.py
@@ -10,7 +10,7 @@
 
 from cassiadrum.platform.standins import RowService, StoreFault
 from cassiadrum.protocols import HttpClient
-from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.sites import (
     Caller,
     PlatformSite,
@@ -24,24 +24,24 @@
 pytestmark = pytest.mark.integration
 
 
-def settings_of(site: PlatformSite, gateway: GatewayRun) -> dict[str, Any]:
+def initial_settings(site: PlatformSite, gateway: GatewaySubprocess) -> dict[str, Any]:
     """Return the settings that the gateway was started with."""
     return make_settings(site.store_port, gateway.calls_port, gateway.ready_port)
 
 
-def change(gateway: GatewayRun, settings: dict[str, Any]) -> None:
+def apply_settings(gateway: GatewaySubprocess, settings: dict[str, Any]) -> None:
     """Write settings and tell the gateway."""
     write_settings(gateway.settings_path, settings)
     gateway.process.send_signal(signal.SIGHUP)
 
 
-def lines_of(gateway: GatewayRun, message: str) -> list[dict[str, Any]]:
+def read_log_lines(gateway: GatewaySubprocess, message: str) -> list[dict[str, Any]]:
     """Return the log lines with a message."""
     lines = [json.loads(line) for line in gateway.log.read_text().splitlines()]
     return [line for line in lines if line["message"] == message]
 
 
-async def metrics_of(gateway: GatewayRun) -> dict[str, float]:
+async def read_metrics(gateway: GatewaySubprocess) -> dict[str, float]:
     """Return the metrics without labels."""
     client = HttpClient("127.0.0.1", gateway.metrics_port)
     text = (await (await client.request("GET", "/metrics")).read()).decode()
@@ -52,8 +52,8 @@
 class TestChangedSettings:
     """Guards against an old value that stays in use, and requests cut off for a new one."""
 
-    async def test_changed_store_is_followed_and_a_stream_goes_on(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_new_store_address_is_used_and_a_stream_continues(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=150, request_id="long"))
         await wait_until(lambda: site.runs("long") == 1)
@@ -65,9 +65,9 @@
         keys = [{"name": "st-martin", "api_keys": ["key-1", "key-2"]}]
         other.put("op", "config", make_configuration(7, tenants=keys))
         site.store.fault = StoreFault.SILENT
-        settings = settings_of(site, gateway)
+        settings = initial_settings(site, gateway)
         settings["platform"]["address"] = f"127.0.0.1:{port}"
-        change(gateway, settings)
+        apply_settings(gateway, settings)
         second = Caller(gateway.calls_port)
 
         async def taken() -> bool:
@@ -78,75 +78,75 @@
         assert (status, body.count(b"id: ")) == (200, 150)
         await other.close()
 
-    async def test_changed_time_of_keys_holds_from_then_on(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_new_revocation_time_takes_effect_during_an_outage(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         """The store is lost; a key lasts for the new time, not for the old one."""
-        settings = settings_of(site, gateway)
+        settings = initial_settings(site, gateway)
         settings["bounds"]["revoke_ms"] = 60_000
-        change(gateway, settings)
-        await wait_until(lambda: bool(lines_of(gateway, "settings changed")))
+        apply_settings(gateway, settings)
+        await wait_until(lambda: bool(read_log_lines(gateway, "settings changed")))
         site.store.fault = StoreFault.SILENT
         await asyncio.sleep(4.0)
         assert (await caller.call("/safe/a"))[0] == 200
         settings["bounds"]["revoke_ms"] = 1000
-        change(gateway, settings)
+        apply_settings(gateway, settings)
 
         async def refused() -> bool:
             return (await caller.call("/safe/a"))[0] == 503
 
         await poll_until(refused, 1.0)
 
-    async def test_fields_that_need_a_restart_are_named(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_settings_that_need_a_restart_are_logged(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
-        settings = settings_of(site, gateway)
+        settings = initial_settings(site, gateway)
         settings |= {"zone": "b", "limits": {"max_fds": 5000, "memory_mb": 300}}
         settings["bounds"]["grace_s"] = 5
-        change(gateway, settings)
-        await wait_until(lambda: bool(lines_of(gateway, "settings changed")))
-        (line,) = lines_of(gateway, "settings changed")
+        apply_settings(gateway, settings)
+        await wait_until(lambda: bool(read_log_lines(gateway, "settings changed")))
+        (line,) = read_log_lines(gateway, "settings changed")
         assert line["taken"] == ["bounds"]
         assert line["need_restart"] == ["descriptors", "memory_bytes", "zone"]
         assert (await caller.call("/safe/a"))[0] == 200
 
-    async def test_changes_in_series_overlap_with_an_outage_and_a_stop(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_repeated_changes_during_an_outage_and_a_stop(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=150, request_id="long"))
         await wait_until(lambda: site.runs("long") == 1)
-        settings = settings_of(site, gateway)
+        settings = initial_settings(site, gateway)
         site.store.fault = StoreFault.RESET
         for number in range(5):
             settings["bounds"]["retry_budget_slack"] = number
-            change(gateway, settings)
+            apply_settings(gateway, settings)
             await asyncio.sleep(0.05)
         site.store.fault = StoreFault.NONE
         site.store.put("op", "config", make_configuration(9))
         gateway.process.send_signal(signal.SIGTERM)
-        change(gateway, {**settings, "zone": 7})
+        apply_settings(gateway, {**settings, "zone": 7})
         status, _, body = await task
         assert (status, body.count(b"id: ")) == (200, 150)
         async with asyncio.timeout(8.0):
             assert await gateway.process.wait() == 0
 
-    async def test_operator_sees_who_lags_behind(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_metrics_identify_the_settings_and_configuration_in_force(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         await caller.call("/safe/a")
-        before = await metrics_of(gateway)
-        settings = settings_of(site, gateway)
+        before = await read_metrics(gateway)
+        settings = initial_settings(site, gateway)
         settings["bounds"]["drain_ms"] = 900
-        change(gateway, settings)
-        await wait_until(lambda: bool(lines_of(gateway, "settings changed")))
+        apply_settings(gateway, settings)
+        await wait_until(lambda: bool(read_log_lines(gateway, "settings changed")))
         site.store.put("op", "config", make_configuration(3))
 
         async def newer() -> bool:
-            found = await metrics_of(gateway)
+            found = await read_metrics(gateway)
             return found["cassiadrum_gateway_configuration_version"] == 3
 
         await poll_until(newer)
-        after = await metrics_of(gateway)
+        after = await read_metrics(gateway)
         digest = "cassiadrum_gateway_settings_digest"
         assert after[digest] != before[digest]
         for name in ("settings", "configuration"):
--- a/cassiadrum/tests/gateways/test_concurrency_limits.py
+++ b/cassiadrum/tests/gateways/test_concurrency_limits.py
@@ -4,75 +4,75 @@
 from cassiadrum.gateways.stream_stats import EventGapAverage
 
 SLOTS = 64
-ALLOWED_S = 0.3
-SHORT_S, LONG_S, FAULT_S = 0.1, 0.35, 2.0
+ALLOWED_GAP_S = 0.3
+SHORT_GAP_S, LONG_GAP_S, FAULT_GAP_S = 0.1, 0.35, 2.0
 
 
 class TestConcurrencyLimit:
     """Guards against a limit that lets urgent streams be late, or shuts other work out."""
 
-    def cut(self, limit: ConcurrencyLimit, times: int, outstanding: int = 40) -> None:
+    def record_long_gaps(self, limit: ConcurrencyLimit, times: int, outstanding: int = 40) -> None:
         for number in range(times):
-            limit.record_gap(LONG_S, ALLOWED_S, outstanding, float(number))
+            limit.record_gap(LONG_GAP_S, ALLOWED_GAP_S, outstanding, float(number))
 
-    def test_without_long_pauses_all_slots_are_used(self) -> None:
+    def test_all_slots_are_allowed_without_long_gaps(self) -> None:
         assert ConcurrencyLimit().allows(SLOTS - 1, SLOTS)
 
-    def test_long_pause_lowers_it_below_what_the_endpoint_held(self) -> None:
+    def test_long_gap_lowers_the_limit_below_the_outstanding_requests(self) -> None:
         limit = ConcurrencyLimit()
-        self.cut(limit, 1, outstanding=40)
+        self.record_long_gaps(limit, 1, outstanding=40)
         assert not limit.allows(39, SLOTS)
         assert limit.allows(30, SLOTS)
 
-    def test_pauses_of_one_moment_count_once(self) -> None:
+    def test_simultaneous_long_gaps_count_once(self) -> None:
         limit = ConcurrencyLimit()
         for _ in range(20):
-            limit.record_gap(LONG_S, ALLOWED_S, 40, 1.0)
+            limit.record_gap(LONG_GAP_S, ALLOWED_GAP_S, 40, 1.0)
         assert limit.allows(30, SLOTS)
 
-    def test_some_less_urgent_work_always_goes_on(self) -> None:
+    def test_limit_never_falls_below_an_eighth_of_the_slots(self) -> None:
         limit = ConcurrencyLimit()
-        self.cut(limit, 100)
+        self.record_long_gaps(limit, 100)
         assert limit.allows(SLOTS // 8, SLOTS)
 
-    def test_short_pauses_near_the_limit_raise_it(self) -> None:
+    def test_short_gaps_near_the_limit_raise_it(self) -> None:
         limit = ConcurrencyLimit()
-        self.cut(limit, 1, outstanding=40)
+        self.record_long_gaps(limit, 1, outstanding=40)
         for number in range(100):
-            limit.record_gap(SHORT_S, ALLOWED_S, 34, 1.0 + number * 0.1)
+            limit.record_gap(SHORT_GAP_S, ALLOWED_GAP_S, 34, 1.0 + number * 0.1)
         assert limit.allows(40, SLOTS)
 
-    def test_short_pauses_of_idle_endpoints_tell_nothing(self) -> None:
+    def test_short_gaps_of_an_idle_endpoint_are_ignored(self) -> None:
         limit = ConcurrencyLimit()
-        self.cut(limit, 1, outstanding=40)
+        self.record_long_gaps(limit, 1, outstanding=40)
         for number in range(100):
-            limit.record_gap(SHORT_S, ALLOWED_S, 3, 1.0 + number * 0.1)
+            limit.record_gap(SHORT_GAP_S, ALLOWED_GAP_S, 3, 1.0 + number * 0.1)
         assert not limit.allows(36, SLOTS)
 
-    def test_pause_of_a_fault_tells_nothing(self) -> None:
+    def test_gap_caused_by_a_fault_is_ignored(self) -> None:
         limit = ConcurrencyLimit()
-        limit.record_gap(FAULT_S, ALLOWED_S, 10, 0.0)
+        limit.record_gap(FAULT_GAP_S, ALLOWED_GAP_S, 10, 0.0)
         assert limit.allows(40, SLOTS)
 
-    def test_pause_beside_an_unknown_load_tells_nothing(self) -> None:
+    def test_gap_with_unknown_load_is_ignored(self) -> None:
         limit = ConcurrencyLimit()
-        limit.record_gap(LONG_S, ALLOWED_S, None, 0.0)
+        limit.record_gap(LONG_GAP_S, ALLOWED_GAP_S, None, 0.0)
         assert limit.allows(40, SLOTS)
 
 
-class TestPace:
-    """Guards against an old pace that keeps work away from an endpoint that is idle now."""
+class TestEventGapAverage:
+    """Guards against an old average that keeps work away from an endpoint that is idle now."""
 
     def test_average_follows_the_gaps(self) -> None:
-        pace = EventGapAverage()
+        average = EventGapAverage()
         for number in range(40):
-            pace.update(0.1 if number < 20 else 0.3, number * 0.1)
-        found = pace.gap_s(4.0)
+            average.update(0.1 if number < 20 else 0.3, number * 0.1)
+        found = average.gap_s(4.0)
         assert found is not None
         assert 0.28 < found < 0.3
 
-    def test_old_gaps_say_nothing(self) -> None:
-        pace = EventGapAverage()
-        pace.update(0.1, 0.0)
-        assert pace.gap_s(1.0) == 0.1
-        assert pace.gap_s(10.0) is None
+    def test_old_gaps_are_discarded(self) -> None:
+        average = EventGapAverage()
+        average.update(0.1, 0.0)
+        assert average.gap_s(1.0) == 0.1
+        assert average.gap_s(10.0) is None
--- a/cassiadrum/tests/gateways/test_decision_logs.py
+++ b/cassiadrum/tests/gateways/test_decision_logs.py
@@ -33,7 +33,7 @@
 class TestDecisionLog:
     """Guards against a failed request without its decisions, and against too many lines."""
 
-    def test_load_leaves_no_failed_request_out(self, caplog: pytest.LogCaptureFixture) -> None:
+    def test_failed_requests_are_logged_under_load(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
         log = DecisionLog(Clock())
         for number in range(1000):
@@ -43,7 +43,7 @@
             assert written.count(f"r{number}") == 2
         assert len(written) <= SUCCESS_BURST_LINES + 200 + 2
 
-    def test_left_out_lines_are_counted(self, caplog: pytest.LogCaptureFixture) -> None:
+    def test_dropped_lines_are_counted(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
         clock = Clock()
         log = DecisionLog(clock)
@@ -53,7 +53,7 @@
         run_request(log, 9999, well=True)
         assert caplog.records[-2].__dict__["left_out"] == SUCCESS_BURST_LINES
 
-    def test_lines_of_one_request_are_together(self, caplog: pytest.LogCaptureFixture) -> None:
+    def test_lines_of_a_request_are_contiguous(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
         log = DecisionLog(Clock())
         first, second = RequestContext(make_call("a"), 0.0), RequestContext(make_call("b"), 0.0)
@@ -68,7 +68,7 @@
 class TestBoundedQueueHandler:
     """Guards against a slow reader of the log that delays requests."""
 
-    def test_what_does_not_fit_is_counted(self) -> None:
+    def test_records_beyond_the_limit_are_counted(self) -> None:
         handler = BoundedQueueHandler(2)
         for number in range(5):
             handler.emit(logging.makeLogRecord({"msg": f"line {number}"}))
@@ -77,7 +77,7 @@
         handler.emit(logging.makeLogRecord({"msg": "next"}))
         assert "3 log lines left out" in handler.records.get_nowait().msg
 
-    def test_unread_standard_output_delays_nothing(self) -> None:
+    def test_logging_does_not_block_on_unread_standard_output(self) -> None:
         code = (
             "import logging, sys, time\n"
             "from cassiadrum.logs import configure_logging\n"
--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -27,7 +27,7 @@
     body: bytes
 
 
-async def ask(caller: Caller, count: int) -> list[Answer]:
+async def call_repeatedly(caller: Caller, count: int) -> list[Answer]:
     """Return the answers to so many plain calls."""
     found = []
     for _ in range(count):
@@ -36,7 +36,7 @@
     return found
 
 
-async def ask_until_answered_by(caller: Caller, endpoint: bytes) -> None:
+async def call_until_answered_by(caller: Caller, endpoint: bytes) -> None:
     """Send calls until an endpoint has answered one of them."""
 
     async def answered() -> bool:
@@ -49,32 +49,32 @@
 class TestLeavingEndpoints:
     """Guards against requests for an endpoint that has told this gateway that it shuts down."""
 
-    async def test_nothing_is_sent_also_while_the_store_is_away(
+    async def test_leaving_endpoint_gets_nothing_during_a_store_outage(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.fault = StoreFault.SILENT
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
-        assert set(await ask(caller, 8)) == {Answer(200, b"p-2")}
+        await call_until_answered_by(caller, b"p-1")
+        assert set(await call_repeatedly(caller, 8)) == {Answer(200, b"p-2")}
 
     async def test_next_incarnation_is_used(self, site: PlatformSite, caller: Caller) -> None:
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         site.endpoints["p-1"].leaving = False
         site.endpoints["p-1"].born = 2
         site.register("p-1")
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
 
-    async def test_registration_that_changes_ends_no_leaving(
+    async def test_repeated_registration_does_not_end_leaving(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         site.register("p-1")
         await asyncio.sleep(DRAIN_S)
-        assert set(await ask(caller, 8)) == {Answer(200, b"p-2")}
+        assert set(await call_repeatedly(caller, 8)) == {Answer(200, b"p-2")}
 
-    async def test_endpoint_that_reuses_the_address_speaks_for_itself(
+    async def test_notice_of_another_instance_at_the_address_is_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         """The one that is registered has not said that it leaves."""
@@ -82,12 +82,12 @@
         await asyncio.sleep(DRAIN_S)
         site.endpoints["p-1"].instance = "p-9"
         site.endpoints["p-1"].leaving = True
-        assert (await ask(caller, 1))[0].status == 503
+        assert (await call_repeatedly(caller, 1))[0].status == 503
         site.endpoints["p-1"].instance = "p-1"
         site.endpoints["p-1"].leaving = False
-        assert (await ask(caller, 1))[0] == Answer(200, b"p-1")
+        assert (await call_repeatedly(caller, 1))[0] == Answer(200, b"p-1")
 
-    async def test_answer_without_a_length_counts(
+    async def test_notice_in_an_answer_without_content_length(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -129,11 +129,11 @@
             await asyncio.sleep(0.02)
         assert paused.refused == 1
         paused.refuse = False
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         assert time.monotonic() > refused_s + 1.4
 
     @pytest.mark.parametrize("retry_after", ["2.5", "1000000000"])
-    async def test_caller_learns_the_soonest_time_at_once(
+    async def test_retry_after_is_the_end_of_the_shortest_pause(
         self, site: PlatformSite, caller: Caller, retry_after: str
     ) -> None:
         for name, seconds in (("p-1", retry_after), ("p-2", "2000000000")):
@@ -158,7 +158,7 @@
         assert (await caller.call("/safe/a"))[0] == 200
 
 
-class TestDecoding:
+class TestNoticeDecoding:
     """Guards against a notice that is misread, and one that is not understood."""
 
     @pytest.mark.parametrize(
@@ -188,7 +188,7 @@
         assert PlatformProtocol().decode_head(200, ((Header.LEAVING, text),)).leaving is leaving
 
 
-class TestBeliefs:
+class TestIncarnationState:
     """Guards against beliefs that outlive the incarnation they are about."""
 
     def make(self) -> Gateway:
@@ -198,7 +198,7 @@
         gateway.directory.replace([make_entry("i-0")], 1.0)
         return gateway
 
-    def test_both_end_with_the_incarnation(self) -> None:
+    def test_leaving_and_pause_end_with_the_incarnation(self) -> None:
         directory = self.make().directory
         view = directory.usable("drafts")[0]
         view.mark_leaving()
@@ -207,7 +207,7 @@
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].paused_until_s == 0.0
 
-    def test_longest_pause_holds(self) -> None:
+    def test_longest_pause_applies(self) -> None:
         view = self.make().directory.usable("drafts")[0]
         view.mark_paused(1.0, 60.0)
         view.mark_paused(2.0, 0.5)
--- a/cassiadrum/tests/gateways/test_explaining.py
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -9,7 +9,7 @@
 
 from cassiadrum.cli import execute
 from cassiadrum.protocols import AnswerLost
-from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.sites import (
     Caller,
     PlatformSite,
@@ -21,7 +21,9 @@
 pytestmark = pytest.mark.integration
 
 
-async def log_of(gateway: GatewayRun, request_id: str, around: str = "0") -> list[dict[str, Any]]:
+async def kill_and_read_log(
+    gateway: GatewaySubprocess, request_id: str, around: str = "0"
+) -> list[dict[str, Any]]:
     """Return the lines that the documented command prints."""
     await gateway.kill()
     stream = io.StringIO()
@@ -31,28 +33,28 @@
     return lines
 
 
-async def story_of(gateway: GatewayRun, request_id: str) -> str:
+async def explain(gateway: GatewaySubprocess, request_id: str) -> str:
     """Return what `explain` prints from the log of the process that is gone."""
     stream = io.StringIO()
     assert await execute(["explain", request_id, str(gateway.log)], stream) == 0
     return stream.getvalue()
 
 
-async def settle() -> None:
+async def wait_for_log_writer() -> None:
     """Let the thread write the lines of the last request."""
     await asyncio.sleep(0.3)
 
 
-def line_of(instance: str, request_id: str, **fields: Any) -> str:
+def make_log_row(instance: str, request_id: str, **fields: Any) -> str:
     """Return a row of a log file."""
     return json.dumps({"instance": instance, "request_id": request_id, **fields}) + "\n"
 
 
-class TestExplaining:
+class TestExplain:
     """Guards against a failed request whose cause the on-call engineer cannot find."""
 
     async def test_refused_under_overload(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         for name in ("p-1", "p-2"):
             site.endpoints[name].hang = True
@@ -63,38 +65,40 @@
         ]
         await wait_until(lambda: sum(site.runs(f"o-{number}") for number in range(16)) == 16)
         status, _, _ = await caller.call("/once/a", request_id="refused")
-        await settle()
-        lines = await log_of(gateway, "refused")
+        await wait_for_log_writer()
+        lines = await kill_and_read_log(gateway, "refused")
         await asyncio.gather(*tasks, return_exceptions=True)
         assert status == 503
         assert [line["message"] for line in lines] == ["received", "refused", "ended"]
         inputs = lines[1]["fields"]
         assert (inputs["outstanding"], inputs["slots"]) == (16, 16)
         assert "overloaded" in lines[2]["fields"]["outcome"]
-        story = await story_of(gateway, "refused")
-        assert "no endpoint had room in time: 16 requests at 2 endpoints with 16 slots" in story
+        explanation = await explain(gateway, "refused")
+        assert (
+            "no endpoint had room in time: 16 requests at 2 endpoints with 16 slots" in explanation
+        )
 
-    async def test_cut_off_by_a_dying_endpoint(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_stream_cut_at_both_endpoints(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         for name in ("e-1", "e-2"):
             site.endpoints[name].cut_after = 3
         with pytest.raises(AnswerLost):
             await caller.call("/stream/a", events=20, request_id="cut")
-        await settle()
-        lines = await log_of(gateway, "cut")
+        await wait_for_log_writer()
+        lines = await kill_and_read_log(gateway, "cut")
         failed = [line["fields"] for line in lines if line["message"] == "attempt failed"]
         placed = [line["fields"]["endpoint"] for line in lines if line["message"] == "placed"]
         assert [item["repeated"] for item in failed] == [True, False]
         assert set(placed) == {"e-1", "e-2"}
         assert "answer lost" in lines[-1]["fields"]["outcome"]
-        story = await story_of(gateway, "cut")
-        assert "attempt failed: answer lost" in story
-        assert all(f"{name} of engine registered in a" in story for name in ("e-1", "e-2"))
-        assert "p-1" not in story
+        explanation = await explain(gateway, "cut")
+        assert "attempt failed: answer lost" in explanation
+        assert all(f"{name} of engine registered in a" in explanation for name in ("e-1", "e-2"))
+        assert "p-1" not in explanation
 
     async def test_denied_after_a_key_change(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         other = [{"name": "st-martin", "api_keys": ["key-2"]}]
         site.store.put("op", "config", make_configuration(7, tenants=other))
@@ -103,8 +107,8 @@
             return (await caller.call("/safe/a", request_id="denied"))[0] == 401
 
         await poll_until(denied, 2.0)
-        await settle()
-        lines = await log_of(gateway, "denied", around="5")
+        await wait_for_log_writer()
+        lines = await kill_and_read_log(gateway, "denied", around="5")
         beliefs = [line for line in lines if not line["request_id"]]
         assert ("configuration in force", 7) in [
             (line["message"], line["fields"].get("version")) for line in beliefs
@@ -112,12 +116,12 @@
         end = lines[-1]["fields"]
         assert (end["outcome"], end["version"]) == ("denied: unknown_key", 7)
         assert "key-1" not in gateway.log.read_text()
-        story = await story_of(gateway, "denied")
-        assert "(configuration 7 came into force)" in story
-        assert "outcome: denied: unknown_key" in story
+        explanation = await explain(gateway, "denied")
+        assert "(configuration 7 came into force)" in explanation
+        assert "outcome: denied: unknown_key" in explanation
 
-    async def test_endpoint_that_left_is_named_with_its_process(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_removed_endpoint_is_logged_by_the_gateway(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         """Guards against a change of the endpoints logged as if the endpoint had written it."""
         status, _, _ = await caller.call("/once/a", request_id="before")
@@ -131,8 +135,8 @@
         await poll_until(gone)
         status, _, _ = await caller.call("/once/a", request_id="after")
         assert status == 503
-        await settle()
-        lines = await log_of(gateway, "after", around="8")
+        await wait_for_log_writer()
+        lines = await kill_and_read_log(gateway, "after", around="8")
         out = {
             line["fields"]["endpoint"]: line for line in lines if line["message"] == "endpoint out"
         }
@@ -163,7 +167,7 @@
             {"message": "ended", "at_s": 40.5, "after_ms": 510.0},
         ]
         path = tmp_path / "a.log"
-        path.write_text("".join(line_of("a", "r-1", **row) for row in rows))
+        path.write_text("".join(make_log_row("a", "r-1", **row) for row in rows))
         stream = io.StringIO()
         assert await execute(["log", str(path), "--json"], stream) == 0
         found = json.loads(stream.getvalue())["lines"]
@@ -173,13 +177,15 @@
             ("ended", 100.51),
         ]
 
-    async def test_gaps_are_named(self, tmp_path: Any) -> None:
+    async def test_gaps_are_reported(self, tmp_path: Any) -> None:
         """Guards against a missing request that is taken for one that never came."""
         path = tmp_path / "a.log"
         rows = [(1.0, "r-0", 100), (39.0, "r-3", 4), (41.0, "r-1", 3)]
         path.write_text(
             "".join(
-                line_of("a", name, message="ended", at_s=at_s, after_ms=1.0, left_out=left_out)
+                make_log_row(
+                    "a", name, message="ended", at_s=at_s, after_ms=1.0, left_out=left_out
+                )
                 for at_s, name, left_out in rows
             )
         )
@@ -197,7 +203,9 @@
             (["--request"], 2),
         ],
     )
-    async def test_bad_questions(self, tmp_path: Any, arguments: list[str], code: int) -> None:
+    async def test_invalid_arguments_and_unknown_requests(
+        self, tmp_path: Any, arguments: list[str], code: int
+    ) -> None:
         path = tmp_path / "a.log"
         line = {"instance": "a", "message": "one", "time": "2026-12-04T05:00:02+00:00"}
         path.write_text(json.dumps(line))
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -16,27 +16,27 @@
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry, make_route
 
 
-class TestAttemptBudget:
+class TestRetryBudget:
     """Guards against more repeated attempts than the deployment permits, in any window."""
 
-    def test_sum_of_gateways_keeps_the_bound(self) -> None:
+    def test_sum_over_gateways_stays_within_the_bound(self) -> None:
         ratio, slack, window_s = 0.2, 58.0, 10.0
         budgets = [RetryBudget(ratio, slack / 32, window_s) for _ in range(6)]
         requests: list[float] = []
-        repeats: list[float] = []
+        retries: list[float] = []
         for step in range(4000):
             now = step * 0.01
             budget = budgets[step % 6]
             budget.record_request(now)
             requests.append(now)
             if budget.try_spend(now):
-                repeats.append(now)
+                retries.append(now)
         for start_s in range(0, 30):
-            in_window = [t for t in repeats if start_s <= t < start_s + window_s]
+            in_window = [t for t in retries if start_s <= t < start_s + window_s]
             first = [t for t in requests if start_s <= t < start_s + window_s]
             assert len(in_window) <= ratio * len(first) + slack
 
-    def test_first_failures_may_be_repeated_at_once(self) -> None:
+    def test_first_failure_may_be_retried_at_once(self) -> None:
         budget = RetryBudget(0.2, 1.8, 10.0)
         budget.record_request(0.0)
         assert budget.try_spend(0.0)
@@ -58,7 +58,7 @@
         queue.push("soon", 0, 2.0)
         assert queue.ordered(0.0)[:2] == ["soon", "late"]
 
-    def test_late_requests_do_not_make_others_late(self) -> None:
+    def test_overdue_requests_come_after_punctual_ones(self) -> None:
         queue = CallQueue[str]()
         queue.push("late", 1, 1.0)
         queue.push("in-time", 1, 3.0)
@@ -72,10 +72,10 @@
         assert not len(queue)
 
 
-class TestCachedParts:
+class TestPromptCacheEstimate:
     """Guards against counting on parts that an endpoint has dropped."""
 
-    def test_least_recently_used_yields(self) -> None:
+    def test_least_recently_used_part_is_evicted(self) -> None:
         cached = PromptCacheEstimate(250)
         first, second, third = (PromptPart(name, 100) for name in "abc")
         cached.add((first,))
@@ -85,7 +85,7 @@
         assert cached.matched_tokens((second,)) == 0
         assert cached.matched_tokens((first,)) == 100
 
-    def test_a_part_counts_only_behind_all_before_it(self) -> None:
+    def test_part_matches_only_after_all_previous_parts(self) -> None:
         cached = PromptCacheEstimate(1000)
         first, second = PromptPart("a", 100), PromptPart("b", 50)
         cached.add((second,))
@@ -107,14 +107,14 @@
         assert not directory.usable("drafts")
         assert gone == [entry.incarnation]
 
-    def test_leaving_endpoint_gets_nothing_also_after_an_outage(self) -> None:
+    def test_leaving_endpoint_gets_nothing_after_an_outage(self) -> None:
         directory, _ = self.make()
         directory.put(make_entry("i-0"))
         directory.store_returned(1.0)
         directory.put(make_entry("i-0", leaving=True))
         assert not directory.usable("drafts")
 
-    def test_entry_that_lapsed_in_an_outage_stays_for_its_grace(self) -> None:
+    def test_entry_that_lapsed_in_an_outage_is_kept_for_the_grace_period(self) -> None:
         directory, _ = self.make()
         directory.put(make_entry("i-0"))
         directory.put(make_entry("i-1"))
@@ -125,7 +125,7 @@
         assert directory.expire(12.1) == ["i-0"]
         assert [view.entry.instance for view in directory.usable("drafts")] == ["i-1"]
 
-    def test_new_incarnation_starts_without_beliefs(self) -> None:
+    def test_new_incarnation_starts_without_failures(self) -> None:
         directory, gone = self.make()
         directory.put(make_entry("i-0"))
         directory.usable("drafts")[0].record_failure(0.0)
@@ -133,7 +133,7 @@
         assert directory.usable("drafts")[0].failures(0.0) == 0.0
         assert len(gone) == 1
 
-    def test_changed_entry_keeps_beliefs(self) -> None:
+    def test_changed_entry_keeps_failures(self) -> None:
         directory, gone = self.make()
         directory.put(make_entry("i-0"))
         directory.usable("drafts")[0].record_failure(0.0)
@@ -145,10 +145,10 @@
 class TestConfirmation:
     """Guards against serving keys that were taken away while this machine heard nothing."""
 
-    def test_unknown_is_not_recent(self) -> None:
+    def test_confirmation_without_an_answer_is_invalid(self) -> None:
         assert not Confirmation(4.0).valid(0.0)
 
-    def test_answer_that_was_held_up_is_dated_by_the_store(self) -> None:
+    def test_delayed_answer_is_dated_by_the_clock_of_the_store(self) -> None:
         confirmation = Confirmation(4.0)
         confirmation.record_answer(100.0, 9.9, 10.0)
         # The machine stood still for 6 s with this answer in its socket.
@@ -157,7 +157,7 @@
         assert confirmation.age_s(17.0) == pytest.approx(6.1)
         assert not confirmation.valid(17.0)
 
-    def test_first_answer_is_as_old_as_its_call(self) -> None:
+    def test_first_answer_is_dated_from_its_call(self) -> None:
         """Nothing tells whether the call or its answer was held up, so the worse one counts."""
         confirmation = Confirmation(4.75)
         confirmation.record_answer(100.0, 10.0, 10.8)
@@ -165,13 +165,13 @@
         confirmation.record_answer(101.0, 11.2, 11.21)
         assert confirmation.age_s(11.21) == pytest.approx(0.01)
 
-    def test_clock_of_the_store_that_was_set_forward_is_learned_again(self) -> None:
+    def test_store_clock_set_forward_gives_a_new_offset(self) -> None:
         confirmation = Confirmation(4.0)
         confirmation.record_answer(100.0, 9.9, 10.0)
         confirmation.record_answer(500.0, 19.9, 20.0)
         assert confirmation.age_s(20.0) == pytest.approx(0.1)
 
-    def test_restarted_clock_of_the_store_is_learned_again(self) -> None:
+    def test_restarted_store_clock_gives_a_new_offset(self) -> None:
         confirmation = Confirmation(4.0)
         confirmation.record_answer(100.0, 9.9, 10.0)
         confirmation.record_answer(1.0, 19.9, 20.0)
@@ -187,7 +187,7 @@
         assert events.feed(b"ta: b\n\n") == b"id: 2\ndata: b\n\n"
         assert events.last_id == "2"
 
-    def test_resumed_stream_goes_on_after_the_last_whole_event(self) -> None:
+    def test_resumed_stream_continues_after_the_last_whole_event(self) -> None:
         events = EventSequence("")
         events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
         events.restart()
@@ -219,7 +219,7 @@
         assert catalog.route("host.example", "/ab") is None
         assert catalog.route("other.example", "/a/b/c") is None
 
-    def test_shortest_pause_of_more_urgent_streams(self) -> None:
+    def test_shortest_gap_of_more_urgent_streams(self) -> None:
         """Guards against work that heeds the pauses of streams that are no more urgent."""
         routes = (
             make_route(prefix="/a/", priority=0, gap_s=0.3),
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -12,7 +12,7 @@
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
 from cassiadrum.protocols import AnswerLost, HttpClient
-from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess, free_port
 from cassiadrum.tests.gateways.sites import (
     DRAIN_S,
     Caller,
@@ -27,7 +27,7 @@
 pytestmark = pytest.mark.integration
 
 
-def ids_of(body: bytes) -> list[int]:
+def event_ids(body: bytes) -> list[int]:
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
 
@@ -58,10 +58,12 @@
         yield
 
 
-class TestWholePath:
+class TestRequestForwarding:
     """Guards against answers that are not the endpoint's and headers that are not the caller's."""
 
-    async def test_plain_answer_is_the_endpoints(self, site: PlatformSite, caller: Caller) -> None:
+    async def test_plain_answer_is_that_of_the_endpoint(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
         status, headers, body = await caller.call("/once/a?b=c", request_id="one")
         assert status == 200
         assert headers[Header.SIGNATURE] == f"signed-by-{body.decode()}"
@@ -82,17 +84,17 @@
         assert not {"x-cassiadrum-hold", "kv-from"} & headers.keys()
         assert headers[Header.CUSTOMER] == "st-martin"
 
-    async def test_stream_is_whole(self, caller: Caller) -> None:
+    async def test_stream_is_complete(self, caller: Caller) -> None:
         status, _, body = await caller.call("/stream/a", events=20)
         assert status == 200
-        assert ids_of(body) == list(range(1, 21))
+        assert event_ids(body) == list(range(1, 21))
 
     async def test_unknown_route_and_key(self, caller: Caller) -> None:
         assert (await caller.call("/nowhere/a"))[0] == 404
         assert (await caller.call("/safe/a", key="other"))[0] == 401
 
     async def test_declared_length_over_the_limit_is_refused_at_once(
-        self, caller: Caller, gateway: GatewayRun
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
         writer.write(b"POST /once/a HTTP/1.1\r\nhost: a\r\ncontent-length: 10001\r\n\r\n")
@@ -102,7 +104,9 @@
         assert b"connection: close" in answer.lower()
         writer.close()
 
-    async def test_illegal_request_line_is_not_quoted(self, gateway: GatewayRun) -> None:
+    async def test_refusal_does_not_quote_the_request_line(
+        self, gateway: GatewaySubprocess
+    ) -> None:
         """Guards against a refusal that shows the caller the inside of the parser."""
         await gateway.wait_ready()
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
@@ -124,7 +128,7 @@
         first = headers[Header.SIGNATURE].removeprefix("signed-by-")
         site.endpoints[first].cut_after = 5
         status, headers, body = await caller.call("/stream/a", events=8, request_id="cut")
-        assert (status, ids_of(body)) == (200, list(range(1, 9)))
+        assert (status, event_ids(body)) == (200, list(range(1, 9)))
         assert headers[Header.SIGNATURE] == f"signed-by-{first}"
         assert site.runs("cut") == 2
 
@@ -142,7 +146,7 @@
         assert "retry-after" not in headers
         assert site.runs("lost") == 1
 
-    async def test_refusal_that_says_not_run_is_true(
+    async def test_request_refused_as_not_run_has_not_run(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("p-1", "p-2"):
@@ -187,7 +191,7 @@
 
             await poll_until(taken, 3.0)
 
-    async def test_endpoints_own_failure_is_passed_on(
+    async def test_error_of_the_endpoint_is_passed_on(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("p-1", "p-2"):
@@ -197,7 +201,7 @@
         assert headers[Header.SIGNATURE].startswith("signed-by-")
         assert site.runs("f") == 2
 
-    async def test_reused_address_runs_nothing_of_another_endpoint(
+    async def test_other_instance_at_a_reused_address_runs_nothing(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.endpoints["p-1"].instance = "p-9"
@@ -205,7 +209,7 @@
         assert {body for _, _, body in answers} == {b"p-2"}
         assert not site.endpoints["p-1"].runs
 
-    async def test_endpoint_that_was_not_meant_takes_no_attempt(
+    async def test_misdirected_attempt_does_not_count(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         configuration = make_configuration(2)
@@ -227,7 +231,7 @@
         assert (status, "retry-after" in headers) == (503, True)
         assert json.loads(body)["ran"] == "no"
 
-    async def test_request_without_an_id_is_denied(self, gateway: GatewayRun) -> None:
+    async def test_request_without_an_id_is_denied(self, gateway: GatewaySubprocess) -> None:
         await gateway.wait_ready()
         client = HttpClient("127.0.0.1", gateway.calls_port)
         response = await client.request("GET", "/safe/a")
@@ -240,7 +244,7 @@
     """Guards against endpoints that work on what nobody receives."""
 
     async def test_stream_stops_at_the_endpoint(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=500, request_id="left"))
         await wait_until(lambda: site.runs("left") == 1)
@@ -253,7 +257,7 @@
     """Guards against a configuration that is not in force in time, or goes back."""
 
     async def test_process_without_a_configuration_refuses(
-        self, site: PlatformSite, gateway: GatewayRun
+        self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
         site.store.remove("op", "config")
         site.store.fault = StoreFault.BUSY
@@ -263,9 +267,9 @@
         await gateway.wait_listening()
         status, _, _ = await caller.call("/safe/a", key="other")
         assert status == 503
-        assert not await gateway.ready()
+        assert not await gateway.is_ready()
 
-    async def test_taken_key_is_denied(self, site: PlatformSite, caller: Caller) -> None:
+    async def test_revoked_key_is_denied(self, site: PlatformSite, caller: Caller) -> None:
         site.store.put("op", "config", make_configuration(2, tenants=[]))
         other = [{"name": "st-martin", "api_keys": ["key-2"]}]
         site.store.put("op", "config", make_configuration(3, tenants=other))
@@ -276,7 +280,7 @@
         await poll_until(denied, 1.0)
         assert (await caller.call("/safe/a", key="key-2"))[0] == 200
 
-    async def test_older_and_unreadable_configurations_are_not_taken(
+    async def test_older_and_unreadable_configurations_are_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.put("op", "config", make_configuration(5))
@@ -289,8 +293,8 @@
 class TestStoreFaults:
     """Guards against trouble of the store that reaches callers."""
 
-    async def test_unconfirmed_keys_are_not_served_and_return_with_the_store(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_unconfirmed_keys_are_refused_until_the_store_returns(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         site.store.fault = StoreFault.SILENT
         assert (await caller.call("/safe/a"))[0] == 200
@@ -301,8 +305,8 @@
         await gateway.wait_ready(limit_s=4.0)
         assert (await caller.call("/safe/a"))[0] == 200
 
-    async def test_forgotten_history_is_read_in_full(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_tables_are_read_in_full_after_lost_history(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         site.store.fault = StoreFault.RESET
         await asyncio.sleep(0.2)
@@ -327,7 +331,7 @@
         answers = [await caller.call("/safe/a") for _ in range(6)]
         assert {body for _, _, body in answers} == {b"p-2"}
 
-    async def test_unreadable_registrations_name_no_endpoint(
+    async def test_unreadable_registrations_are_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.put("servers", "bad-1", b"\x00\x01")
@@ -341,8 +345,8 @@
 class TestPlannedStop:
     """Guards against a planned stop that cuts off a request."""
 
-    async def test_running_stream_ends_whole_and_the_process_exits(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_running_stream_completes_and_the_process_exits(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=250, request_id="long"))
         await wait_until(lambda: site.runs("long") == 1)
@@ -352,19 +356,19 @@
         status, headers, _ = await late.call("/safe/a")
         assert (status, headers["connection"]) == (200, "close")
         _, _, body = await task
-        assert ids_of(body) == list(range(1, 251))
+        assert event_ids(body) == list(range(1, 251))
         async with asyncio.timeout(8.0):
             assert await gateway.process.wait() == 0
 
-    async def test_idle_connection_is_closed_not_reset(
-        self, caller: Caller, gateway: GatewayRun
+    async def test_process_exits_despite_an_idle_connection(
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         await caller.call("/safe/a")
         gateway.process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(8.0):
             assert await gateway.process.wait() == 0
 
-    async def test_cut_answer_does_not_look_complete(
+    async def test_truncated_answer_does_not_look_complete(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("e-1", "e-2"):
@@ -381,7 +385,7 @@
     """
 
     async def test_request_waits_for_the_first_configuration(
-        self, site: PlatformSite, gateway: GatewayRun
+        self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
         await gateway.wait_ready()
         await gateway.kill()
@@ -393,7 +397,7 @@
         caller.close()
         assert status == 200
 
-    async def test_wait_is_bounded(self, site: PlatformSite, gateway: GatewayRun) -> None:
+    async def test_wait_is_bounded(self, site: PlatformSite, gateway: GatewaySubprocess) -> None:
         await gateway.wait_ready()
         await gateway.kill()
         site.store.fault = StoreFault.SILENT
@@ -407,13 +411,13 @@
         assert 0.9 < asyncio.get_running_loop().time() - started_s < 2.0
 
 
-class TestStart:
+class TestStartFailures:
     """Guards against a start that fails with a traceback, which log collectors cannot read."""
 
     async def test_occupied_address(self, site: PlatformSite, tmp_path: Path) -> None:
         path = tmp_path / "boot.json"
         write_settings(path, make_settings(site.store_port, site.store_port, free_port()))
-        run = GatewayRun(path, 0, 0, tmp_path / "gateway.log")
+        run = GatewaySubprocess(path, 0, 0, tmp_path / "gateway.log")
         await run.start()
         assert await run.process.wait() == 4
         lines = [json.loads(row) for row in run.log.read_text().splitlines()]
@@ -424,8 +428,8 @@
 class TestMetrics:
     """Guards against figures that an operator cannot fetch."""
 
-    async def test_answers_and_beliefs_are_counted(
-        self, caller: Caller, gateway: GatewayRun
+    async def test_answers_endpoints_and_version_are_exported(
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         await caller.call("/safe/a")
         await caller.call("/safe/a", key="other")
--- a/cassiadrum/tests/gateways/test_gateway_soak.py
+++ b/cassiadrum/tests/gateways/test_gateway_soak.py
@@ -11,9 +11,9 @@
 # 409, 433: a new process refused requests before it had read the endpoints.
 FIXED_SEEDS = (1, 2, 408, 409, 433)
 SOAK_SEEDS = int(os.environ.get("SOAK_SEEDS", "0"))
-SOAK_FIRST = int(os.environ.get("SOAK_FIRST", "101"))
-SEEDS = range(SOAK_FIRST, SOAK_FIRST + SOAK_SEEDS) if SOAK_SEEDS else FIXED_SEEDS
-LENGTH_S = 8.0
+FIRST_SOAK_SEED = int(os.environ.get("SOAK_FIRST", "101"))
+SEEDS = range(FIRST_SOAK_SEED, FIRST_SOAK_SEED + SOAK_SEEDS) if SOAK_SEEDS else FIXED_SEEDS
+DURATION_S = 8.0
 
 pytestmark = pytest.mark.integration
 
@@ -22,8 +22,8 @@
     """Guards against promises that break only when faults overlap."""
 
     @pytest.mark.parametrize("seed", SEEDS)
-    async def test_promises_hold(self, seed: int, tmp_path: Path) -> None:
+    async def test_guarantees_hold_while_faults_overlap(self, seed: int, tmp_path: Path) -> None:
         soak = GatewaySoak(seed, tmp_path)
-        broken = await soak.run(LENGTH_S)
-        assert not broken, f"faults {soak.played}; logs in {tmp_path}"
+        violations = await soak.run(DURATION_S)
+        assert not violations, f"faults {soak.injected}; logs in {tmp_path}"
         assert soak.served > 0
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cassiadrum.platform.headers import Header
-from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
 pytestmark = pytest.mark.integration
@@ -17,20 +17,20 @@
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 # Resident memory that a gateway may take beside an endpoint that never stops sending.
-MEMORY_BYTES = 150 * 1024 * 1024
+MAX_MEMORY_BYTES = 150 * 1024 * 1024
 SLOTS = 64
 # The route's limit, after which an answer is no use; each trial has to end well before it.
-ROUTE_S = 3.0
+ROUTE_TIMEOUT_S = 3.0
 
 
-def head_of(request_id: str, *lines: str) -> bytes:
+def make_head(request_id: str, *lines: str) -> bytes:
     """Return the head of a success."""
     text = f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: {request_id}\r\n"
     text += f"{Header.SIGNATURE}: signed-by-faulty\r\n"
     return (text + "".join(f"{line}\r\n" for line in lines)).encode()
 
 
-async def send_for_ever(writer: asyncio.StreamWriter, data: bytes) -> None:
+async def send_forever(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Send the same bytes until the caller closes."""
     with contextlib.suppress(ConnectionError):
         while not writer.is_closing():
@@ -39,49 +39,49 @@
 
 
 async def endless_head(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id))
-    await send_for_ever(writer, b"x-more: " + b"a" * 1000 + b"\r\n")
+    writer.write(make_head(request_id))
+    await send_forever(writer, b"x-more: " + b"a" * 1000 + b"\r\n")
 
 
 async def endless_head_line(_: str, writer: asyncio.StreamWriter) -> None:
-    await send_for_ever(writer, b"a" * 4096)
+    await send_forever(writer, b"a" * 4096)
 
 
 async def endless_interim_answers(_: str, writer: asyncio.StreamWriter) -> None:
-    await send_for_ever(writer, b"HTTP/1.1 102 Processing\r\n\r\n" * 50)
+    await send_forever(writer, b"HTTP/1.1 102 Processing\r\n\r\n" * 50)
 
 
 async def endless_body(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id) + b"\r\n")
-    await send_for_ever(writer, b"a" * 65536)
+    writer.write(make_head(request_id) + b"\r\n")
+    await send_forever(writer, b"a" * 65536)
 
 
 async def endless_chunks(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id, "transfer-encoding: chunked") + b"\r\n")
-    await send_for_ever(writer, b"4000\r\n" + b"a" * 0x4000 + b"\r\n")
+    writer.write(make_head(request_id, "transfer-encoding: chunked") + b"\r\n")
+    await send_forever(writer, b"4000\r\n" + b"a" * 0x4000 + b"\r\n")
 
 
 async def endless_chunk_extension(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id, "transfer-encoding: chunked") + b"\r\n4;")
-    await send_for_ever(writer, b"a=b;" * 1000)
+    writer.write(make_head(request_id, "transfer-encoding: chunked") + b"\r\n4;")
+    await send_forever(writer, b"a=b;" * 1000)
 
 
 async def endless_trailer(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id, "transfer-encoding: chunked") + b"\r\n2\r\nok\r\n0\r\n")
-    await send_for_ever(writer, b"x-more: " + b"a" * 1000 + b"\r\n")
+    writer.write(make_head(request_id, "transfer-encoding: chunked") + b"\r\n2\r\nok\r\n0\r\n")
+    await send_forever(writer, b"x-more: " + b"a" * 1000 + b"\r\n")
 
 
 async def endless_answer_to_another(_: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of("other") + b"\r\n")
-    await send_for_ever(writer, b"a" * 65536)
+    writer.write(make_head("other") + b"\r\n")
+    await send_forever(writer, b"a" * 65536)
 
 
 async def endless_answers_to_others(_: str, writer: asyncio.StreamWriter) -> None:
-    await send_for_ever(writer, (head_of("other", "content-length: 2") + b"\r\nno") * 20)
+    await send_forever(writer, (make_head("other", "content-length: 2") + b"\r\nno") * 20)
 
 
 async def trickling_body(request_id: str, writer: asyncio.StreamWriter) -> None:
-    writer.write(head_of(request_id) + b"\r\n")
+    writer.write(make_head(request_id) + b"\r\n")
     with contextlib.suppress(ConnectionError):
         while not writer.is_closing():
             writer.write(b"a")
@@ -89,7 +89,7 @@
             await asyncio.sleep(0.05)
 
 
-ENDLESS = [
+ENDLESS_ANSWERS = [
     endless_head,
     endless_head_line,
     endless_interim_answers,
@@ -126,7 +126,7 @@
 
 @contextlib.asynccontextmanager
 async def faulty_endpoint(
-    site: PlatformSite, name: str, serve: Serve, *, without: str = ""
+    site: PlatformSite, name: str, serve: Serve, *, removed: str = ""
 ) -> AsyncIterator[FaultyEndpoint]:
     """Register a faulty endpoint in the place of a sound one, and take another one away."""
     faulty = FaultyEndpoint(serve)
@@ -135,8 +135,8 @@
     service = "plain" if name.startswith("p") else "engine"
     entry = {**site.endpoints[name].entry(service), "slots": SLOTS}
     site.store.put("servers", name, entry)
-    if without:
-        site.store.remove("servers", without)
+    if removed:
+        site.store.remove("servers", removed)
     await asyncio.sleep(DRAIN_S)
     try:
         yield faulty
@@ -144,7 +144,7 @@
         server.close()
 
 
-async def only_endpoint(site: PlatformSite, accept: Accept) -> asyncio.Server:
+async def replace_plain_endpoints(site: PlatformSite, accept: Accept) -> asyncio.Server:
     """Put a server in the place of all plain endpoints."""
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     site.store.remove("servers", "p-2")
@@ -153,7 +153,7 @@
     return server
 
 
-def resident_bytes(gateway: GatewayRun) -> int:
+def resident_bytes(gateway: GatewaySubprocess) -> int:
     """Return the memory of a gateway process."""
     with open(f"/proc/{gateway.process.pid}/statm") as file:
         return int(file.read().split()[1]) * 4096
@@ -162,38 +162,38 @@
 class TestEndlessBytes:
     """Guards against an endpoint that takes a gateway's memory or its callers' time."""
 
-    @pytest.mark.parametrize("serve", ENDLESS, ids=lambda serve: serve.__name__)
-    async def test_plain_call_goes_on_elsewhere(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun, serve: Serve
+    @pytest.mark.parametrize("serve", ENDLESS_ANSWERS, ids=lambda serve: serve.__name__)
+    async def test_idempotent_call_is_retried_elsewhere(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess, serve: Serve
     ) -> None:
         async with faulty_endpoint(site, "p-1", serve) as faulty:
 
-            async def met() -> bool:
+            async def reached_faulty() -> bool:
                 started_s = time.monotonic()
                 status, _, body = await caller.call("/safe/a")
                 assert (status, body) == (200, b"p-2")
-                assert time.monotonic() - started_s < ROUTE_S / 2
+                assert time.monotonic() - started_s < ROUTE_TIMEOUT_S / 2
                 return faulty.connections > 0
 
-            await poll_until(met)
-            await poll_until(closed_all(faulty), 1.0)
-            assert resident_bytes(gateway) < MEMORY_BYTES
+            await poll_until(reached_faulty)
+            await poll_until(all_connections_closed(faulty), 1.0)
+            assert resident_bytes(gateway) < MAX_MEMORY_BYTES
 
-    @pytest.mark.parametrize("serve", ENDLESS, ids=lambda serve: serve.__name__)
-    async def test_once_only_call_fails_truthfully(
+    @pytest.mark.parametrize("serve", ENDLESS_ANSWERS, ids=lambda serve: serve.__name__)
+    async def test_once_only_call_fails_without_a_retry(
         self, site: PlatformSite, caller: Caller, serve: Serve
     ) -> None:
-        async with faulty_endpoint(site, "p-1", serve, without="p-2") as faulty:
+        async with faulty_endpoint(site, "p-1", serve, removed="p-2") as faulty:
             status, _, _ = await caller.call("/once/a")
             assert status in (502, 504)
             assert faulty.connections == 1
-            await poll_until(closed_all(faulty), 1.0)
+            await poll_until(all_connections_closed(faulty), 1.0)
 
-    async def test_many_at_once_stay_within_the_memory(
-        self, site: PlatformSite, gateway: GatewayRun
+    async def test_concurrent_endless_answers_stay_within_the_memory_limit(
+        self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
         """Each answer is below its own limit; only their sum is too much."""
-        async with faulty_endpoint(site, "p-1", endless_body, without="p-2"):
+        async with faulty_endpoint(site, "p-1", endless_body, removed="p-2"):
             await gateway.wait_ready()
             callers = [Caller(gateway.calls_port) for _ in range(40)]
             tasks = [asyncio.create_task(other.call("/safe/a")) for other in callers]
@@ -202,7 +202,7 @@
                 peak = max(peak, resident_bytes(gateway))
                 await asyncio.sleep(0.01)
             assert all(task.result()[0] in (502, 503, 504) for task in tasks)
-            assert peak < MEMORY_BYTES
+            assert peak < MAX_MEMORY_BYTES
             for other in callers:
                 other.close()
 
@@ -210,55 +210,55 @@
 class TestSlowBytes:
     """Guards against endpoints that hold a request with a byte now and then."""
 
-    async def test_trickling_plain_answer_is_given_up(
+    async def test_trickling_plain_answer_is_abandoned(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         async with faulty_endpoint(site, "p-1", trickling_body) as faulty:
 
-            async def met() -> bool:
+            async def reached_faulty() -> bool:
                 status, _, body = await caller.call("/safe/a")
                 assert (status, body) == (200, b"p-2")
                 return faulty.connections > 0
 
-            await poll_until(met)
+            await poll_until(reached_faulty)
 
-    async def test_slow_sound_plain_answer_is_not_cut(
+    async def test_slow_steady_plain_answer_completes(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         """A large answer over a slow link takes most of the route's time."""
         body = b"a" * 60_000
 
         async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
-            writer.write(head_of(request_id, f"content-length: {len(body)}") + b"\r\n")
+            writer.write(make_head(request_id, f"content-length: {len(body)}") + b"\r\n")
             for start in range(0, len(body), 1500):
                 writer.write(body[start : start + 1500])
                 await writer.drain()
                 await asyncio.sleep(0.04)
 
-        async with faulty_endpoint(site, "p-1", serve, without="p-2") as faulty:
+        async with faulty_endpoint(site, "p-1", serve, removed="p-2") as faulty:
             status, _, answer = await caller.call("/safe/a")
         assert (status, answer) == (200, body)
         assert faulty.connections == 1
 
     @pytest.mark.parametrize("drip", [b"d", b": still here\n\n", b"\n"])
     async def test_stream_without_events_is_resumed(
-        self, site: PlatformSite, caller: Caller, drip: bytes
+        self, site: PlatformSite, caller: Caller, fragment: bytes
     ) -> None:
         async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
-            writer.write(head_of(request_id) + b"\r\nid: 1\ndata: 1\n\n")
+            writer.write(make_head(request_id) + b"\r\nid: 1\ndata: 1\n\n")
             with contextlib.suppress(ConnectionError):
                 while not writer.is_closing():
-                    writer.write(drip)
+                    writer.write(fragment)
                     await writer.drain()
                     await asyncio.sleep(0.1)
 
-        await self._meets_and_ends_whole(site, caller, serve)
+        await self._require_complete_streams(site, caller, serve)
 
-    async def test_slow_sound_stream_is_not_cut(self, site: PlatformSite, caller: Caller) -> None:
+    async def test_slow_steady_stream_completes(self, site: PlatformSite, caller: Caller) -> None:
         """Events come at a long steady gap, each in many small pieces."""
 
         async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
-            writer.write(head_of(request_id) + b"\r\n")
+            writer.write(make_head(request_id) + b"\r\n")
             for number in range(1, 6):
                 for byte in b"id: %d\ndata: %d\n\n" % (number, number):
                     writer.write(bytes([byte]))
@@ -266,7 +266,7 @@
                     await asyncio.sleep(0.025)
             writer.close()
 
-        async with faulty_endpoint(site, "e-1", serve, without="e-2") as faulty:
+        async with faulty_endpoint(site, "e-1", serve, removed="e-2") as faulty:
             status, _, body = await caller.call("/stream/a", events=5)
         assert status == 200
         assert [line for line in body.splitlines() if line.startswith(b"id")] == [
@@ -274,26 +274,26 @@
         ]
         assert faulty.connections == 1
 
-    async def _meets_and_ends_whole(
+    async def _require_complete_streams(
         self, site: PlatformSite, caller: Caller, serve: Serve
     ) -> None:
         """Require that streams which meet the faulty endpoint end whole at the other one."""
         async with faulty_endpoint(site, "e-1", serve) as faulty:
 
-            async def met() -> bool:
+            async def reached_faulty() -> bool:
                 status, _, body = await caller.call("/stream/a", events=6)
                 assert status == 200
                 ids = [line for line in body.splitlines() if line.startswith(b"id")]
                 assert ids == [b"id: %d" % number for number in range(1, 7)]
                 return faulty.connections > 0
 
-            await poll_until(met)
+            await poll_until(reached_faulty)
 
 
-class TestForeignAnswers:
+class TestMismatchedAnswers:
     """Guards against an answer that is taken for that of another request."""
 
-    async def test_refusal_without_an_id_on_a_used_connection_is_not_believed(
+    async def test_refusal_without_an_id_on_a_reused_connection_is_not_trusted(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         """It may repeat an earlier refusal, while the endpoint runs the request."""
@@ -312,19 +312,19 @@
                             + f"{Header.NOT_RUN}: 1\r\ncontent-length: 0\r\n\r\n".encode()
                         )
                         continue
-                    writer.write(head_of(request_id, "content-length: 2") + b"\r\nok")
+                    writer.write(make_head(request_id, "content-length: 2") + b"\r\nok")
 
-        async with await only_endpoint(site, accept):
+        async with await replace_plain_endpoints(site, accept):
 
-            async def met() -> bool:
+            async def registration_read() -> bool:
                 return (await caller.call("/once/a"))[2] == b"ok"
 
-            await poll_until(met)
+            await poll_until(registration_read)
             status, _, _ = await caller.call("/once/a", request_id="second")
         assert ran[1:] == ["second"]
         assert status == 502
 
-    async def test_second_copy_of_an_answer_reaches_nobody(
+    async def test_duplicate_of_an_answer_is_discarded(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         """The copy comes late, also in two pieces, when the connection is in use again."""
@@ -341,24 +341,24 @@
                     await writer.drain()
                     await asyncio.sleep(0.02)
                     body = f"answer to {request_id}".encode()
-                    whole = head_of(request_id, f"content-length: {len(body)}") + b"\r\n" + body
+                    whole = make_head(request_id, f"content-length: {len(body)}") + b"\r\n" + body
                     writer.write(copy[40:] + whole)
                     answered.append(request_id)
                     copy = whole
 
-        async with await only_endpoint(site, accept):
+        async with await replace_plain_endpoints(site, accept):
 
-            async def met() -> bool:
+            async def registration_read() -> bool:
                 return (await caller.call("/safe/a"))[2].startswith(b"answer")
 
-            await poll_until(met)
+            await poll_until(registration_read)
             for number in range(5):
                 _, _, body = await caller.call("/safe/a", request_id=f"own-{number}")
                 assert body == f"answer to own-{number}".encode()
         assert len(answered) >= 6
 
 
-def closed_all(faulty: FaultyEndpoint) -> Callable[[], Awaitable[bool]]:
+def all_connections_closed(faulty: FaultyEndpoint) -> Callable[[], Awaitable[bool]]:
     """Return a check that every connection to a faulty endpoint was closed."""
 
     async def closed() -> bool:
--- a/cassiadrum/tests/gateways/test_lag_limits.py
+++ b/cassiadrum/tests/gateways/test_lag_limits.py
@@ -12,7 +12,7 @@
 TICK_S = 0.1
 
 
-class SlowProcess:
+class SimulatedEventLoop:
     """Run an event loop in virtual time: a round works off all that has arrived, then timers."""
 
     def __init__(self, work_s: float, refusal_s: float, limit: LagLimit) -> None:
@@ -41,7 +41,7 @@
                 now = min(next_s, due_s)
 
 
-class BlindLimit(LagLimit):
+class UnlimitedAdmission(LagLimit):
     """Take every request."""
 
     def refuses(self, request_id: str) -> bool:
@@ -55,20 +55,20 @@
     got twice what they could carry for ten seconds, and were three seconds behind.
     """
 
-    def burst(self, limit: LagLimit) -> list[float]:
-        process = SlowProcess(0.02, 0.002, limit)
+    def run_burst(self, limit: LagLimit) -> list[float]:
+        process = SimulatedEventLoop(0.02, 0.002, limit)
         process.run([number / 100 for number in range(1000)])
         return process.waits_s
 
-    def test_requests_that_are_taken_are_taken_in_time(self) -> None:
-        waits_s = sorted(self.burst(LagLimit()))
+    def test_admitted_requests_start_in_time(self) -> None:
+        waits_s = sorted(self.run_burst(LagLimit()))
         # Callers leave when nothing of their request was read for a second.
         assert waits_s[int(0.9 * len(waits_s))] < 1.0
-        assert max(self.burst(BlindLimit())) > 5.0
+        assert max(self.run_burst(UnlimitedAdmission())) > 5.0
 
-    def test_the_processor_is_not_left_idle(self) -> None:
+    def test_most_of_the_capacity_is_used(self) -> None:
         # At 50 a second the machine carries 500 requests in the ten seconds.
-        assert len(self.burst(LagLimit())) > 0.7 * 500
+        assert len(self.run_burst(LagLimit())) > 0.7 * 500
 
     def test_single_late_tick_refuses_nothing(self) -> None:
         limit = LagLimit()
@@ -78,7 +78,7 @@
         limit.record_tick(5.0)
         assert not any(limit.refuses(f"r-{number}") for number in range(100))
 
-    def test_slow_process_goes_on_serving(self) -> None:
+    def test_slow_process_still_admits_some_requests(self) -> None:
         limit = LagLimit()
         for _ in range(100):
             limit.record_tick(5.0)
@@ -88,7 +88,7 @@
         assert not any(limit.refuses(f"r-{number}") for number in range(1000))
 
 
-class UnstartedRelay:
+class RecordingRelay:
     """Stand for an answer of which the caller has got nothing."""
 
     started = False
@@ -97,18 +97,20 @@
         self.started = True
 
 
-class TestLateSend:
+class TestLateAttempt:
     """Guards against work for callers that left while the process was behind."""
 
     @pytest.mark.parametrize(("late_s", "sent"), [(1.0, False), (0.0, True)])
-    async def test_request_past_its_target(self, late_s: float, sent: bool) -> None:
+    async def test_attempt_past_its_target_is_refused_while_behind(
+        self, late_s: float, sent: bool
+    ) -> None:
         now = [0.0]
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
         gateway = Gateway(cfg, PlatformProtocol(), lambda: now[0], lambda: now[0])
         gateway.set_catalog(make_catalog())
         gateway.confirmation.record_answer(0.0, 0.0, 0.0)
         gateway.directory.replace([make_entry("i-0")], 0.0)
-        ctx, relay = RequestContext(make_call(), 0.0), UnstartedRelay()
+        ctx, relay = RequestContext(make_call(), 0.0), RecordingRelay()
         gateway._resolve(ctx)
         now[0] = 2.0
         gateway.lag.record_tick(late_s)
--- a/cassiadrum/tests/gateways/test_lasting_bursts.py
+++ b/cassiadrum/tests/gateways/test_lasting_bursts.py
@@ -19,14 +19,14 @@
 SLOTS = 64
 BURST_S = 10.0
 # Seconds of one engine step, for each running stream in it, and with a piece of a prompt.
-STEP_S, STREAM_S, CHUNK_S = 0.0026, 0.000166, 0.026
+STEP_S, STEP_PER_STREAM_S, STEP_PER_CHUNK_S = 0.0026, 0.000166, 0.026
 CHUNK_TOKENS = 1024
 TOKENS_PER_EVENT = 8
-URGENT_PAUSE_S = 0.3
-SAMPLE_S = 0.4
+MAX_URGENT_GAP_S = 0.3
+SAMPLE_INTERVAL_S = 0.4
 
 
-class Kind:
+class RequestClass:
     """Describe a class of requests; times are in seconds."""
 
     def __init__(
@@ -39,71 +39,71 @@
         self.events = events
 
 
-LONG = Kind("long", 2, 3.0, 15.0, 48)
-URGENT = Kind("urgent", 0, 0.4, 12.0, 36)
+LONG = RequestClass("long", 2, 3.0, 15.0, 48)
+URGENT = RequestClass("urgent", 0, 0.4, 12.0, 36)
 
 
 class Job:
     """One request and what its caller sees."""
 
-    def __init__(self, number: int, kind: Kind, gateway: int, now: float) -> None:
+    def __init__(self, number: int, kind: RequestClass, gateway: int, now: float) -> None:
         self.kind = kind
         self.gateway = gateway
         self.sent_s = now
-        self.first_s = self.event_s = -1.0
-        self.longest_pause_s = 0.0
-        self.tokens = kind.events * TOKENS_PER_EVENT
+        self.first_event_s = self.last_event_s = -1.0
+        self.longest_gap_s = 0.0
+        self.remaining_output_tokens = kind.events * TOKENS_PER_EVENT
         self.done = self.refused = False
         shared, own = (5400, 6600) if kind is LONG else (200, 600)
-        self.left_tokens = shared + own
+        self.remaining_prompt_tokens = shared + own
         prompt = PromptPart(f"{kind.name}-{number % 60}", shared), PromptPart(f"own-{number}", own)
         self.call = make_call(f"r-{number}", prompt)
         self.view: EndpointView | None = None
 
     @property
     def on_time(self) -> bool:
-        first_s = self.first_s - self.sent_s
+        first_s = self.first_event_s - self.sent_s
         return (
-            self.done and first_s <= self.kind.target_s and self.longest_pause_s <= URGENT_PAUSE_S
+            self.done and first_s <= self.kind.target_s and self.longest_gap_s <= MAX_URGENT_GAP_S
         )
 
 
-class Engine:
+class SimulatedEngine:
     """Read prompts in pieces between the steps of all running streams."""
 
     def __init__(self) -> None:
         self.prompts: list[Job] = []
         self.running: list[Job] = []
-        self.parts: set[str] = set()
+        self.cached_parts: set[str] = set()
 
     def add(self, job: Job) -> None:
         part = job.call.prompt[0]
-        if part.part_id in self.parts:
-            job.left_tokens -= part.tokens
-        self.parts.add(part.part_id)
+        if part.part_id in self.cached_parts:
+            job.remaining_prompt_tokens -= part.tokens
+        self.cached_parts.add(part.part_id)
         self.prompts.append(job)
         self.prompts.sort(key=lambda other: other.kind.priority)
 
     def step(self, now: float) -> tuple[float, list[Job], list[Job]]:
         """Return the step's seconds, the streams with a whole event and those that ended."""
-        seconds = STEP_S + STREAM_S * len(self.running)
+        seconds = STEP_S + STEP_PER_STREAM_S * len(self.running)
         if self.prompts and len(self.running) < SLOTS:
-            seconds += CHUNK_S
-            self.prompts[0].left_tokens -= CHUNK_TOKENS
-            if self.prompts[0].left_tokens <= 0:
+            seconds += STEP_PER_CHUNK_S
+            self.prompts[0].remaining_prompt_tokens -= CHUNK_TOKENS
+            if self.prompts[0].remaining_prompt_tokens <= 0:
                 self.running.append(self.prompts.pop(0))
-        told, ended = [], []
+        emitted, ended = [], []
         for job in self.running:
-            job.tokens -= 1
-            if job.tokens % TOKENS_PER_EVENT == 0:
-                told.append(job)
-            if job.tokens == 0 or now - job.sent_s > job.kind.limit_s:
+            job.remaining_output_tokens -= 1
+            if job.remaining_output_tokens % TOKENS_PER_EVENT == 0:
+                emitted.append(job)
+            if job.remaining_output_tokens == 0 or now - job.sent_s > job.kind.limit_s:
                 ended.append(job)
         self.running = [job for job in self.running if job not in ended]
-        return seconds, told, ended
+        return seconds, emitted, ended
 
 
-class Gateway:
+class SimulatedGateway:
     """Place jobs by the product's decisions and learn from what streams show."""
 
     def __init__(self) -> None:
@@ -115,54 +115,54 @@
 
     def choose(self, job: Job, now: float, *, protect: bool) -> EndpointView | None:
         kind = job.kind
-        rank, gap_s = (1, URGENT_PAUSE_S) if protect and kind is LONG else (0, float("inf"))
+        rank, gap_s = (1, MAX_URGENT_GAP_S) if protect and kind is LONG else (0, float("inf"))
         demand = Demand(job.call, kind.priority, kind.target_s * 1000, rank, gap_s)
         view, room = self.placement.choose(demand, self.views, now)
         return view if room else None
 
 
-class Replay:
+class BurstSimulation:
     """Play the burst; with `protect` less urgent work heeds the pauses of urgent streams."""
 
     def __init__(self, *, protect: bool, seed: int = 1) -> None:
         self.protect = protect
         self.jobs: list[Job] = []
         self._rng = random.Random(seed)
-        self._engines = [Engine() for _ in range(ENGINES)]
-        self._gateways = [Gateway() for _ in range(GATEWAYS)]
+        self._engines = [SimulatedEngine() for _ in range(ENGINES)]
+        self._gateways = [SimulatedGateway() for _ in range(GATEWAYS)]
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = count()
 
     def run(self) -> None:
         for kind, per_s in ((LONG, 30.0), (URGENT, 9.0)):
-            self._arrive(kind, per_s)
+            self._schedule_arrivals(kind, per_s)
         for number in range(ENGINES):
-            self._at(0.0, partial(self._step, number))
+            self._schedule(0.0, partial(self._step, number))
         for number in range(GATEWAYS):
-            first_s = SAMPLE_S * number / GATEWAYS
-            self._at(first_s, partial(self._sample, number))
+            first_s = SAMPLE_INTERVAL_S * number / GATEWAYS
+            self._schedule(first_s, partial(self._sample, number))
         while self._events:
             now, _, act = heapq.heappop(self._events)
             if now > BURST_S + 20.0:
                 break
             act(now)
 
-    def share(self, kind: Kind, found: Callable[[Job], bool]) -> float:
+    def fraction(self, kind: RequestClass, found: Callable[[Job], bool]) -> float:
         jobs = [job for job in self.jobs if job.kind is kind]
         return sum(map(found, jobs)) / len(jobs)
 
-    def _at(self, at_s: float, act: Callable[[float], None]) -> None:
+    def _schedule(self, at_s: float, act: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._numbers), act))
 
-    def _arrive(self, kind: Kind, per_s: float) -> None:
+    def _schedule_arrivals(self, kind: RequestClass, per_s: float) -> None:
         at_s = 0.0
         while (at_s := at_s + self._rng.expovariate(per_s)) < BURST_S:
             number = next(self._numbers)
             job = Job(number, kind, self._rng.randrange(GATEWAYS), at_s)
             self.jobs.append(job)
-            self._at(at_s, partial(self._offer, job))
+            self._schedule(at_s, partial(self._place_or_queue, job))
 
-    def _offer(self, job: Job, now: float) -> None:
+    def _place_or_queue(self, job: Job, now: float) -> None:
         gateway = self._gateways[job.gateway]
         if not self._place(job, now):
             gateway.queue.push(job, job.kind.priority, job.sent_s + job.kind.target_s)
@@ -177,7 +177,7 @@
         self._engines[gateway.views.index(view)].add(job)
         return True
 
-    def _pump(self, gateway: Gateway, now: float) -> None:
+    def _place_waiting(self, gateway: SimulatedGateway, now: float) -> None:
         for job in gateway.queue.ordered(now):
             if now - job.sent_s > job.kind.target_s:
                 job.refused = True
@@ -189,41 +189,41 @@
         gateway = self._gateways[number]
         for view, engine in zip(gateway.views, self._engines, strict=True):
             view.record_sample(self._load(engine), now)
-        self._pump(gateway, now)
-        self._at(now + SAMPLE_S, partial(self._sample, number))
+        self._place_waiting(gateway, now)
+        self._schedule(now + SAMPLE_INTERVAL_S, partial(self._sample, number))
 
     @staticmethod
-    def _load(engine: Engine) -> LoadSample:
+    def _load(engine: SimulatedEngine) -> LoadSample:
         return LoadSample(len(engine.running), len(engine.prompts), SLOTS)
 
     def _step(self, number: int, now: float) -> None:
         engine = self._engines[number]
-        seconds, told, ended = engine.step(now)
+        seconds, emitted, ended = engine.step(now)
         now += seconds
-        for job in told:
-            self._tell(job, engine, now)
+        for job in emitted:
+            self._deliver_event(job, engine, now)
         for job in ended:
-            job.done = job.tokens == 0
+            job.done = job.remaining_output_tokens == 0
             assert job.view is not None
-            if job.first_s < 0.0:
+            if job.first_event_s < 0.0:
                 job.view.record_first_bytes(0, None, now)
             job.view.record_end()
-            self._pump(self._gateways[job.gateway], now)
-        self._at(now, partial(self._step, number))
+            self._place_waiting(self._gateways[job.gateway], now)
+        self._schedule(now, partial(self._step, number))
 
-    def _tell(self, job: Job, engine: Engine, now: float) -> None:
+    def _deliver_event(self, job: Job, engine: SimulatedEngine, now: float) -> None:
         assert job.view is not None
-        if job.first_s < 0.0:
-            job.first_s = now
+        if job.first_event_s < 0.0:
+            job.first_event_s = now
             job.view.record_first_bytes(0, self._load(engine), now)
         else:
-            pause_s = now - job.event_s
-            job.longest_pause_s = max(job.longest_pause_s, pause_s)
-            job.view.record_event_gap(pause_s, URGENT_PAUSE_S, now)
-        job.event_s = now
+            gap_s = now - job.last_event_s
+            job.longest_gap_s = max(job.longest_gap_s, gap_s)
+            job.view.record_event_gap(gap_s, MAX_URGENT_GAP_S, now)
+        job.last_event_s = now
 
 
-class TestLastingBurst:
+class TestSustainedBurst:
     """Guards against urgent streams that are slowed until they are late or cut.
 
     Replays the scale days of the further deployment: long prompts came at more than what the
@@ -232,17 +232,17 @@
     """
 
     def test_urgent_streams_stay_on_time(self) -> None:
-        protected, plain = Replay(protect=True), Replay(protect=False)
+        protected, unprotected = BurstSimulation(protect=True), BurstSimulation(protect=False)
         protected.run()
-        plain.run()
-        on_time = protected.share(URGENT, lambda job: job.on_time)
-        assert on_time > 2 * plain.share(URGENT, lambda job: job.on_time)
+        unprotected.run()
+        on_time = protected.fraction(URGENT, lambda job: job.on_time)
+        assert on_time > 2 * unprotected.fraction(URGENT, lambda job: job.on_time)
         assert on_time > 0.8
 
-    def test_less_urgent_work_is_not_shut_out(self) -> None:
-        protected, plain = Replay(protect=True), Replay(protect=False)
+    def test_less_urgent_work_is_not_starved(self) -> None:
+        protected, unprotected = BurstSimulation(protect=True), BurstSimulation(protect=False)
         protected.run()
-        plain.run()
-        whole = protected.share(LONG, lambda job: job.done)
+        unprotected.run()
+        completed = protected.fraction(LONG, lambda job: job.done)
         # The users count work as shut out that is served less than half as often as the rest.
-        assert whole > 0.5 * plain.share(LONG, lambda job: job.done)
+        assert completed > 0.5 * unprotected.fraction(LONG, lambda job: job.done)
--- a/cassiadrum/tests/gateways/test_load_probers.py
+++ b/cassiadrum/tests/gateways/test_load_probers.py
@@ -15,22 +15,22 @@
 from cassiadrum.tests.gateways.makers import make_view
 
 
-class Reporter:
+class LoadReportServer:
     """An endpoint that reports its load."""
 
     def __init__(self) -> None:
-        self.asked = 0
+        self.probes = 0
         self.body = b'{"running": 3, "waiting": 2, "seq": 1}'
         self.server = HttpServer(self.handle)
 
     async def handle(self, exchange: Exchange) -> None:
-        self.asked += 1
+        self.probes += 1
         await exchange.send(200, self.body, "application/json")
 
 
 @pytest.fixture
-async def reporter() -> AsyncIterator[Reporter]:
-    reporter = Reporter()
+async def reporter() -> AsyncIterator[LoadReportServer]:
+    reporter = LoadReportServer()
     yield reporter
     await reporter.server.abort()
 
@@ -41,7 +41,7 @@
     def make(self, sampled: list[str]) -> LoadProber:
         return LoadProber(ConnectionPool(), PlatformProtocol(), time.monotonic, sampled.append)
 
-    async def test_answer_is_a_sample(self, reporter: Reporter) -> None:
+    async def test_answer_is_recorded_as_a_sample(self, reporter: LoadReportServer) -> None:
         view = make_view(
             "i-0", address=Address("127.0.0.1", await reporter.server.start("127.0.0.1", 0))
         )
@@ -57,10 +57,12 @@
         assert (view.waiting(now), view.outstanding(now)) == (2, 5)
         assert sampled == ["drafts"]
         prober.probe_in_background(view)
-        assert reporter.asked == 1
+        assert reporter.probes == 1
 
     @pytest.mark.parametrize("body", [b"nonsense", b"{}"])
-    async def test_unreadable_report_is_no_sample(self, reporter: Reporter, body: bytes) -> None:
+    async def test_unreadable_report_is_ignored(
+        self, reporter: LoadReportServer, body: bytes
+    ) -> None:
         reporter.body = body
         view = make_view(
             "i-0", address=Address("127.0.0.1", await reporter.server.start("127.0.0.1", 0))
@@ -68,13 +70,15 @@
         assert not await self.make([]).probe(view)
         assert view.sample_age_ms(time.monotonic()) is None
 
-    async def test_dead_endpoint_is_left_and_a_busy_one_is_not(self, reporter: Reporter) -> None:
+    async def test_wait_continues_for_a_busy_endpoint_and_ends_for_a_dead_one(
+        self, reporter: LoadReportServer
+    ) -> None:
         port = await reporter.server.start("127.0.0.1", 0)
         view = make_view("i-0", address=Address("127.0.0.1", port))
         prober = self.make([])
         async with SilenceLimit(view, 0.05, 10.0, lambda: True, prober):
             await asyncio.sleep(0.3)
-        assert reporter.asked > 0
+        assert reporter.probes > 0
         await reporter.server.abort()
         with pytest.raises(TimeoutError):
             async with SilenceLimit(view, 0.05, 10.0, lambda: True, prober):
--- a/cassiadrum/tests/gateways/test_node_settings.py
+++ b/cassiadrum/tests/gateways/test_node_settings.py
@@ -37,13 +37,13 @@
     @pytest.mark.parametrize(
         ("key", "value"), [("zone", 7), ("platform", {}), ("listen", {"front": "nonsense"})]
     )
-    def test_wrong_values_name_their_key(self, key: str, value: object) -> None:
+    def test_error_names_the_key_of_the_invalid_value(self, key: str, value: object) -> None:
         raw = {**make_settings(1, 2, 3), key: value}
         with pytest.raises(BadSettings) as caught:
             parse_node_settings(json.dumps(raw).encode())
         assert key in str(caught.value)
 
-    def test_every_error_is_named(self) -> None:
+    def test_all_errors_are_reported_at_once(self) -> None:
         """Guards against an operator who mends one error for each start."""
         raw = {**make_settings(1, 2, 3), "zone": 7, "limits": {"max_fds": 0}}
         del raw["platform"]["address"]
@@ -61,7 +61,7 @@
 class TestSettingsCheck:
     """Guards against settings that only the start of a process finds wrong."""
 
-    async def test_both_formats(self, tmp_path: Path) -> None:
+    async def test_valid_files_of_both_formats(self, tmp_path: Path) -> None:
         path = tmp_path / "boot.json"
         write_settings(path, make_settings(1, 2, 3))
         toml = Path(__file__).parents[3] / "examples" / "settings" / "entry.toml"
@@ -72,7 +72,7 @@
             f"{path}: valid settings of the gateway front-a-1",
         ]
 
-    async def test_errors_of_all_files(self, tmp_path: Path) -> None:
+    async def test_errors_of_all_files_are_reported(self, tmp_path: Path) -> None:
         path, toml = tmp_path / "boot.json", tmp_path / "entry.toml"
         path.write_text("{")
         toml.write_text("role = 7")
@@ -93,12 +93,12 @@
         "change",
         [{"state": "sleeping"}, {"slots": "many"}, {"slots": 0}, {"address": ":80"}, {"zone": 1}],
     )
-    def test_bad_registration(self, change: dict[str, object]) -> None:
+    def test_invalid_registration_is_rejected(self, change: dict[str, object]) -> None:
         with pytest.raises(BadRecord):
             decode_entry("i-1", json.dumps({**ENTRY, **change}).encode())
 
     @pytest.mark.parametrize("change", [{"version": "x"}, {"routes": [{"name": "r"}]}])
-    def test_bad_configuration(self, change: dict[str, object]) -> None:
+    def test_invalid_configuration_is_rejected(self, change: dict[str, object]) -> None:
         with pytest.raises(BadRecord):
             decode_catalog(json.dumps({**make_configuration(), **change}).encode())
 
--- a/cassiadrum/tests/gateways/test_placement_policies.py
+++ b/cassiadrum/tests/gateways/test_placement_policies.py
@@ -11,7 +11,7 @@
 TARGET_MS = 2000.0
 
 
-def views_of(count: int) -> list[EndpointView]:
+def make_views(count: int) -> list[EndpointView]:
     return [make_view(f"i-{number}") for number in range(count)]
 
 
@@ -31,7 +31,7 @@
     return view if room else None
 
 
-def chosen_for(part: str, views: list[EndpointView]) -> EndpointView:
+def choose_for_part(part: str, views: list[EndpointView]) -> EndpointView:
     view = choose(long_demand(part), views, 0)
     assert view is not None
     return view
@@ -40,37 +40,39 @@
 class TestSharedPrompts:
     """Guards against a shared prompt part being read at many endpoints."""
 
-    def test_gateways_agree_without_messages(self) -> None:
+    def test_gateways_choose_the_same_endpoint(self) -> None:
         chosen = set()
         for gateway in range(6):
             placement = PlacementPolicy("a" if gateway % 2 else "b")
-            view, _ = placement.choose(long_demand("part", gateway), views_of(6), 0)
+            view, _ = placement.choose(long_demand("part", gateway), make_views(6), 0)
             assert view is not None
             chosen.add(view.entry.instance)
         assert len(chosen) == 1
 
     def test_parts_spread_over_endpoints(self) -> None:
-        views = views_of(6)
-        counts = Counter(chosen_for(f"p{number}", views).entry.instance for number in range(120))
+        views = make_views(6)
+        counts = Counter(
+            choose_for_part(f"p{number}", views).entry.instance for number in range(120)
+        )
         assert len(counts) == 6
         assert max(counts.values()) < 2.5 * 120 / 6
 
-    def test_backlog_of_all_endpoints_moves_no_part(self) -> None:
+    def test_backlog_at_all_endpoints_moves_no_part(self) -> None:
         # Replays the scale days: each read part that moved took time from all others, so that
         # more parts moved, until every part was read everywhere.
-        views = views_of(6)
-        first = chosen_for("part", views)
+        views = make_views(6)
+        first = choose_for_part("part", views)
         for view in views:
             view.record_first_bytes(0, LoadSample(5, 8, 64), 0.0)
             view.own_waiting = 0
         assert choose(long_demand("part", 1), views, 0.1) is None
         assert first.waiting(0.1) > 0
 
-    def test_idle_endpoint_takes_no_part_of_another(self) -> None:
+    def test_idle_endpoint_takes_no_part_from_a_busy_one(self) -> None:
         # Replays the scale days of the grown deployments: with many gateways, an endpoint that
         # looked idle to all of them was given parts by each, so that parts were read everywhere.
-        views = views_of(6)
-        first = chosen_for("part", views)
+        views = make_views(6)
+        first = choose_for_part("part", views)
         for view in views:
             view.record_sample(LoadSample(0, 0, 8), 0.0)
         first.record_sample(LoadSample(4, 60, 64), 0.0)
@@ -81,9 +83,9 @@
         view.record_sample(LoadSample(2, 0, 2), 0.0)
         assert choose(short_demand(), [view], 0.1) is None
 
-    def test_endpoint_that_said_it_is_full_keeps_its_parts(self) -> None:
-        views = views_of(6)
-        first = chosen_for("part", views)
+    def test_endpoint_that_reported_full_keeps_its_parts(self) -> None:
+        views = make_views(6)
+        first = choose_for_part("part", views)
         first.mark_full(0.0, 0.2)
         assert choose(long_demand("part", 1), views, 0.1) is None
         assert choose(long_demand("part", 1), views, 0.3) is first
@@ -92,7 +94,7 @@
 class TestBurstOfLongPrompts:
     """Guards against urgent requests that wait behind the prompts of less urgent ones."""
 
-    def test_backlog_admits_the_urgent_only(self) -> None:
+    def test_backlog_admits_only_urgent_requests(self) -> None:
         view = make_view("i-0", slots=64)
         view.record_sample(LoadSample(5, 6, 64), 0.0)
         assert choose(long_demand("part", priority=2), [view], 0.1) is None
@@ -107,15 +109,15 @@
         view.record_event_gap(gap_s, 1.0, 0.0)
         return view
 
-    def test_slow_endpoint_gets_nothing_less_urgent(self) -> None:
+    def test_slow_endpoint_gets_no_less_urgent_work(self) -> None:
         demand = Demand(make_call(prompt=make_prompt("part", 1)), 2, TARGET_MS, 1, 0.3)
         assert choose(demand, [self.slow_view(0.25)], 0.1) is None
         assert choose(demand, [self.slow_view(0.05)], 0.1) is not None
 
-    def test_most_urgent_work_goes_on(self) -> None:
+    def test_slow_endpoint_still_gets_most_urgent_work(self) -> None:
         assert choose(short_demand(), [self.slow_view(0.25)], 0.1) is not None
 
-    def test_most_urgent_work_does_not_wait_for_others_prompts(self) -> None:
+    def test_most_urgent_request_is_not_held_back_by_waiting_prompts(self) -> None:
         # Replays scale-1 of the further deployment: urgent requests waited at the gateway while
         # long prompts waited at the engines, which would have let the urgent ones go first.
         view = make_view("i-0", slots=64)
@@ -123,7 +125,7 @@
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 0, 400.0)
         assert choose(demand, [view], 0.1) is view
 
-    def test_shorter_request_does_not_wait_for_longer_less_urgent_ones(self) -> None:
+    def test_short_request_is_not_held_back_by_its_short_target(self) -> None:
         # Found by a hunt on the further deployment: at an endpoint with some prompts waiting, the
         # least urgent class had room by its long target and a more urgent one had not.
         view = make_view("i-0", slots=64)
@@ -131,25 +133,25 @@
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 1, 600.0, 1, 0.3)
         assert choose(demand, [view], 0.1) is view
 
-    def test_light_request_is_not_shut_out_by_heavier_ones(self) -> None:
+    def test_short_prompt_is_admitted_beside_slow_urgent_streams(self) -> None:
         # The second finding of that hunt: beside slow urgent streams the light class was refused
         # at its short target, and the heavy one, which waits longer, got the room after it.
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 1, 600.0, 1, 0.3)
         assert choose(demand, [self.slow_view(0.25)], 0.1) is not None
 
-    def test_least_urgent_work_leaves_room_for_others(self) -> None:
+    def test_least_urgent_work_leaves_slots_for_more_urgent_work(self) -> None:
         view = make_view("i-0", slots=64)
         view.record_sample(LoadSample(60, 0, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)), 1, TARGET_MS, 1, 0.3)
         assert choose(demand, [view], 0.1) is view
         assert choose(demand._replace(priority=2, more_urgent_classes=2), [view], 0.1) is None
 
-    def test_full_slots_hold_for_all(self) -> None:
+    def test_full_endpoint_gets_no_urgent_work(self) -> None:
         view = make_view("i-0", slots=4)
         view.record_sample(LoadSample(4, 0, 4), 0.0)
         assert choose(short_demand(), [view], 0.1) is None
 
-    def test_quicker_endpoint_is_taken(self) -> None:
+    def test_faster_endpoint_is_chosen(self) -> None:
         prompt = make_prompt("part", 1)[1:]
         slow, quick = self.slow_view(0.25), make_view("i-1", slots=64)
         quick.record_event_gap(0.05, 1.0, 0.0)
@@ -161,7 +163,7 @@
 class TestFailingEndpoints:
     """Guards against work for endpoints that fail while their health is good."""
 
-    def test_failures_move_work_away_and_age(self) -> None:
+    def test_recent_failures_move_work_away_until_they_expire(self) -> None:
         bad, good = make_view("i-0"), make_view("i-1")
         bad.record_failure(0.0)
         demands = [short_demand(f"r{number}") for number in range(20)]
@@ -174,7 +176,7 @@
         view.record_unreachable(0.0)
         assert choose(short_demand(), [view], 0.1) is view
 
-    def test_unreachable_endpoint_pauses_longer_each_time(self) -> None:
+    def test_unreachable_endpoint_is_avoided_longer_each_time(self) -> None:
         view = make_view("i-0")
         view.record_unreachable(0.0)
         first_s = view.avoid_until_s
@@ -192,7 +194,7 @@
 class TestEndpointView:
     """Guards against wrong counts of the requests at an endpoint."""
 
-    def test_sample_of_others_counts_with_own_changes(self) -> None:
+    def test_own_requests_are_added_to_the_last_sample(self) -> None:
         view = make_view("i-0")
         view.record_start(0)
         view.record_first_bytes(0, LoadSample(5, 1, 8), 0.0)
@@ -201,7 +203,7 @@
         view.record_end()
         assert view.outstanding(0.1) == 6
 
-    def test_old_sample_says_nothing(self) -> None:
+    def test_old_sample_is_ignored(self) -> None:
         view = make_view("i-0")
         view.record_start(0)
         view.record_first_bytes(0, LoadSample(5, 1, 8), 0.0)
--- a/cassiadrum/tests/gateways/test_placement_queues.py
+++ b/cassiadrum/tests/gateways/test_placement_queues.py
@@ -36,12 +36,12 @@
 
 
 def make_directory(slots: int) -> EndpointDirectory:
-    directory = empty_directory()
+    directory = make_empty_directory()
     directory.replace([make_entry("i-0", slots=slots)], time.monotonic())
     return directory
 
 
-def empty_directory() -> EndpointDirectory:
+def make_empty_directory() -> EndpointDirectory:
     return EndpointDirectory(
         lambda entry: EndpointView(entry, CACHE_TOKENS), lambda incarnation: None, 2.0
     )
@@ -56,7 +56,7 @@
 class TestPlacementQueue:
     """Guards against a request that is refused while its endpoint has room."""
 
-    async def test_requests_with_the_same_id_wait_apart(self) -> None:
+    async def test_requests_with_the_same_id_wait_independently(self) -> None:
         """A caller that repeats a request sends its id again while the first one still waits."""
         directory = make_directory(slots=1)
         queue = make_queue(directory)
@@ -76,7 +76,7 @@
             tasks = [task for task in tasks if not task.done()]
             assert queue.waiting_count("drafts") == 2 - number
 
-    async def test_end_of_one_keeps_the_other(self) -> None:
+    async def test_cancelled_request_does_not_remove_another_with_its_id(self) -> None:
         """A repeated request must not lose its place when the first one's caller has left."""
         directory = make_directory(slots=1)
         queue = make_queue(directory)
@@ -95,7 +95,7 @@
 class TestWaiting:
     """Guards against a request that is held long after it could be answered on time."""
 
-    async def test_late_request_is_refused_at_its_target(self) -> None:
+    async def test_request_is_refused_at_its_target(self) -> None:
         """Replays scale-2 of the further deployment, where waiting took a third of the limit."""
         queue = make_queue(make_directory(slots=1))
         await queue.place(make_context("other"))
@@ -106,7 +106,7 @@
             await queue.place(ctx)
         assert 0.2 <= time.monotonic() - started_s < 1.0
 
-    async def test_request_with_little_time_keeps_some_to_come_back(self) -> None:
+    async def test_request_with_a_short_timeout_is_refused_before_it(self) -> None:
         queue = make_queue(make_directory(slots=1))
         await queue.place(make_context("other"))
         ctx = RequestContext(make_call("short"), time.monotonic())
@@ -138,7 +138,7 @@
         self, part: str
     ) -> tuple[PlacementQueue, EndpointDirectory, EndpointView]:
         """Return a site whose holder of the part has a long backlog; the others are idle."""
-        directory = empty_directory()
+        directory = make_empty_directory()
         now = time.monotonic()
         directory.replace([make_entry(f"i-{n}", slots=64) for n in range(4)], now)
         queue = make_queue(directory)
@@ -151,7 +151,7 @@
             view.record_sample(LoadSample(0, waiting, 64), now)
         return queue, directory, holder
 
-    async def test_request_goes_elsewhere_before_it_is_refused(self) -> None:
+    async def test_request_is_placed_elsewhere_before_it_is_refused(self) -> None:
         queue, _, holder = self.make_busy_holder("hot")
         started_s = time.monotonic()
         first, second = await asyncio.gather(
@@ -164,19 +164,19 @@
         # A part gets one further holder and not one for each request.
         assert second.view is first.view
 
-    async def test_least_urgent_request_reads_no_part_again(self) -> None:
+    async def test_least_urgent_request_repeats_no_prefill(self) -> None:
         queue, _, _ = self.make_busy_holder("hot")
         with pytest.raises(Refused, match="overloaded"):
             await queue.place(self.make_long_context("least", "hot", has_less_urgent=False))
 
-    async def test_request_is_refused_where_no_endpoint_has_room(self) -> None:
+    async def test_request_is_refused_if_no_endpoint_has_capacity(self) -> None:
         queue, directory, _ = self.make_busy_holder("hot")
         for view in directory.usable("drafts"):
             view.record_sample(LoadSample(0, 40, 64), time.monotonic())
         with pytest.raises(Refused, match="overloaded"):
             await queue.place(self.make_long_context("none", "hot"))
 
-    async def test_new_request_does_not_take_the_room_of_one_that_waits(self) -> None:
+    async def test_new_request_does_not_overtake_a_waiting_one(self) -> None:
         """A load report made room, but nothing has placed the waiting requests yet."""
         queue, directory, holder = self.make_busy_holder("hot")
         for view in directory.usable("drafts"):
@@ -199,8 +199,8 @@
     The soak's seeds 409 and 433 found it: the store came back, the configuration was read first.
     """
 
-    async def test_request_waits_for_the_list(self) -> None:
-        directory = empty_directory()
+    async def test_request_waits_for_the_endpoint_list(self) -> None:
+        directory = make_empty_directory()
         queue = make_queue(directory)
         task = asyncio.create_task(queue.place(make_context("early")))
         await asyncio.sleep(0)
@@ -209,13 +209,13 @@
         async with asyncio.timeout(1.0):
             assert (await task).view.entry.instance == "i-0"
 
-    async def test_empty_list_refuses_at_once(self) -> None:
-        directory = empty_directory()
+    async def test_request_is_refused_at_once_if_the_list_is_empty(self) -> None:
+        directory = make_empty_directory()
         directory.replace([], time.monotonic())
         with pytest.raises(Refused, match="no_endpoint"):
             await make_queue(directory).place(make_context("none"))
 
-    def test_gateway_is_not_ready_without_it(self) -> None:
+    def test_gateway_is_not_ready_without_the_list(self) -> None:
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
         gateway = Gateway(cfg, PlatformProtocol(), lambda: 1.0, lambda: 1.0)
         gateway.set_catalog(make_catalog())
--- a/cassiadrum/tests/gateways/test_retry_budget_properties.py
+++ b/cassiadrum/tests/gateways/test_retry_budget_properties.py
@@ -16,7 +16,7 @@
 SLACK = 40
 GATEWAYS = 40
 # Requests of each gateway in a window, of which the part is a whole number.
-REQUESTS = 5
+REQUESTS_PER_GATEWAY = 5
 
 gateways = st.integers(0, GATEWAYS - 1)
 
@@ -29,7 +29,7 @@
         self.now = 0.0
         self.budgets: dict[int, RetryBudget] = {}
         self.requests: list[float] = []
-        self.repeats: list[float] = []
+        self.retries: list[float] = []
 
     @initialize(count=st.integers(1, GATEWAYS))
     def start(self, count: int) -> None:
@@ -57,25 +57,25 @@
             self.requests.append(self.now)
 
     @rule(count=st.integers(1, 20))
-    def fail_everywhere(self, count: int) -> None:
+    def retry_everywhere(self, count: int) -> None:
         """Let each gateway repeat as often as it may, as when an endpoint fails."""
         for budget in self.budgets.values():
             for _ in range(count):
                 if budget.try_spend(self.now):
-                    self.repeats.append(self.now)
+                    self.retries.append(self.now)
 
     @invariant()
     def fleet_keeps_the_bound(self) -> None:
         recent = [at_s for at_s in self.requests if at_s > self.now - WINDOW_S]
-        repeats = [at_s for at_s in self.repeats if at_s > self.now - WINDOW_S]
-        assert len(repeats) <= RATIO * len(recent) + SLACK
+        retries = [at_s for at_s in self.retries if at_s > self.now - WINDOW_S]
+        assert len(retries) <= RATIO * len(recent) + SLACK
 
 
 FleetMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
 
 
 class TestFleets(FleetMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against a fleet that repeats more than the deployment permits."""
+    """Guards against a fleet that retries more than the deployment permits."""
 
 
 class TestFleetSizes:
@@ -86,11 +86,11 @@
         """Gateways and slack of the users' deployments, and of a fleet grown to 300 machines."""
         spare = min(MAX_RETRY_SPARE, float(slack))
         budgets = [RetryBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
-        requests, repeats = 0, 0
+        requests, retries = 0, 0
         for budget in budgets:
-            for _ in range(REQUESTS):
+            for _ in range(REQUESTS_PER_GATEWAY):
                 budget.record_request(0.0)
                 requests += 1
             while budget.try_spend(0.0):
-                repeats += 1
-        assert repeats <= RATIO * requests + slack
+                retries += 1
+        assert retries <= RATIO * requests + slack
--- a/cassiadrum/tests/gateways/test_store_properties.py
+++ b/cassiadrum/tests/gateways/test_store_properties.py
@@ -10,13 +10,13 @@
 from cassiadrum.tests.gateways.sites import make_configuration
 from cassiadrum.tests.gateways.store_machines import (
     INSTANCES,
-    MACHINE_LIMITS,
+    MACHINE_SETTINGS,
     RETURN_GRACE_S,
     SERVICE,
     ConfigurationMachine,
     StoreMachine,
     instances,
-    travel_s,
+    transit_s,
 )
 
 
@@ -30,30 +30,30 @@
         self.store.write(ENDPOINT_TABLE, instance, json.dumps(entry).encode())
 
     @rule(instance=instances, content=st.sampled_from([None, b"", b"{}", b"nonsense"]))
-    def take_away(self, instance: str, content: bytes | None) -> None:
+    def remove_or_corrupt(self, instance: str, content: bytes | None) -> None:
         self.store.write(ENDPOINT_TABLE, instance, content)
 
-    def _others(self, endpoints: FollowedTable) -> list[FollowedTable]:
+    def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
         return [endpoints]
 
     @rule()
     def accept_configuration(self) -> None:
         """Change the other table, whose changes share the store's counter."""
-        self.newest += 1
-        content = json.dumps(make_configuration(self.newest)).encode()
+        self.newest_version += 1
+        content = json.dumps(make_configuration(self.newest_version)).encode()
         self.store.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, content)
 
     @rule(
-        there_s=travel_s,
-        back_s=travel_s,
+        request_s=transit_s,
+        answer_s=transit_s,
         lost=st.booleans(),
         lost_table=st.sampled_from(["", CONFIGURATION_TABLE, ENDPOINT_TABLE]),
     )
-    def ask_for_endpoints(
-        self, there_s: float, back_s: float, lost: bool, lost_table: str = ""
+    def read_endpoints(
+        self, request_s: float, answer_s: float, lost: bool, lost_table: str = ""
     ) -> None:
         before = len(self.store.outcomes)
-        self._ask(there_s, back_s, lost, lost_table)
+        self._step_follower(request_s, answer_s, lost, lost_table)
         if any(answer_lost for _, answer_lost in self.store.outcomes[before:]):
             self.endpoints_lost = True
             return
@@ -63,26 +63,26 @@
         self._compare_endpoints()
 
     @rule(instance=instances)
-    def miss_a_removal(self, instance: str) -> None:
+    def remove_without_history(self, instance: str) -> None:
         """Remove an endpoint and forget that, so that only a full read shows it."""
         self.register(instance, "ready")
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
-        self.take_away(instance, None)
+        self.read_endpoints(0.002, 0.002, lost=False)
+        self.remove_or_corrupt(instance, None)
         self.forget_history()
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
 
     @rule(instance=instances, wait_s=st.floats(0.0, 4.0))
     def lapse_in_an_outage(self, instance: str, wait_s: float) -> None:
         """Let a registration lapse while no answer arrives; it is kept for a while after that."""
         self.register(instance, "ready")
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
-        self.ask_for_endpoints(0.002, 0.002, lost=True)
-        self.take_away(instance, None)
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=True)
+        self.remove_or_corrupt(instance, None)
+        self.read_endpoints(0.002, 0.002, lost=False)
         kept = {view.entry.instance for view in self.gateway.directory.usable(SERVICE)}
         assert instance in kept
         self.let_time_pass(wait_s)
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
 
     def _compare_endpoints(self) -> None:
         """Require what is registered and ready, and nothing else but what lapsed in an outage."""
@@ -104,8 +104,8 @@
         return str(json.loads(content)["state"])
 
 
-ConfigurationMachine.TestCase.settings = MACHINE_LIMITS
-EndpointMachine.TestCase.settings = MACHINE_LIMITS
+ConfigurationMachine.TestCase.settings = MACHINE_SETTINGS
+EndpointMachine.TestCase.settings = MACHINE_SETTINGS
 
 
 class TestConfigurations(ConfigurationMachine.TestCase):  # type: ignore[misc,valid-type]
--- a/cassiadrum/tests/gateways/test_store_restore_properties.py
+++ b/cassiadrum/tests/gateways/test_store_restore_properties.py
@@ -8,15 +8,15 @@
 from cassiadrum.platform.store_followers import FollowedTable
 from cassiadrum.platform.table_sinks import CONFIGURATION_KEY, CONFIGURATION_TABLE, ENDPOINT_TABLE
 from cassiadrum.tests.gateways.store_machines import (
+    CONFIRMATION_LIMIT_S,
     INSTANCES,
     LAPSE_S,
-    LIMIT_S,
-    MACHINE_LIMITS,
+    MACHINE_SETTINGS,
     SERVICE,
     ConfigurationMachine,
     StoreMachine,
     instances,
-    travel_s,
+    transit_s,
 )
 
 
@@ -25,55 +25,58 @@
 
     def __init__(self) -> None:
         super().__init__()
-        # Since when the store has named an older configuration than the one in force.
-        self.behind_s: float | None = None
+        # Since when the store has stored an older configuration than the one in force.
+        self.older_since_s: float | None = None
 
-    @rule(back=st.integers(1, 6))
-    def restore(self, back: int) -> None:
-        self.store.restore(max(0, self.store.version - back))
-        named = self._named()
+    @rule(lost_changes=st.integers(1, 6))
+    def restore(self, lost_changes: int) -> None:
+        self.store.restore(max(0, self.store.version - lost_changes))
+        stored = self._stored_version()
         # No process can know a version that it had not read and that is gone from the store.
-        lost = [version for version in self.accepted_s if version > named]
+        lost = [version for version in self.accepted_s if version > stored]
         for version in lost:
             del self.accepted_s[version]
         in_force = self.gateway.catalog.version if self.gateway.catalog is not None else 0
-        self.behind_s = self.store.now if named < in_force else None
+        self.older_since_s = self.store.now if stored < in_force else None
 
     @rule()
     def lose_a_configuration(self) -> None:
         """Restore the store from a copy just older than a configuration that is in force."""
         self.accept_configuration()
         for _ in range(3):
-            self._ask(0.002, 0.002, lost=False)
+            self._step_follower(0.002, 0.002, lost=False)
         assert self.gateway.catalog is not None
-        assert self.gateway.catalog.version == self.newest
+        assert self.gateway.catalog.version == self.newest_version
         self.restore(1)
         for _ in range(3):
-            self.let_time_pass(LIMIT_S / 2)
-            self._ask(0.002, 0.002, lost=False)
+            self.let_time_pass(CONFIRMATION_LIMIT_S / 2)
+            self._step_follower(0.002, 0.002, lost=False)
 
     @rule()
     def write_again(self) -> None:
-        if self._named() < self.newest:
-            self._write_configuration(self.newest)
-            self.accepted_s.setdefault(self.newest, self.store.now)
+        if self._stored_version() < self.newest_version:
+            self._write_configuration(self.newest_version)
+            self.accepted_s.setdefault(self.newest_version, self.store.now)
 
     @rule()
     def restart_the_gateway(self) -> None:
         super().restart_the_gateway()
-        self.behind_s = None
+        self.older_since_s = None
 
     def _write_configuration(self, version: int) -> None:
         super()._write_configuration(version)
-        if version == self.newest:
-            self.behind_s = None
+        if version == self.newest_version:
+            self.older_since_s = None
 
     @invariant()
-    def confirms_nothing_while_the_store_names_an_older_one(self) -> None:
-        if self.behind_s is not None and self.store.now - self.behind_s > LIMIT_S:
+    def confirms_nothing_while_the_store_holds_an_older_one(self) -> None:
+        if (
+            self.older_since_s is not None
+            and self.store.now - self.older_since_s > CONFIRMATION_LIMIT_S
+        ):
             assert not self.gateway.confirmed
 
-    def _named(self) -> int:
+    def _stored_version(self) -> int:
         """Return the version of the configuration that the store names, 0 where it has none."""
         content = self.store.row(CONFIGURATION_TABLE, CONFIGURATION_KEY)
         return int(json.loads(content)["version"]) if content else 0
@@ -84,55 +87,57 @@
 
     def __init__(self) -> None:
         super().__init__()
-        # State and start of the newest incarnation of each instance, as it is in truth.
-        self.truth = dict.fromkeys(INSTANCES, ("gone", 0))
+        # State and start of the newest incarnation of each instance, as it really is.
+        self.actual = dict.fromkeys(INSTANCES, ("gone", 0))
         # What the gateway has read of that before the last restore.
-        self.known: dict[str, tuple[str, int]] = {}
+        self.last_read: dict[str, tuple[str, int]] = {}
         # Whether all rows are what the operator and the endpoints wrote last.
-        self.current = True
+        self.rows_are_current = True
 
-    def _others(self, endpoints: FollowedTable) -> list[FollowedTable]:
+    def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
         return [endpoints]
 
     @rule(instance=instances)
     def start_endpoint(self, instance: str) -> None:
-        self._write(instance, "ready", self.truth[instance][1] + 1)
+        self._write(instance, "ready", self.actual[instance][1] + 1)
 
     @rule(instance=instances)
     def drain(self, instance: str) -> None:
-        if self.truth[instance][0] == "ready":
-            self._write(instance, "draining", self.truth[instance][1])
+        if self.actual[instance][0] == "ready":
+            self._write(instance, "draining", self.actual[instance][1])
 
     @rule(instance=instances)
     def die(self, instance: str) -> None:
-        self._write(instance, "gone", self.truth[instance][1])
+        self._write(instance, "gone", self.actual[instance][1])
 
-    @rule(back=st.integers(1, 6))
-    def restore(self, back: int) -> None:
-        self.store.restore(max(0, self.store.version - back))
-        self.current = False
+    @rule(lost_changes=st.integers(1, 6))
+    def restore(self, lost_changes: int) -> None:
+        self.store.restore(max(0, self.store.version - lost_changes))
+        self.rows_are_current = False
 
     @rule()
     def write_again(self) -> None:
-        for instance, (state, born) in self.truth.items():
+        for instance, (state, born) in self.actual.items():
             self._write(instance, state, born)
-        self.current = True
+        self.rows_are_current = True
 
-    @rule(there_s=travel_s, back_s=travel_s)
-    def lose_an_answer(self, there_s: float, back_s: float) -> None:
-        self._ask(there_s, back_s, lost=True)
+    @rule(request_s=transit_s, answer_s=transit_s)
+    def lose_an_answer(self, request_s: float, answer_s: float) -> None:
+        self._step_follower(request_s, answer_s, lost=True)
 
-    @rule(back_s=travel_s)
-    def read(self, back_s: float) -> None:
+    @rule(answer_s=transit_s)
+    def read_all_tables(self, answer_s: float) -> None:
         """Ask as often as a restore that is noticed late may need."""
-        self._ask(0.002, back_s, lost=False)
+        self._step_follower(0.002, answer_s, lost=False)
         for _ in range(2):
-            self._ask(0.002, 0.002, lost=False)
+            self._step_follower(0.002, 0.002, lost=False)
         assert self._follower_is_current()
-        if self.current:
+        if self.rows_are_current:
             # Who lapsed shortly after an outage may still live and counts as neither.
-            self.known = {
-                name: truth for name, truth in self.truth.items() if not self._is_kept(name)
+            self.last_read = {
+                name: incarnation
+                for name, incarnation in self.actual.items()
+                if not self._may_be_in_grace_period(name)
             }
         self._compare()
 
@@ -140,11 +145,11 @@
     def lose_a_change(self, instance: str, change: str) -> None:
         """Restore the store from a copy just older than a change that was read."""
         self.start_endpoint(instance)
-        self.read(0.002)
+        self.read_all_tables(0.002)
         getattr(self, change)(instance)
-        self.read(0.002)
+        self.read_all_tables(0.002)
         self.restore(1)
-        self.read(0.002)
+        self.read_all_tables(0.002)
 
     @rule(wait_s=st.floats(0.0, LAPSE_S / 4))
     def let_time_pass(self, wait_s: float) -> None:
@@ -164,25 +169,25 @@
             view.entry.instance: view.entry.started_ms
             for view in self.gateway.directory.usable(SERVICE)
         }
-        for instance, (state, born) in self.known.items():
+        for instance, (state, born) in self.last_read.items():
             # What is known to leave, to be gone or to be replaced is not used again.
             if instance in usable and state != "ready":
                 assert usable[instance] > born
             if instance in usable:
                 assert usable[instance] >= born
-        if self.current:
-            ready = {name: born for name, (state, born) in self.truth.items() if state == "ready"}
+        if self.rows_are_current:
+            ready = {name: born for name, (state, born) in self.actual.items() if state == "ready"}
             assert ready.items() <= usable.items()
             extra = usable.keys() - ready.keys()
-            assert all(self._is_kept(instance) for instance in extra)
+            assert all(self._may_be_in_grace_period(instance) for instance in extra)
 
-    def _is_kept(self, instance: str) -> bool:
+    def _may_be_in_grace_period(self, instance: str) -> bool:
         """Return whether an endpoint that is missing may be one that lapsed in an outage."""
-        state, _ = self.truth[instance]
+        state, _ = self.actual[instance]
         return state == "gone" and instance in self.gateway.directory._lapsed
 
     def _write(self, instance: str, state: str, born: int) -> None:
-        self.truth[instance] = (state, born)
+        self.actual[instance] = (state, born)
         entry = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "a", "slots": 4}
         entry |= {"state": state, "born": born, "cold_left_ms": 0, "seq": 1, "version": "v1"}
         content = None if state == "gone" else json.dumps(entry).encode()
@@ -190,8 +195,8 @@
             self.store.write(ENDPOINT_TABLE, instance, content)
 
 
-RestoredConfigurationMachine.TestCase.settings = MACHINE_LIMITS
-RestoredEndpointMachine.TestCase.settings = MACHINE_LIMITS
+RestoredConfigurationMachine.TestCase.settings = MACHINE_SETTINGS
+RestoredEndpointMachine.TestCase.settings = MACHINE_SETTINGS
 
 
 class TestRestoredConfigurations(RestoredConfigurationMachine.TestCase):  # type: ignore[misc,valid-type]
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -16,7 +16,7 @@
 from cassiadrum.platform.table_sinks import ENDPOINT_TABLE, ConfigurationSink, EndpointSink
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.makers import CACHE_TOKENS, make_entry
 from cassiadrum.tests.gateways.sites import (
     REVOKE_S,
@@ -29,10 +29,10 @@
 from cassiadrum.tests.gateways.store_machines import LAPSE_S, RETURN_GRACE_S
 
 
-class TestEras:
+class TestStoreEra:
     """Guards against versions of two eras that are taken for one count."""
 
-    def test_late_answer_of_an_older_era_is_told(self) -> None:
+    def test_late_answer_of_an_older_era_is_rejected(self) -> None:
         era = StoreEra()
         assert era.observe("3")
         assert era.observe("5")
@@ -40,7 +40,7 @@
         assert era.number == 5
 
     @pytest.mark.parametrize("text", ["", "-1", "x", "1.5", "9" * 400, "\u0661"])
-    def test_unreadable_era_is_one_log_line(
+    def test_unreadable_era_is_logged_once(
         self, text: str, caplog: pytest.LogCaptureFixture
     ) -> None:
         era = StoreEra()
@@ -62,7 +62,7 @@
         await service.close()
 
 
-class TestFollower:
+class TestStoreFollower:
     """Guards against a follower that reads all rows again and again after a restore."""
 
     @pytest.mark.parametrize("era", [1, None])
@@ -95,7 +95,7 @@
         store.close()
 
 
-class TestDirectory:
+class TestEndpointDirectory:
     """Guards against beliefs about endpoints that go back with the store."""
 
     @staticmethod
@@ -110,7 +110,7 @@
     def usable(self, directory: EndpointDirectory) -> set[str]:
         return {view.entry.instance for view in directory.usable("drafts")}
 
-    def test_endpoint_that_the_copy_lacks_is_kept_for_a_while(self) -> None:
+    def test_endpoint_missing_from_the_copy_is_kept_for_the_grace_period(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.store_restored(10.0)
@@ -120,7 +120,7 @@
         directory.expire(10.0 + RETURN_GRACE_S)
         assert self.usable(directory) == {"i-0", "i-1"}
 
-    def test_endpoint_that_does_not_write_again_is_dropped(self) -> None:
+    def test_endpoint_that_does_not_register_again_is_dropped(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.store_restored(10.0)
@@ -128,7 +128,7 @@
         directory.expire(10.0 + RETURN_GRACE_S)
         assert self.usable(directory) == {"i-0"}
 
-    def test_gone_endpoint_returns_only_once_its_registration_has_stood(self) -> None:
+    def test_removed_endpoint_returns_only_if_its_registration_lasts(self) -> None:
         """Guards against a live endpoint that is never used again after a lapse and a restore."""
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
@@ -140,7 +140,7 @@
         directory.expire(10.0 + LAPSE_S)
         assert self.usable(directory) == {"i-0", "i-1"}
 
-    def test_gone_endpoint_that_lapses_again_never_returns(self) -> None:
+    def test_removed_endpoint_that_lapses_again_never_returns(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.remove("i-1", 5.0)
@@ -160,7 +160,7 @@
         directory.expire(10.0 + LAPSE_S)
         assert self.usable(directory) == {"i-0"}
 
-    def test_start_that_was_replaced_never_returns(self) -> None:
+    def test_replaced_incarnation_never_returns(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.put(make_entry("i-1", started_ms=2))
@@ -175,8 +175,8 @@
 class TestGatewayProcess:
     """Guards against a running gateway that goes back with the store under traffic."""
 
-    async def test_beliefs_do_not_go_back(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_state_does_not_go_back_with_the_store(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         saved = site.store.snapshot()
         tenants = [{"name": "st-martin", "api_keys": ["key-2"]}]
@@ -211,9 +211,9 @@
         """Call with the key that was taken away and with the one that holds."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
-        taken, held = set(), set()
+        revoked, valid = set(), set()
         while loop.time() < end_s:
-            taken.add((await caller.call("/safe/b"))[0])
-            held.add((await caller.call("/stream/b", key="key-2", events=2))[0])
+            revoked.add((await caller.call("/safe/b"))[0])
+            valid.add((await caller.call("/stream/b", key="key-2", events=2))[0])
             await asyncio.sleep(0.02)
-        return taken, held
+        return revoked, valid
--- a/cassiadrum/tests/gateways/test_store_waits.py
+++ b/cassiadrum/tests/gateways/test_store_waits.py
@@ -10,9 +10,9 @@
 
 # Callers with keys count on a gateway until it was apart from the store for this part of the time
 # after which a key that was taken away is no longer served.
-OWED_PART = 0.6
+MIN_BRIDGED_FRACTION = 0.6
 # Longest time of an answer on its way.
-TRANSFER_S = 0.05
+MAX_TRANSIT_S = 0.05
 
 
 class TestStoreWaits:
@@ -26,15 +26,15 @@
         raw["bounds"] |= {"contact_ms": contact_ms, "revoke_ms": revoke_ms}
         bounds = parse_node_settings(json.dumps(raw).encode()).bounds
         waits = StoreWaits.from_bounds(bounds)
-        bridged_s = waits.confirmed_s - waits.change_s - TRANSFER_S
-        assert bridged_s >= OWED_PART * bounds.revoke_s
+        bridged_s = waits.confirmed_s - waits.change_s - MAX_TRANSIT_S
+        assert bridged_s >= MIN_BRIDGED_FRACTION * bounds.revoke_s
         assert waits.confirmed_s < bounds.revoke_s
 
     @pytest.mark.parametrize("drain_ms", [1000, 2000, 3000, 4000])
-    def test_endpoint_that_drains_is_seen_in_time(self, drain_ms: int) -> None:
+    def test_draining_endpoint_is_noticed_in_time(self, drain_ms: int) -> None:
         """Guards against requests for an endpoint that has left its wait of a whole call."""
         raw = make_settings(1, 2, 3)
         raw["bounds"] |= {"drain_ms": drain_ms}
         bounds = parse_node_settings(json.dumps(raw).encode()).bounds
         waits = StoreWaits.from_bounds(bounds)
-        assert waits.change_s + 2 * TRANSFER_S < bounds.drain_s
+        assert waits.change_s + 2 * MAX_TRANSIT_S < bounds.drain_s
--- a/cassiadrum/tests/harness/__init__.py
+++ b/cassiadrum/tests/harness/__init__.py
@@ -3,7 +3,7 @@
 from cassiadrum.tests.harness.callers import Answer, StreamCaller, call
 from cassiadrum.tests.harness.child_processes import ChildProcess
 from cassiadrum.tests.harness.event_collectors import EventCollector
-from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+from cassiadrum.tests.harness.fault_proxies import Direction, FaultProxy
 from cassiadrum.tests.harness.process_sites import ProcessSite
 from cassiadrum.tests.harness.raw_links import RawLink
 from cassiadrum.tests.harness.waits import until
@@ -11,12 +11,12 @@
 __all__ = [
     "Answer",
     "ChildProcess",
+    "Direction",
     "EventCollector",
     "FaultProxy",
     "ProcessSite",
     "RawLink",
     "StreamCaller",
-    "Way",
     "call",
     "until",
 ]
--- a/cassiadrum/tests/harness/callers.py
+++ b/cassiadrum/tests/harness/callers.py
@@ -9,7 +9,7 @@
 
 __all__ = ["Answer", "StreamCaller", "call"]
 
-CALL_LIMIT_S = 40.0
+CALL_TIMEOUT_S = 40.0
 
 
 class Answer(NamedTuple):
@@ -86,11 +86,11 @@
 
     async def answer(self) -> Answer:
         """Wait for the end of the answer."""
-        async with asyncio.timeout(CALL_LIMIT_S):
+        async with asyncio.timeout(CALL_TIMEOUT_S):
             await self._task
         return Answer(self._status, self._headers, self.body, self._complete)
 
-    async def leave(self) -> None:
+    async def disconnect(self) -> None:
         """Close the connection before the end of the answer."""
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
--- a/cassiadrum/tests/harness/child_processes.py
+++ b/cassiadrum/tests/harness/child_processes.py
@@ -10,7 +10,7 @@
 
 __all__ = ["ChildProcess"]
 
-START_LIMIT_S = 30.0
+START_TIMEOUT_S = 30.0
 
 
 class ChildProcess:
@@ -36,9 +36,9 @@
             )
         child = cls(process, log)
         try:
-            child.ready = json.loads(await child.line(START_LIMIT_S))
+            child.ready = json.loads(await child.read_line(START_TIMEOUT_S))
         except BaseException:
-            await child.end()
+            await child.kill()
             raise
         return child
 
@@ -52,7 +52,7 @@
         """Tell whether the process has not ended."""
         return self._process.returncode is None
 
-    async def line(self, limit_s: float) -> str:
+    async def read_line(self, limit_s: float) -> str:
         """Return the next line of standard output."""
         assert self._process.stdout is not None
         async with asyncio.timeout(limit_s):
@@ -78,7 +78,7 @@
         async with asyncio.timeout(limit_s):
             return await self._process.wait()
 
-    async def end(self) -> None:
+    async def kill(self) -> None:
         """Kill the process if it still runs."""
         self._signal(signal.SIGKILL)
         await self._process.wait()
--- a/cassiadrum/tests/harness/event_collectors.py
+++ b/cassiadrum/tests/harness/event_collectors.py
@@ -10,7 +10,7 @@
 __all__ = ["EventCollector"]
 
 POLL_S = 0.03
-READ_LIMIT_S = 1.0
+READ_TIMEOUT_S = 1.0
 
 
 class EventCollector:
@@ -40,7 +40,7 @@
         while not self.stopped and not self._replaced:
             # The process may be paused, or gone; a later read continues where this one began.
             with contextlib.suppress(HttpError, TimeoutError):
-                async with asyncio.timeout(READ_LIMIT_S):
+                async with asyncio.timeout(READ_TIMEOUT_S):
                     await self._read()
             await asyncio.sleep(POLL_S)
 
--- a/cassiadrum/tests/harness/fault_proxies.py
+++ b/cassiadrum/tests/harness/fault_proxies.py
@@ -6,29 +6,31 @@
 import struct
 from enum import Enum
 
-__all__ = ["FaultProxy", "Way"]
+__all__ = ["Direction", "FaultProxy"]
 
 READ_BYTES = 64 * 1024
 HOST = "127.0.0.1"
 
 
-class Way(Enum):
+class Direction(Enum):
     """Direction of bytes through the proxy."""
 
     TO_SERVER = "to_server"
     TO_CLIENT = "to_client"
 
 
-BOTH = (Way.TO_SERVER, Way.TO_CLIENT)
+BOTH = (Direction.TO_SERVER, Direction.TO_CLIENT)
 
 
-class _Pipe:
-    """One proxied connection; `silent` and `half` hold the ways with that fault."""
+class _ProxiedConnection:
+    """One proxied connection; `silent` and `truncating` hold the directions with that fault."""
 
-    def __init__(self, streams: dict[Way, tuple[asyncio.StreamReader, asyncio.StreamWriter]]):
+    def __init__(
+        self, streams: dict[Direction, tuple[asyncio.StreamReader, asyncio.StreamWriter]]
+    ):
         self.streams = streams
-        self.silent: set[Way] = set()
-        self.half: set[Way] = set()
+        self.silent: set[Direction] = set()
+        self.truncating: set[Direction] = set()
         self.ended = asyncio.Event()
 
     def close(self, *, reset: bool = False) -> None:
@@ -45,8 +47,8 @@
 class FaultProxy:
     """Forward connections to `target` (HOST:PORT), which may be changed for new connections.
 
-    `delay_s` is added to each read and `bytes_per_s` limits each way (0 for no limit); both apply
-    to all connections. While `partitioned`, new connections are accepted but carry nothing.
+    `delay_s` is added to each read and `bytes_per_s` limits each direction (0 for no limit); both
+    apply to all connections. While `partitioned`, new connections are accepted but carry no bytes.
     """
 
     def __init__(self, target: str) -> None:
@@ -55,11 +57,11 @@
         self.delay_s = 0.0
         self.bytes_per_s = 0.0
         self.partitioned = False
-        self.accepted = 0
-        self._flow = {way: asyncio.Event() for way in BOTH}
-        for event in self._flow.values():
+        self.accepted_connections = 0
+        self._released = {direction: asyncio.Event() for direction in BOTH}
+        for event in self._released.values():
             event.set()
-        self._pipes: set[_Pipe] = set()
+        self._connections: set[_ProxiedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -81,31 +83,31 @@
     @property
     def open_connections(self) -> int:
         """Return the number of connections through the proxy."""
-        return len(self._pipes)
+        return len(self._connections)
 
     def cut(self, *, reset: bool = False) -> None:
         """End every connection; `reset` sends RST to both ends."""
-        for pipe in list(self._pipes):
-            pipe.close(reset=reset)
+        for conn in list(self._connections):
+            conn.close(reset=reset)
 
-    def silence(self, *ways: Way) -> None:
+    def silence(self, *directions: Direction) -> None:
         """Drop all further bytes of the open connections; new connections work."""
-        for pipe in self._pipes:
-            pipe.silent.update(ways or BOTH)
+        for conn in self._connections:
+            conn.silent.update(directions or BOTH)
 
-    def half_frame(self, way: Way) -> None:
+    def truncate_next_read(self, direction: Direction) -> None:
         """Pass half of the next read of each open connection, then nothing more."""
-        for pipe in self._pipes:
-            pipe.half.add(way)
+        for conn in self._connections:
+            conn.truncating.add(direction)
 
-    def hold(self, *ways: Way) -> None:
+    def hold(self, *directions: Direction) -> None:
         """Keep bytes back until `release`."""
-        for way in ways or BOTH:
-            self._flow[way].clear()
+        for direction in directions or BOTH:
+            self._released[direction].clear()
 
     def release(self) -> None:
         """Pass on what was held."""
-        for event in self._flow.values():
+        for event in self._released.values():
             event.set()
 
     def partition(self) -> None:
@@ -122,7 +124,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        self.accepted += 1
+        self.accepted_connections += 1
         try:
             await self._serve(reader, writer)
         except OSError:
@@ -136,55 +138,64 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self.target.rpartition(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
-        pipe = _Pipe(
-            {Way.TO_SERVER: (reader, server_writer), Way.TO_CLIENT: (server_reader, writer)}
+        conn = _ProxiedConnection(
+            {
+                Direction.TO_SERVER: (reader, server_writer),
+                Direction.TO_CLIENT: (server_reader, writer),
+            }
         )
         if self.partitioned:
-            pipe.silent.update(BOTH)
-        self._pipes.add(pipe)
-        pumps = [asyncio.create_task(self._pump(pipe, way)) for way in BOTH]
+            conn.silent.update(BOTH)
+        self._connections.add(conn)
+        pumps = [asyncio.create_task(self._relay(conn, direction)) for direction in BOTH]
         try:
-            await pipe.ended.wait()
+            await conn.ended.wait()
         finally:
             for pump in pumps:
                 pump.cancel()
             await asyncio.gather(*pumps, return_exceptions=True)
-            self._pipes.discard(pipe)
-            pipe.close()
+            self._connections.discard(conn)
+            conn.close()
 
-    async def _pump(self, pipe: _Pipe, way: Way) -> None:
-        reader, writer = pipe.streams[way]
+    async def _relay(self, conn: _ProxiedConnection, direction: Direction) -> None:
+        reader, writer = conn.streams[direction]
         try:
             while data := await reader.read(READ_BYTES):
-                await self._forward(pipe, way, data, writer)
-            if way not in pipe.silent:
-                await self._end(writer, pipe, way)
+                await self._forward(conn, direction, data, writer)
+            if direction not in conn.silent:
+                await self._relay_end(writer, conn, direction)
         except OSError:
-            if not pipe.silent:
-                pipe.close()
+            if not conn.silent:
+                conn.close()
 
     async def _forward(
-        self, pipe: _Pipe, way: Way, data: bytes, writer: asyncio.StreamWriter
+        self,
+        conn: _ProxiedConnection,
+        direction: Direction,
+        data: bytes,
+        writer: asyncio.StreamWriter,
     ) -> None:
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.bytes_per_s:
             await asyncio.sleep(len(data) / self.bytes_per_s)
-        await self._flow[way].wait()
-        if way in pipe.silent:
+        await self._released[direction].wait()
+        if direction in conn.silent:
             return
-        if way in pipe.half:
-            pipe.silent.add(way)
+        if direction in conn.truncating:
+            conn.silent.add(direction)
             data = data[: max(1, len(data) // 2)]
         writer.write(data)
         await writer.drain()
 
-    async def _end(self, writer: asyncio.StreamWriter, pipe: _Pipe, way: Way) -> None:
-        """Pass the end of one way on; the connection ends with its second way."""
-        other = Way.TO_CLIENT if way is Way.TO_SERVER else Way.TO_SERVER
+    async def _relay_end(
+        self, writer: asyncio.StreamWriter, conn: _ProxiedConnection, direction: Direction
+    ) -> None:
+        """Pass the end of one direction on; the connection ends with its second direction."""
+        other = Direction.TO_CLIENT if direction is Direction.TO_SERVER else Direction.TO_SERVER
         if writer.can_write_eof():
             writer.write_eof()
-        if pipe.streams[other][0].at_eof() or way is Way.TO_CLIENT:
+        if conn.streams[other][0].at_eof() or direction is Direction.TO_CLIENT:
             await writer.drain()
             writer.close()
-            pipe.ended.set()
+            conn.ended.set()
--- a/cassiadrum/tests/harness/faults.py
+++ b/cassiadrum/tests/harness/faults.py
@@ -10,7 +10,7 @@
 
 from cassiadrum.standins import Faults
 from cassiadrum.tests.harness.callers import call
-from cassiadrum.tests.harness.fault_proxies import FaultProxy, Way
+from cassiadrum.tests.harness.fault_proxies import Direction, FaultProxy
 from cassiadrum.tests.harness.platforms import AddressedEngine
 from cassiadrum.tests.harness.process_sites import ProcessSite
 
@@ -47,7 +47,7 @@
     assert answer.status == 200
 
 
-def _reports(kind: str) -> Inject:
+def _report_fault(kind: str) -> Inject:
     async def inject(site: ProcessSite, rng: random.Random) -> None:
         engine = _engine(site, rng)
         engine.report_fault = kind
@@ -57,7 +57,7 @@
     return inject
 
 
-def _store(faults: Faults, duration_s: float) -> Inject:
+def _store_fault(faults: Faults, duration_s: float) -> Inject:
     async def inject(site: ProcessSite, _rng: random.Random) -> None:
         with site.outage():
             site.platform.table.set_faults(faults)
@@ -67,7 +67,7 @@
     return inject
 
 
-def _instance_list(faults: Faults) -> Inject:
+def _instance_list_fault(faults: Faults) -> Inject:
     async def inject(site: ProcessSite, _rng: random.Random) -> None:
         site.platform.instances.set_faults(faults)
         await asyncio.sleep(2.5)
@@ -76,7 +76,7 @@
     return inject
 
 
-def _proxied(hop: str, act: Callable[[FaultProxy], None], duration_s: float = 0.0) -> Inject:
+def _proxy_fault(hop: str, act: Callable[[FaultProxy], None], duration_s: float = 0.0) -> Inject:
     """Act on one proxy of a hop; what lasts is undone after `duration_s`."""
 
     async def inject(site: ProcessSite, rng: random.Random) -> None:
@@ -96,15 +96,15 @@
     proxy.delay_s = 0.2
 
 
-def _silence(way: Way, proxy: FaultProxy) -> None:
-    proxy.silence(way)
+def _silence(direction: Direction, proxy: FaultProxy) -> None:
+    proxy.silence(direction)
 
 
 def _throttle(proxy: FaultProxy) -> None:
     proxy.bytes_per_s = 20_000.0
 
 
-async def _zone_cut(site: ProcessSite, rng: random.Random) -> None:
+async def _zone_partition(site: ProcessSite, rng: random.Random) -> None:
     zone = site.zone(rng.choice(site.sidecars()))
     names = [name for name in site.sidecars() if site.zone(name) == zone]
     proxies = [site.proxies[f"{hop}:{name}"] for name in names for hop in ("link", "table")]
@@ -116,7 +116,7 @@
             proxy.heal()
 
 
-def _paused(role: str, duration_s: float) -> Inject:
+def _process_pause(role: str, duration_s: float) -> Inject:
     async def inject(site: ProcessSite, rng: random.Random) -> None:
         name = _choose(site, role, rng)
         with site.outage(name):
@@ -127,20 +127,20 @@
     return inject
 
 
-def _killed(role: str) -> Inject:
+def _process_kill(role: str) -> Inject:
     async def inject(site: ProcessSite, rng: random.Random) -> None:
         name = _choose(site, role, rng)
-        async with site.changing(name):
+        async with site.restart_lock(name):
             await site.kill(name)
             await site.launch(name)
 
     return inject
 
 
-def _stopped(role: str) -> Inject:
+def _process_restart(role: str) -> Inject:
     async def inject(site: ProcessSite, rng: random.Random) -> None:
         name = _choose(site, role, rng)
-        async with site.changing(name):
+        async with site.restart_lock(name):
             if site.children[name].running:
                 await site.stop(name)
             await site.launch(name)
@@ -148,7 +148,7 @@
     return inject
 
 
-async def _operators(site: ProcessSite, _rng: random.Random) -> None:
+async def _concurrent_writes(site: ProcessSite, _rng: random.Random) -> None:
     """Let two operators write the same service from the same version at once."""
     writes = (write_configuration(site, entry, SERVICE) for entry in site.entries)
     results = await asyncio.gather(*writes)
@@ -189,39 +189,41 @@
 FAULTS: dict[str, Fault] = {
     "straggler": Fault(_straggler),
     "engine crash": Fault(_engine_crash),
-    "late reports": Fault(_reports("late")),
-    "missing reports": Fault(_reports("missing")),
-    "duplicate reports": Fault(_reports("duplicate")),
-    "store down": Fault(_store(Faults(down=True), OUTAGE_S)),
-    "store slow": Fault(_store(Faults(slow_s=1.0), OUTAGE_S)),
-    "store very slow": Fault(_store(Faults(slow_s=2.5), OUTAGE_S)),
-    "store limited": Fault(_store(Faults(limit_per_s=3.0), OUTAGE_S)),
-    "write answers lost": Fault(_store(Faults(drop_answers=2), 1.0)),
-    "empty instance list": Fault(_instance_list(Faults(empty=True))),
-    "stale instance list": Fault(_instance_list(Faults(stale=True))),
-    "link cut": Fault(_proxied("link", FaultProxy.cut)),
-    "link reset": Fault(_proxied("link", lambda proxy: proxy.cut(reset=True))),
-    "link delayed": Fault(_proxied("link", _delay, 1.5)),
-    "link throttled": Fault(_proxied("link", _throttle, 1.5)),
-    "link held": Fault(_proxied("link", FaultProxy.hold, 1.5)),
-    "link half a frame": Fault(_proxied("link", lambda p: p.half_frame(Way.TO_CLIENT))),
-    "endpoint reset": Fault(_proxied("endpoint", lambda proxy: proxy.cut(reset=True))),
-    "endpoint delayed": Fault(_proxied("endpoint", _delay, 1.5)),
-    "zone cut off": Fault(_zone_cut),
-    "entry paused": Fault(_paused("entry", OUTAGE_S)),
-    "sidecar paused": Fault(_paused("sidecar", OUTAGE_S)),
-    "sidecar paused for long": Fault(_paused("sidecar", 11.0)),
-    "entry killed": Fault(_killed("entry"), keeps_streams=False),
-    "sidecar killed": Fault(_killed("sidecar")),
-    "entry stopped": Fault(_stopped("entry")),
-    "sidecar stopped": Fault(_stopped("sidecar")),
-    "two operators": Fault(_operators),
+    "late reports": Fault(_report_fault("late")),
+    "missing reports": Fault(_report_fault("missing")),
+    "duplicate reports": Fault(_report_fault("duplicate")),
+    "store down": Fault(_store_fault(Faults(down=True), OUTAGE_S)),
+    "store slow": Fault(_store_fault(Faults(slow_s=1.0), OUTAGE_S)),
+    "store very slow": Fault(_store_fault(Faults(slow_s=2.5), OUTAGE_S)),
+    "store limited": Fault(_store_fault(Faults(limit_per_s=3.0), OUTAGE_S)),
+    "write answers lost": Fault(_store_fault(Faults(drop_answers=2), 1.0)),
+    "empty instance list": Fault(_instance_list_fault(Faults(empty=True))),
+    "stale instance list": Fault(_instance_list_fault(Faults(stale=True))),
+    "link cut": Fault(_proxy_fault("link", FaultProxy.cut)),
+    "link reset": Fault(_proxy_fault("link", lambda proxy: proxy.cut(reset=True))),
+    "link delayed": Fault(_proxy_fault("link", _delay, 1.5)),
+    "link throttled": Fault(_proxy_fault("link", _throttle, 1.5)),
+    "link held": Fault(_proxy_fault("link", FaultProxy.hold, 1.5)),
+    "link half a frame": Fault(
+        _proxy_fault("link", lambda p: p.truncate_next_read(Direction.TO_CLIENT))
+    ),
+    "endpoint reset": Fault(_proxy_fault("endpoint", lambda proxy: proxy.cut(reset=True))),
+    "endpoint delayed": Fault(_proxy_fault("endpoint", _delay, 1.5)),
+    "zone cut off": Fault(_zone_partition),
+    "entry paused": Fault(_process_pause("entry", OUTAGE_S)),
+    "sidecar paused": Fault(_process_pause("sidecar", OUTAGE_S)),
+    "sidecar paused for long": Fault(_process_pause("sidecar", 11.0)),
+    "entry killed": Fault(_process_kill("entry"), keeps_streams=False),
+    "sidecar killed": Fault(_process_kill("sidecar")),
+    "entry stopped": Fault(_process_restart("entry")),
+    "sidecar stopped": Fault(_process_restart("sidecar")),
+    "two operators": Fault(_concurrent_writes),
     **{
-        f"silent {hop} {way.value}": Fault(
-            _proxied(hop, partial(_silence, way)),
+        f"silent {hop} {direction.value}": Fault(
+            _proxy_fault(hop, partial(_silence, direction)),
             keeps_streams=hop != "http",
         )
         for hop in HOPS
-        for way in Way
+        for direction in Direction
     },
 }
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -34,24 +34,24 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._reports = 0
-        self._late: dict[str, Any] = {}
-        self._held: list[int] = []
+        self._report_count = 0
+        self._stale_load: dict[str, Any] = {}
+        self._delayed_cache_events: list[int] = []
 
     def _load(self) -> dict[str, Any]:
         load = super()._load()
-        self._reports += 1
+        self._report_count += 1
         if self.report_fault == "late":
-            self._held += load["cached"]
-            self._late = self._late or load
-            return {**self._late, "cached": []}
-        self._late = {}
+            self._delayed_cache_events += load["cached"]
+            self._stale_load = self._stale_load or load
+            return {**self._stale_load, "cached": []}
+        self._stale_load = {}
         if self.report_fault == "missing":
-            return {} if self._reports % 2 else {**load, "cached": []}
+            return {} if self._report_count % 2 else {**load, "cached": []}
         if self.report_fault == "duplicate":
             return {**load, "cached": load["cached"] * 2}
-        held, self._held = self._held, []
-        return {**load, "cached": held + load["cached"]}
+        delayed, self._delayed_cache_events = self._delayed_cache_events, []
+        return {**load, "cached": delayed + load["cached"]}
 
 
 class AddressedPlainService(PlainServiceStandin):
@@ -94,7 +94,7 @@
 
     def store(self, address: str = "") -> HttpTableStore:
         """Return a client of the table service."""
-        return HttpTableStore(wire_to(address or self.table_address))
+        return HttpTableStore(transport_to(address or self.table_address))
 
     async def accept(self, service: str, text: str, base: int) -> Accepted:
         """Write a configuration as an operator."""
@@ -106,7 +106,7 @@
     async def register(self, name: str, service: str, zone: str, link: str, admin: str) -> None:
         """Put an instance on the list."""
         role = "sidecar" if service else "entry"
-        instances = HttpInstanceList(wire_to(self.list_address))
+        instances = HttpInstanceList(transport_to(self.list_address))
         await instances.register(Instance(name, role, service, zone, link, admin))
 
     async def deregister(self, name: str) -> None:
@@ -118,7 +118,7 @@
         client.close()
 
 
-def wire_to(address: str) -> StoreTransport:
+def transport_to(address: str) -> StoreTransport:
     """Return the wire to a store."""
     host, _, port = address.rpartition(":")
     return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -73,7 +73,9 @@
             result = await self.platform.accept(document.name, self.texts[document.name], 0)
             self.note_accepted(document.name, result.version, result.current.operation_id)
         slots = [(doc, number) for doc in self.documents for number in range(doc.endpoints)]
-        await asyncio.gather(*(self._start_slot(document, number) for document, number in slots))
+        await asyncio.gather(
+            *(self._start_sidecar(document, number) for document, number in slots)
+        )
         zones = [zone for document in self.documents for zone in document.zones]
         numbers = range(self._entry_count)
         names = [f"entry-{number + 1}" for number in numbers]
@@ -84,7 +86,7 @@
 
     async def close(self) -> None:
         """End every process and stand-in."""
-        await asyncio.gather(*(child.end() for child in self.children.values()))
+        await asyncio.gather(*(child.kill() for child in self.children.values()))
         for collectors in self.collectors.values():
             for collector in collectors:
                 await collector.close()
@@ -129,9 +131,9 @@
         ready = child.ready
         self.collectors.setdefault(name, []).append(EventCollector(ready["admin"]))
         if "http" in ready:
-            await self._through("http", name, ready["http"])
+            await self._address_via_proxy("http", name, ready["http"])
         link = ready.get("link", "")
-        address = await self._through("link", name, link) if link else ""
+        address = await self._address_via_proxy("link", name, link) if link else ""
         await self.platform.register(
             name, self._services[name], self._zones[name], address, ready["admin"]
         )
@@ -139,7 +141,7 @@
     async def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         self.killed.add(name)
-        await self.children[name].end()
+        await self.children[name].kill()
 
     async def stop(self, name: str) -> None:
         """Stop a process with SIGTERM and wait for its end, which has to be a clean one."""
@@ -169,7 +171,7 @@
         return Record(
             merge(self.events()),
             tuple(outcomes),
-            tuple(self._runs()),
+            tuple(self._endpoint_runs()),
             tuple(self.documents),
             frozenset(self.killed),
             tuple(self.outages),
@@ -238,11 +240,11 @@
         finally:
             self.outages.append(Outage(instance, since_s, time.time()))
 
-    def changing(self, name: str) -> asyncio.Lock:
+    def restart_lock(self, name: str) -> asyncio.Lock:
         """Return the lock under which a process is ended and started again."""
         return self._locks.setdefault(name, asyncio.Lock())
 
-    def _runs(self) -> list[EndpointRun]:
+    def _endpoint_runs(self) -> list[EndpointRun]:
         return [
             EndpointRun(
                 run["request_id"].rpartition(".")[0],
@@ -263,7 +265,7 @@
 
     # Construction.
 
-    async def _start_slot(self, document: ServiceDocument, number: int) -> None:
+    async def _start_sidecar(self, document: ServiceDocument, number: int) -> None:
         name = f"{document.name}-{number + 1}"
         self._zones[name] = document.zones[number % len(document.zones)]
         self._services[name] = document.name
@@ -276,7 +278,7 @@
         endpoint.address = f"127.0.0.1:{await endpoint.start()}"
         return endpoint
 
-    async def _through(self, hop: str, name: str, address: str) -> str:
+    async def _address_via_proxy(self, hop: str, name: str, address: str) -> str:
         """Return the address to use for a hop: the proxy's, or the address itself."""
         if hop not in self._hops:
             return address
@@ -290,7 +292,7 @@
 
     async def _settings(self, name: str) -> str:
         service = self._services[name]
-        table = await self._through("table", name, self.platform.table_address)
+        table = await self._address_via_proxy("table", name, self.platform.table_address)
         parts = [
             f'role = "{"sidecar" if service else "entry"}"',
             f'instance = "{name}"\nzone = "{self._zones[name]}"',
@@ -302,7 +304,7 @@
             parts.append(f"[limits]\n{self._limits}")
         if service:
             kind = next(doc.kind for doc in self.documents if doc.name == service)
-            address = await self._through("endpoint", name, self.endpoints[name].address)
+            address = await self._address_via_proxy("endpoint", name, self.endpoints[name].address)
             parts += [
                 f'[endpoint]\nservice = "{service}"',
                 f'kind = "{"engine" if kind == "model" else "plain"}"',
--- a/cassiadrum/tests/harness/waits.py
+++ b/cassiadrum/tests/harness/waits.py
@@ -7,11 +7,11 @@
 __all__ = ["until"]
 
 POLL_S = 0.02
-LIMIT_S = 20.0
+TIMEOUT_S = 20.0
 
 
 async def until(
-    reached: Callable[[], bool | Awaitable[bool]], what: str, limit_s: float = LIMIT_S
+    reached: Callable[[], bool | Awaitable[bool]], what: str, limit_s: float = TIMEOUT_S
 ) -> None:
     """Wait until `reached()` is true; raise AssertionError with `what` after `limit_s`."""
     loop = asyncio.get_running_loop()
--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -7,7 +7,7 @@
 from cassiadrum.events import Event, EventKind
 from cassiadrum.links.messages import Order, OrderResult
 from cassiadrum.standins import answer_tokens
-from cassiadrum.tests.harness import ProcessSite, RawLink, StreamCaller, Way, call, until
+from cassiadrum.tests.harness import Direction, ProcessSite, RawLink, StreamCaller, call, until
 from cassiadrum.tests.integration.conftest import LONG_PROMPT, MakeSite, is_clean
 
 pytestmark = pytest.mark.integration
@@ -111,7 +111,7 @@
         )
         async with site.load(rate_per_s=8.0, duration_s=2.0) as sender:
             if during == "link silent":
-                site.proxies["link:sprachdienst-1"].silence(Way.TO_CLIENT)
+                site.proxies["link:sprachdienst-1"].silence(Direction.TO_CLIENT)
             elif during == "engine slow":
                 for part in site.endpoints.values():
                     await call(part.address, "POST", "/faults", {}, b'{"slow_factor": 4.0}')
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.events import EventKind
 from cassiadrum.standins import answer_tokens
-from cassiadrum.tests.harness import StreamCaller, Way, call, until
+from cassiadrum.tests.harness import Direction, StreamCaller, call, until
 from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite, is_clean
 
 pytestmark = pytest.mark.integration
@@ -46,8 +46,10 @@
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
         await is_clean(site, sender.outcomes)
 
-    @pytest.mark.parametrize("way", Way)
-    async def test_silent_link_is_attached_again(self, make_site: MakeSite, way: Way) -> None:
+    @pytest.mark.parametrize("way", Direction)
+    async def test_silent_link_is_attached_again(
+        self, make_site: MakeSite, way: Direction
+    ) -> None:
         site = await make_site(services=("sprachdienst",), hops=("link",), step_s=0.1)
         caller = StreamCaller.completion(site.http(), LONG_PROMPT)
         await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
--- a/cassiadrum/tests/integration/test_single_faults.py
+++ b/cassiadrum/tests/integration/test_single_faults.py
@@ -46,7 +46,7 @@
                 body = caller.body + await rest_of(site, caller)
         await until(site.all_linked, "links after the fault")
         await serves_every_class(site)
-        await caller.leave()
+        await caller.disconnect()
         assert body.count(b'"content"') == len(answer_tokens(LONG_PROMPT)), body[-400:]
         assert body.endswith(b"data: [DONE]\n\n")
         await is_clean(site, sender.outcomes)
--- a/cassiadrum/tests/integration/test_table_service.py
+++ b/cassiadrum/tests/integration/test_table_service.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.events import EventKind
 from cassiadrum.standins import Faults
-from cassiadrum.tests.harness import Answer, ProcessSite, Way, call, until
+from cassiadrum.tests.harness import Answer, Direction, ProcessSite, call, until
 from cassiadrum.tests.harness.faults import write_configuration
 from cassiadrum.tests.integration.conftest import MakeSite, is_clean
 
@@ -55,9 +55,9 @@
         assert runs_of(site, "permit-1") == 1
         await is_clean(site)
 
-    @pytest.mark.parametrize("way", Way)
+    @pytest.mark.parametrize("way", Direction)
     async def test_silent_store_connection_never_runs_a_call_twice(
-        self, make_site: MakeSite, way: Way
+        self, make_site: MakeSite, way: Direction
     ) -> None:
         site = await make_site(services=REGISTER, hops=("table",), endpoints=1)
         assert (await issue(site, "permit-1")).status == 201
