Reword comments of the test harness

Comments and messages now describe the harness in the usual terms: directions of a connection, dropped and delayed bytes, requests and exit codes.

--- a/cassiadrum/tests/harness/__init__.py
+++ b/cassiadrum/tests/harness/__init__.py
@@ -1,4 +1,4 @@
-"""Real processes on loopback with a fault-injecting proxy on the hops between them."""
+"""Daemon processes on loopback, with fault-injecting proxies on the hops between them."""
 
 from cassiadrum.tests.harness.callers import Answer, StreamCaller, call
 from cassiadrum.tests.harness.child_processes import ChildProcess
--- a/cassiadrum/tests/harness/callers.py
+++ b/cassiadrum/tests/harness/callers.py
@@ -1,4 +1,4 @@
-"""Callers that a test steers request by request."""
+"""HTTP callers for tests, one request each."""
 
 import asyncio
 import contextlib
@@ -13,7 +13,7 @@
 
 
 class Answer(NamedTuple):
-    """Status, headers and body of an answer; `complete` is False when it broke off."""
+    """Status, headers and body of an answer; `complete` is False if it was truncated."""
 
     status: int
     headers: Headers
@@ -27,7 +27,7 @@
         return parsed
 
     def header(self, name: str) -> str:
-        """Return the first value of a header, empty when absent."""
+        """Return the first value of a header, empty if it is absent."""
         return next((value for key, value in self.headers if key == name), "")
 
 
@@ -38,13 +38,13 @@
     headers: dict[str, str] | None = None,
     body: bytes = b"",
 ) -> Answer:
-    """Send one request on a connection of its own; status 0 when no answer came."""
+    """Send one request on its own connection; the status is 0 if no answer arrived."""
     caller = StreamCaller(address, method, target, headers, body)
     return await caller.answer()
 
 
 class StreamCaller:
-    """Send a request and collect what arrives of its answer while the test goes on."""
+    """Send a request and collect its answer in the background."""
 
     def __init__(
         self,
@@ -67,7 +67,7 @@
     def completion(
         cls, address: str, prompt: str, max_tokens: int = 0, service: str = "sprachdienst"
     ) -> "StreamCaller":
-        """Ask for a stream of tokens."""
+        """Request a stream of tokens."""
         body: dict[str, object] = {"prompt": prompt, "stream": True}
         if max_tokens:
             body["max_tokens"] = max_tokens
@@ -76,12 +76,12 @@
 
     @property
     def request_id(self) -> str:
-        """Return the id of the answer, empty before its head."""
+        """Return the request id of the answer, empty until its head has arrived."""
         return next((value for key, value in self._headers if key == "x-request-id"), "")
 
     @property
     def done(self) -> bool:
-        """Tell whether the answer has ended."""
+        """Return whether the answer has ended."""
         return self._task.done()
 
     async def answer(self) -> Answer:
--- a/cassiadrum/tests/harness/child_processes.py
+++ b/cassiadrum/tests/harness/child_processes.py
@@ -1,4 +1,4 @@
-"""One process that a test started."""
+"""A child process of a test."""
 
 import asyncio
 import json
@@ -14,7 +14,7 @@
 
 
 class ChildProcess:
-    """Run a Python module; `ready` is the JSON line that it prints once it serves."""
+    """Run a Python module; `ready` is the JSON object that it prints once it serves."""
 
     def __init__(self, process: asyncio.subprocess.Process, log: Path) -> None:
         self.ready: dict[str, Any] = {}
@@ -23,7 +23,7 @@
 
     @classmethod
     async def start(cls, module: str, arguments: list[str], log: Path) -> "ChildProcess":
-        """Start `python -m module` and wait until it is ready; stderr goes to `log`."""
+        """Start `python -m module` and wait until it is ready; stderr is appended to `log`."""
         with log.open("ab") as errors:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -49,32 +49,32 @@
 
     @property
     def running(self) -> bool:
-        """Tell whether the process has not ended."""
+        """Return whether the process is still running."""
         return self._process.returncode is None
 
     async def read_line(self, limit_s: float) -> str:
-        """Return the next line of standard output."""
+        """Return the next line of standard output; raise RuntimeError at its end."""
         assert self._process.stdout is not None
         async with asyncio.timeout(limit_s):
             line = await self._process.stdout.readline()
         if not line:
-            raise RuntimeError(f"process ended: {self.log.read_text()[-2000:]}")
+            raise RuntimeError(f"process closed its output: {self.log.read_text()[-2000:]}")
         return line.decode()
 
     def pause(self) -> None:
-        """Stop the process with SIGSTOP."""
+        """Suspend the process with SIGSTOP."""
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Continue a paused process."""
+        """Continue a paused process with SIGCONT."""
         self._signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Ask for a graceful stop."""
+        """Request a graceful stop with SIGTERM."""
         self._signal(signal.SIGTERM)
 
     async def wait(self, limit_s: float = 40.0) -> int:
-        """Return the exit code."""
+        """Wait for the end of the process and return its exit code."""
         async with asyncio.timeout(limit_s):
             return await self._process.wait()
 
--- a/cassiadrum/tests/harness/event_collectors.py
+++ b/cassiadrum/tests/harness/event_collectors.py
@@ -1,4 +1,4 @@
-"""Continuous reader of a process's events."""
+"""Collection of the events of a process."""
 
 import asyncio
 import contextlib
@@ -14,7 +14,7 @@
 
 
 class EventCollector:
-    """Poll the admin interface, so that a killed process leaves what it had recorded."""
+    """Poll the admin interface, so that the events of a process that is killed are not lost."""
 
     def __init__(self, admin_address: str) -> None:
         host, _, port = admin_address.rpartition(":")
@@ -26,11 +26,11 @@
 
     @property
     def stopped(self) -> bool:
-        """Tell whether the last event of the process was read."""
+        """Return whether the last event of the process has been read."""
         return bool(self.events) and self.events[-1].kind is EventKind.STOPPED
 
     async def close(self) -> None:
-        """Stop reading."""
+        """Stop polling."""
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
@@ -38,7 +38,7 @@
 
     async def _run(self) -> None:
         while not self.stopped and not self._replaced:
-            # The process may be paused, or gone; a later read continues where this one began.
+            # The process may be suspended or gone; the next read starts after the last event read.
             with contextlib.suppress(HttpError, TimeoutError):
                 async with asyncio.timeout(READ_TIMEOUT_S):
                     await self._read()
@@ -53,7 +53,7 @@
         except (ValueError, KeyError):
             events, start_id = [], ""
         self._start_id = self._start_id or start_id
-        # After a process has ended, another one may get its port.
+        # Another process may listen on the port after this one has ended.
         self._replaced = not start_id or start_id != self._start_id
         if not self._replaced:
             self.events += [decode_event(event) for event in events]
--- a/cassiadrum/tests/harness/fault_proxies.py
+++ b/cassiadrum/tests/harness/fault_proxies.py
@@ -1,4 +1,4 @@
-"""A TCP proxy that injects faults."""
+"""TCP proxy that injects faults."""
 
 import asyncio
 import contextlib
@@ -13,7 +13,7 @@
 
 
 class Direction(Enum):
-    """Direction of bytes through the proxy."""
+    """Direction in which bytes pass through the proxy."""
 
     TO_SERVER = "to_server"
     TO_CLIENT = "to_client"
@@ -23,7 +23,7 @@
 
 
 class _ProxiedConnection:
-    """One proxied connection; `silent` and `truncating` hold the directions with that fault."""
+    """One proxied connection; `silent` and `truncating` are the directions with that fault."""
 
     def __init__(
         self, streams: dict[Direction, tuple[asyncio.StreamReader, asyncio.StreamWriter]]
@@ -72,7 +72,7 @@
         return self.address
 
     async def close(self) -> None:
-        """Cut all connections and stop."""
+        """Close all connections and stop."""
         if self._server is not None:
             self._server.close()
         self.cut()
@@ -82,41 +82,41 @@
 
     @property
     def open_connections(self) -> int:
-        """Return the number of connections through the proxy."""
+        """Return the number of open connections through the proxy."""
         return len(self._connections)
 
     def cut(self, *, reset: bool = False) -> None:
-        """End every connection; `reset` sends RST to both ends."""
+        """Close every connection; `reset` sends RST to both ends."""
         for conn in list(self._connections):
             conn.close(reset=reset)
 
     def silence(self, *directions: Direction) -> None:
-        """Drop all further bytes of the open connections; new connections work."""
+        """Drop all further bytes of the open connections; new connections are not affected."""
         for conn in self._connections:
             conn.silent.update(directions or BOTH)
 
     def truncate_next_read(self, direction: Direction) -> None:
-        """Pass half of the next read of each open connection, then nothing more."""
+        """Forward half of the next read of each open connection and drop all further bytes."""
         for conn in self._connections:
             conn.truncating.add(direction)
 
     def hold(self, *directions: Direction) -> None:
-        """Keep bytes back until `release`."""
+        """Delay all bytes until `release`."""
         for direction in directions or BOTH:
             self._released[direction].clear()
 
     def release(self) -> None:
-        """Pass on what was held."""
+        """Forward the delayed bytes."""
         for event in self._released.values():
             event.set()
 
     def partition(self) -> None:
-        """Let nothing through on open and new connections."""
+        """Drop all bytes of open and new connections."""
         self.partitioned = True
         self.silence()
 
     def heal(self) -> None:
-        """Let new connections through again."""
+        """Close all connections; new ones are forwarded again."""
         self.partitioned = False
         self.cut()
 
@@ -191,7 +191,7 @@
     async def _relay_end(
         self, writer: asyncio.StreamWriter, conn: _ProxiedConnection, direction: Direction
     ) -> None:
-        """Pass the end of one direction on; the connection ends with its second direction."""
+        """Forward the end of one direction; the connection ends once both have ended."""
         other = Direction.TO_CLIENT if direction is Direction.TO_SERVER else Direction.TO_SERVER
         if writer.can_write_eof():
             writer.write_eof()
--- a/cassiadrum/tests/harness/faults.py
+++ b/cassiadrum/tests/harness/faults.py
@@ -1,4 +1,4 @@
-"""The table of faults that tests inject, alone or together."""
+"""Faults that tests inject, alone or in combination."""
 
 import asyncio
 import json
@@ -18,16 +18,17 @@
 
 HOPS = ("http", "link", "endpoint", "table")
 SERVICE = "sprachdienst"
-# Longer than the silence limit of a link, so that links are closed and dialled again.
+# Longer than the silence limit of a link, so that links are closed and opened again.
 OUTAGE_S = 4.0
 
 Inject = Callable[[ProcessSite, random.Random], Awaitable[None]]
 
 
 class Fault(NamedTuple):
-    """Inject a fault, wait while it lasts, and end it.
+    """A fault; `inject` starts it, waits for its duration and ends it.
 
-    `keeps_streams` tells that a stream at entry-1 reaches its caller whole without a fetch.
+    With `keeps_streams`, a stream at entry-1 reaches its caller complete; otherwise the caller has
+    to fetch the rest.
     """
 
     inject: Inject
@@ -77,7 +78,7 @@
 
 
 def _proxy_fault(hop: str, act: Callable[[FaultProxy], None], duration_s: float = 0.0) -> Inject:
-    """Act on one proxy of a hop; what lasts is undone after `duration_s`."""
+    """Return a fault at one proxy of a hop; delays, limits and holds end after `duration_s`."""
 
     async def inject(site: ProcessSite, rng: random.Random) -> None:
         names = sorted(key for key in site.proxies if key.startswith(f"{hop}:"))
@@ -149,7 +150,7 @@
 
 
 async def _concurrent_writes(site: ProcessSite, _rng: random.Random) -> None:
-    """Let two operators write the same service from the same version at once."""
+    """Change a service at all entry instances at once, from the same version."""
     writes = (write_configuration(site, entry, SERVICE) for entry in site.entries)
     results = await asyncio.gather(*writes)
     assert results.count("accepted") <= 1, results
@@ -157,9 +158,9 @@
 
 
 async def write_configuration(site: ProcessSite, entry: str, service: str) -> str:
-    """Write a document with another comment, as an operator who read the current row.
+    """Write a document with a new comment, based on the current version.
 
-    Return the result that the entry instance gave, empty without an answer.
+    Return the result from the entry instance, empty if there was no complete answer.
     """
     row = site.platform.table.rows.get("config", service)
     base = row.value["version"] if row else 0
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -1,4 +1,4 @@
-"""The platform's stand-ins, in the test's process."""
+"""Stand-ins of the platform services and endpoints, in the process of the test."""
 
 import time
 import uuid
@@ -22,11 +22,11 @@
 
 
 class AddressedEngine(EngineStandin):
-    """An engine that knows its address and whose load reports can be wrong.
+    """An engine stand-in that stores its address and can send faulty load reports.
 
-    `report_fault` is `late` (figures of the first report of the fault, cache events held back
-    until its end), `missing` (half of the reports fail, cache events are lost), `duplicate`
-    (cache events come twice) or empty.
+    `report_fault` is `late` (the load at the start of the fault is reported until its end, and
+    cache events are delayed until then), `missing` (every second report is empty and cache events
+    are lost), `duplicate` (cache events are sent twice) or empty.
     """
 
     address = ""
@@ -55,7 +55,7 @@
 
 
 class AddressedPlainService(PlainServiceStandin):
-    """A plain service that knows its address."""
+    """A plain service stand-in that stores its address."""
 
     address = ""
 
@@ -64,14 +64,14 @@
 
 
 def build_endpoint(document: ServiceDocument, step_s: float) -> EndpointStandin:
-    """Return the endpoint of a service, not started yet."""
+    """Return a stand-in for an endpoint of a service; it is not started."""
     if document.kind == "model":
         return AddressedEngine(step_s=step_s, models=document.models)
     return AddressedPlainService()
 
 
 class Platform:
-    """Run table service, object store and instance list."""
+    """Run the table service, the object store and the instance list."""
 
     def __init__(self) -> None:
         self.table = TableService()
@@ -104,13 +104,13 @@
         return result
 
     async def register(self, name: str, service: str, zone: str, link: str, admin: str) -> None:
-        """Put an instance on the list."""
+        """Add an instance to the instance list."""
         role = "sidecar" if service else "entry"
         instances = HttpInstanceList(transport_to(self.list_address))
         await instances.register(Instance(name, role, service, zone, link, admin))
 
     async def deregister(self, name: str) -> None:
-        """Take an instance off the list."""
+        """Remove an instance from the instance list."""
         host, _, port = self.list_address.rpartition(":")
         client = HttpClient(host, int(port))
         response = await client.request("DELETE", f"/instances/{name}")
@@ -119,6 +119,6 @@
 
 
 def transport_to(address: str) -> StoreTransport:
-    """Return the wire to a store."""
+    """Return a transport to the store at HOST:PORT."""
     host, _, port = address.rpartition(":")
     return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -1,4 +1,4 @@
-"""A site of real daemon processes on loopback."""
+"""A site of daemon processes on loopback."""
 
 import asyncio
 import contextlib
@@ -27,12 +27,13 @@
 
 
 class ProcessSite:
-    """Run entry instances and sidecars as processes, the stand-ins in the test's process.
+    """Run entry instances and sidecars as processes, and stand-ins in the process of the test.
 
     `hops` names the hops that get a proxy: `http` (caller to entry instance), `link` (entry
     instance to sidecar), `endpoint` (sidecar to endpoint) and `table` (daemon to table service).
-    `proxies` holds them by `HOP:INSTANCE`. `edits` are regular expressions and replacements that
-    change the documents, `limits` the `[limits]` table of the settings.
+    `proxies` maps `HOP:INSTANCE` to the proxy. `edits` are regular expressions with replacements,
+    applied to the documents; `limits` is the content of the `[limits]` table of the settings;
+    `step_s` is the duration of an engine step in seconds.
     """
 
     def __init__(
@@ -67,7 +68,7 @@
         self._limits = limits
 
     async def start(self) -> None:
-        """Start everything and wait until each service can be reached at each entry instance."""
+        """Start all processes and wait until each entry instance reaches each service."""
         await self.platform.start()
         for document in self.documents:
             result = await self.platform.accept(document.name, self.texts[document.name], 0)
@@ -85,7 +86,7 @@
         await until(self.all_linked, "a link to each sidecar at each entry instance")
 
     async def close(self) -> None:
-        """End every process and stand-in."""
+        """Kill all processes and stop all proxies and stand-ins."""
         await asyncio.gather(*(child.kill() for child in self.children.values()))
         for collectors in self.collectors.values():
             for collector in collectors:
@@ -102,7 +103,7 @@
         return [name for name, service in self._services.items() if not service]
 
     def sidecars(self, service: str = "") -> list[str]:
-        """Return the names of the sidecars, of one service if named."""
+        """Return the names of the sidecars, optionally those of one service."""
         return [
             name
             for name, of in self._services.items()
@@ -114,14 +115,14 @@
         return self._zones[name]
 
     def http(self, entry: str = "entry-1") -> str:
-        """Return the address for callers, through the proxy if there is one."""
+        """Return the address for callers: that of the proxy if there is one."""
         proxy = self.proxies.get(f"http:{entry}")
         return proxy.address if proxy else str(self.children[entry].ready["http"])
 
     # Processes.
 
     async def launch(self, name: str) -> None:
-        """Start the process of an instance, for the first time or again."""
+        """Start or restart the process of an instance and register it."""
         path = self._directory / f"{name}.toml"
         path.write_text(await self._settings(name))
         child = await ChildProcess.start(
@@ -139,22 +140,22 @@
         )
 
     async def kill(self, name: str) -> None:
-        """End a process with SIGKILL."""
+        """Kill a process with SIGKILL and record that it was killed."""
         self.killed.add(name)
         await self.children[name].kill()
 
     async def stop(self, name: str) -> None:
-        """Stop a process with SIGTERM and wait for its end, which has to be a clean one."""
+        """Stop a process with SIGTERM and require that it exits with code 0."""
         child = self.children[name]
         child.terminate()
         code = await child.wait()
-        assert code == 0, f"{name} ended with {code}: {child.log.read_text()[-2000:]}"
+        assert code == 0, f"{name} exited with {code}: {child.log.read_text()[-2000:]}"
         await self.platform.deregister(name)
         with contextlib.suppress(AssertionError):
             await until(lambda: self.collectors[name][-1].stopped, "the last event", 2.0)
 
     async def replace(self, name: str, new_name: str) -> None:
-        """Start another instance with the same role, zone and endpoint, then stop the old one."""
+        """Start an instance with the same service and zone, then stop the old one."""
         self._zones[new_name], self._services[new_name] = self._zones[name], self._services[name]
         if name in self.endpoints:
             self.endpoints[new_name] = await self._start_endpoint(self._services[name])
@@ -164,7 +165,7 @@
         del self._services[name]
 
     async def finish(self, outcomes: list[CallerOutcome]) -> Record:
-        """Stop every process that still runs, entry instances first, and return the record."""
+        """Stop all running processes, entry instances first, and return the record of the run."""
         for names in (self.entries, self.sidecars()):
             running = [name for name in names if self.children[name].running]
             await asyncio.gather(*(self.stop(name) for name in running))
@@ -177,10 +178,10 @@
             tuple(self.outages),
         )
 
-    # What the processes tell.
+    # Events and states of the processes.
 
     def events(self, kind: EventKind | None = None, instance: str = "") -> list[Event]:
-        """Return the events read so far, of one kind and instance if named."""
+        """Return the events read so far, optionally of one kind or instance."""
         every = [
             event
             for collectors in self.collectors.values()
@@ -191,11 +192,11 @@
         return [e for e in every if kind in (None, e.kind) and instance in ("", e.instance)]
 
     async def status(self, name: str) -> dict[str, Any]:
-        """Return the state that the admin interface tells."""
+        """Return the status from the admin interface."""
         return (await call(self.children[name].ready["admin"], "GET", "/admin/status")).json
 
     async def all_linked(self) -> bool:
-        """Tell whether each running entry instance has every running sidecar and document."""
+        """Return whether all running entry instances have all links and all documents."""
         sidecars = {name for name in self.sidecars() if self.children[name].running}
         for name in self.entries:
             if not self.children[name].running:
@@ -206,7 +207,7 @@
         return True
 
     def note_accepted(self, service: str, version: int, operation_id: str) -> None:
-        """Record that a configuration was accepted."""
+        """Record the event that a configuration was accepted."""
         self.operator.record(
             EventKind.CONFIGURATION_ACCEPTED,
             service=service,
@@ -218,7 +219,7 @@
     async def load(
         self, rate_per_s: float = 25.0, duration_s: float = 2.0, seed: int = 1
     ) -> AsyncIterator[LoadSender]:
-        """Send a mixed load to the entry instances directly, and wait for its end."""
+        """Send a mixed load to the entry instances, without proxies, and wait for its end."""
         addresses = [str(self.children[name].ready["http"]) for name in self.entries]
         sender = LoadSender(addresses, self.documents, seed)
         plan = LoadPlan.mixed(self.documents, rate_per_s, duration_s, seed)
@@ -233,7 +234,7 @@
 
     @contextlib.contextmanager
     def outage(self, instance: str = "") -> Iterator[None]:
-        """State that an instance, or every one, may not reach its peers during the block."""
+        """Record that an instance, or each one, may not reach its peers during the block."""
         since_s = time.time()
         try:
             yield
@@ -241,7 +242,7 @@
             self.outages.append(Outage(instance, since_s, time.time()))
 
     def restart_lock(self, name: str) -> asyncio.Lock:
-        """Return the lock under which a process is ended and started again."""
+        """Return the lock to hold while a process is stopped and started again."""
         return self._locks.setdefault(name, asyncio.Lock())
 
     def _endpoint_runs(self) -> list[EndpointRun]:
@@ -279,7 +280,7 @@
         return endpoint
 
     async def _address_via_proxy(self, hop: str, name: str, address: str) -> str:
-        """Return the address to use for a hop: the proxy's, or the address itself."""
+        """Return the address of the proxy of a hop, or `address` if the hop has none."""
         if hop not in self._hops:
             return address
         key = f"{hop}:{name}"
@@ -314,7 +315,7 @@
 
 
 def document_text(name: str, endpoints: int, edits: tuple[tuple[str, str], ...]) -> str:
-    """Return an example's document with another number of endpoints and other edits."""
+    """Return the document of an example with a new number of endpoints and further edits."""
     text = (EXAMPLES / f"{name}.toml").read_text()
     for old, new in ((r"endpoints = \d+", f"endpoints = {endpoints}"), *edits):
         text = re.sub(old, new, text)
--- a/cassiadrum/tests/harness/raw_links.py
+++ b/cassiadrum/tests/harness/raw_links.py
@@ -1,4 +1,4 @@
-"""A link that a test steers message by message."""
+"""Link client that sends and receives single messages."""
 
 from typing import TypeVar
 
@@ -13,7 +13,7 @@
 
 
 class RawLink:
-    """Speak to a sidecar as an entry instance would, without heartbeats."""
+    """Connect to a sidecar like an entry instance, but send no heartbeats."""
 
     def __init__(self, conn: ClientConnection) -> None:
         self._conn = conn
@@ -21,7 +21,7 @@
 
     @classmethod
     async def open(cls, address: str, instance: str = "raw", *, hello: bool = True) -> "RawLink":
-        """Connect, and say hello if asked to."""
+        """Connect and, with `hello`, send the hello message."""
         link = cls(await connect(f"ws://{address}/", compression=None, proxy=None))
         if hello:
             await link.send(Hello(PROTOCOL_VERSION, instance, "entry", "zone", "", "start"))
@@ -32,11 +32,11 @@
         await self._conn.send(encode_message(msg))
 
     async def send_frame(self, frame: bytes | str) -> None:
-        """Send any frame."""
+        """Send a raw frame, which need not be valid."""
         await self._conn.send(frame)
 
     async def receive(self, kind: type[M]) -> M:
-        """Return the next message of a kind; raise websockets' ConnectionClosed at the end."""
+        """Return the next message of a type; raise ConnectionClosed of websockets at the end."""
         while True:
             while self._received:
                 msg = self._received.pop(0)
@@ -47,6 +47,6 @@
             self._received = decode_messages(frame)
 
     async def close(self) -> None:
-        """Cut the connection."""
+        """Abort the connection."""
         self._conn.transport.abort()
         await self._conn.wait_closed()
--- a/cassiadrum/tests/harness/waits.py
+++ b/cassiadrum/tests/harness/waits.py
@@ -1,4 +1,4 @@
-"""Waiting for a state that other processes reach."""
+"""Polling for a state of other processes."""
 
 import asyncio
 import inspect
@@ -13,7 +13,7 @@
 async def until(
     reached: Callable[[], bool | Awaitable[bool]], what: str, limit_s: float = TIMEOUT_S
 ) -> None:
-    """Wait until `reached()` is true; raise AssertionError with `what` after `limit_s`."""
+    """Poll until `reached()` is true; raise AssertionError that names `what` after `limit_s`."""
     loop = asyncio.get_running_loop()
     end_s = loop.time() + limit_s
     while True:
