--- a/cassiadrum/tests/gateways/__init__.py
+++ b/cassiadrum/tests/gateways/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the gateway."""
+"""Tests of gateways."""
--- a/cassiadrum/tests/gateways/conftest.py
+++ b/cassiadrum/tests/gateways/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of a gateway process on loopback."""
+"""Fixtures for a gateway process on loopback."""
 
 import asyncio
 import itertools
@@ -22,7 +22,7 @@
 START_TIMEOUT_S = 20.0
 
 
-# Below the ports that the system gives to connections, and apart for each test worker.
+# Below the ephemeral ports of the system; each test worker has its own range.
 FIRST_PORT = 20_000
 PORTS_PER_WORKER = 500
 _port_offsets = itertools.cycle(range(PORTS_PER_WORKER))
@@ -31,7 +31,7 @@
 def free_port() -> int:
     """Return a port that is free now and was not returned shortly before.
 
-    A port that the system chose may be given away again before the gateway listens there.
+    The system may assign an ephemeral port again before the gateway listens there.
     """
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
     while True:
@@ -46,7 +46,7 @@
 
 
 class GatewaySubprocess:
-    """A gateway process and its addresses."""
+    """A gateway in a child process, with its ports, settings file and log file."""
 
     def __init__(self, settings_path: Path, calls_port: int, ready_port: int, log: Path) -> None:
         self.metrics_port = free_port()
@@ -78,7 +78,7 @@
         return self._process
 
     async def is_ready(self) -> bool:
-        """Return whether the process says that it is ready."""
+        """Return whether the readiness check succeeds."""
         client = HttpClient("127.0.0.1", self.ready_port)
         try:
             response = await client.request("GET", "/-/ready")
@@ -94,7 +94,7 @@
         await poll_until(self.listening, START_TIMEOUT_S)
 
     async def listening(self) -> bool:
-        """Return whether the process answers readiness checks."""
+        """Return whether the process answers readiness checks, ready or not."""
         client = HttpClient("127.0.0.1", self.ready_port)
         try:
             await (await client.request("GET", "/-/ready")).read()
@@ -105,7 +105,7 @@
         return True
 
     async def wait_ready(self, *, ready: bool = True, limit_s: float = START_TIMEOUT_S) -> None:
-        """Wait until the process says that it is ready, or that it is not."""
+        """Wait until the readiness check succeeds, or with `ready=False` until it fails."""
 
         async def reached() -> bool:
             return await self.is_ready() == ready
@@ -113,7 +113,7 @@
         await poll_until(reached, limit_s)
 
     async def kill(self) -> None:
-        """End the process if it still runs."""
+        """Kill the process if it still runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
             await self._process.wait()
--- a/cassiadrum/tests/gateways/makers.py
+++ b/cassiadrum/tests/gateways/makers.py
@@ -1,4 +1,4 @@
-"""Builders of the gateway's values."""
+"""Factories for the values that gateways process."""
 
 from cassiadrum.gateways import (
     Call,
--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -1,4 +1,4 @@
-"""A gateway with stand-ins of the store and the endpoints on loopback."""
+"""Stand-ins of the store and the endpoints of a gateway on loopback."""
 
 import asyncio
 import json
@@ -9,12 +9,12 @@
 from cassiadrum.platform.standins import EndpointService, RowService
 from cassiadrum.protocols import HttpClient
 
-# The client states the address that it is connected to.
+# Host header of the test callers: the HTTP client sends the address that it connects to.
 HOST = "127.0.0.1"
 WAIT_TIMEOUT_S = 8.0
-# Time after which a key that was taken away is no longer served.
+# Time after which a revoked key must no longer be served.
 REVOKE_S = 2.5
-# Time after which an endpoint that drains, or is gone, gets no new request.
+# Time after which an endpoint that drains or was removed must get no new request.
 DRAIN_S = 1.0
 
 
@@ -58,7 +58,7 @@
 
 
 def make_settings(store_port: int, calls_port: int, ready_port: int) -> dict[str, Any]:
-    """Return the content of a settings file with short bounds."""
+    """Return the content of a settings file with short time limits."""
     return {
         "node": "front-a-1",
         "role": "gateway",
@@ -92,14 +92,14 @@
 async def poll_until(
     check: Callable[[], Awaitable[bool]], limit_s: float = WAIT_TIMEOUT_S
 ) -> None:
-    """Wait until a condition that has to be asked for holds."""
+    """Wait until an asynchronous condition holds."""
     async with asyncio.timeout(limit_s):
         while not await check():  # noqa: ASYNC110 - other processes set no event
             await asyncio.sleep(0.01)
 
 
 class PlatformSite:
-    """Hold the store and two endpoints of each service."""
+    """The stand-ins of the store and of two endpoints for each service."""
 
     def __init__(self) -> None:
         self.store = RowService()
@@ -129,7 +129,7 @@
             await endpoint.close()
 
     def runs(self, request_id: str) -> int:
-        """Return how often a request ran."""
+        """Return how many times a request ran at any endpoint."""
         return sum(
             run.request_id == request_id
             for endpoint in self.endpoints.values()
@@ -147,7 +147,7 @@
     async def call(
         self, path: str, *, key: str = "key-1", events: int = 0, request_id: str = "", **more: str
     ) -> tuple[int, dict[str, str], bytes]:
-        """Return status, headers and body; raise AnswerLost when the answer is cut."""
+        """Return status, headers and body; raise AnswerLost if the answer is truncated."""
         self._request_count += 1
         headers = {
             Header.REQUEST_ID: request_id or f"r-{self._request_count}",
--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -1,4 +1,4 @@
-"""A randomized soak of two gateway processes under faults that overlap."""
+"""Randomized soak test of two gateway processes under overlapping faults."""
 
 import asyncio
 import contextlib
@@ -28,15 +28,15 @@
 FAULT_INTERVAL_S = (0.1, 0.6)
 FAULT_DURATION_S = (0.3, 2.0)
 ANSWER_TIMEOUT_S = 5.0
-# The deployment's time for being served again once all faults have ended.
+# Time within which gateways must serve again after all faults have ended.
 RECOVERY_TIMEOUT_S = 8.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Keys that configurations give and take away besides the one that always holds.
+# Keys that successive configurations add and revoke, beside one that is always valid.
 TEMPORARY_KEYS = tuple(f"key-{number}" for number in range(2, 10))
 
 
 class RequestOutcome(NamedTuple):
-    """Record what a caller saw of one request; `status` is 0 without a whole answer."""
+    """The outcome of one request for its caller; `status` is 0 without a complete answer."""
 
     request_id: str
     kind: str
@@ -47,7 +47,7 @@
 
 
 class GatewaySoak:
-    """Run callers and faults for a time, then heal, and list the promises that were violations."""
+    """Run callers and random faults, end the faults, and list the violated guarantees."""
 
     def __init__(self, seed: int, directory: Path) -> None:
         self._rng = random.Random(seed)
@@ -57,10 +57,10 @@
         self._proxies: list[FaultProxy] = []
         self._outcomes: list[RequestOutcome] = []
         self._version = 1
-        # What endpoints and operator wrote last; None where an entry was removed.
+        # The last writes of the endpoints and the operator; None if the entry was removed.
         self._states: dict[str, str | None] = dict.fromkeys(self._site.endpoints, "ready")
         self._configuration = make_configuration()
-        # Times at which the operator took a key away, monotonic seconds.
+        # Time at which the operator revoked each key, in monotonic seconds.
         self._revoked_s = dict.fromkeys(TEMPORARY_KEYS, float("-inf"))
         self._served_after_revocation: list[str] = []
         self._faults: list[Callable[[], Awaitable[None]]] = [
@@ -79,7 +79,7 @@
         self.injected: list[str] = []
 
     async def run(self, seconds: float) -> list[str]:
-        """Return the violations promises."""
+        """Run for a number of seconds and return the violated guarantees."""
         await self._start()
         try:
             callers = [asyncio.create_task(self._call_repeatedly(n)) for n in range(CALLERS)]
@@ -94,7 +94,7 @@
 
     @property
     def served(self) -> int:
-        """Return the number of requests that were answered with success."""
+        """Return the number of requests that were answered successfully."""
         return sum(outcome.status == 200 for outcome in self._outcomes)
 
     async def _start(self) -> None:
@@ -126,7 +126,7 @@
             await proxy.close()
         await self._site.close()
 
-    # Callers keep a connection until their gateway is gone.
+    # Callers; each keeps its connection for several requests, or until it fails.
 
     async def _call_repeatedly(self, number: int) -> None:
         rng = random.Random(self._rng.random())
@@ -159,7 +159,7 @@
             self._outcomes.append(outcome)
 
     async def _call_with_temporary_keys(self) -> None:
-        """Send requests with keys that come and go; one that is gone for long is not served."""
+        """Send requests with keys that are added and revoked; record late use of a revoked key."""
         rng = random.Random(self._rng.random())
         while True:
             await asyncio.sleep(rng.uniform(0.0, 0.05))
@@ -180,10 +180,10 @@
                 and self._revoked_s.get(key) == revoked_s
             ):
                 self._served_after_revocation.append(
-                    f"{key} was served {revoked_for_s:.2f} s after it was taken away"
+                    f"{key} was served {revoked_for_s:.2f} s after it was revoked"
                 )
 
-    # Faults, which overlap: each lasts for a time of its own.
+    # Faults; they overlap, since each has its own random duration.
 
     async def _inject(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
@@ -250,7 +250,7 @@
 
     async def _pause_gateway(self) -> None:
         process = self._rng.choice(self._gateways).process
-        # Another fault may end the process meanwhile.
+        # Another fault may have killed the process.
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGSTOP)
             await self._wait_fault_duration()
@@ -278,7 +278,7 @@
         if self._rng.random() < 0.5:
             self._write_state(name, None)
             await self._wait_fault_duration()
-        # It starts again under its name.
+        # The endpoint starts again under the same instance name.
         self._site.endpoints[name].born += 1
         self._write_state(name, "ready")
 
@@ -290,7 +290,7 @@
             self._site.register(name, state)
 
     async def _restore_store(self) -> None:
-        """Bring the store back from an older copy; endpoints write again a little later."""
+        """Restore the store from an older copy; the endpoints register again up to 1 s later."""
         store = self._site.store
         saved = store.snapshot()
         await self._wait_fault_duration()
@@ -315,14 +315,14 @@
         }
 
     async def _revoke_key_during_partition(self) -> None:
-        """Take a key away while no gateway reaches the store for longer than keys may last."""
+        """Revoke a key while no gateway reaches the store for longer than REVOKE_S."""
         store = self._proxies[-1]
         store.partition()
         await self._change_configuration()
         await asyncio.sleep(REVOKE_S + self._rng.uniform(*FAULT_DURATION_S))
         store.heal()
 
-    # Promises, from what callers and endpoints saw.
+    # Guarantees, checked against the records of callers and endpoints.
 
     def _find_violations(self) -> list[str]:
         violations = [text for outcome in self._outcomes if (text := self._violation(outcome))]
@@ -336,7 +336,7 @@
         if outcome.status in NOT_RUN_STATUSES and runs and outcome.kind == "once":
             return f"{what} ran {runs} times, though it was refused as not run"
         if outcome.status in (401, 404):
-            return f"{what} is allowed by every configuration"
+            return f"{what}, though every configuration allows it"
         if outcome.status == 200:
             return self._answer_violation(outcome, runs, what)
         return ""
@@ -344,7 +344,7 @@
     @staticmethod
     def _answer_violation(outcome: RequestOutcome, runs: int, what: str) -> str:
         if not runs or not outcome.signature:
-            return f"{what} has an answer that no endpoint gave"
+            return f"{what} has an answer that did not come from an endpoint"
         if outcome.kind != "stream":
             signed = outcome.signature == f"signed-by-{outcome.body.decode()}"
             return "" if signed else f"{what} has the body {outcome.body!r} of {outcome.signature}"
@@ -362,8 +362,12 @@
                 status, _, _ = await caller.call("/safe/a", request_id=f"last-{number}")
                 caller.close()
             except (OSError, HttpError, TimeoutError) as exc:
-                violations.append(f"gateway {number} does not serve after all faults: {exc!r}")
+                violations.append(
+                    f"gateway {number} does not serve after the end of all faults: {exc!r}"
+                )
             else:
                 if status != 200:
-                    violations.append(f"gateway {number} answers {status} after all faults")
+                    violations.append(
+                        f"gateway {number} answers {status} after the end of all faults"
+                    )
         return violations
--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -1,4 +1,7 @@
-"""A model of the platform's store with lost, late and repeated answers, against a gateway."""
+"""State machines that check a gateway against a model of the platform's store.
+
+The model loses, delays and repeats answers, in virtual time.
+"""
 
 import json
 from collections.abc import Callable, Coroutine
@@ -30,24 +33,23 @@
 INSTANCES = ("i-0", "i-1", "i-2")
 SERVICE = "engine"
 
-# Seconds that a call and its answer take; a call for changes may wait in the store.
+# Transit time in seconds of a request to the store or of its answer.
 transit_s = st.sampled_from([0.002, 0.1, 0.8])
 instances = st.sampled_from(INSTANCES)
-# How many runs of how many steps each machine makes.
 MACHINE_SETTINGS = settings(max_examples=100, stateful_step_count=40, deadline=None)
 
 
 def _run_without_waiting(step: Coroutine[None, None, float]) -> None:
-    """Carry out a call of the follower; the model never waits."""
+    """Run a step of the follower, which never suspends because the model answers at once."""
     try:
         step.send(None)
     except StopIteration:
         return
-    raise AssertionError("the call waits")
+    raise AssertionError("the step of the follower was suspended")
 
 
 class RowChange(NamedTuple):
-    """Hold one write; `content` is None for a removal."""
+    """One write to the store; `content` is None for a removal."""
 
     version: int
     table: str
@@ -56,24 +58,24 @@
 
 
 class ModelStore(RowStore):
-    """Answer from the changes so far, on a clock of its own."""
+    """A store that answers from a list of row changes; its clock is offset by `skew_s`."""
 
     def __init__(self, skew_s: float) -> None:
         super().__init__(Address("127.0.0.1", 1))
         self.now = 0.0
         self.row_changes: list[RowChange] = []
-        # The oldest version from which changes are known.
+        # The oldest version from which the history of changes is kept.
         self.oldest_kept_version = 0
         self.lost = False
-        # The era that the store states in each answer.
+        # The era that the store sends with each answer.
         self.stated_era = 1
         self.request_transit_s = 0.0
         self.answer_transit_s = 0.0
-        # Tables whose answers arrived or were lost, in order.
+        # Each answer in order: its table and whether it was lost.
         self.outcomes: list[tuple[str, bool]] = []
-        # The one table whose answers are lost.
+        # The only table whose answers are lost, if not empty.
         self.lost_table = ""
-        # What happens just before and after an answer is made.
+        # Called just before and just after an answer is created.
         self.on_arrival: Callable[[], None] = lambda: None
         self.on_departure: Callable[[], None] = lambda: None
         self._skew_s = skew_s
@@ -88,13 +90,13 @@
         self.row_changes.append(RowChange(self.version + 1, table, key, content))
 
     def restore(self, version: int) -> None:
-        """Come back from a copy made at a version; what was written since is lost."""
+        """Restore the copy of a version; later writes are lost."""
         del self.row_changes[version:]
         self.oldest_kept_version = min(self.oldest_kept_version, version)
         self.stated_era += 1
 
     def row(self, table: str, key: str) -> bytes | None:
-        """Return the content of a row, None when there is none."""
+        """Return the content of a row, None if it does not exist."""
         found = [item for item in self.row_changes if (item.table, item.key) == (table, key)]
         return found[-1].content if found else None
 
@@ -122,7 +124,7 @@
         return list(found.values())
 
     def _answer(self, table: str, make_rows: Callable[[], list[ChangedRow]]) -> RowPage:
-        """Let the call travel, make the answer, let it travel back; writes happen meanwhile."""
+        """Create an answer between the transit times; callbacks may write before and after."""
         sent_s = self.now
         self.now += self.request_transit_s
         self.on_arrival()
@@ -133,20 +135,20 @@
         lost = self.lost or self.lost_table == table
         self.outcomes.append((table, lost))
         if lost:
-            raise StoreUnavailable("the answer was lost")
+            raise StoreUnavailable("answer of the store lost")
         if not self.era.observe(str(era)):
-            raise StoreUnavailable("an answer of an older era")
+            raise StoreUnavailable("answer of the store from an older era")
         store_s = made_s + self._skew_s
         return RowPage(tuple(rows), version, store_s, sent_s, self.now)
 
 
 class StoreMachine(RuleBasedStateMachine):
-    """Hold a gateway that follows the model of the store."""
+    """Base class: a gateway that follows the model of the store."""
 
     def __init__(self) -> None:
         super().__init__()
         self.store = ModelStore(skew_s=1234.5)
-        # When the operator's versions were accepted.
+        # Time at which each configuration version was accepted.
         self.accepted_s: dict[int, float] = {}
         self.newest_version = 0
         self._start()
@@ -177,7 +179,7 @@
         self.endpoints_lost = False
 
     def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
-        """Return the tables that are followed beside the configuration."""
+        """Return the tables that are followed in addition to the configuration."""
         return []
 
     @rule(wait_s=st.floats(0.0, 6.0))
@@ -192,7 +194,7 @@
     def _step_follower(
         self, request_s: float, answer_s: float, lost: bool, lost_table: str = ""
     ) -> None:
-        """Let the follower make its calls; all answers are lost, or those about one table."""
+        """Run a step of the follower; all answers or those about one table may be lost."""
         self.store.request_transit_s, self.store.answer_transit_s = request_s, answer_s
         self.store.lost, self.store.lost_table = lost, lost_table
         _run_without_waiting(self.follower.step())
@@ -200,7 +202,7 @@
 
 
 class ConfigurationMachine(StoreMachine):
-    """Compare the configuration in force with those that the operator gave."""
+    """Compare the configuration in force with the versions that the operator wrote."""
 
     @rule()
     def restart_the_gateway(self) -> None:
@@ -215,7 +217,7 @@
     @precondition(lambda self: self.newest_version > 1)
     @rule()
     def read_an_older_configuration(self) -> None:
-        """Put an older one in the place of the newest for the time of a call."""
+        """Replace the newest configuration with an older one during one read."""
         for version in (self.newest_version - 1, self.newest_version):
             self._write_configuration(version)
             self._step_follower(0.01, 0.01, lost=False)
@@ -231,7 +233,7 @@
     def read_configurations(
         self, request_s: float, answer_s: float, lost: bool, before: bool, after: bool
     ) -> None:
-        """Ask while a configuration is accepted just before or after the answer is made."""
+        """Read while a configuration may be accepted just before or after the answer."""
         if before:
             self.store.on_arrival = self.accept_configuration
         if after:
@@ -243,7 +245,7 @@
     def lose_the_store_after_an_answer(
         self, request_s: float, answer_s: float, wait_s: float
     ) -> None:
-        """Replace the configuration while a new process's first answer travels back to it."""
+        """Replace the configuration while the first answer to a new process is in transit."""
         self._start()
         self.read_configurations(request_s, answer_s, lost=False, before=False, after=True)
         self.let_time_pass(wait_s)
