--- a/cassiadrum/tests/gateways/test_changed_settings.py
+++ b/cassiadrum/tests/gateways/test_changed_settings.py
@@ -1,4 +1,4 @@
-"""Tests of settings files that change while a gateway runs."""
+"""Tests of settings that are reloaded while a gateway runs."""
 
 import asyncio
 import json
@@ -30,19 +30,19 @@
 
 
 def apply_settings(gateway: GatewaySubprocess, settings: dict[str, Any]) -> None:
-    """Write settings and tell the gateway."""
+    """Write the settings file and send SIGHUP to the gateway."""
     write_settings(gateway.settings_path, settings)
     gateway.process.send_signal(signal.SIGHUP)
 
 
 def read_log_lines(gateway: GatewaySubprocess, message: str) -> list[dict[str, Any]]:
-    """Return the log lines with a message."""
+    """Return the log lines with this message."""
     lines = [json.loads(line) for line in gateway.log.read_text().splitlines()]
     return [line for line in lines if line["message"] == message]
 
 
 async def read_metrics(gateway: GatewaySubprocess) -> dict[str, float]:
-    """Return the metrics without labels."""
+    """Return the metrics that have no labels."""
     client = HttpClient("127.0.0.1", gateway.metrics_port)
     text = (await (await client.request("GET", "/metrics")).read()).decode()
     client.close()
@@ -50,7 +50,11 @@
 
 
 class TestChangedSettings:
-    """Guards against an old value that stays in use, and requests cut off for a new one."""
+    """Guards against a reload that leaves an old value in use or cuts off running requests.
+
+    A reload can replace the store client, the key limits and the budgets of a gateway that serves
+    streams, loses its store or is being stopped.
+    """
 
     async def test_new_store_address_is_used_and_a_stream_continues(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -81,7 +85,7 @@
     async def test_new_revocation_time_takes_effect_during_an_outage(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
-        """The store is lost; a key lasts for the new time, not for the old one."""
+        """Guards against keys that are served for the old revocation time after a reload."""
         settings = initial_settings(site, gateway)
         settings["bounds"]["revoke_ms"] = 60_000
         apply_settings(gateway, settings)
--- a/cassiadrum/tests/gateways/test_concurrency_limits.py
+++ b/cassiadrum/tests/gateways/test_concurrency_limits.py
@@ -1,4 +1,4 @@
-"""Tests of the limit beside which urgent streams stay on time."""
+"""Tests of the limit on less urgent requests beside urgent streams."""
 
 from cassiadrum.gateways.concurrency_limits import ConcurrencyLimit
 from cassiadrum.gateways.stream_stats import EventGapAverage
@@ -9,7 +9,12 @@
 
 
 class TestConcurrencyLimit:
-    """Guards against a limit that lets urgent streams be late, or shuts other work out."""
+    """Guards against urgent streams that become late, and against starved less urgent work.
+
+    Both follow from gaps between events that are misread: a long gap shows that the endpoint has
+    too many requests, unless a fault caused it or the load is unknown; short gaps permit more
+    requests only if the endpoint is near its limit.
+    """
 
     def record_long_gaps(self, limit: ConcurrencyLimit, times: int, outstanding: int = 40) -> None:
         for number in range(times):
@@ -61,7 +66,7 @@
 
 
 class TestEventGapAverage:
-    """Guards against an old average that keeps work away from an endpoint that is idle now."""
+    """Guards against an outdated average that keeps work away from an idle endpoint."""
 
     def test_average_follows_the_gaps(self) -> None:
         average = EventGapAverage()
--- a/cassiadrum/tests/gateways/test_decision_logs.py
+++ b/cassiadrum/tests/gateways/test_decision_logs.py
@@ -1,4 +1,4 @@
-"""Tests of the log lines of decisions."""
+"""Tests of the log of gateway decisions and of the bounded log queue."""
 
 import json
 import logging
@@ -15,7 +15,7 @@
 
 
 class Clock:
-    """A clock that a test moves."""
+    """A clock that the test sets."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -31,7 +31,11 @@
 
 
 class TestDecisionLog:
-    """Guards against a failed request without its decisions, and against too many lines."""
+    """Guards against failed requests without log lines, and against too many lines under load.
+
+    Lines of successful requests are rate-limited; those of failed requests must not be dropped
+    with them, and the lines of concurrent requests must not be interleaved.
+    """
 
     def test_failed_requests_are_logged_under_load(self, caplog: pytest.LogCaptureFixture) -> None:
         caplog.set_level(logging.INFO)
@@ -66,7 +70,7 @@
 
 
 class TestBoundedQueueHandler:
-    """Guards against a slow reader of the log that delays requests."""
+    """Guards against a slow reader of the log that blocks the event loop when its pipe is full."""
 
     def test_records_beyond_the_limit_are_counted(self) -> None:
         handler = BoundedQueueHandler(2)
--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -1,4 +1,4 @@
-"""Tests of what endpoints say in their answers about further requests."""
+"""Tests of notices in answers of endpoints: leaving, and pauses by Retry-After."""
 
 import asyncio
 import time
@@ -13,7 +13,7 @@
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
-# No length, so that the answer ends with its connection.
+# Without Content-Length, so the answer ends when the connection closes.
 ANSWER_WITHOUT_LENGTH = (
     f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: own\r\n{Header.SIGNATURE}: signed-by-p-1\r\n"
     f"{Header.LEAVING}: 1\r\n\r\nwhole"
@@ -21,14 +21,14 @@
 
 
 class Answer(NamedTuple):
-    """Name the endpoint that answered and its status."""
+    """Status and body of an answer; the body names the endpoint."""
 
     status: int
     body: bytes
 
 
 async def call_repeatedly(caller: Caller, count: int) -> list[Answer]:
-    """Return the answers to so many plain calls."""
+    """Return the answers to a number of idempotent calls."""
     found = []
     for _ in range(count):
         status, _, body = await caller.call("/safe/a")
@@ -37,7 +37,7 @@
 
 
 async def call_until_answered_by(caller: Caller, endpoint: bytes) -> None:
-    """Send calls until an endpoint has answered one of them."""
+    """Send calls until this endpoint has answered one of them."""
 
     async def answered() -> bool:
         return (await caller.call("/safe/a"))[2] == endpoint
@@ -47,7 +47,11 @@
 
 @pytest.mark.integration
 class TestLeavingEndpoints:
-    """Guards against requests for an endpoint that has told this gateway that it shuts down."""
+    """Guards against requests to an endpoint that has announced in an answer that it is leaving.
+
+    The registration in the store may be outdated or unreachable, so the notice counts until the
+    next incarnation of the endpoint.
+    """
 
     async def test_leaving_endpoint_gets_nothing_during_a_store_outage(
         self, site: PlatformSite, caller: Caller
@@ -77,7 +81,7 @@
     async def test_notice_of_another_instance_at_the_address_is_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """The one that is registered has not said that it leaves."""
+        """Guards against a notice of one instance that is applied to another at its address."""
         site.store.remove("servers", "p-2")
         await asyncio.sleep(DRAIN_S)
         site.endpoints["p-1"].instance = "p-9"
@@ -112,7 +116,11 @@
 
 @pytest.mark.integration
 class TestPauses:
-    """Guards against requests for an endpoint that has asked this gateway for a pause."""
+    """Guards against requests to an endpoint that has asked for a pause by Retry-After.
+
+    Requests go to other endpoints, wait for the end of a short pause, or are refused at once with
+    the time until the first pause ends.
+    """
 
     async def test_paused_endpoint_gets_nothing(self, site: PlatformSite, caller: Caller) -> None:
         paused = site.endpoints["p-1"]
@@ -159,7 +167,7 @@
 
 
 class TestNoticeDecoding:
-    """Guards against a notice that is misread, and one that is not understood."""
+    """Guards against a malformed notice that is taken for a valid one, and the reverse."""
 
     @pytest.mark.parametrize(
         ("text", "pause_s"),
@@ -189,7 +197,7 @@
 
 
 class TestIncarnationState:
-    """Guards against beliefs that outlive the incarnation they are about."""
+    """Guards against a leaving or pause notice that is applied to the next incarnation."""
 
     def make(self) -> Gateway:
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
--- a/cassiadrum/tests/gateways/test_explaining.py
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -1,4 +1,4 @@
-"""Tests that the cause of a failed request is found from the log of a process that is gone."""
+"""Tests of `cassiadrum log` and `cassiadrum explain` on log files of gateways."""
 
 import asyncio
 import io
@@ -24,7 +24,7 @@
 async def kill_and_read_log(
     gateway: GatewaySubprocess, request_id: str, around: str = "0"
 ) -> list[dict[str, Any]]:
-    """Return the lines that the documented command prints."""
+    """Kill the gateway and return the lines that `cassiadrum log` finds in its log file."""
     await gateway.kill()
     stream = io.StringIO()
     arguments = ["log", str(gateway.log), "--request", request_id, "--around", around, "--json"]
@@ -34,24 +34,28 @@
 
 
 async def explain(gateway: GatewaySubprocess, request_id: str) -> str:
-    """Return what `explain` prints from the log of the process that is gone."""
+    """Return the output of `cassiadrum explain` for the log file of the killed gateway."""
     stream = io.StringIO()
     assert await execute(["explain", request_id, str(gateway.log)], stream) == 0
     return stream.getvalue()
 
 
 async def wait_for_log_writer() -> None:
-    """Let the thread write the lines of the last request."""
+    """Wait until the log thread has written the lines of the last request."""
     await asyncio.sleep(0.3)
 
 
 def make_log_row(instance: str, request_id: str, **fields: Any) -> str:
-    """Return a row of a log file."""
+    """Return one line of a log file."""
     return json.dumps({"instance": instance, "request_id": request_id, **fields}) + "\n"
 
 
 class TestExplain:
-    """Guards against a failed request whose cause the on-call engineer cannot find."""
+    """Guards against a failed request whose cause cannot be found in the log.
+
+    The gateway is killed before its log is read, so the cause must be in the lines that it had
+    already written.
+    """
 
     async def test_refused_under_overload(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -123,7 +127,7 @@
     async def test_removed_endpoint_is_logged_by_the_gateway(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
-        """Guards against a change of the endpoints logged as if the endpoint had written it."""
+        """Guards against a removed endpoint whose log line names the endpoint as its writer."""
         status, _, _ = await caller.call("/once/a", request_id="before")
         assert status == 200
         for name in ("p-1", "p-2"):
@@ -145,7 +149,11 @@
 
 
 class TestLogCommand:
-    """Guards against a merge that hides what it could not read."""
+    """Guards against merged logs that silently omit lines or show them in the wrong order.
+
+    Lines can be unreadable, dropped by the rate limit of the writer, or stamped by a clock that
+    was set back.
+    """
 
     async def test_unreadable_lines_are_counted_and_order_is_by_time(self, tmp_path: Any) -> None:
         first, second = tmp_path / "a.log", tmp_path / "b.log"
@@ -160,7 +168,7 @@
         assert found["unreadable"] == 1
 
     async def test_clock_step_does_not_reorder_a_request(self, tmp_path: Any) -> None:
-        """Guards against an end shown before its cause when the clock was set back meanwhile."""
+        """Guards against an outcome shown before its cause if the clock was set back."""
         rows = [
             {"message": "received", "at_s": 100.0, "after_ms": 0.0},
             {"message": "placed", "at_s": 40.0, "after_ms": 10.0},
@@ -178,7 +186,7 @@
         ]
 
     async def test_gaps_are_reported(self, tmp_path: Any) -> None:
-        """Guards against a missing request that is taken for one that never came."""
+        """Guards against a request with dropped lines that looks as if it had never arrived."""
         path = tmp_path / "a.log"
         rows = [(1.0, "r-0", 100), (39.0, "r-3", 4), (41.0, "r-1", 3)]
         path.write_text(
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of budgets, queue, directory, confirmation and event order."""
+"""Tests of retry budget, queue, prompt cache, directory, confirmation, events and catalog."""
 
 import pytest
 
@@ -17,7 +17,10 @@
 
 
 class TestRetryBudget:
-    """Guards against more repeated attempts than the deployment permits, in any window."""
+    """Guards against more retries than the deployment permits in any window.
+
+    Each gateway counts only its own requests, so the bound must hold for the sum over gateways.
+    """
 
     def test_sum_over_gateways_stays_within_the_bound(self) -> None:
         ratio, slack, window_s = 0.2, 58.0, 10.0
@@ -48,7 +51,7 @@
 
 
 class TestCallQueue:
-    """Guards against a burst of a less urgent class that keeps a more urgent one waiting."""
+    """Guards against urgent requests that wait behind a burst of less urgent or overdue ones."""
 
     def test_priority_then_target(self) -> None:
         queue = CallQueue[str]()
@@ -73,7 +76,7 @@
 
 
 class TestPromptCacheEstimate:
-    """Guards against counting on parts that an endpoint has dropped."""
+    """Guards against counting on prompt parts that an endpoint has evicted from its KV cache."""
 
     def test_least_recently_used_part_is_evicted(self) -> None:
         cached = PromptCacheEstimate(250)
@@ -93,7 +96,10 @@
 
 
 class TestEndpointDirectory:
-    """Guards against work for endpoints that are gone, and against losing living ones."""
+    """Guards against requests to removed endpoints, and against losing live ones.
+
+    During an outage of the store the registrations of live endpoints lapse, too.
+    """
 
     def make(self) -> tuple[EndpointDirectory, list[Incarnation]]:
         gone: list[Incarnation] = []
@@ -143,7 +149,11 @@
 
 
 class TestConfirmation:
-    """Guards against serving keys that were taken away while this machine heard nothing."""
+    """Guards against serving keys that were revoked while the gateway got no answers.
+
+    An answer of the store that was delayed, for example while the machine was suspended, does not
+    confirm the keys at the time at which it is read.
+    """
 
     def test_confirmation_without_an_answer_is_invalid(self) -> None:
         assert not Confirmation(4.0).valid(0.0)
@@ -151,14 +161,14 @@
     def test_delayed_answer_is_dated_by_the_clock_of_the_store(self) -> None:
         confirmation = Confirmation(4.0)
         confirmation.record_answer(100.0, 9.9, 10.0)
-        # The machine stood still for 6 s with this answer in its socket.
+        # The machine was suspended for 6 s with this answer in the socket buffer.
         confirmation.record_answer(101.0, 10.0, 17.0)
-        # Six seconds and the time of the first answer, whose way there is not known.
+        # 6 s, plus the 0.1 s round trip of the first call, which may all be its answer.
         assert confirmation.age_s(17.0) == pytest.approx(6.1)
         assert not confirmation.valid(17.0)
 
     def test_first_answer_is_dated_from_its_call(self) -> None:
-        """Nothing tells whether the call or its answer was held up, so the worse one counts."""
+        """The request or the answer may have been delayed; the age assumes the answer was."""
         confirmation = Confirmation(4.75)
         confirmation.record_answer(100.0, 10.0, 10.8)
         assert confirmation.age_s(10.8) == pytest.approx(0.8)
@@ -179,7 +189,11 @@
 
 
 class TestEventSequence:
-    """Guards against a stream with a missing, repeated or torn event."""
+    """Guards against a stream with a missing, repeated or truncated event.
+
+    Reads end at any byte, and a stream that is resumed at another endpoint may repeat or skip
+    events.
+    """
 
     def test_event_in_two_parts_is_passed_whole(self) -> None:
         events = EventSequence("")
@@ -208,7 +222,7 @@
 
 
 class TestCatalog:
-    """Guards against requests that reach another service than the configuration says."""
+    """Guards against requests that are routed to a service other than the configured one."""
 
     def test_longest_prefix_wins(self) -> None:
         routes = make_route(prefix="/a/", name="short"), make_route(prefix="/a/b/", name="long")
@@ -220,7 +234,7 @@
         assert catalog.route("other.example", "/a/b/c") is None
 
     def test_shortest_gap_of_more_urgent_streams(self) -> None:
-        """Guards against work that heeds the pauses of streams that are no more urgent."""
+        """Guards against requests held back for streams that are not more urgent than they are."""
         routes = (
             make_route(prefix="/a/", priority=0, gap_s=0.3),
             make_route(prefix="/b/", priority=1, gap_s=0.1),
