--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -1,4 +1,4 @@
-"""Tests of a gateway process between callers, endpoints and the platform's store."""
+"""Tests of a gateway process with callers, endpoints and the store of the platform."""
 
 import asyncio
 import contextlib
@@ -32,7 +32,7 @@
 
 
 def raw_answer(request_id: str, *, signed: bool = True) -> bytes:
-    """Return the bytes of a success."""
+    """Return the bytes of a successful answer."""
     body = f"answer to {request_id}".encode()
     head = f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: {request_id}\r\n"
     head += f"{Header.SIGNATURE}: signed-by-p-1\r\n" if signed else ""
@@ -41,7 +41,7 @@
 
 @contextlib.asynccontextmanager
 async def raw_endpoint(site: PlatformSite, answer: bytes) -> AsyncIterator[None]:
-    """Put an endpoint that sends fixed bytes in the place of all plain ones."""
+    """Replace all plain endpoints with one that sends fixed bytes."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -59,7 +59,10 @@
 
 
 class TestRequestForwarding:
-    """Guards against answers that are not the endpoint's and headers that are not the caller's."""
+    """Guards against altered requests and answers, and against control headers from callers.
+
+    A caller could otherwise act as another customer or instruct the endpoint.
+    """
 
     async def test_plain_answer_is_that_of_the_endpoint(
         self, site: PlatformSite, caller: Caller
@@ -107,7 +110,7 @@
     async def test_refusal_does_not_quote_the_request_line(
         self, gateway: GatewaySubprocess
     ) -> None:
-        """Guards against a refusal that shows the caller the inside of the parser."""
+        """Guards against a refusal that exposes the exception text of the parser to the caller."""
         await gateway.wait_ready()
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
         writer.write(b"GET /once/a b HTTP/1.1 x\r\n\r\n")
@@ -119,7 +122,12 @@
 
 
 class TestFailedAttempts:
-    """Guards against a second run of what may run once, and against false refusals."""
+    """Guards against a second run of a once-only request, and against refusals that are wrong.
+
+    Endpoints refuse, fail, cut connections, answer late or unsigned, or have been replaced by
+    another instance at their address. A request is retried elsewhere only if it is known not to
+    have run or may run again.
+    """
 
     async def test_broken_stream_is_resumed_at_another_endpoint(
         self, site: PlatformSite, caller: Caller
@@ -167,7 +175,7 @@
     async def test_late_answer_to_another_request_is_skipped(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """Guards against a caller who gets the answer to somebody else's request."""
+        """Guards against passing the late answer to an earlier request on a reused connection."""
         bodies: set[bytes] = set()
 
         async def taken() -> bool:
@@ -181,7 +189,7 @@
     async def test_unsigned_success_is_not_passed_on(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """Guards against a success that came from something else than an endpoint."""
+        """Guards against a successful answer that did not come from an endpoint."""
         async with raw_endpoint(site, raw_answer("own", signed=False)):
 
             async def taken() -> bool:
@@ -241,7 +249,7 @@
 
 
 class TestCallerLeaves:
-    """Guards against endpoints that work on what nobody receives."""
+    """Guards against an endpoint that keeps generating a stream after its caller has left."""
 
     async def test_stream_stops_at_the_endpoint(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -254,7 +262,10 @@
 
 
 class TestConfiguration:
-    """Guards against a configuration that is not in force in time, or goes back."""
+    """Guards against a configuration that takes effect late or is replaced by an older one.
+
+    The store may be unreachable at the start, or contain an older or unreadable configuration.
+    """
 
     async def test_process_without_a_configuration_refuses(
         self, site: PlatformSite, gateway: GatewaySubprocess
@@ -291,7 +302,10 @@
 
 
 class TestStoreFaults:
-    """Guards against trouble of the store that reaches callers."""
+    """Guards against store faults that affect callers, and against keys served unconfirmed.
+
+    The store falls silent, loses its history of changes or contains unreadable registrations.
+    """
 
     async def test_unconfirmed_keys_are_refused_until_the_store_returns(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -320,7 +334,7 @@
             return (await caller.call("/safe/a", key="key-2"))[0] == 200
 
         await poll_until(changed, 5.0)
-        # A registration that is missing after an outage is kept for two seconds.
+        # A registration that is missing after an outage is kept for a grace period of 2 s.
         await asyncio.sleep(2.3)
         answers = [await caller.call("/safe/a", key="key-2") for _ in range(6)]
         assert {body for _, _, body in answers} == {b"p-2"}
@@ -343,7 +357,11 @@
 
 
 class TestPlannedStop:
-    """Guards against a planned stop that cuts off a request."""
+    """Guards against a planned stop that cuts off requests or never ends.
+
+    A stream still runs, or a connection is idle, when the process gets SIGTERM. An answer that is
+    truncated must not look complete.
+    """
 
     async def test_running_stream_completes_and_the_process_exits(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -378,10 +396,10 @@
 
 
 class TestColdStart:
-    """Guards against refusals of a new process that waits for the store's first answer.
+    """Guards against refusals by a new process that waits for the first answer of the store.
 
-    Traced on a varied day of cold-start-beside-slow-store: processes that were killed while the
-    store was slow refused everything for 0.6 s, and their callers came back to be refused again.
+    Load pattern: processes are killed and restarted while the store is slow. They refused all
+    requests for 0.6 s, and the retries of their callers were refused again.
     """
 
     async def test_request_waits_for_the_first_configuration(
@@ -412,7 +430,7 @@
 
 
 class TestStartFailures:
-    """Guards against a start that fails with a traceback, which log collectors cannot read."""
+    """Guards against a failed start that logs a traceback, which log collectors cannot parse."""
 
     async def test_occupied_address(self, site: PlatformSite, tmp_path: Path) -> None:
         path = tmp_path / "boot.json"
@@ -426,7 +444,7 @@
 
 
 class TestMetrics:
-    """Guards against figures that an operator cannot fetch."""
+    """Guards against missing metrics of answers, endpoints and the configuration."""
 
     async def test_answers_endpoints_and_version_are_exported(
         self, caller: Caller, gateway: GatewaySubprocess
--- a/cassiadrum/tests/gateways/test_gateway_soak.py
+++ b/cassiadrum/tests/gateways/test_gateway_soak.py
@@ -1,4 +1,4 @@
-"""Gateway processes under random faults: `make soak` runs many seeds, CI a few."""
+"""Soak test of gateway processes: `make soak` runs many seeds, CI only a few."""
 
 import os
 from pathlib import Path
@@ -7,7 +7,7 @@
 
 from cassiadrum.tests.gateways.soak import GatewaySoak
 
-# 408: a paused process was killed, and the harness signalled it once more.
+# 408: a suspended process was killed, and the soak then sent it another signal.
 # 409, 433: a new process refused requests before it had read the endpoints.
 FIXED_SEEDS = (1, 2, 408, 409, 433)
 SOAK_SEEDS = int(os.environ.get("SOAK_SEEDS", "0"))
@@ -19,11 +19,11 @@
 
 
 class TestGatewaySoak:
-    """Guards against promises that break only when faults overlap."""
+    """Guards against guarantees that are violated only while several faults overlap."""
 
     @pytest.mark.parametrize("seed", SEEDS)
     async def test_guarantees_hold_while_faults_overlap(self, seed: int, tmp_path: Path) -> None:
         soak = GatewaySoak(seed, tmp_path)
         violations = await soak.run(DURATION_S)
-        assert not violations, f"faults {soak.injected}; logs in {tmp_path}"
+        assert not violations, f"injected faults: {soak.injected}; logs in {tmp_path}"
         assert soak.served > 0
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -1,4 +1,4 @@
-"""Tests of endpoints whose bytes are no answer, or come without end."""
+"""Tests of endpoints that send malformed, endless, slow or mismatched answers."""
 
 import asyncio
 import contextlib
@@ -16,22 +16,22 @@
 Serve = Callable[[str, asyncio.StreamWriter], Awaitable[None]]
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
-# Resident memory that a gateway may take beside an endpoint that never stops sending.
+# Limit on the resident memory of a gateway whose endpoint never stops sending.
 MAX_MEMORY_BYTES = 150 * 1024 * 1024
 SLOTS = 64
-# The route's limit, after which an answer is no use; each trial has to end well before it.
+# Timeout of the route; a retry elsewhere must complete well before it.
 ROUTE_TIMEOUT_S = 3.0
 
 
 def make_head(request_id: str, *lines: str) -> bytes:
-    """Return the head of a success."""
+    """Return the head of a successful answer, without the final empty line."""
     text = f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: {request_id}\r\n"
     text += f"{Header.SIGNATURE}: signed-by-faulty\r\n"
     return (text + "".join(f"{line}\r\n" for line in lines)).encode()
 
 
 async def send_forever(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Send the same bytes until the caller closes."""
+    """Send the same bytes until the gateway closes the connection."""
     with contextlib.suppress(ConnectionError):
         while not writer.is_closing():
             writer.write(data)
@@ -103,7 +103,7 @@
 
 
 class FaultyEndpoint:
-    """Take the place of an endpoint and answer with bytes of one's own."""
+    """An endpoint that answers with the bytes that `serve` writes."""
 
     def __init__(self, serve: Serve) -> None:
         self.connections = 0
@@ -111,7 +111,7 @@
         self._serve = serve
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer one request."""
+        """Answer one request and close the connection."""
         self.connections += 1
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
@@ -128,7 +128,7 @@
 async def faulty_endpoint(
     site: PlatformSite, name: str, serve: Serve, *, removed: str = ""
 ) -> AsyncIterator[FaultyEndpoint]:
-    """Register a faulty endpoint in the place of a sound one, and take another one away."""
+    """Register a faulty endpoint in place of `name`, and remove the endpoint `removed`."""
     faulty = FaultyEndpoint(serve)
     server = await asyncio.start_server(faulty.accept, "127.0.0.1", 0)
     site.endpoints[name].address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
@@ -145,7 +145,7 @@
 
 
 async def replace_plain_endpoints(site: PlatformSite, accept: Accept) -> asyncio.Server:
-    """Put a server in the place of all plain endpoints."""
+    """Replace all plain endpoints with one server."""
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     site.store.remove("servers", "p-2")
     site.endpoints["p-1"].address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
@@ -154,13 +154,17 @@
 
 
 def resident_bytes(gateway: GatewaySubprocess) -> int:
-    """Return the memory of a gateway process."""
+    """Return the resident memory of a gateway process."""
     with open(f"/proc/{gateway.process.pid}/statm") as file:
         return int(file.read().split()[1]) * 4096
 
 
 class TestEndlessBytes:
-    """Guards against an endpoint that takes a gateway's memory or its callers' time."""
+    """Guards against an endpoint that exhausts the memory of a gateway or the time of its callers.
+
+    It sends a head, body, chunk, trailer or series of answers that never ends. The gateway must
+    close the connection and retry elsewhere only what may run again.
+    """
 
     @pytest.mark.parametrize("serve", ENDLESS_ANSWERS, ids=lambda serve: serve.__name__)
     async def test_idempotent_call_is_retried_elsewhere(
@@ -192,7 +196,7 @@
     async def test_concurrent_endless_answers_stay_within_the_memory_limit(
         self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
-        """Each answer is below its own limit; only their sum is too much."""
+        """Guards against many answers that are below the limit each, but not in total."""
         async with faulty_endpoint(site, "p-1", endless_body, removed="p-2"):
             await gateway.wait_ready()
             callers = [Caller(gateway.calls_port) for _ in range(40)]
@@ -208,7 +212,10 @@
 
 
 class TestSlowBytes:
-    """Guards against endpoints that hold a request with a byte now and then."""
+    """Guards against an endpoint that holds a request by sending a few bytes from time to time.
+
+    A valid answer that is merely slow must not be cut off.
+    """
 
     async def test_trickling_plain_answer_is_abandoned(
         self, site: PlatformSite, caller: Caller
@@ -225,7 +232,7 @@
     async def test_slow_steady_plain_answer_completes(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """A large answer over a slow link takes most of the route's time."""
+        """Guards against cutting off a large answer that takes most of the route's timeout."""
         body = b"a" * 60_000
 
         async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
@@ -255,7 +262,7 @@
         await self._require_complete_streams(site, caller, serve)
 
     async def test_slow_steady_stream_completes(self, site: PlatformSite, caller: Caller) -> None:
-        """Events come at a long steady gap, each in many small pieces."""
+        """Guards against cutting off a stream of slow events, each sent byte by byte."""
 
         async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
             writer.write(make_head(request_id) + b"\r\n")
@@ -277,7 +284,7 @@
     async def _require_complete_streams(
         self, site: PlatformSite, caller: Caller, serve: Serve
     ) -> None:
-        """Require that streams which meet the faulty endpoint end whole at the other one."""
+        """Require that streams sent to the faulty endpoint complete at the other one."""
         async with faulty_endpoint(site, "e-1", serve) as faulty:
 
             async def reached_faulty() -> bool:
@@ -291,12 +298,12 @@
 
 
 class TestMismatchedAnswers:
-    """Guards against an answer that is taken for that of another request."""
+    """Guards against passing on an answer to another request on a reused connection."""
 
     async def test_refusal_without_an_id_on_a_reused_connection_is_not_trusted(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """It may repeat an earlier refusal, while the endpoint runs the request."""
+        """Guards against a refusal that belongs to an earlier request, while this one runs."""
         ran: list[str] = []
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -327,7 +334,7 @@
     async def test_duplicate_of_an_answer_is_discarded(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """The copy comes late, also in two pieces, when the connection is in use again."""
+        """Guards against a copy that arrives in two parts while the connection is in use again."""
         answered: list[str] = []
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -359,7 +366,7 @@
 
 
 def all_connections_closed(faulty: FaultyEndpoint) -> Callable[[], Awaitable[bool]]:
-    """Return a check that every connection to a faulty endpoint was closed."""
+    """Return a check that all connections to a faulty endpoint are closed."""
 
     async def closed() -> bool:
         return faulty.closed == faulty.connections
--- a/cassiadrum/tests/gateways/test_lag_limits.py
+++ b/cassiadrum/tests/gateways/test_lag_limits.py
@@ -1,4 +1,4 @@
-"""Tests of refusals by a process that falls behind its work."""
+"""Tests of load shedding by a process whose event loop lags."""
 
 import pytest
 
@@ -13,13 +13,16 @@
 
 
 class SimulatedEventLoop:
-    """Run an event loop in virtual time: a round works off all that has arrived, then timers."""
+    """An event loop in virtual time: each round handles all arrived requests, then timers.
+
+    `work_s` and `refusal_s` are the CPU seconds of an admitted and of a refused request.
+    """
 
     def __init__(self, work_s: float, refusal_s: float, limit: LagLimit) -> None:
         self._work_s = work_s
         self._refusal_s = refusal_s
         self._limit = limit
-        # From the arrival of each request that was taken until its work began.
+        # Time from the arrival of each admitted request until its work began.
         self.waits_s: list[float] = []
 
     def run(self, arrivals_s: list[float]) -> None:
@@ -42,17 +45,17 @@
 
 
 class UnlimitedAdmission(LagLimit):
-    """Take every request."""
+    """A limit that refuses nothing."""
 
     def refuses(self, request_id: str) -> bool:
         return False
 
 
 class TestLagLimit:
-    """Guards against requests that a slow machine passes on after their callers have left.
+    """Guards against requests that a slow machine sends on after their callers have left.
 
-    Replays the small twin of scale-2 of the further deployment: gateways on an eighth of a core
-    got twice what they could carry for ten seconds, and were three seconds behind.
+    Load pattern: gateways on an eighth of a core get twice the load they can handle for 10 s.
+    Without the limit their event loops lagged by 3 s.
     """
 
     def run_burst(self, limit: LagLimit) -> list[float]:
@@ -62,12 +65,12 @@
 
     def test_admitted_requests_start_in_time(self) -> None:
         waits_s = sorted(self.run_burst(LagLimit()))
-        # Callers leave when nothing of their request was read for a second.
+        # Callers leave if none of their request has been read for 1 s.
         assert waits_s[int(0.9 * len(waits_s))] < 1.0
         assert max(self.run_burst(UnlimitedAdmission())) > 5.0
 
     def test_most_of_the_capacity_is_used(self) -> None:
-        # At 50 a second the machine carries 500 requests in the ten seconds.
+        # At 50 requests/s, the machine can handle 500 requests in 10 s.
         assert len(self.run_burst(LagLimit())) > 0.7 * 500
 
     def test_single_late_tick_refuses_nothing(self) -> None:
@@ -89,7 +92,7 @@
 
 
 class RecordingRelay:
-    """Stand for an answer of which the caller has got nothing."""
+    """An answer of which the caller has received nothing; records whether it was started."""
 
     started = False
 
@@ -98,7 +101,7 @@
 
 
 class TestLateAttempt:
-    """Guards against work for callers that left while the process was behind."""
+    """Guards against sending requests whose callers may have left while the process lagged."""
 
     @pytest.mark.parametrize(("late_s", "sent"), [(1.0, False), (0.0, True)])
     async def test_attempt_past_its_target_is_refused_while_behind(
--- a/cassiadrum/tests/gateways/test_lasting_bursts.py
+++ b/cassiadrum/tests/gateways/test_lasting_bursts.py
@@ -1,4 +1,4 @@
-"""Replay of a burst of long prompts that outgrows a service for many seconds, in virtual time."""
+"""Simulation, in virtual time, of a burst of long prompts that overloads a service."""
 
 import heapq
 import random
@@ -18,7 +18,7 @@
 ENGINES = 4
 SLOTS = 64
 BURST_S = 10.0
-# Seconds of one engine step, for each running stream in it, and with a piece of a prompt.
+# Duration of an engine step, and its increase for each running stream and for a prompt chunk.
 STEP_S, STEP_PER_STREAM_S, STEP_PER_CHUNK_S = 0.0026, 0.000166, 0.026
 CHUNK_TOKENS = 1024
 TOKENS_PER_EVENT = 8
@@ -27,7 +27,7 @@
 
 
 class RequestClass:
-    """Describe a class of requests; times are in seconds."""
+    """A class of requests; times are in seconds."""
 
     def __init__(
         self, name: str, priority: int, target_s: float, limit_s: float, events: int
@@ -44,7 +44,7 @@
 
 
 class Job:
-    """One request and what its caller sees."""
+    """One request with the answer times that its caller sees."""
 
     def __init__(self, number: int, kind: RequestClass, gateway: int, now: float) -> None:
         self.kind = kind
@@ -69,7 +69,7 @@
 
 
 class SimulatedEngine:
-    """Read prompts in pieces between the steps of all running streams."""
+    """An engine with chunked prefill: each step decodes all streams and reads one chunk."""
 
     def __init__(self) -> None:
         self.prompts: list[Job] = []
@@ -85,7 +85,7 @@
         self.prompts.sort(key=lambda other: other.kind.priority)
 
     def step(self, now: float) -> tuple[float, list[Job], list[Job]]:
-        """Return the step's seconds, the streams with a whole event and those that ended."""
+        """Return the duration in seconds, the streams with a complete event and the ended ones."""
         seconds = STEP_S + STEP_PER_STREAM_S * len(self.running)
         if self.prompts and len(self.running) < SLOTS:
             seconds += STEP_PER_CHUNK_S
@@ -104,7 +104,7 @@
 
 
 class SimulatedGateway:
-    """Place jobs by the product's decisions and learn from what streams show."""
+    """Place jobs with the real placement policy, queue and stream statistics."""
 
     def __init__(self) -> None:
         self.service = ServiceStreamStats()
@@ -122,7 +122,7 @@
 
 
 class BurstSimulation:
-    """Play the burst; with `protect` less urgent work heeds the pauses of urgent streams."""
+    """Simulate the burst; `protect` makes less urgent work observe the gaps of urgent streams."""
 
     def __init__(self, *, protect: bool, seed: int = 1) -> None:
         self.protect = protect
@@ -224,11 +224,10 @@
 
 
 class TestSustainedBurst:
-    """Guards against urgent streams that are slowed until they are late or cut.
+    """Guards against urgent streams that are slowed until they are late or cut off.
 
-    Replays the scale days of the further deployment: long prompts came at more than what the
-    engines can read for ten seconds. Everything that had a slot was admitted, and all streams
-    went on so slowly that a third of them met their limits.
+    Load pattern: for 10 s, long prompts arrive faster than the engines can read them. Everything
+    that had a slot was admitted, and all streams became so slow that a third reached their limit.
     """
 
     def test_urgent_streams_stay_on_time(self) -> None:
@@ -244,5 +243,5 @@
         protected.run()
         unprotected.run()
         completed = protected.fraction(LONG, lambda job: job.done)
-        # The users count work as shut out that is served less than half as often as the rest.
+        # Work that is served less than half as often as other work counts as starved.
         assert completed > 0.5 * unprotected.fraction(LONG, lambda job: job.done)
--- a/cassiadrum/tests/gateways/test_load_probers.py
+++ b/cassiadrum/tests/gateways/test_load_probers.py
@@ -1,4 +1,4 @@
-"""Tests of the questions to endpoints about their load."""
+"""Tests of load probes to endpoints."""
 
 import asyncio
 import time
@@ -16,7 +16,7 @@
 
 
 class LoadReportServer:
-    """An endpoint that reports its load."""
+    """An endpoint that answers load probes and counts them."""
 
     def __init__(self) -> None:
         self.probes = 0
@@ -36,7 +36,11 @@
 
 
 class TestLoadProber:
-    """Guards against filling an endpoint of which this gateway knows nothing."""
+    """Guards against overloading an endpoint whose load this gateway does not know.
+
+    An unreadable report must not count as a sample, and an endpoint that answers probes must not
+    count as silent.
+    """
 
     def make(self, sampled: list[str]) -> LoadProber:
         return LoadProber(ConnectionPool(), PlatformProtocol(), time.monotonic, sampled.append)
--- a/cassiadrum/tests/gateways/test_node_settings.py
+++ b/cassiadrum/tests/gateways/test_node_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the platform's settings file and records."""
+"""Tests of the settings file and the store records of the platform."""
 
 import json
 from pathlib import Path
@@ -22,7 +22,10 @@
 
 
 class TestNodeSettings:
-    """Guards against a process that starts with settings that it did not understand."""
+    """Guards against a process that starts with settings that it has misread.
+
+    Unknown keys are ignored; invalid values must stop the start, with the key in the error.
+    """
 
     def test_values_and_units(self) -> None:
         cfg = parse_node_settings(json.dumps(make_settings(1, 2, 3)).encode())
@@ -44,7 +47,7 @@
         assert key in str(caught.value)
 
     def test_all_errors_are_reported_at_once(self) -> None:
-        """Guards against an operator who mends one error for each start."""
+        """Guards against errors that are found one by one, at one start of the process each."""
         raw = {**make_settings(1, 2, 3), "zone": 7, "limits": {"max_fds": 0}}
         del raw["platform"]["address"]
         raw["bounds"]["contact_ms"] = "soon"
@@ -59,7 +62,7 @@
 
 
 class TestSettingsCheck:
-    """Guards against settings that only the start of a process finds wrong."""
+    """Guards against invalid settings that are only found when a process starts."""
 
     async def test_valid_files_of_both_formats(self, tmp_path: Path) -> None:
         path = tmp_path / "boot.json"
@@ -83,7 +86,7 @@
 
 
 class TestRecords:
-    """Guards against rows of other writers that take a service down."""
+    """Guards against invalid rows of other writers that stop a service."""
 
     def test_registration(self) -> None:
         entry = decode_entry("i-1", json.dumps(ENTRY).encode())
