--- a/cassiadrum/tests/gateways/test_placement_policies.py
+++ b/cassiadrum/tests/gateways/test_placement_policies.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an endpoint, each under the load pattern that it answers."""
+"""Tests of the choice of an endpoint under different load patterns."""
 
 from collections import Counter
 from collections.abc import Collection
@@ -26,7 +26,7 @@
 def choose(
     demand: Demand, views: list[EndpointView], now: float, exclude: Collection[str] = ()
 ) -> EndpointView | None:
-    """Return the endpoint that gets the request now, None when it waits."""
+    """Return the endpoint that gets the request now, None if the request has to wait."""
     view, room = PlacementPolicy("a").choose(demand, views, now, exclude)
     return view if room else None
 
@@ -38,7 +38,10 @@
 
 
 class TestSharedPrompts:
-    """Guards against a shared prompt part being read at many endpoints."""
+    """Guards against repeated prefill of a shared prompt part at many endpoints.
+
+    Each gateway chooses alone; they must agree, and must not move parts when endpoints are busy.
+    """
 
     def test_gateways_choose_the_same_endpoint(self) -> None:
         chosen = set()
@@ -58,8 +61,8 @@
         assert max(counts.values()) < 2.5 * 120 / 6
 
     def test_backlog_at_all_endpoints_moves_no_part(self) -> None:
-        # Replays the scale days: each read part that moved took time from all others, so that
-        # more parts moved, until every part was read everywhere.
+        # Load pattern: all endpoints have a backlog. Prefill of a part that had moved delayed all
+        # other requests, so more parts moved, until every part was read at every endpoint.
         views = make_views(6)
         first = choose_for_part("part", views)
         for view in views:
@@ -69,8 +72,8 @@
         assert first.waiting(0.1) > 0
 
     def test_idle_endpoint_takes_no_part_from_a_busy_one(self) -> None:
-        # Replays the scale days of the grown deployments: with many gateways, an endpoint that
-        # looked idle to all of them was given parts by each, so that parts were read everywhere.
+        # Load pattern: many gateways, one idle endpoint. Each gateway moved parts to the endpoint
+        # that looked idle to all of them, so parts were read at every endpoint.
         views = make_views(6)
         first = choose_for_part("part", views)
         for view in views:
@@ -92,7 +95,7 @@
 
 
 class TestBurstOfLongPrompts:
-    """Guards against urgent requests that wait behind the prompts of less urgent ones."""
+    """Guards against urgent requests that wait behind the prefill of less urgent long prompts."""
 
     def test_backlog_admits_only_urgent_requests(self) -> None:
         view = make_view("i-0", slots=64)
@@ -102,7 +105,10 @@
 
 
 class TestUrgentStreams:
-    """Guards against urgent streams that go on too slowly beside less urgent work."""
+    """Guards against urgent streams that are slowed by less urgent work at their endpoint.
+
+    The protection must not hold back urgent requests or short prompts while long ones start.
+    """
 
     def slow_view(self, gap_s: float) -> EndpointView:
         view = make_view("i-0", slots=64)
@@ -118,24 +124,24 @@
         assert choose(short_demand(), [self.slow_view(0.25)], 0.1) is not None
 
     def test_most_urgent_request_is_not_held_back_by_waiting_prompts(self) -> None:
-        # Replays scale-1 of the further deployment: urgent requests waited at the gateway while
-        # long prompts waited at the engines, which would have let the urgent ones go first.
+        # Load pattern: a backlog of long prompts at all engines. Urgent requests waited at the
+        # gateway, although the engines would have served them first.
         view = make_view("i-0", slots=64)
         view.record_sample(LoadSample(20, 12, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 0, 400.0)
         assert choose(demand, [view], 0.1) is view
 
     def test_short_request_is_not_held_back_by_its_short_target(self) -> None:
-        # Found by a hunt on the further deployment: at an endpoint with some prompts waiting, the
-        # least urgent class had room by its long target and a more urgent one had not.
+        # Load pattern: a few prompts wait at the endpoint. The least urgent class was admitted
+        # because of its long latency target, a more urgent class with a short target was not.
         view = make_view("i-0", slots=64)
         view.record_sample(LoadSample(20, 3, 64), 0.0)
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 1, 600.0, 1, 0.3)
         assert choose(demand, [view], 0.1) is view
 
     def test_short_prompt_is_admitted_beside_slow_urgent_streams(self) -> None:
-        # The second finding of that hunt: beside slow urgent streams the light class was refused
-        # at its short target, and the heavy one, which waits longer, got the room after it.
+        # Load pattern: slow urgent streams. Short prompts were refused at their short target, and
+        # long prompts, which can wait longer, got the capacity afterwards.
         demand = Demand(make_call(prompt=make_prompt("part", 1)[1:]), 1, 600.0, 1, 0.3)
         assert choose(demand, [self.slow_view(0.25)], 0.1) is not None
 
@@ -161,7 +167,7 @@
 
 
 class TestFailingEndpoints:
-    """Guards against work for endpoints that fail while their health is good."""
+    """Guards against requests to endpoints that fail although their health checks succeed."""
 
     def test_recent_failures_move_work_away_until_they_expire(self) -> None:
         bad, good = make_view("i-0"), make_view("i-1")
@@ -192,7 +198,7 @@
 
 
 class TestEndpointView:
-    """Guards against wrong counts of the requests at an endpoint."""
+    """Guards against wrong counts of the requests at an endpoint between two load samples."""
 
     def test_own_requests_are_added_to_the_last_sample(self) -> None:
         view = make_view("i-0")
--- a/cassiadrum/tests/gateways/test_placement_queues.py
+++ b/cassiadrum/tests/gateways/test_placement_queues.py
@@ -1,4 +1,4 @@
-"""Tests of the waiting of requests for an endpoint."""
+"""Tests of the queue of requests that wait for an endpoint."""
 
 import asyncio
 import time
@@ -54,10 +54,13 @@
 
 
 class TestPlacementQueue:
-    """Guards against a request that is refused while its endpoint has room."""
+    """Guards against a request that loses its place in the queue to one with the same id.
+
+    A caller that repeats a request sends the same id while the first one may still wait.
+    """
 
     async def test_requests_with_the_same_id_wait_independently(self) -> None:
-        """A caller that repeats a request sends its id again while the first one still waits."""
+        """Guards against a queue that keeps only one of several requests with the same id."""
         directory = make_directory(slots=1)
         queue = make_queue(directory)
         first = await queue.place(make_context("other"))
@@ -77,7 +80,7 @@
             assert queue.waiting_count("drafts") == 2 - number
 
     async def test_cancelled_request_does_not_remove_another_with_its_id(self) -> None:
-        """A repeated request must not lose its place when the first one's caller has left."""
+        """Guards against removing a repeated request when the caller of the first one leaves."""
         directory = make_directory(slots=1)
         queue = make_queue(directory)
         placed = await queue.place(make_context("other"))
@@ -93,10 +96,10 @@
 
 
 class TestWaiting:
-    """Guards against a request that is held long after it could be answered on time."""
+    """Guards against a request that waits long after it could still be answered on time."""
 
     async def test_request_is_refused_at_its_target(self) -> None:
-        """Replays scale-2 of the further deployment, where waiting took a third of the limit."""
+        """Load pattern: a sustained overload, where requests waited a third of their timeout."""
         queue = make_queue(make_directory(slots=1))
         await queue.place(make_context("other"))
         ctx = RequestContext(make_call("late"), time.monotonic())
@@ -118,10 +121,11 @@
 
 
 class TestHotParts:
-    """Guards against a refusal for want of room while less urgent requests are given some.
+    """Guards against a refusal for lack of capacity while less urgent requests are admitted.
 
-    Replays quiet-1 of the grown Collective: 12 of 82 requests waited for the busy holder of one
-    part until their target and were refused, while larger ones of a lower class began elsewhere.
+    Load pattern: low load with one popular prompt part. 12 of 82 requests waited for the busy
+    endpoint that held the part until their target and were refused, while larger requests of a
+    less urgent class started at other endpoints.
     """
 
     @staticmethod
@@ -137,7 +141,7 @@
     def make_busy_holder(
         self, part: str
     ) -> tuple[PlacementQueue, EndpointDirectory, EndpointView]:
-        """Return a site whose holder of the part has a long backlog; the others are idle."""
+        """Return a queue whose endpoint for the part has a long backlog; the others are idle."""
         directory = make_empty_directory()
         now = time.monotonic()
         directory.replace([make_entry(f"i-{n}", slots=64) for n in range(4)], now)
@@ -159,9 +163,9 @@
             queue.place(self.make_long_context("second", "hot")),
         )
         assert first.view is not holder
-        # It waits for the holder first, since reading the part again takes time from all others.
+        # It first waits for the holder, since repeated prefill delays all other requests.
         assert time.monotonic() - started_s >= 0.35 * 0.5
-        # A part gets one further holder and not one for each request.
+        # The part gets one more holder, not one for each request.
         assert second.view is first.view
 
     async def test_least_urgent_request_repeats_no_prefill(self) -> None:
@@ -177,7 +181,7 @@
             await queue.place(self.make_long_context("none", "hot"))
 
     async def test_new_request_does_not_overtake_a_waiting_one(self) -> None:
-        """A load report made room, but nothing has placed the waiting requests yet."""
+        """A load report shows capacity, but the waiting requests have not been placed yet."""
         queue, directory, holder = self.make_busy_holder("hot")
         for view in directory.usable("drafts"):
             view.record_sample(LoadSample(0, 40, 64), time.monotonic())
@@ -194,9 +198,10 @@
 
 
 class TestUnknownEndpoints:
-    """Guards against refusals of a new process that has not read the endpoints yet.
+    """Guards against refusals by a new process that has not read the endpoints yet.
 
-    The soak's seeds 409 and 433 found it: the store came back, the configuration was read first.
+    The store returns after an outage, and the configuration is read before the endpoints; seeds
+    409 and 433 of the soak reproduce it.
     """
 
     async def test_request_waits_for_the_endpoint_list(self) -> None:
--- a/cassiadrum/tests/gateways/test_retry_budget_properties.py
+++ b/cassiadrum/tests/gateways/test_retry_budget_properties.py
@@ -1,4 +1,4 @@
-"""A fleet of gateways that come, go and stand still, against the bound on repeated attempts."""
+"""Property tests of the bound on retries over all gateways of a deployment."""
 
 import pytest
 from hypothesis import settings
@@ -10,19 +10,18 @@
 
 RATIO = 0.2
 WINDOW_S = 10.0
-# The number that all gateways together may use beside the part of their requests.
-# The number that all gateways together may use beside the part of their requests, and the number
-# of gateways that it covers.
+# The number of retries that all gateways together may make beyond RATIO of their requests, and
+# the number of gateways that it covers.
 SLACK = 40
 GATEWAYS = 40
-# Requests of each gateway in a window, of which the part is a whole number.
+# Requests of each gateway in a window; RATIO of them is a whole number.
 REQUESTS_PER_GATEWAY = 5
 
 gateways = st.integers(0, GATEWAYS - 1)
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """Let each gateway count its own requests; what all have spent never passes the bound."""
+    """Gateways that start and stall; each has its own budget, the bound is on their sum."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -38,14 +37,14 @@
 
     @rule(number=gateways)
     def join(self, number: int) -> None:
-        """Start a gateway, unless it runs."""
+        """Start a gateway that is not running."""
         if number in self.budgets:
             return
         self.budgets[number] = RetryBudget(RATIO, MAX_RETRY_SPARE, WINDOW_S)
 
     @rule(wait_s=st.floats(0.0, 12.0))
     def let_time_pass(self, wait_s: float) -> None:
-        """Let time pass, in which gateways may stand still or miss the store."""
+        """Let time pass, as while gateways are suspended or the store is unreachable."""
         self.now += wait_s
 
     @rule(number=gateways, count=st.integers(1, 40))
@@ -58,7 +57,7 @@
 
     @rule(count=st.integers(1, 20))
     def retry_everywhere(self, count: int) -> None:
-        """Let each gateway repeat as often as it may, as when an endpoint fails."""
+        """Let each gateway retry as often as its budget permits, as when endpoints fail."""
         for budget in self.budgets.values():
             for _ in range(count):
                 if budget.try_spend(self.now):
@@ -75,15 +74,18 @@
 
 
 class TestFleets(FleetMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against a fleet that retries more than the deployment permits."""
+    """Guards against more retries of all gateways together than the deployment permits.
+
+    Gateways start and stall at any time and exchange no messages about their budgets.
+    """
 
 
 class TestFleetSizes:
-    """Guards against a figure that assumes a number of gateways."""
+    """Guards against a budget per gateway that is too large for the number of gateways."""
 
     @pytest.mark.parametrize(("count", "slack"), [(6, 58), (31, 102), (68, 176), (300, 176)])
     def test_all_gateways_at_once_keep_the_bound(self, count: int, slack: int) -> None:
-        """Gateways and slack of the users' deployments, and of a fleet grown to 300 machines."""
+        """The counts and slacks are those of three deployments, and of one grown to 300 gateways."""
         spare = min(MAX_RETRY_SPARE, float(slack))
         budgets = [RetryBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
         requests, retries = 0, 0
--- a/cassiadrum/tests/gateways/test_silence_limits.py
+++ b/cassiadrum/tests/gateways/test_silence_limits.py
@@ -1,4 +1,4 @@
-"""Tests of the limit on the wait for a silent endpoint."""
+"""Tests of the time limit on the wait for a silent endpoint."""
 
 import asyncio
 
@@ -9,7 +9,11 @@
 
 
 class TestSilenceLimit:
-    """Guards against leaving an endpoint that is only busy, which makes others read the prompt."""
+    """Guards against abandoning an endpoint that is only busy, and against endless waits.
+
+    Moving the request repeats its prefill at another endpoint, so bytes for other requests extend
+    the wait, up to a limit.
+    """
 
     async def test_wait_for_a_silent_endpoint_ends(self) -> None:
         with pytest.raises(TimeoutError):
--- a/cassiadrum/tests/gateways/test_store_properties.py
+++ b/cassiadrum/tests/gateways/test_store_properties.py
@@ -1,4 +1,4 @@
-"""Gateways against the model of the store: lost, late and repeated answers."""
+"""Property tests of gateways with lost, late and repeated answers of the store."""
 
 import json
 
@@ -21,7 +21,7 @@
 
 
 class EndpointMachine(StoreMachine):
-    """Compare the endpoints in use with those that are registered."""
+    """Compare the usable endpoints with the registered ones."""
 
     @rule(instance=instances, state=st.sampled_from(["ready", "draining"]))
     def register(self, instance: str, state: str) -> None:
@@ -38,7 +38,7 @@
 
     @rule()
     def accept_configuration(self) -> None:
-        """Change the other table, whose changes share the store's counter."""
+        """Change the configuration table, whose changes share the version counter of the store."""
         self.newest_version += 1
         content = json.dumps(make_configuration(self.newest_version)).encode()
         self.store.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, content)
@@ -64,7 +64,7 @@
 
     @rule(instance=instances)
     def remove_without_history(self, instance: str) -> None:
-        """Remove an endpoint and forget that, so that only a full read shows it."""
+        """Remove an endpoint and its history, so that only a full read shows the removal."""
         self.register(instance, "ready")
         self.read_endpoints(0.002, 0.002, lost=False)
         self.remove_or_corrupt(instance, None)
@@ -73,7 +73,7 @@
 
     @rule(instance=instances, wait_s=st.floats(0.0, 4.0))
     def lapse_in_an_outage(self, instance: str, wait_s: float) -> None:
-        """Let a registration lapse while no answer arrives; it is kept for a while after that."""
+        """Let a registration lapse while no answer arrives; it is kept for a grace period."""
         self.register(instance, "ready")
         self.read_endpoints(0.002, 0.002, lost=False)
         self.read_endpoints(0.002, 0.002, lost=True)
@@ -85,7 +85,7 @@
         self.read_endpoints(0.002, 0.002, lost=False)
 
     def _compare_endpoints(self) -> None:
-        """Require what is registered and ready, and nothing else but what lapsed in an outage."""
+        """Require all ready endpoints, and no others except those that lapsed in an outage."""
         usable = {view.entry.instance for view in self.gateway.directory.usable(SERVICE)}
         states = {name: self._state(name) for name in INSTANCES}
         assert {name for name, state in states.items() if state == "ready"} <= usable
@@ -109,8 +109,14 @@
 
 
 class TestConfigurations(ConfigurationMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against old beliefs that count as new after lost, late and repeated answers."""
+    """Guards against an older configuration in force, or a replaced one that is confirmed.
+
+    Answers of the store are lost, late or repeated, or the process restarts.
+    """
 
 
 class TestEndpoints(EndpointMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against endpoints that are used or missing after lost answers and outages."""
+    """Guards against removed endpoints that are used, and ready ones that are not.
+
+    Answers are lost, the history of changes is dropped, or registrations lapse in an outage.
+    """
--- a/cassiadrum/tests/gateways/test_store_restore_properties.py
+++ b/cassiadrum/tests/gateways/test_store_restore_properties.py
@@ -1,4 +1,4 @@
-"""Gateways against the model of the store, which comes back from older copies."""
+"""Property tests of gateways whose store is restored from older copies."""
 
 import json
 
@@ -25,14 +25,14 @@
 
     def __init__(self) -> None:
         super().__init__()
-        # Since when the store has stored an older configuration than the one in force.
+        # Time since which the store contains an older configuration than the one in force.
         self.older_since_s: float | None = None
 
     @rule(lost_changes=st.integers(1, 6))
     def restore(self, lost_changes: int) -> None:
         self.store.restore(max(0, self.store.version - lost_changes))
         stored = self._stored_version()
-        # No process can know a version that it had not read and that is gone from the store.
+        # A process cannot know a version that was lost from the store before it was read.
         lost = [version for version in self.accepted_s if version > stored]
         for version in lost:
             del self.accepted_s[version]
@@ -77,21 +77,21 @@
             assert not self.gateway.confirmed
 
     def _stored_version(self) -> int:
-        """Return the version of the configuration that the store names, 0 where it has none."""
+        """Return the version of the configuration in the store, 0 if there is none."""
         content = self.store.row(CONFIGURATION_TABLE, CONFIGURATION_KEY)
         return int(json.loads(content)["version"]) if content else 0
 
 
 class RestoredEndpointMachine(StoreMachine):
-    """Restore the store from older copies while endpoints come, leave and die."""
+    """Restore the store from older copies while endpoints start, drain and die."""
 
     def __init__(self) -> None:
         super().__init__()
-        # State and start of the newest incarnation of each instance, as it really is.
+        # Actual state and start time of the newest incarnation of each instance.
         self.actual = dict.fromkeys(INSTANCES, ("gone", 0))
-        # What the gateway has read of that before the last restore.
+        # The part of `actual` that the gateway had read before the last restore.
         self.last_read: dict[str, tuple[str, int]] = {}
-        # Whether all rows are what the operator and the endpoints wrote last.
+        # Whether all rows equal the last writes of the operator and the endpoints.
         self.rows_are_current = True
 
     def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
@@ -127,13 +127,13 @@
 
     @rule(answer_s=transit_s)
     def read_all_tables(self, answer_s: float) -> None:
-        """Ask as often as a restore that is noticed late may need."""
+        """Take as many steps as are needed if the restore is noticed late."""
         self._step_follower(0.002, answer_s, lost=False)
         for _ in range(2):
             self._step_follower(0.002, 0.002, lost=False)
         assert self._follower_is_current()
         if self.rows_are_current:
-            # Who lapsed shortly after an outage may still live and counts as neither.
+            # Endpoints that lapsed shortly after an outage may be alive: their state is unknown.
             self.last_read = {
                 name: incarnation
                 for name, incarnation in self.actual.items()
@@ -154,11 +154,11 @@
     @rule(wait_s=st.floats(0.0, LAPSE_S / 4))
     def let_time_pass(self, wait_s: float) -> None:
         super().let_time_pass(wait_s)
-        # Endpoints write again, and dead registrations lapse, well within the time for that.
+        # Live endpoints register again, and dead registrations lapse, well within LAPSE_S.
         self.write_again()
 
     def _follower_is_current(self) -> bool:
-        """Return whether the last step read all tables of the store's era."""
+        """Return whether the last step read all tables up to the current version."""
         return all(
             table.version == self.store.version
             for table in (self.follower._leading_table, *self.follower._other_tables)
@@ -170,7 +170,7 @@
             for view in self.gateway.directory.usable(SERVICE)
         }
         for instance, (state, born) in self.last_read.items():
-            # What is known to leave, to be gone or to be replaced is not used again.
+            # An incarnation known to have left, died or been replaced is not used again.
             if instance in usable and state != "ready":
                 assert usable[instance] > born
             if instance in usable:
@@ -182,7 +182,7 @@
             assert all(self._may_be_in_grace_period(instance) for instance in extra)
 
     def _may_be_in_grace_period(self, instance: str) -> bool:
-        """Return whether an endpoint that is missing may be one that lapsed in an outage."""
+        """Return whether a missing endpoint may be kept because it lapsed in an outage."""
         state, _ = self.actual[instance]
         return state == "gone" and instance in self.gateway.directory._lapsed
 
@@ -200,8 +200,15 @@
 
 
 class TestRestoredConfigurations(RestoredConfigurationMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against a configuration that goes back, or is confirmed, with a restored store."""
+    """Guards against an older configuration from a restored store in force or confirmed.
+
+    The restored copy lacks the newest configuration until the operator writes it again.
+    """
 
 
 class TestRestoredEndpoints(RestoredEndpointMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against endpoints that a restored store brings back, or that are never read again."""
+    """Guards against endpoints that left or died and return with a restored store.
+
+    The restored copy contains their registrations again. Live endpoints that it lacks, or that
+    register after the restore, must still be used.
+    """
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -1,4 +1,4 @@
-"""Tests of a store that comes back from an older copy."""
+"""Tests of a store that is restored from an older copy."""
 
 import asyncio
 import logging
@@ -30,7 +30,10 @@
 
 
 class TestStoreEra:
-    """Guards against versions of two eras that are taken for one count."""
+    """Guards against comparing versions from before and after a restore of the store.
+
+    An era can arrive late, be unreadable, or come with a refusal.
+    """
 
     def test_late_answer_of_an_older_era_is_rejected(self) -> None:
         era = StoreEra()
@@ -63,7 +66,10 @@
 
 
 class TestStoreFollower:
-    """Guards against a follower that reads all rows again and again after a restore."""
+    """Guards against a follower that reads all rows repeatedly after a restore.
+
+    The restored store is behind the version that the follower has read, with or without an era.
+    """
 
     @pytest.mark.parametrize("era", [1, None])
     async def test_calls_after_a_restore_are_few(
@@ -85,7 +91,7 @@
         site.store.restore(saved)
         calls = site.store.calls
         await asyncio.sleep(1.0)
-        # One waiting call each 0.1 s, and the full reads of two tables.
+        # One long poll every 0.1 s, and the full reads of two tables.
         assert site.store.calls - calls < 20
         site.store.remove(ENDPOINT_TABLE, "e-1")
         await asyncio.sleep(RETURN_GRACE_S)
@@ -96,7 +102,11 @@
 
 
 class TestEndpointDirectory:
-    """Guards against beliefs about endpoints that go back with the store."""
+    """Guards against endpoints that return, or are lost, with an older copy of the store.
+
+    The copy lacks endpoints that registered after it was made, and contains some that have left,
+    lapsed or been replaced since.
+    """
 
     @staticmethod
     def make_directory() -> EndpointDirectory:
@@ -129,7 +139,7 @@
         assert self.usable(directory) == {"i-0"}
 
     def test_removed_endpoint_returns_only_if_its_registration_lasts(self) -> None:
-        """Guards against a live endpoint that is never used again after a lapse and a restore."""
+        """Guards against a live endpoint that is never used after a lapse and a restore."""
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.remove("i-1", 5.0)
@@ -173,7 +183,10 @@
 
 @pytest.mark.integration
 class TestGatewayProcess:
-    """Guards against a running gateway that goes back with the store under traffic."""
+    """Guards against a gateway that returns to revoked keys and removed endpoints.
+
+    Its store is restored from an older copy under traffic.
+    """
 
     async def test_state_does_not_go_back_with_the_store(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
@@ -197,7 +210,7 @@
         assert served[1] <= {200, 503}
         assert not site.endpoints["e-1"].runs
         assert all(run.target != "/safe/b" for run in site.endpoints["p-1"].runs)
-        # The operator and the endpoints write again.
+        # The operator and the endpoints repeat their writes.
         site.store.put("op", "config", make_configuration(2, tenants=tenants))
         site.register("e-1", state="draining")
         site.store.remove("servers", "p-1")
@@ -208,7 +221,7 @@
 
     @staticmethod
     async def _call_for(seconds: float, caller: Caller) -> tuple[set[int], set[int]]:
-        """Call with the key that was taken away and with the one that holds."""
+        """Return the statuses of calls with the revoked key and with the valid one."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         revoked, valid = set(), set()
