--- a/cassiadrum/tests/gateways/test_explaining.py
+++ b/cassiadrum/tests/gateways/test_explaining.py
@@ -113,9 +113,9 @@
         await poll_until(denied, 2.0)
         await wait_for_log_writer()
         lines = await kill_and_read_log(gateway, "denied", around="5")
-        beliefs = [line for line in lines if not line["request_id"]]
+        process_lines = [line for line in lines if not line["request_id"]]
         assert ("configuration in force", 7) in [
-            (line["message"], line["fields"].get("version")) for line in beliefs
+            (line["message"], line["fields"].get("version")) for line in process_lines
         ]
         end = lines[-1]["fields"]
         assert (end["outcome"], end["version"]) == ("denied: unknown_key", 7)
@@ -133,10 +133,10 @@
         for name in ("p-1", "p-2"):
             site.store.remove("servers", name)
 
-        async def gone() -> bool:
+        async def refused() -> bool:
             return (await caller.call("/once/a"))[0] == 503
 
-        await poll_until(gone)
+        await poll_until(refused)
         status, _, _ = await caller.call("/once/a", request_id="after")
         assert status == 503
         await wait_for_log_writer()
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -102,16 +102,16 @@
     """
 
     def make(self) -> tuple[EndpointDirectory, list[Incarnation]]:
-        gone: list[Incarnation] = []
-        return EndpointDirectory(lambda e: EndpointView(e, 0), gone.append, 2.0), gone
+        removed: list[Incarnation] = []
+        return EndpointDirectory(lambda e: EndpointView(e, 0), removed.append, 2.0), removed
 
     def test_removed_endpoint_gets_nothing_at_once(self) -> None:
-        directory, gone = self.make()
+        directory, removed = self.make()
         entry = make_entry("i-0")
         directory.put(entry)
         directory.remove("i-0", 1.0)
         assert not directory.usable("drafts")
-        assert gone == [entry.incarnation]
+        assert removed == [entry.incarnation]
 
     def test_leaving_endpoint_gets_nothing_after_an_outage(self) -> None:
         directory, _ = self.make()
@@ -132,20 +132,20 @@
         assert [view.entry.instance for view in directory.usable("drafts")] == ["i-1"]
 
     def test_new_incarnation_starts_without_failures(self) -> None:
-        directory, gone = self.make()
+        directory, removed = self.make()
         directory.put(make_entry("i-0"))
         directory.usable("drafts")[0].record_failure(0.0)
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].failures(0.0) == 0.0
-        assert len(gone) == 1
+        assert len(removed) == 1
 
     def test_changed_entry_keeps_failures(self) -> None:
-        directory, gone = self.make()
+        directory, removed = self.make()
         directory.put(make_entry("i-0"))
         directory.usable("drafts")[0].record_failure(0.0)
         directory.put(make_entry("i-0", cold_s=1.0))
         assert directory.usable("drafts")[0].failures(0.0) > 0.0
-        assert not gone
+        assert not removed
 
 
 class TestConfirmation:
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -247,7 +247,7 @@
         assert (status, answer) == (200, body)
         assert faulty.connections == 1
 
-    @pytest.mark.parametrize("drip", [b"d", b": still here\n\n", b"\n"])
+    @pytest.mark.parametrize("fragment", [b"d", b": still here\n\n", b"\n"])
     async def test_stream_without_events_is_resumed(
         self, site: PlatformSite, caller: Caller, fragment: bytes
     ) -> None:
--- a/cassiadrum/tests/gateways/test_retry_budget_properties.py
+++ b/cassiadrum/tests/gateways/test_retry_budget_properties.py
@@ -85,7 +85,7 @@
 
     @pytest.mark.parametrize(("count", "slack"), [(6, 58), (31, 102), (68, 176), (300, 176)])
     def test_all_gateways_at_once_keep_the_bound(self, count: int, slack: int) -> None:
-        """The counts and slacks are those of three deployments, and of one grown to 300 gateways."""
+        """The counts and slacks are those of three deployments and one of 300 gateways."""
         spare = min(MAX_RETRY_SPARE, float(slack))
         budgets = [RetryBudget(RATIO, spare, WINDOW_S) for _ in range(count)]
         requests, retries = 0, 0
--- a/cassiadrum/tests/harness/fault_proxies.py
+++ b/cassiadrum/tests/harness/fault_proxies.py
@@ -147,13 +147,13 @@
         if self.partitioned:
             conn.silent.update(BOTH)
         self._connections.add(conn)
-        pumps = [asyncio.create_task(self._relay(conn, direction)) for direction in BOTH]
+        relays = [asyncio.create_task(self._relay(conn, direction)) for direction in BOTH]
         try:
             await conn.ended.wait()
         finally:
-            for pump in pumps:
-                pump.cancel()
-            await asyncio.gather(*pumps, return_exceptions=True)
+            for relay in relays:
+                relay.cancel()
+            await asyncio.gather(*relays, return_exceptions=True)
             self._connections.discard(conn)
             conn.close()
 
