--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -33,7 +33,8 @@
 INSTANCES = ("i-0", "i-1", "i-2")
 SERVICE = "engine"
 
-# Transit time in seconds of a request to the store or of its answer.
+# Transit time in seconds of a request or an answer; a request for changes may also wait in the
+# store.
 transit_s = st.sampled_from([0.002, 0.1, 0.8])
 instances = st.sampled_from(INSTANCES)
 MACHINE_SETTINGS = settings(max_examples=100, stateful_step_count=40, deadline=None)
