--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -1,4 +1,4 @@
-"""Tests of what endpoints say in their answers about further requests."""
+"""Tests of notices in answers of endpoints: leaving, and pauses by Retry-After."""
 
 import asyncio
 import time
@@ -13,7 +13,7 @@
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
-# No length, so that the answer ends with its connection.
+# Without Content-Length, so the answer ends when the connection closes.
 ANSWER_WITHOUT_LENGTH = (
     f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: own\r\n{Header.SIGNATURE}: signed-by-p-1\r\n"
     f"{Header.LEAVING}: 1\r\n\r\nwhole"
@@ -21,14 +21,14 @@
 
 
 class Answer(NamedTuple):
-    """Name the endpoint that answered and its status."""
+    """Status and body of an answer; the body names the endpoint."""
 
     status: int
     body: bytes
 
 
-async def ask(caller: Caller, count: int) -> list[Answer]:
-    """Return the answers to so many plain calls."""
+async def call_repeatedly(caller: Caller, count: int) -> list[Answer]:
+    """Return the answers to a number of idempotent calls."""
     found = []
     for _ in range(count):
         status, _, body = await caller.call("/safe/a")
@@ -36,8 +36,8 @@
     return found
 
 
-async def ask_until_answered_by(caller: Caller, endpoint: bytes) -> None:
-    """Send calls until an endpoint has answered one of them."""
+async def call_until_answered_by(caller: Caller, endpoint: bytes) -> None:
+    """Send calls until this endpoint has answered one of them."""
 
     async def answered() -> bool:
         return (await caller.call("/safe/a"))[2] == endpoint
@@ -47,47 +47,51 @@
 
 @pytest.mark.integration
 class TestLeavingEndpoints:
-    """Guards against requests for an endpoint that has told this gateway that it shuts down."""
+    """Guards against requests to an endpoint that has announced in an answer that it is leaving.
 
-    async def test_nothing_is_sent_also_while_the_store_is_away(
+    The registration in the store may be outdated or unreachable, so the notice counts until the
+    next incarnation of the endpoint.
+    """
+
+    async def test_leaving_endpoint_gets_nothing_during_a_store_outage(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.fault = StoreFault.SILENT
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
-        assert set(await ask(caller, 8)) == {Answer(200, b"p-2")}
+        await call_until_answered_by(caller, b"p-1")
+        assert set(await call_repeatedly(caller, 8)) == {Answer(200, b"p-2")}
 
     async def test_next_incarnation_is_used(self, site: PlatformSite, caller: Caller) -> None:
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         site.endpoints["p-1"].leaving = False
         site.endpoints["p-1"].born = 2
         site.register("p-1")
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
 
-    async def test_registration_that_changes_ends_no_leaving(
+    async def test_repeated_registration_does_not_end_leaving(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.endpoints["p-1"].leaving = True
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         site.register("p-1")
         await asyncio.sleep(DRAIN_S)
-        assert set(await ask(caller, 8)) == {Answer(200, b"p-2")}
+        assert set(await call_repeatedly(caller, 8)) == {Answer(200, b"p-2")}
 
-    async def test_endpoint_that_reuses_the_address_speaks_for_itself(
+    async def test_notice_of_another_instance_at_the_address_is_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """The one that is registered has not said that it leaves."""
+        """Guards against a notice of one instance that is applied to another at its address."""
         site.store.remove("servers", "p-2")
         await asyncio.sleep(DRAIN_S)
         site.endpoints["p-1"].instance = "p-9"
         site.endpoints["p-1"].leaving = True
-        assert (await ask(caller, 1))[0].status == 503
+        assert (await call_repeatedly(caller, 1))[0].status == 503
         site.endpoints["p-1"].instance = "p-1"
         site.endpoints["p-1"].leaving = False
-        assert (await ask(caller, 1))[0] == Answer(200, b"p-1")
+        assert (await call_repeatedly(caller, 1))[0] == Answer(200, b"p-1")
 
-    async def test_answer_without_a_length_counts(
+    async def test_notice_in_an_answer_without_content_length(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -112,7 +116,11 @@
 
 @pytest.mark.integration
 class TestPauses:
-    """Guards against requests for an endpoint that has asked this gateway for a pause."""
+    """Guards against requests to an endpoint that has asked for a pause by Retry-After.
+
+    Requests go to other endpoints, wait for the end of a short pause, or are refused at once with
+    the time until the first pause ends.
+    """
 
     async def test_paused_endpoint_gets_nothing(self, site: PlatformSite, caller: Caller) -> None:
         paused = site.endpoints["p-1"]
@@ -129,11 +137,11 @@
             await asyncio.sleep(0.02)
         assert paused.refused == 1
         paused.refuse = False
-        await ask_until_answered_by(caller, b"p-1")
+        await call_until_answered_by(caller, b"p-1")
         assert time.monotonic() > refused_s + 1.4
 
     @pytest.mark.parametrize("retry_after", ["2.5", "1000000000"])
-    async def test_caller_learns_the_soonest_time_at_once(
+    async def test_retry_after_is_the_end_of_the_shortest_pause(
         self, site: PlatformSite, caller: Caller, retry_after: str
     ) -> None:
         for name, seconds in (("p-1", retry_after), ("p-2", "2000000000")):
@@ -158,8 +166,8 @@
         assert (await caller.call("/safe/a"))[0] == 200
 
 
-class TestDecoding:
-    """Guards against a notice that is misread, and one that is not understood."""
+class TestNoticeDecoding:
+    """Guards against a malformed notice that is taken for a valid one, and the reverse."""
 
     @pytest.mark.parametrize(
         ("text", "pause_s"),
@@ -188,8 +196,8 @@
         assert PlatformProtocol().decode_head(200, ((Header.LEAVING, text),)).leaving is leaving
 
 
-class TestBeliefs:
-    """Guards against beliefs that outlive the incarnation they are about."""
+class TestIncarnationState:
+    """Guards against a leaving or pause notice that is applied to the next incarnation."""
 
     def make(self) -> Gateway:
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
@@ -198,7 +206,7 @@
         gateway.directory.replace([make_entry("i-0")], 1.0)
         return gateway
 
-    def test_both_end_with_the_incarnation(self) -> None:
+    def test_leaving_and_pause_end_with_the_incarnation(self) -> None:
         directory = self.make().directory
         view = directory.usable("drafts")[0]
         view.mark_leaving()
@@ -207,7 +215,7 @@
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].paused_until_s == 0.0
 
-    def test_longest_pause_holds(self) -> None:
+    def test_longest_pause_applies(self) -> None:
         view = self.make().directory.usable("drafts")[0]
         view.mark_paused(1.0, 60.0)
         view.mark_paused(2.0, 0.5)
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -1,4 +1,4 @@
-"""Tests of a gateway process between callers, endpoints and the platform's store."""
+"""Tests of a gateway process with callers, endpoints and the store of the platform."""
 
 import asyncio
 import contextlib
@@ -12,7 +12,7 @@
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
 from cassiadrum.protocols import AnswerLost, HttpClient
-from cassiadrum.tests.gateways.conftest import GatewayRun, free_port
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess, free_port
 from cassiadrum.tests.gateways.sites import (
     DRAIN_S,
     Caller,
@@ -27,12 +27,12 @@
 pytestmark = pytest.mark.integration
 
 
-def ids_of(body: bytes) -> list[int]:
+def event_ids(body: bytes) -> list[int]:
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
 
 def raw_answer(request_id: str, *, signed: bool = True) -> bytes:
-    """Return the bytes of a success."""
+    """Return the bytes of a successful answer."""
     body = f"answer to {request_id}".encode()
     head = f"HTTP/1.1 200 OK\r\n{Header.REQUEST_ID}: {request_id}\r\n"
     head += f"{Header.SIGNATURE}: signed-by-p-1\r\n" if signed else ""
@@ -41,7 +41,7 @@
 
 @contextlib.asynccontextmanager
 async def raw_endpoint(site: PlatformSite, answer: bytes) -> AsyncIterator[None]:
-    """Put an endpoint that sends fixed bytes in the place of all plain ones."""
+    """Replace all plain endpoints with one that sends fixed bytes."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -58,10 +58,15 @@
         yield
 
 
-class TestWholePath:
-    """Guards against answers that are not the endpoint's and headers that are not the caller's."""
+class TestRequestForwarding:
+    """Guards against altered requests and answers, and against control headers from callers.
 
-    async def test_plain_answer_is_the_endpoints(self, site: PlatformSite, caller: Caller) -> None:
+    A caller could otherwise act as another customer or instruct the endpoint.
+    """
+
+    async def test_plain_answer_is_that_of_the_endpoint(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
         status, headers, body = await caller.call("/once/a?b=c", request_id="one")
         assert status == 200
         assert headers[Header.SIGNATURE] == f"signed-by-{body.decode()}"
@@ -82,17 +87,17 @@
         assert not {"x-cassiadrum-hold", "kv-from"} & headers.keys()
         assert headers[Header.CUSTOMER] == "st-martin"
 
-    async def test_stream_is_whole(self, caller: Caller) -> None:
+    async def test_stream_is_complete(self, caller: Caller) -> None:
         status, _, body = await caller.call("/stream/a", events=20)
         assert status == 200
-        assert ids_of(body) == list(range(1, 21))
+        assert event_ids(body) == list(range(1, 21))
 
     async def test_unknown_route_and_key(self, caller: Caller) -> None:
         assert (await caller.call("/nowhere/a"))[0] == 404
         assert (await caller.call("/safe/a", key="other"))[0] == 401
 
     async def test_declared_length_over_the_limit_is_refused_at_once(
-        self, caller: Caller, gateway: GatewayRun
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
         writer.write(b"POST /once/a HTTP/1.1\r\nhost: a\r\ncontent-length: 10001\r\n\r\n")
@@ -102,8 +107,10 @@
         assert b"connection: close" in answer.lower()
         writer.close()
 
-    async def test_illegal_request_line_is_not_quoted(self, gateway: GatewayRun) -> None:
-        """Guards against a refusal that shows the caller the inside of the parser."""
+    async def test_refusal_does_not_quote_the_request_line(
+        self, gateway: GatewaySubprocess
+    ) -> None:
+        """Guards against a refusal that exposes the exception text of the parser to the caller."""
         await gateway.wait_ready()
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
         writer.write(b"GET /once/a b HTTP/1.1 x\r\n\r\n")
@@ -115,7 +122,12 @@
 
 
 class TestFailedAttempts:
-    """Guards against a second run of what may run once, and against false refusals."""
+    """Guards against a second run of a once-only request, and against refusals that are wrong.
+
+    Endpoints refuse, fail, cut connections, answer late or unsigned, or have been replaced by
+    another instance at their address. A request is retried elsewhere only if it is known not to
+    have run or may run again.
+    """
 
     async def test_broken_stream_is_resumed_at_another_endpoint(
         self, site: PlatformSite, caller: Caller
@@ -124,7 +136,7 @@
         first = headers[Header.SIGNATURE].removeprefix("signed-by-")
         site.endpoints[first].cut_after = 5
         status, headers, body = await caller.call("/stream/a", events=8, request_id="cut")
-        assert (status, ids_of(body)) == (200, list(range(1, 9)))
+        assert (status, event_ids(body)) == (200, list(range(1, 9)))
         assert headers[Header.SIGNATURE] == f"signed-by-{first}"
         assert site.runs("cut") == 2
 
@@ -142,7 +154,7 @@
         assert "retry-after" not in headers
         assert site.runs("lost") == 1
 
-    async def test_refusal_that_says_not_run_is_true(
+    async def test_request_refused_as_not_run_has_not_run(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("p-1", "p-2"):
@@ -163,7 +175,7 @@
     async def test_late_answer_to_another_request_is_skipped(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """Guards against a caller who gets the answer to somebody else's request."""
+        """Guards against passing the late answer to an earlier request on a reused connection."""
         bodies: set[bytes] = set()
 
         async def taken() -> bool:
@@ -177,7 +189,7 @@
     async def test_unsigned_success_is_not_passed_on(
         self, site: PlatformSite, caller: Caller
     ) -> None:
-        """Guards against a success that came from something else than an endpoint."""
+        """Guards against a successful answer that did not come from an endpoint."""
         async with raw_endpoint(site, raw_answer("own", signed=False)):
 
             async def taken() -> bool:
@@ -187,7 +199,7 @@
 
             await poll_until(taken, 3.0)
 
-    async def test_endpoints_own_failure_is_passed_on(
+    async def test_error_of_the_endpoint_is_passed_on(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("p-1", "p-2"):
@@ -197,7 +209,7 @@
         assert headers[Header.SIGNATURE].startswith("signed-by-")
         assert site.runs("f") == 2
 
-    async def test_reused_address_runs_nothing_of_another_endpoint(
+    async def test_other_instance_at_a_reused_address_runs_nothing(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.endpoints["p-1"].instance = "p-9"
@@ -205,7 +217,7 @@
         assert {body for _, _, body in answers} == {b"p-2"}
         assert not site.endpoints["p-1"].runs
 
-    async def test_endpoint_that_was_not_meant_takes_no_attempt(
+    async def test_misdirected_attempt_does_not_count(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         configuration = make_configuration(2)
@@ -227,7 +239,7 @@
         assert (status, "retry-after" in headers) == (503, True)
         assert json.loads(body)["ran"] == "no"
 
-    async def test_request_without_an_id_is_denied(self, gateway: GatewayRun) -> None:
+    async def test_request_without_an_id_is_denied(self, gateway: GatewaySubprocess) -> None:
         await gateway.wait_ready()
         client = HttpClient("127.0.0.1", gateway.calls_port)
         response = await client.request("GET", "/safe/a")
@@ -237,10 +249,10 @@
 
 
 class TestCallerLeaves:
-    """Guards against endpoints that work on what nobody receives."""
+    """Guards against an endpoint that keeps generating a stream after its caller has left."""
 
     async def test_stream_stops_at_the_endpoint(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=500, request_id="left"))
         await wait_until(lambda: site.runs("left") == 1)
@@ -250,10 +262,13 @@
 
 
 class TestConfiguration:
-    """Guards against a configuration that is not in force in time, or goes back."""
+    """Guards against a configuration that takes effect late or is replaced by an older one.
+
+    The store may be unreachable at the start, or contain an older or unreadable configuration.
+    """
 
     async def test_process_without_a_configuration_refuses(
-        self, site: PlatformSite, gateway: GatewayRun
+        self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
         site.store.remove("op", "config")
         site.store.fault = StoreFault.BUSY
@@ -263,9 +278,9 @@
         await gateway.wait_listening()
         status, _, _ = await caller.call("/safe/a", key="other")
         assert status == 503
-        assert not await gateway.ready()
+        assert not await gateway.is_ready()
 
-    async def test_taken_key_is_denied(self, site: PlatformSite, caller: Caller) -> None:
+    async def test_revoked_key_is_denied(self, site: PlatformSite, caller: Caller) -> None:
         site.store.put("op", "config", make_configuration(2, tenants=[]))
         other = [{"name": "st-martin", "api_keys": ["key-2"]}]
         site.store.put("op", "config", make_configuration(3, tenants=other))
@@ -276,7 +291,7 @@
         await poll_until(denied, 1.0)
         assert (await caller.call("/safe/a", key="key-2"))[0] == 200
 
-    async def test_older_and_unreadable_configurations_are_not_taken(
+    async def test_older_and_unreadable_configurations_are_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.put("op", "config", make_configuration(5))
@@ -287,10 +302,13 @@
 
 
 class TestStoreFaults:
-    """Guards against trouble of the store that reaches callers."""
+    """Guards against store faults that affect callers, and against keys served unconfirmed.
+
+    The store falls silent, loses its history of changes or contains unreadable registrations.
+    """
 
-    async def test_unconfirmed_keys_are_not_served_and_return_with_the_store(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_unconfirmed_keys_are_refused_until_the_store_returns(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         site.store.fault = StoreFault.SILENT
         assert (await caller.call("/safe/a"))[0] == 200
@@ -301,8 +319,8 @@
         await gateway.wait_ready(limit_s=4.0)
         assert (await caller.call("/safe/a"))[0] == 200
 
-    async def test_forgotten_history_is_read_in_full(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_tables_are_read_in_full_after_lost_history(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         site.store.fault = StoreFault.RESET
         await asyncio.sleep(0.2)
@@ -316,7 +334,7 @@
             return (await caller.call("/safe/a", key="key-2"))[0] == 200
 
         await poll_until(changed, 5.0)
-        # A registration that is missing after an outage is kept for two seconds.
+        # A registration that is missing after an outage is kept for a grace period of 2 s.
         await asyncio.sleep(2.3)
         answers = [await caller.call("/safe/a", key="key-2") for _ in range(6)]
         assert {body for _, _, body in answers} == {b"p-2"}
@@ -327,7 +345,7 @@
         answers = [await caller.call("/safe/a") for _ in range(6)]
         assert {body for _, _, body in answers} == {b"p-2"}
 
-    async def test_unreadable_registrations_name_no_endpoint(
+    async def test_unreadable_registrations_are_ignored(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         site.store.put("servers", "bad-1", b"\x00\x01")
@@ -339,10 +357,14 @@
 
 
 class TestPlannedStop:
-    """Guards against a planned stop that cuts off a request."""
+    """Guards against a planned stop that cuts off requests or never ends.
+
+    A stream still runs, or a connection is idle, when the process gets SIGTERM. An answer that is
+    truncated must not look complete.
+    """
 
-    async def test_running_stream_ends_whole_and_the_process_exits(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_running_stream_completes_and_the_process_exits(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         task = asyncio.create_task(caller.call("/stream/a", events=250, request_id="long"))
         await wait_until(lambda: site.runs("long") == 1)
@@ -352,19 +374,19 @@
         status, headers, _ = await late.call("/safe/a")
         assert (status, headers["connection"]) == (200, "close")
         _, _, body = await task
-        assert ids_of(body) == list(range(1, 251))
+        assert event_ids(body) == list(range(1, 251))
         async with asyncio.timeout(8.0):
             assert await gateway.process.wait() == 0
 
-    async def test_idle_connection_is_closed_not_reset(
-        self, caller: Caller, gateway: GatewayRun
+    async def test_process_exits_despite_an_idle_connection(
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         await caller.call("/safe/a")
         gateway.process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(8.0):
             assert await gateway.process.wait() == 0
 
-    async def test_cut_answer_does_not_look_complete(
+    async def test_truncated_answer_does_not_look_complete(
         self, site: PlatformSite, caller: Caller
     ) -> None:
         for name in ("e-1", "e-2"):
@@ -374,14 +396,14 @@
 
 
 class TestColdStart:
-    """Guards against refusals of a new process that waits for the store's first answer.
+    """Guards against refusals by a new process that waits for the first answer of the store.
 
-    Traced on a varied day of cold-start-beside-slow-store: processes that were killed while the
-    store was slow refused everything for 0.6 s, and their callers came back to be refused again.
+    Load pattern: processes are killed and restarted while the store is slow. They refused all
+    requests for 0.6 s, and the retries of their callers were refused again.
     """
 
     async def test_request_waits_for_the_first_configuration(
-        self, site: PlatformSite, gateway: GatewayRun
+        self, site: PlatformSite, gateway: GatewaySubprocess
     ) -> None:
         await gateway.wait_ready()
         await gateway.kill()
@@ -393,7 +415,7 @@
         caller.close()
         assert status == 200
 
-    async def test_wait_is_bounded(self, site: PlatformSite, gateway: GatewayRun) -> None:
+    async def test_wait_is_bounded(self, site: PlatformSite, gateway: GatewaySubprocess) -> None:
         await gateway.wait_ready()
         await gateway.kill()
         site.store.fault = StoreFault.SILENT
@@ -407,13 +429,13 @@
         assert 0.9 < asyncio.get_running_loop().time() - started_s < 2.0
 
 
-class TestStart:
-    """Guards against a start that fails with a traceback, which log collectors cannot read."""
+class TestStartFailures:
+    """Guards against a failed start that logs a traceback, which log collectors cannot parse."""
 
     async def test_occupied_address(self, site: PlatformSite, tmp_path: Path) -> None:
         path = tmp_path / "boot.json"
         write_settings(path, make_settings(site.store_port, site.store_port, free_port()))
-        run = GatewayRun(path, 0, 0, tmp_path / "gateway.log")
+        run = GatewaySubprocess(path, 0, 0, tmp_path / "gateway.log")
         await run.start()
         assert await run.process.wait() == 4
         lines = [json.loads(row) for row in run.log.read_text().splitlines()]
@@ -422,10 +444,10 @@
 
 
 class TestMetrics:
-    """Guards against figures that an operator cannot fetch."""
+    """Guards against missing metrics of answers, endpoints and the configuration."""
 
-    async def test_answers_and_beliefs_are_counted(
-        self, caller: Caller, gateway: GatewayRun
+    async def test_answers_endpoints_and_version_are_exported(
+        self, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         await caller.call("/safe/a")
         await caller.call("/safe/a", key="other")
--- a/cassiadrum/tests/gateways/test_lag_limits.py
+++ b/cassiadrum/tests/gateways/test_lag_limits.py
@@ -1,4 +1,4 @@
-"""Tests of refusals by a process that falls behind its work."""
+"""Tests of load shedding by a process whose event loop lags."""
 
 import pytest
 
@@ -12,14 +12,17 @@
 TICK_S = 0.1
 
 
-class SlowProcess:
-    """Run an event loop in virtual time: a round works off all that has arrived, then timers."""
+class SimulatedEventLoop:
+    """An event loop in virtual time: each round handles all arrived requests, then timers.
+
+    `work_s` and `refusal_s` are the CPU seconds of an admitted and of a refused request.
+    """
 
     def __init__(self, work_s: float, refusal_s: float, limit: LagLimit) -> None:
         self._work_s = work_s
         self._refusal_s = refusal_s
         self._limit = limit
-        # From the arrival of each request that was taken until its work began.
+        # Time from the arrival of each admitted request until its work began.
         self.waits_s: list[float] = []
 
     def run(self, arrivals_s: list[float]) -> None:
@@ -41,34 +44,34 @@
                 now = min(next_s, due_s)
 
 
-class BlindLimit(LagLimit):
-    """Take every request."""
+class UnlimitedAdmission(LagLimit):
+    """A limit that refuses nothing."""
 
     def refuses(self, request_id: str) -> bool:
         return False
 
 
 class TestLagLimit:
-    """Guards against requests that a slow machine passes on after their callers have left.
+    """Guards against requests that a slow machine sends on after their callers have left.
 
-    Replays the small twin of scale-2 of the further deployment: gateways on an eighth of a core
-    got twice what they could carry for ten seconds, and were three seconds behind.
+    Load pattern: gateways on an eighth of a core get twice the load they can handle for 10 s.
+    Without the limit their event loops lagged by 3 s.
     """
 
-    def burst(self, limit: LagLimit) -> list[float]:
-        process = SlowProcess(0.02, 0.002, limit)
+    def run_burst(self, limit: LagLimit) -> list[float]:
+        process = SimulatedEventLoop(0.02, 0.002, limit)
         process.run([number / 100 for number in range(1000)])
         return process.waits_s
 
-    def test_requests_that_are_taken_are_taken_in_time(self) -> None:
-        waits_s = sorted(self.burst(LagLimit()))
-        # Callers leave when nothing of their request was read for a second.
+    def test_admitted_requests_start_in_time(self) -> None:
+        waits_s = sorted(self.run_burst(LagLimit()))
+        # Callers leave if none of their request has been read for 1 s.
         assert waits_s[int(0.9 * len(waits_s))] < 1.0
-        assert max(self.burst(BlindLimit())) > 5.0
+        assert max(self.run_burst(UnlimitedAdmission())) > 5.0
 
-    def test_the_processor_is_not_left_idle(self) -> None:
-        # At 50 a second the machine carries 500 requests in the ten seconds.
-        assert len(self.burst(LagLimit())) > 0.7 * 500
+    def test_most_of_the_capacity_is_used(self) -> None:
+        # At 50 requests/s, the machine can handle 500 requests in 10 s.
+        assert len(self.run_burst(LagLimit())) > 0.7 * 500
 
     def test_single_late_tick_refuses_nothing(self) -> None:
         limit = LagLimit()
@@ -78,7 +81,7 @@
         limit.record_tick(5.0)
         assert not any(limit.refuses(f"r-{number}") for number in range(100))
 
-    def test_slow_process_goes_on_serving(self) -> None:
+    def test_slow_process_still_admits_some_requests(self) -> None:
         limit = LagLimit()
         for _ in range(100):
             limit.record_tick(5.0)
@@ -88,8 +91,8 @@
         assert not any(limit.refuses(f"r-{number}") for number in range(1000))
 
 
-class UnstartedRelay:
-    """Stand for an answer of which the caller has got nothing."""
+class RecordingRelay:
+    """An answer of which the caller has received nothing; records whether it was started."""
 
     started = False
 
@@ -97,18 +100,20 @@
         self.started = True
 
 
-class TestLateSend:
-    """Guards against work for callers that left while the process was behind."""
+class TestLateAttempt:
+    """Guards against sending requests whose callers may have left while the process lagged."""
 
     @pytest.mark.parametrize(("late_s", "sent"), [(1.0, False), (0.0, True)])
-    async def test_request_past_its_target(self, late_s: float, sent: bool) -> None:
+    async def test_attempt_past_its_target_is_refused_while_behind(
+        self, late_s: float, sent: bool
+    ) -> None:
         now = [0.0]
         cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 4.75, True, 2.0)
         gateway = Gateway(cfg, PlatformProtocol(), lambda: now[0], lambda: now[0])
         gateway.set_catalog(make_catalog())
         gateway.confirmation.record_answer(0.0, 0.0, 0.0)
         gateway.directory.replace([make_entry("i-0")], 0.0)
-        ctx, relay = RequestContext(make_call(), 0.0), UnstartedRelay()
+        ctx, relay = RequestContext(make_call(), 0.0), RecordingRelay()
         gateway._resolve(ctx)
         now[0] = 2.0
         gateway.lag.record_tick(late_s)
--- a/cassiadrum/tests/gateways/test_store_properties.py
+++ b/cassiadrum/tests/gateways/test_store_properties.py
@@ -1,4 +1,4 @@
-"""Gateways against the model of the store: lost, late and repeated answers."""
+"""Property tests of gateways with lost, late and repeated answers of the store."""
 
 import json
 
@@ -10,18 +10,18 @@
 from cassiadrum.tests.gateways.sites import make_configuration
 from cassiadrum.tests.gateways.store_machines import (
     INSTANCES,
-    MACHINE_LIMITS,
+    MACHINE_SETTINGS,
     RETURN_GRACE_S,
     SERVICE,
     ConfigurationMachine,
     StoreMachine,
     instances,
-    travel_s,
+    transit_s,
 )
 
 
 class EndpointMachine(StoreMachine):
-    """Compare the endpoints in use with those that are registered."""
+    """Compare the usable endpoints with the registered ones."""
 
     @rule(instance=instances, state=st.sampled_from(["ready", "draining"]))
     def register(self, instance: str, state: str) -> None:
@@ -30,30 +30,30 @@
         self.store.write(ENDPOINT_TABLE, instance, json.dumps(entry).encode())
 
     @rule(instance=instances, content=st.sampled_from([None, b"", b"{}", b"nonsense"]))
-    def take_away(self, instance: str, content: bytes | None) -> None:
+    def remove_or_corrupt(self, instance: str, content: bytes | None) -> None:
         self.store.write(ENDPOINT_TABLE, instance, content)
 
-    def _others(self, endpoints: FollowedTable) -> list[FollowedTable]:
+    def _other_tables(self, endpoints: FollowedTable) -> list[FollowedTable]:
         return [endpoints]
 
     @rule()
     def accept_configuration(self) -> None:
-        """Change the other table, whose changes share the store's counter."""
-        self.newest += 1
-        content = json.dumps(make_configuration(self.newest)).encode()
+        """Change the configuration table, whose changes share the version counter of the store."""
+        self.newest_version += 1
+        content = json.dumps(make_configuration(self.newest_version)).encode()
         self.store.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, content)
 
     @rule(
-        there_s=travel_s,
-        back_s=travel_s,
+        request_s=transit_s,
+        answer_s=transit_s,
         lost=st.booleans(),
         lost_table=st.sampled_from(["", CONFIGURATION_TABLE, ENDPOINT_TABLE]),
     )
-    def ask_for_endpoints(
-        self, there_s: float, back_s: float, lost: bool, lost_table: str = ""
+    def read_endpoints(
+        self, request_s: float, answer_s: float, lost: bool, lost_table: str = ""
     ) -> None:
         before = len(self.store.outcomes)
-        self._ask(there_s, back_s, lost, lost_table)
+        self._step_follower(request_s, answer_s, lost, lost_table)
         if any(answer_lost for _, answer_lost in self.store.outcomes[before:]):
             self.endpoints_lost = True
             return
@@ -63,29 +63,29 @@
         self._compare_endpoints()
 
     @rule(instance=instances)
-    def miss_a_removal(self, instance: str) -> None:
-        """Remove an endpoint and forget that, so that only a full read shows it."""
+    def remove_without_history(self, instance: str) -> None:
+        """Remove an endpoint and its history, so that only a full read shows the removal."""
         self.register(instance, "ready")
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
-        self.take_away(instance, None)
+        self.read_endpoints(0.002, 0.002, lost=False)
+        self.remove_or_corrupt(instance, None)
         self.forget_history()
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
 
     @rule(instance=instances, wait_s=st.floats(0.0, 4.0))
     def lapse_in_an_outage(self, instance: str, wait_s: float) -> None:
-        """Let a registration lapse while no answer arrives; it is kept for a while after that."""
+        """Let a registration lapse while no answer arrives; it is kept for a grace period."""
         self.register(instance, "ready")
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
-        self.ask_for_endpoints(0.002, 0.002, lost=True)
-        self.take_away(instance, None)
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=True)
+        self.remove_or_corrupt(instance, None)
+        self.read_endpoints(0.002, 0.002, lost=False)
         kept = {view.entry.instance for view in self.gateway.directory.usable(SERVICE)}
         assert instance in kept
         self.let_time_pass(wait_s)
-        self.ask_for_endpoints(0.002, 0.002, lost=False)
+        self.read_endpoints(0.002, 0.002, lost=False)
 
     def _compare_endpoints(self) -> None:
-        """Require what is registered and ready, and nothing else but what lapsed in an outage."""
+        """Require all ready endpoints, and no others except those that lapsed in an outage."""
         usable = {view.entry.instance for view in self.gateway.directory.usable(SERVICE)}
         states = {name: self._state(name) for name in INSTANCES}
         assert {name for name, state in states.items() if state == "ready"} <= usable
@@ -104,13 +104,19 @@
         return str(json.loads(content)["state"])
 
 
-ConfigurationMachine.TestCase.settings = MACHINE_LIMITS
-EndpointMachine.TestCase.settings = MACHINE_LIMITS
+ConfigurationMachine.TestCase.settings = MACHINE_SETTINGS
+EndpointMachine.TestCase.settings = MACHINE_SETTINGS
 
 
 class TestConfigurations(ConfigurationMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against old beliefs that count as new after lost, late and repeated answers."""
+    """Guards against an older configuration in force, or a replaced one that is confirmed.
+
+    Answers of the store are lost, late or repeated, or the process restarts.
+    """
 
 
 class TestEndpoints(EndpointMachine.TestCase):  # type: ignore[misc,valid-type]
-    """Guards against endpoints that are used or missing after lost answers and outages."""
+    """Guards against removed endpoints that are used, and ready ones that are not.
+
+    Answers are lost, the history of changes is dropped, or registrations lapse in an outage.
+    """
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -1,4 +1,4 @@
-"""Tests of a store that comes back from an older copy."""
+"""Tests of a store that is restored from an older copy."""
 
 import asyncio
 import logging
@@ -16,7 +16,7 @@
 from cassiadrum.platform.table_sinks import ENDPOINT_TABLE, ConfigurationSink, EndpointSink
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
-from cassiadrum.tests.gateways.conftest import GatewayRun
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.makers import CACHE_TOKENS, make_entry
 from cassiadrum.tests.gateways.sites import (
     REVOKE_S,
@@ -29,10 +29,13 @@
 from cassiadrum.tests.gateways.store_machines import LAPSE_S, RETURN_GRACE_S
 
 
-class TestEras:
-    """Guards against versions of two eras that are taken for one count."""
+class TestStoreEra:
+    """Guards against comparing versions from before and after a restore of the store.
 
-    def test_late_answer_of_an_older_era_is_told(self) -> None:
+    An era can arrive late, be unreadable, or come with a refusal.
+    """
+
+    def test_late_answer_of_an_older_era_is_rejected(self) -> None:
         era = StoreEra()
         assert era.observe("3")
         assert era.observe("5")
@@ -40,7 +43,7 @@
         assert era.number == 5
 
     @pytest.mark.parametrize("text", ["", "-1", "x", "1.5", "9" * 400, "\u0661"])
-    def test_unreadable_era_is_one_log_line(
+    def test_unreadable_era_is_logged_once(
         self, text: str, caplog: pytest.LogCaptureFixture
     ) -> None:
         era = StoreEra()
@@ -62,8 +65,11 @@
         await service.close()
 
 
-class TestFollower:
-    """Guards against a follower that reads all rows again and again after a restore."""
+class TestStoreFollower:
+    """Guards against a follower that reads all rows repeatedly after a restore.
+
+    The restored store is behind the version that the follower has read, with or without an era.
+    """
 
     @pytest.mark.parametrize("era", [1, None])
     async def test_calls_after_a_restore_are_few(
@@ -85,7 +91,7 @@
         site.store.restore(saved)
         calls = site.store.calls
         await asyncio.sleep(1.0)
-        # One waiting call each 0.1 s, and the full reads of two tables.
+        # One long poll every 0.1 s, and the full reads of two tables.
         assert site.store.calls - calls < 20
         site.store.remove(ENDPOINT_TABLE, "e-1")
         await asyncio.sleep(RETURN_GRACE_S)
@@ -95,8 +101,12 @@
         store.close()
 
 
-class TestDirectory:
-    """Guards against beliefs about endpoints that go back with the store."""
+class TestEndpointDirectory:
+    """Guards against endpoints that return, or are lost, with an older copy of the store.
+
+    The copy lacks endpoints that registered after it was made, and contains some that have left,
+    lapsed or been replaced since.
+    """
 
     @staticmethod
     def make_directory() -> EndpointDirectory:
@@ -110,7 +120,7 @@
     def usable(self, directory: EndpointDirectory) -> set[str]:
         return {view.entry.instance for view in directory.usable("drafts")}
 
-    def test_endpoint_that_the_copy_lacks_is_kept_for_a_while(self) -> None:
+    def test_endpoint_missing_from_the_copy_is_kept_for_the_grace_period(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.store_restored(10.0)
@@ -120,7 +130,7 @@
         directory.expire(10.0 + RETURN_GRACE_S)
         assert self.usable(directory) == {"i-0", "i-1"}
 
-    def test_endpoint_that_does_not_write_again_is_dropped(self) -> None:
+    def test_endpoint_that_does_not_register_again_is_dropped(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.store_restored(10.0)
@@ -128,8 +138,8 @@
         directory.expire(10.0 + RETURN_GRACE_S)
         assert self.usable(directory) == {"i-0"}
 
-    def test_gone_endpoint_returns_only_once_its_registration_has_stood(self) -> None:
-        """Guards against a live endpoint that is never used again after a lapse and a restore."""
+    def test_removed_endpoint_returns_only_if_its_registration_lasts(self) -> None:
+        """Guards against a live endpoint that is never used after a lapse and a restore."""
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.remove("i-1", 5.0)
@@ -140,7 +150,7 @@
         directory.expire(10.0 + LAPSE_S)
         assert self.usable(directory) == {"i-0", "i-1"}
 
-    def test_gone_endpoint_that_lapses_again_never_returns(self) -> None:
+    def test_removed_endpoint_that_lapses_again_never_returns(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.remove("i-1", 5.0)
@@ -160,7 +170,7 @@
         directory.expire(10.0 + LAPSE_S)
         assert self.usable(directory) == {"i-0"}
 
-    def test_start_that_was_replaced_never_returns(self) -> None:
+    def test_replaced_incarnation_never_returns(self) -> None:
         directory = self.make_directory()
         directory.replace([make_entry("i-0"), make_entry("i-1")], 0.0)
         directory.put(make_entry("i-1", started_ms=2))
@@ -173,10 +183,13 @@
 
 @pytest.mark.integration
 class TestGatewayProcess:
-    """Guards against a running gateway that goes back with the store under traffic."""
+    """Guards against a gateway that returns to revoked keys and removed endpoints.
+
+    Its store is restored from an older copy under traffic.
+    """
 
-    async def test_beliefs_do_not_go_back(
-        self, site: PlatformSite, caller: Caller, gateway: GatewayRun
+    async def test_state_does_not_go_back_with_the_store(
+        self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
         saved = site.store.snapshot()
         tenants = [{"name": "st-martin", "api_keys": ["key-2"]}]
@@ -197,7 +210,7 @@
         assert served[1] <= {200, 503}
         assert not site.endpoints["e-1"].runs
         assert all(run.target != "/safe/b" for run in site.endpoints["p-1"].runs)
-        # The operator and the endpoints write again.
+        # The operator and the endpoints repeat their writes.
         site.store.put("op", "config", make_configuration(2, tenants=tenants))
         site.register("e-1", state="draining")
         site.store.remove("servers", "p-1")
@@ -208,12 +221,12 @@
 
     @staticmethod
     async def _call_for(seconds: float, caller: Caller) -> tuple[set[int], set[int]]:
-        """Call with the key that was taken away and with the one that holds."""
+        """Return the statuses of calls with the revoked key and with the valid one."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
-        taken, held = set(), set()
+        revoked, valid = set(), set()
         while loop.time() < end_s:
-            taken.add((await caller.call("/safe/b"))[0])
-            held.add((await caller.call("/stream/b", key="key-2", events=2))[0])
+            revoked.add((await caller.call("/safe/b"))[0])
+            valid.add((await caller.call("/stream/b", key="key-2", events=2))[0])
             await asyncio.sleep(0.02)
-        return taken, held
+        return revoked, valid
--- a/cassiadrum/tests/harness/child_processes.py
+++ b/cassiadrum/tests/harness/child_processes.py
@@ -1,4 +1,4 @@
-"""One process that a test started."""
+"""A child process of a test."""
 
 import asyncio
 import json
@@ -10,11 +10,11 @@
 
 __all__ = ["ChildProcess"]
 
-START_LIMIT_S = 30.0
+START_TIMEOUT_S = 30.0
 
 
 class ChildProcess:
-    """Run a Python module; `ready` is the JSON line that it prints once it serves."""
+    """Run a Python module; `ready` is the JSON object that it prints once it serves."""
 
     def __init__(self, process: asyncio.subprocess.Process, log: Path) -> None:
         self.ready: dict[str, Any] = {}
@@ -23,7 +23,7 @@
 
     @classmethod
     async def start(cls, module: str, arguments: list[str], log: Path) -> "ChildProcess":
-        """Start `python -m module` and wait until it is ready; stderr goes to `log`."""
+        """Start `python -m module` and wait until it is ready; stderr is appended to `log`."""
         with log.open("ab") as errors:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -36,9 +36,9 @@
             )
         child = cls(process, log)
         try:
-            child.ready = json.loads(await child.line(START_LIMIT_S))
+            child.ready = json.loads(await child.read_line(START_TIMEOUT_S))
         except BaseException:
-            await child.end()
+            await child.kill()
             raise
         return child
 
@@ -49,36 +49,36 @@
 
     @property
     def running(self) -> bool:
-        """Tell whether the process has not ended."""
+        """Return whether the process is still running."""
         return self._process.returncode is None
 
-    async def line(self, limit_s: float) -> str:
-        """Return the next line of standard output."""
+    async def read_line(self, limit_s: float) -> str:
+        """Return the next line of standard output; raise RuntimeError at its end."""
         assert self._process.stdout is not None
         async with asyncio.timeout(limit_s):
             line = await self._process.stdout.readline()
         if not line:
-            raise RuntimeError(f"process ended: {self.log.read_text()[-2000:]}")
+            raise RuntimeError(f"process closed its output: {self.log.read_text()[-2000:]}")
         return line.decode()
 
     def pause(self) -> None:
-        """Stop the process with SIGSTOP."""
+        """Suspend the process with SIGSTOP."""
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Continue a paused process."""
+        """Continue a paused process with SIGCONT."""
         self._signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Ask for a graceful stop."""
+        """Request a graceful stop with SIGTERM."""
         self._signal(signal.SIGTERM)
 
     async def wait(self, limit_s: float = 40.0) -> int:
-        """Return the exit code."""
+        """Wait for the end of the process and return its exit code."""
         async with asyncio.timeout(limit_s):
             return await self._process.wait()
 
-    async def end(self) -> None:
+    async def kill(self) -> None:
         """Kill the process if it still runs."""
         self._signal(signal.SIGKILL)
         await self._process.wait()
--- a/cassiadrum/tests/harness/platforms.py
+++ b/cassiadrum/tests/harness/platforms.py
@@ -1,4 +1,4 @@
-"""The platform's stand-ins, in the test's process."""
+"""Stand-ins of the platform services and endpoints, in the process of the test."""
 
 import time
 import uuid
@@ -22,11 +22,11 @@
 
 
 class AddressedEngine(EngineStandIn):
-    """An engine that knows its address and whose load reports can be wrong.
+    """An engine stand-in that stores its address and can send faulty load reports.
 
-    `report_fault` is `late` (figures of the first report of the fault, cache events held back
-    until its end), `missing` (half of the reports fail, cache events are lost), `duplicate`
-    (cache events come twice) or empty.
+    `report_fault` is `late` (the load at the start of the fault is reported until its end, and
+    cache events are delayed until then), `missing` (every second report is empty and cache events
+    are lost), `duplicate` (cache events are sent twice) or empty.
     """
 
     address = ""
@@ -34,28 +34,28 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._reports = 0
-        self._late: dict[str, Any] = {}
-        self._held: list[int] = []
+        self._report_count = 0
+        self._stale_load: dict[str, Any] = {}
+        self._delayed_cache_events: list[int] = []
 
     def _load_report(self) -> dict[str, Any]:
         load = super()._load_report()
-        self._reports += 1
+        self._report_count += 1
         if self.report_fault == "late":
-            self._held += load["cached"]
-            self._late = self._late or load
-            return {**self._late, "cached": []}
-        self._late = {}
+            self._delayed_cache_events += load["cached"]
+            self._stale_load = self._stale_load or load
+            return {**self._stale_load, "cached": []}
+        self._stale_load = {}
         if self.report_fault == "missing":
-            return {} if self._reports % 2 else {**load, "cached": []}
+            return {} if self._report_count % 2 else {**load, "cached": []}
         if self.report_fault == "duplicate":
             return {**load, "cached": load["cached"] * 2}
-        held, self._held = self._held, []
-        return {**load, "cached": held + load["cached"]}
+        delayed, self._delayed_cache_events = self._delayed_cache_events, []
+        return {**load, "cached": delayed + load["cached"]}
 
 
 class AddressedPlainService(PlainServiceStandIn):
-    """A plain service that knows its address."""
+    """A plain service stand-in that stores its address."""
 
     address = ""
 
@@ -64,14 +64,14 @@
 
 
 def build_endpoint(document: ServiceDocument, step_s: float) -> EndpointStandin:
-    """Return the endpoint of a service, not started yet."""
+    """Return a stand-in for an endpoint of a service; it is not started."""
     if document.kind == "model":
         return AddressedEngine(step_s=step_s, models=document.models)
     return AddressedPlainService()
 
 
 class Platform:
-    """Run table service, object store and instance list."""
+    """Run the table service, the object store and the instance list."""
 
     def __init__(self) -> None:
         self.table = TableService()
@@ -94,7 +94,7 @@
 
     def store(self, address: str = "") -> HttpTableStore:
         """Return a client of the table service."""
-        return HttpTableStore(wire_to(address or self.table_address))
+        return HttpTableStore(transport_to(address or self.table_address))
 
     async def accept(self, service: str, text: str, base: int) -> Accepted:
         """Write a configuration as an operator."""
@@ -104,13 +104,13 @@
         return result
 
     async def register(self, name: str, service: str, zone: str, link: str, admin: str) -> None:
-        """Put an instance on the list."""
+        """Add an instance to the instance list."""
         role = "sidecar" if service else "entry"
-        instances = HttpInstanceList(wire_to(self.list_address))
+        instances = HttpInstanceList(transport_to(self.list_address))
         await instances.register(Instance(name, role, service, zone, link, admin))
 
     async def deregister(self, name: str) -> None:
-        """Take an instance off the list."""
+        """Remove an instance from the instance list."""
         host, _, port = self.list_address.rpartition(":")
         client = HttpClient(host, int(port))
         response = await client.request("DELETE", f"/instances/{name}")
@@ -118,7 +118,7 @@
         client.close()
 
 
-def wire_to(address: str) -> StoreTransport:
-    """Return the wire to a store."""
+def transport_to(address: str) -> StoreTransport:
+    """Return a transport to the store at HOST:PORT."""
     host, _, port = address.rpartition(":")
     return StoreTransport(HttpClient(host, int(port)), time.monotonic)
--- a/cassiadrum/tests/harness/process_sites.py
+++ b/cassiadrum/tests/harness/process_sites.py
@@ -1,4 +1,4 @@
-"""A site of real daemon processes on loopback."""
+"""A site of daemon processes on loopback."""
 
 import asyncio
 import contextlib
@@ -27,12 +27,13 @@
 
 
 class ProcessSite:
-    """Run entry instances and sidecars as processes, the stand-ins in the test's process.
+    """Run entry instances and sidecars as processes, and stand-ins in the process of the test.
 
     `hops` names the hops that get a proxy: `http` (caller to entry instance), `link` (entry
     instance to sidecar), `endpoint` (sidecar to endpoint) and `table` (daemon to table service).
-    `proxies` holds them by `HOP:INSTANCE`. `edits` are regular expressions and replacements that
-    change the documents, `limits` the `[limits]` table of the settings.
+    `proxies` maps `HOP:INSTANCE` to the proxy. `edits` are regular expressions with replacements,
+    applied to the documents; `limits` is the content of the `[limits]` table of the settings;
+    `step_s` is the duration of an engine step in seconds.
     """
 
     def __init__(
@@ -69,13 +70,15 @@
         self._limits = limits
 
     async def start(self) -> None:
-        """Start everything and wait until each service can be reached at each entry instance."""
+        """Start all processes and wait until each entry instance reaches each service."""
         await self.platform.start()
         for document in self.documents:
             result = await self.platform.accept(document.name, self.texts[document.name], 0)
             self.note_accepted(document.name, result.version, result.current.operation_id)
         slots = [(doc, number) for doc in self.documents for number in range(doc.endpoints)]
-        await asyncio.gather(*(self._start_slot(document, number) for document, number in slots))
+        await asyncio.gather(
+            *(self._start_sidecar(document, number) for document, number in slots)
+        )
         zones = [zone for document in self.documents for zone in document.zones]
         numbers = range(self._entry_count)
         names = [f"entry-{number + 1}" for number in numbers]
@@ -85,8 +88,8 @@
         await until(self.all_linked, "a link to each sidecar at each entry instance")
 
     async def close(self) -> None:
-        """End every process and stand-in."""
-        await asyncio.gather(*(child.end() for child in self.children.values()))
+        """Kill all processes and stop all proxies and stand-ins."""
+        await asyncio.gather(*(child.kill() for child in self.children.values()))
         for collectors in self.collectors.values():
             for collector in collectors:
                 await collector.close()
@@ -102,7 +105,7 @@
         return [name for name, service in self._services.items() if not service]
 
     def sidecars(self, service: str = "") -> list[str]:
-        """Return the names of the sidecars, of one service if named."""
+        """Return the names of the sidecars, optionally those of one service."""
         return [
             name
             for name, of in self._services.items()
@@ -114,14 +117,14 @@
         return self._zones[name]
 
     def http(self, entry: str = "entry-1") -> str:
-        """Return the address for callers, through the proxy if there is one."""
+        """Return the address for callers: that of the proxy if there is one."""
         proxy = self.proxies.get(f"http:{entry}")
         return proxy.address if proxy else str(self.children[entry].ready["http"])
 
     # Processes.
 
     async def launch(self, name: str) -> None:
-        """Start the process of an instance, for the first time or again."""
+        """Start or restart the process of an instance and register it."""
         path = self._directory / f"{name}.toml"
         path.write_text(await self._settings(name))
         child = await ChildProcess.start(
@@ -131,30 +134,30 @@
         ready = child.ready
         self.collectors.setdefault(name, []).append(EventCollector(ready["admin"]))
         if "http" in ready:
-            await self._through("http", name, ready["http"])
+            await self._address_via_proxy("http", name, ready["http"])
         link = ready.get("link", "")
-        address = await self._through("link", name, link) if link else ""
+        address = await self._address_via_proxy("link", name, link) if link else ""
         await self.platform.register(
             name, self._services[name], self._zones[name], address, ready["admin"]
         )
 
     async def kill(self, name: str) -> None:
-        """End a process with SIGKILL."""
+        """Kill a process with SIGKILL and record that it was killed."""
         self.killed.add(name)
-        await self.children[name].end()
+        await self.children[name].kill()
 
     async def stop(self, name: str) -> None:
-        """Stop a process with SIGTERM and wait for its end, which has to be a clean one."""
+        """Stop a process with SIGTERM and require that it exits with code 0."""
         child = self.children[name]
         child.terminate()
         code = await child.wait()
-        assert code == 0, f"{name} ended with {code}: {child.log.read_text()[-2000:]}"
+        assert code == 0, f"{name} exited with {code}: {child.log.read_text()[-2000:]}"
         await self.platform.deregister(name)
         with contextlib.suppress(AssertionError):
             await until(lambda: self.collectors[name][-1].stopped, "the last event", 2.0)
 
     async def replace(self, name: str, new_name: str) -> None:
-        """Start another instance with the same role, zone and endpoint, then stop the old one."""
+        """Start an instance with the same service and zone, then stop the old one."""
         self._zones[new_name], self._services[new_name] = self._zones[name], self._services[name]
         if name in self.endpoints:
             self.endpoints[new_name] = await self._start_endpoint(self._services[name])
@@ -164,23 +167,23 @@
         del self._services[name]
 
     async def finish(self, outcomes: list[CallerOutcome]) -> FleetRecord:
-        """Stop every process that still runs, entry instances first, and return the record."""
+        """Stop all running processes, entry instances first, and return the record of the run."""
         for names in (self.entries, self.sidecars()):
             running = [name for name in names if self.children[name].running]
             await asyncio.gather(*(self.stop(name) for name in running))
         return FleetRecord(
             merge_events(self.events()),
             tuple(outcomes),
-            tuple(self._runs()),
+            tuple(self._endpoint_runs()),
             tuple(self.documents),
             frozenset(self.killed),
             tuple(self.outages),
         )
 
-    # What the processes tell.
+    # Events and states of the processes.
 
     def events(self, kind: EventKind | None = None, instance: str = "") -> list[Event]:
-        """Return the events read so far, of one kind and instance if named."""
+        """Return the events read so far, optionally of one kind or instance."""
         every = [
             event
             for collectors in self.collectors.values()
@@ -191,11 +194,11 @@
         return [e for e in every if kind in (None, e.kind) and instance in ("", e.instance)]
 
     async def status(self, name: str) -> dict[str, Any]:
-        """Return the state that the admin interface tells."""
+        """Return the status from the admin interface."""
         return (await call(self.children[name].ready["admin"], "GET", "/admin/status")).json
 
     async def all_linked(self) -> bool:
-        """Tell whether each running entry instance has every running sidecar and document."""
+        """Return whether all running entry instances have all links and all documents."""
         sidecars = {name for name in self.sidecars() if self.children[name].running}
         for name in self.entries:
             if not self.children[name].running:
@@ -206,7 +209,7 @@
         return True
 
     def note_accepted(self, service: str, version: int, operation_id: str) -> None:
-        """Record that a configuration was accepted."""
+        """Record the event that a configuration was accepted."""
         self.operator.record(
             EventKind.CONFIGURATION_ACCEPTED,
             service=service,
@@ -218,7 +221,7 @@
     async def load(
         self, rate_per_s: float = 25.0, duration_s: float = 2.0, seed: int = 1
     ) -> AsyncIterator[LoadSender]:
-        """Send a mixed load to the entry instances directly, and wait for its end."""
+        """Send a mixed load to the entry instances, without proxies, and wait for its end."""
         addresses = [str(self.children[name].ready["http"]) for name in self.entries]
         sender = LoadSender(addresses, self.documents, seed)
         plan = LoadPlan.uniform_mix(self.documents, rate_per_s, duration_s, seed)
@@ -233,18 +236,18 @@
 
     @contextlib.contextmanager
     def outage(self, instance: str = "") -> Iterator[None]:
-        """State that an instance, or every one, may not reach its peers during the block."""
+        """Record that an instance, or each one, may not reach its peers during the block."""
         since_s = time.time()
         try:
             yield
         finally:
             self.outages.append(Outage(instance, since_s, time.time()))
 
-    def changing(self, name: str) -> asyncio.Lock:
-        """Return the lock under which a process is ended and started again."""
+    def restart_lock(self, name: str) -> asyncio.Lock:
+        """Return the lock to hold while a process is stopped and started again."""
         return self._locks.setdefault(name, asyncio.Lock())
 
-    def _runs(self) -> list[EndpointRun]:
+    def _endpoint_runs(self) -> list[EndpointRun]:
         return [
             EndpointRun(
                 run["request_id"].rpartition(".")[0],
@@ -265,7 +268,7 @@
 
     # Construction.
 
-    async def _start_slot(self, document: ServiceDocument, number: int) -> None:
+    async def _start_sidecar(self, document: ServiceDocument, number: int) -> None:
         name = f"{document.name}-{number + 1}"
         self._zones[name] = document.zones[number % len(document.zones)]
         self._services[name] = document.name
@@ -278,8 +281,8 @@
         endpoint.address = f"127.0.0.1:{await endpoint.start()}"
         return endpoint
 
-    async def _through(self, hop: str, name: str, address: str) -> str:
-        """Return the address to use for a hop: the proxy's, or the address itself."""
+    async def _address_via_proxy(self, hop: str, name: str, address: str) -> str:
+        """Return the address of the proxy of a hop, or `address` if the hop has none."""
         if hop not in self._hops:
             return address
         key = f"{hop}:{name}"
@@ -292,7 +295,7 @@
 
     async def _settings(self, name: str) -> str:
         service = self._services[name]
-        table = await self._through("table", name, self.platform.table_address)
+        table = await self._address_via_proxy("table", name, self.platform.table_address)
         parts = [
             f'role = "{"sidecar" if service else "entry"}"',
             f'instance = "{name}"\nzone = "{self._zones[name]}"',
@@ -304,7 +307,7 @@
             parts.append(f"[limits]\n{self._limits}")
         if service:
             kind = next(doc.kind for doc in self.documents if doc.name == service)
-            address = await self._through("endpoint", name, self.endpoints[name].address)
+            address = await self._address_via_proxy("endpoint", name, self.endpoints[name].address)
             parts += [
                 f'[endpoint]\nservice = "{service}"',
                 f'kind = "{"engine" if kind == "model" else "plain"}"',
@@ -314,7 +317,7 @@
 
 
 def document_text(name: str, endpoints: int, edits: tuple[tuple[str, str], ...]) -> str:
-    """Return an example's document with another number of endpoints and other edits."""
+    """Return the document of an example with a new number of endpoints and further edits."""
     text = (EXAMPLES / f"{name}.toml").read_text()
     for old, new in ((r"endpoints = \d+", f"endpoints = {endpoints}"), *edits):
         text = re.sub(old, new, text)
