--- a/cassiadrum/tests/fuzz/conftest.py
+++ b/cassiadrum/tests/fuzz/conftest.py
@@ -13,11 +13,11 @@
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 SERVICES = ("sprachdienst", "permit-register")
-EXAMPLE_LIMIT_S = 10.0
+EXAMPLE_TIMEOUT_S = 10.0
 T = TypeVar("T")
 
 
-class ErrorLog(logging.Handler):
+class ErrorRecorder(logging.Handler):
     """Collect what the product logs as an error: an exception that nothing expected."""
 
     def __init__(self) -> None:
@@ -34,9 +34,9 @@
 
     def __init__(self) -> None:
         self._runner = asyncio.Runner()
-        self._log = ErrorLog()
+        self._error_recorder = ErrorRecorder()
         for name in ("cassiadrum", "asyncio"):
-            logging.getLogger(name).addHandler(self._log)
+            logging.getLogger(name).addHandler(self._error_recorder)
         texts = [(EXAMPLES / f"{name}.toml").read_text() for name in SERVICES]
         self.site = LocalSite(texts, entries=1, step_s=0.001)
         self._runner.run(self.site.start())
@@ -44,20 +44,20 @@
     def run(self, coroutine: Coroutine[Any, Any, T], *, errors_expected: bool = False) -> T:
         """Run one example; it has to end within EXAMPLE_LIMIT_S without an unexpected error."""
 
-        async def limited() -> T:
-            async with asyncio.timeout(EXAMPLE_LIMIT_S):
+        async def run_with_timeout() -> T:
+            async with asyncio.timeout(EXAMPLE_TIMEOUT_S):
                 return await coroutine
 
-        result = self._runner.run(limited())
+        result = self._runner.run(run_with_timeout())
         if errors_expected:
-            self._log.messages.clear()
-        assert self._log.messages == []
+            self._error_recorder.messages.clear()
+        assert self._error_recorder.messages == []
         return result
 
-    def serves(self) -> None:
+    def assert_services_respond(self) -> None:
         """Assert that an ordinary request of each service is answered."""
 
-        async def ask() -> list[Answer]:
+        async def request_each_service() -> list[Answer]:
             address = self.site.entry_address()
             body = b'{"prompt": "yoke"}'
             path = "/services/sprachdienst/v1/completions"
@@ -66,13 +66,13 @@
                 await call(address, "GET", "/services/permit-register/permits/7"),
             ]
 
-        answers = self.run(ask())
+        answers = self.run(request_each_service())
         assert [answer.status for answer in answers] == [200, 200], answers
 
     def close(self) -> None:
         """Stop the site and the loop."""
         for name in ("cassiadrum", "asyncio"):
-            logging.getLogger(name).removeHandler(self._log)
+            logging.getLogger(name).removeHandler(self._error_recorder)
         self._runner.run(self.site.drain())
         self._runner.run(self.site.close())
         self._runner.close()
--- a/cassiadrum/tests/fuzz/test_documents.py
+++ b/cassiadrum/tests/fuzz/test_documents.py
@@ -11,13 +11,13 @@
 from cassiadrum.settings import SettingsError, parse_settings
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
-DOCUMENT = (EXAMPLES / "permit-register.toml").read_text()
-SETTINGS = (
+VALID_DOCUMENT = (EXAMPLES / "permit-register.toml").read_text()
+VALID_SETTINGS = (
     'role = "sidecar"\ninstance = "a"\nzone = "z"\n[platform]\ntable_service = "127.0.0.1:1"\n'
     'instance_list = "127.0.0.1:2"\n[endpoint]\nservice = "s"\nkind = "plain"\n'
     'address = "127.0.0.1:3"\n[limits]\nconcurrency = 4\ndrain_limit_s = 10.0\n'
 )
-VALUES = st.sampled_from(
+EDGE_CASE_VALUES = st.sampled_from(
     [
         "-1",
         "0",
@@ -38,18 +38,18 @@
         "[" * 2000 + "]" * 2000,
     ]
 )
-DEEP = ("x = " + "[" * 5000, "x = " + "{a=" * 5000, "[" + "a." * 5000 + "a]")
+DEEPLY_NESTED_TEXTS = ("x = " + "[" * 5000, "x = " + "{a=" * 5000, "[" + "a." * 5000 + "a]")
 
 
 @st.composite
-def changed(draw: st.DrawFn, text: str) -> str:
+def mutated_text(draw: st.DrawFn, text: str) -> str:
     """Return the text with some values and lines replaced."""
     lines = text.splitlines()
     for _ in range(draw(st.integers(1, 3))):
         index = draw(st.integers(0, len(lines) - 1))
-        key, equals, _ = lines[index].partition(" = ")
-        if equals:
-            lines[index] = f"{key} = {draw(VALUES)}"
+        key, separator, _ = lines[index].partition(" = ")
+        if separator:
+            lines[index] = f"{key} = {draw(EDGE_CASE_VALUES)}"
         else:
             lines[index] = draw(st.text(max_size=30))
     return "\n".join(lines)
@@ -58,16 +58,16 @@
 class TestDocuments:
     """Guards against input that an operator wrote and that stops a process or a command."""
 
-    @pytest.mark.parametrize("text", DEEP, ids=["arrays", "tables", "keys"])
-    def test_deep_nesting_is_an_error(self, text: str) -> None:
+    @pytest.mark.parametrize("text", DEEPLY_NESTED_TEXTS, ids=["arrays", "tables", "keys"])
+    def test_deep_nesting_is_rejected(self, text: str) -> None:
         with pytest.raises(DocumentError):
             parse_document(text)
         with pytest.raises(SettingsError):
             parse_settings(text)
 
-    @given(st.one_of(st.text(), changed(DOCUMENT)))
-    @example(DOCUMENT)
-    def test_document_is_accepted_or_explained(self, text: str) -> None:
+    @given(st.one_of(st.text(), mutated_text(VALID_DOCUMENT)))
+    @example(VALID_DOCUMENT)
+    def test_document_is_parsed_or_rejected_with_findings(self, text: str) -> None:
         try:
             document = parse_document(text)
         except DocumentError as exc:
@@ -75,9 +75,9 @@
             return
         assert document.name == tomllib.loads(text)["service"]["name"]
 
-    @given(st.one_of(st.text(), changed(SETTINGS)))
-    @example(SETTINGS)
-    def test_settings_are_accepted_or_explained(self, text: str) -> None:
+    @given(st.one_of(st.text(), mutated_text(VALID_SETTINGS)))
+    @example(VALID_SETTINGS)
+    def test_settings_are_parsed_or_rejected_with_findings(self, text: str) -> None:
         try:
             settings = parse_settings(text)
         except SettingsError as exc:
--- a/cassiadrum/tests/fuzz/test_engine_streams.py
+++ b/cassiadrum/tests/fuzz/test_engine_streams.py
@@ -13,8 +13,8 @@
 
 EVENT = b'data: {"choices": []}\n\n'
 DONE = b"data: [DONE]\n\n"
-HUGE = 1024 * 1024
-PARTS = st.sampled_from(
+HUGE_EVENT_BYTES = 1024 * 1024
+STREAM_PARTS = st.sampled_from(
     [
         EVENT,
         DONE,
@@ -31,23 +31,23 @@
 ) | st.binary(min_size=1, max_size=20)
 
 
-class Script:
+class EngineScript:
     """What the engines send; `cut` ends the connection instead of the answer."""
 
     parts: tuple[bytes, ...] = ()
-    cut = False
+    abort_at_end = False
 
 
 @pytest.fixture(scope="class")
-def script(fuzz_site: FuzzSite) -> Iterator[Script]:
+def script(fuzz_site: FuzzSite) -> Iterator[EngineScript]:
     """Let every engine of the site answer by a script."""
-    current = Script()
+    current = EngineScript()
 
     async def complete(self: EngineStandIn, exchange: Exchange) -> None:
         await exchange.send_head(200, (("content-type", "text/event-stream"),))
         for part in current.parts:
             await exchange.send_data(part)
-        if current.cut:
+        if current.abort_at_end:
             exchange.abort()
         else:
             await exchange.end()
@@ -60,41 +60,41 @@
 class TestEngineStreams:
     """Guards against an engine whose stream hangs, grows or mixes up a caller's answer."""
 
-    @given(st.lists(PARTS, max_size=8))
+    @given(st.lists(STREAM_PARTS, max_size=8))
     @settings(max_examples=80)
-    def test_any_stream_arrives_unchanged(
-        self, fuzz_site: FuzzSite, script: Script, parts: list[bytes]
+    def test_any_stream_is_relayed_unchanged(
+        self, fuzz_site: FuzzSite, script: EngineScript, parts: list[bytes]
     ) -> None:
-        script.parts, script.cut = tuple(parts), False
-        answer = self.ask(fuzz_site)
+        script.parts, script.abort_at_end = tuple(parts), False
+        answer = self.request_completion(fuzz_site)
         assert (answer.status, answer.complete) == (200, True)
         assert answer.body == b"".join(parts)
 
-    @given(st.lists(PARTS, max_size=4))
+    @given(st.lists(STREAM_PARTS, max_size=4))
     @settings(max_examples=30)
-    def test_cut_stream_is_told(
-        self, fuzz_site: FuzzSite, script: Script, parts: list[bytes]
+    def test_aborted_stream_is_reported_to_the_caller(
+        self, fuzz_site: FuzzSite, script: EngineScript, parts: list[bytes]
     ) -> None:
-        script.parts, script.cut = tuple(parts), True
-        answer = self.ask(fuzz_site)
+        script.parts, script.abort_at_end = tuple(parts), True
+        answer = self.request_completion(fuzz_site)
         assert answer.status == 502 or b"event: error\n" in answer.body or not answer.complete
 
     @pytest.mark.parametrize(
         "parts",
-        [(b"data: " + b"z" * HUGE + b"\n\n", DONE), (b"z" * HUGE,)],
+        [(b"data: " + b"z" * HUGE_EVENT_BYTES + b"\n\n", DONE), (b"z" * HUGE_EVENT_BYTES,)],
         ids=["whole", "without an end"],
     )
     def test_huge_event_does_not_hang(
-        self, fuzz_site: FuzzSite, script: Script, parts: tuple[bytes, ...]
+        self, fuzz_site: FuzzSite, script: EngineScript, parts: tuple[bytes, ...]
     ) -> None:
-        script.parts, script.cut = parts, False
-        answer = self.ask(fuzz_site)
-        told = answer.status == 502 or b"event: error\n" in answer.body
-        assert told or answer.body == b"".join(parts)
+        script.parts, script.abort_at_end = parts, False
+        answer = self.request_completion(fuzz_site)
+        reported = answer.status == 502 or b"event: error\n" in answer.body
+        assert reported or answer.body == b"".join(parts)
 
     @staticmethod
-    def ask(fuzz_site: FuzzSite) -> Answer:
-        async def ask() -> Answer:
+    def request_completion(fuzz_site: FuzzSite) -> Answer:
+        async def send() -> Answer:
             return await StreamCaller.completion(fuzz_site.site.entry_address(), "yoke").answer()
 
-        return fuzz_site.run(ask())
+        return fuzz_site.run(send())
--- a/cassiadrum/tests/fuzz/test_http.py
+++ b/cassiadrum/tests/fuzz/test_http.py
@@ -12,11 +12,13 @@
 from cassiadrum.tests.fuzz.conftest import FuzzSite
 from cassiadrum.tests.harness import Answer, call
 
-HEAD = b"POST /services/permit-register/permits HTTP/1.1\r\nhost: a\r\nidempotency-key: k\r\n"
-INNER = b"GET /services/permit-register/permits/smuggled HTTP/1.1\r\nhost: a\r\n\r\n"
+REQUEST_HEAD = (
+    b"POST /services/permit-register/permits HTTP/1.1\r\nhost: a\r\nidempotency-key: k\r\n"
+)
+SMUGGLED_REQUEST = b"GET /services/permit-register/permits/smuggled HTTP/1.1\r\nhost: a\r\n\r\n"
 # Framing headers, the body that follows, and the status that the request has to get. A second
 # request in the body must not be answered.
-FRAMINGS: dict[str, tuple[bytes, bytes, int]] = {
+AMBIGUOUS_FRAMINGS: dict[str, tuple[bytes, bytes, int]] = {
     "both lengths": (b"content-length: 5\r\ntransfer-encoding: chunked\r\n", b"0\r\n\r\n", 400),
     "both, chunked first": (
         b"transfer-encoding: chunked\r\ncontent-length: 5\r\n",
@@ -60,15 +62,15 @@
 class TestHttpBytes:
     """Guards against bytes that stop the server, hang it or get another request's answer."""
 
-    @pytest.mark.parametrize("name", FRAMINGS)
+    @pytest.mark.parametrize("name", AMBIGUOUS_FRAMINGS)
     def test_ambiguous_framing_is_refused(self, fuzz_site: FuzzSite, name: str) -> None:
-        headers, body, status = FRAMINGS[name]
-        data = HEAD + headers + b"\r\n" + body + INNER
+        headers, body, status = AMBIGUOUS_FRAMINGS[name]
+        data = REQUEST_HEAD + headers + b"\r\n" + body + SMUGGLED_REQUEST
         answer = fuzz_site.run(send_raw(fuzz_site.site.entry_address(), data))
         assert answer.startswith(b"HTTP/1.1 %d" % status), answer[:300]
         assert answer.count(b"HTTP/1.1 ") == 1
         assert b"smuggled" not in answer
-        fuzz_site.serves()
+        fuzz_site.assert_services_respond()
 
     @pytest.mark.parametrize(
         "head",
@@ -79,8 +81,8 @@
         ],
         ids=["bare LF", "folded line"],
     )
-    def test_lenient_syntax_is_one_request(self, fuzz_site: FuzzSite, head: bytes) -> None:
-        answer = fuzz_site.run(send_raw(fuzz_site.site.entry_address(), head + INNER))
+    def test_lenient_syntax_yields_one_response(self, fuzz_site: FuzzSite, head: bytes) -> None:
+        answer = fuzz_site.run(send_raw(fuzz_site.site.entry_address(), head + SMUGGLED_REQUEST))
         assert answer.count(b"HTTP/1.1 ") == 1
         assert b"smuggled" not in answer
 
@@ -90,8 +92,10 @@
         )
     )
     @settings(max_examples=150)
-    def test_any_bytes(self, fuzz_site: FuzzSite, data: bytes | tuple[bytes, bytes]) -> None:
-        sent = data if isinstance(data, bytes) else HEAD + data[0] + b"\r\n\r\n" + data[1]
+    def test_any_bytes_cause_no_server_error(
+        self, fuzz_site: FuzzSite, data: bytes | tuple[bytes, bytes]
+    ) -> None:
+        sent = data if isinstance(data, bytes) else REQUEST_HEAD + data[0] + b"\r\n\r\n" + data[1]
         address = fuzz_site.site.entry_address()
         answer = fuzz_site.run(send_raw(address, sent, half_close=True))
         assert not answer or answer.startswith(b"HTTP/1.1 ")
@@ -103,7 +107,9 @@
     )
     @example("x-customer", "Bäckerei".encode("latin-1"))
     @settings(max_examples=60)
-    def test_any_header_value(self, fuzz_site: FuzzSite, name: str, value: bytes) -> None:
+    def test_any_header_value_is_answered(
+        self, fuzz_site: FuzzSite, name: str, value: bytes
+    ) -> None:
         data = (
             b"GET /services/permit-register/permits/1 HTTP/1.1\r\nhost: a\r\n"
             + name.encode()
@@ -124,11 +130,13 @@
     )
     @example(10**30, "max_tokens")
     @settings(max_examples=60)
-    def test_any_completion_body(self, fuzz_site: FuzzSite, value: object, key: str) -> None:
+    def test_any_completion_body_is_answered(
+        self, fuzz_site: FuzzSite, value: object, key: str
+    ) -> None:
         body = {"prompt": "yoke", "max_tokens": 2, key: value}
         if key == "messages":
             del body["prompt"]
-        answer = fuzz_site.run(self.complete(fuzz_site, json.dumps(body).encode()))
+        answer = fuzz_site.run(self.request_completion(fuzz_site, json.dumps(body).encode()))
         assert answer.status in (200, 400), answer
 
     @pytest.mark.parametrize(
@@ -142,17 +150,19 @@
         ids=["deep", "surrogate", "infinite", "not UTF-8"],
     )
     def test_hostile_completion_body_is_refused(self, fuzz_site: FuzzSite, body: bytes) -> None:
-        answer = fuzz_site.run(self.complete(fuzz_site, body))
+        answer = fuzz_site.run(self.request_completion(fuzz_site, body))
         assert (answer.status, answer.json.get("ran")) == (400, "no"), answer
-        fuzz_site.serves()
+        fuzz_site.assert_services_respond()
 
     @pytest.mark.parametrize(("value", "status"), [("null", 200), ("5", 400), ("[]", 400)])
-    def test_adapter_that_is_no_text(self, fuzz_site: FuzzSite, value: str, status: int) -> None:
+    def test_adapter_has_to_be_a_string_or_null(
+        self, fuzz_site: FuzzSite, value: str, status: int
+    ) -> None:
         body = f'{{"prompt": "yoke", "adapter": {value}}}'.encode()
-        assert fuzz_site.run(self.complete(fuzz_site, body)).status == status
+        assert fuzz_site.run(self.request_completion(fuzz_site, body)).status == status
 
     @staticmethod
-    async def complete(fuzz_site: FuzzSite, body: bytes) -> Answer:
+    async def request_completion(fuzz_site: FuzzSite, body: bytes) -> Answer:
         path = "/services/sprachdienst/v1/completions"
         return await call(fuzz_site.site.entry_address(), "POST", path, {}, body)
 
@@ -167,22 +177,22 @@
     async def test_request_is_served_during_a_flood(self) -> None:
         server = HttpServer(echo, connection_limit=40, read_timeout_s=0.5)
         port = await server.start("127.0.0.1", 0)
-        flood = []
+        connections = []
         for number in range(160):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             if number % 2:
                 writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n1")
-            flood.append((reader, writer))
+            connections.append((reader, writer))
         client = HttpClient("127.0.0.1", port)
         async with asyncio.timeout(2.0):
             response = await client.request("POST", "/", (), b"status check")
             assert await response.read() == b"status check"
-        for _, writer in flood:
+        for _, writer in connections:
             writer.transport.abort()
         client.close()
         await server.abort()
 
-    async def test_slow_sender_is_ended(self) -> None:
+    async def test_slow_sender_is_disconnected(self) -> None:
         server = HttpServer(echo, read_timeout_s=0.3)
         port = await server.start("127.0.0.1", 0)
         _reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/cassiadrum/tests/fuzz/test_links.py
+++ b/cassiadrum/tests/fuzz/test_links.py
@@ -29,14 +29,25 @@
 from cassiadrum.tests.fuzz.conftest import FuzzSite
 from cassiadrum.tests.harness import RawLink
 
-VALUES: st.SearchStrategy[Any] = st.recursive(
+CBOR_VALUES: st.SearchStrategy[Any] = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
     max_leaves=10,
 )
 # An order from a fabricated lease holder changes nothing on a plain service, and a document of a
 # higher version is what a peer may send; both only must not stop the process.
-SENT = (Ack, Attach, Cancel, End, FetchDocument, Order, Ping, Report, StartRequest, Versions)
+PEER_MESSAGE_TYPES = (
+    Ack,
+    Attach,
+    Cancel,
+    End,
+    FetchDocument,
+    Order,
+    Ping,
+    Report,
+    StartRequest,
+    Versions,
+)
 HOSTILE_FRAMES = {
     "deep arrays": b"\x81" * 100_000,
     "deep maps": b"\xa1\x00" * 50_000,
@@ -59,48 +70,60 @@
 
     @given(st.binary(max_size=200))
     @settings(max_examples=500)
-    def test_any_bytes(self, frame: bytes) -> None:
-        self.decode(frame)
+    def test_any_bytes_are_decoded_or_rejected(self, frame: bytes) -> None:
+        self.decode_if_valid(frame)
 
-    @given(st.integers(-2, len(MESSAGE_TYPES) + 3), st.lists(VALUES, max_size=20))
+    @given(st.integers(-2, len(MESSAGE_TYPES) + 3), st.lists(CBOR_VALUES, max_size=20))
     @settings(max_examples=500)
-    def test_any_fields(self, code: int, fields: list[Any]) -> None:
-        for msg in self.decode(cbor2.dumps([code, *fields])):
+    def test_any_fields_decode_to_the_type_of_their_code(
+        self, code: int, fields: list[Any]
+    ) -> None:
+        for msg in self.decode_if_valid(cbor2.dumps([code, *fields])):
             assert msg is None or MESSAGE_TYPES[code] is type(msg)
 
     @pytest.mark.parametrize("name", HOSTILE_FRAMES)
-    def test_hostile_frame(self, name: str) -> None:
+    def test_hostile_frame_is_rejected(self, name: str) -> None:
         with pytest.raises(BadFrame):
             decode_messages(HOSTILE_FRAMES[name])
 
-    @given(st.lists(VALUES, max_size=3))
-    def test_unknown_fields_at_the_end_are_ignored(self, more: list[Any]) -> None:
+    @given(st.lists(CBOR_VALUES, max_size=3))
+    def test_unknown_fields_at_the_end_are_ignored(self, extra_fields: list[Any]) -> None:
         msg = Versions({"a": 1})
-        assert decode_messages(cbor2.dumps([*cbor2.loads(encode_message(msg)), *more])) == [msg]
+        assert decode_messages(
+            cbor2.dumps([*cbor2.loads(encode_message(msg)), *extra_fields])
+        ) == [msg]
 
     @staticmethod
-    def decode(frame: bytes) -> list[Message | None]:
+    def decode_if_valid(frame: bytes) -> list[Message | None]:
         try:
             return decode_messages(frame)
         except BadFrame:
             return []
 
 
-class TestSidecar:
+class TestSidecarLinks:
     """Guards against a peer whose messages stop a sidecar or touch others' work."""
 
-    @given(st.lists(st.one_of(*(st.from_type(kind) for kind in SENT)), min_size=1, max_size=6))
+    @given(
+        st.lists(
+            st.one_of(*(st.from_type(message_type) for message_type in PEER_MESSAGE_TYPES)),
+            min_size=1,
+            max_size=6,
+        )
+    )
     @settings(max_examples=80)
-    def test_any_messages(self, fuzz_site: FuzzSite, messages: list[Message]) -> None:
-        fuzz_site.run(self.send(fuzz_site, messages))
-        fuzz_site.serves()
+    def test_any_messages_leave_the_services_available(
+        self, fuzz_site: FuzzSite, messages: list[Message]
+    ) -> None:
+        fuzz_site.run(self.send_to_sidecars(fuzz_site, messages))
+        fuzz_site.assert_services_respond()
 
     @pytest.mark.parametrize("text", ["", "[service]", "x = " + "[" * 5000])
     def test_invalid_document_is_not_applied(self, fuzz_site: FuzzSite, text: str) -> None:
         document = Document("sprachdienst", 2**40, text, False)
-        fuzz_site.run(self.send(fuzz_site, [document]), errors_expected=True)
+        fuzz_site.run(self.send_to_sidecars(fuzz_site, [document]), errors_expected=True)
         assert fuzz_site.site.endpoints[0].sidecar.status()["versions"]["sprachdienst"] == 1
-        fuzz_site.serves()
+        fuzz_site.assert_services_respond()
 
     @pytest.mark.parametrize("name", HOSTILE_FRAMES)
     def test_hostile_frame_closes_only_its_connection(
@@ -113,10 +136,10 @@
                 await link.receive(StartRequest)
 
         fuzz_site.run(send())
-        fuzz_site.serves()
+        fuzz_site.assert_services_respond()
 
     @staticmethod
-    async def send(fuzz_site: FuzzSite, messages: list[Message]) -> None:
+    async def send_to_sidecars(fuzz_site: FuzzSite, messages: list[Message]) -> None:
         """Send the messages to a sidecar of each kind, and wait until they were handled."""
         for endpoint in (fuzz_site.site.endpoints[0], fuzz_site.site.endpoints[-1]):
             link = await RawLink.open(endpoint.sidecar.addresses["link"])
--- a/cassiadrum/tests/fuzz/test_platform.py
+++ b/cassiadrum/tests/fuzz/test_platform.py
@@ -23,9 +23,9 @@
 from cassiadrum.stores.errors import StoreUnavailable
 from cassiadrum.tests.gateways.sites import make_configuration, make_settings
 
-NESTED = b'{"x": ' + b"[" * 60_000
+DEEPLY_NESTED_JSON = b'{"x": ' + b"[" * 60_000
 MANY_DIGITS = "9" * 5000
-ENTRY = {
+VALID_REGISTRATION = {
     "service": "engine",
     "address": "127.0.0.1:9",
     "zone": "a",
@@ -34,34 +34,34 @@
     "cold_left_ms": 0,
     "born": 1,
 }
-LIMITS = settings(max_examples=200, deadline=None)
+EXAMPLE_SETTINGS = settings(max_examples=200, deadline=None)
 
-values = st.recursive(
+json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
     max_leaves=8,
 )
 
 
-def changed(document: dict[str, object]) -> st.SearchStrategy[bytes]:
+def mutated_json(document: dict[str, object]) -> st.SearchStrategy[bytes]:
     """Return documents of which some fields have other values, and bytes that are none."""
-    fields = st.dictionaries(st.sampled_from(sorted(document)), values, max_size=3)
+    fields = st.dictionaries(st.sampled_from(sorted(document)), json_values, max_size=3)
     documents = fields.map(lambda other: json.dumps({**document, **other}).encode())
     return documents | st.binary(max_size=60)
 
 
-texts = st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=60)
+header_values = st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=60)
 
 
 class TestRecords:
     """Guards against a row that ends the following of the store."""
 
-    @LIMITS
-    @given(changed(ENTRY))
-    @example(NESTED)
-    @example(json.dumps({**ENTRY, "address": "127.0.0.1:99999999"}).encode())
-    @example(json.dumps({**ENTRY, "address": f"127.0.0.1:{MANY_DIGITS}"}).encode())
-    def test_registration(self, data: bytes) -> None:
+    @EXAMPLE_SETTINGS
+    @given(mutated_json(VALID_REGISTRATION))
+    @example(DEEPLY_NESTED_JSON)
+    @example(json.dumps({**VALID_REGISTRATION, "address": "127.0.0.1:99999999"}).encode())
+    @example(json.dumps({**VALID_REGISTRATION, "address": f"127.0.0.1:{MANY_DIGITS}"}).encode())
+    def test_registration_is_decoded_or_rejected(self, data: bytes) -> None:
         try:
             entry = decode_entry("i-0", data)
         except BadRecord:
@@ -69,27 +69,27 @@
         assert 0 < entry.address.port < 65_536
         assert entry.slots > 0
 
-    @LIMITS
-    @given(changed(make_configuration()))
-    @example(NESTED)
-    def test_configuration(self, data: bytes) -> None:
-        self._raises_only(BadRecord, lambda: decode_catalog(data))
-
-    @LIMITS
-    @given(changed(make_settings(1, 2, 3)))
-    @example(NESTED)
-    def test_settings(self, data: bytes) -> None:
-        self._raises_only(BadSettings, lambda: parse_node_settings(data))
-
-    @LIMITS
-    @given(changed({"running": 1, "waiting": 2}))
-    @example(NESTED)
+    @EXAMPLE_SETTINGS
+    @given(mutated_json(make_configuration()))
+    @example(DEEPLY_NESTED_JSON)
+    def test_configuration_is_decoded_or_rejected(self, data: bytes) -> None:
+        self._assert_raises_only(BadRecord, lambda: decode_catalog(data))
+
+    @EXAMPLE_SETTINGS
+    @given(mutated_json(make_settings(1, 2, 3)))
+    @example(DEEPLY_NESTED_JSON)
+    def test_settings_are_decoded_or_rejected(self, data: bytes) -> None:
+        self._assert_raises_only(BadSettings, lambda: parse_node_settings(data))
+
+    @EXAMPLE_SETTINGS
+    @given(mutated_json({"running": 1, "waiting": 2}))
+    @example(DEEPLY_NESTED_JSON)
     @example(b'{"running": %s, "waiting": 1}' % MANY_DIGITS.encode())
-    def test_load_report(self, data: bytes) -> None:
-        self._raises_only(BadMessage, lambda: PlatformProtocol().decode_load(data, 4))
+    def test_load_report_is_decoded_or_rejected(self, data: bytes) -> None:
+        self._assert_raises_only(BadMessage, lambda: PlatformProtocol().decode_load(data, 4))
 
     @staticmethod
-    def _raises_only(kind: type[Exception], decode: Callable[[], object]) -> None:
+    def _assert_raises_only(kind: type[Exception], decode: Callable[[], object]) -> None:
         try:
             decode()
         except kind:
@@ -99,34 +99,59 @@
 class TestHeaders:
     """Guards against a header that ends a request without an answer."""
 
-    @LIMITS
-    @given(tokens=texts, prompt=texts, timeout=texts, event=texts)
-    @example(tokens="", prompt="a:\xb2", timeout="nan", event="\xb2")
-    @example(tokens=f"{MANY_DIGITS},1", prompt=f"a:{MANY_DIGITS}", timeout="inf", event="1")
-    def test_call(self, tokens: str, prompt: str, timeout: str, event: str) -> None:
+    @EXAMPLE_SETTINGS
+    @given(
+        tokens=header_values,
+        prompt=header_values,
+        timeout=header_values,
+        last_event_id=header_values,
+    )
+    @example(tokens="", prompt="a:\xb2", timeout="nan", last_event_id="\xb2")
+    @example(
+        tokens=f"{MANY_DIGITS},1", prompt=f"a:{MANY_DIGITS}", timeout="inf", last_event_id="1"
+    )
+    def test_call_headers_are_decoded(
+        self, tokens: str, prompt: str, timeout: str, last_event_id: str
+    ) -> None:
         headers = (
             ("host", "a"),
             (Header.REQUEST_ID, "r-1"),
             (Header.TOKENS, tokens),
             (Header.PROMPT_PARTS, prompt),
             (Header.TIMEOUT, timeout),
-            (Header.LAST_EVENT_ID, event),
+            (Header.LAST_EVENT_ID, last_event_id),
         )
         call = PlatformProtocol().decode_call(HttpRequest("POST", "/a", headers, b""))
         assert all(part.tokens >= 0 for part in call.prompt)
 
-    @LIMITS
-    @given(status=st.integers(100, 599), load=texts, alive=texts, pause=texts)
-    @example(status=503, load=f"1,2,{MANY_DIGITS}", alive=f"timeout={MANY_DIGITS}", pause="1e999")
-    def test_answer(self, status: int, load: str, alive: str, pause: str) -> None:
-        headers = ((Header.LOAD, load), ("keep-alive", alive), (Header.RETRY_AFTER, pause))
+    @EXAMPLE_SETTINGS
+    @given(
+        status=st.integers(100, 599),
+        load=header_values,
+        keep_alive=header_values,
+        retry_after=header_values,
+    )
+    @example(
+        status=503,
+        load=f"1,2,{MANY_DIGITS}",
+        keep_alive=f"timeout={MANY_DIGITS}",
+        retry_after="1e999",
+    )
+    def test_response_headers_are_decoded(
+        self, status: int, load: str, keep_alive: str, retry_after: str
+    ) -> None:
+        headers = (
+            (Header.LOAD, load),
+            ("keep-alive", keep_alive),
+            (Header.RETRY_AFTER, retry_after),
+        )
         head = PlatformProtocol().decode_head(status, headers)
         assert head.pause_s is None or 0.0 < head.pause_s < float("inf")
 
-    @LIMITS
-    @given(texts)
+    @EXAMPLE_SETTINGS
+    @given(header_values)
     @example(MANY_DIGITS)
-    def test_era(self, text: str) -> None:
+    def test_era_is_decoded_or_ignored(self, text: str) -> None:
         era = StoreEra()
         era.observe(text)
         assert era.number is None or era.number >= 0
@@ -135,12 +160,12 @@
 class TestEvents:
     """Guards against an event that ends a stream with anything but a failed attempt."""
 
-    @LIMITS
-    @given(texts, st.lists(st.binary(max_size=40), max_size=6))
+    @EXAMPLE_SETTINGS
+    @given(header_values, st.lists(st.binary(max_size=40), max_size=6))
     @example("\xb2", [b"id: 1\ndata: x\n\n"])
     @example("1", [b"id: " + MANY_DIGITS.encode() + b"\ndata: x\n\n"])
     @example(MANY_DIGITS, [b"id: 1\ndata: x\n\n"])
-    def test_feed(self, last_id: str, parts: list[bytes]) -> None:
+    def test_any_events_end_or_fail_the_attempt(self, last_id: str, parts: list[bytes]) -> None:
         events = EventSequence(last_id)
         try:
             for part in parts:
@@ -150,21 +175,24 @@
             return
 
 
-class TestStoreAnswers:
+class TestStoreResponses:
     """Guards against an answer of the store that takes the memory or ends the following."""
 
-    @LIMITS
-    @given(status=st.sampled_from([200, 410, 503]), body=st.binary(max_size=60) | st.just(NESTED))
+    @EXAMPLE_SETTINGS
+    @given(
+        status=st.sampled_from([200, 410, 503]),
+        body=st.binary(max_size=60) | st.just(DEEPLY_NESTED_JSON),
+    )
     @example(
         200, msgspec.json.encode({"rows": [{"key": "a", "value": "#"}], "ver": 1, "now_ms": 1})
     )
-    def test_any_body(self, status: int, body: bytes) -> None:
+    def test_any_body_is_read_or_reported_unavailable(self, status: int, body: bytes) -> None:
         async def serve(exchange: Exchange) -> None:
             await exchange.send(status, body, "application/json")
 
-        asyncio.run(self._read(serve))
+        asyncio.run(self._read_all(serve))
 
-    def test_body_without_end(self) -> None:
+    def test_endless_body_is_cut_off(self) -> None:
         sent = 0
 
         async def serve(exchange: Exchange) -> None:
@@ -176,17 +204,19 @@
             exchange.abort()
 
         with pytest.raises(StoreUnavailable):
-            asyncio.run(self._read(serve, swallow=False))
+            asyncio.run(self._read_all(serve, ignore_errors=False))
         assert sent < 2 * MAX_RESPONSE_BYTES
 
     @staticmethod
-    async def _read(serve: Callable[[Exchange], object], *, swallow: bool = True) -> None:
+    async def _read_all(
+        serve: Callable[[Exchange], object], *, ignore_errors: bool = True
+    ) -> None:
         server = HttpServer(serve)  # type: ignore[arg-type]
         store = RowStore(Address("127.0.0.1", await server.start("127.0.0.1", 0)))
         try:
             await store.read_all("servers")
         except (StoreUnavailable, HistoryGone):
-            if not swallow:
+            if not ignore_errors:
                 raise
         finally:
             store.close()
--- a/cassiadrum/tests/integration/conftest.py
+++ b/cassiadrum/tests/integration/conftest.py
@@ -13,9 +13,9 @@
 
 LONG_PROMPT = "assessment 4"
 # A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
-FULL_RETRIES = (("retry_budget = 0.1", "retry_budget = 1.0"),)
+FULL_RETRY_BUDGET = (("retry_budget = 0.1", "retry_budget = 1.0"),)
 # Brings the times after which a silent endpoint is given up down to about 10 s for all classes.
-SHORT_LIMITS = (
+SHORT_DEADLINES = (
     (r"(cancellable = false\n.*\n)deadline_s = 60\.0", r"\1deadline_s = 12.0\nmax_wait_s = 10.0"),
     (r"target_total_s = 30\.0", "target_total_s = 3.0"),
     (r"target_first_token_s = .*", "target_first_token_s = 3.0\ntarget_total_s = 3.0"),
@@ -40,14 +40,16 @@
         await site.close()
 
 
-async def is_clean(site: ProcessSite, outcomes: Sequence[CallerOutcome] = ()) -> None:
+async def assert_invariants_hold(
+    site: ProcessSite, outcomes: Sequence[CallerOutcome] = ()
+) -> None:
     """Stop the site gracefully and assert that every invariant held."""
     record = await site.finish(list(outcomes))
     assert record.missing_events == 0
     assert [str(violation) for violation in check_record(record)] == []
 
 
-async def serves_every_class(site: ProcessSite) -> None:
+async def assert_every_class_is_served(site: ProcessSite) -> None:
     """Assert that each class is served again at each entry instance after the fault."""
     for number, entry in enumerate(site.entries):
         address = site.children[entry].ready["http"]
--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -8,14 +8,14 @@
 from cassiadrum.links.messages import Order, OrderResult
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import ProcessSite, RawLink, StreamCaller, Way, call, until
-from cassiadrum.tests.integration.conftest import LONG_PROMPT, MakeSite, is_clean
+from cassiadrum.tests.integration.conftest import LONG_PROMPT, MakeSite, assert_invariants_hold
 
 pytestmark = pytest.mark.integration
 
-BURST = 120
+EXPORT_COUNT = 120
 
 
-def overtaken(events: list[Event]) -> int:
+def count_exports_ahead_of_checks(events: list[Event]) -> int:
     """Count the dispatches of exports while a status check waited at the same entry instance."""
     waiting: set[str] = set()
     count = 0
@@ -31,17 +31,17 @@
 class TestBursts:
     """Guards against important work that waits behind, or is shed for, a burst of other work."""
 
-    async def test_burst_of_exports_does_not_touch_brigade_checks(
+    async def test_burst_of_exports_does_not_delay_status_checks(
         self, make_site: MakeSite
     ) -> None:
         site = await make_site(services=("permit-register",), limits="queue_requests = 40")
-        for part in site.endpoints.values():
-            await call(part.address, "POST", "/faults", {}, b'{"service_s": 0.2}')
+        for endpoint in site.endpoints.values():
+            await call(endpoint.address, "POST", "/faults", {}, b'{"service_s": 0.2}')
         prefix = "/services/permit-register"
         addresses = [site.http(name) for name in site.entries]
         exports = [
             asyncio.create_task(call(addresses[number % 2], "GET", f"{prefix}/export/{number}"))
-            for number in range(BURST)
+            for number in range(EXPORT_COUNT)
         ]
         await until(lambda: len(site.events(EventKind.QUEUED)) > 20, "a queue")
         checks = await asyncio.gather(
@@ -55,15 +55,17 @@
             ("no", "evicted"),
         }
         assert all(problem["retry_after_s"] > 0 for problem in refused)
-        assert 0 < len(refused) < BURST
-        await is_clean(site)
-        assert [overtaken(site.events(instance=name)) for name in site.entries] == [0, 0]
+        assert 0 < len(refused) < EXPORT_COUNT
+        await assert_invariants_hold(site)
+        assert [
+            count_exports_ahead_of_checks(site.events(instance=name)) for name in site.entries
+        ] == [0, 0]
 
 
 class TestPlannedChanges:
     """Guards against requests cut off by planned stops and against work for leaving endpoints."""
 
-    async def test_replacing_every_instance_loses_nothing(self, make_site: MakeSite) -> None:
+    async def test_replacing_every_instance_loses_no_request(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.01)
         async with site.load(rate_per_s=15.0, duration_s=8.0) as sender:
             for name in (*site.sidecars(), *site.entries):
@@ -72,7 +74,7 @@
         lost = [o for o in sender.outcomes if o.status not in (0, 200, 201)]
         assert all(outcome.ran == "no" for outcome in lost), lost
         assert all(outcome.complete for outcome in sender.outcomes if outcome.status == 200)
-        await is_clean(site, sender.outcomes)
+        await assert_invariants_hold(site, sender.outcomes)
 
     async def test_leaving_endpoint_gets_no_new_work(self, make_site: MakeSite) -> None:
         site = await make_site(services=("sprachdienst",), step_s=0.12)
@@ -84,19 +86,23 @@
             lambda: bool(site.events(EventKind.DRAINING, leaving)), "the start of the stop"
         )
         # The stream takes 6 s, so that requests arrive after the limit of 3 s.
-        later: list[StreamCaller] = []
+        later_callers: list[StreamCaller] = []
         while not caller.done:
-            later.append(StreamCaller.completion(site.http("entry-2"), f"{len(later)}", 1))
+            later_callers.append(
+                StreamCaller.completion(site.http("entry-2"), f"{len(later_callers)}", 1)
+            )
             await asyncio.sleep(0.2)
         answer = await caller.answer()
         assert await site.children[leaving].wait() == 0
-        assert [(await other.answer()).status for other in later] == [200] * len(later)
-        assert len(later) > 20
+        assert [(await other.answer()).status for other in later_callers] == [200] * len(
+            later_callers
+        )
+        assert len(later_callers) > 20
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
         (draining,) = site.events(EventKind.DRAINING, leaving)
         started = site.events(EventKind.STARTED, leaving)
         assert all(event.sequence < draining.sequence for event in started)
-        await is_clean(site)
+        await assert_invariants_hold(site)
 
     @pytest.mark.parametrize("victim", ["entry-1", "sprachdienst-1"])
     @pytest.mark.parametrize("during", ["link silent", "engine slow", "peer killed"])
@@ -113,13 +119,13 @@
             if during == "link silent":
                 site.proxies["link:sprachdienst-1"].silence(Way.TO_CLIENT)
             elif during == "engine slow":
-                for part in site.endpoints.values():
-                    await call(part.address, "POST", "/faults", {}, b'{"slow_factor": 4.0}')
+                for endpoint in site.endpoints.values():
+                    await call(endpoint.address, "POST", "/faults", {}, b'{"slow_factor": 4.0}')
             else:
                 await site.kill("sprachdienst-2")
             await site.stop(victim)
         assert all(o.complete or o.ran for o in sender.outcomes if o.status == 200)
-        await is_clean(site, sender.outcomes)
+        await assert_invariants_hold(site, sender.outcomes)
 
     async def test_restarted_sidecar_is_found_at_its_new_address(
         self, make_site: MakeSite
@@ -128,7 +134,7 @@
         await site.kill("permit-register-1")
         await site.launch("permit-register-1")
         await until(site.all_linked, "a link to the new address")
-        await is_clean(site)
+        await assert_invariants_hold(site)
 
 
 class TestLeases:
@@ -144,12 +150,12 @@
             site.children[first].resume()
         await until(lambda: bool(site.events(EventKind.LEASE_LOST, first)), "the loss noticed")
         assert len({event.instance for event in site.events(EventKind.LEASE_ACQUIRED)}) == 2
-        results = [await self.order(site, fencing) for fencing in (2, 1, 2)]
+        results = [await self.send_order(site, fencing) for fencing in (2, 1, 2)]
         assert [result.ok for result in results] == [True, False, True], results
-        await is_clean(site)
+        await assert_invariants_hold(site)
 
     @staticmethod
-    async def order(site: ProcessSite, fencing: int) -> OrderResult:
+    async def send_order(site: ProcessSite, fencing: int) -> OrderResult:
         """Send an order as a holder with this fencing token would."""
         link = await RawLink.open(site.children["sprachdienst-1"].ready["link"])
         await link.send(Order(f"order-{fencing}", "claims", fencing, "load_model", "m"))
--- a/cassiadrum/tests/integration/test_fault_pairs.py
+++ b/cassiadrum/tests/integration/test_fault_pairs.py
@@ -9,11 +9,11 @@
 from cassiadrum.tests.harness import until
 from cassiadrum.tests.harness.faults import FAULTS, HOPS
 from cassiadrum.tests.integration.conftest import (
-    FULL_RETRIES,
-    SHORT_LIMITS,
+    FULL_RETRY_BUDGET,
+    SHORT_DEADLINES,
     MakeSite,
-    is_clean,
-    serves_every_class,
+    assert_every_class_is_served,
+    assert_invariants_hold,
 )
 
 pytestmark = pytest.mark.integration
@@ -22,7 +22,7 @@
 # `make soak SEEDS=n` sets the number of seeds after the fixed ones.
 SOAK_SEEDS = int(os.environ.get("SOAK_SEEDS", "0"))
 SEEDS = range(101, 101 + SOAK_SEEDS) if SOAK_SEEDS else FIXED_SEEDS
-LOAD_S = 4.0
+LOAD_DURATION_S = 4.0
 
 
 class TestFaultPairs:
@@ -34,18 +34,23 @@
         rng = random.Random(seed)
         names = rng.choices(sorted(FAULTS), k=2)
         print("faults:", names)
-        site = await make_site(hops=HOPS, step_s=0.02, edits=FULL_RETRIES + SHORT_LIMITS)
+        site = await make_site(hops=HOPS, step_s=0.02, edits=FULL_RETRY_BUDGET + SHORT_DEADLINES)
 
         async def inject(name: str, delay_s: float, rng: random.Random) -> None:
             await asyncio.sleep(delay_s)
             await FAULTS[name].inject(site, rng)
 
-        async with site.load(rate_per_s=15.0, duration_s=LOAD_S, seed=seed) as sender:
+        async with site.load(rate_per_s=15.0, duration_s=LOAD_DURATION_S, seed=seed) as sender:
             # The moment is a part of the seed, not a wait for a state.
-            moments = [(name, rng.uniform(0.0, LOAD_S / 2), rng.random()) for name in names]
+            injections = [
+                (name, rng.uniform(0.0, LOAD_DURATION_S / 2), rng.random()) for name in names
+            ]
             await asyncio.gather(
-                *(inject(name, at_s, random.Random(pick)) for name, at_s, pick in moments)
+                *(
+                    inject(name, delay_s, random.Random(fault_seed))
+                    for name, delay_s, fault_seed in injections
+                )
             )
         await until(site.all_linked, "links after the faults")
-        await serves_every_class(site)
-        await is_clean(site, sender.outcomes)
+        await assert_every_class_is_served(site)
+        await assert_invariants_hold(site, sender.outcomes)
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -7,7 +7,12 @@
 from cassiadrum.events import EventKind
 from cassiadrum.standins import answer_tokens
 from cassiadrum.tests.harness import StreamCaller, Way, call, until
-from cassiadrum.tests.integration.conftest import FULL_RETRIES, LONG_PROMPT, MakeSite, is_clean
+from cassiadrum.tests.integration.conftest import (
+    FULL_RETRY_BUDGET,
+    LONG_PROMPT,
+    MakeSite,
+    assert_invariants_hold,
+)
 
 pytestmark = pytest.mark.integration
 
@@ -15,7 +20,7 @@
 class TestInstances:
     """Guards against answers lost with an instance."""
 
-    async def test_killed_entry_instance_leaves_the_rest_to_another(
+    async def test_answer_of_a_killed_entry_instance_continues_at_another(
         self, make_site: MakeSite
     ) -> None:
         site = await make_site(step_s=0.03)
@@ -23,19 +28,21 @@
             caller = StreamCaller.completion(site.http("entry-1"), LONG_PROMPT)
             await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
             await site.kill("entry-1")
-            broken = await caller.answer()
-            target = f"/requests/{caller.request_id}?position={len(broken.body)}"
-            rest = await call(site.http("entry-2"), "GET", target)
-        assert not broken.complete
-        assert (rest.status, rest.complete) == (200, True)
-        whole = (broken.body + rest.body).decode()
-        assert [whole.count(f'"{token}"') >= 1 for token in answer_tokens(LONG_PROMPT)]
-        assert whole.count('"content"') == len(answer_tokens(LONG_PROMPT))
-        assert whole.endswith("data: [DONE]\n\n")
-        await is_clean(site, sender.outcomes)
+            partial = await caller.answer()
+            target = f"/requests/{caller.request_id}?position={len(partial.body)}"
+            remainder = await call(site.http("entry-2"), "GET", target)
+        assert not partial.complete
+        assert (remainder.status, remainder.complete) == (200, True)
+        combined = (partial.body + remainder.body).decode()
+        assert [combined.count(f'"{token}"') >= 1 for token in answer_tokens(LONG_PROMPT)]
+        assert combined.count('"content"') == len(answer_tokens(LONG_PROMPT))
+        assert combined.endswith("data: [DONE]\n\n")
+        await assert_invariants_hold(site, sender.outcomes)
 
-    async def test_killed_sidecar_continues_at_another_engine(self, make_site: MakeSite) -> None:
-        site = await make_site(step_s=0.03, edits=FULL_RETRIES)
+    async def test_stream_of_a_killed_sidecar_continues_at_another_engine(
+        self, make_site: MakeSite
+    ) -> None:
+        site = await make_site(step_s=0.03, edits=FULL_RETRY_BUDGET)
         async with site.load() as sender:
             caller = StreamCaller.completion(site.http(), LONG_PROMPT)
             await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
@@ -44,7 +51,7 @@
             answer = await caller.answer()
         assert answer.complete
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
-        await is_clean(site, sender.outcomes)
+        await assert_invariants_hold(site, sender.outcomes)
 
     @pytest.mark.parametrize("way", Way)
     async def test_silent_link_is_attached_again(self, make_site: MakeSite, way: Way) -> None:
@@ -56,11 +63,11 @@
         answer = await caller.answer()
         assert answer.body.count(b'"content"') == len(answer_tokens(LONG_PROMPT))
         assert answer.body.endswith(b"data: [DONE]\n\n")
-        await is_clean(site)
-        own = [e.kind for e in site.events() if f"{e.request_id}.1" == request_id]
+        await assert_invariants_hold(site)
+        event_kinds = [e.kind for e in site.events() if f"{e.request_id}.1" == request_id]
         # The same attempt goes on; a second one would compute the answer again.
-        assert own.count(EventKind.DISPATCHED) == 1
-        assert EventKind.REATTACHED in own
+        assert event_kinds.count(EventKind.DISPATCHED) == 1
+        assert EventKind.REATTACHED in event_kinds
 
     async def test_stopped_instances_finish_their_streams(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.03)
@@ -73,5 +80,5 @@
             answers = [await caller.answer() for caller in callers]
         assert all(answer.complete and answer.status == 200 for answer in answers)
         assert all(answer.body.endswith(b"data: [DONE]\n\n") for answer in answers)
-        await is_clean(site, sender.outcomes)
+        await assert_invariants_hold(site, sender.outcomes)
         assert len(site.events(EventKind.STOPPED)) == 6
--- a/cassiadrum/tests/integration/test_single_faults.py
+++ b/cassiadrum/tests/integration/test_single_faults.py
@@ -8,18 +8,18 @@
 from cassiadrum.tests.harness import ProcessSite, StreamCaller, call, until
 from cassiadrum.tests.harness.faults import FAULTS, HOPS
 from cassiadrum.tests.integration.conftest import (
-    FULL_RETRIES,
+    FULL_RETRY_BUDGET,
     LONG_PROMPT,
-    SHORT_LIMITS,
+    SHORT_DEADLINES,
     MakeSite,
-    is_clean,
-    serves_every_class,
+    assert_every_class_is_served,
+    assert_invariants_hold,
 )
 
 pytestmark = pytest.mark.integration
 
 
-async def rest_of(site: ProcessSite, caller: StreamCaller) -> bytes:
+async def fetch_remainder(site: ProcessSite, caller: StreamCaller) -> bytes:
     """Fetch what the caller of a broken connection lacks through another entry instance."""
     target = f"/requests/{caller.request_id}?position={len(caller.body)}"
     answer = await call(site.http("entry-2"), "GET", target)
@@ -34,7 +34,7 @@
     async def test_answers_survive(self, make_site: MakeSite, name: str) -> None:
         fault = FAULTS[name]
         rng = random.Random(name)
-        site = await make_site(hops=HOPS, step_s=0.02, edits=FULL_RETRIES + SHORT_LIMITS)
+        site = await make_site(hops=HOPS, step_s=0.02, edits=FULL_RETRY_BUDGET + SHORT_DEADLINES)
         async with site.load(rate_per_s=15.0, duration_s=2.5) as sender:
             caller = StreamCaller.completion(site.http("entry-1"), LONG_PROMPT)
             await until(lambda: caller.body.count(b"\n\n") >= 3, "three events")
@@ -43,10 +43,10 @@
             if fault.keeps_streams:
                 body = (await caller.answer()).body
             elif caller.request_id:
-                body = caller.body + await rest_of(site, caller)
+                body = caller.body + await fetch_remainder(site, caller)
         await until(site.all_linked, "links after the fault")
-        await serves_every_class(site)
+        await assert_every_class_is_served(site)
         await caller.leave()
         assert body.count(b'"content"') == len(answer_tokens(LONG_PROMPT)), body[-400:]
         assert body.endswith(b"data: [DONE]\n\n")
-        await is_clean(site, sender.outcomes)
+        await assert_invariants_hold(site, sender.outcomes)
