Reword the doc comments of the fuzz and integration tests

Each test class says which failure it guards against and how it comes about. Texts of waits name the state that was not reached.

--- a/cassiadrum/tests/fuzz/__init__.py
+++ b/cassiadrum/tests/fuzz/__init__.py
@@ -1,1 +1,1 @@
-"""Tests with generated input from outside."""
+"""Fuzz tests: generated input at every interface that reads data from outside."""
--- a/cassiadrum/tests/fuzz/conftest.py
+++ b/cassiadrum/tests/fuzz/conftest.py
@@ -1,4 +1,4 @@
-"""A site in the test's process that generated examples share."""
+"""An in-process site that all generated examples of a test class share."""
 
 import asyncio
 import logging
@@ -18,19 +18,19 @@
 
 
 class ErrorRecorder(logging.Handler):
-    """Collect what the product logs as an error: an exception that nothing expected."""
+    """Collects log records of level ERROR, which report unexpected exceptions."""
 
     def __init__(self) -> None:
         super().__init__(logging.ERROR)
         self.messages: list[str] = []
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Keep the message with its traceback."""
+        """Store the formatted message with its traceback."""
         self.messages.append(logging.Formatter().format(record))
 
 
 class FuzzSite:
-    """Run coroutines against a local site; `errors` holds unexpected errors."""
+    """Runs coroutines against a local site and fails if the site logs an unexpected error."""
 
     def __init__(self) -> None:
         self._runner = asyncio.Runner()
@@ -42,7 +42,11 @@
         self._runner.run(self.site.start())
 
     def run(self, coroutine: Coroutine[Any, Any, T], *, errors_expected: bool = False) -> T:
-        """Run one example; it has to end within EXAMPLE_LIMIT_S without an unexpected error."""
+        """Run one example and return its result.
+
+        Raises TimeoutError after EXAMPLE_TIMEOUT_S, and AssertionError if an error was logged,
+        unless `errors_expected`.
+        """
 
         async def run_with_timeout() -> T:
             async with asyncio.timeout(EXAMPLE_TIMEOUT_S):
@@ -55,7 +59,7 @@
         return result
 
     def assert_services_respond(self) -> None:
-        """Assert that an ordinary request of each service is answered."""
+        """Assert that each service answers a valid request with status 200."""
 
         async def request_each_service() -> list[Answer]:
             address = self.site.entry_address()
@@ -70,7 +74,7 @@
         assert [answer.status for answer in answers] == [200, 200], answers
 
     def close(self) -> None:
-        """Stop the site and the loop."""
+        """Stop the site and close the event loop."""
         for name in ("cassiadrum", "asyncio"):
             logging.getLogger(name).removeHandler(self._error_recorder)
         self._runner.run(self.site.drain())
@@ -80,7 +84,7 @@
 
 @pytest.fixture(scope="class")
 def fuzz_site() -> Iterator[FuzzSite]:
-    """Run a site for all examples of a class."""
+    """Run one site for all examples of a test class."""
     site = FuzzSite()
     yield site
     site.close()
--- a/cassiadrum/tests/fuzz/test_documents.py
+++ b/cassiadrum/tests/fuzz/test_documents.py
@@ -1,4 +1,4 @@
-"""Generated service documents and settings."""
+"""Tests of the parsers of service documents and settings with generated text."""
 
 import tomllib
 from pathlib import Path
@@ -43,7 +43,7 @@
 
 @st.composite
 def mutated_text(draw: st.DrawFn, text: str) -> str:
-    """Return the text with some values and lines replaced."""
+    """Return the text with one to three values or lines replaced."""
     lines = text.splitlines()
     for _ in range(draw(st.integers(1, 3))):
         index = draw(st.integers(0, len(lines) - 1))
@@ -56,7 +56,11 @@
 
 
 class TestDocuments:
-    """Guards against input that an operator wrote and that stops a process or a command."""
+    """Guards against a document or settings file that ends a process with an unexpected exception.
+
+    Operators write these files by hand. Any text has to be either parsed or rejected with
+    findings, also if it nests so deeply that the TOML parser reaches the recursion limit.
+    """
 
     @pytest.mark.parametrize("text", DEEPLY_NESTED_TEXTS, ids=["arrays", "tables", "keys"])
     def test_deep_nesting_is_rejected(self, text: str) -> None:
--- a/cassiadrum/tests/fuzz/test_engine_streams.py
+++ b/cassiadrum/tests/fuzz/test_engine_streams.py
@@ -1,4 +1,4 @@
-"""Generated event streams from engines."""
+"""Tests of the router with generated event streams from engines."""
 
 from collections.abc import Iterator
 
@@ -32,7 +32,7 @@
 
 
 class EngineScript:
-    """What the engines send; `cut` ends the connection instead of the answer."""
+    """Data that every engine sends; `abort_at_end` aborts the connection after the last part."""
 
     parts: tuple[bytes, ...] = ()
     abort_at_end = False
@@ -40,7 +40,7 @@
 
 @pytest.fixture(scope="class")
 def script(fuzz_site: FuzzSite) -> Iterator[EngineScript]:
-    """Let every engine of the site answer by a script."""
+    """Make every engine of the site answer with the parts of a script."""
     current = EngineScript()
 
     async def complete(self: EngineStandIn, exchange: Exchange) -> None:
@@ -58,7 +58,12 @@
 
 
 class TestEngineStreams:
-    """Guards against an engine whose stream hangs, grows or mixes up a caller's answer."""
+    """Guards against an engine whose stream makes a caller's answer hang, grow or get mixed up.
+
+    Engines may split events at any byte, send invalid UTF-8, unknown events or events without an
+    end, or close the connection in the middle. The caller gets the same bytes or is told of the
+    failure.
+    """
 
     @given(st.lists(STREAM_PARTS, max_size=8))
     @settings(max_examples=80)
--- a/cassiadrum/tests/fuzz/test_links.py
+++ b/cassiadrum/tests/fuzz/test_links.py
@@ -1,4 +1,4 @@
-"""Generated frames into a link."""
+"""Tests of links with generated frames and messages."""
 
 import asyncio
 from typing import Any
@@ -34,8 +34,8 @@
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
     max_leaves=10,
 )
-# An order from a fabricated lease holder changes nothing on a plain service, and a document of a
-# higher version is what a peer may send; both only must not stop the process.
+# An order with an invented fencing token changes nothing at a plain service, and a peer may send a
+# document of a higher version; neither may stop the process.
 PEER_MESSAGE_TYPES = (
     Ack,
     Attach,
@@ -66,7 +66,12 @@
 
 
 class TestFrames:
-    """Guards against a frame that stops a process or is read as something else."""
+    """Guards against a frame that stops a process or is decoded as a message of another type.
+
+    A peer with a fault or of another release can send any bytes. CBOR allows deep nesting, huge
+    declared lengths, references to shared values and tags that build objects, all of which have to
+    be rejected with BadFrame. Fields that a later release appends are ignored.
+    """
 
     @given(st.binary(max_size=200))
     @settings(max_examples=500)
@@ -102,7 +107,11 @@
 
 
 class TestSidecarLinks:
-    """Guards against a peer whose messages stop a sidecar or touch others' work."""
+    """Guards against a peer whose messages stop a sidecar or disturb the requests of other peers.
+
+    Messages may name unknown requests, arrive in any order or carry an invalid document. The
+    sidecar may close the connection of that peer only, and keeps the document in force.
+    """
 
     @given(
         st.lists(
@@ -140,7 +149,7 @@
 
     @staticmethod
     async def send_to_sidecars(fuzz_site: FuzzSite, messages: list[Message]) -> None:
-        """Send the messages to a sidecar of each kind, and wait until they were handled."""
+        """Send the messages to a sidecar of each kind and give it time to handle them."""
         for endpoint in (fuzz_site.site.endpoints[0], fuzz_site.site.endpoints[-1]):
             link = await RawLink.open(endpoint.sidecar.addresses["link"])
             try:
--- a/cassiadrum/tests/integration/__init__.py
+++ b/cassiadrum/tests/integration/__init__.py
@@ -1,1 +1,1 @@
-"""Tests with real processes and injected faults."""
+"""Integration tests: real processes on loopback with injected faults."""
--- a/cassiadrum/tests/integration/conftest.py
+++ b/cassiadrum/tests/integration/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the tests with real processes."""
+"""Fixtures and assertions of the integration tests."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
@@ -12,9 +12,10 @@
 MakeSite = Callable[..., Awaitable[ProcessSite]]
 
 LONG_PROMPT = "assessment 4"
-# A retry needs saved budget, and the few requests of a test save too little of it at 0.1.
+# The retry budget grows with the number of requests; at 0.1, the few requests of a test do not
+# earn a retry.
 FULL_RETRY_BUDGET = (("retry_budget = 0.1", "retry_budget = 1.0"),)
-# Brings the times after which a silent endpoint is given up down to about 10 s for all classes.
+# Shortens the time after which a silent endpoint is abandoned to about 10 s for all classes.
 SHORT_DEADLINES = (
     (r"(cancellable = false\n.*\n)deadline_s = 60\.0", r"\1deadline_s = 12.0\nmax_wait_s = 10.0"),
     (r"target_total_s = 30\.0", "target_total_s = 3.0"),
@@ -24,7 +25,7 @@
 
 @pytest.fixture
 async def make_site(tmp_path: Path) -> AsyncIterator[MakeSite]:
-    """Start sites with the given options; every process ends with the test."""
+    """Return a function that starts a site; its processes are ended after the test."""
     sites: list[ProcessSite] = []
 
     async def make(**options: Any) -> ProcessSite:
@@ -43,14 +44,14 @@
 async def assert_invariants_hold(
     site: ProcessSite, outcomes: Sequence[CallerOutcome] = ()
 ) -> None:
-    """Stop the site gracefully and assert that every invariant held."""
+    """Stop the site gracefully and assert that its record violates no invariant."""
     record = await site.finish(list(outcomes))
     assert record.missing_events == 0
     assert [str(violation) for violation in check_record(record)] == []
 
 
-async def assert_every_class_is_served(site: ProcessSite) -> None:
-    """Assert that each class is served again at each entry instance after the fault."""
+async def assert_services_are_available(site: ProcessSite) -> None:
+    """Assert that each entry instance serves both services again after a fault."""
     for number, entry in enumerate(site.entries):
         address = site.children[entry].ready["http"]
         for _ in range(3):
--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -1,4 +1,4 @@
-"""Tests of bursts, planned changes and the lease, with real processes."""
+"""Tests of bursts, planned changes and the lease with real processes."""
 
 import asyncio
 
@@ -16,7 +16,7 @@
 
 
 def count_exports_ahead_of_checks(events: list[Event]) -> int:
-    """Count the dispatches of exports while a status check waited at the same entry instance."""
+    """Return the number of exports dispatched while a status check was queued."""
     waiting: set[str] = set()
     count = 0
     for event in events:
@@ -29,7 +29,11 @@
 
 
 class TestBursts:
-    """Guards against important work that waits behind, or is shed for, a burst of other work."""
+    """Guards against protected requests that wait behind a lower tier's burst or are shed for it.
+
+    The burst fills the queue of the entry instance, so that the order of dispatch and the choice
+    of the requests to shed decide which requests are served.
+    """
 
     async def test_burst_of_exports_does_not_delay_status_checks(
         self, make_site: MakeSite
@@ -43,7 +47,9 @@
             asyncio.create_task(call(addresses[number % 2], "GET", f"{prefix}/export/{number}"))
             for number in range(EXPORT_COUNT)
         ]
-        await until(lambda: len(site.events(EventKind.QUEUED)) > 20, "a queue")
+        await until(
+            lambda: len(site.events(EventKind.QUEUED)) > 20, "more than 20 queued requests"
+        )
         checks = await asyncio.gather(
             *(call(addresses[n % 2], "GET", f"{prefix}/permits/{n}") for n in range(10))
         )
@@ -63,13 +69,17 @@
 
 
 class TestPlannedChanges:
-    """Guards against requests cut off by planned stops and against work for leaving endpoints."""
+    """Guards against requests cut off by a planned stop and new work for an endpoint that leaves.
+
+    A process that gets SIGTERM drains: it finishes its requests while new ones go elsewhere.
+    Faults during the drain and an address that changes at a restart may break this.
+    """
 
     async def test_replacing_every_instance_loses_no_request(self, make_site: MakeSite) -> None:
         site = await make_site(step_s=0.01)
         async with site.load(rate_per_s=15.0, duration_s=8.0) as sender:
             for name in (*site.sidecars(), *site.entries):
-                # The load keeps sending to the entry instances it knows, so these go last.
+                # The load sends only to the original entry instances, so these are replaced last.
                 await site.replace(name, f"{name}-new")
         lost = [o for o in sender.outcomes if o.status not in (0, 200, 201)]
         assert all(outcome.ran == "no" for outcome in lost), lost
@@ -83,9 +93,9 @@
         leaving = caller.request_id.rpartition("@")[2]
         site.children[leaving].terminate()
         await until(
-            lambda: bool(site.events(EventKind.DRAINING, leaving)), "the start of the stop"
+            lambda: bool(site.events(EventKind.DRAINING, leaving)), "the start of the drain"
         )
-        # The stream takes 6 s, so that requests arrive after the limit of 3 s.
+        # The stream takes 6 s, so requests also arrive after the limit of 3 s.
         later_callers: list[StreamCaller] = []
         while not caller.done:
             later_callers.append(
@@ -138,17 +148,26 @@
 
 
 class TestLeases:
-    """Guards against two instances that both act under the lease."""
+    """Guards against two instances that both act as the holder of the lease.
+
+    A holder that is paused past the end of its lease still takes itself for the holder when it
+    resumes. Sidecars reject its orders, since the next holder has a higher fencing token.
+    """
 
     async def test_paused_holder_loses_the_lease(self, make_site: MakeSite) -> None:
         site = await make_site(services=("sprachdienst",), endpoints=1)
-        await until(lambda: bool(site.events(EventKind.LEASE_ACQUIRED)), "a holder")
+        await until(lambda: bool(site.events(EventKind.LEASE_ACQUIRED)), "the first lease")
         first = site.events(EventKind.LEASE_ACQUIRED)[0].instance
         with site.outage(first):
             site.children[first].pause()
-            await until(lambda: len(site.events(EventKind.LEASE_ACQUIRED)) == 2, "a takeover")
+            await until(
+                lambda: len(site.events(EventKind.LEASE_ACQUIRED)) == 2,
+                "the lease of another instance",
+            )
             site.children[first].resume()
-        await until(lambda: bool(site.events(EventKind.LEASE_LOST, first)), "the loss noticed")
+        await until(
+            lambda: bool(site.events(EventKind.LEASE_LOST, first)), "the loss of the first lease"
+        )
         assert len({event.instance for event in site.events(EventKind.LEASE_ACQUIRED)}) == 2
         results = [await self.send_order(site, fencing) for fencing in (2, 1, 2)]
         assert [result.ok for result in results] == [True, False, True], results
@@ -156,7 +175,7 @@
 
     @staticmethod
     async def send_order(site: ProcessSite, fencing: int) -> OrderResult:
-        """Send an order as a holder with this fencing token would."""
+        """Send an order with a fencing token to the sidecar and return its result."""
         link = await RawLink.open(site.children["sprachdienst-1"].ready["link"])
         await link.send(Order(f"order-{fencing}", "claims", fencing, "load_model", "m"))
         result = await link.receive(OrderResult)
--- a/cassiadrum/tests/integration/test_fault_pairs.py
+++ b/cassiadrum/tests/integration/test_fault_pairs.py
@@ -1,4 +1,4 @@
-"""Tests of two faults at any moment, together or twice."""
+"""Tests of two random faults at random times, which may overlap or be the same fault twice."""
 
 import asyncio
 import os
@@ -12,21 +12,24 @@
     FULL_RETRY_BUDGET,
     SHORT_DEADLINES,
     MakeSite,
-    assert_every_class_is_served,
     assert_invariants_hold,
+    assert_services_are_available,
 )
 
 pytestmark = pytest.mark.integration
 
 FIXED_SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
-# `make soak SEEDS=n` sets the number of seeds after the fixed ones.
+# Number of seeds, counted from 101, that `make soak SEEDS=n` runs in place of the fixed ones.
 SOAK_SEEDS = int(os.environ.get("SOAK_SEEDS", "0"))
 SEEDS = range(101, 101 + SOAK_SEEDS) if SOAK_SEEDS else FIXED_SEEDS
 LOAD_DURATION_S = 4.0
 
 
 class TestFaultPairs:
-    """Guards against faults that are survived alone but not together."""
+    """Guards against violations that occur only when two faults overlap.
+
+    The second fault hits a request, link or process that is still recovering from the first one.
+    """
 
     @pytest.mark.timeout(120)
     @pytest.mark.parametrize("seed", SEEDS)
@@ -41,7 +44,7 @@
             await FAULTS[name].inject(site, rng)
 
         async with site.load(rate_per_s=15.0, duration_s=LOAD_DURATION_S, seed=seed) as sender:
-            # The moment is a part of the seed, not a wait for a state.
+            # The seed determines the times; the test does not wait for a state of the site.
             injections = [
                 (name, rng.uniform(0.0, LOAD_DURATION_S / 2), rng.random()) for name in names
             ]
@@ -52,5 +55,5 @@
                 )
             )
         await until(site.all_linked, "links after the faults")
-        await assert_every_class_is_served(site)
+        await assert_services_are_available(site)
         await assert_invariants_hold(site, sender.outcomes)
--- a/cassiadrum/tests/integration/test_instances.py
+++ b/cassiadrum/tests/integration/test_instances.py
@@ -1,4 +1,4 @@
-"""Tests that end, pause and replace instances."""
+"""Tests of streams whose instance is killed, stopped or cut off from its link."""
 
 import asyncio
 
@@ -18,7 +18,13 @@
 
 
 class TestInstances:
-    """Guards against answers lost with an instance."""
+    """Guards against answers that are lost or repeated in part when an instance fails or stops.
+
+    After the kill of an entry instance, the caller fetches the remainder from another one by
+    position. After the kill of a sidecar, the stream continues at another engine. After a link
+    falls silent, the entry instance reattaches to the running attempt. A stopped instance finishes
+    its streams before it exits.
+    """
 
     async def test_answer_of_a_killed_entry_instance_continues_at_another(
         self, make_site: MakeSite
@@ -65,7 +71,7 @@
         assert answer.body.endswith(b"data: [DONE]\n\n")
         await assert_invariants_hold(site)
         event_kinds = [e.kind for e in site.events() if f"{e.request_id}.1" == request_id]
-        # The same attempt goes on; a second one would compute the answer again.
+        # The running attempt continues; a second one would compute the answer again.
         assert event_kinds.count(EventKind.DISPATCHED) == 1
         assert EventKind.REATTACHED in event_kinds
 
--- a/cassiadrum/tests/integration/test_single_faults.py
+++ b/cassiadrum/tests/integration/test_single_faults.py
@@ -1,4 +1,4 @@
-"""Tests of each fault alone, under a small mixed load."""
+"""Tests of each injected fault on its own under a small mixed load."""
 
 import random
 
@@ -12,15 +12,15 @@
     LONG_PROMPT,
     SHORT_DEADLINES,
     MakeSite,
-    assert_every_class_is_served,
     assert_invariants_hold,
+    assert_services_are_available,
 )
 
 pytestmark = pytest.mark.integration
 
 
 async def fetch_remainder(site: ProcessSite, caller: StreamCaller) -> bytes:
-    """Fetch what the caller of a broken connection lacks through another entry instance."""
+    """Fetch the bytes that a caller with a broken connection lacks from another entry instance."""
     target = f"/requests/{caller.request_id}?position={len(caller.body)}"
     answer = await call(site.http("entry-2"), "GET", target)
     assert (answer.status, answer.complete) == (200, True), answer
@@ -28,7 +28,11 @@
 
 
 class TestSingleFaults:
-    """Guards against a fault that loses, doubles or mixes answers, or that outlasts its cause."""
+    """Guards against a fault that loses, repeats or mixes up answers, or whose effect persists.
+
+    Each fault starts while a stream is running. The caller has to get the whole answer, all links
+    have to be up afterwards, and both services have to be available again.
+    """
 
     @pytest.mark.parametrize("name", FAULTS)
     async def test_answers_survive(self, make_site: MakeSite, name: str) -> None:
@@ -45,7 +49,7 @@
             elif caller.request_id:
                 body = caller.body + await fetch_remainder(site, caller)
         await until(site.all_linked, "links after the fault")
-        await assert_every_class_is_served(site)
+        await assert_services_are_available(site)
         await caller.leave()
         assert body.count(b'"content"') == len(answer_tokens(LONG_PROMPT)), body[-400:]
         assert body.endswith(b"data: [DONE]\n\n")
--- a/cassiadrum/tests/integration/test_table_service.py
+++ b/cassiadrum/tests/integration/test_table_service.py
@@ -1,4 +1,4 @@
-"""Tests of once-only calls and configurations while the table service fails."""
+"""Tests of once-only calls and configuration writes while the table service or a process fails."""
 
 import asyncio
 
@@ -25,7 +25,12 @@
 
 
 class TestOnceOnlyCalls:
-    """Guards against a call that runs twice, or that is refused as not run after it ran."""
+    """Guards against a once-only call that runs twice, or is reported as not run after it ran.
+
+    A retry with the same key meets the claim of the first call. If the answer to a claim or to the
+    call itself is lost, or its sidecar is killed, nobody can tell from the missing answer whether
+    the write or the call took place.
+    """
 
     async def test_claim_with_a_lost_answer_runs_once(self, make_site: MakeSite) -> None:
         site = await make_site(services=PERMIT_REGISTER)
@@ -51,7 +56,7 @@
         async def issued() -> bool:
             return (await issue_permit(site, "permit-1")).status == 201
 
-        await until(issued, "the retry runs once the store is back")
+        await until(issued, "a successful retry after the store is back")
         assert count_runs(site, "permit-1") == 1
         await assert_invariants_hold(site)
 
@@ -85,8 +90,10 @@
         for endpoint in site.endpoints.values():
             await call(endpoint.address, "POST", "/faults", {}, b'{"service_s": 3.0}')
         first = asyncio.create_task(issue_permit(site, "permit-1"))
-        await until(lambda: count_runs(site, "permit-1") == 1, "the call runs")
-        await until(lambda: bool(site.events(EventKind.CLAIM_MADE)), "the claim is recorded")
+        await until(
+            lambda: count_runs(site, "permit-1") == 1, "the run of the call at the endpoint"
+        )
+        await until(lambda: bool(site.events(EventKind.CLAIM_MADE)), "the event of the claim")
         (claimed,) = site.events(EventKind.CLAIM_MADE)
         await site.kill(claimed.instance)
         again = await issue_permit(site, "permit-1", "entry-2")
@@ -98,7 +105,12 @@
 
 
 class TestConfigurations:
-    """Guards against two accepted texts for one version, and against versions that go back."""
+    """Guards against two accepted documents with one version, and against versions that decrease.
+
+    Two operators can write from the same version, and the answer to a write can be lost after the
+    store applied it. A process that restarts while the store is down has to take the version of
+    its peers.
+    """
 
     async def test_one_of_two_concurrent_writes_is_accepted(self, make_site: MakeSite) -> None:
         site = await make_site(services=PERMIT_REGISTER)
@@ -133,14 +145,12 @@
             site.platform.table.set_faults(Faults(down=True))
             await site.kill("permit-register-1")
             await site.launch("permit-register-1")
-            await until(
-                lambda: is_version_in_force(site, 2), "the peers' version at the restarted process"
-            )
+            await until(lambda: is_version_in_force(site, 2), "version 2 at the restarted process")
             site.platform.table.set_faults(Faults())
         await assert_invariants_hold(site)
 
 
 async def is_version_in_force(site: ProcessSite, version: int) -> bool:
-    """Tell whether every process has exactly this version of the register's document."""
+    """Return whether every process has exactly this version of the permit register's document."""
     statuses = [await site.status(name) for name in (*site.entries, *site.sidecars())]
     return all(status["versions"].get(PERMIT_REGISTER[0]) == version for status in statuses)
