--- a/cassiadrum/tests/fuzz/test_engine_streams.py
+++ b/cassiadrum/tests/fuzz/test_engine_streams.py
@@ -61,8 +61,8 @@
     """Guards against an engine whose stream makes a caller's answer hang, grow or get mixed up.
 
     Engines may split events at any byte, send invalid UTF-8, unknown events or events without an
-    end, or close the connection in the middle. The caller gets the same bytes or is told of the
-    failure.
+    end, or close the connection in the middle. The caller gets the same bytes or an
+    error.
     """
 
     @given(st.lists(STREAM_PARTS, max_size=8))
--- a/cassiadrum/tests/fuzz/test_platform.py
+++ b/cassiadrum/tests/fuzz/test_platform.py
@@ -54,7 +54,7 @@
 
 
 class TestRecords:
-    """Guards against a row that ends the task that follows the store.
+    """Guards against a stored row that ends the task which reads the changes of the store.
 
     An exception that the task does not handle stops all later updates. Rows may be nested too
     deeply for the parser, or hold ports out of range and numbers of thousands of digits.
--- a/cassiadrum/tests/integration/test_classes.py
+++ b/cassiadrum/tests/integration/test_classes.py
@@ -16,7 +16,7 @@
 
 
 def count_exports_ahead_of_checks(events: list[Event]) -> int:
-    """Return the number of exports dispatched while a status check was queued."""
+    """Return how many exports one entry instance dispatched while a status check was queued."""
     waiting: set[str] = set()
     count = 0
     for event in events:
