Add a case: an empty list of tenants admits every key

Cause: the decoder takes an empty list of tenants for a configuration without tenants, so requests are admitted without a look at their keys.

--- a/review/support.py
+++ b/review/support.py
@@ -327,8 +327,12 @@
     }
 
 
-def configuration(routes: list[dict[str, Any]], version: int = 1) -> dict[str, Any]:
-    """Return a configuration with one tenant."""
+def configuration(
+    routes: list[dict[str, Any]],
+    version: int = 1,
+    tenants: list[dict[str, Any]] | None = None,
+) -> dict[str, Any]:
+    """Return a configuration, by default with one tenant."""
     services = sorted({found["service"] for found in routes})
     return {
         "version": version,
@@ -342,7 +346,7 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [{"name": "tenant-1", "api_keys": [KEY]}],
+        "tenants": [{"name": "tenant-1", "api_keys": [KEY]}] if tenants is None else tenants,
     }
 
 
