Let the event loop run while a peer's bytes are at hand

Cause: reading does not suspend a task while received bytes are in memory. Up to 320 KiB, 50,000 chunks and more, were processed in one turn of the event loop, each chunk with a time limit, an event parser and a memory budget of its own, and the incomplete event was copied for each chunk.

Change, on every path that reads from a caller, an endpoint, the store or a link: - A task that processes bytes at hand suspends after a slice of 5 ms. - Parsers get 8 KiB at a time, so a head of many short lines is bounded. - Chunks that have arrived together are passed on together. - The event splitter searches new bytes only and does not copy old ones. - Framing of more than 256 KiB besides the data, more than 256 header lines and more than 8 interim answers reject an endpoint's answer. - Rows of the store are decoded one by one with the same slices; answers of the store over 4 MiB are read in pages instead. - A deadline for reading a request also holds for a caller that always has bytes at hand. Bodies of responses are bounded in every client. The longest delay of the event loop is served as a metric.

The loop's CPU use by such a peer is not limited, only its share: other tasks run after each slice.

--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self.events = 0
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def buffered_bytes(self) -> int:
@@ -23,19 +23,23 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete."""
+        # The bytes before the new ones contain no separator, but may end with half of one.
+        searched = max(0, len(self._buffer) - 1)
         self._buffer += data
-        end = self._buffer.rfind(EVENT_SEPARATOR)
+        end = self._buffer.rfind(EVENT_SEPARATOR, searched)
         if end < 0:
             return b""
-        complete, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
+        complete = bytes(self._buffer[: end + 2])
+        del self._buffer[: end + 2]
         self.events += complete.count(EVENT_SEPARATOR) - complete.count(DONE_EVENT)
         return complete
 
     def discard_partial_event(self) -> None:
         """Drop the incomplete event of a failed attempt."""
-        self._buffer = b""
+        self._buffer.clear()
 
     def take_rest(self) -> bytes:
         """Return and clear the bytes that are left at the end of the stream."""
-        rest, self._buffer = self._buffer, b""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
         return rest
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -4,13 +4,26 @@
 
 import h11
 
-from cassiadrum.protocols import AnswerLost, BadMessage, ConnectFailed, Headers
+from cassiadrum.protocols import (
+    MAX_PARSE_BYTES,
+    AnswerLost,
+    BadMessage,
+    ConnectFailed,
+    Headers,
+    HttpError,
+    TimeSlice,
+)
 from cassiadrum.settings.addresses import Address
 
 __all__ = ["EndpointConnection"]
 
 # Unread bytes at which reading from the endpoint stops, so that a slow caller slows it down.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Lines of a head; the gateway handles each line several times.
+MAX_HEADERS = 256
+# Bytes of heads and chunk framing around an answer. An answer in chunks of one byte would keep the
+# parser busy for many times as long as its size suggests.
+MAX_FRAMING_BYTES = 256 * 1024
 # Interim (1xx) answers that an endpoint may send before the final one.
 MAX_INTERIM_ANSWERS = 8
 
@@ -24,8 +37,13 @@
         self._transport: asyncio.Transport | None = None
         self._conn = h11.Connection(h11.CLIENT)
         self._request: list[h11.Event] = []
-        self._buffer: list[bytes] = []
-        self._buffered_bytes = 0
+        # Received bytes that the parser has not got yet.
+        self._buffer = bytearray()
+        # An event or error that was parsed after the data that was returned last.
+        self._next: object = h11.NEED_DATA
+        self._time_slice = TimeSlice()
+        # Received bytes of the current answer, less those of its body.
+        self._framing_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         self._eof = False
@@ -55,9 +73,8 @@
         if not self._busy:
             self.abort()
             return
-        self._buffer.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
+        self._buffer += data
+        if len(self._buffer) > MAX_BUFFERED_BYTES and self._transport is not None:
             self._transport.pause_reading()
         self._wake()
 
@@ -92,6 +109,8 @@
             self._request.append(h11.Data(data=body))
         self._request.append(h11.EndOfMessage())
         self._busy = True
+        self._framing_bytes = 0
+        self._time_slice.restart()
         self._transport.write(b"".join(self._conn.send(event) or b"" for event in self._request))
 
     async def read_head(self) -> h11.Response:
@@ -99,19 +118,34 @@
         for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if len(event.headers) > MAX_HEADERS:
+                    raise BadMessage(502, f"more than {MAX_HEADERS} headers")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerLost("the connection ended before the answer")
         raise BadMessage(502, f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     async def read_data(self) -> bytes | None:
-        """Return the next bytes of the body, None at its end; raise AnswerLost or BadMessage."""
+        """Return the next bytes of the body, None at its end; raise AnswerLost or BadMessage.
+
+        Chunks that have arrived together are returned together, since each part that is passed
+        on has a cost that does not depend on its size.
+        """
         event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise AnswerLost("the connection ended inside the body")
+        if not isinstance(event, h11.Data):
+            raise AnswerLost("the connection ended inside the body")
+        data = bytearray()
+        while isinstance(event, h11.Data) and len(data) < MAX_PARSE_BYTES:
+            data += event.data
+            self._framing_bytes -= len(event.data)
+            await self._time_slice.checkpoint()
+            event = self._parse()
+        self._next = event
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise BadMessage(502, f"more than {MAX_FRAMING_BYTES} bytes of framing")
+        return bytes(data)
 
     def expect_next_answer(self) -> None:
         """Prepare to read the next answer after one that belongs to an earlier request."""
@@ -145,31 +179,48 @@
             self._transport.abort()
 
     async def _next_event(self) -> object:
+        """Return the next event; wait for data, and let other tasks run while there is much."""
+        while True:
+            await self._time_slice.checkpoint()
+            event, self._next = self._next, h11.NEED_DATA
+            if event is h11.NEED_DATA:
+                event = self._parse()
+            if isinstance(event, HttpError):
+                raise event
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    def _parse(self) -> object:
+        """Return the next event in the received bytes, an error, or h11.NEED_DATA."""
         while True:
             try:
                 event = self._conn.next_event()
             except h11.RemoteProtocolError as exc:
-                if self._eof:
-                    raise AnswerLost(str(exc)) from exc
-                raise BadMessage(502, str(exc)) from exc
-            if event is not h11.NEED_DATA:
+                return AnswerLost(str(exc)) if self._eof else BadMessage(502, str(exc))
+            if event is not h11.NEED_DATA or not self._buffer:
                 return event
-            await self._receive()
+            self._feed_parser()
+
+    def _feed_parser(self) -> None:
+        data = bytes(self._buffer[:MAX_PARSE_BYTES])
+        del self._buffer[:MAX_PARSE_BYTES]
+        self._framing_bytes += len(data)
+        if not self._buffer and self._transport is not None:
+            self._transport.resume_reading()
+        self._conn.receive_data(data)
 
     async def _receive(self) -> None:
+        """Wait for bytes or the end of the input, and pass it to the parser."""
         while not self._buffer and not self._eof:
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
+            self._time_slice.restart()
         if self._buffer:
-            data = b"".join(self._buffer)
-            self._buffer.clear()
-            self._buffered_bytes = 0
-            if self._transport is not None:
-                self._transport.resume_reading()
-            self._conn.receive_data(data)
+            self._feed_parser()
         elif self._lost_exc is not None:
             # A reset is an error even for a body that is delimited by the end of the connection.
             raise AnswerLost(str(self._lost_exc) or "the connection was reset")
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -4,7 +4,7 @@
 
 from cassiadrum.gateways.request_limits import RequestLimit
 from cassiadrum.gateways.sent_requests import SentRequests
-from cassiadrum.metrics import GATEWAY_DEFINITIONS, make_registry
+from cassiadrum.metrics import GATEWAY_DEFINITIONS, LoopDelay, make_registry
 from cassiadrum.metrics.metric_exporters import MetricExporter
 from cassiadrum.metrics.metric_values import MetricValues
 
@@ -50,6 +50,11 @@
         """Set the number of registered gateways."""
         self._values.set("cassiadrum_gateway_fleet_size", (), size)
 
+    def set_loop_delay(self, delay: LoopDelay) -> None:
+        """Set the longest delays of the event loop, since the start and recently."""
+        self._values.set("cassiadrum_gateway_loop_delay_max_seconds", (), delay.longest_s)
+        self._values.set("cassiadrum_gateway_loop_delay_seconds", (), delay.recent_s)
+
     def set_sent_requests(self, sent: SentRequests) -> None:
         """Set the counts of the requests to endpoints."""
         for series, count in sent.counts.items():
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -27,6 +27,7 @@
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.sent_requests import SentRequests
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
+from cassiadrum.metrics import LoopDelay
 from cassiadrum.protocols import BadMessage, Exchange, MemoryBudget
 
 __all__ = ["Gateway"]
@@ -82,6 +83,7 @@
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
         self.lag = LagLimit()
+        self._loop_delay = LoopDelay()
 
     @property
     def ready(self) -> bool:
@@ -106,6 +108,7 @@
             await asyncio.sleep(TICK_S)
             now = self._clock()
             self.lag.record_tick(now - due_s)
+            self._loop_delay.record(now - due_s, now)
             self.directory.expire(now)
             self.pool.expire(now)
             self._placement_queue.place_all_waiting()
@@ -127,6 +130,7 @@
             self._metrics.set_request_limits(service, limited)
         self._metrics.set_sent_requests(self._sent_requests)
         self._metrics.set_fleet_size(self._fleet.size)
+        self._metrics.set_loop_delay(self._loop_delay)
         version = self.configuration.version
         if version is not None:
             age_s = self.configuration.age_s()
--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -99,12 +99,12 @@
 
     @staticmethod
     async def _read_report(conn: EndpointConnection) -> bytes:
-        body = b""
+        body = bytearray()
         while (data := await conn.read_data()) is not None:
             body += data
             if len(body) > MAX_REPORT_BYTES:
                 raise BadMessage(502, f"a load report over {MAX_REPORT_BYTES} bytes")
-        return body
+        return bytes(body)
 
     def close(self) -> None:
         """Cancel the background probes."""
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -28,6 +28,8 @@
 # A plain answer has to advance by this many bytes to count as progress, so that an endpoint that
 # sends single bytes counts as stalled.
 MIN_PROGRESS_BYTES = 4 * 1024
+# Memory of the object that holds a part of a plain answer, besides its bytes.
+PART_OVERHEAD_BYTES = 64
 # An endpoint that is busy with other requests is given up after this fraction of the route's
 # timeout.
 BUSY_TIMEOUT_FRACTION = 0.4
@@ -111,7 +113,7 @@
                 return BufferedAnswer(attempt.head, b"".join(parts))
             parts.append(data)
             size += len(data)
-            attempt.reserve_memory(size)
+            attempt.reserve_memory(size + len(parts) * PART_OVERHEAD_BYTES)
             if size >= progress_bytes:
                 progress_bytes = size + MIN_PROGRESS_BYTES
                 progress_s = self._clock()
--- a/cassiadrum/links/codecs.py
+++ b/cassiadrum/links/codecs.py
@@ -64,6 +64,8 @@
     """
     raw = _decode_cbor(frame)
     if isinstance(raw, list) and raw and isinstance(raw[0], list):
+        if len(raw) > MAX_FRAME_MESSAGES:
+            raise BadFrame(f"frame has more than {MAX_FRAME_MESSAGES} messages")
         return [_convert_message(item) for item in raw]
     return [_convert_message(raw)]
 
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -26,6 +26,7 @@
     StartRequest,
 )
 from cassiadrum.links.silence_detectors import SilenceDetector
+from cassiadrum.protocols import TimeSlice
 
 __all__ = ["Link"]
 
@@ -155,7 +156,10 @@
         self._conn.transport.abort()
 
     async def _read(self) -> None:
+        time_slice = TimeSlice()
         async for frame in self._conn:
+            # Receiving does not suspend while frames are in memory.
+            await time_slice.checkpoint()
             if isinstance(frame, str):
                 raise BadFrame("received a text frame instead of a binary one")
             self._last_received_s = self._clock()
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -94,6 +94,18 @@
         ),
         MetricDefinition("cassiadrum_connections", "gauge", "Open connections", ("peer",)),
         MetricDefinition("cassiadrum_queue_length", "gauge", "Waiting requests", ("service",)),
+        MetricDefinition(
+            "cassiadrum_loop_delay_max_seconds",
+            "gauge",
+            "Longest delay of the event loop since the start",
+            (),
+        ),
+        MetricDefinition(
+            "cassiadrum_loop_delay_seconds",
+            "gauge",
+            "Longest delay of the event loop in the last one to two minutes",
+            (),
+        ),
         MetricDefinition(
             "cassiadrum_customer_tokens",
             "gauge",
@@ -183,6 +195,18 @@
             "Unix time at which the configuration came into force",
             (),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_loop_delay_max_seconds",
+            "gauge",
+            "Longest delay of the event loop since the start",
+            (),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_loop_delay_seconds",
+            "gauge",
+            "Longest delay of the event loop in the last one to two minutes",
+            (),
+        ),
         MetricDefinition(
             "cassiadrum_gateway_settings_digest",
             "gauge",
--- a/cassiadrum/metrics/role_metrics.py
+++ b/cassiadrum/metrics/role_metrics.py
@@ -99,6 +99,11 @@
         """Set the number of open connections by kind of peer, such as `sidecar` or `caller`."""
         self._values.set("cassiadrum_connections", (peer,), count)
 
+    def set_loop_delay(self, longest_s: float, recent_s: float) -> None:
+        """Set the longest delays of the event loop, since the start and recently."""
+        self._values.set("cassiadrum_loop_delay_max_seconds", (), longest_s)
+        self._values.set("cassiadrum_loop_delay_seconds", (), recent_s)
+
     def set_queue_length(self, service: str, count: int) -> None:
         """Set the number of waiting requests."""
         self._values.set("cassiadrum_queue_length", (service,), count)
--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -2,8 +2,10 @@
 
 from cassiadrum.errors import CassiadrumError
 from cassiadrum.schemas import Finding
+from cassiadrum.stores.errors import StoreUnavailable
 
 __all__ = [
+    "AnswerTooLarge",
     "BadRecord",
     "BadSettings",
     "HistoryGone",
@@ -34,6 +36,10 @@
     """The store no longer keeps the changes since the requested version."""
 
 
+class AnswerTooLarge(StoreUnavailable):
+    """An answer of the store exceeds the size that is read."""
+
+
 class StoreRestored(PlatformError):
     """The store was restored from an older copy, so its versions have gone back."""
 
--- a/cassiadrum/platform/fleet_registrations.py
+++ b/cassiadrum/platform/fleet_registrations.py
@@ -139,7 +139,7 @@
         self._fleet.join(self._boot_clock(), expires_s, known_before=known_before)
         if is_first:
             # Does not wait for the next call for changes.
-            self._sink.replace(await self._store.read_all(FLEET_TABLE))
+            await self._sink.replace(await self._store.read_all(FLEET_TABLE))
         logger.info(
             "registered",
             extra={
--- a/cassiadrum/platform/fleet_sinks.py
+++ b/cassiadrum/platform/fleet_sinks.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+from collections.abc import Sequence
 from typing import Final
 
 from cassiadrum.gateways import Fleet, FleetMember, LimitBoard
@@ -10,6 +11,7 @@
 from cassiadrum.platform.member_rows import MemberRow, decode_member, decode_news
 from cassiadrum.platform.row_stores import ChangedRow, RowPage, RowVersion
 from cassiadrum.platform.store_followers import TableSink
+from cassiadrum.protocols import TimeSlice
 
 __all__ = ["FLEET_TABLE", "MAX_REMOVED_ROWS", "FleetSink"]
 
@@ -67,17 +69,30 @@
         )
         return list(itertools.islice(found, MAX_REMOVED_ROWS))
 
-    def replace(self, page: RowPage) -> None:
+    async def replace(self, page: RowPage) -> None:
         """Replace all registrations."""
+        members = await self._decode(page.rows)
         self._rows.clear()
         self._versions.clear()
         self.has_full_list = True
-        self.apply_changes(page)
+        self._apply(page, members)
 
-    def apply_changes(self, page: RowPage) -> None:
+    async def apply_changes(self, page: RowPage) -> None:
         """Add, change or remove registrations."""
-        for row in page.rows:
-            self._apply(row)
+        self._apply(page, await self._decode(page.rows))
+
+    async def _decode(self, rows: Sequence[ChangedRow]) -> list[MemberRow | None]:
+        """Return the registrations in rows, None for one that was removed or cannot be read."""
+        time_slice = TimeSlice()
+        members = []
+        for row in rows:
+            await time_slice.checkpoint()
+            members.append(_decode_row(row))
+        return members
+
+    def _apply(self, page: RowPage, members: Sequence[MemberRow | None]) -> None:
+        for row, member in zip(page.rows, members, strict=True):
+            self._put(row, member)
         # The store made the answer at `received_s` at the latest.
         self.store_zero_s = page.received_s - page.store_s
         self._update_fleet()
@@ -115,13 +130,20 @@
         ]
         self._fleet.replace(members, self.store_zero_s)
 
-    def _apply(self, row: ChangedRow) -> None:
+    def _put(self, row: ChangedRow, member: MemberRow | None) -> None:
         self._rows.pop(row.key, None)
         self._versions.pop(row.key, None)
-        if row.content is None:
-            return
-        self._versions[row.key] = row.version
-        try:
-            self._rows[row.key] = decode_member(row)
-        except BadRecord as exc:
-            logger.warning("registration of a gateway rejected: %s", exc)
+        if row.content is not None:
+            self._versions[row.key] = row.version
+        if member is not None:
+            self._rows[row.key] = member
+
+
+def _decode_row(row: ChangedRow) -> MemberRow | None:
+    if row.content is None:
+        return None
+    try:
+        return decode_member(row)
+    except BadRecord as exc:
+        logger.warning("registration of a gateway rejected: %s", exc)
+        return None
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from cassiadrum.platform.errors import HistoryGone, WriteConflict
+from cassiadrum.platform.errors import AnswerTooLarge, HistoryGone, WriteConflict
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.protocols import BadMessage, HttpClient, HttpError, HttpResponse
+from cassiadrum.protocols import BodyTooLarge, HttpClient, HttpError, HttpResponse, TimeSlice
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
@@ -25,8 +25,10 @@
 RESPONSE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
-# Bounds memory use if a body does not end; a page of rows is far smaller.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Bounds the memory and the time for decoding an answer; a page of rows has at most 1 MB.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# Bounds the memory of a table whose pages do not end.
+MAX_ROWS = 100_000
 GONE_STATUS = 410
 CONFLICT_STATUS = 412
 
@@ -144,6 +146,8 @@
             elif self.era.number != era:
                 raise StoreUnavailable("the store was restored while a table was read")
             rows.update((row.key, row) for row in page.rows)
+            if len(rows) > MAX_ROWS:
+                raise StoreUnavailable(f"table {table} has more than {MAX_ROWS} rows")
             if not truncated or not page.rows or page.rows[-1].key == start:
                 return first._replace(rows=tuple(rows.values()))
             start = page.rows[-1].key
@@ -151,11 +155,14 @@
     async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
         """Return the rows that changed after a version, waiting up to `wait_s` for a change.
 
-        Raises HistoryGone if the store no longer keeps the changes since that version, and
-        StoreUnavailable if no valid answer arrives in time.
+        Raises HistoryGone if the store no longer keeps the changes since that version, or if they
+        are too large for one answer, and StoreUnavailable if no valid answer arrives in time.
         """
         query = f"/-/rows-feed?table={table}&since_rev={since}&wait_ms={int(wait_s * 1000)}"
-        page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S)
+        try:
+            page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S)
+        except AnswerTooLarge as exc:
+            raise HistoryGone(str(exc)) from exc
         return page
 
     async def put_row(
@@ -199,8 +206,9 @@
             raise HistoryGone(target)
         _check_status(response)
         wire = _decode(body, _PageWire)
-        rows = tuple(ChangedRow(row.key, _decode_content(row), row.ver) for row in wire.rows)
-        page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, self._boot_clock())
+        received_s = self._boot_clock()
+        rows = await _decode_rows(wire.rows)
+        page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, received_s)
         return page, wire.truncated
 
     async def _exchange(
@@ -211,7 +219,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._client.request(method, target, headers, body)
-                answer = await _read_body(response)
+                answer = await response.read(MAX_RESPONSE_BYTES)
+        except BodyTooLarge as exc:
+            self._client.close()
+            raise AnswerTooLarge(str(exc)) from exc
         except (HttpError, TimeoutError) as exc:
             self._client.close()
             raise StoreUnavailable(str(exc) or f"no answer in {timeout_s:g} s") from exc
@@ -240,16 +251,13 @@
         raise StoreUnavailable(f"invalid answer: {exc}") from exc
 
 
-async def _read_body(response: HttpResponse) -> bytes:
-    """Return the body; raise BadMessage if it exceeds MAX_RESPONSE_BYTES."""
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.body:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_RESPONSE_BYTES:
-            raise BadMessage(502, f"the answer exceeds {MAX_RESPONSE_BYTES} bytes")
-    return b"".join(parts)
+async def _decode_rows(rows: list[_RowWire]) -> tuple[ChangedRow, ...]:
+    time_slice = TimeSlice()
+    decoded = []
+    for row in rows:
+        await time_slice.checkpoint()
+        decoded.append(ChangedRow(row.key, _decode_content(row), row.ver))
+    return tuple(decoded)
 
 
 def _decode_content(row: _RowWire) -> bytes | None:
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -22,14 +22,17 @@
 
 
 class TableSink(ABC):
-    """Receiver of a table's rows and changes."""
+    """Receiver of a table's rows and changes.
+
+    Other tasks run while many rows are decoded.
+    """
 
     @abstractmethod
-    def replace(self, page: RowPage) -> None:
+    async def replace(self, page: RowPage) -> None:
         """Replace the content by all rows of the table."""
 
     @abstractmethod
-    def apply_changes(self, page: RowPage) -> None:
+    async def apply_changes(self, page: RowPage) -> None:
         """Apply changed rows; there are none if nothing changed within the wait."""
 
     @property
@@ -66,20 +69,21 @@
         if self.version is not None:
             try:
                 return await store.read_changes(self.name, self.version, wait_s), False
-            except HistoryGone:
+            except HistoryGone as exc:
                 logger.info(
-                    "store no longer keeps the needed changes, reading all rows of table %s",
+                    "store does not return the needed changes, reading all rows of table %s: %s",
                     self.name,
+                    exc,
                 )
                 self.version = None
         return await store.read_all(self.name), True
 
-    def apply(self, page: RowPage, *, full: bool) -> None:
+    async def apply(self, page: RowPage, *, full: bool) -> None:
         """Pass a page to the sink; `full` tells that it holds all rows."""
         if full:
-            self.sink.replace(page)
+            await self.sink.replace(page)
         else:
-            self.sink.apply_changes(page)
+            await self.sink.apply_changes(page)
         self.version = page.version
 
     def reset(self) -> None:
@@ -164,12 +168,12 @@
         if self._failures:
             for table in (self._leading_table, *self._other_tables):
                 table.sink.store_returned()
-        self._apply(self._leading_table, page, full=full)
+        await self._apply(self._leading_table, page, full=full)
         return page
 
     async def _follow(self, table: FollowedTable, wait_s: float) -> None:
         page, full = await self._read(table, wait_s)
-        self._apply(table, page, full=full)
+        await self._apply(table, page, full=full)
 
     async def _read(self, table: FollowedTable, wait_s: float) -> tuple[RowPage, bool]:
         """Read a table in the current era.
@@ -204,8 +208,8 @@
         for table in (self._leading_table, *self._other_tables):
             table.reset()
 
-    def _apply(self, table: FollowedTable, page: RowPage, *, full: bool) -> None:
-        table.apply(page, full=full)
+    async def _apply(self, table: FollowedTable, page: RowPage, *, full: bool) -> None:
+        await table.apply(page, full=full)
         self._newest_version = max(self._newest_version, page.version)
 
     def _backoff_s(self, reason: str) -> float:
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -10,6 +10,7 @@
 from cassiadrum.platform.records import decode_catalog, decode_entry
 from cassiadrum.platform.row_stores import ChangedRow, RowPage
 from cassiadrum.platform.store_followers import TableSink
+from cassiadrum.protocols import TimeSlice
 
 __all__ = ["CONFIGURATION_TABLE", "ENDPOINT_TABLE", "ConfigurationSink", "EndpointSink"]
 
@@ -34,11 +35,11 @@
         # returned one at least as new as the one in force.
         self._store_outdated = False
 
-    def replace(self, page: RowPage) -> None:
+    async def replace(self, page: RowPage) -> None:
         """Apply all rows of a full read."""
-        self.apply_changes(page)
+        await self.apply_changes(page)
 
-    def apply_changes(self, page: RowPage) -> None:
+    async def apply_changes(self, page: RowPage) -> None:
         """Apply a changed configuration, then record the confirmation."""
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
@@ -79,15 +80,23 @@
         self._gateway = gateway
         self._clock = clock
 
-    def replace(self, page: RowPage) -> None:
+    async def replace(self, page: RowPage) -> None:
         """Apply all rows of a full read."""
-        entries = [entry for row in page.rows if (entry := self._decode(row)) is not None]
+        time_slice = TimeSlice()
+        entries = []
+        for row in page.rows:
+            await time_slice.checkpoint()
+            entry = self._decode(row)
+            if entry is not None:
+                entries.append(entry)
         self._gateway.directory.replace(entries, self._clock())
         self._gateway.endpoints_changed()
 
-    def apply_changes(self, page: RowPage) -> None:
+    async def apply_changes(self, page: RowPage) -> None:
         """Add, update or remove the endpoints of the changed rows."""
+        time_slice = TimeSlice()
         for row in page.rows:
+            await time_slice.checkpoint()
             entry = self._decode(row)
             if entry is None:
                 self._gateway.directory.remove(row.key, self._clock())
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -1,16 +1,25 @@
 """HTTP/1.1 server and client on asyncio and h11."""
 
-from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed, HttpError
+from cassiadrum.protocols.errors import (
+    AnswerLost,
+    BadMessage,
+    BodyTooLarge,
+    ConnectFailed,
+    HttpError,
+)
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_clients import HttpClient
 from cassiadrum.protocols.http_requests import Headers, HttpRequest
 from cassiadrum.protocols.http_responses import HttpResponse
 from cassiadrum.protocols.http_servers import HttpServer
 from cassiadrum.protocols.memory_budgets import MemoryBudget
+from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES, TimeSlice
 
 __all__ = [
+    "MAX_PARSE_BYTES",
     "AnswerLost",
     "BadMessage",
+    "BodyTooLarge",
     "ConnectFailed",
     "Exchange",
     "Handler",
@@ -21,4 +30,5 @@
     "HttpResponse",
     "HttpServer",
     "MemoryBudget",
+    "TimeSlice",
 ]
--- a/cassiadrum/protocols/errors.py
+++ b/cassiadrum/protocols/errors.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["AnswerLost", "BadMessage", "ConnectFailed", "HttpError"]
+__all__ = ["AnswerLost", "BadMessage", "BodyTooLarge", "ConnectFailed", "HttpError"]
 
 
 class HttpError(CassiadrumError):
@@ -21,6 +21,13 @@
         self.detail = detail
 
 
+class BodyTooLarge(BadMessage):
+    """The body of a response exceeds the limit of the reader."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(502, f"the body is larger than {limit_bytes} bytes")
+
+
 class ConnectFailed(HttpError):
     """The request was not sent: no connection was established, or it is not valid HTTP."""
 
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -3,7 +3,7 @@
 import asyncio
 import ssl
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import NamedTuple
 
 import h11
@@ -11,16 +11,21 @@
 from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed
 from cassiadrum.protocols.http_requests import Headers
 from cassiadrum.protocols.http_responses import HttpResponse
+from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES
 
 __all__ = ["HttpClient"]
 
-READ_BYTES = 64 * 1024
+# Unread bytes of a response at twice of which reading from the server stops.
+READ_BUFFER_BYTES = 64 * 1024
+# Interim (1xx) responses that a server may send before the final one.
+MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
 
 
 class _Connection(NamedTuple):
     protocol: h11.Connection
-    reader: asyncio.StreamReader
+    reader: NotifyingReader
     writer: asyncio.StreamWriter
 
 
@@ -86,13 +91,21 @@
     async def _connect(self) -> _Connection:
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                reader, writer = await asyncio.open_connection(
-                    self._host, self._port, ssl=self._tls
-                )
+                reader, writer = await self._open()
         except (OSError, TimeoutError) as exc:
             raise ConnectFailed(f"cannot connect to {self._host}:{self._port}: {exc}") from exc
         return _Connection(h11.Connection(h11.CLIENT), reader, writer)
 
+    async def _open(self) -> tuple[NotifyingReader, asyncio.StreamWriter]:
+        # Same as asyncio.open_connection, except for the class of the reader.
+        loop = asyncio.get_running_loop()
+        reader = NotifyingReader(limit=READ_BUFFER_BYTES)
+        protocol = asyncio.StreamReaderProtocol(reader)
+        transport, _ = await loop.create_connection(
+            lambda: protocol, self._host, self._port, ssl=self._tls
+        )
+        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
     async def _send(
         self, conn: _Connection, method: str, target: str, headers: Headers, body: bytes
     ) -> h11.Response:
@@ -104,16 +117,17 @@
         try:
             conn.writer.write(data)
             await conn.writer.drain()
-            while True:
+            for _ in range(MAX_INTERIM_RESPONSES + 1):
                 event = await _read_event(conn)
                 if isinstance(event, h11.Response):
                     return event
                 if not isinstance(event, h11.InformationalResponse):
                     raise AnswerLost("connection closed before the response headers arrived")
+            raise BadMessage(502, f"more than {MAX_INTERIM_RESPONSES} interim responses")
         except OSError as exc:
             raise AnswerLost(str(exc)) from exc
 
-    async def _iterate_body(self, conn: _Connection) -> AsyncIterator[bytes]:
+    async def _iterate_body(self, conn: _Connection) -> AsyncGenerator[bytes, None]:
         complete = False
         chunks: list[bytes] = []
         try:
@@ -122,6 +136,7 @@
                 if isinstance(event, h11.Data):
                     # Chunks that arrived in one read are yielded as one byte string.
                     chunks.append(bytes(event.data))
+                    await conn.reader.time_slice.checkpoint()
                     continue
                 if chunks:
                     yield b"".join(chunks)
@@ -161,6 +176,7 @@
 async def _read_event(conn: _Connection) -> object:
     while (event := _parse_event(conn)) is h11.NEED_DATA:
         await _receive(conn)
+        await conn.reader.time_slice.checkpoint()
     if isinstance(event, BadMessage | AnswerLost):
         raise event
     return event
@@ -178,7 +194,7 @@
 
 async def _receive(conn: _Connection) -> None:
     try:
-        data = await conn.reader.read(READ_BYTES)
+        data = await conn.reader.read(MAX_PARSE_BYTES)
     except OSError as exc:
         raise AnswerLost(str(exc)) from exc
     conn.protocol.receive_data(data)
--- a/cassiadrum/protocols/http_responses.py
+++ b/cassiadrum/protocols/http_responses.py
@@ -1,12 +1,16 @@
 """An HTTP response that a client received."""
 
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+from collections.abc import AsyncGenerator
+from typing import Final, NamedTuple
 
+from cassiadrum.protocols.errors import BodyTooLarge
 from cassiadrum.protocols.http_requests import Headers
 
 __all__ = ["HttpResponse"]
 
+# Bounds the memory of a body that does not end; the largest objects of the stores have 8 MiB.
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+
 
 class HttpResponse(NamedTuple):
     """Status, headers and a stream of the body.
@@ -17,12 +21,22 @@
 
     status: int
     headers: Headers
-    body: AsyncIterator[bytes]
+    body: AsyncGenerator[bytes, None]
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first value of a header; `name` is in lower case."""
         return next((value for key, value in self.headers if key == name), default)
 
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        return b"".join([part async for part in self.body])
+    async def read(self, limit_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body; close the connection and raise BodyTooLarge above it."""
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async for part in self.body:
+                parts.append(part)
+                size += len(part)
+                if size > limit_bytes:
+                    raise BodyTooLarge(limit_bytes)
+        finally:
+            await self.body.aclose()
+        return b"".join(parts)
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -13,12 +13,14 @@
 from cassiadrum.protocols.http_requests import HttpRequest
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader
-from cassiadrum.protocols.request_readers import READ_BYTES, ReadLimits, RequestReader
+from cassiadrum.protocols.request_readers import ReadLimits, RequestReader
 
 __all__ = ["HttpServer"]
 
 logger = logging.getLogger(__name__)
 
+# Unread bytes of a caller at half of which reading from it stops.
+READ_BUFFER_BYTES = 64 * 1024
 REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
 
@@ -111,7 +113,7 @@
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         # Same as asyncio.start_server, except for the class of the reader.
-        reader = NotifyingReader(limit=READ_BYTES)
+        reader = NotifyingReader(limit=READ_BUFFER_BYTES)
         return asyncio.StreamReaderProtocol(reader, self._accept)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/cassiadrum/protocols/notifying_readers.py
+++ b/cassiadrum/protocols/notifying_readers.py
@@ -1,9 +1,11 @@
-"""Stream reader that reports the disconnect of the peer immediately."""
+"""Stream reader that reports the disconnect of the peer immediately, and paces its task."""
 
 import asyncio
 from collections.abc import Callable
 from typing import Any
 
+from cassiadrum.protocols.time_slices import TimeSlice
+
 __all__ = ["NotifyingReader"]
 
 
@@ -12,8 +14,14 @@
 
     This saves a task per request that would wait for the end of the input. Data that arrives
     before it is read stays in the buffer; a full buffer pauses the transport.
+
+    A task that processes what it reads calls `time_slice.checkpoint()` for each piece.
     """
 
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit=limit)
+        self.time_slice = TimeSlice()
+
     # Number of bytes received but not read.
     unread_bytes = 0
     _disconnect_callback: Callable[[], None] | None = None
@@ -32,8 +40,11 @@
 
     async def read(self, n: int = -1) -> bytes:
         """Return at most `n` bytes, or no bytes at the end of the input."""
+        waits = self.unread_bytes == 0
         data = await super().read(n)
         self.unread_bytes -= len(data)
+        if waits:
+            self.time_slice.restart()
         return data
 
     def feed_eof(self) -> None:
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -10,10 +10,9 @@
 from cassiadrum.protocols.http_requests import HttpRequest
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES
 
-__all__ = ["READ_BYTES", "ReadLimits", "RequestReader"]
-
-READ_BYTES = 64 * 1024
+__all__ = ["ReadLimits", "RequestReader"]
 
 
 class ReadLimits(NamedTuple):
@@ -45,6 +44,8 @@
         self._deadline = 0.0
         # Size of the current body; `release_body` returns it to the budget.
         self._reserved_bytes = 0
+        # Whether a part of the next request's head has arrived.
+        self._head_started = False
 
     @property
     def request_started(self) -> bool:
@@ -60,6 +61,7 @@
         """
         self._limits = self._get_limits()
         self._deadline = self._now() + self._limits.idle_timeout_s
+        self._head_started = bool(self._conn.trailing_data[0])
         head = await self._read_head()
         if head is None:
             return None
@@ -81,7 +83,7 @@
 
     async def _read_head(self) -> h11.Request | None:
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             if isinstance(event, h11.Request):
                 _check_head_size(event, self._limits.header_bytes)
                 _check_framing(event)
@@ -89,7 +91,7 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            started = bool(self._conn.trailing_data[0])
+            started = self._head_started
             if not await self._receive(started=started):
                 return None
             if not started:
@@ -102,18 +104,21 @@
             raise BadMessage(413, f"the body is larger than {self._limits.body_bytes} bytes")
 
     async def _read_body(self) -> bytes | None:
-        parts: list[bytes] = []
+        # One buffer: a list of the chunks would take many times the memory of their bytes if the
+        # caller sends a byte in each.
+        body = bytearray()
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if isinstance(event, h11.Data):
                 self._reserve(len(event.data))
-                parts.append(bytes(event.data))
+                body += event.data
             elif event is not h11.NEED_DATA or not await self._receive(started=True):
                 return None
 
-    def _next_event(self) -> object:
+    async def _next_event(self) -> object:
+        await self._reader.time_slice.checkpoint()
         try:
             return self._conn.next_event()
         except h11.RemoteProtocolError as exc:
@@ -125,18 +130,28 @@
         if self._conn.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._conn.send(reply) or b"")
-        timeout = max(0.0, self._deadline - self._now())
-        try:
-            async with asyncio.timeout(timeout):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError as exc:
+        data = await self._read_until_deadline()
+        if data is None:
             if started:
                 limit = f"{self._limits.read_timeout_s:g} s"
-                raise BadMessage(408, f"the request did not arrive within {limit}") from exc
+                raise BadMessage(408, f"the request did not arrive within {limit}")
             return False
         self._conn.receive_data(data)
+        self._head_started = bool(data)
         return True
 
+    async def _read_until_deadline(self) -> bytes | None:
+        """Return received bytes, None at the deadline."""
+        left_s = self._deadline - self._now()
+        if left_s <= 0.0:
+            # A timeout alone would not end a read that returns without waiting.
+            return None
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._reader.read(MAX_PARSE_BYTES)
+        except TimeoutError:
+            return None
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers."""
 
+import re
 from collections.abc import Callable
 from typing import Protocol
 
@@ -16,6 +17,8 @@
 SERVICES_PREFIX = "/services/"
 REQUESTS_PREFIX = "/requests/"
 RETRY_AFTER_S = 1.0
+# int() raises ValueError for very long digit strings.
+POSITION = re.compile(r"[0-9]{1,18}")
 
 
 class AnswerFetcher(Protocol):
@@ -117,7 +120,7 @@
 
     async def _handle_fetch(self, exchange: Exchange, answer_id: str) -> None:
         name, _, value = exchange.req.query.partition("=")
-        if exchange.req.query and (name != "position" or not value.isdecimal()):
+        if exchange.req.query and (name != "position" or not POSITION.fullmatch(value)):
             detail = "the only query parameter allowed is `position`, a byte offset"
             await send_problem(exchange, Problem("bad_request", "no", detail))
             return
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -115,6 +115,7 @@
         self.addresses["admin"] = str(Address(listen.admin.host, port))
         self.ring.record(EventKind.PROCESS_STARTED)
         self._spawn(self.watch_tls())
+        self._spawn(self._gauges.loop_delay.watch())
         self._spawn(self._configurations.run())
         self._spawn(self._instances.run())
         self._spawn(self._router.run())
--- a/cassiadrum/roles/gauges.py
+++ b/cassiadrum/roles/gauges.py
@@ -4,7 +4,7 @@
 from typing import Literal
 
 from cassiadrum.links import Link
-from cassiadrum.metrics import RoleMetrics
+from cassiadrum.metrics import LoopDelay, RoleMetrics
 
 __all__ = ["Gauges"]
 
@@ -12,7 +12,8 @@
 class Gauges:
     """Gauges of connections, versions, queue lengths and control bytes, updated on rendering.
 
-    `links` are the open links, which the daemon adds; `remove` counts the last bytes of a link.
+    The daemon runs `loop_delay.watch()`. `links` are the open links, which the daemon adds;
+    `remove` counts the last bytes of a link.
     `versions` returns the version in force and `queue_lengths` the queue length, each by service.
     `peer` is the role of the processes at the other end of the links.
     """
@@ -25,6 +26,7 @@
         queue_lengths: Callable[[], Mapping[str, int]],
     ) -> None:
         self.links: set[Link] = set()
+        self.loop_delay = LoopDelay()
         self._metrics = metrics
         self._peer = peer
         self._versions = versions
@@ -44,6 +46,7 @@
             self._metrics.set_configuration_version(service, version)
         for service, count in self._queue_lengths().items():
             self._metrics.set_queue_length(service, count)
+        self._metrics.set_loop_delay(self.loop_delay.longest_s, self.loop_delay.recent_s)
         for link in self.links:
             self._count_bytes(link)
         return self._metrics.render()
--- a/cassiadrum/tests/gateways/test_fleet_tables.py
+++ b/cassiadrum/tests/gateways/test_fleet_tables.py
@@ -30,9 +30,9 @@
 class IgnoringSink(TableSink):
     """A sink of the leading table that ignores its rows."""
 
-    def replace(self, page: RowPage) -> None: ...
+    async def replace(self, page: RowPage) -> None: ...
 
-    def apply_changes(self, page: RowPage) -> None: ...
+    async def apply_changes(self, page: RowPage) -> None: ...
 
     def store_returned(self) -> None: ...
 
@@ -417,7 +417,7 @@
             b'"started_ms":1,"rate_per_s":-1,"made_ms":1}]}',
         ],
     )
-    def test_invalid_row_is_ignored(
+    async def test_invalid_row_is_ignored(
         self, content: bytes, caplog: pytest.LogCaptureFixture
     ) -> None:
         fleet = Fleet(NAME, OUTDATED_S, lambda: 100.0)
@@ -425,6 +425,6 @@
         sink = FleetSink(fleet, limits, NAME)
         valid = msgspec.json.encode(MemberRow(joined_ms=0.0, expires_ms=1e9))
         rows = (ChangedRow("g-1", content, 1), ChangedRow("g-2", valid, 2))
-        sink.replace(RowPage(rows, 2, 90.0, 100.0, 100.0))
+        await sink.replace(RowPage(rows, 2, 90.0, 100.0, 100.0))
         assert fleet.size == 2
         assert "registration of a gateway rejected" in caplog.text
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -61,6 +61,11 @@
     await send_forever(writer, b"4000\r\n" + b"a" * 0x4000 + b"\r\n")
 
 
+async def endless_tiny_chunks(request_id: str, writer: asyncio.StreamWriter) -> None:
+    writer.write(make_head(request_id, "transfer-encoding: chunked") + b"\r\n")
+    await send_forever(writer, b"1\r\nx\r\n" * 5000)
+
+
 async def endless_chunk_extension(request_id: str, writer: asyncio.StreamWriter) -> None:
     writer.write(make_head(request_id, "transfer-encoding: chunked") + b"\r\n4;")
     await send_forever(writer, b"a=b;" * 1000)
@@ -95,6 +100,7 @@
     endless_interim_answers,
     endless_body,
     endless_chunks,
+    endless_tiny_chunks,
     endless_chunk_extension,
     endless_trailer,
     endless_answer_to_another,
--- a/cassiadrum/tests/test_call_runners.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -1,6 +1,6 @@
 """Tests of the task that calls the endpoint for a request."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Any
 
 import pytest
@@ -24,7 +24,7 @@
         self._chunk_count = parts
 
     async def call(self, call: Any) -> HttpResponse:
-        async def body() -> AsyncIterator[bytes]:
+        async def body() -> AsyncGenerator[bytes, None]:
             for _ in range(self._chunk_count):
                 yield CHUNK
 
--- a/cassiadrum/tests/test_metrics.py
+++ b/cassiadrum/tests/test_metrics.py
@@ -39,6 +39,7 @@
         metrics.set_configuration_version("s", 4)
         metrics.set_connections("sidecar", 9)
         metrics.set_queue_length("s", 2)
+        metrics.set_loop_delay(0.2, 0.1)
         for observe in (
             metrics.observe_queue_wait,
             metrics.observe_first_token,
