Admit callers by keys wherever the configuration lists customers

Cause: an absent list of customers, an empty one and one that could not be read were one value, and it opened the door. The same confusion made a configuration that cannot be read confirm the older one in force, and took a caller's timeout of 0 for none.

Change: the type Access says who is admitted. Only a configuration without the list is open. A list that is null or otherwise unreadable makes the version unreadable. An empty text is no key, and no key is not an empty one. StoredConfiguration says what the store holds; an outdated, unreadable or missing configuration confirms nothing. In the settings, names must not be empty, numbers that would overflow are errors (such a reload ended the task that watches the file), and metrics of a machine without an address no longer listen on every address.

Two expected texts in test_node_settings.py changed with the messages, which now state the upper bounds.

--- a/cassiadrum/gateways/__init__.py
+++ b/cassiadrum/gateways/__init__.py
@@ -1,12 +1,12 @@
 """An entry instance that reaches endpoints directly over persistent HTTP/1.1 connections."""
 
+from cassiadrum.gateways.access import Access, Customer, KeyedAccess, OpenAccess
 from cassiadrum.gateways.answer_heads import AnswerHead, LoadSample
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.calls import Call, PromptPart
 from cassiadrum.gateways.catalogs import (
     CallKind,
     Catalog,
-    Customer,
     RequestLimits,
     Route,
     ServiceSettings,
@@ -20,6 +20,7 @@
 from cassiadrum.gateways.request_limits import LimitNotice
 
 __all__ = [
+    "Access",
     "AnswerHead",
     "Call",
     "CallKind",
@@ -33,10 +34,12 @@
     "Gateway",
     "GatewaySettings",
     "Incarnation",
+    "KeyedAccess",
     "LimitBoard",
     "LimitNews",
     "LimitNotice",
     "LoadSample",
+    "OpenAccess",
     "PromptPart",
     "RequestLimits",
     "Route",
--- a/cassiadrum/gateways/active_configurations.py
+++ b/cassiadrum/gateways/active_configurations.py
@@ -6,13 +6,8 @@
 import time
 from collections.abc import Callable, Mapping
 
-from cassiadrum.gateways.catalogs import (
-    Catalog,
-    Customer,
-    Route,
-    ServiceSettings,
-    choose_service,
-)
+from cassiadrum.gateways.access import Customer
+from cassiadrum.gateways.catalogs import Catalog, Route, ServiceSettings, choose_service
 from cassiadrum.gateways.confirmations import Confirmation
 from cassiadrum.gateways.errors import IMMEDIATE_RETRY_AFTER_S, Denied, Refused
 from cassiadrum.gateways.request_contexts import RequestContext
@@ -115,13 +110,13 @@
             "version_age_ms": round(age_s * 1000) if age_s < float("inf") else None,
         }
 
-    def _find_customer(self, catalog: Catalog, route: Route, key: str) -> Customer | None:
+    def _find_customer(self, catalog: Catalog, route: Route, key: str | None) -> Customer | None:
         """Return the customer that holds the key of a request, None if the route needs none."""
-        if not catalog.requires_keys or route.public:
+        if not catalog.access.asks_for_key or route.public:
             return None
         if self._strict_keys:
             self._check_confirmed()
-        customer = catalog.customer(key)
+        customer = catalog.access.customer(key)
         if customer is None:
             raise Denied(401, "unknown_key")
         return customer
--- a/cassiadrum/gateways/calls.py
+++ b/cassiadrum/gateways/calls.py
@@ -17,8 +17,9 @@
 class Call(NamedTuple):
     """A complete request; `headers` are the caller's headers that are forwarded to endpoints.
 
-    `prompt` lists the parts in order; the last one is not shared with other requests. `timeout_s`
-    is the caller's timeout in seconds, None if not stated.
+    `key` is None without a key, and empty if the key cannot be read. `prompt` lists the parts in
+    order; the last one is not shared with other requests. `timeout_s` is the caller's timeout in
+    seconds, None if not stated.
     """
 
     request_id: str
@@ -27,7 +28,7 @@
     host: str
     headers: Headers
     body: bytes
-    key: str
+    key: str | None
     timeout_s: float | None
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -1,15 +1,16 @@
 """The configuration in force: routes, services, customers and request limits."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
 
 import xxhash
 
+from cassiadrum.gateways.access import Access
+
 __all__ = [
     "CallKind",
     "Catalog",
-    "Customer",
     "RequestLimits",
     "Route",
     "ServiceSettings",
@@ -56,13 +57,6 @@
         return self.kind is CallKind.IDEMPOTENT or self.resumable
 
 
-class Customer(NamedTuple):
-    """The holder of a key; its `priority` has precedence over that of routes unless it is None."""
-
-    name: str
-    priority: int | None
-
-
 class ServiceSettings(NamedTuple):
     """Settings of a service; `cache_tokens` is None for services other than model engines."""
 
@@ -88,26 +82,20 @@
 
 
 class Catalog:
-    """One version of the configuration.
-
-    With `requires_keys`, requests of routes that are not public need a key.
-    """
+    """One version of the configuration."""
 
     def __init__(
         self,
         version: int,
         routes: Iterable[Route],
         services: Iterable[ServiceSettings],
-        customers_by_key: Mapping[str, Customer],
+        access: Access,
         limits: RequestLimits,
-        *,
-        requires_keys: bool,
     ) -> None:
         self.version = version
-        self.requires_keys = requires_keys
+        self.access = access
         self.limits = limits
         self.services = {service.name: service for service in services}
-        self._customers = dict(customers_by_key)
         self._routes: dict[str, list[Route]] = {}
         # Priority and allowed event gap of the stream classes of each service.
         self._stream_classes: dict[str, set[tuple[int, float]]] = {}
@@ -142,10 +130,6 @@
         """Return whether the service has streams that are less urgent than the given priority."""
         return any(other > priority for other, _ in self._stream_classes.get(service, ()))
 
-    def customer(self, key: str) -> Customer | None:
-        """Return the customer that holds a key."""
-        return self._customers.get(key)
-
 
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service for a request, which is the same for all of its attempts."""
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
+from cassiadrum.gateways.access import Customer
 from cassiadrum.gateways.calls import Call
-from cassiadrum.gateways.catalogs import CallKind, Customer, MoreUrgentStreams, Route
+from cassiadrum.gateways.catalogs import CallKind, MoreUrgentStreams, Route
 from cassiadrum.gateways.endpoint_views import EndpointView
 
 __all__ = ["RequestContext"]
@@ -46,7 +47,9 @@
         self.customer = customer
         self.service = service
         if first:
-            timeout_s = min(route.timeout_s, self.call.timeout_s or route.timeout_s)
+            timeout_s = route.timeout_s
+            if self.call.timeout_s is not None:
+                timeout_s = min(timeout_s, self.call.timeout_s)
             self.deadline_s = self.received_s + timeout_s
             self.target_s = self.received_s + route.target_s
 
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -52,7 +52,7 @@
             host=_host(req.header("host")),
             headers=_forwarded_headers(req.headers),
             body=req.body,
-            key=keys.pop() if len(keys) == 1 else "",
+            key=_only_key(keys),
             timeout_s=_parse_timeout_s(req.header(Header.TIMEOUT)),
             prompt=_parse_prompt_parts(req.header(Header.PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
@@ -116,6 +116,13 @@
         )
 
 
+def _only_key(keys: set[str]) -> str | None:
+    """Return the key of a request, None without one, an empty text if there are several."""
+    if not keys:
+        return None
+    return keys.pop() if len(keys) == 1 else ""
+
+
 def _host(text: str) -> str:
     return text.partition(":")[0].lower()
 
@@ -133,10 +140,12 @@
 
 
 def _parse_timeout_s(text: str) -> float | None:
+    """Return the seconds of a timeout, None if it is absent or not a number."""
     try:
-        return max(0.0, float(text) / 1000)
+        timeout_s = float(text) / 1000
     except ValueError:
         return None
+    return None if math.isnan(timeout_s) else max(0.0, timeout_s)
 
 
 def _retry_after_s(text: str) -> float | None:
--- a/cassiadrum/platform/node_settings.py
+++ b/cassiadrum/platform/node_settings.py
@@ -19,9 +19,18 @@
 MEGABYTE = 1024 * 1024
 
 
-NotNegative = Annotated[float, Meta(ge=0, description="a number of at least 0")]
-Positive = Annotated[float, Meta(gt=0, description="a number above 0")]
-Count = Annotated[int, Meta(ge=1, description="a whole number of at least 1")]
+# Larger numbers would overflow in conversions and sums.
+MAX_NUMBER = 1e12
+MAX_COUNT = 2**31 - 1
+
+NotNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER, description="a number from 0 to 1e12")]
+Positive = Annotated[
+    float, Meta(gt=0, le=MAX_NUMBER, description="a number above 0, at most 1e12")
+]
+Count = Annotated[
+    int, Meta(ge=1, le=MAX_COUNT, description=f"a whole number from 1 to {MAX_COUNT}")
+]
+NonEmpty = Annotated[str, Meta(min_length=1, description="a text that is not empty")]
 
 
 class _ListenWire(msgspec.Struct):
@@ -34,6 +43,7 @@
     config_apply_ms: Positive = 2000.0
     drain_ms: NotNegative = 2000.0
     grace_s: NotNegative = 8.0
+    # Absent in deployments that do not bound the time for which a revoked key may be served.
     strict_revoke: bool = False
     revoke_ms: Positive = 5000.0
     retry_budget_ratio: NotNegative = 0.1
@@ -51,10 +61,11 @@
 
 
 class _FileWire(msgspec.Struct):
-    node: str
-    zone: str
+    node: NonEmpty
+    zone: NonEmpty
     listen: _ListenWire
     platform: _PlatformWire
+    # That at which callers are accepted if empty: listening at "" would open every address.
     ip: str = ""
     heartbeat_ms: Positive = 1200.0
     limits: _MachineWire = msgspec.field(default_factory=_MachineWire)
@@ -142,13 +153,14 @@
 
 def _to_settings(wire: _FileWire) -> NodeSettings:
     bounds = wire.bounds
+    calls = Address.parse(wire.listen.front)
     return NodeSettings(
         instance=wire.node,
         zone=wire.zone,
-        calls=Address.parse(wire.listen.front),
+        calls=calls,
         readiness=Address.parse(wire.listen.ready),
         store=Address.parse(wire.platform.address),
-        host=wire.ip,
+        host=wire.ip or calls.host,
         descriptors=wire.limits.max_fds,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
         heartbeat_s=wire.heartbeat_ms / 1000,
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -5,10 +5,13 @@
 import msgspec
 
 from cassiadrum.gateways import (
+    Access,
     CallKind,
     Catalog,
     Customer,
     EndpointEntry,
+    KeyedAccess,
+    OpenAccess,
     RequestLimits,
     Route,
     ServiceSettings,
@@ -83,7 +86,8 @@
     routes: list[_RouteWire]
     services: list[_ServiceWire]
     limits: _LimitsWire = msgspec.field(default_factory=_LimitsWire)
-    tenants: list[_CustomerWire] = []
+    # Absent if requests need no key; an empty list admits nobody.
+    tenants: list[_CustomerWire] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _EntryWire(msgspec.Struct):
@@ -104,11 +108,6 @@
         routes = [_route(route) for route in wire.routes]
     except (*DECODE_ERRORS, KeyError) as exc:
         raise BadRecord(f"configuration: {exc}") from exc
-    customers = {
-        key: Customer(customer.name, customer.priority)
-        for customer in wire.tenants
-        for key in customer.api_keys
-    }
     limits = RequestLimits(
         wire.limits.max_header_bytes,
         wire.limits.max_body_bytes,
@@ -123,9 +122,7 @@
         )
         for service in wire.services
     ]
-    return Catalog(
-        wire.version, routes, services, customers, limits, requires_keys=bool(wire.tenants)
-    )
+    return Catalog(wire.version, routes, services, _access(wire.tenants), limits)
 
 
 def decode_entry(instance: str, data: bytes) -> EndpointEntry:
@@ -151,6 +148,18 @@
     )
 
 
+def _access(wire: list[_CustomerWire] | msgspec.UnsetType) -> Access:
+    if isinstance(wire, msgspec.UnsetType):
+        return OpenAccess()
+    return KeyedAccess(
+        {
+            key: Customer(customer.name, customer.priority)
+            for customer in wire
+            for key in customer.api_keys
+        }
+    )
+
+
 def _route(wire: _RouteWire) -> Route:
     shares = tuple(Share(share.service, share.weight) for share in wire.split)
     return Route(
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from collections.abc import Callable
+from enum import Enum
 from typing import Final
 
 from cassiadrum.gateways import EndpointEntry, Gateway
@@ -21,30 +22,43 @@
 ENDPOINT_TABLE: Final = "servers"
 
 
+class StoredConfiguration(Enum):
+    """What the store holds as the operator's configuration, by its last answer about it.
+
+    Only IN_FORCE, which includes an answer without a change, confirms the configuration in force.
+    """
+
+    IN_FORCE = "in force"
+    # The store was restored from a copy that may hold an older version than the one in force.
+    OUTDATED = "outdated"
+    # The row cannot be decoded: a version that this gateway does not know replaced the known one.
+    UNREADABLE = "unreadable"
+    # There is no row.
+    ABSENT = "absent"
+
+
 class ConfigurationSink(TableSink):
     """Sink of the operator's configuration, and of the store's confirmations of it.
 
-    A restored store may hold an older configuration than the one in force. Its answers then do not
-    show which configuration is the newest, so they confirm nothing until the operator has written
-    one at least as new.
+    While the store holds anything but the configuration in force, its answers confirm nothing.
     """
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
-        # Whether the store was restored, or returned an older configuration, since it last
-        # returned one at least as new as the one in force.
-        self._store_outdated = False
+        self._stored = StoredConfiguration.ABSENT
 
     async def replace(self, page: RowPage) -> None:
         """Apply all rows of a full read."""
+        if all(row.key != CONFIGURATION_KEY for row in page.rows):
+            self._set_stored(StoredConfiguration.ABSENT)
         await self.apply_changes(page)
 
     async def apply_changes(self, page: RowPage) -> None:
         """Apply a changed configuration, then record the confirmation."""
         for row in page.rows:
-            if row.key == CONFIGURATION_KEY and row.content is not None:
-                self._apply_configuration(row.content)
-        if not self._store_outdated:
+            if row.key == CONFIGURATION_KEY:
+                self._set_stored(self._apply_configuration(row.content))
+        if self._stored is StoredConfiguration.IN_FORCE:
             self._gateway.configuration.confirmation.record_answer(
                 page.store_s, page.sent_s, page.received_s
             )
@@ -54,23 +68,32 @@
 
     def store_restored(self) -> None:
         """Stop confirming until a configuration as new as the one in force is read."""
-        self._store_outdated = self._gateway.configuration.catalog is not None
+        self._set_stored(StoredConfiguration.OUTDATED)
+
+    def _set_stored(self, stored: StoredConfiguration) -> None:
+        if stored is StoredConfiguration.ABSENT and self._stored is not stored:
+            logger.error("the store has no configuration, keeping the one in force unconfirmed")
+        self._stored = stored
 
-    def _apply_configuration(self, content: bytes) -> None:
+    def _apply_configuration(self, content: bytes | None) -> StoredConfiguration:
+        """Put the content of a row in force if it is a newer version, and return what it is."""
+        if content is None:
+            return StoredConfiguration.ABSENT
         try:
             catalog = decode_catalog(content)
         except BadRecord as exc:
-            logger.error("configuration rejected: %s", exc)
-            return
+            logger.error("configuration rejected, the one in force is unconfirmed: %s", exc)
+            return StoredConfiguration.UNREADABLE
         known = self._gateway.configuration.catalog
-        self._store_outdated = known is not None and catalog.version < known.version
-        if self._store_outdated and known is not None:
+        if known is not None and catalog.version < known.version:
             logger.warning(
                 "store returned outdated configuration %s, keeping %s in force",
                 catalog.version,
                 known.version,
             )
+            return StoredConfiguration.OUTDATED
         self._gateway.configuration.set_catalog(catalog)
+        return StoredConfiguration.IN_FORCE
 
 
 class EndpointSink(TableSink):
--- a/cassiadrum/tests/gateways/makers.py
+++ b/cassiadrum/tests/gateways/makers.py
@@ -6,6 +6,7 @@
     Catalog,
     Customer,
     EndpointEntry,
+    KeyedAccess,
     PromptPart,
     RequestLimits,
     Route,
@@ -81,7 +82,6 @@
         version,
         routes or (make_route(),),
         (ServiceSettings("drafts", 64, 500_000),),
-        {key: Customer("customer", None) for key in keys},
+        KeyedAccess({key: Customer("customer", None) for key in keys}),
         RequestLimits(16_384, 1_000_000, 3.0, 15.0),
-        requires_keys=True,
     )
--- a/cassiadrum/tests/gateways/test_node_settings.py
+++ b/cassiadrum/tests/gateways/test_node_settings.py
@@ -38,7 +38,17 @@
         assert parse_node_settings(json.dumps(raw).encode()).zone == "a"
 
     @pytest.mark.parametrize(
-        ("key", "value"), [("zone", 7), ("platform", {}), ("listen", {"front": "nonsense"})]
+        ("key", "value"),
+        [
+            ("zone", 7),
+            ("zone", ""),
+            ("node", ""),
+            ("ip", None),
+            ("platform", {}),
+            ("listen", {"front": "nonsense"}),
+            ("limits", {"memory_mb": 1e305}),
+            ("limits", {"max_fds": 10**400}),
+        ],
     )
     def test_error_names_the_key_of_the_invalid_value(self, key: str, value: object) -> None:
         raw = {**make_settings(1, 2, 3), key: value}
@@ -46,6 +56,14 @@
             parse_node_settings(json.dumps(raw).encode())
         assert key in str(caught.value)
 
+    def test_metrics_of_a_machine_without_an_address_are_not_on_every_address(self) -> None:
+        """Guards against an absent address that opens the metrics to all networks."""
+        raw = make_settings(1, 2, 3)
+        empty = parse_node_settings(json.dumps({**raw, "ip": ""}).encode())
+        del raw["ip"]
+        absent = parse_node_settings(json.dumps(raw).encode())
+        assert (empty.host, absent.host) == ("127.0.0.1", "127.0.0.1")
+
     def test_all_errors_are_reported_at_once(self) -> None:
         """Guards against errors that are found one by one, at one start of the process each."""
         raw = {**make_settings(1, 2, 3), "zone": 7, "limits": {"max_fds": 0}}
@@ -54,10 +72,10 @@
         with pytest.raises(BadSettings) as caught:
             parse_node_settings(json.dumps(raw).encode(), "boot.json")
         assert [str(finding) for finding in caught.value.findings] == [
-            "boot.json: zone: found 7; allowed: text",
+            "boot.json: zone: found 7; allowed: a text that is not empty",
             "boot.json: platform.address: found nothing; allowed: a value; the key is required",
-            "boot.json: limits.max_fds: found 0; allowed: a whole number of at least 1",
-            "boot.json: bounds.contact_ms: found 'soon'; allowed: a number above 0",
+            "boot.json: limits.max_fds: found 0; allowed: a whole number from 1 to 2147483647",
+            "boot.json: bounds.contact_ms: found 'soon'; allowed: a number above 0, at most 1e12",
         ]
 
 
