Check everything of a registration that is used later

Cause: any text before the last colon was taken for a host. Resolving it raised UnicodeError, which ended the handler, and the endpoint never counted as failed. The same class: ids and customer names that are no header values, numbers that cannot be encoded again or overflow a float, names that are looked up, and one row that made its whole page unreadable.

Ids, numbers and texts are checked when a row, a load or a report is decoded; rows are decoded one by one. Rows of other parts are left out, and keys between pages are quoted. A connection raises only the errors that an attempt handles. Prompt and load counts take up to 9 digits.

Deep nesting was no fault: its RecursionError was handled.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -123,13 +123,16 @@
             timeout_s=ctx.deadline_s - self._clock(),
             last_event_id=last_event_id,
         )
+        ctx.tried.add(self.view.entry.instance)
+        self._sent_s = self._clock()
+        try:
+            conn.send(call.method, call.target, headers, call.body)
+        except BadMessage as exc:
+            raise AttemptFailed(str(exc), not_run=True) from exc
         ctx.sends += 1
         ctx.deliveries += 1
-        ctx.tried.add(self.view.entry.instance)
         may_have_run_before = ctx.may_have_run
         ctx.may_have_run = True
-        self._sent_s = self._clock()
-        conn.send(call.method, call.target, headers, call.body)
         self.view.record_sent(RequestKind.CALL)
         self.view.prompt_cache.add(call.prompt)
         head = await self._read(self._read_own_head())
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -57,7 +57,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(cls, address.host, address.port)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # An address that is none raises UnicodeError, a ValueError, or OverflowError.
             raise ConnectFailed(f"{address}: {exc or 'no connection in time'}") from exc
         return conn
 
@@ -99,12 +100,18 @@
         return self._transport is not None and not (self._eof or self._aborted)
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Send a request without waiting for the endpoint to read it."""
+        """Send a request without waiting for the endpoint to read it.
+
+        Raises BadMessage, and sends nothing, if the request cannot be encoded.
+        """
         assert self._transport is not None
-        lines = [(name.encode(), value.encode("latin-1")) for name, value in headers]
-        if body or method in ("POST", "PUT", "PATCH"):
-            lines.append((b"content-length", str(len(body)).encode()))
-        self._request = [h11.Request(method=method, target=target, headers=lines)]
+        try:
+            lines = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+            if body or method in ("POST", "PUT", "PATCH"):
+                lines.append((b"content-length", str(len(body)).encode()))
+            self._request = [h11.Request(method=method, target=target, headers=lines)]
+        except (h11.LocalProtocolError, UnicodeError) as exc:
+            raise BadMessage(400, f"the request cannot be encoded: {exc}") from exc
         if body:
             self._request.append(h11.Data(data=body))
         self._request.append(h11.EndOfMessage())
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -14,6 +15,7 @@
     LoadSample,
     PromptPart,
 )
+from cassiadrum.platform.errors import DECODE_ERRORS
 from cassiadrum.platform.headers import CONNECTION_HEADERS, GATEWAY_HEADERS, Header
 from cassiadrum.protocols import BadMessage, Headers, HttpRequest
 
@@ -23,6 +25,9 @@
 MIN_TIMEOUT_MS = 1
 SERVICE_UNAVAILABLE = 503
 LEAVING = "1"
+# Requests, slots or tokens.
+COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
+MAX_LOAD = 10**9
 # At most 18 digits: int() raises ValueError for very long digit strings.
 TOKEN_COUNT = re.compile(r"[0-9]{1,18}")
 # float() also accepts signs, underscores and words such as "nan".
@@ -30,9 +35,12 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
+LoadCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOAD)]
+
+
 class _ReportWire(msgspec.Struct):
-    running: int
-    waiting: int
+    running: LoadCount
+    waiting: LoadCount
 
 
 class PlatformProtocol(CallProtocol):
@@ -43,7 +51,7 @@
         request_id = req.header(Header.REQUEST_ID)
         if not request_id:
             raise BadMessage(400, "the request has no request id")
-        prompt_tokens, max_output_tokens = _parse_integers(req.header(Header.TOKENS), 2) or (0, 0)
+        prompt_tokens, max_output_tokens = _parse_counts(req.header(Header.TOKENS), 2) or (0, 0)
         keys = {value for name, value in req.headers if name == Header.API_KEY}
         return Call(
             request_id=request_id,
@@ -77,7 +85,8 @@
             (Header.PRIORITY, str(min(LOWEST_PRIORITY, max(0, priority)))),
         ]
         if customer:
-            lines.append((Header.CUSTOMER, customer))
+            # Header values are bytes that the client writes as Latin-1; names are sent as UTF-8.
+            lines.append((Header.CUSTOMER, customer.encode().decode("latin-1")))
         if last_event_id:
             lines.append((Header.LAST_EVENT_ID, last_event_id))
         return (*call.headers, *lines)
@@ -91,14 +100,14 @@
         """Return the load in a report; raise BadMessage if it cannot be decoded."""
         try:
             report = msgspec.json.decode(body, type=_ReportWire)
-        except (msgspec.MsgspecError, RecursionError) as exc:
+        except DECODE_ERRORS as exc:
             raise BadMessage(502, f"invalid load report: {exc}") from exc
         return LoadSample(report.running, report.waiting, slots)
 
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the status and the decoded headers of an endpoint's answer."""
         values = dict(headers)
-        load = _parse_integers(values.get(Header.LOAD, ""), 3)
+        load = _parse_counts(values.get(Header.LOAD, ""), 3)
         return AnswerHead(
             status=status,
             headers=tuple(line for line in headers if line[0] not in CONNECTION_HEADERS),
@@ -165,13 +174,15 @@
     return LimitNotice(text, float(text) if readable else None)
 
 
-def _parse_integers(text: str, size: int) -> tuple[int, ...] | None:
-    """Return `size` comma-separated integers, or None if the text has another form or number."""
-    try:
-        found = tuple(int(part) for part in text.split(","))
-    except ValueError:
+def _parse_counts(text: str, size: int) -> tuple[int, ...] | None:
+    """Return `size` comma-separated counts, or None if the text has another form or number.
+
+    Negative and very large numbers would distort or overflow the estimates made from them.
+    """
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != size or not all(map(COUNT.fullmatch, parts)):
         return None
-    return found if len(found) == size else None
+    return tuple(map(int, parts))
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -1,10 +1,15 @@
 """Errors of the platform adapter."""
 
+from typing import Final
+
+import msgspec
+
 from cassiadrum.errors import CassiadrumError
 from cassiadrum.schemas import Finding
 from cassiadrum.stores.errors import StoreUnavailable
 
 __all__ = [
+    "DECODE_ERRORS",
     "AnswerTooLarge",
     "BadRecord",
     "BadSettings",
@@ -16,6 +21,10 @@
 ]
 
 
+# Errors of decoding bytes from other processes; a deeply nested document raises RecursionError.
+DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+
+
 class PlatformError(CassiadrumError):
     """Base class of the errors of the platform adapter."""
 
--- a/cassiadrum/platform/member_rows.py
+++ b/cassiadrum/platform/member_rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cassiadrum.gateways import Incarnation, LimitNews
-from cassiadrum.platform.errors import BadRecord
+from cassiadrum.platform.errors import DECODE_ERRORS, BadRecord
 from cassiadrum.platform.row_stores import ChangedRow
 from cassiadrum.settings.addresses import Address
 
@@ -14,6 +14,8 @@
 
 # Upper bound on a request limit in a row; an endpoint states at most 18 digits.
 MAX_RATE_PER_S: Final = 1e18
+# Largest integer that can be encoded again.
+MAX_STARTED_MS: Final = 2**63 - 1
 
 
 class LimitRow(msgspec.Struct):
@@ -21,7 +23,7 @@
 
     instance: str
     address: str
-    started_ms: int
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)]
     # Requests per second of all gateways together, None at the end of a limit.
     rate_per_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_PER_S)] | None
     # Time of the answer that told it, in milliseconds on the store's clock.
@@ -51,7 +53,7 @@
 
 def decode_news(row: LimitRow) -> LimitNews:
     """Return the news of a limit in a row that `decode_member` has checked."""
-    incarnation = Incarnation(row.instance, Address.parse(row.address), row.started_ms)
+    incarnation = Incarnation(row.instance, Address.parse_peer(row.address), row.started_ms)
     return LimitNews(incarnation, row.rate_per_s, row.made_ms / 1000)
 
 
@@ -60,7 +62,7 @@
     try:
         member = msgspec.json.decode(row.content or b"", type=MemberRow)
         for limit in member.limits:
-            Address.parse(limit.address)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+            Address.parse_peer(limit.address)
+    except DECODE_ERRORS as exc:
         raise BadRecord(f"gateway {row.key}: {exc}") from exc
     return member
--- a/cassiadrum/platform/node_settings.py
+++ b/cassiadrum/platform/node_settings.py
@@ -8,7 +8,7 @@
 import xxhash
 from msgspec import Meta
 
-from cassiadrum.platform.errors import BadSettings
+from cassiadrum.platform.errors import DECODE_ERRORS, BadSettings
 from cassiadrum.schemas import Finding, check_struct
 from cassiadrum.settings.addresses import Address
 from cassiadrum.settings.schemas import HostPort
@@ -143,7 +143,7 @@
     """
     try:
         raw = msgspec.json.decode(data)
-    except (msgspec.DecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise BadSettings([Finding(file, "(syntax)", str(exc), "JSON")]) from exc
     findings = check_struct(raw, _FileWire, file, "")
     if findings:
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -1,8 +1,11 @@
 """Decoding of the store rows that the operator and the endpoints write."""
 
-from typing import Final
+import logging
+import re
+from typing import Annotated, Final
 
 import msgspec
+from msgspec import Meta
 
 from cassiadrum.gateways import (
     Access,
@@ -17,11 +20,13 @@
     ServiceSettings,
     Share,
 )
-from cassiadrum.platform.errors import BadRecord
+from cassiadrum.platform.errors import DECODE_ERRORS, BadRecord
 from cassiadrum.settings.addresses import Address
 
 __all__ = ["decode_catalog", "decode_entry"]
 
+logger = logging.getLogger(__name__)
+
 CALL_KINDS: Final = {
     "non_idempotent": CallKind.ONCE,
     "idempotent": CallKind.IDEMPOTENT,
@@ -30,9 +35,17 @@
 READY: Final = "ready"
 DRAINING: Final = "draining"
 DEFAULT_PRIORITY: Final = 5
-MAX_PORT: Final = 65_535
-# Errors of decoding; a deeply nested document raises RecursionError.
-DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+# Larger numbers overflow in conversions, or in the encoding of rows that repeat them.
+MAX_INTEGER: Final = 2**63 - 1
+MAX_SLOTS: Final = 1_000_000
+MAX_COLD_MS: Final = 1e9
+# Visible ASCII characters: the id of an instance is sent in a header.
+INSTANCE: Final = re.compile(r"[!-~]{1,200}")
+# Without control characters, and no space at the ends.
+HEADER_TEXT: Final = re.compile(r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?")
+
+
+Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
 class _ShareWire(msgspec.Struct):
@@ -48,29 +61,29 @@
     timeout_ms: float
     # Latency target; 0 means `timeout_ms`.
     goal_ms: float = 0.0
-    priority: int = DEFAULT_PRIORITY
+    priority: Integer = DEFAULT_PRIORITY
     service: str = ""
     # Weighted services; replaces `service` if not empty.
     split: list[_ShareWire] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
 
 
 class _EngineWire(msgspec.Struct):
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Integer = 0
 
 
 class _ServiceWire(msgspec.Struct):
     name: str
-    max_conns: int = 64
+    max_conns: Integer = 64
     engine: _EngineWire | None = None
 
 
 class _LimitsWire(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 1048576
+    max_header_bytes: Integer = 16384
+    max_body_bytes: Integer = 1048576
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
@@ -78,11 +91,11 @@
 class _CustomerWire(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class _CatalogWire(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_RouteWire]
     services: list[_ServiceWire]
     limits: _LimitsWire = msgspec.field(default_factory=_LimitsWire)
@@ -91,14 +104,14 @@
 
 
 class _EntryWire(msgspec.Struct):
-    service: str
+    service: Annotated[str, Meta(min_length=1)]
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, Meta(le=MAX_COLD_MS)] = 0.0
     # Start of the endpoint in milliseconds since 1970.
-    born: int = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = 0
 
 
 def decode_catalog(data: bytes) -> Catalog:
@@ -126,16 +139,19 @@
 
 
 def decode_entry(instance: str, data: bytes) -> EndpointEntry:
-    """Decode an endpoint's registration; raise BadRecord if it is invalid."""
+    """Decode an endpoint's registration; raise BadRecord if it names no endpoint to use.
+
+    Any process may write such a row, so everything that is used later is checked here.
+    """
+    if INSTANCE.fullmatch(instance) is None:
+        raise BadRecord(f"endpoint {instance!r}: the id is not visible ASCII text")
     try:
         wire = msgspec.json.decode(data, type=_EntryWire)
-        address = Address.parse(wire.address)
+        address = Address.parse_peer(wire.address)
     except DECODE_ERRORS as exc:
         raise BadRecord(f"endpoint {instance}: {exc}") from exc
     if wire.state not in (READY, DRAINING):
         raise BadRecord(f"endpoint {instance}: unknown state {wire.state!r}")
-    if wire.slots < 1 or not address.host or not 0 < address.port <= MAX_PORT:
-        raise BadRecord(f"endpoint {instance}: needs at least 1 slot and a valid address")
     return EndpointEntry(
         instance=instance,
         service=wire.service,
@@ -151,13 +167,15 @@
 def _access(wire: list[_CustomerWire] | msgspec.UnsetType) -> Access:
     if isinstance(wire, msgspec.UnsetType):
         return OpenAccess()
-    return KeyedAccess(
-        {
-            key: Customer(customer.name, customer.priority)
-            for customer in wire
-            for key in customer.api_keys
-        }
-    )
+    customers_by_key = {}
+    for customer in wire:
+        if HEADER_TEXT.fullmatch(customer.name) is None:
+            # Its name cannot be sent to endpoints; the other customers are not affected.
+            logger.error("customer %r rejected: the name is not a header value", customer.name)
+            continue
+        for key in customer.api_keys:
+            customers_by_key[key] = Customer(customer.name, customer.priority)
+    return KeyedAccess(customers_by_key)
 
 
 def _route(wire: _RouteWire) -> Route:
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -3,13 +3,15 @@
 import asyncio
 import base64
 import binascii
+import logging
 import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
-from cassiadrum.platform.errors import AnswerTooLarge, HistoryGone, WriteConflict
+from cassiadrum.platform.errors import DECODE_ERRORS, AnswerTooLarge, HistoryGone, WriteConflict
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.protocols import BodyTooLarge, HttpClient, HttpError, HttpResponse, TimeSlice
@@ -18,6 +20,8 @@
 
 __all__ = ["ChangedRow", "RowPage", "RowStore", "RowVersion"]
 
+logger = logging.getLogger(__name__)
+
 Wire = TypeVar("Wire", bound=msgspec.Struct)
 
 # Timeout for an answer, on top of the wait that the call requests. The store answers within
@@ -33,8 +37,13 @@
 CONFLICT_STATUS = 412
 
 
-class _RowWire(msgspec.Struct):
+class _RowNameWire(msgspec.Struct):
     key: str
+    # The tables that are read have rows in the part without a name only; changes list all parts.
+    part: str = ""
+
+
+class _RowWire(_RowNameWire):
     # Content in base64; absent if the row was removed.
     value: str = ""
     ver: int = 0
@@ -42,7 +51,8 @@
 
 
 class _PageWire(msgspec.Struct):
-    rows: list[_RowWire]
+    # Decoded one by one, so that a row that cannot be read costs only itself.
+    rows: list[msgspec.Raw]
     # Newest version of the whole store at the time of the answer.
     ver: int
     # The store's monotonic clock.
@@ -83,7 +93,7 @@
 class ChangedRow(NamedTuple):
     """The content of a row at a version, None if the row was removed.
 
-    Content that is not valid base64 is empty.
+    Content that is not valid base64 is empty, which no decoder accepts.
     """
 
     key: str
@@ -139,7 +149,7 @@
         start = ""
         while True:
             query = f"/-/rows-get?table={table}&part=&limit={PAGE_ROWS}"
-            query += f"&from={start}" if start else ""
+            query += f"&from={quote(start, safe='')}" if start else ""
             page, truncated = await self._call(query, RESPONSE_TIMEOUT_S)
             if first is None:
                 first, era = page, self.era.number
@@ -149,6 +159,7 @@
             if len(rows) > MAX_ROWS:
                 raise StoreUnavailable(f"table {table} has more than {MAX_ROWS} rows")
             if not truncated or not page.rows or page.rows[-1].key == start:
+                # A page whose rows cannot be read gives no key to continue from.
                 return first._replace(rows=tuple(rows.values()))
             start = page.rows[-1].key
 
@@ -247,19 +258,44 @@
     """Return the decoded body; raise StoreUnavailable if it is invalid."""
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise StoreUnavailable(f"invalid answer: {exc}") from exc
 
 
-async def _decode_rows(rows: list[_RowWire]) -> tuple[ChangedRow, ...]:
+async def _decode_rows(rows: list[msgspec.Raw]) -> tuple[ChangedRow, ...]:
     time_slice = TimeSlice()
     decoded = []
-    for row in rows:
+    for raw in rows:
         await time_slice.checkpoint()
-        decoded.append(ChangedRow(row.key, _decode_content(row), row.ver))
+        row = _decode_row(raw)
+        if row is not None:
+            decoded.append(row)
     return tuple(decoded)
 
 
+def _decode_row(raw: msgspec.Raw) -> ChangedRow | None:
+    """Return a row with the content as far as it can be read.
+
+    Returns None for a row of another part, and for one whose key cannot be read.
+    """
+    try:
+        row = msgspec.json.decode(raw, type=_RowWire)
+    except DECODE_ERRORS as exc:
+        logger.warning("invalid row of the store: %s", exc)
+        return _unreadable_row(raw)
+    if row.part:
+        return None
+    return ChangedRow(row.key, _decode_content(row), row.ver)
+
+
+def _unreadable_row(raw: msgspec.Raw) -> ChangedRow | None:
+    try:
+        name = msgspec.json.decode(raw, type=_RowNameWire)
+    except DECODE_ERRORS:
+        return None
+    return None if name.part else ChangedRow(name.key, b"", 0)
+
+
 def _decode_content(row: _RowWire) -> bytes | None:
     if row.removed:
         return None
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -92,7 +92,8 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 reader, writer = await self._open()
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # A host or port that is none raises UnicodeError, a ValueError, or OverflowError.
             raise ConnectFailed(f"cannot connect to {self._host}:{self._port}: {exc}") from exc
         return _Connection(h11.Connection(h11.CLIENT), reader, writer)
 
