Trust no answer that does not name its request

What callers would see: a once-only call that an endpoint runs is refused as not run if the endpoint writes a refusal without an id to a new connection (502, and one run, are right).

Cause: an answer without an id was accepted as a refusal unless the connection was reused. A load probe took any answer for its report, so an earlier answer written again was its report, and the report itself became the answer to the next call.

Change: read_own_head decides whose answer it is, for calls and probes. An answer that names no request, or several, answers no call.

--- a/cassiadrum/gateways/answer_heads.py
+++ b/cassiadrum/gateways/answer_heads.py
@@ -19,12 +19,14 @@
 class AnswerHead(NamedTuple):
     """Status, forwarded headers and endpoint notices of an answer.
 
-    `headers` are those that are forwarded to the caller. `signed` is true if the endpoint signed
-    the answer, `not_run` if it did not run the request, and `encoded` if the body has a content
-    encoding that was not requested. `idle_s` is the endpoint's keep-alive timeout in seconds, None
-    if not stated. `leaving` is true if the endpoint shuts down and accepts no new requests.
-    `pause_s` is the time in seconds for which it accepts none from this gateway, None if not
-    stated. `limit` is the request limit that it states for all gateways, None if not stated.
+    `headers` are those that are forwarded to the caller. `request_id` is empty if the answer does
+    not name a request. `signed` is true if the endpoint signed the answer, `not_run` if it did not
+    run the request, and `encoded` if the body has a content encoding that was not requested.
+    `idle_s` is the endpoint's keep-alive timeout in seconds, None if not stated. `leaving` is true
+    if the endpoint shuts down and accepts no new requests. `pause_s` is the time in seconds for
+    which it accepts none from this gateway, None if not stated. `limit` is the request limit that
+    it states for all gateways, None if not stated. `media_type` is that of the body, None if not
+    stated.
     """
 
     status: int
@@ -38,3 +40,4 @@
     leaving: bool = False
     pause_s: float | None = None
     limit: LimitNotice | None = None
+    media_type: str | None = None
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Self, TypeVar
 
 from cassiadrum.gateways.answer_heads import AnswerHead
+from cassiadrum.gateways.answer_readers import MAX_ANSWER_BYTES, read_own_head
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.catalogs import CallKind
 from cassiadrum.gateways.connection_pools import ConnectionPool
@@ -23,10 +24,6 @@
 
 T = TypeVar("T")
 
-# Largest answer of a plain call, which is buffered completely before it is forwarded.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# Number of late answers to earlier requests that are skipped before the connection is closed.
-MAX_SKIPPED_ANSWERS = 3
 # Time for which an endpoint that refused a request for lack of capacity gets no others.
 FULL_PAUSE_S = 0.15
 # Status 421, Misdirected Request: another endpoint answers at the address.
@@ -135,7 +132,7 @@
         ctx.may_have_run = True
         self.view.record_sent(RequestKind.CALL)
         self.view.prompt_cache.add(call.prompt)
-        head = await self._read(self._read_own_head())
+        head = await self._read(read_own_head(conn, self._protocol, call.request_id))
         self._apply_notices(head)
         if head.not_run:
             ctx.may_have_run = may_have_run_before
@@ -179,37 +176,6 @@
         self.view.record_failure(self._clock())
         return AttemptFailed(reason)
 
-    async def _read_own_head(self) -> AnswerHead:
-        """Return the head of the answer to this request, skipping late answers to earlier ones."""
-        conn = self._conn
-        assert conn is not None
-        for _ in range(MAX_SKIPPED_ANSWERS + 1):
-            response = await conn.read_head()
-            headers = tuple((n.decode(), v.decode("latin-1")) for n, v in response.headers)
-            head = self._protocol.decode_head(response.status_code, headers)
-            if head.request_id == self._ctx.call.request_id:
-                return head
-            if not head.request_id:
-                # On a reused connection, it may be the answer to an earlier request.
-                if head.not_run and not conn.reused:
-                    return head
-                raise AnswerLost(f"status {head.status} without a request id")
-            logger.info(
-                "skipped a late answer to earlier request %s",
-                head.request_id,
-                extra={"request_id": self._ctx.call.request_id},
-            )
-            await self._skip_body(conn)
-            conn.expect_next_answer()
-        raise AnswerLost(f"more than {MAX_SKIPPED_ANSWERS} answers to other requests")
-
-    async def _skip_body(self, conn: EndpointConnection) -> None:
-        size = 0
-        while (data := await conn.read_data()) is not None:
-            size += len(data)
-            if size > MAX_ANSWER_BYTES:
-                raise AnswerLost(f"an answer to another request over {MAX_ANSWER_BYTES} bytes")
-
     async def _read(self, step: Awaitable[T]) -> T:
         try:
             found = await step
--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -4,8 +4,7 @@
 import logging
 from collections.abc import Callable
 
-import h11
-
+from cassiadrum.gateways.answer_readers import read_own_head
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.connection_pools import ConnectionPool
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
@@ -72,16 +71,18 @@
                 try:
                     conn.send("GET", self._protocol.load_path, self._host(view), b"")
                     view.record_sent(RequestKind.LOAD_PROBE)
-                    head = await conn.read_head()
+                    head = await read_own_head(conn, self._protocol, "")
                     body = await self._read_report(conn)
                 except BaseException:
                     conn.abort()
                     raise
                 self._pool.release(target, conn, None, self._clock())
-            if head.status_code != 200:
-                raise BadMessage(head.status_code, "no load report")
+            if head.status != 200:
+                raise BadMessage(head.status, "no load report")
             load = self._protocol.decode_load(body, view.entry.slots)
-            self._record_limit(view, head, sent_s)
+            if head.limit is not None:
+                # A report without a limit does not end one.
+                view.request_limit.record_answer(head.limit, sent_s, self._clock())
         except (HttpError, TimeoutError) as exc:
             logger.info("load probe failed: %s", exc, extra={"endpoint": view.entry.instance})
             view.record_unreachable(self._clock())
@@ -90,13 +91,6 @@
         view.record_sample(load, self._clock())
         return True
 
-    def _record_limit(self, view: EndpointView, head: h11.Response, sent_s: float) -> None:
-        """Record a stated request limit; a report without one does not end a limit."""
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        notice = self._protocol.decode_head(head.status_code, headers).limit
-        if notice is not None:
-            view.request_limit.record_answer(notice, sent_s, self._clock())
-
     @staticmethod
     async def _read_report(conn: EndpointConnection) -> bytes:
         body = bytearray()
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -107,11 +107,14 @@
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the status and the decoded headers of an endpoint's answer."""
         values = dict(headers)
+        ids = {value for name, value in headers if name == Header.REQUEST_ID}
         load = _parse_counts(values.get(Header.LOAD, ""), 3)
         return AnswerHead(
             status=status,
             headers=tuple(line for line in headers if line[0] not in CONNECTION_HEADERS),
-            request_id=values.get(Header.REQUEST_ID, ""),
+            # An answer with several ids names no request.
+            request_id=ids.pop() if len(ids) == 1 else "",
+            media_type=_media_type(values.get("content-type")),
             signed=Header.SIGNATURE in values,
             not_run=Header.NOT_RUN in values or status == 421,
             encoded=values.get("content-encoding", "identity") != "identity",
@@ -195,6 +198,10 @@
     return tuple(parts)
 
 
+def _media_type(text: str | None) -> str | None:
+    return None if text is None else text.partition(";")[0].strip().lower()
+
+
 def _parse_keep_alive_s(text: str) -> float | None:
     found = KEEP_ALIVE_TIMEOUT.search(text)
     return float(found[1]) if found else None
--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -93,7 +93,8 @@
         wanted = req.header(Header.TARGET_INSTANCE)
         if wanted and wanted != self.instance:
             name = ("x-cassiadrum-instance-id", self.instance)
-            await exchange.send_json(421, {}, (name, *self._notice_headers()))
+            own = ((Header.REQUEST_ID, request_id), name, *self._notice_headers())
+            await exchange.send_json(421, {}, own)
             return
         if self.refuse:
             self.refused += 1
