Continue a stream only with the events that follow

What callers would see: after a stream had broken off, the text of what the next endpoint answered stood in the middle of it, or ended it as complete.

Cause: the relay went by the status below 300 alone, and the check of the sequence looked only at events with an id.

Change: once a part of a stream has been sent, only an answer with status 200 and the media type of a stream goes on with it, all of its events need ids that follow, and a stream with events without ids is not resumed. The sidecar's way compares the status as well.

--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -218,7 +218,7 @@
                 if await self._attempt(ctx, relay):
                     return
             except AttemptFailed as exc:
-                repeat = self._try_retry(ctx)
+                repeat = relay.can_continue and self._try_retry(ctx)
                 self._log.record(ctx, "attempt failed", reason=exc.reason, repeated=repeat)
                 self._metrics.record_failed_attempt(ctx.service, repeat)
                 if not repeat:
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -28,6 +28,7 @@
 # A plain answer has to advance by this many bytes to count as progress, so that an endpoint that
 # sends single bytes counts as stalled.
 MIN_PROGRESS_BYTES = 4 * 1024
+EVENT_STREAM = "text/event-stream"
 # Memory of the object that holds a part of a plain answer, besides its bytes.
 PART_OVERHEAD_BYTES = 64
 # An endpoint that is busy with other requests is given up after this fraction of the route's
@@ -63,6 +64,11 @@
         """Return whether a part of the answer has been sent to the caller."""
         return self._exchange.started
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another attempt may answer, or go on with what the caller has."""
+        return not self.started or self._events.resumable
+
     async def send_failure(self) -> None:
         """Send the last error answer of an endpoint to the caller."""
         assert self.failure is not None
@@ -84,7 +90,11 @@
             status=head.status,
             load=head.load,
         )
-        if route.kind is CallKind.STREAM and head.status < 300:
+        is_stream = head.status < 300 and head.media_type in (EVENT_STREAM, None)
+        if self.started and not (head.status == 200 and head.media_type == EVENT_STREAM):
+            # Its bytes would be the text of an error in the middle of the caller's stream.
+            raise attempt.fail(f"status {head.status}, {head.media_type}, in place of a stream")
+        if route.kind is CallKind.STREAM and is_stream:
             await self._pass_stream(attempt)
             return
         answer = await self._read_plain_answer(attempt)
@@ -119,7 +129,7 @@
                 progress_s = self._clock()
 
     async def _pass_stream(self, attempt: Attempt) -> None:
-        self._events.discard_partial_event()
+        self._events.begin_attempt()
         event_limit_s = self._event_limit_s()
         route = self._ctx.route
         assert route is not None
@@ -212,4 +222,11 @@
         assert route is not None
         prober = self._prober if route.kind is CallKind.STREAM else None
         max_wait_s = max(silence_s or 0.0, BUSY_TIMEOUT_FRACTION * route.timeout_s)
-        return SilenceLimit(attempt.view, silence_s, max_wait_s, self._may_retry, prober, since_s)
+        return SilenceLimit(
+            attempt.view,
+            silence_s,
+            max_wait_s,
+            lambda: self.can_continue and self._may_retry(),
+            prober,
+            since_s,
+        )
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -29,6 +29,8 @@
         """Store status and headers; the head of an event stream is relayed at once."""
         attempt.status = msg.status
         attempt.headers = tuple((k, v) for k, v in msg.headers if k in RELAYED_HEADERS)
+        if not self.is_compatible(pending, attempt):
+            return
         if attempt.streaming and self._try_become_winner(pending, attempt):
             self._send_head(pending, attempt)
 
@@ -48,14 +50,16 @@
         if pending.first_token_s is None:
             pending.first_token_s = now
             self._record_first_token(pending, attempt)
-        if attempt.streaming:
+        if attempt.streaming and self.is_compatible(pending, attempt):
             return self._relay_events(pending, attempt, data)
         self._buffer(pending, attempt, data)
         return 0
 
     def is_compatible(self, pending: PendingRequest, attempt: Attempt) -> bool:
         """Return whether the answer can follow what the caller has already received."""
-        return not pending.head_sent or pending.streaming == attempt.streaming
+        if not pending.head_sent:
+            return True
+        return (pending.streaming, pending.status) == (attempt.streaming, attempt.status)
 
     def finish(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Relay the rest of a complete answer."""
@@ -127,6 +131,7 @@
             return
         pending.head_sent = True
         pending.streaming = attempt.streaming
+        pending.status = attempt.status
         answer_id = f"{attempt.attempt_id}@{attempt.instance}"
         pending.caller_events.put_nowait(AnswerHead(attempt.status, attempt.headers, answer_id))
 
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -41,6 +41,8 @@
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
+        # Status of the head that was sent.
+        self.status = 0
         # Whether the head that was sent announced an event stream.
         self.streaming = False
         self.caller_disconnected = False
--- a/cassiadrum/tests/gateways/test_gateway_decisions.py
+++ b/cassiadrum/tests/gateways/test_gateway_decisions.py
@@ -204,7 +204,7 @@
     def test_resumed_stream_continues_after_the_last_whole_event(self) -> None:
         events = EventSequence("")
         events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-        events.discard_partial_event()
+        events.begin_attempt()
         assert events.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
 
     @pytest.mark.parametrize("event", [b"id: 1\ndata: a\n\n", b"id: 3\ndata: c\n\n"])
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -72,3 +72,14 @@
         relay.receive_data(pending, second, 0, b"{}", 0.1)
         assert not relay.is_compatible(pending, second)
         assert delivered_bytes(pending) == b""
+
+    def test_error_in_the_form_of_a_stream_does_not_continue_a_stream(self) -> None:
+        relay, pending = make_relay(), make_pending()
+        first, second = Attempt("r.1", "r", "e1", 0.0), Attempt("r.2", "r", "e2", 0.0)
+        relay.receive_head(pending, first, Head("r.1", 200, STREAM))
+        relay.receive_data(pending, first, 0, b"data: 1\n\n", 0.1)
+        relay.discard_partial(pending, first)
+        relay.receive_head(pending, second, Head("r.2", 503, STREAM))
+        relay.receive_data(pending, second, 0, b"data: overloaded\n\n", 0.2)
+        assert not relay.is_compatible(pending, second)
+        assert delivered_bytes(pending) == b"data: 1\n\n"
