Pass on header values with bytes above 127

Cause: header values are decoded as Latin-1, and h11 encodes texts as ASCII; the UnicodeEncodeError ended the handler.

Change: the exchange hands h11 the bytes. The new test in test_gateway_process.py fails on the code before.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -65,7 +65,9 @@
         if self._should_close():
             headers = (*headers, ("connection", "close"))
         self.started = True
-        self._buffer_event(h11.Response(status_code=status, headers=list(headers)))
+        # Values are bytes, which this package decodes as Latin-1; h11 would encode them as ASCII.
+        lines = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        self._buffer_event(h11.Response(status_code=status, headers=lines))
         self._chunked = (
             chunked
             and self.req.method != "HEAD"
--- a/cassiadrum/tests/gateways/test_gateway_process.py
+++ b/cassiadrum/tests/gateways/test_gateway_process.py
@@ -96,6 +96,22 @@
         assert status == 200
         assert event_ids(body) == list(range(1, 21))
 
+    async def test_header_beyond_ascii_is_passed_on(
+        self, site: PlatformSite, caller: Caller
+    ) -> None:
+        """Guards against an answer that is lost after its request has run."""
+        name = 'attachment; filename="\xdcbersicht.txt"'
+        answer = raw_answer("own").replace(
+            b"content-length", f"content-disposition: {name}\r\ncontent-length".encode("latin-1")
+        )
+        async with raw_endpoint(site, answer):
+
+            async def registration_read() -> bool:
+                status, headers, _ = await caller.call("/once/a", request_id="own")
+                return status == 200 and headers.get("content-disposition") == name
+
+            await poll_until(registration_read)
+
     async def test_unknown_route_and_key(self, caller: Caller) -> None:
         assert (await caller.call("/nowhere/a"))[0] == 404
         assert (await caller.call("/safe/a", key="other"))[0] == 401
