--- a/cassiadrum/endpoints/endpoint_loads.py
+++ b/cassiadrum/endpoints/endpoint_loads.py
@@ -1,9 +1,15 @@
 """The load that an endpoint reports."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 __all__ = ["EndpointLoad"]
 
+# Numbers that can be used in sums and rates without overflow.
+Count = Annotated[int, Meta(ge=0, le=10**9)]
+Rate = Annotated[float, Meta(ge=0.0, le=1e12)]
+
 
 class EndpointLoad(NamedTuple):
     """Load of an endpoint: counts of requests, loaded models and adapters, cached prefixes.
@@ -12,9 +18,9 @@
     since the last report.
     """
 
-    running: int = 0
-    waiting: int = 0
-    tokens_per_s: float = 0.0
+    running: Count = 0
+    waiting: Count = 0
+    tokens_per_s: Rate = 0.0
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     cached: tuple[int, ...] = ()
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -63,9 +63,8 @@
         try:
             async with asyncio.timeout(LIMITS.STORE_TIMEOUT_S):
                 response = await self._client.request(method, target, (), body)
-                decoded: dict[str, Any] = msgspec.json.decode(await response.read())
-                return decoded
+                return msgspec.json.decode(await response.read(), type=dict[str, Any])
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
-        except (HttpError, TimeoutError, msgspec.DecodeError) as exc:
+        except (HttpError, TimeoutError, msgspec.DecodeError, RecursionError) as exc:
             raise EndpointResponseLost(str(exc)) from exc
--- a/cassiadrum/roles/request_parsers.py
+++ b/cassiadrum/roles/request_parsers.py
@@ -17,6 +17,8 @@
 
 __all__ = ["RequestParser"]
 
+# Larger numbers would overflow in the estimates made from them.
+MAX_TOKENS = 10**9
 CHARS_PER_TOKEN = 4
 MAX_NAME_CHARS = 128
 MAX_KEY_CHARS = 255
@@ -148,8 +150,9 @@
     except (msgspec.DecodeError, RecursionError) as exc:
         raise InvalidRequest("bad_request", f"the body is not a JSON object: {exc}") from exc
     max_tokens = body.get("max_tokens", 0)
-    if not isinstance(max_tokens, int) or max_tokens < 0:
-        raise InvalidRequest("bad_request", "max_tokens is not a non-negative integer")
+    if type(max_tokens) is not int or not 0 <= max_tokens <= MAX_TOKENS:
+        detail = f"max_tokens is not an integer from 0 to {MAX_TOKENS}"
+        raise InvalidRequest("bad_request", detail)
     prompt = _prompt_text(body)
     return CompletionParameters(
         len(prompt) // CHARS_PER_TOKEN + 1,
