Join the parts of a prompt beyond the 64th

All parts are looked at for each endpoint whenever the queue is processed. A request with the 4,000 parts that a head of 16 KiB can hold would take 160,000 steps for 40 endpoints each time, while other requests wait. The length in tokens is kept.

--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -30,6 +30,9 @@
 MAX_LOAD = 10**9
 # At most 18 digits: int() raises ValueError for very long digit strings.
 TOKEN_COUNT = re.compile(r"[0-9]{1,18}")
+# All parts are looked at for each endpoint whenever the queue is processed, so that a request with
+# thousands of them would delay all others.
+MAX_PROMPT_PARTS = 64
 # float() also accepts signs, underscores and words such as "nan".
 REQUEST_LIMIT = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -195,7 +198,15 @@
         if not TOKEN_COUNT.fullmatch(tokens):
             return ()
         parts.append(PromptPart(part_id.strip(), int(tokens)))
-    return tuple(parts)
+    return _join_rest(parts)
+
+
+def _join_rest(parts: list[PromptPart]) -> tuple[PromptPart, ...]:
+    """Return the parts, with those beyond MAX_PROMPT_PARTS as a part of the last one."""
+    kept, rest = parts[: MAX_PROMPT_PARTS - 1], parts[MAX_PROMPT_PARTS - 1 :]
+    if rest:
+        kept.append(PromptPart(rest[-1].part_id, sum(part.tokens for part in rest)))
+    return tuple(kept)
 
 
 def _media_type(text: str | None) -> str | None:
--- a/cassiadrum/tests/gateways/test_absent_values.py
+++ b/cassiadrum/tests/gateways/test_absent_values.py
@@ -70,6 +70,14 @@
         assert [call.key for call in calls] == [None, "", ""]
         assert [access.customer(call.key) for call in calls] == [None, None, None]
 
+    def test_prompt_of_many_parts_keeps_its_length(self) -> None:
+        """Guards against a caller whose prompt costs every later placement thousands of steps."""
+        text = ",".join(f"{number:x}:2" for number in range(3000))
+        prompt = decode_call((Header.PROMPT_PARTS, text)).prompt
+        assert len(prompt) == 64
+        assert sum(part.tokens for part in prompt) == 6000
+        assert [part.part_id for part in (prompt[0], prompt[62], prompt[-1])] == ["0", "3e", "bb7"]
+
     def test_timeout_of_zero_is_not_an_absent_one(self) -> None:
         texts = ["0", "-1", "", "soon", "nan"]
         timeouts = [decode_call((Header.TIMEOUT, text)).timeout_s for text in texts]
