--- a/cassiadrum/tests/gateways/test_changed_settings.py
+++ b/cassiadrum/tests/gateways/test_changed_settings.py
@@ -4,6 +4,7 @@
 import json
 import re
 import signal
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -41,6 +42,11 @@
     return [line for line in lines if line["message"] == message]
 
 
+def is_importing(pid: int) -> bool:
+    """Return whether a process has begun to import the libraries of a gateway."""
+    return "msgspec" in Path(f"/proc/{pid}/maps").read_text()
+
+
 async def read_metrics(gateway: GatewaySubprocess) -> dict[str, float]:
     """Return the metrics that have no labels."""
     client = HttpClient("127.0.0.1", gateway.metrics_port)
@@ -56,6 +62,16 @@
     streams, loses its store or is being stopped.
     """
 
+    async def test_sighup_during_the_start_does_not_end_the_process(
+        self, gateway: GatewaySubprocess
+    ) -> None:
+        """Guards against a reload that ends a process which has not installed its handler yet."""
+        await wait_until(lambda: is_importing(gateway.process.pid))
+        while not await gateway.is_ready():
+            gateway.process.send_signal(signal.SIGHUP)
+            assert gateway.process.returncode is None
+            await asyncio.sleep(0.005)
+
     async def test_new_store_address_is_used_and_a_stream_continues(
         self, site: PlatformSite, caller: Caller, gateway: GatewaySubprocess
     ) -> None:
