--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -78,6 +78,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         # Tasks that use the store at its current address.
         self._store_tasks: list[asyncio.Task[None]] = []
+        self._store: RowStore | None = None
         self._registration: FleetRegistration | None = None
 
     @property
@@ -118,14 +119,13 @@
 
     def _restart_store_tasks(self, cfg: NodeSettings) -> None:
         """Follow the tables and register in the store at its current address."""
-        for task in self._store_tasks:
-            task.cancel()
+        self._close_store()
         configuration = FollowedTable(CONFIGURATION_TABLE, ConfigurationSink(self.gateway))
         endpoints = FollowedTable(ENDPOINT_TABLE, EndpointSink(self.gateway))
         limits = self.gateway.limit_board
         fleet_sink = FleetSink(self._fleet, limits, cfg.instance)
         fleet = FollowedTable(FLEET_TABLE, fleet_sink)
-        store = RowStore(cfg.store, _boot_clock)
+        self._store = store = RowStore(cfg.store, _boot_clock)
         waits = StoreWaits.from_bounds(cfg.bounds)
         self._fleet.outdated_s = waits.fleet_s
         # Requests that wait for the endpoints then know their request limits.
@@ -142,6 +142,13 @@
             asyncio.create_task(self._registration.run()),
         ]
 
+    def _close_store(self) -> None:
+        """Cancel the tasks that use the store, and close its idle connections."""
+        for task in self._store_tasks:
+            task.cancel()
+        if self._store is not None:
+            self._store.close()
+
     def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
         self._call_server.set_limits(
@@ -222,8 +229,9 @@
         await self._call_server.abort()
         await self._readiness_server.abort()
         await self._metrics_server.abort()
-        for task in (*self._tasks, *self._store_tasks):
+        for task in self._tasks:
             task.cancel()
+        self._close_store()
         self.gateway.pool.close()
         logger.info("stopped")
 
