--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -10,6 +10,7 @@
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import StoreFault
+from cassiadrum.protocols import HttpRequest
 from cassiadrum.tests.gateways.makers import make_catalog, make_entry
 from cassiadrum.tests.gateways.sites import DRAIN_S, Caller, PlatformSite, poll_until
 
@@ -45,6 +46,64 @@
     await poll_until(answered)
 
 
+class TestNamesOnTheWire:
+    """Guards against a notice whose name differs from the platform's.
+
+    The other tests take the names from the code that reads them.
+    """
+
+    def test_notices_are_read_by_their_names(self) -> None:
+        headers = (
+            ("x-cassiadrum-request-id", "r-1"),
+            ("x-cassiadrum-not-executed", "1"),
+            ("x-cassiadrum-response-signature", "s"),
+            ("x-cassiadrum-instance-load", "3,1,8"),
+            ("retry-after", "1.5"),
+            ("server-leaving", "1"),
+            ("server-limit", "20"),
+            ("keep-alive", "timeout=4"),
+            ("content-type", "text/event-stream; charset=utf-8"),
+        )
+        head = PlatformProtocol().decode_head(503, headers)
+        assert (head.request_id, head.not_run, head.signed) == ("r-1", True, True)
+        assert head.load == (3, 1, 8)
+        assert (head.pause_s, head.leaving, head.idle_s) == (1.5, True, 4.0)
+        assert head.limit == ("20", 20.0)
+        assert head.media_type == "text/event-stream"
+
+    def test_request_is_read_and_written_by_the_names(self) -> None:
+        lines = (
+            ("host", "a.example:80"),
+            ("x-cassiadrum-request-id", "r-1"),
+            ("x-cassiadrum-timeout-ms", "1500"),
+            ("x-api-key", "k"),
+            ("x-cassiadrum-token-counts", "30,8"),
+            ("x-cassiadrum-prompt-prefix", "aa:20,bb:10"),
+            ("last-event-id", "12"),
+        )
+        protocol = PlatformProtocol()
+        call = protocol.decode_call(HttpRequest("POST", "/a", lines, b""))
+        assert (call.request_id, call.timeout_s, call.key) == ("r-1", 1.5, "k")
+        assert (call.prompt_tokens, call.max_output_tokens, call.last_event_id) == (30, 8, "12")
+        assert call.prompt == (("aa", 20), ("bb", 10))
+        sent = protocol.encode_call(
+            call,
+            make_entry("i-1"),
+            customer="St. Märten",
+            priority=2,
+            timeout_s=1.2,
+            last_event_id="15",
+        )
+        assert {
+            ("x-cassiadrum-target-instance", "i-1"),
+            ("x-cassiadrum-timeout-ms", "1200"),
+            ("x-cassiadrum-request-priority", "2"),
+            ("x-cassiadrum-tenant", "St. Märten".encode().decode("latin-1")),
+            ("last-event-id", "15"),
+        } <= set(sent)
+        assert "x-api-key" not in dict(sent)
+
+
 @pytest.mark.integration
 class TestLeavingEndpoints:
     """Guards against requests to an endpoint that has announced in an answer that it is leaving.
