Handle a burst of messages to a role in time slices

Router and sidecar took all queued messages without suspending, since taking from a queue does not wait while there are others. Both use Inbox now; test_time_slices.py counts the turns of other tasks.

--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -24,6 +24,7 @@
 from cassiadrum.roles.answer_relays import AnswerRelay
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.caller_events import AnswerEnd
+from cassiadrum.roles.inboxes import Inbox
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.router_messages import (
     CallerDisconnected,
@@ -88,7 +89,7 @@
         self._service_of = service_of
         self._ring = ring
         self._clock = clock
-        self._inbox: asyncio.Queue[RouterMessage] = asyncio.Queue()
+        self._inbox = Inbox[RouterMessage]()
         self._relay = AnswerRelay(ring)
         self._sidecars = SidecarClient(self, clock)
         # Cancelled attempts whose end has not been reported to the dispatcher yet, with their
@@ -121,7 +122,7 @@
 
     def post(self, msg: RouterMessage) -> None:
         """Queue a message for the router's task."""
-        self._inbox.put_nowait(msg)
+        self._inbox.put(msg)
 
     def has_attempts(self, instance: str) -> bool:
         """Return whether any attempt is in progress at a sidecar."""
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -39,6 +39,7 @@
 from cassiadrum.roles.call_runners import CallRunner
 from cassiadrum.roles.endpoint_controls import EndpointControls
 from cassiadrum.roles.entry_links import EntryLinks
+from cassiadrum.roles.inboxes import Inbox
 from cassiadrum.roles.load_reporters import LoadReporter
 from cassiadrum.roles.sidecar_messages import (
     CallData,
@@ -92,7 +93,7 @@
         self._scheduler = scheduler
         self._ring = ring
         self._clock = clock
-        self._inbox: asyncio.Queue[SidecarMessage] = asyncio.Queue()
+        self._inbox = Inbox[SidecarMessage]()
         self._call_runner = make_call_runner(self.post)
         self._attachments = StreamAttachments(self.streams, clock)
         self._reporter = LoadReporter(scheduler, self._links, ring, clock)
@@ -112,7 +113,7 @@
 
     def post(self, msg: SidecarMessage) -> None:
         """Queue a message for the task of `run`."""
-        self._inbox.put_nowait(msg)
+        self._inbox.put(msg)
 
     def unfinished_count(self) -> int:
         """Return the number of streams that run or whose answer may still be fetched."""
@@ -138,8 +139,8 @@
         self._tick()
         while True:
             self._handle(await self._inbox.get())
-            while not self._inbox.empty():
-                self._handle(self._inbox.get_nowait())
+            while not self._inbox.is_empty:
+                self._handle(await self._inbox.get())
             self._reporter.send_when_due()
 
     def _handle(self, msg: SidecarMessage) -> None:
--- a/cassiadrum/tests/test_time_slices.py
+++ b/cassiadrum/tests/test_time_slices.py
@@ -14,6 +14,7 @@
 from cassiadrum.metrics import LoopDelay
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.protocols import BadMessage, Exchange, HttpClient, HttpServer, time_slices
+from cassiadrum.roles.inboxes import Inbox
 from cassiadrum.settings.addresses import Address
 
 # All of them arrive in one read of the connection.
@@ -136,6 +137,16 @@
         writer.close()
         await server.abort()
 
+    async def test_messages_to_a_role(self) -> None:
+        inbox = Inbox[int]()
+        for number in range(CHUNKS):
+            inbox.put(number)
+
+        async def take_all() -> None:
+            assert [await inbox.get() for _ in range(CHUNKS)] == list(range(CHUNKS))
+
+        assert await count_turns(take_all()) >= CHUNKS
+
     async def test_rows_of_the_store(self) -> None:
         row = b'{"key":"a","value":"eA=="}'
         rows = b",".join([row] * CHUNKS)
