--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -21,9 +21,10 @@
 MAX_BUFFERED_BYTES = 64 * 1024
 # Lines of a head; the gateway handles each line several times.
 MAX_HEADERS = 256
-# Bytes of heads and chunk framing around an answer. An answer in chunks of one byte would keep the
-# parser busy for many times as long as its size suggests.
-MAX_FRAMING_BYTES = 256 * 1024
+# Bytes of heads and chunk framing beyond the size of the body. An answer in chunks of one byte
+# keeps the parser busy for many times as long as its size suggests; chunks of whole tokens are
+# larger than their framing.
+MAX_FRAMING_BYTES = 64 * 1024
 # Interim (1xx) answers that an endpoint may send before the final one.
 MAX_INTERIM_ANSWERS = 8
 
@@ -42,8 +43,9 @@
         # An event or error that was parsed after the data that was returned last.
         self._next: object = h11.NEED_DATA
         self._time_slice = TimeSlice()
-        # Received bytes of the current answer, less those of its body.
-        self._framing_bytes = 0
+        # Received bytes of the current answer, and those of its body.
+        self._answer_bytes = 0
+        self._body_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         self._eof = False
@@ -116,7 +118,7 @@
             self._request.append(h11.Data(data=body))
         self._request.append(h11.EndOfMessage())
         self._busy = True
-        self._framing_bytes = 0
+        self._answer_bytes = self._body_bytes = 0
         self._time_slice.restart()
         self._transport.write(b"".join(self._conn.send(event) or b"" for event in self._request))
 
@@ -146,12 +148,12 @@
         data = bytearray()
         while isinstance(event, h11.Data) and len(data) < MAX_PARSE_BYTES:
             data += event.data
-            self._framing_bytes -= len(event.data)
+            self._body_bytes += len(event.data)
             await self._time_slice.checkpoint()
             event = self._parse()
         self._next = event
-        if self._framing_bytes > MAX_FRAMING_BYTES:
-            raise BadMessage(502, f"more than {MAX_FRAMING_BYTES} bytes of framing")
+        if self._answer_bytes - self._body_bytes > self._body_bytes + MAX_FRAMING_BYTES:
+            raise BadMessage(502, "the answer has more framing than data")
         return bytes(data)
 
     def expect_next_answer(self) -> None:
@@ -212,7 +214,7 @@
     def _feed_parser(self) -> None:
         data = bytes(self._buffer[:MAX_PARSE_BYTES])
         del self._buffer[:MAX_PARSE_BYTES]
-        self._framing_bytes += len(data)
+        self._answer_bytes += len(data)
         if not self._buffer and self._transport is not None:
             self._transport.resume_reading()
         self._conn.receive_data(data)
--- a/cassiadrum/tests/gateways/limit_soaks.py
+++ b/cassiadrum/tests/gateways/limit_soaks.py
@@ -18,7 +18,7 @@
     permitted,
     running_fleet,
 )
-from cassiadrum.tests.gateways.sites import PlatformSite, make_configuration
+from cassiadrum.tests.gateways.sites import PlatformSite, make_open_configuration
 
 GATEWAYS = (2, 5)
 FURTHER_GATEWAYS = 3
@@ -87,7 +87,7 @@
     async def run(self) -> list[str]:
         """Run and return the violated guarantees."""
         await self._site.start()
-        self._site.store.put("op", "config", make_configuration(2, tenants=[]))
+        self._site.store.put("op", "config", make_open_configuration(2))
         try:
             count = self._rng.randint(*GATEWAYS)
             async with running_fleet(self._site, self._directory, count) as fleet:
--- a/cassiadrum/tests/gateways/sites.py
+++ b/cassiadrum/tests/gateways/sites.py
@@ -64,6 +64,13 @@
     }
 
 
+def make_open_configuration(version: int = 1) -> dict[str, Any]:
+    """Return a configuration without customers, whose routes need no key."""
+    configuration = make_configuration(version)
+    del configuration["tenants"]
+    return configuration
+
+
 def make_settings(
     store_port: int, calls_port: int, ready_port: int, instance: str = "front-a-1"
 ) -> dict[str, Any]:
--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -41,12 +41,16 @@
 
 
 def _run_without_waiting(step: Coroutine[None, None, float]) -> None:
-    """Run a step of the follower, which never suspends because the model answers at once."""
-    try:
-        step.send(None)
-    except StopIteration:
-        return
-    raise AssertionError("the step of the follower was suspended")
+    """Run a step of the follower, which never waits because the model answers at once.
+
+    It may suspend for the turn of other tasks, at the end of a time slice.
+    """
+    while True:
+        try:
+            awaited = step.send(None)
+        except StopIteration:
+            return
+        assert awaited is None, "the step of the follower waited"
 
 
 class RowChange(NamedTuple):
--- a/cassiadrum/tests/gateways/test_absent_values.py
+++ b/cassiadrum/tests/gateways/test_absent_values.py
@@ -17,16 +17,11 @@
     Caller,
     PlatformSite,
     make_configuration,
+    make_open_configuration,
     poll_until,
 )
 
 
-def configuration_without_customers() -> dict[str, Any]:
-    configuration = make_configuration()
-    del configuration["tenants"]
-    return configuration
-
-
 def decode_call(*headers: tuple[str, str]) -> Call:
     lines = ((Header.REQUEST_ID, "r"), ("host", "a"), *headers)
     return PlatformProtocol().decode_call(HttpRequest("GET", "/", lines, b""))
@@ -36,7 +31,7 @@
     """Guards against an empty or unreadable list of customers that admits every caller."""
 
     def test_absent_list_asks_for_no_key(self) -> None:
-        catalog = decode_catalog(json.dumps(configuration_without_customers()).encode())
+        catalog = decode_catalog(json.dumps(make_open_configuration()).encode())
         assert isinstance(catalog.access, OpenAccess)
 
     @pytest.mark.parametrize(
--- a/cassiadrum/tests/gateways/test_request_limits.py
+++ b/cassiadrum/tests/gateways/test_request_limits.py
@@ -18,7 +18,7 @@
     WAIT_TIMEOUT_S,
     Caller,
     PlatformSite,
-    make_configuration,
+    make_open_configuration,
     poll_until,
     wait_until,
 )
@@ -98,7 +98,7 @@
     ) -> None:
         limited = site.endpoints["p-1"]
         limited.limit = "1"
-        site.store.put("op", "config", make_configuration(2, tenants=[]))
+        site.store.put("op", "config", make_open_configuration(2))
         async with running_fleet(site, tmp_path, GATEWAYS) as fleet:
             for run in fleet.gateways:
                 fleet.send(run, "/safe/a", 20.0)
@@ -158,7 +158,7 @@
         """Guards against requests of callers who met a starting gateway and were held there."""
         limited = site.endpoints["p-1"]
         limited.limit = "0.4"
-        site.store.put("op", "config", make_configuration(2, tenants=[]))
+        site.store.put("op", "config", make_open_configuration(2))
         async with running_fleet(site, tmp_path, 1) as fleet:
             await fleet.tell_all("/safe/a", "p-1")
             await wait_until(lambda: any(row.limits for row in site.members()))
