--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -41,10 +41,11 @@
 MAX_COLD_MS: Final = 1e9
 # Visible ASCII characters: the id of an instance is sent in a header.
 INSTANCE: Final = re.compile(r"[!-~]{1,200}")
+# Texts of other writers may fill a whole row.
+MAX_LOGGED_CHARACTERS: Final = 40
 # Without control characters, and no space at the ends.
 HEADER_TEXT: Final = re.compile(r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?")
 
-
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
@@ -151,7 +152,9 @@
     except DECODE_ERRORS as exc:
         raise BadRecord(f"endpoint {instance}: {exc}") from exc
     if wire.state not in (READY, DRAINING):
-        raise BadRecord(f"endpoint {instance}: unknown state {wire.state!r}")
+        raise BadRecord(
+            f"endpoint {instance}: unknown state {wire.state[:MAX_LOGGED_CHARACTERS]!r}"
+        )
     return EndpointEntry(
         instance=instance,
         service=wire.service,
@@ -171,7 +174,8 @@
     for customer in wire:
         if HEADER_TEXT.fullmatch(customer.name) is None:
             # Its name cannot be sent to endpoints; the other customers are not affected.
-            logger.error("customer %r rejected: the name is not a header value", customer.name)
+            name = customer.name[:MAX_LOGGED_CHARACTERS]
+            logger.error("customer %r rejected: the name is not a header value", name)
             continue
         for key in customer.api_keys:
             customers_by_key[key] = Customer(customer.name, customer.priority)
