--- a/cassiadrum/tests/gateways/test_event_loop_delays.py
+++ b/cassiadrum/tests/gateways/test_event_loop_delays.py
@@ -20,10 +20,10 @@
 
 pytestmark = pytest.mark.integration
 
-# The platform asks once a second whether a gateway is ready, and takes no answer within it for no.
-MAX_DELAY_S = 1.0
-# A request that has no answer 0.5 s after its route's timeout counts as late.
-MAX_ANSWER_S = 3.0 + 0.5
+# A request that has no answer 0.5 s after its route's timeout counts as late; no delay of the
+# event loop may use up that time.
+MAX_DELAY_S = 0.5
+MAX_ANSWER_S = 3.0 + MAX_DELAY_S
 # Rates of the requests that have to be answered in time beside the disturbance.
 LOOKUP_INTERVAL_S = 0.05
 DISTURBANCE_S = 2.0
@@ -86,9 +86,8 @@
 async def assert_on_time(gateway: GatewaySubprocess) -> None:
     """Assert that lookups are answered during a disturbance and that no timer was late."""
     statuses = await send_lookups(gateway, time.monotonic() + DISTURBANCE_S)
-    # On a machine whose processors are all busy, a gateway that lags refuses a part truthfully.
-    assert set(statuses) <= {200, 503}
-    assert statuses.count(200) > len(statuses) / 2
+    assert statuses
+    assert set(statuses) == {200}
     assert await loop_delay_s(gateway) < MAX_DELAY_S
 
 
