Fail a resumed stream that ends before an event that had begun

A stream that broke off inside an event and was taken up by an endpoint with an empty, complete answer, or with comments only, was closed as complete. Callers of a gateway got a stream that lacks its end and is framed as whole.

The half event proves that an event was to follow, but EventSequence.begin_attempt discarded it without a trace. The sequence now remembers that the next event exists until an event with data comes, over any number of attempts, and end() fails before that. Whole events that were not passed on, because a later one in the same bytes was wrong, count as well; bytes of a comment do not. An empty rest after an attempt that broke off exactly between events stays believed: the last event may have been the last of the stream.

--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -1,9 +1,13 @@
 """Split a byte stream at the boundaries of server-sent events."""
 
+import re
+
 __all__ = ["EventSplitter"]
 
 EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
+# A line, whole or not, that is not a comment: the beginning of an event.
+EVENT_LINE = re.compile(rb"(?m)^[^:\r\n]")
 
 
 class EventSplitter:
@@ -34,9 +38,9 @@
         self.events += complete.count(EVENT_SEPARATOR) - complete.count(DONE_EVENT)
         return complete
 
-    def discard_partial_event(self) -> None:
-        """Drop the incomplete event of a failed attempt."""
-        self._buffer.clear()
+    def discard_partial_event(self) -> bool:
+        """Drop the bytes after the last event; return whether an event had begun in them."""
+        return EVENT_LINE.search(self.take_rest()) is not None
 
     def take_rest(self) -> bytes:
         """Return and clear the bytes that are left at the end of the stream."""
--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -34,10 +34,13 @@
         self._splitter = EventSplitter()
         # Whether the current attempt goes on with a stream that the caller has a part of.
         self._resumed = False
+        # Whether an attempt sent a part of the next event, or all of it in bytes that were not
+        # passed on. An answer that ends without that event is not the whole rest.
+        self._next_event_exists = False
 
     def begin_attempt(self) -> None:
         """Begin with another answer, which has to go on where the last one broke off."""
-        self._splitter.discard_partial_event()
+        self._next_event_exists |= self._splitter.discard_partial_event()
         self._resumed = self.data_events > 0
 
     def feed(self, data: bytes) -> bytes:
@@ -47,6 +50,15 @@
         stream on an event without an id. None of the bytes may be passed on then.
         """
         complete = self._splitter.feed(data)
+        try:
+            self._accept(complete)
+        except AttemptFailed:
+            self._next_event_exists |= EVENT_DATA.search(complete) is not None
+            raise
+        return complete
+
+    def _accept(self, complete: bytes) -> None:
+        """Check complete events and count them; raise AttemptFailed and count none of them."""
         if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
             raise AttemptFailed(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         if ANSWER_HEAD.search(complete):
@@ -59,7 +71,8 @@
             self.resumable = False
         self.last_id = last_id
         self.data_events += data_events
-        return complete
+        if data_events:
+            self._next_event_exists = False
 
     def _check_ids(self, complete: bytes) -> str:
         """Return the id of the last event; raise AttemptFailed unless the ids are consecutive."""
@@ -85,9 +98,16 @@
         return self._splitter.buffered_bytes
 
     def end(self) -> None:
-        """End the stream; raise AttemptFailed if the last event is incomplete."""
+        """End the stream.
+
+        Raises AttemptFailed if the last event is incomplete, or if an earlier attempt had begun an
+        event that has not come. An empty answer after an attempt that broke off between events is
+        the whole rest: the last event may have been passed on already.
+        """
         if self._splitter.buffered_bytes:
             raise AttemptFailed("the stream ended inside an event")
+        if self._next_event_exists:
+            raise AttemptFailed("the stream ended before an event that had begun")
 
 
 def _is_next(event_id: str, last_id: str) -> bool:
--- a/cassiadrum/tests/gateways/test_resumed_streams.py
+++ b/cassiadrum/tests/gateways/test_resumed_streams.py
@@ -155,6 +155,33 @@
         assert attempts == ["cut", "cut"]
         assert (body, complete) == (first + b"".join(rest), True)
 
+    @pytest.mark.parametrize("broken", [event(4)[:3], event(4)[:-1]], ids=["start", "last byte"])
+    @pytest.mark.parametrize("rest", [(), (b": idle\n\n",)], ids=["empty", "comment"])
+    async def test_empty_rest_after_half_an_event_is_not_complete(
+        self,
+        site: PlatformSite,
+        gateway: GatewaySubprocess,
+        broken: bytes,
+        rest: tuple[bytes, ...],
+    ) -> None:
+        """Guards against a stream that is closed as complete though its next event had begun."""
+        await gateway.wait_ready()
+        first = b"".join(map(event, range(1, CUT_AFTER + 1)))
+        async with broken_stream(site, first + broken, stream("{id}", *rest)) as attempts:
+            body, complete = await read_stream(gateway.calls_port, "cut")
+        assert attempts == ["cut", "cut"]
+        assert (body, complete) == (first + b"".join(rest), False)
+
+    async def test_empty_rest_after_the_last_event_is_complete(
+        self, site: PlatformSite, gateway: GatewaySubprocess
+    ) -> None:
+        await gateway.wait_ready()
+        first = b"".join(map(event, range(1, CUT_AFTER + 1)))
+        async with broken_stream(site, first, stream("{id}")) as attempts:
+            body, complete = await read_stream(gateway.calls_port, "cut")
+        assert attempts == ["cut", "cut"]
+        assert (body, complete) == (first, True)
+
     @pytest.mark.parametrize(
         "first",
         [b"data: a\n\ndata: b\n\n", b"id: x\ndata: a\n\n", event(1) + b"data: b\n\n"],
@@ -182,3 +209,53 @@
         assert events.last_id == "1"
         events.begin_attempt()
         assert events.feed(event(2)) == event(2)
+
+
+class TestBegunEvents:
+    """Guards against a stream that ends as complete before an event that was known to follow.
+
+    An attempt that broke off inside an event proves that the event exists, also when the next
+    attempts bring nothing or break off as well.
+    """
+
+    @pytest.mark.parametrize("end", range(1, len(event(2))))
+    def test_answer_without_the_event_is_not_the_rest(self, end: int) -> None:
+        events = EventSequence("")
+        events.feed(event(1) + event(2)[:end])
+        for rest in (b"", b": idle\n\n", b"", event(2)[:1]):
+            events.begin_attempt()
+            assert events.feed(rest) in (rest, b"")
+            with pytest.raises(AttemptFailed):
+                events.end()
+
+    @pytest.mark.parametrize("end", range(1, len(event(2))))
+    def test_answer_with_the_event_is_the_rest(self, end: int) -> None:
+        events = EventSequence("")
+        events.feed(event(1) + event(2)[:end])
+        events.begin_attempt()
+        events.begin_attempt()
+        assert events.feed(event(2)) == event(2)
+        events.end()
+
+    def test_whole_event_that_was_not_passed_on_has_to_come(self) -> None:
+        events = EventSequence("")
+        events.feed(event(1))
+        with pytest.raises(AttemptFailed):
+            events.feed(event(2) + event(7))
+        events.begin_attempt()
+        with pytest.raises(AttemptFailed):
+            events.end()
+
+    def test_half_an_event_of_a_stream_without_a_whole_one(self) -> None:
+        events = EventSequence("")
+        events.feed(b"id: 1\nda")
+        events.begin_attempt()
+        with pytest.raises(AttemptFailed):
+            events.end()
+
+    @pytest.mark.parametrize("tail", [b"", b"\n", b": idle", b": idle\n"])
+    def test_empty_answer_between_events_is_the_rest(self, tail: bytes) -> None:
+        events = EventSequence("")
+        events.feed(event(1) + tail)
+        events.begin_attempt()
+        events.end()
