Log and count connections that end unanswered

A connection that the HTTP server closed, aborted or lost left no trace, so that a request without an answer could not be told from a caller that left.

Each end without a complete answer now has a line with its reason, the caller's address and the request's id where the handler has set it, and is counted by reason in the metrics of gateways and entry instances. Connections that end after an answer, by the idle timeout or by a caller that sent nothing are not counted.

The loop that serves one connection moves to server_connections.py. A connection whose caller has closed it no longer counts as one with a request begun; the test of orderly ends failed without that.

--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -32,6 +32,10 @@
         labels = (service, "yes" if repeated else "no")
         self._values.add("cassiadrum_gateway_failed_attempts_total", labels)
 
+    def record_unanswered_connection(self, reason: str) -> None:
+        """Count a connection of a caller that ended unanswered."""
+        self._values.add("cassiadrum_gateway_unanswered_connections_total", (reason,))
+
     def set_service(self, service: str, waiting: int, outstanding: int, endpoints: int) -> None:
         """Set the gauges of a service."""
         self._values.set("cassiadrum_gateway_waiting", (service,), waiting)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -101,6 +101,10 @@
         """Set the metrics of the settings in force; `loaded_s` is a Unix time."""
         self._metrics.set_settings(digest, loaded_s)
 
+    def record_unanswered_connection(self, reason: str) -> None:
+        """Count a connection of a caller that ended unanswered."""
+        self._metrics.record_unanswered_connection(reason)
+
     async def run(self) -> None:
         """Update the state of the endpoints periodically until cancelled."""
         while True:
@@ -144,6 +148,7 @@
         except BadMessage as exc:
             await exchange.send_json(exc.status, {"reason": exc.detail, "ran": "no"})
             return
+        exchange.request_id = call.request_id
         ctx = RequestContext(call, self._clock())
         relay = Relay(
             ctx,
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -112,6 +112,12 @@
             "Tokens in the last full window by customer rank, and of all others",
             ("rank",),
         ),
+        MetricDefinition(
+            "cassiadrum_unanswered_connections_total",
+            "counter",
+            "Connections of callers that ended without a complete answer",
+            ("reason",),
+        ),
     )
 }
 
@@ -219,5 +225,11 @@
             "Unix time at which the settings came into force",
             (),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_unanswered_connections_total",
+            "counter",
+            "Connections of callers that ended without a complete answer",
+            ("reason",),
+        ),
     )
 }
--- a/cassiadrum/metrics/role_metrics.py
+++ b/cassiadrum/metrics/role_metrics.py
@@ -87,6 +87,10 @@
         """Count a call to a store by its result."""
         self._values.add("cassiadrum_store_calls_total", (store, result))
 
+    def count_unanswered_connection(self, reason: str) -> None:
+        """Count a connection of a caller that ended unanswered."""
+        self._values.add("cassiadrum_unanswered_connections_total", (reason,))
+
     def set_leases_held(self, count: int) -> None:
         """Set the number of leases held."""
         self._values.set("cassiadrum_leases_held", (), count)
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -71,6 +71,7 @@
         self._call_server = HttpServer(
             self.gateway.handle,
             connection_limit=int(self._cfg.descriptors * CALLER_DESCRIPTORS_FRACTION),
+            on_unanswered=self.gateway.record_unanswered_connection,
         )
         self._readiness_server = HttpServer(self._handle_readiness)
         self._metrics_server = HttpServer(self._handle_metrics)
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -14,6 +14,7 @@
 from cassiadrum.protocols.http_servers import HttpServer
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES, TimeSlice
+from cassiadrum.protocols.unanswered_connections import UnansweredReason
 
 __all__ = [
     "MAX_PARSE_BYTES",
@@ -31,4 +32,5 @@
     "HttpServer",
     "MemoryBudget",
     "TimeSlice",
+    "UnansweredReason",
 ]
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -19,6 +19,7 @@
 
     The response carries `connection: close` if `should_close` returns true when its headers are
     written. `started` and `ended` tell whether its headers and its end have been written.
+    `request_id` is set by the handler, for the log lines of the server.
     """
 
     def __init__(
@@ -32,13 +33,21 @@
         self.disconnected = asyncio.Event()
         self.started = False
         self.ended = False
+        self.request_id = ""
         self._conn = conn
         self._writer = writer
         self._should_close = should_close
         self._unsent: list[bytes] = []
         self._chunked = False
+        # Whether the connection was aborted, or lost before the response was written.
+        self._aborted = False
         self._disconnect_callback: Callable[[], None] | None = None
 
+    @property
+    def answered(self) -> bool:
+        """Return whether the whole response has been written."""
+        return self.ended and not self._aborted
+
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call `callback` once when the client disconnects, immediately if it already has."""
         self._disconnect_callback = callback
@@ -95,6 +104,7 @@
         try:
             await self._writer.drain()
         except ConnectionError:
+            self._aborted = True
             self.set_disconnected()
 
     async def send_head(self, status: int, headers: Headers = ()) -> None:
@@ -129,7 +139,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the client detects a truncated response."""
-        self.ended = True
+        self.ended = self._aborted = True
         self._writer.transport.abort()
 
     def _buffer_event(self, event: h11.Event) -> None:
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -1,34 +1,29 @@
 """HTTP/1.1 server on asyncio streams and h11."""
 
 import asyncio
-import json
-import logging
 import ssl
-
-import h11
+from collections.abc import Callable
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.protocols.errors import BadMessage
-from cassiadrum.protocols.exchanges import Exchange, Handler
-from cassiadrum.protocols.http_requests import HttpRequest
+from cassiadrum.protocols.exchanges import Handler
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader
-from cassiadrum.protocols.request_readers import ReadLimits, RequestReader
+from cassiadrum.protocols.request_readers import ReadLimits
+from cassiadrum.protocols.server_connections import ServerConnection, format_address
+from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
 
 __all__ = ["HttpServer"]
 
-logger = logging.getLogger(__name__)
-
 # Unread bytes of a caller at half of which reading from it stops.
 READ_BUFFER_BYTES = 64 * 1024
-REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
 
 class HttpServer:
     """Server at one address that calls a handler for each request.
 
     Connections, header and body sizes, the memory of all bodies, and the times for reading a
-    request and for idle connections are limited.
+    request and for idle connections are limited. `on_unanswered(reason)` is called for each
+    connection that ends unanswered; `UnansweredReason` lists the reasons.
     """
 
     def __init__(
@@ -40,6 +35,7 @@
         connection_limit: int = LIMITS.HTTP_CONNECTIONS,
         read_timeout_s: float = LIMITS.REQUEST_READ_TIMEOUT_S,
         idle_timeout_s: float = LIMITS.KEEP_ALIVE_TIMEOUT_S,
+        on_unanswered: Callable[[str], None] | None = None,
     ) -> None:
         self._handler = handler
         self._body_limit_bytes = body_limit_bytes
@@ -48,8 +44,8 @@
         self._idle_timeout_s = idle_timeout_s
         self._server: asyncio.Server | None = None
         # In order of arrival, so that the oldest idle connection is closed first.
-        self._connections: dict[asyncio.Task[None], RequestReader | None] = {}
-        self._serving: set[asyncio.Task[None]] = set()
+        self._connections: dict[asyncio.Task[None], ServerConnection] = {}
+        self._unanswered = UnansweredConnections(on_unanswered)
         self._closing = False
         self._draining = False
         self._header_limit_bytes = LIMITS.HEADER_BYTES
@@ -66,7 +62,7 @@
     @property
     def requests_in_flight(self) -> int:
         """Return the number of requests that are being handled."""
-        return len(self._serving)
+        return sum(conn.serving for conn in self._connections.values())
 
     def set_limits(
         self,
@@ -95,9 +91,9 @@
         # polls the sockets, the second runs after the callbacks that read them.
         for _ in range(2):
             await asyncio.sleep(0)
-        for task, request_reader in self._connections.items():
-            if request_reader is None or not request_reader.request_started:
-                task.cancel()
+        for conn in self._connections.values():
+            if not conn.request_started:
+                conn.cancel(UnansweredReason.SHUTDOWN_IDLE)
         if self._connections:
             await asyncio.wait(self._connections)
 
@@ -106,8 +102,11 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
-        for task in self._connections:
-            task.cancel()
+        for conn in self._connections.values():
+            started = conn.request_started
+            conn.cancel(
+                UnansweredReason.SHUTDOWN_REQUEST if started else UnansweredReason.SHUTDOWN_IDLE
+            )
         if self._connections:
             await asyncio.wait(self._connections)
 
@@ -119,26 +118,37 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         assert isinstance(reader, NotifyingReader)
         task = asyncio.current_task()
-        if task is None or self._closing or not self._admit_connection():
-            writer.transport.abort()
+        assert task is not None
+        if self._closing:
+            self._refuse(writer, UnansweredReason.SHUTDOWN_IDLE)
+            return
+        if not self._admit_connection():
+            self._refuse(writer, UnansweredReason.LIMIT_REFUSED)
             return
-        self._connections[task] = None
         # With a write buffer limit of 0, draining waits until the kernel has accepted the whole
         # response, so that a process that exits after its last exchange truncates none.
         # A TLS transport pauses at the limit instead of above it, and would never resume with 0.
         over_tls = writer.get_extra_info("sslcontext") is not None
         writer.transport.set_write_buffer_limits(high=int(over_tls), low=0)
+        conn = ServerConnection(
+            reader,
+            writer,
+            self._handler,
+            self._read_limits,
+            self._body_budget,
+            lambda: self._draining,
+            lambda: self._closing,
+            self._unanswered,
+        )
+        self._connections[task] = conn
         try:
-            await self._serve(reader, writer, task)
-        except (ConnectionError, asyncio.CancelledError, TimeoutError):
-            writer.transport.abort()
-        except Exception:
-            logger.exception("HTTP handler failed, connection aborted")
-            writer.transport.abort()
+            await conn.serve()
         finally:
             self._connections.pop(task, None)
-            self._serving.discard(task)
-            writer.close()
+
+    def _refuse(self, writer: asyncio.StreamWriter, reason: UnansweredReason) -> None:
+        self._unanswered.record(reason, format_address(writer))
+        writer.transport.abort()
 
     def _read_limits(self) -> ReadLimits:
         return ReadLimits(
@@ -155,78 +165,8 @@
         """
         if len(self._connections) < self._connection_limit:
             return True
-        idle = next((task for task in self._connections if task not in self._serving), None)
+        idle = next((task for task, conn in self._connections.items() if not conn.serving), None)
         if idle is None:
             return False
-        del self._connections[idle]
-        idle.cancel()
+        self._connections.pop(idle).cancel(UnansweredReason.LIMIT_CLOSED)
         return True
-
-    async def _serve(
-        self,
-        reader: NotifyingReader,
-        writer: asyncio.StreamWriter,
-        task: asyncio.Task[None],
-    ) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_limit_bytes)
-        request_reader = RequestReader(conn, reader, writer, self._body_budget, self._read_limits)
-        self._connections[task] = request_reader
-        keep_alive = True
-        while keep_alive and (not self._closing or request_reader.request_started):
-            try:
-                keep_alive = await self._serve_one(request_reader, conn, reader, writer, task)
-            finally:
-                request_reader.release_body()
-
-    async def _serve_one(
-        self,
-        request_reader: RequestReader,
-        conn: h11.Connection,
-        reader: NotifyingReader,
-        writer: asyncio.StreamWriter,
-        task: asyncio.Task[None],
-    ) -> bool:
-        """Read and answer one request; return whether the connection can be reused."""
-        try:
-            req = await request_reader.read()
-        except BadMessage as exc:
-            await self._send_problem(conn, writer, exc)
-            return False
-        if req is None:
-            return False
-        self._serving.add(task)
-        await self._run_handler(
-            Exchange(req, conn, writer, should_close=lambda: self._draining), reader
-        )
-        self._serving.discard(task)
-        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-            return False
-        conn.start_next_cycle()
-        return True
-
-    async def _run_handler(self, exchange: Exchange, reader: NotifyingReader) -> None:
-        reader.set_disconnect_callback(exchange.set_disconnected)
-        try:
-            await self._handler(exchange)
-        finally:
-            reader.set_disconnect_callback(None)
-        if not exchange.ended:
-            exchange.abort()
-
-    async def _send_problem(
-        self, conn: h11.Connection, writer: asyncio.StreamWriter, exc: BadMessage
-    ) -> None:
-        if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        exchange = Exchange(HttpRequest("GET", "", (), b""), conn, writer)
-        problem = {
-            "type": "about:blank",
-            "title": "Bad request",
-            "status": exc.status,
-            "detail": exc.detail,
-            "ran": "no",
-            "reason": REASON_BY_STATUS.get(exc.status, "bad_request"),
-        }
-        body = json.dumps(problem).encode()
-        close = (("connection", "close"),)
-        await exchange.send(exc.status, body, "application/problem+json", close)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -51,7 +51,7 @@
     def request_started(self) -> bool:
         """Return whether any byte of a request that is not answered yet has arrived."""
         received = bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
-        return received or self._conn.their_state is not h11.IDLE
+        return received or self._conn.their_state not in (h11.IDLE, h11.CLOSED)
 
     async def read(self) -> HttpRequest | None:
         """Return the next request, or None when the client disconnects or stays idle.
--- /dev/null
+++ b/cassiadrum/protocols/server_connections.py
@@ -0,0 +1,163 @@
+"""One connection of a caller to the HTTP server."""
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+import h11
+
+from cassiadrum.protocols.errors import BadMessage
+from cassiadrum.protocols.exchanges import Exchange, Handler
+from cassiadrum.protocols.http_requests import HttpRequest
+from cassiadrum.protocols.memory_budgets import MemoryBudget
+from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.request_readers import ReadLimits, RequestReader
+from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
+
+__all__ = ["ServerConnection"]
+
+logger = logging.getLogger(__name__)
+
+REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
+
+
+class ServerConnection:
+    """Connection that reads requests and calls the handler for each, one after the other.
+
+    `limits()` returns the limits of a request whose reading begins. Once `should_close()` returns
+    true, the next answer is the last, and once `is_closing()` does, only a request that has begun
+    to arrive is read.
+    """
+
+    def __init__(
+        self,
+        reader: NotifyingReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        limits: Callable[[], ReadLimits],
+        body_budget: MemoryBudget,
+        should_close: Callable[[], bool],
+        is_closing: Callable[[], bool],
+        unanswered: UnansweredConnections,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._should_close = should_close
+        self._is_closing = is_closing
+        self._unanswered = unanswered
+        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._request_reader = RequestReader(self._conn, reader, writer, body_budget, limits)
+        # The request that is being handled.
+        self._exchange: Exchange | None = None
+        self._task = asyncio.current_task()
+        # Why the server cancelled the connection.
+        self._cancel_reason: UnansweredReason | None = None
+
+    @property
+    def serving(self) -> bool:
+        """Return whether a request is being handled."""
+        return self._exchange is not None
+
+    @property
+    def request_started(self) -> bool:
+        """Return whether any byte of a request that is not answered yet has arrived."""
+        return self._request_reader.request_started
+
+    def cancel(self, reason: UnansweredReason) -> None:
+        """Abort the connection."""
+        assert self._task is not None
+        self._cancel_reason = reason
+        self._task.cancel()
+
+    async def serve(self) -> None:
+        """Answer requests until the connection ends, and close it."""
+        keep_alive = True
+        try:
+            while keep_alive and (not self._is_closing() or self.request_started):
+                try:
+                    keep_alive = await self._serve_one()
+                finally:
+                    self._request_reader.release_body()
+        except asyncio.CancelledError:
+            self._abort(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
+        except (ConnectionError, TimeoutError):
+            self._abort(UnansweredReason.CALLER_LEFT)
+        except Exception:
+            logger.exception("HTTP handler failed, connection aborted")
+            self._abort(UnansweredReason.HANDLER_FAILED)
+        finally:
+            self._writer.close()
+
+    async def _serve_one(self) -> bool:
+        """Read and answer one request; return whether the connection can be reused."""
+        try:
+            req = await self._request_reader.read()
+        except BadMessage as exc:
+            await self._send_problem(exc)
+            return False
+        if req is None:
+            if self.request_started:
+                self._record(UnansweredReason.IDLE_TIMEOUT)
+            return False
+        self._exchange = Exchange(req, self._conn, self._writer, self._should_close)
+        await self._run_handler(self._exchange)
+        if not self._exchange.answered:
+            self._record(UnansweredReason.HANDLER_ABORTED)
+        self._exchange = None
+        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
+            return False
+        self._conn.start_next_cycle()
+        return True
+
+    async def _run_handler(self, exchange: Exchange) -> None:
+        self._reader.set_disconnect_callback(exchange.set_disconnected)
+        try:
+            await self._handler(exchange)
+        finally:
+            self._reader.set_disconnect_callback(None)
+        if not exchange.ended:
+            exchange.abort()
+
+    async def _send_problem(self, exc: BadMessage) -> None:
+        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        exchange = Exchange(HttpRequest("GET", "", (), b""), self._conn, self._writer)
+        problem = {
+            "type": "about:blank",
+            "title": "Bad request",
+            "status": exc.status,
+            "detail": exc.detail,
+            "ran": "no",
+            "reason": REASON_BY_STATUS.get(exc.status, "bad_request"),
+        }
+        body = json.dumps(problem).encode()
+        close = (("connection", "close"),)
+        await exchange.send(exc.status, body, "application/problem+json", close)
+
+    def _abort(self, reason: UnansweredReason) -> None:
+        if not self._ended_orderly(reason):
+            self._record(reason)
+        self._exchange = None
+        self._writer.transport.abort()
+
+    def _ended_orderly(self, reason: UnansweredReason) -> bool:
+        """Return whether the request is answered, or the caller left without having sent one."""
+        if self._exchange is not None:
+            return self._exchange.answered
+        return reason is UnansweredReason.CALLER_LEFT and not self.request_started
+
+    def _record(self, reason: UnansweredReason) -> None:
+        exchange = self._exchange
+        if exchange is not None and exchange.disconnected.is_set():
+            # A handler that breaks off for a caller that has left does so on its account.
+            reason = UnansweredReason.CALLER_LEFT
+        request_id = exchange.request_id if exchange is not None else ""
+        self._unanswered.record(reason, format_address(self._writer), request_id)
+
+
+def format_address(writer: asyncio.StreamWriter) -> str:
+    """Return the peer's address as HOST:PORT, or an empty text if it is not known."""
+    peer = writer.get_extra_info("peername")
+    return f"{peer[0]}:{peer[1]}" if peer else ""
--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -82,6 +82,7 @@
             self._on_refused("", exc.reason)
             await send_problem(exchange, Problem(exc.reason, "no", exc.detail))
             return
+        exchange.request_id = pending.queued.request_id
         self.active_requests += 1
         self._post(Submit(pending))
         try:
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -95,7 +95,7 @@
             lambda: configurations.ready,
             metrics.count_refusal,
         )
-        self._http = HttpServer(self._handler)
+        self._http = HttpServer(self._handler, on_unanswered=metrics.count_unanswered_connection)
         changes = ConfigurationHandler(writer, configurations, ring)
         self._gauges = Gauges(
             metrics, "sidecar", configurations.registry.versions, self._queue_lengths
--- a/cassiadrum/tests/test_metrics.py
+++ b/cassiadrum/tests/test_metrics.py
@@ -35,6 +35,7 @@
         metrics.count_claim("s", "made")
         metrics.count_control_bytes("in", 10)
         metrics.count_store_call("table", "unknown")
+        metrics.count_unanswered_connection("handler_failed")
         metrics.set_leases_held(1)
         metrics.set_configuration_version("s", 4)
         metrics.set_connections("sidecar", 9)
--- /dev/null
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -0,0 +1,197 @@
+"""Tests of server connections that end without an answer, and of how they are counted."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from cassiadrum.gateways.gateway_metrics import GatewayMetrics
+from cassiadrum.protocols import Exchange, HttpServer, UnansweredReason
+
+REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
+WAIT_LIMIT_S = 10.0
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+MakeServer = Callable[..., Awaitable["CountingServer"]]
+
+
+async def answer(exchange: Exchange) -> None:
+    exchange.request_id = "request-1"
+    await exchange.send(200, exchange.req.body, "text/plain")
+
+
+class CountingServer:
+    """A server with the reasons of its unanswered connections."""
+
+    def __init__(self, handler: Callable[[Exchange], Awaitable[None]], **limits: Any) -> None:
+        self.reasons: list[str] = []
+        self._writers: list[asyncio.StreamWriter] = []
+        self._recorded = asyncio.Event()
+        self.server = HttpServer(handler, on_unanswered=self._record, **limits)
+        self.port = 0
+
+    def _record(self, reason: str) -> None:
+        self.reasons.append(reason)
+        self._recorded.set()
+
+    async def start(self) -> None:
+        self.port = await self.server.start("127.0.0.1", 0)
+
+    async def connect(self, data: bytes = b"") -> Connection:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self._writers.append(writer)
+        writer.write(data)
+        return reader, writer
+
+    async def recorded(self) -> list[str]:
+        """Wait for an unanswered connection and return the reasons so far."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await self._recorded.wait()
+        return self.reasons
+
+    async def stop(self) -> None:
+        for writer in self._writers:
+            writer.close()
+        await self.server.abort()
+
+
+@pytest.fixture
+async def make_server() -> AsyncIterator[MakeServer]:
+    servers: list[CountingServer] = []
+
+    async def make(
+        handler: Callable[[Exchange], Awaitable[None]] = answer, **limits: Any
+    ) -> CountingServer:
+        server = CountingServer(handler, **limits)
+        servers.append(server)
+        await server.start()
+        return server
+
+    yield make
+    for server in servers:
+        await server.stop()
+
+
+async def read_all(conn: Connection) -> bytes:
+    """Return what arrives until the connection is closed or reset."""
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while part := await conn[0].read(65536):
+                data += part
+    return data
+
+
+async def read_answer(conn: Connection) -> bytes:
+    """Return one answer whose body is `ok`."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        return await conn[0].readuntil(b"\r\n\r\nok")
+
+
+class TestReasons:
+    """Guards against a connection that ends unanswered and leaves no trace.
+
+    The reason and the request's id are all that tells a fault of the server from a caller that
+    left. Orderly ends must not be counted, or they would hide the others.
+    """
+
+    async def test_orderly_ends_are_not_counted(self, make_server: MakeServer) -> None:
+        server = await make_server(idle_timeout_s=0.2)
+        answered = await server.connect(REQUEST)
+        await read_answer(answered)
+        left = await server.connect()
+        left[1].close()
+        closed = await server.connect(
+            REQUEST.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        )
+        assert (await read_all(closed)).endswith(b"ok")
+        assert await read_all(answered) == b""
+        assert server.reasons == []
+
+    async def test_connection_limit(self, make_server: MakeServer) -> None:
+        running = asyncio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            running.set()
+            await asyncio.Event().wait()
+
+        server = await make_server(wait, connection_limit=1)
+        idle = await server.connect()
+        await server.connect(REQUEST)
+        assert await server.recorded() == [UnansweredReason.LIMIT_CLOSED]
+        assert await read_all(idle) == b""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await running.wait()
+        refused = await server.connect()
+        assert await read_all(refused) == b""
+        assert server.reasons[1:] == [UnansweredReason.LIMIT_REFUSED]
+
+    async def test_answer_broken_off(
+        self, make_server: MakeServer, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async def break_off(exchange: Exchange) -> None:
+            exchange.request_id = "request-1"
+            await exchange.send_head(200)
+            await exchange.send_data(b"part")
+            exchange.abort()
+
+        server = await make_server(break_off)
+        with caplog.at_level(logging.INFO):
+            await server.connect(REQUEST)
+            assert await server.recorded() == [UnansweredReason.HANDLER_ABORTED]
+        record = next(r for r in caplog.records if r.msg.startswith("unanswered"))
+        assert record.__dict__["request_id"] == "request-1"
+        assert record.__dict__["caller"].startswith("127.0.0.1:")
+
+    async def test_handler_raised_midway(self, make_server: MakeServer) -> None:
+        async def fail(exchange: Exchange) -> None:
+            await exchange.send_head(200)
+            await exchange.send_data(b"part")
+            raise LookupError
+
+        server = await make_server(fail)
+        await server.connect(REQUEST)
+        assert await server.recorded() == [UnansweredReason.HANDLER_FAILED]
+
+    async def test_caller_left(self, make_server: MakeServer) -> None:
+        async def wait(exchange: Exchange) -> None:
+            left = asyncio.Event()
+            exchange.on_disconnect(left.set)
+            await left.wait()
+            exchange.abort()
+
+        server = await make_server(wait)
+        _, writer = await server.connect(REQUEST)
+        await writer.drain()
+        writer.close()
+        assert await server.recorded() == [UnansweredReason.CALLER_LEFT]
+
+    async def test_shutdown(self, make_server: MakeServer) -> None:
+        running = asyncio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            running.set()
+            await asyncio.Event().wait()
+
+        server = await make_server(wait)
+        await server.connect(REQUEST)
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await running.wait()
+        await server.connect()
+        await server.connect(REQUEST[:10])
+        await asyncio.sleep(0.05)
+        await server.server.abort()
+        assert sorted(server.reasons) == [
+            UnansweredReason.SHUTDOWN_IDLE,
+            UnansweredReason.SHUTDOWN_REQUEST,
+            UnansweredReason.SHUTDOWN_REQUEST,
+        ]
+
+    def test_metric_of_a_gateway(self) -> None:
+        metrics = GatewayMetrics()
+        metrics.record_unanswered_connection(UnansweredReason.CALLER_LEFT)
+        name = "cassiadrum_gateway_unanswered_connections_total"
+        assert f'{name}{{reason="caller_left"}} 1' in metrics.render().decode()
