Close the store connections of a stopped daemon

make demo printed its result and then 41 tracebacks ("Event loop is closed" in StreamWriter.__del__) on CPython 3.11.6; its exit code was 0. The first command of the README has to end with its result.

All 44 streams that were open at the end of the demo belonged to the HTTP clients of stores, of the daemons or of the site itself, which nothing closed. A daemon now closes them once its tasks have ended, and a local site closes its own before the stand-ins stop. No server and no client of the callers or the endpoints had left an open stream.

--- a/cassiadrum/roles/composition.py
+++ b/cassiadrum/roles/composition.py
@@ -54,6 +54,7 @@
 
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
+        self._store_clients: list[HttpClient] = []
         self._rng = random.Random(secrets.randbits(64))
         clock = HybridLogicalClock(time.time)
         self._ring = EventRing(clock, cfg.instance, cfg.role, secrets.token_hex(4))
@@ -90,7 +91,7 @@
             self._configurations.document,
             self._ring,
         )
-        return EntryDaemon(
+        daemon = EntryDaemon(
             self._cfg,
             self._ring,
             self._configurations,
@@ -101,6 +102,8 @@
             self._metrics,
             _make_tls_contexts(self._cfg),
         )
+        daemon.store_clients = self._store_clients
+        return daemon
 
     def sidecar(self, endpoint: EndpointSettings) -> SidecarDaemon:
         """Return the daemon of a sidecar for an endpoint."""
@@ -114,7 +117,7 @@
             schedulers.configure(service) if service == endpoint.service else None
         )
         guard = FencingGuard(self._table, endpoint_enforces=endpoint.enforces_fencing)
-        return SidecarDaemon(
+        daemon = SidecarDaemon(
             self._cfg,
             self._ring,
             self._configurations,
@@ -126,6 +129,8 @@
             self._metrics,
             _make_tls_contexts(self._cfg),
         )
+        daemon.store_clients = self._store_clients
+        return daemon
 
     def _make_object_store(self) -> HttpObjectStore:
         platform = self._cfg.platform
@@ -139,8 +144,10 @@
     def _make_transport(
         self, address: Address, store: str, budget: StoreBudget | None = None
     ) -> StoreTransport:
+        client = HttpClient(address.host, address.port)
+        self._store_clients.append(client)
         return StoreTransport(
-            HttpClient(address.host, address.port),
+            client,
             time.monotonic,
             budget=budget,
             on_result=lambda result: self._metrics.count_store_call(store, result),
--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -8,6 +8,7 @@
 
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.links import TlsContexts
+from cassiadrum.protocols import HttpClient
 
 __all__ = ["Daemon"]
 
@@ -25,6 +26,8 @@
         self.ring = ring
         self._tls = tls
         self.addresses: dict[str, str] = {}
+        # Clients of the stores; their connections are closed once the tasks have ended.
+        self.store_clients: list[HttpClient] = []
         self._tasks: list[asyncio.Task[Any]] = []
 
     @abstractmethod
@@ -98,3 +101,5 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         self._tasks.clear()
+        for client in self.store_clients:
+            client.close()
--- a/cassiadrum/sites/local_sites.py
+++ b/cassiadrum/sites/local_sites.py
@@ -59,6 +59,7 @@
         self.platform_addresses: dict[str, str] = {}
         self._platform_table = ""
         self._instance_list: HttpInstanceList | None = None
+        self._store_clients: list[HttpClient] = []
         self.table_store: HttpTableStore | None = None
 
     async def start(self) -> None:
@@ -90,6 +91,8 @@
 
     async def close(self) -> None:
         """Stop the stand-ins of the endpoints and the platform."""
+        for client in self._store_clients:
+            client.close()
         for endpoint in self.endpoints:
             await endpoint.standin.close()
         for standin in (self.table_service, self.object_service, self.instance_list_service):
@@ -130,8 +133,8 @@
         }
         lines = [f'{key} = "{address}"\n' for key, address in self.platform_addresses.items()]
         self._platform_table = "[platform]\n" + "".join(lines)
-        self.table_store = HttpTableStore(_store_transport(table))
-        self._instance_list = HttpInstanceList(_store_transport(instances))
+        self.table_store = HttpTableStore(self._make_transport(table))
+        self._instance_list = HttpInstanceList(self._make_transport(instances))
 
     async def _publish_document(self, service: str, text: str) -> None:
         assert self.table_store is not None
@@ -176,6 +179,11 @@
         link, admin = daemon.addresses.get("link", ""), daemon.addresses["admin"]
         await self._instance_list.register(Instance(instance, role, service, zone, link, admin))
 
+    def _make_transport(self, port: int) -> StoreTransport:
+        client = HttpClient(HOST, port)
+        self._store_clients.append(client)
+        return StoreTransport(client, time.monotonic)
+
     def _is_ready(self, entry: Daemon) -> bool:
         status = entry.status()
         expected_links = sum(
@@ -184,7 +192,3 @@
         return len(status["links"]) == expected_links and len(status["versions"]) == len(
             self.documents
         )
-
-
-def _store_transport(port: int) -> StoreTransport:
-    return StoreTransport(HttpClient(HOST, port), time.monotonic)
