Wait for the endpoints' registrations before the soak's last check

Traced again: both plain endpoints are missing from the copy that the store returns with. They register 0.35 s before the check, and the gateway served 0.07 s after the check had failed. A gateway reads changed endpoints at the end of its wait for a new configuration, which may take 0.6 s with the bounds of the soak, so the refusal is allowed and the check came too early.

The check now waits for this longest wait, taken from StoreWaits, after the last registration that the soak has written. It is as strict as before otherwise: one request to each gateway, which must be answered with 200.

--- a/cassiadrum/tests/gateways/soak.py
+++ b/cassiadrum/tests/gateways/soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import signal
 import time
@@ -10,7 +11,9 @@
 from typing import NamedTuple
 
 from cassiadrum.platform.headers import Header
+from cassiadrum.platform.node_settings import parse_node_settings
 from cassiadrum.platform.standins import StoreFault
+from cassiadrum.platform.store_waits import StoreWaits
 from cassiadrum.protocols import AnswerLost, HttpError
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess, free_port
 from cassiadrum.tests.gateways.disturbances import Disturbances
@@ -39,6 +42,12 @@
 TEMPORARY_KEYS = tuple(f"key-{number}" for number in range(2, 10))
 
 
+def longest_wait_s() -> float:
+    """Return the longest time in seconds after which a gateway reads changed endpoints."""
+    settings = parse_node_settings(json.dumps(make_settings(1, 2, 3)).encode())
+    return StoreWaits.from_bounds(settings.bounds).change_s
+
+
 class RequestOutcome(NamedTuple):
     """The outcome of one request for its caller; `status` is 0 without a complete answer.
 
@@ -71,6 +80,8 @@
         self._version = 1
         # The last writes of the endpoints and the operator; None if the entry was removed.
         self._states: dict[str, str | None] = dict.fromkeys(self._site.endpoints, "ready")
+        # Time of the last of these writes of an endpoint, in monotonic seconds.
+        self._registered_s = 0.0
         self._configuration = make_configuration()
         # Time at which the operator revoked each key, in monotonic seconds.
         self._revoked_s = dict.fromkeys(TEMPORARY_KEYS, float("-inf"))
@@ -316,6 +327,7 @@
             self._site.store.remove("servers", name)
         else:
             self._site.register(name, state)
+            self._registered_s = time.monotonic()
 
     async def _restore_store(self) -> None:
         """Restore the store from an older copy; the endpoints register again up to 1 s later."""
@@ -396,6 +408,8 @@
         return "" if outcome.body == whole.encode() else f"{what} has the events {outcome.body!r}"
 
     async def _find_recovery_violations(self) -> list[str]:
+        # A gateway reads changed endpoints at the end of its wait for a new configuration.
+        await asyncio.sleep(self._registered_s + longest_wait_s() - time.monotonic())
         violations = []
         for number, run in enumerate(self._gateways):
             if run.process.returncode is not None:
