Count bytes received during a stall before a timeout

After a stall of the event loop, as while a large configuration is decoded, a caller's connection was closed although its whole request had arrived, or a request whose rest had arrived was refused with 408. asyncio handles due timers and readable sockets in one iteration, so the timeout cancelled a read whose bytes were already in the buffer.

At the deadline the sockets are now polled and the bytes received by then are read before the wait ends. Their number is taken once, so a caller that never stops sending is still refused at its deadline.

A timeout that the transport reports for a dead connection has the same type as the timer's; it now ends the connection instead of counting as the deadline.

Both tests of received bytes fail on the code before (the connection is closed with 0 bytes, and answered with 408); that of the caller that never stops passes on both.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -7,7 +7,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.protocols.exchanges import Handler
 from cassiadrum.protocols.memory_budgets import MemoryBudget
-from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.notifying_readers import NotifyingReader, receive_pending
 from cassiadrum.protocols.request_readers import ReadLimits
 from cassiadrum.protocols.server_connections import ServerConnection, format_address
 from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
@@ -87,10 +87,7 @@
         self._closing = self._draining = True
         if self._server is not None:
             self._server.close()
-        # Lets the event loop read data that the kernel has already received: the first iteration
-        # polls the sockets, the second runs after the callbacks that read them.
-        for _ in range(2):
-            await asyncio.sleep(0)
+        await receive_pending()
         for conn in self._connections.values():
             if not conn.request_started:
                 conn.cancel(UnansweredReason.SHUTDOWN_IDLE)
--- a/cassiadrum/protocols/notifying_readers.py
+++ b/cassiadrum/protocols/notifying_readers.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.protocols.time_slices import TimeSlice
 
-__all__ = ["NotifyingReader"]
+__all__ = ["NotifyingReader", "receive_pending"]
 
 
 class NotifyingReader(asyncio.StreamReader):
@@ -61,3 +61,12 @@
         self._disconnected = True
         if self._disconnect_callback is not None:
             self._disconnect_callback()
+
+
+async def receive_pending() -> None:
+    """Let the event loop receive data that the kernel has already received.
+
+    The first iteration polls the sockets, the second runs after the callbacks that read them.
+    """
+    for _ in range(2):
+        await asyncio.sleep(0)
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -9,7 +9,7 @@
 from cassiadrum.protocols.errors import BadMessage
 from cassiadrum.protocols.http_requests import HttpRequest
 from cassiadrum.protocols.memory_budgets import MemoryBudget
-from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.notifying_readers import NotifyingReader, receive_pending
 from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES
 
 __all__ = ["ReadLimits", "RequestReader"]
@@ -42,6 +42,8 @@
         self._limits = limits()
         self._budget = budget
         self._deadline = 0.0
+        # Bytes received by the deadline that have not been read, None before it.
+        self._late_bytes: int | None = None
         # Size of the current body; `release_body` returns it to the budget.
         self._reserved_bytes = 0
         # Whether a part of the next request's head has arrived.
@@ -60,7 +62,7 @@
         that is incomplete at the end of the read timeout.
         """
         self._limits = self._get_limits()
-        self._deadline = self._now() + self._limits.idle_timeout_s
+        self._set_deadline(self._limits.idle_timeout_s)
         self._head_started = bool(self._conn.trailing_data[0])
         head = await self._read_head()
         if head is None:
@@ -95,7 +97,7 @@
             if not await self._receive(started=started):
                 return None
             if not started:
-                self._deadline = self._now() + self._limits.read_timeout_s
+                self._set_deadline(self._limits.read_timeout_s)
 
     def _check_length(self, head: h11.Request) -> None:
         """Reject a body over the limit before any of it is read."""
@@ -140,17 +142,38 @@
         self._head_started = bool(data)
         return True
 
+    def _set_deadline(self, timeout_s: float) -> None:
+        self._deadline = self._now() + timeout_s
+        self._late_bytes = None
+
     async def _read_until_deadline(self) -> bytes | None:
-        """Return received bytes, None at the deadline."""
+        """Return received bytes, None at the deadline once those received by then are read."""
         left_s = self._deadline - self._now()
-        if left_s <= 0.0:
-            # A timeout alone would not end a read that returns without waiting.
-            return None
-        try:
-            async with asyncio.timeout(left_s):
-                return await self._reader.read(MAX_PARSE_BYTES)
-        except TimeoutError:
+        if left_s > 0.0:
+            try:
+                async with asyncio.timeout(left_s) as scope:
+                    return await self._reader.read(MAX_PARSE_BYTES)
+            except TimeoutError:
+                if not scope.expired():
+                    # The transport reports a connection that timed out with the same exception.
+                    raise
+        return await self._read_late()
+
+    async def _read_late(self) -> bytes | None:
+        """Return bytes that were received by the deadline, None if there are no more.
+
+        After a stall of the event loop the timeout expires in the same iteration in which the
+        bytes that arrived meanwhile are received. A caller that goes on sending does not extend
+        the deadline.
+        """
+        if self._late_bytes is None:
+            await receive_pending()
+            self._late_bytes = self._reader.unread_bytes
+        if self._late_bytes == 0:
             return None
+        data = await self._reader.read(min(self._late_bytes, MAX_PARSE_BYTES))
+        self._late_bytes -= len(data)
+        return data
 
     @staticmethod
     def _now() -> float:
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
-from cassiadrum.protocols import Exchange, HttpServer, UnansweredReason
+from cassiadrum.protocols import MAX_PARSE_BYTES, Exchange, HttpServer, UnansweredReason
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
 WAIT_LIMIT_S = 10.0
@@ -20,7 +21,7 @@
 
 async def answer(exchange: Exchange) -> None:
     exchange.request_id = "request-1"
-    await exchange.send(200, exchange.req.body, "text/plain")
+    await exchange.send(200, b"ok", "text/plain")
 
 
 class CountingServer:
@@ -195,3 +196,70 @@
         metrics.record_unanswered_connection(UnansweredReason.CALLER_LEFT)
         name = "cassiadrum_gateway_unanswered_connections_total"
         assert f'{name}{{reason="caller_left"}} 1' in metrics.render().decode()
+
+
+class TestStalledLoop:
+    """Guards against a timeout that wins over bytes received during a stall of the event loop.
+
+    After a stall, due timers and the sockets that became readable are handled in one iteration, so
+    that the timeout ended a wait whose bytes were already in memory.
+    """
+
+    TIMEOUT_S = 0.5
+
+    def stall(self) -> None:
+        time.sleep(self.TIMEOUT_S * 1.2)
+
+    async def test_request_received_after_the_idle_deadline_passed(
+        self, make_server: MakeServer
+    ) -> None:
+        server = await make_server(idle_timeout_s=self.TIMEOUT_S)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        await asyncio.sleep(self.TIMEOUT_S / 10)
+        # A write to an empty buffer passes the bytes to the kernel at once.
+        conn[1].write(REQUEST)
+        self.stall()
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+        assert await read_all(conn) == b""
+        assert server.reasons == []
+
+    async def test_rest_of_a_request_received_after_the_read_deadline_passed(
+        self, make_server: MakeServer
+    ) -> None:
+        body = b"x" * (5 * MAX_PARSE_BYTES) + b"ok"
+        server = await make_server(read_timeout_s=self.TIMEOUT_S)
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % len(body)
+        conn = await server.connect(head)
+        await asyncio.sleep(self.TIMEOUT_S / 10)
+        conn[1].write(body)
+        self.stall()
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+        assert server.reasons == []
+
+    async def test_idle_connection_is_closed_after_a_stall(self, make_server: MakeServer) -> None:
+        server = await make_server(idle_timeout_s=self.TIMEOUT_S)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        self.stall()
+        assert await read_all(conn) == b""
+
+    async def test_caller_that_never_stops_sending_is_refused(
+        self, make_server: MakeServer
+    ) -> None:
+        """Bytes that arrive after the deadline must not extend it."""
+        server = await make_server(read_timeout_s=self.TIMEOUT_S, body_limit_bytes=10**9)
+        reader, writer = await server.connect(
+            b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+
+        async def send_forever() -> None:
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"1\r\nx\r\n" * 2000)
+                    await writer.drain()
+
+        sending = asyncio.create_task(send_forever())
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 408")
+        sending.cancel()
