Apply a raised idle timeout to idle connections

Callers keep a connection for a part of the idle timeout in force. After a configuration that raises it, connections that were idle already were still closed by the old one, so that a request could cross the close.

HttpServer.set_limits now extends the wait of idle connections. It never shortens one: a lowered timeout holds from the next wait on.

A request whose first bytes came with the end of the last one had the idle timeout instead of the read timeout, and its reading counted as an idle wait that could be extended. It has the read timeout now.

The tests of the raised limit and of the pipelined request fail on the code before; those of the lowered limit and of a request being read guard against the opposite mistake and pass on both.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -72,11 +72,18 @@
         read_timeout_s: float,
         idle_timeout_s: float,
     ) -> None:
-        """Set the limits for requests whose reading begins after this call."""
+        """Set the limits for requests whose reading begins after this call.
+
+        A raised idle timeout also extends the wait of connections that are idle: callers keep a
+        connection for as long as the newest limit says. A lowered one holds from their next wait
+        on.
+        """
         self._header_limit_bytes = header_limit_bytes
         self._body_limit_bytes = body_limit_bytes
         self._read_timeout_s = read_timeout_s
         self._idle_timeout_s = idle_timeout_s
+        for conn in self._connections.values():
+            conn.extend_idle_wait(idle_timeout_s)
 
     def drain(self) -> None:
         """Close each connection after its next response."""
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -42,6 +42,8 @@
         self._limits = limits()
         self._budget = budget
         self._deadline = 0.0
+        # Start of the wait for a request, None while one is being read.
+        self._idle_since_s: float | None = None
         # Bytes received by the deadline that have not been read, None before it.
         self._late_bytes: int | None = None
         # Size of the current body; `release_body` returns it to the budget.
@@ -62,8 +64,12 @@
         that is incomplete at the end of the read timeout.
         """
         self._limits = self._get_limits()
-        self._set_deadline(self._limits.idle_timeout_s)
         self._head_started = bool(self._conn.trailing_data[0])
+        if self._head_started:
+            self._set_deadline(self._limits.read_timeout_s)
+        else:
+            self._idle_since_s = self._now()
+            self._set_deadline(self._limits.idle_timeout_s)
         head = await self._read_head()
         if head is None:
             return None
@@ -75,6 +81,11 @@
         self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
+    def extend_idle_wait(self, idle_timeout_s: float) -> None:
+        """Let the current wait for a request last for at least `idle_timeout_s`."""
+        if self._idle_since_s is not None:
+            self._deadline = max(self._deadline, self._idle_since_s + idle_timeout_s)
+
     def _reserve(self, more_bytes: int) -> None:
         size = self._reserved_bytes + more_bytes
         if size > self._limits.body_bytes:
@@ -97,6 +108,7 @@
             if not await self._receive(started=started):
                 return None
             if not started:
+                self._idle_since_s = None
                 self._set_deadline(self._limits.read_timeout_s)
 
     def _check_length(self, head: h11.Request) -> None:
@@ -148,8 +160,8 @@
 
     async def _read_until_deadline(self) -> bytes | None:
         """Return received bytes, None at the deadline once those received by then are read."""
-        left_s = self._deadline - self._now()
-        if left_s > 0.0:
+        # The deadline is later than before if the wait was extended.
+        while (left_s := self._deadline - self._now()) > 0.0:
             try:
                 async with asyncio.timeout(left_s) as scope:
                     return await self._reader.read(MAX_PARSE_BYTES)
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -65,6 +65,10 @@
         """Return whether any byte of a request that is not answered yet has arrived."""
         return self._request_reader.request_started
 
+    def extend_idle_wait(self, idle_timeout_s: float) -> None:
+        """Let the current wait for a request last for at least `idle_timeout_s`."""
+        self._request_reader.extend_idle_wait(idle_timeout_s)
+
     def cancel(self, reason: UnansweredReason) -> None:
         """Abort the connection."""
         assert self._task is not None
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -263,3 +263,62 @@
         async with asyncio.timeout(WAIT_LIMIT_S):
             assert (await reader.readline()).startswith(b"HTTP/1.1 408")
         sending.cancel()
+
+
+class TestChangedIdleLimit:
+    """Guards against idle connections that are closed earlier than the newest limit says.
+
+    Callers keep a connection for a part of the limit in force, so that one which is closed by an
+    older, shorter limit is closed while it may get a request.
+    """
+
+    SHORT_S = 0.4
+    LONG_S = 30.0
+
+    def set_idle_timeout(self, server: CountingServer, timeout_s: float) -> None:
+        server.server.set_limits(
+            header_limit_bytes=10_000,
+            body_limit_bytes=10_000,
+            read_timeout_s=5.0,
+            idle_timeout_s=timeout_s,
+        )
+
+    async def test_raised_limit_holds_for_idle_connections(self, make_server: MakeServer) -> None:
+        server = await make_server(idle_timeout_s=self.SHORT_S)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        await asyncio.sleep(self.SHORT_S / 8)
+        self.set_idle_timeout(server, self.LONG_S)
+        self.set_idle_timeout(server, self.SHORT_S)
+        await asyncio.sleep(self.SHORT_S * 2)
+        conn[1].write(REQUEST)
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+
+    async def test_lowered_limit_holds_from_the_next_wait_on(
+        self, make_server: MakeServer
+    ) -> None:
+        server = await make_server(idle_timeout_s=self.LONG_S)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        await asyncio.sleep(self.SHORT_S / 8)
+        self.set_idle_timeout(server, self.SHORT_S)
+        await asyncio.sleep(self.SHORT_S * 2)
+        conn[1].write(REQUEST)
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+        assert await read_all(conn) == b""
+
+    async def test_request_being_read_keeps_its_read_timeout(
+        self, make_server: MakeServer
+    ) -> None:
+        server = await make_server(read_timeout_s=self.SHORT_S, idle_timeout_s=self.SHORT_S)
+        conn = await server.connect(REQUEST[:10])
+        await asyncio.sleep(self.SHORT_S / 8)
+        self.set_idle_timeout(server, self.LONG_S)
+        assert (await read_all(conn)).startswith(b"HTTP/1.1 408")
+
+    async def test_pipelined_request_has_the_read_timeout(self, make_server: MakeServer) -> None:
+        """A request that began with the end of the last one is not waited for, but read."""
+        server = await make_server(read_timeout_s=self.SHORT_S, idle_timeout_s=self.LONG_S)
+        conn = await server.connect(REQUEST + REQUEST[:10])
+        await read_answer(conn)
+        assert (await read_all(conn)).startswith(b"HTTP/1.1 408")
