Keep or refuse a request under way at the connection limit

At the connection limit the oldest connection that was not being handled was closed for a new one, without an answer, although its request may have begun to arrive or be whole in memory.

A connection of which no byte of a request has been received is now closed first, after the sockets were polled. If there is none, the oldest request that still waits for its caller's bytes is answered with 503, ran: no and connection: close. One whose bytes are in memory or that is being handled is kept, and the new connection is refused if no other is left.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -123,12 +123,12 @@
         assert isinstance(reader, NotifyingReader)
         task = asyncio.current_task()
         assert task is not None
+        if not await self._admit_connection():
+            self._refuse(writer, UnansweredReason.LIMIT_REFUSED)
+            return
         if self._closing:
             self._refuse(writer, UnansweredReason.SHUTDOWN_IDLE)
             return
-        if not self._admit_connection():
-            self._refuse(writer, UnansweredReason.LIMIT_REFUSED)
-            return
         # With a write buffer limit of 0, draining waits until the kernel has accepted the whole
         # response, so that a process that exits after its last exchange truncates none.
         # A TLS transport pauses at the limit instead of above it, and would never resume with 0.
@@ -162,15 +162,22 @@
             self._idle_timeout_s,
         )
 
-    def _admit_connection(self) -> bool:
-        """Return whether a new connection is accepted; at the limit, close the oldest idle one.
+    async def _admit_connection(self) -> bool:
+        """Return whether a new connection is accepted; at the limit, another may make room.
 
-        Otherwise clients that open connections and send nothing could exhaust the limit.
+        Otherwise clients that open connections and send nothing, or a part of a request, could
+        exhaust the limit.
         """
         if len(self._connections) < self._connection_limit:
             return True
-        idle = next((task for task, conn in self._connections.items() if not conn.serving), None)
-        if idle is None:
+        await receive_pending()
+        if len(self._connections) < self._connection_limit:
+            return True
+        conns = self._connections.items()
+        oldest = next((task for task, conn in conns if conn.idle), None)
+        if oldest is None:
+            oldest = next((task for task, conn in conns if conn.waiting_for_data), None)
+        if oldest is None:
             return False
-        self._connections.pop(idle).cancel(UnansweredReason.LIMIT_CLOSED)
+        self._connections.pop(oldest).make_room()
         return True
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -50,6 +50,8 @@
         self._reserved_bytes = 0
         # Whether a part of the next request's head has arrived.
         self._head_started = False
+        # Whether the caller's next bytes are awaited.
+        self._waiting = False
 
     @property
     def request_started(self) -> bool:
@@ -57,6 +59,16 @@
         received = bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
         return received or self._conn.their_state not in (h11.IDLE, h11.CLOSED)
 
+    @property
+    def waiting_for_data(self) -> bool:
+        """Return whether all received bytes are parsed and the next request is not complete."""
+        return self._waiting and self._reader.unread_bytes == 0
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no byte of the next request has arrived."""
+        return self.waiting_for_data and self._idle_since_s is not None
+
     async def read(self) -> HttpRequest | None:
         """Return the next request, or None when the client disconnects or stays idle.
 
@@ -144,7 +156,11 @@
         if self._conn.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._conn.send(reply) or b"")
-        data = await self._read_until_deadline()
+        self._waiting = True
+        try:
+            data = await self._read_until_deadline()
+        finally:
+            self._waiting = False
         if data is None:
             if started:
                 limit = f"{self._limits.read_timeout_s:g} s"
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -1,6 +1,7 @@
 """One connection of a caller to the HTTP server."""
 
 import asyncio
+import contextlib
 import json
 import logging
 from collections.abc import Callable
@@ -19,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+# The connection does not count towards the limit any more while its refusal is sent.
+REFUSAL_TIMEOUT_S = 1.0
 REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
 
@@ -54,6 +57,8 @@
         self._task = asyncio.current_task()
         # Why the server cancelled the connection.
         self._cancel_reason: UnansweredReason | None = None
+        # Whether the incomplete request is refused to make room for a new connection.
+        self._make_room = False
 
     @property
     def serving(self) -> bool:
@@ -65,10 +70,28 @@
         """Return whether any byte of a request that is not answered yet has arrived."""
         return self._request_reader.request_started
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no byte of the next request has arrived."""
+        return self._request_reader.idle
+
+    @property
+    def waiting_for_data(self) -> bool:
+        """Return whether a request is incomplete and the caller's next bytes are awaited."""
+        return self._request_reader.waiting_for_data
+
     def extend_idle_wait(self, idle_timeout_s: float) -> None:
         """Let the current wait for a request last for at least `idle_timeout_s`."""
         self._request_reader.extend_idle_wait(idle_timeout_s)
 
+    def make_room(self) -> None:
+        """End the connection, which waits for data, to make room for a new one.
+
+        A request that has begun to arrive is refused as not run.
+        """
+        self._make_room = self.request_started
+        self.cancel(UnansweredReason.LIMIT_CLOSED)
+
     def cancel(self, reason: UnansweredReason) -> None:
         """Abort the connection."""
         assert self._task is not None
@@ -85,6 +108,9 @@
                 finally:
                     self._request_reader.release_body()
         except asyncio.CancelledError:
+            if self._make_room:
+                await self._refuse_incomplete()
+                return
             self._abort(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
         except (ConnectionError, TimeoutError):
             self._abort(UnansweredReason.CALLER_LEFT)
@@ -124,6 +150,11 @@
         if not exchange.ended:
             exchange.abort()
 
+    async def _refuse_incomplete(self) -> None:
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                await self._send_problem(BadMessage(503, "too many connections are open"))
+
     async def _send_problem(self, exc: BadMessage) -> None:
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 import logging
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -322,3 +324,63 @@
         conn = await server.connect(REQUEST + REQUEST[:10])
         await read_answer(conn)
         assert (await read_all(conn)).startswith(b"HTTP/1.1 408")
+
+
+class TestConnectionLimit:
+    """Guards against a request under way that is lost when its connection makes room.
+
+    At the connection limit a connection of which no byte of a request has been received is closed
+    first. A request of which a part is still awaited is refused as not run, and one that is being
+    read from memory or handled is kept.
+    """
+
+    async def test_incomplete_request_is_refused_as_not_run(self, make_server: MakeServer) -> None:
+        server = await make_server(connection_limit=1)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        conn[1].write(REQUEST[:10])
+        await asyncio.sleep(0.05)
+        assert await read_answer(await server.connect(REQUEST))
+        head, _, body = (await read_all(conn)).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503")
+        assert b"connection: close" in head
+        assert json.loads(body)["ran"] == "no"
+        assert server.reasons == []
+
+    async def test_request_being_handled_is_kept(self, make_server: MakeServer) -> None:
+        finish = asyncio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            await finish.wait()
+            await answer(exchange)
+
+        server = await make_server(wait, connection_limit=1)
+        conn = await server.connect(REQUEST)
+        await asyncio.sleep(0.05)
+        assert await read_all(await server.connect(REQUEST)) == b""
+        assert server.reasons == [UnansweredReason.LIMIT_REFUSED]
+        finish.set()
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+
+    async def test_newer_idle_connection_makes_room(self, make_server: MakeServer) -> None:
+        server = await make_server(connection_limit=2)
+        conn = await server.connect(REQUEST[:10])
+        await asyncio.sleep(0.05)
+        idle = await server.connect(REQUEST)
+        await read_answer(idle)
+        assert await read_answer(await server.connect(REQUEST))
+        assert await read_all(idle) == b""
+        conn[1].write(REQUEST[10:])
+        assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+
+    async def test_request_that_arrives_with_the_new_connection_is_kept(
+        self, make_server: MakeServer
+    ) -> None:
+        server = await make_server(connection_limit=1)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        await asyncio.sleep(0.05)
+        # Blocking, so that the loop finds the connection and the request in one iteration.
+        with socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S):
+            conn[1].write(REQUEST)
+            assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
