--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -232,6 +232,9 @@
         elif self._lost_exc is not None:
             # A reset is an error even for a body that is delimited by the end of the connection.
             raise AnswerLost(str(self._lost_exc) or "the connection was reset")
+        elif self._aborted:
+            # The transport reports this process's own abort like an orderly close by the endpoint.
+            raise AnswerLost("the connection was aborted")
         else:
             self._conn.receive_data(b"")
 
