Let only the relayed copy of a hedged request end its answer

When an endpoint had sent the head of a stream, but no event, and the second copy of the request ended first, the caller's stream was closed as complete: a 200 without any event, framed as whole. The same happened to a plain answer of which a part had been relayed. After the first copy broke off, a second one whose first bytes had been discarded was relayed from its middle, and its whole plain answer was appended to the part of the first.

The relay chooses its attempt at the head or at the first long part, the dispatcher only at the first token, so both copies run on until then. The router took any complete answer as the end of the caller's. An attempt whose bytes were dropped is now marked and never relayed again, only the attempt whose head was sent can go on with a plain answer, and the end of a copy that isn't relayed counts as a failed attempt, which leaves the other one running.

A caller whose first copy stays silent after its head now waits for that copy's limit, as the other copy's events are still discarded.

--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -45,7 +45,8 @@
         if position > attempt.position or not data:
             return 0
         attempt.position += len(data)
-        if pending.winner not in (None, attempt.attempt_id):
+        if attempt.discarded or pending.winner not in (None, attempt.attempt_id):
+            attempt.discarded = True
             return 0
         if pending.first_token_s is None:
             pending.first_token_s = now
@@ -56,11 +57,26 @@
         return 0
 
     def is_compatible(self, pending: PendingRequest, attempt: Attempt) -> bool:
-        """Return whether the answer can follow what the caller has already received."""
+        """Return whether the answer can follow what the caller has already received.
+
+        Only event streams can be continued by another attempt.
+        """
         if not pending.head_sent:
             return True
+        if not pending.streaming:
+            return pending.head_attempt_id == attempt.attempt_id
         return (pending.streaming, pending.status) == (attempt.streaming, attempt.status)
 
+    def is_whole(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Return whether the end of an attempt's complete answer is that of the caller's answer.
+
+        It is not if the caller receives the answer of another copy, or if bytes of this one were
+        discarded.
+        """
+        if attempt.discarded or pending.winner not in (None, attempt.attempt_id):
+            return False
+        return self.is_compatible(pending, attempt)
+
     def finish(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Relay the rest of a complete answer."""
         if not self._try_become_winner(pending, attempt):
@@ -130,6 +146,7 @@
         if pending.head_sent:
             return
         pending.head_sent = True
+        pending.head_attempt_id = attempt.attempt_id
         pending.streaming = attempt.streaming
         pending.status = attempt.status
         answer_id = f"{attempt.attempt_id}@{attempt.instance}"
--- a/cassiadrum/roles/attempts.py
+++ b/cassiadrum/roles/attempts.py
@@ -9,8 +9,8 @@
     """An attempt, and how much of its answer has arrived.
 
     `position` counts the bytes received, `acknowledged` those acknowledged to the sidecar, and
-    `buffered` holds bytes that are not relayed to the caller yet. `started_s` is in monotonic
-    seconds.
+    `buffered` holds bytes that are not relayed to the caller yet. `discarded` is set once bytes
+    were dropped in favour of another attempt. `started_s` is in monotonic seconds.
     """
 
     def __init__(self, attempt_id: str, request_id: str, instance: str, started_s: float) -> None:
@@ -23,6 +23,7 @@
         self.status = 0
         self.headers: tuple[tuple[str, str], ...] = ()
         self.buffered = bytearray()
+        self.discarded = False
         # Monotonic time at which the link was lost, None while attached.
         self.detached_s: float | None = None
 
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -41,6 +41,8 @@
         self.attempts_made = 0
         self.splitter = EventSplitter()
         self.head_sent = False
+        # Id of the attempt whose head was sent.
+        self.head_attempt_id = ""
         # Status of the head that was sent.
         self.status = 0
         # Whether the head that was sent announced an event stream.
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -268,7 +268,7 @@
         if outcome.ok and position != attempt.position:
             self._sidecars.request_resend(attempt)
             return True
-        if outcome.ok and not self._relay.is_compatible(pending, attempt):
+        if outcome.ok and not self._relay.is_whole(pending, attempt):
             outcome = Outcome(False, outcome.ran, outcome.tokens, "endpoint_failed")
         self._sidecars.acknowledge(attempt, position)
         self._finish_attempt(pending, attempt, outcome)
