Refuse what the rest of a planned stop cannot answer

Callers of a gateway that got SIGTERM sent requests whose last byte came late in the grace time, were queued or were retried then. They were passed on to an endpoint and cut without an answer when the grace time ended, once-only ones too. So were calls and silent streams that ran since before the stop.

The cause: the stop counted connections, from their first byte. It knew no request, so nothing compared the time left with what a request takes, and the end of the grace time cancelled the connections' tasks.

A request now counts from its last byte. RequestDrain compares the time left with twice the longest recent answer of the route and size, or with the route's timeout where none is known: on arrival, during the wait in the queue, after it, when the connection to the endpoint is open, and before a retry. What does not fit is refused with `draining` (503, ran: no). A request whose deadline comes first is served. At the end, 0.6 s before SIGKILL instead of 0.4 s so that the answers can leave, what has sent nothing gets a whole answer (503 ran: no, or 502 ran: unknown), and started streams are broken off. All of these are logged by request id and counted.

Ruled out: a second SIGTERM, SIGHUP with changed settings and a silent store during the stop disturb nothing (TestSignalsDuringTheStop passed before the change as well, with this test's timeout).

Nine cases of test_planned_stops.py fail on the code before: late last byte (three kinds), kept connection, queue, retry, running calls (two kinds) and silent stream.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -55,6 +55,7 @@
         protocol: CallProtocol,
         answer_memory: MemoryBudget,
         clock: Callable[[], float],
+        before_send: Callable[[], None] = lambda: None,
     ) -> None:
         self.view = assignment.view
         self._ctx = ctx
@@ -64,6 +65,8 @@
         self._answer_memory = answer_memory
         self._reserved_bytes = 0
         self._clock = clock
+        # Called when the connection is open; may raise Refused.
+        self._before_send = before_send
         self._prefill_tokens = assignment.prefill_tokens
         self._prefilling = True
         # Number of other requests at the endpoint that have no first bytes yet.
@@ -111,6 +114,7 @@
             ctx.tried.add(self.view.entry.instance)
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
+        self._before_send()
         call = ctx.call
         headers = self._protocol.encode_call(
             call,
@@ -126,6 +130,7 @@
             conn.send(call.method, call.target, headers, call.body)
         except BadMessage as exc:
             raise AttemptFailed(str(exc), not_run=True) from exc
+        ctx.sent_s = ctx.sent_s or self._sent_s
         ctx.sends += 1
         ctx.deliveries += 1
         may_have_run_before = ctx.may_have_run
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -1,7 +1,8 @@
 """Metrics of a gateway."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
+from cassiadrum.gateways.request_drains import DrainResult
 from cassiadrum.gateways.request_limits import RequestLimit
 from cassiadrum.gateways.sent_requests import SentRequests
 from cassiadrum.metrics import GATEWAY_DEFINITIONS, LoopDelay, make_registry
@@ -65,6 +66,13 @@
             labels = (series.service, series.kind.value, "yes" if series.limited else "no")
             self._values.set("cassiadrum_gateway_endpoint_requests_total", labels, count)
 
+    def set_drained_requests(self, counts: Mapping[tuple[str, DrainResult], int]) -> None:
+        """Set the counts of requests that a stop did not let finish."""
+        for (service, result), count in counts.items():
+            self._values.set(
+                "cassiadrum_gateway_drained_requests_total", (service, result.value), count
+            )
+
     def set_configuration(self, version: int, age_s: float, loaded_s: float) -> None:
         """Set the version in force, the age of its confirmation and its load time (Unix)."""
         self._values.set("cassiadrum_gateway_configuration_version", (), version)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -24,6 +24,7 @@
 from cassiadrum.gateways.placement_queues import Assignment, PlacementQueue
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.request_contexts import RequestContext
+from cassiadrum.gateways.request_drains import DRAINING, DrainResult, RequestDrain
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.sent_requests import SentRequests
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
@@ -37,8 +38,6 @@
 # Memory of each answer that does not count against the shared budget.
 ANSWER_UNBUDGETED_BYTES = 16 * 1024
 TICK_S = 0.1
-# Time after the deadline for which an endpoint's own answer to the deadline is awaited.
-DEADLINE_GRACE_S = 0.05
 # Retry-After of a process that is behind; it is expected to have caught up by then.
 LAG_RETRY_AFTER_S = 0.5
 ANSWERED = "answered"
@@ -65,6 +64,7 @@
         )
         self._protocol = protocol
         self._clock = clock
+        self._drain = RequestDrain(clock)
         self._sent_requests = SentRequests()
         self._fleet = fleet or SingleGateway()
         self.limit_board = LimitBoard(self._fleet, clock, boot_clock)
@@ -97,6 +97,16 @@
         self.configuration.reconfigure(cfg.confirmation_limit_s, cfg.strict_keys)
         self._budgets.reconfigure(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
 
+    def drain(self, grace_s: float) -> None:
+        """Become unready; requests that cannot be answered within `grace_s` are refused."""
+        self.draining = True
+        self._drain.begin(self._clock() + grace_s)
+
+    @property
+    def drain_totals(self) -> dict[str, int]:
+        """Return how many requests a stop did not let finish, by result."""
+        return self._drain.totals()
+
     def set_settings(self, digest: int, loaded_s: float) -> None:
         """Set the metrics of the settings in force; `loaded_s` is a Unix time."""
         self._metrics.set_settings(digest, loaded_s)
@@ -133,6 +143,7 @@
             limited = [limit for limit in limits if limit.rate_per_s is not None]
             self._metrics.set_request_limits(service, limited)
         self._metrics.set_sent_requests(self._sent_requests)
+        self._metrics.set_drained_requests(self._drain.counts)
         self._metrics.set_fleet_size(self._fleet.size)
         self._metrics.set_loop_delay(self._loop_delay)
         version = self.configuration.version
@@ -175,13 +186,13 @@
         try:
             if self.lag.refuses(ctx.call.request_id):
                 raise Refused("behind_its_work", LAG_RETRY_AFTER_S)
-            await self.configuration.wait_for_first()
+            if not self.draining:
+                await self.configuration.wait_for_first()
             self.configuration.resolve(ctx)
             self._log.record(ctx, "received", **ctx.describe())
             self._budgets.for_service(ctx.service).record_request(ctx.received_s)
             self._watch_caller(ctx, exchange)
-            limit_s = ctx.deadline_s + DEADLINE_GRACE_S - self._clock()
-            async with asyncio.timeout(limit_s):
+            async with self._drain.running(ctx, exchange):
                 await self._serve(ctx, relay)
         except Denied as exc:
             await writer.deny(exc)
@@ -190,8 +201,12 @@
             return await self._refuse(ctx, writer, exc)
         except AttemptFailed as exc:
             await writer.fail(502, exc.reason)
+            if exc.reason == DRAINING:
+                self._drain.count(ctx, DrainResult.FAILED)
             return f"failed: {exc}"
         except TimeoutError:
+            if self._drain.limit.limits(ctx):
+                return await self._end_at_stop(ctx, exchange, writer)
             if not ctx.may_have_run:
                 return await self._refuse(
                     ctx, writer, Refused("deadline", IMMEDIATE_RETRY_AFTER_S)
@@ -205,9 +220,26 @@
         blocked_s = self._placement_queue.blocked.min_blocked_s(ctx.service)
         retry_after_s = max(exc.retry_after_s, blocked_s)
         self._log.record(ctx, "refused", **exc.inputs)
+        if exc.reason == DRAINING:
+            self._drain.count(ctx, DrainResult.REFUSED)
         await writer.refuse(exc.reason, retry_after_s, close=not self.configuration.confirmed)
         return f"refused: {exc}, retry after {retry_after_s:g} s"
 
+    async def _end_at_stop(
+        self, ctx: RequestContext, exchange: Exchange, writer: AnswerWriter
+    ) -> str:
+        """End a request whose time the end of the grace time has cut short."""
+        if exchange.ended:
+            # Its answer is complete and only has to leave.
+            await exchange.flush()
+            return ANSWERED
+        if not ctx.may_have_run:
+            return await self._refuse(ctx, writer, Refused(DRAINING, IMMEDIATE_RETRY_AFTER_S))
+        result = DrainResult.BROKEN_OFF if exchange.started else DrainResult.FAILED
+        self._drain.count(ctx, result)
+        await writer.fail(502, DRAINING)
+        return f"grace time ended: {result.value}"
+
     def _make_view(self, entry: EndpointEntry) -> EndpointView:
         settings = self.configuration.services.get(entry.service)
         tokens = settings.cache_tokens if settings is not None else None
@@ -236,7 +268,8 @@
 
     async def _attempt(self, ctx: RequestContext, relay: Relay) -> bool:
         """Make one attempt; return False if the configuration changed the request's service."""
-        assignment = await self._placement_queue.place(ctx)
+        async with self._drain.waiting(ctx):
+            assignment = await self._placement_queue.place(ctx)
         service = ctx.service
         self._log.record(ctx, "placed", **assignment.describe(ctx.call, self._clock()))
         try:
@@ -259,13 +292,21 @@
 
     def _make_attempt(self, ctx: RequestContext, assignment: Assignment) -> Attempt:
         return Attempt(
-            ctx, assignment, self.pool, self._protocol, self._answer_memory, self._clock
+            ctx,
+            assignment,
+            self.pool,
+            self._protocol,
+            self._answer_memory,
+            self._clock,
+            lambda: self._drain.check(ctx),
         )
 
     def _can_retry(self, ctx: RequestContext) -> bool:
         """Return whether a request whose answer is late could be retried."""
         if not ctx.may_repeat() or not self._placement_queue.can_retry(ctx):
             return False
+        if not self._drain.has_time(ctx):
+            return False
         return self._budgets.for_service(ctx.service).has_retry_left(self._clock())
 
     def _try_retry(self, ctx: RequestContext) -> bool:
@@ -274,6 +315,8 @@
             return True
         if self._clock() >= ctx.deadline_s or not ctx.may_repeat():
             return False
+        if not self._drain.has_time(ctx):
+            return False
         if ctx.may_have_run and not self._placement_queue.can_retry(ctx):
             # The endpoint's own failure tells the caller more than that there is no other one.
             return False
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -35,6 +35,8 @@
         # Instances that were tried, including unreachable ones.
         self.tried: set[str] = set()
         self.sends = 0
+        # Time of the first send to an endpoint, None before it.
+        self.sent_s: float | None = None
         # Sends that reached an endpoint, including misdirected ones, which `sends` leaves out.
         self.deliveries = 0
         # Whether an endpoint may have run the request.
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -141,6 +141,12 @@
             "Failed attempts at endpoints",
             ("service", "repeated"),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_drained_requests_total",
+            "counter",
+            "Requests that a planned stop did not let finish",
+            ("service", "result"),
+        ),
         MetricDefinition(
             "cassiadrum_gateway_waiting", "gauge", "Requests waiting for an endpoint", ("service",)
         ),
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -43,7 +43,10 @@
 ANSWERS_MEMORY_FRACTION = 1 / 12
 # After SIGTERM, new connections still arrive until two readiness checks have failed.
 ACCEPT_AFTER_SIGTERM_S = 2.6
-SHUTDOWN_MARGIN_S = 0.4
+# Last part of the grace time, before which all requests have ended. FINAL_ANSWERS_S of it are for
+# their answers to leave, and the rest is for the process to exit before SIGKILL.
+SHUTDOWN_MARGIN_S = 0.6
+FINAL_ANSWERS_S = 0.3
 SETTINGS_POLL_INTERVAL_S = 1.0
 # Settings that take effect without a restart.
 RELOADABLE_SETTINGS: Final = frozenset({"store", "bounds"})
@@ -214,18 +217,19 @@
         """Stop accepting calls, wait for those in flight within the grace time, and close."""
         logger.info("shutting down")
         grace_s = self._cfg.bounds.grace_s - SHUTDOWN_MARGIN_S
-        self.gateway.draining = True
+        self.gateway.drain(grace_s)
         self._call_server.drain()
         if self._registration is not None:
             self._registration.expire_after(self._cfg.bounds.grace_s)
         try:
-            async with asyncio.timeout(grace_s):
+            async with asyncio.timeout(grace_s + FINAL_ANSWERS_S):
                 await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
                 await self._call_server.close()
         except TimeoutError:
             running = self._call_server.requests_in_flight
             logger.warning(
-                "grace time ended, cutting running requests", extra={"cut_requests": running}
+                "answers have not left in time, closing their connections",
+                extra={"cut_requests": running},
             )
         await self._call_server.abort()
         await self._readiness_server.abort()
@@ -234,7 +238,7 @@
             task.cancel()
         self._close_store()
         self.gateway.pool.close()
-        logger.info("stopped")
+        logger.info("stopped", extra=self.gateway.drain_totals)
 
 
 def _gateway_settings(cfg: NodeSettings) -> GatewaySettings:
--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -33,7 +33,7 @@
     `retry_after` if that is set; `hang` never answers; `cut_after` aborts each stream after that
     many events; `fail` runs a request and answers 500; `leaving` announces a shutdown in every
     answer; `limit` is the text of the request limit that every answer states, None for no limit.
-    Events are sent `event_interval_s` apart.
+    Events are sent `event_interval_s` apart; a plain answer is sent after `answer_delay_s`.
     """
 
     def __init__(self, instance: str, *, slots: int = 8, event_interval_s: float = 0.0) -> None:
@@ -53,6 +53,7 @@
         self.hang = False
         self.fail = False
         self.cut_after: int | None = None
+        self.answer_delay_s = 0.0
         self.running = 0
         self._slots = slots
         self._event_interval_s = event_interval_s
@@ -127,6 +128,8 @@
             (Header.LOAD, f"{self.running},0,{self._slots}"),
             *self._notice_headers(),
         )
+        if not exchange.req.header(Header.TOKENS):
+            await asyncio.sleep(self.answer_delay_s)
         if self.fail:
             await exchange.send_json(500, {"from": self.instance}, head)
         elif exchange.req.header(Header.TOKENS):
