Close client connections with bytes after the answer

An HTTP client kept a connection on which bytes had arrived after the end of the last answer, and read them as the answer to the next request. A sidecar whose engine wrote an answer twice, or more bytes than its length, passed on the answer to another request: its answers have no id that would show it.

Connections with unread or unparsed bytes are now closed instead of kept or used. Bytes that are still on the way when the next request is sent cannot be told from its answer on this way; a gateway's connections check the id.

On the code before, the four cases of bytes after an answer failed; the reuse of a connection without them passed before and passes now.

--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -84,7 +84,7 @@
             conn = self._idle.pop()
             # Skips connections that the server closed while they were idle: a request on one would
             # fail in the same way as one whose response was lost.
-            if not conn.reader.at_eof() and not conn.writer.is_closing():
+            if not (conn.reader.at_eof() or conn.writer.is_closing() or _has_extra_bytes(conn)):
                 return conn
             conn.writer.close()
         return None
@@ -159,6 +159,7 @@
 
     def _release(self, conn: _Connection) -> None:
         reusable = conn.protocol.our_state is h11.DONE and conn.protocol.their_state is h11.DONE
+        reusable = reusable and not _has_extra_bytes(conn)
         if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             conn.protocol.start_next_cycle()
             self._idle.append(conn)
@@ -166,6 +167,14 @@
             conn.writer.close()
 
 
+def _has_extra_bytes(conn: _Connection) -> bool:
+    """Return whether bytes arrived after the end of the last response.
+
+    They belong to no request, and would be read as the response to the next one.
+    """
+    return conn.reader.unread_bytes > 0 or bool(conn.protocol.trailing_data[0])
+
+
 def _build_request(method: str, target: str, headers: Headers) -> h11.Request:
     """Return the request event; raise ConnectFailed if it cannot be encoded as HTTP."""
     try:
--- a/cassiadrum/tests/gateways/cut_answers.py
+++ b/cassiadrum/tests/gateways/cut_answers.py
@@ -53,11 +53,18 @@
 
 
 class EndpointTransport(asyncio.Transport):
-    """The endpoint's side of a connection, which answers each request with given steps."""
+    """The endpoint's side of a connection, which answers each request with given bytes.
 
-    def __init__(self, conn: EndpointConnection) -> None:
+    `abort` is what the ending ABORTED calls; by default the transport is aborted.
+    """
+
+    def __init__(
+        self, protocol: asyncio.Protocol, abort: Callable[[], None] | None = None
+    ) -> None:
         super().__init__()
-        self._conn = conn
+        self._protocol = protocol
+        self._abort = abort or self.abort
+        self._closing = False
         self._answers: list[tuple[bytes, Ending | None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -73,10 +80,15 @@
 
     def abort(self) -> None:
         """Close the connection as asyncio does it."""
-        asyncio.get_running_loop().call_soon(self._conn.connection_lost, None)
+        if not self._closing:
+            self._closing = True
+            asyncio.get_running_loop().call_soon(self._protocol.connection_lost, None)
 
     def close(self) -> None: ...
 
+    def is_closing(self) -> bool:
+        return self._closing
+
     def pause_reading(self) -> None: ...
 
     def resume_reading(self) -> None: ...
@@ -87,7 +99,7 @@
     async def _answer(self, data: bytes, ending: Ending | None) -> None:
         await asyncio.sleep(0)
         if data:
-            self._conn.data_received(data)
+            self._protocol.data_received(data)
         if ending is None:
             return
         if not ending.with_data:
@@ -95,18 +107,18 @@
             for _ in range(4):
                 await asyncio.sleep(0)
         if ending is Ending.ABORTED:
-            self._conn.abort()
+            self._abort()
         elif ending.orderly:
-            self._conn.eof_received()
-            self._conn.connection_lost(None)
+            self._protocol.eof_received()
+            self._protocol.connection_lost(None)
         else:
-            self._conn.connection_lost(ConnectionResetError(104, "Connection reset by peer"))
+            self._protocol.connection_lost(ConnectionResetError(104, "Connection reset by peer"))
 
 
 async def make_connection(data: bytes, ending: Ending, *, reused: bool) -> EndpointConnection:
     """Return a connection whose endpoint answers the next request with bytes and the ending."""
     conn = EndpointConnection()
-    transport = EndpointTransport(conn)
+    transport = EndpointTransport(conn, conn.abort)
     conn.connection_made(transport)
     if reused:
         transport.add_answer(b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\nok", None)
