Fail a sidecar's call whose unsized stream ends inside an event

A stream without a length or chunks ends with its connection. The connections of an engine that crashes are closed like those of one that has finished, so a caller got half an event at the end of a stream that was framed as whole.

The sidecar's call now ends as answer_lost if such a stream ends inside an event, and the entry instance resumes it. Streams with a framing of their own are passed on unchanged as before, and an end between two events is believed.

--- a/cassiadrum/roles/attempts.py
+++ b/cassiadrum/roles/attempts.py
@@ -1,6 +1,6 @@
 """An attempt to run a request at a sidecar."""
 
-__all__ = ["Attempt"]
+__all__ = ["SSE_CONTENT_TYPE", "Attempt"]
 
 SSE_CONTENT_TYPE = "text/event-stream"
 
--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -8,6 +8,7 @@
 from cassiadrum.defaults import LIMITS
 from cassiadrum.endpoints import Endpoint, EndpointCall, EndpointResponseLost, EndpointUnreachable
 from cassiadrum.protocols import HttpError, HttpResponse
+from cassiadrum.roles.attempts import SSE_CONTENT_TYPE
 from cassiadrum.roles.once_only_guards import OnceOnlyGuard, stored_headers
 from cassiadrum.roles.sidecar_messages import (
     CallData,
@@ -22,6 +23,8 @@
 __all__ = ["CallRunner"]
 
 SSE_EVENT = b"\n\n"
+# The forms of line ends in which a server may write the empty line after an event.
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 SSE_DONE = b"data: [DONE]\n\n"
 # Yielding to the event loop for each token would cost more than relaying the token.
 YIELD_INTERVAL_BYTES = LIMITS.STREAM_BUFFER_BYTES // 16
@@ -124,6 +127,8 @@
                     await stream.buffer_has_space.wait()
         except HttpError:
             return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
+        if _ends_inside_event(response, tail):
+            return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
         stream.tokens = _count_tokens(stream.tokens, tail)
         return Outcome(True, ExecutionStatus.EXECUTED, stream.tokens)
 
@@ -135,6 +140,17 @@
             self._post(CallData(attempt_id, part))
 
 
+def _ends_inside_event(response: HttpResponse, tail: bytes) -> bool:
+    """Return whether an event stream that ended with its connection was cut inside an event.
+
+    An engine that crashes closes its connections like one that has finished, so only the last
+    event shows that such a stream is incomplete.
+    """
+    framed = response.header("content-length") or response.header("transfer-encoding")
+    streaming = response.header("content-type").startswith(SSE_CONTENT_TYPE)
+    return streaming and not framed and bool(tail) and not tail.endswith(EVENT_ENDS)
+
+
 def _count_tokens(events: int, tail: bytes) -> int:
     """Return the tokens of a complete answer.
 
