Leave a silent endpoint only once its retry is reserved

Callers of an endpoint that sent nothing for a second got 502, or a cut stream, with most of their time left. All requests of the endpoint saw a retry left in the budget in the same iteration of the event loop, and all gave up their attempts; the budget or the free places then sufficed for some of them. A load probe without an answer ended the wait without asking for the budget at all.

`RequestRetries` now takes the retry from the budget and a place from the placement queue while the attempt is still read; only then does the wait end. While no other endpoint has capacity, the request waits in the queue and its answer is read meanwhile, so that an endpoint that crashed without a sign is still left in turn. A request that may not move stays until its deadline. A retry that reaches no endpoint, since the endpoint went on, the place was refused or the connection failed, is returned to the budget; one that is delivered counts once. The instance counts as tried from the start of its connection, so that a reserved place is never at the same endpoint.

Ruled out: the failure count of a silent endpoint only adds cost and keeps nobody from it.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -106,12 +106,13 @@
         ctx = self._ctx
         assert ctx.route is not None
         once = ctx.route.kind is CallKind.ONCE
+        # Unreachable endpoints count: otherwise a service that has no others would be retried
+        # without end.
+        ctx.tried.add(self.view.entry.instance)
         try:
             conn = await self._pool.acquire(self._target, self._clock(), recently_used=once)
         except ConnectFailed as exc:
             self.view.record_unreachable(self._clock())
-            # Otherwise a service with unreachable endpoints only would be retried without end.
-            ctx.tried.add(self.view.entry.instance)
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
         self._before_send()
@@ -124,7 +125,6 @@
             timeout_s=ctx.deadline_s - self._clock(),
             last_event_id=last_event_id,
         )
-        ctx.tried.add(self.view.entry.instance)
         self._sent_s = self._clock()
         try:
             conn.send(call.method, call.target, headers, call.body)
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -25,6 +25,7 @@
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.gateways.request_drains import DRAINING, DrainResult, RequestDrain
+from cassiadrum.gateways.request_retries import RequestRetries
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.sent_requests import SentRequests
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
@@ -167,7 +168,13 @@
             self._log,
             self._clock,
             self._placement_queue.prober,
-            lambda: self._can_retry(ctx),
+            RequestRetries(
+                ctx,
+                self._placement_queue,
+                self._budgets,
+                self._clock,
+                lambda: self._drain.has_time(ctx),
+            ),
         )
         outcome = "cancelled"
         try:
@@ -176,6 +183,7 @@
             outcome = f"error: {exc!r}"
             raise
         finally:
+            relay.retries.close()
             well = outcome == ANSWERED or exchange.disconnected.is_set()
             self._log.finish(ctx, outcome, well=well, **self.configuration.log_fields())
             self._metrics.record_end(ctx.service, outcome, self._clock() - ctx.received_s)
@@ -252,10 +260,10 @@
         """Make attempts until one succeeds; raise Refused, Denied or AttemptFailed."""
         while True:
             try:
-                if await self._attempt(ctx, relay):
+                if await self._attempt(ctx, relay, relay.retries.take()):
                     return
             except AttemptFailed as exc:
-                repeat = relay.can_continue and self._try_retry(ctx)
+                repeat = relay.can_continue and relay.retries.try_spend()
                 self._log.record(ctx, "attempt failed", reason=exc.reason, repeated=repeat)
                 self._metrics.record_failed_attempt(ctx.service, repeat)
                 if not repeat:
@@ -266,10 +274,14 @@
                     raise AttemptFailed(exc.reason) from exc
                 raise
 
-    async def _attempt(self, ctx: RequestContext, relay: Relay) -> bool:
-        """Make one attempt; return False if the configuration changed the request's service."""
-        async with self._drain.waiting(ctx):
-            assignment = await self._placement_queue.place(ctx)
+    async def _attempt(
+        self, ctx: RequestContext, relay: Relay, reserved: Assignment | None = None
+    ) -> bool:
+        """Make one attempt, at the endpoint that is reserved for it if there is one.
+
+        Returns False if the configuration changed the request's service.
+        """
+        assignment = reserved or await self._place(ctx)
         service = ctx.service
         self._log.record(ctx, "placed", **assignment.describe(ctx.call, self._clock()))
         try:
@@ -301,26 +313,9 @@
             lambda: self._drain.check(ctx),
         )
 
-    def _can_retry(self, ctx: RequestContext) -> bool:
-        """Return whether a request whose answer is late could be retried."""
-        if not ctx.may_repeat() or not self._placement_queue.can_retry(ctx):
-            return False
-        if not self._drain.has_time(ctx):
-            return False
-        return self._budgets.for_service(ctx.service).has_retry_left(self._clock())
-
-    def _try_retry(self, ctx: RequestContext) -> bool:
-        """Return whether to retry a failed request, and take the retry from the budget."""
-        if ctx.deliveries == 0:
-            return True
-        if self._clock() >= ctx.deadline_s or not ctx.may_repeat():
-            return False
-        if not self._drain.has_time(ctx):
-            return False
-        if ctx.may_have_run and not self._placement_queue.can_retry(ctx):
-            # The endpoint's own failure tells the caller more than that there is no other one.
-            return False
-        return self._budgets.for_service(ctx.service).try_spend(self._clock())
+    async def _place(self, ctx: RequestContext) -> Assignment:
+        async with self._drain.waiting(ctx):
+            return await self._placement_queue.place(ctx)
 
     async def _give_up(self, ctx: RequestContext, relay: Relay, exc: AttemptFailed) -> None:
         if relay.failure is not None and not relay.started:
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -84,6 +84,11 @@
         The request also waits until the list of endpoints has been read. The endpoint's view
         counts the request until the caller ends it there, through an Attempt.
         """
+        assignment = self.try_place(ctx)
+        return await self._wait(ctx) if assignment is None else assignment
+
+    def try_place(self, ctx: RequestContext) -> Assignment | None:
+        """Return the endpoint for the next attempt, None if none has capacity; raise Refused."""
         if self._directory.has_full_list and not self.has_untried_endpoint(ctx):
             raise Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER_S)
         views = self._directory.usable(ctx.service)
@@ -93,7 +98,12 @@
             # Capacity that became free since the queue was last processed goes to queued requests.
             self.place_waiting(ctx.service)
             view = self._find_endpoint(ctx, views)
-        return await self._wait(ctx) if view is None else self._assign(ctx, view)
+        return None if view is None else self._assign(ctx, view)
+
+    def cancel(self, assignment: Assignment) -> None:
+        """Undo an assignment whose request was not sent."""
+        assignment.view.record_first_bytes(assignment.prefill_tokens, None, self._clock())
+        assignment.view.record_end()
 
     def place_waiting(self, service: str) -> None:
         """Assign the queued requests of a service while endpoints have capacity."""
@@ -196,8 +206,10 @@
             self._release(fut)
             raise
         finally:
-            queue.remove(ctx)
-            del self._futures[ctx]
+            # The request may already wait again by the time a cancelled wait ends.
+            if self._futures.get(ctx) is fut:
+                queue.remove(ctx)
+                del self._futures[ctx]
 
     def _max_wait_s(self, ctx: RequestContext) -> float:
         """Return the maximum queueing time of a request in seconds.
@@ -228,11 +240,8 @@
         if not fut.done():
             fut.cancel()
             return
-        if fut.exception() is not None:
-            return
-        view, prefill_tokens = fut.result()
-        view.record_first_bytes(prefill_tokens, None, self._clock())
-        view.record_end()
+        if fut.exception() is None:
+            self.cancel(fut.result())
 
 
 def _needs_sample(view: EndpointView, now: float) -> bool:
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -11,6 +11,7 @@
 from cassiadrum.gateways.event_sequences import EventSequence
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.request_contexts import RequestContext
+from cassiadrum.gateways.request_retries import RequestRetries
 from cassiadrum.gateways.silence_limits import SilenceLimit
 from cassiadrum.protocols import Exchange
 
@@ -46,15 +47,14 @@
         log: DecisionLog,
         clock: Callable[[], float],
         prober: LoadProber,
-        may_retry: Callable[[], bool],
+        retries: RequestRetries,
     ) -> None:
         self._ctx = ctx
         self._exchange = exchange
         self._log = log
         self._clock = clock
         self._prober = prober
-        # Returns whether the retry budget and the endpoints permit another attempt.
-        self._may_retry = may_retry
+        self.retries = retries
         self._events = EventSequence(ctx.call.last_event_id)
         # The last answer of an endpoint with a status of 500 or above.
         self.failure: BufferedAnswer | None = None
@@ -226,7 +226,8 @@
             attempt.view,
             silence_s,
             max_wait_s,
-            lambda: self.can_continue and self._may_retry(),
+            lambda: self.can_continue and self.retries.is_possible(),
             prober,
             since_s,
+            self.retries,
         )
--- a/cassiadrum/gateways/retry_budgets.py
+++ b/cassiadrum/gateways/retry_budgets.py
@@ -51,6 +51,11 @@
         self._retries.append(now)
         return True
 
+    def refund(self, spent_s: float) -> None:
+        """Return a retry that was taken at `spent_s` and reached no endpoint."""
+        if spent_s in self._retries:
+            self._retries.remove(spent_s)
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -7,6 +7,7 @@
 
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.load_probers import LoadProber
+from cassiadrum.gateways.request_retries import RequestRetries
 
 __all__ = ["SilenceLimit"]
 
@@ -23,7 +24,8 @@
     than that for a silent one. Both limits are in seconds; if `silence_s` is None, the wait is
     unlimited. The wait continues while `may_expire` returns false, for example if no other
     endpoint can be tried. With a `prober`, an endpoint that sends nothing but answers a load probe
-    counts as busy. If this process stood still, the wait begins anew, once.
+    counts as busy. With `retries`, the wait ends only once a retry at another endpoint is
+    reserved. If this process stood still, the wait begins anew, once.
 
     `max_wait_s` counts from `since_s`, in seconds of the loop's clock, or else from the start of
     the wait. A caller that waits several times for one result passes the start of the first wait,
@@ -38,6 +40,7 @@
         may_expire: Callable[[], bool],
         prober: LoadProber | None = None,
         since_s: float | None = None,
+        retries: RequestRetries | None = None,
     ) -> None:
         self._view = view
         self._silence_s = silence_s
@@ -45,6 +48,9 @@
         self._may_expire = may_expire
         self._prober = prober
         self._probe: asyncio.Task[None] | None = None
+        # Time of a load probe that was not answered.
+        self._probe_failed_s = float("-inf")
+        self._retries = retries
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
         # Time for which the next check is planned.
@@ -75,6 +81,7 @@
         if self._probe is not None:
             self._probe.cancel()
         await self._timeout.__aexit__(kind, exc, trace)
+        self._release_retry()
 
     def _check(self) -> None:
         """Expire the wait if the endpoint was silent for the limit, else check again later."""
@@ -88,13 +95,18 @@
         due_s = max(self._started_s, self._view.last_received_s) + self._silence_s
         due_s = min(due_s, self._max_wait_end_s)
         if due_s > now:
+            self._release_retry()
             self._check_at(due_s)
         elif not self._may_expire() or self._awaits_probe(now):
+            self._release_retry()
             self._check_at(now + RECHECK_S)
-        elif self._prober is not None and now < self._max_wait_end_s:
+        elif self._prober is not None and self._needs_probe(now):
             self._probe = asyncio.create_task(self._probe_endpoint(self._prober))
+        elif self._retries is None or self._retries.try_reserve():
+            self._timeout.reschedule(now)
         else:
-            self._expire()
+            # The endpoint may go on while the request waits for a place at another one.
+            self._check_at(now + RECHECK_S)
 
     def _check_at(self, due_s: float) -> None:
         self._check_s = due_s
@@ -102,18 +114,24 @@
 
     def _awaits_probe(self, now: float) -> bool:
         """Return whether the endpoint's request limit does not permit the load probe yet."""
-        if self._prober is None or now >= self._max_wait_end_s:
+        if self._prober is None or not self._needs_probe(now):
             return False
         return self._view.request_limit.wait_s(now) > 0.0
 
-    async def _probe_endpoint(self, prober: LoadProber) -> None:
-        """Expire the wait unless the endpoint answers a load probe."""
-        if await prober.probe(self._view):
-            self._check_s = asyncio.get_running_loop().time()
-            self._check()
-        else:
-            self._expire()
+    def _needs_probe(self, now: float) -> bool:
+        """Return whether the endpoint is probed before the wait ends."""
+        if now >= self._max_wait_end_s:
+            return False
+        return self._probe_failed_s <= max(self._started_s, self._view.last_received_s)
 
-    def _expire(self) -> None:
-        if not self._timeout.expired():
-            self._timeout.reschedule(asyncio.get_running_loop().time())
+    async def _probe_endpoint(self, prober: LoadProber) -> None:
+        """Probe the endpoint's load, then decide whether the wait ends."""
+        answered = await prober.probe(self._view)
+        now = self._check_s = asyncio.get_running_loop().time()
+        if not answered:
+            self._probe_failed_s = now
+        self._check()
+
+    def _release_retry(self) -> None:
+        if self._retries is not None:
+            self._retries.release()
--- a/cassiadrum/tests/gateways/cut_answers.py
+++ b/cassiadrum/tests/gateways/cut_answers.py
@@ -21,6 +21,7 @@
 from cassiadrum.gateways.placement_queues import Assignment
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.request_contexts import RequestContext
+from cassiadrum.gateways.request_retries import RequestRetries
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.headers import Header
 from cassiadrum.protocols import Exchange, HttpRequest, MemoryBudget
@@ -207,6 +208,20 @@
         return CallerAnswer(status, headers, bytes(body), whole)
 
 
+class PermittedRetries(RequestRetries):
+    """Retries that are always permitted and reserve nothing."""
+
+    def __init__(self) -> None: ...
+
+    def is_possible(self) -> bool:
+        return True
+
+    def try_reserve(self) -> bool:
+        return True
+
+    def release(self) -> None: ...
+
+
 async def relay_answers(conns: list[EndpointConnection], route: Route) -> CallerAnswer:
     """Return what a caller gets when endpoints answer the attempts of its request in turn."""
     clock: Callable[[], float] = time.monotonic
@@ -216,7 +231,7 @@
     pool = GivenPool(conns)
     protocol = PlatformProtocol()
     prober = LoadProber(pool, protocol, clock, lambda _: None)
-    relay = Relay(ctx, caller.exchange, DecisionLog(clock), clock, prober, lambda: True)
+    relay = Relay(ctx, caller.exchange, DecisionLog(clock), clock, prober, PermittedRetries())
     while True:
         view = make_view(f"i-{len(pool.conns)}")
         memory = MemoryBudget(1_000_000, 0)
