Return to a silent endpoint if the other one gives no answer

A request that had left a silent endpoint got 502, or a cut stream, if the endpoint that it went to refused it, was unreachable or reset the connection: all endpoints counted as tried, or the attempts were used up. The silent endpoint may have gone on meanwhile.

An attempt that is left for silence now marks its endpoint. If no other retry is possible, or the placement queue refuses the request, a repeatable request returns there once, where that endpoint has room and the retry budget permits it. The request was already sent to that endpoint, so the number of endpoints that get it does not grow and max_attempts holds. An error answer (500 or above) of the other endpoint still goes to the caller.

Evidence: TestReturnToPausingEndpoint; on the code before, all 12 cases failed with 502 or a cut stream, and all 12 pass now.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -181,6 +181,11 @@
         self.view.record_failure(self._clock())
         return AttemptFailed(reason)
 
+    def leave(self, reason: str) -> AttemptFailed:
+        """Record that the endpoint was silent and return the error to raise."""
+        self._ctx.left_silent.add(self.view.entry.instance)
+        return self.fail(reason)
+
     async def _read(self, step: Awaitable[T]) -> T:
         try:
             found = await step
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -263,16 +263,19 @@
                 if await self._attempt(ctx, relay, relay.retries.take()):
                     return
             except AttemptFailed as exc:
-                repeat = relay.can_continue and relay.retries.try_spend()
+                repeat = relay.can_continue and (relay.retries.try_spend() or relay.try_return())
                 self._log.record(ctx, "attempt failed", reason=exc.reason, repeated=repeat)
                 self._metrics.record_failed_attempt(ctx.service, repeat)
                 if not repeat:
                     await self._give_up(ctx, relay, exc)
                     return
             except Refused as exc:
-                if ctx.may_have_run or relay.started:
+                if relay.try_return():
+                    self._log.record(ctx, "returned to a silent endpoint", reason=exc.reason)
+                elif ctx.may_have_run or relay.started:
                     raise AttemptFailed(exc.reason) from exc
-                raise
+                else:
+                    raise
 
     async def _attempt(
         self, ctx: RequestContext, relay: Relay, reserved: Assignment | None = None
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -100,6 +100,18 @@
             view = self._find_endpoint(ctx, views)
         return None if view is None else self._assign(ctx, view)
 
+    def try_return(self, ctx: RequestContext) -> Assignment | None:
+        """Return an endpoint that was left since it was silent, None if none has capacity."""
+        views = [
+            view
+            for view in self._directory.usable(ctx.service)
+            if view.entry.instance in ctx.left_silent
+        ]
+        choice = self._policy.choose(_demand(ctx), views, self._clock())
+        if choice.view is None or not choice.has_capacity:
+            return None
+        return self._assign(ctx, choice.view)
+
     def cancel(self, assignment: Assignment) -> None:
         """Undo an assignment whose request was not sent."""
         assignment.view.record_first_bytes(assignment.prefill_tokens, None, self._clock())
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -69,6 +69,10 @@
         """Return whether another attempt may answer, or go on with what the caller has."""
         return not self.started or self._events.resumable
 
+    def try_return(self) -> bool:
+        """Reserve a retry at a silent endpoint; an error answer of another one goes before it."""
+        return self.can_continue and self.failure is None and self.retries.try_return()
+
     async def send_failure(self) -> None:
         """Send the last error answer of an endpoint to the caller."""
         assert self.failure is not None
@@ -82,7 +86,7 @@
             async with self._silence_limit(attempt, self._first_bytes_limit_s(attempt)):
                 head = await attempt.start(self._events.last_id)
         except TimeoutError as exc:
-            raise attempt.fail("no answer in time") from exc
+            raise attempt.leave("no answer in time") from exc
         self._log.record(
             self._ctx,
             "first bytes",
@@ -118,7 +122,7 @@
                 async with self._silence_limit(attempt, silence_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
-                raise attempt.fail("the answer stalled") from exc
+                raise attempt.leave("the answer stalled") from exc
             if data is None:
                 return BufferedAnswer(attempt.head, b"".join(parts))
             parts.append(data)
@@ -143,7 +147,7 @@
                 async with self._silence_limit(attempt, event_limit_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
-                raise attempt.fail("the stream stalled") from exc
+                raise attempt.leave("the stream stalled") from exc
             if data is None:
                 break
             before = self._events.data_events
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -34,6 +34,8 @@
         self.has_less_urgent = False
         # Instances that were tried, including unreachable ones.
         self.tried: set[str] = set()
+        # Tried instances that were only silent.
+        self.left_silent: set[str] = set()
         self.sends = 0
         # Time of the first send to an endpoint, None before it.
         self.sent_s: float | None = None
--- a/cassiadrum/gateways/request_retries.py
+++ b/cassiadrum/gateways/request_retries.py
@@ -32,7 +32,8 @@
     An endpoint that sends nothing may be sound and go on. An attempt there is given up only once
     a retry and a place at another endpoint are reserved: all requests of a silent endpoint see
     the same budget and the same free places, which may suffice for some of them only. A retry
-    that reaches no endpoint is returned to the budget.
+    that reaches no endpoint is returned to the budget. If the other endpoint fails or refuses the
+    request, it may return to the silent one.
     """
 
     def __init__(
@@ -104,6 +105,28 @@
             return False
         return self._spend()
 
+    def try_return(self) -> bool:
+        """Reserve a retry at an endpoint that was left since it was silent.
+
+        It may have gone on, and the request has already been sent to it, so that the number of
+        endpoints that get the request does not grow.
+        """
+        assert self._ctx.route is not None
+        self._settle()
+        if self._clock() >= self._ctx.deadline_s or not self._ctx.route.repeatable:
+            return False
+        if not self._has_time():
+            return False
+        assignment = self._queue.try_return(self._ctx)
+        if assignment is None:
+            return False
+        if not self._spend():
+            self._cancel(assignment)
+            return False
+        self._ctx.left_silent.discard(assignment.view.entry.instance)
+        self._assignment = assignment
+        return True
+
     def take(self) -> Assignment | None:
         """Return the reserved place for the next attempt, None if there is none."""
         assignment, self._assignment = self._assignment, None
--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator
+from enum import Enum
 from functools import partial
 from typing import NamedTuple
 
@@ -55,6 +56,15 @@
 NOT_RESUMABLE = RESUMABLE._replace(resumable=False)
 
 
+class Fault(Enum):
+    """What an endpoint does instead of giving an answer."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    RESET = "reset"
+    UNREACHABLE = "unreachable"
+
+
 class Answer(NamedTuple):
     """Status and body of an answer; status 0 if it ended early."""
 
@@ -85,6 +95,7 @@
 
     def __init__(self, *, pause_at: int, pause_s: float) -> None:
         self.runs: list[str] = []
+        self.fault = Fault.NONE
         self._pause_at = pause_at
         self._pause_s = pause_s
         self._silent_until_s = 0.0
@@ -127,6 +138,11 @@
     async def _answer(self, text: str, writer: asyncio.StreamWriter) -> None:
         headers = dict(line.split(": ", 1) for line in text.split("\r\n")[1:] if line)
         request_id = headers[Header.REQUEST_ID]
+        if self.fault is Fault.REFUSE:
+            writer.write(head(request_id, 503, f"{Header.NOT_RUN}: 1", "content-length: 0"))
+            return
+        if self.fault is Fault.RESET:
+            raise ConnectionError
         self.runs.append(request_id)
         if Header.TOKENS in headers:
             parts = stream_parts(request_id, int(headers.get(Header.LAST_EVENT_ID, "0")) + 1)
@@ -174,10 +190,10 @@
 
 @contextlib.asynccontextmanager
 async def pausing_site(
-    route: Route, pause_at: int, pausing: int, slots: int = 64
+    route: Route, pause_at: int, pausing: int, slots: int = 64, retry_ratio: float = 0.2
 ) -> AsyncIterator[PausingSite]:
     """Run a gateway with ENDPOINTS endpoints, of which the first `pausing` fall silent."""
-    cfg = GatewaySettings("a", 0.2, 1.0, 10.0, 60.0, True, 2.0)
+    cfg = GatewaySettings("a", retry_ratio, 1.0, 10.0, 60.0, True, 2.0)
     gateway = Gateway(cfg, PlatformProtocol())
     services = (ServiceSettings(SERVICE, 64, 500_000),)
     limits = RequestLimits(16_384, 1_000_000, 3.0, 15.0)
@@ -255,3 +271,31 @@
         cases = [count_incomplete(route, at, pausing, slots) for at in places.values()]
         found = dict(zip(places, await asyncio.gather(*cases), strict=True))
         assert {place: wrong for place, wrong in found.items() if wrong} == {}
+
+
+@pytest.mark.parametrize("fault", [Fault.REFUSE, Fault.RESET, Fault.UNREACHABLE])
+class TestReturnToPausingEndpoint:
+    """Guards against 502 for a request that left a silent endpoint for one that gives no answer.
+
+    The silent endpoint goes on, so that the request can still be answered there.
+    """
+
+    @pytest.mark.parametrize("place", ["before the head", "in the body"])
+    async def test_idempotent_calls(self, fault: Fault, place: str) -> None:
+        await self._require_whole_answers(IDEMPOTENT, PLAIN_PAUSES[place], fault, BODY)
+
+    @pytest.mark.parametrize("place", ["before the first event", "inside an event"])
+    async def test_resumable_streams(self, fault: Fault, place: str) -> None:
+        whole = b"".join(map(event, range(1, EVENTS + 1)))
+        await self._require_whole_answers(RESUMABLE, STREAM_PAUSES[place], fault, whole)
+
+    async def _require_whole_answers(
+        self, route: Route, pause_at: int, fault: Fault, whole: bytes
+    ) -> None:
+        """Require whole answers of the silent endpoint, as the other one gives none."""
+        async with pausing_site(route, pause_at, pausing=1, retry_ratio=2.0) as site:
+            site.endpoints[1].fault = fault
+            if fault is Fault.UNREACHABLE:
+                await site.endpoints[1].close()
+            answers = await site.call_all(4, streams=route.kind is CallKind.STREAM)
+        assert answers == [(200, whole)] * 4
