Share one load probe among the requests of a silent endpoint

An endpoint that sent nothing for a second got no new requests for up to 4 s after it went on. Each stream there sent a load probe of its own, and each probe without an answer doubled the time for which the endpoint is avoided: 16 streams reached the maximum with one silence. The probes also cost the endpoint a connection and the platform a probe each.

Concurrent callers of `LoadProber.probe` now wait for the same probe, which goes on if one of them leaves.

Evidence: TestConcurrentProbes; on the code before, 16 probes arrived instead of one.

--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -28,7 +28,7 @@
 
     Where many gateways each see few answers of an endpoint, each would otherwise count only its
     own requests, and together they would overload the endpoint. `on_probed` is called with the
-    service after each background probe, also after a failed one.
+    service after each probe, also after a failed one.
     """
 
     def __init__(
@@ -49,19 +49,29 @@
         instance = view.entry.instance
         if instance in self._probes or self._clock() < view.last_probed_s + MIN_PROBE_INTERVAL_S:
             return
-        task = asyncio.create_task(self.probe(view))
-        self._probes[instance] = task
-        task.add_done_callback(lambda _: self._done(view))
+        self._start(view)
 
     def is_probing(self, view: EndpointView) -> bool:
-        """Return whether a background probe of the endpoint is running."""
+        """Return whether a probe of the endpoint is running."""
         return view.entry.instance in self._probes
 
     async def probe(self, view: EndpointView) -> bool:
         """Request the endpoint's load and record it; return whether it answered.
 
-        The probe counts against the endpoint's request limit.
+        The probe counts against the endpoint's request limit. Concurrent callers share one probe:
+        all requests of an endpoint that falls silent would otherwise probe it at once, and each
+        probe without an answer would extend the time for which the endpoint is avoided.
         """
+        task = self._probes.get(view.entry.instance) or self._start(view)
+        return await asyncio.shield(task)
+
+    def _start(self, view: EndpointView) -> asyncio.Task[bool]:
+        task = asyncio.create_task(self._probe(view))
+        self._probes[view.entry.instance] = task
+        task.add_done_callback(lambda _: self._done(view))
+        return task
+
+    async def _probe(self, view: EndpointView) -> bool:
         sent_s = view.last_probed_s = self._clock()
         view.request_limit.take(sent_s)
         target = view.entry.incarnation
--- a/cassiadrum/tests/gateways/test_load_probers.py
+++ b/cassiadrum/tests/gateways/test_load_probers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cassiadrum.gateways.connection_pools import ConnectionPool
-from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.endpoint_views import UNREACHABLE_BACKOFF_S, EndpointView
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.request_limits import LimitNotice
 from cassiadrum.gateways.silence_limits import SilenceLimit
@@ -92,6 +92,45 @@
                 await asyncio.sleep(5.0)
 
 
+class TestConcurrentProbes:
+    """Guards against avoiding an endpoint for long since all its requests probed it at once.
+
+    An endpoint that is silent for a second is sound and must get requests soon after.
+    """
+
+    async def test_unanswered_probe_of_many_requests_counts_once(self) -> None:
+        probes: list[asyncio.StreamWriter] = []
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            probes.append(writer)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        view = make_view("i-0", address=Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        prober = LoadProber(
+            ConnectionPool(), PlatformProtocol(), time.monotonic, lambda service: None
+        )
+        async with server:
+            assert not any(await asyncio.gather(*(prober.probe(view) for _ in range(16))))
+        assert len(probes) == 1
+        assert view.avoid_until_s <= time.monotonic() + UNREACHABLE_BACKOFF_S
+
+    async def test_probe_goes_on_if_one_of_its_callers_leaves(
+        self, reporter: LoadReportServer
+    ) -> None:
+        port = await reporter.server.start("127.0.0.1", 0)
+        view = make_view("i-0", address=Address("127.0.0.1", port))
+        prober = LoadProber(
+            ConnectionPool(), PlatformProtocol(), time.monotonic, lambda service: None
+        )
+        left, stays = (asyncio.create_task(prober.probe(view)) for _ in range(2))
+        await asyncio.sleep(0)
+        left.cancel()
+        assert await stays
+        assert reporter.probes == 1
+
+
 class TestProbesOfLimitedEndpoints:
     """Guards against load probes that do not count against an endpoint's request limit."""
 
