Let a plain answer that has begun pause for a second

Idempotent calls ran twice though their first answer only paused: the limit on silence of an answer whose head had arrived was the latency target alone, as little as an eighth of a second. A sound endpoint may be silent for a second or so, and the second run took a retry from the budget that a call at a crashed endpoint then lacked.

The limit before the head stays the target: an endpoint that crashed without a sign is left as early as before. Limits of streams are unchanged.

--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -13,28 +13,24 @@
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.gateways.request_retries import RequestRetries
 from cassiadrum.gateways.silence_limits import SilenceLimit
+from cassiadrum.gateways.silence_rules import (
+    body_limit_s,
+    event_limit_s,
+    first_bytes_limit_s,
+    max_wait_s,
+)
 from cassiadrum.protocols import Exchange
 
 __all__ = ["Relay"]
 
 logger = logging.getLogger(__name__)
 
-# Silence after which an endpoint that sends no bytes for any request is given up: a fraction of
-# the latency target before the first bytes, and a multiple of the allowed gap between events.
-FIRST_BYTES_TARGET_FRACTION = 0.5
-GAP_MULTIPLE = 6.0
-MIN_SILENCE_S = 0.6
-# Multiple of the expected wait that is added to the limit before the first bytes.
-EXPECTED_WAIT_MULTIPLE = 2.0
 # A plain answer has to advance by this many bytes to count as progress, so that an endpoint that
 # sends single bytes counts as stalled.
 MIN_PROGRESS_BYTES = 4 * 1024
 EVENT_STREAM = "text/event-stream"
 # Memory of the object that holds a part of a plain answer, besides its bytes.
 PART_OVERHEAD_BYTES = 64
-# An endpoint that is busy with other requests is given up after this fraction of the route's
-# timeout.
-BUSY_TIMEOUT_FRACTION = 0.4
 
 
 class Relay:
@@ -83,7 +79,8 @@
         route = self._ctx.route
         assert route is not None
         try:
-            async with self._silence_limit(attempt, self._first_bytes_limit_s(attempt)):
+            silence_s = first_bytes_limit_s(route, attempt.expected_wait_s)
+            async with self._silence_limit(attempt, silence_s):
                 head = await attempt.start(self._events.last_id)
         except TimeoutError as exc:
             raise attempt.leave("no answer in time") from exc
@@ -110,7 +107,9 @@
 
     async def _read_plain_answer(self, attempt: Attempt) -> BufferedAnswer:
         """Return a plain answer; one that makes no progress is given up like a silent one."""
-        silence_s = self._first_bytes_limit_s(attempt)
+        route = self._ctx.route
+        assert route is not None
+        silence_s = body_limit_s(route, self._ctx.deadline_s - self._ctx.received_s)
         progress_s = self._clock()
         # Joined once, since many buffers that grow concurrently fragment the heap to several times
         # their size.
@@ -134,9 +133,9 @@
 
     async def _pass_stream(self, attempt: Attempt) -> None:
         self._events.begin_attempt()
-        event_limit_s = self._event_limit_s()
         route = self._ctx.route
         assert route is not None
+        silence_s = event_limit_s(route)
         min_gap_s = min(route.gap_s or inf, self._ctx.more_urgent.gap_s)
         progress_s = self._clock()
         longest_gap_s = 0.0
@@ -144,7 +143,7 @@
         has_events = False
         while True:
             try:
-                async with self._silence_limit(attempt, event_limit_s, progress_s):
+                async with self._silence_limit(attempt, silence_s, progress_s):
                     data = await attempt.read()
             except TimeoutError as exc:
                 raise attempt.leave("the stream stalled") from exc
@@ -199,25 +198,6 @@
             self._exchange.buffer_data(answer.body)
         await self._exchange.end()
 
-    def _first_bytes_limit_s(self, attempt: Attempt) -> float | None:
-        """Return the silence limit before the first bytes in seconds, None for no limit."""
-        route = self._ctx.route
-        assert route is not None
-        if not route.repeatable:
-            return None
-        if route.kind is CallKind.STREAM:
-            limit_s = max(MIN_SILENCE_S, FIRST_BYTES_TARGET_FRACTION * route.target_s)
-            return limit_s + EXPECTED_WAIT_MULTIPLE * attempt.expected_wait_s
-        return route.target_s
-
-    def _event_limit_s(self) -> float | None:
-        """Return the silence limit between events in seconds, None for no limit."""
-        route = self._ctx.route
-        assert route is not None
-        if not route.resumable:
-            return None
-        return max(MIN_SILENCE_S, GAP_MULTIPLE * route.gap_s)
-
     def _silence_limit(
         self, attempt: Attempt, silence_s: float | None, since_s: float | None = None
     ) -> SilenceLimit:
@@ -225,11 +205,10 @@
         route = self._ctx.route
         assert route is not None
         prober = self._prober if route.kind is CallKind.STREAM else None
-        max_wait_s = max(silence_s or 0.0, BUSY_TIMEOUT_FRACTION * route.timeout_s)
         return SilenceLimit(
             attempt.view,
             silence_s,
-            max_wait_s,
+            max_wait_s(route, silence_s),
             lambda: self.can_continue and self.retries.is_possible(),
             prober,
             since_s,
--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -273,6 +273,20 @@
         assert {place: wrong for place, wrong in found.items() if wrong} == {}
 
 
+class TestBegunPlainAnswers:
+    """Guards against running an idempotent call again while its answer only pauses.
+
+    The second run takes a retry from the budget, which a call at a crashed endpoint then lacks.
+    """
+
+    @pytest.mark.parametrize("place", ["after the head", "in the body"])
+    async def test_answer_that_pauses_is_not_requested_again(self, place: str) -> None:
+        async with pausing_site(IDEMPOTENT, PLAIN_PAUSES[place], pausing=ENDPOINTS) as site:
+            answers = await site.call_all(CALLERS, streams=False)
+        assert answers == [(200, BODY)] * CALLERS
+        assert set(site.runs.values()) == {1}
+
+
 @pytest.mark.parametrize("fault", [Fault.REFUSE, Fault.RESET, Fault.UNREACHABLE])
 class TestReturnToPausingEndpoint:
     """Guards against 502 for a request that left a silent endpoint for one that gives no answer.
