Answer 500 when a handler fails before it sent anything

When a handler raised an exception, returned without an answer or was cancelled from elsewhere, the connection was closed and a request that had been read whole ended without any answer. The same happened to an answer whose status or headers h11 refuses to encode, as its error is such an exception.

The caller now gets a 500 with ran: unknown, reason internal_error and connection: close if no byte of the answer was sent. What was only buffered is discarded; a state of h11 of its own encodes the 500, as the old one does not permit another response. If a part was sent, the connection is aborted as before, so that it never looks complete.

Exchange.started and Exchange.ended are set after h11 has accepted the head and the end, and not before, so that a refused one does not count as sent.

The tests of the exceptions, the refused heads, the discarded head and the HEAD request fail on the code before, which closes the connection; those of an answer that is partly or wholly sent pass on both.

--- a/cassiadrum/frontends/problems.py
+++ b/cassiadrum/frontends/problems.py
@@ -30,6 +30,7 @@
     "endpoint_failed": (502, "The endpoint failed the request"),
     "answer_lost": (502, "The answer of the endpoint was lost"),
     "cancelled": (499, "The request was cancelled"),
+    "internal_error": (500, "Internal error"),
 }
 
 
--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -39,14 +39,20 @@
         self._should_close = should_close
         self._unsent: list[bytes] = []
         self._chunked = False
-        # Whether the connection was aborted, or lost before the response was written.
+        # Whether any byte of the response has been written.
+        self._sent = False
         self._aborted = False
         self._disconnect_callback: Callable[[], None] | None = None
 
+    @property
+    def aborted(self) -> bool:
+        """Return whether the connection was aborted, or lost before the response was written."""
+        return self._aborted
+
     @property
     def answered(self) -> bool:
         """Return whether the whole response has been written."""
-        return self.ended and not self._aborted
+        return self.ended and not (self._unsent or self._aborted)
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call `callback` once when the client disconnects, immediately if it already has."""
@@ -73,10 +79,10 @@
             headers = (*headers, ("transfer-encoding", "chunked"))
         if self._should_close():
             headers = (*headers, ("connection", "close"))
-        self.started = True
         # Values are bytes, which this package decodes as Latin-1; h11 would encode them as ASCII.
         lines = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         self._buffer_event(h11.Response(status_code=status, headers=lines))
+        self.started = True
         self._chunked = (
             chunked
             and self.req.method != "HEAD"
@@ -95,8 +101,8 @@
 
     def buffer_end(self) -> None:
         """Buffer the end of the response for the next flush."""
-        self.ended = True
         self._buffer_event(h11.EndOfMessage())
+        self.ended = True
 
     async def flush(self) -> None:
         """Send the buffered data in one write and wait while the send buffer is full."""
@@ -142,6 +148,19 @@
         self.ended = self._aborted = True
         self._writer.transport.abort()
 
+    def discard_unsent(self) -> bool:
+        """Discard what is buffered if nothing was sent; return whether it is so.
+
+        Another response may be sent then. The connection is closed after it.
+        """
+        if self._sent or self._aborted:
+            return False
+        self._unsent = []
+        self.started = self.ended = self._chunked = False
+        self._conn = _make_answerable(self.req, self._conn.their_http_version or b"1.1")
+        self._should_close = lambda: True
+        return True
+
     def _buffer_event(self, event: h11.Event) -> None:
         data = self._conn.send(event)
         if data:
@@ -150,7 +169,17 @@
     def _write(self) -> None:
         data, self._unsent = b"".join(self._unsent), []
         if data and not self._writer.is_closing():
+            self._sent = True
             self._writer.write(data)
 
 
+def _make_answerable(req: HttpRequest, http_version: bytes) -> h11.Connection:
+    """Return a connection that has received a request with the same rules for its response."""
+    method = b"HEAD" if req.method == "HEAD" else b"GET"
+    conn = h11.Connection(h11.SERVER)
+    conn.receive_data(method + b" / HTTP/" + http_version + b"\r\nhost: a\r\n\r\n")
+    conn.next_event()
+    return conn
+
+
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -22,6 +22,7 @@
 
 # The connection does not count towards the limit any more while its refusal is sent.
 REFUSAL_TIMEOUT_S = 1.0
+PROBLEM_TYPE = "application/problem+json"
 REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
 
@@ -132,23 +133,66 @@
                 self._record(UnansweredReason.IDLE_TIMEOUT)
             return False
         self._exchange = Exchange(req, self._conn, self._writer, self._should_close)
-        await self._run_handler(self._exchange)
-        if not self._exchange.answered:
-            self._record(UnansweredReason.HANDLER_ABORTED)
+        reusable = await self._run_handler(self._exchange)
         self._exchange = None
-        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
+        if not reusable or not self._cycle_done:
             return False
         self._conn.start_next_cycle()
         return True
 
-    async def _run_handler(self, exchange: Exchange) -> None:
+    @property
+    def _cycle_done(self) -> bool:
+        return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+
+    async def _run_handler(self, exchange: Exchange) -> bool:
+        """Answer a request; return False if the connection has to be closed."""
+        assert self._task is not None
         self._reader.set_disconnect_callback(exchange.set_disconnected)
         try:
             await self._handler(exchange)
+        except asyncio.CancelledError:
+            if self._task.cancelling():
+                raise
+            # The handler awaited something that was cancelled elsewhere.
+            await self._handle_failure(exchange)
+            return False
+        except Exception:
+            await self._handle_failure(exchange)
+            return False
         finally:
             self._reader.set_disconnect_callback(None)
-        if not exchange.ended:
+        if exchange.aborted:
+            self._record(UnansweredReason.HANDLER_ABORTED)
+        elif not exchange.answered:
+            request_id = {"request_id": exchange.request_id}
+            logger.error("HTTP handler returned without an answer", extra=request_id)
+            await self._send_failure(exchange, UnansweredReason.HANDLER_FAILED)
+            return False
+        return exchange.answered
+
+    async def _handle_failure(self, exchange: Exchange) -> None:
+        logger.exception("HTTP handler failed", extra={"request_id": exchange.request_id})
+        if not exchange.answered:
+            await self._send_failure(exchange, UnansweredReason.HANDLER_FAILED)
+
+    async def _send_failure(self, exchange: Exchange, reason: UnansweredReason) -> None:
+        """Answer a request with 500, or abort the connection if that is not possible any more."""
+        if exchange.disconnected.is_set() or not exchange.discard_unsent():
+            self._record(reason)
             exchange.abort()
+            return
+        problem = {
+            "type": "about:blank",
+            "title": "Internal error",
+            "status": 500,
+            "detail": "the request failed because of an internal error",
+            "ran": "unknown",
+            "reason": "internal_error",
+            "request_id": exchange.request_id,
+        }
+        await exchange.send(500, json.dumps(problem).encode(), PROBLEM_TYPE)
+        if not exchange.answered:
+            self._record(reason)
 
     async def _refuse_incomplete(self) -> None:
         with contextlib.suppress(ConnectionError, TimeoutError):
@@ -169,7 +213,7 @@
         }
         body = json.dumps(problem).encode()
         close = (("connection", "close"),)
-        await exchange.send(exc.status, body, "application/problem+json", close)
+        await exchange.send(exc.status, body, PROBLEM_TYPE, close)
 
     def _abort(self, reason: UnansweredReason) -> None:
         if not self._ended_orderly(reason):
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -7,12 +7,18 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import Any, ClassVar
 
 import pytest
 
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
-from cassiadrum.protocols import MAX_PARSE_BYTES, Exchange, HttpServer, UnansweredReason
+from cassiadrum.protocols import (
+    MAX_PARSE_BYTES,
+    Exchange,
+    Headers,
+    HttpServer,
+    UnansweredReason,
+)
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
 WAIT_LIMIT_S = 10.0
@@ -384,3 +390,127 @@
         with socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S):
             conn[1].write(REQUEST)
             assert (await read_answer(conn)).startswith(b"HTTP/1.1 200")
+
+
+class TestFailedHandler:
+    """Guards against a handler that fails and leaves its caller without any answer.
+
+    As long as nothing was sent, the caller gets a 500 that does not claim that the request has not
+    run. A part of an answer must never look complete.
+    """
+
+    HEADS: ClassVar = [
+        (99, ()),
+        (1000, ()),
+        (200, (("bad name", "a"),)),
+        (200, (("a", "line\nbreak"),)),
+        (200, (("a", "\u2713"),)),
+        (200, (("\u2713", "a"),)),
+        (200, (("content-length", "-1"),)),
+        (200, (("content-length", "1"), ("content-length", "2"))),
+        (200, (("content-length", "0"), ("transfer-encoding", "gzip"))),
+    ]
+
+    async def check(
+        self, make_server: MakeServer, handler: Callable[[Exchange], Awaitable[None]]
+    ) -> bytes:
+        """Require a truthful 500 to be the only answer, and return its head."""
+        server = await make_server(handler)
+        head, _, body = (await read_all(await server.connect(REQUEST))).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 500")
+        assert b"connection: close" in head.lower()
+        problem = json.loads(body)
+        assert (problem["ran"], problem["reason"]) == ("unknown", "internal_error")
+        assert server.reasons == []
+        return head
+
+    @pytest.mark.parametrize(
+        "exc", [LookupError(), ConnectionResetError(), TimeoutError(), asyncio.CancelledError()]
+    )
+    async def test_exception(self, make_server: MakeServer, exc: BaseException) -> None:
+        async def fail(exchange: Exchange) -> None:
+            raise exc
+
+        await self.check(make_server, fail)
+
+    async def test_return_without_an_answer(self, make_server: MakeServer) -> None:
+        async def ignore(exchange: Exchange) -> None:
+            pass
+
+        await self.check(make_server, ignore)
+
+    @pytest.mark.parametrize(("status", "headers"), HEADS)
+    async def test_head_that_cannot_be_sent(
+        self, make_server: MakeServer, status: int, headers: Headers
+    ) -> None:
+        started = False
+
+        async def send(exchange: Exchange) -> None:
+            nonlocal started
+            try:
+                exchange.buffer_head(status, headers)
+            finally:
+                started = exchange.started
+            await exchange.end()
+
+        await self.check(make_server, send)
+        assert not started
+
+    async def test_buffered_head_is_not_sent(self, make_server: MakeServer) -> None:
+        async def send(exchange: Exchange) -> None:
+            exchange.buffer_head(201, (("content-length", "1"), ("a", "b")))
+            exchange.buffer_data(b"too long")
+            await exchange.end()
+
+        assert b"a: b" not in await self.check(make_server, send)
+
+    async def test_missing_data(self, make_server: MakeServer) -> None:
+        async def send(exchange: Exchange) -> None:
+            exchange.buffer_head(200, (("content-length", "5"),))
+            exchange.buffer_data(b"ok")
+            await exchange.end()
+
+        await self.check(make_server, send)
+
+    async def test_answer_that_was_not_flushed(self, make_server: MakeServer) -> None:
+        async def buffer(exchange: Exchange) -> None:
+            exchange.buffer_head(200, (("content-length", "2"),))
+            exchange.buffer_data(b"ok")
+            exchange.buffer_end()
+
+        await self.check(make_server, buffer)
+
+    @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+    async def test_head_request(self, make_server: MakeServer, version: bytes) -> None:
+        async def fail(exchange: Exchange) -> None:
+            exchange.buffer_head(200)
+            raise LookupError
+
+        server = await make_server(fail)
+        request = b"HEAD / HTTP/" + version + b"\r\nhost: a\r\n\r\n"
+        data = await read_all(await server.connect(request))
+        assert data.startswith(b"HTTP/1.1 500")
+        assert data.endswith(b"\r\n\r\n")
+
+    async def test_sent_part_never_looks_complete(self, make_server: MakeServer) -> None:
+        async def fail(exchange: Exchange) -> None:
+            await exchange.send_head(200)
+            await exchange.send_data(b"part")
+            raise LookupError
+
+        server = await make_server(fail)
+        data = await read_all(await server.connect(REQUEST))
+        assert not data.endswith(b"0\r\n\r\n")
+        assert b"500" not in data
+        assert server.reasons == [UnansweredReason.HANDLER_FAILED]
+
+    async def test_failure_after_a_complete_answer(self, make_server: MakeServer) -> None:
+        async def fail(exchange: Exchange) -> None:
+            await answer(exchange)
+            raise LookupError
+
+        server = await make_server(fail)
+        data = await read_all(await server.connect(REQUEST))
+        assert data.count(b"HTTP/1.1") == 1
+        assert data.endswith(b"ok")
+        assert server.reasons == []
