Send no transfer-encoding with an answer that has no body

An endpoint's 204 to a streaming call was passed on with transfer-encoding: chunked, which such an answer must not have; a caller that believes it waits for chunks that never come.

The new test of unusual heads passes answers with odd statuses, framings, names and values through a gateway: each is passed on or answered with 502. Its part on the 204 and the tests of the server fail on the code before.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -74,7 +74,7 @@
         The body is sent in chunks unless `headers` has a content-length.
         """
         names = {name.lower() for name, _ in headers}
-        chunked = "content-length" not in names
+        chunked = "content-length" not in names and status not in BODILESS_STATUSES
         if chunked:
             headers = (*headers, ("transfer-encoding", "chunked"))
         if self._should_close():
@@ -84,10 +84,7 @@
         self._buffer_event(h11.Response(status_code=status, headers=lines))
         self.started = True
         self._chunked = (
-            chunked
-            and self.req.method != "HEAD"
-            and status not in BODILESS_STATUSES
-            and self._conn.their_http_version == b"1.1"
+            chunked and self.req.method != "HEAD" and self._conn.their_http_version == b"1.1"
         )
 
     def buffer_data(self, data: bytes) -> None:
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import ClassVar
 
 import pytest
 
@@ -371,6 +372,62 @@
         assert len(answered) >= 6
 
 
+class TestUnusualHeads:
+    """Guards against an answer whose head cannot be passed on and leaves the caller unanswered.
+
+    The HTTP library accepts some heads from an endpoint that it could refuse to send to a caller.
+    """
+
+    # The rest of the answer after the status by case; the status of the caller's answer.
+    ANSWERS: ClassVar = {
+        "no-content": (204, b"\r\n", 204),
+        "no-content-with-a-body": (204, b"content-length: 2\r\n\r\nok", 204),
+        "not-modified": (304, b"content-length: 2\r\n\r\n", 304),
+        "highest-status": (999, b"content-length: 2\r\n\r\nok", 999),
+        "lowest-status": (99, b"content-length: 2\r\n\r\nok", 502),
+        "interim-status": (199, b"\r\n", 502),
+        "same-length-twice": (200, b"content-length: 2\r\ncontent-length: 2\r\n\r\nok", 200),
+        "two-lengths": (200, b"content-length: 2\r\ncontent-length: 3\r\n\r\nok", 502),
+        "both-framings": (
+            200,
+            b"content-length: 9\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            200,
+        ),
+        "other-coding": (200, b"transfer-encoding: gzip\r\n\r\nok", 502),
+        "folded-line": (200, b"x-a: b\r\n  c\r\ncontent-length: 2\r\n\r\nok", 200),
+        "invalid-name": (200, b"x a: b\r\ncontent-length: 2\r\n\r\nok", 502),
+        "latin-value": (200, b"x-a: \xe9\xff\r\ncontent-length: 2\r\n\r\nok", 200),
+        "control-value": (200, b"x-a: \x01\x7f\r\ncontent-length: 2\r\n\r\nok", 200),
+        "empty-value": (200, b"x-a:\r\ncontent-length: 2\r\n\r\nok", 200),
+        "switching": (101, b"upgrade: x\r\nconnection: upgrade\r\n\r\n", 502),
+    }
+
+    async def test_caller_is_answered(self, site: PlatformSite, caller: Caller) -> None:
+        async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
+            status, rest, _ = self.ANSWERS[request_id]
+            head = make_head(request_id).replace(b"200 OK", b"%03d" % status, 1)
+            writer.write(head + rest)
+
+        found = {}
+        async with faulty_endpoint(site, "p-1", serve, removed="p-2") as faulty:
+            for case in self.ANSWERS:
+                status, _, body = await caller.call("/once/a", request_id=case)
+                found[case] = status
+                if status != 502:
+                    assert body == (b"" if status in (204, 304) else b"ok")
+        assert found == {case: status for case, (_, _, status) in self.ANSWERS.items()}
+        assert faulty.connections >= len(self.ANSWERS)
+
+    async def test_stream_without_a_body(self, site: PlatformSite, caller: Caller) -> None:
+        async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
+            writer.write(make_head(request_id).replace(b"200 OK", b"204", 1) + b"\r\n")
+
+        async with faulty_endpoint(site, "e-1", serve, removed="e-2"):
+            status, headers, body = await caller.call("/stream/a", events=3)
+        assert (status, body) == (204, b"")
+        assert "transfer-encoding" not in headers
+
+
 def all_connections_closed(faulty: FaultyEndpoint) -> Callable[[], Awaitable[bool]]:
     """Return a check that all connections to a faulty endpoint are closed."""
 
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -514,3 +514,22 @@
         assert data.count(b"HTTP/1.1") == 1
         assert data.endswith(b"ok")
         assert server.reasons == []
+
+
+class TestBodilessAnswer:
+    """Guards against a caller that waits for the chunks of an answer that has no body."""
+
+    @pytest.mark.parametrize("status", [204, 304])
+    async def test_no_transfer_encoding(self, make_server: MakeServer, status: int) -> None:
+        async def send(exchange: Exchange) -> None:
+            if exchange.req.body:
+                exchange.buffer_head(status)
+                await exchange.end()
+            else:
+                await answer(exchange)
+
+        server = await make_server(send)
+        conn = await server.connect(REQUEST + b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        data = await read_answer(conn)
+        assert b"transfer-encoding" not in data.lower()
+        assert data.count(b"HTTP/1.1") == 2
