Answer a request whose answer fails before any of it was sent

An entry instance writes the events of an answer that are ready together at once.

What is buffered is now discarded, and the caller gets the problem document of the failure. The new test fails on the code before: the connection is closed without a byte.

--- a/cassiadrum/roles/caller_handlers.py
+++ b/cassiadrum/roles/caller_handlers.py
@@ -142,5 +142,7 @@
         body = event.problem.body().decode()
         await exchange.send_data(f"event: error\ndata: {body}\n\n".encode())
         await exchange.end()
+    elif exchange.discard_unsent():
+        await send_problem(exchange, event.problem)
     else:
         exchange.abort()
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -11,14 +11,21 @@
 
 import pytest
 
+from cassiadrum.frontends import Problem
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.protocols import (
     MAX_PARSE_BYTES,
     Exchange,
     Headers,
+    HttpRequest,
     HttpServer,
     UnansweredReason,
 )
+from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead
+from cassiadrum.roles.caller_handlers import AnswerFetcher, CallerHandler
+from cassiadrum.roles.pending_requests import PendingRequest
+from cassiadrum.roles.request_parsers import RequestParser
+from cassiadrum.tests.test_answer_relays import make_pending
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
 WAIT_LIMIT_S = 10.0
@@ -533,3 +540,47 @@
         data = await read_answer(conn)
         assert b"transfer-encoding" not in data.lower()
         assert data.count(b"HTTP/1.1") == 2
+
+
+class SingleRequestParser(RequestParser):
+    """Parser that returns the same request each time."""
+
+    def __init__(self, pending: PendingRequest) -> None:
+        self._pending = pending
+
+    def parse(self, http: HttpRequest) -> PendingRequest:
+        return self._pending
+
+
+class NoFetcher(AnswerFetcher):
+    """Fetcher that is not used."""
+
+    async def fetch(self, exchange: Exchange, answer_id: str, position: int) -> None:
+        raise NotImplementedError
+
+
+class TestUnsentAnswer:
+    """Guards against an entry instance that breaks off an answer of which nothing was sent.
+
+    The start of an answer and its failure may reach the caller's task together. Without any byte
+    sent the caller can still be told what failed.
+    """
+
+    async def test_failure_that_comes_with_the_head(self, make_server: MakeServer) -> None:
+        pending = make_pending()
+        problem = Problem("endpoint_failed", "unknown", request_id="r")
+        for event in (AnswerHead(200, (), "a"), AnswerData(b"part", "a", 4), AnswerEnd(problem)):
+            pending.caller_events.put_nowait(event)
+        handler = CallerHandler(
+            SingleRequestParser(pending),
+            lambda msg: None,
+            NoFetcher(),
+            lambda: True,
+            lambda service, reason: None,
+        )
+        server = await make_server(handler)
+        request = REQUEST.replace(b"/x", b"/services/s/x")
+        head, _, body = (await read_all(await server.connect(request))).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 502")
+        assert json.loads(body)["reason"] == "endpoint_failed"
+        assert server.reasons == []
