Answer requests received by the kernel when the server closes

At a planned stop a connection that was established but not yet accepted was reset together with the listening socket, or aborted as it was accepted during the close, although its request had arrived. A request that arrived behind an answer which ended during the close was dropped with its connection.

HttpServer.close now accepts what the kernel holds before and after it stops listening, and polls a connection once more before it leaves it. One without any byte of a request is closed at once as before, also if it is new. close waits for connections that were accepted while it waited.

All three tests fail on the code before: a reset, no record of the idle connection, and one answer of two. A connection that reaches the kernel after the last poll is still reset; none of its bytes was read.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -47,6 +47,7 @@
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         self._unanswered = UnansweredConnections(on_unanswered)
         self._closing = False
+        self._closed = False
         self._draining = False
         self._header_limit_bytes = LIMITS.HEADER_BYTES
         self._body_budget = MemoryBudget(body_budget_bytes, LIMITS.BODY_UNBUDGETED_BYTES)
@@ -91,21 +92,23 @@
 
     async def close(self) -> None:
         """Stop listening, answer requests that have begun to arrive and close idle connections."""
-        self._closing = self._draining = True
-        if self._server is not None:
-            self._server.close()
-        await receive_pending()
+        self._draining = True
+        # A connection that is not accepted when the listening socket closes is reset.
+        await _accept_pending()
+        self._stop_listening()
+        await _accept_pending()
+        self._closing = True
         for conn in self._connections.values():
             if not conn.request_started:
                 conn.cancel(UnansweredReason.SHUTDOWN_IDLE)
-        if self._connections:
+        while self._connections:
             await asyncio.wait(self._connections)
+        self._closed = True
 
     async def abort(self) -> None:
         """Stop listening and abort every connection."""
-        self._closing = True
-        if self._server is not None:
-            self._server.close()
+        self._closing = self._closed = True
+        self._stop_listening()
         for conn in self._connections.values():
             started = conn.request_started
             conn.cancel(
@@ -114,6 +117,10 @@
         if self._connections:
             await asyncio.wait(self._connections)
 
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         # Same as asyncio.start_server, except for the class of the reader.
         reader = NotifyingReader(limit=READ_BUFFER_BYTES)
@@ -126,7 +133,7 @@
         if not await self._admit_connection():
             self._refuse(writer, UnansweredReason.LIMIT_REFUSED)
             return
-        if self._closing:
+        if self._closed:
             self._refuse(writer, UnansweredReason.SHUTDOWN_IDLE)
             return
         # With a write buffer limit of 0, draining waits until the kernel has accepted the whole
@@ -181,3 +188,12 @@
             return False
         self._connections.pop(oldest).make_room()
         return True
+
+
+async def _accept_pending() -> None:
+    """Let the event loop accept connections that the kernel has already accepted.
+
+    The first two iterations accept them, the next two start their tasks.
+    """
+    await receive_pending()
+    await receive_pending()
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -12,7 +12,7 @@
 from cassiadrum.protocols.exchanges import Exchange, Handler
 from cassiadrum.protocols.http_requests import HttpRequest
 from cassiadrum.protocols.memory_budgets import MemoryBudget
-from cassiadrum.protocols.notifying_readers import NotifyingReader
+from cassiadrum.protocols.notifying_readers import NotifyingReader, receive_pending
 from cassiadrum.protocols.request_readers import ReadLimits, RequestReader
 from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
 
@@ -103,7 +103,7 @@
         """Answer requests until the connection ends, and close it."""
         keep_alive = True
         try:
-            while keep_alive and (not self._is_closing() or self.request_started):
+            while keep_alive and await self._may_read():
                 try:
                     keep_alive = await self._serve_one()
                 finally:
@@ -121,6 +121,15 @@
         finally:
             self._writer.close()
 
+    async def _may_read(self) -> bool:
+        """Return whether to read another request: once the server closes, one that has begun."""
+        if not self._is_closing() or self.request_started:
+            return True
+        await receive_pending()
+        if not self.request_started:
+            self._record(UnansweredReason.SHUTDOWN_IDLE)
+        return self.request_started
+
     async def _serve_one(self) -> bool:
         """Read and answer one request; return whether the connection can be reused."""
         try:
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -584,3 +584,56 @@
         assert head.startswith(b"HTTP/1.1 502")
         assert json.loads(body)["reason"] == "endpoint_failed"
         assert server.reasons == []
+
+
+class TestCloseUnderWay:
+    """Guards against a planned stop that drops a request which the kernel has already received.
+
+    It may be on a connection that is not accepted yet, or behind an answer that ends while the
+    server closes.
+    """
+
+    async def test_request_on_a_new_connection_is_answered(self, make_server: MakeServer) -> None:
+        server = await make_server()
+        # Blocking, so that the loop has not accepted the connection when the close begins.
+        sock = socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S)
+        sock.sendall(REQUEST)
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await server.server.close()
+            conn = await asyncio.open_connection(sock=sock)
+            data = await conn[0].read()
+        conn[1].close()
+        assert data.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in data.lower()
+        assert server.reasons == []
+
+    async def test_idle_new_connection_does_not_delay_the_close(
+        self, make_server: MakeServer
+    ) -> None:
+        server = await make_server()
+        with socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S):
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                await server.server.close()
+        assert server.reasons == [UnansweredReason.SHUTDOWN_IDLE]
+
+    async def test_request_behind_an_answer_is_answered(self, make_server: MakeServer) -> None:
+        finish, running = asyncio.Event(), asyncio.Event()
+
+        async def send(exchange: Exchange) -> None:
+            await exchange.send_head(200)
+            running.set()
+            await finish.wait()
+            await exchange.send_data(b"ok")
+            await exchange.end()
+
+        server = await make_server(send)
+        conn = await server.connect(REQUEST)
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await running.wait()
+            closing = asyncio.create_task(server.server.close())
+            await asyncio.sleep(0.05)
+            finish.set()
+            conn[1].write(REQUEST)
+            assert (await read_all(conn)).count(b"HTTP/1.1 200") == 2
+            await closing
+        assert server.reasons == []
