Treat every error of a lost connection as a caller that left

A connection whose peer is gone may end with ETIMEDOUT or EHOSTUNREACH, neither of which is a ConnectionError. While an answer was sent, the first passed for the deadline of the request and the second for a failure of the handler; while a request was read, the second was logged as a fault of the server. The caller is gone in each case, so no answer was lost by it, but the reasons were wrong.

Both cases of an answer and EHOSTUNREACH during a read fail on the code before.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -106,7 +106,7 @@
         self._write()
         try:
             await self._writer.drain()
-        except ConnectionError:
+        except OSError:
             self._aborted = True
             self.set_disconnected()
 
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -113,10 +113,10 @@
                 await self._refuse_incomplete()
                 return
             self._abort(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
-        except (ConnectionError, TimeoutError):
+        except OSError:
             self._abort(UnansweredReason.CALLER_LEFT)
         except Exception:
-            logger.exception("HTTP handler failed, connection aborted")
+            logger.exception("HTTP connection failed and was aborted")
             self._abort(UnansweredReason.HANDLER_FAILED)
         finally:
             self._writer.close()
@@ -204,7 +204,7 @@
             self._record(reason)
 
     async def _refuse_incomplete(self) -> None:
-        with contextlib.suppress(ConnectionError, TimeoutError):
+        with contextlib.suppress(OSError):
             async with asyncio.timeout(REFUSAL_TIMEOUT_S):
                 await self._send_problem(BadMessage(503, "too many connections are open"))
 
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import logging
 import socket
@@ -25,6 +26,7 @@
 from cassiadrum.roles.caller_handlers import AnswerFetcher, CallerHandler
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.request_parsers import RequestParser
+from cassiadrum.tests.gateways.sites import wait_until
 from cassiadrum.tests.test_answer_relays import make_pending
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
@@ -637,3 +639,52 @@
             assert (await read_all(conn)).count(b"HTTP/1.1 200") == 2
             await closing
         assert server.reasons == []
+
+
+class TestLostConnection:
+    """Guards against a lost connection that is taken for a timeout, or for a failed handler.
+
+    The transport reports a peer that is gone as ETIMEDOUT or EHOSTUNREACH, which are no
+    ConnectionError; the first is a TimeoutError like that of a deadline.
+    """
+
+    ERRORS: ClassVar = [
+        ConnectionResetError(errno.ECONNRESET, "reset"),
+        TimeoutError(errno.ETIMEDOUT, "timed out"),
+        OSError(errno.EHOSTUNREACH, "unreachable"),
+    ]
+
+    @pytest.mark.parametrize("exc", ERRORS)
+    async def test_while_an_answer_is_sent(self, make_server: MakeServer, exc: OSError) -> None:
+        async def lose(exchange: Exchange) -> None:
+            transports[-1].get_protocol().connection_lost(exc)
+            await answer(exchange)
+            assert exchange.disconnected.is_set()
+
+        server = await make_server(lose)
+        transports = watch_transports(server)
+        await server.connect(REQUEST)
+        assert await server.recorded() == [UnansweredReason.CALLER_LEFT]
+
+    @pytest.mark.parametrize("exc", ERRORS)
+    async def test_while_a_request_is_read(self, make_server: MakeServer, exc: OSError) -> None:
+        server = await make_server()
+        transports = watch_transports(server)
+        await server.connect(REQUEST[:-1])
+        await wait_until(lambda: bool(transports))
+        await asyncio.sleep(0.05)
+        transports[-1].get_protocol().connection_lost(exc)
+        assert await server.recorded() == [UnansweredReason.CALLER_LEFT]
+
+
+def watch_transports(server: CountingServer) -> list[Any]:
+    """Return the list to which the transport of each new connection is added."""
+    transports: list[Any] = []
+    accept = server.server._accept
+
+    async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        transports.append(writer.transport)
+        await accept(reader, writer)
+
+    server.server._accept = watch  # type: ignore[method-assign]
+    return transports
