Send refusals of HEAD requests without a body

A HEAD request that was refused while it was read, as for both framings or a body over the limit, got no answer: the refusal was encoded with a body, which h11 does not accept in an answer to HEAD, and the connection was aborted.

The refusal is now framed by the method of the request whose head was parsed. Three of the five new tests fail on the code before with a closed connection; a head over the limit, which is refused before its method is known, and the refusal of a request after a HEAD pass on both.

--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -48,6 +48,8 @@
         self._late_bytes: int | None = None
         # Size of the current body; `release_body` returns it to the budget.
         self._reserved_bytes = 0
+        # Method of the last request head that was parsed, by which h11 frames the response.
+        self.method = "GET"
         # Whether a part of the next request's head has arrived.
         self._head_started = False
         # Whether the caller's next bytes are awaited.
@@ -76,6 +78,7 @@
         that is incomplete at the end of the read timeout.
         """
         self._limits = self._get_limits()
+        self.method = "GET"
         self._head_started = bool(self._conn.trailing_data[0])
         if self._head_started:
             self._set_deadline(self._limits.read_timeout_s)
@@ -110,6 +113,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Request):
+                self.method = event.method.decode()
                 _check_head_size(event, self._limits.header_bytes)
                 _check_framing(event)
                 self._check_length(event)
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -211,7 +211,8 @@
     async def _send_problem(self, exc: BadMessage) -> None:
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        exchange = Exchange(HttpRequest("GET", "", (), b""), self._conn, self._writer)
+        req = HttpRequest(self._request_reader.method, "", (), b"")
+        exchange = Exchange(req, self._conn, self._writer)
         problem = {
             "type": "about:blank",
             "title": "Bad request",
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -641,6 +641,41 @@
         assert server.reasons == []
 
 
+class TestRefusedHeadRequest:
+    """Guards against a refusal that is not sent because an answer to HEAD has no body."""
+
+    @pytest.mark.parametrize(
+        ("headers", "status"),
+        [
+            (b"content-length: 2000", 413),
+            (b"x: " + b"y" * 20_000, 431),
+            (b"content-length: 2\r\ntransfer-encoding: chunked", 400),
+            (b"content-length: 2", 408),
+        ],
+    )
+    async def test_refusal_is_sent(
+        self, make_server: MakeServer, headers: bytes, status: int
+    ) -> None:
+        server = await make_server()
+        server.server.set_limits(
+            header_limit_bytes=10_000,
+            body_limit_bytes=1000,
+            read_timeout_s=0.3,
+            idle_timeout_s=5.0,
+        )
+        first = b"HEAD / HTTP/1.1\r\nhost: a\r\n"
+        data = await read_all(await server.connect(first + headers + b"\r\n\r\n"))
+        assert data.startswith(b"HTTP/1.1 %d" % status)
+        assert server.reasons == []
+
+    async def test_refusal_of_the_next_request_has_a_body(self, make_server: MakeServer) -> None:
+        server = await make_server()
+        first = b"HEAD / HTTP/1.1\r\nhost: a\r\n\r\n"
+        data = await read_all(await server.connect(first + b"nonsense\r\n\r\n"))
+        _, _, refusal = data.partition(b"HTTP/1.1 400")
+        assert json.loads(refusal.partition(b"\r\n\r\n")[2])["ran"] == "no"
+
+
 class TestLostConnection:
     """Guards against a lost connection that is taken for a timeout, or for a failed handler.
 
