Refuse a request on a connection above the limit with an answer

With every connection in use a new one was closed without an answer, also when the bytes of its request had been received by then.

Such a request now gets 503 with ran: no, which permits its caller to send any request again elsewhere. A connection that has sent nothing is closed and counted as limit_refused as before.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -9,7 +9,7 @@
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader, receive_pending
 from cassiadrum.protocols.request_readers import ReadLimits
-from cassiadrum.protocols.server_connections import ServerConnection, format_address
+from cassiadrum.protocols.server_connections import ServerConnection
 from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
 
 __all__ = ["HttpServer"]
@@ -130,12 +130,6 @@
         assert isinstance(reader, NotifyingReader)
         task = asyncio.current_task()
         assert task is not None
-        if not await self._admit_connection():
-            self._refuse(writer, UnansweredReason.LIMIT_REFUSED)
-            return
-        if self._closed:
-            self._refuse(writer, UnansweredReason.SHUTDOWN_IDLE)
-            return
         # With a write buffer limit of 0, draining waits until the kernel has accepted the whole
         # response, so that a process that exits after its last exchange truncates none.
         # A TLS transport pauses at the limit instead of above it, and would never resume with 0.
@@ -151,16 +145,18 @@
             lambda: self._closing,
             self._unanswered,
         )
+        if not await self._admit_connection():
+            await conn.refuse(UnansweredReason.LIMIT_REFUSED)
+            return
+        if self._closed:
+            await conn.refuse(UnansweredReason.SHUTDOWN_IDLE)
+            return
         self._connections[task] = conn
         try:
             await conn.serve()
         finally:
             self._connections.pop(task, None)
 
-    def _refuse(self, writer: asyncio.StreamWriter, reason: UnansweredReason) -> None:
-        self._unanswered.record(reason, format_address(writer))
-        writer.transport.abort()
-
     def _read_limits(self) -> ReadLimits:
         return ReadLimits(
             self._header_limit_bytes,
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -99,6 +99,14 @@
         self._cancel_reason = reason
         self._task.cancel()
 
+    async def refuse(self, reason: UnansweredReason) -> None:
+        """Close a new connection; a request that has begun to arrive is refused as not run."""
+        if self.request_started:
+            await self._refuse_unread()
+            self._writer.close()
+        else:
+            self._abort(reason)
+
     async def serve(self) -> None:
         """Answer requests until the connection ends, and close it."""
         keep_alive = True
@@ -110,7 +118,7 @@
                     self._request_reader.release_body()
         except asyncio.CancelledError:
             if self._make_room:
-                await self._refuse_incomplete()
+                await self._refuse_unread()
                 return
             self._abort(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
         except OSError:
@@ -203,7 +211,7 @@
         if not exchange.answered:
             self._record(reason)
 
-    async def _refuse_incomplete(self) -> None:
+    async def _refuse_unread(self) -> None:
         with contextlib.suppress(OSError):
             async with asyncio.timeout(REFUSAL_TIMEOUT_S):
                 await self._send_problem(BadMessage(503, "too many connections are open"))
@@ -243,10 +251,10 @@
             # A handler that breaks off for a caller that has left does so on its account.
             reason = UnansweredReason.CALLER_LEFT
         request_id = exchange.request_id if exchange is not None else ""
-        self._unanswered.record(reason, format_address(self._writer), request_id)
+        self._unanswered.record(reason, _format_address(self._writer), request_id)
 
 
-def format_address(writer: asyncio.StreamWriter) -> str:
+def _format_address(writer: asyncio.StreamWriter) -> str:
     """Return the peer's address as HOST:PORT, or an empty text if it is not known."""
     peer = writer.get_extra_info("peername")
     return f"{peer[0]}:{peer[1]}" if peer else ""
