Fail a sidecar's stream that ends before an event that had begun

As in a gateway: a stream whose first attempt broke off inside an event, and whose next one was complete without that event, was closed as complete at the entry instance. AnswerRelay.discard_partial dropped the half event and with it the knowledge that an event was to follow.

The pending request remembers it now until a whole event, [DONE] included, has been relayed, and the end of an answer before that is a failed attempt, which is retried or refused. An empty rest between two events is believed.

--- a/cassiadrum/frontends/server_sent_events.py
+++ b/cassiadrum/frontends/server_sent_events.py
@@ -2,7 +2,7 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "has_event"]
 
 EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
@@ -10,6 +10,11 @@
 EVENT_LINE = re.compile(rb"(?m)^[^:\r\n]")
 
 
+def has_event(data: bytes) -> bool:
+    """Return whether data that begins a line has an event or a part of one, besides comments."""
+    return EVENT_LINE.search(data) is not None
+
+
 class EventSplitter:
     """Splitter that passes on complete events only, so that another engine can resume the stream.
 
@@ -40,7 +45,7 @@
 
     def discard_partial_event(self) -> bool:
         """Drop the bytes after the last event; return whether an event had begun in them."""
-        return EVENT_LINE.search(self.take_rest()) is not None
+        return has_event(self.take_rest())
 
     def take_rest(self) -> bytes:
         """Return and clear the bytes that are left at the end of the stream."""
--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -3,6 +3,7 @@
 from cassiadrum.decisions import ExecutionStatus, Outcome
 from cassiadrum.defaults import LIMITS
 from cassiadrum.events import EventKind, EventRing
+from cassiadrum.frontends import has_event
 from cassiadrum.links.messages import Head
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.caller_events import AnswerData, AnswerHead
@@ -70,10 +71,12 @@
     def is_whole(self, pending: PendingRequest, attempt: Attempt) -> bool:
         """Return whether the end of an attempt's complete answer is that of the caller's answer.
 
-        It is not if the caller receives the answer of another copy, or if bytes of this one were
-        discarded.
+        It is not if the caller receives the answer of another copy, if bytes of this one were
+        discarded, or if an earlier attempt had begun an event that has not come.
         """
-        if attempt.discarded or pending.winner not in (None, attempt.attempt_id):
+        if pending.next_event_exists or attempt.discarded:
+            return False
+        if pending.winner not in (None, attempt.attempt_id):
             return False
         return self.is_compatible(pending, attempt)
 
@@ -92,7 +95,7 @@
         """Discard the incomplete event of a failed attempt and let another attempt win."""
         if pending.winner == attempt.attempt_id:
             pending.winner = None
-            pending.splitter.discard_partial_event()
+            pending.next_event_exists |= pending.splitter.discard_partial_event()
 
     def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Return the outcome, marked as final if the caller has part of an unresumable answer.
@@ -111,6 +114,8 @@
         before = pending.splitter.events
         events = pending.splitter.feed(data)
         if events:
+            if pending.next_event_exists and has_event(events):
+                pending.next_event_exists = False
             pending.caller_events.put_nowait(
                 AnswerData(events, attempt.attempt_id, attempt.position)
             )
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -40,6 +40,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
+        # Whether a failed attempt had begun an event that has not come since.
+        self.next_event_exists = False
         self.head_sent = False
         # Id of the attempt whose head was sent.
         self.head_attempt_id = ""
--- a/cassiadrum/tests/test_answer_relays.py
+++ b/cassiadrum/tests/test_answer_relays.py
@@ -1,5 +1,7 @@
 """Tests of the relay of answers to callers."""
 
+import pytest
+
 from cassiadrum.decisions import ExecutionStatus, Outcome, QueuedRequest
 from cassiadrum.documents import parse_document
 from cassiadrum.events import EventRing, HybridLogicalClock
@@ -83,3 +85,50 @@
         relay.receive_data(pending, second, 0, b"data: overloaded\n\n", 0.2)
         assert not relay.is_compatible(pending, second)
         assert delivered_bytes(pending) == b"data: 1\n\n"
+
+
+class TestBegunEvents:
+    """Guards against a stream that is complete before an event that was known to follow.
+
+    An attempt that broke off inside an event proves that the event exists, so an attempt that ends
+    without it did not give the whole rest.
+    """
+
+    @pytest.mark.parametrize("begun", [b"d", b"data: 2\n", b": idle\ndata"])
+    @pytest.mark.parametrize(
+        "rest", [b"", b"data: 2", b": idle\n\n"], ids=["empty", "cut again", "comment"]
+    )
+    def test_answer_without_the_event_is_not_whole(self, begun: bytes, rest: bytes) -> None:
+        relay, pending = make_relay(), make_pending()
+        self._break_off(relay, pending, b"data: 1\n\n" + begun)
+        for number in (2, 3):
+            attempt = Attempt(f"r.{number}", "r", "e2", 0.0)
+            relay.receive_head(pending, attempt, Head(attempt.attempt_id, 200, STREAM))
+            relay.receive_data(pending, attempt, 0, rest, 0.2)
+            assert not relay.is_whole(pending, attempt)
+            relay.discard_partial(pending, attempt)
+        assert delivered_bytes(pending).replace(b": idle\n\n", b"") == b"data: 1\n\n"
+
+    @pytest.mark.parametrize("event", [b"data: 2\n\n", b"data: [DONE]\n\n"], ids=["event", "done"])
+    def test_answer_with_the_event_is_whole(self, event: bytes) -> None:
+        relay, pending = make_relay(), make_pending()
+        self._break_off(relay, pending, b"data: 1\n\ndata")
+        attempt = Attempt("r.2", "r", "e2", 0.0)
+        relay.receive_head(pending, attempt, Head("r.2", 200, STREAM))
+        relay.receive_data(pending, attempt, 0, event, 0.2)
+        assert relay.is_whole(pending, attempt)
+
+    @pytest.mark.parametrize("tail", [b"", b": idle"])
+    def test_empty_answer_between_events_is_whole(self, tail: bytes) -> None:
+        relay, pending = make_relay(), make_pending()
+        self._break_off(relay, pending, b"data: 1\n\n" + tail)
+        attempt = Attempt("r.2", "r", "e2", 0.0)
+        relay.receive_head(pending, attempt, Head("r.2", 200, STREAM))
+        assert relay.is_whole(pending, attempt)
+
+    @staticmethod
+    def _break_off(relay: AnswerRelay, pending: PendingRequest, data: bytes) -> None:
+        attempt = Attempt("r.1", "r", "e1", 0.0)
+        relay.receive_head(pending, attempt, Head("r.1", 200, STREAM))
+        relay.receive_data(pending, attempt, 0, data, 0.1)
+        relay.discard_partial(pending, attempt)
