Reset the connection of a broken response without a length

A client of HTTP/1.0 gets a response of unknown size without chunks: its body ends with the connection. When a stream broke off, the server closed the connection like after a whole response (aborting a transport of asyncio sends a FIN), so the client took the part for the whole.

Exchange.abort resets the connection of such a response with SO_LINGER. All other responses are closed as before, since a reset may discard data that the client has not received yet. The abort after a handler that raised or was cancelled also goes through the exchange now.

On the code before, the two cases with HTTP/1.0 failed (no reset); the whole response and the responses in chunks passed.

--- a/cassiadrum/protocols/exchanges.py
+++ b/cassiadrum/protocols/exchanges.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -12,6 +14,8 @@
 
 
 BODILESS_STATUSES = frozenset({204, 304})
+# Value of SO_LINGER with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Exchange:
@@ -42,6 +46,8 @@
         # Whether any byte of the response has been written.
         self._sent = False
         self._aborted = False
+        # Whether the body has no length and ends with the connection, as HTTP/1.0 requires it.
+        self._ends_with_connection = False
         self._disconnect_callback: Callable[[], None] | None = None
 
     @property
@@ -83,9 +89,9 @@
         lines = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         self._buffer_event(h11.Response(status_code=status, headers=lines))
         self.started = True
-        self._chunked = (
-            chunked and self.req.method != "HEAD" and self._conn.their_http_version == b"1.1"
-        )
+        unsized_body = chunked and self.req.method != "HEAD"
+        self._chunked = unsized_body and self._conn.their_http_version == b"1.1"
+        self._ends_with_connection = unsized_body and not self._chunked
 
     def buffer_data(self, data: bytes) -> None:
         """Buffer a part of the body for the next flush."""
@@ -141,8 +147,15 @@
         await self.send(status, json.dumps(value).encode(), "application/json", headers)
 
     def abort(self) -> None:
-        """Abort the connection, so that the client detects a truncated response."""
+        """Abort the connection, so that the client detects a truncated response.
+
+        A body that ends with its connection would look complete after a close, so the connection
+        is reset, which may discard data that the client has not received.
+        """
         self.ended = self._aborted = True
+        sock = self._writer.get_extra_info("socket") if self._ends_with_connection else None
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._writer.transport.abort()
 
     def discard_unsent(self) -> bool:
@@ -153,7 +166,7 @@
         if self._sent or self._aborted:
             return False
         self._unsent = []
-        self.started = self.ended = self._chunked = False
+        self.started = self.ended = self._chunked = self._ends_with_connection = False
         self._conn = _make_answerable(self.req, self._conn.their_http_version or b"1.1")
         self._should_close = lambda: True
         return True
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -236,8 +236,11 @@
     def _abort(self, reason: UnansweredReason) -> None:
         if not self._ended_orderly(reason):
             self._record(reason)
-        self._exchange = None
-        self._writer.transport.abort()
+        if self._exchange is None:
+            self._writer.transport.abort()
+        else:
+            self._exchange.abort()
+            self._exchange = None
 
     def _ended_orderly(self, reason: UnansweredReason) -> bool:
         """Return whether the request is answered, or the caller left without having sent one."""
--- a/cassiadrum/tests/test_protocols.py
+++ b/cassiadrum/tests/test_protocols.py
@@ -15,6 +15,15 @@
         await exchange.send_data(b"part")
         exchange.abort()
         return
+    if exchange.req.path == "/fail":
+        await exchange.send_head(200)
+        await exchange.send_data(b"part")
+        raise RuntimeError("the handler fails")
+    if exchange.req.path == "/whole":
+        await exchange.send_head(200)
+        await exchange.send_data(b"whole")
+        await exchange.end()
+        return
     await exchange.send(200, exchange.req.body, "text/plain")
 
 
@@ -68,6 +77,27 @@
         client.close()
 
 
+class TestBrokenResponses:
+    """Guards against a response that is broken off and looks complete to a client of HTTP/1.0.
+
+    Its body has no length and ends with the connection, so only a reset shows that it is cut.
+    """
+
+    @pytest.mark.parametrize("path", ["/cut", "/fail"])
+    async def test_response_without_a_length_is_reset(self, port: int, path: str) -> None:
+        with pytest.raises(ConnectionResetError):
+            await send_raw(port, f"GET {path} HTTP/1.0\r\n\r\n".encode())
+
+    async def test_whole_response_without_a_length_is_closed(self, port: int) -> None:
+        answer = await send_raw(port, b"GET /whole HTTP/1.0\r\n\r\n")
+        assert answer.partition(b"\r\n\r\n")[2] == b"whole"
+
+    @pytest.mark.parametrize("path", ["/cut", "/fail"])
+    async def test_response_in_chunks_lacks_its_end(self, port: int, path: str) -> None:
+        answer = await send_raw(port, f"GET {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode())
+        assert answer.endswith(b"\r\n\r\n4\r\npart\r\n")
+
+
 class TestClose:
     """Guards against a planned stop that cuts off a request which has begun to arrive.
 
