Test an answer whose end arrives at the silence limit

The rest of an answer arrives just before, with or up to three iterations of the event loop after the limit at which its endpoint is left, and the second endpoint's answer is complete and empty.

--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -80,6 +80,7 @@
             self._handle.cancel()
         if self._probe is not None:
             self._probe.cancel()
+        # Raises TimeoutError if the wait has expired; the next attempt takes the reserved retry then.
         await self._timeout.__aexit__(kind, exc, trace)
         self._release_retry()
 
@@ -103,7 +104,7 @@
         elif self._prober is not None and self._needs_probe(now):
             self._probe = asyncio.create_task(self._probe_endpoint(self._prober))
         elif self._retries is None or self._retries.try_reserve():
-            self._timeout.reschedule(now)
+            self._expire()
         else:
             # The endpoint may go on while the request waits for a place at another one.
             self._check_at(now + RECHECK_S)
@@ -132,6 +133,9 @@
             self._probe_failed_s = now
         self._check()
 
+    def _expire(self) -> None:
+        self._timeout.reschedule(asyncio.get_running_loop().time())
+
     def _release_retry(self) -> None:
         if self._retries is not None:
             self._retries.release()
--- a/cassiadrum/tests/gateways/cut_answers.py
+++ b/cassiadrum/tests/gateways/cut_answers.py
@@ -16,6 +16,7 @@
 from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_entries import Incarnation
+from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placement_queues import Assignment
@@ -116,7 +117,9 @@
             self._protocol.connection_lost(ConnectionResetError(104, "Connection reset by peer"))
 
 
-async def make_connection(data: bytes, ending: Ending, *, reused: bool) -> EndpointConnection:
+async def make_connection(
+    data: bytes, ending: Ending, *, reused: bool = False
+) -> EndpointConnection:
     """Return a connection whose endpoint answers the next request with bytes and the ending."""
     conn = EndpointConnection()
     transport = EndpointTransport(conn, conn.abort)
@@ -146,6 +149,14 @@
         return self.conns.pop(0)
 
 
+class FailingProber(LoadProber):
+    """A prober whose endpoints do not answer."""
+
+    async def probe(self, view: EndpointView) -> bool:
+        """Return that the endpoint did not answer."""
+        return False
+
+
 class CallerAnswer(NamedTuple):
     """What a caller reads; `whole` if the answer is framed as complete."""
 
@@ -230,7 +241,7 @@
     caller = CallerSide()
     pool = GivenPool(conns)
     protocol = PlatformProtocol()
-    prober = LoadProber(pool, protocol, clock, lambda _: None)
+    prober = FailingProber(pool, protocol, clock, lambda _: None)
     relay = Relay(ctx, caller.exchange, DecisionLog(clock), clock, prober, PermittedRetries())
     while True:
         view = make_view(f"i-{len(pool.conns)}")
--- a/cassiadrum/tests/gateways/test_cut_answers.py
+++ b/cassiadrum/tests/gateways/test_cut_answers.py
@@ -7,12 +7,16 @@
 
 import pytest
 
-from cassiadrum.gateways import CallKind, Route
+from cassiadrum.gateways import CallKind, Route, silence_rules
+from cassiadrum.gateways.endpoint_connections import EndpointConnection
+from cassiadrum.gateways.silence_limits import SilenceLimit
+from cassiadrum.gateways.silence_rules import GAP_MULTIPLE
 from cassiadrum.platform.headers import Header
 from cassiadrum.tests.gateways.cut_answers import (
     NAMED_LINES,
     CallerAnswer,
     Ending,
+    EndpointTransport,
     make_connection,
     relay_answers,
 )
@@ -21,6 +25,8 @@
 from cassiadrum.tests.gateways.test_hostile_endpoints import faulty_endpoint, make_head
 
 ATTEMPT_TIMEOUT_S = 5.0
+# Silence after which the endpoint of a call is given up, where the route permits it.
+LATE_LIMIT_S = 0.05
 EVENTS = (b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n")
 BODY = b"".join(EVENTS)
 CHUNKS = b"".join(b"%x\r\n%s\r\n" % (len(event), event) for event in EVENTS)
@@ -251,6 +257,59 @@
         return BODY if (passed, rest) == EVENTS else None
 
 
+class TestEndsAtTheSilenceLimit:
+    """Guards against a part that is framed as whole if the end arrives as the wait is given up."""
+
+    @pytest.mark.parametrize("iterations", [-1, 0, 1, 2, 3])
+    @pytest.mark.parametrize("name", KINDS)
+    @pytest.mark.parametrize("kind", [CallKind.IDEMPOTENT, CallKind.STREAM], ids=str)
+    async def test_answer_is_whole_or_visibly_cut(
+        self, monkeypatch: pytest.MonkeyPatch, kind: CallKind, name: str, iterations: int
+    ) -> None:
+        """The rest arrives `iterations` of the event loop after the limit, -1 for just before."""
+        monkeypatch.setattr(silence_rules, "MIN_SILENCE_S", LATE_LIMIT_S)
+        monkeypatch.setattr(silence_rules, "SOUND_PAUSE_S", LATE_LIMIT_S)
+        framing = FRAMINGS[name]
+        sent = framing.head + framing.body
+        # Inside the second event, in chunks as well.
+        cut = len(framing.head) + len(EVENTS[0]) + 14
+        conn = EndpointConnection()
+        transport = EndpointTransport(conn)
+        transport.add_answer(sent[:cut], None)
+        conn.connection_made(transport)
+        expire = SilenceLimit._expire
+        expirations = 0
+
+        def receive_rest(iterations_left: int) -> None:
+            if iterations_left > 0:
+                asyncio.get_running_loop().call_soon(receive_rest, iterations_left - 1)
+                return
+            conn.data_received(sent[cut:])
+            conn.eof_received()
+
+        def expire_with_rest(limit: SilenceLimit) -> None:
+            nonlocal expirations
+            expirations += 1
+            if iterations < 0:
+                receive_rest(0)
+            expire(limit)
+            if iterations >= 0:
+                receive_rest(iterations)
+
+        monkeypatch.setattr(SilenceLimit, "_expire", expire_with_rest)
+        second = await make_connection(make_framing("content-length: 0").head, Ending.CLOSED)
+        limits = {"target_s": LATE_LIMIT_S, "gap_s": LATE_LIMIT_S / GAP_MULTIPLE}
+        route = make_route(kind=kind, timeout_s=LATE_LIMIT_S * 100, **limits)
+        answer = await relay_answers([conn, second], route)
+        assert expirations == 1
+        if kind is CallKind.IDEMPOTENT:
+            # The second endpoint's own answer is empty.
+            assert answer.whole
+            assert answer.body in (BODY, b"")
+        else:
+            assert answer.whole == (answer.body == BODY)
+
+
 def reset_on_close(writer: asyncio.StreamWriter) -> None:
     """Make the connection end by a reset when it is closed."""
     sock = writer.get_extra_info("socket")
