--- a/cassiadrum/tests/gateways/test_cut_answers.py
+++ b/cassiadrum/tests/gateways/test_cut_answers.py
@@ -215,6 +215,35 @@
                 assert (answer.status, answer.whole) == (502, True), (ending, cut)
 
 
+# Answers of which only a part comes before the own answer.
+PARTS = {
+    "answer to another request": OTHER_ANSWER,
+    "answer without an id": b"HTTP/1.1 500 X\r\ncontent-length: 5\r\n\r\nerror",
+    "refusal": f"HTTP/1.1 503 X\r\n{Header.NOT_RUN}: 1\r\ncontent-length: 0\r\n\r\n".encode(),
+    "interim answer": INTERIM_ANSWER,
+    "own answer": FRAMINGS["length"].head + BODY,
+}
+
+
+class TestAnswersAfterCutOnes:
+    """Guards against an answer that is made of the beginning of one head and the end of another.
+
+    An endpoint stops at any byte of an answer and writes the next one on the same connection.
+    """
+
+    @pytest.mark.parametrize("part", PARTS.values(), ids=PARTS)
+    async def test_heads_are_not_joined(self, part: bytes) -> None:
+        framing = FRAMINGS["length"]
+        own = (200, expected_headers(framing), BODY, True)
+        for cut in range(len(part)):
+            sent = part[:cut] + framing.head + framing.body
+            # A body that is cut takes up bytes of the next answer, which its length permits.
+            if cut > part.index(b"\r\n\r\n"):
+                break
+            answer = await cut_answer(sent, Ending.CLOSED, ONCE_ROUTE, reused=True)
+            assert answer == own or (answer.status, answer.whole) == (502, True), cut
+
+
 class TestCutStreams:
     """Guards against a stream that lacks events, or has them twice, after a second attempt."""
 
