Let the copy with the first event of a stream win

Engines send the head of a stream before its first token. The relay chose the copy whose head came first and discarded the events of the other one, while the dispatcher waits for a first token to cancel a copy.

Bytes of the other copy are now held, up to the size of a buffered answer. It takes over with its first whole event as long as the caller has none; the copy that had won is then discarded and cancelled by the dispatcher. If the first copy fails, the held bytes are the beginning of the other one's answer.

--- a/cassiadrum/roles/answer_relays.py
+++ b/cassiadrum/roles/answer_relays.py
@@ -46,9 +46,13 @@
         if position > attempt.position or not data:
             return 0
         attempt.position += len(data)
-        if attempt.discarded or pending.winner not in (None, attempt.attempt_id):
-            attempt.discarded = True
+        if attempt.discarded:
             return 0
+        if pending.winner not in (None, attempt.attempt_id):
+            self._hold(pending, attempt, data)
+            if not self._try_take_over(pending, attempt):
+                return 0
+            data = b""
         if pending.first_token_s is None:
             pending.first_token_s = now
             self._record_first_token(pending, attempt)
@@ -84,6 +88,8 @@
         """Relay the rest of a complete answer."""
         if not self._try_become_winner(pending, attempt):
             return
+        if attempt.streaming and attempt.buffered:
+            self._relay_events(pending, attempt, b"")
         rest = pending.splitter.take_rest() if attempt.streaming else bytes(attempt.buffered)
         self._send_head(pending, attempt)
         if rest:
@@ -110,12 +116,39 @@
         )
         return outcome._replace(ran=ran, final=True)
 
+    def _hold(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> None:
+        """Keep bytes of a copy that may still win; discard it otherwise."""
+        attempt.buffered += data
+        # Only the head of the winning stream was sent, which fits the other copy as well.
+        fits = pending.streaming and attempt.streaming and self.is_compatible(pending, attempt)
+        if pending.event_sent or not fits or len(attempt.buffered) > MAX_BUFFERED_BYTES:
+            attempt.discarded = True
+            attempt.buffered = bytearray()
+
+    def _try_take_over(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """Let a copy with a whole event win over one of which only the head was sent.
+
+        The dispatcher lets the copy with the first token win, and engines send the head before it.
+        """
+        complete, _, _ = attempt.buffered.rpartition(b"\n\n")
+        if attempt.discarded or not has_event(bytes(complete)):
+            return False
+        if pending.winner in pending.attempts:
+            pending.attempts[pending.winner].discarded = True
+        pending.splitter.discard_partial_event()
+        pending.winner = attempt.attempt_id
+        return True
+
     def _relay_events(self, pending: PendingRequest, attempt: Attempt, data: bytes) -> int:
+        self._try_become_winner(pending, attempt)
+        if attempt.buffered:
+            data, attempt.buffered = bytes(attempt.buffered) + data, bytearray()
         before = pending.splitter.events
         events = pending.splitter.feed(data)
         if events:
-            if pending.next_event_exists and has_event(events):
+            if (pending.next_event_exists or not pending.event_sent) and has_event(events):
                 pending.next_event_exists = False
+                pending.event_sent = True
             pending.caller_events.put_nowait(
                 AnswerData(events, attempt.attempt_id, attempt.position)
             )
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -40,6 +40,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.attempts_made = 0
         self.splitter = EventSplitter()
+        # Whether a whole event was relayed to the caller.
+        self.event_sent = False
         # Whether a failed attempt had begun an event that has not come since.
         self.next_event_exists = False
         self.head_sent = False
