Answer pipelined requests during a planned stop

A client that sent two requests at once to a stopping gateway got the answer to the first, with connection: close, and nothing for the second, which the process had read.

The cause: a draining server announced the close in every response. It now does so in the response to the last request of which a byte has arrived. Those before it do not end the connection, and the gateway answers or refuses each request by itself. A request that arrives after the head of the closing response still gets none, as HTTP/1.1 has it, and does not run.

test_pipelined_request_is_answered fails on the code before (IncompleteReadError in place of the second answer).

--- a/cassiadrum/gateways/silence_limits.py
+++ b/cassiadrum/gateways/silence_limits.py
@@ -80,7 +80,7 @@
             self._handle.cancel()
         if self._probe is not None:
             self._probe.cancel()
-        # Raises TimeoutError if the wait has expired; the next attempt takes the reserved retry then.
+        # Raises TimeoutError if the wait has expired: the next attempt takes the reserved retry.
         await self._timeout.__aexit__(kind, exc, trace)
         self._release_retry()
 
--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -89,7 +89,7 @@
             conn.extend_idle_wait(idle_timeout_s)
 
     def drain(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the response to the last request that has arrived."""
         self._draining = True
 
     async def close(self) -> None:
--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -58,8 +58,12 @@
     @property
     def request_started(self) -> bool:
         """Return whether any byte of a request that is not answered yet has arrived."""
-        received = bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
-        return received or self._conn.their_state not in (h11.IDLE, h11.CLOSED)
+        return self.next_started or self._conn.their_state not in (h11.IDLE, h11.CLOSED)
+
+    @property
+    def next_started(self) -> bool:
+        """Return whether any byte has arrived after the request that was returned last."""
+        return bool(self._conn.trailing_data[0]) or self._reader.unread_bytes > 0
 
     @property
     def waiting_for_data(self) -> bool:
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -30,8 +30,8 @@
     """Connection that reads requests and calls the handler for each, one after the other.
 
     `limits()` returns the limits of a request whose reading begins. Once `should_close()` returns
-    true, the next answer is the last, and once `is_closing()` does, only a request that has begun
-    to arrive is read.
+    true, the connection ends with the answer to the last request that has arrived, and once
+    `is_closing()` does, only a request that has begun to arrive is read.
     """
 
     def __init__(
@@ -149,7 +149,7 @@
             if self.request_started:
                 self._record(UnansweredReason.IDLE_TIMEOUT)
             return False
-        self._exchange = Exchange(req, self._conn, self._writer, self._should_close)
+        self._exchange = Exchange(req, self._conn, self._writer, self._ends_with_response)
         reusable = await self._run_handler(self._exchange)
         self._exchange = None
         if not reusable or not self._cycle_done:
@@ -157,6 +157,10 @@
         self._conn.start_next_cycle()
         return True
 
+    def _ends_with_response(self) -> bool:
+        """Return whether the response is the last one; a pipelined request is still answered."""
+        return self._should_close() and not self._request_reader.next_started
+
     @property
     def _cycle_done(self) -> bool:
         return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
--- a/cassiadrum/tests/gateways/test_planned_stops.py
+++ b/cassiadrum/tests/gateways/test_planned_stops.py
@@ -249,6 +249,26 @@
 class TestConnectionsDuringTheStop:
     """Guards against requests that are read and dropped because their connection closes."""
 
+    async def test_pipelined_request_is_answered(
+        self, site: PlatformSite, gateway: GatewaySubprocess, caller: Caller
+    ) -> None:
+        """The second request waits behind the first one, whose answer would announce the close."""
+        await call_long(caller, "/once/a", "first")
+        for name in PLAIN_ENDPOINTS:
+            site.endpoints[name].answer_delay_s = 0.5
+        async with open_connection(gateway) as (reader, writer):
+            gateway.process.send_signal(signal.SIGTERM)
+            await gateway.wait_ready(ready=False, limit_s=1.0)
+            writer.write(encode_request("/once/a", "one") + encode_request("/once/a", "two"))
+            async with asyncio.timeout(GRACE_S):
+                answers = [await read_answer(reader) for _ in range(2)]
+                assert await reader.read() == b""
+        for answer, request_id in zip(answers, ("one", "two"), strict=True):
+            assert site.runs(request_id) == (answer.status == 200)
+            assert answer.status == 200 or answer.body["ran"] == "no"
+        assert "connection" not in answers[0].headers
+        assert answers[1].headers["connection"] == "close"
+
     async def test_connection_at_the_close_is_answered_or_runs_nothing(self) -> None:
         """Connections are opened while the server closes its listener; none is left open."""
         handled: list[str] = []
