Let a stream that has begun pause for a second

Streams of an endpoint that was silent for 1.2 s were resumed at another one, which reads their prompts again and takes a retry from the budget each; streams at an endpoint that crashed then lacked those retries. The limit between events was 0.6 s, plus the 0.5 s of the load probe.

The least limit between events is now 0.95 s, so that a stream is left after 1.45 s, which is beyond the pause of a sound endpoint and before callers give up a stream after 2 s. An endpoint that answers the probe is not left, as before, and the limit before the first bytes is unchanged. A stream at an endpoint that crashed without a sign moves 0.35 s later.

--- a/cassiadrum/gateways/silence_rules.py
+++ b/cassiadrum/gateways/silence_rules.py
@@ -5,10 +5,13 @@
 __all__ = ["body_limit_s", "event_limit_s", "first_bytes_limit_s", "max_wait_s"]
 
 # Limits before the first bytes of a stream and between its events: a fraction of the latency
-# target, and a multiple of the allowed gap, of at least MIN_SILENCE_S.
+# target, and a multiple of the allowed gap, and the least value of each. A load probe of up to
+# 0.5 s follows. Between events both together exceed the pause of a sound endpoint, and leave time
+# to resume the stream before callers give it up after 2 s.
 FIRST_BYTES_TARGET_FRACTION = 0.5
+MIN_FIRST_BYTES_SILENCE_S = 0.6
 GAP_MULTIPLE = 6.0
-MIN_SILENCE_S = 0.6
+MIN_EVENT_SILENCE_S = 0.95
 # Multiple of the expected wait that is added to the limit before the first bytes.
 EXPECTED_WAIT_MULTIPLE = 2.0
 # A sound endpoint may send nothing for a second or so and then go on. A plain answer that has
@@ -24,7 +27,7 @@
     if not route.repeatable:
         return None
     if route.kind is CallKind.STREAM:
-        limit_s = max(MIN_SILENCE_S, FIRST_BYTES_TARGET_FRACTION * route.target_s)
+        limit_s = max(MIN_FIRST_BYTES_SILENCE_S, FIRST_BYTES_TARGET_FRACTION * route.target_s)
         return limit_s + EXPECTED_WAIT_MULTIPLE * expected_wait_s
     return route.target_s
 
@@ -43,7 +46,7 @@
     """Return the silence limit between events in seconds, None for no limit."""
     if not route.resumable:
         return None
-    return max(MIN_SILENCE_S, GAP_MULTIPLE * route.gap_s)
+    return max(MIN_EVENT_SILENCE_S, GAP_MULTIPLE * route.gap_s)
 
 
 def max_wait_s(route: Route, silence_s: float | None) -> float:
--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -190,7 +190,13 @@
 
 @contextlib.asynccontextmanager
 async def pausing_site(
-    route: Route, pause_at: int, pausing: int, slots: int = 64, retry_ratio: float = 0.2
+    route: Route,
+    pause_at: int,
+    pausing: int,
+    slots: int = 64,
+    *,
+    retry_ratio: float = 0.2,
+    pause_s: float = PAUSE_S,
 ) -> AsyncIterator[PausingSite]:
     """Run a gateway with ENDPOINTS endpoints, of which the first `pausing` fall silent."""
     cfg = GatewaySettings("a", retry_ratio, 1.0, 10.0, 60.0, True, 2.0)
@@ -200,7 +206,7 @@
     routes = (route._replace(host=HOST),)
     gateway.configuration.set_catalog(Catalog(1, routes, services, OpenAccess(), limits))
     endpoints = [
-        PausingEndpoint(pause_at=pause_at, pause_s=PAUSE_S if number < pausing else 0.0)
+        PausingEndpoint(pause_at=pause_at, pause_s=pause_s if number < pausing else 0.0)
         for number in range(ENDPOINTS)
     ]
     entries = [
@@ -273,14 +279,23 @@
         assert {place: wrong for place, wrong in found.items() if wrong} == {}
 
 
-class TestBegunPlainAnswers:
-    """Guards against running an idempotent call again while its answer only pauses.
+class TestBegunAnswers:
+    """Guards against running a request again while its answer only pauses.
 
     The second run takes a retry from the budget, which a call at a crashed endpoint then lacks.
     """
 
+    @pytest.mark.parametrize("place", ["between events", "inside an event", "before the end"])
+    async def test_stream_that_pauses_is_not_resumed_elsewhere(self, place: str) -> None:
+        async with pausing_site(
+            RESUMABLE, STREAM_PAUSES[place], pausing=ENDPOINTS, pause_s=1.2
+        ) as site:
+            answers = await site.call_all(CALLERS, streams=True)
+        assert {answer.status for answer in answers} == {200}
+        assert set(site.runs.values()) == {1}
+
     @pytest.mark.parametrize("place", ["after the head", "in the body"])
-    async def test_answer_that_pauses_is_not_requested_again(self, place: str) -> None:
+    async def test_plain_answer_that_pauses_is_not_requested_again(self, place: str) -> None:
         async with pausing_site(IDEMPOTENT, PLAIN_PAUSES[place], pausing=ENDPOINTS) as site:
             answers = await site.call_all(CALLERS, streams=False)
         assert answers == [(200, BODY)] * CALLERS
--- a/cassiadrum/tests/gateways/test_silence_rules.py
+++ b/cassiadrum/tests/gateways/test_silence_rules.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cassiadrum.gateways.catalogs import CallKind
+from cassiadrum.gateways.load_probers import PROBE_TIMEOUT_S
 from cassiadrum.gateways.silence_rules import (
     body_limit_s,
     event_limit_s,
@@ -14,6 +15,8 @@
 IDEMPOTENT = make_route(kind=CallKind.IDEMPOTENT, resumable=False, target_s=0.25, timeout_s=5.0)
 # The longest pause of a sound endpoint.
 SOUND_PAUSE_S = 1.4
+# The shortest gap between events after which a caller gives up a stream.
+CALLER_PATIENCE_S = 2.0
 
 
 class TestSilenceRules:
@@ -36,6 +39,12 @@
     def test_silent_answer_is_not_left_before_its_target(self) -> None:
         assert body_limit_s(IDEMPOTENT._replace(target_s=4.0), 5.0) == 4.0
 
+    def test_stream_of_a_sound_endpoint_may_pause(self) -> None:
+        limit_s = event_limit_s(make_route(gap_s=0.05))
+        assert limit_s is not None
+        left_after_s = limit_s + PROBE_TIMEOUT_S
+        assert SOUND_PAUSE_S < left_after_s < CALLER_PATIENCE_S - 0.5
+
     def test_request_that_may_not_be_repeated_has_no_limit(self) -> None:
         once = make_route(kind=CallKind.ONCE, resumable=False)
         stream = make_route(resumable=False)
