Keep store calls whose time ends in a stall of the event loop

Two causes. asyncio handles the bytes that arrived during a stall and the timers that became due in one iteration, so the timer cancels a call whose answer is there. And a call that waits for the rate budget, if only for one iteration, found its deadline over when the stall ended; it was given up, with an unknown outcome, before it was sent.

CallTimeout extends a limit once by the time that its check is late: up to 0.25 s for connecting and for the gateways' store, whose connection may have been lost while the process was stopped, and up to the limit itself for the stores of the roles, where a write without an answer leaves its outcome unknown. The planned wait for the rate budget still counts, a stall does not.

Ruled out: the stand-in of the store, which answers within one iteration.

--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -1,6 +1,5 @@
 """Client of the platform's store for the rows of a table and their changes."""
 
-import asyncio
 import base64
 import binascii
 import logging
@@ -14,7 +13,14 @@
 from cassiadrum.platform.errors import DECODE_ERRORS, AnswerTooLarge, HistoryGone, WriteConflict
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.protocols import BodyTooLarge, HttpClient, HttpError, HttpResponse, TimeSlice
+from cassiadrum.protocols import (
+    BodyTooLarge,
+    CallTimeout,
+    HttpClient,
+    HttpError,
+    HttpResponse,
+    TimeSlice,
+)
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
@@ -228,7 +234,7 @@
         """Return the response to a call and its body; raise StoreUnavailable without one."""
         headers = (("content-type", "application/json"),) if body else ()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with CallTimeout(timeout_s):
                 response = await self._client.request(method, target, headers, body)
                 answer = await response.read(MAX_RESPONSE_BYTES)
         except BodyTooLarge as exc:
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server and client on asyncio and h11."""
 
 from cassiadrum.protocols.answer_events import MAX_HEADERS, next_answer_event
+from cassiadrum.protocols.call_timeouts import CallTimeout
 from cassiadrum.protocols.errors import (
     AnswerLost,
     BadMessage,
@@ -23,6 +24,7 @@
     "AnswerLost",
     "BadMessage",
     "BodyTooLarge",
+    "CallTimeout",
     "ConnectFailed",
     "Exchange",
     "Handler",
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -9,6 +9,7 @@
 import h11
 
 from cassiadrum.protocols.answer_events import next_answer_event
+from cassiadrum.protocols.call_timeouts import CallTimeout
 from cassiadrum.protocols.errors import AnswerLost, BadMessage, ConnectFailed
 from cassiadrum.protocols.http_requests import Headers
 from cassiadrum.protocols.http_responses import HttpResponse
@@ -91,7 +92,7 @@
 
     async def _connect(self) -> _Connection:
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with CallTimeout(self._connect_timeout_s):
                 reader, writer = await self._open()
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # A host or port that is none raises UnicodeError, a ValueError, or OverflowError.
--- a/cassiadrum/stores/store_transports.py
+++ b/cassiadrum/stores/store_transports.py
@@ -6,7 +6,14 @@
 from urllib.parse import quote
 
 from cassiadrum.defaults import LIMITS
-from cassiadrum.protocols import ConnectFailed, Headers, HttpClient, HttpError, HttpResponse
+from cassiadrum.protocols import (
+    CallTimeout,
+    ConnectFailed,
+    Headers,
+    HttpClient,
+    HttpError,
+    HttpResponse,
+)
 from cassiadrum.stores.circuit_breakers import CircuitBreaker
 from cassiadrum.stores.errors import NotApplied, OutcomeLost, StoreError, StoreUnavailable
 from cassiadrum.stores.store_budgets import StoreBudget
@@ -94,12 +101,13 @@
 
     async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
         """Run `send` subject to rate budget, circuit breaker and deadline."""
-        deadline_s = self._clock() + self._timeout_s
-        await self._wait_for_budget(method)
+        wait_s = await self._wait_for_budget(method)
         if not self.breaker.allow(self._clock()):
             raise NotApplied("circuit breaker is open")
         try:
-            async with asyncio.timeout(max(0.0, deadline_s - self._clock())):
+            # After a stall the loop has much to catch up with, and a write without an answer has
+            # an unknown outcome, so its limit may be extended by as much again.
+            async with CallTimeout(self._timeout_s - wait_s, self._timeout_s):
                 return await send()
         except ConnectFailed as exc:
             self.breaker.record_failure(self._clock())
@@ -108,14 +116,20 @@
             self.breaker.record_failure(self._clock())
             raise OutcomeLost(str(exc) or f"no answer in {self._timeout_s:g} s") from exc
 
-    async def _wait_for_budget(self, method: str) -> None:
+    async def _wait_for_budget(self, method: str) -> float:
+        """Wait until the rate budget permits a request; return the planned wait in seconds.
+
+        The deadline counts this wait, but not a stall of the event loop beside it, after which no
+        time would be left for a request that was not sent yet.
+        """
         if self._budget is None:
-            return
+            return 0.0
         bucket = self._budget.reads if method == "GET" else self._budget.writes
         wait_s = bucket.reserve(self._clock(), self._timeout_s / 2)
         if wait_s is None:
             raise NotApplied("rate budget of this process is exhausted", 1.0)
         await asyncio.sleep(wait_s)
+        return wait_s
 
     def _check_status(self, answer: StoreResponse) -> StoreResponse:
         """Return an answer, or raise if its status says that the request was not served.
