Keep a requested pause when a registration expires and returns

An endpoint that answers 503 with Retry-After gets nothing until the pause is over. If its registration expired meanwhile, as after a late renewal or an outage of the store, and the same incarnation registered again, the gateway forgot the pause and sent requests at once: the new view began without one.

The end of the pause is now kept with the removed incarnation, for the 120 s for which removals are kept, and applies to the view of the same incarnation. Another incarnation begins without a pause, as before. The limit on requests (Server-Limit) was kept already, by incarnation.

The new test fails on the code before: the pause ended at 0 instead of 61 s.

--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -77,7 +77,9 @@
         if view is not None:
             self._removed.add(view.entry.incarnation, self._now, left=True)
             self._on_removed(view.entry.incarnation)
-        self._views[entry.instance] = self._make_view(entry)
+        view = self._views[entry.instance] = self._make_view(entry)
+        # The incarnation may have requested a pause before its registration expired.
+        view.paused_until_s = self._removed.paused_until_s(entry.incarnation)
         _log("endpoint in", entry, slots=entry.slots, cold_s=entry.cold_s, draining=entry.leaving)
 
     def remove(self, instance: str, now: float) -> None:
@@ -142,7 +144,9 @@
         self._lapsed.pop(instance, None)
         view = self._views.pop(instance)
         left = view.leaving or view.entry.leaving
-        self._removed.add(view.entry.incarnation, now, left=left)
+        self._removed.add(
+            view.entry.incarnation, now, left=left, paused_until_s=view.paused_until_s
+        )
         _log("endpoint out", view.entry, reason=reason)
         self._on_removed(view.entry.incarnation)
 
--- a/cassiadrum/gateways/removed_incarnations.py
+++ b/cassiadrum/gateways/removed_incarnations.py
@@ -13,6 +13,7 @@
 class _Removal(NamedTuple):
     removed_s: float
     left: bool
+    paused_until_s: float
 
 
 class RemovedIncarnations:
@@ -24,15 +25,22 @@
     def __contains__(self, incarnation: Incarnation) -> bool:
         return incarnation in self._removals
 
-    def add(self, incarnation: Incarnation, now: float, *, left: bool) -> None:
+    def add(
+        self, incarnation: Incarnation, now: float, *, left: bool, paused_until_s: float = 0.0
+    ) -> None:
         """Add an incarnation; with `left` it announced its leaving, so it cannot return."""
         self._removals.pop(incarnation, None)
-        self._removals[incarnation] = _Removal(now, left)
+        self._removals[incarnation] = _Removal(now, left, paused_until_s)
 
     def announced_leaving(self, incarnation: Incarnation) -> bool:
         """Return whether a removed incarnation had announced its leaving."""
         return self._removals[incarnation].left
 
+    def paused_until_s(self, incarnation: Incarnation) -> float:
+        """Return the end of the pause that an incarnation had requested, 0 without one."""
+        removal = self._removals.get(incarnation)
+        return 0.0 if removal is None else removal.paused_until_s
+
     def expire(self, now: float) -> None:
         """Discard removals older than the retention time."""
         while self._removals:
--- a/cassiadrum/tests/gateways/test_endpoint_notices.py
+++ b/cassiadrum/tests/gateways/test_endpoint_notices.py
@@ -277,6 +277,15 @@
         directory.put(make_entry("i-0", started_ms=2))
         assert directory.usable("drafts")[0].paused_until_s == 0.0
 
+    def test_pause_outlasts_an_expired_registration(self) -> None:
+        """The store removes a registration that is renewed late; the endpoint writes it again."""
+        directory = self.make().directory
+        directory.usable("drafts")[0].mark_paused(1.0, 60.0)
+        directory.remove("i-0", 10.0)
+        assert not directory.usable("drafts")
+        directory.put(make_entry("i-0"))
+        assert directory.usable("drafts")[0].paused_until_s == 61.0
+
     def test_longest_pause_applies(self) -> None:
         view = self.make().directory.usable("drafts")[0]
         view.mark_paused(1.0, 60.0)
