--- a/cassiadrum/protocols/unanswered_connections.py
+++ b/cassiadrum/protocols/unanswered_connections.py
@@ -54,7 +54,8 @@
     def record(self, reason: UnansweredReason, caller: str, request_id: str = "") -> None:
         """Log and count one; `caller` is its address, `request_id` is empty if not known."""
         level = logging.INFO if reason in USUAL_REASONS else logging.WARNING
-        extra = {"request_id": request_id, "reason": reason.value, "caller": caller}
+        # Not `request_id`: the lines of a request that have it end with the one on its outcome.
+        extra = {"request": request_id, "reason": reason.value, "caller": caller}
         logger.log(level, MESSAGES[reason], extra=extra)
         if self._count is not None:
             self._count(reason.value)
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -161,7 +161,7 @@
             await server.connect(REQUEST)
             assert await server.recorded() == [UnansweredReason.HANDLER_ABORTED]
         record = next(r for r in caplog.records if r.msg.startswith("unanswered"))
-        assert record.__dict__["request_id"] == "request-1"
+        assert record.__dict__["request"] == "request-1"
         assert record.__dict__["caller"].startswith("127.0.0.1:")
 
     async def test_handler_raised_midway(self, make_server: MakeServer) -> None:
