Deliver a refusal to a caller that is still sending

A request refused while its body was under way, as one over the limit, was answered and the connection closed with unread bytes, which resets it. The caller saw a reset instead of the 413, and took it for a failure that may be retried.

The connection is now half-closed after the refusal, and what the caller still sends is discarded for up to 1 s. At the connection limit such a connection makes room first, as an incomplete request does.

Not covered: a request that is refused to make room or on a connection above the limit is closed at once, since it does not count towards the limit.

--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -14,6 +14,7 @@
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.notifying_readers import NotifyingReader, receive_pending
 from cassiadrum.protocols.request_readers import ReadLimits, RequestReader
+from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES
 from cassiadrum.protocols.unanswered_connections import UnansweredConnections, UnansweredReason
 
 __all__ = ["ServerConnection"]
@@ -22,6 +23,7 @@
 
 # The connection does not count towards the limit any more while its refusal is sent.
 REFUSAL_TIMEOUT_S = 1.0
+DISCARD_TIMEOUT_S = 1.0
 PROBLEM_TYPE = "application/problem+json"
 REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
@@ -60,6 +62,8 @@
         self._cancel_reason: UnansweredReason | None = None
         # Whether the incomplete request is refused to make room for a new connection.
         self._make_room = False
+        # Whether the last request was refused before it had been read.
+        self._refused = False
 
     @property
     def serving(self) -> bool:
@@ -78,8 +82,8 @@
 
     @property
     def waiting_for_data(self) -> bool:
-        """Return whether a request is incomplete and the caller's next bytes are awaited."""
-        return self._request_reader.waiting_for_data
+        """Return whether the caller's next bytes are awaited, also those of a refused request."""
+        return self._refused or self._request_reader.waiting_for_data
 
     def extend_idle_wait(self, idle_timeout_s: float) -> None:
         """Let the current wait for a request last for at least `idle_timeout_s`."""
@@ -90,7 +94,7 @@
 
         A request that has begun to arrive is refused as not run.
         """
-        self._make_room = self.request_started
+        self._make_room = self.request_started and not self._refused
         self.cancel(UnansweredReason.LIMIT_CLOSED)
 
     def cancel(self, reason: UnansweredReason) -> None:
@@ -144,6 +148,8 @@
             req = await self._request_reader.read()
         except BadMessage as exc:
             await self._send_problem(exc)
+            self._refused = True
+            await self._discard_rest()
             return False
         if req is None:
             if self.request_started:
@@ -220,6 +226,18 @@
             async with asyncio.timeout(REFUSAL_TIMEOUT_S):
                 await self._send_problem(BadMessage(503, "too many connections are open"))
 
+    async def _discard_rest(self) -> None:
+        """Read what the caller still sends of a refused request, for a limited time.
+
+        Closing a connection with unread bytes resets it, and the refusal may be lost by it.
+        """
+        with contextlib.suppress(OSError):
+            if self._writer.can_write_eof():
+                self._writer.write_eof()
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while await self._reader.read(MAX_PARSE_BYTES):
+                    pass
+
     async def _send_problem(self, exc: BadMessage) -> None:
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -250,6 +268,8 @@
         """Return whether the request is answered, or the caller left without having sent one."""
         if self._exchange is not None:
             return self._exchange.answered
+        if self._refused:
+            return True
         return reason is UnansweredReason.CALLER_LEFT and not self.request_started
 
     def _record(self, reason: UnansweredReason) -> None:
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -700,6 +700,22 @@
         assert json.loads(refusal.partition(b"\r\n\r\n")[2])["ran"] == "no"
 
 
+class TestRefusalDuringTheBody:
+    """Guards against a refusal that is lost since the caller is still sending.
+
+    Closing a connection with unread bytes resets it, and a reset may drop the answer on its way.
+    """
+
+    async def test_refusal_arrives(self, make_server: MakeServer) -> None:
+        server = await make_server(body_limit_bytes=1000)
+        size = 16 * 1024 * 1024
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+        reader, _ = await server.connect(head + b"x" * size)
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            data = await reader.read()
+        assert data.startswith(b"HTTP/1.1 413")
+
+
 class TestLostConnection:
     """Guards against a lost connection that is taken for a timeout, or for a failed handler.
 
