Answer what arrives while an entry instance stops

Callers that kept their connection to an entry instance that got SIGTERM were refused again and again on it, since no response closed it. Callers whose request had begun to arrive when the last answer was finished got a reset in place of an answer.

The cause: begin_drain told the handler only, not the HTTP server, and the daemon aborted the server once no request was in flight. Each response of a draining instance now closes its connection, and what has begun to arrive gets up to 2 s for its refusal (503, ran: no). Passing on a late request cannot happen here: the handler is called with the whole request and refuses it from SIGTERM on.

test_refusal_closes_the_connection and test_request_that_arrives_at_the_stop_is_refused fail on the code before; test_request_that_stops_arriving_does_not_delay_the_stop passes on both.

--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -10,12 +10,12 @@
 from cassiadrum.links import TlsContexts
 from cassiadrum.protocols import HttpClient
 
-__all__ = ["Daemon"]
+__all__ = ["REFUSAL_DELIVERY_TIMEOUT_S", "Daemon"]
 
 POLL_INTERVAL_S = 0.05
 # A slow poll suffices because certificates are replaced hours before the old ones expire.
 TLS_POLL_INTERVAL_S = 10.0
-# Limit for the delivery of the refusals that are sent when the drain limit is reached.
+# Limit for the delivery of the refusals that are sent at the end of a drain.
 REFUSAL_DELIVERY_TIMEOUT_S = 2.0
 
 
--- a/cassiadrum/roles/entry_daemons.py
+++ b/cassiadrum/roles/entry_daemons.py
@@ -1,5 +1,7 @@
 """The daemon of an entry instance."""
 
+import asyncio
+import contextlib
 import secrets
 from collections.abc import Callable
 from pathlib import Path
@@ -27,7 +29,7 @@
 from cassiadrum.roles.caller_handlers import CallerHandler
 from cassiadrum.roles.configuration_agents import ConfigurationAgent
 from cassiadrum.roles.configuration_handlers import ConfigurationHandler
-from cassiadrum.roles.daemons import Daemon
+from cassiadrum.roles.daemons import REFUSAL_DELIVERY_TIMEOUT_S, Daemon
 from cassiadrum.roles.dispatcher_factories import DispatcherFactory
 from cassiadrum.roles.fetch_links import FetchLinks
 from cassiadrum.roles.gauges import Gauges
@@ -125,6 +127,7 @@
         """Refuse new requests and let those in flight finish."""
         if not self._handler.draining:
             self._handler.draining = True
+            self._http.drain()
             self.ring.record(EventKind.DRAINING)
 
     def in_flight(self) -> int:
@@ -135,6 +138,13 @@
         """Return one line of text for each unanswered request."""
         return self._router.describe()
 
+    async def wait_drained(self) -> None:
+        """Wait for the answers in flight, then refuse the requests that have begun to arrive."""
+        await super().wait_drained()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFUSAL_DELIVERY_TIMEOUT_S):
+                await self._http.close()
+
     def may_stop(self) -> bool:
         """Return whether every caller has received its answer."""
         return not self.in_flight()
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -14,6 +14,7 @@
 from cassiadrum.invariants import check_record
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles import Daemon
+from cassiadrum.roles.daemons import REFUSAL_DELIVERY_TIMEOUT_S
 from cassiadrum.sites import LocalSite
 from cassiadrum.standins import Faults
 
@@ -71,6 +72,12 @@
         link._conn.transport.pause_reading()
 
 
+async def stop(daemon: Daemon) -> None:
+    """Wait until a daemon is drained, and close it, as its process does."""
+    assert await drain(daemon, WAIT_LIMIT_S) == 0
+    await daemon.close()
+
+
 class TestGracefulShutdown:
     """Guards against a planned stop that interrupts requests or never ends.
 
@@ -108,6 +115,48 @@
         assert (status, json.loads(body)["ran"]) == (503, "no")
         assert (await caller)[0] == 200
 
+    async def test_refusal_closes_the_connection(self, site: LocalSite) -> None:
+        """Guards against callers that keep sending to an instance that stops."""
+        caller = await start_stream(site)
+        site.entries[0].begin_drain()
+        host, _, port = site.entry_address().rpartition(":")
+        response = await HttpClient(host, int(port)).request("POST", STREAM_TARGET)
+        await response.read()
+        assert dict(response.headers)["connection"] == "close"
+        assert (await caller)[0] == 200
+
+    async def test_request_that_arrives_at_the_stop_is_refused(self, site: LocalSite) -> None:
+        """Guards against a reset in place of an answer to a request that has begun to arrive."""
+        host, _, port = site.entry_address().rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"POST {STREAM_TARGET} HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n"
+        writer.write(head.encode())
+        # The server has read the head when it has answered another connection.
+        await HttpClient(host, int(port)).request("GET", "/healthz")
+        daemon = site.entries[0]
+        daemon.begin_drain()
+        stopping = asyncio.create_task(stop(daemon))
+        # Longer than the interval at which the daemon looks whether it may stop.
+        await asyncio.sleep(0.2)
+        writer.write(b"{}")
+        answer = await reader.read()
+        await stopping
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b'"reason": "draining"' in answer and b'"ran": "no"' in answer
+
+    async def test_request_that_stops_arriving_does_not_delay_the_stop(
+        self, site: LocalSite
+    ) -> None:
+        host, _, port = site.entry_address().rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST ")
+        daemon = site.entries[0]
+        daemon.begin_drain()
+        async with asyncio.timeout(REFUSAL_DELIVERY_TIMEOUT_S + 3.0):
+            await stop(daemon)
+        writer.close()
+
     async def test_sidecar_stays_until_entry_instances_stop_sending(self, site: LocalSite) -> None:
         sidecar = site.endpoints[0].sidecar
         sidecar.begin_drain()
