Refuse requests that were never sent as not run at the drain limit

A request that waited in the queue of an entry instance at the drain limit was refused with ran: unknown, so its caller could not send a once-only request again. It now says ran: no if no attempt was made.

test_queued_request_has_not_run_at_the_drain_limit fails on the code before ('unknown' in place of 'no').

--- a/cassiadrum/roles/daemons.py
+++ b/cassiadrum/roles/daemons.py
@@ -52,7 +52,10 @@
 
     @abstractmethod
     def refuse_in_flight(self) -> None:
-        """End all requests in flight with `ran` unknown and the reason `draining`."""
+        """End all requests in flight with the reason `draining`.
+
+        `ran` is unknown unless a request was never sent to an endpoint.
+        """
 
     @abstractmethod
     def status(self) -> dict[str, Any]:
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -356,7 +356,10 @@
 
     def _refuse_all(self) -> None:
         for pending in list(self.pending.values()):
-            self._refuse(Refuse(pending.queued, "draining", ExecutionStatus.UNKNOWN, 0.0))
+            ran = (
+                ExecutionStatus.UNKNOWN if pending.attempts_made else ExecutionStatus.NOT_EXECUTED
+            )
+            self._refuse(Refuse(pending.queued, "draining", ran, 0.0))
 
     def _cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request_id)
--- a/cassiadrum/tests/test_graceful_shutdown.py
+++ b/cassiadrum/tests/test_graceful_shutdown.py
@@ -185,6 +185,21 @@
         for endpoint in site.endpoints:
             await endpoint.standin.close()
 
+    async def test_queued_request_has_not_run_at_the_drain_limit(self, site: LocalSite) -> None:
+        """Guards against a refusal that keeps its caller from sending the request again."""
+        entry = site.entries[0]
+        for endpoint in site.endpoints:
+            if endpoint.service == "permit-register":
+                endpoint.sidecar.begin_drain()
+                await drain(endpoint.sidecar, WAIT_LIMIT_S)
+        caller = asyncio.create_task(send(site, PERMIT_TARGET))
+        await until(lambda: entry.in_flight() == 1)
+        entry.begin_drain()
+        assert await drain(entry, 0.3) == EXIT_DRAIN_LIMIT
+        status, body = await caller
+        problem = json.loads(body)
+        assert (status, problem["reason"], problem["ran"]) == (503, "draining", "no")
+
     async def test_second_signal_logs_the_requests_in_flight(
         self, site: LocalSite, caplog: pytest.LogCaptureFixture
     ) -> None:
