Drop a store answer whose era cannot be read

After a restore of the store, a late answer of the older era with a damaged Store-Era header was taken for one of the newest era, so that its rows and its version counted.

StoreEra accepted each answer without a valid era, since some stores state none. Now an era that cannot be read is accepted only while no other one was read. The connection of such an answer is closed, as for an older era. A missing header is still accepted, at any time: such an answer is checked by its version alone.

test_unreadable_era_is_logged_once asserted the old rule for an era that cannot be read after a valid one. It now asserts the new rule, with and without a known era.

--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -247,11 +247,11 @@
         return response, answer
 
     def _check_era(self, response: HttpResponse) -> None:
-        """Observe the era in an answer; raise StoreUnavailable if it is older than the newest."""
+        """Observe the era in an answer; raise StoreUnavailable if it may be an older one."""
         if not self.era.observe(response.header(Header.STORE_ERA)):
             # Further answers on this connection may be as old.
             self._client.close()
-            raise StoreUnavailable("the answer predates a restore of the store")
+            raise StoreUnavailable("the answer may predate a restore of the store")
 
 
 def _check_status(response: HttpResponse) -> None:
--- a/cassiadrum/platform/store_eras.py
+++ b/cassiadrum/platform/store_eras.py
@@ -21,13 +21,14 @@
         self._unreadable_logged = False
 
     def observe(self, text: str) -> bool:
-        """Record the era stated in an answer; return False if it is older than the newest.
+        """Record the era stated in an answer; return False if it may be older than the newest.
 
-        An answer without a valid era is taken to be of the newest era.
+        An answer that states no era is taken to be of the newest era, since some stores never
+        state one. An era that cannot be read may be any once another one was read.
         """
         if not _is_readable(text):
             self._log_unreadable(text)
-            return True
+            return not text or self.number is None
         era = int(text)
         if self.number is not None and era < self.number:
             return False
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -9,11 +9,13 @@
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.standins import RowService, StoreFault
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
 from cassiadrum.platform.table_sinks import ENDPOINT_TABLE, ConfigurationSink, EndpointSink
+from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess
@@ -28,6 +30,8 @@
 )
 from cassiadrum.tests.gateways.store_machines import LAPSE_S, RETURN_GRACE_S
 
+UNREADABLE_ERAS = ("-1", "x", "1.5", "9" * 400, "\u0661")
+
 
 class TestStoreEra:
     """Guards against comparing versions from before and after a restore of the store.
@@ -42,18 +46,37 @@
         assert not era.observe("4")
         assert era.number == 5
 
-    @pytest.mark.parametrize("text", ["", "-1", "x", "1.5", "9" * 400, "\u0661"])
+    @pytest.mark.parametrize("known", [None, 7])
+    @pytest.mark.parametrize("text", ["", *UNREADABLE_ERAS])
     def test_unreadable_era_is_logged_once(
-        self, text: str, caplog: pytest.LogCaptureFixture
+        self, text: str, known: int | None, caplog: pytest.LogCaptureFixture
     ) -> None:
+        """An answer is rejected if its era may be older than the newest one."""
         era = StoreEra()
-        era.observe("7")
+        era.number = known
+        accepted = not text or known is None
         with caplog.at_level(logging.INFO):
-            assert era.observe(text)
-            assert era.observe(text)
-        assert era.number == 7
+            assert era.observe(text) is accepted
+            assert era.observe(text) is accepted
+        assert era.number == known
         assert len(caplog.records) == 1
 
+    async def test_rows_of_an_unreadable_era_are_not_returned(self) -> None:
+        eras = ["5", "x", "5"]
+
+        async def answer(exchange: Exchange) -> None:
+            page = {"rows": [], "ver": 1, "now_ms": 0, "truncated": False}
+            await exchange.send_json(200, page, ((Header.STORE_ERA, eras.pop(0)),))
+
+        server = HttpServer(answer)
+        store = RowStore(Address("127.0.0.1", await server.start("127.0.0.1", 0)))
+        await store.read_all(ENDPOINT_TABLE)
+        with pytest.raises(StoreUnavailable):
+            await store.read_all(ENDPOINT_TABLE)
+        await store.read_all(ENDPOINT_TABLE)
+        store.close()
+        await server.abort()
+
     async def test_era_is_read_from_refusals(self) -> None:
         service = RowService()
         store = RowStore(Address("127.0.0.1", await service.start()))
