--- a/cassiadrum/tests/gateways/test_cut_answers.py
+++ b/cassiadrum/tests/gateways/test_cut_answers.py
@@ -296,8 +296,8 @@
         self, monkeypatch: pytest.MonkeyPatch, kind: CallKind, name: str, iterations: int
     ) -> None:
         """The rest arrives `iterations` of the event loop after the limit, -1 for just before."""
-        monkeypatch.setattr(silence_rules, "MIN_SILENCE_S", LATE_LIMIT_S)
-        monkeypatch.setattr(silence_rules, "SOUND_PAUSE_S", LATE_LIMIT_S)
+        for limit in ("MIN_FIRST_BYTES_SILENCE_S", "MIN_EVENT_SILENCE_S", "SOUND_PAUSE_S"):
+            monkeypatch.setattr(silence_rules, limit, LATE_LIMIT_S)
         framing = FRAMINGS[name]
         sent = framing.head + framing.body
         # Inside the second event, in chunks as well.
