Let a request return to an endpoint that it never reached

An endpoint counts as tried from the start of its connection, so that a place reserved meanwhile is at another one. A request that left during a slow connection could then never be placed there again, as it could before. It may again, and such an endpoint does not count as left for silence, since nothing was sent to it. Found by reading; no test shows it.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -183,7 +183,12 @@
 
     def leave(self, reason: str) -> AttemptFailed:
         """Record that the endpoint was silent and return the error to raise."""
-        self._ctx.left_silent.add(self.view.entry.instance)
+        instance = self.view.entry.instance
+        if self._conn is None:
+            # The request was not sent, and the endpoint may accept a later connection in time.
+            self._ctx.tried.discard(instance)
+        else:
+            self._ctx.left_silent.add(instance)
         return self.fail(reason)
 
     async def _read(self, step: Awaitable[T]) -> T:
