--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -257,7 +257,9 @@
     if not route.repeatable:
         assert max(site.runs.values()) == 1
     assert max(site.runs.values()) <= route.max_attempts
-    wrong = Counter(answer.status for answer in answers if answer != (200, whole))
+    wrong = Counter(
+        f"{answer.status} {answer.body[:60]!r}" for answer in answers if answer != (200, whole)
+    )
     return ", ".join(f"{count} with {status}" for status, count in wrong.items())
 
 
