Refuse a request that arrives as its idle connection is cancelled

When the server closed, or an idle connection made room for a new one, a whole request could be read by the transport in the iteration of the event loop between the cancellation and its end. The connection was then closed without an answer.

Whether a request has begun is now decided when the wait has ended, after the sockets were polled once more, and such a request is refused with 503, ran: no. Both new tests fail on the code before with a reset.

--- a/cassiadrum/protocols/http_servers.py
+++ b/cassiadrum/protocols/http_servers.py
@@ -102,7 +102,7 @@
         self._closing = True
         for conn in self._connections.values():
             if not conn.request_started:
-                conn.cancel(UnansweredReason.SHUTDOWN_IDLE)
+                conn.end_wait(UnansweredReason.SHUTDOWN_IDLE)
         while self._connections:
             await asyncio.wait(self._connections)
         self._closed = True
@@ -195,7 +195,7 @@
             oldest = next((task for task, conn in conns if conn.waiting_for_data), None)
         if oldest is None:
             return False
-        self._connections.pop(oldest).make_room()
+        self._connections.pop(oldest).end_wait(UnansweredReason.LIMIT_CLOSED)
         return True
 
 
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -60,8 +60,8 @@
         self._task = asyncio.current_task()
         # Why the server cancelled the connection.
         self._cancel_reason: UnansweredReason | None = None
-        # Whether the incomplete request is refused to make room for a new connection.
-        self._make_room = False
+        # Whether a request that has begun to arrive is refused when the connection is cancelled.
+        self._refuses_begun = False
         # Whether the last request was refused before it had been read.
         self._refused = False
 
@@ -89,13 +89,14 @@
         """Let the current wait for a request last for at least `idle_timeout_s`."""
         self._request_reader.extend_idle_wait(idle_timeout_s)
 
-    def make_room(self) -> None:
-        """End the connection, which waits for data, to make room for a new one.
+    def end_wait(self, reason: UnansweredReason) -> None:
+        """End the connection, which waits for data.
 
-        A request that has begun to arrive is refused as not run.
+        A request that has begun to arrive when the wait has ended is refused as not run: its bytes
+        may be received in the iteration of the event loop that cancels the wait.
         """
-        self._make_room = self.request_started and not self._refused
-        self.cancel(UnansweredReason.LIMIT_CLOSED)
+        self._refuses_begun = True
+        self.cancel(reason)
 
     def cancel(self, reason: UnansweredReason) -> None:
         """Abort the connection."""
@@ -106,7 +107,7 @@
     async def refuse(self, reason: UnansweredReason) -> None:
         """Close a new connection; a request that has begun to arrive is refused as not run."""
         if self.request_started:
-            await self._refuse_unread()
+            await self._refuse_unread(reason)
             self._writer.close()
         else:
             self._abort(reason)
@@ -121,10 +122,7 @@
                 finally:
                     self._request_reader.release_body()
         except asyncio.CancelledError:
-            if self._make_room:
-                await self._refuse_unread()
-                return
-            self._abort(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
+            await self._end_cancelled(self._cancel_reason or UnansweredReason.HANDLER_ABORTED)
         except OSError:
             self._abort(UnansweredReason.CALLER_LEFT)
         except Exception:
@@ -133,6 +131,15 @@
         finally:
             self._writer.close()
 
+    async def _end_cancelled(self, reason: UnansweredReason) -> None:
+        if self._refuses_begun:
+            await receive_pending()
+        unread = self._exchange is None and self.request_started and not self._refused
+        if self._refuses_begun and unread:
+            await self._refuse_unread(reason)
+        else:
+            self._abort(reason)
+
     async def _may_read(self) -> bool:
         """Return whether to read another request: once the server closes, one that has begun."""
         if not self._is_closing() or self.request_started:
@@ -221,10 +228,13 @@
         if not exchange.answered:
             self._record(reason)
 
-    async def _refuse_unread(self) -> None:
+    async def _refuse_unread(self, reason: UnansweredReason) -> None:
+        shutdown = reason is UnansweredReason.SHUTDOWN_IDLE
+        detail = "the server shuts down" if shutdown else "too many connections are open"
         with contextlib.suppress(OSError):
             async with asyncio.timeout(REFUSAL_TIMEOUT_S):
-                await self._send_problem(BadMessage(503, "too many connections are open"))
+                await self._send_problem(BadMessage(503, detail))
+                await self._discard_rest()
 
     async def _discard_rest(self) -> None:
         """Read what the caller still sends of a refused request, for a limited time.
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -21,6 +21,7 @@
     HttpRequest,
     HttpServer,
     UnansweredReason,
+    http_servers,
 )
 from cassiadrum.roles.caller_events import AnswerData, AnswerEnd, AnswerHead
 from cassiadrum.roles.caller_handlers import AnswerFetcher, CallerHandler
@@ -665,6 +666,53 @@
         assert server.reasons == []
 
 
+class TestRequestDuringTheCancellation:
+    """Guards against a request that is received as its idle connection is cancelled.
+
+    The transport reads in the iteration of the event loop between the cancellation and its end, so
+    that a whole request was in memory when the connection was closed without an answer.
+    """
+
+    async def test_close(self, make_server: MakeServer, monkeypatch: pytest.MonkeyPatch) -> None:
+        server = await make_server()
+        with socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S) as sock:
+            await asyncio.sleep(0.05)
+            polls = 0
+
+            async def accept_pending() -> None:
+                nonlocal polls
+                polls += 1
+                for _ in range(4):
+                    await asyncio.sleep(0)
+                if polls == 2:
+                    # Too late for the last poll of `close`.
+                    sock.send(REQUEST)
+
+            monkeypatch.setattr(http_servers, "_accept_pending", accept_pending)
+            await server.server.close()
+            refusal = await asyncio.to_thread(sock.recv, 1000)
+            assert refusal.startswith(b"HTTP/1.1 503")
+        assert server.reasons == []
+
+    async def test_connection_limit(
+        self, make_server: MakeServer, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server = await make_server(connection_limit=1)
+        with socket.create_connection(("127.0.0.1", server.port), WAIT_LIMIT_S) as sock:
+            await asyncio.sleep(0.05)
+
+            async def receive_pending() -> None:
+                for _ in range(2):
+                    await asyncio.sleep(0)
+                sock.send(REQUEST)
+
+            monkeypatch.setattr(http_servers, "receive_pending", receive_pending)
+            assert await read_answer(await server.connect(REQUEST))
+            refusal = await asyncio.to_thread(sock.recv, 1000)
+            assert refusal.startswith(b"HTTP/1.1 503")
+        assert server.reasons == []
+
+
 class TestRefusedHeadRequest:
     """Guards against a refusal that is not sent because an answer to HEAD has no body."""
 
