Accept the end of a stream inside a comment

An endpoint that ended its answer within a comment after the last event, as one that keeps the connection open sends them, failed the attempt: the caller's stream was cut although it was whole. Found by a review.

Only bytes of an event fail the stream now; that its next event exists is remembered for the next attempt as before. The two cases with a part of a comment fail on the code before.

--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -100,11 +100,13 @@
     def end(self) -> None:
         """End the stream.
 
-        Raises AttemptFailed if the last event is incomplete, or if an earlier attempt had begun an
-        event that has not come. An empty answer after an attempt that broke off between events is
-        the whole rest: the last event may have been passed on already.
+        A part of a comment may be left. Raises AttemptFailed if the last event is incomplete, or
+        if an earlier attempt had begun an event that has not come. An empty answer after an attempt
+        that broke off between events is the whole rest: the last event may have been passed on
+        already.
         """
-        if self._splitter.buffered_bytes:
+        if self._splitter.discard_partial_event():
+            self._next_event_exists = True
             raise AttemptFailed("the stream ended inside an event")
         if self._next_event_exists:
             raise AttemptFailed("the stream ended before an event that had begun")
--- a/cassiadrum/tests/gateways/test_resumed_streams.py
+++ b/cassiadrum/tests/gateways/test_resumed_streams.py
@@ -259,3 +259,15 @@
         events.feed(event(1) + tail)
         events.begin_attempt()
         events.end()
+
+    @pytest.mark.parametrize("tail", [b": idle", b": idle\n", b"\n"])
+    def test_part_of_a_comment_does_not_fail_a_whole_stream(self, tail: bytes) -> None:
+        events = EventSequence("")
+        assert events.feed(event(1) + tail).startswith(event(1))
+        events.end()
+
+    def test_part_of_an_event_fails_the_stream(self) -> None:
+        events = EventSequence("")
+        events.feed(event(1) + event(2)[:-1])
+        with pytest.raises(AttemptFailed):
+            events.end()
