Do not repeat a request whose route became once-only

A configuration that makes a route once-only while a request waits at a silent endpoint came into force between the reservation of a retry and its send: the request ran twice. The same was possible before, between the failure of an attempt and the next one. Found by a review.

The gateway asks again once the route is resolved for an attempt, and answers 502 with ran: unknown. The new test fails on the code before with two runs.

--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -291,7 +291,7 @@
             with self._make_attempt(ctx, assignment) as attempt:
                 self._check_lag(ctx)
                 if not relay.started:
-                    self.configuration.resolve(ctx)
+                    self._resolve_again(ctx)
                 if ctx.service != service:
                     self._budgets.for_service(ctx.service).record_request(ctx.received_s)
                     return False
@@ -305,6 +305,16 @@
         if self.lag.behind and not ctx.sends and self._clock() > ctx.target_s:
             raise Refused("behind_its_work", LAG_RETRY_AFTER_S)
 
+    def _resolve_again(self, ctx: RequestContext) -> None:
+        """Resolve a request before an attempt; raise AttemptFailed if it may not run again.
+
+        The kind of its route may have changed since the last attempt.
+        """
+        self.configuration.resolve(ctx)
+        assert ctx.route is not None
+        if ctx.may_have_run and not ctx.route.repeatable:
+            raise AttemptFailed("the route no longer permits a retry")
+
     def _make_attempt(self, ctx: RequestContext, assignment: Assignment) -> Attempt:
         return Attempt(
             ctx,
--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -97,8 +97,8 @@
     def __init__(self, *, pause_at: int, pause_s: float) -> None:
         self.runs: list[str] = []
         self.fault = Fault.NONE
+        self.pause_s = pause_s
         self._pause_at = pause_at
-        self._pause_s = pause_s
         self._silent_until_s = 0.0
         self._server: asyncio.Server | None = None
         self._handlers: set[asyncio.Task[None]] = set()
@@ -151,8 +151,8 @@
             parts = plain_parts(request_id)
         for number, part in enumerate(parts):
             if number == self._pause_at:
-                self._silent_until_s = time.monotonic() + self._pause_s
-                await asyncio.sleep(self._pause_s)
+                self._silent_until_s = time.monotonic() + self.pause_s
+                await asyncio.sleep(self.pause_s)
             writer.write(part)
             await writer.drain()
 
@@ -199,6 +199,12 @@
             client.close()
 
 
+def make_catalog(version: int, route: Route) -> Catalog:
+    services = (ServiceSettings(SERVICE, 64, 500_000),)
+    limits = RequestLimits(16_384, 1_000_000, 3.0, 15.0)
+    return Catalog(version, (route._replace(host=HOST),), services, OpenAccess(), limits)
+
+
 @contextlib.asynccontextmanager
 async def pausing_site(
     route: Route,
@@ -213,10 +219,7 @@
     cfg = GatewaySettings("a", retry_ratio, 1.0, 10.0, 60.0, True, 2.0)
     gateway = Gateway(cfg, PlatformProtocol())
     gateway.lag = UnusedLagLimit()
-    services = (ServiceSettings(SERVICE, 64, 500_000),)
-    limits = RequestLimits(16_384, 1_000_000, 3.0, 15.0)
-    routes = (route._replace(host=HOST),)
-    gateway.configuration.set_catalog(Catalog(1, routes, services, OpenAccess(), limits))
+    gateway.configuration.set_catalog(make_catalog(1, route))
     endpoints = [
         PausingEndpoint(pause_at=pause_at, pause_s=pause_s if number < pausing else 0.0)
         for number in range(ENDPOINTS)
@@ -342,3 +345,16 @@
                 await site.endpoints[1].close()
             answers = await site.call_all(4, streams=route.kind is CallKind.STREAM)
         assert answers == [(200, whole)] * 4
+
+
+class TestChangesDuringAPause:
+    """Guards against wrong ends of a request whose retry is no longer permitted as it is sent."""
+
+    async def test_request_runs_once_after_its_route_became_once_only(self) -> None:
+        """A new configuration forbids the retry that was reserved under the old one."""
+        async with pausing_site(IDEMPOTENT, PLAIN_PAUSES["before the head"], ENDPOINTS) as site:
+            call = asyncio.create_task(site.call_all(1, streams=False))
+            await wait_until(lambda: bool(site.runs))
+            site.gateway.configuration.set_catalog(make_catalog(2, ONCE))
+            await call
+        assert list(site.runs.values()) == [1]
