Send a reserved retry in a planned stop

A request left its silent endpoint for a reserved place at another one; while the connection there took its time, the rest of the grace time became too short for a new request, and it was refused with 502 although it had been given up nowhere else.

The check before the send is for requests that have not run: those get a truthful refusal. The new test fails on the code before with 502, draining.

--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -315,6 +315,14 @@
         if ctx.may_have_run and not ctx.route.repeatable:
             raise AttemptFailed("the route no longer permits a retry")
 
+    def _check_drain(self, ctx: RequestContext) -> None:
+        """Raise Refused if a request that has not run cannot be answered before the stop.
+
+        One that was left elsewhere in favour of this attempt is sent in any case.
+        """
+        if not ctx.may_have_run:
+            self._drain.check(ctx)
+
     def _make_attempt(self, ctx: RequestContext, assignment: Assignment) -> Attempt:
         return Attempt(
             ctx,
@@ -323,7 +331,7 @@
             self._protocol,
             self._answer_memory,
             self._clock,
-            lambda: self._drain.check(ctx),
+            lambda: self._check_drain(ctx),
         )
 
     async def _place(self, ctx: RequestContext) -> Assignment:
--- a/cassiadrum/tests/gateways/test_pausing_endpoints.py
+++ b/cassiadrum/tests/gateways/test_pausing_endpoints.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 from enum import Enum
 from functools import partial
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -358,3 +358,28 @@
             site.gateway.configuration.set_catalog(make_catalog(2, ONCE))
             await call
         assert list(site.runs.values()) == [1]
+
+    async def test_retry_is_sent_although_the_time_left_ended_meanwhile(self) -> None:
+        """The connection to the other endpoint takes until a new request would be refused."""
+        async with pausing_site(
+            IDEMPOTENT, PLAIN_PAUSES["before the head"], pausing=0, pause_s=0.0
+        ) as site:
+            await site.call_all(1, streams=False)
+            for endpoint in site.endpoints:
+                endpoint.pause_s = 5.0
+            acquire = site.gateway.pool.acquire
+            targets: list[object] = []
+
+            async def acquire_late(*args: Any, **kwargs: Any) -> Any:
+                targets.append(args[0])
+                if len(targets) == 2:
+                    for endpoint in site.endpoints:
+                        endpoint.pause_s = 0.0
+                    await asyncio.sleep(0.15)
+                return await acquire(*args, **kwargs)
+
+            site.gateway.pool.acquire = acquire_late  # type: ignore[method-assign]
+            call = asyncio.create_task(site.call_all(1, streams=False))
+            await asyncio.sleep(0.05)
+            site.gateway.drain(0.6)
+            assert await call == [(200, BODY)]
