--- a/cassiadrum/gateways/event_sequences.py
+++ b/cassiadrum/gateways/event_sequences.py
@@ -101,9 +101,9 @@
         """End the stream.
 
         A part of a comment may be left. Raises AttemptFailed if the last event is incomplete, or
-        if an earlier attempt had begun an event that has not come. An empty answer after an attempt
-        that broke off between events is the whole rest: the last event may have been passed on
-        already.
+        if an earlier attempt had begun an event that has not come. An empty answer after an
+        attempt that broke off between events is the whole rest: the last event may have been
+        passed on already.
         """
         if self._splitter.discard_partial_event():
             self._next_event_exists = True
