Apply the header limit in force to kept connections

A configuration that raised the header limit did not reach connections that were open: h11 gets its limit when the connection is made, so a larger head was refused there with 431, which callers do not retry. A lowered one was not applied to an incomplete head.

h11 now keeps heads up to a fixed size, and RequestReader compares what it keeps with the limit in force. The limits are taken again when the first byte of a request arrives after a wait. Both new cases fail on the code before (431 and 200).

--- a/cassiadrum/protocols/request_readers.py
+++ b/cassiadrum/protocols/request_readers.py
@@ -124,13 +124,22 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
+            self._check_incomplete()
             started = self._head_started
             if not await self._receive(started=started):
                 return None
             if not started:
                 self._idle_since_s = None
+                # They may have changed during the wait.
+                self._limits = self._get_limits()
                 self._set_deadline(self._limits.read_timeout_s)
 
+    def _check_incomplete(self) -> None:
+        """Reject a head, or a trailer or chunk header, over the limit before it is complete."""
+        size = len(self._conn.trailing_data[0])
+        if size > self._limits.header_bytes:
+            raise BadMessage(431, f"the headers are larger than {self._limits.header_bytes} bytes")
+
     def _check_length(self, head: h11.Request) -> None:
         """Reject a body over the limit before any of it is read."""
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
@@ -148,7 +157,11 @@
             if isinstance(event, h11.Data):
                 self._reserve(len(event.data))
                 body += event.data
-            elif event is not h11.NEED_DATA or not await self._receive(started=True):
+                continue
+            if event is not h11.NEED_DATA:
+                return None
+            self._check_incomplete()
+            if not await self._receive(started=True):
                 return None
 
     async def _next_event(self) -> object:
--- a/cassiadrum/protocols/server_connections.py
+++ b/cassiadrum/protocols/server_connections.py
@@ -24,6 +24,9 @@
 # The connection does not count towards the limit any more while its refusal is sent.
 REFUSAL_TIMEOUT_S = 1.0
 DISCARD_TIMEOUT_S = 1.0
+# Size that h11 keeps of an incomplete head at most. It is fixed for a connection; RequestReader
+# checks the limit in force, which a new configuration may raise.
+MAX_HEAD_BYTES = 16 * 1024 * 1024
 PROBLEM_TYPE = "application/problem+json"
 REASON_BY_STATUS = {413: "too_large", 431: "too_large", 503: "overloaded"}
 
@@ -53,7 +56,7 @@
         self._should_close = should_close
         self._is_closing = is_closing
         self._unanswered = unanswered
-        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request_reader = RequestReader(self._conn, reader, writer, body_budget, limits)
         # The request that is being handled.
         self._exchange: Exchange | None = None
--- a/cassiadrum/tests/test_unanswered_connections.py
+++ b/cassiadrum/tests/test_unanswered_connections.py
@@ -342,6 +342,41 @@
         assert (await read_all(conn)).startswith(b"HTTP/1.1 408")
 
 
+class TestChangedHeaderLimit:
+    """Guards against requests on kept connections that are refused by an older header limit.
+
+    h11 gets its limit when the connection is made, and a caller does not retry after 431.
+    """
+
+    HEAD = b"GET /x HTTP/1.1\r\nhost: a\r\nx-long: %b\r\n\r\n" % (b"a" * 20_000)
+
+    def set_header_limit(self, server: CountingServer, limit_bytes: int) -> None:
+        server.server.set_limits(
+            header_limit_bytes=limit_bytes,
+            body_limit_bytes=10_000,
+            read_timeout_s=5.0,
+            idle_timeout_s=30.0,
+        )
+
+    @pytest.mark.parametrize("limit_bytes", [64 * 1024, 8 * 1024])
+    async def test_limit_in_force_holds_for_a_kept_connection(
+        self, make_server: MakeServer, limit_bytes: int
+    ) -> None:
+        server = await make_server()
+        self.set_header_limit(server, 72 * 1024 - limit_bytes)
+        conn = await server.connect(REQUEST)
+        await read_answer(conn)
+        await asyncio.sleep(0.05)
+        self.set_header_limit(server, limit_bytes)
+        # In two parts, so that the head is incomplete for a while.
+        conn[1].write(self.HEAD[:-10])
+        await asyncio.sleep(0.05)
+        conn[1].write(self.HEAD[-10:])
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            status_line = await conn[0].readline()
+        assert status_line.split()[1] == (b"200" if limit_bytes > len(self.HEAD) else b"431")
+
+
 class TestConnectionLimit:
     """Guards against a request under way that is lost when its connection makes room.
 
