Log and count endpoints that end as they begin answers

The logs of the incident could not tell an endpoint that ended from an answer that broke off, and named only the last shared part of a prompt. A gateway that loses an answer before its first whole event now connects to the endpoint once: a refused connection shows that its process has ended. The line names what all requests held whose answers it may have begun, also parts whose sizes cannot be read; cassiadrum_gateway_ended_endpoints_total counts them. No decision changes.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -80,6 +80,9 @@
         self._conn: EndpointConnection | None = None
         self._head: AnswerHead | None = None
         self._complete = False
+        # Whether the endpoint may be about to begin its answer: the request was sent, and neither
+        # a refusal nor a whole event or answer has been received.
+        self.beginning = False
 
     def __enter__(self) -> Self:
         return self
@@ -135,11 +138,13 @@
         ctx.deliveries += 1
         may_have_run_before = ctx.may_have_run
         ctx.may_have_run = True
+        self.beginning = True
         self.view.record_sent(RequestKind.CALL)
         self.view.prompt_cache.add(call.prompt)
         head = await self._read(read_own_head(conn, self._protocol, call.request_id))
         self._apply_notices(head)
         if head.not_run:
+            self.beginning = False
             ctx.may_have_run = may_have_run_before
             self._record_refusal(head)
             raise AttemptFailed(f"not run, status {head.status}", not_run=True)
@@ -168,6 +173,11 @@
             self.view.record_success()
         return data
 
+    @property
+    def lost_at_beginning(self) -> bool:
+        """Return whether the connection ended while the endpoint may have begun its answer."""
+        return self.beginning and self._conn is not None and self._conn.closed_by_peer
+
     def reserve_memory(self, size_bytes: int) -> None:
         """Set the bytes of the answer that are buffered; raise AttemptFailed beyond a limit."""
         if size_bytes > MAX_ANSWER_BYTES:
@@ -183,6 +193,7 @@
 
     def leave(self, reason: str) -> AttemptFailed:
         """Record that the endpoint was silent and return the error to raise."""
+        self.beginning = False
         instance = self.view.entry.instance
         if self._conn is None:
             # The request was not sent, and the endpoint may accept a later connection in time.
--- a/cassiadrum/gateways/calls.py
+++ b/cassiadrum/gateways/calls.py
@@ -19,7 +19,8 @@
 
     `key` is None without a key, and empty if the key cannot be read. `prompt` lists the parts in
     order; the last one is not shared with other requests. `timeout_s` is the caller's timeout in
-    seconds, None if not stated.
+    seconds, None if not stated. `shared_parts` identifies all parts but the last, also those that
+    `prompt` leaves out because their sizes cannot be read or because there are too many of them.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     prompt_tokens: int
     max_output_tokens: int
     last_event_id: str
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -10,6 +10,7 @@
     BadMessage,
     CallTimeout,
     ConnectFailed,
+    ConnectRefused,
     Headers,
     HttpError,
     TimeSlice,
@@ -54,12 +55,17 @@
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EndpointConnection":
-        """Connect; raise ConnectFailed, in which case nothing was sent."""
+        """Connect; raise ConnectFailed, in which case nothing was sent.
+
+        Raises ConnectRefused if no process listens at the address.
+        """
         loop = asyncio.get_running_loop()
         try:
             # The kernel may have made the connection while this process stood still.
             async with CallTimeout(timeout_s, timeout_s):
                 _, conn = await loop.create_connection(cls, address.host, address.port)
+        except ConnectionRefusedError as exc:
+            raise ConnectRefused(f"{address}: {exc}") from exc
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # An address that is none raises UnicodeError, a ValueError, or OverflowError.
             raise ConnectFailed(f"{address}: {exc or 'no connection in time'}") from exc
@@ -102,6 +108,11 @@
         """Return whether a request can be sent."""
         return self._transport is not None and not (self._eof or self._aborted)
 
+    @property
+    def closed_by_peer(self) -> bool:
+        """Return whether the endpoint closed or reset the connection."""
+        return self._eof and not self._aborted
+
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a request without waiting for the endpoint to read it.
 
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -33,6 +33,10 @@
         labels = (service, "yes" if repeated else "no")
         self._values.add("cassiadrum_gateway_failed_attempts_total", labels)
 
+    def record_ended_endpoint(self, service: str) -> None:
+        """Count an endpoint that ended as it began answers."""
+        self._values.add("cassiadrum_gateway_ended_endpoints_total", (service,))
+
     def record_unanswered_connection(self, reason: str) -> None:
         """Count a connection of a caller that ended unanswered."""
         self._values.add("cassiadrum_gateway_unanswered_connections_total", (reason,))
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -9,6 +9,7 @@
 from cassiadrum.gateways.attempts import Attempt
 from cassiadrum.gateways.call_protocols import CallProtocol
 from cassiadrum.gateways.connection_pools import ConnectionPool
+from cassiadrum.gateways.crash_watches import CrashWatch
 from cassiadrum.gateways.decision_logs import DecisionLog
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_entries import EndpointEntry
@@ -83,6 +84,7 @@
         )
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
+        self._crash_watch = CrashWatch(self._metrics)
         self.lag = LagLimit()
         self._loop_delay = LoopDelay()
 
@@ -295,7 +297,11 @@
                 if ctx.service != service:
                     self._budgets.for_service(ctx.service).record_request(ctx.received_s)
                     return False
-                await relay.run(attempt)
+                try:
+                    await relay.run(attempt)
+                except AttemptFailed:
+                    await self._crash_watch.examine(ctx, attempt)
+                    raise
                 return True
         finally:
             self._placement_queue.place_waiting(service)
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from cassiadrum.crash_evidence import Contents, customer_content, part_contents, request_content
 from cassiadrum.gateways.access import Customer
 from cassiadrum.gateways.calls import Call
 from cassiadrum.gateways.catalogs import CallKind, MoreUrgentStreams, Route
@@ -43,6 +44,8 @@
         self.deliveries = 0
         # Whether an endpoint may have run the request.
         self.may_have_run = False
+        # What the request has in common with others, by which those are found that end endpoints.
+        self.contents: Contents = {}
 
     def resolve(self, route: Route, customer: Customer | None, service: str) -> None:
         """Set route, customer and service; the first call also sets deadline and target."""
@@ -56,6 +59,7 @@
                 timeout_s = min(timeout_s, self.call.timeout_s)
             self.deadline_s = self.received_s + timeout_s
             self.target_s = self.received_s + route.target_s
+            self.contents = _find_contents(self.call, customer)
 
     @property
     def urgency(self) -> int:
@@ -108,3 +112,13 @@
         if self.sends >= self.route.max_attempts:
             return False
         return self.route.repeatable or not self.may_have_run
+
+
+def _find_contents(call: Call, customer: Customer | None) -> Contents:
+    contents = part_contents(call.shared_parts)
+    texts = (call.method, call.host, call.target, *(part.part_id for part in call.prompt))
+    fields = [text.encode(errors="surrogateescape") for text in texts]
+    contents[request_content(*fields, call.body)] = 0
+    if customer is not None:
+        contents[customer_content(customer.name)] = 0
+    return contents
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -141,6 +141,12 @@
             "Failed attempts at endpoints",
             ("service", "repeated"),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_ended_endpoints_total",
+            "counter",
+            "Endpoints that ended as they began answers to requests of this gateway",
+            ("service",),
+        ),
         MetricDefinition(
             "cassiadrum_gateway_drained_requests_total",
             "counter",
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -69,6 +69,7 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             last_event_id=req.header(Header.LAST_EVENT_ID),
+            shared_parts=_shared_part_ids(req.headers),
         )
 
     def encode_call(
@@ -201,6 +202,13 @@
     return _join_rest(parts)
 
 
+def _shared_part_ids(headers: Headers) -> tuple[str, ...]:
+    """Return the identifiers of all parts but the last, whatever their sizes say."""
+    lines = [value for name, value in headers if name == Header.PROMPT_PARTS]
+    items = [item.partition(":")[0].strip() for line in lines for item in line.split(",")]
+    return tuple(items[:-1])
+
+
 def _join_rest(parts: list[PromptPart]) -> tuple[PromptPart, ...]:
     """Return the parts, with those beyond MAX_PROMPT_PARTS as a part of the last one."""
     kept, rest = parts[: MAX_PROMPT_PARTS - 1], parts[MAX_PROMPT_PARTS - 1 :]
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -7,6 +7,7 @@
     BadMessage,
     BodyTooLarge,
     ConnectFailed,
+    ConnectRefused,
     HttpError,
 )
 from cassiadrum.protocols.exchanges import Exchange, Handler
@@ -26,6 +27,7 @@
     "BodyTooLarge",
     "CallTimeout",
     "ConnectFailed",
+    "ConnectRefused",
     "Exchange",
     "Handler",
     "Headers",
--- a/cassiadrum/tests/gateways/makers.py
+++ b/cassiadrum/tests/gateways/makers.py
@@ -34,6 +34,7 @@
         prompt_tokens=tokens,
         max_output_tokens=100,
         last_event_id="",
+        shared_parts=tuple(part.part_id for part in prompt[:-1]),
     )
 
 
