Refuse requests whose contents end endpoint after endpoint

Cause: a failed attempt was held against the endpoint, never against what the request holds.

Now the contents of all requests whose answers an ended endpoint may have begun are evidence: the shared parts of the prompt, the whole request, the customer. find_causes() blames the content that explains crashes at three moments (five where answers were begun on it), one at a time, so that what is merely beside a harmful content is not blamed; endpoints that end together, as in a zone that fails, are one moment. A whole answer voids earlier evidence. Gateways tell their crashes, and answers on contents that others may blame, in their rows of the store's table; all compute the same. A belief ends with a whole answer or an hour after the last crash; it outlasts restarts, as rows with evidence are adopted and kept.

Requests with a blamed content get 503 harmful_content with ran: no at once, also in the queue and before a send; those that an endpoint has not begun are withdrawn. A request that was lost as its answer began is sent on only once its parts are free of suspicion, for which it waits half a second. Part names are bounded and normalised, sizes and counts are not trusted, and what is kept of a crash is limited by chance, not by name or place.

The kinds of news in the rows of gateways are classes of their own (FleetNews) in place of further arguments of FleetSink and FleetRegistration. The table is read whenever the store's version rises, as a gateway cannot know otherwise that others have evidence.

--- a/cassiadrum/crash_evidence/__init__.py
+++ b/cassiadrum/crash_evidence/__init__.py
@@ -8,12 +8,24 @@
     part_contents,
     request_content,
 )
+from cassiadrum.crash_evidence.crash_boards import CrashBoard, CrashNews, HarmfulContent
+from cassiadrum.crash_evidence.crash_causes import HarmEvidence, find_causes
+from cassiadrum.crash_evidence.crash_records import EVIDENCE_S
+from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
 
 __all__ = [
+    "EVIDENCE_S",
+    "AnsweredContent",
     "Content",
     "ContentKind",
     "Contents",
+    "CrashBoard",
+    "CrashNews",
+    "EndpointCrash",
+    "HarmEvidence",
+    "HarmfulContent",
     "customer_content",
+    "find_causes",
     "part_contents",
     "request_content",
 ]
--- a/cassiadrum/crash_evidence/contents.py
+++ b/cassiadrum/crash_evidence/contents.py
@@ -3,7 +3,7 @@
 import hashlib
 import re
 from collections.abc import Iterable
-from enum import Enum
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 __all__ = [
@@ -21,7 +21,7 @@
 HEX_NAME = re.compile(r"[0-9a-fA-F]+", re.ASCII)
 
 
-class ContentKind(Enum):
+class ContentKind(StrEnum):
     """What a request has in common with others.
 
     The kinds are in the order in which they are blamed for equal evidence: blaming a part of a
@@ -40,11 +40,11 @@
     name: str
 
     def __str__(self) -> str:
-        return f"{self.kind.value}:{self.name}"
+        return f"{self.kind}:{self.name}"
 
 
-# Contents of one request with their depth. That of a part is its position in the prompt: a part
-# is used by fewer requests than those before it.
+# Contents of one request with their depth. That of a part is its position in the prompt, as a part
+# is used by fewer requests than those before it. That of a whole request is the number of parts.
 Contents = dict[Content, int]
 
 
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -11,7 +11,8 @@
 from cassiadrum.gateways.catalogs import CallKind
 from cassiadrum.gateways.connection_pools import ConnectionPool
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
-from cassiadrum.gateways.errors import AttemptFailed
+from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.errors import HARMFUL_CONTENT, AttemptFailed
 from cassiadrum.gateways.placement_policies import MIN_FIRST_BYTES_MS, PREFILL_TOKENS_PER_MS
 from cassiadrum.gateways.placement_queues import Assignment
 from cassiadrum.gateways.request_contexts import RequestContext
@@ -56,6 +57,8 @@
         answer_memory: MemoryBudget,
         clock: Callable[[], float],
         before_send: Callable[[], None] = lambda: None,
+        on_begun: Callable[[], None] = lambda: None,
+        has_ended: Callable[[EndpointView], Awaitable[bool]] | None = None,
     ) -> None:
         self.view = assignment.view
         self._ctx = ctx
@@ -67,6 +70,12 @@
         self._clock = clock
         # Called when the connection is open; may raise Refused.
         self._before_send = before_send
+        # Called when the endpoint has begun its answer and goes on.
+        self._on_begun = on_begun
+        # Returns whether an endpoint has ended without having announced it.
+        self._has_ended = has_ended
+        # Whether the request was withdrawn because of what it holds.
+        self._withdrawn = False
         self._prefill_tokens = assignment.prefill_tokens
         self._prefilling = True
         # Number of other requests at the endpoint that have no first bytes yet.
@@ -169,15 +178,40 @@
         assert self._conn is not None
         data = await self._read(self._conn.read_data())
         if data is None:
+            await self._check_end()
             self._complete = True
             self.view.record_success()
         return data
 
+    async def _check_end(self) -> None:
+        """Raise AttemptFailed if an answer without a length ended with its endpoint.
+
+        An endpoint that crashes closes its connections like one that has sent its whole answer.
+        """
+        assert self._conn is not None
+        if not self._conn.ends_with_connection or self._has_ended is None:
+            return
+        if await self._has_ended(self.view):
+            raise self.fail("the endpoint ended with its answer")
+
     @property
     def lost_at_beginning(self) -> bool:
         """Return whether the connection ended while the endpoint may have begun its answer."""
         return self.beginning and self._conn is not None and self._conn.closed_by_peer
 
+    def record_begun(self) -> None:
+        """Record that the endpoint has begun its answer and goes on."""
+        if self.beginning:
+            self.beginning = False
+            self._on_begun()
+
+    def withdraw(self) -> None:
+        """Close the connection, so that the endpoint does not begin the answer."""
+        self._withdrawn = True
+        self.beginning = False
+        if self._conn is not None:
+            self._conn.abort()
+
     def reserve_memory(self, size_bytes: int) -> None:
         """Set the bytes of the answer that are buffered; raise AttemptFailed beyond a limit."""
         if size_bytes > MAX_ANSWER_BYTES:
@@ -208,6 +242,8 @@
             self.view.last_received_s = self._clock()
             return found
         except (AnswerLost, BadMessage) as exc:
+            if self._withdrawn:
+                raise AttemptFailed(HARMFUL_CONTENT) from exc
             if self._conn is None or not self._conn.reused or self._head is not None:
                 self.view.record_failure(self._clock())
             raise AttemptFailed(f"answer lost: {exc}") from exc
--- a/cassiadrum/gateways/crash_watches.py
+++ b/cassiadrum/gateways/crash_watches.py
@@ -1,14 +1,17 @@
-"""Endpoints that end as they begin answers."""
+"""Requests under which endpoints end as they begin the answer."""
 
 import asyncio
+import contextlib
 import logging
+from collections.abc import Callable
 from typing import Final
 
-from cassiadrum.crash_evidence import Contents
+from cassiadrum.crash_evidence import Content, Contents, CrashBoard, HarmEvidence
 from cassiadrum.gateways.attempts import Attempt
 from cassiadrum.gateways.endpoint_endings import EndpointEndings, EndpointState
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
+from cassiadrum.gateways.errors import HarmfulRequest
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.logs import RATE_LIMITED_FIELD
@@ -18,20 +21,63 @@
 logger = logging.getLogger(__name__)
 
 MAX_LOGGED_CONTENTS: Final = 24
+MAX_LOGGED_ENDPOINTS: Final = 8
+# Time for which a request waits until it is known why its endpoint ended. Its caller is told
+# sooner than its own timeout, and may try again.
+MAX_HOLD_S: Final = 0.5
 
 
 class CrashWatch:
-    """Collects what the requests held whose endpoint ended as it may have begun their answers."""
+    """Finds the contents that end endpoints, and keeps requests that hold them from all others.
 
-    def __init__(self, metrics: GatewayMetrics) -> None:
+    An endpoint that loses an answer before the first whole event is checked. If it has ended, what
+    the requests held whose answers it may have begun is evidence, which the board weighs. When a
+    content is found to be harmful, the attempts are withdrawn whose endpoints have not begun to
+    answer, and `on_harmful` is called.
+    """
+
+    def __init__(self, board: CrashBoard, metrics: GatewayMetrics) -> None:
+        self.on_harmful: Callable[[], None] = lambda: None
+        self._board = board
+        board.on_change = self._board_changed
         self._metrics = metrics
         self._endings = EndpointEndings()
         # Contents of the requests whose endpoint is being checked, and the checks.
         self._lost: dict[Incarnation, Contents] = {}
         self._checks: dict[Incarnation, asyncio.Task[EndpointState]] = {}
+        # Attempts that an endpoint may be about to answer.
+        self._running: dict[Attempt, RequestContext] = {}
+        # Contents that were harmful at the last change of the board.
+        self._harmful: dict[Content, HarmEvidence] = {}
+        # Replaced and set at each change of the board.
+        self._changed = asyncio.Event()
+
+    def start(self, ctx: RequestContext, attempt: Attempt) -> None:
+        """Record an attempt that is about to be sent."""
+        self._running[attempt] = ctx
+
+    def end(self, attempt: Attempt) -> None:
+        """Record the end of an attempt."""
+        del self._running[attempt]
+
+    def find_refusal(self, ctx: RequestContext) -> HarmfulRequest | None:
+        """Return the refusal of a request that holds a harmful content, None for any other."""
+        found = self._board.find_harmful(ctx.contents)
+        if found is None:
+            return None
+        fields = self._describe(found.content, found.evidence)
+        return HarmfulRequest(self._board.ends_in_s(found.evidence), **fields)
+
+    def check(self, ctx: RequestContext) -> None:
+        """Raise HarmfulRequest if a request holds a harmful content."""
+        refusal = self.find_refusal(ctx)
+        if refusal is not None:
+            self._metrics.record_harmful_request(ctx.service)
+            raise refusal
 
     async def examine(self, ctx: RequestContext, attempt: Attempt) -> None:
         """Find out whether the endpoint of a failed attempt has ended."""
+        ctx.lost_at_beginning = False
         if not attempt.lost_at_beginning:
             return
         view = attempt.view
@@ -41,7 +87,43 @@
         if task is None:
             task = self._checks[target] = asyncio.create_task(self._check(view))
         # The check goes on if the caller leaves.
-        await asyncio.shield(task)
+        state = await asyncio.shield(task)
+        ctx.lost_at_beginning = state is not EndpointState.RUNNING
+
+    async def has_ended(self, view: EndpointView) -> bool:
+        """Return whether an endpoint has ended without having announced it."""
+        if view.is_expected_to_end:
+            return False
+        return await self._endings.check(view.entry) is EndpointState.ENDED
+
+    async def allows_repeat(self, ctx: RequestContext, left_s: float) -> bool:
+        """Return whether a request may be sent on after an attempt failed.
+
+        Waits for a limited time, at most `left_s` seconds, while the request may be what ended its
+        endpoint.
+        """
+        if ctx.lost_at_beginning:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(left_s, MAX_HOLD_S)):
+                    while self._is_undecided(ctx):
+                        await self._changed.wait()
+        if self._board.find_harmful(ctx.contents) is not None:
+            return False
+        return not ctx.lost_at_beginning or not self._board.is_suspect(ctx.contents)
+
+    def set_metrics(self) -> None:
+        """Set the gauges of the harmful contents."""
+        self._metrics.set_harmful_contents(
+            {
+                content: (evidence.crashes, self._board.age_s(evidence))
+                for content, evidence in self._board.harmful.items()
+            }
+        )
+
+    def _is_undecided(self, ctx: RequestContext) -> bool:
+        if self._board.find_harmful(ctx.contents) is not None:
+            return False
+        return self._board.is_suspect(ctx.contents)
 
     async def _check(self, view: EndpointView) -> EndpointState:
         target = view.entry.incarnation
@@ -50,26 +132,65 @@
         finally:
             del self._checks[target]
             contents = self._lost.pop(target)
-        if state is EndpointState.ENDED and not _is_leaving(view):
+        if state is EndpointState.ENDED and not view.is_expected_to_end:
             self._record_crash(view.entry, contents)
         return state
 
     def _record_crash(self, entry: EndpointEntry, contents: Contents) -> None:
         self._metrics.record_ended_endpoint(entry.service)
         names = [str(content) for content in contents]
-        logger.info(
+        _log(
             "endpoint ended as it began answers",
-            extra={
-                "endpoint": entry.instance,
-                "service": entry.service,
-                "zone": entry.zone,
-                "contents": names[:MAX_LOGGED_CONTENTS],
-                "left_out_contents": max(0, len(names) - MAX_LOGGED_CONTENTS),
-                RATE_LIMITED_FIELD: True,
-            },
+            endpoint=entry.instance,
+            service=entry.service,
+            zone=entry.zone,
+            contents=names[:MAX_LOGGED_CONTENTS],
+            left_out_contents=max(0, len(names) - MAX_LOGGED_CONTENTS),
         )
+        self._board.record_crash(_endpoint_name(entry.incarnation), contents)
+
+    def _board_changed(self) -> None:
+        harmful = dict(self._board.harmful)
+        for content, evidence in harmful.items():
+            if content not in self._harmful:
+                _log(
+                    "requests refused that hold a content under which endpoints ended",
+                    **self._describe(content, evidence),
+                )
+        for content in self._harmful.keys() - harmful.keys():
+            _log("requests no longer refused for a content", content=str(content))
+        added = harmful.keys() - self._harmful.keys()
+        self._harmful = harmful
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if added:
+            self._withdraw()
+            self.on_harmful()
+
+    def _withdraw(self) -> None:
+        """Withdraw requests with harmful contents whose endpoints have not begun to answer."""
+        for attempt, ctx in self._running.items():
+            if attempt.beginning and self._board.find_harmful(ctx.contents) is not None:
+                attempt.withdraw()
+
+    def _describe(self, content: Content, evidence: HarmEvidence) -> dict[str, object]:
+        """Return a belief, its evidence and the age of that as log fields."""
+        return {
+            "content": str(content),
+            "crashes": evidence.crashes,
+            "moments": evidence.moments,
+            "endpoints": list(evidence.endpoints[-MAX_LOGGED_ENDPOINTS:]),
+            "last_crash_age_s": round(self._board.age_s(evidence), 3),
+            "evidence_s": round(evidence.last_s - evidence.first_s, 3),
+            "ends_in_s": round(self._board.ends_in_s(evidence)),
+        }
+
+
+def _endpoint_name(incarnation: Incarnation) -> str:
+    """Return a name that no other start of the endpoint has, at any gateway."""
+    return f"{incarnation.instance} {incarnation.address} {incarnation.started_ms}"
 
 
-def _is_leaving(view: EndpointView) -> bool:
-    """Return whether the endpoint announced that it would end."""
-    return view.leaving or view.entry.leaving
+def _log(event: str, **fields: object) -> None:
+    """Log a finding; the rate at which endpoints end limits the number of these lines."""
+    logger.info(event, extra={RATE_LIMITED_FIELD: True, **fields})
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -28,6 +28,8 @@
 MAX_FRAMING_BYTES = 64 * 1024
 # Interim (1xx) answers that an endpoint may send before the final one.
 MAX_INTERIM_ANSWERS = 8
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -49,6 +51,8 @@
         self._body_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
+        # Whether the body of the current answer has no length and ends with the connection.
+        self.ends_with_connection = False
         self._eof = False
         self._lost_exc: Exception | None = None
         self._aborted = False
@@ -139,6 +143,7 @@
         for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.ends_with_connection = self._has_unknown_length(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerLost("the connection ended before the answer")
@@ -197,6 +202,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _has_unknown_length(self, response: h11.Response) -> bool:
+        """Return whether the body of an answer has neither a length nor chunks."""
+        request = self._request[0]
+        assert isinstance(request, h11.Request)
+        if request.method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+            return False
+        return not any(name in FRAMING_HEADERS for name, _ in response.headers)
+
     async def _next_event(self) -> object:
         """Return the next event; wait for data, and let other tasks run while there is much."""
         while True:
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -143,6 +143,7 @@
     def _drop(self, instance: str, reason: str, now: float) -> None:
         self._lapsed.pop(instance, None)
         view = self._views.pop(instance)
+        view.registered = False
         left = view.leaving or view.entry.leaving
         self._removed.add(
             view.entry.incarnation, now, left=left, paused_until_s=view.paused_until_s
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -64,6 +64,8 @@
         self.full_until_s = 0.0
         # Whether this incarnation announced its shutdown in an answer.
         self.leaving = False
+        # Whether this incarnation is in the list of endpoints.
+        self.registered = True
         # End of the pause that the endpoint requested from this gateway. The monotonic clock stops
         # while the machine is suspended, which can only extend a pause.
         self.paused_until_s = 0.0
@@ -168,6 +170,11 @@
         self.full_until_s = max(self.full_until_s, now + pause_s)
         self._log("endpoint says that it is full", pause_ms=round(pause_s * 1000))
 
+    @property
+    def is_expected_to_end(self) -> bool:
+        """Return whether the endpoint announced its shutdown, or was taken off the list."""
+        return self.leaving or self.entry.leaving or not self.registered
+
     def mark_leaving(self) -> None:
         """Record that the endpoint announced its shutdown; it gets no new requests."""
         if not self.leaving:
--- a/cassiadrum/gateways/errors.py
+++ b/cassiadrum/gateways/errors.py
@@ -2,7 +2,18 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = ["IMMEDIATE_RETRY_AFTER_S", "AttemptFailed", "Denied", "GatewayError", "Refused"]
+__all__ = [
+    "HARMFUL_CONTENT",
+    "IMMEDIATE_RETRY_AFTER_S",
+    "AttemptFailed",
+    "Denied",
+    "GatewayError",
+    "HarmfulRequest",
+    "Refused",
+]
+
+# Reason of answers to requests with a content under which endpoints end.
+HARMFUL_CONTENT = "harmful_content"
 
 # Retry-After in seconds where the next request may succeed at another gateway or endpoint.
 IMMEDIATE_RETRY_AFTER_S = 0.02
@@ -25,6 +36,13 @@
         self.inputs = inputs
 
 
+class HarmfulRequest(Refused):
+    """The request holds a content that ends endpoints; no endpoint gets it."""
+
+    def __init__(self, retry_after_s: float, **inputs: object) -> None:
+        super().__init__(HARMFUL_CONTENT, retry_after_s, **inputs)
+
+
 class Denied(GatewayError):
     """The configuration does not allow the request."""
 
--- a/cassiadrum/gateways/fleets.py
+++ b/cassiadrum/gateways/fleets.py
@@ -20,8 +20,6 @@
 TURN_S: Final = 20.0
 # Time after the first list for which a new gateway waits for its registration.
 JOIN_WAIT_S: Final = 1.0
-# Time after the last use of a share for which the list of members is kept current.
-USE_S: Final = 5.0
 
 
 class FleetMember(NamedTuple):
@@ -138,7 +136,6 @@
         self._valid_until_s = float("inf")
         # Boot time at which the clock that all gateways share was 0.
         self._shared_clock_zero_s = 0.0
-        self._used_s = float("-inf")
         # Turn and rank of this gateway among the counted members by figure.
         self._ranks: dict[str, tuple[int, int]] = {}
 
@@ -147,16 +144,6 @@
         """Return the number of registered gateways, this one included."""
         return len(self._members) + (self._name not in self._members)
 
-    @property
-    def is_needed(self) -> bool:
-        """Return whether the list of members should be kept current.
-
-        A list is also needed once after the start, from the time when this gateway counts:
-        gateways that start together read their first lists before all of them are registered.
-        """
-        now = self._boot_clock()
-        return now < self._used_s + USE_S or self._confirmed_s < self._active_s <= now
-
     @property
     def is_settled(self) -> bool:
         """Return whether the list contains this gateway, or the wait for it has ended."""
@@ -205,7 +192,6 @@
     def share(self, key: str, max_holders: int) -> float:
         """Return the fraction of a figure that this gateway may use now."""
         now = self._boot_clock()
-        self._used_s = now
         fraction = self._usable_fraction(now)
         if fraction == 0.0:
             return 0.0
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Mapping
 
+from cassiadrum.crash_evidence import Content
 from cassiadrum.gateways.request_drains import DrainResult
 from cassiadrum.gateways.request_limits import RequestLimit
 from cassiadrum.gateways.sent_requests import SentRequests
@@ -37,6 +38,22 @@
         """Count an endpoint that ended as it began answers."""
         self._values.add("cassiadrum_gateway_ended_endpoints_total", (service,))
 
+    def record_harmful_request(self, service: str) -> None:
+        """Count a request that was refused because of what it holds."""
+        self._values.add("cassiadrum_gateway_harmful_requests_total", (service,))
+
+    def set_harmful_contents(self, found: Mapping[Content, tuple[int, float]]) -> None:
+        """Set the crashes and the seconds since the last one of each harmful content."""
+        names = (
+            "cassiadrum_gateway_harmful_content_crashes",
+            "cassiadrum_gateway_harmful_content_age_seconds",
+        )
+        for name in names:
+            self._values.clear(name)
+        for content, values in found.items():
+            for name, value in zip(names, values, strict=True):
+                self._values.set(name, (content.kind, content.name), value)
+
     def record_unanswered_connection(self, reason: str) -> None:
         """Count a connection of a caller that ended unanswered."""
         self._values.add("cassiadrum_gateway_unanswered_connections_total", (reason,))
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -1,9 +1,11 @@
 """The gateway: an entry instance that reaches endpoints directly."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 
+from cassiadrum.crash_evidence import CrashBoard
 from cassiadrum.gateways.active_configurations import ActiveConfiguration
 from cassiadrum.gateways.answer_writers import AnswerWriter
 from cassiadrum.gateways.attempts import Attempt
@@ -14,7 +16,13 @@
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_entries import EndpointEntry
 from cassiadrum.gateways.endpoint_views import EndpointView
-from cassiadrum.gateways.errors import IMMEDIATE_RETRY_AFTER_S, AttemptFailed, Denied, Refused
+from cassiadrum.gateways.errors import (
+    IMMEDIATE_RETRY_AFTER_S,
+    AttemptFailed,
+    Denied,
+    HarmfulRequest,
+    Refused,
+)
 from cassiadrum.gateways.fleets import FleetShares, SingleGateway
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.gateway_settings import GatewaySettings
@@ -84,7 +92,9 @@
         )
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
-        self._crash_watch = CrashWatch(self._metrics)
+        self.crash_board = CrashBoard(boot_clock, random.Random())
+        self._crash_watch = CrashWatch(self.crash_board, self._metrics)
+        self._crash_watch.on_harmful = self._refuse_harmful
         self.lag = LagLimit()
         self._loop_delay = LoopDelay()
 
@@ -128,6 +138,7 @@
             self._loop_delay.record(now - due_s, now)
             self.directory.expire(now)
             self.pool.expire(now)
+            self.crash_board.expire()
             self._placement_queue.place_all_waiting()
 
     def endpoints_changed(self) -> None:
@@ -147,6 +158,7 @@
             self._metrics.set_request_limits(service, limited)
         self._metrics.set_sent_requests(self._sent_requests)
         self._metrics.set_drained_requests(self._drain.counts)
+        self._crash_watch.set_metrics()
         self._metrics.set_fleet_size(self._fleet.size)
         self._metrics.set_loop_delay(self._loop_delay)
         version = self.configuration.version
@@ -201,6 +213,7 @@
             self.configuration.resolve(ctx)
             self._log.record(ctx, "received", **ctx.describe())
             self._budgets.for_service(ctx.service).record_request(ctx.received_s)
+            self._crash_watch.check(ctx)
             self._watch_caller(ctx, exchange)
             async with self._drain.running(ctx, exchange):
                 await self._serve(ctx, relay)
@@ -265,14 +278,16 @@
                 if await self._attempt(ctx, relay, relay.retries.take()):
                     return
             except AttemptFailed as exc:
-                repeat = relay.can_continue and (relay.retries.try_spend() or relay.try_return())
+                repeat = await self._may_repeat(ctx, relay) and (
+                    relay.retries.try_spend() or relay.try_return()
+                )
                 self._log.record(ctx, "attempt failed", reason=exc.reason, repeated=repeat)
                 self._metrics.record_failed_attempt(ctx.service, repeat)
                 if not repeat:
                     await self._give_up(ctx, relay, exc)
                     return
             except Refused as exc:
-                if relay.try_return():
+                if not isinstance(exc, HarmfulRequest) and relay.try_return():
                     self._log.record(ctx, "returned to a silent endpoint", reason=exc.reason)
                 elif ctx.may_have_run or relay.started:
                     raise AttemptFailed(exc.reason) from exc
@@ -297,15 +312,36 @@
                 if ctx.service != service:
                     self._budgets.for_service(ctx.service).record_request(ctx.received_s)
                     return False
-                try:
-                    await relay.run(attempt)
-                except AttemptFailed:
-                    await self._crash_watch.examine(ctx, attempt)
-                    raise
+                await self._run(ctx, relay, attempt)
                 return True
         finally:
             self._placement_queue.place_waiting(service)
 
+    async def _run(self, ctx: RequestContext, relay: Relay, attempt: Attempt) -> None:
+        """Make an attempt, and record what it tells of the request's contents."""
+        self._crash_watch.start(ctx, attempt)
+        try:
+            await relay.run(attempt)
+        except AttemptFailed:
+            await self._crash_watch.examine(ctx, attempt)
+            raise
+        finally:
+            self._crash_watch.end(attempt)
+        # A stream without an event does not show that an answer can be made.
+        if attempt.head.status < 300 and not attempt.beginning:
+            self.crash_board.record_answered(ctx.contents)
+
+    async def _may_repeat(self, ctx: RequestContext, relay: Relay) -> bool:
+        """Return whether a failed request may be sent on, as far as its answer and contents go."""
+        if not relay.can_continue:
+            return False
+        if ctx.lost_at_beginning and not ctx.may_repeat():
+            return False
+        return await self._crash_watch.allows_repeat(ctx, ctx.deadline_s - self._clock())
+
+    def _refuse_harmful(self) -> None:
+        self._placement_queue.refuse(self._crash_watch.find_refusal)
+
     def _check_lag(self, ctx: RequestContext) -> None:
         """Raise Refused if this process is behind and the caller may have left at its target."""
         if self.lag.behind and not ctx.sends and self._clock() > ctx.target_s:
@@ -321,11 +357,13 @@
         if ctx.may_have_run and not ctx.route.repeatable:
             raise AttemptFailed("the route no longer permits a retry")
 
-    def _check_drain(self, ctx: RequestContext) -> None:
-        """Raise Refused if a request that has not run cannot be answered before the stop.
+    def _check_send(self, ctx: RequestContext) -> None:
+        """Raise Refused if a request must not be sent any more.
 
-        One that was left elsewhere in favour of this attempt is sent in any case.
+        One that has not run cannot be answered before a stop; one that was left elsewhere in
+        favour of this attempt is sent in any case, unless its contents end endpoints.
         """
+        self._crash_watch.check(ctx)
         if not ctx.may_have_run:
             self._drain.check(ctx)
 
@@ -337,7 +375,9 @@
             self._protocol,
             self._answer_memory,
             self._clock,
-            lambda: self._check_drain(ctx),
+            lambda: self._check_send(ctx),
+            lambda: self.crash_board.record_begun(ctx.contents),
+            self._crash_watch.has_ended,
         )
 
     async def _place(self, ctx: RequestContext) -> Assignment:
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -146,6 +146,14 @@
         for service in self._queues:
             self.place_waiting(service)
 
+    def refuse(self, find_refusal: Callable[[RequestContext], Refused | None]) -> None:
+        """Refuse the queued requests for which a function returns a refusal."""
+        for ctx, fut in list(self._futures.items()):
+            exc = None if fut.done() else find_refusal(ctx)
+            if exc is not None:
+                self._queues[ctx.service].remove(ctx)
+                fut.set_exception(exc)
+
     def _is_preceded(self, ctx: RequestContext) -> bool:
         """Return whether a queued request goes before the given one."""
         queue = self._queues.get(ctx.service)
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -123,7 +123,7 @@
             except TimeoutError as exc:
                 raise attempt.leave("the answer stalled") from exc
             if data is None:
-                attempt.beginning = False
+                attempt.record_begun()
                 return BufferedAnswer(attempt.head, b"".join(parts))
             parts.append(data)
             size += len(data)
@@ -154,7 +154,7 @@
             complete = self._feed(attempt, data)
             if self._events.data_events > before:
                 # Bytes and comments that do not complete an event are not progress.
-                attempt.beginning = False
+                attempt.record_begun()
                 now = self._clock()
                 longest_gap_s = max(longest_gap_s, now - progress_s)
                 if has_events:
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -44,6 +44,8 @@
         self.deliveries = 0
         # Whether an endpoint may have run the request.
         self.may_have_run = False
+        # Whether its last endpoint may have ended as it began the answer.
+        self.lost_at_beginning = False
         # What the request has in common with others, by which those are found that end endpoints.
         self.contents: Contents = {}
 
@@ -118,7 +120,7 @@
     contents = part_contents(call.shared_parts)
     texts = (call.method, call.host, call.target, *(part.part_id for part in call.prompt))
     fields = [text.encode(errors="surrogateescape") for text in texts]
-    contents[request_content(*fields, call.body)] = 0
+    contents[request_content(*fields, call.body)] = len(call.shared_parts)
     if customer is not None:
         contents[customer_content(customer.name)] = 0
     return contents
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -147,6 +147,24 @@
             "Endpoints that ended as they began answers to requests of this gateway",
             ("service",),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_harmful_requests_total",
+            "counter",
+            "Requests refused because of a content under which endpoints ended",
+            ("service",),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_harmful_content_crashes",
+            "gauge",
+            "Endpoints that ended under a content whose requests are refused",
+            ("kind", "content"),
+        ),
+        MetricDefinition(
+            "cassiadrum_gateway_harmful_content_age_seconds",
+            "gauge",
+            "Time since the last endpoint ended under a content whose requests are refused",
+            ("kind", "content"),
+        ),
         MetricDefinition(
             "cassiadrum_gateway_drained_requests_total",
             "counter",
--- a/cassiadrum/platform/fleet_registrations.py
+++ b/cassiadrum/platform/fleet_registrations.py
@@ -4,19 +4,20 @@
 import contextlib
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
 
-from cassiadrum.gateways import Fleet, LimitBoard
+from cassiadrum.gateways import Fleet
 from cassiadrum.platform.errors import WriteConflict
+from cassiadrum.platform.fleet_news import FleetNews, NewsTiming
 from cassiadrum.platform.fleet_sinks import FLEET_TABLE, FleetSink
-from cassiadrum.platform.member_rows import MemberRow, decode_news, encode_news
+from cassiadrum.platform.member_rows import MemberRow
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.stores.errors import StoreUnavailable
 
-__all__ = ["NEWS_INTERVAL_S", "RESTART_S", "FleetRegistration"]
+__all__ = ["RESTART_S", "FleetRegistration"]
 
 logger = logging.getLogger(__name__)
 
@@ -27,8 +28,6 @@
 LEASE_INTERVALS: Final = 2.5
 # Time for which a write whose answer was lost may still be carried out by the store.
 LATE_WRITE_S: Final = 10.0
-# Shortest time between two writes for news.
-NEWS_INTERVAL_S: Final = 1.0
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 30.0
 # Time after the end of a planned stop within which a process that starts again finds its row.
@@ -46,15 +45,16 @@
         self,
         store: RowStore,
         fleet: Fleet,
-        limits: LimitBoard,
+        news: Sequence[FleetNews],
         sink: FleetSink,
         name: str,
         boot_clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._fleet = fleet
-        self._limits = limits
-        limits.on_news = self._schedule_news
+        self._news = news
+        for channel in news:
+            channel.on_news = self._schedule_news
         self._sink = sink
         self._name = name
         self._boot_clock = boot_clock
@@ -129,8 +129,9 @@
         row = MemberRow(
             joined_ms=(joined_s - zero_s) * 1000,
             expires_ms=(expires_s - zero_s) * 1000,
-            limits=[encode_news(news) for news in self._limits.own_news()],
         )
+        for channel in self._news:
+            channel.encode(row, zero_s)
         # News that arrive during the write are due after it.
         self._written_s, self._renew_s = now, now + interval_s
         version = await self._write(msgspec.json.encode(row), now)
@@ -146,6 +147,7 @@
                 "gateways": self._fleet.size,
                 "known": known_before,
                 "limits": len(row.limits),
+                "crashes": len(row.crashes),
             },
         )
 
@@ -156,9 +158,11 @@
         interval_s = max(MIN_RENEWAL_INTERVAL_S, RENEWAL_INTERVAL_PER_GATEWAY_S * self._fleet.size)
         return interval_s, LEASE_INTERVALS * interval_s
 
-    def _schedule_news(self) -> None:
-        """Write the row soon, for a request limit that changed."""
-        self._renew_s = min(self._renew_s, self._written_s + NEWS_INTERVAL_S)
+    def _schedule_news(self, timing: NewsTiming) -> None:
+        """Write the row soon, for something that the others should know."""
+        now = self._boot_clock()
+        due_s = max(self._written_s + timing.interval_s, now + timing.delay_s)
+        self._renew_s = min(self._renew_s, due_s)
         self._sink.updated.set()
 
     def _adopt(self, now: float) -> bool:
@@ -169,13 +173,21 @@
         row = self._sink.own
         if row is None or self._joined_s is not None:
             return False
+        registered = self._adopt_registration(row, now)
+        for channel in self._news:
+            channel.adopt(row, self._sink.store_zero_s, registered=registered)
+        if not registered or self._joined_s is None:
+            return False
+        return self._joined_s + LATE_WRITE_S + self._fleet.outdated_s <= now
+
+    def _adopt_registration(self, row: MemberRow, now: float) -> bool:
+        """Take over a registration that is still valid; return whether it is."""
         joined_s = self._sink.store_zero_s + row.joined_ms / 1000
         expires_s = self._sink.store_zero_s + row.expires_ms / 1000
         if not self._fleet.can_renew(expires_s - LATE_WRITE_S) or joined_s > now:
             return False
         self._joined_s = joined_s
-        self._limits.adopt(decode_news(limit) for limit in row.limits)
-        return joined_s + LATE_WRITE_S + self._fleet.outdated_s <= now
+        return True
 
     async def _write(self, content: bytes, now: float) -> int:
         """Write this gateway's row, whoever wrote it last; return its version.
--- a/cassiadrum/platform/fleet_sinks.py
+++ b/cassiadrum/platform/fleet_sinks.py
@@ -6,9 +6,10 @@
 from collections.abc import Sequence
 from typing import Final
 
-from cassiadrum.gateways import Fleet, FleetMember, LimitBoard
+from cassiadrum.gateways import Fleet, FleetMember
 from cassiadrum.platform.errors import BadRecord
-from cassiadrum.platform.member_rows import MemberRow, decode_member, decode_news
+from cassiadrum.platform.fleet_news import FleetNews, NewsTiming
+from cassiadrum.platform.member_rows import MemberRow, decode_member
 from cassiadrum.platform.row_stores import ChangedRow, RowPage, RowVersion
 from cassiadrum.platform.store_followers import TableSink
 from cassiadrum.protocols import TimeSlice
@@ -21,6 +22,8 @@
 # Time after which an expired registration is removed, and the most that one write removes.
 EXPIRED_KEPT_S: Final = 600.0
 MAX_REMOVED_ROWS: Final = 32
+# All gateways detect a restored store at the same time, and have read all rows after this delay.
+RESTORED_TIMING: Final = NewsTiming(interval_s=0.0, delay_s=1.0)
 
 
 class FleetSink(TableSink):
@@ -29,9 +32,9 @@
     The store's clock is converted to the boot-time clock of this machine.
     """
 
-    def __init__(self, fleet: Fleet, limits: LimitBoard, name: str) -> None:
+    def __init__(self, fleet: Fleet, news: Sequence[FleetNews], name: str) -> None:
         self._fleet = fleet
-        self._limits = limits
+        self._news = news
         self._name = name
         self._rows: dict[str, MemberRow] = {}
         self._versions: dict[str, int] = {}
@@ -44,11 +47,6 @@
         # Set when the store answers again after an outage.
         self.store_is_back = asyncio.Event()
 
-    @property
-    def is_needed(self) -> bool:
-        """Return whether the fleet needs a current list."""
-        return self._fleet.is_needed
-
     @property
     def own(self) -> MemberRow | None:
         """Return this gateway's registration, None without one."""
@@ -65,7 +63,7 @@
         found = (
             RowVersion(name, self._versions[name])
             for name, row in self._rows.items()
-            if row.expires_ms < oldest_ms and name != self._name
+            if row.expires_ms < oldest_ms and name != self._name and not self._has_news(row, now)
         )
         return list(itertools.islice(found, MAX_REMOVED_ROWS))
 
@@ -97,8 +95,8 @@
         self.store_zero_s = page.received_s - page.store_s
         self._update_fleet()
         self._fleet.confirm(page.sent_s)
-        all_news = (decode_news(limit) for row in self._rows.values() for limit in row.limits)
-        self._limits.apply_news(all_news, self.store_zero_s)
+        for news in self._news:
+            news.apply(self._rows.values(), self.store_zero_s)
         self.updated.set()
 
     def record_own(self, row: MemberRow, version: int) -> None:
@@ -116,7 +114,15 @@
         self.store_is_back.set()
 
     def store_restored(self) -> None:
-        """Do nothing: the fleet keeps members for some time that a new list lacks."""
+        """Have this gateway's row written again, as the copy may lack its latest news.
+
+        The fleet keeps members for some time that a new list lacks.
+        """
+        for news in self._news:
+            news.on_news(RESTORED_TIMING)
+
+    def _has_news(self, row: MemberRow, now: float) -> bool:
+        return any(news.is_needed(row, now, self.store_zero_s) for news in self._news)
 
     def _update_fleet(self) -> None:
         zero_s = self.store_zero_s
--- a/cassiadrum/platform/member_rows.py
+++ b/cassiadrum/platform/member_rows.py
@@ -4,12 +4,11 @@
 
 import msgspec
 
-from cassiadrum.gateways import Incarnation, LimitNews
 from cassiadrum.platform.errors import DECODE_ERRORS, BadRecord
 from cassiadrum.platform.row_stores import ChangedRow
 from cassiadrum.settings.addresses import Address
 
-__all__ = ["LimitRow", "MemberRow", "decode_member", "decode_news", "encode_news"]
+__all__ = ["AnsweredRow", "CrashRow", "LimitRow", "MemberRow", "decode_member"]
 
 
 # Upper bound on a request limit in a row; an endpoint states at most 18 digits.
@@ -30,6 +29,32 @@
     made_ms: float
 
 
+# A kind of content, the depth within the request, and a name without control characters.
+ContentText = Annotated[
+    str, msgspec.Meta(pattern=r"^(part|request|customer):[0-9]{1,6}:[^\x00-\x1f]{0,64}$")
+]
+# The same without the depth.
+AnsweredText = Annotated[
+    str, msgspec.Meta(pattern=r"^(part|request|customer):[^\x00-\x1f]{0,64}$")
+]
+EndpointText = Annotated[str, msgspec.Meta(max_length=300)]
+
+
+class CrashRow(msgspec.Struct):
+    """An endpoint that ended, in milliseconds on the store's clock, and what it may have begun."""
+
+    endpoint: EndpointText
+    at_ms: float
+    contents: list[ContentText]
+
+
+class AnsweredRow(msgspec.Struct):
+    """A content that answers were begun on, and the time of the last whole one if any."""
+
+    content: AnsweredText
+    whole_ms: float | None
+
+
 class MemberRow(msgspec.Struct):
     """Registration of a gateway; times are milliseconds on the store's clock."""
 
@@ -37,24 +62,8 @@
     joined_ms: float
     expires_ms: float
     limits: list[LimitRow] = []
-
-
-def encode_news(news: LimitNews) -> LimitRow:
-    """Return the news of a limit as a part of a row."""
-    incarnation = news.incarnation
-    return LimitRow(
-        incarnation.instance,
-        str(incarnation.address),
-        incarnation.started_ms,
-        news.rate_per_s,
-        news.made_s * 1000,
-    )
-
-
-def decode_news(row: LimitRow) -> LimitNews:
-    """Return the news of a limit in a row that `decode_member` has checked."""
-    incarnation = Incarnation(row.instance, Address.parse_peer(row.address), row.started_ms)
-    return LimitNews(incarnation, row.rate_per_s, row.made_ms / 1000)
+    crashes: list[CrashRow] = []
+    answered: list[AnsweredRow] = []
 
 
 def decode_member(row: ChangedRow) -> MemberRow:
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -10,9 +10,11 @@
 from cassiadrum.gateways import Catalog, Fleet, Gateway, GatewaySettings
 from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.platform.crash_news import CrashFleetNews
 from cassiadrum.platform.errors import BadSettings, StartFailed
 from cassiadrum.platform.fleet_registrations import FleetRegistration
 from cassiadrum.platform.fleet_sinks import FLEET_TABLE, FleetSink
+from cassiadrum.platform.limit_news import LimitFleetNews
 from cassiadrum.platform.node_settings import NodeSettings, load_node_settings
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
@@ -126,8 +128,8 @@
         self._close_store()
         configuration = FollowedTable(CONFIGURATION_TABLE, ConfigurationSink(self.gateway))
         endpoints = FollowedTable(ENDPOINT_TABLE, EndpointSink(self.gateway))
-        limits = self.gateway.limit_board
-        fleet_sink = FleetSink(self._fleet, limits, cfg.instance)
+        news = [LimitFleetNews(self.gateway.limit_board), CrashFleetNews(self.gateway.crash_board)]
+        fleet_sink = FleetSink(self._fleet, news, cfg.instance)
         fleet = FollowedTable(FLEET_TABLE, fleet_sink)
         self._store = store = RowStore(cfg.store, _boot_clock)
         waits = StoreWaits.from_bounds(cfg.bounds)
@@ -137,7 +139,7 @@
             store, configuration, [endpoints, fleet], waits.change_s, first_tables=[fleet]
         )
         self._registration = FleetRegistration(
-            store, self._fleet, limits, fleet_sink, cfg.instance, _boot_clock
+            store, self._fleet, news, fleet_sink, cfg.instance, _boot_clock
         )
         if self.gateway.draining:
             self._registration.expire_after(cfg.bounds.grace_s)
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -35,11 +35,6 @@
     async def apply_changes(self, page: RowPage) -> None:
         """Apply changed rows; there are none if nothing changed within the wait."""
 
-    @property
-    def is_needed(self) -> bool:
-        """Return whether changes should be read soon; if not, they are read once it is."""
-        return True
-
     def record_unchanged(self, page: RowPage) -> None:  # noqa: B027 - most sinks ignore it
         """Handle an answer about another table that shows that this one has not changed."""
 
@@ -161,7 +156,7 @@
     def _is_behind(self, table: FollowedTable) -> bool:
         if table.version is None:
             return True
-        return table.sink.is_needed and table.version < self._newest_version
+        return table.version < self._newest_version
 
     async def _follow_leading(self, wait_s: float) -> RowPage:
         page, full = await self._read(self._leading_table, wait_s)
