Keep harmful requests from endpoints behind sidecars

The sidecar now checks an endpoint that lost a call before its first event, and tells all entry instances what the calls held (CrashReport, a new message type; StartRequest carries the contents). Entry instances weigh it with the board that gateways use, refuse harmful requests with harmful_content, withdraw those whose answers have not begun, and send none on whose parts are suspect. Sidecars keep the crashes for an hour and tell them to each new entry instance; they pass on what entry instances know of whole answers. An answer without a length is incomplete if its endpoint has ended with it.

The check of an address is one function for both ways (protocols/process_checks.py). The doubles of endpoints in two tests state that the endpoint goes on, as their address has no listener.

--- a/cassiadrum/crash_evidence/__init__.py
+++ b/cassiadrum/crash_evidence/__init__.py
@@ -1,5 +1,12 @@
 """Evidence on which contents of requests end endpoints, for both ways to an endpoint."""
 
+from cassiadrum.crash_evidence.content_texts import (
+    CONTENT_PATTERN,
+    CONTENTS_PATTERN,
+    decode_content,
+    decode_contents,
+    encode_contents,
+)
 from cassiadrum.crash_evidence.contents import (
     Content,
     ContentKind,
@@ -12,8 +19,11 @@
 from cassiadrum.crash_evidence.crash_causes import HarmEvidence, find_causes
 from cassiadrum.crash_evidence.crash_records import EVIDENCE_S
 from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
+from cassiadrum.crash_evidence.harm_fields import harm_fields
 
 __all__ = [
+    "CONTENTS_PATTERN",
+    "CONTENT_PATTERN",
     "EVIDENCE_S",
     "AnsweredContent",
     "Content",
@@ -25,7 +35,11 @@
     "HarmEvidence",
     "HarmfulContent",
     "customer_content",
+    "decode_content",
+    "decode_contents",
+    "encode_contents",
     "find_causes",
+    "harm_fields",
     "part_contents",
     "request_content",
 ]
--- a/cassiadrum/endpoints/endpoints.py
+++ b/cassiadrum/endpoints/endpoints.py
@@ -35,6 +35,10 @@
     async def resume(self, call_id: str) -> None:
         """Resume a paused stream."""
 
+    @abstractmethod
+    async def has_ended(self) -> bool:
+        """Return whether no process listens at the endpoint's address."""
+
     @abstractmethod
     async def load(self) -> EndpointLoad:
         """Return the load as the endpoint reports it."""
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -10,16 +10,23 @@
     Headers,
     HttpClient,
     HttpResponse,
+    ProcessState,
+    check_process,
 )
 
 __all__ = ["HttpEndpoint"]
 
+# The endpoint is beside its sidecar.
+CHECK_TIMEOUT_S = 0.25
+
 
 class HttpEndpoint(Endpoint):
     """An endpoint at one address that is called over HTTP/1.1."""
 
     def __init__(self, host: str, port: int) -> None:
         self._client = HttpClient(host, port)
+        self._host = host
+        self._port = port
 
     async def call(self, call: EndpointCall) -> HttpResponse:
         """Forward the call unchanged except for added request id and idempotency key headers."""
@@ -40,6 +47,11 @@
         except (AnswerLost, BadMessage) as exc:
             raise EndpointResponseLost(str(exc)) from exc
 
+    async def has_ended(self) -> bool:
+        """Return whether the endpoint's address refuses connections."""
+        state = await check_process(self._host, self._port, CHECK_TIMEOUT_S)
+        return state is ProcessState.ENDED
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
--- a/cassiadrum/frontends/problems.py
+++ b/cassiadrum/frontends/problems.py
@@ -26,6 +26,7 @@
     "key_required": (400, "The class requires an Idempotency-Key"),
     "key_reused": (422, "The key was used for another request"),
     "in_progress": (409, "A request with this key is running"),
+    "harmful_content": (503, "Endpoints ended under requests with a content of this one"),
     "draining": (503, "This instance is shutting down"),
     "endpoint_failed": (502, "The endpoint failed the request"),
     "answer_lost": (502, "The answer of the endpoint was lost"),
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -183,6 +183,11 @@
             self.view.record_success()
         return data
 
+    @property
+    def was_answered(self) -> bool:
+        """Return whether the endpoint gave an answer; a stream without an event is none."""
+        return self._head is not None and self._head.status < 300 and not self.beginning
+
     async def _check_end(self) -> None:
         """Raise AttemptFailed if an answer without a length ended with its endpoint.
 
--- a/cassiadrum/gateways/crash_watches.py
+++ b/cassiadrum/gateways/crash_watches.py
@@ -6,22 +6,22 @@
 from collections.abc import Callable
 from typing import Final
 
-from cassiadrum.crash_evidence import Content, Contents, CrashBoard, HarmEvidence
+from cassiadrum.crash_evidence import Content, Contents, CrashBoard, HarmEvidence, harm_fields
 from cassiadrum.gateways.attempts import Attempt
-from cassiadrum.gateways.endpoint_endings import EndpointEndings, EndpointState
+from cassiadrum.gateways.endpoint_endings import EndpointEndings
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import HarmfulRequest
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.logs import RATE_LIMITED_FIELD
+from cassiadrum.protocols import ProcessState
 
 __all__ = ["CrashWatch"]
 
 logger = logging.getLogger(__name__)
 
 MAX_LOGGED_CONTENTS: Final = 24
-MAX_LOGGED_ENDPOINTS: Final = 8
 # Time for which a request waits until it is known why its endpoint ended. Its caller is told
 # sooner than its own timeout, and may try again.
 MAX_HOLD_S: Final = 0.5
@@ -44,7 +44,7 @@
         self._endings = EndpointEndings()
         # Contents of the requests whose endpoint is being checked, and the checks.
         self._lost: dict[Incarnation, Contents] = {}
-        self._checks: dict[Incarnation, asyncio.Task[EndpointState]] = {}
+        self._checks: dict[Incarnation, asyncio.Task[ProcessState]] = {}
         # Attempts that an endpoint may be about to answer.
         self._running: dict[Attempt, RequestContext] = {}
         # Contents that were harmful at the last change of the board.
@@ -65,7 +65,7 @@
         found = self._board.find_harmful(ctx.contents)
         if found is None:
             return None
-        fields = self._describe(found.content, found.evidence)
+        fields = harm_fields(self._board, found.content, found.evidence)
         return HarmfulRequest(self._board.ends_in_s(found.evidence), **fields)
 
     def check(self, ctx: RequestContext) -> None:
@@ -88,13 +88,13 @@
             task = self._checks[target] = asyncio.create_task(self._check(view))
         # The check goes on if the caller leaves.
         state = await asyncio.shield(task)
-        ctx.lost_at_beginning = state is not EndpointState.RUNNING
+        ctx.lost_at_beginning = state is not ProcessState.RUNNING
 
     async def has_ended(self, view: EndpointView) -> bool:
         """Return whether an endpoint has ended without having announced it."""
         if view.is_expected_to_end:
             return False
-        return await self._endings.check(view.entry) is EndpointState.ENDED
+        return await self._endings.check(view.entry) is ProcessState.ENDED
 
     async def allows_repeat(self, ctx: RequestContext, left_s: float) -> bool:
         """Return whether a request may be sent on after an attempt failed.
@@ -125,14 +125,14 @@
             return False
         return self._board.is_suspect(ctx.contents)
 
-    async def _check(self, view: EndpointView) -> EndpointState:
+    async def _check(self, view: EndpointView) -> ProcessState:
         target = view.entry.incarnation
         try:
             state = await self._endings.check(view.entry)
         finally:
             del self._checks[target]
             contents = self._lost.pop(target)
-        if state is EndpointState.ENDED and not view.is_expected_to_end:
+        if state is ProcessState.ENDED and not view.is_expected_to_end:
             self._record_crash(view.entry, contents)
         return state
 
@@ -155,7 +155,7 @@
             if content not in self._harmful:
                 _log(
                     "requests refused that hold a content under which endpoints ended",
-                    **self._describe(content, evidence),
+                    **harm_fields(self._board, content, evidence),
                 )
         for content in self._harmful.keys() - harmful.keys():
             _log("requests no longer refused for a content", content=str(content))
@@ -173,18 +173,6 @@
             if attempt.beginning and self._board.find_harmful(ctx.contents) is not None:
                 attempt.withdraw()
 
-    def _describe(self, content: Content, evidence: HarmEvidence) -> dict[str, object]:
-        """Return a belief, its evidence and the age of that as log fields."""
-        return {
-            "content": str(content),
-            "crashes": evidence.crashes,
-            "moments": evidence.moments,
-            "endpoints": list(evidence.endpoints[-MAX_LOGGED_ENDPOINTS:]),
-            "last_crash_age_s": round(self._board.age_s(evidence), 3),
-            "evidence_s": round(evidence.last_s - evidence.first_s, 3),
-            "ends_in_s": round(self._board.ends_in_s(evidence)),
-        }
-
 
 def _endpoint_name(incarnation: Incarnation) -> str:
     """Return a name that no other start of the endpoint has, at any gateway."""
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -10,7 +10,6 @@
     BadMessage,
     CallTimeout,
     ConnectFailed,
-    ConnectRefused,
     Headers,
     HttpError,
     TimeSlice,
@@ -59,17 +58,12 @@
 
     @classmethod
     async def open(cls, address: Address, timeout_s: float) -> "EndpointConnection":
-        """Connect; raise ConnectFailed, in which case nothing was sent.
-
-        Raises ConnectRefused if no process listens at the address.
-        """
+        """Connect; raise ConnectFailed, in which case nothing was sent."""
         loop = asyncio.get_running_loop()
         try:
             # The kernel may have made the connection while this process stood still.
             async with CallTimeout(timeout_s, timeout_s):
                 _, conn = await loop.create_connection(cls, address.host, address.port)
-        except ConnectionRefusedError as exc:
-            raise ConnectRefused(f"{address}: {exc}") from exc
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # An address that is none raises UnicodeError, a ValueError, or OverflowError.
             raise ConnectFailed(f"{address}: {exc or 'no connection in time'}") from exc
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -327,8 +327,7 @@
             raise
         finally:
             self._crash_watch.end(attempt)
-        # A stream without an event does not show that an answer can be made.
-        if attempt.head.status < 300 and not attempt.beginning:
+        if attempt.was_answered:
             self.crash_board.record_answered(ctx.contents)
 
     async def _may_repeat(self, ctx: RequestContext, relay: Relay) -> bool:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -6,7 +6,11 @@
 """
 
 import math
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple
+
+import msgspec
+
+from cassiadrum.crash_evidence import CONTENT_PATTERN, CONTENTS_PATTERN
 
 __all__ = [
     "FETCH_ROLE",
@@ -16,6 +20,7 @@
     "Ack",
     "Attach",
     "Cancel",
+    "CrashReport",
     "Data",
     "Detach",
     "Document",
@@ -39,6 +44,8 @@
 FETCH_ROLE: Final = "fetch"
 
 HeaderList = list[tuple[str, str]]
+ContentsText = Annotated[str, msgspec.Meta(pattern=CONTENTS_PATTERN)]
+ContentText = Annotated[str, msgspec.Meta(pattern=CONTENT_PATTERN)]
 
 
 class Hello(NamedTuple):
@@ -77,7 +84,8 @@
 
     `deadline_left_s` is the time left until the deadline, infinite without one. `delivered_events`
     counts the events of an earlier attempt that the caller already has. `silence_limit_s` bounds
-    the time without a byte from the endpoint, 0 for no bound.
+    the time without a byte from the endpoint, 0 for no bound. `contents` are what the request has
+    in common with others.
     """
 
     attempt_id: str
@@ -100,6 +108,7 @@
     max_wait_s: float = 30.0
     idempotent: bool = False
     silence_limit_s: float = 0.0
+    contents: list[ContentsText] = []  # noqa: RUF012 - never changed in place
 
 
 class Head(NamedTuple):
@@ -234,6 +243,17 @@
     clock: list[int] = []  # noqa: RUF012 - never changed in place
 
 
+class CrashReport(NamedTuple):
+    """Endpoints that ended as they began answers, as a sidecar knows.
+
+    `crashes` holds the endpoint, the age in seconds and the contents of each. `answered` holds
+    contents on which answers were begun, with the age of the last whole one, None without one.
+    """
+
+    crashes: list[tuple[str, float, list[ContentsText]]]
+    answered: list[tuple[ContentText, float | None]]
+
+
 class LinkRefused(NamedTuple):
     """The sidecar refuses the link because it has reached its connection bound."""
 
@@ -259,6 +279,7 @@
     | OrderResult
     | LinkRefused
     | Detach
+    | CrashReport
 )
 
 # The type code of a message is its index here, so types are only appended.
@@ -281,6 +302,7 @@
     OrderResult,
     LinkRefused,
     Detach,
+    CrashReport,
 )
 
 # Messages that cause events at the receiver and carry the sender's hybrid logical clock.
--- a/cassiadrum/platform/crash_news.py
+++ b/cassiadrum/platform/crash_news.py
@@ -7,11 +7,12 @@
 from cassiadrum.crash_evidence import (
     EVIDENCE_S,
     AnsweredContent,
-    Content,
-    ContentKind,
     CrashBoard,
     CrashNews,
     EndpointCrash,
+    decode_content,
+    decode_contents,
+    encode_contents,
 )
 from cassiadrum.platform.fleet_news import FleetNews, NewsTiming
 from cassiadrum.platform.member_rows import AnsweredRow, CrashRow, MemberRow
@@ -59,10 +60,7 @@
 
 
 def _encode_crash(crash: EndpointCrash, zero_s: float) -> CrashRow:
-    contents = [
-        f"{content.kind}:{depth}:{content.name}" for content, depth in crash.contents.items()
-    ]
-    return CrashRow(crash.endpoint, (crash.at_s - zero_s) * 1000, contents)
+    return CrashRow(crash.endpoint, (crash.at_s - zero_s) * 1000, encode_contents(crash.contents))
 
 
 def _encode_answered(answered: AnsweredContent, zero_s: float) -> AnsweredRow:
@@ -79,14 +77,9 @@
 
 
 def _decode_crash(row: CrashRow, zero_s: float) -> EndpointCrash:
-    contents = {}
-    for text in row.contents:
-        kind, depth, name = text.split(":", 2)
-        contents[Content(ContentKind(kind), name)] = int(depth)
-    return EndpointCrash(row.endpoint, zero_s + row.at_ms / 1000, contents)
+    return EndpointCrash(row.endpoint, zero_s + row.at_ms / 1000, decode_contents(row.contents))
 
 
 def _decode_answered(row: AnsweredRow, zero_s: float) -> AnsweredContent:
-    kind, _, name = row.content.partition(":")
     whole_s = None if row.whole_ms is None else zero_s + row.whole_ms / 1000
-    return AnsweredContent(Content(ContentKind(kind), name), whole_s)
+    return AnsweredContent(decode_content(row.content), whole_s)
--- a/cassiadrum/platform/member_rows.py
+++ b/cassiadrum/platform/member_rows.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cassiadrum.crash_evidence import CONTENT_PATTERN, CONTENTS_PATTERN
 from cassiadrum.platform.errors import DECODE_ERRORS, BadRecord
 from cassiadrum.platform.row_stores import ChangedRow
 from cassiadrum.settings.addresses import Address
@@ -29,14 +30,8 @@
     made_ms: float
 
 
-# A kind of content, the depth within the request, and a name without control characters.
-ContentText = Annotated[
-    str, msgspec.Meta(pattern=r"^(part|request|customer):[0-9]{1,6}:[^\x00-\x1f]{0,64}$")
-]
-# The same without the depth.
-AnsweredText = Annotated[
-    str, msgspec.Meta(pattern=r"^(part|request|customer):[^\x00-\x1f]{0,64}$")
-]
+ContentsText = Annotated[str, msgspec.Meta(pattern=CONTENTS_PATTERN)]
+ContentText = Annotated[str, msgspec.Meta(pattern=CONTENT_PATTERN)]
 EndpointText = Annotated[str, msgspec.Meta(max_length=300)]
 
 
@@ -45,13 +40,13 @@
 
     endpoint: EndpointText
     at_ms: float
-    contents: list[ContentText]
+    contents: list[ContentsText]
 
 
 class AnsweredRow(msgspec.Struct):
     """A content that answers were begun on, and the time of the last whole one if any."""
 
-    content: AnsweredText
+    content: ContentText
     whole_ms: float | None
 
 
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -7,7 +7,6 @@
     BadMessage,
     BodyTooLarge,
     ConnectFailed,
-    ConnectRefused,
     HttpError,
 )
 from cassiadrum.protocols.exchanges import Exchange, Handler
@@ -16,6 +15,7 @@
 from cassiadrum.protocols.http_responses import HttpResponse
 from cassiadrum.protocols.http_servers import HttpServer
 from cassiadrum.protocols.memory_budgets import MemoryBudget
+from cassiadrum.protocols.process_checks import ProcessState, check_process
 from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES, TimeSlice
 from cassiadrum.protocols.unanswered_connections import UnansweredReason
 
@@ -27,7 +27,6 @@
     "BodyTooLarge",
     "CallTimeout",
     "ConnectFailed",
-    "ConnectRefused",
     "Exchange",
     "Handler",
     "Headers",
@@ -37,7 +36,9 @@
     "HttpResponse",
     "HttpServer",
     "MemoryBudget",
+    "ProcessState",
     "TimeSlice",
     "UnansweredReason",
+    "check_process",
     "next_answer_event",
 ]
--- a/cassiadrum/protocols/errors.py
+++ b/cassiadrum/protocols/errors.py
@@ -2,14 +2,7 @@
 
 from cassiadrum.errors import CassiadrumError
 
-__all__ = [
-    "AnswerLost",
-    "BadMessage",
-    "BodyTooLarge",
-    "ConnectFailed",
-    "ConnectRefused",
-    "HttpError",
-]
+__all__ = ["AnswerLost", "BadMessage", "BodyTooLarge", "ConnectFailed", "HttpError"]
 
 
 class HttpError(CassiadrumError):
@@ -39,9 +32,5 @@
     """The request was not sent: no connection was established, or it is not valid HTTP."""
 
 
-class ConnectRefused(ConnectFailed):
-    """The machine answers, but no process listens at the address."""
-
-
 class AnswerLost(HttpError):
     """The request was sent, in part or in full, but no complete response was received."""
--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -52,16 +52,19 @@
     async def run(self, stream: SidecarStream) -> None:
         """Make the call of a stream; exactly one CallEnded is posted in every case."""
         outcome = Outcome(False, ExecutionStatus.UNKNOWN, 0, "answer_lost")
+        endpoint_ended = False
         try:
             if stream.start.once_only:
                 outcome = await self._run_once(stream)
             else:
                 outcome = await self._run(stream, None)
+            if _is_lost_at_beginning(stream, outcome):
+                endpoint_ended = await self._endpoint.has_ended()
         finally:
             if stream.cancelled:
                 # A cancelled call raises instead of returning, but its tokens were computed.
                 outcome = outcome._replace(ok=False, reason="cancelled", tokens=stream.tokens)
-            self._post(CallEnded(stream.start.attempt_id, outcome))
+            self._post(CallEnded(stream.start.attempt_id, outcome, endpoint_ended))
 
     async def _run_once(self, stream: SidecarStream) -> Outcome:
         claim = await self._once_only_guard.claim(stream.start)
@@ -127,11 +130,18 @@
                     await stream.buffer_has_space.wait()
         except HttpError:
             return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
-        if _ends_inside_event(response, tail):
+        if _ends_inside_event(response, tail) or await self._ended_with_endpoint(response):
             return Outcome(False, ExecutionStatus.UNKNOWN, stream.tokens, "answer_lost")
         stream.tokens = _count_tokens(stream.tokens, tail)
         return Outcome(True, ExecutionStatus.EXECUTED, stream.tokens)
 
+    async def _ended_with_endpoint(self, response: HttpResponse) -> bool:
+        """Return whether an answer without a length ended since its endpoint did.
+
+        An engine that crashes closes its connections like one that has sent its whole answer.
+        """
+        return not _is_framed(response) and await self._endpoint.has_ended()
+
     def _send_stored(self, stream: SidecarStream, kept: KeptAnswer) -> None:
         attempt_id = stream.start.attempt_id
         self._post(CallHead(attempt_id, kept.status, list(kept.headers)))
@@ -146,9 +156,19 @@
     An engine that crashes closes its connections like one that has finished, so only the last
     event shows that such a stream is incomplete.
     """
-    framed = response.header("content-length") or response.header("transfer-encoding")
     streaming = response.header("content-type").startswith(SSE_CONTENT_TYPE)
-    return streaming and not framed and bool(tail) and not tail.endswith(EVENT_ENDS)
+    return streaming and not _is_framed(response) and bool(tail) and not tail.endswith(EVENT_ENDS)
+
+
+def _is_framed(response: HttpResponse) -> bool:
+    """Return whether an answer has a length or chunks."""
+    return bool(response.header("content-length") or response.header("transfer-encoding"))
+
+
+def _is_lost_at_beginning(stream: SidecarStream, outcome: Outcome) -> bool:
+    """Return whether a call was lost before the first whole event or answer."""
+    lost = not outcome.ok and outcome.reason == "answer_lost"
+    return lost and not (stream.tokens or stream.cancelled or stream.silence_expired)
 
 
 def _count_tokens(events: int, tail: bytes) -> int:
--- /dev/null
+++ b/cassiadrum/roles/crash_reports.py
@@ -0,0 +1,41 @@
+"""Conversion of news about crashes to and from the message that carries them."""
+
+from cassiadrum.crash_evidence import (
+    AnsweredContent,
+    CrashNews,
+    EndpointCrash,
+    decode_content,
+    decode_contents,
+    encode_contents,
+)
+from cassiadrum.links.messages import CrashReport
+
+__all__ = ["make_crash_report", "read_crash_report"]
+
+
+def make_crash_report(news: CrashNews, now: float) -> CrashReport:
+    """Return a message with the news; `now` is the time on the clock of the news."""
+    return CrashReport(
+        [
+            (crash.endpoint, now - crash.at_s, encode_contents(crash.contents))
+            for crash in news.crashes
+        ],
+        [
+            (str(found.content), None if found.whole_s is None else now - found.whole_s)
+            for found in news.answered
+        ],
+    )
+
+
+def read_crash_report(report: CrashReport, now: float) -> CrashNews:
+    """Return the news in a message; `now` is the time on the receiver's clock."""
+    return CrashNews(
+        tuple(
+            EndpointCrash(endpoint, now - max(0.0, age_s), decode_contents(contents))
+            for endpoint, age_s, contents in report.crashes
+        ),
+        tuple(
+            AnsweredContent(decode_content(content), None if age_s is None else now - age_s)
+            for content, age_s in report.answered
+        ),
+    )
--- a/cassiadrum/roles/entry_links.py
+++ b/cassiadrum/roles/entry_links.py
@@ -60,7 +60,8 @@
         """Return whether the link was admitted and has not been replaced."""
         return link.peer is not None and self.by_instance.get(link.peer.instance) is link
 
-    def broadcast(self, msg: Message) -> None:
-        """Send a message over the current link to every entry instance."""
+    def broadcast(self, msg: Message, sender: Link | None = None) -> None:
+        """Send a message over the current link to every entry instance but the sender."""
         for link in self.by_instance.values():
-            link.send(msg)
+            if link is not sender:
+                link.send(msg)
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -8,6 +8,7 @@
 from cassiadrum.protocols import HttpRequest
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.caller_events import CallerEvent
+from cassiadrum.roles.request_contents import find_contents
 
 __all__ = ["PendingRequest"]
 
@@ -35,6 +36,8 @@
         self.target = target
         self.idempotency_key = idempotency_key
         self.silence_limit_s = silence_limit_s
+        # What the request has in common with others, by which those are found that end endpoints.
+        self.contents = find_contents(queued, http, target)
         # None means that the caller has disconnected.
         self.caller_events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Collection, Mapping
+from random import Random
 from typing import Any, NamedTuple
 
 from cassiadrum.decisions import (
@@ -20,10 +21,11 @@
 from cassiadrum.events import EventKind, EventRing
 from cassiadrum.frontends import Problem
 from cassiadrum.links import Link
-from cassiadrum.links.messages import Head
+from cassiadrum.links.messages import CrashReport, Head
 from cassiadrum.roles.answer_relays import AnswerRelay
 from cassiadrum.roles.attempts import Attempt
 from cassiadrum.roles.caller_events import AnswerEnd
+from cassiadrum.roles.crash_guards import CrashGuard
 from cassiadrum.roles.inboxes import Inbox
 from cassiadrum.roles.pending_requests import PendingRequest
 from cassiadrum.roles.router_messages import (
@@ -91,6 +93,9 @@
         self._clock = clock
         self._inbox = Inbox[RouterMessage]()
         self._relay = AnswerRelay(ring)
+        self.crash_guard = CrashGuard(clock, Random())
+        self.crash_guard.on_harmful = self._refuse_harmful
+        self.crash_guard.on_news = self._tell_crashes
         self._sidecars = SidecarClient(self, clock)
         # Cancelled attempts whose end has not been reported to the dispatcher yet, with their
         # service, in order of cancellation.
@@ -145,6 +150,10 @@
         req = pending.queued
         self.pending[req.request_id] = pending
         self._record(EventKind.RECEIVED, pending)
+        refusal = self.crash_guard.find_refusal(pending)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         actions = self._dispatcher(req.service).submit(req, self._clock())
         if not any(isinstance(a, Dispatch | Refuse) and a.req is req for a in actions):
             self._record(EventKind.QUEUED, pending)
@@ -199,6 +208,10 @@
         self.on_report(service, rep)
         self._execute(dispatcher.report(rep, now))
 
+    def crashes_reported(self, report: CrashReport) -> None:
+        """Apply what a sidecar tells of endpoints that ended as they began answers."""
+        self.crash_guard.apply(report)
+
     def head_received(self, head: Head) -> None:
         """Relay the head of an answer."""
         found = self._find_attempt(head.attempt_id)
@@ -233,6 +246,7 @@
         pending, attempt = found
         tokens = self._relay.receive_data(pending, attempt, position, data, self._clock())
         if tokens:
+            self.crash_guard.board.record_begun(pending.contents)
             dispatcher = self._dispatcher(pending.queued.service)
             self._execute(
                 dispatcher.progressed(
@@ -305,11 +319,14 @@
         pending.attempts.pop(attempt.attempt_id, None)
         req = pending.queued
         if outcome.ok:
+            if attempt.status < 300:
+                self.crash_guard.board.record_answered(pending.contents)
             self._relay.finish(pending, attempt)
             self._complete(pending, None, EventKind.FINISHED, outcome)
         else:
             self._relay.discard_partial(pending, attempt)
             outcome = self._relay.restrict_retry(pending, outcome)
+            outcome = self.crash_guard.restrict_retry(pending, outcome)
         dispatcher = self._dispatcher(req.service)
         self._execute(
             dispatcher.finished(req.request_id, outcome, self._clock(), attempt.instance)
@@ -354,6 +371,22 @@
         kind = EventKind.EVICTED if action.reason == "evicted" else EventKind.REFUSED
         self._complete(pending, problem, kind, outcome)
 
+    def _refuse_harmful(self) -> None:
+        """Refuse the requests with harmful contents whose answers have not begun.
+
+        Calls that must not be cancelled are left to end.
+        """
+        for pending in list(self.pending.values()):
+            refusal = None if pending.event_sent else self.crash_guard.find_refusal(pending)
+            if refusal is None or (pending.attempts and not pending.request_class.cancellable):
+                continue
+            dispatcher = self._dispatcher(pending.queued.service)
+            self._execute(dispatcher.cancelled(pending.queued.request_id, self._clock()))
+            self._refuse(refusal)
+
+    def _tell_crashes(self) -> None:
+        self._sidecars.relay_crashes(self.crash_guard.report())
+
     def _refuse_all(self) -> None:
         for pending in list(self.pending.values()):
             ran = (
@@ -390,6 +423,7 @@
         asyncio.get_running_loop().call_later(TICK_INTERVAL_S, self.post, Tick())
         now = self._clock()
         horizon_s = now - CANCELLED_RETENTION_S
+        self.crash_guard.board.expire()
         while self._cancelled_attempts:
             key, entry = next(iter(self._cancelled_attempts.items()))
             if entry.cancelled_s > horizon_s:
--- a/cassiadrum/roles/sidecar_clients.py
+++ b/cassiadrum/roles/sidecar_clients.py
@@ -9,6 +9,7 @@
     Ack,
     Attach,
     Cancel,
+    CrashReport,
     Data,
     End,
     Head,
@@ -24,6 +25,9 @@
 
 __all__ = ["AttemptEvents", "SidecarClient"]
 
+# Sidecars that pass on a message to all other entry instances; one of them may just have failed.
+RELAYING_SIDECARS = 3
+
 
 class AttemptEvents(ABC):
     """Callbacks for the messages of sidecars."""
@@ -40,6 +44,10 @@
     def load_reported(self, rep: EndpointReport, cached: Collection[int]) -> None:
         """Handle a load report and the keys of prompt prefixes that the endpoint cached."""
 
+    @abstractmethod
+    def crashes_reported(self, report: CrashReport) -> None:
+        """Handle what a sidecar tells of endpoints that ended as they began answers."""
+
     @abstractmethod
     def head_received(self, head: Head) -> None:
         """Handle status and headers of an answer."""
@@ -78,6 +86,11 @@
         link.send(start_message(pending, attempt.attempt_id, self._clock()))
         return True
 
+    def relay_crashes(self, report: CrashReport) -> None:
+        """Have some sidecars pass on what this instance tells the other entry instances."""
+        for link in list(self._links.by_instance.values())[:RELAYING_SIDECARS]:
+            link.send(report)
+
     def cancel(self, attempt: Attempt) -> None:
         """Ask the sidecar to cancel an attempt."""
         self._links.send(attempt.instance, Cancel(attempt.attempt_id))
@@ -126,15 +139,20 @@
         elif isinstance(msg, Head):
             self._events.head_received(msg)
         elif isinstance(msg, Data):
-            for attempt_id, position, data in msg.parts:
-                self._events.data_received(attempt_id, position, data)
+            self._handle_data(msg)
         elif isinstance(msg, End):
             if not self._events.attempt_ended(msg.attempt_id, msg.position, _outcome(msg)):
                 # A draining sidecar waits until its answers are acknowledged.
                 link.send(Ack([(msg.attempt_id, msg.position)]))
+        elif isinstance(msg, CrashReport):
+            self._events.crashes_reported(msg)
         elif isinstance(msg, RejectStart):
             self._events.attempt_rejected(msg.attempt_id, msg.reason, msg.retry_after_s)
 
+    def _handle_data(self, msg: Data) -> None:
+        for attempt_id, position, data in msg.parts:
+            self._events.data_received(attempt_id, position, data)
+
     def _handle_report(self, link: Link, peer: Hello, msg: Report) -> None:
         if self._links.is_current(link):
             self._events.load_reported(
--- a/cassiadrum/roles/sidecar_messages.py
+++ b/cassiadrum/roles/sidecar_messages.py
@@ -57,10 +57,14 @@
 
 
 class CallEnded(NamedTuple):
-    """The call to the endpoint ended."""
+    """The call to the endpoint ended.
+
+    `endpoint_ended` tells that its process ended as it may have begun the answer.
+    """
 
     attempt_id: str
     outcome: Outcome
+    endpoint_ended: bool = False
 
 
 class LoadChanged(NamedTuple):
--- a/cassiadrum/roles/sidecars.py
+++ b/cassiadrum/roles/sidecars.py
@@ -26,6 +26,7 @@
     Ack,
     Attach,
     Cancel,
+    CrashReport,
     Data,
     Detach,
     End,
@@ -41,6 +42,7 @@
 from cassiadrum.roles.entry_links import EntryLinks
 from cassiadrum.roles.inboxes import Inbox
 from cassiadrum.roles.load_reporters import LoadReporter
+from cassiadrum.roles.sidecar_crashes import SidecarCrashes
 from cassiadrum.roles.sidecar_messages import (
     CallData,
     CallEnded,
@@ -97,6 +99,7 @@
         self._call_runner = make_call_runner(self.post)
         self._attachments = StreamAttachments(self.streams, clock)
         self._reporter = LoadReporter(scheduler, self._links, ring, clock)
+        self._crashes = SidecarCrashes(clock, self._tell_crashes)
         self._last_tick_s = clock()
         self._handlers: dict[type[SidecarMessage], Callable[[Any], None]] = {
             EntryMessage: self._handle_entry_message,
@@ -163,12 +166,10 @@
             self._attachments.attach(link, msg)
         elif isinstance(msg, Detach):
             self._attachments.detach(link, msg.attempt_id)
+        elif isinstance(msg, CrashReport):
+            self._links.broadcast(msg, link)
         elif isinstance(msg, Cancel):
-            stream = self.streams.get(msg.attempt_id)
-            # The stream may meanwhile be attached to another entry instance, whose caller still
-            # reads it.
-            if stream is not None and stream.link in (None, link):
-                self._cancel(msg.attempt_id)
+            self._cancel_for(link, msg.attempt_id)
 
     def _link_up(self, link: Link, hello: Hello) -> None:
         if hello.role == FETCH_ROLE:
@@ -182,6 +183,9 @@
             return
         self._ring.record(EventKind.CONNECTED, peer=hello.instance)
         link.send(self._reporter.report())
+        crashes = self._crashes.report()
+        if crashes is not None:
+            link.send(crashes)
 
     def _link_down(self, link: Link) -> None:
         peer = self._links.remove(link, self._clock())
@@ -214,6 +218,13 @@
         if not stream.buffer.full:
             stream.buffer_has_space.set()
 
+    def _cancel_for(self, link: Link, attempt_id: str) -> None:
+        stream = self.streams.get(attempt_id)
+        # The stream may meanwhile be attached to another entry instance, whose caller still reads
+        # it.
+        if stream is not None and stream.link in (None, link):
+            self._cancel(attempt_id)
+
     def _cancel(self, attempt_id: str) -> None:
         stream = self.streams.get(attempt_id)
         if stream is None or stream.end is not None or not stream.start.cancellable:
@@ -253,11 +264,18 @@
         if stream.timing is not None:
             now = self._clock()
             events = stream.timing.record_data(msg.data, now)
+            if events:
+                self._crashes.record_begun(stream)
             self._scheduler.progressed(msg.attempt_id, events, now)
 
     def _call_ended(self, msg: CallEnded) -> None:
         stream = self.streams[msg.attempt_id]
         stream.task = None
+        if msg.endpoint_ended:
+            # Told before the end of the attempt, which the entry instance may send on.
+            self._crashes.record_lost(stream)
+        elif msg.outcome.ok and stream.head is not None and stream.head.status < 300:
+            self._crashes.record_answered(stream)
         if stream.end is None:
             self._end(stream, msg.outcome)
         now = self._clock()
@@ -288,6 +306,11 @@
         stream.send(stream.end)
         self._reporter.report_due = True
 
+    def _tell_crashes(self) -> None:
+        report = self._crashes.report()
+        if report is not None:
+            self._links.broadcast(report)
+
     def _drain(self) -> None:
         self._ring.record(EventKind.DRAINING)
         self._apply_actions(self._scheduler.drain(self._clock()))
@@ -351,6 +374,7 @@
         while self._ended_streams and self._ended_streams[0][0] <= horizon:
             self.streams.pop(self._ended_streams.popleft()[1], None)
         self._attachments.expire_refusals(now)
+        self._crashes.expire()
 
     def _expire_detached(self, stream: SidecarStream, now: float) -> None:
         if stream.detached_since_s is None or stream.link is not None:
--- a/cassiadrum/roles/start_messages.py
+++ b/cassiadrum/roles/start_messages.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cassiadrum.crash_evidence import encode_contents
 from cassiadrum.decisions import QueuedRequest
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.roles.pending_requests import PendingRequest
@@ -37,6 +38,7 @@
         max_wait_s=req.max_wait_s,
         idempotent=req.idempotent,
         silence_limit_s=pending.silence_limit_s,
+        contents=encode_contents(pending.contents),
     )
 
 
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -17,6 +17,7 @@
 __all__ = ["EngineStandIn"]
 
 PREFILL_STEPS = 3
+RESTART_S = 0.3
 
 
 class EngineStandIn:
@@ -24,7 +25,9 @@
 
     `step_s` is the time in seconds of a step with one stream. With `enforces_fencing` the engine
     rejects orders with an old fencing number. POST /faults sets `slow_factor`, `stalled` and
-    `crash_after_tokens` (the next stream to reach that many tokens loses its connection).
+    `crash_after_tokens` (the next stream to reach that many tokens loses its connection). While
+    `harmful_text` is set, the engine ends as it begins the answer to a prompt with that text, and
+    starts again RESTART_S later.
     """
 
     def __init__(
@@ -42,6 +45,11 @@
         self._enforces_fencing = enforces_fencing
         self._fencing = 0
         self._crash_after_tokens = 0
+        self.harmful_text = ""
+        # Times at which the engine ended, in monotonic seconds.
+        self.crashes_s: list[float] = []
+        self._address = ("", 0)
+        self._restart: asyncio.Task[None] | None = None
         self._new_prefixes: list[int] = []
         self._server = HttpServer(self._handle)
         self._task: asyncio.Task[None] | None = None
@@ -49,10 +57,15 @@
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
         """Listen and return the bound port."""
         self._task = asyncio.create_task(self.batch.run())
-        return await self._server.start(host, port)
+        self._address = host, await self._server.start(host, port)
+        return self._address[1]
 
     async def close(self) -> None:
         """Abort all connections and stop."""
+        if self._restart is not None:
+            self._restart.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._restart
         await self._server.abort()
         if self._task is not None:
             self._task.cancel()
@@ -76,6 +89,21 @@
         else:
             await exchange.send_json(404, {"error": {"message": "not found"}})
 
+    def _crash(self) -> None:
+        """End the process: all connections break, and the address refuses new ones for a time."""
+        if self._restart is None or self._restart.done():
+            self.crashes_s.append(time.monotonic())
+            self._restart = asyncio.create_task(self._end_and_start())
+
+    async def _end_and_start(self) -> None:
+        await self._server.abort()
+        for stream in self.batch.streams.values():
+            stream.cancel()
+        self.batch.streams.clear()
+        await asyncio.sleep(RESTART_S)
+        self._server = HttpServer(self._handle)
+        await self._server.start(*self._address)
+
     def _load_report(self) -> dict[str, Any]:
         running = len(self.batch.active())
         cached, self._new_prefixes = self._new_prefixes, []
@@ -115,13 +143,18 @@
         self.batch.slow_factor = float(faults.get("slow_factor", 1.0))
         self.batch.stalled = bool(faults.get("stalled", False))
         self._crash_after_tokens = int(faults.get("crash_after_tokens", 0))
+        self.harmful_text = str(faults.get("harmful_text", ""))
         await exchange.send_json(200, {"ok": True})
 
     async def _complete(self, exchange: Exchange) -> None:
         body = json.loads(exchange.req.body)
         stream = self._open_stream(exchange, body)
         try:
-            if body.get("stream"):
+            if self.harmful_text and self.harmful_text in extract_prompt(body):
+                await stream.output.get()
+                self._crash()
+                await exchange.disconnected.wait()
+            elif body.get("stream"):
                 await self._send_stream(exchange, stream)
             else:
                 await self._send_whole(exchange, stream)
--- a/cassiadrum/tests/test_call_runners.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -23,6 +23,9 @@
     def __init__(self, parts: int) -> None:
         self._chunk_count = parts
 
+    async def has_ended(self) -> bool:
+        return False
+
     async def call(self, call: Any) -> HttpResponse:
         async def body() -> AsyncGenerator[bytes, None]:
             for _ in range(self._chunk_count):
--- a/cassiadrum/tests/test_cut_call_answers.py
+++ b/cassiadrum/tests/test_cut_call_answers.py
@@ -31,9 +31,16 @@
 ENDINGS = (Ending.CLOSED, Ending.RESET, Ending.RESET_WITH_DATA)
 
 
+class RunningEndpoint(PlainEndpoint):
+    """An endpoint that goes on after an answer, whatever becomes of that."""
+
+    async def has_ended(self) -> bool:
+        return False
+
+
 async def run_call(client: HttpClient) -> list[SidecarMessage]:
     """Return the messages of one call."""
-    endpoint = PlainEndpoint("127.0.0.1", 1)
+    endpoint = RunningEndpoint("127.0.0.1", 1)
     endpoint._client = client
     posted: list[SidecarMessage] = []
     runner = CallRunner(endpoint, cast(OnceOnlyGuard, None), posted.append)
