--- a/cassiadrum/crash_evidence/__init__.py
+++ b/cassiadrum/crash_evidence/__init__.py
@@ -15,13 +15,19 @@
     part_contents,
     request_content,
 )
-from cassiadrum.crash_evidence.crash_boards import CrashBoard, CrashNews, HarmfulContent
+from cassiadrum.crash_evidence.crash_boards import (
+    BELIEF_S,
+    CrashBoard,
+    CrashNews,
+    HarmfulContent,
+)
 from cassiadrum.crash_evidence.crash_causes import HarmEvidence, find_causes
 from cassiadrum.crash_evidence.crash_records import EVIDENCE_S
 from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
 from cassiadrum.crash_evidence.harm_fields import harm_fields
 
 __all__ = [
+    "BELIEF_S",
     "CONTENTS_PATTERN",
     "CONTENT_PATTERN",
     "EVIDENCE_S",
--- a/cassiadrum/crash_evidence/crash_boards.py
+++ b/cassiadrum/crash_evidence/crash_boards.py
@@ -16,8 +16,11 @@
 from cassiadrum.crash_evidence.crash_records import EVIDENCE_S, CrashRecords
 from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
 
-__all__ = ["CrashBoard", "CrashNews", "HarmfulContent"]
+__all__ = ["BELIEF_S", "CrashBoard", "CrashNews", "HarmfulContent"]
 
+# Time after the last crash under a content for which it is blamed; its requests are refused, and
+# show nothing more.
+BELIEF_S: Final = 3600.0
 MAX_CRASHES: Final = 64
 # Crashes of one harmful content that are kept before all others.
 KEPT_CRASHES: Final = 8
@@ -52,9 +55,9 @@
     """The evidence of all instances on which contents end endpoints, as one of them knows it.
 
     Instances that have the same evidence blame the same contents, so that only evidence is told.
-    A content is no longer blamed after a whole answer on it, or once its crashes are older than
-    EVIDENCE_S: its requests are refused, and show nothing more. `clock` returns seconds that go on
-    while the machine is suspended.
+    A content is no longer blamed after a whole answer on it, or BELIEF_S after its last crash. In
+    the second case one more crash within EVIDENCE_S of the others suffices to blame it again.
+    `clock` returns seconds that go on while the machine is suspended.
     """
 
     def __init__(self, clock: Callable[[], float], rng: Random) -> None:
@@ -70,6 +73,8 @@
         self._own = CrashRecords(MAX_NEWS_CRASHES, self._rank)
         self._answered = AnsweredContents()
         self._causes = CrashCauses({}, frozenset())
+        # The contents that are blamed now.
+        self._harmful: dict[Content, HarmEvidence] = {}
         # Crashes that no blamed content explains, in order of time.
         self._unexplained: list[EndpointCrash] = []
         # Contents that a crash counts against.
@@ -78,11 +83,11 @@
     @property
     def harmful(self) -> Mapping[Content, HarmEvidence]:
         """Return the contents that are blamed, with their evidence."""
-        return self._causes.harmful
+        return self._harmful
 
     def find_harmful(self, contents: Iterable[Content]) -> HarmfulContent | None:
         """Return a blamed content of a request, None if it has none."""
-        harmful = self._causes.harmful
+        harmful = self._harmful
         if not harmful:
             return None
         return next(
@@ -99,7 +104,7 @@
 
     def ends_in_s(self, evidence: HarmEvidence) -> float:
         """Return the seconds until the evidence no longer counts."""
-        return max(0.0, evidence.last_s + EVIDENCE_S - self._clock())
+        return max(0.0, evidence.last_s + BELIEF_S - self._clock())
 
     # Evidence of this instance.
 
@@ -131,7 +136,8 @@
         """Forget evidence that no longer counts; called periodically."""
         now = self._clock()
         self._own.expire(now)
-        if self._crashes.expire(now):
+        expired = self._crashes.expire(now)
+        if expired or any(not self._is_current(found) for found in self._harmful.values()):
             self._update()
 
     # News.
@@ -176,7 +182,7 @@
     def _clear(self, content: Content) -> None:
         """Handle a whole answer on a content of earlier crashes."""
         self._accused.discard(content)
-        if content in self._causes.harmful:
+        if content in self._harmful:
             self._update()
             self.on_news()
             return
@@ -196,6 +202,8 @@
         return moments >= TELL_MOMENTS_ANSWERED and whole_s > (told.whole_s or 0.0)
 
     def _is_suspect(self, content: Content) -> bool:
+        if content in self._causes.harmful:
+            return True
         if content.kind is ContentKind.CUSTOMER or content not in self._accused:
             return False
         if content.kind is ContentKind.PART and content not in self._answered:
@@ -253,6 +261,13 @@
             for content in concerned & (self._answered.own.keys() | self._answered.told.keys())
             if not any(counts_against(content, crash, self._answered) for crash in crashes)
         }
-        if causes != self._causes:
-            self._causes = causes
+        harmful = {
+            content: found for content, found in causes.harmful.items() if self._is_current(found)
+        }
+        changed = causes != self._causes or harmful != self._harmful
+        self._causes, self._harmful = causes, harmful
+        if changed:
             self.on_change()
+
+    def _is_current(self, evidence: HarmEvidence) -> bool:
+        return self.ends_in_s(evidence) > 0.0
--- a/cassiadrum/crash_evidence/crash_records.py
+++ b/cassiadrum/crash_evidence/crash_records.py
@@ -1,4 +1,4 @@
-"""The endpoints that ended in the last hour."""
+"""The endpoints that ended in the last day."""
 
 from collections.abc import Callable, Collection
 from typing import Final
@@ -10,7 +10,7 @@
 __all__ = ["EVIDENCE_S", "CrashRecords"]
 
 # Time for which a crash counts as evidence.
-EVIDENCE_S: Final = 3600.0
+EVIDENCE_S: Final = 24 * 3600.0
 # Contents kept of one crash; callers choose how many a request has.
 MAX_CRASH_CONTENTS: Final = 128
 
--- a/cassiadrum/tests/test_crash_boards.py
+++ b/cassiadrum/tests/test_crash_boards.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from cassiadrum.crash_evidence import (
+    BELIEF_S,
     EVIDENCE_S,
     Content,
     ContentKind,
@@ -83,7 +84,7 @@
         for number in range(5):
             fleet.crash(number % 2, ["a", "bad"])
         fleet.spread()
-        fleet.clock.now_s += EVIDENCE_S / 2
+        fleet.clock.now_s += BELIEF_S / 2
         fleet.boards.append(fleet.make_board())
         fleet.spread()
         assert set(fleet.boards[-1].harmful) == {BAD}
@@ -188,21 +189,55 @@
 class TestEndOfBelief:
     """Guards against a belief without an end, and one that ends with its requests."""
 
-    def test_belief_outlasts_a_lull_and_ends(self) -> None:
+    def make(self) -> Fleet:
         fleet = Fleet(1)
         for _ in range(5):
             fleet.crash(0, ["bad"])
+        return fleet
+
+    def test_belief_outlasts_a_lull_and_ends(self) -> None:
+        fleet = self.make()
         board = fleet.boards[0]
         evidence = board.harmful[BAD]
-        assert board.ends_in_s(evidence) == EVIDENCE_S
-        fleet.clock.now_s += EVIDENCE_S - 10
+        assert board.ends_in_s(evidence) == BELIEF_S
+        fleet.clock.now_s += BELIEF_S - 10
         board.expire()
         assert BAD in board.harmful
-        assert board.age_s(evidence) == EVIDENCE_S - 10
+        assert board.age_s(evidence) == BELIEF_S - 10
+        changes: list[str] = []
+        board.on_change = lambda: changes.append("change")
         fleet.clock.now_s += 20
         board.expire()
         assert not board.harmful
+        assert changes
+
+    def test_one_more_crash_renews_it(self) -> None:
+        fleet = self.make()
+        board = fleet.boards[0]
+        fleet.clock.now_s += 2 * BELIEF_S
+        board.expire()
+        assert not board.harmful
+        assert board.is_suspect([BAD])
+        fleet.crash(0, ["bad"])
+        assert BAD in board.harmful
+
+    def test_evidence_ends(self) -> None:
+        fleet = self.make()
+        board = fleet.boards[0]
+        fleet.clock.now_s += EVIDENCE_S + 10
+        board.expire()
+        assert not board.is_suspect([BAD])
         assert not board.own_news().crashes
+        fleet.crash(0, ["bad"])
+        assert not board.harmful
+
+    def test_rare_requests_are_found_within_a_day(self) -> None:
+        fleet = Fleet(1)
+        for _ in range(3):
+            fleet.clock.now_s += EVIDENCE_S / 4
+            fleet.crash(0, ["bad"])
+            fleet.boards[0].expire()
+        assert BAD in fleet.boards[0].harmful
 
 
 class TestBounds:
