--- a/cassiadrum/crash_evidence/crash_causes.py
+++ b/cassiadrum/crash_evidence/crash_causes.py
@@ -20,10 +20,11 @@
 # Endpoints that end within this time of each other may have a common cause, such as a failed zone,
 # and count once. It covers the delay of gateways and the difference of their clocks.
 MOMENT_S: Final = 0.25
-# Moments after which a content is blamed that no endpoint has begun an answer on.
+# Moments after which a part is blamed that no endpoint has begun an answer on.
 MIN_MOMENTS: Final = 3
-# The same for contents that answers have been begun on. Sound requests beside harmful ones lose
-# their endpoints as often, so only moments without another explanation count.
+# The same for parts that answers have been begun on, whole requests and customers. Sound requests
+# beside harmful ones lose their endpoints as often, so only moments without another explanation
+# count.
 MIN_MOMENTS_ANSWERED: Final = 5
 # Crashes that suffice in fewer moments, of which there have to be two: the requests of one moment
 # may be those of a zone that failed.
@@ -166,8 +167,12 @@
 
 
 def _needs_more(candidate: _Candidate, answered: Collection[Content]) -> bool:
-    """Return whether a content is likely to be sound, or many sound requests hold it."""
-    return candidate.content in answered or candidate.content.kind is ContentKind.CUSTOMER
+    """Return whether a content is likely to be sound, or is part of many crashes by chance.
+
+    That is the case of a request that its gateway and its caller repeat while endpoints end for
+    other reasons, and of the customer of many requests.
+    """
+    return candidate.content in answered or candidate.content.kind is not ContentKind.PART
 
 
 def _has_enough_evidence(candidate: _Candidate, answered: Collection[Content]) -> bool:
