Find harmful parts among many that end nearly all endpoints at once

Five crashes now suffice at three moments in all, one of them without another explanation, and moments that another content explains weigh a half.

--- a/cassiadrum/crash_evidence/crash_causes.py
+++ b/cassiadrum/crash_evidence/crash_causes.py
@@ -26,12 +26,12 @@
 # beside harmful ones lose their endpoints as often, so only moments without another explanation
 # count.
 MIN_MOMENTS_ANSWERED: Final = 5
-# Crashes that suffice in fewer moments, of which there have to be two: the requests of one moment
-# may be those of a zone that failed.
+# Crashes that suffice with fewer unexplained moments: two, or one of three moments in all. The
+# requests of one moment may be those of a zone that failed.
 MIN_CRASHES: Final = 5
 MIN_MOMENTS_OF_CRASHES: Final = 2
 # Weight of a moment that another content explains, next to one without an explanation.
-EXPLAINED_WEIGHT: Final = 1 / 3
+EXPLAINED_WEIGHT: Final = 0.5
 # Among contents with nearly the evidence of the strongest one, the most specific is blamed: what
 # all requests of a route hold is part of each crash too.
 SIMILAR_EVIDENCE: Final = 0.75
@@ -55,11 +55,24 @@
 
 
 class _Candidate(NamedTuple):
+    """A content that may be blamed.
+
+    `counted` are its crashes without those that a content with a greater depth explains: where
+    that is a later part of the same prompts, this one is part of each of its crashes.
+    """
+
     content: Content
     depth: int
-    unexplained: int
-    score: float
     crashes: tuple[EndpointCrash, ...]
+    counted: int
+    moments: int
+    unexplained: int
+
+    @property
+    def score(self) -> float:
+        """Return the number of moments; those that another content explains count less."""
+        explained = max(0, self.moments - self.unexplained)
+        return self.unexplained + EXPLAINED_WEIGHT * explained
 
     @property
     def specificity(self) -> tuple[int, int]:
@@ -82,7 +95,8 @@
     `answered` has the contents on which answers were begun; a whole answer voids earlier crashes.
     """
     evidence = _repeated_evidence(crashes, answered)
-    explained: set[str] = set()
+    # Depth of the blamed content that explains the end of an endpoint.
+    explained: dict[str, int] = {}
     harmful: dict[Content, HarmEvidence] = {}
     while True:
         candidates = [
@@ -94,7 +108,7 @@
         if cause is None:
             return CrashCauses(harmful, frozenset(explained))
         harmful[cause.content] = _describe(cause.crashes)
-        explained |= {crash.endpoint for crash in cause.crashes}
+        explained |= {crash.endpoint: cause.depth for crash in cause.crashes}
 
 
 def counts_against(
@@ -138,16 +152,17 @@
 
 
 def _candidate(
-    content: Content, crashes: list[EndpointCrash], explained: Collection[str]
+    content: Content, crashes: list[EndpointCrash], explained: Mapping[str, int]
 ) -> _Candidate:
-    unexplained = count_moments(crash for crash in crashes if crash.endpoint not in explained)
-    explained_moments = max(0, count_moments(crashes) - unexplained)
+    depth = max(crash.contents[content] for crash in crashes)
+    counted = [crash for crash in crashes if explained.get(crash.endpoint, 0) <= depth]
     return _Candidate(
         content,
-        max(crash.contents[content] for crash in crashes),
-        unexplained,
-        unexplained + EXPLAINED_WEIGHT * explained_moments,
+        depth,
         tuple(crashes),
+        len(counted),
+        count_moments(counted),
+        count_moments(crash for crash in crashes if crash.endpoint not in explained),
     )
 
 
@@ -182,8 +197,9 @@
         return candidate.unexplained >= MIN_MOMENTS_ANSWERED
     if candidate.score >= MIN_MOMENTS:
         return True
-    enough_crashes = len(candidate.crashes) >= MIN_CRASHES
-    return enough_crashes and candidate.unexplained >= MIN_MOMENTS_OF_CRASHES
+    if candidate.counted < MIN_CRASHES:
+        return False
+    return candidate.unexplained >= MIN_MOMENTS_OF_CRASHES or candidate.moments >= MIN_MOMENTS
 
 
 def _describe(crashes: tuple[EndpointCrash, ...]) -> HarmEvidence:
