Send no second copy of a request that may have ended an endpoint

A hedged copy of a suspect request can end a second endpoint before it is known why the first one ended. Read off the code; the new test fails without the condition.

--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -1,6 +1,6 @@
 """Request handling of one service at an entry instance, from admission to the last attempt."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from cassiadrum.decisions.actions import Action, Dispatch, Hedge, Refuse
 from cassiadrum.decisions.admission_decisions import Rejected
@@ -60,6 +60,8 @@
             admission or DeadlineAdmission(),
             estimator or QuantileLengthEstimator(),
         )
+        # Returns whether a second copy of a running request may be sent, by its id.
+        self.allows_hedge: Callable[[str], bool] = lambda request_id: True
         self._waiting: dict[str, TrackedRequest] = {}
         self._disconnected_s: float | None = None
 
@@ -269,4 +271,6 @@
         req = tracked.req
         if not tracked.may_be_hedged or req.class_name in self._uncancellable:
             return False
+        if not self.allows_hedge(req.request_id):
+            return False
         return self._hedge_policy.may_hedge(req, now - min(tracked.copies.values()), now)
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -442,8 +442,14 @@
     def _dispatcher(self, service: str) -> Dispatcher:
         if service not in self.dispatchers:
             self.dispatchers[service] = self._make_dispatcher(service)
+            self.dispatchers[service].allows_hedge = self._allows_hedge
         return self.dispatchers[service]
 
+    def _allows_hedge(self, request_id: str) -> bool:
+        """Return whether a second copy of a request endangers no other endpoint."""
+        pending = self.pending.get(request_id)
+        return pending is None or not self.crash_guard.board.is_suspect(pending.contents)
+
     def _find_attempt(self, attempt_id: str) -> tuple[PendingRequest, Attempt] | None:
         pending = self.pending.get(attempt_id.rpartition(".")[0])
         attempt = pending.attempts.get(attempt_id) if pending else None
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -158,7 +158,7 @@
     """
 
     @staticmethod
-    def make_hedged() -> Dispatcher:
+    def make_slow() -> Dispatcher:
         dispatcher = make_dispatcher(hedge_budget=0.5)
         for index in range(60):
             dispatcher.submit(make_request(f"w{index}"), index)
@@ -166,10 +166,19 @@
             dispatcher.finished(f"w{index}", DONE, index + 0.2)
         dispatcher.submit(make_request("slow"), 100.0)
         assert dispatcher.tick(100.05) == []
+        return dispatcher
+
+    def make_hedged(self) -> Dispatcher:
+        dispatcher = self.make_slow()
         (hedge,) = dispatcher.tick(101.0)
         assert hedge == Hedge(make_request("slow"), "e1")
         return dispatcher
 
+    def test_request_that_may_end_endpoints_has_no_second_copy(self) -> None:
+        dispatcher = self.make_slow()
+        dispatcher.allows_hedge = lambda request_id: request_id != "slow"
+        assert dispatcher.tick(101.0) == []
+
     def test_first_token_cancels_the_other_copy(self) -> None:
         dispatcher = self.make_hedged()
         assert dispatcher.progressed("e1", "slow", 1, 101.1) == [Cancel("slow", "e0")]
