--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -11,16 +11,8 @@
 import msgspec
 
 from cassiadrum.platform.errors import DECODE_ERRORS, AnswerTooLarge, HistoryGone, WriteConflict
-from cassiadrum.platform.headers import Header
-from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.protocols import (
-    BodyTooLarge,
-    CallTimeout,
-    HttpClient,
-    HttpError,
-    HttpResponse,
-    TimeSlice,
-)
+from cassiadrum.platform.store_clients import CONFLICT_STATUS, GONE_STATUS, StoreClient
+from cassiadrum.protocols import TimeSlice
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
@@ -33,14 +25,9 @@
 # Timeout for an answer, on top of the wait that the call requests. The store answers within
 # milliseconds, but a broken connection may never deliver an answer.
 RESPONSE_TIMEOUT_S = 0.8
-CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
-# Bounds the memory and the time for decoding an answer; a page of rows has at most 1 MB.
-MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # Bounds the memory of a table whose pages do not end.
 MAX_ROWS = 100_000
-GONE_STATUS = 410
-CONFLICT_STATUS = 412
 
 
 class _RowNameWire(msgspec.Struct):
@@ -138,9 +125,9 @@
         address: Address,
         boot_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
     ) -> None:
-        self._client = HttpClient(address.host, address.port, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._client = StoreClient(address)
         self._boot_clock = boot_clock
-        self.era = StoreEra()
+        self.era = self._client.era
 
     async def read_all(self, table: str) -> RowPage:
         """Return all rows of a table; raise StoreUnavailable.
@@ -203,13 +190,12 @@
             [_NewRowWire(table, "", key, value)],
             [_RowKeyWire(table, "", row.key) for row in removed],
         )
-        response, body = await self._exchange(
+        response, body = await self._client.exchange(
             "POST", "/-/rows-tx", RESPONSE_TIMEOUT_S, msgspec.json.encode(call)
         )
         if response.status == CONFLICT_STATUS:
             rows = _decode(body, _ConflictWire).rows
             raise WriteConflict(key, next((row.ver for row in rows if row.key == key), 0))
-        _check_status(response)
         return _decode(body, _WrittenWire).ver
 
     def close(self) -> None:
@@ -218,47 +204,15 @@
 
     async def _call(self, target: str, timeout_s: float) -> tuple[RowPage, bool]:
         sent_s = self._boot_clock()
-        response, body = await self._exchange("GET", target, timeout_s)
+        response, body = await self._client.exchange("GET", target, timeout_s)
         if response.status == GONE_STATUS:
             raise HistoryGone(target)
-        _check_status(response)
         wire = _decode(body, _PageWire)
         received_s = self._boot_clock()
         rows = await _decode_rows(wire.rows)
         page = RowPage(rows, wire.ver, wire.now_ms / 1000, sent_s, received_s)
         return page, wire.truncated
 
-    async def _exchange(
-        self, method: str, target: str, timeout_s: float, body: bytes = b""
-    ) -> tuple[HttpResponse, bytes]:
-        """Return the response to a call and its body; raise StoreUnavailable without one."""
-        headers = (("content-type", "application/json"),) if body else ()
-        try:
-            async with CallTimeout(timeout_s):
-                response = await self._client.request(method, target, headers, body)
-                answer = await response.read(MAX_RESPONSE_BYTES)
-        except BodyTooLarge as exc:
-            self._client.close()
-            raise AnswerTooLarge(str(exc)) from exc
-        except (HttpError, TimeoutError) as exc:
-            self._client.close()
-            raise StoreUnavailable(str(exc) or f"no answer in {timeout_s:g} s") from exc
-        self._check_era(response)
-        return response, answer
-
-    def _check_era(self, response: HttpResponse) -> None:
-        """Observe the era in an answer; raise StoreUnavailable if it may be an older one."""
-        if not self.era.observe(response.header(Header.STORE_ERA)):
-            # Further answers on this connection may be as old.
-            self._client.close()
-            raise StoreUnavailable("the answer may predate a restore of the store")
-
-
-def _check_status(response: HttpResponse) -> None:
-    """Raise StoreUnavailable unless the call succeeded."""
-    if response.status != 200:
-        raise StoreUnavailable(f"status {response.status}")
-
 
 def _decode(body: bytes, kind: type[Wire]) -> Wire:
     """Return the decoded body; raise StoreUnavailable if it is invalid."""
--- a/cassiadrum/tests/fuzz/test_platform.py
+++ b/cassiadrum/tests/fuzz/test_platform.py
@@ -17,7 +17,8 @@
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.node_settings import parse_node_settings
 from cassiadrum.platform.records import decode_catalog, decode_entry
-from cassiadrum.platform.row_stores import MAX_RESPONSE_BYTES, RowStore
+from cassiadrum.platform.row_stores import RowStore
+from cassiadrum.platform.store_clients import MAX_RESPONSE_BYTES
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.protocols import BadMessage, Exchange, HttpRequest, HttpServer
 from cassiadrum.protocols.notifying_readers import NotifyingReader
