Limit calls to the store by their progress, and read the newest rows, not the history

Cause: a call to the store had 0.8 s in all.

- An answer has 0.8 s to begin, and each 8 KiB of it as long again.
A stall or a trickle ends it.
- Changes of more than 1.5 times the size of a table, and 64 KiB, are not read: all rows are.
- A read of all rows keeps its pages after a failure, and goes on with smaller ones.
- While an answer takes long the other tables are read beside it, so that changes of endpoints do not wait for a configuration.

--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "DECODE_ERRORS",
+    "AnswerCutOff",
     "AnswerTooLarge",
     "BadRecord",
     "BadSettings",
@@ -45,6 +46,14 @@
     """The store no longer keeps the changes since the requested version."""
 
 
+class AnswerCutOff(StoreUnavailable):
+    """An answer of the store broke off, or stalled, after `received_bytes` of its body."""
+
+    def __init__(self, reason: str, received_bytes: int) -> None:
+        super().__init__(reason)
+        self.received_bytes = received_bytes
+
+
 class AnswerTooLarge(StoreUnavailable):
     """An answer of the store exceeds the size that is read."""
 
--- a/cassiadrum/platform/fleet_sinks.py
+++ b/cassiadrum/platform/fleet_sinks.py
@@ -9,9 +9,9 @@
 from cassiadrum.gateways import Fleet, FleetMember
 from cassiadrum.platform.errors import BadRecord
 from cassiadrum.platform.fleet_news import FleetNews, NewsTiming
+from cassiadrum.platform.followed_tables import TableSink
 from cassiadrum.platform.member_rows import MemberRow, decode_member
-from cassiadrum.platform.row_stores import ChangedRow, RowPage, RowVersion
-from cassiadrum.platform.store_followers import TableSink
+from cassiadrum.platform.row_pages import ChangedRow, RowPage, RowVersion
 from cassiadrum.protocols import TimeSlice
 
 __all__ = ["FLEET_TABLE", "MAX_REMOVED_ROWS", "FleetSink"]
--- a/cassiadrum/platform/member_rows.py
+++ b/cassiadrum/platform/member_rows.py
@@ -6,7 +6,7 @@
 
 from cassiadrum.crash_evidence import CONTENT_PATTERN, CONTENTS_PATTERN
 from cassiadrum.platform.errors import DECODE_ERRORS, BadRecord
-from cassiadrum.platform.row_stores import ChangedRow
+from cassiadrum.platform.row_pages import ChangedRow
 from cassiadrum.settings.addresses import Address
 
 __all__ = ["AnsweredRow", "CrashRow", "LimitRow", "MemberRow", "decode_member"]
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -14,10 +14,11 @@
 from cassiadrum.platform.errors import BadSettings, StartFailed
 from cassiadrum.platform.fleet_registrations import FleetRegistration
 from cassiadrum.platform.fleet_sinks import FLEET_TABLE, FleetSink
+from cassiadrum.platform.followed_tables import FollowedTable
 from cassiadrum.platform.limit_news import LimitFleetNews
 from cassiadrum.platform.node_settings import NodeSettings, load_node_settings
 from cassiadrum.platform.row_stores import RowStore
-from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
+from cassiadrum.platform.store_followers import StoreFollower
 from cassiadrum.platform.store_waits import StoreWaits
 from cassiadrum.platform.table_sinks import (
     CONFIGURATION_TABLE,
--- /dev/null
+++ b/cassiadrum/platform/row_pages.py
@@ -0,0 +1,36 @@
+"""Rows of a table as the store returns them."""
+
+from typing import NamedTuple
+
+__all__ = ["ChangedRow", "RowPage", "RowVersion"]
+
+
+class ChangedRow(NamedTuple):
+    """The content of a row at a version, None if the row was removed.
+
+    Content that is not valid base64 is empty, which no decoder accepts.
+    """
+
+    key: str
+    content: bytes | None
+    version: int
+
+
+class RowVersion(NamedTuple):
+    """The key of a row and the version that it has, 0 if it does not exist."""
+
+    key: str
+    version: int
+
+
+class RowPage(NamedTuple):
+    """The rows of an answer and the store's version.
+
+    Times are in seconds: `store_s` on the store's clock, the others on this machine's boot clock.
+    """
+
+    rows: tuple[ChangedRow, ...]
+    version: int
+    store_s: float
+    sent_s: float
+    received_s: float
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -5,27 +5,39 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
-from cassiadrum.platform.errors import DECODE_ERRORS, AnswerTooLarge, HistoryGone, WriteConflict
-from cassiadrum.platform.store_clients import CONFLICT_STATUS, GONE_STATUS, StoreClient
+from cassiadrum.platform.errors import (
+    DECODE_ERRORS,
+    AnswerCutOff,
+    AnswerTooLarge,
+    HistoryGone,
+    WriteConflict,
+)
+from cassiadrum.platform.row_pages import ChangedRow, RowPage, RowVersion
+from cassiadrum.platform.store_clients import (
+    CONFLICT_STATUS,
+    GONE_STATUS,
+    MAX_RESPONSE_BYTES,
+    StoreClient,
+)
+from cassiadrum.platform.table_reads import TableRead
 from cassiadrum.protocols import TimeSlice
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
 
-__all__ = ["ChangedRow", "RowPage", "RowStore", "RowVersion"]
+__all__ = ["RowStore"]
 
 logger = logging.getLogger(__name__)
 
 Wire = TypeVar("Wire", bound=msgspec.Struct)
 
-# Timeout for an answer, on top of the wait that the call requests. The store answers within
+# Time for an answer to begin, on top of the wait that the call requests. The store answers within
 # milliseconds, but a broken connection may never deliver an answer.
 RESPONSE_TIMEOUT_S = 0.8
-PAGE_ROWS = 500
 # Bounds the memory of a table whose pages do not end.
 MAX_ROWS = 100_000
 
@@ -83,37 +95,6 @@
     rows: list[_RowWire] = []
 
 
-class ChangedRow(NamedTuple):
-    """The content of a row at a version, None if the row was removed.
-
-    Content that is not valid base64 is empty, which no decoder accepts.
-    """
-
-    key: str
-    content: bytes | None
-    version: int
-
-
-class RowVersion(NamedTuple):
-    """The key of a row and the version that it has, 0 if it does not exist."""
-
-    key: str
-    version: int
-
-
-class RowPage(NamedTuple):
-    """The rows of an answer and the store's version.
-
-    Times are in seconds: `store_s` on the store's clock, the others on this machine's boot clock.
-    """
-
-    rows: tuple[ChangedRow, ...]
-    version: int
-    store_s: float
-    sent_s: float
-    received_s: float
-
-
 class RowStore:
     """Client of the store's tables, with a connection for each concurrent call.
 
@@ -129,42 +110,46 @@
         self._boot_clock = boot_clock
         self.era = self._client.era
 
-    async def read_all(self, table: str) -> RowPage:
+    async def read_all(self, table: str, read: TableRead | None = None) -> RowPage:
         """Return all rows of a table; raise StoreUnavailable.
 
         The version is that of the first page, so reading changes from there repeats those made
-        while the pages were read. Pages from before and after a restore of the store are not
-        combined, since they may be inconsistent.
+        while the pages were read. `read` keeps the pages for another try after a failure. Pages
+        from before and after a restore of the store are not combined, since they may be
+        inconsistent.
         """
-        first: RowPage | None = None
-        era: int | None = None
-        rows: dict[str, ChangedRow] = {}
-        start = ""
+        read = TableRead() if read is None else read
         while True:
-            query = f"/-/rows-get?table={table}&part=&limit={PAGE_ROWS}"
-            query += f"&from={quote(start, safe='')}" if start else ""
-            page, truncated = await self._call(query, RESPONSE_TIMEOUT_S)
-            if first is None:
-                first, era = page, self.era.number
-            elif self.era.number != era:
+            page, truncated = await self._read_page(table, read)
+            if read.is_before_restore(page, self.era.number):
+                read.restart()
                 raise StoreUnavailable("the store was restored while a table was read")
-            rows.update((row.key, row) for row in page.rows)
-            if len(rows) > MAX_ROWS:
+            if read.add(page, self.era.number, truncated=truncated):
+                return read.page()
+            if read.row_count > MAX_ROWS:
                 raise StoreUnavailable(f"table {table} has more than {MAX_ROWS} rows")
-            if not truncated or not page.rows or page.rows[-1].key == start:
-                # A page whose rows cannot be read gives no key to continue from.
-                return first._replace(rows=tuple(rows.values()))
-            start = page.rows[-1].key
 
-    async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
+    async def _read_page(self, table: str, read: TableRead) -> tuple[RowPage, bool]:
+        """Return the next page and whether others follow; raise StoreUnavailable."""
+        query = f"/-/rows-get?table={table}&part=&limit={read.page_rows}"
+        query += f"&from={quote(read.start, safe='')}" if read.start else ""
+        try:
+            return await self._call(query, RESPONSE_TIMEOUT_S)
+        except AnswerCutOff:
+            read.record_cut_off()
+            raise
+
+    async def read_changes(
+        self, table: str, since: int, wait_s: float, limit_bytes: int = MAX_RESPONSE_BYTES
+    ) -> RowPage:
         """Return the rows that changed after a version, waiting up to `wait_s` for a change.
 
         Raises HistoryGone if the store no longer keeps the changes since that version, or if they
-        are too large for one answer, and StoreUnavailable if no valid answer arrives in time.
+        have more than `limit_bytes`, and StoreUnavailable if no valid answer arrives in time.
         """
         query = f"/-/rows-feed?table={table}&since_rev={since}&wait_ms={int(wait_s * 1000)}"
         try:
-            page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S)
+            page, _ = await self._call(query, wait_s + RESPONSE_TIMEOUT_S, limit_bytes)
         except AnswerTooLarge as exc:
             raise HistoryGone(str(exc)) from exc
         return page
@@ -202,9 +187,13 @@
         """Close the idle connection."""
         self._client.close()
 
-    async def _call(self, target: str, timeout_s: float) -> tuple[RowPage, bool]:
+    async def _call(
+        self, target: str, timeout_s: float, limit_bytes: int = MAX_RESPONSE_BYTES
+    ) -> tuple[RowPage, bool]:
         sent_s = self._boot_clock()
-        response, body = await self._client.exchange("GET", target, timeout_s)
+        response, body = await self._client.exchange(
+            "GET", target, timeout_s, limit_bytes=limit_bytes
+        )
         if response.status == GONE_STATUS:
             raise HistoryGone(target)
         wire = _decode(body, _PageWire)
--- a/cassiadrum/platform/store_clients.py
+++ b/cassiadrum/platform/store_clients.py
@@ -6,16 +6,16 @@
 from typing import NamedTuple
 
 from cassiadrum.logs import RATE_LIMITED_FIELD
-from cassiadrum.platform.errors import AnswerTooLarge
+from cassiadrum.platform.errors import AnswerCutOff, AnswerTooLarge
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.protocols import (
     BodyTooLarge,
-    CallTimeout,
     ConnectFailed,
     HttpClient,
     HttpError,
     HttpResponse,
+    TransferTimeout,
 )
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
@@ -25,6 +25,10 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.5
+# Time within which each part of a body that is larger than a part has to arrive.
+PART_TIMEOUT_S = 0.8
+# Slowest transfer of a request's body that is waited for.
+MIN_UPLOAD_BYTES_PER_S = 16 * 1024
 # Bounds the memory and the time for decoding an answer; a page of rows has at most 1 MB.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 OK_STATUS = 200
@@ -54,36 +58,58 @@
     """Client of the store's address, with a connection for each concurrent call."""
 
     def __init__(self, address: Address) -> None:
-        self._client = HttpClient(address.host, address.port, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._client = HttpClient(
+            address.host,
+            address.port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
         self.era = StoreEra()
 
     async def exchange(
-        self, method: str, target: str, timeout_s: float, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes = b"",
+        limit_bytes: int = MAX_RESPONSE_BYTES,
     ) -> StoreAnswer:
         """Return an answer with one of the expected statuses.
 
-        Raises StoreUnavailable if there is none in `timeout_s` seconds, and AnswerTooLarge.
+        Raises StoreUnavailable if it does not begin in `timeout_s` seconds, AnswerCutOff if it
+        does not go on, and AnswerTooLarge if its body has more than `limit_bytes`.
         """
         call = _Call(method, target)
         headers = (("content-type", "application/json"),) if body else ()
+        limit_s = timeout_s + len(body) / MIN_UPLOAD_BYTES_PER_S
         try:
-            async with CallTimeout(timeout_s):
+            async with TransferTimeout(limit_s, PART_TIMEOUT_S) as limit:
                 response = await self._client.request(method, target, headers, body)
-                answer = StoreAnswer(response, await call.read(response))
+                limit.record_head(response)
+                content = await self._read(call, response, limit, limit_bytes)
         except BodyTooLarge as exc:
-            self._fail(call, str(exc))
             raise AnswerTooLarge(str(exc)) from exc
         except ConnectFailed as exc:
             call.phase = CallPhase.CONNECTION
             raise self._fail(call, str(exc)) from exc
         except (HttpError, TimeoutError) as exc:
-            raise self._fail(call, str(exc) or f"no answer in {timeout_s:g} s") from exc
+            raise self._fail(call, str(exc) or "no answer in time") from exc
         self._check_era(response)
         if response.status not in EXPECTED_STATUSES:
             call.phase = CallPhase.STATUS
             call.log_failure(f"status {response.status}")
             raise StoreUnavailable(f"status {response.status}")
-        return answer
+        return StoreAnswer(response, content)
+
+    async def _read(
+        self, call: "_Call", response: HttpResponse, limit: TransferTimeout, limit_bytes: int
+    ) -> bytes:
+        call.phase = CallPhase.BODY
+
+        async def record(size: int) -> None:
+            call.body_bytes += size
+            limit.record_data(size)
+
+        return await response.read(limit_bytes, record)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -100,6 +126,8 @@
         """Log a failed call and close the other connections, which may be broken as well."""
         self._client.close()
         call.log_failure(reason)
+        if call.body_bytes:
+            return AnswerCutOff(reason, call.body_bytes)
         return StoreUnavailable(reason)
 
 
@@ -109,23 +137,9 @@
     def __init__(self, method: str, target: str) -> None:
         self._name = f"{method} {target}"
         self._start_s = time.monotonic()
-        self._bytes = 0
+        self.body_bytes = 0
         self.phase = CallPhase.HEAD
 
-    async def read(self, response: HttpResponse) -> bytes:
-        """Return the body; raise BodyTooLarge above MAX_RESPONSE_BYTES."""
-        self.phase = CallPhase.BODY
-        parts: list[bytes] = []
-        try:
-            async for part in response.body:
-                parts.append(part)
-                self._bytes += len(part)
-                if self._bytes > MAX_RESPONSE_BYTES:
-                    raise BodyTooLarge(MAX_RESPONSE_BYTES)
-        finally:
-            await response.body.aclose()
-        return b"".join(parts)
-
     def log_failure(self, reason: str) -> None:
         """Log the phase, the bytes of the body and the time; callers pause between failures."""
         logger.info(
@@ -133,7 +147,7 @@
             extra={
                 "call": self._name,
                 "phase": self.phase.value,
-                "body_bytes": self._bytes,
+                "body_bytes": self.body_bytes,
                 "after_ms": round((time.monotonic() - self._start_s) * 1000),
                 "reason": reason,
                 RATE_LIMITED_FIELD: True,
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -3,14 +3,15 @@
 import asyncio
 import logging
 import random
-from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
-from cassiadrum.platform.errors import HistoryGone, StoreRestored
-from cassiadrum.platform.row_stores import RowPage, RowStore
+from cassiadrum.platform.errors import StoreRestored
+from cassiadrum.platform.followed_tables import FollowedTable, TableAnswer
+from cassiadrum.platform.row_pages import RowPage
+from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.stores.errors import StoreUnavailable
 
-__all__ = ["FollowedTable", "StoreFollower", "TableSink"]
+__all__ = ["StoreFollower"]
 
 logger = logging.getLogger(__name__)
 
@@ -19,72 +20,9 @@
 # All gateways detect a restored store at the same time; a random delay up to this spreads their
 # reads of all rows.
 RESTORE_SPREAD_S = 0.4
-
-
-class TableSink(ABC):
-    """Receiver of a table's rows and changes.
-
-    Other tasks run while many rows are decoded.
-    """
-
-    @abstractmethod
-    async def replace(self, page: RowPage) -> None:
-        """Replace the content by all rows of the table."""
-
-    @abstractmethod
-    async def apply_changes(self, page: RowPage) -> None:
-        """Apply changed rows; there are none if nothing changed within the wait."""
-
-    def record_unchanged(self, page: RowPage) -> None:  # noqa: B027 - most sinks ignore it
-        """Handle an answer about another table that shows that this one has not changed."""
-
-    @abstractmethod
-    def store_returned(self) -> None:
-        """Handle the end of a store outage; called before the rows that follow are passed on."""
-
-    @abstractmethod
-    def store_restored(self) -> None:
-        """Handle a restore of the store from an older copy; called before `replace`."""
-
-
-class FollowedTable:
-    """A table that is followed, its sink and the version that the sink has."""
-
-    def __init__(self, name: str, sink: TableSink) -> None:
-        self.name = name
-        self.sink = sink
-        # Store version up to which the sink is current, None if all rows must be read.
-        self.version: int | None = None
-
-    async def read(self, store: RowStore, wait_s: float) -> tuple[RowPage, bool]:
-        """Return a page and whether it holds all rows, not only changes; raise StoreUnavailable.
-
-        A call for changes waits up to `wait_s` for one.
-        """
-        if self.version is not None:
-            try:
-                return await store.read_changes(self.name, self.version, wait_s), False
-            except HistoryGone as exc:
-                logger.info(
-                    "store does not return the needed changes, reading all rows of table %s: %s",
-                    self.name,
-                    exc,
-                )
-                self.version = None
-        return await store.read_all(self.name), True
-
-    async def apply(self, page: RowPage, *, full: bool) -> None:
-        """Pass a page to the sink; `full` tells that it holds all rows."""
-        if full:
-            await self.sink.replace(page)
-        else:
-            await self.sink.apply_changes(page)
-        self.version = page.version
-
-    def reset(self) -> None:
-        """Notify the sink of a restored store, and have all rows read next."""
-        self.version = None
-        self.sink.store_restored()
+# Time beyond the wait for changes after which the other tables are read beside a step that has not
+# ended, as while a large answer arrives over a slow link.
+SLOW_ANSWER_S = 0.3
 
 
 class StoreFollower:
@@ -120,23 +58,43 @@
         self._newest_version = 0
         self._era = store.era.number
         self._failures = 0
+        # Whether no answer was applied since the last failure.
+        self._is_away = False
+        # Restores of the store that were detected.
+        self._resets = 0
 
     async def run(self) -> None:
         """Follow the tables until cancelled."""
         while True:
-            pause_s = await self.step()
+            step = asyncio.create_task(self.step())
+            try:
+                wait_s = self._step_wait_s()
+                while not step.done():
+                    await asyncio.wait({step}, timeout=wait_s + SLOW_ANSWER_S)
+                    if not step.done():
+                        await self._follow_beside()
+                    wait_s = self._wait_s
+                pause_s = await step
+            finally:
+                step.cancel()
             await asyncio.sleep(pause_s)
 
+    async def _follow_beside(self) -> None:
+        """Read the tables that no call is running for, while a large answer arrives."""
+        try:
+            for table in dict.fromkeys((*self._first_tables, *self._other_tables)):
+                if not table.lock.locked():
+                    await self._follow(table, 0.0)
+        except StoreUnavailable as exc:
+            # The step reports an outage; it may already have begun with this call.
+            logger.info("read beside a slow one failed: %s", exc)
+        except StoreRestored as exc:
+            logger.info("read beside a slow one found a restore of the store: %s", exc)
+
     async def step(self) -> float:
         """Read the tables that may have changed once; return the seconds until the next step."""
-        # After a failure, call without a wait to detect the end of the outage early.
-        wait_s = (
-            0.0
-            if self._failures or any(map(self._is_behind, self._other_tables))
-            else self._wait_s
-        )
         try:
-            page = await self._follow_leading(wait_s)
+            page = await self._follow(self._leading_table, self._step_wait_s())
             for table in (*self._first_tables, *self._other_tables):
                 if self._is_behind(table):
                     await self._follow(table, 0.0)
@@ -158,33 +116,46 @@
             return True
         return table.version < self._newest_version
 
-    async def _follow_leading(self, wait_s: float) -> RowPage:
-        page, full = await self._read(self._leading_table, wait_s)
-        if self._failures:
-            for table in (self._leading_table, *self._other_tables):
-                table.sink.store_returned()
-        await self._apply(self._leading_table, page, full=full)
-        return page
-
-    async def _follow(self, table: FollowedTable, wait_s: float) -> None:
-        page, full = await self._read(table, wait_s)
-        await self._apply(table, page, full=full)
+    def _step_wait_s(self) -> float:
+        """Return how long a call for changes of the leading table waits for one."""
+        # After a failure, call without a wait to detect the end of the outage early.
+        if self._failures or any(map(self._is_behind, self._other_tables)):
+            return 0.0
+        return self._wait_s
 
-    async def _read(self, table: FollowedTable, wait_s: float) -> tuple[RowPage, bool]:
-        """Read a table in the current era.
+    async def _follow(self, table: FollowedTable, wait_s: float) -> RowPage:
+        """Read a table in the current era and apply the answer.
 
         Raises StoreRestored if the store was restored, and StoreUnavailable.
         """
-        page, full = await table.read(self._store, wait_s)
-        if self._check_era():
-            raise StoreRestored(table.name)
-        if page.version < self._newest_version:
-            evidence = f"version {page.version} after {self._newest_version}"
-            if self._era is not None:
-                raise StoreUnavailable(f"outdated answer: {evidence}")
-            self._reset_tables(evidence)
-            raise StoreRestored(table.name)
-        return page, full
+        async with table.lock:
+            resets = self._resets
+            answer = await table.read(self._store, wait_s, self._newest_version)
+            if self._check_era() or self._resets != resets:
+                raise StoreRestored(table.name)
+            self._check_version(table, answer)
+            self._report_return()
+            await table.apply(answer)
+        self._newest_version = max(self._newest_version, answer.page.version)
+        return answer.page
+
+    def _check_version(self, table: FollowedTable, answer: TableAnswer) -> None:
+        """Raise StoreUnavailable or StoreRestored for an answer older than one before its call."""
+        if answer.page.version >= answer.known_version:
+            return
+        evidence = f"version {answer.page.version} after {answer.known_version}"
+        if self._era is not None:
+            raise StoreUnavailable(f"outdated answer: {evidence}")
+        self._reset_tables(evidence)
+        raise StoreRestored(table.name)
+
+    def _report_return(self) -> None:
+        """Notify the sinks of the end of an outage, once, before any rows are passed on."""
+        if not self._is_away:
+            return
+        self._is_away = False
+        for table in (self._leading_table, *self._other_tables):
+            table.sink.store_returned()
 
     def _check_era(self) -> bool:
         """Return whether the era increased since the last check; if so, reset all tables."""
@@ -200,16 +171,14 @@
             "store was restored from an older copy, reading all rows of all tables: %s", evidence
         )
         self._newest_version = 0
+        self._resets += 1
         for table in (self._leading_table, *self._other_tables):
             table.reset()
 
-    async def _apply(self, table: FollowedTable, page: RowPage, *, full: bool) -> None:
-        await table.apply(page, full=full)
-        self._newest_version = max(self._newest_version, page.version)
-
     def _backoff_s(self, reason: str) -> float:
         if not self._failures:
             logger.warning("store unavailable: %s", reason)
         self._failures += 1
+        self._is_away = True
         longest_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** (self._failures - 1))
         return float(longest_s * random.uniform(0.5, 1.0))
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -8,9 +8,9 @@
 
 from cassiadrum.gateways import EndpointEntry, Gateway
 from cassiadrum.platform.errors import BadRecord
+from cassiadrum.platform.followed_tables import TableSink
 from cassiadrum.platform.records import decode_catalog, decode_entry
-from cassiadrum.platform.row_stores import ChangedRow, RowPage
-from cassiadrum.platform.store_followers import TableSink
+from cassiadrum.platform.row_pages import ChangedRow, RowPage
 from cassiadrum.protocols import TimeSlice
 
 __all__ = ["CONFIGURATION_TABLE", "ENDPOINT_TABLE", "ConfigurationSink", "EndpointSink"]
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -17,11 +17,13 @@
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.process_checks import ProcessState, check_process
 from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES, TimeSlice
+from cassiadrum.protocols.transfer_timeouts import MIN_PART_BYTES, TransferTimeout
 from cassiadrum.protocols.unanswered_connections import UnansweredReason
 
 __all__ = [
     "MAX_HEADERS",
     "MAX_PARSE_BYTES",
+    "MIN_PART_BYTES",
     "AnswerLost",
     "BadMessage",
     "BodyTooLarge",
@@ -38,6 +40,7 @@
     "MemoryBudget",
     "ProcessState",
     "TimeSlice",
+    "TransferTimeout",
     "UnansweredReason",
     "check_process",
     "next_answer_event",
--- a/cassiadrum/protocols/call_timeouts.py
+++ b/cassiadrum/protocols/call_timeouts.py
@@ -28,9 +28,7 @@
 
     async def __aenter__(self) -> Self:
         await self._timeout.__aenter__()
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + self._limit_s
-        self._handle = loop.call_at(due_s, self._extend, due_s)
+        self._start(self._limit_s)
         return self
 
     async def __aexit__(
@@ -43,6 +41,17 @@
             self._handle.cancel()
         await self._timeout.__aexit__(kind, exc, trace)
 
+    def _start(self, limit_s: float) -> None:
+        """Let the context end after a time from now, unless it has ended already."""
+        if self._timeout.expired():
+            return
+        if self._handle is not None:
+            self._handle.cancel()
+        self._timeout.reschedule(None)
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + limit_s
+        self._handle = loop.call_at(due_s, self._extend, due_s)
+
     def _extend(self, due_s: float) -> None:
         """Let the context end after another time as long as this check is late."""
         now = asyncio.get_running_loop().time()
--- a/cassiadrum/tests/gateways/slow_links.py
+++ b/cassiadrum/tests/gateways/slow_links.py
@@ -53,6 +53,11 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def cut(self) -> None:
+        """Close all connections."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def start(self) -> int:
         """Listen and return the port."""
         sock = _small_socket(socket.SO_SNDBUF)
@@ -65,8 +70,7 @@
         """Close all connections and stop listening."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self.cut()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/cassiadrum/tests/gateways/store_machines.py
+++ b/cassiadrum/tests/gateways/store_machines.py
@@ -14,8 +14,12 @@
 from cassiadrum.gateways import Gateway, GatewaySettings
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.errors import HistoryGone
-from cassiadrum.platform.row_stores import ChangedRow, RowPage, RowStore
-from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
+from cassiadrum.platform.followed_tables import FollowedTable
+from cassiadrum.platform.row_pages import ChangedRow, RowPage
+from cassiadrum.platform.row_stores import RowStore
+from cassiadrum.platform.store_clients import MAX_RESPONSE_BYTES
+from cassiadrum.platform.store_followers import StoreFollower
+from cassiadrum.platform.table_reads import TableRead
 from cassiadrum.platform.table_sinks import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -105,10 +109,12 @@
         found = [item for item in self.row_changes if (item.table, item.key) == (table, key)]
         return found[-1].content if found else None
 
-    async def read_all(self, table: str) -> RowPage:
+    async def read_all(self, table: str, read: TableRead | None = None) -> RowPage:
         return self._answer(table, lambda: self._rows(table))
 
-    async def read_changes(self, table: str, since: int, wait_s: float) -> RowPage:
+    async def read_changes(
+        self, table: str, since: int, wait_s: float, limit_bytes: int = MAX_RESPONSE_BYTES
+    ) -> RowPage:
         if not self.oldest_kept_version <= since <= self.version:
             if not self.lost:
                 self.era.observe(str(self.stated_era))
--- a/cassiadrum/tests/gateways/test_fleet_tables.py
+++ b/cassiadrum/tests/gateways/test_fleet_tables.py
@@ -11,11 +11,13 @@
 from cassiadrum.gateways import Fleet, Incarnation, LimitBoard, LimitNotice, SingleGateway
 from cassiadrum.platform.fleet_registrations import RESTART_S, FleetRegistration
 from cassiadrum.platform.fleet_sinks import FLEET_TABLE, MAX_REMOVED_ROWS, FleetSink
+from cassiadrum.platform.followed_tables import FollowedTable, TableSink
 from cassiadrum.platform.limit_news import LIMIT_NEWS_INTERVAL_S, LimitFleetNews
 from cassiadrum.platform.member_rows import MemberRow
-from cassiadrum.platform.row_stores import ChangedRow, RowPage, RowStore
+from cassiadrum.platform.row_pages import ChangedRow, RowPage
+from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.standins import RowService, StoreFault
-from cassiadrum.platform.store_followers import FollowedTable, StoreFollower, TableSink
+from cassiadrum.platform.store_followers import StoreFollower
 from cassiadrum.settings.addresses import Address
 from cassiadrum.tests.gateways.sites import GRACE_S, wait_until
 
--- a/cassiadrum/tests/gateways/test_foreign_rows.py
+++ b/cassiadrum/tests/gateways/test_foreign_rows.py
@@ -12,7 +12,8 @@
 
 from cassiadrum.platform.errors import BadRecord
 from cassiadrum.platform.records import decode_catalog, decode_entry
-from cassiadrum.platform.row_stores import RowPage, RowStore
+from cassiadrum.platform.row_pages import RowPage
+from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.settings.addresses import Address
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess
--- a/cassiadrum/tests/gateways/test_slow_store_links.py
+++ b/cassiadrum/tests/gateways/test_slow_store_links.py
@@ -1,15 +1,22 @@
 """Tests of reads of the store's tables over links that are slow for the size of the rows."""
 
 import asyncio
+import base64
+import contextlib
+import json
 import os
 import time
 from collections.abc import AsyncIterator
 
 import pytest
 
-from cassiadrum.platform.row_stores import RowPage, RowStore
+from cassiadrum.platform.errors import AnswerCutOff
+from cassiadrum.platform.followed_tables import FollowedTable, TableSink
+from cassiadrum.platform.row_pages import RowPage
+from cassiadrum.platform.row_stores import RESPONSE_TIMEOUT_S, RowStore
 from cassiadrum.platform.standins import RowService, StoreFault
-from cassiadrum.platform.store_followers import FollowedTable, StoreFollower, TableSink
+from cassiadrum.platform.store_followers import StoreFollower
+from cassiadrum.protocols import Exchange, Handler, HttpServer
 from cassiadrum.settings.addresses import Address
 from cassiadrum.tests.gateways.sites import wait_until
 from cassiadrum.tests.gateways.slow_links import LinkProxy, SlowLink
@@ -80,9 +87,13 @@
         self.port = 0
         self._followers: list[Follower] = []
 
+    def add(self, follower: Follower) -> None:
+        """Let `close` stop a follower, too."""
+        self._followers.append(follower)
+
     async def follow(self, link: SlowLink) -> Follower:
         follower = Follower(self.port, link)
-        self._followers.append(follower)
+        self.add(follower)
         await follower.start()
         return follower
 
@@ -97,6 +108,16 @@
         await self.store.close()
 
 
+@contextlib.asynccontextmanager
+async def serving(handler: Handler) -> AsyncIterator[RowStore]:
+    """Serve a handler as the store and return a client of it."""
+    server = HttpServer(handler)
+    store = RowStore(Address("127.0.0.1", await server.start("127.0.0.1", 0)))
+    yield store
+    store.close()
+    await server.abort()
+
+
 @pytest.fixture
 async def site() -> AsyncIterator[Site]:
     site = Site()
@@ -175,3 +196,133 @@
         async with asyncio.timeout(longest_s):
             for follower in followers:
                 await seconds_until_in_force(follower, content, longest_s)
+
+
+class TestBrokenTransfers:
+    """Guards against calls that never end, and against reads that begin anew for ever."""
+
+    async def test_call_that_trickles_is_given_up(self) -> None:
+        """A byte every 0.1 s, for ever, must not keep the follower from a new connection."""
+
+        async def trickle(exchange: Exchange) -> None:
+            await exchange.send_head(200, (("content-length", str(CONFIGURATION_BYTES)),))
+            while not exchange.disconnected.is_set():
+                await exchange.send_data(b" ")
+                await asyncio.sleep(0.1)
+
+        async with serving(trickle) as store:
+            start_s = time.monotonic()
+            with pytest.raises(AnswerCutOff):
+                await store.read_all("op")
+            assert time.monotonic() - start_s < 2 * RESPONSE_TIMEOUT_S + 0.5
+
+    async def test_small_answer_without_a_length_has_to_arrive_in_time(self) -> None:
+        """A short answer in chunks must not get the time of a large one."""
+
+        async def stall(exchange: Exchange) -> None:
+            await exchange.send_head(200)
+            await exchange.send_data(b'{"rows": [')
+            await exchange.disconnected.wait()
+
+        async with serving(stall) as store:
+            start_s = time.monotonic()
+            with pytest.raises(AnswerCutOff):
+                await store.read_all("op")
+            assert time.monotonic() - start_s < RESPONSE_TIMEOUT_S + 0.5
+
+    async def test_transfer_that_stalls_is_begun_on_a_new_connection(self, site: Site) -> None:
+        link = SlowLink(10.0)
+        content = site.put_configuration(CONFIGURATION_BYTES)
+        follower = Follower(site.port, link)
+        follower.proxy.stall_after = 200_000
+        site.add(follower)
+        await follower.start()
+        await wait_until(lambda: follower.proxy.accepted > 0)
+        follower.proxy.stall_after = None
+        await seconds_until_in_force(
+            follower, content, limit_s(link, CONFIGURATION_BYTES, readers=2)
+        )
+
+    async def test_rows_that_arrived_count(self, site: Site) -> None:
+        """Every connection is reset after a fifth of the table, so no read ends in one piece."""
+        for number in range(400):
+            site.store.put("servers", f"i-{number:04}", os.urandom(1000))
+        site.put_configuration(100)
+        follower = Follower(site.port, SlowLink(100.0))
+        follower.proxy.reset_after = 120_000
+        site.add(follower)
+        await follower.start()
+        await wait_until(lambda: len(follower.endpoints.rows) == 400, 10.0)
+
+    async def test_changes_that_are_cut_off_are_replaced_by_a_read_of_pages(
+        self, site: Site
+    ) -> None:
+        for number in range(400):
+            site.store.put("servers", f"i-{number:04}", os.urandom(1000))
+        site.put_configuration(100)
+        follower = await site.follow(SlowLink(100.0))
+        await wait_until(lambda: len(follower.endpoints.rows) == 400)
+        follower.proxy.reset_after = 120_000
+        changed = os.urandom(1000)
+        for number in range(400):
+            site.store.put("servers", f"i-{number:04}", changed)
+        follower.proxy.cut()
+        await wait_until(lambda: set(follower.endpoints.rows.values()) == {changed}, 10.0)
+
+    async def test_history_without_a_length_is_given_up_for_the_newest_version(self) -> None:
+        """The size of an answer in chunks shows only while it is read."""
+        size, calls = 200_000, []
+        row = base64.b64encode(os.urandom(size)).decode()
+
+        async def serve(exchange: Exchange) -> None:
+            calls.append(exchange.req.path)
+            is_feed = exchange.req.path.endswith("feed")
+            versions = range(5, 45 if is_feed else 6)
+            rows = [{"table": "op", "part": "", "key": "config", "value": row, "ver": 50}]
+            rows *= len(versions)
+            data = json.dumps({"rows": rows, "ver": 50, "now_ms": 0}).encode()
+            await exchange.send_head(200)
+            for start in range(0, len(data), 16_384):
+                await exchange.send_data(data[start : start + 16_384])
+            await exchange.end()
+
+        async with serving(serve) as store:
+            sink = VersionSink()
+            table = FollowedTable("op", sink)
+            await table.apply(await table.read(store, 0.0, 0))
+            table.version = 4
+            answer = await table.read(store, 0.0, 0)
+            assert answer.is_full
+            assert calls == ["/-/rows-get", "/-/rows-feed", "/-/rows-get"]
+
+
+class TestReadsBesideASlowOne:
+    """Guards against changes of endpoints that wait for a large configuration to arrive."""
+
+    async def test_changes_of_endpoints_are_known_while_a_configuration_arrives(
+        self, site: Site
+    ) -> None:
+        link = SlowLink(1000.0)
+        content = site.put_configuration(LARGEST_ROW_BYTES)
+        follower = await site.follow(link)
+        await seconds_until_in_force(follower, content, APPLY_S)
+        link.bytes_per_s = SlowLink(2.0).bytes_per_s
+        content = site.put_configuration(LARGEST_ROW_BYTES)
+        await asyncio.sleep(0.1)
+        site.store.put("servers", "i-1", b"draining")
+        # A wait for changes, the time after which a step is slow, and the answer.
+        await wait_until(lambda: follower.endpoints.rows.get("i-1") == b"draining", WAIT_S + 1.0)
+        assert not follower.has(content)
+        await seconds_until_in_force(follower, content, limit_s(link, LARGEST_ROW_BYTES))
+
+    async def test_older_answer_does_not_replace_a_newer_one(self, site: Site) -> None:
+        """Reads beside a slow one state newer versions than its answer, which was made before."""
+        link = SlowLink(2.0)
+        content = site.put_configuration(LARGEST_ROW_BYTES)
+        follower = await site.follow(link)
+        for number in range(8):
+            await asyncio.sleep(0.5)
+            site.store.put("servers", f"i-{number}", b"ready")
+        await seconds_until_in_force(follower, content, limit_s(link, LARGEST_ROW_BYTES))
+        await wait_until(lambda: len(follower.endpoints.rows) == 8)
+        assert follower.proxy.accepted <= 2
--- a/cassiadrum/tests/gateways/test_store_restore_properties.py
+++ b/cassiadrum/tests/gateways/test_store_restore_properties.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule
 
-from cassiadrum.platform.store_followers import FollowedTable
+from cassiadrum.platform.followed_tables import FollowedTable
 from cassiadrum.platform.table_sinks import CONFIGURATION_KEY, CONFIGURATION_TABLE, ENDPOINT_TABLE
 from cassiadrum.tests.gateways.store_machines import (
     CONFIRMATION_LIMIT_S,
--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -9,11 +9,12 @@
 from cassiadrum.gateways.endpoint_directories import EndpointDirectory
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.platform.call_codecs import PlatformProtocol
+from cassiadrum.platform.followed_tables import FollowedTable
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.standins import RowService, StoreFault
 from cassiadrum.platform.store_eras import StoreEra
-from cassiadrum.platform.store_followers import FollowedTable, StoreFollower
+from cassiadrum.platform.store_followers import StoreFollower
 from cassiadrum.platform.table_sinks import ENDPOINT_TABLE, ConfigurationSink, EndpointSink
 from cassiadrum.protocols import Exchange, HttpServer
 from cassiadrum.settings.addresses import Address
--- a/cassiadrum/tests/test_content_texts.py
+++ b/cassiadrum/tests/test_content_texts.py
@@ -22,7 +22,7 @@
 from cassiadrum.links.messages import CrashReport
 from cassiadrum.platform.crash_news import CrashFleetNews
 from cassiadrum.platform.member_rows import MemberRow, decode_member
-from cassiadrum.platform.row_stores import ChangedRow
+from cassiadrum.platform.row_pages import ChangedRow
 from cassiadrum.roles.crash_reports import make_crash_report, read_crash_report
 
 NAMES = st.lists(st.text(max_size=100), max_size=20)
