--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -47,11 +47,7 @@
 
 
 class AnswerCutOff(StoreUnavailable):
-    """An answer of the store broke off, or stalled, after `received_bytes` of its body."""
-
-    def __init__(self, reason: str, received_bytes: int) -> None:
-        super().__init__(reason)
-        self.received_bytes = received_bytes
+    """A large answer of the store broke off, or stalled."""
 
 
 class AnswerTooLarge(StoreUnavailable):
--- a/cassiadrum/platform/followed_tables.py
+++ b/cassiadrum/platform/followed_tables.py
@@ -23,9 +23,6 @@
 HISTORY_SPARE_BYTES: Final = 64 * 1024
 # Size of a row in an answer, beside its content in base64 and its key.
 ROW_OVERHEAD_BYTES: Final = 100
-# An answer that was cut off after this many bytes is followed by a read of all rows, which keeps
-# the pages that arrive.
-LARGE_ANSWER_BYTES: Final = 64 * 1024
 # Time after a failure in which a read of all rows goes on; older pages are read again, since they
 # would replace rows that are known better by now.
 RESUME_S: Final = 3.0
@@ -113,9 +110,9 @@
             )
             self.version = None
             return None
-        except AnswerCutOff as exc:
-            if exc.received_bytes >= LARGE_ANSWER_BYTES:
-                self.version = None
+        except AnswerCutOff:
+            # A read of all rows keeps the pages that arrive.
+            self.version = None
             raise
 
     async def _read_all(self, store: RowStore, known_version: int) -> TableAnswer:
--- a/cassiadrum/platform/node_settings.py
+++ b/cassiadrum/platform/node_settings.py
@@ -17,6 +17,7 @@
 
 FILE_VARIABLE = "CASSIADRUM_NODE_FILE"
 MEGABYTE = 1024 * 1024
+MEGABIT_BYTES = 125_000
 
 
 # Larger numbers would overflow in conversions and sums.
@@ -58,6 +59,8 @@
 class _MachineWire(msgspec.Struct):
     max_fds: Count = 1024
     memory_mb: Positive = 256.0
+    # Absent if the bandwidth of the machine's link is not known.
+    link_mbps: Positive | None = None
 
 
 class _FileWire(msgspec.Struct):
@@ -109,6 +112,8 @@
     # Limit on open file descriptors, sockets included.
     descriptors: int
     memory_bytes: int
+    # Bandwidth of the machine's link, None if it is not known.
+    link_bytes_per_s: float | None
     # Interval at which endpoints renew their registrations.
     heartbeat_s: float
     bounds: Bounds
@@ -163,6 +168,7 @@
         host=wire.ip or calls.host,
         descriptors=wire.limits.max_fds,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
+        link_bytes_per_s=wire.limits.link_mbps and wire.limits.link_mbps * MEGABIT_BYTES,
         heartbeat_s=wire.heartbeat_ms / 1000,
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000,
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -132,7 +132,7 @@
         news = [LimitFleetNews(self.gateway.limit_board), CrashFleetNews(self.gateway.crash_board)]
         fleet_sink = FleetSink(self._fleet, news, cfg.instance)
         fleet = FollowedTable(FLEET_TABLE, fleet_sink)
-        self._store = store = RowStore(cfg.store, _boot_clock)
+        self._store = store = RowStore(cfg.store, _boot_clock, cfg.link_bytes_per_s)
         waits = StoreWaits.from_bounds(cfg.bounds)
         self._fleet.outdated_s = waits.fleet_s
         # Requests that wait for the endpoints then know their request limits.
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -98,15 +98,17 @@
 class RowStore:
     """Client of the store's tables, with a connection for each concurrent call.
 
-    `boot_clock` returns seconds since boot, suspend included.
+    `boot_clock` returns seconds since boot, suspend included; `link_bytes_per_s` is the bandwidth
+    of the machine's link, None if it is not known.
     """
 
     def __init__(
         self,
         address: Address,
         boot_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        link_bytes_per_s: float | None = None,
     ) -> None:
-        self._client = StoreClient(address)
+        self._client = StoreClient(address, link_bytes_per_s)
         self._boot_clock = boot_clock
         self.era = self._client.era
 
--- a/cassiadrum/platform/store_clients.py
+++ b/cassiadrum/platform/store_clients.py
@@ -8,8 +8,10 @@
 from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.platform.errors import AnswerCutOff, AnswerTooLarge
 from cassiadrum.platform.headers import Header
+from cassiadrum.platform.link_shares import LinkShare
 from cassiadrum.platform.store_eras import StoreEra
 from cassiadrum.protocols import (
+    MIN_PART_BYTES,
     BodyTooLarge,
     ConnectFailed,
     HttpClient,
@@ -25,6 +27,9 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.5
+# Unread bytes of an answer beyond which the store is not read from, so that it sends no faster
+# than its share of the link.
+READ_BUFFER_BYTES = 8 * 1024
 # Time within which each part of a body that is larger than a part has to arrive.
 PART_TIMEOUT_S = 0.8
 # Slowest transfer of a request's body that is waited for.
@@ -55,14 +60,20 @@
 
 
 class StoreClient:
-    """Client of the store's address, with a connection for each concurrent call."""
+    """Client of the store's address, with a connection for each concurrent call.
 
-    def __init__(self, address: Address) -> None:
+    Large answers are read at a share of the machine's link, whose bandwidth is
+    `link_bytes_per_s`, None if it is not known.
+    """
+
+    def __init__(self, address: Address, link_bytes_per_s: float | None = None) -> None:
         self._client = HttpClient(
             address.host,
             address.port,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            read_buffer_bytes=READ_BUFFER_BYTES,
         )
+        self._share = LinkShare(link_bytes_per_s)
         self.era = StoreEra()
 
     async def exchange(
@@ -75,8 +86,8 @@
     ) -> StoreAnswer:
         """Return an answer with one of the expected statuses.
 
-        Raises StoreUnavailable if it does not begin in `timeout_s` seconds, AnswerCutOff if it
-        does not go on, and AnswerTooLarge if its body has more than `limit_bytes`.
+        Raises StoreUnavailable if it does not begin in `timeout_s` seconds, AnswerCutOff if a
+        large one does not go on, and AnswerTooLarge if its body has more than `limit_bytes`.
         """
         call = _Call(method, target)
         headers = (("content-type", "application/json"),) if body else ()
@@ -104,9 +115,11 @@
         self, call: "_Call", response: HttpResponse, limit: TransferTimeout, limit_bytes: int
     ) -> bytes:
         call.phase = CallPhase.BODY
+        call.stated_bytes = response.body_bytes or 0
 
         async def record(size: int) -> None:
             call.body_bytes += size
+            await self._share.take(size)
             limit.record_data(size)
 
         return await response.read(limit_bytes, record)
@@ -126,8 +139,9 @@
         """Log a failed call and close the other connections, which may be broken as well."""
         self._client.close()
         call.log_failure(reason)
-        if call.body_bytes:
-            return AnswerCutOff(reason, call.body_bytes)
+        # What arrived just before a reset may be lost, so the stated length counts as well.
+        if max(call.body_bytes, call.stated_bytes) > MIN_PART_BYTES:
+            return AnswerCutOff(reason)
         return StoreUnavailable(reason)
 
 
@@ -138,6 +152,8 @@
         self._name = f"{method} {target}"
         self._start_s = time.monotonic()
         self.body_bytes = 0
+        # Length of the body by the headers, 0 if they state none or have not arrived.
+        self.stated_bytes = 0
         self.phase = CallPhase.HEAD
 
     def log_failure(self, reason: str) -> None:
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -18,7 +18,6 @@
 
 __all__ = ["HttpClient"]
 
-# Unread bytes of a response at twice of which reading from the server stops.
 READ_BUFFER_BYTES = 64 * 1024
 # Interim (1xx) responses that a server may send before the final one.
 MAX_INTERIM_RESPONSES = 8
@@ -32,7 +31,10 @@
 
 
 class HttpClient:
-    """Client of one address that reuses its connections."""
+    """Client of one address that reuses its connections.
+
+    Reading from the server stops at twice `read_buffer_bytes` unread bytes of a response.
+    """
 
     def __init__(
         self,
@@ -41,11 +43,13 @@
         *,
         tls: ssl.SSLContext | None = None,
         connect_timeout_s: float = 2.0,
+        read_buffer_bytes: int = READ_BUFFER_BYTES,
     ) -> None:
         self._host = host
         self._port = port
         self._tls = tls
         self._connect_timeout_s = connect_timeout_s
+        self._read_buffer_bytes = read_buffer_bytes
         self._idle: deque[_Connection] = deque()
 
     async def request(
@@ -102,7 +106,7 @@
     async def _open(self) -> tuple[NotifyingReader, asyncio.StreamWriter]:
         # Same as asyncio.open_connection, except for the class of the reader.
         loop = asyncio.get_running_loop()
-        reader = NotifyingReader(limit=READ_BUFFER_BYTES)
+        reader = NotifyingReader(limit=self._read_buffer_bytes)
         protocol = asyncio.StreamReaderProtocol(reader)
         transport, _ = await loop.create_connection(
             lambda: protocol, self._host, self._port, ssl=self._tls
