Limit reads of stores, load reports and admin answers by their progress

The same fault as with the platform's store: a limit on a whole transfer whose size grows with what it reports. A load report of 200 KB over 2 Mbit/s failed each probe in 0.5 s, after which its endpoint was avoided; a store read of 1 MB failed after 2 s and opened the circuit breaker.

--- a/cassiadrum/commands/admin_clients.py
+++ b/cassiadrum/commands/admin_clients.py
@@ -1,6 +1,5 @@
 """Client for the admin interface of one process."""
 
-import asyncio
 import json
 from typing import Any, Final, NamedTuple
 
@@ -8,7 +7,13 @@
 from cassiadrum.commands.credentials import TOKEN_VARIABLE, Credentials
 from cassiadrum.commands.errors import CommandError
 from cassiadrum.commands.exit_codes import ExitCode
-from cassiadrum.protocols import ConnectFailed, HttpClient, HttpError
+from cassiadrum.protocols import (
+    ConnectFailed,
+    HttpClient,
+    HttpError,
+    TransferTimeout,
+    upload_time_s,
+)
 
 __all__ = ["AdminAnswer", "AdminClient", "try_get"]
 
@@ -69,9 +74,9 @@
         client = HttpClient(self._address.host, self._address.port, tls=credentials.tls)
         data = b"" if body is None else json.dumps(body).encode()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with TransferTimeout(timeout_s + upload_time_s(len(data)), timeout_s) as limit:
                 response = await client.request(method, path, credentials.headers(), data)
-                return AdminAnswer(response.status, _decode_object(await response.read()))
+                return AdminAnswer(response.status, _decode_object(await limit.read(response)))
         finally:
             client.close()
 
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -1,6 +1,5 @@
 """Client of model engines: OpenAI-style completions and a control interface."""
 
-import asyncio
 from typing import Any
 
 import msgspec
@@ -10,7 +9,7 @@
 from cassiadrum.endpoints.endpoint_loads import EndpointLoad
 from cassiadrum.endpoints.errors import EndpointResponseLost, EndpointUnreachable
 from cassiadrum.endpoints.http_endpoints import HttpEndpoint
-from cassiadrum.protocols import ConnectFailed, HttpError, HttpResponse
+from cassiadrum.protocols import ConnectFailed, HttpError, HttpResponse, TransferTimeout
 
 __all__ = ["EngineEndpoint"]
 
@@ -61,9 +60,9 @@
 
     async def _exchange(self, method: str, target: str, body: bytes) -> dict[str, Any]:
         try:
-            async with asyncio.timeout(LIMITS.STORE_TIMEOUT_S):
+            async with TransferTimeout(LIMITS.STORE_TIMEOUT_S, LIMITS.STORE_TIMEOUT_S) as limit:
                 response = await self._client.request(method, target, (), body)
-                return msgspec.json.decode(await response.read(), type=dict[str, Any])
+                return msgspec.json.decode(await limit.read(response), type=dict[str, Any])
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (HttpError, TimeoutError, msgspec.DecodeError, RecursionError) as exc:
--- a/cassiadrum/gateways/load_probers.py
+++ b/cassiadrum/gateways/load_probers.py
@@ -10,7 +10,7 @@
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.sent_requests import RequestKind
-from cassiadrum.protocols import BadMessage, HttpError
+from cassiadrum.protocols import BadMessage, HttpError, TransferTimeout
 
 __all__ = ["LoadProber"]
 
@@ -76,13 +76,13 @@
         view.request_limit.take(sent_s)
         target = view.entry.incarnation
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
+            async with TransferTimeout(PROBE_TIMEOUT_S, PROBE_TIMEOUT_S, 0.0) as limit:
                 conn = await self._pool.acquire(target, self._clock())
                 try:
                     conn.send("GET", self._protocol.load_path, self._host(view), b"")
                     view.record_sent(RequestKind.LOAD_PROBE)
                     head = await read_own_head(conn, self._protocol, "")
-                    body = await self._read_report(conn)
+                    body = await self._read_report(conn, limit)
                 except BaseException:
                     conn.abort()
                     raise
@@ -102,10 +102,11 @@
         return True
 
     @staticmethod
-    async def _read_report(conn: EndpointConnection) -> bytes:
+    async def _read_report(conn: EndpointConnection, limit: TransferTimeout) -> bytes:
         body = bytearray()
         while (data := await conn.read_data()) is not None:
             body += data
+            limit.record_data(len(data))
             if len(body) > MAX_REPORT_BYTES:
                 raise BadMessage(502, f"a load report over {MAX_REPORT_BYTES} bytes")
         return bytes(body)
--- a/cassiadrum/platform/store_clients.py
+++ b/cassiadrum/platform/store_clients.py
@@ -18,6 +18,7 @@
     HttpError,
     HttpResponse,
     TransferTimeout,
+    upload_time_s,
 )
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
@@ -32,8 +33,6 @@
 READ_BUFFER_BYTES = 8 * 1024
 # Time within which each part of a body that is larger than a part has to arrive.
 PART_TIMEOUT_S = 0.8
-# Slowest transfer of a request's body that is waited for.
-MIN_UPLOAD_BYTES_PER_S = 16 * 1024
 # Bounds the memory and the time for decoding an answer; a page of rows has at most 1 MB.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 OK_STATUS = 200
@@ -91,7 +90,7 @@
         """
         call = _Call(method, target)
         headers = (("content-type", "application/json"),) if body else ()
-        limit_s = timeout_s + len(body) / MIN_UPLOAD_BYTES_PER_S
+        limit_s = timeout_s + upload_time_s(len(body))
         try:
             async with TransferTimeout(limit_s, PART_TIMEOUT_S) as limit:
                 response = await self._client.request(method, target, headers, body)
--- a/cassiadrum/protocols/__init__.py
+++ b/cassiadrum/protocols/__init__.py
@@ -17,7 +17,7 @@
 from cassiadrum.protocols.memory_budgets import MemoryBudget
 from cassiadrum.protocols.process_checks import ProcessState, check_process
 from cassiadrum.protocols.time_slices import MAX_PARSE_BYTES, TimeSlice
-from cassiadrum.protocols.transfer_timeouts import MIN_PART_BYTES, TransferTimeout
+from cassiadrum.protocols.transfer_timeouts import MIN_PART_BYTES, TransferTimeout, upload_time_s
 from cassiadrum.protocols.unanswered_connections import UnansweredReason
 
 __all__ = [
@@ -44,4 +44,5 @@
     "UnansweredReason",
     "check_process",
     "next_answer_event",
+    "upload_time_s",
 ]
--- a/cassiadrum/protocols/http_responses.py
+++ b/cassiadrum/protocols/http_responses.py
@@ -6,7 +6,7 @@
 from cassiadrum.protocols.errors import BodyTooLarge
 from cassiadrum.protocols.http_requests import Headers
 
-__all__ = ["HttpResponse"]
+__all__ = ["MAX_BODY_BYTES", "HttpResponse"]
 
 # Bounds the memory of a body that does not end; the largest objects of the stores have 8 MiB.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
--- a/cassiadrum/protocols/transfer_timeouts.py
+++ b/cassiadrum/protocols/transfer_timeouts.py
@@ -3,14 +3,21 @@
 from typing import Final
 
 from cassiadrum.protocols.call_timeouts import MAX_EXTENSION_S, CallTimeout
-from cassiadrum.protocols.http_responses import HttpResponse
+from cassiadrum.protocols.http_responses import MAX_BODY_BYTES, HttpResponse
 
-__all__ = ["MIN_PART_BYTES", "TransferTimeout"]
+__all__ = ["MIN_PART_BYTES", "TransferTimeout", "upload_time_s"]
 
 # Bytes that have to arrive within each part of the time limit. A limit on the whole transfer would
 # give up every call whose answer is large for the link; without a minimum, a peer that sends a
 # byte now and then would hold the call for ever.
 MIN_PART_BYTES: Final = 8 * 1024
+# Slowest transfer of a request's body that is waited for.
+MIN_UPLOAD_BYTES_PER_S: Final = 16 * 1024
+
+
+def upload_time_s(size: int) -> float:
+    """Return the longest time in seconds that the transfer of a request's body is waited for."""
+    return size / MIN_UPLOAD_BYTES_PER_S
 
 
 class TransferTimeout(CallTimeout):
@@ -28,6 +35,14 @@
         self._part_limit_s = part_limit_s
         self._part_bytes = 0
 
+    async def read(self, response: HttpResponse, limit_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body of a response; raise BodyTooLarge above the limit."""
+        self.record_head(response)
+        return await response.read(limit_bytes, self._record_part)
+
+    async def _record_part(self, size: int) -> None:
+        self.record_data(size)
+
     def record_head(self, response: HttpResponse) -> None:
         """Start the first part of a body that is larger than a part."""
         if (response.body_bytes or 0) > MIN_PART_BYTES:
--- a/cassiadrum/stores/store_transports.py
+++ b/cassiadrum/stores/store_transports.py
@@ -7,12 +7,13 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.protocols import (
-    CallTimeout,
     ConnectFailed,
     Headers,
     HttpClient,
     HttpError,
     HttpResponse,
+    TransferTimeout,
+    upload_time_s,
 )
 from cassiadrum.stores.circuit_breakers import CircuitBreaker
 from cassiadrum.stores.errors import NotApplied, OutcomeLost, StoreError, StoreUnavailable
@@ -80,26 +81,28 @@
         Raises StoreUnavailable. The caller reads the body with its own timeout.
         """
         try:
-            return await self._guarded("GET", lambda: self._client.request("GET", target))
+            return await self._guarded("GET", lambda _: self._client.request("GET", target))
         except StoreError as exc:
             raise StoreUnavailable(str(exc)) from exc
 
     async def _send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> StoreResponse:
-        async def exchange() -> StoreResponse:
+        async def exchange(limit: TransferTimeout) -> StoreResponse:
             response = await self._client.request(method, target, headers, body)
-            return StoreResponse(response.status, response.headers, await response.read())
+            return StoreResponse(response.status, response.headers, await limit.read(response))
 
         try:
-            answer = self._check_status(await self._guarded(method, exchange))
+            answer = self._check_status(await self._guarded(method, exchange, len(body)))
         except StoreError as exc:
             self._on_result("unknown" if isinstance(exc, OutcomeLost) else "not_applied")
             raise
         self._on_result("answered")
         return answer
 
-    async def _guarded(self, method: str, send: Callable[[], Awaitable[T]]) -> T:
+    async def _guarded(
+        self, method: str, send: Callable[[TransferTimeout], Awaitable[T]], body_bytes: int = 0
+    ) -> T:
         """Run `send` subject to rate budget, circuit breaker and deadline."""
         wait_s = await self._wait_for_budget(method)
         if not self.breaker.allow(self._clock()):
@@ -107,8 +110,9 @@
         try:
             # After a stall the loop has much to catch up with, and a write without an answer has
             # an unknown outcome, so its limit may be extended by as much again.
-            async with CallTimeout(self._timeout_s - wait_s, self._timeout_s):
-                return await send()
+            limit_s = self._timeout_s - wait_s + upload_time_s(body_bytes)
+            async with TransferTimeout(limit_s, self._timeout_s, self._timeout_s) as limit:
+                return await send(limit)
         except ConnectFailed as exc:
             self.breaker.record_failure(self._clock())
             raise NotApplied(str(exc)) from exc
