Keep a link while a large message passes over it

A request of 1.5 MB over 2 Mbit/s held up the heartbeats of its direction for 6 s. Both ends closed the link as silent after 3 s, with all streams on it, and the message was sent again on the next one. Parts of an incomplete frame, and of what the kernel has not taken yet, now count as signs of life.

--- a/cassiadrum/links/link_dialers.py
+++ b/cassiadrum/links/link_dialers.py
@@ -12,6 +12,7 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.links import Link
+from cassiadrum.links.metered_connections import MeteredClientConnection
 
 __all__ = ["LinkDialer"]
 
@@ -75,6 +76,7 @@
                 max_size=LIMITS.FRAME_BYTES,
                 open_timeout=OPEN_TIMEOUT_S,
                 proxy=None,
+                create_connection=MeteredClientConnection,
             )
         except (OSError, TimeoutError, WebSocketException, ValueError) as exc:
             # An invalid address in the instance list raises one of the last two.
--- a/cassiadrum/links/link_servers.py
+++ b/cassiadrum/links/link_servers.py
@@ -9,6 +9,7 @@
 
 from cassiadrum.defaults import LIMITS
 from cassiadrum.links.links import Link
+from cassiadrum.links.metered_connections import MeteredServerConnection
 
 __all__ = ["LinkServer"]
 
@@ -34,6 +35,7 @@
             compression=None,
             ping_interval=None,
             max_size=LIMITS.FRAME_BYTES,
+            create_connection=MeteredServerConnection,
         )
         bound: int = next(iter(self._server.sockets)).getsockname()[1]
         return bound
--- a/cassiadrum/links/links.py
+++ b/cassiadrum/links/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -26,6 +27,7 @@
     StartRequest,
 )
 from cassiadrum.links.silence_detectors import SilenceDetector
+from cassiadrum.links.transfer_progress import TransferProgress
 from cassiadrum.protocols import TimeSlice
 
 __all__ = ["Link"]
@@ -35,6 +37,8 @@
 WATCH_INTERVAL_S = 0.25
 # A core serves hundreds of idle links beside its other work, so each gets one timer a second.
 IDLE_WATCH_INTERVAL_S = 1.0
+# Bytes that the kernel holds of a link and has not sent.
+UNSENT_BYTES = 64 * 1024
 CONTENT_MESSAGES = (StartRequest, Head, Data)
 EMPTY_DATA = Data([])
 
@@ -90,6 +94,9 @@
         self._last_echo = 0
         self._heartbeat_number = 0
         self._last_echo_s = clock()
+        self._received, self._sent = TransferProgress(), TransferProgress()
+        # `bytes_received` when the progress was checked last.
+        self._checked_bytes = 0
         # Attempts that are open on this link, as counted on this side.
         self._open_streams = 0
         self._last_stream_s = self._active_since_s = clock()
@@ -105,6 +112,7 @@
     async def run(self) -> None:
         """Run until the connection ends, carries an invalid frame or exceeds the silence limit."""
         self.send(self._hello)
+        self._limit_unsent_bytes()
         tasks = [
             asyncio.create_task(part()) for part in (self._read, self._write, self._keep_alive)
         ]
@@ -119,6 +127,12 @@
             for result in await asyncio.gather(*tasks, return_exceptions=True):
                 self._log_failure(result)
 
+    def _limit_unsent_bytes(self) -> None:
+        """Leave the rest of a large message in this process, where its progress shows."""
+        sock = self._conn.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+
     def _log_failure(self, result: BaseException | None) -> None:
         if isinstance(result, BadFrame):
             logger.warning(
@@ -229,6 +243,7 @@
             step_s = IDLE_WATCH_INTERVAL_S if silence.idle else WATCH_INTERVAL_S
             await asyncio.sleep(step_s)
             now = self._clock()
+            self._record_progress(now)
             marks = (self._last_received_s, self._last_echo_s, now if self.peer else 0.0)
             silence.update(
                 now, marks, step_s=step_s, idle=self.idle, active_since_s=self._active_since_s
@@ -242,6 +257,17 @@
                 self._send_heartbeat()
         logger.info("link to %s exceeded the silence limit; closing it", self._peer_name())
 
+    def _record_progress(self, now: float) -> None:
+        """Count the parts of a large message as signs of life; it holds up heartbeats."""
+        advanced = self._received.has_advanced(getattr(self._conn, "received_bytes", 0))
+        if advanced and self.bytes_received == self._checked_bytes:
+            # No frame was completed, and the peer's confirmation waits behind this one.
+            self._last_received_s = self._last_echo_s = now
+        self._checked_bytes = self.bytes_received
+        unsent = self._conn.transport.get_write_buffer_size()
+        if self._sent.has_advanced(self.bytes_sent - unsent) and unsent:
+            self._last_echo_s = now
+
     def _send_heartbeat(self) -> None:
         # Each heartbeat confirms the peer's last one, so no separate replies are needed.
         digest, clock = self._heartbeat_payload()
--- a/cassiadrum/tests/gateways/slow_links.py
+++ b/cassiadrum/tests/gateways/slow_links.py
@@ -52,6 +52,13 @@
         self._link = link
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        # Set while a connection passes on what the server sends, for each connection.
+        self._passing: list[asyncio.Event] = []
+
+    def stall(self) -> None:
+        """Let the open connections pass on nothing more of what the server sends."""
+        for event in self._passing:
+            event.clear()
 
     def cut(self) -> None:
         """Close all connections."""
@@ -115,12 +122,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forward a server's bytes, with at most a window of them on the link."""
+        passing = asyncio.Event()
+        passing.set()
+        self._passing.append(passing)
         stall_after, reset_after, sent = self.stall_after, self.reset_after, 0
         segments: asyncio.Queue[tuple[bytes, float]] = asyncio.Queue()
         window = asyncio.Semaphore(WINDOW_BYTES // SEGMENT_BYTES)
         sender = asyncio.create_task(self._deliver(segments, window, writer))
         try:
             while data := await reader.read(SEGMENT_BYTES):
+                await passing.wait()
                 await window.acquire()
                 sent += len(data)
                 if stall_after is not None and sent > stall_after:
