End endless answers of stores and engines early, also those in tiny chunks

Endless bytes were tried on the sidecar's way, on both clients of stores and on callers. A load report without end was kept up to 16 MiB, now 1 MiB.

--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -14,6 +14,10 @@
 __all__ = ["EngineEndpoint"]
 
 
+# Bounds the memory of a report that does not end.
+MAX_ANSWER_BYTES = 1024 * 1024
+
+
 class EngineEndpoint(HttpEndpoint):
     """A model engine, whose running streams can be controlled."""
 
@@ -62,7 +66,9 @@
         try:
             async with TransferTimeout(LIMITS.STORE_TIMEOUT_S, LIMITS.STORE_TIMEOUT_S) as limit:
                 response = await self._client.request(method, target, (), body)
-                return msgspec.json.decode(await limit.read(response), type=dict[str, Any])
+                return msgspec.json.decode(
+                    await limit.read(response, MAX_ANSWER_BYTES), type=dict[str, Any]
+                )
         except ConnectFailed as exc:
             raise EndpointUnreachable(str(exc)) from exc
         except (HttpError, TimeoutError, msgspec.DecodeError, RecursionError) as exc:
--- a/cassiadrum/protocols/http_clients.py
+++ b/cassiadrum/protocols/http_clients.py
@@ -19,6 +19,9 @@
 __all__ = ["HttpClient"]
 
 READ_BUFFER_BYTES = 64 * 1024
+# Bytes of chunk framing beyond the size of the body. Chunks of one byte keep the parser busy for
+# many times as long as their size suggests, and each read of them counts as progress.
+MAX_FRAMING_BYTES = 64 * 1024
 # Interim (1xx) responses that a server may send before the final one.
 MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
@@ -137,12 +140,14 @@
     async def _iterate_body(self, conn: _Connection) -> AsyncGenerator[bytes, None]:
         complete = False
         chunks: list[bytes] = []
+        received = body = 0
         try:
             while True:
                 event = _parse_event(conn)
                 if isinstance(event, h11.Data):
                     # Chunks that arrived in one read are yielded as one byte string.
                     chunks.append(bytes(event.data))
+                    body += len(event.data)
                     await conn.reader.time_slice.checkpoint()
                     continue
                 if chunks:
@@ -155,7 +160,9 @@
                     raise event
                 if event is not h11.NEED_DATA:
                     raise AnswerLost("connection closed before the response body was complete")
-                await _receive(conn)
+                received += await _receive(conn)
+                if received - body > body + MAX_FRAMING_BYTES:
+                    raise BadMessage(502, "the response has more framing than data")
         finally:
             if complete:
                 self._release(conn)
@@ -210,9 +217,11 @@
         return BadMessage(502, str(exc))
 
 
-async def _receive(conn: _Connection) -> None:
+async def _receive(conn: _Connection) -> int:
+    """Pass received bytes to the parser and return their number."""
     try:
         data = await conn.reader.read(MAX_PARSE_BYTES)
     except OSError as exc:
         raise AnswerLost(str(exc)) from exc
     conn.protocol.receive_data(data)
+    return len(data)
