Read other tables only beside an answer that arrives, and drop rows from before a restore

Reading the trace and the fix again: a call beside one to a silent store would double the calls of an outage, and a read whose rows were still decoded while another one found a restore would have set the newest version back to that of the old era; each further answer would have counted as outdated.

Two cases of TestReadsBesideASlowOne are new.

--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -112,6 +112,11 @@
         self._boot_clock = boot_clock
         self.era = self._client.era
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether an answer has begun to arrive and is not complete."""
+        return self._client.receiving > 0
+
     async def read_all(self, table: str, read: TableRead | None = None) -> RowPage:
         """Return all rows of a table; raise StoreUnavailable.
 
--- a/cassiadrum/platform/store_clients.py
+++ b/cassiadrum/platform/store_clients.py
@@ -74,6 +74,8 @@
         )
         self._share = LinkShare(link_bytes_per_s)
         self.era = StoreEra()
+        # Calls whose answers have begun to arrive.
+        self.receiving = 0
 
     async def exchange(
         self,
@@ -115,13 +117,17 @@
     ) -> bytes:
         call.phase = CallPhase.BODY
         call.stated_bytes = response.body_bytes or 0
+        self.receiving += 1
 
         async def record(size: int) -> None:
             call.body_bytes += size
             await self._share.take(size)
             limit.record_data(size)
 
-        return await response.read(limit_bytes, record)
+        try:
+            return await response.read(limit_bytes, record)
+        finally:
+            self.receiving -= 1
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -20,8 +20,8 @@
 # All gateways detect a restored store at the same time; a random delay up to this spreads their
 # reads of all rows.
 RESTORE_SPREAD_S = 0.4
-# Time beyond the wait for changes after which the other tables are read beside a step that has not
-# ended, as while a large answer arrives over a slow link.
+# Time beyond the wait for changes after which the other tables are read beside an answer that is
+# still arriving, as a large one does over a slow link.
 SLOW_ANSWER_S = 0.3
 
 
@@ -67,20 +67,27 @@
         """Follow the tables until cancelled."""
         while True:
             step = asyncio.create_task(self.step())
+            beside = asyncio.create_task(self._follow_beside(self._step_wait_s()))
             try:
-                wait_s = self._step_wait_s()
-                while not step.done():
-                    await asyncio.wait({step}, timeout=wait_s + SLOW_ANSWER_S)
-                    if not step.done():
-                        await self._follow_beside()
-                    wait_s = self._wait_s
-                pause_s = await step
+                # The reads beside the step end only by an unexpected error.
+                await asyncio.wait({step, beside}, return_when=asyncio.FIRST_COMPLETED)
+                pause_s = await (step if step.done() else beside)
             finally:
                 step.cancel()
+                beside.cancel()
             await asyncio.sleep(pause_s)
 
-    async def _follow_beside(self) -> None:
-        """Read the tables that no call is running for, while a large answer arrives."""
+    async def _follow_beside(self, wait_s: float) -> float:
+        """Read the other tables again and again while an answer takes long to arrive."""
+        while True:
+            await asyncio.sleep(wait_s + SLOW_ANSWER_S)
+            wait_s = 0.0
+            if self._store.is_receiving:
+                await self._follow_others()
+                wait_s = self._wait_s
+
+    async def _follow_others(self) -> None:
+        """Read the other tables, except those that a call is running for."""
         try:
             for table in dict.fromkeys((*self._first_tables, *self._other_tables)):
                 if not table.lock.locked():
@@ -136,7 +143,11 @@
             self._check_version(table, answer)
             self._report_return()
             await table.apply(answer)
-        self._newest_version = max(self._newest_version, answer.page.version)
+            if self._resets != resets:
+                # Another call detected the restore while the rows were decoded.
+                table.reset()
+                raise StoreRestored(table.name)
+            self._newest_version = max(self._newest_version, answer.page.version)
         return answer.page
 
     def _check_version(self, table: FollowedTable, answer: TableAnswer) -> None:
--- a/cassiadrum/tests/gateways/test_slow_store_links.py
+++ b/cassiadrum/tests/gateways/test_slow_store_links.py
@@ -334,6 +334,38 @@
         await wait_until(lambda: len(follower.endpoints.rows) == 8)
         assert follower.proxy.accepted <= 2
 
+    async def test_restore_that_is_detected_beside_a_slow_read_is_complete(
+        self, site: Site
+    ) -> None:
+        """The answer on its way is of the store before the restore and must not stay."""
+        link = SlowLink(1000.0)
+        older = site.put_configuration(LARGEST_ROW_BYTES)
+        site.store.put("servers", "i-1", b"older")
+        copy = site.store.snapshot()
+        follower = await site.follow(link)
+        await seconds_until_in_force(follower, older, APPLY_S)
+        link.bytes_per_s = SlowLink(2.0).bytes_per_s
+        for _ in range(3):
+            site.put_configuration(LARGEST_ROW_BYTES)
+        await asyncio.sleep(0.5)
+        site.store.restore(copy)
+        site.store.put("servers", "i-1", b"newer")
+        await wait_until(lambda: follower.endpoints.rows.get("i-1") == b"newer", WAIT_S + 2.0)
+        await seconds_until_in_force(follower, older, limit_s(link, LARGEST_ROW_BYTES, readers=2))
+        newest = site.put_configuration(100)
+        await seconds_until_in_force(follower, newest, limit_s(link, LARGEST_ROW_BYTES))
+
+    async def test_silent_store_gets_no_calls_beside(self, site: Site) -> None:
+        """Reads beside a call that gets no answer would double the calls in an outage."""
+        follower = await site.follow(SlowLink(1000.0))
+        content = site.put_configuration(100)
+        await seconds_until_in_force(follower, content, APPLY_S)
+        calls = site.store.calls
+        site.store.fault = StoreFault.SILENT
+        await asyncio.sleep(WAIT_S + 4.0)
+        # One call each 0.8 s and its pause, after the wait that was running.
+        assert site.store.calls - calls <= 6
+
 
 class TestLinkShare:
     """Guards against reads of the store that delay the answers to callers on the same link."""
