--- a/cassiadrum/tests/gateways/test_slow_store_links.py
+++ b/cassiadrum/tests/gateways/test_slow_store_links.py
@@ -392,7 +392,20 @@
     def test_unknown_bandwidth_delays_nothing(self) -> None:
         assert LinkShare(None).reserve(10**9) == 0.0
 
+    async def test_most_answers_of_others_pass_while_a_configuration_arrives(
+        self, site: Site
+    ) -> None:
+        delays_s = await self._delays_beside_a_read_s(site)
+        # Without a share the link's queue is full all the time, and each answer waits for it.
+        assert statistics.median(delays_s) < PASS_S
+
     async def test_answers_of_others_pass_while_a_configuration_arrives(self, site: Site) -> None:
+        delays_s = await self._delays_beside_a_read_s(site)
+        assert delays_s[len(delays_s) * 95 // 100] < PASS_S
+
+    async def _delays_beside_a_read_s(self, site: Site) -> list[float]:
+        """Return the times of small answers while a configuration arrives, in order."""
+
         async def ping(exchange: Exchange) -> None:
             await exchange.send(200, b"x" * 200, "text/plain")
 
@@ -413,5 +426,4 @@
         client.close()
         await proxy.close()
         await server.abort()
-        # Without a share the link's queue is full all the time, and each answer waits for it.
-        assert statistics.median(delays_s) < PASS_S
+        return sorted(delays_s)
