Tell and log how requests were exposed to the end of an endpoint

The line of an endpoint that ended named the contents of its requests only. Whether crashes are connected by sends, or happened by chance, could be found by hand from the requests' own lines.

A crash now holds for each whole request how long it was at the endpoint and whether it was sent there after an earlier crash under it was known, and the number of endpoints of the service. All three are logged with the requests' ids and told to other instances, as texts that earlier versions leave out (a trailing field would make them reject a message of the links). No decision uses them yet.

--- a/cassiadrum/crash_evidence/__init__.py
+++ b/cassiadrum/crash_evidence/__init__.py
@@ -5,13 +5,17 @@
     CONTENTS_PATTERN,
     decode_content,
     decode_contents,
+    decode_crash,
+    decode_exposures,
     encode_contents,
+    encode_crash,
 )
 from cassiadrum.crash_evidence.contents import (
     Content,
     ContentKind,
     Contents,
     customer_content,
+    find_request,
     part_contents,
     request_content,
 )
@@ -24,6 +28,7 @@
 from cassiadrum.crash_evidence.crash_causes import HarmEvidence, find_causes
 from cassiadrum.crash_evidence.crash_records import EVIDENCE_S
 from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
+from cassiadrum.crash_evidence.exposures import Exposure
 from cassiadrum.crash_evidence.harm_fields import harm_fields
 
 __all__ = [
@@ -38,13 +43,18 @@
     "CrashBoard",
     "CrashNews",
     "EndpointCrash",
+    "Exposure",
     "HarmEvidence",
     "HarmfulContent",
     "customer_content",
     "decode_content",
     "decode_contents",
+    "decode_crash",
+    "decode_exposures",
     "encode_contents",
+    "encode_crash",
     "find_causes",
+    "find_request",
     "harm_fields",
     "part_contents",
     "request_content",
--- a/cassiadrum/crash_evidence/contents.py
+++ b/cassiadrum/crash_evidence/contents.py
@@ -11,6 +11,7 @@
     "ContentKind",
     "Contents",
     "customer_content",
+    "find_request",
     "part_contents",
     "request_content",
 ]
@@ -65,6 +66,11 @@
     return Content(ContentKind.REQUEST, digest.hexdigest())
 
 
+def find_request(contents: Contents) -> Content | None:
+    """Return the content that stands for the whole request among those of one request."""
+    return next((found for found in contents if found.kind is ContentKind.REQUEST), None)
+
+
 def customer_content(name: str) -> Content:
     """Return the content that stands for all requests of a customer."""
     return Content(ContentKind.CUSTOMER, _bounded(name))
--- a/cassiadrum/crash_evidence/crash_boards.py
+++ b/cassiadrum/crash_evidence/crash_boards.py
@@ -14,7 +14,12 @@
     find_causes,
 )
 from cassiadrum.crash_evidence.crash_records import EVIDENCE_S, CrashRecords
-from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
+from cassiadrum.crash_evidence.endpoint_crashes import (
+    NO_EXPOSURES,
+    AnsweredContent,
+    EndpointCrash,
+)
+from cassiadrum.crash_evidence.exposures import Exposure
 
 __all__ = ["BELIEF_S", "CrashBoard", "CrashNews", "HarmfulContent"]
 
@@ -98,6 +103,10 @@
         """Return whether a request may be what ended an endpoint, as far as is known."""
         return bool(self._accused) and any(map(self._is_suspect, contents))
 
+    def has_crash(self, content: Content) -> bool:
+        """Return whether an endpoint ended under a content, with no whole answer since."""
+        return content in self._accused
+
     def age_s(self, evidence: HarmEvidence) -> float:
         """Return the seconds since the last crash of the evidence."""
         return max(0.0, self._clock() - evidence.last_s)
@@ -123,9 +132,19 @@
             if accused:
                 self._clear(content)
 
-    def record_crash(self, endpoint: str, contents: Contents) -> None:
-        """Record that an endpoint ended while it may have begun the answer to a request."""
-        crash = EndpointCrash(endpoint, self._clock(), contents)
+    def record_crash(
+        self,
+        endpoint: str,
+        contents: Contents,
+        exposures: Mapping[Content, Exposure] = NO_EXPOSURES,
+        peers: int = 1,
+    ) -> None:
+        """Record that an endpoint ended while it may have begun the answers to requests.
+
+        `contents` are those of all these requests, `exposures` those of the whole requests among
+        them. `peers` is the number of endpoints of the service.
+        """
+        crash = EndpointCrash(endpoint, self._clock(), contents, exposures, peers)
         self._own.add(crash)
         self._crashes.add(crash)
         self._update()
--- a/cassiadrum/crash_evidence/crash_records.py
+++ b/cassiadrum/crash_evidence/crash_records.py
@@ -44,7 +44,7 @@
             self._crashes[crash.endpoint] = self._bounded(crash)
             return True
         is_later = crash.at_s > known.at_s - CLOCK_TOLERANCE_S
-        if is_later and crash.contents.keys() <= known.contents.keys():
+        if is_later and _tells_nothing_new(crash, known):
             return False
         merged = self._bounded(known.merged(crash))
         self._crashes[crash.endpoint] = merged
@@ -70,4 +70,14 @@
         if len(crash.contents) <= MAX_CRASH_CONTENTS:
             return crash
         kept = sorted(crash.contents, key=self._rank)[:MAX_CRASH_CONTENTS]
-        return crash._replace(contents={content: crash.contents[content] for content in kept})
+        exposures = {c: found for c, found in crash.exposures.items() if c in kept}
+        contents = {content: crash.contents[content] for content in kept}
+        return crash._replace(contents=contents, exposures=exposures)
+
+
+def _tells_nothing_new(crash: EndpointCrash, known: EndpointCrash) -> bool:
+    return (
+        crash.contents.keys() <= known.contents.keys()
+        and crash.exposures.items() <= known.exposures.items()
+        and crash.peers <= known.peers
+    )
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -204,6 +204,11 @@
         """Return whether the connection ended while the endpoint may have begun its answer."""
         return self.beginning and self._conn is not None and self._conn.closed_by_peer
 
+    @property
+    def held_s(self) -> float:
+        """Return the seconds since the request was sent."""
+        return self._clock() - self._sent_s
+
     def record_begun(self) -> None:
         """Record that the endpoint has begun its answer and goes on."""
         if self.beginning:
--- a/cassiadrum/gateways/crash_watches.py
+++ b/cassiadrum/gateways/crash_watches.py
@@ -4,9 +4,17 @@
 import contextlib
 import logging
 from collections.abc import Callable
-from typing import Final
-
-from cassiadrum.crash_evidence import Content, Contents, CrashBoard, HarmEvidence, harm_fields
+from typing import Final, NamedTuple
+
+from cassiadrum.crash_evidence import (
+    Content,
+    Contents,
+    CrashBoard,
+    Exposure,
+    HarmEvidence,
+    find_request,
+    harm_fields,
+)
 from cassiadrum.gateways.attempts import Attempt
 from cassiadrum.gateways.endpoint_endings import EndpointEndings
 from cassiadrum.gateways.endpoint_entries import EndpointEntry, Incarnation
@@ -22,6 +30,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_LOGGED_CONTENTS: Final = 24
+MAX_LOGGED_REQUESTS: Final = 8
 # Time for which a request waits until it is known why its endpoint ended. Its caller is told
 # sooner than its own timeout, and may try again.
 MAX_HOLD_S: Final = 0.5
@@ -36,17 +45,26 @@
     answer, and `on_harmful` is called.
     """
 
-    def __init__(self, board: CrashBoard, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        board: CrashBoard,
+        metrics: GatewayMetrics,
+        count_endpoints: Callable[[str], int] = lambda service: 1,
+    ) -> None:
         self.on_harmful: Callable[[], None] = lambda: None
         self._board = board
         board.on_change = self._board_changed
         self._metrics = metrics
+        # Returns the number of endpoints of a service.
+        self._count_endpoints = count_endpoints
         self._endings = EndpointEndings()
-        # Contents of the requests whose endpoint is being checked, and the checks.
-        self._lost: dict[Incarnation, Contents] = {}
+        # The requests whose endpoint is being checked, and the checks.
+        self._lost: dict[Incarnation, list[_LostRequest]] = {}
         self._checks: dict[Incarnation, asyncio.Task[ProcessState]] = {}
-        # Attempts that an endpoint may be about to answer.
+        # Attempts that an endpoint may be about to answer, and those of requests under which an
+        # endpoint had ended before.
         self._running: dict[Attempt, RequestContext] = {}
+        self._resent: set[Attempt] = set()
         # Contents that were harmful at the last change of the board.
         self._harmful: dict[Content, HarmEvidence] = {}
         # Replaced and set at each change of the board.
@@ -55,10 +73,14 @@
     def start(self, ctx: RequestContext, attempt: Attempt) -> None:
         """Record an attempt that is about to be sent."""
         self._running[attempt] = ctx
+        content = find_request(ctx.contents)
+        if content is not None and self._board.has_crash(content):
+            self._resent.add(attempt)
 
     def end(self, attempt: Attempt) -> None:
         """Record the end of an attempt."""
         del self._running[attempt]
+        self._resent.discard(attempt)
 
     def find_refusal(self, ctx: RequestContext) -> HarmfulRequest | None:
         """Return the refusal of a request that holds a harmful content, None for any other."""
@@ -81,7 +103,8 @@
             return
         view = attempt.view
         target = view.entry.incarnation
-        self._lost.setdefault(target, {}).update(ctx.contents)
+        exposure = Exposure(attempt.held_s, attempt in self._resent)
+        self._lost.setdefault(target, []).append(_LostRequest(ctx, exposure))
         task = self._checks.get(target)
         if task is None:
             task = self._checks[target] = asyncio.create_task(self._check(view))
@@ -130,14 +153,23 @@
             state = await self._endings.check(view.entry)
         finally:
             del self._checks[target]
-            contents = self._lost.pop(target)
+            lost = self._lost.pop(target)
         if state is ProcessState.ENDED and not view.is_expected_to_end:
-            self._record_crash(view.entry, contents)
+            self._record_crash(view.entry, lost)
         return state
 
-    def _record_crash(self, entry: EndpointEntry, contents: Contents) -> None:
+    def _record_crash(self, entry: EndpointEntry, lost: list["_LostRequest"]) -> None:
         self._metrics.record_ended_endpoint(entry.service)
+        contents: Contents = {}
+        exposures: dict[Content, Exposure] = {}
+        for request in lost:
+            contents.update(request.ctx.contents)
+            content = find_request(request.ctx.contents)
+            if content is not None:
+                known = exposures.get(content, request.exposure)
+                exposures[content] = known.merged(request.exposure)
         names = [str(content) for content in contents]
+        peers = max(1, self._count_endpoints(entry.service))
         _log(
             "endpoint ended as it began answers",
             endpoint=entry.instance,
@@ -145,8 +177,10 @@
             zone=entry.zone,
             contents=names[:MAX_LOGGED_CONTENTS],
             left_out_contents=max(0, len(names) - MAX_LOGGED_CONTENTS),
+            requests=[request.describe() for request in lost[:MAX_LOGGED_REQUESTS]],
+            endpoints=peers,
         )
-        self._board.record_crash(_endpoint_name(entry.incarnation), contents)
+        self._board.record_crash(_endpoint_name(entry.incarnation), contents, exposures, peers)
 
     def _board_changed(self) -> None:
         harmful = dict(self._board.harmful)
@@ -173,6 +207,23 @@
                 attempt.withdraw()
 
 
+class _LostRequest(NamedTuple):
+    """A request that lost its answer before the first whole event."""
+
+    ctx: RequestContext
+    exposure: Exposure
+
+    def describe(self) -> dict[str, object]:
+        """Return its ids, and how it was exposed to the end of the endpoint, as log fields."""
+        held_s = self.exposure.held_s
+        return {
+            "request_id": self.ctx.call.request_id,
+            "content": str(find_request(self.ctx.contents)),
+            "held_ms": None if held_s is None else round(held_s * 1000),
+            "resent": self.exposure.resent,
+        }
+
+
 def _endpoint_name(incarnation: Incarnation) -> str:
     """Return a name that no other start of the endpoint has, at any gateway."""
     return f"{incarnation.instance} {incarnation.address} {incarnation.started_ms}"
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -94,7 +94,11 @@
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
         self.crash_board = CrashBoard(boot_clock, random.Random())
-        self._crash_watch = CrashWatch(self.crash_board, self._metrics)
+        self._crash_watch = CrashWatch(
+            self.crash_board,
+            self._metrics,
+            lambda service: len(self.directory.usable(service)),
+        )
         self._crash_watch.on_harmful = self._refuse_harmful
         self.lag = LagLimit()
         self._loop_delay = LoopDelay()
--- a/cassiadrum/platform/crash_news.py
+++ b/cassiadrum/platform/crash_news.py
@@ -11,8 +11,8 @@
     CrashNews,
     EndpointCrash,
     decode_content,
-    decode_contents,
-    encode_contents,
+    decode_crash,
+    encode_crash,
 )
 from cassiadrum.platform.fleet_news import FleetNews, NewsTiming
 from cassiadrum.platform.member_rows import AnsweredRow, CrashRow, MemberRow
@@ -60,7 +60,7 @@
 
 
 def _encode_crash(crash: EndpointCrash, zero_s: float) -> CrashRow:
-    return CrashRow(crash.endpoint, (crash.at_s - zero_s) * 1000, encode_contents(crash.contents))
+    return CrashRow(crash.endpoint, (crash.at_s - zero_s) * 1000, encode_crash(crash))
 
 
 def _encode_answered(answered: AnsweredContent, zero_s: float) -> AnsweredRow:
@@ -78,7 +78,7 @@
 
 
 def _decode_crash(row: CrashRow, zero_s: float) -> EndpointCrash:
-    return EndpointCrash(row.endpoint, zero_s + row.at_ms / 1000, decode_contents(row.contents))
+    return decode_crash(row.endpoint, zero_s + row.at_ms / 1000, row.contents)
 
 
 def _decode_answered(row: AnsweredRow, zero_s: float) -> AnsweredContent | None:
--- a/cassiadrum/roles/crash_guards.py
+++ b/cassiadrum/roles/crash_guards.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from random import Random
 
-from cassiadrum.crash_evidence import Content, CrashBoard, HarmEvidence, harm_fields
+from cassiadrum.crash_evidence import (
+    Content,
+    CrashBoard,
+    HarmEvidence,
+    find_request,
+    harm_fields,
+)
 from cassiadrum.decisions import ExecutionStatus, Outcome, Refuse
 from cassiadrum.links.messages import CrashReport
 from cassiadrum.logs import RATE_LIMITED_FIELD
@@ -44,6 +50,11 @@
         ran = ExecutionStatus.UNKNOWN if pending.attempts_made else ExecutionStatus.NOT_EXECUTED
         return Refuse(pending.queued, HARMFUL_CONTENT, ran, self.board.ends_in_s(found.evidence))
 
+    def has_crash(self, pending: PendingRequest) -> bool:
+        """Return whether an endpoint has ended under such a request, with no answer since."""
+        content = find_request(pending.contents)
+        return content is not None and self.board.has_crash(content)
+
     def restrict_retry(self, pending: PendingRequest, outcome: Outcome) -> Outcome:
         """Return the outcome of a failed attempt, final if the request must not be sent on.
 
--- a/cassiadrum/roles/crash_reports.py
+++ b/cassiadrum/roles/crash_reports.py
@@ -3,10 +3,9 @@
 from cassiadrum.crash_evidence import (
     AnsweredContent,
     CrashNews,
-    EndpointCrash,
     decode_content,
-    decode_contents,
-    encode_contents,
+    decode_crash,
+    encode_crash,
 )
 from cassiadrum.links.messages import CrashReport
 
@@ -16,10 +15,7 @@
 def make_crash_report(news: CrashNews, now: float) -> CrashReport:
     """Return a message with the news; `now` is the time on the clock of the news."""
     return CrashReport(
-        [
-            (crash.endpoint, now - crash.at_s, encode_contents(crash.contents))
-            for crash in news.crashes
-        ],
+        [(crash.endpoint, now - crash.at_s, encode_crash(crash)) for crash in news.crashes],
         [
             (str(found.content), None if found.whole_s is None else now - found.whole_s)
             for found in news.answered
@@ -30,7 +26,7 @@
 def read_crash_report(report: CrashReport, now: float) -> CrashNews:
     """Return the news in a message; `now` is the time on the receiver's clock."""
     crashes = [
-        EndpointCrash(endpoint, now - max(0.0, age_s), decode_contents(contents))
+        decode_crash(endpoint, now - max(0.0, age_s), contents)
         for endpoint, age_s, contents in report.crashes
     ]
     answered = []
--- a/cassiadrum/roles/pending_requests.py
+++ b/cassiadrum/roles/pending_requests.py
@@ -38,6 +38,8 @@
         self.silence_limit_s = silence_limit_s
         # What the request has in common with others, by which those are found that end endpoints.
         self.contents = find_contents(queued, http, target)
+        # Whether an endpoint had ended under such a request before the last attempt.
+        self.resent = False
         # None means that the caller has disconnected.
         self.caller_events: asyncio.Queue[CallerEvent | None] = asyncio.Queue()
         self.attempts: dict[str, Attempt] = {}
--- a/cassiadrum/roles/routers.py
+++ b/cassiadrum/roles/routers.py
@@ -355,6 +355,7 @@
         pending.attempts[attempt_id] = attempt
         kind = EventKind.HEDGED if isinstance(action, Hedge) else EventKind.DISPATCHED
         self._record(kind, pending, to=action.instance, attempt=pending.attempts_made)
+        pending.resent = self.crash_guard.has_crash(pending)
         if not self._sidecars.start(pending, attempt):
             self._finish_attempt(
                 pending, attempt, Outcome(False, ExecutionStatus.NOT_EXECUTED, 0, "no_endpoint")
--- a/cassiadrum/roles/sidecar_crashes.py
+++ b/cassiadrum/roles/sidecar_crashes.py
@@ -6,7 +6,14 @@
 from random import Random
 from typing import Final
 
-from cassiadrum.crash_evidence import Contents, CrashBoard, decode_contents
+from cassiadrum.crash_evidence import (
+    Contents,
+    CrashBoard,
+    Exposure,
+    decode_contents,
+    decode_exposures,
+    find_request,
+)
 from cassiadrum.links.messages import CrashReport
 from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.roles.crash_reports import make_crash_report
@@ -51,16 +58,23 @@
             self._ended_s = now
             self._count += 1
         contents = _contents(stream)
+        held_s = 0.0 if stream.timing is None else now - stream.timing.started_s
+        content = find_request(contents)
+        exposures = decode_exposures(stream.start.contents)
+        if content is not None:
+            exposures[content] = exposures.get(content, Exposure())._replace(held_s=held_s)
         logger.info(
             "endpoint ended as it began answers",
             extra={
                 "service": stream.start.service,
                 "request_id": stream.start.request_id,
                 "contents": [str(content) for content in contents][:MAX_LOGGED_CONTENTS],
+                "held_ms": round(held_s * 1000),
+                "resent": any(exposure.resent for exposure in exposures.values()),
                 RATE_LIMITED_FIELD: True,
             },
         )
-        self._board.record_crash(f"{self._process} {self._count}", contents)
+        self._board.record_crash(f"{self._process} {self._count}", contents, exposures)
 
     def expire(self) -> None:
         """Forget evidence that no longer counts."""
--- a/cassiadrum/roles/start_messages.py
+++ b/cassiadrum/roles/start_messages.py
@@ -2,7 +2,7 @@
 
 import math
 
-from cassiadrum.crash_evidence import encode_contents
+from cassiadrum.crash_evidence import Exposure, encode_contents, find_request
 from cassiadrum.decisions import QueuedRequest
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.roles.pending_requests import PendingRequest
@@ -18,6 +18,8 @@
 def start_message(pending: PendingRequest, attempt_id: str, now: float) -> StartRequest:
     """Return the start message of an attempt dispatched at `now`, in monotonic seconds."""
     req, http = pending.queued, pending.http
+    content = find_request(pending.contents)
+    exposures = {} if content is None else {content: Exposure(resent=pending.resent)}
     return StartRequest(
         attempt_id,
         req.request_id,
@@ -38,7 +40,7 @@
         max_wait_s=req.max_wait_s,
         idempotent=req.idempotent,
         silence_limit_s=pending.silence_limit_s,
-        contents=encode_contents(pending.contents),
+        contents=encode_contents(pending.contents, exposures),
     )
 
 
--- a/cassiadrum/roles/stream_timings.py
+++ b/cassiadrum/roles/stream_timings.py
@@ -10,7 +10,7 @@
 
     def __init__(self, started_s: float) -> None:
         self.tokens = 0
-        self._started_s = started_s
+        self.started_s = started_s
         self._first_s = 0.0
         self._last_s = 0.0
 
@@ -26,7 +26,7 @@
     @property
     def first_token_s(self) -> float:
         """Return the seconds from the start to the first byte."""
-        return max(0.0, self._first_s - self._started_s)
+        return max(0.0, self._first_s - self.started_s)
 
     @property
     def inter_token_s(self) -> float:
--- a/cassiadrum/tests/test_content_texts.py
+++ b/cassiadrum/tests/test_content_texts.py
@@ -4,6 +4,7 @@
 import re
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,10 +12,14 @@
     CONTENT_PATTERN,
     CONTENTS_PATTERN,
     CrashBoard,
+    EndpointCrash,
+    Exposure,
     customer_content,
     decode_content,
     decode_contents,
+    decode_crash,
     encode_contents,
+    encode_crash,
     part_contents,
     request_content,
 )
@@ -43,6 +48,24 @@
             assert re.search(CONTENT_PATTERN, str(content))
             assert decode_content(str(content)) == content
 
+    @given(held_s=st.none() | st.floats(0.0, 1e6), resent=st.booleans())
+    def test_exposures_come_back_and_earlier_versions_read_the_contents(
+        self, held_s: float | None, resent: bool
+    ) -> None:
+        content = request_content(b"x")
+        crash = EndpointCrash("e-1", 5.0, {content: 2}, {content: Exposure(held_s, resent)}, 7)
+        texts = encode_crash(crash)
+        assert all(re.search(CONTENTS_PATTERN, text) for text in texts)
+        assert decode_contents(texts) == crash.contents
+        found = decode_crash("e-1", 5.0, texts)
+        assert found.peers == 7
+        exposure = found.exposures.get(content, Exposure())
+        assert exposure.resent == resent
+        if held_s is None:
+            assert exposure.held_s is None
+        else:
+            assert exposure.held_s == pytest.approx(min(held_s, 999.999), abs=0.001)
+
     def test_unknown_kind_is_left_out(self) -> None:
         assert decode_contents(["tool:0:x", "part:1:a"]) == {next(iter(part_contents(["a"]))): 1}
         assert decode_content("tool:x") is None
