--- a/cassiadrum/tests/gateways/crashing_endpoints.py
+++ b/cassiadrum/tests/gateways/crashing_endpoints.py
@@ -213,10 +213,20 @@
         self._numbers = itertools.count()
 
     async def call(
-        self, gateway: int, parts: Sequence[str], *, path: str = "/stream/a", **headers: str
+        self,
+        gateway: int,
+        parts: Sequence[str],
+        *,
+        path: str = "/stream/a",
+        payload: str = "",
+        **headers: str,
     ) -> SentCall:
-        """Send a request whose last part is its own; a broken-off answer has status 0."""
+        """Send a request; a broken-off answer has status 0.
+
+        Its last part and its body are its own. With a `payload`, all calls are the same request.
+        """
         number = next(self._numbers)
+        own_part = f"{0 if payload else number:x}00001"
         request_id = f"c-{number}"
         run = self._fleet.gateways[gateway % len(self._fleet.gateways)]
         client = HttpClient("127.0.0.1", run.calls_port)
@@ -225,13 +235,14 @@
             Header.TIMEOUT: "3000",
             Header.API_KEY: "key-1",
             Header.TOKENS: f"100,{EVENTS}",
-            Header.PROMPT_PARTS: prompt_header([*parts, f"{number:x}00001"]),
+            Header.PROMPT_PARTS: prompt_header([*parts, own_part]),
             **headers,
         }
         begun_s = time.monotonic()
         status, body, retry_after_s = 0, b"", 0.0
         try:
-            response = await client.request("POST", path, tuple(lines.items()), b"%d" % number)
+            data = payload.encode() or b"%d" % number
+            response = await client.request("POST", path, tuple(lines.items()), data)
             found = dict(response.headers)
             retry_after_s = float(found.get(Header.RETRY_AFTER, "0"))
             status, body = response.status, await response.read()
@@ -266,10 +277,14 @@
     gateways: int = 2,
     engines: int = 4,
     stage: CrashStage = CrashStage.HEAD,
+    is_harmful: Callable[[Exchange], bool] | None = None,
 ) -> AsyncIterator[tuple[CrashingSite, GatewayFleet, PromptCaller]]:
-    """Run a site whose engines end on prompts with any of the harmful parts."""
+    """Run a site whose engines end on prompts with any of the harmful parts.
+
+    With `is_harmful`, they end on the requests for which that returns true.
+    """
     site = CrashingSite(
-        lambda exchange: not set(harmful).isdisjoint(part_ids(exchange)),
+        is_harmful or (lambda exchange: not set(harmful).isdisjoint(part_ids(exchange))),
         count=engines,
         stage=stage,
     )
