Count ends of engines in the middle of answers, and keep suspects apart before they are sent

Two faults found by reading the fix as if new, each with a test that failed before:

An engine that loses a stream midway is checked as well now, and the whole request is held against, not its parts or customer, on which the engine went on. Long streams are cut off by other causes one after the other, so that such evidence has to be sure, and is told from the second crash of a request on. - Two requests with long common parts that were lost together were sent on to the same engine: both waited for one load sample and were placed before either was sent. The endpoint counts from the assignment on.

--- a/cassiadrum/crash_evidence/content_texts.py
+++ b/cassiadrum/crash_evidence/content_texts.py
@@ -27,9 +27,11 @@
 MAX_NUMBER: Final = 999_999
 KINDS: Final = frozenset(ContentKind)
 # Kinds of texts beside the contents, which earlier versions leave out: milliseconds for which a
-# whole request was at the endpoint, that it was sent again, and the endpoints of the service.
+# whole request was at the endpoint, that it was sent again, that it had events of its answer, and
+# the endpoints of the service.
 HELD: Final = "held"
 RESENT: Final = "resent"
+BEGUN: Final = "begun"
 PEERS: Final = "peers"
 
 
@@ -45,6 +47,8 @@
             texts.append(_encode(HELD, round(exposure.held_s * 1000), content.name))
         if exposure.resent:
             texts.append(_encode(RESENT, 0, content.name))
+        if exposure.begun:
+            texts.append(_encode(BEGUN, 0, content.name))
     return texts
 
 
@@ -75,6 +79,8 @@
             exposures[content] = known._replace(held_s=number / 1000)
         elif kind == RESENT:
             exposures[content] = known._replace(resent=True)
+        elif kind == BEGUN:
+            exposures[content] = known._replace(begun=True)
     return exposures
 
 
--- a/cassiadrum/crash_evidence/crash_boards.py
+++ b/cassiadrum/crash_evidence/crash_boards.py
@@ -248,17 +248,21 @@
     def _told_contents(self, crash: EndpointCrash) -> Contents:
         """Return the contents of a crash that the other instances may have to blame."""
         return {
-            content: depth for content, depth in crash.contents.items() if self._is_told(content)
+            content: depth
+            for content, depth in crash.contents.items()
+            if self._is_told(content, crash)
         }
 
-    def _is_told(self, content: Content) -> bool:
+    def _is_told(self, content: Content, crash: EndpointCrash) -> bool:
         if content in self._causes.harmful:
             return True
         if content.kind is ContentKind.PART and content not in self._answered.own:
             return True
         if content.kind is ContentKind.REQUEST:
-            # It may come to another gateway next time, which sees its other crashes.
-            return True
+            # It may come to another gateway next time, which sees its other crashes. An endpoint
+            # that ends for another reason cuts off many streams, few of which are cut off again.
+            exposure = crash.exposures.get(content, Exposure())
+            return not exposure.begun or exposure.resent
         return self._unexplained_moments(content, self._answered) >= REPEATED_MOMENTS
 
     def _rank(self, content: Content) -> tuple[float, ...]:
--- a/cassiadrum/crash_evidence/crash_causes.py
+++ b/cassiadrum/crash_evidence/crash_causes.py
@@ -9,6 +9,7 @@
 from cassiadrum.crash_evidence.contents import Content, ContentKind
 from cassiadrum.crash_evidence.crash_moments import count_moments
 from cassiadrum.crash_evidence.endpoint_crashes import AnsweredContent, EndpointCrash
+from cassiadrum.crash_evidence.exposures import Exposure
 
 __all__ = ["CrashCauses", "HarmEvidence", "counts_against", "find_causes"]
 
@@ -245,11 +246,31 @@
     One that its gateway and its caller repeat while endpoints end for other reasons may be part of
     several crashes.
     """
-    if candidate.unexplained >= MIN_MOMENTS_ANSWERED:
+    if _count_beginnings(candidate) >= MIN_MOMENTS_ANSWERED:
         return True
     explained = max(0, candidate.moments - candidate.unexplained)
     score = candidate.unexplained + EXPLAINED_WEIGHT_REQUEST * explained
-    return score >= MIN_MOMENTS_REQUEST and _strength(candidate, ends) >= MIN_STRENGTH
+    if score < MIN_MOMENTS_REQUEST:
+        return False
+    # A long stream is cut off by other causes as well, one after the other.
+    has_begun = any(
+        crash.exposures.get(candidate.content, Exposure()).begun for crash in candidate.crashes
+    )
+    return _strength(candidate, ends) >= (SURE_STRENGTH if has_begun else MIN_STRENGTH)
+
+
+def _count_beginnings(candidate: _Candidate) -> int:
+    """Return the unexplained moments at which answers to a whole request had not begun.
+
+    A long stream may be cut off many times by chance.
+    """
+    content = candidate.content
+    beginnings = (
+        crash
+        for crash in candidate.unexplained_crashes
+        if not crash.exposures.get(content, Exposure()).begun
+    )
+    return count_moments(content, beginnings)
 
 
 def _is_possible_by_chance(candidate: _Candidate, ends: Collection[EndpointCrash]) -> bool:
--- a/cassiadrum/gateways/crash_watches.py
+++ b/cassiadrum/gateways/crash_watches.py
@@ -8,6 +8,7 @@
 
 from cassiadrum.crash_evidence import (
     Content,
+    ContentKind,
     Contents,
     ContentTrials,
     CrashBoard,
@@ -40,10 +41,10 @@
 class CrashWatch:
     """Finds the contents that end endpoints, and keeps requests that hold them from all others.
 
-    An endpoint that loses an answer before the first whole event is checked. If it has ended, what
-    the requests held whose answers it may have begun is evidence, which the board weighs. When a
-    content is found to be harmful, the attempts are withdrawn whose endpoints have not begun to
-    answer, and `on_harmful` is called.
+    An endpoint that loses an answer is checked. If it has ended, what the requests held whose
+    answers it may have begun is evidence, which the board weighs, and so are the whole requests
+    whose answers it was in the middle of. When a content is found to be harmful, the attempts are
+    withdrawn whose endpoints have not begun to answer, and `on_harmful` is called.
     """
 
     def __init__(
@@ -68,6 +69,8 @@
         # endpoint had ended before.
         self._running: dict[Attempt, RequestContext] = {}
         self._resent: set[Attempt] = set()
+        # Requests under which an endpoint has ended.
+        self._suspects: set[RequestContext] = set()
         # Contents that were harmful at the last change of the board.
         self._harmful: dict[Content, HarmEvidence] = {}
         # Replaced and set at each change of the board.
@@ -76,13 +79,12 @@
     def start(self, ctx: RequestContext, attempt: Attempt) -> None:
         """Record an attempt that is about to be sent."""
         self._running[attempt] = ctx
-        content = find_request(ctx.contents)
-        if content is not None and self._board.has_crash(content):
+        if self._has_crash(ctx):
             self._resent.add(attempt)
 
     def end(self, attempt: Attempt) -> None:
         """Record the end of an attempt."""
-        del self._running[attempt]
+        self._running.pop(attempt).assigned = None
         self._resent.discard(attempt)
 
     def find_refusal(self, ctx: RequestContext) -> HarmfulRequest | None:
@@ -103,6 +105,12 @@
                 content=str(ctx.tried_content),
             )
         self.check(ctx)
+        if self._has_crash(ctx):
+            self._suspects.add(ctx)
+
+    def leave(self, ctx: RequestContext) -> None:
+        """Forget a request that has ended."""
+        self._suspects.discard(ctx)
 
     def check(self, ctx: RequestContext) -> None:
         """Raise HarmfulRequest if a request holds a harmful content."""
@@ -116,13 +124,13 @@
         Another such request is at each of them. If one of the two ends endpoints, the next crash
         tells which it is.
         """
-        content = find_request(ctx.contents)
-        if content is None or not self._board.has_crash(content):
+        if not self._suspects or not self._has_crash(ctx):
             return set()
+        content = find_request(ctx.contents)
         return {
-            attempt.view.entry.instance
-            for attempt in self._resent
-            if content not in self._running[attempt].contents
+            other.assigned
+            for other in self._suspects
+            if other.assigned is not None and content not in other.contents
         }
 
     async def examine(self, ctx: RequestContext, attempt: Attempt) -> None:
@@ -132,19 +140,17 @@
             return
         view = attempt.view
         target = view.entry.incarnation
-        lost = self._lost.setdefault(target, [])
-        if attempt.lost_at_beginning:
-            exposure = Exposure(attempt.held_s, attempt in self._resent)
-            lost.append(_LostRequest(ctx, exposure))
+        is_resent = attempt in self._resent
+        exposure = Exposure(attempt.held_s, is_resent, not attempt.lost_at_beginning)
+        self._lost.setdefault(target, []).append(_LostRequest(ctx, exposure))
         task = self._checks.get(target)
         if task is None:
             task = self._checks[target] = asyncio.create_task(self._check(view))
-        if not attempt.lost_at_beginning:
-            # It is no evidence against the request, only one more end of an endpoint.
-            return
         # The check goes on if the caller leaves.
         state = await asyncio.shield(task)
-        ctx.lost_at_beginning = state is not ProcessState.RUNNING
+        if self._has_crash(ctx):
+            self._suspects.add(ctx)
+        ctx.lost_at_beginning = not exposure.begun and state is not ProcessState.RUNNING
 
     async def has_ended(self, view: EndpointView) -> bool:
         """Return whether an endpoint has ended without having announced it."""
@@ -176,6 +182,10 @@
             }
         )
 
+    def _has_crash(self, ctx: RequestContext) -> bool:
+        content = find_request(ctx.contents)
+        return content is not None and self._board.has_crash(content)
+
     def _is_undecided(self, ctx: RequestContext) -> bool:
         if self._board.find_harmful(ctx.contents) is not None:
             return False
@@ -197,15 +207,16 @@
         contents: Contents = {}
         exposures: dict[Content, Exposure] = {}
         for request in lost:
-            contents.update(request.ctx.contents)
+            contents.update(request.accused_contents)
             content = find_request(request.ctx.contents)
             if content is not None:
                 known = exposures.get(content, request.exposure)
                 exposures[content] = known.merged(request.exposure)
         names = [str(content) for content in contents]
+        all_begun = all(request.exposure.begun for request in lost)
         peers = max(1, self._count_endpoints(entry.service))
         _log(
-            "endpoint ended as it began answers" if lost else "endpoint ended",
+            "endpoint ended" if all_begun else "endpoint ended as it began answers",
             endpoint=entry.instance,
             service=entry.service,
             zone=entry.zone,
@@ -242,11 +253,25 @@
 
 
 class _LostRequest(NamedTuple):
-    """A request that lost its answer before the first whole event."""
+    """A request that lost its answer."""
 
     ctx: RequestContext
     exposure: Exposure
 
+    @property
+    def accused_contents(self) -> Contents:
+        """Return the contents that may have ended the endpoint.
+
+        Parts and customers are not among them if it had begun the answer and gone on.
+        """
+        if not self.exposure.begun:
+            return self.ctx.contents
+        return {
+            content: depth
+            for content, depth in self.ctx.contents.items()
+            if content.kind is ContentKind.REQUEST
+        }
+
     def describe(self) -> dict[str, object]:
         """Return its ids, and how it was exposed to the end of the endpoint, as log fields."""
         held_s = self.exposure.held_s
@@ -255,6 +280,7 @@
             "content": str(find_request(self.ctx.contents)),
             "held_ms": None if held_s is None else round(held_s * 1000),
             "resent": self.exposure.resent,
+            "begun": self.exposure.begun,
         }
 
 
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -205,6 +205,7 @@
             raise
         finally:
             relay.retries.close()
+            self._crash_watch.leave(ctx)
             well = outcome == ANSWERED or exchange.disconnected.is_set()
             self._log.finish(ctx, outcome, well=well, **self.configuration.log_fields())
             self._metrics.record_end(ctx.service, outcome, self._clock() - ctx.received_s)
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -183,6 +183,7 @@
     def _assign(self, ctx: RequestContext, view: EndpointView) -> Assignment:
         assignment = Assignment(view, self._policy.uncached_tokens(ctx.call, view))
         view.record_start(assignment.prefill_tokens)
+        ctx.assigned = view.entry.instance
         view.request_limit.take(self._clock())
         return assignment
 
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -39,6 +39,8 @@
         self.more_urgent = MoreUrgentStreams(0, float("inf"))
         # Whether the service has less urgent streams.
         self.has_less_urgent = False
+        # Instance of the endpoint that the request was assigned to, None after the attempt.
+        self.assigned: str | None = None
         # Instances that were tried, including unreachable ones.
         self.tried: set[str] = set()
         # Tried instances that were only silent.
--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -58,7 +58,7 @@
                 outcome = await self._run_once(stream)
             else:
                 outcome = await self._run(stream, None)
-            if _is_lost_at_beginning(stream, outcome):
+            if _is_lost(stream, outcome):
                 endpoint_ended = await self._endpoint.has_ended()
         finally:
             if stream.cancelled:
@@ -165,10 +165,10 @@
     return bool(response.header("content-length") or response.header("transfer-encoding"))
 
 
-def _is_lost_at_beginning(stream: SidecarStream, outcome: Outcome) -> bool:
-    """Return whether a call was lost before the first whole event or answer."""
+def _is_lost(stream: SidecarStream, outcome: Outcome) -> bool:
+    """Return whether the endpoint lost a call."""
     lost = not outcome.ok and outcome.reason == "answer_lost"
-    return lost and not (stream.tokens or stream.cancelled or stream.silence_expired)
+    return lost and not (stream.cancelled or stream.silence_expired)
 
 
 def _count_tokens(events: int, tail: bytes) -> int:
--- a/cassiadrum/roles/sidecar_crashes.py
+++ b/cassiadrum/roles/sidecar_crashes.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from cassiadrum.crash_evidence import (
+    ContentKind,
     Contents,
     CrashBoard,
     Exposure,
@@ -52,19 +53,30 @@
         self._board.record_answered(_contents(stream))
 
     def record_lost(self, stream: SidecarStream) -> None:
-        """Record that the endpoint ended as it may have begun the answer of a stream."""
+        """Record that the endpoint ended before the end of a stream's answer.
+
+        What else the request of a stream holds is no evidence if the answer was begun.
+        """
         now = self._clock()
         if now > self._ended_s + SAME_CRASH_S:
             self._ended_s = now
             self._count += 1
+        begun = stream.tokens > 0
         contents = _contents(stream)
+        if begun:
+            contents = {
+                found: depth
+                for found, depth in contents.items()
+                if found.kind is ContentKind.REQUEST
+            }
         held_s = 0.0 if stream.timing is None else now - stream.timing.started_s
         content = find_request(contents)
         exposures = decode_exposures(stream.start.contents)
         if content is not None:
-            exposures[content] = exposures.get(content, Exposure())._replace(held_s=held_s)
+            known = exposures.get(content, Exposure())
+            exposures[content] = known._replace(held_s=held_s, begun=begun)
         logger.info(
-            "endpoint ended as it began answers",
+            "endpoint ended" if begun else "endpoint ended as it began answers",
             extra={
                 "service": stream.start.service,
                 "request_id": stream.start.request_id,
--- a/cassiadrum/tests/gateways/crashing_endpoints.py
+++ b/cassiadrum/tests/gateways/crashing_endpoints.py
@@ -52,11 +52,14 @@
         is_harmful: Callable[[Exchange], bool],
         stage: CrashStage,
         on_crash: Callable[["CrashingEndpoint"], None],
+        events: int = 0,
     ) -> None:
         super().__init__(instance, slots=64, event_interval_s=0.02)
         self._is_harmful = is_harmful
         self._stage = stage
         self._on_crash = on_crash
+        # Whole events of a harmful answer that are sent first.
+        self._events = events
         self.ended = False
 
     async def _run(self, exchange: Exchange, request_id: str) -> None:
@@ -74,6 +77,10 @@
         head = ((Header.REQUEST_ID, request_id), (Header.SIGNATURE, signature), *STREAM_HEADERS)
         if self._stage in (CrashStage.HEAD, CrashStage.HALF_EVENT):
             await exchange.send_head(200, head)
+        first = int(exchange.req.header(Header.LAST_EVENT_ID) or "0") + 1
+        for number in range(first, first + self._events):
+            await exchange.send_data(f"id: {number}\ndata: {number}\n\n".encode())
+            await asyncio.sleep(BEGIN_S)
         if self._stage is CrashStage.HALF_EVENT:
             await exchange.send_data(HALF_EVENT)
         if self._stage in (CrashStage.BARE_HEAD, CrashStage.BARE_HALF_EVENT):
@@ -121,10 +128,12 @@
         *,
         count: int = 4,
         stage: CrashStage = CrashStage.HEAD,
+        events: int = 0,
     ) -> None:
         super().__init__()
         self._is_harmful = is_harmful
         self._stage = stage
+        self._events = events
         self._count = count
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -138,7 +147,7 @@
         self.store_port = await self.store.start()
         self.endpoints.clear()
         for number in range(self._count):
-            await self._launch("ab"[number % 2])
+            await self.launch("ab"[number % 2])
         self.store.put("op", "config", make_configuration())
 
     def register(self, name: str, state: str = "ready") -> None:
@@ -180,9 +189,12 @@
         due_s = self.crashes[MAX_CRASHES - 1][0] + CONTACT_S
         return [at_s for at_s in self.harmful_arrivals(part) if at_s > due_s]
 
-    async def _launch(self, zone: str) -> None:
+    async def launch(self, zone: str) -> None:
+        """Start an engine, and register it."""
         name = f"e-{next(self._numbers)}"
-        endpoint = CrashingEndpoint(name, self._is_harmful, self._stage, self._crashed)
+        endpoint = CrashingEndpoint(
+            name, self._is_harmful, self._stage, self._crashed, self._events
+        )
         await endpoint.start()
         self.endpoints[name] = endpoint
         self.zones[name] = zone
@@ -201,7 +213,7 @@
         await asyncio.sleep(LAPSE_S)
         self.store.remove("servers", endpoint.instance)
         await asyncio.sleep(RETURN_S - LAPSE_S)
-        await self._launch(self.zones[endpoint.instance])
+        await self.launch(self.zones[endpoint.instance])
 
 
 class PromptCaller:
@@ -278,15 +290,18 @@
     engines: int = 4,
     stage: CrashStage = CrashStage.HEAD,
     is_harmful: Callable[[Exchange], bool] | None = None,
+    events: int = 0,
 ) -> AsyncIterator[tuple[CrashingSite, GatewayFleet, PromptCaller]]:
     """Run a site whose engines end on prompts with any of the harmful parts.
 
-    With `is_harmful`, they end on the requests for which that returns true.
+    With `is_harmful`, they end on the requests for which that returns true, after `events` whole
+    events.
     """
     site = CrashingSite(
         is_harmful or (lambda exchange: not set(harmful).isdisjoint(part_ids(exchange))),
         count=engines,
         stage=stage,
+        events=events,
     )
     await site.start()
     fleet = GatewayFleet(site, directory)
@@ -302,3 +317,12 @@
     """Kill a gateway, start it again and wait until it is ready."""
     await run.replace(run.process)
     await run.wait_ready()
+
+
+async def read_metrics(run: GatewaySubprocess) -> str:
+    """Return the metrics of a gateway as text."""
+    client = HttpClient("127.0.0.1", run.metrics_port)
+    response = await client.request("GET", "/metrics")
+    text = (await response.read()).decode()
+    client.close()
+    return text
--- a/cassiadrum/tests/gateways/test_deadly_requests.py
+++ b/cassiadrum/tests/gateways/test_deadly_requests.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins.row_services import StoreFault
 from cassiadrum.protocols import Exchange
+from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.crashing_endpoints import (
     CONTACT_S,
     MAX_LATE,
@@ -17,9 +19,11 @@
     PromptCaller,
     SentCall,
     crashing_site,
+    read_metrics,
     restart,
 )
 from cassiadrum.tests.gateways.fleets import GatewayFleet
+from cassiadrum.tests.gateways.sites import poll_until, wait_until
 
 # Crashes from which on the users' rule counts arrivals, MAX_LATE of which are allowed.
 RULE_CRASHES: Final = 3
@@ -52,11 +56,11 @@
 
 @contextlib.asynccontextmanager
 async def deadly_site(
-    directory: Path, *, gateways: int = 3, engines: int = 4
+    directory: Path, *, gateways: int = 3, engines: int = 4, events: int = 0
 ) -> AsyncIterator[tuple[CrashingSite, GatewayFleet, PromptCaller]]:
     """Run a site whose engines, which serve all routes, end on marked requests."""
     async with crashing_site(
-        directory, [], gateways=gateways, engines=engines, is_harmful=is_deadly
+        directory, [], gateways=gateways, engines=engines, is_harmful=is_deadly, events=events
     ) as (site, fleet, caller):
         configuration = site.configuration()
         for route in configuration["routes"]:
@@ -136,6 +140,17 @@
             assert len(later) > 10
             assert set(later) == {200}
 
+    async def test_it_ends_engines_in_the_middle_of_its_answers(self, tmp_path: Path) -> None:
+        kind = KINDS["stream with parts of others"]
+        async with deadly_site(tmp_path, events=2) as (site, _, caller):
+            sound, deadly = await asyncio.gather(
+                send_sound(caller, [kind], per_s=10, for_s=12),
+                send_in_turn(caller, kind, every_s=1.5, for_s=12),
+            )
+            assert len(late_arrivals(site)) <= MAX_LATE
+            assert refused(deadly)
+            assert not refused(sound)
+
     async def test_callers_of_parts_that_came_first_with_it(self, tmp_path: Path) -> None:
         kind = KINDS["stream with new parts"]
         async with deadly_site(tmp_path) as (site, _, caller):
@@ -185,3 +200,37 @@
             await send_in_turn(caller, kind, every_s=0.5, for_s=6)
             late = [at_s for at_s in arrivals(site, MARK) if at_s > back_s + 2 * CONTACT_S]
             assert len(late) <= MAX_LATE
+
+
+async def knows_endpoints(run: GatewaySubprocess, count: int) -> bool:
+    """Return whether a gateway has a number of engines on its list."""
+    return f'cassiadrum_gateway_endpoints{{service="engine"}} {count}' in await read_metrics(run)
+
+
+class TestRequestsLostTogether:
+    """Guards against a sound request that is sent on together with one that ends endpoints."""
+
+    async def test_they_are_sent_on_apart(self, tmp_path: Path) -> None:
+        """Their common parts would place both at the same endpoint."""
+        async with deadly_site(tmp_path, gateways=1, engines=1) as (site, fleet, caller):
+            (first,) = site.endpoints.values()
+            kind = KINDS["stream with parts of others"]
+            # They make room for two retries in the budget.
+            sound = await send_sound(caller, [kind], per_s=40, for_s=1)
+            assert {sent.status for sent in sound} == {200}
+            first.hang = True
+            long_parts = [f"{SHARED[0]}:9000,{SHARED[1]}:9000,{number}:10" for number in "12"]
+            calls = [
+                asyncio.create_task(
+                    caller.call(0, [], path=kind.path, **{Header.PROMPT_PARTS: parts})
+                )
+                for parts in long_parts
+            ]
+            await wait_until(lambda: first.running == 2)
+            for _ in range(2):
+                await site.launch("b")
+            await poll_until(lambda: knows_endpoints(fleet.gateways[0], 3))
+            site.crash_zone("a")
+            assert [sent.status for sent in await asyncio.gather(*calls)] == [200, 200]
+            ran = [len(found.runs) for found in site.endpoints.values() if found is not first]
+            assert ran[:2] == [1, 1]
--- a/cassiadrum/tests/gateways/test_harmful_parts.py
+++ b/cassiadrum/tests/gateways/test_harmful_parts.py
@@ -8,7 +8,6 @@
 import pytest
 
 from cassiadrum.platform.headers import Header
-from cassiadrum.protocols import HttpClient
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.crashing_endpoints import (
     CONTACT_S,
@@ -19,6 +18,7 @@
     PromptCaller,
     SentCall,
     crashing_site,
+    read_metrics,
     restart,
 )
 from cassiadrum.tests.gateways.sites import wait_until
@@ -46,14 +46,6 @@
     return [sent for sent in calls if sent.status == 503 and b"harmful_content" in sent.body]
 
 
-async def metrics(run: GatewaySubprocess) -> str:
-    client = HttpClient("127.0.0.1", run.metrics_port)
-    response = await client.request("GET", "/metrics")
-    text = (await response.read()).decode()
-    client.close()
-    return text
-
-
 def log_lines(run: GatewaySubprocess, message: str) -> list[dict[str, object]]:
     lines = map(json.loads, run.log.read_text().splitlines())
     return [line for line in lines if line["message"] == message]
@@ -101,7 +93,7 @@
             assert sent.ended_s - sent.begun_s < 0.5
             assert (await caller.call(0, [SHARED, SOUND])).status == 200
             found = 'content="bad1",kind="part"'
-            text = await metrics(fleet.gateways[0])
+            text = await read_metrics(fleet.gateways[0])
             assert "cassiadrum_gateway_harmful_content_crashes{" + found in text
             assert "cassiadrum_gateway_harmful_content_age_seconds{" + found in text
             assert "cassiadrum_gateway_harmful_requests_total{" in text
