--- a/cassiadrum/tests/test_crash_causes.py
+++ b/cassiadrum/tests/test_crash_causes.py
@@ -168,7 +168,7 @@
     """Guards against evidence on whole requests that is counted by the clock or by its kind."""
 
     def test_sends_after_a_crash_are_evidence_of_their_own(self) -> None:
-        crashes = [exposed(n, n / 20, REQUEST, resent=n > 0) for n in range(3)]
+        crashes = [exposed(n, n / 50, REQUEST, resent=n > 0) for n in range(3)]
         assert set(find_causes(crashes, {}).harmful) == {REQUEST}
         assert not find_causes(crashes[:2], {}).harmful
 
