Test a failed zone on clocks that differ, and allow no refusals in the single cases of the model

A moment of a whole request (0.03 s) is shorter than the clocks of gateways may differ (0.1 s): a sound request with copies at three engines of a failed zone is blamed. The bound of 1 in 20 refused sound requests held for all cases of the model; it is 0 for one deadly request and beside other ends now, which pass.

--- a/cassiadrum/tests/test_crash_causes.py
+++ b/cassiadrum/tests/test_crash_causes.py
@@ -18,6 +18,7 @@
     part_contents,
     request_content,
 )
+from cassiadrum.crash_evidence.answered_contents import CLOCK_TOLERANCE_S
 
 MAX_CRASHES = 5
 
@@ -180,6 +181,12 @@
         crashes = [exposed(n, 1.0 + n / 500, REQUEST, held_s=0.3) for n in range(6)]
         assert not find_causes(crashes, {}).harmful
 
+    def test_zone_that_fails_at_once_on_clocks_that_differ_blames_no_request(self) -> None:
+        """Three gateways, each with a copy under way, tell the same moment by their own clocks."""
+        step_s = CLOCK_TOLERANCE_S / 2
+        crashes = [exposed(n, 1.0 + n * step_s, REQUEST, held_s=0.3) for n in range(3)]
+        assert not find_causes(crashes, {}).harmful
+
     def test_coincidences_are_likely_while_endpoints_end_in_series(self) -> None:
         crashes = [exposed(n, float(n), REQUEST, held_s=0.4) for n in range(5)]
         others = [other_end(n, n * 0.2) for n in range(20)]
--- a/cassiadrum/tests/test_deadly_fleets.py
+++ b/cassiadrum/tests/test_deadly_fleets.py
@@ -7,8 +7,9 @@
 
 # The users' rule: arrivals later than contact_ms after the third crash under a request.
 MAX_LATE = 3
-# Part of the sound requests that may be refused.
-MAX_REFUSED = 0.05
+# Part of the sound requests that may be refused where nearly all endpoints end or the store is
+# away, as in test_harmful_fleets.py; elsewhere none.
+MAX_REFUSED = 1 / 20
 SIZES = {
     1: Sizes(gateways=1, endpoints=4, sound_per_s=17, harmful_per_s=(), for_s=60),
     4: Sizes(gateways=4, endpoints=3, sound_per_s=17, harmful_per_s=(), for_s=60),
@@ -43,7 +44,7 @@
             for number in range(2)
             for kind in (PLAIN, PROMPT, FRESH)
         )
-        self.check(DeadlyFleet(SIZES[gateways], seed, deadly), deadly)
+        self.check(DeadlyFleet(SIZES[gateways], seed, deadly), deadly, max_refused=MAX_REFUSED)
 
     def test_beside_restarts_and_other_ends(self, gateways: int, seed: int) -> None:
         deadly = (PLAIN, PROMPT)
@@ -53,7 +54,7 @@
     def test_store_is_away(self, gateways: int, seed: int) -> None:
         deadly = (PLAIN._replace(every_s=1.0), FRESH)
         fleet = DeadlyFleet(SIZES[gateways], seed, deadly, store_away_s=(3.0, 12.0))
-        self.check(fleet, deadly)
+        self.check(fleet, deadly, max_refused=MAX_REFUSED)
 
     @pytest.mark.parametrize("sound", [SOUND_CALL, SOUND_STREAM], ids=["call", "stream"])
     def test_sound_request_that_repeats_while_endpoints_end(
@@ -72,10 +73,11 @@
         restarts: int = 0,
         zone_failures: int = 0,
         single_failures: int = 0,
+        max_refused: float = 0.0,
     ) -> None:
         fleet.run(restarts=restarts, zone_failures=zone_failures, single_failures=single_failures)
         late = {found.label: fleet.deadly_arrivals(found) for found in deadly}
         assert late == {label: min(count, MAX_LATE) for label, count in late.items()}
         assert fleet.blamed() <= {found.content for found in deadly}
         # A part may be blamed until its answers elsewhere are known, or its request is found.
-        assert len(fleet.sound_refusals) <= MAX_REFUSED * len(fleet.sound_sends)
+        assert len(fleet.sound_refusals) <= max_refused * len(fleet.sound_sends)
