--- a/review/support_2.py
+++ b/review/support_2.py
@@ -333,6 +333,10 @@
             found["Server-Leaving"] = "1"
         return found
 
+    def refusal_notices(self) -> dict[str, str]:
+        """Return further headers of an answer that turns a request away."""
+        return {}
+
     def signed(self, req: Request) -> dict[str, str]:
         """Return the headers of an answer to a request that ran."""
         signature = f"{self.instance}.{req.request_id}"
@@ -369,7 +373,8 @@
             return await send_answer(writer, 421, {**own, **not_run})
         self.arrived.append(req)
         if self.running >= self.slots:
-            return await send_answer(writer, 503, {**own, **not_run})
+            full = {**own, **not_run, **self.refusal_notices()}
+            return await send_answer(writer, 503, full)
         self.ran.append(req)
         self.running += 1
         try:
