Log the software version of a placement, and what a taken-up stream names

The registration's `version` and the caller's `Resumes` are decoded for the log only; no decision uses them yet.

--- a/cassiadrum/gateways/calls.py
+++ b/cassiadrum/gateways/calls.py
@@ -21,6 +21,9 @@
     order; the last one is not shared with other requests. `timeout_s` is the caller's timeout in
     seconds, None if not stated. `shared_parts` identifies all parts but the last, also those that
     `prompt` leaves out because their sizes cannot be read or because there are too many of them.
+    `last_event_id` is that of the last event that the caller has of a stream that broke off, and
+    `resumes` the id of the request that brought the first event of it; both are empty if the
+    caller has no event.
     """
 
     request_id: str
@@ -36,6 +39,7 @@
     max_output_tokens: int
     last_event_id: str
     shared_parts: tuple[str, ...] = ()
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/cassiadrum/gateways/endpoint_entries.py
+++ b/cassiadrum/gateways/endpoint_entries.py
@@ -16,7 +16,10 @@
 
 
 class EndpointEntry(NamedTuple):
-    """A registered endpoint; `cold_s` is the time in seconds for which it will still be slow."""
+    """A registered endpoint; `cold_s` is the time in seconds for which it will still be slow.
+
+    `version` is that of the endpoint's software, empty if the registration states none.
+    """
 
     instance: str
     service: str
@@ -26,6 +29,7 @@
     leaving: bool
     started_ms: int
     cold_s: float
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/cassiadrum/gateways/endpoint_views.py
+++ b/cassiadrum/gateways/endpoint_views.py
@@ -221,6 +221,7 @@
         """Return the estimates as log fields."""
         return {
             "endpoint": self.entry.instance,
+            "software": self.entry.version,
             "zone": self.entry.zone,
             "at_endpoint": self.outstanding(now),
             "without_first_bytes": self.waiting(now),
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -103,6 +103,8 @@
     def describe(self) -> dict[str, object]:
         """Return the classification of the request as log fields."""
         assert self.route is not None
+        call = self.call
+        resumed = {"resumes": call.resumes, "last_event": call.last_event_id}
         return {
             "route": self.route.name,
             "kind": self.route.kind.name.lower(),
@@ -112,6 +114,7 @@
             "max_output_tokens": self.call.max_output_tokens,
             "target_ms": round((self.target_s - self.received_s) * 1000),
             "limit_ms": round((self.deadline_s - self.received_s) * 1000),
+            **(resumed if call.last_event_id else {}),
         }
 
     def untried(self, views: Iterable[EndpointView]) -> list[EndpointView]:
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -70,6 +70,7 @@
             max_output_tokens=max_output_tokens,
             last_event_id=req.header(Header.LAST_EVENT_ID),
             shared_parts=_shared_part_ids(req.headers),
+            resumes=_only_value(req.headers, Header.RESUMES),
         )
 
     def encode_call(
@@ -139,6 +140,12 @@
     return keys.pop() if len(keys) == 1 else ""
 
 
+def _only_value(headers: Headers, name: str) -> str:
+    """Return the value of a header, empty without it and if there are several values."""
+    values = {value for key, value in headers if key == name}
+    return values.pop() if len(values) == 1 else ""
+
+
 def _host(text: str) -> str:
     return text.partition(":")[0].lower()
 
--- a/cassiadrum/platform/headers.py
+++ b/cassiadrum/platform/headers.py
@@ -24,6 +24,8 @@
     # The prompt's parts as ID:TOKENS, separated by commas.
     PROMPT_PARTS: Final = "x-cassiadrum-prompt-prefix"
     LAST_EVENT_ID: Final = "last-event-id"
+    # Id of the request that brought the first event of a stream that the caller takes up again.
+    RESUMES: Final = "resumes"
     SIGNATURE: Final = "x-cassiadrum-response-signature"
     NOT_RUN: Final = "x-cassiadrum-not-executed"
     # Running requests, waiting requests and slots, separated by commas.
--- a/cassiadrum/platform/records.py
+++ b/cassiadrum/platform/records.py
@@ -39,6 +39,7 @@
 MAX_INTEGER: Final = 2**63 - 1
 MAX_SLOTS: Final = 1_000_000
 MAX_COLD_MS: Final = 1e9
+MAX_VERSION_CHARACTERS: Final = 200
 # Visible ASCII characters: the id of an instance is sent in a header.
 INSTANCE: Final = re.compile(r"[!-~]{1,200}")
 # Texts of other writers may fill a whole row.
@@ -110,6 +111,8 @@
     zone: str
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: str
+    # Version of the endpoint's software, not of a model's weights.
+    version: Annotated[str, Meta(max_length=MAX_VERSION_CHARACTERS)] = ""
     cold_left_ms: Annotated[float, Meta(le=MAX_COLD_MS)] = 0.0
     # Start of the endpoint in milliseconds since 1970.
     born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = 0
@@ -164,6 +167,7 @@
         leaving=wire.state == DRAINING,
         started_ms=wire.born,
         cold_s=max(0.0, wire.cold_left_ms / 1000),
+        version=wire.version,
     )
 
 
