--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -34,10 +34,19 @@
     many events; `fail` runs a request and answers 500; `leaving` announces a shutdown in every
     answer; `limit` is the text of the request limit that every answer states, None for no limit.
     Events are sent `event_interval_s` apart; a plain answer is sent after `answer_delay_s`.
+    `version` is that of the software.
     """
 
-    def __init__(self, instance: str, *, slots: int = 8, event_interval_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        instance: str,
+        *,
+        slots: int = 8,
+        event_interval_s: float = 0.0,
+        version: str = "v1",
+    ) -> None:
         self.instance = instance
+        self.version = version
         self.runs: list[EndpointRun] = []
         # Ids of requests that stopped because their connection was closed.
         self.stopped: list[str] = []
@@ -74,7 +83,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self._slots,
             "state": state,
             "cold_left_ms": 0,
@@ -82,6 +91,10 @@
             "seq": 1,
         }
 
+    def event_data(self, number: int) -> str:
+        """Return the data of an event of a stream."""
+        return json.dumps(number)
+
     async def _handle(self, exchange: Exchange) -> None:
         req = exchange.req
         arrived_s = time.monotonic()
@@ -152,7 +165,7 @@
             if exchange.disconnected.is_set():
                 self.stopped.append(request_id)
                 return
-            event = f"id: {number}\ndata: {json.dumps(number)}\n\n"
+            event = f"id: {number}\ndata: {self.event_data(number)}\n\n"
             await exchange.send_data(event.encode())
             due_s += self._event_interval_s
             await asyncio.sleep(max(0.0, due_s - loop.time()))
