--- a/cassiadrum/tests/gateways/taken_up_streams.py
+++ b/cassiadrum/tests/gateways/taken_up_streams.py
@@ -13,7 +13,7 @@
 from cassiadrum.platform.headers import Header
 from cassiadrum.platform.standins import EndpointService
 from cassiadrum.tests.gateways.fleets import GatewayFleet
-from cassiadrum.tests.gateways.sites import PlatformSite, make_open_configuration
+from cassiadrum.tests.gateways.sites import PlatformSite, make_open_configuration, wait_until
 
 EVENTS = 40
 EVENT_INTERVAL_S = 0.05
@@ -126,9 +126,7 @@
 
     async def wait_for_events(self, count: int) -> None:
         """Wait until each stream has a number of events."""
-        async with asyncio.timeout(8.0):
-            while any(len(stream.versions) < count for stream in self.streams):
-                await asyncio.sleep(0.005)
+        await wait_until(lambda: all(len(stream.versions) >= count for stream in self.streams))
 
     async def finish(self) -> list[TakenUpStream]:
         """Return all streams when they have ended or their callers have given up."""
