Keep each resumable stream at the software version that began it

Cause: where a stream goes on was chosen without the version that began it. The gateway read neither the version of a registration nor which request a take-up names; and no store had the version, so it was lost with the process that knew it.

Within an answer, a stream now goes on only at endpoints of the version that sent its first event; all ways to another endpoint pass through PlacementQueue.permitted. For take-ups the version is durable before the caller gets the first event: streams begin without a record at the one version that the row of their service names, and all others are recorded in the store, many in one write, while the endpoint reads the prompt. A take-up asks memory, then the record, then that row; what cannot be known is refused with ran: no and a Retry-After. The row changes its version only after all streams of the earlier one have ended, and counts only in the era of the store in which it was written.

--- a/cassiadrum/gateways/__init__.py
+++ b/cassiadrum/gateways/__init__.py
@@ -17,7 +17,10 @@
 from cassiadrum.gateways.gateway_settings import GatewaySettings
 from cassiadrum.gateways.gateways import Gateway
 from cassiadrum.gateways.limit_boards import LimitBoard, LimitNews
+from cassiadrum.gateways.request_contexts import StreamOrigin
 from cassiadrum.gateways.request_limits import LimitNotice
+from cassiadrum.gateways.stream_origins import FoundOrigin, OriginSource, OriginStore
+from cassiadrum.gateways.unrecorded_streams import UnrecordedStreams, next_unrecorded
 
 __all__ = [
     "Access",
@@ -31,6 +34,7 @@
     "Fleet",
     "FleetMember",
     "FleetShares",
+    "FoundOrigin",
     "Gateway",
     "GatewaySettings",
     "Incarnation",
@@ -40,10 +44,15 @@
     "LimitNotice",
     "LoadSample",
     "OpenAccess",
+    "OriginSource",
+    "OriginStore",
     "PromptPart",
     "RequestLimits",
     "Route",
     "ServiceSettings",
     "Share",
     "SingleGateway",
+    "StreamOrigin",
+    "UnrecordedStreams",
+    "next_unrecorded",
 ]
--- a/cassiadrum/gateways/active_configurations.py
+++ b/cassiadrum/gateways/active_configurations.py
@@ -20,6 +20,8 @@
 # Time for which a request waits for the first configuration of a starting process, which takes one
 # call to the store.
 START_WAIT_S = 1.0
+# Retry-After of a stream whose service the route no longer has; a later version may have it.
+ELSEWHERE_RETRY_AFTER_S = 1.0
 
 
 class ActiveConfiguration:
@@ -97,7 +99,7 @@
             self._check_confirmed()
             raise Denied(404, "no_route")
         customer = self._find_customer(catalog, route, call.key)
-        service = choose_service(route, call.request_id)
+        service = _find_service(ctx, route)
         ctx.resolve(route, customer, service)
         ctx.more_urgent = catalog.more_urgent(service, route.priority)
         ctx.has_less_urgent = catalog.has_less_urgent(service, route.priority)
@@ -125,3 +127,20 @@
         """Raise Refused if the configuration in force may be outdated."""
         if not self.confirmed:
             raise Refused("configuration_not_confirmed", IMMEDIATE_RETRY_AFTER_S)
+
+
+def _find_service(ctx: RequestContext, route: Route) -> str:
+    """Return the service of a request, which is that of its stream's origin; raise Refused.
+
+    A stream that is taken up goes where the request went that brought its first event.
+    """
+    if ctx.origin is None:
+        return choose_service(route, ctx.call.resumes or ctx.call.request_id)
+    if all(share.service != ctx.origin.service for share in route.shares):
+        raise Refused(
+            "stream_began_elsewhere",
+            ELSEWHERE_RETRY_AFTER_S,
+            origin_service=ctx.origin.service,
+            route=route.name,
+        )
+    return ctx.origin.service
--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -128,6 +128,8 @@
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
         self._before_send()
+        if ctx.origin is not None and not ctx.origin.permits(self.view.entry.version):
+            raise AttemptFailed("another software version than the stream's", not_run=True)
         call = ctx.call
         headers = self._protocol.encode_call(
             call,
--- a/cassiadrum/gateways/catalogs.py
+++ b/cassiadrum/gateways/catalogs.py
@@ -96,11 +96,15 @@
         self.access = access
         self.limits = limits
         self.services = {service.name: service for service in services}
+        # Services whose streams may go on after they broke off.
+        self.resumable_services: set[str] = set()
         self._routes: dict[str, list[Route]] = {}
         # Priority and allowed event gap of the stream classes of each service.
         self._stream_classes: dict[str, set[tuple[int, float]]] = {}
         for route in routes:
             self._routes.setdefault(route.host, []).append(route)
+            if route.kind is CallKind.STREAM and route.resumable:
+                self.resumable_services.update(share.service for share in route.shares)
             if route.gap_s > 0.0:
                 for share in route.shares:
                     self._stream_classes.setdefault(share.service, set()).add(
--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -130,6 +130,11 @@
             if view.entry.service == service and not (view.entry.leaving or view.leaving)
         ]
 
+    def registered(self, service: str) -> list[EndpointEntry]:
+        """Return the registrations of a service, those of leaving endpoints included."""
+        entries = (view.entry for view in self._views.values())
+        return [entry for entry in entries if entry.service == service]
+
     def _is_unconfirmed(self, entry: EndpointEntry, now: float) -> bool:
         """Return whether a registration of a restored store is held back or ignored."""
         if now >= self._unconfirmed_until_s or entry.incarnation not in self._removed:
--- a/cassiadrum/gateways/gateway_metrics.py
+++ b/cassiadrum/gateways/gateway_metrics.py
@@ -54,6 +54,10 @@
             for name, value in zip(names, values, strict=True):
                 self._values.set(name, (content.kind, content.name), value)
 
+    def record_taken_up_stream(self, service: str, source: str) -> None:
+        """Count a stream that a caller takes up, by what told where it began."""
+        self._values.add("cassiadrum_gateway_taken_up_streams_total", (service, source))
+
     def record_unanswered_connection(self, reason: str) -> None:
         """Count a connection of a caller that ended unanswered."""
         self._values.add("cassiadrum_gateway_unanswered_connections_total", (reason,))
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from cassiadrum.crash_evidence import ContentTrials, CrashBoard
 from cassiadrum.gateways.active_configurations import ActiveConfiguration
@@ -38,6 +38,7 @@
 from cassiadrum.gateways.request_retries import RequestRetries
 from cassiadrum.gateways.retry_budgets import RetryBudgets
 from cassiadrum.gateways.sent_requests import SentRequests
+from cassiadrum.gateways.stream_origins import MemoryOriginStore, OriginStore, StreamOrigins
 from cassiadrum.gateways.stream_stats import ServiceStreamStats
 from cassiadrum.metrics import LoopDelay
 from cassiadrum.protocols import BadMessage, Exchange, MemoryBudget
@@ -64,6 +65,7 @@
         clock: Callable[[], float] = time.monotonic,
         boot_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
         fleet: FleetShares | None = None,
+        origin_store: OriginStore | None = None,
     ) -> None:
         self.configuration = ActiveConfiguration(
             cfg.confirmation_limit_s, cfg.strict_keys, boot_clock
@@ -93,6 +95,10 @@
         )
         self._log = DecisionLog(clock)
         self._metrics = GatewayMetrics()
+        self._origins = StreamOrigins(
+            origin_store or MemoryOriginStore(), self._log, self._metrics, clock
+        )
+        self._placement_queue.permitted = self._origins.permitted
         self.crash_board = CrashBoard(boot_clock, random.Random())
         self._crash_watch = CrashWatch(
             self.crash_board,
@@ -112,6 +118,14 @@
             return False
         return self.configuration.confirmed and self._fleet.is_settled
 
+    @property
+    def resumable_services(self) -> Collection[str]:
+        """Return the services whose streams may go on, none until their endpoints are known."""
+        catalog = self.configuration.catalog
+        if catalog is None or not self.directory.has_full_list:
+            return ()
+        return catalog.resumable_services
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Apply changed settings; zone, memory budget and grace time are fixed at the start."""
         self.configuration.reconfigure(cfg.confirmation_limit_s, cfg.strict_keys)
@@ -196,6 +210,7 @@
                 self._clock,
                 lambda: self._drain.has_time(ctx),
             ),
+            self._origins,
         )
         outcome = "cancelled"
         try:
@@ -206,6 +221,7 @@
         finally:
             relay.retries.close()
             self._crash_watch.leave(ctx)
+            self._origins.leave(ctx)
             well = outcome == ANSWERED or exchange.disconnected.is_set()
             self._log.finish(ctx, outcome, well=well, **self.configuration.log_fields())
             self._metrics.record_end(ctx.service, outcome, self._clock() - ctx.received_s)
@@ -283,6 +299,10 @@
 
     async def _serve(self, ctx: RequestContext, relay: Relay) -> None:
         """Make attempts until one succeeds; raise Refused, Denied or AttemptFailed."""
+        if ctx.takes_up:
+            async with self._drain.waiting(ctx):
+                await self._origins.find(ctx)
+            self.configuration.resolve(ctx)
         while True:
             try:
                 if await self._attempt(ctx, relay, relay.retries.take()):
@@ -330,6 +350,7 @@
     async def _run(self, ctx: RequestContext, relay: Relay, attempt: Attempt) -> None:
         """Make an attempt, and record what it tells of the request's contents."""
         self._crash_watch.start(ctx, attempt)
+        self._origins.begin(ctx, attempt.view)
         try:
             await relay.run(attempt)
         except AttemptFailed:
--- a/cassiadrum/gateways/placement_queues.py
+++ b/cassiadrum/gateways/placement_queues.py
@@ -61,6 +61,10 @@
         self.blocked = BlockedEndpoints(directory, clock)
         # Returns the instances that a request avoids while there are others with capacity.
         self.avoided: Callable[[RequestContext], set[str]] = lambda ctx: set()
+        # Returns the endpoints among those of a request's service at which it may run.
+        self.permitted: Callable[[RequestContext, list[EndpointView]], list[EndpointView]] = (
+            lambda ctx, views: views
+        )
         self._directory = directory
         self._policy = policy
         self._clock = clock
@@ -73,11 +77,11 @@
 
     def has_untried_endpoint(self, ctx: RequestContext) -> bool:
         """Return whether any endpoint of the service has not been tried for the request."""
-        return bool(ctx.untried(self._directory.usable(ctx.service)))
+        return bool(ctx.untried(self._usable(ctx)))
 
     def can_retry(self, ctx: RequestContext) -> bool:
         """Return whether an untried endpoint may get the request within its maximum wait."""
-        untried = ctx.untried(self._directory.usable(ctx.service))
+        untried = ctx.untried(self._usable(ctx))
         return self.blocked.min_wait_s(ctx, untried) <= self._max_wait_s(ctx)
 
     async def place(self, ctx: RequestContext) -> Assignment:
@@ -92,8 +96,8 @@
     def try_place(self, ctx: RequestContext) -> Assignment | None:
         """Return the endpoint for the next attempt, None if none has capacity; raise Refused."""
         if self._directory.has_full_list and not self.has_untried_endpoint(ctx):
-            raise Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER_S)
-        views = self._directory.usable(ctx.service)
+            raise self._no_endpoint(ctx)
+        views = self._usable(ctx)
         self.blocked.check(ctx, views, self._max_wait_s(ctx))
         view = self._find_endpoint(ctx, views)
         if view is not None and self._is_preceded(ctx):
@@ -104,11 +108,7 @@
 
     def try_return(self, ctx: RequestContext) -> Assignment | None:
         """Return an endpoint that was left since it was silent, None if none has capacity."""
-        views = [
-            view
-            for view in self._directory.usable(ctx.service)
-            if view.entry.instance in ctx.left_silent
-        ]
+        views = [view for view in self._usable(ctx) if view.entry.instance in ctx.left_silent]
         choice = self._policy.choose(_demand(ctx), views, self._clock())
         if choice.view is None or not choice.has_capacity:
             return None
@@ -125,19 +125,23 @@
         if not queue:
             return
         now = self._clock()
-        views = self._directory.usable(service)
-        some_blocked = any(view.blocked_s(now) > 0.0 for view in views)
+        all_views = self._directory.usable(service)
+        some_blocked = any(view.blocked_s(now) > 0.0 for view in all_views)
         for ctx in queue.ordered(now):
             fut = self._futures[ctx]
             if fut.done():
                 continue
-            if some_blocked:
-                try:
+            views = self.permitted(ctx, all_views)
+            try:
+                if ctx.origin is not None and not ctx.untried(views):
+                    # Others of its version are not to be expected.
+                    raise self._no_endpoint(ctx)
+                if some_blocked:
                     self.blocked.check(ctx, views, self._max_wait_s(ctx))
-                except Refused as exc:
-                    queue.remove(ctx)
-                    fut.set_exception(exc)
-                    continue
+            except Refused as exc:
+                queue.remove(ctx)
+                fut.set_exception(exc)
+                continue
             view = self._find_endpoint(ctx, views)
             if view is not None:
                 queue.remove(ctx)
@@ -156,6 +160,22 @@
                 self._queues[ctx.service].remove(ctx)
                 fut.set_exception(exc)
 
+    def _usable(self, ctx: RequestContext) -> list[EndpointView]:
+        """Return the endpoints at which a request may run."""
+        return self.permitted(ctx, self._directory.usable(ctx.service))
+
+    def _no_endpoint(self, ctx: RequestContext) -> Refused:
+        """Return the refusal of a request that no endpoint may get."""
+        registered = len(self._directory.usable(ctx.service))
+        if ctx.origin is not None:
+            return Refused(
+                "no_endpoint_of_version",
+                NO_ENDPOINT_RETRY_AFTER_S,
+                software=ctx.origin.version,
+                endpoints=registered,
+            )
+        return Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER_S, endpoints=registered)
+
     def _is_preceded(self, ctx: RequestContext) -> bool:
         """Return whether a queued request goes before the given one."""
         queue = self._queues.get(ctx.service)
@@ -198,7 +218,7 @@
         if not ctx.has_less_urgent or not self._policy.has_long_shared_prefix(demand):
             return None
         for _ in range(MAX_LOAD_PROBES):
-            views = self._directory.usable(ctx.service)
+            views = self._usable(ctx)
             found = self._policy.alternatives_with_capacity(
                 demand, views, self._clock(), ctx.tried
             )
@@ -251,7 +271,7 @@
     def _describe_load(self, ctx: RequestContext) -> dict[str, object]:
         """Return the load of the service's endpoints as log fields of a refusal."""
         now = self._clock()
-        views = self._directory.usable(ctx.service)
+        views = self._usable(ctx)
         demand = _demand(ctx)
         view, _ = self._policy.choose(demand, views, now, ctx.tried)
         return {
--- a/cassiadrum/gateways/relays.py
+++ b/cassiadrum/gateways/relays.py
@@ -19,6 +19,7 @@
     first_bytes_limit_s,
     max_wait_s,
 )
+from cassiadrum.gateways.stream_origins import StreamOrigins
 from cassiadrum.protocols import Exchange
 
 __all__ = ["Relay"]
@@ -44,6 +45,7 @@
         clock: Callable[[], float],
         prober: LoadProber,
         retries: RequestRetries,
+        origins: StreamOrigins,
     ) -> None:
         self._ctx = ctx
         self._exchange = exchange
@@ -51,6 +53,7 @@
         self._clock = clock
         self._prober = prober
         self.retries = retries
+        self._origins = origins
         self._events = EventSequence(ctx.call.last_event_id)
         # The last answer of an endpoint with a status of 500 or above.
         self.failure: BufferedAnswer | None = None
@@ -163,6 +166,7 @@
                 has_events = True
                 progress_s = now
             if complete:
+                await self._origins.confirm(self._ctx, attempt.view)
                 self._put_stream_head(attempt)
                 self._exchange.buffer_data(complete)
                 flushed_s = self._clock()
--- a/cassiadrum/gateways/request_contexts.py
+++ b/cassiadrum/gateways/request_contexts.py
@@ -1,6 +1,7 @@
 """State of one request at the gateway."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from cassiadrum.crash_evidence import (
     Content,
@@ -14,7 +15,7 @@
 from cassiadrum.gateways.catalogs import CallKind, MoreUrgentStreams, Route
 from cassiadrum.gateways.endpoint_views import EndpointView
 
-__all__ = ["RequestContext"]
+__all__ = ["RequestContext", "StreamOrigin"]
 
 
 # Distinct route priorities within one customer priority. Endpoints support ten priorities in
@@ -23,6 +24,17 @@
 DEFAULT_CUSTOMER_PRIORITY = 1
 
 
+class StreamOrigin(NamedTuple):
+    """The service and the software version of the endpoint that sent a stream's first event."""
+
+    service: str
+    version: str
+
+    def permits(self, version: str) -> bool:
+        """Return whether the stream may go on at a version; one that is not known fits none."""
+        return bool(self.version) and version == self.version
+
+
 class RequestContext:
     """A request with its route, attempts and deadlines; times are monotonic seconds."""
 
@@ -54,6 +66,8 @@
         self.may_have_run = False
         # Whether its last endpoint may have ended as it began the answer.
         self.lost_at_beginning = False
+        # Where its stream began, None until the caller has an event of it.
+        self.origin: StreamOrigin | None = None
         # What the request has in common with others, by which those are found that end endpoints.
         self.contents: Contents = {}
         # The one among them with which the request is sent although it is blamed.
@@ -100,6 +114,17 @@
         assert self.route is not None
         return not self.sends or self.route.kind is not CallKind.ONCE
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether the answer is a stream that may go on after it broke off."""
+        assert self.route is not None
+        return self.route.kind is CallKind.STREAM and self.route.resumable
+
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller has a part of the stream already."""
+        return self.is_resumable and bool(self.call.last_event_id or self.call.resumes)
+
     def describe(self) -> dict[str, object]:
         """Return the classification of the request as log fields."""
         assert self.route is not None
--- a/cassiadrum/metrics/metric_definitions.py
+++ b/cassiadrum/metrics/metric_definitions.py
@@ -147,6 +147,12 @@
             "Endpoints that ended as they began answers to requests of this gateway",
             ("service",),
         ),
+        MetricDefinition(
+            "cassiadrum_gateway_taken_up_streams_total",
+            "counter",
+            "Streams that callers took up again, by what told where they began",
+            ("service", "source"),
+        ),
         MetricDefinition(
             "cassiadrum_gateway_harmful_requests_total",
             "counter",
--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -1,5 +1,6 @@
 """Errors of the platform adapter."""
 
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -59,14 +60,14 @@
 
 
 class WriteConflict(PlatformError):
-    """A row, or one that the write removes, has another version than the write expects.
+    """A row that a write changes has another version than the write expects.
 
-    `version` is the version of the row `key`, 0 if it does not exist.
+    `versions` are those of all rows that exist among the ones with an expected version, by key.
     """
 
-    def __init__(self, key: str, version: int) -> None:
-        super().__init__(f"row {key} has version {version}")
-        self.version = version
+    def __init__(self, versions: Mapping[str, int]) -> None:
+        super().__init__(f"rows have the versions {dict(versions)}")
+        self.versions = versions
 
 
 class StartFailed(PlatformError):
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -4,10 +4,11 @@
 import logging
 import signal
 import time
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any, Final
 
-from cassiadrum.gateways import Catalog, Fleet, Gateway, GatewaySettings
+from cassiadrum.gateways import Catalog, EndpointEntry, Fleet, Gateway, GatewaySettings
 from cassiadrum.logs import RATE_LIMITED_FIELD
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.crash_news import CrashFleetNews
@@ -17,6 +18,7 @@
 from cassiadrum.platform.followed_tables import FollowedTable
 from cassiadrum.platform.limit_news import LimitFleetNews
 from cassiadrum.platform.node_settings import NodeSettings, load_node_settings
+from cassiadrum.platform.origin_stores import RowOriginStore
 from cassiadrum.platform.row_stores import RowStore
 from cassiadrum.platform.store_followers import StoreFollower
 from cassiadrum.platform.store_waits import StoreWaits
@@ -67,11 +69,15 @@
         self._cfg = load_node_settings(path)
         waits = StoreWaits.from_bounds(self._cfg.bounds)
         self._fleet = Fleet(self._cfg.instance, waits.fleet_s, _boot_clock)
+        self._origins = RowOriginStore(
+            self._registered_endpoints, self._resumable_services, self._fleet, _boot_clock
+        )
         self.gateway = Gateway(
             _gateway_settings(self._cfg),
             PlatformProtocol(),
             boot_clock=_boot_clock,
             fleet=self._fleet,
+            origin_store=self._origins,
         )
         self.gateway.set_settings(self._cfg.digest, time.time())
         self._call_server = HttpServer(
@@ -93,6 +99,12 @@
         """Return the name of this process's machine."""
         return self._cfg.instance
 
+    def _registered_endpoints(self, service: str) -> list[EndpointEntry]:
+        return self.gateway.directory.registered(service)
+
+    def _resumable_services(self) -> Collection[str]:
+        return self.gateway.resumable_services
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish requests in flight; raise StartFailed.
 
@@ -147,6 +159,7 @@
         self._store_tasks = [
             asyncio.create_task(follower.run()),
             asyncio.create_task(self._registration.run()),
+            asyncio.create_task(self._origins.run(store)),
         ]
 
     def _close_store(self) -> None:
--- a/cassiadrum/platform/row_pages.py
+++ b/cassiadrum/platform/row_pages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["ChangedRow", "RowPage", "RowVersion"]
+__all__ = ["ChangedRow", "RowPage", "RowVersion", "RowWrite"]
 
 
 class ChangedRow(NamedTuple):
@@ -23,6 +23,17 @@
     version: int
 
 
+class RowWrite(NamedTuple):
+    """The new content of a row, None to remove it.
+
+    The write needs the row to have the expected version, 0 for none; with None it may have any.
+    """
+
+    key: str
+    content: bytes | None
+    expected_version: int | None = None
+
+
 class RowPage(NamedTuple):
     """The rows of an answer and the store's version.
 
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -17,14 +17,14 @@
     HistoryGone,
     WriteConflict,
 )
-from cassiadrum.platform.row_pages import ChangedRow, RowPage, RowVersion
+from cassiadrum.platform.row_pages import ChangedRow, RowPage, RowVersion, RowWrite
 from cassiadrum.platform.store_clients import (
     CONFLICT_STATUS,
     GONE_STATUS,
     MAX_RESPONSE_BYTES,
     StoreClient,
 )
-from cassiadrum.platform.table_reads import TableRead
+from cassiadrum.platform.table_reads import PAGE_ROWS, TableRead
 from cassiadrum.protocols import TimeSlice
 from cassiadrum.settings.addresses import Address
 from cassiadrum.stores.errors import StoreUnavailable
@@ -161,6 +161,17 @@
             raise HistoryGone(str(exc)) from exc
         return page
 
+    async def read_range(
+        self, table: str, first: str, end: str = "", limit: int = PAGE_ROWS
+    ) -> tuple[RowPage, bool]:
+        """Return rows with keys from `first` to before `end`, and whether there are others.
+
+        An empty `end` sets no end. Raises StoreUnavailable.
+        """
+        query = f"/-/rows-get?table={table}&part=&limit={limit}&from={quote(first, safe='')}"
+        query += f"&to={quote(end, safe='')}" if end else ""
+        return await self._call(query, RESPONSE_TIMEOUT_S)
+
     async def put_row(
         self,
         table: str,
@@ -172,22 +183,36 @@
         """Write a row that has the expected version, 0 for none, and return its new version.
 
         The same transaction removes other rows of the table that have the versions given. Raises
-        WriteConflict with the version of the row if any row has another one, and StoreUnavailable
-        if the outcome is unknown.
+        WriteConflict and StoreUnavailable like `write_rows`.
+        """
+        removals = (RowWrite(row.key, None, row.version) for row in removed)
+        return await self.write_rows(table, [RowWrite(key, content, expected_version), *removals])
+
+    async def write_rows(self, table: str, writes: Sequence[RowWrite]) -> int:
+        """Write or remove rows in one transaction and return the new version.
+
+        Raises WriteConflict if any row has another version than expected, and StoreUnavailable if
+        the outcome is unknown.
         """
-        value = base64.b64encode(content).decode()
-        expected = (RowVersion(key, expected_version), *removed)
         call = _TransactionWire(
-            [_ExpectedRowWire(table, "", row.key, row.version) for row in expected],
-            [_NewRowWire(table, "", key, value)],
-            [_RowKeyWire(table, "", row.key) for row in removed],
+            [
+                _ExpectedRowWire(table, "", row.key, row.expected_version)
+                for row in writes
+                if row.expected_version is not None
+            ],
+            [
+                _NewRowWire(table, "", row.key, base64.b64encode(row.content).decode())
+                for row in writes
+                if row.content is not None
+            ],
+            [_RowKeyWire(table, "", row.key) for row in writes if row.content is None],
         )
         response, body = await self._client.exchange(
             "POST", "/-/rows-tx", RESPONSE_TIMEOUT_S, msgspec.json.encode(call)
         )
         if response.status == CONFLICT_STATUS:
             rows = _decode(body, _ConflictWire).rows
-            raise WriteConflict(key, next((row.ver for row in rows if row.key == key), 0))
+            raise WriteConflict({row.key: row.ver for row in rows if not row.removed})
         return _decode(body, _WrittenWire).ver
 
     def close(self) -> None:
--- a/cassiadrum/platform/table_reads.py
+++ b/cassiadrum/platform/table_reads.py
@@ -2,7 +2,7 @@
 
 from cassiadrum.platform.row_pages import ChangedRow, RowPage
 
-__all__ = ["TableRead"]
+__all__ = ["PAGE_ROWS", "TableRead"]
 
 # Most rows that the store returns in a page.
 PAGE_ROWS = 500
--- a/cassiadrum/tests/gateways/cut_answers.py
+++ b/cassiadrum/tests/gateways/cut_answers.py
@@ -18,11 +18,13 @@
 from cassiadrum.gateways.endpoint_entries import Incarnation
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import AttemptFailed
+from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placement_queues import Assignment
 from cassiadrum.gateways.relays import Relay
 from cassiadrum.gateways.request_contexts import RequestContext
 from cassiadrum.gateways.request_retries import RequestRetries
+from cassiadrum.gateways.stream_origins import MemoryOriginStore, StreamOrigins
 from cassiadrum.platform.call_codecs import PlatformProtocol
 from cassiadrum.platform.headers import Header
 from cassiadrum.protocols import Exchange, HttpRequest, MemoryBudget
@@ -242,7 +244,9 @@
     pool = GivenPool(conns)
     protocol = PlatformProtocol()
     prober = FailingProber(pool, protocol, clock, lambda _: None)
-    relay = Relay(ctx, caller.exchange, DecisionLog(clock), clock, prober, PermittedRetries())
+    log = DecisionLog(clock)
+    origins = StreamOrigins(MemoryOriginStore(), log, GatewayMetrics(), clock)
+    relay = Relay(ctx, caller.exchange, log, clock, prober, PermittedRetries(), origins)
     while True:
         view = make_view(f"i-{len(pool.conns)}")
         memory = MemoryBudget(1_000_000, 0)
--- a/cassiadrum/tests/gateways/makers.py
+++ b/cassiadrum/tests/gateways/makers.py
@@ -52,6 +52,7 @@
         leaving=False,
         started_ms=1,
         cold_s=0.0,
+        version="v1",
     )
     return entry._replace(**changes)  # type: ignore[arg-type]
 
