--- a/cassiadrum/gateways/stream_origins.py
+++ b/cassiadrum/gateways/stream_origins.py
@@ -66,6 +66,11 @@
     def can_record(self) -> bool:
         """Return whether a record is expected to be written in time."""
 
+    @property
+    @abstractmethod
+    def is_away(self) -> bool:
+        """Return whether a record would wait for long."""
+
     @abstractmethod
     def needs_no_record(self, origin: StreamOrigin) -> bool:
         """Return whether a stream may begin there now without a record."""
@@ -97,6 +102,11 @@
         """Return True."""
         return True
 
+    @property
+    def is_away(self) -> bool:
+        """Return False."""
+        return False
+
     def needs_no_record(self, origin: StreamOrigin) -> bool:
         """Return False."""
         return False
@@ -151,8 +161,9 @@
             return [view for view in views if ctx.origin.permits(view.entry.version)]
         if self._store.can_record:
             return views
-        # The first event would be held back until the store answers again.
-        return [view for view in views if self._store.needs_no_record(_origin(ctx, view))]
+        # Elsewhere the first event would be held back until the store answers again.
+        free = [view for view in views if self._store.needs_no_record(_origin(ctx, view))]
+        return free if free or self._store.is_away else views
 
     async def find(self, ctx: RequestContext) -> None:
         """Set where the stream began that a caller takes up; raise Refused if it is not known."""
--- a/cassiadrum/platform/errors.py
+++ b/cassiadrum/platform/errors.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cassiadrum.errors import CassiadrumError
+from cassiadrum.platform.row_pages import ChangedRow
 from cassiadrum.schemas import Finding
 from cassiadrum.stores.errors import StoreUnavailable
 
@@ -62,12 +63,18 @@
 class WriteConflict(PlatformError):
     """A row that a write changes has another version than the write expects.
 
-    `versions` are those of all rows that exist among the ones with an expected version, by key.
+    `rows` are those that exist among the ones with an expected version, by key.
     """
 
-    def __init__(self, versions: Mapping[str, int]) -> None:
-        super().__init__(f"rows have the versions {dict(versions)}")
-        self.versions = versions
+    def __init__(self, rows: Mapping[str, ChangedRow]) -> None:
+        versions = {row.key: row.version for row in rows.values()}
+        super().__init__(f"rows have the versions {versions}")
+        self.rows = rows
+
+    def version(self, key: str) -> int:
+        """Return the version of a row, 0 if it does not exist."""
+        row = self.rows.get(key)
+        return 0 if row is None else row.version
 
 
 class StartFailed(PlatformError):
--- a/cassiadrum/platform/fleet_registrations.py
+++ b/cassiadrum/platform/fleet_registrations.py
@@ -202,7 +202,7 @@
         except WriteConflict as exc:
             # An earlier write whose answer was lost, one of an earlier process, or a row that
             # another gateway has removed.
-            return await self._overwrite(content, exc.versions.get(self._name, 0))
+            return await self._overwrite(content, exc.version(self._name))
 
     async def _overwrite(self, content: bytes, version: int) -> int:
         try:
--- a/cassiadrum/platform/origin_stores.py
+++ b/cassiadrum/platform/origin_stores.py
@@ -92,6 +92,11 @@
         """Return whether a record is expected to be written in time."""
         return self._store is not None and self._writer.is_on_time
 
+    @property
+    def is_away(self) -> bool:
+        """Return whether a record would wait for long."""
+        return self._store is None or self._writer.is_away
+
     def needs_no_record(self, origin: StreamOrigin) -> bool:
         """Return whether the state permits a stream without a record, and is fresh enough."""
         state = self._states.get(origin.service)
@@ -138,15 +143,22 @@
             tasks.create_task(self._keep_states(store))
             tasks.create_task(self._writer.run(store))
 
+    async def update(self, store: RowStore) -> None:
+        """Read and change the states and remove old records, each when due.
+
+        Raises StoreUnavailable.
+        """
+        if not self._is_fresh() or self._age_s() > READ_INTERVAL_S:
+            await self._read_states(store)
+        for service in list(self._services()):
+            await self._update_state(store, service)
+        await self._writer.remove_old(store, RECORD_KEPT_S)
+        await self._clean(store)
+
     async def _keep_states(self, store: RowStore) -> None:
         while True:
             try:
-                if not self._is_fresh() or self._age_s() > READ_INTERVAL_S:
-                    await self._read_states(store)
-                for service in list(self._services()):
-                    await self._update_state(store, service)
-                await self._writer.remove_old(store, RECORD_KEPT_S)
-                await self._clean(store)
+                await self.update(store)
             except StoreUnavailable as exc:
                 logger.info("state of the streams without a record not kept: %s", exc)
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -212,7 +212,8 @@
         )
         if response.status == CONFLICT_STATUS:
             rows = _decode(body, _ConflictWire).rows
-            raise WriteConflict({row.key: row.ver for row in rows if not row.removed})
+            found = (ChangedRow(row.key, _decode_content(row), row.ver) for row in rows)
+            raise WriteConflict({row.key: row for row in found if row.content is not None})
         return _decode(body, _WrittenWire).ver
 
     def close(self) -> None:
