--- a/cassiadrum/decisions/endpoint_reports.py
+++ b/cassiadrum/decisions/endpoint_reports.py
@@ -10,7 +10,7 @@
 
     `running` and `queued` count requests, `limit` is the current concurrency limit, and
     `tokens_per_s` is the measured output rate of the whole endpoint. A `leaving` endpoint takes
-    no new work.
+    no new work. `version` is that of the endpoint's software, empty if it states none.
     """
 
     instance: str
@@ -23,3 +23,4 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     tokens_per_s: float = 0.0
+    version: str = ""
--- a/cassiadrum/endpoints/endpoint_loads.py
+++ b/cassiadrum/endpoints/endpoint_loads.py
@@ -8,6 +8,7 @@
 
 # Numbers that can be used in sums and rates without overflow.
 Count = Annotated[int, Meta(ge=0, le=10**9)]
+MAX_VERSION_CHARACTERS = 200
 Rate = Annotated[float, Meta(ge=0.0, le=1e12)]
 
 
@@ -15,7 +16,7 @@
     """Load of an endpoint: counts of requests, loaded models and adapters, cached prefixes.
 
     `tokens_per_s` is the output rate. `cached` holds the keys of prompt prefixes that were cached
-    since the last report.
+    since the last report. `version` is that of the software, empty if the endpoint states none.
     """
 
     running: Count = 0
@@ -24,3 +25,4 @@
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     cached: tuple[int, ...] = ()
+    version: Annotated[str, Meta(max_length=MAX_VERSION_CHARACTERS)] = ""
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -47,7 +47,7 @@
 
     async def load(self) -> EndpointLoad:
         """Return the engine's load report."""
-        response = await self._exchange("GET", "/load", b"")
+        response = {"version": "", **await self._exchange("GET", "/load", b"")}
         try:
             return msgspec.convert([response[name] for name in EndpointLoad._fields], EndpointLoad)
         except (msgspec.ValidationError, KeyError) as exc:
--- a/cassiadrum/links/messages.py
+++ b/cassiadrum/links/messages.py
@@ -185,7 +185,8 @@
 class Report(NamedTuple):
     """Load of an endpoint; `age_s` is the age of the endpoint's own figures.
 
-    `cached` holds the keys of prompt prefixes cached since the last report.
+    `cached` holds the keys of prompt prefixes cached since the last report. `version` is that of
+    the endpoint's software, empty if it states none.
     """
 
     age_s: float
@@ -198,6 +199,7 @@
     tokens_per_s: float
     cached: list[int]
     clock: list[int] = []  # noqa: RUF012 - never changed in place
+    version: str = ""
 
 
 class Versions(NamedTuple):
--- a/cassiadrum/roles/load_reporters.py
+++ b/cassiadrum/roles/load_reporters.py
@@ -98,4 +98,5 @@
             self.draining_since_s is not None,
             load.tokens_per_s,
             list(load.cached),
+            version=load.version,
         )
--- a/cassiadrum/roles/sidecar_links.py
+++ b/cassiadrum/roles/sidecar_links.py
@@ -56,6 +56,7 @@
             tuple(msg.adapters),
             msg.leaving or peer.instance in self._unusable,
             msg.tokens_per_s,
+            msg.version,
         )
         self._reports[peer.instance] = report
         return report
--- a/cassiadrum/standins/engines.py
+++ b/cassiadrum/standins/engines.py
@@ -37,7 +37,10 @@
         step_s: float = 0.005,
         models: tuple[str, ...] = (),
         enforces_fencing: bool = False,
+        version: str = "v1",
     ) -> None:
+        # Version of the software, which load reports state.
+        self.version = version
         self.runs: list[RunRecord] = []
         self.batch = EngineBatch(max_batch=max_batch, step_s=step_s)
         self._models = list(models)
@@ -114,6 +117,7 @@
             "models": self._models,
             "adapters": self._adapters,
             "cached": cached,
+            "version": self.version,
         }
 
     async def _control(self, exchange: Exchange, action: str) -> None:
--- a/cassiadrum/tests/test_dispatcher_requests.py
+++ b/cassiadrum/tests/test_dispatcher_requests.py
@@ -27,7 +27,7 @@
 
 
 def make_report(instance: str, limit: int = 4, now: float = 0.0) -> EndpointReport:
-    return EndpointReport(instance, "zone", 0, 0, limit, now)
+    return EndpointReport(instance, "zone", 0, 0, limit, now, version="v1")
 
 
 def make_dispatcher(
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -3,6 +3,8 @@
 from random import Random
 from typing import Any
 
+import pytest
+
 from cassiadrum.decisions import (
     BudgetRetryPolicy,
     Dispatch,
@@ -25,7 +27,8 @@
 
 
 def make_report(instance: str, reported_s: float = 0.0, **fields: Any) -> EndpointReport:
-    return EndpointReport(instance, "z", 0, 0, LIMIT, reported_s)._replace(**fields)
+    report = EndpointReport(instance, "z", 0, 0, LIMIT, reported_s, version="v1")
+    return report._replace(**fields)
 
 
 def make_dispatcher(endpoints: int, budget: float = 0.0, **fields: Any) -> Dispatcher:
@@ -142,6 +145,46 @@
         assert isinstance(second, Dispatch)
         assert first.instance != second.instance
 
+    @pytest.mark.parametrize("versions", [("v1", "v2", "v1"), ("v1", "v2", "v2"), ("", "", "")])
+    def test_partly_delivered_answer_stays_at_its_software_version(
+        self, versions: tuple[str, ...]
+    ) -> None:
+        # What two versions write does not fit together, and nothing in the answer shows it.
+        dispatcher = make_dispatcher(0)
+        for index, version in enumerate(versions):
+            dispatcher.report(make_report(f"e{index}", version=version), 0.0)
+        (first,) = dispatcher.submit(make_request("r"), 0.0)
+        assert isinstance(first, Dispatch)
+        failed = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="answer_lost")
+        begun = versions[int(first.instance[1:])]
+        dispatcher.endpoint_lost(first.instance, 0.5)
+        (second,) = dispatcher.finished("r", failed, 1.0)
+        others = [
+            f"e{index}"
+            for index, version in enumerate(versions)
+            if version and version == begun and f"e{index}" != first.instance
+        ]
+        if others:
+            assert isinstance(second, Dispatch)
+            assert second.instance in others
+        else:
+            assert isinstance(second, Refuse)
+
+    def test_answer_ends_soon_when_its_software_version_leaves(self) -> None:
+        dispatcher = make_dispatcher(0)
+        for instance in ("e0", "e1"):
+            dispatcher.report(make_report(instance, version="v1"), 0.0)
+        failed = Outcome(ok=False, ran=ExecutionStatus.UNKNOWN, tokens=5, reason="answer_lost")
+        (first,) = dispatcher.submit(make_request("r"), 0.0)
+        assert isinstance(first, Dispatch)
+        (second,) = dispatcher.finished("r", failed, 1.0)
+        assert isinstance(second, Dispatch)
+        dispatcher.report(make_report("e2", 1.5, version="v2"), 1.5)
+        dispatcher.endpoint_removed(first.instance, 2.0)
+        dispatcher.endpoint_lost(second.instance, 2.0)
+        (refusal,) = dispatcher.finished("r", failed, 2.0)
+        assert isinstance(refusal, Refuse)
+
     def test_attempt_without_a_token_still_needs_budget(self) -> None:
         dispatcher = make_dispatcher(2)
         dispatcher.submit(make_request("r"), 0.0)
