Keep answers on the sidecar's way at the software version that began them

An answer of which a part had arrived went on at any endpoint of the service (three listed cases of test_overload_decisions.py failed). The dispatcher now keeps the version of the endpoint whose tokens came first, and goes on only at endpoints that state the same; without one the answer ends visibly at once. An endpoint that states no version is gone on from nowhere.

test_answer_of_an_endpoint_that_is_removed_stays_at_its_version guards the loss of an endpoint, whose outcome tells no tokens; it was written with the fix.

--- a/cassiadrum/decisions/attempt_tables.py
+++ b/cassiadrum/decisions/attempt_tables.py
@@ -22,6 +22,8 @@
         self._chooser = chooser
         self._hedge_policy = hedge
         self._lost: set[str] = set()
+        # Software versions of the connected instances, empty for one that states none.
+        self._versions: dict[str, str] = {}
         self._cancelled = CancelledCopies()
         self._unprotected = 0
         self.running: dict[str, TrackedRequest] = {}
@@ -29,6 +31,7 @@
     def report(self, rep: EndpointReport, now: float) -> None:
         """Apply a load report, which also proves that the connection works."""
         self._lost.discard(rep.instance)
+        self._versions[rep.instance] = rep.version
         self._chooser.report(rep, now)
 
     def mark_lost(self, instance: str) -> None:
@@ -42,6 +45,7 @@
     def remove(self, instance: str, now: float) -> None:
         """Remove an instance whose only remaining copies are cancelled ones."""
         self._lost.discard(instance)
+        self._versions.pop(instance, None)
         for copy in self._cancelled.pop_instance(instance):
             self._end_copy(copy, 0, now)
         self._chooser.remove(instance)
@@ -72,10 +76,28 @@
         """
         exclude = self._lost | set(tracked.copies)
         exclude |= self._cancelled.instances(tracked.req.request_id)
+        if tracked.version is not None:
+            exclude |= {name for name in self._versions if not self._fits(tracked, name)}
         if self._available_excluding(exclude | {tracked.last_failed_instance}):
             exclude.add(tracked.last_failed_instance)
         return self._chooser.choose(tracked.req, now, exclude)
 
+    def keep_version(self, tracked: TrackedRequest, instance: str) -> None:
+        """Keep a request at the software version of an instance that gave a part of its answer."""
+        if tracked.version is None:
+            tracked.version = self._versions.get(instance, "")
+
+    def has_fitting_endpoint(self, tracked: TrackedRequest) -> bool:
+        """Return whether an endpoint that can take work may go on with a request's answer."""
+        return tracked.version is None or any(
+            self._fits(tracked, name) and self._chooser.is_available(name)
+            for name in self._versions.keys() - self._lost
+        )
+
+    def _fits(self, tracked: TrackedRequest, instance: str) -> bool:
+        """Return whether an instance has the version that began an answer; no one may guess."""
+        return bool(tracked.version) and self._versions[instance] == tracked.version
+
     def start(self, tracked: TrackedRequest, instance: str, now: float) -> None:
         """Record the start of a copy."""
         if tracked.req.request_id not in self.running:
--- a/cassiadrum/decisions/dispatchers.py
+++ b/cassiadrum/decisions/dispatchers.py
@@ -110,6 +110,7 @@
         if tracked is None or tracked.winner or tokens <= 0 or instance not in tracked.copies:
             return []
         tracked.winner = instance
+        self._attempts.keep_version(tracked, instance)
         waited_s = now - min(tracked.copies.values())
         self._hedge_policy.observe_first_token(tracked.req.class_name, waited_s)
         return self._attempts.cancel(tracked, instance, now)
@@ -174,6 +175,8 @@
             self._predictor.observe_success(tracked.req, outcome.tokens, duration_s)
             return self._attempts.cancel(tracked, instance, now)
         tracked.record_failure(instance, outcome.ran)
+        if outcome.tokens > 0:
+            self._attempts.keep_version(tracked, instance)
         if tracked.copies:
             self._hedge_policy.add_wasted_tokens(outcome.tokens)
             self._hedge_policy.record_hedge_ended()
@@ -199,6 +202,8 @@
         return [Refuse(req, outcome.reason or "endpoint_failed", tracked.ran, retry_after_s)]
 
     def _allows_retry(self, tracked: TrackedRequest, outcome: Outcome, now: float) -> bool:
+        if not self._attempts.has_fitting_endpoint(tracked):
+            return False
         counted = tracked.req._replace(attempt=tracked.attempts_with_same_outcome)
         if outcome.tokens > 0 and tracked.attempt_ran is not ExecutionStatus.NOT_EXECUTED:
             return self._retry_policy.may_continue(counted, now)
@@ -240,6 +245,9 @@
                 break
             tracked = self._waiting[req.request_id]
             instance = self._attempts.choose(tracked, now)
+            if instance is None and not self._attempts.has_fitting_endpoint(tracked):
+                actions.append(self._refuse_waiting(req, "no_endpoint"))
+                continue
             if instance is None:
                 skipped.append(req)
                 continue
--- a/cassiadrum/decisions/tracked_requests.py
+++ b/cassiadrum/decisions/tracked_requests.py
@@ -17,7 +17,8 @@
     seconds. `winner` is the instance that sent the first token. `ran` covers all attempts,
     `attempt_ran` only the failed copies of the current one. `rejections` counts the attempts that
     did not run, which do not count towards the limit on attempts that may have run. `abandoned`
-    is set after the caller disconnected.
+    is set after the caller disconnected. `version` is the software version of the endpoint that
+    gave a part of the answer, at which it has to go on; None while there is no part.
     """
 
     req: QueuedRequest
@@ -29,6 +30,7 @@
     winner: str = ""
     rejections: int = 0
     abandoned: bool = False
+    version: str | None = None
     copies: dict[str, float] = field(default_factory=dict)
 
     @property
--- a/cassiadrum/tests/test_overload_decisions.py
+++ b/cassiadrum/tests/test_overload_decisions.py
@@ -170,6 +170,17 @@
         else:
             assert isinstance(second, Refuse)
 
+    def test_answer_of_an_endpoint_that_is_removed_stays_at_its_version(self) -> None:
+        # The loss of an endpoint tells no tokens; those that arrived before count.
+        dispatcher = make_dispatcher(0, budget=1.0)
+        for instance, version in (("e0", "v1"), ("e1", "v2")):
+            dispatcher.report(make_report(instance, version=version), 0.0)
+        (first,) = dispatcher.submit(make_request("r"), 0.0)
+        assert isinstance(first, Dispatch)
+        dispatcher.progressed(first.instance, "r", 3, 0.5)
+        (refusal,) = dispatcher.endpoint_removed(first.instance, 1.0)
+        assert isinstance(refusal, Refuse)
+
     def test_answer_ends_soon_when_its_software_version_leaves(self) -> None:
         dispatcher = make_dispatcher(0)
         for instance in ("e0", "e1"):
