Believe an answer without a length only if its endpoint answers afterwards

Cause: a connection that could be made, or an announced end, counted as proof that the endpoint had meant to end its answer. Now only an answer to a request that is sent afterwards does; checks are shared, one at a time for each endpoint, and count against its request limit. The end of an answer before the request is sent is a loss, and after a long request a reset is waited for.

FaultyEndpoint counts the requests of callers only, as before, now that a gateway sends requests of its own that name no call. Statuses such as 000 reached no caller before either; five cases keep it so.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -58,7 +58,7 @@
         clock: Callable[[], float],
         before_send: Callable[[], None] = lambda: None,
         on_begun: Callable[[], None] = lambda: None,
-        has_ended: Callable[[EndpointView], Awaitable[bool]] | None = None,
+        lives: Callable[[EndpointView], Awaitable[bool]] | None = None,
     ) -> None:
         self.view = assignment.view
         self._ctx = ctx
@@ -72,8 +72,8 @@
         self._before_send = before_send
         # Called when the endpoint has begun its answer and goes on.
         self._on_begun = on_begun
-        # Returns whether an endpoint has ended without having announced it.
-        self._has_ended = has_ended
+        # Returns whether an endpoint still answers.
+        self._lives = lives
         # Whether the request was withdrawn because of what it holds.
         self._withdrawn = False
         self._prefill_tokens = assignment.prefill_tokens
@@ -191,15 +191,19 @@
         return self._head is not None and self._head.status < 300 and not self.beginning
 
     async def _check_end(self) -> None:
-        """Raise AttemptFailed if an answer without a length ended with its endpoint.
+        """Raise AttemptFailed unless an answer without a length is known to be whole.
 
-        An endpoint that crashes closes its connections like one that has sent its whole answer.
+        An endpoint that crashes closes its connections like one that has sent its whole answer,
+        and one that does not read the whole request may reset its connection after the end.
         """
-        assert self._conn is not None
-        if not self._conn.ends_with_connection or self._has_ended is None:
+        conn = self._conn
+        assert conn is not None
+        if not conn.ends_with_connection or self._lives is None:
             return
-        if await self._has_ended(self.view):
-            raise self.fail("the endpoint ended with its answer")
+        if not await self._lives(self.view):
+            raise self.fail("the endpoint may have ended with its answer")
+        if await conn.is_reset():
+            raise self.fail("the connection was reset after the end of the answer")
 
     @property
     def lost(self) -> bool:
--- a/cassiadrum/gateways/crash_watches.py
+++ b/cassiadrum/gateways/crash_watches.py
@@ -152,12 +152,6 @@
             self._suspects.add(ctx)
         ctx.lost_at_beginning = not exposure.begun and state is not ProcessState.RUNNING
 
-    async def has_ended(self, view: EndpointView) -> bool:
-        """Return whether an endpoint has ended without having announced it."""
-        if view.is_expected_to_end:
-            return False
-        return await self._endings.check(view.entry) is ProcessState.ENDED
-
     async def allows_repeat(self, ctx: RequestContext, left_s: float) -> bool:
         """Return whether a request may be sent on after an attempt failed.
 
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -1,6 +1,7 @@
 """A persistent HTTP/1.1 connection to an endpoint."""
 
 import asyncio
+import socket
 
 import h11
 
@@ -28,6 +29,10 @@
 # Interim (1xx) answers that an endpoint may send before the final one.
 MAX_INTERIM_ANSWERS = 8
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# Bytes of a request that an endpoint receives in one piece with the head.
+MAX_READ_AT_ONCE_BYTES = 8 * 1024
+# Time in which a reset follows the end of an answer of an endpoint that has not read the request.
+RESET_WAIT_S = 0.1
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -48,11 +53,15 @@
         # Received bytes of the current answer, and those of its body.
         self._answer_bytes = 0
         self._body_bytes = 0
+        # Size of the current request's body.
+        self._request_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         # Whether the body of the current answer has no length and ends with the connection.
         self.ends_with_connection = False
         self._eof = False
+        # Whether the input ended before the request was sent.
+        self._ended_early = False
         self._lost_exc: Exception | None = None
         self._aborted = False
 
@@ -87,10 +96,15 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Record the end of the input."""
+        """Record the end of the input; return whether the connection stays open.
+
+        It does until the request ends, as a reset may follow.
+        """
         self._eof = True
+        if self._transport is not None:
+            self._ended_early = self._transport.get_write_buffer_size() > 0
         self._wake()
-        return False
+        return self._busy
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss of the connection."""
@@ -129,6 +143,7 @@
         self._request.append(h11.EndOfMessage())
         self._busy = True
         self._answer_bytes = self._body_bytes = 0
+        self._request_bytes = len(body)
         self._time_slice.restart()
         self._transport.write(b"".join(self._conn.send(event) or b"" for event in self._request))
 
@@ -165,6 +180,19 @@
             raise BadMessage(502, "the answer has more framing than data")
         return bytes(data)
 
+    async def is_reset(self) -> bool:
+        """Return whether a reset follows the end of an answer that the connection ends.
+
+        An endpoint that closes the connection before it has read the whole request resets it. A
+        short request arrives in one piece with its head, so that there is no wait for it.
+        """
+        if self._request_bytes > MAX_READ_AT_ONCE_BYTES:
+            await asyncio.sleep(RESET_WAIT_S)
+        if self._lost_exc is not None:
+            return True
+        sock = None if self._transport is None else self._transport.get_extra_info("socket")
+        return sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def expect_next_answer(self) -> None:
         """Prepare to read the next answer after one that belongs to an earlier request."""
         rest, _ = self._conn.trailing_data
@@ -255,6 +283,8 @@
         elif self._aborted:
             # The transport reports this process's own abort like an orderly close by the endpoint.
             raise AnswerLost("the connection was aborted")
+        elif self.ends_with_connection and self._ended_early:
+            raise AnswerLost("the answer ended before the request was sent")
         else:
             self._conn.receive_data(b"")
 
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -28,6 +28,7 @@
 from cassiadrum.gateways.gateway_metrics import GatewayMetrics
 from cassiadrum.gateways.gateway_settings import GatewaySettings
 from cassiadrum.gateways.lag_limits import LagLimit
+from cassiadrum.gateways.life_checks import LifeChecks
 from cassiadrum.gateways.limit_boards import LimitBoard
 from cassiadrum.gateways.load_probers import LoadProber
 from cassiadrum.gateways.placement_policies import PlacementPolicy
@@ -108,6 +109,7 @@
         )
         self._crash_watch.on_harmful = self._refuse_harmful
         self._placement_queue.avoided = self._crash_watch.suspect_places
+        self._life_checks = LifeChecks(protocol, clock)
         self.lag = LagLimit()
         self._loop_delay = LoopDelay()
 
@@ -407,7 +409,7 @@
             self._clock,
             lambda: self._check_send(ctx),
             lambda: self.crash_board.record_begun(ctx.contents),
-            self._crash_watch.has_ended,
+            self._life_checks.lives,
         )
 
     async def _place(self, ctx: RequestContext) -> Assignment:
--- a/cassiadrum/gateways/sent_requests.py
+++ b/cassiadrum/gateways/sent_requests.py
@@ -12,6 +12,7 @@
 
     CALL = "call"
     LOAD_PROBE = "load_probe"
+    LIFE_CHECK = "life_check"
 
 
 class SentRequestSeries(NamedTuple):
--- a/cassiadrum/tests/gateways/test_hostile_endpoints.py
+++ b/cassiadrum/tests/gateways/test_hostile_endpoints.py
@@ -123,8 +123,9 @@
         self.connections += 1
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            self.requests += 1
             request_id = head.partition(f"{Header.REQUEST_ID}: ")[2].partition("\r\n")[0]
+            # Requests of the gateway itself, which name no call, are not counted.
+            self.requests += bool(request_id)
             await self._serve(request_id, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
--- a/cassiadrum/tests/gateways/test_unsized_answers.py
+++ b/cassiadrum/tests/gateways/test_unsized_answers.py
@@ -11,7 +11,13 @@
 
 from cassiadrum.platform.headers import Header
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess
-from cassiadrum.tests.gateways.sites import DRAIN_S, PlatformSite, make_open_configuration
+from cassiadrum.tests.gateways.sites import (
+    DRAIN_S,
+    Caller,
+    PlatformSite,
+    make_open_configuration,
+)
+from cassiadrum.tests.gateways.test_hostile_endpoints import faulty_endpoint
 
 PART = b"the first part"
 # Larger than what the sockets of both sides buffer while nobody reads.
@@ -183,3 +189,22 @@
         async with unsized_endpoint(site, UnsizedEndpoint(alive=True)):
             found = [await call(gateway.calls_port, number, body_bytes) for number in range(CALLS)]
         assert found == [(200, True)] * CALLS
+
+
+@pytest.mark.integration
+class TestStatuses:
+    """Guards against an answer with a status that no answer can have, which reaches the caller."""
+
+    @pytest.mark.parametrize("status", ["000", "099", "1200", "20", "2x0"])
+    async def test_answer_of_no_status_becomes_a_failure(
+        self, site: PlatformSite, gateway: GatewaySubprocess, caller: Caller, status: str
+    ) -> None:
+        async def serve(request_id: str, writer: asyncio.StreamWriter) -> None:
+            lines = (f"{Header.REQUEST_ID}: {request_id}", f"{Header.SIGNATURE}: s")
+            head = (f"HTTP/1.1 {status} X", *lines, "content-length: 2", "", "")
+            writer.write("\r\n".join(head).encode() + b"ok")
+
+        async with faulty_endpoint(site, "p-1", serve, removed="p-2"):
+            found, headers, _ = await caller.call("/once/a")
+        assert found == 502
+        assert Header.SIGNATURE not in headers
