--- a/cassiadrum/tests/test_cut_call_answers.py
+++ b/cassiadrum/tests/test_cut_call_answers.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cassiadrum.decisions import ExecutionStatus, QueuedRequest
-from cassiadrum.endpoints import PlainEndpoint
+from cassiadrum.decisions import ExecutionStatus, Outcome, QueuedRequest
+from cassiadrum.endpoints import Endpoint, PlainEndpoint
 from cassiadrum.links.messages import StartRequest
 from cassiadrum.protocols import HttpClient
 from cassiadrum.roles.call_runners import CallRunner
@@ -42,6 +42,17 @@
     """Return the messages of one call."""
     endpoint = RunningEndpoint("127.0.0.1", 1)
     endpoint._client = client
+    return await call_endpoint(endpoint)
+
+
+async def call_outcome(endpoint: Endpoint) -> Outcome:
+    """Return the outcome of one call of an endpoint."""
+    ended = [msg for msg in await call_endpoint(endpoint) if isinstance(msg, CallEnded)]
+    return ended[-1].outcome
+
+
+async def call_endpoint(endpoint: Endpoint) -> list[SidecarMessage]:
+    """Return the messages of one call of an endpoint."""
     posted: list[SidecarMessage] = []
     runner = CallRunner(endpoint, cast(OnceOnlyGuard, None), posted.append)
     fields = ("r.1", "r", "s", "c", 1, False, False, True, "x", 60.0)
