--- a/cassiadrum/endpoints/endpoints.py
+++ b/cassiadrum/endpoints/endpoints.py
@@ -39,6 +39,10 @@
     async def has_ended(self) -> bool:
         """Return whether no process listens at the endpoint's address."""
 
+    @abstractmethod
+    async def lives(self) -> bool:
+        """Return whether the endpoint answers a request that is sent now, whatever it answers."""
+
     @abstractmethod
     async def load(self) -> EndpointLoad:
         """Return the load as the endpoint reports it."""
--- a/cassiadrum/endpoints/engine_endpoints.py
+++ b/cassiadrum/endpoints/engine_endpoints.py
@@ -8,7 +8,7 @@
 from cassiadrum.endpoints.endpoint_calls import EndpointCall
 from cassiadrum.endpoints.endpoint_loads import EndpointLoad
 from cassiadrum.endpoints.errors import EndpointResponseLost, EndpointUnreachable
-from cassiadrum.endpoints.http_endpoints import HttpEndpoint
+from cassiadrum.endpoints.http_endpoints import LOAD_PATH, HttpEndpoint
 from cassiadrum.protocols import ConnectFailed, HttpError, HttpResponse, TransferTimeout
 
 __all__ = ["EngineEndpoint"]
@@ -47,7 +47,7 @@
 
     async def load(self) -> EndpointLoad:
         """Return the engine's load report."""
-        response = {"version": "", **await self._exchange("GET", "/load", b"")}
+        response = {"version": "", **await self._exchange("GET", LOAD_PATH, b"")}
         try:
             return msgspec.convert([response[name] for name in EndpointLoad._fields], EndpointLoad)
         except (msgspec.ValidationError, KeyError) as exc:
--- a/cassiadrum/endpoints/http_endpoints.py
+++ b/cassiadrum/endpoints/http_endpoints.py
@@ -1,5 +1,8 @@
 """HTTP client that engines and plain services share."""
 
+import asyncio
+import logging
+
 from cassiadrum.endpoints.endpoint_calls import EndpointCall
 from cassiadrum.endpoints.endpoints import Endpoint
 from cassiadrum.endpoints.errors import EndpointResponseLost, EndpointUnreachable
@@ -14,10 +17,15 @@
     check_process,
 )
 
-__all__ = ["HttpEndpoint"]
+__all__ = ["LOAD_PATH", "HttpEndpoint"]
+
+logger = logging.getLogger(__name__)
 
 # The endpoint is beside its sidecar.
 CHECK_TIMEOUT_S = 0.25
+LIFE_CHECK_TIMEOUT_S = 0.5
+# The path of a model engine's load report; a plain service answers as well, that it has none.
+LOAD_PATH = "/load"
 
 
 class HttpEndpoint(Endpoint):
@@ -52,6 +60,19 @@
         state = await check_process(self._host, self._port, CHECK_TIMEOUT_S)
         return state is ProcessState.ENDED
 
+    async def lives(self) -> bool:
+        """Return whether the endpoint answers a request for its load."""
+        client = HttpClient(self._host, self._port, connect_timeout_s=CHECK_TIMEOUT_S)
+        try:
+            async with asyncio.timeout(LIFE_CHECK_TIMEOUT_S):
+                await client.request("GET", LOAD_PATH)
+        except (ConnectFailed, AnswerLost, BadMessage, TimeoutError) as exc:
+            logger.info("endpoint does not answer after an answer's end: %s", exc or "no answer")
+            return False
+        finally:
+            client.close()
+        return True
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
--- a/cassiadrum/roles/call_runners.py
+++ b/cassiadrum/roles/call_runners.py
@@ -136,11 +136,11 @@
         return Outcome(True, ExecutionStatus.EXECUTED, stream.tokens)
 
     async def _ended_with_endpoint(self, response: HttpResponse) -> bool:
-        """Return whether an answer without a length ended since its endpoint did.
+        """Return whether an answer without a length may have ended since its endpoint did.
 
         An engine that crashes closes its connections like one that has sent its whole answer.
         """
-        return not _is_framed(response) and await self._endpoint.has_ended()
+        return not _is_framed(response) and not await self._endpoint.lives()
 
     def _send_stored(self, stream: SidecarStream, kept: KeptAnswer) -> None:
         attempt_id = stream.start.attempt_id
--- a/cassiadrum/tests/test_call_runners.py
+++ b/cassiadrum/tests/test_call_runners.py
@@ -26,6 +26,9 @@
     async def has_ended(self) -> bool:
         return False
 
+    async def lives(self) -> bool:
+        return True
+
     async def call(self, call: Any) -> HttpResponse:
         async def body() -> AsyncGenerator[bytes, None]:
             for _ in range(self._chunk_count):
--- a/cassiadrum/tests/test_cut_call_answers.py
+++ b/cassiadrum/tests/test_cut_call_answers.py
@@ -37,6 +37,9 @@
     async def has_ended(self) -> bool:
         return False
 
+    async def lives(self) -> bool:
+        return True
+
 
 async def run_call(client: HttpClient) -> list[SidecarMessage]:
     """Return the messages of one call."""
