--- a/cassiadrum/tests/gateways/test_store_restores.py
+++ b/cassiadrum/tests/gateways/test_store_restores.py
@@ -1,7 +1,10 @@
 """Tests of a store that is restored from an older copy."""
 
 import asyncio
+import json
 import logging
+import signal
+import time
 
 import pytest
 
@@ -22,12 +25,14 @@
 from cassiadrum.tests.gateways.conftest import GatewaySubprocess
 from cassiadrum.tests.gateways.makers import CACHE_TOKENS, make_entry
 from cassiadrum.tests.gateways.sites import (
+    DRAIN_S,
     REVOKE_S,
     Caller,
     PlatformSite,
     make_configuration,
     poll_until,
     wait_until,
+    write_settings,
 )
 from cassiadrum.tests.gateways.store_machines import LAPSE_S, RETURN_GRACE_S
 
@@ -259,3 +264,34 @@
             valid.add((await caller.call("/stream/b", key="key-2", events=2))[0])
             await asyncio.sleep(0.02)
         return revoked, valid
+
+
+@pytest.mark.integration
+class TestChangedSettingsBesideARestore:
+    """Guards against an endpoint that is gone and gets requests after a restore of the store.
+
+    The settings change while the store is away, so that the gateway begins to read it anew.
+    """
+
+    async def test_removed_endpoint_of_the_copy_gets_no_requests(
+        self, site: PlatformSite, gateway: GatewaySubprocess, caller: Caller
+    ) -> None:
+        copy = site.store.snapshot()
+        site.store.remove(ENDPOINT_TABLE, "p-1")
+        await asyncio.sleep(DRAIN_S)
+        site.store.fault = StoreFault.SILENT
+        settings = json.loads(gateway.settings_path.read_text())
+        settings["bounds"]["retry_budget_slack"] += 1
+        write_settings(gateway.settings_path, settings)
+        gateway.process.send_signal(signal.SIGHUP)
+        await wait_until(lambda: "settings changed" in gateway.log.read_text())
+        site.store.restore(copy)
+        site.store.fault = StoreFault.NONE
+        runs = len(site.endpoints["p-1"].runs)
+        end_s = time.monotonic() + 2.0
+        served = 0
+        while time.monotonic() < end_s:
+            status, _, _ = await caller.call("/safe/a")
+            served += status == 200
+        assert served > 0
+        assert len(site.endpoints["p-1"].runs) == runs
