Keep the store's era over a change of settings

A reload made a new client of the store, which knew no era, so that a follower took the first answer after a restore for the first of all and accepted the registrations of the copy. The client of an unchanged address is now kept.

test_removed_endpoint_of_the_copy_gets_no_requests failed before (747 requests) and passes now.

--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -138,13 +138,13 @@
 
     def _restart_store_tasks(self, cfg: NodeSettings) -> None:
         """Follow the tables and register in the store at its current address."""
-        self._close_store()
+        self._cancel_store_tasks()
         configuration = FollowedTable(CONFIGURATION_TABLE, ConfigurationSink(self.gateway))
         endpoints = FollowedTable(ENDPOINT_TABLE, EndpointSink(self.gateway))
         news = [LimitFleetNews(self.gateway.limit_board), CrashFleetNews(self.gateway.crash_board)]
         fleet_sink = FleetSink(self._fleet, news, cfg.instance)
         fleet = FollowedTable(FLEET_TABLE, fleet_sink)
-        self._store = store = RowStore(cfg.store, _boot_clock, cfg.link_bytes_per_s)
+        store = self._connect(cfg)
         waits = StoreWaits.from_bounds(cfg.bounds)
         self._fleet.outdated_s = waits.fleet_s
         # Requests that wait for the endpoints then know their request limits.
@@ -162,10 +162,25 @@
             asyncio.create_task(self._origins.run(store)),
         ]
 
-    def _close_store(self) -> None:
-        """Cancel the tasks that use the store, and close its idle connections."""
+    def _connect(self, cfg: NodeSettings) -> RowStore:
+        """Return the client of the store at its current address.
+
+        A client of the same address is kept, as it knows the store's era: a follower that began
+        without it would not notice a restore.
+        """
+        if self._store is None or self._store.address != cfg.store:
+            if self._store is not None:
+                self._store.close()
+            self._store = RowStore(cfg.store, _boot_clock, cfg.link_bytes_per_s)
+        return self._store
+
+    def _cancel_store_tasks(self) -> None:
         for task in self._store_tasks:
             task.cancel()
+
+    def _close_store(self) -> None:
+        """Cancel the tasks that use the store, and close its idle connections."""
+        self._cancel_store_tasks()
         if self._store is not None:
             self._store.close()
 
--- a/cassiadrum/platform/row_stores.py
+++ b/cassiadrum/platform/row_stores.py
@@ -108,6 +108,7 @@
         boot_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
         link_bytes_per_s: float | None = None,
     ) -> None:
+        self.address = address
         self._client = StoreClient(address, link_bytes_per_s)
         self._boot_clock = boot_clock
         self.era = self._client.era
