Keep a removed endpoint after one failed call no longer than its removal may be unknown

If the first call after a failed one is answered, its connection may have been at fault. An endpoint that the store says is gone is then kept until 0.9 of contact_s after the last answer at most, when the machine acts on the store's news again.

--- a/cassiadrum/gateways/endpoint_directories.py
+++ b/cassiadrum/gateways/endpoint_directories.py
@@ -13,6 +13,10 @@
 logger = logging.getLogger(__name__)
 
 
+# Fraction of `contact_s`; the rest covers the time that a request takes to reach its endpoint.
+CONTACT_FRACTION = 0.9
+
+
 class EndpointDirectory:
     """The endpoints that are registered in the store; times are monotonic seconds.
 
@@ -32,7 +36,10 @@
         on_removed: Callable[[Incarnation], None],
         return_grace_s: float,
         lapse_s: float = 0.0,
+        contact_s: float = float("inf"),
     ) -> None:
+        # Time after the loss of connections in which this process acts on the store's news again.
+        self.contact_s = contact_s
         # Whether a full list has been received; until then, a missing endpoint may be unknown.
         self.has_full_list = False
         self._make_view = make_view
@@ -53,9 +60,16 @@
     def __len__(self) -> int:
         return len(self._views)
 
-    def store_returned(self, now: float) -> None:
-        """Start the grace period after an outage of the store."""
+    def store_returned(self, now: float, last_answer_s: float | None = None) -> None:
+        """Start the grace period after an outage of the store.
+
+        With `last_answer_s` a single call has failed since then, and the store may not have been
+        away at all: an endpoint that it says is gone is kept only as long as that may be unknown.
+        """
         self._grace_until_s = now + self._return_grace_s
+        if last_answer_s is not None:
+            known_s = last_answer_s + CONTACT_FRACTION * self.contact_s
+            self._grace_until_s = min(self._grace_until_s, known_s)
 
     def store_restored(self, now: float) -> None:
         """Record that the next full list comes from a store restored from an older copy."""
--- a/cassiadrum/gateways/gateway_settings.py
+++ b/cassiadrum/gateways/gateway_settings.py
@@ -23,3 +23,5 @@
     answers_bytes: int = 32 * 1024 * 1024
     # Time after which the store has expired the registration of a dead endpoint.
     lapse_s: float = 5.0
+    # Time after the loss of its connections in which a gateway has to act on the store's news.
+    contact_s: float = float("inf")
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -74,7 +74,11 @@
         self.draining = False
         self.pool = ConnectionPool()
         self.directory = EndpointDirectory(
-            self._make_view, self.pool.close_idle, cfg.return_grace_s, cfg.lapse_s
+            self._make_view,
+            self.pool.close_idle,
+            cfg.return_grace_s,
+            cfg.lapse_s,
+            cfg.contact_s,
         )
         self._protocol = protocol
         self._clock = clock
@@ -131,6 +135,7 @@
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Apply changed settings; zone, memory budget and grace time are fixed at the start."""
         self.configuration.reconfigure(cfg.confirmation_limit_s, cfg.strict_keys)
+        self.directory.contact_s = cfg.contact_s
         self._budgets.reconfigure(cfg.retry_ratio, cfg.retry_spare, cfg.retry_window_s)
 
     def drain(self, grace_s: float) -> None:
--- a/cassiadrum/platform/fleet_sinks.py
+++ b/cassiadrum/platform/fleet_sinks.py
@@ -110,7 +110,7 @@
         """Record that the list of members is current."""
         self._fleet.confirm(page.sent_s)
 
-    def store_returned(self) -> None:
+    def store_returned(self, last_answer_s: float | None) -> None:
         """Let a registration that failed be tried again."""
         self.store_is_back.set()
 
--- a/cassiadrum/platform/followed_tables.py
+++ b/cassiadrum/platform/followed_tables.py
@@ -46,8 +46,12 @@
         """Handle an answer about another table that shows that this one has not changed."""
 
     @abstractmethod
-    def store_returned(self) -> None:
-        """Handle the end of a store outage; called before the rows that follow are passed on."""
+    def store_returned(self, last_answer_s: float | None) -> None:
+        """Handle the end of a store outage; called before the rows that follow are passed on.
+
+        If a single call failed, its connection may have been at fault and not the store;
+        `last_answer_s` is then the monotonic time of the last answer before it, else None.
+        """
 
     @abstractmethod
     def store_restored(self) -> None:
--- a/cassiadrum/platform/processes.py
+++ b/cassiadrum/platform/processes.py
@@ -285,6 +285,7 @@
         return_grace_s=STORE_RETURN_GRACE_S,
         answers_bytes=int(cfg.memory_bytes * ANSWERS_MEMORY_FRACTION),
         lapse_s=REGISTRATION_EXPIRY_HEARTBEATS * cfg.heartbeat_s + waits.change_s,
+        contact_s=bounds.contact_s,
     )
 
 
--- a/cassiadrum/platform/store_followers.py
+++ b/cassiadrum/platform/store_followers.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Sequence
 
 from cassiadrum.platform.errors import StoreRestored
@@ -58,6 +59,8 @@
         self._newest_version = 0
         self._era = store.era.number
         self._failures = 0
+        # Monotonic time of the last answer.
+        self._answered_s = time.monotonic()
         # Whether no answer was applied since the last failure.
         self._is_away = False
         # Restores of the store that were detected.
@@ -162,11 +165,12 @@
 
     def _report_return(self) -> None:
         """Notify the sinks of the end of an outage, once, before any rows are passed on."""
+        last_answer_s, self._answered_s = self._answered_s, time.monotonic()
         if not self._is_away:
             return
         self._is_away = False
         for table in (self._leading_table, *self._other_tables):
-            table.sink.store_returned()
+            table.sink.store_returned(last_answer_s if self._failures == 1 else None)
 
     def _check_era(self) -> bool:
         """Return whether the era increased since the last check; if so, reset all tables."""
--- a/cassiadrum/platform/table_sinks.py
+++ b/cassiadrum/platform/table_sinks.py
@@ -63,7 +63,7 @@
                 page.store_s, page.sent_s, page.received_s
             )
 
-    def store_returned(self) -> None:
+    def store_returned(self, last_answer_s: float | None) -> None:
         """Do nothing: the rows that follow are current."""
 
     def store_restored(self) -> None:
@@ -128,9 +128,9 @@
         if page.rows:
             self._gateway.endpoints_changed()
 
-    def store_returned(self) -> None:
+    def store_returned(self, last_answer_s: float | None) -> None:
         """Keep registrations that expired during the outage for a grace time."""
-        self._gateway.directory.store_returned(self._clock())
+        self._gateway.directory.store_returned(self._clock(), last_answer_s)
 
     def store_restored(self) -> None:
         """Allow for old registrations of endpoints that have since left or stopped."""
