--- a/cassiadrum/platform/standins/endpoint_services.py
+++ b/cassiadrum/platform/standins/endpoint_services.py
@@ -100,7 +100,7 @@
         arrived_s = time.monotonic()
         self.arrivals.append(arrived_s)
         if req.path == REPORT_PATH:
-            report = {"running": self.running, "waiting": 0}
+            report = {"running": self.running, "waiting": 0, "born": self.born}
             await exchange.send_json(200, report, self._notice_headers())
             return
         request_id = req.header(Header.REQUEST_ID)
--- a/cassiadrum/tests/gateways/taken_up_streams.py
+++ b/cassiadrum/tests/gateways/taken_up_streams.py
@@ -60,6 +60,18 @@
             self.register(name)
         return names
 
+    async def start_again(self, name: str, version: str) -> None:
+        """End an endpoint and start it again with another version; its registration stays."""
+        old = self.endpoints[name]
+        host, _, port = old.address.rpartition(":")
+        await old.close()
+        endpoint = VersionedEndpoint(
+            name, slots=SLOTS, event_interval_s=EVENT_INTERVAL_S, version=version
+        )
+        endpoint.born = old.born + 1
+        await endpoint.start(host, int(port))
+        self.endpoints[name] = endpoint
+
     async def leave(self, version: str) -> None:
         """End the endpoints of a version and remove their registrations."""
         for name, endpoint in list(self.endpoints.items()):
--- a/cassiadrum/tests/gateways/test_software_versions.py
+++ b/cassiadrum/tests/gateways/test_software_versions.py
@@ -199,6 +199,22 @@
             check(streams, "v2")
             assert not any(complete_of(streams, "v1"))
 
+    async def test_endpoint_starts_again_under_its_name_at_another_version(
+        self, tmp_path: Path
+    ) -> None:
+        # Its registration lags behind by less than a heartbeat.
+        async with versioned_fleet(tmp_path, ("v1",)) as fleet:
+            caller = StreamCaller(fleet.ports, break_after=(BROKEN_AFTER,))
+            caller.start(STREAMS)
+            await caller.wait_for_events(1)
+            for name in list(fleet.site.endpoints)[:2]:
+                await fleet.site.start_again(name, "v2")
+            caller.start(STREAMS)
+            await asyncio.sleep(1.0)
+            for name in list(fleet.site.endpoints)[:2]:
+                fleet.site.register(name)
+            check(await caller.finish(), "v1")
+
     async def test_take_up_without_the_first_try_is_not_guessed(self, tmp_path: Path) -> None:
         async with versioned_fleet(tmp_path) as fleet:
             caller = StreamCaller(
