Begin and go on with streams only at the registered incarnation

Before the first resumable stream on a new connection, the gateway asks for a load report, which states when the endpoint started; another start fails the attempt as not run. A connection stays with one process, so kept ones need no check. No answer tells nothing, as sound endpoints pause. The check is the one that follows answers without a length, which now also notices that another incarnation answers at the address.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -13,6 +13,7 @@
 from cassiadrum.gateways.endpoint_connections import EndpointConnection
 from cassiadrum.gateways.endpoint_views import EndpointView
 from cassiadrum.gateways.errors import HARMFUL_CONTENT, AttemptFailed
+from cassiadrum.gateways.life_checks import FoundProcess
 from cassiadrum.gateways.placement_policies import MIN_FIRST_BYTES_MS, PREFILL_TOKENS_PER_MS
 from cassiadrum.gateways.placement_queues import Assignment
 from cassiadrum.gateways.request_contexts import RequestContext
@@ -58,7 +59,7 @@
         clock: Callable[[], float],
         before_send: Callable[[], None] = lambda: None,
         on_begun: Callable[[], None] = lambda: None,
-        lives: Callable[[EndpointView], Awaitable[bool]] | None = None,
+        find_process: Callable[[EndpointView], Awaitable[FoundProcess]] | None = None,
     ) -> None:
         self.view = assignment.view
         self._ctx = ctx
@@ -72,8 +73,8 @@
         self._before_send = before_send
         # Called when the endpoint has begun its answer and goes on.
         self._on_begun = on_begun
-        # Returns whether an endpoint still answers.
-        self._lives = lives
+        # Returns which process answers at an endpoint's address.
+        self._find_process = find_process
         # Whether the request was withdrawn because of what it holds.
         self._withdrawn = False
         self._prefill_tokens = assignment.prefill_tokens
@@ -127,6 +128,7 @@
             self.view.record_unreachable(self._clock())
             raise AttemptFailed(f"unreachable: {exc}", not_run=True) from exc
         self._conn = conn
+        await self._check_incarnation(conn)
         self._before_send()
         if ctx.origin is not None and not ctx.origin.permits(self.view.entry.version):
             raise AttemptFailed("another software version than the stream's", not_run=True)
@@ -169,6 +171,19 @@
         self._head = head
         return head
 
+    async def _check_incarnation(self, conn: EndpointConnection) -> None:
+        """Raise AttemptFailed if a stream would begin or go on at another incarnation.
+
+        An endpoint may start again under its name, also with other software, and its registration
+        lags behind by up to a heartbeat. A connection stays with one process. A sound endpoint
+        may pause, so that no answer tells nothing.
+        """
+        if conn.reused or not self._ctx.is_resumable or self._find_process is None:
+            return
+        if await self._find_process(self.view) is FoundProcess.OTHER:
+            self.view.avoid(self._clock(), MISDIRECTED_PAUSE_S, "it has started again")
+            raise AttemptFailed("the endpoint has started again", not_run=True)
+
     @property
     def head(self) -> AnswerHead:
         """Return the head of the answer."""
@@ -198,9 +213,9 @@
         """
         conn = self._conn
         assert conn is not None
-        if not conn.ends_with_connection or self._lives is None:
+        if not conn.ends_with_connection or self._find_process is None:
             return
-        if not await self._lives(self.view):
+        if await self._find_process(self.view) is not FoundProcess.REGISTERED:
             raise self.fail("the endpoint may have ended with its answer")
         if await conn.is_reset():
             raise self.fail("the connection was reset after the end of the answer")
--- a/cassiadrum/gateways/call_protocols.py
+++ b/cassiadrum/gateways/call_protocols.py
@@ -39,6 +39,13 @@
     def decode_load(self, body: bytes, slots: int) -> LoadSample:
         """Return the load in a report; raise BadMessage if it is malformed."""
 
+    @abstractmethod
+    def decode_started_ms(self, body: bytes) -> int | None:
+        """Return when the endpoint of a load report started, None if it does not state it.
+
+        The time is in milliseconds since 1970.
+        """
+
     @abstractmethod
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the head of an endpoint's answer."""
--- a/cassiadrum/gateways/gateways.py
+++ b/cassiadrum/gateways/gateways.py
@@ -113,7 +113,7 @@
         )
         self._crash_watch.on_harmful = self._refuse_harmful
         self._placement_queue.avoided = self._crash_watch.suspect_places
-        self._life_checks = LifeChecks(protocol, clock)
+        self._life_checks = LifeChecks(self.pool, protocol, clock)
         self.lag = LagLimit()
         self._loop_delay = LoopDelay()
 
@@ -414,7 +414,7 @@
             self._clock,
             lambda: self._check_send(ctx),
             lambda: self.crash_board.record_begun(ctx.contents),
-            self._life_checks.lives,
+            self._life_checks.check,
         )
 
     async def _place(self, ctx: RequestContext) -> Assignment:
--- a/cassiadrum/platform/call_codecs.py
+++ b/cassiadrum/platform/call_codecs.py
@@ -46,6 +46,11 @@
     waiting: LoadCount
 
 
+class _StartWire(msgspec.Struct):
+    # Start of the endpoint in milliseconds since 1970.
+    born: int
+
+
 class PlatformProtocol(CallProtocol):
     """The platform's headers as the gateway's types."""
 
@@ -109,6 +114,13 @@
             raise BadMessage(502, f"invalid load report: {exc}") from exc
         return LoadSample(report.running, report.waiting, slots)
 
+    def decode_started_ms(self, body: bytes) -> int | None:
+        """Return when the endpoint of a load report started, None if it does not state it."""
+        try:
+            return msgspec.json.decode(body, type=_StartWire).born
+        except DECODE_ERRORS:
+            return None
+
     def decode_head(self, status: int, headers: Headers) -> AnswerHead:
         """Return the status and the decoded headers of an endpoint's answer."""
         values = dict(headers)
