Check the incarnation on each connection that a stream uses first

A record that was given up is written if its id is used again, and records are found by age without looking at all of them.

--- a/cassiadrum/gateways/attempts.py
+++ b/cassiadrum/gateways/attempts.py
@@ -178,9 +178,11 @@
         lags behind by up to a heartbeat. A connection stays with one process. A sound endpoint
         may pause, so that no answer tells nothing.
         """
-        if conn.reused or not self._ctx.is_resumable or self._find_process is None:
+        if conn.is_registered or not self._ctx.is_resumable or self._find_process is None:
             return
-        if await self._find_process(self.view) is FoundProcess.OTHER:
+        found = await self._find_process(self.view)
+        conn.is_registered = found is FoundProcess.REGISTERED
+        if found is FoundProcess.OTHER:
             self.view.avoid(self._clock(), MISDIRECTED_PAUSE_S, "it has started again")
             raise AttemptFailed("the endpoint has started again", not_run=True)
 
--- a/cassiadrum/gateways/endpoint_connections.py
+++ b/cassiadrum/gateways/endpoint_connections.py
@@ -42,6 +42,8 @@
     def __init__(self) -> None:
         self.idle_until_s = 0.0
         self.reused = False
+        # Whether the registered incarnation of the endpoint is known to be at its other end.
+        self.is_registered = False
         self._transport: asyncio.Transport | None = None
         self._conn = h11.Connection(h11.CLIENT)
         self._request: list[h11.Event] = []
--- a/cassiadrum/gateways/life_checks.py
+++ b/cassiadrum/gateways/life_checks.py
@@ -125,10 +125,11 @@
         except BaseException:
             conn.abort()
             raise
+        if self._protocol.decode_started_ms(body) not in (None, view.entry.started_ms):
+            conn.abort()
+            return FoundProcess.OTHER
         self._pool.release(view.entry.incarnation, conn, None, self._clock())
-        started_ms = self._protocol.decode_started_ms(body)
-        is_registered = started_ms in (None, view.entry.started_ms)
-        return FoundProcess.REGISTERED if is_registered else FoundProcess.OTHER
+        return FoundProcess.REGISTERED
 
 
 def _is_report(response: h11.Response) -> bool:
--- a/cassiadrum/gateways/stream_origins.py
+++ b/cassiadrum/gateways/stream_origins.py
@@ -58,8 +58,9 @@
     began. Keys identify a stream by its customer and the request that brought its first event.
     """
 
-    # Called when the store has lost records that it had acknowledged.
-    on_restored: Callable[[], None] = staticmethod(lambda: None)
+    def __init__(self) -> None:
+        # Called when the store has lost records that it had acknowledged.
+        self.on_restored: Callable[[], None] = lambda: None
 
     @property
     @abstractmethod
@@ -95,6 +96,7 @@
     """Records in the memory of this process, for a gateway without others and without a store."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._origins: dict[str, StreamOrigin] = {}
 
     @property
@@ -114,6 +116,8 @@
     def record(self, key: str, origin: StreamOrigin) -> asyncio.Event:
         """Record at once."""
         self._origins[key] = origin
+        if len(self._origins) > MAX_REMEMBERED:
+            del self._origins[next(iter(self._origins))]
         written = asyncio.Event()
         written.set()
         return written
--- a/cassiadrum/platform/origin_stores.py
+++ b/cassiadrum/platform/origin_stores.py
@@ -66,6 +66,7 @@
         fleet: FleetShares,
         boot_clock: Callable[[], float],
     ) -> None:
+        super().__init__()
         # Returns the registered endpoints of a service, and the services with resumable streams.
         self._registered = registered
         self._services = services
--- a/cassiadrum/platform/origin_writers.py
+++ b/cassiadrum/platform/origin_writers.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from itertools import takewhile
 from typing import Final
 
 import msgspec
@@ -107,7 +108,8 @@
 
     def discard(self, key: str) -> None:
         """Give up a record that is not written yet."""
-        self._waiting.pop(key, None)
+        if self._waiting.pop(key, None) is not None:
+            del self._records[key]
 
     def write_again(self) -> None:
         """Write all records again, as a restore of the store may have undone writes."""
@@ -137,7 +139,9 @@
     async def remove_old(self, store: RowStore, age_s: float) -> None:
         """Remove records that are older than `age_s`; raise StoreUnavailable."""
         oldest_s = self._boot_clock() - age_s
-        old = [key for key, record in self._records.items() if record.made_s < oldest_s]
+        # In the order in which they were made.
+        found = takewhile(lambda item: item[1].made_s < oldest_s, self._records.items())
+        old = [key for key, _ in found]
         for first in range(0, len(old), MAX_REMOVED_ROWS):
             keys = old[first : first + MAX_REMOVED_ROWS]
             await store.write_rows(RECORD_TABLE, [RowWrite(key, None) for key in keys])
--- a/cassiadrum/tests/gateways/test_stream_origins.py
+++ b/cassiadrum/tests/gateways/test_stream_origins.py
@@ -6,6 +6,8 @@
 
 from cassiadrum.gateways import StreamOrigin, UnrecordedStreams, next_unrecorded
 from cassiadrum.gateways.unrecorded_streams import ABSENT_S, LEASE_S, STREAM_LIFETIME_S
+from cassiadrum.platform.origin_rows import RECORD_TABLE
+from cassiadrum.platform.origin_stores import CLEAN_INTERVAL_S, RECORD_KEPT_S
 from cassiadrum.tests.gateways.makers import make_entry
 from cassiadrum.tests.gateways.origin_models import SERVICE, ModelGateway, OriginModel, settle
 
@@ -54,6 +56,42 @@
         await gateway.kill()
 
 
+class TestDiscardedRecords:
+    """Guards against a stream that never begins, as its caller uses the id of a request again."""
+
+    async def test_record_of_the_same_id_is_written(self) -> None:
+        model = OriginModel(seed=1)
+        model.entries = [make_entry("e-1", version="v1")]
+        gateway = ModelGateway(model)
+        await settle()
+        origin = StreamOrigin(SERVICE, "v2")
+        gateway.store.is_down = True
+        gateway.origins.record("a" * 32, origin)
+        await asyncio.sleep(0.01)
+        gateway.origins.discard("a" * 32)
+        gateway.store.is_down = False
+        async with asyncio.timeout(1.0):
+            await gateway.origins.record("a" * 32, origin).wait()
+        await gateway.kill()
+
+    async def test_records_are_removed_when_they_are_old(self) -> None:
+        model = OriginModel(seed=1)
+        model.entries = [make_entry("e-1", version="v1")]
+        gateway = ModelGateway(model)
+        await settle()
+        await gateway.origins.record("a" * 32, StreamOrigin(SERVICE, "v2")).wait()
+        await gateway.kill()
+        other = ModelGateway(model)
+        await settle()
+        await other.origins.record("b" * 32, StreamOrigin(SERVICE, "v2")).wait()
+        assert len([key for key in model.tables.rows if key[0] == RECORD_TABLE]) == 2
+        # One of them was left behind by a gateway that is gone.
+        model.clock.now += CLEAN_INTERVAL_S + RECORD_KEPT_S
+        await other.origins.update(other.store)
+        assert [key for key in model.tables.rows if key[0] == RECORD_TABLE] == []
+        await other.kill()
+
+
 class TestUnrecordedStreams:
     """Guards against streams of two versions that both have no record."""
 
