--- a/cassiadrum/tests/gateways/test_software_versions.py
+++ b/cassiadrum/tests/gateways/test_software_versions.py
@@ -47,6 +47,16 @@
         await site.close()
 
 
+@contextlib.asynccontextmanager
+async def killed_gateways(fleet: VersionedFleet, caller: StreamCaller) -> AsyncIterator[None]:
+    """Kill all gateways at once, and start them again at the end; callers wait until then."""
+    caller.may_retry.clear()
+    await fleet.kill_all()
+    yield
+    await fleet.restart_all()
+    caller.may_retry.set()
+
+
 def check(streams: Sequence[TakenUpStream], *going_on: str) -> None:
     """Check that no stream is mixed, and that those of the versions `going_on` went on."""
     assert mixed(streams) == []
@@ -96,10 +106,8 @@
             caller = StreamCaller(fleet.ports)
             caller.start(STREAMS)
             await caller.wait_for_events(events)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                pass
             check(await caller.finish(), "v1", "v2")
 
     async def test_all_gateways_are_stopped(self, tmp_path: Path) -> None:
@@ -133,11 +141,8 @@
             fleet.site.store.fault = StoreFault.SILENT
             caller.start(STREAMS)
             await asyncio.sleep(1.0)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            fleet.site.store.fault = StoreFault.NONE
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                fleet.site.store.fault = StoreFault.NONE
             check(await caller.finish(), "v1")
 
     async def test_old_version_leaves_before_killed_gateways_return(self, tmp_path: Path) -> None:
@@ -145,11 +150,8 @@
             caller = StreamCaller(fleet.ports, deadline_s=6.0)
             caller.start(STREAMS)
             await caller.wait_for_events(BROKEN_AFTER)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            await fleet.site.leave("v1")
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                await fleet.site.leave("v1")
             streams = await caller.finish()
             check(streams, "v2")
             assert not any(complete_of(streams, "v1"))
@@ -164,12 +166,9 @@
             caller = StreamCaller(fleet.ports, deadline_s=6.0)
             caller.start(STREAMS)
             await caller.wait_for_events(BROKEN_AFTER)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            await fleet.site.leave("v1")
-            await fleet.site.add("v2")
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                await fleet.site.leave("v1")
+                await fleet.site.add("v2")
             streams = await caller.finish()
             assert mixed(streams) == []
             assert not any(complete_of(streams, "v1"))
@@ -179,12 +178,9 @@
             caller = StreamCaller(fleet.ports)
             caller.start(STREAMS)
             await caller.wait_for_events(BROKEN_AFTER)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            await fleet.site.leave("v1")
-            await fleet.site.add("v1")
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                await fleet.site.leave("v1")
+                await fleet.site.add("v1")
             check(await caller.finish(), "v1", "v2")
 
     async def test_no_endpoint_of_the_version_is_left_within_an_answer(
@@ -228,9 +224,7 @@
             caller = StreamCaller(fleet.ports)
             caller.start(STREAMS)
             await caller.wait_for_events(BROKEN_AFTER)
-            caller.may_retry.clear()
-            await fleet.kill_all()
-            await fleet.restart_all()
-            caller.may_retry.set()
+            async with killed_gateways(fleet, caller):
+                pass
             streams = await caller.finish()
             assert [len(stream.versions) for stream in streams] == [EVENTS] * STREAMS
