--- a/bench/reporters.py
+++ b/bench/reporters.py
@@ -14,6 +14,8 @@
 
 # Real streams report progress with every frame; reporting it less often shortens the run.
 TICKS_PER_PROGRESS = 2
+# All simulated engines run the same software, so that answers go on at any of them.
+SOFTWARE_VERSION = "v1"
 
 
 class Reporter:
@@ -78,6 +80,7 @@
             now,
             models=self._models,
             tokens_per_s=rate,
+            version=SOFTWARE_VERSION,
         )
         for listener in self._listeners:
             self._loop.call_later(
